--- /dev/null
+++ b/src/mintcleat/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for agent programs: entry, sidecar and control roles."""
--- /dev/null
+++ b/src/mintcleat/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports on eventlet, files and libraries."""
--- /dev/null
+++ b/src/mintcleat/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration group's state machine, free of I/O."""
--- /dev/null
+++ b/src/mintcleat/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, free of I/O and of any clock of their own."""
--- /dev/null
+++ b/src/mintcleat/domain/codec.py
@@ -0,0 +1,57 @@
+"""Messages as msgpack arrays: `[tag, fields...]`.
+
+A peer's bytes are checked against the message's types, so that a bad peer
+costs its connection and nothing else.
+"""
+
+from typing import Any
+
+import msgpack
+import msgspec
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+_TAG_OF = {kind: tag for tag, kind in messages.TAGS.items()}
+
+
+def encode(message: Any) -> bytes:
+    """Returns the message as bytes."""
+    return msgpack.packb(to_wire(message), use_bin_type=True)
+
+
+def to_wire(message: Any) -> list[Any]:
+    """Returns `[tag, fields...]`; nested messages become plain arrays."""
+    return [_TAG_OF[type(message)], *message]
+
+
+def decode(data: bytes) -> Any:
+    """Returns the message that `encode` made these bytes from.
+
+    Raises:
+        errors.BadRequest: The bytes are no message of a known kind.
+    """
+    try:
+        items = msgpack.unpackb(data, raw=False, strict_map_key=False)
+    except (ValueError, msgpack.exceptions.UnpackException) as error:
+        raise errors.BadRequest(f"A peer sent no msgpack: {error}.") from error
+    return from_wire(items)
+
+
+def from_wire(items: Any) -> Any:
+    """Returns the typed message of `[tag, fields...]`.
+
+    Raises:
+        errors.BadRequest: The tag is unknown or a field has another type.
+    """
+    if not isinstance(items, list) or not items:
+        raise errors.BadRequest("A peer sent a message without a tag.")
+    kind = messages.TAGS.get(items[0])
+    if kind is None:
+        raise errors.BadRequest(f"A peer sent the unknown tag {items[0]!r}.")
+    try:
+        return msgspec.convert(items[1:], kind)
+    except msgspec.ValidationError as error:
+        raise errors.BadRequest(
+            f"A peer sent a bad {kind.__name__}: {error}."
+        ) from error
--- /dev/null
+++ b/src/mintcleat/domain/messages.py
@@ -0,0 +1,667 @@
+"""Messages between entry, sidecar and control.
+
+Every message is a NamedTuple. On the wire it is a msgpack array whose first
+item is the tag in `TAGS` and whose rest are the fields; a field added later
+goes last and has a default. `adapters/streams.py` encodes and decodes them.
+
+Sizes are in bytes, times in seconds, tokens are engine tokens. Digests are
+16 bytes of xxh3-128. `history` items are JSON texts of chat messages.
+"""
+
+from typing import NamedTuple
+
+from mintcleat.domain import errors
+
+
+class Incarnation(NamedTuple):
+    """One life of one instance; a later start has a larger epoch."""
+
+    instance: str
+    epoch: int
+
+
+class Budget(NamedTuple):
+    """Limits of a program, sub-agents included; 0 means no limit."""
+
+    tokens: int = 0
+    turns: int = 0
+    seconds: float = 0.0
+
+
+class Usage(NamedTuple):
+    """Tokens of one call as the engine reports them."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Turn(NamedTuple):
+    """One finished turn of a program's history.
+
+    Attributes:
+        turn: Its number, from 1.
+        messages: JSON texts, the caller's new messages and then the answer.
+        digest: Rolling digest over this turn and all before it.
+    """
+
+    turn: int
+    messages: list[str]
+    digest: bytes
+
+
+# --- Entry to the leader of a program group ---------------------------------
+
+
+class CreateProgram(NamedTuple):
+    """Creates a program; the same attributes again give the same program.
+
+    A child's id is `<parent id>.<name>`, so it lies in its root's group.
+    """
+
+    program: str
+    partner: str
+    agent: str
+    klass: str
+    budget: Budget
+    parent: str = ""
+
+
+class ProgramView(NamedTuple):
+    """What a program looks like now.
+
+    Attributes:
+        next_turn: The turn that the next chat call must carry.
+        used: Tokens settled, sub-agents included.
+        reserved: Tokens held for calls under way or of unknown outcome.
+        state: `open`, `closed` or `expired`.
+        resident: Sidecar that last ran a turn; epoch 0 for none.
+        resident_address: Stream address of `resident`.
+    """
+
+    program: str
+    partner: str
+    agent: str
+    klass: str
+    parent: str
+    budget: Budget
+    next_turn: int
+    used: int
+    reserved: int
+    state: str
+    digest: bytes
+    resident: Incarnation
+    resident_address: str
+    created: float
+    children: list[str]
+
+
+class ShowProgram(NamedTuple):
+    """Asks for a ProgramView by a linearizable read."""
+
+    program: str
+
+
+class ListPrograms(NamedTuple):
+    """Asks for the programs of one group, in id order after `after`."""
+
+    group: str
+    after: str = ""
+    limit: int = 100
+
+
+class Programs(NamedTuple):
+    """Answer to ListPrograms."""
+
+    programs: list[ProgramView]
+
+
+class FetchHistory(NamedTuple):
+    """Asks for finished turns `first` to `last`, both included; 0 for all."""
+
+    program: str
+    first: int = 1
+    last: int = 0
+
+
+class History(NamedTuple):
+    """Answer to FetchHistory."""
+
+    program: str
+    turns: list[Turn]
+
+
+class CloseProgram(NamedTuple):
+    """Closes a program and its sub-agents; repeated, it answers the same."""
+
+    program: str
+
+
+class BeginCall(NamedTuple):
+    """Asks for an attempt, bound to one sidecar incarnation.
+
+    Attributes:
+        program: Program id, or empty for a keyed call without a program.
+        partner: Partner of a call without a program.
+        turn: Number of the chat turn; 0 for a tool call.
+        key: Idempotency key; the entry makes one up when the caller has none.
+        digest: Digest of the whole request, to tell a resend from a misuse.
+        messages: New chat messages; empty for a tool call.
+        reserve: Tokens to hold until the call is settled.
+        idempotent: Whether a second run at the upstream does no harm.
+        sidecar: The sidecar that the entry has chosen.
+        sealed: Number of an attempt that its sidecar has sealed; 0 for none.
+            Only then may a non-idempotent call get a new attempt.
+    """
+
+    program: str
+    partner: str
+    service: str
+    turn: int
+    key: str
+    digest: bytes
+    messages: list[str]
+    reserve: int
+    idempotent: bool
+    sidecar: Incarnation
+    address: str
+    sealed: int = 0
+
+
+class Granted(NamedTuple):
+    """An attempt may run at `sidecar`; committed.
+
+    Attributes:
+        base_turn: Turns of history that come before the new messages.
+        base_digest: Rolling digest after `base_turn`.
+        attained: Tokens served so far to the whole (root) program.
+        tokens_left: Tokens that the call may still spend; 0 for no limit.
+    """
+
+    attempt: int
+    base_turn: int
+    base_digest: bytes
+    attained: int
+    tokens_left: int
+    root: str
+    agent: str
+    klass: str
+
+
+class Recorded(NamedTuple):
+    """The call was finished before; this is its answer."""
+
+    attempt: int
+    answer: bytes
+    usage: Usage
+
+
+class Underway(NamedTuple):
+    """Another attempt of this call is bound; attach to it or seal it there."""
+
+    attempt: int
+    sidecar: Incarnation
+    address: str
+
+
+class SettleCall(NamedTuple):
+    """Ends an attempt without an answer.
+
+    Attributes:
+        outcome: `not_run` frees key, turn and reservation (the sidecar has
+            sealed the attempt); `unknown` keeps them until known or expired;
+            `ran` records `failure` as the call's answer.
+    """
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    outcome: str
+    failure: errors.Failure
+
+
+# --- Sidecar to the leader of a program group -------------------------------
+
+
+class FinishCall(NamedTuple):
+    """Records the whole answer of an attempt; repeated, it changes nothing.
+
+    Attributes:
+        answer: For a turn: JSON text of the assistant message. For a tool
+            call: msgpack of [status, headers, body].
+    """
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    sidecar: Incarnation
+    answer: bytes
+    usage: Usage
+
+
+class Done(NamedTuple):
+    """The request was committed, now or before."""
+
+    detail: str = ""
+
+
+class RenewResidency(NamedTuple):
+    """Asks which of these programs are still open; sent in batches."""
+
+    sidecar: Incarnation
+    programs: list[str]
+
+
+class Gone(NamedTuple):
+    """Programs whose engine memory must be released."""
+
+    programs: list[str]
+
+
+class Batch(NamedTuple):
+    """Many program group requests in one; answered by one Batch in order.
+
+    Each item is an encoded message (`[tag, fields...]` in msgpack).
+    """
+
+    items: list[bytes]
+
+
+# --- Entry to sidecar ---------------------------------------------------------
+
+
+class RunTurn(NamedTuple):
+    """Runs one attempt of a chat turn, or of a chat call without a program.
+
+    Attributes:
+        base_turn: Turns of history before `messages`, with `base_digest`.
+        history: Turns that the sidecar said it lacks.
+        parameters: The caller's body without `messages`, as JSON text.
+        deadline: Seconds left when sent; 0 for none.
+        attained: Tokens served so far to the whole program.
+    """
+
+    program: str
+    partner: str
+    service: str
+    key: str
+    attempt: int
+    sidecar: Incarnation
+    base_turn: int
+    base_digest: bytes
+    history: list[Turn]
+    messages: list[str]
+    parameters: str
+    deadline: float
+    klass: str
+    agent: str
+    root: str
+    attained: int
+    digest: bytes
+    idempotent: bool
+
+
+class RunTool(NamedTuple):
+    """Forwards one request to a plain service.
+
+    Attributes:
+        attempt: 0 for an idempotent request, which takes no commit.
+        headers: Pairs of name and value.
+    """
+
+    program: str
+    partner: str
+    service: str
+    key: str
+    attempt: int
+    sidecar: Incarnation
+    method: str
+    path: str
+    headers: list[list[str]]
+    body: bytes
+    deadline: float
+    klass: str
+    digest: bytes
+    idempotent: bool
+
+
+class NeedHistory(NamedTuple):
+    """The sidecar holds history up to `have`; send the rest in a new Run.
+
+    The attempt has not started and is not sealed.
+    """
+
+    have: int
+
+
+class Chunk(NamedTuple):
+    """Part of an answer. `offset` counts the characters before `text`."""
+
+    attempt: int
+    offset: int
+    text: str
+
+
+class Finished(NamedTuple):
+    """End of a chat answer; sent after FinishCall was committed.
+
+    Attributes:
+        total: Characters in the whole answer.
+        message: JSON text of the whole assistant message.
+        reason: OpenAI's finish reason.
+    """
+
+    attempt: int
+    total: int
+    message: str
+    reason: str
+    usage: Usage
+    load: "LoadReport"
+
+
+class ToolAnswer(NamedTuple):
+    """Whole answer of a plain service."""
+
+    attempt: int
+    status: int
+    headers: list[list[str]]
+    body: bytes
+    load: "LoadReport"
+
+
+class Refused(NamedTuple):
+    """The attempt is sealed at this sidecar: it did not and will not run."""
+
+    attempt: int
+    failure: errors.Failure
+    load: "LoadReport"
+
+
+class Broken(NamedTuple):
+    """The attempt ended without a whole answer; `failure` says the outcome."""
+
+    attempt: int
+    failure: errors.Failure
+
+
+class Attach(NamedTuple):
+    """Follows a running attempt from the start of its answer."""
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    sidecar: Incarnation
+
+
+class SealAttempt(NamedTuple):
+    """Asks that the attempt never runs here from now on."""
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    sidecar: Incarnation
+
+
+class Sealed(NamedTuple):
+    """State of an attempt after a SealAttempt.
+
+    Attributes:
+        state: `never` (will not run), `running`, `ran`, or `unknown` (this is
+            another incarnation, which cannot know).
+    """
+
+    attempt: int
+    state: str
+
+
+class CancelAttempt(NamedTuple):
+    """Stops a running attempt; its caller has gone."""
+
+    program: str
+    attempt: int
+
+
+class WatchLoad(NamedTuple):
+    """Asks a sidecar to push load reports on this exchange."""
+
+    instance: str
+
+
+class LoadReport(NamedTuple):
+    """A sidecar's load.
+
+    Attributes:
+        counter: Grows with each report of one incarnation.
+        running: Calls at the upstream.
+        queued: Calls that wait at the sidecar.
+        limit: Calls that the upstream takes at once, as learned.
+        wait: Predicted wait of a new call, in seconds.
+        token_time: Learned seconds per generated token.
+        prefill_rate: Learned prompt tokens a second.
+        free_memory: Tokens of cache that are free.
+        state: `ready`, `loading`, `draining` or `down`.
+    """
+
+    sidecar: Incarnation
+    counter: int
+    running: int
+    queued: int
+    limit: int
+    wait: float
+    token_time: float
+    prefill_rate: float
+    free_memory: int
+    state: str
+
+
+# --- Membership and configuration -------------------------------------------
+
+
+class Announcement(NamedTuple):
+    """An upstream as its sidecar describes it; newest counter wins.
+
+    Attributes:
+        kind: `model` or `plain`.
+        capacity: Calls that the upstream takes at once.
+        state: `ready`, `loading`, `draining` or `down`.
+        fencing: Whether the upstream refuses old fencing numbers.
+        model: Loaded model, adapter and version, as the orders name them.
+    """
+
+    sidecar: Incarnation
+    counter: int
+    address: str
+    service: str
+    kind: str
+    region: str
+    failure_domain: str
+    capacity: int
+    state: str
+    fencing: bool
+    kv_export: bool
+    priority: bool
+    resume: bool
+    model: str = ""
+
+
+class Announce(NamedTuple):
+    """Renews a sidecar's lease; sent on one exchange about once a second."""
+
+    announcement: Announcement
+
+
+class Announced(NamedTuple):
+    """The lease is renewed for `lease` seconds from the sending of Announce.
+
+    Attributes:
+        duplicate: Set when another incarnation with this name is alive.
+    """
+
+    counter: int
+    lease: float
+    duplicate: bool = False
+
+
+class Follow(NamedTuple):
+    """Opens the configuration stream of one node.
+
+    Attributes:
+        revision: Revision that the node has applied; 0 for none.
+        address: The node's stream address.
+    """
+
+    node: Incarnation
+    role: str
+    failure_domain: str
+    address: str
+    revision: int
+
+
+class ConfigUpdate(NamedTuple):
+    """Sections that changed since the node's revision, or all of them.
+
+    Attributes:
+        sections: JSON text by section name; empty text removes a section.
+        lease: Seconds that the node may act on `revision`, counted from when
+            it sent the last message that `echo` repeats.
+    """
+
+    revision: int
+    whole: bool
+    sections: dict[str, str]
+    lease: float
+    echo: float
+
+
+class Applied(NamedTuple):
+    """A node's report: the revision it applied, and its own clock for echo."""
+
+    revision: int
+    clock: float
+
+
+class MembersUpdate(NamedTuple):
+    """Announcements that changed, and the sidecars that are gone."""
+
+    whole: bool
+    members: list[Announcement]
+    gone: list[Incarnation]
+
+
+class PushManifest(NamedTuple):
+    """Compare-and-set of the manifest.
+
+    Attributes:
+        expected: Revision that the operator started from.
+        push_id: Digest of content and the operator's request id.
+        manifest: JSON text.
+    """
+
+    expected: int
+    push_id: str
+    manifest: str
+    operator: str
+    origin: str
+
+
+class Pushed(NamedTuple):
+    """The push is accepted as `revision`, now or when it was first sent."""
+
+    revision: int
+    push_id: str
+
+
+class ReadManifest(NamedTuple):
+    """Asks for the manifest in force by a linearizable read."""
+
+
+class ManifestView(NamedTuple):
+    """The manifest in force."""
+
+    revision: int
+    manifest: str
+
+
+class Order(NamedTuple):
+    """An order to an upstream, through its sidecar.
+
+    Attributes:
+        fence: Fencing number, from the replicated counter.
+        action: `load`, `unload` or `role`.
+        model: Model, adapter and version.
+    """
+
+    sidecar: Incarnation
+    fence: int
+    action: str
+    model: str
+
+
+class DrainUpstream(NamedTuple):
+    """Tells a sidecar to take no new work (or to take it again)."""
+
+    sidecar: Incarnation
+    drain: bool = True
+
+
+class Ping(NamedTuple):
+    """Liveness probe; answered by Done."""
+
+
+TAGS: dict[int, type] = dict(
+    enumerate(
+        (
+            errors.Failure,
+            CreateProgram,
+            ProgramView,
+            ShowProgram,
+            ListPrograms,
+            Programs,
+            FetchHistory,
+            History,
+            CloseProgram,
+            BeginCall,
+            Granted,
+            Recorded,
+            Underway,
+            SettleCall,
+            FinishCall,
+            Done,
+            RenewResidency,
+            Gone,
+            Batch,
+            RunTurn,
+            RunTool,
+            NeedHistory,
+            Chunk,
+            Finished,
+            ToolAnswer,
+            Refused,
+            Broken,
+            Attach,
+            SealAttempt,
+            Sealed,
+            CancelAttempt,
+            WatchLoad,
+            LoadReport,
+            Announce,
+            Announced,
+            Follow,
+            ConfigUpdate,
+            Applied,
+            MembersUpdate,
+            PushManifest,
+            Pushed,
+            ReadManifest,
+            ManifestView,
+            Order,
+            DrainUpstream,
+            Ping,
+        ),
+        start=1,
+    )
+)
--- /dev/null
+++ b/src/mintcleat/ports/__init__.py
@@ -0,0 +1,1 @@
+"""What the roles need of the outside, as Protocol classes."""
--- /dev/null
+++ b/src/mintcleat/ports/log.py
@@ -0,0 +1,62 @@
+"""A replicated log of commands, in groups, under state machines."""
+
+from typing import Any
+from typing import Protocol
+
+
+class StateMachine(Protocol):
+    """A deterministic state machine; `apply` must not read clock or chance."""
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Applies one committed command and returns the proposer's result.
+
+        A result may be a typed error instance; `propose` raises it.
+        """
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the whole state by a snapshot."""
+
+
+class ReplicatedLog(Protocol):
+    """Many groups on one instance; each has one state machine."""
+
+    def attach(self, group: str, machine: StateMachine) -> None:
+        """Registers the machine of a group, before `start`."""
+
+    def start(self) -> None:
+        """Recovers from disk, then takes part in elections."""
+
+    def propose(self, group: str, command: bytes, timeout: float) -> Any:
+        """Commits a command and returns what `apply` returned for it.
+
+        Blocks the calling green thread only.
+
+        Raises:
+            errors.NotLeader: Nothing was proposed.
+            errors.ProposalLost: It may or may not be committed later.
+        """
+
+    def barrier(self, group: str, timeout: float) -> None:
+        """Returns once the local machine may answer a linearizable read.
+
+        Raises:
+            errors.NotLeader: This replica cannot tell.
+        """
+
+    def leader(self, group: str) -> str:
+        """Returns the leader's stream address, or an empty text."""
+
+    def leads(self, group: str) -> bool:
+        """Tells whether this replica leads with a valid lease."""
+
+    def groups(self) -> list[str]:
+        """Returns the names of all groups."""
+
+    def hand_over(self, timeout: float) -> None:
+        """Transfers every leadership before a planned stop."""
+
+    def stop(self) -> None:
+        """Syncs and closes."""
--- /dev/null
+++ b/src/mintcleat/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The program record state machine, free of I/O."""
--- /dev/null
+++ b/src/mintcleat/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Entry, sidecar and control: they join the cores to the ports."""
--- /dev/null
+++ b/src/mintcleat/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small model engine and plain service for local runs and tests."""
--- /dev/null
+++ b/testing/test_layout.py
@@ -0,0 +1,99 @@
+"""The layering and import rules of the source tree."""
+
+import ast
+from collections.abc import Iterator
+import pathlib
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src" / "mintcleat"
+
+# What each package may import of this project. `main` wires everything.
+ALLOWED = {
+    "domain": {"domain"},
+    "ports": {"domain", "ports"},
+    "decisions": {"domain", "decisions"},
+    "programs": {"domain", "programs"},
+    "consensus": {"domain", "consensus"},
+    "configuration": {"domain", "configuration"},
+    "roles": {
+        "domain",
+        "ports",
+        "decisions",
+        "programs",
+        "consensus",
+        "configuration",
+        "roles",
+    },
+    "adapters": {"domain", "ports", "adapters"},
+    "standins": {"domain", "ports", "standins"},
+}
+NAME_MODULES = {"typing", "collections.abc", "__future__"}
+
+
+def module_files() -> list[pathlib.Path]:
+    return sorted(SOURCE.rglob("*.py"))
+
+
+def imports_of(path: pathlib.Path) -> Iterator[tuple[str, str]]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom):
+            for alias in node.names:
+                yield node.module or "", alias.name
+        elif isinstance(node, ast.Import):
+            for alias in node.names:
+                yield alias.name, ""
+
+
+def is_module(module: str, name: str) -> bool:
+    parts = module.split(".")[1:]
+    base = SOURCE.joinpath(*parts, name)
+    return base.is_dir() or base.with_suffix(".py").exists()
+
+
+def test_imports_point_inward() -> None:
+    wrong = []
+    for path in module_files():
+        package = path.relative_to(SOURCE).parts[0]
+        if package not in ALLOWED:
+            continue
+        for module, name in imports_of(path):
+            parts = (*module.split("."), name)
+            if parts[0] != "mintcleat":
+                continue
+            if parts[1] not in ALLOWED[package]:
+                wrong.append(f"{path.name}: {module}.{name}")
+    assert wrong == []
+
+
+def test_own_modules_not_names_are_imported() -> None:
+    wrong = [
+        f"{path.name}: {module}.{name}"
+        for path in module_files()
+        for module, name in imports_of(path)
+        if module.startswith("mintcleat")
+        and name
+        and not is_module(module, name)
+    ]
+    assert wrong == []
+
+
+def test_cores_do_no_io() -> None:
+    forbidden = {"eventlet", "socket", "os", "time", "urllib3", "random"}
+    cores = ("decisions", "programs", "consensus", "configuration", "domain")
+    wrong = [
+        f"{path.name}: {module}"
+        for package in cores
+        for path in (SOURCE / package).rglob("*.py")
+        for module, _ in imports_of(path)
+        if module.split(".")[0] in forbidden
+    ]
+    assert wrong == []
+
+
+def test_no_source_file_carries_a_licence() -> None:
+    marks = ("copyright", "licen" + "se", "spdx")
+    wrong = [
+        path.name
+        for path in module_files()
+        if any(mark in path.read_text().lower() for mark in marks)
+    ]
+    assert wrong == []
