Take callers' requests at the entry

The entry role, its attempt loop for chat and for plain services, the callers' HTTP interface, settings, logs and metrics.

--- /dev/null
+++ b/src/mintcleat/adapters/logs.py
@@ -0,0 +1,46 @@
+"""Structured logs by loguru: text for people, JSON lines for machines.
+
+Message content and tokens never reach the log: roles bind ids only.
+"""
+
+import json
+import sys
+from typing import Any
+from typing import TextIO
+
+from loguru import logger
+
+_TEXT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[instance]} "
+    "{name}: {message} {extra}"
+)
+
+
+def configure(
+    instance: str, level: str, as_json: bool, sink: TextIO = sys.stderr
+) -> None:
+    """Sends the process's logs to `sink`, each line with its instance."""
+    logger.remove()
+    logger.configure(extra={"instance": instance})
+    if as_json:
+        logger.add(
+            lambda line: sink.write(json_line(line.record) + "\n"),
+            level=level.upper(),
+            format="{message}",
+        )
+        return
+    logger.add(sink, level=level.upper(), format=_TEXT, diagnose=False)
+
+
+def json_line(record: Any) -> str:
+    """Returns one log record as a JSON object in one line."""
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name.lower(),
+        "module": record["name"],
+        "message": record["message"],
+        **{key: str(value) for key, value in record["extra"].items()},
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return json.dumps(line)
--- /dev/null
+++ b/src/mintcleat/adapters/metrics.py
@@ -0,0 +1,58 @@
+"""Metrics by aioprometheus, rendered for a scrape."""
+
+import aioprometheus
+
+_BUCKETS = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+    10.0, 30.0, 120.0, 600.0,
+]  # fmt: skip
+_HELP = {
+    "calls_total": "Calls taken at the entry, by kind.",
+    "refusals_total": "Refusals by kind and outcome.",
+    "placements_total": "Placements by reason.",
+    "retries_total": "New attempts by cause.",
+    "call_seconds": "Time from request to last byte, by kind.",
+    "first_token_seconds": "Time from request to first token.",
+}
+
+
+class PrometheusMetrics:
+    """One registry per process; see `ports.metrics.Metrics`."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.collectors: dict[str, aioprometheus.Collector] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Adds one to a counter."""
+        self._collector(aioprometheus.Counter, name).inc(labels)
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Sets a gauge."""
+        self._collector(aioprometheus.Gauge, name).set(labels, value)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Adds one observation to a histogram of seconds."""
+        self._collector(aioprometheus.Histogram, name).observe(labels, seconds)
+
+    def render(self) -> tuple[bytes, str]:
+        """Returns the text of a scrape and its content type."""
+        body, headers = aioprometheus.render(self.registry, [])
+        return body, headers["Content-Type"]
+
+    def _collector(
+        self, kind: type[aioprometheus.Collector], name: str
+    ) -> aioprometheus.Collector:
+        found = self.collectors.get(name)
+        if found is None:
+            extra = {}
+            if kind is aioprometheus.Histogram:
+                extra = {"buckets": _BUCKETS}
+            found = kind(
+                f"mintcleat_{name}",
+                _HELP.get(name, name),
+                registry=self.registry,
+                **extra,
+            )
+            self.collectors[name] = found
+        return found
--- /dev/null
+++ b/src/mintcleat/adapters/problems.py
@@ -0,0 +1,70 @@
+"""Typed errors as `application/problem+json`."""
+
+import json
+from typing import TypedDict
+
+from mintcleat.domain import errors
+
+CONTENT_TYPE = "application/problem+json"
+_REASONS = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Problem(TypedDict):
+    """The body of a refusal."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    kind: str
+    outcome: str
+    remedy: str
+    retry_after: float
+    request_id: str
+
+
+def problem(error: errors.MintcleatError, request_id: str) -> Problem:
+    """Returns the body that tells a caller of an error."""
+    return Problem(
+        type=f"urn:mintcleat:{error.kind}",
+        title=error.kind.replace("_", " "),
+        status=error.status,
+        detail=error.detail,
+        kind=error.kind,
+        outcome=error.outcome,
+        remedy=error.remedy,
+        retry_after=error.retry_after,
+        request_id=request_id,
+    )
+
+
+def status_line(status: int) -> str:
+    """Returns the WSGI status text."""
+    return f"{status} {_REASONS.get(status, 'Error')}"
+
+
+def headers(error: errors.MintcleatError) -> list[tuple[str, str]]:
+    """Returns the headers of a refusal."""
+    found = [("Content-Type", CONTENT_TYPE)]
+    if error.retry_after > 0:
+        # The header takes whole seconds; rounding down would send the
+        # caller back too early.
+        found.append(("Retry-After", str(int(error.retry_after + 0.999))))
+    return found
+
+
+def body(error: errors.MintcleatError, request_id: str) -> bytes:
+    """Returns the encoded problem."""
+    return json.dumps(problem(error, request_id)).encode()
--- /dev/null
+++ b/src/mintcleat/adapters/settings.py
@@ -0,0 +1,222 @@
+"""A daemon's settings: JSON with comments, every fault reported at once."""
+
+import pathlib
+from typing import Any
+from typing import Literal
+from typing import get_args
+from typing import get_origin
+from typing import get_type_hints
+
+import json5
+import msgspec
+
+from mintcleat.adapters import streams
+from mintcleat.domain import errors
+
+Role = Literal["entry", "sidecar", "control"]
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A control instance; `address` is that of its streams."""
+
+    instance: str
+    address: str
+    failure_domain: str
+    region: str = ""
+
+
+class Control(msgspec.Struct, frozen=True):
+    """The control role.
+
+    Attributes:
+        data: Folder on the disk; made when missing.
+        admin: `IP:PORT` of the operators' HTTP interface.
+        members: The control instances that form the groups at first.
+    """
+
+    data: str
+    admin: str
+    members: list[Member] = []
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """The entry role; `http` is the callers' `IP:PORT`."""
+
+    http: str
+
+
+class Sidecar(msgspec.Struct, frozen=True):
+    """The sidecar role.
+
+    Attributes:
+        upstream: `IP:PORT` of the upstream beside it.
+        capacity: Calls that the upstream takes at once.
+        fencing: The upstream refuses orders with an old fencing number.
+        kv_export: The engine exports and imports its cache.
+        priority: The engine honours priorities.
+        resume: The engine resumes a stream from an offset.
+        cache_tokens: Tokens that the engine's cache holds; 0 if unknown.
+    """
+
+    upstream: str
+    service: str
+    kind: Literal["model", "plain"]
+    capacity: int = 16
+    fencing: bool = False
+    kv_export: bool = False
+    priority: bool = False
+    resume: bool = False
+    cache_tokens: int = 0
+
+
+class Logs(msgspec.Struct, frozen=True):
+    """Where the line between seen and unseen lies, and the form of a line."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    form: Literal["text", "json"] = "text"
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """One process.
+
+    Attributes:
+        listen: `IP:PORT` for the streams between the system's processes.
+        control: Stream addresses of the control instances.
+        program_groups: The same on every process of a deployment.
+        stop_seconds: Time that a planned stop gives to what is under way.
+    """
+
+    instance: str
+    failure_domain: str
+    listen: str
+    roles: list[Role]
+    control: list[str]
+    region: str = ""
+    program_groups: int = 8
+    stop_seconds: float = 60.0
+    logs: Logs = Logs()
+    entry: Entry | None = None
+    sidecar: Sidecar | None = None
+    control_role: Control | None = None
+
+
+_SECTION_OF = {
+    "entry": "entry",
+    "sidecar": "sidecar",
+    "control": "control_role",
+}
+_ADDRESS_FIELDS = {"listen", "http", "upstream", "admin", "address"}
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Returns the settings in a file.
+
+    Raises:
+        ExceptionGroup: Of `errors.InvalidSettings`, one for each fault.
+    """
+    try:
+        value = json5.loads(path.read_text())
+    except OSError as error:
+        raise _group([fault("", f"can't be read: {error.strerror}")]) from None
+    except ValueError as error:
+        raise _group([fault("", f"is no JSON: {error}")]) from None
+    return parse(value)
+
+
+def parse(value: Any) -> Settings:
+    """Returns the settings in a decoded file; faults as in `load`."""
+    faults = list(_struct_faults(Settings, value, ""))
+    if not faults:
+        faults = list(_meaning_faults(value))
+    if faults:
+        raise _group(faults)
+    return msgspec.convert(value, Settings)
+
+
+def fault(path: str, what: str, remedy: str = "") -> errors.InvalidSettings:
+    """Returns the error for one field."""
+    return errors.InvalidSettings(
+        f"{path or 'settings'}: {what}.", remedy=remedy
+    )
+
+
+def _group(faults: list[errors.InvalidSettings]) -> ExceptionGroup:
+    return ExceptionGroup(f"{len(faults)} faults in the settings", faults)
+
+
+def _struct_faults(kind: type, value: Any, path: str) -> Any:
+    if not isinstance(value, dict):
+        yield fault(path, "must be an object")
+        return
+    hints = get_type_hints(kind)
+    for name in sorted(value.keys() - hints.keys()):
+        known = ", ".join(sorted(hints))
+        yield fault(_join(path, name), "is unknown", f"Use one of: {known}.")
+    required = {
+        field.name for field in msgspec.structs.fields(kind) if field.required
+    }
+    for name in sorted(required - value.keys()):
+        yield fault(_join(path, name), "is missing", f"Add `{name}`.")
+    for name in hints.keys() & value.keys():
+        yield from _value_faults(hints[name], value[name], _join(path, name))
+
+
+def _value_faults(kind: Any, value: Any, path: str) -> Any:
+    kind = _without_none(kind)
+    if get_origin(kind) is list:
+        if not isinstance(value, list):
+            yield fault(path, "must be a list")
+            return
+        (item,) = get_args(kind)
+        for number, one in enumerate(value):
+            yield from _value_faults(item, one, f"{path}[{number}]")
+        return
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        yield from _struct_faults(kind, value, path)
+        return
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        yield fault(path, str(error).rstrip(".").lower())
+        return
+    if path.rpartition(".")[2] in _ADDRESS_FIELDS:
+        yield from _address_faults(value, path)
+
+
+def _meaning_faults(value: dict[str, Any]) -> Any:
+    for number, address in enumerate(value["control"]):
+        yield from _address_faults(address, f"control[{number}]")
+    if not value["roles"]:
+        yield fault("roles", "is empty", "Name entry, sidecar or control.")
+    if not value["control"]:
+        yield fault("control", "is empty", "Name the control instances.")
+    for role in value["roles"]:
+        section = _SECTION_OF[role]
+        if value.get(section) is None:
+            yield fault(section, f"is missing for the role {role}")
+    if value.get("program_groups", 1) < 1:
+        yield fault("program_groups", "must be 1 or more")
+    if value.get("stop_seconds", 0) < 0:
+        yield fault("stop_seconds", "must not be negative")
+
+
+def _address_faults(value: str, path: str) -> Any:
+    try:
+        host, port = streams.split_address(value)
+        numbers = [int(part) for part in host.split(".")]
+    except ValueError:
+        numbers, port = [], -1
+    right = len(numbers) == 4 and all(0 <= part < 256 for part in numbers)
+    if not right or not 0 <= port < 65536:
+        yield fault(path, f"{value!r} is no IP:PORT", "Write 127.0.0.1:8080.")
+
+
+def _without_none(kind: Any) -> Any:
+    args = [arg for arg in get_args(kind) if arg is not type(None)]
+    if type(None) in get_args(kind) and len(args) == 1:
+        return args[0]
+    return kind
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
--- /dev/null
+++ b/src/mintcleat/adapters/wsgi.py
@@ -0,0 +1,97 @@
+"""eventlet's WSGI server with our limits and a graceful stop."""
+
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+from loguru import logger
+
+from mintcleat.adapters import streams
+
+# Idle keep-alive connections are closed after this many seconds. It must be
+# longer than the balancer's own idle time, or the balancer may send a request
+# on a connection that is just being closed.
+_SOCKET_SECONDS = 75.0
+_MAX_CONNECTIONS = 10_000
+_POLL_SECONDS = 0.02
+
+
+class HttpServer:
+    """Serves one WSGI application.
+
+    Attributes:
+        address: `IP:PORT` that it listens on.
+        active: Requests that are being answered, streams included.
+    """
+
+    def __init__(self, listen: str, app: Any) -> None:
+        self.app = app
+        self.listener = eventlet.listen(
+            streams.split_address(listen), backlog=1024
+        )
+        host, port = self.listener.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.active = 0
+        self.pool = eventlet.GreenPool(_MAX_CONNECTIONS)
+        self.server = eventlet.spawn(self._serve)
+
+    def stop(self, seconds: float) -> int:
+        """Stops accepting, waits for what is under way, then closes.
+
+        Returns:
+            The number of requests that were cut, 0 for a clean stop.
+        """
+        self.server.kill()
+        self.listener.close()
+        left = seconds
+        while self.active and left > 0:
+            eventlet.sleep(_POLL_SECONDS)
+            left -= _POLL_SECONDS
+        return self.active
+
+    def _serve(self) -> None:
+        wsgi.server(
+            self.listener,
+            self._counted,
+            custom_pool=self.pool,
+            log=_Quiet(),
+            log_output=False,
+            debug=False,
+            socket_timeout=_SOCKET_SECONDS,
+            minimum_chunk_size=0,
+        )
+
+    def _counted(self, environ: Any, start: Any) -> Any:
+        self.active += 1
+        try:
+            body = self.app(environ, start)
+        except BaseException:
+            self.active -= 1
+            raise
+        if isinstance(body, list):
+            self.active -= 1
+            return body
+        return self._stream(body)
+
+    def _stream(self, body: Any) -> Any:
+        """Yields a streamed body and counts it as active until it ends."""
+        try:
+            yield from body
+        finally:
+            self.active -= 1
+            if hasattr(body, "close"):
+                body.close()
+
+
+class _Quiet:
+    """The server's own log lines, passed on at debug level."""
+
+    def write(self, text: str) -> None:
+        """Takes a line of the server's log."""
+        logger.debug("{}", text.rstrip())
+
+    def info(self, text: str) -> None:
+        """Takes a line of the server's log."""
+        logger.debug("{}", text.rstrip())
+
+    debug = info
--- /dev/null
+++ b/src/mintcleat/ports/calls.py
@@ -0,0 +1,37 @@
+"""What the caller-facing HTTP adapter needs of the entry role."""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from mintcleat.domain import messages
+from mintcleat.domain import requests
+
+
+class Calls(Protocol):
+    """The entry; every method raises typed errors."""
+
+    def ready(self) -> bool:
+        """Tells whether this entry takes new work."""
+
+    def models(self) -> list[str]:
+        """Returns the names of the model services."""
+
+    def create_program(self, new: requests.NewProgram) -> messages.ProgramView:
+        """Creates a program, or returns the same one for a resend."""
+
+    def show_program(self, program: str) -> messages.ProgramView:
+        """Returns a program."""
+
+    def history(self, program: str) -> messages.History:
+        """Returns a program's whole history."""
+
+    def close_program(self, program: str) -> None:
+        """Closes a program and its sub-agents."""
+
+    def chat(
+        self, call: requests.ChatCall
+    ) -> Iterator[requests.Text | requests.End]:
+        """Yields the parts of a chat answer and then its end."""
+
+    def service(self, call: requests.ServiceCall) -> requests.ServiceAnswer:
+        """Returns the answer of a plain service."""
--- /dev/null
+++ b/src/mintcleat/roles/attempts.py
@@ -0,0 +1,178 @@
+"""What an entry asks of a program's group and of a sidecar per attempt.
+
+A call is an idempotency key within a program, or within a partner. It gets
+attempts one after another; only the sidecar that an attempt is bound to may
+run it.
+"""
+
+import dataclasses
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from loguru import logger
+import xxhash
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import control as control_port
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+
+CONTROL_SECONDS = 5.0
+SEAL_SECONDS = 1.0
+
+
+class CallName(NamedTuple):
+    """Names a call to its program group and to sidecars."""
+
+    program: str
+    partner: str
+    key: str
+
+    @property
+    def scope(self) -> str:
+        """What the group of the call is found by."""
+        return self.program or f"{self.partner}/{self.key}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Whole:
+    """The caller has its whole answer."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Again:
+    """The attempt ended and never runs again; another may be granted.
+
+    Attributes:
+        sealed: Its number, or 0 when the group already settled it.
+        cause: Why, for metrics and the last refusal.
+    """
+
+    sealed: int
+    cause: errors.MintcleatError
+
+
+@dataclasses.dataclass(frozen=True)
+class Follow:
+    """The attempt runs, or ran, at its sidecar: attach to it."""
+
+    attempt: int
+    sidecar: messages.Incarnation
+    address: str
+
+
+def digest(*parts: str | bytes) -> bytes:
+    """Returns 16 bytes that tell one request's content from another's."""
+    state = xxhash.xxh3_128()
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        state.update(len(data).to_bytes(4, "big"))
+        state.update(data)
+    return state.digest()
+
+
+def new_key() -> str:
+    """Returns a key for a call whose caller sent none."""
+    return f"auto-{uuid.uuid4().hex}"
+
+
+class Attempts:
+    """Begins, settles and seals attempts."""
+
+    def __init__(
+        self,
+        control: control_port.Control,
+        streams: streams_port.Streams,
+        timers: timers_port.Timers,
+    ) -> None:
+        self.control = control
+        self.streams = streams
+        self.timers = timers
+
+    def begin(self, name: CallName, begin: messages.BeginCall) -> Any:
+        """Returns Granted, Recorded or Underway."""
+        return self.control.ask(name.scope, begin, CONTROL_SECONDS)
+
+    def settle(
+        self, name: CallName, attempt: int, error: errors.MintcleatError
+    ) -> None:
+        """Tells the group how an attempt without an answer ended.
+
+        The caller's answer doesn't wait on it being possible: a group that
+        can't be reached keeps the reservation until the outcome is settled
+        by the caller's resend or by expiry.
+        """
+        settle = messages.SettleCall(
+            name.program,
+            name.partner,
+            name.key,
+            attempt,
+            error.outcome,
+            error.failure(),
+        )
+        try:
+            self.control.ask(name.scope, settle, CONTROL_SECONDS)
+        except errors.MintcleatError as failure:
+            logger.warning(
+                "Attempt {} of {} stays unsettled: {}",
+                attempt,
+                name.scope,
+                failure,
+            )
+
+    def after_loss(
+        self,
+        name: CallName,
+        attempt: int,
+        sidecar: messages.Incarnation,
+        address: str,
+        idempotent: bool,
+    ) -> Again | Follow:
+        """Finds out what became of an attempt whose sidecar was lost.
+
+        Raises:
+            errors.OutcomeUnknown: Nobody can tell, and a second run might
+                do harm.
+        """
+        state = self._seal(name, attempt, sidecar, address)
+        match state:
+            case "never":
+                cause = errors.NoUpstream("The sidecar was lost before it ran.")
+                return Again(attempt, cause)
+            case "running" | "ran":
+                return Follow(attempt, sidecar, address)
+            case _:
+                return self._unknown(name, attempt, idempotent)
+
+    def _seal(
+        self,
+        name: CallName,
+        attempt: int,
+        sidecar: messages.Incarnation,
+        address: str,
+    ) -> str:
+        seal = messages.SealAttempt(
+            name.program, name.partner, name.key, attempt, sidecar
+        )
+        try:
+            return self.streams.ask(address, seal, SEAL_SECONDS).state
+        except errors.MintcleatError as error:
+            logger.info("Attempt {} can't be sealed: {}", attempt, error)
+            return "unknown"
+
+    def _unknown(self, name: CallName, attempt: int, idempotent: bool) -> Again:
+        """Settles as unknown; only an idempotent call may go on.
+
+        An action with an effect may have happened: running it again could
+        double it and "not run" could be a lie, so the caller is told that
+        the outcome is unknown and the group keeps the key taken.
+        """
+        error = errors.OutcomeUnknown(
+            "The upstream's sidecar was lost while it had the request."
+        )
+        self.settle(name, attempt, error)
+        if not idempotent:
+            raise error
+        return Again(attempt, error)
--- /dev/null
+++ b/src/mintcleat/roles/chat.py
@@ -0,0 +1,428 @@
+"""Chat calls at the entry: attempts, streamed answers and retries."""
+
+from collections.abc import Iterator
+import json
+from typing import Any
+from typing import NamedTuple
+
+from loguru import logger
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.domain import requests
+from mintcleat.ports import directory as directory_port
+from mintcleat.ports import metrics as metrics_port
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles import delivery as delivery_module
+from mintcleat.roles import placement as placement_module
+
+# A call moves on to another upstream at most this often. Each new attempt is
+# a commit and a prompt to build: under an overload more tries would add load
+# exactly when there is none to spare.
+MAX_ATTEMPTS = 4
+# A sidecar sends nothing while a call waits or a prompt is built, so silence
+# alone is no fault; the streams' heartbeats find a lost peer.
+_MIN_WAIT = 0.05
+DEFAULT_COMPLETION_TOKENS = 1024
+_CHARACTERS_PER_TOKEN = 4
+
+
+class Context(NamedTuple):
+    """What is fixed for all attempts of one call."""
+
+    call: requests.ChatCall
+    name: attempts_module.CallName
+    service: str
+    agent: str
+    klass: str
+    digest: bytes
+    deadline_at: float
+    resident: messages.Incarnation | None
+
+
+class Progress:
+    """What one call has been through.
+
+    Attributes:
+        delivery: What the caller has of the answer.
+        tried: Sidecars that refused or were lost.
+        sealed: Attempt that never runs again; the next one replaces it.
+    """
+
+    def __init__(self, streamed: bool) -> None:
+        self.delivery = delivery_module.Delivery(streamed)
+        self.tried: set[messages.Incarnation] = set()
+        self.sealed = 0
+        self.attempts = 0
+
+
+class Chat:
+    """Runs chat calls; one instance per entry."""
+
+    def __init__(
+        self,
+        attempts: attempts_module.Attempts,
+        placement: placement_module.Placement,
+        directory: directory_port.Directory,
+        streams: streams_port.Streams,
+        timers: timers_port.Timers,
+        metrics: metrics_port.Metrics,
+    ) -> None:
+        self.attempts = attempts
+        self.placement = placement
+        self.directory = directory
+        self.streams = streams
+        self.timers = timers
+        self.metrics = metrics
+
+    def run(self, context: Context) -> Iterator[requests.Text | requests.End]:
+        """Yields the answer's parts and then its end.
+
+        Raises:
+            errors.MintcleatError: The refusal or failure to tell the caller.
+        """
+        progress = Progress(context.call.streamed)
+        step: Any = None
+        while True:
+            if isinstance(step, attempts_module.Follow):
+                step = yield from self._follow(context, progress, step)
+            else:
+                step = yield from self._attempt(context, progress)
+            match step:
+                case attempts_module.Whole():
+                    return
+                case attempts_module.Again(sealed, cause):
+                    progress.sealed = sealed
+                    self._check_again(context, progress, cause)
+
+    def _attempt(
+        self, context: Context, progress: Progress
+    ) -> Iterator[requests.Text | requests.End]:
+        """Places and runs one attempt; returns what to do next."""
+        progress.attempts += 1
+        placed = self._place(context, progress)
+        self.metrics.count("placements_total", reason=placed.reason)
+        if not context.name.key:
+            run = self._run_message(context, placed, None)
+            return (yield from self._run(context, progress, placed, run))
+        reply = self._begin(context, progress, placed)
+        match reply:
+            case messages.Recorded():
+                progress.delivery.restart()
+                yield from replay(progress.delivery, reply.answer.decode())
+                yield recorded_end(reply)
+                return attempts_module.Whole()
+            case messages.Underway():
+                return attempts_module.Follow(
+                    reply.attempt, reply.sidecar, reply.address
+                )
+            case _:
+                run = self._run_message(context, placed, reply)
+                return (yield from self._run(context, progress, placed, run))
+
+    def _place(
+        self, context: Context, progress: Progress
+    ) -> placement_module.Placed:
+        try:
+            return self.placement.choose(
+                context.service, context.resident, progress.tried
+            )
+        except errors.NoUpstream as error:
+            # The last attempt is sealed and none follows: free its key and
+            # its reservation, so that the caller's resend is a fresh start.
+            if progress.sealed:
+                self.attempts.settle(context.name, progress.sealed, error)
+            raise
+
+    def _begin(
+        self,
+        context: Context,
+        progress: Progress,
+        placed: placement_module.Placed,
+    ) -> Any:
+        call = context.call
+        begin = messages.BeginCall(
+            program=call.program,
+            partner=context.name.partner,
+            service=context.service,
+            turn=call.turn,
+            key=context.name.key,
+            digest=context.digest,
+            messages=call.messages,
+            reserve=reservation(call),
+            idempotent=True,
+            sidecar=placed.sidecar,
+            address=placed.address,
+            sealed=progress.sealed,
+        )
+        return self.attempts.begin(context.name, begin)
+
+    def _run_message(
+        self,
+        context: Context,
+        placed: placement_module.Placed,
+        granted: messages.Granted | None,
+    ) -> messages.RunTurn:
+        call = context.call
+        return messages.RunTurn(
+            program=call.program,
+            partner=context.name.partner,
+            service=context.service,
+            key=context.name.key,
+            attempt=granted.attempt if granted else 0,
+            sidecar=placed.sidecar,
+            base_turn=granted.base_turn if granted else 0,
+            base_digest=granted.base_digest if granted else b"",
+            history=[],
+            messages=call.messages,
+            parameters=bounded_parameters(call),
+            deadline=max(context.deadline_at - self.timers.now(), _MIN_WAIT),
+            klass=granted.klass if granted else context.klass,
+            agent=granted.agent if granted else context.agent,
+            root=granted.root if granted else "",
+            attained=granted.attained if granted else 0,
+            digest=context.digest,
+            idempotent=True,
+        )
+
+    def _run(
+        self,
+        context: Context,
+        progress: Progress,
+        placed: placement_module.Placed,
+        run: messages.RunTurn,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Sends one attempt to its sidecar and relays what comes."""
+        try:
+            exchange = self.streams.open(placed.address, run)
+        except errors.StreamClosed as error:
+            progress.tried.add(placed.sidecar)
+            return self._lost(context, run, placed.address, error)
+        try:
+            first = exchange.receive(self._left(context))
+            if isinstance(first, messages.NeedHistory):
+                exchange.close()
+                run = self._with_history(run, first)
+                exchange = self.streams.open(placed.address, run)
+                first = exchange.receive(self._left(context))
+            return (yield from self._relay(context, progress, exchange, first))
+        except errors.StreamTimeout as error:
+            return self._overdue(context, run, placed.address, error)
+        except errors.StreamClosed as error:
+            progress.tried.add(placed.sidecar)
+            return self._lost(context, run, placed.address, error)
+        finally:
+            exchange.close()
+
+    def _with_history(
+        self, run: messages.RunTurn, need: messages.NeedHistory
+    ) -> messages.RunTurn:
+        fetch = messages.FetchHistory(run.program, need.have + 1, run.base_turn)
+        history = self.attempts.control.ask(
+            run.program, fetch, attempts_module.CONTROL_SECONDS
+        )
+        return run._replace(history=history.turns)
+
+    def _relay(
+        self,
+        context: Context,
+        progress: Progress,
+        exchange: streams_port.Exchange,
+        first: Any,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Relays one answer; returns what to do next."""
+        message = first
+        delivery = progress.delivery
+        delivery.restart()
+        while True:
+            match message:
+                case messages.Chunk(_, offset, text):
+                    new = delivery.take(offset, text)
+                    if new:
+                        yield requests.Text(new)
+                case messages.Finished():
+                    self.placement.learn(message.load)
+                    yield from replay(delivery, message.message)
+                    yield finished_end(message)
+                    return attempts_module.Whole()
+                case messages.Refused(attempt, failure, load):
+                    self.placement.learn(load)
+                    progress.tried.add(load.sidecar)
+                    cause = errors.from_failure(failure)
+                    return attempts_module.Again(attempt, cause)
+                case messages.Broken(attempt, failure):
+                    cause = errors.from_failure(failure)
+                    return attempts_module.Again(attempt, cause)
+                case _:
+                    raise errors.StreamClosed(
+                        f"An unexpected {type(message).__name__}."
+                    )
+            message = exchange.receive(self._left(context))
+
+    def _follow(
+        self,
+        context: Context,
+        progress: Progress,
+        follow: attempts_module.Follow,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Attaches to an attempt that runs or ran elsewhere."""
+        name = context.name
+        attach = messages.Attach(
+            name.program, name.partner, name.key, follow.attempt, follow.sidecar
+        )
+        try:
+            exchange = self.streams.open(follow.address, attach)
+        except errors.StreamClosed:
+            return self._after_loss(context, follow)
+        try:
+            first = exchange.receive(self._left(context))
+            return (yield from self._relay(context, progress, exchange, first))
+        except errors.StreamTimeout as error:
+            raise self._deadline(error) from None
+        except errors.StreamClosed:
+            progress.tried.add(follow.sidecar)
+            return self._after_loss(context, follow)
+        finally:
+            exchange.close()
+
+    def _after_loss(
+        self, context: Context, follow: attempts_module.Follow
+    ) -> attempts_module.Again | attempts_module.Follow:
+        self.timers.sleep(_MIN_WAIT)
+        if self.timers.now() >= context.deadline_at:
+            raise self._deadline(None)
+        return self.attempts.after_loss(
+            context.name,
+            follow.attempt,
+            follow.sidecar,
+            follow.address,
+            idempotent=True,
+        )
+
+    def _lost(
+        self,
+        context: Context,
+        run: messages.RunTurn,
+        address: str,
+        error: errors.StreamClosed,
+    ) -> attempts_module.Again | attempts_module.Follow:
+        """Decides after the exchange with the sidecar was lost."""
+        if not context.name.key or error.outcome == errors.NOT_RUN:
+            return attempts_module.Again(run.attempt, error)
+        follow = attempts_module.Follow(run.attempt, run.sidecar, address)
+        return self._after_loss(context, follow)
+
+    def _overdue(
+        self,
+        context: Context,
+        run: messages.RunTurn,
+        address: str,
+        error: errors.StreamTimeout,
+    ) -> attempts_module.Again:
+        """Ends a call whose deadline passed, with a true outcome."""
+        if not context.name.key:
+            raise self._deadline(error)
+        step = self.attempts.after_loss(
+            context.name, run.attempt, run.sidecar, address, idempotent=True
+        )
+        match step:
+            case attempts_module.Again(sealed, cause) if isinstance(
+                cause, errors.NoUpstream
+            ):
+                refusal = errors.DeadlineUnmet(
+                    "The call did not start in time."
+                )
+                self.attempts.settle(context.name, sealed, refusal)
+                raise refusal
+            case _:
+                raise self._deadline(error)
+
+    def _deadline(
+        self, cause: errors.MintcleatError | None
+    ) -> errors.DeadlineUnmet:
+        logger.info("A call passed its deadline: {}", cause)
+        return errors.DeadlineUnmet(
+            "The call was still under way at its deadline.",
+            outcome=errors.UNKNOWN,
+            remedy="Send the same request with the same key to get its answer.",
+        )
+
+    def _left(self, context: Context) -> float:
+        return max(context.deadline_at - self.timers.now(), _MIN_WAIT)
+
+    def _check_again(
+        self,
+        context: Context,
+        progress: Progress,
+        cause: errors.MintcleatError,
+    ) -> None:
+        """Raises the final refusal when no further attempt is allowed."""
+        self.metrics.count("retries_total", cause=cause.kind)
+        over = (
+            progress.attempts >= MAX_ATTEMPTS
+            or self.timers.now() >= context.deadline_at
+            or isinstance(cause, errors.Quarantined)
+        )
+        if not over:
+            return
+        if progress.sealed and context.name.key:
+            self.attempts.settle(context.name, progress.sealed, cause)
+        raise cause
+
+
+def replay(
+    delivery: delivery_module.Delivery, message: str
+) -> Iterator[requests.Text]:
+    """Yields what the caller lacks of the whole recorded answer."""
+    text = answer_text(message)
+    if delivery.seen == len(text):
+        return
+    delivery.restart()
+    new = delivery.take(0, text)
+    if new:
+        yield requests.Text(new)
+
+
+def reservation(call: requests.ChatCall) -> int:
+    """Returns the tokens to hold for a call, prompt and completion."""
+    characters = sum(len(message) for message in call.messages)
+    prompt = characters // _CHARACTERS_PER_TOKEN + 1
+    return prompt + (call.max_tokens or DEFAULT_COMPLETION_TOKENS)
+
+
+def bounded_parameters(call: requests.ChatCall) -> str:
+    """Returns the body's parameters with a completion limit.
+
+    Without a limit an engine could generate past what was reserved, and the
+    program's budget would not hold.
+    """
+    if call.max_tokens or not call.program:
+        return call.parameters
+    parameters = json.loads(call.parameters)
+    parameters["max_tokens"] = DEFAULT_COMPLETION_TOKENS
+    return json.dumps(parameters)
+
+
+def answer_text(message: str) -> str:
+    """Returns the text of an assistant message in JSON."""
+    return json.loads(message).get("content") or ""
+
+
+def finished_end(message: messages.Finished) -> requests.End:
+    """Returns the end event of a finished attempt."""
+    return requests.End(
+        message.message,
+        message.reason,
+        message.usage,
+        message.attempt,
+        replayed=False,
+    )
+
+
+def recorded_end(reply: messages.Recorded) -> requests.End:
+    """Returns the end event of an answer recorded earlier."""
+    return requests.End(
+        reply.answer.decode(), "stop", reply.usage, reply.attempt, replayed=True
+    )
--- /dev/null
+++ b/src/mintcleat/roles/entry.py
@@ -0,0 +1,301 @@
+"""The entry role: checks a call against the manifest and has it run."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+import re
+from typing import NamedTuple
+import uuid
+
+from mintcleat.domain import errors
+from mintcleat.domain import manifest as manifest_module
+from mintcleat.domain import messages
+from mintcleat.domain import requests
+from mintcleat.ports import control as control_port
+from mintcleat.ports import directory as directory_port
+from mintcleat.ports import metrics as metrics_port
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles import chat as chat_module
+from mintcleat.roles import placement as placement_module
+from mintcleat.roles import service_calls as service_calls_module
+
+_PROGRAM_ID = re.compile(r"[A-Za-z0-9_-]{1,64}(\.[A-Za-z0-9_-]{1,64}){0,8}")
+# Views are about 300 bytes; the cache saves a read per turn for the programs
+# that this entry served last and is bounded so that an entry stays thin.
+_VIEWS_KEPT = 20_000
+ANONYMOUS = "anonymous"
+
+
+class Entry:
+    """Takes callers' requests; holds nothing that must survive it."""
+
+    def __init__(
+        self,
+        control: control_port.Control,
+        directory: directory_port.Directory,
+        placement: placement_module.Placement,
+        streams: streams_port.Streams,
+        timers: timers_port.Timers,
+        metrics: metrics_port.Metrics,
+    ) -> None:
+        self.control = control
+        self.directory = directory
+        self.placement = placement
+        self.timers = timers
+        self.metrics = metrics
+        self.views: OrderedDict[str, messages.ProgramView] = OrderedDict()
+        self.draining = False
+        self.running = 0
+        attempts = attempts_module.Attempts(control, streams, timers)
+        self.chat_calls = chat_module.Chat(
+            attempts, placement, directory, streams, timers, metrics
+        )
+        self.service_calls = service_calls_module.ServiceCalls(
+            attempts, placement, streams, timers, metrics
+        )
+
+    def ready(self) -> bool:
+        """Tells the balancer whether this entry takes new work."""
+        return not self.draining and self.directory.in_lease()
+
+    def models(self) -> list[str]:
+        """Returns the names of the model services."""
+        services = self.directory.manifest().services
+        return sorted(
+            name
+            for name, service in services.items()
+            if service.kind == "model"
+        )
+
+    def create_program(self, new: requests.NewProgram) -> messages.ProgramView:
+        """Creates a program, or returns the same one for a resend."""
+        self._check_open(idempotent_service=False)
+        manifest = self.directory.manifest()
+        agent = manifest.programs.get(new.agent)
+        if new.agent and agent is None:
+            raise errors.UnknownService(
+                f"The manifest has no agent program {new.agent!r}."
+            )
+        agent = agent or manifest_module.Program(service="")
+        create = messages.CreateProgram(
+            program=self._program_id(new),
+            partner=self._partner(new.partner),
+            agent=new.agent,
+            klass=new.klass or agent.klass,
+            budget=self._budget(new.budget, agent),
+            parent=new.parent,
+        )
+        return self._remember(self._ask(create.program, create))
+
+    def show_program(self, program: str) -> messages.ProgramView:
+        """Returns the program by a linearizable read."""
+        check_id(program)
+        view = self._ask(program, messages.ShowProgram(program))
+        return self._remember(view)
+
+    def history(self, program: str) -> messages.History:
+        """Returns the program's whole history."""
+        check_id(program)
+        return self._ask(program, messages.FetchHistory(program))
+
+    def close_program(self, program: str) -> None:
+        """Closes the program and its sub-agents."""
+        check_id(program)
+        self._ask(program, messages.CloseProgram(program))
+        self.views.pop(program, None)
+
+    def chat(
+        self, call: requests.ChatCall
+    ) -> Iterator[requests.Text | requests.End]:
+        """Yields the parts of a chat answer and then its end."""
+        self._check_open(idempotent_service=False)
+        view = self._view(call.program) if call.program else None
+        partner = view.partner if view else self._partner(call.partner)
+        key = call.key
+        digest = attempts_module.digest(
+            *call.messages, call.parameters, str(call.turn)
+        )
+        if view and not key:
+            # Made from the content, so that a resend without a key still
+            # finds the first send's attempt instead of a taken turn.
+            key = f"turn-{call.turn}-{digest.hex()}"
+        context = chat_module.Context(
+            call=call,
+            name=attempts_module.CallName(call.program, partner, key),
+            service=self._model_service(call, view),
+            agent=view.agent if view else "",
+            klass=view.klass if view else "interactive",
+            digest=digest,
+            deadline_at=self._deadline_at(call.deadline),
+            resident=self._resident(view),
+        )
+        return self._counted(context)
+
+    def service(self, call: requests.ServiceCall) -> requests.ServiceAnswer:
+        """Returns the answer of a plain service."""
+        manifest = self.directory.manifest()
+        service = manifest.services.get(call.service)
+        if service is None or service.kind != "plain":
+            raise errors.UnknownService(
+                f"The manifest has no plain service {call.service!r}."
+            )
+        idempotent = manifest_module.is_idempotent(
+            service, call.method, call.path
+        )
+        self._check_open(idempotent_service=idempotent)
+        view = self._view(call.program) if call.program else None
+        partner = view.partner if view else self._partner(call.partner)
+        key = call.key if idempotent else call.key or attempts_module.new_key()
+        context = service_calls_module.Context(
+            call=call,
+            name=attempts_module.CallName(call.program, partner, key),
+            klass=view.klass if view else "interactive",
+            digest=attempts_module.digest(
+                call.service, call.method, call.path, call.body
+            ),
+            deadline_at=self._deadline_at(call.deadline),
+            idempotent=idempotent,
+            committed=not idempotent,
+        )
+        self.metrics.count("calls_total", kind="service")
+        self.running += 1
+        try:
+            return self.service_calls.run(context)
+        finally:
+            self.running -= 1
+
+    def _counted(
+        self, context: chat_module.Context
+    ) -> Iterator[requests.Text | requests.End]:
+        """Runs a chat call, counted as running until its last byte."""
+        self.metrics.count("calls_total", kind="chat")
+        started = self.timers.now()
+        self.running += 1
+        first = True
+        try:
+            for event in self.chat_calls.run(context):
+                if first:
+                    first = False
+                    waited = self.timers.now() - started
+                    self.metrics.observe("first_token_seconds", waited)
+                yield event
+            self._note_turn(context)
+        finally:
+            self.running -= 1
+            taken = self.timers.now() - started
+            self.metrics.observe("call_seconds", taken, kind="chat")
+
+    def _note_turn(self, context: chat_module.Context) -> None:
+        """Drops the cached view, whose turn and residency are now old."""
+        if context.call.program:
+            self.views.pop(context.call.program, None)
+
+    def _check_open(self, idempotent_service: bool) -> None:
+        """Refuses new work while stopping or out of the config lease.
+
+        A node that is cut off can't know of a newer manifest. Its callers
+        would see an old one in force; refusing is true and lets them go to
+        another entry. `stale_lease: serve` keeps harmless reads going.
+        """
+        if self.draining:
+            raise errors.Draining("This entry is stopping.")
+        if self.directory.in_lease():
+            return
+        policy = self.directory.manifest().policies.stale_lease
+        if idempotent_service and policy == "serve":
+            return
+        raise errors.LeaseExpired(
+            "This entry's configuration lease ran out.", retry_after=1.0
+        )
+
+    def _partner(self, partner: str) -> str:
+        policies = self.directory.manifest().policies
+        partner = partner or policies.default_partner
+        if not policies.partners:
+            return partner or ANONYMOUS
+        if partner not in policies.partners:
+            raise errors.UnknownPartner(
+                f"The manifest has no partner {partner!r}."
+            )
+        return partner
+
+    def _model_service(
+        self, call: requests.ChatCall, view: messages.ProgramView | None
+    ) -> str:
+        manifest = self.directory.manifest()
+        agent = manifest.programs.get(view.agent) if view else None
+        name = call.model or (agent.service if agent else "")
+        service = manifest.services.get(name)
+        if service is None or service.kind != "model":
+            raise errors.UnknownService(
+                f"The manifest has no model service {name!r}."
+            )
+        return name
+
+    def _budget(
+        self, asked: messages.Budget, agent: manifest_module.Program
+    ) -> messages.Budget:
+        """Returns the tighter of the caller's and the manifest's limits."""
+        return messages.Budget(
+            tokens=tighter(asked.tokens, agent.tokens),
+            turns=tighter(asked.turns, agent.turns),
+            seconds=tighter(asked.seconds, agent.seconds),
+        )
+
+    def _program_id(self, new: requests.NewProgram) -> str:
+        name = new.program or uuid.uuid4().hex
+        if new.parent and not name.startswith(f"{new.parent}."):
+            name = f"{new.parent}.{name}"
+        check_id(name)
+        if "." in name and not new.parent:
+            raise errors.BadRequest(
+                "The id of a program without a parent can't contain a dot."
+            )
+        return name
+
+    def _deadline_at(self, seconds: float) -> float:
+        default = self.directory.manifest().policies.deadline
+        return self.timers.now() + (seconds or default)
+
+    def _view(self, program: str) -> messages.ProgramView:
+        found = self.views.get(program)
+        if found is not None:
+            self.views.move_to_end(program)
+            return found
+        return self.show_program(program)
+
+    def _remember(self, view: messages.ProgramView) -> messages.ProgramView:
+        self.views[view.program] = view
+        self.views.move_to_end(view.program)
+        if len(self.views) > _VIEWS_KEPT:
+            self.views.popitem(last=False)
+        return view
+
+    def _resident(
+        self, view: messages.ProgramView | None
+    ) -> messages.Incarnation | None:
+        if view is None or not view.resident.epoch:
+            return None
+        return view.resident
+
+    def _ask(
+        self, scope: str, message: NamedTuple
+    ) -> messages.ProgramView | messages.History | messages.Done:
+        return self.control.ask(scope, message, attempts_module.CONTROL_SECONDS)
+
+
+def check_id(program: str) -> None:
+    """Refuses a text that can't be a program id."""
+    if not _PROGRAM_ID.fullmatch(program):
+        raise errors.BadRequest(
+            f"{program[:80]!r} is no program id (letters, digits, _ and -, "
+            "64 at most per part)."
+        )
+
+
+def tighter(first: float, second: float) -> float:
+    """Returns the lower of two limits where 0 means none."""
+    if not first or not second:
+        return first or second
+    return min(first, second)
--- /dev/null
+++ b/src/mintcleat/roles/service_calls.py
@@ -0,0 +1,260 @@
+"""Calls to plain services at the entry."""
+
+from typing import NamedTuple
+
+import msgpack
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.domain import requests
+from mintcleat.ports import metrics as metrics_port
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles import placement as placement_module
+
+# As for chat calls: more tries only add load when there is none to spare.
+MAX_ATTEMPTS = 3
+_MIN_WAIT = 0.05
+
+
+class Context(NamedTuple):
+    """What is fixed for all attempts of one call.
+
+    Attributes:
+        committed: The call takes an attempt from its group before it runs.
+    """
+
+    call: requests.ServiceCall
+    name: attempts_module.CallName
+    klass: str
+    digest: bytes
+    deadline_at: float
+    idempotent: bool
+    committed: bool
+
+
+class ServiceCalls:
+    """Runs calls to plain services; one instance per entry."""
+
+    def __init__(
+        self,
+        attempts: attempts_module.Attempts,
+        placement: placement_module.Placement,
+        streams: streams_port.Streams,
+        timers: timers_port.Timers,
+        metrics: metrics_port.Metrics,
+    ) -> None:
+        self.attempts = attempts
+        self.placement = placement
+        self.streams = streams
+        self.timers = timers
+        self.metrics = metrics
+
+    def run(self, context: Context) -> requests.ServiceAnswer:
+        """Returns the service's answer.
+
+        Raises:
+            errors.MintcleatError: The refusal or failure to tell the caller.
+        """
+        tried: set[messages.Incarnation] = set()
+        sealed = 0
+        for number in range(1, MAX_ATTEMPTS + 1):
+            placed = self._place(context, tried, sealed)
+            attempt = 0
+            if context.committed:
+                reply = self._begin(context, placed, sealed)
+                match reply:
+                    case messages.Recorded():
+                        return recorded_answer(reply)
+                    case messages.Underway():
+                        step = self._follow(context, reply)
+                    case _:
+                        attempt = reply.attempt
+                        step = self._run(context, placed, attempt)
+            else:
+                step = self._run(context, placed, attempt)
+            if isinstance(step, requests.ServiceAnswer):
+                return step
+            tried.add(placed.sidecar)
+            sealed = step.sealed
+            self.metrics.count("retries_total", cause=step.cause.kind)
+            late = self.timers.now() >= context.deadline_at
+            if late or number == MAX_ATTEMPTS:
+                self._give_up(context, sealed, step.cause)
+        raise errors.NoUpstream("No attempt was made.")
+
+    def _place(
+        self,
+        context: Context,
+        tried: set[messages.Incarnation],
+        sealed: int,
+    ) -> placement_module.Placed:
+        try:
+            placed = self.placement.choose(context.call.service, None, tried)
+        except errors.NoUpstream as error:
+            if sealed:
+                self.attempts.settle(context.name, sealed, error)
+            raise
+        self.metrics.count("placements_total", reason=placed.reason)
+        return placed
+
+    def _begin(
+        self,
+        context: Context,
+        placed: placement_module.Placed,
+        sealed: int,
+    ) -> messages.Granted | messages.Recorded | messages.Underway:
+        call = context.call
+        begin = messages.BeginCall(
+            program=call.program,
+            partner=context.name.partner,
+            service=call.service,
+            turn=0,
+            key=context.name.key,
+            digest=context.digest,
+            messages=[],
+            reserve=0,
+            idempotent=context.idempotent,
+            sidecar=placed.sidecar,
+            address=placed.address,
+            sealed=sealed,
+        )
+        return self.attempts.begin(context.name, begin)
+
+    def _run(
+        self,
+        context: Context,
+        placed: placement_module.Placed,
+        attempt: int,
+    ) -> requests.ServiceAnswer | attempts_module.Again:
+        call = context.call
+        run = messages.RunTool(
+            program=call.program,
+            partner=context.name.partner,
+            service=call.service,
+            key=context.name.key,
+            attempt=attempt,
+            sidecar=placed.sidecar,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            deadline=self._left(context),
+            klass=context.klass,
+            digest=context.digest,
+            idempotent=context.idempotent,
+        )
+        try:
+            reply = self.streams.ask(placed.address, run, self._left(context))
+        except errors.StreamClosed as error:
+            if error.outcome == errors.NOT_RUN:
+                return attempts_module.Again(attempt, error)
+            return self._after_loss(context, attempt, placed)
+        except errors.StreamTimeout:
+            return self._after_loss(context, attempt, placed)
+        return self._answer(context, attempt, reply)
+
+    def _answer(
+        self,
+        context: Context,
+        attempt: int,
+        reply: messages.ToolAnswer | messages.Refused | messages.Broken,
+    ) -> requests.ServiceAnswer | attempts_module.Again:
+        match reply:
+            case messages.ToolAnswer(_, status, headers, body, load):
+                self.placement.learn(load)
+                return requests.ServiceAnswer(
+                    status, headers, body, attempt, replayed=False
+                )
+            case messages.Refused(_, failure, load):
+                self.placement.learn(load)
+                return attempts_module.Again(
+                    attempt, errors.from_failure(failure)
+                )
+            case messages.Broken(_, failure):
+                return self._broken(context, attempt, failure)
+            case _:
+                raise errors.OutcomeUnknown(
+                    f"The sidecar sent an unexpected {type(reply).__name__}."
+                )
+
+    def _broken(
+        self, context: Context, attempt: int, failure: errors.Failure
+    ) -> attempts_module.Again:
+        """An attempt that may have had its effect is never run again."""
+        cause = errors.from_failure(failure)
+        if failure.outcome == errors.NOT_RUN or context.idempotent:
+            return attempts_module.Again(attempt, cause)
+        self.attempts.settle(context.name, attempt, cause)
+        raise cause
+
+    def _follow(
+        self, context: Context, underway: messages.Underway
+    ) -> requests.ServiceAnswer | attempts_module.Again:
+        name = context.name
+        attach = messages.Attach(
+            name.program,
+            name.partner,
+            name.key,
+            underway.attempt,
+            underway.sidecar,
+        )
+        placed = placement_module.Placed(
+            underway.sidecar, underway.address, "underway"
+        )
+        try:
+            reply = self.streams.ask(
+                underway.address, attach, self._left(context)
+            )
+        except (errors.StreamClosed, errors.StreamTimeout):
+            return self._after_loss(context, underway.attempt, placed)
+        return self._answer(context, underway.attempt, reply)
+
+    def _after_loss(
+        self,
+        context: Context,
+        attempt: int,
+        placed: placement_module.Placed,
+    ) -> attempts_module.Again:
+        if not context.committed:
+            cause = errors.OutcomeUnknown("The sidecar was lost.")
+            return attempts_module.Again(0, cause)
+        step = self.attempts.after_loss(
+            context.name,
+            attempt,
+            placed.sidecar,
+            placed.address,
+            context.idempotent,
+        )
+        match step:
+            case attempts_module.Again():
+                return step
+            case _:
+                raise errors.OutcomeUnknown(
+                    "The request is still under way at its upstream.",
+                    remedy="Send the same request with the same key to get "
+                    "its answer.",
+                    retry_after=1.0,
+                )
+
+    def _give_up(
+        self,
+        context: Context,
+        sealed: int,
+        cause: errors.MintcleatError,
+    ) -> None:
+        if context.committed and sealed:
+            self.attempts.settle(context.name, sealed, cause)
+        raise cause
+
+    def _left(self, context: Context) -> float:
+        return max(context.deadline_at - self.timers.now(), _MIN_WAIT)
+
+
+def recorded_answer(reply: messages.Recorded) -> requests.ServiceAnswer:
+    """Returns the answer that an earlier send of this call got."""
+    status, headers, body = msgpack.unpackb(reply.answer, raw=False)
+    return requests.ServiceAnswer(
+        status, headers, body, reply.attempt, replayed=True
+    )
