--- /dev/null
+++ b/bench/naive_proxy.py
@@ -0,0 +1,63 @@
+"""The naive baseline: a round-robin HTTP proxy that keeps nothing.
+
+Usage: python bench/naive_proxy.py LISTEN UPSTREAM [UPSTREAM ...]
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
+import sys
+import warnings
+
+warnings.filterwarnings("ignore", category=DeprecationWarning)
+
+import eventlet
+
+eventlet.monkey_patch()
+
+from eventlet import wsgi
+import urllib3
+
+_SECONDS = 120.0
+
+
+class NaiveProxy:
+    """Forwards each request to the next upstream and relays its answer."""
+
+    def __init__(self, upstreams: list[str]) -> None:
+        self.upstreams = itertools.cycle(upstreams)
+        self.pool = urllib3.PoolManager(maxsize=512, num_pools=16)
+
+    def __call__(
+        self, environ: dict, start: Callable[..., None]
+    ) -> Iterator[bytes]:
+        """Relays one request."""
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        answer = self.pool.request(
+            environ["REQUEST_METHOD"],
+            f"http://{next(self.upstreams)}{environ['PATH_INFO']}",
+            body=environ["wsgi.input"].read(length),
+            headers={"Content-Type": "application/json"},
+            preload_content=False,
+            timeout=_SECONDS,
+        )
+        kind = answer.headers.get("Content-Type", "application/json")
+        start(f"{answer.status} Relayed", [("Content-Type", kind)])
+        try:
+            yield from answer.stream(65536)
+        finally:
+            answer.release_conn()
+
+
+def main() -> None:
+    """Serves until it is ended."""
+    listen, *upstreams = sys.argv[1:]
+    host, _, port = listen.rpartition(":")
+    listener = eventlet.listen((host, int(port)), backlog=1024)
+    host, port = listener.getsockname()[:2]
+    print(f"ready naive http={host}:{port}", flush=True)
+    wsgi.server(listener, NaiveProxy(upstreams), log_output=False, debug=False)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/mintcleat/adapters/tokens.py
@@ -0,0 +1,28 @@
+"""The operators' bearer token, kept in a file of its own."""
+
+import os
+import pathlib
+import secrets
+
+_TOKEN_BYTES = 32
+TOKEN_FILE = "admin-token"
+
+
+def load_or_make(folder: pathlib.Path) -> str:
+    """Returns the token in `folder`, making it on first use.
+
+    The file is created with mode 0600 in one step: a file made readable
+    first and restricted afterwards could be opened in between.
+    """
+    path = folder / TOKEN_FILE
+    try:
+        return path.read_text().strip()
+    except FileNotFoundError:
+        pass
+    folder.mkdir(parents=True, exist_ok=True)
+    token = secrets.token_urlsafe(_TOKEN_BYTES)
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    handle = os.open(path, flags, 0o600)
+    with os.fdopen(handle, "w") as file:
+        file.write(token + "\n")
+    return token
--- /dev/null
+++ b/src/mintcleat/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop program load for a running system, and its report."""
--- /dev/null
+++ b/src/mintcleat/main/daemon.py
@@ -0,0 +1,127 @@
+"""`mintcleatd`: runs the roles that a settings file names, or all locally."""
+
+import pathlib
+import signal
+import sys
+from typing import Any
+
+import eventlet
+import fire
+from loguru import logger
+
+from mintcleat.adapters import logs
+from mintcleat.adapters import settings as settings_module
+from mintcleat.main import assembly
+from mintcleat.main import local as local_module
+from mintcleat.main import standin
+
+_EXIT_OK = 0
+_EXIT_CUT = 1
+_EXIT_SETTINGS = 2
+_POLL_SECONDS = 0.05
+
+_USAGE = """usage:
+  mintcleatd SETTINGS            run the roles that the file names
+  mintcleatd --check SETTINGS    list every fault of the file
+  mintcleatd local [--entry IP:PORT] [--admin IP:PORT] [--data DIR]
+                                 all roles with stand-ins, in one process
+  mintcleatd standin engine|service IP:PORT
+                                 a stand-in upstream, for trials and tests
+"""
+
+
+class Signals:
+    """Counts the requests to stop; the second one ends the waiting."""
+
+    def __init__(self) -> None:
+        self.stops = 0
+        signal.signal(signal.SIGTERM, self.take)
+        signal.signal(signal.SIGINT, self.take)
+
+    def take(self, number: int, frame: Any) -> None:
+        """Counts a signal; the loop sees it at its next poll."""
+        self.stops += 1
+
+    def wait(self) -> None:
+        """Returns after the first request to stop."""
+        while not self.stops:
+            eventlet.sleep(_POLL_SECONDS)
+
+    def impatient(self) -> bool:
+        """Tells whether a second request came."""
+        return self.stops > 1
+
+
+def main() -> None:
+    """Runs the command line; exits 0 only after a clean stop."""
+    arguments = sys.argv[1:]
+    match arguments:
+        case ["local", *rest]:
+            sys.exit(fire.Fire(run_local, rest, name="mintcleatd local"))
+        case ["standin", kind, listen]:
+            sys.exit(run_part(standin.Standin(kind, listen)))
+        case ["--check", path]:
+            sys.exit(check(pathlib.Path(path)))
+        case [path] if not path.startswith("-"):
+            sys.exit(run_settings(pathlib.Path(path)))
+        case _:
+            print(_USAGE, end="", file=sys.stderr)
+            sys.exit(_EXIT_SETTINGS)
+
+
+def run_local(
+    entry: str = "127.0.0.1:8080",
+    admin: str = "127.0.0.1:8081",
+    data: str = "mintcleat-data",
+) -> None:
+    """Runs every role, two stand-in engines and a stand-in service."""
+    logs.configure("local", "warning", as_json=False)
+    sys.exit(run_part(local_module.Local(entry, admin, pathlib.Path(data))))
+
+
+def check(path: pathlib.Path) -> int:
+    """Prints every fault of a settings file; returns the exit code."""
+    try:
+        settings_module.load(path)
+    except* settings_module.errors.InvalidSettings as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    print(f"{path}: no faults")
+    return _EXIT_OK
+
+
+def run_settings(path: pathlib.Path) -> int:
+    """Runs the roles of a settings file until a request to stop."""
+    code = check_quietly(path)
+    if code != _EXIT_OK:
+        return code
+    settings = settings_module.load(path)
+    logs.configure(
+        settings.instance, settings.logs.level, settings.logs.form == "json"
+    )
+    return run_part(assembly.Process(settings))
+
+
+def check_quietly(path: pathlib.Path) -> int:
+    """As `check`, silent when there is no fault."""
+    try:
+        settings_module.load(path)
+    except* settings_module.errors.InvalidSettings as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    return _EXIT_OK
+
+
+def run_part(part: Any) -> int:
+    """Starts a part, prints its ready line, and stops it on a signal."""
+    signals = Signals()
+    part.start()
+    print(part.ready_line(), flush=True)
+    signals.wait()
+    logger.info("Stopping; a second signal ends it at once.")
+    cut = part.stop(signals.impatient)
+    if cut:
+        logger.warning("{} requests were cut by the stop", cut)
+    return _EXIT_CUT if cut else _EXIT_OK
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -25,6 +25,7 @@
     },
     "adapters": {"domain", "ports", "adapters"},
     "standins": {"domain", "ports", "standins"},
+    "load": {"domain", "ports", "load"},
 }
 NAME_MODULES = {"typing", "collections.abc", "__future__"}
 
--- /dev/null
+++ b/testing/test_load.py
@@ -0,0 +1,84 @@
+"""The load tool's schedule and figures."""
+
+import testtools
+from testtools import matchers
+
+from mintcleat.adapters import timers
+from mintcleat.load import arrivals
+from mintcleat.load import client as client_module
+from mintcleat.load import driver as driver_module
+from mintcleat.load import plan as plan_module
+from mintcleat.load import report
+
+
+def kind(**changes: object) -> plan_module.Kind:
+    return plan_module.Kind(
+        **{"name": "triage", "model": "m", "rate": 5.0, **changes}
+    )
+
+
+class ArrivalsTest(testtools.TestCase):
+    def test_same_seed_gives_same_programs_at_same_times(self) -> None:
+        plan = plan_module.Plan([kind()], seconds=20.0, seed=3)
+        self.assertEqual(arrivals.schedule(plan), arrivals.schedule(plan))
+
+    def test_burst_multiplies_the_rate_while_it_lasts(self) -> None:
+        burst = plan_module.Burst(at=100.0, seconds=100.0, times=10.0)
+        plan = plan_module.Plan([kind(bursts=[burst])], seconds=300.0)
+        due = [program.due for program in arrivals.schedule(plan)]
+        inside = sum(1 for at in due if 100.0 <= at < 200.0)
+        outside = len(due) - inside
+        self.assertThat(inside / outside, matchers.GreaterThan(4.0))
+        self.assertThat(inside / outside, matchers.LessThan(6.0))
+
+
+class SlowClient:
+    """Answers each turn after a fixed time on the virtual clock."""
+
+    def __init__(self, clock: timers.VirtualTimers) -> None:
+        self.clock = clock
+
+    def create(self, body: dict) -> tuple[str, client_module.Answer]:
+        return "p", client_module.Answer("", "ran", 0.0, 0.0, [])
+
+    def chat(
+        self, body: dict, headers: dict, deadline: float
+    ) -> client_module.Answer:
+        self.clock.clock += 2.0
+        return client_module.Answer("", "ran", 1.0, 2.0, [], 100, 40, 10)
+
+    def close(self, program: str) -> None:
+        return
+
+
+class DriverTest(testtools.TestCase):
+    def test_latency_counts_from_when_the_program_was_due(self) -> None:
+        """A tool that waits for answers hides queueing.
+
+        Both programs are due at second 0 and the answers take 2 s one after
+        the other; the second caller waited 4 s, not 2.
+        """
+        clock = timers.VirtualTimers()
+        driver = driver_module.Driver(SlowClient(clock), clock)
+        turn = arrivals.Turn(5, 8, 0.0, sub_agent=False, tool=None)
+        program = arrivals.Program(0.0, kind(), [turn])
+        driver.run([program, program], patience=10.0)
+        self.assertThat(
+            [sample.seconds for sample in driver.samples],
+            matchers.AfterPreprocessing(
+                lambda seconds: [round(one) for one in seconds],
+                matchers.Equals([2, 4]),
+            ),
+        )
+
+    def test_rebuilt_tokens_are_counted_as_wasted(self) -> None:
+        clock = timers.VirtualTimers()
+        driver = driver_module.Driver(SlowClient(clock), clock)
+        turn = arrivals.Turn(5, 8, 0.0, sub_agent=False, tool=None)
+        driver.run([arrivals.Program(0.0, kind(), [turn, turn])], 10.0)
+        figures = report.summary(driver)["triage"]
+        # The second turn knew 110 tokens and the engine had cached 40.
+        self.assertEqual(70, figures["wasted_tokens"])
+        self.assertThat(
+            report.table(figures={"t": figures}), matchers.Contains("wasted")
+        )
