--- /dev/null
+++ b/src/mintcleat/adapters/wal.py
@@ -0,0 +1,241 @@
+"""The write-ahead log: numbered segments in one data folder."""
+
+from collections.abc import Iterable
+import contextlib
+import errno
+import fcntl
+import os
+import pathlib
+import zlib
+
+from mintcleat.adapters import wal_disk
+from mintcleat.adapters import wal_identity
+from mintcleat.adapters import wal_segment
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import wal
+
+SEGMENT_SIZE = 16 * 1024 * 1024
+
+
+class FileWal:
+    """Segments, identity and snapshots in a folder; see `ports.wal`.
+
+    Attributes:
+        folder: The data folder; it is made when it is missing.
+        failed: The first failure of the disk; it ends all later calls.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        disk: wal.Disk | None = None,
+        segment_size: int = SEGMENT_SIZE,
+    ) -> None:
+        self.folder = folder
+        self.disk = disk or wal_disk.SystemDisk()
+        self.segment_size = segment_size
+        self.failed: errors.StorageFailed | None = None
+        self.number = 0
+        self.descriptor = -1
+        self.lock = -1
+        self.offset = 0
+        self.batch_start = 0
+        self.closed_bytes = 0
+        self.buffer: list[bytes] = []
+
+    def open(self, node: messages.Incarnation) -> wal.Recovery:
+        """Reads the log, or formats an empty disk for `node`."""
+        with self._guard():
+            self.folder.mkdir(parents=True, exist_ok=True)
+            self._take_lock()
+            identity = wal_identity.read(self.folder, node.instance)
+            if identity is None:
+                return wal.Recovery(self._format(node), [])
+            return wal.Recovery(identity, self._recover())
+
+    def append(self, records: Iterable[bytes]) -> None:
+        """Adds records to the batch that the next sync writes."""
+        self._check()
+        for record in records:
+            data = wal_segment.frame(self.batch_start, record)
+            self.buffer.append(data)
+            self.offset += len(data)
+
+    def sync(self) -> None:
+        """Writes the batch and syncs it once for all that wait."""
+        self._check()
+        if not self.buffer:
+            return
+        with self._guard():
+            self.disk.write(self.descriptor, b"".join(self.buffer))
+            self.disk.sync(self.descriptor)
+            self.buffer.clear()
+            self.batch_start = self.offset
+            if self.offset >= self.segment_size:
+                self._next_segment()
+
+    def size(self) -> int:
+        """Returns the bytes in all segments."""
+        return self.closed_bytes + self.offset
+
+    def rewrite(self, records: Iterable[bytes]) -> None:
+        """Starts a base segment, then removes every older one."""
+        self.sync()
+        with self._guard():
+            os.close(self.descriptor)
+            self.number += 1
+            start = wal_segment.HEADER_SIZE
+            frames = [wal_segment.frame(start, record) for record in records]
+            data = wal_segment.header(wal_segment.BASE) + b"".join(frames)
+            path = self._path(self.number)
+            wal_disk.replace_file(self.disk, path, data)
+            self.closed_bytes = 0
+            self._continue(path, len(data))
+            self._remove_below(self.number)
+
+    def save_snapshot(self, group: str, index: int, state: bytes) -> None:
+        """Stores a snapshot file durably."""
+        self._check()
+        with self._guard():
+            data = zlib.crc32(state).to_bytes(4, "big") + state
+            path = self._snapshot(group, index)
+            wal_disk.replace_file(self.disk, path, data)
+
+    def load_snapshot(self, group: str, index: int) -> bytes:
+        """Returns the state of a stored snapshot."""
+        path = self._snapshot(group, index)
+        data = path.read_bytes() if path.exists() else b""
+        state = data[4:]
+        if data[:4] != zlib.crc32(state).to_bytes(4, "big"):
+            raise errors.StorageDamaged(
+                f"Snapshot {path.name} is missing or damaged."
+            )
+        return state
+
+    def drop_snapshots(self, group: str, below: int) -> None:
+        """Removes the group's snapshots with a lower index."""
+        for path in self.folder.glob(f"{_file_name(group)}-*.snapshot"):
+            if path.name < self._snapshot(group, below).name:
+                path.unlink(missing_ok=True)
+
+    def close(self) -> None:
+        """Syncs and closes the files."""
+        try:
+            if self.failed is None and self.descriptor >= 0:
+                self.sync()
+        finally:
+            for descriptor in (self.descriptor, self.lock):
+                if descriptor >= 0:
+                    os.close(descriptor)
+            self.descriptor = self.lock = -1
+            self.failed = errors.StorageFailed("The log is closed.")
+
+    def _format(self, node: messages.Incarnation) -> messages.Incarnation:
+        # The first segment comes before the identity: an identity without a
+        # log is then always damage, never a crash while formatting.
+        numbers = self._numbers()
+        if any(self._path(n).stat().st_size > 64 for n in numbers):
+            raise errors.StorageDamaged("The log is there, its identity not.")
+        self._remove_below(1 + max(numbers, default=0))
+        self._create(wal_segment.BASE)
+        wal_identity.write(self.disk, self.folder, node)
+        return node
+
+    def _recover(self) -> list[bytes]:
+        numbers = self._numbers()
+        kinds = {n: wal_segment.kind_of(self._head(n)) for n in numbers}
+        # A last segment without a header was being created at the crash.
+        if numbers and kinds[numbers[-1]] is None and len(numbers) > 1:
+            self._path(numbers.pop()).unlink()
+        bases = [n for n in numbers if kinds[n] == wal_segment.BASE]
+        if not bases:
+            raise errors.StorageDamaged("The log has lost its first segment.")
+        kept = [n for n in numbers if n >= bases[-1]]
+        if kept != list(range(kept[0], kept[0] + len(kept))):
+            raise errors.StorageDamaged("The log has lost a segment.")
+        return self._read(kept)
+
+    def _read(self, numbers: list[int]) -> list[bytes]:
+        records: list[bytes] = []
+        for number in numbers:
+            path = self._path(number)
+            data = path.read_bytes()
+            last = number == numbers[-1]
+            if wal_segment.kind_of(data) is None:
+                raise errors.StorageDamaged(f"{path.name} has no header.")
+            found = wal_segment.scan(data, last, path.name)
+            records.extend(found.records)
+            if not last:
+                self.closed_bytes += len(data)
+                continue
+            self.number = number
+            if found.end < len(data):
+                os.truncate(path, found.end)
+            self._continue(path, found.end)
+            self.disk.sync(self.descriptor)
+        self._remove_below(numbers[0])
+        return records
+
+    def _next_segment(self) -> None:
+        os.close(self.descriptor)
+        self.closed_bytes += self.offset
+        self._create(wal_segment.NEXT)
+
+    def _create(self, kind: int) -> None:
+        self.number += 1
+        path = self._path(self.number)
+        data = wal_segment.header(kind)
+        wal_disk.replace_file(self.disk, path, data)
+        self._continue(path, len(data))
+
+    def _continue(self, path: pathlib.Path, offset: int) -> None:
+        self.descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
+        self.offset = self.batch_start = offset
+
+    def _remove_below(self, number: int) -> None:
+        for old in self._numbers():
+            if old < number:
+                self._path(old).unlink()
+
+    def _numbers(self) -> list[int]:
+        return sorted(int(p.stem) for p in self.folder.glob("*.segment"))
+
+    def _path(self, number: int) -> pathlib.Path:
+        return self.folder / f"{number:012d}.segment"
+
+    def _head(self, number: int) -> bytes:
+        with self._path(number).open("rb") as file:
+            return file.read(wal_segment.HEADER_SIZE)
+
+    def _snapshot(self, group: str, index: int) -> pathlib.Path:
+        return self.folder / f"{_file_name(group)}-{index:016d}.snapshot"
+
+    def _take_lock(self) -> None:
+        # Two processes on one folder would interleave their records.
+        self.lock = os.open(self.folder / "lock", os.O_CREAT | os.O_RDWR, 0o600)
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise errors.StorageFailed(
+                "Another process uses the data folder.",
+                remedy="Stop the other process or use another data folder.",
+            ) from None
+
+    def _check(self) -> None:
+        if self.failed is not None:
+            raise self.failed
+
+    @contextlib.contextmanager
+    def _guard(self) -> Iterable[None]:
+        """Turns an OSError into the failure that ends this log for good."""
+        try:
+            yield
+        except OSError as error:
+            reason = errno.errorcode.get(error.errno or 0, str(error))
+            self.failed = errors.StorageFailed(f"The disk failed: {reason}.")
+            raise self.failed from error
+
+
+def _file_name(group: str) -> str:
+    return "".join(c if c.isalnum() else f"%{ord(c):x}" for c in group)
--- /dev/null
+++ b/src/mintcleat/adapters/wal_disk.py
@@ -0,0 +1,41 @@
+"""The real disk, and files that are replaced in one step."""
+
+import os
+import pathlib
+
+from mintcleat.ports import wal
+
+
+class SystemDisk:
+    """Calls the operating system; see `ports.wal.Disk`."""
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Writes all bytes; a short write goes on where it stopped."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+
+    def sync(self, descriptor: int) -> None:
+        """Syncs data and what is needed to read it again."""
+        os.fdatasync(descriptor)
+
+    def sync_directory(self, path: pathlib.Path) -> None:
+        """Syncs the entries of a directory."""
+        descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+def replace_file(disk: wal.Disk, path: pathlib.Path, data: bytes) -> None:
+    """Writes a file so that a crash leaves the old one or the new one."""
+    draft = path.with_suffix(".draft")
+    descriptor = os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        disk.write(descriptor, data)
+        disk.sync(descriptor)
+    finally:
+        os.close(descriptor)
+    draft.replace(path)
+    disk.sync_directory(path.parent)
--- /dev/null
+++ b/src/mintcleat/adapters/wal_segment.py
@@ -0,0 +1,111 @@
+"""One segment file: its header, its records and the scan that reads it.
+
+A segment is a 16-byte header and records. A record is a 24-byte header
+`magic, batch start, length, CRC-32` and its payload. The batch start is the
+offset at which the unsynced bytes began when the record was written; it is
+what tells a torn tail from damage.
+"""
+
+import struct
+from typing import NamedTuple
+import zlib
+
+from mintcleat.domain import errors
+
+SEGMENT_MAGIC = b"mcleatW1"
+RECORD_MAGIC = b"\xc9mcr"
+# A base segment starts the log: whatever lies in lower numbers is obsolete.
+BASE = 1
+NEXT = 0
+MAX_RECORD = 64 * 1024 * 1024
+_SEGMENT = struct.Struct(">8sII")
+_RECORD = struct.Struct(">4sQII")
+HEADER_SIZE = _SEGMENT.size
+
+
+class Scan(NamedTuple):
+    """Result of reading one segment.
+
+    Attributes:
+        end: Offset after the last whole record.
+    """
+
+    records: list[bytes]
+    end: int
+
+
+def header(kind: int) -> bytes:
+    """Returns the header of a new segment."""
+    return _SEGMENT.pack(SEGMENT_MAGIC, kind, zlib.crc32(bytes([kind])))
+
+
+def kind_of(data: bytes) -> int | None:
+    """Returns BASE or NEXT, or None when the header is not whole."""
+    if len(data) < HEADER_SIZE:
+        return None
+    magic, kind, crc = _SEGMENT.unpack_from(data)
+    if magic != SEGMENT_MAGIC or kind not in (BASE, NEXT):
+        return None
+    return kind if crc == zlib.crc32(bytes([kind])) else None
+
+
+def frame(batch_start: int, payload: bytes) -> bytes:
+    """Returns a record as it lies in the file."""
+    size = len(payload)
+    crc = _crc(batch_start, payload)
+    return _RECORD.pack(RECORD_MAGIC, batch_start, size, crc) + payload
+
+
+def scan(data: bytes, last: bool, name: str) -> Scan:
+    """Reads every record of a segment.
+
+    Only the last segment may end in a torn tail, which was never synced and
+    so never acknowledged. A batch is written only after the one before it was
+    synced. So a whole record whose batch starts after the unreadable one
+    proves that the unreadable one had been synced, and perhaps acknowledged:
+    cutting there would lose a vote or a committed entry without a word.
+
+    Raises:
+        errors.StorageDamaged: A record that had been synced is unreadable.
+    """
+    records = []
+    offset = HEADER_SIZE
+    while offset < len(data):
+        found = _record_at(data, offset)
+        if found is None:
+            if not last or _synced_after(data, offset):
+                raise errors.StorageDamaged(
+                    f"Segment {name} is damaged at byte {offset}."
+                )
+            break
+        records.append(found[1])
+        offset += _RECORD.size + len(found[1])
+    return Scan(records, offset)
+
+
+def _synced_after(data: bytes, bad: int) -> bool:
+    offset = data.find(RECORD_MAGIC, bad + 1)
+    while offset >= 0:
+        found = _record_at(data, offset)
+        if found is not None and found[0] > bad:
+            return True
+        offset = data.find(RECORD_MAGIC, offset + 1)
+    return False
+
+
+def _record_at(data: bytes, offset: int) -> tuple[int, bytes] | None:
+    if offset + _RECORD.size > len(data):
+        return None
+    magic, start, size, crc = _RECORD.unpack_from(data, offset)
+    begin = offset + _RECORD.size
+    if magic != RECORD_MAGIC or size > MAX_RECORD or begin + size > len(data):
+        return None
+    payload = data[begin : begin + size]
+    return (start, payload) if crc == _crc(start, payload) else None
+
+
+def _crc(start: int, payload: bytes) -> int:
+    seed = zlib.crc32(start.to_bytes(8, "big"))
+    return zlib.crc32(
+        payload, zlib.crc32(len(payload).to_bytes(4, "big"), seed)
+    )
--- /dev/null
+++ b/src/mintcleat/ports/wal.py
@@ -0,0 +1,80 @@
+"""A durable, shared log of opaque records, and the disk below it."""
+
+from collections.abc import Iterable
+import pathlib
+from typing import NamedTuple
+from typing import Protocol
+
+from mintcleat.domain import messages
+
+
+class Recovery(NamedTuple):
+    """What the disk held when it was opened.
+
+    Attributes:
+        identity: The replica identity on the disk. Its epoch is that of the
+            start that formatted the disk, so an emptied or copied disk never
+            bears the identity that it had before.
+        records: Every record in order.
+    """
+
+    identity: messages.Incarnation
+    records: list[bytes]
+
+
+class WriteAheadLog(Protocol):
+    """One log for all groups of an instance.
+
+    After a failed write or sync every later call raises StorageFailed: the
+    kernel may have dropped the dirty pages, so that a second sync would
+    report success for bytes that are gone.
+    """
+
+    def open(self, node: messages.Incarnation) -> Recovery:
+        """Reads the log, or formats an empty disk for `node`.
+
+        Raises:
+            errors.StorageDamaged: The log is damaged before its tail.
+            errors.StorageFailed: The disk cannot be read or written.
+        """
+
+    def append(self, records: Iterable[bytes]) -> None:
+        """Adds records; they last only once `sync` has returned."""
+
+    def sync(self) -> None:
+        """Makes all appended records durable, with one sync of the disk."""
+
+    def size(self) -> int:
+        """Returns the bytes in all segments."""
+
+    def rewrite(self, records: Iterable[bytes]) -> None:
+        """Replaces the whole log, durably and in one step."""
+
+    def save_snapshot(self, group: str, index: int, state: bytes) -> None:
+        """Stores a snapshot file durably."""
+
+    def load_snapshot(self, group: str, index: int) -> bytes:
+        """Returns the state of a stored snapshot.
+
+        Raises:
+            errors.StorageDamaged: The file is missing or damaged.
+        """
+
+    def drop_snapshots(self, group: str, below: int) -> None:
+        """Removes the group's snapshots with a lower index."""
+
+    def close(self) -> None:
+        """Syncs and closes the files."""
+
+
+class Disk(Protocol):
+    """The calls that can fail on a disk; tests inject failures here."""
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """Writes all bytes, or raises OSError."""
+
+    def sync(self, descriptor: int) -> None:
+        """Syncs a file, or raises OSError."""
+
+    def sync_directory(self, path: pathlib.Path) -> None:
+        """Syncs the entries of a directory, or raises OSError."""
--- /dev/null
+++ b/testing/test_wal.py
@@ -0,0 +1,211 @@
+"""The write-ahead log on a real folder, with failures of the disk."""
+
+import errno
+import os
+import pathlib
+import shutil
+import tempfile
+
+import testtools
+
+from mintcleat.adapters import wal
+from mintcleat.adapters import wal_disk
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+NODE = messages.Incarnation("c1", 7)
+
+
+class FailingDisk(wal_disk.SystemDisk):
+    """Fails a write or a sync when told to."""
+
+    def __init__(self) -> None:
+        self.fail_write = 0
+        self.fail_sync = 0
+        self.syncs = 0
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        if self.fail_write:
+            os.write(descriptor, data[: len(data) // 2])
+            raise OSError(self.fail_write, "injected")
+        super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        if self.fail_sync:
+            code, self.fail_sync = self.fail_sync, 0
+            raise OSError(code, "injected")
+        self.syncs += 1
+        super().sync(descriptor)
+
+
+class WalTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.disk = FailingDisk()
+
+    def opened(
+        self, epoch: int = 7, size: int = 1 << 20
+    ) -> tuple[wal.FileWal, list[bytes]]:
+        log = wal.FileWal(self.folder, self.disk, size)
+        found = log.open(messages.Incarnation("c1", epoch))
+        self.addCleanup(log.close)
+        return log, found.records
+
+    def write(self, *batches: list[bytes], size: int = 1 << 20) -> None:
+        log, _ = self.opened(size=size)
+        for batch in batches:
+            log.append(batch)
+            log.sync()
+        log.close()
+
+    def segment(self) -> pathlib.Path:
+        return max(self.folder.glob("*.segment"))
+
+    def damage(self, path: pathlib.Path, offset: int) -> None:
+        data = bytearray(path.read_bytes())
+        data[offset] ^= 0xFF
+        path.write_bytes(data)
+
+    def test_synced_records_come_back_in_order(self) -> None:
+        self.write([b"a", b"b"], [b"c"])
+        self.assertEqual([b"a", b"b", b"c"], self.opened()[1])
+
+    def test_records_span_segments(self) -> None:
+        batches = [[bytes([i]) * 40] for i in range(20)]
+        self.write(*batches, size=200)
+        self.assertGreater(len(list(self.folder.glob("*.segment"))), 3)
+        self.assertEqual([b[0] for b in batches], self.opened(size=200)[1])
+
+    def test_torn_tail_is_cut_and_the_log_goes_on(self) -> None:
+        """The process dies in the middle of a write.
+
+        The last record is cut short and nobody was told that it lasts, so it
+        is dropped, and later records are readable after one more start.
+        """
+        self.write([b"whole"], [b"torn record"])
+        path = self.segment()
+        os.truncate(path, path.stat().st_size - 4)
+        log, records = self.opened()
+        self.assertEqual([b"whole"], records)
+        log.append([b"next"])
+        log.sync()
+        log.close()
+        self.assertEqual([b"whole", b"next"], self.opened()[1])
+
+    def test_unsynced_batch_with_a_hole_is_cut(self) -> None:
+        """The disk kept the second block of a batch but not the first.
+
+        Nothing of the batch was synced, so this is a torn tail although a
+        whole record follows the unreadable one.
+        """
+        self.write([b"whole"], [b"first", b"second"])
+        data = self.segment().read_bytes()
+        self.damage(self.segment(), data.index(b"first"))
+        self.assertEqual([b"whole"], self.opened()[1])
+
+    def test_damage_before_the_tail_is_an_error_that_names_the_repair(
+        self,
+    ) -> None:
+        """A synced record is unreadable and a later batch is whole.
+
+        Cutting there would lose what this replica acknowledged; it must not
+        start, and the operator learns how to rebuild it.
+        """
+        self.write([b"first"], [b"second"])
+        data = self.segment().read_bytes()
+        self.damage(self.segment(), data.index(b"first"))
+        error = self.assertRaises(errors.StorageDamaged, self.opened)
+        self.assertIn("control replace", error.remedy)
+
+    def test_damage_in_an_older_segment_is_an_error(self) -> None:
+        self.write(*[[bytes([65 + i]) * 40] for i in range(9)], size=200)
+        first = min(self.folder.glob("*.segment"))
+        self.damage(first, first.stat().st_size - 1)
+        self.assertRaises(errors.StorageDamaged, self.opened)
+
+    def test_missing_segment_is_an_error(self) -> None:
+        self.write(*[[bytes([65 + i]) * 40] for i in range(9)], size=200)
+        sorted(self.folder.glob("*.segment"))[1].unlink()
+        self.assertRaises(errors.StorageDamaged, self.opened)
+
+    def test_log_without_identity_is_an_error(self) -> None:
+        self.write([b"x" * 100])
+        (self.folder / "identity").unlink()
+        self.assertRaises(errors.StorageDamaged, self.opened)
+
+    def test_failed_sync_ends_the_log_for_good(self) -> None:
+        """A sync fails once; the kernel then forgets the dirty pages.
+
+        A second sync would report success for bytes that are gone, so the
+        log refuses every later call although the disk works again.
+        """
+        log, _ = self.opened()
+        log.append([b"lost"])
+        self.disk.fail_sync = errno.EIO
+        self.assertRaises(errors.StorageFailed, log.sync)
+        syncs = self.disk.syncs
+        self.assertRaises(errors.StorageFailed, log.sync)
+        self.assertRaises(errors.StorageFailed, log.append, [b"more"])
+        self.assertEqual(syncs, self.disk.syncs)
+
+    def test_full_disk_ends_the_log_and_its_half_record_is_cut(self) -> None:
+        log, _ = self.opened()
+        log.append([b"kept"])
+        log.sync()
+        log.append([b"too much"])
+        self.disk.fail_write = errno.ENOSPC
+        error = self.assertRaises(errors.StorageFailed, log.sync)
+        self.assertIn("ENOSPC", error.detail)
+        log.close()
+        self.disk.fail_write = 0
+        self.assertEqual([b"kept"], self.opened()[1])
+
+    def test_rewrite_replaces_the_log_in_one_step(self) -> None:
+        log, _ = self.opened(size=200)
+        for i in range(9):
+            log.append([bytes([65 + i]) * 40])
+            log.sync()
+        log.rewrite([b"live"])
+        log.append([b"later"])
+        log.sync()
+        log.close()
+        self.assertEqual(1, len(list(self.folder.glob("*.segment"))))
+        self.assertEqual([b"live", b"later"], self.opened()[1])
+
+    def test_snapshot_is_checked_and_older_ones_go(self) -> None:
+        log, _ = self.opened()
+        log.save_snapshot("g", 5, b"old")
+        log.save_snapshot("g", 9, b"new")
+        log.drop_snapshots("g", 9)
+        self.assertEqual(b"new", log.load_snapshot("g", 9))
+        self.assertRaises(errors.StorageDamaged, log.load_snapshot, "g", 5)
+
+    def test_identity_outlives_restarts_but_not_an_empty_disk(self) -> None:
+        self.write([b"x"])
+        log = wal.FileWal(self.folder, self.disk)
+        self.assertEqual(NODE, log.open(NODE._replace(epoch=8)).identity)
+        log.close()
+        for path in self.folder.iterdir():
+            path.unlink()
+        found = wal.FileWal(self.folder).open(NODE._replace(epoch=9))
+        self.assertEqual((9, []), (found.identity.epoch, found.records))
+
+    def test_restored_copy_of_a_disk_gets_a_new_identity(self) -> None:
+        """An operator puts back yesterday's backup of the data folder.
+
+        The copy forgot votes and entries of today, so it must not vote under
+        the old identity: it starts empty under a new one.
+        """
+        self.write([b"x"])
+        backup = self.folder / "backup"
+        backup.mkdir()
+        for name in ("identity", self.segment().name):
+            shutil.copy(self.folder / name, backup / name)
+        found = wal.FileWal(backup).open(NODE._replace(epoch=8))
+        self.assertEqual((8, []), (found.identity.epoch, found.records))
+
+    def test_two_processes_cannot_share_a_folder(self) -> None:
+        self.opened()
+        self.assertRaises(errors.StorageFailed, self.opened)
