Let a resent BeginCall be told from another caller's

Cause: after a lost answer the entry's resend met its own attempt as if another entry held it. Change: BeginCall carries a nonce that its resends share, CreateProgram the loop limit, and Superseded names the attempt that a newer one replaced.

--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -361,6 +361,14 @@
     default_remedy = "Nothing to do: a newer leader has taken over."
 
 
+class Superseded(MintcleatError):
+    """The attempt was replaced by a newer one; its answer is not recorded."""
+
+    kind = "superseded"
+    status = 409
+    default_remedy = "Resend with the same key to get the recorded answer."
+
+
 def kinds() -> dict[str, type[MintcleatError]]:
     """Returns every error class by its kind."""
     found = {MintcleatError.kind: MintcleatError}
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -57,6 +57,10 @@
     """Creates a program; the same attributes again give the same program.
 
     A child's id is `<parent id>.<name>`, so it lies in its root's group.
+
+    Attributes:
+        repeat_limit: Calls with one digest that the program may make within
+            its recent calls before it counts as a loop; 0 for no limit.
     """
 
     program: str
@@ -65,6 +69,7 @@
     klass: str
     budget: Budget
     parent: str = ""
+    repeat_limit: int = 0
 
 
 class ProgramView(NamedTuple):
@@ -152,6 +157,8 @@
         sidecar: The sidecar that the entry has chosen.
         sealed: Number of an attempt that its sidecar has sealed; 0 for none.
             Only then may a non-idempotent call get a new attempt.
+        nonce: Number of this one sending, the same in its resends, so that a
+            resend after a lost answer gets its grant again; 0 for none.
     """
 
     program: str
@@ -166,6 +173,7 @@
     sidecar: Incarnation
     address: str
     sealed: int = 0
+    nonce: int = 0
 
 
 class Granted(NamedTuple):
