--- /dev/null
+++ b/src/mintcleat/programs/checks.py
@@ -0,0 +1,65 @@
+"""Checks of a request before it is proposed.
+
+What is in the log is applied by every replica; a value that no honest peer
+sends, such as a negative reservation, is refused before it gets there.
+"""
+
+import re
+from typing import Any
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+MAX_KEY = 256
+_ID = re.compile(r"[A-Za-z0-9_~-][A-Za-z0-9_.~-]{0,199}")
+_DIGEST_BYTES = 16
+
+
+def check(request: Any) -> None:
+    """Refuses a request that no well-behaved peer sends.
+
+    Raises:
+        errors.BadRequest: A field is out of its range.
+    """
+    match request:
+        case messages.CreateProgram():
+            _check_id(request.program)
+            _check_counts("budget", request.budget)
+            _check_counts("repeat_limit", (request.repeat_limit,))
+        case messages.BeginCall():
+            _check_key(request.key)
+            _check_counts("turn and reserve", (request.turn, request.reserve))
+            if request.turn and not request.program:
+                raise errors.BadRequest("A turn needs a program.")
+            if len(request.digest) != _DIGEST_BYTES:
+                raise errors.BadRequest(
+                    f"The digest must have {_DIGEST_BYTES} bytes."
+                )
+        case messages.FinishCall():
+            _check_key(request.key)
+            _check_counts("usage", request.usage)
+        case messages.SettleCall():
+            _check_key(request.key)
+            outcomes = (errors.NOT_RUN, errors.UNKNOWN, errors.RAN)
+            if request.outcome not in outcomes:
+                raise errors.BadRequest(f"{request.outcome!r} is no outcome.")
+
+
+def _check_id(program: str) -> None:
+    if not _ID.fullmatch(program):
+        raise errors.BadRequest(
+            "A program id has 1 to 200 letters, digits, '_', '-', '~' or"
+            " dots and does not start with a dot."
+        )
+
+
+def _check_key(key: str) -> None:
+    if not 0 < len(key) <= MAX_KEY:
+        raise errors.BadRequest(
+            f"An idempotency key has 1 to {MAX_KEY} characters."
+        )
+
+
+def _check_counts(name: str, values: tuple[float, ...]) -> None:
+    if not all(0 <= value < 2**62 for value in values):
+        raise errors.BadRequest(f"The {name} must be 0 or more.")
--- /dev/null
+++ b/src/mintcleat/programs/machine.py
@@ -0,0 +1,253 @@
+"""The state machine of one program group."""
+
+import collections
+from typing import Any
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.programs import calls
+from mintcleat.programs import commands
+from mintcleat.programs import histories
+from mintcleat.programs import records
+from mintcleat.programs import retention
+from mintcleat.programs import snapshots
+
+# Each level adds an ancestor that every begin and finish walks; a program
+# that spawns itself without end must not make the group's work grow.
+MAX_DEPTH = 16
+
+
+class ProgramMachine:
+    """Programs, their calls and the calls without a program of one group.
+
+    `apply` reads no clock and no chance, so every replica that applied the
+    same commands holds the same state.
+
+    Attributes:
+        clock: Seconds that the group was led; moves with the commands.
+        last_attempt: The attempts of a group only grow.
+        programs: Records by program id.
+        keyed: Calls without a program, by (partner, key).
+        activity: Root ids, the longest idle first, with the clock of the
+            last change anywhere below.
+        ended: (clock, id) of closed and expired programs, in that order.
+        settled: (clock, call) in the order in which they may leave.
+        forgotten: Programs that left by retention.
+    """
+
+    def __init__(self, store: Any = None) -> None:
+        """Creates an empty group.
+
+        Args:
+            store: A `ports.histories.Histories`; in memory when None.
+        """
+        self.histories = store or histories.MemoryHistories()
+        self.clear()
+
+    def clear(self) -> None:
+        """Drops all state but the histories."""
+        self.clock = 0.0
+        self.wall = 0.0
+        self.last_attempt = 0
+        self.forgotten = 0
+        self.programs: dict[str, records.Program] = {}
+        self.keyed: dict[tuple[str, str], records.Call] = {}
+        self.activity: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.ended: collections.deque[tuple[float, str]] = collections.deque()
+        self.settled: collections.deque[tuple[float, records.Call]] = (
+            collections.deque()
+        )
+
+    def apply(self, index: int, command: bytes) -> list[Any]:
+        """Applies a command and returns one reply or typed error a request."""
+        del index
+        decoded = commands.decode(command)
+        self.clock = max(self.clock, decoded.clock)
+        self.wall = decoded.wall
+        return [self._apply_one(request) for request in decoded.requests]
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return snapshots.pack(self)
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the whole state by a snapshot."""
+        snapshots.unpack(self, state)
+
+    def read(self, request: Any) -> Any:
+        """Answers a request that changes nothing; a typed error is returned.
+
+        The caller makes sure that this replica may answer reads.
+        """
+        match request:
+            case messages.ShowProgram():
+                return self._show(request.program)
+            case messages.ListPrograms():
+                return self._list(request)
+            case messages.FetchHistory():
+                return self._history(request)
+            case messages.RenewResidency():
+                return self._gone(request)
+        return errors.BadRequest(f"{type(request).__name__} is no read.")
+
+    def chain(self, program: records.Program) -> list[records.Program]:
+        """Returns the program and its ancestors, the root last."""
+        found = [program]
+        while found[-1].parent:
+            found.append(self.programs[found[-1].parent])
+        return found
+
+    def touch(self, program: str) -> None:
+        """Notes activity, for the expiry of abandoned programs."""
+        root = records.root_of(program)
+        if root in self.activity:
+            self.activity[root] = self.clock
+            self.activity.move_to_end(root)
+
+    def _apply_one(self, request: Any) -> Any:
+        match request:
+            case messages.BeginCall():
+                return calls.begin(self, request)
+            case messages.FinishCall():
+                return calls.finish(self, request)
+            case messages.SettleCall():
+                return calls.settle(self, request)
+            case messages.CreateProgram():
+                return self._create(request)
+            case messages.CloseProgram():
+                return self._close(request)
+            case commands.Tick():
+                return retention.sweep(self, request)
+        return errors.BadRequest(f"{type(request).__name__} is no command.")
+
+    def _create(self, request: messages.CreateProgram) -> Any:
+        found = self.programs.get(request.program)
+        if found is not None:
+            if _attributes(found) == request._replace(program=""):
+                return records.view(found)
+            return errors.ProgramExists(
+                f"Program {request.program} exists with other attributes."
+            )
+        parent = None
+        if request.parent or "." in request.program:
+            parent = self.programs.get(request.parent)
+            fault = _parent_fault(request, parent)
+            if fault is not None:
+                return fault
+        program = records.Program(
+            program=request.program,
+            partner=request.partner,
+            agent=request.agent,
+            klass=request.klass,
+            parent=request.parent,
+            budget=request.budget,
+            repeat_limit=request.repeat_limit,
+            created=self.wall,
+            started=self.clock,
+        )
+        self.programs[request.program] = program
+        if parent is None:
+            self.activity[request.program] = self.clock
+        else:
+            parent.children.append(request.program)
+            self.touch(request.program)
+        return records.view(program)
+
+    def _close(self, request: messages.CloseProgram) -> Any:
+        program = self.programs.get(request.program)
+        if program is None:
+            return self.unknown(request.program)
+        self.end(program, records.CLOSED)
+        return records.view(program)
+
+    def end(self, program: records.Program, state: str) -> None:
+        """Closes or expires a program and its sub-agents."""
+        for child in program.children:
+            self.end(self.programs[child], state)
+        if program.state != records.OPEN:
+            return
+        program.state = state
+        program.ended = self.clock
+        self.activity.pop(program.program, None)
+        self.ended.append((self.clock, program.program))
+
+    def unknown(self, program: str) -> errors.UnknownProgram:
+        """Returns the refusal of a program that has no record.
+
+        Once any record has left by retention, this may be one of them, and
+        its request may have run: "not run" would be a guess.
+        """
+        outcome = errors.UNKNOWN if self.forgotten else errors.NOT_RUN
+        return errors.UnknownProgram(
+            f"No program {program or '(empty id)'}.", outcome=outcome
+        )
+
+    def _show(self, program: str) -> Any:
+        found = self.programs.get(program)
+        return self.unknown(program) if found is None else records.view(found)
+
+    def _list(self, request: messages.ListPrograms) -> messages.Programs:
+        names = sorted(name for name in self.programs if name > request.after)
+        return messages.Programs(
+            [
+                records.view(self.programs[name])
+                for name in names[: request.limit]
+            ]
+        )
+
+    def _history(self, request: messages.FetchHistory) -> Any:
+        program = self.programs.get(request.program)
+        if program is None:
+            return self.unknown(request.program)
+        newest = program.next_turn - 1
+        last = min(request.last or newest, newest)
+        turns = self.histories.read(
+            request.program, max(request.first, 1), last
+        )
+        return messages.History(
+            request.program,
+            [messages.Turn(t.turn, t.messages, t.digest) for t in turns],
+        )
+
+    def _gone(self, request: messages.RenewResidency) -> messages.Gone:
+        gone = []
+        for name in request.programs:
+            program = self.programs.get(name)
+            if program is None or program.state != records.OPEN:
+                gone.append(name)
+        return messages.Gone(gone)
+
+
+def _attributes(program: records.Program) -> messages.CreateProgram:
+    """Returns the request that made the program, without its id."""
+    return messages.CreateProgram(
+        program="",
+        partner=program.partner,
+        agent=program.agent,
+        klass=program.klass,
+        budget=program.budget,
+        parent=program.parent,
+        repeat_limit=program.repeat_limit,
+    )
+
+
+def _parent_fault(
+    request: messages.CreateProgram, parent: records.Program | None
+) -> errors.MintcleatError | None:
+    prefix, _, name = request.program.rpartition(".")
+    if not name or prefix != request.parent:
+        return errors.BadRequest(
+            f"A sub-agent's id is its parent's, a dot and a name;"
+            f" {request.program} is not below {request.parent or 'any'}."
+        )
+    if request.program.count(".") > MAX_DEPTH:
+        return errors.BadRequest(
+            f"{request.program} is more than {MAX_DEPTH} levels deep."
+        )
+    if parent is None:
+        return errors.UnknownProgram(f"No program {request.parent}.")
+    if parent.state != records.OPEN:
+        return errors.ProgramClosed(f"Program {request.parent} is closed.")
+    return None
--- /dev/null
+++ b/src/mintcleat/programs/placement.py
@@ -0,0 +1,56 @@
+"""Which group holds a program or a call."""
+
+from typing import Any
+
+import xxhash
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.programs import records
+
+_PREFIX = "programs-"
+
+
+def group_names(count: int) -> list[str]:
+    """Returns the names of all program groups."""
+    return [f"{_PREFIX}{number}" for number in range(count)]
+
+
+def group_of(scope: str, count: int) -> str:
+    """Returns the group of a scope.
+
+    Args:
+        scope: A program id, of which only the root counts, so that one
+            commit draws on one budget; or `call_scope` of a call without one.
+        count: How many program groups there are.
+    """
+    root = records.root_of(scope) if "/" not in scope else scope
+    return f"{_PREFIX}{xxhash.xxh3_64_intdigest(root.encode()) % count}"
+
+
+def call_scope(partner: str, key: str) -> str:
+    """Returns the scope of a call without a program."""
+    return f"{partner}/{key}"
+
+
+def scope_of(message: Any) -> str:
+    """Returns the scope of a program group request.
+
+    Raises:
+        errors.BadRequest: The message is none, or names no scope.
+    """
+    match message:
+        case messages.RenewResidency() if message.programs:
+            return message.programs[0]
+        case (
+            messages.BeginCall() | messages.FinishCall() | messages.SettleCall()
+        ):
+            return message.program or call_scope(message.partner, message.key)
+        case (
+            messages.CreateProgram()
+            | messages.CloseProgram()
+            | messages.ShowProgram()
+            | messages.FetchHistory()
+        ):
+            return message.program
+    raise errors.BadRequest(f"{type(message).__name__} has no group.")
--- /dev/null
+++ b/src/mintcleat/programs/records.py
@@ -0,0 +1,138 @@
+"""What a group remembers of its programs and calls."""
+
+import dataclasses
+from typing import NamedTuple
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.programs import digests
+
+OPEN = "open"
+CLOSED = "closed"
+EXPIRED = "expired"
+
+RUNNING = "running"
+UNKNOWN = "unknown"
+FINISHED = "finished"
+FAILED = "failed"
+
+NOWHERE = messages.Incarnation("", 0)
+NO_USAGE = messages.Usage()
+
+
+class TurnRecord(NamedTuple):
+    """A finished turn, with what a resend of it is told by.
+
+    Attributes:
+        request: Digest of the caller's whole request.
+        messages: JSON texts, the answer last.
+        digest: Rolling digest after this turn.
+    """
+
+    turn: int
+    key: str
+    request: bytes
+    attempt: int
+    usage: messages.Usage
+    messages: list[str]
+    digest: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A call that holds its key.
+
+    Attributes:
+        program: Id of its program; empty for a call without one.
+        messages: New chat messages, kept until the turn is finished.
+        reserved: Tokens held on the program and its ancestors.
+        state: `running`, `unknown`, `finished` or `failed`.
+        nonce: Number of the sending that got the attempt.
+        touched: Group clock of its last change.
+    """
+
+    program: str
+    partner: str
+    key: str
+    digest: bytes
+    turn: int
+    messages: list[str]
+    reserved: int
+    idempotent: bool
+    attempt: int
+    sidecar: messages.Incarnation
+    address: str
+    nonce: int
+    touched: float
+    state: str = RUNNING
+    answer: bytes = b""
+    usage: messages.Usage = NO_USAGE
+    failure: errors.Failure | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Program:
+    """A program's record.
+
+    Attributes:
+        used: Tokens settled, sub-agents included.
+        reserved: Tokens held, sub-agents included.
+        turns: Turns finished or under way, sub-agents included.
+        turn_key: Key of the turn under way; empty for none.
+        released: Nonce of the sending whose turn was given back last.
+        recent: 8-byte prefixes of the digests of the recent calls.
+        created: Wall time, for people.
+        started: Group clock at creation, for the limit in seconds.
+        ended: Group clock when closed or expired.
+        calls: Calls that hold their key, by key.
+    """
+
+    program: str
+    partner: str
+    agent: str
+    klass: str
+    parent: str
+    budget: messages.Budget
+    repeat_limit: int
+    created: float
+    started: float
+    state: str = OPEN
+    next_turn: int = 1
+    used: int = 0
+    reserved: int = 0
+    turns: int = 0
+    digest: bytes = digests.EMPTY
+    turn_key: str = ""
+    released: int = 0
+    recent: bytes = b""
+    ended: float = 0.0
+    resident: messages.Incarnation = NOWHERE
+    resident_address: str = ""
+    children: list[str] = dataclasses.field(default_factory=list)
+    calls: dict[str, Call] = dataclasses.field(default_factory=dict)
+
+
+def view(program: Program) -> messages.ProgramView:
+    """Returns what callers and operators see of a program."""
+    return messages.ProgramView(
+        program=program.program,
+        partner=program.partner,
+        agent=program.agent,
+        klass=program.klass,
+        parent=program.parent,
+        budget=program.budget,
+        next_turn=program.next_turn,
+        used=program.used,
+        reserved=program.reserved,
+        state=program.state,
+        digest=program.digest,
+        resident=program.resident,
+        resident_address=program.resident_address,
+        created=program.created,
+        children=list(program.children),
+    )
+
+
+def root_of(program: str) -> str:
+    """Returns the id of the root program: the part before the first dot."""
+    return program.partition(".")[0]
--- /dev/null
+++ b/src/mintcleat/programs/retention.py
@@ -0,0 +1,98 @@
+"""What leaves a group, and when.
+
+Without it, records of programs that nobody will ask for again fill the
+memory of every replica; with it, a key is remembered for a stated time and
+a resend within that time never runs twice.
+"""
+
+from typing import TYPE_CHECKING
+
+from mintcleat.domain import messages
+from mintcleat.programs import calls
+from mintcleat.programs import commands
+from mintcleat.programs import records
+
+if TYPE_CHECKING:
+    from mintcleat.programs import machine
+
+# Records that one tick may drop: a burst that was closed together must not
+# stall the loop, and with it the heartbeats, when it becomes due together.
+MAX_DROPS = 1000
+
+
+def sweep(
+    group: "machine.ProgramMachine", tick: commands.Tick
+) -> messages.Done:
+    """Expires abandoned programs and drops what is past its retention."""
+    _expire_idle(group, tick.program_idle)
+    _drop_ended(group, tick.record_retention)
+    _drop_calls(group, tick.record_retention)
+    return messages.Done()
+
+
+def is_due(
+    group: "machine.ProgramMachine", clock: float, tick: commands.Tick
+) -> bool:
+    """Tells whether a tick at `clock` would change anything.
+
+    An idle group then costs no log entries.
+    """
+    oldest = next(iter(group.activity.values()), clock)
+    if clock - oldest >= tick.program_idle:
+        return True
+    return any(
+        queue and clock - queue[0][0] >= tick.record_retention
+        for queue in (group.ended, group.settled)
+    )
+
+
+def _expire_idle(group: "machine.ProgramMachine", idle: float) -> None:
+    for _ in range(MAX_DROPS):
+        if not group.activity:
+            return
+        root, touched = next(iter(group.activity.items()))
+        if group.clock - touched < idle:
+            return
+        group.end(group.programs[root], records.EXPIRED)
+
+
+def _drop_ended(group: "machine.ProgramMachine", retention: float) -> None:
+    for _ in range(MAX_DROPS):
+        if not group.ended or group.clock - group.ended[0][0] < retention:
+            return
+        ended, name = group.ended.popleft()
+        program = group.programs.get(name)
+        if program is None or program.ended != ended:
+            continue
+        if program.parent:
+            group.programs[program.parent].children.remove(name)
+        _forget(group, name)
+
+
+def _forget(group: "machine.ProgramMachine", name: str) -> None:
+    program = group.programs.pop(name)
+    group.histories.forget(name)
+    group.forgotten += 1
+    for child in program.children:
+        _forget(group, child)
+
+
+def _drop_calls(group: "machine.ProgramMachine", retention: float) -> None:
+    for _ in range(MAX_DROPS):
+        if not group.settled or group.clock - group.settled[0][0] < retention:
+            return
+        _, call = group.settled.popleft()
+        if not _is_held(group, call):
+            continue
+        if group.clock - call.touched < retention:
+            group.settled.append((call.touched, call))
+            continue
+        calls.drop(group, call)
+
+
+def _is_held(group: "machine.ProgramMachine", call: records.Call) -> bool:
+    """Tells whether the call is still in its key table."""
+    if not call.program:
+        return group.keyed.get((call.partner, call.key)) is call
+    program = group.programs.get(call.program)
+    return program is not None and program.calls.get(call.key) is call
--- /dev/null
+++ b/src/mintcleat/programs/snapshots.py
@@ -0,0 +1,104 @@
+"""The state of a program group as bytes and back."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgpack
+import msgspec
+
+from mintcleat.domain import errors
+from mintcleat.programs import records
+
+if TYPE_CHECKING:
+    from mintcleat.programs import machine
+
+FORMAT = 1
+
+_CALL_FIELDS = tuple(f.name for f in dataclasses.fields(records.Call))
+_PROGRAM_FIELDS = tuple(
+    f.name for f in dataclasses.fields(records.Program) if f.name != "calls"
+)
+
+
+def pack(group: "machine.ProgramMachine") -> bytes:
+    """Returns the whole state, in an order that every replica shares."""
+    calls = _held_calls(group)
+    places = {id(call): place for place, call in enumerate(calls)}
+    state = [
+        FORMAT,
+        group.clock,
+        group.last_attempt,
+        group.forgotten,
+        [_fields(p, _PROGRAM_FIELDS) for p in group.programs.values()],
+        [_fields(call, _CALL_FIELDS) for call in calls],
+        [list(item) for item in group.activity.items()],
+        [list(item) for item in group.ended],
+        [
+            [clock, places[id(call)]]
+            for clock, call in group.settled
+            if id(call) in places
+        ],
+        [
+            [name, _turns(group, name)]
+            for name, program in group.programs.items()
+            if program.next_turn > 1
+        ],
+    ]
+    return msgpack.packb(state, use_bin_type=True)
+
+
+def unpack(group: "machine.ProgramMachine", data: bytes) -> None:
+    """Replaces the state of a group.
+
+    Raises:
+        errors.StorageDamaged: The bytes are no snapshot of this format.
+    """
+    state = msgpack.unpackb(data, strict_map_key=False)
+    if state[0] != FORMAT:
+        raise errors.StorageDamaged(
+            f"The snapshot has format {state[0]}, not {FORMAT}."
+        )
+    for name in group.programs:
+        group.histories.forget(name)
+    group.clear()
+    group.clock, group.last_attempt, group.forgotten = state[1:4]
+    for values in state[4]:
+        program = _record(records.Program, _PROGRAM_FIELDS, values)
+        group.programs[program.program] = program
+    calls = [_record(records.Call, _CALL_FIELDS, item) for item in state[5]]
+    for call in calls:
+        if call.program:
+            group.programs[call.program].calls[call.key] = call
+        else:
+            group.keyed[call.partner, call.key] = call
+    group.activity.update((name, clock) for name, clock in state[6])
+    group.ended.extend((clock, name) for clock, name in state[7])
+    group.settled.extend((clock, calls[place]) for clock, place in state[8])
+    for name, turns in state[9]:
+        for turn in turns:
+            group.histories.append(
+                name, msgspec.convert(turn, records.TurnRecord)
+            )
+
+
+def _held_calls(group: "machine.ProgramMachine") -> list[records.Call]:
+    held = [
+        call
+        for program in group.programs.values()
+        for call in program.calls.values()
+    ]
+    return held + list(group.keyed.values())
+
+
+def _turns(group: "machine.ProgramMachine", name: str) -> list[Any]:
+    last = group.programs[name].next_turn - 1
+    return group.histories.read(name, 1, last)
+
+
+def _fields(item: Any, names: tuple[str, ...]) -> list[Any]:
+    return [getattr(item, name) for name in names]
+
+
+def _record(kind: type, names: tuple[str, ...], values: list[Any]) -> Any:
+    return msgspec.convert(dict(zip(names, values, strict=True)), kind)
--- /dev/null
+++ b/src/mintcleat/roles/control_client.py
@@ -0,0 +1,271 @@
+"""Asks program groups: finds leaders, follows redirects, retries."""
+
+import secrets
+from typing import Any
+from typing import NamedTuple
+
+from eventlet import event
+
+from mintcleat.domain import codec
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import streams
+from mintcleat.ports import timers
+from mintcleat.programs import commands
+from mintcleat.programs import placement
+
+# A leader behind a silent partition never answers; after this long the next
+# control instance is asked. Above the service's own wait for a commit.
+TRY_SECONDS = 2.0
+# Pauses between rounds in which no instance knew a leader: an election takes
+# some hundred milliseconds, and asking faster only delays it.
+FIRST_PAUSE = 0.02
+LAST_PAUSE = 0.3
+# One message holds the loop of both sides while it is coded; these keep that
+# below a few milliseconds.
+MAX_BATCH_ITEMS = 256
+MAX_BATCH_BYTES = 1024 * 1024
+# Batches under way to one leader and group. Two let one be coded while the
+# other waits for its sync; more would only make the batches smaller.
+MAX_IN_FLIGHT = 2
+
+
+class Pending(NamedTuple):
+    """A request that waits for its reply; equal only to itself."""
+
+    item: bytes
+    reply: event.Event
+
+
+class Line:
+    """Requests to one leader and group, coalesced into batches.
+
+    A request on a free line goes at once; those that come while batches are
+    under way share the next one, so load makes batches, not a timer.
+    """
+
+    def __init__(
+        self,
+        stream_service: streams.Streams,
+        timer_service: timers.Timers,
+        address: str,
+    ) -> None:
+        self.streams = stream_service
+        self.timers = timer_service
+        self.address = address
+        self.waiting: list[Pending] = []
+        self.in_flight = 0
+
+    def ask(self, message: Any, timeout: float) -> Any:
+        """Returns the reply, which may be a Failure.
+
+        Raises:
+            errors.StreamClosed: The line failed; `not_run` when the request
+                was never sent.
+            errors.StreamTimeout: No reply in time; `not_run` likewise.
+        """
+        pending = Pending(codec.encode(message), event.Event())
+        self.waiting.append(pending)
+        self._start()
+        reply = pending.reply.wait(timeout)
+        if reply is not None:
+            return reply
+        is_unsent = pending in self.waiting
+        if is_unsent:
+            self.waiting.remove(pending)
+        raise errors.StreamTimeout(
+            f"{self.address} did not answer within {timeout:g} s.",
+            outcome=errors.NOT_RUN if is_unsent else errors.UNKNOWN,
+        )
+
+    def _start(self) -> None:
+        if self.in_flight < MAX_IN_FLIGHT:
+            self.in_flight += 1
+            self.timers.spawn(self._drain)
+
+    def _drain(self) -> None:
+        try:
+            while self.waiting:
+                self._send(self._take())
+        finally:
+            self.in_flight -= 1
+
+    def _take(self) -> list[Pending]:
+        size = 0
+        count = 0
+        for pending in self.waiting[:MAX_BATCH_ITEMS]:
+            size += len(pending.item)
+            if count and size > MAX_BATCH_BYTES:
+                break
+            count += 1
+        taken = self.waiting[:count]
+        del self.waiting[:count]
+        return taken
+
+    def _send(self, batch: list[Pending]) -> None:
+        request = messages.Batch([pending.item for pending in batch])
+        try:
+            reply = self.streams.ask(self.address, request, TRY_SECONDS)
+            replies = [codec.decode(item) for item in reply.items]
+            if len(replies) != len(batch):
+                raise errors.StreamClosed(
+                    f"{self.address} answered {len(replies)} of"
+                    f" {len(batch)} requests."
+                )
+        except errors.MintcleatError as error:
+            for pending in batch:
+                pending.reply.send_exception(error)
+            self._fail_waiting()
+            return
+        for pending, item in zip(batch, replies, strict=True):
+            pending.reply.send(item)
+
+    def _fail_waiting(self) -> None:
+        """Sends the requests behind a failed batch elsewhere at once.
+
+        Each would otherwise wait out one try after another on a leader that
+        is cut off, and run out of time there.
+        """
+        waiting, self.waiting = self.waiting, []
+        for pending in waiting:
+            pending.reply.send_exception(
+                errors.StreamClosed(
+                    f"{self.address} does not answer.", outcome=errors.NOT_RUN
+                )
+            )
+
+
+class ControlClient:
+    """Sends program group requests to whichever instance leads the group.
+
+    Attributes:
+        addresses: Stream addresses of the control instances.
+        groups: How many program groups there are.
+        leaders: The last known leader's address by group.
+    """
+
+    def __init__(
+        self,
+        stream_service: streams.Streams,
+        timer_service: timers.Timers,
+        control_addresses: list[str],
+        groups: int,
+    ) -> None:
+        self.streams = stream_service
+        self.timers = timer_service
+        self.addresses = control_addresses
+        self.groups = groups
+        self.leaders: dict[str, str] = {}
+        self.lines: dict[tuple[str, str], Line] = {}
+
+    def ask(self, scope: str, message: Any, timeout: float) -> Any:
+        """Returns the group's reply to a request.
+
+        A lost answer is asked for again, which is safe: every request may be
+        repeated. A BeginCall gets a nonce, so that its copies are known as
+        one.
+
+        Args:
+            scope: Program id, or `placement.call_scope` of a call without.
+            message: A program group request.
+            timeout: Seconds to go on trying.
+
+        Raises:
+            errors.ControlUnavailable: Nothing can have been proposed.
+            errors.OutcomeUnknown: The request may have been committed.
+            errors.MintcleatError: The group's own refusal.
+        """
+        if isinstance(message, messages.BeginCall) and not message.nonce:
+            message = message._replace(nonce=secrets.randbits(62) + 1)
+        group = placement.group_of(scope, self.groups)
+        return self._ask_group(group, message, timeout)
+
+    def list_programs(
+        self, message: messages.ListPrograms, timeout: float
+    ) -> messages.Programs:
+        """Returns a page of one group's programs."""
+        return self._ask_group(message.group, message, timeout)
+
+    def gone(
+        self,
+        sidecar: messages.Incarnation,
+        programs: list[str],
+        timeout: float,
+    ) -> list[str]:
+        """Returns which programs are gone, for the release of their memory.
+
+        A group that cannot be asked reports nothing; ask again later.
+        """
+        by_group: dict[str, list[str]] = {}
+        for program in programs:
+            group = placement.group_of(program, self.groups)
+            by_group.setdefault(group, []).append(program)
+        found = []
+        for group, names in by_group.items():
+            request = messages.RenewResidency(sidecar, names)
+            try:
+                reply = self._ask_group(group, request, timeout)
+            except errors.ControlUnavailable:
+                continue
+            found.extend(reply.programs)
+        return found
+
+    def _ask_group(self, group: str, message: Any, timeout: float) -> Any:
+        """Tries instance after instance until one answers or time is up."""
+        deadline = self.timers.now() + timeout
+        may_be_proposed = False
+        pause = FIRST_PAUSE
+        tried: list[str] = []
+        while self.timers.now() < deadline:
+            address = self._pick(group, tried)
+            tried.append(address)
+            try:
+                left = deadline - self.timers.now()
+                return self._try(group, address, message, left)
+            except errors.NotLeader as error:
+                self._redirect(group, address, error.leader)
+            except (errors.StreamClosed, errors.StreamTimeout) as error:
+                self._redirect(group, address, "")
+                may_be_proposed |= error.outcome != errors.NOT_RUN
+            except (errors.ProposalLost, errors.StorageFailed):
+                self._redirect(group, address, "")
+                may_be_proposed = True
+            if len(tried) >= len(self.addresses):
+                tried.clear()
+                self.timers.sleep(pause)
+                pause = min(pause * 2, LAST_PAUSE)
+        if may_be_proposed and isinstance(message, commands.MUTATIONS):
+            raise errors.OutcomeUnknown(
+                f"Group {group} did not answer within {timeout:g} s; the"
+                " request may have been committed."
+            )
+        raise errors.ControlUnavailable(
+            f"No leader of group {group} answered within {timeout:g} s."
+        )
+
+    def _try(self, group: str, address: str, message: Any, left: float) -> Any:
+        line = self.lines.get((group, address))
+        if line is None:
+            line = Line(self.streams, self.timers, address)
+            self.lines[group, address] = line
+        reply = line.ask(message, min(left, TRY_SECONDS))
+        if isinstance(reply, errors.Failure):
+            raise errors.from_failure(reply)
+        self.leaders[group] = address
+        return reply
+
+    def _pick(self, group: str, tried: list[str]) -> str:
+        """Returns the known leader, or the next instance not tried yet."""
+        leader = self.leaders.get(group)
+        if leader:
+            return leader
+        return self.addresses[len(tried) % len(self.addresses)]
+
+    def _redirect(self, group: str, address: str, leader: str) -> None:
+        """Learns from a failed try; a newer entry of the cache stays."""
+        if self.leaders.get(group, address) != address:
+            return
+        if leader and leader != address:
+            self.leaders[group] = leader
+        else:
+            self.leaders.pop(group, None)
