Run attempts at a sidecar beside stand-in upstreams

Cause: entries need the last gate before an upstream to wire a whole path. Change: a stand-in engine (continuous batching, prefix cache, control surface) and plain service; ports and urllib3 adapters for both; the sidecar with seal table, history store, queue in order of arrival, commit before the end frame, attach, seal, drain and stop.

--- /dev/null
+++ b/src/mintcleat/adapters/engine_http.py
@@ -0,0 +1,276 @@
+"""A model engine over HTTP: completions and the control surface."""
+
+from collections.abc import Iterator
+from typing import Any
+from typing import TypedDict
+
+import msgspec
+import urllib3
+from urllib3 import exceptions
+
+from mintcleat.adapters import http_errors
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import upstream
+
+_CONTROL_SECONDS = 5.0
+_ORDER_SECONDS = 600.0
+_OK = 200
+_CONFLICT = 409
+_BLOCK = 65536
+
+
+class _Delta(TypedDict, total=False):
+    content: str | None
+
+
+class _Choice(TypedDict, total=False):
+    delta: _Delta
+    finish_reason: str | None
+
+
+class _Details(TypedDict, total=False):
+    cached_tokens: int
+
+
+class _Usage(TypedDict, total=False):
+    prompt_tokens: int
+    completion_tokens: int
+    prompt_tokens_details: _Details | None
+
+
+class _Event(TypedDict, total=False):
+    choices: list[_Choice]
+    usage: _Usage | None
+
+
+_EVENT = msgspec.json.Decoder(_Event)
+
+
+class HttpEngine:
+    """See `ports.upstream.ModelEngine`.
+
+    Attributes:
+        stall: Seconds without a byte after which a stream counts as lost.
+    """
+
+    def __init__(
+        self, address: str, connections: int = 64, stall: float = 30.0
+    ) -> None:
+        self.base = f"http://{address}"
+        self.pool = http_errors.new_pool(connections)
+        self.stall = stall
+
+    def info(self) -> upstream.EngineInfo:
+        """Returns what the engine announces."""
+        return self._get("info", upstream.EngineInfo)
+
+    def load(self) -> upstream.EngineLoad:
+        """Returns the engine's own load report."""
+        return self._get("load", upstream.EngineLoad)
+
+    def run(
+        self, call: upstream.EngineCall
+    ) -> Iterator[upstream.Piece | upstream.End]:
+        """Runs a call as a stream of server-sent events."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": call.request,
+            "X-Cache-Owner": call.program,
+        }
+        response = http_errors.request(
+            self.pool,
+            "POST",
+            f"{self.base}/v1/chat/completions",
+            body=request_body(call),
+            headers=headers,
+            timeout=self.stall,
+            stream=True,
+        )
+        return self._events(response, 0)
+
+    def resume(
+        self, request: str, offset: int
+    ) -> Iterator[upstream.Piece | upstream.End]:
+        """Follows a running call again, from a character offset."""
+        response = http_errors.request(
+            self.pool,
+            "GET",
+            f"{self.base}/control/streams/{request}?offset={offset}",
+            timeout=self.stall,
+            stream=True,
+        )
+        return self._events(response, offset)
+
+    def cancel(self, request: str) -> None:
+        """Stops a call."""
+        self._call("DELETE", f"streams/{request}")
+
+    def events(self, after: int, wait: float) -> upstream.CacheEvents:
+        """Returns cache events above `after`."""
+        return self._get(
+            f"events?after={after}&wait={wait}", upstream.CacheEvents, wait
+        )
+
+    def listing(self) -> upstream.CacheListing:
+        """Returns everything that the cache holds."""
+        return self._get("cache", upstream.CacheListing)
+
+    def release(self, programs: list[str]) -> None:
+        """Frees what the programs hold."""
+        self._post("release", {"programs": programs})
+
+    def hold(self, program: str) -> None:
+        """Keeps a program's cache from eviction until it is released."""
+        self._post("hold", {"program": program})
+
+    def export_cache(self, program: str) -> bytes:
+        """Returns a program's cache."""
+        return self._call("GET", f"export?program={program}")
+
+    def import_cache(self, exported: bytes) -> None:
+        """Takes in a cache that another engine exported."""
+        self._call("POST", "import", exported)
+
+    def order(self, fence: int, action: str, model: str) -> None:
+        """Carries out an order."""
+        body = {"fence": fence, "action": action, "model": model}
+        self._post("orders", body, _ORDER_SECONDS)
+
+    def _get(self, path: str, kind: type, extra: float = 0.0) -> Any:
+        data = self._call("GET", path, timeout=_CONTROL_SECONDS + extra)
+        return named(kind, msgspec.json.decode(data))
+
+    def _post(
+        self, path: str, body: Any, timeout: float = _CONTROL_SECONDS
+    ) -> None:
+        self._call("POST", path, msgspec.json.encode(body), timeout)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout: float = _CONTROL_SECONDS,
+    ) -> bytes:
+        url = f"{self.base}/control/{path}"
+        response = http_errors.request(
+            self.pool, method, url, body=body, timeout=timeout
+        )
+        check_status(response.status, response.data)
+        return response.data
+
+    def _events(
+        self, response: urllib3.BaseHTTPResponse, offset: int
+    ) -> Iterator[upstream.Piece | upstream.End]:
+        if response.status != _OK:
+            data = response.read()
+            check_status(response.status, data)
+        return read_events(response, offset)
+
+
+def read_events(
+    response: urllib3.BaseHTTPResponse, offset: int
+) -> Iterator[upstream.Piece | upstream.End]:
+    """Yields the pieces of a stream and its end.
+
+    The engine's `[DONE]` is the only proof that an answer is whole; a stream
+    that stops without it raises errors.StreamClosed.
+    """
+    total = offset
+    reason = ""
+    usage: _Usage = {}
+    done = False
+    try:
+        for line in lines(response):
+            if line == b"data: [DONE]":
+                done = True
+                break
+            if not line.startswith(b"data: "):
+                continue
+            event = _EVENT.decode(line[6:])
+            usage = event.get("usage") or usage
+            for choice in event.get("choices", ()):
+                reason = choice.get("finish_reason") or reason
+                text = choice.get("delta", {}).get("content")
+                if text:
+                    total += len(text)
+                    yield upstream.Piece(text)
+    except exceptions.HTTPError as error:
+        raise http_errors.translate(error) from error
+    except msgspec.DecodeError as error:
+        raise errors.StreamClosed(
+            f"The engine sent no JSON: {error}."
+        ) from error
+    finally:
+        if done:
+            response.drain_conn()
+            response.release_conn()
+        else:
+            response.close()
+    if not done:
+        raise errors.StreamClosed("The engine's stream ended too early.")
+    yield upstream.End(total, reason, to_usage(usage))
+
+
+def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yields the lines of a body as they come."""
+    rest = b""
+    for block in response.stream(_BLOCK):
+        parts = (rest + block).split(b"\n")
+        rest = parts.pop()
+        for part in parts:
+            yield part.rstrip(b"\r")
+
+
+def check_status(status: int, data: bytes) -> None:
+    """Raises the typed error of an engine's refusal."""
+    if status < 400:
+        return
+    detail = (
+        f"The engine answered {status}: {data[:200].decode(errors='replace')}"
+    )
+    if status == _CONFLICT:
+        raise errors.FencedOff(detail)
+    raise errors.UpstreamFailed(detail)
+
+
+def request_body(call: upstream.EngineCall) -> bytes:
+    """Returns the OpenAI body; the messages are JSON texts already."""
+    fields = msgspec.json.decode(call.parameters) if call.parameters else {}
+    fields["stream"] = True
+    fields["stream_options"] = {"include_usage": True}
+    fields["messages"] = [msgspec.Raw(text.encode()) for text in call.messages]
+    if call.priority:
+        fields["priority"] = call.priority
+    return msgspec.json.encode(fields)
+
+
+def to_usage(usage: _Usage) -> messages.Usage:
+    """Returns the usage as the engine reported it."""
+    details = usage.get("prompt_tokens_details") or {}
+    return messages.Usage(
+        usage.get("prompt_tokens", 0),
+        usage.get("completion_tokens", 0),
+        details.get("cached_tokens", 0),
+    )
+
+
+def named(kind: type, fields: Any) -> Any:
+    """Returns a NamedTuple from a JSON object, checked against its types.
+
+    Raises:
+        errors.UpstreamFailed: The engine sent something else.
+    """
+    if kind is upstream.CacheEvents:
+        fields["events"] = [
+            [item["seq"], item["program"], item["tokens"]]
+            for item in fields["events"]
+        ]
+    try:
+        values = [fields[name] for name in kind._fields]
+        return msgspec.convert(values, kind)
+    except (KeyError, TypeError, msgspec.ValidationError) as error:
+        raise errors.UpstreamFailed(
+            f"The engine sent a bad {kind.__name__}: {error!r}."
+        ) from error
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_commit.py
@@ -0,0 +1,102 @@
+"""Reports what came of an attempt to its program's group, until committed."""
+
+from typing import Any
+
+from loguru import logger
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import control as control_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import sidecar_attempts
+
+_ASK_SECONDS = 5.0
+_FIRST_PAUSE = 0.05
+_LONGEST_PAUSE = 1.0
+_TRANSIENT = (
+    errors.ControlUnavailable,
+    errors.LeaseExpired,
+    errors.NotLeader,
+    errors.ProposalLost,
+    errors.StreamClosed,
+    errors.StreamTimeout,
+    errors.Draining,
+    errors.Overloaded,
+)
+
+
+class Reporter:
+    """Sends FinishCall and SettleCall and repeats them.
+
+    The upstream has run by then, so giving up would lose an answer that
+    cannot be made again; the messages are idempotent, so repeating is safe.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        control: control_port.Control,
+        timers: timers_port.Timers,
+    ) -> None:
+        self.node = node
+        self.control = control
+        self.timers = timers
+        self.stopped = False
+
+    def finish(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        answer: bytes,
+        usage: messages.Usage,
+    ) -> None:
+        """Records a whole answer; returns once it is committed.
+
+        Raises:
+            errors.MintcleatError: The group refuses it for good.
+        """
+        asked = attempt.message
+        self._commit(
+            attempt.scope,
+            messages.FinishCall(
+                asked.program,
+                asked.partner,
+                asked.key,
+                asked.attempt,
+                self.node,
+                answer,
+                usage,
+            ),
+        )
+
+    def settle(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        outcome: str,
+        failure: errors.Failure,
+    ) -> None:
+        """Records an end without an answer; returns once it is committed."""
+        asked = attempt.message
+        self._commit(
+            attempt.scope,
+            messages.SettleCall(
+                asked.program,
+                asked.partner,
+                asked.key,
+                asked.attempt,
+                outcome,
+                failure,
+            ),
+        )
+
+    def _commit(self, scope: str, message: Any) -> None:
+        pause = _FIRST_PAUSE
+        while True:
+            try:
+                self.control.ask(scope, message, _ASK_SECONDS)
+                return
+            except _TRANSIENT as error:
+                if self.stopped:
+                    raise
+                logger.info("{} is not committed yet: {}", scope, error.detail)
+            self.timers.sleep(pause)
+            pause = min(_LONGEST_PAUSE, pause * 2)
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -0,0 +1,182 @@
+"""Runs one attempt at the upstream and gives it its outcome."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import msgpack
+import msgspec
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import timers as timers_port
+from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import sidecar_attempts
+from mintcleat.roles import sidecar_commit
+from mintcleat.roles import sidecar_history
+
+_RESUME_TRIES = 5
+_RESUME_PAUSE = 0.1
+_CANCELLED = "cancelled"
+_LOST = (errors.StreamClosed, errors.StreamTimeout)
+
+LoadSource = Callable[[], messages.LoadReport]
+
+
+class TurnRunner:
+    """Runs chat turns at a model engine."""
+
+    def __init__(
+        self,
+        engine: upstream_port.ModelEngine,
+        histories: sidecar_history.Histories,
+        reporter: sidecar_commit.Reporter,
+        timers: timers_port.Timers,
+        load: LoadSource,
+    ) -> None:
+        self.engine = engine
+        self.histories = histories
+        self.reporter = reporter
+        self.timers = timers
+        self.load = load
+
+    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Runs the attempt to its end and commits the answer.
+
+        Raises:
+            errors.NoUpstream: Nothing was delivered to the engine.
+            errors.MintcleatError: The engine took it and it failed.
+        """
+        asked = attempt.message
+        prompt = self.histories.prompt(asked.program, asked.base_turn)
+        call = upstream_port.EngineCall(
+            attempt.request,
+            asked.program,
+            [*prompt, *asked.messages],
+            asked.parameters,
+        )
+        end = self._stream(attempt, call)
+        if end.reason == _CANCELLED:
+            raise attempt.cancelled or errors.UpstreamFailed(
+                "The engine cancelled the call."
+            )
+        answer = assistant_message("".join(attempt.pieces))
+        if asked.attempt:
+            self.reporter.finish(attempt, answer.encode(), end.usage)
+            if asked.program:
+                added = [*asked.messages, answer]
+                self.histories.finish(
+                    asked.program, asked.base_turn, asked.base_digest, added
+                )
+        attempt.end(
+            messages.Finished(
+                asked.attempt,
+                attempt.total,
+                answer,
+                end.reason,
+                end.usage,
+                self.load(),
+            )
+        )
+
+    def _stream(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        call: upstream_port.EngineCall,
+    ) -> upstream_port.End:
+        """Reads the whole answer, resuming a stream that breaks.
+
+        Only the first request may fail with `not_run`: after it, the engine
+        has the call, whatever a later error says.
+        """
+        try:
+            return take_all(attempt, self.engine.run(call))
+        except _LOST as error:
+            cause = error
+        tries = 0
+        while tries < _RESUME_TRIES and attempt.cancelled is None:
+            before = attempt.total
+            self.timers.sleep(_RESUME_PAUSE)
+            try:
+                stream = self.engine.resume(attempt.request, attempt.total)
+                return take_all(attempt, stream)
+            except (*_LOST, errors.NoUpstream) as error:
+                cause = error
+            except errors.UpstreamFailed as error:
+                cause = error
+                break
+            tries = 0 if attempt.total > before else tries + 1
+        raise errors.OutcomeUnknown(
+            f"The engine's stream broke and did not resume: {cause.detail}"
+        ) from cause
+
+
+def take_all(
+    attempt: sidecar_attempts.Attempt,
+    stream: Iterator[upstream_port.Piece | upstream_port.End],
+) -> upstream_port.End:
+    """Adds every piece to the attempt and returns the engine's end.
+
+    Raises:
+        errors.StreamClosed: Text is missing or the stream broke.
+    """
+    for item in stream:
+        match item:
+            case upstream_port.Piece(text):
+                attempt.add(text)
+            case upstream_port.End():
+                if item.total != attempt.total:
+                    raise errors.StreamClosed("Text of the answer is missing.")
+                return item
+    raise errors.StreamClosed("The engine's stream has no end.")
+
+
+class ToolRunner:
+    """Forwards requests to a plain service."""
+
+    def __init__(
+        self,
+        service: upstream_port.PlainService,
+        reporter: sidecar_commit.Reporter,
+        timers: timers_port.Timers,
+        load: LoadSource,
+    ) -> None:
+        self.service = service
+        self.reporter = reporter
+        self.timers = timers
+        self.load = load
+
+    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Forwards the request once and commits the answer.
+
+        Raises:
+            errors.NoUpstream: Nothing was delivered to the service.
+            errors.OutcomeUnknown: It was delivered and no answer came.
+        """
+        asked = attempt.message
+        try:
+            reply = self.service.send(
+                asked.method,
+                asked.path,
+                asked.headers,
+                asked.body,
+                max(0.001, attempt.until - self.timers.now()),
+            )
+        except (errors.StreamClosed, errors.StreamTimeout) as error:
+            raise errors.OutcomeUnknown(error.detail) from error
+        if asked.attempt:
+            answer = msgpack.packb(list(reply), use_bin_type=True)
+            self.reporter.finish(attempt, answer, messages.Usage())
+        attempt.end(
+            messages.ToolAnswer(
+                asked.attempt,
+                reply.status,
+                reply.headers,
+                reply.body,
+                self.load(),
+            )
+        )
+
+
+def assistant_message(text: str) -> str:
+    """Returns the JSON text of an assistant message."""
+    return msgspec.json.encode({"role": "assistant", "content": text}).decode()
--- /dev/null
+++ b/src/mintcleat/standins/engine.py
@@ -0,0 +1,341 @@
+"""A small OpenAI-compatible model engine with the HTTP control surface.
+
+It batches continuously, caches prefixes in limited memory and gives the
+answer that `batch.answer_tokens` derives from the messages.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import json
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+import eventlet
+
+from mintcleat.standins import batch
+from mintcleat.standins import cache
+from mintcleat.standins import http
+
+_DEFAULT_TOKENS = 16
+_LONG_POLL_STEP = 0.02
+
+
+class EngineOptions(NamedTuple):
+    """What a stand-in engine is like.
+
+    Attributes:
+        memory: Tokens of prefix cache.
+        fencing: Whether orders with an old fencing number are refused.
+        linger: Seconds that a sequence goes on without a reader.
+    """
+
+    model: str = "model-1"
+    speed: batch.Speed = batch.Speed()
+    memory: int = 1_000_000
+    fencing: bool = True
+    kv_export: bool = True
+    priority: bool = True
+    resume: bool = True
+    linger: float = 5.0
+    load_seconds: float = 0.01
+
+
+class Run(NamedTuple):
+    """One request that the engine took: the witness of a test."""
+
+    request: str
+    program: str
+    messages: list[str]
+
+
+class OrderTaken(NamedTuple):
+    """One order that the engine carried out."""
+
+    fence: int
+    action: str
+    model: str
+
+
+class Engine:
+    """The stand-in engine.
+
+    Attributes:
+        address: `IP:PORT` of its HTTP server.
+        runs: Every request taken, over all lives of the engine.
+        orders: Every order carried out.
+        life: Number of this life; grows with each restart.
+    """
+
+    def __init__(
+        self, listen: str = "127.0.0.1:0", options: EngineOptions | None = None
+    ) -> None:
+        self.options = options or EngineOptions()
+        self.runs: list[Run] = []
+        self.orders: list[OrderTaken] = []
+        self.life = 0
+        self.highest_fence = 0
+        self.begin_life(listen)
+
+    def begin_life(self, listen: str) -> None:
+        """Starts with an empty cache."""
+        self.life += 1
+        self.model = self.options.model
+        self.cache = cache.PrefixCache(self.options.memory)
+        self.batch = batch.Batch(self.options.speed, self.cache)
+        self.sequences: dict[str, batch.Sequence] = {}
+        self.server = http.HttpServer(listen, self.serve)
+        self.address = self.server.address
+
+    def stop(self) -> None:
+        """Ends the engine at once; nothing that it held is left."""
+        self.batch.stop()
+        self.server.stop()
+        self.cache = cache.PrefixCache(self.options.memory)
+
+    def serve(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Any:
+        """Answers one HTTP request."""
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        body = http.read_body(environ)
+        match (method, path.strip("/").split("/")):
+            case ("POST", ["v1", "chat", "completions"]):
+                return self._complete(environ, start_response, body)
+            case ("GET", ["control", "streams", request]):
+                return self._resume(environ, start_response, request)
+            case ("DELETE", ["control", "streams", request]):
+                return self._cancel(start_response, request)
+            case ("GET", ["control", name]):
+                return self._show(environ, start_response, name)
+            case ("POST", ["control", name]):
+                return self._change(start_response, name, json.loads(body))
+        return http.reply_json(start_response, {"error": "no such path"}, 404)
+
+    def take(self, sequence: batch.Sequence) -> None:
+        """Runs a sequence; fault-injecting engines override this."""
+        self.batch.add(sequence)
+
+    def _complete(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+        body: bytes,
+    ) -> Any:
+        fields = json.loads(body)
+        messages = [
+            json.dumps(message, separators=(",", ":"), ensure_ascii=False)
+            for message in fields["messages"]
+        ]
+        request = environ.get("HTTP_X_REQUEST_ID") or f"r{len(self.runs)}"
+        program = environ.get("HTTP_X_CACHE_OWNER", "")
+        limit = int(fields.get("max_tokens") or _DEFAULT_TOKENS)
+        priority = int(fields.get("priority") or 0)
+        sequence = batch.Sequence(request, program, messages, limit, priority)
+        self.runs.append(Run(request, program, messages))
+        self.sequences[request] = sequence
+        self.take(sequence)
+        if fields.get("stream"):
+            return self._stream(start_response, sequence, 0)
+        for _ in self._follow(sequence, 0):
+            pass
+        if sequence.reason == "crashed":
+            return http.reply_json(start_response, {"error": "crashed"}, 503)
+        return http.reply_json(start_response, _whole(sequence))
+
+    def _resume(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+        request: str,
+    ) -> Any:
+        sequence = self.sequences.get(request)
+        if sequence is None or not self.options.resume:
+            return http.reply_json(start_response, {"error": "gone"}, 404)
+        offset = int(_query(environ).get("offset", "0"))
+        return self._stream(start_response, sequence, offset)
+
+    def _cancel(self, start_response: Callable[..., Any], request: str) -> Any:
+        sequence = self.sequences.get(request)
+        if sequence is not None:
+            sequence.end("cancelled")
+        return http.reply_json(start_response, {"known": sequence is not None})
+
+    def _stream(
+        self,
+        start_response: Callable[..., Any],
+        sequence: batch.Sequence,
+        offset: int,
+    ) -> Iterator[bytes]:
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self._events(sequence, offset)
+
+    def _events(self, sequence: batch.Sequence, offset: int) -> Iterator[bytes]:
+        for text in self._follow(sequence, offset):
+            yield _sse({"choices": [{"index": 0, "delta": {"content": text}}]})
+        if sequence.reason == "crashed":
+            raise ConnectionAbortedError("The engine crashed.")
+        yield _sse(
+            {
+                "choices": [
+                    {
+                        "index": 0,
+                        "delta": {},
+                        "finish_reason": sequence.reason,
+                    }
+                ],
+                "usage": _usage(sequence),
+            }
+        )
+        yield b"data: [DONE]\n\n"
+
+    def _follow(self, sequence: batch.Sequence, offset: int) -> Iterator[str]:
+        sequence.readers += 1
+        try:
+            while True:
+                changed = sequence.changed
+                text = sequence.text
+                reason = sequence.reason
+                if len(text) > offset:
+                    yield text[offset:]
+                    offset = len(text)
+                elif reason:
+                    return
+                else:
+                    changed.wait()
+        finally:
+            sequence.readers -= 1
+            eventlet.spawn_after(
+                self.options.linger, self._abandon, self.sequences, sequence
+            )
+
+    def _abandon(
+        self,
+        sequences: dict[str, batch.Sequence],
+        sequence: batch.Sequence,
+    ) -> None:
+        if not sequence.readers:
+            sequence.end("cancelled")
+            sequences.pop(sequence.request, None)
+
+    def _show(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+        name: str,
+    ) -> Any:
+        query = _query(environ)
+        match name:
+            case "info":
+                return http.reply_json(start_response, self.info())
+            case "load":
+                return http.reply_json(start_response, self.load())
+            case "events":
+                after = int(query.get("after", "0"))
+                wait = float(query.get("wait", "0"))
+                return http.reply_json(start_response, self.events(after, wait))
+            case "cache":
+                return http.reply_json(start_response, self.listing())
+            case "export":
+                return http.reply_json(
+                    start_response, self.cache.export(query["program"])
+                )
+        return http.reply_json(start_response, {"error": "no such path"}, 404)
+
+    def _change(
+        self,
+        start_response: Callable[..., Any],
+        name: str,
+        fields: dict[str, Any],
+    ) -> Any:
+        match name:
+            case "release":
+                freed = sum(map(self.cache.release, fields["programs"]))
+                return http.reply_json(start_response, {"freed": freed})
+            case "hold":
+                self.cache.held.add(fields["program"])
+                return http.reply_json(start_response, {})
+            case "import":
+                self.cache.load(fields)
+                return http.reply_json(start_response, {})
+            case "orders":
+                return self._order(start_response, OrderTaken(**fields))
+        return http.reply_json(start_response, {"error": "no such path"}, 404)
+
+    def info(self) -> dict[str, Any]:
+        """Returns what the engine announces of itself."""
+        return {
+            "life": self.life,
+            "model": self.model,
+            "capacity": self.options.speed.slots,
+            "state": "ready",
+            "fencing": self.options.fencing,
+            "kv_export": self.options.kv_export,
+            "priority": self.options.priority,
+            "resume": self.options.resume,
+        }
+
+    def load(self) -> dict[str, Any]:
+        """Returns the load as the engine reports it."""
+        return {
+            "running": len(self.batch.running),
+            "waiting": len(self.batch.waiting),
+            "free_memory": max(0, self.options.memory - self.cache.used),
+        }
+
+    def events(self, after: int, wait: float) -> dict[str, Any]:
+        """Returns cache events with numbers above `after`."""
+        waited = 0.0
+        while self.cache.seq <= after and waited < wait:
+            eventlet.sleep(_LONG_POLL_STEP)
+            waited += _LONG_POLL_STEP
+        events = [item for item in self.cache.events if item.seq > after]
+        return {
+            "life": self.life,
+            "seq": self.cache.seq,
+            "events": [item._asdict() for item in events],
+        }
+
+    def listing(self) -> dict[str, Any]:
+        """Returns everything that the cache holds, by program."""
+        return {
+            "life": self.life,
+            "seq": self.cache.seq,
+            "programs": dict(self.cache.totals),
+        }
+
+    def _order(
+        self, start_response: Callable[..., Any], order: OrderTaken
+    ) -> Any:
+        if self.options.fencing and order.fence < self.highest_fence:
+            return http.reply_json(start_response, {"error": "old fence"}, 409)
+        self.highest_fence = max(self.highest_fence, order.fence)
+        eventlet.sleep(self.options.load_seconds)
+        if order.action in ("load", "role"):
+            self.model = order.model
+        self.orders.append(order)
+        return http.reply_json(start_response, {"model": self.model})
+
+
+def _query(environ: dict[str, Any]) -> dict[str, str]:
+    return dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+
+
+def _sse(value: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def _usage(sequence: batch.Sequence) -> dict[str, Any]:
+    prompt = sum(map(cache.count_tokens, sequence.prompt))
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": sequence.sent,
+        "prompt_tokens_details": {"cached_tokens": sequence.cached},
+    }
+
+
+def _whole(sequence: batch.Sequence) -> dict[str, Any]:
+    message = {"role": "assistant", "content": sequence.text}
+    choice = {"index": 0, "message": message, "finish_reason": sequence.reason}
+    return {"choices": [choice], "usage": _usage(sequence)}
--- /dev/null
+++ b/src/mintcleat/standins/http.py
@@ -0,0 +1,96 @@
+"""A WSGI server whose connections can be cut, for the stand-ins."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import json
+import socket
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+_PHRASES = {
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    503: "Service Unavailable",
+}
+
+
+class HttpServer:
+    """Serves a WSGI application on eventlet.
+
+    Attributes:
+        address: `IP:PORT` that the server listens on.
+    """
+
+    def __init__(self, listen: str, application: Application) -> None:
+        host, _, port = listen.rpartition(":")
+        self.listener = eventlet.listen((host, int(port)))
+        self.address = "{}:{}".format(*self.listener.getsockname()[:2])
+        self.clients: set[socket.socket] = set()
+        self.accept = self.listener.accept
+        self.listener.accept = self._accept
+        self.pool = eventlet.GreenPool(4096)
+        self.thread = eventlet.spawn(
+            wsgi.server,
+            self.listener,
+            application,
+            log_output=False,
+            custom_pool=self.pool,
+            keepalive=True,
+        )
+
+    def cut(self) -> None:
+        """Cuts every client connection, as the death of a process does."""
+        for client in list(self.clients):
+            with contextlib.suppress(OSError):
+                client.shutdown(socket.SHUT_RDWR)
+        self.clients.clear()
+
+    def stop(self) -> None:
+        """Closes the listener and cuts every connection."""
+        self.thread.kill()
+        self.listener.close()
+        self.cut()
+
+    def _accept(self) -> tuple[socket.socket, Any]:
+        client, address = self.accept()
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.clients = {old for old in self.clients if old.fileno() >= 0}
+        self.clients.add(client)
+        return client, address
+
+
+def read_body(environ: dict[str, Any]) -> bytes:
+    """Returns the whole body of a request."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return environ["wsgi.input"].read(length)
+
+
+def reply_json(
+    start_response: Callable[..., Any], value: Any, status: int = 200
+) -> list[bytes]:
+    """Answers with JSON."""
+    data = json.dumps(value).encode()
+    return reply(start_response, data, status, "application/json")
+
+
+def reply(
+    start_response: Callable[..., Any],
+    data: bytes,
+    status: int = 200,
+    content_type: str = "application/octet-stream",
+) -> list[bytes]:
+    """Answers with bytes."""
+    phrase = _PHRASES.get(status, "Status")
+    headers = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(data))),
+    ]
+    start_response(f"{status} {phrase}", headers)
+    return [data]
--- /dev/null
+++ b/testing/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fault-injecting wrappers of the stand-ins, and small fakes of ports."""
--- /dev/null
+++ b/testing/fakes/service_rig.py
@@ -0,0 +1,176 @@
+"""Fakes of the ports of a sidecar, and a rig of real parts on loopback."""
+
+from collections.abc import Callable
+from typing import Any
+
+from mintcleat.adapters import engine_http
+from mintcleat.adapters import plain_http
+from mintcleat.adapters import streams
+from mintcleat.adapters import timers
+from mintcleat.domain import digests
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.roles import sidecar
+from mintcleat.standins import engine
+from mintcleat.standins import service
+
+NODE = messages.Incarnation("side-1", 1)
+
+
+class FakeControl:
+    """A program group that commits at once and remembers what it heard.
+
+    Attributes:
+        open: Programs that the group knows as open; None for all.
+        fail: Raised instead of an answer, while it is set.
+    """
+
+    def __init__(self) -> None:
+        self.heard: list[Any] = []
+        self.open: set[str] | None = None
+        self.fail: Exception | None = None
+
+    def ask(self, scope: str, message: Any, timeout: float) -> Any:
+        if self.fail is not None:
+            raise self.fail
+        self.heard.append(message)
+        if isinstance(message, messages.RenewResidency):
+            known = message.programs if self.open is None else self.open
+            return messages.Gone(
+                [name for name in message.programs if name not in known]
+            )
+        return messages.Done()
+
+    def group_of(self, scope: str) -> str:
+        return "group-1"
+
+    def of(self, kind: type) -> list[Any]:
+        return [item for item in self.heard if isinstance(item, kind)]
+
+
+class FakeDirectory:
+    """A configuration that is always in lease, unless told otherwise."""
+
+    def __init__(self) -> None:
+        self.value = manifest.Manifest()
+        self.lease = True
+
+    def manifest(self) -> manifest.Manifest:
+        return self.value
+
+    def revision(self) -> int:
+        return 1
+
+    def in_lease(self) -> bool:
+        return self.lease
+
+    def members(self, service: str) -> list[messages.Announcement]:
+        return []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        return None
+
+
+class Rig:
+    """One sidecar with real streams, beside a stand-in upstream."""
+
+    def __init__(
+        self,
+        upstream: engine.Engine | service.Service,
+        options: sidecar.SidecarOptions | None = None,
+        node: messages.Incarnation = NODE,
+    ) -> None:
+        plain = isinstance(upstream, service.Service)
+        self.upstream = upstream
+        self.control = FakeControl()
+        self.directory = FakeDirectory()
+        self.server = streams.TcpStreams("127.0.0.1:0")
+        self.client = streams.TcpStreams("127.0.0.1:0")
+        kind = "plain" if plain else "model"
+        adapter = plain_http.HttpService if plain else engine_http.HttpEngine
+        self.sidecar = sidecar.Sidecar(
+            node,
+            options or sidecar.SidecarOptions("svc", kind),
+            streams=self.server,
+            timers=timers.EventletTimers(),
+            upstream=adapter(upstream.address),
+            control=self.control,
+            directory=self.directory,
+        )
+        self.sidecar.start()
+
+    def stop(self) -> None:
+        self.sidecar.stop(0.0)
+        self.client.stop()
+        self.server.stop()
+        self.upstream.stop()
+
+    def open(self, message: Any) -> Any:
+        return self.client.open(self.server.address, message)
+
+    def call(self, message: Any, timeout: float = 5.0) -> tuple[str, Any]:
+        """Returns the text of an answer and its last message."""
+        return drain(self.open(message), timeout)
+
+
+def drain(exchange: Any, timeout: float = 5.0) -> tuple[str, Any]:
+    """Reads an exchange to its end; chunks must lie end to end."""
+    text = ""
+    while True:
+        message = exchange.receive(timeout)
+        if not isinstance(message, messages.Chunk):
+            exchange.close()
+            return text, message
+        assert message.offset == len(text)
+        text += message.text
+
+
+def user(text: str) -> str:
+    """Returns the JSON text of a user message, as the engine writes it."""
+    return f'{{"role":"user","content":"{text}"}}'
+
+
+def turn(program: str = "p", attempt: int = 1, **fields: Any) -> Any:
+    """Returns a RunTurn; fields override the defaults."""
+    values = {
+        "program": program,
+        "partner": "",
+        "service": "svc",
+        "key": f"k{attempt}",
+        "attempt": attempt,
+        "sidecar": NODE,
+        "base_turn": 0,
+        "base_digest": digests.EMPTY,
+        "history": [],
+        "messages": [user(f"{program} asks")],
+        "parameters": "{}",
+        "deadline": 10.0,
+        "klass": "interactive",
+        "agent": "a",
+        "root": program,
+        "attained": 0,
+        "digest": b"d" * 16,
+        "idempotent": True,
+    }
+    return messages.RunTurn(**{**values, **fields})
+
+
+def tool(program: str = "p", attempt: int = 1, **fields: Any) -> Any:
+    """Returns a RunTool of a non-idempotent request."""
+    values = {
+        "program": program,
+        "partner": "",
+        "service": "svc",
+        "key": f"k{attempt}",
+        "attempt": attempt,
+        "sidecar": NODE,
+        "method": "POST",
+        "path": "/book",
+        "headers": [["Idempotency-Key", f"{program}-k{attempt}"]],
+        "body": b"part 7",
+        "deadline": 10.0,
+        "klass": "interactive",
+        "digest": b"d" * 16,
+        "idempotent": False,
+    }
+    return messages.RunTool(**{**values, **fields})
