Use one rolling digest of a history

Cause: two parts had each written one, with other lengths, so a sidecar refused every history that a program group sent.

--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -3,10 +3,10 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.programs import budgets
-from mintcleat.programs import digests
 from mintcleat.programs import loops
 from mintcleat.programs import records
 
@@ -329,7 +329,7 @@
         return
     answer = request.answer.decode(errors="replace")
     texts = [*call.messages, answer]
-    program.digest = digests.roll(program.digest, texts)
+    program.digest = digests.rolling(program.digest, texts)
     group.histories.append(
         program.program,
         records.TurnRecord(
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -3,9 +3,9 @@
 import dataclasses
 from typing import NamedTuple
 
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.programs import digests
 
 OPEN = "open"
 CLOSED = "closed"
