Decide under load: first working versions of all decisions

Cause: the roles need admission, queue, placement, retention, moves, retry budget, quarantine and learning before they can be wired.

Change: decisions/ without I/O or clock.

--- /dev/null
+++ b/src/mintcleat/decisions/retry.py
@@ -0,0 +1,40 @@
+"""Retry budget: retries are a fraction of successes.
+
+Made for an overload or an outage, when nearly every call fails. Without a
+budget each entry repeats each failed call, the offered load doubles or
+trebles, and the overload feeds itself after its cause has gone.
+"""
+
+# One retry per ten successes adds at most a tenth to the offered load.
+FRACTION = 0.1
+# Retries that may be saved up; also what a fresh or idle entry starts with,
+# so that a lone failure in quiet times is still retried.
+RESERVE = 10.0
+# Attempts of one call, the first included. A call that failed at three
+# upstreams is more likely at fault itself.
+MAX_ATTEMPTS = 3
+
+
+class Budget:
+    """Retry budget of one service at one entry."""
+
+    def __init__(
+        self, fraction: float = FRACTION, reserve: float = RESERVE
+    ) -> None:
+        self.fraction = fraction
+        self.reserve = reserve
+        self.tokens = reserve
+
+    def succeeded(self) -> None:
+        """Counts a call that ended well."""
+        self.tokens = min(self.reserve, self.tokens + self.fraction)
+
+    def take(self, attempts: int) -> bool:
+        """Tells whether a call with so many attempts may have another.
+
+        A True answer takes the retry from the budget.
+        """
+        if attempts >= MAX_ATTEMPTS or self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/testing/test_place.py
@@ -0,0 +1,126 @@
+"""The entry's choice of an upstream."""
+
+import testtools
+
+from mintcleat.decisions import calls
+from mintcleat.decisions import place
+from mintcleat.domain import messages
+
+WEIGHTS = place.Weights()
+
+
+def report(name: str, counter: int = 1, **more: object) -> messages.LoadReport:
+    fields = {
+        "running": 0,
+        "queued": 0,
+        "limit": 8,
+        "wait": 0.0,
+        "token_time": 0.02,
+        "prefill_rate": 5000.0,
+        "free_memory": 100000,
+        "state": place.READY,
+        **more,
+    }
+    return messages.LoadReport(messages.Incarnation(name, 1), counter, **fields)
+
+
+def make_fleet(count: int = 4) -> place.Fleet:
+    fleet = place.Fleet()
+    fleet.watch([f"u{number}" for number in range(count)])
+    for name in fleet.subset:
+        fleet.report(report(name), 0.0)
+    return fleet
+
+
+def make_call(number: int) -> calls.Call:
+    name = f"c{number}"
+    return calls.Call(
+        name, name, name, "farms", "a", new_tokens=100, expected_tokens=50
+    )
+
+
+class PlaceTest(testtools.TestCase):
+    def test_a_program_stays_where_its_history_is(self) -> None:
+        fleet = make_fleet()
+        resident = place.Resident("u2", 20000)
+        for number in range(8):
+            fleet.report(report("u2", number + 2), float(number))
+            choice = place.choose(
+                fleet, make_call(number), resident, WEIGHTS, float(number)
+            )
+            assert choice is not None
+            self.assertEqual(("u2", False), (choice.name, choice.moved))
+
+    def test_it_leaves_when_the_wait_there_exceeds_the_rebuild(self) -> None:
+        fleet = make_fleet()
+        fleet.report(report("u2", 2, wait=30.0, running=8), 1.0)
+        resident = place.Resident("u2", 20000)
+        choice = place.choose(fleet, make_call(1), resident, WEIGHTS, 1.0)
+        assert choice is not None
+        self.assertTrue(choice.moved)
+
+    def test_the_weights_decide_a_close_case(self) -> None:
+        resident = place.Resident("u2", 20000)
+        names = []
+        for weights in (place.Weights(9, 1), place.Weights(1, 9)):
+            fleet = make_fleet()
+            fleet.report(report("u2", 2, wait=6.0, running=8), 1.0)
+            choice = place.choose(fleet, make_call(1), resident, weights, 1.0)
+            assert choice is not None
+            names.append(choice.name == "u2")
+        self.assertEqual([False, True], names)
+
+    def test_calls_spread_between_two_reports(self) -> None:
+        """Reports lag, and many calls come at once.
+
+        Without counting what was sent since the report, all of them would
+        join the one upstream that the last report called idle.
+        """
+        fleet = make_fleet()
+        counts: dict[str, int] = {}
+        for number in range(64):
+            choice = place.choose(fleet, make_call(number), None, WEIGHTS, 1.0)
+            assert choice is not None
+            counts[choice.name] = counts.get(choice.name, 0) + 1
+        self.assertTrue(all(12 <= count <= 20 for count in counts.values()))
+        self.assertEqual(4, len(counts))
+
+    def test_a_slow_upstream_is_ejected_and_returns_by_a_probe(self) -> None:
+        """One upstream reports tokens ten times slower than its peers.
+
+        It gets no calls; when its time is up, one call tries it; after that
+        call and a healthy report it gets calls as usual.
+        """
+        fleet = make_fleet()
+        fleet.report(report("u1", 2, token_time=0.2), 1.0)
+        for number in range(20):
+            choice = place.choose(fleet, make_call(number), None, WEIGHTS, 1.0)
+            assert choice is not None
+            self.assertNotEqual("u1", choice.name)
+        choice = place.choose(fleet, make_call(30), None, WEIGHTS, 7.0)
+        assert choice is not None
+        self.assertEqual(("u1", True), (choice.name, choice.probe))
+        fleet.report(report("u1", 3), 8.0)
+        fleet.answered("u1", True, 8.0)
+        self.assertEqual(set(), fleet.outliers.ejected)
+
+    def test_no_more_than_a_quarter_is_ejected(self) -> None:
+        fleet = make_fleet(8)
+        for name in fleet.subset:
+            for _ in range(10):
+                fleet.answered(name, False, 1.0)
+        self.assertEqual(2, len(fleet.outliers.ejected))
+
+    def test_a_draining_upstream_gets_nothing(self) -> None:
+        fleet = make_fleet(2)
+        fleet.report(report("u0", 2, state="draining"), 1.0)
+        resident = place.Resident("u0", 90000)
+        choice = place.choose(fleet, make_call(1), resident, WEIGHTS, 1.0)
+        assert choice is not None
+        self.assertEqual("u1", choice.name)
+
+    def test_no_upstream_is_told_as_none(self) -> None:
+        fleet = place.Fleet()
+        self.assertIs(
+            None, place.choose(fleet, make_call(1), None, WEIGHTS, 1.0)
+        )
--- /dev/null
+++ b/testing/test_queue.py
@@ -0,0 +1,141 @@
+"""Outcomes for callers at one upstream's gate."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from mintcleat.decisions import admit
+from mintcleat.decisions import calls
+from mintcleat.decisions import queue
+
+OPTIONS = queue.Options(adaptive=False)
+
+
+def make_call(
+    number: int, partner: str = "farms", **more: object
+) -> calls.Call:
+    name = f"c{number}"
+    fields = {"expected_tokens": 100, "new_tokens": 500, **more}
+    return calls.Call(name, f"p{number}", f"p{number}", partner, "a", **fields)
+
+
+def fill(gate: queue.Gate, count: int, partner: str, **more: object) -> None:
+    for number in range(count):
+        gate.offer(make_call(1000 + number, partner, **more), 0.0)
+
+
+def outcome(seconds: float = 1.0) -> calls.Outcome:
+    return calls.Outcome(seconds, 0.1, 500, 100)
+
+
+class GateTest(testtools.TestCase):
+    def test_starts_a_call_at_once_when_slots_are_free(self) -> None:
+        gate = queue.Gate(OPTIONS, 2)
+        self.assertEqual(queue.Admit(), gate.offer(make_call(1), 0.0))
+
+    def test_least_attained_program_goes_first(self) -> None:
+        gate = queue.Gate(OPTIONS, 1)
+        gate.offer(make_call(1), 0.0)
+        gate.offer(make_call(2, attained=5000), 0.0)
+        gate.offer(make_call(3, attained=50), 0.1)
+        gate.finished("c1", 1.0, outcome())
+        first = gate.next(1.0)
+        assert first is not None
+        self.assertEqual("c3", first.call_id)
+
+    def test_a_long_program_overtakes_later_short_ones_in_time(self) -> None:
+        gate = queue.Gate(OPTIONS, 1)
+        gate.offer(make_call(1), 0.0)
+        gate.offer(make_call(2, attained=10**9), 0.0)
+        gate.offer(make_call(3), 31.0)
+        gate.finished("c1", 32.0, outcome())
+        first = gate.next(32.0)
+        assert first is not None
+        self.assertEqual("c2", first.call_id)
+
+    def test_refuses_at_once_what_cannot_meet_its_deadline(self) -> None:
+        gate = queue.Gate(OPTIONS, 1)
+        answer = gate.offer(make_call(1, deadline_at=1.0), 0.0)
+        self.assertThat(answer, matchers.IsInstance(admit.Refuse))
+
+    def test_a_burst_is_refused_to_its_own_partner_only(self) -> None:
+        """One partner sends a thousand calls at once.
+
+        Its own calls beyond the bound are refused; a call of another partner
+        that comes after all of them is queued and starts next.
+        """
+        gate = queue.Gate(OPTIONS, 4)
+        fill(gate, 1000, "burst", expected_tokens=1000)
+        last = make_call(1, "burst", expected_tokens=1000)
+        refused = gate.offer(last, 0.0)
+        self.assertThat(refused, matchers.IsInstance(admit.Refuse))
+        queued = gate.offer(make_call(2, "calm"), 0.0)
+        self.assertThat(queued, matchers.IsInstance(queue.Queued))
+        gate.finished("c1000", 1.0, outcome())
+        first = gate.next(1.0)
+        assert first is not None
+        self.assertEqual("c2", first.call_id)
+
+    def test_suspects_never_run_together(self) -> None:
+        gate = queue.Gate(OPTIONS, 4)
+        gate.offer(make_call(1, suspect=True), 0.0)
+        gate.offer(make_call(2, suspect=True), 0.0)
+        self.assertIs(None, gate.next(0.0))
+        gate.finished("c1", 1.0, outcome())
+        second = gate.next(1.0)
+        assert second is not None
+        self.assertEqual("c2", second.call_id)
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["a", "b", "c"]),
+                strategies.sampled_from([calls.INTERACTIVE, calls.BATCH]),
+                strategies.integers(0, 20000),
+                strategies.booleans(),
+                strategies.sampled_from(["offer", "cancel", "end"]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_no_call_is_lost_or_doubled(self, steps: list[tuple]) -> None:
+        """The naive queue starts each accepted call once, and so must this.
+
+        Offers, cancels and ends come in any order; after them all calls end
+        one by one. Each accepted call that was not cancelled starts once.
+        """
+        gate = queue.Gate(OPTIONS, 3)
+        accepted: set[str] = set()
+        started: list[str] = []
+        cancelled: set[str] = set()
+        now = 0.0
+        for number, (partner, klass, attained, suspect, step) in enumerate(
+            steps
+        ):
+            now += 0.1
+            call = make_call(
+                number, partner, klass=klass, attained=attained, suspect=suspect
+            )
+            answer = gate.offer(call, now)
+            if isinstance(answer, queue.Admit):
+                started.append(call.call_id)
+            if not isinstance(answer, admit.Refuse):
+                accepted.add(call.call_id)
+            if step == "cancel" and gate.waiting:
+                name = min(gate.waiting)
+                gate.cancel(name)
+                cancelled.add(name)
+            if step == "end" and gate.running:
+                gate.finished(min(gate.running), now, outcome())
+            while (ready := gate.next(now)) is not None:
+                started.append(ready.call_id)
+        while gate.running:
+            now += 1.0
+            gate.finished(min(gate.running), now, outcome())
+            while (ready := gate.next(now)) is not None:
+                started.append(ready.call_id)
+        self.assertEqual(sorted(accepted - cancelled), sorted(started))
+        self.assertEqual({}, gate.waiting)
