Place calls by the real decision code

The entry chooses by decisions.place over a subset of each service's sidecars and takes retries from the budget of decisions.retry.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -153,9 +153,7 @@
     def stop(self) -> dict[str, int]:
         """Stops every process; returns the exit codes by name."""
         names = list(self.processes)
-        codes = {
-            name: self.processes[name].stop() for name in reversed(names)
-        }
+        codes = {name: self.processes[name].stop() for name in reversed(names)}
         shutil.rmtree(self.folder, ignore_errors=True)
         return codes
 
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from mintcleat.decisions import calls
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.domain import requests
@@ -18,14 +19,13 @@
 from mintcleat.roles import delivery as delivery_module
 from mintcleat.roles import placement as placement_module
 
-# A call moves on to another upstream at most this often. Each new attempt is
-# a commit and a prompt to build: under an overload more tries would add load
-# exactly when there is none to spare.
-MAX_ATTEMPTS = 4
 # A sidecar sends nothing while a call waits or a prompt is built, so silence
 # alone is no fault; the streams' heartbeats find a lost peer.
 _MIN_WAIT = 0.05
 DEFAULT_COMPLETION_TOKENS = 1024
+# What a call without a limit generates is unknown; only the comparison of
+# upstreams uses this, where the same figure stands on both sides.
+EXPECTED_TOKENS = 128
 _CHARACTERS_PER_TOKEN = 4
 
 
@@ -40,6 +40,7 @@
     digest: bytes
     deadline_at: float
     resident: messages.Incarnation | None
+    context_tokens: int
 
 
 class Progress:
@@ -56,6 +57,7 @@
         self.tried: set[messages.Incarnation] = set()
         self.sealed = 0
         self.attempts = 0
+        self.sidecar: messages.Incarnation | None = None
 
 
 class Chat:
@@ -103,6 +105,7 @@
         """Places and runs one attempt; returns what to do next."""
         progress.attempts += 1
         placed = self._place(context, progress)
+        progress.sidecar = placed.sidecar
         self.metrics.count("placements_total", reason=placed.reason)
         if not context.name.key:
             run = self._run_message(context, placed, None)
@@ -127,7 +130,10 @@
     ) -> placement_module.Placed:
         try:
             return self.placement.choose(
-                context.service, context.resident, progress.tried
+                context.service,
+                place_call(context, progress),
+                context.resident,
+                progress.tried,
             )
         except errors.NoUpstream as error:
             # The last attempt is sealed and none follows: free its key and
@@ -216,6 +222,13 @@
         finally:
             exchange.close()
 
+    def _failed(self, context: Context, progress: Progress) -> None:
+        """Notes that the sidecar of the last attempt failed the call."""
+        if progress.sidecar is None:
+            return
+        progress.tried.add(progress.sidecar)
+        self.placement.ended(context.service, progress.sidecar, ok=False)
+
     def _with_history(
         self, run: messages.RunTurn, need: messages.NeedHistory
     ) -> messages.RunTurn:
@@ -244,6 +257,9 @@
                         yield requests.Text(new)
                 case messages.Finished():
                     self.placement.learn(message.load)
+                    self.placement.ended(
+                        context.service, message.load.sidecar, ok=True
+                    )
                     yield from replay(delivery, message.message)
                     yield finished_end(message)
                     return attempts_module.Whole()
@@ -254,6 +270,7 @@
                     return attempts_module.Again(attempt, cause)
                 case messages.Broken(attempt, failure):
                     cause = errors.from_failure(failure)
+                    self._failed(context, progress)
                     return attempts_module.Again(attempt, cause)
                 case _:
                     raise errors.StreamClosed(
@@ -361,9 +378,9 @@
         """Raises the final refusal when no further attempt is allowed."""
         self.metrics.count("retries_total", cause=cause.kind)
         over = (
-            progress.attempts >= MAX_ATTEMPTS
+            isinstance(cause, errors.Quarantined)
             or self.timers.now() >= context.deadline_at
-            or isinstance(cause, errors.Quarantined)
+            or not self.placement.may_retry(context.service, progress.attempts)
         )
         if not over:
             return
@@ -385,11 +402,33 @@
         yield requests.Text(new)
 
 
+def place_call(context: Context, progress: Progress) -> calls.Call:
+    """Returns the call as the placement decision sees it."""
+    new_tokens = prompt_tokens(context.call)
+    name = context.name
+    return calls.Call(
+        call_id=f"{name.scope}/{context.call.request}/{progress.attempts}",
+        program=name.program,
+        root=name.program.partition(".")[0],
+        partner=name.partner,
+        agent=context.agent,
+        klass=context.klass,
+        deadline_at=context.deadline_at,
+        prompt_tokens=context.context_tokens + new_tokens,
+        new_tokens=new_tokens,
+        expected_tokens=context.call.max_tokens or EXPECTED_TOKENS,
+    )
+
+
+def prompt_tokens(call: requests.ChatCall) -> int:
+    """Returns an estimate of the tokens in a call's new messages."""
+    characters = sum(len(message) for message in call.messages)
+    return characters // _CHARACTERS_PER_TOKEN + 1
+
+
 def reservation(call: requests.ChatCall) -> int:
     """Returns the tokens to hold for a call, prompt and completion."""
-    characters = sum(len(message) for message in call.messages)
-    prompt = characters // _CHARACTERS_PER_TOKEN + 1
-    return prompt + (call.max_tokens or DEFAULT_COMPLETION_TOKENS)
+    return prompt_tokens(call) + (call.max_tokens or DEFAULT_COMPLETION_TOKENS)
 
 
 def bounded_parameters(call: requests.ChatCall) -> str:
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -129,6 +129,7 @@
             digest=digest,
             deadline_at=self._deadline_at(call.deadline),
             resident=self._resident(view),
+            context_tokens=view.used if view else 0,
         )
         return self._counted(context)
 
--- a/src/mintcleat/roles/placement.py
+++ b/src/mintcleat/roles/placement.py
@@ -1,9 +1,13 @@
-"""The entry's view of upstream load, and the choice of a sidecar."""
+"""The entry's view of upstream load: joins `decisions.place` to streams."""
 
 from typing import NamedTuple
 
 from loguru import logger
 
+from mintcleat.decisions import calls
+from mintcleat.decisions import place
+from mintcleat.decisions import retry
+from mintcleat.decisions import subset
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import directory as directory_port
@@ -11,6 +15,10 @@
 from mintcleat.ports import timers as timers_port
 
 _REWATCH_SECONDS = 1.0
+_FORGET_SECONDS = 60.0
+# Until a sidecar has reported, its upstream is taken to be like the others.
+_UNKNOWN_LIMIT = 8
+_NO_UPSTREAM_RETRY_SECONDS = 1.0
 
 
 class Placed(NamedTuple):
@@ -21,8 +29,17 @@
     reason: str
 
 
+class Service:
+    """One service's upstreams and retry budget, as this entry knows them."""
+
+    def __init__(self) -> None:
+        self.fleet = place.Fleet()
+        self.budget = retry.Budget()
+        self.members: dict[str, messages.Announcement] = {}
+
+
 class Placement:
-    """Keeps the newest load report of each sidecar and chooses among them."""
+    """Watches a subset of each service's sidecars and chooses among them."""
 
     def __init__(
         self,
@@ -35,27 +52,25 @@
         self.streams = streams
         self.timers = timers
         self.directory = directory
-        self.reports: dict[messages.Incarnation, messages.LoadReport] = {}
-        self.sent: dict[messages.Incarnation, int] = {}
+        self.services: dict[str, Service] = {}
         self.watched: set[messages.Incarnation] = set()
 
     def start(self) -> None:
-        """Begins to watch every member as it appears."""
-        self.directory.subscribe(self.watch_members)
-        self.timers.every(_REWATCH_SECONDS, self.watch_members)
-
-    def watch_members(self) -> None:
-        """Opens a load watch to each member that has none."""
-        manifest = self.directory.manifest()
-        for service in manifest.services:
-            for member in self.directory.members(service):
-                if member.sidecar not in self.watched:
-                    self.watched.add(member.sidecar)
-                    self.timers.spawn(self._watch, member)
+        """Begins to follow the members."""
+        self.directory.subscribe(self.refresh)
+        self.timers.every(_REWATCH_SECONDS, self.refresh)
+        self.timers.every(_FORGET_SECONDS, self._forget_guests)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Takes over the members and watches those of the subset."""
+        for name in self.directory.manifest().services:
+            self._refresh_service(name)
 
     def choose(
         self,
-        service: str,
+        name: str,
+        call: calls.Call,
         resident: messages.Incarnation | None,
         excluded: set[messages.Incarnation],
     ) -> Placed:
@@ -64,46 +79,121 @@
         Raises:
             errors.NoUpstream: No member takes new work.
         """
-        members = [
-            member
-            for member in self.directory.members(service)
-            if member.state == "ready"
-            and member.sidecar not in excluded
-            and self._state(member.sidecar) == "ready"
-        ]
-        if not members:
-            raise errors.NoUpstream(
-                f"No upstream of {service} takes new work now.",
-                retry_after=1.0,
-            )
-        for member in members:
-            if member.sidecar == resident:
-                return self._placed(member, "resident")
-        least = min(members, key=lambda member: self._load(member.sidecar))
-        return self._placed(least, "least_loaded")
+        service = self.services.get(name)
+        if service is None:
+            raise self._no_upstream(name)
+        place_at = self._resident(service, call, resident)
+        policies = self.directory.manifest().policies
+        choice = place.choose(
+            service.fleet,
+            call,
+            place_at,
+            place.Weights(*weights_of(policies)),
+            self.timers.now(),
+            exclude=frozenset(one.instance for one in excluded),
+        )
+        if choice is None:
+            raise self._no_upstream(name)
+        member = service.members[choice.name]
+        return Placed(
+            member.sidecar, member.address, reason_of(choice, place_at)
+        )
 
     def learn(self, report: messages.LoadReport) -> None:
-        """Takes a report; one older than the newest known is dropped."""
-        known = self.reports.get(report.sidecar)
-        if known is not None and known.counter >= report.counter:
+        """Takes a report that was pushed or came with an answer."""
+        now = self.timers.now()
+        for service in self.services.values():
+            member = service.members.get(report.sidecar.instance)
+            if member is not None and member.sidecar == report.sidecar:
+                service.fleet.report(report, now)
+                return
+
+    def ended(self, name: str, sidecar: messages.Incarnation, ok: bool) -> None:
+        """Counts the end of a call at a sidecar; refusals are not counted."""
+        service = self.services.get(name)
+        if service is None:
             return
-        self.reports[report.sidecar] = report
-        self.sent[report.sidecar] = 0
+        service.fleet.answered(sidecar.instance, ok, self.timers.now())
+        if ok:
+            service.budget.succeeded()
+
+    def may_retry(self, name: str, attempts: int) -> bool:
+        """Tells whether a call may have a further attempt."""
+        service = self.services.get(name)
+        return service is not None and service.budget.take(attempts)
+
+    def _refresh_service(self, name: str) -> None:
+        service = self.services.setdefault(name, Service())
+        members = self.directory.members(name)
+        old = service.members
+        service.members = {one.sidecar.instance: one for one in members}
+        for instance, known in old.items():
+            successor = service.members.get(instance)
+            if successor is None or successor.sidecar != known.sidecar:
+                service.fleet.forget(instance)
+        watched = subset.choose(
+            [
+                subset.Member(one.sidecar.instance, one.failure_domain)
+                for one in members
+            ],
+            self.instance,
+        )
+        service.fleet.watch(watched)
+        for instance in watched:
+            self._ensure_watch(service, service.members[instance])
+
+    def _ensure_watch(
+        self, service: Service, member: messages.Announcement
+    ) -> None:
+        if member.sidecar.instance not in service.fleet.upstreams:
+            service.fleet.report(self._first_report(service, member), 0.0)
+        if member.sidecar in self.watched:
+            return
+        self.watched.add(member.sidecar)
+        self.timers.spawn(self._watch, member)
 
-    def _placed(self, member: messages.Announcement, reason: str) -> Placed:
-        self.sent[member.sidecar] = self.sent.get(member.sidecar, 0) + 1
-        return Placed(member.sidecar, member.address, reason)
+    def _first_report(
+        self, service: Service, member: messages.Announcement
+    ) -> messages.LoadReport:
+        """Returns what to assume of an upstream that has not reported yet.
 
-    def _state(self, sidecar: messages.Incarnation) -> str:
-        report = self.reports.get(sidecar)
-        return "ready" if report is None else report.state
+        It is taken as idle and as fast as the rest; its first answer or
+        report puts that right.
+        """
+        return messages.LoadReport(
+            sidecar=member.sidecar,
+            counter=-1,
+            running=0,
+            queued=0,
+            limit=member.capacity or _UNKNOWN_LIMIT,
+            wait=0.0,
+            token_time=service.fleet.token_time,
+            prefill_rate=service.fleet.prefill_rate,
+            free_memory=0,
+            state=member.state,
+        )
+
+    def _resident(
+        self,
+        service: Service,
+        call: calls.Call,
+        resident: messages.Incarnation | None,
+    ) -> place.Resident | None:
+        """Returns the residency hint if that very incarnation is a member.
 
-    def _load(self, sidecar: messages.Incarnation) -> float:
-        report = self.reports.get(sidecar)
-        sent = self.sent.get(sidecar, 0)
-        if report is None:
-            return float(sent)
-        return (report.running + report.queued + sent) / max(report.limit, 1)
+        A restarted sidecar's engine may have lost its cache; its name alone
+        says nothing about what it holds.
+        """
+        if resident is None:
+            return None
+        member = service.members.get(resident.instance)
+        if member is None or member.sidecar != resident:
+            return None
+        if resident.instance not in service.fleet.upstreams:
+            report = self._first_report(service, member)
+            service.fleet.report(report, self.timers.now())
+        cached = max(0, call.prompt_tokens - call.new_tokens)
+        return place.Resident(resident.instance, cached)
 
     def _watch(self, member: messages.Announcement) -> None:
         try:
@@ -116,5 +206,30 @@
             logger.debug("Load watch of {} ended: {}", member.sidecar, error)
         finally:
             self.watched.discard(member.sidecar)
-            self.reports.pop(member.sidecar, None)
-            self.sent.pop(member.sidecar, None)
+
+    def _forget_guests(self) -> None:
+        for service in self.services.values():
+            service.fleet.forget_guests(self.timers.now())
+
+    def _no_upstream(self, name: str) -> errors.NoUpstream:
+        return errors.NoUpstream(
+            f"No upstream of {name} takes new work now.",
+            retry_after=_NO_UPSTREAM_RETRY_SECONDS,
+        )
+
+
+def weights_of(policies: object) -> tuple[float, float]:
+    """Returns the manifest's two weights."""
+    weights = policies.weights
+    return weights.program_latency, weights.wasted_cache
+
+
+def reason_of(choice: place.Choice, resident: place.Resident | None) -> str:
+    """Returns a label for the metric of placements."""
+    if choice.probe:
+        return "probe"
+    if resident is not None and choice.name == resident.name:
+        return "resident"
+    if choice.moved:
+        return "moved"
+    return "two_choices"
--- a/src/mintcleat/roles/service_calls.py
+++ b/src/mintcleat/roles/service_calls.py
@@ -1,9 +1,11 @@
 """Calls to plain services at the entry."""
 
+import itertools
 from typing import NamedTuple
 
 import msgpack
 
+from mintcleat.decisions import calls
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.domain import requests
@@ -13,8 +15,6 @@
 from mintcleat.roles import attempts as attempts_module
 from mintcleat.roles import placement as placement_module
 
-# As for chat calls: more tries only add load when there is none to spare.
-MAX_ATTEMPTS = 3
 _MIN_WAIT = 0.05
 
 
@@ -59,7 +59,7 @@
         """
         tried: set[messages.Incarnation] = set()
         sealed = 0
-        for number in range(1, MAX_ATTEMPTS + 1):
+        for number in itertools.count(1):
             placed = self._place(context, tried, sealed)
             attempt = 0
             if context.committed:
@@ -80,9 +80,11 @@
             sealed = step.sealed
             self.metrics.count("retries_total", cause=step.cause.kind)
             late = self.timers.now() >= context.deadline_at
-            if late or number == MAX_ATTEMPTS:
+            if late or not self.placement.may_retry(
+                context.call.service, number
+            ):
                 self._give_up(context, sealed, step.cause)
-        raise errors.NoUpstream("No attempt was made.")
+        return None
 
     def _place(
         self,
@@ -91,7 +93,9 @@
         sealed: int,
     ) -> placement_module.Placed:
         try:
-            placed = self.placement.choose(context.call.service, None, tried)
+            placed = self.placement.choose(
+                context.call.service, place_call(context), None, tried
+            )
         except errors.NoUpstream as error:
             if sealed:
                 self.attempts.settle(context.name, sealed, error)
@@ -164,6 +168,9 @@
         match reply:
             case messages.ToolAnswer(_, status, headers, body, load):
                 self.placement.learn(load)
+                self.placement.ended(
+                    context.call.service, load.sidecar, ok=True
+                )
                 return requests.ServiceAnswer(
                     status, headers, body, attempt, replayed=False
                 )
@@ -252,6 +259,19 @@
         return max(context.deadline_at - self.timers.now(), _MIN_WAIT)
 
 
+def place_call(context: Context) -> calls.Call:
+    """Returns the call as the placement decision sees it."""
+    return calls.Call(
+        call_id=f"{context.name.scope}/{context.call.request}",
+        program=context.name.program,
+        root=context.name.program.partition(".")[0],
+        partner=context.name.partner,
+        agent="",
+        klass=context.klass,
+        deadline_at=context.deadline_at,
+    )
+
+
 def recorded_answer(reply: messages.Recorded) -> requests.ServiceAnswer:
     """Returns the answer that an earlier send of this call got."""
     status, headers, body = msgpack.unpackb(reply.answer, raw=False)
