--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a command."""
--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -40,9 +40,16 @@
 
 
 class Entry(msgspec.Struct, frozen=True):
-    """The entry role; `http` is the callers' `IP:PORT`."""
+    """The entry role.
+
+    Attributes:
+        http: The callers' `IP:PORT`.
+        notice_seconds: Time between a false /readyz and the first refusal on
+            a planned stop; longer than the balancer's polling interval.
+    """
 
     http: str
+    notice_seconds: float = 1.0
 
 
 class Sidecar(msgspec.Struct, frozen=True):
--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -13,7 +13,6 @@
 # on a connection that is just being closed.
 _SOCKET_SECONDS = 75.0
 _MAX_CONNECTIONS = 10_000
-_POLL_SECONDS = 0.02
 
 
 class HttpServer:
@@ -35,19 +34,10 @@
         self.pool = eventlet.GreenPool(_MAX_CONNECTIONS)
         self.server = eventlet.spawn(self._serve)
 
-    def stop(self, seconds: float) -> int:
-        """Stops accepting, waits for what is under way, then closes.
-
-        Returns:
-            The number of requests that were cut, 0 for a clean stop.
-        """
+    def stop(self) -> None:
+        """Stops accepting; what is under way goes on."""
         self.server.kill()
         self.listener.close()
-        left = seconds
-        while self.active and left > 0:
-            eventlet.sleep(_POLL_SECONDS)
-            left -= _POLL_SECONDS
-        return self.active
 
     def _serve(self) -> None:
         wsgi.server(
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -45,6 +45,7 @@
         self.timers = timers
         self.metrics = metrics
         self.views: OrderedDict[str, messages.ProgramView] = OrderedDict()
+        self.leaving = False
         self.draining = False
         self.running = 0
         attempts = attempts_module.Attempts(control, streams, timers)
@@ -57,7 +58,7 @@
 
     def ready(self) -> bool:
         """Tells the balancer whether this entry takes new work."""
-        return not self.draining and self.directory.in_lease()
+        return not self.leaving and self.directory.in_lease()
 
     def models(self) -> list[str]:
         """Returns the names of the model services."""
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -301,9 +301,9 @@
         """Drains, waits for what runs, and returns how many were cut."""
         self.drain()
         until = self.timers.now() + limit
-        while self._under_way() and self.timers.now() < until:
+        while self.under_way() and self.timers.now() < until:
             self.timers.sleep(_STOP_STEP)
-        cut = self._under_way()
+        cut = self.under_way()
         self.reporter.stopped = True
         for attempt in cut:
             failure = errors.OutcomeUnknown("The sidecar was stopped.")
@@ -312,7 +312,8 @@
             subscription.cancel()
         return len(cut)
 
-    def _under_way(self) -> list[sidecar_attempts.Attempt]:
+    def under_way(self) -> list[sidecar_attempts.Attempt]:
+        """Returns the attempts that wait or run."""
         return [*self.attempts.running(), *self.loose]
 
     def _new_runner(
