Report every fault of a manifest at once, with its path

msgspec stops at the first fault, so an operator would push once per fault. A walk over msgspec's type description lists all of them, then faults between fields. is_idempotent resolves dots and escapes before it matches, so that a dispatch cannot pass for a status read.

--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -3,10 +3,19 @@
 Unknown and ill-typed fields are faults. `parse` reports every fault at once.
 """
 
+import posixpath
+from typing import Any
 from typing import Literal
+from typing import NamedTuple
+from urllib import parse as url
 
 import msgspec
 
+from mintcleat.domain import errors
+from mintcleat.domain import manifest_faults
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+
 
 class Tool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A tool of an agent program: calls of one plain service."""
@@ -90,3 +99,93 @@
 
 
 SECTIONS = ("programs", "services", "policies")
+
+
+class Change(NamedTuple):
+    """One field that differs; None stands for a field that is absent."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def parse(text: str | bytes) -> Manifest:
+    """Returns the manifest that a JSON text describes.
+
+    Raises:
+        errors.InvalidManifest: Its detail lists every fault, one a line, each
+            with the path of its field.
+    """
+    try:
+        raw = msgspec.json.decode(text)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise errors.InvalidManifest(f"$: no valid JSON: {error}.") from None
+    faults = manifest_faults.schema_faults(raw, Manifest)
+    if not faults:
+        parsed = msgspec.convert(raw, Manifest)
+        faults = manifest_faults.reference_faults(parsed)
+        if not faults:
+            return parsed
+    lines = [f"{fault.path}: {fault.problem}." for fault in faults]
+    raise errors.InvalidManifest("\n".join(lines))
+
+
+def render(manifest: Manifest) -> str:
+    """Returns the manifest as JSON with sorted keys, for people to read."""
+    data = msgspec.json.encode(manifest, order="sorted")
+    return msgspec.json.format(data, indent=2).decode()
+
+
+def is_idempotent(service: Service, method: str, path: str) -> bool:
+    """Tells whether a request to a plain service may run more than once.
+
+    The path is decoded and its dots are resolved first. Otherwise
+    `/status/../dispatch` would pass for a status read while the service runs
+    a dispatch, and a lost answer would send two crews out.
+    """
+    method = method.upper()
+    plain = _resolved(path)
+    for pattern in service.non_idempotent:
+        verb, prefix = _pattern(pattern)
+        if verb in ("*", method) and plain.startswith(prefix):
+            return False
+    for pattern in service.idempotent:
+        verb, prefix = _pattern(pattern)
+        if verb in ("*", method) and _within(plain, prefix):
+            return True
+    return method in IDEMPOTENT_METHODS
+
+
+def diff(before: Manifest, after: Manifest) -> list[Change]:
+    """Returns the fields that differ, in the order of their paths."""
+    changes: list[Change] = []
+    _compare(
+        "$", msgspec.to_builtins(before), msgspec.to_builtins(after), changes
+    )
+    return changes
+
+
+def _compare(path: str, before: Any, after: Any, changes: list[Change]) -> None:
+    if before == after:
+        return
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        changes.append(Change(path, before, after))
+        return
+    for name in sorted(before.keys() | after.keys()):
+        _compare(f"{path}.{name}", before.get(name), after.get(name), changes)
+
+
+def _resolved(path: str) -> str:
+    decoded = url.unquote(path.partition("?")[0])
+    return "/" + posixpath.normpath("/" + decoded).lstrip("/")
+
+
+def _pattern(pattern: str) -> tuple[str, str]:
+    verb, _, prefix = pattern.partition(" ")
+    return verb.upper(), prefix
+
+
+def _within(path: str, prefix: str) -> bool:
+    """Matches whole path segments, so `/find` does not admit `/findings`."""
+    trimmed = prefix.rstrip("/")
+    return path == trimmed or path.startswith(trimmed + "/")
--- /dev/null
+++ b/testing/test_manifest.py
@@ -0,0 +1,121 @@
+"""Every fault is reported; unsafe paths do not pass for idempotent ones."""
+
+import pathlib
+
+import testtools
+from testtools import matchers
+
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples" / "manifests"
+
+
+def faults_of(text: str) -> list[str]:
+    try:
+        manifest.parse(text)
+    except errors.InvalidManifest as error:
+        return error.detail.splitlines()
+    return []
+
+
+class ParseTest(testtools.TestCase):
+    def test_examples_are_valid_and_survive_rendering(self) -> None:
+        for name in ("breakdown-desk.json", "bugdesk.json"):
+            parsed = manifest.parse((EXAMPLES / name).read_text())
+            again = manifest.parse(manifest.render(parsed))
+            self.assertThat(again, matchers.Equals(parsed))
+
+    def test_every_schema_fault_is_listed_with_its_path(self) -> None:
+        found = faults_of(
+            '{"programs": {"a": {"turns": "x", "class": "slow"}},'
+            ' "services": {"b": {"kind": "plain", "floor": -1, "extra": 1,'
+            ' "idempotent": [3]}}, "polices": {}}'
+        )
+        paths = sorted(line.partition(":")[0] for line in found)
+        self.assertEqual(
+            [
+                "$.polices",
+                "$.programs.a.class",
+                "$.programs.a.service",
+                "$.programs.a.turns",
+                "$.services.b.extra",
+                "$.services.b.floor",
+                "$.services.b.idempotent[0]",
+            ],
+            paths,
+        )
+
+    def test_every_reference_fault_is_listed(self) -> None:
+        found = faults_of(
+            '{"programs": {"a": {"service": "none", "tools":'
+            ' {"t": {"service": "m"}}}},'
+            ' "services": {"m": {"kind": "model", "model": "x",'
+            ' "replicas": 1, "floor": 2}},'
+            ' "policies": {"default_partner": "nobody"}}'
+        )
+        paths = [line.partition(":")[0] for line in found]
+        self.assertEqual(
+            [
+                "$.programs.a.service",
+                "$.programs.a.tools.t.service",
+                "$.services.m.floor",
+                "$.policies.default_partner",
+            ],
+            paths,
+        )
+
+    def test_text_that_is_no_json_is_one_typed_fault(self) -> None:
+        self.assertEqual(1, len(faults_of('{"programs": ')))
+
+    def test_a_whole_number_is_not_true_or_false(self) -> None:
+        text = '{"services": {"b": {"kind": "plain", "fencing": 1}}}'
+        self.assertIn("$.services.b.fencing", faults_of(text)[0])
+
+
+class IdempotentTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.service = manifest.Service(
+            kind="plain",
+            idempotent=["POST /search"],
+            non_idempotent=["GET /dispatch", "PUT /parts"],
+        )
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        return manifest.is_idempotent(self.service, method, path)
+
+    def test_defaults_follow_the_method(self) -> None:
+        self.assertTrue(self.is_idempotent("get", "status"))
+        self.assertFalse(self.is_idempotent("POST", "/book"))
+
+    def test_listed_patterns_override_the_method(self) -> None:
+        self.assertTrue(self.is_idempotent("POST", "/search/parts?q=1"))
+        self.assertFalse(self.is_idempotent("PUT", "/parts/7"))
+
+    def test_prefix_of_an_idempotent_path_ends_at_a_segment(self) -> None:
+        self.assertFalse(self.is_idempotent("POST", "/searching"))
+
+    def test_dots_and_escapes_do_not_hide_a_non_idempotent_path(self) -> None:
+        """The caller sends a dispatch whose path looks like another one.
+
+        Taken for idempotent, it would be retried after a lost answer and two
+        crews would go out.
+        """
+        self.assertFalse(self.is_idempotent("GET", "/status/../dispatch"))
+        self.assertFalse(self.is_idempotent("GET", "/%64ispatch"))
+        self.assertFalse(self.is_idempotent("GET", "//dispatch"))
+        self.assertFalse(self.is_idempotent("POST", "/search/%2e%2e/book"))
+
+
+class DiffTest(testtools.TestCase):
+    def test_only_changed_fields_are_listed(self) -> None:
+        before = manifest.parse((EXAMPLES / "bugdesk.json").read_text())
+        text = manifest.render(before).replace(
+            '"version": "1"', '"version": "2"'
+        )
+        changes = manifest.diff(before, manifest.parse(text))
+        self.assertEqual(
+            [("$.services.agent-model.version", "1", "2")],
+            [tuple(change) for change in changes],
+        )
