--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -612,6 +612,210 @@
     """Liveness probe; answered by Done."""
 
 
+class NodeStatus(NamedTuple):
+    """One node as the control instance that serves it knows it.
+
+    Attributes:
+        applied_at: Wall clock at which it reported `revision`.
+        lease: Seconds that its configuration lease still runs.
+        connected: Whether its stream is open.
+        control: Control instance that reports it.
+    """
+
+    node: Incarnation
+    role: str
+    failure_domain: str
+    address: str
+    revision: int
+    applied_at: float
+    lease: float
+    connected: bool
+    control: str
+
+
+class ShowNodes(NamedTuple):
+    """Asks a control instance for the nodes that it serves itself."""
+
+
+class ShowInstances(NamedTuple):
+    """Asks the config leader for every node."""
+
+
+class Instances(NamedTuple):
+    """Answer to ShowNodes and ShowInstances.
+
+    Attributes:
+        missing: Control instances that gave no answer.
+    """
+
+    revision: int
+    nodes: list[NodeStatus]
+    missing: list[str] = []
+
+
+class Restrictions(NamedTuple):
+    """What operators and crashes forbid, whole each time.
+
+    Attributes:
+        drains: `instance/NAME` and `failure_domain/NAME`.
+        quarantined: Request digests that run nowhere.
+        suspects: Request digests that run beside no other suspect.
+        control: Stream addresses of the control instances.
+    """
+
+    version: int
+    drains: list[str]
+    quarantined: list[bytes]
+    suspects: list[bytes]
+    control: list[str] = []
+
+
+class ShowUpstreams(NamedTuple):
+    """Asks the config leader for the announced upstreams."""
+
+
+class UpstreamView(NamedTuple):
+    """An announced upstream.
+
+    Attributes:
+        drained: Whether an operator drains it or its failure domain.
+        duplicates: Other live incarnations with its name.
+        starts: Incarnations seen within the last minute.
+    """
+
+    announcement: Announcement
+    drained: bool
+    duplicates: list[Incarnation]
+    starts: int
+
+
+class Upstreams(NamedTuple):
+    """Answer to ShowUpstreams."""
+
+    upstreams: list[UpstreamView]
+
+
+class DrainScope(NamedTuple):
+    """Drains an instance or a failure domain, or ends the draining.
+
+    Attributes:
+        scope: `instance` or `failure_domain`.
+    """
+
+    scope: str
+    name: str
+    drain: bool
+    operator: str
+    origin: str
+
+
+class ShowAudit(NamedTuple):
+    """Asks for audit entries with numbers above `after`, oldest first."""
+
+    after: int = 0
+    limit: int = 1000
+
+
+class AuditEntry(NamedTuple):
+    """One audited act; `at` is in seconds since 1970."""
+
+    at: float
+    operator: str
+    origin: str
+    action: str
+    subject: str
+    outcome: str
+    number: int
+
+
+class AuditTrail(NamedTuple):
+    """Answer to ShowAudit."""
+
+    entries: list[AuditEntry]
+
+
+class ShowQuarantine(NamedTuple):
+    """Asks for the suspect and quarantined requests."""
+
+
+class QuarantineEntry(NamedTuple):
+    """A request; `until` is the wall clock at which the entry expires."""
+
+    digest: bytes
+    upstreams: list[str]
+    until: float
+    quarantined: bool
+
+
+class QuarantineList(NamedTuple):
+    """Answer to ShowQuarantine."""
+
+    entries: list[QuarantineEntry]
+
+
+class ReleaseQuarantine(NamedTuple):
+    """Takes a request off the quarantine list."""
+
+    digest: bytes
+    operator: str
+    origin: str
+
+
+class ReportCrash(NamedTuple):
+    """A sidecar's upstream crashed with these requests in flight.
+
+    Attributes:
+        number: Counts the crashes of one incarnation; makes a resend safe.
+    """
+
+    sidecar: Incarnation
+    number: int
+    digests: list[bytes]
+
+
+class ReadFence(NamedTuple):
+    """Asks for the highest fencing number by a linearizable read."""
+
+    instance: str
+
+
+class Fence(NamedTuple):
+    """No order of the instance committed so far has a higher number."""
+
+    fence: int
+
+
+class ShowRollouts(NamedTuple):
+    """Asks for the rollouts by service."""
+
+
+class RolloutView(NamedTuple):
+    """A rollout; `state` is running, paused, returning, returned or done."""
+
+    service: str
+    target: str
+    previous: str
+    state: str
+    reason: str
+    at: float
+
+
+class Rollouts(NamedTuple):
+    """Answer to ShowRollouts."""
+
+    rollouts: list[RolloutView]
+
+
+class SetControl(NamedTuple):
+    """Notes a control instance; an empty address removes it."""
+
+    instance: str
+    address: str
+    failure_domain: str
+    operator: str
+    origin: str
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -661,6 +865,29 @@
             Order,
             DrainUpstream,
             Ping,
+            NodeStatus,
+            ShowNodes,
+            ShowInstances,
+            Instances,
+            Restrictions,
+            ShowUpstreams,
+            UpstreamView,
+            Upstreams,
+            DrainScope,
+            ShowAudit,
+            AuditEntry,
+            AuditTrail,
+            ShowQuarantine,
+            QuarantineEntry,
+            QuarantineList,
+            ReleaseQuarantine,
+            ReportCrash,
+            ReadFence,
+            Fence,
+            ShowRollouts,
+            RolloutView,
+            Rollouts,
+            SetControl,
         ),
         start=1,
     )
