Add the state machine of the config group

Push is compare-and-set and looks its id up first, so a resend gets its first answer. Sections carry the revision of their change, so a node hundreds of revisions behind gets each changed section once. Fencing numbers, permits, quarantine, draining and the audit trail stand beside it; time comes in the commands.

--- /dev/null
+++ b/src/mintcleat/configuration/document.py
@@ -0,0 +1,188 @@
+"""The manifest in force, by section, with the revision of each change."""
+
+from typing import Any
+from typing import NamedTuple
+
+from mintcleat.configuration import commands
+from mintcleat.configuration import sections
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+
+# A push may be sent again for as long as its id is kept. The design size of
+# 9,600 changes a day fits twice; a resend comes within minutes.
+PUSHES_KEPT = 20_000
+# A removed section must be told to nodes that still hold it. Nodes that are
+# behind the oldest removal kept get the whole manifest instead.
+REMOVALS_KEPT = 5_000
+# Above this share of the whole, a delta saves nothing worth two code paths
+# at the node, and a whole manifest also mends whatever the node holds.
+WHOLE_SHARE = 0.8
+# Nodes lag by few distinct revisions at a time.
+UPDATES_CACHED = 64
+
+
+class Accepted(NamedTuple):
+    """A push that won its revision."""
+
+    revision: int
+    operator: str
+    at: float
+
+
+class Update(NamedTuple):
+    """What brings a node to `revision`; an empty text removes a section."""
+
+    revision: int
+    whole: bool
+    sections: dict[str, str]
+
+
+class Document:
+    """Sections of the manifest and the pushes that made them.
+
+    Attributes:
+        changed_at: Revision of the last change, by section.
+        removed_at: Revision of the removal, by section, oldest first.
+        horizon: Nodes below this revision cannot be brought up by a delta.
+        pushes: Accepted pushes by id, oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.sections: dict[str, str] = {}
+        self.changed_at: dict[str, int] = {}
+        self.removed_at: dict[str, int] = {}
+        self.horizon = 0
+        self.pushes: dict[str, Accepted] = {}
+        self.cached: dict[int, Update] = {}
+
+    def push(
+        self, command: commands.Push
+    ) -> Accepted | errors.RevisionConflict:
+        """Applies a push, or answers a resend with its first outcome.
+
+        The id is looked up before the revision is compared. Otherwise an
+        operator who lost the answer and resends would be told of a conflict
+        with his own push.
+        """
+        known = self.pushes.get(command.push_id)
+        if known is not None:
+            return known
+        if command.expected != self.revision:
+            return self._conflict(command.expected)
+        self.revision += 1
+        for key, text in command.changed.items():
+            self.sections[key] = text
+            self.changed_at[key] = self.revision
+            self.removed_at.pop(key, None)
+        for key in command.removed:
+            self._remove(key, self.revision)
+        accepted = Accepted(self.revision, command.operator, command.at)
+        self.pushes[command.push_id] = accepted
+        self._forget_old()
+        return accepted
+
+    def update_since(self, revision: int) -> Update:
+        """Returns what brings a node from `revision` to the one in force.
+
+        The cost follows the sections that changed, however many revisions
+        lie between.
+        """
+        if revision not in self.cached:
+            if len(self.cached) >= UPDATES_CACHED:
+                self.cached.clear()
+            self.cached[revision] = self._update_since(revision)
+        return self.cached[revision]
+
+    def follow(self, update: Update) -> None:
+        """Takes an update from another document; lower ones change nothing.
+
+        Changes of several revisions count as changes of the last. A node in
+        between gets some sections that it has already, and none too few.
+        """
+        if update.revision <= self.revision:
+            return
+        gone = [key for key, text in update.sections.items() if not text]
+        if update.whole:
+            gone = [key for key in self.sections if key not in update.sections]
+        for key, text in update.sections.items():
+            if text and self.sections.get(key) != text:
+                self.sections[key] = text
+                self.changed_at[key] = update.revision
+                self.removed_at.pop(key, None)
+        for key in gone:
+            self._remove(key, update.revision)
+        self.revision = update.revision
+        self._forget_old()
+
+    def manifest(self) -> manifest.Manifest:
+        """Returns the manifest in force."""
+        return sections.join(self.sections)
+
+    def state(self) -> list[Any]:
+        """Returns everything as plain data."""
+        return [
+            self.revision,
+            self.sections,
+            self.changed_at,
+            self.removed_at,
+            self.horizon,
+            {key: list(push) for key, push in self.pushes.items()},
+        ]
+
+    def load(self, state: list[Any]) -> None:
+        """Takes what `state` returned."""
+        self.cached.clear()
+        self.revision = state[0]
+        self.sections = state[1]
+        self.changed_at = state[2]
+        self.removed_at = state[3]
+        self.horizon = state[4]
+        self.pushes = {key: Accepted(*push) for key, push in state[5].items()}
+
+    def _conflict(self, expected: int) -> errors.RevisionConflict:
+        # The pushes are in the order of their revisions.
+        wanted = min(expected + 1, self.revision)
+        for push_id, push in reversed(self.pushes.items()):
+            if push.revision == wanted:
+                return errors.RevisionConflict(
+                    f"Revision {self.revision} is in force, not {expected}: "
+                    f"{push.operator} won revision {push.revision} with push "
+                    f"{push_id}."
+                )
+        return errors.RevisionConflict(
+            f"Revision {self.revision} is in force, not {expected}."
+        )
+
+    def _update_since(self, revision: int) -> Update:
+        if revision >= self.revision:
+            # A node that is ahead of this instance is never taken back.
+            return Update(self.revision, False, {})
+        if revision < self.horizon or not revision:
+            return Update(self.revision, True, self.sections)
+        found = {
+            key: self.sections[key]
+            for key, at in self.changed_at.items()
+            if at > revision
+        }
+        size = sum(map(len, found.values()))
+        if size > WHOLE_SHARE * sum(map(len, self.sections.values())):
+            return Update(self.revision, True, self.sections)
+        for key, at in self.removed_at.items():
+            if at > revision:
+                found[key] = ""
+        return Update(self.revision, False, found)
+
+    def _remove(self, key: str, revision: int) -> None:
+        self.sections.pop(key, None)
+        self.changed_at.pop(key, None)
+        self.removed_at.pop(key, None)
+        self.removed_at[key] = revision
+
+    def _forget_old(self) -> None:
+        self.cached.clear()
+        while len(self.pushes) > PUSHES_KEPT:
+            del self.pushes[next(iter(self.pushes))]
+        while len(self.removed_at) > REMOVALS_KEPT:
+            oldest = next(iter(self.removed_at))
+            self.horizon = self.removed_at.pop(oldest)
--- /dev/null
+++ b/src/mintcleat/configuration/machine.py
@@ -0,0 +1,264 @@
+"""The state machine of the config group; see `ports.log.StateMachine`.
+
+It reads no clock and no chance: time comes in the commands, so that every
+replica applies the same command to the same result.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from mintcleat.configuration import audit
+from mintcleat.configuration import commands
+from mintcleat.configuration import document
+from mintcleat.configuration import permits
+from mintcleat.configuration import quarantine
+from mintcleat.configuration import rollouts
+from mintcleat.domain import errors
+
+GROUP = "config"
+FORMAT = 1
+SCOPES = ("instance", "failure_domain")
+ACCEPTED = "accepted"
+
+
+class Member(NamedTuple):
+    """A control instance as operators added it."""
+
+    instance: str
+    address: str
+    failure_domain: str
+
+
+class Office(NamedTuple):
+    """The leader that may decide now; a higher number voids older ones."""
+
+    number: int
+    instance: str
+    at: float
+
+
+class ConfigMachine:
+    """Manifest, orders, permits, quarantine, draining, members and audit.
+
+    Attributes:
+        drains: Draining scopes by `scope/name`, with when it was ordered.
+        restrictions: Grows when `drains` or `quarantine` changes.
+        subscribers: Called after each applied command or restore.
+    """
+
+    def __init__(self) -> None:
+        self.office = Office(0, "", 0.0)
+        self.document = document.Document()
+        self.trail = audit.Trail()
+        self.ledger = rollouts.Ledger()
+        self.bucket = permits.Bucket()
+        self.quarantine = quarantine.Registry()
+        self.drains: dict[str, float] = {}
+        self.members: dict[str, Member] = {}
+        self.restrictions = 0
+        self.subscribers: list[Callable[[], None]] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Applies one command; a refusal is returned as a typed error."""
+        decoded = commands.decode(command)
+        office = getattr(decoded, "office", None)
+        if office is not None and office != self.office.number:
+            # A leader that was replaced may still have commands in flight.
+            # Applied late, they would decide against the new leader's state.
+            result: Any = errors.NotLeader("")
+        else:
+            result = self._apply(decoded)
+        for callback in self.subscribers:
+            callback()
+        return result
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return msgspec.msgpack.encode(
+            [
+                FORMAT,
+                list(self.office),
+                self.document.state(),
+                self.trail.state(),
+                self.ledger.state(),
+                self.bucket.state(),
+                self.quarantine.state(),
+                self.drains,
+                [list(member) for member in self.members.values()],
+                self.restrictions,
+            ]
+        )
+
+    def restore(self, state: bytes) -> None:
+        """Replaces the whole state by a snapshot."""
+        items = msgspec.msgpack.decode(state)
+        if items[0] != FORMAT:
+            raise errors.StorageDamaged(
+                f"The config snapshot has format {items[0]}, not {FORMAT}.",
+                remedy="Run the release that wrote it, or a newer one.",
+            )
+        self.office = Office(*items[1])
+        self.document.load(items[2])
+        self.trail.load(items[3])
+        self.ledger.load(items[4])
+        self.bucket.load(items[5])
+        self.quarantine.load(items[6])
+        self.drains = items[7]
+        members = [Member(*item) for item in items[8]]
+        self.members = {member.instance: member for member in members}
+        self.restrictions = items[9]
+        for callback in self.subscribers:
+            callback()
+
+    def draining(self, instance: str, failure_domain: str) -> bool:
+        """Tells whether an operator drains the instance or its domain."""
+        return (
+            f"instance/{instance}" in self.drains
+            or f"failure_domain/{failure_domain}" in self.drains
+        )
+
+    def _apply(self, command: Any) -> Any:
+        match command:
+            case commands.TakeOffice():
+                self.office = Office(
+                    self.office.number + 1, command.instance, command.at
+                )
+                return self.office
+            case commands.Push():
+                return self._push(command)
+            case commands.Note():
+                self._audit(
+                    command, command.action, command.subject, command.outcome
+                )
+                return True
+            case commands.TakeFence(count=count):
+                return self.ledger.take(count)
+            case commands.TakePermit():
+                return self.bucket.take(
+                    command.holder,
+                    command.per_minute,
+                    command.burst,
+                    command.at,
+                )
+            case commands.SetDrain():
+                return self._drain(command)
+            case commands.Suspect():
+                return self._suspect(command)
+            case commands.Release():
+                return self._release(command)
+            case commands.SetMember():
+                return self._set_member(command)
+            case _:
+                return self._apply_order(command)
+
+    def _apply_order(self, command: Any) -> Any:
+        match command:
+            case commands.StartRollout():
+                return self.ledger.start(command)
+            case commands.PlanOrder():
+                return self.ledger.plan(command)
+            case commands.EndOrder():
+                return self.ledger.end(command)
+            case commands.SetRollout(service=service, reason=reason):
+                changed = self.ledger.set_state(command)
+                if changed:
+                    self._audit_own(
+                        command.at,
+                        f"rollout {command.state}",
+                        service,
+                        reason or ACCEPTED,
+                    )
+                return changed
+            case _:
+                return errors.BadRequest(f"No command {command!r}.")
+
+    def _push(self, command: commands.Push) -> Any:
+        known = command.push_id in self.document.pushes
+        result = self.document.push(command)
+        subject = f"push {command.push_id}: {command.summary}"
+        if isinstance(result, errors.MintcleatError):
+            self._audit(command, "push", subject, f"refused: {result.detail}")
+        elif known:
+            self._audit(
+                command, "push", subject, f"resend of {result.revision}"
+            )
+        else:
+            self._audit(
+                command, "push", subject, f"accepted as {result.revision}"
+            )
+        return result
+
+    def _drain(self, command: commands.SetDrain) -> Any:
+        if command.scope not in SCOPES:
+            return errors.BadRequest(f"No scope {command.scope!r} to drain.")
+        key = f"{command.scope}/{command.name}"
+        if command.drain:
+            self.drains.setdefault(key, command.at)
+        else:
+            self.drains.pop(key, None)
+        self.restrictions += 1
+        action = "drain" if command.drain else "undrain"
+        self._audit(command, action, key, ACCEPTED)
+        return True
+
+    def _suspect(self, command: commands.Suspect) -> list[bytes]:
+        new = self.quarantine.crash(
+            command.crash,
+            command.upstream,
+            command.digests,
+            command.seconds,
+            command.at,
+        )
+        self.restrictions += 1
+        for digest in new:
+            self._audit_own(
+                command.at,
+                "quarantine",
+                digest.hex(),
+                f"crashed {command.upstream}",
+            )
+        return new
+
+    def _release(self, command: commands.Release) -> bool:
+        found = self.quarantine.release(command.digest)
+        self.restrictions += 1
+        outcome = ACCEPTED if found else "refused: not listed"
+        self._audit(command, "release", command.digest.hex(), outcome)
+        return found
+
+    def _set_member(self, command: commands.SetMember) -> bool:
+        if command.address:
+            self.members[command.instance] = Member(
+                command.instance, command.address, command.failure_domain
+            )
+        else:
+            self.members.pop(command.instance, None)
+        subject = f"{command.instance} {command.address}".strip()
+        self._audit(command, "member", subject, ACCEPTED)
+        return True
+
+    def _audit(
+        self, command: Any, action: str, subject: str, outcome: str
+    ) -> None:
+        self.trail.add(
+            audit.Entry(
+                command.at,
+                command.operator,
+                command.origin,
+                action,
+                subject,
+                outcome,
+            )
+        )
+
+    def _audit_own(
+        self, at: float, action: str, subject: str, outcome: str
+    ) -> None:
+        """Notes what the system did by itself."""
+        origin = self.office.instance
+        self.trail.add(
+            audit.Entry(at, "mintcleat", origin, action, subject, outcome)
+        )
