Serve the configuration, its leases and the members from control

Leaders grant leases of 4 s counted from when the node sent the request; other control instances grant parts of the lease they hold. A new leader takes an office number, which voids older leaders' commands, and accepts pushes after older leases ended. A node's first revision waits until its control instance has asked the leader.

--- /dev/null
+++ b/src/mintcleat/configuration/lease.py
@@ -0,0 +1,44 @@
+"""The configuration lease: until when a node may act on its revision."""
+
+# Lease that the config leader grants. After it accepts a push, a node that
+# did not apply it is out of lease within this time, so the push is in force
+# everywhere in under 5 s, the goal of the users' plan.
+MAX_LEASE = 4.0
+# Between two renewals of a node. Three may be lost before the lease is.
+RENEW = 1.0
+# Control instances renew more often, so that nodes behind them get leases of
+# at least MAX_LEASE - RELAY_RENEW and still survive two lost renewals.
+RELAY_RENEW = 0.5
+# A node that got no renewal for so long asks another control instance. Two
+# seconds of lease are left then to find one.
+MOVE_AFTER = 2.0
+# A sidecar's announcement is dropped when it is not renewed for so long.
+MEMBER_LEASE = 4.0
+
+
+class Lease:
+    """A lease as its holder keeps it, on the holder's own clock.
+
+    It counts from when the holder sent the request that the grant echoes.
+    Counted from the arrival of the grant, a grant that was delayed on the
+    way would let a cut-off node act after the granter gave it up.
+
+    Attributes:
+        echo: Newest request that was granted.
+        expires: Clock at which the lease ends.
+    """
+
+    def __init__(self) -> None:
+        self.echo = float("-inf")
+        self.expires = float("-inf")
+
+    def renew(self, echo: float, seconds: float) -> None:
+        """Takes a grant; a grant of 0 seconds promises nothing."""
+        if seconds <= 0:
+            return
+        self.echo = max(self.echo, echo)
+        self.expires = max(self.expires, echo + seconds)
+
+    def left(self, now: float) -> float:
+        """Returns the seconds left, or 0."""
+        return max(0.0, self.expires - now)
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -45,7 +45,7 @@
 
     Attributes:
         drains: Draining scopes by `scope/name`, with when it was ordered.
-        restrictions: Grows when `drains` or `quarantine` changes.
+        restrictions: Grows when `drains`, `quarantine` or `members` changes.
         subscribers: Called after each applied command or restore.
     """
 
@@ -236,6 +236,7 @@
             )
         else:
             self.members.pop(command.instance, None)
+        self.restrictions += 1
         subject = f"{command.instance} {command.address}".strip()
         self._audit(command, "member", subject, ACCEPTED)
         return True
@@ -262,3 +263,8 @@
         self.trail.add(
             audit.Entry(at, "mintcleat", origin, action, subject, outcome)
         )
+
+
+def plain_copy(state: list[Any]) -> list[Any]:
+    """Returns a copy of plain data that shares nothing that changes."""
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(state))
--- /dev/null
+++ b/src/mintcleat/roles/config_feed.py
@@ -0,0 +1,295 @@
+"""Serves the configuration streams of nodes and of other control instances.
+
+Each peer has a reader (the handler's green thread) and a writer. The writer
+sends the difference between what the peer has and what is in force now, so
+changes that come while it is busy travel as one.
+"""
+
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from eventlet import queue
+
+from mintcleat.configuration import document
+from mintcleat.configuration import lease
+from mintcleat.configuration import members
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+
+CONTROL = "control"
+# A peer that is silent for so long is taken for lost.
+SILENCE = 3 * lease.MOVE_AFTER
+# Nodes that went away stay in the operators' list for this time.
+GONE_SHOWN = 60.0
+NO_CLOCK = float("-inf")
+
+
+class Source(Protocol):
+    """What a feed serves: the leader's state, or what a relay was told."""
+
+    table: members.Table
+
+    def document(self) -> document.Document:
+        """Returns the document to serve."""
+
+    def lease_left(self) -> float:
+        """Returns the seconds for which a lease may be granted."""
+
+    def confirmed_at(self) -> float:
+        """Returns a clock at which the document surely was in force."""
+
+    def confirm(self) -> None:
+        """Asks for a newer `confirmed_at`."""
+
+    def restrictions(self) -> messages.Restrictions:
+        """Returns what operators and crashes forbid."""
+
+    def serves_control(self) -> bool:
+        """Tells whether other control instances may follow this one."""
+
+
+class Status(NamedTuple):
+    """What is known of a node; clocks are this instance's own.
+
+    Attributes:
+        lease_until: End of the longest lease granted to it.
+        lost_at: When its stream ended; infinite while it is open.
+    """
+
+    follow: messages.Follow
+    revision: int
+    applied_at: float
+    lease_until: float
+    lost_at: float
+
+
+class Peer:
+    """One stream and what its other side has."""
+
+    def __init__(
+        self,
+        exchange: stream_ports.Exchange,
+        follow: messages.Follow,
+        opened: float,
+    ) -> None:
+        self.exchange = exchange
+        self.follow = follow
+        self.opened = opened
+        self.sent = follow.revision
+        self.applied = follow.revision
+        self.echo = NO_CLOCK
+        self.members_sent = 0
+        self.restrictions_sent = -1
+        self.announced: messages.Announcement | None = None
+        self.duplicate: bool | None = None
+        self.closed = False
+        self.signal: queue.LightQueue = queue.LightQueue(1)
+
+    def wake(self) -> None:
+        """Makes the writer look for something to send."""
+        if self.signal.empty():
+            self.signal.put_nowait(None)
+
+    def wait(self) -> None:
+        """Blocks the writer until `wake`."""
+        self.signal.get()
+
+
+class Feed:
+    """Peers of one control instance.
+
+    Attributes:
+        statuses: What is known of each node, lost ones included for a time.
+    """
+
+    def __init__(
+        self, instance: str, source: Source, timers: timer_ports.Timers
+    ) -> None:
+        self.instance = instance
+        self.source = source
+        self.timers = timers
+        self.peers: set[Peer] = set()
+        self.statuses: dict[messages.Incarnation, Status] = {}
+
+    def serve(
+        self, exchange: stream_ports.Exchange, follow: messages.Follow
+    ) -> None:
+        """Serves one stream until it ends."""
+        if follow.role == CONTROL and not self.source.serves_control():
+            raise errors.NotLeader("")
+        now = self.timers.now()
+        peer = Peer(exchange, follow, now)
+        self.peers.add(peer)
+        self._note(peer, lost_at=float("inf"))
+        self.timers.spawn(self._write, peer)
+        if follow.revision == 0:
+            self.source.confirm()
+        try:
+            while True:
+                self._read(peer, exchange.receive(SILENCE))
+        except (errors.StreamClosed, errors.StreamTimeout):
+            return
+        finally:
+            self._lose(peer)
+
+    def wake_all(self) -> None:
+        """Makes every writer look for something to send."""
+        for peer in self.peers:
+            peer.wake()
+
+    def close_control(self) -> None:
+        """Ends the streams of other control instances."""
+        for peer in list(self.peers):
+            if peer.follow.role == CONTROL:
+                peer.exchange.close()
+
+    def nodes(self) -> list[messages.NodeStatus]:
+        """Returns what is known of each node."""
+        now = self.timers.now()
+        wall = self.timers.wall()
+        found = []
+        for status in self.statuses.values():
+            follow = status.follow
+            found.append(
+                messages.NodeStatus(
+                    follow.node,
+                    follow.role,
+                    follow.failure_domain,
+                    follow.address,
+                    status.revision,
+                    wall - (now - status.applied_at),
+                    max(0.0, status.lease_until - now),
+                    status.lost_at == float("inf"),
+                    self.instance,
+                )
+            )
+        return found
+
+    def tick(self) -> None:
+        """Forgets nodes that went away a while ago."""
+        limit = self.timers.now() - GONE_SHOWN
+        for node, status in list(self.statuses.items()):
+            if status.lost_at < limit:
+                del self.statuses[node]
+
+    # --- Reading --------------------------------------------------------------
+
+    def _read(self, peer: Peer, message: Any) -> None:
+        table = self.source.table
+        now = self.timers.now()
+        match message:
+            case messages.Applied(revision=revision, clock=clock):
+                if revision != peer.applied:
+                    peer.applied = revision
+                    self._note(peer, applied_at=now)
+                peer.echo = clock
+                if peer.announced is not None:
+                    table.renew(peer.announced.sidecar, now)
+            case messages.Announce(announcement=announcement):
+                peer.announced = announcement
+                table.announce(announcement, now)
+                peer.duplicate = None
+            case messages.MembersUpdate():
+                table.relay(peer.follow.node.instance, message, now)
+        peer.wake()
+
+    def _lose(self, peer: Peer) -> None:
+        now = self.timers.now()
+        peer.closed = True
+        self.peers.discard(peer)
+        peer.wake()
+        successors = [
+            p for p in self.peers if p.follow.node == peer.follow.node
+        ]
+        if successors:
+            return
+        self._note(peer, lost_at=now)
+        if peer.follow.role == CONTROL:
+            self.source.table.lose(
+                peer.follow.node.instance, now, lease.MEMBER_LEASE
+            )
+
+    def _note(self, peer: Peer, **changes: float) -> None:
+        node = peer.follow.node
+        now = self.timers.now()
+        status = self.statuses.get(node) or Status(
+            peer.follow, peer.applied, now, NO_CLOCK, float("inf")
+        )
+        self.statuses[node] = status._replace(
+            follow=peer.follow, revision=peer.applied, **changes
+        )
+
+    # --- Writing --------------------------------------------------------------
+
+    def _write(self, peer: Peer) -> None:
+        peer.wake()
+        try:
+            while not peer.closed:
+                peer.wait()
+                for message in self.pending(peer):
+                    peer.exchange.send(message)
+        except errors.StreamClosed:
+            return
+
+    def pending(self, peer: Peer) -> list[Any]:
+        """Returns what the peer lacks, and notes it as sent."""
+        found: list[Any] = []
+        update = self._config(peer)
+        if update is not None:
+            found.append(update)
+        table = self.source.table
+        if peer.members_sent != table.version:
+            delta = table.update_since(peer.members_sent)
+            peer.members_sent = table.version
+            found.append(delta)
+        restrictions = self.source.restrictions()
+        if peer.restrictions_sent < restrictions.version:
+            peer.restrictions_sent = restrictions.version
+            found.append(restrictions)
+        reply = self._announced(peer)
+        if reply is not None:
+            found.append(reply)
+        return found
+
+    def _config(self, peer: Peer) -> messages.ConfigUpdate | None:
+        if peer.sent == 0 and self.source.confirmed_at() < peer.opened:
+            # This instance may lag. A restarted node would go back to a
+            # revision from before its restart, so it waits until this
+            # instance has asked the leader after the node came.
+            return None
+        update = self.source.document().update_since(peer.sent)
+        if update.revision <= peer.sent and peer.echo == NO_CLOCK:
+            return None
+        granted = self._grant(peer, update.revision)
+        echo = peer.echo if granted else 0.0
+        peer.echo = NO_CLOCK
+        peer.sent = max(peer.sent, update.revision)
+        return messages.ConfigUpdate(
+            update.revision, update.whole, update.sections, granted, echo
+        )
+
+    def _grant(self, peer: Peer, revision: int) -> float:
+        """Returns the lease that goes with `revision`; 0 for none."""
+        if peer.echo == NO_CLOCK or revision < peer.sent:
+            return 0.0
+        seconds = min(lease.MAX_LEASE, self.source.lease_left())
+        if seconds > 0:
+            self._note(peer, lease_until=self.timers.now() + seconds)
+        return seconds
+
+    def _announced(self, peer: Peer) -> messages.Announced | None:
+        if peer.announced is None:
+            return None
+        sidecar = peer.announced.sidecar
+        table = self.source.table
+        held = table.view.get(sidecar.instance)
+        newer = held is not None and held.sidecar.epoch > sidecar.epoch
+        if newer == peer.duplicate:
+            return None
+        peer.duplicate = newer
+        return messages.Announced(
+            peer.announced.counter, lease.MEMBER_LEASE, newer
+        )
--- /dev/null
+++ b/src/mintcleat/roles/config_relay.py
@@ -0,0 +1,125 @@
+"""A control instance that does not lead, as a relay of the leader.
+
+It follows the leader as a node does, and serves its own nodes from what it
+was told. Its leases are parts of the lease that the leader gave it, so when
+it is cut off, its nodes are out of lease with it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from mintcleat.configuration import document
+from mintcleat.configuration import lease
+from mintcleat.configuration import machine
+from mintcleat.configuration import members
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles import config_stream
+
+# Name of the source of members that the leader told.
+LEADER = "leader"
+
+
+class Relay:
+    """Follows the leader; a `config_stream.Owner`.
+
+    Attributes:
+        active: Whether this instance follows, that is, does not lead.
+        document: The manifest as last told.
+        on_change: Called after each change worth telling the nodes.
+    """
+
+    def __init__(
+        self,
+        follow: messages.Follow,
+        replica: machine.ConfigMachine,
+        table: members.Table,
+        *,
+        find_leader: Callable[[], str],
+        streams: stream_ports.Streams,
+        timers: timer_ports.Timers,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.identity = follow
+        self.replica = replica
+        self.table = table
+        self.find_leader = find_leader
+        self.timers = timers
+        self.on_change = on_change
+        self.active = True
+        self.lease = lease.Lease()
+        self.document = document.Document()
+        self.restrictions = messages.Restrictions(0, [], [], [])
+        self.told: dict[messages.Incarnation, messages.Announcement] = {}
+        self.stream = config_stream.ConfigStream(
+            self, streams, timers, lease.RELAY_RENEW
+        )
+
+    def pick(self, attempt: int) -> str:
+        """Returns the leader's address; empty while this instance leads."""
+        leader = self.find_leader()
+        if not self.active or leader == self.identity.address:
+            return ""
+        return leader
+
+    def follow(self) -> messages.Follow:
+        """Returns the first message of a stream.
+
+        The replica may be ahead of what was told here. Starting from it
+        saves a whole manifest for each relay after a failover.
+        """
+        if self.replica.document.revision > self.document.revision:
+            copied = document.Document()
+            copied.load(machine.plain_copy(self.replica.document.state()))
+            self.document = copied
+        return self.identity._replace(revision=self.document.revision)
+
+    def applied(self) -> int:
+        """Returns the revision told here."""
+        return self.document.revision
+
+    def outgoing(self, first: bool) -> list[Any]:
+        """Returns the changes of the members announced here."""
+        present = self.table.direct()
+        if first:
+            self.told = present
+            return [messages.MembersUpdate(True, list(present.values()), [])]
+        changed = [
+            item
+            for key, item in present.items()
+            if self.told.get(key) is not item
+        ]
+        gone = [key for key in self.told if key not in present]
+        self.told = present
+        if not changed and not gone:
+            return []
+        return [messages.MembersUpdate(False, changed, gone)]
+
+    def take(self, message: Any) -> None:
+        """Handles a message of the leader."""
+        match message:
+            case messages.ConfigUpdate():
+                self._take_config(message)
+            case messages.MembersUpdate():
+                self.table.relay(LEADER, message, self.timers.now())
+            case messages.Restrictions():
+                if message.version > self.restrictions.version:
+                    self.restrictions = message
+                    self.on_change()
+
+    def lease_left(self) -> float:
+        """Returns the seconds of the leader's lease that are left."""
+        return self.lease.left(self.timers.now())
+
+    def _take_config(self, update: messages.ConfigUpdate) -> None:
+        before = self.document.revision
+        if update.revision < before:
+            return
+        self.document.follow(
+            document.Update(update.revision, update.whole, update.sections)
+        )
+        self.lease.renew(update.echo, update.lease)
+        if self.document.revision > before:
+            self.stream.report()
+        self.on_change()
--- /dev/null
+++ b/src/mintcleat/roles/config_requests.py
@@ -0,0 +1,207 @@
+"""The config leader's answers to operators, nodes and sidecars."""
+
+from typing import Any
+from typing import Protocol
+
+from mintcleat.configuration import commands
+from mintcleat.configuration import lease
+from mintcleat.configuration import machine
+from mintcleat.configuration import sections
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles import config_feed
+from mintcleat.roles import membership
+
+KINDS = (
+    messages.PushManifest,
+    messages.ReadManifest,
+    messages.ShowInstances,
+    messages.ShowUpstreams,
+    messages.ShowAudit,
+    messages.ShowQuarantine,
+    messages.ShowRollouts,
+    messages.DrainScope,
+    messages.ReleaseQuarantine,
+    messages.ReportCrash,
+    messages.ReadFence,
+    messages.SetControl,
+)
+# One answer of the trail; operators ask on from the last number.
+AUDIT_PAGE = 2_000
+
+
+class Leader(Protocol):
+    """What the answers need of the config service."""
+
+    machine: machine.ConfigMachine
+    membership: membership.Membership
+    feed: config_feed.Feed
+    streams: stream_ports.Streams
+    timers: timer_ports.Timers
+    office: int
+
+    def propose(self, command: Any) -> Any:
+        """Commits a command and returns its result."""
+
+    def wait_to_decide(self) -> None:
+        """Blocks until no lease of an earlier leader can be alive."""
+
+
+class Requests:
+    """Answers requests; only the leader may be asked."""
+
+    def __init__(self, leader: Leader) -> None:
+        self.leader = leader
+
+    def answer(self, message: Any) -> Any:
+        """Returns the leader's answer; raises a typed error for a refusal."""
+        match message:
+            case messages.PushManifest():
+                return self._push(message)
+            case messages.ReadManifest():
+                return messages.ManifestView(
+                    self.leader.machine.document.revision,
+                    manifest.render(self.leader.machine.document.manifest()),
+                )
+            case messages.ShowInstances():
+                return self._instances()
+            case messages.ShowUpstreams():
+                return messages.Upstreams(
+                    self.leader.membership.views(self.leader.machine.draining)
+                )
+            case messages.ReadFence(instance=instance):
+                return messages.Fence(
+                    self.leader.machine.ledger.highest(instance)
+                )
+            case _:
+                return self._answer_more(message)
+
+    def _answer_more(self, message: Any) -> Any:
+        state = self.leader.machine
+        match message:
+            case messages.ShowAudit(after=after, limit=limit):
+                entries = state.trail.after(after, min(limit, AUDIT_PAGE))
+                return messages.AuditTrail(
+                    [messages.AuditEntry(*entry) for entry in entries]
+                )
+            case messages.ShowQuarantine():
+                return messages.QuarantineList(
+                    [
+                        messages.QuarantineEntry(*entry, entry.quarantined)
+                        for entry in state.quarantine.entries.values()
+                    ]
+                )
+            case messages.ShowRollouts():
+                return messages.Rollouts(
+                    [
+                        messages.RolloutView(
+                            rollout.service,
+                            rollout.target,
+                            rollout.previous,
+                            rollout.state,
+                            rollout.reason,
+                            rollout.at,
+                        )
+                        for rollout in state.ledger.rollouts.values()
+                    ]
+                )
+            case _:
+                self._change(message)
+                return messages.Done()
+
+    def _change(self, message: Any) -> None:
+        at = self.leader.timers.wall()
+        match message:
+            case messages.DrainScope():
+                self.leader.propose(commands.SetDrain(*message, at))
+            case messages.ReleaseQuarantine():
+                self.leader.propose(commands.Release(*message, at))
+            case messages.SetControl():
+                self.leader.propose(commands.SetMember(*message, at))
+            case messages.ReportCrash(sidecar=sidecar, number=number):
+                policies = self.leader.machine.document.manifest().policies
+                self.leader.propose(
+                    commands.Suspect(
+                        f"{sidecar.instance}/{sidecar.epoch}/{number}",
+                        sidecar.instance,
+                        message.digests,
+                        policies.quarantine_seconds,
+                        at,
+                    )
+                )
+            case _:
+                raise errors.BadRequest(
+                    f"No answer to {type(message).__name__}."
+                )
+
+    def _push(self, message: messages.PushManifest) -> messages.Pushed:
+        try:
+            parsed = manifest.parse(message.manifest)
+        except errors.InvalidManifest as error:
+            self._note_refusal(message, error)
+            raise
+        self.leader.wait_to_decide()
+        state = self.leader.machine.document
+        delta = sections.Delta({}, [])
+        if message.expected == state.revision:
+            delta = sections.difference(state.sections, sections.split(parsed))
+        summary = ", ".join([*delta.changed, *delta.removed])
+        accepted = self.leader.propose(
+            commands.Push(
+                self.leader.office,
+                message.expected,
+                message.push_id,
+                delta.changed,
+                delta.removed,
+                message.operator,
+                message.origin,
+                summary or "no change",
+                self.leader.timers.wall(),
+            )
+        )
+        return messages.Pushed(accepted.revision, message.push_id)
+
+    def _note_refusal(
+        self, message: messages.PushManifest, error: errors.MintcleatError
+    ) -> None:
+        self.leader.propose(
+            commands.Note(
+                message.operator,
+                message.origin,
+                "push",
+                f"push {message.push_id}",
+                f"refused: {error.detail}",
+                self.leader.timers.wall(),
+            )
+        )
+
+    def _instances(self) -> messages.Instances:
+        """Asks every control instance for its nodes."""
+        own = self.leader.feed.nodes()
+        best = {item.node: item for item in own}
+        missing = []
+        for control in own:
+            if control.role != config_feed.CONTROL or not control.connected:
+                continue
+            try:
+                answer = self.leader.streams.ask(
+                    control.address, messages.ShowNodes(), lease.RENEW
+                )
+            except errors.MintcleatError:
+                missing.append(control.node.instance)
+                continue
+            for item in answer.nodes:
+                held = best.get(item.node)
+                if held is None or _rank(item) > _rank(held):
+                    best[item.node] = item
+        nodes = sorted(best.values(), key=lambda item: item.node)
+        revision = self.leader.machine.document.revision
+        return messages.Instances(revision, nodes, missing)
+
+
+def _rank(item: messages.NodeStatus) -> tuple[bool, int, float]:
+    """Orders reports of one node: a moved node is reported twice."""
+    return item.connected, item.revision, item.lease
--- /dev/null
+++ b/src/mintcleat/roles/config_service.py
@@ -0,0 +1,272 @@
+"""The config group on one control instance.
+
+The leader decides; the others relay its configuration and leases to the
+nodes, and pass operators' requests on to it.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from mintcleat.configuration import commands
+from mintcleat.configuration import document
+from mintcleat.configuration import lease
+from mintcleat.configuration import machine
+from mintcleat.configuration import members
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import log as log_ports
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles import config_feed
+from mintcleat.roles import config_relay
+from mintcleat.roles import config_requests
+from mintcleat.roles import membership
+
+PROPOSE_SECONDS = 5.0
+ASK_SECONDS = 10.0
+RETRY_PAUSE = 0.1
+# How often a change of leadership is looked for. A leader that lost its lease
+# stops granting at once; this only bounds how soon a new one starts.
+TICK = 0.1
+
+
+class ConfigService:
+    """Serves nodes and operators; a `config_feed.Source`.
+
+    Attributes:
+        machine: This instance's replica of the config group.
+        office: The number under which this instance leads; 0 for none.
+        decides_at: Clock from which a push may be accepted here.
+        deciding: Called each TICK while this instance leads.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        failure_domain: str,
+        address: str,
+        *,
+        log: log_ports.ReplicatedLog,
+        streams: stream_ports.Streams,
+        timers: timer_ports.Timers,
+        replica: machine.ConfigMachine | None = None,
+    ) -> None:
+        self.node = node
+        self.failure_domain = failure_domain
+        self.address = address
+        self.log = log
+        self.streams = streams
+        self.timers = timers
+        self.machine = replica or machine.ConfigMachine()
+        self.membership = membership.Membership(timers)
+        self.table: members.Table = self.membership.table
+        self.office = 0
+        self.decides_at = float("inf")
+        self.taking_office = False
+        self.deciding: list[Callable[[], None]] = []
+        self.served_revision = 0
+        self.served_restrictions = 0
+        self.feed = config_feed.Feed(node.instance, self, timers)
+        self.relay = config_relay.Relay(
+            messages.Follow(
+                node, config_feed.CONTROL, failure_domain, address, 0
+            ),
+            self.machine,
+            self.table,
+            find_leader=lambda: log.leader(machine.GROUP),
+            streams=streams,
+            timers=timers,
+            on_change=self.feed.wake_all,
+        )
+        self.requests = config_requests.Requests(self)
+        log.attach(machine.GROUP, self.machine)
+        self.machine.subscribers.append(self._on_applied)
+
+    def start(self) -> None:
+        """Serves streams; the log must have been started."""
+        for kind in config_requests.KINDS:
+            self.streams.handle(kind, self._serve_request)
+        self.streams.handle(messages.Follow, self.feed.serve)
+        self.streams.handle(messages.ShowNodes, self._serve_nodes)
+        self.streams.handle(messages.Ping, self._serve_ping)
+        self.timers.every(TICK, self._tick)
+        self.timers.every(membership.COALESCE, self._tick_members)
+        self.relay.stream.start()
+
+    def stop(self) -> None:
+        """Stops relaying; streams end with the process's listener."""
+        self.relay.stream.stop()
+
+    def leads(self) -> bool:
+        """Tells whether this instance may decide and grant leases now."""
+        return (
+            self.office > 0
+            and self.machine.office.number == self.office
+            and self.log.leads(machine.GROUP)
+        )
+
+    def ask(self, message: Any, timeout: float = ASK_SECONDS) -> Any:
+        """Answers an operator's request, here or at the leader.
+
+        Every such request is safe to repeat, so it is tried until a leader
+        answers.
+
+        Raises:
+            errors.ControlUnavailable: No leader could be asked.
+            errors.OutcomeUnknown: A leader was asked and did not answer.
+        """
+        deadline = self.timers.now() + timeout
+        asked = False
+        while self.timers.now() < deadline:
+            try:
+                if self.leads():
+                    asked = True
+                    return self.requests.answer(message)
+                leader = self.log.leader(machine.GROUP)
+                if leader and leader != self.address:
+                    left = deadline - self.timers.now()
+                    return self.streams.ask(leader, message, left)
+            except errors.NotLeader:
+                pass
+            except errors.ProposalLost:
+                asked = True
+            except (errors.StreamClosed, errors.StreamTimeout) as error:
+                asked = asked or error.outcome != errors.NOT_RUN
+            self.timers.sleep(RETRY_PAUSE)
+        if asked:
+            raise errors.OutcomeUnknown(
+                "The config leader was asked and gave no answer.",
+                remedy="Send the same request again; it takes effect once.",
+            )
+        raise errors.ControlUnavailable("No config leader could be asked.")
+
+    def propose(self, command: Any) -> Any:
+        """Commits a command and returns its result."""
+        return self.log.propose(
+            machine.GROUP, commands.encode(command), PROPOSE_SECONDS
+        )
+
+    # --- config_feed.Source ---
+
+    def document(self) -> document.Document:
+        """Returns the document to serve."""
+        return self.machine.document if self.leads() else self.relay.document
+
+    def lease_left(self) -> float:
+        """Returns the seconds for which a lease may be granted."""
+        return lease.MAX_LEASE if self.leads() else self.relay.lease_left()
+
+    def confirmed_at(self) -> float:
+        """Returns a clock at which the document surely was in force."""
+        return self.timers.now() if self.leads() else self.relay.lease.echo
+
+    def confirm(self) -> None:
+        """Asks the leader now, for a node that waits."""
+        if not self.leads():
+            self.relay.stream.report()
+
+    def restrictions(self) -> messages.Restrictions:
+        """Returns what operators and crashes forbid."""
+        if not self.leads():
+            return self.relay.restrictions
+        state = self.machine
+        return messages.Restrictions(
+            state.restrictions,
+            sorted(state.drains),
+            state.quarantine.quarantined(),
+            state.quarantine.suspects(),
+            sorted(member.address for member in state.members.values()),
+        )
+
+    def serves_control(self) -> bool:
+        """Tells whether other control instances may follow this one."""
+        return self.leads()
+
+    # --- Leadership ---
+
+    def _tick(self) -> None:
+        leads = self.log.leads(machine.GROUP)
+        holds = self.office and self.machine.office.number == self.office
+        if leads and not holds and not self.taking_office:
+            self.taking_office = True
+            self.timers.spawn(self._take_office)
+        if not leads and self.office:
+            logger.info("No longer the config leader")
+            self.office = 0
+            self.feed.close_control()
+        self.relay.active = not leads
+        self.feed.tick()
+        if self.leads():
+            for callback in self.deciding:
+                callback()
+
+    def _take_office(self) -> None:
+        """Takes a number, after which older leaders' commands are void.
+
+        Its commit also shows that every earlier command was applied here.
+        Leases that an earlier leader granted may still run for MAX_LEASE. A
+        push accepted before their end would be in force here while a cut-off
+        control instance still renews the old revision to its nodes.
+        """
+        try:
+            command = commands.TakeOffice(
+                self.node.instance, self.timers.wall()
+            )
+            office = self.propose(command)
+        except errors.MintcleatError as error:
+            logger.info("Did not take the lead: {}", error.detail)
+            return
+        finally:
+            self.taking_office = False
+        first = office.number == 1
+        wait = 0.0 if first else lease.MAX_LEASE
+        self.decides_at = self.timers.now() + wait
+        self.office = office.number
+        self.membership.take_lead()
+        logger.info("Config leader under office {}", office.number)
+        self.feed.wake_all()
+
+    def _tick_members(self) -> None:
+        if self.membership.tick():
+            self.feed.wake_all()
+            self.relay.stream.report()
+
+    def _on_applied(self) -> None:
+        if not self.leads():
+            return
+        served = (self.machine.document.revision, self.machine.restrictions)
+        if served != (self.served_revision, self.served_restrictions):
+            self.served_revision, self.served_restrictions = served
+            self.feed.wake_all()
+
+    # --- Requests ---
+
+    def _serve_request(
+        self, exchange: stream_ports.Exchange, message: Any
+    ) -> None:
+        if not self.leads():
+            raise errors.NotLeader(self.log.leader(machine.GROUP))
+        exchange.send(self.requests.answer(message))
+
+    def _serve_nodes(
+        self, exchange: stream_ports.Exchange, message: messages.ShowNodes
+    ) -> None:
+        revision = self.document().revision
+        exchange.send(messages.Instances(revision, self.feed.nodes()))
+
+    def _serve_ping(
+        self, exchange: stream_ports.Exchange, message: messages.Ping
+    ) -> None:
+        if self.lease_left() <= 0:
+            raise errors.ControlUnavailable("This instance is cut off.")
+        exchange.send(messages.Done())
+
+    def wait_to_decide(self) -> None:
+        """Blocks until no lease of an earlier leader can be alive."""
+        wait = self.decides_at - self.timers.now()
+        if wait > 0:
+            self.timers.sleep(wait)
+        if not self.leads():
+            raise errors.NotLeader(self.log.leader(machine.GROUP))
--- /dev/null
+++ b/src/mintcleat/roles/config_stream.py
@@ -0,0 +1,178 @@
+"""The stream that a node keeps to a control instance.
+
+It renews the configuration lease, reports the applied revision and hands
+every message to its owner. When the control instance is lost, silent or out
+of lease itself, the stream moves to the next one.
+"""
+
+from typing import Any
+from typing import Protocol
+
+from loguru import logger
+import xxhash
+
+from mintcleat.configuration import lease
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+
+# After a control instance is lost, its nodes reconnect spread over this time;
+# at once, they would all cost it a whole update in the same moment.
+SPREAD = 0.5
+
+
+class Owner(Protocol):
+    """What the stream needs of the node that owns it."""
+
+    lease: lease.Lease
+
+    def pick(self, attempt: int) -> str:
+        """Returns the address to try, or an empty text for none."""
+
+    def follow(self) -> messages.Follow:
+        """Returns the first message of a stream."""
+
+    def applied(self) -> int:
+        """Returns the revision applied now."""
+
+    def outgoing(self, first: bool) -> list[Any]:
+        """Returns what else to send now, on a new stream or an old one."""
+
+    def take(self, message: Any) -> None:
+        """Handles a message of the control instance."""
+
+
+class ConfigStream:
+    """Keeps one stream open; see the module's text.
+
+    Attributes:
+        address: Control instance that serves the stream; empty for none.
+        exchange: The open exchange.
+        moves: Streams opened so far.
+        homeward: Whether the preferred instance is tried next.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        streams: stream_ports.Streams,
+        timers: timer_ports.Timers,
+        renew: float = lease.RENEW,
+    ) -> None:
+        self.owner = owner
+        self.streams = streams
+        self.timers = timers
+        self.renew = renew
+        self.address = ""
+        self.exchange: stream_ports.Exchange | None = None
+        self.moves = 0
+        self.homeward = False
+        self.stopped = False
+
+    def start(self) -> None:
+        """Runs the stream in a green thread until `stop`."""
+        self.timers.spawn(self._run)
+
+    def stop(self) -> None:
+        """Closes the stream for good."""
+        self.stopped = True
+        self.close()
+
+    def close(self) -> None:
+        """Ends the present stream; a new one follows."""
+        if self.exchange is not None:
+            self.exchange.close()
+
+    def move_home(self) -> None:
+        """Ends the stream and tries the preferred control instance first."""
+        self.homeward = True
+        self.close()
+
+    def report(self) -> None:
+        """Reports the applied revision, and asks for a renewal."""
+        exchange = self.exchange
+        if exchange is None:
+            return
+        try:
+            self._send_report(exchange, False)
+        except errors.StreamClosed:
+            return
+
+    def _run(self) -> None:
+        attempt = 0
+        while not self.stopped:
+            address = self.owner.pick(attempt)
+            if not address:
+                self.timers.sleep(self.renew / 10)
+                continue
+            before = self.owner.lease.echo
+            try:
+                self._follow(address)
+            except errors.MintcleatError as error:
+                logger.debug("Stream to {} ended: {}", address, error.detail)
+            except Exception:
+                # Without a stream the node would be out of lease for good.
+                logger.exception("The stream to {} failed.", address)
+            finally:
+                self.close()
+                self.exchange = None
+                self.address = ""
+            renewed = self.owner.lease.echo > before
+            attempt = 1 if renewed else attempt + 1
+            if self.homeward:
+                self.homeward = False
+                attempt = 0
+            if not self.stopped:
+                self.timers.sleep(self._pause(attempt))
+
+    def _follow(self, address: str) -> None:
+        exchange = self.streams.open(address, self.owner.follow())
+        self.exchange = exchange
+        self.address = address
+        self.moves += 1
+        opened = self.timers.now()
+        self.timers.spawn(self._beat, exchange)
+        while not self.stopped:
+            message = exchange.receive(lease.MOVE_AFTER)
+            self.owner.take(message)
+            since = max(opened, self.owner.lease.echo)
+            if self.timers.now() - since > lease.MOVE_AFTER:
+                raise errors.StreamTimeout(f"{address} renews no lease.")
+
+    def _beat(self, exchange: stream_ports.Exchange) -> None:
+        first = True
+        while self.exchange is exchange and not self.stopped:
+            try:
+                self._send_report(exchange, first)
+            except errors.StreamClosed:
+                return
+            first = False
+            self.timers.sleep(self.renew)
+
+    def _send_report(
+        self, exchange: stream_ports.Exchange, first: bool
+    ) -> None:
+        for message in self.owner.outgoing(first):
+            exchange.send(message)
+        exchange.send(messages.Applied(self.owner.applied(), self.timers.now()))
+
+    def _pause(self, attempt: int) -> float:
+        """Returns a pause that differs from node to node."""
+        node = self.owner.follow().node
+        seed = f"{node.instance}/{attempt}/{self.moves}"
+        part = xxhash.xxh32_intdigest(seed.encode()) / 2**32
+        return part * SPREAD
+
+
+def ranked(instance: str, addresses: list[str]) -> list[str]:
+    """Returns addresses by rendezvous hash, the preferred one first.
+
+    Each node has its own order, so the nodes of a lost control instance
+    spread evenly over the others.
+    """
+
+    def weight(address: str) -> int:
+        return xxhash.xxh64_intdigest(f"{instance}|{address}".encode())
+
+    return sorted(set(addresses), key=weight, reverse=True)
--- /dev/null
+++ b/testing/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the ports, for tests that inject faults."""
--- /dev/null
+++ b/testing/fakes/log.py
@@ -0,0 +1,111 @@
+"""A replicated log in memory, whose leadership the test controls."""
+
+from typing import Any
+
+from mintcleat.domain import errors
+from mintcleat.ports import log as log_ports
+
+
+class Cluster:
+    """The commands of each group and who leads.
+
+    Attributes:
+        leader: Stream address of the leader; empty for none.
+        lag: Addresses of replicas that apply nothing for now.
+        lose_next: Commands committed whose answer the proposer loses.
+    """
+
+    def __init__(self) -> None:
+        self.commands: dict[str, list[bytes]] = {}
+        self.replicas: list[MemoryLog] = []
+        self.leader = ""
+        self.lag: set[str] = set()
+        self.lose_next = 0
+
+    def elect(self, address: str) -> None:
+        """Moves leadership; the new leader has applied everything."""
+        self.lag.discard(address)
+        for replica in self.replicas:
+            if replica.address == address:
+                replica.catch_up()
+        self.leader = address
+
+    def heal(self) -> None:
+        """Lets every replica catch up."""
+        self.lag.clear()
+        for replica in self.replicas:
+            replica.catch_up()
+
+
+class MemoryLog:
+    """One instance's replica; see `ports.log.ReplicatedLog`."""
+
+    def __init__(self, cluster: Cluster, address: str) -> None:
+        self.cluster = cluster
+        self.address = address
+        self.machines: dict[str, log_ports.StateMachine] = {}
+        self.applied: dict[str, int] = {}
+        self.results: dict[tuple[str, int], Any] = {}
+        cluster.replicas.append(self)
+
+    def attach(self, group: str, machine: log_ports.StateMachine) -> None:
+        """Registers a machine; it applies what is there already."""
+        self.machines[group] = machine
+        self.applied[group] = 0
+
+    def start(self) -> None:
+        """Applies the commands of earlier runs."""
+        self.catch_up()
+
+    def propose(self, group: str, command: bytes, timeout: float) -> Any:
+        """Commits at once when this replica leads."""
+        if not self.leads(group):
+            raise errors.NotLeader(self.cluster.leader)
+        commands = self.cluster.commands.setdefault(group, [])
+        commands.append(command)
+        for replica in self.cluster.replicas:
+            if replica.address not in self.cluster.lag:
+                replica.catch_up()
+        if self.cluster.lose_next:
+            self.cluster.lose_next -= 1
+            raise errors.ProposalLost("The fake lost the answer.")
+        result = self.results.pop((group, len(commands)))
+        if isinstance(result, errors.MintcleatError):
+            raise result
+        return result
+
+    def barrier(self, group: str, timeout: float) -> None:
+        """Returns when this replica leads."""
+        if not self.leads(group):
+            raise errors.NotLeader(self.cluster.leader)
+
+    def leader(self, group: str) -> str:
+        """Returns the leader's address."""
+        return self.cluster.leader
+
+    def leads(self, group: str) -> bool:
+        """Tells whether this replica leads."""
+        return self.cluster.leader == self.address
+
+    def groups(self) -> list[str]:
+        """Returns the names of the groups."""
+        return list(self.machines)
+
+    def hand_over(self, timeout: float) -> None:
+        """Gives leadership up."""
+        if self.cluster.leader == self.address:
+            self.cluster.leader = ""
+
+    def stop(self) -> None:
+        """Leaves the cluster."""
+        self.cluster.replicas.remove(self)
+
+    def catch_up(self) -> None:
+        """Applies every committed command."""
+        for group, machine in self.machines.items():
+            commands = self.cluster.commands.get(group, [])
+            while self.applied[group] < len(commands):
+                index = self.applied[group] + 1
+                self.applied[group] = index
+                result = machine.apply(index, commands[index - 1])
+                self.results[group, index] = result
