--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -7,12 +7,16 @@
 from mintcleat.domain import messages
 from mintcleat.programs import budgets
 from mintcleat.programs import digests
+from mintcleat.programs import histories
 from mintcleat.programs import loops
 from mintcleat.programs import records
 
 if TYPE_CHECKING:
     from mintcleat.programs import machine
 
+# Keys are remembered for a day; whole answers of a day do not fit in memory.
+MAX_ANSWER_IN_MEMORY = 256
+
 
 def begin(group: "machine.ProgramMachine", request: messages.BeginCall) -> Any:
     """Grants an attempt, or tells what became of this key before."""
@@ -51,10 +55,11 @@
         return _superseded(request)
     call.state = records.FINISHED
     call.usage = request.usage
-    call.answer = request.answer
     _end_call(group, call)
     if call.program:
         _record_in_program(group, call, request)
+    if not call.turn:
+        _keep_answer(group, call, request.answer)
     return messages.Done()
 
 
@@ -97,12 +102,19 @@
     if call.state in (records.RUNNING, records.UNKNOWN):
         budgets.write_off(_chain(group, call), call)
         _free_turn(group, call)
+    if call.is_stored:
+        group.histories.forget(answer_name(call))
     if call.program:
         del group.programs[call.program].calls[call.key]
     else:
         del group.keyed[call.partner, call.key]
 
 
+def answer_name(call: records.Call) -> str:
+    """Returns the name of a call's answer in the history store."""
+    return f"answer/{call.attempt}"
+
+
 def _table(group: "machine.ProgramMachine", request: Any) -> Any:
     """Returns the key table of the request, or its refusal."""
     if not request.program:
@@ -140,7 +152,8 @@
         )
     match call.state:
         case records.FINISHED:
-            return messages.Recorded(call.attempt, call.answer, call.usage)
+            answer = _answer_of(group, call)
+            return messages.Recorded(call.attempt, answer, call.usage)
         case records.FAILED:
             return errors.from_failure(call.failure)
     is_same = _is_same_sending(call, request)
@@ -192,9 +205,8 @@
     request: messages.BeginCall,
 ) -> Any:
     """Answers a begin of a finished turn from the history."""
-    turns = group.histories.read(program.program, request.turn, request.turn)
-    if turns and turns[0].key == request.key:
-        past = turns[0]
+    past = _read_turn(group, program.program, request.turn)
+    if past.key == request.key:
         if past.request != request.digest:
             return errors.KeyConflict(
                 f"Key {request.key} was used for another request."
@@ -330,18 +342,16 @@
     answer = request.answer.decode(errors="replace")
     texts = [*call.messages, answer]
     program.digest = digests.roll(program.digest, texts)
-    group.histories.append(
-        program.program,
-        records.TurnRecord(
-            turn=call.turn,
-            key=call.key,
-            request=call.digest,
-            attempt=call.attempt,
-            usage=call.usage,
-            messages=texts,
-            digest=program.digest,
-        ),
+    turn = records.TurnRecord(
+        turn=call.turn,
+        key=call.key,
+        request=call.digest,
+        attempt=call.attempt,
+        usage=call.usage,
+        messages=texts,
+        digest=program.digest,
     )
+    group.histories.append(program.program, histories.encode(turn))
     program.next_turn += 1
     program.turn_key = ""
     program.resident = request.sidecar
@@ -349,6 +359,31 @@
     del program.calls[call.key]
 
 
+def _keep_answer(
+    group: "machine.ProgramMachine", call: records.Call, answer: bytes
+) -> None:
+    """Keeps a short answer in memory and a long one in the store."""
+    if len(answer) <= MAX_ANSWER_IN_MEMORY:
+        call.answer = answer
+        return
+    call.is_stored = True
+    group.histories.append(answer_name(call), answer)
+
+
+def _answer_of(group: "machine.ProgramMachine", call: records.Call) -> bytes:
+    if not call.is_stored:
+        return call.answer
+    (answer,) = group.histories.read(answer_name(call), 1, 1)
+    return answer
+
+
+def _read_turn(
+    group: "machine.ProgramMachine", program: str, turn: int
+) -> records.TurnRecord:
+    (record,) = group.histories.read(program, turn, turn)
+    return histories.decode(record)
+
+
 def _end_call(group: "machine.ProgramMachine", call: records.Call) -> None:
     call.touched = group.clock
     group.touch(call.program)
@@ -377,7 +412,7 @@
     """Looks the attempt up from the newest turn back; attempts only grow."""
     turn = group.programs[request.program].next_turn - 1
     while turn > 0:
-        (past,) = group.histories.read(request.program, turn, turn)
+        past = _read_turn(group, request.program, turn)
         if past.attempt <= request.attempt:
             return (past.attempt, past.key) == (request.attempt, request.key)
         turn -= 1
--- a/src/mintcleat/programs/histories.py
+++ b/src/mintcleat/programs/histories.py
@@ -1,24 +1,39 @@
-"""Histories held in memory, for tests and instances without a disk."""
+"""Turns as records of a history store, and a store in memory."""
+
+import msgpack
+import msgspec
 
 from mintcleat.programs import records
 
 
+def encode(turn: records.TurnRecord) -> bytes:
+    """Returns a turn as a record."""
+    return msgpack.packb(turn)
+
+
+def decode(record: bytes) -> records.TurnRecord:
+    """Returns the turn of a record."""
+    return msgspec.convert(msgpack.unpackb(record), records.TurnRecord)
+
+
 class MemoryHistories:
-    """Finished turns by program; see `ports.histories.Histories`."""
+    """Records in memory, for tests; see `ports.histories.Histories`."""
 
     def __init__(self) -> None:
-        self.turns: dict[str, list[records.TurnRecord]] = {}
+        self.records: dict[str, list[bytes]] = {}
+
+    def append(self, name: str, record: bytes) -> None:
+        """Adds the next record of a sequence."""
+        self.records.setdefault(name, []).append(record)
 
-    def append(self, program: str, turn: records.TurnRecord) -> None:
-        """Adds the next finished turn of a program."""
-        self.turns.setdefault(program, []).append(turn)
+    def read(self, name: str, first: int, last: int) -> list[bytes]:
+        """Returns the records `first` to `last`, counted from 1."""
+        return self.records.get(name, [])[first - 1 : last]
 
-    def read(
-        self, program: str, first: int, last: int
-    ) -> list[records.TurnRecord]:
-        """Returns the turns `first` to `last`, both included."""
-        return self.turns.get(program, [])[first - 1 : last]
+    def forget(self, name: str) -> None:
+        """Drops a sequence; safe to repeat."""
+        self.records.pop(name, None)
 
-    def forget(self, program: str) -> None:
-        """Drops a program's turns."""
-        self.turns.pop(program, None)
+    def clear(self) -> None:
+        """Drops every sequence."""
+        self.records.clear()
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -45,7 +45,8 @@
         self.clear()
 
     def clear(self) -> None:
-        """Drops all state but the histories."""
+        """Drops all state."""
+        self.histories.clear()
         self.clock = 0.0
         self.wall = 0.0
         self.last_attempt = 0
@@ -203,9 +204,10 @@
             return self.unknown(request.program)
         newest = program.next_turn - 1
         last = min(request.last or newest, newest)
-        turns = self.histories.read(
+        found = self.histories.read(
             request.program, max(request.first, 1), last
         )
+        turns = [histories.decode(record) for record in found]
         return messages.History(
             request.program,
             [messages.Turn(t.turn, t.messages, t.digest) for t in turns],
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -49,6 +49,8 @@
         state: `running`, `unknown`, `finished` or `failed`.
         nonce: Number of the sending that got the attempt.
         touched: Group clock of its last change.
+        answer: The recorded answer when it is short.
+        is_stored: Whether the answer is in the history store instead.
     """
 
     program: str
@@ -66,6 +68,7 @@
     touched: float
     state: str = RUNNING
     answer: bytes = b""
+    is_stored: bool = False
     usage: messages.Usage = NO_USAGE
     failure: errors.Failure | None = None
 
--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -72,6 +72,9 @@
 def _forget(group: "machine.ProgramMachine", name: str) -> None:
     program = group.programs.pop(name)
     group.histories.forget(name)
+    for call in program.calls.values():
+        if call.is_stored:
+            group.histories.forget(calls.answer_name(call))
     group.forgotten += 1
     for child in program.children:
         _forget(group, child)
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from mintcleat.domain import errors
+from mintcleat.programs import calls
 from mintcleat.programs import records
 
 if TYPE_CHECKING:
@@ -23,15 +24,15 @@
 
 def pack(group: "machine.ProgramMachine") -> bytes:
     """Returns the whole state, in an order that every replica shares."""
-    calls = _held_calls(group)
-    places = {id(call): place for place, call in enumerate(calls)}
+    held = _held_calls(group)
+    places = {id(call): place for place, call in enumerate(held)}
     state = [
         FORMAT,
         group.clock,
         group.last_attempt,
         group.forgotten,
         [_fields(p, _PROGRAM_FIELDS) for p in group.programs.values()],
-        [_fields(call, _CALL_FIELDS) for call in calls],
+        [_fields(call, _CALL_FIELDS) for call in held],
         [list(item) for item in group.activity.items()],
         [list(item) for item in group.ended],
         [
@@ -40,10 +41,11 @@
             if id(call) in places
         ],
         [
-            [name, _turns(group, name)]
+            [name, group.histories.read(name, 1, program.next_turn - 1)]
             for name, program in group.programs.items()
             if program.next_turn > 1
         ],
+        _stored_answers(group, held),
     ]
     return msgpack.packb(state, use_bin_type=True)
 
@@ -59,27 +61,23 @@
         raise errors.StorageDamaged(
             f"The snapshot has format {state[0]}, not {FORMAT}."
         )
-    for name in group.programs:
-        group.histories.forget(name)
     group.clear()
     group.clock, group.last_attempt, group.forgotten = state[1:4]
     for values in state[4]:
         program = _record(records.Program, _PROGRAM_FIELDS, values)
         group.programs[program.program] = program
-    calls = [_record(records.Call, _CALL_FIELDS, item) for item in state[5]]
-    for call in calls:
+    held = [_record(records.Call, _CALL_FIELDS, item) for item in state[5]]
+    for call in held:
         if call.program:
             group.programs[call.program].calls[call.key] = call
         else:
             group.keyed[call.partner, call.key] = call
     group.activity.update((name, clock) for name, clock in state[6])
     group.ended.extend((clock, name) for clock, name in state[7])
-    group.settled.extend((clock, calls[place]) for clock, place in state[8])
-    for name, turns in state[9]:
-        for turn in turns:
-            group.histories.append(
-                name, msgspec.convert(turn, records.TurnRecord)
-            )
+    group.settled.extend((clock, held[place]) for clock, place in state[8])
+    for name, stored in state[9] + state[10]:
+        for record in stored:
+            group.histories.append(name, record)
 
 
 def _held_calls(group: "machine.ProgramMachine") -> list[records.Call]:
@@ -91,9 +89,11 @@
     return held + list(group.keyed.values())
 
 
-def _turns(group: "machine.ProgramMachine", name: str) -> list[Any]:
-    last = group.programs[name].next_turn - 1
-    return group.histories.read(name, 1, last)
+def _stored_answers(
+    group: "machine.ProgramMachine", held: list[records.Call]
+) -> list[Any]:
+    names = [calls.answer_name(call) for call in held if call.is_stored]
+    return [[name, group.histories.read(name, 1, 1)] for name in names]
 
 
 def _fields(item: Any, names: tuple[str, ...]) -> list[Any]:
--- a/testing/test_programs_machine.py
+++ b/testing/test_programs_machine.py
@@ -293,7 +293,7 @@
         self.clock = 1160.0
         self.apply(TICK)
         self.assertEqual({}, self.group.programs)
-        self.assertEqual({}, self.group.histories.turns)
+        self.assertEqual({}, self.group.histories.records)
 
     def test_refusal_of_a_forgotten_program_makes_no_promise(self) -> None:
         """A caller resends a call of a program that left by retention.
