Serve one request from start to finish

Cause: nothing ran as a whole. Change: the composition root wires entry, sidecar and control; `mintcleatd local` runs all roles with two stand-in engines and a stand-in service.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -10,7 +10,7 @@
 MANIFEST = {
     "programs": {"triage": {"service": "triage"}},
     "services": {
-        "triage": {"kind": "model"},
+        "triage": {"kind": "model", "model": "model-1"},
         "dispatch": {"kind": "plain"},
     },
     "policies": {},
--- a/src/mintcleat/adapters/caller_http.py
+++ b/src/mintcleat/adapters/caller_http.py
@@ -191,8 +191,7 @@
 
 def reply(start: StartResponse, status: int, body: Any) -> list[bytes]:
     """Sends a JSON answer."""
-    text = {200: "200 OK", 201: "201 Created"}.get(status)
-    start(text or problems.status_line(status), _JSON)
+    start(problems.status_line(status), _JSON)
     return [json.dumps(body).encode()]
 
 
--- a/src/mintcleat/adapters/metrics.py
+++ b/src/mintcleat/adapters/metrics.py
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
-        self.collectors: dict[str, aioprometheus.Collector] = {}
+        self.collectors: dict[str, aioprometheus.collectors.Collector] = {}
 
     def count(self, name: str, **labels: str) -> None:
         """Adds one to a counter."""
@@ -41,8 +41,8 @@
         return body, headers["Content-Type"]
 
     def _collector(
-        self, kind: type[aioprometheus.Collector], name: str
-    ) -> aioprometheus.Collector:
+        self, kind: type[aioprometheus.collectors.Collector], name: str
+    ) -> aioprometheus.collectors.Collector:
         found = self.collectors.get(name)
         if found is None:
             extra = {}
--- a/src/mintcleat/adapters/problems.py
+++ b/src/mintcleat/adapters/problems.py
@@ -1,24 +1,12 @@
 """Typed errors as `application/problem+json`."""
 
+import http
 import json
 from typing import TypedDict
 
 from mintcleat.domain import errors
 
 CONTENT_TYPE = "application/problem+json"
-_REASONS = {
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 
 
 class Problem(TypedDict):
@@ -52,7 +40,10 @@
 
 def status_line(status: int) -> str:
     """Returns the WSGI status text."""
-    return f"{status} {_REASONS.get(status, 'Error')}"
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unassigned"
 
 
 def headers(error: errors.MintcleatError) -> list[tuple[str, str]]:
--- a/src/mintcleat/main/assembly.py
+++ b/src/mintcleat/main/assembly.py
@@ -1,25 +1,19 @@
 """The composition root: builds a process's parts from its settings."""
 
 from collections.abc import Callable
-import pathlib
-import time
 from typing import Protocol
 
 from loguru import logger
 
 from mintcleat.adapters import caller_http
 from mintcleat.adapters import engine_http
-from mintcleat.adapters import metrics as metrics_module
 from mintcleat.adapters import plain_http
 from mintcleat.adapters import settings as settings_module
-from mintcleat.adapters import streams as streams_module
-from mintcleat.adapters import timers as timers_module
 from mintcleat.adapters import wsgi
 from mintcleat.domain import messages
+from mintcleat.main import common as common_module
 from mintcleat.main import control_part
-from mintcleat.roles import control_client
 from mintcleat.roles import entry as entry_module
-from mintcleat.roles import follower as follower_module
 from mintcleat.roles import placement as placement_module
 from mintcleat.roles import sidecar as sidecar_module
 
@@ -46,47 +40,10 @@
         """Returns what the ready line tells of this role."""
 
 
-class Common:
-    """What all roles of a process share."""
-
-    def __init__(self, settings: settings_module.Settings) -> None:
-        self.settings = settings
-        self.node = messages.Incarnation(settings.instance, time.time_ns())
-        self.timers = timers_module.EventletTimers()
-        self.streams = streams_module.TcpStreams(settings.listen)
-        self.metrics = metrics_module.PrometheusMetrics()
-
-    def client(self) -> control_client.ControlClient:
-        """Returns a client of the program groups."""
-        return control_client.ControlClient(
-            self.streams,
-            self.timers,
-            self.settings.control,
-            self.settings.program_groups,
-        )
-
-    def follower(
-        self,
-        role: str,
-        announcer: Callable[[], messages.Announcement] | None = None,
-    ) -> follower_module.Follower:
-        """Returns the node's view of the configuration."""
-        return follower_module.Follower(
-            self.node,
-            role,
-            self.settings.failure_domain,
-            self.streams.address,
-            streams=self.streams,
-            timers=self.timers,
-            control_addresses=self.settings.control,
-            announcer=announcer,
-        )
-
-
 class EntryPart:
     """The entry role with its HTTP server."""
 
-    def __init__(self, common: Common) -> None:
+    def __init__(self, common: common_module.Common) -> None:
         self.common = common
         self.follower = common.follower("entry")
         placement = placement_module.Placement(
@@ -145,7 +102,7 @@
 class SidecarPart:
     """The sidecar role."""
 
-    def __init__(self, common: Common) -> None:
+    def __init__(self, common: common_module.Common) -> None:
         self.common = common
         options = common.settings.sidecar
         self.follower = common.follower("sidecar", self.announce)
@@ -202,7 +159,7 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.common = Common(settings)
+        self.common = common_module.Common(settings)
         # Control first: the other roles of the same process need it.
         order = ("control", "sidecar", "entry")
         self.parts = [
@@ -255,10 +212,3 @@
             if impatient():
                 return
             timers.sleep(_POLL_SECONDS)
-
-
-def data_folder(settings: settings_module.Settings) -> pathlib.Path:
-    """Returns the control role's data folder, made when missing."""
-    folder = pathlib.Path(settings.control_role.data)
-    folder.mkdir(parents=True, exist_ok=True)
-    return folder
--- /dev/null
+++ b/src/mintcleat/main/control_part.py
@@ -0,0 +1,99 @@
+"""The control role: the replicated logs and what runs on them."""
+
+import pathlib
+
+from mintcleat.adapters import histories
+from mintcleat.adapters import tokens
+from mintcleat.adapters import wal
+from mintcleat.configuration import machine
+from mintcleat.domain import manifest as manifest_module
+from mintcleat.main import common as common_module
+from mintcleat.roles import config_service
+from mintcleat.roles import program_service
+from mintcleat.roles import replication
+
+_HAND_OVER_SECONDS = 2.0
+
+
+class ControlPart:
+    """The control role of one process."""
+
+    def __init__(self, common: common_module.Common) -> None:
+        self.common = common
+        settings = common.settings
+        self.folder = pathlib.Path(settings.control_role.data)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.token = tokens.load_or_make(self.folder)
+        groups = [
+            f"programs-{number}" for number in range(settings.program_groups)
+        ]
+        self.log = replication.GroupLog(
+            common.node,
+            common.streams.address,
+            self._members(),
+            wal.FileWal(self.folder / "log"),
+            [machine.GROUP, *groups],
+            streams=common.streams,
+            timers=common.timers,
+        )
+        self.config = config_service.ConfigService(
+            common.node,
+            settings.failure_domain,
+            common.streams.address,
+            log=self.log,
+            streams=common.streams,
+            timers=common.timers,
+        )
+        self.programs = program_service.ProgramService(
+            self.log,
+            common.streams,
+            common.timers,
+            groups,
+            self.policies,
+            histories=self._histories,
+        )
+
+    def start(self) -> None:
+        """Recovers from disk and takes part."""
+        self.log.start()
+        self.config.start()
+
+    def drain(self) -> None:
+        """Hands every leadership over, so that no caller waits for a vote."""
+        self.log.hand_over(_HAND_OVER_SECONDS)
+
+    def under_way(self) -> int:
+        """Returns 0: requests of other roles are repeated elsewhere."""
+        return 0
+
+    def stop(self) -> None:
+        """Syncs and closes."""
+        self.config.stop()
+        self.log.stop()
+
+    def addresses(self) -> dict[str, str]:
+        """Returns the operators' address."""
+        return {"admin": ""}
+
+    def policies(self) -> manifest_module.Policies:
+        """Returns the policies in force as this instance knows them."""
+        return self.config.machine.document.manifest().policies
+
+    def _histories(self, group: str) -> histories.FileHistories:
+        return histories.FileHistories(self.folder / "histories" / group)
+
+    def _members(self) -> list[replication.Member]:
+        settings = self.common.settings
+        listed = [
+            replication.Member(
+                one.instance, one.address, one.failure_domain, one.region
+            )
+            for one in settings.control_role.members
+        ]
+        alone = replication.Member(
+            settings.instance,
+            self.common.streams.address,
+            settings.failure_domain,
+            settings.region,
+        )
+        return listed or [alone]
--- a/src/mintcleat/main/daemon.py
+++ b/src/mintcleat/main/daemon.py
@@ -11,6 +11,7 @@
 
 from mintcleat.adapters import logs
 from mintcleat.adapters import settings as settings_module
+from mintcleat.domain import errors
 from mintcleat.main import assembly
 from mintcleat.main import local as local_module
 from mintcleat.main import standin
@@ -79,21 +80,30 @@
     sys.exit(run_part(local_module.Local(entry, admin, pathlib.Path(data))))
 
 
-def check(path: pathlib.Path) -> int:
-    """Prints every fault of a settings file; returns the exit code."""
+def faults_of(path: pathlib.Path) -> list[errors.InvalidSettings]:
+    """Returns every fault of a settings file."""
     try:
         settings_module.load(path)
-    except* settings_module.errors.InvalidSettings as group:
-        for error in group.exceptions:
-            print(error, file=sys.stderr)
+    except ExceptionGroup as group:
+        return list(group.exceptions)
+    return []
+
+
+def check(path: pathlib.Path, quiet: bool = False) -> int:
+    """Prints every fault of a settings file; returns the exit code."""
+    faults = faults_of(path)
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    if faults:
         return _EXIT_SETTINGS
-    print(f"{path}: no faults")
+    if not quiet:
+        print(f"{path}: no faults")
     return _EXIT_OK
 
 
 def run_settings(path: pathlib.Path) -> int:
     """Runs the roles of a settings file until a request to stop."""
-    code = check_quietly(path)
+    code = check(path, quiet=True)
     if code != _EXIT_OK:
         return code
     settings = settings_module.load(path)
@@ -103,17 +113,6 @@
     return run_part(assembly.Process(settings))
 
 
-def check_quietly(path: pathlib.Path) -> int:
-    """As `check`, silent when there is no fault."""
-    try:
-        settings_module.load(path)
-    except* settings_module.errors.InvalidSettings as group:
-        for error in group.exceptions:
-            print(error, file=sys.stderr)
-        return _EXIT_SETTINGS
-    return _EXIT_OK
-
-
 def run_part(part: Any) -> int:
     """Starts a part, prints its ready line, and stops it on a signal."""
     signals = Signals()
--- /dev/null
+++ b/src/mintcleat/main/local_manifest.py
@@ -0,0 +1,42 @@
+"""The manifest of a first local run."""
+
+import json
+
+from mintcleat.domain import messages
+from mintcleat.main import assembly
+
+_MANIFEST = {
+    "programs": {
+        "triage": {
+            "service": "triage",
+            "tokens": 100_000,
+            "turns": 50,
+            "tools": {"dispatch": {"service": "dispatch"}},
+        }
+    },
+    "services": {
+        "triage": {"kind": "model", "model": "model-1"},
+        "dispatch": {"kind": "plain"},
+    },
+    "policies": {
+        "partners": {"farmers": {"share": 2}, "studios": {"share": 1}},
+        "default_partner": "farmers",
+    },
+}
+
+
+def ensure(control: assembly.Process) -> None:
+    """Pushes the first manifest unless one is in force already."""
+    service = control.parts[0].config
+    view = service.ask(messages.ReadManifest())
+    if view.revision:
+        return
+    service.ask(
+        messages.PushManifest(
+            expected=0,
+            push_id="first-local-run",
+            manifest=json.dumps(_MANIFEST),
+            operator="mintcleatd local",
+            origin="local",
+        )
+    )
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -1,14 +1,11 @@
 """Shared set-up: green sockets, and hypothesis with fixed examples."""
 
-import warnings
-
-warnings.filterwarnings("ignore", category=DeprecationWarning)
-
-import eventlet
+import hypothesis
 
-eventlet.monkey_patch()
+# Importing it makes the sockets green.
+import mintcleat.main as green
 
-import hypothesis
+assert green
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, database=None
