--- a/src/mintcleat/main/assembly.py
+++ b/src/mintcleat/main/assembly.py
@@ -92,6 +92,7 @@
     def stop(self) -> None:
         """Closes the listener."""
         self.server.stop()
+        self.placement.stop()
         self.follower.stop()
 
     def addresses(self) -> dict[str, str]:
--- a/src/mintcleat/roles/placement.py
+++ b/src/mintcleat/roles/placement.py
@@ -54,14 +54,22 @@
         self.directory = directory
         self.services: dict[str, Service] = {}
         self.watched: set[messages.Incarnation] = set()
+        self.subscriptions: list[timers_port.Subscription] = []
 
     def start(self) -> None:
         """Begins to follow the members."""
         self.directory.subscribe(self.refresh)
-        self.timers.every(_REWATCH_SECONDS, self.refresh)
-        self.timers.every(_FORGET_SECONDS, self._forget_guests)
+        self.subscriptions = [
+            self.timers.every(_REWATCH_SECONDS, self.refresh),
+            self.timers.every(_FORGET_SECONDS, self._forget_guests),
+        ]
         self.refresh()
 
+    def stop(self) -> None:
+        """Opens no further watches."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
+
     def refresh(self) -> None:
         """Takes over the members and watches those of the subset."""
         for name in self.directory.manifest().services:
--- /dev/null
+++ b/testing/test_local.py
@@ -0,0 +1,194 @@
+"""The whole path in one process: every role over loopback sockets."""
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+from testtools import matchers
+import urllib3
+
+from mintcleat.main import local
+
+ANY = "127.0.0.1:0"
+
+
+class WholePath(testtools.TestCase):
+    """Starts all roles; each test has its own data folder."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.data = pathlib.Path(folder)
+        self.pool = urllib3.PoolManager(retries=False)
+        self.begin()
+
+    def begin(self) -> None:
+        self.system = local.Local(ANY, ANY, self.data)
+        self.system.start()
+        self.addCleanup(self.system.stop, lambda: True)
+        self.http = self.system.entry.parts[0].server.address
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        names = {
+            f"Mintcleat-{name}" if name != "key" else "Idempotency-Key": value
+            for name, value in headers.items()
+        }
+        return self.pool.request(
+            method, f"http://{self.http}{path}", body=data, headers=names
+        )
+
+    def turn(
+        self, program: str, turn: int, text: str = "hello", **more: object
+    ) -> urllib3.BaseHTTPResponse:
+        body = {
+            "max_tokens": 4,
+            "messages": [{"role": "user", "content": text}],
+            **more,
+        }
+        return self.send(
+            "POST",
+            "/v1/chat/completions",
+            body,
+            Program=program,
+            Turn=str(turn),
+        )
+
+    def assert_refused(
+        self, reply: urllib3.BaseHTTPResponse, status: int, kind: str
+    ) -> None:
+        self.assertEqual(status, reply.status, reply.data)
+        problem = reply.json()
+        self.assertEqual(kind, problem["kind"])
+        self.assertEqual("not_run", problem["outcome"])
+        self.assertNotEqual("", problem["remedy"])
+        content = reply.headers["Content-Type"]
+        self.assertEqual("application/problem+json", content)
+
+
+class ProgramsTest(WholePath):
+    def test_turns_build_one_history(self) -> None:
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        for number in (1, 2, 3):
+            self.assertEqual(200, self.turn("p", number, f"m{number}").status)
+        history = self.send("GET", "/v1/programs/p/history").json()
+        said = [turn["messages"][0]["content"] for turn in history["turns"]]
+        self.assertEqual(["m1", "m2", "m3"], said)
+
+    def test_resent_turn_gets_its_recorded_answer(self) -> None:
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        first = self.turn("p", 1).json()["choices"]
+        again = self.turn("p", 1).json()["choices"]
+        self.assertEqual(first[0]["message"], again[0]["message"])
+        runs = sum(len(engine.runs) for engine in self.system.engines)
+        self.assertEqual(1, runs)
+
+    def test_streamed_answer_equals_the_recorded_one(self) -> None:
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        reply = self.turn("p", 1, stream=True)
+        events = [
+            json.loads(event.removeprefix("data: "))
+            for event in reply.data.decode().split("\n\n")
+            if event and "[DONE]" not in event
+        ]
+        deltas = [event["choices"][0]["delta"] for event in events]
+        text = "".join(delta.get("content", "") for delta in deltas)
+        history = self.send("GET", "/v1/programs/p/history").json()
+        self.assertEqual(history["turns"][0]["messages"][1]["content"], text)
+        self.assertThat(reply.data, matchers.EndsWith(b"data: [DONE]\n\n"))
+
+    def test_restart_on_the_same_data_keeps_everything(self) -> None:
+        """All processes end at once and start again on the same disk.
+
+        The caller reads its program and goes on with the next turn; the
+        resent turn before it gets the recorded answer.
+        """
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        answer = self.turn("p", 1).json()["choices"][0]["message"]
+        before = self.send("GET", "/v1/programs/p").json()
+        self.system.stop(lambda: True)
+        self.begin()
+        self.assertEqual(before, self.send("GET", "/v1/programs/p").json())
+        again = self.turn("p", 1).json()["choices"][0]["message"]
+        self.assertEqual(answer, again)
+        self.assertEqual(200, self.turn("p", 2).status)
+
+    def test_stock_openai_call_needs_no_headers(self) -> None:
+        body = {
+            "model": "triage",
+            "messages": [{"role": "user", "content": "hi"}],
+        }
+        reply = self.send("POST", "/v1/chat/completions", body)
+        self.assertEqual(200, reply.status)
+        self.assertEqual("chat.completion", reply.json()["object"])
+
+
+class RefusalsTest(WholePath):
+    def test_bad_input_is_a_typed_refusal(self) -> None:
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        cases = [
+            (self.send("POST", "/v1/programs", b"{"), 400, "bad_request"),
+            (self.send("POST", "/v1/programs", b"[]"), 400, "bad_request"),
+            (self.send("POST", "/v1/programs", {"id": "a b"}), 400,
+             "bad_request"),
+            (self.send("GET", "/v1/programs/none"), 404, "unknown_program"),
+            (self.send("POST", "/v1/programs", {"partner": "x"}), 404,
+             "unknown_partner"),
+            (self.send("GET", "/v1/services/none/a"), 404, "unknown_service"),
+            (self.turn("p", 2), 409, "wrong_turn"),
+            (self.turn("p", 0), 400, "bad_request"),
+            (self.turn("p", 1, model="none"), 404, "unknown_service"),
+            (self.turn("p", 1, max_tokens=-1), 400, "bad_request"),
+            (self.turn("p", 1, messages=[]), 400, "bad_request"),
+            (self.send("GET", "/nowhere"), 400, "bad_request"),
+        ]  # fmt: skip
+        for reply, status, kind in cases:
+            self.assert_refused(reply, status, kind)
+
+    def test_key_with_another_body_is_a_conflict(self) -> None:
+        path = "/v1/services/dispatch/book"
+        self.assertEqual(200, self.send("POST", path, {"a": 1}, key="k").status)
+        reply = self.send("POST", path, {"a": 2}, key="k")
+        self.assert_refused(reply, 409, "key_conflict")
+
+    def test_oversized_body_is_refused_before_it_is_read(self) -> None:
+        reply = self.send("POST", "/v1/programs", b"x" * (9 << 20))
+        self.assert_refused(reply, 413, "too_large")
+
+    def test_budget_holds_to_the_last_token(self) -> None:
+        budget = {"tokens": 60}
+        self.send(
+            "POST",
+            "/v1/programs",
+            {"id": "p", "agent": "triage", "budget": budget},
+        )
+        number = 1
+        while self.turn("p", number).status == 200:
+            number += 1
+        reply = self.turn("p", number)
+        self.assert_refused(reply, 422, "budget_exhausted")
+        view = self.send("GET", "/v1/programs/p").json()
+        self.assertThat(view["tokens_used"], matchers.LessThan(61))
+        self.assertThat(number, matchers.GreaterThan(1))
+
+
+class ServicesTest(WholePath):
+    def test_resent_post_runs_once(self) -> None:
+        path = "/v1/services/dispatch/book"
+        first = self.send("POST", path, {"a": 1}, key="k")
+        again = self.send("POST", path, {"a": 1}, key="k")
+        self.assertEqual(first.data, again.data)
+        self.assertEqual("true", again.headers["Mintcleat-Replayed"])
+
+    def test_post_without_a_key_runs_each_time(self) -> None:
+        path = "/v1/services/dispatch/book"
+        for _ in range(2):
+            reply = self.send("POST", path, {"a": 1})
+            self.assertNotIn("Mintcleat-Replayed", reply.headers)
