Let bursts of new connections wait in the listen queue

Cause: bench/path lost calls to the stand-in engine at 256 callers. Ruled out: stale keep-alive connections (none were idle), a dead process (alive). The listen queue held 50 and the kernel reset what came beyond.

--- a/bench/naive_proxy.py
+++ b/bench/naive_proxy.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import itertools
+import socket
 import sys
 import warnings
 
@@ -54,6 +55,7 @@
     listen, *upstreams = sys.argv[1:]
     host, _, port = listen.rpartition(":")
     listener = eventlet.listen((host, int(port)), backlog=1024)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     host, port = listener.getsockname()[:2]
     print(f"ready naive http={host}:{port}", flush=True)
     wsgi.server(listener, NaiveProxy(upstreams), log_output=False, debug=False)
--- a/bench/path.py
+++ b/bench/path.py
@@ -4,29 +4,21 @@
 engine, through the naive proxy, and through mintcleat (three control
 instances with disks, one entry, two sidecars; a durable commit per turn).
 
-Usage: python bench/path.py [--calls N] [--output FILE]
+Usage: python -m bench.path [--calls N] [--output FILE]
 """
 
 import json
 import pathlib
 import subprocess
-import sys
 import time
 from typing import Any
-import warnings
-
-warnings.filterwarnings("ignore", category=DeprecationWarning)
 
 import eventlet
-
-eventlet.monkey_patch()
-
 import fire
 from hdrh import histogram
 import urllib3
 
 ROOT = pathlib.Path(__file__).parent.parent
-sys.path[:0] = [str(ROOT), str(ROOT / "src")]
 
 from bench import processes
 from bench import rig
@@ -54,13 +46,16 @@
         if self.program:
             headers["Mintcleat-Program"] = program
             headers["Mintcleat-Turn"] = str(turn)
-        reply = self.pool.request(
-            "POST",
-            f"http://{self.address}/v1/chat/completions",
-            body=json.dumps(_BODY),
-            headers=headers,
-            timeout=60.0,
-        )
+        try:
+            reply = self.pool.request(
+                "POST",
+                f"http://{self.address}/v1/chat/completions",
+                body=json.dumps(_BODY),
+                headers=headers,
+                timeout=60.0,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise RuntimeError(f"{self.name} lost a call: {error}") from None
         if reply.status != 200:
             raise RuntimeError(f"{self.name}: {reply.status} {reply.data!r}")
 
@@ -71,7 +66,7 @@
         reply = self.pool.request(
             "POST",
             f"http://{self.address}/v1/programs",
-            body=b"{}",
+            body=b'{"agent": "triage"}',
             timeout=60.0,
         )
         if reply.status != 201:
@@ -108,9 +103,9 @@
     }
 
 
-def run(calls: int = 2000, output: str = "") -> None:
+def run(calls: int = 2000, controls: int = 3, output: str = "") -> None:
     """Prints the table; `output` names a JSON file for the figures."""
-    system = rig.system()
+    system = rig.system(controls=controls)
     naive = processes.Process(
         "naive",
         ["-W", "ignore", "bench/naive_proxy.py", "127.0.0.1:0"]
--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -184,7 +184,7 @@
     """
 
     def __init__(self, listen: str) -> None:
-        self.listener = eventlet.listen(split_address(listen))
+        self.listener = eventlet.listen(split_address(listen), backlog=1024)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.handlers: dict[type, streams.Handler] = {}
--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -1,5 +1,6 @@
 """eventlet's WSGI server with our limits and a graceful stop."""
 
+import socket
 from typing import Any
 
 import eventlet
@@ -28,6 +29,10 @@
         self.listener = eventlet.listen(
             streams.split_address(listen), backlog=1024
         )
+        # Accepted sockets inherit it. Without it the kernel holds back each
+        # small event until the caller has acknowledged the one before, and
+        # tokens come in bursts of 40 ms.
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.active = 0
--- a/src/mintcleat/main/daemon.py
+++ b/src/mintcleat/main/daemon.py
@@ -124,3 +124,7 @@
     if cut:
         logger.warning("{} requests were cut by the stop", cut)
     return _EXIT_CUT if cut else _EXIT_OK
+
+
+if __name__ == "__main__":
+    main()
--- a/src/mintcleat/standins/http.py
+++ b/src/mintcleat/standins/http.py
@@ -30,7 +30,7 @@
 
     def __init__(self, listen: str, application: Application) -> None:
         host, _, port = listen.rpartition(":")
-        self.listener = eventlet.listen((host, int(port)))
+        self.listener = eventlet.listen((host, int(port)), backlog=1024)
         self.address = "{}:{}".format(*self.listener.getsockname()[:2])
         self.clients: set[socket.socket] = set()
         self.accept = self.listener.accept
