--- a/src/mintcleat/domain/requests.py
+++ b/src/mintcleat/domain/requests.py
@@ -73,6 +73,7 @@
     Attributes:
         message: JSON text of the whole assistant message.
         replayed: The answer was recorded by an earlier send.
+        sidecar: Where the program's history is cached now, if known.
     """
 
     message: str
@@ -80,6 +81,7 @@
     usage: messages.Usage
     attempt: int
     replayed: bool
+    sidecar: messages.Incarnation | None = None
 
 
 class ServiceAnswer(NamedTuple):
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -457,6 +457,7 @@
         message.usage,
         message.attempt,
         replayed=False,
+        sidecar=message.load.sidecar,
     )
 
 
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -175,23 +175,42 @@
         started = self.timers.now()
         self.running += 1
         first = True
+        ended = False
         try:
             for event in self.chat_calls.run(context):
                 if first:
                     first = False
                     waited = self.timers.now() - started
                     self.metrics.observe("first_token_seconds", waited)
+                ended = isinstance(event, requests.End)
+                if ended:
+                    self._note_turn(context, event)
                 yield event
-            self._note_turn(context)
         finally:
             self.running -= 1
+            if not ended:
+                self.views.pop(context.call.program, None)
             taken = self.timers.now() - started
             self.metrics.observe("call_seconds", taken, kind="chat")
 
-    def _note_turn(self, context: chat_module.Context) -> None:
-        """Drops the cached view, whose turn and residency are now old."""
-        if context.call.program:
-            self.views.pop(context.call.program, None)
+    def _note_turn(
+        self, context: chat_module.Context, end: requests.End
+    ) -> None:
+        """Keeps where the program's history is cached now.
+
+        A stale note costs a rebuild, never a wrong answer: order and budget
+        are checked by the program's group, not by this cache.
+        """
+        view = self.views.get(context.call.program)
+        if view is None:
+            return
+        if end.sidecar is None:
+            self.views.pop(view.program)
+            return
+        tokens = end.usage.prompt_tokens + end.usage.completion_tokens
+        self.views[view.program] = view._replace(
+            resident=end.sidecar, used=tokens
+        )
 
     def _check_open(self, idempotent_service: bool) -> None:
         """Refuses new work while stopping or out of the config lease.
