--- /dev/null
+++ b/src/mintcleat/consensus/election.py
@@ -0,0 +1,232 @@
+"""Elections: pre-vote, vote, check-quorum and leadership transfer."""
+
+import math
+
+from mintcleat.consensus import lease
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import replicate
+from mintcleat.consensus import state
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+
+def tick(replica: state.State, now: float) -> None:
+    """Starts an election that is due, or ends a leadership without quorum."""
+    if replica.role == types.LEADER:
+        _check_quorum(replica, now)
+        return
+    configuration = replica.configuration
+    if not configuration.votes(replica.me):
+        return
+    if now >= replica.election_due or len(configuration.voters) == 1:
+        _ask_first(replica, now)
+
+
+def on_pre_vote(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.PreVote,
+    now: float,
+) -> None:
+    """Answers whether a vote would be granted."""
+    granted = (
+        message.term > replica.term
+        and _is_current(replica, message.last_index, message.last_term)
+        and not _hears_leader(replica, now)
+    )
+    term = message.term if granted else replica.term
+    replica.send(sender, wire.PreVoteReply(replica.group, term, granted))
+
+
+def on_pre_vote_reply(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.PreVoteReply,
+    now: float,
+) -> None:
+    """Counts a pre-vote; a majority starts the election."""
+    if not message.granted:
+        if message.term > replica.term:
+            replica.follow(message.term, types.NOBODY, now)
+        return
+    if replica.role != types.PRE_CANDIDATE or message.term != replica.term + 1:
+        return
+    replica.grants.add(sender)
+    if _has_majority(replica):
+        _campaign(replica, False, now)
+
+
+def on_vote(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.Vote,
+    now: float,
+) -> None:
+    """Grants or refuses a vote.
+
+    A voter that hears a leader ignores the request, term and all: the
+    leader's lease rests on it, and a replica that cannot hear the leader
+    must not unseat it.
+    """
+    if not message.transfer and _hears_leader(replica, now):
+        return
+    if message.term > replica.term:
+        replica.follow(message.term, types.NOBODY, now)
+    granted = (
+        message.term == replica.term
+        and replica.vote in (types.NOBODY, sender)
+        and _is_current(replica, message.last_index, message.last_term)
+    )
+    if granted:
+        replica.vote = sender
+        replica.save_vote()
+        replica.delay_election(now)
+    reply = wire.VoteReply(replica.group, replica.term, granted)
+    replica.send_synced(sender, reply)
+
+
+def on_vote_reply(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.VoteReply,
+    now: float,
+) -> None:
+    """Counts a vote; a majority makes this replica the leader."""
+    if message.term > replica.term:
+        replica.follow(message.term, types.NOBODY, now)
+    if (
+        replica.role == types.CANDIDATE
+        and message.term == replica.term
+        and message.granted
+    ):
+        replica.grants.add(sender)
+        if _has_majority(replica):
+            _lead(replica, now)
+
+
+def on_timeout_now(
+    replica: state.State,
+    message: wire.TimeoutNow,
+    now: float,
+) -> None:
+    """Holds the election that the leader asked for."""
+    if (
+        message.term == replica.term
+        and replica.role == types.FOLLOWER
+        and replica.configuration.votes(replica.me)
+    ):
+        _campaign(replica, True, now)
+
+
+def transfer(
+    replica: state.State, to: messages.Incarnation, now: float
+) -> None:
+    """Starts handing the leadership to a voter; proposals stop."""
+    if replica.role != types.LEADER or not replica.configuration.votes(to):
+        return
+    replica.transfer_to = to
+    replica.transfer_due = now + 2 * replica.settings.election
+    continue_transfer(replica)
+
+
+def continue_transfer(replica: state.State) -> None:
+    """Orders the election once the chosen voter holds the whole log.
+
+    The order may arrive at any later time and lets voters pass over their
+    promise to this leader, so the lease is given up for the whole term.
+    """
+    progress = replica.progress.get(replica.transfer_to)
+    if progress is None or replica.lease_given_up:
+        return
+    if progress.match == replica.log.last_index:
+        replica.lease_given_up = True
+        order = wire.TimeoutNow(replica.group, replica.term)
+        replica.send(replica.transfer_to, order)
+
+
+def _ask_first(replica: state.State, now: float) -> None:
+    # A replica behind a partition asks in vain and keeps its term; had it
+    # raised the term, its return would unseat a healthy leader.
+    if not replica.settings.safeguards.pre_vote:
+        _campaign(replica, False, now)
+        return
+    replica.role = types.PRE_CANDIDATE
+    replica.leader = types.NOBODY
+    replica.grants = {replica.me}
+    replica.delay_election(now)
+    if _has_majority(replica):
+        _campaign(replica, False, now)
+        return
+    log = replica.log
+    message = wire.PreVote(
+        replica.group, replica.term + 1, log.last_index, log.last_term
+    )
+    for peer in replica.configuration.voters:
+        if peer.replica != replica.me:
+            replica.send(peer.replica, message)
+
+
+def _campaign(replica: state.State, transfer_order: bool, now: float) -> None:
+    replica.term += 1
+    replica.vote = replica.me
+    replica.save_vote()
+    replica.role = types.CANDIDATE
+    replica.leader = types.NOBODY
+    replica.grants = {replica.me}
+    replica.delay_election(now)
+    if _has_majority(replica):
+        _lead(replica, now)
+        return
+    log = replica.log
+    message = wire.Vote(
+        replica.group,
+        replica.term,
+        log.last_index,
+        log.last_term,
+        transfer_order,
+    )
+    for peer in replica.configuration.voters:
+        if peer.replica != replica.me:
+            replica.send_synced(peer.replica, message)
+
+
+def _lead(replica: state.State, now: float) -> None:
+    replica.role = types.LEADER
+    replica.leader = replica.me
+    replica.led_at = now
+    replica.lease_given_up = False
+    replica.transfer_to = types.NOBODY
+    replica.transfer_due = math.inf
+    replica.progress = {}
+    replicate.track_peers(replica, now)
+    replica.term_start = replicate.add(replica, types.NOOP, b"", now)
+    replica.box.beat_soon = True
+
+
+def _check_quorum(replica: state.State, now: float) -> None:
+    """Ends a leadership that no quorum answers.
+
+    Behind a silent partition a leader would keep its callers waiting for
+    commits that cannot come; stepping down sends them elsewhere.
+    """
+    longest = 2 * replica.settings.election
+    contact = max(lease.quorum_contact(replica), replica.led_at)
+    if now - contact > longest or now > replica.transfer_due:
+        replica.follow(replica.term, types.NOBODY, now)
+
+
+def _hears_leader(replica: state.State, now: float) -> bool:
+    if replica.role == types.LEADER:
+        return now - lease.quorum_contact(replica) < replica.settings.election
+    return now - replica.heard_at < replica.settings.election
+
+
+def _is_current(replica: state.State, index: int, term: int) -> bool:
+    log = replica.log
+    return (term, index) >= (log.last_term, log.last_index)
+
+
+def _has_majority(replica: state.State) -> bool:
+    configuration = replica.configuration
+    votes = sum(p.replica in replica.grants for p in configuration.voters)
+    return votes >= configuration.quorum()
--- /dev/null
+++ b/src/mintcleat/consensus/instance.py
@@ -0,0 +1,240 @@
+"""All groups of one instance, with one heartbeat per pair of instances."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Any
+
+from mintcleat.consensus import lease
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import repair
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import replicate
+from mintcleat.consensus import roster as rosters
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+# Versions of a heartbeat list that an answer may still refer to.
+_KEPT_VERSIONS = 32
+# An instance greets often at first, so that new groups start soon.
+_YOUNG_PERIODS = 5
+
+
+class _Outgoing:
+    """The heartbeats that go to one peer."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.known = 0
+        self.lists: dict[int, list[wire.Beat]] = {0: []}
+
+
+class Instance:
+    """The replicas of one instance; see the package's documentation.
+
+    Attributes:
+        box: Effects to carry out.
+        replicas: By group.
+        roster: Who lives on which instance.
+    """
+
+    def __init__(
+        self,
+        me: messages.Incarnation,
+        life: int,
+        settings: types.Settings,
+        jitter: Callable[[], float],
+        groups: Iterable[str],
+        *,
+        members: Sequence[types.Member],
+        stored: dict[str, records.Stored],
+        now: float,
+    ) -> None:
+        self.me = me
+        self.life = life
+        self.settings = settings
+        self.box = outbox.Outbox()
+        self.replicas = {
+            group: replicas.Replica(
+                group,
+                me,
+                settings,
+                jitter,
+                self.box,
+                stored=stored.get(group) or records.Stored(),
+                now=now,
+            )
+            for group in sorted({*groups, *stored})
+        }
+        self.roster = rosters.Roster(me, members)
+        self.beat_due = now
+        self.hello_due = now
+        self.started = now
+        self.outgoing: dict[messages.Incarnation, _Outgoing] = {}
+        self.incoming: dict[
+            messages.Incarnation, tuple[int, int, list[wire.Beat]]
+        ] = {}
+
+    def receive(self, frame: wire.Frame, now: float) -> None:
+        """Takes a frame; one for an earlier life of this disk is dropped.
+
+        An emptied disk has forgotten its votes and entries. Answering for
+        the replica that it held before could elect two leaders in one term
+        or count an entry as held by a majority that lost it.
+        """
+        anyone = messages.Incarnation(self.me.instance, 0)
+        if frame.to not in (self.me, anyone):
+            return
+        self.roster.heard(frame.sender, frame.address, now)
+        for message in frame.messages:
+            if frame.to == self.me or isinstance(message, wire.Hello):
+                self.step(frame.sender, message, now)
+
+    def step(
+        self, sender: messages.Incarnation, message: Any, now: float
+    ) -> None:
+        """Takes a message from a peer."""
+        match message:
+            case wire.Heartbeat():
+                self._on_heartbeat(sender, message, now)
+            case wire.HeartbeatReply():
+                self._on_reply(sender, message, now)
+            case wire.Hello():
+                self.roster.on_hello(sender, message, now)
+                if not message.answer:
+                    answer = wire.Hello(self.known_groups(), True)
+                    self.box.late.append(outbox.Letter(sender, answer))
+            case _:
+                replica = self.replicas.get(message.group)
+                if replica is not None:
+                    replica.step(sender, message, now)
+
+    def tick(self, now: float) -> None:
+        """Lets time pass for every group."""
+        for replica in self.replicas.values():
+            replica.tick(now)
+        if now >= self.beat_due:
+            self._beat(now)
+        if now >= self.hello_due:
+            self._care(now)
+
+    def known_groups(self) -> list[str]:
+        """Returns the groups in which this disk holds a vote or entries."""
+        found = self.replicas.items()
+        return [group for group, replica in found if not replica.is_fresh()]
+
+    def flush(self, now: float) -> None:
+        """Adds what is to be sent; to be called before taking the outbox."""
+        for replica in self.replicas.values():
+            if replica.state.changed:
+                replica.flush(now)
+        if self.box.beat_soon:
+            self._beat(now)
+
+    def on_synced(self) -> None:
+        """Notes that every record so far is durable."""
+        for replica in self.replicas.values():
+            if replica.state.persisted < replica.state.log.last_index:
+                replica.on_synced()
+
+    def _beat(self, now: float) -> None:
+        self.box.beat_soon = False
+        self.beat_due = now + self.settings.heartbeat
+        lists: dict[messages.Incarnation, list[wire.Beat]] = {}
+        for group, replica in self.replicas.items():
+            state = replica.state
+            if state.role != types.LEADER:
+                continue
+            for follower, progress in state.progress.items():
+                commit = min(progress.match, state.commit)
+                beat = wire.Beat(group, state.term, commit)
+                lists.setdefault(follower, []).append(beat)
+        for follower, beats in lists.items():
+            self._send_beat(follower, beats, now)
+
+    def _care(self, now: float) -> None:
+        """Greets everyone, starts new groups and repairs those led here."""
+        period = self.settings.hello
+        young = now - self.started < _YOUNG_PERIODS * period
+        self.hello_due = now + (self.settings.heartbeat if young else period)
+        self.box.early.extend(self.roster.greetings(self.known_groups()))
+        for group, replica in self.replicas.items():
+            if replica.state.role == types.LEADER:
+                repair.tick(replica.state, self.roster, now)
+            elif replica.is_fresh():
+                founders = self.roster.founders(
+                    group, self.settings.group_size, now - 2 * period
+                )
+                if founders is not None:
+                    replica.bootstrap(founders)
+
+    def _send_beat(
+        self, follower: messages.Incarnation, beats: list[wire.Beat], now: float
+    ) -> None:
+        out = self.outgoing.setdefault(follower, _Outgoing())
+        if out.lists.get(out.version) != beats:
+            out.version += 1
+            out.lists[out.version] = beats
+            out.lists.pop(out.version - _KEPT_VERSIONS, None)
+        # An idle list is named by its version instead of being sent again.
+        body = None if out.known == out.version else beats
+        message = wire.Heartbeat(self.life, out.version, now, body)
+        self.box.early.append(outbox.Letter(follower, message))
+
+    def _on_heartbeat(
+        self, sender: messages.Incarnation, message: wire.Heartbeat, now: float
+    ) -> None:
+        life, version, beats = self.incoming.get(sender, (0, 0, []))
+        if message.beats is not None:
+            beats = message.beats
+            self.incoming[sender] = (message.life, message.version, beats)
+        elif (life, version) != (message.life, message.version):
+            self._reply(sender, message, False, [])
+            return
+        refused = []
+        for beat in beats:
+            replica = self.replicas.get(beat.group)
+            if replica is None:
+                refused.append(beat._replace(term=0))
+                continue
+            taken = replicate.on_beat(replica.state, sender, beat, now)
+            if not taken:
+                refused.append(beat._replace(term=replica.state.term))
+        self._reply(sender, message, True, refused)
+
+    def _reply(
+        self,
+        sender: messages.Incarnation,
+        message: wire.Heartbeat,
+        known: bool,
+        refused: list[wire.Beat],
+    ) -> None:
+        reply = wire.HeartbeatReply(
+            message.life, message.version, message.sent, known, refused
+        )
+        self.box.late.append(outbox.Letter(sender, reply))
+
+    def _on_reply(
+        self,
+        sender: messages.Incarnation,
+        message: wire.HeartbeatReply,
+        now: float,
+    ) -> None:
+        out = self.outgoing.get(sender)
+        if out is None or message.life != self.life:
+            return
+        out.known = message.version if message.known else 0
+        beats = out.lists.get(message.version)
+        if not message.known or beats is None:
+            return
+        refused = {beat.group: beat.term for beat in message.refused}
+        for beat in beats:
+            replica = self.replicas[beat.group].state
+            higher = refused.get(beat.group)
+            if higher is not None:
+                if higher > replica.term:
+                    replica.follow(higher, types.NOBODY, now)
+            elif replica.term == beat.term and replica.role == types.LEADER:
+                lease.acknowledge(replica, sender, message.sent, now)
--- /dev/null
+++ b/src/mintcleat/consensus/messages.py
@@ -0,0 +1,201 @@
+"""Messages between the replicas, and the frame that carries them.
+
+A frame is a msgpack array: sender, its address, receiver, and messages as
+`[tag, fields...]`. A receiver drops a frame for another incarnation, so that
+a replica on an emptied disk never answers for the one before it.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+import msgpack
+import msgspec
+
+from mintcleat.consensus import types
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+
+class PreVote(NamedTuple):
+    """Asks whether a vote for `term` would be granted; changes nothing."""
+
+    group: str
+    term: int
+    last_index: int
+    last_term: int
+
+
+class PreVoteReply(NamedTuple):
+    """`term` is the one asked for when granted, else the voter's own."""
+
+    group: str
+    term: int
+    granted: bool
+
+
+class Vote(NamedTuple):
+    """Asks for a vote.
+
+    Attributes:
+        transfer: The leader itself asked for this election, and has given up
+            its lease.
+    """
+
+    group: str
+    term: int
+    last_index: int
+    last_term: int
+    transfer: bool = False
+
+
+class VoteReply(NamedTuple):
+    """Answer to Vote; sent once the vote is durable."""
+
+    group: str
+    term: int
+    granted: bool
+
+
+class Append(NamedTuple):
+    """Entries that follow `previous_index`."""
+
+    group: str
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: list[types.Entry]
+    commit: int
+
+
+class AppendReply(NamedTuple):
+    """Answer to Append or InstallSnapshot, once the entries are durable.
+
+    Attributes:
+        index: The last matching index, or when refused the last index that
+            may match.
+        previous_index: Repeats that of a refused Append.
+    """
+
+    group: str
+    term: int
+    accepted: bool
+    index: int
+    previous_index: int = 0
+
+
+class InstallSnapshot(NamedTuple):
+    """Replaces a follower's log; `state` is the machine's snapshot."""
+
+    group: str
+    term: int
+    mark: types.SnapshotMark
+    state: bytes
+
+
+class TimeoutNow(NamedTuple):
+    """Tells a follower to hold an election at once."""
+
+    group: str
+    term: int
+
+
+class Beat(NamedTuple):
+    """Heartbeat of one group, inside Heartbeat."""
+
+    group: str
+    term: int
+    commit: int
+
+
+class Heartbeat(NamedTuple):
+    """Heartbeats of all groups that the sender leads on the receiver.
+
+    Attributes:
+        life: Start of the sender's process; the reply repeats it.
+        version: Number of the list; it grows when the list changes.
+        sent: Sender's clock at sending; the lease counts from it.
+        beats: The list, or None for the one that `version` named before.
+    """
+
+    life: int
+    version: int
+    sent: float
+    beats: list[Beat] | None
+
+
+class HeartbeatReply(NamedTuple):
+    """Answer to Heartbeat.
+
+    Attributes:
+        known: Whether the receiver has the list; False asks for it.
+        refused: Groups whose term is higher here, with that term.
+    """
+
+    life: int
+    version: int
+    sent: float
+    known: bool
+    refused: list[Beat]
+
+
+class Hello(NamedTuple):
+    """Greets an instance; the frame says who lives at which address.
+
+    Attributes:
+        groups: Groups in which the sender has voted or holds entries.
+        answer: Whether this answers the receiver's own greeting. Only then
+            is `groups` a statement made after the receiver's disk was new.
+    """
+
+    groups: list[str]
+    answer: bool
+
+
+class Frame(NamedTuple):
+    """Messages from one replica's instance to another's."""
+
+    sender: messages.Incarnation
+    address: str
+    to: messages.Incarnation
+    messages: list[Any]
+
+
+_KINDS: tuple[type, ...] = (
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    TimeoutNow,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+)
+_TAGS = {kind: tag for tag, kind in enumerate(_KINDS)}
+
+
+def encode(frame: Frame) -> bytes:
+    """Returns the frame as bytes."""
+    items = [[_TAGS[type(item)], *item] for item in frame.messages]
+    return msgpack.packb([frame.sender, frame.address, frame.to, items])
+
+
+def decode(data: bytes) -> Frame:
+    """Returns the frame of these bytes.
+
+    Raises:
+        errors.BadRequest: They are no frame.
+    """
+    try:
+        fields = msgpack.unpackb(data, strict_map_key=False)
+        frame = msgspec.convert(fields, Frame)
+        items = [_message(item) for item in frame.messages]
+    except (ValueError, TypeError, IndexError, msgspec.ValidationError) as e:
+        raise errors.BadRequest(f"A peer sent no frame: {e}.") from e
+    return frame._replace(messages=items)
+
+
+def _message(item: list[Any]) -> Any:
+    return msgspec.convert(item[1:], _KINDS[item[0]])
--- /dev/null
+++ b/src/mintcleat/consensus/outbox.py
@@ -0,0 +1,81 @@
+"""What the core wants done: store, send, restore, answer."""
+
+from typing import Any
+from typing import NamedTuple
+
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+
+class Letter(NamedTuple):
+    """A message to a replica."""
+
+    to: messages.Incarnation
+    message: Any
+
+
+class SnapshotNeeded(NamedTuple):
+    """A follower is behind the log: send it the stored snapshot."""
+
+    to: messages.Incarnation
+    group: str
+    term: int
+    mark: types.SnapshotMark
+
+
+class Installed(NamedTuple):
+    """Store this state and restore the machine from it, before `records`."""
+
+    group: str
+    mark: types.SnapshotMark
+    state: bytes
+
+
+class ReadReady(NamedTuple):
+    """A read may be answered, or (not `granted`) was refused.
+
+    Attributes:
+        index: The machine must have applied up to it first.
+    """
+
+    group: str
+    token: int
+    granted: bool
+    index: int
+
+
+class Outbox:
+    """Effects of all groups of an instance, in the order to carry them out.
+
+    Attributes:
+        installs: To store and restore first.
+        records: Then to append to the write-ahead log.
+        early: To send at once; nothing in them promises durability.
+        late: To send only after `records` are synced.
+    """
+
+    def __init__(self) -> None:
+        self.installs: list[Installed] = []
+        self.records: list[bytes] = []
+        self.early: list[Letter] = []
+        self.late: list[Letter] = []
+        self.snapshots: list[SnapshotNeeded] = []
+        self.reads: list[ReadReady] = []
+        self.beat_soon = False
+
+    def take(self) -> "Outbox":
+        """Empties this outbox and returns what it held."""
+        taken = Outbox()
+        taken.__dict__, self.__dict__ = self.__dict__, taken.__dict__
+        return taken
+
+    def idle(self) -> bool:
+        """Tells whether nothing is to be done."""
+        return not (
+            self.installs
+            or self.records
+            or self.early
+            or self.late
+            or self.snapshots
+            or self.reads
+        )
--- /dev/null
+++ b/src/mintcleat/consensus/records.py
@@ -0,0 +1,81 @@
+"""Records of the write-ahead log, and the state that they add up to."""
+
+from collections.abc import Iterable
+
+import msgpack
+import msgspec
+
+from mintcleat.consensus import entries as entry_log
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+_VOTE = 0
+_ENTRIES = 1
+_SNAPSHOT = 2
+
+
+class Stored:
+    """What the disk holds of one group."""
+
+    def __init__(self) -> None:
+        self.term = 0
+        self.vote = types.NOBODY
+        self.log = entry_log.EntryLog()
+        self.mark = types.SnapshotMark(0, 0, types.EMPTY)
+
+
+def vote(group: str, term: int, replica: messages.Incarnation) -> bytes:
+    """Returns the record of a term and the vote in it."""
+    return msgpack.packb([_VOTE, group, term, replica])
+
+
+def entries(group: str, items: list[types.Entry]) -> bytes:
+    """Returns the record of entries; they replace any from the first on."""
+    return msgpack.packb([_ENTRIES, group, items])
+
+
+def snapshot(group: str, mark: types.SnapshotMark) -> bytes:
+    """Returns the record of a stored snapshot."""
+    return msgpack.packb([_SNAPSHOT, group, mark])
+
+
+def configuration(data: bytes) -> types.Configuration:
+    """Returns the configuration in an entry of that kind."""
+    return msgspec.convert(msgpack.unpackb(data), types.Configuration)
+
+
+def configuration_data(value: types.Configuration) -> bytes:
+    """Returns the data of an entry that carries a configuration."""
+    return msgpack.packb(value)
+
+
+def fold(items: Iterable[bytes]) -> dict[str, Stored]:
+    """Returns the state of each group after all records."""
+    groups: dict[str, Stored] = {}
+    for item in items:
+        kind, group, *fields = msgpack.unpackb(item)
+        stored = groups.setdefault(group, Stored())
+        if kind == _VOTE:
+            stored.term = fields[0]
+            stored.vote = messages.Incarnation(*fields[1])
+        elif kind == _ENTRIES:
+            _add(stored, [types.Entry(*values) for values in fields[0]])
+        else:
+            _mark(stored, msgspec.convert(fields[0], types.SnapshotMark))
+    return groups
+
+
+def _add(stored: Stored, items: list[types.Entry]) -> None:
+    log = stored.log
+    if items[0].index <= log.last_index:
+        log.truncate(items[0].index)
+    for entry in items:
+        log.append(entry)
+
+
+def _mark(stored: Stored, mark: types.SnapshotMark) -> None:
+    stored.mark = mark
+    if stored.log.term_at(mark.index) == mark.term:
+        stored.log.compact(mark.index)
+    else:
+        stored.log.reset(mark.index, mark.term)
--- /dev/null
+++ b/src/mintcleat/consensus/repair.py
@@ -0,0 +1,104 @@
+"""When a leader replaces a voter, and by whom."""
+
+from mintcleat.consensus import lease
+from mintcleat.consensus import membership
+from mintcleat.consensus import roster as rosters
+from mintcleat.consensus import state
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+# A spare must have been heard within this many greeting periods.
+_ALIVE_PERIODS = 3
+
+
+def tick(replica: state.State, roster: rosters.Roster, now: float) -> None:
+    """Starts or gives up a repair of this group, one at a time."""
+    if not membership.may_change(replica):
+        return
+    configuration = replica.configuration
+    for learner in configuration.learners:
+        if _lost(replica, roster, learner, now):
+            membership.drop_learner(replica, learner.replica, now)
+        return
+    for voter in configuration.voters:
+        if voter.replica == replica.me:
+            continue
+        newcomer = _newcomer(replica, roster, voter, now)
+        if newcomer is not None:
+            replace(replica, voter.replica, newcomer, now)
+            return
+
+
+def replace(
+    replica: state.State,
+    old: messages.Incarnation,
+    newcomer: types.Peer,
+    now: float,
+) -> bool:
+    """Starts replacing a voter; False when another change is under way."""
+    return membership.add(replica, newcomer._replace(replaces=old), now)
+
+
+def _newcomer(
+    replica: state.State,
+    roster: rosters.Roster,
+    voter: types.Peer,
+    now: float,
+) -> types.Peer | None:
+    """Returns who should replace a voter, or None when it is well.
+
+    A new incarnation on the same instance proves that the old one is gone:
+    its disk is, so waiting has no use. Silence alone proves nothing, and a
+    spare comes only after `replace_after`, so that a restart moves no data.
+    """
+    resident = roster.residents.get(voter.replica.instance)
+    if resident and resident.peer.replica.epoch > voter.replica.epoch:
+        return resident.peer if _alive(replica, resident, now) else None
+    if not _silent(replica, voter.replica, now):
+        return None
+    return _spare(replica, roster, voter, now)
+
+
+def _spare(
+    replica: state.State,
+    roster: rosters.Roster,
+    voter: types.Peer,
+    now: float,
+) -> types.Peer | None:
+    """Returns a live instance outside the group, best in a free domain."""
+    peers = replica.configuration.peers()
+    inside = {peer.replica.instance for peer in peers}
+    used = {p.failure_domain for p in peers if p is not voter}
+    found = [
+        resident.peer
+        for name, resident in roster.residents.items()
+        if name not in inside and _alive(replica, resident, now)
+    ]
+    found.sort(key=lambda p: (p.failure_domain in used, p.replica))
+    return found[0] if found else None
+
+
+def _lost(
+    replica: state.State,
+    roster: rosters.Roster,
+    learner: types.Peer,
+    now: float,
+) -> bool:
+    resident = roster.residents.get(learner.replica.instance)
+    if resident and resident.peer.replica.epoch > learner.replica.epoch:
+        return True
+    return _silent(replica, learner.replica, now)
+
+
+def _silent(
+    replica: state.State, follower: messages.Incarnation, now: float
+) -> bool:
+    after = replica.settings.replace_after
+    contact = max(lease.contact(replica, follower), replica.led_at)
+    return after > 0 and now - contact > after
+
+
+def _alive(
+    replica: state.State, resident: rosters.Resident, now: float
+) -> bool:
+    return now - resident.seen < _ALIVE_PERIODS * replica.settings.hello
--- /dev/null
+++ b/src/mintcleat/consensus/replica.py
@@ -0,0 +1,166 @@
+"""One replica of one group: the public face of the core's modules."""
+
+from collections.abc import Callable
+from typing import Any
+
+from mintcleat.consensus import election
+from mintcleat.consensus import lease
+from mintcleat.consensus import membership
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import replicate
+from mintcleat.consensus import state
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+
+class Replica:
+    """Takes messages and the time; leaves effects in the outbox.
+
+    Attributes:
+        state: The fields, for reading.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        me: messages.Incarnation,
+        settings: types.Settings,
+        jitter: Callable[[], float],
+        box: outbox.Outbox,
+        *,
+        stored: records.Stored,
+        now: float,
+    ) -> None:
+        self.state = state.State(
+            group, me, settings, jitter, box, stored=stored, now=now
+        )
+
+    def bootstrap(self, configuration: types.Configuration) -> None:
+        """Starts a new group; only one replica of it may ever do so."""
+        replica = self.state
+        replica.term = 1
+        replica.vote = replica.me
+        replica.save_vote()
+        data = records.configuration_data(configuration)
+        replica.store([types.Entry(1, 1, types.CONFIGURATION, data)])
+        replica.election_due = 0.0
+
+    def is_fresh(self) -> bool:
+        """Tells whether this replica never voted nor held an entry."""
+        return self.state.term == 0 and self.state.log.last_index == 0
+
+    def step(
+        self, sender: messages.Incarnation, message: Any, now: float
+    ) -> None:
+        """Takes a message of this group."""
+        replica = self.state
+        match message:
+            case wire.Append():
+                replicate.on_append(replica, sender, message, now)
+            case wire.AppendReply():
+                replicate.on_append_reply(replica, sender, message, now)
+                election.continue_transfer(replica)
+                membership.advance(replica, now)
+            case wire.PreVote():
+                election.on_pre_vote(replica, sender, message, now)
+            case wire.PreVoteReply():
+                election.on_pre_vote_reply(replica, sender, message, now)
+            case wire.Vote():
+                election.on_vote(replica, sender, message, now)
+            case wire.VoteReply():
+                election.on_vote_reply(replica, sender, message, now)
+            case wire.InstallSnapshot():
+                replicate.on_install(replica, sender, message, now)
+            case wire.TimeoutNow():
+                election.on_timeout_now(replica, message, now)
+
+    def tick(self, now: float) -> None:
+        """Lets time pass; to be called about twice per heartbeat."""
+        election.tick(self.state, now)
+        if self.state.role == types.LEADER:
+            replicate.tick(self.state, now)
+            membership.advance(self.state, now)
+
+    def propose(self, command: bytes, now: float) -> tuple[int, int] | None:
+        """Adds a command; returns its term and index, None if not leader."""
+        replica = self.state
+        if not self.takes_proposals():
+            return None
+        index = replicate.add(replica, types.COMMAND, command, now)
+        return replica.term, index
+
+    def takes_proposals(self) -> bool:
+        """Tells whether this replica leads and hands nothing over."""
+        replica = self.state
+        handing_over = replica.transfer_to != types.NOBODY
+        return replica.role == types.LEADER and not handing_over
+
+    def read(self, token: int, now: float) -> None:
+        """Asks for a linearizable read; see `lease.read`."""
+        lease.read(self.state, token, now)
+
+    def holds_lease(self, now: float) -> bool:
+        """Tells whether reads need no message now."""
+        return lease.held(self.state, now)
+
+    def transfer(self, to: messages.Incarnation, now: float) -> None:
+        """Hands the leadership to a voter."""
+        election.transfer(self.state, to, now)
+
+    def add_learner(self, peer: types.Peer, now: float) -> bool:
+        """Starts a repair; see `membership`."""
+        return membership.add(self.state, peer, now)
+
+    def drop_learner(self, learner: messages.Incarnation, now: float) -> bool:
+        """Gives up a repair whose learner failed."""
+        return membership.drop_learner(self.state, learner, now)
+
+    def flush(self, now: float) -> None:
+        """Sends followers what was added since the last flush."""
+        if self.state.role == types.LEADER and self.state.changed:
+            replicate.send_all(self.state, now)
+
+    def on_synced(self) -> None:
+        """Notes that every record so far is durable."""
+        replica = self.state
+        replica.persisted = replica.log.last_index
+        if replica.role == types.LEADER:
+            replicate.advance_commit(replica)
+
+    def take_committed(self) -> list[types.Entry]:
+        """Returns the entries to apply next and counts them as applied."""
+        replica = self.state
+        last = min(replica.commit, replica.persisted)
+        if last <= replica.applied:
+            return []
+        found = replica.log.between(replica.applied + 1, last)
+        replica.applied = last
+        return found
+
+    def snapshot_mark(self) -> types.SnapshotMark:
+        """Returns the mark for a snapshot of what is applied now."""
+        replica = self.state
+        index = replica.applied
+        term = replica.log.term_at(index) or 0
+        return types.SnapshotMark(index, term, replica.configuration_at(index))
+
+    def compact(self, mark: types.SnapshotMark, keep: int) -> None:
+        """Forgets entries under a stored snapshot, all but the last `keep`."""
+        self.state.compact(mark, keep)
+
+    def live_records(self) -> list[bytes]:
+        """Returns records that stand for the whole state of this group."""
+        replica = self.state
+        found = [records.vote(replica.group, replica.term, replica.vote)]
+        if replica.mark.index > 0:
+            found.append(records.snapshot(replica.group, replica.mark))
+        first = replica.mark.index + 1
+        size = replica.settings.batch_entries
+        last = replica.log.last_index
+        for start in range(first, last + 1, size):
+            end = min(start + size - 1, last)
+            items = replica.log.between(start, end)
+            found.append(records.entries(replica.group, items))
+        return found
--- /dev/null
+++ b/src/mintcleat/consensus/replicate.py
@@ -0,0 +1,272 @@
+"""Replication of entries from the leader, pipelined, and commits."""
+
+import math
+
+from mintcleat.consensus import lease
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import state
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+
+def add(replica: state.State, kind: int, data: bytes, now: float) -> int:
+    """Adds an entry at the leader and returns its index."""
+    entry = types.Entry(replica.log.last_index + 1, replica.term, kind, data)
+    replica.store([entry])
+    replica.changed = True
+    if kind == types.CONFIGURATION:
+        track_peers(replica, now)
+    return entry.index
+
+
+def track_peers(replica: state.State, now: float) -> None:
+    """Keeps progress for exactly the peers of the configuration."""
+    wanted = {p.replica for p in replica.configuration.peers()}
+    wanted.discard(replica.me)
+    for gone in set(replica.progress) - wanted:
+        del replica.progress[gone]
+    for new in sorted(wanted - set(replica.progress)):
+        start = replica.log.last_index + 1
+        replica.progress[new] = state.Progress(start, now)
+
+
+def send_all(replica: state.State, now: float) -> None:
+    """Sends each follower what it may be sent now."""
+    replica.changed = False
+    for follower, progress in replica.progress.items():
+        _send(replica, follower, progress, now)
+
+
+def tick(replica: state.State, now: float) -> None:
+    """Sends again to followers that have been silent too long."""
+    for follower, progress in replica.progress.items():
+        behind = progress.match < replica.log.last_index
+        silent = now - progress.heard > replica.settings.resend
+        if behind and silent and now > progress.snapshot_until:
+            progress.next = progress.match + 1
+            progress.unanswered = 0
+            progress.probing = True
+            progress.heard = now
+            _send(replica, follower, progress, now)
+
+
+def on_append(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.Append,
+    now: float,
+) -> None:
+    """Takes entries from the leader."""
+    if message.term < replica.term:
+        _refuse(replica, sender, message, 0)
+        return
+    _hear(replica, sender, message.term, now)
+    hint = _mismatch(replica, message)
+    if hint is not None:
+        _refuse(replica, sender, message, hint)
+        return
+    _merge(replica, message.entries)
+    match = message.previous_index + len(message.entries)
+    _commit_to(replica, min(message.commit, match))
+    reply = wire.AppendReply(replica.group, replica.term, True, match)
+    replica.send_synced(sender, reply)
+
+
+def on_append_reply(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.AppendReply,
+    now: float,
+) -> None:
+    """Takes a follower's answer."""
+    if message.term > replica.term:
+        replica.follow(message.term, types.NOBODY, now)
+        return
+    progress = replica.progress.get(sender)
+    if progress is None or message.term < replica.term:
+        return
+    progress.heard = now
+    if message.accepted:
+        _advance(replica, progress, message.index)
+    elif message.previous_index > progress.match:
+        retry = min(message.previous_index, message.index + 1)
+        progress.next = max(progress.match + 1, retry)
+        progress.probing = True
+        progress.unanswered = 0
+    _send(replica, sender, progress, now)
+
+
+def on_beat(
+    replica: state.State,
+    sender: messages.Incarnation,
+    beat: wire.Beat,
+    now: float,
+) -> bool:
+    """Takes a heartbeat; returns False when it is of an old term."""
+    if beat.term < replica.term:
+        return False
+    _hear(replica, sender, beat.term, now)
+    _commit_to(replica, min(beat.commit, replica.log.last_index))
+    return True
+
+
+def on_install(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.InstallSnapshot,
+    now: float,
+) -> None:
+    """Replaces the log by a snapshot, unless it holds as much already."""
+    if message.term < replica.term:
+        reply = wire.AppendReply(replica.group, replica.term, False, 0)
+        replica.send(sender, reply)
+        return
+    _hear(replica, sender, message.term, now)
+    mark = message.mark
+    if mark.index > replica.commit:
+        replica.install(mark)
+        install = outbox.Installed(replica.group, mark, message.state)
+        replica.box.installs.append(install)
+    match = max(mark.index, replica.commit)
+    reply = wire.AppendReply(replica.group, replica.term, True, match)
+    replica.send_synced(sender, reply)
+
+
+def advance_commit(replica: state.State) -> None:
+    """Commits what a majority of the voters holds durably.
+
+    Only an entry of the leader's own term is counted: an older one that a
+    majority holds can still be overwritten by a later leader.
+    """
+    configuration = replica.configuration
+    matches = sorted(
+        (_match(replica, peer.replica) for peer in configuration.voters),
+        reverse=True,
+    )
+    index = matches[configuration.quorum() - 1]
+    if index <= replica.commit or replica.log.term_at(index) != replica.term:
+        return
+    replica.commit = index
+    replica.changed = True
+    lease.answer_reads(replica)
+
+
+def _send(
+    replica: state.State,
+    follower: messages.Incarnation,
+    progress: state.Progress,
+    now: float,
+) -> None:
+    log = replica.log
+    settings = replica.settings
+    while progress.next <= log.last_index:
+        limit = 1 if progress.probing else settings.window
+        if progress.unanswered >= limit or now <= progress.snapshot_until:
+            return
+        if progress.next <= log.base_index:
+            _send_snapshot(replica, follower, progress, now)
+            return
+        items = log.batch(
+            progress.next, settings.batch_entries, settings.batch_bytes
+        )
+        previous = progress.next - 1
+        message = wire.Append(
+            replica.group,
+            replica.term,
+            previous,
+            log.term_at(previous) or 0,
+            items,
+            replica.commit,
+        )
+        replica.send(follower, message)
+        if progress.unanswered == 0:
+            progress.heard = now
+        progress.unanswered += 1
+        progress.next += len(items)
+
+
+def _send_snapshot(
+    replica: state.State,
+    follower: messages.Incarnation,
+    progress: state.Progress,
+    now: float,
+) -> None:
+    progress.snapshot_until = now + replica.settings.snapshot_resend
+    needed = outbox.SnapshotNeeded(
+        follower, replica.group, replica.term, replica.mark
+    )
+    replica.box.snapshots.append(needed)
+
+
+def _advance(
+    replica: state.State, progress: state.Progress, index: int
+) -> None:
+    progress.match = max(progress.match, index)
+    progress.next = max(progress.next, progress.match + 1)
+    progress.probing = False
+    progress.unanswered = max(0, progress.unanswered - 1)
+    progress.snapshot_until = -math.inf
+    advance_commit(replica)
+
+
+def _hear(
+    replica: state.State, sender: messages.Incarnation, term: int, now: float
+) -> None:
+    if term > replica.term or replica.leader != sender:
+        replica.follow(term, sender, now)
+    replica.role = types.FOLLOWER
+    replica.heard_at = now
+    replica.delay_election(now)
+
+
+def _mismatch(replica: state.State, message: wire.Append) -> int | None:
+    """Returns the last index that may match, or None when all is well."""
+    log = replica.log
+    previous = message.previous_index
+    if previous < log.base_index:
+        return None
+    found = log.term_at(previous)
+    if found is None:
+        return log.last_index
+    if found == message.previous_term:
+        return None
+    while previous > replica.commit and log.term_at(previous) == found:
+        previous -= 1
+    return previous
+
+
+def _merge(replica: state.State, items: list[types.Entry]) -> None:
+    for number, entry in enumerate(items):
+        if entry.index <= replica.log.base_index:
+            continue
+        found = replica.log.term_at(entry.index)
+        if found == entry.term:
+            continue
+        if found is not None:
+            replica.truncate(entry.index)
+        replica.store(items[number:])
+        return
+
+
+def _commit_to(replica: state.State, index: int) -> None:
+    replica.commit = max(replica.commit, index)
+
+
+def _refuse(
+    replica: state.State,
+    sender: messages.Incarnation,
+    message: wire.Append,
+    hint: int,
+) -> None:
+    reply = wire.AppendReply(
+        replica.group, replica.term, False, hint, message.previous_index
+    )
+    replica.send(sender, reply)
+
+
+def _match(replica: state.State, voter: messages.Incarnation) -> int:
+    if voter == replica.me:
+        return replica.persisted
+    progress = replica.progress.get(voter)
+    return progress.match if progress else 0
--- /dev/null
+++ b/src/mintcleat/consensus/state.py
@@ -0,0 +1,202 @@
+"""The state of one replica of one group, and steps that all parts share."""
+
+from collections.abc import Callable
+import math
+from typing import Any
+
+from mintcleat.consensus import entries
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+
+class Progress:
+    """What a leader knows of one follower.
+
+    Attributes:
+        match: Last index known to be durable there.
+        next: Next index to send.
+        probing: Whether only one message may be under way.
+        unanswered: Messages under way.
+        heard: When its last answer came.
+        acked: When the last heartbeat that it answered was sent.
+        snapshot_until: Until when a sent snapshot is waited for.
+    """
+
+    def __init__(self, next_index: int, now: float) -> None:
+        self.match = 0
+        self.next = next_index
+        self.probing = True
+        self.unanswered = 0
+        self.heard = now
+        self.acked = -math.inf
+        self.snapshot_until = -math.inf
+
+
+class State:
+    """Fields of a replica; the modules of this package act on them.
+
+    Attributes:
+        commit: Last index known to be committed.
+        applied: Last index handed to the machine.
+        persisted: Last index synced here.
+        heard_at: When the leader was last heard.
+        led_at: When this replica last became leader.
+        term_start: Index of the leader's own first entry.
+        lease_given_up: Set once a transfer was ordered in this term.
+        changed: Whether followers must be sent something.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        me: messages.Incarnation,
+        settings: types.Settings,
+        jitter: Callable[[], float],
+        box: outbox.Outbox,
+        *,
+        stored: records.Stored,
+        now: float,
+    ) -> None:
+        self.group = group
+        self.me = me
+        self.settings = settings
+        self.jitter = jitter
+        self.box = box
+        self.term = stored.term
+        self.vote = stored.vote
+        self.log: entries.EntryLog = stored.log
+        self.mark = stored.mark
+        self.configurations = [(stored.mark.index, stored.mark.configuration)]
+        for entry in self.log.entries:
+            self.note_configuration(entry)
+        self.commit = self.applied = stored.mark.index
+        self.persisted = self.log.last_index
+        self.role = types.FOLLOWER
+        self.leader = types.NOBODY
+        # A restarted voter may have answered a heartbeat just before it
+        # died; counting its start as contact keeps that leader's lease safe.
+        self.heard_at = now
+        self.election_due = 0.0
+        self.grants: set[messages.Incarnation] = set()
+        self.progress: dict[messages.Incarnation, Progress] = {}
+        self.led_at = now
+        self.term_start = 0
+        self.lease_given_up = False
+        self.transfer_to = types.NOBODY
+        self.transfer_due = math.inf
+        self.reads: list[tuple[int, float]] = []
+        self.changed = False
+        self.delay_election(now)
+
+    @property
+    def configuration(self) -> types.Configuration:
+        """The latest configuration in the log, committed or not."""
+        return self.configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> int:
+        """Index of the entry that carries `configuration`."""
+        return self.configurations[-1][0]
+
+    def note_configuration(self, entry: types.Entry) -> None:
+        """Takes a configuration into force as soon as it is in the log."""
+        if entry.kind == types.CONFIGURATION:
+            value = records.configuration(entry.data)
+            self.configurations.append((entry.index, value))
+
+    def configuration_at(self, index: int) -> types.Configuration:
+        """Returns the configuration in force at an index."""
+        found = [c for i, c in self.configurations if i <= index]
+        return found[-1]
+
+    def send(self, to: messages.Incarnation, message: Any) -> None:
+        """Sends a message that promises nothing about the disk."""
+        self.box.early.append(outbox.Letter(to, message))
+
+    def send_synced(self, to: messages.Incarnation, message: Any) -> None:
+        """Sends a message once all records so far are synced.
+
+        A vote or acknowledgement that leaves before the sync can be
+        forgotten in a crash: two leaders in one term, or a committed entry
+        that no quorum holds.
+        """
+        safe = self.settings.safeguards.sync_first
+        box = self.box.late if safe else self.box.early
+        box.append(outbox.Letter(to, message))
+
+    def save_vote(self) -> None:
+        """Stores term and vote."""
+        self.box.records.append(records.vote(self.group, self.term, self.vote))
+
+    def store(self, items: list[types.Entry]) -> None:
+        """Adds entries to the log in memory and on disk."""
+        for entry in items:
+            self.log.append(entry)
+            self.note_configuration(entry)
+        self.box.records.append(records.entries(self.group, items))
+
+    def truncate(self, index: int) -> None:
+        """Drops uncommitted entries from `index` on."""
+        if index <= self.commit:
+            raise ValueError(f"{self.group}: {index} is committed.")
+        self.log.truncate(index)
+        self.persisted = min(self.persisted, index - 1)
+        while self.configurations[-1][0] >= index:
+            self.configurations.pop()
+
+    def install(self, mark: types.SnapshotMark) -> None:
+        """Replaces the log up to a snapshot's end."""
+        if self.log.term_at(mark.index) == mark.term:
+            self.log.compact(mark.index)
+        else:
+            self.log.reset(mark.index, mark.term)
+            self.persisted = mark.index
+        self.commit = self.applied = mark.index
+        self.persisted = max(self.persisted, mark.index)
+        later = [c for c in self.configurations if c[0] > mark.index]
+        kept = [c for c in later if c[0] <= self.log.last_index]
+        self.configurations = [(mark.index, mark.configuration), *kept]
+        self.mark = mark
+        self.box.records.append(records.snapshot(self.group, mark))
+
+    def compact(self, mark: types.SnapshotMark, keep: int) -> None:
+        """Forgets entries that a stored snapshot covers, but the last."""
+        self.mark = mark
+        self.box.records.append(records.snapshot(self.group, mark))
+        self.log.compact(mark.index - keep)
+        base = self.log.base_index
+        while (
+            len(self.configurations) > 1 and self.configurations[1][0] <= base
+        ):
+            self.configurations.pop(0)
+
+    def delay_election(self, now: float) -> None:
+        """Draws the next election timeout."""
+        shortest = self.settings.election
+        self.election_due = now + shortest * (1.0 + self.jitter())
+
+    def follow(
+        self, term: int, leader: messages.Incarnation, now: float
+    ) -> None:
+        """Becomes a follower, in a higher term or of a known leader."""
+        if term > self.term:
+            self.term = term
+            self.vote = types.NOBODY
+            self.save_vote()
+        if self.role == types.LEADER:
+            self.refuse_reads()
+            self.delay_election(now)
+        self.role = types.FOLLOWER
+        self.leader = leader
+        self.progress = {}
+        self.grants = set()
+        self.transfer_to = types.NOBODY
+
+    def refuse_reads(self) -> None:
+        """Refuses every waiting read."""
+        for token, _ in self.reads:
+            ready = outbox.ReadReady(self.group, token, False, 0)
+            self.box.reads.append(ready)
+        self.reads = []
--- /dev/null
+++ b/testing/explorer.py
@@ -0,0 +1,533 @@
+"""Seeded schedules of faults over the consensus core, in virtual time.
+
+`python testing/explorer.py --seeds 2000` runs that many schedules and prints
+the first failing seed. The same seed is the same schedule, always.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+from typing import Any
+
+from mintcleat.consensus import instance
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import types
+from mintcleat.domain import messages
+
+GROUPS = ["g", "h"]
+NAMES = ["c1", "c2", "c3", "s1"]
+SETTINGS = types.Settings(
+    resend=0.3,
+    snapshot_resend=1.0,
+    hello=0.5,
+    replace_after=3.0,
+    promote_lag=20,
+    batch_entries=4,
+    window=4,
+)
+SNAPSHOT_EVERY = 12
+KEEP = 4
+
+
+class Fault(AssertionError):
+    """A guarantee was broken."""
+
+
+class Node:
+    """One instance: its disk, its clock and its process."""
+
+    def __init__(self, name: str, cluster: "Cluster") -> None:
+        self.name = name
+        self.cluster = cluster
+        rng = cluster.rng
+        self.rate = 1.0 + rng.uniform(-1, 1) * SETTINGS.clock_drift
+        self.offset = rng.uniform(0, 1000)
+        self.epoch = 0
+        self.identity = messages.Incarnation(name, 0)
+        self.synced: list[bytes] = []
+        self.snapshots: dict[tuple[str, int], bytes] = {}
+        self.core: instance.Instance | None = None
+        self.machines: dict[str, list[bytes]] = {}
+        self.stalled_until = 0.0
+        self.tear_next = False
+
+    def now(self) -> float:
+        return self.offset + self.cluster.time * self.rate
+
+    def empty_disk(self) -> None:
+        self.synced = []
+        self.snapshots = {}
+        self.identity = messages.Incarnation(self.name, 0)
+
+    def start(self) -> None:
+        self.epoch += 1
+        if self.identity.epoch == 0:
+            fenced = self.cluster.incarnations
+            self.identity = messages.Incarnation(
+                self.name, self.epoch if fenced else 1
+            )
+        stored = records.fold(self.synced)
+        self.core = instance.Instance(
+            self.identity,
+            self.epoch,
+            self.cluster.settings,
+            self.cluster.rng.random,
+            GROUPS,
+            members=self.cluster.members,
+            stored=stored,
+            now=self.now(),
+        )
+        self.machines = {}
+        for group, replica in self.core.replicas.items():
+            index = replica.state.applied
+            state = self.snapshots.get((group, index), b"")
+            self.machines[group] = _restore(state)
+
+    def crash(self) -> None:
+        self.core = None
+        self.cluster.lose_waiters(self.name)
+
+    def work(self) -> None:
+        """Carries out effects in the order that the real driver uses."""
+        while self.core is not None:
+            core = self.core
+            core.flush(self.now())
+            if core.box.idle():
+                return
+            self._store(core.box.take())
+
+    def _store(self, box: outbox.Outbox) -> None:
+        core = self.core
+        for item in box.installs:
+            self.snapshots[item.group, item.mark.index] = item.state
+            self.machines[item.group] = _restore(item.state)
+        self._send(box.early)
+        if self.tear_next and box.records:
+            # Power fails in the write: an unsynced prefix may have landed.
+            self.tear_next = False
+            kept = self.cluster.rng.randrange(len(box.records))
+            self.synced.extend(box.records[:kept])
+            self.crash()
+            return
+        self.synced.extend(box.records)
+        core.on_synced()
+        self._send(box.late)
+        for needed in box.snapshots:
+            state = self.snapshots[needed.group, needed.mark.index]
+            message = wire.InstallSnapshot(
+                needed.group, needed.term, needed.mark, state
+            )
+            self._send([outbox.Letter(needed.to, message)])
+        for group in GROUPS:
+            self._apply(group)
+        for ready in box.reads:
+            self.cluster.on_read(self, ready)
+
+    def _apply(self, group: str) -> None:
+        replica = self.core.replicas[group]
+        for entry in replica.take_committed():
+            self.cluster.on_apply(self, group, entry)
+            if entry.kind == types.COMMAND:
+                self.machines[group].append(entry.data)
+        self.cluster.check_machine(self, group)
+        state = replica.state
+        if state.applied - state.mark.index >= SNAPSHOT_EVERY:
+            mark = replica.snapshot_mark()
+            data = b",".join(self.machines[group])
+            self.snapshots[group, mark.index] = data
+            replica.compact(mark, KEEP)
+
+    def _send(self, letters: list[outbox.Letter]) -> None:
+        for letter in letters:
+            frame = wire.Frame(
+                self.identity, self.name, letter.to, [letter.message]
+            )
+            self.cluster.send(self.name, letter.to.instance, frame)
+
+
+def _restore(state: bytes) -> list[bytes]:
+    return state.split(b",") if state else []
+
+
+class Cluster:
+    """The nodes, the network, the clients and the checks."""
+
+    def __init__(
+        self,
+        seed: int,
+        safeguards: types.Safeguards | None = None,
+        incarnations: bool = True,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.settings = SETTINGS._replace(
+            safeguards=safeguards or types.Safeguards()
+        )
+        self.incarnations = incarnations
+        self.members = [
+            types.Member(name, name, f"d{i}", "r")
+            for i, name in enumerate(NAMES)
+        ]
+        self.time = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.delay = 0.005
+        self.duplicates = 0.0
+        self.history: dict[str, dict[int, types.Entry]] = {
+            group: {} for group in GROUPS
+        }
+        self.commands: dict[str, list[bytes]] = {g: [] for g in GROUPS}
+        self.command_ends: dict[str, dict[int, int]] = {
+            group: {0: 0} for group in GROUPS
+        }
+        self.leaders: dict[tuple[str, int], messages.Incarnation] = {}
+        self.floor = dict.fromkeys(GROUPS, 0)
+        self.writes: dict[tuple[str, str, int], int] = {}
+        self.reads: dict[int, tuple[str, int]] = {}
+        self.acknowledged = 0
+        self.nodes = {name: Node(name, self) for name in NAMES}
+        for node in self.nodes.values():
+            node.start()
+            self.after(self.rng.uniform(0, 0.05), lambda n=node: self._tick(n))
+
+    # Events.
+
+    def after(self, seconds: float, action: Callable[[], None]) -> None:
+        entry = (self.time + seconds, next(self.numbers), action)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, seconds: float) -> None:
+        end = self.time + seconds
+        while self.queue and self.queue[0][0] <= end:
+            self.time, _, action = heapq.heappop(self.queue)
+            action()
+        self.time = end
+
+    def _tick(self, node: Node) -> None:
+        self.after(0.05, lambda: self._tick(node))
+        if node.core is None or node.stalled_until > self.time:
+            return
+        node.core.tick(node.now())
+        node.work()
+        self.check_leaders()
+
+    def send(self, source: str, target: str, frame: wire.Frame) -> None:
+        if (source, target) in self.blocked or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplicates else 1
+        for _ in range(copies):
+            delay = self.rng.expovariate(1 / self.delay)
+            self.after(delay, lambda: self._deliver(target, frame))
+
+    def _deliver(self, target: str, frame: wire.Frame) -> None:
+        node = self.nodes[target]
+        if node.core is None:
+            return
+        if node.stalled_until > self.time:
+            wait = node.stalled_until - self.time
+            self.after(wait, lambda: self._deliver(target, frame))
+            return
+        node.core.receive(frame, node.now())
+        node.work()
+        self.check_leaders()
+
+    # Clients.
+
+    def write(self, name: str, group: str, data: bytes) -> bool:
+        node = self.nodes[name]
+        if node.core is None or node.stalled_until > self.time:
+            return False
+        ticket = node.core.replicas[group].propose(data, node.now())
+        if ticket is None:
+            return False
+        term, index = ticket
+        self.writes[name, group, index] = term
+        node.work()
+        return True
+
+    def read(self, name: str, group: str) -> None:
+        node = self.nodes[name]
+        if node.core is None or node.stalled_until > self.time:
+            return
+        token = next(self.numbers)
+        self.reads[token] = (group, self.floor[group])
+        node.core.replicas[group].read(token, node.now())
+        node.work()
+
+    def lose_waiters(self, name: str) -> None:
+        for key in [key for key in self.writes if key[0] == name]:
+            del self.writes[key]
+
+    # Checks.
+
+    def on_apply(self, node: Node, group: str, entry: types.Entry) -> None:
+        known = self.history[group].setdefault(entry.index, entry)
+        if known != entry:
+            raise Fault(f"{node.identity} applies {entry}, others {known}")
+        if entry.index not in self.command_ends[group]:
+            if entry.kind == types.COMMAND:
+                self.commands[group].append(entry.data)
+            ends = self.command_ends[group]
+            ends[entry.index] = len(self.commands[group])
+        term = self.writes.pop((node.name, group, entry.index), None)
+        if term == entry.term:
+            self.acknowledged += 1
+            self.floor[group] = max(self.floor[group], entry.index)
+
+    def check_machine(self, node: Node, group: str) -> None:
+        applied = node.core.replicas[group].state.applied
+        length = self.command_ends[group].get(applied)
+        machine = node.machines[group]
+        if length is None or machine != self.commands[group][:length]:
+            raise Fault(f"{node.identity}'s machine of {group} is no prefix")
+
+    def on_read(self, node: Node, ready: outbox.ReadReady) -> None:
+        group, floor = self.reads.pop(ready.token)
+        if not ready.granted:
+            return
+        applied = node.core.replicas[group].state.applied
+        if applied < ready.index:
+            raise Fault("a read was granted before its index was applied")
+        if applied < floor:
+            raise Fault(f"{node.identity} reads {applied}, {floor} was seen")
+        self.floor[group] = max(self.floor[group], applied)
+
+    def check_leaders(self) -> None:
+        for group in GROUPS:
+            holders = []
+            for node in self.nodes.values():
+                if node.core is None:
+                    continue
+                replica = node.core.replicas[group]
+                if replica.state.role != types.LEADER:
+                    continue
+                self._check_leader(group, replica.state)
+                if replica.holds_lease(node.now()):
+                    holders.append(node.identity)
+            if len(holders) > 1:
+                raise Fault(f"{holders} all hold the lease of {group}")
+
+    def _check_leader(self, group: str, state: Any) -> None:
+        known = self.leaders.setdefault((group, state.term), state.me)
+        if known != state.me:
+            raise Fault(f"{known} and {state.me} lead in term {state.term}")
+        if state.commit >= state.term_start:
+            return
+        # A new leader must hold every entry that was ever applied.
+        log = state.log
+        for index, entry in self.history[group].items():
+            newer = entry.term > state.term
+            if newer or index <= log.base_index:
+                continue
+            if log.term_at(index) != entry.term:
+                raise Fault(f"leader {state.me} lost entry {index}")
+
+
+class Schedule:
+    """Draws faults and requests from the seed and runs them."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.rng = cluster.rng
+        self.emptied = 0
+
+    def run(self, seconds: float = 8.0) -> None:
+        cluster = self.cluster
+        cluster.run(2.0)
+        end = cluster.time + seconds
+        cluster.after(0.0, lambda: self._request(end))
+        cluster.after(0.0, lambda: self._disturb(end))
+        cluster.run(seconds)
+        self._heal()
+        self._must_recover()
+
+    def _request(self, end: float) -> None:
+        cluster, rng = self.cluster, self.rng
+        if cluster.time >= end:
+            return
+        group = rng.choice(GROUPS)
+        data = str(next(cluster.numbers)).encode()
+        for name in rng.sample(NAMES, len(NAMES)):
+            if rng.random() < 0.4:
+                cluster.read(name, group)
+            elif cluster.write(name, group, data):
+                break
+        cluster.after(rng.expovariate(1 / 0.04), lambda: self._request(end))
+
+    def _disturb(self, end: float) -> None:
+        cluster, rng = self.cluster, self.rng
+        if cluster.time >= end:
+            return
+        action = rng.choice(
+            (
+                self._cut_one,
+                self._cut_one_way,
+                self._crash,
+                self._crash,
+                self._tear,
+                self._empty,
+                self._stall,
+                self._weather,
+                self._transfer,
+                self._heal,
+            )
+        )
+        action()
+        pause = rng.choice((0.0, 0.1, 0.5, 1.0, 2.0))
+        cluster.after(pause, lambda: self._disturb(end))
+
+    def _node(self) -> Node:
+        """Leaders are hit more often: most faults need one."""
+        nodes = list(self.cluster.nodes.values())
+        leading = [
+            node
+            for node in nodes
+            if node.core is not None
+            and any(
+                r.state.role == types.LEADER
+                for r in node.core.replicas.values()
+            )
+        ]
+        if leading and self.rng.random() < 0.6:
+            return self.rng.choice(leading)
+        return self.rng.choice(nodes)
+
+    def _cut_one(self) -> None:
+        name = self._node().name
+        for other in NAMES:
+            self.cluster.blocked |= {(name, other), (other, name)}
+
+    def _cut_one_way(self) -> None:
+        name = self._node().name
+        other = self.rng.choice(NAMES)
+        self.cluster.blocked.add((name, other))
+
+    def _crash(self) -> None:
+        node = self._node()
+        if node.core is not None:
+            node.crash()
+        self._restart_later(node)
+
+    def _tear(self) -> None:
+        node = self._node()
+        node.tear_next = True
+        self._restart_later(node, 0.3)
+
+    def _restart_later(self, node: Node, least: float = 0.0) -> None:
+        pause = least + self.rng.choice((0.01, 0.2, 1.0, 3.0))
+        self.cluster.after(pause, lambda: node.core or node.start())
+
+    def _empty(self) -> None:
+        """Empties a disk, once nothing of an earlier loss is unrepaired."""
+        cluster = self.cluster
+        if not self._whole():
+            return
+        node = self._node()
+        node.crash()
+        node.empty_disk()
+        self.emptied += 1
+        pause = self.rng.choice((0.01, 0.3, 1.0))
+        cluster.after(pause, lambda: node.core or node.start())
+
+    def _whole(self) -> bool:
+        """Tells whether every group's committed voters are all intact."""
+        for group in GROUPS:
+            found = [
+                e
+                for e in self.cluster.history[group].values()
+                if e.kind == types.CONFIGURATION
+            ]
+            if not found:
+                return False
+            latest = max(found, key=lambda e: e.index)
+            value = records.configuration(latest.data)
+            if len(value.voters) != 3 or value.learners:
+                return False
+            for peer in value.voters:
+                node = self.cluster.nodes[peer.replica.instance]
+                if node.identity != peer.replica:
+                    return False
+        return True
+
+    def _stall(self) -> None:
+        node = self._node()
+        length = self.rng.choice((0.2, 0.7, 2.0))
+        node.stalled_until = self.cluster.time + length
+
+    def _weather(self) -> None:
+        cluster = self.cluster
+        cluster.loss = self.rng.choice((0.0, 0.0, 0.05, 0.3))
+        cluster.delay = self.rng.choice((0.002, 0.01, 0.1))
+        cluster.duplicates = self.rng.choice((0.0, 0.2))
+
+    def _transfer(self) -> None:
+        node = self._node()
+        if node.core is None or node.stalled_until > self.cluster.time:
+            return
+        for replica in node.core.replicas.values():
+            voters = replica.state.configuration.voters
+            if voters:
+                target = self.rng.choice(voters).replica
+                replica.transfer(target, node.now())
+        node.work()
+
+    def _heal(self) -> None:
+        self.cluster.blocked.clear()
+
+    def _must_recover(self) -> None:
+        """Without faults each group must commit again, and be repaired."""
+        cluster = self.cluster
+        cluster.loss = cluster.duplicates = 0.0
+        cluster.delay = 0.002
+        for node in cluster.nodes.values():
+            node.tear_next = False
+            node.stalled_until = 0.0
+            if node.core is None:
+                node.start()
+        cluster.run(12.0)
+        for group in GROUPS:
+            before = cluster.acknowledged
+            sent = any(cluster.write(n, group, b"last") for n in NAMES)
+            cluster.run(0.5)
+            if not sent or cluster.acknowledged == before:
+                raise Fault(f"{group} does not commit after all has healed")
+        if not self._whole():
+            raise Fault("a lost replica was not replaced")
+
+
+def explore(
+    seed: int,
+    safeguards: types.Safeguards | None = None,
+    incarnations: bool = True,
+) -> Cluster:
+    """Runs one schedule; raises Fault when a guarantee is broken."""
+    cluster = Cluster(seed, safeguards, incarnations)
+    Schedule(cluster).run()
+    return cluster
+
+
+def main(seeds: int = 1000, first: int = 1) -> None:
+    """Runs schedules and prints the failing seeds."""
+    import time
+
+    started = time.monotonic()
+    failed = 0
+    for seed in range(first, first + seeds):
+        try:
+            explore(seed)
+        except (Fault, ValueError, KeyError) as error:
+            failed += 1
+            print(f"seed {seed}: {error!r}")
+    spent = time.monotonic() - started
+    rate = 60 * seeds / spent
+    print(f"{seeds} schedules, {failed} failed, {rate:.0f} a minute")
+
+
+if __name__ == "__main__":
+    import fire
+
+    fire.Fire(main)
