Add the message that carries frames between replicas

Cause: replicas of different instances exchange frames over the streams. Change: ReplicationFrame at the end of TAGS.

--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -824,6 +824,17 @@
     origin: str
 
 
+class ReplicationFrame(NamedTuple):
+    """Part of a frame between replicas; `consensus.messages` decodes it.
+
+    Attributes:
+        more: Whether the next message of the exchange goes on with it.
+    """
+
+    payload: bytes
+    more: bool = False
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -896,6 +907,7 @@
             RolloutView,
             Rollouts,
             SetControl,
+            ReplicationFrame,
         ),
         start=1,
     )
