Replicate over several members in GroupLog

Cause: GroupLog kept its log on one disk. A commit is now applied as soon as it is known; it had waited for the next effect. Conclusion: constructor as before; failure() tells why a replica stopped.

--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -127,17 +127,16 @@
 
     def flush(self, now: float) -> None:
         """Adds what is to be sent; to be called before taking the outbox."""
-        for replica in self.replicas.values():
-            if replica.state.changed:
-                replica.flush(now)
+        changed, self.box.changed = self.box.changed, set()
+        for group in sorted(changed):
+            self.replicas[group].flush(now)
         if self.box.beat_soon:
             self._beat(now)
 
-    def on_synced(self) -> None:
-        """Notes that every record so far is durable."""
-        for replica in self.replicas.values():
-            if replica.state.persisted < replica.state.log.last_index:
-                replica.on_synced()
+    def on_synced(self, groups: Iterable[str]) -> None:
+        """Notes that every record so far of these groups is durable."""
+        for group in sorted(groups):
+            self.replicas[group].on_synced()
 
     def _beat(self, now: float) -> None:
         self.box.beat_soon = False
--- a/src/mintcleat/consensus/outbox.py
+++ b/src/mintcleat/consensus/outbox.py
@@ -15,7 +15,10 @@
 
 
 class SnapshotNeeded(NamedTuple):
-    """A follower is behind the log: send it the stored snapshot."""
+    """A follower is behind the log: send it the stored snapshot.
+
+    `Replica.snapshot_ended` must follow, whatever comes of it.
+    """
 
     to: messages.Incarnation
     group: str
@@ -52,6 +55,9 @@
         records: Then to append to the write-ahead log.
         early: To send at once; nothing in them promises durability.
         late: To send only after `records` are synced.
+        stored: Groups that `records` add entries to.
+        committed: Groups that have entries to apply.
+        changed: Groups whose followers must be sent something.
     """
 
     def __init__(self) -> None:
@@ -61,6 +67,9 @@
         self.late: list[Letter] = []
         self.snapshots: list[SnapshotNeeded] = []
         self.reads: list[ReadReady] = []
+        self.stored: set[str] = set()
+        self.committed: set[str] = set()
+        self.changed: set[str] = set()
         self.beat_soon = False
 
     def take(self) -> "Outbox":
@@ -78,4 +87,5 @@
             or self.late
             or self.snapshots
             or self.reads
+            or self.committed
         )
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -117,15 +117,23 @@
         """Gives up a repair whose learner failed."""
         return membership.drop_learner(self.state, learner, now)
 
+    def snapshot_ended(
+        self, follower: messages.Incarnation, sent: bool, now: float
+    ) -> None:
+        """Notes that a snapshot was wholly sent, or could not be."""
+        replicate.on_snapshot_ended(self.state, follower, sent, now)
+
     def flush(self, now: float) -> None:
         """Sends followers what was added since the last flush."""
-        if self.state.role == types.LEADER and self.state.changed:
+        if self.state.role == types.LEADER:
             replicate.send_all(self.state, now)
 
     def on_synced(self) -> None:
         """Notes that every record so far is durable."""
         replica = self.state
         replica.persisted = replica.log.last_index
+        if replica.commit > replica.applied:
+            replica.box.committed.add(replica.group)
         if replica.role == types.LEADER:
             replicate.advance_commit(replica)
 
--- a/src/mintcleat/consensus/replicate.py
+++ b/src/mintcleat/consensus/replicate.py
@@ -14,7 +14,7 @@
     """Adds an entry at the leader and returns its index."""
     entry = types.Entry(replica.log.last_index + 1, replica.term, kind, data)
     replica.store([entry])
-    replica.changed = True
+    replica.box.changed.add(replica.group)
     if kind == types.CONFIGURATION:
         track_peers(replica, now)
     return entry.index
@@ -33,7 +33,6 @@
 
 def send_all(replica: state.State, now: float) -> None:
     """Sends each follower what it may be sent now."""
-    replica.changed = False
     for follower, progress in replica.progress.items():
         _send(replica, follower, progress, now)
 
@@ -68,7 +67,7 @@
         return
     _merge(replica, message.entries)
     match = message.previous_index + len(message.entries)
-    _commit_to(replica, min(message.commit, match))
+    replica.commit_to(min(message.commit, match))
     reply = wire.AppendReply(replica.group, replica.term, True, match)
     replica.send_synced(sender, reply)
 
@@ -107,7 +106,7 @@
     if beat.term < replica.term:
         return False
     _hear(replica, sender, beat.term, now)
-    _commit_to(replica, min(beat.commit, replica.log.last_index))
+    replica.commit_to(min(beat.commit, replica.log.last_index))
     return True
 
 
@@ -133,6 +132,19 @@
     replica.send_synced(sender, reply)
 
 
+def on_snapshot_ended(
+    replica: state.State,
+    follower: messages.Incarnation,
+    sent: bool,
+    now: float,
+) -> None:
+    """Notes that the sending of a snapshot has ended."""
+    progress = replica.progress.get(follower)
+    if progress is not None and progress.snapshot_until == math.inf:
+        wait = replica.settings.snapshot_resend if sent else 0.0
+        progress.snapshot_until = now + wait
+
+
 def advance_commit(replica: state.State) -> None:
     """Commits what a majority of the voters holds durably.
 
@@ -147,8 +159,7 @@
     index = matches[configuration.quorum() - 1]
     if index <= replica.commit or replica.log.term_at(index) != replica.term:
         return
-    replica.commit = index
-    replica.changed = True
+    replica.commit_to(index)
     lease.answer_reads(replica)
 
 
@@ -192,7 +203,9 @@
     progress: state.Progress,
     now: float,
 ) -> None:
-    progress.snapshot_until = now + replica.settings.snapshot_resend
+    if now - progress.acked > 2 * replica.settings.election:
+        return
+    progress.snapshot_until = math.inf
     needed = outbox.SnapshotNeeded(
         follower, replica.group, replica.term, replica.mark
     )
@@ -249,10 +262,6 @@
         return
 
 
-def _commit_to(replica: state.State, index: int) -> None:
-    replica.commit = max(replica.commit, index)
-
-
 def _refuse(
     replica: state.State,
     sender: messages.Incarnation,
--- a/src/mintcleat/consensus/state.py
+++ b/src/mintcleat/consensus/state.py
@@ -45,7 +45,6 @@
         led_at: When this replica last became leader.
         term_start: Index of the leader's own first entry.
         lease_given_up: Set once a transfer was ordered in this term.
-        changed: Whether followers must be sent something.
     """
 
     def __init__(
@@ -87,7 +86,6 @@
         self.transfer_to = types.NOBODY
         self.transfer_due = math.inf
         self.reads: list[tuple[int, float]] = []
-        self.changed = False
         self.delay_election(now)
 
     @property
@@ -136,6 +134,13 @@
             self.log.append(entry)
             self.note_configuration(entry)
         self.box.records.append(records.entries(self.group, items))
+        self.box.stored.add(self.group)
+
+    def commit_to(self, index: int) -> None:
+        """Moves the commit index up; what it covers may be applied."""
+        if index > self.commit:
+            self.commit = index
+            self.box.committed.add(self.group)
 
     def truncate(self, index: int) -> None:
         """Drops uncommitted entries from `index` on."""
--- a/src/mintcleat/consensus/types.py
+++ b/src/mintcleat/consensus/types.py
@@ -109,7 +109,7 @@
         batch_bytes: Bytes after which a message takes no more entries.
         window: Messages to one follower that may be unanswered.
         resend: Seconds of silence after which a follower is probed again.
-        snapshot_resend: The same after a snapshot was sent.
+        snapshot_resend: The same after a snapshot was wholly sent.
         promote_lag: Entries by which a learner may trail when it is promoted.
         group_size: Voters of a group, where there are enough instances.
         hello: Seconds between greetings among all instances.
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -1,50 +1,73 @@
 """The replicated log of one instance: joins consensus, disk and streams."""
 
+import itertools
 from typing import Any
 from typing import NamedTuple
 
 from eventlet import event
-from eventlet import timeout as eventlet_timeout
-import msgpack
 
+from mintcleat.consensus import lease
+from mintcleat.consensus import placement
+from mintcleat.consensus import repair
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import log
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
+from mintcleat.roles import replication_driver
+from mintcleat.roles import replication_links
 
+Member = types.Member
+Options = replication_driver.Options
 
-class Member(NamedTuple):
-    """A control instance as the settings describe it."""
+_HAND_OVER_STEP = 0.02
 
-    instance: str
-    address: str
-    failure_domain: str
-    region: str
 
+class GroupStatus(NamedTuple):
+    """One group as this instance sees it.
 
-class Options(NamedTuple):
-    """Times in seconds."""
+    Attributes:
+        role: `leader`, `follower`, `candidate` or `pre-candidate`; `outside`
+            when this instance holds no replica of the group.
+        lease_left: Seconds; 0 on a follower.
+        contact: By member instance: seconds since the last heartbeat that it
+            answered was sent; only known on the leader.
+    """
 
-    heartbeat: float = 0.1
-    election: float = 0.5
+    group: str
+    role: str
+    term: int
+    commit: int
+    applied: int
+    leader: str
+    lease_left: float
+    voters: list[types.Peer]
+    learners: list[types.Peer]
+    contact: dict[str, float]
 
 
 class GroupLog:
-    """See `ports.log.ReplicatedLog`."""
+    """See `ports.log.ReplicatedLog`.
+
+    Attributes:
+        node: This life of the instance; its epoch grows with each start.
+        driver: Set by `start`.
+    """
 
     def __init__(
         self,
         node: messages.Incarnation,
         address: str,
-        members: list[Member],
+        members: list[types.Member],
         wal: wal_ports.WriteAheadLog,
         groups: list[str],
         *,
         streams: stream_ports.Streams,
         timers: timer_ports.Timers,
-        options: Options | None = None,
+        options: replication_driver.Options | None = None,
     ) -> None:
         self.node = node
         self.address = address
@@ -53,77 +76,249 @@
         self.names = groups
         self.streams = streams
         self.timers = timers
-        self.options = options or Options()
+        self.options = options or replication_driver.Options()
         self.machines: dict[str, log.StateMachine] = {}
-        self.last = dict.fromkeys(groups, 0)
-        self.waiting: list[tuple[str, int, bytes, event.Event]] = []
-        self.running = False
+        self.driver: replication_driver.Driver | None = None
+        self.links: replication_links.Links | None = None
+        self.ticker: timer_ports.Subscription | None = None
+        self.tokens = itertools.count(1)
 
     def attach(self, group: str, machine: log.StateMachine) -> None:
         """Registers the machine of a group, before `start`."""
         self.machines[group] = machine
 
     def start(self) -> None:
-        """Recovers from disk."""
-        for record in self.wal.open(self.node).records:
-            group, index, command = msgpack.unpackb(record)
-            self.last[group] = index
-            self.machines[group].apply(index, command)
-        self.running = True
+        """Recovers from disk, then takes part in elections.
+
+        The only member of its groups has applied its whole log on return.
+
+        Raises:
+            errors.StorageDamaged: The disk must be replaced.
+            errors.StorageFailed: The disk cannot be used.
+        """
+        self.links = replication_links.Links(
+            self.streams, self.timers, self._receive
+        )
+        self.driver = replication_driver.Driver(
+            self.node,
+            self.address,
+            self.members,
+            self.wal,
+            {group: self.machines[group] for group in self.names},
+            links=self.links,
+            timers=self.timers,
+            options=self.options,
+        )
+        for _ in range(3):
+            self.driver.tick()
+        period = self.options.core.heartbeat / 2
+        self.ticker = self.timers.every(period, self.driver.tick)
+
+    def failure(self) -> errors.MintcleatError | None:
+        """Returns why this replica has stopped by itself, if it has."""
+        return self.driver.failed if self.driver else None
 
     def propose(self, group: str, command: bytes, timeout: float) -> Any:
         """Commits a command and returns what `apply` returned for it."""
-        if not self.running:
-            raise errors.NotLeader("")
+        driver = self._running(group)
+        ticket = driver.core.replicas[group].propose(command, self.timers.now())
+        if ticket is None:
+            raise errors.NotLeader(self._other_leader(group))
+        term, index = ticket
         done = event.Event()
-        self.last[group] += 1
-        index = self.last[group]
-        self.wal.append([msgpack.packb([group, index, command])])
-        if not self.waiting:
-            self.timers.spawn(self._flush)
-        self.waiting.append((group, index, command, done))
-        try:
-            with eventlet_timeout.Timeout(timeout):
-                result = done.wait()
-        except eventlet_timeout.Timeout:
-            raise errors.ProposalLost("No commit in time.") from None
-        if isinstance(result, errors.MintcleatError):
-            raise result
-        return result
+        driver.waiters[group][index] = replication_driver.Waiter(term, done)
+        driver.wake()
+        outcome = done.wait(timeout)
+        if outcome is None:
+            driver.waiters[group].pop(index, None)
+            raise errors.ProposalLost(f"No commit within {timeout} s.")
+        if isinstance(outcome[0], errors.MintcleatError):
+            raise outcome[0]
+        return outcome[0]
 
     def barrier(self, group: str, timeout: float) -> None:
-        """Returns at once: one member has applied all it committed."""
-        if not self.running:
+        """Returns once the local machine may answer a linearizable read."""
+        driver = self._running(group)
+        replica = driver.core.replicas[group]
+        if self.leads(group) and replica.state.applied >= replica.state.commit:
+            return
+        token = next(self.tokens)
+        done = event.Event()
+        driver.readers[token] = done
+        replica.read(token, self.timers.now())
+        driver.wake()
+        ready = done.wait(timeout)
+        driver.readers.pop(token, None)
+        if ready is None or not ready.granted:
+            raise errors.NotLeader(self._other_leader(group))
+        if replica.state.applied < ready.index:
             raise errors.NotLeader("")
 
     def leader(self, group: str) -> str:
-        """Returns the leader's stream address."""
-        return self.address
+        """Returns the leader's stream address, or an empty text.
+
+        An instance outside of the group names one that should be inside.
+        """
+        if self.driver is None or self.driver.failed:
+            return ""
+        core = self.driver.core
+        replica = core.replicas.get(group)
+        if replica is None:
+            return ""
+        leader = replica.state.leader
+        if leader.instance == self.node.instance:
+            return self.address
+        if leader.instance:
+            return core.roster.address(leader.instance)
+        if replica.state.configuration.voters:
+            return ""
+        return self._insider(group)
 
     def leads(self, group: str) -> bool:
-        """Tells whether this replica leads."""
-        return self.running
+        """Tells whether this replica leads with a valid lease."""
+        if self.driver is None or self.driver.failed:
+            return False
+        replica = self.driver.core.replicas.get(group)
+        return replica is not None and replica.holds_lease(self.timers.now())
 
     def groups(self) -> list[str]:
         """Returns the names of all groups."""
         return list(self.names)
 
     def hand_over(self, timeout: float) -> None:
-        """Does nothing: there is nobody to hand over to."""
+        """Transfers every leadership before a planned stop."""
+        if self.driver is None or self.driver.failed:
+            return
+        end = self.timers.now() + timeout
+        while self.timers.now() < end:
+            leading = [
+                replica
+                for replica in self.driver.core.replicas.values()
+                if replica.state.role == types.LEADER
+                and len(replica.state.configuration.voters) > 1
+            ]
+            if not leading:
+                return
+            for replica in leading:
+                self._transfer(replica)
+            self.driver.wake()
+            self.timers.sleep(_HAND_OVER_STEP)
+
+    def replace(self, group: str, old: str, new: str) -> list[str]:
+        """Starts replacing a voter; returns the groups where it began.
+
+        Args:
+            group: A group that this instance leads, or empty for all.
+            old: Instance whose replica goes.
+            new: Instance whose replica comes; it may be the same instance
+                after its disk was emptied.
+
+        Raises:
+            errors.NotLeader: This instance does not lead the group.
+            errors.BadRequest: `new` was not heard, or `old` is no voter.
+        """
+        driver = self._running(group or self.names[0])
+        resident = driver.core.roster.residents.get(new)
+        if resident is None:
+            raise errors.BadRequest(f"Instance {new} was not heard yet.")
+        begun = [
+            name
+            for name in ([group] if group else self.names)
+            if self._replace(driver.core.replicas[name], old, resident.peer)
+        ]
+        if group and not begun:
+            raise errors.BadRequest(
+                f"{old} is no voter of {group}, {new} already is one, or "
+                "another change is under way.",
+                remedy="See `mintcleat control status`, then try again.",
+            )
+        driver.wake()
+        return begun
+
+    def status(self) -> list[GroupStatus]:
+        """Returns the state of every group."""
+        if self.driver is None:
+            return []
+        return [
+            self._status(group, self.driver.core.replicas[group])
+            for group in self.names
+        ]
 
     def stop(self) -> None:
         """Syncs and closes."""
-        self.running = False
+        if self.ticker is not None:
+            self.ticker.cancel()
+        if self.links is not None:
+            self.links.stop()
+        if self.driver is not None and self.driver.failed is None:
+            self.driver.stop(errors.Draining("The instance stops."))
         self.wal.close()
 
-    def _flush(self) -> None:
-        batch, self.waiting = self.waiting, []
-        try:
-            self.wal.sync()
-        except errors.StorageFailed as error:
-            self.running = False
-            for *_, done in batch:
-                done.send_exception(error)
-            raise
-        for group, index, command, done in batch:
-            done.send(self.machines[group].apply(index, command))
+    def _receive(self, payload: bytes) -> None:
+        if self.driver is not None:
+            self.driver.receive(payload)
+
+    def _running(self, group: str) -> replication_driver.Driver:
+        driver = self.driver
+        if driver is None or driver.failed is not None:
+            raise errors.NotLeader("")
+        if group not in driver.core.replicas:
+            raise errors.BadRequest(f"There is no group {group}.")
+        return driver
+
+    def _other_leader(self, group: str) -> str:
+        address = self.leader(group)
+        return "" if address == self.address else address
+
+    def _insider(self, group: str) -> str:
+        size = self.options.core.group_size
+        for member in placement.voters(group, self.members, size):
+            if member.instance != self.node.instance:
+                return member.address
+        return ""
+
+    def _transfer(self, replica: replicas.Replica) -> None:
+        state = replica.state
+        if state.transfer_to != types.NOBODY:
+            return
+        voters = [
+            (progress.acked, progress.match, follower)
+            for follower, progress in state.progress.items()
+            if state.configuration.votes(follower)
+        ]
+        if voters:
+            replica.transfer(max(voters)[2], self.timers.now())
+
+    def _replace(
+        self, replica: replicas.Replica, old: str, newcomer: types.Peer
+    ) -> bool:
+        if replica.state.role != types.LEADER:
+            return False
+        for voter in replica.state.configuration.voters:
+            if voter.replica.instance == old:
+                return repair.replace(
+                    replica.state, voter.replica, newcomer, self.timers.now()
+                )
+        return False
+
+    def _status(self, group: str, replica: replicas.Replica) -> GroupStatus:
+        state = replica.state
+        now = self.timers.now()
+        inside = any(
+            peer.replica == state.me for peer in state.configuration.peers()
+        )
+        return GroupStatus(
+            group,
+            state.role if inside else "outside",
+            state.term,
+            state.commit,
+            state.applied,
+            self.leader(group),
+            max(0.0, lease.left(state, now)),
+            state.configuration.voters,
+            state.configuration.learners,
+            {
+                follower.instance: now - progress.acked
+                for follower, progress in state.progress.items()
+            },
+        )
--- /dev/null
+++ b/src/mintcleat/roles/replication_driver.py
@@ -0,0 +1,298 @@
+"""Carries out what the consensus core asks for: store, sync, send, apply."""
+
+from collections.abc import Sequence
+import random
+from typing import Any
+from typing import NamedTuple
+
+from eventlet import event
+from loguru import logger
+
+from mintcleat.consensus import instance
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import types
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import log
+from mintcleat.ports import timers as timer_ports
+from mintcleat.ports import wal as wal_ports
+from mintcleat.roles import replication_links
+
+
+class Options(NamedTuple):
+    """Limits of one instance.
+
+    Attributes:
+        core: Times and limits of the consensus core.
+        seed: Seed of the election timeouts; 0 draws one from the instance.
+        snapshot_entries: Entries of a group after which it is snapshotted.
+        snapshot_bytes: The same in bytes, or the size of the last snapshot
+            when that is more, so that snapshots cost a bounded share.
+        kept_entries: Entries kept behind a snapshot for slow followers.
+        rewrite_bytes: Size at which the write-ahead log is rewritten, or
+            twice its size after the last time when that is more.
+    """
+
+    core: types.Settings = types.Settings()
+    seed: int = 0
+    snapshot_entries: int = 10_000
+    snapshot_bytes: int = 32 * 1024 * 1024
+    kept_entries: int = 1_000
+    rewrite_bytes: int = 64 * 1024 * 1024
+
+
+class Waiter(NamedTuple):
+    """A proposer that waits for its entry; `done` gets `(result,)`."""
+
+    term: int
+    done: event.Event
+
+
+class Growth:
+    """What a group has applied since its last snapshot."""
+
+    def __init__(self) -> None:
+        self.bytes = 0
+        self.snapshot_size = 0
+
+
+class Driver:
+    """One consensus instance on a disk and a network.
+
+    Attributes:
+        core: The consensus instance.
+        waiters: By group and index.
+        failed: Why this replica has stopped, if it has.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        address: str,
+        members: Sequence[types.Member],
+        wal: wal_ports.WriteAheadLog,
+        machines: dict[str, log.StateMachine],
+        *,
+        links: replication_links.Links,
+        timers: timer_ports.Timers,
+        options: Options,
+    ) -> None:
+        self.address = address
+        self.wal = wal
+        self.machines = machines
+        self.links = links
+        self.timers = timers
+        self.options = options
+        self.failed: errors.MintcleatError | None = None
+        self.waiters: dict[str, dict[int, Waiter]] = {}
+        self.readers: dict[int, event.Event] = {}
+        self.growth: dict[str, Growth] = {}
+        self.awake = False
+        found = wal.open(node)
+        stored = _fold(found.records)
+        self.rewritten = wal.size()
+        generator = random.Random(options.seed or f"{node}")
+        self.core = instance.Instance(
+            found.identity,
+            node.epoch,
+            options.core,
+            generator.random,
+            machines,
+            members=members,
+            stored=stored,
+            now=timers.now(),
+        )
+        for group, machine in machines.items():
+            self.waiters[group] = {}
+            self.growth[group] = Growth()
+            index = self.core.replicas[group].state.applied
+            if index > 0:
+                machine.restore(wal.load_snapshot(group, index))
+
+    def wake(self) -> None:
+        """Makes the driver work soon, after every caller that can run now.
+
+        All that they propose then shares one write and one sync.
+        """
+        if not self.awake and self.failed is None:
+            self.awake = True
+            self.timers.spawn(self._work_soon)
+
+    def tick(self) -> None:
+        """Lets time pass."""
+        if self.failed is None:
+            self.core.tick(self.timers.now())
+            self.work()
+
+    def receive(self, payload: bytes) -> None:
+        """Takes a frame from a peer."""
+        frame = wire.decode(payload)
+        if self.failed is not None:
+            return
+        try:
+            self.core.receive(frame, self.timers.now())
+        except ValueError as error:
+            self.fail(errors.StorageDamaged(f"The log contradicts: {error}"))
+            return
+        self.wake()
+
+    def work(self) -> None:
+        """Carries out effects until there are none."""
+        try:
+            while self.failed is None:
+                self.core.flush(self.timers.now())
+                if self.core.box.idle():
+                    break
+                self._carry_out(self.core.box.take())
+            if self.failed is None:
+                self._shrink()
+        except (errors.StorageFailed, errors.StorageDamaged) as error:
+            self.fail(error)
+        self._release_lost()
+
+    def fail(self, error: errors.MintcleatError) -> None:
+        """Stops this replica because of a failure."""
+        logger.error("Replication stops here: {}", error)
+        self.stop(error)
+
+    def stop(self, reason: errors.MintcleatError) -> None:
+        """Ends all work: nothing is acknowledged from now on."""
+        self.failed = reason
+        self._release_lost()
+        for done in self.readers.values():
+            done.send(None)
+        self.readers.clear()
+
+    def _work_soon(self) -> None:
+        self.timers.sleep(0)
+        self.awake = False
+        self.work()
+
+    def _carry_out(self, box: outbox.Outbox) -> None:
+        for item in box.installs:
+            self._install(item)
+        self._send(box.early)
+        if box.records:
+            self.wal.append(box.records)
+            self.wal.sync()
+            self.core.on_synced(box.stored)
+        self._send(box.late)
+        for needed in box.snapshots:
+            self._send_snapshot(needed)
+        for group in sorted(box.committed):
+            self._apply(group, self.core.replicas[group])
+        for ready in box.reads:
+            done = self.readers.pop(ready.token, None)
+            if done is not None:
+                done.send(ready)
+
+    def _send(self, letters: list[outbox.Letter]) -> None:
+        frames: dict[messages.Incarnation, list[Any]] = {}
+        for letter in letters:
+            frames.setdefault(letter.to, []).append(letter.message)
+        for to, items in frames.items():
+            address = self.core.roster.address(to.instance)
+            if address:
+                self.links.send(address, self._frame(to, items))
+
+    def _frame(self, to: messages.Incarnation, items: list[Any]) -> bytes:
+        frame = wire.Frame(self.core.me, self.address, to, items)
+        return wire.encode(frame)
+
+    def _send_snapshot(self, needed: outbox.SnapshotNeeded) -> None:
+        state = self.wal.load_snapshot(needed.group, needed.mark.index)
+        message = wire.InstallSnapshot(
+            needed.group, needed.term, needed.mark, state
+        )
+        address = self.core.roster.address(needed.to.instance)
+        payload = self._frame(needed.to, [message])
+
+        def ended(sent: bool) -> None:
+            replica = self.core.replicas[needed.group]
+            replica.snapshot_ended(needed.to, sent, self.timers.now())
+
+        self.links.send_bulk(address, payload, ended)
+
+    def _install(self, item: outbox.Installed) -> None:
+        self.wal.save_snapshot(item.group, item.mark.index, item.state)
+        machine = self.machines.get(item.group)
+        if machine is not None:
+            machine.restore(item.state)
+
+    def _apply(self, group: str, replica: replicas.Replica) -> None:
+        machine = self.machines.get(group)
+        waiters = self.waiters.get(group, {})
+        size = 0
+        for entry in replica.take_committed():
+            result = None
+            size += len(entry.data)
+            if entry.kind == types.COMMAND and machine is not None:
+                result = machine.apply(entry.index, entry.data)
+            waiter = waiters.pop(entry.index, None)
+            if waiter is not None:
+                mine = waiter.term == entry.term
+                waiter.done.send((result if mine else _lost(),))
+        if machine is not None:
+            self.growth[group].bytes += size
+            self._snapshot(group, replica, machine)
+
+    def _snapshot(
+        self, group: str, replica: replicas.Replica, machine: log.StateMachine
+    ) -> None:
+        growth = self.growth[group]
+        entries = replica.state.applied - replica.state.mark.index
+        enough = max(self.options.snapshot_bytes, growth.snapshot_size)
+        if entries < self.options.snapshot_entries and growth.bytes < enough:
+            return
+        mark = replica.snapshot_mark()
+        state = machine.snapshot()
+        self.wal.save_snapshot(group, mark.index, state)
+        replica.compact(mark, self.options.kept_entries)
+        growth.bytes = 0
+        growth.snapshot_size = len(state)
+
+    def _shrink(self) -> None:
+        """Rewrites the log once most of it lies under snapshots."""
+        limit = max(self.options.rewrite_bytes, 2 * self.rewritten)
+        if self.wal.size() < limit:
+            return
+        live = [
+            record
+            for replica in self.core.replicas.values()
+            for record in replica.live_records()
+        ]
+        self.wal.rewrite(live)
+        self.rewritten = self.wal.size()
+        for group, replica in self.core.replicas.items():
+            self.wal.drop_snapshots(group, replica.state.mark.index)
+
+    def _release_lost(self) -> None:
+        """Ends the waiting of proposers whose leadership is gone."""
+        for group, waiters in self.waiters.items():
+            if not waiters:
+                continue
+            state = self.core.replicas[group].state
+            leads = state.role == types.LEADER and self.failed is None
+            kept = {}
+            for index, waiter in waiters.items():
+                if leads and waiter.term == state.term:
+                    kept[index] = waiter
+                else:
+                    waiter.done.send((_lost(),))
+            self.waiters[group] = kept
+
+
+def _fold(items: list[bytes]) -> dict[str, records.Stored]:
+    try:
+        return records.fold(items)
+    except (ValueError, TypeError) as error:
+        raise errors.StorageDamaged(
+            f"The log's records contradict each other: {error}."
+        ) from error
+
+
+def _lost() -> errors.ProposalLost:
+    return errors.ProposalLost("The leadership changed before the commit.")
--- /dev/null
+++ b/src/mintcleat/roles/replication_links.py
@@ -0,0 +1,170 @@
+"""Frames between instances: one long-lived exchange per peer.
+
+Frames are lost with their connection; the consensus core sends again what
+matters. So a link never keeps its caller waiting and holds only so much.
+"""
+
+from collections.abc import Callable
+import contextlib
+
+from eventlet import queue
+from loguru import logger
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+
+# A frame travels in parts, so that a heartbeat waits behind little.
+PART_BYTES = 1024 * 1024
+# A silent peer's queue is bounded: what does not fit is sent again later.
+_MAX_QUEUED = 256
+_REDIAL_SECONDS = 0.2
+_LONGEST_REDIAL_SECONDS = 2.0
+
+
+class Link:
+    """The frames on their way to one address."""
+
+    def __init__(self) -> None:
+        self.queue: queue.LightQueue = queue.LightQueue(_MAX_QUEUED)
+        self.failures = 0
+        self.sent_bytes = 0
+
+
+class Links:
+    """Sends frames to peers and delivers theirs.
+
+    Attributes:
+        deliver: Called with each whole frame that comes.
+    """
+
+    def __init__(
+        self,
+        streams: stream_ports.Streams,
+        timers: timer_ports.Timers,
+        deliver: Callable[[bytes], None],
+    ) -> None:
+        self.streams = streams
+        self.timers = timers
+        self.deliver = deliver
+        self.links: dict[str, Link] = {}
+        self.running = True
+        streams.handle(messages.ReplicationFrame, self._serve)
+
+    def send(self, address: str, payload: bytes) -> None:
+        """Queues a frame; drops it when the peer takes none."""
+        link = self.links.get(address)
+        if link is None:
+            link = self.links[address] = Link()
+            self.timers.spawn(self._write_forever, address, link)
+        with contextlib.suppress(queue.Full):
+            link.queue.put_nowait(payload)
+
+    def send_bulk(
+        self, address: str, payload: bytes, ended: Callable[[bool], None]
+    ) -> None:
+        """Sends a large frame on an exchange of its own.
+
+        `ended` is called once, with whether all of it was sent.
+        """
+        if not address:
+            ended(False)
+            return
+        self.timers.spawn(self._write_bulk, address, payload, ended)
+
+    def stop(self) -> None:
+        """Ends every link."""
+        self.running = False
+        for link in self.links.values():
+            with contextlib.suppress(queue.Full):
+                link.queue.put_nowait(None)
+
+    def _write_forever(self, address: str, link: Link) -> None:
+        while self.running:
+            payload = link.queue.get()
+            if payload is None:
+                break
+            try:
+                self._write_from(address, link, payload)
+            except errors.StreamClosed:
+                self._pause(link)
+        self.links.pop(address, None)
+
+    def _write_from(self, address: str, link: Link, payload: bytes) -> None:
+        first, *rest = _parts(payload)
+        exchange = self.streams.open(address, first)
+        try:
+            for part in rest:
+                exchange.send(part)
+            link.failures = 0
+            while self.running:
+                payload = link.queue.get()
+                if payload is None:
+                    return
+                link.sent_bytes += len(payload)
+                for part in _parts(payload):
+                    exchange.send(part)
+        finally:
+            exchange.close()
+
+    def _pause(self, link: Link) -> None:
+        link.failures += 1
+        pause = min(_REDIAL_SECONDS * link.failures, _LONGEST_REDIAL_SECONDS)
+        self.timers.sleep(pause)
+        # What has waited since is stale; the core has sent it again.
+        while not link.queue.empty():
+            if link.queue.get_nowait() is None:
+                self.running = False
+
+    def _write_bulk(
+        self, address: str, payload: bytes, ended: Callable[[bool], None]
+    ) -> None:
+        first, *rest = _parts(payload)
+        try:
+            exchange = self.streams.open(address, first)
+            try:
+                for part in rest:
+                    exchange.send(part)
+                    self.timers.sleep(0)
+            finally:
+                exchange.close()
+        except errors.StreamClosed:
+            ended(False)
+        else:
+            ended(True)
+
+    def _serve(
+        self,
+        exchange: stream_ports.Exchange,
+        first: messages.ReplicationFrame,
+    ) -> None:
+        part = first
+        held: list[bytes] = []
+        while self.running:
+            held.append(part.payload)
+            if not part.more:
+                payload = b"".join(held)
+                held = []
+                self._deliver(exchange.peer, payload)
+            try:
+                part = exchange.receive()
+            except errors.StreamClosed:
+                return
+
+    def _deliver(self, peer: str, payload: bytes) -> None:
+        try:
+            self.deliver(payload)
+        except errors.BadRequest as error:
+            logger.warning("{} sent a bad frame: {}", peer, error)
+
+
+def _parts(payload: bytes) -> list[messages.ReplicationFrame]:
+    count = max(1, -(-len(payload) // PART_BYTES))
+    return [
+        messages.ReplicationFrame(
+            payload[number * PART_BYTES : (number + 1) * PART_BYTES],
+            number < count - 1,
+        )
+        for number in range(count)
+    ]
--- a/testing/explorer.py
+++ b/testing/explorer.py
@@ -113,7 +113,7 @@
             self.crash()
             return
         self.synced.extend(box.records)
-        core.on_synced()
+        core.on_synced(box.stored)
         self._send(box.late)
         for needed in box.snapshots:
             state = self.snapshots[needed.group, needed.mark.index]
@@ -121,7 +121,9 @@
                 needed.group, needed.term, needed.mark, state
             )
             self._send([outbox.Letter(needed.to, message)])
-        for group in GROUPS:
+            replica = core.replicas[needed.group]
+            replica.snapshot_ended(needed.to, True, self.now())
+        for group in sorted(box.committed):
             self._apply(group)
         for ready in box.reads:
             self.cluster.on_read(self, ready)
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -1,5 +1,6 @@
 """GroupLog on real files and loopback streams."""
 
+from collections.abc import Callable
 import pathlib
 import shutil
 import tempfile
@@ -11,6 +12,7 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
 from mintcleat.adapters import wal
+from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import replication
@@ -82,3 +84,202 @@
             pool.imap(lambda _: log.propose("g", b"x", 5.0), range(20))
         )
         self.assertEqual(list(range(1, 21)), results)
+
+
+FAST = replication.Options(
+    core=types.Settings(
+        heartbeat=0.03, election=0.15, resend=0.1, hello=0.1, replace_after=0.0
+    ),
+    snapshot_entries=40,
+    kept_entries=5,
+    rewrite_bytes=20_000,
+)
+
+
+class Replica:
+    """One instance of a group of three on loopback."""
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.folder = folder / name
+        self.epoch = 0
+        self.address = "127.0.0.1:0"
+        self.boot()
+
+    def boot(self) -> None:
+        self.epoch += 1
+        self.hub = streams.TcpStreams(self.address)
+        self.address = self.hub.address
+        self.journal = Journal()
+
+    def start(self, members: list[replication.Member]) -> None:
+        self.log = replication.GroupLog(
+            messages.Incarnation(self.name, self.epoch),
+            self.address,
+            members,
+            wal.FileWal(self.folder),
+            ["g"],
+            streams=self.hub,
+            timers=timers.EventletTimers(),
+            options=FAST,
+        )
+        self.log.attach("g", self.journal)
+        self.log.start()
+
+    def stop(self) -> None:
+        self.log.stop()
+        self.hub.stop()
+
+
+class ThreeMembersTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.nodes = [Replica(n, self.folder) for n in ("c1", "c2", "c3")]
+        self.members = [
+            replication.Member(node.name, node.address, node.name, "r")
+            for node in self.nodes
+        ]
+        for node in self.nodes:
+            node.start(self.members)
+            self.addCleanup(node.stop)
+
+    def until(self, condition: Callable[[], Any]) -> Any:
+        for _ in range(1000):
+            found = condition()
+            if found:
+                return found
+            eventlet.sleep(0.01)
+        raise AssertionError("the condition did not come true in 10 s")
+
+    def leader(self) -> Replica:
+        def leading() -> list[Replica]:
+            return [node for node in self.nodes if node.log.leads("g")]
+
+        return self.until(leading)[0]
+
+    def write(self, command: bytes) -> None:
+        def written() -> bool:
+            try:
+                self.leader().log.propose("g", command, 2.0)
+            except (errors.NotLeader, errors.ProposalLost):
+                return False
+            return True
+
+        self.until(written)
+
+    def restart(self, node: Replica, empty: bool = False) -> None:
+        node.stop()
+        if empty:
+            shutil.rmtree(node.folder)
+        node.boot()
+        node.start(self.members)
+
+    def voters(self) -> list[messages.Incarnation]:
+        status = self.leader().log.status()[0]
+        return sorted(peer.replica for peer in status.voters)
+
+    def test_every_replica_applies_the_same_commands(self) -> None:
+        for number in range(5):
+            self.write(b"%d" % number)
+        wanted = [b"%d" % number for number in range(5)]
+        self.until(
+            lambda: all(n.journal.commands == wanted for n in self.nodes)
+        )
+
+    def test_follower_names_the_leader_and_proposes_nothing(self) -> None:
+        leader = self.leader()
+        other = next(n for n in self.nodes if n is not leader)
+        self.until(lambda: other.log.leader("g") == leader.address)
+        error = self.assertRaises(
+            errors.NotLeader, other.log.propose, "g", b"x", 1.0
+        )
+        self.assertEqual(leader.address, error.leader)
+        self.assertRaises(errors.NotLeader, other.log.barrier, "g", 1.0)
+
+    def test_commands_survive_the_leader(self) -> None:
+        """The leader dies right after it acknowledged.
+
+        The others elect one of themselves, which holds the command, and the
+        old one catches up from its disk and the new leader.
+        """
+        self.write(b"before")
+        old = self.leader()
+        old.stop()
+        self.nodes.remove(old)
+        self.write(b"after")
+        self.nodes.append(old)
+        old.boot()
+        old.start(self.members)
+        self.until(lambda: old.journal.commands == [b"before", b"after"])
+
+    def test_minority_acknowledges_nothing(self) -> None:
+        """Both followers die; the leader alone is no majority.
+
+        The proposer is told that the outcome is unknown, never that it
+        committed, and the leader gives up its lease.
+        """
+        leader = self.leader()
+        self.write(b"before")
+        for node in self.nodes:
+            if node is not leader:
+                node.stop()
+        error = self.assertRaises(
+            errors.ProposalLost, leader.log.propose, "g", b"alone", 3.0
+        )
+        self.assertEqual(errors.UNKNOWN, error.outcome)
+        self.assertEqual([b"before"], leader.journal.commands)
+        self.until(lambda: not leader.log.leads("g"))
+
+    def test_emptied_disk_is_replaced_and_a_second_loss_loses_nothing(
+        self,
+    ) -> None:
+        """A follower's disk is emptied; the leader repairs the group.
+
+        The instance joins under a new identity as a learner, from a
+        snapshot, is promoted, and the old identity goes. Right after that
+        the leader's disk is emptied too: nothing that was acknowledged may
+        be missing.
+        """
+        wanted = [b"%d" % number for number in range(60)]
+        for command in wanted:
+            self.write(command)
+        leader = self.leader()
+        follower = next(n for n in self.nodes if n is not leader)
+        for node in (follower, leader):
+            self.restart(node, empty=True)
+            new = messages.Incarnation(node.name, node.epoch)
+            self.until(lambda n=new: n in self.voters())
+            self.until(lambda: len(self.voters()) == 3)
+        self.write(b"last")
+        wanted.append(b"last")
+        self.until(
+            lambda: all(n.journal.commands == wanted for n in self.nodes)
+        )
+
+    def test_handed_over_leadership_needs_no_timeout(self) -> None:
+        leader = self.leader()
+        self.write(b"before")
+        leader.log.hand_over(5.0)
+        other = self.leader()
+        self.assertIsNot(leader, other)
+        other.log.propose("g", b"after", 2.0)
+
+    def test_restart_behind_snapshots_catches_up(self) -> None:
+        """A replica is away for hundreds of commands.
+
+        The others have dropped those entries, so it gets a snapshot; the
+        write-ahead logs stay small.
+        """
+        leader = self.leader()
+        away = next(n for n in self.nodes if n is not leader)
+        away.stop()
+        self.nodes.remove(away)
+        for number in range(300):
+            self.write(b"%0100d" % number)
+        self.assertLess(self.leader().log.wal.size(), 60_000)
+        self.nodes.append(away)
+        away.boot()
+        away.start(self.members)
+        self.until(lambda: len(away.journal.commands) == 300)
