--- a/src/mintcleat/consensus/lease.py
+++ b/src/mintcleat/consensus/lease.py
@@ -87,7 +87,7 @@
     confirmed = quorum_contact(replica)
     waiting = []
     for token, asked in replica.reads:
-        if confirmed > asked:
+        if confirmed >= asked:
             _grant(replica, token)
         else:
             waiting.append((token, asked))
--- /dev/null
+++ b/testing/test_consensus.py
@@ -0,0 +1,229 @@
+"""The consensus core under faults, in virtual time."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+import explorer
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import placement
+from mintcleat.consensus import records
+from mintcleat.consensus import roster
+from mintcleat.consensus import types
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+SEEDS = range(1, 61)
+STEPS = ("write", "read", "cut", "heal", "crash", "restart", "stall", "wait")
+
+
+def settled() -> explorer.Cluster:
+    cluster = explorer.Cluster(1)
+    cluster.run(3.0)
+    return cluster
+
+
+class ScheduleTest(testtools.TestCase):
+    def test_fixed_schedules_break_no_guarantee(self) -> None:
+        clusters = [explorer.explore(seed) for seed in SEEDS]
+        work = sum(cluster.acknowledged for cluster in clusters)
+        changes = sum(len(cluster.leaders) for cluster in clusters)
+        # Schedules without commits or elections would prove nothing.
+        self.assertGreater(work, 20 * len(clusters))
+        self.assertGreater(changes, 4 * len(clusters))
+
+    def test_same_seed_is_the_same_schedule(self) -> None:
+        one, two = explorer.explore(7), explorer.explore(7)
+        self.assertEqual(one.history, two.history)
+
+    @hypothesis.settings(max_examples=40)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(STEPS), strategies.integers(0, 3)
+            ),
+            max_size=40,
+        )
+    )
+    def test_acknowledged_commands_match_a_naive_log(
+        self, steps: list[tuple[str, int]]
+    ) -> None:
+        """Drawn faults against a plain list of what was acknowledged.
+
+        The replicas' common log holds each acknowledged command once, in the
+        order of the acknowledgements, and nothing that nobody proposed.
+        """
+        cluster = settled()
+        proposed = []
+        for number, (step, which) in enumerate(steps):
+            command = b"%d" % number
+            if play(cluster, step, explorer.NAMES[which], command):
+                proposed.append(command)
+            cluster.run(0.15)
+        explorer.Schedule(cluster).must_recover()
+        log = cluster.commands["g"]
+        naive = cluster.answers["g"]
+        self.assertEqual(naive, [c for c in log if c in set(naive)])
+        known = {*proposed, b"last"}
+        self.assertEqual([], [c for c in log if c not in known])
+
+
+def play(
+    cluster: explorer.Cluster, step: str, name: str, command: bytes
+) -> bool:
+    node = cluster.nodes[name]
+    match step:
+        case "write":
+            return cluster.write(name, "g", command)
+        case "read":
+            cluster.read(name, "g")
+        case "cut":
+            cluster.isolate(name)
+        case "heal":
+            cluster.blocked.clear()
+        case "crash" if node.core is not None:
+            node.crash()
+        case "restart" if node.core is None:
+            node.start()
+        case "stall":
+            node.stalled_until = cluster.time + 0.7
+        case "wait":
+            cluster.run(1.0)
+    return False
+
+
+class LeaseTest(testtools.TestCase):
+    def test_cut_off_leader_loses_its_lease_before_another_leads(self) -> None:
+        """A silent partition cuts off the leader.
+
+        Its callers must not read old state, so its lease ends first; it
+        steps down, and the majority elects another within two seconds.
+        """
+        cluster = settled()
+        old = cluster.leader()
+        cluster.isolate(old.name)
+        for _ in range(40):
+            cluster.run(0.05)
+            if cluster.leader() is not old:
+                break
+        self.assertIsNot(old, cluster.leader())
+        self.assertFalse(old.core.replicas["g"].holds_lease(old.now()))
+        cluster.run(1.0)
+        state = old.core.replicas["g"].state
+        self.assertNotEqual(types.LEADER, state.role)
+
+    def test_read_without_lease_waits_for_a_quorum(self) -> None:
+        cluster = settled()
+        leader = cluster.leader()
+        leader.core.replicas["g"].state.lease_given_up = True
+        cluster.read(leader.name, "g")
+        self.assertEqual(1, len(cluster.reads))
+        cluster.run(0.1)
+        self.assertEqual(0, len(cluster.reads))
+
+    def test_transfer_moves_the_leadership_without_a_timeout(self) -> None:
+        cluster = settled()
+        leader = cluster.leader()
+        other = next(n for n in cluster.voters() if n is not leader)
+        replica = leader.core.replicas["g"]
+        replica.transfer(other.identity, leader.now())
+        leader.work()
+        self.assertFalse(cluster.write(leader.name, "g", b"late"))
+        cluster.run(0.1)
+        self.assertIs(other, cluster.leader())
+
+
+class HeartbeatTest(testtools.TestCase):
+    def test_idle_groups_share_one_small_heartbeat(self) -> None:
+        cluster = settled()
+        leader = cluster.leader()
+        leader.core.box.take()
+        leader.core.tick(leader.now() + 0.2)
+        beats = [
+            letter
+            for letter in leader.core.box.early
+            if isinstance(letter.message, wire.Heartbeat)
+        ]
+        targets = [letter.to for letter in beats]
+        self.assertEqual(len(set(targets)), len(targets))
+        self.assertEqual({None}, {b.message.beats for b in beats})
+
+    def test_frame_for_an_earlier_life_of_the_disk_is_dropped(self) -> None:
+        cluster = settled()
+        node = cluster.leader()
+        earlier = node.identity._replace(epoch=99)
+        vote = wire.Vote("g", 1000, 1000, 1000, True)
+        other = messages.Incarnation("c9", 1)
+        frame = wire.Frame(other, "c9", earlier, [vote])
+        node.core.receive(frame, node.now())
+        self.assertLess(node.core.replicas["g"].state.term, 1000)
+
+    def test_bytes_of_no_frame_are_a_typed_error(self) -> None:
+        for data in (b"", b"\xc1", b"\x90", b"\x94\x01\x02\x03\x04"):
+            self.assertRaises(errors.BadRequest, wire.decode, data)
+
+
+class RecordsTest(testtools.TestCase):
+    def test_later_entries_replace_from_their_first_index(self) -> None:
+        entries = [types.Entry(i, 1, types.COMMAND, b"a") for i in (1, 2, 3)]
+        newer = types.Entry(2, 2, types.COMMAND, b"b")
+        mark = types.SnapshotMark(1, 1, types.EMPTY)
+        stored = records.fold(
+            [
+                records.entries("g", entries),
+                records.snapshot("g", mark),
+                records.vote("g", 2, messages.Incarnation("c1", 1)),
+                records.entries("g", [newer]),
+            ]
+        )["g"]
+        self.assertEqual([newer], stored.log.entries)
+        self.assertEqual((1, 2), (stored.log.base_index, stored.term))
+
+
+class PlacementTest(testtools.TestCase):
+    members = [
+        types.Member(f"c{n}", f"a{n}", f"d{n % 3}", "r") for n in range(9)
+    ]
+
+    def test_voters_lie_in_different_failure_domains(self) -> None:
+        for number in range(50):
+            chosen = placement.voters(f"g{number}", self.members, 3)
+            self.assertEqual(3, len({m.failure_domain for m in chosen}))
+
+    def test_groups_spread_over_the_members(self) -> None:
+        count = collections.Counter(
+            member.instance
+            for number in range(300)
+            for member in placement.voters(f"g{number}", self.members, 3)
+        )
+        self.assertEqual(9, len(count))
+        self.assertLess(max(count.values()), 2 * min(count.values()))
+
+    def test_instance_with_an_emptied_disk_starts_no_group_again(self) -> None:
+        """The founder's disk is emptied; the others know the group.
+
+        Starting it again would make a second group of the same name that
+        knows none of the commits of the first.
+        """
+        me = messages.Incarnation("c0", 2)
+        found = roster.Roster(me, self.members[:3])
+        for name, groups in (("c1", ["g"]), ("c2", [])):
+            sender = messages.Incarnation(name, 1)
+            found.heard(sender, name, 5.0)
+            found.on_hello(sender, wire.Hello(groups, True), 5.0)
+        self.assertIsNone(found.founders("g", 3, 0.0))
+        self.assertIsNotNone(found.founders("h", 3, 0.0))
+        unasked = wire.Hello([], False)
+        found.on_hello(messages.Incarnation("c1", 1), unasked, 5.0)
+        self.assertIsNone(found.founders("g", 3, 0.0))
+
+
+class OutboxTest(testtools.TestCase):
+    def test_taking_leaves_the_outbox_empty(self) -> None:
+        box = outbox.Outbox()
+        box.records.append(b"x")
+        self.assertEqual([b"x"], box.take().records)
+        self.assertTrue(box.idle())
