--- a/src/mintcleat/decisions/order.py
+++ b/src/mintcleat/decisions/order.py
@@ -11,13 +11,13 @@
 from mintcleat.decisions import calls
 from mintcleat.decisions import learn
 
-# How much later a program may be served per second of service that it still
-# needs. At 1 the order is nearly arrival order; far above 4 long programs
-# only run when the queue is empty.
-STRETCH = 4.0
 # No call is put behind calls that arrive more than this after it: ageing, so
 # that none starves. The key never changes, so the queue is never re-sorted.
 MAX_DELAY = 30.0
+# A program with so many tokens to go is put back by half of MAX_DELAY. The
+# delay grows ever slower with the tokens, so that long programs are still
+# told apart from very long ones.
+TYPICAL_TOKENS = 4000.0
 # A call that no one waits for yields to those that gate their program.
 NOT_GATING_DELAY = 5.0
 
@@ -36,7 +36,6 @@
 def key(
     call: calls.Call,
     remaining: learn.Remaining,
-    token_time: float,
     now: float,
     switches: Switches = ALL_ON,
 ) -> float:
@@ -46,7 +45,7 @@
         left = call.attained
         if switches.learned and remaining.known:
             left = remaining.tokens
-        delay = STRETCH * left * token_time
+        delay = MAX_DELAY * left / (left + TYPICAL_TOKENS)
     if switches.gating and not call.gating:
         delay += NOT_GATING_DELAY
     return now + min(delay, MAX_DELAY)
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -219,7 +219,7 @@
         options = self.options
         remaining = self.learner.remaining(call.agent, call.attained)
         place = order.key(
-            call, remaining, self.speed.token_time, now, options.ordering
+            call, remaining, now, options.ordering
         )
         flow = call.partner if options.fair else ""
         klass = calls.INTERACTIVE
