--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -229,7 +229,11 @@
         if draw.random() < HANG_CHANCE:
             pause = float("inf")
         return Step(
-            draw.randint(*new), draw.randint(*agent.generate), tool, pause, child
+            draw.randint(*new),
+            draw.randint(*agent.generate),
+            tool,
+            pause,
+            child,
         )
 
 
--- a/src/mintcleat/decisions/place.py
+++ b/src/mintcleat/decisions/place.py
@@ -101,16 +101,20 @@
         self.sent = [item for item in self.sent if item[0] > now - REPORT_LAG]
         return True
 
-    def wait(self, lag: bool) -> float:
-        """Returns the predicted wait, with what was sent since the report."""
+    def wait(self, first: bool, lag: bool) -> float:
+        """Returns the predicted wait, with what was sent since the report.
+
+        A program's first call may also wait for memory.
+        """
         report = self.report
+        reported = report.new_wait if first else report.wait
         if not lag:
-            return report.wait
+            return reported
         limit = max(1, report.limit)
         if report.running + report.queued + len(self.sent) < limit:
-            return report.wait
+            return reported
         extra = sum(service for _, service in self.sent)
-        return report.wait + extra / limit
+        return reported + extra / limit
 
     def crowding(self) -> float:
         """Returns the factor by which a full batch slows the call."""
@@ -332,7 +336,11 @@
     waste = 2 * weights.wasted_cache / total
     rebuild, exported = _rebuild(fleet, name, call, resident)
     service = _service(fleet, name, call)
-    finish = fleet.upstreams[name].wait(fleet.switches.lag) + rebuild + service
+    finish = (
+        fleet.upstreams[name].wait(call.attained == 0, fleet.switches.lag)
+        + rebuild
+        + service
+    )
     cost = latency * finish
     if rebuild and not exported:
         cost += waste * rebuild
@@ -345,7 +353,7 @@
     fleet: Fleet, name: str, call: calls.Call, resident: Resident | None
 ) -> Choice:
     rebuild, exported = _rebuild(fleet, name, call, resident)
-    wait = fleet.upstreams[name].wait(fleet.switches.lag)
+    wait = fleet.upstreams[name].wait(call.attained == 0, fleet.switches.lag)
     finish = wait + rebuild + _service(fleet, name, call)
     return Choice(name, rebuild > 0, exported, wait, finish)
 
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -16,6 +16,7 @@
 from mintcleat.decisions import lines
 from mintcleat.decisions import order
 from mintcleat.decisions import speed
+from mintcleat.decisions import workingset
 
 # Of the slots, the part that a partner over its share may not take. Slots are
 # not preempted, so without it a burst fills all of them and the next call of
@@ -32,6 +33,10 @@
 BATCH_WAIT_FACTOR = 4.0
 
 
+# Stands for a call of which nothing is known.
+_USUAL = calls.Call("", "", "", "", "")
+
+
 class Options(NamedTuple):
     """Policies in force; replaced whole when the manifest changes.
 
@@ -41,6 +46,8 @@
             absent for no limit.
         max_wait: Longest predicted wait in the queue, in seconds.
         memory: Tokens of context that the upstream can hold; 0 for no limit.
+        working_set: Part of `memory` that the footprints of the programs
+            under way may take; 0 to let newcomers in at any time.
         adaptive: Whether the concurrency limit is learned.
         fair: Whether partners get fair shares; else one common queue.
         bounded: Whether calls are refused by predicted wait and deadline.
@@ -52,6 +59,7 @@
     max_running: dict[str, int] = {}
     max_wait: float = 30.0
     memory: int = 0
+    working_set: float = workingset.OVERCOMMIT
     adaptive: bool = True
     fair: bool = True
     bounded: bool = True
@@ -78,6 +86,7 @@
     wait: float
     token_time: float
     prefill_rate: float
+    new_wait: float
 
 
 class Running(NamedTuple):
@@ -99,6 +108,7 @@
         self.classes = admit.FairClock()
         self.waiting: dict[str, lines.Entry] = {}
         self.latest: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.working_set = workingset.WorkingSet()
         self.running: dict[str, Running] = {}
         self.running_of: dict[str, int] = {}
         self.running_batch = 0
@@ -127,7 +137,7 @@
             if refusal is not None:
                 return refusal
         idle = not self.waiting
-        if idle and self._may_start(entry) and self._fits(call):
+        if idle and self._may_start(entry) and self._fits(entry):
             self._start(entry, now)
             return Admit()
         self._enqueue(entry)
@@ -164,6 +174,10 @@
         """Learns the pace of a stream under way; see `Speed.observe_gap`."""
         self.speed.observe_gap(token_time)
 
+    def left(self, program: str) -> None:
+        """Notes that a program's cache is gone: ended, moved or dropped."""
+        self.working_set.leave(program)
+
     def cancel(self, call_id: str) -> bool:
         """Drops a call, waiting or running; tells whether it was held.
 
@@ -200,9 +214,8 @@
         return [entry.call for entry in entries]
 
     def predicted_wait(self, now: float) -> float:
-        """Returns the wait of a usual new call, in seconds."""
-        call = calls.Call("", "", "", "", "")
-        return self._wait(self._entry(call, now))
+        """Returns the wait of a program's first call, in seconds."""
+        return self._wait(self._entry(_USUAL, now))
 
     def load(self, now: float) -> Load:
         """Returns the load to report."""
@@ -210,24 +223,33 @@
             len(self.running),
             len(self.waiting),
             self.limit.current(),
-            self.predicted_wait(now),
+            self._wait(self._entry(_USUAL._replace(attained=1), now)),
             self.speed.token_time,
             self.speed.prefill_rate,
+            self.predicted_wait(now),
         )
 
     def _entry(self, call: calls.Call, now: float) -> lines.Entry:
         options = self.options
         remaining = self.learner.remaining(call.agent, call.attained)
-        place = order.key(
-            call, remaining, now, options.ordering
-        )
+        place = order.key(call, remaining, now, options.ordering)
         flow = call.partner if options.fair else ""
         klass = calls.INTERACTIVE
         if options.classes and call.klass == calls.BATCH:
             klass = calls.BATCH
         service = self.speed.estimate(call)
+        footprint = _context(call)
+        if remaining.known:
+            footprint += remaining.tokens / 2
         return lines.Entry(
-            place, call, flow, klass, service, call.deadline_at - service
+            place,
+            call,
+            flow,
+            klass,
+            service,
+            call.deadline_at - service,
+            footprint,
+            newcomer=call.attained == 0,
         )
 
     def _verdict(
@@ -247,10 +269,16 @@
         Work of other partners counts only as far as their shares let them
         go first, so one partner's burst refuses that partner's calls only.
         """
+        line = self.lines[entry.klass]
+        memory_wait = 0.0
+        if entry.newcomer and not self._has_room(entry):
+            memory_wait = (1 + line.newcomers) * self.working_set.interval
+        return max(memory_wait, self._slot_wait(entry, line))
+
+    def _slot_wait(self, entry: lines.Entry, line: lines.Line) -> float:
         limit = self.limit.current()
-        if not self.waiting and len(self.running) < limit:
+        if len(self.running) < limit:
             return 0.0
-        line = self.lines[entry.klass]
         weight = self._weight(entry.flow)
         own = line.ahead(entry.flow, entry.key) + self._mean_service(entry)
         shared = min(line.total + own, own / line.share(entry.flow, weight))
@@ -304,11 +332,18 @@
             return True
         return not self._over_share(entry.flow)
 
-    def _fits(self, call: calls.Call) -> bool:
+    def _has_room(self, entry: lines.Entry) -> bool:
+        part = self.options.working_set * self.options.memory
+        return not part or self.working_set.fits(entry.footprint, part)
+
+    def _fits(self, entry: lines.Entry) -> bool:
         """Tells whether the contexts fit the engine's memory together.
 
         Beyond it the engine would evict what the running calls still need.
         """
+        if entry.newcomer and not self._has_room(entry):
+            return False
+        call = entry.call
         memory = self.options.memory
         if not memory or not self.running:
             return True
@@ -319,17 +354,21 @@
             return None
         if self.suspects:
             entry = self.suspects[0]
-            if self._may_start(entry) and self._fits(entry.call):
+            if self._may_start(entry) and self._fits(entry):
                 return entry
         for _, klass in list(self.classes.backlog):
             line = self.lines[klass]
             for _, flow in line.clock.backlog[:_LOOKAHEAD]:
-                entry = line.flows[flow][0]
-                if not self._may_start(entry):
-                    continue
-                # A large context at the head waits for memory and holds the
-                # others back; passed over, it would starve.
-                return entry if self._fits(entry.call) else None
+                for entry in line.flows[flow].heads():
+                    if not self._may_start(entry):
+                        continue
+                    if self._fits(entry):
+                        return entry
+                    # A large context waits for memory and holds the others
+                    # back; passed over, it would starve. A newcomer does
+                    # not: programs under way go on and make room for it.
+                    if not entry.newcomer:
+                        return None
         return None
 
     def _enqueue(self, entry: lines.Entry) -> None:
@@ -360,6 +399,9 @@
         self.running_batch += entry.klass == calls.BATCH
         self.running_tokens += _context(entry.call)
         self.running_suspects += entry.call.suspect
+        self.working_set.enter(entry.call.program, entry.footprint)
+        if entry.newcomer:
+            self.working_set.let_in(now)
         line = self.lines[entry.klass]
         line.clock.serve(entry.flow, self._weight(entry.flow), entry.service)
         self.classes.serve(
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -444,6 +444,7 @@
         prefill_rate: Learned prompt tokens a second.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
+        new_wait: Predicted wait of a program's first call, in seconds.
     """
 
     sidecar: Incarnation
@@ -456,6 +457,7 @@
     prefill_rate: float
     free_memory: int
     state: str
+    new_wait: float = 0.0
 
 
 # --- Membership and configuration -------------------------------------------
