Bound the prompt computing under way; split slots from the queue

Cause: at 0.8 load half of the running calls stood in the engine's prefill queue and held memory there. Change: slots.py; a call starts only when the prompts under way take less than a second of the engine. The prefill rate is learned net of the queue.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -32,6 +32,7 @@
 # A program whose tool hung is closed by its caller after this long.
 ABANDON_SECONDS = 900.0
 GONE_DELAY = 1.0
+LEAVE = True
 
 FIFO = order.Switches(attained=False, learned=False, gating=False)
 
@@ -180,6 +181,7 @@
         return None
 
     def pump(self) -> None:
+        self.gate.protect(self.keeper.expected_soon(self.world.now))
         while (call := self.gate.next(self.world.now)) is not None:
             self._start(self.jobs[call.call_id])
         self._schedule()
@@ -222,7 +224,8 @@
         match action:
             case retain.Drop(program) | retain.Export(program):
                 self.engine.drop(program)
-                self.gate.left(program)
+                if LEAVE:
+                    self.gate.left(program)
 
     def _schedule(self) -> None:
         self.version += 1
@@ -237,6 +240,7 @@
         firsts, done = self.engine.pop_ended()
         for job in firsts:
             job.first = self.world.now
+            self.gate.first_token(job.call_id)
         for job in done:
             self._end(job)
         self.pump()
--- a/src/mintcleat/decisions/lines.py
+++ b/src/mintcleat/decisions/lines.py
@@ -11,50 +11,57 @@
 _LAST = chr(0x10FFFF)
 
 
+# What a call needs of the engine's memory. A resident call's history is
+# cached here; a returning one's is not, and neither is there one for a
+# newcomer, the first call of its program.
+RESIDENT = 0
+RETURNING = 1
+NEWCOMER = 2
+
+
 class Entry(NamedTuple):
     """A held call.
 
     Attributes:
+        arrived: When it was offered.
+        need: `RESIDENT`, `RETURNING` or `NEWCOMER`.
         service: Expected service time.
         latest: Last moment at which a start still meets the deadline.
+        footprint: Tokens that its program will hold over its life, on average.
     """
 
     key: float
     call: calls.Call
     flow: str
     klass: str
+    arrived: float
+    need: int
     service: float
     latest: float
     footprint: float
-    newcomer: bool
 
 
 class Flow:
-    """Waiting calls of one partner: of programs under way, and newcomers."""
+    """Waiting calls of one partner, in a list for each kind of need."""
 
     def __init__(self) -> None:
-        self.under_way = sortedcontainers.SortedKeyList(key=_place)
-        self.newcomers = sortedcontainers.SortedKeyList(key=_place)
+        self.parts = [
+            sortedcontainers.SortedKeyList(key=_place)
+            for _ in (RESIDENT, RETURNING, NEWCOMER)
+        ]
         self.work = 0.0
 
     def __len__(self) -> int:
-        return len(self.under_way) + len(self.newcomers)
-
-    def part(self, entry: Entry) -> sortedcontainers.SortedKeyList:
-        """Returns the list that the entry belongs to."""
-        return self.newcomers if entry.newcomer else self.under_way
+        return sum(map(len, self.parts))
 
     def heads(self) -> list[Entry]:
         """Returns the first of each list, the one to start first ahead."""
-        firsts = [part[0] for part in (self.under_way, self.newcomers) if part]
-        return sorted(firsts, key=_place)
+        return sorted((part[0] for part in self.parts if part), key=_place)
 
     def before(self, key: float) -> int:
         """Returns how many calls start before one with this key."""
         place = (key, _LAST)
-        return self.under_way.bisect_key_right(
-            place
-        ) + self.newcomers.bisect_key_right(place)
+        return sum(part.bisect_key_right(place) for part in self.parts)
 
 
 class Line:
@@ -65,7 +72,7 @@
         self.flows: dict[str, Flow] = {}
         self.total = 0.0
         self.count = 0
-        self.newcomers = 0
+        self.needs = [0, 0, 0]
 
     def add(self, entry: Entry, weight: float) -> None:
         """Adds a waiting call."""
@@ -73,20 +80,20 @@
         if flow is None:
             flow = self.flows[entry.flow] = Flow()
             self.clock.wake(entry.flow, weight)
-        flow.part(entry).add(entry)
+        flow.parts[entry.need].add(entry)
         flow.work += entry.service
         self.total += entry.service
         self.count += 1
-        self.newcomers += entry.newcomer
+        self.needs[entry.need] += 1
 
     def remove(self, entry: Entry) -> None:
         """Removes a waiting call."""
         flow = self.flows[entry.flow]
-        flow.part(entry).remove(entry)
+        flow.parts[entry.need].remove(entry)
         flow.work -= entry.service
         self.total -= entry.service
         self.count -= 1
-        self.newcomers -= entry.newcomer
+        self.needs[entry.need] -= 1
         if not flow:
             del self.flows[entry.flow]
             self.clock.rest(entry.flow)
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -15,15 +15,9 @@
 from mintcleat.decisions import learn
 from mintcleat.decisions import lines
 from mintcleat.decisions import order
+from mintcleat.decisions import slots
 from mintcleat.decisions import speed
-from mintcleat.decisions import workingset
-
-# Of the slots, the part that a partner over its share may not take. Slots are
-# not preempted, so without it a burst fills all of them and the next call of
-# another partner waits for one to end.
-HEADROOM = 1 / 8
-# Of the slots, the part that batch calls may not take, for the same reason.
-INTERACTIVE_ONLY = 1 / 4
+
 # Batch gets a tenth while interactive calls queue, so that it never starves.
 CLASS_WEIGHTS = {calls.INTERACTIVE: 0.9, calls.BATCH: 0.1}
 # Partners looked at for one that may start. The fair clock puts those under
@@ -37,34 +31,7 @@
 _USUAL = calls.Call("", "", "", "", "")
 
 
-class Options(NamedTuple):
-    """Policies in force; replaced whole when the manifest changes.
-
-    Attributes:
-        shares: Weight by partner; others have `default_share`.
-        max_running: Calls of a partner that may run here at once; 0 or
-            absent for no limit.
-        max_wait: Longest predicted wait in the queue, in seconds.
-        memory: Tokens of context that the upstream can hold; 0 for no limit.
-        working_set: Part of `memory` that the footprints of the programs
-            under way may take; 0 to let newcomers in at any time.
-        adaptive: Whether the concurrency limit is learned.
-        fair: Whether partners get fair shares; else one common queue.
-        bounded: Whether calls are refused by predicted wait and deadline.
-        classes: Whether interactive calls go before batch calls.
-    """
-
-    shares: dict[str, float] = {}
-    default_share: float = 1.0
-    max_running: dict[str, int] = {}
-    max_wait: float = 30.0
-    memory: int = 0
-    working_set: float = workingset.OVERCOMMIT
-    adaptive: bool = True
-    fair: bool = True
-    bounded: bool = True
-    classes: bool = True
-    ordering: order.Switches = order.ALL_ON
+Options = slots.Options
 
 
 class Admit(NamedTuple):
@@ -89,13 +56,6 @@
     new_wait: float
 
 
-class Running(NamedTuple):
-    """A started call."""
-
-    entry: lines.Entry
-    started: float
-
-
 class Gate:
     """Admission, queue and concurrency limit of one upstream."""
 
@@ -108,17 +68,13 @@
         self.classes = admit.FairClock()
         self.waiting: dict[str, lines.Entry] = {}
         self.latest: sortedcontainers.SortedList = sortedcontainers.SortedList()
-        self.working_set = workingset.WorkingSet()
-        self.running: dict[str, Running] = {}
-        self.running_of: dict[str, int] = {}
-        self.running_batch = 0
-        self.running_tokens = 0
-        self.running_suspects = 0
+        self.slots = slots.Slots(options, self.speed)
         self.suspects: list[lines.Entry] = []
 
     def configure(self, options: Options) -> None:
         """Puts other policies in force; what waits keeps its place."""
         self.options = options
+        self.slots.options = options
 
     def offer(
         self, call: calls.Call, now: float
@@ -128,7 +84,7 @@
         Raises:
             ValueError: The gate already holds a call with this id.
         """
-        if call.call_id in self.waiting or call.call_id in self.running:
+        if call.call_id in self.waiting or call.call_id in self.slots.running:
             raise ValueError(f"The gate holds the call {call.call_id!r}.")
         entry = self._entry(call, now)
         wait = self._wait(entry)
@@ -137,7 +93,7 @@
             if refusal is not None:
                 return refusal
         idle = not self.waiting
-        if idle and self._may_start(entry) and self._fits(entry):
+        if idle and self._ready(entry, now):
             self._start(entry, now)
             return Admit()
         self._enqueue(entry)
@@ -145,7 +101,7 @@
 
     def next(self, now: float) -> calls.Call | None:
         """Returns a call to start now, or None; call it until None."""
-        entry = self._pick()
+        entry = self._pick(now)
         if entry is None:
             return None
         self._dequeue(entry)
@@ -156,27 +112,35 @@
         self, call_id: str, now: float, outcome: calls.Outcome
     ) -> None:
         """Ends a started call; unknown ids are ignored, so it may repeat."""
-        running = self.running.get(call_id)
+        running = self.slots.running.get(call_id)
         if running is None:
             return
-        self.speed.observe(outcome)
+        self.speed.observe(outcome, running.backlog)
         if self.options.adaptive:
-            self.limit.observe(outcome, len(self.running), now)
+            self.limit.observe(outcome, len(self.slots.running), now)
         entry = running.entry
         if outcome.ok:
             self.learner.answered(entry.call.agent, outcome.generated)
-        self._release(entry)
+        self.slots.release(call_id)
         line = self.lines[entry.klass]
-        weight = self._weight(entry.flow)
+        weight = self.slots.weight(entry.flow)
         line.clock.correct(entry.flow, weight, outcome.seconds - entry.service)
 
+    def first_token(self, call_id: str) -> None:
+        """Notes that a started call's prompt is computed."""
+        self.slots.prefilled(call_id)
+
     def progressed(self, token_time: float) -> None:
         """Learns the pace of a stream under way; see `Speed.observe_gap`."""
         self.speed.observe_gap(token_time)
 
+    def protect(self, tokens: int) -> None:
+        """Takes the size of the caches that are expected back soon."""
+        self.slots.protected = tokens
+
     def left(self, program: str) -> None:
         """Notes that a program's cache is gone: ended, moved or dropped."""
-        self.working_set.leave(program)
+        self.slots.working_set.leave(program)
 
     def cancel(self, call_id: str) -> bool:
         """Drops a call, waiting or running; tells whether it was held.
@@ -187,11 +151,7 @@
         if entry is not None:
             self._dequeue(entry)
             return True
-        running = self.running.get(call_id)
-        if running is None:
-            return False
-        self._release(running.entry)
-        return True
+        return self.slots.release(call_id)
 
     def expire(self, now: float) -> list[calls.Call]:
         """Removes the waiting calls that can no longer meet their deadline.
@@ -220,10 +180,12 @@
     def load(self, now: float) -> Load:
         """Returns the load to report."""
         return Load(
-            len(self.running),
+            len(self.slots.running),
             len(self.waiting),
             self.limit.current(),
-            self._wait(self._entry(_USUAL._replace(attained=1), now)),
+            self._wait(
+                self._entry(_USUAL._replace(attained=1, prompt_tokens=1), now)
+            ),
             self.speed.token_time,
             self.speed.prefill_rate,
             self.predicted_wait(now),
@@ -238,7 +200,7 @@
         if options.classes and call.klass == calls.BATCH:
             klass = calls.BATCH
         service = self.speed.estimate(call)
-        footprint = _context(call)
+        footprint = slots.context(call)
         if remaining.known:
             footprint += remaining.tokens / 2
         return lines.Entry(
@@ -246,10 +208,11 @@
             call,
             flow,
             klass,
+            now,
+            _need(call),
             service,
             call.deadline_at - service,
             footprint,
-            newcomer=call.attained == 0,
         )
 
     def _verdict(
@@ -259,7 +222,10 @@
         if entry.klass == calls.BATCH:
             max_wait *= BATCH_WAIT_FACTOR
         facts = admit.Facts(
-            wait, entry.service, max_wait, self._over_share(entry.flow)
+            wait,
+            entry.service,
+            max_wait,
+            self.slots.over_share(entry.flow, self.limit.current()),
         )
         return admit.verdict(entry.call, facts, now)
 
@@ -271,15 +237,16 @@
         """
         line = self.lines[entry.klass]
         memory_wait = 0.0
-        if entry.newcomer and not self._has_room(entry):
-            memory_wait = (1 + line.newcomers) * self.working_set.interval
+        if entry.need == lines.NEWCOMER and not self.slots.has_room(entry):
+            ahead = 1 + line.needs[lines.NEWCOMER]
+            memory_wait = ahead * self.slots.working_set.interval
         return max(memory_wait, self._slot_wait(entry, line))
 
     def _slot_wait(self, entry: lines.Entry, line: lines.Line) -> float:
         limit = self.limit.current()
-        if len(self.running) < limit:
+        if len(self.slots.running) < limit:
             return 0.0
-        weight = self._weight(entry.flow)
+        weight = self.slots.weight(entry.flow)
         own = line.ahead(entry.flow, entry.key) + self._mean_service(entry)
         shared = min(line.total + own, own / line.share(entry.flow, weight))
         other = self._other(entry.klass)
@@ -297,78 +264,21 @@
         """Returns what the calls that run now will still take, about."""
         return self.speed.service if self.speed.samples else entry.service
 
-    def _weight(self, flow: str) -> float:
-        weight = self.options.shares.get(flow, self.options.default_share)
-        return max(weight, 1e-6)
-
-    def _over_share(self, flow: str) -> bool:
-        """Tells whether the partner holds more slots than its weight earns.
-
-        The weights are those of partners with calls running or waiting here.
-        """
-        mine = self.running_of.get(flow, 0)
-        weight = self._weight(flow)
-        active = sum(map(self._weight, self.running_of))
-        if flow not in self.running_of:
-            active += weight
-        return mine >= self.limit.current() * weight / active
-
-    def _may_start(self, entry: lines.Entry) -> bool:
+    def _ready(self, entry: lines.Entry, now: float) -> bool:
         limit = self.limit.current()
-        free = limit - len(self.running)
-        if free <= 0:
-            return False
-        call = entry.call
-        if call.suspect and self.running_suspects:
-            return False
-        top = self.options.max_running.get(call.partner, 0)
-        if top and self.running_of.get(entry.flow, 0) >= top:
-            return False
-        if entry.klass == calls.BATCH:
-            batch_slots = max(1, limit - int(limit * INTERACTIVE_ONLY))
-            if self.running_batch >= batch_slots:
-                return False
-        if not self.options.fair or free > int(limit * HEADROOM):
-            return True
-        return not self._over_share(entry.flow)
-
-    def _has_room(self, entry: lines.Entry) -> bool:
-        part = self.options.working_set * self.options.memory
-        return not part or self.working_set.fits(entry.footprint, part)
-
-    def _fits(self, entry: lines.Entry) -> bool:
-        """Tells whether the contexts fit the engine's memory together.
+        return self.slots.allows(entry, limit) and self.slots.fits(entry, now)
 
-        Beyond it the engine would evict what the running calls still need.
-        """
-        if entry.newcomer and not self._has_room(entry):
-            return False
-        call = entry.call
-        memory = self.options.memory
-        if not memory or not self.running:
-            return True
-        return self.running_tokens + _context(call) <= memory
-
-    def _pick(self) -> lines.Entry | None:
-        if len(self.running) >= self.limit.current():
+    def _pick(self, now: float) -> lines.Entry | None:
+        if len(self.slots.running) >= self.limit.current():
             return None
-        if self.suspects:
-            entry = self.suspects[0]
-            if self._may_start(entry) and self._fits(entry):
-                return entry
+        if self.suspects and self._ready(self.suspects[0], now):
+            return self.suspects[0]
         for _, klass in list(self.classes.backlog):
             line = self.lines[klass]
             for _, flow in line.clock.backlog[:_LOOKAHEAD]:
                 for entry in line.flows[flow].heads():
-                    if not self._may_start(entry):
-                        continue
-                    if self._fits(entry):
+                    if self._ready(entry, now):
                         return entry
-                    # A large context waits for memory and holds the others
-                    # back; passed over, it would starve. A newcomer does
-                    # not: programs under way go on and make room for it.
-                    if not entry.newcomer:
-                        return None
         return None
 
     def _enqueue(self, entry: lines.Entry) -> None:
@@ -380,7 +290,7 @@
         line = self.lines[entry.klass]
         if not line.count:
             self.classes.wake(entry.klass, CLASS_WEIGHTS[entry.klass])
-        line.add(entry, self._weight(entry.flow))
+        line.add(entry, self.slots.weight(entry.flow))
 
     def _dequeue(self, entry: lines.Entry) -> None:
         del self.waiting[entry.call.call_id]
@@ -394,29 +304,18 @@
             self.classes.rest(entry.klass)
 
     def _start(self, entry: lines.Entry, now: float) -> None:
-        self.running[entry.call.call_id] = Running(entry, now)
-        self.running_of[entry.flow] = self.running_of.get(entry.flow, 0) + 1
-        self.running_batch += entry.klass == calls.BATCH
-        self.running_tokens += _context(entry.call)
-        self.running_suspects += entry.call.suspect
-        self.working_set.enter(entry.call.program, entry.footprint)
-        if entry.newcomer:
-            self.working_set.let_in(now)
+        self.slots.start(entry, now)
         line = self.lines[entry.klass]
-        line.clock.serve(entry.flow, self._weight(entry.flow), entry.service)
+        weight = self.slots.weight(entry.flow)
+        line.clock.serve(entry.flow, weight, entry.service)
         self.classes.serve(
             entry.klass, CLASS_WEIGHTS[entry.klass], entry.service
         )
 
-    def _release(self, entry: lines.Entry) -> None:
-        del self.running[entry.call.call_id]
-        self.running_of[entry.flow] -= 1
-        if not self.running_of[entry.flow]:
-            del self.running_of[entry.flow]
-        self.running_batch -= entry.klass == calls.BATCH
-        self.running_tokens -= _context(entry.call)
-        self.running_suspects -= entry.call.suspect
-
 
-def _context(call: calls.Call) -> int:
-    return call.prompt_tokens + call.expected_tokens
+def _need(call: calls.Call) -> int:
+    if call.attained == 0:
+        return lines.NEWCOMER
+    if call.new_tokens < call.prompt_tokens:
+        return lines.RESIDENT
+    return lines.RETURNING
--- a/src/mintcleat/decisions/retain.py
+++ b/src/mintcleat/decisions/retain.py
@@ -22,6 +22,9 @@
 # time for a retry of its own, and nothing is held longer than ten minutes.
 MIN_HUNG_SECONDS = 30.0
 MAX_HUNG_SECONDS = 600.0
+# A cache expected back within this is not worth evicting: a rebuild of a
+# usual history, with its share of the engine, takes about as long.
+SOON_SECONDS = 4.0
 # Under this part of the memory, holding costs nothing.
 FREE_PRESSURE = 0.8
 
@@ -160,6 +163,22 @@
             actions.append(self._put_out(paused))
         return actions
 
+    def expected_soon(self, now: float) -> int:
+        """Returns the tokens of caches that will probably be used soon.
+
+        Evicting them for a call that can wait a moment gains nothing: their
+        programs come back and evict in turn.
+        """
+        return sum(
+            paused.tokens
+            for paused in self.held.values()
+            if self._soon(paused, now)
+        )
+
+    def _soon(self, paused: Paused, now: float) -> bool:
+        histogram = self.histogram(paused.tool)
+        return histogram.left(now - paused.since) < SOON_SECONDS
+
     def histogram(self, tool: str) -> pauses.Histogram:
         """Returns the histogram of a tool."""
         return self.histograms.setdefault(tool, pauses.Histogram())
--- a/src/mintcleat/decisions/speed.py
+++ b/src/mintcleat/decisions/speed.py
@@ -25,15 +25,19 @@
         self.service = 0.0
         self.samples = 0
 
-    def observe(self, outcome: calls.Outcome) -> None:
-        """Learns from one call that ended well."""
+    def observe(self, outcome: calls.Outcome, backlog: int = 0) -> None:
+        """Learns from one call that ended well.
+
+        `backlog` is the prompt tokens that were ahead of it in the engine;
+        left out, a busy engine would look slow at computing prompts.
+        """
         if not outcome.ok:
             return
         first = outcome.first_token
         if outcome.generated > 1 and first > 0:
             self.observe_gap((outcome.seconds - first) / outcome.generated)
         if outcome.computed >= _MIN_PREFILL_SAMPLE and first > 0:
-            rate = outcome.computed / first
+            rate = (backlog + outcome.computed) / first
             self.prefill_rate += (rate - self.prefill_rate) * _GAIN
         if self.samples == 0:
             self.service = outcome.seconds
--- a/testing/test_queue.py
+++ b/testing/test_queue.py
@@ -128,13 +128,13 @@
                 name = min(gate.waiting)
                 gate.cancel(name)
                 cancelled.add(name)
-            if step == "end" and gate.running:
-                gate.finished(min(gate.running), now, outcome())
+            if step == "end" and gate.slots.running:
+                gate.finished(min(gate.slots.running), now, outcome())
             while (ready := gate.next(now)) is not None:
                 started.append(ready.call_id)
-        while gate.running:
+        while gate.slots.running:
             now += 1.0
-            gate.finished(min(gate.running), now, outcome())
+            gate.finished(min(gate.slots.running), now, outcome())
             while (ready := gate.next(now)) is not None:
                 started.append(ready.call_id)
         self.assertEqual(sorted(accepted - cancelled), sorted(started))
