--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -32,7 +32,6 @@
 # A program whose tool hung is closed by its caller after this long.
 ABANDON_SECONDS = 900.0
 GONE_DELAY = 1.0
-LEAVE = True
 
 FIFO = order.Switches(attained=False, learned=False, gating=False)
 
@@ -222,10 +221,11 @@
 
     def _act(self, action: retain.Action) -> None:
         match action:
+            case retain.Drop(program, keep) if keep:
+                self.engine.keep(program, keep)
             case retain.Drop(program) | retain.Export(program):
                 self.engine.drop(program)
-                if LEAVE:
-                    self.gate.left(program)
+                self.gate.left(program)
 
     def _schedule(self) -> None:
         self.version += 1
--- a/src/mintcleat/decisions/place.py
+++ b/src/mintcleat/decisions/place.py
@@ -20,7 +20,7 @@
 CROWDING = 0.5
 # A rebuild elsewhere must be cheaper by this share of the call's own time:
 # predictions err by about as much, and each needless move wastes a cache.
-STAY = 0.1
+STAY = 0.4
 # Known upstreams outside the subset are forgotten after this silence.
 GUEST_SECONDS = 600.0
 READY = "ready"
--- a/src/mintcleat/decisions/retain.py
+++ b/src/mintcleat/decisions/retain.py
@@ -45,9 +45,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Drop:
-    """Release the cache."""
+    """Release the cache beyond its first `keep` tokens."""
 
     program: str
+    keep: int = 0
 
 
 Action = Hold | Export | Drop
@@ -159,10 +160,22 @@
         for paused in ranked:
             if needed <= 0:
                 break
+            actions.append(self._shorten(paused, needed))
             needed -= paused.tokens
-            actions.append(self._put_out(paused))
         return actions
 
+    def _shorten(self, paused: Paused, needed: int) -> Action:
+        """Drops no more of a history than is needed, from its end.
+
+        A prefix cache can use what is left of it.
+        """
+        keep = paused.tokens - needed
+        if keep <= 0:
+            return self._put_out(paused)
+        self.held[paused.program] = paused._replace(tokens=keep)
+        self.tokens -= needed
+        return Drop(paused.program, keep)
+
     def expected_soon(self, now: float) -> int:
         """Returns the tokens of caches that will probably be used soon.
 
