--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -452,6 +452,7 @@
         prefill_rate: Learned prompt tokens a second.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
+        new_wait: Predicted wait of a program's first call, in seconds.
     """
 
     sidecar: Incarnation
@@ -464,6 +465,7 @@
     prefill_rate: float
     free_memory: int
     state: str
+    new_wait: float = 0.0
 
 
 # --- Membership and configuration -------------------------------------------
