--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -11,9 +11,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import policy_engine
-import policy_load
-
 from mintcleat.decisions import admit
 from mintcleat.decisions import calls
 from mintcleat.decisions import learn
@@ -23,6 +20,8 @@
 from mintcleat.decisions import retain
 from mintcleat.decisions import retry
 from mintcleat.domain import messages
+import policy_engine
+import policy_load
 
 REPORT_PERIOD = 0.5
 REPORT_DELAY = 0.05
