--- /dev/null
+++ b/src/mintcleat/main/cli_manifest.py
@@ -0,0 +1,195 @@
+"""`mintcleat manifest ...`: check, diff, push, show and status."""
+
+import getpass
+import pathlib
+import sys
+import time
+from typing import Any
+
+import xxhash
+
+from mintcleat.domain import errors
+from mintcleat.domain import manifest as schema
+from mintcleat.main import cli_client
+from mintcleat.main import cli_tables
+
+# How often `--wait` asks; a push is in force within a second or so.
+POLL_SECONDS = 0.25
+
+
+class ManifestCommands:
+    """Checks, pushes and reads back the manifest."""
+
+    def __init__(self, client: cli_client.AdminClient, as_json: bool) -> None:
+        self._client = client
+        self._json = as_json
+
+    def check(self, file: str) -> None:
+        """Lists every fault of a manifest file; asks no daemon."""
+        _load(file)
+        self._print({"faults": []}, f"{file}: no faults")
+
+    def diff(self, file: str) -> None:
+        """Shows what a file would change of the manifest in force."""
+        _, new = _load(file)
+        answer = self._client.get("manifest")
+        old = _parsed(answer)
+        changes = schema.diff(old, new)
+        rows = [(item.path, item.before, item.after) for item in changes]
+        shown = cli_tables.table(("PATH", "IN FORCE", "IN THE FILE"), rows)
+        self._print(
+            {
+                "revision": answer["revision"],
+                "changes": [item._asdict() for item in changes],
+            },
+            shown if rows else f"no change to revision {answer['revision']}",
+        )
+
+    def push(
+        self,
+        file: str,
+        expected: int | None = None,
+        request_id: str = "",
+        operator: str = "",
+        wait: float = 0.0,
+    ) -> None:
+        """Pushes a manifest file; refused when another push came first.
+
+        Run again after a lost answer with the same --expected, the command
+        reports the outcome of the first run and changes nothing.
+
+        Args:
+            file: JSON file with the whole manifest.
+            expected: Revision that the file was made from; without it, the
+                one in force now.
+            request_id: Tells two pushes of the same content apart.
+            operator: Name for the audit trail; without it, the user's.
+            wait: Seconds to wait until it is in force everywhere.
+        """
+        text, new = _load(file)
+        if expected is None:
+            answer = self._client.get("manifest")
+            expected = answer["revision"]
+            if expected and _parsed(answer) == new:
+                self._print(
+                    {"revision": expected, "changed": False},
+                    f"revision {expected} is in force with this content",
+                )
+                return
+        name = operator or getpass.getuser()
+        pushed = self._client.post(
+            "manifest",
+            {
+                "expected": expected,
+                "push_id": push_id(text, expected, name, str(request_id)),
+                "manifest": text,
+                "operator": name,
+            },
+        )
+        revision = pushed["revision"]
+        self._print(
+            {**pushed, "changed": True}, f"accepted as revision {revision}"
+        )
+        if wait:
+            self.status(wait=wait, revision=revision)
+
+    def show(self) -> None:
+        """Prints the manifest in force; its revision goes to stderr."""
+        answer = self._client.get("manifest")
+        if self._json:
+            print(cli_tables.show(answer))
+            return
+        print(f"revision {answer['revision']}", file=sys.stderr)
+        print(schema.render(_parsed(answer)))
+
+    def status(self, wait: float = 0.0, revision: int = 0) -> None:
+        """Shows per instance the revision applied, when, and its lease.
+
+        Args:
+            wait: Seconds to wait until every live node has applied it.
+            revision: Revision to wait for; without it, the one in force.
+        """
+        until = time.monotonic() + wait
+        while True:
+            answer = self._client.get("instances")
+            goal = revision or answer["revision"]
+            late = late_nodes(answer, goal)
+            if not late or time.monotonic() >= until:
+                break
+            time.sleep(POLL_SECONDS)
+        self._print(answer, _instances_table(answer))
+        if late:
+            cli_client.fail(
+                cli_client.WAIT_OVER if wait else cli_client.OK,
+                f"not yet applied by {', '.join(late)}.",
+                "Nodes that do not apply it lose their lease within 4 s.",
+            )
+        if not self._json:
+            print(f"revision {goal} is in force at every live node")
+
+    def _print(self, data: Any, text: str) -> None:
+        print(cli_tables.show(data) if self._json else text)
+
+
+def push_id(text: str, expected: int, operator: str, request_id: str) -> str:
+    """Returns an id that is the same when the same command runs again."""
+    seed = f"{operator}\0{request_id}\0{expected}\0{text}"
+    return xxhash.xxh3_128_hexdigest(seed.encode())
+
+
+def late_nodes(answer: dict[str, Any], goal: int) -> list[str]:
+    """Returns the live nodes that have not applied a revision.
+
+    A control instance that can't be asked may serve nodes of its own, which
+    hold leases for some seconds yet.
+    """
+    late = [
+        node["node"]["instance"]
+        for node in answer["nodes"]
+        if node["lease"] > 0 and node["revision"] < goal
+    ]
+    return sorted(late) + [f"nodes of {name}" for name in answer["missing"]]
+
+
+def _instances_table(answer: dict[str, Any]) -> str:
+    rows = [
+        (
+            node["node"]["instance"],
+            node["role"],
+            node["failure_domain"],
+            node["revision"],
+            cli_tables.moment(node["applied_at"]),
+            f"{node['lease']:.1f} s" if node["lease"] else "out",
+            node["control"],
+        )
+        for node in answer["nodes"]
+    ]
+    head = (
+        "INSTANCE",
+        "ROLE",
+        "FAILURE DOMAIN",
+        "REVISION",
+        "APPLIED",
+        "LEASE",
+        "CONTROL",
+    )
+    return cli_tables.table(head, rows)
+
+
+def _load(file: str) -> tuple[str, schema.Manifest]:
+    try:
+        text = pathlib.Path(str(file)).read_text()
+    except (OSError, UnicodeError) as error:
+        cli_client.fail(
+            cli_client.USAGE, f"{file}: {error}.", "Name a readable JSON file."
+        )
+    try:
+        return text, schema.parse(text)
+    except errors.InvalidManifest as error:
+        cli_client.fail(
+            cli_client.INVALID, f"{file}\n{error.detail}", error.remedy
+        )
+
+
+def _parsed(answer: dict[str, Any]) -> schema.Manifest:
+    return schema.parse(cli_tables.show(answer["manifest"]))
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -190,9 +190,10 @@
         announcement = self.announcer() if self.announcer else None
         if announcement is None:
             return []
-        if not first and announcement == self.announced:
+        unnumbered = announcement._replace(counter=0)
+        if not first and unnumbered == self.announced:
             return []
-        self.announced = announcement
+        self.announced = unnumbered
         return [messages.Announce(announcement)]
 
     def take(self, message: Any) -> None:
--- a/testing/fakes/__init__.py
+++ b/testing/fakes/__init__.py
@@ -1,1 +1,1 @@
-"""Fakes at the ports, for tests that inject faults."""
+"""Fault-injecting wrappers of the stand-ins, and small fakes of ports."""
