Plan rollouts and orders; test leases in virtual time

Orders are committed with their number before they are sent, carried out once by the sidecar's gate, and sent again by the next leader under the same number. Rollouts go by failure domain over a floor, pause, and return when a version fails.

--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -162,7 +162,7 @@
 
 
 class SetRollout(NamedTuple):
-    """Changes a rollout's state: `running`, `paused`, `returning`, `done`."""
+    """Changes the state of a rollout; see `rollouts`."""
 
     office: int
     service: str
--- a/src/mintcleat/configuration/rollouts.py
+++ b/src/mintcleat/configuration/rollouts.py
@@ -9,11 +9,11 @@
 from typing import NamedTuple
 
 from mintcleat.configuration import commands
-from mintcleat.domain import errors
 
 RUNNING = "running"
 PAUSED = "paused"
 RETURNING = "returning"
+RETURNED = "returned"
 DONE = "done"
 FAILED = "failed"
 SENT = "sent"
@@ -98,9 +98,7 @@
         )
         return True
 
-    def start(
-        self, command: commands.StartRollout
-    ) -> Rollout | errors.RevisionConflict:
+    def start(self, command: commands.StartRollout) -> Rollout:
         """Starts a rollout; the same target again gives the same rollout."""
         current = self.rollouts.get(command.service)
         if current is not None and current.target == command.target:
--- a/src/mintcleat/roles/config_feed.py
+++ b/src/mintcleat/roles/config_feed.py
@@ -118,22 +118,32 @@
         self, exchange: stream_ports.Exchange, follow: messages.Follow
     ) -> None:
         """Serves one stream until it ends."""
-        if follow.role == CONTROL and not self.source.serves_control():
-            raise errors.NotLeader("")
-        now = self.timers.now()
-        peer = Peer(exchange, follow, now)
-        self.peers.add(peer)
-        self._note(peer, lost_at=float("inf"))
+        peer = self.attach(exchange, follow)
         self.timers.spawn(self._write, peer)
-        if follow.revision == 0:
-            self.source.confirm()
         try:
             while True:
-                self._read(peer, exchange.receive(SILENCE))
+                self.read(peer, exchange.receive(SILENCE))
         except (errors.StreamClosed, errors.StreamTimeout):
             return
         finally:
-            self._lose(peer)
+            self.detach(peer)
+
+    def attach(
+        self, exchange: stream_ports.Exchange, follow: messages.Follow
+    ) -> Peer:
+        """Takes a new stream in.
+
+        Raises:
+            errors.NotLeader: A control instance asked one that can't lead it.
+        """
+        if follow.role == CONTROL and not self.source.serves_control():
+            raise errors.NotLeader("")
+        peer = Peer(exchange, follow, self.timers.now())
+        self.peers.add(peer)
+        self._note(peer, lost_at=float("inf"))
+        if follow.revision == 0:
+            self.source.confirm()
+        return peer
 
     def wake_all(self) -> None:
         """Makes every writer look for something to send."""
@@ -177,7 +187,8 @@
 
     # --- Reading --------------------------------------------------------------
 
-    def _read(self, peer: Peer, message: Any) -> None:
+    def read(self, peer: Peer, message: Any) -> None:
+        """Takes a message of the peer."""
         table = self.source.table
         now = self.timers.now()
         match message:
@@ -196,7 +207,8 @@
                 table.relay(peer.follow.node.instance, message, now)
         peer.wake()
 
-    def _lose(self, peer: Peer) -> None:
+    def detach(self, peer: Peer) -> None:
+        """Forgets a stream that ended."""
         now = self.timers.now()
         peer.closed = True
         self.peers.discard(peer)
--- /dev/null
+++ b/src/mintcleat/roles/orders.py
@@ -0,0 +1,228 @@
+"""Orders to upstreams: the leader's sending and the sidecar's receiving."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+
+from eventlet import semaphore
+from loguru import logger
+
+from mintcleat.configuration import commands
+from mintcleat.configuration import fence
+from mintcleat.configuration import machine
+from mintcleat.configuration import rollouts
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+
+# Loading a model from the weight store takes minutes.
+ORDER_SECONDS = 600.0
+# An order without outcome for so long counts as failed: an engine that hangs
+# would hold its rollout up for good.
+ORDER_LIMIT = 1_200.0
+# Calls under way get this time to end before an order changes the model.
+IDLE_SECONDS = 300.0
+IDLE_STEP = 0.1
+
+
+class Leader(Protocol):
+    """What sending needs of the config service."""
+
+    machine: machine.ConfigMachine
+    streams: stream_ports.Streams
+    timers: timer_ports.Timers
+    office: int
+
+    def propose(self, command: Any) -> Any:
+        """Commits a command and returns its result."""
+
+    def leads(self) -> bool:
+        """Tells whether this instance may decide now."""
+
+
+class OrderSender:
+    """Sends committed orders until their outcome is committed.
+
+    Attributes:
+        sending: Fencing numbers of the orders that are being sent.
+    """
+
+    def __init__(self, leader: Leader) -> None:
+        self.leader = leader
+        self.sending: set[int] = set()
+
+    def send(
+        self,
+        service: str,
+        announced: messages.Announcement,
+        order: rollouts.Order,
+        policies: manifest.Policies,
+    ) -> None:
+        """Starts sending an order, unless it is being sent already."""
+        if order.fence in self.sending:
+            return
+        self.sending.add(order.fence)
+        self.leader.timers.spawn(
+            self._send, service, announced, order, policies
+        )
+
+    def _send(
+        self,
+        service: str,
+        announced: messages.Announcement,
+        order: rollouts.Order,
+        policies: manifest.Policies,
+    ) -> None:
+        try:
+            if self._permitted(order, policies):
+                outcome = self._deliver(announced, order)
+                late = self.leader.timers.wall() - order.at > ORDER_LIMIT
+                if not outcome and late:
+                    outcome = rollouts.FAILED
+                if outcome:
+                    self._end(service, announced, order, outcome)
+        except errors.MintcleatError as error:
+            logger.info("Order {} waits: {}", order.fence, error.detail)
+        finally:
+            self.sending.discard(order.fence)
+
+    def _permitted(
+        self, order: rollouts.Order, policies: manifest.Policies
+    ) -> bool:
+        if order.action != "load":
+            return True
+        command = commands.TakePermit(
+            self.leader.office,
+            str(order.fence),
+            policies.loads_per_minute,
+            policies.load_burst,
+            self.leader.timers.wall(),
+        )
+        try:
+            return self.leader.propose(command)
+        except errors.Overloaded:
+            return False
+
+    def _deliver(
+        self, announced: messages.Announcement, order: rollouts.Order
+    ) -> str:
+        """Returns the outcome; empty when it is not known.
+
+        An order of unknown outcome is sent again under its number, which the
+        sidecar carries out once.
+        """
+        message = messages.Order(
+            announced.sidecar, order.fence, order.action, order.model
+        )
+        try:
+            self.leader.streams.ask(announced.address, message, ORDER_SECONDS)
+        except (errors.StreamClosed, errors.StreamTimeout):
+            return ""
+        except (errors.FencedOff, errors.Draining):
+            # Neither says anything about the version that it was to load.
+            return ""
+        except errors.MintcleatError as error:
+            logger.warning(
+                "Order {} to {} failed: {}",
+                order.fence,
+                announced.sidecar.instance,
+                error.detail,
+            )
+            return rollouts.FAILED
+        return rollouts.DONE
+
+    def _end(
+        self,
+        service: str,
+        announced: messages.Announcement,
+        order: rollouts.Order,
+        outcome: str,
+    ) -> None:
+        self.leader.propose(
+            commands.EndOrder(
+                self.leader.office,
+                service,
+                announced.sidecar.instance,
+                order.fence,
+                outcome,
+                self.leader.timers.wall(),
+            )
+        )
+
+
+class Upstream(Protocol):
+    """What an order does at the upstream."""
+
+    def hold_work(self, held: bool) -> None:
+        """Refuses new work while an order is carried out, or takes it."""
+
+    def is_busy(self) -> bool:
+        """Tells whether calls are under way."""
+
+    def carry_out(self, number: int, action: str, model: str) -> None:
+        """Hands the order to the upstream and waits for its end."""
+
+
+class OrderReceiver:
+    """The sidecar's side: the only path of orders to its upstream.
+
+    Attributes:
+        read_fence: Asks control for the highest committed number.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        upstream: Upstream,
+        timers: timer_ports.Timers,
+        read_fence: Callable[[], int],
+    ) -> None:
+        self.node = node
+        self.upstream = upstream
+        self.timers = timers
+        self.read_fence = read_fence
+        self.gate = fence.Gate()
+        self.lock = semaphore.Semaphore()
+
+    def handle(
+        self, exchange: stream_ports.Exchange, order: messages.Order
+    ) -> None:
+        """Carries an order out once; answers a repeated one alike.
+
+        Raises:
+            errors.FencedOff: A newer order was seen.
+            errors.Draining: Calls under way did not end in time.
+        """
+        if order.sidecar != self.node:
+            raise errors.FencedOff("The order is for another incarnation.")
+        if self.gate.highest is None:
+            self.gate.learn(self.read_fence())
+        self.gate.admit(order.fence)
+        with self.lock:
+            self._carry_out(order)
+        exchange.send(messages.Done(order.model))
+
+    def _carry_out(self, order: messages.Order) -> None:
+        # Asked again: while this order waited for the one before it, a newer
+        # one may have come, or a copy of this one may have been carried out.
+        if not self.gate.admit(order.fence):
+            return
+        self.upstream.hold_work(True)
+        try:
+            self._wait_idle()
+            if not self.gate.is_current(order.fence):
+                raise errors.FencedOff("A newer order came.")
+            self.upstream.carry_out(order.fence, order.action, order.model)
+            self.gate.finish(order.fence)
+        finally:
+            self.upstream.hold_work(False)
+
+    def _wait_idle(self) -> None:
+        """Waits for the calls under way; an order cuts no request."""
+        until = self.timers.now() + IDLE_SECONDS
+        while self.upstream.is_busy():
+            if self.timers.now() >= until:
+                raise errors.Draining("Calls under way did not end in time.")
+            self.timers.sleep(IDLE_STEP)
--- /dev/null
+++ b/src/mintcleat/roles/rollout.py
@@ -0,0 +1,162 @@
+"""The config leader's planner: brings upstreams to the manifest's wishes."""
+
+from typing import Any
+from typing import Protocol
+
+from loguru import logger
+
+from mintcleat.configuration import commands
+from mintcleat.configuration import machine
+from mintcleat.configuration import plan
+from mintcleat.configuration import rollouts
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.ports import streams as stream_ports
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles import membership
+from mintcleat.roles import orders
+
+PLAN_SECONDS = 1.0
+MODEL = "model"
+
+
+class Leader(Protocol):
+    """What planning needs of the config service."""
+
+    machine: machine.ConfigMachine
+    membership: membership.Membership
+    streams: stream_ports.Streams
+    timers: timer_ports.Timers
+    office: int
+    decides_at: float
+
+    def propose(self, command: Any) -> Any:
+        """Commits a command and returns its result."""
+
+    def leads(self) -> bool:
+        """Tells whether this instance may decide now."""
+
+
+class Planner:
+    """Plans and sends orders while this instance leads.
+
+    Attributes:
+        planning: Whether a plan is being carried out.
+    """
+
+    def __init__(self, leader: Leader) -> None:
+        self.leader = leader
+        self.sender = orders.OrderSender(leader)
+        self.planning = False
+
+    def start(self) -> None:
+        """Plans each second."""
+        self.leader.timers.every(PLAN_SECONDS, self.tick)
+
+    def tick(self) -> None:
+        """Starts a plan unless one is under way.
+
+        A new leader waits as it does with pushes: until then it may not have
+        heard of every upstream, and a rollout that counts too few ready ones
+        would stall, or think itself complete.
+        """
+        if self.planning or not self.leader.leads():
+            return
+        if self.leader.timers.now() < self.leader.decides_at:
+            return
+        self.planning = True
+        self.leader.timers.spawn(self._plan)
+
+    def _plan(self) -> None:
+        try:
+            current = self.leader.machine.document.manifest()
+            for name, service in sorted(current.services.items()):
+                if service.kind == MODEL:
+                    self._plan_service(name, service, current.policies)
+        except errors.MintcleatError as error:
+            logger.info("The plan waits: {}", error.detail)
+        finally:
+            self.planning = False
+
+    def _plan_service(
+        self, name: str, service: manifest.Service, policies: manifest.Policies
+    ) -> None:
+        announced = {
+            item.sidecar.instance: item
+            for item in self.leader.membership.table.view.values()
+            if item.service == name
+        }
+        if not announced:
+            return
+        view = self._view(name, service, policies, list(announced.values()))
+        for step in plan.next_steps(view):
+            self._commit(name, step)
+        self._send_pending(name, announced, policies)
+
+    def _view(
+        self,
+        name: str,
+        service: manifest.Service,
+        policies: manifest.Policies,
+        announced: list[messages.Announcement],
+    ) -> plan.View:
+        state = self.leader.machine
+        upstreams = [
+            plan.Upstream(
+                item.sidecar.instance,
+                item.sidecar.epoch,
+                item.failure_domain,
+                item.state,
+                item.model,
+                state.draining(item.sidecar.instance, item.failure_domain),
+                state.ledger.orders.get(item.sidecar.instance),
+            )
+            for item in sorted(announced, key=lambda item: item.sidecar)
+        ]
+        return plan.View(
+            name,
+            plan.target_of(service),
+            service.floor,
+            service.replicas,
+            policies.rollout_pause,
+            upstreams,
+            state.ledger.rollouts.get(name),
+            self.leader.timers.wall(),
+        )
+
+    def _commit(self, name: str, step: plan.Step) -> None:
+        office = self.leader.office
+        at = self.leader.timers.wall()
+        match step:
+            case plan.Start(target=target, previous=previous):
+                command: Any = commands.StartRollout(
+                    office, name, target, previous, at
+                )
+            case plan.Turn(state=state, reason=reason):
+                command = commands.SetRollout(office, name, state, reason, at)
+            case plan.Send():
+                command = commands.PlanOrder(
+                    office,
+                    name,
+                    step.instance,
+                    step.epoch,
+                    step.action,
+                    step.model,
+                    at,
+                )
+        self.leader.propose(command)
+
+    def _send_pending(
+        self,
+        name: str,
+        announced: dict[str, messages.Announcement],
+        policies: manifest.Policies,
+    ) -> None:
+        """Sends the orders without outcome, those of former leaders too."""
+        for instance, item in announced.items():
+            order = self.leader.machine.ledger.orders.get(instance)
+            if order is None or order.outcome != rollouts.SENT:
+                continue
+            if order.epoch == item.sidecar.epoch:
+                self.sender.send(name, item, order, policies)
--- /dev/null
+++ b/testing/fakes/config_links.py
@@ -0,0 +1,237 @@
+"""Control instances and nodes in virtual time, joined by links in memory.
+
+A link does what `roles.config_stream` does over a socket; links and requests
+between two addresses can be cut silently.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from testing.fakes import log as fake_log
+
+from mintcleat.adapters import timers
+from mintcleat.configuration import lease
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.roles import config_feed
+from mintcleat.roles import config_service
+from mintcleat.roles import follower
+
+STEP = 0.05
+
+
+class Replies:
+    """An exchange that keeps what the handler sends."""
+
+    peer = "peer"
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+        self.closed = False
+
+    def send(self, message: Any) -> None:
+        """Keeps a message."""
+        self.sent.append(message)
+
+    def close(self) -> None:
+        """Ends the exchange."""
+        self.closed = True
+
+
+class Network:
+    """Who serves which address, and which pairs of addresses are cut."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, dict[type, Callable[..., None]]] = {}
+        self.services: dict[str, config_service.ConfigService] = {}
+        self.cut_off: set[str] = set()
+
+    def reaches(self, one: str, other: str) -> bool:
+        """Tells whether messages pass; those of a cut address are lost."""
+        return (one in self.cut_off) == (other in self.cut_off)
+
+
+class MemoryStreams:
+    """`ports.streams.Streams` of one address; only `ask` and `handle`."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self.network = network
+        self.address = address
+        network.handlers[address] = {}
+
+    def handle(self, kind: type, handler: Callable[..., None]) -> None:
+        """Registers a handler."""
+        self.network.handlers[self.address][kind] = handler
+
+    def ask(self, address: str, message: Any, timeout: float) -> Any:
+        """Runs the peer's handler at once."""
+        if not self.network.reaches(self.address, address):
+            raise errors.StreamTimeout(f"{address} is silent.")
+        replies = Replies()
+        handler = self.network.handlers[address].get(type(message))
+        if handler is None:
+            raise errors.BadRequest(f"No handler for {message}.")
+        handler(replies, message)
+        return replies.sent[0]
+
+
+class Link:
+    """Does for an owner what a ConfigStream does, step by step."""
+
+    def __init__(
+        self,
+        owner: Any,
+        address: str,
+        network: Network,
+        clock: timers.VirtualTimers,
+        renew: float,
+    ) -> None:
+        self.owner = owner
+        self.own_address = address
+        self.network = network
+        self.timers = clock
+        self.renew = renew
+        self.address = ""
+        self.peer: config_feed.Peer | None = None
+        self.attempt = 0
+        self.opened = 0.0
+        self.due = 0.0
+        self.received: list[Any] = []
+        self.stopped = False
+        clock.every(STEP, self.step)
+
+    def start(self) -> None:
+        """A link runs from the beginning."""
+
+    def stop(self) -> None:
+        """Ends the link; the other side notices by itself."""
+        self.stopped = True
+
+    def report(self) -> None:
+        """Renews at the next step."""
+        self.due = 0.0
+
+    def step(self) -> None:
+        """Opens, renews, receives, or gives the control instance up."""
+        if self.stopped:
+            return
+        if self.peer is None:
+            self._open()
+            return
+        service = self.network.services[self.address]
+        if self._passes():
+            if self.timers.now() >= self.due:
+                self._renew(service)
+            for message in service.feed.pending(self.peer):
+                self.received.append(message)
+                self.owner.take(message)
+        since = max(self.opened, self.owner.lease.echo)
+        ended = self.peer.exchange.closed
+        if ended or self.timers.now() - since > lease.MOVE_AFTER:
+            service.feed.detach(self.peer)
+            self.peer = None
+            self.address = ""
+            self.attempt += 1
+
+    def _passes(self) -> bool:
+        return self.network.reaches(self.own_address, self.address)
+
+    def _open(self) -> None:
+        self.address = self.owner.pick(self.attempt)
+        if not self.address or not self._passes():
+            self.attempt += 1
+            return
+        service = self.network.services[self.address]
+        try:
+            self.peer = service.feed.attach(Replies(), self.owner.follow())
+        except errors.NotLeader:
+            return
+        self.opened = self.timers.now()
+        self.due = self.opened + self.renew
+        self._send(service, True)
+
+    def _renew(self, service: config_service.ConfigService) -> None:
+        self.due = self.timers.now() + self.renew
+        self._send(service, False)
+
+    def _send(self, service: config_service.ConfigService, first: bool) -> None:
+        for message in self.owner.outgoing(first):
+            service.feed.read(self.peer, message)
+        clock = self.timers.now()
+        service.feed.read(
+            self.peer, messages.Applied(self.owner.applied(), clock)
+        )
+
+
+class Cluster:
+    """Control instances `control-0`, ... and the nodes that a test adds."""
+
+    def __init__(self, size: int) -> None:
+        self.timers = timers.VirtualTimers()
+        self.network = Network()
+        self.log = fake_log.Cluster()
+        self.control = [self._control(f"control-{n}") for n in range(size)]
+        self.log.elect("control-0")
+        self.nodes: list[follower.Follower] = []
+        self.timers.advance(1.0)
+
+    def _control(self, name: str) -> config_service.ConfigService:
+        service = config_service.ConfigService(
+            messages.Incarnation(name, 1),
+            "fd-1",
+            name,
+            log=fake_log.MemoryLog(self.log, name),
+            streams=MemoryStreams(self.network, name),
+            timers=self.timers,
+        )
+        self.network.services[name] = service
+        service.relay.stream = self._link(
+            service.relay, name, lease.RELAY_RENEW
+        )
+        service.start()
+        return service
+
+    def _link(self, owner: Any, address: str, renew: float) -> Link:
+        return Link(owner, address, self.network, self.timers, renew)
+
+    def node(
+        self,
+        name: str,
+        epoch: int = 1,
+        announcer: follower.Announcer | None = None,
+        control: list[str] | None = None,
+    ) -> follower.Follower:
+        """Starts a node that knows all control instances, or some."""
+        address = f"{name}/{epoch}"
+        node = follower.Follower(
+            messages.Incarnation(name, epoch),
+            "sidecar" if announcer else "entry",
+            "fd-1",
+            address,
+            streams=MemoryStreams(self.network, address),
+            timers=self.timers,
+            control_addresses=control or list(self.network.services),
+            announcer=announcer,
+        )
+        node.stream = self._link(node, address, lease.RENEW)
+        node.start()
+        self.nodes.append(node)
+        return node
+
+    def push(self, instance: int, expected: int, version: str) -> int:
+        """Pushes at one control instance; returns the revision."""
+        request = messages.PushManifest(
+            expected, f"push-{version}", manifest_text(version), "anna", "test"
+        )
+        return self.control[instance].ask(request).revision
+
+
+def manifest_text(version: str, partners: int = 0) -> str:
+    """Returns a manifest with one model service of a version."""
+    service = manifest.Service(kind="model", model="m", version=version)
+    names = {f"partner-{n}": manifest.Partner() for n in range(partners)}
+    policies = manifest.Policies(partners=names)
+    return manifest.render(
+        manifest.Manifest(services={"chat": service}, policies=policies)
+    )
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -80,7 +80,9 @@
             raise errors.NotLeader(self.cluster.leader)
 
     def leader(self, group: str) -> str:
-        """Returns the leader's address."""
+        """Returns the leader's address; a cut-off replica knows none."""
+        if self.address in self.cluster.lag:
+            return ""
         return self.cluster.leader
 
     def leads(self, group: str) -> bool:
--- /dev/null
+++ b/testing/test_follower.py
@@ -0,0 +1,180 @@
+"""What nodes see when control instances are lost, cut off or behind."""
+
+from testing.fakes import config_links
+import testtools
+
+from mintcleat.configuration import lease
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.roles import config_stream
+
+
+class FollowerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = config_links.Cluster(3)
+        self.timers = self.cluster.timers
+
+    def version(self, node: config_links.follower.Follower) -> str:
+        return node.manifest().services["chat"].version
+
+    def test_nodes_behind_every_instance_apply_and_hold_a_lease(self) -> None:
+        self.cluster.push(1, 0, "1")
+        nodes = [self.cluster.node(f"entry-{n}") for n in range(8)]
+        self.timers.advance(2.0)
+        served = {node.stream.address for node in nodes}
+        self.assertEqual(3, len(served))
+        self.assertEqual({1}, {node.revision() for node in nodes})
+        self.assertTrue(all(node.in_lease() for node in nodes))
+        self.timers.advance(20.0)
+        self.assertTrue(all(node.in_lease() for node in nodes))
+
+    def test_push_on_the_other_side_waits_for_the_cut_off_leader(self) -> None:
+        """The leader and one node are cut off; a new leader takes a push.
+
+        The old leader's node goes on at revision 1 until its lease ends, and
+        only then does the other side accept revision 2. At no time do two
+        nodes act on different revisions; the old leader accepts no push.
+        """
+        self.cluster.push(0, 0, "1")
+        old = self.cluster.node("entry-old", control=["control-0"])
+        new = self.cluster.node("entry-new", control=["control-1", "control-2"])
+        self.timers.advance(2.0)
+        self.cluster.network.cut_off = {"control-0", "entry-old/1"}
+        self.cluster.log.lag = {"control-0"}
+        self.cluster.log.elect("control-1")
+        seen = []
+        self.timers.every(
+            0.05,
+            lambda: seen.append(
+                {node.revision() for node in (old, new) if node.in_lease()}
+            ),
+        )
+        self.assertEqual(2, self.cluster.push(2, 1, "2"))
+        self.assertRaises(
+            errors.ControlUnavailable, self.cluster.push, 0, 1, "3"
+        )
+        self.timers.advance(5.0)
+        self.assertTrue(all(len(revisions) <= 1 for revisions in seen), seen)
+        self.assertFalse(old.in_lease())
+        self.assertEqual("1", self.version(old))
+        self.assertEqual("2", self.version(new))
+        self.cluster.network.cut_off = set()
+        self.cluster.log.heal()
+        self.timers.advance(5.0)
+        self.assertEqual("2", self.version(old))
+        self.assertTrue(old.in_lease())
+
+    def test_node_behind_a_cut_off_relay_moves_before_its_lease_ends(
+        self,
+    ) -> None:
+        """One control instance is cut off alone, without a word.
+
+        Its nodes notice that nothing is renewed, move to another instance
+        within their lease, and no caller is refused.
+        """
+        self.cluster.push(0, 0, "1")
+        nodes = [self.cluster.node(f"entry-{n}") for n in range(8)]
+        self.timers.advance(2.0)
+        moved = [n for n in nodes if n.stream.address == "control-2"]
+        self.assertTrue(moved)
+        self.cluster.network.cut_off = {"control-2"}
+        for _ in range(200):
+            self.timers.advance(0.05)
+            self.assertTrue(all(node.in_lease() for node in nodes))
+        self.assertNotIn("control-2", {n.stream.address for n in nodes})
+
+    def test_restarted_node_never_goes_back_to_an_older_revision(self) -> None:
+        """A node that applied revision 2 restarts at an instance with 1.
+
+        That instance was cut off before the push. It cannot ask the leader,
+        so it hands out nothing; the node stays without lease and refuses,
+        until it reaches an instance that can ask.
+        """
+        self.cluster.push(0, 0, "1")
+        self.timers.advance(1.0)
+        self.cluster.network.cut_off = {"control-2", "entry-1/2"}
+        self.cluster.push(0, 1, "2")
+        node = self.cluster.node("entry-1", epoch=2)
+        self.assertEqual(1, self.cluster.control[2].document().revision)
+        seen = set()
+        for _ in range(100):
+            self.timers.advance(0.05)
+            seen.add(node.revision())
+        self.assertEqual({0}, seen)
+        self.assertFalse(node.in_lease())
+        self.cluster.network.cut_off = {"control-2"}
+        self.timers.advance(5.0)
+        self.assertEqual(2, node.revision())
+        self.assertTrue(node.in_lease())
+
+    def test_node_500_revisions_behind_gets_one_update(self) -> None:
+        """A node is cut off while 500 pushes pass it by."""
+        text = config_links.manifest_text("0", partners=200)
+        leader = self.cluster.control[0]
+        leader.ask(messages.PushManifest(0, "first", text, "anna", "test"))
+        node = self.cluster.node("entry-1")
+        self.timers.advance(2.0)
+        self.cluster.network.cut_off = {"entry-1/1"}
+        self.timers.advance(10.0)
+        for number in range(1, 501):
+            text = config_links.manifest_text(str(number), partners=200)
+            push = messages.PushManifest(
+                number, f"push-{number}", text, "anna", "test"
+            )
+            leader.ask(push)
+        node.stream.received.clear()
+        self.cluster.network.cut_off = set()
+        self.timers.advance(5.0)
+        self.assertEqual(501, node.revision())
+        updates = [
+            message
+            for message in node.stream.received
+            if isinstance(message, messages.ConfigUpdate) and message.sections
+        ]
+        self.assertEqual(1, len(updates))
+        self.assertEqual(["services/chat"], list(updates[0].sections))
+
+    def test_delayed_grant_does_not_stretch_the_lease(self) -> None:
+        """A grant is held up on the way for 3 of its 4 seconds.
+
+        Counted from its arrival it would let the node act for 3 s after the
+        granter gave the lease up; counted from the request it does not.
+        """
+        held = lease.Lease()
+        held.renew(10.0, 4.0)
+        self.assertEqual(1.0, held.left(13.0))
+        held.renew(9.0, 4.0)
+        self.assertEqual(1.0, held.left(13.0))
+
+    def test_unreadable_update_is_not_applied_and_not_renewed(self) -> None:
+        """A newer release's manifest reaches an older node.
+
+        The node keeps its manifest and refuses new work truthfully once its
+        lease ends; it does not run on half of a manifest.
+        """
+        self.cluster.push(0, 0, "1")
+        node = self.cluster.node("entry-1")
+        self.timers.advance(2.0)
+        before = node.lease.expires
+        node.take(
+            messages.ConfigUpdate(
+                2,
+                False,
+                {"services/chat": '{"kind": "new"}', "services/b": ""},
+                4.0,
+                self.timers.now(),
+            )
+        )
+        self.assertEqual((1, before), (node.revision(), node.lease.expires))
+        self.assertEqual("1", self.version(node))
+
+    def test_lost_instances_nodes_spread_over_the_others(self) -> None:
+        addresses = ["a", "b", "c", "d"]
+        counts = dict.fromkeys(addresses[:3], 0)
+        for number in range(900):
+            order = config_stream.ranked(f"node-{number}", addresses)
+            if order[0] == "d":
+                counts[order[1]] += 1
+        total = sum(counts.values())
+        self.assertTrue(all(n > total / 5 for n in counts.values()), counts)
--- /dev/null
+++ b/testing/test_rollout.py
@@ -0,0 +1,311 @@
+"""Rollouts keep a floor, go by failure domain, return and resume."""
+
+from typing import Any
+
+from testing.fakes import log as fake_log
+import testtools
+
+from mintcleat.adapters import timers
+from mintcleat.configuration import commands
+from mintcleat.configuration import machine
+from mintcleat.configuration import plan
+from mintcleat.configuration import rollouts
+from mintcleat.configuration import sections
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.roles import membership
+from mintcleat.roles import rollout
+
+DOMAINS = ("hall-a", "hall-b", "hall-c")
+PAUSE = 5.0
+LOAD_SECONDS = 8.0
+
+
+class Fleet:
+    """Engines that take orders; the streams of the planners.
+
+    Attributes:
+        taken: Every delivered order, repeats included.
+        broken: Models that no engine can load.
+        lost: Instances whose answers are lost.
+    """
+
+    def __init__(self, clock: timers.VirtualTimers, size: int) -> None:
+        self.timers = clock
+        self.models = {f"engine-{n}": "m@1" for n in range(size)}
+        self.state = dict.fromkeys(self.models, "ready")
+        self.taken: list[messages.Order] = []
+        self.broken: set[str] = set()
+        self.lost: set[str] = set()
+        self.done: set[int] = set()
+        self.least_ready = size
+        self.counter = 0
+        self.domains = DOMAINS
+
+    def ask(self, address: str, order: messages.Order, timeout: float) -> Any:
+        """Carries an order out once; loading takes time."""
+        name = order.sidecar.instance
+        self.taken.append(order)
+        if order.model in self.broken:
+            raise errors.UpstreamFailed("The weights are damaged.")
+        if order.fence not in self.done:
+            self.done.add(order.fence)
+            self.state[name] = "loading"
+            self.timers.after(
+                LOAD_SECONDS, lambda: self._loaded(name, order.model)
+            )
+        if name in self.lost:
+            raise errors.StreamTimeout("No answer.")
+        return messages.Done()
+
+    def ready(self) -> int:
+        """Counts the engines that serve."""
+        return list(self.state.values()).count("ready")
+
+    def announce(self, members: membership.Membership) -> None:
+        """Renews every announcement."""
+        self.least_ready = min(self.least_ready, self.ready())
+        self.counter += 1
+        for number, (name, model) in enumerate(self.models.items()):
+            members.table.announce(
+                messages.Announcement(
+                    messages.Incarnation(name, 1),
+                    self.counter,
+                    f"127.0.0.1:{number + 1}",
+                    "chat",
+                    "model",
+                    "gulf-south",
+                    self.domains[number % len(self.domains)],
+                    8,
+                    self.state[name],
+                    False,
+                    True,
+                    True,
+                    True,
+                    model,
+                ),
+                self.timers.now(),
+            )
+
+    def _loaded(self, name: str, model: str) -> None:
+        self.models[name] = model
+        self.state[name] = "ready"
+
+
+class Leader:
+    """A control instance as the planner sees it."""
+
+    def __init__(
+        self, cluster: fake_log.Cluster, fleet: Fleet, name: str
+    ) -> None:
+        self.log = fake_log.MemoryLog(cluster, name)
+        self.machine = machine.ConfigMachine()
+        self.log.attach(machine.GROUP, self.machine)
+        self.log.start()
+        self.timers = fleet.timers
+        self.membership = membership.Membership(fleet.timers)
+        self.streams = fleet
+        self.office = 0
+        self.decides_at = 0.0
+        self.planner = rollout.Planner(self)
+        self.planner.start()
+
+    def propose(self, command: Any) -> Any:
+        """Commits at once."""
+        return self.log.propose(machine.GROUP, commands.encode(command), 1.0)
+
+    def leads(self) -> bool:
+        """Tells whether it holds the office."""
+        return self.log.leads(machine.GROUP) and (
+            self.machine.office.number == self.office
+        )
+
+    def take_office(self) -> None:
+        """Leads from now on."""
+        self.log.cluster.elect(self.log.address)
+        command = commands.TakeOffice(self.log.address, self.timers.wall())
+        self.office = self.propose(command).number
+
+
+class RolloutTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.timers = timers.VirtualTimers()
+        self.cluster = fake_log.Cluster()
+        self.fleet = Fleet(self.timers, 6)
+        self.leaders = [
+            Leader(self.cluster, self.fleet, name) for name in ("a", "b")
+        ]
+        self.leader = self.leaders[0]
+        self.leader.take_office()
+        self.timers.every(0.5, self.announce)
+        self.announce()
+        self.push("1")
+        self.timers.advance(10.0)
+
+    def announce(self) -> None:
+        for leader in self.leaders:
+            self.fleet.announce(leader.membership)
+
+    def push(self, version: str, floor: int = 4) -> None:
+        service = manifest.Service(
+            kind="model", model="m", version=version, replicas=6, floor=floor
+        )
+        policies = manifest.Policies(
+            rollout_pause=PAUSE, loads_per_minute=60.0, load_burst=2
+        )
+        whole = manifest.Manifest(services={"chat": service}, policies=policies)
+        revision = self.leader.machine.document.revision
+        self.leader.propose(
+            commands.Push(
+                self.leader.office,
+                revision,
+                f"push-{revision}",
+                sections.split(whole),
+                [],
+                "anna",
+                "test",
+                version,
+                self.timers.wall(),
+            )
+        )
+
+    def state(self) -> str:
+        return self.leader.machine.ledger.rollouts["chat"].state
+
+    def test_matching_upstreams_get_no_order(self) -> None:
+        self.assertEqual([], self.fleet.taken)
+        self.assertEqual(rollouts.DONE, self.state())
+
+    def test_rollout_goes_by_failure_domain_and_keeps_the_floor(self) -> None:
+        self.push("2")
+        self.timers.advance(120.0)
+        self.assertEqual(rollouts.DONE, self.state())
+        self.assertEqual({"m@2"}, set(self.fleet.models.values()))
+        domains = [
+            DOMAINS[int(order.sidecar.instance[-1]) % 3]
+            for order in self.fleet.taken
+        ]
+        self.assertEqual(sorted(domains), domains)
+        self.assertEqual(6, len(domains))
+        self.assertEqual(4, self.fleet.least_ready)
+
+    def test_floor_of_all_upstreams_stalls_but_cuts_nothing(self) -> None:
+        """The manifest asks for a floor as high as there are upstreams."""
+        self.push("2", floor=6)
+        self.timers.advance(60.0)
+        self.assertEqual([], self.fleet.taken)
+        self.assertEqual(6, self.fleet.ready())
+
+    def test_failing_version_returns_by_itself(self) -> None:
+        """Version 2 cannot be loaded by the first domain's engines.
+
+        Callers see the service go on with version 1: the rollout stops in
+        the first failure domain and the operator reads why.
+        """
+        self.fleet.broken.add("m@2")
+        self.push("2")
+        self.timers.advance(60.0)
+        self.assertEqual(rollouts.RETURNED, self.state())
+        self.assertEqual({"m@1"}, set(self.fleet.models.values()))
+        touched = {order.sidecar.instance for order in self.fleet.taken}
+        self.assertTrue(touched <= {"engine-0", "engine-3"}, touched)
+        reason = self.leader.machine.ledger.rollouts["chat"].reason
+        self.assertIn("failed to load m@2", reason)
+
+    def test_version_that_crashes_later_is_taken_back(self) -> None:
+        """Version 2 loads, and its first engine goes down soon after."""
+        self.push("2")
+        while "m@2" not in self.fleet.models.values():
+            self.timers.advance(1.0)
+        broken = next(n for n, m in self.fleet.models.items() if m == "m@2")
+        self.fleet.state[broken] = "down"
+        self.timers.advance(10.0)
+        self.assertEqual(rollouts.RETURNING, self.state())
+        self.fleet.state[broken] = "ready"
+        self.timers.advance(60.0)
+        self.assertEqual(rollouts.RETURNED, self.state())
+        self.assertEqual({"m@1"}, set(self.fleet.models.values()))
+
+    def test_leader_lost_halfway_gives_no_order_twice(self) -> None:
+        """The leader dies in the middle, with orders under way.
+
+        Its successor finds them committed, sends them under the same
+        numbers, and goes on; no engine loads version 2 twice.
+        """
+        self.push("2")
+        self.fleet.lost = {"engine-0", "engine-3"}
+        self.timers.advance(4.0)
+        first = {order.fence for order in self.fleet.taken}
+        self.assertTrue(first)
+        self.fleet.lost = set()
+        self.leader = self.leaders[1]
+        self.leader.take_office()
+        self.timers.advance(120.0)
+        self.assertEqual(rollouts.DONE, self.state())
+        numbers: dict[str, set[int]] = {}
+        for order in self.fleet.taken:
+            numbers.setdefault(order.sidecar.instance, set()).add(order.fence)
+        self.assertEqual([1] * 6, [len(item) for item in numbers.values()])
+        self.assertEqual(4, self.fleet.least_ready)
+
+    def test_command_of_a_replaced_leader_is_void(self) -> None:
+        """A leader that was cut off proposes under its old office."""
+        old = self.leader.office
+        self.leaders[1].take_office()
+        stale = commands.PlanOrder(
+            old, "chat", "engine-0", 1, "load", "m@9", 0.0
+        )
+        self.assertRaises(errors.NotLeader, self.leaders[1].propose, stale)
+
+    def test_permits_go_on_across_a_failover_without_a_burst(self) -> None:
+        """Two loads at once and then one a second are allowed.
+
+        The leader is lost when the burst is used up. Its successor goes on
+        with the level of the bucket; with a fresh bucket it would start two
+        more loads at once, and the weight store would throttle them all.
+        """
+        self.fleet.domains = ("hall-a",)
+        self.push("2", floor=0)
+        while not self.loads():
+            self.timers.advance(0.1)
+        begin = self.timers.now()
+        self.assertEqual(2, self.loads())
+        self.leader = self.leaders[1]
+        self.leader.take_office()
+        while self.loads() < 6:
+            self.timers.advance(0.1)
+            passed = self.timers.now() - begin
+            self.assertTrue(self.loads() <= 2 + passed, self.loads())
+
+    def loads(self) -> int:
+        return len({order.fence for order in self.fleet.taken})
+
+
+class PlanTest(testtools.TestCase):
+    def test_spare_upstreams_are_unloaded_once_replicas_are_ready(self) -> None:
+        held = rollouts.Rollout("s", "m", "", rollouts.DONE, "", 0, 0.0)
+        upstreams = [
+            plan.Upstream(f"e{n}", 1, "d", "ready", "m", False, None)
+            for n in range(3)
+        ]
+        view = plan.View("s", "m", 1, 2, 0.0, upstreams, held, 100.0)
+        self.assertEqual(
+            [plan.Send("e2", 1, plan.UNLOAD, "m")], plan.next_steps(view)
+        )
+
+    def test_restarted_upstream_gets_the_version_in_force(self) -> None:
+        held = rollouts.Rollout("s", "m", "", rollouts.DONE, "", 5, 0.0)
+        old = rollouts.Order(1, 6, plan.LOAD, "m", rollouts.DONE, 0.0)
+        upstream = plan.Upstream("e", 2, "d", "ready", "", False, old)
+        view = plan.View("s", "m", 0, 1, 0.0, [upstream], held, 100.0)
+        self.assertEqual(
+            [plan.Send("e", 2, plan.LOAD, "m")], plan.next_steps(view)
+        )
+
+    def test_adapters_and_version_are_part_of_the_target(self) -> None:
+        service = manifest.Service(
+            kind="model", model="m", version="2", adapters=["b", "a"]
+        )
+        self.assertEqual("m@2+a+b", plan.target_of(service))
