--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -97,21 +97,21 @@
     def follow(self, update: Update) -> None:
         """Takes an update from another document; lower ones change nothing.
 
-        Changes of several revisions count as changes of the last. A node in
-        between gets some sections that it has already, and none too few.
+        Changes of several revisions count as changes of the last, also where
+        a section came back to what it was: a node in between, served by
+        another instance, may hold the section as it was for one revision.
+        A whole update does not tell what was touched, so nodes below it get
+        the whole too.
         """
         if update.revision <= self.revision:
             return
-        gone = [key for key, text in update.sections.items() if not text]
         if update.whole:
-            gone = [key for key in self.sections if key not in update.sections]
-        for key, text in update.sections.items():
-            if text and self.sections.get(key) != text:
-                self.sections[key] = text
-                self.changed_at[key] = update.revision
-                self.removed_at.pop(key, None)
-        for key in gone:
-            self._remove(key, update.revision)
+            self.sections = dict(update.sections)
+            self.changed_at = dict.fromkeys(update.sections, update.revision)
+            self.removed_at = {}
+            self.horizon = update.revision
+        else:
+            self._merge(update)
         self.revision = update.revision
         self._forget_old()
 
@@ -173,6 +173,15 @@
                 found[key] = ""
         return Update(self.revision, False, found)
 
+    def _merge(self, update: Update) -> None:
+        for key, text in update.sections.items():
+            if not text:
+                self._remove(key, update.revision)
+                continue
+            self.sections[key] = text
+            self.changed_at[key] = update.revision
+            self.removed_at.pop(key, None)
+
     def _remove(self, key: str, revision: int) -> None:
         self.sections.pop(key, None)
         self.changed_at.pop(key, None)
--- a/src/mintcleat/configuration/plan.py
+++ b/src/mintcleat/configuration/plan.py
@@ -23,10 +23,19 @@
 # An upstream whose order failed is left alone for this time, so that a
 # broken one does not use up the weight store's permits.
 RETRY = 60.0
+# An upstream that carried an order out and is not ready for so long counts
+# as a failure of the version.
+STUCK = 900.0
 
 
 class Upstream(NamedTuple):
-    """An upstream of the service; `order` is its last one, if any."""
+    """An upstream of the service.
+
+    Attributes:
+        order: Its last order, if any.
+        since: Wall clock at which it was first seen in this state with this
+            model by the present leader.
+    """
 
     instance: str
     epoch: int
@@ -35,6 +44,7 @@
     model: str
     drained: bool
     order: rollouts.Order | None
+    since: float = 0.0
 
 
 class View(NamedTuple):
@@ -144,8 +154,12 @@
             continue
         if order.outcome == rollouts.FAILED:
             return f"{upstream.instance} failed to load {model}"
-        if order.outcome == rollouts.DONE and upstream.state == DOWN:
+        if order.outcome != rollouts.DONE or upstream.state == READY:
+            continue
+        if upstream.state == DOWN:
             return f"{upstream.instance} went down with {model}"
+        if view.now - order.at > STUCK and not upstream.drained:
+            return f"{upstream.instance} does not get ready with {model}"
     return ""
 
 
@@ -194,18 +208,27 @@
 def _domain_first(
     upstreams: list[Upstream], model: str, now: float
 ) -> list[Upstream]:
-    """Returns the upstreams of the first failure domain not at `model`."""
+    """Returns the first failure domain's upstreams not ready with `model`.
+
+    The next domain waits for them: an engine may take an order at once and
+    load for minutes, and two domains would be loading together.
+    """
     for domain in sorted({item.failure_domain for item in upstreams}):
         inside = [
             item
             for item in upstreams
             if item.failure_domain == domain and item.state != DOWN
         ]
-        if not all(_has(item, model, now) for item in inside):
+        if not all(_settled(item, model, now) for item in inside):
             return inside
     return []
 
 
+def _settled(upstream: Upstream, model: str, now: float) -> bool:
+    is_up = upstream.state == READY or upstream.drained
+    return is_up and _has(upstream, model, now)
+
+
 def _opens_domain(
     view: View, first: Upstream, rollout: rollouts.Rollout
 ) -> bool:
@@ -222,7 +245,7 @@
 
 def _paused_enough(view: View, rollout: rollouts.Rollout) -> bool:
     ended = [
-        item.order.at
+        max(item.order.at, item.since)
         for item in view.upstreams
         if item.order is not None and _of_rollout(item.order, rollout)
     ]
--- a/src/mintcleat/roles/rollout.py
+++ b/src/mintcleat/roles/rollout.py
@@ -43,12 +43,14 @@
 
     Attributes:
         planning: Whether a plan is being carried out.
+        seen: State and model of each upstream, and since when.
     """
 
     def __init__(self, leader: Leader) -> None:
         self.leader = leader
         self.sender = orders.OrderSender(leader)
         self.planning = False
+        self.seen: dict[messages.Incarnation, tuple[str, str, float]] = {}
 
     def start(self) -> None:
         """Plans each second."""
@@ -70,6 +72,7 @@
 
     def _plan(self) -> None:
         try:
+            self._forget_gone()
             current = self.leader.machine.document.manifest()
             for name, service in sorted(current.services.items()):
                 if service.kind == MODEL:
@@ -111,6 +114,7 @@
                 item.model,
                 state.draining(item.sidecar.instance, item.failure_domain),
                 state.ledger.orders.get(item.sidecar.instance),
+                self._since(item),
             )
             for item in sorted(announced, key=lambda item: item.sidecar)
         ]
@@ -125,6 +129,24 @@
             self.leader.timers.wall(),
         )
 
+    def _since(self, item: messages.Announcement) -> float:
+        """Returns since when this leader sees the state and model.
+
+        A new leader counts anew, which makes a pause longer, never shorter.
+        """
+        state, model, since = self.seen.get(item.sidecar, ("", "", 0.0))
+        if (state, model) != (item.state, item.model):
+            since = self.leader.timers.wall()
+            self.seen[item.sidecar] = (item.state, item.model, since)
+        return since
+
+    def _forget_gone(self) -> None:
+        live = {
+            item.sidecar for item in self.leader.membership.table.view.values()
+        }
+        for sidecar in [key for key in self.seen if key not in live]:
+            del self.seen[sidecar]
+
     def _commit(self, name: str, step: plan.Step) -> None:
         office = self.leader.office
         at = self.leader.timers.wall()
--- a/testing/test_follower.py
+++ b/testing/test_follower.py
@@ -84,6 +84,36 @@
             self.assertTrue(all(node.in_lease() for node in nodes))
         self.assertNotIn("control-2", {n.stream.address for n in nodes})
 
+    def test_cut_off_relay_and_node_are_out_of_lease_in_four_seconds(
+        self,
+    ) -> None:
+        """A relay is cut off together with its node, then a push comes.
+
+        The relay may pass on only what is left of its own lease. Four
+        seconds after the push was accepted no node acts on the old revision.
+        """
+        self.cluster.push(0, 0, "1")
+        node = self.cluster.node("entry-1", control=["control-2"])
+        self.timers.advance(3.3)
+        self.cluster.network.cut_off = {"control-2", "entry-1/1"}
+        self.cluster.push(0, 1, "2")
+        self.timers.advance(lease.MAX_LEASE - 1.0)
+        self.assertTrue(node.lease.expires > 0)
+        self.timers.advance(1.0)
+        self.assertFalse(node.in_lease())
+
+    def test_lower_revision_is_neither_applied_nor_renewed(self) -> None:
+        """An update of revision 1 reaches a node that applied 2."""
+        self.cluster.push(0, 0, "1")
+        self.cluster.push(0, 1, "2")
+        node = self.cluster.node("entry-1")
+        self.timers.advance(2.0)
+        before = node.lease.expires
+        late = messages.ConfigUpdate(1, True, {}, 9.0, self.timers.now())
+        node.take(late)
+        self.assertEqual((2, before), (node.revision(), node.lease.expires))
+        self.assertEqual("2", self.version(node))
+
     def test_restarted_node_never_goes_back_to_an_older_revision(self) -> None:
         """A node that applied revision 2 restarts at an instance with 1.
 
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -42,6 +42,7 @@
         self.least_ready = size
         self.counter = 0
         self.domains = DOMAINS
+        self.begun: dict[str, float] = {}
 
     def ask(self, address: str, order: messages.Order, timeout: float) -> Any:
         """Carries an order out once; loading takes time."""
@@ -51,6 +52,8 @@
             raise errors.UpstreamFailed("The weights are damaged.")
         if order.fence not in self.done:
             self.done.add(order.fence)
+            domain = self.domains[int(name[-1]) % len(self.domains)]
+            self.begun.setdefault(domain, self.timers.now())
             self.state[name] = "loading"
             self.timers.after(
                 LOAD_SECONDS, lambda: self._loaded(name, order.model)
@@ -190,6 +193,10 @@
         self.assertEqual(sorted(domains), domains)
         self.assertEqual(6, len(domains))
         self.assertEqual(4, self.fleet.least_ready)
+        begun = self.fleet.begun
+        for number in (1, 2):
+            between = begun[DOMAINS[number]] - begun[DOMAINS[number - 1]]
+            self.assertTrue(between >= LOAD_SECONDS + PAUSE, between)
 
     def test_floor_of_all_upstreams_stalls_but_cuts_nothing(self) -> None:
         """The manifest asks for a floor as high as there are upstreams."""
@@ -221,8 +228,11 @@
             self.timers.advance(1.0)
         broken = next(n for n, m in self.fleet.models.items() if m == "m@2")
         self.fleet.state[broken] = "down"
-        self.timers.advance(10.0)
+        self.timers.advance(2.0)
         self.assertEqual(rollouts.RETURNING, self.state())
+        self.timers.advance(8.0)
+        tried = {o.sidecar.instance for o in self.fleet.taken}
+        self.assertEqual({"engine-0", "engine-3"}, tried)
         self.fleet.state[broken] = "ready"
         self.timers.advance(60.0)
         self.assertEqual(rollouts.RETURNED, self.state())
