--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -45,6 +45,7 @@
         removed_at: Revision of the removal, by section, oldest first.
         horizon: Nodes below this revision cannot be brought up by a delta.
         pushes: Accepted pushes by id, oldest first.
+        unread: Sections changed since the manifest was last assembled.
     """
 
     def __init__(self) -> None:
@@ -55,6 +56,9 @@
         self.horizon = 0
         self.pushes: dict[str, Accepted] = {}
         self.cached: dict[int, Update] = {}
+        self.assembly = sections.Assembly()
+        self.assembled = manifest.Manifest()
+        self.unread: dict[str, str] = {}
 
     def push(
         self, command: commands.Push
@@ -72,9 +76,7 @@
             return self._conflict(command.expected)
         self.revision += 1
         for key, text in command.changed.items():
-            self.sections[key] = text
-            self.changed_at[key] = self.revision
-            self.removed_at.pop(key, None)
+            self._put(key, text, self.revision)
         for key in command.removed:
             self._remove(key, self.revision)
         accepted = Accepted(self.revision, command.operator, command.at)
@@ -107,6 +109,7 @@
             return
         if update.whole:
             self.sections = dict(update.sections)
+            self._read_anew()
             self.changed_at = dict.fromkeys(update.sections, update.revision)
             self.removed_at = {}
             self.horizon = update.revision
@@ -116,8 +119,12 @@
         self._forget_old()
 
     def manifest(self) -> manifest.Manifest:
-        """Returns the manifest in force."""
-        return sections.join(self.sections)
+        """Returns the manifest in force; decodes only new sections."""
+        if self.unread:
+            unread, self.unread = self.unread, {}
+            self.assembly.put(list(unread.items()))
+            self.assembled = self.assembly.manifest()
+        return self.assembled
 
     def state(self) -> list[Any]:
         """Returns everything as plain data."""
@@ -139,6 +146,7 @@
         self.removed_at = state[3]
         self.horizon = state[4]
         self.pushes = {key: Accepted(*push) for key, push in state[5].items()}
+        self._read_anew()
 
     def _conflict(self, expected: int) -> errors.RevisionConflict:
         # The pushes are in the order of their revisions.
@@ -173,20 +181,30 @@
                 found[key] = ""
         return Update(self.revision, False, found)
 
+    def _read_anew(self) -> None:
+        self.assembly.clear()
+        self.assembled = manifest.Manifest()
+        self.unread = dict(self.sections)
+
     def _merge(self, update: Update) -> None:
         for key, text in update.sections.items():
             if not text:
                 self._remove(key, update.revision)
                 continue
-            self.sections[key] = text
-            self.changed_at[key] = update.revision
-            self.removed_at.pop(key, None)
+            self._put(key, text, update.revision)
+
+    def _put(self, key: str, text: str, revision: int) -> None:
+        self.sections[key] = text
+        self.changed_at[key] = revision
+        self.removed_at.pop(key, None)
+        self.unread[key] = text
 
     def _remove(self, key: str, revision: int) -> None:
         self.sections.pop(key, None)
         self.changed_at.pop(key, None)
         self.removed_at.pop(key, None)
         self.removed_at[key] = revision
+        self.unread[key] = ""
 
     def _forget_old(self) -> None:
         self.cached.clear()
--- a/src/mintcleat/configuration/sections.py
+++ b/src/mintcleat/configuration/sections.py
@@ -100,13 +100,6 @@
         )
 
 
-def join(sections: dict[str, str]) -> manifest.Manifest:
-    """Returns the manifest that `split` made these sections from."""
-    assembly = Assembly()
-    assembly.put(list(sections.items()))
-    return assembly.manifest()
-
-
 def _group(key: str) -> str:
     return key.partition("/")[0]
 
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -4,6 +4,7 @@
 """
 
 import posixpath
+from typing import Annotated
 from typing import Any
 from typing import Literal
 from typing import NamedTuple
@@ -14,6 +15,10 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest_faults
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(pattern=manifest_faults.NAME_PATTERN)]
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
@@ -31,11 +36,11 @@
     klass: Literal["interactive", "batch"] = msgspec.field(
         default="interactive", name="class"
     )
-    tokens: int = 0
-    turns: int = 0
-    seconds: float = 0.0
-    repeat_limit: int = 8
-    tools: dict[str, Tool] = {}
+    tokens: Count = 0
+    turns: Count = 0
+    seconds: Amount = 0.0
+    repeat_limit: Count = 8
+    tools: dict[Name, Tool] = {}
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -52,8 +57,8 @@
     model: str = ""
     version: str = ""
     adapters: list[str] = []
-    replicas: int = 0
-    floor: int = 0
+    replicas: Count = 0
+    floor: Count = 0
     fencing: bool = True
     idempotent: list[str] = []
     non_idempotent: list[str] = []
@@ -62,39 +67,39 @@
 class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A partner's share and limits; 0 means no limit."""
 
-    share: float = 1.0
-    max_running: int = 0
+    share: Amount = 1.0
+    max_running: Count = 0
 
 
 class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the operator weighs; only the ratio counts."""
 
-    program_latency: float = 1.0
-    wasted_cache: float = 1.0
+    program_latency: Amount = 1.0
+    wasted_cache: Amount = 1.0
 
 
 class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Policies of the deployment; times in seconds."""
 
-    partners: dict[str, Partner] = {}
+    partners: dict[Name, Partner] = {}
     default_partner: str = ""
     weights: Weights = Weights()
-    deadline: float = 120.0
-    max_wait: float = 30.0
-    program_idle: float = 3600.0
-    record_retention: float = 86400.0
-    quarantine_seconds: float = 3600.0
+    deadline: Amount = 120.0
+    max_wait: Amount = 30.0
+    program_idle: Amount = 3600.0
+    record_retention: Amount = 86400.0
+    quarantine_seconds: Amount = 3600.0
     stale_lease: Literal["refuse", "serve"] = "refuse"
-    rollout_pause: float = 5.0
-    loads_per_minute: float = 30.0
-    load_burst: int = 2
+    rollout_pause: Amount = 5.0
+    loads_per_minute: Amount = 30.0
+    load_burst: Count = 2
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A whole manifest."""
 
-    programs: dict[str, Program] = {}
-    services: dict[str, Service] = {}
+    programs: dict[Name, Program] = {}
+    services: dict[Name, Service] = {}
     policies: Policies = Policies()
 
 
@@ -117,12 +122,15 @@
             with the path of its field.
     """
     try:
+        parsed = msgspec.json.decode(text, type=Manifest)
+    except msgspec.ValidationError:
+        # It stopped at the first fault. The walk over all fields costs ten
+        # times as much, which only a faulty manifest pays for.
         raw = msgspec.json.decode(text)
+        faults = manifest_faults.schema_faults(raw, Manifest)
     except (msgspec.DecodeError, UnicodeError) as error:
         raise errors.InvalidManifest(f"$: no valid JSON: {error}.") from None
-    faults = manifest_faults.schema_faults(raw, Manifest)
-    if not faults:
-        parsed = msgspec.convert(raw, Manifest)
+    else:
         faults = manifest_faults.reference_faults(parsed)
         if not faults:
             return parsed
@@ -130,6 +138,11 @@
     raise errors.InvalidManifest("\n".join(lines))
 
 
+def compact(manifest: Manifest) -> str:
+    """Returns the manifest as JSON on one line, for machines to read."""
+    return msgspec.json.encode(manifest).decode()
+
+
 def render(manifest: Manifest) -> str:
     """Returns the manifest as JSON with sorted keys, for people to read."""
     data = msgspec.json.encode(manifest, order="sorted")
--- a/src/mintcleat/domain/manifest_faults.py
+++ b/src/mintcleat/domain/manifest_faults.py
@@ -11,7 +11,8 @@
 from msgspec import inspect
 
 PATTERN = re.compile(r"(\*|[A-Za-z]+) /\S*")
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}\Z"
+NAME = re.compile(NAME_PATTERN)
 SCALARS = {
     inspect.StrType: (str, "a text"),
     inspect.IntType: (int, "a whole number"),
@@ -95,7 +96,7 @@
         out.append(Fault(path, f"must be an object, not {_shown(value)}"))
         return
     for name, item in value.items():
-        if not NAME.fullmatch(name):
+        if not NAME.match(name):
             out.append(
                 Fault(
                     f"{path}.{name}",
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -64,7 +64,7 @@
             case messages.ReadManifest():
                 return messages.ManifestView(
                     self.leader.machine.document.revision,
-                    manifest.render(self.leader.machine.document.manifest()),
+                    manifest.compact(self.leader.machine.document.manifest()),
                 )
             case messages.ShowInstances():
                 return self._instances()
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -4,7 +4,6 @@
 nodes, and pass operators' requests on to it.
 """
 
-from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
@@ -25,7 +24,10 @@
 from mintcleat.roles import membership
 
 PROPOSE_SECONDS = 5.0
-ASK_SECONDS = 10.0
+# A push may wait MAX_LEASE for leases of an earlier leader to end. A leader
+# that is cut off silently never answers; then the next one is asked.
+TRY_SECONDS = lease.MAX_LEASE + 1.0
+ASK_SECONDS = 3 * TRY_SECONDS
 RETRY_PAUSE = 0.1
 # How often a change of leadership is looked for. A leader that lost its lease
 # stops granting at once; this only bounds how soon a new one starts.
@@ -39,7 +41,6 @@
         machine: This instance's replica of the config group.
         office: The number under which this instance leads; 0 for none.
         decides_at: Clock from which a push may be accepted here.
-        deciding: Called each TICK while this instance leads.
     """
 
     def __init__(
@@ -65,7 +66,6 @@
         self.office = 0
         self.decides_at = float("inf")
         self.taking_office = False
-        self.deciding: list[Callable[[], None]] = []
         self.served_revision = 0
         self.served_restrictions = 0
         self.feed = config_feed.Feed(node.instance, self, timers)
@@ -126,8 +126,7 @@
                     return self.requests.answer(message)
                 leader = self.log.leader(machine.GROUP)
                 if leader and leader != self.address:
-                    left = deadline - self.timers.now()
-                    return self.streams.ask(leader, message, left)
+                    return self.streams.ask(leader, message, TRY_SECONDS)
             except errors.NotLeader:
                 pass
             except errors.ProposalLost:
@@ -198,9 +197,6 @@
             self.feed.close_control()
         self.relay.active = not leads
         self.feed.tick()
-        if self.leads():
-            for callback in self.deciding:
-                callback()
 
     def _take_office(self) -> None:
         """Takes a number, after which older leaders' commands are void.
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -57,19 +57,41 @@
         return messages.Programs([VIEW] if message.after < "1e5" else [])
 
 
+class FakeControl:
+    """Control actions that are only noted."""
+
+    def __init__(self) -> None:
+        self.replaced: list[tuple[str, ...]] = []
+
+    def status(self) -> list[dict[str, Any]]:
+        """Returns one group."""
+        return [{"group": "config", "leader": "control-0"}]
+
+    def replace(
+        self, old: str, new: str, address: str, failure_domain: str
+    ) -> str:
+        """Notes the replacement."""
+        self.replaced.append((old, new, address, failure_domain))
+        return "started"
+
+    def snapshot(self) -> str:
+        """Takes no snapshot."""
+        return "1 group"
+
+
 class AdminTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.cluster = config_cluster.Cluster(self, 2)
         # The second instance does not lead, so every request is passed on.
-        app = admin_http.AdminApp(
+        self.app = admin_http.AdminApp(
             TOKEN,
             ask=self.cluster.control[1].ask,
             programs=FakePrograms(),
             groups=lambda: ["p0"],
         )
-        server = wsgi.HttpServer("127.0.0.1:0", app)
-        self.addCleanup(server.stop, 0.0)
+        server = wsgi.HttpServer("127.0.0.1:0", self.app)
+        self.addCleanup(server.stop)
         self.address = server.address
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -229,3 +251,28 @@
         code, _, err = self.run_cli("status", "--admin=127.0.0.1:1")
         self.assertEqual(cli_client.UNAVAILABLE, code)
         self.assertIn("remedy:", err)
+
+    def test_replacement_is_started_and_the_members_follow(self) -> None:
+        control = FakeControl()
+        self.app.control = control
+        self.assertEqual(
+            "control-0",
+            self.run_json("control", "status")["groups"][0]["leader"],
+        )
+        self.assertEqual(
+            "1 group", self.run_json("control", "snapshot")["detail"]
+        )
+        self.run_json(
+            "control",
+            "replace",
+            "control-9",
+            "control-3",
+            "127.0.0.1:7003",
+            "--failure_domain=hall-c",
+        )
+        self.assertEqual(
+            [("control-9", "control-3", "127.0.0.1:7003", "hall-c")],
+            control.replaced,
+        )
+        members = self.cluster.control[0].machine.members
+        self.assertEqual(["control-3"], list(members))
