--- a/testing/fakes/config_links.py
+++ b/testing/fakes/config_links.py
@@ -112,6 +112,13 @@
         """Renews at the next step."""
         self.due = 0.0
 
+    def move_home(self) -> None:
+        """Leaves for the preferred control instance."""
+        if self.peer is not None:
+            self.network.services[self.address].feed.detach(self.peer)
+        self.peer = None
+        self.attempt = 0
+
     def step(self) -> None:
         """Opens, renews, receives, or gives the control instance up."""
         if self.stopped:
