--- a/testing/test_config_history.py
+++ b/testing/test_config_history.py
@@ -92,6 +92,10 @@
         service = self.chance.choice(self.cluster.control)
         try:
             answer = service.ask(request)
+        except errors.RevisionConflict:
+            if request.push_id in self.outcome:
+                self.faults.append(f"{request.push_id} lost after it won")
+            return
         except errors.MintcleatError:
             return
         known = self.outcome.setdefault(request.push_id, answer.revision)
--- a/testing/test_config_service.py
+++ b/testing/test_config_service.py
@@ -63,3 +63,22 @@
         cluster.log.lose_next = 1
         answer = cluster.control[0].ask(config_cluster.push(0, "1", "anna"))
         self.assertEqual(1, answer.revision)
+
+    def test_node_of_a_lost_instance_follows_another(self) -> None:
+        """The control instance that serves a node dies.
+
+        Its connection ends; the node opens a stream to another instance and
+        hears of the next push there.
+        """
+        cluster = config_cluster.Cluster(self, 3)
+        cluster.control[0].ask(config_cluster.push(0, "1", "anna"))
+        relays = [item.address for item in cluster.control[1:]]
+        nodes = [cluster.node(f"entry-{n}") for n in range(8)]
+        cluster.until(lambda: all(node.in_lease() for node in nodes))
+        moved = [n for n in nodes if n.stream.address == relays[1]]
+        self.assertTrue(moved)
+        cluster.control[2].stop()
+        cluster.control[2].streams.stop()
+        cluster.control[0].ask(config_cluster.push(1, "2", "anna"))
+        cluster.until(lambda: all(node.revision() == 2 for node in nodes))
+        self.assertNotIn(relays[1], {n.stream.address for n in moved})
