Name control instances whose nodes are not known in the status

A relay that was cut off right before a push kept its nodes out of the list for up to 4 s, so the status said that all live nodes had the revision. It is now named as missing until its lease has ended.

--- /dev/null
+++ b/bench/config_state.py
@@ -0,0 +1,177 @@
+"""Memory and time of the configuration's state, as slopes.
+
+    python bench/config_state.py
+
+Everything runs in this process. Memory is what Python's allocator counts;
+times are the best of three.
+"""
+
+from collections.abc import Callable
+import pathlib
+import sys
+import time
+import tracemalloc
+from typing import Any
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "src"))
+
+import fire
+
+from mintcleat.adapters import timers
+from mintcleat.configuration import commands
+from mintcleat.configuration import machine
+from mintcleat.configuration import members
+from mintcleat.domain import messages
+from mintcleat.roles import follower
+
+
+def announcement(number: int, state: str = "ready") -> messages.Announcement:
+    """Returns one of many announcements, with texts of their own."""
+    return messages.Announcement(
+        messages.Incarnation(f"sidecar-{number:05}", 1_700_000_000_000),
+        number,
+        f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7000",
+        f"service-{number % 24}",
+        "model",
+        f"region-{number % 4}",
+        f"domain-{number % 9}",
+        64,
+        state,
+        True,
+        True,
+        True,
+        True,
+        f"model-{number % 24}@1+a+b",
+    )
+
+
+def node(count: int) -> follower.Follower:
+    """Returns a node that knows so many members."""
+    held = follower.Follower(
+        messages.Incarnation("entry", 1),
+        "entry",
+        "fd",
+        "",
+        streams=None,
+        timers=timers.VirtualTimers(),
+        control_addresses=[],
+    )
+    items = [announcement(number) for number in range(count)]
+    held.take(messages.MembersUpdate(True, items, []))
+    return held
+
+
+def table(count: int) -> members.Table:
+    """Returns a control instance's table of so many members."""
+    held = members.Table()
+    for number in range(count):
+        held.announce(announcement(number), 0.0)
+    return held
+
+
+def audited(count: int) -> machine.ConfigMachine:
+    """Returns a machine with so many pushes behind it."""
+    held = machine.ConfigMachine()
+    held.apply(1, commands.encode(commands.TakeOffice("control-0", 0.0)))
+    for number in range(count):
+        push = commands.Push(
+            1,
+            number,
+            f"{number:032x}",
+            {f"services/service-{number % 24}": '{"kind":"plain"}'},
+            [],
+            f"operator-{number % 7}",
+            f"10.0.0.{number % 250}",
+            f"services/service-{number % 24}",
+            float(number),
+        )
+        held.apply(number + 2, commands.encode(push))
+    return held
+
+
+def memory(build: Callable[[int], Any], count: int) -> int:
+    """Returns the bytes that a state takes."""
+    tracemalloc.start()
+    held = build(count)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size
+
+
+def best(action: Callable[[], Any]) -> float:
+    """Returns the shortest of three runs, in milliseconds."""
+    times = []
+    for _ in range(3):
+        begin = time.perf_counter()
+        action()
+        times.append((time.perf_counter() - begin) * 1000)
+    return min(times)
+
+
+def run() -> None:
+    """Prints the slopes."""
+    print("state                        1,000 MB  3,000 MB  bytes each")
+    for name, build in (
+        ("members at a node", node),
+        ("members at a control instance", table),
+        ("pushes and audit trail", audited),
+    ):
+        small, large = memory(build, 1000), memory(build, 3000)
+        each = (large - small) / 2000
+        print(f"{name:29}{small / 1e6:8.2f}  {large / 1e6:8.2f}  {each:10.0f}")
+    print("time                                       1,000 ms  3,000 ms")
+    for name, action in (
+        ("one change of state, at a node", _change_at_node),
+        ("one change of state, at control", _change_at_control),
+        ("one tick of expiry, at control", _expire),
+        ("one push, applied", _apply),
+        ("snapshot", _snapshot),
+    ):
+        print(f"{name:43}{action(1000):8.3f}  {action(3000):8.3f}")
+
+
+def _change_at_node(count: int) -> float:
+    held = node(count)
+    update = messages.MembersUpdate(False, [announcement(5, "draining")], [])
+    return best(lambda: held.take(update))
+
+
+def _change_at_control(count: int) -> float:
+    held = table(count)
+    states = ["draining", "ready"] * 2
+
+    def change() -> None:
+        version = held.version
+        held.announce(announcement(5, states.pop()), 0.0)
+        held.update_since(version)
+
+    return best(change)
+
+
+def _expire(count: int) -> float:
+    held = table(count)
+    return best(lambda: held.expire(1.0))
+
+
+def _apply(count: int) -> float:
+    held = audited(count)
+    numbers = list(range(count, count + 3))
+
+    def push() -> None:
+        number = numbers.pop(0)
+        command = commands.Push(
+            1, number, f"x{number}", {"policies": "{}"}, [], "a", "b", "c", 1e6
+        )
+        held.apply(number, commands.encode(command))
+
+    return best(push)
+
+
+def _snapshot(count: int) -> float:
+    held = audited(count)
+    return best(held.snapshot)
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -184,16 +184,14 @@
         best = {item.node: item for item in own}
         missing = []
         for control in own:
-            if control.role != config_feed.CONTROL or not control.connected:
+            if control.role != config_feed.CONTROL:
                 continue
-            try:
-                answer = self.leader.streams.ask(
-                    control.address, messages.ShowNodes(), lease.RENEW
-                )
-            except errors.MintcleatError:
+            answer = self._ask_nodes(control)
+            if answer is None and control.lease > 0:
+                # Its nodes hold parts of this lease, on which revision no
+                # one can tell. Without a lease of its own they have none.
                 missing.append(control.node.instance)
-                continue
-            for item in answer.nodes:
+            for item in answer.nodes if answer else ():
                 held = best.get(item.node)
                 if held is None or _rank(item) > _rank(held):
                     best[item.node] = item
@@ -201,6 +199,19 @@
         revision = self.leader.machine.document.revision
         return messages.Instances(revision, nodes, missing)
 
+    def _ask_nodes(
+        self, control: messages.NodeStatus
+    ) -> messages.Instances | None:
+        """Returns a control instance's nodes; None when it can't be asked."""
+        if not control.connected:
+            return None
+        try:
+            return self.leader.streams.ask(
+                control.address, messages.ShowNodes(), lease.RENEW
+            )
+        except errors.MintcleatError:
+            return None
+
 
 def _rank(item: messages.NodeStatus) -> tuple[bool, int, float]:
     """Orders reports of one node: a moved node is reported twice."""
--- a/testing/test_follower.py
+++ b/testing/test_follower.py
@@ -102,6 +102,27 @@
         self.timers.advance(1.0)
         self.assertFalse(node.in_lease())
 
+    def test_nodes_that_cannot_be_asked_are_not_taken_for_up_to_date(
+        self,
+    ) -> None:
+        """A relay with a node is cut off right before a push.
+
+        The operator who asks for the status is told that the relay's nodes
+        are not known, until their leases have ended.
+        """
+        self.cluster.push(0, 0, "1")
+        self.cluster.node("entry-1", control=["control-2"])
+        self.timers.advance(3.0)
+        self.cluster.network.cut_off = {"control-2", "entry-1/1"}
+        self.cluster.push(0, 1, "2")
+        leader = self.cluster.control[0]
+        answer = leader.ask(messages.ShowInstances())
+        self.assertEqual(["control-2"], answer.missing)
+        self.timers.advance(lease.MAX_LEASE)
+        answer = leader.ask(messages.ShowInstances())
+        self.assertEqual([], answer.missing)
+        self.assertEqual([2], [n.revision for n in answer.nodes if n.lease > 0])
+
     def test_lower_revision_is_neither_applied_nor_renewed(self) -> None:
         """An update of revision 1 reaches a node that applied 2."""
         self.cluster.push(0, 0, "1")
