--- /dev/null
+++ b/src/mintcleat/main/cli_client.py
@@ -0,0 +1,131 @@
+"""The command-line tool's HTTP client and its exit codes."""
+
+import json
+import os
+import pathlib
+import sys
+from typing import Any
+from typing import NoReturn
+from urllib import parse as url
+
+import urllib3
+
+DEFAULT_ADMIN = "http://127.0.0.1:8081"
+DEFAULT_TOKEN_FILE = "mintcleat-data/admin-token"
+TIMEOUT = urllib3.Timeout(connect=3.0, read=20.0)
+
+OK = 0
+FAILED = 1
+USAGE = 2
+INVALID = 3
+CONFLICT = 4
+UNAUTHORIZED = 5
+UNAVAILABLE = 6
+UNKNOWN_OUTCOME = 7
+WAIT_OVER = 8
+NOT_FOUND = 9
+
+CODE_OF_STATUS = {
+    400: INVALID,
+    401: UNAUTHORIZED,
+    404: NOT_FOUND,
+    409: CONFLICT,
+    413: INVALID,
+    422: INVALID,
+    429: UNAVAILABLE,
+    503: UNAVAILABLE,
+    504: UNKNOWN_OUTCOME,
+}
+
+
+def fail(code: int, detail: str, remedy: str) -> NoReturn:
+    """Prints an error with its remedy and ends with an exit code."""
+    print(f"mintcleat: {detail}", file=sys.stderr)
+    if remedy:
+        print(f"remedy: {remedy}", file=sys.stderr)
+    sys.exit(code)
+
+
+class AdminClient:
+    """Asks the admin interface; the token never leaves the header."""
+
+    def __init__(self, admin: str, token_file: str) -> None:
+        self.admin = admin or os.environ.get("MINTCLEAT_ADMIN", DEFAULT_ADMIN)
+        self.token_file = pathlib.Path(
+            token_file
+            or os.environ.get("MINTCLEAT_TOKEN_FILE", DEFAULT_TOKEN_FILE)
+        )
+        self.pool = urllib3.PoolManager(timeout=TIMEOUT, retries=False)
+
+    def get(self, path: str, **query: object) -> Any:
+        """Returns the answer to a read."""
+        text = url.urlencode(query)
+        return self._ask("GET", f"{path}?{text}" if text else path, None)
+
+    def post(self, path: str, body: dict[str, Any]) -> Any:
+        """Returns the answer to a change."""
+        return self._ask("POST", path, body)
+
+    def delete(self, path: str) -> Any:
+        """Returns the answer to a removal."""
+        return self._ask("DELETE", path, None)
+
+    def _ask(self, method: str, path: str, body: Any) -> Any:
+        base = self.admin if "://" in self.admin else f"http://{self.admin}"
+        data = None if body is None else json.dumps(body).encode()
+        headers = {"Authorization": f"Bearer {self._token()}"}
+        try:
+            response = self.pool.request(
+                method, f"{base}/admin/v1/{path}", body=data, headers=headers
+            )
+        except urllib3.exceptions.HTTPError as error:
+            self._unreachable(method, error)
+        return self._read(response)
+
+    def _unreachable(
+        self, method: str, error: urllib3.exceptions.HTTPError
+    ) -> NoReturn:
+        sent = not isinstance(
+            error,
+            urllib3.exceptions.NewConnectionError
+            | urllib3.exceptions.ConnectTimeoutError,
+        )
+        if sent and method != "GET":
+            fail(
+                UNKNOWN_OUTCOME,
+                f"{self.admin} took the request and gave no answer.",
+                "Run the same command again; it takes effect once.",
+            )
+        fail(
+            UNAVAILABLE,
+            f"{self.admin} cannot be reached.",
+            "Start the daemon, or name its admin address with --admin.",
+        )
+
+    def _token(self) -> str:
+        try:
+            return self.token_file.read_text().strip()
+        except OSError as error:
+            fail(
+                UNAUTHORIZED,
+                f"No admin token in {self.token_file}: {error.strerror}.",
+                "Name the token's file with --token_file.",
+            )
+
+    def _read(self, response: urllib3.BaseHTTPResponse) -> Any:
+        try:
+            answer = json.loads(response.data)
+        except ValueError:
+            fail(
+                FAILED,
+                f"{self.admin} answered {response.status} without JSON.",
+                "Check that --admin names a mintcleat admin port.",
+            )
+        if response.status < 300:
+            return answer
+        code = CODE_OF_STATUS.get(response.status, FAILED)
+        fail(
+            code,
+            answer.get("detail", f"HTTP {response.status}"),
+            answer.get("remedy", ""),
+        )
--- /dev/null
+++ b/testing/test_admin_http.py
@@ -0,0 +1,278 @@
+"""The admin interface and the command-line tool against a live service."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+from testing.fakes import config_cluster
+import testtools
+from testtools import matchers
+import urllib3
+
+from mintcleat.adapters import admin_http
+from mintcleat.adapters import wsgi
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.main import cli
+from mintcleat.main import cli_client
+
+TOKEN = "secret-of-the-test"
+VIEW = messages.ProgramView(
+    "1e5",
+    "farmers",
+    "triage",
+    "interactive",
+    "",
+    messages.Budget(1000),
+    3,
+    10,
+    5,
+    "open",
+    b"\x01",
+    messages.Incarnation("sidecar-1", 1),
+    "127.0.0.1:1",
+    0.0,
+    [],
+)
+
+
+class FakePrograms:
+    """One program in one group."""
+
+    def ask(self, scope: str, message: Any, timeout: float) -> Any:
+        """Answers for the one program."""
+        if scope != VIEW.program:
+            raise errors.UnknownProgram(f"No program {scope}.")
+        if isinstance(message, messages.CloseProgram):
+            return messages.Done("closed")
+        return VIEW
+
+    def list_programs(
+        self, message: messages.ListPrograms, timeout: float
+    ) -> messages.Programs:
+        """Lists the one program."""
+        return messages.Programs([VIEW] if message.after < "1e5" else [])
+
+
+class FakeControl:
+    """Control actions that are only noted."""
+
+    def __init__(self) -> None:
+        self.replaced: list[tuple[str, ...]] = []
+
+    def status(self) -> list[dict[str, Any]]:
+        """Returns one group."""
+        return [{"group": "config", "leader": "control-0"}]
+
+    def replace(
+        self, old: str, new: str, address: str, failure_domain: str
+    ) -> str:
+        """Notes the replacement."""
+        self.replaced.append((old, new, address, failure_domain))
+        return "started"
+
+    def snapshot(self) -> str:
+        """Takes no snapshot."""
+        return "1 group"
+
+
+class AdminTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = config_cluster.Cluster(self, 2)
+        # The second instance does not lead, so every request is passed on.
+        self.app = admin_http.AdminApp(
+            TOKEN,
+            ask=self.cluster.control[1].ask,
+            programs=FakePrograms(),
+            groups=lambda: ["p0"],
+        )
+        server = wsgi.HttpServer("127.0.0.1:0", self.app)
+        self.addCleanup(server.stop)
+        self.address = server.address
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        (self.folder / "token").write_text(TOKEN + "\n")
+
+    def file(self, version: str) -> str:
+        path = self.folder / f"{version}.json"
+        path.write_text(config_cluster.text_of(version))
+        return str(path)
+
+    def run_cli(self, *arguments: str) -> tuple[int, str, str]:
+        """Returns exit code, output and errors."""
+        out, err = io.StringIO(), io.StringIO()
+        options = (
+            f"--admin={self.address}",
+            f"--token_file={self.folder / 'token'}",
+        )
+        code = 0
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            try:
+                cli.main([*options, *arguments])
+            except SystemExit as ended:
+                code = ended.code
+        return code, out.getvalue(), err.getvalue()
+
+    def run_json(self, *arguments: str) -> Any:
+        code, out, err = self.run_cli(*arguments, "--json")
+        self.assertEqual((0, ""), (code, err))
+        return json.loads(out)
+
+    def test_push_is_read_back_and_audited(self) -> None:
+        self.cluster.node("entry-1")
+        code, out, _ = self.run_cli(
+            "manifest", "push", self.file("1"), "--operator=anna", "--wait=10"
+        )
+        self.assertEqual(0, code)
+        self.assertIn("accepted as revision 1", out)
+        self.assertIn("in force at every live node", out)
+        shown = self.run_json("manifest", "show")
+        self.assertEqual(1, shown["revision"])
+        self.assertEqual("1", shown["manifest"]["services"]["chat"]["version"])
+        entry = self.run_json("audit")["entries"][-1]
+        self.assertEqual("anna", entry["operator"])
+        self.assertEqual("127.0.0.1", entry["origin"])
+        self.assertIn("accepted as 1", entry["outcome"])
+
+    def test_loser_of_a_race_exits_with_conflict_and_is_audited(self) -> None:
+        """Two operators push over revision 0; the second one comes late.
+
+        He sees exit code 4, the winner's name and what to do next.
+        """
+        self.run_cli(
+            "manifest",
+            "push",
+            self.file("1"),
+            "--expected=0",
+            "--operator=anna",
+        )
+        code, _, err = self.run_cli(
+            "manifest",
+            "push",
+            self.file("2"),
+            "--expected=0",
+            "--operator=bert",
+        )
+        self.assertEqual(cli_client.CONFLICT, code)
+        self.assertIn("anna won revision 1", err)
+        self.assertIn("remedy: Fetch the manifest in force", err)
+        _, out, _ = self.run_cli("audit")
+        self.assertThat(out, matchers.MatchesRegex("(?s).*bert.*refused"))
+
+    def test_same_command_again_reports_the_first_outcome(self) -> None:
+        """The operator loses the answer and runs his command again."""
+        arguments = ("manifest", "push", self.file("1"), "--expected=0")
+        first = self.run_json(*arguments)
+        self.run_cli("manifest", "push", self.file("2"))
+        again = self.run_json(*arguments)
+        self.assertEqual(1, again["revision"])
+        self.assertEqual(first, again)
+
+    def test_diff_names_the_changed_field(self) -> None:
+        self.run_cli("manifest", "push", self.file("1"))
+        changes = self.run_json("manifest", "diff", self.file("2"))["changes"]
+        self.assertEqual(
+            [("$.services.chat.version", "1", "2")],
+            [(c["path"], c["before"], c["after"]) for c in changes],
+        )
+
+    def test_check_lists_faults_without_a_daemon(self) -> None:
+        path = self.folder / "bad.json"
+        path.write_text('{"services": {"x": {"kind": "odd", "extra": 1}}}')
+        code, _, err = self.run_cli("manifest", "check", str(path))
+        self.assertEqual(cli_client.INVALID, code)
+        self.assertIn("$.services.x.kind", err)
+        self.assertIn("$.services.x.extra", err)
+
+    def test_wrong_token_is_refused_and_not_shown(self) -> None:
+        (self.folder / "token").write_text("wrong-token")
+        code, out, err = self.run_cli("status")
+        self.assertEqual(cli_client.UNAUTHORIZED, code)
+        self.assertNotIn("wrong-token", out + err)
+        self.assertNotIn(TOKEN, out + err)
+
+    def test_program_ids_stay_texts(self) -> None:
+        """An id such as 1e5 must not become a number on the way."""
+        self.assertEqual(
+            "1e5", self.run_json("programs", "show", "1e5")["program"]
+        )
+        listed = self.run_json("programs", "list")["programs"]
+        self.assertEqual(["1e5"], [item["program"] for item in listed])
+        self.assertEqual(0, self.run_cli("programs", "close", "1e5")[0])
+        code, _, _ = self.run_cli("programs", "show", "none")
+        self.assertEqual(cli_client.NOT_FOUND, code)
+
+    def test_drain_of_a_failure_domain_is_shown_and_undone(self) -> None:
+        self.run_cli("upstreams", "drain", "fd-1", "--failure_domain")
+        state = self.cluster.control[0].machine
+        self.assertIn("failure_domain/fd-1", state.drains)
+        self.run_cli("upstreams", "drain", "fd-1", "--failure_domain", "--undo")
+        self.assertEqual({}, state.drains)
+
+    def test_status_and_empty_lists_are_tables(self) -> None:
+        for command in (
+            ["status"],
+            ["instances"],
+            ["upstreams", "list"],
+            ["quarantine", "list"],
+        ):
+            code, out, err = self.run_cli(*command)
+            self.assertEqual((0, ""), (code, err))
+            self.assertTrue(out.strip())
+
+    def test_malformed_requests_are_typed_refusals(self) -> None:
+        pool = urllib3.PoolManager(retries=False)
+        base = f"http://{self.address}/admin/v1/"
+        headers = {"Authorization": f"Bearer {TOKEN}"}
+        cases = (
+            ("POST", "manifest", b"{", 400),
+            ("POST", "manifest", b"[1]", 400),
+            ("POST", "manifest", b'{"expected": "x"}', 400),
+            ("GET", "nothing", None, 400),
+            ("GET", "audit?after=x", None, 400),
+            ("DELETE", "quarantine/zz", None, 400),
+            ("GET", "control", None, 400),
+        )
+        for method, path, body, status in cases:
+            response = pool.request(
+                method, base + path, body=body, headers=headers
+            )
+            problem = json.loads(response.data)
+            self.assertEqual(
+                (status, "not_run"), (response.status, problem["outcome"])
+            )
+
+    def test_unreachable_daemon_has_its_own_exit_code(self) -> None:
+        code, _, err = self.run_cli("status", "--admin=127.0.0.1:1")
+        self.assertEqual(cli_client.UNAVAILABLE, code)
+        self.assertIn("remedy:", err)
+
+    def test_replacement_is_started_and_the_members_follow(self) -> None:
+        control = FakeControl()
+        self.app.control = control
+        self.assertEqual(
+            "control-0",
+            self.run_json("control", "status")["groups"][0]["leader"],
+        )
+        self.assertEqual(
+            "1 group", self.run_json("control", "snapshot")["detail"]
+        )
+        self.run_json(
+            "control",
+            "replace",
+            "control-9",
+            "control-3",
+            "127.0.0.1:7003",
+            "--failure_domain=hall-c",
+        )
+        self.assertEqual(
+            [("control-9", "control-3", "127.0.0.1:7003", "hall-c")],
+            control.replaced,
+        )
+        members = self.cluster.control[0].machine.members
+        self.assertEqual(["control-3"], list(members))
