Give each exchange credit and find silent peers

Cause: a caller that stopped reading filled the receiver's memory, a blocked write could stop the reader, a half-open connection was never found, and callers of one dead address queued behind its dials. Change: credit per exchange, a writer of its own per connection that gathers frames, heartbeats with a limit on silence, one shared dial per address, size limits; a bad peer costs its connection.

--- /dev/null
+++ b/bench/streams.py
@@ -0,0 +1,93 @@
+"""Cost of one message between two processes' streams, both ends together.
+
+Both ends share one process and one core, so a figure is the sum of what the
+sender and the receiver spend.
+"""
+
+import sys
+import time
+import warnings
+
+warnings.filterwarnings("ignore", category=DeprecationWarning)
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import fire
+
+from mintcleat.adapters import streams
+from mintcleat.domain import messages
+from mintcleat.ports import streams as ports
+
+_TOKEN = "abcdef.12 "
+
+
+def ask(count: int = 5000, callers: int = 1) -> None:
+    """Prints microseconds per request with its reply.
+
+    Args:
+        count: Requests of each caller.
+        callers: Green threads that ask side by side.
+    """
+    server, client = _pair()
+
+    def answer(exchange: ports.Exchange, message: messages.Ping) -> None:
+        exchange.send(messages.Done())
+
+    server.handle(messages.Ping, answer)
+
+    def caller() -> None:
+        for _ in range(count):
+            client.ask(server.address, messages.Ping(), 5.0)
+
+    spent = _timed(callers, caller)
+    print(f"ask, {callers} callers: {spent / count / callers * 1e6:.1f} us")
+
+
+def flood(count: int = 20000, exchanges: int = 16) -> None:
+    """Prints microseconds per token frame, many exchanges side by side.
+
+    Args:
+        count: Frames on each exchange.
+        exchanges: Exchanges side by side on one connection.
+    """
+    server, client = _pair()
+
+    def stream(exchange: ports.Exchange, message: messages.Ping) -> None:
+        for offset in range(count):
+            exchange.send(messages.Chunk(1, offset, _TOKEN))
+            if offset % 8 == 7:
+                eventlet.sleep(0)
+        exchange.send(messages.Done())
+
+    server.handle(messages.Ping, stream)
+
+    def reader() -> None:
+        exchange = client.open(server.address, messages.Ping())
+        while not isinstance(exchange.receive(30.0), messages.Done):
+            pass
+        exchange.close()
+
+    spent = _timed(exchanges, reader)
+    print(
+        f"flood, {exchanges} exchanges:"
+        f" {spent / count / exchanges * 1e6:.1f} us a frame"
+    )
+
+
+def _timed(threads: int, function: object) -> float:
+    started = time.process_time()
+    pool = [eventlet.spawn(function) for _ in range(threads)]
+    for thread in pool:
+        thread.wait()
+    return time.process_time() - started
+
+
+def _pair() -> tuple[streams.TcpStreams, streams.TcpStreams]:
+    server = streams.TcpStreams("127.0.0.1:0")
+    return server, streams.TcpStreams("127.0.0.1:0")
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire({"ask": ask, "flood": flood}))
--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -1,29 +1,25 @@
 """Multiplexed msgpack streams over TCP, on eventlet.
 
-A frame on the wire is a 4-byte big-endian length and a msgpack array
-`[exchange, flags, message or None]`. The dialling side numbers exchanges.
+One connection between two processes carries every exchange that one of them
+opened. Each exchange has its own credit, so a slow reader holds back its own
+sender and nobody else's.
 """
 
-import contextlib
 import socket
-import struct
+import time
 from typing import Any
 
 import eventlet
-from eventlet import queue
+from eventlet import event
 from loguru import logger
-import msgpack
 
-from mintcleat.domain import codec
+from mintcleat.adapters import streams_connection
 from mintcleat.domain import errors
 from mintcleat.ports import streams
 
-MAX_FRAME = 64 * 1024 * 1024
-_OPEN = 1
-_CLOSE = 2
+MAX_FRAME = streams_connection.Limits().message
 _CONNECT_SECONDS = 2.0
-_HEADER = struct.Struct(">I")
-_CLOSED = object()
+_FLUSH_SECONDS = 1.0
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -32,169 +28,34 @@
     return host, int(port)
 
 
-class TcpExchange:
-    """One exchange on a connection; see `ports.streams.Exchange`."""
-
-    def __init__(self, connection: "Connection", number: int) -> None:
-        self.connection = connection
-        self.number = number
-        self.peer = connection.peer
-        self.inbox: queue.LightQueue = queue.LightQueue()
-        self.closed = False
-
-    def send(self, message: Any) -> None:
-        """Sends a message."""
-        if self.closed:
-            raise errors.StreamClosed(f"The exchange with {self.peer} closed.")
-        self.connection.write(self.number, 0, message)
-
-    def receive(self, timeout: float | None = None) -> Any:
-        """Returns the next message; a Failure is raised as its error."""
-        try:
-            message = self.inbox.get(timeout=timeout)
-        except queue.Empty:
-            raise errors.StreamTimeout(
-                f"No message from {self.peer} within {timeout} s."
-            ) from None
-        if message is _CLOSED:
-            self.inbox.put(_CLOSED)
-            raise errors.StreamClosed(f"The exchange with {self.peer} closed.")
-        if isinstance(message, errors.Failure):
-            raise errors.from_failure(message)
-        return message
-
-    def close(self) -> None:
-        """Ends the exchange for both sides."""
-        if self.closed:
-            return
-        self.closed = True
-        self.connection.forget(self.number)
-        self.inbox.put(_CLOSED)
-
-
-class Connection:
-    """One TCP connection and the exchanges on it."""
-
-    def __init__(
-        self, sock: socket.socket, peer: str, hub: "TcpStreams"
-    ) -> None:
-        self.sock = sock
-        self.peer = peer
-        self.hub = hub
-        self.exchanges: dict[int, TcpExchange] = {}
-        self.next_number = 1
-        self.lost = False
-        self.write_lock = eventlet.semaphore.Semaphore()
-
-    def open(self, message: Any) -> TcpExchange:
-        """Opens an exchange from this side."""
-        number = self.next_number
-        self.next_number += 1
-        exchange = TcpExchange(self, number)
-        self.exchanges[number] = exchange
-        self.write(number, _OPEN, message)
-        return exchange
-
-    def write(self, number: int, flags: int, message: Any) -> None:
-        """Writes one frame; a failed write loses the connection."""
-        body = None if message is None else codec.to_wire(message)
-        data = msgpack.packb([number, flags, body], use_bin_type=True)
-        if len(data) > MAX_FRAME:
-            raise errors.TooLarge(f"A message of {len(data)} bytes.")
-        try:
-            with self.write_lock:
-                self.sock.sendall(_HEADER.pack(len(data)) + data)
-        except OSError as error:
-            self.lose()
-            raise errors.StreamClosed(
-                f"{self.peer} is lost: {error}."
-            ) from None
-
-    def forget(self, number: int) -> None:
-        """Drops an exchange and tells the peer."""
-        if self.exchanges.pop(number, None) is not None and not self.lost:
-            try:
-                self.write(number, _CLOSE, None)
-            except errors.StreamClosed:
-                return
-
-    def read_forever(self) -> None:
-        """Reads frames until the connection ends or the peer errs."""
-        try:
-            reader = self.sock.makefile("rb")
-            while True:
-                header = reader.read(_HEADER.size)
-                if len(header) < _HEADER.size:
-                    return
-                (length,) = _HEADER.unpack(header)
-                if length > MAX_FRAME:
-                    logger.warning("{} sent an oversized frame", self.peer)
-                    return
-                data = reader.read(length)
-                if len(data) < length:
-                    return
-                self._take(data)
-        except OSError:
-            return
-        except (errors.BadRequest, ValueError, TypeError) as error:
-            logger.warning("Closing the connection to {}: {}", self.peer, error)
-        finally:
-            self.lose()
-
-    def _take(self, data: bytes) -> None:
-        number, flags, body = msgpack.unpackb(
-            data, raw=False, strict_map_key=False
-        )
-        message = None if body is None else codec.from_wire(body)
-        if flags & _OPEN:
-            exchange = TcpExchange(self, number)
-            self.exchanges[number] = exchange
-            eventlet.spawn(self.hub.serve, exchange, message)
-            return
-        exchange = self.exchanges.get(number)
-        if exchange is None:
-            return
-        if flags & _CLOSE:
-            del self.exchanges[number]
-            exchange.closed = True
-            exchange.inbox.put(_CLOSED)
-            return
-        exchange.inbox.put(message)
-
-    def lose(self) -> None:
-        """Closes the socket and every exchange."""
-        if self.lost:
-            return
-        self.lost = True
-        self.hub.drop(self)
-        for exchange in list(self.exchanges.values()):
-            exchange.closed = True
-            exchange.inbox.put(_CLOSED)
-        self.exchanges.clear()
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
-
-
 class TcpStreams:
     """Dials and serves; see `ports.streams.Streams`.
 
     Attributes:
         address: `IP:PORT` that this instance listens on.
+        dialled: Connections that this side opened, by address.
+        accepted: Connections that peers opened.
+        dials: Dials under way, by address.
     """
 
-    def __init__(self, listen: str) -> None:
+    def __init__(
+        self, listen: str, limits: streams_connection.Limits | None = None
+    ) -> None:
+        self.limits = limits or streams_connection.Limits()
         self.listener = eventlet.listen(split_address(listen))
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.handlers: dict[type, streams.Handler] = {}
-        self.dialled: dict[str, Connection] = {}
-        self.accepted: set[Connection] = set()
-        self.dial_locks: dict[str, eventlet.semaphore.Semaphore] = {}
+        self.dialled: dict[str, streams_connection.Connection] = {}
+        self.accepted: set[streams_connection.Connection] = set()
+        self.dials: dict[str, event.Event] = {}
         self.stopped = False
         eventlet.spawn(self._accept_forever)
+        eventlet.spawn(self._beat_forever)
 
-    def open(self, address: str, message: Any) -> TcpExchange:
+    def open(
+        self, address: str, message: Any
+    ) -> streams_connection.TcpExchange:
         """Opens an exchange with a first message."""
         return self._connection(address).open(message)
 
@@ -210,7 +71,9 @@
         """Runs `handler` for each exchange that opens with `kind`."""
         self.handlers[kind] = handler
 
-    def serve(self, exchange: TcpExchange, message: Any) -> None:
+    def serve(
+        self, exchange: streams_connection.TcpExchange, message: Any
+    ) -> None:
         """Runs the handler of one exchange and closes it."""
         handler = self.handlers.get(type(message))
         try:
@@ -230,59 +93,100 @@
             exchange.close()
 
     def stop(self) -> None:
-        """Closes the listener and every connection."""
+        """Closes the listener and, once written out, every connection."""
         self.stopped = True
         self.listener.close()
         for connection in [*self.dialled.values(), *self.accepted]:
+            connection.flush(_FLUSH_SECONDS)
             connection.lose()
 
-    def drop(self, connection: Connection) -> None:
+    def drop(self, connection: streams_connection.Connection) -> None:
         """Forgets a lost connection."""
         self.accepted.discard(connection)
         if self.dialled.get(connection.peer) is connection:
             del self.dialled[connection.peer]
 
     def _send_failure(
-        self, exchange: TcpExchange, error: errors.MintcleatError
+        self,
+        exchange: streams_connection.TcpExchange,
+        error: errors.MintcleatError,
     ) -> None:
         try:
             exchange.send(error.failure())
         except errors.StreamClosed:
             return
 
-    def _connection(self, address: str) -> Connection:
-        lock = self.dial_locks.setdefault(
-            address, eventlet.semaphore.Semaphore()
-        )
-        with lock:
-            found = self.dialled.get(address)
-            if found is not None and not found.lost:
-                return found
-            connection = self._dial(address)
-            self.dialled[address] = connection
-            eventlet.spawn(connection.read_forever)
-            return connection
-
-    def _dial(self, address: str) -> Connection:
+    def _connection(self, address: str) -> streams_connection.Connection:
+        """Returns the connection to an address; all callers share one dial.
+
+        Raises:
+            errors.StreamClosed: The address cannot be reached.
+        """
+        found = self.dialled.get(address)
+        if found is not None:
+            return found
+        pending = self.dials.get(address)
+        if pending is None:
+            pending = self.dials[address] = event.Event()
+            eventlet.spawn(self._dial, address, pending)
+        result = pending.wait()
+        if isinstance(result, errors.MintcleatError):
+            raise errors.from_failure(result.failure())
+        return result
+
+    def _dial(self, address: str, pending: event.Event) -> None:
         try:
             with eventlet.Timeout(_CONNECT_SECONDS, TimeoutError):
                 sock = eventlet.connect(split_address(address))
-        except (OSError, TimeoutError) as error:
-            raise errors.StreamClosed(
+            connection = self._new_connection(sock, address)
+            self.dialled[address] = connection
+            connection.start()
+            result: Any = connection
+        except (OSError, TimeoutError, ValueError) as error:
+            result = errors.StreamClosed(
                 f"{address} cannot be reached: {error}.",
                 outcome=errors.NOT_RUN,
-            ) from None
+            )
+        del self.dials[address]
+        pending.send(result)
+
+    def _new_connection(
+        self, sock: socket.socket, peer: str
+    ) -> streams_connection.Connection:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return Connection(sock, address, self)
+        return streams_connection.Connection(
+            sock, peer, self.limits, self.serve, self.drop
+        )
 
     def _accept_forever(self) -> None:
         while not self.stopped:
             try:
                 sock, address = self.listener.accept()
             except OSError:
-                return
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                if self.stopped:
+                    return
+                # Out of file descriptors, or the peer left before the accept.
+                eventlet.sleep(0.1)
+                continue
+            if len(self.accepted) >= self.limits.connections:
+                sock.close()
+                continue
             peer = f"{address[0]}:{address[1]}"
-            connection = Connection(sock, peer, self)
+            connection = self._new_connection(sock, peer)
             self.accepted.add(connection)
-            eventlet.spawn(connection.read_forever)
+            connection.start()
+
+    def _beat_forever(self) -> None:
+        period = self.limits.heartbeat / 2
+        expected = time.monotonic() + period
+        while not self.stopped:
+            eventlet.sleep(period)
+            now = time.monotonic()
+            late = now - expected > self.limits.heartbeat
+            expected = now + period
+            for connection in [*self.dialled.values(), *self.accepted]:
+                if late:
+                    # This process stood still; the peers' bytes wait unread,
+                    # and their silence would be our own fault.
+                    connection.heard = now
+                connection.beat(now)
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -1,8 +1,19 @@
 """Streams between processes, over loopback sockets."""
 
+import struct
+
+import eventlet
+from eventlet import event
+import hypothesis
+from hypothesis import strategies
+import msgpack
 import testtools
+from testtools import matchers
 
 from mintcleat.adapters import streams
+from mintcleat.adapters import streams_connection
+from mintcleat.adapters import streams_frames
+from mintcleat.domain import codec
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import streams as ports
@@ -55,3 +66,239 @@
             messages.Ping(),
         )
         self.assertEqual(errors.NOT_RUN, error.outcome)
+
+
+LIMITS = streams_connection.Limits(
+    message=4096, window=1024, queued=8192, heartbeat=0.02, silence=0.2
+)
+
+
+class FlowControlTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.client = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.stop)
+        self.server.handle(messages.ShowProgram, self.flood)
+        self.server.handle(messages.Ping, self.answer)
+        self.sent = 0
+
+    def flood(self, exchange: ports.Exchange, message: object) -> None:
+        while True:
+            exchange.send(messages.Done("x" * 100))
+            self.sent += 1
+
+    def answer(self, exchange: ports.Exchange, message: object) -> None:
+        exchange.send(messages.Done())
+
+    def test_slow_reader_holds_its_own_sender_and_nobody_else(self) -> None:
+        """A caller asks for a long answer and stops reading.
+
+        Its sender runs out of credit after one window, so nothing piles up
+        in either process, and a neighbour on the same connection is served.
+        """
+        slow = self.client.open(self.server.address, messages.ShowProgram("p"))
+        for _ in range(20):
+            self.client.ask(self.server.address, messages.Ping(), 5.0)
+        window = LIMITS.window
+        self.assertThat(slow.unread, matchers.LessThan(window + 200))
+        self.assertThat(self.sent, matchers.LessThan(2 * window // 100))
+
+    def test_reader_that_goes_on_gets_everything_in_order(self) -> None:
+        def count(exchange: ports.Exchange, message: object) -> None:
+            for number in range(200):
+                exchange.send(messages.Done(f"{number}"))
+
+        self.server.handle(messages.ReadManifest, count)
+        exchange = self.client.open(
+            self.server.address, messages.ReadManifest()
+        )
+        got = [exchange.receive(5.0).detail for _ in range(200)]
+        self.assertEqual([str(number) for number in range(200)], got)
+
+    def test_closing_wakes_a_sender_without_credit(self) -> None:
+        ended = event.Event()
+
+        def flood(exchange: ports.Exchange, message: object) -> None:
+            try:
+                self.flood(exchange, message)
+            except errors.StreamClosed:
+                ended.send(True)
+                raise
+
+        self.server.handle(messages.ShowProgram, flood)
+        exchange = self.client.open(
+            self.server.address, messages.ShowProgram("p")
+        )
+        exchange.receive(5.0)
+        exchange.close()
+        self.assertTrue(ended.wait(5.0))
+
+    def test_message_over_the_limit_costs_only_itself(self) -> None:
+        self.assertRaises(
+            errors.TooLarge,
+            self.client.open,
+            self.server.address,
+            messages.ShowProgram("x" * 5000),
+        )
+        self.client.ask(self.server.address, messages.Ping(), 5.0)
+
+    def test_peer_that_does_not_read_does_not_stop_the_reading(self) -> None:
+        """A peer's socket takes no more bytes while it goes on to ask.
+
+        The writer waits for the socket; the reader must go on, or two
+        processes that both write would wait for each other for ever.
+        """
+        asked = event.Event()
+        self.server.handle(
+            messages.ReadManifest, lambda exchange, message: asked.send(True)
+        )
+        peer = eventlet.connect(streams.split_address(self.server.address))
+        self.addCleanup(peer.close)
+        for number in range(1, 100):
+            peer.sendall(frame(number, messages.ShowProgram("p")))
+        peer.sendall(frame(100, messages.ReadManifest()))
+        self.assertTrue(asked.wait(5.0))
+
+
+class LostPeerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(self.client.stop)
+
+    def test_silent_peer_is_found(self) -> None:
+        """A peer is cut off without a sign: it takes bytes, sends none.
+
+        Nothing closes the connection, so the caller would wait for ever;
+        the missing heartbeats end it.
+        """
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = "{}:{}".format(*listener.getsockname())
+        exchange = self.client.open(address, messages.Ping())
+        self.assertRaises(errors.StreamClosed, exchange.receive, 10.0)
+
+    def test_idle_connection_stays(self) -> None:
+        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(server.stop)
+        server.handle(
+            messages.Ping, lambda exchange, _: exchange.send(messages.Done())
+        )
+        self.client.ask(server.address, messages.Ping(), 5.0)
+        before = self.client.dialled[server.address]
+        eventlet.sleep(2 * LIMITS.silence)
+        self.assertIs(before, self.client.dialled.get(server.address))
+
+    def test_dial_that_hangs_does_not_hold_up_other_addresses(self) -> None:
+        """One address swallows every packet, as a lost host does.
+
+        A dial to it takes seconds; a request to another address goes through
+        in the meantime.
+        """
+        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(server.stop)
+        server.handle(
+            messages.Ping, lambda exchange, _: exchange.send(messages.Done())
+        )
+        release = event.Event()
+        connect = eventlet.connect
+
+        def hang(address: tuple[str, int]) -> object:
+            if address[1] == 1:
+                release.wait()
+                raise OSError("no route")
+            return connect(address)
+
+        self.patch(eventlet, "connect", hang)
+        hung = eventlet.spawn(
+            self.assertRaises,
+            errors.StreamClosed,
+            self.client.open,
+            "127.0.0.1:1",
+            messages.Ping(),
+        )
+        eventlet.sleep(0)
+        self.client.ask(server.address, messages.Ping(), 5.0)
+        self.assertFalse(hung.dead)
+        release.send()
+        self.assertEqual(errors.NOT_RUN, hung.wait().outcome)
+
+
+class BadPeerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(self.server.stop)
+        self.server.handle(
+            messages.Ping, lambda exchange, _: exchange.send(messages.Done())
+        )
+
+    def assert_closed_after(self, data: bytes) -> None:
+        peer = eventlet.connect(streams.split_address(self.server.address))
+        self.addCleanup(peer.close)
+        peer.sendall(data)
+        with eventlet.Timeout(5.0):
+            try:
+                while peer.recv(4096):
+                    pass
+            except ConnectionResetError:
+                pass
+        other = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(other.stop)
+        other.ask(self.server.address, messages.Ping(), 5.0)
+
+    def test_bytes_that_are_no_frame_cost_the_connection(self) -> None:
+        self.assert_closed_after(b"GET / HTTP/1.1\r\n\r\n")
+
+    def test_oversized_header_costs_the_connection(self) -> None:
+        header = struct.pack(">IIB", 2**31, 1, streams_frames.OPEN)
+        self.assert_closed_after(header)
+
+    def test_unknown_message_costs_the_connection(self) -> None:
+        body = msgpack.packb([9999])
+        self.assert_closed_after(
+            streams_frames.pack(1, streams_frames.OPEN, body)
+        )
+
+    def test_sending_without_credit_costs_the_connection(self) -> None:
+        self.server.handle(
+            messages.ReadManifest, lambda exchange, _: eventlet.sleep(5.0)
+        )
+        data = codec.encode(messages.Done("x" * 600))
+        more = streams_frames.pack(1, streams_frames.DATA, data)
+        self.assert_closed_after(frame(1, messages.ReadManifest()) + 3 * more)
+
+    def test_exchange_opened_twice_costs_the_connection(self) -> None:
+        self.server.handle(
+            messages.ReadManifest, lambda exchange, _: eventlet.sleep(5.0)
+        )
+        self.assert_closed_after(2 * frame(1, messages.ReadManifest()))
+
+
+@hypothesis.given(
+    strategies.lists(strategies.binary(max_size=50), max_size=8),
+    strategies.integers(1, 20),
+)
+def test_frames_survive_any_cut_of_the_bytes(
+    bodies: list[bytes], step: int
+) -> None:
+    sent = [
+        streams_frames.Frame(number, streams_frames.DATA, body)
+        for number, body in enumerate(bodies)
+    ]
+    data = b"".join(streams_frames.pack(*item) for item in sent)
+    buffer = streams_frames.FrameBuffer(100)
+    got = [
+        item
+        for start in range(0, len(data), step)
+        for item in buffer.feed(data[start : start + step])
+    ]
+    assert got == sent
+
+
+def frame(number: int, message: object) -> bytes:
+    return streams_frames.pack(
+        number, streams_frames.OPEN, codec.encode(message)
+    )
