Keep silence out of the tests of bad peers

Cause: with the short silence limit, a server without the credit check still closed the connection, so the test could not fail. Change: a long silence limit in these tests.

--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -229,7 +229,9 @@
 class BadPeerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        # Silence must not be what closes the connection here.
+        limits = LIMITS._replace(silence=60.0)
+        self.server = streams.TcpStreams("127.0.0.1:0", limits)
         self.addCleanup(self.server.stop)
         self.server.handle(
             messages.Ping, lambda exchange, _: exchange.send(messages.Done())
@@ -264,7 +266,7 @@
 
     def test_sending_without_credit_costs_the_connection(self) -> None:
         self.server.handle(
-            messages.ReadManifest, lambda exchange, _: eventlet.sleep(5.0)
+            messages.ReadManifest, lambda exchange, _: eventlet.sleep(30.0)
         )
         data = codec.encode(messages.Done("x" * 600))
         more = streams_frames.pack(1, streams_frames.DATA, data)
@@ -272,7 +274,7 @@
 
     def test_exchange_opened_twice_costs_the_connection(self) -> None:
         self.server.handle(
-            messages.ReadManifest, lambda exchange, _: eventlet.sleep(5.0)
+            messages.ReadManifest, lambda exchange, _: eventlet.sleep(30.0)
         )
         self.assert_closed_after(2 * frame(1, messages.ReadManifest()))
 
