--- a/src/mintcleat/ports/control.py
+++ b/src/mintcleat/ports/control.py
@@ -1,23 +1,22 @@
-"""How a role asks the leaders of the program groups."""
+"""How entries and sidecars reach the leader of a program group."""
 
 from typing import Any
 from typing import Protocol
 
 
 class Control(Protocol):
-    """A client of the program groups; it finds the leader and retries."""
+    """A client that finds leaders, follows redirects and retries."""
 
     def ask(self, scope: str, message: Any, timeout: float) -> Any:
-        """Sends a message to the leader of the scope's group.
+        """Sends a program group message and returns the reply.
 
         Args:
-            scope: Program id, or `partner/key` for a call without a program.
-            message: One of the program group requests.
-            timeout: Seconds for the whole exchange, retries included.
+            scope: A program id, or `<partner>/<key>` without a program.
+            message: A request of `domain.messages`.
+            timeout: Seconds for all tries together.
 
         Raises:
-            errors.MintcleatError: The group's refusal, or no leader answered.
+            errors.ControlUnavailable: Nothing was or will be proposed.
+            errors.OutcomeUnknown: A proposal may have been committed.
+            errors.MintcleatError: The leader's own typed answer.
         """
-
-    def group_of(self, scope: str) -> str:
-        """Returns the name of the group that a scope lies in."""
