Make the sidecar whole: queue, memory, crashes, orders

Cause: the first sidecar queued in order of arrival, never released engine memory, told nobody of crashes, and could call a forgotten attempt unrun. Change: the decisions' gate admits and queues; a ledger of engine memory from calls and numbered events, mended by listings, renewed with the program groups; retain decisions; crash reports before the caller hears; fenced orders after a linearizable read; the highest forgotten attempt of each group, so that a seal never says 'never' of an attempt that ran.

--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -224,15 +224,19 @@
 
 
 def check_status(status: int, data: bytes) -> None:
-    """Raises the typed error of an engine's refusal."""
+    """Raises the typed error of an engine's refusal.
+
+    An engine's 5xx is its own trouble, and another one may do better; a 4xx
+    is about the request and would be the same everywhere.
+    """
     if status < 400:
         return
-    detail = (
-        f"The engine answered {status}: {data[:200].decode(errors='replace')}"
-    )
+    text = data[:200].decode(errors="replace")
+    detail = f"The engine answered {status}: {text}"
     if status == _CONFLICT:
         raise errors.FencedOff(detail)
-    raise errors.UpstreamFailed(detail)
+    outcome = errors.UNKNOWN if status >= 500 else errors.RAN
+    raise errors.UpstreamFailed(detail, outcome=outcome)
 
 
 def request_body(call: upstream.EngineCall) -> bytes:
@@ -268,7 +272,13 @@
             for item in fields["events"]
         ]
     try:
-        values = [fields[name] for name in kind._fields]
+        defaults = kind._field_defaults
+        values = [
+            fields.get(name, defaults[name])
+            if name in defaults
+            else fields[name]
+            for name in kind._fields
+        ]
         return msgspec.convert(values, kind)
     except (KeyError, TypeError, msgspec.ValidationError) as error:
         raise errors.UpstreamFailed(
--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -25,9 +25,20 @@
     """See `ports.upstream.PlainService`."""
 
     def __init__(self, address: str, connections: int = 64) -> None:
+        self.address = address
         self.base = f"http://{address}"
         self.pool = http_errors.new_pool(connections)
 
+    def alive(self) -> bool:
+        """Tells whether the service takes connections."""
+        host, _, port = self.address.rpartition(":")
+        try:
+            with eventlet.Timeout(http_errors.CONNECT_SECONDS, TimeoutError):
+                eventlet.connect((host, int(port))).close()
+        except (OSError, TimeoutError):
+            return False
+        return True
+
     def send(
         self,
         method: str,
--- a/src/mintcleat/ports/control.py
+++ b/src/mintcleat/ports/control.py
@@ -1,22 +1,36 @@
-"""How entries and sidecars reach the leader of a program group."""
+"""How a role asks the leaders of the program groups."""
 
 from typing import Any
 from typing import Protocol
 
+from mintcleat.domain import messages
+
 
 class Control(Protocol):
-    """A client that finds leaders, follows redirects and retries."""
+    """A client of the program groups; it finds the leader and retries.
+
+    Attributes:
+        groups: How many program groups there are.
+    """
+
+    groups: int
 
     def ask(self, scope: str, message: Any, timeout: float) -> Any:
-        """Sends a program group message and returns the reply.
+        """Sends a message to the leader of the scope's group.
 
         Args:
-            scope: A program id, or `<partner>/<key>` without a program.
-            message: A request of `domain.messages`.
-            timeout: Seconds for all tries together.
+            scope: Program id, or `partner/key` for a call without a program.
+            message: One of the program group requests.
+            timeout: Seconds for the whole exchange, retries included.
 
         Raises:
-            errors.ControlUnavailable: Nothing was or will be proposed.
-            errors.OutcomeUnknown: A proposal may have been committed.
-            errors.MintcleatError: The leader's own typed answer.
+            errors.MintcleatError: The group's refusal, or no leader answered.
         """
+
+    def gone(
+        self,
+        sidecar: messages.Incarnation,
+        programs: list[str],
+        timeout: float,
+    ) -> list[str]:
+        """Returns which programs are gone; a group that can't tell, none."""
--- a/src/mintcleat/ports/upstream.py
+++ b/src/mintcleat/ports/upstream.py
@@ -13,6 +13,7 @@
     Attributes:
         life: Changes when the engine restarts; its cache is then empty.
         capacity: Sequences that it takes at once.
+        memory: Tokens that its cache can hold; 0 when it doesn't tell.
     """
 
     life: int
@@ -23,6 +24,7 @@
     kv_export: bool
     priority: bool
     resume: bool
+    memory: int = 0
 
 
 class EngineLoad(NamedTuple):
@@ -149,6 +151,9 @@
 class PlainService(Protocol):
     """A plain service."""
 
+    def alive(self) -> bool:
+        """Tells whether it takes connections."""
+
     def send(
         self,
         method: str,
--- a/src/mintcleat/roles/sidecar_attempts.py
+++ b/src/mintcleat/roles/sidecar_attempts.py
@@ -1,7 +1,7 @@
 """Attempts at one sidecar: what may run, what runs, what will never run.
 
-An attempt number of a scope only grows. A scope is a program id, or
-`partner/key` for a call without a program.
+A scope is a program id, or `partner/key` for a call without a program. The
+attempt numbers of a program group only grow.
 """
 
 import collections
@@ -10,13 +10,20 @@
 
 from eventlet import event
 
+from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import timers as timers_port
+from mintcleat.programs import placement
 
 QUEUED = "queued"
 RUNNING = "running"
 ENDED = "ended"
 
+# States of an attempt as `messages.Sealed` tells them.
+NEVER = "never"
+RAN = "ran"
+UNKNOWN = "unknown"
+
 Outcome = (
     messages.Finished | messages.ToolAnswer | messages.Refused | messages.Broken
 )
@@ -32,10 +39,14 @@
 
     Attributes:
         message: The RunTurn or RunTool that asked for it.
-        request: Id under which the engine knows it.
+        request: Id under which the engine and the gate know it.
         pieces: Parts of the answer; `total` counts their characters.
         outcome: The last message for every watcher, once there is one.
         until: Monotonic time at which the caller's deadline ends.
+        admitted: Whether the gate let it go to the upstream.
+        cancelled: Why it must stop, once it must.
+        first: Monotonic time of the first text; 0 before it.
+        usage: Tokens as the engine told them at the end.
     """
 
     def __init__(self, message: Any, request: str, until: float) -> None:
@@ -50,7 +61,10 @@
         self.total = 0
         self.outcome: Outcome | None = None
         self.watchers = 0
-        self.cancelled: Any = None
+        self.admitted = False
+        self.cancelled: errors.MintcleatError | None = None
+        self.first = 0.0
+        self.usage = messages.Usage()
         self.changed = event.Event()
 
     def add(self, text: str) -> None:
@@ -62,7 +76,6 @@
     def end(self, outcome: Outcome) -> None:
         """Gives the attempt its one outcome; a second one is ignored."""
         if self.outcome is None:
-            self.state = ENDED
             self.outcome = outcome
             self.notify()
 
@@ -81,20 +94,30 @@
 class AttemptTable:
     """Every attempt seen here, and the seals.
 
-    A scope is forgotten `retention` seconds after its last attempt ended.
-    A copy of a frame that comes later than that would run again. Streams
-    close a silent connection within seconds, so no frame is that old, and
-    the table holds no more than the calls of `retention` seconds.
+    A state is forgotten `retention` seconds after the attempt ended, which
+    bounds the table to the calls of that time. Two things stay safe:
+
+    - A copy of a run frame would run again only if it came later than that.
+      Streams close a silent connection within seconds, so none is that old.
+    - An entry that asks about a forgotten attempt must not hear `never`, or
+      an action would be done twice. The highest forgotten number of each
+      program group is kept, and what is not above it is `unknown`.
     """
 
     def __init__(
-        self, timers: timers_port.Timers, retention: float, keep_answer: float
+        self,
+        timers: timers_port.Timers,
+        groups: int,
+        retention: float,
+        keep_answer: float,
     ) -> None:
         self.timers = timers
+        self.groups = groups
         self.retention = retention
         self.keep_answer = keep_answer
         self.attempts: dict[str, dict[int, Attempt]] = {}
         self.states: dict[str, dict[int, str]] = {}
+        self.forgotten: dict[str, int] = {}
         self.answered: collections.deque[_Record] = collections.deque()
         self.closed: collections.deque[_Record] = collections.deque()
 
@@ -103,24 +126,37 @@
         return self.attempts.get(scope, {}).get(number)
 
     def state(self, scope: str, number: int) -> str:
-        """Returns `never`, `running`, `ran`, `unknown` or an empty text."""
-        if self.find(scope, number) is None:
-            return self.states.get(scope, {}).get(number, "")
-        return self.states.get(scope, {}).get(number, "running")
+        """Returns a state of `messages.Sealed`, or an empty text for new."""
+        known = self.states.get(scope, {}).get(number)
+        if known is not None:
+            return known
+        if self.find(scope, number) is not None:
+            return RUNNING
+        group = placement.group_of(scope, self.groups)
+        return UNKNOWN if number <= self.forgotten.get(group, 0) else ""
 
     def add(self, attempt: Attempt) -> None:
         """Registers an attempt that may run."""
         self.attempts.setdefault(attempt.scope, {})[attempt.number] = attempt
 
-    def seal(self, scope: str, number: int) -> None:
-        """Makes sure that the attempt never runs here."""
-        self._conclude(scope, number, "never")
+    def seal(self, scope: str, number: int) -> str:
+        """Seals an attempt unless it is known; returns its state."""
+        state = self.state(scope, number)
+        if not state:
+            self.conclude(scope, number, NEVER)
+        return state or NEVER
 
-    def conclude(self, attempt: Attempt, state: str) -> None:
-        """Keeps the final state of an attempt that was registered."""
-        self._conclude(attempt.scope, attempt.number, state)
+    def conclude(self, scope: str, number: int, state: str) -> None:
+        """Keeps the final state of an attempt; the first one stays."""
+        known = self.states.setdefault(scope, {})
+        if number in known:
+            return
+        known[number] = state
+        record = _Record(self.timers.now(), scope, number)
+        self.answered.append(record)
+        self.closed.append(record)
 
-    def running(self) -> list[Attempt]:
+    def under_way(self) -> list[Attempt]:
         """Returns the attempts without an outcome."""
         return [
             attempt
@@ -130,23 +166,16 @@
         ]
 
     def forget_old(self) -> None:
-        """Drops answers and states that nobody can ask for any more."""
+        """Drops answers and states that are past their time."""
         now = self.timers.now()
         while self.answered and self.answered[0].ended < now - self.keep_answer:
-            record = self.answered.popleft()
-            _remove(self.attempts, record)
+            _remove(self.attempts, self.answered.popleft())
         while self.closed and self.closed[0].ended < now - self.retention:
             record = self.closed.popleft()
             _remove(self.states, record)
-
-    def _conclude(self, scope: str, number: int, state: str) -> None:
-        known = self.states.setdefault(scope, {})
-        if number in known:
-            return
-        known[number] = state
-        record = _Record(self.timers.now(), scope, number)
-        self.answered.append(record)
-        self.closed.append(record)
+            group = placement.group_of(record.scope, self.groups)
+            highest = self.forgotten.get(group, 0)
+            self.forgotten[group] = max(highest, record.number)
 
 
 def _remove(table: dict[str, dict[int, Any]], record: _Record) -> None:
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_crashes.py
@@ -0,0 +1,113 @@
+"""Tells which requests were in flight when the upstream crashed."""
+
+from typing import NamedTuple
+from typing import Protocol
+
+from loguru import logger
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import membership as membership_port
+from mintcleat.ports import timers as timers_port
+
+_REPORT_SECONDS = 2.0
+_RETRY_SECONDS = 1.0
+
+
+class Presence(Protocol):
+    """What is known of the upstream.
+
+    Attributes:
+        life: Its life as last seen.
+    """
+
+    life: int
+
+    def look(self) -> int:
+        """Looks at the upstream; returns its life, or 0 when it is gone."""
+
+
+class InFlight(NamedTuple):
+    """A request at the upstream, in one of the upstream's lives."""
+
+    digest: bytes
+    life: int
+
+
+class Crashes:
+    """Digests in flight, and the report of each crash.
+
+    A caller is told of a broken call only once the crash is reported: its
+    resend would otherwise crash a second upstream as an unsuspected request
+    among others, and nothing would be learned from that crash.
+
+    Attributes:
+        presence: Knows the upstream's life.
+        in_flight: Digest and life of the upstream, by request id.
+        local: Suspects of this upstream's own crashes, for the time in which
+            no control instance can be told.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        directory: membership_port.Membership,
+        timers: timers_port.Timers,
+        presence: Presence,
+    ) -> None:
+        self.node = node
+        self.directory = directory
+        self.timers = timers
+        self.presence = presence
+        self.in_flight: dict[str, InFlight] = {}
+        self.local: set[bytes] = set()
+        self.count = 0
+
+    def begin(self, request: str, digest: bytes) -> None:
+        """Notes that a request goes to the upstream."""
+        self.in_flight[request] = InFlight(digest, self.presence.life)
+
+    def end(self, request: str) -> None:
+        """Notes that the upstream has answered."""
+        self.in_flight.pop(request, None)
+
+    def suspect(self, digest: bytes) -> bool:
+        """Tells whether a request may run beside no other suspect only."""
+        return digest in self.local or self.directory.suspect(digest)
+
+    def broken(self, request: str) -> None:
+        """Handles a lost stream; returns once a crash is reported."""
+        broken = self.in_flight.get(request)
+        if broken is None:
+            # Another call that was lost with it has reported the crash.
+            return
+        if self.presence.look() == broken.life:
+            self.end(request)
+            return
+        beside = {
+            name: item
+            for name, item in self.in_flight.items()
+            if item.life == broken.life
+        }
+        if request not in beside:
+            return
+        for name in beside:
+            del self.in_flight[name]
+        digests = sorted({item.digest for item in beside.values()})
+        self.local.update(digests)
+        self.count += 1
+        report = messages.ReportCrash(self.node, self.count, digests)
+        if not self._send(report):
+            self.timers.spawn(self._send_until_taken, report)
+
+    def _send(self, report: messages.ReportCrash) -> bool:
+        try:
+            self.directory.ask(report, _REPORT_SECONDS)
+        except errors.MintcleatError as error:
+            logger.warning("A crash is not reported yet: {}", error.detail)
+            return False
+        return True
+
+    def _send_until_taken(self, report: messages.ReportCrash) -> None:
+        while not self._send(report):
+            self.timers.sleep(_RETRY_SECONDS)
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -0,0 +1,196 @@
+"""Takes an attempt through the gate, the upstream and the commit."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from mintcleat.decisions import calls
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import sidecar_attempts
+from mintcleat.roles import sidecar_commit
+from mintcleat.roles import sidecar_crashes
+from mintcleat.roles import sidecar_gate
+
+
+class Runner(Protocol):
+    """Runs admitted attempts at one kind of upstream."""
+
+    def call(
+        self, attempt: sidecar_attempts.Attempt, suspect: bool
+    ) -> calls.Call:
+        """Returns the attempt as the queue's decisions see it."""
+
+    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Runs the attempt and commits its answer; sets its outcome."""
+
+    def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Stops a running attempt; False when it can't be stopped."""
+
+
+class Executor:
+    """Runs attempts; whatever happens, each one gets an outcome.
+
+    Attributes:
+        loose: Attempts without a number, which nobody can ask about.
+    """
+
+    def __init__(
+        self,
+        runner: Runner,
+        table: sidecar_attempts.AttemptTable,
+        admission: sidecar_gate.Admission,
+        crashes: sidecar_crashes.Crashes,
+        reporter: sidecar_commit.Reporter,
+        timers: timers_port.Timers,
+        load: Callable[[], messages.LoadReport],
+    ) -> None:
+        self.runner = runner
+        self.table = table
+        self.admission = admission
+        self.crashes = crashes
+        self.reporter = reporter
+        self.timers = timers
+        self.load = load
+        self.loose: set[sidecar_attempts.Attempt] = set()
+
+    def start(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Registers the attempt and runs it in a green thread."""
+        if attempt.number:
+            self.table.add(attempt)
+        else:
+            self.loose.add(attempt)
+        self.timers.spawn(self._execute, attempt)
+
+    def under_way(self) -> list[sidecar_attempts.Attempt]:
+        """Returns the attempts without an outcome."""
+        return [*self.table.under_way(), *self.loose]
+
+    def cancel(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        error: errors.MintcleatError,
+    ) -> None:
+        """Stops an attempt that waits or runs."""
+        if attempt.outcome is not None or attempt.cancelled is not None:
+            return
+        match attempt.state:
+            case sidecar_attempts.QUEUED:
+                attempt.cancelled = error
+                self._conclude(attempt, sidecar_attempts.NEVER)
+                self.admission.cancel(attempt)
+            case sidecar_attempts.RUNNING:
+                attempt.cancelled = error
+                self.timers.spawn(self.runner.cancel, attempt)
+
+    def _execute(self, attempt: sidecar_attempts.Attempt) -> None:
+        digest = attempt.message.digest
+        try:
+            call = self.runner.call(attempt, self.crashes.suspect(digest))
+            self.admission.enter(attempt, call)
+        except errors.MintcleatError as error:
+            self._end_refused(attempt, error)
+            return
+        # No green thread runs between the gate's word and this line, so a
+        # seal comes either before (and the gate raises) or after.
+        attempt.state = sidecar_attempts.RUNNING
+        started = self.timers.now()
+        deadline = self.timers.after(
+            max(0.0, attempt.until - started),
+            lambda: self.cancel(attempt, _deadline_over()),
+        )
+        self.crashes.begin(attempt.request, digest)
+        ok = False
+        try:
+            self.runner.run(attempt)
+            self._conclude(attempt, sidecar_attempts.RAN)
+            ok = True
+        except errors.NoUpstream as error:
+            self.crashes.end(attempt.request)
+            self._end_refused(attempt, error)
+        except errors.OutcomeUnknown as error:
+            if attempt.cancelled is None:
+                self.crashes.broken(attempt.request)
+            self._end_broken(attempt, error)
+        except errors.MintcleatError as error:
+            self._end_broken(attempt, error)
+        except Exception:
+            logger.exception("An attempt failed.")
+            self._end_broken(
+                attempt, errors.OutcomeUnknown("The sidecar failed.")
+            )
+        finally:
+            self.crashes.end(attempt.request)
+            deadline.cancel()
+            ok = ok or attempt.cancelled is not None
+            self.admission.leave(attempt, self._measure(attempt, started, ok))
+
+    def _measure(
+        self, attempt: sidecar_attempts.Attempt, started: float, ok: bool
+    ) -> calls.Outcome:
+        usage = attempt.usage
+        return calls.Outcome(
+            seconds=self.timers.now() - started,
+            first_token=max(0.0, attempt.first - started),
+            computed=usage.prompt_tokens - usage.cached_tokens,
+            generated=usage.completion_tokens,
+            ok=ok,
+        )
+
+    def _end_refused(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        error: errors.MintcleatError,
+    ) -> None:
+        """Seals first: "not run" must hold for every copy of the frame."""
+        self._conclude(attempt, sidecar_attempts.NEVER)
+        failure = error.failure()._replace(outcome=errors.NOT_RUN)
+        attempt.end(messages.Refused(attempt.number, failure, self.load()))
+
+    def _end_broken(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        error: errors.MintcleatError,
+    ) -> None:
+        failure = error.failure()
+        if failure.outcome == errors.NOT_RUN:
+            failure = failure._replace(outcome=errors.UNKNOWN)
+        broken = messages.Broken(attempt.number, failure)
+        final = failure.outcome == errors.RAN
+        state = sidecar_attempts.RAN if final else sidecar_attempts.UNKNOWN
+        if attempt.message.idempotent and not final:
+            # The caller's retry need not wait for the commit.
+            self._conclude(attempt, state)
+            attempt.end(broken)
+            self._settle(attempt, failure)
+            return
+        self._settle(attempt, failure)
+        self._conclude(attempt, state)
+        attempt.end(broken)
+
+    def _settle(
+        self, attempt: sidecar_attempts.Attempt, failure: errors.Failure
+    ) -> None:
+        """Tells the group, so that a resend finds the truth without us."""
+        if not attempt.number:
+            return
+        try:
+            self.reporter.settle(attempt, failure.outcome, failure)
+        except errors.MintcleatError as error:
+            logger.warning("{}: {}", attempt.scope, error.detail)
+
+    def _conclude(self, attempt: sidecar_attempts.Attempt, state: str) -> None:
+        attempt.state = sidecar_attempts.ENDED
+        self.loose.discard(attempt)
+        if attempt.number:
+            self.table.conclude(attempt.scope, attempt.number, state)
+
+
+def _deadline_over() -> errors.MintcleatError:
+    return errors.DeadlineUnmet(
+        "The deadline ended while the call ran.",
+        outcome=errors.UNKNOWN,
+        remedy="Send the call again with the same key.",
+    )
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -1,82 +1,188 @@
-"""Admission at the sidecar: who runs now, who waits, who is refused."""
+"""Joins the queue's decisions to the green threads that wait in it."""
 
-import collections
+import msgspec
 
+from mintcleat.decisions import admit
+from mintcleat.decisions import calls
+from mintcleat.decisions import queue
 from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles import sidecar_attempts
 
+_CHARACTERS_PER_TOKEN = 4
+_FALLBACK_TOKENS = 128
+
 
 class Admission:
-    """A queue before the upstream, in order of arrival.
+    """Who runs at the upstream now, who waits, who is refused.
 
     Attributes:
-        limit: Calls at the upstream at once.
-        longest: Calls that may wait; a longer queue would only end in
-            missed deadlines, so what comes after is refused at once.
+        attempts: Attempts that the gate holds, by request id.
     """
 
     def __init__(
-        self, timers: timers_port.Timers, limit: int, longest: int
+        self,
+        timers: timers_port.Timers,
+        directory: membership_port.Membership,
+        capacity: int,
     ) -> None:
         self.timers = timers
-        self.limit = limit
-        self.longest = longest
-        self.running = 0
-        self.waiting: collections.deque[sidecar_attempts.Attempt] = (
-            collections.deque()
-        )
-        self.service_time = 0.0
-
-    def enter(self, attempt: sidecar_attempts.Attempt) -> None:
+        self.directory = directory
+        self.memory = 0
+        self.gate = queue.Gate(queue.Options(), capacity)
+        self.attempts: dict[str, sidecar_attempts.Attempt] = {}
+        self.configure()
+
+    def configure(self) -> None:
+        """Takes the policies of the manifest in force."""
+        policies = self.directory.manifest().policies
+        self.gate.configure(gate_options(policies, self.memory))
+
+    def resize(self, capacity: int, memory: int) -> None:
+        """Takes what the upstream announces of its size."""
+        self.gate.limit.resize(capacity)
+        if memory != self.memory:
+            self.memory = memory
+            self.configure()
+
+    def enter(
+        self, attempt: sidecar_attempts.Attempt, call: calls.Call
+    ) -> None:
         """Waits until the attempt may go to the upstream.
 
         Raises:
-            errors.Overloaded: Too many wait.
-            errors.DeadlineUnmet: The caller's deadline ended in the queue.
+            errors.MintcleatError: It is refused, or was cancelled meanwhile.
         """
-        if self.running < self.limit and not self.waiting:
-            self.running += 1
-            return
-        if len(self.waiting) >= self.longest:
-            raise errors.Overloaded(
-                f"{len(self.waiting)} calls wait here.",
-                retry_after=max(0.1, self.wait()),
-            )
-        self.waiting.append(attempt)
-        subscription = self.timers.after(
-            max(0.0, attempt.until - self.timers.now()), attempt.notify
-        )
+        if attempt.cancelled is not None:
+            raise attempt.cancelled
+        answer = self.gate.offer(call, self.timers.now())
+        match answer:
+            case admit.Refuse(kind, retry_after):
+                raise errors.kinds()[kind](
+                    "The predicted wait here is too long.",
+                    retry_after=retry_after,
+                )
+            case queue.Queued():
+                self.attempts[attempt.request] = attempt
+                self._wait(attempt)
+        attempt.admitted = True
+
+    def leave(
+        self, attempt: sidecar_attempts.Attempt, outcome: calls.Outcome
+    ) -> None:
+        """Frees the place of an admitted attempt."""
+        self.gate.finished(attempt.request, self.timers.now(), outcome)
+        self.pump()
+
+    def cancel(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Takes a cancelled attempt out of the queue."""
+        if not attempt.admitted:
+            self.gate.cancel(attempt.request)
+            attempt.notify()
+            self.pump()
+
+    def pump(self) -> None:
+        """Lets everything go that may go now."""
+        while (call := self.gate.next(self.timers.now())) is not None:
+            attempt = self.attempts.get(call.call_id)
+            if attempt is None:
+                self.gate.cancel(call.call_id)
+                continue
+            attempt.admitted = True
+            attempt.notify()
+
+    def expire(self) -> None:
+        """Refuses what can't meet its deadline any more."""
+        for call in self.gate.expire(self.timers.now()):
+            attempt = self.attempts.get(call.call_id)
+            if attempt is not None and attempt.cancelled is None:
+                attempt.cancelled = errors.DeadlineUnmet(
+                    "The deadline would end before the answer."
+                )
+                attempt.notify()
+
+    def _wait(self, attempt: sidecar_attempts.Attempt) -> None:
         try:
-            self._wait_turn(attempt)
+            while not attempt.admitted:
+                if attempt.cancelled is not None:
+                    raise attempt.cancelled
+                attempt.changed.wait()
         finally:
-            subscription.cancel()
-
-    def leave(self, seconds: float) -> None:
-        """Frees a place after a call of `seconds`."""
-        self.running -= 1
-        share = 0.1 if self.service_time else 1.0
-        self.service_time += share * (seconds - self.service_time)
-        self._admit_next()
-
-    def wait(self) -> float:
-        """Returns the predicted wait of a new call, in seconds."""
-        if self.running < self.limit and not self.waiting:
-            return 0.0
-        return (len(self.waiting) + 1) * self.service_time / self.limit
-
-    def _wait_turn(self, attempt: sidecar_attempts.Attempt) -> None:
-        while attempt in self.waiting:
-            if attempt.cancelled is not None:
-                self.waiting.remove(attempt)
-                raise attempt.cancelled
-            if self.timers.now() >= attempt.until:
-                self.waiting.remove(attempt)
-                raise errors.DeadlineUnmet("The deadline ended in the queue.")
-            attempt.changed.wait()
-
-    def _admit_next(self) -> None:
-        while self.waiting and self.running < self.limit:
-            attempt = self.waiting.popleft()
-            self.running += 1
-            attempt.notify()
+            self.attempts.pop(attempt.request, None)
+        if attempt.cancelled is not None:
+            # Cancelled between its admission and this line.
+            self.gate.cancel(attempt.request)
+            self.pump()
+            raise attempt.cancelled
+
+
+def gate_options(policies: manifest.Policies, memory: int) -> queue.Options:
+    """Returns the gate's options under these policies."""
+    partners = policies.partners.items()
+    return queue.Options(
+        shares={name: partner.share for name, partner in partners},
+        max_running={
+            name: partner.max_running
+            for name, partner in partners
+            if partner.max_running
+        },
+        max_wait=policies.max_wait,
+        memory=memory,
+    )
+
+
+def turn_call(
+    attempt: sidecar_attempts.Attempt,
+    prompt: list[str],
+    resident: int,
+    suspect: bool,
+) -> calls.Call:
+    """Returns a chat turn as the decisions see it.
+
+    Args:
+        attempt: The attempt.
+        prompt: All its messages.
+        resident: Tokens of the program that the engine holds.
+        suspect: Whether an upstream crashed while it ran this request.
+    """
+    asked = attempt.message
+    tokens = sum(map(len, prompt)) // _CHARACTERS_PER_TOKEN
+    return calls.Call(
+        call_id=attempt.request,
+        program=asked.program,
+        root=asked.root,
+        partner=asked.partner,
+        agent=asked.agent,
+        klass=asked.klass,
+        deadline_at=attempt.until,
+        attained=asked.attained,
+        prompt_tokens=tokens,
+        new_tokens=max(0, tokens - resident),
+        expected_tokens=max_tokens(asked.parameters),
+        suspect=suspect,
+    )
+
+
+def tool_call(attempt: sidecar_attempts.Attempt, suspect: bool) -> calls.Call:
+    """Returns a request to a plain service as the decisions see it."""
+    asked = attempt.message
+    return calls.Call(
+        call_id=attempt.request,
+        program=asked.program,
+        root=asked.program.partition(".")[0],
+        partner=asked.partner,
+        agent="",
+        klass=asked.klass,
+        deadline_at=attempt.until,
+        suspect=suspect,
+    )
+
+
+def max_tokens(parameters: str) -> int:
+    """Returns the completion limit of a body, or a usual size."""
+    if not parameters:
+        return _FALLBACK_TOKENS
+    limit = msgspec.json.decode(parameters).get("max_tokens")
+    return limit if isinstance(limit, int) and limit > 0 else _FALLBACK_TOKENS
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -0,0 +1,208 @@
+"""Keeps the engine's memory free of programs that nobody continues."""
+
+import collections
+from collections.abc import Callable
+
+from loguru import logger
+
+from mintcleat.decisions import retain
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import control as control_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import sidecar_ledger
+
+# Programs asked about in one message to a program group.
+_RENEW_BATCH = 512
+_ASK_SECONDS = 5.0
+_EVENT_WAIT = 1.0
+_RETRY_SECONDS = 0.5
+# Caches are put out from this part of the engine's memory on, down to the
+# other, so that the engine need not evict what is about to be used.
+_PRESSURE_HIGH = 0.9
+_PRESSURE_LOW = 0.8
+
+
+class Exports:
+    """Exported caches, the oldest dropped first; `limit` in bytes."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.blobs: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+        self.size = 0
+
+    def put(self, program: str, blob: bytes) -> None:
+        """Keeps an export."""
+        self.pop(program)
+        self.blobs[program] = blob
+        self.size += len(blob)
+        while self.size > self.limit:
+            self.pop(next(iter(self.blobs)))
+
+    def pop(self, program: str) -> bytes | None:
+        """Takes an export out."""
+        blob = self.blobs.pop(program, None)
+        if blob is not None:
+            self.size -= len(blob)
+        return blob
+
+
+class Memory:
+    """The ledger of one engine, its renewal and the retain decisions.
+
+    Attributes:
+        is_running: Tells whether a program has an attempt at the engine.
+        on_gone: Called with each program that its group gave up.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        engine: upstream_port.ModelEngine,
+        control: control_port.Control,
+        timers: timers_port.Timers,
+        *,
+        export_bytes: int,
+        is_running: Callable[[str], bool],
+        on_gone: Callable[[str], None],
+    ) -> None:
+        self.node = node
+        self.engine = engine
+        self.control = control
+        self.timers = timers
+        self.is_running = is_running
+        self.on_gone = on_gone
+        self.ledger = sidecar_ledger.Ledger()
+        self.keeper = retain.Keeper(retain.Options(memory=0))
+        self.exports = Exports(export_bytes)
+        self.stopped = False
+
+    def start(self, renew_seconds: float) -> None:
+        """Begins to follow the engine and to renew residency."""
+        self.timers.spawn(self._follow_forever)
+        self.timers.spawn(self._renew_forever, renew_seconds)
+
+    def resize(self, info: upstream_port.EngineInfo) -> None:
+        """Takes the size that the engine announces."""
+        rate = self.keeper.options.prefill_rate * 8 if info.kv_export else 0.0
+        self.keeper.options = retain.Options(
+            memory=info.memory, export_rate=rate
+        )
+
+    def held(self, program: str) -> int:
+        """Returns the tokens that the engine holds for a program."""
+        return self.ledger.tokens.get(program, 0)
+
+    def resume(self, program: str) -> None:
+        """Prepares the engine for a program's next turn."""
+        self.keeper.resumed(program, self.timers.now())
+        blob = self.exports.pop(program)
+        if blob is None:
+            return
+        try:
+            self.engine.import_cache(blob)
+        except errors.MintcleatError as error:
+            # The engine rebuilds the prefix instead; only time is lost.
+            logger.info("No import for {}: {}", program, error.detail)
+
+    def pause(self, program: str, agent: str, tokens: int) -> None:
+        """Decides what becomes of a cache while the program's tool runs."""
+        if not program:
+            return
+        self.ledger.ran(program, tokens)
+        now = self.timers.now()
+        self._act(self.keeper.paused(program, agent, tokens, now))
+        memory = self.keeper.options.memory
+        used = self.ledger.total()
+        if memory and used > _PRESSURE_HIGH * memory:
+            needed = int(used - _PRESSURE_LOW * memory)
+            for action in self.keeper.victims(needed, now):
+                self._act(action)
+
+    def sweep(self) -> None:
+        """Puts out what has been paused for too long."""
+        for action in self.keeper.sweep(self.timers.now()):
+            self._act(action)
+
+    def renew(self) -> None:
+        """Asks which programs are gone and releases them."""
+        programs = list(self.ledger.tokens)
+        for start in range(0, len(programs), _RENEW_BATCH):
+            batch = programs[start : start + _RENEW_BATCH]
+            gone = self.control.gone(self.node, batch, _ASK_SECONDS)
+            for program in gone:
+                self.keeper.gone(program)
+                self.exports.pop(program)
+                self.on_gone(program)
+            # What still runs is cancelled first and released at a later
+            # renewal; released now, its end would fill the cache again.
+            self.release([name for name in gone if not self.is_running(name)])
+
+    def release(self, programs: list[str]) -> None:
+        """Frees programs; what fails stays in the ledger for the next time."""
+        if not programs:
+            return
+        try:
+            self.engine.release(programs)
+        except errors.MintcleatError as error:
+            logger.warning("Memory is not released: {}", error.detail)
+            return
+        self.ledger.released(programs)
+
+    def release_all(self) -> None:
+        """Frees everything, for a planned stop."""
+        self.stopped = True
+        try:
+            self.ledger.mend(self.engine.listing())
+        except errors.MintcleatError as error:
+            logger.info("No listing at the stop: {}", error.detail)
+        self.release(list(self.ledger.tokens))
+
+    def _act(self, action: retain.Action) -> None:
+        match action:
+            case retain.Export(program):
+                self._export(program)
+                self.release([program])
+            case retain.Drop(program):
+                self.release([program])
+            case retain.Hold():
+                return
+
+    def _export(self, program: str) -> None:
+        try:
+            self.exports.put(program, self.engine.export_cache(program))
+        except errors.MintcleatError as error:
+            logger.info("No export of {}: {}", program, error.detail)
+
+    def _follow_forever(self) -> None:
+        """Takes in events as they come, and listings where they are lacking."""
+        while not self.stopped:
+            try:
+                self._follow()
+            except errors.MintcleatError:
+                self.ledger.unsure = True
+                self.timers.sleep(_RETRY_SECONDS)
+
+    def _follow(self) -> None:
+        if self.ledger.unsure:
+            self.ledger.mend(self.engine.listing())
+        events = self.engine.events(self.ledger.seq, _EVENT_WAIT)
+        self.ledger.take(events)
+        if self.ledger.unsure:
+            # Late events may still come; a listing at each of them would
+            # cost more than the wait.
+            self.timers.sleep(_RETRY_SECONDS)
+
+    def _renew_forever(self, seconds: float) -> None:
+        while not self.stopped:
+            self.timers.sleep(seconds)
+            if self.stopped:
+                return
+            try:
+                self.sweep()
+                self.renew()
+            except errors.MintcleatError as error:
+                logger.info("Residency is not renewed: {}", error.detail)
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_presence.py
@@ -0,0 +1,198 @@
+"""What a sidecar tells of its upstream and of itself."""
+
+import itertools
+from typing import NamedTuple
+
+from loguru import logger
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import membership as membership_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import sidecar_gate
+from mintcleat.roles import sidecar_memory
+
+LOADING = "loading"
+READY = "ready"
+DRAINING = "draining"
+DOWN = "down"
+
+_UNKNOWN_ENGINE = upstream_port.EngineInfo(
+    life=0,
+    model="",
+    capacity=0,
+    state=LOADING,
+    fencing=False,
+    kv_export=False,
+    priority=False,
+    resume=False,
+)
+
+
+class SidecarOptions(NamedTuple):
+    """Settings of one sidecar; sizes in bytes, times in seconds.
+
+    Attributes:
+        kind: `model` or `plain`.
+        capacity: Calls that the upstream takes at once; 0 asks the engine.
+        history_bytes: Program history kept here.
+        export_bytes: Exported caches kept here.
+        retention: Time for which the state of an ended attempt is kept.
+        keep_answer: Time for which an ended answer can be attached to.
+        attach_patience: Time that Attach waits for a run on its way.
+        load_seconds: Time between two load reports on a watch.
+        probe_seconds: Time between two looks at the upstream.
+        renew_seconds: Time between two renewals of residency.
+        release_on_stop: Whether a planned stop frees the engine's memory.
+    """
+
+    service: str
+    kind: str
+    region: str = ""
+    failure_domain: str = ""
+    capacity: int = 0
+    history_bytes: int = 64 * 1024 * 1024
+    export_bytes: int = 64 * 1024 * 1024
+    retention: float = 120.0
+    keep_answer: float = 30.0
+    attach_patience: float = 1.0
+    load_seconds: float = 0.5
+    probe_seconds: float = 1.0
+    renew_seconds: float = 5.0
+    release_on_stop: bool = True
+
+
+class Presence:
+    """Looks at the upstream, and describes it to entries and control.
+
+    Attributes:
+        seen: The upstream's state as last seen.
+        life: The upstream's life as last seen; 0 for none.
+        ordering: Whether an order is being carried out.
+        draining: Whether this sidecar itself refuses new work.
+        info: What a model engine announced last.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        options: SidecarOptions,
+        address: str,
+        *,
+        upstream: upstream_port.ModelEngine | upstream_port.PlainService,
+        directory: membership_port.Membership,
+        timers: timers_port.Timers,
+        admission: sidecar_gate.Admission,
+        memory: sidecar_memory.Memory,
+    ) -> None:
+        self.node = node
+        self.options = options
+        self.address = address
+        self.upstream = upstream
+        self.directory = directory
+        self.timers = timers
+        self.admission = admission
+        self.memory = memory
+        self.is_model = options.kind == "model"
+        self.seen = LOADING
+        self.life = 0
+        self.ordering = False
+        self.draining = False
+        self.info = _UNKNOWN_ENGINE
+        self.free_memory = 0
+        self.reports = itertools.count(1)
+        self.announced: messages.Announcement | None = None
+
+    def probe(self) -> None:
+        """Looks at the upstream and tells control when it changed."""
+        before = self.state()
+        self.life = self.look()
+        if not self.life:
+            self.seen = DOWN
+        else:
+            self.seen = self.info.state if self.is_model else READY
+        if self.state() != before:
+            logger.info("The upstream is {} now", self.state())
+            self.directory.announce()
+
+    def look(self) -> int:
+        """Returns the upstream's life, or 0 when it is gone."""
+        if not self.is_model:
+            return int(self.upstream.alive())
+        try:
+            self.info = self.upstream.info()
+            self.free_memory = self.upstream.load().free_memory
+        except errors.StreamTimeout:
+            # Slow is not gone; its calls run against their own deadlines.
+            return self.life
+        except errors.MintcleatError:
+            return 0
+        self.memory.resize(self.info)
+        capacity = self.options.capacity or self.info.capacity
+        self.admission.resize(capacity, self.info.memory)
+        return self.info.life
+
+    def state(self) -> str:
+        """Returns the state that others hear of."""
+        if self.is_draining():
+            return DRAINING
+        return LOADING if self.ordering else self.seen
+
+    def is_draining(self) -> bool:
+        """Tells whether new work is refused here."""
+        return self.draining or self.directory.draining(
+            self.node.instance, self.options.failure_domain
+        )
+
+    def order_begins(self, order: messages.Order) -> None:
+        """Keeps new work off while an order is carried out."""
+        self.ordering = order.action != "unload"
+        self.directory.announce()
+
+    def order_ends(self) -> None:
+        """Looks at what the order has made of the upstream."""
+        self.ordering = False
+        self.probe()
+        self.directory.announce()
+
+    def announcement(self) -> messages.Announcement:
+        """Describes the upstream; the counter grows with each change."""
+        last = self.announced
+        counter = last.counter if last else 0
+        present = messages.Announcement(
+            sidecar=self.node,
+            counter=counter,
+            address=self.address,
+            service=self.options.service,
+            kind=self.options.kind,
+            region=self.options.region,
+            failure_domain=self.options.failure_domain,
+            capacity=self.admission.gate.limit.capacity,
+            state=self.state(),
+            fencing=self.info.fencing,
+            kv_export=self.info.kv_export,
+            priority=self.info.priority,
+            resume=self.info.resume,
+            model=self.info.model,
+        )
+        if present != last:
+            present = present._replace(counter=counter + 1)
+            self.announced = present
+        return present
+
+    def load(self) -> messages.LoadReport:
+        """Returns a fresh load report."""
+        load = self.admission.gate.load(self.timers.now())
+        return messages.LoadReport(
+            sidecar=self.node,
+            counter=next(self.reports),
+            running=load.running,
+            queued=load.queued,
+            limit=load.limit,
+            wait=load.wait,
+            token_time=load.token_time,
+            prefill_rate=load.prefill_rate,
+            free_memory=self.free_memory,
+            state=self.state(),
+        )
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -3,20 +3,26 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+from loguru import logger
 import msgpack
 import msgspec
 
+from mintcleat.decisions import calls
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
 from mintcleat.roles import sidecar_attempts
 from mintcleat.roles import sidecar_commit
+from mintcleat.roles import sidecar_crashes
+from mintcleat.roles import sidecar_gate
 from mintcleat.roles import sidecar_history
+from mintcleat.roles import sidecar_memory
 
 _RESUME_TRIES = 5
 _RESUME_PAUSE = 0.1
 _CANCELLED = "cancelled"
+_BATCH_PRIORITY = 1
 _LOST = (errors.StreamClosed, errors.StreamTimeout)
 
 LoadSource = Callable[[], messages.LoadReport]
@@ -29,16 +35,28 @@
         self,
         engine: upstream_port.ModelEngine,
         histories: sidecar_history.Histories,
+        memory: sidecar_memory.Memory,
+        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
     ) -> None:
         self.engine = engine
         self.histories = histories
+        self.memory = memory
+        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
 
+    def call(
+        self, attempt: sidecar_attempts.Attempt, suspect: bool
+    ) -> calls.Call:
+        """Returns the attempt as the queue's decisions see it."""
+        held = self.memory.held(attempt.program)
+        prompt = self._prompt(attempt)
+        return sidecar_gate.turn_call(attempt, prompt, held, suspect)
+
     def run(self, attempt: sidecar_attempts.Attempt) -> None:
         """Runs the attempt to its end and commits the answer.
 
@@ -47,26 +65,24 @@
             errors.MintcleatError: The engine took it and it failed.
         """
         asked = attempt.message
-        prompt = self.histories.prompt(asked.program, asked.base_turn)
+        self.memory.resume(asked.program)
         call = upstream_port.EngineCall(
             attempt.request,
             asked.program,
-            [*prompt, *asked.messages],
+            self._prompt(attempt),
             asked.parameters,
+            _BATCH_PRIORITY if asked.klass == calls.BATCH else 0,
         )
         end = self._stream(attempt, call)
+        self.crashes.end(attempt.request)
+        attempt.usage = end.usage
         if end.reason == _CANCELLED:
-            raise attempt.cancelled or errors.UpstreamFailed(
+            raise attempt.cancelled or errors.OutcomeUnknown(
                 "The engine cancelled the call."
             )
         answer = assistant_message("".join(attempt.pieces))
         if asked.attempt:
-            self.reporter.finish(attempt, answer.encode(), end.usage)
-            if asked.program:
-                added = [*asked.messages, answer]
-                self.histories.finish(
-                    asked.program, asked.base_turn, asked.base_digest, added
-                )
+            self._commit(attempt, answer, end.usage)
         attempt.end(
             messages.Finished(
                 asked.attempt,
@@ -78,6 +94,37 @@
             )
         )
 
+    def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Stops the call at the engine, whose stream then ends."""
+        try:
+            self.engine.cancel(attempt.request)
+        except errors.MintcleatError as error:
+            logger.warning("A cancel did not reach: {}", error.detail)
+            return False
+        return True
+
+    def _prompt(self, attempt: sidecar_attempts.Attempt) -> list[str]:
+        asked = attempt.message
+        before = self.histories.prompt(asked.program, asked.base_turn)
+        return [*before, *asked.messages]
+
+    def _commit(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        answer: str,
+        usage: messages.Usage,
+    ) -> None:
+        asked = attempt.message
+        self.reporter.finish(attempt, answer.encode(), usage)
+        if not asked.program:
+            return
+        added = [*asked.messages, answer]
+        self.histories.finish(
+            asked.program, asked.base_turn, asked.base_digest, added
+        )
+        tokens = usage.prompt_tokens + usage.completion_tokens
+        self.memory.pause(asked.program, asked.agent, tokens)
+
     def _stream(
         self,
         attempt: sidecar_attempts.Attempt,
@@ -89,7 +136,7 @@
         has the call, whatever a later error says.
         """
         try:
-            return take_all(attempt, self.engine.run(call))
+            return self._take_all(attempt, self.engine.run(call))
         except _LOST as error:
             cause = error
         tries = 0
@@ -98,7 +145,7 @@
             self.timers.sleep(_RESUME_PAUSE)
             try:
                 stream = self.engine.resume(attempt.request, attempt.total)
-                return take_all(attempt, stream)
+                return self._take_all(attempt, stream)
             except (*_LOST, errors.NoUpstream) as error:
                 cause = error
             except errors.UpstreamFailed as error:
@@ -109,25 +156,26 @@
             f"The engine's stream broke and did not resume: {cause.detail}"
         ) from cause
 
+    def _take_all(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        stream: Iterator[upstream_port.Piece | upstream_port.End],
+    ) -> upstream_port.End:
+        """Adds every piece to the attempt and returns the engine's end.
 
-def take_all(
-    attempt: sidecar_attempts.Attempt,
-    stream: Iterator[upstream_port.Piece | upstream_port.End],
-) -> upstream_port.End:
-    """Adds every piece to the attempt and returns the engine's end.
-
-    Raises:
-        errors.StreamClosed: Text is missing or the stream broke.
-    """
-    for item in stream:
-        match item:
-            case upstream_port.Piece(text):
-                attempt.add(text)
-            case upstream_port.End():
-                if item.total != attempt.total:
-                    raise errors.StreamClosed("Text of the answer is missing.")
-                return item
-    raise errors.StreamClosed("The engine's stream has no end.")
+        Raises:
+            errors.StreamClosed: Text is missing or the stream broke.
+        """
+        for item in stream:
+            match item:
+                case upstream_port.Piece(text):
+                    attempt.first = attempt.first or self.timers.now()
+                    attempt.add(text)
+                case upstream_port.End():
+                    if item.total != attempt.total:
+                        raise errors.StreamClosed("Text is missing.")
+                    return item
+        raise errors.StreamClosed("The engine's stream has no end.")
 
 
 class ToolRunner:
@@ -136,15 +184,27 @@
     def __init__(
         self,
         service: upstream_port.PlainService,
+        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
     ) -> None:
         self.service = service
+        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
 
+    def call(
+        self, attempt: sidecar_attempts.Attempt, suspect: bool
+    ) -> calls.Call:
+        """Returns the attempt as the queue's decisions see it."""
+        return sidecar_gate.tool_call(attempt, suspect)
+
+    def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Leaves it: a request that a service has begun can't be stopped."""
+        return False
+
     def run(self, attempt: sidecar_attempts.Attempt) -> None:
         """Forwards the request once and commits the answer.
 
@@ -163,6 +223,7 @@
             )
         except (errors.StreamClosed, errors.StreamTimeout) as error:
             raise errors.OutcomeUnknown(error.detail) from error
+        self.crashes.end(attempt.request)
         if asked.attempt:
             answer = msgpack.packb(list(reply), use_bin_type=True)
             self.reporter.finish(attempt, answer, messages.Usage())
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_watch.py
@@ -0,0 +1,93 @@
+"""Lets callers follow an attempt, each at its own pace."""
+
+from collections.abc import Callable
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import sidecar_attempts
+
+Cancel = Callable[
+    [sidecar_attempts.Attempt, errors.MintcleatError],
+    None,
+]
+
+
+class Watch:
+    """One caller that follows an attempt.
+
+    Attributes:
+        gone: The caller closed before the end.
+        done: The following has ended.
+    """
+
+    def __init__(self, attempt: sidecar_attempts.Attempt) -> None:
+        self.attempt = attempt
+        self.gone = False
+        self.done = False
+
+
+class Follower:
+    """Sends answers to callers.
+
+    The pieces lie in the attempt once, whatever the number of callers, and
+    each caller's exchange has its own credit: a slow one waits in its own
+    green thread and holds back neither the engine nor the others.
+    """
+
+    def __init__(self, timers: timers_port.Timers, cancel: Cancel) -> None:
+        self.timers = timers
+        self.cancel = cancel
+
+    def follow(
+        self,
+        exchange: streams_port.Exchange,
+        attempt: sidecar_attempts.Attempt,
+    ) -> None:
+        """Sends the answer from its start until the outcome."""
+        watch = Watch(attempt)
+        attempt.watchers += 1
+        self.timers.spawn(self._listen, exchange, watch)
+        try:
+            self._send_all(exchange, watch)
+        finally:
+            watch.done = True
+            attempt.watchers -= 1
+            if not attempt.watchers and not attempt.number:
+                # Nobody can attach to an attempt without a number.
+                self.cancel(attempt, caller_gone())
+
+    def _send_all(self, exchange: streams_port.Exchange, watch: Watch) -> None:
+        attempt = watch.attempt
+        place = 0
+        offset = 0
+        while not watch.gone:
+            changed = attempt.changed
+            if place < len(attempt.pieces):
+                text = "".join(attempt.pieces[place:])
+                place = len(attempt.pieces)
+                exchange.send(messages.Chunk(attempt.number, offset, text))
+                offset += len(text)
+            elif attempt.outcome is not None:
+                exchange.send(attempt.outcome)
+                return
+            else:
+                changed.wait()
+
+    def _listen(self, exchange: streams_port.Exchange, watch: Watch) -> None:
+        """Notices that the caller closed, even while nothing is sent."""
+        try:
+            while True:
+                message = exchange.receive()
+                if isinstance(message, messages.CancelAttempt):
+                    self.cancel(watch.attempt, caller_gone())
+        except errors.MintcleatError:
+            if not watch.done:
+                watch.gone = True
+                watch.attempt.notify()
+
+
+def caller_gone() -> errors.MintcleatError:
+    """Returns the reason of a cancel by the caller."""
+    return errors.OutcomeUnknown("The caller has gone.")
--- a/src/mintcleat/standins/engine.py
+++ b/src/mintcleat/standins/engine.py
@@ -274,6 +274,7 @@
             "kv_export": self.options.kv_export,
             "priority": self.options.priority,
             "resume": self.options.resume,
+            "memory": self.options.memory,
         }
 
     def load(self) -> dict[str, Any]:
--- a/testing/fakes/service_rig.py
+++ b/testing/fakes/service_rig.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.heard: list[Any] = []
+        self.groups = 1
         self.open: set[str] | None = None
         self.fail: Exception | None = None
 
@@ -34,15 +35,17 @@
         if self.fail is not None:
             raise self.fail
         self.heard.append(message)
-        if isinstance(message, messages.RenewResidency):
-            known = message.programs if self.open is None else self.open
-            return messages.Gone(
-                [name for name in message.programs if name not in known]
-            )
         return messages.Done()
 
-    def group_of(self, scope: str) -> str:
-        return "group-1"
+    def gone(
+        self,
+        sidecar: messages.Incarnation,
+        programs: list[str],
+        timeout: float,
+    ) -> list[str]:
+        if self.open is None:
+            return []
+        return [name for name in programs if name not in self.open]
 
     def of(self, kind: type) -> list[Any]:
         return [item for item in self.heard if isinstance(item, kind)]
@@ -54,6 +57,12 @@
     def __init__(self) -> None:
         self.value = manifest.Manifest()
         self.lease = True
+        self.duplicate = False
+        self.drained = False
+        self.fence = 0
+        self.quarantine: set[bytes] = set()
+        self.suspects: set[bytes] = set()
+        self.asked: list[Any] = []
 
     def manifest(self) -> manifest.Manifest:
         return self.value
@@ -70,6 +79,24 @@
     def subscribe(self, callback: Callable[[], None]) -> None:
         return None
 
+    def draining(self, instance: str, failure_domain: str) -> bool:
+        return self.drained
+
+    def quarantined(self, digest: bytes) -> bool:
+        return digest in self.quarantine
+
+    def suspect(self, digest: bytes) -> bool:
+        return digest in self.suspects
+
+    def announce(self) -> None:
+        return None
+
+    def ask(self, message: Any, timeout: float) -> Any:
+        self.asked.append(message)
+        if isinstance(message, messages.ReadFence):
+            return messages.Fence(self.fence)
+        return messages.Done()
+
 
 class Rig:
     """One sidecar with real streams, beside a stand-in upstream."""
