--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -300,7 +300,7 @@
             data = b"".join(frames)
             try:
                 self.sock.sendall(data)
-            except OSError as error:
+            except (OSError, EOFError) as error:
                 logger.info("{} is lost: {}", self.peer, error)
                 self.lose()
                 return
@@ -323,7 +323,8 @@
                 if blocks % _BLOCKS_IN_A_ROW == 0:
                     # A peer that never pauses must not keep the loop.
                     eventlet.sleep(0)
-        except OSError:
+        except (OSError, EOFError):
+            # EOFError is how eventlet tells that this side closed.
             return
         except errors.MintcleatError as error:
             logger.warning("Closing {}: {}", self.peer, error.detail)
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -288,6 +288,7 @@
                 self.reporter,
                 self.timers,
                 self.load,
+                self.admission.usual_answer,
             )
         return sidecar_run.ToolRunner(
             upstream,
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -12,7 +12,7 @@
 from mintcleat.roles import sidecar_attempts
 
 _CHARACTERS_PER_TOKEN = 4
-_FALLBACK_TOKENS = 128
+_USUAL_TOKENS = 128
 
 
 class Admission:
@@ -47,6 +47,10 @@
             self.memory = memory
             self.configure()
 
+    def usual_answer(self, agent: str) -> int:
+        """Returns the tokens that a call of this agent usually generates."""
+        return self.gate.learner.answer_tokens(agent, _USUAL_TOKENS)
+
     def enter(
         self, attempt: sidecar_attempts.Attempt, call: calls.Call
     ) -> None:
@@ -66,6 +70,8 @@
                 )
             case queue.Queued():
                 self.attempts[attempt.request] = attempt
+                # Those before it may be held back by more than the slots.
+                self.pump()
                 self._wait(attempt)
         attempt.admitted = True
 
@@ -137,6 +143,7 @@
     attempt: sidecar_attempts.Attempt,
     prompt: list[str],
     resident: int,
+    usual: int,
     suspect: bool,
 ) -> calls.Call:
     """Returns a chat turn as the decisions see it.
@@ -145,6 +152,7 @@
         attempt: The attempt.
         prompt: All its messages.
         resident: Tokens of the program that the engine holds.
+        usual: Tokens of this agent's usual answer.
         suspect: Whether an upstream crashed while it ran this request.
     """
     asked = attempt.message
@@ -160,7 +168,7 @@
         attained=asked.attained,
         prompt_tokens=tokens,
         new_tokens=max(0, tokens - resident),
-        expected_tokens=max_tokens(asked.parameters),
+        expected_tokens=min(usual, max_tokens(asked.parameters) or usual),
         suspect=suspect,
     )
 
@@ -181,8 +189,8 @@
 
 
 def max_tokens(parameters: str) -> int:
-    """Returns the completion limit of a body, or a usual size."""
+    """Returns the completion limit of a body; 0 for none."""
     if not parameters:
-        return _FALLBACK_TOKENS
+        return 0
     limit = msgspec.json.decode(parameters).get("max_tokens")
-    return limit if isinstance(limit, int) and limit > 0 else _FALLBACK_TOKENS
+    return limit if isinstance(limit, int) and limit > 0 else 0
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -40,6 +40,7 @@
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
+        usual_answer: Callable[[str], int],
     ) -> None:
         self.engine = engine
         self.histories = histories
@@ -48,6 +49,7 @@
         self.reporter = reporter
         self.timers = timers
         self.load = load
+        self.usual_answer = usual_answer
 
     def call(
         self, attempt: sidecar_attempts.Attempt, suspect: bool
@@ -55,7 +57,8 @@
         """Returns the attempt as the queue's decisions see it."""
         held = self.memory.held(attempt.program)
         prompt = self._prompt(attempt)
-        return sidecar_gate.turn_call(attempt, prompt, held, suspect)
+        usual = self.usual_answer(attempt.message.agent)
+        return sidecar_gate.turn_call(attempt, prompt, held, usual, suspect)
 
     def run(self, attempt: sidecar_attempts.Attempt) -> None:
         """Runs the attempt to its end and commits the answer.
--- a/src/mintcleat/standins/http.py
+++ b/src/mintcleat/standins/http.py
@@ -43,6 +43,8 @@
             log_output=False,
             custom_pool=self.pool,
             keepalive=True,
+            # Each token goes out as it comes; the default gathers 4 KB.
+            minimum_chunk_size=1,
         )
 
     def cut(self) -> None:
--- /dev/null
+++ b/testing/fakes/engine_faults.py
@@ -0,0 +1,75 @@
+"""A stand-in engine that fails on command."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+
+from mintcleat.standins import batch
+from mintcleat.standins import engine
+
+
+class FaultyEngine(engine.Engine):
+    """An engine with faults to switch on.
+
+    Attributes:
+        crash_on: Text of a message that kills the engine; empty for none.
+        restart_after: Seconds from a crash to the next life; 0 for never.
+        cuts: Streams that are still to be cut, each after `cut_at` tokens.
+        hidden: Programs whose cache events are lost.
+        crashes: How often the engine has crashed.
+    """
+
+    def __init__(
+        self,
+        options: engine.EngineOptions | None = None,
+        listen: str = "127.0.0.1:0",
+    ) -> None:
+        self.crash_on = ""
+        self.restart_after = 0.0
+        self.cuts = 0
+        self.cut_at = 2
+        self.hidden: set[str] = set()
+        self.crashes = 0
+        super().__init__(listen, options)
+
+    def take(self, sequence: batch.Sequence) -> None:
+        super().take(sequence)
+        if self.crash_on and self.crash_on in "".join(sequence.prompt):
+            step = self.options.speed.token_time
+            eventlet.spawn_after(3 * step, self.crash)
+
+    def crash(self) -> None:
+        """Dies as a process does: everything held and running is gone."""
+        if self.batch.stopped:
+            return
+        self.crashes += 1
+        self.stop()
+        if self.restart_after:
+            eventlet.spawn_after(self.restart_after, self.restart)
+
+    def restart(self) -> None:
+        """Comes back at the same address, empty."""
+        self.begin_life(self.address)
+
+    def events(self, after: int, wait: float) -> dict[str, Any]:
+        answer = super().events(after, wait)
+        answer["events"] = [
+            item
+            for item in answer["events"]
+            if item["program"] not in self.hidden
+        ]
+        return answer
+
+    def _events(self, sequence: batch.Sequence, offset: int) -> Iterator[bytes]:
+        cut = self.cuts > 0
+        self.cuts -= cut
+        for count, data in enumerate(super()._events(sequence, offset)):
+            if cut and count >= self.cut_at:
+                raise ConnectionAbortedError("The stream is cut.")
+            yield data
+
+
+def slow(token_time: float = 0.01, **speed: Any) -> engine.EngineOptions:
+    """Returns options of an engine whose answers take a while."""
+    return engine.EngineOptions(speed=batch.Speed(token_time, **speed))
--- /dev/null
+++ b/testing/test_sidecar_faults.py
@@ -0,0 +1,184 @@
+"""Upstreams and control that fail while a sidecar runs calls."""
+
+import testtools
+from testtools import matchers
+
+from fakes import engine_faults
+from fakes import service_faults
+from fakes import service_rig
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.standins import batch
+
+
+class EngineFaultTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.engine = engine_faults.FaultyEngine(engine_faults.slow(0.005))
+        self.rig = service_rig.Rig(self.engine)
+        self.addCleanup(self.rig.stop)
+
+    def test_cut_stream_is_resumed_where_it_broke(self) -> None:
+        """The engine's connection breaks twice in the middle of an answer.
+
+        The engine goes on generating; the caller gets every token once, and
+        the engine has run the call once.
+        """
+        self.engine.cuts = 2
+        asked = service_rig.turn()
+        text, end = self.rig.call(asked)
+        expected = "".join(batch.answer_tokens(asked.messages, 16))
+        self.assertEqual(expected, text)
+        self.assertEqual(len(expected), end.total)
+        self.assertThat(self.engine.runs, matchers.HasLength(1))
+
+    def test_crash_is_reported_before_the_caller_hears(self) -> None:
+        """A request kills its engine while another one stands beside it.
+
+        Both were in flight, so both are suspects. The report is committed
+        before a caller could send the request again.
+        """
+        self.engine.crash_on = "poison"
+        other = self.rig.open(service_rig.turn("other", digest=b"o" * 16))
+        other.receive(5.0)
+        bad = service_rig.turn(
+            "bad",
+            messages=[service_rig.user("poison")],
+            digest=b"b" * 16,
+        )
+        _, end = self.rig.call(bad)
+        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
+        (report,) = self.rig.directory.asked
+        self.assertEqual([b"b" * 16, b"o" * 16], report.digests)
+
+    def test_cut_connection_alone_is_no_crash(self) -> None:
+        """The stream breaks and can't be resumed, but the engine lives.
+
+        The request must not become a suspect for a fault of the network.
+        """
+        self.engine.options = self.engine.options._replace(resume=False)
+        self.engine.cuts = 1
+        _, end = self.rig.call(service_rig.turn())
+        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
+        self.assertEqual([], self.rig.directory.asked)
+
+    def test_broken_non_idempotent_call_is_settled_as_unknown(self) -> None:
+        self.engine.crash_on = "asks"
+        _, end = self.rig.call(service_rig.turn(idempotent=False))
+        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
+        (settled,) = self.rig.control.of(messages.SettleCall)
+        self.assertEqual(errors.UNKNOWN, settled.outcome)
+
+    def test_engine_that_refuses_the_request_has_a_final_outcome(self) -> None:
+        asked = service_rig.turn(parameters='{"max_tokens":"many"}')
+        _, end = self.rig.call(asked)
+        self.assertIsInstance(end, messages.Broken)
+
+    def test_end_waits_for_the_commit(self) -> None:
+        """Control has no leader when the engine has finished.
+
+        The answer is whole, but until it is recorded a resend could make
+        another one; the end frame waits and the report is repeated.
+        """
+        self.rig.control.fail = errors.OutcomeUnknown("No leader.")
+        exchange = self.rig.open(service_rig.turn())
+        attempt = self.rig.until(lambda: self.rig.sidecar.attempts.find("p", 1))
+        self.rig.until(lambda: attempt.usage.completion_tokens)
+        self.rig.sleep()
+        self.assertIsNone(attempt.outcome)
+        self.rig.control.fail = None
+        _, end = service_rig.drain(exchange)
+        self.assertIsInstance(end, messages.Finished)
+
+    def test_suspect_waits_while_another_suspect_runs(self) -> None:
+        """Two suspects come together.
+
+        Side by side a further crash would tell nothing; one after the other
+        it convicts one of them.
+        """
+        digests = [b"1" * 16, b"2" * 16]
+        self.rig.directory.suspects.update(digests)
+        first = self.rig.open(service_rig.turn("a", digest=digests[0]))
+        first.receive(5.0)
+        second = self.rig.open(service_rig.turn("b", digest=digests[1]))
+        innocent = self.rig.open(service_rig.turn("c", digest=b"3" * 16))
+        innocent.receive(5.0)
+        self.assertEqual(["a", "c"], [r.program for r in self.engine.runs])
+        service_rig.drain_rest(first)
+        _, end = service_rig.drain(second)
+        self.assertIsInstance(end, messages.Finished)
+
+
+class OrderTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        options = engine_faults.slow()._replace(fencing=False)
+        self.engine = engine_faults.FaultyEngine(options)
+        self.rig = service_rig.Rig(self.engine)
+        self.addCleanup(self.rig.stop)
+
+    def order(self, fence: int, model: str = "model-2") -> object:
+        order = messages.Order(service_rig.NODE, fence, "load", model)
+        return self.rig.client.ask(self.rig.server.address, order, 5.0)
+
+    def test_old_order_stops_at_the_sidecar(self) -> None:
+        """A deposed leader's order comes late; the engine checks nothing.
+
+        The sidecar is new and has seen no order, so it reads the highest
+        number first and drops what lies below.
+        """
+        self.rig.directory.fence = 9
+        self.assertRaises(errors.FencedOff, self.order, 8)
+        self.assertEqual([], self.engine.orders)
+        self.order(9)
+        self.assertThat(self.engine.orders, matchers.HasLength(1))
+
+    def test_repeated_order_is_carried_out_once(self) -> None:
+        self.order(3)
+        self.order(3)
+        self.assertThat(self.engine.orders, matchers.HasLength(1))
+        self.assertEqual("model-2", self.rig.sidecar.announcement().model)
+
+
+class ServiceFaultTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.service = service_faults.FaultyService()
+        self.rig = service_rig.Rig(self.service)
+        self.addCleanup(self.rig.stop)
+
+    def assert_ran_once(self) -> None:
+        self.assertEqual({("p-k1", "/book"): 1}, dict(self.service.runs))
+
+    def test_hung_tool_ends_at_its_deadline_with_unknown(self) -> None:
+        """The service books the part and never answers.
+
+        The caller gets a typed end; a resend does not book again, because
+        the attempt is known and its outcome recorded.
+        """
+        self.service.hang = True
+        asked = service_rig.tool(deadline=0.1)
+        _, end = self.rig.call(asked)
+        self.assertEqual("outcome_unknown", end.failure.kind)
+        self.assertThat(
+            self.rig.control.of(messages.SettleCall), matchers.HasLength(1)
+        )
+        _, again = self.rig.call(asked)
+        self.assertEqual(errors.UNKNOWN, again.failure.outcome)
+        self.assert_ran_once()
+
+    def test_service_that_dies_after_the_run_is_unknown(self) -> None:
+        self.service.die_after_run = True
+        _, end = self.rig.call(service_rig.tool())
+        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
+        self.assert_ran_once()
+        (report,) = self.rig.directory.asked
+        self.assertIsInstance(report, messages.ReportCrash)
+
+    def test_dead_service_is_announced_and_comes_back(self) -> None:
+        self.service.crash()
+        self.rig.sidecar.presence.probe()
+        self.assertEqual("down", self.rig.sidecar.announcement().state)
+        self.service.restart()
+        self.rig.sidecar.presence.probe()
+        self.assertEqual("ready", self.rig.sidecar.announcement().state)
--- /dev/null
+++ b/testing/test_sidecar_memory.py
@@ -0,0 +1,146 @@
+"""Engine memory: the ledger, renewal, release."""
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+from testtools import matchers
+
+from fakes import engine_faults
+from fakes import service_rig
+from mintcleat.domain import messages
+from mintcleat.ports import upstream
+from mintcleat.roles import sidecar_ledger
+
+
+class ReleaseTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.engine = engine_faults.FaultyEngine(engine_faults.slow(0.002))
+        self.rig = service_rig.Rig(self.engine)
+        self.addCleanup(self.rig.stop)
+
+    def held(self) -> int:
+        return self.engine.cache.used
+
+    def assert_freed(self) -> None:
+        self.rig.until(lambda: not self.held())
+        self.assertEqual({}, dict(self.engine.cache.totals))
+
+    def test_closed_program_is_released(self) -> None:
+        self.rig.call(service_rig.turn())
+        self.assertThat(self.held(), matchers.GreaterThan(0))
+        self.rig.control.open = set()
+        self.assert_freed()
+
+    def test_open_program_is_kept(self) -> None:
+        self.rig.control.open = {"p"}
+        self.rig.call(service_rig.turn("gone"))
+        self.rig.call(service_rig.turn("p"))
+        self.rig.until(lambda: set(self.engine.cache.totals) == {"p"})
+
+    def test_program_of_a_lost_event_is_released(self) -> None:
+        """The engine holds a program that the sidecar never heard of.
+
+        Its events are lost, as after a restart of the sidecar. The gap in
+        the numbers makes the ledger unsure, and the listing finds it.
+        """
+        self.engine.hidden.add("hidden")
+        self.engine.cache.store("hidden", [service_rig.user("x" * 100)])
+        self.engine.cache.store("seen", [service_rig.user("y" * 100)])
+        self.rig.control.open = set()
+        self.assert_freed()
+
+    def test_program_closed_while_it_runs_is_released_after_its_end(
+        self,
+    ) -> None:
+        """A program is closed while the engine works on its turn.
+
+        Released at once, the end of the turn would fill the cache again
+        with nobody left to release it.
+        """
+        long = service_rig.turn(parameters='{"max_tokens":100000}')
+        exchange = self.rig.open(long)
+        exchange.receive(5.0)
+        self.rig.control.open = set()
+        self.engine.cache.store("p", long.messages)
+        _, end = service_rig.drain_rest(exchange)
+        self.assertEqual("program_closed", end.failure.kind)
+        self.assert_freed()
+
+    def test_new_life_releases_what_the_last_one_left(self) -> None:
+        """A sidecar dies without a stop and its successor starts.
+
+        The programs were closed in between, so no group names them any
+        more; what the engine lists and no group knows goes.
+        """
+        self.rig.call(service_rig.turn())
+        self.rig.sidecar.options = self.rig.sidecar.options._replace(
+            release_on_stop=False
+        )
+        self.rig.sidecar.stop(0.0)
+        later = service_rig.Rig(
+            self.engine, node=messages.Incarnation("side-1", 2)
+        )
+        self.addCleanup(later.stop)
+        self.assertThat(self.held(), matchers.GreaterThan(0))
+        later.control.open = set()
+        self.assert_freed()
+
+    def test_planned_stop_releases_everything(self) -> None:
+        self.rig.call(service_rig.turn())
+        self.assertEqual(0, self.rig.sidecar.stop(1.0))
+        self.assertEqual(0, self.held())
+
+    def test_restarted_engine_is_followed_from_its_start(self) -> None:
+        self.rig.call(service_rig.turn())
+        memory = self.rig.sidecar.memory
+        self.rig.until(lambda: memory.ledger.seq)
+        self.engine.crash()
+        self.engine.restart()
+        self.engine.cache.store("q", [service_rig.user("z" * 100)])
+        self.rig.until(lambda: set(memory.ledger.tokens) == {"q"})
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("abc"), strategies.integers(0, 5)
+    ),
+    max_size=12,
+)
+
+
+@hypothesis.given(EVENTS, strategies.data())
+def test_ledger_is_right_or_unsure(
+    changes: list[tuple[str, int]], data: strategies.DataObject
+) -> None:
+    """Events come late, in batches, and some never.
+
+    Whatever is lost, the ledger either equals the engine's memory or says
+    that it is unsure, and a listing then mends it.
+    """
+    engine: dict[str, int] = {}
+    ledger = sidecar_ledger.Ledger()
+    ledger.mend(upstream.CacheListing(1, 0, {}))
+    pending: list[upstream.CacheEvent] = []
+    for seq, (program, tokens) in enumerate(changes, 1):
+        engine[program] = tokens
+        if data.draw(strategies.booleans(), "arrives"):
+            pending.append(upstream.CacheEvent(seq, program, tokens))
+        if data.draw(strategies.booleans(), "batch ends"):
+            ledger.take(upstream.CacheEvents(1, seq, pending))
+            pending = []
+    ledger.take(upstream.CacheEvents(1, len(changes), pending))
+    held = {name: tokens for name, tokens in engine.items() if tokens}
+    if not ledger.unsure:
+        assert ledger.tokens == held
+    ledger.mend(upstream.CacheListing(1, len(changes), held))
+    assert ledger.tokens == held
+
+
+def test_event_from_before_a_listing_changes_nothing() -> None:
+    ledger = sidecar_ledger.Ledger()
+    ledger.mend(upstream.CacheListing(1, 5, {}))
+    late = upstream.CacheEvent(4, "a", 10)
+    ledger.take(upstream.CacheEvents(1, 5, [late]))
+    assert ledger.tokens == {}
+    assert not ledger.unsure
