--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -42,6 +42,7 @@
 class _Event(TypedDict, total=False):
     choices: list[_Choice]
     usage: _Usage | None
+    total_characters: int
 
 
 _EVENT = msgspec.json.Decoder(_Event)
@@ -177,7 +178,8 @@
     The engine's `[DONE]` is the only proof that an answer is whole; a stream
     that stops without it raises errors.StreamClosed.
     """
-    total = offset
+    received = offset
+    total = -1
     reason = ""
     usage: _Usage = {}
     done = False
@@ -190,11 +192,12 @@
                 continue
             event = _EVENT.decode(line[6:])
             usage = event.get("usage") or usage
+            total = event.get("total_characters", total)
             for choice in event.get("choices", ()):
                 reason = choice.get("finish_reason") or reason
                 text = choice.get("delta", {}).get("content")
                 if text:
-                    total += len(text)
+                    received += len(text)
                     yield upstream.Piece(text)
     except exceptions.HTTPError as error:
         raise http_errors.translate(error) from error
@@ -210,6 +213,8 @@
             response.close()
     if not done:
         raise errors.StreamClosed("The engine's stream ended too early.")
+    # An engine without the field can't tell whether a piece was lost.
+    total = received if total < 0 else total
     yield upstream.End(total, reason, to_usage(usage))
 
 
@@ -224,15 +229,19 @@
 
 
 def check_status(status: int, data: bytes) -> None:
-    """Raises the typed error of an engine's refusal."""
+    """Raises the typed error of an engine's refusal.
+
+    An engine's 5xx is its own trouble, and another one may do better; a 4xx
+    is about the request and would be the same everywhere.
+    """
     if status < 400:
         return
-    detail = (
-        f"The engine answered {status}: {data[:200].decode(errors='replace')}"
-    )
+    text = data[:200].decode(errors="replace")
+    detail = f"The engine answered {status}: {text}"
     if status == _CONFLICT:
         raise errors.FencedOff(detail)
-    raise errors.UpstreamFailed(detail)
+    outcome = errors.UNKNOWN if status >= 500 else errors.RAN
+    raise errors.UpstreamFailed(detail, outcome=outcome)
 
 
 def request_body(call: upstream.EngineCall) -> bytes:
@@ -268,7 +277,13 @@
             for item in fields["events"]
         ]
     try:
-        values = [fields[name] for name in kind._fields]
+        defaults = kind._field_defaults
+        values = [
+            fields.get(name, defaults[name])
+            if name in defaults
+            else fields[name]
+            for name in kind._fields
+        ]
         return msgspec.convert(values, kind)
     except (KeyError, TypeError, msgspec.ValidationError) as error:
         raise errors.UpstreamFailed(
--- a/src/mintcleat/standins/engine.py
+++ b/src/mintcleat/standins/engine.py
@@ -186,6 +186,7 @@
                     }
                 ],
                 "usage": _usage(sequence),
+                "total_characters": len(sequence.text),
             }
         )
         yield b"data: [DONE]\n\n"
@@ -274,6 +275,7 @@
             "kv_export": self.options.kv_export,
             "priority": self.options.priority,
             "resume": self.options.resume,
+            "memory": self.options.memory,
         }
 
     def load(self) -> dict[str, Any]:
