Wire the operators' interface, rollouts and control actions

The admin port runs on control instances; `mintcleat control` acts on every instance's groups. Tried by hand: every verb of the tool against a local run. A start that fails tells the remedy and exits 3.

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -269,11 +269,11 @@
         domain = request.text("failure_domain", "")
         operator = request.text("operator")
         detail = control.replace(old, new, address, domain)
-        for change in (
-            messages.SetControl(new, address, domain, operator, request.origin),
-            messages.SetControl(old, "", "", operator, request.origin),
-        ):
-            self.ask(change)
+        origin = request.origin
+        self.ask(messages.SetControl(new, address, domain, operator, origin))
+        # An instance whose disk was emptied is replaced by itself.
+        if old != new:
+            self.ask(messages.SetControl(old, "", "", operator, origin))
         return {"detail": detail}
 
 
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -837,6 +837,28 @@
     more: bool = False
 
 
+class ControlAction(NamedTuple):
+    """Asks one control instance to act on the groups that it leads.
+
+    Attributes:
+        action: `replace` (voter `old` by `new`) or `snapshot`.
+    """
+
+    action: str
+    old: str = ""
+    new: str = ""
+
+
+class ShowGroups(NamedTuple):
+    """Asks a control instance for the state of its groups."""
+
+
+class Groups(NamedTuple):
+    """Answer to ShowGroups; each row is a JSON object."""
+
+    rows: list[str]
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -910,6 +932,9 @@
             Rollouts,
             SetControl,
             ReplicationFrame,
+            ControlAction,
+            ShowGroups,
+            Groups,
         ),
         start=1,
     )
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -2,15 +2,20 @@
 
 import pathlib
 
+from mintcleat.adapters import admin_http
 from mintcleat.adapters import histories
 from mintcleat.adapters import tokens
 from mintcleat.adapters import wal
+from mintcleat.adapters import wsgi
 from mintcleat.configuration import machine
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
 from mintcleat.roles import config_service
+from mintcleat.roles import control_actions
+from mintcleat.roles import control_client
 from mintcleat.roles import program_service
 from mintcleat.roles import replication
+from mintcleat.roles import rollout
 
 _HAND_OVER_SECONDS = 2.0
 
@@ -52,11 +57,33 @@
             self.policies,
             histories=self._histories,
         )
+        self.planner = rollout.Planner(self.config)
+        self.client = control_client.ControlClient(
+            common.streams,
+            common.timers,
+            self._control_addresses(),
+            settings.program_groups,
+        )
+        self.actions = control_actions.ControlActions(
+            settings.instance,
+            self.log,
+            common.streams,
+            self._control_addresses(),
+        )
+        app = admin_http.AdminApp(
+            self.token,
+            ask=self.config.ask,
+            programs=self.client,
+            groups=lambda: groups,
+            control=self.actions,
+        )
+        self.admin = wsgi.HttpServer(settings.control_role.admin, app)
 
     def start(self) -> None:
         """Recovers from disk and takes part."""
         self.log.start()
         self.config.start()
+        self.planner.start()
 
     def drain(self) -> None:
         """Hands every leadership over, so that no caller waits for a vote."""
@@ -68,12 +95,13 @@
 
     def stop(self) -> None:
         """Syncs and closes."""
+        self.admin.stop()
         self.config.stop()
         self.log.stop()
 
     def addresses(self) -> dict[str, str]:
         """Returns the operators' address."""
-        return {"admin": ""}
+        return {"admin": self.admin.address}
 
     def policies(self) -> manifest_module.Policies:
         """Returns the policies in force as this instance knows them."""
@@ -82,6 +110,17 @@
     def _histories(self, group: str) -> histories.FileHistories:
         return histories.FileHistories(self.folder / "histories" / group)
 
+    def _control_addresses(self) -> list[str]:
+        """Returns every control instance's address, this one included.
+
+        A single local instance listens on any free port, so its settings
+        can't name its own address.
+        """
+        own = self.common.streams.address
+        if len(self.common.settings.control) == 1:
+            return [own]
+        return self.common.settings.control
+
     def _members(self) -> list[replication.Member]:
         settings = self.common.settings
         listed = [
--- a/src/mintcleat/main/daemon.py
+++ b/src/mintcleat/main/daemon.py
@@ -1,5 +1,6 @@
 """`mintcleatd`: runs the roles that a settings file names, or all locally."""
 
+from collections.abc import Callable
 import pathlib
 import signal
 import sys
@@ -19,6 +20,7 @@
 _EXIT_OK = 0
 _EXIT_CUT = 1
 _EXIT_SETTINGS = 2
+_EXIT_START = 3
 _POLL_SECONDS = 0.05
 
 _USAGE = """usage:
@@ -60,7 +62,7 @@
         case ["local", *rest]:
             sys.exit(fire.Fire(run_local, rest, name="mintcleatd local"))
         case ["standin", kind, listen]:
-            sys.exit(run_part(standin.Standin(kind, listen)))
+            sys.exit(run_part(lambda: standin.Standin(kind, listen)))
         case ["--check", path]:
             sys.exit(check(pathlib.Path(path)))
         case [path] if not path.startswith("-"):
@@ -77,7 +79,8 @@
 ) -> None:
     """Runs every role, two stand-in engines and a stand-in service."""
     logs.configure("local", "warning", as_json=False)
-    sys.exit(run_part(local_module.Local(entry, admin, pathlib.Path(data))))
+    folder = pathlib.Path(data)
+    sys.exit(run_part(lambda: local_module.Local(entry, admin, folder)))
 
 
 def faults_of(path: pathlib.Path) -> list[errors.InvalidSettings]:
@@ -110,13 +113,23 @@
     logs.configure(
         settings.instance, settings.logs.level, settings.logs.form == "json"
     )
-    return run_part(assembly.Process(settings))
+    return run_part(lambda: assembly.Process(settings))
 
 
-def run_part(part: Any) -> int:
-    """Starts a part, prints its ready line, and stops it on a signal."""
+def run_part(build: Callable[[], Any]) -> int:
+    """Builds and starts a part, and stops it on a signal."""
     signals = Signals()
-    part.start()
+    try:
+        part = build()
+        part.start()
+    except errors.MintcleatError as error:
+        print(f"mintcleatd: {error.detail}", file=sys.stderr)
+        print(f"remedy: {error.remedy}", file=sys.stderr)
+        return _EXIT_START
+    except OSError as error:
+        print(f"mintcleatd: {error}", file=sys.stderr)
+        print("remedy: Free the address or name another.", file=sys.stderr)
+        return _EXIT_START
     print(part.ready_line(), flush=True)
     signals.wait()
     logger.info("Stopping; a second signal ends it at once.")
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -235,6 +235,11 @@
         driver.wake()
         return begun
 
+    def snapshot(self) -> list[str]:
+        """Snapshots every group here; returns their names."""
+        driver = self._running(self.names[0])
+        return [name for name in self.names if driver.snapshot(name)]
+
     def status(self) -> list[GroupStatus]:
         """Returns the state of every group."""
         if self.driver is None:
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -239,6 +239,15 @@
             self.growth[group].bytes += size
             self._snapshot(group, replica, machine)
 
+    def snapshot(self, group: str) -> bool:
+        """Snapshots a group now; False when nothing is new since the last."""
+        replica = self.core.replicas[group]
+        machine = self.machines.get(group)
+        if machine is None or replica.state.applied <= replica.state.mark.index:
+            return False
+        self._save(group, replica, machine)
+        return True
+
     def _snapshot(
         self, group: str, replica: replicas.Replica, machine: log.StateMachine
     ) -> None:
@@ -247,6 +256,12 @@
         enough = max(self.options.snapshot_bytes, growth.snapshot_size)
         if entries < self.options.snapshot_entries and growth.bytes < enough:
             return
+        self._save(group, replica, machine)
+
+    def _save(
+        self, group: str, replica: replicas.Replica, machine: log.StateMachine
+    ) -> None:
+        growth = self.growth[group]
         mark = replica.snapshot_mark()
         state = machine.snapshot()
         self.wal.save_snapshot(group, mark.index, state)
