Stop on a superseded identity, grow small groups, test failures

Cause: a clock that is behind could hide a newcomer from its peers, and a group that one instance founded alone never grew. Change: superseded identities stop with a remedy; a group with fewer voters than group_size takes in live instances; tests of a failing sync, of replace, of large frames and of a peer that reads nothing.

--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -39,6 +39,9 @@
         box: Effects to carry out.
         replicas: By group.
         roster: Who lives on which instance.
+        superseded: Highest epoch that a peer knows of this instance. One
+            above its own means that another process uses the name, or that
+            the disk was formatted while the clock was behind.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.beat_due = now
         self.hello_due = now
         self.started = now
+        self.superseded = 0
         self.outgoing: dict[messages.Incarnation, _Outgoing] = {}
         self.incoming: dict[
             messages.Incarnation, tuple[int, int, list[wire.Beat]]
@@ -85,6 +89,8 @@
         the replica that it held before could elect two leaders in one term
         or count an entry as held by a majority that lost it.
         """
+        if frame.to.instance == self.me.instance:
+            self.superseded = max(self.superseded, frame.to.epoch)
         anyone = messages.Incarnation(self.me.instance, 0)
         if frame.to not in (self.me, anyone):
             return
--- a/src/mintcleat/consensus/repair.py
+++ b/src/mintcleat/consensus/repair.py
@@ -12,7 +12,11 @@
 
 
 def tick(replica: state.State, roster: rosters.Roster, now: float) -> None:
-    """Starts or gives up a repair of this group, one at a time."""
+    """Starts or gives up a repair of this group, one at a time.
+
+    A group with too few voters grows too: one that an instance founded alone
+    is as safe as the others once more instances are listed.
+    """
     if not membership.may_change(replica):
         return
     configuration = replica.configuration
@@ -27,6 +31,10 @@
         if newcomer is not None:
             replace(replica, voter.replica, newcomer, now)
             return
+    if len(configuration.voters) < replica.settings.group_size:
+        spare = _spare(replica, roster, None, now)
+        if spare is not None:
+            membership.add(replica, spare, now)
 
 
 def replace(
@@ -62,7 +70,7 @@
 def _spare(
     replica: state.State,
     roster: rosters.Roster,
-    voter: types.Peer,
+    voter: types.Peer | None,
     now: float,
 ) -> types.Peer | None:
     """Returns a live instance outside the group, best in a free domain."""
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -137,6 +137,9 @@
         except ValueError as error:
             self.fail(errors.StorageDamaged(f"The log contradicts: {error}"))
             return
+        if self.core.superseded > self.core.me.epoch:
+            self.fail(_superseded(self.core.me.instance))
+            return
         self.wake()
 
     def work(self) -> None:
@@ -294,5 +297,13 @@
         ) from error
 
 
+def _superseded(instance_name: str) -> errors.InvalidSettings:
+    return errors.InvalidSettings(
+        f"Peers know a later incarnation of {instance_name}.",
+        remedy="End the other process of this name; if there is none, correct"
+        " the clock, empty the data folder and restart.",
+    )
+
+
 def _lost() -> errors.ProposalLost:
     return errors.ProposalLost("The leadership changed before the commit.")
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -1,6 +1,7 @@
 """GroupLog on real files and loopback streams."""
 
 from collections.abc import Callable
+import errno
 import pathlib
 import shutil
 import tempfile
@@ -12,10 +13,12 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
 from mintcleat.adapters import wal
+from mintcleat.adapters import wal_disk
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import replication
+from mintcleat.roles import replication_links
 
 
 class Journal:
@@ -283,3 +286,122 @@
         away.boot()
         away.start(self.members)
         self.until(lambda: len(away.journal.commands) == 300)
+
+    def test_leader_whose_sync_fails_acknowledges_nothing(self) -> None:
+        """The leader's disk fails to sync a proposal.
+
+        The proposer is told that the outcome is unknown, since the others
+        may have the entry; the replica stops for good, and they go on.
+        """
+        leader = self.leader()
+        self.write(b"before")
+        leader.log.wal.disk = BrokenDisk()
+        error = self.assertRaises(
+            errors.ProposalLost, leader.log.propose, "g", b"doubt", 2.0
+        )
+        self.assertEqual(errors.UNKNOWN, error.outcome)
+        self.assertIsInstance(leader.log.failure(), errors.StorageFailed)
+        self.assertRaises(
+            errors.NotLeader, leader.log.propose, "g", b"more", 1.0
+        )
+        self.nodes.remove(leader)
+        self.write(b"after")
+
+    def test_operator_moves_a_replica_to_another_instance(self) -> None:
+        spare = Replica("s1", self.folder)
+        member = replication.Member("s1", spare.address, "s1", "r")
+        self.members.append(member)
+        for node in self.nodes:
+            node.stop()
+            node.boot()
+            node.start(self.members)
+        spare.start(self.members)
+        self.addCleanup(spare.stop)
+        self.write(b"before")
+        leader = self.leader()
+        old = next(n for n in self.nodes if n is not leader)
+
+        def begun() -> bool:
+            try:
+                return leader.log.replace("g", old.name, "s1") == ["g"]
+            except errors.BadRequest:
+                return False
+
+        self.until(begun)
+        names = sorted({n.name for n in self.nodes} - {old.name} | {"s1"})
+        self.until(lambda: [v.instance for v in self.voters()] == names)
+        self.until(lambda: spare.journal.commands == [b"before"])
+
+    def test_second_process_with_an_older_epoch_stops(self) -> None:
+        """A disk is emptied while its instance's clock is behind.
+
+        The new identity would sort before the old one, and peers would take
+        its frames for stale. It stops and names the remedy.
+        """
+        self.write(b"before")
+        node = next(n for n in self.nodes if n is not self.leader())
+        node.epoch = -10
+        self.restart(node, empty=True)
+        self.until(lambda: node.log.failure() is not None)
+        self.assertIn("clock", node.log.failure().remedy)
+
+
+class BrokenDisk(wal_disk.SystemDisk):
+    """A disk whose syncs fail."""
+
+    def sync(self, descriptor: int) -> None:
+        raise OSError(errno.EIO, "injected")
+
+
+class LinksTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.frames: list[bytes] = []
+        self.server = streams.TcpStreams("127.0.0.1:0")
+        self.client = streams.TcpStreams("127.0.0.1:0")
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.stop)
+        clock = timers.EventletTimers()
+        replication_links.Links(self.server, clock, self.frames.append)
+        self.links = replication_links.Links(
+            self.client, clock, self.frames.append
+        )
+        self.addCleanup(self.links.stop)
+
+    def test_large_frame_arrives_whole_beside_small_ones(self) -> None:
+        large = bytes(range(256)) * 12_000
+        ended: list[bool] = []
+        self.links.send_bulk(self.server.address, large, ended.append)
+        for number in range(3):
+            self.links.send(self.server.address, b"%d" % number)
+        for _ in range(500):
+            if len(self.frames) == 4:
+                break
+            eventlet.sleep(0.01)
+        self.assertEqual([True], ended)
+        self.assertIn(large, self.frames)
+        small = [frame for frame in self.frames if frame != large]
+        self.assertEqual([b"0", b"1", b"2"], small)
+
+    def test_peer_that_reads_nothing_never_blocks_the_sender(self) -> None:
+        """A peer accepts the connection and then reads nothing.
+
+        The socket's buffers fill; frames beyond the bounded queue are
+        dropped, and the caller goes on at once.
+        """
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        for _ in range(1000):
+            self.links.send(f"{host}:{port}", bytes(100_000))
+            eventlet.sleep(0)
+        link = self.links.links[f"{host}:{port}"]
+        self.assertTrue(link.queue.full())
+
+    def test_snapshot_to_an_unreachable_peer_is_reported(self) -> None:
+        gone = streams.TcpStreams("127.0.0.1:0")
+        gone.stop()
+        ended: list[bool] = []
+        self.links.send_bulk(gone.address, b"state", ended.append)
+        eventlet.sleep(0.2)
+        self.assertEqual([False], ended)
