--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -162,16 +162,11 @@
         program = job.program
         cached = self.engine.cached.get(program.spec.name, 0)
         call = self.world.call(job, job.prompt - cached)
+        call = call._replace(rebuild_tokens=call.new_tokens - job.step.new)
         answer = self.gate.offer(call, now)
         if isinstance(answer, admit.Refuse):
             return answer
-        if program.resident == self.name and program.tool:
-            # The program is back; its cache is no longer a paused one.
-            self.keeper.resumed(program.spec.name, now)
-            if cached:
-                self.keeper.paused(
-                    program.spec.name, "waiting/call", cached, now
-                )
+        self.keeper.called(program.spec.name, now)
         self.jobs[job.call_id] = job
         self.world.admitted += 1
         if isinstance(answer, queue.Admit):
@@ -190,7 +185,7 @@
         self.engine.advance(now)
         name = job.program.spec.name
         cached = self.engine.drop(name)
-        self.keeper.resumed(name, now) if cached else None
+        self.keeper.started(name)
         imported = 0
         if job.choice and job.choice.export and not cached:
             imported = self.world.take_export(job.program)
@@ -275,6 +270,7 @@
             self.gate.progressed(self.engine.token_time())
         for entry in self.world.entries:
             self.world.at(now + REPORT_DELAY, entry.hear, self.report())
+        self.gate.slots.working_set.adapt(now)
         for action in self.keeper.sweep(now):
             self._act(action)
         for call in self.gate.expire(now):
@@ -293,7 +289,7 @@
 
     def release_moved(self, program: str) -> None:
         """Frees a copy that its program left for another upstream."""
-        self.keeper.resumed(program, self.world.now)
+        self.keeper.started(program)
         self.engine.drop(program)
         self.gate.left(program)
         self.pump()
--- a/src/mintcleat/decisions/admit.py
+++ b/src/mintcleat/decisions/admit.py
@@ -14,7 +14,7 @@
 # A program that has not started is refused at this share of the wait that a
 # started one may still queue for. Work already done for a program is lost if
 # its next call is refused, so an overload is shed at the first calls.
-NEW_PROGRAM_SHARE = 0.5
+NEW_PROGRAM_SHARE = 1 / 3
 # Predictions err; a call is admitted only when it would still meet its
 # deadline with wait and service this much longer than predicted.
 MARGIN = 1.5
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -29,6 +29,7 @@
 
 # Stands for a call of which nothing is known.
 _USUAL = calls.Call("", "", "", "", "")
+_STARTED = _USUAL._replace(attained=1, prompt_tokens=1)
 
 
 Options = slots.Options
@@ -74,7 +75,7 @@
     def configure(self, options: Options) -> None:
         """Puts other policies in force; what waits keeps its place."""
         self.options = options
-        self.slots.options = options
+        self.slots.configure(options)
 
     def offer(
         self, call: calls.Call, now: float
@@ -87,7 +88,7 @@
         if call.call_id in self.waiting or call.call_id in self.slots.running:
             raise ValueError(f"The gate holds the call {call.call_id!r}.")
         entry = self._entry(call, now)
-        wait = self._wait(entry)
+        wait = self._wait(entry, now)
         if self.options.bounded:
             refusal = self._verdict(entry, wait, now)
             if refusal is not None:
@@ -175,7 +176,7 @@
 
     def predicted_wait(self, now: float) -> float:
         """Returns the wait of a program's first call, in seconds."""
-        return self._wait(self._entry(_USUAL, now))
+        return self._wait(self._entry(_USUAL, now), now)
 
     def load(self, now: float) -> Load:
         """Returns the load to report."""
@@ -183,9 +184,7 @@
             len(self.slots.running),
             len(self.waiting),
             self.limit.current(),
-            self._wait(
-                self._entry(_USUAL._replace(attained=1, prompt_tokens=1), now)
-            ),
+            self._wait(self._entry(_STARTED, now), now),
             self.speed.token_time,
             self.speed.prefill_rate,
             self.predicted_wait(now),
@@ -229,7 +228,7 @@
         )
         return admit.verdict(entry.call, facts, now)
 
-    def _wait(self, entry: lines.Entry) -> float:
+    def _wait(self, entry: lines.Entry, now: float) -> float:
         """Predicts the wait: work that starts before it over the slots.
 
         Work of other partners counts only as far as their shares let them
@@ -239,7 +238,7 @@
         memory_wait = 0.0
         if entry.need == lines.NEWCOMER and not self.slots.has_room(entry):
             ahead = 1 + line.needs[lines.NEWCOMER]
-            memory_wait = ahead * self.slots.working_set.interval
+            memory_wait = self.slots.working_set.wait(ahead, now)
         return max(memory_wait, self._slot_wait(entry, line))
 
     def _slot_wait(self, entry: lines.Entry, line: lines.Line) -> float:
--- a/src/mintcleat/decisions/retain.py
+++ b/src/mintcleat/decisions/retain.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import math
 from typing import NamedTuple
 
 from mintcleat.decisions import pauses
@@ -78,12 +79,14 @@
     Attributes:
         tool: Name under which pauses are learned, as `agent/tool`.
         since: When its last call ended.
+        waiting: Whether its next call waits in the queue.
     """
 
     program: str
     tool: str
     tokens: int
     since: float
+    waiting: bool = False
 
 
 class Keeper:
@@ -104,13 +107,28 @@
         self.tokens += tokens
         return self.decide(program, now)
 
-    def resumed(self, program: str, now: float) -> bool:
-        """Learns the pause; tells whether the cache was still held."""
-        paused = self._forget(program)
-        if paused is None:
-            return False
+    def called(self, program: str, now: float) -> int:
+        """Learns the pause; returns the cached tokens that the call can use.
+
+        From here to its start the cache is not evicted: the call that makes
+        room for itself would only change places with this one.
+        """
+        paused = self.held.get(program)
+        if paused is None or paused.waiting:
+            return paused.tokens if paused else 0
         self.histogram(paused.tool).add(now - paused.since)
-        return True
+        self.held[program] = paused._replace(waiting=True)
+        return paused.tokens
+
+    def refused(self, program: str, now: float) -> None:
+        """Notes that a call was not taken; its cache may go again."""
+        paused = self.held.get(program)
+        if paused is not None:
+            self.held[program] = paused._replace(waiting=False, since=now)
+
+    def started(self, program: str) -> None:
+        """Notes that the call runs; its memory is the engine's own now."""
+        self._forget(program)
 
     def missed(self, tool: str, seconds: float) -> None:
         """Learns a pause whose cache was dropped before its end.
@@ -125,7 +143,8 @@
         paused = self._forget(program)
         if paused is None:
             return False
-        self.histogram(paused.tool).add_gone()
+        if not paused.waiting:
+            self.histogram(paused.tool).add_gone()
         return True
 
     def decide(self, program: str, now: float) -> Action:
@@ -189,6 +208,8 @@
         )
 
     def _soon(self, paused: Paused, now: float) -> bool:
+        if paused.waiting:
+            return True
         histogram = self.histogram(paused.tool)
         return histogram.left(now - paused.since) < SOON_SECONDS
 
@@ -197,6 +218,8 @@
         return self.histograms.setdefault(tool, pauses.Histogram())
 
     def _value(self, paused: Paused, now: float) -> float:
+        if paused.waiting:
+            return math.inf
         if not self.options.by_pause:
             return paused.since
         histogram = self.histogram(paused.tool)
@@ -204,8 +227,8 @@
         return histogram.chance(elapsed) / histogram.left(elapsed)
 
     def _hung_at(self, paused: Paused) -> float:
-        if not self.options.bounded:
-            return float("inf")
+        if not self.options.bounded or paused.waiting:
+            return math.inf
         usual = self.histogram(paused.tool).quantile(HUNG_QUANTILE)
         bound = min(MAX_HUNG_SECONDS, HUNG_FACTOR * usual)
         return paused.since + max(MIN_HUNG_SECONDS, bound)
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -22,8 +22,9 @@
 # More would only queue inside the engine, where each call already holds its
 # memory and no order is kept.
 PREFILL_SECONDS = 1.0
+RESIDENT_FACTOR = 3.0
 # A returning call that waited so long may evict caches expected back soon.
-PATIENCE = 5.0
+PATIENCE = 20.0
 
 
 class Options(NamedTuple):
@@ -35,8 +36,8 @@
             absent for no limit.
         max_wait: Longest predicted wait in the queue, in seconds.
         memory: Tokens of context that the upstream can hold; 0 for no limit.
-        working_set: Part of `memory` that the footprints of the programs
-            under way may take; 0 to let newcomers in at any time.
+        rebuild_share: Part of the engine's time that rebuilding may take
+            before newcomers wait; 0 to let them in at any time.
         prefill: Seconds of prompt computing under way at once; 0 for any.
         protect: Whether calls wait for caches that are expected back soon.
         adaptive: Whether the concurrency limit is learned.
@@ -50,7 +51,7 @@
     max_running: dict[str, int] = {}
     max_wait: float = 30.0
     memory: int = 0
-    working_set: float = workingset.OVERCOMMIT
+    rebuild_share: float = workingset.REBUILD_SHARE
     prefill: float = PREFILL_SECONDS
     protect: bool = True
     adaptive: bool = True
@@ -79,7 +80,7 @@
     def __init__(self, options: Options, pace: speed.Speed) -> None:
         self.options = options
         self.speed = pace
-        self.working_set = workingset.WorkingSet()
+        self.working_set = workingset.WorkingSet(options.rebuild_share)
         self.running: dict[str, Running] = {}
         self.running_of: dict[str, int] = {}
         self.batch = 0
@@ -89,6 +90,11 @@
         self.computing: dict[str, int] = {}
         self.computing_tokens = 0
 
+    def configure(self, options: Options) -> None:
+        """Puts other policies in force."""
+        self.options = options
+        self.working_set.rebuild_share = options.rebuild_share
+
     def start(self, entry: lines.Entry, now: float) -> None:
         """Counts a call as started."""
         call = entry.call
@@ -101,6 +107,8 @@
         self.computing[call.call_id] = call.new_tokens
         self.computing_tokens += call.new_tokens
         self.working_set.enter(call.program, entry.footprint)
+        rebuild = call.rebuild_tokens / max(self.speed.prefill_rate, 1.0)
+        self.working_set.rebuild(rebuild, now)
         if entry.need == lines.NEWCOMER:
             self.working_set.let_in(now)
 
@@ -167,8 +175,10 @@
 
     def has_room(self, entry: lines.Entry) -> bool:
         """Tells whether a newcomer fits among the programs under way."""
-        part = self.options.working_set * self.options.memory
-        return not part or self.working_set.fits(entry.footprint, part)
+        memory = self.options.memory
+        if not memory or not self.options.rebuild_share:
+            return True
+        return self.working_set.fits(entry.footprint, memory)
 
     def _memory_fits(self, entry: lines.Entry, now: float) -> bool:
         """Tells whether the contexts fit the engine's memory together.
@@ -193,6 +203,9 @@
         seconds = self.options.prefill
         if not seconds or not self.computing_tokens:
             return True
+        if entry.need == lines.RESIDENT:
+            # It takes little, and its cache stays locked while it waits.
+            seconds *= RESIDENT_FACTOR
         tokens = self.computing_tokens + entry.call.new_tokens
         return tokens <= seconds * self.speed.prefill_rate
 
