Credit an exchange for its first message at once

A first message larger than the window was counted as taken, but its credit went out only with the next message, which could not come. Ruled out: the test's timing (the frame never arrived, not late) and the writer's queue (empty). Change: credit is counted at the opening.

--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -149,6 +149,10 @@
 
     def _take(self, size: int) -> None:
         self.unread -= size
+        self.count_taken(size)
+
+    def count_taken(self, size: int) -> None:
+        """Gives the peer credit for what was taken, half a window at once."""
         self.taken += size
         if self.closed or self.taken < self.connection.limits.window // 2:
             return
@@ -360,7 +364,8 @@
             raise errors.BadRequest("Too many exchanges are open.")
         message = codec.decode(frame.body)
         exchange = TcpExchange(self, frame.exchange)
-        # The first message is taken at once, so its bytes are due as credit.
-        exchange.taken = len(frame.body)
         self.exchanges[frame.exchange] = exchange
+        # The first message is taken at once. If it fills the window and its
+        # credit waited for a second one, neither side could ever go on.
+        exchange.count_taken(len(frame.body))
         eventlet.spawn(self.serve, exchange, message)
