--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -95,7 +95,8 @@
 
     def resume(self, program: str) -> None:
         """Prepares the engine for a program's next turn."""
-        self.keeper.resumed(program, self.timers.now())
+        self.keeper.called(program, self.timers.now())
+        self.keeper.started(program)
         blob = self.exports.pop(program)
         if blob is None:
             return
