--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,439 @@
+"""Measures the decisions against simpler schedulers, in virtual time.
+
+Usage: PYTHONPATH=src python bench/policy.py COMMAND [--seeds 20] [--jobs 3]
+Commands: goals, burst, slow, overload, mechanisms, weights, capacity, cost.
+"""
+
+from collections.abc import Callable
+import concurrent.futures
+import math
+import statistics
+import time
+
+import fire
+
+from mintcleat.decisions import calls
+from mintcleat.decisions import order
+from mintcleat.decisions import place
+from mintcleat.decisions import queue
+from mintcleat.decisions import subset
+from mintcleat.domain import messages
+import policy_engine
+import policy_load
+import policy_world
+
+ARRIVALS = 900.0
+WARM = 120.0
+DRAIN = 3000.0
+NAIVE_GATE = queue.Options(
+    working_set=False,
+    prefill=0.0,
+    protect=False,
+    adaptive=False,
+    fair=False,
+    bounded=False,
+    classes=False,
+    ordering=policy_world.FIFO,
+)
+NAIVE = policy_world.Policy(
+    "naive",
+    placing="round_robin",
+    keeping="none",
+    gate=NAIVE_GATE,
+    bounded_pause=False,
+    export=False,
+    deadline=0.0,
+    retries=False,
+)
+STRONG = NAIVE._replace(name="strong", placing="least_loaded", keeping="age")
+FULL = policy_world.Policy("full")
+
+
+def without() -> list[policy_world.Policy]:
+    """Returns the full policy with each mechanism off in turn."""
+    gate = FULL.gate
+    switches = FULL.switches
+    ordering = order.ALL_ON
+    gates = {
+        "working set": gate._replace(working_set=False),
+        "prefill bound": gate._replace(prefill=0.0),
+        "protection": gate._replace(protect=False),
+        "adaptive limit": gate._replace(adaptive=False),
+        "fair shares": gate._replace(fair=False),
+        "classes": gate._replace(classes=False),
+        "bounded queue": gate._replace(bounded=False),
+        "program order": gate._replace(ordering=policy_world.FIFO),
+        "learned rest": gate._replace(
+            ordering=ordering._replace(learned=False)
+        ),
+    }
+    places = {
+        "residency": switches._replace(residency=False),
+        "sent since report": switches._replace(lag=False),
+        "learned speeds": switches._replace(speeds=False),
+        "ejection": switches._replace(ejection=False),
+    }
+    policies = [FULL._replace(name=name, gate=gates[name]) for name in gates]
+    policies += [
+        FULL._replace(name=name, switches=places[name]) for name in places
+    ]
+    policies.append(FULL._replace(name="pause histograms", keeping="age"))
+    policies.append(FULL._replace(name="hung bound", bounded_pause=False))
+    policies.append(FULL._replace(name="export", export=False))
+    policies.append(FULL._replace(name="retries", retries=False))
+    return policies
+
+
+def program_seconds(deployment: policy_load.Deployment) -> float:
+    """Returns the mean engine time of a program, histories never rebuilt."""
+    sample = policy_load.Generator(deployment, 1234)
+    return statistics.mean(
+        policy_load.engine_seconds(
+            sample.program(),
+            policy_engine.PREFILL_RATE,
+            policy_engine.decode_seconds(),
+        )
+        for _ in range(400)
+    )
+
+
+def rate(deployment: policy_load.Deployment, load: float) -> float:
+    """Returns programs a second at a part of the deployment's capacity."""
+    engines = deployment.engines * deployment.capacity
+    return load * engines / program_seconds(deployment)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns a percentile; infinite for no values."""
+    if not values:
+        return math.inf
+    return sorted(values)[int(share * (len(values) - 1))]
+
+
+def latencies(
+    result: policy_world.Result,
+    start: float,
+    end: float,
+    skip: str = "",
+    end_of_run: float = math.inf,
+) -> list[float]:
+    """Returns whole-program latencies of arrivals between two times.
+
+    A program that has not ended counts with the time it has had.
+    """
+    return [
+        min(ended, end_of_run) - arrived
+        for arrived, ended, partner, _, paused in result.records
+        if start <= arrived < end and paused < math.inf and partner != skip
+    ]
+
+
+def steady(
+    name: str, policy: policy_world.Policy, seed: int, load: float
+) -> dict[str, float]:
+    """Runs Poisson arrivals at one load."""
+    deployment = policy_load.DEPLOYMENTS[name]
+    generator = policy_load.Generator(deployment, seed)
+    world = policy_world.World(deployment, policy)
+    for at in generator.arrivals(rate(deployment, load), 0.0, ARRIVALS):
+        world.at(at, world.arrive, generator.program())
+    return measured(world)
+
+
+def measured(
+    world: policy_world.World, skip: str = "", start: float = WARM
+) -> dict[str, float]:
+    """Runs a world to its end and returns what callers saw."""
+    world.run(ARRIVALS + DRAIN)
+    result = world.result()
+    times = latencies(result, start, ARRIVALS, skip, ARRIVALS + DRAIN)
+    return {
+        "mean": statistics.mean(times),
+        "p95": percentile(times, 0.95),
+        "waste": result.wasted / len(result.records),
+        "late%": 100 * result.late / max(1, result.admitted),
+        "refused": result.refusals / len(result.records),
+        "moves": result.moves / len(result.records),
+    }
+
+
+def burst_run(
+    name: str, policy: policy_world.Policy, seed: int, factor: float
+) -> dict[str, float]:
+    """Runs one partner at `factor` times its share for 100 s."""
+    deployment = policy_load.DEPLOYMENTS[name]
+    generator = policy_load.Generator(deployment, seed)
+    world = policy_world.World(deployment, policy)
+    usual = rate(deployment, 0.7)
+    for at in generator.arrivals(usual, 0.0, ARRIVALS):
+        world.at(at, world.arrive, generator.program())
+    partner = policy_load.PARTNERS[0]
+    more = (factor - 1) * usual / len(policy_load.PARTNERS)
+    if more > 0:
+        other = policy_load.Generator(deployment, 1000 + seed)
+        other.count = 10**6
+        for at in other.arrivals(more, 150.0, 250.0):
+            world.at(at, world.arrive, other.program(partner))
+    return measured(world, skip=partner, start=150.0)
+
+
+def slow_run(
+    name: str, policy: policy_world.Policy, seed: int, factor: float
+) -> dict[str, float]:
+    """Runs at 0.6 of capacity with one engine slower by `factor`."""
+    deployment = policy_load.DEPLOYMENTS[name]
+    generator = policy_load.Generator(deployment, seed)
+    world = policy_world.World(deployment, policy, {0: factor})
+    for at in generator.arrivals(rate(deployment, 0.6), 0.0, ARRIVALS):
+        world.at(at, world.arrive, generator.program())
+    return measured(world)
+
+
+def overload_run(
+    name: str, policy: policy_world.Policy, seed: int, factor: float
+) -> dict[str, float]:
+    """Runs 0.7 of capacity, `factor` for ten minutes, then 0.7 again.
+
+    A caller whose first call is refused goes away.
+    """
+    deployment = policy_load.DEPLOYMENTS[name]
+    generator = policy_load.Generator(deployment, seed)
+    world = policy_world.World(deployment, policy, patience=1)
+    phases = [(0.7, 0.0, 200.0), (factor, 200.0, 800.0), (0.7, 800.0, 1200.0)]
+    for load, start, end in phases:
+        for at in generator.arrivals(rate(deployment, load), start, end):
+            world.at(at, world.arrive, generator.program())
+    world.run(1200.0 + DRAIN)
+    result = world.result()
+    good = sum(s for at, s in result.useful if 300.0 <= at < 800.0) / 500.0
+    ended = [
+        (arrived, end - arrived)
+        for arrived, end, *_, paused in result.records
+        if end < math.inf and paused < math.inf
+    ]
+    before = [time for at, time in ended if 60.0 <= at < 200.0]
+    during = [time for at, time in ended if 300.0 <= at < 800.0]
+    after = [time for at, time in ended if 900.0 <= at < 1200.0]
+    return {
+        "goodput%": 100 * good / deployment.engines / deployment.capacity,
+        "late%": 100 * result.late / max(1, result.admitted),
+        "mean during": statistics.mean(during or [math.inf]),
+        "after/before": statistics.mean(after or [math.inf])
+        / statistics.mean(before or [math.inf]),
+        "served after%": 100
+        * len(after)
+        / max(
+            1,
+            sum(
+                900.0 <= arrived < 1200.0 and paused < math.inf
+                for arrived, _, _, _, paused in result.records
+            ),
+        ),
+        "waste": result.wasted / len(result.records),
+    }
+
+
+Case = tuple[
+    Callable[..., dict[str, float]], str, policy_world.Policy, int, float
+]
+
+
+def run_case(case: Case) -> dict[str, float]:
+    """Runs one case in a worker process."""
+    function, name, policy, seed, argument = case
+    return function(name, policy, seed, argument)
+
+
+def table(
+    function: Callable[..., dict[str, float]],
+    rows: list[tuple[str, policy_world.Policy, float]],
+    seeds: int,
+    jobs: int,
+) -> list[dict[str, float]]:
+    """Runs each row with every seed and prints medians and quartiles."""
+    cases = [
+        (function, name, policy, seed, argument)
+        for name, policy, argument in rows
+        for seed in range(1, seeds + 1)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        found = list(pool.map(run_case, cases))
+    medians = []
+    for index, (name, policy, argument) in enumerate(rows):
+        part = found[index * seeds : (index + 1) * seeds]
+        medians.append(_print_row(name, policy.name, argument, part))
+    return medians
+
+
+def _print_row(
+    name: str, policy: str, argument: float, part: list[dict[str, float]]
+) -> dict[str, float]:
+    medians = {}
+    cells = []
+    for key in part[0]:
+        values = [row[key] for row in part]
+        low, middle, high = (percentile(values, q) for q in (0.25, 0.5, 0.75))
+        medians[key] = middle
+        cells.append(f"{key} {middle:.1f} [{low:.1f} {high:.1f}]")
+    print(
+        f"{name:10} {policy:18} {argument:4g}  " + "  ".join(cells), flush=True
+    )
+    return medians
+
+
+def _ratios(text: str, ours: dict[str, float], other: dict[str, float]) -> None:
+    parts = [
+        f"{key} {ours[key] / other[key]:.2f}"
+        for key in ("mean", "p95", "waste")
+        if other[key]
+    ]
+    print(f"           {text}: " + ", ".join(parts))
+
+
+class Commands:
+    """The measurements; see the module's text."""
+
+    def goals(self, seeds: int = 20, jobs: int = 3, load: float = 0.9) -> None:
+        """Compares naive, strong and full at a part of capacity."""
+        for name in policy_load.DEPLOYMENTS:
+            rows = [(name, policy, load) for policy in (NAIVE, STRONG, FULL)]
+            naive, strong, full = table(steady, rows, seeds, jobs)
+            _ratios("full / naive", full, naive)
+            _ratios("full / strong", full, strong)
+
+    def burst(self, seeds: int = 20, jobs: int = 3) -> None:
+        """One partner at 10 times its share; the others' latency."""
+        for name in policy_load.DEPLOYMENTS:
+            for policy in (STRONG, FULL):
+                rows = [(name, policy, factor) for factor in (1.0, 10.0)]
+                calm, burst = table(burst_run, rows, seeds, jobs)
+                _ratios("burst / calm", burst, calm)
+
+    def slow(self, seeds: int = 20, jobs: int = 3) -> None:
+        """One engine ten times slower."""
+        for name in policy_load.DEPLOYMENTS:
+            for policy in (STRONG, FULL):
+                rows = [(name, policy, factor) for factor in (1.0, 10.0)]
+                healthy, slow = table(slow_run, rows, seeds, jobs)
+                _ratios("slow / healthy", slow, healthy)
+
+    def overload(self, seeds: int = 20, jobs: int = 3) -> None:
+        """Twice the capacity for ten minutes, then normal."""
+        rows = [
+            (name, policy, 2.0)
+            for name in policy_load.DEPLOYMENTS
+            for policy in (STRONG, FULL)
+        ]
+        table(overload_run, rows, seeds, jobs)
+
+    def mechanisms(self, seeds: int = 20, jobs: int = 3) -> None:
+        """Switches each own mechanism off in turn, at 0.9 of capacity."""
+        for name in policy_load.DEPLOYMENTS:
+            rows = [(name, policy, 0.9) for policy in (FULL, *without())]
+            table(steady, rows, seeds, jobs)
+
+    def weights(self, seeds: int = 20, jobs: int = 3) -> None:
+        """Moves the manifest's weights from one end to the other."""
+        ends = {
+            "latency 9:1": (9.0, 1.0),
+            "even": (1.0, 1.0),
+            "waste 1:9": (1.0, 9.0),
+        }
+        for name in policy_load.DEPLOYMENTS:
+            rows = [
+                (
+                    name,
+                    FULL._replace(name=text, weights=place.Weights(*pair)),
+                    0.9,
+                )
+                for text, pair in ends.items()
+            ]
+            table(steady, rows, seeds, jobs)
+
+    def capacity(self, seeds: int = 5, jobs: int = 3) -> None:
+        """Finds where whole-program latency leaves the unloaded one."""
+        for name, deployment in policy_load.DEPLOYMENTS.items():
+            loads = [0.3, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9]
+            rows = [(name, FULL, load / deployment.capacity) for load in loads]
+            print(f"{name}: parts of bare compute {loads}")
+            table(steady, rows, seeds, jobs)
+
+    def cost(self) -> None:
+        """Times one placement and one admission, in microseconds."""
+        for count in (10, 300, 3000):
+            print(f"upstreams {count:6}  placement {_placement(count):7.1f} us")
+        for count in (1_000, 100_000):
+            print(f"programs  {count:6}  admission {_admission(count):7.1f} us")
+
+
+def _placement(count: int) -> float:
+    members = [
+        subset.Member(f"u{number}", f"d{number % 9}") for number in range(count)
+    ]
+    fleet = place.Fleet()
+    fleet.watch(subset.choose(members, "entry"))
+    for name in fleet.subset:
+        report = messages.LoadReport(
+            messages.Incarnation(name, 1),
+            1,
+            3,
+            0,
+            24,
+            0.0,
+            0.02,
+            8000.0,
+            0,
+            place.READY,
+        )
+        fleet.report(report, 0.0)
+    resident = place.Resident(fleet.subset[0], 5000)
+    started = time.perf_counter()
+    for number in range(5000):
+        call = calls.Call(f"c{number}", "p", "p", "a", "b", attained=1)
+        place.choose(fleet, call, resident, place.Weights(), number * 0.01)
+        for upstream in fleet.upstreams.values():
+            upstream.sent.clear()
+    clearing = time.perf_counter()
+    for _ in range(5000):
+        for upstream in fleet.upstreams.values():
+            upstream.sent.clear()
+    ended = time.perf_counter()
+    return ((clearing - started) - (ended - clearing)) / 5000 * 1e6
+
+
+def _admission(count: int) -> float:
+    """Times offer, finish and next in a gate that holds `count` calls."""
+    gate = queue.Gate(queue.Options(bounded=False), 24)
+    for number in range(count):
+        gate.offer(_call(number), number * 1e-4)
+    started = time.perf_counter()
+    outcome = calls.Outcome(1.0, 0.1, 100, 50)
+    now = count * 1e-4
+    for number in range(count, count + 5000):
+        now += 0.01
+        gate.offer(_call(number), now)
+        running = next(iter(gate.slots.running), None)
+        if running is not None:
+            gate.finished(running, now, outcome)
+        gate.next(now)
+    return (time.perf_counter() - started) / 5000 * 1e6
+
+
+def _call(number: int) -> calls.Call:
+    name = f"p{number}"
+    partner = f"partner{number % 4200}"
+    return calls.Call(
+        f"c{number}",
+        name,
+        name,
+        partner,
+        "a",
+        attained=number % 5000 + 1,
+        prompt_tokens=3000,
+        new_tokens=500,
+        expected_tokens=150,
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(Commands)
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -52,13 +52,20 @@
 
 
 class Deployment(NamedTuple):
-    """A deployment: its engines, its agents, and what it weighs."""
+    """A deployment: its engines, its agents, and what it weighs.
+
+    Attributes:
+        memory: Tokens of cache per engine.
+        capacity: Highest stable load as a part of the engines' bare compute,
+            as `policy.py capacity` measured it with all decisions on.
+    """
 
     name: str
     engines: int
     memory: int
     latency_weight: float
     waste_weight: float
+    capacity: float
     agents: list[Agent]
 
 
@@ -68,9 +75,10 @@
 BREAKDOWN = Deployment(
     "breakdown",
     5,
-    100_000,
+    200_000,
     3.0,
     1.0,
+    0.7,
     [
         Agent(
             "triage",
@@ -123,9 +131,10 @@
 BUGDESK = Deployment(
     "bugdesk",
     6,
-    200_000,
+    300_000,
     1.0,
     3.0,
+    0.8,
     [
         Agent(
             "triage",
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -11,9 +11,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import policy_engine
-import policy_load
-
 from mintcleat.decisions import admit
 from mintcleat.decisions import calls
 from mintcleat.decisions import learn
@@ -23,6 +20,8 @@
 from mintcleat.decisions import retain
 from mintcleat.decisions import retry
 from mintcleat.domain import messages
+import policy_engine
+import policy_load
 
 REPORT_PERIOD = 0.5
 REPORT_DELAY = 0.05
@@ -162,7 +161,6 @@
         program = job.program
         cached = self.engine.cached.get(program.spec.name, 0)
         call = self.world.call(job, job.prompt - cached)
-        call = call._replace(rebuild_tokens=call.new_tokens - job.step.new)
         answer = self.gate.offer(call, now)
         if isinstance(answer, admit.Refuse):
             return answer
@@ -270,7 +268,6 @@
             self.gate.progressed(self.engine.token_time())
         for entry in self.world.entries:
             self.world.at(now + REPORT_DELAY, entry.hear, self.report())
-        self.gate.slots.working_set.adapt(now)
         for action in self.keeper.sweep(now):
             self._act(action)
         for call in self.gate.expire(now):
--- a/src/mintcleat/decisions/calls.py
+++ b/src/mintcleat/decisions/calls.py
@@ -26,8 +26,6 @@
         attained: Tokens served so far to the whole root program.
         prompt_tokens: Context of the call, cached or not.
         new_tokens: Part of `prompt_tokens` that must be computed here.
-        rebuild_tokens: Part of `new_tokens` that was computed before, at
-            another upstream or before an eviction.
         expected_tokens: Tokens that the call will probably generate.
         gating: Whether the root program waits for this call.
         suspect: Whether its digest was in flight when an upstream crashed.
@@ -46,7 +44,6 @@
     expected_tokens: int = 0
     gating: bool = True
     suspect: bool = False
-    rebuild_tokens: int = 0
 
 
 class Outcome(NamedTuple):
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -87,6 +87,8 @@
         """
         if call.call_id in self.waiting or call.call_id in self.slots.running:
             raise ValueError(f"The gate holds the call {call.call_id!r}.")
+        service = self.speed.service
+        self.slots.working_set.back(call.program, service, now)
         entry = self._entry(call, now)
         wait = self._wait(entry, now)
         if self.options.bounded:
@@ -123,6 +125,7 @@
         if outcome.ok:
             self.learner.answered(entry.call.agent, outcome.generated)
         self.slots.release(call_id)
+        self.slots.working_set.paused(entry.call.program, now)
         line = self.lines[entry.klass]
         weight = self.slots.weight(entry.flow)
         line.clock.correct(entry.flow, weight, outcome.seconds - entry.service)
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -36,8 +36,7 @@
             absent for no limit.
         max_wait: Longest predicted wait in the queue, in seconds.
         memory: Tokens of context that the upstream can hold; 0 for no limit.
-        rebuild_share: Part of the engine's time that rebuilding may take
-            before newcomers wait; 0 to let them in at any time.
+        working_set: Whether newcomers wait for room in `memory`.
         prefill: Seconds of prompt computing under way at once; 0 for any.
         protect: Whether calls wait for caches that are expected back soon.
         adaptive: Whether the concurrency limit is learned.
@@ -51,7 +50,7 @@
     max_running: dict[str, int] = {}
     max_wait: float = 30.0
     memory: int = 0
-    rebuild_share: float = workingset.REBUILD_SHARE
+    working_set: bool = True
     prefill: float = PREFILL_SECONDS
     protect: bool = True
     adaptive: bool = True
@@ -80,7 +79,7 @@
     def __init__(self, options: Options, pace: speed.Speed) -> None:
         self.options = options
         self.speed = pace
-        self.working_set = workingset.WorkingSet(options.rebuild_share)
+        self.working_set = workingset.WorkingSet()
         self.running: dict[str, Running] = {}
         self.running_of: dict[str, int] = {}
         self.batch = 0
@@ -93,7 +92,6 @@
     def configure(self, options: Options) -> None:
         """Puts other policies in force."""
         self.options = options
-        self.working_set.rebuild_share = options.rebuild_share
 
     def start(self, entry: lines.Entry, now: float) -> None:
         """Counts a call as started."""
@@ -106,9 +104,7 @@
         self.tokens += context(call)
         self.computing[call.call_id] = call.new_tokens
         self.computing_tokens += call.new_tokens
-        self.working_set.enter(call.program, entry.footprint)
-        rebuild = call.rebuild_tokens / max(self.speed.prefill_rate, 1.0)
-        self.working_set.rebuild(rebuild, now)
+        self.working_set.enter(call.program, call.agent, entry.footprint)
         if entry.need == lines.NEWCOMER:
             self.working_set.let_in(now)
 
@@ -176,9 +172,10 @@
     def has_room(self, entry: lines.Entry) -> bool:
         """Tells whether a newcomer fits among the programs under way."""
         memory = self.options.memory
-        if not memory or not self.options.rebuild_share:
+        if not memory or not self.options.working_set:
             return True
-        return self.working_set.fits(entry.footprint, memory)
+        agent = entry.call.agent
+        return self.working_set.fits(agent, entry.footprint, memory)
 
     def _memory_fits(self, entry: lines.Entry, now: float) -> bool:
         """Tells whether the contexts fit the engine's memory together.
--- a/src/mintcleat/decisions/workingset.py
+++ b/src/mintcleat/decisions/workingset.py
@@ -8,75 +8,85 @@
 working sets in memory; it loses nothing, for it has no history to lose.
 """
 
-import math
-
-# Part of the engine's time that rebuilding may take before fewer newcomers
-# are let in. Below it, dropping long-paused programs is cheaper than leaving
-# newcomers outside.
-REBUILD_SHARE = 0.15
-# Rebuilding is averaged over so many seconds, a few turns of a program.
-WINDOW = 20.0
-# Footprints may exceed the memory by this factor, which moves with the
-# rebuilding seen: programs that mostly pause share the memory well. It grows
-# slowly, only while newcomers wait, and shrinks fast, for newcomers let in
-# too early stay for minutes.
-START_FACTOR = 1.0
-MIN_FACTOR = 0.7
-MAX_FACTOR = 2.0
-GROWTH = 0.01
-SHRINKING = 0.03
+from typing import NamedTuple
+
+# Footprints may exceed the memory by this factor: not all programs are at
+# their largest at once.
+OVERCOMMIT = 1.2
+# A pause counts as memory held for this long at most; in longer ones another
+# program's cache takes the place.
+HELD_SECONDS = 8.0
 # Until two newcomers were let in, one is expected each second.
 _FIRST_INTERVAL = 1.0
 _GAIN = 1 / 8
+_DUTY_GAIN = 1 / 32
+
+
+class Member(NamedTuple):
+    """A program under way; `ended` is when its last call did, or 0."""
+
+    agent: str
+    footprint: float
+    ended: float = 0.0
 
 
 class WorkingSet:
     """Footprints of the programs under way at one upstream.
 
     Attributes:
-        footprints: Expected tokens by program.
-        factor: Footprints that the memory bears, as a part of it.
-        rebuilt: Seconds of rebuilding, fading over `WINDOW`.
+        members: By program.
+        tokens: Sum of the footprints.
+        duty: By agent, the part of a program's life in which it needs memory.
         interval: Moving average of seconds between two newcomers.
     """
 
-    def __init__(self, rebuild_share: float = REBUILD_SHARE) -> None:
-        self.rebuild_share = rebuild_share
-        self.footprints: dict[str, float] = {}
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
         self.tokens = 0.0
-        self.factor = START_FACTOR
-        self.rebuilt = 0.0
-        self.updated = 0.0
-        self.held_back = False
+        self.duty: dict[str, float] = {}
         self.interval = _FIRST_INTERVAL
         self.last_newcomer = 0.0
 
-    def enter(self, program: str, footprint: float) -> None:
-        """Adds a program whose call starts, or renews its footprint."""
+    def enter(self, program: str, agent: str, context: float) -> None:
+        """Adds a program whose call starts, or renews its footprint.
+
+        Args:
+            program: The program.
+            agent: Its agent program.
+            context: Tokens that it will hold on average, when it holds any.
+        """
         self.leave(program)
-        self.footprints[program] = footprint
+        footprint = context * self.duty.get(agent, 1.0)
+        self.members[program] = Member(agent, footprint)
         self.tokens += footprint
 
+    def paused(self, program: str, now: float) -> None:
+        """Notes the end of a program's call."""
+        member = self.members.get(program)
+        if member is not None:
+            self.members[program] = member._replace(ended=now)
+
+    def back(self, program: str, service: float, now: float) -> None:
+        """Learns the agent's duty from a pause and the service before it."""
+        member = self.members.get(program)
+        if member is None or not member.ended:
+            return
+        pause = max(0.0, now - member.ended)
+        self.members[program] = member._replace(ended=0.0)
+        whole = service + pause
+        if whole <= 0:
+            return
+        duty = (service + min(pause, HELD_SECONDS)) / whole
+        known = self.duty.get(member.agent, 1.0)
+        # Weighted by time: a long pause frees memory for as long as it is.
+        weight = min(1.0, whole / (service + HELD_SECONDS))
+        self.duty[member.agent] = known + (duty - known) * weight * _DUTY_GAIN
+
     def leave(self, program: str) -> None:
         """Removes a program whose cache is no longer here."""
-        self.tokens -= self.footprints.pop(program, 0.0)
-
-    def rebuild(self, seconds: float, now: float) -> None:
-        """Counts engine time that goes into a history computed before."""
-        self.adapt(now)
-        self.rebuilt += seconds
-
-    def adapt(self, now: float) -> None:
-        """Moves the factor by the rebuilding since the last time."""
-        elapsed = min(now - self.updated, WINDOW)
-        self.updated = now
-        if self.rebuilt > self.rebuild_share * WINDOW:
-            self.factor *= math.exp(-SHRINKING * elapsed)
-        elif self.held_back:
-            self.factor += GROWTH * elapsed
-        self.held_back = False
-        self.factor = min(MAX_FACTOR, max(MIN_FACTOR, self.factor))
-        self.rebuilt *= math.exp(-elapsed / WINDOW)
+        member = self.members.pop(program, None)
+        if member is not None:
+            self.tokens -= member.footprint
 
     def let_in(self, now: float) -> None:
         """Notes that a newcomer started."""
@@ -84,13 +94,12 @@
         self.last_newcomer = now
         self.interval += (gap - self.interval) * _GAIN
 
-    def fits(self, footprint: float, memory: float) -> bool:
+    def fits(self, agent: str, context: float, memory: float) -> bool:
         """Tells whether a newcomer fits; into an empty set, any does."""
-        if not self.footprints:
+        if not self.members:
             return True
-        fits = self.tokens + footprint <= memory * self.factor
-        self.held_back = self.held_back or not fits
-        return fits
+        footprint = context * self.duty.get(agent, 1.0)
+        return self.tokens + footprint <= memory * OVERCOMMIT
 
     def wait(self, ahead: int, now: float) -> float:
         """Predicts a newcomer's wait behind so many others.
