Measure an engine before calling it slow; reuse its connections

Cause: with two engines one took 85% of the calls. An engine that had run nothing was counted at the prior of 30 ms a token against the other's measured 1 ms, so it never got a call. And each streamed answer cost the sidecar a new connection, since the body was left one chunk short of its end. Ruled out: residency (calls without a program went the same way) and the stand-ins (equal). Change: an unmeasured speed is told as 0 and taken as the fleet's median; first samples are averaged; bodies are read to their end.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -6,9 +6,6 @@
 import urllib3
 
 from bench import processes
-from mintcleat.adapters import streams
-from mintcleat.domain import errors
-from mintcleat.domain import messages
 
 MANIFEST = {
     "programs": {"triage": {"service": "triage"}},
@@ -34,25 +31,29 @@
 
 
 def push(started: processes.System, manifest: dict) -> None:
-    """Pushes a manifest to a control instance, with retries."""
-    sender = streams.TcpStreams("127.0.0.1:0")
-    request = messages.PushManifest(
-        expected=0,
-        push_id="bench",
-        manifest=json.dumps(manifest),
-        operator="bench",
-        origin="bench",
-    )
+    """Pushes a manifest through the operators' interface, with retries."""
+    token = (started.folder / "control-0" / "admin-token").read_text().strip()
+    pool = urllib3.PoolManager(retries=False)
+    body = {
+        "expected": 0,
+        "push_id": "bench",
+        "operator": "bench",
+        "manifest": json.dumps(manifest),
+    }
     deadline = time.monotonic() + _READY_SECONDS
     while True:
-        try:
-            sender.ask(started.control_addresses[0], request, 10.0)
-            break
-        except errors.MintcleatError:
-            if time.monotonic() > deadline:
-                raise
-            time.sleep(0.2)
-    sender.stop()
+        reply = pool.request(
+            "POST",
+            f"http://{started.admin}/admin/v1/manifest",
+            body=json.dumps(body),
+            headers={"Authorization": f"Bearer {token}"},
+            timeout=15.0,
+        )
+        if reply.status < 300:
+            return
+        if time.monotonic() > deadline:
+            raise RuntimeError(f"push: {reply.status} {reply.data!r}")
+        time.sleep(0.2)
 
 
 def wait_ready(started: processes.System) -> None:
--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -1,5 +1,6 @@
 """A model engine over HTTP: completions and the control surface."""
 
+import collections
 from collections.abc import Iterator
 from typing import Any
 from typing import TypedDict
@@ -183,8 +184,9 @@
     reason = ""
     usage: _Usage = {}
     done = False
+    body = lines(response)
     try:
-        for line in lines(response):
+        for line in body:
             if line == b"data: [DONE]":
                 done = True
                 break
@@ -207,8 +209,7 @@
         ) from error
     finally:
         if done:
-            response.drain_conn()
-            response.release_conn()
+            give_back(response, body)
         else:
             response.close()
     if not done:
@@ -218,6 +219,21 @@
     yield upstream.End(total, reason, to_usage(usage))
 
 
+def give_back(
+    response: urllib3.BaseHTTPResponse, body: Iterator[bytes]
+) -> None:
+    """Reads a body's last chunk, so that its connection is used again.
+
+    A connection that was not read to the end is closed, and each call would
+    pay for a new one. The answer is whole already, so a failure is no loss.
+    """
+    try:
+        collections.deque(body, maxlen=0)
+        response.release_conn()
+    except exceptions.HTTPError:
+        response.close()
+
+
 def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yields the lines of a body as they come."""
     rest = b""
--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -32,11 +32,14 @@
         data: Folder on the disk; made when missing.
         admin: `IP:PORT` of the operators' HTTP interface.
         members: The control instances that form the groups at first.
+        token_file: File with the operators' token, the same on every control
+            instance; without it each makes one in its data folder.
     """
 
     data: str
     admin: str
     members: list[Member] = []
+    token_file: str = ""
 
 
 class Entry(msgspec.Struct, frozen=True):
--- a/src/mintcleat/adapters/tokens.py
+++ b/src/mintcleat/adapters/tokens.py
@@ -4,10 +4,31 @@
 import pathlib
 import secrets
 
+from mintcleat.domain import errors
+
 _TOKEN_BYTES = 32
 TOKEN_FILE = "admin-token"
 
 
+def load(token_file: str, folder: pathlib.Path) -> str:
+    """Returns the token in the named file, or the one in the data folder.
+
+    Raises:
+        errors.InvalidSettings: The named file can't be read or is empty.
+    """
+    if not token_file:
+        return load_or_make(folder)
+    try:
+        token = pathlib.Path(token_file).read_text().strip()
+    except OSError as error:
+        raise errors.InvalidSettings(
+            f"control_role.token_file: {error.strerror}."
+        ) from None
+    if not token:
+        raise errors.InvalidSettings("control_role.token_file: is empty.")
+    return token
+
+
 def load_or_make(folder: pathlib.Path) -> str:
     """Returns the token in `folder`, making it on first use.
 
--- a/src/mintcleat/decisions/place.py
+++ b/src/mintcleat/decisions/place.py
@@ -175,16 +175,26 @@
         ]
         if not ready:
             return
-        self.token_time = statistics.median(r.token_time for r in ready)
-        self.prefill_rate = statistics.median(r.prefill_rate for r in ready)
+        self.token_time = _median(
+            [one.token_time for one in ready], self.token_time
+        )
+        self.prefill_rate = _median(
+            [one.prefill_rate for one in ready], self.prefill_rate
+        )
         report = self.upstreams[name].report
         slowness = max(
-            report.token_time / max(self.token_time, 1e-9),
-            self.prefill_rate / max(report.prefill_rate, 1e-9),
+            (report.token_time or self.token_time) / self.token_time,
+            self.prefill_rate / (report.prefill_rate or self.prefill_rate),
         )
         self.outliers.compared(name, slowness, len(self.subset), now)
 
 
+def _median(values: list[float], otherwise: float) -> float:
+    """Returns the median of what was measured; 0 stands for not measured."""
+    measured = [value for value in values if value > 0]
+    return statistics.median(measured) if measured else otherwise
+
+
 def choose(
     fleet: Fleet,
     call: calls.Call,
@@ -307,14 +317,17 @@
 def _prefill_rate(fleet: Fleet, name: str) -> float:
     if not fleet.switches.speeds:
         return max(fleet.prefill_rate, 1.0)
-    return max(fleet.upstreams[name].report.prefill_rate, 1.0)
+    # An upstream that has not been measured is taken to be like the rest:
+    # were it taken as slower it would never get a call and never be measured.
+    known = fleet.upstreams[name].report.prefill_rate
+    return max(known or fleet.prefill_rate, 1.0)
 
 
 def _service(fleet: Fleet, name: str, call: calls.Call) -> float:
     known = fleet.upstreams[name]
     token_time = fleet.token_time
     if fleet.switches.speeds:
-        token_time = known.report.token_time
+        token_time = known.report.token_time or fleet.token_time
     generate = call.expected_tokens * token_time * known.crowding()
     return call.new_tokens / _prefill_rate(fleet, name) + generate
 
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -188,8 +188,8 @@
             len(self.waiting),
             self.limit.current(),
             self._wait(self._entry(_STARTED, now), now),
-            self.speed.token_time,
-            self.speed.prefill_rate,
+            self.speed.measured_token_time(),
+            self.speed.measured_prefill_rate(),
             self.predicted_wait(now),
         )
 
--- a/src/mintcleat/decisions/speed.py
+++ b/src/mintcleat/decisions/speed.py
@@ -24,6 +24,8 @@
         self.prefill_rate = prefill_rate
         self.service = 0.0
         self.samples = 0
+        self.token_samples = 0
+        self.prefill_samples = 0
 
     def observe(self, outcome: calls.Outcome, backlog: int = 0) -> None:
         """Learns from one call that ended well.
@@ -38,7 +40,9 @@
             self.observe_gap((outcome.seconds - first) / outcome.generated)
         if outcome.computed >= _MIN_PREFILL_SAMPLE and first > 0:
             rate = (backlog + outcome.computed) / first
-            self.prefill_rate += (rate - self.prefill_rate) * _GAIN
+            self.prefill_samples += 1
+            gain = _gain(self.prefill_samples)
+            self.prefill_rate += (rate - self.prefill_rate) * gain
         if self.samples == 0:
             self.service = outcome.seconds
         self.service += (outcome.seconds - self.service) * _GAIN
@@ -50,9 +54,28 @@
         A slow upstream would else show only when its calls end, which is
         late in proportion to how slow it is.
         """
-        self.token_time += (token_time - self.token_time) * _GAIN
+        self.token_samples += 1
+        gain = _gain(self.token_samples)
+        self.token_time += (token_time - self.token_time) * gain
+
+    def measured_token_time(self) -> float:
+        """Returns the learned seconds per token; 0 before any was seen."""
+        return self.token_time if self.token_samples else 0.0
+
+    def measured_prefill_rate(self) -> float:
+        """Returns the learned prompt tokens a second; 0 if none was seen."""
+        return self.prefill_rate if self.prefill_samples else 0.0
 
     def estimate(self, call: calls.Call) -> float:
         """Returns the expected service time of a call, in seconds."""
         prefill = call.new_tokens / max(self.prefill_rate, 1.0)
         return prefill + call.expected_tokens * self.token_time
+
+
+def _gain(samples: int) -> float:
+    """Returns the weight of a sample; the first ones are plainly averaged.
+
+    An upstream that is far from a usual one would else be misjudged for its
+    first thirty calls, and get none of them if it looks slow.
+    """
+    return max(_GAIN, 1.0 / samples)
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -448,8 +448,8 @@
         queued: Calls that wait at the sidecar.
         limit: Calls that the upstream takes at once, as learned.
         wait: Predicted wait of a new call, in seconds.
-        token_time: Learned seconds per generated token.
-        prefill_rate: Learned prompt tokens a second.
+        token_time: Learned seconds per generated token; 0 until measured.
+        prefill_rate: Learned prompt tokens a second; 0 until measured.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
         new_wait: Predicted wait of a program's first call, in seconds.
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -28,7 +28,7 @@
         settings = common.settings
         self.folder = pathlib.Path(settings.control_role.data)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.token = tokens.load_or_make(self.folder)
+        self.token = tokens.load(settings.control_role.token_file, self.folder)
         groups = [
             f"programs-{number}" for number in range(settings.program_groups)
         ]
