--- a/src/mintcleat/decisions/concurrency.py
+++ b/src/mintcleat/decisions/concurrency.py
@@ -9,15 +9,18 @@
 from mintcleat.decisions import calls
 
 MIN_LIMIT = 1
+# Cut to this part of the capacity and still slow, the upstream is slow by
+# itself; fewer calls would not mend it. The pace found there is the new best.
+FLOOR = 1 / 8
 # Latency may grow to this multiple of the best one seen: a batching engine
 # slows per call as it fills, and gains throughput until about here.
 TOLERANCE = 3.0
 # Failures tell of overload harder than slowness does.
 _SLOW_CUT = 0.9
 _FAILURE_CUT = 0.7
-# The best pace is forgotten at this rate per sample, so that one lucky
+# The best pace is forgotten at this rate per round of calls, so that one lucky
 # sample, or a faster past, does not hold the limit down for ever.
-_FORGET = 0.001
+_FORGET = 0.0005
 _GAIN = 1 / 8
 
 
@@ -52,7 +55,7 @@
         if self.best == 0.0:
             self.best = self.pace = sample
         self.pace += (sample - self.pace) * _GAIN
-        self.best += self.best * _FORGET
+        self.best += self.best * _FORGET / max(1, running)
         self.best = min(self.best, self.pace)
         if self.pace > TOLERANCE * self.best:
             self._cut(_SLOW_CUT, now, outcome.seconds)
@@ -65,4 +68,7 @@
         if now - self.cut_at < seconds:
             return
         self.cut_at = now
-        self.value = max(MIN_LIMIT, self.value * factor)
+        floor = max(MIN_LIMIT, self.capacity * FLOOR)
+        self.value = max(floor, self.value * factor)
+        if self.value == floor:
+            self.best = self.pace
--- /dev/null
+++ b/testing/test_shift.py
@@ -0,0 +1,58 @@
+"""Moves off an overloaded or leaving upstream."""
+
+import testtools
+from testtools import matchers
+
+from mintcleat.decisions import shift
+
+TARGETS = [shift.Target("u2", 0.0, 50_000, 8000.0)]
+BUSY = shift.Source(wait=10.0, leaving=False, export_rate=60_000.0)
+
+
+def make_held(count: int, moved_at: float = 0.0) -> list[shift.Held]:
+    return [
+        shift.Held(f"p{number}", 5000, 5.0, moved_at) for number in range(count)
+    ]
+
+
+class MoverTest(testtools.TestCase):
+    def test_an_idle_upstream_keeps_its_programs(self) -> None:
+        source = BUSY._replace(wait=0.2)
+        self.assertEqual(
+            [], shift.Mover().plan(source, make_held(3), TARGETS, 0.0)
+        )
+
+    def test_moves_are_bounded_so_that_they_are_not_the_load(self) -> None:
+        mover = shift.Mover()
+        moves = mover.plan(BUSY, make_held(50), TARGETS, 0.0)
+        self.assertThat(moves, matchers.HasLength(shift.MAX_MOVING))
+        self.assertEqual([], mover.plan(BUSY, make_held(50), TARGETS, 1.0))
+        mover.finished("p0")
+        again = mover.plan(BUSY, make_held(50)[1:], TARGETS, 2.0)
+        self.assertThat(again, matchers.HasLength(1))
+
+    def test_two_overloaded_upstreams_do_not_swap_programs(self) -> None:
+        """Both upstreams are busy; the other one only a little less.
+
+        A move would level them at best, and the next plan would undo it.
+        """
+        target = TARGETS[0]._replace(wait=8.0)
+        self.assertEqual(
+            [], shift.Mover().plan(BUSY, make_held(3), [target], 0.0)
+        )
+
+    def test_a_program_that_has_just_come_stays(self) -> None:
+        held = make_held(3, moved_at=95.0)
+        self.assertEqual([], shift.Mover().plan(BUSY, held, TARGETS, 100.0))
+
+    def test_a_leaving_upstream_hands_over_whatever_the_load(self) -> None:
+        source = shift.Source(wait=0.0, leaving=True)
+        held = make_held(3, moved_at=95.0)
+        moves = shift.Mover().plan(source, held, TARGETS, 100.0)
+        self.assertThat(moves, matchers.HasLength(3))
+        self.assertEqual({False}, {move.export for move in moves})
+
+    def test_a_target_is_not_filled_beyond_its_memory(self) -> None:
+        target = TARGETS[0]._replace(free_memory=11_000)
+        moves = shift.Mover().plan(BUSY, make_held(4), [target], 0.0)
+        self.assertThat(moves, matchers.HasLength(2))
