Kill roles at each step of a call, alone and in pairs

Cause: at most once, whole answers and freed memory had no proof against deaths in the middle of a call. Change: a system of real roles over loopback, cut off at six steps of a call, for entry, sidecar, control and upstream and all pairs of them, for a booking and for a chat turn; a stream is not resumed at an engine that refuses connections. One control instance, so its death is a restart.

--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -149,9 +149,11 @@
             try:
                 stream = self.engine.resume(attempt.request, attempt.total)
                 return self._take_all(attempt, stream)
-            except (*_LOST, errors.NoUpstream) as error:
+            except _LOST as error:
                 cause = error
-            except errors.UpstreamFailed as error:
+            except (errors.NoUpstream, errors.UpstreamFailed) as error:
+                # The engine is gone, and with it its streams, or it has
+                # forgotten this one.
                 cause = error
                 break
             tries = 0 if attempt.total > before else tries + 1
--- /dev/null
+++ b/testing/fakes/service_system.py
@@ -0,0 +1,366 @@
+"""A whole system of real roles in one process, killed at chosen steps.
+
+Every role has its own streams and HTTP connections over loopback. Killing a
+role cuts all of them at once and lets nothing of it reach the outside again,
+which is all that the others can see of a process that dies.
+"""
+
+from collections.abc import Callable
+import json
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import greenlet
+import urllib3
+
+from fakes import engine_faults
+from fakes import service_faults
+from fakes import service_rig
+from mintcleat.adapters import settings as settings_module
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.main import assembly
+from mintcleat.programs import placement
+from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles import sidecar_attempts
+from mintcleat.roles import sidecar_commit
+from mintcleat.roles import sidecar_execution
+
+ANY = "127.0.0.1:0"
+DEAD = "127.0.0.1:1"
+GROUPS = 2
+ANSWER_TOKENS = 8
+MANIFEST = {
+    "programs": {"agent": {"service": "model"}},
+    "services": {
+        "model": {"kind": "model", "model": "model-1"},
+        "tool": {"kind": "plain"},
+    },
+}
+
+STEPS = (
+    "before_begin",
+    "after_begin",
+    "after_run",
+    "mid_stream",
+    "before_finish",
+    "after_finish",
+)
+ROLES = ("entry", "sidecar", "control", "upstream")
+
+
+class Reply(NamedTuple):
+    """What the caller got; status 0 when the connection broke."""
+
+    status: int
+    body: Any
+
+    @property
+    def outcome(self) -> str:
+        """The outcome that a refusal tells."""
+        known = isinstance(self.body, dict)
+        return self.body.get("outcome", "") if known else ""
+
+
+class System:
+    """Control instances, two entries, and two upstreams of each service.
+
+    Attributes:
+        armed: Step at which `victims` die, once.
+        fired: Whether it was reached.
+    """
+
+    def __init__(self, folder: pathlib.Path, controls: int = 1) -> None:
+        self.folder = folder
+        self.armed = ""
+        self.victims: tuple[str, ...] = ()
+        self.fired = False
+        self.control_settings: list[settings_module.Settings] = []
+        self.controls: list[assembly.Process | None] = []
+        self.upstreams: dict[str, Any] = {}
+        self.sidecars: dict[str, assembly.Process | None] = {}
+        self.entries: list[assembly.Process | None] = [None, None]
+        self._start_controls(controls)
+        self._push()
+        for number in range(2):
+            options = engine_faults.slow(0.004)
+            self._add(f"model-{number}", engine_faults.FaultyEngine(options))
+            service = service_faults.FaultyService()
+            self._add(f"tool-{number}", service)
+        self.restore()
+
+    def stop(self) -> None:
+        for process in self.processes():
+            kill(process)
+        for upstream in self.upstreams.values():
+            upstream.stop()
+
+    def processes(self) -> list[assembly.Process]:
+        """Returns the processes that live."""
+        found = [*self.entries, *self.sidecars.values(), *self.controls]
+        return [process for process in found if process is not None]
+
+    # --- Killing --------------------------------------------------------------
+
+    def arm(self, step: str, *victims: str) -> None:
+        """Lets the victims die when the next call reaches the step."""
+        self.armed = step
+        self.victims = victims
+        self.fired = False
+
+    def reach(self, step: str, owner: str, sidecar: str) -> None:
+        """Kills the victims; ends the calling green thread if it is one's."""
+        if self.fired or step != self.armed:
+            return
+        self.fired = True
+        for victim in self.victims:
+            self._kill(victim, sidecar)
+        if owner in self.victims:
+            raise greenlet.GreenletExit
+
+    def _kill(self, victim: str, sidecar: str) -> None:
+        match victim:
+            case "entry":
+                process, self.entries[0] = self.entries[0], None
+                kill(process)
+            case "sidecar":
+                process, self.sidecars[sidecar] = self.sidecars[sidecar], None
+                kill(process)
+            case "upstream":
+                self.upstreams[sidecar].crash()
+            case "control":
+                self._kill_leader()
+
+    def _kill_leader(self) -> None:
+        """Kills the leader of the first group; a lone one starts again."""
+        for number, process in enumerate(self.controls):
+            if process.parts[0].log.leads(placement.group_names(1)[0]):
+                self.controls[number] = None
+                kill(process)
+                if len(self.controls) == 1:
+                    eventlet.spawn_after(0.05, self._start_control, number)
+                return
+        raise AssertionError("No control instance leads.")
+
+    def restore(self) -> None:
+        """Starts whatever is dead, and waits until everything is ready."""
+        for number, process in enumerate(self.controls):
+            if process is None and len(self.controls) > 1:
+                self._start_control(number)
+        for name, upstream in self.upstreams.items():
+            if upstream.crashes and not is_alive(upstream):
+                upstream.restart()
+            if self.sidecars.get(name) is None:
+                self._start_sidecar(name)
+        for number, process in enumerate(self.entries):
+            if process is None:
+                self._start_entry(number)
+        service_rig.until(self._is_ready, 15.0)
+
+    def _is_ready(self) -> bool:
+        return all(
+            process.parts[0].entry.ready()
+            and [
+                member.sidecar
+                for service in ("model", "tool")
+                for member in process.parts[0].follower.members(service)
+                if member.state == "ready"
+            ]
+            == [self.sidecars[name].common.node for name in sorted(NAMES)]
+            for process in self.entries
+        )
+
+    # --- Starting -------------------------------------------------------------
+
+    def _start_controls(self, count: int) -> None:
+        ports = [eventlet.listen(("127.0.0.1", 0)) for _ in range(count)]
+        at = ["{}:{}".format(*port.getsockname()) for port in ports]
+        for port in ports:
+            port.close()
+        self.addresses = at
+        members = [
+            {
+                "instance": f"control-{number}",
+                "address": address,
+                "failure_domain": f"d{number}",
+            }
+            for number, address in enumerate(at)
+        ]
+        for number, address in enumerate(at):
+            value = self._base(f"control-{number}", "control")
+            value["listen"] = address
+            value["control_role"] = {
+                "data": str(self.folder / f"control-{number}"),
+                "admin": ANY,
+                "members": members,
+            }
+            self.control_settings.append(settings_module.parse(value))
+            self.controls.append(None)
+            self._start_control(number)
+
+    def _start_control(self, number: int) -> None:
+        process = assembly.Process(self.control_settings[number])
+        process.start()
+        self.controls[number] = process
+
+    def _push(self) -> None:
+        push = messages.PushManifest(0, "p", json.dumps(MANIFEST), "o", "test")
+
+        def pushed() -> bool:
+            try:
+                self.controls[0].parts[0].config.ask(push)
+            except errors.MintcleatError:
+                return False
+            return True
+
+        service_rig.until(pushed, 10.0)
+
+    def _add(self, name: str, upstream: Any) -> None:
+        upstream.name = name
+        self.upstreams[name] = upstream
+        self.sidecars[name] = None
+
+    def _start_sidecar(self, name: str) -> None:
+        kind = "model" if name.startswith("model") else "plain"
+        value = self._base(name, "sidecar")
+        value["sidecar"] = {
+            "upstream": self.upstreams[name].address,
+            "service": name.partition("-")[0],
+            "kind": kind,
+            "capacity": 8,
+        }
+        process = assembly.Process(settings_module.parse(value))
+        side = process.parts[0].sidecar
+        side.options = side.options._replace(
+            renew_seconds=0.1,
+            probe_seconds=0.1,
+            load_seconds=0.1,
+            attach_patience=0.1,
+        )
+        process.start()
+        self.sidecars[name] = process
+
+    def _start_entry(self, number: int) -> None:
+        value = self._base(f"entry-{number}", "entry")
+        value["entry"] = {"http": ANY, "notice_seconds": 0.0}
+        process = assembly.Process(settings_module.parse(value))
+        self.entries[number] = process
+        process.start()
+
+    def _base(self, name: str, role: str) -> dict[str, Any]:
+        return {
+            "instance": name,
+            "failure_domain": f"d{name[-1]}",
+            "listen": ANY,
+            "roles": [role],
+            "control": self.addresses,
+            "program_groups": GROUPS,
+        }
+
+    # --- Calling --------------------------------------------------------------
+
+    def send(
+        self, entry: int, method: str, path: str, body: Any, **headers: str
+    ) -> Reply:
+        """Sends one request through an entry."""
+        process = self.entries[entry]
+        if process is None:
+            return Reply(0, None)
+        names = {key.replace("_", "-"): text for key, text in headers.items()}
+        try:
+            reply = urllib3.PoolManager(retries=False).request(
+                method,
+                f"http://{process.parts[0].server.address}{path}",
+                body=json.dumps(body).encode(),
+                headers={**names, "Mintcleat-Deadline": "5"},
+                timeout=8.0,
+            )
+            return Reply(reply.status, json.loads(reply.data or b"null"))
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return Reply(0, None)
+
+
+NAMES = ("model-0", "model-1", "tool-0", "tool-1")
+
+
+def is_alive(upstream: Any) -> bool:
+    """Tells whether the upstream takes connections."""
+    return upstream.server.listener.fd.fileno() >= 0
+
+
+def kill(process: assembly.Process) -> None:
+    """Cuts a process off from everything, as its death would."""
+    streams = process.common.streams
+    streams.stopped = True
+    streams.listener.close()
+    streams.open = refuse
+    for connection in [*streams.dialled.values(), *streams.accepted]:
+        connection.lose()
+    part = process.parts[0]
+    if hasattr(part, "follower"):
+        part.follower.stop()
+    if hasattr(part, "server"):
+        part.server.stop()
+        current = greenlet.getcurrent()
+        for thread in list(part.server.pool.coroutines_running):
+            if thread is not current:
+                thread.kill()
+    if hasattr(part, "sidecar"):
+        side = part.sidecar
+        side.upstream.base = f"http://{DEAD}"
+        side.reporter.stopped = True
+        side.memory.stopped = True
+        for subscription in side.subscriptions:
+            subscription.cancel()
+    if hasattr(part, "log"):
+        part.config.stop()
+        part.log.stop()
+
+
+def refuse(address: str, message: Any) -> Any:
+    """Stands in for the dialling of a process that is dead."""
+    raise errors.StreamClosed("This process is dead.", outcome=errors.NOT_RUN)
+
+
+def hook(system: System, patch: Callable[[Any, str, Any], None]) -> None:
+    """Calls `system.reach` at every step of a call."""
+    begin = attempts_module.Attempts.begin
+    start = sidecar_execution.Executor.start
+    add = sidecar_attempts.Attempt.add
+    finish = sidecar_commit.Reporter.finish
+    execute = service_faults.FaultyService.execute
+
+    def begin_hooked(self: Any, name: Any, asked: Any) -> Any:
+        system.reach("before_begin", "entry", asked.sidecar.instance)
+        reply = begin(self, name, asked)
+        system.reach("after_begin", "entry", asked.sidecar.instance)
+        return reply
+
+    def start_hooked(self: Any, attempt: Any) -> None:
+        start(self, attempt)
+        at = attempt.message.sidecar.instance
+        system.reach("after_run", "sidecar", at)
+
+    def add_hooked(self: Any, text: str) -> None:
+        add(self, text)
+        at = self.message.sidecar.instance
+        if len(self.pieces) == 2:
+            system.reach("mid_stream", "sidecar", at)
+
+    def execute_hooked(self: Any, key: str, path: str) -> None:
+        execute(self, key, path)
+        system.reach("mid_stream", "upstream", self.name)
+
+    def finish_hooked(self: Any, attempt: Any, *rest: Any) -> None:
+        at = attempt.message.sidecar.instance
+        system.reach("before_finish", "sidecar", at)
+        finish(self, attempt, *rest)
+        system.reach("after_finish", "sidecar", at)
+
+    patch(attempts_module.Attempts, "begin", begin_hooked)
+    patch(sidecar_execution.Executor, "start", start_hooked)
+    patch(sidecar_attempts.Attempt, "add", add_hooked)
+    patch(sidecar_commit.Reporter, "finish", finish_hooked)
+    patch(service_faults.FaultyService, "execute", execute_hooked)
