--- /dev/null
+++ b/src/mintcleat/adapters/admin_views.py
@@ -0,0 +1,53 @@
+"""Messages as plain data for the operators' JSON."""
+
+from typing import Any
+
+import msgspec
+
+from mintcleat.domain import messages
+
+
+def plain(value: Any) -> Any:
+    """Returns data for JSON: messages as objects, digests in hex."""
+    if isinstance(value, msgspec.Raw):
+        return value
+    if hasattr(value, "_asdict"):
+        return {name: plain(item) for name, item in value._asdict().items()}
+    if isinstance(value, bytes):
+        return value.hex()
+    if isinstance(value, dict):
+        return {name: plain(item) for name, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    return value
+
+
+def status(
+    instances: messages.Instances,
+    upstreams: messages.Upstreams,
+    rollouts: messages.Rollouts,
+    listed: messages.QuarantineList,
+) -> dict[str, Any]:
+    """Returns the operators' overview.
+
+    `in_force` counts the live nodes that applied the revision; `late` names
+    those that hold a lease on an older one.
+    """
+    revision = instances.revision
+    live = [node for node in instances.nodes if node.lease > 0]
+    late = [node for node in live if node.revision < revision]
+    services: dict[str, dict[str, int]] = {}
+    for view in upstreams.upstreams:
+        counts = services.setdefault(view.announcement.service, {})
+        state = "draining" if view.drained else view.announcement.state
+        counts[state] = counts.get(state, 0) + 1
+    return {
+        "revision": revision,
+        "live": len(live),
+        "in_force": len(live) - len(late),
+        "late": sorted(node.node.instance for node in late),
+        "missing": instances.missing,
+        "services": services,
+        "rollouts": plain(rollouts.rollouts),
+        "quarantined": sum(item.quarantined for item in listed.entries),
+    }
--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -42,7 +42,7 @@
         self, listen: str, limits: streams_connection.Limits | None = None
     ) -> None:
         self.limits = limits or streams_connection.Limits()
-        self.listener = eventlet.listen(split_address(listen))
+        self.listener = eventlet.listen(split_address(listen), backlog=1024)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.handlers: dict[type, streams.Handler] = {}
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -452,6 +452,7 @@
         prefill_rate: Learned prompt tokens a second.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
+        new_wait: Predicted wait of a program's first call, in seconds.
     """
 
     sidecar: Incarnation
@@ -464,6 +465,7 @@
     prefill_rate: float
     free_memory: int
     state: str
+    new_wait: float = 0.0
 
 
 # --- Membership and configuration -------------------------------------------
@@ -824,6 +826,39 @@
     origin: str
 
 
+class ReplicationFrame(NamedTuple):
+    """Part of a frame between replicas; `consensus.messages` decodes it.
+
+    Attributes:
+        more: Whether the next message of the exchange goes on with it.
+    """
+
+    payload: bytes
+    more: bool = False
+
+
+class ControlAction(NamedTuple):
+    """Asks one control instance to act on the groups that it leads.
+
+    Attributes:
+        action: `replace` (voter `old` by `new`) or `snapshot`.
+    """
+
+    action: str
+    old: str = ""
+    new: str = ""
+
+
+class ShowGroups(NamedTuple):
+    """Asks a control instance for the state of its groups."""
+
+
+class Groups(NamedTuple):
+    """Answer to ShowGroups; each row is a JSON object."""
+
+    rows: list[str]
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -896,6 +931,10 @@
             RolloutView,
             Rollouts,
             SetControl,
+            ReplicationFrame,
+            ControlAction,
+            ShowGroups,
+            Groups,
         ),
         start=1,
     )
