Kill the leader of three control instances at each step

Cause: with one control instance, its death was only tried as a restart. Change: bookings while the leader dies and another of three takes over. Conclusion: a booking neither doubles nor gets lost at any step.

--- a/testing/test_faults_matrix.py
+++ b/testing/test_faults_matrix.py
@@ -43,6 +43,25 @@
         started.stop()
 
 
+@pytest.fixture(scope="module")
+def three_controls(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[service_system.System]:
+    started = service_system.System(tmp_path_factory.mktemp("three"), 3)
+    yield started
+    started.stop()
+
+
+@pytest.fixture
+def three(
+    three_controls: service_system.System,
+) -> Iterator[service_system.System]:
+    with pytest.MonkeyPatch.context() as patch:
+        service_system.hook(three_controls, patch.setattr)
+        yield three_controls
+    three_controls.restore()
+
+
 @pytest.fixture
 def system(
     hooked: service_system.System,
@@ -77,16 +96,10 @@
     return replies
 
 
-@pytest.mark.parametrize("step", service_system.STEPS)
-@pytest.mark.parametrize("victims", [*SINGLES, *PAIRS], ids="+".join)
-def test_booking_happens_at_most_once(
+def book(
     system: service_system.System, step: str, victims: tuple[str, ...]
 ) -> None:
-    """A booking, which must not happen twice, and deaths at one step.
-
-    The caller sends the same key until it hears a final word. One booking
-    at the services at most; a whole own answer or a true outcome.
-    """
+    """Books once while the victims die at the step, and checks the rest."""
     key = f"book-{next(NUMBERS)}"
     runs_seen = []
 
@@ -116,6 +129,31 @@
         assert {"sidecar", "upstream"} & set(victims)
 
 
+@pytest.mark.parametrize("step", service_system.STEPS)
+@pytest.mark.parametrize("victims", [*SINGLES, *PAIRS], ids="+".join)
+def test_booking_happens_at_most_once(
+    system: service_system.System, step: str, victims: tuple[str, ...]
+) -> None:
+    """A booking, which must not happen twice, and deaths at one step.
+
+    The caller sends the same key until it hears a final word. One booking
+    at the services at most; a whole own answer or a true outcome.
+    """
+    book(system, step, victims)
+
+
+@pytest.mark.parametrize("step", service_system.STEPS)
+def test_booking_outlives_a_leader(
+    three: service_system.System, step: str
+) -> None:
+    """The control leader dies at one step, and another of three takes over.
+
+    Nothing that the group committed is lost with it, so the caller ends
+    with its whole answer and one booking.
+    """
+    book(three, step, ("control",))
+
+
 @pytest.mark.parametrize(("victims", "step"), TURN_CELLS, ids=cell_id)
 def test_turn_is_whole_and_its_memory_goes(
     system: service_system.System, victims: tuple[str, ...], step: str
