Free the upstream's place at its answer; learn only from what tells

The time given to it held the commit, and a one-token answer (time after the first token: zero) counted as the best pace ever. Change: a place is free once the upstream has answered, before the commit; cancelled, undelivered and one-token calls teach nothing. Conclusion: the limit stays at the engine's capacity at light load.

--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -283,7 +283,6 @@
                 upstream,
                 self.histories,
                 self.memory,
-                self.crashes,
                 self.reporter,
                 self.timers,
                 self.load,
@@ -291,7 +290,6 @@
             )
         return sidecar_run.ToolRunner(
             upstream,
-            self.crashes,
             self.reporter,
             self.timers,
             self.load,
--- a/src/mintcleat/roles/sidecar_attempts.py
+++ b/src/mintcleat/roles/sidecar_attempts.py
@@ -45,6 +45,8 @@
         until: Monotonic time at which the caller's deadline ends.
         admitted: Whether the gate let it go to the upstream.
         cancelled: Why it must stop, once it must.
+        started: Monotonic time at which it went to the upstream.
+        left: Whether it has given its place at the upstream back.
         first: Monotonic time of the first text; 0 before it.
         usage: Tokens as the engine told them at the end.
     """
@@ -63,6 +65,8 @@
         self.watchers = 0
         self.admitted = False
         self.cancelled: errors.MintcleatError | None = None
+        self.started = 0.0
+        self.left = False
         self.first = 0.0
         self.usage = messages.Usage()
         self.changed = event.Event()
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -23,8 +23,18 @@
     ) -> calls.Call:
         """Returns the attempt as the queue's decisions see it."""
 
-    def run(self, attempt: sidecar_attempts.Attempt) -> None:
-        """Runs the attempt and commits its answer; sets its outcome."""
+    def run(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        answered: Callable[[], None],
+    ) -> None:
+        """Runs the attempt and commits its answer; sets its outcome.
+
+        Calls `answered` once the upstream is done with it.
+        """
+
+    def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Tells whether the time of an answer says something of the pace."""
 
     def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Stops a running attempt; False when it can't be stopped."""
@@ -96,23 +106,22 @@
         # No green thread runs between the gate's word and this line, so a
         # seal comes either before (and the gate raises) or after.
         attempt.state = sidecar_attempts.RUNNING
-        started = self.timers.now()
+        attempt.started = self.timers.now()
         deadline = self.timers.after(
-            max(0.0, attempt.until - started),
+            max(0.0, attempt.until - attempt.started),
             lambda: self.cancel(attempt, _deadline_over()),
         )
         self.crashes.begin(attempt.request, digest)
-        ok = False
         try:
-            self.runner.run(attempt)
+            self.runner.run(attempt, lambda: self._answered(attempt))
             self._conclude(attempt, sidecar_attempts.RAN)
-            ok = True
         except errors.NoUpstream as error:
             self.crashes.end(attempt.request)
             self._end_refused(attempt, error)
         except errors.OutcomeUnknown as error:
             if attempt.cancelled is None:
                 self.crashes.broken(attempt.request)
+                self._leave(attempt, self._measure(attempt, ok=False))
             self._end_broken(attempt, error)
         except errors.MintcleatError as error:
             self._end_broken(attempt, error)
@@ -122,18 +131,41 @@
                 attempt, errors.OutcomeUnknown("The sidecar failed.")
             )
         finally:
-            self.crashes.end(attempt.request)
             deadline.cancel()
-            ok = ok or attempt.cancelled is not None
-            self.admission.leave(attempt, self._measure(attempt, started, ok))
+            self._leave(attempt, None)
+
+    def _answered(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes that the upstream is done with the attempt."""
+        outcome = None
+        if attempt.cancelled is None and self.runner.tells(attempt):
+            outcome = self._measure(attempt, ok=True)
+        self._leave(attempt, outcome)
+
+    def _leave(
+        self,
+        attempt: sidecar_attempts.Attempt,
+        outcome: calls.Outcome | None,
+    ) -> None:
+        """Frees the upstream's place, once.
+
+        The commit comes after: while control elects a leader, finished
+        calls would otherwise keep an idle upstream from the next ones.
+        Without an outcome nothing is learned: a cancelled call or one that
+        never arrived says nothing of the upstream's pace.
+        """
+        if attempt.left:
+            return
+        attempt.left = True
+        self.crashes.end(attempt.request)
+        self.admission.leave(attempt, outcome)
 
     def _measure(
-        self, attempt: sidecar_attempts.Attempt, started: float, ok: bool
+        self, attempt: sidecar_attempts.Attempt, ok: bool
     ) -> calls.Outcome:
         usage = attempt.usage
         return calls.Outcome(
-            seconds=self.timers.now() - started,
-            first_token=max(0.0, attempt.first - started),
+            seconds=self.timers.now() - attempt.started,
+            first_token=max(0.0, attempt.first - attempt.started),
             computed=usage.prompt_tokens - usage.cached_tokens,
             generated=usage.completion_tokens,
             ok=ok,
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -76,10 +76,16 @@
         attempt.admitted = True
 
     def leave(
-        self, attempt: sidecar_attempts.Attempt, outcome: calls.Outcome
+        self,
+        attempt: sidecar_attempts.Attempt,
+        outcome: calls.Outcome | None,
     ) -> None:
-        """Frees the place of an admitted attempt."""
-        self.gate.finished(attempt.request, self.timers.now(), outcome)
+        """Frees the place of an admitted attempt; learns from an outcome."""
+        if outcome is None:
+            self.gate.cancel(attempt.request)
+        else:
+            now = self.timers.now()
+            self.gate.finished(attempt.request, now, outcome)
         self.pump()
 
     def cancel(self, attempt: sidecar_attempts.Attempt) -> None:
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -14,7 +14,6 @@
 from mintcleat.ports import upstream as upstream_port
 from mintcleat.roles import sidecar_attempts
 from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_crashes
 from mintcleat.roles import sidecar_gate
 from mintcleat.roles import sidecar_history
 from mintcleat.roles import sidecar_memory
@@ -26,6 +25,7 @@
 _LOST = (errors.StreamClosed, errors.StreamTimeout)
 
 LoadSource = Callable[[], messages.LoadReport]
+Answered = Callable[[], None]
 
 
 class TurnRunner:
@@ -36,7 +36,6 @@
         engine: upstream_port.ModelEngine,
         histories: sidecar_history.Histories,
         memory: sidecar_memory.Memory,
-        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
@@ -45,7 +44,6 @@
         self.engine = engine
         self.histories = histories
         self.memory = memory
-        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
@@ -60,9 +58,15 @@
         usual = self.usual_answer(attempt.message.agent)
         return sidecar_gate.turn_call(attempt, prompt, held, usual, suspect)
 
-    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+    def run(
+        self, attempt: sidecar_attempts.Attempt, answered: Answered
+    ) -> None:
         """Runs the attempt to its end and commits the answer.
 
+        Args:
+            attempt: The attempt.
+            answered: Called once the engine has ended the call.
+
         Raises:
             errors.NoUpstream: Nothing was delivered to the engine.
             errors.MintcleatError: The engine took it and it failed.
@@ -77,8 +81,8 @@
             _BATCH_PRIORITY if asked.klass == calls.BATCH else 0,
         )
         end = self._stream(attempt, call)
-        self.crashes.end(attempt.request)
         attempt.usage = end.usage
+        answered()
         if end.reason == _CANCELLED:
             raise attempt.cancelled or errors.OutcomeUnknown(
                 "The engine cancelled the call."
@@ -97,6 +101,15 @@
             )
         )
 
+    def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Tells whether the answer has gaps between tokens to learn from.
+
+        The pace is the time after the first token. An answer of one token
+        has none, and its zero would count as the best pace ever, against
+        which every later answer looks like an overload.
+        """
+        return attempt.usage.completion_tokens > 1
+
     def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Stops the call at the engine, whose stream then ends."""
         try:
@@ -193,13 +206,11 @@
     def __init__(
         self,
         service: upstream_port.PlainService,
-        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
     ) -> None:
         self.service = service
-        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
@@ -210,13 +221,23 @@
         """Returns the attempt as the queue's decisions see it."""
         return sidecar_gate.tool_call(attempt, suspect)
 
+    def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Tells that every answer of a service counts."""
+        return True
+
     def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Leaves it: a request that a service has begun can't be stopped."""
         return False
 
-    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+    def run(
+        self, attempt: sidecar_attempts.Attempt, answered: Answered
+    ) -> None:
         """Forwards the request once and commits the answer.
 
+        Args:
+            attempt: The attempt.
+            answered: Called once the service has answered.
+
         Raises:
             errors.NoUpstream: Nothing was delivered to the service.
             errors.OutcomeUnknown: It was delivered and no answer came.
@@ -232,7 +253,7 @@
             )
         except (errors.StreamClosed, errors.StreamTimeout) as error:
             raise errors.OutcomeUnknown(error.detail) from error
-        self.crashes.end(attempt.request)
+        answered()
         if asked.attempt:
             answer = msgpack.packb(list(reply), use_bin_type=True)
             self.reporter.finish(attempt, answer, messages.Usage())
--- a/testing/test_sidecar_queue.py
+++ b/testing/test_sidecar_queue.py
@@ -104,6 +104,22 @@
         self.assertIsInstance(end, messages.Finished)
 
 
+class LimitTest(testtools.TestCase):
+    def test_one_token_answers_do_not_close_the_gate(self) -> None:
+        """A probe asks for a single token, then normal calls follow.
+
+        A single token has no pace. Taken for one, it would make every
+        normal answer look slow, and the limit would fall to one call.
+        """
+        options = engine_faults.slow(0.002, slots=8)
+        rig = service_rig.Rig(engine_faults.FaultyEngine(options))
+        self.addCleanup(rig.stop)
+        rig.call(service_rig.turn("probe", parameters='{"max_tokens":1}'))
+        for number in range(30):
+            rig.call(service_rig.turn(f"p{number}"))
+        self.assertEqual(8, rig.sidecar.load().limit)
+
+
 class RunningTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
