--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -164,13 +164,7 @@
         answer = self.gate.offer(call, now)
         if isinstance(answer, admit.Refuse):
             return answer
-        if program.resident == self.name and program.tool:
-            # The program is back; its cache is no longer a paused one.
-            self.keeper.resumed(program.spec.name, now)
-            if cached:
-                self.keeper.paused(
-                    program.spec.name, "waiting/call", cached, now
-                )
+        self.keeper.called(program.spec.name, now)
         self.jobs[job.call_id] = job
         self.world.admitted += 1
         if isinstance(answer, queue.Admit):
@@ -189,7 +183,7 @@
         self.engine.advance(now)
         name = job.program.spec.name
         cached = self.engine.drop(name)
-        self.keeper.resumed(name, now) if cached else None
+        self.keeper.started(name)
         imported = 0
         if job.choice and job.choice.export and not cached:
             imported = self.world.take_export(job.program)
@@ -292,7 +286,7 @@
 
     def release_moved(self, program: str) -> None:
         """Frees a copy that its program left for another upstream."""
-        self.keeper.resumed(program, self.world.now)
+        self.keeper.started(program)
         self.engine.drop(program)
         self.gate.left(program)
         self.pump()
