Wire the working set, first tokens and shortening into the sidecar

Cause: the decisions now bound the programs under way by the engine's memory and shorten caches; the sidecar told them nothing of it.

--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -121,6 +121,10 @@
         """Frees what the programs hold."""
         self._post("release", {"programs": programs})
 
+    def shorten(self, program: str, keep: int) -> None:
+        """Frees what a program holds beyond its first `keep` tokens."""
+        self._post("shorten", {"program": program, "keep": keep})
+
     def hold(self, program: str) -> None:
         """Keeps a program's cache from eviction until it is released."""
         self._post("hold", {"program": program})
--- a/src/mintcleat/ports/upstream.py
+++ b/src/mintcleat/ports/upstream.py
@@ -131,6 +131,9 @@
     def release(self, programs: list[str]) -> None:
         """Frees what the programs hold."""
 
+    def shorten(self, program: str, keep: int) -> None:
+        """Frees what a program holds beyond its first `keep` tokens."""
+
     def hold(self, program: str) -> None:
         """Keeps a program's cache from eviction until it is released."""
 
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -76,6 +76,7 @@
             upstream,
             control,
             timers,
+            admission=self.admission,
             export_bytes=options.export_bytes,
             on_gone=self._give_up,
         )
@@ -286,7 +287,7 @@
                 self.reporter,
                 self.timers,
                 self.load,
-                self.admission.usual_answer,
+                self.admission,
             )
         return sidecar_run.ToolRunner(
             upstream,
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -33,6 +33,9 @@
         Calls `answered` once the upstream is done with it.
         """
 
+    def refused(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes that the attempt is not run here."""
+
     def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Tells whether the time of an answer says something of the pace."""
 
@@ -178,6 +181,7 @@
     ) -> None:
         """Seals first: "not run" must hold for every copy of the frame."""
         self._conclude(attempt, sidecar_attempts.NEVER)
+        self.runner.refused(attempt)
         failure = error.failure()._replace(outcome=errors.NOT_RUN)
         attempt.end(messages.Refused(attempt.number, failure, self.load()))
 
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -47,6 +47,22 @@
             self.memory = memory
             self.configure()
 
+    def first_token(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes that the engine has computed an attempt's prompt."""
+        self.gate.first_token(attempt.request)
+        self.pump()
+
+    def protect(self, tokens: int) -> None:
+        """Takes the size of the caches that are expected back soon."""
+        self.gate.protect(tokens)
+        self.pump()
+
+    def left(self, programs: list[str]) -> None:
+        """Notes that programs hold nothing at the engine any more."""
+        for program in programs:
+            self.gate.left(program)
+        self.pump()
+
     def usual_answer(self, agent: str) -> int:
         """Returns the tokens that a call of this agent usually generates."""
         return self.gate.learner.answer_tokens(agent, _USUAL_TOKENS)
--- a/src/mintcleat/roles/sidecar_ledger.py
+++ b/src/mintcleat/roles/sidecar_ledger.py
@@ -61,6 +61,11 @@
         for program in programs:
             self.tokens.pop(program, None)
 
+    def shortened(self, program: str, keep: int) -> None:
+        """Notes that the engine has dropped the end of a cache."""
+        if program in self.tokens:
+            self.tokens[program] = min(keep, self.tokens[program])
+
     def total(self) -> int:
         """Returns all tokens held."""
         return sum(self.tokens.values())
--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -11,6 +11,7 @@
 from mintcleat.ports import control as control_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import sidecar_gate
 from mintcleat.roles import sidecar_ledger
 
 # Programs asked about in one message to a program group.
@@ -64,6 +65,7 @@
         control: control_port.Control,
         timers: timers_port.Timers,
         *,
+        admission: sidecar_gate.Admission,
         export_bytes: int,
         on_gone: Callable[[str], None],
     ) -> None:
@@ -71,6 +73,7 @@
         self.engine = engine
         self.control = control
         self.timers = timers
+        self.admission = admission
         self.on_gone = on_gone
         self.ledger = sidecar_ledger.Ledger()
         self.keeper = retain.Keeper(retain.Options(memory=0))
@@ -93,9 +96,17 @@
         """Returns the tokens that the engine holds for a program."""
         return self.ledger.tokens.get(program, 0)
 
-    def resume(self, program: str) -> None:
-        """Prepares the engine for a program's next turn."""
+    def called(self, program: str) -> int:
+        """Notes that a program's next turn waits; returns what is cached."""
         self.keeper.called(program, self.timers.now())
+        return self.held(program)
+
+    def refused(self, program: str) -> None:
+        """Notes that the turn is not run here."""
+        self.keeper.refused(program, self.timers.now())
+
+    def resume(self, program: str) -> None:
+        """Prepares the engine for a program's turn that starts now."""
         self.keeper.started(program)
         blob = self.exports.pop(program)
         if blob is None:
@@ -119,11 +130,14 @@
             needed = int(used - _PRESSURE_LOW * memory)
             for action in self.keeper.victims(needed, now):
                 self._act(action)
+        self.admission.protect(self.keeper.expected_soon(now))
 
     def sweep(self) -> None:
         """Puts out what has been paused for too long."""
-        for action in self.keeper.sweep(self.timers.now()):
+        now = self.timers.now()
+        for action in self.keeper.sweep(now):
             self._act(action)
+        self.admission.protect(self.keeper.expected_soon(now))
 
     def renew(self) -> None:
         """Asks which programs are gone and releases them."""
@@ -149,6 +163,7 @@
             logger.warning("Memory is not released: {}", error.detail)
             return
         self.ledger.released(programs)
+        self.admission.left(programs)
 
     def release_all(self) -> None:
         """Frees everything, for a planned stop."""
@@ -164,11 +179,21 @@
             case retain.Export(program):
                 self._export(program)
                 self.release([program])
-            case retain.Drop(program):
+            case retain.Drop(program, 0):
                 self.release([program])
+            case retain.Drop(program, keep):
+                self._shorten(program, keep)
             case retain.Hold():
                 return
 
+    def _shorten(self, program: str, keep: int) -> None:
+        try:
+            self.engine.shorten(program, keep)
+        except errors.MintcleatError as error:
+            logger.info("{} is not shortened: {}", program, error.detail)
+            return
+        self.ledger.shortened(program, keep)
+
     def _export(self, program: str) -> None:
         try:
             self.exports.put(program, self.engine.export_cache(program))
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -39,7 +39,7 @@
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
-        usual_answer: Callable[[str], int],
+        admission: sidecar_gate.Admission,
     ) -> None:
         self.engine = engine
         self.histories = histories
@@ -47,15 +47,15 @@
         self.reporter = reporter
         self.timers = timers
         self.load = load
-        self.usual_answer = usual_answer
+        self.admission = admission
 
     def call(
         self, attempt: sidecar_attempts.Attempt, suspect: bool
     ) -> calls.Call:
         """Returns the attempt as the queue's decisions see it."""
-        held = self.memory.held(attempt.program)
+        held = self.memory.called(attempt.program)
         prompt = self._prompt(attempt)
-        usual = self.usual_answer(attempt.message.agent)
+        usual = self.admission.usual_answer(attempt.message.agent)
         return sidecar_gate.turn_call(attempt, prompt, held, usual, suspect)
 
     def run(
@@ -101,6 +101,10 @@
             )
         )
 
+    def refused(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes that the attempt is not run here."""
+        self.memory.refused(attempt.program)
+
     def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Tells whether the answer has gaps between tokens to learn from.
 
@@ -187,7 +191,9 @@
         for item in stream:
             match item:
                 case upstream_port.Piece(text):
-                    attempt.first = attempt.first or self.timers.now()
+                    if not attempt.first:
+                        attempt.first = self.timers.now()
+                        self.admission.first_token(attempt)
                     attempt.add(text)
                 case upstream_port.End():
                     if item.total != attempt.total:
@@ -221,6 +227,9 @@
         """Returns the attempt as the queue's decisions see it."""
         return sidecar_gate.tool_call(attempt, suspect)
 
+    def refused(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes nothing: a service holds nothing for a program."""
+
     def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Tells that every answer of a service counts."""
         return True
--- a/src/mintcleat/standins/cache.py
+++ b/src/mintcleat/standins/cache.py
@@ -95,6 +95,20 @@
             self._tell("released", program)
         return before - self.used
 
+    def shorten(self, program: str, keep: int) -> None:
+        """Drops the end of a program's history beyond `keep` tokens."""
+        # In order of use, a later message lies before those it follows.
+        for address, block in list(self.blocks.items()):
+            if self.totals[program] <= keep:
+                break
+            if program not in block.owners:
+                continue
+            block.owners.discard(program)
+            self.totals[program] -= block.tokens
+            if not block.owners:
+                self._drop(address)
+        self._tell("evicted", program)
+
     def export(self, program: str) -> dict[str, Any]:
         """Returns the program's blocks in a form that `load` takes."""
         blocks = [
--- a/src/mintcleat/standins/engine.py
+++ b/src/mintcleat/standins/engine.py
@@ -254,6 +254,9 @@
             case "release":
                 freed = sum(map(self.cache.release, fields["programs"]))
                 return http.reply_json(start_response, {"freed": freed})
+            case "shorten":
+                self.cache.shorten(fields["program"], fields["keep"])
+                return http.reply_json(start_response, {})
             case "hold":
                 self.cache.held.add(fields["program"])
                 return http.reply_json(start_response, {})
--- a/testing/test_sidecar_memory.py
+++ b/testing/test_sidecar_memory.py
@@ -10,6 +10,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import upstream
 from mintcleat.roles import sidecar_ledger
+from mintcleat.standins import cache
 
 
 class ReleaseTest(testtools.TestCase):
@@ -148,3 +149,35 @@
     ledger.take(upstream.CacheEvents(1, 5, [late]))
     assert ledger.tokens == {}
     assert not ledger.unsure
+
+
+class PressureTest(testtools.TestCase):
+    def test_full_memory_puts_out_what_comes_back_last(self) -> None:
+        """More programs than the engine's memory holds.
+
+        The sidecar frees paused caches itself before the engine, which
+        knows nothing of pauses, evicts what is needed next; a program that
+        was put out still gets its right answer.
+        """
+        options = engine_faults.slow(0.001)._replace(memory=600)
+        engine = engine_faults.FaultyEngine(options)
+        rig = service_rig.Rig(engine)
+        self.addCleanup(rig.stop)
+        text = service_rig.user("x" * 300)
+        for number in range(8):
+            _, end = rig.call(
+                service_rig.turn(f"p{number}", messages=[text + " " * number])
+            )
+            self.assertIsInstance(end, messages.Finished)
+        memory = rig.sidecar.memory
+        self.assertThat(memory.ledger.total(), matchers.LessThan(541))
+        self.assertThat(engine.cache.used, matchers.LessThan(601))
+
+    def test_shortened_cache_keeps_its_beginning(self) -> None:
+        blocks = cache.PrefixCache(1000)
+        said = [service_rig.user(f"{n}" * 100) for n in range(4)]
+        blocks.store("p", said)
+        one = cache.count_tokens(said[0])
+        blocks.shorten("p", 2 * one)
+        self.assertEqual(2 * one, blocks.cached(said))
+        self.assertEqual(2 * one, blocks.used)
