--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -1,5 +1,6 @@
 """eventlet's WSGI server with our limits and a graceful stop."""
 
+import socket
 from typing import Any
 
 import eventlet
@@ -13,7 +14,6 @@
 # on a connection that is just being closed.
 _SOCKET_SECONDS = 75.0
 _MAX_CONNECTIONS = 10_000
-_POLL_SECONDS = 0.02
 
 
 class HttpServer:
@@ -29,25 +29,20 @@
         self.listener = eventlet.listen(
             streams.split_address(listen), backlog=1024
         )
+        # Accepted sockets inherit it. Without it the kernel holds back each
+        # small event until the caller has acknowledged the one before, and
+        # tokens come in bursts of 40 ms.
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.active = 0
         self.pool = eventlet.GreenPool(_MAX_CONNECTIONS)
         self.server = eventlet.spawn(self._serve)
 
-    def stop(self, seconds: float) -> int:
-        """Stops accepting, waits for what is under way, then closes.
-
-        Returns:
-            The number of requests that were cut, 0 for a clean stop.
-        """
+    def stop(self) -> None:
+        """Stops accepting; what is under way goes on."""
         self.server.kill()
         self.listener.close()
-        left = seconds
-        while self.active and left > 0:
-            eventlet.sleep(_POLL_SECONDS)
-            left -= _POLL_SECONDS
-        return self.active
 
     def _serve(self) -> None:
         wsgi.server(
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -3,10 +3,24 @@
 Unknown and ill-typed fields are faults. `parse` reports every fault at once.
 """
 
+import posixpath
+from typing import Annotated
+from typing import Any
 from typing import Literal
+from typing import NamedTuple
+from urllib import parse as url
 
 import msgspec
 
+from mintcleat.domain import errors
+from mintcleat.domain import manifest_faults
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Name = Annotated[str, msgspec.Meta(pattern=manifest_faults.NAME_PATTERN)]
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
+
 
 class Tool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A tool of an agent program: calls of one plain service."""
@@ -22,11 +36,11 @@
     klass: Literal["interactive", "batch"] = msgspec.field(
         default="interactive", name="class"
     )
-    tokens: int = 0
-    turns: int = 0
-    seconds: float = 0.0
-    repeat_limit: int = 8
-    tools: dict[str, Tool] = {}
+    tokens: Count = 0
+    turns: Count = 0
+    seconds: Amount = 0.0
+    repeat_limit: Count = 8
+    tools: dict[Name, Tool] = {}
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -43,8 +57,8 @@
     model: str = ""
     version: str = ""
     adapters: list[str] = []
-    replicas: int = 0
-    floor: int = 0
+    replicas: Count = 0
+    floor: Count = 0
     fencing: bool = True
     idempotent: list[str] = []
     non_idempotent: list[str] = []
@@ -53,40 +67,138 @@
 class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A partner's share and limits; 0 means no limit."""
 
-    share: float = 1.0
-    max_running: int = 0
+    share: Amount = 1.0
+    max_running: Count = 0
 
 
 class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the operator weighs; only the ratio counts."""
 
-    program_latency: float = 1.0
-    wasted_cache: float = 1.0
+    program_latency: Amount = 1.0
+    wasted_cache: Amount = 1.0
 
 
 class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Policies of the deployment; times in seconds."""
 
-    partners: dict[str, Partner] = {}
+    partners: dict[Name, Partner] = {}
     default_partner: str = ""
     weights: Weights = Weights()
-    deadline: float = 120.0
-    max_wait: float = 30.0
-    program_idle: float = 3600.0
-    record_retention: float = 86400.0
-    quarantine_seconds: float = 3600.0
+    deadline: Amount = 120.0
+    max_wait: Amount = 30.0
+    program_idle: Amount = 3600.0
+    record_retention: Amount = 86400.0
+    quarantine_seconds: Amount = 3600.0
     stale_lease: Literal["refuse", "serve"] = "refuse"
-    rollout_pause: float = 5.0
-    loads_per_minute: float = 30.0
-    load_burst: int = 2
+    rollout_pause: Amount = 5.0
+    loads_per_minute: Amount = 30.0
+    load_burst: Count = 2
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A whole manifest."""
 
-    programs: dict[str, Program] = {}
-    services: dict[str, Service] = {}
+    programs: dict[Name, Program] = {}
+    services: dict[Name, Service] = {}
     policies: Policies = Policies()
 
 
 SECTIONS = ("programs", "services", "policies")
+
+
+class Change(NamedTuple):
+    """One field that differs; None stands for a field that is absent."""
+
+    path: str
+    before: Any
+    after: Any
+
+
+def parse(text: str | bytes) -> Manifest:
+    """Returns the manifest that a JSON text describes.
+
+    Raises:
+        errors.InvalidManifest: Its detail lists every fault, one a line, each
+            with the path of its field.
+    """
+    try:
+        parsed = msgspec.json.decode(text, type=Manifest)
+    except msgspec.ValidationError:
+        # It stopped at the first fault. The walk over all fields costs ten
+        # times as much, which only a faulty manifest pays for.
+        raw = msgspec.json.decode(text)
+        faults = manifest_faults.schema_faults(raw, Manifest)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise errors.InvalidManifest(f"$: no valid JSON: {error}.") from None
+    else:
+        faults = manifest_faults.reference_faults(parsed)
+        if not faults:
+            return parsed
+    lines = [f"{fault.path}: {fault.problem}." for fault in faults]
+    raise errors.InvalidManifest("\n".join(lines))
+
+
+def compact(manifest: Manifest) -> str:
+    """Returns the manifest as JSON on one line, for machines to read."""
+    return msgspec.json.encode(manifest).decode()
+
+
+def render(manifest: Manifest) -> str:
+    """Returns the manifest as JSON with sorted keys, for people to read."""
+    data = msgspec.json.encode(manifest, order="sorted")
+    return msgspec.json.format(data, indent=2).decode()
+
+
+def is_idempotent(service: Service, method: str, path: str) -> bool:
+    """Tells whether a request to a plain service may run more than once.
+
+    The path is decoded and its dots are resolved first. Otherwise
+    `/status/../dispatch` would pass for a status read while the service runs
+    a dispatch, and a lost answer would send two crews out.
+    """
+    method = method.upper()
+    plain = _resolved(path)
+    for pattern in service.non_idempotent:
+        verb, prefix = _pattern(pattern)
+        if verb in ("*", method) and plain.startswith(prefix):
+            return False
+    for pattern in service.idempotent:
+        verb, prefix = _pattern(pattern)
+        if verb in ("*", method) and _within(plain, prefix):
+            return True
+    return method in IDEMPOTENT_METHODS
+
+
+def diff(before: Manifest, after: Manifest) -> list[Change]:
+    """Returns the fields that differ, in the order of their paths."""
+    changes: list[Change] = []
+    _compare(
+        "$", msgspec.to_builtins(before), msgspec.to_builtins(after), changes
+    )
+    return changes
+
+
+def _compare(path: str, before: Any, after: Any, changes: list[Change]) -> None:
+    if before == after:
+        return
+    if not isinstance(before, dict) or not isinstance(after, dict):
+        changes.append(Change(path, before, after))
+        return
+    for name in sorted(before.keys() | after.keys()):
+        _compare(f"{path}.{name}", before.get(name), after.get(name), changes)
+
+
+def _resolved(path: str) -> str:
+    decoded = url.unquote(path.partition("?")[0])
+    return "/" + posixpath.normpath("/" + decoded).lstrip("/")
+
+
+def _pattern(pattern: str) -> tuple[str, str]:
+    verb, _, prefix = pattern.partition(" ")
+    return verb.upper(), prefix
+
+
+def _within(path: str, prefix: str) -> bool:
+    """Matches whole path segments, so `/find` does not admit `/findings`."""
+    trimmed = prefix.rstrip("/")
+    return path == trimmed or path.startswith(trimmed + "/")
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -3,11 +3,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.programs import answers
 from mintcleat.programs import budgets
-from mintcleat.programs import digests
 from mintcleat.programs import loops
 from mintcleat.programs import prefixes
 from mintcleat.programs import records
--- a/src/mintcleat/programs/outcomes.py
+++ b/src/mintcleat/programs/outcomes.py
@@ -3,11 +3,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.programs import answers
 from mintcleat.programs import budgets
-from mintcleat.programs import digests
 from mintcleat.programs import histories
 from mintcleat.programs import prefixes
 from mintcleat.programs import records
@@ -102,7 +102,7 @@
         return
     answer = request.answer.decode(errors="replace")
     texts = [*call.messages, answer]
-    program.digest = digests.roll(program.digest, texts)
+    program.digest = digests.rolling(program.digest, texts)
     turn = records.TurnRecord(
         turn=call.turn,
         key=call.key,
--- /dev/null
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -0,0 +1,196 @@
+"""Joins the queue's decisions to the green threads that wait in it."""
+
+import msgspec
+
+from mintcleat.decisions import admit
+from mintcleat.decisions import calls
+from mintcleat.decisions import queue
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.ports import membership as membership_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.roles import sidecar_attempts
+
+_CHARACTERS_PER_TOKEN = 4
+_USUAL_TOKENS = 128
+
+
+class Admission:
+    """Who runs at the upstream now, who waits, who is refused.
+
+    Attributes:
+        attempts: Attempts that the gate holds, by request id.
+    """
+
+    def __init__(
+        self,
+        timers: timers_port.Timers,
+        directory: membership_port.Membership,
+        capacity: int,
+    ) -> None:
+        self.timers = timers
+        self.directory = directory
+        self.memory = 0
+        self.gate = queue.Gate(queue.Options(), capacity)
+        self.attempts: dict[str, sidecar_attempts.Attempt] = {}
+        self.configure()
+
+    def configure(self) -> None:
+        """Takes the policies of the manifest in force."""
+        policies = self.directory.manifest().policies
+        self.gate.configure(gate_options(policies, self.memory))
+
+    def resize(self, capacity: int, memory: int) -> None:
+        """Takes what the upstream announces of its size."""
+        self.gate.limit.resize(capacity)
+        if memory != self.memory:
+            self.memory = memory
+            self.configure()
+
+    def usual_answer(self, agent: str) -> int:
+        """Returns the tokens that a call of this agent usually generates."""
+        return self.gate.learner.answer_tokens(agent, _USUAL_TOKENS)
+
+    def enter(
+        self, attempt: sidecar_attempts.Attempt, call: calls.Call
+    ) -> None:
+        """Waits until the attempt may go to the upstream.
+
+        Raises:
+            errors.MintcleatError: It is refused, or was cancelled meanwhile.
+        """
+        if attempt.cancelled is not None:
+            raise attempt.cancelled
+        answer = self.gate.offer(call, self.timers.now())
+        match answer:
+            case admit.Refuse(kind, retry_after):
+                raise errors.kinds()[kind](
+                    "The predicted wait here is too long.",
+                    retry_after=retry_after,
+                )
+            case queue.Queued():
+                self.attempts[attempt.request] = attempt
+                # Those before it may be held back by more than the slots.
+                self.pump()
+                self._wait(attempt)
+        attempt.admitted = True
+
+    def leave(
+        self, attempt: sidecar_attempts.Attempt, outcome: calls.Outcome
+    ) -> None:
+        """Frees the place of an admitted attempt."""
+        self.gate.finished(attempt.request, self.timers.now(), outcome)
+        self.pump()
+
+    def cancel(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Takes a cancelled attempt out of the queue."""
+        if not attempt.admitted:
+            self.gate.cancel(attempt.request)
+            attempt.notify()
+            self.pump()
+
+    def pump(self) -> None:
+        """Lets everything go that may go now."""
+        while (call := self.gate.next(self.timers.now())) is not None:
+            attempt = self.attempts.get(call.call_id)
+            if attempt is None:
+                self.gate.cancel(call.call_id)
+                continue
+            attempt.admitted = True
+            attempt.notify()
+
+    def expire(self) -> None:
+        """Refuses what can't meet its deadline any more."""
+        for call in self.gate.expire(self.timers.now()):
+            attempt = self.attempts.get(call.call_id)
+            if attempt is not None and attempt.cancelled is None:
+                attempt.cancelled = errors.DeadlineUnmet(
+                    "The deadline would end before the answer."
+                )
+                attempt.notify()
+
+    def _wait(self, attempt: sidecar_attempts.Attempt) -> None:
+        try:
+            while not attempt.admitted:
+                if attempt.cancelled is not None:
+                    raise attempt.cancelled
+                attempt.changed.wait()
+        finally:
+            self.attempts.pop(attempt.request, None)
+        if attempt.cancelled is not None:
+            # Cancelled between its admission and this line.
+            self.gate.cancel(attempt.request)
+            self.pump()
+            raise attempt.cancelled
+
+
+def gate_options(policies: manifest.Policies, memory: int) -> queue.Options:
+    """Returns the gate's options under these policies."""
+    partners = policies.partners.items()
+    return queue.Options(
+        shares={name: partner.share for name, partner in partners},
+        max_running={
+            name: partner.max_running
+            for name, partner in partners
+            if partner.max_running
+        },
+        max_wait=policies.max_wait,
+        memory=memory,
+    )
+
+
+def turn_call(
+    attempt: sidecar_attempts.Attempt,
+    prompt: list[str],
+    resident: int,
+    usual: int,
+    suspect: bool,
+) -> calls.Call:
+    """Returns a chat turn as the decisions see it.
+
+    Args:
+        attempt: The attempt.
+        prompt: All its messages.
+        resident: Tokens of the program that the engine holds.
+        usual: Tokens of this agent's usual answer.
+        suspect: Whether an upstream crashed while it ran this request.
+    """
+    asked = attempt.message
+    tokens = sum(map(len, prompt)) // _CHARACTERS_PER_TOKEN
+    return calls.Call(
+        call_id=attempt.request,
+        program=asked.program,
+        root=asked.root,
+        partner=asked.partner,
+        agent=asked.agent,
+        klass=asked.klass,
+        deadline_at=attempt.until,
+        attained=asked.attained,
+        prompt_tokens=tokens,
+        new_tokens=max(0, tokens - resident),
+        expected_tokens=min(usual, max_tokens(asked.parameters) or usual),
+        suspect=suspect,
+    )
+
+
+def tool_call(attempt: sidecar_attempts.Attempt, suspect: bool) -> calls.Call:
+    """Returns a request to a plain service as the decisions see it."""
+    asked = attempt.message
+    return calls.Call(
+        call_id=attempt.request,
+        program=asked.program,
+        root=asked.program.partition(".")[0],
+        partner=asked.partner,
+        agent="",
+        klass=asked.klass,
+        deadline_at=attempt.until,
+        suspect=suspect,
+    )
+
+
+def max_tokens(parameters: str) -> int:
+    """Returns the completion limit of a body; 0 for none."""
+    if not parameters:
+        return 0
+    limit = msgspec.json.decode(parameters).get("max_tokens")
+    return limit if isinstance(limit, int) and limit > 0 else 0
--- /dev/null
+++ b/testing/test_config_service.py
@@ -0,0 +1,84 @@
+"""Pushes, leases and members over real streams and a log in memory."""
+
+from testing.fakes import config_cluster
+import testtools
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+
+class PushTest(testtools.TestCase):
+    def test_accepted_push_is_in_force_at_every_node(self) -> None:
+        cluster = config_cluster.Cluster(self, 3)
+        nodes = [cluster.node(f"entry-{n}") for n in range(4)]
+        answer = cluster.control[1].ask(config_cluster.push(0, "1", "anna"))
+        self.assertEqual(1, answer.revision)
+        cluster.until(lambda: all(node.revision() == 1 for node in nodes))
+        cluster.until(lambda: all(node.in_lease() for node in nodes))
+        service = nodes[0].manifest().services["chat"]
+        self.assertEqual("1", service.version)
+        shown = cluster.control[2].ask(messages.ShowInstances())
+        entries = [item for item in shown.nodes if item.role == "entry"]
+        self.assertEqual([1] * 4, [item.revision for item in entries])
+        self.assertTrue(all(item.lease > 0 for item in entries))
+
+    def test_equal_numbers_at_two_instances_have_one_winner(self) -> None:
+        """Two operators push over the same revision at two instances.
+
+        One is told the new revision. The other is refused, and told who won
+        with which push, so that he can fetch, merge and push again.
+        """
+        cluster = config_cluster.Cluster(self, 3)
+        cluster.control[1].ask(config_cluster.push(0, "1", "anna"))
+        error = self.assertRaises(
+            errors.RevisionConflict,
+            cluster.control[2].ask,
+            config_cluster.push(0, "2", "bert"),
+        )
+        self.assertIn("anna won revision 1", error.detail)
+        self.assertEqual(errors.NOT_RUN, error.outcome)
+
+    def test_resend_gets_its_first_answer_after_failover(self) -> None:
+        """The leader commits a push; the operator never gets the answer.
+
+        Another push follows, then the leader is lost. The operator resends
+        to the new leader and is told the revision that his push became.
+        """
+        cluster = config_cluster.Cluster(self, 3)
+        cluster.control[0].ask(config_cluster.push(0, "1", "anna"))
+        cluster.control[0].ask(config_cluster.push(1, "2", "bert"))
+        cluster.log.elect(cluster.control[1].address)
+        again = cluster.control[2].ask(config_cluster.push(0, "1", "anna"))
+        self.assertEqual(1, again.revision)
+        view = cluster.control[2].ask(messages.ReadManifest())
+        self.assertEqual(2, view.revision)
+
+    def test_lost_answer_is_retried_to_the_same_revision(self) -> None:
+        """The commit happens and its answer is lost inside control.
+
+        The service asks again with the same id; the caller sees revision 1.
+        """
+        cluster = config_cluster.Cluster(self, 1)
+        cluster.until(cluster.control[0].leads)
+        cluster.log.lose_next = 1
+        answer = cluster.control[0].ask(config_cluster.push(0, "1", "anna"))
+        self.assertEqual(1, answer.revision)
+
+    def test_node_of_a_lost_instance_follows_another(self) -> None:
+        """The control instance that serves a node dies.
+
+        Its connection ends; the node opens a stream to another instance and
+        hears of the next push there.
+        """
+        cluster = config_cluster.Cluster(self, 3)
+        cluster.control[0].ask(config_cluster.push(0, "1", "anna"))
+        relays = [item.address for item in cluster.control[1:]]
+        nodes = [cluster.node(f"entry-{n}") for n in range(8)]
+        cluster.until(lambda: all(node.in_lease() for node in nodes))
+        moved = [n for n in nodes if n.stream.address == relays[1]]
+        self.assertTrue(moved)
+        cluster.control[2].stop()
+        cluster.control[2].streams.stop()
+        cluster.control[0].ask(config_cluster.push(1, "2", "anna"))
+        cluster.until(lambda: all(node.revision() == 2 for node in nodes))
+        self.assertNotIn(relays[1], {n.stream.address for n in moved})
