--- a/testing/histories.py
+++ b/testing/histories.py
@@ -9,9 +9,9 @@
 import itertools
 from typing import NamedTuple
 
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.programs import digests
 
 
 class Operation(NamedTuple):
@@ -191,7 +191,7 @@
     for name, final in record.finals.items():
         digest = digests.EMPTY
         for number, turn in enumerate(final.turns, start=1):
-            digest = digests.roll(digest, turn.messages)
+            digest = digests.rolling(digest, turn.messages)
             if turn.turn != number or turn.digest != digest:
                 yield Violation("history", f"{name} is broken at {number}")
             if (name, number, turn.messages[0]) not in sent:
--- a/testing/test_histories.py
+++ b/testing/test_histories.py
@@ -5,9 +5,9 @@
 import pytest
 
 import histories
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.programs import digests
 
 NOWHERE = messages.Incarnation("", 0)
 
@@ -36,7 +36,7 @@
     digest = digests.EMPTY
     turns = []
     for number, pair in enumerate(pairs, start=1):
-        digest = digests.roll(digest, pair)
+        digest = digests.rolling(digest, pair)
         turns.append(messages.Turn(number, list(pair), digest))
     return turns
 
