--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -111,7 +111,7 @@
         )
         for _ in range(3):
             self.driver.tick()
-        period = self.options.core.heartbeat / 2
+        period = self.options.core.heartbeat
         self.ticker = self.timers.every(period, self.driver.tick)
 
     def failure(self) -> errors.MintcleatError | None:
@@ -235,6 +235,11 @@
         driver.wake()
         return begun
 
+    def snapshot(self) -> list[str]:
+        """Snapshots every group here; returns their names."""
+        driver = self._running(self.names[0])
+        return [name for name in self.names if driver.snapshot(name)]
+
     def status(self) -> list[GroupStatus]:
         """Returns the state of every group."""
         if self.driver is None:
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -137,6 +137,9 @@
         except ValueError as error:
             self.fail(errors.StorageDamaged(f"The log contradicts: {error}"))
             return
+        if self.core.superseded > self.core.me.epoch:
+            self.fail(_superseded(self.core.me.instance))
+            return
         self.wake()
 
     def work(self) -> None:
@@ -239,6 +242,15 @@
             self.growth[group].bytes += size
             self._snapshot(group, replica, machine)
 
+    def snapshot(self, group: str) -> bool:
+        """Snapshots a group now; False when nothing is new since the last."""
+        replica = self.core.replicas[group]
+        machine = self.machines.get(group)
+        if machine is None or replica.state.applied <= replica.state.mark.index:
+            return False
+        self._save(group, replica, machine)
+        return True
+
     def _snapshot(
         self, group: str, replica: replicas.Replica, machine: log.StateMachine
     ) -> None:
@@ -247,6 +259,12 @@
         enough = max(self.options.snapshot_bytes, growth.snapshot_size)
         if entries < self.options.snapshot_entries and growth.bytes < enough:
             return
+        self._save(group, replica, machine)
+
+    def _save(
+        self, group: str, replica: replicas.Replica, machine: log.StateMachine
+    ) -> None:
+        growth = self.growth[group]
         mark = replica.snapshot_mark()
         state = machine.snapshot()
         self.wal.save_snapshot(group, mark.index, state)
@@ -294,5 +312,13 @@
         ) from error
 
 
+def _superseded(instance_name: str) -> errors.InvalidSettings:
+    return errors.InvalidSettings(
+        f"Peers know a later incarnation of {instance_name}.",
+        remedy="End the other process of this name; if there is none, correct"
+        " the clock, empty the data folder and restart.",
+    )
+
+
 def _lost() -> errors.ProposalLost:
     return errors.ProposalLost("The leadership changed before the commit.")
