Test service and client; keep an idle group's clock going

Cause: the test of a leader change showed that an idle group lost the clock of every leadership in which nothing was committed, so its abandoned programs might never expire. Change: a group with records writes its clock down once in 60 s, an empty one never; 18 tests of service and client. Conclusion: expiry goes on across leaders.

--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -19,6 +19,9 @@
 # Records that one tick may drop: a burst that was closed together must not
 # stall the loop, and with it the heartbeats, when it becomes due together.
 MAX_DROPS = 1000
+# Seconds of its clock that an idle group loses at most with its leader;
+# small beside any sensible retention.
+CLOCK_STEP = 60.0
 
 
 def sweep(
@@ -34,10 +37,15 @@
 def is_due(
     group: "machine.ProgramMachine", clock: float, tick: commands.Tick
 ) -> bool:
-    """Tells whether a tick at `clock` would change anything.
+    """Tells whether a tick at `clock` is worth a log entry.
 
-    An idle group then costs no log entries.
+    A group without records costs none. One with records writes its clock
+    down once in `CLOCK_STEP`: the next leader goes on from what is written,
+    so frequent changes of an idle group's leader would else stop its clock.
     """
+    is_empty = not (group.activity or group.ended or group.settled)
+    if not is_empty and clock - group.clock >= CLOCK_STEP:
+        return True
     oldest = next(iter(group.activity.values()), clock)
     if clock - oldest >= tick.program_idle:
         return True
--- /dev/null
+++ b/testing/test_control_client.py
@@ -0,0 +1,193 @@
+"""The control client against scripted answers."""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import testtools
+from testtools import matchers
+
+from mintcleat.adapters import timers
+from mintcleat.domain import codec
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.programs import placement
+from mintcleat.roles import control_client
+
+LOST = errors.StreamTimeout("No answer.")
+CUT = errors.StreamClosed("No way.", outcome=errors.NOT_RUN)
+BEGIN = messages.BeginCall(
+    "p",
+    "farm",
+    "chat",
+    1,
+    "key",
+    b"d" * 16,
+    ["hello"],
+    10,
+    True,
+    messages.Incarnation("e1", 1),
+    "10.0.0.1:1",
+)
+SIDECAR = messages.Incarnation("e1", 1)
+
+
+class ScriptedStreams:
+    """Answers each batch by a function of address and decoded requests."""
+
+    def __init__(self, script: Callable[[str, list[Any]], list[Any]]) -> None:
+        self.script = script
+        self.asked: list[tuple[str, list[Any]]] = []
+
+    def ask(self, address: str, message: Any, timeout: float) -> Any:
+        eventlet.sleep(0.001)
+        requests = [codec.decode(item) for item in message.items]
+        self.asked.append((address, requests))
+        replies = self.script(address, requests)
+        return messages.Batch([codec.encode(reply) for reply in replies])
+
+
+class ControlClientTest(testtools.TestCase):
+    def client(
+        self, script: Callable[[str, list[Any]], list[Any]]
+    ) -> control_client.ControlClient:
+        self.streams = ScriptedStreams(script)
+        return control_client.ControlClient(
+            self.streams, timers.EventletTimers(), ["a", "b", "c"], 4
+        )
+
+    def addresses(self) -> list[str]:
+        return [address for address, _ in self.streams.asked]
+
+    def test_redirect_is_followed_and_remembered(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            if address == "c":
+                return [messages.Done() for _ in requests]
+            return [errors.NotLeader("c").failure() for _ in requests]
+
+        client = self.client(script)
+        for _ in range(2):
+            reply = client.ask("p", messages.CloseProgram("p"), 5.0)
+            self.assertEqual(messages.Done(), reply)
+        self.assertEqual(["a", "c", "c"], self.addresses())
+
+    def test_cut_off_leader_is_replaced_by_another_instance(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            if address == "a":
+                raise LOST
+            return [messages.Done() for _ in requests]
+
+        client = self.client(script)
+        reply = client.ask("p", messages.CloseProgram("p"), 5.0)
+        self.assertEqual(messages.Done(), reply)
+
+    def test_nothing_delivered_is_a_true_not_run(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            if address == "b":
+                return [errors.NotLeader("").failure() for _ in requests]
+            raise CUT
+
+        client = self.client(script)
+        error = self.assertRaises(
+            errors.ControlUnavailable, client.ask, "p", BEGIN, 0.2
+        )
+        self.assertEqual(errors.NOT_RUN, error.outcome)
+
+    def test_one_lost_answer_makes_the_outcome_unknown(self) -> None:
+        """The first instance may have taken the request, then all are cut.
+
+        The request may be committed at any later time, so "not run" would
+        be a guess.
+        """
+        for loss in (LOST, errors.ProposalLost("Lost.")):
+            tries = []
+
+            def script(
+                address: str,
+                requests: list[Any],
+                tries: list[str] = tries,
+                loss: errors.MintcleatError = loss,
+            ) -> list[Any]:
+                tries.append(address)
+                if len(tries) > 1:
+                    raise CUT
+                if isinstance(loss, errors.ProposalLost):
+                    return [loss.failure() for _ in requests]
+                raise loss
+
+            client = self.client(script)
+            error = self.assertRaises(
+                errors.OutcomeUnknown, client.ask, "p", BEGIN, 0.2
+            )
+            self.assertEqual(errors.UNKNOWN, error.outcome)
+
+    def test_read_without_an_answer_changed_nothing(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            raise LOST
+
+        client = self.client(script)
+        self.assertRaises(
+            errors.ControlUnavailable,
+            client.ask,
+            "p",
+            messages.ShowProgram("p"),
+            0.2,
+        )
+
+    def test_resends_of_a_begin_share_a_nonce_and_new_begins_do_not(
+        self,
+    ) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            if len(self.streams.asked) % 3:
+                raise LOST
+            return [messages.Done() for _ in requests]
+
+        client = self.client(script)
+        client.ask("p", BEGIN, 5.0)
+        client.ask("p", BEGIN, 5.0)
+        nonces = [batch[0].nonce for _, batch in self.streams.asked]
+        self.assertEqual(6, len(nonces))
+        self.assertEqual(2, len(set(nonces)))
+        self.assertThat(nonces, matchers.Not(matchers.Contains(0)))
+
+    def test_refusal_of_the_group_is_raised_and_not_retried(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            return [errors.WrongTurn("No.").failure() for _ in requests]
+
+        client = self.client(script)
+        self.assertRaises(errors.WrongTurn, client.ask, "p", BEGIN, 5.0)
+        self.assertEqual(1, len(self.streams.asked))
+
+    def test_concurrent_requests_share_batches_and_get_their_own_answers(
+        self,
+    ) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            return [messages.Done(str(one.first)) for one in requests]
+
+        def ask(number: int) -> str:
+            request = messages.FetchHistory("p", number)
+            return client.ask("p", request, 5.0).detail
+
+        client = self.client(script)
+        pool = eventlet.GreenPool()
+        self.assertEqual(
+            [str(number) for number in range(100)],
+            list(pool.imap(ask, range(100))),
+        )
+        self.assertThat(len(self.streams.asked), matchers.LessThan(10))
+
+    def test_gone_programs_are_asked_for_group_by_group(self) -> None:
+        names = [f"p{number}" for number in range(40)]
+        silent = placement.group_of("p0", 4)
+
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            (request,) = requests
+            groups = {placement.group_of(n, 4) for n in request.programs}
+            self.assertEqual(1, len(groups))
+            if silent in groups:
+                raise CUT
+            return [messages.Gone(request.programs)]
+
+        client = self.client(script)
+        expected = {n for n in names if placement.group_of(n, 4) != silent}
+        self.assertEqual(expected, set(client.gone(SIDECAR, names, 0.1)))
--- /dev/null
+++ b/testing/test_program_service.py
@@ -0,0 +1,179 @@
+"""The program service on a log in memory."""
+
+from typing import Any
+
+import testtools
+from testtools import matchers
+
+from fakes import log as fake_log
+from mintcleat.adapters import timers
+from mintcleat.domain import codec
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.programs import placement
+from mintcleat.roles import program_service
+
+GROUPS = placement.group_names(3)
+
+
+class NoStreams:
+    """Notes the handlers; requests are handed to the service directly."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[type, Any] = {}
+
+    def handle(self, kind: type, handler: Any) -> None:
+        self.handlers[kind] = handler
+
+
+class Exchange:
+    """Keeps what a handler sends."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, message: Any) -> None:
+        self.sent.append(message)
+
+
+def create(program: str) -> messages.CreateProgram:
+    return messages.CreateProgram(
+        program, "farm", "triage", "batch", messages.Budget()
+    )
+
+
+def begin(program: str, **changes: Any) -> messages.BeginCall:
+    request = messages.BeginCall(
+        program,
+        "farm",
+        "chat",
+        1,
+        "key",
+        b"d" * 16,
+        ["hello"],
+        10,
+        True,
+        messages.Incarnation("e1", 1),
+        "10.0.0.1:1",
+    )
+    return request._replace(**changes)
+
+
+class ProgramServiceTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = fake_log.Cluster()
+        self.timers = timers.VirtualTimers()
+        self.streams = NoStreams()
+        self.policies = manifest.Policies(
+            program_idle=100.0, record_retention=1000.0
+        )
+        self.service = self.serve("c1:1")
+        self.cluster.elect("c1:1")
+
+    def serve(self, address: str) -> program_service.ProgramService:
+        log = fake_log.MemoryLog(self.cluster, address)
+        return program_service.ProgramService(
+            log, self.streams, self.timers, GROUPS, lambda: self.policies
+        )
+
+    def batch(self, requests: list[Any]) -> list[Any]:
+        exchange = Exchange()
+        items = [codec.encode(request) for request in requests]
+        handler = self.streams.handlers[messages.Batch]
+        handler(exchange, messages.Batch(items))
+        return [codec.decode(item) for item in exchange.sent[0].items]
+
+    def commands(self) -> int:
+        return sum(len(found) for found in self.cluster.commands.values())
+
+    def test_replica_that_does_not_lead_names_the_leader(self) -> None:
+        self.cluster.elect("c2:1")
+        for request in (create("p"), messages.ShowProgram("p")):
+            (reply,) = self.service.answer([request])
+            self.assertThat(reply, matchers.IsInstance(errors.NotLeader))
+            self.assertEqual("c2:1", reply.leader)
+        self.assertEqual(0, self.commands())
+
+    def test_batch_is_answered_in_order_with_one_commit_a_group(self) -> None:
+        names = [f"p{number}" for number in range(20)]
+        requests = [create(name) for name in names]
+        requests.insert(3, messages.ShowProgram("nobody"))
+        replies = self.batch(requests)
+        self.assertEqual("unknown_program", replies.pop(3).kind)
+        self.assertEqual(names, [reply.program for reply in replies])
+        self.assertEqual(len(GROUPS), self.commands())
+
+    def test_requests_of_one_program_are_applied_in_their_order(self) -> None:
+        replies = self.batch(
+            [create("p"), begin("p"), begin("p", key="other", digest=b"o" * 16)]
+        )
+        self.assertThat(replies[1], matchers.IsInstance(messages.Granted))
+        self.assertEqual("call_running", replies[2].kind)
+
+    def test_lost_proposal_is_told_as_lost(self) -> None:
+        self.cluster.lose_next = 1
+        (reply,) = self.service.answer([create("p")])
+        self.assertThat(reply, matchers.IsInstance(errors.ProposalLost))
+
+    def test_malformed_requests_are_refused_before_the_log(self) -> None:
+        bad = [
+            messages.Ping(),
+            create("no spaces"),
+            create(""),
+            begin("p", reserve=-5),
+            begin("p", digest=b"short"),
+            begin("p", key=""),
+            begin("", turn=1),
+            messages.ListPrograms("programs-99"),
+            messages.RenewResidency(messages.Incarnation("e1", 1), []),
+        ]
+        for reply in self.service.answer(bad):
+            self.assertThat(reply, matchers.IsInstance(errors.BadRequest))
+        self.assertEqual(0, self.commands())
+
+    def test_empty_groups_cost_nothing_and_idle_ones_little(self) -> None:
+        self.service.answer([create("p")])
+        self.timers.advance(65.0)
+        self.assertEqual(2, self.commands())
+
+    def test_abandoned_program_expires_by_time_of_leadership(self) -> None:
+        self.service.answer([create("p")])
+        self.timers.advance(110.0)
+        (view,) = self.service.answer([messages.ShowProgram("p")])
+        self.assertEqual("expired", view.state)
+
+    def test_clock_goes_on_at_the_next_leader(self) -> None:
+        """Leadership moves to a replica that started much later.
+
+        Its own process has a younger monotonic clock. Were the group's
+        clock taken from it, idle programs would never expire, or all would
+        at once; it goes on from the last clock in the log instead.
+        """
+        self.service.answer([create("p"), create("q")])
+        self.timers.advance(60.0)
+        self.service.answer([begin("p")])
+        other = self.serve("c2:1")
+        self.cluster.heal()
+        self.cluster.elect("c2:1")
+        self.timers.advance(60.0)
+        views = other.answer(
+            [messages.ShowProgram("p"), messages.ShowProgram("q")]
+        )
+        self.assertEqual(["open", "expired"], [view.state for view in views])
+
+    def test_list_goes_on_after_a_name(self) -> None:
+        names = [f"p{number}" for number in range(9)]
+        self.service.answer([create(name) for name in names])
+        found = []
+        for group in GROUPS:
+            after = ""
+            while True:
+                request = messages.ListPrograms(group, after, 2)
+                (page,) = self.service.answer([request])
+                if not page.programs:
+                    break
+                found += [view.program for view in page.programs]
+                after = found[-1]
+        self.assertEqual(names, sorted(found))
