Let finished turns leave the memory of their group

Change: one ordered table of the calls that hold their key; a call leaves it with its key. Short digests are searched for before they are counted.

--- /dev/null
+++ b/bench/programs.py
@@ -0,0 +1,183 @@
+"""Cost of program records: processor time, memory, snapshots, as slopes.
+
+Run `python bench/programs.py`. Each size is measured in the same process, on
+the machine alone (no log, no sockets), with histories in memory or in files.
+"""
+
+import gc
+import pathlib
+import tempfile
+import time
+import tracemalloc
+from typing import NamedTuple
+
+import fire
+
+from mintcleat.adapters import histories as file_histories
+from mintcleat.domain import messages
+from mintcleat.programs import commands
+from mintcleat.programs import machine
+
+SIDECAR = messages.Incarnation("engine-1", 1)
+TEXT = '{"role":"user","content":"' + "x" * 400 + '"}'
+ANSWER = ('{"role":"assistant","content":"' + "y" * 800 + '"}').encode()
+BATCH = 64
+
+
+class Row(NamedTuple):
+    """Figures of one size."""
+
+    programs: int
+    pair_us: float
+    bytes_each: float
+    snapshot_ms: float
+    snapshot_bytes: int
+    restore_ms: float
+
+
+def create(program: str) -> messages.CreateProgram:
+    """Returns a creation as an entry sends it."""
+    return messages.CreateProgram(
+        program,
+        "farm",
+        "triage",
+        "interactive",
+        messages.Budget(160_000, 340, 3600.0),
+        repeat_limit=8,
+    )
+
+
+def begin(program: str, turn: int) -> messages.BeginCall:
+    """Returns the begin of a turn as an entry sends it."""
+    return messages.BeginCall(
+        program,
+        "farm",
+        "chat",
+        turn,
+        f"auto-{program}-{turn}",
+        turn.to_bytes(16, "little"),
+        [TEXT],
+        200,
+        True,
+        SIDECAR,
+        "10.0.0.1:7000",
+        nonce=turn,
+    )
+
+
+def apply(group: machine.ProgramMachine, requests: list) -> list:
+    """Applies requests in commands of `BATCH`, as the service makes them."""
+    replies = []
+    for start in range(0, len(requests), BATCH):
+        part = requests[start : start + BATCH]
+        data = commands.encode(commands.Command(1.0, 1.0, part))
+        replies += group.apply(1, data)
+    return replies
+
+
+def run_turn(
+    group: machine.ProgramMachine, programs: list[str], turn: int
+) -> float:
+    """Begins and finishes one turn of each; returns processor seconds."""
+    begins = [begin(program, turn) for program in programs]
+    started = time.process_time()
+    grants = apply(group, begins)
+    seconds = time.process_time() - started
+    finishes = [
+        messages.FinishCall(
+            request.program,
+            "farm",
+            request.key,
+            granted.attempt,
+            SIDECAR,
+            ANSWER,
+            messages.Usage(100, 80, 0),
+        )
+        for request, granted in zip(begins, grants, strict=True)
+    ]
+    started = time.process_time()
+    apply(group, finishes)
+    return seconds + time.process_time() - started
+
+
+def fill(group: machine.ProgramMachine, programs: int, turns: int) -> float:
+    """Fills a group; returns processor seconds of a begin+finish pair."""
+    names = [f"program-{number:08d}" for number in range(programs)]
+    apply(group, [create(name) for name in names])
+    seconds = sum(run_turn(group, names, turn + 1) for turn in range(turns))
+    return seconds / (programs * turns)
+
+
+def measure(programs: int, turns: int, folder: pathlib.Path) -> Row:
+    """Measures one size with histories in files."""
+    timed = machine.ProgramMachine(
+        file_histories.FileHistories(folder / f"timed-{programs}")
+    )
+    pair = fill(timed, programs, turns)
+    started = time.process_time()
+    state = timed.snapshot()
+    snapshot = time.process_time() - started
+    copy = machine.ProgramMachine(
+        file_histories.FileHistories(folder / f"copy-{programs}")
+    )
+    started = time.process_time()
+    copy.restore(state)
+    restore = time.process_time() - started
+    for group in (timed, copy):
+        group.histories.clear()
+    del timed, copy
+    weight = weigh(programs, turns, folder / f"weighed-{programs}")
+    return Row(
+        programs, pair * 1e6, weight, snapshot * 1e3, len(state), restore * 1e3
+    )
+
+
+def weigh(programs: int, turns: int, folder: pathlib.Path) -> float:
+    """Returns the bytes of Python memory that each program holds."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    group = machine.ProgramMachine(file_histories.FileHistories(folder))
+    fill(group, programs, turns)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    group.histories.clear()
+    return held / programs
+
+
+def main(sizes: tuple[int, ...] = (1000, 4000, 16000), turns: int = 3) -> None:
+    """Prints a row a size and the slopes between the ends.
+
+    Args:
+        sizes: Programs of one group.
+        turns: Finished turns of each program.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        rows = [measure(size, turns, pathlib.Path(name)) for size in sizes]
+    print(
+        f"{'programs':>9} {'us/pair':>8} {'bytes/program':>13}"
+        f" {'snapshot ms':>11} {'snapshot MB':>11} {'restore ms':>10}"
+    )
+    for row in rows:
+        print(
+            f"{row.programs:>9} {row.pair_us:>8.1f} {row.bytes_each:>13.0f}"
+            f" {row.snapshot_ms:>11.1f} {row.snapshot_bytes / 1e6:>11.2f}"
+            f" {row.restore_ms:>10.1f}"
+        )
+    first, last = rows[0], rows[-1]
+    more = last.programs - first.programs
+    held = last.bytes_each * last.programs - first.bytes_each * first.programs
+    snapshot = last.snapshot_ms - first.snapshot_ms
+    restore = last.restore_ms - first.restore_ms
+    print(f"slope: {held / more:.0f} bytes a program with {turns} turns")
+    print(f"slope: {snapshot / more * 1e3:.1f} us of snapshot a program")
+    print(f"slope: {restore / more * 1e3:.1f} us of restore a program")
+    print(
+        f"ratio of us/pair, largest to smallest size: "
+        f"{last.pair_us / first.pair_us:.2f}"
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -170,6 +170,7 @@
     request: messages.BeginCall,
 ) -> messages.Granted:
     call = records.Call(
+        number=group.last_attempt + 1,
         program=request.program,
         partner=request.partner,
         key=request.key,
@@ -193,7 +194,7 @@
         loops.note(program, request.digest)
         if request.turn:
             program.turn_key = request.key
-    group.settled.append((group.clock, call))
+    group.calls[call.number] = call
     return _grant_again(group, call, request)
 
 
@@ -209,8 +210,7 @@
     call.nonce = request.nonce
     call.state = records.RUNNING
     call.failure = None
-    call.touched = group.clock
-    group.touch(call.program)
+    tables.touch(group, call)
     return _granted(group, call)
 
 
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -32,7 +32,8 @@
         activity: Root ids, the longest idle first, with the clock of the
             last change anywhere below.
         ended: (clock, id) of closed and expired programs, in that order.
-        settled: (clock, call) in the order in which they may leave.
+        calls: Calls that hold their key, the longest untouched first; they
+            leave by retention in this order.
         forgotten: Programs that left by retention.
     """
 
@@ -58,8 +59,8 @@
             collections.OrderedDict()
         )
         self.ended: collections.deque[tuple[float, str]] = collections.deque()
-        self.settled: collections.deque[tuple[float, records.Call]] = (
-            collections.deque()
+        self.calls: collections.OrderedDict[int, records.Call] = (
+            collections.OrderedDict()
         )
 
     def apply(self, index: int, command: bytes) -> list[Any]:
--- a/src/mintcleat/programs/outcomes.py
+++ b/src/mintcleat/programs/outcomes.py
@@ -35,7 +35,7 @@
         return _superseded(request)
     call.state = records.FINISHED
     call.usage = request.usage
-    tables.note_end(group, call)
+    tables.touch(group, call)
     if call.program:
         _record_in_program(group, call, request)
     if not call.turn:
@@ -61,17 +61,17 @@
             tables.free_turn(group, call)
             if call.program:
                 group.programs[call.program].released = call.nonce
-            del table[tables.slot(request)]
+            tables.remove(group, call)
         case errors.RAN:
             call.state = records.FAILED
             call.failure = request.failure
             budgets.write_off(tables.chain(group, call), call)
             tables.free_turn(group, call)
-            tables.note_end(group, call)
+            tables.touch(group, call)
         case errors.UNKNOWN:
             call.state = records.UNKNOWN
             call.failure = request.failure
-            tables.note_end(group, call)
+            tables.touch(group, call)
         case _:
             return errors.BadRequest(f"{request.outcome!r} is no outcome.")
     return messages.Done()
@@ -84,10 +84,7 @@
         tables.free_turn(group, call)
     if call.is_stored:
         group.histories.forget(answers.name_of(call))
-    if call.program:
-        del group.programs[call.program].calls[call.key]
-    else:
-        del group.keyed[call.partner, call.key]
+    tables.remove(group, call)
 
 
 def _record_in_program(
@@ -118,7 +115,7 @@
     program.past_keys += prefixes.of_key(call.key)
     program.resident = request.sidecar
     program.resident_address = call.address
-    del program.calls[call.key]
+    tables.remove(group, call)
 
 
 def _finished_before(
--- a/src/mintcleat/programs/prefixes.py
+++ b/src/mintcleat/programs/prefixes.py
@@ -21,7 +21,13 @@
 
 
 def count(packed: bytes, prefix: bytes) -> int:
-    """Returns how often a short digest is among those packed."""
+    """Returns how often a short digest is among those packed.
+
+    Most are not there at all, which one search over the bytes tells; only
+    what it finds may lie across two digests and is counted one by one.
+    """
+    if prefix not in packed:
+        return 0
     return sum(
         packed.startswith(prefix, start)
         for start in range(0, len(packed), SIZE)
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -43,6 +43,7 @@
     """A call that holds its key.
 
     Attributes:
+        number: Its first attempt, which names it for good in its group.
         program: Id of its program; empty for a call without one.
         messages: New chat messages, kept until the turn is finished.
         reserved: Tokens held on the program and its ancestors.
@@ -53,6 +54,7 @@
         is_stored: Whether the answer is in the history store instead.
     """
 
+    number: int
     program: str
     partner: str
     key: str
--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -43,16 +43,16 @@
     down once in `CLOCK_STEP`: the next leader goes on from what is written,
     so frequent changes of an idle group's leader would else stop its clock.
     """
-    is_empty = not (group.activity or group.ended or group.settled)
+    is_empty = not (group.activity or group.ended or group.calls)
     if not is_empty and clock - group.clock >= CLOCK_STEP:
         return True
     oldest = next(iter(group.activity.values()), clock)
     if clock - oldest >= tick.program_idle:
         return True
-    return any(
-        queue and clock - queue[0][0] >= tick.record_retention
-        for queue in (group.ended, group.settled)
-    )
+    due = clock - tick.record_retention
+    if group.ended and group.ended[0][0] <= due:
+        return True
+    return bool(group.calls) and next(iter(group.calls.values())).touched <= due
 
 
 def _expire_idle(group: "machine.ProgramMachine", idle: float) -> None:
@@ -82,6 +82,7 @@
     program = group.programs.pop(name)
     group.histories.forget(name)
     for call in program.calls.values():
+        del group.calls[call.number]
         if call.is_stored:
             group.histories.forget(answers.name_of(call))
     group.forgotten += 1
@@ -91,20 +92,7 @@
 
 def _drop_calls(group: "machine.ProgramMachine", retention: float) -> None:
     for _ in range(MAX_DROPS):
-        if not group.settled or group.clock - group.settled[0][0] < retention:
+        oldest = next(iter(group.calls.values()), None)
+        if oldest is None or group.clock - oldest.touched < retention:
             return
-        _, call = group.settled.popleft()
-        if not _is_held(group, call):
-            continue
-        if group.clock - call.touched < retention:
-            group.settled.append((call.touched, call))
-            continue
-        outcomes.drop(group, call)
-
-
-def _is_held(group: "machine.ProgramMachine", call: records.Call) -> bool:
-    """Tells whether the call is still in its key table."""
-    if not call.program:
-        return group.keyed.get((call.partner, call.key)) is call
-    program = group.programs.get(call.program)
-    return program is not None and program.calls.get(call.key) is call
+        outcomes.drop(group, oldest)
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -24,28 +24,21 @@
 
 def pack(group: "machine.ProgramMachine") -> bytes:
     """Returns the whole state, in an order that every replica shares."""
-    held = _held_calls(group)
-    places = {id(call): place for place, call in enumerate(held)}
     state = [
         FORMAT,
         group.clock,
         group.last_attempt,
         group.forgotten,
         [_fields(p, _PROGRAM_FIELDS) for p in group.programs.values()],
-        [_fields(call, _CALL_FIELDS) for call in held],
+        [_fields(call, _CALL_FIELDS) for call in group.calls.values()],
         [list(item) for item in group.activity.items()],
         [list(item) for item in group.ended],
-        [
-            [clock, places[id(call)]]
-            for clock, call in group.settled
-            if id(call) in places
-        ],
         [
             [name, group.histories.read(name, 1, program.next_turn - 1)]
             for name, program in group.programs.items()
             if program.next_turn > 1
         ],
-        _stored_answers(group, held),
+        _stored_answers(group),
     ]
     return msgpack.packb(state, use_bin_type=True)
 
@@ -66,33 +59,27 @@
     for values in state[4]:
         program = _record(records.Program, _PROGRAM_FIELDS, values)
         group.programs[program.program] = program
-    held = [_record(records.Call, _CALL_FIELDS, item) for item in state[5]]
-    for call in held:
-        if call.program:
-            group.programs[call.program].calls[call.key] = call
-        else:
-            group.keyed[call.partner, call.key] = call
+    for values in state[5]:
+        _add_call(group, _record(records.Call, _CALL_FIELDS, values))
     group.activity.update((name, clock) for name, clock in state[6])
     group.ended.extend((clock, name) for clock, name in state[7])
-    group.settled.extend((clock, held[place]) for clock, place in state[8])
-    for name, stored in state[9] + state[10]:
+    for name, stored in state[8] + state[9]:
         for record in stored:
             group.histories.append(name, record)
 
 
-def _held_calls(group: "machine.ProgramMachine") -> list[records.Call]:
-    held = [
-        call
-        for program in group.programs.values()
-        for call in program.calls.values()
-    ]
-    return held + list(group.keyed.values())
+def _add_call(group: "machine.ProgramMachine", call: records.Call) -> None:
+    group.calls[call.number] = call
+    if call.program:
+        group.programs[call.program].calls[call.key] = call
+    else:
+        group.keyed[call.partner, call.key] = call
 
 
-def _stored_answers(
-    group: "machine.ProgramMachine", held: list[records.Call]
-) -> list[Any]:
-    names = [answers.name_of(call) for call in held if call.is_stored]
+def _stored_answers(group: "machine.ProgramMachine") -> list[Any]:
+    names = [
+        answers.name_of(call) for call in group.calls.values() if call.is_stored
+    ]
     return [[name, group.histories.read(name, 1, 1)] for name in names]
 
 
--- a/src/mintcleat/programs/tables.py
+++ b/src/mintcleat/programs/tables.py
@@ -44,7 +44,17 @@
         program.turn_key = ""
 
 
-def note_end(group: "machine.ProgramMachine", call: records.Call) -> None:
-    """Starts the call's retention and notes activity of its program."""
+def touch(group: "machine.ProgramMachine", call: records.Call) -> None:
+    """Starts the call's retention anew and notes its program's activity."""
     call.touched = group.clock
+    group.calls.move_to_end(call.number)
     group.touch(call.program)
+
+
+def remove(group: "machine.ProgramMachine", call: records.Call) -> None:
+    """Takes a call out of its key table."""
+    del group.calls[call.number]
+    if call.program:
+        del group.programs[call.program].calls[call.key]
+    else:
+        del group.keyed[call.partner, call.key]
--- a/testing/test_programs_machine.py
+++ b/testing/test_programs_machine.py
@@ -329,6 +329,15 @@
         self.apply(TICK._replace(program_idle=9999.0))
         self.assertEqual([], self.show().children)
 
+    def test_finished_turns_and_freed_calls_hold_no_memory(self) -> None:
+        self.create()
+        for turn in range(1, 4):
+            attempt = self.apply(begin(turn, f"k{turn}")).attempt
+            self.apply(finish(f"k{turn}", attempt))
+        attempt = self.apply(begin(0, "t")).attempt
+        self.apply(settle("t", attempt, errors.NOT_RUN))
+        self.assertEqual(0, len(self.group.calls))
+
     def test_restored_group_has_the_same_state(self) -> None:
         self.create(repeat_limit=3, budget=messages.Budget(100, 9, 5.0))
         self.create("p.c", parent="p")
