Pass over a control instance whose service is not ready

Cause: an instance that starts or stops refuses a batch as a whole, and the client gave that refusal to the caller as the group's own. Change: a refusal of the whole batch is retried elsewhere. Conclusion: a restart is not seen by callers.

--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -114,12 +114,26 @@
                 )
         except errors.MintcleatError as error:
             for pending in batch:
-                pending.reply.send_exception(error)
+                pending.reply.send_exception(self._line_failure(error))
             self._fail_waiting()
             return
         for pending, item in zip(batch, replies, strict=True):
             pending.reply.send(item)
 
+    def _line_failure(
+        self, error: errors.MintcleatError
+    ) -> errors.MintcleatError:
+        """Returns the failure of a whole batch as one to retry elsewhere.
+
+        An instance that is starting or stopping has no handler yet, or no
+        longer; its refusal is not the group's.
+        """
+        if isinstance(error, (errors.StreamTimeout, errors.TooLarge)):
+            return error
+        return errors.StreamClosed(
+            f"{self.address} failed: {error.detail}", outcome=error.outcome
+        )
+
     def _fail_waiting(self) -> None:
         """Sends the requests behind a failed batch elsewhere at once.
 
--- a/testing/test_control_client.py
+++ b/testing/test_control_client.py
@@ -81,6 +81,22 @@
         reply = client.ask("p", messages.CloseProgram("p"), 5.0)
         self.assertEqual(messages.Done(), reply)
 
+    def test_instance_without_its_service_yet_is_passed_over(self) -> None:
+        """A control instance restarts and is asked before it is ready.
+
+        Its streams refuse the kind of message. The caller sees nothing of
+        it: the request goes to the next instance.
+        """
+
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            if address == "a":
+                raise errors.BadRequest("No handler here for Batch.")
+            return [messages.Done() for _ in requests]
+
+        client = self.client(script)
+        reply = client.ask("p", messages.CloseProgram("p"), 5.0)
+        self.assertEqual(messages.Done(), reply)
+
     def test_nothing_delivered_is_a_true_not_run(self) -> None:
         def script(address: str, requests: list[Any]) -> list[Any]:
             if address == "b":
