Run the configuration's bench over a quorum of three disks

The replicated log of several members is there now; the bench had used one member and relays without a replica. Polling is measured for its cost too.

--- a/bench/config_rig.py
+++ b/bench/config_rig.py
@@ -1,8 +1,7 @@
 """Processes of `bench/configuration.py`: control instances and light nodes.
 
 A light node is a real Follower with a connection of its own; many share a
-process. The log has one member with a real write-ahead log, so the cost of a
-quorum is not part of these figures; the relays are real.
+process. The control instances keep a replicated log on disk.
 """
 
 import warnings
@@ -19,7 +18,7 @@
 import socket
 import struct
 import sys
-import tempfile
+import time
 from types import FrameType
 from typing import Any
 
@@ -43,24 +42,6 @@
 TCP_INFO_SIZE = 136
 
 
-class RemoteLog:
-    """The log of a relay: it knows the leader and holds no replica."""
-
-    def __init__(self, leader: str) -> None:
-        self.address = leader
-
-    def attach(self, group: str, replica: Any) -> None:
-        """Takes no machine."""
-
-    def leader(self, group: str) -> str:
-        """Returns the leader's address."""
-        return self.address
-
-    def leads(self, group: str) -> bool:
-        """Never leads."""
-        return False
-
-
 class Recorder:
     """Writes what a process has seen to a file on SIGUSR1."""
 
@@ -97,39 +78,51 @@
     return struct.unpack_from("QQ", info, TCP_INFO_BYTES)
 
 
-def control(name: str, out: str, leader: str = "") -> None:
-    """Runs the leader, or a relay of `leader`."""
+def control(name: str, addresses: str, folder: str, out: str) -> None:
+    """Runs one of the control instances at `addresses`, which form a quorum.
+
+    Args:
+        name: `control-N`, the N-th of the addresses.
+        addresses: Stream addresses of all of them, with commas between.
+        folder: Data folder.
+        out: File that the recorder writes.
+    """
     clock = timers.EventletTimers()
     recorder = Recorder(out)
-    listener = streams.TcpStreams("127.0.0.1:0")
-    node = messages.Incarnation(name, 1)
-    log: Any = RemoteLog(leader)
-    if not leader:
-        member = replication.Member(name, listener.address, "fd", "r")
-        folder = pathlib.Path(tempfile.mkdtemp(prefix="mintcleat-bench-"))
-        log = replication.GroupLog(
-            node,
-            listener.address,
-            [member],
-            wal.FileWal(folder),
-            [machine.GROUP],
-            streams=listener,
-            timers=clock,
-        )
+    members = [
+        replication.Member(f"control-{number}", address, f"fd-{number}", "r")
+        for number, address in enumerate(addresses.split(","))
+    ]
+    own = next(member for member in members if member.instance == name)
+    listener = streams.TcpStreams(own.address)
+    node = messages.Incarnation(name, time.time_ns())
+    log = replication.GroupLog(
+        node,
+        own.address,
+        members,
+        wal.FileWal(pathlib.Path(folder)),
+        [machine.GROUP],
+        streams=listener,
+        timers=clock,
+    )
     service = config_service.ConfigService(
-        node, "fd", listener.address, log=log, streams=listener, timers=clock
+        node,
+        own.failure_domain,
+        own.address,
+        log=log,
+        streams=listener,
+        timers=clock,
     )
     seen = [0]
 
     def applied() -> None:
         revision = service.machine.document.revision
-        if revision > seen[0]:
+        if revision > seen[0] and service.leads():
             seen[0] = revision
             recorder.events.append([revision, clock.now()])
 
     service.machine.subscribers.insert(0, applied)
-    if not leader:
-        log.start()
+    log.start()
     service.start()
 
     def tell_revision(
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -4,9 +4,10 @@
     python bench/configuration.py cost      bytes and CPU, idle and changing
     python bench/configuration.py sizes     bytes against manifest size
 
-One leader and two relays run as processes, with light nodes in a few more;
-the baseline polls the leader for the revision each second and reads the
-manifest when it changed. Each command prints a table.
+Three control instances with disks run as processes, with light nodes in a
+few more; the leader and both relays serve a third of them each. The baseline
+polls the leader for the revision each second and reads the manifest when it
+changed. Each command prints a table.
 """
 
 import functools
@@ -30,12 +31,15 @@
 
 from bench import processes
 from mintcleat.adapters import streams
+from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
 
 RIG = str(pathlib.Path(__file__).parent / "config_rig.py")
 # The users' plan: 9,600 changes a day.
 USER_RATE = 9_600 / 86_400
+CONTROLS = 3
+WAY = {"nodes": "stream", "pollers": "polling"}
 NODES_PER_PROCESS = 125
 # What one service and one partner add to a manifest, in bytes, about.
 SMALL = 10_000
@@ -65,14 +69,23 @@
     def __init__(self, count: int, kind: str = "nodes") -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mintcleat-bench-"))
         self.count = count
-        self.leader = self._control("leader")
-        address = self.leader.addresses["streams"]
-        self.relays = [
-            self._control(f"relay-{number}", address) for number in range(2)
+        addresses = [processes.free_address() for _ in range(CONTROLS)]
+        controls = [
+            self._start(
+                f"control-{number}",
+                "control",
+                f"--name=control-{number}",
+                f"--addresses={','.join(addresses)}",
+                f"--folder={self.folder / f'data-{number}'}",
+            )
+            for number in range(CONTROLS)
         ]
-        control = ",".join(
-            item.addresses["streams"] for item in (self.leader, *self.relays)
-        )
+        self.client = shared_client()
+        self.address = self._find_leader(addresses)
+        self.leader = controls[addresses.index(self.address)]
+        self.relays = [item for item in controls if item is not self.leader]
+        addresses.sort(key=lambda address: address != self.address)
+        control = ",".join(addresses)
         self.nodes = [
             self._start(
                 f"{kind}-{first}",
@@ -83,8 +96,6 @@
             )
             for first in range(0, count, NODES_PER_PROCESS)
         ]
-        self.client = shared_client()
-        self.address = address
         self.revision = 0
 
     def push(self, text: str) -> None:
@@ -156,10 +167,17 @@
             sum(record.received for record in records),
         )
 
-    def _control(self, name: str, leader: str = "") -> processes.Process:
-        return self._start(
-            name, "control", f"--name={name}", f"--leader={leader}"
-        )
+    def _find_leader(self, addresses: list[str]) -> str:
+        deadline = time.monotonic() + 20.0
+        while time.monotonic() < deadline:
+            for address in addresses:
+                try:
+                    self.client.ask(address, messages.ReadManifest(), 1.0)
+                except errors.MintcleatError:
+                    time.sleep(0.1)
+                else:
+                    return address
+        raise RuntimeError("No control instance took the lead in 20 s.")
 
     def _start(self, name: str, *arguments: str) -> processes.Process:
         out = f"--out={self.folder / name}"
@@ -198,9 +216,8 @@
             p50, p99, most = (
                 quantile(found[way], share) for share in (0.5, 0.99, 1.0)
             )
-            name = {"nodes": "stream", "pollers": "polling"}[way]
             print(
-                f"{count:5}  {name:7}  {p50:.3f}   {p99:.3f}   {most:.3f}"
+                f"{count:5}  {WAY[way]:7}  {p50:.3f}   {p99:.3f}   {most:.3f}"
                 f"   {len(found[way])}",
                 flush=True,
             )
@@ -231,32 +248,21 @@
 
 def cost(seconds: float = 15.0) -> None:
     """Bytes and CPU per node, idle and at 10 times the users' changes."""
-    head = (
-        "nodes  load     node CPU %  node B/s up  node B/s down"
+    print(
+        "nodes  way      load  node CPU %  node B/s up  node B/s down"
         "  leader CPU %  relay CPU %  leader MB  node process MB"
     )
-    print(head)
     rows: dict[str, list[tuple[int, Window]]] = {"idle": [], "10x": []}
-    for count in (10, 100, 250, 500):
-        rig = Rig(count)
-        try:
-            rig.push(manifest_of(SMALL, "0"))
-            rig.settle()
-            time.sleep(3.0)
-            for name, rate in (("idle", 0.0), ("10x", 10 * USER_RATE)):
-                window = rig.measure(seconds, rate)
+    for way, count in (
+        ("nodes", 10),
+        ("nodes", 100),
+        ("nodes", 250),
+        ("nodes", 500),
+        ("pollers", 500),
+    ):
+        for name, window in _cost(way, count, seconds).items():
+            if way == "nodes":
                 rows[name].append((count, window))
-                print(
-                    f"{count:5}  {name:7}  {window.node_cpu * 100:10.3f}"
-                    f"  {window.node_sent:11.0f}  {window.node_received:13.0f}"
-                    f"  {window.leader_cpu * 100:12.2f}"
-                    f"  {window.relay_cpu * 100:11.2f}"
-                    f"  {rig.leader.usage().resident / 1e6:9.1f}"
-                    f"  {rig.nodes[0].usage().resident / 1e6:9.1f}",
-                    flush=True,
-                )
-        finally:
-            rig.stop()
     for name, points in rows.items():
         leader = slope([(n, w.leader_cpu) for n, w in points]) * 3
         relay = slope([(n, w.relay_cpu) for n, w in points]) * 3
@@ -267,6 +273,32 @@
         )
 
 
+def _cost(way: str, count: int, seconds: float) -> dict[str, Window]:
+    """Measures and prints both loads of one size."""
+    rig = Rig(count, way)
+    found = {}
+    try:
+        rig.push(manifest_of(SMALL, "0"))
+        rig.settle()
+        time.sleep(3.0)
+        for name, rate in (("idle", 0.0), ("10x", 10 * USER_RATE)):
+            window = rig.measure(seconds, rate)
+            found[name] = window
+            print(
+                f"{count:5}  {WAY[way]:7}  {name:4}"
+                f"  {window.node_cpu * 100:10.3f}"
+                f"  {window.node_sent:11.0f}  {window.node_received:13.0f}"
+                f"  {window.leader_cpu * 100:12.2f}"
+                f"  {window.relay_cpu * 100:11.2f}"
+                f"  {rig.leader.usage().resident / 1e6:9.1f}"
+                f"  {rig.nodes[0].usage().resident / 1e6:15.1f}",
+                flush=True,
+            )
+    finally:
+        rig.stop()
+    return found
+
+
 def sizes(changes: int = 10) -> None:
     """Bytes that a node receives for one changed section."""
     print("manifest B   first B/node   change B/node   change / manifest")
