Follow a new leader as soon as the log names it

A relay that had asked the silent old leader again waited 2 s more before it asked the new one, and its nodes were out of lease. A test over ten phases of the renewals, with an election after 2.3 s, fails without the change and passes with it. bench/configuration.py failover kills a leader.

--- a/bench/config_rig.py
+++ b/bench/config_rig.py
@@ -37,6 +37,7 @@
 from mintcleat.roles import replication
 
 POLL_SECONDS = 1.0
+WATCH_SECONDS = 0.05
 # Offset of tcpi_bytes_acked and tcpi_bytes_received in Linux' tcp_info.
 TCP_INFO_BYTES = 120
 TCP_INFO_SIZE = 136
@@ -49,6 +50,7 @@
         self.out = pathlib.Path(out)
         self.events: list[list[Any]] = []
         self.hub: list[streams.TcpStreams] = []
+        self.leaseless = 0
         signal.signal(signal.SIGUSR1, self.write)
 
     def write(self, number: int, frame: FrameType | None) -> None:
@@ -60,7 +62,12 @@
                 sent += up
                 received += down
         text = json.dumps(
-            {"events": self.events, "sent": sent, "received": received}
+            {
+                "events": self.events,
+                "sent": sent,
+                "received": received,
+                "leaseless": self.leaseless,
+            }
         )
         part = self.out.with_suffix(".part")
         part.write_text(text)
@@ -135,10 +142,13 @@
     wait(name, listener.address)
 
 
-def nodes(first: int, count: int, control: str, out: str) -> None:
-    """Runs light nodes that follow."""
+def nodes(
+    first: int, count: int, control: str, out: str, watch: bool = False
+) -> None:
+    """Runs light nodes that follow; `watch` looks for lost leases."""
     clock = timers.EventletTimers()
     recorder = Recorder(out)
+    started = []
     for number in range(first, first + count):
         listener = streams.TcpStreams("127.0.0.1:0")
         node = follower.Follower(
@@ -153,9 +163,19 @@
         recorder.hub.append(listener)
         node.subscribe(watcher(recorder, node, clock))
         node.start()
+        started.append(node)
+    if watch:
+        clock.every(WATCH_SECONDS, lambda: look(recorder, started))
     wait(f"nodes-{first}", "")
 
 
+def look(recorder: Recorder, started: list[follower.Follower]) -> None:
+    """Counts the nodes that have a manifest and no lease at this moment."""
+    recorder.leaseless += sum(
+        node.revision() > 0 and not node.in_lease() for node in started
+    )
+
+
 def watcher(
     recorder: Recorder, node: follower.Follower, clock: timers.EventletTimers
 ) -> Any:
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -3,6 +3,7 @@
     python bench/configuration.py spread    time to the last node
     python bench/configuration.py cost      bytes and CPU, idle and changing
     python bench/configuration.py sizes     bytes against manifest size
+    python bench/configuration.py failover  what a lost leader costs
 
 Three control instances with disks run as processes, with light nodes in a
 few more; the leader and both relays serve a third of them each. The baseline
@@ -10,15 +11,9 @@
 changed. Each command prints a table.
 """
 
-import functools
-import json
-import os
 import pathlib
-import signal
 import sys
-import tempfile
 import time
-from typing import NamedTuple
 
 if __name__ == "__main__":
     sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
@@ -29,181 +24,7 @@
 
 import fire
 
-from bench import processes
-from mintcleat.adapters import streams
-from mintcleat.domain import errors
-from mintcleat.domain import manifest
-from mintcleat.domain import messages
-
-RIG = str(pathlib.Path(__file__).parent / "config_rig.py")
-# The users' plan: 9,600 changes a day.
-USER_RATE = 9_600 / 86_400
-CONTROLS = 3
-WAY = {"nodes": "stream", "pollers": "polling"}
-NODES_PER_PROCESS = 125
-# What one service and one partner add to a manifest, in bytes, about.
-SMALL = 10_000
-
-
-class Record(NamedTuple):
-    """What one process has seen; see `config_rig.Recorder`."""
-
-    events: list[list[float]]
-    sent: int
-    received: int
-
-
-class Window(NamedTuple):
-    """Costs over some seconds: CPU in cores, traffic in bytes a second."""
-
-    node_cpu: float
-    leader_cpu: float
-    relay_cpu: float
-    node_sent: float
-    node_received: float
-
-
-class Rig:
-    """Control and node processes, and a client that pushes."""
-
-    def __init__(self, count: int, kind: str = "nodes") -> None:
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mintcleat-bench-"))
-        self.count = count
-        addresses = [processes.free_address() for _ in range(CONTROLS)]
-        controls = [
-            self._start(
-                f"control-{number}",
-                "control",
-                f"--name=control-{number}",
-                f"--addresses={','.join(addresses)}",
-                f"--folder={self.folder / f'data-{number}'}",
-            )
-            for number in range(CONTROLS)
-        ]
-        self.client = shared_client()
-        self.address = self._find_leader(addresses)
-        self.leader = controls[addresses.index(self.address)]
-        self.relays = [item for item in controls if item is not self.leader]
-        addresses.sort(key=lambda address: address != self.address)
-        control = ",".join(addresses)
-        self.nodes = [
-            self._start(
-                f"{kind}-{first}",
-                kind,
-                f"--first={first}",
-                f"--count={min(NODES_PER_PROCESS, count - first)}",
-                f"--control={control}",
-            )
-            for first in range(0, count, NODES_PER_PROCESS)
-        ]
-        self.revision = 0
-
-    def push(self, text: str) -> None:
-        """Pushes a manifest over the one in force."""
-        request = messages.PushManifest(
-            self.revision, f"push-{self.revision}", text, "bench", "bench"
-        )
-        answer = self.client.ask(self.address, request, 30.0)
-        self.revision = answer.revision
-
-    def settle(self) -> None:
-        """Waits until every node has applied the revision."""
-        deadline = time.monotonic() + 60.0
-        while time.monotonic() < deadline:
-            reached = sum(
-                1
-                for process in self.nodes
-                for revision, _ in self.record(process).events
-                if revision == self.revision
-            )
-            if reached >= self.count:
-                return
-            time.sleep(0.2)
-        raise RuntimeError("Not every node applied the revision in 60 s.")
-
-    def record(self, process: processes.Process) -> Record:
-        """Returns what a process has seen so far."""
-        path = self.folder / process.name
-        path.unlink(missing_ok=True)
-        os.kill(process.child.pid, signal.SIGUSR1)
-        while not path.exists():
-            time.sleep(0.005)
-        return Record(**json.loads(path.read_text()))
-
-    def measure(self, seconds: float, rate: float) -> Window:
-        """Returns the costs over a window with `rate` pushes a second."""
-        before = self._totals()
-        begin = time.monotonic()
-        number = 0
-        while time.monotonic() < begin + seconds:
-            if not rate:
-                time.sleep(seconds)
-                break
-            number += 1
-            self.push(manifest_of(SMALL, f"{self.revision}"))
-            due = begin + number / rate
-            time.sleep(max(0.0, due - time.monotonic()))
-        after = self._totals()
-        passed = time.monotonic() - begin
-        cpu, leader, relay, sent, received = (
-            (late - early) / passed
-            for early, late in zip(before, after, strict=True)
-        )
-        each = self.count
-        return Window(cpu / each, leader, relay, sent / each, received / each)
-
-    def stop(self) -> None:
-        """Ends every process."""
-        for process in (*self.nodes, *self.relays, self.leader):
-            process.stop()
-
-    def _totals(self) -> tuple[float, float, float, float, float]:
-        records = [self.record(process) for process in self.nodes]
-        return (
-            sum(process.usage().cpu for process in self.nodes),
-            self.leader.usage().cpu,
-            sum(item.usage().cpu for item in self.relays) / len(self.relays),
-            sum(record.sent for record in records),
-            sum(record.received for record in records),
-        )
-
-    def _find_leader(self, addresses: list[str]) -> str:
-        deadline = time.monotonic() + 20.0
-        while time.monotonic() < deadline:
-            for address in addresses:
-                try:
-                    self.client.ask(address, messages.ReadManifest(), 1.0)
-                except errors.MintcleatError:
-                    time.sleep(0.1)
-                else:
-                    return address
-        raise RuntimeError("No control instance took the lead in 20 s.")
-
-    def _start(self, name: str, *arguments: str) -> processes.Process:
-        out = f"--out={self.folder / name}"
-        return processes.Process(name, ["-W", "ignore", RIG, *arguments, out])
-
-
-@functools.cache
-def shared_client() -> streams.TcpStreams:
-    """Returns the one client that pushes for all rigs."""
-    return streams.TcpStreams("127.0.0.1:0")
-
-
-def manifest_of(size: int, version: str) -> str:
-    """Returns a manifest of about `size` bytes; one section has `version`."""
-    service = manifest.Service(
-        kind="plain",
-        idempotent=[f"POST /search/{n}" for n in range(5)],
-        non_idempotent=[f"POST /book/{n}" for n in range(5)],
-    )
-    bytes_each = 250
-    services = {f"service-{n:05}": service for n in range(size // bytes_each)}
-    services["changed"] = manifest.Service(
-        kind="model", model="m", version=version
-    )
-    whole = manifest.Manifest(services=services)
-    return manifest.msgspec.json.encode(whole).decode()
+from bench import config_processes as processes
 
 
 def spread(pushes: int = 20) -> None:
@@ -217,8 +38,8 @@
                 quantile(found[way], share) for share in (0.5, 0.99, 1.0)
             )
             print(
-                f"{count:5}  {WAY[way]:7}  {p50:.3f}   {p99:.3f}   {most:.3f}"
-                f"   {len(found[way])}",
+                f"{count:5}  {processes.WAY[way]:7}  {p50:.3f}"
+                f"   {p99:.3f}   {most:.3f}   {len(found[way])}",
                 flush=True,
             )
         ratio = quantile(found["pollers"], 0.5) / quantile(found["nodes"], 0.5)
@@ -226,15 +47,15 @@
 
 
 def _spread(count: int, way: str, pushes: int) -> list[float]:
-    rig = Rig(count, way)
+    rig = processes.Rig(count, way)
     try:
-        rig.push(manifest_of(SMALL, "0"))
+        rig.push(processes.manifest_of(processes.SMALL, "0"))
         rig.settle()
         for number in range(1, pushes + 1):
             # An uneven step, so that pushes do not fall on the same phase of
             # the polls.
             time.sleep(1.0 + (number * 0.618) % 1.0)
-            rig.push(manifest_of(SMALL, str(number)))
+            rig.push(processes.manifest_of(processes.SMALL, str(number)))
         rig.settle()
         accepted = dict(rig.record(rig.leader).events)
         last: dict[float, float] = {}
@@ -252,7 +73,10 @@
         "nodes  way      load  node CPU %  node B/s up  node B/s down"
         "  leader CPU %  relay CPU %  leader MB  node process MB"
     )
-    rows: dict[str, list[tuple[int, Window]]] = {"idle": [], "10x": []}
+    rows: dict[str, list[tuple[int, processes.Window]]] = {
+        "idle": [],
+        "10x": [],
+    }
     for way, count in (
         ("nodes", 10),
         ("nodes", 100),
@@ -273,19 +97,19 @@
         )
 
 
-def _cost(way: str, count: int, seconds: float) -> dict[str, Window]:
+def _cost(way: str, count: int, seconds: float) -> dict[str, processes.Window]:
     """Measures and prints both loads of one size."""
-    rig = Rig(count, way)
+    rig = processes.Rig(count, way)
     found = {}
     try:
-        rig.push(manifest_of(SMALL, "0"))
+        rig.push(processes.manifest_of(processes.SMALL, "0"))
         rig.settle()
         time.sleep(3.0)
-        for name, rate in (("idle", 0.0), ("10x", 10 * USER_RATE)):
+        for name, rate in (("idle", 0.0), ("10x", 10 * processes.USER_RATE)):
             window = rig.measure(seconds, rate)
             found[name] = window
             print(
-                f"{count:5}  {WAY[way]:7}  {name:4}"
+                f"{count:5}  {processes.WAY[way]:7}  {name:4}"
                 f"  {window.node_cpu * 100:10.3f}"
                 f"  {window.node_sent:11.0f}  {window.node_received:13.0f}"
                 f"  {window.leader_cpu * 100:12.2f}"
@@ -303,9 +127,9 @@
     """Bytes that a node receives for one changed section."""
     print("manifest B   first B/node   change B/node   change / manifest")
     for size in (10_000, 100_000, 1_000_000, 5_000_000):
-        rig = Rig(10)
+        rig = processes.Rig(10)
         try:
-            text = manifest_of(size, "0")
+            text = processes.manifest_of(size, "0")
             begin = _received(rig)
             rig.push(text)
             rig.settle()
@@ -314,7 +138,7 @@
             idle = _idle_bytes(rig, 5.0)
             begin, started = _received(rig), time.monotonic()
             for number in range(1, changes + 1):
-                rig.push(manifest_of(size, str(number)))
+                rig.push(processes.manifest_of(size, str(number)))
                 rig.settle()
             passed = time.monotonic() - started
             total = (_received(rig) - begin) / rig.count - idle * passed
@@ -328,11 +152,49 @@
         )
 
 
-def _received(rig: Rig) -> float:
+def failover(count: int = 100, runs: int = 5) -> None:
+    """Kills the leader; when a push is accepted and in force again."""
+    print("run  leader answers s  push accepted s  in force s  without lease s")
+    for run in range(runs):
+        rig = processes.Rig(count, "nodes", "--watch")
+        try:
+            rig.push(processes.manifest_of(processes.SMALL, "0"))
+            rig.settle()
+            time.sleep(3.0)
+            before = _leaseless(rig)
+            begin = time.monotonic()
+            rig.lose_leader()
+            answers = time.monotonic() - begin
+            rig.push(processes.manifest_of(processes.SMALL, "1"))
+            accepted = time.monotonic() - begin
+            rig.settle()
+            in_force = max(
+                at
+                for process in rig.nodes
+                for revision, at in rig.record(process).events
+                if revision == rig.revision
+            )
+            time.sleep(5.0)
+            # Node-seconds over all nodes, sampled each 0.05 s.
+            lost = (_leaseless(rig) - before) * 0.05
+        finally:
+            rig.stop()
+        print(
+            f"{run:3}  {answers:16.2f}  {accepted:15.2f}"
+            f"  {in_force - begin:10.2f}  {lost:15.2f}",
+            flush=True,
+        )
+
+
+def _leaseless(rig: processes.Rig) -> int:
+    return sum(rig.record(process).leaseless for process in rig.nodes)
+
+
+def _received(rig: processes.Rig) -> float:
     return sum(rig.record(process).received for process in rig.nodes)
 
 
-def _idle_bytes(rig: Rig, seconds: float) -> float:
+def _idle_bytes(rig: processes.Rig, seconds: float) -> float:
     """Returns the bytes a second that a node receives without a change."""
     begin = _received(rig)
     time.sleep(seconds)
@@ -355,4 +217,11 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"spread": spread, "cost": cost, "sizes": sizes})
+    fire.Fire(
+        {
+            "spread": spread,
+            "cost": cost,
+            "sizes": sizes,
+            "failover": failover,
+        }
+    )
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -196,8 +196,20 @@
             self.office = 0
             self.feed.close_control()
         self.relay.active = not leads
+        self._leave_old_leader()
         self.feed.tick()
 
+    def _leave_old_leader(self) -> None:
+        """Follows a new leader as soon as the log names it.
+
+        An old leader that is silent would be noticed after MOVE_AFTER only,
+        and nodes of this relay could be out of lease for a moment.
+        """
+        stream = self.relay.stream
+        leader = self.log.leader(machine.GROUP)
+        if stream.address and leader not in ("", stream.address):
+            stream.close()
+
     def _take_office(self) -> None:
         """Takes a number, after which older leaders' commands are void.
 
--- a/testing/fakes/config_links.py
+++ b/testing/fakes/config_links.py
@@ -112,11 +112,16 @@
         """Renews at the next step."""
         self.due = 0.0
 
-    def move_home(self) -> None:
-        """Leaves for the preferred control instance."""
+    def close(self) -> None:
+        """Ends the stream; the next step opens another."""
         if self.peer is not None:
             self.network.services[self.address].feed.detach(self.peer)
         self.peer = None
+        self.address = ""
+
+    def move_home(self) -> None:
+        """Leaves for the preferred control instance."""
+        self.close()
         self.attempt = 0
 
     def step(self) -> None:
@@ -127,7 +132,7 @@
             self._open()
             return
         service = self.network.services[self.address]
-        if self._passes():
+        if self._passes() and not self.peer.closed:
             if self.timers.now() >= self.due:
                 self._renew(service)
             for message in service.feed.pending(self.peer):
@@ -146,15 +151,22 @@
 
     def _open(self) -> None:
         self.address = self.owner.pick(self.attempt)
-        if not self.address or not self._passes():
+        if not self.address:
             self.attempt += 1
             return
+        self.opened = self.timers.now()
+        if not self._passes():
+            # A silent peer looks like one that has not answered yet.
+            self.peer = config_feed.Peer(
+                Replies(), self.owner.follow(), self.opened
+            )
+            self.peer.closed = True
+            return
         service = self.network.services[self.address]
         try:
             self.peer = service.feed.attach(Replies(), self.owner.follow())
         except errors.NotLeader:
             return
-        self.opened = self.timers.now()
         self.due = self.opened + self.renew
         self._send(service, True)
 
--- a/testing/test_follower.py
+++ b/testing/test_follower.py
@@ -135,6 +135,30 @@
         self.assertEqual((2, before), (node.revision(), node.lease.expires))
         self.assertEqual("2", self.version(node))
 
+    def test_silent_leader_costs_no_node_its_lease(self) -> None:
+        """The leader falls silent and another one is elected 2.3 s later.
+
+        Nodes of all three instances keep a lease all the time, so callers
+        see nothing of it.
+        """
+        self.cluster.push(0, 0, "1")
+        nodes = [self.cluster.node(f"entry-{n}") for n in range(8)]
+        for phase in range(10):
+            self.timers.advance(10.05 + phase / 10)
+            old = self.cluster.log.leader
+            self.cluster.network.cut_off = {old}
+            self.cluster.log.lag = {old}
+            for step in range(120):
+                if step == 46:
+                    self.cluster.log.elect(
+                        "control-1" if old == "control-0" else "control-0"
+                    )
+                self.timers.advance(0.05)
+                held = [node.in_lease() for node in nodes]
+                self.assertTrue(all(held), (phase, step, held))
+            self.cluster.network.cut_off = set()
+            self.cluster.log.heal()
+
     def test_restarted_node_never_goes_back_to_an_older_revision(self) -> None:
         """A node that applied revision 2 restarts at an instance with 1.
 
