--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -66,6 +66,7 @@
         self.office = 0
         self.decides_at = float("inf")
         self.taking_office = False
+        self.subscriptions: list[timer_ports.Subscription] = []
         self.served_revision = 0
         self.served_restrictions = 0
         self.feed = config_feed.Feed(node.instance, self, timers)
@@ -91,12 +92,16 @@
         self.streams.handle(messages.Follow, self.feed.serve)
         self.streams.handle(messages.ShowNodes, self._serve_nodes)
         self.streams.handle(messages.Ping, self._serve_ping)
-        self.timers.every(TICK, self._tick)
-        self.timers.every(membership.COALESCE, self._tick_members)
+        self.subscriptions = [
+            self.timers.every(TICK, self._tick),
+            self.timers.every(membership.COALESCE, self._tick_members),
+        ]
         self.relay.stream.start()
 
     def stop(self) -> None:
         """Stops relaying; streams end with the process's listener."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
         self.relay.stream.stop()
 
     def leads(self) -> bool:
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -74,16 +74,21 @@
         self.duplicate = False
         self.announced: messages.Announcement | None = None
         self.callbacks: list[Callable[[], None]] = []
+        self.subscriptions: list[timer_ports.Subscription] = []
         self.stream = config_stream.ConfigStream(self, streams, timers)
 
     def start(self) -> None:
         """Starts following; returns at once."""
         self.stream.start()
-        self.timers.every(REBALANCE, self._rebalance)
-        self.timers.every(lease.RENEW, self._drop_missing)
+        self.subscriptions = [
+            self.timers.every(REBALANCE, self._rebalance),
+            self.timers.every(lease.RENEW, self._drop_missing),
+        ]
 
     def stop(self) -> None:
         """Stops following; the lease runs out by itself."""
+        for subscription in self.subscriptions:
+            subscription.cancel()
         self.stream.stop()
 
     # --- ports.directory.Directory --------------------------------------------
