--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -3,6 +3,8 @@
 from typing import Any
 from typing import Protocol
 
+import eventlet
+
 from mintcleat.configuration import commands
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
@@ -31,6 +33,8 @@
 )
 # One answer of the trail; operators ask on from the last number.
 AUDIT_PAGE = 2_000
+# The most control instances that a deployment may set aside.
+MAX_CONTROL = 21
 
 
 class Leader(Protocol):
@@ -182,11 +186,13 @@
         """Asks every control instance for its nodes."""
         own = self.leader.feed.nodes()
         best = {item.node: item for item in own}
+        controls = [item for item in own if item.role == config_feed.CONTROL]
+        # All at once: asked in turn, a few silent instances would use up the
+        # operator's patience.
+        pool = eventlet.GreenPool(MAX_CONTROL)
+        answers = list(pool.imap(self._ask_nodes, controls))
         missing = []
-        for control in own:
-            if control.role != config_feed.CONTROL:
-                continue
-            answer = self._ask_nodes(control)
+        for control, answer in zip(controls, answers, strict=True):
             if answer is None and control.lease > 0:
                 # Its nodes hold parts of this lease, on which revision no
                 # one can tell. Without a lease of its own they have none.
