--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -76,6 +76,7 @@
             upstream,
             control,
             timers,
+            admission=self.admission,
             export_bytes=options.export_bytes,
             on_gone=self._give_up,
         )
@@ -283,15 +284,13 @@
                 upstream,
                 self.histories,
                 self.memory,
-                self.crashes,
                 self.reporter,
                 self.timers,
                 self.load,
-                self.admission.usual_answer,
+                self.admission,
             )
         return sidecar_run.ToolRunner(
             upstream,
-            self.crashes,
             self.reporter,
             self.timers,
             self.load,
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -14,7 +14,6 @@
 from mintcleat.ports import upstream as upstream_port
 from mintcleat.roles import sidecar_attempts
 from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_crashes
 from mintcleat.roles import sidecar_gate
 from mintcleat.roles import sidecar_history
 from mintcleat.roles import sidecar_memory
@@ -26,6 +25,7 @@
 _LOST = (errors.StreamClosed, errors.StreamTimeout)
 
 LoadSource = Callable[[], messages.LoadReport]
+Answered = Callable[[], None]
 
 
 class TurnRunner:
@@ -36,33 +36,37 @@
         engine: upstream_port.ModelEngine,
         histories: sidecar_history.Histories,
         memory: sidecar_memory.Memory,
-        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
-        usual_answer: Callable[[str], int],
+        admission: sidecar_gate.Admission,
     ) -> None:
         self.engine = engine
         self.histories = histories
         self.memory = memory
-        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
-        self.usual_answer = usual_answer
+        self.admission = admission
 
     def call(
         self, attempt: sidecar_attempts.Attempt, suspect: bool
     ) -> calls.Call:
         """Returns the attempt as the queue's decisions see it."""
-        held = self.memory.held(attempt.program)
+        held = self.memory.called(attempt.program)
         prompt = self._prompt(attempt)
-        usual = self.usual_answer(attempt.message.agent)
+        usual = self.admission.usual_answer(attempt.message.agent)
         return sidecar_gate.turn_call(attempt, prompt, held, usual, suspect)
 
-    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+    def run(
+        self, attempt: sidecar_attempts.Attempt, answered: Answered
+    ) -> None:
         """Runs the attempt to its end and commits the answer.
 
+        Args:
+            attempt: The attempt.
+            answered: Called once the engine has ended the call.
+
         Raises:
             errors.NoUpstream: Nothing was delivered to the engine.
             errors.MintcleatError: The engine took it and it failed.
@@ -77,8 +81,8 @@
             _BATCH_PRIORITY if asked.klass == calls.BATCH else 0,
         )
         end = self._stream(attempt, call)
-        self.crashes.end(attempt.request)
         attempt.usage = end.usage
+        answered()
         if end.reason == _CANCELLED:
             raise attempt.cancelled or errors.OutcomeUnknown(
                 "The engine cancelled the call."
@@ -97,6 +101,19 @@
             )
         )
 
+    def refused(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes that the attempt is not run here."""
+        self.memory.refused(attempt.program)
+
+    def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Tells whether the answer has gaps between tokens to learn from.
+
+        The pace is the time after the first token. An answer of one token
+        has none, and its zero would count as the best pace ever, against
+        which every later answer looks like an overload.
+        """
+        return attempt.usage.completion_tokens > 1
+
     def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Stops the call at the engine, whose stream then ends."""
         try:
@@ -149,9 +166,11 @@
             try:
                 stream = self.engine.resume(attempt.request, attempt.total)
                 return self._take_all(attempt, stream)
-            except (*_LOST, errors.NoUpstream) as error:
+            except _LOST as error:
                 cause = error
-            except errors.UpstreamFailed as error:
+            except (errors.NoUpstream, errors.UpstreamFailed) as error:
+                # The engine is gone, and with it its streams, or it has
+                # forgotten this one.
                 cause = error
                 break
             tries = 0 if attempt.total > before else tries + 1
@@ -172,7 +191,9 @@
         for item in stream:
             match item:
                 case upstream_port.Piece(text):
-                    attempt.first = attempt.first or self.timers.now()
+                    if not attempt.first:
+                        attempt.first = self.timers.now()
+                        self.admission.first_token(attempt)
                     attempt.add(text)
                 case upstream_port.End():
                     if item.total != attempt.total:
@@ -191,13 +212,11 @@
     def __init__(
         self,
         service: upstream_port.PlainService,
-        crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: LoadSource,
     ) -> None:
         self.service = service
-        self.crashes = crashes
         self.reporter = reporter
         self.timers = timers
         self.load = load
@@ -208,13 +227,26 @@
         """Returns the attempt as the queue's decisions see it."""
         return sidecar_gate.tool_call(attempt, suspect)
 
+    def refused(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Notes nothing: a service holds nothing for a program."""
+
+    def tells(self, attempt: sidecar_attempts.Attempt) -> bool:
+        """Tells that every answer of a service counts."""
+        return True
+
     def cancel(self, attempt: sidecar_attempts.Attempt) -> bool:
         """Leaves it: a request that a service has begun can't be stopped."""
         return False
 
-    def run(self, attempt: sidecar_attempts.Attempt) -> None:
+    def run(
+        self, attempt: sidecar_attempts.Attempt, answered: Answered
+    ) -> None:
         """Forwards the request once and commits the answer.
 
+        Args:
+            attempt: The attempt.
+            answered: Called once the service has answered.
+
         Raises:
             errors.NoUpstream: Nothing was delivered to the service.
             errors.OutcomeUnknown: It was delivered and no answer came.
@@ -230,7 +262,7 @@
             )
         except (errors.StreamClosed, errors.StreamTimeout) as error:
             raise errors.OutcomeUnknown(error.detail) from error
-        self.crashes.end(attempt.request)
+        answered()
         if asked.attempt:
             answer = msgpack.packb(list(reply), use_bin_type=True)
             self.reporter.finish(attempt, answer, messages.Usage())
