--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -58,6 +58,8 @@
         """Adds records to the batch that the next sync writes."""
         self._check()
         for record in records:
+            if len(record) > wal_segment.MAX_RECORD:
+                raise errors.TooLarge(f"A record of {len(record)} bytes.")
             data = wal_segment.frame(self.batch_start, record)
             self.buffer.append(data)
             self.offset += len(data)
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -165,10 +165,11 @@
         if replica.mark.index > 0:
             found.append(records.snapshot(replica.group, replica.mark))
         first = replica.mark.index + 1
-        size = replica.settings.batch_entries
-        last = replica.log.last_index
-        for start in range(first, last + 1, size):
-            end = min(start + size - 1, last)
-            items = replica.log.between(start, end)
+        settings = replica.settings
+        while first <= replica.log.last_index:
+            items = replica.log.batch(
+                first, settings.batch_entries, settings.batch_bytes
+            )
             found.append(records.entries(replica.group, items))
+            first += len(items)
         return found
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -121,6 +121,8 @@
     def propose(self, group: str, command: bytes, timeout: float) -> Any:
         """Commits a command and returns what `apply` returned for it."""
         driver = self._running(group)
+        if len(command) > replication_driver.MAX_COMMAND:
+            raise errors.TooLarge(f"A command of {len(command)} bytes.")
         ticket = driver.core.replicas[group].propose(command, self.timers.now())
         if ticket is None:
             raise errors.NotLeader(self._other_leader(group))
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -1,6 +1,8 @@
 """Carries out what the consensus core asks for: store, sync, send, apply."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import random
 from typing import Any
 from typing import NamedTuple
@@ -39,11 +41,15 @@
     core: types.Settings = types.Settings()
     seed: int = 0
     snapshot_entries: int = 10_000
-    snapshot_bytes: int = 32 * 1024 * 1024
+    snapshot_bytes: int = 8 * 1024 * 1024
     kept_entries: int = 1_000
     rewrite_bytes: int = 64 * 1024 * 1024
 
 
+# A larger command would hold the loop and the disk for too long.
+MAX_COMMAND = 16 * 1024 * 1024
+
+
 class Waiter(NamedTuple):
     """A proposer that waits for its entry; `done` gets `(result,)`."""
 
@@ -90,6 +96,7 @@
         self.waiters: dict[str, dict[int, Waiter]] = {}
         self.readers: dict[int, event.Event] = {}
         self.growth: dict[str, Growth] = {}
+        self.stale: dict[str, int] = {}
         self.awake = False
         found = wal.open(node)
         stored = _fold(found.records)
@@ -124,7 +131,8 @@
     def tick(self) -> None:
         """Lets time pass."""
         if self.failed is None:
-            self.core.tick(self.timers.now())
+            with self._stopping_on_failure():
+                self.core.tick(self.timers.now())
             self.work()
 
     def receive(self, payload: bytes) -> None:
@@ -132,11 +140,8 @@
         frame = wire.decode(payload)
         if self.failed is not None:
             return
-        try:
+        with self._stopping_on_failure():
             self.core.receive(frame, self.timers.now())
-        except ValueError as error:
-            self.fail(errors.StorageDamaged(f"The log contradicts: {error}"))
-            return
         if self.core.superseded > self.core.me.epoch:
             self.fail(_superseded(self.core.me.instance))
             return
@@ -144,7 +149,7 @@
 
     def work(self) -> None:
         """Carries out effects until there are none."""
-        try:
+        with self._stopping_on_failure():
             while self.failed is None:
                 self.core.flush(self.timers.now())
                 if self.core.box.idle():
@@ -152,8 +157,6 @@
                 self._carry_out(self.core.box.take())
             if self.failed is None:
                 self._shrink()
-        except (errors.StorageFailed, errors.StorageDamaged) as error:
-            self.fail(error)
         self._release_lost()
 
     def fail(self, error: errors.MintcleatError) -> None:
@@ -169,6 +172,22 @@
             done.send(None)
         self.readers.clear()
 
+    @contextlib.contextmanager
+    def _stopping_on_failure(self) -> Iterator[None]:
+        """Stops this replica on any failure, also one of its own code.
+
+        Effects that were taken from the core but not carried out cannot be
+        made up for: going on, it would acknowledge entries that it never
+        wrote. The other replicas go on, and a restart reads the disk anew.
+        """
+        try:
+            yield
+        except errors.MintcleatError as error:
+            self.fail(error)
+        except Exception as error:
+            logger.exception("Replication failed.")
+            self.fail(errors.MintcleatError(f"Replication failed: {error!r}."))
+
     def _work_soon(self) -> None:
         self.timers.sleep(0)
         self.awake = False
@@ -182,6 +201,7 @@
             self.wal.append(box.records)
             self.wal.sync()
             self.core.on_synced(box.stored)
+            self._drop_snapshots()
         self._send(box.late)
         for needed in box.snapshots:
             self._send_snapshot(needed)
@@ -221,6 +241,7 @@
 
     def _install(self, item: outbox.Installed) -> None:
         self.wal.save_snapshot(item.group, item.mark.index, item.state)
+        self.stale[item.group] = item.mark.index
         machine = self.machines.get(item.group)
         if machine is not None:
             machine.restore(item.state)
@@ -233,7 +254,7 @@
             result = None
             size += len(entry.data)
             if entry.kind == types.COMMAND and machine is not None:
-                result = machine.apply(entry.index, entry.data)
+                result = self._apply_one(group, machine, entry)
             waiter = waiters.pop(entry.index, None)
             if waiter is not None:
                 mine = waiter.term == entry.term
@@ -242,6 +263,32 @@
             self.growth[group].bytes += size
             self._snapshot(group, replica, machine)
 
+    def _apply_one(
+        self, group: str, machine: log.StateMachine, entry: types.Entry
+    ) -> Any:
+        """Applies a command; a machine's bug is the proposer's error.
+
+        The same code fails the same way on every replica, so they stay
+        equal, and one bad command does not stop the whole group for good. A
+        failure of this host is different: here the machine has missed a
+        command that the others applied, so this replica stops.
+        """
+        try:
+            return machine.apply(entry.index, entry.data)
+        except (OSError, MemoryError) as error:
+            raise errors.StorageFailed(
+                f"Entry {entry.index} of {group} cannot be applied: {error}."
+            ) from error
+        except Exception:
+            logger.exception("Entry {} of {} failed.", entry.index, group)
+            return errors.MintcleatError("The state machine failed.")
+
+    def _drop_snapshots(self) -> None:
+        """Removes snapshots whose successor is on record by now."""
+        stale, self.stale = self.stale, {}
+        for group, index in stale.items():
+            self.wal.drop_snapshots(group, index)
+
     def _snapshot(
         self, group: str, replica: replicas.Replica, machine: log.StateMachine
     ) -> None:
@@ -254,6 +301,7 @@
         state = machine.snapshot()
         self.wal.save_snapshot(group, mark.index, state)
         replica.compact(mark, self.options.kept_entries)
+        self.stale[group] = mark.index
         growth.bytes = 0
         growth.snapshot_size = len(state)
 
@@ -269,8 +317,6 @@
         ]
         self.wal.rewrite(live)
         self.rewritten = self.wal.size()
-        for group, replica in self.core.replicas.items():
-            self.wal.drop_snapshots(group, replica.state.mark.index)
 
     def _release_lost(self) -> None:
         """Ends the waiting of proposers whose leadership is gone."""
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -31,6 +31,10 @@
         self.commands.append(command)
         if command == b"refuse":
             return errors.WrongTurn("Not now.")
+        if command == b"bug":
+            raise KeyError(command)
+        if command == b"full":
+            raise OSError(errno.ENOSPC, "injected")
         return len(self.commands)
 
     def snapshot(self) -> bytes:
@@ -80,6 +84,29 @@
         log = self.started()
         self.assertRaises(errors.WrongTurn, log.propose, "g", b"refuse", 5.0)
 
+    def test_command_that_the_machine_cannot_take_stops_nothing(self) -> None:
+        log = self.started()
+        self.assertRaises(errors.MintcleatError, log.propose, "g", b"bug", 5.0)
+        self.assertEqual(2, log.propose("g", b"next", 5.0))
+
+    def test_host_failure_while_applying_stops_the_replica(self) -> None:
+        """The machine's own files hit a full disk.
+
+        This machine has missed a command that the log holds, so it must not
+        answer any more; after a restart the log is applied again.
+        """
+        log = self.started()
+        self.assertRaises(errors.ProposalLost, log.propose, "g", b"full", 5.0)
+        self.assertIsInstance(log.failure(), errors.StorageFailed)
+        self.assertFalse(log.leads("g"))
+
+    def test_oversized_command_is_refused_before_it_is_proposed(self) -> None:
+        log = self.started()
+        error = self.assertRaises(
+            errors.TooLarge, log.propose, "g", bytes(17 << 20), 5.0
+        )
+        self.assertEqual(errors.NOT_RUN, error.outcome)
+
     def test_callers_at_once_get_their_own_results(self) -> None:
         log = self.started()
         pool = eventlet.GreenPool()
