Cut pairs in the explorer; test commits of earlier terms and restarts

Change: schedules cut a pair of nodes; directed tests for a restarted voter, for entries of earlier terms and for a learner that lags.

--- a/testing/explorer.py
+++ b/testing/explorer.py
@@ -401,6 +401,7 @@
             (
                 self._cut_one,
                 self._cut_one_way,
+                self._cut_pair,
                 self._crash,
                 self._crash,
                 self._tear,
@@ -439,6 +440,12 @@
         other = self.rng.choice(NAMES)
         self.cluster.blocked.add((name, other))
 
+    def _cut_pair(self) -> None:
+        """Two nodes lose each other; the rest still hears both."""
+        name = self._node().name
+        other = self.rng.choice(NAMES)
+        self.cluster.blocked |= {(name, other), (other, name)}
+
     def _crash(self) -> None:
         node = self._node()
         if node.core is not None:
--- a/testing/test_consensus.py
+++ b/testing/test_consensus.py
@@ -11,6 +11,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import placement
 from mintcleat.consensus import records
+from mintcleat.consensus import replica
 from mintcleat.consensus import roster
 from mintcleat.consensus import types
 from mintcleat.domain import errors
@@ -136,6 +137,60 @@
         self.assertIs(other, cluster.leader())
 
 
+class CommitTest(testtools.TestCase):
+    def test_majority_for_an_earlier_term_commits_nothing(self) -> None:
+        """A new leader finds an entry of an earlier term on a majority.
+
+        Another replica may hold a later term and still overwrite it, so it
+        counts as committed only with an entry of the leader's own term.
+        """
+        me, other = (messages.Incarnation(name, 1) for name in ("c1", "c2"))
+        voters = [
+            types.Peer(messages.Incarnation(name, 1), name, name, "r")
+            for name in ("c1", "c2", "c3")
+        ]
+        data = records.configuration_data(types.Configuration(voters, []))
+        entries = [
+            types.Entry(1, 1, types.CONFIGURATION, data),
+            types.Entry(2, 2, types.COMMAND, b"x"),
+        ]
+        items = [records.vote("g", 2, other), records.entries("g", entries)]
+        found = replica.Replica(
+            "g",
+            me,
+            types.Settings(),
+            lambda: 0.0,
+            outbox.Outbox(),
+            stored=records.fold(items)["g"],
+            now=0.0,
+        )
+        found.tick(10.0)
+        found.step(other, wire.PreVoteReply("g", 3, True), 10.0)
+        found.step(other, wire.VoteReply("g", 3, True), 10.0)
+        found.on_synced()
+        found.step(other, wire.AppendReply("g", 3, True, 2), 10.0)
+        self.assertEqual((types.LEADER, 0), _role_and_commit(found))
+        found.step(other, wire.AppendReply("g", 3, True, 3), 10.0)
+        self.assertEqual((types.LEADER, 3), _role_and_commit(found))
+
+    def test_learner_that_lacks_entries_is_not_promoted(self) -> None:
+        cluster = settled()
+        leader = cluster.leader()
+        silent = next(n for n in cluster.voters() if n is not leader)
+        cluster.isolate(silent.name)
+        state = leader.core.replicas["g"].state
+        while not state.configuration.learners:
+            cluster.run(0.05)
+        cluster.isolate(state.configuration.learners[0].replica.instance)
+        cluster.run(1.0)
+        self.assertEqual(1, len(state.configuration.learners))
+        self.assertIn(silent, cluster.voters())
+
+
+def _role_and_commit(found: replica.Replica) -> tuple[str, int]:
+    return found.state.role, found.state.commit
+
+
 class HeartbeatTest(testtools.TestCase):
     def test_idle_groups_share_one_small_heartbeat(self) -> None:
         cluster = settled()
--- a/testing/test_consensus_safeguards.py
+++ b/testing/test_consensus_safeguards.py
@@ -5,10 +5,13 @@
 """
 
 from collections.abc import Callable
+import math
+from typing import Any
 
 import testtools
 
 import explorer
+from mintcleat.consensus import state
 from mintcleat.consensus import types
 
 ALL = types.Safeguards()
@@ -117,6 +120,23 @@
         raise explorer.Fault(f"only {cluster.answers['g']} came through")
 
 
+def voter_restarts(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    candidate, voter = others
+    pair = (leader.name, candidate.name)
+    cluster.blocked |= {pair, pair[::-1]}
+    for _ in range(20):
+        cluster.run(0.3)
+        voter.crash()
+        voter.start()
+        cluster.isolate(leader.name)
+        cluster.run(0.3)
+        cluster.blocked = {pair, pair[::-1]}
+
+
 class SafeguardsTest(testtools.TestCase):
     def check(
         self,
@@ -173,3 +193,24 @@
         self.check(
             second_loss_within_repair, ALL._replace(add_before_remove=False)
         )
+
+    def test_restarted_voter_keeps_the_promise_of_its_earlier_life(
+        self,
+    ) -> None:
+        """Leader and one follower lose each other; the third restarts.
+
+        It answered a heartbeat just before, and the leader is cut off from
+        it too. Voting at once, it would elect the follower while the leader
+        still holds its lease.
+        """
+        scenario = settled(ALL, True)
+        voter_restarts(*scenario)
+        usual = state.State.__init__
+
+        def forgetful(self: state.State, *given: Any, **named: Any) -> None:
+            usual(self, *given, **named)
+            self.heard_at = -math.inf
+
+        broken = settled(ALL, True)
+        self.patch(state.State, "__init__", forgetful)
+        self.assertRaises(explorer.Fault, voter_restarts, *broken)
