--- a/bench/state_replica.py
+++ b/bench/state_replica.py
@@ -26,6 +26,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import replication
+from mintcleat.roles import replication_snapshots
 
 _MICROSECONDS = 1_000_000
 
@@ -82,8 +83,9 @@
             timers=timers.EventletTimers(),
             options=replication.Options(
                 core=types.Settings(**settings.get("core", {})),
-                snapshot_entries=settings.get("snapshot_entries", 10_000),
-                kept_entries=settings.get("kept_entries", 1_000),
+                snapshots=replication_snapshots.Limits(
+                    **settings.get("snapshots", {})
+                ),
             ),
         )
         for name, journal in self.journals.items():
--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -1,5 +1,6 @@
 """The write-ahead log: numbered segments in one data folder."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import errno
@@ -96,13 +97,19 @@
             self._continue(path, len(data))
             self._remove_below(self.number)
 
-    def save_snapshot(self, group: str, index: int, state: bytes) -> None:
-        """Stores a snapshot file durably."""
+    def save_snapshot(
+        self,
+        group: str,
+        index: int,
+        state: bytes,
+        pause: Callable[[], None] | None = None,
+    ) -> None:
+        """Stores a snapshot file durably, in steps when `pause` is given."""
         self._check()
         with self._guard():
             data = zlib.crc32(state).to_bytes(4, "big") + state
             path = self._snapshot(group, index)
-            wal_disk.replace_file(self.disk, path, data)
+            wal_disk.replace_file(self.disk, path, data, pause)
 
     def load_snapshot(self, group: str, index: int) -> bytes:
         """Returns the state of a stored snapshot."""
--- a/src/mintcleat/adapters/wal_disk.py
+++ b/src/mintcleat/adapters/wal_disk.py
@@ -1,10 +1,14 @@
 """The real disk, and files that are replaced in one step."""
 
+from collections.abc import Callable
 import os
 import pathlib
 
 from mintcleat.ports import wal
 
+# A sync of this much holds the loop for a few milliseconds.
+STEP_BYTES = 1024 * 1024
+
 
 class SystemDisk:
     """Calls the operating system; see `ports.wal.Disk`."""
@@ -28,12 +32,21 @@
             os.close(descriptor)
 
 
-def replace_file(disk: wal.Disk, path: pathlib.Path, data: bytes) -> None:
+def replace_file(
+    disk: wal.Disk,
+    path: pathlib.Path,
+    data: bytes,
+    pause: Callable[[], None] | None = None,
+) -> None:
     """Writes a file so that a crash leaves the old one or the new one."""
     draft = path.with_suffix(".draft")
     descriptor = os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
-        disk.write(descriptor, data)
+        for start in range(0, len(data), STEP_BYTES):
+            disk.write(descriptor, data[start : start + STEP_BYTES])
+            if pause is not None:
+                disk.sync(descriptor)
+                pause()
         disk.sync(descriptor)
     finally:
         os.close(descriptor)
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -1,5 +1,6 @@
 """A durable, shared log of opaque records, and the disk below it."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import pathlib
 from typing import NamedTuple
@@ -50,8 +51,18 @@
     def rewrite(self, records: Iterable[bytes]) -> None:
         """Replaces the whole log, durably and in one step."""
 
-    def save_snapshot(self, group: str, index: int, state: bytes) -> None:
-        """Stores a snapshot file durably."""
+    def save_snapshot(
+        self,
+        group: str,
+        index: int,
+        state: bytes,
+        pause: Callable[[], None] | None = None,
+    ) -> None:
+        """Stores a snapshot file durably.
+
+        `pause`, if given, is called between the steps of the writing; other
+        calls may be made meanwhile.
+        """
 
     def load_snapshot(self, group: str, index: int) -> bytes:
         """Returns the state of a stored snapshot.
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -22,6 +22,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
 from mintcleat.roles import replication_links
+from mintcleat.roles import replication_snapshots
 
 
 class Options(NamedTuple):
@@ -30,19 +31,14 @@
     Attributes:
         core: Times and limits of the consensus core.
         seed: Seed of the election timeouts; 0 draws one from the instance.
-        snapshot_entries: Entries of a group after which it is snapshotted.
-        snapshot_bytes: The same in bytes, or the size of the last snapshot
-            when that is more, so that snapshots cost a bounded share.
-        kept_entries: Entries kept behind a snapshot for slow followers.
+        snapshots: When a group is snapshotted.
         rewrite_bytes: Size at which the write-ahead log is rewritten, or
             twice its size after the last time when that is more.
     """
 
     core: types.Settings = types.Settings()
     seed: int = 0
-    snapshot_entries: int = 10_000
-    snapshot_bytes: int = 8 * 1024 * 1024
-    kept_entries: int = 1_000
+    snapshots: replication_snapshots.Limits = replication_snapshots.Limits()
     rewrite_bytes: int = 64 * 1024 * 1024
 
 
@@ -57,14 +53,6 @@
     done: event.Event
 
 
-class Growth:
-    """What a group has applied since its last snapshot."""
-
-    def __init__(self) -> None:
-        self.bytes = 0
-        self.snapshot_size = 0
-
-
 class Driver:
     """One consensus instance on a disk and a network.
 
@@ -95,8 +83,13 @@
         self.failed: errors.MintcleatError | None = None
         self.waiters: dict[str, dict[int, Waiter]] = {}
         self.readers: dict[int, event.Event] = {}
-        self.growth: dict[str, Growth] = {}
-        self.stale: dict[str, int] = {}
+        self.snapshots = replication_snapshots.Snapshots(
+            wal,
+            timers,
+            options.snapshots,
+            guarded=self._stopping_on_failure,
+            saved=self.wake,
+        )
         self.awake = False
         found = wal.open(node)
         stored = _fold(found.records)
@@ -114,7 +107,6 @@
         )
         for group, machine in machines.items():
             self.waiters[group] = {}
-            self.growth[group] = Growth()
             index = self.core.replicas[group].state.applied
             if index > 0:
                 machine.restore(wal.load_snapshot(group, index))
@@ -201,7 +193,7 @@
             self.wal.append(box.records)
             self.wal.sync()
             self.core.on_synced(box.stored)
-            self._drop_snapshots()
+            self.snapshots.drop_stale()
         self._send(box.late)
         for needed in box.snapshots:
             self._send_snapshot(needed)
@@ -226,10 +218,10 @@
         return wire.encode(frame)
 
     def _send_snapshot(self, needed: outbox.SnapshotNeeded) -> None:
-        state = self.wal.load_snapshot(needed.group, needed.mark.index)
-        message = wire.InstallSnapshot(
-            needed.group, needed.term, needed.mark, state
-        )
+        # The file of `needed.mark` may be gone: a newer one replaced it.
+        mark = self.core.replicas[needed.group].state.mark
+        state = self.wal.load_snapshot(needed.group, mark.index)
+        message = wire.InstallSnapshot(needed.group, needed.term, mark, state)
         address = self.core.roster.address(needed.to.instance)
         payload = self._frame(needed.to, [message])
 
@@ -240,8 +232,7 @@
         self.links.send_bulk(address, payload, ended)
 
     def _install(self, item: outbox.Installed) -> None:
-        self.wal.save_snapshot(item.group, item.mark.index, item.state)
-        self.stale[item.group] = item.mark.index
+        self.snapshots.installed(item.group, item.mark.index, item.state)
         machine = self.machines.get(item.group)
         if machine is not None:
             machine.restore(item.state)
@@ -260,8 +251,7 @@
                 mine = waiter.term == entry.term
                 waiter.done.send((result if mine else _lost(),))
         if machine is not None:
-            self.growth[group].bytes += size
-            self._snapshot(group, replica, machine)
+            self.snapshots.applied(group, replica, machine, size)
 
     def _apply_one(
         self, group: str, machine: log.StateMachine, entry: types.Entry
@@ -283,28 +273,6 @@
             logger.exception("Entry {} of {} failed.", entry.index, group)
             return errors.MintcleatError("The state machine failed.")
 
-    def _drop_snapshots(self) -> None:
-        """Removes snapshots whose successor is on record by now."""
-        stale, self.stale = self.stale, {}
-        for group, index in stale.items():
-            self.wal.drop_snapshots(group, index)
-
-    def _snapshot(
-        self, group: str, replica: replicas.Replica, machine: log.StateMachine
-    ) -> None:
-        growth = self.growth[group]
-        entries = replica.state.applied - replica.state.mark.index
-        enough = max(self.options.snapshot_bytes, growth.snapshot_size)
-        if entries < self.options.snapshot_entries and growth.bytes < enough:
-            return
-        mark = replica.snapshot_mark()
-        state = machine.snapshot()
-        self.wal.save_snapshot(group, mark.index, state)
-        replica.compact(mark, self.options.kept_entries)
-        self.stale[group] = mark.index
-        growth.bytes = 0
-        growth.snapshot_size = len(state)
-
     def _shrink(self) -> None:
         """Rewrites the log once most of it lies under snapshots."""
         limit = max(self.options.rewrite_bytes, 2 * self.rewritten)
--- /dev/null
+++ b/src/mintcleat/roles/replication_snapshots.py
@@ -0,0 +1,127 @@
+"""When a group is snapshotted, and how its file is written and removed."""
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from typing import NamedTuple
+
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import types
+from mintcleat.ports import log
+from mintcleat.ports import timers as timer_ports
+from mintcleat.ports import wal as wal_ports
+
+# A snapshot writes at most this many times what was applied since the last;
+# else a large group with small commands would write its state all the time.
+_SMALL_ENTRIES = 4
+
+
+class Limits(NamedTuple):
+    """When a group is snapshotted.
+
+    Attributes:
+        entries: Entries after which it is, unless they are small against
+            its last snapshot.
+        bytes: The same in bytes, or the size of the last snapshot when that
+            is more, so that snapshots cost a bounded share.
+        kept: Entries kept behind a snapshot for slow followers.
+    """
+
+    entries: int = 10_000
+    bytes: int = 8 * 1024 * 1024
+    kept: int = 1_000
+
+
+class Growth:
+    """What a group has applied since its last snapshot.
+
+    Attributes:
+        saving: Whether a snapshot is being written.
+    """
+
+    def __init__(self) -> None:
+        self.bytes = 0
+        self.snapshot_size = 0
+        self.saving = False
+
+
+class Snapshots:
+    """The snapshots of one instance.
+
+    Attributes:
+        guarded: Context that stops the replica when its body fails.
+        saved: Called after a snapshot is taken into the log.
+    """
+
+    def __init__(
+        self,
+        wal: wal_ports.WriteAheadLog,
+        timers: timer_ports.Timers,
+        limits: Limits,
+        *,
+        guarded: Callable[[], AbstractContextManager[None]],
+        saved: Callable[[], None],
+    ) -> None:
+        self.wal = wal
+        self.timers = timers
+        self.limits = limits
+        self.guarded = guarded
+        self.saved = saved
+        self.growth: dict[str, Growth] = {}
+        self.stale: dict[str, int] = {}
+
+    def applied(
+        self,
+        group: str,
+        replica: replicas.Replica,
+        machine: log.StateMachine,
+        size: int,
+    ) -> None:
+        """Counts applied bytes and starts a snapshot when it is due."""
+        growth = self.growth.setdefault(group, Growth())
+        growth.bytes += size
+        if growth.saving or not self._due(replica, growth):
+            return
+        mark = replica.snapshot_mark()
+        state = machine.snapshot()
+        growth.saving = True
+        growth.bytes = 0
+        growth.snapshot_size = len(state)
+        self.timers.spawn(self._save, replica, mark, state)
+
+    def installed(self, group: str, index: int, state: bytes) -> None:
+        """Stores a snapshot that came from the leader."""
+        self.wal.save_snapshot(group, index, state)
+        self.stale[group] = index
+
+    def drop_stale(self) -> None:
+        """Removes files whose successor is on record in the synced log."""
+        stale, self.stale = self.stale, {}
+        for group, index in stale.items():
+            self.wal.drop_snapshots(group, index)
+
+    def _due(self, replica: replicas.Replica, growth: Growth) -> bool:
+        entries = replica.state.applied - replica.state.mark.index
+        if growth.bytes >= max(self.limits.bytes, growth.snapshot_size):
+            return True
+        weight = growth.bytes * _SMALL_ENTRIES
+        return entries >= self.limits.entries and weight >= growth.snapshot_size
+
+    def _save(
+        self, replica: replicas.Replica, mark: types.SnapshotMark, state: bytes
+    ) -> None:
+        """Writes the file in steps, so that heartbeats go out in between.
+
+        Written at once, a large state would hold the loop for longer than
+        the election timeout, and a healthy leader would be replaced.
+        """
+        group = replica.state.group
+        with self.guarded():
+            self.wal.save_snapshot(
+                group, mark.index, state, lambda: self.timers.sleep(0)
+            )
+            # A snapshot of the leader may have been installed meanwhile.
+            if mark.index > replica.state.mark.index:
+                replica.compact(mark, self.limits.kept)
+                self.stale[group] = mark.index
+        self.growth[group].saving = False
+        self.saved()
