--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -1,5 +1,6 @@
 """The write-ahead log: numbered segments in one data folder."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import errno
@@ -58,6 +59,8 @@
         """Adds records to the batch that the next sync writes."""
         self._check()
         for record in records:
+            if len(record) > wal_segment.MAX_RECORD:
+                raise errors.TooLarge(f"A record of {len(record)} bytes.")
             data = wal_segment.frame(self.batch_start, record)
             self.buffer.append(data)
             self.offset += len(data)
@@ -94,13 +97,19 @@
             self._continue(path, len(data))
             self._remove_below(self.number)
 
-    def save_snapshot(self, group: str, index: int, state: bytes) -> None:
-        """Stores a snapshot file durably."""
+    def save_snapshot(
+        self,
+        group: str,
+        index: int,
+        state: bytes,
+        pause: Callable[[], None] | None = None,
+    ) -> None:
+        """Stores a snapshot file durably, in steps when `pause` is given."""
         self._check()
         with self._guard():
             data = zlib.crc32(state).to_bytes(4, "big") + state
             path = self._snapshot(group, index)
-            wal_disk.replace_file(self.disk, path, data)
+            wal_disk.replace_file(self.disk, path, data, pause)
 
     def load_snapshot(self, group: str, index: int) -> bytes:
         """Returns the state of a stored snapshot."""
