Say "not run" of a resend only when its key never ran

Cause: the matrix of deaths failed in [entry+control-after_finish]: the booking had run, its answer was lost with the entry, and the resend through an entry out of its lease was refused as not_run. The same held for a stopping entry, for no upstream before the begin, for control away, and for a turn whose earlier attempt had reached an engine. Ruled out: the group (its record was right). Change: before an entry refuses a keyed call it asks the group what became of the key (FindCall, a linearizable read); recorded answers are replayed, and if nobody can be asked the outcome is unknown.

--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -176,6 +176,20 @@
     nonce: int = 0
 
 
+class FindCall(NamedTuple):
+    """Asks by a linearizable read what became of a key; grants nothing.
+
+    Answered by Recorded, Underway, the call's recorded failure, or Done with
+    `absent` when the key was never granted an attempt.
+    """
+
+    program: str
+    partner: str
+    turn: int
+    key: str
+    digest: bytes
+
+
 class Granted(NamedTuple):
     """An attempt may run at `sidecar`; committed.
 
@@ -932,6 +946,7 @@
             Rollouts,
             SetControl,
             ReplicationFrame,
+            FindCall,
             ControlAction,
             ShowGroups,
             Groups,
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -38,12 +38,26 @@
     return _grant_new(group, table, request)
 
 
-def _resend(
+def find(group: "machine.ProgramMachine", request: messages.FindCall) -> Any:
+    """Tells what became of a key, for an entry that must refuse new work."""
+    table = tables.key_table(group, request)
+    if isinstance(table, errors.MintcleatError):
+        return table
+    call = table.get(tables.slot(request))
+    if call is not None:
+        return _outcome(group, call, request)
+    program = group.programs.get(request.program)
+    if program and request.turn and request.turn < program.next_turn:
+        return _past_turn(group, program, request)
+    return messages.Done("absent")
+
+
+def _outcome(
     group: "machine.ProgramMachine",
     call: records.Call,
-    request: messages.BeginCall,
+    request: messages.BeginCall | messages.FindCall,
 ) -> Any:
-    """Answers a begin whose key is known."""
+    """Returns what is known of a call, whatever may be granted next."""
     if (call.digest, call.turn) != (request.digest, request.turn):
         return _key_conflict(request)
     match call.state:
@@ -52,16 +66,29 @@
             return messages.Recorded(call.attempt, answer, call.usage)
         case records.FAILED:
             return errors.from_failure(call.failure)
+        case records.UNKNOWN:
+            return errors.OutcomeUnknown(
+                f"Attempt {call.attempt} of key {call.key} may have run."
+            )
+    return messages.Underway(call.attempt, call.sidecar, call.address)
+
+
+def _resend(
+    group: "machine.ProgramMachine",
+    call: records.Call,
+    request: messages.BeginCall,
+) -> Any:
+    """Answers a begin whose key is known."""
+    outcome = _outcome(group, call, request)
+    is_open = call.state in (records.RUNNING, records.UNKNOWN)
+    if not is_open or isinstance(outcome, errors.KeyConflict):
+        return outcome
     is_same = _is_same_sending(call, request)
     if is_same and call.state == records.RUNNING:
         return _granted(group, call)
     if not is_same and _may_retry(call, request):
         return _grant_again(group, call, request)
-    if call.state == records.UNKNOWN:
-        return errors.OutcomeUnknown(
-            f"Attempt {call.attempt} of key {call.key} may have run."
-        )
-    return messages.Underway(call.attempt, call.sidecar, call.address)
+    return outcome
 
 
 def _may_retry(call: records.Call, request: messages.BeginCall) -> bool:
@@ -98,7 +125,7 @@
 def _past_turn(
     group: "machine.ProgramMachine",
     program: records.Program,
-    request: messages.BeginCall,
+    request: messages.BeginCall | messages.FindCall,
 ) -> Any:
     """Answers a begin of a finished turn from the history."""
     past = answers.load_turn(group, program.program, request.turn)
@@ -117,7 +144,9 @@
     return prefixes.count(program.past_keys, prefixes.of_key(key)) > 0
 
 
-def _key_conflict(request: messages.BeginCall) -> errors.KeyConflict:
+def _key_conflict(
+    request: messages.BeginCall | messages.FindCall,
+) -> errors.KeyConflict:
     return errors.KeyConflict(
         f"Key {request.key} was used for another request."
     )
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -35,6 +35,9 @@
                 raise errors.BadRequest(
                     f"The digest must have {_DIGEST_BYTES} bytes."
                 )
+        case messages.FindCall():
+            _check_key(request.key)
+            _check_counts("turn", (request.turn,))
         case messages.FinishCall():
             _check_key(request.key)
             _check_counts("usage", request.usage)
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -93,6 +93,8 @@
                 return self._history(request)
             case messages.RenewResidency():
                 return self._gone(request)
+            case messages.FindCall():
+                return calls.find(self, request)
         return errors.BadRequest(f"{type(request).__name__} is no read.")
 
     def chain(self, program: records.Program) -> list[records.Program]:
--- a/src/mintcleat/programs/placement.py
+++ b/src/mintcleat/programs/placement.py
@@ -43,7 +43,10 @@
         case messages.RenewResidency() if message.programs:
             return message.programs[0]
         case (
-            messages.BeginCall() | messages.FinishCall() | messages.SettleCall()
+            messages.BeginCall()
+            | messages.FindCall()
+            | messages.FinishCall()
+            | messages.SettleCall()
         ):
             return message.program or call_scope(message.partner, message.key)
         case (
--- a/src/mintcleat/roles/attempts.py
+++ b/src/mintcleat/roles/attempts.py
@@ -24,11 +24,16 @@
 
 
 class CallName(NamedTuple):
-    """Names a call to its program group and to sidecars."""
+    """Names a call to its program group and to sidecars.
+
+    Attributes:
+        fresh: This entry made the key up, so no earlier send can have run.
+    """
 
     program: str
     partner: str
     key: str
+    fresh: bool = False
 
     @property
     def scope(self) -> str:
@@ -63,6 +68,24 @@
     address: str
 
 
+def unsure(
+    name: CallName, error: errors.MintcleatError
+) -> errors.MintcleatError:
+    """Returns the error with a true outcome for a call that may be a resend.
+
+    Nothing was run for this send. An earlier send under the same key may
+    have run, and the group that knows can't be asked.
+    """
+    if name.fresh or not name.key:
+        return error
+    return type(error)(
+        error.detail,
+        outcome=errors.UNKNOWN,
+        remedy="Send the same request again with the same key.",
+        retry_after=error.retry_after,
+    )
+
+
 def digest(*parts: str | bytes) -> bytes:
     """Returns 16 bytes that tell one request's content from another's."""
     state = xxhash.xxh3_128()
@@ -93,7 +116,41 @@
 
     def begin(self, name: CallName, begin: messages.BeginCall) -> Any:
         """Returns Granted, Recorded or Underway."""
-        return self.control.ask(name.scope, begin, CONTROL_SECONDS)
+        try:
+            return self.control.ask(name.scope, begin, CONTROL_SECONDS)
+        except errors.ControlUnavailable as error:
+            raise unsure(name, error) from None
+
+    def known(
+        self,
+        name: CallName,
+        turn: int,
+        request_digest: bytes,
+        refusal: errors.MintcleatError,
+    ) -> Any:
+        """Returns Recorded or Underway of an earlier send, or refuses.
+
+        This entry takes no new work, but the caller may be sending again
+        what has run already. "Not run" would then be untrue, and the caller
+        would book a second time under another key.
+
+        Raises:
+            errors.MintcleatError: `refusal`, if nothing ran under this key;
+                with an unknown outcome, if nobody could be asked.
+        """
+        if not name.key or name.fresh:
+            raise refusal
+        find = messages.FindCall(
+            name.program, name.partner, turn, name.key, request_digest
+        )
+        try:
+            found = self.control.ask(name.scope, find, CONTROL_SECONDS)
+        except (errors.ControlUnavailable, errors.OutcomeUnknown) as error:
+            logger.info("Earlier sends of {} are unknown: {}", name, error)
+            raise unsure(name, refusal) from None
+        if isinstance(found, messages.Done):
+            raise refusal
+        return found
 
     def settle(
         self, name: CallName, attempt: int, error: errors.MintcleatError
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -30,7 +30,12 @@
 
 
 class Context(NamedTuple):
-    """What is fixed for all attempts of one call."""
+    """What is fixed for all attempts of one call.
+
+    Attributes:
+        refusal: Why this entry takes no new work; only what an earlier send
+            of the same call left is told then.
+    """
 
     call: requests.ChatCall
     name: attempts_module.CallName
@@ -41,6 +46,7 @@
     deadline_at: float
     resident: messages.Incarnation | None
     context_tokens: int
+    refusal: errors.MintcleatError | None = None
 
 
 class Progress:
@@ -50,6 +56,7 @@
         delivery: What the caller has of the answer.
         tried: Sidecars that refused or were lost.
         sealed: Attempt that never runs again; the next one replaces it.
+        may_have_run: An earlier attempt of this call reached its engine.
     """
 
     def __init__(self, streamed: bool) -> None:
@@ -58,6 +65,7 @@
         self.sealed = 0
         self.attempts = 0
         self.sidecar: messages.Incarnation | None = None
+        self.may_have_run = False
 
 
 class Chat:
@@ -104,7 +112,12 @@
     ) -> Iterator[requests.Text | requests.End]:
         """Places and runs one attempt; returns what to do next."""
         progress.attempts += 1
-        placed = self._place(context, progress)
+        try:
+            placed = self._place(context, progress)
+        except errors.MintcleatError as error:
+            if progress.sealed or progress.may_have_run:
+                raise
+            return (yield from self._known(context, progress, error))
         progress.sidecar = placed.sidecar
         self.metrics.count("placements_total", reason=placed.reason)
         if not context.name.key:
@@ -112,22 +125,44 @@
             return (yield from self._run(context, progress, placed, run))
         reply = self._begin(context, progress, placed)
         match reply:
-            case messages.Recorded():
-                progress.delivery.restart()
-                yield from replay(progress.delivery, reply.answer.decode())
-                yield recorded_end(reply)
-                return attempts_module.Whole()
-            case messages.Underway():
-                return attempts_module.Follow(
-                    reply.attempt, reply.sidecar, reply.address
-                )
+            case messages.Recorded() | messages.Underway():
+                return (yield from self._earlier(progress, reply))
             case _:
                 run = self._run_message(context, placed, reply)
                 return (yield from self._run(context, progress, placed, run))
 
+    def _known(
+        self,
+        context: Context,
+        progress: Progress,
+        refusal: errors.MintcleatError,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Tells what an earlier send of the call left, or refuses."""
+        reply = self.attempts.known(
+            context.name, context.call.turn, context.digest, refusal
+        )
+        return (yield from self._earlier(progress, reply))
+
+    def _earlier(
+        self,
+        progress: Progress,
+        reply: messages.Recorded | messages.Underway,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Replays a recorded answer, or follows the attempt under way."""
+        if isinstance(reply, messages.Underway):
+            return attempts_module.Follow(
+                reply.attempt, reply.sidecar, reply.address
+            )
+        progress.delivery.restart()
+        yield from replay(progress.delivery, reply.answer.decode())
+        yield recorded_end(reply)
+        return attempts_module.Whole()
+
     def _place(
         self, context: Context, progress: Progress
     ) -> placement_module.Placed:
+        if context.refusal is not None:
+            raise context.refusal
         try:
             return self.placement.choose(
                 context.service,
@@ -138,9 +173,11 @@
         except errors.NoUpstream as error:
             # The last attempt is sealed and none follows: free its key and
             # its reservation, so that the caller's resend is a fresh start.
+            if progress.may_have_run:
+                error = attempts_module.unsure(context.name, error)
             if progress.sealed:
                 self.attempts.settle(context.name, progress.sealed, error)
-            raise
+            raise error from None
 
     def _begin(
         self,
@@ -377,6 +414,7 @@
     ) -> None:
         """Raises the final refusal when no further attempt is allowed."""
         self.metrics.count("retries_total", cause=cause.kind)
+        progress.may_have_run |= cause.outcome != errors.NOT_RUN
         over = (
             isinstance(cause, errors.Quarantined)
             or self.timers.now() >= context.deadline_at
@@ -384,6 +422,8 @@
         )
         if not over:
             return
+        if progress.may_have_run:
+            cause = attempts_module.unsure(context.name, cause)
         if progress.sealed and context.name.key:
             self.attempts.settle(context.name, progress.sealed, cause)
         raise cause
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -71,7 +71,9 @@
 
     def create_program(self, new: requests.NewProgram) -> messages.ProgramView:
         """Creates a program, or returns the same one for a resend."""
-        self._check_open(idempotent_service=False)
+        refusal = self._refusal(idempotent_service=False)
+        if refusal is not None:
+            raise refusal
         manifest = self.directory.manifest()
         agent = manifest.programs.get(new.agent)
         if new.agent and agent is None:
@@ -110,8 +112,10 @@
         self, call: requests.ChatCall
     ) -> Iterator[requests.Text | requests.End]:
         """Yields the parts of a chat answer and then its end."""
-        self._check_open(idempotent_service=False)
-        view = self._view(call.program) if call.program else None
+        refusal = self._refusal(idempotent_service=False)
+        if refusal is not None and not (call.program or call.key):
+            raise refusal
+        view = self._call_view(call.program, call.key)
         partner = view.partner if view else self._partner(call.partner)
         key = call.key
         digest = attempts_module.digest(
@@ -131,6 +135,7 @@
             deadline_at=self._deadline_at(call.deadline),
             resident=self._resident(view),
             context_tokens=view.used if view else 0,
+            refusal=refusal,
         )
         return self._counted(context)
 
@@ -145,13 +150,18 @@
         idempotent = manifest_module.is_idempotent(
             service, call.method, call.path
         )
-        self._check_open(idempotent_service=idempotent)
-        view = self._view(call.program) if call.program else None
+        refusal = self._refusal(idempotent_service=idempotent)
+        if refusal is not None and (idempotent or not call.key):
+            raise refusal
+        view = self._call_view(call.program, call.key)
         partner = view.partner if view else self._partner(call.partner)
-        key = call.key if idempotent else call.key or attempts_module.new_key()
+        fresh = not call.key
+        key = call.key
+        if fresh and not idempotent:
+            key = attempts_module.new_key()
         context = service_calls_module.Context(
             call=call,
-            name=attempts_module.CallName(call.program, partner, key),
+            name=attempts_module.CallName(call.program, partner, key, fresh),
             klass=view.klass if view else "interactive",
             digest=attempts_module.digest(
                 call.service, call.method, call.path, call.body
@@ -159,6 +169,7 @@
             deadline_at=self._deadline_at(call.deadline),
             idempotent=idempotent,
             committed=not idempotent,
+            refusal=refusal,
         )
         self.metrics.count("calls_total", kind="service")
         self.running += 1
@@ -212,21 +223,23 @@
             resident=end.sidecar, used=tokens
         )
 
-    def _check_open(self, idempotent_service: bool) -> None:
-        """Refuses new work while stopping or out of the config lease.
+    def _refusal(
+        self, idempotent_service: bool
+    ) -> errors.MintcleatError | None:
+        """Returns why no new work is taken: stopping, or out of lease.
 
         A node that is cut off can't know of a newer manifest. Its callers
         would see an old one in force; refusing is true and lets them go to
         another entry. `stale_lease: serve` keeps harmless reads going.
         """
         if self.draining:
-            raise errors.Draining("This entry is stopping.")
+            return errors.Draining("This entry is stopping.")
         if self.directory.in_lease():
-            return
+            return None
         policy = self.directory.manifest().policies.stale_lease
         if idempotent_service and policy == "serve":
-            return
-        raise errors.LeaseExpired(
+            return None
+        return errors.LeaseExpired(
             "This entry's configuration lease ran out.", retry_after=1.0
         )
 
@@ -279,6 +292,16 @@
         default = self.directory.manifest().policies.deadline
         return self.timers.now() + (seconds or default)
 
+    def _call_view(self, program: str, key: str) -> messages.ProgramView | None:
+        """Returns the program of a call, with a true outcome if it can't."""
+        if not program:
+            return None
+        try:
+            return self._view(program)
+        except errors.ControlUnavailable as error:
+            name = attempts_module.CallName(program, "", key or "turn")
+            raise attempts_module.unsure(name, error) from None
+
     def _view(self, program: str) -> messages.ProgramView:
         found = self.views.get(program)
         if found is not None:
--- a/src/mintcleat/roles/program_service.py
+++ b/src/mintcleat/roles/program_service.py
@@ -28,6 +28,7 @@
     messages.ListPrograms,
     messages.FetchHistory,
     messages.RenewResidency,
+    messages.FindCall,
 )
 
 
--- a/src/mintcleat/roles/service_calls.py
+++ b/src/mintcleat/roles/service_calls.py
@@ -23,6 +23,7 @@
 
     Attributes:
         committed: The call takes an attempt from its group before it runs.
+        refusal: Why this entry takes no new work, if it takes none.
     """
 
     call: requests.ServiceCall
@@ -32,6 +33,7 @@
     deadline_at: float
     idempotent: bool
     committed: bool
+    refusal: errors.MintcleatError | None = None
 
 
 class ServiceCalls:
@@ -60,23 +62,9 @@
         tried: set[messages.Incarnation] = set()
         sealed = 0
         for number in itertools.count(1):
-            placed = self._place(context, tried, sealed)
-            attempt = 0
-            if context.committed:
-                reply = self._begin(context, placed, sealed)
-                match reply:
-                    case messages.Recorded():
-                        return recorded_answer(reply)
-                    case messages.Underway():
-                        step = self._follow(context, reply)
-                    case _:
-                        attempt = reply.attempt
-                        step = self._run(context, placed, attempt)
-            else:
-                step = self._run(context, placed, attempt)
+            step = self._attempt(context, tried, sealed)
             if isinstance(step, requests.ServiceAnswer):
                 return step
-            tried.add(placed.sidecar)
             sealed = step.sealed
             self.metrics.count("retries_total", cause=step.cause.kind)
             late = self.timers.now() >= context.deadline_at
@@ -86,12 +74,48 @@
                 self._give_up(context, sealed, step.cause)
         return None
 
+    def _attempt(
+        self,
+        context: Context,
+        tried: set[messages.Incarnation],
+        sealed: int,
+    ) -> requests.ServiceAnswer | attempts_module.Again:
+        """Places and runs one attempt."""
+        try:
+            placed = self._place(context, tried, sealed)
+        except errors.MintcleatError as refusal:
+            if sealed or not context.committed:
+                raise
+            reply = self.attempts.known(
+                context.name, 0, context.digest, refusal
+            )
+            return self._earlier(context, reply)
+        tried.add(placed.sidecar)
+        if not context.committed:
+            return self._run(context, placed, 0)
+        reply = self._begin(context, placed, sealed)
+        if isinstance(reply, messages.Granted):
+            return self._run(context, placed, reply.attempt)
+        return self._earlier(context, reply)
+
+    def _earlier(
+        self,
+        context: Context,
+        reply: messages.Recorded | messages.Underway,
+    ) -> requests.ServiceAnswer | attempts_module.Again:
+        """Returns the recorded answer, or follows the attempt under way."""
+        if isinstance(reply, messages.Underway):
+            return self._follow(context, reply)
+        return recorded_answer(reply)
+
     def _place(
         self,
         context: Context,
         tried: set[messages.Incarnation],
         sealed: int,
     ) -> placement_module.Placed:
+        if context.refusal is not None:
+            raise context.refusal
         try:
             placed = self.placement.choose(
                 context.call.service, place_call(context), None, tried
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from mintcleat.main import local
+from mintcleat.roles import attempts as attempts_module
 
 ANY = "127.0.0.1:0"
 
@@ -192,3 +193,36 @@
         for _ in range(2):
             reply = self.send("POST", path, {"a": 1})
             self.assertNotIn("Mintcleat-Replayed", reply.headers)
+
+    def test_resend_refused_by_a_stopping_entry_gets_its_answer(self) -> None:
+        """A booking ran, its answer was lost, and the entry is stopping.
+
+        The resend was told "not run", which a caller takes as leave to book
+        again under another key: two crews would go out.
+        """
+        path = "/v1/services/dispatch/book"
+        first = self.send("POST", path, {"a": 1}, key="k")
+        self.system.entry.parts[0].entry.draining = True
+        again = self.send("POST", path, {"a": 1}, key="k")
+        self.assertEqual((200, first.data), (again.status, again.data))
+        fresh = self.send("POST", path, {"a": 2}, key="other")
+        self.assert_refused(fresh, 503, "draining")
+
+    def test_refused_resend_is_unknown_while_control_is_away(self) -> None:
+        """The booking ran; then the entry stops and no quorum answers.
+
+        Nobody can tell what the first send did, so "not run" might be
+        untrue. A call whose key the caller never sent before is still told
+        that it did not run.
+        """
+        path = "/v1/services/dispatch/book"
+        self.send("POST", path, {"a": 1}, key="k")
+        entry = self.system.entry.parts[0].entry
+        entry.draining = True
+        attempts_module.CONTROL_SECONDS, kept = 0.2, 5.0
+        self.addCleanup(setattr, attempts_module, "CONTROL_SECONDS", kept)
+        self.system.control.common.streams.stop()
+        again = self.send("POST", path, {"a": 1}, key="k").json()
+        self.assertEqual("unknown", again["outcome"])
+        without_key = self.send("POST", path, {"a": 1})
+        self.assert_refused(without_key, 503, "draining")
