Hold budgets to the last token; never pass an unknown attempt as sealed

Cause: each turn repeats the history, and usage counted it again each time while the reservation knew only the new messages: a budget of 100 tokens ended at 111. And an attempt settled as unknown was passed on as sealed, as the programs' test named. Change: budgets count tokens new to the program; the entry holds a bound that no tokenizer exceeds; an unknown or broken attempt is settled before the next one, which then claims no seal.

--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -77,11 +77,13 @@
 
     Attributes:
         next_turn: The turn that the next chat call must carry.
-        used: Tokens settled, sub-agents included.
+        used: Tokens settled, sub-agents included. Only tokens that were new
+            to the program count, not the history that each turn repeats.
         reserved: Tokens held for calls under way or of unknown outcome.
         state: `open`, `closed` or `expired`.
         resident: Sidecar that last ran a turn; epoch 0 for none.
         resident_address: Stream address of `resident`.
+        context: Tokens of the conversation, as the engine last counted it.
     """
 
     program: str
@@ -99,6 +101,7 @@
     resident_address: str
     created: float
     children: list[str]
+    context: int = 0
 
 
 class ShowProgram(NamedTuple):
--- a/src/mintcleat/programs/budgets.py
+++ b/src/mintcleat/programs/budgets.py
@@ -83,7 +83,7 @@
 
 def settle(chain: Sequence[records.Program], call: records.Call) -> None:
     """Replaces the hold by what the call really used."""
-    spent = spent_tokens(call.usage)
+    spent = spent_tokens(call.usage, chain[0].context if call.turn else 0)
     for program in chain:
         program.reserved -= call.reserved
         program.used += spent
@@ -98,6 +98,16 @@
     call.reserved = 0
 
 
-def spent_tokens(usage: messages.Usage) -> int:
-    """Returns the tokens of a call that count against budgets."""
-    return usage.prompt_tokens + usage.completion_tokens
+def spent_tokens(usage: messages.Usage, context: int) -> int:
+    """Returns the tokens of a call that count against budgets.
+
+    Each turn sends the whole conversation again. Counted are the tokens that
+    are new to the program, so that a budget says how long a history may get,
+    and the entry can hold enough for a turn before it knows the prompt.
+
+    Args:
+        usage: As the engine reported it.
+        context: Tokens of the conversation up to the turn before.
+    """
+    new = max(0, usage.prompt_tokens - context)
+    return new + usage.completion_tokens
--- a/src/mintcleat/programs/outcomes.py
+++ b/src/mintcleat/programs/outcomes.py
@@ -97,6 +97,8 @@
     budgets.settle(group.chain(program), call)
     if not call.turn:
         return
+    usage = call.usage
+    program.context = usage.prompt_tokens + usage.completion_tokens
     answer = request.answer.decode(errors="replace")
     texts = [*call.messages, answer]
     program.digest = digests.rolling(program.digest, texts)
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -83,6 +83,7 @@
         used: Tokens settled, sub-agents included.
         reserved: Tokens held, sub-agents included.
         turns: Turns finished or under way, sub-agents included.
+        context: Tokens of the conversation, as the engine last counted it.
         turn_key: Key of the turn under way; empty for none.
         past_keys: 8-byte digests of the keys of the finished turns.
         released: Nonce of the sending whose turn was given back last.
@@ -107,6 +108,7 @@
     used: int = 0
     reserved: int = 0
     turns: int = 0
+    context: int = 0
     digest: bytes = digests.EMPTY
     turn_key: str = ""
     past_keys: bytes = b""
@@ -137,6 +139,7 @@
         resident_address=program.resident_address,
         created=program.created,
         children=list(program.children),
+        context=program.context,
     )
 
 
--- a/src/mintcleat/roles/attempts.py
+++ b/src/mintcleat/roles/attempts.py
@@ -232,4 +232,4 @@
         self.settle(name, attempt, error)
         if not idempotent:
             raise error
-        return Again(attempt, error)
+        return Again(0, error)
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -27,12 +27,15 @@
 # upstreams uses this, where the same figure stands on both sides.
 EXPECTED_TOKENS = 128
 _CHARACTERS_PER_TOKEN = 4
+_TEMPLATE_TOKENS = 16
 
 
 class Context(NamedTuple):
     """What is fixed for all attempts of one call.
 
     Attributes:
+        context_tokens: Tokens of the conversation so far.
+        tokens_left: Tokens left in the budget when last seen; -1 without one.
         refusal: Why this entry takes no new work; only what an earlier send
             of the same call left is told then.
     """
@@ -46,6 +49,7 @@
     deadline_at: float
     resident: messages.Incarnation | None
     context_tokens: int
+    tokens_left: int = -1
     refusal: errors.MintcleatError | None = None
 
 
@@ -194,7 +198,7 @@
             key=context.name.key,
             digest=context.digest,
             messages=call.messages,
-            reserve=reservation(call),
+            reserve=prompt_bound(call) + completion_limit(context),
             idempotent=True,
             sidecar=placed.sidecar,
             address=placed.address,
@@ -220,7 +224,7 @@
             base_digest=granted.base_digest if granted else b"",
             history=[],
             messages=call.messages,
-            parameters=bounded_parameters(call),
+            parameters=bounded_parameters(context),
             deadline=max(context.deadline_at - self.timers.now(), _MIN_WAIT),
             klass=granted.klass if granted else context.klass,
             agent=granted.agent if granted else context.agent,
@@ -259,6 +263,17 @@
         finally:
             exchange.close()
 
+    def _broken(
+        self, context: Context, attempt: int, failure: errors.Failure
+    ) -> attempts_module.Again:
+        """Only an attempt that did not run may pass as sealed."""
+        cause = errors.from_failure(failure)
+        if failure.outcome == errors.NOT_RUN or not context.name.key:
+            return attempts_module.Again(attempt, cause)
+        unknown = errors.OutcomeUnknown(cause.detail)
+        self.attempts.settle(context.name, attempt, unknown)
+        return attempts_module.Again(0, cause)
+
     def _failed(self, context: Context, progress: Progress) -> None:
         """Notes that the sidecar of the last attempt failed the call."""
         if progress.sidecar is None:
@@ -306,9 +321,8 @@
                     cause = errors.from_failure(failure)
                     return attempts_module.Again(attempt, cause)
                 case messages.Broken(attempt, failure):
-                    cause = errors.from_failure(failure)
                     self._failed(context, progress)
-                    return attempts_module.Again(attempt, cause)
+                    return self._broken(context, attempt, failure)
                 case _:
                     raise errors.StreamClosed(
                         f"An unexpected {type(message).__name__}."
@@ -466,21 +480,43 @@
     return characters // _CHARACTERS_PER_TOKEN + 1
 
 
-def reservation(call: requests.ChatCall) -> int:
-    """Returns the tokens to hold for a call, prompt and completion."""
-    return prompt_tokens(call) + (call.max_tokens or DEFAULT_COMPLETION_TOKENS)
+def prompt_bound(call: requests.ChatCall) -> int:
+    """Returns a number of tokens that the new messages can't exceed.
+
+    No tokenizer makes more tokens than there are bytes; the prompt template
+    adds a few for each message, the answer before it included. An estimate
+    would let the last turn of a program overdraw its budget.
+    """
+    size = sum(len(message.encode()) for message in call.messages)
+    return size + _TEMPLATE_TOKENS * (len(call.messages) + 1)
+
+
+def completion_limit(context: Context) -> int:
+    """Returns how many tokens the answer may have.
+
+    Without the caller's own limit it is the default, or what the budget
+    still allows when that is less.
+    """
+    call = context.call
+    if call.max_tokens:
+        return call.max_tokens
+    if context.tokens_left < 0:
+        return DEFAULT_COMPLETION_TOKENS
+    left = context.tokens_left - prompt_bound(call)
+    return max(1, min(DEFAULT_COMPLETION_TOKENS, left))
 
 
-def bounded_parameters(call: requests.ChatCall) -> str:
+def bounded_parameters(context: Context) -> str:
     """Returns the body's parameters with a completion limit.
 
     Without a limit an engine could generate past what was reserved, and the
     program's budget would not hold.
     """
+    call = context.call
     if call.max_tokens or not call.program:
         return call.parameters
     parameters = json.loads(call.parameters)
-    parameters["max_tokens"] = DEFAULT_COMPLETION_TOKENS
+    parameters["max_tokens"] = completion_limit(context)
     return json.dumps(parameters)
 
 
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -134,7 +134,8 @@
             digest=digest,
             deadline_at=self._deadline_at(call.deadline),
             resident=self._resident(view),
-            context_tokens=view.used if view else 0,
+            context_tokens=view.context if view else 0,
+            tokens_left=tokens_left(view),
             refusal=refusal,
         )
         return self._counted(context)
@@ -220,7 +221,9 @@
             return
         tokens = end.usage.prompt_tokens + end.usage.completion_tokens
         self.views[view.program] = view._replace(
-            resident=end.sidecar, used=tokens
+            resident=end.sidecar,
+            used=view.used + max(0, tokens - view.context),
+            context=tokens,
         )
 
     def _refusal(
@@ -338,6 +341,13 @@
         )
 
 
+def tokens_left(view: messages.ProgramView | None) -> int:
+    """Returns what is left of a program's budget; -1 for no limit."""
+    if view is None or not view.budget.tokens:
+        return -1
+    return max(0, view.budget.tokens - view.used - view.reserved)
+
+
 def tighter(first: float, second: float) -> float:
     """Returns the lower of two limits where 0 means none."""
     if not first or not second:
