Count an evicted program as under way; predict the wait for prompts

Cause: after an overload the gates stayed full. Programs whose caches were evicted no longer counted, so newcomers took their places and all of them rebuilt in turn; and the reported wait was 0 while 32 returning calls queued for prompt computing, so entries went on sending there. Change: only an end, a move or a pause of a minute frees a footprint; the predicted wait counts the prompts ahead; a newcomer's wait is learned from its time as the first in line; reports use the usual newcomer's size.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -147,7 +147,10 @@
     world.run(ARRIVALS + DRAIN)
     result = world.result()
     times = latencies(result, start, ARRIVALS, skip, ARRIVALS + DRAIN)
+    useful = sum(s for at, s in result.useful if 300.0 <= at < ARRIVALS)
+    engine_time = (ARRIVALS - 300.0) * world.deployment.engines
     return {
+        "useful%": 100 * useful / engine_time,
         "mean": statistics.mean(times),
         "p95": percentile(times, 0.95),
         "waste": result.wasted / len(result.records),
@@ -199,21 +202,25 @@
     deployment = policy_load.DEPLOYMENTS[name]
     generator = policy_load.Generator(deployment, seed)
     world = policy_world.World(deployment, policy, patience=1)
-    phases = [(0.7, 0.0, 200.0), (factor, 200.0, 800.0), (0.7, 800.0, 1200.0)]
+    phases = [
+        (0.7, 0.0, 600.0),
+        (factor, 600.0, 1200.0),
+        (0.7, 1200.0, 1800.0),
+    ]
     for load, start, end in phases:
         for at in generator.arrivals(rate(deployment, load), start, end):
             world.at(at, world.arrive, generator.program())
-    world.run(1200.0 + DRAIN)
+    world.run(1800.0 + DRAIN)
     result = world.result()
-    good = sum(s for at, s in result.useful if 300.0 <= at < 800.0) / 500.0
+    good = sum(s for at, s in result.useful if 700.0 <= at < 1200.0) / 500.0
     ended = [
         (arrived, end - arrived)
         for arrived, end, *_, paused in result.records
         if end < math.inf and paused < math.inf
     ]
-    before = [time for at, time in ended if 60.0 <= at < 200.0]
-    during = [time for at, time in ended if 300.0 <= at < 800.0]
-    after = [time for at, time in ended if 900.0 <= at < 1200.0]
+    before = [time for at, time in ended if 200.0 <= at < 600.0]
+    during = [time for at, time in ended if 700.0 <= at < 1200.0]
+    after = [time for at, time in ended if 1400.0 <= at < 1800.0]
     return {
         "goodput%": 100 * good / deployment.engines / deployment.capacity,
         "late%": 100 * result.late / max(1, result.admitted),
@@ -225,7 +232,7 @@
         / max(
             1,
             sum(
-                900.0 <= arrived < 1200.0 and paused < math.inf
+                1400.0 <= arrived < 1800.0 and paused < math.inf
                 for arrived, _, _, _, paused in result.records
             ),
         ),
@@ -351,9 +358,9 @@
             table(steady, rows, seeds, jobs)
 
     def capacity(self, seeds: int = 5, jobs: int = 3) -> None:
-        """Finds where whole-program latency leaves the unloaded one."""
+        """Finds the most useful work a second, as part of bare compute."""
         for name, deployment in policy_load.DEPLOYMENTS.items():
-            loads = [0.3, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9]
+            loads = [0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.2, 1.4]
             rows = [(name, FULL, load / deployment.capacity) for load in loads]
             print(f"{name}: parts of bare compute {loads}")
             table(steady, rows, seeds, jobs)
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -218,7 +218,6 @@
                 self.engine.keep(program, keep)
             case retain.Drop(program) | retain.Export(program):
                 self.engine.drop(program)
-                self.gate.left(program)
 
     def _schedule(self) -> None:
         self.version += 1
@@ -270,6 +269,7 @@
             self.world.at(now + REPORT_DELAY, entry.hear, self.report())
         for action in self.keeper.sweep(now):
             self._act(action)
+            self.gate.left(action.program)
         for call in self.gate.expire(now):
             job = self.jobs.pop(call.call_id)
             self.world.shed += 1
--- a/src/mintcleat/decisions/lines.py
+++ b/src/mintcleat/decisions/lines.py
@@ -65,7 +65,13 @@
 
 
 class Line:
-    """Queue of one class: partners by fair share, their calls by order."""
+    """Queue of one class: partners by fair share, their calls by order.
+
+    Attributes:
+        total: Expected service of all waiting calls, in seconds.
+        needs: Waiting calls of each kind of need.
+        prompts: Prompt tokens that the waiting calls must compute.
+    """
 
     def __init__(self) -> None:
         self.clock = admit.FairClock()
@@ -73,6 +79,7 @@
         self.total = 0.0
         self.count = 0
         self.needs = [0, 0, 0]
+        self.prompts = 0
 
     def add(self, entry: Entry, weight: float) -> None:
         """Adds a waiting call."""
@@ -85,6 +92,7 @@
         self.total += entry.service
         self.count += 1
         self.needs[entry.need] += 1
+        self.prompts += entry.call.new_tokens
 
     def remove(self, entry: Entry) -> None:
         """Removes a waiting call."""
@@ -94,6 +102,7 @@
         self.total -= entry.service
         self.count -= 1
         self.needs[entry.need] -= 1
+        self.prompts -= entry.call.new_tokens
         if not flow:
             del self.flows[entry.flow]
             self.clock.rest(entry.flow)
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -143,7 +143,7 @@
         self.slots.protected = tokens
 
     def left(self, program: str) -> None:
-        """Notes that a program's cache is gone: ended, moved or dropped."""
+        """Notes that a program ended, moved elsewhere or hung."""
         self.slots.working_set.leave(program)
 
     def cancel(self, call_id: str) -> bool:
@@ -163,6 +163,7 @@
         They are refused here and now (`deadline_unmet`), before they spend
         the upstream's time on an answer that comes too late.
         """
+        self.slots.working_set.absent(now)
         late = []
         while self.latest and self.latest[0][0] < now:
             entry = self.waiting[self.latest[0][1]]
@@ -179,7 +180,9 @@
 
     def predicted_wait(self, now: float) -> float:
         """Returns the wait of a program's first call, in seconds."""
-        return self._wait(self._entry(_USUAL, now), now)
+        entry = self._entry(_USUAL, now)
+        context = self.slots.working_set.usual_context
+        return self._wait(entry._replace(footprint=context), now)
 
     def load(self, now: float) -> Load:
         """Returns the load to report."""
@@ -240,9 +243,18 @@
         line = self.lines[entry.klass]
         memory_wait = 0.0
         if entry.need == lines.NEWCOMER and not self.slots.has_room(entry):
-            ahead = 1 + line.needs[lines.NEWCOMER]
+            ahead = line.needs[lines.NEWCOMER]
             memory_wait = self.slots.working_set.wait(ahead, now)
-        return max(memory_wait, self._slot_wait(entry, line))
+        return max(
+            memory_wait, self._slot_wait(entry, line), self._prefill_wait(line)
+        )
+
+    def _prefill_wait(self, line: lines.Line) -> float:
+        """Predicts the wait for the prompts that are ahead."""
+        if not self.options.prefill or not line.count:
+            return 0.0
+        tokens = self.slots.computing_tokens + line.prompts
+        return tokens / max(self.speed.prefill_rate, 1.0)
 
     def _slot_wait(self, entry: lines.Entry, line: lines.Line) -> float:
         limit = self.limit.current()
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -106,7 +106,7 @@
         self.computing_tokens += call.new_tokens
         self.working_set.enter(call.program, call.agent, entry.footprint)
         if entry.need == lines.NEWCOMER:
-            self.working_set.let_in(now)
+            self.working_set.let_in(entry.footprint, entry.arrived, now)
 
     def prefilled(self, call_id: str) -> None:
         """Notes that a call's prompt is computed."""
--- a/src/mintcleat/decisions/workingset.py
+++ b/src/mintcleat/decisions/workingset.py
@@ -10,24 +10,26 @@
 
 from typing import NamedTuple
 
-# Footprints may exceed the memory by this factor: not all programs are at
-# their largest at once.
-OVERCOMMIT = 1.2
+# Part of the memory that the footprints may take. Above 1.2 an overload of ten
+# minutes ended in rebuilding all the time, and did not end with its cause.
+PART = 1.1
 # A pause counts as memory held for this long at most; in longer ones another
 # program's cache takes the place.
 HELD_SECONDS = 8.0
-# Until two newcomers were let in, one is expected each second.
+# A program that has paused so long counts as absent until it comes back: its
+# tool may hang, and its place would be lost for as long.
+ABSENT_SECONDS = 60.0
+# Until newcomers have waited, one is expected to be let in each second.
 _FIRST_INTERVAL = 1.0
 _GAIN = 1 / 8
 _DUTY_GAIN = 1 / 32
 
 
 class Member(NamedTuple):
-    """A program under way; `ended` is when its last call did, or 0."""
+    """A program under way."""
 
     agent: str
     footprint: float
-    ended: float = 0.0
 
 
 class WorkingSet:
@@ -35,17 +37,23 @@
 
     Attributes:
         members: By program.
+        pauses: When the last call ended, by paused program, oldest first.
         tokens: Sum of the footprints.
         duty: By agent, the part of a program's life in which it needs memory.
-        interval: Moving average of seconds between two newcomers.
+        interval: Moving average of a newcomer's seconds as first in line.
+        usual_context: Moving average of newcomers' contexts.
+        blocked_at: When a newcomer last found the line empty.
     """
 
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
+        self.pauses: dict[str, float] = {}
         self.tokens = 0.0
         self.duty: dict[str, float] = {}
         self.interval = _FIRST_INTERVAL
         self.last_newcomer = 0.0
+        self.blocked_at = 0.0
+        self.usual_context = 0.0
 
     def enter(self, program: str, agent: str, context: float) -> None:
         """Adds a program whose call starts, or renews its footprint.
@@ -62,49 +70,66 @@
 
     def paused(self, program: str, now: float) -> None:
         """Notes the end of a program's call."""
-        member = self.members.get(program)
-        if member is not None:
-            self.members[program] = member._replace(ended=now)
+        if program in self.members:
+            self.pauses.pop(program, None)
+            self.pauses[program] = now
+
+    def absent(self, now: float) -> None:
+        """Removes the programs that have paused too long."""
+        while self.pauses:
+            program, ended = next(iter(self.pauses.items()))
+            if now - ended < ABSENT_SECONDS:
+                return
+            self.leave(program)
 
     def back(self, program: str, service: float, now: float) -> None:
         """Learns the agent's duty from a pause and the service before it."""
-        member = self.members.get(program)
-        if member is None or not member.ended:
+        ended = self.pauses.pop(program, None)
+        if ended is None:
             return
-        pause = max(0.0, now - member.ended)
-        self.members[program] = member._replace(ended=0.0)
+        pause = now - ended
+        agent = self.members[program].agent
         whole = service + pause
         if whole <= 0:
             return
         duty = (service + min(pause, HELD_SECONDS)) / whole
-        known = self.duty.get(member.agent, 1.0)
+        known = self.duty.get(agent, 1.0)
         # Weighted by time: a long pause frees memory for as long as it is.
         weight = min(1.0, whole / (service + HELD_SECONDS))
-        self.duty[member.agent] = known + (duty - known) * weight * _DUTY_GAIN
+        self.duty[agent] = known + (duty - known) * weight * _DUTY_GAIN
 
     def leave(self, program: str) -> None:
-        """Removes a program whose cache is no longer here."""
+        """Removes a program that ended, moved or hung.
+
+        One whose cache was evicted stays: it will be back, and its duty
+        counts the pauses already.
+        """
+        self.pauses.pop(program, None)
         member = self.members.pop(program, None)
         if member is not None:
             self.tokens -= member.footprint
 
-    def let_in(self, now: float) -> None:
-        """Notes that a newcomer started."""
-        gap = now - self.last_newcomer
+    def let_in(self, context: float, arrived: float, now: float) -> None:
+        """Notes that a newcomer started; learns its time as the first."""
+        gap = now - max(self.last_newcomer, arrived)
         self.last_newcomer = now
         self.interval += (gap - self.interval) * _GAIN
+        self.usual_context += (context - self.usual_context) * _GAIN
 
     def fits(self, agent: str, context: float, memory: float) -> bool:
         """Tells whether a newcomer fits; into an empty set, any does."""
         if not self.members:
             return True
         footprint = context * self.duty.get(agent, 1.0)
-        return self.tokens + footprint <= memory * OVERCOMMIT
+        return self.tokens + footprint <= memory * PART
 
     def wait(self, ahead: int, now: float) -> float:
-        """Predicts a newcomer's wait behind so many others.
+        """Predicts a newcomer's wait with so many before it.
 
-        While none is let in, the time since the last one counts too; else a
+        While they wait and none is let in, that time counts too; else a
         stop would go unnoticed and the queue fill beyond its bound.
         """
-        return ahead * max(self.interval, now - self.last_newcomer)
+        if not ahead:
+            self.blocked_at = now
+        gap = now - max(self.last_newcomer, self.blocked_at)
+        return (ahead + 1) * max(self.interval, gap)
