--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -56,8 +56,9 @@
 
     Attributes:
         memory: Tokens of cache per engine.
-        capacity: Highest stable load as a part of the engines' bare compute,
-            as `policy.py capacity` measured it with all decisions on.
+        capacity: Offered load, as a part of the engines' bare compute, up to
+            which useful work grows with all decisions on; and `useful`, the
+            useful work there. `policy.py capacity` measures both.
     """
 
     name: str
@@ -66,6 +67,7 @@
     latency_weight: float
     waste_weight: float
     capacity: float
+    useful: float
     agents: list[Agent]
 
 
@@ -79,6 +81,7 @@
     3.0,
     1.0,
     0.65,
+    0.66,
     [
         Agent(
             "triage",
@@ -135,6 +138,7 @@
     1.0,
     3.0,
     0.65,
+    0.56,
     [
         Agent(
             "triage",
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -140,6 +140,7 @@
         self.version = 0
 
     def report(self) -> messages.LoadReport:
+        """Returns the report that entries hear."""
         self.counter += 1
         load = self.gate.load(self.world.now)
         return messages.LoadReport(
@@ -157,6 +158,7 @@
         )
 
     def offer(self, job: Job) -> admit.Refuse | None:
+        """Offers a call to the gate; returns its refusal."""
         now = self.world.now
         program = job.program
         cached = self.engine.cached.get(program.spec.name, 0)
@@ -173,6 +175,7 @@
         return None
 
     def pump(self) -> None:
+        """Starts what the gate lets start."""
         self.gate.protect(self.keeper.expected_soon(self.world.now))
         while (call := self.gate.next(self.world.now)) is not None:
             self._start(self.jobs[call.call_id])
@@ -279,6 +282,7 @@
         self.world.at(now + REPORT_PERIOD, self.tick)
 
     def release(self, program: str) -> None:
+        """Frees what an ended program holds."""
         self.keeper.gone(program)
         self.engine.drop(program)
         self.gate.left(program)
@@ -306,9 +310,11 @@
         self.sent: dict[str, int] = dict.fromkeys(world.sidecars, 0)
 
     def hear(self, report: messages.LoadReport) -> None:
+        """Takes a load report."""
         self.fleet.report(report, self.world.now)
 
     def submit(self, job: Job) -> None:
+        """Places a call and sends it."""
         job.entry = self
         job.attempts += 1
         name = self._place(job)
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -4,6 +4,7 @@
 that will come next.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from mintcleat.decisions import calls
@@ -104,7 +105,9 @@
         self.tokens += context(call)
         self.computing[call.call_id] = call.new_tokens
         self.computing_tokens += call.new_tokens
-        self.working_set.enter(call.program, call.agent, entry.footprint)
+        self.working_set.enter(
+            call.program, call.agent, entry.flow, entry.footprint
+        )
         if entry.need == lines.NEWCOMER:
             self.working_set.let_in(entry.footprint, entry.arrived, now)
 
@@ -137,11 +140,8 @@
 
         The weights are those of partners with calls running here.
         """
-        weight = self.weight(flow)
-        active = sum(map(self.weight, self.running_of))
-        if flow not in self.running_of:
-            active += weight
-        return self.running_of.get(flow, 0) >= limit * weight / active
+        share = self._share(flow, self.running_of)
+        return self.running_of.get(flow, 0) >= limit * share
 
     def allows(self, entry: lines.Entry, limit: int) -> bool:
         """Tells whether the call may take a slot."""
@@ -171,11 +171,22 @@
 
     def has_room(self, entry: lines.Entry) -> bool:
         """Tells whether a newcomer fits among the programs under way."""
-        memory = self.options.memory
-        if not memory or not self.options.working_set:
+        if not self.options.memory or not self.options.working_set:
             return True
-        agent = entry.call.agent
-        return self.working_set.fits(agent, entry.footprint, memory)
+        members = self.working_set
+        memory = self.options.memory * workingset.PART
+        footprint = members.footprint(entry.call.agent, entry.footprint)
+        if self.options.fair:
+            used = members.used.get(entry.flow, 0.0) + footprint
+            if used > memory * self._share(entry.flow, members.used):
+                memory *= 1 - workingset.HEADROOM
+        return members.fits(footprint, memory)
+
+    def _share(self, flow: str, active: Iterable[str]) -> float:
+        """Returns a partner's part of what the active ones share."""
+        weight = self.weight(flow)
+        others = sum(self.weight(other) for other in active if other != flow)
+        return weight / (weight + others)
 
     def _memory_fits(self, entry: lines.Entry, now: float) -> bool:
         """Tells whether the contexts fit the engine's memory together.
--- a/src/mintcleat/decisions/workingset.py
+++ b/src/mintcleat/decisions/workingset.py
@@ -13,6 +13,10 @@
 # Part of the memory that the footprints may take. Above 1.2 an overload of ten
 # minutes ended in rebuilding all the time, and did not end with its cause.
 PART = 1.1
+# Of that, what a partner that has more than its share leaves free. A program
+# stays for minutes, so a burst that may fill the memory keeps the programs of
+# other partners out for as long.
+HEADROOM = 0.5
 # A pause counts as memory held for this long at most; in longer ones another
 # program's cache takes the place.
 HELD_SECONDS = 8.0
@@ -29,6 +33,7 @@
     """A program under way."""
 
     agent: str
+    flow: str
     footprint: float
 
 
@@ -39,6 +44,7 @@
         members: By program.
         pauses: When the last call ended, by paused program, oldest first.
         tokens: Sum of the footprints.
+        used: The same by partner.
         duty: By agent, the part of a program's life in which it needs memory.
         interval: Moving average of a newcomer's seconds as first in line.
         usual_context: Moving average of newcomers' contexts.
@@ -49,24 +55,33 @@
         self.members: dict[str, Member] = {}
         self.pauses: dict[str, float] = {}
         self.tokens = 0.0
+        self.used: dict[str, float] = {}
         self.duty: dict[str, float] = {}
         self.interval = _FIRST_INTERVAL
         self.last_newcomer = 0.0
         self.blocked_at = 0.0
         self.usual_context = 0.0
 
-    def enter(self, program: str, agent: str, context: float) -> None:
+    def enter(
+        self, program: str, agent: str, flow: str, context: float
+    ) -> None:
         """Adds a program whose call starts, or renews its footprint.
 
         Args:
             program: The program.
             agent: Its agent program.
+            flow: Its partner.
             context: Tokens that it will hold on average, when it holds any.
         """
         self.leave(program)
-        footprint = context * self.duty.get(agent, 1.0)
-        self.members[program] = Member(agent, footprint)
+        footprint = self.footprint(agent, context)
+        self.members[program] = Member(agent, flow, footprint)
         self.tokens += footprint
+        self.used[flow] = self.used.get(flow, 0.0) + footprint
+
+    def footprint(self, agent: str, context: float) -> float:
+        """Returns the memory that a program takes, averaged over its life."""
+        return context * self.duty.get(agent, 1.0)
 
     def paused(self, program: str, now: float) -> None:
         """Notes the end of a program's call."""
@@ -106,8 +121,12 @@
         """
         self.pauses.pop(program, None)
         member = self.members.pop(program, None)
-        if member is not None:
-            self.tokens -= member.footprint
+        if member is None:
+            return
+        self.tokens -= member.footprint
+        self.used[member.flow] -= member.footprint
+        if self.used[member.flow] < 1.0:
+            del self.used[member.flow]
 
     def let_in(self, context: float, arrived: float, now: float) -> None:
         """Notes that a newcomer started; learns its time as the first."""
@@ -116,12 +135,9 @@
         self.interval += (gap - self.interval) * _GAIN
         self.usual_context += (context - self.usual_context) * _GAIN
 
-    def fits(self, agent: str, context: float, memory: float) -> bool:
+    def fits(self, footprint: float, memory: float) -> bool:
         """Tells whether a newcomer fits; into an empty set, any does."""
-        if not self.members:
-            return True
-        footprint = context * self.duty.get(agent, 1.0)
-        return self.tokens + footprint <= memory * PART
+        return not self.members or self.tokens + footprint <= memory
 
     def wait(self, ahead: int, now: float) -> float:
         """Predicts a newcomer's wait with so many before it.
