Keep a waiting call's history, and every odd request's caller

Change: the prompt is taken when the attempt is made; any failure before the start is a refusal; a refused commit says 'ran'.

--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -96,8 +96,9 @@
         """Closes the listener and, once written out, every connection."""
         self.stopped = True
         self.listener.close()
+        until = time.monotonic() + _FLUSH_SECONDS
         for connection in [*self.dialled.values(), *self.accepted]:
-            connection.flush(_FLUSH_SECONDS)
+            connection.flush(until - time.monotonic())
             connection.lose()
 
     def drop(self, connection: streams_connection.Connection) -> None:
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -159,14 +159,15 @@
         if have < asked.base_turn:
             exchange.send(messages.NeedHistory(have))
             return
-        self._start(exchange, asked)
+        before = self.histories.prompt(asked.program, asked.base_turn)
+        self._start(exchange, asked, [*before, *asked.messages])
 
     def run_tool(
         self, exchange: streams_port.Exchange, asked: messages.RunTool
     ) -> None:
         """Serves RunTool; see `domain.messages`."""
         if not self._answer_known(exchange, asked):
-            self._start(exchange, asked)
+            self._start(exchange, asked, [])
 
     def attach(
         self, exchange: streams_port.Exchange, asked: messages.Attach
@@ -354,13 +355,16 @@
             messages.Refused(asked.attempt, error.failure(), self.load())
         )
 
-    def _start(self, exchange: streams_port.Exchange, asked: Any) -> None:
+    def _start(
+        self, exchange: streams_port.Exchange, asked: Any, prompt: list[str]
+    ) -> None:
         seconds = asked.deadline or self.directory.manifest().policies.deadline
         attempt = sidecar_attempts.Attempt(
             asked,
             f"{self.node.epoch:x}-{next(self.numbers)}",
             self.timers.now() + seconds,
         )
+        attempt.prompt = prompt
         self.executor.start(attempt)
         self.follower.follow(exchange, attempt)
 
--- a/src/mintcleat/roles/sidecar_attempts.py
+++ b/src/mintcleat/roles/sidecar_attempts.py
@@ -40,6 +40,9 @@
     Attributes:
         message: The RunTurn or RunTool that asked for it.
         request: Id under which the engine and the gate know it.
+        prompt: All messages of a chat turn. Taken when the attempt is made:
+            while it waits, the history kept here may be dropped or replaced,
+            and the engine would answer half a conversation.
         pieces: Parts of the answer; `total` counts their characters.
         outcome: The last message for every watcher, once there is one.
         until: Monotonic time at which the caller's deadline ends.
@@ -59,6 +62,7 @@
         self.program: str = message.program
         self.scope = scope_of(message.program, message.partner, message.key)
         self.state = QUEUED
+        self.prompt: list[str] = []
         self.pieces: list[str] = []
         self.total = 0
         self.outcome: Outcome | None = None
--- a/src/mintcleat/roles/sidecar_commit.py
+++ b/src/mintcleat/roles/sidecar_commit.py
@@ -57,18 +57,22 @@
             errors.MintcleatError: The group refuses it for good.
         """
         asked = attempt.message
-        self._commit(
-            attempt.scope,
-            messages.FinishCall(
-                asked.program,
-                asked.partner,
-                asked.key,
-                asked.attempt,
-                self.node,
-                answer,
-                usage,
-            ),
+        finish = messages.FinishCall(
+            asked.program,
+            asked.partner,
+            asked.key,
+            asked.attempt,
+            self.node,
+            answer,
+            usage,
         )
+        try:
+            self._commit(attempt.scope, finish)
+        except errors.MintcleatError as error:
+            # A refusal says "not run" of the commit; the call itself ran.
+            if error.outcome == errors.NOT_RUN:
+                error.outcome = errors.RAN
+            raise
 
     def settle(
         self,
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -106,6 +106,11 @@
         except errors.MintcleatError as error:
             self._end_refused(attempt, error)
             return
+        except Exception as error:
+            # Whatever a request holds, its caller must not wait for ever.
+            logger.exception("An attempt can't be queued.")
+            self._end_refused(attempt, errors.BadRequest(f"{error!r}."))
+            return
         # No green thread runs between the gate's word and this line, so a
         # seal comes either before (and the gate raises) or after.
         attempt.state = sidecar_attempts.RUNNING
@@ -119,8 +124,11 @@
             self.runner.run(attempt, lambda: self._answered(attempt))
             self._conclude(attempt, sidecar_attempts.RAN)
         except errors.NoUpstream as error:
-            self.crashes.end(attempt.request)
-            self._end_refused(attempt, error)
+            if attempt.left:
+                # Not the upstream's word, which has answered.
+                self._end_broken(attempt, error)
+            else:
+                self._end_refused(attempt, error)
         except errors.OutcomeUnknown as error:
             if attempt.cancelled is None:
                 self.crashes.broken(attempt.request)
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -163,7 +163,6 @@
 
 def turn_call(
     attempt: sidecar_attempts.Attempt,
-    prompt: list[str],
     resident: int,
     usual: int,
     suspect: bool,
@@ -172,13 +171,12 @@
 
     Args:
         attempt: The attempt.
-        prompt: All its messages.
         resident: Tokens of the program that the engine holds.
         usual: Tokens of this agent's usual answer.
         suspect: Whether an upstream crashed while it ran this request.
     """
     asked = attempt.message
-    tokens = sum(map(len, prompt)) // _CHARACTERS_PER_TOKEN
+    tokens = sum(map(len, attempt.prompt)) // _CHARACTERS_PER_TOKEN
     return calls.Call(
         call_id=attempt.request,
         program=asked.program,
@@ -214,5 +212,6 @@
     """Returns the completion limit of a body; 0 for none."""
     if not parameters:
         return 0
-    limit = msgspec.json.decode(parameters).get("max_tokens")
+    fields = msgspec.json.decode(parameters)
+    limit = fields.get("max_tokens") if isinstance(fields, dict) else None
     return limit if isinstance(limit, int) and limit > 0 else 0
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -54,9 +54,8 @@
     ) -> calls.Call:
         """Returns the attempt as the queue's decisions see it."""
         held = self.memory.called(attempt.program)
-        prompt = self._prompt(attempt)
         usual = self.admission.usual_answer(attempt.message.agent)
-        return sidecar_gate.turn_call(attempt, prompt, held, usual, suspect)
+        return sidecar_gate.turn_call(attempt, held, usual, suspect)
 
     def run(
         self, attempt: sidecar_attempts.Attempt, answered: Answered
@@ -76,7 +75,7 @@
         call = upstream_port.EngineCall(
             attempt.request,
             asked.program,
-            self._prompt(attempt),
+            attempt.prompt,
             asked.parameters,
             _BATCH_PRIORITY if asked.klass == calls.BATCH else 0,
         )
@@ -123,11 +122,6 @@
             return False
         return True
 
-    def _prompt(self, attempt: sidecar_attempts.Attempt) -> list[str]:
-        asked = attempt.message
-        before = self.histories.prompt(asked.program, asked.base_turn)
-        return [*before, *asked.messages]
-
     def _commit(
         self,
         attempt: sidecar_attempts.Attempt,
--- a/testing/test_sidecar_faults.py
+++ b/testing/test_sidecar_faults.py
@@ -105,6 +105,19 @@
         _, end = service_rig.drain(exchange)
         self.assertIsInstance(end, messages.Finished)
 
+    def test_refused_commit_does_not_claim_that_the_call_did_not_run(
+        self,
+    ) -> None:
+        """The program is closed while the engine answers.
+
+        The group refuses the answer with its usual "not run", which is about
+        the commit. The engine has run the call, and the caller is told so.
+        """
+        self.rig.control.fail = errors.ProgramClosed("Closed.")
+        _, end = self.rig.call(service_rig.turn())
+        self.assertEqual("program_closed", end.failure.kind)
+        self.assertEqual(errors.RAN, end.failure.outcome)
+
     def test_suspect_waits_while_another_suspect_runs(self) -> None:
         """Two suspects come together.
 
@@ -113,7 +126,10 @@
         """
         digests = [b"1" * 16, b"2" * 16]
         self.rig.directory.suspects.update(digests)
-        first = self.rig.open(service_rig.turn("a", digest=digests[0]))
+        longer = '{"max_tokens":60}'
+        first = self.rig.open(
+            service_rig.turn("a", digest=digests[0], parameters=longer)
+        )
         first.receive(5.0)
         second = self.rig.open(service_rig.turn("b", digest=digests[1]))
         innocent = self.rig.open(service_rig.turn("c", digest=b"3" * 16))
--- a/testing/test_sidecar_queue.py
+++ b/testing/test_sidecar_queue.py
@@ -5,8 +5,13 @@
 
 from fakes import engine_faults
 from fakes import service_rig
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
+from mintcleat.standins import batch
+
+# An answer that only a cancel ends within a test.
+LONG = '{"max_tokens":100000}'
 
 
 class QueueTest(testtools.TestCase):
@@ -31,6 +36,29 @@
         self.assertIsInstance(end, messages.Finished)
         self.assertEqual(len(text), end.total)
 
+    def test_history_dropped_while_waiting_is_still_answered(self) -> None:
+        """A call waits with its history; meanwhile the history is dropped.
+
+        Other programs need the room. The engine must get the conversation
+        as it was checked at the arrival, not what is left of it.
+        """
+        added = [service_rig.user("old"), batch.answer_message("yes")]
+        digest = digests.rolling(b"", added)
+        first = self.occupy()
+        asked = service_rig.turn(
+            "second",
+            base_turn=1,
+            base_digest=digest,
+            history=[messages.Turn(1, added, digest)],
+        )
+        waiting = self.rig.open(asked)
+        self.rig.sleep()
+        self.rig.sidecar.histories.drop("second")
+        service_rig.drain_rest(first)
+        text, _ = service_rig.drain(waiting)
+        whole = [*added, *asked.messages]
+        self.assertEqual("".join(batch.answer_tokens(whole, 16)), text)
+
     def test_sealed_while_waiting_never_runs(self) -> None:
         """An entry gives up on a call that still waits.
 
@@ -60,7 +88,7 @@
         waiting = self.rig.open(service_rig.turn("second"))
         self.rig.sleep()
         side = self.rig.sidecar
-        attempt = side.attempts.find("second", 1)
+        attempt = self.rig.until(lambda: side.attempts.find("second", 1))
         leave = side.admission.leave
 
         def leave_and_seal(*args: object) -> None:
@@ -132,7 +160,7 @@
         return sequence.reason
 
     def test_call_without_program_stops_with_its_caller(self) -> None:
-        asked = service_rig.turn("", attempt=0)
+        asked = service_rig.turn("", attempt=0, parameters=LONG)
         exchange = self.rig.open(asked)
         exchange.receive(5.0)
         exchange.close()
@@ -154,7 +182,7 @@
         self.assertThat(finished, matchers.HasLength(1))
 
     def test_cancelled_attempt_stops_at_the_engine(self) -> None:
-        exchange = self.rig.open(service_rig.turn())
+        exchange = self.rig.open(service_rig.turn(parameters=LONG))
         exchange.receive(5.0)
         exchange.send(messages.CancelAttempt("p", 1))
         _, end = service_rig.drain_rest(exchange)
@@ -167,7 +195,7 @@
         The caller gets a typed end in time, the engine stops, and nobody is
         told that the call did not run.
         """
-        long = service_rig.turn(parameters='{"max_tokens":100000}')
+        long = service_rig.turn(parameters=LONG)
         exchange = self.rig.open(long._replace(deadline=3600.0))
         exchange.receive(5.0)
         attempt = self.rig.sidecar.attempts.find("p", 1)
@@ -182,7 +210,7 @@
     def test_stop_limit_tells_the_cut_calls_that_the_outcome_is_unknown(
         self,
     ) -> None:
-        exchange = self.rig.open(service_rig.turn())
+        exchange = self.rig.open(service_rig.turn(parameters=LONG))
         exchange.receive(5.0)
         self.assertEqual(1, self.rig.sidecar.stop(0.0))
         _, end = service_rig.drain_rest(exchange)
@@ -230,6 +258,10 @@
         self.rig.directory.duplicate = True
         self.assert_refused("draining")
 
+    def test_parameters_that_are_no_json_are_refused(self) -> None:
+        _, end = self.rig.call(service_rig.turn(parameters="{"))
+        self.assertEqual("bad_request", end.failure.kind)
+
     def test_dead_engine_refuses(self) -> None:
         self.engine.crash()
         self.assert_refused("no_upstream")
