Let every lost call wait for the crash's report

A call that broke before its first token came back as the engine's 500 and was not looked at for a crash; and a call lost beside the reporting one told its caller before the report. Change: any unknown end looks for a crash; lost calls wait for the report. Conclusion: no caller hears of a crash before its suspects are known.

--- a/src/mintcleat/roles/sidecar_crashes.py
+++ b/src/mintcleat/roles/sidecar_crashes.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from eventlet import event
 from loguru import logger
 
 from mintcleat.domain import errors
@@ -62,6 +63,7 @@
         self.in_flight: dict[str, InFlight] = {}
         self.local: set[bytes] = set()
         self.count = 0
+        self.reported: event.Event | None = None
 
     def begin(self, request: str, digest: bytes) -> None:
         """Notes that a request goes to the upstream."""
@@ -79,7 +81,7 @@
         """Handles a lost stream; returns once a crash is reported."""
         broken = self.in_flight.get(request)
         if broken is None:
-            # Another call that was lost with it has reported the crash.
+            self._wait_for_report()
             return
         if self.presence.look() == broken.life:
             self.end(request)
@@ -90,6 +92,7 @@
             if item.life == broken.life
         }
         if request not in beside:
+            self._wait_for_report()
             return
         for name in beside:
             del self.in_flight[name]
@@ -97,8 +100,17 @@
         self.local.update(digests)
         self.count += 1
         report = messages.ReportCrash(self.node, self.count, digests)
-        if not self._send(report):
-            self.timers.spawn(self._send_until_taken, report)
+        self.reported = event.Event()
+        try:
+            if not self._send(report):
+                self.timers.spawn(self._send_until_taken, report)
+        finally:
+            self.reported.send()
+
+    def _wait_for_report(self) -> None:
+        """Waits while a call that was lost beside this one reports."""
+        if self.reported is not None:
+            self.reported.wait()
 
     def _send(self, report: messages.ReportCrash) -> bool:
         try:
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -129,12 +129,9 @@
                 self._end_broken(attempt, error)
             else:
                 self._end_refused(attempt, error)
-        except errors.OutcomeUnknown as error:
-            if attempt.cancelled is None:
-                self.crashes.broken(attempt.request)
-                self._leave(attempt, self._measure(attempt, ok=False))
-            self._end_broken(attempt, error)
         except errors.MintcleatError as error:
+            if error.outcome == errors.UNKNOWN:
+                self._look_for_crash(attempt)
             self._end_broken(attempt, error)
         except Exception:
             logger.exception("An attempt failed.")
@@ -145,6 +142,12 @@
             deadline.cancel()
             self._leave(attempt, None)
 
+    def _look_for_crash(self, attempt: sidecar_attempts.Attempt) -> None:
+        """Reports a crash, if that is what broke the attempt."""
+        if attempt.cancelled is None and not attempt.left:
+            self.crashes.broken(attempt.request)
+            self._leave(attempt, self._measure(attempt, ok=False))
+
     def _answered(self, attempt: sidecar_attempts.Attempt) -> None:
         """Notes that the upstream is done with the attempt."""
         outcome = None
--- a/testing/fakes/service_rig.py
+++ b/testing/fakes/service_rig.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import eventlet
+from eventlet import event
 
 from mintcleat.adapters import engine_http
 from mintcleat.adapters import plain_http
@@ -65,6 +66,7 @@
         self.quarantine: set[bytes] = set()
         self.suspects: set[bytes] = set()
         self.asked: list[Any] = []
+        self.held: event.Event | None = None
 
     def manifest(self) -> manifest.Manifest:
         return self.value
@@ -95,6 +97,8 @@
 
     def ask(self, message: Any, timeout: float) -> Any:
         self.asked.append(message)
+        if self.held is not None:
+            self.held.wait()
         if isinstance(message, messages.ReadFence):
             return messages.Fence(self.fence)
         return messages.Done()
--- a/testing/test_sidecar_faults.py
+++ b/testing/test_sidecar_faults.py
@@ -1,5 +1,6 @@
 """Upstreams and control that fail while a sidecar runs calls."""
 
+from eventlet import event
 import testtools
 from testtools import matchers
 
@@ -43,28 +44,37 @@
         self.assertEqual(errors.UNKNOWN, end.failure.outcome)
         self.assertEqual([], self.rig.control.of(messages.FinishCall))
 
-    def test_crash_is_reported_before_the_caller_hears(self) -> None:
+    def test_crash_is_reported_before_any_caller_hears(self) -> None:
         """A request kills its engine while another one stands beside it.
 
-        Both were in flight, so both are suspects. The report is committed
-        before a caller could send the request again.
+        Both were in flight, so both are suspects. Neither caller hears of
+        the crash before the report is committed: a resend would be run
+        elsewhere without suspicion.
         """
         self.engine.crash_on = "poison"
+        self.rig.directory.held = event.Event()
+        longer = '{"max_tokens":10000}'
         other = self.rig.open(
-            service_rig.turn(
-                "other", digest=b"o" * 16, parameters='{"max_tokens":10000}'
-            )
+            service_rig.turn("other", digest=b"o" * 16, parameters=longer)
         )
         other.receive(5.0)
-        bad = service_rig.turn(
-            "bad",
-            messages=[service_rig.user("poison")],
-            digest=b"b" * 16,
+        poison = self.rig.open(
+            service_rig.turn(
+                "bad",
+                messages=[service_rig.user("poison")],
+                digest=b"b" * 16,
+                parameters=longer,
+            )
         )
-        _, end = self.rig.call(bad)
-        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
-        (report,) = self.rig.directory.asked
+        (report,) = self.rig.until(lambda: self.rig.directory.asked)
         self.assertEqual([b"b" * 16, b"o" * 16], report.digests)
+        self.rig.sleep()
+        running = self.rig.sidecar.under_way()
+        self.assertThat(running, matchers.HasLength(2))
+        self.rig.directory.held.send()
+        for exchange in (poison, other):
+            _, end = service_rig.drain_rest(exchange)
+            self.assertEqual(errors.UNKNOWN, end.failure.outcome)
 
     def test_cut_connection_alone_is_no_crash(self) -> None:
         """The stream breaks and can't be resumed, but the engine lives.
