--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -313,31 +313,12 @@
             if self.attempts.state(scope, asked.attempt):
                 exchange.send(self._ended(scope, asked.attempt))
                 return True
-        refusal = self._refusal(asked)
+        refusal = self.presence.refusal(asked)
         if refusal is None:
             return False
         self._refuse(exchange, asked, refusal)
         return True
 
-    def _refusal(self, asked: Any) -> errors.MintcleatError | None:
-        if asked.service != self.options.service:
-            return errors.UnknownService(
-                f"This sidecar serves {self.options.service}."
-            )
-        if self.presence.is_draining():
-            return errors.Draining("This sidecar takes no new work.")
-        if self.directory.duplicate:
-            return errors.Draining("A newer process has this sidecar's name.")
-        state = self.presence.state()
-        if state != "ready":
-            return errors.NoUpstream(f"The upstream here is {state}.")
-        if self.directory.quarantined(asked.digest):
-            return errors.Quarantined("Upstreams crashed on this request.")
-        stale = self.directory.manifest().policies.stale_lease == "serve"
-        if not self.directory.in_lease() and not (stale and asked.idempotent):
-            return errors.LeaseExpired("The configuration here is too old.")
-        return None
-
     def _refuse(
         self,
         exchange: streams_port.Exchange,
--- a/src/mintcleat/roles/sidecar_presence.py
+++ b/src/mintcleat/roles/sidecar_presence.py
@@ -1,6 +1,7 @@
 """What a sidecar tells of its upstream and of itself."""
 
 import itertools
+from typing import Any
 from typing import NamedTuple
 
 from loguru import logger
@@ -145,6 +146,30 @@
             self.node.instance, self.options.failure_domain
         )
 
+    def refusal(self, asked: Any) -> errors.MintcleatError | None:
+        """Returns why new work is refused now, or None.
+
+        Args:
+            asked: A RunTurn or RunTool.
+        """
+        if asked.service != self.options.service:
+            return errors.UnknownService(
+                f"This sidecar serves {self.options.service}."
+            )
+        if self.is_draining():
+            return errors.Draining("This sidecar takes no new work.")
+        if self.directory.duplicate:
+            return errors.Draining("A newer process has this sidecar's name.")
+        state = self.state()
+        if state != "ready":
+            return errors.NoUpstream(f"The upstream here is {state}.")
+        if self.directory.quarantined(asked.digest):
+            return errors.Quarantined("Upstreams crashed on this request.")
+        stale = self.directory.manifest().policies.stale_lease == "serve"
+        if not self.directory.in_lease() and not (stale and asked.idempotent):
+            return errors.LeaseExpired("The configuration here is too old.")
+        return None
+
     def order_begins(self, order: messages.Order) -> None:
         """Keeps new work off while an order is carried out."""
         self.ordering = order.action != "unload"
