--- a/bench/config_processes.py
+++ b/bench/config_processes.py
@@ -91,12 +91,17 @@
         answer = self.client.ask(self.address, request, 30.0)
         self.revision = answer.revision
 
-    def lose_leader(self) -> None:
-        """Kills the leader and waits until another one answers."""
-        self.leader.kill()
+    def lose_leader(self, hang: bool) -> None:
+        """Kills or stops the leader and waits until another one answers."""
+        number = signal.SIGSTOP if hang else signal.SIGKILL
+        self.leader.child.send_signal(number)
         self.addresses.remove(self.address)
         self.address = self._find_leader()
 
+    def wake_leader(self) -> None:
+        """Lets a stopped leader go on; it does not know of the new one."""
+        self.leader.child.send_signal(signal.SIGCONT)
+
     def settle(self) -> None:
         """Waits until every node has applied the revision."""
         deadline = time.monotonic() + 60.0
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -152,8 +152,14 @@
         )
 
 
-def failover(count: int = 100, runs: int = 5) -> None:
-    """Kills the leader; when a push is accepted and in force again."""
+def failover(count: int = 100, runs: int = 5, hang: bool = False) -> None:
+    """Kills the leader; when a push is accepted and in force again.
+
+    Args:
+        count: Nodes.
+        runs: How often.
+        hang: Stop the leader silently, and let it go on after the push.
+    """
     print("run  leader answers s  push accepted s  in force s  without lease s")
     for run in range(runs):
         rig = processes.Rig(count, "nodes", "--watch")
@@ -163,7 +169,7 @@
             time.sleep(3.0)
             before = _leaseless(rig)
             begin = time.monotonic()
-            rig.lose_leader()
+            rig.lose_leader(hang)
             answers = time.monotonic() - begin
             rig.push(processes.manifest_of(processes.SMALL, "1"))
             accepted = time.monotonic() - begin
@@ -175,6 +181,11 @@
                 if revision == rig.revision
             )
             time.sleep(5.0)
+            if hang:
+                rig.wake_leader()
+                time.sleep(5.0)
+                rig.push(processes.manifest_of(processes.SMALL, "2"))
+                rig.settle()
             # Node-seconds over all nodes, sampled each 0.05 s.
             lost = (_leaseless(rig) - before) * 0.05
         finally:
