--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -1,6 +1,8 @@
 """Carries out what the consensus core asks for: store, sync, send, apply."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import random
 from typing import Any
 from typing import NamedTuple
@@ -20,6 +22,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
 from mintcleat.roles import replication_links
+from mintcleat.roles import replication_snapshots
 
 
 class Options(NamedTuple):
@@ -28,22 +31,21 @@
     Attributes:
         core: Times and limits of the consensus core.
         seed: Seed of the election timeouts; 0 draws one from the instance.
-        snapshot_entries: Entries of a group after which it is snapshotted.
-        snapshot_bytes: The same in bytes, or the size of the last snapshot
-            when that is more, so that snapshots cost a bounded share.
-        kept_entries: Entries kept behind a snapshot for slow followers.
+        snapshots: When a group is snapshotted.
         rewrite_bytes: Size at which the write-ahead log is rewritten, or
             twice its size after the last time when that is more.
     """
 
     core: types.Settings = types.Settings()
     seed: int = 0
-    snapshot_entries: int = 10_000
-    snapshot_bytes: int = 32 * 1024 * 1024
-    kept_entries: int = 1_000
+    snapshots: replication_snapshots.Limits = replication_snapshots.Limits()
     rewrite_bytes: int = 64 * 1024 * 1024
 
 
+# A larger command would hold the loop and the disk for too long.
+MAX_COMMAND = 16 * 1024 * 1024
+
+
 class Waiter(NamedTuple):
     """A proposer that waits for its entry; `done` gets `(result,)`."""
 
@@ -51,14 +53,6 @@
     done: event.Event
 
 
-class Growth:
-    """What a group has applied since its last snapshot."""
-
-    def __init__(self) -> None:
-        self.bytes = 0
-        self.snapshot_size = 0
-
-
 class Driver:
     """One consensus instance on a disk and a network.
 
@@ -89,7 +83,13 @@
         self.failed: errors.MintcleatError | None = None
         self.waiters: dict[str, dict[int, Waiter]] = {}
         self.readers: dict[int, event.Event] = {}
-        self.growth: dict[str, Growth] = {}
+        self.snapshots = replication_snapshots.Snapshots(
+            wal,
+            timers,
+            options.snapshots,
+            guarded=self._stopping_on_failure,
+            saved=self.wake,
+        )
         self.awake = False
         found = wal.open(node)
         stored = _fold(found.records)
@@ -107,7 +107,6 @@
         )
         for group, machine in machines.items():
             self.waiters[group] = {}
-            self.growth[group] = Growth()
             index = self.core.replicas[group].state.applied
             if index > 0:
                 machine.restore(wal.load_snapshot(group, index))
@@ -124,7 +123,8 @@
     def tick(self) -> None:
         """Lets time pass."""
         if self.failed is None:
-            self.core.tick(self.timers.now())
+            with self._stopping_on_failure():
+                self.core.tick(self.timers.now())
             self.work()
 
     def receive(self, payload: bytes) -> None:
@@ -132,11 +132,8 @@
         frame = wire.decode(payload)
         if self.failed is not None:
             return
-        try:
+        with self._stopping_on_failure():
             self.core.receive(frame, self.timers.now())
-        except ValueError as error:
-            self.fail(errors.StorageDamaged(f"The log contradicts: {error}"))
-            return
         if self.core.superseded > self.core.me.epoch:
             self.fail(_superseded(self.core.me.instance))
             return
@@ -144,7 +141,7 @@
 
     def work(self) -> None:
         """Carries out effects until there are none."""
-        try:
+        with self._stopping_on_failure():
             while self.failed is None:
                 self.core.flush(self.timers.now())
                 if self.core.box.idle():
@@ -152,8 +149,6 @@
                 self._carry_out(self.core.box.take())
             if self.failed is None:
                 self._shrink()
-        except (errors.StorageFailed, errors.StorageDamaged) as error:
-            self.fail(error)
         self._release_lost()
 
     def fail(self, error: errors.MintcleatError) -> None:
@@ -169,6 +164,22 @@
             done.send(None)
         self.readers.clear()
 
+    @contextlib.contextmanager
+    def _stopping_on_failure(self) -> Iterator[None]:
+        """Stops this replica on any failure, also one of its own code.
+
+        Effects that were taken from the core but not carried out cannot be
+        made up for: going on, it would acknowledge entries that it never
+        wrote. The other replicas go on, and a restart reads the disk anew.
+        """
+        try:
+            yield
+        except errors.MintcleatError as error:
+            self.fail(error)
+        except Exception as error:
+            logger.exception("Replication failed.")
+            self.fail(errors.MintcleatError(f"Replication failed: {error!r}."))
+
     def _work_soon(self) -> None:
         self.timers.sleep(0)
         self.awake = False
@@ -182,6 +193,7 @@
             self.wal.append(box.records)
             self.wal.sync()
             self.core.on_synced(box.stored)
+            self.snapshots.drop_stale()
         self._send(box.late)
         for needed in box.snapshots:
             self._send_snapshot(needed)
@@ -206,10 +218,10 @@
         return wire.encode(frame)
 
     def _send_snapshot(self, needed: outbox.SnapshotNeeded) -> None:
-        state = self.wal.load_snapshot(needed.group, needed.mark.index)
-        message = wire.InstallSnapshot(
-            needed.group, needed.term, needed.mark, state
-        )
+        # The file of `needed.mark` may be gone: a newer one replaced it.
+        mark = self.core.replicas[needed.group].state.mark
+        state = self.wal.load_snapshot(needed.group, mark.index)
+        message = wire.InstallSnapshot(needed.group, needed.term, mark, state)
         address = self.core.roster.address(needed.to.instance)
         payload = self._frame(needed.to, [message])
 
@@ -220,7 +232,7 @@
         self.links.send_bulk(address, payload, ended)
 
     def _install(self, item: outbox.Installed) -> None:
-        self.wal.save_snapshot(item.group, item.mark.index, item.state)
+        self.snapshots.installed(item.group, item.mark.index, item.state)
         machine = self.machines.get(item.group)
         if machine is not None:
             machine.restore(item.state)
@@ -233,14 +245,13 @@
             result = None
             size += len(entry.data)
             if entry.kind == types.COMMAND and machine is not None:
-                result = machine.apply(entry.index, entry.data)
+                result = self._apply_one(group, machine, entry)
             waiter = waiters.pop(entry.index, None)
             if waiter is not None:
                 mine = waiter.term == entry.term
                 waiter.done.send((result if mine else _lost(),))
         if machine is not None:
-            self.growth[group].bytes += size
-            self._snapshot(group, replica, machine)
+            self.snapshots.applied(group, replica, machine, size)
 
     def snapshot(self, group: str) -> bool:
         """Snapshots a group now; False when nothing is new since the last."""
@@ -248,29 +259,27 @@
         machine = self.machines.get(group)
         if machine is None or replica.state.applied <= replica.state.mark.index:
             return False
-        self._save(group, replica, machine)
-        return True
+        return self.snapshots.take(group, replica, machine)
 
-    def _snapshot(
-        self, group: str, replica: replicas.Replica, machine: log.StateMachine
-    ) -> None:
-        growth = self.growth[group]
-        entries = replica.state.applied - replica.state.mark.index
-        enough = max(self.options.snapshot_bytes, growth.snapshot_size)
-        if entries < self.options.snapshot_entries and growth.bytes < enough:
-            return
-        self._save(group, replica, machine)
+    def _apply_one(
+        self, group: str, machine: log.StateMachine, entry: types.Entry
+    ) -> Any:
+        """Applies a command; a machine's bug is the proposer's error.
 
-    def _save(
-        self, group: str, replica: replicas.Replica, machine: log.StateMachine
-    ) -> None:
-        growth = self.growth[group]
-        mark = replica.snapshot_mark()
-        state = machine.snapshot()
-        self.wal.save_snapshot(group, mark.index, state)
-        replica.compact(mark, self.options.kept_entries)
-        growth.bytes = 0
-        growth.snapshot_size = len(state)
+        The same code fails the same way on every replica, so they stay
+        equal, and one bad command does not stop the whole group for good. A
+        failure of this host is different: here the machine has missed a
+        command that the others applied, so this replica stops.
+        """
+        try:
+            return machine.apply(entry.index, entry.data)
+        except (OSError, MemoryError) as error:
+            raise errors.StorageFailed(
+                f"Entry {entry.index} of {group} cannot be applied: {error}."
+            ) from error
+        except Exception:
+            logger.exception("Entry {} of {} failed.", entry.index, group)
+            return errors.MintcleatError("The state machine failed.")
 
     def _shrink(self) -> None:
         """Rewrites the log once most of it lies under snapshots."""
@@ -284,8 +293,6 @@
         ]
         self.wal.rewrite(live)
         self.rewritten = self.wal.size()
-        for group, replica in self.core.replicas.items():
-            self.wal.drop_snapshots(group, replica.state.mark.index)
 
     def _release_lost(self) -> None:
         """Ends the waiting of proposers whose leadership is gone."""
