Leave syncs out of the replication tests

Cause: on a busy disk a sync took up to 279 ms, and these tests 25.6 s. Change: their disk does not sync; the tests of the write-ahead log still do. Conclusion: they end processes, not machines, and need no sync.

--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -22,6 +22,20 @@
 from mintcleat.roles import replication_snapshots
 
 
+class UnsyncedDisk(wal_disk.SystemDisk):
+    """Leaves syncs out: these tests end processes, not machines.
+
+    What a dead process wrote is still in the kernel, so they need no sync,
+    and their time does not depend on what else the disk does.
+    """
+
+    def sync(self, descriptor: int) -> None:
+        pass
+
+    def sync_directory(self, path: pathlib.Path) -> None:
+        pass
+
+
 class Journal:
     """A machine that keeps every command once.
 
@@ -67,7 +81,7 @@
             messages.Incarnation("c1", self.epoch),
             hub.address,
             [replication.Member("c1", hub.address, "a", "r")],
-            wal.FileWal(self.folder),
+            wal.FileWal(self.folder, UnsyncedDisk()),
             ["g"],
             streams=hub,
             timers=timers.EventletTimers(),
@@ -152,7 +166,7 @@
             messages.Incarnation(self.name, self.epoch),
             self.address,
             members,
-            wal.FileWal(self.folder),
+            wal.FileWal(self.folder, UnsyncedDisk()),
             ["g"],
             streams=self.hub,
             timers=timers.EventletTimers(),
