--- a/src/mintcleat/roles/replication_links.py
+++ b/src/mintcleat/roles/replication_links.py
@@ -20,7 +20,7 @@
 # A silent peer's queue is bounded: what does not fit is sent again later.
 _MAX_QUEUED = 256
 _REDIAL_SECONDS = 0.2
-_LONGEST_REDIAL_SECONDS = 2.0
+_LONGEST_REDIAL_SECONDS = 0.5
 
 
 class Link:
