--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -1,5 +1,6 @@
 """A model engine over HTTP: completions and the control surface."""
 
+import collections
 from collections.abc import Iterator
 from typing import Any
 from typing import TypedDict
@@ -42,6 +43,7 @@
 class _Event(TypedDict, total=False):
     choices: list[_Choice]
     usage: _Usage | None
+    total_characters: int
 
 
 _EVENT = msgspec.json.Decoder(_Event)
@@ -120,6 +122,10 @@
         """Frees what the programs hold."""
         self._post("release", {"programs": programs})
 
+    def shorten(self, program: str, keep: int) -> None:
+        """Frees what a program holds beyond its first `keep` tokens."""
+        self._post("shorten", {"program": program, "keep": keep})
+
     def hold(self, program: str) -> None:
         """Keeps a program's cache from eviction until it is released."""
         self._post("hold", {"program": program})
@@ -177,12 +183,14 @@
     The engine's `[DONE]` is the only proof that an answer is whole; a stream
     that stops without it raises errors.StreamClosed.
     """
-    total = offset
+    received = offset
+    total = -1
     reason = ""
     usage: _Usage = {}
     done = False
+    body = lines(response)
     try:
-        for line in lines(response):
+        for line in body:
             if line == b"data: [DONE]":
                 done = True
                 break
@@ -190,11 +198,12 @@
                 continue
             event = _EVENT.decode(line[6:])
             usage = event.get("usage") or usage
+            total = event.get("total_characters", total)
             for choice in event.get("choices", ()):
                 reason = choice.get("finish_reason") or reason
                 text = choice.get("delta", {}).get("content")
                 if text:
-                    total += len(text)
+                    received += len(text)
                     yield upstream.Piece(text)
     except exceptions.HTTPError as error:
         raise http_errors.translate(error) from error
@@ -204,15 +213,31 @@
         ) from error
     finally:
         if done:
-            response.drain_conn()
-            response.release_conn()
+            give_back(response, body)
         else:
             response.close()
     if not done:
         raise errors.StreamClosed("The engine's stream ended too early.")
+    # An engine without the field can't tell whether a piece was lost.
+    total = received if total < 0 else total
     yield upstream.End(total, reason, to_usage(usage))
 
 
+def give_back(
+    response: urllib3.BaseHTTPResponse, body: Iterator[bytes]
+) -> None:
+    """Reads a body's last chunk, so that its connection is used again.
+
+    A connection that was not read to the end is closed, and each call would
+    pay for a new one. The answer is whole already, so a failure is no loss.
+    """
+    try:
+        collections.deque(body, maxlen=0)
+        response.release_conn()
+    except exceptions.HTTPError:
+        response.close()
+
+
 def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yields the lines of a body as they come."""
     rest = b""
@@ -224,15 +249,19 @@
 
 
 def check_status(status: int, data: bytes) -> None:
-    """Raises the typed error of an engine's refusal."""
+    """Raises the typed error of an engine's refusal.
+
+    An engine's 5xx is its own trouble, and another one may do better; a 4xx
+    is about the request and would be the same everywhere.
+    """
     if status < 400:
         return
-    detail = (
-        f"The engine answered {status}: {data[:200].decode(errors='replace')}"
-    )
+    text = data[:200].decode(errors="replace")
+    detail = f"The engine answered {status}: {text}"
     if status == _CONFLICT:
         raise errors.FencedOff(detail)
-    raise errors.UpstreamFailed(detail)
+    outcome = errors.UNKNOWN if status >= 500 else errors.RAN
+    raise errors.UpstreamFailed(detail, outcome=outcome)
 
 
 def request_body(call: upstream.EngineCall) -> bytes:
@@ -268,7 +297,13 @@
             for item in fields["events"]
         ]
     try:
-        values = [fields[name] for name in kind._fields]
+        defaults = kind._field_defaults
+        values = [
+            fields.get(name, defaults[name])
+            if name in defaults
+            else fields[name]
+            for name in kind._fields
+        ]
         return msgspec.convert(values, kind)
     except (KeyError, TypeError, msgspec.ValidationError) as error:
         raise errors.UpstreamFailed(
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -448,8 +448,8 @@
         queued: Calls that wait at the sidecar.
         limit: Calls that the upstream takes at once, as learned.
         wait: Predicted wait of a new call, in seconds.
-        token_time: Learned seconds per generated token.
-        prefill_rate: Learned prompt tokens a second.
+        token_time: Learned seconds per generated token; 0 until measured.
+        prefill_rate: Learned prompt tokens a second; 0 until measured.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
         new_wait: Predicted wait of a program's first call, in seconds.
@@ -837,6 +837,28 @@
     more: bool = False
 
 
+class ControlAction(NamedTuple):
+    """Asks one control instance to act on the groups that it leads.
+
+    Attributes:
+        action: `replace` (voter `old` by `new`) or `snapshot`.
+    """
+
+    action: str
+    old: str = ""
+    new: str = ""
+
+
+class ShowGroups(NamedTuple):
+    """Asks a control instance for the state of its groups."""
+
+
+class Groups(NamedTuple):
+    """Answer to ShowGroups; each row is a JSON object."""
+
+    rows: list[str]
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -910,6 +932,9 @@
             Rollouts,
             SetControl,
             ReplicationFrame,
+            ControlAction,
+            ShowGroups,
+            Groups,
         ),
         start=1,
     )
--- a/src/mintcleat/ports/upstream.py
+++ b/src/mintcleat/ports/upstream.py
@@ -13,6 +13,7 @@
     Attributes:
         life: Changes when the engine restarts; its cache is then empty.
         capacity: Sequences that it takes at once.
+        memory: Tokens that its cache can hold; 0 when it doesn't tell.
     """
 
     life: int
@@ -23,6 +24,7 @@
     kv_export: bool
     priority: bool
     resume: bool
+    memory: int = 0
 
 
 class EngineLoad(NamedTuple):
@@ -129,6 +131,9 @@
     def release(self, programs: list[str]) -> None:
         """Frees what the programs hold."""
 
+    def shorten(self, program: str, keep: int) -> None:
+        """Frees what a program holds beyond its first `keep` tokens."""
+
     def hold(self, program: str) -> None:
         """Keeps a program's cache from eviction until it is released."""
 
@@ -149,6 +154,9 @@
 class PlainService(Protocol):
     """A plain service."""
 
+    def alive(self) -> bool:
+        """Tells whether it takes connections."""
+
     def send(
         self,
         method: str,
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -253,6 +253,14 @@
         if machine is not None:
             self.snapshots.applied(group, replica, machine, size)
 
+    def snapshot(self, group: str) -> bool:
+        """Snapshots a group now; False when nothing is new since the last."""
+        replica = self.core.replicas[group]
+        machine = self.machines.get(group)
+        if machine is None or replica.state.applied <= replica.state.mark.index:
+            return False
+        return self.snapshots.take(group, replica, machine)
+
     def _apply_one(
         self, group: str, machine: log.StateMachine, entry: types.Entry
     ) -> Any:
--- a/src/mintcleat/roles/replication_snapshots.py
+++ b/src/mintcleat/roles/replication_snapshots.py
@@ -79,14 +79,23 @@
         """Counts applied bytes and starts a snapshot when it is due."""
         growth = self.growth.setdefault(group, Growth())
         growth.bytes += size
-        if growth.saving or not self._due(replica, growth):
-            return
+        if self._due(replica, growth):
+            self.take(group, replica, machine)
+
+    def take(
+        self, group: str, replica: replicas.Replica, machine: log.StateMachine
+    ) -> bool:
+        """Starts a snapshot; False while one is being written."""
+        growth = self.growth.setdefault(group, Growth())
+        if growth.saving:
+            return False
         mark = replica.snapshot_mark()
         state = machine.snapshot()
         growth.saving = True
         growth.bytes = 0
         growth.snapshot_size = len(state)
         self.timers.spawn(self._save, replica, mark, state)
+        return True
 
     def installed(self, group: str, index: int, state: bytes) -> None:
         """Stores a snapshot that came from the leader."""
--- a/src/mintcleat/standins/engine.py
+++ b/src/mintcleat/standins/engine.py
@@ -186,6 +186,7 @@
                     }
                 ],
                 "usage": _usage(sequence),
+                "total_characters": len(sequence.text),
             }
         )
         yield b"data: [DONE]\n\n"
@@ -253,6 +254,9 @@
             case "release":
                 freed = sum(map(self.cache.release, fields["programs"]))
                 return http.reply_json(start_response, {"freed": freed})
+            case "shorten":
+                self.cache.shorten(fields["program"], fields["keep"])
+                return http.reply_json(start_response, {})
             case "hold":
                 self.cache.held.add(fields["program"])
                 return http.reply_json(start_response, {})
@@ -274,6 +278,7 @@
             "kv_export": self.options.kv_export,
             "priority": self.options.priority,
             "resume": self.options.resume,
+            "memory": self.options.memory,
         }
 
     def load(self) -> dict[str, Any]:
