Salt the log's checksums; a segment without a header is damage

Cause: a caller's payload shaped like a record could make a torn tail look like damage, and a damaged header of the newest segment was taken for a crash and the segment removed, with what had been acknowledged in it. Change: each segment has a random salt that its records' CRCs start from; a headerless segment is StorageDamaged, since segments are renamed into place only after a sync. Conclusion: the newest segment is as safe as the others.

--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -42,6 +42,7 @@
         self.lock = -1
         self.offset = 0
         self.batch_start = 0
+        self.salt = 0
         self.closed_bytes = 0
         self.buffer: list[bytes] = []
 
@@ -61,7 +62,7 @@
         for record in records:
             if len(record) > wal_segment.MAX_RECORD:
                 raise errors.TooLarge(f"A record of {len(record)} bytes.")
-            data = wal_segment.frame(self.batch_start, record)
+            data = wal_segment.frame(self.salt, self.batch_start, record)
             self.buffer.append(data)
             self.offset += len(data)
 
@@ -89,12 +90,16 @@
             os.close(self.descriptor)
             self.number += 1
             start = wal_segment.HEADER_SIZE
-            frames = [wal_segment.frame(start, record) for record in records]
-            data = wal_segment.header(wal_segment.BASE) + b"".join(frames)
+            salt = _new_salt()
+            frames = [
+                wal_segment.frame(salt, start, record) for record in records
+            ]
+            header = wal_segment.header(wal_segment.BASE, salt)
+            data = header + b"".join(frames)
             path = self._path(self.number)
             wal_disk.replace_file(self.disk, path, data)
             self.closed_bytes = 0
-            self._continue(path, len(data))
+            self._continue(path, len(data), salt)
             self._remove_below(self.number)
 
     def save_snapshot(
@@ -144,7 +149,8 @@
         # The first segment comes before the identity: an identity without a
         # log is then always damage, never a crash while formatting.
         numbers = self._numbers()
-        if any(self._path(n).stat().st_size > 64 for n in numbers):
+        empty = wal_segment.HEADER_SIZE
+        if any(self._path(n).stat().st_size > empty for n in numbers):
             raise errors.StorageDamaged("The log is there, its identity not.")
         self._remove_below(1 + max(numbers, default=0))
         self._create(wal_segment.BASE)
@@ -153,11 +159,8 @@
 
     def _recover(self) -> list[bytes]:
         numbers = self._numbers()
-        kinds = {n: wal_segment.kind_of(self._head(n)) for n in numbers}
-        # A last segment without a header was being created at the crash.
-        if numbers and kinds[numbers[-1]] is None and len(numbers) > 1:
-            self._path(numbers.pop()).unlink()
-        bases = [n for n in numbers if kinds[n] == wal_segment.BASE]
+        headers = {n: self._header(n) for n in numbers}
+        bases = [n for n in numbers if headers[n].kind == wal_segment.BASE]
         if not bases:
             raise errors.StorageDamaged("The log has lost its first segment.")
         kept = [n for n in numbers if n >= bases[-1]]
@@ -171,8 +174,6 @@
             path = self._path(number)
             data = path.read_bytes()
             last = number == numbers[-1]
-            if wal_segment.kind_of(data) is None:
-                raise errors.StorageDamaged(f"{path.name} has no header.")
             found = wal_segment.scan(data, last, path.name)
             records.extend(found.records)
             if not last:
@@ -181,7 +182,7 @@
             self.number = number
             if found.end < len(data):
                 os.truncate(path, found.end)
-            self._continue(path, found.end)
+            self._continue(path, found.end, self._header(number).salt)
             self.disk.sync(self.descriptor)
         self._remove_below(numbers[0])
         return records
@@ -194,13 +195,15 @@
     def _create(self, kind: int) -> None:
         self.number += 1
         path = self._path(self.number)
-        data = wal_segment.header(kind)
+        salt = _new_salt()
+        data = wal_segment.header(kind, salt)
         wal_disk.replace_file(self.disk, path, data)
-        self._continue(path, len(data))
+        self._continue(path, len(data), salt)
 
-    def _continue(self, path: pathlib.Path, offset: int) -> None:
+    def _continue(self, path: pathlib.Path, offset: int, salt: int) -> None:
         self.descriptor = os.open(path, os.O_WRONLY | os.O_APPEND)
         self.offset = self.batch_start = offset
+        self.salt = salt
 
     def _remove_below(self, number: int) -> None:
         for old in self._numbers():
@@ -213,9 +216,16 @@
     def _path(self, number: int) -> pathlib.Path:
         return self.folder / f"{number:012d}.segment"
 
-    def _head(self, number: int) -> bytes:
-        with self._path(number).open("rb") as file:
-            return file.read(wal_segment.HEADER_SIZE)
+    def _header(self, number: int) -> wal_segment.Header:
+        # A segment gets its name only after its header was synced, so one
+        # without a header is damage, never a crash while it was made.
+        path = self._path(number)
+        with path.open("rb") as file:
+            data = file.read(wal_segment.HEADER_SIZE)
+        header = wal_segment.parse_header(data)
+        if header is None:
+            raise errors.StorageDamaged(f"{path.name} has no header.")
+        return header
 
     def _snapshot(self, group: str, index: int) -> pathlib.Path:
         return self.folder / f"{_file_name(group)}-{index:016d}.snapshot"
@@ -246,5 +256,9 @@
             raise self.failed from error
 
 
+def _new_salt() -> int:
+    return int.from_bytes(os.urandom(8), "big")
+
+
 def _file_name(group: str) -> str:
     return "".join(c if c.isalnum() else f"%{ord(c):x}" for c in group)
--- a/src/mintcleat/adapters/wal_segment.py
+++ b/src/mintcleat/adapters/wal_segment.py
@@ -1,9 +1,10 @@
 """One segment file: its header, its records and the scan that reads it.
 
-A segment is a 16-byte header and records. A record is a 24-byte header
+A segment is a 24-byte header and records. A record is a 20-byte header
 `magic, batch start, length, CRC-32` and its payload. The batch start is the
 offset at which the unsynced bytes began when the record was written; it is
-what tells a torn tail from damage.
+what tells a torn tail from damage. The CRC starts from the segment's random
+salt: a payload that a caller made to look like a record is not one.
 """
 
 import struct
@@ -18,11 +19,24 @@
 BASE = 1
 NEXT = 0
 MAX_RECORD = 64 * 1024 * 1024
-_SEGMENT = struct.Struct(">8sII")
+_SEGMENT = struct.Struct(">8sIQI")
+_LEAD = struct.Struct(">QQI")
 _RECORD = struct.Struct(">4sQII")
 HEADER_SIZE = _SEGMENT.size
 
 
+class Header(NamedTuple):
+    """Header of a segment.
+
+    Attributes:
+        kind: BASE or NEXT.
+        salt: Random number that its records' CRCs start from.
+    """
+
+    kind: int
+    salt: int
+
+
 class Scan(NamedTuple):
     """Result of reading one segment.
 
@@ -34,25 +48,27 @@
     end: int
 
 
-def header(kind: int) -> bytes:
+def header(kind: int, salt: int) -> bytes:
     """Returns the header of a new segment."""
-    return _SEGMENT.pack(SEGMENT_MAGIC, kind, zlib.crc32(bytes([kind])))
+    data = _SEGMENT.pack(SEGMENT_MAGIC, kind, salt, 0)[:-4]
+    return data + zlib.crc32(data).to_bytes(4, "big")
 
 
-def kind_of(data: bytes) -> int | None:
-    """Returns BASE or NEXT, or None when the header is not whole."""
+def parse_header(data: bytes) -> Header | None:
+    """Returns the header, or None when it is not whole."""
     if len(data) < HEADER_SIZE:
         return None
-    magic, kind, crc = _SEGMENT.unpack_from(data)
-    if magic != SEGMENT_MAGIC or kind not in (BASE, NEXT):
+    magic, kind, salt, crc = _SEGMENT.unpack_from(data)
+    whole = crc == zlib.crc32(data[: HEADER_SIZE - 4])
+    if not whole or magic != SEGMENT_MAGIC or kind not in (BASE, NEXT):
         return None
-    return kind if crc == zlib.crc32(bytes([kind])) else None
+    return Header(kind, salt)
 
 
-def frame(batch_start: int, payload: bytes) -> bytes:
+def frame(salt: int, batch_start: int, payload: bytes) -> bytes:
     """Returns a record as it lies in the file."""
     size = len(payload)
-    crc = _crc(batch_start, payload)
+    crc = _crc(salt, batch_start, payload)
     return _RECORD.pack(RECORD_MAGIC, batch_start, size, crc) + payload
 
 
@@ -68,12 +84,16 @@
     Raises:
         errors.StorageDamaged: A record that had been synced is unreadable.
     """
+    found_header = parse_header(data)
+    if found_header is None:
+        raise errors.StorageDamaged(f"Segment {name} has no header.")
+    salt = found_header.salt
     records = []
     offset = HEADER_SIZE
     while offset < len(data):
-        found = _record_at(data, offset)
+        found = _record_at(data, salt, offset)
         if found is None:
-            if not last or _synced_after(data, offset):
+            if not last or _synced_after(data, salt, offset):
                 raise errors.StorageDamaged(
                     f"Segment {name} is damaged at byte {offset}."
                 )
@@ -83,17 +103,17 @@
     return Scan(records, offset)
 
 
-def _synced_after(data: bytes, bad: int) -> bool:
+def _synced_after(data: bytes, salt: int, bad: int) -> bool:
     offset = data.find(RECORD_MAGIC, bad + 1)
     while offset >= 0:
-        found = _record_at(data, offset)
+        found = _record_at(data, salt, offset)
         if found is not None and found[0] > bad:
             return True
         offset = data.find(RECORD_MAGIC, offset + 1)
     return False
 
 
-def _record_at(data: bytes, offset: int) -> tuple[int, bytes] | None:
+def _record_at(data: bytes, salt: int, offset: int) -> tuple[int, bytes] | None:
     if offset + _RECORD.size > len(data):
         return None
     magic, start, size, crc = _RECORD.unpack_from(data, offset)
@@ -101,11 +121,9 @@
     if magic != RECORD_MAGIC or size > MAX_RECORD or begin + size > len(data):
         return None
     payload = data[begin : begin + size]
-    return (start, payload) if crc == _crc(start, payload) else None
+    return (start, payload) if crc == _crc(salt, start, payload) else None
 
 
-def _crc(start: int, payload: bytes) -> int:
-    seed = zlib.crc32(start.to_bytes(8, "big"))
-    return zlib.crc32(
-        payload, zlib.crc32(len(payload).to_bytes(4, "big"), seed)
-    )
+def _crc(salt: int, start: int, payload: bytes) -> int:
+    lead = _LEAD.pack(salt, start, len(payload))
+    return zlib.crc32(payload, zlib.crc32(lead))
--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -130,6 +130,11 @@
         sorted(self.folder.glob("*.segment"))[1].unlink()
         self.assertRaises(errors.StorageDamaged, self.opened)
 
+    def test_segment_without_header_is_an_error(self) -> None:
+        self.write(*[[bytes([65 + i]) * 40] for i in range(9)], size=200)
+        self.damage(self.segment(), 3)
+        self.assertRaises(errors.StorageDamaged, self.opened)
+
     def test_log_without_identity_is_an_error(self) -> None:
         self.write([b"x" * 100])
         (self.folder / "identity").unlink()
--- a/testing/test_wal_segment.py
+++ b/testing/test_wal_segment.py
@@ -6,6 +6,7 @@
 from mintcleat.adapters import wal_segment
 from mintcleat.domain import errors
 
+SALT = 7
 BATCHES = strategies.lists(
     strategies.lists(strategies.binary(max_size=30), min_size=1, max_size=4),
     min_size=1,
@@ -15,11 +16,13 @@
 
 def written(batches: list[list[bytes]]) -> tuple[bytes, int]:
     """Returns a segment and the offset where its last batch starts."""
-    data = wal_segment.header(wal_segment.BASE)
+    data = wal_segment.header(wal_segment.BASE, SALT)
     start = len(data)
     for batch in batches:
         start = len(data)
-        data += b"".join(wal_segment.frame(start, record) for record in batch)
+        data += b"".join(
+            wal_segment.frame(SALT, start, record) for record in batch
+        )
     return data, start
 
 
@@ -65,8 +68,14 @@
     assert len(found.records) >= len(every) - len(batches[-1])
 
 
-def test_record_that_holds_a_whole_record_reads_as_one() -> None:
-    inner = wal_segment.frame(99, b"inner")
-    data = wal_segment.header(wal_segment.BASE)
-    data += wal_segment.frame(len(data), inner)
-    assert wal_segment.scan(data, True, "s").records == [inner]
+def test_torn_record_that_a_caller_made_look_like_damage_is_cut() -> None:
+    """A caller's payload holds what looks like a record of a later batch.
+
+    The record is torn in a crash. Were the inner one taken for a record, the
+    log would look damaged and the instance would not start.
+    """
+    forged = wal_segment.frame(SALT + 1, 10_000, b"forged")
+    data = wal_segment.header(wal_segment.BASE, SALT)
+    data += wal_segment.frame(SALT, len(data), forged + bytes(50))
+    assert wal_segment.scan(data, True, "s").records == [forged + bytes(50)]
+    assert wal_segment.scan(data[:-1], True, "s").records == []
