Let an idle engine take a newcomer whatever its memory

Cause: the gate queued a program's first call while the engine stood idle, because paused programs filled the working set. Change: an upstream without a running call takes any. The new test fails without it.

--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -162,17 +162,23 @@
         return not self.over_share(entry.flow, limit)
 
     def fits(self, entry: lines.Entry, now: float) -> bool:
-        """Tells whether memory and prefill have room for the call."""
-        if entry.need == lines.NEWCOMER and not self.has_room(entry):
-            return False
+        """Tells whether memory and prefill have room for the call.
+
+        An idle upstream takes any call: whatever it evicts belongs to a
+        program that is paused, and idling would serve nobody.
+        """
         if not self.running:
             return True
+        if entry.need == lines.NEWCOMER and not self.has_room(entry):
+            return False
         return self._memory_fits(entry, now) and self._prefill_fits(entry)
 
     def has_room(self, entry: lines.Entry) -> bool:
         """Tells whether a newcomer fits among the programs under way."""
         if not self.options.memory or not self.options.working_set:
             return True
+        if not self.running:
+            return True
         members = self.working_set
         memory = self.options.memory * workingset.PART
         footprint = members.footprint(entry.call.agent, entry.footprint)
