--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -5,6 +5,7 @@
 sender and nobody else's.
 """
 
+import contextlib
 import socket
 import time
 from typing import Any
@@ -95,7 +96,9 @@
     def stop(self) -> None:
         """Closes the listener and, once written out, every connection."""
         self.stopped = True
-        self.listener.close()
+        # The accept loop closes it: see Connection._leave for why.
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
         until = time.monotonic() + _FLUSH_SECONDS
         for connection in [*self.dialled.values(), *self.accepted]:
             connection.flush(until - time.monotonic())
@@ -160,6 +163,12 @@
         )
 
     def _accept_forever(self) -> None:
+        try:
+            self._accept_until_stopped()
+        finally:
+            self.listener.close()
+
+    def _accept_until_stopped(self) -> None:
         while not self.stopped:
             try:
                 sock, address = self.listener.accept()
--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -187,6 +187,7 @@
         self.exchanges: dict[int, TcpExchange] = {}
         self.next_number = 1
         self.lost = False
+        self.threads = 0
         self.outgoing: list[bytes] = []
         self.queued = 0
         self.work = Signal()
@@ -196,6 +197,7 @@
 
     def start(self) -> None:
         """Begins to read and write."""
+        self.threads = 2
         eventlet.spawn(self._write_forever)
         eventlet.spawn(self._read_forever)
 
@@ -285,7 +287,20 @@
         self.room.send()
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        if not self.threads:
+            self.sock.close()
+
+    def _leave(self) -> None:
+        """Ends one of the two threads; the last one closes the socket.
+
+        Closed under a thread that still waits on it, the descriptor's number
+        goes to the next connection while the hub holds the old waiter, and
+        that connection fails with "Second simultaneous read".
+        """
+        self.lose()
+        self.threads -= 1
+        if not self.threads:
+            self.sock.close()
 
     def _write_now(self, frame: bytes) -> int:
         """Writes what the socket takes without waiting; returns how much."""
@@ -296,6 +311,12 @@
             return 0
 
     def _write_forever(self) -> None:
+        try:
+            self._write_queued()
+        finally:
+            self._leave()
+
+    def _write_queued(self) -> None:
         while not self.lost:
             if not self.outgoing:
                 self.work.wait()
@@ -335,7 +356,7 @@
         except Exception:
             logger.exception("Closing {}: its bytes can't be read", self.peer)
         finally:
-            self.lose()
+            self._leave()
 
     def _take(self, frame: streams_frames.Frame) -> None:
         if frame.kind == streams_frames.PING:
--- a/testing/test_streams_flow.py
+++ b/testing/test_streams_flow.py
@@ -1,5 +1,8 @@
 """Flow control of streams between processes."""
 
+import os
+
+from eventlet import hubs
 import testtools
 
 from mintcleat.adapters import streams
@@ -33,3 +36,28 @@
         exchange = client.open(server.address, large)
         exchange.send(large)
         self.assertEqual(str(1 << 20), exchange.receive(5.0).detail)
+
+
+class LostConnectionTest(testtools.TestCase):
+    def test_lost_connections_descriptor_can_be_waited_on_again(self) -> None:
+        """A silent connection is given up while its reader waits on it.
+
+        Its descriptor's number went to the next pipe or connection at once,
+        where the hub still held the old reader: whoever waited there failed
+        with "Second simultaneous read".
+        """
+        server = streams.TcpStreams("127.0.0.1:0")
+        client = streams.TcpStreams("127.0.0.1:0")
+        self.addCleanup(server.stop)
+        self.addCleanup(client.stop)
+        server.handle(
+            messages.Ping, lambda exchange, _: exchange.send(messages.Done())
+        )
+        client.ask(server.address, messages.Ping(), 2.0)
+        client.dialled[server.address].lose()
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        os.write(writer, b"x")
+        hubs.trampoline(reader, read=True, timeout=2.0)
+        self.assertEqual(b"x", os.read(reader, 1))
