--- a/bench/state.py
+++ b/bench/state.py
@@ -20,7 +20,7 @@
 CHILD = pathlib.Path(__file__).with_name("state_replica.py")
 RECORDS = 100_000
 RETURN_BEHIND = 50_000
-NEVER = {"snapshot_entries": 10**9, "snapshot_bytes": 10**12}
+NEVER = {"entries": 10**9, "bytes": 10**12}
 
 
 class Replica:
@@ -158,7 +158,7 @@
     rows = []
     for way, limits in (
         ("replay", NEVER),
-        ("snapshot", {"snapshot_entries": 5_000, "kept_entries": 100}),
+        ("snapshot", {"entries": 5_000, "kept": 100}),
     ):
         with cluster(snapshots=limits) as nodes:
             first = leader(nodes)
--- a/bench/state_replica.py
+++ b/bench/state_replica.py
@@ -26,6 +26,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import replication
+from mintcleat.roles import replication_snapshots
 
 _MICROSECONDS = 1_000_000
 
@@ -82,7 +83,9 @@
             timers=timers.EventletTimers(),
             options=replication.Options(
                 core=types.Settings(**settings.get("core", {})),
-                **settings.get("snapshots", {}),
+                snapshots=replication_snapshots.Limits(
+                    **settings.get("snapshots", {})
+                ),
             ),
         )
         for name, journal in self.journals.items():
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -31,18 +31,14 @@
     Attributes:
         core: Times and limits of the consensus core.
         seed: Seed of the election timeouts; 0 draws one from the instance.
-        snapshot_entries: See `replication_snapshots.Limits`, as the next two.
-        snapshot_bytes: See there.
-        kept_entries: See there.
+        snapshots: When a group is snapshotted.
         rewrite_bytes: Size at which the write-ahead log is rewritten, or
             twice its size after the last time when that is more.
     """
 
     core: types.Settings = types.Settings()
     seed: int = 0
-    snapshot_entries: int = 10_000
-    snapshot_bytes: int = 8 * 1024 * 1024
-    kept_entries: int = 1_000
+    snapshots: replication_snapshots.Limits = replication_snapshots.Limits()
     rewrite_bytes: int = 64 * 1024 * 1024
 
 
@@ -90,11 +86,7 @@
         self.snapshots = replication_snapshots.Snapshots(
             wal,
             timers,
-            replication_snapshots.Limits(
-                options.snapshot_entries,
-                options.snapshot_bytes,
-                options.kept_entries,
-            ),
+            options.snapshots,
             guarded=self._stopping_on_failure,
             saved=self.wake,
         )
--- a/src/mintcleat/roles/replication_snapshots.py
+++ b/src/mintcleat/roles/replication_snapshots.py
@@ -26,9 +26,9 @@
         kept: Entries kept behind a snapshot for slow followers.
     """
 
-    entries: int
-    bytes: int
-    kept: int
+    entries: int = 10_000
+    bytes: int = 8 * 1024 * 1024
+    kept: int = 1_000
 
 
 class Growth:
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -19,6 +19,7 @@
 from mintcleat.domain import messages
 from mintcleat.roles import replication
 from mintcleat.roles import replication_links
+from mintcleat.roles import replication_snapshots
 
 
 class UnsyncedDisk(wal_disk.SystemDisk):
@@ -139,8 +140,7 @@
     core=types.Settings(
         heartbeat=0.05, election=0.3, resend=0.2, hello=0.1, replace_after=0.0
     ),
-    snapshot_entries=40,
-    kept_entries=5,
+    snapshots=replication_snapshots.Limits(entries=40, kept=5),
     rewrite_bytes=20_000,
 )
 
