--- a/testing/test_sidecar_faults.py
+++ b/testing/test_sidecar_faults.py
@@ -1,5 +1,6 @@
 """Upstreams and control that fail while a sidecar runs calls."""
 
+from eventlet import event
 import testtools
 from testtools import matchers
 
@@ -7,6 +8,7 @@
 from fakes import service_faults
 from fakes import service_rig
 from mintcleat.domain import errors
+from mintcleat.domain import manifest
 from mintcleat.domain import messages
 from mintcleat.standins import batch
 
@@ -43,28 +45,37 @@
         self.assertEqual(errors.UNKNOWN, end.failure.outcome)
         self.assertEqual([], self.rig.control.of(messages.FinishCall))
 
-    def test_crash_is_reported_before_the_caller_hears(self) -> None:
+    def test_crash_is_reported_before_any_caller_hears(self) -> None:
         """A request kills its engine while another one stands beside it.
 
-        Both were in flight, so both are suspects. The report is committed
-        before a caller could send the request again.
+        Both were in flight, so both are suspects. Neither caller hears of
+        the crash before the report is committed: a resend would be run
+        elsewhere without suspicion.
         """
         self.engine.crash_on = "poison"
+        self.rig.directory.held = event.Event()
+        longer = '{"max_tokens":10000}'
         other = self.rig.open(
-            service_rig.turn(
-                "other", digest=b"o" * 16, parameters='{"max_tokens":10000}'
-            )
+            service_rig.turn("other", digest=b"o" * 16, parameters=longer)
         )
         other.receive(5.0)
-        bad = service_rig.turn(
-            "bad",
-            messages=[service_rig.user("poison")],
-            digest=b"b" * 16,
+        poison = self.rig.open(
+            service_rig.turn(
+                "bad",
+                messages=[service_rig.user("poison")],
+                digest=b"b" * 16,
+                parameters=longer,
+            )
         )
-        _, end = self.rig.call(bad)
-        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
-        (report,) = self.rig.directory.asked
+        (report,) = self.rig.until(lambda: self.rig.directory.asked)
         self.assertEqual([b"b" * 16, b"o" * 16], report.digests)
+        self.rig.sleep()
+        running = self.rig.sidecar.under_way()
+        self.assertThat(running, matchers.HasLength(2))
+        self.rig.directory.held.send()
+        for exchange in (poison, other):
+            _, end = service_rig.drain_rest(exchange)
+            self.assertEqual(errors.UNKNOWN, end.failure.outcome)
 
     def test_cut_connection_alone_is_no_crash(self) -> None:
         """The stream breaks and can't be resumed, but the engine lives.
@@ -105,6 +116,19 @@
         _, end = service_rig.drain(exchange)
         self.assertIsInstance(end, messages.Finished)
 
+    def test_refused_commit_does_not_claim_that_the_call_did_not_run(
+        self,
+    ) -> None:
+        """The program is closed while the engine answers.
+
+        The group refuses the answer with its usual "not run", which is about
+        the commit. The engine has run the call, and the caller is told so.
+        """
+        self.rig.control.fail = errors.ProgramClosed("Closed.")
+        _, end = self.rig.call(service_rig.turn())
+        self.assertEqual("program_closed", end.failure.kind)
+        self.assertEqual(errors.RAN, end.failure.outcome)
+
     def test_suspect_waits_while_another_suspect_runs(self) -> None:
         """Two suspects come together.
 
@@ -113,7 +137,10 @@
         """
         digests = [b"1" * 16, b"2" * 16]
         self.rig.directory.suspects.update(digests)
-        first = self.rig.open(service_rig.turn("a", digest=digests[0]))
+        longer = '{"max_tokens":60}'
+        first = self.rig.open(
+            service_rig.turn("a", digest=digests[0], parameters=longer)
+        )
         first.receive(5.0)
         second = self.rig.open(service_rig.turn("b", digest=digests[1]))
         innocent = self.rig.open(service_rig.turn("c", digest=b"3" * 16))
@@ -190,6 +217,18 @@
         (report,) = self.rig.directory.asked
         self.assertIsInstance(report, messages.ReportCrash)
 
+    def test_stale_configuration_serves_only_what_may_be_repeated(
+        self,
+    ) -> None:
+        directory = self.rig.directory
+        directory.lease = False
+        policies = manifest.Policies(stale_lease="serve")
+        directory.value = manifest.Manifest(policies=policies)
+        read = service_rig.tool(attempt=0, method="GET", idempotent=True)
+        self.assertIsInstance(self.rig.call(read)[1], messages.ToolAnswer)
+        _, end = self.rig.call(service_rig.tool())
+        self.assertEqual("lease_expired", end.failure.kind)
+
     def test_dead_service_is_announced_and_comes_back(self) -> None:
         self.service.crash()
         self.rig.sidecar.presence.probe()
