Wait for a crash's report in one place; hand suspects over

Cause: with one of two waits taken out, no test failed; suspects of this upstream's own crashes were kept for ever. Change: one wait for whoever does not report; local suspects end once control has them.

--- a/src/mintcleat/roles/sidecar_crashes.py
+++ b/src/mintcleat/roles/sidecar_crashes.py
@@ -13,6 +13,8 @@
 
 _REPORT_SECONDS = 2.0
 _RETRY_SECONDS = 1.0
+# Time in which the restrictions of a taken report reach every sidecar.
+_HAND_OVER_SECONDS = 5.0
 
 
 class Presence(Protocol):
@@ -79,24 +81,33 @@
 
     def broken(self, request: str) -> None:
         """Handles a lost stream; returns once a crash is reported."""
+        digests = self._take_crashed(request)
+        if digests:
+            self._report(digests)
+        elif self.reported is not None:
+            # A call that was lost beside this one reports the crash.
+            self.reported.wait()
+
+    def _take_crashed(self, request: str) -> list[bytes]:
+        """Takes out what was in flight at a crash; empty if there is none."""
         broken = self.in_flight.get(request)
         if broken is None:
-            self._wait_for_report()
-            return
+            return []
         if self.presence.look() == broken.life:
             self.end(request)
-            return
+            return []
+        if request not in self.in_flight:
+            return []
         beside = {
-            name: item
+            name: item.digest
             for name, item in self.in_flight.items()
             if item.life == broken.life
         }
-        if request not in beside:
-            self._wait_for_report()
-            return
         for name in beside:
             del self.in_flight[name]
-        digests = sorted({item.digest for item in beside.values()})
+        return sorted(set(beside.values()))
+
+    def _report(self, digests: list[bytes]) -> None:
         self.local.update(digests)
         self.count += 1
         report = messages.ReportCrash(self.node, self.count, digests)
@@ -107,17 +118,17 @@
         finally:
             self.reported.send()
 
-    def _wait_for_report(self) -> None:
-        """Waits while a call that was lost beside this one reports."""
-        if self.reported is not None:
-            self.reported.wait()
-
     def _send(self, report: messages.ReportCrash) -> bool:
         try:
             self.directory.ask(report, _REPORT_SECONDS)
         except errors.MintcleatError as error:
             logger.warning("A crash is not reported yet: {}", error.detail)
             return False
+        # From now on control says who is a suspect, and for how long.
+        self.timers.after(
+            _HAND_OVER_SECONDS,
+            lambda: self.local.difference_update(report.digests),
+        )
         return True
 
     def _send_until_taken(self, report: messages.ReportCrash) -> None:
