Carry out an order once, also when its copy comes while it runs

Change: the sidecar uses orders.OrderReceiver, which locks, waits for calls under way and asks again for the number.

--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -93,7 +93,6 @@
         self.crashes = sidecar_crashes.Crashes(
             node, directory, timers, self.presence
         )
-        self.orders = sidecar_orders.Orders(node, upstream, directory)
         self.executor = sidecar_execution.Executor(
             self._new_runner(upstream),
             self.attempts,
@@ -103,6 +102,8 @@
             timers,
             self.load,
         )
+        target = sidecar_orders.Target(upstream, self.presence, self.under_way)
+        self.orders = sidecar_orders.receiver(node, target, timers, directory)
         self.follower = sidecar_watch.Follower(timers, self.executor.cancel)
         self.numbers = itertools.count(1)
         self.subscriptions: list[timers_port.Subscription] = []
@@ -228,12 +229,7 @@
         """Carries out an order to the upstream."""
         if not self.is_model:
             raise errors.BadRequest("A plain service takes no orders.")
-        self.presence.order_begins(asked)
-        try:
-            self.orders.carry_out(asked)
-        finally:
-            self.presence.order_ends()
-        exchange.send(messages.Done(self.presence.info.model))
+        self.orders.handle(exchange, asked)
 
     def drain_upstream(
         self, exchange: streams_port.Exchange, asked: messages.DrainUpstream
--- a/src/mintcleat/roles/sidecar_orders.py
+++ b/src/mintcleat/roles/sidecar_orders.py
@@ -1,56 +1,71 @@
-"""Orders to the upstream, each under a fencing number."""
+"""Orders to the engine beside a sidecar: what the receiver needs of it.
+
+`orders.OrderReceiver` decides whether and when an order is carried out; this
+is how the sidecar holds its work meanwhile.
+"""
+
+from collections.abc import Callable
+from typing import Any
 
-from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import membership as membership_port
+from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import orders
+from mintcleat.roles import sidecar_presence
 
 _READ_SECONDS = 5.0
 
 
-class Orders:
-    """The only path of orders to one upstream.
+class Target:
+    """See `orders.Upstream`.
 
-    Not every upstream checks fencing numbers, so the check is here. A new
-    life of a sidecar knows no number yet: before its first order it reads
-    the highest committed one, or an order that was overtaken while it was
-    down would still be carried out.
+    Attributes:
+        under_way: Returns the attempts that wait or run here.
     """
 
     def __init__(
         self,
-        node: messages.Incarnation,
         engine: upstream_port.ModelEngine,
-        directory: membership_port.Membership,
+        presence: sidecar_presence.Presence,
+        under_way: Callable[[], list[Any]],
     ) -> None:
-        self.node = node
         self.engine = engine
-        self.directory = directory
-        self.highest: int | None = None
-        self.done = 0
-
-    def carry_out(self, order: messages.Order) -> None:
-        """Passes an order on; one that was done before changes nothing.
-
-        Raises:
-            errors.FencedOff: A newer order is known, or the order is for
-                another incarnation.
-            errors.MintcleatError: The upstream failed.
-        """
-        if order.sidecar != self.node:
-            raise errors.FencedOff("The order is for another incarnation.")
-        if self.highest is None:
-            self.highest = self._read_highest()
-        if order.fence < self.highest:
-            raise errors.FencedOff(
-                f"Order {order.fence} is older than {self.highest}."
-            )
-        if order.fence == self.done:
-            return
-        self.highest = order.fence
-        self.engine.order(order.fence, order.action, order.model)
-        self.done = max(self.done, order.fence)
-
-    def _read_highest(self) -> int:
-        read = messages.ReadFence(self.node.instance)
-        return self.directory.ask(read, _READ_SECONDS).fence
+        self.presence = presence
+        self.under_way = under_way
+
+    def hold_work(self, held: bool) -> None:
+        """Refuses new work while an order is carried out, or takes it."""
+        if held:
+            self.presence.order_begins()
+        else:
+            self.presence.order_ends()
+
+    def is_busy(self) -> bool:
+        """Tells whether calls are under way."""
+        return bool(self.under_way())
+
+    def carry_out(self, number: int, action: str, model: str) -> None:
+        """Hands the order to the engine and waits for its end."""
+        self.engine.order(number, action, model)
+
+
+def receiver(
+    node: messages.Incarnation,
+    target: Target,
+    timers: timers_port.Timers,
+    directory: membership_port.Membership,
+) -> orders.OrderReceiver:
+    """Returns the gate for orders to one engine.
+
+    Not every engine checks fencing numbers, so the check is here. A new life
+    of a sidecar knows no number yet: before its first order it reads the
+    highest committed one, or an order that was overtaken while it was down
+    would still be carried out.
+    """
+
+    def read_fence() -> int:
+        read = messages.ReadFence(node.instance)
+        return directory.ask(read, _READ_SECONDS).fence
+
+    return orders.OrderReceiver(node, target, timers, read_fence)
--- a/src/mintcleat/roles/sidecar_presence.py
+++ b/src/mintcleat/roles/sidecar_presence.py
@@ -173,9 +173,9 @@
         plain = not self.is_model and asked.idempotent
         return plain and self.directory.may_serve_stale()
 
-    def order_begins(self, order: messages.Order) -> None:
+    def order_begins(self) -> None:
         """Keeps new work off while an order is carried out."""
-        self.ordering = order.action != "unload"
+        self.ordering = True
         self.directory.announce()
 
     def order_ends(self) -> None:
--- a/testing/test_sidecar_faults.py
+++ b/testing/test_sidecar_faults.py
@@ -1,5 +1,6 @@
 """Upstreams and control that fail while a sidecar runs calls."""
 
+import eventlet
 from eventlet import event
 import testtools
 from testtools import matchers
@@ -181,6 +182,24 @@
         self.assertThat(self.engine.orders, matchers.HasLength(1))
         self.assertEqual("model-2", self.rig.sidecar.announcement().model)
 
+    def test_copy_of_an_order_under_way_is_not_carried_out_again(self) -> None:
+        """A load takes long and its leader is lost; the next one resends it.
+
+        The copy comes while the first is being carried out. Both leaders
+        are told that it is done, and the engine saw one order.
+        """
+        carry_out = self.rig.sidecar.orders.upstream.carry_out
+
+        def slowly(number: int, action: str, model: str) -> None:
+            eventlet.sleep(0.05)
+            carry_out(number, action, model)
+
+        self.rig.sidecar.orders.upstream.carry_out = slowly
+        threads = [eventlet.spawn(self.order, 3) for _ in range(2)]
+        for thread in threads:
+            self.assertIsInstance(thread.wait(), messages.Done)
+        self.assertThat(self.engine.orders, matchers.HasLength(1))
+
 
 class ServiceFaultTest(testtools.TestCase):
     def setUp(self) -> None:
