--- a/bench/path.py
+++ b/bench/path.py
@@ -24,7 +24,7 @@
 from bench import rig
 
 _MAX_MICROSECONDS = 600_000_000
-_BODY = {
+BODY = {
     "model": "triage",
     "max_tokens": 8,
     "messages": [{"role": "user", "content": "combine stops in the field"}],
@@ -38,6 +38,7 @@
         self.name = name
         self.address = address
         self.program = program
+        self.body = BODY
         self.pool = urllib3.PoolManager(maxsize=512, retries=False)
 
     def call(self, program: str, turn: int) -> None:
@@ -50,7 +51,7 @@
             reply = self.pool.request(
                 "POST",
                 f"http://{self.address}/v1/chat/completions",
-                body=json.dumps(_BODY),
+                body=json.dumps(self.body),
                 headers=headers,
                 timeout=60.0,
             )
@@ -135,7 +136,7 @@
         Way("program", system.http()[0], program=True),
     ]
     entry = system.processes["entry-0"]
-    figures: dict[str, Any] = {"commit": _commit()}
+    figures: dict[str, Any] = {"commit": commit()}
     for callers in (1, 16, 256):
         for way in ways:
             measure(way, callers, max(callers, calls // 10))
@@ -167,7 +168,8 @@
         )
 
 
-def _commit() -> str:
+def commit() -> str:
+    """Returns the short id of the commit that is measured."""
     return subprocess.run(
         ["git", "rev-parse", "--short", "HEAD"],
         capture_output=True,
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,344 @@
+"""Slopes for docs/CAPACITY.md, each measured at three sizes.
+
+Usage: python -m bench.slopes [--output docs/capacity.json]
+       python -m bench.capacity writes the page from that file.
+"""
+
+from collections.abc import Callable
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import TypedDict
+
+import fire
+import numpy as np
+
+from bench import config_state
+from bench import configuration
+from bench import path
+from bench import processes
+from bench import programs
+from bench import rig
+from bench import state
+from mintcleat.adapters import streams
+from mintcleat.domain import codec
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+
+ROOT = pathlib.Path(__file__).parent.parent
+_CALLERS = 16
+_WATCH_SECONDS = 6.0
+_BARE = (
+    "import eventlet, urllib3, aioprometheus, fire, loguru, msgspec, msgpack,"
+    " json5, xxhash, sortedcontainers; eventlet.monkey_patch();"
+    "print([l for l in open('/proc/self/status') if 'VmRSS' in l][0])"
+)
+
+
+class Slope(TypedDict):
+    """One line of the data file.
+
+    Attributes:
+        points: Pairs of size and value.
+        slope: Value per unit of size, by least squares.
+        base: Value at size 0.
+        bend: Largest deviation from the line, as a part of the value.
+    """
+
+    unit: str
+    size: str
+    points: list[list[float]]
+    slope: float
+    base: float
+    bend: float
+    command: str
+
+
+def fit(size: str, unit: str, points: list[list[float]], command: str) -> Slope:
+    """Returns the line through the points and how far they bend from it."""
+    sizes = np.array([point[0] for point in points], float)
+    values = np.array([point[1] for point in points], float)
+    slope, base = np.polyfit(sizes, values, 1)
+    line = slope * sizes + base
+    bend = float(np.max(np.abs(values - line) / np.maximum(values, 1e-12)))
+    return Slope(
+        unit=unit,
+        size=size,
+        points=[[float(a), float(b)] for a, b in points],
+        slope=float(slope),
+        base=float(base),
+        bend=bend,
+        command=command,
+    )
+
+
+def tokens_per_call(found: dict[str, Any]) -> None:
+    """Entry and sidecar: processor time per call and per token frame."""
+    system = rig.system(controls=1, engines=1)
+    try:
+        entry = system.processes["entry-0"]
+        sidecar = system.processes["sidecar-engine-0"]
+        way = path.Way("stateless", system.http()[0], program=False)
+        path.measure(way, _CALLERS, 100)
+        entries, sidecars = [], []
+        for tokens in (8, 64, 256):
+            way.body = {**path.BODY, "max_tokens": tokens, "stream": True}
+            calls = 320
+            before = entry.usage().cpu, sidecar.usage().cpu
+            path.measure(way, _CALLERS, calls)
+            after = entry.usage().cpu, sidecar.usage().cpu
+            entries.append([tokens, (after[0] - before[0]) / calls * 1e6])
+            sidecars.append([tokens, (after[1] - before[1]) / calls * 1e6])
+    finally:
+        system.stop()
+    command = "python -m bench.slopes run tokens_per_call"
+    size, unit = "tokens in the answer", "us of a core per call"
+    found["entry_call"] = fit(size, unit, entries, command)
+    found["sidecar_call"] = fit(size, unit, sidecars, command)
+
+
+def turns(found: dict[str, Any]) -> None:
+    """Control: processor time per committed turn; what it adds elsewhere."""
+    system = rig.system(controls=3, engines=1, groups=1)
+    names = {
+        "entry": "entry-0",
+        "sidecar": "sidecar-engine-0",
+        **{f"control-{number}": f"control-{number}" for number in range(3)},
+    }
+    points: dict[str, list[list[float]]] = {name: [] for name in names}
+    try:
+        way = path.Way("program", system.http()[0], program=True)
+        plain = path.Way("stateless", system.http()[0], program=False)
+        path.measure(way, _CALLERS, 160)
+        idle = _used(system, names, lambda: time.sleep(3.0))
+        for calls in (160, 480, 960):
+            started = time.monotonic()
+            used = _used(
+                system,
+                names,
+                lambda n=calls: path.measure(way, _CALLERS, n),
+            )
+            seconds = time.monotonic() - started
+            for name, cpu in used.items():
+                own = cpu - idle[name] / 3.0 * seconds
+                points[name].append([calls, own * 1e6])
+        without = _used(
+            system, names, lambda: path.measure(plain, _CALLERS, 960)
+        )
+        leader = _leader(system, "programs-0")
+        resident = {
+            name: system.processes[process].usage().resident
+            for name, process in names.items()
+        }
+    finally:
+        system.stop()
+    command = "python -m bench.slopes run turns"
+    for name, values in points.items():
+        role = name
+        if name.startswith("control"):
+            role = "leader" if name == leader else f"follower-{name[-1]}"
+        found[f"turn_{role}"] = fit("turns", "us of a core", values, command)
+    for name in ("entry", "sidecar"):
+        each = found[f"turn_{name}"]["slope"]
+        found[f"turn_{name}_control"] = each - without[name] / 960 * 1e6
+    found["idle_cpu"] = {name: cpu / 3.0 for name, cpu in idle.items()}
+    found["resident"] = resident
+    found["bare_resident"] = _bare()
+
+
+def _used(
+    system: processes.System, names: dict[str, str], action: Callable[[], Any]
+) -> dict[str, float]:
+    before = {n: system.processes[p].usage().cpu for n, p in names.items()}
+    action()
+    return {
+        n: system.processes[p].usage().cpu - before[n] for n, p in names.items()
+    }
+
+
+def _leader(system: processes.System, group: str) -> str:
+    asker = streams.TcpStreams("127.0.0.1:0")
+    try:
+        for number, address in enumerate(system.control_addresses):
+            rows = asker.ask(address, messages.ShowGroups(), 5.0).rows
+            for row in map(json.loads, rows):
+                if row["group"] == group and row["role"] == "leader":
+                    return f"control-{number}"
+    finally:
+        asker.stop()
+    raise errors.NoUpstream(f"Nobody leads {group}.")
+
+
+def _bare() -> int:
+    """Returns the resident bytes of a process with the libraries alone."""
+    done = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", _BARE],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return int(done.stdout.split()[1]) * 1024
+
+
+def load_reports(found: dict[str, Any]) -> None:
+    """Sidecar: processor time per watcher, each gets two reports a second."""
+    system = rig.system(controls=1, engines=1)
+    points = []
+    try:
+        process = system.processes["sidecar-engine-0"]
+        watchers: list[streams.TcpStreams] = []
+        for count in (0, 40, 120):
+            while len(watchers) < count:
+                watcher = streams.TcpStreams("127.0.0.1:0")
+                watcher.open(
+                    process.addresses["streams"], messages.WatchLoad("bench")
+                )
+                watchers.append(watcher)
+            time.sleep(0.5)
+            before = process.usage().cpu
+            time.sleep(_WATCH_SECONDS)
+            used = process.usage().cpu - before
+            points.append([count, used / _WATCH_SECONDS * 1e6])
+        for watcher in watchers:
+            watcher.stop()
+    finally:
+        system.stop()
+    found["sidecar_watcher"] = fit(
+        "watching entries",
+        "us of a core per second",
+        points,
+        "python -m bench.slopes run load_reports",
+    )
+
+
+def records(found: dict[str, Any]) -> None:
+    """Control: memory and time per program record, snapshot and restore."""
+    command = "python -m bench.slopes run records"
+    with tempfile.TemporaryDirectory() as name:
+        rows = [
+            programs.measure(size, 3, pathlib.Path(name))
+            for size in (1000, 4000, 16000)
+        ]
+    size = "programs of 3 turns"
+    for key, unit, value in (
+        ("record_bytes", "bytes", lambda row: row.bytes_each * row.programs),
+        ("record_snapshot", "ms", lambda row: row.snapshot_ms),
+        ("record_restore", "ms", lambda row: row.restore_ms),
+        ("record_snapshot_bytes", "bytes", lambda row: row.snapshot_bytes),
+    ):
+        points = [[row.programs, value(row)] for row in rows]
+        found[key] = fit(size, unit, points, command)
+    found["record_pair_us"] = [[row.programs, row.pair_us] for row in rows]
+
+
+def members(found: dict[str, Any]) -> None:
+    """Nodes and control: memory per member."""
+    command = "python -m bench.slopes run members"
+    for key, build in (
+        ("member_node", config_state.node),
+        ("member_control", config_state.table),
+    ):
+        points = [
+            [count, config_state.memory(build, count)]
+            for count in (500, 1500, 3000)
+        ]
+        found[key] = fit("announced upstreams", "bytes", points, command)
+
+
+def spread(found: dict[str, Any]) -> None:
+    """Configuration: seconds from acceptance to the last node."""
+    command = "python -m bench.slopes run spread"
+    points, tails = [], []
+    for count in (10, 50, 200):
+        times = configuration._spread(count, "nodes", 10)
+        points.append([count, configuration.quantile(times, 0.5)])
+        tails.append([count, max(times)])
+    found["spread_p50"] = fit("nodes", "seconds", points, command)
+    found["spread_worst"] = fit("nodes", "seconds", tails, command)
+
+
+def config_cost(found: dict[str, Any]) -> None:
+    """Configuration: control's processor time per node that it serves."""
+    command = "python -m bench.slopes run config_cost"
+    rows = {
+        count: configuration._cost("nodes", count, 6.0)
+        for count in (20, 80, 200)
+    }
+    for load in ("idle", "10x"):
+        points = [
+            [count, row[load].leader_cpu * 1e6] for count, row in rows.items()
+        ]
+        found[f"config_leader_{load}"] = fit(
+            "nodes, a third served by it",
+            "us of a core per second",
+            points,
+            command,
+        )
+        last = rows[200][load]
+        found[f"config_node_{load}"] = {
+            "cpu": last.node_cpu,
+            "sent": last.node_sent,
+            "received": last.node_received,
+        }
+
+
+def recovery(found: dict[str, Any]) -> None:
+    """Control: time to read its log back after a restart."""
+    found["recovery"] = state.recovery()
+
+
+def sizes(found: dict[str, Any]) -> None:
+    """Bytes of the messages that the page multiplies."""
+    here = messages.Incarnation("sidecar-of-engine-0001", time.time_ns())
+    report = messages.LoadReport(
+        here, 123456, 8, 3, 16, 0.12, 0.021, 8000.0, 400_000, "ready", 0.2
+    )
+    begin = messages.BeginCall(
+        "a" * 32, "", "agent-model", 12, "turn-12-" + "0" * 32, b"d" * 16,
+        ["x" * 500], 700, True, here, "10.0.12.34:7101", 0, 1 << 60,
+    )  # fmt: skip
+    granted = messages.Granted(
+        1 << 40, 11, b"d" * 16, 9000, 700, "a" * 32, "claim", "interactive"
+    )
+    finish = messages.FinishCall(
+        "a" * 32, "", "turn-12-" + "0" * 32, 1 << 40, here, b"y" * 1000,
+        messages.Usage(9000, 250, 8800),
+    )  # fmt: skip
+    chunk = messages.Chunk(1 << 40, 1200, "word ")
+    found["bytes"] = {
+        type(message).__name__: len(codec.encode(message))
+        for message in (report, begin, granted, finish, chunk)
+    }
+
+
+STEPS = {
+    "sizes": sizes,
+    "records": records,
+    "members": members,
+    "tokens_per_call": tokens_per_call,
+    "turns": turns,
+    "load_reports": load_reports,
+    "recovery": recovery,
+    "spread": spread,
+    "config_cost": config_cost,
+}
+
+
+def run(step: str = "", output: str = "docs/capacity.json") -> None:
+    """Measures one step or all, and writes the data file."""
+    file = ROOT / output
+    found = json.loads(file.read_text()) if step and file.exists() else {}
+    found["commit"] = path.commit()
+    for name, measure in STEPS.items():
+        if step in ("", name):
+            print(f"measuring {name}", flush=True)
+            measure(found)
+            file.write_text(json.dumps(found, indent=1, sort_keys=True) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire({"run": run})
