--- /dev/null
+++ b/testing/test_docs.py
@@ -0,0 +1,204 @@
+"""Pages and examples agree with the code that they describe."""
+
+import pathlib
+import re
+from typing import get_type_hints
+
+import msgspec
+import testtools
+from testtools import matchers
+
+from mintcleat.adapters import settings
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.load import plan
+
+ROOT = pathlib.Path(__file__).parent.parent
+REFERENCE = ROOT / "docs" / "reference"
+# Written by a command from measurements; it may be absent before that run.
+MADE_BY_COMMAND = {ROOT / "docs" / "CAPACITY.md"}
+LINK = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
+FIELD_ROW = re.compile(r"^\| `(\w+)` \| (.*?) \| (.*?) \|", re.MULTILINE)
+ERROR_ROW = re.compile(r"^\| `(\w+)` \| (\d+) \| `(\w+)` \|.*\| (.+) \|$")
+METRIC_CALL = re.compile(
+    r"metrics\.(count|observe|gauge)\(\s*\"(\w+)\"([^)]*)\)"
+)
+METRIC_ROW = re.compile(
+    r"^\| `mintcleat_(\w+)` \| (\w+) \| (.*?) \|", re.MULTILINE
+)
+METRIC_TYPES = {"count": "counter", "observe": "histogram", "gauge": "gauge"}
+SETTINGS_SECTIONS = {
+    "The process": settings.Settings,
+    "`logs`": settings.Logs,
+    "`entry`": settings.Entry,
+    "`sidecar`": settings.Sidecar,
+    "`control_role`": settings.Control,
+    "`control_role.members[]`": settings.Member,
+}
+PLAN_SECTIONS = {
+    "The plan": plan.Plan,
+    "`kinds[]`": plan.Kind,
+    "`kinds[].tools[]`": plan.Tool,
+    "`kinds[].bursts[]`": plan.Burst,
+}
+
+
+def sections(page: pathlib.Path) -> dict[str, str]:
+    """Returns the text of each section by its heading up to a colon."""
+    parts = page.read_text().split("\n## ")[1:]
+    return {
+        re.split(r":|\n", part, maxsplit=1)[0].strip(): part for part in parts
+    }
+
+
+def shown_default(field: msgspec.structs.FieldInfo) -> str | None:
+    """Returns how a page writes a default; None for a nested section."""
+    if field.required:
+        return "required"
+    if field.default_factory is not msgspec.NODEFAULT:
+        return "`[]`"
+    match field.default:
+        case None | msgspec.Struct():
+            return None
+        case "":
+            return "empty"
+        case bool():
+            return str(field.default).lower()
+        case int() | float():
+            return f"{field.default:.12g}"
+        case tuple():
+            least, most = field.default
+            return f"`[{least:g}, {most:g}]`"
+        case _:
+            return f"`{field.default}`"
+
+
+def written_metrics() -> dict[str, tuple[str, set[str]]]:
+    """Returns type and labels of each metric that the code writes."""
+    found: dict[str, tuple[str, set[str]]] = {}
+    for path in sorted((ROOT / "src").rglob("*.py")):
+        for kind, name, rest in METRIC_CALL.findall(path.read_text()):
+            labels = set(re.findall(r"(\w+)=", rest))
+            found[name] = (METRIC_TYPES[kind], labels)
+    return found
+
+
+class DocsTest(testtools.TestCase):
+    def assert_fields(
+        self, page: pathlib.Path, expected: dict[str, type]
+    ) -> None:
+        found = sections(page)
+        for heading, kind in expected.items():
+            self.assertThat(found, matchers.Contains(heading))
+            rows = {
+                name: default
+                for name, _, default in FIELD_ROW.findall(found[heading])
+            }
+            fields = {
+                field.encode_name: field
+                for field in msgspec.structs.fields(kind)
+            }
+            self.assertEqual(sorted(fields), sorted(rows), heading)
+            for name, field in fields.items():
+                default = shown_default(field)
+                if default is not None:
+                    self.assertEqual(default, rows[name], (heading, name))
+
+    def test_the_errors_page_lists_exactly_the_kinds(self) -> None:
+        page = (REFERENCE / "errors.md").read_text()
+        rows = [
+            match.groups()
+            for line in page.splitlines()
+            if (match := ERROR_ROW.match(line))
+        ]
+        expected = [
+            (kind, str(one.status), one.default_outcome, one.default_remedy)
+            for kind, one in errors.kinds().items()
+        ]
+        self.assertEqual(sorted(expected), sorted(rows))
+
+    def test_the_settings_page_names_every_field(self) -> None:
+        self.assert_fields(REFERENCE / "settings.md", SETTINGS_SECTIONS)
+
+    def test_no_settings_struct_is_left_out_of_the_page(self) -> None:
+        reached = {settings.Settings}
+        for kind in SETTINGS_SECTIONS.values():
+            hints = get_type_hints(kind).values()
+            text = " ".join(str(hint) for hint in hints)
+            reached |= {
+                one
+                for one in vars(settings).values()
+                if isinstance(one, type)
+                and issubclass(one, msgspec.Struct)
+                and f"settings.{one.__name__}" in text
+            }
+        self.assertEqual(reached, set(SETTINGS_SECTIONS.values()))
+
+    def test_the_load_page_names_every_field(self) -> None:
+        self.assert_fields(REFERENCE / "load.md", PLAN_SECTIONS)
+
+    def test_the_metrics_page_lists_exactly_what_is_written(self) -> None:
+        page = (REFERENCE / "metrics.md").read_text()
+        rows = {
+            name: (kind, set(re.findall(r"`(\w+)`", labels)))
+            for name, kind, labels in METRIC_ROW.findall(page)
+        }
+        written = written_metrics()
+        self.assertNotEqual({}, written)
+        self.assertEqual(written.keys(), rows.keys())
+        for name, (kind, labels) in written.items():
+            self.assertEqual(kind, rows[name][0], name)
+            self.assertThat(rows[name][1], matchers.ContainsAll(labels))
+
+    def test_every_shipped_settings_file_has_no_fault(self) -> None:
+        files = sorted((ROOT / "examples" / "settings").glob("*.json"))
+        self.assertThat(files, matchers.HasLength(8))
+        loaded = [settings.load(path) for path in files]
+        names = [one.instance for one in loaded]
+        self.assertEqual([path.stem for path in files], names)
+
+    def test_every_shipped_manifest_has_no_fault(self) -> None:
+        files = sorted((ROOT / "examples" / "manifests").glob("*.json"))
+        self.assertThat(files, matchers.HasLength(3))
+        for path in files:
+            manifest.parse(path.read_text())
+
+    def test_example_settings_and_manifest_name_the_same_services(self) -> None:
+        text = (ROOT / "examples/manifests/local-separate.json").read_text()
+        services = manifest.parse(text).services
+        found = {}
+        for path in (ROOT / "examples" / "settings").glob("sidecar-*.json"):
+            sidecar = settings.load(path).sidecar
+            found[sidecar.service] = sidecar.kind
+        expected = {name: one.kind for name, one in services.items()}
+        self.assertEqual(expected, found)
+
+    def test_control_instances_share_one_token_file(self) -> None:
+        files = (ROOT / "examples" / "settings").glob("control-*.json")
+        tokens = {settings.load(path).control_role.token_file for path in files}
+        self.assertEqual({"mintcleat-data/admin-token"}, tokens)
+
+    def test_every_relative_link_resolves(self) -> None:
+        pages = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+        broken = []
+        seen = 0
+        for page in pages:
+            for target in LINK.findall(page.read_text()):
+                if "://" in target:
+                    continue
+                seen += 1
+                path = (page.parent / target).resolve()
+                if not path.exists() and path not in MADE_BY_COMMAND:
+                    broken.append(f"{page.name}: {target}")
+        self.assertEqual([], broken)
+        self.assertThat(seen, matchers.GreaterThan(10))
+
+    def test_readme_has_its_two_commands_and_make_knows_them(self) -> None:
+        readme = (ROOT / "README.md").read_text()
+        makefile = (ROOT / "Makefile").read_text()
+        for target in ("local", "test"):
+            self.assertIn(f"\n    make {target}\n", readme)
+            self.assertThat(
+                makefile,
+                matchers.MatchesRegex(rf"(?s).*^{target}:", flags=re.MULTILINE),
+            )
