--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -2,6 +2,8 @@
 
 import pathlib
 import re
+import tempfile
+import textwrap
 from typing import get_type_hints
 
 import msgspec
@@ -137,6 +139,14 @@
     def test_the_load_page_names_every_field(self) -> None:
         self.assert_fields(REFERENCE / "load.md", PLAN_SECTIONS)
 
+    def test_the_example_of_the_load_page_is_a_plan(self) -> None:
+        page = (REFERENCE / "load.md").read_text()
+        example = textwrap.dedent(page.split("## An example\n")[1])
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "plan.json")
+        path.write_text(example)
+        self.assertEqual("triage", plan.load(path).kinds[0].name)
+
     def test_the_metrics_page_lists_exactly_what_is_written(self) -> None:
         page = (REFERENCE / "metrics.md").read_text()
         rows = {
