Ask for histories alone; measure pairs through client and disk

Cause: hundreds of histories in one reply would pass the size of a message, and all their callers would be refused. Change: a FetchHistory shares no batch. bench.programs has two commands.

--- a/bench/programs.py
+++ b/bench/programs.py
@@ -1,7 +1,8 @@
 """Cost of program records: processor time, memory, snapshots, as slopes.
 
-Run `python bench/programs.py`. Each size is measured in the same process, on
-the machine alone (no log, no sockets), with histories in memory or in files.
+`python -m bench.programs machine` measures the machine alone (no log, no
+sockets) with histories in files; `python -m bench.programs path` the way of a
+begin and a finish through client, streams, service and one disk.
 """
 
 import gc
@@ -11,17 +12,27 @@
 import tracemalloc
 from typing import NamedTuple
 
+import eventlet
 import fire
 
 from mintcleat.adapters import histories as file_histories
+from mintcleat.adapters import streams
+from mintcleat.adapters import timers
+from mintcleat.adapters import wal
+from mintcleat.domain import manifest
 from mintcleat.domain import messages
 from mintcleat.programs import commands
 from mintcleat.programs import machine
+from mintcleat.programs import placement
+from mintcleat.roles import control_client
+from mintcleat.roles import program_service
+from mintcleat.roles import replication
 
 SIDECAR = messages.Incarnation("engine-1", 1)
 TEXT = '{"role":"user","content":"' + "x" * 400 + '"}'
 ANSWER = ('{"role":"assistant","content":"' + "y" * 800 + '"}').encode()
 BATCH = 64
+MAX_TURNS = 340
 
 
 class Row(NamedTuple):
@@ -42,7 +53,7 @@
         "farm",
         "triage",
         "interactive",
-        messages.Budget(160_000, 340, 3600.0),
+        messages.Budget(160_000, MAX_TURNS, 3600.0),
         repeat_limit=8,
     )
 
@@ -146,6 +157,98 @@
     return held / programs
 
 
+class Control:
+    """One control instance with a disk, and a client on another hub."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        service_hub = streams.TcpStreams("127.0.0.1:0")
+        client_hub = streams.TcpStreams("127.0.0.1:0")
+        timer_service = timers.EventletTimers()
+        groups = placement.group_names(4)
+        member = replication.Member("c1", service_hub.address, "a", "r")
+        self.log = replication.GroupLog(
+            messages.Incarnation("c1", 1),
+            service_hub.address,
+            [member],
+            wal.FileWal(folder / "log"),
+            groups,
+            streams=service_hub,
+            timers=timer_service,
+        )
+        program_service.ProgramService(
+            self.log,
+            service_hub,
+            timer_service,
+            groups,
+            manifest.Policies,
+            histories=lambda group: file_histories.FileHistories(
+                folder / group
+            ),
+        )
+        self.log.start()
+        self.client = control_client.ControlClient(
+            client_hub, timer_service, [service_hub.address], len(groups)
+        )
+
+    def run_pairs(self, program: str, turns: int) -> list[float]:
+        """Creates a program, runs its turns; returns seconds a pair."""
+        self.client.ask(program, create(program), 10.0)
+        taken = []
+        for turn in range(1, turns + 1):
+            started = time.perf_counter()
+            request = begin(program, turn)._replace(nonce=0)
+            granted = self.client.ask(program, request, 10.0)
+            finish = messages.FinishCall(
+                program,
+                "farm",
+                request.key,
+                granted.attempt,
+                SIDECAR,
+                ANSWER,
+                messages.Usage(100, 80, 0),
+            )
+            self.client.ask(program, finish, 10.0)
+            taken.append(time.perf_counter() - started)
+        return taken
+
+
+def path(callers: tuple[int, ...] = (1, 64, 512), pairs: int = 2000) -> None:
+    """Prints the cost of pairs through client, streams, service and disk.
+
+    Both ends run in this process, so the processor time is that of an entry
+    and a control instance together; the log has one replica.
+
+    Args:
+        callers: Programs that wait at once.
+        pairs: Pairs of begin and finish at each number of callers.
+    """
+    print(
+        f"{'callers':>8} {'pairs/s':>8} {'cpu us/pair':>12} {'p50 ms':>7}"
+        f" {'p99 ms':>7}"
+    )
+    for number in callers:
+        with tempfile.TemporaryDirectory() as name:
+            control = Control(pathlib.Path(name))
+            turns = min(max(2, pairs // number), MAX_TURNS)
+            clock, wall = time.process_time(), time.perf_counter()
+            threads = [
+                eventlet.spawn(control.run_pairs, f"program-{n}", turns)
+                for n in range(number)
+            ]
+            taken = sorted(
+                seconds for thread in threads for seconds in thread.wait()
+            )
+            wall = time.perf_counter() - wall
+            clock = time.process_time() - clock
+            control.log.stop()
+        count = len(taken)
+        print(
+            f"{number:>8} {count / wall:>8.0f} {clock / count * 1e6:>12.0f}"
+            f" {taken[count // 2] * 1e3:>7.2f}"
+            f" {taken[count * 99 // 100] * 1e3:>7.2f}"
+        )
+
+
 def main(sizes: tuple[int, ...] = (1000, 4000, 16000), turns: int = 3) -> None:
     """Prints a row a size and the slopes between the ends.
 
@@ -180,4 +283,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire({"machine": main, "path": path})
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -78,6 +78,16 @@
             outcome=errors.NOT_RUN if is_unsent else errors.UNKNOWN,
         )
 
+    def ask_alone(self, message: Any) -> Any:
+        """Returns the reply to a request that shares no batch.
+
+        Made for histories: hundreds of them in one reply would be over the
+        size of a message, and all their callers would be refused.
+        """
+        pending = Pending(codec.encode(message), event.Event())
+        self._send([pending])
+        return pending.reply.wait()
+
     def _start(self) -> None:
         if self.in_flight < MAX_IN_FLIGHT:
             self.in_flight += 1
@@ -262,7 +272,10 @@
         if line is None:
             line = Line(self.streams, self.timers, address)
             self.lines[group, address] = line
-        reply = line.ask(message, min(left, TRY_SECONDS))
+        if isinstance(message, messages.FetchHistory):
+            reply = line.ask_alone(message)
+        else:
+            reply = line.ask(message, min(left, TRY_SECONDS))
         if isinstance(reply, errors.Failure):
             raise errors.from_failure(reply)
         self.leaders[group] = address
--- a/testing/test_control_client.py
+++ b/testing/test_control_client.py
@@ -178,10 +178,10 @@
         self,
     ) -> None:
         def script(address: str, requests: list[Any]) -> list[Any]:
-            return [messages.Done(str(one.first)) for one in requests]
+            return [messages.Done(one.group) for one in requests]
 
         def ask(number: int) -> str:
-            request = messages.FetchHistory("p", number)
+            request = messages.ListPrograms(str(number))
             return client.ask("p", request, 5.0).detail
 
         client = self.client(script)
@@ -192,6 +192,17 @@
         )
         self.assertThat(len(self.streams.asked), matchers.LessThan(10))
 
+    def test_histories_share_no_batch(self) -> None:
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            return [messages.Done() for _ in requests]
+
+        client = self.client(script)
+        request = messages.FetchHistory("p")
+        pool = eventlet.GreenPool()
+        list(pool.imap(lambda _: client.ask("p", request, 5.0), range(5)))
+        sizes = [len(requests) for _, requests in self.streams.asked]
+        self.assertEqual([1] * 5, sizes)
+
     def test_gone_programs_are_asked_for_group_by_group(self) -> None:
         names = [f"p{number}" for number in range(40)]
         silent = placement.group_of("p0", 4)
