Settle a forgotten sub-agent's calls; compare ticks as well

Cause: a sub-agent that left by retention with a call of no outcome left the call's tokens reserved on its root for good. Change: a record's calls are dropped one by one before it goes, so their tokens count as spent; the naive keeper knows expiry and retention, and the sequences move the clock. Conclusion: budgets hold across retention.

--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from mintcleat.domain import messages
-from mintcleat.programs import answers
 from mintcleat.programs import commands
 from mintcleat.programs import outcomes
 from mintcleat.programs import records
@@ -79,15 +78,19 @@
 
 
 def _forget(group: "machine.ProgramMachine", name: str) -> None:
-    program = group.programs.pop(name)
-    group.histories.forget(name)
-    for call in program.calls.values():
-        del group.calls[call.number]
-        if call.is_stored:
-            group.histories.forget(answers.name_of(call))
-    group.forgotten += 1
+    """Drops a program and all below it; its calls first.
+
+    A call without an outcome holds tokens of every ancestor. They count as
+    spent; dropped with the record alone they would stay reserved there.
+    """
+    program = group.programs[name]
     for child in program.children:
         _forget(group, child)
+    for call in list(program.calls.values()):
+        outcomes.drop(group, call)
+    group.histories.forget(name)
+    group.forgotten += 1
+    del group.programs[name]
 
 
 def _drop_calls(group: "machine.ProgramMachine", retention: float) -> None:
--- a/testing/naive_programs.py
+++ b/testing/naive_programs.py
@@ -20,8 +20,12 @@
     state: str = "running"
     answer: bytes = b""
     usage: messages.Usage = NO_USAGE
+    touched: float = 0.0
+    has_key: bool = True
 
     def is_named(self, request: Any) -> bool:
+        if not self.has_key:
+            return False
         mine, other = self.request, request
         if (mine.program, mine.key) != (other.program, other.key):
             return False
@@ -29,11 +33,19 @@
 
 
 class NaiveKeeper:
-    """Answers with a word and, where one is asked for, an attempt."""
+    """Answers with a word and, where one is asked for, an attempt.
+
+    Attributes:
+        clock: Set by the test before each request.
+        active: When something last happened, by root.
+        ended: When a program was closed or expired.
+    """
 
     def __init__(self) -> None:
         self.programs: dict[str, messages.CreateProgram] = {}
-        self.closed: set[str] = set()
+        self.clock = 0.0
+        self.active: dict[str, float] = {}
+        self.ended: dict[str, float] = {}
         self.calls: list[NaiveCall] = []
         self.last_attempt = 0
 
@@ -57,21 +69,61 @@
             return ("view",) if known == request else ("program_exists",)
         if request.parent and request.parent not in self.programs:
             return ("unknown_program",)
-        if request.parent in self.closed:
+        if request.parent in self.ended:
             return ("program_closed",)
         self.programs[request.program] = request
+        self.note(request.program)
         return ("view",)
 
     def close(self, request: messages.CloseProgram) -> tuple[Any, ...]:
         if request.program not in self.programs:
             return ("unknown_program",)
-        self.closed |= {
-            name
-            for name in self.programs
-            if (name + ".").startswith(request.program + ".")
-        }
+        self.end(request.program)
         return ("view",)
 
+    def end(self, program: str) -> None:
+        for name in self.programs:
+            if (name + ".").startswith(program + "."):
+                self.ended.setdefault(name, self.clock)
+
+    def touch(self, call: NaiveCall) -> None:
+        call.touched = self.clock
+        self.note(call.request.program)
+
+    def note(self, program: str) -> None:
+        self.active[program.split(".", maxsplit=1)[0]] = self.clock
+
+    def tick(self, idle: float, retention: float) -> tuple[Any, ...]:
+        for name in self.programs:
+            root = name.split(".")[0]
+            if self.clock - self.active[root] >= idle:
+                self.end(root)
+        for name, ended in list(self.ended.items()):
+            if self.clock - ended >= retention:
+                self.forget(name)
+        for call in self.calls:
+            is_turn = call.request.turn and call.state == "finished"
+            if is_turn or not call.has_key or call.state == "released":
+                continue
+            if self.clock - call.touched >= retention:
+                self.drop(call)
+        return ("done",)
+
+    def drop(self, call: NaiveCall) -> None:
+        call.has_key = False
+        if call.state in ("running", "unknown"):
+            call.state = "failed"
+
+    def forget(self, name: str) -> None:
+        """Drops a program; its cost stays with its ancestors."""
+        del self.ended[name]
+        del self.programs[name]
+        parent = name.rpartition(".")[0]
+        heir = f"{parent}.~" if parent else "~"
+        for call in self.below(name):
+            self.drop(call)
+            call.request = call.request._replace(program=heir)
+
     def begin(self, request: messages.BeginCall) -> tuple[Any, ...]:
         if request.program and request.program not in self.programs:
             return ("unknown_program",)
@@ -121,6 +173,7 @@
         self.last_attempt += 1
         call.attempt = self.last_attempt
         call.state = "running"
+        self.touch(call)
         call.request = call.request._replace(
             sidecar=request.sidecar, nonce=request.nonce
         )
@@ -132,7 +185,7 @@
         history = self.history(name)
         if request.turn and request.turn <= len(history):
             return "wrong_turn"
-        if name in self.closed:
+        if name in self.ended:
             return "program_closed"
         released = [c for c in own if c.state == "released"]
         if request.nonce and any(
@@ -172,6 +225,7 @@
                     call.state = "finished"
                     call.answer = request.answer
                     call.usage = request.usage
+                    self.touch(call)
                     return ("done",)
         return ("superseded",)
 
@@ -186,7 +240,9 @@
                 and call.state in ("running", "unknown")
             ):
                 call.state = words[request.outcome]
-                if call.state == "released":
+                if call.state != "released":
+                    self.touch(call)
+                else:
                     self.calls.remove(call)
                     self.calls.append(call)
         return ("done",)
--- a/testing/test_programs_differential.py
+++ b/testing/test_programs_differential.py
@@ -13,6 +13,8 @@
 
 PROGRAMS = ("p", "p.c", "p.c.d", "q")
 FAILURE = errors.UpstreamFailed("It failed.").failure()
+IDLE = 100.0
+RETENTION = 250.0
 WORDS = {
     messages.ProgramView: "view",
     messages.Granted: "granted",
@@ -89,7 +91,8 @@
 )
 CLOSES = st.builds(messages.CloseProgram, st.sampled_from(PROGRAMS))
 KINDS = [BEGINS] * 9 + [FINISHES] * 5 + [RESENDS] * 4 + [SETTLES] * 4
-KINDS += [CREATES, CLOSES, st.just("restore")]
+TICKS = st.tuples(st.just("tick"), st.sampled_from([0.0, 30.0, 60.0, 200.0]))
+KINDS += [TICKS, CREATES, CLOSES, st.just("restore")]
 STEPS = st.lists(
     st.sampled_from(KINDS).flatmap(lambda kind: kind), min_size=20, max_size=60
 )
@@ -116,6 +119,7 @@
         self.restored = machine.ProgramMachine()
         self.grants: list[tuple[messages.BeginCall, messages.Granted]] = []
         self.met: set[str] = set()
+        self.clock = 0.0
         for program in ("p", "p.c"):
             self.apply(
                 messages.CreateProgram(
@@ -130,6 +134,9 @@
 
     def step(self, step: Any) -> None:
         match step:
+            case ("tick", seconds):
+                self.clock += seconds
+                self.apply(commands.Tick(IDLE, RETENTION))
             case "restore":
                 state = self.restored.snapshot()
                 self.restored = machine.ProgramMachine()
@@ -160,8 +167,12 @@
         return begin._replace(sealed=sealed, sidecar=rest[1], nonce=0)
 
     def apply(self, request: Any) -> None:
-        expected = self.naive.apply(request)
-        command = commands.encode(commands.Command(1.0, 0.0, [request]))
+        self.naive.clock = self.clock
+        if isinstance(request, commands.Tick):
+            expected = self.naive.tick(*request)
+        else:
+            expected = self.naive.apply(request)
+        command = commands.encode(commands.Command(self.clock, 0.0, [request]))
         (reply,) = self.plain.apply(1, command)
         (other,) = self.restored.apply(1, command)
         self.met.add(expected[0])
@@ -171,6 +182,7 @@
             self.grants.append((request, reply))
 
     def check_state(self) -> None:
+        assert self.plain.programs.keys() == self.naive.programs.keys()
         assert self.plain.snapshot() == self.restored.snapshot()
         for name in self.naive.programs:
             view = self.plain.read(messages.ShowProgram(name))
--- a/testing/test_programs_machine.py
+++ b/testing/test_programs_machine.py
@@ -329,6 +329,23 @@
         self.apply(TICK._replace(program_idle=9999.0))
         self.assertEqual([], self.show().children)
 
+    def test_forgotten_sub_agent_leaves_no_reservation_on_its_root(
+        self,
+    ) -> None:
+        """A sub-agent is closed while one of its calls has no outcome.
+
+        Its record leaves while the root is open. The tokens that the call
+        held are counted as spent; were they only forgotten with the record,
+        they would stay reserved on the root for as long as it lives.
+        """
+        self.create()
+        self.create("p.c", parent="p")
+        self.apply(begin(0, "t", program="p.c"))
+        self.apply(messages.CloseProgram("p.c"))
+        self.clock = 1000.0
+        self.apply(TICK._replace(program_idle=9999.0))
+        self.assertEqual((10, 0), (self.show().used, self.show().reserved))
+
     def test_finished_turns_and_freed_calls_hold_no_memory(self) -> None:
         self.create()
         for turn in range(1, 4):
