--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -77,11 +77,13 @@
 
     Attributes:
         next_turn: The turn that the next chat call must carry.
-        used: Tokens settled, sub-agents included.
+        used: Tokens settled, sub-agents included. Only tokens that were new
+            to the program count, not the history that each turn repeats.
         reserved: Tokens held for calls under way or of unknown outcome.
         state: `open`, `closed` or `expired`.
         resident: Sidecar that last ran a turn; epoch 0 for none.
         resident_address: Stream address of `resident`.
+        context: Tokens of the conversation, as the engine last counted it.
     """
 
     program: str
@@ -99,6 +101,7 @@
     resident_address: str
     created: float
     children: list[str]
+    context: int = 0
 
 
 class ShowProgram(NamedTuple):
@@ -176,6 +179,20 @@
     nonce: int = 0
 
 
+class FindCall(NamedTuple):
+    """Asks by a linearizable read what became of a key; grants nothing.
+
+    Answered by Recorded, Underway, the call's recorded failure, or Done with
+    `absent` when the key was never granted an attempt.
+    """
+
+    program: str
+    partner: str
+    turn: int
+    key: str
+    digest: bytes
+
+
 class Granted(NamedTuple):
     """An attempt may run at `sidecar`; committed.
 
@@ -932,6 +949,7 @@
             Rollouts,
             SetControl,
             ReplicationFrame,
+            FindCall,
             ControlAction,
             ShowGroups,
             Groups,
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -27,10 +27,18 @@
 # upstreams uses this, where the same figure stands on both sides.
 EXPECTED_TOKENS = 128
 _CHARACTERS_PER_TOKEN = 4
+_TEMPLATE_TOKENS = 16
 
 
 class Context(NamedTuple):
-    """What is fixed for all attempts of one call."""
+    """What is fixed for all attempts of one call.
+
+    Attributes:
+        context_tokens: Tokens of the conversation so far.
+        tokens_left: Tokens left in the budget when last seen; -1 without one.
+        refusal: Why this entry takes no new work; only what an earlier send
+            of the same call left is told then.
+    """
 
     call: requests.ChatCall
     name: attempts_module.CallName
@@ -41,6 +49,8 @@
     deadline_at: float
     resident: messages.Incarnation | None
     context_tokens: int
+    tokens_left: int = -1
+    refusal: errors.MintcleatError | None = None
 
 
 class Progress:
@@ -50,6 +60,7 @@
         delivery: What the caller has of the answer.
         tried: Sidecars that refused or were lost.
         sealed: Attempt that never runs again; the next one replaces it.
+        may_have_run: An earlier attempt of this call reached its engine.
     """
 
     def __init__(self, streamed: bool) -> None:
@@ -58,6 +69,7 @@
         self.sealed = 0
         self.attempts = 0
         self.sidecar: messages.Incarnation | None = None
+        self.may_have_run = False
 
 
 class Chat:
@@ -104,7 +116,12 @@
     ) -> Iterator[requests.Text | requests.End]:
         """Places and runs one attempt; returns what to do next."""
         progress.attempts += 1
-        placed = self._place(context, progress)
+        try:
+            placed = self._place(context, progress)
+        except errors.MintcleatError as error:
+            if progress.sealed or progress.may_have_run:
+                raise
+            return (yield from self._known(context, progress, error))
         progress.sidecar = placed.sidecar
         self.metrics.count("placements_total", reason=placed.reason)
         if not context.name.key:
@@ -112,22 +129,44 @@
             return (yield from self._run(context, progress, placed, run))
         reply = self._begin(context, progress, placed)
         match reply:
-            case messages.Recorded():
-                progress.delivery.restart()
-                yield from replay(progress.delivery, reply.answer.decode())
-                yield recorded_end(reply)
-                return attempts_module.Whole()
-            case messages.Underway():
-                return attempts_module.Follow(
-                    reply.attempt, reply.sidecar, reply.address
-                )
+            case messages.Recorded() | messages.Underway():
+                return (yield from self._earlier(progress, reply))
             case _:
                 run = self._run_message(context, placed, reply)
                 return (yield from self._run(context, progress, placed, run))
 
+    def _known(
+        self,
+        context: Context,
+        progress: Progress,
+        refusal: errors.MintcleatError,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Tells what an earlier send of the call left, or refuses."""
+        reply = self.attempts.known(
+            context.name, context.call.turn, context.digest, refusal
+        )
+        return (yield from self._earlier(progress, reply))
+
+    def _earlier(
+        self,
+        progress: Progress,
+        reply: messages.Recorded | messages.Underway,
+    ) -> Iterator[requests.Text | requests.End]:
+        """Replays a recorded answer, or follows the attempt under way."""
+        if isinstance(reply, messages.Underway):
+            return attempts_module.Follow(
+                reply.attempt, reply.sidecar, reply.address
+            )
+        progress.delivery.restart()
+        yield from replay(progress.delivery, reply.answer.decode())
+        yield recorded_end(reply)
+        return attempts_module.Whole()
+
     def _place(
         self, context: Context, progress: Progress
     ) -> placement_module.Placed:
+        if context.refusal is not None:
+            raise context.refusal
         try:
             return self.placement.choose(
                 context.service,
@@ -138,9 +177,11 @@
         except errors.NoUpstream as error:
             # The last attempt is sealed and none follows: free its key and
             # its reservation, so that the caller's resend is a fresh start.
+            if progress.may_have_run:
+                error = attempts_module.unsure(context.name, error)
             if progress.sealed:
                 self.attempts.settle(context.name, progress.sealed, error)
-            raise
+            raise error from None
 
     def _begin(
         self,
@@ -157,7 +198,7 @@
             key=context.name.key,
             digest=context.digest,
             messages=call.messages,
-            reserve=reservation(call),
+            reserve=prompt_bound(call) + completion_limit(context),
             idempotent=True,
             sidecar=placed.sidecar,
             address=placed.address,
@@ -183,7 +224,7 @@
             base_digest=granted.base_digest if granted else b"",
             history=[],
             messages=call.messages,
-            parameters=bounded_parameters(call),
+            parameters=bounded_parameters(context),
             deadline=max(context.deadline_at - self.timers.now(), _MIN_WAIT),
             klass=granted.klass if granted else context.klass,
             agent=granted.agent if granted else context.agent,
@@ -222,6 +263,17 @@
         finally:
             exchange.close()
 
+    def _broken(
+        self, context: Context, attempt: int, failure: errors.Failure
+    ) -> attempts_module.Again:
+        """Only an attempt that did not run may pass as sealed."""
+        cause = errors.from_failure(failure)
+        if failure.outcome == errors.NOT_RUN or not context.name.key:
+            return attempts_module.Again(attempt, cause)
+        unknown = errors.OutcomeUnknown(cause.detail)
+        self.attempts.settle(context.name, attempt, unknown)
+        return attempts_module.Again(0, cause)
+
     def _failed(self, context: Context, progress: Progress) -> None:
         """Notes that the sidecar of the last attempt failed the call."""
         if progress.sidecar is None:
@@ -269,9 +321,8 @@
                     cause = errors.from_failure(failure)
                     return attempts_module.Again(attempt, cause)
                 case messages.Broken(attempt, failure):
-                    cause = errors.from_failure(failure)
                     self._failed(context, progress)
-                    return attempts_module.Again(attempt, cause)
+                    return self._broken(context, attempt, failure)
                 case _:
                     raise errors.StreamClosed(
                         f"An unexpected {type(message).__name__}."
@@ -377,6 +428,7 @@
     ) -> None:
         """Raises the final refusal when no further attempt is allowed."""
         self.metrics.count("retries_total", cause=cause.kind)
+        progress.may_have_run |= cause.outcome != errors.NOT_RUN
         over = (
             isinstance(cause, errors.Quarantined)
             or self.timers.now() >= context.deadline_at
@@ -384,6 +436,8 @@
         )
         if not over:
             return
+        if progress.may_have_run:
+            cause = attempts_module.unsure(context.name, cause)
         if progress.sealed and context.name.key:
             self.attempts.settle(context.name, progress.sealed, cause)
         raise cause
@@ -426,21 +480,43 @@
     return characters // _CHARACTERS_PER_TOKEN + 1
 
 
-def reservation(call: requests.ChatCall) -> int:
-    """Returns the tokens to hold for a call, prompt and completion."""
-    return prompt_tokens(call) + (call.max_tokens or DEFAULT_COMPLETION_TOKENS)
+def prompt_bound(call: requests.ChatCall) -> int:
+    """Returns a number of tokens that the new messages can't exceed.
+
+    No tokenizer makes more tokens than there are bytes; the prompt template
+    adds a few for each message, the answer before it included. An estimate
+    would let the last turn of a program overdraw its budget.
+    """
+    size = sum(len(message.encode()) for message in call.messages)
+    return size + _TEMPLATE_TOKENS * (len(call.messages) + 1)
+
+
+def completion_limit(context: Context) -> int:
+    """Returns how many tokens the answer may have.
+
+    Without the caller's own limit it is the default, or what the budget
+    still allows when that is less.
+    """
+    call = context.call
+    if call.max_tokens:
+        return call.max_tokens
+    if context.tokens_left < 0:
+        return DEFAULT_COMPLETION_TOKENS
+    left = context.tokens_left - prompt_bound(call)
+    return max(1, min(DEFAULT_COMPLETION_TOKENS, left))
 
 
-def bounded_parameters(call: requests.ChatCall) -> str:
+def bounded_parameters(context: Context) -> str:
     """Returns the body's parameters with a completion limit.
 
     Without a limit an engine could generate past what was reserved, and the
     program's budget would not hold.
     """
+    call = context.call
     if call.max_tokens or not call.program:
         return call.parameters
     parameters = json.loads(call.parameters)
-    parameters["max_tokens"] = DEFAULT_COMPLETION_TOKENS
+    parameters["max_tokens"] = completion_limit(context)
     return json.dumps(parameters)
 
 
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -125,7 +125,7 @@
         self.subscriptions = [
             self.timers.every(self.options.probe_seconds, self.presence.probe),
             self.timers.every(_FORGET_SECONDS, self.attempts.forget_old),
-            self.timers.every(_EXPIRE_SECONDS, self.admission.expire),
+            self.timers.every(_EXPIRE_SECONDS, self.executor.expire),
         ]
         self.directory.subscribe(self._take_configuration)
         if self.is_model:
@@ -159,14 +159,15 @@
         if have < asked.base_turn:
             exchange.send(messages.NeedHistory(have))
             return
-        self._start(exchange, asked)
+        before = self.histories.prompt(asked.program, asked.base_turn)
+        self._start(exchange, asked, [*before, *asked.messages])
 
     def run_tool(
         self, exchange: streams_port.Exchange, asked: messages.RunTool
     ) -> None:
         """Serves RunTool; see `domain.messages`."""
         if not self._answer_known(exchange, asked):
-            self._start(exchange, asked)
+            self._start(exchange, asked, [])
 
     def attach(
         self, exchange: streams_port.Exchange, asked: messages.Attach
@@ -312,31 +313,12 @@
             if self.attempts.state(scope, asked.attempt):
                 exchange.send(self._ended(scope, asked.attempt))
                 return True
-        refusal = self._refusal(asked)
+        refusal = self.presence.refusal(asked)
         if refusal is None:
             return False
         self._refuse(exchange, asked, refusal)
         return True
 
-    def _refusal(self, asked: Any) -> errors.MintcleatError | None:
-        if asked.service != self.options.service:
-            return errors.UnknownService(
-                f"This sidecar serves {self.options.service}."
-            )
-        if self.presence.is_draining():
-            return errors.Draining("This sidecar takes no new work.")
-        if self.directory.duplicate:
-            return errors.Draining("A newer process has this sidecar's name.")
-        state = self.presence.state()
-        if state != "ready":
-            return errors.NoUpstream(f"The upstream here is {state}.")
-        if self.directory.quarantined(asked.digest):
-            return errors.Quarantined("Upstreams crashed on this request.")
-        stale = self.directory.manifest().policies.stale_lease == "serve"
-        if not self.directory.in_lease() and not (stale and asked.idempotent):
-            return errors.LeaseExpired("The configuration here is too old.")
-        return None
-
     def _refuse(
         self,
         exchange: streams_port.Exchange,
@@ -354,13 +336,16 @@
             messages.Refused(asked.attempt, error.failure(), self.load())
         )
 
-    def _start(self, exchange: streams_port.Exchange, asked: Any) -> None:
+    def _start(
+        self, exchange: streams_port.Exchange, asked: Any, prompt: list[str]
+    ) -> None:
         seconds = asked.deadline or self.directory.manifest().policies.deadline
         attempt = sidecar_attempts.Attempt(
             asked,
             f"{self.node.epoch:x}-{next(self.numbers)}",
             self.timers.now() + seconds,
         )
+        attempt.prompt = prompt
         self.executor.start(attempt)
         self.follower.follow(exchange, attempt)
 
