--- a/testing/fakes/path_rig.py
+++ b/testing/fakes/path_rig.py
@@ -29,9 +29,8 @@
 TIMERS = timers.EventletTimers()
 GROUPS = groups.group_names(2)
 ANY = "127.0.0.1:0"
-# Sidecars that die together. With two, a service can be without any, and the
-# fault in KNOWN-RED.txt shows; set it to 2 when that is mended.
-MAX_DEATHS = 1
+# Sidecars that die together; with two, a service can be without any.
+MAX_DEATHS = 2
 SERVICES = {
     "chat": manifest.Service(kind="model", model="model-1"),
     "desk": manifest.Service(kind="plain"),
--- a/testing/test_concurrent_path.py
+++ b/testing/test_concurrent_path.py
@@ -90,7 +90,6 @@
     return prompt[:-1] == [text for turn in turns for text in turn.messages]
 
 
-@pytest.mark.known_red
 def test_turn_lost_with_all_its_sidecars_is_not_called_not_run() -> None:
     """Both sidecars of a service die while an engine runs a turn.
 
