--- a/testing/test_concurrent_runs.py
+++ b/testing/test_concurrent_runs.py
@@ -22,6 +22,7 @@
 from mintcleat.roles import control_client
 from mintcleat.roles import program_service
 from mintcleat.roles import replication
+from mintcleat.roles import replication_snapshots
 
 TIMERS = timers.EventletTimers()
 GROUPS = placement.group_names(2)
@@ -195,9 +196,9 @@
             core=types.Settings(
                 heartbeat=0.03, election=0.15, resend=0.1, hello=0.1
             ),
-            snapshot_entries=60,
-            snapshot_bytes=20_000,
-            kept_entries=10,
+            snapshots=replication_snapshots.Limits(
+                entries=60, bytes=20_000, kept=10
+            ),
         )
         self.log = replication.GroupLog(
             messages.Incarnation(self.name, self.epoch),
