Hold others back for a large context that waited half a minute

Cause: a returning call that needs most of the memory or of the prefill bound was passed over by small ones without bound. Change: after 30 s it holds back what may start after it. Tests of this, of gating calls, batch slots, changed options, expiry and the working set.

--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -294,8 +294,22 @@
                 for entry in line.flows[flow].heads():
                     if self._ready(entry, now):
                         return entry
+                    if self._holds_back(entry, now):
+                        return None
         return None
 
+    def _holds_back(self, entry: lines.Entry, now: float) -> bool:
+        """Tells whether nothing else may start until this call does.
+
+        A large context is passed over while smaller ones fit. They would go
+        on coming, and it would wait without bound.
+        """
+        if entry.need == lines.NEWCOMER:
+            return False
+        if now - entry.arrived < slots.HOLD_BACK_SECONDS:
+            return False
+        return self.slots.allows(entry, self.limit.current())
+
     def _enqueue(self, entry: lines.Entry) -> None:
         self.waiting[entry.call.call_id] = entry
         self.latest.add((entry.latest, entry.call.call_id))
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -26,6 +26,8 @@
 RESIDENT_FACTOR = 3.0
 # A returning call that waited so long may evict caches expected back soon.
 PATIENCE = 20.0
+# One that waited so long holds all others back until it fits.
+HOLD_BACK_SECONDS = 30.0
 
 
 class Options(NamedTuple):
--- a/testing/test_queue.py
+++ b/testing/test_queue.py
@@ -78,6 +78,64 @@
         assert first is not None
         self.assertEqual("c2", first.call_id)
 
+    def test_a_large_context_is_not_passed_over_for_ever(self) -> None:
+        """Small calls keep coming, one of them always runs.
+
+        A call that needs nearly all of the memory fits only when they stop;
+        after half a minute they are held back until it has started.
+        """
+        gate = queue.Gate(OPTIONS._replace(memory=10_000), 8)
+        gate.offer(make_call(0, attained=1, prompt_tokens=2000), 0.0)
+        large = make_call(1, attained=1, prompt_tokens=9000, new_tokens=9000)
+        gate.offer(large, 0.0)
+        started = 0.0
+        for number in range(2, 200):
+            now = number * 0.5
+            small = make_call(number, attained=1, prompt_tokens=2000)
+            gate.offer(small, now)
+            while (ready := gate.next(now)) is not None:
+                started = now if ready.call_id == "c1" else started
+            if len(gate.slots.running) > 1 or gate.waiting:
+                oldest = next(iter(gate.slots.running))
+                gate.finished(oldest, now, outcome())
+        self.assertThat(started, matchers.GreaterThan(29.0))
+        self.assertThat(started, matchers.LessThan(35.0))
+
+    def test_calls_that_gate_their_program_go_first(self) -> None:
+        gate = queue.Gate(OPTIONS, 1)
+        gate.offer(make_call(1), 0.0)
+        gate.offer(make_call(2, gating=False), 0.0)
+        gate.offer(make_call(3), 1.0)
+        gate.finished("c1", 2.0, outcome())
+        first = gate.next(2.0)
+        assert first is not None
+        self.assertEqual("c3", first.call_id)
+
+    def test_batch_calls_leave_slots_to_interactive_ones(self) -> None:
+        gate = queue.Gate(OPTIONS, 8)
+        fill(gate, 50, "batch", klass=calls.BATCH)
+        while gate.next(0.0) is not None:
+            pass
+        self.assertEqual(6, len(gate.slots.running))
+        answer = gate.offer(make_call(1, "desk"), 0.0)
+        gate_starts = isinstance(answer, queue.Admit) or gate.next(0.0)
+        self.assertTrue(gate_starts)
+
+    def test_options_take_effect_on_what_waits(self) -> None:
+        gate = queue.Gate(OPTIONS._replace(max_running={"a": 1}), 4)
+        fill(gate, 2, "a")
+        self.assertIs(None, gate.next(0.0))
+        gate.configure(OPTIONS)
+        self.assertIsNot(None, gate.next(0.0))
+
+    def test_late_calls_are_taken_out_before_they_cost_anything(self) -> None:
+        gate = queue.Gate(OPTIONS, 1)
+        gate.offer(make_call(1), 0.0)
+        gate.offer(make_call(2, deadline_at=20.0), 0.0)
+        self.assertEqual([], gate.expire(10.0))
+        self.assertEqual(["c2"], [call.call_id for call in gate.expire(19.0)])
+        self.assertIs(None, gate.next(19.0))
+
     def test_suspects_never_run_together(self) -> None:
         gate = queue.Gate(OPTIONS, 4)
         gate.offer(make_call(1, suspect=True), 0.0)
--- /dev/null
+++ b/testing/test_workingset.py
@@ -0,0 +1,75 @@
+"""How many programs may be under way at one upstream."""
+
+import testtools
+
+from mintcleat.decisions import calls
+from mintcleat.decisions import queue
+from mintcleat.decisions import workingset
+
+OPTIONS = queue.Options(memory=10_000, adaptive=False)
+
+
+def first_call(number: int, partner: str = "farms") -> calls.Call:
+    name = f"p{number}"
+    return calls.Call(
+        f"c{number}",
+        name,
+        name,
+        partner,
+        "agent",
+        prompt_tokens=2900,
+        new_tokens=100,
+        expected_tokens=100,
+    )
+
+
+def end(gate: queue.Gate, number: int, now: float) -> None:
+    gate.finished(f"c{number}", now, calls.Outcome(1.0, 0.1, 100, 100))
+
+
+class WorkingSetTest(testtools.TestCase):
+    def test_newcomers_wait_until_a_program_ends(self) -> None:
+        """Three programs fill the memory, though none of them runs now.
+
+        A fourth one would evict a cache that is needed again within seconds;
+        it starts when one of the three ends.
+        """
+        gate = queue.Gate(OPTIONS, 8)
+        for number in range(3):
+            gate.offer(first_call(number), 0.0)
+            end(gate, number, 1.0)
+        self.assertIsInstance(gate.offer(first_call(3), 1.0), queue.Queued)
+        self.assertIs(None, gate.next(1.0))
+        gate.left("p0")
+        self.assertIsNot(None, gate.next(1.0))
+
+    def test_a_hung_program_loses_its_place(self) -> None:
+        gate = queue.Gate(OPTIONS, 8)
+        for number in range(3):
+            gate.offer(first_call(number), 0.0)
+            end(gate, number, 1.0)
+        gate.offer(first_call(3), 1.0)
+        gate.expire(1.0 + workingset.ABSENT_SECONDS)
+        self.assertIsNot(None, gate.next(1.0 + workingset.ABSENT_SECONDS))
+
+    def test_a_partner_over_its_share_leaves_room(self) -> None:
+        gate = queue.Gate(OPTIONS, 8)
+        gate.offer(first_call(0, "burst"), 0.0)
+        gate.offer(first_call(1, "calm"), 0.0)
+        gate.offer(first_call(2, "burst"), 0.0)
+        self.assertEqual({"c0", "c1"}, set(gate.slots.running))
+        gate.offer(first_call(3, "other"), 0.0)
+        ready = gate.next(0.0)
+        assert ready is not None
+        self.assertEqual("c3", ready.call_id)
+
+    def test_agents_that_mostly_pause_take_less(self) -> None:
+        members = workingset.WorkingSet()
+        now = 0.0
+        for _ in range(200):
+            members.enter("p", "agent", "farms", 1000.0)
+            members.paused("p", now)
+            now += 95.0
+            members.back("p", 5.0, now)
+        members.enter("p", "agent", "farms", 1000.0)
+        self.assertTrue(100.0 < members.tokens < 200.0)
