--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -57,6 +57,10 @@
     """Creates a program; the same attributes again give the same program.
 
     A child's id is `<parent id>.<name>`, so it lies in its root's group.
+
+    Attributes:
+        repeat_limit: Calls with one digest that the program may make within
+            its recent calls before it counts as a loop; 0 for no limit.
     """
 
     program: str
@@ -65,6 +69,7 @@
     klass: str
     budget: Budget
     parent: str = ""
+    repeat_limit: int = 0
 
 
 class ProgramView(NamedTuple):
@@ -72,11 +77,13 @@
 
     Attributes:
         next_turn: The turn that the next chat call must carry.
-        used: Tokens settled, sub-agents included.
+        used: Tokens settled, sub-agents included. Only tokens that were new
+            to the program count, not the history that each turn repeats.
         reserved: Tokens held for calls under way or of unknown outcome.
         state: `open`, `closed` or `expired`.
         resident: Sidecar that last ran a turn; epoch 0 for none.
         resident_address: Stream address of `resident`.
+        context: Tokens of the conversation, as the engine last counted it.
     """
 
     program: str
@@ -94,6 +101,7 @@
     resident_address: str
     created: float
     children: list[str]
+    context: int = 0
 
 
 class ShowProgram(NamedTuple):
@@ -152,6 +160,8 @@
         sidecar: The sidecar that the entry has chosen.
         sealed: Number of an attempt that its sidecar has sealed; 0 for none.
             Only then may a non-idempotent call get a new attempt.
+        nonce: Number of this one sending, the same in its resends, so that a
+            resend after a lost answer gets its grant again; 0 for none.
     """
 
     program: str
@@ -166,6 +176,21 @@
     sidecar: Incarnation
     address: str
     sealed: int = 0
+    nonce: int = 0
+
+
+class FindCall(NamedTuple):
+    """Asks by a linearizable read what became of a key; grants nothing.
+
+    Answered by Recorded, Underway, the call's recorded failure, or Done with
+    `absent` when the key was never granted an attempt.
+    """
+
+    program: str
+    partner: str
+    turn: int
+    key: str
+    digest: bytes
 
 
 class Granted(NamedTuple):
@@ -440,8 +465,8 @@
         queued: Calls that wait at the sidecar.
         limit: Calls that the upstream takes at once, as learned.
         wait: Predicted wait of a new call, in seconds.
-        token_time: Learned seconds per generated token.
-        prefill_rate: Learned prompt tokens a second.
+        token_time: Learned seconds per generated token; 0 until measured.
+        prefill_rate: Learned prompt tokens a second; 0 until measured.
         free_memory: Tokens of cache that are free.
         state: `ready`, `loading`, `draining` or `down`.
         new_wait: Predicted wait of a program's first call, in seconds.
@@ -614,6 +639,243 @@
     """Liveness probe; answered by Done."""
 
 
+class NodeStatus(NamedTuple):
+    """One node as the control instance that serves it knows it.
+
+    Attributes:
+        applied_at: Wall clock at which it reported `revision`.
+        lease: Seconds that its configuration lease still runs.
+        connected: Whether its stream is open.
+        control: Control instance that reports it.
+    """
+
+    node: Incarnation
+    role: str
+    failure_domain: str
+    address: str
+    revision: int
+    applied_at: float
+    lease: float
+    connected: bool
+    control: str
+
+
+class ShowNodes(NamedTuple):
+    """Asks a control instance for the nodes that it serves itself."""
+
+
+class ShowInstances(NamedTuple):
+    """Asks the config leader for every node."""
+
+
+class Instances(NamedTuple):
+    """Answer to ShowNodes and ShowInstances.
+
+    Attributes:
+        missing: Control instances that gave no answer.
+    """
+
+    revision: int
+    nodes: list[NodeStatus]
+    missing: list[str] = []
+
+
+class Restrictions(NamedTuple):
+    """What operators and crashes forbid, whole each time.
+
+    Attributes:
+        drains: `instance/NAME` and `failure_domain/NAME`.
+        quarantined: Request digests that run nowhere.
+        suspects: Request digests that run beside no other suspect.
+        control: Stream addresses of the control instances.
+    """
+
+    version: int
+    drains: list[str]
+    quarantined: list[bytes]
+    suspects: list[bytes]
+    control: list[str] = []
+
+
+class ShowUpstreams(NamedTuple):
+    """Asks the config leader for the announced upstreams."""
+
+
+class UpstreamView(NamedTuple):
+    """An announced upstream.
+
+    Attributes:
+        drained: Whether an operator drains it or its failure domain.
+        duplicates: Other live incarnations with its name.
+        starts: Incarnations seen within the last minute.
+    """
+
+    announcement: Announcement
+    drained: bool
+    duplicates: list[Incarnation]
+    starts: int
+
+
+class Upstreams(NamedTuple):
+    """Answer to ShowUpstreams."""
+
+    upstreams: list[UpstreamView]
+
+
+class DrainScope(NamedTuple):
+    """Drains an instance or a failure domain, or ends the draining.
+
+    Attributes:
+        scope: `instance` or `failure_domain`.
+    """
+
+    scope: str
+    name: str
+    drain: bool
+    operator: str
+    origin: str
+
+
+class ShowAudit(NamedTuple):
+    """Asks for audit entries with numbers above `after`, oldest first."""
+
+    after: int = 0
+    limit: int = 1000
+
+
+class AuditEntry(NamedTuple):
+    """One audited act; `at` is in seconds since 1970."""
+
+    at: float
+    operator: str
+    origin: str
+    action: str
+    subject: str
+    outcome: str
+    number: int
+
+
+class AuditTrail(NamedTuple):
+    """Answer to ShowAudit."""
+
+    entries: list[AuditEntry]
+
+
+class ShowQuarantine(NamedTuple):
+    """Asks for the suspect and quarantined requests."""
+
+
+class QuarantineEntry(NamedTuple):
+    """A request; `until` is the wall clock at which the entry expires."""
+
+    digest: bytes
+    upstreams: list[str]
+    until: float
+    quarantined: bool
+
+
+class QuarantineList(NamedTuple):
+    """Answer to ShowQuarantine."""
+
+    entries: list[QuarantineEntry]
+
+
+class ReleaseQuarantine(NamedTuple):
+    """Takes a request off the quarantine list."""
+
+    digest: bytes
+    operator: str
+    origin: str
+
+
+class ReportCrash(NamedTuple):
+    """A sidecar's upstream crashed with these requests in flight.
+
+    Attributes:
+        number: Counts the crashes of one incarnation; makes a resend safe.
+    """
+
+    sidecar: Incarnation
+    number: int
+    digests: list[bytes]
+
+
+class ReadFence(NamedTuple):
+    """Asks for the highest fencing number by a linearizable read."""
+
+    instance: str
+
+
+class Fence(NamedTuple):
+    """No order of the instance committed so far has a higher number."""
+
+    fence: int
+
+
+class ShowRollouts(NamedTuple):
+    """Asks for the rollouts by service."""
+
+
+class RolloutView(NamedTuple):
+    """A rollout; `state` is running, paused, returning, returned or done."""
+
+    service: str
+    target: str
+    previous: str
+    state: str
+    reason: str
+    at: float
+
+
+class Rollouts(NamedTuple):
+    """Answer to ShowRollouts."""
+
+    rollouts: list[RolloutView]
+
+
+class SetControl(NamedTuple):
+    """Notes a control instance; an empty address removes it."""
+
+    instance: str
+    address: str
+    failure_domain: str
+    operator: str
+    origin: str
+
+
+class ReplicationFrame(NamedTuple):
+    """Part of a frame between replicas; `consensus.messages` decodes it.
+
+    Attributes:
+        more: Whether the next message of the exchange goes on with it.
+    """
+
+    payload: bytes
+    more: bool = False
+
+
+class ControlAction(NamedTuple):
+    """Asks one control instance to act on the groups that it leads.
+
+    Attributes:
+        action: `replace` (voter `old` by `new`) or `snapshot`.
+    """
+
+    action: str
+    old: str = ""
+    new: str = ""
+
+
+class ShowGroups(NamedTuple):
+    """Asks a control instance for the state of its groups."""
+
+
+class Groups(NamedTuple):
+    """Answer to ShowGroups; each row is a JSON object."""
+
+    rows: list[str]
+
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -663,6 +925,34 @@
             Order,
             DrainUpstream,
             Ping,
+            NodeStatus,
+            ShowNodes,
+            ShowInstances,
+            Instances,
+            Restrictions,
+            ShowUpstreams,
+            UpstreamView,
+            Upstreams,
+            DrainScope,
+            ShowAudit,
+            AuditEntry,
+            AuditTrail,
+            ShowQuarantine,
+            QuarantineEntry,
+            QuarantineList,
+            ReleaseQuarantine,
+            ReportCrash,
+            ReadFence,
+            Fence,
+            ShowRollouts,
+            RolloutView,
+            Rollouts,
+            SetControl,
+            ReplicationFrame,
+            FindCall,
+            ControlAction,
+            ShowGroups,
+            Groups,
         ),
         start=1,
     )
--- /dev/null
+++ b/src/mintcleat/programs/snapshots.py
@@ -0,0 +1,91 @@
+"""The state of a program group as bytes and back."""
+
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgpack
+import msgspec
+
+from mintcleat.domain import errors
+from mintcleat.programs import answers
+from mintcleat.programs import records
+
+if TYPE_CHECKING:
+    from mintcleat.programs import machine
+
+FORMAT = 1
+
+_CALL_FIELDS = tuple(f.name for f in dataclasses.fields(records.Call))
+_PROGRAM_FIELDS = tuple(
+    f.name for f in dataclasses.fields(records.Program) if f.name != "calls"
+)
+
+
+def pack(group: "machine.ProgramMachine") -> bytes:
+    """Returns the whole state, in an order that every replica shares."""
+    state = [
+        FORMAT,
+        group.clock,
+        group.last_attempt,
+        group.forgotten,
+        [_fields(p, _PROGRAM_FIELDS) for p in group.programs.values()],
+        [_fields(call, _CALL_FIELDS) for call in group.calls.values()],
+        [list(item) for item in group.activity.items()],
+        [list(item) for item in group.ended],
+        [
+            [name, group.histories.read(name, 1, program.next_turn - 1)]
+            for name, program in group.programs.items()
+            if program.next_turn > 1
+        ],
+        _stored_answers(group),
+    ]
+    return msgpack.packb(state, use_bin_type=True)
+
+
+def unpack(group: "machine.ProgramMachine", data: bytes) -> None:
+    """Replaces the state of a group.
+
+    Raises:
+        errors.StorageDamaged: The bytes are no snapshot of this format.
+    """
+    state = msgpack.unpackb(data, strict_map_key=False)
+    if state[0] != FORMAT:
+        raise errors.StorageDamaged(
+            f"The snapshot has format {state[0]}, not {FORMAT}."
+        )
+    group.clear()
+    group.clock, group.last_attempt, group.forgotten = state[1:4]
+    for values in state[4]:
+        program = _record(records.Program, _PROGRAM_FIELDS, values)
+        group.programs[program.program] = program
+    for values in state[5]:
+        _add_call(group, _record(records.Call, _CALL_FIELDS, values))
+    group.activity.update((name, clock) for name, clock in state[6])
+    group.ended.extend((clock, name) for clock, name in state[7])
+    for name, stored in state[8] + state[9]:
+        for record in stored:
+            group.histories.append(name, record)
+
+
+def _add_call(group: "machine.ProgramMachine", call: records.Call) -> None:
+    group.calls[call.number] = call
+    if call.program:
+        group.programs[call.program].calls[call.key] = call
+    else:
+        group.keyed[call.partner, call.key] = call
+
+
+def _stored_answers(group: "machine.ProgramMachine") -> list[Any]:
+    names = [
+        answers.name_of(call) for call in group.calls.values() if call.is_stored
+    ]
+    return [[name, group.histories.read(name, 1, 1)] for name in names]
+
+
+def _fields(item: Any, names: tuple[str, ...]) -> list[Any]:
+    return [getattr(item, name) for name in names]
+
+
+def _record(kind: type, names: tuple[str, ...], values: list[Any]) -> Any:
+    return msgspec.convert(dict(zip(names, values, strict=True)), kind)
--- /dev/null
+++ b/src/mintcleat/roles/replication_driver.py
@@ -0,0 +1,331 @@
+"""Carries out what the consensus core asks for: store, sync, send, apply."""
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+import random
+from typing import Any
+from typing import NamedTuple
+
+from eventlet import event
+from loguru import logger
+
+from mintcleat.consensus import instance
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
+from mintcleat.consensus import records
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import types
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import log
+from mintcleat.ports import timers as timer_ports
+from mintcleat.ports import wal as wal_ports
+from mintcleat.roles import replication_links
+from mintcleat.roles import replication_snapshots
+
+
+class Options(NamedTuple):
+    """Limits of one instance.
+
+    Attributes:
+        core: Times and limits of the consensus core.
+        seed: Seed of the election timeouts; 0 draws one from the instance.
+        snapshots: When a group is snapshotted.
+        rewrite_bytes: Size at which the write-ahead log is rewritten, or
+            twice its size after the last time when that is more.
+    """
+
+    core: types.Settings = types.Settings()
+    seed: int = 0
+    snapshots: replication_snapshots.Limits = replication_snapshots.Limits()
+    rewrite_bytes: int = 64 * 1024 * 1024
+
+
+# A larger command would hold the loop and the disk for too long.
+MAX_COMMAND = 16 * 1024 * 1024
+
+
+class Waiter(NamedTuple):
+    """A proposer that waits for its entry; `done` gets `(result,)`."""
+
+    term: int
+    done: event.Event
+
+
+class Driver:
+    """One consensus instance on a disk and a network.
+
+    Attributes:
+        core: The consensus instance.
+        waiters: By group and index.
+        failed: Why this replica has stopped, if it has.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        address: str,
+        members: Sequence[types.Member],
+        wal: wal_ports.WriteAheadLog,
+        machines: dict[str, log.StateMachine],
+        *,
+        links: replication_links.Links,
+        timers: timer_ports.Timers,
+        options: Options,
+    ) -> None:
+        self.address = address
+        self.wal = wal
+        self.machines = machines
+        self.links = links
+        self.timers = timers
+        self.options = options
+        self.failed: errors.MintcleatError | None = None
+        self.waiters: dict[str, dict[int, Waiter]] = {}
+        self.readers: dict[int, event.Event] = {}
+        self.snapshots = replication_snapshots.Snapshots(
+            wal,
+            timers,
+            options.snapshots,
+            guarded=self._stopping_on_failure,
+            saved=self.wake,
+        )
+        self.awake = False
+        found = wal.open(node)
+        stored = _fold(found.records)
+        self.rewritten = wal.size()
+        generator = random.Random(options.seed or f"{node}")
+        self.core = instance.Instance(
+            found.identity,
+            node.epoch,
+            options.core,
+            generator.random,
+            machines,
+            members=members,
+            stored=stored,
+            now=timers.now(),
+        )
+        for group, machine in machines.items():
+            self.waiters[group] = {}
+            index = self.core.replicas[group].state.applied
+            if index > 0:
+                machine.restore(wal.load_snapshot(group, index))
+
+    def wake(self) -> None:
+        """Makes the driver work soon, after every caller that can run now.
+
+        All that they propose then shares one write and one sync.
+        """
+        if not self.awake and self.failed is None:
+            self.awake = True
+            self.timers.spawn(self._work_soon)
+
+    def tick(self) -> None:
+        """Lets time pass."""
+        if self.failed is None:
+            with self._stopping_on_failure():
+                self.core.tick(self.timers.now())
+            self.work()
+
+    def receive(self, payload: bytes) -> None:
+        """Takes a frame from a peer."""
+        frame = wire.decode(payload)
+        if self.failed is not None:
+            return
+        with self._stopping_on_failure():
+            self.core.receive(frame, self.timers.now())
+        if self.core.superseded > self.core.me.epoch:
+            self.fail(_superseded(self.core.me.instance))
+            return
+        self.wake()
+
+    def work(self) -> None:
+        """Carries out effects until there are none."""
+        with self._stopping_on_failure():
+            while self.failed is None:
+                self.core.flush(self.timers.now())
+                if self.core.box.idle():
+                    break
+                self._carry_out(self.core.box.take())
+            if self.failed is None:
+                self._shrink()
+        self._release_lost()
+
+    def fail(self, error: errors.MintcleatError) -> None:
+        """Stops this replica because of a failure."""
+        logger.error("Replication stops here: {}", error)
+        self.stop(error)
+
+    def stop(self, reason: errors.MintcleatError) -> None:
+        """Ends all work: nothing is acknowledged from now on."""
+        self.failed = reason
+        self._release_lost()
+        for done in self.readers.values():
+            done.send(None)
+        self.readers.clear()
+
+    @contextlib.contextmanager
+    def _stopping_on_failure(self) -> Iterator[None]:
+        """Stops this replica on any failure, also one of its own code.
+
+        Effects that were taken from the core but not carried out cannot be
+        made up for: going on, it would acknowledge entries that it never
+        wrote. The other replicas go on, and a restart reads the disk anew.
+        """
+        try:
+            yield
+        except errors.MintcleatError as error:
+            self.fail(error)
+        except Exception as error:
+            logger.exception("Replication failed.")
+            self.fail(errors.MintcleatError(f"Replication failed: {error!r}."))
+
+    def _work_soon(self) -> None:
+        self.timers.sleep(0)
+        self.awake = False
+        self.work()
+
+    def _carry_out(self, box: outbox.Outbox) -> None:
+        for item in box.installs:
+            self._install(item)
+        self._send(box.early)
+        if box.records:
+            self.wal.append(box.records)
+            self.wal.sync()
+            self.core.on_synced(box.stored)
+            self.snapshots.drop_stale()
+        self._send(box.late)
+        for needed in box.snapshots:
+            self._send_snapshot(needed)
+        for group in sorted(box.committed):
+            self._apply(group, self.core.replicas[group])
+        for ready in box.reads:
+            done = self.readers.pop(ready.token, None)
+            if done is not None:
+                done.send(ready)
+
+    def _send(self, letters: list[outbox.Letter]) -> None:
+        frames: dict[messages.Incarnation, list[Any]] = {}
+        for letter in letters:
+            frames.setdefault(letter.to, []).append(letter.message)
+        for to, items in frames.items():
+            address = self.core.roster.address(to.instance)
+            if address:
+                self.links.send(address, self._frame(to, items))
+
+    def _frame(self, to: messages.Incarnation, items: list[Any]) -> bytes:
+        frame = wire.Frame(self.core.me, self.address, to, items)
+        return wire.encode(frame)
+
+    def _send_snapshot(self, needed: outbox.SnapshotNeeded) -> None:
+        # The file of `needed.mark` may be gone: a newer one replaced it.
+        mark = self.core.replicas[needed.group].state.mark
+        state = self.wal.load_snapshot(needed.group, mark.index)
+        message = wire.InstallSnapshot(needed.group, needed.term, mark, state)
+        address = self.core.roster.address(needed.to.instance)
+        payload = self._frame(needed.to, [message])
+
+        def ended(sent: bool) -> None:
+            replica = self.core.replicas[needed.group]
+            replica.snapshot_ended(needed.to, sent, self.timers.now())
+
+        self.links.send_bulk(address, payload, ended)
+
+    def _install(self, item: outbox.Installed) -> None:
+        self.snapshots.installed(item.group, item.mark.index, item.state)
+        machine = self.machines.get(item.group)
+        if machine is not None:
+            machine.restore(item.state)
+
+    def _apply(self, group: str, replica: replicas.Replica) -> None:
+        machine = self.machines.get(group)
+        waiters = self.waiters.get(group, {})
+        size = 0
+        for entry in replica.take_committed():
+            result = None
+            size += len(entry.data)
+            if entry.kind == types.COMMAND and machine is not None:
+                result = self._apply_one(group, machine, entry)
+            waiter = waiters.pop(entry.index, None)
+            if waiter is not None:
+                mine = waiter.term == entry.term
+                waiter.done.send((result if mine else _lost(),))
+        if machine is not None:
+            self.snapshots.applied(group, replica, machine, size)
+
+    def snapshot(self, group: str) -> bool:
+        """Snapshots a group now; False when nothing is new since the last."""
+        replica = self.core.replicas[group]
+        machine = self.machines.get(group)
+        if machine is None or replica.state.applied <= replica.state.mark.index:
+            return False
+        return self.snapshots.take(group, replica, machine)
+
+    def _apply_one(
+        self, group: str, machine: log.StateMachine, entry: types.Entry
+    ) -> Any:
+        """Applies a command; a machine's bug is the proposer's error.
+
+        The same code fails the same way on every replica, so they stay
+        equal, and one bad command does not stop the whole group for good. A
+        failure of this host is different: here the machine has missed a
+        command that the others applied, so this replica stops.
+        """
+        try:
+            return machine.apply(entry.index, entry.data)
+        except (OSError, MemoryError) as error:
+            raise errors.StorageFailed(
+                f"Entry {entry.index} of {group} cannot be applied: {error}."
+            ) from error
+        except Exception:
+            logger.exception("Entry {} of {} failed.", entry.index, group)
+            return errors.MintcleatError("The state machine failed.")
+
+    def _shrink(self) -> None:
+        """Rewrites the log once most of it lies under snapshots."""
+        limit = max(self.options.rewrite_bytes, 2 * self.rewritten)
+        if self.wal.size() < limit:
+            return
+        live = [
+            record
+            for replica in self.core.replicas.values()
+            for record in replica.live_records()
+        ]
+        self.wal.rewrite(live)
+        self.rewritten = self.wal.size()
+
+    def _release_lost(self) -> None:
+        """Ends the waiting of proposers whose leadership is gone."""
+        for group, waiters in self.waiters.items():
+            if not waiters:
+                continue
+            state = self.core.replicas[group].state
+            leads = state.role == types.LEADER and self.failed is None
+            kept = {}
+            for index, waiter in waiters.items():
+                if leads and waiter.term == state.term:
+                    kept[index] = waiter
+                else:
+                    waiter.done.send((_lost(),))
+            self.waiters[group] = kept
+
+
+def _fold(items: list[bytes]) -> dict[str, records.Stored]:
+    try:
+        return records.fold(items)
+    except (ValueError, TypeError) as error:
+        raise errors.StorageDamaged(
+            f"The log's records contradict each other: {error}."
+        ) from error
+
+
+def _superseded(instance_name: str) -> errors.InvalidSettings:
+    return errors.InvalidSettings(
+        f"Peers know a later incarnation of {instance_name}.",
+        remedy="End the other process of this name; if there is none, correct"
+        " the clock, empty the data folder and restart.",
+    )
+
+
+def _lost() -> errors.ProposalLost:
+    return errors.ProposalLost("The leadership changed before the commit.")
--- /dev/null
+++ b/src/mintcleat/roles/sidecar.py
@@ -0,0 +1,395 @@
+"""The sidecar: the last gate before one upstream.
+
+It decides whether an attempt runs here, runs it at most once, reports the
+outcome to the program's group and lets callers follow the answer.
+"""
+
+import itertools
+from typing import Any
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.ports import control as control_port
+from mintcleat.ports import membership as membership_port
+from mintcleat.ports import streams as streams_port
+from mintcleat.ports import timers as timers_port
+from mintcleat.ports import upstream as upstream_port
+from mintcleat.roles import sidecar_attempts
+from mintcleat.roles import sidecar_commit
+from mintcleat.roles import sidecar_crashes
+from mintcleat.roles import sidecar_execution
+from mintcleat.roles import sidecar_gate
+from mintcleat.roles import sidecar_history
+from mintcleat.roles import sidecar_memory
+from mintcleat.roles import sidecar_orders
+from mintcleat.roles import sidecar_presence
+from mintcleat.roles import sidecar_run
+from mintcleat.roles import sidecar_watch
+
+_STOP_STEP = 0.02
+_ATTACH_STEP = 0.02
+_EXPIRE_SECONDS = 0.1
+_FORGET_SECONDS = 1.0
+_USUAL_CAPACITY = 16
+
+SidecarOptions = sidecar_presence.SidecarOptions
+
+
+class Sidecar:
+    """One sidecar beside one upstream.
+
+    Attributes:
+        presence: What the upstream and this sidecar tell of themselves.
+        attempts: Every attempt seen here.
+    """
+
+    def __init__(
+        self,
+        node: messages.Incarnation,
+        options: sidecar_presence.SidecarOptions,
+        *,
+        streams: streams_port.Streams,
+        timers: timers_port.Timers,
+        upstream: upstream_port.ModelEngine | upstream_port.PlainService,
+        control: control_port.Control,
+        directory: membership_port.Membership,
+        address: str = "",
+    ) -> None:
+        self.node = node
+        self.options = options
+        self.streams = streams
+        self.timers = timers
+        self.upstream = upstream
+        self.directory = directory
+        self.address = address or getattr(streams, "address", "")
+        self.is_model = options.kind == "model"
+        self.attempts = sidecar_attempts.AttemptTable(
+            timers, control.groups, options.retention, options.keep_answer
+        )
+        self.histories = sidecar_history.Histories(options.history_bytes)
+        self.reporter = sidecar_commit.Reporter(node, control, timers)
+        self.admission = sidecar_gate.Admission(
+            timers, directory, options.capacity or _USUAL_CAPACITY
+        )
+        self.memory = sidecar_memory.Memory(
+            node,
+            upstream,
+            control,
+            timers,
+            admission=self.admission,
+            export_bytes=options.export_bytes,
+            on_gone=self._give_up,
+        )
+        self.presence = sidecar_presence.Presence(
+            node,
+            options,
+            address or getattr(streams, "address", ""),
+            upstream=upstream,
+            directory=directory,
+            timers=timers,
+            admission=self.admission,
+            memory=self.memory,
+        )
+        self.crashes = sidecar_crashes.Crashes(
+            node, directory, timers, self.presence
+        )
+        self.executor = sidecar_execution.Executor(
+            self._new_runner(upstream),
+            self.attempts,
+            self.admission,
+            self.crashes,
+            self.reporter,
+            timers,
+            self.load,
+        )
+        target = sidecar_orders.Target(upstream, self.presence, self.under_way)
+        self.orders = sidecar_orders.receiver(node, target, timers, directory)
+        self.follower = sidecar_watch.Follower(timers, self.executor.cancel)
+        self.numbers = itertools.count(1)
+        self.subscriptions: list[timers_port.Subscription] = []
+
+    def start(self) -> None:
+        """Serves and begins to look at the upstream."""
+        handlers = {
+            messages.RunTurn: self.run_turn,
+            messages.RunTool: self.run_tool,
+            messages.Attach: self.attach,
+            messages.SealAttempt: self.seal,
+            messages.CancelAttempt: self.cancel,
+            messages.WatchLoad: self.watch_load,
+            messages.Order: self.order,
+            messages.DrainUpstream: self.drain_upstream,
+        }
+        for kind, handler in handlers.items():
+            self.streams.handle(kind, handler)
+        self.presence.probe()
+        self.subscriptions = [
+            self.timers.every(self.options.probe_seconds, self.presence.probe),
+            self.timers.every(_FORGET_SECONDS, self.attempts.forget_old),
+            self.timers.every(_EXPIRE_SECONDS, self.executor.expire),
+        ]
+        self.directory.subscribe(self._take_configuration)
+        if self.is_model:
+            self.memory.start(self.options.renew_seconds)
+
+    def announcement(self) -> messages.Announcement:
+        """Describes the upstream; the counter grows with each change."""
+        return self.presence.announcement()
+
+    def load(self) -> messages.LoadReport:
+        """Returns a fresh load report."""
+        return self.presence.load()
+
+    # --- Handlers -------------------------------------------------------------
+
+    def run_turn(
+        self, exchange: streams_port.Exchange, asked: messages.RunTurn
+    ) -> None:
+        """Serves RunTurn; see `domain.messages`."""
+        if self._answer_known(exchange, asked):
+            return
+        base = (asked.program, asked.base_turn, asked.base_digest)
+        have = self.histories.have(*base)
+        if have < asked.base_turn and asked.history:
+            try:
+                self.histories.extend(asked.program, asked.history)
+            except errors.BadRequest as error:
+                self._refuse(exchange, asked, error)
+                return
+            have = self.histories.have(*base)
+        if have < asked.base_turn:
+            exchange.send(messages.NeedHistory(have))
+            return
+        before = self.histories.prompt(asked.program, asked.base_turn)
+        self._start(exchange, asked, [*before, *asked.messages])
+
+    def run_tool(
+        self, exchange: streams_port.Exchange, asked: messages.RunTool
+    ) -> None:
+        """Serves RunTool; see `domain.messages`."""
+        if not self._answer_known(exchange, asked):
+            self._start(exchange, asked, [])
+
+    def attach(
+        self, exchange: streams_port.Exchange, asked: messages.Attach
+    ) -> None:
+        """Lets a caller follow an attempt from the start of its answer."""
+        if asked.sidecar != self.node:
+            exchange.send(_other_incarnation(asked.attempt))
+            return
+        scope = _scope(asked)
+        patience = self.timers.now() + self.options.attach_patience
+        while not self.attempts.state(scope, asked.attempt):
+            if self.timers.now() >= patience:
+                # The run never came. Sealing makes "not run" true for a copy
+                # that is still on its way, so that the caller need not wait.
+                self.attempts.seal(scope, asked.attempt)
+                break
+            self.timers.sleep(_ATTACH_STEP)
+        attempt = self.attempts.find(scope, asked.attempt)
+        if attempt is not None:
+            self.follower.follow(exchange, attempt)
+            return
+        exchange.send(self._ended(scope, asked.attempt))
+
+    def seal(
+        self, exchange: streams_port.Exchange, asked: messages.SealAttempt
+    ) -> None:
+        """Makes sure that an attempt never runs here, unless it has begun."""
+        state = sidecar_attempts.UNKNOWN
+        if asked.sidecar == self.node:
+            scope = _scope(asked)
+            attempt = self.attempts.find(scope, asked.attempt)
+            if attempt and attempt.state == sidecar_attempts.QUEUED:
+                sealed = errors.Draining("The attempt was sealed.")
+                self.executor.cancel(attempt, sealed)
+            state = self.attempts.seal(scope, asked.attempt)
+        exchange.send(messages.Sealed(asked.attempt, state))
+
+    def cancel(
+        self, exchange: streams_port.Exchange, asked: messages.CancelAttempt
+    ) -> None:
+        """Stops an attempt whose caller has gone."""
+        attempt = self.attempts.find(asked.program, asked.attempt)
+        if attempt is not None:
+            self.executor.cancel(attempt, sidecar_watch.caller_gone())
+        exchange.send(messages.Done())
+
+    def watch_load(
+        self, exchange: streams_port.Exchange, asked: messages.WatchLoad
+    ) -> None:
+        """Pushes load reports until the watcher goes."""
+        while True:
+            exchange.send(self.load())
+            self.timers.sleep(self.options.load_seconds)
+
+    def order(
+        self, exchange: streams_port.Exchange, asked: messages.Order
+    ) -> None:
+        """Carries out an order to the upstream."""
+        if not self.is_model:
+            raise errors.BadRequest("A plain service takes no orders.")
+        self.orders.handle(exchange, asked)
+
+    def drain_upstream(
+        self, exchange: streams_port.Exchange, asked: messages.DrainUpstream
+    ) -> None:
+        """Takes no new work, or takes it again."""
+        if asked.sidecar != self.node:
+            raise errors.FencedOff("The order is for another incarnation.")
+        if asked.drain:
+            self.drain()
+        else:
+            self.presence.draining = False
+        self.directory.announce()
+        exchange.send(messages.Done(self.presence.state()))
+
+    # --- Stopping -------------------------------------------------------------
+
+    def drain(self) -> None:
+        """Refuses new work and hands back what waits."""
+        self.presence.draining = True
+        self._hand_back()
+
+    def stop(self, limit: float) -> int:
+        """Drains, waits for what runs, and returns how many were cut."""
+        self.drain()
+        until = self.timers.now() + limit
+        while self.under_way() and self.timers.now() < until:
+            self.timers.sleep(_STOP_STEP)
+        cut = self.under_way()
+        self.reporter.stopped = True
+        for attempt in cut:
+            failure = errors.OutcomeUnknown("The sidecar was stopped.")
+            attempt.end(messages.Broken(attempt.number, failure.failure()))
+        for subscription in self.subscriptions:
+            subscription.cancel()
+        self.memory.stopped = True
+        if self.is_model and self.options.release_on_stop:
+            self.memory.release_all()
+        return len(cut)
+
+    def under_way(self) -> list[sidecar_attempts.Attempt]:
+        """Returns the attempts that a stop would cut now."""
+        return self.executor.under_way()
+
+    # --- Inside ---------------------------------------------------------------
+
+    def _new_runner(self, upstream: Any) -> sidecar_execution.Runner:
+        if self.is_model:
+            return sidecar_run.TurnRunner(
+                upstream,
+                self.histories,
+                self.memory,
+                self.reporter,
+                self.timers,
+                self.load,
+                self.admission,
+            )
+        return sidecar_run.ToolRunner(
+            upstream,
+            self.reporter,
+            self.timers,
+            self.load,
+        )
+
+    def _answer_known(
+        self, exchange: streams_port.Exchange, asked: Any
+    ) -> bool:
+        """Answers a copy of a known attempt, or a refusal; True if it did."""
+        if asked.attempt:
+            if asked.sidecar != self.node:
+                exchange.send(_other_incarnation(asked.attempt))
+                return True
+            scope = _scope(asked)
+            attempt = self.attempts.find(scope, asked.attempt)
+            if attempt is not None:
+                self.follower.follow(exchange, attempt)
+                return True
+            if self.attempts.state(scope, asked.attempt):
+                exchange.send(self._ended(scope, asked.attempt))
+                return True
+        refusal = self.presence.refusal(asked)
+        if refusal is None:
+            return False
+        self._refuse(exchange, asked, refusal)
+        return True
+
+    def _refuse(
+        self,
+        exchange: streams_port.Exchange,
+        asked: Any,
+        error: errors.MintcleatError,
+    ) -> None:
+        """Refuses an attempt before it was registered.
+
+        Sealed first: another copy of the frame may be on its way, and would
+        run after its caller was told that it did not.
+        """
+        if asked.attempt:
+            self.attempts.seal(_scope(asked), asked.attempt)
+        exchange.send(
+            messages.Refused(asked.attempt, error.failure(), self.load())
+        )
+
+    def _start(
+        self, exchange: streams_port.Exchange, asked: Any, prompt: list[str]
+    ) -> None:
+        seconds = asked.deadline or self.directory.manifest().policies.deadline
+        attempt = sidecar_attempts.Attempt(
+            asked,
+            f"{self.node.epoch:x}-{next(self.numbers)}",
+            self.timers.now() + seconds,
+        )
+        attempt.prompt = prompt
+        self.executor.start(attempt)
+        self.follower.follow(exchange, attempt)
+
+    def _ended(self, scope: str, number: int) -> sidecar_attempts.Outcome:
+        """Returns the outcome of an attempt whose answer is not kept."""
+        match self.attempts.state(scope, number):
+            case sidecar_attempts.NEVER:
+                failure = errors.Draining("The attempt was sealed here.")
+                return messages.Refused(number, failure.failure(), self.load())
+            case sidecar_attempts.RAN:
+                failure = errors.OutcomeUnknown(
+                    "The call ran and its answer is recorded.",
+                    outcome=errors.RAN,
+                    remedy="Send the call again with the same key.",
+                )
+            case _:
+                failure = errors.OutcomeUnknown("The call may have run.")
+        return messages.Broken(number, failure.failure())
+
+    def _take_configuration(self) -> None:
+        self.admission.configure()
+        if self.presence.is_draining():
+            self._hand_back()
+
+    def _hand_back(self) -> None:
+        """Refuses what waits, so that the entries place it elsewhere."""
+        for attempt in self.under_way():
+            if attempt.state == sidecar_attempts.QUEUED:
+                leaving = errors.Draining("This sidecar takes no new work.")
+                self.executor.cancel(attempt, leaving)
+
+    def _give_up(self, program: str) -> None:
+        """Drops a program that its group has closed or moved."""
+        self.histories.drop(program)
+        for attempt in self.under_way():
+            if attempt.program == program:
+                gone = errors.ProgramClosed(
+                    "The program was closed.", outcome=errors.UNKNOWN
+                )
+                self.executor.cancel(attempt, gone)
+
+
+def _scope(asked: Any) -> str:
+    return sidecar_attempts.scope_of(asked.program, asked.partner, asked.key)
+
+
+def _other_incarnation(number: int) -> messages.Broken:
+    failure = errors.OutcomeUnknown(
+        "The attempt belongs to another life of this sidecar."
+    )
+    return messages.Broken(number, failure.failure())
--- /dev/null
+++ b/testing/test_consensus_safeguards.py
@@ -0,0 +1,216 @@
+"""Each safeguard of the core, and what happens without it.
+
+A scenario raises `explorer.Fault` when a guarantee is broken. Each test runs
+it with the safeguard, and shows that it fails once that is taken out.
+"""
+
+from collections.abc import Callable
+import math
+from typing import Any
+
+import testtools
+
+import explorer
+from mintcleat.consensus import state
+from mintcleat.consensus import types
+
+ALL = types.Safeguards()
+
+
+def settled(
+    safeguards: types.Safeguards, incarnations: bool
+) -> tuple[explorer.Cluster, explorer.Node, list[explorer.Node]]:
+    """Returns a cluster, its leader and the two other voters."""
+    cluster = explorer.Cluster(1, safeguards, incarnations)
+    cluster.run(3.0)
+    leader = cluster.leader()
+    return cluster, leader, [n for n in cluster.voters() if n is not leader]
+
+
+def follower_returns(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    term = leader.core.replicas["g"].state.term
+    cluster.isolate(others[0].name)
+    cluster.run(2.5)
+    cluster.blocked.clear()
+    cluster.run(0.5)
+    if cluster.leader().core.replicas["g"].state.term != term:
+        raise explorer.Fault("a returning follower unseated the leader")
+
+
+def late_answers(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    for other in others:
+        cluster.extra_delay[other.name, leader.name] = 0.9
+    cluster.run(2.0)
+    for other in others:
+        cluster.blocked.add((leader.name, other.name))
+    cluster.run(2.0)
+
+
+def power_fails_before_the_sync(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    holder, cut = others
+    cluster.isolate(cut.name)
+    cluster.run(0.2)
+    holder.tear_next = True
+    cluster.write(leader.name, "g", b"kept")
+    cluster.run(0.2)
+    leader.crash()
+    holder.start()
+    cluster.blocked.clear()
+    cluster.run(4.0)
+
+
+def disk_is_emptied(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    holder, cut = others
+    cluster.isolate(cut.name)
+    cluster.write(leader.name, "g", b"kept")
+    cluster.run(0.2)
+    holder.crash()
+    holder.empty_disk()
+    leader.crash()
+    holder.start()
+    cluster.blocked.clear()
+    cluster.run(4.0)
+    leader.start()
+    cluster.run(4.0)
+    if cluster.answers["g"] != [b"kept"]:
+        raise explorer.Fault(f"{cluster.answers['g']} came through")
+
+
+def second_loss_within_repair(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    cut, lost = others
+    state = leader.core.replicas["g"].state
+    cluster.write(leader.name, "g", b"kept")
+    cluster.run(0.5)
+    cluster.isolate(cut.name)
+    for _ in range(100):
+        cluster.run(0.05)
+        if state.configuration.learners:
+            break
+    spare = state.configuration.learners[0].replica.instance
+    cluster.isolate(spare)
+    lost.crash()
+    lost.empty_disk()
+    cluster.run(1.0)
+    cluster.blocked.clear()
+    cluster.run(5.0)
+    if not cluster.write(cluster.leader().name, "g", b"later"):
+        raise explorer.Fault("no leader takes proposals")
+    cluster.run(0.5)
+    if cluster.answers["g"] != [b"kept", b"later"]:
+        raise explorer.Fault(f"only {cluster.answers['g']} came through")
+
+
+def voter_restarts(
+    cluster: explorer.Cluster,
+    leader: explorer.Node,
+    others: list[explorer.Node],
+) -> None:
+    candidate, voter = others
+    pair = (leader.name, candidate.name)
+    cluster.blocked |= {pair, pair[::-1]}
+    for _ in range(20):
+        cluster.run(0.3)
+        voter.crash()
+        voter.start()
+        cluster.isolate(leader.name)
+        cluster.run(0.3)
+        cluster.blocked = {pair, pair[::-1]}
+
+
+class SafeguardsTest(testtools.TestCase):
+    def check(
+        self,
+        scenario: Callable[..., None],
+        safeguards: types.Safeguards = ALL,
+        incarnations: bool = True,
+    ) -> None:
+        """Runs a scenario with every safeguard, and with one taken out."""
+        scenario(*settled(ALL, True))
+        self.assertRaises(
+            explorer.Fault, scenario, *settled(safeguards, incarnations)
+        )
+
+    def test_pre_vote_keeps_the_leader_when_a_follower_returns(self) -> None:
+        """A follower is cut off for seconds and comes back.
+
+        Without the pre-vote it has raised its term over and over; the leader
+        meets the higher term and steps down, and callers wait for an
+        election that nobody needed.
+        """
+        self.check(follower_returns, ALL._replace(pre_vote=False))
+
+    def test_lease_margin_keeps_leases_apart(self) -> None:
+        """Answers to heartbeats come 0.9 s late, then the leader is cut off.
+
+        Counted from the answer, its lease outlasts the voters' promise: it
+        still answers reads after another was elected.
+        """
+        self.check(late_answers, ALL._replace(lease_margin=False))
+
+    def test_sync_before_acknowledgement_keeps_committed_entries(self) -> None:
+        """Power fails at a follower between the answer and the sync.
+
+        The leader counted the entry as held by two of three, told its caller
+        so, and died. The follower has lost it, and the third never had it.
+        """
+        self.check(power_fails_before_the_sync, ALL._replace(sync_first=False))
+
+    def test_incarnation_keeps_an_emptied_disk_from_voting(self) -> None:
+        """A follower that acknowledged an entry loses its disk.
+
+        Under its old identity it would elect a leader together with the
+        third replica, which lacks the entry. Under a new one it cannot, and
+        the entry comes back with the old leader.
+        """
+        self.check(disk_is_emptied, incarnations=False)
+
+    def test_add_before_remove_survives_a_loss_within_the_repair(self) -> None:
+        """A voter is only cut off, a spare joins, then a disk is lost.
+
+        The cut voter comes back. Had it been removed first, two voters would
+        be left, one of them lost: the group could never commit again.
+        """
+        self.check(
+            second_loss_within_repair, ALL._replace(add_before_remove=False)
+        )
+
+    def test_restarted_voter_keeps_the_promise_of_its_earlier_life(
+        self,
+    ) -> None:
+        """Leader and one follower lose each other; the third restarts.
+
+        It answered a heartbeat just before, and the leader is cut off from
+        it too. Voting at once, it would elect the follower while the leader
+        still holds its lease.
+        """
+        scenario = settled(ALL, True)
+        voter_restarts(*scenario)
+        usual = state.State.__init__
+
+        def forgetful(self: state.State, *given: Any, **named: Any) -> None:
+            usual(self, *given, **named)
+            self.heard_at = -math.inf
+
+        broken = settled(ALL, True)
+        self.patch(state.State, "__init__", forgetful)
+        self.assertRaises(explorer.Fault, voter_restarts, *broken)
--- /dev/null
+++ b/testing/test_replication.py
@@ -0,0 +1,453 @@
+"""GroupLog on real files and loopback streams."""
+
+from collections.abc import Callable
+import errno
+import pathlib
+import shutil
+import tempfile
+from typing import Any
+
+import eventlet
+import testtools
+
+from mintcleat.adapters import streams
+from mintcleat.adapters import timers
+from mintcleat.adapters import wal
+from mintcleat.adapters import wal_disk
+from mintcleat.consensus import types
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.roles import replication
+from mintcleat.roles import replication_links
+from mintcleat.roles import replication_snapshots
+
+
+class UnsyncedDisk(wal_disk.SystemDisk):
+    """Leaves syncs out: these tests end processes, not machines.
+
+    What a dead process wrote is still in the kernel, so they need no sync,
+    and their time does not depend on what else the disk does.
+    """
+
+    def sync(self, descriptor: int) -> None:
+        pass
+
+    def sync_directory(self, path: pathlib.Path) -> None:
+        pass
+
+
+class Journal:
+    """A machine that keeps every command once.
+
+    The tests send a command again when its outcome is unknown, as callers
+    with an idempotency key do; a repeat changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        if command not in self.commands:
+            self.commands.append(command)
+        if command == b"refuse":
+            return errors.WrongTurn("Not now.")
+        if command == b"bug":
+            raise KeyError(command)
+        if command == b"full":
+            raise OSError(errno.ENOSPC, "injected")
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return b"\n".join(self.commands)
+
+    def restore(self, state: bytes) -> None:
+        self.commands = state.split(b"\n") if state else []
+
+
+class OneMemberTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.journal = Journal()
+        self.epoch = 0
+
+    def started(self) -> replication.GroupLog:
+        self.epoch += 1
+        self.journal = Journal()
+        hub = streams.TcpStreams("127.0.0.1:0")
+        self.addCleanup(hub.stop)
+        log = replication.GroupLog(
+            messages.Incarnation("c1", self.epoch),
+            hub.address,
+            [replication.Member("c1", hub.address, "a", "r")],
+            wal.FileWal(self.folder, UnsyncedDisk()),
+            ["g"],
+            streams=hub,
+            timers=timers.EventletTimers(),
+        )
+        log.attach("g", self.journal)
+        log.start()
+        self.addCleanup(log.stop)
+        return log
+
+    def test_commands_survive_a_kill(self) -> None:
+        log = self.started()
+        self.assertEqual(1, log.propose("g", b"one", 5.0))
+        self.assertEqual(2, log.propose("g", b"two", 5.0))
+        log.wal.close()
+        again = self.started()
+        again.barrier("g", 5.0)
+        self.assertEqual([b"one", b"two"], self.journal.commands)
+
+    def test_typed_error_of_the_machine_is_raised(self) -> None:
+        log = self.started()
+        self.assertRaises(errors.WrongTurn, log.propose, "g", b"refuse", 5.0)
+
+    def test_command_that_the_machine_cannot_take_stops_nothing(self) -> None:
+        log = self.started()
+        self.assertRaises(errors.MintcleatError, log.propose, "g", b"bug", 5.0)
+        self.assertEqual(2, log.propose("g", b"next", 5.0))
+
+    def test_host_failure_while_applying_stops_the_replica(self) -> None:
+        """The machine's own files hit a full disk.
+
+        This machine has missed a command that the log holds, so it must not
+        answer any more; after a restart the log is applied again.
+        """
+        log = self.started()
+        self.assertRaises(errors.ProposalLost, log.propose, "g", b"full", 5.0)
+        self.assertIsInstance(log.failure(), errors.StorageFailed)
+        self.assertFalse(log.leads("g"))
+
+    def test_oversized_command_is_refused_before_it_is_proposed(self) -> None:
+        log = self.started()
+        error = self.assertRaises(
+            errors.TooLarge, log.propose, "g", bytes(17 << 20), 5.0
+        )
+        self.assertEqual(errors.NOT_RUN, error.outcome)
+
+    def test_callers_at_once_get_their_own_results(self) -> None:
+        log = self.started()
+        pool = eventlet.GreenPool()
+        results = list(
+            pool.imap(lambda n: log.propose("g", b"%d" % n, 5.0), range(20))
+        )
+        self.assertEqual(list(range(1, 21)), results)
+
+
+FAST = replication.Options(
+    core=types.Settings(
+        heartbeat=0.05, election=0.3, resend=0.2, hello=0.1, replace_after=0.0
+    ),
+    snapshots=replication_snapshots.Limits(entries=40, kept=5),
+    rewrite_bytes=20_000,
+)
+
+
+class Replica:
+    """One instance of a group of three on loopback."""
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.folder = folder / name
+        self.epoch = 0
+        self.address = "127.0.0.1:0"
+        self.boot()
+
+    def boot(self) -> None:
+        self.epoch += 1
+        self.hub = streams.TcpStreams(self.address)
+        self.address = self.hub.address
+        self.journal = Journal()
+
+    def start(self, members: list[replication.Member]) -> None:
+        self.log = replication.GroupLog(
+            messages.Incarnation(self.name, self.epoch),
+            self.address,
+            members,
+            wal.FileWal(self.folder, UnsyncedDisk()),
+            ["g"],
+            streams=self.hub,
+            timers=timers.EventletTimers(),
+            options=FAST,
+        )
+        self.log.attach("g", self.journal)
+        self.log.start()
+
+    def stop(self) -> None:
+        self.log.stop()
+        self.hub.stop()
+
+
+class ThreeMembersTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.nodes = [Replica(n, self.folder) for n in ("c1", "c2", "c3")]
+        self.members = [
+            replication.Member(node.name, node.address, node.name, "r")
+            for node in self.nodes
+        ]
+        for node in self.nodes:
+            node.start(self.members)
+            self.addCleanup(node.stop)
+
+    def until(self, condition: Callable[[], Any]) -> Any:
+        for _ in range(1000):
+            found = condition()
+            if found:
+                return found
+            eventlet.sleep(0.01)
+        raise AssertionError("the condition did not come true in 10 s")
+
+    def leader(self) -> Replica:
+        def leading() -> list[Replica]:
+            return [node for node in self.nodes if node.log.leads("g")]
+
+        return self.until(leading)[0]
+
+    def write(self, command: bytes) -> None:
+        def written() -> bool:
+            try:
+                self.leader().log.propose("g", command, 2.0)
+            except (errors.NotLeader, errors.ProposalLost):
+                return False
+            return True
+
+        self.until(written)
+
+    def restart(self, node: Replica, empty: bool = False) -> None:
+        node.stop()
+        if empty:
+            shutil.rmtree(node.folder)
+        node.boot()
+        node.start(self.members)
+
+    def voters(self) -> list[messages.Incarnation]:
+        status = self.leader().log.status()[0]
+        return sorted(peer.replica for peer in status.voters)
+
+    def test_every_replica_applies_the_same_commands(self) -> None:
+        for number in range(5):
+            self.write(b"%d" % number)
+        wanted = [b"%d" % number for number in range(5)]
+        self.until(
+            lambda: all(n.journal.commands == wanted for n in self.nodes)
+        )
+
+    def test_follower_names_the_leader_and_proposes_nothing(self) -> None:
+        leader = self.leader()
+        other = next(n for n in self.nodes if n is not leader)
+        self.until(lambda: other.log.leader("g") == leader.address)
+        error = self.assertRaises(
+            errors.NotLeader, other.log.propose, "g", b"x", 1.0
+        )
+        self.assertEqual(leader.address, error.leader)
+        self.assertRaises(errors.NotLeader, other.log.barrier, "g", 1.0)
+
+    def test_commands_survive_the_leader(self) -> None:
+        """The leader dies right after it acknowledged.
+
+        The others elect one of themselves, which holds the command, and the
+        old one catches up from its disk and the new leader.
+        """
+        self.write(b"before")
+        old = self.leader()
+        old.stop()
+        self.nodes.remove(old)
+        self.write(b"after")
+        self.nodes.append(old)
+        old.boot()
+        old.start(self.members)
+        self.until(lambda: old.journal.commands == [b"before", b"after"])
+
+    def test_minority_acknowledges_nothing(self) -> None:
+        """Both followers die; the leader alone is no majority.
+
+        The proposer is told that the outcome is unknown, never that it
+        committed, and the leader gives up its lease.
+        """
+        leader = self.leader()
+        self.write(b"before")
+        for node in self.nodes:
+            if node is not leader:
+                node.stop()
+        error = self.assertRaises(
+            errors.ProposalLost, leader.log.propose, "g", b"alone", 3.0
+        )
+        self.assertEqual(errors.UNKNOWN, error.outcome)
+        self.assertEqual([b"before"], leader.journal.commands)
+        self.until(lambda: not leader.log.leads("g"))
+
+    def test_emptied_disk_is_replaced_and_a_second_loss_loses_nothing(
+        self,
+    ) -> None:
+        """A follower's disk is emptied; the leader repairs the group.
+
+        The instance joins under a new identity as a learner, from a
+        snapshot, is promoted, and the old identity goes. Right after that
+        the leader's disk is emptied too: nothing that was acknowledged may
+        be missing.
+        """
+        wanted = [b"%d" % number for number in range(60)]
+        for command in wanted:
+            self.write(command)
+        leader = self.leader()
+        follower = next(n for n in self.nodes if n is not leader)
+        for node in (follower, leader):
+            self.restart(node, empty=True)
+            new = messages.Incarnation(node.name, node.epoch)
+            self.until(lambda n=new: n in self.voters())
+            self.until(lambda: len(self.voters()) == 3)
+        self.write(b"last")
+        wanted.append(b"last")
+        self.until(
+            lambda: all(n.journal.commands == wanted for n in self.nodes)
+        )
+
+    def test_handed_over_leadership_needs_no_timeout(self) -> None:
+        leader = self.leader()
+        self.write(b"before")
+        leader.log.hand_over(5.0)
+        other = self.leader()
+        self.assertIsNot(leader, other)
+        other.log.propose("g", b"after", 2.0)
+
+    def test_restart_behind_snapshots_catches_up(self) -> None:
+        """A replica is away for hundreds of commands.
+
+        The others have dropped those entries, so it gets a snapshot; the
+        write-ahead logs stay small.
+        """
+        leader = self.leader()
+        away = next(n for n in self.nodes if n is not leader)
+        away.stop()
+        self.nodes.remove(away)
+        for number in range(300):
+            self.write(b"%0100d" % number)
+        self.assertLess(self.leader().log.wal.size(), 60_000)
+        self.nodes.append(away)
+        away.boot()
+        away.start(self.members)
+        self.until(lambda: len(away.journal.commands) == 300)
+
+    def test_leader_whose_sync_fails_acknowledges_nothing(self) -> None:
+        """The leader's disk fails to sync a proposal.
+
+        The proposer is told that the outcome is unknown, since the others
+        may have the entry; the replica stops for good, and they go on.
+        """
+        leader = self.leader()
+        self.write(b"before")
+        leader.log.wal.disk = BrokenDisk()
+        error = self.assertRaises(
+            errors.ProposalLost, leader.log.propose, "g", b"doubt", 2.0
+        )
+        self.assertEqual(errors.UNKNOWN, error.outcome)
+        self.assertIsInstance(leader.log.failure(), errors.StorageFailed)
+        self.assertRaises(
+            errors.NotLeader, leader.log.propose, "g", b"more", 1.0
+        )
+        self.nodes.remove(leader)
+        self.write(b"after")
+
+    def test_operator_moves_a_replica_to_another_instance(self) -> None:
+        spare = Replica("s1", self.folder)
+        member = replication.Member("s1", spare.address, "s1", "r")
+        self.members.append(member)
+        for node in self.nodes:
+            node.stop()
+            node.boot()
+            node.start(self.members)
+        spare.start(self.members)
+        self.addCleanup(spare.stop)
+        self.write(b"before")
+        leader = self.leader()
+        old = next(n for n in self.nodes if n is not leader)
+
+        def begun() -> bool:
+            try:
+                return leader.log.replace("g", old.name, "s1") == ["g"]
+            except errors.BadRequest:
+                return False
+
+        self.until(begun)
+        names = sorted({n.name for n in self.nodes} - {old.name} | {"s1"})
+        self.until(lambda: [v.instance for v in self.voters()] == names)
+        self.until(lambda: spare.journal.commands == [b"before"])
+
+    def test_second_process_with_an_older_epoch_stops(self) -> None:
+        """A disk is emptied while its instance's clock is behind.
+
+        The new identity would sort before the old one, and peers would take
+        its frames for stale. It stops and names the remedy.
+        """
+        self.write(b"before")
+        node = next(n for n in self.nodes if n is not self.leader())
+        node.epoch = -10
+        self.restart(node, empty=True)
+        self.until(lambda: node.log.failure() is not None)
+        self.assertIn("clock", node.log.failure().remedy)
+
+
+class BrokenDisk(wal_disk.SystemDisk):
+    """A disk whose syncs fail."""
+
+    def sync(self, descriptor: int) -> None:
+        raise OSError(errno.EIO, "injected")
+
+
+class LinksTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.frames: list[bytes] = []
+        self.server = streams.TcpStreams("127.0.0.1:0")
+        self.client = streams.TcpStreams("127.0.0.1:0")
+        self.addCleanup(self.server.stop)
+        self.addCleanup(self.client.stop)
+        clock = timers.EventletTimers()
+        replication_links.Links(self.server, clock, self.frames.append)
+        self.links = replication_links.Links(
+            self.client, clock, self.frames.append
+        )
+        self.addCleanup(self.links.stop)
+
+    def test_large_frame_arrives_whole_beside_small_ones(self) -> None:
+        large = bytes(range(256)) * 12_000
+        ended: list[bool] = []
+        self.links.send_bulk(self.server.address, large, ended.append)
+        for number in range(3):
+            self.links.send(self.server.address, b"%d" % number)
+        for _ in range(500):
+            if len(self.frames) == 4:
+                break
+            eventlet.sleep(0.01)
+        self.assertEqual([True], ended)
+        self.assertIn(large, self.frames)
+        small = [frame for frame in self.frames if frame != large]
+        self.assertEqual([b"0", b"1", b"2"], small)
+
+    def test_peer_that_reads_nothing_never_blocks_the_sender(self) -> None:
+        """A peer accepts the connection and then reads nothing.
+
+        The socket's buffers fill; frames beyond the bounded queue are
+        dropped, and the caller goes on at once.
+        """
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        for _ in range(1000):
+            self.links.send(f"{host}:{port}", bytes(100_000))
+            eventlet.sleep(0)
+        link = self.links.links[f"{host}:{port}"]
+        self.assertTrue(link.queue.full())
+
+    def test_snapshot_to_an_unreachable_peer_is_reported(self) -> None:
+        gone = streams.TcpStreams("127.0.0.1:0")
+        gone.stop()
+        ended: list[bool] = []
+        self.links.send_bulk(gone.address, b"state", ended.append)
+        eventlet.sleep(0.2)
+        self.assertEqual([False], ended)
