--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -164,6 +164,8 @@
         the upstream's time on an answer that comes too late.
         """
         self.slots.working_set.absent(now)
+        for line in self.lines.values():
+            line.clock.forget_idle()
         late = []
         while self.latest and self.latest[0][0] < now:
             entry = self.waiting[self.latest[0][1]]
@@ -199,7 +201,8 @@
     def _entry(self, call: calls.Call, now: float) -> lines.Entry:
         options = self.options
         remaining = self.learner.remaining(call.agent, call.attained)
-        place = order.key(call, remaining, now, options.ordering)
+        typical = self.learner.typical
+        place = order.key(call, remaining, typical, now, options.ordering)
         flow = call.partner if options.fair else ""
         klass = calls.INTERACTIVE
         if options.classes and call.klass == calls.BATCH:
@@ -293,8 +296,22 @@
                 for entry in line.flows[flow].heads():
                     if self._ready(entry, now):
                         return entry
+                    if self._holds_back(entry, now):
+                        return None
         return None
 
+    def _holds_back(self, entry: lines.Entry, now: float) -> bool:
+        """Tells whether nothing else may start until this call does.
+
+        A large context is passed over while smaller ones fit. They would go
+        on coming, and it would wait without bound.
+        """
+        if entry.need == lines.NEWCOMER:
+            return False
+        if now - entry.arrived < slots.HOLD_BACK_SECONDS:
+            return False
+        return self.slots.allows(entry, self.limit.current())
+
     def _enqueue(self, entry: lines.Entry) -> None:
         self.waiting[entry.call.call_id] = entry
         self.latest.add((entry.latest, entry.call.call_id))
