Wire loop detection, tell a restarted sidecar's refusal, add mintcleat bench

Loop detection was off: the entry passed no limit, and its digest held the turn's number, so no two turns were alike. An attempt that its only send brought to the sidecar's next life is told as not run. Settings that nothing read are gone; a release of an unknown digest is an error; the standin command checks its kind.

--- a/bench/path.py
+++ b/bench/path.py
@@ -44,6 +44,9 @@
     def call(self, program: str, turn: int) -> None:
         """Runs one call and checks that its answer is whole."""
         headers = {"Content-Type": "application/json"}
+        # Each turn says something else, or the loop limit ends the program.
+        said = {"role": "user", "content": f"combine stops, part {turn}"}
+        body = {**self.body, "messages": [said]}
         if self.program:
             headers["Mintcleat-Program"] = program
             headers["Mintcleat-Turn"] = str(turn)
@@ -51,7 +54,7 @@
             reply = self.pool.request(
                 "POST",
                 f"http://{self.address}/v1/chat/completions",
-                body=json.dumps(self.body),
+                body=json.dumps(body),
                 headers=headers,
                 timeout=60.0,
             )
--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -6,13 +6,19 @@
 
 from mintcleat.domain import messages
 
+# A field that can't have its name in Python.
+_SHOWN = {"klass": "class"}
+
 
 def plain(value: Any) -> Any:
     """Returns data for JSON: messages as objects, digests in hex."""
     if isinstance(value, msgspec.Raw):
         return value
     if hasattr(value, "_asdict"):
-        return {name: plain(item) for name, item in value._asdict().items()}
+        return {
+            _SHOWN.get(name, name): plain(item)
+            for name, item in value._asdict().items()
+        }
     if isinstance(value, bytes):
         return value.hex()
     if isinstance(value, dict):
--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -60,23 +60,14 @@
 
     Attributes:
         upstream: `IP:PORT` of the upstream beside it.
-        capacity: Calls that the upstream takes at once.
-        fencing: The upstream refuses orders with an old fencing number.
-        kv_export: The engine exports and imports its cache.
-        priority: The engine honours priorities.
-        resume: The engine resumes a stream from an offset.
-        cache_tokens: Tokens that the engine's cache holds; 0 if unknown.
+        capacity: Calls that the upstream takes at once; 0 asks the engine.
+            What else an engine can do, it announces itself.
     """
 
     upstream: str
     service: str
     kind: Literal["model", "plain"]
     capacity: int = 16
-    fencing: bool = False
-    kv_export: bool = False
-    priority: bool = False
-    resume: bool = False
-    cache_tokens: int = 0
 
 
 class Logs(msgspec.Struct, frozen=True):
@@ -127,7 +118,10 @@
     try:
         value = json5.loads(path.read_text())
     except OSError as error:
-        raise _group([fault("", f"can't be read: {error.strerror}")]) from None
+        reading = fault(
+            str(path), f"can't be read: {error.strerror}", "Name a file."
+        )
+        raise _group([reading]) from None
     except ValueError as error:
         raise _group([fault("", f"is no JSON: {error}")]) from None
     return parse(value)
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -105,6 +105,15 @@
     default_remedy = "Use a partner that the manifest's policies list."
 
 
+class UnknownDigest(MintcleatError):
+    """No request with this digest is a suspect or quarantined."""
+
+    kind = "unknown_digest"
+    status = 404
+    default_outcome = NOT_RUN
+    default_remedy = "Copy the digest from `mintcleat quarantine list`."
+
+
 class WrongTurn(MintcleatError):
     """The turn is not the program's next one."""
 
@@ -302,12 +311,14 @@
     """The peer closed the exchange or its connection was lost."""
 
     kind = "stream_closed"
+    default_remedy = "Send again with the same key; see that the peer runs."
 
 
 class StreamTimeout(MintcleatError):
     """No message came within the time allowed."""
 
     kind = "stream_timeout"
+    default_remedy = "Send again with the same key; see how loaded the peer is."
 
 
 class NotLeader(MintcleatError):
@@ -361,6 +372,18 @@
     default_remedy = "Nothing to do: a newer leader has taken over."
 
 
+class OtherIncarnation(MintcleatError):
+    """The attempt is bound to another life of the sidecar that was asked.
+
+    Whoever sent the attempt once, and to nobody else, knows that it did not
+    run; to anybody else its outcome is unknown.
+    """
+
+    kind = "other_incarnation"
+    status = 503
+    default_remedy = "Send again with the same key."
+
+
 class Superseded(MintcleatError):
     """The attempt was replaced by a newer one; its answer is not recorded."""
 
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -13,6 +13,7 @@
 import fire
 from fire import decorators
 
+from mintcleat.main import cli_bench
 from mintcleat.main import cli_client
 from mintcleat.main import cli_manifest
 from mintcleat.main import cli_tables
@@ -97,6 +98,19 @@
         head = ("NO", "AT", "WHO", "FROM", "ACTION", "SUBJECT", "OUTCOME")
         _print(self._json, {"entries": entries}, head, rows)
 
+    @decorators.SetParseFn(str, "plan", "entries", "report")
+    def bench(
+        self, plan: str, entries: str = "127.0.0.1:8080", report: str = ""
+    ) -> None:
+        """Runs a load plan against running entries and prints its figures.
+
+        Args:
+            plan: JSON file with comments; see docs/reference/load.md.
+            entries: Callers' addresses, separated by commas.
+            report: Folder for report.json and plots; none when empty.
+        """
+        cli_bench.run(plan, entries, report, self._json)
+
     def instances(self) -> None:
         """Lists the nodes with the revision applied and the lease left."""
         self.manifest.status()
--- /dev/null
+++ b/src/mintcleat/main/cli_bench.py
@@ -0,0 +1,33 @@
+"""`mintcleat bench`: open-loop program load against running entries."""
+
+import json
+import pathlib
+
+import urllib3
+
+from mintcleat.adapters import timers as timers_module
+from mintcleat.load import arrivals
+from mintcleat.load import client as client_module
+from mintcleat.load import driver as driver_module
+from mintcleat.load import plan as plan_module
+from mintcleat.load import report
+
+_PATIENCE_SECONDS = 60.0
+_MAX_CONNECTIONS = 4096
+
+
+def run(plan_file: str, entries: str, folder: str, as_json: bool) -> None:
+    """Runs a plan, prints its figures and writes the report."""
+    plan = plan_module.load(pathlib.Path(plan_file))
+    programs = arrivals.schedule(plan)
+    timers = timers_module.EventletTimers()
+    urllib3.disable_warnings()
+    client = client_module.Client(entries.split(","), timers, _MAX_CONNECTIONS)
+    driver = driver_module.Driver(client, timers)
+    driver.run(programs, _PATIENCE_SECONDS)
+    figures = report.summary(driver)
+    print(json.dumps(figures) if as_json else report.table(figures))
+    if folder:
+        names = report.write(pathlib.Path(folder), driver)
+        if not as_json:
+            print(f"wrote {', '.join(names)} to {folder}")
--- a/src/mintcleat/main/daemon.py
+++ b/src/mintcleat/main/daemon.py
@@ -62,7 +62,7 @@
     match arguments:
         case ["local", *rest]:
             sys.exit(fire.Fire(run_local, rest, name="mintcleatd local"))
-        case ["standin", kind, listen]:
+        case ["standin", ("engine" | "service") as kind, listen]:
             sys.exit(run_part(lambda: standin.Standin(kind, listen)))
         case ["--check", path]:
             sys.exit(check(pathlib.Path(path)))
--- a/src/mintcleat/roles/attempts.py
+++ b/src/mintcleat/roles/attempts.py
@@ -86,6 +86,15 @@
     )
 
 
+def never_delivered(failure: errors.Failure) -> bool:
+    """Tells whether the answer to an attempt's only send proves it unrun.
+
+    The sidecar restarted after it was chosen, so the frame reached its next
+    life, which refused it. An attempt is sent once and by one entry.
+    """
+    return failure.kind == errors.OtherIncarnation.kind
+
+
 def digest(*parts: str | bytes) -> bytes:
     """Returns 16 bytes that tell one request's content from another's."""
     state = xxhash.xxh3_128()
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -122,7 +122,10 @@
             case messages.DrainScope():
                 self.leader.propose(commands.SetDrain(*message, at))
             case messages.ReleaseQuarantine():
-                self.leader.propose(commands.Release(*message, at))
+                if not self.leader.propose(commands.Release(*message, at)):
+                    raise errors.UnknownDigest(
+                        f"{message.digest.hex()} is not in the quarantine."
+                    )
             case messages.SetControl():
                 self.leader.propose(commands.SetMember(*message, at))
             case messages.ReportCrash(sidecar=sidecar, number=number):
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -88,6 +88,7 @@
             klass=new.klass or agent.klass,
             budget=self._budget(new.budget, agent),
             parent=new.parent,
+            repeat_limit=agent.repeat_limit,
         )
         return self._remember(self._ask(create.program, create))
 
@@ -118,9 +119,7 @@
         view = self._call_view(call.program, call.key)
         partner = view.partner if view else self._partner(call.partner)
         key = call.key
-        digest = attempts_module.digest(
-            *call.messages, call.parameters, str(call.turn)
-        )
+        digest = attempts_module.digest(*call.messages, call.parameters)
         if view and not key:
             # Made from the content, so that a resend without a key still
             # finds the first send's attempt instead of a taken turn.
@@ -173,11 +172,14 @@
             refusal=refusal,
         )
         self.metrics.count("calls_total", kind="service")
+        started = self.timers.now()
         self.running += 1
         try:
             return self.service_calls.run(context)
         finally:
             self.running -= 1
+            taken = self.timers.now() - started
+            self.metrics.observe("call_seconds", taken, kind="service")
 
     def _counted(
         self, context: chat_module.Context
--- a/src/mintcleat/roles/service_calls.py
+++ b/src/mintcleat/roles/service_calls.py
@@ -181,6 +181,11 @@
             return self._after_loss(context, attempt, placed)
         except errors.StreamTimeout:
             return self._after_loss(context, attempt, placed)
+        if isinstance(reply, messages.Broken) and (
+            attempts_module.never_delivered(reply.failure)
+        ):
+            cause = errors.NoUpstream("The sidecar was just restarted.")
+            return attempts_module.Again(attempt, cause)
         return self._answer(context, attempt, reply)
 
     def _answer(
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -389,7 +389,7 @@
 
 
 def _other_incarnation(number: int) -> messages.Broken:
-    failure = errors.OutcomeUnknown(
+    failure = errors.OtherIncarnation(
         "The attempt belongs to another life of this sidecar."
     )
     return messages.Broken(number, failure.failure())
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -173,15 +173,26 @@
         program = {"id": "p", "agent": "triage", "budget": budget}
         self.send("POST", "/v1/programs", program)
         number = 1
-        while self.turn("p", number).status == 200:
+        while self.turn("p", number, f"m{number}").status == 200:
             number += 1
-        reply = self.turn("p", number)
+        reply = self.turn("p", number, f"m{number}")
         self.assert_refused(reply, 422, "budget_exhausted")
         view = self.send("GET", "/v1/programs/p").json()
         self.assertThat(view["tokens_used"], matchers.LessThan(301))
         self.assertThat(number, matchers.GreaterThan(4))
         self.assertEqual(0, view["tokens_reserved"])
 
+    def test_program_that_says_the_same_over_and_over_is_stopped(self) -> None:
+        """An agent is caught in a loop and sends one message for ever.
+
+        The manifest allows 8 like calls; the ninth is refused before it
+        costs anything, and says why.
+        """
+        self.send("POST", "/v1/programs", {"id": "p", "agent": "triage"})
+        for number in range(1, 9):
+            self.assertEqual(200, self.turn("p", number).status)
+        self.assert_refused(self.turn("p", 9), 422, "loop_detected")
+
 
 class ServicesTest(WholePath):
     def test_resent_post_runs_once(self) -> None:
