--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar_gate.py
@@ -63,6 +63,10 @@
             self.gate.left(program)
         self.pump()
 
+    def learn(self, agent: str, tokens: int, turns: int) -> None:
+        """Learns from a program that is gone."""
+        self.gate.learner.finished(agent, tokens, turns)
+
     def usual_answer(self, agent: str) -> int:
         """Returns the tokens that a call of this agent usually generates."""
         return self.gate.learner.answer_tokens(agent, _USUAL_TOKENS)
--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -51,6 +52,22 @@
         return blob
 
 
+# Programs whose life is remembered, at about 200 bytes each.
+_LIVES_KEPT = 20_000
+
+
+class Life(NamedTuple):
+    """What a program had when its last turn here ended.
+
+    Attributes:
+        tokens: Tokens served to the whole (root) program.
+    """
+
+    agent: str
+    tokens: int
+    turns: int
+
+
 class Memory:
     """The ledger of one engine, its renewal and the retain decisions.
 
@@ -78,6 +95,9 @@
         self.ledger = sidecar_ledger.Ledger()
         self.keeper = retain.Keeper(retain.Options(memory=0))
         self.exports = Exports(export_bytes)
+        self.lives: collections.OrderedDict[str, Life] = (
+            collections.OrderedDict()
+        )
         self.stopped = False
 
     def start(self, renew_seconds: float) -> None:
@@ -132,11 +152,24 @@
                 self._act(action)
         self.admission.protect(self.keeper.expected_soon(now))
 
+    def note(self, program: str, life: Life) -> None:
+        """Keeps what a program had, for the learner once it is gone."""
+        self.lives[program] = life
+        self.lives.move_to_end(program)
+        if len(self.lives) > _LIVES_KEPT:
+            self.lives.popitem(last=False)
+
+    def _learn(self, program: str) -> None:
+        life = self.lives.pop(program, None)
+        if life is not None and life.agent:
+            self.admission.learn(life.agent, life.tokens, life.turns)
+
     def sweep(self) -> None:
         """Puts out what has been paused for too long."""
         now = self.timers.now()
         for action in self.keeper.sweep(now):
             self._act(action)
+            self.admission.left([action.program])
         self.admission.protect(self.keeper.expected_soon(now))
 
     def renew(self) -> None:
@@ -149,6 +182,11 @@
                 self.keeper.gone(program)
                 self.exports.pop(program)
                 self.on_gone(program)
+                self._learn(program)
+            # Only a program that is gone leaves the working set. One whose
+            # cache was evicted under pressure comes back; counted as gone it
+            # made room for newcomers, and the engine took in too many.
+            self.admission.left(gone)
             # A turn that ends after this fills the cache again; the ledger
             # hears of it, and the next renewal releases it.
             self.release(gone)
@@ -163,7 +201,6 @@
             logger.warning("Memory is not released: {}", error.detail)
             return
         self.ledger.released(programs)
-        self.admission.left(programs)
 
     def release_all(self) -> None:
         """Frees everything, for a planned stop."""
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar_run.py
@@ -137,6 +137,9 @@
             asked.program, asked.base_turn, asked.base_digest, added
         )
         tokens = usage.prompt_tokens + usage.completion_tokens
+        served = asked.attained + usage.completion_tokens
+        life = sidecar_memory.Life(asked.agent, served, asked.base_turn + 1)
+        self.memory.note(asked.program, life)
         self.memory.pause(asked.program, asked.agent, tokens)
 
     def _stream(
