Bound the bytes of load reports and renewals; write the capacity tables

Cause: at the planned size 220 entries would watch each sidecar, and two reports a second to each are 40 KB/s a sidecar, 138 KB/s a node, against 20 allowed. Change: reports and renewals have a budget of bytes and their interval grows with the number of receivers; answers go on carrying fresh reports. Not measured with 220 watchers on a running system.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,328 @@
+"""Writes the tables of docs/CAPACITY.md from docs/capacity.json.
+
+Usage: python -m bench.capacity [--check]
+
+The text around the tables is kept in the page itself, between the markers'
+outsides, so that only figures come from the data.
+"""
+
+import json
+import pathlib
+import re
+import sys
+from typing import Any
+from typing import NamedTuple
+
+import fire
+
+from mintcleat.decisions import pace
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+DATA = ROOT / "docs" / "capacity.json"
+
+NODES = 860
+ENGINES = 3_000
+REQUESTS = 35_000
+TOKENS = 12_000_000
+PROGRAMS = 780_000
+CONTROL = 21
+REPLICAS = 3
+HISTORY_BYTES = 160_000 * 4
+SIDECARS = ENGINES / NODES
+CALLS = REQUESTS / NODES
+FRAMES = TOKENS / NODES
+CPU_LIMIT = 4.4
+MEMORY_LIMIT = 32.0
+BYTES_LIMIT = 20.0
+
+
+class Line(NamedTuple):
+    """One line of a table; `value` is in `unit` at the planned size."""
+
+    what: str
+    arithmetic: str
+    value: float
+    unit: str
+    source: str
+    mechanism: str
+
+
+def node_cpu(data: dict[str, Any]) -> list[Line]:
+    """Returns processor time of control per node, in % of one core."""
+    report = data["sidecar_watcher"]["slope"] / 2
+    reports = SIDECARS * pace.REPORT_BUDGET / 100
+    entry = data["turn_entry_control"]
+    sidecar = data["turn_sidecar_control"]
+    followers = 1 + SIDECARS
+    config = data["config_node_10x"]["cpu"] * 1e6
+    return [
+        Line(
+            "commits, entry's side",
+            f"{entry:.0f} us a turn x {CALLS:.1f} turns/s",
+            entry * CALLS / 1e4,
+            "%",
+            "turns",
+            "roles/control_client.py batches requests to one leader",
+        ),
+        Line(
+            "commits, sidecars' side",
+            f"{sidecar:.0f} us a turn x {CALLS:.1f} turns/s",
+            sidecar * CALLS / 1e4,
+            "%",
+            "turns",
+            "roles/sidecar_commit.py reports outcomes from the sidecar",
+        ),
+        Line(
+            "load reports sent",
+            f"{report:.0f} us each x {reports:.0f} a second",
+            report * reports / 1e4,
+            "%",
+            "load_reports",
+            "decisions/pace.py bounds their bytes",
+        ),
+        Line(
+            "configuration followed",
+            f"{config:.0f} us a second x {followers:.1f} followers",
+            config * followers / 1e4,
+            "%",
+            "config_cost, 10 times the users' rate",
+            "roles/follower.py takes changed sections only",
+        ),
+    ]
+
+
+def node_bytes(data: dict[str, Any]) -> list[Line]:
+    """Returns the network use of control per node, in KB a second."""
+    config = data["config_node_10x"]
+    stream = config["sent"] + config["received"]
+    followers = 1 + SIDECARS
+    return [
+        Line(
+            "load reports sent",
+            f"{pace.REPORT_BUDGET:.0f} B/s x {SIDECARS:.2f} sidecars",
+            pace.REPORT_BUDGET * SIDECARS / 1e3,
+            "KB/s",
+            "budget in the code",
+            "decisions/pace.py",
+        ),
+        Line(
+            "residency renewed",
+            f"{pace.RENEWAL_BUDGET:.0f} B/s x {SIDECARS:.2f} sidecars",
+            pace.RENEWAL_BUDGET * SIDECARS / 1e3,
+            "KB/s",
+            "budget in the code",
+            "decisions/pace.py, roles/sidecar_memory.py",
+        ),
+        Line(
+            "configuration stream",
+            f"{stream:.0f} B/s x {followers:.1f} followers",
+            stream * followers / 1e3,
+            "KB/s",
+            "config_cost, 10 times the users' rate",
+            "roles/config_feed.py",
+        ),
+    ]
+
+
+def node_memory(data: dict[str, Any]) -> list[Line]:
+    """Returns the memory of control per node, in MB."""
+    member = data["member_node"]["slope"]
+    own = (data["resident"]["entry"] - data["bare_resident"]) / 1e6
+    return [
+        Line(
+            "members known to the entry",
+            f"{member:.0f} B x {ENGINES}",
+            member * ENGINES / 1e6,
+            "MB",
+            "members",
+            "roles/follower.py",
+        ),
+        Line(
+            "entry's own code and state",
+            "resident less a process with the same libraries",
+            own,
+            "MB",
+            "turns",
+            "lean imports; no state that must survive",
+        ),
+    ]
+
+
+def control(data: dict[str, Any]) -> list[Line]:
+    """Returns what one of the control instances carries."""
+    pair = data["pair_by_callers"][-1][1]
+    turns = REQUESTS / CONTROL
+    record = data["record_bytes"]["slope"]
+    each = PROGRAMS * REPLICAS / CONTROL
+    begin, finish = data["bytes"]["BeginCall"], data["bytes"]["FinishCall"]
+    served = NODES * (1 + SIDECARS) / CONTROL
+    per_node = 3 * data["config_leader_10x"]["slope"]
+    return [
+        Line(
+            "commits of turns, all replicas",
+            f"{pair:.0f} us a turn x {turns:.0f} turns/s",
+            pair * turns / 1e4,
+            "% of a core",
+            "batched, 512 callers",
+            "group commit in adapters/wal.py, batches in program_service.py",
+        ),
+        Line(
+            "nodes served with configuration",
+            f"{per_node:.0f} us a second x {served:.0f} nodes",
+            per_node * served / 1e4,
+            "% of a core",
+            "config_cost, 10 times the users' rate",
+            "roles/config_feed.py, roles/config_relay.py",
+        ),
+        Line(
+            "program records",
+            f"{record:.0f} B x {each:.0f} replicas of programs",
+            record * each / 1e6,
+            "MB",
+            "records",
+            "programs/records.py; histories are in files",
+        ),
+        Line(
+            "histories on disk, all at 160,000 tokens",
+            f"{HISTORY_BYTES} B x {each:.0f}",
+            HISTORY_BYTES * each / 1e9,
+            "GB",
+            "4 bytes a token",
+            "adapters/histories.py",
+        ),
+        Line(
+            "log sent to followers",
+            f"({begin} + {finish}) B x {turns:.0f} x {REPLICAS - 1}",
+            (begin + finish) * turns * (REPLICAS - 1) / 1e6,
+            "MB/s",
+            "sizes",
+            "one frame a peer, roles/replication_links.py",
+        ),
+    ]
+
+
+def data_path(data: dict[str, Any]) -> list[Line]:
+    """Returns the processor time of the calls themselves, per node."""
+    found = []
+    for role in ("entry", "sidecar"):
+        slope = data[f"{role}_call"]
+        found.append(
+            Line(
+                f"{role}: calls",
+                f"{slope['base']:.0f} us x {CALLS:.1f} calls/s",
+                slope["base"] * CALLS / 1e4,
+                "%",
+                "tokens_per_call",
+                "roles/entry.py, roles/sidecar.py",
+            )
+        )
+        found.append(
+            Line(
+                f"{role}: token frames",
+                f"{slope['slope']:.1f} us x {FRAMES:.0f} tokens/s",
+                slope["slope"] * FRAMES / 1e4,
+                "%",
+                "tokens_per_call",
+                "adapters/streams_connection.py gathers frames",
+            )
+        )
+    return found
+
+
+def spread_line(data: dict[str, Any]) -> str:
+    """Returns the time for a change to reach all, from the line."""
+    worst = data["spread_worst"]
+    seconds = worst["base"] + worst["slope"] * NODES
+    return (
+        f"Slowest of 10 pushes: {worst['points'][-1][1] * 1e3:.0f} ms at 200 "
+        f"nodes measured, {seconds * 1e3:.0f} ms at {NODES} by the line; the "
+        "limit is 5 s."
+    )
+
+
+def table(lines: list[Line], limit: float = 0.0) -> str:
+    """Returns a Markdown table, with its sum against the limit if given."""
+    rows = [
+        "| what | slope x size | at the planned size | source | carried by |",
+        "|---|---|---|---|---|",
+    ]
+    rows.extend(
+        f"| {one.what} | {one.arithmetic} | {one.value:.2f} {one.unit} "
+        f"| {one.source} | {one.mechanism} |"
+        for one in lines
+    )
+    if limit:
+        total = sum(one.value for one in lines)
+        unit = lines[0].unit
+        verdict = "met" if total <= limit else "missed"
+        rows.append(
+            f"| **sum** | limit {limit:g} {unit} | **{total:.2f} {unit}** "
+            f"| {verdict}, {total / limit:.2f} of the limit | |"
+        )
+    return "\n".join(rows)
+
+
+def slopes(data: dict[str, Any]) -> str:
+    """Returns every measured line with its points and its bend."""
+    rows = [
+        "| line | points (size: value) | slope | at 0 | largest deviation |",
+        "|---|---|---|---|---|",
+    ]
+    for name, one in sorted(data.items()):
+        if not isinstance(one, dict) or "slope" not in one:
+            continue
+        points = ", ".join(f"{a:g}: {b:.4g}" for a, b in one["points"])
+        rows.append(
+            f"| {name} | {points} | {one['slope']:.4g} {one['unit']} "
+            f"for each of: {one['size']} | {one['base']:.4g} "
+            f"| {one['bend']:.0%} |"
+        )
+    batches = ", ".join(f"{a}: {b:.0f}" for a, b in data["pair_by_callers"])
+    rows.append(
+        f"| pair_by_callers | {batches} | us of three replicas a turn, by "
+        "callers | | |"
+    )
+    return "\n".join(rows)
+
+
+def blocks(data: dict[str, Any]) -> dict[str, str]:
+    """Returns each generated block by the name of its marker."""
+    return {
+        "node-cpu": table(node_cpu(data), CPU_LIMIT),
+        "node-bytes": table(node_bytes(data), BYTES_LIMIT),
+        "node-memory": table(node_memory(data), MEMORY_LIMIT),
+        "control": table(control(data)),
+        "data-path": table(data_path(data)),
+        "spread": spread_line(data),
+        "slopes": slopes(data),
+    }
+
+
+def page(text: str, data: dict[str, Any]) -> str:
+    """Returns the page with every generated block put in."""
+    for name, block in blocks(data).items():
+        pattern = rf"(<!-- {name} -->\n).*?(\n<!-- end -->)"
+        text, found = re.subn(
+            pattern,
+            lambda match, block=block: match[1] + block + match[2],
+            text,
+            flags=re.DOTALL,
+        )
+        if found != 1:
+            raise SystemExit(f"The page has {found} blocks {name!r}, not 1.")
+    return text
+
+
+def main(check: bool = False) -> None:
+    """Writes the page, or fails when it differs from the data."""
+    text = PAGE.read_text()
+    made = page(text, json.loads(DATA.read_text()))
+    if not check:
+        PAGE.write_text(made)
+    elif made != text:
+        sys.exit("docs/CAPACITY.md differs from docs/capacity.json.")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -14,6 +14,7 @@
 from typing import Any
 from typing import TypedDict
 
+import eventlet
 import fire
 import numpy as np
 
@@ -25,9 +26,11 @@
 from bench import rig
 from bench import state
 from mintcleat.adapters import streams
+from mintcleat.adapters import timers
 from mintcleat.domain import codec
 from mintcleat.domain import errors
 from mintcleat.domain import messages
+from mintcleat.roles import control_client
 
 ROOT = pathlib.Path(__file__).parent.parent
 _CALLERS = 16
@@ -150,6 +153,62 @@
     found["bare_resident"] = _bare()
 
 
+def batched(found: dict[str, Any]) -> None:
+    """Control: processor time per begin and finish as batches grow."""
+    system = processes.System(controls=3, entries=0, engines=0, services=0)
+    hub = streams.TcpStreams("127.0.0.1:0")
+    names = {f"control-{number}": f"control-{number}" for number in range(3)}
+    points = []
+    try:
+        client = control_client.ControlClient(
+            hub, timers.EventletTimers(), system.control_addresses, 4
+        )
+        _pairs(client, "warm", 16, 160)
+        for callers in (16, 128, 512):
+            pairs = 6 * 512
+            used = _used(
+                system,
+                names,
+                lambda n=callers: _pairs(client, f"c{n}", n, 6 * 512),
+            )
+            points.append([callers, sum(used.values()) / pairs * 1e6])
+    finally:
+        hub.stop()
+        system.stop()
+    found["pair_by_callers"] = points
+
+
+def _pairs(
+    client: control_client.ControlClient, prefix: str, callers: int, count: int
+) -> None:
+    """Runs begin and finish of `count` turns from so many callers."""
+    sidecar = messages.Incarnation("bench", 1)
+
+    def caller(number: int) -> None:
+        name = f"{prefix}-{number}"
+        client.ask(
+            name,
+            messages.CreateProgram(name, "p", "", "batch", messages.Budget()),
+            30.0,
+        )
+        for turn in range(1, count // callers + 1):
+            key = f"turn-{turn}"
+            begin = messages.BeginCall(
+                name, "", "triage", turn, key, b"d" * 16, ["x" * 400], 500,
+                True, sidecar, "127.0.0.1:1",
+            )  # fmt: skip
+            granted = client.ask(name, begin, 30.0)
+            finish = messages.FinishCall(
+                name, "", key, granted.attempt, sidecar, b"y" * 800,
+                messages.Usage(500, 200, 0),
+            )  # fmt: skip
+            client.ask(name, finish, 30.0)
+
+    threads = [eventlet.spawn(caller, number) for number in range(callers)]
+    for thread in threads:
+        thread.wait()
+
+
 def _used(
     system: processes.System, names: dict[str, str], action: Callable[[], Any]
 ) -> dict[str, float]:
@@ -321,6 +380,7 @@
     "members": members,
     "tokens_per_call": tokens_per_call,
     "turns": turns,
+    "batched": batched,
     "load_reports": load_reports,
     "recovery": recovery,
     "spread": spread,
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -7,6 +7,7 @@
 import itertools
 from typing import Any
 
+from mintcleat.decisions import pace
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import control as control_port
@@ -26,6 +27,8 @@
 from mintcleat.roles import sidecar_run
 from mintcleat.roles import sidecar_watch
 
+# One load report on the wire, its frame included (docs/capacity.json).
+_REPORT_BYTES = 100
 _STOP_STEP = 0.02
 _ATTACH_STEP = 0.02
 _EXPIRE_SECONDS = 0.1
@@ -106,6 +109,7 @@
         self.orders = sidecar_orders.receiver(node, target, timers, directory)
         self.follower = sidecar_watch.Follower(timers, self.executor.cancel)
         self.numbers = itertools.count(1)
+        self.watchers = 0
         self.subscriptions: list[timers_port.Subscription] = []
 
     def start(self) -> None:
@@ -218,10 +222,22 @@
     def watch_load(
         self, exchange: streams_port.Exchange, asked: messages.WatchLoad
     ) -> None:
-        """Pushes load reports until the watcher goes."""
-        while True:
-            exchange.send(self.load())
-            self.timers.sleep(self.options.load_seconds)
+        """Pushes load reports until the watcher goes.
+
+        Every answer carries a report too, so a watcher that sends work here
+        stays informed when many watchers make the interval long.
+        """
+        self.watchers += 1
+        try:
+            while True:
+                exchange.send(self.load())
+                size = self.watchers * _REPORT_BYTES
+                seconds = pace.interval(
+                    self.options.load_seconds, size, pace.REPORT_BUDGET
+                )
+                self.timers.sleep(seconds)
+        finally:
+            self.watchers -= 1
 
     def order(
         self, exchange: streams_port.Exchange, asked: messages.Order
--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from mintcleat.decisions import pace
 from mintcleat.decisions import retain
 from mintcleat.domain import errors
 from mintcleat.domain import messages
@@ -18,6 +19,8 @@
 # Programs asked about in one message to a program group.
 _RENEW_BATCH = 512
 _ASK_SECONDS = 5.0
+# One program's id in a renewal, as entries make ids.
+_RENEWAL_BYTES = 36
 _EVENT_WAIT = 1.0
 _RETRY_SECONDS = 0.5
 # Caches are put out from this part of the engine's memory on, down to the
@@ -258,7 +261,9 @@
 
     def _renew_forever(self, seconds: float) -> None:
         while not self.stopped:
-            self.timers.sleep(seconds)
+            size = len(self.ledger.tokens) * _RENEWAL_BYTES
+            wait = pace.interval(seconds, size, pace.RENEWAL_BUDGET)
+            self.timers.sleep(wait)
             if self.stopped:
                 return
             try:
