--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -7,7 +7,9 @@
 from eventlet import wsgi
 from loguru import logger
 
+from mintcleat.adapters import problems
 from mintcleat.adapters import streams
+from mintcleat.domain import errors
 
 # Idle keep-alive connections are closed after this many seconds. It must be
 # longer than the balancer's own idle time, or the balancer may send a request
@@ -49,6 +51,7 @@
             self.listener,
             self._counted,
             custom_pool=self.pool,
+            protocol=TypedProtocol,
             log=_Quiet(),
             log_output=False,
             debug=False,
@@ -78,6 +81,36 @@
                 body.close()
 
 
+class TypedProtocol(wsgi.HttpProtocol):
+    """Refuses what can't be parsed as problem+json, like everything else."""
+
+    def parse_request(self) -> bool:
+        """Reads the request line and the headers; False ends the request."""
+        try:
+            return super().parse_request()
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            self._refuse(errors.TooLarge("A header is over its size limit."))
+            return False
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Answers a malformed request line or header."""
+        self._refuse(errors.BadRequest(f"{message or explain or code}."))
+
+    def _refuse(self, error: errors.MintcleatError) -> None:
+        body = problems.body(error, "")
+        lines = [
+            f"HTTP/1.1 {problems.status_line(error.status)}",
+            f"Content-Type: {problems.CONTENT_TYPE}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        ]
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        self.wfile.write(head + body)
+        self.close_connection = 1
+
+
 class _Quiet:
     """The server's own log lines, passed on at debug level."""
 
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -11,6 +11,7 @@
 from urllib import parse as url
 
 import msgspec
+from msgspec import inspect
 
 from mintcleat.domain import errors
 from mintcleat.domain import manifest_faults
@@ -128,6 +129,7 @@
         # times as much, which only a faulty manifest pays for.
         raw = msgspec.json.decode(text)
         faults = manifest_faults.schema_faults(raw, Manifest)
+        faults.extend(_reference_faults(raw))
     except (msgspec.DecodeError, UnicodeError) as error:
         raise errors.InvalidManifest(f"$: no valid JSON: {error}.") from None
     else:
@@ -138,6 +140,16 @@
     raise errors.InvalidManifest("\n".join(lines))
 
 
+def _reference_faults(raw: Any) -> list[manifest_faults.Fault]:
+    """Returns dangling names, as far as the types let them be told."""
+    known = manifest_faults.without_unknown(raw, inspect.type_info(Manifest))
+    try:
+        parsed = msgspec.convert(known, Manifest)
+    except msgspec.ValidationError:
+        return []
+    return manifest_faults.reference_faults(parsed)
+
+
 def compact(manifest: Manifest) -> str:
     """Returns the manifest as JSON on one line, for machines to read."""
     return msgspec.json.encode(manifest).decode()
--- a/src/mintcleat/domain/manifest_faults.py
+++ b/src/mintcleat/domain/manifest_faults.py
@@ -34,6 +34,30 @@
     return faults
 
 
+def without_unknown(value: Any, node: inspect.Type) -> Any:
+    """Returns decoded JSON without the fields that its type does not have.
+
+    What is left may be well typed; dangling names are then found in the same
+    run as the unknown fields.
+    """
+    match node:
+        case inspect.StructType(fields=fields) if isinstance(value, dict):
+            return {
+                field.encode_name: without_unknown(
+                    value[field.encode_name], field.type
+                )
+                for field in fields
+                if field.encode_name in value
+            }
+        case inspect.DictType(value_type=kind) if isinstance(value, dict):
+            return {
+                name: without_unknown(item, kind)
+                for name, item in value.items()
+            }
+        case _:
+            return value
+
+
 def reference_faults(manifest: Any) -> list[Fault]:
     """Returns the faults between well-typed fields of a Manifest."""
     faults: list[Fault] = []
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -11,7 +11,6 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.domain import requests
-from mintcleat.ports import directory as directory_port
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
@@ -79,14 +78,12 @@
         self,
         attempts: attempts_module.Attempts,
         placement: placement_module.Placement,
-        directory: directory_port.Directory,
         streams: streams_port.Streams,
         timers: timers_port.Timers,
         metrics: metrics_port.Metrics,
     ) -> None:
         self.attempts = attempts
         self.placement = placement
-        self.directory = directory
         self.streams = streams
         self.timers = timers
         self.metrics = metrics
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -50,7 +50,7 @@
         self.running = 0
         attempts = attempts_module.Attempts(control, streams, timers)
         self.chat_calls = chat_module.Chat(
-            attempts, placement, directory, streams, timers, metrics
+            attempts, placement, streams, timers, metrics
         )
         self.service_calls = service_calls_module.ServiceCalls(
             attempts, placement, streams, timers, metrics
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -17,8 +17,6 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 REFERENCE = ROOT / "docs" / "reference"
-# Written by a command from measurements; it may be absent before that run.
-MADE_BY_COMMAND = {ROOT / "docs" / "CAPACITY.md"}
 LINK = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
 FIELD_ROW = re.compile(r"^\| `(\w+)` \| (.*?) \| (.*?) \|", re.MULTILINE)
 ERROR_ROW = re.compile(r"^\| `(\w+)` \| (\d+) \| `(\w+)` \|.*\| (.+) \|$")
@@ -198,7 +196,7 @@
                     continue
                 seen += 1
                 path = (page.parent / target).resolve()
-                if not path.exists() and path not in MADE_BY_COMMAND:
+                if not path.exists():
                     broken.append(f"{page.name}: {target}")
         self.assertEqual([], broken)
         self.assertThat(seen, matchers.GreaterThan(10))
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import socket
 import tempfile
 
 import testtools
@@ -163,6 +164,28 @@
         reply = self.send("POST", "/v1/programs", b"x" * (9 << 20))
         self.assert_refused(reply, 413, "too_large")
 
+    def raw(self, data: bytes) -> bytes:
+        """Sends bytes, ends the sending side, and returns what came back."""
+        host, port = self.http.split(":")
+        with socket.create_connection((host, int(port)), 5.0) as caller:
+            caller.sendall(data)
+            caller.shutdown(socket.SHUT_WR)
+            return caller.makefile("rb").read()
+
+    def test_what_is_no_request_is_refused_and_harms_nobody(self) -> None:
+        """Callers send an oversized header, no HTTP, and half a body.
+
+        Each gets a typed refusal or a closed connection; the next caller is
+        served as usual.
+        """
+        large = b"GET /healthz HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n"
+        self.assertThat(self.raw(large), matchers.Contains(b"too_large"))
+        self.assertThat(self.raw(b"\x16\x03 no http\r\n\r\n"),
+                        matchers.Contains(b"bad_request"))  # fmt: skip
+        half = b"POST /v1/programs HTTP/1.1\r\nContent-Length: 9\r\n\r\n{}"
+        self.assertThat(self.raw(half), matchers.Contains(b"not_run"))
+        self.assertEqual(200, self.send("GET", "/healthz").status)
+
     def test_budget_holds_to_the_last_token(self) -> None:
         """A program takes turns until its budget refuses one.
 
--- a/testing/test_manifest.py
+++ b/testing/test_manifest.py
@@ -119,3 +119,14 @@
             [("$.services.agent-model.version", "1", "2")],
             [tuple(change) for change in changes],
         )
+
+
+class SeveralFaultsTest(testtools.TestCase):
+    def test_unknown_field_does_not_hide_a_dangling_name(self) -> None:
+        text = """{"colour": 1, "programs": {"a": {"service": "none"}}}"""
+        error = self.assertRaises(errors.InvalidManifest, manifest.parse, text)
+        self.assertThat(error.detail, matchers.Contains("$.colour"))
+        self.assertThat(
+            error.detail,
+            matchers.Contains("$.programs.a.service"),
+        )
