Ask the engine for its cache events in batches

Cause: a turn of a program cost the sidecar 1,002 us more than a plain call, and one request for events a turn was part of it. Change: a pause of 0.2 s between two askings.

--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar_memory.py
@@ -22,6 +22,10 @@
 # One program's id in a renewal, as entries make ids.
 _RENEWAL_BYTES = 36
 _EVENT_WAIT = 1.0
+# Each turn makes events. Asked for one by one they cost a request a turn; a
+# ledger that is this much behind costs nothing, for the engine's own events
+# come late in any case.
+_EVENT_PAUSE = 0.2
 _RETRY_SECONDS = 0.5
 # Caches are put out from this part of the engine's memory on, down to the
 # other, so that the engine need not evict what is about to be used.
@@ -254,10 +258,10 @@
             self.ledger.mend(self.engine.listing())
         events = self.engine.events(self.ledger.seq, _EVENT_WAIT)
         self.ledger.take(events)
-        if self.ledger.unsure:
-            # Late events may still come; a listing at each of them would
-            # cost more than the wait.
-            self.timers.sleep(_RETRY_SECONDS)
+        # Late events may still come; a listing at each of them would cost
+        # more than the wait.
+        unsure = self.ledger.unsure
+        self.timers.sleep(_RETRY_SECONDS if unsure else _EVENT_PAUSE)
 
     def _renew_forever(self, seconds: float) -> None:
         while not self.stopped:
