Let followers sync while the leader syncs

Cause: the leader queued its entries for the link's thread and then synced, which holds the loop, so followers got them only after the leader's sync. Change: a link that is idle writes a frame before it returns. Ruled out: sending between queueing and sync by a pause, since other work could enter the core there.

--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -97,6 +97,16 @@
         self.credit -= len(body)
         self.connection.write(self.number, streams_frames.DATA, body)
 
+    def try_send(self, message: Any) -> bool:
+        """Sends a message if that needs no waiting; tells whether it did."""
+        body = self.connection.encode(message)
+        if self.closed or self.credit <= 0 or self.connection.is_full():
+            return False
+        self.credit -= len(body)
+        frame = streams_frames.pack(self.number, streams_frames.DATA, body)
+        self.connection.push(frame)
+        return True
+
     def receive(self, timeout: float | None = None) -> Any:
         """Returns the next message; a Failure is raised as its error."""
         until = None if timeout is None else time.monotonic() + timeout
@@ -237,12 +247,16 @@
         Raises:
             errors.StreamClosed: The connection is lost.
         """
-        while self.queued >= self.limits.queued and not self.lost:
+        while self.is_full() and not self.lost:
             self.room.wait()
         if self.lost:
             raise errors.StreamClosed(f"{self.peer} is lost.")
         self.push(streams_frames.pack(number, kind, body))
 
+    def is_full(self) -> bool:
+        """Tells whether so much is queued that senders must wait."""
+        return self.queued >= self.limits.queued
+
     def push(self, frame: bytes) -> None:
         """Writes or queues a frame without waiting, as the reader has to."""
         if self.lost:
--- a/src/mintcleat/ports/streams.py
+++ b/src/mintcleat/ports/streams.py
@@ -21,6 +21,9 @@
             errors.StreamClosed: The peer closed or is lost.
         """
 
+    def try_send(self, message: Any) -> bool:
+        """Sends a message if that needs no waiting; tells whether it did."""
+
     def receive(self, timeout: float | None = None) -> Any:
         """Returns the next message; a Failure is raised as its typed error.
 
--- a/src/mintcleat/roles/replication_links.py
+++ b/src/mintcleat/roles/replication_links.py
@@ -24,12 +24,34 @@
 
 
 class Link:
-    """The frames on their way to one address."""
+    """The frames on their way to one address.
+
+    Attributes:
+        exchange: Set while no frame is being written by the link's thread.
+    """
 
     def __init__(self) -> None:
         self.queue: queue.LightQueue = queue.LightQueue(_MAX_QUEUED)
         self.failures = 0
         self.sent_bytes = 0
+        self.exchange: stream_ports.Exchange | None = None
+
+    def send_now(self, payload: bytes) -> bool:
+        """Sends a frame before returning, if the link is idle and takes it.
+
+        The writer's thread runs only once this one waits. A leader that
+        queues its entries and then syncs its disk would keep them from its
+        followers until after the sync; they sync at the same time instead.
+        """
+        if self.exchange is None or not self.queue.empty():
+            return False
+        if len(payload) > PART_BYTES:
+            return False
+        frame = messages.ReplicationFrame(payload, more=False)
+        if not self.exchange.try_send(frame):
+            return False
+        self.sent_bytes += len(payload)
+        return True
 
 
 class Links:
@@ -58,6 +80,8 @@
         if link is None:
             link = self.links[address] = Link()
             self.timers.spawn(self._write_forever, address, link)
+        if link.send_now(payload):
+            return
         with contextlib.suppress(queue.Full):
             link.queue.put_nowait(payload)
 
@@ -99,13 +123,16 @@
                 exchange.send(part)
             link.failures = 0
             while self.running:
+                link.exchange = exchange
                 payload = link.queue.get()
+                link.exchange = None
                 if payload is None:
                     return
                 link.sent_bytes += len(payload)
                 for part in _parts(payload):
                     exchange.send(part)
         finally:
+            link.exchange = None
             exchange.close()
 
     def _pause(self, link: Link) -> None:
