--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/chat.py
@@ -1,13 +1,10 @@
 """Chat calls at the entry: attempts, streamed answers and retries."""
 
 from collections.abc import Iterator
-import json
 from typing import Any
-from typing import NamedTuple
 
 from loguru import logger
 
-from mintcleat.decisions import calls
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.domain import requests
@@ -15,41 +12,13 @@
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles import chat_call
 from mintcleat.roles import delivery as delivery_module
 from mintcleat.roles import placement as placement_module
 
 # A sidecar sends nothing while a call waits or a prompt is built, so silence
 # alone is no fault; the streams' heartbeats find a lost peer.
 _MIN_WAIT = 0.05
-DEFAULT_COMPLETION_TOKENS = 1024
-# What a call without a limit generates is unknown; only the comparison of
-# upstreams uses this, where the same figure stands on both sides.
-EXPECTED_TOKENS = 128
-_CHARACTERS_PER_TOKEN = 4
-_TEMPLATE_TOKENS = 16
-
-
-class Context(NamedTuple):
-    """What is fixed for all attempts of one call.
-
-    Attributes:
-        context_tokens: Tokens of the conversation so far.
-        tokens_left: Tokens left in the budget when last seen; -1 without one.
-        refusal: Why this entry takes no new work; only what an earlier send
-            of the same call left is told then.
-    """
-
-    call: requests.ChatCall
-    name: attempts_module.CallName
-    service: str
-    agent: str
-    klass: str
-    digest: bytes
-    deadline_at: float
-    resident: messages.Incarnation | None
-    context_tokens: int
-    tokens_left: int = -1
-    refusal: errors.MintcleatError | None = None
 
 
 class Progress:
@@ -88,7 +57,9 @@
         self.timers = timers
         self.metrics = metrics
 
-    def run(self, context: Context) -> Iterator[requests.Text | requests.End]:
+    def run(
+        self, context: chat_call.Context
+    ) -> Iterator[requests.Text | requests.End]:
         """Yields the answer's parts and then its end.
 
         Raises:
@@ -109,7 +80,7 @@
                     self._check_again(context, progress, cause)
 
     def _attempt(
-        self, context: Context, progress: Progress
+        self, context: chat_call.Context, progress: Progress
     ) -> Iterator[requests.Text | requests.End]:
         """Places and runs one attempt; returns what to do next."""
         progress.attempts += 1
@@ -134,7 +105,7 @@
 
     def _known(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         refusal: errors.MintcleatError,
     ) -> Iterator[requests.Text | requests.End]:
@@ -155,19 +126,19 @@
                 reply.attempt, reply.sidecar, reply.address
             )
         progress.delivery.restart()
-        yield from replay(progress.delivery, reply.answer.decode())
-        yield recorded_end(reply)
+        yield from chat_call.replay(progress.delivery, reply.answer.decode())
+        yield chat_call.recorded_end(reply)
         return attempts_module.Whole()
 
     def _place(
-        self, context: Context, progress: Progress
+        self, context: chat_call.Context, progress: Progress
     ) -> placement_module.Placed:
         if context.refusal is not None:
             raise context.refusal
         try:
             return self.placement.choose(
                 context.service,
-                place_call(context, progress),
+                chat_call.place_call(context, progress.attempts),
                 context.resident,
                 progress.tried,
             )
@@ -182,7 +153,7 @@
 
     def _begin(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         placed: placement_module.Placed,
     ) -> Any:
@@ -195,7 +166,8 @@
             key=context.name.key,
             digest=context.digest,
             messages=call.messages,
-            reserve=prompt_bound(call) + completion_limit(context),
+            reserve=chat_call.prompt_bound(call)
+            + chat_call.completion_limit(context),
             idempotent=True,
             sidecar=placed.sidecar,
             address=placed.address,
@@ -205,7 +177,7 @@
 
     def _run_message(
         self,
-        context: Context,
+        context: chat_call.Context,
         placed: placement_module.Placed,
         granted: messages.Granted | None,
     ) -> messages.RunTurn:
@@ -221,7 +193,7 @@
             base_digest=granted.base_digest if granted else b"",
             history=[],
             messages=call.messages,
-            parameters=bounded_parameters(context),
+            parameters=chat_call.bounded_parameters(context),
             deadline=max(context.deadline_at - self.timers.now(), _MIN_WAIT),
             klass=granted.klass if granted else context.klass,
             agent=granted.agent if granted else context.agent,
@@ -233,7 +205,7 @@
 
     def _run(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         placed: placement_module.Placed,
         run: messages.RunTurn,
@@ -261,7 +233,7 @@
             exchange.close()
 
     def _broken(
-        self, context: Context, attempt: int, failure: errors.Failure
+        self, context: chat_call.Context, attempt: int, failure: errors.Failure
     ) -> attempts_module.Again:
         """Only an attempt that did not run may pass as sealed."""
         cause = errors.from_failure(failure)
@@ -271,7 +243,7 @@
         self.attempts.settle(context.name, attempt, unknown)
         return attempts_module.Again(0, cause)
 
-    def _failed(self, context: Context, progress: Progress) -> None:
+    def _failed(self, context: chat_call.Context, progress: Progress) -> None:
         """Notes that the sidecar of the last attempt failed the call."""
         if progress.sidecar is None:
             return
@@ -289,7 +261,7 @@
 
     def _relay(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         exchange: streams_port.Exchange,
         first: Any,
@@ -309,8 +281,8 @@
                     self.placement.ended(
                         context.service, message.load.sidecar, ok=True
                     )
-                    yield from replay(delivery, message.message)
-                    yield finished_end(message)
+                    yield from chat_call.replay(delivery, message.message)
+                    yield chat_call.finished_end(message)
                     return attempts_module.Whole()
                 case messages.Refused(attempt, failure, load):
                     self.placement.learn(load)
@@ -328,7 +300,7 @@
 
     def _follow(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         follow: attempts_module.Follow,
     ) -> Iterator[requests.Text | requests.End]:
@@ -353,7 +325,7 @@
             exchange.close()
 
     def _after_loss(
-        self, context: Context, follow: attempts_module.Follow
+        self, context: chat_call.Context, follow: attempts_module.Follow
     ) -> attempts_module.Again | attempts_module.Follow:
         self.timers.sleep(_MIN_WAIT)
         if self.timers.now() >= context.deadline_at:
@@ -368,7 +340,7 @@
 
     def _lost(
         self,
-        context: Context,
+        context: chat_call.Context,
         run: messages.RunTurn,
         address: str,
         error: errors.StreamClosed,
@@ -381,7 +353,7 @@
 
     def _overdue(
         self,
-        context: Context,
+        context: chat_call.Context,
         run: messages.RunTurn,
         address: str,
         error: errors.StreamTimeout,
@@ -414,12 +386,12 @@
             remedy="Send the same request with the same key to get its answer.",
         )
 
-    def _left(self, context: Context) -> float:
+    def _left(self, context: chat_call.Context) -> float:
         return max(context.deadline_at - self.timers.now(), _MIN_WAIT)
 
     def _check_again(
         self,
-        context: Context,
+        context: chat_call.Context,
         progress: Progress,
         cause: errors.MintcleatError,
     ) -> None:
@@ -438,104 +410,3 @@
         if progress.sealed and context.name.key:
             self.attempts.settle(context.name, progress.sealed, cause)
         raise cause
-
-
-def replay(
-    delivery: delivery_module.Delivery, message: str
-) -> Iterator[requests.Text]:
-    """Yields what the caller lacks of the whole recorded answer."""
-    text = answer_text(message)
-    if delivery.seen == len(text):
-        return
-    delivery.restart()
-    new = delivery.take(0, text)
-    if new:
-        yield requests.Text(new)
-
-
-def place_call(context: Context, progress: Progress) -> calls.Call:
-    """Returns the call as the placement decision sees it."""
-    new_tokens = prompt_tokens(context.call)
-    name = context.name
-    return calls.Call(
-        call_id=f"{name.scope}/{context.call.request}/{progress.attempts}",
-        program=name.program,
-        root=name.program.partition(".")[0],
-        partner=name.partner,
-        agent=context.agent,
-        klass=context.klass,
-        deadline_at=context.deadline_at,
-        prompt_tokens=context.context_tokens + new_tokens,
-        new_tokens=new_tokens,
-        expected_tokens=context.call.max_tokens or EXPECTED_TOKENS,
-    )
-
-
-def prompt_tokens(call: requests.ChatCall) -> int:
-    """Returns an estimate of the tokens in a call's new messages."""
-    characters = sum(len(message) for message in call.messages)
-    return characters // _CHARACTERS_PER_TOKEN + 1
-
-
-def prompt_bound(call: requests.ChatCall) -> int:
-    """Returns a number of tokens that the new messages can't exceed.
-
-    No tokenizer makes more tokens than there are bytes; the prompt template
-    adds a few for each message, the answer before it included. An estimate
-    would let the last turn of a program overdraw its budget.
-    """
-    size = sum(len(message.encode()) for message in call.messages)
-    return size + _TEMPLATE_TOKENS * (len(call.messages) + 1)
-
-
-def completion_limit(context: Context) -> int:
-    """Returns how many tokens the answer may have.
-
-    Without the caller's own limit it is the default, or what the budget
-    still allows when that is less.
-    """
-    call = context.call
-    if call.max_tokens:
-        return call.max_tokens
-    if context.tokens_left < 0:
-        return DEFAULT_COMPLETION_TOKENS
-    left = context.tokens_left - prompt_bound(call)
-    return max(1, min(DEFAULT_COMPLETION_TOKENS, left))
-
-
-def bounded_parameters(context: Context) -> str:
-    """Returns the body's parameters with a completion limit.
-
-    Without a limit an engine could generate past what was reserved, and the
-    program's budget would not hold.
-    """
-    call = context.call
-    if call.max_tokens or not call.program:
-        return call.parameters
-    parameters = json.loads(call.parameters)
-    parameters["max_tokens"] = completion_limit(context)
-    return json.dumps(parameters)
-
-
-def answer_text(message: str) -> str:
-    """Returns the text of an assistant message in JSON."""
-    return json.loads(message).get("content") or ""
-
-
-def finished_end(message: messages.Finished) -> requests.End:
-    """Returns the end event of a finished attempt."""
-    return requests.End(
-        message.message,
-        message.reason,
-        message.usage,
-        message.attempt,
-        replayed=False,
-        sidecar=message.load.sidecar,
-    )
-
-
-def recorded_end(reply: messages.Recorded) -> requests.End:
-    """Returns the end event of an answer recorded earlier."""
-    return requests.End(
-        reply.answer.decode(), "stop", reply.usage, reply.attempt, replayed=True
-    )
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 import uuid
 
+from loguru import logger
+
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.domain import messages
@@ -17,6 +19,7 @@
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles import attempts as attempts_module
 from mintcleat.roles import chat as chat_module
+from mintcleat.roles import chat_call
 from mintcleat.roles import placement as placement_module
 from mintcleat.roles import service_calls as service_calls_module
 
@@ -25,6 +28,7 @@
 # that this entry served last and is bounded so that an entry stays thin.
 _VIEWS_KEPT = 20_000
 ANONYMOUS = "anonymous"
+_ENDED = {True: "ended", False: "failed or was left"}
 
 
 class Entry:
@@ -124,7 +128,7 @@
             # Made from the content, so that a resend without a key still
             # finds the first send's attempt instead of a taken turn.
             key = f"turn-{call.turn}-{digest.hex()}"
-        context = chat_module.Context(
+        context = chat_call.Context(
             call=call,
             name=attempts_module.CallName(call.program, partner, key),
             service=self._model_service(call, view),
@@ -182,7 +186,7 @@
             self.metrics.observe("call_seconds", taken, kind="service")
 
     def _counted(
-        self, context: chat_module.Context
+        self, context: chat_call.Context
     ) -> Iterator[requests.Text | requests.End]:
         """Runs a chat call, counted as running until its last byte."""
         self.metrics.count("calls_total", kind="chat")
@@ -190,6 +194,7 @@
         self.running += 1
         first = True
         ended = False
+        attempt = 0
         try:
             for event in self.chat_calls.run(context):
                 if first:
@@ -198,6 +203,7 @@
                     self.metrics.observe("first_token_seconds", waited)
                 ended = isinstance(event, requests.End)
                 if ended:
+                    attempt = event.attempt
                     self._note_turn(context, event)
                 yield event
         finally:
@@ -206,10 +212,14 @@
                 self.views.pop(context.call.program, None)
             taken = self.timers.now() - started
             self.metrics.observe("call_seconds", taken, kind="chat")
-
-    def _note_turn(
-        self, context: chat_module.Context, end: requests.End
-    ) -> None:
+            logger.bind(
+                request=context.call.request,
+                program=context.call.program,
+                turn=context.call.turn,
+                attempt=attempt,
+            ).debug("Chat call {} in {:.4f} s", _ENDED[ended], taken)
+
+    def _note_turn(self, context: chat_call.Context, end: requests.End) -> None:
         """Keeps where the program's history is cached now.
 
         A stale note costs a rebuild, never a wrong answer: order and budget
--- /dev/null
+++ b/testing/test_chat_call.py
@@ -0,0 +1,62 @@
+"""What an entry derives from one chat call."""
+
+import testtools
+from testtools import matchers
+
+from mintcleat.domain import requests
+from mintcleat.roles import attempts
+from mintcleat.roles import chat_call
+
+
+def context(**changes: object) -> chat_call.Context:
+    call = requests.ChatCall(
+        request="r",
+        program="p",
+        partner="",
+        model="m",
+        turn=2,
+        key="",
+        messages=['{"content": "x", "role": "user"}'],
+        parameters="{}",
+        deadline=0.0,
+        max_tokens=0,
+        streamed=False,
+    )
+    base = chat_call.Context(
+        call=call,
+        name=attempts.CallName("p", "a", "k"),
+        service="m",
+        agent="",
+        klass="interactive",
+        digest=b"",
+        deadline_at=9.0,
+        resident=None,
+        context_tokens=500,
+    )
+    return base._replace(**changes)
+
+
+class CallTest(testtools.TestCase):
+    def test_later_turn_is_not_placed_as_a_first_call(self) -> None:
+        """A first call waits for room in memory; a later one has its place.
+
+        Every turn was placed by the wait of first calls, so started programs
+        left upstreams that would have taken them at once.
+        """
+        self.assertThat(
+            chat_call.place_call(context(), 1).attained,
+            matchers.GreaterThan(0),
+        )
+        first = chat_call.place_call(context(context_tokens=0), 1)
+        self.assertEqual(0, first.attained)
+
+    def test_answer_without_a_limit_gets_what_the_budget_leaves(self) -> None:
+        bound = chat_call.prompt_bound(context().call)
+        limit = chat_call.completion_limit(context(tokens_left=bound + 7))
+        self.assertEqual(7, limit)
+        plenty = chat_call.completion_limit(context(tokens_left=10**6))
+        self.assertEqual(chat_call.DEFAULT_COMPLETION_TOKENS, plenty)
+
+    def test_prompt_bound_is_no_less_than_its_bytes(self) -> None:
+        call = context().call._replace(messages=["ä" * 50])
+        self.assertThat(chat_call.prompt_bound(call), matchers.GreaterThan(99))
