Give sidecars and control instances a scrape of their own

Cause: only entries had /metrics, and no gauge was ever written. Change: the setting `metrics` names an address; sidecars count how attempts ended and by which error, and tell queue, limit and predicted wait; control tells the groups it leads; all tell the revision applied.

--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -85,6 +85,7 @@
         control: Stream addresses of the control instances.
         program_groups: The same on every process of a deployment.
         stop_seconds: Time that a planned stop gives to what is under way.
+        metrics: `IP:PORT` of a scrape of its own; an entry has one anyway.
     """
 
     instance: str
@@ -95,6 +96,7 @@
     region: str = ""
     program_groups: int = 8
     stop_seconds: float = 60.0
+    metrics: str = ""
     logs: Logs = Logs()
     entry: Entry | None = None
     sidecar: Sidecar | None = None
@@ -106,7 +108,7 @@
     "sidecar": "sidecar",
     "control": "control_role",
 }
-_ADDRESS_FIELDS = {"listen", "http", "upstream", "admin", "address"}
+_ADDRESS_FIELDS = {"listen", "http", "upstream", "admin", "address", "metrics"}
 
 
 def load(path: pathlib.Path) -> Settings:
@@ -183,7 +185,8 @@
     except msgspec.ValidationError as error:
         yield fault(path, str(error).rstrip(".").lower())
         return
-    if path.rpartition(".")[2] in _ADDRESS_FIELDS:
+    field = path.rpartition(".")[2]
+    if field in _ADDRESS_FIELDS and (value or field != "metrics"):
         yield from _address_faults(value, path)
 
 
--- a/src/mintcleat/main/assembly.py
+++ b/src/mintcleat/main/assembly.py
@@ -7,6 +7,7 @@
 
 from mintcleat.adapters import caller_http
 from mintcleat.adapters import engine_http
+from mintcleat.adapters import metrics_http
 from mintcleat.adapters import plain_http
 from mintcleat.adapters import settings as settings_module
 from mintcleat.adapters import wsgi
@@ -40,6 +41,9 @@
     def addresses(self) -> dict[str, str]:
         """Returns what the ready line tells of this role."""
 
+    def gauge(self) -> None:
+        """Writes the gauges of this role, for a scrape."""
+
 
 class EntryPart:
     """The entry role with its HTTP server."""
@@ -100,6 +104,12 @@
         """Returns the callers' address."""
         return {"http": self.server.address}
 
+    def gauge(self) -> None:
+        """Writes the entry's gauges."""
+        metrics = self.common.metrics
+        metrics.gauge("running_calls", self.entry.running)
+        metrics.gauge("config_revision", self.follower.revision())
+
 
 class SidecarPart:
     """The sidecar role."""
@@ -126,6 +136,7 @@
             control=common.client(),
             directory=self.follower,
             address=common.streams.address,
+            metrics=common.metrics,
         )
 
     def announce(self) -> messages.Announcement:
@@ -155,6 +166,16 @@
         """Returns nothing beside the streams' address."""
         return {}
 
+    def gauge(self) -> None:
+        """Writes the sidecar's gauges."""
+        load = self.sidecar.load()
+        metrics = self.common.metrics
+        metrics.gauge("running_calls", load.running)
+        metrics.gauge("queued_calls", load.queued)
+        metrics.gauge("call_limit", load.limit)
+        metrics.gauge("predicted_wait_seconds", load.wait)
+        metrics.gauge("config_revision", self.follower.revision())
+
 
 class Process:
     """One process with the roles of its settings."""
@@ -167,6 +188,10 @@
         self.parts = [
             self._part(role) for role in order if role in settings.roles
         ]
+        self.scrape: wsgi.HttpServer | None = None
+        if settings.metrics:
+            app = metrics_http.MetricsApp(self.common.metrics, self._gauge)
+            self.scrape = wsgi.HttpServer(settings.metrics, app)
 
     def _part(self, role: str) -> Part:
         match role:
@@ -183,9 +208,15 @@
             part.start()
         logger.info("Started as {}", self.common.node)
 
+    def _gauge(self) -> None:
+        for part in self.parts:
+            part.gauge()
+
     def ready_line(self) -> str:
         """Returns the line that tells the addresses."""
         found = {"streams": self.common.streams.address}
+        if self.scrape is not None:
+            found["metrics"] = self.scrape.address
         for part in self.parts:
             found.update(part.addresses())
         pairs = " ".join(f"{name}={at}" for name, at in found.items())
@@ -211,6 +242,8 @@
             self._wait(part, deadline, impatient)
             cut += part.under_way()
             part.stop()
+        if self.scrape is not None:
+            self.scrape.stop()
         # The last frames and replies are on their way to the sockets.
         self.common.timers.sleep(_LINGER_SECONDS)
         self.common.streams.stop()
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -108,6 +108,13 @@
         """Returns the operators' address."""
         return {"admin": self.admin.address}
 
+    def gauge(self) -> None:
+        """Writes the control role's gauges."""
+        leads = sum(self.log.leads(group) for group in self.log.groups())
+        self.common.metrics.gauge("led_groups", leads)
+        revision = self.config.machine.document.revision
+        self.common.metrics.gauge("config_revision", revision)
+
     def policies(self) -> manifest_module.Policies:
         """Returns the policies in force as this instance knows them."""
         return self.config.machine.document.manifest().policies
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar.py
@@ -12,6 +12,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import control as control_port
 from mintcleat.ports import membership as membership_port
+from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
@@ -57,6 +58,7 @@
         control: control_port.Control,
         directory: membership_port.Membership,
         address: str = "",
+        metrics: metrics_port.Metrics | None = None,
     ) -> None:
         self.node = node
         self.options = options
@@ -65,6 +67,7 @@
         self.upstream = upstream
         self.directory = directory
         self.address = address or getattr(streams, "address", "")
+        self.metrics = metrics
         self.is_model = options.kind == "model"
         self.attempts = sidecar_attempts.AttemptTable(
             timers, control.groups, options.retention, options.keep_answer
@@ -104,6 +107,7 @@
             self.reporter,
             timers,
             self.load,
+            self._count,
         )
         target = sidecar_orders.Target(upstream, self.presence, self.under_way)
         self.orders = sidecar_orders.receiver(node, target, timers, directory)
@@ -342,12 +346,18 @@
         Sealed first: another copy of the frame may be on its way, and would
         run after its caller was told that it did not.
         """
+        self._count("refused", error.kind)
         if asked.attempt:
             self.attempts.seal(_scope(asked), asked.attempt)
         exchange.send(
             messages.Refused(asked.attempt, error.failure(), self.load())
         )
 
+    def _count(self, ended: str, kind: str) -> None:
+        """Counts how an attempt ended here; `kind` is that of its error."""
+        if self.metrics is not None:
+            self.metrics.count("attempts_total", ended=ended, kind=kind)
+
     def _start(
         self, exchange: streams_port.Exchange, asked: Any, prompt: list[str]
     ) -> None:
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar_execution.py
@@ -62,6 +62,7 @@
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
         load: Callable[[], messages.LoadReport],
+        count: Callable[[str, str], None],
     ) -> None:
         self.runner = runner
         self.table = table
@@ -70,6 +71,7 @@
         self.reporter = reporter
         self.timers = timers
         self.load = load
+        self.count = count
         self.loose: set[sidecar_attempts.Attempt] = set()
         self.deadlines: sortedcontainers.SortedList = (
             sortedcontainers.SortedList()
@@ -136,6 +138,7 @@
         try:
             self.runner.run(attempt, lambda: self._answered(attempt))
             self._conclude(attempt, sidecar_attempts.RAN)
+            self.count("answered", "")
         except errors.NoUpstream as error:
             if attempt.left:
                 # Not the upstream's word, which has answered.
@@ -205,6 +208,7 @@
     ) -> None:
         """Seals first: "not run" must hold for every copy of the frame."""
         self._conclude(attempt, sidecar_attempts.NEVER)
+        self.count("refused", error.kind)
         self.runner.refused(attempt)
         failure = error.failure()._replace(outcome=errors.NOT_RUN)
         attempt.end(messages.Refused(attempt.number, failure, self.load()))
@@ -214,6 +218,7 @@
         attempt: sidecar_attempts.Attempt,
         error: errors.MintcleatError,
     ) -> None:
+        self.count("broken", error.kind)
         failure = error.failure()
         if failure.outcome == errors.NOT_RUN:
             failure = failure._replace(outcome=errors.UNKNOWN)
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 import urllib3
 
+from mintcleat.adapters import metrics_http
 from mintcleat.main import local
 from mintcleat.roles import attempts as attempts_module
 
@@ -263,3 +264,22 @@
         self.assertEqual("unknown", again["outcome"])
         without_key = self.send("POST", path, {"a": 1})
         self.assert_refused(without_key, 503, "draining")
+
+
+class MetricsTest(WholePath):
+    def test_sidecar_tells_how_attempts_ended(self) -> None:
+        path = "/v1/services/dispatch/book"
+        self.send("POST", path, {"a": 1}, key="k")
+        process = self.system.others[-1]
+        app = metrics_http.MetricsApp(process.common.metrics, process._gauge)
+        heads: list[str] = []
+        environ = {"PATH_INFO": "/metrics"}
+        text = b"".join(app(environ, lambda line, _: heads.append(line)))
+        self.assertEqual(["200 OK"], heads)
+        self.assertThat(
+            text.decode(),
+            matchers.Contains('attempts_total{ended="answered",kind=""} 1'),
+        )
+        self.assertThat(
+            text.decode(), matchers.Contains("mintcleat_config_revision 1")
+        )
