--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -32,6 +32,8 @@
 SIDECARS = ENGINES / NODES
 CALLS = REQUESTS / NODES
 FRAMES = TOKENS / NODES
+# 24 models, 32 upstreams of each (decisions/subset.py).
+WATCHED = 24 * 32
 CPU_LIMIT = 4.4
 MEMORY_LIMIT = 32.0
 BYTES_LIMIT = 20.0
@@ -128,6 +130,7 @@
 def node_memory(data: dict[str, Any]) -> list[Line]:
     """Returns the memory of control per node, in MB."""
     member = data["member_node"]["slope"]
+    watched = data["watched_upstream"]["slope"]
     own = (data["resident"]["entry"] - data["bare_resident"]) / 1e6
     return [
         Line(
@@ -138,6 +141,14 @@
             "members",
             "roles/follower.py",
         ),
+        Line(
+            "watched upstreams",
+            f"{watched:.0f} B x {WATCHED}",
+            watched * WATCHED / 1e6,
+            "MB",
+            "memories",
+            "decisions/subset.py bounds their number",
+        ),
         Line(
             "entry's own code and state",
             "resident less a process with the same libraries",
@@ -158,6 +169,7 @@
     begin, finish = data["bytes"]["BeginCall"], data["bytes"]["FinishCall"]
     served = NODES * (1 + SIDECARS) / CONTROL
     per_node = 3 * data["config_leader_10x"]["slope"]
+    stream = 3 * data["node_stream"]["slope"]
     return [
         Line(
             "commits of turns, all replicas",
@@ -175,6 +187,14 @@
             "config_cost, 10 times the users' rate",
             "roles/config_feed.py, roles/config_relay.py",
         ),
+        Line(
+            "nodes' configuration streams",
+            f"{stream:.0f} B x {served:.0f} nodes",
+            stream * served / 1e6,
+            "MB resident",
+            "memories",
+            "roles/config_feed.py",
+        ),
         Line(
             "program records",
             f"{record:.0f} B x {each:.0f} replicas of programs",
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,6 +18,7 @@
 import fire
 import numpy as np
 
+from bench import config_processes
 from bench import config_state
 from bench import configuration
 from bench import path
@@ -27,10 +28,13 @@
 from bench import state
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
+from mintcleat.decisions import place
 from mintcleat.domain import codec
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import control_client
+from mintcleat.roles import sidecar_history
 
 ROOT = pathlib.Path(__file__).parent.parent
 _CALLERS = 16
@@ -308,6 +312,66 @@
         found[key] = fit("announced upstreams", "bytes", points, command)
 
 
+def memories(found: dict[str, Any]) -> None:
+    """Memory of a held history, a watched upstream and a node's stream."""
+    command = "python -m bench.slopes run memories"
+    for key, size, build in (
+        ("held_history", "programs of 3 turns of 600 bytes", _histories),
+        ("watched_upstream", "watched upstreams", _fleet),
+    ):
+        points = [
+            [count, config_state.memory(build, count)]
+            for count in (500, 1500, 3000)
+        ]
+        found[key] = fit(size, "bytes", points, command)
+    points = []
+    for count in (20, 100, 300):
+        nodes = config_processes.Rig(count, "nodes")
+        try:
+            nodes.push(
+                config_processes.manifest_of(config_processes.SMALL, "0")
+            )
+            nodes.settle()
+            points.append([count, nodes.leader.usage().resident])
+        finally:
+            nodes.stop()
+    found["node_stream"] = fit(
+        "nodes, a third served by it", "bytes resident", points, command
+    )
+
+
+def _histories(count: int) -> sidecar_history.Histories:
+    held = sidecar_history.Histories(1 << 40)
+    for number in range(count):
+        digest = digests.EMPTY
+        for turn in range(3):
+            said = [f"{number} {turn} " + "x" * 200, "y" * 400]
+            held.finish(f"program-{number:06d}", turn, digest, said)
+            digest = digests.rolling(digest, said)
+    return held
+
+
+def _fleet(count: int) -> place.Fleet:
+    fleet = place.Fleet()
+    names = [f"sidecar-{number:06d}" for number in range(count)]
+    fleet.watch(names)
+    for name in names:
+        report = messages.LoadReport(
+            messages.Incarnation(name, 1),
+            1,
+            4,
+            0,
+            16,
+            0.0,
+            0.02,
+            8e3,
+            9,
+            "ready",
+        )
+        fleet.report(report, 0.0)
+    return fleet
+
+
 def spread(found: dict[str, Any]) -> None:
     """Configuration: seconds from acceptance to the last node."""
     command = "python -m bench.slopes run spread"
@@ -383,6 +447,7 @@
     "batched": batched,
     "load_reports": load_reports,
     "recovery": recovery,
+    "memories": memories,
     "spread": spread,
     "config_cost": config_cost,
 }
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -90,8 +90,8 @@
     assert wrong == []
 
 
-def test_no_source_file_carries_a_licence() -> None:
-    marks = ("copyright", "licen" + "se", "spdx")
+def test_no_source_file_carries_a_banner() -> None:
+    marks = ("copy" + "right", "licen" + "se", "sp" + "dx")
     wrong = [
         path.name
         for path in module_files()
