Call what stands already: group names, a plain loop; drop two dead names

The control part spelled the program groups' names that programs/placement.group_names gives to everybody else: a change in one would have sent programs to groups that nobody keeps. The service calls' loop needed an unreachable return. manifest.SECTIONS and streams.MAX_FRAME had no reader. Behaviour is as it was.

--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -18,7 +18,6 @@
 from mintcleat.domain import errors
 from mintcleat.ports import streams
 
-MAX_FRAME = streams_connection.Limits().message
 _CONNECT_SECONDS = 2.0
 _FLUSH_SECONDS = 1.0
 
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -104,9 +104,6 @@
     policies: Policies = Policies()
 
 
-SECTIONS = ("programs", "services", "policies")
-
-
 class Change(NamedTuple):
     """One field that differs; None stands for a field that is absent."""
 
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -11,6 +11,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
+from mintcleat.programs import placement
 from mintcleat.roles import config_service
 from mintcleat.roles import control_actions
 from mintcleat.roles import control_client
@@ -30,9 +31,7 @@
         self.folder = pathlib.Path(settings.control_role.data)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.token = tokens.load(settings.control_role.token_file, self.folder)
-        groups = [
-            f"programs-{number}" for number in range(settings.program_groups)
-        ]
+        groups = placement.group_names(settings.program_groups)
         self.log = replication.GroupLog(
             common.node,
             common.streams.address,
--- a/src/mintcleat/roles/service_calls.py
+++ b/src/mintcleat/roles/service_calls.py
@@ -1,6 +1,5 @@
 """Calls to plain services at the entry."""
 
-import itertools
 from typing import NamedTuple
 
 import msgpack
@@ -61,7 +60,9 @@
         """
         tried: set[messages.Incarnation] = set()
         sealed = 0
-        for number in itertools.count(1):
+        number = 0
+        while True:
+            number += 1
             step = self._attempt(context, tried, sealed)
             if isinstance(step, requests.ServiceAnswer):
                 return step
@@ -72,7 +73,6 @@
                 context.call.service, number
             ):
                 self._give_up(context, sealed, step.cause)
-        return None
 
     def _attempt(
         self,
