Let the log live through slow, stalled and full disks; learn members by greeting

A sync holds the one loop for 5 ms on the users' disks and for seconds on a stalled one. Records are now written by a disk thread behind the Worker port; letters that promise durability keep the order of the records before them, heartbeat answers pass, and what a majority holds is applied before the own disk has it.

Members: greetings tell of their sender and of others, so that an instance that was told of three addresses gets to know all; voters' addresses come from the log; an instance that joins a running system never starts a group. The timer service counts suspension (CLOCK_BOOTTIME).

--- /dev/null
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -0,0 +1,82 @@
+"""A thread for the disk, so that the loop never waits for a sync.
+
+A sync takes milliseconds, seconds on a disk that stalls. On the one loop it
+would hold every heartbeat and every answer for as long.
+"""
+
+import collections
+from collections.abc import Callable
+import os
+from typing import Any
+
+import eventlet
+from eventlet import event
+from eventlet import hubs
+from eventlet import patcher
+
+_threading = patcher.original("threading")
+_queue = patcher.original("queue")
+_WAKE_BYTES = 4096
+
+
+class DiskThread:
+    """Runs calls in order on one thread; see `ports.wal.Worker`.
+
+    Attributes:
+        jobs: Calls that wait for the thread.
+        done: Calls that have ended and whose green thread is to be woken.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: Any = _queue.SimpleQueue()
+        self.done: collections.deque[tuple[event.Event, Any, bool]] = (
+            collections.deque()
+        )
+        self.wakes, self.wake_end = os.pipe()
+        os.set_blocking(self.wakes, False)
+        os.set_blocking(self.wake_end, False)
+        eventlet.spawn(self._wake_forever)
+        _threading.Thread(target=self._work_forever, daemon=True).start()
+
+    def run(self, function: Callable[..., Any], *args: Any) -> Any:
+        """Returns what the function returns, or raises what it raises."""
+        ended = event.Event()
+        self.jobs.put((function, args, ended))
+        value, failed = ended.wait()
+        if failed:
+            raise value
+        return value
+
+    def pause(self) -> None:
+        """Runs the calls that wait; a long call makes room with it."""
+        while not self.jobs.empty():
+            self._work(self.jobs.get())
+
+    def waits(self) -> bool:
+        """Returns False: only the calling green thread waits."""
+        return False
+
+    def _work_forever(self) -> None:
+        while True:
+            self._work(self.jobs.get())
+
+    def _work(self, job: tuple[Callable[..., Any], Any, event.Event]) -> None:
+        function, args, ended = job
+        try:
+            outcome = (ended, function(*args), False)
+        except Exception as error:
+            outcome = (ended, error, True)
+        self.done.append(outcome)
+        try:
+            os.write(self.wake_end, b"x")
+        except BlockingIOError:
+            # The pipe is full of wakes that were not taken yet.
+            return
+
+    def _wake_forever(self) -> None:
+        while True:
+            hubs.trampoline(self.wakes, read=True)
+            os.read(self.wakes, _WAKE_BYTES)
+            while self.done:
+                ended, value, failed = self.done.popleft()
+                ended.send((value, failed))
--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -31,8 +31,13 @@
     """Real time on the one eventlet loop."""
 
     def now(self) -> float:
-        """Returns monotonic seconds."""
-        return time.monotonic()
+        """Returns monotonic seconds, time in suspension included.
+
+        The plain monotonic clock stands still while a machine is suspended.
+        A leader that wakes would take a lease for valid that ended long ago,
+        and answer reads that a new leader's writes have overtaken.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Returns seconds since 1970."""
--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -16,6 +16,8 @@
 from mintcleat.domain import messages
 from mintcleat.ports import wal
 
+# A disk without room, or a folder over its share of it.
+_FULL = (errno.ENOSPC, errno.EDQUOT)
 SEGMENT_SIZE = 16 * 1024 * 1024
 
 
@@ -67,17 +69,37 @@
             self.offset += len(data)
 
     def sync(self) -> None:
-        """Writes the batch and syncs it once for all that wait."""
+        """Writes the batch and syncs it once for all that wait.
+
+        Raises:
+            errors.StorageFull: The disk took none of it; call again later.
+        """
         self._check()
         if not self.buffer:
             return
         with self._guard():
-            self.disk.write(self.descriptor, b"".join(self.buffer))
+            self._write(b"".join(self.buffer))
             self.disk.sync(self.descriptor)
             self.buffer.clear()
             self.batch_start = self.offset
             if self.offset >= self.segment_size:
-                self._next_segment()
+                # On a full disk the old segment just goes on growing.
+                with contextlib.suppress(errors.StorageFull):
+                    self._next_segment()
+
+    def _write(self, data: bytes) -> None:
+        """Writes a batch; a full disk is left without any part of it.
+
+        Half a batch would look like a torn tail, and a second try behind it
+        like damage. The batch was never synced, so cutting it is safe.
+        """
+        try:
+            self.disk.write(self.descriptor, data)
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            os.ftruncate(self.descriptor, self.batch_start)
+            raise errors.StorageFull("The disk is full.") from error
 
     def size(self) -> int:
         """Returns the bytes in all segments."""
@@ -87,8 +109,7 @@
         """Starts a base segment, then removes every older one."""
         self.sync()
         with self._guard():
-            os.close(self.descriptor)
-            self.number += 1
+            number = self.number + 1
             start = wal_segment.HEADER_SIZE
             salt = _new_salt()
             frames = [
@@ -96,8 +117,10 @@
             ]
             header = wal_segment.header(wal_segment.BASE, salt)
             data = header + b"".join(frames)
-            path = self._path(self.number)
-            wal_disk.replace_file(self.disk, path, data)
+            path = self._path(number)
+            self._replace_file(path, data)
+            os.close(self.descriptor)
+            self.number = number
             self.closed_bytes = 0
             self._continue(path, len(data), salt)
             self._remove_below(self.number)
@@ -113,8 +136,7 @@
         self._check()
         with self._guard():
             data = zlib.crc32(state).to_bytes(4, "big") + state
-            path = self._snapshot(group, index)
-            wal_disk.replace_file(self.disk, path, data, pause)
+            self._replace_file(self._snapshot(group, index), data, pause)
 
     def load_snapshot(self, group: str, index: int) -> bytes:
         """Returns the state of a stored snapshot."""
@@ -137,7 +159,8 @@
         """Syncs and closes the files."""
         try:
             if self.failed is None and self.descriptor >= 0:
-                self.sync()
+                with contextlib.suppress(errors.StorageFull):
+                    self.sync()
         finally:
             for descriptor in (self.descriptor, self.lock):
                 if descriptor >= 0:
@@ -188,16 +211,17 @@
         return records
 
     def _next_segment(self) -> None:
-        os.close(self.descriptor)
-        self.closed_bytes += self.offset
+        closed, size = self.descriptor, self.offset
         self._create(wal_segment.NEXT)
+        os.close(closed)
+        self.closed_bytes += size
 
     def _create(self, kind: int) -> None:
-        self.number += 1
-        path = self._path(self.number)
+        path = self._path(self.number + 1)
         salt = _new_salt()
         data = wal_segment.header(kind, salt)
-        wal_disk.replace_file(self.disk, path, data)
+        self._replace_file(path, data)
+        self.number += 1
         self._continue(path, len(data), salt)
 
     def _continue(self, path: pathlib.Path, offset: int, salt: int) -> None:
@@ -205,6 +229,21 @@
         self.offset = self.batch_start = offset
         self.salt = salt
 
+    def _replace_file(
+        self,
+        path: pathlib.Path,
+        data: bytes,
+        pause: Callable[[], None] | None = None,
+    ) -> None:
+        """Writes a file; a full disk is left without a draft of it."""
+        try:
+            wal_disk.replace_file(self.disk, path, data, pause)
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise
+            path.with_suffix(".draft").unlink(missing_ok=True)
+            raise errors.StorageFull("The disk is full.") from error
+
     def _remove_below(self, number: int) -> None:
         for old in self._numbers():
             if old < number:
--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -23,6 +23,10 @@
 _BEAT_SLACK = 0.25
 # A founder greets often at first, so that new groups start soon.
 _YOUNG_PERIODS = 5
+# Instances heard within so many greeting periods are told to others; one that
+# was silent for much longer is greeted no more, if it was not configured.
+_TOLD_PERIODS = 3
+_FORGET_PERIODS = 60
 
 
 class _Outgoing:
@@ -57,6 +61,7 @@
         members: Sequence[types.Member],
         stored: dict[str, records.Stored],
         now: float,
+        own: types.Member | None = None,
     ) -> None:
         self.me = me
         self.life = life
@@ -74,7 +79,8 @@
             )
             for group in sorted({*groups, *stored})
         }
-        self.roster = rosters.Roster(me, members)
+        self.roster = rosters.Roster(me, members, own)
+        self._learn_voters()
         self.beat_due = now
         self.hello_due = now
         self.started = now
@@ -111,6 +117,7 @@
             case wire.HeartbeatReply():
                 self._on_reply(sender, message, now)
             case wire.Hello():
+                self.roster.greeted(sender, message)
                 if message.asks:
                     answer = wire.Known(self.known_groups())
                     self.box.late.append(outbox.Letter(sender, answer))
@@ -148,8 +155,16 @@
 
     def on_synced(self, groups: Iterable[str]) -> None:
         """Notes that every record so far of these groups is durable."""
-        for group in sorted(groups):
-            self.replicas[group].on_synced()
+        self.on_synced_to(self.log_ends(groups))
+
+    def log_ends(self, groups: Iterable[str]) -> dict[str, tuple[int, int]]:
+        """Returns index and term of the last entry of each group."""
+        return {group: self.replicas[group].log_end() for group in groups}
+
+    def on_synced_to(self, ends: dict[str, tuple[int, int]]) -> None:
+        """Notes that the entries up to what `log_ends` gave are durable."""
+        for group in sorted(ends):
+            self.replicas[group].on_synced(ends[group])
 
     def _beat(self, now: float) -> None:
         self.box.beat_soon = False
@@ -172,13 +187,18 @@
         founding = [
             group
             for group, replica in self.replicas.items()
-            if replica.is_fresh() and self.roster.may_found(group, size)
+            if self.settings.founder
+            and replica.is_fresh()
+            and self.roster.may_found(group, size)
         ]
         period = self.settings.hello
         young = now - self.started < _YOUNG_PERIODS * period
         hurry = bool(founding) and young
         self.hello_due = now + (self.settings.heartbeat if hurry else period)
-        self.box.early.extend(self.roster.greetings(bool(founding)))
+        self._learn_voters()
+        self.roster.forget_silent(now - _FORGET_PERIODS * period)
+        oldest = now - _TOLD_PERIODS * period
+        self.box.early.extend(self.roster.greetings(bool(founding), oldest))
         for group in founding:
             founders = self.roster.founders(group, size, now - 2 * period)
             if founders is not None:
@@ -188,6 +208,23 @@
                 repair.tick(replica.state, self.roster, now)
                 election.balance(replica.state, now)
 
+    def _learn_voters(self) -> None:
+        """Keeps the addresses of all peers that the logs name.
+
+        After a restart the settings may name other members than those that
+        hold the groups; the log knows where those were.
+        """
+        for replica in self.replicas.values():
+            self.roster.learn(
+                types.Member(
+                    peer.replica.instance,
+                    peer.address,
+                    peer.failure_domain,
+                    peer.region,
+                )
+                for peer in replica.state.configuration.peers()
+            )
+
     def _send_beat(
         self, follower: messages.Incarnation, beats: list[wire.Beat], now: float
     ) -> None:
--- a/src/mintcleat/consensus/messages.py
+++ b/src/mintcleat/consensus/messages.py
@@ -143,9 +143,14 @@
 
     Attributes:
         asks: Whether the sender may have to start a group and wants Known.
+        own: What the sender says of itself.
+        members: Instances that the sender heard lately, so that one that was
+            told of a few gets to know all.
     """
 
     asks: bool
+    own: types.Member = types.Member("", "", "", "")
+    members: list[types.Member] = []
 
 
 class Known(NamedTuple):
--- a/src/mintcleat/consensus/repair.py
+++ b/src/mintcleat/consensus/repair.py
@@ -25,7 +25,10 @@
             membership.drop_learner(replica, learner.replica, now)
         return
     for voter in configuration.voters:
-        if voter.replica == replica.me:
+        if (
+            voter.replica == replica.me
+            and voter.replica.instance not in roster.retired
+        ):
             continue
         newcomer = _newcomer(replica, roster, voter, now)
         if newcomer is not None:
@@ -59,6 +62,8 @@
     its disk is, so waiting has no use. Silence alone proves nothing, and a
     spare comes only after `replace_after`, so that a restart moves no data.
     """
+    if voter.replica.instance in roster.retired:
+        return _spare(replica, roster, voter, now)
     resident = roster.residents.get(voter.replica.instance)
     if resident and resident.peer.replica.epoch > voter.replica.epoch:
         return resident.peer if _alive(replica, resident, now) else None
@@ -76,16 +81,23 @@
     """Returns a live instance outside the group, best in a free domain."""
     peers = replica.configuration.peers()
     inside = {peer.replica.instance for peer in peers}
-    used = {p.failure_domain for p in peers if p is not voter}
+    used = {_domain(roster, p) for p in peers if p is not voter}
     found = [
         resident.peer
         for name, resident in roster.residents.items()
-        if name not in inside and _alive(replica, resident, now)
+        if name not in inside
+        and name not in roster.retired
+        and _alive(replica, resident, now)
     ]
     found.sort(key=lambda p: (p.failure_domain in used, p.replica))
     return found[0] if found else None
 
 
+def _domain(roster: rosters.Roster, peer: types.Peer) -> str:
+    """Returns a peer's domain; a founder may have been known without it."""
+    return roster.peer(peer.replica).failure_domain or peer.failure_domain
+
+
 def _lost(
     replica: state.State,
     roster: rosters.Roster,
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -128,19 +128,35 @@
         if self.state.role == types.LEADER:
             replicate.send_all(self.state, now)
 
-    def on_synced(self) -> None:
-        """Notes that every record so far is durable."""
+    def log_end(self) -> tuple[int, int]:
+        """Returns index and term of the last entry."""
+        return self.state.log.last_index, self.state.log.last_term
+
+    def on_synced(self, end: tuple[int, int] | None = None) -> None:
+        """Notes that the entries up to one, or all, are durable.
+
+        While the disk was busy the entry may have been replaced by another
+        leader's; then a later sync covers what stands there now.
+
+        Args:
+            end: What `log_end` gave when the records were taken.
+        """
         replica = self.state
-        replica.persisted = replica.log.last_index
-        if replica.commit > replica.applied:
-            replica.box.committed.add(replica.group)
+        index, term = end or self.log_end()
+        below = index <= replica.log.base_index
+        if below or replica.log.term_at(index) == term:
+            replica.persisted = max(replica.persisted, index)
         if replica.role == types.LEADER:
             replicate.advance_commit(replica)
 
     def take_committed(self) -> list[types.Entry]:
-        """Returns the entries to apply next and counts them as applied."""
+        """Returns the entries to apply next and counts them as applied.
+
+        A majority holds them, so they need not lie on this disk yet: a leader
+        whose own disk is slow goes at the pace of its followers' disks.
+        """
         replica = self.state
-        last = min(replica.commit, replica.persisted)
+        last = replica.commit
         if last <= replica.applied:
             return []
         found = replica.log.between(replica.applied + 1, last)
--- a/src/mintcleat/consensus/roster.py
+++ b/src/mintcleat/consensus/roster.py
@@ -1,5 +1,6 @@
 """Who lives on which instance, and when a new group may be started."""
 
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -26,18 +27,78 @@
 
 
 class Roster:
-    """The members by settings, and who was heard from them.
+    """The members by settings, those learned, and who was heard from them.
 
     Attributes:
+        founding: The members by settings; only they may start a group.
+        members: Those, and the instances that others told of.
         residents: By instance name; without this instance.
+        retired: Instances that an operator empties; no group is moved there.
     """
 
     def __init__(
-        self, me: messages.Incarnation, members: Sequence[types.Member]
+        self,
+        me: messages.Incarnation,
+        members: Sequence[types.Member],
+        own: types.Member | None = None,
     ) -> None:
         self.me = me
+        self.founding = list(members)
         self.members = {member.instance: member for member in members}
+        self.own = own or self.members.get(
+            me.instance, types.Member(me.instance, "", "", "")
+        )
+        self.members[me.instance] = self.own
         self.residents: dict[str, Resident] = {}
+        self.retired: frozenset[str] = frozenset()
+
+    def learn(self, members: Iterable[types.Member]) -> None:
+        """Takes instances that were not known; they are greeted from now on."""
+        for member in members:
+            self.members.setdefault(member.instance, member)
+
+    def greeted(
+        self, sender: messages.Incarnation, message: wire.Hello
+    ) -> None:
+        """Takes what a greeting says of its sender and of others.
+
+        Settings may name members by address alone; the failure domain that
+        placement needs then comes with the greeting.
+        """
+        own = message.own
+        if own.instance == sender.instance:
+            self.members[own.instance] = own
+            known = self.residents.get(own.instance)
+            if known is not None and known.peer.replica == sender:
+                peer = known.peer._replace(
+                    failure_domain=own.failure_domain, region=own.region
+                )
+                self.residents[own.instance] = known._replace(peer=peer)
+        self.learn(message.members)
+
+    def heard_since(self, oldest: float) -> list[types.Member]:
+        """Returns the instances heard since a time, this one not included."""
+        return [
+            self.members[name]
+            for name, resident in sorted(self.residents.items())
+            if resident.seen >= oldest and name in self.members
+        ]
+
+    def forget_silent(self, oldest: float) -> None:
+        """Drops learned instances that have been silent for long.
+
+        Machines are replaced under new addresses; greeting each one that
+        ever was would go on for good.
+        """
+        kept = {member.instance for member in self.founding}
+        kept.add(self.me.instance)
+        for name in set(self.members) - kept:
+            resident = self.residents.get(name)
+            if resident is None:
+                continue
+            if resident.seen < oldest:
+                del self.members[name]
+                del self.residents[name]
 
     def address(self, instance: str) -> str:
         """Returns the stream address of an instance, or an empty text."""
@@ -79,10 +140,16 @@
                 answered=now, groups=frozenset(message.groups)
             )
 
-    def greetings(self, asks: bool) -> list[outbox.Letter]:
-        """Returns a greeting for every other instance, whoever lives there."""
+    def greetings(self, asks: bool, oldest: float) -> list[outbox.Letter]:
+        """Returns a greeting for every other instance, whoever lives there.
+
+        Args:
+            asks: Whether an answer is wanted.
+            oldest: Instances heard since this time are told of.
+        """
+        hello = wire.Hello(asks, self.own, self.heard_since(oldest))
         return [
-            outbox.Letter(messages.Incarnation(name, 0), wire.Hello(asks))
+            outbox.Letter(messages.Incarnation(name, 0), hello)
             for name in self.members
             if name != self.me.instance
         ]
@@ -115,5 +182,5 @@
         return types.Configuration(peers, [])
 
     def _founder_names(self, group: str, size: int) -> list[str]:
-        chosen = placement.voters(group, list(self.members.values()), size)
+        chosen = placement.voters(group, self.founding, size)
         return [member.instance for member in chosen]
--- a/src/mintcleat/consensus/types.py
+++ b/src/mintcleat/consensus/types.py
@@ -28,12 +28,17 @@
 
 
 class Member(NamedTuple):
-    """A control instance as the settings describe it."""
+    """A control instance as the settings or another instance describe it.
+
+    Attributes:
+        label: Name that operators use for it, where that is another one.
+    """
 
     instance: str
     address: str
     failure_domain: str
     region: str
+    label: str = ""
 
 
 class Peer(NamedTuple):
@@ -118,6 +123,9 @@
         balance_after: Seconds of leading after which a group goes to the
             voter that should lead it, so that leaders are spread; 0 for
             never.
+        founder: Whether this instance may start groups that nobody knows.
+            An instance that joins a running system must not: the members
+            that it was told of may all be down or cut off.
     """
 
     heartbeat: float = 0.1
@@ -133,4 +141,5 @@
     hello: float = 1.0
     replace_after: float = 120.0
     balance_after: float = 30.0
+    founder: bool = True
     safeguards: Safeguards = Safeguards()
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -354,6 +354,13 @@
     default_remedy = "Free or replace the disk, then restart the instance."
 
 
+class StorageFull(MintcleatError):
+    """The disk takes no more bytes; nothing of the write is left on it."""
+
+    kind = "storage_full"
+    default_remedy = "Free space in the data folder; the write is repeated."
+
+
 class StorageDamaged(MintcleatError):
     """The log is damaged before its tail."""
 
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import pathlib
+from typing import Any
 from typing import NamedTuple
 from typing import Protocol
 
@@ -78,6 +79,38 @@
         """Syncs and closes the files."""
 
 
+class Worker(Protocol):
+    """Runs calls of the disk one after the other."""
+
+    def run(self, function: Callable[..., Any], *args: Any) -> Any:
+        """Returns what the function returns, or raises what it raises.
+
+        Only the calling green thread waits, where the worker has a thread of
+        its own.
+        """
+
+    def pause(self) -> None:
+        """Lets other work go on in the middle of a long call."""
+
+    def waits(self) -> bool:
+        """Tells whether the caller's whole thread waits in `run`."""
+
+
+class InlineWorker:
+    """Runs calls on the caller's own thread, which waits for the disk."""
+
+    def __init__(self, pause: Callable[[], None] = lambda: None) -> None:
+        self.pause = pause
+
+    def waits(self) -> bool:
+        """Returns True."""
+        return True
+
+    def run(self, function: Callable[..., Any], *args: Any) -> Any:
+        """Calls the function."""
+        return function(*args)
+
+
 class Disk(Protocol):
     """The calls that can fail on a disk; tests inject failures here."""
 
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -24,6 +24,7 @@
 Options = replication_driver.Options
 
 _HAND_OVER_STEP = 0.02
+_RECOVERY_STEP = 0.002
 
 
 class GroupStatus(NamedTuple):
@@ -68,6 +69,8 @@
         streams: stream_ports.Streams,
         timers: timer_ports.Timers,
         options: replication_driver.Options | None = None,
+        worker: wal_ports.Worker | None = None,
+        own: types.Member | None = None,
     ) -> None:
         self.node = node
         self.address = address
@@ -77,6 +80,10 @@
         self.streams = streams
         self.timers = timers
         self.options = options or replication_driver.Options()
+        self.worker = worker or wal_ports.InlineWorker(
+            lambda: timers.sleep(0)
+        )
+        self.own = own
         self.machines: dict[str, log.StateMachine] = {}
         self.driver: replication_driver.Driver | None = None
         self.links: replication_links.Links | None = None
@@ -108,9 +115,13 @@
             links=self.links,
             timers=self.timers,
             options=self.options,
+            worker=self.worker,
+            own=self.own,
         )
         for _ in range(3):
             self.driver.tick()
+            while self.driver.persisting:
+                self.timers.sleep(_RECOVERY_STEP)
         period = self.options.core.heartbeat
         self.ticker = self.timers.every(period, self.driver.tick)
 
@@ -259,7 +270,7 @@
             self.links.stop()
         if self.driver is not None and self.driver.failed is None:
             self.driver.stop(errors.Draining("The instance stops."))
-        self.wal.close()
+        self.worker.run(self.wal.close)
 
     def _receive(self, payload: bytes) -> None:
         if self.driver is not None:
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -1,5 +1,6 @@
 """Carries out what the consensus core asks for: store, sync, send, apply."""
 
+import collections
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -46,6 +47,21 @@
 MAX_COMMAND = 16 * 1024 * 1024
 
 
+# A full disk may be emptied by others; this often it is tried again.
+_FULL_PAUSE = 0.1
+
+
+class Unsynced(NamedTuple):
+    """Effects that wait for the disk.
+
+    Attributes:
+        ends: Where the log of each group in `box.stored` ended then.
+    """
+
+    box: outbox.Outbox
+    ends: dict[str, tuple[int, int]]
+
+
 class Waiter(NamedTuple):
     """A proposer that waits for its entry; `done` gets `(result,)`."""
 
@@ -60,6 +76,7 @@
         core: The consensus instance.
         waiters: By group and index.
         failed: Why this replica has stopped, if it has.
+        unsynced: Effects that wait for the disk, in order.
     """
 
     def __init__(
@@ -73,7 +90,12 @@
         links: replication_links.Links,
         timers: timer_ports.Timers,
         options: Options,
+        worker: wal_ports.Worker,
+        own: types.Member | None = None,
     ) -> None:
+        self.worker = worker
+        self.unsynced: collections.deque[Unsynced] = collections.deque()
+        self.persisting = False
         self.address = address
         self.wal = wal
         self.machines = machines
@@ -89,6 +111,7 @@
             options.snapshots,
             guarded=self._stopping_on_failure,
             saved=self.wake,
+            worker=worker,
         )
         self.awake = False
         found = wal.open(node)
@@ -104,6 +127,7 @@
             members=members,
             stored=stored,
             now=timers.now(),
+            own=own,
         )
         for group, machine in machines.items():
             self.waiters[group] = {}
@@ -140,15 +164,13 @@
         self.wake()
 
     def work(self) -> None:
-        """Carries out effects until there are none."""
+        """Carries out effects until none is left but those of the disk."""
         with self._stopping_on_failure():
             while self.failed is None:
                 self.core.flush(self.timers.now())
                 if self.core.box.idle():
                     break
-                self._carry_out(self.core.box.take())
-            if self.failed is None:
-                self._shrink()
+                self._take_up(self.core.box.take())
         self._release_lost()
 
     def fail(self, error: errors.MintcleatError) -> None:
@@ -185,21 +207,105 @@
         self.awake = False
         self.work()
 
-    def _carry_out(self, box: outbox.Outbox) -> None:
-        for item in box.installs:
-            self._install(item)
+    def _take_up(self, box: outbox.Outbox) -> None:
+        """Carries out what needs no disk; the rest waits its turn.
+
+        Letters that promise durability leave in the order of the records
+        before them, also when their own box holds none.
+        """
         self._send(box.early)
-        if box.records:
-            self.wal.append(box.records)
+        box.early = []
+        if not (box.installs or box.records or self.unsynced):
+            self._finish(box)
+            return
+        if not box.records:
+            # They promise not to vote, which a restart keeps by itself. Held
+            # back behind a slow disk, they would unseat a healthy leader.
+            beats = [m for m in box.late if _is_beat(m)]
+            box.late = [m for m in box.late if not _is_beat(m)]
+            self._send(beats)
+        if not any(item.box.installs for item in self.unsynced):
+            # What a majority holds may be applied before this disk has it.
+            if not box.installs:
+                self._apply_all(box)
+        ends = self.core.log_ends(box.stored)
+        self.unsynced.append(Unsynced(box, ends))
+        if not self.persisting:
+            self.persisting = True
+            if self.worker.waits():
+                self._persist()
+            else:
+                self.timers.spawn(self._persist)
+
+    def _persist(self) -> None:
+        """Writes what waits, one sync for all of it, until nothing waits."""
+        try:
+            while self.unsynced and self.failed is None:
+                with self._stopping_on_failure():
+                    self._persist_some()
+                self.work()
+            if self.failed is None:
+                with self._stopping_on_failure():
+                    self._shrink()
+        finally:
+            self.persisting = False
+
+    def _persist_some(self) -> None:
+        taken = self._next_batch()
+        for item in taken[0].box.installs:
+            self._install(item)
+        records = [record for item in taken for record in item.box.records]
+        if records:
+            self._write(records)
+            if self.failed is not None:
+                return
+            for item in taken:
+                self.core.on_synced_to(item.ends)
+            if not self.snapshots.idle():
+                self.worker.run(self.snapshots.drop_stale)
+        for item in taken:
+            self.unsynced.popleft()
+            self._finish(item.box)
+
+    def _next_batch(self) -> list[Unsynced]:
+        """Returns the boxes to write now; a snapshot begins a batch."""
+        taken = [self.unsynced[0]]
+        for item in list(self.unsynced)[1:]:
+            if item.box.installs:
+                break
+            taken.append(item)
+        return taken
+
+    def _write(self, records: list[bytes]) -> None:
+        """Appends and syncs; waits while the disk is full."""
+
+        def append_and_sync() -> None:
+            self.wal.append(records)
             self.wal.sync()
-            self.core.on_synced(box.stored)
-            self.snapshots.drop_stale()
+
+        call = append_and_sync
+        while self.failed is None:
+            try:
+                self.worker.run(call)
+            except errors.StorageFull as error:
+                logger.warning("{}", error.detail)
+                call = self.wal.sync
+                self.timers.sleep(_FULL_PAUSE)
+            else:
+                return
+
+    def _finish(self, box: outbox.Outbox) -> None:
+        """Carries out what was to follow the sync."""
         self._send(box.late)
         for needed in box.snapshots:
-            self._send_snapshot(needed)
+            self.timers.spawn(self._send_snapshot, needed)
+        self._apply_all(box)
+
+    def _apply_all(self, box: outbox.Outbox) -> None:
         for group in sorted(box.committed):
             self._apply(group, self.core.replicas[group])
-        for ready in box.reads:
+        reads, box.reads = box.reads, []
+        for ready in reads:
             done = self.readers.pop(ready.token, None)
             if done is not None:
                 done.send(ready)
@@ -220,7 +326,12 @@
     def _send_snapshot(self, needed: outbox.SnapshotNeeded) -> None:
         # The file of `needed.mark` may be gone: a newer one replaced it.
         mark = self.core.replicas[needed.group].state.mark
-        state = self.wal.load_snapshot(needed.group, mark.index)
+        with self._stopping_on_failure():
+            state = self.worker.run(
+                self.wal.load_snapshot, needed.group, mark.index
+            )
+        if self.failed is not None:
+            return
         message = wire.InstallSnapshot(needed.group, needed.term, mark, state)
         address = self.core.roster.address(needed.to.instance)
         payload = self._frame(needed.to, [message])
@@ -232,7 +343,9 @@
         self.links.send_bulk(address, payload, ended)
 
     def _install(self, item: outbox.Installed) -> None:
-        self.snapshots.installed(item.group, item.mark.index, item.state)
+        self.worker.run(
+            self.snapshots.installed, item.group, item.mark.index, item.state
+        )
         machine = self.machines.get(item.group)
         if machine is not None:
             machine.restore(item.state)
@@ -291,7 +404,7 @@
             for replica in self.core.replicas.values()
             for record in replica.live_records()
         ]
-        self.wal.rewrite(live)
+        self.worker.run(self.wal.rewrite, live)
         self.rewritten = self.wal.size()
 
     def _release_lost(self) -> None:
@@ -310,6 +423,10 @@
             self.waiters[group] = kept
 
 
+def _is_beat(letter: outbox.Letter) -> bool:
+    return isinstance(letter.message, wire.HeartbeatReply)
+
+
 def _fold(items: list[bytes]) -> dict[str, records.Stored]:
     try:
         return records.fold(items)
--- a/src/mintcleat/roles/replication_snapshots.py
+++ b/src/mintcleat/roles/replication_snapshots.py
@@ -4,8 +4,11 @@
 from contextlib import AbstractContextManager
 from typing import NamedTuple
 
+from loguru import logger
+
 from mintcleat.consensus import replica as replicas
 from mintcleat.consensus import types
+from mintcleat.domain import errors
 from mintcleat.ports import log
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
@@ -60,7 +63,9 @@
         *,
         guarded: Callable[[], AbstractContextManager[None]],
         saved: Callable[[], None],
+        worker: wal_ports.Worker,
     ) -> None:
+        self.worker = worker
         self.wal = wal
         self.timers = timers
         self.limits = limits
@@ -97,6 +102,10 @@
         self.timers.spawn(self._save, replica, mark, state)
         return True
 
+    def idle(self) -> bool:
+        """Tells whether no file waits to be removed."""
+        return not self.stale
+
     def installed(self, group: str, index: int, state: bytes) -> None:
         """Stores a snapshot that came from the leader."""
         self.wal.save_snapshot(group, index, state)
@@ -118,19 +127,33 @@
     def _save(
         self, replica: replicas.Replica, mark: types.SnapshotMark, state: bytes
     ) -> None:
-        """Writes the file in steps, so that heartbeats go out in between.
+        """Writes the file beside the loop, so that heartbeats go out.
 
-        Written at once, a large state would hold the loop for longer than
-        the election timeout, and a healthy leader would be replaced.
+        Written on the loop, a large state would hold it for longer than the
+        election timeout, and a healthy leader would be replaced. A full disk
+        takes no snapshot; the next is due after as much again.
         """
         group = replica.state.group
         with self.guarded():
-            self.wal.save_snapshot(
-                group, mark.index, state, lambda: self.timers.sleep(0)
-            )
-            # A snapshot of the leader may have been installed meanwhile.
-            if mark.index > replica.state.mark.index:
-                replica.compact(mark, self.limits.kept)
-                self.stale[group] = mark.index
+            try:
+                self.worker.run(
+                    self.wal.save_snapshot,
+                    group,
+                    mark.index,
+                    state,
+                    self.worker.pause,
+                )
+            except errors.StorageFull as error:
+                logger.warning("No snapshot of {}: {}", group, error.detail)
+            else:
+                self._saved(replica, mark)
         self.growth[group].saving = False
         self.saved()
+
+    def _saved(
+        self, replica: replicas.Replica, mark: types.SnapshotMark
+    ) -> None:
+        # A snapshot of the leader may have been installed meanwhile.
+        if mark.index > replica.state.mark.index:
+            replica.compact(mark, self.limits.kept)
+            self.stale[replica.state.group] = mark.index
