Grow the configuration: routes, numbered pushes, registered upstreams, emptying

Routes and limits are sections of the manifest, checked like the rest. A push may carry the operators' own number: the highest wins, equal or lower ones change nothing, and its source is read back as sent. Upstreams without a sidecar register with control; changes are committed, so that an acknowledged drain survives the leader, and travel to nodes before the lease that covers them. A control instance can be emptied: the groups' repair moves its replicas, and it is done when each group's own leader says so. Lease times are settings of a deployment.

--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from mintcleat.domain import messages
+
 
 class TakeOffice(NamedTuple):
     """A new leader asks for its number; commands of older ones are void."""
@@ -39,6 +41,46 @@
     at: float
 
 
+class PushVersion(NamedTuple):
+    """A push of a numbered version; the highest wins.
+
+    Attributes:
+        sections: JSON text of every section of the manifest.
+        source: What the manifest was generated from.
+    """
+
+    office: int
+    version: int
+    push_id: str
+    sections: dict[str, str]
+    source: str
+    operator: str
+    origin: str
+    at: float
+
+
+class Register(NamedTuple):
+    """A registration that differs from the one on record."""
+
+    office: int
+    registration: messages.Registration
+    at: float
+
+
+class Leave(NamedTuple):
+    """Takes an upstream out of the directory.
+
+    Attributes:
+        final: Whether it said so itself: this life never comes back. One
+            that only fell silent may register again.
+    """
+
+    office: int
+    upstream: str
+    final: bool
+    at: float
+
+
 class Note(NamedTuple):
     """Adds an audit entry for something that changed nothing."""
 
@@ -185,6 +227,9 @@
     PlanOrder,
     EndOrder,
     SetRollout,
+    PushVersion,
+    Register,
+    Leave,
 )
 _TAG_OF = {kind: tag for tag, kind in enumerate(KINDS, start=1)}
 
--- /dev/null
+++ b/src/mintcleat/configuration/directory.py
@@ -0,0 +1,154 @@
+"""Upstreams that registered themselves, as part of the config group's state.
+
+It changes when an upstream comes, changes its state or goes, which is rare;
+renewals that change nothing are kept by the leader alone. What was
+acknowledged to an upstream that leaves therefore survives the leader.
+"""
+
+from typing import Any
+
+from mintcleat.domain import messages
+
+# A registration that was held up on the way for so long is not expected any
+# more; until then the id of an upstream that left is remembered.
+LEFT_KEPT = 600.0
+# Removals told to nodes; nodes further behind get the whole directory.
+REMOVALS_KEPT = 4_096
+
+
+class Directory:
+    """Registrations by upstream, with the version of each change.
+
+    Attributes:
+        version: Grows with each visible change.
+        entries: The registrations in force.
+        changed_at: Version of the last change, by upstream.
+        removed_at: Version of the removal, by upstream, oldest first.
+        left: When an upstream said that it leaves for good, oldest first;
+            seconds since 1970.
+        horizon: Nodes below this version cannot be brought up by a delta.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.horizon = 0
+        self.entries: dict[str, messages.Registration] = {}
+        self.changed_at: dict[str, int] = {}
+        self.removed_at: dict[str, int] = {}
+        self.left: dict[str, float] = {}
+
+    def register(self, registration: messages.Registration, at: float) -> bool:
+        """Takes a registration; returns whether it is in force afterwards.
+
+        A registration of a life that has left, or an older one of the same
+        life, was late. Taken in, it would send requests to an upstream that
+        is gone, or whose address another one has by now.
+        """
+        name = registration.upstream
+        if name in self.left:
+            return False
+        held = self.entries.get(name)
+        if held is not None and held.sequence > registration.sequence:
+            return False
+        for other in list(self.entries.values()):
+            if other.address == registration.address and other.upstream != name:
+                # One process has an address: the life before is over.
+                self.leave(other.upstream, True, at)
+        self._put(registration)
+        return True
+
+    def leave(self, upstream: str, final: bool, at: float) -> bool:
+        """Takes an upstream out; returns whether it was there."""
+        if final:
+            self.left.setdefault(upstream, at)
+            self._forget_left(at)
+        if upstream not in self.entries:
+            return False
+        self._remove(upstream, self.version + 1)
+        return True
+
+    def update_since(self, version: int) -> messages.DirectoryUpdate:
+        """Returns what brings a node from `version` to the present one."""
+        if not version or version < self.horizon:
+            everything = list(self.entries.values())
+            return messages.DirectoryUpdate(self.version, True, everything, [])
+        changed = [
+            self.entries[name]
+            for name, at in self.changed_at.items()
+            if at > version
+        ]
+        gone = [name for name, at in self.removed_at.items() if at > version]
+        return messages.DirectoryUpdate(self.version, False, changed, gone)
+
+    def follow(self, update: messages.DirectoryUpdate) -> bool:
+        """Takes an update of another directory; False for an older one."""
+        if update.version <= self.version:
+            return False
+        if update.whole:
+            self.entries = {item.upstream: item for item in update.changed}
+            self.changed_at = dict.fromkeys(self.entries, update.version)
+            self.removed_at = {}
+            self.horizon = update.version
+        else:
+            for item in update.changed:
+                self.entries[item.upstream] = item
+                self.changed_at[item.upstream] = update.version
+                self.removed_at.pop(item.upstream, None)
+            for name in update.gone:
+                self._remove(name, update.version)
+        self.version = update.version
+        return True
+
+    def state(self) -> list[Any]:
+        """Returns everything as plain data."""
+        return [
+            self.version,
+            self.horizon,
+            [list(item) for item in self.entries.values()],
+            self.changed_at,
+            self.removed_at,
+            self.left,
+        ]
+
+    def load(self, state: list[Any]) -> None:
+        """Takes what `state` returned."""
+        self.version, self.horizon = state[:2]
+        found = [messages.Registration(*item) for item in state[2]]
+        self.entries = {item.upstream: item for item in found}
+        self.changed_at, self.removed_at, self.left = state[3:6]
+
+    def _put(self, registration: messages.Registration) -> None:
+        name = registration.upstream
+        held = self.entries.get(name)
+        self.entries[name] = registration
+        if held is not None and same_in_force(held, registration):
+            return
+        self.version += 1
+        self.changed_at[name] = self.version
+        self.removed_at.pop(name, None)
+
+    def _remove(self, name: str, version: int) -> None:
+        self.version = version
+        self.entries.pop(name, None)
+        self.changed_at.pop(name, None)
+        self.removed_at.pop(name, None)
+        self.removed_at[name] = version
+        while len(self.removed_at) > REMOVALS_KEPT:
+            oldest = next(iter(self.removed_at))
+            self.horizon = self.removed_at.pop(oldest)
+
+    def _forget_left(self, at: float) -> None:
+        while self.left:
+            oldest = next(iter(self.left))
+            if self.left[oldest] >= at - LEFT_KEPT:
+                return
+            del self.left[oldest]
+
+
+def same_in_force(
+    one: messages.Registration, other: messages.Registration
+) -> bool:
+    """Tells whether two registrations of one upstream mean the same."""
+    return one._replace(sequence=0, cold=0.0) == other._replace(
+        sequence=0, cold=0.0
+    )
--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -46,6 +46,8 @@
         horizon: Nodes below this revision cannot be brought up by a delta.
         pushes: Accepted pushes by id, oldest first.
         unread: Sections changed since the manifest was last assembled.
+        version: Highest number of a numbered push; 0 before the first.
+        source: What that push was generated from, as its sender gave it.
     """
 
     def __init__(self) -> None:
@@ -59,6 +61,27 @@
         self.assembly = sections.Assembly()
         self.assembled = manifest.Manifest()
         self.unread: dict[str, str] = {}
+        self.version = 0
+        self.source = ""
+
+    def push_version(self, command: commands.PushVersion) -> Accepted:
+        """Applies a numbered push, unless one as high was applied before.
+
+        A lower or equal number is a late or repeated one: whoever sent it is
+        told what is in force. Equal numbers with other content change
+        nothing, so that what was read back under a number stays true.
+        """
+        if command.version > self.version:
+            delta = sections.difference(self.sections, command.sections)
+            self.revision += 1
+            for key, text in delta.changed.items():
+                self._put(key, text, self.revision)
+            for key in delta.removed:
+                self._remove(key, self.revision)
+            self.version = command.version
+            self.source = command.source
+            self._forget_old()
+        return Accepted(self.revision, command.operator, command.at)
 
     def push(
         self, command: commands.Push
@@ -135,6 +158,8 @@
             self.removed_at,
             self.horizon,
             {key: list(push) for key, push in self.pushes.items()},
+            self.version,
+            self.source,
         ]
 
     def load(self, state: list[Any]) -> None:
@@ -146,6 +171,7 @@
         self.removed_at = state[3]
         self.horizon = state[4]
         self.pushes = {key: Accepted(*push) for key, push in state[5].items()}
+        self.version, self.source = (*state[6:8], 0, "")[:2]
         self._read_anew()
 
     def _conflict(self, expected: int) -> errors.RevisionConflict:
--- a/src/mintcleat/configuration/lease.py
+++ b/src/mintcleat/configuration/lease.py
@@ -1,5 +1,7 @@
 """The configuration lease: until when a node may act on its revision."""
 
+from typing import NamedTuple
+
 # Lease that the config leader grants. After it accepts a push, a node that
 # did not apply it is out of lease within this time, so the push is in force
 # everywhere in under 5 s, the goal of the users' plan.
@@ -16,6 +18,23 @@
 MEMBER_LEASE = 4.0
 
 
+class Times(NamedTuple):
+    """The times above as one deployment uses them, in seconds.
+
+    Shorter ones bring a change into force sooner after a loss and cost more
+    renewals: the bytes of a quiet node grow with 1 / `renew`.
+    """
+
+    max_lease: float = MAX_LEASE
+    renew: float = RENEW
+    relay_renew: float = RELAY_RENEW
+    move_after: float = MOVE_AFTER
+    member_lease: float = MEMBER_LEASE
+
+
+DEFAULT = Times()
+
+
 class Lease:
     """A lease as its holder keeps it, on the holder's own clock.
 
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -12,6 +12,7 @@
 
 from mintcleat.configuration import audit
 from mintcleat.configuration import commands
+from mintcleat.configuration import directory
 from mintcleat.configuration import document
 from mintcleat.configuration import permits
 from mintcleat.configuration import quarantine
@@ -19,8 +20,11 @@
 from mintcleat.domain import errors
 
 GROUP = "config"
-FORMAT = 1
-SCOPES = ("instance", "failure_domain")
+FORMAT = 2
+# Releases before the directory wrote this one.
+_FORMAT_WITHOUT_DIRECTORY = 1
+CONTROL_SCOPE = "control"
+SCOPES = ("instance", "failure_domain", CONTROL_SCOPE)
 ACCEPTED = "accepted"
 
 
@@ -59,6 +63,7 @@
         self.drains: dict[str, float] = {}
         self.members: dict[str, Member] = {}
         self.restrictions = 0
+        self.directory = directory.Directory()
         self.subscribers: list[Callable[[], None]] = []
 
     def apply(self, index: int, command: bytes) -> Any:
@@ -89,13 +94,14 @@
                 self.drains,
                 [list(member) for member in self.members.values()],
                 self.restrictions,
+                self.directory.state(),
             ]
         )
 
     def restore(self, state: bytes) -> None:
         """Replaces the whole state by a snapshot."""
         items = msgspec.msgpack.decode(state)
-        if items[0] != FORMAT:
+        if items[0] not in (FORMAT, _FORMAT_WITHOUT_DIRECTORY):
             raise errors.StorageDamaged(
                 f"The config snapshot has format {items[0]}, not {FORMAT}.",
                 remedy="Run the release that wrote it, or a newer one.",
@@ -110,6 +116,9 @@
         members = [Member(*item) for item in items[8]]
         self.members = {member.instance: member for member in members}
         self.restrictions = items[9]
+        self.directory = directory.Directory()
+        if items[0] == FORMAT:
+            self.directory.load(items[10])
         for callback in self.subscribers:
             callback()
 
@@ -129,6 +138,12 @@
                 return self.office
             case commands.Push():
                 return self._push(command)
+            case commands.PushVersion():
+                return self._push_version(command)
+            case commands.Register(registration=registration):
+                return self.directory.register(registration, command.at)
+            case commands.Leave(upstream=upstream, final=final):
+                return self.directory.leave(upstream, final, command.at)
             case commands.Note():
                 self._audit(
                     command, command.action, command.subject, command.outcome
@@ -191,6 +206,25 @@
             )
         return result
 
+    def _push_version(self, command: commands.PushVersion) -> Any:
+        before = self.document.version
+        result = self.document.push_version(command)
+        outcome = f"accepted as {result.revision}"
+        if command.version <= before:
+            outcome = f"no change: version {before} is in force"
+        subject = f"push {command.push_id} of version {command.version}"
+        self._audit(command, "push", subject, outcome)
+        return result
+
+    def emptied(self) -> frozenset[str]:
+        """Returns the control instances that are to hold no replica."""
+        prefix = f"{CONTROL_SCOPE}/"
+        return frozenset(
+            key.removeprefix(prefix)
+            for key in self.drains
+            if key.startswith(prefix)
+        )
+
     def _drain(self, command: commands.SetDrain) -> Any:
         if command.scope not in SCOPES:
             return errors.BadRequest(f"No scope {command.scope!r} to drain.")
--- a/src/mintcleat/configuration/sections.py
+++ b/src/mintcleat/configuration/sections.py
@@ -1,8 +1,8 @@
 """A manifest as many small sections, so that only what changed travels.
 
-A section is one program, one service, one partner, or all other policies.
-Its key is `programs/NAME`, `services/NAME`, `partners/NAME` or `policies`;
-its value is JSON text with sorted keys.
+A section is one program, service, partner or route, the limits, or all other
+policies. Its key is `programs/NAME`, `services/NAME`, `partners/NAME`,
+`routes/NAME`, `limits` or `policies`; its value is JSON text with sorted keys.
 """
 
 from collections.abc import Iterable
@@ -16,11 +16,15 @@
 PROGRAMS = "programs"
 SERVICES = "services"
 PARTNERS = "partners"
+ROUTES = "routes"
+LIMITS = "limits"
 POLICIES = "policies"
 _TYPES: dict[str, Any] = {
     PROGRAMS: manifest.Program,
     SERVICES: manifest.Service,
     PARTNERS: manifest.Partner,
+    ROUTES: manifest.Route,
+    LIMITS: manifest.Limits,
     POLICIES: manifest.Policies,
 }
 
@@ -36,9 +40,12 @@
     """Returns the sections of a manifest."""
     bare = msgspec.structs.replace(whole.policies, partners={})
     sections = {POLICIES: _text(bare)}
+    if whole.limits != manifest.Limits():
+        sections[LIMITS] = _text(whole.limits)
     groups = (
         (PROGRAMS, whole.programs),
         (SERVICES, whole.services),
+        (ROUTES, whole.routes),
         (PARTNERS, whole.policies.partners),
     )
     for group, items in groups:
@@ -94,6 +101,8 @@
         return manifest.Manifest(
             programs=dict(self.typed[PROGRAMS]),
             services=dict(self.typed[SERVICES]),
+            routes=dict(self.typed[ROUTES]),
+            limits=self.typed[LIMITS].get("") or manifest.Limits(),
             policies=msgspec.structs.replace(
                 policies, partners=dict(self.typed[PARTNERS])
             ),
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -96,6 +96,42 @@
     default_remedy = "Use a service that `mintcleat manifest show` lists."
 
 
+class UnknownInstance(MintcleatError):
+    """There is no control instance of this name."""
+
+    kind = "unknown_instance"
+    status = 404
+    default_outcome = NOT_RUN
+    default_remedy = "Use a name that `mintcleat control status` lists."
+
+
+class UnknownRoute(MintcleatError):
+    """No route of the manifest covers the request's host and path."""
+
+    kind = "unknown_route"
+    status = 404
+    default_outcome = NOT_RUN
+    default_remedy = "Use a host and path that the manifest's routes cover."
+
+
+class UnknownTurn(MintcleatError):
+    """The turn to continue from does not exist, or its retention is over."""
+
+    kind = "unknown_turn"
+    status = 404
+    default_outcome = NOT_RUN
+    default_remedy = "Start a new line of turns without a previous turn."
+
+
+class TooFewInstances(MintcleatError):
+    """Without this control instance the groups could not bear a loss."""
+
+    kind = "too_few_instances"
+    status = 409
+    default_outcome = NOT_RUN
+    default_remedy = "Add a control instance first."
+
+
 class UnknownPartner(MintcleatError):
     """The manifest names no such partner."""
 
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -52,6 +52,10 @@
             beside the methods that are idempotent by definition.
         non_idempotent: Patterns that may not; they win over `idempotent`.
         floor: Upstreams that a rollout keeps ready.
+        connections: Connections that one upstream takes from all callers; 0
+            when it is not known.
+        tokens_per_event: Tokens that one event of a stream counts for.
+        memory_tokens: Tokens that an upstream's cache holds; 0 for unknown.
     """
 
     kind: Literal["model", "plain"]
@@ -63,6 +67,63 @@
     fencing: bool = True
     idempotent: list[str] = []
     non_idempotent: list[str] = []
+    connections: Count = 0
+    tokens_per_event: Count = 1
+    memory_tokens: Count = 0
+
+
+class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service that takes part of a route's requests, by weight."""
+
+    service: str
+    weight: Count = 1
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Requests that are passed on as they are; times in seconds.
+
+    The route with the longest prefix of a request's host serves it.
+
+    Attributes:
+        host: Value of the Host header; empty for any.
+        prefix: Start of the path; it begins and ends with a slash.
+        shares: Services that serve it.
+        repeat: Whether a request may run again: `any` after any failure,
+            `resume` after a broken stream, from its last event on, `never`
+            unless it surely did not run.
+        stream: Whether answers are server-sent events.
+        timeout: Longest time that a request is kept waiting; more than 0.
+        target_latency: Time to the answer, or its first event, that is good.
+        target_gap: Longest good pause between events.
+        priority: 0 is the most urgent.
+        attempts: Upstreams that one request may be sent to.
+        affinity: Whether requests on one object run faster where an earlier
+            one ran.
+        retention: For how long a turn that has ended can be continued; 0
+            when callers send whole conversations themselves.
+    """
+
+    prefix: str
+    shares: list[Share]
+    host: str = ""
+    repeat: Literal["any", "resume", "never"] = "never"
+    stream: bool = False
+    timeout: Amount = 30.0
+    target_latency: Amount = 1.0
+    target_gap: Amount = 1.0
+    priority: Count = 0
+    attempts: Count = 1
+    affinity: bool = False
+    retention: Amount = 0.0
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a caller of a route may send, in bytes and seconds."""
+
+    header_bytes: Count = 16384
+    body_bytes: Count = 4 * 1024 * 1024
+    header_seconds: Amount = 3.0
+    idle_seconds: Amount = 75.0
 
 
 class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -102,6 +163,8 @@
     programs: dict[Name, Program] = {}
     services: dict[Name, Service] = {}
     policies: Policies = Policies()
+    routes: dict[Name, Route] = {}
+    limits: Limits = Limits()
 
 
 class Change(NamedTuple):
--- a/src/mintcleat/domain/manifest_faults.py
+++ b/src/mintcleat/domain/manifest_faults.py
@@ -65,6 +65,7 @@
         _check_program(f"$.programs.{name}", program, manifest, faults)
     for name, service in manifest.services.items():
         _check_service(f"$.services.{name}", service, faults)
+    _check_routes(manifest, faults)
     _check_policies(manifest.policies, faults)
     return faults
 
@@ -203,6 +204,33 @@
     )
 
 
+def _check_routes(manifest: Any, out: list[Fault]) -> None:
+    places: dict[tuple[str, str], str] = {}
+    for name, route in manifest.routes.items():
+        path = f"$.routes.{name}"
+        taken = places.setdefault((route.host, route.prefix), name)
+        if taken != name:
+            out.append(
+                Fault(path, f"has the host and prefix of the route {taken!r}")
+            )
+        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+            out.append(
+                Fault(f"{path}.prefix", "must begin and end with a slash")
+            )
+        if not route.timeout:
+            out.append(Fault(f"{path}.timeout", "must be more than 0"))
+        if not sum(share.weight for share in route.shares):
+            out.append(Fault(f"{path}.shares", "need a weight above 0"))
+        out.extend(
+            Fault(
+                f"{path}.shares[{number}].service",
+                f"names {share.service!r}, which is no service",
+            )
+            for number, share in enumerate(route.shares)
+            if share.service not in manifest.services
+        )
+
+
 def _check_policies(policies: Any, out: list[Fault]) -> None:
     default = policies.default_partner
     if default and default not in policies.partners:
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -539,6 +539,7 @@
     Attributes:
         revision: Revision that the node has applied; 0 for none.
         address: The node's stream address.
+        directory: Version of the directory that the node holds.
     """
 
     node: Incarnation
@@ -546,6 +547,7 @@
     failure_domain: str
     address: str
     revision: int
+    directory: int = 0
 
 
 class ConfigUpdate(NamedTuple):
@@ -580,12 +582,16 @@
 
 
 class PushManifest(NamedTuple):
-    """Compare-and-set of the manifest.
+    """Compare-and-set of the manifest, or a push of a numbered version.
 
     Attributes:
         expected: Revision that the operator started from.
         push_id: Digest of content and the operator's request id.
         manifest: JSON text.
+        version: The operators' own number; the highest wins, whatever
+            `expected` says. 0 for compare-and-set.
+        source: What the manifest was generated from; it is kept and read
+            back as sent.
     """
 
     expected: int
@@ -593,13 +599,20 @@
     manifest: str
     operator: str
     origin: str
+    version: int = 0
+    source: str = ""
 
 
 class Pushed(NamedTuple):
-    """The push is accepted as `revision`, now or when it was first sent."""
+    """The push is accepted as `revision`, now or when it was first sent.
+
+    Attributes:
+        version: Highest version that was pushed so far.
+    """
 
     revision: int
     push_id: str
+    version: int = 0
 
 
 class ReadManifest(NamedTuple):
@@ -607,10 +620,78 @@
 
 
 class ManifestView(NamedTuple):
-    """The manifest in force."""
+    """The manifest in force, and the version and source it was pushed as."""
 
     revision: int
     manifest: str
+    version: int = 0
+    source: str = ""
+
+
+class Registration(NamedTuple):
+    """An upstream that registers itself, without a sidecar.
+
+    Attributes:
+        upstream: Id of this life of the upstream; a restart has another.
+        address: `IP:PORT` of its HTTP interface.
+        version: Version of its software.
+        slots: Requests that it runs at once.
+        state: `ready` or `draining`.
+        sequence: Grows with each registration of this life; a lower one is
+            late and changes nothing.
+        cold: Seconds for which it is still slow after its start.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    failure_domain: str
+    version: str
+    slots: int
+    state: str
+    sequence: int
+    cold: float = 0.0
+
+
+class RegisterUpstream(NamedTuple):
+    """Registers an upstream or renews its registration; answered by Done."""
+
+    registration: Registration
+
+
+class LeaveUpstream(NamedTuple):
+    """This life of the upstream takes no new work and never will again."""
+
+    upstream: str
+
+
+class DirectoryUpdate(NamedTuple):
+    """Registrations that changed, and the upstreams that are gone."""
+
+    version: int
+    whole: bool
+    changed: list[Registration]
+    gone: list[str]
+
+
+class EmptyControl(NamedTuple):
+    """Asks to move all replicas off a control instance; repeat to poll.
+
+    Attributes:
+        label: Name of the instance, or what operators call it.
+        start: False to ask only how far it is.
+    """
+
+    label: str
+    start: bool
+    operator: str
+    origin: str
+
+
+class Emptied(NamedTuple):
+    """Whether nothing depends on the control instance any more."""
+
+    done: bool
 
 
 class Order(NamedTuple):
@@ -953,6 +1034,12 @@
             ControlAction,
             ShowGroups,
             Groups,
+            Registration,
+            RegisterUpstream,
+            LeaveUpstream,
+            DirectoryUpdate,
+            EmptyControl,
+            Emptied,
         ),
         start=1,
     )
--- a/src/mintcleat/roles/config_feed.py
+++ b/src/mintcleat/roles/config_feed.py
@@ -11,6 +11,7 @@
 
 from eventlet import queue
 
+from mintcleat.configuration import directory
 from mintcleat.configuration import document
 from mintcleat.configuration import lease
 from mintcleat.configuration import members
@@ -20,8 +21,8 @@
 from mintcleat.ports import timers as timer_ports
 
 CONTROL = "control"
-# A peer that is silent for so long is taken for lost.
-SILENCE = 3 * lease.MOVE_AFTER
+# A peer that is silent for so many times `move_after` is taken for lost.
+SILENCE_MOVES = 3
 # Nodes that went away stay in the operators' list for this time.
 GONE_SHOWN = 60.0
 NO_CLOCK = float("-inf")
@@ -47,6 +48,9 @@
     def restrictions(self) -> messages.Restrictions:
         """Returns what operators and crashes forbid."""
 
+    def directory(self) -> directory.Directory:
+        """Returns the upstreams that registered themselves."""
+
     def serves_control(self) -> bool:
         """Tells whether other control instances may follow this one."""
 
@@ -82,6 +86,7 @@
         self.applied = follow.revision
         self.echo = NO_CLOCK
         self.members_sent = 0
+        self.directory_sent = follow.directory
         self.restrictions_sent = -1
         self.announced: messages.Announcement | None = None
         self.duplicate: bool | None = None
@@ -106,8 +111,13 @@
     """
 
     def __init__(
-        self, instance: str, source: Source, timers: timer_ports.Timers
+        self,
+        instance: str,
+        source: Source,
+        timers: timer_ports.Timers,
+        times: lease.Times = lease.DEFAULT,
     ) -> None:
+        self.times = times
         self.instance = instance
         self.source = source
         self.timers = timers
@@ -119,10 +129,11 @@
     ) -> None:
         """Serves one stream until it ends."""
         peer = self.attach(exchange, follow)
+        silence = SILENCE_MOVES * self.times.move_after
         self.timers.spawn(self._write, peer)
         try:
             while True:
-                self.read(peer, exchange.receive(SILENCE))
+                self.read(peer, exchange.receive(silence))
         except (errors.StreamClosed, errors.StreamTimeout):
             return
         finally:
@@ -221,7 +232,7 @@
         self._note(peer, lost_at=now)
         if peer.follow.role == CONTROL:
             self.source.table.lose(
-                peer.follow.node.instance, now, lease.MEMBER_LEASE
+                peer.follow.node.instance, now, self.times.member_lease
             )
 
     def _note(self, peer: Peer, **changes: float) -> None:
@@ -249,6 +260,12 @@
     def pending(self, peer: Peer) -> list[Any]:
         """Returns what the peer lacks, and notes it as sent."""
         found: list[Any] = []
+        # Before the configuration, whose lease then covers both: a node must
+        # not hold a lease without having heard who is leaving.
+        registered = self.source.directory()
+        if peer.directory_sent < registered.version:
+            found.append(registered.update_since(peer.directory_sent))
+            peer.directory_sent = registered.version
         update = self._config(peer)
         if update is not None:
             found.append(update)
@@ -287,7 +304,7 @@
         """Returns the lease that goes with `revision`; 0 for none."""
         if peer.echo == NO_CLOCK or revision < peer.sent:
             return 0.0
-        seconds = min(lease.MAX_LEASE, self.source.lease_left())
+        seconds = min(self.times.max_lease, self.source.lease_left())
         if seconds > 0:
             self._note(peer, lease_until=self.timers.now() + seconds)
         return seconds
@@ -303,5 +320,5 @@
             return None
         peer.duplicate = newer
         return messages.Announced(
-            peer.announced.counter, lease.MEMBER_LEASE, newer
+            peer.announced.counter, self.times.member_lease, newer
         )
--- a/src/mintcleat/roles/config_relay.py
+++ b/src/mintcleat/roles/config_relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from mintcleat.configuration import directory
 from mintcleat.configuration import document
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
@@ -40,6 +41,7 @@
         streams: stream_ports.Streams,
         timers: timer_ports.Timers,
         on_change: Callable[[], None],
+        times: lease.Times = lease.DEFAULT,
     ) -> None:
         self.identity = follow
         self.replica = replica
@@ -51,9 +53,10 @@
         self.lease = lease.Lease()
         self.document = document.Document()
         self.restrictions = messages.Restrictions(0, [], [], [])
+        self.directory = directory.Directory()
         self.told: dict[messages.Incarnation, messages.Announcement] = {}
         self.stream = config_stream.ConfigStream(
-            self, streams, timers, lease.RELAY_RENEW
+            self, streams, timers, times.relay_renew, times.move_after
         )
 
     def pick(self, attempt: int) -> str:
@@ -73,7 +76,13 @@
             copied = document.Document()
             copied.load(machine.plain_copy(self.replica.document.state()))
             self.document = copied
-        return self.identity._replace(revision=self.document.revision)
+        replica = self.replica.directory
+        if replica.version > self.directory.version:
+            self.directory = directory.Directory()
+            self.directory.load(machine.plain_copy(replica.state()))
+        return self.identity._replace(
+            revision=self.document.revision, directory=self.directory.version
+        )
 
     def applied(self) -> int:
         """Returns the revision told here."""
@@ -101,6 +110,9 @@
         match message:
             case messages.ConfigUpdate():
                 self._take_config(message)
+            case messages.DirectoryUpdate():
+                self.directory.follow(message)
+                self.on_change()
             case messages.MembersUpdate():
                 self.table.relay(LEADER, message, self.timers.now())
             case messages.Restrictions():
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -15,7 +15,9 @@
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles import config_feed
+from mintcleat.roles import emptying
 from mintcleat.roles import membership
+from mintcleat.roles import registrar
 
 KINDS = (
     messages.PushManifest,
@@ -30,6 +32,9 @@
     messages.ReportCrash,
     messages.ReadFence,
     messages.SetControl,
+    messages.RegisterUpstream,
+    messages.LeaveUpstream,
+    messages.EmptyControl,
 )
 # One answer of the trail; operators ask on from the last number.
 AUDIT_PAGE = 2_000
@@ -42,6 +47,8 @@
 
     machine: machine.ConfigMachine
     membership: membership.Membership
+    registrar: registrar.Registrar
+    emptying: emptying.Emptying
     feed: config_feed.Feed
     streams: stream_ports.Streams
     timers: timer_ports.Timers
@@ -66,9 +73,12 @@
             case messages.PushManifest():
                 return self._push(message)
             case messages.ReadManifest():
+                document = self.leader.machine.document
                 return messages.ManifestView(
-                    self.leader.machine.document.revision,
-                    manifest.compact(self.leader.machine.document.manifest()),
+                    document.revision,
+                    manifest.compact(document.manifest()),
+                    document.version,
+                    document.source,
                 )
             case messages.ShowInstances():
                 return self._instances()
@@ -91,6 +101,8 @@
                 return messages.AuditTrail(
                     [messages.AuditEntry(*entry) for entry in entries]
                 )
+            case messages.EmptyControl():
+                return self._empty(message)
             case messages.ShowQuarantine():
                 return messages.QuarantineList(
                     [
@@ -126,6 +138,10 @@
                     raise errors.UnknownDigest(
                         f"{message.digest.hex()} is not in the quarantine."
                     )
+            case messages.RegisterUpstream(registration=registration):
+                self.leader.registrar.register(registration)
+            case messages.LeaveUpstream(upstream=upstream):
+                self.leader.registrar.leave(upstream)
             case messages.SetControl():
                 self.leader.propose(commands.SetMember(*message, at))
             case messages.ReportCrash(sidecar=sidecar, number=number):
@@ -150,6 +166,8 @@
         except errors.InvalidManifest as error:
             self._note_refusal(message, error)
             raise
+        if message.version:
+            return self._push_version(message, parsed)
         self.leader.wait_to_decide()
         state = self.leader.machine.document
         delta = sections.Delta({}, [])
@@ -171,6 +189,60 @@
         )
         return messages.Pushed(accepted.revision, message.push_id)
 
+    def _push_version(
+        self, message: messages.PushManifest, parsed: manifest.Manifest
+    ) -> messages.Pushed:
+        """Commits a numbered push.
+
+        It waits for no lease of an earlier leader: such a lease ends within
+        `max_lease` of its granting, which is before this leader's election
+        plus that time, so the push is in force as soon as after any other.
+        """
+        state = self.leader.machine.document
+        if message.version <= state.version:
+            return messages.Pushed(
+                state.revision, message.push_id, state.version
+            )
+        accepted = self.leader.propose(
+            commands.PushVersion(
+                self.leader.office,
+                message.version,
+                message.push_id,
+                sections.split(parsed),
+                message.source,
+                message.operator,
+                message.origin,
+                self.leader.timers.wall(),
+            )
+        )
+        return messages.Pushed(
+            accepted.revision, message.push_id, state.version
+        )
+
+    def _empty(self, message: messages.EmptyControl) -> messages.Emptied:
+        """Starts moving replicas off an instance, or tells how far it is.
+
+        Raises:
+            errors.UnknownInstance: There is no such control instance.
+            errors.TooFewInstances: The rest could not bear another loss.
+        """
+        keeper = self.leader.emptying
+        instance = keeper.find(message.label)
+        state = self.leader.machine
+        if message.start and instance not in state.emptied():
+            keeper.check(instance, state.emptied())
+            self.leader.propose(
+                commands.SetDrain(
+                    machine.CONTROL_SCOPE,
+                    instance,
+                    True,
+                    message.operator,
+                    message.origin,
+                    self.leader.timers.wall(),
+                )
+            )
+        return messages.Emptied(keeper.done(instance, state.emptied()))
+
     def _note_refusal(
         self, message: messages.PushManifest, error: errors.MintcleatError
     ) -> None:
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from mintcleat.configuration import commands
+from mintcleat.configuration import directory
 from mintcleat.configuration import document
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
@@ -21,13 +22,15 @@
 from mintcleat.roles import config_feed
 from mintcleat.roles import config_relay
 from mintcleat.roles import config_requests
+from mintcleat.roles import emptying
 from mintcleat.roles import membership
+from mintcleat.roles import registrar
 
 PROPOSE_SECONDS = 5.0
 # A push may wait MAX_LEASE for leases of an earlier leader to end. A leader
 # that is cut off silently never answers; then the next one is asked.
-TRY_SECONDS = lease.MAX_LEASE + 1.0
-ASK_SECONDS = 3 * TRY_SECONDS
+TRY_MARGIN = 1.0
+ASK_SECONDS = 3 * (lease.MAX_LEASE + TRY_MARGIN)
 RETRY_PAUSE = 0.1
 # How often a change of leadership is looked for. A leader that lost its lease
 # stops granting at once; this only bounds how soon a new one starts.
@@ -53,7 +56,11 @@
         streams: stream_ports.Streams,
         timers: timer_ports.Timers,
         replica: machine.ConfigMachine | None = None,
+        times: lease.Times = lease.DEFAULT,
     ) -> None:
+        self.times = times
+        self.told_members: list[str] = []
+        self.members_version = 0
         self.node = node
         self.failure_domain = failure_domain
         self.address = address
@@ -67,9 +74,8 @@
         self.decides_at = float("inf")
         self.taking_office = False
         self.subscriptions: list[timer_ports.Subscription] = []
-        self.served_revision = 0
-        self.served_restrictions = 0
-        self.feed = config_feed.Feed(node.instance, self, timers)
+        self.served = (0, 0, 0)
+        self.feed = config_feed.Feed(node.instance, self, timers, times)
         self.relay = config_relay.Relay(
             messages.Follow(
                 node, config_feed.CONTROL, failure_domain, address, 0
@@ -80,7 +86,10 @@
             streams=streams,
             timers=timers,
             on_change=self.feed.wake_all,
+            times=times,
         )
+        self.registrar = registrar.Registrar(self)
+        self.emptying = emptying.Emptying(log, streams)
         self.requests = config_requests.Requests(self)
         log.attach(machine.GROUP, self.machine)
         self.machine.subscribers.append(self._on_applied)
@@ -131,7 +140,9 @@
                     return self.requests.answer(message)
                 leader = self.log.leader(machine.GROUP)
                 if leader and leader != self.address:
-                    return self.streams.ask(leader, message, TRY_SECONDS)
+                    return self.streams.ask(
+                        leader, message, self.times.max_lease + TRY_MARGIN
+                    )
             except errors.NotLeader:
                 pass
             except errors.ProposalLost:
@@ -160,7 +171,9 @@
 
     def lease_left(self) -> float:
         """Returns the seconds for which a lease may be granted."""
-        return lease.MAX_LEASE if self.leads() else self.relay.lease_left()
+        return (
+            self.times.max_lease if self.leads() else self.relay.lease_left()
+        )
 
     def confirmed_at(self) -> float:
         """Returns a clock at which the document surely was in force."""
@@ -176,14 +189,21 @@
         if not self.leads():
             return self.relay.restrictions
         state = self.machine
+        listed = {member.address for member in state.members.values()}
         return messages.Restrictions(
-            state.restrictions,
+            state.restrictions + self.members_version,
             sorted(state.drains),
             state.quarantine.quarantined(),
             state.quarantine.suspects(),
-            sorted(member.address for member in state.members.values()),
+            sorted(listed.union(self.told_members)),
         )
 
+    def directory(self) -> directory.Directory:
+        """Returns the upstreams that registered themselves."""
+        if self.leads():
+            return self.machine.directory
+        return self.relay.directory
+
     def serves_control(self) -> bool:
         """Tells whether other control instances may follow this one."""
         return self.leads()
@@ -201,9 +221,24 @@
             self.office = 0
             self.feed.close_control()
         self.relay.active = not leads
+        if self.leads():
+            self._tell_members()
+            self.registrar.tick()
         self._leave_old_leader()
         self.feed.tick()
 
+    def _tell_members(self) -> None:
+        """Tells nodes of control instances that came or went.
+
+        The version grows from the machine's own, which a new leader shares;
+        a leader starts above what an earlier one may have told.
+        """
+        found = sorted(self.log.addresses())
+        if found != self.told_members:
+            self.told_members = found
+            self.members_version = int(self.timers.wall() * 10)
+            self.feed.wake_all()
+
     def _leave_old_leader(self) -> None:
         """Follows a new leader as soon as the log names it.
 
@@ -234,10 +269,11 @@
         finally:
             self.taking_office = False
         first = office.number == 1
-        wait = 0.0 if first else lease.MAX_LEASE
+        wait = 0.0 if first else self.times.max_lease
         self.decides_at = self.timers.now() + wait
         self.office = office.number
         self.membership.take_lead()
+        self.registrar.take_lead()
         logger.info("Config leader under office {}", office.number)
         self.feed.wake_all()
 
@@ -247,11 +283,16 @@
             self.relay.stream.report()
 
     def _on_applied(self) -> None:
+        self.log.retire(self.machine.emptied())
         if not self.leads():
             return
-        served = (self.machine.document.revision, self.machine.restrictions)
-        if served != (self.served_revision, self.served_restrictions):
-            self.served_revision, self.served_restrictions = served
+        served = (
+            self.machine.document.revision,
+            self.machine.restrictions,
+            self.machine.directory.version,
+        )
+        if served != self.served:
+            self.served = served
             self.feed.wake_all()
 
     # --- Requests ---
--- a/src/mintcleat/roles/config_stream.py
+++ b/src/mintcleat/roles/config_stream.py
@@ -59,11 +59,13 @@
         streams: stream_ports.Streams,
         timers: timer_ports.Timers,
         renew: float = lease.RENEW,
+        move_after: float = lease.MOVE_AFTER,
     ) -> None:
         self.owner = owner
         self.streams = streams
         self.timers = timers
         self.renew = renew
+        self.move_after = move_after
         self.address = ""
         self.exchange: stream_ports.Exchange | None = None
         self.moves = 0
@@ -134,10 +136,10 @@
         opened = self.timers.now()
         self.timers.spawn(self._beat, exchange)
         while not self.stopped:
-            message = exchange.receive(lease.MOVE_AFTER)
+            message = exchange.receive(self.move_after)
             self.owner.take(message)
             since = max(opened, self.owner.lease.echo)
-            if self.timers.now() - since > lease.MOVE_AFTER:
+            if self.timers.now() - since > self.move_after:
                 raise errors.StreamTimeout(f"{address} renews no lease.")
 
     def _beat(self, exchange: stream_ports.Exchange) -> None:
@@ -162,7 +164,7 @@
         node = self.owner.follow().node
         seed = f"{node.instance}/{attempt}/{self.moves}"
         part = xxhash.xxh32_intdigest(seed.encode()) / 2**32
-        return part * SPREAD
+        return part * min(SPREAD, self.move_after / 4)
 
 
 def ranked(instance: str, addresses: list[str]) -> list[str]:
--- a/src/mintcleat/roles/control_actions.py
+++ b/src/mintcleat/roles/control_actions.py
@@ -120,6 +120,7 @@
         "applied": status.applied,
         "lease_left": round(status.lease_left, 3),
         "voters": [peer.replica.instance for peer in status.voters],
+        "settled": status.settled,
         "learners": [peer.replica.instance for peer in status.learners],
         "silent_for": {
             name: round(seconds, 2) for name, seconds in status.contact.items()
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -9,6 +9,7 @@
 from loguru import logger
 import msgspec
 
+from mintcleat.configuration import directory
 from mintcleat.configuration import lease
 from mintcleat.configuration import sections
 from mintcleat.domain import errors
@@ -38,6 +39,7 @@
         duplicate: Whether a newer process announces this node's name.
         restrictions: Draining and quarantine, as last told.
         on_restrictions: Called after each change of `restrictions`.
+        registered: Upstreams that registered themselves.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         timers: timer_ports.Timers,
         control_addresses: list[str],
         announcer: Announcer | None = None,
+        times: lease.Times = lease.DEFAULT,
     ) -> None:
+        self.times = times
         self.node = node
         self.role = role
         self.failure_domain = failure_domain
@@ -68,6 +72,7 @@
         self.by_service: dict[str, list[messages.Announcement]] = {}
         self.kept_until: dict[str, float] = {}
         self.restrictions = messages.Restrictions(0, [], [], [])
+        self.registered = directory.Directory()
         self.drains: frozenset[str] = frozenset()
         self.quarantine: frozenset[bytes] = frozenset()
         self.suspects: frozenset[bytes] = frozenset()
@@ -75,14 +80,16 @@
         self.announced: messages.Announcement | None = None
         self.callbacks: list[Callable[[], None]] = []
         self.subscriptions: list[timer_ports.Subscription] = []
-        self.stream = config_stream.ConfigStream(self, streams, timers)
+        self.stream = config_stream.ConfigStream(
+            self, streams, timers, times.renew, times.move_after
+        )
 
     def start(self) -> None:
         """Starts following; returns at once."""
         self.stream.start()
         self.subscriptions = [
             self.timers.every(REBALANCE, self._rebalance),
-            self.timers.every(lease.RENEW, self._drop_missing),
+            self.timers.every(self.times.renew, self._drop_missing),
         ]
 
     def stop(self) -> None:
@@ -184,6 +191,7 @@
             self.failure_domain,
             self.own_address,
             self.current_revision,
+            self.registered.version,
         )
 
     def applied(self) -> int:
@@ -210,6 +218,9 @@
                 self._take_members(message)
             case messages.Restrictions():
                 self._take_restrictions(message)
+            case messages.DirectoryUpdate():
+                if self.registered.follow(message):
+                    self._notify()
             case messages.Announced(duplicate=duplicate):
                 self.duplicate = duplicate
             case _:
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -25,6 +25,8 @@
 
 _HAND_OVER_STEP = 0.02
 _RECOVERY_STEP = 0.002
+# An instance that was not heard for so many greeting periods is away.
+_RESIDENT_PERIODS = 5
 
 
 class GroupStatus(NamedTuple):
@@ -34,6 +36,7 @@
         role: `leader`, `follower`, `candidate` or `pre-candidate`; `outside`
             when this instance holds no replica of the group.
         lease_left: Seconds; 0 on a follower.
+        settled: Whether the list of voters and learners is committed.
         contact: By member instance: seconds since the last heartbeat that it
             answered was sent; only known on the leader.
     """
@@ -48,6 +51,7 @@
     voters: list[types.Peer]
     learners: list[types.Peer]
     contact: dict[str, float]
+    settled: bool = True
 
 
 class GroupLog:
@@ -198,6 +202,34 @@
         """Returns the names of all groups."""
         return list(self.names)
 
+    def addresses(self) -> list[str]:
+        """Returns the stream addresses of the instances heard lately."""
+        if self.driver is None:
+            return []
+        roster = self.driver.core.roster
+        found = {self.address}
+        for name in self.residents():
+            if name != self.node.instance:
+                found.add(roster.address(name))
+        return sorted(found)
+
+    def residents(self) -> dict[str, str]:
+        """Returns the names of the instances heard lately, with labels."""
+        if self.driver is None:
+            return {}
+        roster = self.driver.core.roster
+        period = self.options.core.hello
+        oldest = self.timers.now() - _RESIDENT_PERIODS * period
+        found = {roster.own.instance: roster.own.label}
+        for member in roster.heard_since(oldest):
+            found[member.instance] = member.label
+        return found
+
+    def retire(self, instances: frozenset[str]) -> None:
+        """Keeps groups off these instances and moves those there away."""
+        if self.driver is not None:
+            self.driver.core.roster.retired = instances
+
     def hand_over(self, timeout: float) -> None:
         """Transfers every leadership before a planned stop."""
         if self.driver is None or self.driver.failed:
@@ -339,4 +371,5 @@
                 follower.instance: now - progress.acked
                 for follower, progress in state.progress.items()
             },
+            state.configuration_index <= state.commit,
         )
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/replication_driver.py
@@ -224,10 +224,10 @@
             beats = [m for m in box.late if _is_beat(m)]
             box.late = [m for m in box.late if not _is_beat(m)]
             self._send(beats)
-        if not any(item.box.installs for item in self.unsynced):
+        waiting = (box, *(item.box for item in self.unsynced))
+        if not any(one.installs for one in waiting):
             # What a majority holds may be applied before this disk has it.
-            if not box.installs:
-                self._apply_all(box)
+            self._apply_all(box)
         ends = self.core.log_ends(box.stored)
         self.unsynced.append(Unsynced(box, ends))
         if not self.persisting:
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -93,6 +93,17 @@
         """Returns the names of the groups."""
         return list(self.machines)
 
+    def addresses(self) -> list[str]:
+        """Returns the addresses of all replicas."""
+        return [replica.address for replica in self.cluster.replicas]
+
+    def residents(self) -> dict[str, str]:
+        """Returns the replicas; their names are their addresses."""
+        return dict.fromkeys(self.addresses(), "")
+
+    def retire(self, instances: frozenset[str]) -> None:
+        """Moves nothing: there is one copy of the log."""
+
     def hand_over(self, timeout: float) -> None:
         """Gives leadership up."""
         if self.cluster.leader == self.address:
