--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -53,6 +53,79 @@
 # --- Entry to the leader of a program group ---------------------------------
 
 
+class OpenTurn(NamedTuple):
+    """Reserves tokens for a turn of a program that opens with its first turn.
+
+    Repeating it changes nothing.
+
+    Attributes:
+        turn: Id of this attempt; later turns name it to go on from it.
+        previous: Turn that this one goes on from; empty for none. Several
+            may go on from one.
+        budget: Tokens that the program may be handed in all; 0 for no limit.
+        reserve: Most tokens that this turn can hand out.
+        retention: Seconds for which the program's turns are kept.
+        holds_chain: Whether the sender has the content of `previous` and all
+            turns before it.
+    """
+
+    program: str
+    turn: str
+    previous: str
+    budget: int
+    reserve: int
+    retention: float
+    holds_chain: bool = False
+
+
+class KeptTurn(NamedTuple):
+    """A finished turn: opaque bytes in and out, as later turns repeat them.
+
+    Attributes:
+        upstream: Where it ran, and where its cache may still lie.
+    """
+
+    turn: str
+    previous: str
+    input: bytes
+    output: bytes
+    upstream: str
+
+
+class TurnOpened(NamedTuple):
+    """The tokens are reserved.
+
+    Attributes:
+        chain: The turns to go on from, the oldest first; empty where the
+            sender holds them.
+        upstream: Where the program ran last; empty for a new one.
+    """
+
+    chain: list[KeptTurn]
+    upstream: str
+
+
+class CloseTurn(NamedTuple):
+    """Settles a turn that was opened; repeating it changes nothing.
+
+    Attributes:
+        tokens: Tokens that were handed to the caller.
+        upstream: Where it ran; empty when it ran nowhere.
+        keep: Whether the turn ended whole and may be continued.
+        retention: Seconds for which it, and the turns before it, are kept.
+    """
+
+    program: str
+    turn: str
+    tokens: int
+    upstream: str = ""
+    keep: bool = False
+    previous: str = ""
+    input: bytes = b""
+    output: bytes = b""
+    retention: float = 0.0
+
+
 class CreateProgram(NamedTuple):
     """Creates a program; the same attributes again give the same program.
 
@@ -1040,6 +1113,10 @@
             DirectoryUpdate,
             EmptyControl,
             Emptied,
+            OpenTurn,
+            KeptTurn,
+            TurnOpened,
+            CloseTurn,
         ),
         start=1,
     )
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -35,6 +35,15 @@
                 raise errors.BadRequest(
                     f"The digest must have {_DIGEST_BYTES} bytes."
                 )
+        case messages.OpenTurn():
+            _check_key(request.program)
+            _check_key(request.turn)
+            _check_counts("budget", (request.budget,))
+            _check_counts("reserve", (request.reserve, request.retention))
+        case messages.CloseTurn():
+            _check_key(request.program)
+            _check_key(request.turn)
+            _check_counts("tokens", (request.tokens, request.retention))
         case messages.FindCall():
             _check_key(request.key)
             _check_counts("turn", (request.turn,))
--- a/src/mintcleat/programs/commands.py
+++ b/src/mintcleat/programs/commands.py
@@ -47,6 +47,8 @@
     messages.BeginCall,
     messages.FinishCall,
     messages.SettleCall,
+    messages.OpenTurn,
+    messages.CloseTurn,
 )
 
 
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -5,6 +5,7 @@
 
 from mintcleat.domain import errors
 from mintcleat.domain import messages
+from mintcleat.programs import branches
 from mintcleat.programs import calls
 from mintcleat.programs import commands
 from mintcleat.programs import histories
@@ -27,6 +28,7 @@
     Attributes:
         clock: Seconds that the group was led; moves with the commands.
         last_attempt: The attempts of a group only grow.
+        branches: Programs that open with their first turn.
         programs: Records by program id.
         keyed: Calls without a program, by (partner, key).
         activity: Root ids, the longest idle first, with the clock of the
@@ -53,6 +55,7 @@
         self.wall = 0.0
         self.last_attempt = 0
         self.forgotten = 0
+        self.branches = branches.Branches()
         self.programs: dict[str, records.Program] = {}
         self.keyed: dict[tuple[str, str], records.Call] = {}
         self.activity: collections.OrderedDict[str, float] = (
@@ -113,6 +116,10 @@
 
     def _apply_one(self, request: Any) -> Any:
         match request:
+            case messages.OpenTurn():
+                return self.branches.open(request, self.clock)
+            case messages.CloseTurn():
+                return self.branches.close(request, self.clock)
             case messages.BeginCall():
                 return calls.begin(self, request)
             case messages.FinishCall():
--- a/src/mintcleat/programs/placement.py
+++ b/src/mintcleat/programs/placement.py
@@ -50,7 +50,9 @@
         ):
             return message.program or call_scope(message.partner, message.key)
         case (
-            messages.CreateProgram()
+            messages.OpenTurn()
+            | messages.CloseTurn()
+            | messages.CreateProgram()
             | messages.CloseProgram()
             | messages.ShowProgram()
             | messages.FetchHistory()
--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -30,6 +30,7 @@
     _expire_idle(group, tick.program_idle)
     _drop_ended(group, tick.record_retention)
     _drop_calls(group, tick.record_retention)
+    group.branches.sweep(group.clock)
     return messages.Done()
 
 
@@ -42,7 +43,11 @@
     down once in `CLOCK_STEP`: the next leader goes on from what is written,
     so frequent changes of an idle group's leader would else stop its clock.
     """
-    is_empty = not (group.activity or group.ended or group.calls)
+    if group.branches.is_due(clock):
+        return True
+    is_empty = not (
+        group.activity or group.ended or group.calls or group.branches.accounts
+    )
     if not is_empty and clock - group.clock >= CLOCK_STEP:
         return True
     oldest = next(iter(group.activity.values()), clock)
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -15,6 +15,8 @@
     from mintcleat.programs import machine
 
 FORMAT = 1
+# Place of what older releases of this format do not write.
+_BRANCHES = 10
 
 _CALL_FIELDS = tuple(f.name for f in dataclasses.fields(records.Call))
 _PROGRAM_FIELDS = tuple(
@@ -39,6 +41,7 @@
             if program.next_turn > 1
         ],
         _stored_answers(group),
+        group.branches.state(),
     ]
     return msgpack.packb(state, use_bin_type=True)
 
@@ -63,6 +66,8 @@
         _add_call(group, _record(records.Call, _CALL_FIELDS, values))
     group.activity.update((name, clock) for name, clock in state[6])
     group.ended.extend((clock, name) for clock, name in state[7])
+    if len(state) > _BRANCHES:
+        group.branches.load(state[_BRANCHES])
     for name, stored in state[8] + state[9]:
         for record in stored:
             group.histories.append(name, record)
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -171,9 +171,7 @@
 
     def lease_left(self) -> float:
         """Returns the seconds for which a lease may be granted."""
-        return (
-            self.times.max_lease if self.leads() else self.relay.lease_left()
-        )
+        return self.times.max_lease if self.leads() else self.relay.lease_left()
 
     def confirmed_at(self) -> float:
         """Returns a clock at which the document surely was in force."""
--- a/src/mintcleat/roles/registrar.py
+++ b/src/mintcleat/roles/registrar.py
@@ -46,9 +46,7 @@
         """Gives every upstream a full period: its renewals went elsewhere."""
         now = self.leader.timers.now()
         held = self.leader.machine.directory.entries
-        self.heard = {
-            name: (now, item.sequence) for name, item in held.items()
-        }
+        self.heard = {name: (now, item.sequence) for name, item in held.items()}
 
     def register(self, registration: messages.Registration) -> None:
         """Takes a registration; returns once what it says is committed."""
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -84,9 +84,7 @@
         self.streams = streams
         self.timers = timers
         self.options = options or replication_driver.Options()
-        self.worker = worker or wal_ports.InlineWorker(
-            lambda: timers.sleep(0)
-        )
+        self.worker = worker or wal_ports.InlineWorker(lambda: timers.sleep(0))
         self.own = own
         self.machines: dict[str, log.StateMachine] = {}
         self.driver: replication_driver.Driver | None = None
--- /dev/null
+++ b/testing/test_branches.py
@@ -0,0 +1,122 @@
+"""Programs whose turns go on from a named turn."""
+
+import msgpack
+import testtools
+
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.programs import branches
+
+
+def opening(turn: str, previous: str = "", **fields: object) -> object:
+    given = {"budget": 100, "reserve": 40, "retention": 60.0, **fields}
+    return messages.OpenTurn("p", turn, previous, **given)
+
+
+def closing(turn: str, previous: str = "", **fields: object) -> object:
+    given = {"tokens": 10, "upstream": "u1", "retention": 60.0, **fields}
+    content = {"input": turn.encode(), "output": turn.upper().encode()}
+    return messages.CloseTurn(
+        "p", turn, previous=previous, **{"keep": True, **given, **content}
+    )
+
+
+class BranchesTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.group = branches.Branches()
+
+    def run_turn(self, turn: str, previous: str = "", at: float = 0.0) -> None:
+        self.assertIsInstance(
+            self.group.open(opening(turn, previous, budget=0), at),
+            messages.TurnOpened,
+        )
+        self.assertEqual(
+            messages.Done(), self.group.close(closing(turn, previous), at)
+        )
+
+    def chain(self, previous: str, at: float = 0.0) -> list[bytes]:
+        found = self.group.open(opening("x", previous, budget=0), at)
+        return [kept.input for kept in found.chain]
+
+    def test_turn_goes_on_from_the_whole_chain_oldest_first(self) -> None:
+        self.run_turn("a")
+        self.run_turn("b", "a")
+        self.run_turn("c", "b")
+        self.assertEqual([b"a", b"b", b"c"], self.chain("c"))
+
+    def test_several_turns_go_on_from_one(self) -> None:
+        self.run_turn("a")
+        self.run_turn("b", "a")
+        self.run_turn("c", "a")
+        self.assertEqual([b"a", b"b"], self.chain("b"))
+        self.assertEqual([b"a", b"c"], self.chain("c"))
+
+    def test_sender_that_holds_the_chain_gets_only_the_upstream(self) -> None:
+        self.run_turn("a")
+        found = self.group.open(opening("b", "a", holds_chain=True), 0.0)
+        self.assertEqual(messages.TurnOpened([], "u1"), found)
+
+    def test_turn_that_never_ended_whole_can_not_be_continued(self) -> None:
+        self.group.open(opening("a"), 0.0)
+        self.group.close(closing("a", keep=False), 0.0)
+        found = self.group.open(opening("b", "a"), 0.0)
+        self.assertIsInstance(found, errors.UnknownTurn)
+
+    def test_another_programs_turn_can_not_be_continued(self) -> None:
+        self.run_turn("a")
+        other = opening("b", "a")._replace(program="q")
+        self.assertIsInstance(self.group.open(other, 0.0), errors.UnknownTurn)
+
+    def test_turn_under_way_holds_the_most_that_it_can_use(self) -> None:
+        self.group.open(opening("a"), 0.0)
+        self.group.open(opening("b"), 0.0)
+        refused = self.group.open(opening("c"), 0.0)
+        self.assertIsInstance(refused, errors.BudgetExhausted)
+        self.group.close(closing("a", tokens=20), 0.0)
+        self.assertIsInstance(
+            self.group.open(opening("c"), 0.0), messages.TurnOpened
+        )
+
+    def test_repeated_commands_count_once(self) -> None:
+        for _ in range(3):
+            self.group.open(opening("a"), 0.0)
+        for _ in range(3):
+            self.group.close(closing("a", tokens=30), 0.0)
+        self.assertEqual(30, self.group.accounts["p"].spent)
+        self.assertEqual({}, self.group.accounts["p"].held)
+
+    def test_opening_that_arrives_after_its_settling_holds_nothing(
+        self,
+    ) -> None:
+        # An entry gave up on a slow leader, told its caller "not run" and
+        # settled the turn through the next leader. The first copy of the
+        # opening commits after that; nobody would ever settle it.
+        self.group.close(closing("a", tokens=0, keep=False), 0.0)
+        late = self.group.open(opening("a"), 0.0)
+        self.assertIsInstance(late, errors.Superseded)
+        self.assertEqual({}, self.group.accounts["p"].held)
+
+    def test_chain_is_kept_from_the_end_of_its_last_turn(self) -> None:
+        self.run_turn("a", at=0.0)
+        self.run_turn("b", "a", at=50.0)
+        self.group.sweep(0.0 + 60.0 + branches.RETENTION_SLACK + 1.0)
+        self.assertEqual([b"a", b"b"], self.chain("b", 76.0))
+
+    def test_sweep_drops_what_is_over(self) -> None:
+        self.run_turn("a")
+        late = 60.0 + branches.RETENTION_SLACK + 0.1
+        self.assertTrue(self.group.is_due(late))
+        self.group.sweep(late)
+        self.assertEqual({}, self.group.turns)
+        self.assertEqual({}, self.group.accounts)
+
+    def test_state_comes_back_whole(self) -> None:
+        self.run_turn("a")
+        self.run_turn("b", "a")
+        self.group.open(opening("c", "b"), 3.0)
+        packed = msgpack.packb(self.group.state())
+        other = branches.Branches()
+        other.load(msgpack.unpackb(packed))
+        self.assertEqual(self.group.state(), other.state())
+        self.assertEqual([b"a", b"b"], self.chain("b"))
--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -172,9 +172,7 @@
         log.append([b"and more"])
         log.sync()
         log.close()
-        self.assertEqual(
-            [b"kept", b"too much", b"and more"], self.opened()[1]
-        )
+        self.assertEqual([b"kept", b"too much", b"and more"], self.opened()[1])
 
     def test_crash_on_a_full_disk_loses_only_what_was_never_synced(
         self,
