Run entry and control on the users' platform: the whole path, thin

A package that translates (settings, callers, upstreams, operators), a gateway role for routed requests with turns, at-most-once and resumption, HTTP/1.1 on h11 for both sides, typed events as JSON lines.

--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -25,6 +25,38 @@
     region: str = ""
 
 
+class Times(msgspec.Struct, frozen=True):
+    """Times of leases, heartbeats and elections, in seconds.
+
+    Shorter ones bring a change into force sooner after a loss, and cost more
+    messages. The first five are explained in `configuration.lease`.
+
+    Attributes:
+        heartbeat: Between two heartbeats of the replicated logs.
+        election: Shortest election timeout; the longest is twice this.
+        replace_after: Silence after which a spare replaces a control
+            instance in its groups; 0 for never.
+        balance_after: Time of leading after which a group goes to the
+            instance that should lead it; 0 for never.
+        stream_heartbeat: Longest time for which a stream is quiet.
+        stream_silence: Silence after which a stream's peer counts as lost.
+        control_try: Time after which another control instance is asked.
+    """
+
+    max_lease: float = 4.0
+    renew: float = 1.0
+    relay_renew: float = 0.5
+    move_after: float = 2.0
+    member_lease: float = 4.0
+    heartbeat: float = 0.1
+    election: float = 0.5
+    replace_after: float = 120.0
+    balance_after: float = 30.0
+    stream_heartbeat: float = 2.0
+    stream_silence: float = 6.0
+    control_try: float = 2.0
+
+
 class Control(msgspec.Struct, frozen=True):
     """The control role.
 
@@ -34,12 +66,20 @@
         members: The control instances that form the groups at first.
         token_file: File with the operators' token, the same on every control
             instance; without it each makes one in its data folder.
+        founder: Whether this instance may start the groups. False for one
+            that joins a running system; its `members` only tell where to ask.
+        label: What operators call the instance, if not by its name.
+        group_size: Instances that hold each group, where there are enough;
+            twice the losses to bear, plus one.
     """
 
     data: str
     admin: str
     members: list[Member] = []
     token_file: str = ""
+    founder: bool = True
+    label: str = ""
+    group_size: int = 3
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -85,6 +125,7 @@
         control: Stream addresses of the control instances.
         program_groups: The same on every process of a deployment.
         stop_seconds: Time that a planned stop gives to what is under way.
+        times: Times of leases, heartbeats and elections.
         metrics: `IP:PORT` of a scrape of its own; an entry has one anyway.
     """
 
@@ -97,6 +138,7 @@
     program_groups: int = 8
     stop_seconds: float = 60.0
     metrics: str = ""
+    times: Times = Times()
     logs: Logs = Logs()
     entry: Entry | None = None
     sidecar: Sidecar | None = None
@@ -108,6 +150,7 @@
     "sidecar": "sidecar",
     "control": "control_role",
 }
+_MAY_BE_NEVER = ("replace_after", "balance_after")
 _ADDRESS_FIELDS = {"listen", "http", "upstream", "admin", "address", "metrics"}
 
 
@@ -201,6 +244,9 @@
         section = _SECTION_OF[role]
         if value.get(section) is None:
             yield fault(section, f"is missing for the role {role}")
+    for name, seconds in (value.get("times") or {}).items():
+        if seconds < 0 or (seconds == 0 and name not in _MAY_BE_NEVER):
+            yield fault(f"times.{name}", "must be more than 0")
     if value.get("program_groups", 1) < 1:
         yield fault("program_groups", "must be 1 or more")
     if value.get("stop_seconds", 0) < 0:
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -287,6 +287,20 @@
     default_remedy = "Check `mintcleat upstreams list`, then send again."
 
 
+class UpstreamBusy(NoUpstream):
+    """The upstream said that it did not run the request: it is full."""
+
+    kind = "upstream_busy"
+    default_remedy = "Send again after retry_after seconds."
+
+
+class WrongUpstream(NoUpstream):
+    """Another upstream has the address by now; it did not run the request."""
+
+    kind = "wrong_upstream"
+    default_remedy = "Send again; the directory is read anew."
+
+
 class LeaseExpired(MintcleatError):
     """This instance's configuration lease ran out."""
 
--- /dev/null
+++ b/src/mintcleat/domain/events.py
@@ -0,0 +1,291 @@
+"""What processes tell of their decisions, as typed data.
+
+An event is written as one JSON object a line: the time, the instance, the
+event's name and its fields. Fields in seconds end in `_s` or `_age_s`; an
+age says how old an input of the decision was. No field holds content of a
+request. `docs/reference/logs.md` is made from this module.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+# How urgent a line is when there are more than the budget allows.
+ERROR = "error"
+STATE = "state"
+DETAIL = "detail"
+
+
+class ProcessStarted(NamedTuple):
+    """The process serves its addresses."""
+
+    role: str
+    instance: str
+    address: str
+    start_s: float
+
+
+class ProcessStopping(NamedTuple):
+    """The process begins a planned stop."""
+
+    role: str
+    under_way: int
+
+
+class ProcessStopped(NamedTuple):
+    """The process ends; `cut` requests had no answer yet."""
+
+    role: str
+    cut: int
+
+
+class SettingsReloaded(NamedTuple):
+    """The settings file was read again; `changed` names the fields."""
+
+    changed: list[str]
+
+
+class DependencyLost(NamedTuple):
+    """Something that this process relies on does not answer."""
+
+    dependency: str
+    detail: str
+
+
+class DependencyRegained(NamedTuple):
+    """It answers again."""
+
+    dependency: str
+    detail: str
+
+
+class ConfigurationApplied(NamedTuple):
+    """A revision of the configuration is in force here."""
+
+    revision: int
+    routes: int
+    services: int
+    lease_left_s: float
+
+
+class UpstreamChanged(NamedTuple):
+    """An upstream came, changed its state or went.
+
+    Attributes:
+        state: `ready`, `draining` or `gone`.
+        directory: Version of the directory that says so.
+    """
+
+    upstream: str
+    service: str
+    address: str
+    state: str
+    directory: int
+
+
+class UpstreamAvoided(NamedTuple):
+    """An upstream gets no requests for a while after failures."""
+
+    upstream: str
+    service: str
+    failures: int
+    avoided_s: float
+
+
+class CallTaken(NamedTuple):
+    """A request came and its route was found.
+
+    Attributes:
+        revision: Configuration that the route comes from.
+        lease_left_s: Time left of the lease on it; 0 when it ran out.
+    """
+
+    request: str
+    route: str
+    service: str
+    program: str
+    line: str
+    previous: str
+    limit_s: float
+    revision: int
+    lease_left_s: float
+    directory: int
+
+
+class TurnOpened(NamedTuple):
+    """The control leader reserved the tokens of a turn."""
+
+    request: str
+    program: str
+    reserved: int
+    turns_before: int
+    upstream_hint: str
+    commit_s: float
+
+
+class CallPlaced(NamedTuple):
+    """An upstream was chosen.
+
+    Attributes:
+        reason: `resident`, `affinity` or `least`.
+        running: Requests of this process that run there.
+        candidates: Upstreams that could be chosen.
+    """
+
+    request: str
+    upstream: str
+    attempt: int
+    reason: str
+    running: int
+    candidates: int
+    left_s: float
+    directory: int
+
+
+class AttemptFailed(NamedTuple):
+    """An upstream did not answer the request.
+
+    Attributes:
+        kind: Kind of the typed error.
+        outcome: `not_run` or `unknown`.
+    """
+
+    request: str
+    upstream: str
+    attempt: int
+    kind: str
+    detail: str
+    outcome: str
+    after_s: float
+    last_event: str
+
+
+class CallRefused(NamedTuple):
+    """The request is answered by this process, not by an upstream."""
+
+    request: str
+    route: str
+    program: str
+    kind: str
+    detail: str
+    outcome: str
+    retry_after_s: float
+    after_s: float
+
+
+class CallEnded(NamedTuple):
+    """The caller got an upstream's answer.
+
+    Attributes:
+        outcome: `whole` or `cut`.
+        first_s: Time to its first byte.
+        gap_s: Longest pause between two events.
+        tokens: Tokens that were handed out.
+    """
+
+    request: str
+    route: str
+    program: str
+    upstream: str
+    status: int
+    outcome: str
+    attempts: int
+    first_s: float
+    gap_s: float
+    total_s: float
+    tokens: int
+
+
+class CallerGone(NamedTuple):
+    """The caller left before the end of its answer."""
+
+    request: str
+    route: str
+    program: str
+    upstream: str
+    after_s: float
+
+
+class TurnSettled(NamedTuple):
+    """The tokens of a turn are on record, and the turn where it is kept."""
+
+    request: str
+    program: str
+    tokens: int
+    kept: bool
+    commit_s: float
+
+
+class TurnUnsettled(NamedTuple):
+    """The tokens of a turn stay reserved: no control leader answered."""
+
+    request: str
+    program: str
+    tokens: int
+    detail: str
+
+
+class LeaderChanged(NamedTuple):
+    """A group has another leader, or none."""
+
+    group: str
+    leader: str
+    term: int
+    role: str
+
+
+class ConfigurationPushed(NamedTuple):
+    """An operator's push was decided."""
+
+    version: int
+    revision: int
+    outcome: str
+    detail: str
+    after_s: float
+
+
+class LinesDropped(NamedTuple):
+    """Lines that were over the budget or that the reader did not take."""
+
+    dropped: int
+    reason: str
+
+
+_STATE = (
+    ProcessStarted,
+    ProcessStopping,
+    ProcessStopped,
+    SettingsReloaded,
+    DependencyLost,
+    DependencyRegained,
+    ConfigurationApplied,
+    UpstreamChanged,
+    UpstreamAvoided,
+    LeaderChanged,
+    ConfigurationPushed,
+    LinesDropped,
+    TurnUnsettled,
+)
+_ERRORS = (AttemptFailed, CallRefused, CallerGone)
+_DETAILS = (CallTaken, TurnOpened, CallPlaced, CallEnded, TurnSettled)
+KINDS: tuple[type, ...] = (*_STATE, *_ERRORS, *_DETAILS)
+
+
+def name_of(kind: type) -> str:
+    """Returns an event's name on its line, such as `call_placed`."""
+    letters = []
+    for letter in kind.__name__:
+        if letter.isupper() and letters:
+            letters.append("_")
+        letters.append(letter.lower())
+    return "".join(letters)
+
+
+def weight_of(event: Any) -> str:
+    """Returns which lines give way first when there are too many."""
+    if isinstance(event, _STATE):
+        return STATE
+    if isinstance(event, _ERRORS):
+        return ERROR
+    if isinstance(event, CallEnded) and event.outcome != "whole":
+        return ERROR
+    return DETAIL
--- /dev/null
+++ b/src/mintcleat/domain/routed.py
@@ -0,0 +1,103 @@
+"""Requests that are passed on along a route, as the roles see them."""
+
+from typing import NamedTuple
+
+
+class Part(NamedTuple):
+    """One part of a prompt, in order; requests share parts by id."""
+
+    part: str
+    tokens: int
+
+
+class Program(NamedTuple):
+    """What a request says of the agent program that it belongs to.
+
+    Attributes:
+        program: Id of the program; empty for a request outside of any.
+        line: Line of turns within it; sub-agents have their own.
+        previous: Turn that this one goes on from; empty for none.
+        budget: Tokens that the program may be handed in all; 0 for no limit.
+        finish: Seconds within which the program should end; 0 for no aim.
+    """
+
+    program: str = ""
+    line: str = ""
+    previous: str = ""
+    budget: int = 0
+    finish: float = 0.0
+
+
+class Generation(NamedTuple):
+    """What a request says of the tokens that it costs.
+
+    Attributes:
+        prompt: Tokens to read.
+        most: Most tokens to generate.
+        parts: The prompt in parts, shared ones first.
+    """
+
+    model: str = ""
+    prompt: int = 0
+    most: int = 0
+    parts: tuple[Part, ...] = ()
+
+
+class RoutedCall(NamedTuple):
+    """A request as its caller sent it.
+
+    Attributes:
+        request: Id of this attempt of the caller; another try has another.
+        headers: Header fields to pass on, in order.
+        deadline: Seconds that the caller will wait; 0 when it did not say.
+        affinity: Object that the request concerns; empty for none.
+        last_event: Id of the event after which a broken stream goes on.
+    """
+
+    request: str
+    method: str
+    host: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: float = 0.0
+    affinity: str = ""
+    last_event: str = ""
+    program: Program = Program()
+    generation: Generation = Generation()
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class Head(NamedTuple):
+    """Start of an upstream's answer, to be passed on unchanged.
+
+    Attributes:
+        length: Bytes of the body; None when it is not known beforehand.
+        events: Whether the body is a stream of server-sent events.
+    """
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    length: int | None
+    events: bool
+
+
+class Sending(NamedTuple):
+    """How a call goes to one upstream.
+
+    Attributes:
+        body: What the upstream is to receive.
+        left: Seconds after which its work is of no use any more.
+        last_event: Id of the event after which it is to go on.
+        urgency: 0 to 9; a lower one is admitted first.
+    """
+
+    body: bytes
+    left: float
+    last_event: str
+    urgency: int
--- a/src/mintcleat/main/common.py
+++ b/src/mintcleat/main/common.py
@@ -6,7 +6,9 @@
 from mintcleat.adapters import metrics as metrics_module
 from mintcleat.adapters import settings as settings_module
 from mintcleat.adapters import streams as streams_module
+from mintcleat.adapters import streams_connection
 from mintcleat.adapters import timers as timers_module
+from mintcleat.configuration import lease
 from mintcleat.domain import messages
 from mintcleat.roles import control_client
 from mintcleat.roles import follower as follower_module
@@ -19,7 +21,13 @@
         self.settings = settings
         self.node = messages.Incarnation(settings.instance, time.time_ns())
         self.timers = timers_module.EventletTimers()
-        self.streams = streams_module.TcpStreams(settings.listen)
+        times = settings.times
+        self.streams = streams_module.TcpStreams(
+            settings.listen,
+            streams_connection.Limits(
+                heartbeat=times.stream_heartbeat, silence=times.stream_silence
+            ),
+        )
         self.metrics = metrics_module.PrometheusMetrics()
 
     def client(self) -> control_client.ControlClient:
@@ -27,8 +35,20 @@
         return control_client.ControlClient(
             self.streams,
             self.timers,
-            self.settings.control,
+            list(self.settings.control),
             self.settings.program_groups,
+            self.settings.times.control_try,
+        )
+
+    def lease_times(self) -> lease.Times:
+        """Returns the times of configuration leases."""
+        times = self.settings.times
+        return lease.Times(
+            times.max_lease,
+            times.renew,
+            times.relay_renew,
+            times.move_after,
+            times.member_lease,
         )
 
     def follower(
@@ -46,4 +66,5 @@
             timers=self.timers,
             control_addresses=self.settings.control,
             announcer=announcer,
+            times=self.lease_times(),
         )
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -3,11 +3,13 @@
 import pathlib
 
 from mintcleat.adapters import admin_http
+from mintcleat.adapters import disk_thread
 from mintcleat.adapters import histories
 from mintcleat.adapters import tokens
 from mintcleat.adapters import wal
 from mintcleat.adapters import wsgi
 from mintcleat.configuration import machine
+from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
@@ -40,6 +42,15 @@
             [machine.GROUP, *groups],
             streams=common.streams,
             timers=common.timers,
+            options=self._options(),
+            worker=disk_thread.DiskThread(),
+            own=replication.Member(
+                settings.instance,
+                common.streams.address,
+                settings.failure_domain,
+                settings.region,
+                settings.control_role.label,
+            ),
         )
         self.config = config_service.ConfigService(
             common.node,
@@ -48,6 +59,7 @@
             log=self.log,
             streams=common.streams,
             timers=common.timers,
+            times=common.lease_times(),
         )
         self.programs = program_service.ProgramService(
             self.log,
@@ -63,6 +75,7 @@
             common.timers,
             self._control_addresses(),
             settings.program_groups,
+            settings.times.control_try,
         )
         self.actions = control_actions.ControlActions(
             settings.instance,
@@ -132,6 +145,20 @@
             return [own]
         return self.common.settings.control
 
+    def _options(self) -> replication.Options:
+        times = self.common.settings.times
+        role = self.common.settings.control_role
+        return replication.Options(
+            core=types.Settings(
+                heartbeat=times.heartbeat,
+                election=times.election,
+                group_size=role.group_size,
+                replace_after=times.replace_after,
+                balance_after=times.balance_after,
+                founder=role.founder,
+            )
+        )
+
     def _members(self) -> list[replication.Member]:
         settings = self.common.settings
         listed = [
--- /dev/null
+++ b/src/mintcleat/main/hosted.py
@@ -0,0 +1,271 @@
+"""Runs one role on a machine of the platform.
+
+Its command line is `python -m mintcleat.main.hosted ROLE`.
+The composition root for machines whose settings, callers, upstreams and
+operators speak the platform's protocol; `assembly` is the one for our own.
+"""
+
+from collections.abc import Callable
+import pathlib
+import signal
+import sys
+import time
+from typing import Any
+import warnings
+
+import eventlet
+from loguru import logger
+
+from mintcleat.adapters import event_log
+from mintcleat.adapters import http1_server
+from mintcleat.domain import errors
+from mintcleat.domain import events as event_types
+from mintcleat.main import common as common_module
+from mintcleat.platform import callers
+from mintcleat.platform import control_api
+from mintcleat.platform import machine as machine_module
+from mintcleat.platform import upstreams
+from mintcleat.roles import gateway as gateway_module
+from mintcleat.roles import turn_keeper
+
+_EXIT_SETTINGS = 2
+_EXIT_FAILED = 4
+_POLL_SECONDS = 0.05
+_RELOAD_SECONDS = 1.0
+# The platform asks once a second and believes the second refusal, so after
+# this time it sends nobody here any more.
+_NOTICE_SECONDS = 2.6
+_STALE_SECONDS = 1.0
+_HAND_OVER_SECONDS = 1.5
+_LINGER_SECONDS = 0.1
+
+
+class EntryPart:
+    """The entry role: callers' requests, and whether it takes them."""
+
+    def __init__(
+        self,
+        machine: machine_module.Machine,
+        common: common_module.Common,
+        events: event_log.EventLog,
+    ) -> None:
+        self.common = common
+        self.machine = machine
+        self.follower = common.follower("entry")
+        self.client = common.client()
+        self.follower.subscribe(self._learn_control)
+        self.http = upstreams.HttpUpstreams()
+        self.gateway = gateway_module.Gateway(
+            self.follower,
+            self.http,
+            turn_keeper.TurnKeeper(self.client, common.timers, events),
+            common.timers,
+            events,
+        )
+        self.revision = 0
+        self.events = events
+        handler = callers.Callers(self.gateway).handle
+        self.listener = http1_server.HttpListener(
+            machine.callers, handler, self.gateway.limits
+        )
+        self.asked = http1_server.HttpListener(machine.ready, self._answer)
+
+    def start(self) -> None:
+        """Follows the configuration."""
+        self.follower.start()
+        self.common.timers.every(_STALE_SECONDS, self.http.pool.close_stale)
+
+    def _answer(
+        self, request: http1_server.Request, reply: http1_server.Reply
+    ) -> None:
+        status = 200 if self.gateway.ready() else 503
+        reply.send(status, [("content-type", "text/plain")], b"\n")
+
+    def _learn_control(self) -> None:
+        self.client.addresses = self.follower.addresses()
+        follower = self.follower
+        if follower.revision() != self.revision:
+            self.revision = follower.revision()
+            current = follower.manifest()
+            self.events.emit(
+                event_types.ConfigurationApplied(
+                    self.revision,
+                    len(current.routes),
+                    len(current.services),
+                    round(follower.lease_left(), 3),
+                )
+            )
+
+    def reload(self, machine: machine_module.Machine) -> list[str]:
+        """Takes changed settings; returns the names of those that changed."""
+        if machine.settings.control == self.follower.control_addresses:
+            return []
+        self.follower.control_addresses = list(machine.settings.control)
+        return ["control"]
+
+    def failure(self) -> errors.MintcleatError | None:
+        """Returns None: an entry goes on without any other process."""
+        return None
+
+    def stop(self, until: float) -> int:
+        """Answers what is under way; returns the requests that were cut.
+
+        Callers are sent here until the platform has noticed; they are
+        served. Connections close after their answers meanwhile.
+        """
+        timers = self.common.timers
+        self.gateway.draining = True
+        self.listener.leave()
+        timers.sleep(_NOTICE_SECONDS)
+        self.listener.close_idle()
+        while self.listener.connections and timers.now() < until:
+            timers.sleep(_POLL_SECONDS)
+        cut = self.listener.active
+        self.follower.stop()
+        return cut
+
+
+class ControlPart:
+    """The control role: the replicated logs, operators and upstreams."""
+
+    def __init__(
+        self,
+        machine: machine_module.Machine,
+        common: common_module.Common,
+        events: event_log.EventLog,
+    ) -> None:
+        # Imported here: an entry has no use for the logs and their disk.
+        from mintcleat.main import control_part
+
+        self.common = common
+        self.part = control_part.ControlPart(common)
+        api = control_api.ControlApi(self.part.config, machine.answer_seconds)
+        self.listener = http1_server.HttpListener(machine.control, api.handle)
+
+    def start(self) -> None:
+        """Recovers from disk and takes part."""
+        self.part.start()
+
+    def reload(self, machine: machine_module.Machine) -> list[str]:
+        """Learns changed members; the groups keep the ones that they have."""
+        return []
+
+    def failure(self) -> errors.MintcleatError | None:
+        """Returns why the replica stopped by itself, if it has."""
+        return self.part.failure()
+
+    def stop(self, until: float) -> int:
+        """Hands every leadership over and ends."""
+        self.part.log.hand_over(_HAND_OVER_SECONDS)
+        self.listener.close_idle()
+        self.part.stop()
+        return 0
+
+
+class Process:
+    """One role, from its settings to its end."""
+
+    def __init__(self, role: str, path: pathlib.Path) -> None:
+        self.role = role
+        self.path = path
+        self.began = time.monotonic()
+        self.stops = 0
+        self.reloads = 0
+        self.changed_at = _changed_at(path)
+        self.machine = machine_module.load(path, role)
+        settings = self.machine.settings
+        self.events = event_log.EventLog(settings.instance)
+        self.common = common_module.Common(settings)
+        parts: dict[str, Callable[..., Any]] = {
+            machine_module.ENTRY: EntryPart,
+            machine_module.CONTROL: ControlPart,
+        }
+        self.part = parts[role](self.machine, self.common, self.events)
+        signal.signal(signal.SIGTERM, self._take_stop)
+        signal.signal(signal.SIGHUP, self._take_reload)
+
+    def run(self) -> int:
+        """Runs until a request to stop; returns the exit code."""
+        self.part.start()
+        instance = self.machine.settings.instance
+        self.events.emit(
+            event_types.ProcessStarted(
+                self.role,
+                instance,
+                self.common.streams.address,
+                round(time.monotonic() - self.began, 3),
+            )
+        )
+        while not self.stops and self.part.failure() is None:
+            eventlet.sleep(_POLL_SECONDS)
+            self._reload_if_changed()
+        if self.part.failure() is not None:
+            logger.error("Stopping: {}", self.part.failure())
+            self.events.close()
+            return _EXIT_FAILED
+        return self._stop()
+
+    def _stop(self) -> int:
+        self.events.emit(event_types.ProcessStopping(self.role, 0))
+        until = self.common.timers.now() + self.machine.settings.stop_seconds
+        cut = self.part.stop(until)
+        self.events.emit(event_types.ProcessStopped(self.role, cut))
+        eventlet.sleep(_LINGER_SECONDS)
+        self.events.close()
+        return 0
+
+    def _reload_if_changed(self) -> None:
+        """Reads the settings again when they changed, with or without HUP."""
+        if not self.reloads and time.monotonic() < self.next_look:
+            return
+        self.next_look = time.monotonic() + _RELOAD_SECONDS
+        changed_at = _changed_at(self.path)
+        asked, self.reloads = self.reloads, 0
+        if not asked and changed_at == self.changed_at:
+            return
+        self.changed_at = changed_at
+        try:
+            machine = machine_module.load(self.path, self.role)
+        except errors.MintcleatError as error:
+            # A file that is being written; the next look finds it whole.
+            logger.warning("Settings not taken: {}", error.detail)
+            self.changed_at = 0
+            return
+        changed = self.part.reload(machine)
+        self.events.emit(event_types.SettingsReloaded(changed))
+
+    next_look = 0.0
+
+    def _take_stop(self, number: int, frame: Any) -> None:
+        self.stops += 1
+
+    def _take_reload(self, number: int, frame: Any) -> None:
+        self.reloads += 1
+
+
+def _changed_at(path: pathlib.Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+def main() -> None:
+    """Runs the role that the command line names."""
+    warnings.filterwarnings("ignore", category=DeprecationWarning)
+    logger.remove()
+    logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {message}")
+    roles = (machine_module.ENTRY, machine_module.CONTROL)
+    if len(sys.argv) != 2 or sys.argv[1] not in roles:
+        print(f"usage: hosted {'|'.join(roles)}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    try:
+        process = Process(sys.argv[1], machine_module.settings_path())
+    except errors.MintcleatError as error:
+        print(f"{error.detail}\nremedy: {error.remedy}", file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
+    sys.exit(process.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/mintcleat/platform/control_api.py
@@ -0,0 +1,150 @@
+"""What the platform's operators and upstreams ask of control."""
+
+from typing import Any
+from typing import Protocol
+
+import msgspec
+import xxhash
+
+from mintcleat.adapters import http1_server
+from mintcleat.domain import errors
+from mintcleat.domain import messages
+from mintcleat.platform import plan
+
+_OPERATOR = "platform"
+_PUT = "/v1/Configuration.Put"
+_GET = "/v1/Configuration.Get"
+_HEARTBEAT = "/v1/Instances.Heartbeat/"
+_LEAVE = "/v1/Instances.Leave/"
+_EMPTY = "/v1/Retire.Start/"
+_EMPTIED = "/v1/Retire.Get/"
+_DRAINING = "draining"
+_READY = "ready"
+
+
+class Config(Protocol):
+    """The config service of this instance."""
+
+    def ask(self, message: Any, timeout: float) -> Any:
+        """Answers a request, here or at the leader."""
+
+
+class ControlApi:
+    """Handles the requests of the control listener.
+
+    Attributes:
+        seconds: Within which an answer, or a refusal, is given.
+    """
+
+    def __init__(self, config: Config, seconds: float) -> None:
+        self.config = config
+        self.seconds = seconds
+
+    def handle(
+        self, request: http1_server.Request, reply: http1_server.Reply
+    ) -> None:
+        """Answers one request."""
+        try:
+            status, body = 200, self._answer(request)
+        except errors.MintcleatError as error:
+            status, body = _status_of(error), _problem(error)
+        reply.send(status, [("content-type", "application/json")], body)
+
+    def _answer(self, request: http1_server.Request) -> bytes:
+        path = request.target.partition("?")[0]
+        match request.method, path:
+            case "POST", "/v1/Configuration.Put":
+                return self._put(request)
+            case "GET", "/v1/Configuration.Get":
+                return self._get()
+            case "POST", text if text.startswith(_HEARTBEAT):
+                upstream = text.removeprefix(_HEARTBEAT)
+                return self._heartbeat(upstream, request.body)
+            case "POST", text if text.startswith(_LEAVE):
+                upstream = text.removeprefix(_LEAVE)
+                return self._ask(messages.LeaveUpstream(upstream))
+            case "POST", text if text.startswith(_EMPTY):
+                return self._empty(text.removeprefix(_EMPTY), True)
+            case "GET", text if text.startswith(_EMPTIED):
+                return self._empty(text.removeprefix(_EMPTIED), False)
+        raise errors.UnknownRoute(f"No {request.method} {path} here.")
+
+    def _ask(self, message: Any) -> bytes:
+        self.config.ask(message, self.seconds)
+        return b"{}"
+
+    def _put(self, request: http1_server.Request) -> bytes:
+        body = request.body
+        return self._ask(
+            messages.PushManifest(
+                0,
+                xxhash.xxh3_128_hexdigest(body),
+                plan.to_manifest(body),
+                _OPERATOR,
+                request.peer,
+                plan.version_of(body),
+                body.decode(),
+            )
+        )
+
+    def _get(self) -> bytes:
+        view = self.config.ask(messages.ReadManifest(), self.seconds)
+        if not view.version:
+            raise errors.ControlUnavailable("No configuration was pushed yet.")
+        return view.source.encode()
+
+    def _heartbeat(self, upstream: str, body: bytes) -> bytes:
+        registration = to_registration(upstream, body)
+        return self._ask(messages.RegisterUpstream(registration))
+
+    def _empty(self, label: str, start: bool) -> bytes:
+        found = self.config.ask(
+            messages.EmptyControl(label, start, _OPERATOR, _OPERATOR),
+            self.seconds,
+        )
+        state = "done" if found.done else "running"
+        return msgspec.json.encode({"state": state})
+
+
+def to_registration(upstream: str, body: bytes) -> messages.Registration:
+    """Returns an upstream's heartbeat as a registration.
+
+    Raises:
+        errors.BadRequest: It can't be read.
+    """
+    try:
+        fields = msgspec.json.decode(body)
+        draining = fields["state"] == _DRAINING
+        return messages.Registration(
+            upstream,
+            str(fields["service"]),
+            str(fields["address"]),
+            str(fields.get("zone", "")),
+            str(fields.get("version", "")),
+            int(fields.get("slots", 1)),
+            _DRAINING if draining else _READY,
+            int(fields.get("sequence", 0)),
+            float(fields.get("coldRemainingMs", 0)) / 1000.0,
+        )
+    except (
+        msgspec.DecodeError,
+        UnicodeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+    ) as error:
+        raise errors.BadRequest(f"No heartbeat: {error!r}.") from None
+
+
+def _status_of(error: errors.MintcleatError) -> int:
+    """Returns a status; one that is not certain sends the caller elsewhere."""
+    if isinstance(error, errors.InvalidManifest):
+        return 400
+    if error.outcome == errors.NOT_RUN:
+        return error.status
+    return 503
+
+
+def _problem(error: errors.MintcleatError) -> bytes:
+    return msgspec.json.encode({"kind": error.kind, "detail": error.detail})
--- /dev/null
+++ b/src/mintcleat/platform/plan.py
@@ -0,0 +1,124 @@
+"""The operators' configuration as a manifest of the product."""
+
+from typing import Any
+
+import msgspec
+
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+
+# The platform's kinds of requests: what may be sent again.
+_REPEATS = {"safe": "any", "unsafe": "never"}
+_STREAM = "stream"
+_MODEL = "model"
+
+
+def version_of(body: bytes) -> int:
+    """Returns the version that a configuration carries.
+
+    Raises:
+        errors.InvalidManifest: It can't be read in full.
+    """
+    version = _decode(body).get("version")
+    if not isinstance(version, int) or version < 1:
+        raise errors.InvalidManifest("$.version: must be a number above 0.")
+    return version
+
+
+def to_manifest(body: bytes) -> str:
+    """Returns the manifest, as JSON, that a configuration stands for.
+
+    Fields that are not known are left out: new ones may come at any time.
+
+    Raises:
+        errors.InvalidManifest: It can't be read in full, or a field that is
+            needed is missing or of another type.
+    """
+    fields = _decode(body)
+    try:
+        built = {
+            "services": _named(fields["services"], _service),
+            "routes": _named(fields["routes"], _route),
+            "limits": _limits(fields.get("limits") or {}),
+            "policies": {"stale_lease": "serve"},
+        }
+        return msgspec.json.encode(built).decode()
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise errors.InvalidManifest(
+            f"$: a field is missing or of another type: {error!r}."
+        ) from None
+
+
+def _decode(body: bytes) -> dict[str, Any]:
+    try:
+        fields = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise errors.InvalidManifest(f"$: no valid JSON: {error}.") from None
+    if not isinstance(fields, dict):
+        raise errors.InvalidManifest("$: must be an object.")
+    return fields
+
+
+def _named(items: list[dict[str, Any]], build: Any) -> dict[str, Any]:
+    built: dict[str, Any] = {}
+    for item in items:
+        if item["name"] in built:
+            raise ValueError(f"the name {item['name']!r} comes twice")
+        built[item["name"]] = build(item)
+    return built
+
+
+def _service(item: dict[str, Any]) -> dict[str, Any]:
+    built: dict[str, Any] = {
+        "kind": "plain",
+        "connections": item.get("maxConnections", 0),
+    }
+    engine = item.get("engine")
+    if engine:
+        models = engine.get("models") or [{"name": _MODEL}]
+        built["kind"] = _MODEL
+        built["model"] = models[0]["name"]
+        built["tokens_per_event"] = engine.get("stride", 1)
+        built["memory_tokens"] = engine.get("kvCapacityTokens", 0)
+    return built
+
+
+def _route(item: dict[str, Any]) -> dict[str, Any]:
+    kind = item["kind"]
+    resumable = kind == _STREAM and item.get("resumable")
+    shares = item.get("split") or [{"service": item["service"], "weight": 1}]
+    built = {
+        "host": item["host"],
+        "prefix": item["pathPrefix"],
+        "shares": [
+            {"service": share["service"], "weight": share["weight"]}
+            for share in shares
+        ],
+        "stream": kind == _STREAM,
+        "repeat": "resume" if resumable else _REPEATS.get(kind, "never"),
+        "timeout": item["timeoutMs"] / 1000.0,
+        "priority": item.get("priority", 0),
+        "attempts": max(1, item.get("attempts", 1)),
+        "affinity": bool(item.get("sticky")),
+    }
+    if item.get("targetLatencyMs"):
+        built["target_latency"] = item["targetLatencyMs"] / 1000.0
+    if item.get("targetGapMs"):
+        built["target_gap"] = item["targetGapMs"] / 1000.0
+    if item.get("retainContext"):
+        built["retention"] = float(item.get("retentionS", 0.0))
+    return built
+
+
+def _limits(item: dict[str, Any]) -> dict[str, Any]:
+    known = manifest.Limits()
+    idle = item.get("idleTimeoutMs", known.idle_seconds * 1000)
+    return {
+        "header_bytes": item.get("maxHeaderBytes", known.header_bytes),
+        "body_bytes": item.get("maxBodyBytes", known.body_bytes),
+        "header_seconds": item.get(
+            "headerTimeoutMs", known.header_seconds * 1000
+        )
+        / 1000.0,
+        "idle_seconds": idle / 1000.0,
+    }
--- /dev/null
+++ b/src/mintcleat/ports/forwarding.py
@@ -0,0 +1,71 @@
+"""Requests that are passed on: the caller's side and the upstream's side."""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from mintcleat.domain import messages
+from mintcleat.domain import routed
+
+
+class Answer(Protocol):
+    """An upstream's answer whose head has come.
+
+    Attributes:
+        head: Its head.
+    """
+
+    head: routed.Head
+
+    def body(self) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            errors.StreamClosed: It broke off.
+        """
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yields the body as it comes; ends only at its whole end.
+
+        Raises:
+            errors.StreamClosed: It broke off.
+        """
+
+    def close(self) -> None:
+        """Gives up what has not come; the upstream stops working on it."""
+
+
+class Upstreams(Protocol):
+    """Sends requests to upstreams in the upstreams' own protocol."""
+
+    def send(
+        self,
+        upstream: messages.Registration,
+        call: routed.RoutedCall,
+        sending: routed.Sending,
+    ) -> Answer:
+        """Sends a request and returns the answer once its head has come.
+
+        Raises:
+            errors.NoUpstream: Nothing was delivered; as UpstreamBusy or
+                WrongUpstream, the upstream said that it does not run it.
+            errors.StreamClosed: It may have run, and no answer will come.
+        """
+
+    def forget(self, upstream: str) -> None:
+        """Drops what is kept for an upstream that is gone."""
+
+
+class Reply(Protocol):
+    """The answer to one caller, in the callers' own protocol."""
+
+    def whole(self, head: routed.Head, body: bytes) -> None:
+        """Sends an upstream's whole answer."""
+
+    def begin(self, head: routed.Head) -> None:
+        """Sends the head of an upstream's answer."""
+
+    def write(self, data: bytes) -> None:
+        """Sends a piece of its body at once."""
+
+    def end(self) -> None:
+        """Ends it as complete."""
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -140,9 +140,9 @@
                     return self.requests.answer(message)
                 leader = self.log.leader(machine.GROUP)
                 if leader and leader != self.address:
-                    return self.streams.ask(
-                        leader, message, self.times.max_lease + TRY_MARGIN
-                    )
+                    left = deadline - self.timers.now()
+                    longest = self.times.max_lease + TRY_MARGIN
+                    return self.streams.ask(leader, message, min(left, longest))
             except errors.NotLeader:
                 pass
             except errors.ProposalLost:
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -49,7 +49,9 @@
         stream_service: streams.Streams,
         timer_service: timers.Timers,
         address: str,
+        try_seconds: float = TRY_SECONDS,
     ) -> None:
+        self.try_seconds = try_seconds
         self.streams = stream_service
         self.timers = timer_service
         self.address = address
@@ -115,7 +117,7 @@
     def _send(self, batch: list[Pending]) -> None:
         request = messages.Batch([pending.item for pending in batch])
         try:
-            reply = self.streams.ask(self.address, request, TRY_SECONDS)
+            reply = self.streams.ask(self.address, request, self.try_seconds)
             replies = [codec.decode(item) for item in reply.items]
             if len(replies) != len(batch):
                 raise errors.StreamClosed(
@@ -174,7 +176,9 @@
         timer_service: timers.Timers,
         control_addresses: list[str],
         groups: int,
+        try_seconds: float = TRY_SECONDS,
     ) -> None:
+        self.try_seconds = try_seconds
         self.streams = stream_service
         self.timers = timer_service
         self.addresses = control_addresses
@@ -270,12 +274,12 @@
     def _try(self, group: str, address: str, message: Any, left: float) -> Any:
         line = self.lines.get((group, address))
         if line is None:
-            line = Line(self.streams, self.timers, address)
+            line = Line(self.streams, self.timers, address, self.try_seconds)
             self.lines[group, address] = line
         if isinstance(message, messages.FetchHistory):
             reply = line.ask_alone(message)
         else:
-            reply = line.ask(message, min(left, TRY_SECONDS))
+            reply = line.ask(message, min(left, self.try_seconds))
         if isinstance(reply, errors.Failure):
             raise errors.from_failure(reply)
         self.leaders[group] = address
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -110,7 +110,11 @@
 
     def in_lease(self) -> bool:
         """Tells whether new work may be taken on this revision."""
-        return self.lease.left(self.timers.now()) > 0
+        return self.lease_left() > 0
+
+    def lease_left(self) -> float:
+        """Returns the seconds left of the lease."""
+        return self.lease.left(self.timers.now())
 
     def may_serve_stale(self) -> bool:
         """Tells whether idempotent plain calls go on without a lease."""
@@ -155,7 +159,7 @@
             errors.ControlUnavailable: No control instance gave an answer.
         """
         deadline = self.timers.now() + timeout
-        pending = self._addresses()
+        pending = self.addresses()
         while pending and self.timers.now() < deadline:
             address = pending.pop(0)
             left = deadline - self.timers.now()
@@ -166,10 +170,10 @@
                     pending.insert(0, error.leader)
                 else:
                     self.timers.sleep(0.1)
-                    pending = pending or self._addresses()
+                    pending = pending or self.addresses()
             except (errors.StreamClosed, errors.StreamTimeout):
                 self.timers.sleep(0.1)
-                pending = pending or self._addresses()
+                pending = pending or self.addresses()
         raise errors.ControlUnavailable("No config leader answered.")
 
     def announce(self) -> None:
@@ -180,7 +184,7 @@
 
     def pick(self, attempt: int) -> str:
         """Returns the control instance to try."""
-        order = self._addresses()
+        order = self.addresses()
         return order[attempt % len(order)] if order else ""
 
     def follow(self) -> messages.Follow:
@@ -309,7 +313,8 @@
         self.suspects = frozenset(update.suspects)
         self._index()
 
-    def _addresses(self) -> list[str]:
+    def addresses(self) -> list[str]:
+        """Returns the control instances' stream addresses, by preference."""
         known = [*self.control_addresses, *self.restrictions.control]
         return config_stream.ranked(self.node.instance, known)
 
--- /dev/null
+++ b/src/mintcleat/roles/turn_keeper.py
@@ -0,0 +1,226 @@
+"""Opens and settles the turns of routed programs at the control leaders."""
+
+import collections
+
+from mintcleat.domain import errors
+from mintcleat.domain import events as event_types
+from mintcleat.domain import messages
+from mintcleat.domain import routed
+from mintcleat.ports import control as control_ports
+from mintcleat.ports import events as event_ports
+from mintcleat.ports import timers as timer_ports
+
+# Opening a turn takes two hops and a sync, some 10 ms; after a leader's loss
+# about a second. A caller that waits longer is served sooner elsewhere.
+OPEN_SECONDS = 2.0
+# Until a turn is settled its program misses the tokens that it did not use,
+# so this goes on for longer than any failover takes.
+SETTLE_SECONDS = 30.0
+# Content of recent turns that this process keeps, in bytes. It saves the
+# leader from sending a conversation again for each of its turns.
+CHAIN_BYTES = 4 * 1024 * 1024
+
+
+class Chains:
+    """Content of turns that ended, by program and turn; bounded."""
+
+    def __init__(self, limit: int = CHAIN_BYTES) -> None:
+        self.limit = limit
+        self.size = 0
+        self.turns: collections.OrderedDict[
+            tuple[str, str], messages.KeptTurn
+        ] = collections.OrderedDict()
+
+    def put(self, program: str, kept: messages.KeptTurn) -> None:
+        """Takes a turn that surely ended whole."""
+        name = program, kept.turn
+        if name in self.turns:
+            self.turns.move_to_end(name)
+            return
+        self.turns[name] = kept
+        self.size += len(kept.input) + len(kept.output)
+        while self.size > self.limit:
+            _, oldest = self.turns.popitem(last=False)
+            self.size -= len(oldest.input) + len(oldest.output)
+
+    def chain(self, program: str, turn: str) -> list[messages.KeptTurn] | None:
+        """Returns a turn and all before it, oldest first, if all are here."""
+        found = []
+        while turn:
+            kept = self.turns.get((program, turn))
+            if kept is None:
+                return None
+            found.append(kept)
+            turn = kept.previous
+        found.reverse()
+        return found
+
+
+class OpenedTurn:
+    """A turn whose tokens are reserved.
+
+    Attributes:
+        chain: Turns before it, oldest first.
+        hint: Upstream where the program ran last; empty for none.
+    """
+
+    def __init__(
+        self,
+        call: routed.RoutedCall,
+        retention: float,
+        chain: list[messages.KeptTurn],
+        hint: str,
+    ) -> None:
+        self.call = call
+        self.retention = retention
+        self.chain = chain
+        self.hint = hint
+
+    def body(self) -> bytes:
+        """Returns what the upstream is to receive."""
+        parts = []
+        for kept in self.chain:
+            parts.append(kept.input)
+            parts.append(kept.output)
+        parts.append(self.call.body)
+        return b"".join(parts)
+
+
+class TurnKeeper:
+    """Asks the leader of each program's group."""
+
+    def __init__(
+        self,
+        control: control_ports.Control,
+        timers: timer_ports.Timers,
+        events: event_ports.Events,
+    ) -> None:
+        self.control = control
+        self.timers = timers
+        self.events = events
+        self.chains = Chains()
+
+    def open(
+        self, call: routed.RoutedCall, reserve: int, retention: float
+    ) -> OpenedTurn:
+        """Reserves a turn's tokens and returns what it goes on from.
+
+        Raises:
+            errors.BudgetExhausted: The budget does not hold this turn.
+            errors.UnknownTurn: There is no such previous turn.
+            errors.ControlUnavailable: No leader could be asked in time.
+        """
+        program = call.program
+        known = self.chains.chain(program.program, program.previous)
+        request = messages.OpenTurn(
+            program.program,
+            call.request,
+            program.previous,
+            program.budget,
+            reserve,
+            retention,
+            known is not None,
+        )
+        began = self.timers.now()
+        try:
+            reply = self.control.ask(program.program, request, OPEN_SECONDS)
+        except (errors.OutcomeUnknown, errors.Superseded) as error:
+            # The turn itself did not run, whatever was committed.
+            self.forget(call)
+            raise errors.ControlUnavailable(error.detail) from None
+        chain = known
+        if chain is None:
+            chain = reply.chain
+            for kept in chain:
+                self.chains.put(program.program, kept)
+        self.events.emit(
+            event_types.TurnOpened(
+                call.request,
+                program.program,
+                reserve,
+                len(chain),
+                reply.upstream,
+                round(self.timers.now() - began, 4),
+            )
+        )
+        return OpenedTurn(call, retention, chain, reply.upstream)
+
+    def keep(
+        self, turn: OpenedTurn, tokens: int, upstream: str, output: bytes
+    ) -> None:
+        """Commits a turn that ended whole, so that others can go on from it.
+
+        Raises:
+            errors.MintcleatError: Nobody can tell whether it is on record.
+        """
+        call = turn.call
+        program = call.program
+        began = self.timers.now()
+        self.control.ask(
+            program.program,
+            messages.CloseTurn(
+                program.program,
+                call.request,
+                tokens,
+                upstream,
+                True,
+                program.previous,
+                call.body,
+                output,
+                turn.retention,
+            ),
+            OPEN_SECONDS,
+        )
+        self.chains.put(
+            program.program,
+            messages.KeptTurn(
+                call.request, program.previous, call.body, output, upstream
+            ),
+        )
+        self._tell_settled(call, tokens, True, began)
+
+    def settle(self, turn: OpenedTurn, tokens: int, upstream: str) -> None:
+        """Replaces the reservation by what was handed out; returns at once."""
+        self.timers.spawn(
+            self._settle, turn.call, tokens, upstream, turn.retention
+        )
+
+    def forget(self, call: routed.RoutedCall) -> None:
+        """Takes back an opening that may or may not have been committed."""
+        self.timers.spawn(self._settle, call, 0, "", 0.0)
+
+    def _settle(
+        self,
+        call: routed.RoutedCall,
+        tokens: int,
+        upstream: str,
+        retention: float,
+    ) -> None:
+        program = call.program.program
+        began = self.timers.now()
+        request = messages.CloseTurn(
+            program, call.request, tokens, upstream, retention=retention
+        )
+        try:
+            self.control.ask(program, request, SETTLE_SECONDS)
+        except errors.MintcleatError as error:
+            self.events.emit(
+                event_types.TurnUnsettled(
+                    call.request, program, tokens, error.detail
+                )
+            )
+            return
+        self._tell_settled(call, tokens, False, began)
+
+    def _tell_settled(
+        self, call: routed.RoutedCall, tokens: int, kept: bool, began: float
+    ) -> None:
+        self.events.emit(
+            event_types.TurnSettled(
+                call.request,
+                call.program.program,
+                tokens,
+                kept,
+                round(self.timers.now() - began, 4),
+            )
+        )
