--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -7,7 +7,6 @@
 """
 
 import contextlib
-import select
 import socket
 import time
 from typing import Any
@@ -168,9 +167,13 @@
         """
         if self.closed or time.monotonic() > self.usable_until:
             return False
-        poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLIN)
-        return not poller.poll(0)
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
 
     def close(self) -> None:
         """Closes the socket; the upstream drops what it was at."""
