Find turns by their own id; keep disks' identity where inodes change

Now a setting. Found by the order of the log lines of the stores, and by the id of the first request told 404; ruled out: retention (35 s of 60), loss.

--- a/src/mintcleat/adapters/settings.py
+++ b/src/mintcleat/adapters/settings.py
@@ -71,6 +71,8 @@
         label: What operators call the instance, if not by its name.
         group_size: Instances that hold each group, where there are enough;
             twice the losses to bear, plus one.
+        keeps_inodes: Whether files in `data` keep their inode numbers over a
+            restart; then a restored backup is told from the disk itself.
     """
 
     data: str
@@ -80,6 +82,7 @@
     founder: bool = True
     label: str = ""
     group_size: int = 3
+    keeps_inodes: bool = True
 
 
 class Entry(msgspec.Struct, frozen=True):
--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -34,7 +34,9 @@
         folder: pathlib.Path,
         disk: wal.Disk | None = None,
         segment_size: int = SEGMENT_SIZE,
+        tells_copies: bool = True,
     ) -> None:
+        self.tells_copies = tells_copies
         self.folder = folder
         self.disk = disk or wal_disk.SystemDisk()
         self.segment_size = segment_size
@@ -53,7 +55,9 @@
         with self._guard():
             self.folder.mkdir(parents=True, exist_ok=True)
             self._take_lock()
-            identity = wal_identity.read(self.folder, node.instance)
+            identity = wal_identity.read(
+                self.folder, node.instance, self.tells_copies
+            )
             if identity is None:
                 return wal.Recovery(self._format(node), [])
             return wal.Recovery(identity, self._recover())
--- a/src/mintcleat/adapters/wal_identity.py
+++ b/src/mintcleat/adapters/wal_identity.py
@@ -15,13 +15,22 @@
 FILE = "identity"
 
 
-def read(folder: pathlib.Path, instance: str) -> messages.Incarnation | None:
+def read(
+    folder: pathlib.Path, instance: str, tells_copies: bool = True
+) -> messages.Incarnation | None:
     """Returns the identity, or None when this disk must be formatted.
 
     The file holds its own inode number. A restored backup is a copy, whose
     inode differs: it has forgotten votes and entries that it acknowledged, so
     it must not speak under the old identity. Its files are set aside.
 
+    Args:
+        folder: The data folder.
+        instance: Who it must belong to.
+        tells_copies: Whether files keep their inode numbers over a restart.
+            Where they don't, each restart would look like a copy, and a
+            restart of all instances would lose everything.
+
     Raises:
         errors.StorageDamaged: The file is unreadable or another instance's.
     """
@@ -38,7 +47,7 @@
             f"The data folder belongs to {name}, not to {instance}.",
             remedy="Give each instance a data folder of its own.",
         )
-    if inode != path.stat().st_ino:
+    if tells_copies and inode != path.stat().st_ino:
         _set_aside(folder, epoch)
         return None
     return messages.Incarnation(name, epoch)
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -38,7 +38,10 @@
             common.node,
             common.streams.address,
             self._members(),
-            wal.FileWal(self.folder / "log"),
+            wal.FileWal(
+                self.folder / "log",
+                tells_copies=settings.control_role.keeps_inodes,
+            ),
             [machine.GROUP, *groups],
             streams=common.streams,
             timers=common.timers,
--- a/src/mintcleat/platform/machine.py
+++ b/src/mintcleat/platform/machine.py
@@ -166,4 +166,5 @@
         founder=bool(fields.get("bootstrap")),
         label=fields["nodeName"],
         group_size=2 * max(1, losses) + 1,
+        keeps_inodes=False,
     )
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -64,22 +64,23 @@
 
     Attributes:
         accounts: By program.
-        turns: Kept turns by (program, turn), the one that goes first first.
-        expires: Clock at which each kept turn may go.
+        turns: Kept turns by id. Their ids are unique, and a program may go
+            on from a turn of another one.
+        expires: Clock at which each kept turn may go, the first one first.
         swept: Clock of the last sweep.
     """
 
     def __init__(self) -> None:
         self.accounts: dict[str, Account] = {}
-        self.turns: dict[tuple[str, str], messages.KeptTurn] = {}
-        self.expires: collections.OrderedDict[tuple[str, str], float] = (
+        self.turns: dict[str, messages.KeptTurn] = {}
+        self.expires: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         self.swept = 0.0
 
     def open(self, request: messages.OpenTurn, clock: float) -> Any:
         """Reserves the tokens of a turn, and returns what it goes on from."""
-        chain = self._chain(request.program, request.previous)
+        chain = self._chain(request.previous)
         if chain is None:
             return errors.UnknownTurn(f"No turn {request.previous}.")
         account = self.accounts.get(request.program)
@@ -112,9 +113,9 @@
         self._keep_account(account, request.retention, clock)
         if not request.keep:
             return messages.Done()
-        if self._chain(request.program, request.previous) is None:
+        if self._chain(request.previous) is None:
             return errors.UnknownTurn(f"No turn {request.previous}.")
-        self.turns[request.program, request.turn] = messages.KeptTurn(
+        self.turns[request.turn] = messages.KeptTurn(
             request.turn,
             request.previous,
             request.input,
@@ -167,8 +168,8 @@
                 for name, account in self.accounts.items()
             ],
             [
-                [program, until, *self.turns[program, turn]]
-                for (program, turn), until in self.expires.items()
+                [until, *self.turns[turn]]
+                for turn, until in self.expires.items()
             ],
         ]
 
@@ -181,19 +182,19 @@
             account.budget, account.spent, account.held = budget, spent, held
             account.settled.update(dict.fromkeys(settled))
             account.upstream, account.expires = upstream, expires
-        for program, until, *fields in state[2]:
+        for until, *fields in state[2]:
             kept = messages.KeptTurn(*fields)
-            self.turns[program, kept.turn] = kept
-            self.expires[program, kept.turn] = until
+            self.turns[kept.turn] = kept
+            self.expires[kept.turn] = until
 
-    def _chain(self, program: str, turn: str) -> list[messages.KeptTurn] | None:
+    def _chain(self, turn: str) -> list[messages.KeptTurn] | None:
         """Returns a turn and all before it, oldest first; None if one lacks.
 
         A chain is kept as a whole: each turn that ends renews all before it.
         """
         found = []
         while turn:
-            kept = self.turns.get((program, turn))
+            kept = self.turns.get(turn)
             if kept is None:
                 return None
             found.append(kept)
@@ -205,11 +206,10 @@
         until = clock + request.retention + RETENTION_SLACK
         turn = request.turn
         while turn:
-            name = request.program, turn
-            if self.expires.get(name, 0.0) < until:
-                self.expires[name] = until
-                self.expires.move_to_end(name)
-            turn = self.turns[name].previous
+            if self.expires.get(turn, 0.0) < until:
+                self.expires[turn] = until
+                self.expires.move_to_end(turn)
+            turn = self.turns[turn].previous
 
     def _keep_account(
         self, account: Account, retention: float, clock: float
--- a/src/mintcleat/roles/turn_keeper.py
+++ b/src/mintcleat/roles/turn_keeper.py
@@ -22,32 +22,31 @@
 
 
 class Chains:
-    """Content of turns that ended, by program and turn; bounded."""
+    """Content of turns that ended, by id; bounded."""
 
     def __init__(self, limit: int = CHAIN_BYTES) -> None:
         self.limit = limit
         self.size = 0
-        self.turns: collections.OrderedDict[
-            tuple[str, str], messages.KeptTurn
-        ] = collections.OrderedDict()
+        self.turns: collections.OrderedDict[str, messages.KeptTurn] = (
+            collections.OrderedDict()
+        )
 
-    def put(self, program: str, kept: messages.KeptTurn) -> None:
+    def put(self, kept: messages.KeptTurn) -> None:
         """Takes a turn that surely ended whole."""
-        name = program, kept.turn
-        if name in self.turns:
-            self.turns.move_to_end(name)
+        if kept.turn in self.turns:
+            self.turns.move_to_end(kept.turn)
             return
-        self.turns[name] = kept
+        self.turns[kept.turn] = kept
         self.size += len(kept.input) + len(kept.output)
         while self.size > self.limit:
             _, oldest = self.turns.popitem(last=False)
             self.size -= len(oldest.input) + len(oldest.output)
 
-    def chain(self, program: str, turn: str) -> list[messages.KeptTurn] | None:
+    def chain(self, turn: str) -> list[messages.KeptTurn] | None:
         """Returns a turn and all before it, oldest first, if all are here."""
         found = []
         while turn:
-            kept = self.turns.get((program, turn))
+            kept = self.turns.get(turn)
             if kept is None:
                 return None
             found.append(kept)
@@ -111,7 +110,7 @@
             errors.ControlUnavailable: No leader could be asked in time.
         """
         program = call.program
-        known = self.chains.chain(program.program, program.previous)
+        known = self.chains.chain(program.previous)
         request = messages.OpenTurn(
             program.program,
             call.request,
@@ -132,7 +131,7 @@
         if chain is None:
             chain = reply.chain
             for kept in chain:
-                self.chains.put(program.program, kept)
+                self.chains.put(kept)
         self.events.emit(
             event_types.TurnOpened(
                 call.request,
@@ -172,7 +171,6 @@
             OPEN_SECONDS,
         )
         self.chains.put(
-            program.program,
             messages.KeptTurn(
                 call.request, program.previous, call.body, output, upstream
             ),
--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -156,6 +156,22 @@
         self.assertRaises(errors.StorageFailed, log.append, [b"more"])
         self.assertEqual(syncs, self.disk.syncs)
 
+    def test_restart_on_new_inodes_keeps_the_log_where_that_is_usual(
+        self,
+    ) -> None:
+        # Every instance lost power and came back on volumes that were mounted
+        # afresh, with new inode numbers. Each took its own disk for a copy,
+        # and all that had been acknowledged was gone.
+        self.write([b"kept"])
+        moved = self.folder.parent / (self.folder.name + "-moved")
+        shutil.copytree(self.folder, moved)
+        self.addCleanup(shutil.rmtree, moved)
+        log = wal.FileWal(moved, tells_copies=False)
+        found = log.open(NODE._replace(epoch=9))
+        self.addCleanup(log.close)
+        self.assertEqual([b"kept"], found.records)
+        self.assertEqual(NODE, found.identity)
+
     def test_full_disk_keeps_no_part_of_a_batch_and_takes_it_later(
         self,
     ) -> None:
