--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import eventlet
+from eventlet import hubs
 import h11
 
 from mintcleat.adapters import streams
@@ -192,7 +193,7 @@
                 event = self.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.http.receive_data(self.sock.recv(_BLOCK))
+                self.http.receive_data(_receive(self.sock))
         except (OSError, EOFError, h11.ProtocolError) as error:
             raise self._broken(error) from None
 
@@ -205,6 +206,19 @@
         return errors.StreamClosed(f"{self.address} broke off: {reason}.")
 
 
+def _receive(sock: Any) -> bytes:
+    """Returns what has come, or nothing at the peer's orderly end.
+
+    eventlet's own `recv` returns nothing after a reset too. A body without a
+    length that a reset cut short would then pass for a whole one.
+    """
+    while True:
+        try:
+            return sock.fd.recv(_BLOCK)
+        except BlockingIOError:
+            hubs.trampoline(sock.fileno(), read=True)
+
+
 class Pool:
     """Idle connections by upstream, the last used first."""
 
--- /dev/null
+++ b/testing/fakes/platform_system.py
@@ -0,0 +1,297 @@
+"""One control and one entry of the platform's kind, in this process."""
+
+import json
+import pathlib
+import shutil
+import tempfile
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+
+from fakes import platform_engine
+from mintcleat.adapters import settings
+from mintcleat.main import common
+from mintcleat.main import hosted
+from mintcleat.platform import machine
+from mintcleat.ports import events
+
+ANY = "127.0.0.1:0"
+HOST = "callers.example"
+TIMES = settings.Times(
+    max_lease=1.2,
+    renew=0.1,
+    relay_renew=0.1,
+    move_after=0.6,
+    heartbeat=0.02,
+    election=0.05,
+    balance_after=0.0,
+    control_try=0.6,
+)
+
+
+class Answer(NamedTuple):
+    """An HTTP answer; `whole` tells whether it ended as it said it would."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 250,
+        "priority": 0,
+        "service": "desk",
+        "attempts": 2,
+        **fields,
+    }
+
+
+def plan(version: int = 1, *routes: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": list(routes)
+        or [
+            route("safe", "safe"),
+            route("unsafe", "unsafe"),
+            route("resumable", "stream", service="lm", resumable=True),
+            route(
+                "turns",
+                "stream",
+                service="lm",
+                retainContext=True,
+                retentionS=60.0,
+            ),
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 10},
+            {
+                "name": "lm",
+                "maxConnections": 10,
+                "engine": {"stride": 3, "models": [{"name": "m"}]},
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+
+
+class Kept(events.Silent):
+    """Keeps the events, for tests of what is told."""
+
+    def __init__(self) -> None:
+        self.events: list[Any] = []
+
+    def emit(self, event: Any) -> None:
+        self.events.append(event)
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+class System:
+    """Control, entry and the engines that a test adds."""
+
+    def __init__(self) -> None:
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.told = Kept()
+        self.engines: list[platform_engine.Engine] = []
+        self.sequence = 0
+        control = self._machine("control", [ANY])
+        self.control_common = common.Common(control.settings)
+        self.control = hosted.ControlPart(
+            control, self.control_common, self.told
+        )
+        self.control.start()
+        entry = self._machine("entry", [self.control_common.streams.address])
+        self.entry_common = common.Common(entry.settings)
+        self.entry = hosted.EntryPart(entry, self.entry_common, self.told)
+        self.entry.start()
+
+    def _machine(self, role: str, control: list[str]) -> machine.Machine:
+        part = None
+        if role == "control":
+            part = settings.Control(
+                data=str(self.folder / "data"), admin=ANY, label="store-1"
+            )
+        return machine.Machine(
+            settings.Settings(
+                instance=f"{role}-1",
+                failure_domain="z1",
+                listen=ANY,
+                roles=[role],
+                control=control,
+                program_groups=1,
+                times=TIMES,
+                control_role=part,
+            ),
+            ANY,
+            ANY,
+            ANY,
+            8.0,
+            0.85,
+        )
+
+    def stop(self) -> None:
+        for engine in self.engines:
+            engine.stop()
+        self.entry.follower.stop()
+        self.entry.listener.stop()
+        self.entry.asked.stop()
+        self.entry_common.streams.stop()
+        self.control.listener.stop()
+        self.control.part.stop()
+        self.control_common.streams.stop()
+        shutil.rmtree(self.folder)
+
+    def put(self, body: Any) -> Answer:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return self.ask_control("POST", "/v1/Configuration.Put", data)
+
+    def ask_control(self, method: str, path: str, body: bytes = b"") -> Answer:
+        address = self.control.listener.address
+        return exchange(address, method, path, {}, body)
+
+    def add(
+        self, name: str, service: str, script: Any = platform_engine.whole
+    ) -> platform_engine.Engine:
+        engine = platform_engine.Engine(name, script)
+        self.engines.append(engine)
+        self.beat(engine, service)
+        return engine
+
+    def beat(
+        self,
+        engine: platform_engine.Engine,
+        service: str,
+        state: str = "ready",
+        sequence: int = 0,
+    ) -> Answer:
+        self.sequence += 1
+        body = engine.heartbeat(service, sequence or self.sequence, state)
+        path = f"/v1/Instances.Heartbeat/{engine.name}"
+        return self.ask_control("POST", path, json.dumps(body).encode())
+
+    def leave(self, engine: platform_engine.Engine) -> Answer:
+        return self.ask_control("POST", f"/v1/Instances.Leave/{engine.name}")
+
+    def settle(self) -> None:
+        """Waits until the entry follows what control has."""
+        machine_now = self.control.part.config.machine
+        follower = self.entry.follower
+        with eventlet.Timeout(5.0):
+            while (
+                follower.revision() < machine_now.document.revision
+                or follower.registered.version < machine_now.directory.version
+            ):
+                eventlet.sleep(0.005)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        request: str = "r1",
+        **headers: str,
+    ) -> Answer:
+        named = {name.replace("_", "-"): v for name, v in headers.items()}
+        fields = {
+            "Host": HOST,
+            "X-Request-Id": request,
+            "X-Deadline-Milliseconds": "3000",
+            **named,
+        }
+        address = self.entry.listener.address
+        return exchange(address, method, target, fields, body)
+
+
+def connect(address: str) -> Any:
+    host, _, port = address.rpartition(":")
+    return eventlet.connect((host, int(port)))
+
+
+def request_bytes(
+    method: str, target: str, headers: dict[str, str], body: bytes
+) -> bytes:
+    fields = {"Host": "control", **headers}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    head = f"{method} {target} HTTP/1.1\r\n{''.join(lines)}\r\n"
+    return head.encode() + body
+
+
+def exchange(
+    address: str,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes,
+) -> Answer:
+    """Sends one request on a connection of its own."""
+    sock = connect(address)
+    try:
+        sock.sendall(request_bytes(method, target, headers, body))
+        with eventlet.Timeout(10.0):
+            return read_answer(sock)
+    finally:
+        sock.close()
+
+
+def read_answer(sock: Any) -> Answer:
+    """Reads one answer, with a length or in chunks."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        block = sock.recv(65536)
+        if not block:
+            return Answer(0, {}, data, False)
+        data += block
+    head, _, rest = data.partition(b"\r\n\r\n")
+    status, *lines = head.decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    code = int(status.split()[1])
+    if "content-length" in headers:
+        size = int(headers["content-length"])
+        while len(rest) < size:
+            block = sock.recv(65536)
+            if not block:
+                return Answer(code, headers, rest, False)
+            rest += block
+        return Answer(code, headers, rest[:size], len(rest) == size)
+    return _read_chunks(sock, code, headers, rest)
+
+
+def _read_chunks(
+    sock: Any, code: int, headers: dict[str, str], rest: bytes
+) -> Answer:
+    body = b""
+    while True:
+        line, found, behind = rest.partition(b"\r\n")
+        size = int(line, 16) if found else -1
+        if found and len(behind) >= size + 2:
+            if size == 0:
+                return Answer(code, headers, body, True)
+            body += behind[:size]
+            rest = behind[size + 2 :]
+            continue
+        try:
+            block = sock.recv(65536)
+        except OSError:
+            block = b""
+        if not block:
+            return Answer(code, headers, body, False)
+        rest += block
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -29,6 +29,7 @@
 METRIC_TYPES = {"count": "counter", "observe": "histogram", "gauge": "gauge"}
 SETTINGS_SECTIONS = {
     "The process": settings.Settings,
+    "`times`": settings.Times,
     "`logs`": settings.Logs,
     "`entry`": settings.Entry,
     "`sidecar`": settings.Sidecar,
--- /dev/null
+++ b/testing/test_hosted.py
@@ -0,0 +1,525 @@
+"""The platform's protocol over real sockets, against stand-ins."""
+
+import json
+
+import eventlet
+import testtools
+
+from fakes import platform_engine
+from fakes import platform_system
+from mintcleat.domain import events
+
+
+class HostedTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.system = platform_system.System()
+        self.addCleanup(self.system.stop)
+
+    def ready(self, *engines: tuple) -> list[platform_engine.Engine]:
+        """Puts the plan and adds engines; (name, service, script)."""
+        self.assertEqual(200, self.system.put(platform_system.plan()).status)
+        found = [self.system.add(*engine) for engine in engines]
+        self.system.settle()
+        return found
+
+
+class RequestTest(HostedTest):
+    def test_request_reaches_the_upstream_unchanged(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        answer = self.system.call(
+            "POST", "/unsafe/a?b=c", b"content", x_other="kept"
+        )
+        self.assertEqual(
+            (200, b"e1 /unsafe/a?b=c"), (answer.status, answer.body)
+        )
+        self.assertEqual("sig-e1", answer.headers["x-response-signature"])
+        (seen,) = engine.seen
+        self.assertEqual(
+            ("POST", "/unsafe/a?b=c", b"content"),
+            (seen.method, seen.target, seen.body),
+        )
+        self.assertEqual("kept", seen.headers["x-other"])
+        self.assertEqual("e1", seen.headers["x-expect-instance"])
+        left = int(seen.headers["x-deadline-milliseconds"])
+        self.assertTrue(2000 < left <= 3000, left)
+
+    def test_fields_that_are_ours_to_set_are_dropped(self) -> None:
+        # A caller that could name a hold, a pin or another request's memory
+        # would have an upstream act on it as if the system had asked.
+        (engine,) = self.ready(("e1", "desk"))
+        fields = (
+            "X-Hold", "X-Pin-Milliseconds", "X-Kv-Backup", "Kv-From",
+            "Kv-Fetch", "X-Request-Urgency",
+        )  # fmt: skip
+        self.system.call("GET", "/safe/a", **dict.fromkeys(fields, "evil"))
+        self.assertNotIn("evil", engine.seen[0].headers.values())
+
+    def test_without_a_configuration_the_answer_is_come_back(self) -> None:
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(503, answer.status)
+        self.assertIn("retry-after", answer.headers)
+        self.assertNotIn("x-response-signature", answer.headers)
+
+    def test_unknown_route_is_told_once_the_configuration_is_known(
+        self,
+    ) -> None:
+        self.ready(("e1", "desk"))
+        self.assertEqual(404, self.system.call("GET", "/other/a").status)
+
+    def test_request_without_an_id_is_refused(self) -> None:
+        self.ready(("e1", "desk"))
+        answer = platform_system.exchange(
+            self.system.entry.listener.address,
+            "GET",
+            "/safe/a",
+            {"Host": platform_system.HOST},
+            b"",
+        )
+        self.assertEqual(400, answer.status)
+
+    def test_body_over_the_limit_is_refused(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        answer = self.system.call("POST", "/unsafe/a", b"x" * 100_001)
+        self.assertEqual((413, []), (answer.status, engine.seen))
+
+    def test_chunked_body_arrives_whole(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"POST /unsafe/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(200, platform_system.read_answer(sock).status)
+        self.assertEqual(b"abcde", engine.seen[0].body)
+
+    def test_garbage_is_answered_and_the_listener_lives_on(self) -> None:
+        self.ready(("e1", "desk"))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(b"\x00\x01 not http\r\n\r\n")
+        self.assertEqual(400, platform_system.read_answer(sock).status)
+        self.assertEqual(200, self.system.call("GET", "/safe/a").status)
+
+    def test_connection_serves_many_requests(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        for number in range(5):
+            fields = {
+                "Host": platform_system.HOST,
+                "X-Request-Id": f"r{number}",
+            }
+            sock.sendall(
+                platform_system.request_bytes("GET", "/safe/a", fields, b"")
+            )
+            answer = platform_system.read_answer(sock)
+            self.assertEqual(f"r{number}", answer.headers["x-request-id"])
+        self.assertEqual((5, 1), (len(engine.seen), engine.connections))
+
+
+class RepeatTest(HostedTest):
+    def test_safe_request_runs_again_after_a_break(self) -> None:
+        first, second = self.ready(
+            ("e1", "desk", _reset), ("e2", "desk", _reset)
+        )
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(504, answer.status)
+        self.assertEqual(2, len(first.seen) + len(second.seen))
+        first.script = second.script = platform_engine.whole
+        self.assertEqual(200, self.system.call("GET", "/safe/a").status)
+
+    def test_unsafe_request_that_may_have_run_is_not_sent_again(self) -> None:
+        # Two crews went out: the booking ran, its answer was lost, and the
+        # entry sent it to the next upstream.
+        first, second = self.ready(
+            ("e1", "desk", _reset), ("e2", "desk", _reset)
+        )
+        answer = self.system.call("POST", "/unsafe/a", b"book")
+        self.assertIn(answer.status, (502, 504))
+        self.assertEqual(1, len(first.seen) + len(second.seen))
+
+    def test_unsafe_request_that_did_not_run_goes_elsewhere(self) -> None:
+        self.ready(("e1", "desk", _busy), ("e2", "desk"), ("e3", "desk", _busy))
+        answer = self.system.call("POST", "/unsafe/a", b"book")
+        self.assertEqual((200, b"e2 /unsafe/a"), (answer.status, answer.body))
+
+    def test_refusal_says_when_to_come_back(self) -> None:
+        self.ready(("e1", "desk", _busy))
+        answer = self.system.call("POST", "/unsafe/a", b"book")
+        self.assertEqual(503, answer.status)
+        self.assertTrue(float(answer.headers["retry-after"]) > 0)
+        self.assertNotIn("x-response-signature", answer.headers)
+
+    def test_other_upstream_at_the_address_runs_nothing(self) -> None:
+        self.ready(("e1", "desk"))
+        other = self.system.engines[0]
+        other.name = "e9"
+        answer = self.system.call("POST", "/unsafe/a", b"book")
+        self.assertEqual((503, []), (answer.status, other.seen))
+        self.assertEqual(1, other.misdirected)
+
+    def test_answer_to_an_earlier_request_is_passed_over(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        self.system.call("GET", "/safe/a", request="r1")
+
+        def twice(talk: platform_engine.Talk, seen: object) -> bool:
+            stale = platform_engine.Seen.__new__(platform_engine.Seen)
+            stale.headers = {"x-request-id": "r1"}
+            talk.answer(stale, b"stale")
+            return platform_engine.whole(talk, seen)
+
+        engine.script = twice
+        answer = self.system.call("GET", "/safe/b", request="r2")
+        self.assertEqual((200, b"e1 /safe/b"), (answer.status, answer.body))
+
+    def test_body_that_a_reset_cut_short_is_no_answer(self) -> None:
+        def cut(talk: platform_engine.Talk, seen: object) -> bool:
+            talk.raw(talk.head(seen) + b"half of the")
+            eventlet.sleep(0.05)
+            talk.reset()
+            return False
+
+        self.ready(("e1", "desk", cut))
+        answer = self.system.call("POST", "/unsafe/a")
+        self.assertIn(answer.status, (502, 504))
+
+    def test_body_without_a_length_ends_with_its_connection(self) -> None:
+        def unframed(talk: platform_engine.Talk, seen: object) -> bool:
+            talk.raw(talk.head(seen) + b"all of it")
+            return False
+
+        self.ready(("e1", "desk", unframed))
+        answer = self.system.call("POST", "/unsafe/a")
+        self.assertEqual((200, b"all of it"), (answer.status, answer.body))
+
+    def test_success_without_a_mark_is_not_passed_on(self) -> None:
+        def bare(talk: platform_engine.Talk, seen: object) -> bool:
+            talk.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            return True
+
+        self.ready(("e1", "desk", bare))
+        self.assertNotEqual(200, self.system.call("POST", "/unsafe/a").status)
+
+
+class StreamTest(HostedTest):
+    def test_events_are_passed_on_as_they_come(self) -> None:
+        self.ready(("e1", "lm", platform_engine.stream(3)))
+        answer = self.system.call("POST", "/resumable/a", b"in")
+        expected = b"".join(platform_engine.event(n) for n in (1, 2, 3))
+        self.assertEqual((expected, True), (answer.body, answer.whole))
+
+    def test_broken_stream_goes_on_elsewhere_without_a_gap(self) -> None:
+        # The upstream stops within an event. Passed on in pieces, the half
+        # event would come twice; each whole one must come once.
+        def breaks(talk: platform_engine.Talk, seen: object) -> bool:
+            talk.begin_stream(seen)
+            talk.chunk(platform_engine.event(1))
+            talk.chunk(platform_engine.event(2)[:7])
+            eventlet.sleep(0.02)
+            talk.reset()
+            return False
+
+        first, second = self.ready(("e1", "lm", breaks), ("e2", "lm", breaks))
+
+        def mend(talk: platform_engine.Talk, seen: object) -> bool:
+            first.script = second.script = platform_engine.stream(4)
+            return breaks(talk, seen)
+
+        first.script = second.script = mend
+        answer = self.system.call("POST", "/resumable/a", b"in")
+        expected = b"".join(platform_engine.event(n) for n in (1, 2, 3, 4))
+        self.assertEqual((expected, True), (answer.body, answer.whole))
+        seen = [*first.seen, *second.seen]
+        self.assertEqual(
+            {None, "1"}, {one.headers.get("last-event-id") for one in seen}
+        )
+
+    def test_stream_that_can_not_go_on_does_not_look_complete(self) -> None:
+        def breaks(talk: platform_engine.Talk, seen: object) -> bool:
+            talk.begin_stream(seen)
+            talk.chunk(platform_engine.event(1))
+            eventlet.sleep(0.02)
+            talk.reset()
+            return False
+
+        first, second = self.ready(("e1", "lm", breaks), ("e2", "lm", breaks))
+        answer = self.system.call(
+            "POST", "/turns/a", b"in", X_Program_Id="p", X_Token_Counts="9,9"
+        )
+        self.assertEqual(
+            (platform_engine.event(1), False), (answer.body, answer.whole)
+        )
+        self.assertEqual(1, len(first.seen) + len(second.seen))
+
+    def test_upstream_hears_at_once_that_the_caller_left(self) -> None:
+        (engine,) = self.ready(("e1", "lm", platform_engine.stream(1000, 0.02)))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        fields = {"Host": platform_system.HOST, "X-Request-Id": "r1"}
+        sock.sendall(
+            platform_system.request_bytes("POST", "/resumable/a", fields, b"x")
+        )
+        eventlet.sleep(0.2)
+        sock.close()
+        with eventlet.Timeout(0.5):
+            while not engine.seen[0].dropped:
+                eventlet.sleep(0.01)
+
+    def test_caller_that_leaves_before_the_first_byte_is_noticed(self) -> None:
+        gone = []
+
+        def silent(talk: platform_engine.Talk, seen: object) -> bool:
+            gone.append(talk.sock.recv(1))
+            return False
+
+        self.ready(("e1", "desk", silent))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        fields = {"Host": platform_system.HOST, "X-Request-Id": "r1"}
+        sock.sendall(
+            platform_system.request_bytes("GET", "/safe/a", fields, b"")
+        )
+        eventlet.sleep(0.1)
+        sock.close()
+        with eventlet.Timeout(0.5):
+            while not gone:
+                eventlet.sleep(0.01)
+        self.assertEqual([b""], gone)
+
+
+class TurnTest(HostedTest):
+    def turn(self, request: str, body: bytes, **headers: str) -> object:
+        return self.system.call(
+            "POST",
+            "/turns/a",
+            body,
+            request,
+            X_Program_Id="p",
+            X_Token_Counts="10,9",
+            **headers,
+        )
+
+    def test_turn_gets_what_went_in_and_came_out_before(self) -> None:
+        (engine,) = self.ready(("e1", "lm", platform_engine.stream(2)))
+        self.assertTrue(self.turn("t1", b"one;").whole)
+        self.turn("t2", b"two;", X_Previous_Turn="t1")
+        self.turn("t3", b"three;", X_Previous_Turn="t2")
+        said = b"piece-1\npiece-2\n"
+        self.assertEqual(
+            [b"one;", b"one;" + said + b"two;",
+             b"one;" + said + b"two;" + said + b"three;"],
+            [seen.body for seen in engine.seen],
+        )  # fmt: skip
+
+    def test_chain_survives_an_entry_that_knows_nothing(self) -> None:
+        (engine,) = self.ready(("e1", "lm", platform_engine.stream(1)))
+        self.turn("t1", b"one;")
+        self.system.entry.gateway.turns.chains.turns.clear()
+        self.turn("t2", b"two;", X_Previous_Turn="t1")
+        self.assertEqual(b"one;piece-1\ntwo;", engine.seen[1].body)
+
+    def test_unknown_previous_turn_reaches_no_upstream(self) -> None:
+        (engine,) = self.ready(("e1", "lm", platform_engine.stream(1)))
+        answer = self.turn("t2", b"two;", X_Previous_Turn="never")
+        self.assertEqual((404, []), (answer.status, engine.seen))
+
+    def test_budget_is_held_before_the_turn_runs(self) -> None:
+        # Three tokens an event: a turn of two events takes 6 of the 15, and
+        # may take 9.
+        (engine,) = self.ready(("e1", "lm", platform_engine.stream(2)))
+        self.assertEqual(200, self.turn("t1", b"a", X_Token_Budget="15").status)
+        self.assertEqual(200, self.turn("t2", b"b", X_Token_Budget="15").status)
+        self.assertEqual(402, self.turn("t3", b"c", X_Token_Budget="15").status)
+        self.assertEqual(2, len(engine.seen))
+
+    def test_turn_that_did_not_run_costs_nothing(self) -> None:
+        (engine,) = self.ready(("e1", "lm", _busy))
+        for request in ("t1", "t2", "t3"):
+            answer = self.turn(request, b"a", X_Token_Budget="9")
+            self.assertEqual(503, answer.status)
+            eventlet.sleep(0.05)
+        engine.script = platform_engine.stream(1)
+        self.assertEqual(200, self.turn("t4", b"a", X_Token_Budget="9").status)
+
+
+class OperatorTest(HostedTest):
+    def get(self) -> platform_system.Answer:
+        return self.system.ask_control("GET", "/v1/Configuration.Get")
+
+    def test_highest_version_wins_and_is_read_back_as_sent(self) -> None:
+        for version in (5, 3, 9, 9, 8):
+            plan = platform_system.plan(version)
+            self.assertEqual(200, self.system.put(plan).status)
+        self.assertEqual(platform_system.plan(9), self.get().json())
+
+    def test_other_content_under_the_version_held_changes_nothing(
+        self,
+    ) -> None:
+        self.system.put(platform_system.plan(4))
+        other = platform_system.plan(4, platform_system.route("new", "safe"))
+        self.assertEqual(200, self.system.put(other).status)
+        self.assertEqual(platform_system.plan(4), self.get().json())
+
+    def test_invalid_configurations_are_refused(self) -> None:
+        self.system.put(platform_system.plan(4))
+        whole = json.dumps(platform_system.plan(5)).encode()
+        route = platform_system.route
+        broken = {
+            "cut short": whole[: len(whole) // 2],
+            "unknown service": platform_system.plan(
+                5, route("a", "safe", service="none")
+            ),
+            "same place": platform_system.plan(
+                5, route("a", "safe"), route("b", "safe", pathPrefix="/a/")
+            ),
+            "no weight": platform_system.plan(
+                5,
+                route("a", "safe", split=[{"service": "desk", "weight": 0}]),
+            ),
+            "no time-out": platform_system.plan(
+                5, route("a", "safe", timeoutMs=0)
+            ),
+            "no object": b"[]",
+            "no text": b"\xff\xfe",
+        }
+        for name, plan in broken.items():
+            self.assertEqual(400, self.system.put(plan).status, name)
+        self.assertEqual(platform_system.plan(4), self.get().json())
+
+    def test_unknown_fields_are_let_be(self) -> None:
+        plan = platform_system.plan(4)
+        plan["later"] = {"any": 1}
+        plan["routes"][0]["later"] = 1
+        self.assertEqual(200, self.system.put(plan).status)
+        self.assertEqual(plan, self.get().json())
+
+    def test_nothing_to_read_back_is_not_an_empty_configuration(self) -> None:
+        self.assertEqual(503, self.get().status)
+
+    def test_changed_route_is_in_force_at_the_entry(self) -> None:
+        self.ready(("e1", "desk"), ("e2", "lm"))
+        moved = platform_system.route("safe", "safe", service="lm")
+        self.system.put(platform_system.plan(2, moved))
+        self.system.settle()
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(b"e2 /safe/a", answer.body)
+
+    def test_draining_upstream_gets_nothing_once_that_is_acknowledged(
+        self,
+    ) -> None:
+        first, second = self.ready(("e1", "desk"), ("e2", "desk"))
+        answer = self.system.beat(first, "desk", "draining")
+        self.assertEqual(200, answer.status)
+        self.system.settle()
+        for number in range(10):
+            self.system.call("GET", "/safe/a", request=f"r{number}")
+        self.assertEqual((0, 10), (len(first.seen), len(second.seen)))
+
+    def test_late_heartbeat_does_not_revive_an_upstream_that_left(
+        self,
+    ) -> None:
+        first, _ = self.ready(("e1", "desk"), ("e2", "desk"))
+        self.system.leave(first)
+        self.assertEqual(200, self.system.beat(first, "desk").status)
+        self.system.settle()
+        self.assertNotIn("e1", self.system.entry.follower.registered.entries)
+
+    def test_late_heartbeat_does_not_end_a_drain(self) -> None:
+        first, _ = self.ready(("e1", "desk"), ("e2", "desk"))
+        self.system.beat(first, "desk", "draining", sequence=90)
+        self.system.beat(first, "desk", "ready", sequence=80)
+        self.system.settle()
+        entries = self.system.entry.follower.registered.entries
+        self.assertEqual("draining", entries["e1"].state)
+
+    def test_new_life_at_an_address_ends_the_one_before(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        engine.name = "e9"
+        self.system.beat(engine, "lm")
+        self.system.settle()
+        entries = self.system.entry.follower.registered.entries
+        self.assertEqual({"e9"}, set(entries))
+
+    def test_unreadable_heartbeat_is_refused(self) -> None:
+        path = "/v1/Instances.Heartbeat/e1"
+        answer = self.system.ask_control("POST", path, b"{")
+        self.assertEqual(400, answer.status)
+
+    def test_emptying_tells_unknown_and_too_few(self) -> None:
+        ask = self.system.ask_control
+        body = b'{"durationS": 10}'
+        self.assertEqual(404, ask("POST", "/v1/Retire.Start/x", body).status)
+        self.assertEqual(
+            409, ask("POST", "/v1/Retire.Start/store-1", body).status
+        )
+
+
+class ToldTest(HostedTest):
+    def test_request_is_told_from_its_coming_to_its_end(self) -> None:
+        self.ready(("e1", "lm", platform_engine.stream(2)))
+        self.system.call(
+            "POST", "/turns/a", b"x", "t1", X_Program_Id="p",
+            X_Token_Counts="10,9",
+        )  # fmt: skip
+        kinds = (
+            events.CallTaken, events.TurnOpened, events.CallPlaced,
+            events.TurnSettled, events.CallEnded,
+        )  # fmt: skip
+        for kind in kinds:
+            (event,) = self.system.told.of(kind)
+            self.assertEqual("t1", event.request)
+        (ended,) = self.system.told.of(events.CallEnded)
+        self.assertEqual(
+            ("whole", 6, "e1"), (ended.outcome, ended.tokens, ended.upstream)
+        )
+        (taken,) = self.system.told.of(events.CallTaken)
+        self.assertTrue(0 < taken.lease_left_s <= 1.2, taken)
+
+    def test_refusal_and_failed_attempt_are_told(self) -> None:
+        self.ready(("e1", "desk", _reset))
+        self.system.call("POST", "/unsafe/a", request="r7")
+        (failed,) = self.system.told.of(events.AttemptFailed)
+        (refused,) = self.system.told.of(events.CallRefused)
+        self.assertEqual(
+            ("r7", "e1", "unknown"),
+            (failed.request, failed.upstream, failed.outcome),
+        )
+        self.assertEqual(("r7", "unknown"), (refused.request, refused.outcome))
+
+
+class StopTest(HostedTest):
+    def test_planned_stop_answers_what_is_under_way(self) -> None:
+        self.ready(("e1", "lm", platform_engine.stream(20, 0.05)))
+        found = []
+        eventlet.spawn(
+            lambda: found.append(self.system.call("POST", "/resumable/a", b"x"))
+        )
+        eventlet.sleep(0.1)
+        asked = self.system.entry.asked.address
+
+        def is_ready() -> int:
+            fields = {"Host": "x"}
+            return platform_system.exchange(
+                asked, "GET", "/v1/readiness", fields, b""
+            ).status
+
+        self.assertEqual(200, is_ready())
+        now = self.system.entry_common.timers.now()
+        stop = eventlet.spawn(self.system.entry.stop, now + 7.0)
+        eventlet.sleep(0.05)
+        self.assertEqual(503, is_ready())
+        late = self.system.call("POST", "/resumable/b", b"x", "r2")
+        self.assertEqual("close", late.headers["connection"])
+        self.assertEqual(0, stop.wait())
+        self.assertEqual([True], [answer.whole for answer in found])
+
+
+def _reset(talk: platform_engine.Talk, seen: object) -> bool:
+    talk.reset()
+    return False
+
+
+def _busy(talk: platform_engine.Talk, seen: object) -> bool:
+    talk.refuse(seen, 503)
+    return True
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -3,6 +3,7 @@
 import ast
 from collections.abc import Iterator
 import pathlib
+import re
 
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "mintcleat"
 
@@ -26,7 +27,26 @@
     "adapters": {"domain", "ports", "adapters"},
     "standins": {"domain", "ports", "standins"},
     "load": {"domain", "ports", "load"},
+    "platform": {"domain", "ports", "adapters", "platform"},
 }
+# Names of the platform's protocol. Only its package may know them.
+PLATFORM = SOURCE / "platform"
+PLATFORM_NAMES = re.compile(
+    r"x-(?:deadline-milliseconds|affinity-key|program-id"
+    r"|session-id|finish-milliseconds|token-budget|token-counts|model"
+    r"|prompt-prefix|previous-turn|expect-instance|expect-version"
+    r"|request-urgency|not-executed|response-signature|hold|kv-backup"
+    r"|pin-milliseconds|instance-id)|kv-from|kv-fetch"
+    r"|instances\.heartbeat|instances\.leave|configuration\.put"
+    r"|configuration\.get|retire\.start|retire\.get|v1/readiness"
+    r"|coldremainingms|targetgapms|targetlatencyms|timeoutms|retaincontext"
+    r"|retentions\b|pathprefix|tolerancecounted|internalportrange"
+    r"|machineclass|mintcleat_config|seedlags|drainms|graces\b",
+    re.IGNORECASE,
+)
+# What of the project may import that package: the composition root for
+# machines of the platform.
+PLATFORM_USERS = {"hosted.py"}
 NAME_MODULES = {"typing", "collections.abc", "__future__"}
 
 
@@ -90,6 +110,27 @@
     assert wrong == []
 
 
+def test_only_its_package_knows_the_platforms_names() -> None:
+    wrong = [
+        f"{path.name}: {found.group()}"
+        for path in module_files()
+        if PLATFORM not in path.parents
+        for found in PLATFORM_NAMES.finditer(path.read_text())
+    ]
+    assert wrong == []
+
+
+def test_only_the_composition_root_imports_the_platform() -> None:
+    wrong = [
+        path.name
+        for path in module_files()
+        if PLATFORM not in path.parents and path.name not in PLATFORM_USERS
+        for module, name in imports_of(path)
+        if f"{module}.{name}.".startswith("mintcleat.platform.")
+    ]
+    assert wrong == []
+
+
 def test_no_source_file_carries_a_banner() -> None:
     marks = ("copy" + "right", "licen" + "se", "sp" + "dx")
     wrong = [
