--- a/src/mintcleat/platform/machine.py
+++ b/src/mintcleat/platform/machine.py
@@ -14,8 +14,11 @@
 CONTROL = "control"
 
 # Times for machines that count as in touch 3 s after a loss. Within that time
-# a lost leader is noticed (at most 1 s, twice the election timeout), the next
-# one elected and the leases of the old one over.
+# a lost leader is noticed (at most 0.7 s, twice the election timeout), the next
+# one elected and the leases of the old one over. Lost packets delay a heartbeat
+# by 0.2 s, so the election timeout must not be much shorter.
+_HEARTBEAT = 0.07
+_ELECTION = 0.35
 _MAX_LEASE = 1.2
 _RENEW = 0.3
 _RELAY_RENEW = 0.15
@@ -26,7 +29,7 @@
 _REPLACE_AFTER = 2.0
 _STREAM_HEARTBEAT = 0.3
 _STREAM_SILENCE = 1.2
-_CONTROL_TRY = 0.6
+_CONTROL_TRY = 0.4
 # One group of program records: a few hundred commits a second are far from
 # what one carries, and each further one costs heartbeats and memory.
 _PROGRAM_GROUPS = 1
@@ -135,6 +138,8 @@
 
 def _times() -> settings_module.Times:
     return settings_module.Times(
+        heartbeat=_HEARTBEAT,
+        election=_ELECTION,
         max_lease=_MAX_LEASE,
         renew=_RENEW,
         relay_renew=_RELAY_RENEW,
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -20,7 +20,10 @@
 # Pauses between rounds in which no instance knew a leader: an election takes
 # some hundred milliseconds, and asking faster only delays it.
 FIRST_PAUSE = 0.02
-LAST_PAUSE = 0.3
+LAST_PAUSE = 0.1
+# For so long an instance that did not answer is asked last. About the time
+# of a failover; after it, the instance may be back.
+SILENT_SECONDS = 2.0
 # One message holds the loop of both sides while it is coded; these keep that
 # below a few milliseconds.
 MAX_BATCH_ITEMS = 256
@@ -168,6 +171,7 @@
         addresses: Stream addresses of the control instances.
         groups: How many program groups there are.
         leaders: The last known leader's address by group.
+        silent: Instances that did not answer, and until when they come last.
     """
 
     def __init__(
@@ -185,6 +189,7 @@
         self.groups = groups
         self.leaders: dict[str, str] = {}
         self.lines: dict[tuple[str, str], Line] = {}
+        self.silent: dict[str, float] = {}
 
     def ask(self, scope: str, message: Any, timeout: float) -> Any:
         """Returns the group's reply to a request.
@@ -254,6 +259,7 @@
                 self._redirect(group, address, error.leader)
             except (errors.StreamClosed, errors.StreamTimeout) as error:
                 self._redirect(group, address, "")
+                self._note_silent(address)
                 may_be_proposed |= error.outcome != errors.NOT_RUN
             except (errors.ProposalLost, errors.StorageFailed):
                 self._redirect(group, address, "")
@@ -286,11 +292,24 @@
         return reply
 
     def _pick(self, group: str, tried: list[str]) -> str:
-        """Returns the known leader, or the next instance not tried yet."""
+        """Returns the known leader, or the next instance not tried yet.
+
+        Instances that did not answer lately come last: each try of one that
+        is cut off costs the caller `try_seconds`.
+        """
         leader = self.leaders.get(group)
         if leader:
             return leader
-        return self.addresses[len(tried) % len(self.addresses)]
+        now = self.timers.now()
+        left = [one for one in self.addresses if one not in tried]
+        left = left or self.addresses
+        return min(left, key=lambda one: self.silent.get(one, 0.0) > now)
+
+    def _note_silent(self, address: str) -> None:
+        now = self.timers.now()
+        self.silent[address] = now + SILENT_SECONDS
+        for known in [one for one, at in self.silent.items() if at < now]:
+            del self.silent[known]
 
     def _redirect(self, group: str, address: str, leader: str) -> None:
         """Learns from a failed try; a newer entry of the cache stays."""
