Tell decisions as typed events; explain a request from them; metrics from events

Lines are numbered, so explain knows what is missing. Counters and histograms are made from the same events.

--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import os
+import time
 from typing import Any
 
 import eventlet
@@ -27,7 +28,15 @@
         done: Calls that have ended and whose green thread is to be woken.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, observe: Callable[[float], None] = lambda seconds: None
+    ) -> None:
+        """Starts the thread.
+
+        Args:
+            observe: Takes the seconds of each call, waiting included.
+        """
+        self.observe = observe
         self.jobs: Any = _queue.SimpleQueue()
         self.done: collections.deque[tuple[event.Event, Any, bool]] = (
             collections.deque()
@@ -41,8 +50,10 @@
     def run(self, function: Callable[..., Any], *args: Any) -> Any:
         """Returns what the function returns, or raises what it raises."""
         ended = event.Event()
+        began = time.monotonic()
         self.jobs.put((function, args, ended))
         value, failed = ended.wait()
+        self.observe(time.monotonic() - began)
         if failed:
             raise value
         return value
--- a/src/mintcleat/adapters/event_log.py
+++ b/src/mintcleat/adapters/event_log.py
@@ -40,6 +40,8 @@
 
 
 DEFAULT_BUDGET = Budget()
+# Lines in one write; more would lie beside the bounded queue.
+_BATCH = 256
 # Room that must be left for a line of each weight, as a share of the burst.
 _RESERVED = {events.STATE: 0.0, events.ERROR: 0.1, events.DETAIL: 0.25}
 
@@ -62,6 +64,7 @@
         self.room = budget.burst
         self.refilled = time.monotonic()
         self.dropped = 0
+        self.number = 0
         self.wake = _threading.Event()
         self.broken = False
         self.thread = _threading.Thread(target=self._write, daemon=True)
@@ -69,6 +72,7 @@
 
     def emit(self, event: Any) -> None:
         """Takes one event; drops it when it is over the budget."""
+        self.number += 1
         if not self._admit(event):
             self.dropped += 1
             return
@@ -104,6 +108,7 @@
             "at": round(time.time(), 4),
             "instance": self.instance,
             "event": self.names[type(event)],
+            "n": self.number,
             **event._asdict(),
         }
         self.waiting.append(self.encoder.encode(line))
@@ -111,10 +116,11 @@
 
     def _write(self) -> None:
         while not self.broken:
-            self.wake.wait()
-            self.wake.clear()
+            if not self.waiting:
+                self.wake.wait()
+                self.wake.clear()
             lines = []
-            while self.waiting:
+            while self.waiting and len(lines) < _BATCH:
                 lines.append(self.waiting.popleft().decode())
             if not lines:
                 continue
--- /dev/null
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -0,0 +1,54 @@
+"""Counters and histograms made from the events that a process tells."""
+
+from typing import Any
+
+from mintcleat.domain import events
+from mintcleat.ports import events as event_ports
+from mintcleat.ports import metrics as metric_ports
+
+
+class MeasuredEvents:
+    """Counts each event and passes it on; see `ports.events.Events`."""
+
+    def __init__(
+        self, metrics: metric_ports.Metrics, log: event_ports.Events
+    ) -> None:
+        self.metrics = metrics
+        self.log = log
+
+    def emit(self, event: Any) -> None:
+        """Takes one event."""
+        self.log.emit(event)
+        metrics = self.metrics
+        match event:
+            case events.CallEnded():
+                route = event.route
+                metrics.count(
+                    "routed_calls_total", route=route, outcome=event.outcome
+                )
+                metrics.observe(
+                    "routed_call_seconds", event.total_s, route=route
+                )
+                metrics.observe(
+                    "routed_first_seconds", event.first_s, route=route
+                )
+                metrics.observe("routed_gap_seconds", event.gap_s, route=route)
+            case events.CallRefused():
+                metrics.count(
+                    "routed_refusals_total",
+                    route=event.route,
+                    kind=event.kind,
+                    outcome=event.outcome,
+                )
+            case events.CallerGone():
+                metrics.count("routed_callers_gone_total", route=event.route)
+            case events.CallPlaced():
+                metrics.count("routed_placements_total", reason=event.reason)
+            case events.AttemptFailed():
+                metrics.count("routed_failures_total", kind=event.kind)
+            case events.TurnOpened():
+                metrics.observe("turn_open_seconds", event.commit_s)
+            case events.TurnSettled():
+                metrics.observe("turn_settle_seconds", event.commit_s)
+            case events.LinesDropped():
+                metrics.count("log_drops_total", reason=event.reason)
--- a/src/mintcleat/adapters/metrics.py
+++ b/src/mintcleat/adapters/metrics.py
@@ -13,6 +13,19 @@
     "retries_total": "New attempts by cause.",
     "call_seconds": "Time from request to last byte, by kind.",
     "first_token_seconds": "Time from request to first token.",
+    "routed_calls_total": "Routed requests answered by an upstream.",
+    "routed_call_seconds": "Time from a routed request to its last byte.",
+    "routed_first_seconds": "Time from a routed request to its first byte.",
+    "routed_gap_seconds": "Longest pause between two events of a stream.",
+    "routed_refusals_total": "Routed requests that this process refused.",
+    "routed_callers_gone_total": "Callers that left before the end.",
+    "routed_placements_total": "Upstreams chosen, by reason.",
+    "routed_failures_total": "Attempts that failed, by kind.",
+    "turn_open_seconds": "Time to reserve the tokens of a turn.",
+    "turn_settle_seconds": "Time to record the end of a turn.",
+    "log_drops_total": "Times that log lines were dropped.",
+    "loop_lag_seconds": "How late the event loop ran a timer.",
+    "disk_call_seconds": "Time of one write and sync of the log.",
 }
 
 
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -71,7 +71,8 @@
     """An upstream came, changed its state or went.
 
     Attributes:
-        state: `ready`, `draining` or `gone`.
+        state: `ready`, `draining`, or how it went: `gone` as an entry sees
+            it, `left` or `silent` as the config leader does.
         directory: Version of the directory that says so.
     """
 
@@ -280,12 +281,15 @@
     return "".join(letters)
 
 
+def weight_of_kind(kind: type) -> str:
+    """Returns how urgent the lines of a kind are."""
+    if kind in _STATE:
+        return STATE
+    return ERROR if kind in _ERRORS else DETAIL
+
+
 def weight_of(event: Any) -> str:
     """Returns which lines give way first when there are too many."""
-    if isinstance(event, _STATE):
-        return STATE
-    if isinstance(event, _ERRORS):
-        return ERROR
     if isinstance(event, CallEnded) and event.outcome != "whole":
         return ERROR
-    return DETAIL
+    return weight_of_kind(type(event))
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -15,6 +15,7 @@
 
 from mintcleat.main import cli_bench
 from mintcleat.main import cli_client
+from mintcleat.main import cli_explain
 from mintcleat.main import cli_manifest
 from mintcleat.main import cli_tables
 
@@ -111,6 +112,16 @@
         """
         cli_bench.run(plan, entries, report, self._json)
 
+    @decorators.SetParseFn(str)
+    def explain(self, request: str, *files: str) -> None:
+        """Shows the path of a request, and which decision ended it.
+
+        Args:
+            request: Id of the request.
+            files: Files with log lines of any processes.
+        """
+        cli_explain.run(request, files, self._json)
+
     def instances(self) -> None:
         """Lists the nodes with the revision applied and the lease left."""
         self.manifest.status()
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -13,6 +13,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
+from mintcleat.ports import events as event_ports
 from mintcleat.programs import placement
 from mintcleat.roles import config_service
 from mintcleat.roles import control_actions
@@ -27,7 +28,11 @@
 class ControlPart:
     """The control role of one process."""
 
-    def __init__(self, common: common_module.Common) -> None:
+    def __init__(
+        self,
+        common: common_module.Common,
+        events: event_ports.Events = config_service.SILENT,
+    ) -> None:
         self.common = common
         settings = common.settings
         self.folder = pathlib.Path(settings.control_role.data)
@@ -46,7 +51,11 @@
             streams=common.streams,
             timers=common.timers,
             options=self._options(),
-            worker=disk_thread.DiskThread(),
+            worker=disk_thread.DiskThread(
+                lambda seconds: common.metrics.observe(
+                    "disk_call_seconds", seconds
+                )
+            ),
             own=replication.Member(
                 settings.instance,
                 common.streams.address,
@@ -63,6 +72,7 @@
             streams=common.streams,
             timers=common.timers,
             times=common.lease_times(),
+            events=events,
         )
         self.programs = program_service.ProgramService(
             self.log,
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from mintcleat.adapters import event_log
+from mintcleat.adapters import event_metrics
 from mintcleat.adapters import http1_server
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
@@ -25,6 +26,7 @@
 from mintcleat.platform import control_api
 from mintcleat.platform import machine as machine_module
 from mintcleat.platform import upstreams
+from mintcleat.ports import events as event_ports
 from mintcleat.roles import gateway as gateway_module
 from mintcleat.roles import turn_keeper
 
@@ -38,6 +40,10 @@
 _STALE_SECONDS = 1.0
 _HAND_OVER_SECONDS = 1.5
 _LINGER_SECONDS = 0.1
+# How often a change of leader or lease is looked for, to be told.
+_WATCH_SECONDS = 0.1
+# Often enough to see a stall of half a second, seldom enough to cost nothing.
+_LOOP_SECONDS = 0.5
 
 
 class EntryPart:
@@ -47,7 +53,7 @@
         self,
         machine: machine_module.Machine,
         common: common_module.Common,
-        events: event_log.EventLog,
+        events: event_ports.Events,
     ) -> None:
         self.common = common
         self.machine = machine
@@ -63,6 +69,7 @@
             events,
         )
         self.revision = 0
+        self.held_lease = False
         self.events = events
         handler = callers.Callers(self.gateway).handle
         self.listener = http1_server.HttpListener(
@@ -74,6 +81,19 @@
         """Follows the configuration."""
         self.follower.start()
         self.common.timers.every(_STALE_SECONDS, self.http.pool.close_stale)
+        self.common.timers.every(_WATCH_SECONDS, self._watch_control)
+
+    def _watch_control(self) -> None:
+        """Tells when the lease on the configuration is lost or back."""
+        held = self.follower.in_lease()
+        if held == self.held_lease:
+            return
+        self.held_lease = held
+        address = self.follower.stream.address or "no control instance"
+        kind = event_types.DependencyRegained
+        if not held:
+            kind = event_types.DependencyLost
+        self.events.emit(kind("configuration lease", address))
 
     def _answer(
         self, request: http1_server.Request, reply: http1_server.Reply
@@ -103,6 +123,15 @@
         self.follower.control_addresses = list(machine.settings.control)
         return ["control"]
 
+    def gauge(self) -> None:
+        """Writes the gauges of this role."""
+        metrics = self.common.metrics
+        metrics.gauge("running_calls", self.listener.active)
+        metrics.gauge("config_revision", self.follower.revision())
+        metrics.gauge("lease_left_seconds", self.follower.lease_left())
+        for upstream, running in self.gateway.loads.running.items():
+            metrics.gauge("upstream_running_calls", running, upstream=upstream)
+
     def failure(self) -> errors.MintcleatError | None:
         """Returns None: an entry goes on without any other process."""
         return None
@@ -132,24 +161,48 @@
         self,
         machine: machine_module.Machine,
         common: common_module.Common,
-        events: event_log.EventLog,
+        events: event_ports.Events,
     ) -> None:
         # Imported here: an entry has no use for the logs and their disk.
         from mintcleat.main import control_part
 
         self.common = common
-        self.part = control_part.ControlPart(common)
+        self.part = control_part.ControlPart(common, events)
+        self.events = events
+        self.leaders: dict[str, tuple[str, int, str]] = {}
         api = control_api.ControlApi(self.part.config, machine.answer_seconds)
         self.listener = http1_server.HttpListener(machine.control, api.handle)
 
     def start(self) -> None:
         """Recovers from disk and takes part."""
         self.part.start()
+        self.common.timers.every(_WATCH_SECONDS, self._watch_leaders)
+
+    def _watch_leaders(self) -> None:
+        for status in self.part.log.status():
+            now = status.leader, status.term, status.role
+            if self.leaders.get(status.group) != now:
+                self.leaders[status.group] = now
+                self.events.emit(event_types.LeaderChanged(status.group, *now))
 
     def reload(self, machine: machine_module.Machine) -> list[str]:
         """Learns changed members; the groups keep the ones that they have."""
         return []
 
+    def gauge(self) -> None:
+        """Writes the gauges of this role."""
+        metrics = self.common.metrics
+        self.part.gauge()
+        for status in self.part.log.status():
+            group = status.group
+            metrics.gauge(
+                "log_lag", status.commit - status.applied, group=group
+            )
+            metrics.gauge("log_term", status.term, group=group)
+            metrics.gauge(
+                "leader_lease_seconds", status.lease_left, group=group
+            )
+
     def failure(self) -> errors.MintcleatError | None:
         """Returns why the replica stopped by itself, if it has."""
         return self.part.failure()
@@ -174,19 +227,23 @@
         self.changed_at = _changed_at(path)
         self.machine = machine_module.load(path, role)
         settings = self.machine.settings
-        self.events = event_log.EventLog(settings.instance)
+        self.log = event_log.EventLog(settings.instance)
         self.common = common_module.Common(settings)
+        metrics = self.common.metrics
+        self.events = event_metrics.MeasuredEvents(metrics, self.log)
         parts: dict[str, Callable[..., Any]] = {
             machine_module.ENTRY: EntryPart,
             machine_module.CONTROL: ControlPart,
         }
         self.part = parts[role](self.machine, self.common, self.events)
+        self.scrape = http1_server.HttpListener(settings.metrics, self._scrape)
         signal.signal(signal.SIGTERM, self._take_stop)
         signal.signal(signal.SIGHUP, self._take_reload)
 
     def run(self) -> int:
         """Runs until a request to stop; returns the exit code."""
         self.part.start()
+        self.common.timers.spawn(self._watch_loop)
         instance = self.machine.settings.instance
         self.events.emit(
             event_types.ProcessStarted(
@@ -201,17 +258,33 @@
             self._reload_if_changed()
         if self.part.failure() is not None:
             logger.error("Stopping: {}", self.part.failure())
-            self.events.close()
+            self.log.close()
             return _EXIT_FAILED
         return self._stop()
 
+    def _scrape(
+        self, request: http1_server.Request, reply: http1_server.Reply
+    ) -> None:
+        self.part.gauge()
+        body, kind = self.common.metrics.render()
+        reply.send(200, [("content-type", kind)], body)
+
+    def _watch_loop(self) -> None:
+        """Measures how late the loop runs what is due."""
+        timers = self.common.timers
+        while not self.stops:
+            due = timers.now() + _LOOP_SECONDS
+            timers.sleep(_LOOP_SECONDS)
+            late = max(0.0, timers.now() - due)
+            self.common.metrics.observe("loop_lag_seconds", late)
+
     def _stop(self) -> int:
         self.events.emit(event_types.ProcessStopping(self.role, 0))
         until = self.common.timers.now() + self.machine.settings.stop_seconds
         cut = self.part.stop(until)
         self.events.emit(event_types.ProcessStopped(self.role, cut))
         eventlet.sleep(_LINGER_SECONDS)
-        self.events.close()
+        self.log.close()
         return 0
 
     def _reload_if_changed(self) -> None:
--- a/src/mintcleat/platform/machine.py
+++ b/src/mintcleat/platform/machine.py
@@ -30,6 +30,8 @@
 _STREAM_HEARTBEAT = 0.3
 _STREAM_SILENCE = 1.2
 _CONTROL_TRY = 0.4
+# Named in the deploy file too, as the port of each role's metrics.
+_METRICS_PORT = 9464
 # One group of program records: a few hundred commits a second are far from
 # what one carries, and each further one costs heartbeats and memory.
 _PROGRAM_GROUPS = 1
@@ -115,6 +117,7 @@
         control=others,
         program_groups=_PROGRAM_GROUPS,
         stop_seconds=grace - _STOP_MARGIN,
+        metrics=f"{fields['ip']}:{_METRICS_PORT}",
         times=_times(),
         control_role=_control_role(fields, others) if role == CONTROL else None,
     )
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/config_requests.py
@@ -10,8 +10,10 @@
 from mintcleat.configuration import machine
 from mintcleat.configuration import sections
 from mintcleat.domain import errors
+from mintcleat.domain import events
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles import config_feed
@@ -52,6 +54,7 @@
     feed: config_feed.Feed
     streams: stream_ports.Streams
     timers: timer_ports.Timers
+    events: event_ports.Events
     office: int
 
     def propose(self, command: Any) -> Any:
@@ -198,8 +201,10 @@
         `max_lease` of its granting, which is before this leader's election
         plus that time, so the push is in force as soon as after any other.
         """
+        began = self.leader.timers.now()
         state = self.leader.machine.document
         if message.version <= state.version:
+            self._tell_push(message, "not higher", began)
             return messages.Pushed(
                 state.revision, message.push_id, state.version
             )
@@ -215,10 +220,25 @@
                 self.leader.timers.wall(),
             )
         )
+        self._tell_push(message, "accepted", began)
         return messages.Pushed(
             accepted.revision, message.push_id, state.version
         )
 
+    def _tell_push(
+        self, message: messages.PushManifest, outcome: str, began: float
+    ) -> None:
+        state = self.leader.machine.document
+        self.leader.events.emit(
+            events.ConfigurationPushed(
+                message.version,
+                state.revision,
+                outcome,
+                f"version {state.version} is in force",
+                round(self.leader.timers.now() - began, 4),
+            )
+        )
+
     def _empty(self, message: messages.EmptyControl) -> messages.Emptied:
         """Starts moving replicas off an instance, or tells how far it is.
 
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -16,6 +16,7 @@
 from mintcleat.configuration import members
 from mintcleat.domain import errors
 from mintcleat.domain import messages
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
@@ -37,6 +38,9 @@
 TICK = 0.1
 
 
+SILENT = event_ports.Silent()
+
+
 class ConfigService:
     """Serves nodes and operators; a `config_feed.Source`.
 
@@ -57,8 +61,10 @@
         timers: timer_ports.Timers,
         replica: machine.ConfigMachine | None = None,
         times: lease.Times = lease.DEFAULT,
+        events: event_ports.Events = SILENT,
     ) -> None:
         self.times = times
+        self.events = events
         self.told_members: list[str] = []
         self.members_version = 0
         self.node = node
--- a/src/mintcleat/roles/gateway.py
+++ b/src/mintcleat/roles/gateway.py
@@ -222,6 +222,11 @@
             settled = True
         except LimitReached:
             raise self._late() from None
+        except errors.MintcleatError:
+            raise
+        except BaseException:
+            self._tell_gone()
+            raise
         finally:
             if self.turn is not None:
                 self._settle()
@@ -467,6 +472,17 @@
             )
         )
 
+    def _tell_gone(self) -> None:
+        self.gateway.events.emit(
+            event_types.CallerGone(
+                self.call.request,
+                self.match.name,
+                self.call.program.program,
+                self.upstream.upstream if self.upstream else "",
+                round(self.now - self.began, 4),
+            )
+        )
+
     def _tell_ended(self, outcome: str) -> None:
         self.gateway.events.emit(
             event_types.CallEnded(
--- a/src/mintcleat/roles/registrar.py
+++ b/src/mintcleat/roles/registrar.py
@@ -9,7 +9,9 @@
 from mintcleat.configuration import directory
 from mintcleat.configuration import machine
 from mintcleat.domain import errors
+from mintcleat.domain import events
 from mintcleat.domain import messages
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
 # An upstream that does not renew for so long is taken out. Entries notice a
@@ -23,6 +25,7 @@
 
     machine: machine.ConfigMachine
     timers: timer_ports.Timers
+    events: event_ports.Events
     office: int
 
     def propose(self, command: Any) -> Any:
@@ -64,20 +67,17 @@
                 self.leader.office, registration, self.leader.timers.wall()
             )
         )
-        logger.info(
-            "Upstream {} of {} is {}",
-            name,
-            registration.service,
-            registration.state,
-        )
+        self._tell(registration)
 
     def leave(self, upstream: str) -> None:
         """Takes an upstream out for good; returns once that is committed."""
         self.heard.pop(upstream, None)
         if upstream in self.leader.machine.directory.left:
             return
+        held = self.leader.machine.directory.entries.get(upstream)
         self._propose_leave(upstream, True)
-        logger.info("Upstream {} has left", upstream)
+        if held is not None:
+            self._tell(held._replace(state="left"))
 
     def tick(self) -> None:
         """Takes out upstreams that have been silent for too long."""
@@ -89,15 +89,28 @@
                 self.leader.timers.spawn(self._expire, name)
 
     def _expire(self, name: str) -> None:
+        held = self.leader.machine.directory.entries.get(name)
         try:
             self._propose_leave(name, False)
-            logger.info("Upstream {} is silent and taken out", name)
+            if held is not None:
+                self._tell(held._replace(state="silent"))
         except errors.MintcleatError as error:
             logger.info("Upstream {} not taken out: {}", name, error.detail)
         finally:
             self.heard.pop(name, None)
             self.leaving.discard(name)
 
+    def _tell(self, registration: messages.Registration) -> None:
+        self.leader.events.emit(
+            events.UpstreamChanged(
+                registration.upstream,
+                registration.service,
+                registration.address,
+                registration.state,
+                self.leader.machine.directory.version,
+            )
+        )
+
     def _propose_leave(self, name: str, final: bool) -> None:
         self.leader.propose(
             commands.Leave(
--- /dev/null
+++ b/testing/test_event_log.py
@@ -0,0 +1,123 @@
+"""Log lines: bounded, and never in the way."""
+
+import io
+import json
+import os
+import time
+
+import testtools
+
+from mintcleat.adapters import event_log
+from mintcleat.domain import events
+
+SMALL = event_log.Budget(lines=10.0, burst=20.0, waiting=50)
+
+
+def refused(number: int) -> events.CallRefused:
+    return events.CallRefused(
+        f"r{number}", "a", "", "overloaded", "", "not_run", 0.5, 0.0
+    )
+
+
+def placed(number: int) -> events.CallPlaced:
+    return events.CallPlaced(f"r{number}", "u", 1, "least", 0, 1, 1.0, 1)
+
+
+class Stalled(io.StringIO):
+    """Takes nothing until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = False
+
+    def write(self, text: str) -> int:
+        while not self.go:
+            time.sleep(0.005)
+        return super().write(text)
+
+
+class EventLogTest(testtools.TestCase):
+    def written(self, sink: io.StringIO, log: event_log.EventLog) -> list[dict]:
+        log.close(2.0)
+        time.sleep(0.05)
+        return [json.loads(line) for line in sink.getvalue().splitlines()]
+
+    def test_event_becomes_one_line_with_its_fields(self) -> None:
+        sink = io.StringIO()
+        log = event_log.EventLog("e1", sink=sink)
+        log.emit(refused(1))
+        (line,) = self.written(sink, log)
+        self.assertEqual(
+            ("call_refused", "e1", 1, "r1"),
+            (line["event"], line["instance"], line["n"], line["request"]),
+        )
+
+    def test_flood_of_refusals_stays_within_the_budget(self) -> None:
+        sink = io.StringIO()
+        log = event_log.EventLog("e1", SMALL, sink)
+        for number in range(1000):
+            log.emit(refused(number))
+        lines = self.written(sink, log)
+        self.assertTrue(5 <= len(lines) <= 22, len(lines))
+        self.assertEqual(1000 - len(lines), log.dropped)
+
+    def test_changes_of_state_come_through_a_flood(self) -> None:
+        sink = io.StringIO()
+        log = event_log.EventLog("e1", SMALL, sink)
+        for number in range(1000):
+            log.emit(placed(number))
+            log.emit(refused(number))
+        log.emit(events.DependencyLost("configuration lease", "x"))
+        names = [line["event"] for line in self.written(sink, log)]
+        self.assertIn("dependency_lost", names)
+
+    def test_what_was_dropped_is_said_once_there_is_room(self) -> None:
+        sink = io.StringIO()
+        log = event_log.EventLog("e1", SMALL, sink)
+        for number in range(100):
+            log.emit(refused(number))
+        time.sleep(0.5)
+        log.emit(refused(100))
+        lines = self.written(sink, log)
+        (said,) = [one for one in lines if one["event"] == "lines_dropped"]
+        shown = [one for one in lines if one["event"] == "call_refused"]
+        self.assertEqual(101 - len(shown), said["dropped"])
+
+    def test_processes_keep_the_details_of_the_same_requests(self) -> None:
+        sinks = [io.StringIO(), io.StringIO()]
+        budget = event_log.Budget(lines=0.001, burst=400.0, details_share=0.1)
+        kept = []
+        for sink in sinks:
+            log = event_log.EventLog("e", budget, sink)
+            for number in range(600):
+                log.emit(placed(number))
+            lines = self.written(sink, log)
+            late = [one for one in lines if one["n"] > 300]
+            kept.append({one["request"] for one in late if "request" in one})
+        self.assertEqual(kept[0], kept[1])
+        self.assertNotEqual(set(), kept[0])
+
+    def test_reader_that_stalls_holds_nobody_up(self) -> None:
+        sink = Stalled()
+        log = event_log.EventLog("e1", SMALL._replace(burst=1e6), sink)
+        began = time.monotonic()
+        for number in range(5000):
+            log.emit(refused(number))
+        self.assertTrue(time.monotonic() - began < 2.0)
+        self.assertTrue(len(log.waiting) <= SMALL.waiting)
+        sink.go = True
+        lines = self.written(sink, log)
+        shown = [one for one in lines if one["event"] == "call_refused"]
+        said = sum(one.get("dropped", 0) for one in lines)
+        self.assertEqual(5000, len(shown) + said + log.dropped)
+
+    def test_closed_output_ends_nothing(self) -> None:
+        reading, writing = os.pipe()
+        os.close(reading)
+        sink = open(writing, "w")  # noqa: SIM115
+        log = event_log.EventLog("e1", sink=sink)
+        for number in range(10):
+            log.emit(refused(number))
+            time.sleep(0.005)
+        self.assertTrue(log.broken)
+        log.emit(refused(11))
