--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -149,6 +149,8 @@
                 )
             case "GET", ["upstreams"]:
                 return self.ask(messages.ShowUpstreams())
+            case _, ["registrations", *_]:
+                return self._route_registrations(request)
             case "POST", ["drains"]:
                 return self._drain(request)
             case "GET", ["rollouts"]:
@@ -159,6 +161,8 @@
                 return self._release(request, digest)
             case _, ["programs", *_]:
                 return self._route_programs(request)
+            case "POST", ["control", "empty"]:
+                return self._empty(request)
             case _, ["control", *_]:
                 return self._route_control(request)
             case _:
@@ -195,17 +199,46 @@
             case _:
                 raise _unknown(request)
 
+    def _route_registrations(self, request: Request) -> Any:
+        """Upstreams register, renew and leave by themselves."""
+        match request.method, request.parts:
+            case "PUT", [_, upstream]:
+                registration = _registration(upstream, request.body)
+                return self.ask(messages.RegisterUpstream(registration))
+            case "DELETE", [_, upstream]:
+                return self.ask(messages.LeaveUpstream(upstream))
+            case _:
+                raise _unknown(request)
+
+    def _empty(self, request: Request) -> Any:
+        start = request.body.get("start", True)
+        if not isinstance(start, bool):
+            raise errors.BadRequest("'start' must be true or false.")
+        return self.ask(
+            messages.EmptyControl(
+                request.text("instance"),
+                start,
+                request.text("operator", "unnamed"),
+                request.origin,
+            )
+        )
+
     def _manifest(self) -> dict[str, Any]:
         view = self.ask(messages.ReadManifest())
         return {
             "revision": view.revision,
             "manifest": msgspec.Raw(view.manifest.encode()),
+            "version": view.version,
+            "source": view.source,
         }
 
     def _push(self, request: Request) -> Any:
         expected = request.body.get("expected")
         if type(expected) is not int or expected < 0:
             raise errors.BadRequest("'expected' must be a revision.")
+        version = request.body.get("version", 0)
+        if type(version) is not int or version < 0:
+            raise errors.BadRequest("'version' must be a whole number.")
         text = request.text("manifest")
         message = messages.PushManifest(
             expected,
@@ -213,6 +246,8 @@
             text,
             request.text("operator"),
             request.origin,
+            version,
+            request.text("source", ""),
         )
         if not message.push_id:
             raise errors.BadRequest("'push_id' must not be empty.")
@@ -277,6 +312,19 @@
         return {"detail": detail}
 
 
+def _registration(upstream: str, body: dict[str, Any]) -> messages.Registration:
+    """Returns a registration from its fields.
+
+    Raises:
+        errors.BadRequest: A field is missing, unknown or of another type.
+    """
+    try:
+        plain = messages.Registration(upstream, **body)
+        return msgspec.convert(list(plain), messages.Registration)
+    except (TypeError, msgspec.ValidationError) as error:
+        raise errors.BadRequest(f"No registration: {error}.") from None
+
+
 def _unknown(request: Request) -> errors.MintcleatError:
     path = "/".join(request.parts)
     return errors.BadRequest(
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -7,6 +7,7 @@
 
 import getpass
 import sys
+import time
 from typing import Any
 from urllib import parse as url
 
@@ -20,6 +21,8 @@
 from mintcleat.main import cli_tables
 
 PAGE = 1000
+# Moving a replica takes some hundred milliseconds.
+_EMPTY_PAUSE = 0.5
 
 
 class Commands:
@@ -308,6 +311,30 @@
         answer = self._client.post("control/replace", body)
         _print(self._json, answer, ("RESULT",), [(answer["detail"],)])
 
+    def empty(
+        self, instance: str, operator: str = "", wait: float = 0.0
+    ) -> None:
+        """Moves all replicas off a control instance, to take it away.
+
+        Run again, it tells how far that is.
+
+        Args:
+            instance: Name or label of the control instance.
+            operator: Name for the audit trail; without it, the user's.
+            wait: Seconds to wait until nothing depends on it any more.
+        """
+        body = {
+            "instance": str(instance),
+            "operator": operator or getpass.getuser(),
+        }
+        until = time.monotonic() + wait
+        answer = self._client.post("control/empty", body)
+        while not answer["done"] and time.monotonic() < until:
+            time.sleep(_EMPTY_PAUSE)
+            answer = self._client.post("control/empty", body)
+        state = "done" if answer["done"] else "running"
+        _print(self._json, answer, ("STATE",), [(state,)])
+
     def snapshot(self) -> None:
         """Takes a snapshot of every group on the asked instance."""
         answer = self._client.post("control/snapshot", {})
--- a/src/mintcleat/main/cli_manifest.py
+++ b/src/mintcleat/main/cli_manifest.py
@@ -52,9 +52,13 @@
         request_id: str = "",
         operator: str = "",
         wait: float = 0.0,
+        number: int = 0,
     ) -> None:
         """Pushes a manifest file; refused when another push came first.
 
+        With --number, the highest number wins instead: an equal or lower one
+        changes nothing and is told what is in force.
+
         Run again after a lost answer with the same --expected, the command
         reports the outcome of the first run and changes nothing.
 
@@ -65,8 +69,11 @@
             request_id: Tells two pushes of the same content apart.
             operator: Name for the audit trail; without it, the user's.
             wait: Seconds to wait until it is in force everywhere.
+            number: The operators' own version number of the manifest.
         """
         text, new = _load(file)
+        if number:
+            expected = expected or 0
         if expected is None:
             answer = self._client.get("manifest")
             expected = answer["revision"]
@@ -84,8 +91,16 @@
                 "push_id": push_id(text, expected, name, str(request_id)),
                 "manifest": text,
                 "operator": name,
+                "version": number,
             },
         )
+        if pushed["version"] > number > 0:
+            self._print(
+                {**pushed, "changed": False},
+                f"version {pushed['version']} is in force as revision"
+                f" {pushed['revision']}",
+            )
+            return
         revision = pushed["revision"]
         self._print(
             {**pushed, "changed": True}, f"accepted as revision {revision}"
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -139,6 +139,48 @@
         self.assertEqual("127.0.0.1", entry["origin"])
         self.assertIn("accepted as 1", entry["outcome"])
 
+    def test_highest_number_wins_whatever_came_last(self) -> None:
+        push = ("manifest", "push")
+        self.run_cli(*push, self.file("1"), "--number=7")
+        late = self.run_json(*push, self.file("2"), "--number=5")
+        self.assertEqual((False, 7), (late["changed"], late["version"]))
+        same = self.run_json(*push, self.file("2"), "--number=7")
+        self.assertEqual(7, same["version"])
+        shown = self.run_json("manifest", "show")
+        self.assertEqual("1", shown["manifest"]["services"]["chat"]["version"])
+
+    def test_upstream_registers_and_leaves_by_itself(self) -> None:
+        body = {
+            "service": "chat",
+            "address": "127.0.0.1:9",
+            "failure_domain": "z1",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "sequence": 3,
+        }
+        path = "registrations/u-1"
+        self.assertEqual(200, self.ask("PUT", path, body).status)
+        leader = self.cluster.control[0].machine.directory
+        self.assertEqual("chat", leader.entries["u-1"].service)
+        del body["service"]
+        self.assertEqual(400, self.ask("PUT", path, body).status)
+        self.assertEqual(200, self.ask("DELETE", path).status)
+        self.assertEqual({}, leader.entries)
+
+    def test_emptying_an_unknown_instance_names_the_remedy(self) -> None:
+        code, _, err = self.run_cli("control", "empty", "control-9")
+        self.assertEqual(cli_client.NOT_FOUND, code)
+        self.assertIn("No control instance control-9", err)
+
+    def ask(self, method: str, path: str, body: Any = None) -> Any:
+        return urllib3.PoolManager().request(
+            method,
+            f"http://{self.address}{admin_http.PREFIX}{path}",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+            body=json.dumps(body) if body is not None else None,
+        )
+
     def test_loser_of_a_race_exits_with_conflict_and_is_audited(self) -> None:
         """Two operators push over revision 0; the second one comes late.
 
