Wait for what an upstream is at until its time, not until just before it

What was not sent is still refused 50 ms early; what was sent is waited for 150 ms past its time. What no upstream took is told as not run also at the end.

--- a/src/mintcleat/roles/gateway.py
+++ b/src/mintcleat/roles/gateway.py
@@ -28,9 +28,13 @@
 # Upstreams that one request is offered to when each says that it does not
 # run it. More would only carry an overload from one to the next.
 MAX_OFFERS = 4
-# The last part of a request's time goes to telling its caller: an answer that
-# crosses the caller's own deadline tells nobody anything.
-ANSWER_MARGIN = 0.05
+# What was not sent to an upstream by then never will be in time; the caller is
+# told while it still listens.
+REFUSAL_MARGIN = 0.05
+# What an upstream is at is waited for a little beyond its time: the upstream's
+# own answer, or the last pieces of a stream, may be on their way, and the
+# caller knows best when it has waited long enough.
+LATE_SECONDS = 0.15
 # A caller that hears of a lost quorum, or of no upstream, comes back after
 # about the time that a failover or a restart takes.
 RETRY_SECONDS = 0.5
@@ -189,7 +193,8 @@
         limit = self.route.timeout
         if call.deadline:
             limit = min(limit, call.deadline)
-        self.until = began + limit - ANSWER_MARGIN
+        self.until = began + limit
+        self.timeout: eventlet.Timeout | None = None
         self.turn: turn_keeper.OpenedTurn | None = None
         self.attempts = 0
         self.offers = 0
@@ -214,12 +219,11 @@
     def serve(self, reply: forwarding.Reply) -> None:
         """Answers the request within its time."""
         self._tell_taken()
-        left = self.until - self.now
         settled = False
         try:
-            with eventlet.Timeout(max(left, 0.0), LimitReached):
-                self._open_turn()
-                self._attempt_all(reply)
+            self._limit(self.until - REFUSAL_MARGIN)
+            self._open_turn()
+            self._attempt_all(reply)
             settled = True
         except LimitReached:
             raise self._late() from None
@@ -229,12 +233,20 @@
             self._tell_gone()
             raise
         finally:
+            self.timeout.cancel()
             if self.turn is not None:
                 self._settle()
             if not settled and self.answered:
                 self._tell_ended("cut")
         self._tell_ended("whole")
 
+    def _limit(self, until: float) -> None:
+        """Ends the run at a time, in place of an earlier limit."""
+        if self.timeout is not None:
+            self.timeout.cancel()
+        left = max(0.0, until - self.now)
+        self.timeout = eventlet.Timeout(left, LimitReached)
+
     # --- The turn -------------------------------------------------------------
 
     def _open_turn(self) -> None:
@@ -270,6 +282,8 @@
             except errors.MintcleatError as error:
                 self._failed(upstream, error)
                 self._check_repeat(error)
+                if self.now >= self.until - REFUSAL_MARGIN:
+                    raise self._late() from error
             else:
                 loads.answered(upstream.upstream)
                 return
@@ -311,6 +325,7 @@
         self, upstream: messages.Registration, reply: forwarding.Reply
     ) -> None:
         body = self.turn.body() if self.turn else self.call.body
+        self._limit(self.until + LATE_SECONDS)
         self.attempts += 1
         answer = self.gateway.upstreams.send(
             upstream,
@@ -451,7 +466,7 @@
     def _late(self) -> errors.MintcleatError:
         if self.answered:
             return errors.StreamClosed("The request's time is over.")
-        if self.offers:
+        if self.attempts:
             return errors.OutcomeUnknown("No answer came in time.")
         return errors.DeadlineUnmet(
             "The request's time was over before it could be sent.",
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -204,6 +204,60 @@
         self.assertNotEqual(200, self.system.call("POST", "/unsafe/a").status)
 
 
+class TimeTest(HostedTest):
+    def test_request_that_was_sent_is_answered_at_its_time(self) -> None:
+        (engine,) = self.ready(("e1", "desk", _silent))
+        began = self.system.entry_common.timers.now()
+        answer = self.system.call(
+            "GET", "/safe/a", X_Deadline_Milliseconds="400"
+        )
+        took = self.system.entry_common.timers.now() - began
+        self.assertEqual(504, answer.status)
+        self.assertTrue(0.4 <= took < 0.8, took)
+        self.assertEqual(1, len(engine.seen))
+
+    def test_answer_that_comes_at_the_last_moment_is_delivered(self) -> None:
+        def late(talk: platform_engine.Talk, seen: object) -> bool:
+            eventlet.sleep(0.43)
+            return platform_engine.whole(talk, seen)
+
+        self.ready(("e1", "desk", late))
+        answer = self.system.call(
+            "GET", "/safe/a", X_Deadline_Milliseconds="400"
+        )
+        self.assertEqual(200, answer.status)
+
+    def test_stream_at_its_end_is_not_cut_at_the_deadline(self) -> None:
+        # The caller has 400 ms left; the last piece takes 20 ms longer. Cut
+        # just before its time, a stream that ran to its end was of no use.
+        self.ready(("e1", "lm", platform_engine.stream(6, 0.07)))
+        answer = self.system.call(
+            "POST", "/resumable/a", b"x", X_Deadline_Milliseconds="400"
+        )
+        self.assertTrue(answer.whole)
+
+    def test_routes_time_out_ends_a_longer_deadline(self) -> None:
+        self.ready(("e1", "desk", _silent))
+        short = platform_system.route("safe", "safe", timeoutMs=300)
+        self.system.put(platform_system.plan(2, short))
+        self.system.settle()
+        began = self.system.entry_common.timers.now()
+        self.assertEqual(504, self.system.call("GET", "/safe/a").status)
+        took = self.system.entry_common.timers.now() - began
+        self.assertTrue(0.3 <= took < 0.75, took)
+
+    def test_what_no_upstream_took_is_not_run_also_when_late(self) -> None:
+        def slow_busy(talk: platform_engine.Talk, seen: object) -> bool:
+            eventlet.sleep(0.3)
+            return _busy(talk, seen)
+
+        self.ready(("e1", "desk", slow_busy), ("e2", "desk", slow_busy))
+        answer = self.system.call(
+            "POST", "/unsafe/a", X_Deadline_Milliseconds="250"
+        )
+        self.assertEqual(503, answer.status)
+
+
 class StreamTest(HostedTest):
     def test_events_are_passed_on_as_they_come(self) -> None:
         self.ready(("e1", "lm", platform_engine.stream(3)))
@@ -520,6 +574,11 @@
     return False
 
 
+def _silent(talk: platform_engine.Talk, seen: object) -> bool:
+    talk.sock.recv(1)
+    return False
+
+
 def _busy(talk: platform_engine.Talk, seen: object) -> bool:
     talk.refuse(seen, 503)
     return True
