Close the disk thread with its log; hang up instead of closing under a reader

The hub is told of the new file now, the thread ends with its log, and idle callers' connections are shut down, not closed under their reader. Accounts of programs are swept in order, not by a walk over all.

--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -37,6 +37,7 @@
             observe: Takes the seconds of each call, waiting included.
         """
         self.observe = observe
+        self.closed = False
         self.jobs: Any = _queue.SimpleQueue()
         self.done: collections.deque[tuple[event.Event, Any, bool]] = (
             collections.deque()
@@ -44,7 +45,9 @@
         self.wakes, self.wake_end = os.pipe()
         os.set_blocking(self.wakes, False)
         os.set_blocking(self.wake_end, False)
-        eventlet.spawn(self._wake_forever)
+        # The hub may still hold a waiter of an earlier file of this number.
+        hubs.notify_opened(self.wakes)
+        self.waker = eventlet.spawn(self._wake_forever)
         _threading.Thread(target=self._work_forever, daemon=True).start()
 
     def run(self, function: Callable[..., Any], *args: Any) -> Any:
@@ -61,15 +64,29 @@
     def pause(self) -> None:
         """Runs the calls that wait; a long call makes room with it."""
         while not self.jobs.empty():
-            self._work(self.jobs.get())
+            job = self.jobs.get()
+            if job is None:
+                self.jobs.put(None)
+                return
+            self._work(job)
 
     def waits(self) -> bool:
         """Returns False: only the calling green thread waits."""
         return False
 
+    def close(self) -> None:
+        """Ends the thread after the calls that wait; safe to repeat."""
+        if self.closed:
+            return
+        self.closed = True
+        self.jobs.put(None)
+        self.waker.kill()
+        os.close(self.wakes)
+
     def _work_forever(self) -> None:
-        while True:
-            self._work(self.jobs.get())
+        while (job := self.jobs.get()) is not None:
+            self._work(job)
+        os.close(self.wake_end)
 
     def _work(self, job: tuple[Callable[..., Any], Any, event.Event]) -> None:
         function, args, ended = job
@@ -80,8 +97,8 @@
         self.done.append(outcome)
         try:
             os.write(self.wake_end, b"x")
-        except BlockingIOError:
-            # The pipe is full of wakes that were not taken yet.
+        except (BlockingIOError, BrokenPipeError):
+            # Full of wakes that were not taken yet, or nobody waits any more.
             return
 
     def _wake_forever(self) -> None:
--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -146,7 +146,7 @@
         """Closes everything."""
         self.close_idle()
         for connection in list(self.connections):
-            connection.close()
+            connection.hang_up()
 
     def _accept_forever(self) -> None:
         while True:
@@ -214,7 +214,16 @@
             )
             if waiting:
                 return
-        self.close()
+        self.hang_up()
+
+    def hang_up(self) -> None:
+        """Ends the connection; the thread that serves it closes the socket.
+
+        Closed under a thread that waits on it, the descriptor's number goes
+        to the next connection while the hub still holds the old waiter.
+        """
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
 
     def _serve_one(self) -> bool:
         """Answers one request; tells whether another may follow."""
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -95,6 +95,9 @@
     def waits(self) -> bool:
         """Tells whether the caller's whole thread waits in `run`."""
 
+    def close(self) -> None:
+        """Ends what `run` works with; safe to repeat."""
+
 
 class InlineWorker:
     """Runs calls on the caller's own thread, which waits for the disk."""
@@ -106,6 +109,9 @@
         """Returns True."""
         return True
 
+    def close(self) -> None:
+        """Has nothing to end."""
+
     def run(self, function: Callable[..., Any], *args: Any) -> Any:
         """Calls the function."""
         return function(*args)
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -63,7 +63,8 @@
     """Accounts and kept turns of one group.
 
     Attributes:
-        accounts: By program.
+        accounts: By program, the longest untouched first. Retentions differ
+            little, so they leave in about this order.
         turns: Kept turns by id. Their ids are unique, and a program may go
             on from a turn of another one.
         expires: Clock at which each kept turn may go, the first one first.
@@ -71,7 +72,9 @@
     """
 
     def __init__(self) -> None:
-        self.accounts: dict[str, Account] = {}
+        self.accounts: collections.OrderedDict[str, Account] = (
+            collections.OrderedDict()
+        )
         self.turns: dict[str, messages.KeptTurn] = {}
         self.expires: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -83,11 +86,8 @@
         chain = self._chain(request.previous)
         if chain is None:
             return errors.UnknownTurn(f"No turn {request.previous}.")
-        account = self.accounts.get(request.program)
-        if account is None:
-            account = self.accounts[request.program] = Account()
+        account = self._account(request.program, request.retention, clock)
         account.budget = request.budget
-        self._keep_account(account, request.retention, clock)
         if request.turn in account.settled:
             # Its sender gave it up before this copy arrived.
             return errors.Superseded(f"Turn {request.turn} was given up.")
@@ -105,12 +105,9 @@
 
     def close(self, request: messages.CloseTurn, clock: float) -> Any:
         """Settles a turn, and keeps it where it ended whole."""
-        account = self.accounts.get(request.program)
-        if account is None:
-            account = self.accounts[request.program] = Account()
+        account = self._account(request.program, request.retention, clock)
         account.settle(request.turn, request.tokens)
         account.upstream = request.upstream or account.upstream
-        self._keep_account(account, request.retention, clock)
         if not request.keep:
             return messages.Done()
         if self._chain(request.previous) is None:
@@ -129,10 +126,9 @@
         """Tells whether a sweep at `clock` would drop anything."""
         if clock - self.swept < SWEEP_SECONDS:
             return False
-        oldest = next(iter(self.expires.values()), clock)
-        if oldest < clock:
-            return True
-        return any(a.expires < clock for a in self.accounts.values())
+        turn = next(iter(self.expires.values()), clock)
+        account = next(iter(self.accounts.values()), None)
+        return turn < clock or (account is not None and account.expires < clock)
 
     def sweep(self, clock: float) -> None:
         """Drops turns and accounts whose retention is over."""
@@ -143,12 +139,10 @@
                 break
             del self.expires[name]
             del self.turns[name]
-        late = [
-            name
-            for name, account in self.accounts.items()
-            if account.expires < clock
-        ]
-        for name in late[:MAX_DROPS]:
+        for _ in range(MAX_DROPS):
+            name = next(iter(self.accounts), None)
+            if name is None or self.accounts[name].expires >= clock:
+                break
             del self.accounts[name]
 
     def state(self) -> list[Any]:
@@ -211,8 +205,12 @@
                 self.expires.move_to_end(turn)
             turn = self.turns[turn].previous
 
-    def _keep_account(
-        self, account: Account, retention: float, clock: float
-    ) -> None:
+    def _account(self, program: str, retention: float, clock: float) -> Account:
+        """Returns a program's account and keeps it from now on."""
+        account = self.accounts.get(program)
+        if account is None:
+            account = self.accounts[program] = Account()
         until = clock + retention + RETENTION_SLACK
         account.expires = max(account.expires, until)
+        self.accounts.move_to_end(program)
+        return account
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/replication.py
@@ -301,6 +301,7 @@
         if self.driver is not None and self.driver.failed is None:
             self.driver.stop(errors.Draining("The instance stops."))
         self.worker.run(self.wal.close)
+        self.worker.close()
 
     def _receive(self, payload: bytes) -> None:
         if self.driver is not None:
