Give the disk a thread of its own on the users' machines only

Hosted processes hold one system each and keep the thread; everything else runs disk calls on the loop, as before. A comment had used a word that is the platform's.

--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -80,13 +80,10 @@
             return
         self.closed = True
         self.jobs.put(None)
-        self.waker.kill()
-        os.close(self.wakes)
 
     def _work_forever(self) -> None:
         while (job := self.jobs.get()) is not None:
             self._work(job)
-        os.close(self.wake_end)
 
     def _work(self, job: tuple[Callable[..., Any], Any, event.Event]) -> None:
         function, args, ended = job
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -16,6 +16,7 @@
 import eventlet
 from loguru import logger
 
+from mintcleat.adapters import disk_thread
 from mintcleat.adapters import event_log
 from mintcleat.adapters import event_metrics
 from mintcleat.adapters import http1_server
@@ -167,7 +168,10 @@
         from mintcleat.main import control_part
 
         self.common = common
-        self.part = control_part.ControlPart(common, events)
+        worker = disk_thread.DiskThread(
+            lambda seconds: common.metrics.observe("disk_call_seconds", seconds)
+        )
+        self.part = control_part.ControlPart(common, events, worker)
         self.events = events
         self.leaders: dict[str, tuple[str, int, str]] = {}
         api = control_api.ControlApi(self.part.config, machine.answer_seconds)
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -63,8 +63,8 @@
     """Accounts and kept turns of one group.
 
     Attributes:
-        accounts: By program, the longest untouched first. Retentions differ
-            little, so they leave in about this order.
+        accounts: By program, the longest untouched first. They are kept for
+            about as long each, so they leave in about this order.
         turns: Kept turns by id. Their ids are unique, and a program may go
             on from a turn of another one.
         expires: Clock at which each kept turn may go, the first one first.
