Number what nodes are told by the leader's office, not by a wall clock

Read in the diff: restrictions carried a version made from the leader's wall clock since members travel with them. A new leader whose clock is behind would have its drains and quarantines dropped by nodes as old, for as long as it is behind. The test (a leader an hour behind) failed first: the drain never arrived. The office grows with each leader, by the log.

--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/config_service.py
@@ -36,6 +36,8 @@
 # How often a change of leadership is looked for. A leader that lost its lease
 # stops granting at once; this only bounds how soon a new one starts.
 TICK = 0.1
+# Restrictions and members change far less often than this under one office.
+OFFICE_STEP = 10**9
 
 
 SILENT = event_ports.Silent()
@@ -66,7 +68,7 @@
         self.times = times
         self.events = events
         self.told_members: list[str] = []
-        self.members_version = 0
+        self.members_changes = 0
         self.node = node
         self.failure_domain = failure_domain
         self.address = address
@@ -195,7 +197,9 @@
         state = self.machine
         listed = {member.address for member in state.members.values()}
         return messages.Restrictions(
-            state.restrictions + self.members_version,
+            self.office * OFFICE_STEP
+            + state.restrictions
+            + self.members_changes,
             sorted(state.drains),
             state.quarantine.quarantined(),
             state.quarantine.suspects(),
@@ -234,13 +238,14 @@
     def _tell_members(self) -> None:
         """Tells nodes of control instances that came or went.
 
-        The version grows from the machine's own, which a new leader shares;
-        a leader starts above what an earlier one may have told.
+        What nodes are told is numbered by the leader's office first, which
+        the log makes grow. Numbered by a wall clock, a new leader's changes
+        could look older than those of the one before, and would be dropped.
         """
         found = sorted(self.log.addresses())
         if found != self.told_members:
             self.told_members = found
-            self.members_version = int(self.timers.wall() * 10)
+            self.members_changes += 1
             self.feed.wake_all()
 
     def _leave_old_leader(self) -> None:
--- a/testing/fakes/config_cluster.py
+++ b/testing/fakes/config_cluster.py
@@ -31,6 +31,16 @@
     )
 
 
+class SkewedTimers(timers.EventletTimers):
+    """Real time, with a wall clock that is off by `skew` seconds."""
+
+    def __init__(self) -> None:
+        self.skew = 0.0
+
+    def wall(self) -> float:
+        return super().wall() + self.skew
+
+
 class Cluster:
     """Control instances and nodes on loopback, in one process."""
 
@@ -50,7 +60,7 @@
             listener.address,
             log=fake_log.MemoryLog(self.log, listener.address),
             streams=listener,
-            timers=self.timers,
+            timers=SkewedTimers(),
         )
         service.start()
         self.case.addCleanup(service.stop)
--- a/testing/test_config_service.py
+++ b/testing/test_config_service.py
@@ -92,3 +92,25 @@
         cluster.control[0].ask(config_cluster.push(1, "2", "anna"))
         cluster.until(lambda: all(node.revision() == 2 for node in nodes))
         self.assertNotIn(relays[1], {n.stream.address for n in moved})
+
+
+class RestrictionsTest(testtools.TestCase):
+    def test_drain_reaches_nodes_whatever_the_new_leaders_clock_says(
+        self,
+    ) -> None:
+        """An operator drains an upstream just after a change of leader.
+
+        The new leader's wall clock is an hour behind the old one's. Told
+        under a number made from that clock, the drain looked older than what
+        the node had heard, and the upstream went on getting requests.
+        """
+        cluster = config_cluster.Cluster(self, 2)
+        old, new = cluster.control
+        old.timers.skew = 3600.0
+        node = cluster.node("entry-1")
+        cluster.until(lambda: bool(node.restrictions.control))
+        cluster.log.elect(new.address)
+        cluster.until(new.leads)
+        request = messages.DrainScope("instance", "u-1", True, "anna", "test")
+        new.ask(request)
+        cluster.until(lambda: node.draining("u-1", ""))
