Leave failing and silent upstreams to requests that may be repeated

Cause: an upstream that fails or hangs a part of its requests was avoided for half a second and taken back by any good answer, also one to a request that was under way before the failure. A caller that left a hanging upstream, and a failure that the upstream itself answered, counted for nothing. Change: what finds out is a request that may be repeated; the others keep away until two of those went well or six seconds are over. Failures fade instead of being lifted by one answer.

gateway.py is split: the route, the run of one request, its answer. The test of the old pauses is replaced by those of decisions/standing.

--- a/src/mintcleat/decisions/spread.py
+++ b/src/mintcleat/decisions/spread.py
@@ -34,11 +34,6 @@
 SPEED_HALF_LIFE = 2.0
 # Pieces that arrive together have no pause between them.
 MIN_PACE = 0.001
-# Pauses after failures in a row. The first is about the time in which a
-# restarted upstream registers anew; the cap lets one that came back at the
-# same address, unheard, be tried again soon.
-FIRST_PAUSE = 0.5
-LONGEST_PAUSE = 4.0
 
 
 class Candidate(NamedTuple):
@@ -156,38 +151,3 @@
             age = 0.5 ** ((now - speed.at) / SPEED_HALF_LIFE)
             found[name] = 1.0 + excess * age
         return found
-
-
-class Pause(NamedTuple):
-    """Failures in a row of one upstream, and until when it is avoided."""
-
-    failures: int
-    until: float
-
-
-class Avoided:
-    """Upstreams that failed lately; they get requests only if no other can.
-
-    Made for an upstream that is gone without a word: each request placed
-    there costs its caller the time of a connection that never opens.
-    """
-
-    def __init__(self) -> None:
-        self.pauses: dict[str, Pause] = {}
-
-    def failed(self, upstream: str, now: float) -> Pause:
-        """Counts a failure to reach it; returns the pause."""
-        before = self.pauses.get(upstream, Pause(0, 0.0))
-        seconds = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0**before.failures)
-        pause = Pause(before.failures + 1, now + seconds)
-        self.pauses[upstream] = pause
-        return pause
-
-    def answered(self, upstream: str) -> None:
-        """Notes that it answered."""
-        self.pauses.pop(upstream, None)
-
-    def allows(self, upstream: str, now: float) -> bool:
-        """Tells whether it gets requests as usual."""
-        pause = self.pauses.get(upstream)
-        return pause is None or now >= pause.until
--- /dev/null
+++ b/src/mintcleat/decisions/standing.py
@@ -0,0 +1,158 @@
+"""Which upstreams an entry leaves out for a while, from what it saw fail.
+
+Made for upstreams that are gone without a word, and for those that fail or
+hang a part of their requests while the rest go well and their own health
+answers are good. One entry sends an upstream about one request a second, so
+there is no waiting for a statistic: the first failure counts, and good answers
+between failures take only a part of it back. Requests that may be repeated
+find out whether an upstream is well again, as a failure costs their callers
+no more than the time of a second try; all others keep away meanwhile.
+"""
+
+from typing import NamedTuple
+
+# Pauses after failures. The first is about the time in which a restarted
+# upstream registers anew; the cap lets one that came back at the same address,
+# unheard, be tried again soon.
+FIRST_PAUSE = 0.75
+LONGEST_PAUSE = 6.0
+# What a good answer takes back of a failure. An upstream that fails more than
+# one request in four gets worse in this count, one that fails one in twenty
+# (lost answers, broken connections) stays near zero.
+FORGIVEN = 0.34
+# Without any request, half of the count is gone after so long.
+HALF_LIFE = 6.0
+# Failures beyond these would only make the way back longer.
+MOST = 5.0
+# With more failures than these, only requests that may be repeated go there:
+# for six seconds after one failure, or until two of them went well.
+TRUSTED = 0.5
+
+
+class Standing(NamedTuple):
+    """What is held against one upstream.
+
+    Attributes:
+        failures: Failures, less what was forgiven since.
+        at: Clock at which `failures` held.
+        failed: Clock of the last failure.
+        until: Clock until which it is left out if there are others.
+    """
+
+    failures: float
+    at: float
+    failed: float
+    until: float
+
+    def now(self, now: float) -> float:
+        """Returns the failures that still count at a time."""
+        return self.failures * 0.5 ** ((now - self.at) / HALF_LIFE)
+
+
+class Standings:
+    """The standing of each upstream that failed lately."""
+
+    def __init__(self) -> None:
+        self.standings: dict[str, Standing] = {}
+
+    def failed(self, upstream: str, now: float) -> Standing:
+        """Counts a failure; returns the standing with its pause."""
+        before = self.standings.get(upstream)
+        failures = 1.0
+        if before is not None:
+            failures = min(MOST, before.now(now) + 1.0)
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2.0 ** (failures - 1.0))
+        until = now + pause
+        if before is not None:
+            until = max(until, before.until)
+        standing = Standing(failures, now, now, until)
+        self.standings[upstream] = standing
+        return standing
+
+    def answered(self, upstream: str, began: float, now: float) -> None:
+        """Counts a good answer to a request that began at `began`.
+
+        A request that was under way when another failed proves nothing, so
+        it lifts no pause; one that began after it shows that the upstream
+        can be reached again.
+        """
+        before = self.standings.get(upstream)
+        if before is None:
+            return
+        failures = before.now(now) - FORGIVEN
+        if failures <= 0.0:
+            del self.standings[upstream]
+            return
+        until = now if began > before.failed else before.until
+        self.standings[upstream] = Standing(failures, now, before.failed, until)
+
+    def allows(self, upstream: str, repeatable: bool, now: float) -> bool:
+        """Tells whether it gets a request as usual.
+
+        Args:
+            upstream: The upstream.
+            repeatable: Whether the request may run once more elsewhere.
+            now: The clock.
+        """
+        standing = self.standings.get(upstream)
+        if standing is None:
+            return True
+        if now < standing.until:
+            return False
+        return repeatable or standing.now(now) <= TRUSTED
+
+    def forget(self, upstream: str) -> None:
+        """Drops an upstream that is gone."""
+        self.standings.pop(upstream, None)
+
+
+class Wait(NamedTuple):
+    """A request that waits at an upstream.
+
+    Attributes:
+        since: Clock at which it was sent.
+        patience: Seconds of silence that are still usual for its route.
+    """
+
+    since: float
+    patience: float
+
+
+class Silences:
+    """Upstreams from which nothing comes though something is due.
+
+    Made for an upstream that stands still or lost its power: its connections
+    stay open, and each request placed there is lost to its caller only when
+    the caller's own patience ends, seconds later. Anything that arrives from
+    it, for whichever request, shows that it lives.
+    """
+
+    def __init__(self) -> None:
+        self.waits: dict[str, dict[str, Wait]] = {}
+        self.heard: dict[str, float] = {}
+
+    def began(
+        self, upstream: str, request: str, patience: float, now: float
+    ) -> None:
+        """Notes that a request was sent."""
+        self.waits.setdefault(upstream, {})[request] = Wait(now, patience)
+
+    def arrived(self, upstream: str, now: float) -> None:
+        """Notes that something came from the upstream."""
+        self.heard[upstream] = now
+
+    def ended(self, upstream: str, request: str) -> None:
+        """Takes the request back out."""
+        waits = self.waits.get(upstream, {})
+        waits.pop(request, None)
+        if not waits:
+            self.waits.pop(upstream, None)
+            self.heard.pop(upstream, None)
+
+    def silent(self, upstream: str, now: float) -> bool:
+        """Tells whether a request waits there for longer than is usual."""
+        heard = self.heard.get(upstream, 0.0)
+        return any(
+            now - max(wait.since, heard) > wait.patience
+            for wait in self.waits.get(upstream, {}).values()
+        )
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -84,11 +84,17 @@
 
 
 class UpstreamAvoided(NamedTuple):
-    """An upstream gets no requests for a while after failures."""
+    """An upstream failed; it gets few requests or none for a while.
+
+    Attributes:
+        failures: Failures that count, less what good answers took back.
+        avoided_s: Time without requests; those that may not be repeated keep
+            away until `failures` is below a half.
+    """
 
     upstream: str
     service: str
-    failures: int
+    failures: float
     avoided_s: float
 
 
--- /dev/null
+++ b/src/mintcleat/roles/routed_answer.py
@@ -0,0 +1,152 @@
+"""Passes an upstream's answer to a routed request on to its caller."""
+
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import messages
+from mintcleat.domain import server_events
+from mintcleat.ports import forwarding
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles import turn_keeper
+from mintcleat.roles import upstream_loads
+
+# Answers from here on say that the upstream failed while it ran the request.
+RAN_STATUS = 500
+
+
+class RoutedAnswer:
+    """What the caller of one request has been given, over all attempts.
+
+    Attributes:
+        upstream: The upstream of the attempt at hand.
+        turn: The turn that the request runs, if any.
+        status: Status of the answer.
+        begun: Whether the head of an answer was passed on.
+        kept: Whether the turn is on record with its content.
+        tokens: Tokens handed to the caller.
+        last_event: Id of the last event passed on.
+        first: Clock of the answer or its first event; 0 before.
+        gap: Longest pause between two events, in seconds.
+        piece_at: Clock of the last event; 0 before the first.
+    """
+
+    def __init__(
+        self,
+        route: manifest.Route,
+        service: manifest.Service,
+        loads: upstream_loads.UpstreamLoads,
+        turns: turn_keeper.TurnKeeper,
+        timers: timer_ports.Timers,
+        last_event: str,
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.loads = loads
+        self.turns = turns
+        self.timers = timers
+        self.upstream: messages.Registration | None = None
+        self.turn: turn_keeper.OpenedTurn | None = None
+        self.status = 0
+        self.begun = False
+        self.kept = False
+        self.tokens = 0
+        self.last_event = last_event
+        self.first = 0.0
+        self.gap = 0.0
+        self.piece_at = 0.0
+        self.output: list[bytes] = []
+
+    @property
+    def upstream_name(self) -> str:
+        """The upstream asked last; empty for none."""
+        return self.upstream.upstream if self.upstream else ""
+
+    def deliver(
+        self,
+        answer: forwarding.Answer,
+        reply: forwarding.Reply,
+        sent_at: float,
+        may_repeat: bool,
+    ) -> None:
+        """Passes one attempt's answer on, to its end.
+
+        Args:
+            answer: The upstream's answer, its head read.
+            reply: The caller's side.
+            sent_at: Clock at which the request was sent.
+            may_repeat: Whether a failed answer may be replaced by another
+                upstream's.
+
+        Raises:
+            errors.MintcleatError: The answer can't be passed on whole.
+        """
+        if answer.head.events:
+            self._deliver_events(answer, reply)
+        else:
+            self._deliver_whole(answer, reply, sent_at, may_repeat)
+
+    def _deliver_whole(
+        self,
+        answer: forwarding.Answer,
+        reply: forwarding.Reply,
+        sent_at: float,
+        may_repeat: bool,
+    ) -> None:
+        head = answer.head
+        body = answer.body()
+        self.status = head.status
+        if head.status >= RAN_STATUS and may_repeat:
+            raise errors.UpstreamFailed(f"The upstream said {head.status}.")
+        if self.begun:
+            raise errors.UpstreamFailed("The stream did not go on.")
+        self.first = self.timers.now()
+        if head.status < RAN_STATUS:
+            self.loads.observe(self.upstream_name, self.first - sent_at)
+        self.begun = True
+        reply.whole(head, body)
+
+    def _deliver_events(
+        self, answer: forwarding.Answer, reply: forwarding.Reply
+    ) -> None:
+        if not self.begun:
+            self.status = answer.head.status
+            self.begun = True
+            reply.begin(answer.head)
+        buffer = server_events.EventBuffer()
+        for data in answer.pieces():
+            self.loads.arrived(self.upstream_name)
+            for event in buffer.feed(data):
+                self._pass_on(event, reply)
+        if buffer.rest:
+            reply.write(buffer.rest)
+        self._keep_turn()
+        reply.end()
+
+    def _pass_on(
+        self, event: server_events.Event, reply: forwarding.Reply
+    ) -> None:
+        now = self.timers.now()
+        if self.piece_at:
+            pause = now - self.piece_at
+            self.gap = max(self.gap, pause)
+            self.loads.observe(self.upstream_name, pause)
+        else:
+            self.first = now
+        self.piece_at = now
+        self.tokens += self.service.tokens_per_event
+        self.last_event = event.id or self.last_event
+        if self.route.retention:
+            self.output.append(event.data)
+        reply.write(event.raw)
+
+    def _keep_turn(self) -> None:
+        """Commits the turn before its answer ends; a later turn may follow."""
+        if self.turn is None or not self.route.retention:
+            return
+        output = b"".join(data + b"\n" for data in self.output)
+        try:
+            self.turns.keep(self.turn, self.tokens, self.upstream_name, output)
+        except errors.MintcleatError as error:
+            raise errors.UpstreamFailed(
+                f"The turn could not be recorded: {error.detail}"
+            ) from error
+        self.kept = True
--- a/src/mintcleat/roles/upstream_loads.py
+++ b/src/mintcleat/roles/upstream_loads.py
@@ -1,10 +1,12 @@
 """What an entry knows of the upstreams that it sends routed requests to."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 from typing import Protocol
 
 from mintcleat.configuration import directory
 from mintcleat.decisions import spread
+from mintcleat.decisions import standing
 from mintcleat.domain import events as event_types
 from mintcleat.domain import messages
 from mintcleat.ports import events as event_ports
@@ -22,8 +24,24 @@
         """Calls back after each change."""
 
 
+class Wanted(NamedTuple):
+    """A request that is to be placed.
+
+    Attributes:
+        request: Its id.
+        hint: Upstream where its program ran last; empty for none.
+        affinity: Program or object that requests have in common.
+        repeatable: Whether it may run once more elsewhere.
+    """
+
+    request: str
+    hint: str
+    affinity: str
+    repeatable: bool
+
+
 class UpstreamLoads:
-    """Counts running requests and avoids upstreams that failed.
+    """Counts running requests; leaves out upstreams that fail or keep silent.
 
     Attributes:
         running: Requests of this process, by upstream.
@@ -43,7 +61,8 @@
         self.events = events
         self.gone = gone
         self.running: dict[str, int] = {}
-        self.avoided = spread.Avoided()
+        self.standings = standing.Standings()
+        self.silences = standing.Silences()
         self.speeds = spread.Speeds()
         self.known: dict[str, messages.Registration] = {}
         self.by_service: dict[str, list[messages.Registration]] = {}
@@ -57,6 +76,7 @@
             held = self.known[name]
             self._tell(held._replace(state="gone"), registered.version)
             self.speeds.forget(name)
+            self.standings.forget(name)
             self.gone(name)
         for name, item in entries.items():
             held = self.known.get(name)
@@ -69,7 +89,7 @@
                 self.by_service.setdefault(item.service, []).append(item)
 
     def choose(
-        self, service: str, tried: set[str], hint: str, key: str, request: str
+        self, service: str, tried: set[str], wanted: Wanted
     ) -> tuple[messages.Registration, spread.Choice, int] | None:
         """Returns an upstream, why, and among how many; None for none."""
         now = self.timers.now()
@@ -79,7 +99,10 @@
             if item.upstream not in tried
         ]
         usable = [
-            item for item in ready if self.avoided.allows(item.upstream, now)
+            item
+            for item in ready
+            if self.standings.allows(item.upstream, wanted.repeatable, now)
+            and not self.silences.silent(item.upstream, now)
         ]
         names = [item.upstream for item in usable or ready]
         slow = self.speeds.factors(names, now)
@@ -92,17 +115,31 @@
             )
             for item in usable or ready
         ]
-        choice = spread.choose(candidates, hint, key, request)
+        choice = spread.choose(
+            candidates, wanted.hint, wanted.affinity, wanted.request
+        )
         if choice is None:
             return None
         return self.known[choice.upstream], choice, len(candidates)
 
-    def began(self, upstream: str) -> None:
-        """Counts a request that goes there."""
+    def began(self, upstream: str, request: str, patience: float) -> None:
+        """Counts a request that goes there.
+
+        Args:
+            upstream: Where it goes.
+            request: Its id.
+            patience: Seconds of silence that are still usual for its route.
+        """
         self.running[upstream] = self.running.get(upstream, 0) + 1
+        self.silences.began(upstream, request, patience, self.timers.now())
+
+    def arrived(self, upstream: str) -> None:
+        """Notes that something came from it."""
+        self.silences.arrived(upstream, self.timers.now())
 
-    def ended(self, upstream: str) -> None:
+    def ended(self, upstream: str, request: str) -> None:
         """Takes the request back out of the count."""
+        self.silences.ended(upstream, request)
         left = self.running.get(upstream, 0) - 1
         if left > 0:
             self.running[upstream] = left
@@ -113,20 +150,20 @@
         """Takes the pause before a piece, or the time of a whole answer."""
         self.speeds.observe(upstream, seconds, self.timers.now())
 
-    def answered(self, upstream: str) -> None:
-        """Notes an answer."""
-        self.avoided.answered(upstream)
+    def answered(self, upstream: str, began: float) -> None:
+        """Notes a good answer to a request that was sent at `began`."""
+        self.standings.answered(upstream, began, self.timers.now())
 
     def failed(self, upstream: messages.Registration) -> None:
-        """Notes that it could not be reached or broke off."""
+        """Notes that it failed a request, broke off or was not reached."""
         now = self.timers.now()
-        pause = self.avoided.failed(upstream.upstream, now)
+        held = self.standings.failed(upstream.upstream, now)
         self.events.emit(
             event_types.UpstreamAvoided(
                 upstream.upstream,
                 upstream.service,
-                pause.failures,
-                round(pause.until - now, 3),
+                round(held.failures, 2),
+                round(held.until - now, 3),
             )
         )
 
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -8,7 +8,7 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
-from mintcleat.roles import gateway
+from mintcleat.roles import routed_run
 
 # A caller's leaving is told by an event, not by a period, so it is noticed at
 # once; this bound is for a machine that is busy with other work.
@@ -213,6 +213,42 @@
         self.assertNotEqual(200, self.system.call("POST", "/unsafe/a").status)
 
 
+class StandingTest(HostedTest):
+    """What an entry does about upstreams that fail or keep silent."""
+
+    def call(self, number: int) -> int:
+        """Sends a request that can't be repeated; returns the status."""
+        answer = self.system.call("POST", "/unsafe/a", request=f"r{number}")
+        return answer.status
+
+    def test_unsafe_requests_keep_away_from_an_upstream_that_failed(
+        self,
+    ) -> None:
+        # One upstream answers with failures of its own, at once: it always
+        # looks idle. Callers whose requests can't be repeated lose them there.
+        failing, sound = self.ready(("e1", "desk", _fail), ("e2", "desk"))
+        answers = [self.call(number) for number in range(20)]
+        self.assertEqual(1, answers.count(500))
+        self.assertEqual((1, 19), (len(failing.seen), len(sound.seen)))
+
+    def test_silent_upstream_gets_no_more_requests(self) -> None:
+        # One upstream stands still with a request; its connections stay open.
+        # Whatever else is sent there would wait for as long.
+        self.patch(routed_run, "PATIENCE", 0.4)
+        silent, _ = self.ready(("e1", "desk", _silent), ("e2", "desk"))
+        for number in range(50):
+            if silent.seen:
+                break
+            call = eventlet.spawn(self.call, number)
+            self.addCleanup(call.kill)
+            eventlet.sleep(0.02)
+        eventlet.sleep(0.2)
+        self.assertEqual(1, len(silent.seen))
+        answers = [self.call(number) for number in range(100, 120)]
+        self.assertEqual([200] * 20, answers)
+        self.assertEqual(1, len(silent.seen))
+
+
 class TimeTest(HostedTest):
     def test_request_that_was_sent_is_answered_at_its_time(self) -> None:
         (engine,) = self.ready(("e1", "desk", _silent))
@@ -226,7 +262,7 @@
         self.assertEqual(1, len(engine.seen))
 
     def test_answer_that_comes_at_the_last_moment_is_delivered(self) -> None:
-        self.patch(gateway, "LATE_SECONDS", VERY_LATE)
+        self.patch(routed_run, "LATE_SECONDS", VERY_LATE)
 
         def late(talk: platform_engine.Talk, seen: object) -> bool:
             eventlet.sleep(0.6)
@@ -241,7 +277,7 @@
     def test_stream_at_its_end_is_not_cut_at_the_deadline(self) -> None:
         # The caller has 400 ms left; the last piece takes 20 ms longer. Cut
         # just before its time, a stream that ran to its end was of no use.
-        self.patch(gateway, "LATE_SECONDS", VERY_LATE)
+        self.patch(routed_run, "LATE_SECONDS", VERY_LATE)
         self.ready(("e1", "lm", platform_engine.stream(6, 0.07)))
         answer = self.system.call(
             "POST", "/resumable/a", b"x", X_Deadline_Milliseconds="400"
@@ -259,7 +295,7 @@
         self.assertTrue(0.3 <= took < 0.3 + BUSY, took)
 
     def test_what_no_upstream_took_is_not_run_also_when_late(self) -> None:
-        self.patch(gateway, "LATE_SECONDS", VERY_LATE)
+        self.patch(routed_run, "LATE_SECONDS", VERY_LATE)
 
         def slow_busy(talk: platform_engine.Talk, seen: object) -> bool:
             eventlet.sleep(0.3)
@@ -588,6 +624,12 @@
     return False
 
 
+def _fail(talk: platform_engine.Talk, seen: platform_engine.Seen) -> bool:
+    head = talk.head(seen, {"Content-Length": "0"})
+    talk.raw(head.replace(b"200 OK", b"500 Failed"))
+    return True
+
+
 def _silent(talk: platform_engine.Talk, seen: object) -> bool:
     talk.sock.recv(1)
     return False
--- a/testing/test_spread.py
+++ b/testing/test_spread.py
@@ -53,17 +53,6 @@
         self.assertIsNone(spread.choose([], "a", "p", "r"))
 
 
-class AvoidedTest(testtools.TestCase):
-    def test_pauses_double_up_to_the_cap_and_end_with_an_answer(self) -> None:
-        avoided = spread.Avoided()
-        seconds = [round(avoided.failed("a", 0.0).until, 3) for _ in range(5)]
-        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0], seconds)
-        self.assertFalse(avoided.allows("a", 3.9))
-        self.assertTrue(avoided.allows("a", 4.0))
-        avoided.answered("a")
-        self.assertEqual(0.5, avoided.failed("a", 0.0).until)
-
-
 class SlowUpstreamLoad:
     """Six engines, eight entries; one engine works at a fifth of its speed.
 
