Rooms for the roles; data below, dispatch on top in programs; no import circles

Cause: 37 modules in one room told apart by prefixes; the state machine of programs and its transitions imported each other for their annotations. Change: roles/entry, roles/sidecar, roles/control with configuration, replication and programs; programs/state holds what a group holds, machine only dispatches. A layout test forbids circles, annotations included; it fails on the code before.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -73,7 +73,7 @@
             sidecar * CALLS / 1e4,
             "%",
             "turns",
-            "roles/sidecar_commit.py reports outcomes from the sidecar",
+            "roles/sidecar/commit.py reports outcomes from the sidecar",
         ),
         Line(
             "load reports sent",
@@ -114,7 +114,7 @@
             pace.RENEWAL_BUDGET * SIDECARS / 1e3,
             "KB/s",
             "budget in the code",
-            "decisions/pace.py, roles/sidecar_memory.py",
+            "decisions/pace.py, roles/sidecar/memory.py",
         ),
         Line(
             "configuration stream",
@@ -122,7 +122,7 @@
             stream * followers / 1e3,
             "KB/s",
             "config_cost, 10 times the users' rate",
-            "roles/config_feed.py",
+            "roles/control/configuration/feed.py",
         ),
     ]
 
@@ -185,7 +185,7 @@
             per_node * served / 1e4,
             "% of a core",
             "config_cost, 10 times the users' rate",
-            "roles/config_feed.py, roles/config_relay.py",
+            "roles/control/configuration/feed.py and relay.py",
         ),
         Line(
             "nodes' configuration streams",
@@ -193,7 +193,7 @@
             stream * served / 1e6,
             "MB resident",
             "memories",
-            "roles/config_feed.py",
+            "roles/control/configuration/feed.py",
         ),
         Line(
             "program records",
@@ -217,7 +217,7 @@
             (begin + finish) * turns * (REPLICAS - 1) / 1e6,
             "MB/s",
             "sizes",
-            "one frame a peer, roles/replication_links.py",
+            "one frame a peer, roles/control/replication/links.py",
         ),
     ]
 
@@ -234,7 +234,7 @@
                 slope["base"] * CALLS / 1e4,
                 "%",
                 "tokens_per_call",
-                "roles/entry.py, roles/sidecar.py",
+                "roles/entry/entry.py, roles/sidecar/sidecar.py",
             )
         )
         found.append(
--- a/bench/config_rig.py
+++ b/bench/config_rig.py
@@ -32,9 +32,9 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import streams as stream_ports
-from mintcleat.roles import config_service
 from mintcleat.roles import follower
-from mintcleat.roles import replication
+from mintcleat.roles.control.configuration import service as config_service
+from mintcleat.roles.control.replication import replication
 
 POLL_SECONDS = 1.0
 WATCH_SECONDS = 0.05
--- a/bench/programs.py
+++ b/bench/programs.py
@@ -25,8 +25,8 @@
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.roles import control_client
-from mintcleat.roles import program_service
-from mintcleat.roles import replication
+from mintcleat.roles.control.programs import service as program_service
+from mintcleat.roles.control.replication import replication
 
 SIDECAR = messages.Incarnation("engine-1", 1)
 TEXT = '{"role":"user","content":"' + "x" * 400 + '"}'
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -34,7 +34,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.roles import control_client
-from mintcleat.roles import sidecar_history
+from mintcleat.roles.sidecar import history as sidecar_history
 
 ROOT = pathlib.Path(__file__).parent.parent
 _CALLERS = 16
--- a/bench/state_replica.py
+++ b/bench/state_replica.py
@@ -25,8 +25,10 @@
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.roles import replication
-from mintcleat.roles import replication_snapshots
+from mintcleat.roles.control.replication import replication
+from mintcleat.roles.control.replication import (
+    snapshots as replication_snapshots,
+)
 
 _MICROSECONDS = 1_000_000
 
--- a/src/mintcleat/main/assembly.py
+++ b/src/mintcleat/main/assembly.py
@@ -15,9 +15,9 @@
 from mintcleat.domain import messages
 from mintcleat.main import common as common_module
 from mintcleat.main import control_part
-from mintcleat.roles import entry as entry_module
-from mintcleat.roles import placement as placement_module
-from mintcleat.roles import sidecar as sidecar_module
+from mintcleat.roles.entry import entry as entry_module
+from mintcleat.roles.entry import placement as placement_module
+from mintcleat.roles.sidecar import sidecar as sidecar_module
 
 _LINGER_SECONDS = 0.1
 _POLL_SECONDS = 0.02
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -15,12 +15,12 @@
 from mintcleat.main import common as common_module
 from mintcleat.ports import events as event_ports
 from mintcleat.programs import placement
-from mintcleat.roles import config_service
-from mintcleat.roles import control_actions
 from mintcleat.roles import control_client
-from mintcleat.roles import program_service
-from mintcleat.roles import replication
-from mintcleat.roles import rollout
+from mintcleat.roles.control import actions as control_actions
+from mintcleat.roles.control.configuration import rollout
+from mintcleat.roles.control.configuration import service as config_service
+from mintcleat.roles.control.programs import service as program_service
+from mintcleat.roles.control.replication import replication
 
 _HAND_OVER_SECONDS = 2.0
 
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -27,8 +27,8 @@
 from mintcleat.platform import machine as machine_module
 from mintcleat.platform import upstreams
 from mintcleat.ports import events as event_ports
-from mintcleat.roles import gateway as gateway_module
-from mintcleat.roles import turn_keeper
+from mintcleat.roles.entry import gateway as gateway_module
+from mintcleat.roles.entry import turn_keeper
 
 _EXIT_SETTINGS = 2
 _EXIT_FAILED = 4
--- a/src/mintcleat/programs/answers.py
+++ b/src/mintcleat/programs/answers.py
@@ -1,12 +1,8 @@
 """Recorded answers and turns: what is in memory and what in the store."""
 
-from typing import TYPE_CHECKING
-
 from mintcleat.programs import histories
 from mintcleat.programs import records
-
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
+from mintcleat.programs import state
 
 # Keys are remembered for a day; whole answers of a day do not fit in memory.
 MAX_ANSWER_IN_MEMORY = 256
@@ -17,9 +13,7 @@
     return f"answer/{call.attempt}"
 
 
-def keep(
-    group: "machine.ProgramMachine", call: records.Call, answer: bytes
-) -> None:
+def keep(group: state.Group, call: records.Call, answer: bytes) -> None:
     """Keeps a short answer in memory and a long one in the store."""
     if len(answer) <= MAX_ANSWER_IN_MEMORY:
         call.answer = answer
@@ -28,7 +22,7 @@
     group.histories.append(name_of(call), answer)
 
 
-def load(group: "machine.ProgramMachine", call: records.Call) -> bytes:
+def load(group: state.Group, call: records.Call) -> bytes:
     """Returns the answer of a finished call."""
     if not call.is_stored:
         return call.answer
@@ -37,7 +31,7 @@
 
 
 def load_turn(
-    group: "machine.ProgramMachine", program: str, turn: int
+    group: state.Group, program: str, turn: int
 ) -> records.TurnRecord:
     """Returns a finished turn of a program."""
     (record,) = group.histories.read(program, turn, turn)
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -1,6 +1,5 @@
 """Begin of calls: order of turns, at-most-once, attempts that only grow."""
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 from mintcleat.domain import digests
@@ -11,13 +10,11 @@
 from mintcleat.programs import loops
 from mintcleat.programs import prefixes
 from mintcleat.programs import records
+from mintcleat.programs import state
 from mintcleat.programs import tables
 
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
 
-
-def begin(group: "machine.ProgramMachine", request: messages.BeginCall) -> Any:
+def begin(group: state.Group, request: messages.BeginCall) -> Any:
     """Grants an attempt, or tells what became of this key before."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -38,7 +35,7 @@
     return _grant_new(group, table, request)
 
 
-def find(group: "machine.ProgramMachine", request: messages.FindCall) -> Any:
+def find(group: state.Group, request: messages.FindCall) -> Any:
     """Tells what became of a key, for an entry that must refuse new work."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -53,7 +50,7 @@
 
 
 def _outcome(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     call: records.Call,
     request: messages.BeginCall | messages.FindCall,
 ) -> Any:
@@ -74,7 +71,7 @@
 
 
 def _resend(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     call: records.Call,
     request: messages.BeginCall,
 ) -> Any:
@@ -123,7 +120,7 @@
 
 
 def _past_turn(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     program: records.Program,
     request: messages.BeginCall | messages.FindCall,
 ) -> Any:
@@ -162,7 +159,7 @@
 
 
 def _refusal(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     program: records.Program,
     request: messages.BeginCall,
 ) -> errors.MintcleatError | None:
@@ -194,7 +191,7 @@
 
 
 def _grant_new(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     table: dict[Any, records.Call],
     request: messages.BeginCall,
 ) -> messages.Granted:
@@ -228,7 +225,7 @@
 
 
 def _grant_again(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     call: records.Call,
     request: messages.BeginCall,
 ) -> messages.Granted:
@@ -243,9 +240,7 @@
     return _granted(group, call)
 
 
-def _granted(
-    group: "machine.ProgramMachine", call: records.Call
-) -> messages.Granted:
+def _granted(group: state.Group, call: records.Call) -> messages.Granted:
     if not call.program:
         return messages.Granted(
             call.attempt, 0, digests.EMPTY, 0, 0, "", "", ""
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -1,11 +1,9 @@
-"""The state machine of one program group."""
+"""The state machine of one program group: dispatch of its requests."""
 
-import collections
 from typing import Any
 
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.programs import branches
 from mintcleat.programs import calls
 from mintcleat.programs import commands
 from mintcleat.programs import histories
@@ -13,59 +11,20 @@
 from mintcleat.programs import records
 from mintcleat.programs import retention
 from mintcleat.programs import snapshots
+from mintcleat.programs import state
 
 # Each level adds an ancestor that every begin and finish walks; a program
 # that spawns itself without end must not make the group's work grow.
 MAX_DEPTH = 16
 
 
-class ProgramMachine:
-    """Programs, their calls and the calls without a program of one group.
+class ProgramMachine(state.Group):
+    """Applies commands to a group and answers reads.
 
     `apply` reads no clock and no chance, so every replica that applied the
     same commands holds the same state.
-
-    Attributes:
-        clock: Seconds that the group was led; moves with the commands.
-        last_attempt: The attempts of a group only grow.
-        branches: Programs that open with their first turn.
-        programs: Records by program id.
-        keyed: Calls without a program, by (partner, key).
-        activity: Root ids, the longest idle first, with the clock of the
-            last change anywhere below.
-        ended: (clock, id) of closed and expired programs, in that order.
-        calls: Calls that hold their key, the longest untouched first; they
-            leave by retention in this order.
-        forgotten: Programs that left by retention.
     """
 
-    def __init__(self, store: Any = None) -> None:
-        """Creates an empty group.
-
-        Args:
-            store: A `ports.histories.Histories`; in memory when None.
-        """
-        self.histories = store or histories.MemoryHistories()
-        self.clear()
-
-    def clear(self) -> None:
-        """Drops all state."""
-        self.histories.clear()
-        self.clock = 0.0
-        self.wall = 0.0
-        self.last_attempt = 0
-        self.forgotten = 0
-        self.branches = branches.Branches()
-        self.programs: dict[str, records.Program] = {}
-        self.keyed: dict[tuple[str, str], records.Call] = {}
-        self.activity: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self.ended: collections.deque[tuple[float, str]] = collections.deque()
-        self.calls: collections.OrderedDict[int, records.Call] = (
-            collections.OrderedDict()
-        )
-
     def apply(self, index: int, command: bytes) -> list[Any]:
         """Applies a command and returns one reply or typed error a request."""
         del index
@@ -78,9 +37,9 @@
         """Returns the whole state."""
         return snapshots.pack(self)
 
-    def restore(self, state: bytes) -> None:
+    def restore(self, snapshot: bytes) -> None:
         """Replaces the whole state by a snapshot."""
-        snapshots.unpack(self, state)
+        snapshots.unpack(self, snapshot)
 
     def read(self, request: Any) -> Any:
         """Answers a request that changes nothing; a typed error is returned.
@@ -100,20 +59,6 @@
                 return calls.find(self, request)
         return errors.BadRequest(f"{type(request).__name__} is no read.")
 
-    def chain(self, program: records.Program) -> list[records.Program]:
-        """Returns the program and its ancestors, the root last."""
-        found = [program]
-        while found[-1].parent:
-            found.append(self.programs[found[-1].parent])
-        return found
-
-    def touch(self, program: str) -> None:
-        """Notes activity, for the expiry of abandoned programs."""
-        root = records.root_of(program)
-        if root in self.activity:
-            self.activity[root] = self.clock
-            self.activity.move_to_end(root)
-
     def _apply_one(self, request: Any) -> Any:
         match request:
             case messages.OpenTurn():
@@ -174,28 +119,6 @@
         self.end(program, records.CLOSED)
         return records.view(program)
 
-    def end(self, program: records.Program, state: str) -> None:
-        """Closes or expires a program and its sub-agents."""
-        for child in program.children:
-            self.end(self.programs[child], state)
-        if program.state != records.OPEN:
-            return
-        program.state = state
-        program.ended = self.clock
-        self.activity.pop(program.program, None)
-        self.ended.append((self.clock, program.program))
-
-    def unknown(self, program: str) -> errors.UnknownProgram:
-        """Returns the refusal of a program that has no record.
-
-        Once any record has left by retention, this may be one of them, and
-        its request may have run: "not run" would be a guess.
-        """
-        outcome = errors.UNKNOWN if self.forgotten else errors.NOT_RUN
-        return errors.UnknownProgram(
-            f"No program {program or '(empty id)'}.", outcome=outcome
-        )
-
     def _show(self, program: str) -> Any:
         found = self.programs.get(program)
         return self.unknown(program) if found is None else records.view(found)
--- a/src/mintcleat/programs/outcomes.py
+++ b/src/mintcleat/programs/outcomes.py
@@ -1,6 +1,5 @@
 """Finish and settle of attempts: each outcome is recorded once."""
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 from mintcleat.domain import digests
@@ -11,15 +10,11 @@
 from mintcleat.programs import histories
 from mintcleat.programs import prefixes
 from mintcleat.programs import records
+from mintcleat.programs import state
 from mintcleat.programs import tables
 
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
 
-
-def finish(
-    group: "machine.ProgramMachine", request: messages.FinishCall
-) -> Any:
+def finish(group: state.Group, request: messages.FinishCall) -> Any:
     """Records the answer of the call's newest attempt, once."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -43,9 +38,7 @@
     return messages.Done()
 
 
-def settle(
-    group: "machine.ProgramMachine", request: messages.SettleCall
-) -> Any:
+def settle(group: state.Group, request: messages.SettleCall) -> Any:
     """Ends an attempt without an answer; an older attempt's is ignored."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -77,7 +70,7 @@
     return messages.Done()
 
 
-def drop(group: "machine.ProgramMachine", call: records.Call) -> None:
+def drop(group: state.Group, call: records.Call) -> None:
     """Forgets a call whose retention is over."""
     if call.state in (records.RUNNING, records.UNKNOWN):
         budgets.write_off(tables.chain(group, call), call)
@@ -88,7 +81,7 @@
 
 
 def _record_in_program(
-    group: "machine.ProgramMachine",
+    group: state.Group,
     call: records.Call,
     request: messages.FinishCall,
 ) -> None:
@@ -120,18 +113,14 @@
     tables.remove(group, call)
 
 
-def _finished_before(
-    group: "machine.ProgramMachine", request: messages.FinishCall
-) -> Any:
+def _finished_before(group: state.Group, request: messages.FinishCall) -> Any:
     """Tells a repeated finish of a recorded turn from one that came late."""
     if request.program and _has_recorded(group, request):
         return messages.Done()
     return _superseded(request)
 
 
-def _has_recorded(
-    group: "machine.ProgramMachine", request: messages.FinishCall
-) -> bool:
+def _has_recorded(group: state.Group, request: messages.FinishCall) -> bool:
     """Looks the attempt up from the newest turn back; attempts only grow."""
     turn = group.programs[request.program].next_turn - 1
     while turn > 0:
--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -5,15 +5,11 @@
 a resend within that time never runs twice.
 """
 
-from typing import TYPE_CHECKING
-
 from mintcleat.domain import messages
 from mintcleat.programs import commands
 from mintcleat.programs import outcomes
 from mintcleat.programs import records
-
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
+from mintcleat.programs import state
 
 # Records that one tick may drop: a burst that was closed together must not
 # stall the loop, and with it the heartbeats, when it becomes due together.
@@ -23,9 +19,7 @@
 CLOCK_STEP = 60.0
 
 
-def sweep(
-    group: "machine.ProgramMachine", tick: commands.Tick
-) -> messages.Done:
+def sweep(group: state.Group, tick: commands.Tick) -> messages.Done:
     """Expires abandoned programs and drops what is past its retention."""
     _expire_idle(group, tick.program_idle)
     _drop_ended(group, tick.record_retention)
@@ -34,9 +28,7 @@
     return messages.Done()
 
 
-def is_due(
-    group: "machine.ProgramMachine", clock: float, tick: commands.Tick
-) -> bool:
+def is_due(group: state.Group, clock: float, tick: commands.Tick) -> bool:
     """Tells whether a tick at `clock` is worth a log entry.
 
     A group without records costs none. One with records writes its clock
@@ -59,7 +51,7 @@
     return bool(group.calls) and next(iter(group.calls.values())).touched <= due
 
 
-def _expire_idle(group: "machine.ProgramMachine", idle: float) -> None:
+def _expire_idle(group: state.Group, idle: float) -> None:
     for _ in range(MAX_DROPS):
         if not group.activity:
             return
@@ -69,7 +61,7 @@
         group.end(group.programs[root], records.EXPIRED)
 
 
-def _drop_ended(group: "machine.ProgramMachine", retention: float) -> None:
+def _drop_ended(group: state.Group, retention: float) -> None:
     for _ in range(MAX_DROPS):
         if not group.ended or group.clock - group.ended[0][0] < retention:
             return
@@ -82,7 +74,7 @@
         _forget(group, name)
 
 
-def _forget(group: "machine.ProgramMachine", name: str) -> None:
+def _forget(group: state.Group, name: str) -> None:
     """Drops a program and all below it; its calls first.
 
     A call without an outcome holds tokens of every ancestor. They count as
@@ -98,7 +90,7 @@
     del group.programs[name]
 
 
-def _drop_calls(group: "machine.ProgramMachine", retention: float) -> None:
+def _drop_calls(group: state.Group, retention: float) -> None:
     for _ in range(MAX_DROPS):
         oldest = next(iter(group.calls.values()), None)
         if oldest is None or group.clock - oldest.touched < retention:
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -1,7 +1,6 @@
 """The state of a program group as bytes and back."""
 
 import dataclasses
-from typing import TYPE_CHECKING
 from typing import Any
 
 import msgpack
@@ -10,9 +9,7 @@
 from mintcleat.domain import errors
 from mintcleat.programs import answers
 from mintcleat.programs import records
-
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
+from mintcleat.programs import state
 
 FORMAT = 1
 # Place of what older releases of this format do not write.
@@ -24,9 +21,9 @@
 )
 
 
-def pack(group: "machine.ProgramMachine") -> bytes:
+def pack(group: state.Group) -> bytes:
     """Returns the whole state, in an order that every replica shares."""
-    state = [
+    parts = [
         FORMAT,
         group.clock,
         group.last_attempt,
@@ -43,37 +40,37 @@
         _stored_answers(group),
         group.branches.state(),
     ]
-    return msgpack.packb(state, use_bin_type=True)
+    return msgpack.packb(parts, use_bin_type=True)
 
 
-def unpack(group: "machine.ProgramMachine", data: bytes) -> None:
+def unpack(group: state.Group, data: bytes) -> None:
     """Replaces the state of a group.
 
     Raises:
         errors.StorageDamaged: The bytes are no snapshot of this format.
     """
-    state = msgpack.unpackb(data, strict_map_key=False)
-    if state[0] != FORMAT:
+    parts = msgpack.unpackb(data, strict_map_key=False)
+    if parts[0] != FORMAT:
         raise errors.StorageDamaged(
-            f"The snapshot has format {state[0]}, not {FORMAT}."
+            f"The snapshot has format {parts[0]}, not {FORMAT}."
         )
     group.clear()
-    group.clock, group.last_attempt, group.forgotten = state[1:4]
-    for values in state[4]:
+    group.clock, group.last_attempt, group.forgotten = parts[1:4]
+    for values in parts[4]:
         program = _record(records.Program, _PROGRAM_FIELDS, values)
         group.programs[program.program] = program
-    for values in state[5]:
+    for values in parts[5]:
         _add_call(group, _record(records.Call, _CALL_FIELDS, values))
-    group.activity.update((name, clock) for name, clock in state[6])
-    group.ended.extend((clock, name) for clock, name in state[7])
-    if len(state) > _BRANCHES:
-        group.branches.load(state[_BRANCHES])
-    for name, stored in state[8] + state[9]:
+    group.activity.update((name, clock) for name, clock in parts[6])
+    group.ended.extend((clock, name) for clock, name in parts[7])
+    if len(parts) > _BRANCHES:
+        group.branches.load(parts[_BRANCHES])
+    for name, stored in parts[8] + parts[9]:
         for record in stored:
             group.histories.append(name, record)
 
 
-def _add_call(group: "machine.ProgramMachine", call: records.Call) -> None:
+def _add_call(group: state.Group, call: records.Call) -> None:
     group.calls[call.number] = call
     if call.program:
         group.programs[call.program].calls[call.key] = call
@@ -81,7 +78,7 @@
         group.keyed[call.partner, call.key] = call
 
 
-def _stored_answers(group: "machine.ProgramMachine") -> list[Any]:
+def _stored_answers(group: state.Group) -> list[Any]:
     names = [
         answers.name_of(call) for call in group.calls.values() if call.is_stored
     ]
--- a/src/mintcleat/programs/tables.py
+++ b/src/mintcleat/programs/tables.py
@@ -1,15 +1,12 @@
 """Key tables and what every kind of request needs of them."""
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 from mintcleat.programs import records
+from mintcleat.programs import state
 
-if TYPE_CHECKING:
-    from mintcleat.programs import machine
 
-
-def key_table(group: "machine.ProgramMachine", request: Any) -> Any:
+def key_table(group: state.Group, request: Any) -> Any:
     """Returns the key table of the request, or its refusal."""
     if not request.program:
         return group.keyed
@@ -26,16 +23,14 @@
     return (request.partner, request.key)
 
 
-def chain(
-    group: "machine.ProgramMachine", call: records.Call
-) -> list[records.Program]:
+def chain(group: state.Group, call: records.Call) -> list[records.Program]:
     """Returns the programs whose budgets the call draws on, the root last."""
     if not call.program:
         return []
     return group.chain(group.programs[call.program])
 
 
-def free_turn(group: "machine.ProgramMachine", call: records.Call) -> None:
+def free_turn(group: state.Group, call: records.Call) -> None:
     """Lets another key take the turn that this call holds."""
     if not call.program:
         return
@@ -44,14 +39,14 @@
         program.turn_key = ""
 
 
-def touch(group: "machine.ProgramMachine", call: records.Call) -> None:
+def touch(group: state.Group, call: records.Call) -> None:
     """Starts the call's retention anew and notes its program's activity."""
     call.touched = group.clock
     group.calls.move_to_end(call.number)
     group.touch(call.program)
 
 
-def remove(group: "machine.ProgramMachine", call: records.Call) -> None:
+def remove(group: state.Group, call: records.Call) -> None:
     """Takes a call out of its key table."""
     del group.calls[call.number]
     if call.program:
--- /dev/null
+++ b/src/mintcleat/roles/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control instances: configuration, replication, programs."""
--- a/src/mintcleat/roles/control_actions.py
+++ b/src/mintcleat/roles/control/actions.py
@@ -10,7 +10,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import streams as streams_port
-from mintcleat.roles import replication
+from mintcleat.roles.control.replication import replication
 
 _ASK_SECONDS = 5.0
 
--- /dev/null
+++ b/src/mintcleat/roles/control/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration, the members and the registered upstreams."""
--- a/src/mintcleat/roles/membership.py
+++ b/src/mintcleat/roles/control/configuration/membership.py
@@ -6,7 +6,7 @@
 from mintcleat.configuration import members
 from mintcleat.domain import messages
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import config_relay
+from mintcleat.roles.control.configuration import relay as config_relay
 
 # Changes within this time reach the nodes as one message. A storm of
 # registrations after a failover then costs a few messages for each node.
--- a/src/mintcleat/roles/config_relay.py
+++ b/src/mintcleat/roles/control/configuration/relay.py
@@ -16,7 +16,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import config_stream
+from mintcleat.roles.control.configuration import stream as config_stream
 
 # Name of the source of members that the leader told.
 LEADER = "leader"
--- a/src/mintcleat/roles/config_requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -16,10 +16,10 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import config_feed
-from mintcleat.roles import emptying
-from mintcleat.roles import membership
-from mintcleat.roles import registrar
+from mintcleat.roles.control.configuration import feed as config_feed
+from mintcleat.roles.control.configuration import membership
+from mintcleat.roles.control.configuration import registrar
+from mintcleat.roles.control.replication import emptying
 
 KINDS = (
     messages.PushManifest,
--- a/src/mintcleat/roles/rollout.py
+++ b/src/mintcleat/roles/control/configuration/rollout.py
@@ -14,8 +14,8 @@
 from mintcleat.domain import messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import membership
 from mintcleat.roles import orders
+from mintcleat.roles.control.configuration import membership
 
 PLAN_SECONDS = 1.0
 MODEL = "model"
--- a/src/mintcleat/roles/config_service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -20,12 +20,12 @@
 from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import config_feed
-from mintcleat.roles import config_relay
-from mintcleat.roles import config_requests
-from mintcleat.roles import emptying
-from mintcleat.roles import membership
-from mintcleat.roles import registrar
+from mintcleat.roles.control.configuration import feed as config_feed
+from mintcleat.roles.control.configuration import membership
+from mintcleat.roles.control.configuration import registrar
+from mintcleat.roles.control.configuration import relay as config_relay
+from mintcleat.roles.control.configuration import requests as config_requests
+from mintcleat.roles.control.replication import emptying
 
 PROPOSE_SECONDS = 5.0
 # A push may wait MAX_LEASE for leases of an earlier leader to end. A leader
--- /dev/null
+++ b/src/mintcleat/roles/control/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The groups that keep programs."""
--- /dev/null
+++ b/src/mintcleat/roles/control/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated logs of a control instance."""
--- a/src/mintcleat/roles/replication_driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -22,8 +22,10 @@
 from mintcleat.ports import log
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
-from mintcleat.roles import replication_links
-from mintcleat.roles import replication_snapshots
+from mintcleat.roles.control.replication import links as replication_links
+from mintcleat.roles.control.replication import (
+    snapshots as replication_snapshots,
+)
 
 
 class Options(NamedTuple):
--- a/src/mintcleat/roles/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -17,8 +17,8 @@
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
-from mintcleat.roles import replication_driver
-from mintcleat.roles import replication_links
+from mintcleat.roles.control.replication import driver as replication_driver
+from mintcleat.roles.control.replication import links as replication_links
 
 Member = types.Member
 Options = replication_driver.Options
--- /dev/null
+++ b/src/mintcleat/roles/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: callers' requests, their programs and their upstreams."""
--- a/src/mintcleat/roles/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -11,10 +11,10 @@
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import attempts as attempts_module
-from mintcleat.roles import chat_call
-from mintcleat.roles import delivery as delivery_module
-from mintcleat.roles import placement as placement_module
+from mintcleat.roles.entry import attempts as attempts_module
+from mintcleat.roles.entry import chat_call
+from mintcleat.roles.entry import delivery as delivery_module
+from mintcleat.roles.entry import placement as placement_module
 
 # A sidecar sends nothing while a call waits or a prompt is built, so silence
 # alone is no fault; the streams' heartbeats find a lost peer.
--- a/src/mintcleat/roles/chat_call.py
+++ b/src/mintcleat/roles/entry/chat_call.py
@@ -8,8 +8,8 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.domain import requests
-from mintcleat.roles import attempts as attempts_module
-from mintcleat.roles import delivery as delivery_module
+from mintcleat.roles.entry import attempts as attempts_module
+from mintcleat.roles.entry import delivery as delivery_module
 
 DEFAULT_COMPLETION_TOKENS = 1024
 # What a call without a limit generates is unknown; only the comparison of
--- a/src/mintcleat/roles/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -17,11 +17,11 @@
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import attempts as attempts_module
-from mintcleat.roles import chat as chat_module
-from mintcleat.roles import chat_call
-from mintcleat.roles import placement as placement_module
-from mintcleat.roles import service_calls as service_calls_module
+from mintcleat.roles.entry import attempts as attempts_module
+from mintcleat.roles.entry import chat as chat_module
+from mintcleat.roles.entry import chat_call
+from mintcleat.roles.entry import placement as placement_module
+from mintcleat.roles.entry import service_calls as service_calls_module
 
 _PROGRAM_ID = re.compile(r"[A-Za-z0-9_-]{1,64}(\.[A-Za-z0-9_-]{1,64}){0,8}")
 # Views are about 300 bytes; the cache saves a read per turn for the programs
--- a/src/mintcleat/roles/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -8,9 +8,9 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import routed_run
-from mintcleat.roles import turn_keeper
-from mintcleat.roles import upstream_loads
+from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import turn_keeper
+from mintcleat.roles.entry import upstream_loads
 
 
 class Gateway:
--- a/src/mintcleat/roles/routed_answer.py
+++ b/src/mintcleat/roles/entry/routed_answer.py
@@ -6,8 +6,8 @@
 from mintcleat.domain import server_events
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import turn_keeper
-from mintcleat.roles import upstream_loads
+from mintcleat.roles.entry import turn_keeper
+from mintcleat.roles.entry import upstream_loads
 
 # Answers from here on say that the upstream failed while it ran the request.
 RAN_STATUS = 500
--- a/src/mintcleat/roles/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -22,9 +22,9 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import routed_answer
-from mintcleat.roles import turn_keeper
-from mintcleat.roles import upstream_loads
+from mintcleat.roles.entry import routed_answer
+from mintcleat.roles.entry import turn_keeper
+from mintcleat.roles.entry import upstream_loads
 
 # Upstreams that one request is offered to when each says that it does not
 # run it. More would only carry an overload from one to the next.
--- a/src/mintcleat/roles/service_calls.py
+++ b/src/mintcleat/roles/entry/service_calls.py
@@ -11,8 +11,8 @@
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import attempts as attempts_module
-from mintcleat.roles import placement as placement_module
+from mintcleat.roles.entry import attempts as attempts_module
+from mintcleat.roles.entry import placement as placement_module
 
 _MIN_WAIT = 0.05
 
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -17,7 +17,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
-from mintcleat.roles import config_stream
+from mintcleat.roles.control.configuration import stream as config_stream
 
 # A node on another control instance than its preferred one goes back after
 # this time, so that load evens out when a control instance returns.
--- /dev/null
+++ b/src/mintcleat/roles/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the gate in front of one upstream."""
--- a/src/mintcleat/roles/sidecar_commit.py
+++ b/src/mintcleat/roles/sidecar/commit.py
@@ -8,7 +8,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import control as control_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import sidecar_attempts
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
 
 _ASK_SECONDS = 5.0
 _FIRST_PAUSE = 0.05
--- a/src/mintcleat/roles/sidecar_execution.py
+++ b/src/mintcleat/roles/sidecar/execution.py
@@ -10,10 +10,10 @@
 from mintcleat.domain import errors
 from mintcleat.domain import messages
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import sidecar_attempts
-from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_crashes
-from mintcleat.roles import sidecar_gate
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
+from mintcleat.roles.sidecar import commit as sidecar_commit
+from mintcleat.roles.sidecar import crashes as sidecar_crashes
+from mintcleat.roles.sidecar import gate as sidecar_gate
 
 
 class Runner(Protocol):
--- a/src/mintcleat/roles/sidecar_gate.py
+++ b/src/mintcleat/roles/sidecar/gate.py
@@ -9,7 +9,7 @@
 from mintcleat.domain import manifest
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import sidecar_attempts
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
 
 _CHARACTERS_PER_TOKEN = 4
 _USUAL_TOKENS = 128
--- a/src/mintcleat/roles/sidecar_memory.py
+++ b/src/mintcleat/roles/sidecar/memory.py
@@ -13,8 +13,8 @@
 from mintcleat.ports import control as control_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
-from mintcleat.roles import sidecar_gate
-from mintcleat.roles import sidecar_ledger
+from mintcleat.roles.sidecar import gate as sidecar_gate
+from mintcleat.roles.sidecar import ledger as sidecar_ledger
 
 # Programs asked about in one message to a program group.
 _RENEW_BATCH = 512
--- a/src/mintcleat/roles/sidecar_orders.py
+++ b/src/mintcleat/roles/sidecar/orders.py
@@ -12,7 +12,7 @@
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
 from mintcleat.roles import orders
-from mintcleat.roles import sidecar_presence
+from mintcleat.roles.sidecar import presence as sidecar_presence
 
 _READ_SECONDS = 5.0
 
--- a/src/mintcleat/roles/sidecar_presence.py
+++ b/src/mintcleat/roles/sidecar/presence.py
@@ -11,8 +11,8 @@
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
-from mintcleat.roles import sidecar_gate
-from mintcleat.roles import sidecar_memory
+from mintcleat.roles.sidecar import gate as sidecar_gate
+from mintcleat.roles.sidecar import memory as sidecar_memory
 
 LOADING = "loading"
 READY = "ready"
--- a/src/mintcleat/roles/sidecar_run.py
+++ b/src/mintcleat/roles/sidecar/run.py
@@ -12,11 +12,11 @@
 from mintcleat.domain import messages
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
-from mintcleat.roles import sidecar_attempts
-from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_gate
-from mintcleat.roles import sidecar_history
-from mintcleat.roles import sidecar_memory
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
+from mintcleat.roles.sidecar import commit as sidecar_commit
+from mintcleat.roles.sidecar import gate as sidecar_gate
+from mintcleat.roles.sidecar import history as sidecar_history
+from mintcleat.roles.sidecar import memory as sidecar_memory
 
 _RESUME_TRIES = 5
 _RESUME_PAUSE = 0.1
--- a/src/mintcleat/roles/sidecar.py
+++ b/src/mintcleat/roles/sidecar/sidecar.py
@@ -16,17 +16,17 @@
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
-from mintcleat.roles import sidecar_attempts
-from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_crashes
-from mintcleat.roles import sidecar_execution
-from mintcleat.roles import sidecar_gate
-from mintcleat.roles import sidecar_history
-from mintcleat.roles import sidecar_memory
-from mintcleat.roles import sidecar_orders
-from mintcleat.roles import sidecar_presence
-from mintcleat.roles import sidecar_run
-from mintcleat.roles import sidecar_watch
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
+from mintcleat.roles.sidecar import commit as sidecar_commit
+from mintcleat.roles.sidecar import crashes as sidecar_crashes
+from mintcleat.roles.sidecar import execution as sidecar_execution
+from mintcleat.roles.sidecar import gate as sidecar_gate
+from mintcleat.roles.sidecar import history as sidecar_history
+from mintcleat.roles.sidecar import memory as sidecar_memory
+from mintcleat.roles.sidecar import orders as sidecar_orders
+from mintcleat.roles.sidecar import presence as sidecar_presence
+from mintcleat.roles.sidecar import run as sidecar_run
+from mintcleat.roles.sidecar import watch as sidecar_watch
 
 # One load report on the wire, its frame included (docs/capacity.json).
 _REPORT_BYTES = 100
--- a/src/mintcleat/roles/sidecar_watch.py
+++ b/src/mintcleat/roles/sidecar/watch.py
@@ -6,7 +6,7 @@
 from mintcleat.domain import messages
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
-from mintcleat.roles import sidecar_attempts
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
 
 Cancel = Callable[
     [sidecar_attempts.Attempt, errors.MintcleatError],
--- a/testing/fakes/config_cluster.py
+++ b/testing/fakes/config_cluster.py
@@ -10,8 +10,8 @@
 from mintcleat.adapters import timers
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
-from mintcleat.roles import config_service
 from mintcleat.roles import follower
+from mintcleat.roles.control.configuration import service as config_service
 
 PATIENCE = 20.0
 
--- a/testing/fakes/config_links.py
+++ b/testing/fakes/config_links.py
@@ -14,9 +14,9 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
-from mintcleat.roles import config_feed
-from mintcleat.roles import config_service
 from mintcleat.roles import follower
+from mintcleat.roles.control.configuration import feed as config_feed
+from mintcleat.roles.control.configuration import service as config_service
 
 STEP = 0.05
 
--- a/testing/fakes/path_rig.py
+++ b/testing/fakes/path_rig.py
@@ -19,10 +19,10 @@
 from mintcleat.domain import requests
 from mintcleat.programs import placement as groups
 from mintcleat.roles import control_client
-from mintcleat.roles import entry
-from mintcleat.roles import placement
-from mintcleat.roles import program_service
-from mintcleat.roles import sidecar
+from mintcleat.roles.control.programs import service as program_service
+from mintcleat.roles.entry import entry
+from mintcleat.roles.entry import placement
+from mintcleat.roles.sidecar import sidecar
 from mintcleat.standins import engine
 from mintcleat.standins import service
 
--- a/testing/fakes/service_rig.py
+++ b/testing/fakes/service_rig.py
@@ -13,7 +13,7 @@
 from mintcleat.domain import digests
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
-from mintcleat.roles import sidecar
+from mintcleat.roles.sidecar import sidecar
 from mintcleat.standins import engine
 from mintcleat.standins import service
 
--- a/testing/fakes/service_system.py
+++ b/testing/fakes/service_system.py
@@ -23,10 +23,10 @@
 from mintcleat.domain import messages
 from mintcleat.main import assembly
 from mintcleat.programs import placement
-from mintcleat.roles import attempts as attempts_module
-from mintcleat.roles import sidecar_attempts
-from mintcleat.roles import sidecar_commit
-from mintcleat.roles import sidecar_execution
+from mintcleat.roles.entry import attempts as attempts_module
+from mintcleat.roles.sidecar import attempts as sidecar_attempts
+from mintcleat.roles.sidecar import commit as sidecar_commit
+from mintcleat.roles.sidecar import execution as sidecar_execution
 
 ANY = "127.0.0.1:0"
 DEAD = "127.0.0.1:1"
--- a/testing/test_chat_call.py
+++ b/testing/test_chat_call.py
@@ -4,8 +4,8 @@
 from testtools import matchers
 
 from mintcleat.domain import requests
-from mintcleat.roles import attempts
-from mintcleat.roles import chat_call
+from mintcleat.roles.entry import attempts
+from mintcleat.roles.entry import chat_call
 
 
 def context(**changes: object) -> chat_call.Context:
--- a/testing/test_concurrent_runs.py
+++ b/testing/test_concurrent_runs.py
@@ -20,9 +20,11 @@
 from mintcleat.ports import log as log_ports
 from mintcleat.programs import placement
 from mintcleat.roles import control_client
-from mintcleat.roles import program_service
-from mintcleat.roles import replication
-from mintcleat.roles import replication_snapshots
+from mintcleat.roles.control.programs import service as program_service
+from mintcleat.roles.control.replication import replication
+from mintcleat.roles.control.replication import (
+    snapshots as replication_snapshots,
+)
 
 TIMERS = timers.EventletTimers()
 GROUPS = placement.group_names(2)
--- a/testing/test_config_service.py
+++ b/testing/test_config_service.py
@@ -5,7 +5,7 @@
 
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.roles import config_stream
+from mintcleat.roles.control.configuration import stream as config_stream
 
 
 class PushTest(testtools.TestCase):
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -8,7 +8,7 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
-from mintcleat.roles import routed_run
+from mintcleat.roles.entry import routed_run
 
 # A caller's leaving is told by an event, not by a period, so it is noticed at
 # once; this bound is for a machine that is busy with other work.
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -2,6 +2,7 @@
 
 import ast
 from collections.abc import Iterator
+import graphlib
 import pathlib
 import re
 
@@ -85,6 +86,29 @@
     assert wrong == []
 
 
+def test_no_modules_import_each_other_in_a_circle() -> None:
+    # Of modules in a circle none can be read or changed alone. Imports for
+    # annotations count too.
+    graph = {
+        _name_of(path): {
+            f"{module}.{name}"
+            for module, name in imports_of(path)
+            if module.startswith("mintcleat")
+        }
+        for path in module_files()
+    }
+    sorter = graphlib.TopologicalSorter(graph)
+    try:
+        sorter.prepare()
+    except graphlib.CycleError as error:
+        raise AssertionError(" imports ".join(error.args[1][::-1])) from None
+
+
+def _name_of(path: pathlib.Path) -> str:
+    parts = path.relative_to(SOURCE.parent).with_suffix("").parts
+    return ".".join(parts).removesuffix(".__init__")
+
+
 def test_own_modules_not_names_are_imported() -> None:
     wrong = [
         f"{path.name}: {module}.{name}"
--- a/testing/test_local.py
+++ b/testing/test_local.py
@@ -11,7 +11,7 @@
 
 from mintcleat.adapters import metrics_http
 from mintcleat.main import local
-from mintcleat.roles import attempts as attempts_module
+from mintcleat.roles.entry import attempts as attempts_module
 
 ANY = "127.0.0.1:0"
 
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -12,7 +12,7 @@
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
 from mintcleat.programs import placement
-from mintcleat.roles import program_service
+from mintcleat.roles.control.programs import service as program_service
 
 GROUPS = placement.group_names(3)
 
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -17,9 +17,11 @@
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import messages
-from mintcleat.roles import replication
-from mintcleat.roles import replication_links
-from mintcleat.roles import replication_snapshots
+from mintcleat.roles.control.replication import links as replication_links
+from mintcleat.roles.control.replication import replication
+from mintcleat.roles.control.replication import (
+    snapshots as replication_snapshots,
+)
 
 
 class UnsyncedDisk(wal_disk.SystemDisk):
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -14,8 +14,8 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import messages
-from mintcleat.roles import membership
-from mintcleat.roles import rollout
+from mintcleat.roles.control.configuration import membership
+from mintcleat.roles.control.configuration import rollout
 
 DOMAINS = ("hall-a", "hall-b", "hall-c")
 PAUSE = 5.0
--- a/testing/test_sidecar_memory.py
+++ b/testing/test_sidecar_memory.py
@@ -9,7 +9,7 @@
 from fakes import service_rig
 from mintcleat.domain import messages
 from mintcleat.ports import upstream
-from mintcleat.roles import sidecar_ledger
+from mintcleat.roles.sidecar import ledger as sidecar_ledger
 from mintcleat.standins import cache
 
 
