Let started nodes pass control instances that have nothing to give

The new leader stands 0.6 s after the starts, and five of fourteen entries hear of it 0.6 to 0.75 s later: they wait at the empty instance for as long as a node that can serve, and refuse all callers meanwhile. Change: a node that knows no configuration waits 0.15 s for an instance, for nine tries. Nodes that can serve are in no hurry, as before.

--- a/src/mintcleat/configuration/lease.py
+++ b/src/mintcleat/configuration/lease.py
@@ -14,6 +14,13 @@
 # A node that got no renewal for so long asks another control instance. Two
 # seconds of lease are left then to find one.
 MOVE_AFTER = 2.0
+# A node that knows no configuration serves nobody, so it waits less for an
+# instance that has none to give: after all processes ended together, one
+# that lost its disk has nothing for about a second, while another leads. After
+# some tries it waits as others do, so that a configuration that takes long to
+# arrive does arrive, and so that a long loss of the quorum costs no hopping.
+SHORT_WAIT = 0.15
+SHORT_TRIES = 9
 # A sidecar's announcement is dropped when it is not renewed for so long.
 MEMBER_LEASE = 4.0
 
@@ -61,3 +68,16 @@
     def left(self, now: float) -> float:
         """Returns the seconds left, or 0."""
         return max(0.0, self.expires - now)
+
+
+def wait(revision: int, attempt: int, move_after: float) -> float:
+    """Returns the seconds for which a node waits for an instance's word.
+
+    Args:
+        revision: What the node has applied; 0 for nothing.
+        attempt: Instances tried since the last one that renewed its lease.
+        move_after: Seconds after which a node that can serve moves on.
+    """
+    if revision or attempt >= SHORT_TRIES:
+        return move_after
+    return min(move_after, SHORT_WAIT)
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -110,7 +110,7 @@
                 continue
             before = self.owner.lease.echo
             try:
-                self._follow(address)
+                self._follow(address, attempt)
             except errors.MintcleatError as error:
                 logger.debug("Stream to {} ended: {}", address, error.detail)
             except Exception:
@@ -128,7 +128,7 @@
             if not self.stopped:
                 self.timers.sleep(self._pause(attempt))
 
-    def _follow(self, address: str) -> None:
+    def _follow(self, address: str, attempt: int) -> None:
         exchange = self.streams.open(address, self.owner.follow())
         self.exchange = exchange
         self.address = address
@@ -136,10 +136,12 @@
         opened = self.timers.now()
         self.timers.spawn(self._beat, exchange)
         while not self.stopped:
-            message = exchange.receive(self.move_after)
+            wait = lease.wait(self.owner.applied(), attempt, self.move_after)
+            message = exchange.receive(wait)
             self.owner.take(message)
             since = max(opened, self.owner.lease.echo)
-            if self.timers.now() - since > self.move_after:
+            wait = lease.wait(self.owner.applied(), attempt, self.move_after)
+            if self.timers.now() - since > wait:
                 raise errors.StreamTimeout(f"{address} renews no lease.")
 
     def _beat(self, exchange: stream_ports.Exchange) -> None:
