--- a/bench/config_processes.py
+++ b/bench/config_processes.py
@@ -13,9 +13,9 @@
 
 from bench import processes
 from mintcleat.adapters import streams
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
 
 RIG = str(pathlib.Path(__file__).parent / "config_rig.py")
 # The users' plan: 9,600 changes a day.
@@ -85,7 +85,7 @@
 
     def push(self, text: str) -> None:
         """Pushes a manifest over the one in force."""
-        request = messages.PushManifest(
+        request = config_messages.PushManifest(
             self.revision, f"push-{self.revision}", text, "bench", "bench"
         )
         answer = self.client.ask(self.address, request, 30.0)
@@ -168,7 +168,9 @@
         while time.monotonic() < deadline:
             for address in self.addresses:
                 try:
-                    self.client.ask(address, messages.ReadManifest(), 1.0)
+                    self.client.ask(
+                        address, config_messages.ReadManifest(), 1.0
+                    )
                 except errors.MintcleatError:
                     time.sleep(0.1)
                 else:
--- a/bench/config_rig.py
+++ b/bench/config_rig.py
@@ -29,8 +29,9 @@
 from mintcleat.adapters import timers
 from mintcleat.adapters import wal
 from mintcleat.configuration import machine
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import streams as stream_ports
 from mintcleat.roles import follower
 from mintcleat.roles.control.configuration import service as config_service
@@ -102,7 +103,7 @@
     ]
     own = next(member for member in members if member.instance == name)
     listener = streams.TcpStreams(own.address)
-    node = messages.Incarnation(name, time.time_ns())
+    node = identities.Incarnation(name, time.time_ns())
     log = replication.GroupLog(
         node,
         own.address,
@@ -133,12 +134,12 @@
     service.start()
 
     def tell_revision(
-        exchange: stream_ports.Exchange, message: messages.Ping
+        exchange: stream_ports.Exchange, message: config_messages.Ping
     ) -> None:
         """Answers a poll: a client then reads the manifest if it changed."""
-        exchange.send(messages.Done(str(service.document().revision)))
+        exchange.send(identities.Done(str(service.document().revision)))
 
-    listener.handle(messages.Ping, tell_revision)
+    listener.handle(config_messages.Ping, tell_revision)
     wait(name, listener.address)
 
 
@@ -152,7 +153,7 @@
     for number in range(first, first + count):
         listener = streams.TcpStreams("127.0.0.1:0")
         node = follower.Follower(
-            messages.Incarnation(f"node-{number}", 1),
+            identities.Incarnation(f"node-{number}", 1),
             "entry",
             "fd",
             listener.address,
@@ -216,9 +217,11 @@
     while True:
         started = clock.now()
         try:
-            told = listener.ask(address, messages.Ping(), 5.0)
+            told = listener.ask(address, config_messages.Ping(), 5.0)
             if int(told.detail) > held:
-                view = listener.ask(address, messages.ReadManifest(), 5.0)
+                view = listener.ask(
+                    address, config_messages.ReadManifest(), 5.0
+                )
                 held = view.revision
                 recorder.events.append([held, clock.now()])
         except errors.MintcleatError as error:
--- a/bench/config_state.py
+++ b/bench/config_state.py
@@ -21,14 +21,17 @@
 from mintcleat.configuration import commands
 from mintcleat.configuration import machine
 from mintcleat.configuration import members
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.roles import follower
 
 
-def announcement(number: int, state: str = "ready") -> messages.Announcement:
+def announcement(
+    number: int, state: str = "ready"
+) -> member_messages.Announcement:
     """Returns one of many announcements, with texts of their own."""
-    return messages.Announcement(
-        messages.Incarnation(f"sidecar-{number:05}", 1_700_000_000_000),
+    return member_messages.Announcement(
+        identities.Incarnation(f"sidecar-{number:05}", 1_700_000_000_000),
         number,
         f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:7000",
         f"service-{number % 24}",
@@ -48,7 +51,7 @@
 def node(count: int) -> follower.Follower:
     """Returns a node that knows so many members."""
     held = follower.Follower(
-        messages.Incarnation("entry", 1),
+        identities.Incarnation("entry", 1),
         "entry",
         "fd",
         "",
@@ -57,7 +60,7 @@
         control_addresses=[],
     )
     items = [announcement(number) for number in range(count)]
-    held.take(messages.MembersUpdate(True, items, []))
+    held.take(member_messages.MembersUpdate(True, items, []))
     return held
 
 
@@ -133,7 +136,9 @@
 
 def _change_at_node(count: int) -> float:
     held = node(count)
-    update = messages.MembersUpdate(False, [announcement(5, "draining")], [])
+    update = member_messages.MembersUpdate(
+        False, [announcement(5, "draining")], []
+    )
     return best(lambda: held.take(update))
 
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -17,7 +17,8 @@
 from mintcleat.decisions import place
 from mintcleat.decisions import queue
 from mintcleat.decisions import subset
-from mintcleat.domain import messages
+from mintcleat.domain import call_messages
+from mintcleat.domain import identities
 import policy_engine
 import policy_load
 import policy_world
@@ -382,8 +383,8 @@
     fleet = place.Fleet()
     fleet.watch(subset.choose(members, "entry"))
     for name in fleet.subset:
-        report = messages.LoadReport(
-            messages.Incarnation(name, 1),
+        report = call_messages.LoadReport(
+            identities.Incarnation(name, 1),
             1,
             3,
             0,
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -19,7 +19,8 @@
 from mintcleat.decisions import queue
 from mintcleat.decisions import retain
 from mintcleat.decisions import retry
-from mintcleat.domain import messages
+from mintcleat.domain import call_messages
+from mintcleat.domain import identities
 import policy_engine
 import policy_load
 
@@ -139,12 +140,12 @@
         self.jobs: dict[str, Job] = {}
         self.version = 0
 
-    def report(self) -> messages.LoadReport:
+    def report(self) -> call_messages.LoadReport:
         """Returns the report that entries hear."""
         self.counter += 1
         load = self.gate.load(self.world.now)
-        return messages.LoadReport(
-            messages.Incarnation(self.name, 1),
+        return call_messages.LoadReport(
+            identities.Incarnation(self.name, 1),
             self.counter,
             load.running,
             load.queued,
@@ -309,7 +310,7 @@
         self.turn = number
         self.sent: dict[str, int] = dict.fromkeys(world.sidecars, 0)
 
-    def hear(self, report: messages.LoadReport) -> None:
+    def hear(self, report: call_messages.LoadReport) -> None:
         """Takes a load report."""
         self.fleet.report(report, self.world.now)
 
@@ -495,7 +496,7 @@
             job.deadline = self.now + self.policy.deadline
         self._submit(job)
 
-    def answered(self, job: Job, report: messages.LoadReport) -> None:
+    def answered(self, job: Job, report: call_messages.LoadReport) -> None:
         """The answer reaches the caller through its entry."""
         entry = job.entry
         assert entry is not None
--- a/bench/programs.py
+++ b/bench/programs.py
@@ -19,8 +19,9 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
 from mintcleat.adapters import wal
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.programs import commands
 from mintcleat.programs import machine
 from mintcleat.programs import placement
@@ -28,7 +29,7 @@
 from mintcleat.roles.control.programs import service as program_service
 from mintcleat.roles.control.replication import replication
 
-SIDECAR = messages.Incarnation("engine-1", 1)
+SIDECAR = identities.Incarnation("engine-1", 1)
 TEXT = '{"role":"user","content":"' + "x" * 400 + '"}'
 ANSWER = ('{"role":"assistant","content":"' + "y" * 800 + '"}').encode()
 BATCH = 64
@@ -46,21 +47,21 @@
     restore_ms: float
 
 
-def create(program: str) -> messages.CreateProgram:
+def create(program: str) -> program_messages.CreateProgram:
     """Returns a creation as an entry sends it."""
-    return messages.CreateProgram(
+    return program_messages.CreateProgram(
         program,
         "farm",
         "triage",
         "interactive",
-        messages.Budget(160_000, MAX_TURNS, 3600.0),
+        identities.Budget(160_000, MAX_TURNS, 3600.0),
         repeat_limit=8,
     )
 
 
-def begin(program: str, turn: int) -> messages.BeginCall:
+def begin(program: str, turn: int) -> program_messages.BeginCall:
     """Returns the begin of a turn as an entry sends it."""
-    return messages.BeginCall(
+    return program_messages.BeginCall(
         program,
         "farm",
         "chat",
@@ -95,14 +96,14 @@
     grants = apply(group, begins)
     seconds = time.process_time() - started
     finishes = [
-        messages.FinishCall(
+        program_messages.FinishCall(
             request.program,
             "farm",
             request.key,
             granted.attempt,
             SIDECAR,
             ANSWER,
-            messages.Usage(100, 80, 0),
+            identities.Usage(100, 80, 0),
         )
         for request, granted in zip(begins, grants, strict=True)
     ]
@@ -167,7 +168,7 @@
         groups = placement.group_names(4)
         member = replication.Member("c1", service_hub.address, "a", "r")
         self.log = replication.GroupLog(
-            messages.Incarnation("c1", 1),
+            identities.Incarnation("c1", 1),
             service_hub.address,
             [member],
             wal.FileWal(folder / "log"),
@@ -198,14 +199,14 @@
             started = time.perf_counter()
             request = begin(program, turn)._replace(nonce=0)
             granted = self.client.ask(program, request, 10.0)
-            finish = messages.FinishCall(
+            finish = program_messages.FinishCall(
                 program,
                 "farm",
                 request.key,
                 granted.attempt,
                 SIDECAR,
                 ANSWER,
-                messages.Usage(100, 80, 0),
+                identities.Usage(100, 80, 0),
             )
             self.client.ask(program, finish, 10.0)
             taken.append(time.perf_counter() - started)
--- a/bench/routed.py
+++ b/bench/routed.py
@@ -15,7 +15,8 @@
 from mintcleat.configuration import directory
 from mintcleat.decisions import spread
 from mintcleat.domain import events
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
+from mintcleat.domain import program_messages
 from mintcleat.programs import branches
 
 REGISTRATIONS = 3000
@@ -24,9 +25,9 @@
 TURN_BYTES = 4096
 
 
-def registration(number: int) -> messages.Registration:
+def registration(number: int) -> member_messages.Registration:
     """Returns the registration of one engine."""
-    return messages.Registration(
+    return member_messages.Registration(
         f"i-{number:010x}",
         "agent",
         f"10.0.{number // 250}.{number % 250}:8080",
@@ -70,11 +71,13 @@
         program, turn = f"p{number // 10}", f"t{number}"
         previous = f"t{number - 1}" if number % 10 else ""
         group.open(
-            messages.OpenTurn(program, turn, previous, 10**6, 45, 60.0, True),
+            program_messages.OpenTurn(
+                program, turn, previous, 10**6, 45, 60.0, True
+            ),
             0.0,
         )
         group.close(
-            messages.CloseTurn(
+            program_messages.CloseTurn(
                 program, turn, 33, "i-1", True, previous, bytes(content),
                 b"y" * 500, 60.0,
             ),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,10 +29,13 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
 from mintcleat.decisions import place
+from mintcleat.domain import call_messages
 from mintcleat.domain import codec
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import operator_messages
+from mintcleat.domain import program_messages
 from mintcleat.roles import control_client
 from mintcleat.roles.sidecar import history as sidecar_history
 
@@ -186,25 +189,27 @@
     client: control_client.ControlClient, prefix: str, callers: int, count: int
 ) -> None:
     """Runs begin and finish of `count` turns from so many callers."""
-    sidecar = messages.Incarnation("bench", 1)
+    sidecar = identities.Incarnation("bench", 1)
 
     def caller(number: int) -> None:
         name = f"{prefix}-{number}"
         client.ask(
             name,
-            messages.CreateProgram(name, "p", "", "batch", messages.Budget()),
+            program_messages.CreateProgram(
+                name, "p", "", "batch", identities.Budget()
+            ),
             30.0,
         )
         for turn in range(1, count // callers + 1):
             key = f"turn-{turn}"
-            begin = messages.BeginCall(
+            begin = program_messages.BeginCall(
                 name, "", "triage", turn, key, b"d" * 16, ["x" * 400], 500,
                 True, sidecar, "127.0.0.1:1",
             )  # fmt: skip
             granted = client.ask(name, begin, 30.0)
-            finish = messages.FinishCall(
+            finish = program_messages.FinishCall(
                 name, "", key, granted.attempt, sidecar, b"y" * 800,
-                messages.Usage(500, 200, 0),
+                identities.Usage(500, 200, 0),
             )  # fmt: skip
             client.ask(name, finish, 30.0)
 
@@ -227,7 +232,7 @@
     asker = streams.TcpStreams("127.0.0.1:0")
     try:
         for number, address in enumerate(system.control_addresses):
-            rows = asker.ask(address, messages.ShowGroups(), 5.0).rows
+            rows = asker.ask(address, operator_messages.ShowGroups(), 5.0).rows
             for row in map(json.loads, rows):
                 if row["group"] == group and row["role"] == "leader":
                     return f"control-{number}"
@@ -258,7 +263,8 @@
             while len(watchers) < count:
                 watcher = streams.TcpStreams("127.0.0.1:0")
                 watcher.open(
-                    process.addresses["streams"], messages.WatchLoad("bench")
+                    process.addresses["streams"],
+                    call_messages.WatchLoad("bench"),
                 )
                 watchers.append(watcher)
             time.sleep(0.5)
@@ -356,8 +362,8 @@
     names = [f"sidecar-{number:06d}" for number in range(count)]
     fleet.watch(names)
     for name in names:
-        report = messages.LoadReport(
-            messages.Incarnation(name, 1),
+        report = call_messages.LoadReport(
+            identities.Incarnation(name, 1),
             1,
             4,
             0,
@@ -416,22 +422,22 @@
 
 def sizes(found: dict[str, Any]) -> None:
     """Bytes of the messages that the page multiplies."""
-    here = messages.Incarnation("sidecar-of-engine-0001", time.time_ns())
-    report = messages.LoadReport(
+    here = identities.Incarnation("sidecar-of-engine-0001", time.time_ns())
+    report = call_messages.LoadReport(
         here, 123456, 8, 3, 16, 0.12, 0.021, 8000.0, 400_000, "ready", 0.2
     )
-    begin = messages.BeginCall(
+    begin = program_messages.BeginCall(
         "a" * 32, "", "agent-model", 12, "turn-12-" + "0" * 32, b"d" * 16,
         ["x" * 500], 700, True, here, "10.0.12.34:7101", 0, 1 << 60,
     )  # fmt: skip
-    granted = messages.Granted(
+    granted = program_messages.Granted(
         1 << 40, 11, b"d" * 16, 9000, 700, "a" * 32, "claim", "interactive"
     )
-    finish = messages.FinishCall(
+    finish = program_messages.FinishCall(
         "a" * 32, "", "turn-12-" + "0" * 32, 1 << 40, here, b"y" * 1000,
-        messages.Usage(9000, 250, 8800),
+        identities.Usage(9000, 250, 8800),
     )  # fmt: skip
-    chunk = messages.Chunk(1 << 40, 1200, "word ")
+    chunk = call_messages.Chunk(1 << 40, 1200, "word ")
     found["bytes"] = {
         type(message).__name__: len(codec.encode(message))
         for message in (report, begin, granted, finish, chunk)
--- a/bench/state_replica.py
+++ b/bench/state_replica.py
@@ -24,7 +24,7 @@
 from mintcleat.adapters import wal
 from mintcleat.consensus import types
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.roles.control.replication import replication
 from mintcleat.roles.control.replication import (
     snapshots as replication_snapshots,
@@ -76,7 +76,7 @@
             for name, address in settings["members"]
         ]
         self.log = replication.GroupLog(
-            messages.Incarnation(settings["name"], time.time_ns()),
+            identities.Incarnation(settings["name"], time.time_ns()),
             settings["address"],
             members,
             kind(pathlib.Path(settings["folder"])),
--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -13,8 +13,11 @@
 
 from mintcleat.adapters import admin_views
 from mintcleat.adapters import problems
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
+from mintcleat.domain import operator_messages
+from mintcleat.domain import program_messages
 
 PREFIX = "/admin/v1/"
 # Manifests reach 5 MB; twice that leaves room and bounds what a client costs.
@@ -32,8 +35,8 @@
         """Asks the group of a program."""
 
     def list_programs(
-        self, message: messages.ListPrograms, timeout: float
-    ) -> messages.Programs:
+        self, message: program_messages.ListPrograms, timeout: float
+    ) -> program_messages.Programs:
         """Returns a page of one group's programs."""
 
 
@@ -139,24 +142,24 @@
             case "GET", ["status"]:
                 return self._status()
             case "GET", ["instances"]:
-                return self.ask(messages.ShowInstances())
+                return self.ask(operator_messages.ShowInstances())
             case "GET", ["audit"]:
                 return self.ask(
-                    messages.ShowAudit(
+                    operator_messages.ShowAudit(
                         request.number("after", 0),
                         request.number("limit", 1000),
                     )
                 )
             case "GET", ["upstreams"]:
-                return self.ask(messages.ShowUpstreams())
+                return self.ask(operator_messages.ShowUpstreams())
             case _, ["registrations", *_]:
                 return self._route_registrations(request)
             case "POST", ["drains"]:
                 return self._drain(request)
             case "GET", ["rollouts"]:
-                return self.ask(messages.ShowRollouts())
+                return self.ask(operator_messages.ShowRollouts())
             case "GET", ["quarantine"]:
-                return self.ask(messages.ShowQuarantine())
+                return self.ask(operator_messages.ShowQuarantine())
             case "DELETE", ["quarantine", digest]:
                 return self._release(request, digest)
             case _, ["programs", *_]:
@@ -174,11 +177,15 @@
                 return self._list_programs(request)
             case "GET", [_, program]:
                 return self.programs.ask(
-                    program, messages.ShowProgram(program), PROGRAM_SECONDS
+                    program,
+                    program_messages.ShowProgram(program),
+                    PROGRAM_SECONDS,
                 )
             case "DELETE", [_, program]:
                 return self.programs.ask(
-                    program, messages.CloseProgram(program), PROGRAM_SECONDS
+                    program,
+                    program_messages.CloseProgram(program),
+                    PROGRAM_SECONDS,
                 )
             case _:
                 raise _unknown(request)
@@ -204,9 +211,9 @@
         match request.method, request.parts:
             case "PUT", [_, upstream]:
                 registration = _registration(upstream, request.body)
-                return self.ask(messages.RegisterUpstream(registration))
+                return self.ask(member_messages.RegisterUpstream(registration))
             case "DELETE", [_, upstream]:
-                return self.ask(messages.LeaveUpstream(upstream))
+                return self.ask(member_messages.LeaveUpstream(upstream))
             case _:
                 raise _unknown(request)
 
@@ -215,7 +222,7 @@
         if not isinstance(start, bool):
             raise errors.BadRequest("'start' must be true or false.")
         return self.ask(
-            messages.EmptyControl(
+            operator_messages.EmptyControl(
                 request.text("instance"),
                 start,
                 request.text("operator", "unnamed"),
@@ -224,7 +231,7 @@
         )
 
     def _manifest(self) -> dict[str, Any]:
-        view = self.ask(messages.ReadManifest())
+        view = self.ask(config_messages.ReadManifest())
         return {
             "revision": view.revision,
             "manifest": msgspec.Raw(view.manifest.encode()),
@@ -240,7 +247,7 @@
         if type(version) is not int or version < 0:
             raise errors.BadRequest("'version' must be a whole number.")
         text = request.text("manifest")
-        message = messages.PushManifest(
+        message = config_messages.PushManifest(
             expected,
             request.text("push_id"),
             text,
@@ -254,10 +261,10 @@
         return self.ask(message)
 
     def _status(self) -> dict[str, Any]:
-        instances = self.ask(messages.ShowInstances())
-        upstreams = self.ask(messages.ShowUpstreams())
-        rollouts = self.ask(messages.ShowRollouts())
-        listed = self.ask(messages.ShowQuarantine())
+        instances = self.ask(operator_messages.ShowInstances())
+        upstreams = self.ask(operator_messages.ShowUpstreams())
+        rollouts = self.ask(operator_messages.ShowRollouts())
+        listed = self.ask(operator_messages.ShowQuarantine())
         return admin_views.status(instances, upstreams, rollouts, listed)
 
     def _drain(self, request: Request) -> Any:
@@ -265,7 +272,7 @@
         if not isinstance(drain, bool):
             raise errors.BadRequest("'drain' must be true or false.")
         return self.ask(
-            messages.DrainScope(
+            operator_messages.DrainScope(
                 request.text("scope"),
                 request.text("name"),
                 drain,
@@ -281,7 +288,7 @@
             raise errors.BadRequest(f"{digest!r} is no digest.") from None
         operator = request.query.get("operator", "unnamed")
         return self.ask(
-            messages.ReleaseQuarantine(raw, operator, request.origin)
+            operator_messages.ReleaseQuarantine(raw, operator, request.origin)
         )
 
     def _list_programs(self, request: Request) -> Any:
@@ -291,12 +298,12 @@
         found = []
         for group in self.groups():
             page = self.programs.list_programs(
-                messages.ListPrograms(group, after, limit),
+                program_messages.ListPrograms(group, after, limit),
                 PROGRAM_SECONDS,
             )
             found.extend(page.programs)
         found.sort(key=lambda item: item.program)
-        return messages.Programs(found[:limit])
+        return program_messages.Programs(found[:limit])
 
     def _replace(self, request: Request, control: ControlActions) -> Any:
         old, new = request.text("old"), request.text("new")
@@ -305,22 +312,28 @@
         operator = request.text("operator")
         detail = control.replace(old, new, address, domain)
         origin = request.origin
-        self.ask(messages.SetControl(new, address, domain, operator, origin))
+        self.ask(
+            operator_messages.SetControl(new, address, domain, operator, origin)
+        )
         # An instance whose disk was emptied is replaced by itself.
         if old != new:
-            self.ask(messages.SetControl(old, "", "", operator, origin))
+            self.ask(
+                operator_messages.SetControl(old, "", "", operator, origin)
+            )
         return {"detail": detail}
 
 
-def _registration(upstream: str, body: dict[str, Any]) -> messages.Registration:
+def _registration(
+    upstream: str, body: dict[str, Any]
+) -> member_messages.Registration:
     """Returns a registration from its fields.
 
     Raises:
         errors.BadRequest: A field is missing, unknown or of another type.
     """
     try:
-        plain = messages.Registration(upstream, **body)
-        return msgspec.convert(list(plain), messages.Registration)
+        plain = member_messages.Registration(upstream, **body)
+        return msgspec.convert(list(plain), member_messages.Registration)
     except (TypeError, msgspec.ValidationError) as error:
         raise errors.BadRequest(f"No registration: {error}.") from None
 
--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from mintcleat.domain import messages
+from mintcleat.domain import operator_messages
 
 # A field that can't have its name in Python.
 _SHOWN = {"klass": "class"}
@@ -29,10 +29,10 @@
 
 
 def status(
-    instances: messages.Instances,
-    upstreams: messages.Upstreams,
-    rollouts: messages.Rollouts,
-    listed: messages.QuarantineList,
+    instances: operator_messages.Instances,
+    upstreams: operator_messages.Upstreams,
+    rollouts: operator_messages.Rollouts,
+    listed: operator_messages.QuarantineList,
 ) -> dict[str, Any]:
     """Returns the operators' overview.
 
--- a/src/mintcleat/adapters/caller_http.py
+++ b/src/mintcleat/adapters/caller_http.py
@@ -16,7 +16,8 @@
 from mintcleat.adapters import metrics as metrics_module
 from mintcleat.adapters import problems
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 from mintcleat.ports import calls as calls_port
 
@@ -207,7 +208,7 @@
         agent=text(body, "agent"),
         klass=klass,
         parent=text(body, "parent"),
-        budget=messages.Budget(
+        budget=identities.Budget(
             tokens=amount(budget, "tokens", int),
             turns=amount(budget, "turns", int),
             seconds=amount(budget, "seconds", float),
@@ -259,7 +260,7 @@
             yield [name, value]
 
 
-def view_body(view: messages.ProgramView) -> dict[str, Any]:
+def view_body(view: program_messages.ProgramView) -> dict[str, Any]:
     """Returns a program as callers see it."""
     return {
         "id": view.program,
@@ -278,7 +279,7 @@
     }
 
 
-def history_body(history: messages.History) -> dict[str, Any]:
+def history_body(history: program_messages.History) -> dict[str, Any]:
     """Returns a history as callers see it."""
     return {
         "id": history.program,
--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -11,7 +11,7 @@
 
 from mintcleat.adapters import http_errors
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import upstream
 
 _CONTROL_SECONDS = 5.0
@@ -275,10 +275,10 @@
     return msgspec.json.encode(fields)
 
 
-def to_usage(usage: _Usage) -> messages.Usage:
+def to_usage(usage: _Usage) -> identities.Usage:
     """Returns the usage as the engine reported it."""
     details = usage.get("prompt_tokens_details") or {}
-    return messages.Usage(
+    return identities.Usage(
         usage.get("prompt_tokens", 0),
         usage.get("completion_tokens", 0),
         details.get("cached_tokens", 0),
--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -13,7 +13,7 @@
 from mintcleat.adapters import wal_identity
 from mintcleat.adapters import wal_segment
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import wal
 
 # A disk without room, or a folder over its share of it.
@@ -50,7 +50,7 @@
         self.closed_bytes = 0
         self.buffer: list[bytes] = []
 
-    def open(self, node: messages.Incarnation) -> wal.Recovery:
+    def open(self, node: identities.Incarnation) -> wal.Recovery:
         """Reads the log, or formats an empty disk for `node`."""
         with self._guard():
             self.folder.mkdir(parents=True, exist_ok=True)
@@ -172,7 +172,7 @@
             self.descriptor = self.lock = -1
             self.failed = errors.StorageFailed("The log is closed.")
 
-    def _format(self, node: messages.Incarnation) -> messages.Incarnation:
+    def _format(self, node: identities.Incarnation) -> identities.Incarnation:
         # The first segment comes before the identity: an identity without a
         # log is then always damage, never a crash while formatting.
         numbers = self._numbers()
--- a/src/mintcleat/adapters/wal_identity.py
+++ b/src/mintcleat/adapters/wal_identity.py
@@ -9,7 +9,7 @@
 import msgpack
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import wal
 
 FILE = "identity"
@@ -17,7 +17,7 @@
 
 def read(
     folder: pathlib.Path, instance: str, tells_copies: bool = True
-) -> messages.Incarnation | None:
+) -> identities.Incarnation | None:
     """Returns the identity, or None when this disk must be formatted.
 
     The file holds its own inode number. A restored backup is a copy, whose
@@ -50,11 +50,11 @@
     if tells_copies and inode != path.stat().st_ino:
         _set_aside(folder, epoch)
         return None
-    return messages.Incarnation(name, epoch)
+    return identities.Incarnation(name, epoch)
 
 
 def write(
-    disk: wal.Disk, folder: pathlib.Path, identity: messages.Incarnation
+    disk: wal.Disk, folder: pathlib.Path, identity: identities.Incarnation
 ) -> None:
     """Stores the identity durably; the disk is formatted from then on."""
     draft = folder / f"{FILE}.draft"
--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 
 
 class TakeOffice(NamedTuple):
@@ -63,7 +63,7 @@
     """A registration that differs from the one on record."""
 
     office: int
-    registration: messages.Registration
+    registration: member_messages.Registration
     at: float
 
 
--- a/src/mintcleat/configuration/directory.py
+++ b/src/mintcleat/configuration/directory.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 
 # A registration that was held up on the way for so long is not expected any
 # more; until then the id of an upstream that left is remembered.
@@ -32,12 +32,14 @@
     def __init__(self) -> None:
         self.version = 0
         self.horizon = 0
-        self.entries: dict[str, messages.Registration] = {}
+        self.entries: dict[str, member_messages.Registration] = {}
         self.changed_at: dict[str, int] = {}
         self.removed_at: dict[str, int] = {}
         self.left: dict[str, float] = {}
 
-    def register(self, registration: messages.Registration, at: float) -> bool:
+    def register(
+        self, registration: member_messages.Registration, at: float
+    ) -> bool:
         """Takes a registration; returns whether it is in force afterwards.
 
         A registration of a life that has left, or an older one of the same
@@ -67,20 +69,24 @@
         self._remove(upstream, self.version + 1)
         return True
 
-    def update_since(self, version: int) -> messages.DirectoryUpdate:
+    def update_since(self, version: int) -> member_messages.DirectoryUpdate:
         """Returns what brings a node from `version` to the present one."""
         if not version or version < self.horizon:
             everything = list(self.entries.values())
-            return messages.DirectoryUpdate(self.version, True, everything, [])
+            return member_messages.DirectoryUpdate(
+                self.version, True, everything, []
+            )
         changed = [
             self.entries[name]
             for name, at in self.changed_at.items()
             if at > version
         ]
         gone = [name for name, at in self.removed_at.items() if at > version]
-        return messages.DirectoryUpdate(self.version, False, changed, gone)
+        return member_messages.DirectoryUpdate(
+            self.version, False, changed, gone
+        )
 
-    def follow(self, update: messages.DirectoryUpdate) -> bool:
+    def follow(self, update: member_messages.DirectoryUpdate) -> bool:
         """Takes an update of another directory; False for an older one."""
         if update.version <= self.version:
             return False
@@ -113,11 +119,11 @@
     def load(self, state: list[Any]) -> None:
         """Takes what `state` returned."""
         self.version, self.horizon = state[:2]
-        found = [messages.Registration(*item) for item in state[2]]
+        found = [member_messages.Registration(*item) for item in state[2]]
         self.entries = {item.upstream: item for item in found}
         self.changed_at, self.removed_at, self.left = state[3:6]
 
-    def _put(self, registration: messages.Registration) -> None:
+    def _put(self, registration: member_messages.Registration) -> None:
         name = registration.upstream
         held = self.entries.get(name)
         self.entries[name] = registration
@@ -146,7 +152,7 @@
 
 
 def same_in_force(
-    one: messages.Registration, other: messages.Registration
+    one: member_messages.Registration, other: member_messages.Registration
 ) -> bool:
     """Tells whether two registrations of one upstream mean the same."""
     return one._replace(sequence=0, cold=0.0) == other._replace(
--- a/src/mintcleat/configuration/members.py
+++ b/src/mintcleat/configuration/members.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from mintcleat.configuration import lease
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 
 DIRECT = ""
 # Starts of one instance within FLAP_WINDOW seconds are shown to operators.
@@ -25,7 +26,7 @@
         expires: Clock at which it is dropped; infinite while relayed.
     """
 
-    announcement: messages.Announcement
+    announcement: member_messages.Announcement
     renewed: float
     expires: float
 
@@ -46,20 +47,22 @@
     def __init__(self) -> None:
         self.version = 0
         self.horizon = 0
-        self.sources: dict[str, dict[messages.Incarnation, Record]] = {}
-        self.holders: dict[str, set[tuple[str, messages.Incarnation]]] = {}
-        self.view: dict[str, messages.Announcement] = {}
+        self.sources: dict[str, dict[identities.Incarnation, Record]] = {}
+        self.holders: dict[str, set[tuple[str, identities.Incarnation]]] = {}
+        self.view: dict[str, member_messages.Announcement] = {}
         self.changed_at: dict[str, int] = {}
-        self.removed_at: dict[messages.Incarnation, int] = {}
+        self.removed_at: dict[identities.Incarnation, int] = {}
         self.starts: dict[str, dict[int, float]] = {}
-        self.cached: dict[tuple[int, int], messages.MembersUpdate] = {}
+        self.cached: dict[tuple[int, int], member_messages.MembersUpdate] = {}
 
-    def announce(self, announcement: messages.Announcement, now: float) -> None:
+    def announce(
+        self, announcement: member_messages.Announcement, now: float
+    ) -> None:
         """Takes a direct announcement and renews its lease."""
         expires = now + lease.MEMBER_LEASE
         self._put(DIRECT, Record(announcement, now, expires), now)
 
-    def renew(self, sidecar: messages.Incarnation, now: float) -> None:
+    def renew(self, sidecar: identities.Incarnation, now: float) -> None:
         """Renews the lease of a direct announcement."""
         records = self.sources.get(DIRECT, {})
         record = records.get(sidecar)
@@ -68,7 +71,7 @@
             records[sidecar] = Record(record.announcement, now, expires)
 
     def relay(
-        self, source: str, update: messages.MembersUpdate, now: float
+        self, source: str, update: member_messages.MembersUpdate, now: float
     ) -> None:
         """Takes what another control instance passes on."""
         if update.whole:
@@ -102,7 +105,7 @@
 
     def duplicates(
         self, instance: str, now: float
-    ) -> list[messages.Incarnation]:
+    ) -> list[identities.Incarnation]:
         """Returns older incarnations that renew though a newer one is alive.
 
         A sidecar that was restarted stops renewing; its last announcement
@@ -120,7 +123,7 @@
             and self._lives_on(source, sidecar, since, now)
         )
 
-    def update_since(self, version: int) -> messages.MembersUpdate:
+    def update_since(self, version: int) -> member_messages.MembersUpdate:
         """Returns what brings a node from `version` to the present one."""
         key = (version, self.version)
         if key not in self.cached:
@@ -128,26 +131,30 @@
             self.cached = {key: self._update_since(version)}
         return self.cached[key]
 
-    def direct(self) -> dict[messages.Incarnation, messages.Announcement]:
+    def direct(
+        self,
+    ) -> dict[identities.Incarnation, member_messages.Announcement]:
         """Returns what was announced to this instance itself."""
         records = self.sources.get(DIRECT, {})
         return {key: item.announcement for key, item in records.items()}
 
-    def _update_since(self, version: int) -> messages.MembersUpdate:
+    def _update_since(self, version: int) -> member_messages.MembersUpdate:
         if version <= 0 or version < self.horizon or version > self.version:
-            return messages.MembersUpdate(True, list(self.view.values()), [])
+            return member_messages.MembersUpdate(
+                True, list(self.view.values()), []
+            )
         changed = [
             self.view[name]
             for name, at in self.changed_at.items()
             if at > version
         ]
         gone = [key for key, at in self.removed_at.items() if at > version]
-        return messages.MembersUpdate(False, changed, gone)
+        return member_messages.MembersUpdate(False, changed, gone)
 
     def _lives_on(
         self,
         source: str,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         since: float,
         now: float,
     ) -> bool:
@@ -175,7 +182,7 @@
         starts.setdefault(sidecar.epoch, now)
         self._refresh(sidecar.instance)
 
-    def _drop(self, source: str, sidecar: messages.Incarnation) -> None:
+    def _drop(self, source: str, sidecar: identities.Incarnation) -> None:
         if self.sources.get(source, {}).pop(sidecar, None) is None:
             return
         holders = self.holders[sidecar.instance]
@@ -208,14 +215,14 @@
         self.view[instance] = best
         self.changed_at[instance] = self.version
 
-    def _remove(self, held: messages.Announcement) -> None:
+    def _remove(self, held: member_messages.Announcement) -> None:
         self.version += 1
         instance = held.sidecar.instance
         del self.view[instance]
         del self.changed_at[instance]
         self._note_removal(held.sidecar)
 
-    def _note_removal(self, sidecar: messages.Incarnation) -> None:
+    def _note_removal(self, sidecar: identities.Incarnation) -> None:
         self.removed_at.pop(sidecar, None)
         self.removed_at[sidecar] = self.version
         while len(self.removed_at) > REMOVALS_KEPT:
--- a/src/mintcleat/consensus/election.py
+++ b/src/mintcleat/consensus/election.py
@@ -8,7 +8,7 @@
 from mintcleat.consensus import replicate
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 def tick(replica: state.State, now: float) -> None:
@@ -26,7 +26,7 @@
 
 def on_pre_vote(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.PreVote,
     now: float,
 ) -> None:
@@ -42,7 +42,7 @@
 
 def on_pre_vote_reply(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.PreVoteReply,
     now: float,
 ) -> None:
@@ -60,7 +60,7 @@
 
 def on_vote(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.Vote,
     now: float,
 ) -> None:
@@ -89,7 +89,7 @@
 
 def on_vote_reply(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.VoteReply,
     now: float,
 ) -> None:
@@ -121,7 +121,7 @@
 
 
 def transfer(
-    replica: state.State, to: messages.Incarnation, now: float
+    replica: state.State, to: identities.Incarnation, now: float
 ) -> None:
     """Starts handing the leadership to a voter; proposals stop."""
     if replica.role != types.LEADER or not replica.configuration.votes(to):
--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -15,7 +15,7 @@
 from mintcleat.consensus import replicate
 from mintcleat.consensus import roster as rosters
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 # Versions of a heartbeat list that an answer may still refer to.
 _KEPT_VERSIONS = 32
@@ -52,7 +52,7 @@
 
     def __init__(
         self,
-        me: messages.Incarnation,
+        me: identities.Incarnation,
         life: int,
         settings: types.Settings,
         jitter: Callable[[], float],
@@ -85,9 +85,9 @@
         self.hello_due = now
         self.started = now
         self.superseded = 0
-        self.outgoing: dict[messages.Incarnation, _Outgoing] = {}
+        self.outgoing: dict[identities.Incarnation, _Outgoing] = {}
         self.incoming: dict[
-            messages.Incarnation, tuple[int, int, list[wire.Beat]]
+            identities.Incarnation, tuple[int, int, list[wire.Beat]]
         ] = {}
 
     def receive(self, frame: wire.Frame, now: float) -> None:
@@ -99,7 +99,7 @@
         """
         if frame.to.instance == self.me.instance:
             self.superseded = max(self.superseded, frame.to.epoch)
-        anyone = messages.Incarnation(self.me.instance, 0)
+        anyone = identities.Incarnation(self.me.instance, 0)
         if frame.to not in (self.me, anyone):
             return
         self.roster.heard(frame.sender, frame.address, now)
@@ -108,7 +108,7 @@
                 self.step(frame.sender, message, now)
 
     def step(
-        self, sender: messages.Incarnation, message: Any, now: float
+        self, sender: identities.Incarnation, message: Any, now: float
     ) -> None:
         """Takes a message from a peer."""
         match message:
@@ -169,7 +169,7 @@
     def _beat(self, now: float) -> None:
         self.box.beat_soon = False
         self.beat_due = now + self.settings.heartbeat
-        lists: dict[messages.Incarnation, list[wire.Beat]] = {}
+        lists: dict[identities.Incarnation, list[wire.Beat]] = {}
         for group, replica in self.replicas.items():
             state = replica.state
             if state.role != types.LEADER:
@@ -226,7 +226,10 @@
             )
 
     def _send_beat(
-        self, follower: messages.Incarnation, beats: list[wire.Beat], now: float
+        self,
+        follower: identities.Incarnation,
+        beats: list[wire.Beat],
+        now: float,
     ) -> None:
         out = self.outgoing.setdefault(follower, _Outgoing())
         if out.lists.get(out.version) != beats:
@@ -239,7 +242,10 @@
         self.box.early.append(outbox.Letter(follower, message))
 
     def _on_heartbeat(
-        self, sender: messages.Incarnation, message: wire.Heartbeat, now: float
+        self,
+        sender: identities.Incarnation,
+        message: wire.Heartbeat,
+        now: float,
     ) -> None:
         life, version, beats = self.incoming.get(sender, (0, 0, []))
         if message.beats is not None:
@@ -261,7 +267,7 @@
 
     def _reply(
         self,
-        sender: messages.Incarnation,
+        sender: identities.Incarnation,
         message: wire.Heartbeat,
         known: bool,
         refused: list[wire.Beat],
@@ -273,7 +279,7 @@
 
     def _on_reply(
         self,
-        sender: messages.Incarnation,
+        sender: identities.Incarnation,
         message: wire.HeartbeatReply,
         now: float,
     ) -> None:
--- a/src/mintcleat/consensus/lease.py
+++ b/src/mintcleat/consensus/lease.py
@@ -5,7 +5,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 def duration(settings: types.Settings) -> float:
@@ -64,7 +64,10 @@
 
 
 def acknowledge(
-    replica: state.State, sender: messages.Incarnation, sent: float, now: float
+    replica: state.State,
+    sender: identities.Incarnation,
+    sent: float,
+    now: float,
 ) -> None:
     """Takes the answer to a heartbeat that left here at `sent`.
 
@@ -99,7 +102,7 @@
     replica.box.reads.append(ready)
 
 
-def contact(replica: state.State, voter: messages.Incarnation) -> float:
+def contact(replica: state.State, voter: identities.Incarnation) -> float:
     """Returns when the last heartbeat that a follower answered was sent."""
     if voter == replica.me:
         return math.inf
--- a/src/mintcleat/consensus/membership.py
+++ b/src/mintcleat/consensus/membership.py
@@ -11,7 +11,7 @@
 from mintcleat.consensus import replicate
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 def may_change(replica: state.State) -> bool:
@@ -43,7 +43,7 @@
 
 
 def drop_learner(
-    replica: state.State, learner: messages.Incarnation, now: float
+    replica: state.State, learner: identities.Incarnation, now: float
 ) -> bool:
     """Removes a learner that failed before it was promoted."""
     if not may_change(replica):
@@ -83,7 +83,7 @@
     _propose(replica, types.Configuration(kept, learners), now)
 
 
-def _caught_up(replica: state.State, learner: messages.Incarnation) -> bool:
+def _caught_up(replica: state.State, learner: identities.Incarnation) -> bool:
     """Tells whether a learner may vote.
 
     The entry that added it was committed after it joined. A learner that
@@ -105,6 +105,6 @@
 
 
 def _without(
-    peers: list[types.Peer], replica: messages.Incarnation
+    peers: list[types.Peer], replica: identities.Incarnation
 ) -> list[types.Peer]:
     return [peer for peer in peers if peer.replica != replica]
--- a/src/mintcleat/consensus/messages.py
+++ b/src/mintcleat/consensus/messages.py
@@ -13,7 +13,7 @@
 
 from mintcleat.consensus import types
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class PreVote(NamedTuple):
@@ -166,9 +166,9 @@
 class Frame(NamedTuple):
     """Messages from one replica's instance to another's."""
 
-    sender: messages.Incarnation
+    sender: identities.Incarnation
     address: str
-    to: messages.Incarnation
+    to: identities.Incarnation
     messages: list[Any]
 
 
--- a/src/mintcleat/consensus/outbox.py
+++ b/src/mintcleat/consensus/outbox.py
@@ -4,13 +4,13 @@
 from typing import NamedTuple
 
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Letter(NamedTuple):
     """A message to a replica."""
 
-    to: messages.Incarnation
+    to: identities.Incarnation
     message: Any
 
 
@@ -20,7 +20,7 @@
     `Replica.snapshot_ended` must follow, whatever comes of it.
     """
 
-    to: messages.Incarnation
+    to: identities.Incarnation
     group: str
     term: int
     mark: types.SnapshotMark
--- a/src/mintcleat/consensus/records.py
+++ b/src/mintcleat/consensus/records.py
@@ -7,7 +7,7 @@
 
 from mintcleat.consensus import entries as entry_log
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 _VOTE = 0
 _ENTRIES = 1
@@ -24,7 +24,7 @@
         self.mark = types.SnapshotMark(0, 0, types.EMPTY)
 
 
-def vote(group: str, term: int, replica: messages.Incarnation) -> bytes:
+def vote(group: str, term: int, replica: identities.Incarnation) -> bytes:
     """Returns the record of a term and the vote in it."""
     return msgpack.packb([_VOTE, group, term, replica])
 
@@ -57,7 +57,7 @@
         stored = groups.setdefault(group, Stored())
         if kind == _VOTE:
             stored.term = fields[0]
-            stored.vote = messages.Incarnation(*fields[1])
+            stored.vote = identities.Incarnation(*fields[1])
         elif kind == _ENTRIES:
             _add(stored, [types.Entry(*values) for values in fields[0]])
         else:
--- a/src/mintcleat/consensus/repair.py
+++ b/src/mintcleat/consensus/repair.py
@@ -5,7 +5,7 @@
 from mintcleat.consensus import roster as rosters
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 # A spare must have been heard within this many greeting periods.
 _ALIVE_PERIODS = 3
@@ -42,7 +42,7 @@
 
 def replace(
     replica: state.State,
-    old: messages.Incarnation,
+    old: identities.Incarnation,
     newcomer: types.Peer,
     now: float,
 ) -> bool:
@@ -111,7 +111,7 @@
 
 
 def _silent(
-    replica: state.State, follower: messages.Incarnation, now: float
+    replica: state.State, follower: identities.Incarnation, now: float
 ) -> bool:
     after = replica.settings.replace_after
     contact = max(lease.contact(replica, follower), replica.led_at)
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -12,7 +12,7 @@
 from mintcleat.consensus import replicate
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Replica:
@@ -25,7 +25,7 @@
     def __init__(
         self,
         group: str,
-        me: messages.Incarnation,
+        me: identities.Incarnation,
         settings: types.Settings,
         jitter: Callable[[], float],
         box: outbox.Outbox,
@@ -52,7 +52,7 @@
         return self.state.term == 0 and self.state.log.last_index == 0
 
     def step(
-        self, sender: messages.Incarnation, message: Any, now: float
+        self, sender: identities.Incarnation, message: Any, now: float
     ) -> None:
         """Takes a message of this group."""
         replica = self.state
@@ -105,7 +105,7 @@
         """Tells whether reads need no message now."""
         return lease.held(self.state, now)
 
-    def transfer(self, to: messages.Incarnation, now: float) -> None:
+    def transfer(self, to: identities.Incarnation, now: float) -> None:
         """Hands the leadership to a voter."""
         election.transfer(self.state, to, now)
 
@@ -113,12 +113,12 @@
         """Starts a repair; see `membership`."""
         return membership.add(self.state, peer, now)
 
-    def drop_learner(self, learner: messages.Incarnation, now: float) -> bool:
+    def drop_learner(self, learner: identities.Incarnation, now: float) -> bool:
         """Gives up a repair whose learner failed."""
         return membership.drop_learner(self.state, learner, now)
 
     def snapshot_ended(
-        self, follower: messages.Incarnation, sent: bool, now: float
+        self, follower: identities.Incarnation, sent: bool, now: float
     ) -> None:
         """Notes that a snapshot was wholly sent, or could not be."""
         replicate.on_snapshot_ended(self.state, follower, sent, now)
--- a/src/mintcleat/consensus/replicate.py
+++ b/src/mintcleat/consensus/replicate.py
@@ -7,7 +7,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import state
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 def add(replica: state.State, kind: int, data: bytes, now: float) -> int:
@@ -52,7 +52,7 @@
 
 def on_append(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.Append,
     now: float,
 ) -> None:
@@ -74,7 +74,7 @@
 
 def on_append_reply(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.AppendReply,
     now: float,
 ) -> None:
@@ -98,7 +98,7 @@
 
 def on_beat(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     beat: wire.Beat,
     now: float,
 ) -> bool:
@@ -112,7 +112,7 @@
 
 def on_install(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.InstallSnapshot,
     now: float,
 ) -> None:
@@ -134,7 +134,7 @@
 
 def on_snapshot_ended(
     replica: state.State,
-    follower: messages.Incarnation,
+    follower: identities.Incarnation,
     sent: bool,
     now: float,
 ) -> None:
@@ -165,7 +165,7 @@
 
 def _send(
     replica: state.State,
-    follower: messages.Incarnation,
+    follower: identities.Incarnation,
     progress: state.Progress,
     now: float,
 ) -> None:
@@ -199,7 +199,7 @@
 
 def _send_snapshot(
     replica: state.State,
-    follower: messages.Incarnation,
+    follower: identities.Incarnation,
     progress: state.Progress,
     now: float,
 ) -> None:
@@ -224,7 +224,7 @@
 
 
 def _hear(
-    replica: state.State, sender: messages.Incarnation, term: int, now: float
+    replica: state.State, sender: identities.Incarnation, term: int, now: float
 ) -> None:
     if term > replica.term or replica.leader != sender:
         replica.follow(term, sender, now)
@@ -264,7 +264,7 @@
 
 def _refuse(
     replica: state.State,
-    sender: messages.Incarnation,
+    sender: identities.Incarnation,
     message: wire.Append,
     hint: int,
 ) -> None:
@@ -274,7 +274,7 @@
     replica.send(sender, reply)
 
 
-def _match(replica: state.State, voter: messages.Incarnation) -> int:
+def _match(replica: state.State, voter: identities.Incarnation) -> int:
     if voter == replica.me:
         return replica.persisted
     progress = replica.progress.get(voter)
--- a/src/mintcleat/consensus/roster.py
+++ b/src/mintcleat/consensus/roster.py
@@ -8,7 +8,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import placement
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Resident(NamedTuple):
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        me: messages.Incarnation,
+        me: identities.Incarnation,
         members: Sequence[types.Member],
         own: types.Member | None = None,
     ) -> None:
@@ -58,7 +58,7 @@
             self.members.setdefault(member.instance, member)
 
     def greeted(
-        self, sender: messages.Incarnation, message: wire.Hello
+        self, sender: identities.Incarnation, message: wire.Hello
     ) -> None:
         """Takes what a greeting says of its sender and of others.
 
@@ -108,7 +108,7 @@
         member = self.members.get(instance)
         return member.address if member else ""
 
-    def peer(self, replica: messages.Incarnation) -> types.Peer:
+    def peer(self, replica: identities.Incarnation) -> types.Peer:
         """Returns a peer with what the settings say of its instance."""
         member = self.members.get(replica.instance)
         if member is None:
@@ -118,7 +118,7 @@
         )
 
     def heard(
-        self, sender: messages.Incarnation, address: str, now: float
+        self, sender: identities.Incarnation, address: str, now: float
     ) -> None:
         """Notes that a frame came; an older incarnation is ignored."""
         known = self.residents.get(sender.instance)
@@ -131,7 +131,7 @@
         self.residents[sender.instance] = known._replace(peer=peer, seen=now)
 
     def on_known(
-        self, sender: messages.Incarnation, message: wire.Known, now: float
+        self, sender: identities.Incarnation, message: wire.Known, now: float
     ) -> None:
         """Notes what an instance answered to our question."""
         known = self.residents.get(sender.instance)
@@ -149,7 +149,7 @@
         """
         hello = wire.Hello(asks, self.own, self.heard_since(oldest))
         return [
-            outbox.Letter(messages.Incarnation(name, 0), hello)
+            outbox.Letter(identities.Incarnation(name, 0), hello)
             for name in self.members
             if name != self.me.instance
         ]
--- a/src/mintcleat/consensus/state.py
+++ b/src/mintcleat/consensus/state.py
@@ -8,7 +8,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import records
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Progress:
@@ -50,7 +50,7 @@
     def __init__(
         self,
         group: str,
-        me: messages.Incarnation,
+        me: identities.Incarnation,
         settings: types.Settings,
         jitter: Callable[[], float],
         box: outbox.Outbox,
@@ -78,8 +78,8 @@
         # died; counting its start as contact keeps that leader's lease safe.
         self.heard_at = now
         self.election_due = 0.0
-        self.grants: set[messages.Incarnation] = set()
-        self.progress: dict[messages.Incarnation, Progress] = {}
+        self.grants: set[identities.Incarnation] = set()
+        self.progress: dict[identities.Incarnation, Progress] = {}
         self.led_at = now
         self.term_start = 0
         self.lease_given_up = False
@@ -111,11 +111,11 @@
         found = [c for i, c in self.configurations if i <= index]
         return found[-1]
 
-    def send(self, to: messages.Incarnation, message: Any) -> None:
+    def send(self, to: identities.Incarnation, message: Any) -> None:
         """Sends a message that promises nothing about the disk."""
         self.box.early.append(outbox.Letter(to, message))
 
-    def send_synced(self, to: messages.Incarnation, message: Any) -> None:
+    def send_synced(self, to: identities.Incarnation, message: Any) -> None:
         """Sends a message once all records so far are synced.
 
         A vote or acknowledgement that leaves before the sync can be
@@ -185,7 +185,7 @@
         self.election_due = now + shortest * (1.0 + self.jitter())
 
     def follow(
-        self, term: int, leader: messages.Incarnation, now: float
+        self, term: int, leader: identities.Incarnation, now: float
     ) -> None:
         """Becomes a follower, in a higher term or of a known leader."""
         if term > self.term:
--- a/src/mintcleat/consensus/types.py
+++ b/src/mintcleat/consensus/types.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
-NOBODY = messages.Incarnation("", 0)
+NOBODY = identities.Incarnation("", 0)
 
 # Kinds of entries.
 NOOP = 0
@@ -48,11 +48,11 @@
         replaces: The replica that goes once this one is a voter.
     """
 
-    replica: messages.Incarnation
+    replica: identities.Incarnation
     address: str
     failure_domain: str
     region: str
-    replaces: messages.Incarnation = NOBODY
+    replaces: identities.Incarnation = NOBODY
 
 
 class Configuration(NamedTuple):
@@ -65,7 +65,7 @@
         """Returns voters and learners."""
         return [*self.voters, *self.learners]
 
-    def votes(self, replica: messages.Incarnation) -> bool:
+    def votes(self, replica: identities.Incarnation) -> bool:
         """Tells whether a replica is a voter."""
         return any(peer.replica == replica for peer in self.voters)
 
--- a/src/mintcleat/decisions/place.py
+++ b/src/mintcleat/decisions/place.py
@@ -11,7 +11,7 @@
 
 from mintcleat.decisions import calls
 from mintcleat.decisions import outliers
-from mintcleat.domain import messages
+from mintcleat.domain import call_messages
 
 # A report that arrives now left before the calls of this last moment reached
 # the sidecar, so they are still counted as sent since the report.
@@ -87,12 +87,12 @@
         heard: When the report came.
     """
 
-    def __init__(self, report: messages.LoadReport, now: float) -> None:
+    def __init__(self, report: call_messages.LoadReport, now: float) -> None:
         self.report = report
         self.heard = now
         self.sent: list[tuple[float, float]] = []
 
-    def take(self, report: messages.LoadReport, now: float) -> bool:
+    def take(self, report: call_messages.LoadReport, now: float) -> bool:
         """Takes a report unless it is older than the one held."""
         age = (report.sidecar.epoch, report.counter)
         if age < (self.report.sidecar.epoch, self.report.counter):
@@ -142,7 +142,7 @@
             self.forget(name)
         self.subset = list(subset)
 
-    def report(self, report: messages.LoadReport, now: float) -> None:
+    def report(self, report: call_messages.LoadReport, now: float) -> None:
         """Takes a load report, pushed or with an answer."""
         name = report.sidecar.instance
         known = self.upstreams.get(name)
--- /dev/null
+++ b/src/mintcleat/domain/program_messages.py
@@ -0,0 +1,305 @@
+"""Messages to the leader of a program group, from entries and sidecars.
+
+See `domain.messages` for what all messages have in common.
+"""
+
+from typing import NamedTuple
+
+from mintcleat.domain import errors
+from mintcleat.domain import identities
+
+
+class OpenTurn(NamedTuple):
+    """Reserves tokens for a turn of a program that opens with its first turn.
+
+    Repeating it changes nothing.
+
+    Attributes:
+        turn: Id of this attempt; later turns name it to go on from it.
+        previous: Turn that this one goes on from; empty for none. Several
+            may go on from one.
+        budget: Tokens that the program may be handed in all; 0 for no limit.
+        reserve: Most tokens that this turn can hand out.
+        retention: Seconds for which the program's turns are kept.
+        holds_chain: Whether the sender has the content of `previous` and all
+            turns before it.
+    """
+
+    program: str
+    turn: str
+    previous: str
+    budget: int
+    reserve: int
+    retention: float
+    holds_chain: bool = False
+
+
+class KeptTurn(NamedTuple):
+    """A finished turn: opaque bytes in and out, as later turns repeat them.
+
+    Attributes:
+        upstream: Where it ran, and where its cache may still lie.
+    """
+
+    turn: str
+    previous: str
+    input: bytes
+    output: bytes
+    upstream: str
+
+
+class TurnOpened(NamedTuple):
+    """The tokens are reserved.
+
+    Attributes:
+        chain: The turns to go on from, the oldest first; empty where the
+            sender holds them.
+        upstream: Where the program ran last; empty for a new one.
+    """
+
+    chain: list[KeptTurn]
+    upstream: str
+
+
+class CloseTurn(NamedTuple):
+    """Settles a turn that was opened; repeating it changes nothing.
+
+    Attributes:
+        tokens: Tokens that were handed to the caller.
+        upstream: Where it ran; empty when it ran nowhere.
+        keep: Whether the turn ended whole and may be continued.
+        retention: Seconds for which it, and the turns before it, are kept.
+    """
+
+    program: str
+    turn: str
+    tokens: int
+    upstream: str = ""
+    keep: bool = False
+    previous: str = ""
+    input: bytes = b""
+    output: bytes = b""
+    retention: float = 0.0
+
+
+class CreateProgram(NamedTuple):
+    """Creates a program; the same attributes again give the same program.
+
+    A child's id is `<parent id>.<name>`, so it lies in its root's group.
+
+    Attributes:
+        repeat_limit: Calls with one digest that the program may make within
+            its recent calls before it counts as a loop; 0 for no limit.
+    """
+
+    program: str
+    partner: str
+    agent: str
+    klass: str
+    budget: identities.Budget
+    parent: str = ""
+    repeat_limit: int = 0
+
+
+class ProgramView(NamedTuple):
+    """What a program looks like now.
+
+    Attributes:
+        next_turn: The turn that the next chat call must carry.
+        used: Tokens settled, sub-agents included. Only tokens that were new
+            to the program count, not the history that each turn repeats.
+        reserved: Tokens held for calls under way or of unknown outcome.
+        state: `open`, `closed` or `expired`.
+        resident: Sidecar that last ran a turn; epoch 0 for none.
+        resident_address: Stream address of `resident`.
+        context: Tokens of the conversation, as the engine last counted it.
+    """
+
+    program: str
+    partner: str
+    agent: str
+    klass: str
+    parent: str
+    budget: identities.Budget
+    next_turn: int
+    used: int
+    reserved: int
+    state: str
+    digest: bytes
+    resident: identities.Incarnation
+    resident_address: str
+    created: float
+    children: list[str]
+    context: int = 0
+
+
+class ShowProgram(NamedTuple):
+    """Asks for a ProgramView by a linearizable read."""
+
+    program: str
+
+
+class ListPrograms(NamedTuple):
+    """Asks for the programs of one group, in id order after `after`."""
+
+    group: str
+    after: str = ""
+    limit: int = 100
+
+
+class Programs(NamedTuple):
+    """Answer to ListPrograms."""
+
+    programs: list[ProgramView]
+
+
+class FetchHistory(NamedTuple):
+    """Asks for finished turns `first` to `last`, both included; 0 for all."""
+
+    program: str
+    first: int = 1
+    last: int = 0
+
+
+class History(NamedTuple):
+    """Answer to FetchHistory."""
+
+    program: str
+    turns: list[identities.Turn]
+
+
+class CloseProgram(NamedTuple):
+    """Closes a program and its sub-agents; repeated, it answers the same."""
+
+    program: str
+
+
+class BeginCall(NamedTuple):
+    """Asks for an attempt, bound to one sidecar incarnation.
+
+    Attributes:
+        program: Program id, or empty for a keyed call without a program.
+        partner: Partner of a call without a program.
+        turn: Number of the chat turn; 0 for a tool call.
+        key: Idempotency key; the entry makes one up when the caller has none.
+        digest: Digest of the whole request, to tell a resend from a misuse.
+        messages: New chat messages; empty for a tool call.
+        reserve: Tokens to hold until the call is settled.
+        idempotent: Whether a second run at the upstream does no harm.
+        sidecar: The sidecar that the entry has chosen.
+        sealed: Number of an attempt that its sidecar has sealed; 0 for none.
+            Only then may a non-idempotent call get a new attempt.
+        nonce: Number of this one sending, the same in its resends, so that a
+            resend after a lost answer gets its grant again; 0 for none.
+    """
+
+    program: str
+    partner: str
+    service: str
+    turn: int
+    key: str
+    digest: bytes
+    messages: list[str]
+    reserve: int
+    idempotent: bool
+    sidecar: identities.Incarnation
+    address: str
+    sealed: int = 0
+    nonce: int = 0
+
+
+class FindCall(NamedTuple):
+    """Asks by a linearizable read what became of a key; grants nothing.
+
+    Answered by Recorded, Underway, the call's recorded failure, or Done with
+    `absent` when the key was never granted an attempt.
+    """
+
+    program: str
+    partner: str
+    turn: int
+    key: str
+    digest: bytes
+
+
+class Granted(NamedTuple):
+    """An attempt may run at `sidecar`; committed.
+
+    Attributes:
+        base_turn: Turns of history that come before the new messages.
+        base_digest: Rolling digest after `base_turn`.
+        attained: Tokens served so far to the whole (root) program.
+        tokens_left: Tokens that the call may still spend; 0 for no limit.
+    """
+
+    attempt: int
+    base_turn: int
+    base_digest: bytes
+    attained: int
+    tokens_left: int
+    root: str
+    agent: str
+    klass: str
+
+
+class Recorded(NamedTuple):
+    """The call was finished before; this is its answer."""
+
+    attempt: int
+    answer: bytes
+    usage: identities.Usage
+
+
+class Underway(NamedTuple):
+    """Another attempt of this call is bound; attach to it or seal it there."""
+
+    attempt: int
+    sidecar: identities.Incarnation
+    address: str
+
+
+class SettleCall(NamedTuple):
+    """Ends an attempt without an answer.
+
+    Attributes:
+        outcome: `not_run` frees key, turn and reservation (the sidecar has
+            sealed the attempt); `unknown` keeps them until known or expired;
+            `ran` records `failure` as the call's answer.
+    """
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    outcome: str
+    failure: errors.Failure
+
+
+class FinishCall(NamedTuple):
+    """Records the whole answer of an attempt; repeated, it changes nothing.
+
+    Attributes:
+        answer: For a turn: JSON text of the assistant message. For a tool
+            call: msgpack of [status, headers, body].
+    """
+
+    program: str
+    partner: str
+    key: str
+    attempt: int
+    sidecar: identities.Incarnation
+    answer: bytes
+    usage: identities.Usage
+
+
+class RenewResidency(NamedTuple):
+    """Asks which of these programs are still open; sent in batches."""
+
+    sidecar: identities.Incarnation
+    programs: list[str]
+
+
+class Gone(NamedTuple):
+    """Programs whose engine memory must be released."""
+
+    programs: list[str]
--- a/src/mintcleat/domain/requests.py
+++ b/src/mintcleat/domain/requests.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class NewProgram(NamedTuple):
@@ -13,7 +13,7 @@
     agent: str
     klass: str
     parent: str
-    budget: messages.Budget
+    budget: identities.Budget
 
 
 class ChatCall(NamedTuple):
@@ -78,10 +78,10 @@
 
     message: str
     reason: str
-    usage: messages.Usage
+    usage: identities.Usage
     attempt: int
     replayed: bool
-    sidecar: messages.Incarnation | None = None
+    sidecar: identities.Incarnation | None = None
 
 
 class ServiceAnswer(NamedTuple):
--- a/src/mintcleat/main/assembly.py
+++ b/src/mintcleat/main/assembly.py
@@ -12,7 +12,7 @@
 from mintcleat.adapters import settings as settings_module
 from mintcleat.adapters import wsgi
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.main import common as common_module
 from mintcleat.main import control_part
 from mintcleat.roles.entry import entry as entry_module
@@ -139,7 +139,7 @@
             metrics=common.metrics,
         )
 
-    def announce(self) -> messages.Announcement:
+    def announce(self) -> member_messages.Announcement:
         """Returns the upstream's announcement."""
         return self.sidecar.announcement()
 
--- a/src/mintcleat/main/common.py
+++ b/src/mintcleat/main/common.py
@@ -9,7 +9,8 @@
 from mintcleat.adapters import streams_connection
 from mintcleat.adapters import timers as timers_module
 from mintcleat.configuration import lease
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.roles import control_client
 from mintcleat.roles import follower as follower_module
 
@@ -19,7 +20,7 @@
 
     def __init__(self, settings: settings_module.Settings) -> None:
         self.settings = settings
-        self.node = messages.Incarnation(settings.instance, time.time_ns())
+        self.node = identities.Incarnation(settings.instance, time.time_ns())
         self.timers = timers_module.EventletTimers()
         times = settings.times
         self.streams = streams_module.TcpStreams(
@@ -54,7 +55,7 @@
     def follower(
         self,
         role: str,
-        announcer: Callable[[], messages.Announcement] | None = None,
+        announcer: Callable[[], member_messages.Announcement] | None = None,
     ) -> follower_module.Follower:
         """Returns the node's view of the configuration."""
         return follower_module.Follower(
--- a/src/mintcleat/main/local_manifest.py
+++ b/src/mintcleat/main/local_manifest.py
@@ -2,7 +2,7 @@
 
 import json
 
-from mintcleat.domain import messages
+from mintcleat.domain import config_messages
 from mintcleat.main import assembly
 
 _MANIFEST = {
@@ -28,11 +28,11 @@
 def ensure(control: assembly.Process) -> None:
     """Pushes the first manifest unless one is in force already."""
     service = control.parts[0].config
-    view = service.ask(messages.ReadManifest())
+    view = service.ask(config_messages.ReadManifest())
     if view.revision:
         return
     service.ask(
-        messages.PushManifest(
+        config_messages.PushManifest(
             expected=0,
             push_id="first-local-run",
             manifest=json.dumps(_MANIFEST),
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -7,8 +7,10 @@
 import xxhash
 
 from mintcleat.adapters import http1_server
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
+from mintcleat.domain import operator_messages
 from mintcleat.platform import plan
 
 _OPERATOR = "platform"
@@ -60,7 +62,7 @@
                 return self._heartbeat(upstream, request.body)
             case "POST", text if text.startswith(_LEAVE):
                 upstream = text.removeprefix(_LEAVE)
-                return self._ask(messages.LeaveUpstream(upstream))
+                return self._ask(member_messages.LeaveUpstream(upstream))
             case "POST", text if text.startswith(_EMPTY):
                 return self._empty(text.removeprefix(_EMPTY), True)
             case "GET", text if text.startswith(_EMPTIED):
@@ -74,7 +76,7 @@
     def _put(self, request: http1_server.Request) -> bytes:
         body = request.body
         return self._ask(
-            messages.PushManifest(
+            config_messages.PushManifest(
                 0,
                 xxhash.xxh3_128_hexdigest(body),
                 plan.to_manifest(body),
@@ -86,25 +88,25 @@
         )
 
     def _get(self) -> bytes:
-        view = self.config.ask(messages.ReadManifest(), self.seconds)
+        view = self.config.ask(config_messages.ReadManifest(), self.seconds)
         if not view.version:
             raise errors.ControlUnavailable("No configuration was pushed yet.")
         return view.source.encode()
 
     def _heartbeat(self, upstream: str, body: bytes) -> bytes:
         registration = to_registration(upstream, body)
-        return self._ask(messages.RegisterUpstream(registration))
+        return self._ask(member_messages.RegisterUpstream(registration))
 
     def _empty(self, label: str, start: bool) -> bytes:
         found = self.config.ask(
-            messages.EmptyControl(label, start, _OPERATOR, _OPERATOR),
+            operator_messages.EmptyControl(label, start, _OPERATOR, _OPERATOR),
             self.seconds,
         )
         state = "done" if found.done else "running"
         return msgspec.json.encode({"state": state})
 
 
-def to_registration(upstream: str, body: bytes) -> messages.Registration:
+def to_registration(upstream: str, body: bytes) -> member_messages.Registration:
     """Returns an upstream's heartbeat as a registration.
 
     Raises:
@@ -113,7 +115,7 @@
     try:
         fields = msgspec.json.decode(body)
         draining = fields["state"] == _DRAINING
-        return messages.Registration(
+        return member_messages.Registration(
             upstream,
             str(fields["service"]),
             str(fields["address"]),
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -6,7 +6,7 @@
 
 from mintcleat.adapters import http1_client
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.domain import routed
 from mintcleat.platform import callers
 
@@ -28,7 +28,7 @@
 
     def send(
         self,
-        upstream: messages.Registration,
+        upstream: member_messages.Registration,
         call: routed.RoutedCall,
         sending: routed.Sending,
     ) -> "HttpAnswer":
@@ -62,7 +62,7 @@
     def __init__(
         self,
         pool: http1_client.Pool,
-        upstream: messages.Registration,
+        upstream: member_messages.Registration,
         connection: http1_client.Connection,
         response: Any,
     ) -> None:
@@ -138,7 +138,7 @@
 
 
 def _headers(
-    upstream: messages.Registration,
+    upstream: member_messages.Registration,
     call: routed.RoutedCall,
     sending: routed.Sending,
 ) -> list[tuple[str, str]]:
--- a/src/mintcleat/ports/calls.py
+++ b/src/mintcleat/ports/calls.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 
 
@@ -16,13 +16,15 @@
     def models(self) -> list[str]:
         """Returns the names of the model services."""
 
-    def create_program(self, new: requests.NewProgram) -> messages.ProgramView:
+    def create_program(
+        self, new: requests.NewProgram
+    ) -> program_messages.ProgramView:
         """Creates a program, or returns the same one for a resend."""
 
-    def show_program(self, program: str) -> messages.ProgramView:
+    def show_program(self, program: str) -> program_messages.ProgramView:
         """Returns a program."""
 
-    def history(self, program: str) -> messages.History:
+    def history(self, program: str) -> program_messages.History:
         """Returns a program's whole history."""
 
     def close_program(self, program: str) -> None:
--- a/src/mintcleat/ports/control.py
+++ b/src/mintcleat/ports/control.py
@@ -3,7 +3,7 @@
 from typing import Any
 from typing import Protocol
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Control(Protocol):
@@ -29,7 +29,7 @@
 
     def gone(
         self,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         programs: list[str],
         timeout: float,
     ) -> list[str]:
--- a/src/mintcleat/ports/directory.py
+++ b/src/mintcleat/ports/directory.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 
 
 class Directory(Protocol):
@@ -19,7 +19,7 @@
     def in_lease(self) -> bool:
         """Tells whether new work may be taken on this revision."""
 
-    def members(self, service: str) -> list[messages.Announcement]:
+    def members(self, service: str) -> list[member_messages.Announcement]:
         """Returns the live upstreams of a service, sorted by instance."""
 
     def subscribe(self, callback: Callable[[], None]) -> None:
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.domain import routed
 
 
@@ -39,7 +39,7 @@
 
     def send(
         self,
-        upstream: messages.Registration,
+        upstream: member_messages.Registration,
         call: routed.RoutedCall,
         sending: routed.Sending,
     ) -> Answer:
--- a/src/mintcleat/ports/upstream.py
+++ b/src/mintcleat/ports/upstream.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class EngineInfo(NamedTuple):
@@ -64,7 +64,7 @@
 
     total: int
     reason: str
-    usage: messages.Usage
+    usage: identities.Usage
 
 
 class CacheEvent(NamedTuple):
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Recovery(NamedTuple):
@@ -20,7 +20,7 @@
         records: Every record in order.
     """
 
-    identity: messages.Incarnation
+    identity: identities.Incarnation
     records: list[bytes]
 
 
@@ -32,7 +32,7 @@
     report success for bytes that are gone.
     """
 
-    def open(self, node: messages.Incarnation) -> Recovery:
+    def open(self, node: identities.Incarnation) -> Recovery:
         """Reads the log, or formats an empty disk for `node`.
 
         Raises:
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -13,7 +13,8 @@
 from typing import Any
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 
 # A caller's own time ends later than the last command of the group by the way
 # of an answer, and a new leader's clock goes on from the last command.
@@ -76,13 +77,13 @@
         self.accounts: collections.OrderedDict[str, Account] = (
             collections.OrderedDict()
         )
-        self.turns: dict[str, messages.KeptTurn] = {}
+        self.turns: dict[str, program_messages.KeptTurn] = {}
         self.expires: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         self.swept = 0.0
 
-    def open(self, request: messages.OpenTurn, clock: float) -> Any:
+    def open(self, request: program_messages.OpenTurn, clock: float) -> Any:
         """Reserves the tokens of a turn, and returns what it goes on from."""
         chain = chain_of(self.turns, request.previous)
         if chain is None:
@@ -102,18 +103,18 @@
             account.held[request.turn] = request.reserve
         upstream = chain[-1].upstream if chain else account.upstream
         content = [] if request.holds_chain else chain
-        return messages.TurnOpened(content, upstream)
+        return program_messages.TurnOpened(content, upstream)
 
-    def close(self, request: messages.CloseTurn, clock: float) -> Any:
+    def close(self, request: program_messages.CloseTurn, clock: float) -> Any:
         """Settles a turn, and keeps it where it ended whole."""
         account = self._account(request.program, request.retention, clock)
         account.settle(request.turn, request.tokens)
         account.upstream = request.upstream or account.upstream
         if not request.keep:
-            return messages.Done()
+            return identities.Done()
         if chain_of(self.turns, request.previous) is None:
             return errors.UnknownTurn(f"No turn {request.previous}.")
-        self.turns[request.turn] = messages.KeptTurn(
+        self.turns[request.turn] = program_messages.KeptTurn(
             request.turn,
             request.previous,
             request.input,
@@ -121,7 +122,7 @@
             request.upstream,
         )
         self._keep_chain(request, clock)
-        return messages.Done()
+        return identities.Done()
 
     def is_due(self, clock: float) -> bool:
         """Tells whether a sweep at `clock` would drop anything."""
@@ -178,11 +179,13 @@
             account.settled.update(dict.fromkeys(settled))
             account.upstream, account.expires = upstream, expires
         for until, *fields in state[2]:
-            kept = messages.KeptTurn(*fields)
+            kept = program_messages.KeptTurn(*fields)
             self.turns[kept.turn] = kept
             self.expires[kept.turn] = until
 
-    def _keep_chain(self, request: messages.CloseTurn, clock: float) -> None:
+    def _keep_chain(
+        self, request: program_messages.CloseTurn, clock: float
+    ) -> None:
         until = clock + request.retention + RETENTION_SLACK
         turn = request.turn
         while turn:
@@ -203,8 +206,8 @@
 
 
 def chain_of(
-    turns: Mapping[str, messages.KeptTurn], turn: str
-) -> list[messages.KeptTurn] | None:
+    turns: Mapping[str, program_messages.KeptTurn], turn: str
+) -> list[program_messages.KeptTurn] | None:
     """Returns a turn and all before it, oldest first; None if one lacks.
 
     A chain is kept as a whole: each turn that ends renews all before it.
--- a/src/mintcleat/programs/budgets.py
+++ b/src/mintcleat/programs/budgets.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.programs import records
 
 
@@ -98,7 +98,7 @@
     call.reserved = 0
 
 
-def spent_tokens(usage: messages.Usage, context: int) -> int:
+def spent_tokens(usage: identities.Usage, context: int) -> int:
     """Returns the tokens of a call that count against budgets.
 
     Each turn sends the whole conversation again. Counted are the tokens that
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -4,7 +4,8 @@
 
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.programs import answers
 from mintcleat.programs import budgets
 from mintcleat.programs import loops
@@ -14,7 +15,7 @@
 from mintcleat.programs import tables
 
 
-def begin(group: state.Group, request: messages.BeginCall) -> Any:
+def begin(group: state.Group, request: program_messages.BeginCall) -> Any:
     """Grants an attempt, or tells what became of this key before."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -35,7 +36,7 @@
     return _grant_new(group, table, request)
 
 
-def find(group: state.Group, request: messages.FindCall) -> Any:
+def find(group: state.Group, request: program_messages.FindCall) -> Any:
     """Tells what became of a key, for an entry that must refuse new work."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -46,13 +47,13 @@
     program = group.programs.get(request.program)
     if program and request.turn and request.turn < program.next_turn:
         return _past_turn(group, program, request)
-    return messages.Done("absent")
+    return identities.Done("absent")
 
 
 def _outcome(
     group: state.Group,
     call: records.Call,
-    request: messages.BeginCall | messages.FindCall,
+    request: program_messages.BeginCall | program_messages.FindCall,
 ) -> Any:
     """Returns what is known of a call, whatever may be granted next."""
     if (call.digest, call.turn) != (request.digest, request.turn):
@@ -60,20 +61,20 @@
     match call.state:
         case records.FINISHED:
             answer = answers.load(group, call)
-            return messages.Recorded(call.attempt, answer, call.usage)
+            return program_messages.Recorded(call.attempt, answer, call.usage)
         case records.FAILED:
             return errors.from_failure(call.failure)
         case records.UNKNOWN:
             return errors.OutcomeUnknown(
                 f"Attempt {call.attempt} of key {call.key} may have run."
             )
-    return messages.Underway(call.attempt, call.sidecar, call.address)
+    return program_messages.Underway(call.attempt, call.sidecar, call.address)
 
 
 def _resend(
     group: state.Group,
     call: records.Call,
-    request: messages.BeginCall,
+    request: program_messages.BeginCall,
 ) -> Any:
     """Answers a begin whose key is known."""
     outcome = _outcome(group, call, request)
@@ -88,7 +89,7 @@
     return outcome
 
 
-def _may_retry(call: records.Call, request: messages.BeginCall) -> bool:
+def _may_retry(call: records.Call, request: program_messages.BeginCall) -> bool:
     """Tells whether the call may get a newer attempt.
 
     A sealed attempt never runs, so any call may. Otherwise the old attempt
@@ -106,7 +107,9 @@
     return call.state == records.UNKNOWN or is_sidecar_gone
 
 
-def _is_same_sending(call: records.Call, request: messages.BeginCall) -> bool:
+def _is_same_sending(
+    call: records.Call, request: program_messages.BeginCall
+) -> bool:
     """Tells a resend after a lost answer from another caller's begin.
 
     Only the sender knows its nonce. Without it the sender would be told
@@ -122,7 +125,7 @@
 def _past_turn(
     group: state.Group,
     program: records.Program,
-    request: messages.BeginCall | messages.FindCall,
+    request: program_messages.BeginCall | program_messages.FindCall,
 ) -> Any:
     """Answers a begin of a finished turn from the history."""
     past = answers.load_turn(group, program.program, request.turn)
@@ -130,7 +133,7 @@
         if past.request != request.digest:
             return _key_conflict(request)
         answer = past.messages[-1].encode()
-        return messages.Recorded(past.attempt, answer, past.usage)
+        return program_messages.Recorded(past.attempt, answer, past.usage)
     if _is_past_key(program, request.key):
         return _key_conflict(request)
     return _wrong_turn(program, request)
@@ -142,7 +145,7 @@
 
 
 def _key_conflict(
-    request: messages.BeginCall | messages.FindCall,
+    request: program_messages.BeginCall | program_messages.FindCall,
 ) -> errors.KeyConflict:
     return errors.KeyConflict(
         f"Key {request.key} was used for another request."
@@ -150,7 +153,7 @@
 
 
 def _wrong_turn(
-    program: records.Program, request: messages.BeginCall
+    program: records.Program, request: program_messages.BeginCall
 ) -> errors.WrongTurn:
     return errors.WrongTurn(
         f"Turn {request.turn} of {program.program} was sent;"
@@ -161,7 +164,7 @@
 def _refusal(
     group: state.Group,
     program: records.Program,
-    request: messages.BeginCall,
+    request: program_messages.BeginCall,
 ) -> errors.MintcleatError | None:
     """Returns why a new key of a program gets no attempt, or None."""
     if program.state != records.OPEN:
@@ -193,8 +196,8 @@
 def _grant_new(
     group: state.Group,
     table: dict[Any, records.Call],
-    request: messages.BeginCall,
-) -> messages.Granted:
+    request: program_messages.BeginCall,
+) -> program_messages.Granted:
     call = records.Call(
         number=group.last_attempt + 1,
         program=request.program,
@@ -227,8 +230,8 @@
 def _grant_again(
     group: state.Group,
     call: records.Call,
-    request: messages.BeginCall,
-) -> messages.Granted:
+    request: program_messages.BeginCall,
+) -> program_messages.Granted:
     group.last_attempt += 1
     call.attempt = group.last_attempt
     call.sidecar = request.sidecar
@@ -240,15 +243,17 @@
     return _granted(group, call)
 
 
-def _granted(group: state.Group, call: records.Call) -> messages.Granted:
+def _granted(
+    group: state.Group, call: records.Call
+) -> program_messages.Granted:
     if not call.program:
-        return messages.Granted(
+        return program_messages.Granted(
             call.attempt, 0, digests.EMPTY, 0, 0, "", "", ""
         )
     program = group.programs[call.program]
     chain = group.chain(program)
     is_limited = any(ancestor.budget.tokens for ancestor in chain)
-    return messages.Granted(
+    return program_messages.Granted(
         attempt=call.attempt,
         base_turn=program.next_turn - 1,
         base_digest=program.digest,
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 
 MAX_KEY = 256
 _ID = re.compile(r"[A-Za-z0-9_~-][A-Za-z0-9_.~-]{0,199}")
@@ -22,11 +22,11 @@
         errors.BadRequest: A field is out of its range.
     """
     match request:
-        case messages.CreateProgram():
+        case program_messages.CreateProgram():
             _check_id(request.program)
             _check_counts("budget", request.budget)
             _check_counts("repeat_limit", (request.repeat_limit,))
-        case messages.BeginCall():
+        case program_messages.BeginCall():
             _check_key(request.key)
             _check_counts("turn and reserve", (request.turn, request.reserve))
             if request.turn and not request.program:
@@ -35,22 +35,22 @@
                 raise errors.BadRequest(
                     f"The digest must have {_DIGEST_BYTES} bytes."
                 )
-        case messages.OpenTurn():
+        case program_messages.OpenTurn():
             _check_key(request.program)
             _check_key(request.turn)
             _check_counts("budget", (request.budget,))
             _check_counts("reserve", (request.reserve, request.retention))
-        case messages.CloseTurn():
+        case program_messages.CloseTurn():
             _check_key(request.program)
             _check_key(request.turn)
             _check_counts("tokens", (request.tokens, request.retention))
-        case messages.FindCall():
+        case program_messages.FindCall():
             _check_key(request.key)
             _check_counts("turn", (request.turn,))
-        case messages.FinishCall():
+        case program_messages.FinishCall():
             _check_key(request.key)
             _check_counts("usage", request.usage)
-        case messages.SettleCall():
+        case program_messages.SettleCall():
             _check_key(request.key)
             outcomes = (errors.NOT_RUN, errors.UNKNOWN, errors.RAN)
             if request.outcome not in outcomes:
--- a/src/mintcleat/programs/commands.py
+++ b/src/mintcleat/programs/commands.py
@@ -11,7 +11,7 @@
 
 from mintcleat.domain import codec
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 
 
 class Tick(NamedTuple):
@@ -42,13 +42,13 @@
 
 
 MUTATIONS = (
-    messages.CreateProgram,
-    messages.CloseProgram,
-    messages.BeginCall,
-    messages.FinishCall,
-    messages.SettleCall,
-    messages.OpenTurn,
-    messages.CloseTurn,
+    program_messages.CreateProgram,
+    program_messages.CloseProgram,
+    program_messages.BeginCall,
+    program_messages.FinishCall,
+    program_messages.SettleCall,
+    program_messages.OpenTurn,
+    program_messages.CloseTurn,
 )
 
 
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -3,7 +3,8 @@
 from typing import Any
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.programs import calls
 from mintcleat.programs import commands
 from mintcleat.programs import histories
@@ -47,39 +48,39 @@
         The caller makes sure that this replica may answer reads.
         """
         match request:
-            case messages.ShowProgram():
+            case program_messages.ShowProgram():
                 return self._show(request.program)
-            case messages.ListPrograms():
+            case program_messages.ListPrograms():
                 return self._list(request)
-            case messages.FetchHistory():
+            case program_messages.FetchHistory():
                 return self._history(request)
-            case messages.RenewResidency():
+            case program_messages.RenewResidency():
                 return self._gone(request)
-            case messages.FindCall():
+            case program_messages.FindCall():
                 return calls.find(self, request)
         return errors.BadRequest(f"{type(request).__name__} is no read.")
 
     def _apply_one(self, request: Any) -> Any:
         match request:
-            case messages.OpenTurn():
+            case program_messages.OpenTurn():
                 return self.branches.open(request, self.clock)
-            case messages.CloseTurn():
+            case program_messages.CloseTurn():
                 return self.branches.close(request, self.clock)
-            case messages.BeginCall():
+            case program_messages.BeginCall():
                 return calls.begin(self, request)
-            case messages.FinishCall():
+            case program_messages.FinishCall():
                 return outcomes.finish(self, request)
-            case messages.SettleCall():
+            case program_messages.SettleCall():
                 return outcomes.settle(self, request)
-            case messages.CreateProgram():
+            case program_messages.CreateProgram():
                 return self._create(request)
-            case messages.CloseProgram():
+            case program_messages.CloseProgram():
                 return self._close(request)
             case commands.Tick():
                 return retention.sweep(self, request)
         return errors.BadRequest(f"{type(request).__name__} is no command.")
 
-    def _create(self, request: messages.CreateProgram) -> Any:
+    def _create(self, request: program_messages.CreateProgram) -> Any:
         found = self.programs.get(request.program)
         if found is not None:
             if _attributes(found) == request._replace(program=""):
@@ -112,7 +113,7 @@
             self.touch(request.program)
         return records.view(program)
 
-    def _close(self, request: messages.CloseProgram) -> Any:
+    def _close(self, request: program_messages.CloseProgram) -> Any:
         program = self.programs.get(request.program)
         if program is None:
             return self.unknown(request.program)
@@ -123,16 +124,18 @@
         found = self.programs.get(program)
         return self.unknown(program) if found is None else records.view(found)
 
-    def _list(self, request: messages.ListPrograms) -> messages.Programs:
+    def _list(
+        self, request: program_messages.ListPrograms
+    ) -> program_messages.Programs:
         names = sorted(name for name in self.programs if name > request.after)
-        return messages.Programs(
+        return program_messages.Programs(
             [
                 records.view(self.programs[name])
                 for name in names[: request.limit]
             ]
         )
 
-    def _history(self, request: messages.FetchHistory) -> Any:
+    def _history(self, request: program_messages.FetchHistory) -> Any:
         program = self.programs.get(request.program)
         if program is None:
             return self.unknown(request.program)
@@ -142,23 +145,25 @@
             request.program, max(request.first, 1), last
         )
         turns = [histories.decode(record) for record in found]
-        return messages.History(
+        return program_messages.History(
             request.program,
-            [messages.Turn(t.turn, t.messages, t.digest) for t in turns],
+            [identities.Turn(t.turn, t.messages, t.digest) for t in turns],
         )
 
-    def _gone(self, request: messages.RenewResidency) -> messages.Gone:
+    def _gone(
+        self, request: program_messages.RenewResidency
+    ) -> program_messages.Gone:
         gone = []
         for name in request.programs:
             program = self.programs.get(name)
             if program is None or program.state != records.OPEN:
                 gone.append(name)
-        return messages.Gone(gone)
+        return program_messages.Gone(gone)
 
 
-def _attributes(program: records.Program) -> messages.CreateProgram:
+def _attributes(program: records.Program) -> program_messages.CreateProgram:
     """Returns the request that made the program, without its id."""
-    return messages.CreateProgram(
+    return program_messages.CreateProgram(
         program="",
         partner=program.partner,
         agent=program.agent,
@@ -170,7 +175,7 @@
 
 
 def _parent_fault(
-    request: messages.CreateProgram, parent: records.Program | None
+    request: program_messages.CreateProgram, parent: records.Program | None
 ) -> errors.MintcleatError | None:
     prefix, _, name = request.program.rpartition(".")
     if not name or prefix != request.parent:
--- a/src/mintcleat/programs/outcomes.py
+++ b/src/mintcleat/programs/outcomes.py
@@ -4,7 +4,8 @@
 
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.programs import answers
 from mintcleat.programs import budgets
 from mintcleat.programs import histories
@@ -14,7 +15,7 @@
 from mintcleat.programs import tables
 
 
-def finish(group: state.Group, request: messages.FinishCall) -> Any:
+def finish(group: state.Group, request: program_messages.FinishCall) -> Any:
     """Records the answer of the call's newest attempt, once."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
@@ -25,7 +26,7 @@
     if call.attempt != request.attempt:
         return _superseded(request)
     if call.state == records.FINISHED:
-        return messages.Done()
+        return identities.Done()
     if call.state == records.FAILED:
         return _superseded(request)
     call.state = records.FINISHED
@@ -35,19 +36,19 @@
         _record_in_program(group, call, request)
     if not call.turn:
         answers.keep(group, call, request.answer)
-    return messages.Done()
+    return identities.Done()
 
 
-def settle(group: state.Group, request: messages.SettleCall) -> Any:
+def settle(group: state.Group, request: program_messages.SettleCall) -> Any:
     """Ends an attempt without an answer; an older attempt's is ignored."""
     table = tables.key_table(group, request)
     if isinstance(table, errors.MintcleatError):
         return table
     call = table.get(tables.slot(request))
     if call is None or call.attempt != request.attempt:
-        return messages.Done("superseded")
+        return identities.Done("superseded")
     if call.state not in (records.RUNNING, records.UNKNOWN):
-        return messages.Done(call.state)
+        return identities.Done(call.state)
     match request.outcome:
         case errors.NOT_RUN:
             budgets.release(tables.chain(group, call), call)
@@ -67,7 +68,7 @@
             tables.touch(group, call)
         case _:
             return errors.BadRequest(f"{request.outcome!r} is no outcome.")
-    return messages.Done()
+    return identities.Done()
 
 
 def drop(group: state.Group, call: records.Call) -> None:
@@ -83,7 +84,7 @@
 def _record_in_program(
     group: state.Group,
     call: records.Call,
-    request: messages.FinishCall,
+    request: program_messages.FinishCall,
 ) -> None:
     """Settles the budget and, for a turn, appends to the history."""
     program = group.programs[call.program]
@@ -113,14 +114,18 @@
     tables.remove(group, call)
 
 
-def _finished_before(group: state.Group, request: messages.FinishCall) -> Any:
+def _finished_before(
+    group: state.Group, request: program_messages.FinishCall
+) -> Any:
     """Tells a repeated finish of a recorded turn from one that came late."""
     if request.program and _has_recorded(group, request):
-        return messages.Done()
+        return identities.Done()
     return _superseded(request)
 
 
-def _has_recorded(group: state.Group, request: messages.FinishCall) -> bool:
+def _has_recorded(
+    group: state.Group, request: program_messages.FinishCall
+) -> bool:
     """Looks the attempt up from the newest turn back; attempts only grow."""
     turn = group.programs[request.program].next_turn - 1
     while turn > 0:
@@ -131,7 +136,7 @@
     return False
 
 
-def _superseded(request: messages.FinishCall) -> errors.Superseded:
+def _superseded(request: program_messages.FinishCall) -> errors.Superseded:
     return errors.Superseded(
         f"Attempt {request.attempt} of key {request.key} was replaced."
     )
--- a/src/mintcleat/programs/placement.py
+++ b/src/mintcleat/programs/placement.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.programs import records
 
 _PREFIX = "programs-"
@@ -40,22 +40,22 @@
         errors.BadRequest: The message is none, or names no scope.
     """
     match message:
-        case messages.RenewResidency() if message.programs:
+        case program_messages.RenewResidency() if message.programs:
             return message.programs[0]
         case (
-            messages.BeginCall()
-            | messages.FindCall()
-            | messages.FinishCall()
-            | messages.SettleCall()
+            program_messages.BeginCall()
+            | program_messages.FindCall()
+            | program_messages.FinishCall()
+            | program_messages.SettleCall()
         ):
             return message.program or call_scope(message.partner, message.key)
         case (
-            messages.OpenTurn()
-            | messages.CloseTurn()
-            | messages.CreateProgram()
-            | messages.CloseProgram()
-            | messages.ShowProgram()
-            | messages.FetchHistory()
+            program_messages.OpenTurn()
+            | program_messages.CloseTurn()
+            | program_messages.CreateProgram()
+            | program_messages.CloseProgram()
+            | program_messages.ShowProgram()
+            | program_messages.FetchHistory()
         ):
             return message.program
     raise errors.BadRequest(f"{type(message).__name__} has no group.")
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -5,7 +5,8 @@
 
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 
 OPEN = "open"
 CLOSED = "closed"
@@ -16,8 +17,8 @@
 FINISHED = "finished"
 FAILED = "failed"
 
-NOWHERE = messages.Incarnation("", 0)
-NO_USAGE = messages.Usage()
+NOWHERE = identities.Incarnation("", 0)
+NO_USAGE = identities.Usage()
 
 
 class TurnRecord(NamedTuple):
@@ -33,7 +34,7 @@
     key: str
     request: bytes
     attempt: int
-    usage: messages.Usage
+    usage: identities.Usage
     messages: list[str]
     digest: bytes
 
@@ -64,14 +65,14 @@
     reserved: int
     idempotent: bool
     attempt: int
-    sidecar: messages.Incarnation
+    sidecar: identities.Incarnation
     address: str
     nonce: int
     touched: float
     state: str = RUNNING
     answer: bytes = b""
     is_stored: bool = False
-    usage: messages.Usage = NO_USAGE
+    usage: identities.Usage = NO_USAGE
     failure: errors.Failure | None = None
 
 
@@ -99,7 +100,7 @@
     agent: str
     klass: str
     parent: str
-    budget: messages.Budget
+    budget: identities.Budget
     repeat_limit: int
     created: float
     started: float
@@ -115,15 +116,15 @@
     released: int = 0
     recent: bytes = b""
     ended: float = 0.0
-    resident: messages.Incarnation = NOWHERE
+    resident: identities.Incarnation = NOWHERE
     resident_address: str = ""
     children: list[str] = dataclasses.field(default_factory=list)
     calls: dict[str, Call] = dataclasses.field(default_factory=dict)
 
 
-def view(program: Program) -> messages.ProgramView:
+def view(program: Program) -> program_messages.ProgramView:
     """Returns what callers and operators see of a program."""
-    return messages.ProgramView(
+    return program_messages.ProgramView(
         program=program.program,
         partner=program.partner,
         agent=program.agent,
--- a/src/mintcleat/programs/retention.py
+++ b/src/mintcleat/programs/retention.py
@@ -5,7 +5,7 @@
 a resend within that time never runs twice.
 """
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.programs import commands
 from mintcleat.programs import outcomes
 from mintcleat.programs import records
@@ -19,13 +19,13 @@
 CLOCK_STEP = 60.0
 
 
-def sweep(group: state.Group, tick: commands.Tick) -> messages.Done:
+def sweep(group: state.Group, tick: commands.Tick) -> identities.Done:
     """Expires abandoned programs and drops what is past its retention."""
     _expire_idle(group, tick.program_idle)
     _drop_ended(group, tick.record_retention)
     _drop_calls(group, tick.record_retention)
     group.branches.sweep(group.clock)
-    return messages.Done()
+    return identities.Done()
 
 
 def is_due(group: state.Group, clock: float, tick: commands.Tick) -> bool:
--- a/src/mintcleat/roles/control/actions.py
+++ b/src/mintcleat/roles/control/actions.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import operator_messages
 from mintcleat.ports import streams as streams_port
 from mintcleat.roles.control.replication import replication
 
@@ -29,8 +30,8 @@
         self.log = log
         self.streams = streams
         self.addresses = addresses
-        streams.handle(messages.ControlAction, self._serve_action)
-        streams.handle(messages.ShowGroups, self._serve_groups)
+        streams.handle(operator_messages.ControlAction, self._serve_action)
+        streams.handle(operator_messages.ShowGroups, self._serve_groups)
 
     def status(self) -> list[dict[str, Any]]:
         """Returns one row for each group, as its leader tells it.
@@ -55,7 +56,7 @@
         Raises:
             errors.BadRequest: No group could begin.
         """
-        action = messages.ControlAction("replace", old, new)
+        action = operator_messages.ControlAction("replace", old, new)
         told = [self._pass_on(at, action) for at in self.addresses]
         begun = [detail for detail in told if detail.startswith("began")]
         if not begun:
@@ -68,10 +69,12 @@
 
     def snapshot(self) -> str:
         """Takes snapshots of all groups on every control instance."""
-        action = messages.ControlAction("snapshot")
+        action = operator_messages.ControlAction("snapshot")
         return "; ".join(self._pass_on(at, action) for at in self.addresses)
 
-    def _pass_on(self, address: str, action: messages.ControlAction) -> str:
+    def _pass_on(
+        self, address: str, action: operator_messages.ControlAction
+    ) -> str:
         try:
             return self.streams.ask(address, action, _ASK_SECONDS).detail
         except errors.MintcleatError as error:
@@ -79,7 +82,7 @@
 
     def _groups_at(self, address: str) -> list[str]:
         try:
-            request = messages.ShowGroups()
+            request = operator_messages.ShowGroups()
             return self.streams.ask(address, request, _ASK_SECONDS).rows
         except errors.MintcleatError:
             return []
@@ -87,7 +90,7 @@
     def _serve_action(
         self,
         exchange: streams_port.Exchange,
-        action: messages.ControlAction,
+        action: operator_messages.ControlAction,
     ) -> None:
         match action.action:
             case "replace":
@@ -100,13 +103,15 @@
                 detail = f"{self.instance} took {len(groups)} snapshots"
             case _:
                 raise errors.BadRequest(f"No control action {action.action}.")
-        exchange.send(messages.Done(detail))
+        exchange.send(identities.Done(detail))
 
     def _serve_groups(
-        self, exchange: streams_port.Exchange, message: messages.ShowGroups
+        self,
+        exchange: streams_port.Exchange,
+        message: operator_messages.ShowGroups,
     ) -> None:
         rows = [json.dumps(_row(status)) for status in self.log.status()]
-        exchange.send(messages.Groups(rows))
+        exchange.send(operator_messages.Groups(rows))
 
 
 def _row(status: replication.GroupStatus) -> dict[str, Any]:
--- a/src/mintcleat/roles/control/configuration/feed.py
+++ b/src/mintcleat/roles/control/configuration/feed.py
@@ -15,8 +15,11 @@
 from mintcleat.configuration import document
 from mintcleat.configuration import lease
 from mintcleat.configuration import members
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
+from mintcleat.domain import operator_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -45,7 +48,7 @@
     def confirm(self) -> None:
         """Asks for a newer `confirmed_at`."""
 
-    def restrictions(self) -> messages.Restrictions:
+    def restrictions(self) -> config_messages.Restrictions:
         """Returns what operators and crashes forbid."""
 
     def directory(self) -> directory.Directory:
@@ -63,7 +66,7 @@
         lost_at: When its stream ended; infinite while it is open.
     """
 
-    follow: messages.Follow
+    follow: config_messages.Follow
     revision: int
     applied_at: float
     lease_until: float
@@ -76,7 +79,7 @@
     def __init__(
         self,
         exchange: stream_ports.Exchange,
-        follow: messages.Follow,
+        follow: config_messages.Follow,
         opened: float,
     ) -> None:
         self.exchange = exchange
@@ -88,7 +91,7 @@
         self.members_sent = 0
         self.directory_sent = follow.directory
         self.restrictions_sent = -1
-        self.announced: messages.Announcement | None = None
+        self.announced: member_messages.Announcement | None = None
         self.duplicate: bool | None = None
         self.closed = False
         self.signal: queue.LightQueue = queue.LightQueue(1)
@@ -122,10 +125,10 @@
         self.source = source
         self.timers = timers
         self.peers: set[Peer] = set()
-        self.statuses: dict[messages.Incarnation, Status] = {}
+        self.statuses: dict[identities.Incarnation, Status] = {}
 
     def serve(
-        self, exchange: stream_ports.Exchange, follow: messages.Follow
+        self, exchange: stream_ports.Exchange, follow: config_messages.Follow
     ) -> None:
         """Serves one stream until it ends."""
         peer = self.attach(exchange, follow)
@@ -140,7 +143,7 @@
             self.detach(peer)
 
     def attach(
-        self, exchange: stream_ports.Exchange, follow: messages.Follow
+        self, exchange: stream_ports.Exchange, follow: config_messages.Follow
     ) -> Peer:
         """Takes a new stream in.
 
@@ -167,7 +170,7 @@
             if peer.follow.role == CONTROL:
                 peer.exchange.close()
 
-    def nodes(self) -> list[messages.NodeStatus]:
+    def nodes(self) -> list[operator_messages.NodeStatus]:
         """Returns what is known of each node."""
         now = self.timers.now()
         wall = self.timers.wall()
@@ -175,7 +178,7 @@
         for status in self.statuses.values():
             follow = status.follow
             found.append(
-                messages.NodeStatus(
+                operator_messages.NodeStatus(
                     follow.node,
                     follow.role,
                     follow.failure_domain,
@@ -203,18 +206,18 @@
         table = self.source.table
         now = self.timers.now()
         match message:
-            case messages.Applied(revision=revision, clock=clock):
+            case config_messages.Applied(revision=revision, clock=clock):
                 if revision != peer.applied:
                     peer.applied = revision
                     self._note(peer, applied_at=now)
                 peer.echo = clock
                 if peer.announced is not None:
                     table.renew(peer.announced.sidecar, now)
-            case messages.Announce(announcement=announcement):
+            case member_messages.Announce(announcement=announcement):
                 peer.announced = announcement
                 table.announce(announcement, now)
                 peer.duplicate = None
-            case messages.MembersUpdate():
+            case member_messages.MembersUpdate():
                 table.relay(peer.follow.node.instance, message, now)
         peer.wake()
 
@@ -283,7 +286,7 @@
             found.append(reply)
         return found
 
-    def _config(self, peer: Peer) -> messages.ConfigUpdate | None:
+    def _config(self, peer: Peer) -> config_messages.ConfigUpdate | None:
         if peer.sent == 0 and self.source.confirmed_at() < peer.opened:
             # This instance may lag. A restarted node would go back to a
             # revision from before its restart, so it waits until this
@@ -296,7 +299,7 @@
         echo = peer.echo if granted else 0.0
         peer.echo = NO_CLOCK
         peer.sent = max(peer.sent, update.revision)
-        return messages.ConfigUpdate(
+        return config_messages.ConfigUpdate(
             update.revision, update.whole, update.sections, granted, echo
         )
 
@@ -309,7 +312,7 @@
             self._note(peer, lease_until=self.timers.now() + seconds)
         return seconds
 
-    def _announced(self, peer: Peer) -> messages.Announced | None:
+    def _announced(self, peer: Peer) -> member_messages.Announced | None:
         if peer.announced is None:
             return None
         sidecar = peer.announced.sidecar
@@ -319,6 +322,6 @@
         if newer == peer.duplicate:
             return None
         peer.duplicate = newer
-        return messages.Announced(
+        return member_messages.Announced(
             peer.announced.counter, self.times.member_lease, newer
         )
--- a/src/mintcleat/roles/control/configuration/membership.py
+++ b/src/mintcleat/roles/control/configuration/membership.py
@@ -4,7 +4,7 @@
 
 from mintcleat.configuration import lease
 from mintcleat.configuration import members
-from mintcleat.domain import messages
+from mintcleat.domain import operator_messages
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.control.configuration import relay as config_relay
 
@@ -43,14 +43,14 @@
 
     def views(
         self, draining: Callable[[str, str], bool]
-    ) -> list[messages.UpstreamView]:
+    ) -> list[operator_messages.UpstreamView]:
         """Returns the upstreams for operators, sorted by instance."""
         now = self.timers.now()
         found = []
         for name in sorted(self.table.view):
             item = self.table.view[name]
             found.append(
-                messages.UpstreamView(
+                operator_messages.UpstreamView(
                     item,
                     draining(name, item.failure_domain),
                     self.table.duplicates(name, now),
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -10,7 +10,7 @@
 from mintcleat.configuration import machine
 from mintcleat.domain import errors
 from mintcleat.domain import events
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -51,7 +51,7 @@
         held = self.leader.machine.directory.entries
         self.heard = {name: (now, item.sequence) for name, item in held.items()}
 
-    def register(self, registration: messages.Registration) -> None:
+    def register(self, registration: member_messages.Registration) -> None:
         """Takes a registration; returns once what it says is committed."""
         state = self.leader.machine.directory
         name = registration.upstream
@@ -100,7 +100,7 @@
             self.heard.pop(name, None)
             self.leaving.discard(name)
 
-    def _tell(self, registration: messages.Registration) -> None:
+    def _tell(self, registration: member_messages.Registration) -> None:
         self.leader.events.emit(
             events.UpstreamChanged(
                 registration.upstream,
--- a/src/mintcleat/roles/control/configuration/relay.py
+++ b/src/mintcleat/roles/control/configuration/relay.py
@@ -13,7 +13,9 @@
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
 from mintcleat.configuration import members
-from mintcleat.domain import messages
+from mintcleat.domain import config_messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.control.configuration import stream as config_stream
@@ -33,7 +35,7 @@
 
     def __init__(
         self,
-        follow: messages.Follow,
+        follow: config_messages.Follow,
         replica: machine.ConfigMachine,
         table: members.Table,
         *,
@@ -52,9 +54,11 @@
         self.active = True
         self.lease = lease.Lease()
         self.document = document.Document()
-        self.restrictions = messages.Restrictions(0, [], [], [])
+        self.restrictions = config_messages.Restrictions(0, [], [], [])
         self.directory = directory.Directory()
-        self.told: dict[messages.Incarnation, messages.Announcement] = {}
+        self.told: dict[
+            identities.Incarnation, member_messages.Announcement
+        ] = {}
         self.stream = config_stream.ConfigStream(
             self, streams, timers, times.relay_renew, times.move_after
         )
@@ -66,7 +70,7 @@
             return ""
         return leader
 
-    def follow(self) -> messages.Follow:
+    def follow(self) -> config_messages.Follow:
         """Returns the first message of a stream.
 
         The replica may be ahead of what was told here. Starting from it
@@ -93,7 +97,9 @@
         present = self.table.direct()
         if first:
             self.told = present
-            return [messages.MembersUpdate(True, list(present.values()), [])]
+            return [
+                member_messages.MembersUpdate(True, list(present.values()), [])
+            ]
         changed = [
             item
             for key, item in present.items()
@@ -103,19 +109,19 @@
         self.told = present
         if not changed and not gone:
             return []
-        return [messages.MembersUpdate(False, changed, gone)]
+        return [member_messages.MembersUpdate(False, changed, gone)]
 
     def take(self, message: Any) -> None:
         """Handles a message of the leader."""
         match message:
-            case messages.ConfigUpdate():
+            case config_messages.ConfigUpdate():
                 self._take_config(message)
-            case messages.DirectoryUpdate():
+            case member_messages.DirectoryUpdate():
                 self.directory.follow(message)
                 self.on_change()
-            case messages.MembersUpdate():
+            case member_messages.MembersUpdate():
                 self.table.relay(LEADER, message, self.timers.now())
-            case messages.Restrictions():
+            case config_messages.Restrictions():
                 if message.version > self.restrictions.version:
                     self.restrictions = message
                     self.on_change()
@@ -124,7 +130,7 @@
         """Returns the seconds of the leader's lease that are left."""
         return self.lease.left(self.timers.now())
 
-    def _take_config(self, update: messages.ConfigUpdate) -> None:
+    def _take_config(self, update: config_messages.ConfigUpdate) -> None:
         before = self.document.revision
         if update.revision < before:
             return
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -9,10 +9,13 @@
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
 from mintcleat.configuration import sections
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
 from mintcleat.domain import events
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
+from mintcleat.domain import operator_messages
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
@@ -22,21 +25,21 @@
 from mintcleat.roles.control.replication import emptying
 
 KINDS = (
-    messages.PushManifest,
-    messages.ReadManifest,
-    messages.ShowInstances,
-    messages.ShowUpstreams,
-    messages.ShowAudit,
-    messages.ShowQuarantine,
-    messages.ShowRollouts,
-    messages.DrainScope,
-    messages.ReleaseQuarantine,
-    messages.ReportCrash,
-    messages.ReadFence,
-    messages.SetControl,
-    messages.RegisterUpstream,
-    messages.LeaveUpstream,
-    messages.EmptyControl,
+    config_messages.PushManifest,
+    config_messages.ReadManifest,
+    operator_messages.ShowInstances,
+    operator_messages.ShowUpstreams,
+    operator_messages.ShowAudit,
+    operator_messages.ShowQuarantine,
+    operator_messages.ShowRollouts,
+    operator_messages.DrainScope,
+    operator_messages.ReleaseQuarantine,
+    member_messages.ReportCrash,
+    config_messages.ReadFence,
+    operator_messages.SetControl,
+    member_messages.RegisterUpstream,
+    member_messages.LeaveUpstream,
+    operator_messages.EmptyControl,
 )
 # One answer of the trail; operators ask on from the last number.
 AUDIT_PAGE = 2_000
@@ -73,24 +76,24 @@
     def answer(self, message: Any) -> Any:
         """Returns the leader's answer; raises a typed error for a refusal."""
         match message:
-            case messages.PushManifest():
+            case config_messages.PushManifest():
                 return self._push(message)
-            case messages.ReadManifest():
+            case config_messages.ReadManifest():
                 document = self.leader.machine.document
-                return messages.ManifestView(
+                return config_messages.ManifestView(
                     document.revision,
                     manifest.compact(document.manifest()),
                     document.version,
                     document.source,
                 )
-            case messages.ShowInstances():
+            case operator_messages.ShowInstances():
                 return self._instances()
-            case messages.ShowUpstreams():
-                return messages.Upstreams(
+            case operator_messages.ShowUpstreams():
+                return operator_messages.Upstreams(
                     self.leader.membership.views(self.leader.machine.draining)
                 )
-            case messages.ReadFence(instance=instance):
-                return messages.Fence(
+            case config_messages.ReadFence(instance=instance):
+                return config_messages.Fence(
                     self.leader.machine.ledger.highest(instance)
                 )
             case _:
@@ -99,24 +102,26 @@
     def _answer_more(self, message: Any) -> Any:
         state = self.leader.machine
         match message:
-            case messages.ShowAudit(after=after, limit=limit):
+            case operator_messages.ShowAudit(after=after, limit=limit):
                 entries = state.trail.after(after, min(limit, AUDIT_PAGE))
-                return messages.AuditTrail(
-                    [messages.AuditEntry(*entry) for entry in entries]
+                return operator_messages.AuditTrail(
+                    [operator_messages.AuditEntry(*entry) for entry in entries]
                 )
-            case messages.EmptyControl():
+            case operator_messages.EmptyControl():
                 return self._empty(message)
-            case messages.ShowQuarantine():
-                return messages.QuarantineList(
+            case operator_messages.ShowQuarantine():
+                return operator_messages.QuarantineList(
                     [
-                        messages.QuarantineEntry(*entry, entry.quarantined)
+                        operator_messages.QuarantineEntry(
+                            *entry, entry.quarantined
+                        )
                         for entry in state.quarantine.entries.values()
                     ]
                 )
-            case messages.ShowRollouts():
-                return messages.Rollouts(
+            case operator_messages.ShowRollouts():
+                return operator_messages.Rollouts(
                     [
-                        messages.RolloutView(
+                        operator_messages.RolloutView(
                             rollout.service,
                             rollout.target,
                             rollout.previous,
@@ -129,25 +134,25 @@
                 )
             case _:
                 self._change(message)
-                return messages.Done()
+                return identities.Done()
 
     def _change(self, message: Any) -> None:
         at = self.leader.timers.wall()
         match message:
-            case messages.DrainScope():
+            case operator_messages.DrainScope():
                 self.leader.propose(commands.SetDrain(*message, at))
-            case messages.ReleaseQuarantine():
+            case operator_messages.ReleaseQuarantine():
                 if not self.leader.propose(commands.Release(*message, at)):
                     raise errors.UnknownDigest(
                         f"{message.digest.hex()} is not in the quarantine."
                     )
-            case messages.RegisterUpstream(registration=registration):
+            case member_messages.RegisterUpstream(registration=registration):
                 self.leader.registrar.register(registration)
-            case messages.LeaveUpstream(upstream=upstream):
+            case member_messages.LeaveUpstream(upstream=upstream):
                 self.leader.registrar.leave(upstream)
-            case messages.SetControl():
+            case operator_messages.SetControl():
                 self.leader.propose(commands.SetMember(*message, at))
-            case messages.ReportCrash(sidecar=sidecar, number=number):
+            case member_messages.ReportCrash(sidecar=sidecar, number=number):
                 policies = self.leader.machine.document.manifest().policies
                 self.leader.propose(
                     commands.Suspect(
@@ -163,7 +168,9 @@
                     f"No answer to {type(message).__name__}."
                 )
 
-    def _push(self, message: messages.PushManifest) -> messages.Pushed:
+    def _push(
+        self, message: config_messages.PushManifest
+    ) -> config_messages.Pushed:
         try:
             parsed = manifest.parse(message.manifest)
         except errors.InvalidManifest as error:
@@ -190,11 +197,11 @@
                 self.leader.timers.wall(),
             )
         )
-        return messages.Pushed(accepted.revision, message.push_id)
+        return config_messages.Pushed(accepted.revision, message.push_id)
 
     def _push_version(
-        self, message: messages.PushManifest, parsed: manifest.Manifest
-    ) -> messages.Pushed:
+        self, message: config_messages.PushManifest, parsed: manifest.Manifest
+    ) -> config_messages.Pushed:
         """Commits a numbered push.
 
         It waits for no lease of an earlier leader: such a lease ends within
@@ -205,7 +212,7 @@
         state = self.leader.machine.document
         if message.version <= state.version:
             self._tell_push(message, "not higher", began)
-            return messages.Pushed(
+            return config_messages.Pushed(
                 state.revision, message.push_id, state.version
             )
         accepted = self.leader.propose(
@@ -221,12 +228,12 @@
             )
         )
         self._tell_push(message, "accepted", began)
-        return messages.Pushed(
+        return config_messages.Pushed(
             accepted.revision, message.push_id, state.version
         )
 
     def _tell_push(
-        self, message: messages.PushManifest, outcome: str, began: float
+        self, message: config_messages.PushManifest, outcome: str, began: float
     ) -> None:
         state = self.leader.machine.document
         self.leader.events.emit(
@@ -239,7 +246,9 @@
             )
         )
 
-    def _empty(self, message: messages.EmptyControl) -> messages.Emptied:
+    def _empty(
+        self, message: operator_messages.EmptyControl
+    ) -> operator_messages.Emptied:
         """Starts moving replicas off an instance, or tells how far it is.
 
         Raises:
@@ -261,10 +270,12 @@
                     self.leader.timers.wall(),
                 )
             )
-        return messages.Emptied(keeper.done(instance, state.emptied()))
+        return operator_messages.Emptied(keeper.done(instance, state.emptied()))
 
     def _note_refusal(
-        self, message: messages.PushManifest, error: errors.MintcleatError
+        self,
+        message: config_messages.PushManifest,
+        error: errors.MintcleatError,
     ) -> None:
         self.leader.propose(
             commands.Note(
@@ -277,7 +288,7 @@
             )
         )
 
-    def _instances(self) -> messages.Instances:
+    def _instances(self) -> operator_messages.Instances:
         """Asks every control instance for its nodes."""
         own = self.leader.feed.nodes()
         best = {item.node: item for item in own}
@@ -298,22 +309,22 @@
                     best[item.node] = item
         nodes = sorted(best.values(), key=lambda item: item.node)
         revision = self.leader.machine.document.revision
-        return messages.Instances(revision, nodes, missing)
+        return operator_messages.Instances(revision, nodes, missing)
 
     def _ask_nodes(
-        self, control: messages.NodeStatus
-    ) -> messages.Instances | None:
+        self, control: operator_messages.NodeStatus
+    ) -> operator_messages.Instances | None:
         """Returns a control instance's nodes; None when it can't be asked."""
         if not control.connected:
             return None
         try:
             return self.leader.streams.ask(
-                control.address, messages.ShowNodes(), lease.RENEW
+                control.address, operator_messages.ShowNodes(), lease.RENEW
             )
         except errors.MintcleatError:
             return None
 
 
-def _rank(item: messages.NodeStatus) -> tuple[bool, int, float]:
+def _rank(item: operator_messages.NodeStatus) -> tuple[bool, int, float]:
     """Orders reports of one node: a moved node is reported twice."""
     return item.connected, item.revision, item.lease
--- a/src/mintcleat/roles/control/configuration/rollout.py
+++ b/src/mintcleat/roles/control/configuration/rollout.py
@@ -10,8 +10,9 @@
 from mintcleat.configuration import plan
 from mintcleat.configuration import rollouts
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles import orders
@@ -50,7 +51,7 @@
         self.leader = leader
         self.sender = orders.OrderSender(leader)
         self.planning = False
-        self.seen: dict[messages.Incarnation, tuple[str, str, float]] = {}
+        self.seen: dict[identities.Incarnation, tuple[str, str, float]] = {}
 
     def start(self) -> None:
         """Plans each second."""
@@ -102,7 +103,7 @@
         name: str,
         service: manifest.Service,
         policies: manifest.Policies,
-        announced: list[messages.Announcement],
+        announced: list[member_messages.Announcement],
     ) -> plan.View:
         state = self.leader.machine
         upstreams = [
@@ -129,7 +130,7 @@
             self.leader.timers.wall(),
         )
 
-    def _since(self, item: messages.Announcement) -> float:
+    def _since(self, item: member_messages.Announcement) -> float:
         """Returns since when this leader sees the state and model.
 
         A new leader counts anew, which makes a pause longer, never shorter.
@@ -172,7 +173,7 @@
     def _send_pending(
         self,
         name: str,
-        announced: dict[str, messages.Announcement],
+        announced: dict[str, member_messages.Announcement],
         policies: manifest.Policies,
     ) -> None:
         """Sends the orders without outcome, those of former leaders too."""
--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -14,8 +14,10 @@
 from mintcleat.configuration import lease
 from mintcleat.configuration import machine
 from mintcleat.configuration import members
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import operator_messages
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
@@ -54,7 +56,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         failure_domain: str,
         address: str,
         *,
@@ -85,7 +87,7 @@
         self.served = (0, 0, 0)
         self.feed = config_feed.Feed(node.instance, self, timers, times)
         self.relay = config_relay.Relay(
-            messages.Follow(
+            config_messages.Follow(
                 node, config_feed.CONTROL, failure_domain, address, 0
             ),
             self.machine,
@@ -106,9 +108,9 @@
         """Serves streams; the log must have been started."""
         for kind in config_requests.KINDS:
             self.streams.handle(kind, self._serve_request)
-        self.streams.handle(messages.Follow, self.feed.serve)
-        self.streams.handle(messages.ShowNodes, self._serve_nodes)
-        self.streams.handle(messages.Ping, self._serve_ping)
+        self.streams.handle(config_messages.Follow, self.feed.serve)
+        self.streams.handle(operator_messages.ShowNodes, self._serve_nodes)
+        self.streams.handle(config_messages.Ping, self._serve_ping)
         self.subscriptions = [
             self.timers.every(TICK, self._tick),
             self.timers.every(membership.COALESCE, self._tick_members),
@@ -190,13 +192,13 @@
         if not self.leads():
             self.relay.stream.report()
 
-    def restrictions(self) -> messages.Restrictions:
+    def restrictions(self) -> config_messages.Restrictions:
         """Returns what operators and crashes forbid."""
         if not self.leads():
             return self.relay.restrictions
         state = self.machine
         listed = {member.address for member in state.members.values()}
-        return messages.Restrictions(
+        return config_messages.Restrictions(
             self.office * OFFICE_STEP
             + state.restrictions
             + self.members_changes,
@@ -314,17 +316,19 @@
         exchange.send(self.requests.answer(message))
 
     def _serve_nodes(
-        self, exchange: stream_ports.Exchange, message: messages.ShowNodes
+        self,
+        exchange: stream_ports.Exchange,
+        message: operator_messages.ShowNodes,
     ) -> None:
         revision = self.document().revision
-        exchange.send(messages.Instances(revision, self.feed.nodes()))
+        exchange.send(operator_messages.Instances(revision, self.feed.nodes()))
 
     def _serve_ping(
-        self, exchange: stream_ports.Exchange, message: messages.Ping
+        self, exchange: stream_ports.Exchange, message: config_messages.Ping
     ) -> None:
         if self.lease_left() <= 0:
             raise errors.ControlUnavailable("This instance is cut off.")
-        exchange.send(messages.Done())
+        exchange.send(identities.Done())
 
     def wait_to_decide(self) -> None:
         """Blocks until no lease of an earlier leader can be alive."""
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -12,14 +12,19 @@
 import xxhash
 
 from mintcleat.configuration import lease
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 
 # After a control instance is lost, its nodes reconnect spread over this time;
 # at once, they would all cost it a whole update in the same moment.
 SPREAD = 0.5
+# A started node that passed its preferred instance over goes back to it after
+# about this time, spread by half to both sides: by then an instance that lost
+# its disk has been taken in again (1.6 s measured). Without it, all nodes that
+# started together would stay with the leader.
+HOME_SECONDS = 2.0
 
 
 class Owner(Protocol):
@@ -30,7 +35,7 @@
     def pick(self, attempt: int) -> str:
         """Returns the address to try, or an empty text for none."""
 
-    def follow(self) -> messages.Follow:
+    def follow(self) -> config_messages.Follow:
         """Returns the first message of a stream."""
 
     def applied(self) -> int:
@@ -51,6 +56,8 @@
         exchange: The open exchange.
         moves: Streams opened so far.
         homeward: Whether the preferred instance is tried next.
+        passed_over: Whether the preferred instance was left for having
+            nothing to give.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         self.exchange: stream_ports.Exchange | None = None
         self.moves = 0
         self.homeward = False
+        self.passed_over = False
         self.stopped = False
 
     def start(self) -> None:
@@ -120,6 +128,7 @@
                 self.close()
                 self.exchange = None
                 self.address = ""
+            self.passed_over |= not self.owner.applied()
             renewed = self.owner.lease.echo > before
             attempt = 1 if renewed else attempt + 1
             if self.homeward:
@@ -139,6 +148,10 @@
             wait = lease.wait(self.owner.applied(), attempt, self.move_after)
             message = exchange.receive(wait)
             self.owner.take(message)
+            if self.passed_over and self.owner.applied():
+                self.passed_over = False
+                away = HOME_SECONDS * (0.5 + self._part(attempt))
+                self.timers.after(away, self.move_home)
             since = max(opened, self.owner.lease.echo)
             wait = lease.wait(self.owner.applied(), attempt, self.move_after)
             if self.timers.now() - since > wait:
@@ -159,14 +172,19 @@
     ) -> None:
         for message in self.owner.outgoing(first):
             exchange.send(message)
-        exchange.send(messages.Applied(self.owner.applied(), self.timers.now()))
+        exchange.send(
+            config_messages.Applied(self.owner.applied(), self.timers.now())
+        )
 
     def _pause(self, attempt: int) -> float:
         """Returns a pause that differs from node to node."""
+        return self._part(attempt) * min(SPREAD, self.move_after / 4)
+
+    def _part(self, attempt: int) -> float:
+        """Returns a number from 0 to 1 that differs from node to node."""
         node = self.owner.follow().node
         seed = f"{node.instance}/{attempt}/{self.moves}"
-        part = xxhash.xxh32_intdigest(seed.encode()) / 2**32
-        return part * min(SPREAD, self.move_after / 4)
+        return xxhash.xxh32_intdigest(seed.encode()) / 2**32
 
 
 def ranked(instance: str, addresses: list[str]) -> list[str]:
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -7,8 +7,9 @@
 
 from mintcleat.domain import codec
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.ports import log
 from mintcleat.ports import streams
 from mintcleat.ports import timers
@@ -24,11 +25,11 @@
 TICK_SECONDS = 5.0
 
 READS = (
-    messages.ShowProgram,
-    messages.ListPrograms,
-    messages.FetchHistory,
-    messages.RenewResidency,
-    messages.FindCall,
+    program_messages.ShowProgram,
+    program_messages.ListPrograms,
+    program_messages.FetchHistory,
+    program_messages.RenewResidency,
+    program_messages.FindCall,
 )
 
 
@@ -105,7 +106,7 @@
             replicated_log.attach(group, held)
         for kind in (*commands.MUTATIONS, *READS):
             stream_service.handle(kind, self._serve_one)
-        stream_service.handle(messages.Batch, self._serve_batch)
+        stream_service.handle(identities.Batch, self._serve_batch)
         timer_service.every(TICK_SECONDS, self.tick)
 
     def tick(self) -> None:
@@ -145,11 +146,11 @@
         exchange.send(reply)
 
     def _serve_batch(
-        self, exchange: streams.Exchange, message: messages.Batch
+        self, exchange: streams.Exchange, message: identities.Batch
     ) -> None:
         requests = [codec.decode(item) for item in message.items]
         replies = [_encode(reply) for reply in self.answer(requests)]
-        exchange.send(messages.Batch(replies))
+        exchange.send(identities.Batch(replies))
 
     def _admit(self, request: Any) -> str:
         """Returns the group of a request that may be proposed or read."""
@@ -158,7 +159,7 @@
                 f"{type(request).__name__} is no program request."
             )
         checks.check(request)
-        if isinstance(request, messages.ListPrograms):
+        if isinstance(request, program_messages.ListPrograms):
             group = request.group
         else:
             scope = placement.scope_of(request)
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -18,7 +18,7 @@
 from mintcleat.consensus import replica as replicas
 from mintcleat.consensus import types
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import log
 from mintcleat.ports import timers as timer_ports
 from mintcleat.ports import wal as wal_ports
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         address: str,
         members: Sequence[types.Member],
         wal: wal_ports.WriteAheadLog,
@@ -313,7 +313,7 @@
                 done.send(ready)
 
     def _send(self, letters: list[outbox.Letter]) -> None:
-        frames: dict[messages.Incarnation, list[Any]] = {}
+        frames: dict[identities.Incarnation, list[Any]] = {}
         for letter in letters:
             frames.setdefault(letter.to, []).append(letter.message)
         for to, items in frames.items():
@@ -321,7 +321,7 @@
             if address:
                 self.links.send(address, self._frame(to, items))
 
-    def _frame(self, to: messages.Incarnation, items: list[Any]) -> bytes:
+    def _frame(self, to: identities.Incarnation, items: list[Any]) -> bytes:
         frame = wire.Frame(self.core.me, self.address, to, items)
         return wire.encode(frame)
 
--- a/src/mintcleat/roles/control/replication/emptying.py
+++ b/src/mintcleat/roles/control/replication/emptying.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import operator_messages
 from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
 
@@ -75,7 +75,7 @@
     def _led_at(self, address: str) -> list[dict[str, Any]]:
         try:
             answer = self.streams.ask(
-                address, messages.ShowGroups(), _ASK_SECONDS
+                address, operator_messages.ShowGroups(), _ASK_SECONDS
             )
         except errors.MintcleatError:
             return []
--- a/src/mintcleat/roles/control/replication/links.py
+++ b/src/mintcleat/roles/control/replication/links.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import replication_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -47,7 +47,7 @@
             return False
         if len(payload) > PART_BYTES:
             return False
-        frame = messages.ReplicationFrame(payload, more=False)
+        frame = replication_messages.ReplicationFrame(payload, more=False)
         if not self.exchange.try_send(frame):
             return False
         self.sent_bytes += len(payload)
@@ -72,7 +72,7 @@
         self.deliver = deliver
         self.links: dict[str, Link] = {}
         self.running = True
-        streams.handle(messages.ReplicationFrame, self._serve)
+        streams.handle(replication_messages.ReplicationFrame, self._serve)
 
     def send(self, address: str, payload: bytes) -> None:
         """Queues a frame; drops it when the peer takes none."""
@@ -164,7 +164,7 @@
     def _serve(
         self,
         exchange: stream_ports.Exchange,
-        first: messages.ReplicationFrame,
+        first: replication_messages.ReplicationFrame,
     ) -> None:
         part = first
         held: list[bytes] = []
@@ -186,10 +186,10 @@
             logger.warning("{} sent a bad frame: {}", peer, error)
 
 
-def _parts(payload: bytes) -> list[messages.ReplicationFrame]:
+def _parts(payload: bytes) -> list[replication_messages.ReplicationFrame]:
     count = max(1, -(-len(payload) // PART_BYTES))
     return [
-        messages.ReplicationFrame(
+        replication_messages.ReplicationFrame(
             payload[number * PART_BYTES : (number + 1) * PART_BYTES],
             number < count - 1,
         )
--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -12,7 +12,7 @@
 from mintcleat.consensus import replica as replicas
 from mintcleat.consensus import types
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import log
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
@@ -64,7 +64,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         address: str,
         members: list[types.Member],
         wal: wal_ports.WriteAheadLog,
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -8,7 +8,8 @@
 
 from mintcleat.domain import codec
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.ports import streams
 from mintcleat.ports import timers
 from mintcleat.programs import commands
@@ -118,7 +119,7 @@
         return taken
 
     def _send(self, batch: list[Pending]) -> None:
-        request = messages.Batch([pending.item for pending in batch])
+        request = identities.Batch([pending.item for pending in batch])
         try:
             reply = self.streams.ask(self.address, request, self.try_seconds)
             replies = [codec.decode(item) for item in reply.items]
@@ -208,20 +209,23 @@
             errors.OutcomeUnknown: The request may have been committed.
             errors.MintcleatError: The group's own refusal.
         """
-        if isinstance(message, messages.BeginCall) and not message.nonce:
+        if (
+            isinstance(message, program_messages.BeginCall)
+            and not message.nonce
+        ):
             message = message._replace(nonce=secrets.randbits(62) + 1)
         group = placement.group_of(scope, self.groups)
         return self._ask_group(group, message, timeout)
 
     def list_programs(
-        self, message: messages.ListPrograms, timeout: float
-    ) -> messages.Programs:
+        self, message: program_messages.ListPrograms, timeout: float
+    ) -> program_messages.Programs:
         """Returns a page of one group's programs."""
         return self._ask_group(message.group, message, timeout)
 
     def gone(
         self,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         programs: list[str],
         timeout: float,
     ) -> list[str]:
@@ -235,7 +239,7 @@
             by_group.setdefault(group, []).append(program)
         found = []
         for group, names in by_group.items():
-            request = messages.RenewResidency(sidecar, names)
+            request = program_messages.RenewResidency(sidecar, names)
             try:
                 reply = self._ask_group(group, request, timeout)
             except errors.ControlUnavailable:
@@ -282,7 +286,7 @@
         if line is None:
             line = Line(self.streams, self.timers, address, self.try_seconds)
             self.lines[group, address] = line
-        if isinstance(message, messages.FetchHistory):
+        if isinstance(message, program_messages.FetchHistory):
             reply = line.ask_alone(message)
         else:
             reply = line.ask(message, min(left, self.try_seconds))
--- a/src/mintcleat/roles/entry/attempts.py
+++ b/src/mintcleat/roles/entry/attempts.py
@@ -13,8 +13,10 @@
 from loguru import logger
 import xxhash
 
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.ports import control as control_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
@@ -64,7 +66,7 @@
     """The attempt runs, or ran, at its sidecar: attach to it."""
 
     attempt: int
-    sidecar: messages.Incarnation
+    sidecar: identities.Incarnation
     address: str
 
 
@@ -123,7 +125,7 @@
         self.streams = streams
         self.timers = timers
 
-    def begin(self, name: CallName, begin: messages.BeginCall) -> Any:
+    def begin(self, name: CallName, begin: program_messages.BeginCall) -> Any:
         """Returns Granted, Recorded or Underway."""
         try:
             return self.control.ask(name.scope, begin, CONTROL_SECONDS)
@@ -149,7 +151,7 @@
         """
         if not name.key or name.fresh:
             raise refusal
-        find = messages.FindCall(
+        find = program_messages.FindCall(
             name.program, name.partner, turn, name.key, request_digest
         )
         try:
@@ -157,7 +159,7 @@
         except (errors.ControlUnavailable, errors.OutcomeUnknown) as error:
             logger.info("Earlier sends of {} are unknown: {}", name, error)
             raise unsure(name, refusal) from None
-        if isinstance(found, messages.Done):
+        if isinstance(found, identities.Done):
             raise refusal
         return found
 
@@ -170,7 +172,7 @@
         can't be reached keeps the reservation until the outcome is settled
         by the caller's resend or by expiry.
         """
-        settle = messages.SettleCall(
+        settle = program_messages.SettleCall(
             name.program,
             name.partner,
             name.key,
@@ -192,7 +194,7 @@
         self,
         name: CallName,
         attempt: int,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         address: str,
         idempotent: bool,
     ) -> Again | Follow:
@@ -216,10 +218,10 @@
         self,
         name: CallName,
         attempt: int,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         address: str,
     ) -> str:
-        seal = messages.SealAttempt(
+        seal = call_messages.SealAttempt(
             name.program, name.partner, name.key, attempt, sidecar
         )
         try:
--- a/src/mintcleat/roles/entry/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -5,8 +5,10 @@
 
 from loguru import logger
 
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
@@ -33,10 +35,10 @@
 
     def __init__(self, streamed: bool) -> None:
         self.delivery = delivery_module.Delivery(streamed)
-        self.tried: set[messages.Incarnation] = set()
+        self.tried: set[identities.Incarnation] = set()
         self.sealed = 0
         self.attempts = 0
-        self.sidecar: messages.Incarnation | None = None
+        self.sidecar: identities.Incarnation | None = None
         self.may_have_run = False
 
 
@@ -97,7 +99,7 @@
             return (yield from self._run(context, progress, placed, run))
         reply = self._begin(context, progress, placed)
         match reply:
-            case messages.Recorded() | messages.Underway():
+            case program_messages.Recorded() | program_messages.Underway():
                 return (yield from self._earlier(progress, reply))
             case _:
                 run = self._run_message(context, placed, reply)
@@ -118,10 +120,10 @@
     def _earlier(
         self,
         progress: Progress,
-        reply: messages.Recorded | messages.Underway,
+        reply: program_messages.Recorded | program_messages.Underway,
     ) -> Iterator[requests.Text | requests.End]:
         """Replays a recorded answer, or follows the attempt under way."""
-        if isinstance(reply, messages.Underway):
+        if isinstance(reply, program_messages.Underway):
             return attempts_module.Follow(
                 reply.attempt, reply.sidecar, reply.address
             )
@@ -158,7 +160,7 @@
         placed: placement_module.Placed,
     ) -> Any:
         call = context.call
-        begin = messages.BeginCall(
+        begin = program_messages.BeginCall(
             program=call.program,
             partner=context.name.partner,
             service=context.service,
@@ -179,10 +181,10 @@
         self,
         context: chat_call.Context,
         placed: placement_module.Placed,
-        granted: messages.Granted | None,
-    ) -> messages.RunTurn:
+        granted: program_messages.Granted | None,
+    ) -> call_messages.RunTurn:
         call = context.call
-        return messages.RunTurn(
+        return call_messages.RunTurn(
             program=call.program,
             partner=context.name.partner,
             service=context.service,
@@ -208,7 +210,7 @@
         context: chat_call.Context,
         progress: Progress,
         placed: placement_module.Placed,
-        run: messages.RunTurn,
+        run: call_messages.RunTurn,
     ) -> Iterator[requests.Text | requests.End]:
         """Sends one attempt to its sidecar and relays what comes."""
         try:
@@ -218,7 +220,7 @@
             return self._lost(context, run, placed.address, error)
         try:
             first = exchange.receive(self._left(context))
-            if isinstance(first, messages.NeedHistory):
+            if isinstance(first, call_messages.NeedHistory):
                 exchange.close()
                 run = self._with_history(run, first)
                 exchange = self.streams.open(placed.address, run)
@@ -251,9 +253,11 @@
         self.placement.ended(context.service, progress.sidecar, ok=False)
 
     def _with_history(
-        self, run: messages.RunTurn, need: messages.NeedHistory
-    ) -> messages.RunTurn:
-        fetch = messages.FetchHistory(run.program, need.have + 1, run.base_turn)
+        self, run: call_messages.RunTurn, need: call_messages.NeedHistory
+    ) -> call_messages.RunTurn:
+        fetch = program_messages.FetchHistory(
+            run.program, need.have + 1, run.base_turn
+        )
         history = self.attempts.control.ask(
             run.program, fetch, attempts_module.CONTROL_SECONDS
         )
@@ -272,11 +276,11 @@
         delivery.restart()
         while True:
             match message:
-                case messages.Chunk(_, offset, text):
+                case call_messages.Chunk(_, offset, text):
                     new = delivery.take(offset, text)
                     if new:
                         yield requests.Text(new)
-                case messages.Finished():
+                case call_messages.Finished():
                     self.placement.learn(message.load)
                     self.placement.ended(
                         context.service, message.load.sidecar, ok=True
@@ -284,12 +288,12 @@
                     yield from chat_call.replay(delivery, message.message)
                     yield chat_call.finished_end(message)
                     return attempts_module.Whole()
-                case messages.Refused(attempt, failure, load):
+                case call_messages.Refused(attempt, failure, load):
                     self.placement.learn(load)
                     progress.tried.add(load.sidecar)
                     cause = errors.from_failure(failure)
                     return attempts_module.Again(attempt, cause)
-                case messages.Broken(attempt, failure):
+                case call_messages.Broken(attempt, failure):
                     self._failed(context, progress)
                     return self._broken(context, attempt, failure)
                 case _:
@@ -306,7 +310,7 @@
     ) -> Iterator[requests.Text | requests.End]:
         """Attaches to an attempt that runs or ran elsewhere."""
         name = context.name
-        attach = messages.Attach(
+        attach = call_messages.Attach(
             name.program, name.partner, name.key, follow.attempt, follow.sidecar
         )
         try:
@@ -341,7 +345,7 @@
     def _lost(
         self,
         context: chat_call.Context,
-        run: messages.RunTurn,
+        run: call_messages.RunTurn,
         address: str,
         error: errors.StreamClosed,
     ) -> attempts_module.Again | attempts_module.Follow:
@@ -354,7 +358,7 @@
     def _overdue(
         self,
         context: chat_call.Context,
-        run: messages.RunTurn,
+        run: call_messages.RunTurn,
         address: str,
         error: errors.StreamTimeout,
     ) -> attempts_module.Again:
--- a/src/mintcleat/roles/entry/chat_call.py
+++ b/src/mintcleat/roles/entry/chat_call.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 from mintcleat.decisions import calls
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 from mintcleat.roles.entry import attempts as attempts_module
 from mintcleat.roles.entry import delivery as delivery_module
@@ -36,7 +38,7 @@
     klass: str
     digest: bytes
     deadline_at: float
-    resident: messages.Incarnation | None
+    resident: identities.Incarnation | None
     context_tokens: int
     tokens_left: int = -1
     refusal: errors.MintcleatError | None = None
@@ -125,7 +127,7 @@
     return json.loads(message).get("content") or ""
 
 
-def finished_end(message: messages.Finished) -> requests.End:
+def finished_end(message: call_messages.Finished) -> requests.End:
     """Returns the end event of a finished attempt."""
     return requests.End(
         message.message,
@@ -137,7 +139,7 @@
     )
 
 
-def recorded_end(reply: messages.Recorded) -> requests.End:
+def recorded_end(reply: program_messages.Recorded) -> requests.End:
     """Returns the end event of an answer recorded earlier."""
     return requests.End(
         reply.answer.decode(), "stop", reply.usage, reply.attempt, replayed=True
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -9,8 +9,9 @@
 from loguru import logger
 
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest as manifest_module
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 from mintcleat.ports import control as control_port
 from mintcleat.ports import directory as directory_port
@@ -48,7 +49,9 @@
         self.placement = placement
         self.timers = timers
         self.metrics = metrics
-        self.views: OrderedDict[str, messages.ProgramView] = OrderedDict()
+        self.views: OrderedDict[str, program_messages.ProgramView] = (
+            OrderedDict()
+        )
         self.leaving = False
         self.draining = False
         self.running = 0
@@ -73,7 +76,9 @@
             if service.kind == "model"
         )
 
-    def create_program(self, new: requests.NewProgram) -> messages.ProgramView:
+    def create_program(
+        self, new: requests.NewProgram
+    ) -> program_messages.ProgramView:
         """Creates a program, or returns the same one for a resend."""
         refusal = self._refusal(idempotent_service=False)
         if refusal is not None:
@@ -85,7 +90,7 @@
                 f"The manifest has no agent program {new.agent!r}."
             )
         agent = agent or manifest_module.Program(service="")
-        create = messages.CreateProgram(
+        create = program_messages.CreateProgram(
             program=self._program_id(new),
             partner=self._partner(new.partner),
             agent=new.agent,
@@ -96,21 +101,21 @@
         )
         return self._remember(self._ask(create.program, create))
 
-    def show_program(self, program: str) -> messages.ProgramView:
+    def show_program(self, program: str) -> program_messages.ProgramView:
         """Returns the program by a linearizable read."""
         check_id(program)
-        view = self._ask(program, messages.ShowProgram(program))
+        view = self._ask(program, program_messages.ShowProgram(program))
         return self._remember(view)
 
-    def history(self, program: str) -> messages.History:
+    def history(self, program: str) -> program_messages.History:
         """Returns the program's whole history."""
         check_id(program)
-        return self._ask(program, messages.FetchHistory(program))
+        return self._ask(program, program_messages.FetchHistory(program))
 
     def close_program(self, program: str) -> None:
         """Closes the program and its sub-agents."""
         check_id(program)
-        self._ask(program, messages.CloseProgram(program))
+        self._ask(program, program_messages.CloseProgram(program))
         self.views.pop(program, None)
 
     def chat(
@@ -270,7 +275,7 @@
         return partner
 
     def _model_service(
-        self, call: requests.ChatCall, view: messages.ProgramView | None
+        self, call: requests.ChatCall, view: program_messages.ProgramView | None
     ) -> str:
         manifest = self.directory.manifest()
         agent = manifest.programs.get(view.agent) if view else None
@@ -283,10 +288,10 @@
         return name
 
     def _budget(
-        self, asked: messages.Budget, agent: manifest_module.Program
-    ) -> messages.Budget:
+        self, asked: identities.Budget, agent: manifest_module.Program
+    ) -> identities.Budget:
         """Returns the tighter of the caller's and the manifest's limits."""
-        return messages.Budget(
+        return identities.Budget(
             tokens=tighter(asked.tokens, agent.tokens),
             turns=tighter(asked.turns, agent.turns),
             seconds=tighter(asked.seconds, agent.seconds),
@@ -307,7 +312,9 @@
         default = self.directory.manifest().policies.deadline
         return self.timers.now() + (seconds or default)
 
-    def _call_view(self, program: str, key: str) -> messages.ProgramView | None:
+    def _call_view(
+        self, program: str, key: str
+    ) -> program_messages.ProgramView | None:
         """Returns the program of a call, with a true outcome if it can't."""
         if not program:
             return None
@@ -317,14 +324,16 @@
             name = attempts_module.CallName(program, "", key or "turn")
             raise attempts_module.unsure(name, error) from None
 
-    def _view(self, program: str) -> messages.ProgramView:
+    def _view(self, program: str) -> program_messages.ProgramView:
         found = self.views.get(program)
         if found is not None:
             self.views.move_to_end(program)
             return found
         return self.show_program(program)
 
-    def _remember(self, view: messages.ProgramView) -> messages.ProgramView:
+    def _remember(
+        self, view: program_messages.ProgramView
+    ) -> program_messages.ProgramView:
         self.views[view.program] = view
         self.views.move_to_end(view.program)
         if len(self.views) > _VIEWS_KEPT:
@@ -332,15 +341,19 @@
         return view
 
     def _resident(
-        self, view: messages.ProgramView | None
-    ) -> messages.Incarnation | None:
+        self, view: program_messages.ProgramView | None
+    ) -> identities.Incarnation | None:
         if view is None or not view.resident.epoch:
             return None
         return view.resident
 
     def _ask(
         self, scope: str, message: NamedTuple
-    ) -> messages.ProgramView | messages.History | messages.Done:
+    ) -> (
+        program_messages.ProgramView
+        | program_messages.History
+        | identities.Done
+    ):
         return self.control.ask(scope, message, attempts_module.CONTROL_SECONDS)
 
 
@@ -353,7 +366,7 @@
         )
 
 
-def tokens_left(view: messages.ProgramView | None) -> int:
+def tokens_left(view: program_messages.ProgramView | None) -> int:
     """Returns what is left of a program's budget; -1 for no limit."""
     if view is None or not view.budget.tokens:
         return -1
--- a/src/mintcleat/roles/entry/placement.py
+++ b/src/mintcleat/roles/entry/placement.py
@@ -8,8 +8,10 @@
 from mintcleat.decisions import place
 from mintcleat.decisions import retry
 from mintcleat.decisions import subset
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
@@ -24,7 +26,7 @@
 class Placed(NamedTuple):
     """The chosen sidecar and why."""
 
-    sidecar: messages.Incarnation
+    sidecar: identities.Incarnation
     address: str
     reason: str
 
@@ -35,7 +37,7 @@
     def __init__(self) -> None:
         self.fleet = place.Fleet()
         self.budget = retry.Budget()
-        self.members: dict[str, messages.Announcement] = {}
+        self.members: dict[str, member_messages.Announcement] = {}
 
 
 class Placement:
@@ -53,7 +55,7 @@
         self.timers = timers
         self.directory = directory
         self.services: dict[str, Service] = {}
-        self.watched: set[messages.Incarnation] = set()
+        self.watched: set[identities.Incarnation] = set()
         self.subscriptions: list[timers_port.Subscription] = []
 
     def start(self) -> None:
@@ -79,8 +81,8 @@
         self,
         name: str,
         call: calls.Call,
-        resident: messages.Incarnation | None,
-        excluded: set[messages.Incarnation],
+        resident: identities.Incarnation | None,
+        excluded: set[identities.Incarnation],
     ) -> Placed:
         """Returns the sidecar for a call.
 
@@ -107,7 +109,7 @@
             member.sidecar, member.address, reason_of(choice, place_at)
         )
 
-    def learn(self, report: messages.LoadReport) -> None:
+    def learn(self, report: call_messages.LoadReport) -> None:
         """Takes a report that was pushed or came with an answer."""
         now = self.timers.now()
         for service in self.services.values():
@@ -116,7 +118,9 @@
                 service.fleet.report(report, now)
                 return
 
-    def ended(self, name: str, sidecar: messages.Incarnation, ok: bool) -> None:
+    def ended(
+        self, name: str, sidecar: identities.Incarnation, ok: bool
+    ) -> None:
         """Counts the end of a call at a sidecar; refusals are not counted."""
         service = self.services.get(name)
         if service is None:
@@ -151,7 +155,7 @@
             self._ensure_watch(service, service.members[instance])
 
     def _ensure_watch(
-        self, service: Service, member: messages.Announcement
+        self, service: Service, member: member_messages.Announcement
     ) -> None:
         if member.sidecar.instance not in service.fleet.upstreams:
             service.fleet.report(self._first_report(service, member), 0.0)
@@ -161,14 +165,14 @@
         self.timers.spawn(self._watch, member)
 
     def _first_report(
-        self, service: Service, member: messages.Announcement
-    ) -> messages.LoadReport:
+        self, service: Service, member: member_messages.Announcement
+    ) -> call_messages.LoadReport:
         """Returns what to assume of an upstream that has not reported yet.
 
         It is taken as idle and as fast as the rest; its first answer or
         report puts that right.
         """
-        return messages.LoadReport(
+        return call_messages.LoadReport(
             sidecar=member.sidecar,
             counter=-1,
             running=0,
@@ -185,7 +189,7 @@
         self,
         service: Service,
         call: calls.Call,
-        resident: messages.Incarnation | None,
+        resident: identities.Incarnation | None,
     ) -> place.Resident | None:
         """Returns the residency hint if that very incarnation is a member.
 
@@ -203,10 +207,10 @@
         cached = max(0, call.prompt_tokens - call.new_tokens)
         return place.Resident(resident.instance, cached)
 
-    def _watch(self, member: messages.Announcement) -> None:
+    def _watch(self, member: member_messages.Announcement) -> None:
         try:
             exchange = self.streams.open(
-                member.address, messages.WatchLoad(self.instance)
+                member.address, call_messages.WatchLoad(self.instance)
             )
             while True:
                 self.learn(exchange.receive())
--- a/src/mintcleat/roles/entry/routed_answer.py
+++ b/src/mintcleat/roles/entry/routed_answer.py
@@ -2,7 +2,7 @@
 
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.domain import server_events
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
@@ -43,7 +43,7 @@
         self.loads = loads
         self.turns = turns
         self.timers = timers
-        self.upstream: messages.Registration | None = None
+        self.upstream: member_messages.Registration | None = None
         self.turn: turn_keeper.OpenedTurn | None = None
         self.status = 0
         self.begun = False
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -16,7 +16,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.domain import routed
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import events as event_ports
@@ -219,13 +219,13 @@
             finally:
                 loads.ended(upstream.upstream, self.call.request)
 
-    def _note_answer(self, upstream: messages.Registration) -> None:
+    def _note_answer(self, upstream: member_messages.Registration) -> None:
         if self.answer.status >= routed_answer.RAN_STATUS:
             self.means.loads.failed(upstream)
         else:
             self.means.loads.answered(upstream.upstream, self.sent_at)
 
-    def _place(self) -> messages.Registration:
+    def _place(self) -> member_messages.Registration:
         turn = self.answer.turn
         found = self.means.loads.choose(
             self.service_name,
@@ -263,7 +263,7 @@
         return upstream
 
     def _attempt(
-        self, upstream: messages.Registration, reply: forwarding.Reply
+        self, upstream: member_messages.Registration, reply: forwarding.Reply
     ) -> None:
         turn = self.answer.turn
         body = turn.body() if turn else self.call.body
@@ -295,7 +295,7 @@
 
     def _failed(
         self,
-        upstream: messages.Registration,
+        upstream: member_messages.Registration,
         error: errors.MintcleatError,
     ) -> None:
         if error.outcome == errors.NOT_RUN:
--- a/src/mintcleat/roles/entry/service_calls.py
+++ b/src/mintcleat/roles/entry/service_calls.py
@@ -5,8 +5,10 @@
 import msgpack
 
 from mintcleat.decisions import calls
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.domain import requests
 from mintcleat.ports import metrics as metrics_port
 from mintcleat.ports import streams as streams_port
@@ -58,7 +60,7 @@
         Raises:
             errors.MintcleatError: The refusal or failure to tell the caller.
         """
-        tried: set[messages.Incarnation] = set()
+        tried: set[identities.Incarnation] = set()
         sealed = 0
         number = 0
         while True:
@@ -77,7 +79,7 @@
     def _attempt(
         self,
         context: Context,
-        tried: set[messages.Incarnation],
+        tried: set[identities.Incarnation],
         sealed: int,
     ) -> requests.ServiceAnswer | attempts_module.Again:
         """Places and runs one attempt."""
@@ -94,24 +96,24 @@
         if not context.committed:
             return self._run(context, placed, 0)
         reply = self._begin(context, placed, sealed)
-        if isinstance(reply, messages.Granted):
+        if isinstance(reply, program_messages.Granted):
             return self._run(context, placed, reply.attempt)
         return self._earlier(context, reply)
 
     def _earlier(
         self,
         context: Context,
-        reply: messages.Recorded | messages.Underway,
+        reply: program_messages.Recorded | program_messages.Underway,
     ) -> requests.ServiceAnswer | attempts_module.Again:
         """Returns the recorded answer, or follows the attempt under way."""
-        if isinstance(reply, messages.Underway):
+        if isinstance(reply, program_messages.Underway):
             return self._follow(context, reply)
         return recorded_answer(reply)
 
     def _place(
         self,
         context: Context,
-        tried: set[messages.Incarnation],
+        tried: set[identities.Incarnation],
         sealed: int,
     ) -> placement_module.Placed:
         if context.refusal is not None:
@@ -132,9 +134,13 @@
         context: Context,
         placed: placement_module.Placed,
         sealed: int,
-    ) -> messages.Granted | messages.Recorded | messages.Underway:
+    ) -> (
+        program_messages.Granted
+        | program_messages.Recorded
+        | program_messages.Underway
+    ):
         call = context.call
-        begin = messages.BeginCall(
+        begin = program_messages.BeginCall(
             program=call.program,
             partner=context.name.partner,
             service=call.service,
@@ -157,7 +163,7 @@
         attempt: int,
     ) -> requests.ServiceAnswer | attempts_module.Again:
         call = context.call
-        run = messages.RunTool(
+        run = call_messages.RunTool(
             program=call.program,
             partner=context.name.partner,
             service=call.service,
@@ -181,7 +187,7 @@
             return self._after_loss(context, attempt, placed)
         except errors.StreamTimeout:
             return self._after_loss(context, attempt, placed)
-        if isinstance(reply, messages.Broken) and (
+        if isinstance(reply, call_messages.Broken) and (
             attempts_module.never_delivered(reply.failure)
         ):
             cause = errors.NoUpstream("The sidecar was just restarted.")
@@ -192,10 +198,12 @@
         self,
         context: Context,
         attempt: int,
-        reply: messages.ToolAnswer | messages.Refused | messages.Broken,
+        reply: call_messages.ToolAnswer
+        | call_messages.Refused
+        | call_messages.Broken,
     ) -> requests.ServiceAnswer | attempts_module.Again:
         match reply:
-            case messages.ToolAnswer(_, status, headers, body, load):
+            case call_messages.ToolAnswer(_, status, headers, body, load):
                 self.placement.learn(load)
                 self.placement.ended(
                     context.call.service, load.sidecar, ok=True
@@ -203,12 +211,12 @@
                 return requests.ServiceAnswer(
                     status, headers, body, attempt, replayed=False
                 )
-            case messages.Refused(_, failure, load):
+            case call_messages.Refused(_, failure, load):
                 self.placement.learn(load)
                 return attempts_module.Again(
                     attempt, errors.from_failure(failure)
                 )
-            case messages.Broken(_, failure):
+            case call_messages.Broken(_, failure):
                 return self._broken(context, attempt, failure)
             case _:
                 raise errors.OutcomeUnknown(
@@ -226,10 +234,10 @@
         raise cause
 
     def _follow(
-        self, context: Context, underway: messages.Underway
+        self, context: Context, underway: program_messages.Underway
     ) -> requests.ServiceAnswer | attempts_module.Again:
         name = context.name
-        attach = messages.Attach(
+        attach = call_messages.Attach(
             name.program,
             name.partner,
             name.key,
@@ -301,7 +309,7 @@
     )
 
 
-def recorded_answer(reply: messages.Recorded) -> requests.ServiceAnswer:
+def recorded_answer(reply: program_messages.Recorded) -> requests.ServiceAnswer:
     """Returns the answer that an earlier send of this call got."""
     status, headers, body = msgpack.unpackb(reply.answer, raw=False)
     return requests.ServiceAnswer(
--- a/src/mintcleat/roles/entry/turn_keeper.py
+++ b/src/mintcleat/roles/entry/turn_keeper.py
@@ -4,7 +4,7 @@
 
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
-from mintcleat.domain import messages
+from mintcleat.domain import program_messages
 from mintcleat.domain import routed
 from mintcleat.ports import control as control_ports
 from mintcleat.ports import events as event_ports
@@ -28,11 +28,11 @@
     def __init__(self, limit: int = CHAIN_BYTES) -> None:
         self.limit = limit
         self.size = 0
-        self.turns: collections.OrderedDict[str, messages.KeptTurn] = (
+        self.turns: collections.OrderedDict[str, program_messages.KeptTurn] = (
             collections.OrderedDict()
         )
 
-    def put(self, kept: messages.KeptTurn) -> None:
+    def put(self, kept: program_messages.KeptTurn) -> None:
         """Takes a turn that surely ended whole."""
         if kept.turn in self.turns:
             self.turns.move_to_end(kept.turn)
@@ -56,7 +56,7 @@
         self,
         call: routed.RoutedCall,
         retention: float,
-        chain: list[messages.KeptTurn],
+        chain: list[program_messages.KeptTurn],
         hint: str,
     ) -> None:
         self.call = call
@@ -100,7 +100,7 @@
         """
         program = call.program
         known = branches.chain_of(self.chains.turns, program.previous)
-        request = messages.OpenTurn(
+        request = program_messages.OpenTurn(
             program.program,
             call.request,
             program.previous,
@@ -146,7 +146,7 @@
         began = self.timers.now()
         self.control.ask(
             program.program,
-            messages.CloseTurn(
+            program_messages.CloseTurn(
                 program.program,
                 call.request,
                 tokens,
@@ -160,7 +160,7 @@
             OPEN_SECONDS,
         )
         self.chains.put(
-            messages.KeptTurn(
+            program_messages.KeptTurn(
                 call.request, program.previous, call.body, output, upstream
             ),
         )
@@ -185,7 +185,7 @@
     ) -> None:
         program = call.program.program
         began = self.timers.now()
-        request = messages.CloseTurn(
+        request = program_messages.CloseTurn(
             program, call.request, tokens, upstream, retention=retention
         )
         try:
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -8,7 +8,7 @@
 from mintcleat.decisions import spread
 from mintcleat.decisions import standing
 from mintcleat.domain import events as event_types
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -64,8 +64,8 @@
         self.standings = standing.Standings()
         self.silences = standing.Silences()
         self.speeds = spread.Speeds()
-        self.known: dict[str, messages.Registration] = {}
-        self.by_service: dict[str, list[messages.Registration]] = {}
+        self.known: dict[str, member_messages.Registration] = {}
+        self.by_service: dict[str, list[member_messages.Registration]] = {}
         configuration.subscribe(self.read)
 
     def read(self) -> None:
@@ -90,7 +90,7 @@
 
     def choose(
         self, service: str, tried: set[str], wanted: Wanted
-    ) -> tuple[messages.Registration, spread.Choice, int] | None:
+    ) -> tuple[member_messages.Registration, spread.Choice, int] | None:
         """Returns an upstream, why, and among how many; None for none."""
         now = self.timers.now()
         ready = [
@@ -154,7 +154,7 @@
         """Notes a good answer to a request that was sent at `began`."""
         self.standings.answered(upstream, began, self.timers.now())
 
-    def failed(self, upstream: messages.Registration) -> None:
+    def failed(self, upstream: member_messages.Registration) -> None:
         """Notes that it failed a request, broke off or was not reached."""
         now = self.timers.now()
         held = self.standings.failed(upstream.upstream, now)
@@ -167,7 +167,7 @@
             )
         )
 
-    def _tell(self, item: messages.Registration, version: int) -> None:
+    def _tell(self, item: member_messages.Registration, version: int) -> None:
         self.events.emit(
             event_types.UpstreamChanged(
                 item.upstream, item.service, item.address, item.state, version
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -12,9 +12,11 @@
 from mintcleat.configuration import directory
 from mintcleat.configuration import lease
 from mintcleat.configuration import sections
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.control.configuration import stream as config_stream
@@ -27,7 +29,7 @@
 # really left refuses by itself.
 MISSING_GRACE = lease.MEMBER_LEASE
 
-Announcer = Callable[[], messages.Announcement | None]
+Announcer = Callable[[], member_messages.Announcement | None]
 
 
 class Follower:
@@ -44,7 +46,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         role: str,
         failure_domain: str,
         address: str,
@@ -68,16 +70,16 @@
         self.assembly = sections.Assembly()
         self.current = manifest.Manifest()
         self.current_revision = 0
-        self.by_instance: dict[str, messages.Announcement] = {}
-        self.by_service: dict[str, list[messages.Announcement]] = {}
+        self.by_instance: dict[str, member_messages.Announcement] = {}
+        self.by_service: dict[str, list[member_messages.Announcement]] = {}
         self.kept_until: dict[str, float] = {}
-        self.restrictions = messages.Restrictions(0, [], [], [])
+        self.restrictions = config_messages.Restrictions(0, [], [], [])
         self.registered = directory.Directory()
         self.drains: frozenset[str] = frozenset()
         self.quarantine: frozenset[bytes] = frozenset()
         self.suspects: frozenset[bytes] = frozenset()
         self.duplicate = False
-        self.announced: messages.Announcement | None = None
+        self.announced: member_messages.Announcement | None = None
         self.callbacks: list[Callable[[], None]] = []
         self.subscriptions: list[timer_ports.Subscription] = []
         self.stream = config_stream.ConfigStream(
@@ -123,7 +125,7 @@
             and self.current.policies.stale_lease == "serve"
         )
 
-    def members(self, service: str) -> list[messages.Announcement]:
+    def members(self, service: str) -> list[member_messages.Announcement]:
         """Returns the live upstreams of a service, sorted by instance."""
         return list(self.by_service.get(service, ()))
 
@@ -187,9 +189,9 @@
         order = self.addresses()
         return order[attempt % len(order)] if order else ""
 
-    def follow(self) -> messages.Follow:
+    def follow(self) -> config_messages.Follow:
         """Returns the first message of a stream."""
-        return messages.Follow(
+        return config_messages.Follow(
             self.node,
             self.role,
             self.failure_domain,
@@ -211,28 +213,28 @@
         if not first and unnumbered == self.announced:
             return []
         self.announced = unnumbered
-        return [messages.Announce(announcement)]
+        return [member_messages.Announce(announcement)]
 
     def take(self, message: Any) -> None:
         """Handles a message of the control instance."""
         match message:
-            case messages.ConfigUpdate():
+            case config_messages.ConfigUpdate():
                 self._take_config(message)
-            case messages.MembersUpdate():
+            case member_messages.MembersUpdate():
                 self._take_members(message)
-            case messages.Restrictions():
+            case config_messages.Restrictions():
                 self._take_restrictions(message)
-            case messages.DirectoryUpdate():
+            case member_messages.DirectoryUpdate():
                 if self.registered.follow(message):
                     self._notify()
-            case messages.Announced(duplicate=duplicate):
+            case member_messages.Announced(duplicate=duplicate):
                 self.duplicate = duplicate
             case _:
                 logger.warning("Unexpected {}", type(message).__name__)
 
     # --- Updates --------------------------------------------------------------
 
-    def _take_config(self, update: messages.ConfigUpdate) -> None:
+    def _take_config(self, update: config_messages.ConfigUpdate) -> None:
         if update.revision < self.current_revision:
             # A control instance that lags must not take the node back.
             return
@@ -245,7 +247,7 @@
             return
         self.lease.renew(update.echo, update.lease)
 
-    def _apply(self, update: messages.ConfigUpdate) -> bool:
+    def _apply(self, update: config_messages.ConfigUpdate) -> bool:
         """Applies an update whole or not at all."""
         assembly = sections.Assembly() if update.whole else self.assembly
         try:
@@ -264,7 +266,7 @@
         self.current_revision = update.revision
         return True
 
-    def _take_members(self, update: messages.MembersUpdate) -> None:
+    def _take_members(self, update: member_messages.MembersUpdate) -> None:
         now = self.timers.now()
         if update.whole:
             listed = {item.sidecar.instance for item in update.members}
@@ -295,7 +297,7 @@
 
     def _index(self) -> None:
         """Sorts the members by service and marks the drained ones."""
-        index: dict[str, list[messages.Announcement]] = {}
+        index: dict[str, list[member_messages.Announcement]] = {}
         for name in sorted(self.by_instance):
             item = self.by_instance[name]
             if self.draining(name, item.failure_domain):
@@ -304,7 +306,7 @@
         self.by_service = index
         self._notify()
 
-    def _take_restrictions(self, update: messages.Restrictions) -> None:
+    def _take_restrictions(self, update: config_messages.Restrictions) -> None:
         if update.version < self.restrictions.version:
             return
         self.restrictions = update
@@ -324,7 +326,7 @@
             return
         try:
             # Moving to an instance that is cut off could cost the lease.
-            self.streams.ask(home, messages.Ping(), 1.0)
+            self.streams.ask(home, config_messages.Ping(), 1.0)
         except errors.MintcleatError:
             return
         self.stream.move_home()
