--- a/src/mintcleat/roles/orders.py
+++ b/src/mintcleat/roles/orders.py
@@ -11,9 +11,11 @@
 from mintcleat.configuration import fence
 from mintcleat.configuration import machine
 from mintcleat.configuration import rollouts
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -56,7 +58,7 @@
     def send(
         self,
         service: str,
-        announced: messages.Announcement,
+        announced: member_messages.Announcement,
         order: rollouts.Order,
         policies: manifest.Policies,
     ) -> None:
@@ -71,7 +73,7 @@
     def _send(
         self,
         service: str,
-        announced: messages.Announcement,
+        announced: member_messages.Announcement,
         order: rollouts.Order,
         policies: manifest.Policies,
     ) -> None:
@@ -106,14 +108,14 @@
             return False
 
     def _deliver(
-        self, announced: messages.Announcement, order: rollouts.Order
+        self, announced: member_messages.Announcement, order: rollouts.Order
     ) -> str:
         """Returns the outcome; empty when it is not known.
 
         An order of unknown outcome is sent again under its number, which the
         sidecar carries out once.
         """
-        message = messages.Order(
+        message = config_messages.Order(
             announced.sidecar, order.fence, order.action, order.model
         )
         try:
@@ -136,7 +138,7 @@
     def _end(
         self,
         service: str,
-        announced: messages.Announcement,
+        announced: member_messages.Announcement,
         order: rollouts.Order,
         outcome: str,
     ) -> None:
@@ -174,7 +176,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         upstream: Upstream,
         timers: timer_ports.Timers,
         read_fence: Callable[[], int],
@@ -187,7 +189,7 @@
         self.lock = semaphore.Semaphore()
 
     def handle(
-        self, exchange: stream_ports.Exchange, order: messages.Order
+        self, exchange: stream_ports.Exchange, order: config_messages.Order
     ) -> None:
         """Carries an order out once; answers a repeated one alike.
 
@@ -202,9 +204,9 @@
         self.gate.admit(order.fence)
         with self.lock:
             self._carry_out(order)
-        exchange.send(messages.Done(order.model))
+        exchange.send(identities.Done(order.model))
 
-    def _carry_out(self, order: messages.Order) -> None:
+    def _carry_out(self, order: config_messages.Order) -> None:
         # Asked again: while this order waited for the one before it, a newer
         # one may have come, or a copy of this one may have been carried out.
         if not self.gate.admit(order.fence):
--- a/src/mintcleat/roles/sidecar/attempts.py
+++ b/src/mintcleat/roles/sidecar/attempts.py
@@ -10,8 +10,9 @@
 
 from eventlet import event
 
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import timers as timers_port
 from mintcleat.programs import placement
 
@@ -19,13 +20,16 @@
 RUNNING = "running"
 ENDED = "ended"
 
-# States of an attempt as `messages.Sealed` tells them.
+# States of an attempt as `call_messages.Sealed` tells them.
 NEVER = "never"
 RAN = "ran"
 UNKNOWN = "unknown"
 
 Outcome = (
-    messages.Finished | messages.ToolAnswer | messages.Refused | messages.Broken
+    call_messages.Finished
+    | call_messages.ToolAnswer
+    | call_messages.Refused
+    | call_messages.Broken
 )
 
 
@@ -72,7 +76,7 @@
         self.started = 0.0
         self.left = False
         self.first = 0.0
-        self.usage = messages.Usage()
+        self.usage = identities.Usage()
         self.changed = event.Event()
 
     def add(self, text: str) -> None:
@@ -134,7 +138,7 @@
         return self.attempts.get(scope, {}).get(number)
 
     def state(self, scope: str, number: int) -> str:
-        """Returns a state of `messages.Sealed`, or an empty text for new."""
+        """Returns a state of `call_messages.Sealed`; empty for new."""
         known = self.states.get(scope, {}).get(number)
         if known is not None:
             return known
--- a/src/mintcleat/roles/sidecar/commit.py
+++ b/src/mintcleat/roles/sidecar/commit.py
@@ -5,7 +5,8 @@
 from loguru import logger
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.ports import control as control_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles.sidecar import attempts as sidecar_attempts
@@ -36,7 +37,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         control: control_port.Control,
         timers: timers_port.Timers,
     ) -> None:
@@ -49,7 +50,7 @@
         self,
         attempt: sidecar_attempts.Attempt,
         answer: bytes,
-        usage: messages.Usage,
+        usage: identities.Usage,
     ) -> None:
         """Records a whole answer; returns once it is committed.
 
@@ -57,7 +58,7 @@
             errors.MintcleatError: The group refuses it for good.
         """
         asked = attempt.message
-        finish = messages.FinishCall(
+        finish = program_messages.FinishCall(
             asked.program,
             asked.partner,
             asked.key,
@@ -84,7 +85,7 @@
         asked = attempt.message
         self._commit(
             attempt.scope,
-            messages.SettleCall(
+            program_messages.SettleCall(
                 asked.program,
                 asked.partner,
                 asked.key,
--- a/src/mintcleat/roles/sidecar/crashes.py
+++ b/src/mintcleat/roles/sidecar/crashes.py
@@ -7,7 +7,8 @@
 from loguru import logger
 
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
 
@@ -53,7 +54,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         directory: membership_port.Membership,
         timers: timers_port.Timers,
         presence: Presence,
@@ -110,7 +111,7 @@
     def _report(self, digests: list[bytes]) -> None:
         self.local.update(digests)
         self.count += 1
-        report = messages.ReportCrash(self.node, self.count, digests)
+        report = member_messages.ReportCrash(self.node, self.count, digests)
         self.reported = event.Event()
         try:
             if not self._send(report):
@@ -118,7 +119,7 @@
         finally:
             self.reported.send()
 
-    def _send(self, report: messages.ReportCrash) -> bool:
+    def _send(self, report: member_messages.ReportCrash) -> bool:
         try:
             self.directory.ask(report, _REPORT_SECONDS)
         except errors.MintcleatError as error:
@@ -131,6 +132,6 @@
         )
         return True
 
-    def _send_until_taken(self, report: messages.ReportCrash) -> None:
+    def _send_until_taken(self, report: member_messages.ReportCrash) -> None:
         while not self._send(report):
             self.timers.sleep(_RETRY_SECONDS)
--- a/src/mintcleat/roles/sidecar/execution.py
+++ b/src/mintcleat/roles/sidecar/execution.py
@@ -7,8 +7,8 @@
 import sortedcontainers
 
 from mintcleat.decisions import calls
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles.sidecar import attempts as sidecar_attempts
 from mintcleat.roles.sidecar import commit as sidecar_commit
@@ -61,7 +61,7 @@
         crashes: sidecar_crashes.Crashes,
         reporter: sidecar_commit.Reporter,
         timers: timers_port.Timers,
-        load: Callable[[], messages.LoadReport],
+        load: Callable[[], call_messages.LoadReport],
         count: Callable[[str, str], None],
     ) -> None:
         self.runner = runner
@@ -211,7 +211,7 @@
         self.count("refused", error.kind)
         self.runner.refused(attempt)
         failure = error.failure()._replace(outcome=errors.NOT_RUN)
-        attempt.end(messages.Refused(attempt.number, failure, self.load()))
+        attempt.end(call_messages.Refused(attempt.number, failure, self.load()))
 
     def _end_broken(
         self,
@@ -222,7 +222,7 @@
         failure = error.failure()
         if failure.outcome == errors.NOT_RUN:
             failure = failure._replace(outcome=errors.UNKNOWN)
-        broken = messages.Broken(attempt.number, failure)
+        broken = call_messages.Broken(attempt.number, failure)
         final = failure.outcome == errors.RAN
         state = sidecar_attempts.RAN if final else sidecar_attempts.UNKNOWN
         if attempt.message.idempotent and not final:
--- a/src/mintcleat/roles/sidecar/history.py
+++ b/src/mintcleat/roles/sidecar/history.py
@@ -4,7 +4,7 @@
 
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 
 class Histories:
@@ -17,7 +17,7 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.turns: collections.OrderedDict[str, list[messages.Turn]] = (
+        self.turns: collections.OrderedDict[str, list[identities.Turn]] = (
             collections.OrderedDict()
         )
         self.sizes: dict[str, int] = {}
@@ -39,7 +39,7 @@
             return 0
         return turn
 
-    def extend(self, program: str, turns: list[messages.Turn]) -> None:
+    def extend(self, program: str, turns: list[identities.Turn]) -> None:
         """Adds turns that an entry sent, each checked by its digest.
 
         Raises:
@@ -72,7 +72,7 @@
         kept = self.turns.get(program, [])[:base]
         if len(kept) < base:
             return
-        turn = messages.Turn(base + 1, added, digests.rolling(digest, added))
+        turn = identities.Turn(base + 1, added, digests.rolling(digest, added))
         self._store(program, [*kept, turn])
 
     def drop(self, program: str) -> None:
@@ -80,7 +80,7 @@
         self.turns.pop(program, None)
         self.size -= self.sizes.pop(program, 0)
 
-    def _store(self, program: str, kept: list[messages.Turn]) -> None:
+    def _store(self, program: str, kept: list[identities.Turn]) -> None:
         self.drop(program)
         size = sum(len(text) for turn in kept for text in turn.messages)
         self.turns[program] = kept
--- a/src/mintcleat/roles/sidecar/memory.py
+++ b/src/mintcleat/roles/sidecar/memory.py
@@ -9,7 +9,7 @@
 from mintcleat.decisions import pace
 from mintcleat.decisions import retain
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import control as control_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
@@ -84,7 +84,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         engine: upstream_port.ModelEngine,
         control: control_port.Control,
         timers: timers_port.Timers,
--- a/src/mintcleat/roles/sidecar/orders.py
+++ b/src/mintcleat/roles/sidecar/orders.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from mintcleat.domain import messages
+from mintcleat.domain import config_messages
+from mintcleat.domain import identities
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
@@ -51,7 +52,7 @@
 
 
 def receiver(
-    node: messages.Incarnation,
+    node: identities.Incarnation,
     target: Target,
     timers: timers_port.Timers,
     directory: membership_port.Membership,
@@ -65,7 +66,7 @@
     """
 
     def read_fence() -> int:
-        read = messages.ReadFence(node.instance)
+        read = config_messages.ReadFence(node.instance)
         return directory.ask(read, _READ_SECONDS).fence
 
     return orders.OrderReceiver(node, target, timers, read_fence)
--- a/src/mintcleat/roles/sidecar/presence.py
+++ b/src/mintcleat/roles/sidecar/presence.py
@@ -6,8 +6,10 @@
 
 from loguru import logger
 
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
@@ -77,7 +79,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         options: SidecarOptions,
         address: str,
         *,
@@ -103,7 +105,7 @@
         self.info = _UNKNOWN_ENGINE
         self.free_memory = 0
         self.reports = itertools.count(1)
-        self.announced: messages.Announcement | None = None
+        self.announced: member_messages.Announcement | None = None
 
     def probe(self) -> None:
         """Looks at the upstream and tells control when it changed."""
@@ -184,11 +186,11 @@
         self.probe()
         self.directory.announce()
 
-    def announcement(self) -> messages.Announcement:
+    def announcement(self) -> member_messages.Announcement:
         """Describes the upstream; the counter grows with each change."""
         last = self.announced
         counter = last.counter if last else 0
-        present = messages.Announcement(
+        present = member_messages.Announcement(
             sidecar=self.node,
             counter=counter,
             address=self.address,
@@ -209,10 +211,10 @@
             self.announced = present
         return present
 
-    def load(self) -> messages.LoadReport:
+    def load(self) -> call_messages.LoadReport:
         """Returns a fresh load report."""
         load = self.admission.gate.load(self.timers.now())
-        return messages.LoadReport(
+        return call_messages.LoadReport(
             sidecar=self.node,
             counter=next(self.reports),
             running=load.running,
--- a/src/mintcleat/roles/sidecar/run.py
+++ b/src/mintcleat/roles/sidecar/run.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from mintcleat.decisions import calls
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 from mintcleat.ports import timers as timers_port
 from mintcleat.ports import upstream as upstream_port
 from mintcleat.roles.sidecar import attempts as sidecar_attempts
@@ -24,7 +25,7 @@
 _BATCH_PRIORITY = 1
 _LOST = (errors.StreamClosed, errors.StreamTimeout)
 
-LoadSource = Callable[[], messages.LoadReport]
+LoadSource = Callable[[], call_messages.LoadReport]
 Answered = Callable[[], None]
 
 
@@ -90,7 +91,7 @@
         if asked.attempt:
             self._commit(attempt, answer, end.usage)
         attempt.end(
-            messages.Finished(
+            call_messages.Finished(
                 asked.attempt,
                 attempt.total,
                 answer,
@@ -126,7 +127,7 @@
         self,
         attempt: sidecar_attempts.Attempt,
         answer: str,
-        usage: messages.Usage,
+        usage: identities.Usage,
     ) -> None:
         asked = attempt.message
         self.reporter.finish(attempt, answer.encode(), usage)
@@ -262,9 +263,9 @@
         answered()
         if asked.attempt:
             answer = msgpack.packb(list(reply), use_bin_type=True)
-            self.reporter.finish(attempt, answer, messages.Usage())
+            self.reporter.finish(attempt, answer, identities.Usage())
         attempt.end(
-            messages.ToolAnswer(
+            call_messages.ToolAnswer(
                 asked.attempt,
                 reply.status,
                 reply.headers,
--- a/src/mintcleat/roles/sidecar/sidecar.py
+++ b/src/mintcleat/roles/sidecar/sidecar.py
@@ -8,8 +8,12 @@
 from typing import Any
 
 from mintcleat.decisions import pace
+from mintcleat.domain import call_messages
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import member_messages
+from mintcleat.domain import operator_messages
 from mintcleat.ports import control as control_port
 from mintcleat.ports import membership as membership_port
 from mintcleat.ports import metrics as metrics_port
@@ -49,7 +53,7 @@
 
     def __init__(
         self,
-        node: messages.Incarnation,
+        node: identities.Incarnation,
         options: sidecar_presence.SidecarOptions,
         *,
         streams: streams_port.Streams,
@@ -119,14 +123,14 @@
     def start(self) -> None:
         """Serves and begins to look at the upstream."""
         handlers = {
-            messages.RunTurn: self.run_turn,
-            messages.RunTool: self.run_tool,
-            messages.Attach: self.attach,
-            messages.SealAttempt: self.seal,
-            messages.CancelAttempt: self.cancel,
-            messages.WatchLoad: self.watch_load,
-            messages.Order: self.order,
-            messages.DrainUpstream: self.drain_upstream,
+            call_messages.RunTurn: self.run_turn,
+            call_messages.RunTool: self.run_tool,
+            call_messages.Attach: self.attach,
+            call_messages.SealAttempt: self.seal,
+            call_messages.CancelAttempt: self.cancel,
+            call_messages.WatchLoad: self.watch_load,
+            config_messages.Order: self.order,
+            operator_messages.DrainUpstream: self.drain_upstream,
         }
         for kind, handler in handlers.items():
             self.streams.handle(kind, handler)
@@ -140,18 +144,18 @@
         if self.is_model:
             self.memory.start(self.options.renew_seconds)
 
-    def announcement(self) -> messages.Announcement:
+    def announcement(self) -> member_messages.Announcement:
         """Describes the upstream; the counter grows with each change."""
         return self.presence.announcement()
 
-    def load(self) -> messages.LoadReport:
+    def load(self) -> call_messages.LoadReport:
         """Returns a fresh load report."""
         return self.presence.load()
 
     # --- Handlers -------------------------------------------------------------
 
     def run_turn(
-        self, exchange: streams_port.Exchange, asked: messages.RunTurn
+        self, exchange: streams_port.Exchange, asked: call_messages.RunTurn
     ) -> None:
         """Serves RunTurn; see `domain.messages`."""
         if self._answer_known(exchange, asked):
@@ -166,20 +170,20 @@
                 return
             have = self.histories.have(*base)
         if have < asked.base_turn:
-            exchange.send(messages.NeedHistory(have))
+            exchange.send(call_messages.NeedHistory(have))
             return
         before = self.histories.prompt(asked.program, asked.base_turn)
         self._start(exchange, asked, [*before, *asked.messages])
 
     def run_tool(
-        self, exchange: streams_port.Exchange, asked: messages.RunTool
+        self, exchange: streams_port.Exchange, asked: call_messages.RunTool
     ) -> None:
         """Serves RunTool; see `domain.messages`."""
         if not self._answer_known(exchange, asked):
             self._start(exchange, asked, [])
 
     def attach(
-        self, exchange: streams_port.Exchange, asked: messages.Attach
+        self, exchange: streams_port.Exchange, asked: call_messages.Attach
     ) -> None:
         """Lets a caller follow an attempt from the start of its answer."""
         if asked.sidecar != self.node:
@@ -201,7 +205,7 @@
         exchange.send(self._ended(scope, asked.attempt))
 
     def seal(
-        self, exchange: streams_port.Exchange, asked: messages.SealAttempt
+        self, exchange: streams_port.Exchange, asked: call_messages.SealAttempt
     ) -> None:
         """Makes sure that an attempt never runs here, unless it has begun."""
         state = sidecar_attempts.UNKNOWN
@@ -212,19 +216,21 @@
                 sealed = errors.Draining("The attempt was sealed.")
                 self.executor.cancel(attempt, sealed)
             state = self.attempts.seal(scope, asked.attempt)
-        exchange.send(messages.Sealed(asked.attempt, state))
+        exchange.send(call_messages.Sealed(asked.attempt, state))
 
     def cancel(
-        self, exchange: streams_port.Exchange, asked: messages.CancelAttempt
+        self,
+        exchange: streams_port.Exchange,
+        asked: call_messages.CancelAttempt,
     ) -> None:
         """Stops an attempt whose caller has gone."""
         attempt = self.attempts.find(asked.program, asked.attempt)
         if attempt is not None:
             self.executor.cancel(attempt, sidecar_watch.caller_gone())
-        exchange.send(messages.Done())
+        exchange.send(identities.Done())
 
     def watch_load(
-        self, exchange: streams_port.Exchange, asked: messages.WatchLoad
+        self, exchange: streams_port.Exchange, asked: call_messages.WatchLoad
     ) -> None:
         """Pushes load reports until the watcher goes.
 
@@ -244,7 +250,7 @@
             self.watchers -= 1
 
     def order(
-        self, exchange: streams_port.Exchange, asked: messages.Order
+        self, exchange: streams_port.Exchange, asked: config_messages.Order
     ) -> None:
         """Carries out an order to the upstream."""
         if not self.is_model:
@@ -252,7 +258,9 @@
         self.orders.handle(exchange, asked)
 
     def drain_upstream(
-        self, exchange: streams_port.Exchange, asked: messages.DrainUpstream
+        self,
+        exchange: streams_port.Exchange,
+        asked: operator_messages.DrainUpstream,
     ) -> None:
         """Takes no new work, or takes it again."""
         if asked.sidecar != self.node:
@@ -262,7 +270,7 @@
         else:
             self.presence.draining = False
         self.directory.announce()
-        exchange.send(messages.Done(self.presence.state()))
+        exchange.send(identities.Done(self.presence.state()))
 
     # --- Stopping -------------------------------------------------------------
 
@@ -281,7 +289,7 @@
         self.reporter.stopped = True
         for attempt in cut:
             failure = errors.OutcomeUnknown("The sidecar was stopped.")
-            attempt.end(messages.Broken(attempt.number, failure.failure()))
+            attempt.end(call_messages.Broken(attempt.number, failure.failure()))
         for subscription in self.subscriptions:
             subscription.cancel()
         self.memory.stopped = True
@@ -350,7 +358,7 @@
         if asked.attempt:
             self.attempts.seal(_scope(asked), asked.attempt)
         exchange.send(
-            messages.Refused(asked.attempt, error.failure(), self.load())
+            call_messages.Refused(asked.attempt, error.failure(), self.load())
         )
 
     def _count(self, ended: str, kind: str) -> None:
@@ -376,7 +384,9 @@
         match self.attempts.state(scope, number):
             case sidecar_attempts.NEVER:
                 failure = errors.Draining("The attempt was sealed here.")
-                return messages.Refused(number, failure.failure(), self.load())
+                return call_messages.Refused(
+                    number, failure.failure(), self.load()
+                )
             case sidecar_attempts.RAN:
                 failure = errors.OutcomeUnknown(
                     "The call ran and its answer is recorded.",
@@ -385,7 +395,7 @@
                 )
             case _:
                 failure = errors.OutcomeUnknown("The call may have run.")
-        return messages.Broken(number, failure.failure())
+        return call_messages.Broken(number, failure.failure())
 
     def _take_configuration(self) -> None:
         self.admission.configure()
@@ -414,8 +424,8 @@
     return sidecar_attempts.scope_of(asked.program, asked.partner, asked.key)
 
 
-def _other_incarnation(number: int) -> messages.Broken:
+def _other_incarnation(number: int) -> call_messages.Broken:
     failure = errors.OtherIncarnation(
         "The attempt belongs to another life of this sidecar."
     )
-    return messages.Broken(number, failure.failure())
+    return call_messages.Broken(number, failure.failure())
--- a/src/mintcleat/roles/sidecar/watch.py
+++ b/src/mintcleat/roles/sidecar/watch.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from mintcleat.domain import call_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
 from mintcleat.roles.sidecar import attempts as sidecar_attempts
@@ -67,7 +67,7 @@
             if place < len(attempt.pieces):
                 text = "".join(attempt.pieces[place:])
                 place = len(attempt.pieces)
-                exchange.send(messages.Chunk(attempt.number, offset, text))
+                exchange.send(call_messages.Chunk(attempt.number, offset, text))
                 offset += len(text)
             elif attempt.outcome is not None:
                 exchange.send(attempt.outcome)
@@ -80,7 +80,7 @@
         try:
             while True:
                 message = exchange.receive()
-                if isinstance(message, messages.CancelAttempt):
+                if isinstance(message, call_messages.CancelAttempt):
                     self.cancel(watch.attempt, caller_gone())
         except errors.MintcleatError:
             if not watch.done:
--- a/testing/explorer.py
+++ b/testing/explorer.py
@@ -15,7 +15,7 @@
 from mintcleat.consensus import outbox
 from mintcleat.consensus import records
 from mintcleat.consensus import types
-from mintcleat.domain import messages
+from mintcleat.domain import identities
 
 GROUPS = ["g", "h"]
 NAMES = ["c1", "c2", "c3", "s1"]
@@ -47,7 +47,7 @@
         self.rate = 1.0 + rng.uniform(-1, 1) * SETTINGS.clock_drift
         self.offset = rng.uniform(0, 1000)
         self.epoch = 0
-        self.identity = messages.Incarnation(name, 0)
+        self.identity = identities.Incarnation(name, 0)
         self.synced: list[bytes] = []
         self.snapshots: dict[tuple[str, int], bytes] = {}
         self.core: instance.Instance | None = None
@@ -61,13 +61,13 @@
     def empty_disk(self) -> None:
         self.synced = []
         self.snapshots = {}
-        self.identity = messages.Incarnation(self.name, 0)
+        self.identity = identities.Incarnation(self.name, 0)
 
     def start(self) -> None:
         self.epoch += 1
         if self.identity.epoch == 0:
             fenced = self.cluster.incarnations
-            self.identity = messages.Incarnation(
+            self.identity = identities.Incarnation(
                 self.name, self.epoch if fenced else 1
             )
         stored = records.fold(self.synced)
@@ -188,7 +188,7 @@
         self.command_ends: dict[str, dict[int, int]] = {
             group: {0: 0} for group in GROUPS
         }
-        self.leaders: dict[tuple[str, int], messages.Incarnation] = {}
+        self.leaders: dict[tuple[str, int], identities.Incarnation] = {}
         self.floor = dict.fromkeys(GROUPS, 0)
         self.writes: dict[tuple[str, str, int], int] = {}
         self.reads: dict[int, tuple[str, int]] = {}
--- a/testing/fakes/config_links.py
+++ b/testing/fakes/config_links.py
@@ -11,9 +11,10 @@
 
 from mintcleat.adapters import timers
 from mintcleat.configuration import lease
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
 from mintcleat.roles import follower
 from mintcleat.roles.control.configuration import feed as config_feed
 from mintcleat.roles.control.configuration import service as config_service
@@ -179,7 +180,7 @@
             service.feed.read(self.peer, message)
         clock = self.timers.now()
         service.feed.read(
-            self.peer, messages.Applied(self.owner.applied(), clock)
+            self.peer, config_messages.Applied(self.owner.applied(), clock)
         )
 
 
@@ -197,7 +198,7 @@
 
     def _control(self, name: str) -> config_service.ConfigService:
         service = config_service.ConfigService(
-            messages.Incarnation(name, 1),
+            identities.Incarnation(name, 1),
             "fd-1",
             name,
             log=fake_log.MemoryLog(self.log, name),
@@ -224,7 +225,7 @@
         """Starts a node that knows all control instances, or some."""
         address = f"{name}/{epoch}"
         node = follower.Follower(
-            messages.Incarnation(name, epoch),
+            identities.Incarnation(name, epoch),
             "sidecar" if announcer else "entry",
             "fd-1",
             address,
@@ -240,7 +241,7 @@
 
     def push(self, instance: int, expected: int, version: str) -> int:
         """Pushes at one control instance; returns the revision."""
-        request = messages.PushManifest(
+        request = config_messages.PushManifest(
             expected, f"push-{version}", manifest_text(version), "anna", "test"
         )
         return self.control[instance].ask(request).revision
--- a/testing/fakes/path_rig.py
+++ b/testing/fakes/path_rig.py
@@ -14,8 +14,9 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
 from mintcleat.domain import errors
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.domain import requests
 from mintcleat.programs import placement as groups
 from mintcleat.roles import control_client
@@ -68,7 +69,7 @@
         for follower in self.followers:
             follower()
 
-    def members(self, service: str) -> list[messages.Announcement]:
+    def members(self, service: str) -> list[member_messages.Announcement]:
         return [
             side.sidecar.announcement()
             for side in self.sides
@@ -138,7 +139,7 @@
         self.address = self.streams.address
         kind = "model" if self.service == "chat" else "plain"
         self.sidecar = sidecar.Sidecar(
-            messages.Incarnation(self.name, self.epoch),
+            identities.Incarnation(self.name, self.epoch),
             sidecar.SidecarOptions(self.service, kind, release_on_stop=False),
             streams=self.streams,
             timers=TIMERS,
--- a/testing/fakes/program_rig.py
+++ b/testing/fakes/program_rig.py
@@ -13,7 +13,8 @@
 
 import histories
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.roles import control_client
@@ -113,7 +114,7 @@
     def __init__(self, name: str, rig: "Rig") -> None:
         self.rig = rig
         self.address = name
-        self.incarnation = messages.Incarnation(name, 1)
+        self.incarnation = identities.Incarnation(name, 1)
         self.states: dict[tuple[str, int], str] = {}
 
     def restart(self) -> None:
@@ -123,7 +124,7 @@
         self.states = {}
 
     def seal(
-        self, call: Call, attempt: int, incarnation: messages.Incarnation
+        self, call: Call, attempt: int, incarnation: identities.Incarnation
     ) -> str:
         """Answers a SealAttempt; attempts count per group of programs."""
         if incarnation != self.incarnation:
@@ -158,14 +159,14 @@
     def _finish(
         self, call: Call, attempt: int, sidecar: Any, answer: str
     ) -> None:
-        request = messages.FinishCall(
+        request = program_messages.FinishCall(
             call.program,
             "farm",
             call.key,
             attempt,
             sidecar,
             answer.encode(),
-            messages.Usage(0, TOKENS, 0),
+            identities.Usage(0, TOKENS, 0),
         )
         while True:
             if sidecar != self.incarnation:
@@ -222,7 +223,7 @@
         """Reads a program and records what was shown."""
         start = self.record.now()
         try:
-            view = self.ask(program, messages.ShowProgram(program))
+            view = self.ask(program, program_messages.ShowProgram(program))
         except errors.ControlUnavailable:
             return
         read = histories.Read(start, self.record.now(), view)
@@ -232,8 +233,8 @@
         """Records the final state once the faults have stopped."""
         self.faults.active = False
         for program in programs:
-            view = self.ask(program, messages.ShowProgram(program))
-            history = self.ask(program, messages.FetchHistory(program))
+            view = self.ask(program, program_messages.ShowProgram(program))
+            history = self.ask(program, program_messages.FetchHistory(program))
             self.record.finals[program] = histories.Final(view, history.turns)
 
     def _serve(self, call: Call) -> str:
@@ -244,9 +245,9 @@
             upstream = self.upstreams[name]
             sidecar = upstream.incarnation
             reply = self._begin(call, upstream, sealed)
-            if isinstance(reply, messages.Recorded):
+            if isinstance(reply, program_messages.Recorded):
                 return reply.answer.decode()
-            if isinstance(reply, messages.Underway):
+            if isinstance(reply, program_messages.Underway):
                 upstream = self.upstreams[reply.address]
                 sidecar = reply.sidecar
             elif not self.faults.happens(0.05):
@@ -257,7 +258,7 @@
         return self._give_up(call, sealed)
 
     def _begin(self, call: Call, upstream: Upstream, sealed: int) -> Any:
-        request = messages.BeginCall(
+        request = program_messages.BeginCall(
             program=call.program,
             partner="farm",
             service="chat",
@@ -325,7 +326,7 @@
     def _settle(
         self, call: Call, attempt: int, error: errors.MintcleatError
     ) -> None:
-        request = messages.SettleCall(
+        request = program_messages.SettleCall(
             call.program,
             "farm",
             call.key,
--- a/testing/fakes/service_rig.py
+++ b/testing/fakes/service_rig.py
@@ -10,14 +10,17 @@
 from mintcleat.adapters import plain_http
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
+from mintcleat.domain import call_messages
+from mintcleat.domain import config_messages
 from mintcleat.domain import digests
+from mintcleat.domain import identities
 from mintcleat.domain import manifest
-from mintcleat.domain import messages
+from mintcleat.domain import member_messages
 from mintcleat.roles.sidecar import sidecar
 from mintcleat.standins import engine
 from mintcleat.standins import service
 
-NODE = messages.Incarnation("side-1", 1)
+NODE = identities.Incarnation("side-1", 1)
 
 
 class FakeControl:
@@ -38,11 +41,11 @@
         if self.fail is not None:
             raise self.fail
         self.heard.append(message)
-        return messages.Done()
+        return identities.Done()
 
     def gone(
         self,
-        sidecar: messages.Incarnation,
+        sidecar: identities.Incarnation,
         programs: list[str],
         timeout: float,
     ) -> list[str]:
@@ -77,7 +80,7 @@
     def in_lease(self) -> bool:
         return self.lease
 
-    def members(self, service: str) -> list[messages.Announcement]:
+    def members(self, service: str) -> list[member_messages.Announcement]:
         return []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -102,9 +105,9 @@
         self.asked.append(message)
         if self.held is not None:
             self.held.wait()
-        if isinstance(message, messages.ReadFence):
-            return messages.Fence(self.fence)
-        return messages.Done()
+        if isinstance(message, config_messages.ReadFence):
+            return config_messages.Fence(self.fence)
+        return identities.Done()
 
 
 class Rig:
@@ -114,7 +117,7 @@
         self,
         upstream: engine.Engine | service.Service,
         options: sidecar.SidecarOptions | None = None,
-        node: messages.Incarnation = NODE,
+        node: identities.Incarnation = NODE,
     ) -> None:
         plain = isinstance(upstream, service.Service)
         self.upstream = upstream
@@ -173,7 +176,7 @@
     text = ""
     while True:
         message = exchange.receive(timeout)
-        if not isinstance(message, messages.Chunk):
+        if not isinstance(message, call_messages.Chunk):
             return text, message
         text += message.text
 
@@ -183,7 +186,7 @@
     text = ""
     while True:
         message = exchange.receive(timeout)
-        if not isinstance(message, messages.Chunk):
+        if not isinstance(message, call_messages.Chunk):
             exchange.close()
             return text, message
         assert message.offset == len(text)
@@ -217,7 +220,7 @@
         "digest": b"d" * 16,
         "idempotent": True,
     }
-    return messages.RunTurn(**{**values, **fields})
+    return call_messages.RunTurn(**{**values, **fields})
 
 
 def tool(program: str = "p", attempt: int = 1, **fields: Any) -> Any:
@@ -238,4 +241,4 @@
         "digest": b"d" * 16,
         "idempotent": False,
     }
-    return messages.RunTool(**{**values, **fields})
+    return call_messages.RunTool(**{**values, **fields})
--- a/testing/fakes/service_system.py
+++ b/testing/fakes/service_system.py
@@ -19,8 +19,8 @@
 from fakes import service_faults
 from fakes import service_rig
 from mintcleat.adapters import settings as settings_module
+from mintcleat.domain import config_messages
 from mintcleat.domain import errors
-from mintcleat.domain import messages
 from mintcleat.main import assembly
 from mintcleat.programs import placement
 from mintcleat.roles.entry import attempts as attempts_module
@@ -217,7 +217,9 @@
         self.controls[number] = process
 
     def _push(self) -> None:
-        push = messages.PushManifest(0, "p", json.dumps(MANIFEST), "o", "test")
+        push = config_messages.PushManifest(
+            0, "p", json.dumps(MANIFEST), "o", "test"
+        )
 
         def pushed() -> bool:
             try:
--- a/testing/histories.py
+++ b/testing/histories.py
@@ -11,7 +11,8 @@
 
 from mintcleat.domain import digests
 from mintcleat.domain import errors
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 
 
 class Operation(NamedTuple):
@@ -50,14 +51,14 @@
 
     start: int
     end: int
-    view: messages.ProgramView
+    view: program_messages.ProgramView
 
 
 class Final(NamedTuple):
     """A program when all has come to rest."""
 
-    view: messages.ProgramView
-    turns: list[messages.Turn]
+    view: program_messages.ProgramView
+    turns: list[identities.Turn]
 
 
 class Violation(NamedTuple):
--- a/testing/naive_programs.py
+++ b/testing/naive_programs.py
@@ -7,19 +7,20 @@
 import dataclasses
 from typing import Any
 
-from mintcleat.domain import messages
+from mintcleat.domain import identities
+from mintcleat.domain import program_messages
 
-NO_USAGE = messages.Usage()
+NO_USAGE = identities.Usage()
 
 
 @dataclasses.dataclass
 class NaiveCall:
-    request: messages.BeginCall
+    request: program_messages.BeginCall
     attempt: int
     held: int
     state: str = "running"
     answer: bytes = b""
-    usage: messages.Usage = NO_USAGE
+    usage: identities.Usage = NO_USAGE
     touched: float = 0.0
     has_key: bool = True
 
@@ -42,7 +43,7 @@
     """
 
     def __init__(self) -> None:
-        self.programs: dict[str, messages.CreateProgram] = {}
+        self.programs: dict[str, program_messages.CreateProgram] = {}
         self.clock = 0.0
         self.active: dict[str, float] = {}
         self.ended: dict[str, float] = {}
@@ -51,19 +52,21 @@
 
     def apply(self, request: Any) -> tuple[Any, ...]:
         match request:
-            case messages.CreateProgram():
+            case program_messages.CreateProgram():
                 return self.create(request)
-            case messages.CloseProgram():
+            case program_messages.CloseProgram():
                 return self.close(request)
-            case messages.BeginCall():
+            case program_messages.BeginCall():
                 return self.begin(request)
-            case messages.FinishCall():
+            case program_messages.FinishCall():
                 return self.finish(request)
-            case messages.SettleCall():
+            case program_messages.SettleCall():
                 return self.settle(request)
         raise AssertionError(request)
 
-    def create(self, request: messages.CreateProgram) -> tuple[Any, ...]:
+    def create(
+        self, request: program_messages.CreateProgram
+    ) -> tuple[Any, ...]:
         known = self.programs.get(request.program)
         if known is not None:
             return ("view",) if known == request else ("program_exists",)
@@ -75,7 +78,7 @@
         self.note(request.program)
         return ("view",)
 
-    def close(self, request: messages.CloseProgram) -> tuple[Any, ...]:
+    def close(self, request: program_messages.CloseProgram) -> tuple[Any, ...]:
         if request.program not in self.programs:
             return ("unknown_program",)
         self.end(request.program)
@@ -124,7 +127,7 @@
             self.drop(call)
             call.request = call.request._replace(program=heir)
 
-    def begin(self, request: messages.BeginCall) -> tuple[Any, ...]:
+    def begin(self, request: program_messages.BeginCall) -> tuple[Any, ...]:
         if request.program and request.program not in self.programs:
             return ("unknown_program",)
         for call in self.calls:
@@ -139,7 +142,7 @@
         return self.grant(call, request)
 
     def begin_known(
-        self, call: NaiveCall, request: messages.BeginCall
+        self, call: NaiveCall, request: program_messages.BeginCall
     ) -> tuple[Any, ...]:
         mine = call.request
         if (mine.digest, mine.turn) != (request.digest, request.turn):
@@ -168,7 +171,7 @@
         return ("underway", call.attempt)
 
     def grant(
-        self, call: NaiveCall, request: messages.BeginCall
+        self, call: NaiveCall, request: program_messages.BeginCall
     ) -> tuple[Any, ...]:
         self.last_attempt += 1
         call.attempt = self.last_attempt
@@ -179,7 +182,7 @@
         )
         return ("granted", call.attempt)
 
-    def refusal(self, request: messages.BeginCall) -> str:
+    def refusal(self, request: program_messages.BeginCall) -> str:
         name = request.program
         own = [c for c in self.calls if c.request.program == name]
         history = self.history(name)
@@ -214,7 +217,7 @@
             return "budget_exhausted"
         return ""
 
-    def finish(self, request: messages.FinishCall) -> tuple[Any, ...]:
+    def finish(self, request: program_messages.FinishCall) -> tuple[Any, ...]:
         if request.program and request.program not in self.programs:
             return ("unknown_program",)
         for call in self.calls:
@@ -229,7 +232,7 @@
                     return ("done",)
         return ("superseded",)
 
-    def settle(self, request: messages.SettleCall) -> tuple[Any, ...]:
+    def settle(self, request: program_messages.SettleCall) -> tuple[Any, ...]:
         if request.program and request.program not in self.programs:
             return ("unknown_program",)
         words = {"not_run": "released", "unknown": "unknown", "ran": "failed"}
@@ -265,7 +268,7 @@
         ]
         return sorted(turns, key=lambda c: c.request.turn)
 
-    def chain(self, name: str) -> list[messages.CreateProgram]:
+    def chain(self, name: str) -> list[program_messages.CreateProgram]:
         parts = name.split(".")
         return [
             self.programs[".".join(parts[:count])]
@@ -311,7 +314,7 @@
         ]
         return min(limits, default=None)
 
-    def hold_of(self, request: messages.BeginCall) -> int:
+    def hold_of(self, request: program_messages.BeginCall) -> int:
         if not request.program:
             return 0
         left = self.tokens_left(request.program)
