--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -28,20 +28,27 @@
 class Commands:
     """Operates a mintcleat deployment.
 
-    Every command takes --admin ADDRESS, --token_file FILE and --json.
+    Every command takes --admin ADDRESS, --token_file FILE or --data FOLDER, and
+    --json.
     """
 
     def __init__(
-        self, *, admin: str = "", token_file: str = "", json: bool = False
+        self,
+        *,
+        admin: str = "",
+        token_file: str = "",
+        data: str = "",
+        json: bool = False,
     ) -> None:
         """Takes the options of every command.
 
         Args:
             admin: Address of an admin port (or MINTCLEAT_ADMIN).
             token_file: File with the token (or MINTCLEAT_TOKEN_FILE).
+            data: The daemon's data folder, where it keeps a token of its own.
             json: Print JSON for machines in place of tables.
         """
-        client = cli_client.AdminClient(str(admin), str(token_file))
+        client = cli_client.AdminClient(str(admin), str(token_file), str(data))
         self._client = client
         self._json = json
         self.manifest = cli_manifest.ManifestCommands(client, json)
--- a/src/mintcleat/main/cli_client.py
+++ b/src/mintcleat/main/cli_client.py
@@ -10,6 +10,8 @@
 
 import urllib3
 
+from mintcleat.adapters import tokens
+
 DEFAULT_ADMIN = "http://127.0.0.1:8081"
 DEFAULT_TOKEN_FILE = "mintcleat-data/admin-token"
 TIMEOUT = urllib3.Timeout(connect=3.0, read=20.0)
@@ -49,8 +51,17 @@
 class AdminClient:
     """Asks the admin interface; the token never leaves the header."""
 
-    def __init__(self, admin: str, token_file: str) -> None:
+    def __init__(self, admin: str, token_file: str, data: str = "") -> None:
+        """Takes where to ask, and where the token is.
+
+        Args:
+            admin: Address of an admin port.
+            token_file: File with the token; goes before `data`.
+            data: The daemon's data folder.
+        """
         self.admin = admin or os.environ.get("MINTCLEAT_ADMIN", DEFAULT_ADMIN)
+        if data and not token_file:
+            token_file = str(pathlib.Path(data) / tokens.TOKEN_FILE)
         self.token_file = pathlib.Path(
             token_file
             or os.environ.get("MINTCLEAT_TOKEN_FILE", DEFAULT_TOKEN_FILE)
@@ -109,7 +120,8 @@
             fail(
                 UNAUTHORIZED,
                 f"No admin token in {self.token_file}: {error.strerror}.",
-                "Name the token's file with --token_file.",
+                "Name the daemon's data folder with --data, or the token's"
+                " file with --token_file.",
             )
 
     def _read(self, response: urllib3.BaseHTTPResponse) -> Any:
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -106,12 +106,15 @@
         path.write_text(config_cluster.text_of(version))
         return str(path)
 
-    def run_cli(self, *arguments: str) -> tuple[int, str, str]:
-        """Returns exit code, output and errors."""
+    def run_cli(self, *arguments: str, token: str = "") -> tuple[int, str, str]:
+        """Returns exit code, output and errors.
+
+        `token` is the option that says where the operators' token is.
+        """
         out, err = io.StringIO(), io.StringIO()
         options = (
             f"--admin={self.address}",
-            f"--token_file={self.folder / 'token'}",
+            token or f"--token_file={self.folder / 'token'}",
         )
         code = 0
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
@@ -126,6 +129,15 @@
         self.assertEqual((0, ""), (code, err))
         return json.loads(out)
 
+    def test_token_is_found_in_the_daemons_data_folder(self) -> None:
+        option = f"--data={self.folder}"
+        code, _, err = self.run_cli("status", token=option)
+        self.assertEqual(cli_client.UNAUTHORIZED, code)
+        self.assertIn("--data", err)
+        (self.folder / "admin-token").write_text(TOKEN + "\n")
+        code, _, err = self.run_cli("status", token=option)
+        self.assertEqual((0, ""), (code, err))
+
     def test_push_is_read_back_and_audited(self) -> None:
         self.cluster.node("entry-1")
         code, out, _ = self.run_cli(
