An upstream's word that a request's time is over speaks against nobody

A safe request that ended so was also sent once more though no time was left, and the caller got our 504 in place of the upstream's. Change: 504 counts neither way and is passed on. Both tests fail before.

--- a/src/mintcleat/roles/entry/routed_answer.py
+++ b/src/mintcleat/roles/entry/routed_answer.py
@@ -11,6 +11,9 @@
 
 # Answers from here on say that the upstream failed while it ran the request.
 RAN_STATUS = 500
+# What an upstream answers when the request's time ends while it runs. No other
+# upstream has time for it either.
+TIME_OVER_STATUS = 504
 
 
 class RoutedAnswer:
@@ -94,7 +97,8 @@
         head = answer.head
         body = answer.body()
         self.status = head.status
-        if head.status >= RAN_STATUS and may_repeat:
+        failed = head.status >= RAN_STATUS
+        if failed and head.status != TIME_OVER_STATUS and may_repeat:
             raise errors.UpstreamFailed(f"The upstream said {head.status}.")
         if self.begun:
             raise errors.UpstreamFailed("The stream did not go on.")
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -220,7 +220,11 @@
                 loads.ended(upstream.upstream, self.call.request)
 
     def _note_answer(self, upstream: member_messages.Registration) -> None:
-        if self.answer.status >= routed_answer.RAN_STATUS:
+        status = self.answer.status
+        if status == routed_answer.TIME_OVER_STATUS:
+            # Its caller gave it too little time, which tells nothing.
+            return
+        if status >= routed_answer.RAN_STATUS:
             self.means.loads.failed(upstream)
         else:
             self.means.loads.answered(upstream.upstream, self.sent_at)
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -1,5 +1,6 @@
 """The platform's protocol over real sockets, against stand-ins."""
 
+import functools
 import json
 
 import eventlet
@@ -231,6 +232,28 @@
         self.assertEqual(1, answers.count(500))
         self.assertEqual((1, 19), (len(failing.seen), len(sound.seen)))
 
+    def test_request_that_had_too_little_time_speaks_against_nobody(
+        self,
+    ) -> None:
+        # Callers that allow 0.4 s for work of a second come all day. Their
+        # upstreams answer at that time, and are well.
+        late = functools.partial(_fail, status=b"504 Late")
+        (engine,) = self.ready(("e1", "desk", late))
+        self.assertEqual(504, self.call(0))
+        standings = self.system.entry.gateway.loads.standings
+        self.assertEqual({}, standings.standings)
+        engine.script = _fail
+        self.assertEqual(500, self.call(1))
+        self.assertEqual(["e1"], list(standings.standings))
+
+    def test_upstreams_word_that_time_is_over_is_passed_on(self) -> None:
+        late = functools.partial(_fail, status=b"504 Late")
+        engines = self.ready(("e1", "desk", late), ("e2", "desk", late))
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(504, answer.status)
+        self.assertIn("x-response-signature", answer.headers)
+        self.assertEqual(1, sum(len(engine.seen) for engine in engines))
+
     def test_silent_upstream_gets_no_more_requests(self) -> None:
         # One upstream stands still with a request; its connections stay open.
         # Whatever else is sent there would wait for as long.
@@ -624,9 +647,13 @@
     return False
 
 
-def _fail(talk: platform_engine.Talk, seen: platform_engine.Seen) -> bool:
+def _fail(
+    talk: platform_engine.Talk,
+    seen: platform_engine.Seen,
+    status: bytes = b"500 Failed",
+) -> bool:
     head = talk.head(seen, {"Content-Length": "0"})
-    talk.raw(head.replace(b"200 OK", b"500 Failed"))
+    talk.raw(head.replace(b"200 OK", status))
     return True
 
 
