A drain of a name that no upstream bears is an error, unless asked for ahead

The two tests that drained names nobody bears: one now announces the upstream first and is otherwise the same; the other asks the leader itself, as before.

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -271,16 +271,29 @@
         drain = request.body.get("drain", True)
         if not isinstance(drain, bool):
             raise errors.BadRequest("'drain' must be true or false.")
+        scope, name = request.text("scope"), request.text("name")
+        if drain and not request.body.get("ahead", False):
+            self._check_listed(scope, name)
         return self.ask(
             operator_messages.DrainScope(
-                request.text("scope"),
-                request.text("name"),
-                drain,
-                request.text("operator"),
-                request.origin,
+                scope, name, drain, request.text("operator"), request.origin
             )
         )
 
+    def _check_listed(self, scope: str, name: str) -> None:
+        """Refuses a name that no announced upstream bears.
+
+        A slip in a name would otherwise look like a drain that holds, and
+        the upstream be stopped while it gets new work.
+        """
+        views = self.ask(operator_messages.ShowUpstreams()).upstreams
+        announced = [view.announcement for view in views]
+        names = {item.sidecar.instance for item in announced}
+        if scope == "failure_domain":
+            names = {item.failure_domain for item in announced}
+        if name not in names:
+            raise errors.UnknownUpstream(f"No {scope} {name} is announced.")
+
     def _release(self, request: Request, digest: str) -> Any:
         try:
             raw = bytes.fromhex(digest)
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -105,6 +105,18 @@
     default_remedy = "Use a name that `mintcleat control status` lists."
 
 
+class UnknownUpstream(MintcleatError):
+    """No announced upstream, or failure domain of one, has this name."""
+
+    kind = "unknown_upstream"
+    status = 404
+    default_outcome = NOT_RUN
+    default_remedy = (
+        "Use a name that `mintcleat upstreams list` shows, or --ahead for one "
+        "that is not there now."
+    )
+
+
 class UnknownRoute(MintcleatError):
     """No route of the manifest covers the request's host and path."""
 
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -230,6 +230,7 @@
         name: str,
         failure_domain: bool = False,
         undo: bool = False,
+        ahead: bool = False,
         operator: str = "",
     ) -> None:
         """Stops new work to an upstream; what runs goes on.
@@ -238,6 +239,7 @@
             name: Instance, or failure domain with --failure_domain.
             failure_domain: Drain every upstream of the failure domain.
             undo: Let it take new work again.
+            ahead: Also take a name that no upstream has now.
             operator: Name for the audit trail; without it, the user's.
         """
         scope = "failure_domain" if failure_domain else "instance"
@@ -245,6 +247,7 @@
             "scope": scope,
             "name": name,
             "drain": not undo,
+            "ahead": ahead,
             "operator": operator or getpass.getuser(),
         }
         answer = self._client.post("drains", body)
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -16,6 +16,7 @@
 from mintcleat.adapters import wsgi
 from mintcleat.domain import errors
 from mintcleat.domain import identities
+from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
 from mintcleat.main import cli
 from mintcleat.main import cli_client
@@ -264,7 +265,47 @@
         code, _, _ = self.run_cli("programs", "show", "none")
         self.assertEqual(cli_client.NOT_FOUND, code)
 
+    def announce(self) -> None:
+        """Has an upstream of failure domain fd-1 announce itself."""
+        announcement = member_messages.Announcement(
+            identities.Incarnation("u-1", 1),
+            1,
+            "127.0.0.1:1",
+            "chat",
+            "model",
+            "region",
+            "fd-1",
+            8,
+            "ready",
+            True,
+            True,
+            True,
+            True,
+        )
+        self.cluster.node("u-1", announcer=lambda: announcement)
+        self.cluster.until(
+            lambda: bool(self.run_json("upstreams", "list")["upstreams"])
+        )
+
+    def test_drain_of_a_name_that_nobody_bears_is_an_error(self) -> None:
+        # A slip in the name: the drain would seem to hold, and the upstream
+        # be stopped with work on its way to it.
+        self.announce()
+        for scope in ([], ["--failure_domain"]):
+            code, _, err = self.run_cli("upstreams", "drain", "typo", *scope)
+            self.assertEqual(cli_client.NOT_FOUND, code)
+            self.assertIn("upstreams list", err)
+        self.assertEqual({}, self.cluster.control[0].machine.drains)
+        self.assertEqual(0, self.run_cli("upstreams", "drain", "u-1")[0])
+
+    def test_drain_ahead_takes_a_name_that_is_yet_to_come(self) -> None:
+        code, _, _ = self.run_cli("upstreams", "drain", "later", "--ahead")
+        self.assertEqual(0, code)
+        state = self.cluster.control[0].machine
+        self.assertIn("instance/later", state.drains)
+
     def test_drain_of_a_failure_domain_is_shown_and_undone(self) -> None:
+        self.announce()
         self.run_cli("upstreams", "drain", "fd-1", "--failure_domain")
         state = self.cluster.control[0].machine
         self.assertIn("failure_domain/fd-1", state.drains)
