--- a/src/mintcleat/roles/control/actions.py
+++ b/src/mintcleat/roles/control/actions.py
@@ -24,15 +24,32 @@
         instance: str,
         log: replication.GroupLog,
         streams: streams_port.Streams,
-        addresses: list[str],
+        settled: list[str],
     ) -> None:
+        """Starts serving actions.
+
+        Args:
+            instance: This instance's name.
+            log: Its replicas.
+            streams: The way to the others.
+            settled: Addresses of the control instances in the settings.
+        """
         self.instance = instance
         self.log = log
         self.streams = streams
-        self.addresses = addresses
+        self.settled = settled
         streams.handle(operator_messages.ControlAction, self._serve_action)
         streams.handle(operator_messages.ShowGroups, self._serve_groups)
 
+    def addresses(self) -> list[str]:
+        """Returns every control instance: those in the settings, and others.
+
+        An instance that replaced one is in no settings file yet, and it may
+        be the leader that an action has to reach.
+        """
+        heard = sorted(self.log.addresses())
+        return list(dict.fromkeys([*self.settled, *heard]))
+
     def status(self) -> list[dict[str, Any]]:
         """Returns one row for each group, as its leader tells it.
 
@@ -40,7 +57,7 @@
         it, so that a lost quorum shows.
         """
         rows: dict[str, dict[str, Any]] = {}
-        for address in self.addresses:
+        for address in self.addresses():
             for text in self._groups_at(address):
                 row = json.loads(text)
                 known = rows.get(row["group"])
@@ -57,7 +74,7 @@
             errors.BadRequest: No group could begin.
         """
         action = operator_messages.ControlAction("replace", old, new)
-        told = [self._pass_on(at, action) for at in self.addresses]
+        told = [self._pass_on(at, action) for at in self.addresses()]
         begun = [detail for detail in told if detail.startswith("began")]
         if not begun:
             raise errors.BadRequest(
@@ -70,7 +87,7 @@
     def snapshot(self) -> str:
         """Takes snapshots of all groups on every control instance."""
         action = operator_messages.ControlAction("snapshot")
-        return "; ".join(self._pass_on(at, action) for at in self.addresses)
+        return "; ".join(self._pass_on(at, action) for at in self.addresses())
 
     def _pass_on(
         self, address: str, action: operator_messages.ControlAction
