One decision on which upstreams may be asked, for the role and the play

Which upstreams a request may go to as usual, and that all are asked where none is left, stood in the entry and once more in its test; both call standing.usable now. The stream computed its wait in two places; control actions sorted what comes sorted.

--- a/src/mintcleat/decisions/standing.py
+++ b/src/mintcleat/decisions/standing.py
@@ -9,6 +9,7 @@
 no more than the time of a second try; all others keep away meanwhile.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 # Pauses after failures. The first is about the time in which a restarted
@@ -156,3 +157,23 @@
             now - max(wait.since, heard) > wait.patience
             for wait in self.waits.get(upstream, {}).values()
         )
+
+
+def usable(
+    upstreams: Sequence[str],
+    standings: Standings,
+    silences: Silences,
+    repeatable: bool,
+    now: float,
+) -> list[str]:
+    """Returns the upstreams that a request may go to as usual.
+
+    All of them where none is left: a poor chance is better than a refusal.
+    """
+    found = [
+        name
+        for name in upstreams
+        if standings.allows(name, repeatable, now)
+        and not silences.silent(name, now)
+    ]
+    return found or list(upstreams)
--- a/src/mintcleat/roles/control/actions.py
+++ b/src/mintcleat/roles/control/actions.py
@@ -47,8 +47,7 @@
         An instance that replaced one is in no settings file yet, and it may
         be the leader that an action has to reach.
         """
-        heard = sorted(self.log.addresses())
-        return list(dict.fromkeys([*self.settled, *heard]))
+        return list(dict.fromkeys([*self.settled, *self.log.addresses()]))
 
     def status(self) -> list[dict[str, Any]]:
         """Returns one row for each group, as its leader tells it.
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -145,18 +145,20 @@
         opened = self.timers.now()
         self.timers.spawn(self._beat, exchange)
         while not self.stopped:
-            wait = lease.wait(self.owner.applied(), attempt, self.move_after)
-            message = exchange.receive(wait)
+            message = exchange.receive(self._wait(attempt))
             self.owner.take(message)
             if self.passed_over and self.owner.applied():
                 self.passed_over = False
                 away = HOME_SECONDS * (0.5 + self._part(attempt))
                 self.timers.after(away, self.move_home)
             since = max(opened, self.owner.lease.echo)
-            wait = lease.wait(self.owner.applied(), attempt, self.move_after)
-            if self.timers.now() - since > wait:
+            if self.timers.now() - since > self._wait(attempt):
                 raise errors.StreamTimeout(f"{address} renews no lease.")
 
+    def _wait(self, attempt: int) -> float:
+        """Returns the seconds for which the instance may say nothing."""
+        return lease.wait(self.owner.applied(), attempt, self.move_after)
+
     def _beat(self, exchange: stream_ports.Exchange) -> None:
         first = True
         while self.exchange is exchange and not self.stopped:
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -93,27 +93,23 @@
     ) -> tuple[member_messages.Registration, spread.Choice, int] | None:
         """Returns an upstream, why, and among how many; None for none."""
         now = self.timers.now()
-        ready = [
-            item
+        ready = {
+            item.upstream: item
             for item in self.by_service.get(service, ())
             if item.upstream not in tried
-        ]
-        usable = [
-            item
-            for item in ready
-            if self.standings.allows(item.upstream, wanted.repeatable, now)
-            and not self.silences.silent(item.upstream, now)
-        ]
-        names = [item.upstream for item in usable or ready]
+        }
+        names = standing.usable(
+            list(ready), self.standings, self.silences, wanted.repeatable, now
+        )
         slow = self.speeds.factors(names, now)
         candidates = [
             spread.Candidate(
-                item.upstream,
-                self.running.get(item.upstream, 0),
-                item.slots,
-                slow.get(item.upstream, 1.0),
+                name,
+                self.running.get(name, 0),
+                ready[name].slots,
+                slow.get(name, 1.0),
             )
-            for item in usable or ready
+            for name in names
         ]
         choice = spread.choose(
             candidates, wanted.hint, wanted.affinity, wanted.request
--- a/testing/test_control_actions.py
+++ b/testing/test_control_actions.py
@@ -14,8 +14,8 @@
 class Log:
     """Replicas that heard of one instance beyond the settings."""
 
-    def addresses(self) -> set[str]:
-        return {"a:1", "c:1"}
+    def addresses(self) -> list[str]:
+        return ["a:1", "c:1"]
 
 
 class Streams:
--- a/testing/test_standing.py
+++ b/testing/test_standing.py
@@ -45,16 +45,13 @@
 
     def place(self, request: Request, now: float) -> str:
         names = [name for name in UPSTREAMS if name != request.tried]
-        usable = [
-            name
-            for name in names
-            if self.standings.allows(name, request.repeatable, now)
-            and not self.silences.silent(name, now)
-        ]
+        usable = standing.usable(
+            names, self.standings, self.silences, request.repeatable, now
+        )
         found = spread.choose(
             [
                 spread.Candidate(name, self.running[name], SLOTS)
-                for name in usable or names
+                for name in usable
             ],
             "",
             "",
