Tell the lives of an upstream by id and start; read registrations strictly

Cause: the directory knew an upstream by its id alone. One that started again under its id stayed out of use until its count had caught up, for ten minutes if it had left; a heartbeat with an unknown state passed for ready, any text for a service, and could evict the upstream at the same address.

Change: a registration's life is (id, start). Between lives the start orders, within one the sequence; what is over is remembered by number, not by our time of day. Entries keep all that they learn by life. The boundary reads a registration in full or refuses it with the field's name; a service that the manifest lacks is refused by the leader. The config leader's dates go on by the steady clock from its office's start.

Ruled out: a count of lives of our own (two writers with one id behind a cut would each get one).

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -18,6 +18,7 @@
 from mintcleat.domain import member_messages
 from mintcleat.domain import operator_messages
 from mintcleat.domain import program_messages
+from mintcleat.domain import registrations
 
 PREFIX = "/admin/v1/"
 # Manifests reach 5 MB; twice that leaves room and bounds what a client costs.
@@ -210,10 +211,13 @@
         """Upstreams register, renew and leave by themselves."""
         match request.method, request.parts:
             case "PUT", [_, upstream]:
-                registration = _registration(upstream, request.body)
+                registration = registrations.parse(upstream, request.body)
                 return self.ask(member_messages.RegisterUpstream(registration))
             case "DELETE", [_, upstream]:
-                return self.ask(member_messages.LeaveUpstream(upstream))
+                started = request.number("started", 0)
+                return self.ask(
+                    member_messages.LeaveUpstream(upstream, started)
+                )
             case _:
                 raise _unknown(request)
 
@@ -336,21 +340,6 @@
         return {"detail": detail}
 
 
-def _registration(
-    upstream: str, body: dict[str, Any]
-) -> member_messages.Registration:
-    """Returns a registration from its fields.
-
-    Raises:
-        errors.BadRequest: A field is missing, unknown or of another type.
-    """
-    try:
-        plain = member_messages.Registration(upstream, **body)
-        return msgspec.convert(list(plain), member_messages.Registration)
-    except (TypeError, msgspec.ValidationError) as error:
-        raise errors.BadRequest(f"No registration: {error}.") from None
-
-
 def _unknown(request: Request) -> errors.MintcleatError:
     path = "/".join(request.parts)
     return errors.BadRequest(
--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -60,7 +60,11 @@
 
 
 class Register(NamedTuple):
-    """A registration that differs from the one on record."""
+    """A registration that differs from the one on record.
+
+    Attributes:
+        at: Seconds since 1970, for people who read the log.
+    """
 
     office: int
     registration: member_messages.Registration
@@ -73,12 +77,15 @@
     Attributes:
         final: Whether it said so itself: this life never comes back. One
             that only fell silent may register again.
+        at: Seconds since 1970, for people who read the log.
+        started: Start of the life that is meant; 0 for the registered one.
     """
 
     office: int
     upstream: str
     final: bool
     at: float
+    started: int = 0
 
 
 class Note(NamedTuple):
--- a/src/mintcleat/configuration/directory.py
+++ b/src/mintcleat/configuration/directory.py
@@ -9,9 +9,10 @@
 
 from mintcleat.domain import member_messages
 
-# A registration that was held up on the way for so long is not expected any
-# more; until then the id of an upstream that left is remembered.
-LEFT_KEPT = 600.0
+# Lives remembered as over. A late registration of one that is forgotten would
+# be believed until it falls silent. With 480 restarts and replacements a day
+# this many last for a week; registrations are held up for seconds.
+LEFT_KEPT = 4_096
 # Removals told to nodes; nodes further behind get the whole directory.
 REMOVALS_KEPT = 4_096
 
@@ -19,13 +20,17 @@
 class Directory:
     """Registrations by upstream, with the version of each change.
 
+    An upstream may start again under its id. Its lives are ordered by their
+    starts, by the upstream's own clock; within a life the sequence orders.
+    Neither is ever compared with a clock of ours.
+
     Attributes:
         version: Grows with each visible change.
         entries: The registrations in force.
         changed_at: Version of the last change, by upstream.
         removed_at: Version of the removal, by upstream, oldest first.
-        left: When an upstream said that it leaves for good, oldest first;
-            seconds since 1970.
+        left: Start of the last life that is over for good, by upstream, the
+            one that left first first; 0 for lives that do not tell it.
         horizon: Nodes below this version cannot be brought up by a delta.
     """
 
@@ -35,36 +40,53 @@
         self.entries: dict[str, member_messages.Registration] = {}
         self.changed_at: dict[str, int] = {}
         self.removed_at: dict[str, int] = {}
-        self.left: dict[str, float] = {}
+        self.left: dict[str, int] = {}
+
+    def over(self, upstream: str, started: int) -> bool:
+        """Tells whether this life left for good, or a later one did."""
+        return upstream in self.left and started <= self.left[upstream]
 
-    def register(
-        self, registration: member_messages.Registration, at: float
-    ) -> bool:
+    def register(self, registration: member_messages.Registration) -> bool:
         """Takes a registration; returns whether it is in force afterwards.
 
-        A registration of a life that has left, or an older one of the same
+        A registration of a life that is over, or an older one of the same
         life, was late. Taken in, it would send requests to an upstream that
         is gone, or whose address another one has by now.
         """
         name = registration.upstream
-        if name in self.left:
+        if self.over(name, registration.started):
             return False
         held = self.entries.get(name)
-        if held is not None and held.sequence > registration.sequence:
+        if held is not None and order(held) > order(registration):
+            return False
+        others = [
+            other
+            for other in self.entries.values()
+            if other.address == registration.address and other.upstream != name
+        ]
+        if any(registration.started < other.started for other in others):
+            # One process has an address. The other one started later, so
+            # this registration was held up until after its sender's end.
             return False
-        for other in list(self.entries.values()):
-            if other.address == registration.address and other.upstream != name:
-                # One process has an address: the life before is over.
-                self.leave(other.upstream, True, at)
+        for other in others:
+            self.leave(other.upstream, True, other.started)
         self._put(registration)
         return True
 
-    def leave(self, upstream: str, final: bool, at: float) -> bool:
-        """Takes an upstream out; returns whether it was there."""
-        if final:
-            self.left.setdefault(upstream, at)
-            self._forget_left(at)
-        if upstream not in self.entries:
+    def leave(self, upstream: str, final: bool, started: int = 0) -> bool:
+        """Takes a life of an upstream out; returns whether it was there.
+
+        Args:
+            upstream: Its id.
+            final: Whether this life and all before it never come back.
+            started: Start of the life; 0 for the one that is registered.
+        """
+        held = self.entries.get(upstream)
+        if not started and held is not None:
+            started = held.started
+        if final and not self.over(upstream, started):
+            self._remember_left(upstream, started)
+        if held is None or held.started > started:
             return False
         self._remove(upstream, self.version + 1)
         return True
@@ -121,7 +143,13 @@
         self.version, self.horizon = state[:2]
         found = [member_messages.Registration(*item) for item in state[2]]
         self.entries = {item.upstream: item for item in found}
-        self.changed_at, self.removed_at, self.left = state[3:6]
+        self.changed_at, self.removed_at = state[3:5]
+        # Releases before the starts of lives kept the time of leaving here,
+        # as a float, of upstreams that told no start.
+        self.left = {
+            name: started if isinstance(started, int) else 0
+            for name, started in state[5].items()
+        }
 
     def _put(self, registration: member_messages.Registration) -> None:
         name = registration.upstream
@@ -143,12 +171,16 @@
             oldest = next(iter(self.removed_at))
             self.horizon = self.removed_at.pop(oldest)
 
-    def _forget_left(self, at: float) -> None:
-        while self.left:
-            oldest = next(iter(self.left))
-            if self.left[oldest] >= at - LEFT_KEPT:
-                return
-            del self.left[oldest]
+    def _remember_left(self, name: str, started: int) -> None:
+        self.left.pop(name, None)
+        self.left[name] = started
+        while len(self.left) > LEFT_KEPT:
+            del self.left[next(iter(self.left))]
+
+
+def order(registration: member_messages.Registration) -> tuple[int, int]:
+    """Returns what tells which of two registrations of an id is newer."""
+    return registration.started, registration.sequence
 
 
 def same_in_force(
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -141,9 +141,9 @@
             case commands.PushVersion():
                 return self._push_version(command)
             case commands.Register(registration=registration):
-                return self.directory.register(registration, command.at)
+                return self.directory.register(registration)
             case commands.Leave(upstream=upstream, final=final):
-                return self.directory.leave(upstream, final, command.at)
+                return self.directory.leave(upstream, final, command.started)
             case commands.Note():
                 self._audit(
                     command, command.action, command.subject, command.outcome
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -83,6 +83,20 @@
     directory: int
 
 
+class RegistrationRefused(NamedTuple):
+    """What came as an upstream's registration names none to use.
+
+    Attributes:
+        upstream: Id that it was sent under, cut to a bounded length.
+        peer: Address that it came from.
+        detail: The first field that is wrong.
+    """
+
+    upstream: str
+    peer: str
+    detail: str
+
+
 class UpstreamAvoided(NamedTuple):
     """An upstream failed; it gets few requests or none for a while.
 
@@ -266,6 +280,7 @@
     DependencyRegained,
     ConfigurationApplied,
     UpstreamChanged,
+    RegistrationRefused,
     UpstreamAvoided,
     LeaderChanged,
     ConfigurationPushed,
--- a/src/mintcleat/domain/member_messages.py
+++ b/src/mintcleat/domain/member_messages.py
@@ -65,7 +65,8 @@
     """An upstream that registers itself, without a sidecar.
 
     Attributes:
-        upstream: Id of this life of the upstream; a restart has another.
+        upstream: Its id. A restart has another one, or the same id and a later
+            start.
         address: `IP:PORT` of its HTTP interface.
         version: Version of its software.
         slots: Requests that it runs at once.
@@ -73,6 +74,8 @@
         sequence: Grows with each registration of this life; a lower one is
             late and changes nothing.
         cold: Seconds for which it is still slow after its start.
+        started: When this life of it started, in ms since 1970 by its own
+            clock; 0 when it does not say.
     """
 
     upstream: str
@@ -84,6 +87,18 @@
     state: str
     sequence: int
     cold: float = 0.0
+    started: int = 0
+
+    @property
+    def life(self) -> str:
+        """Names this life of the upstream; the next one has another name.
+
+        What was learned of one life says nothing about the next, which holds
+        no cache, no connections and no requests of the one before.
+        """
+        if not self.started:
+            return self.upstream
+        return f"{self.upstream}#{self.started}"
 
 
 class RegisterUpstream(NamedTuple):
@@ -93,9 +108,14 @@
 
 
 class LeaveUpstream(NamedTuple):
-    """This life of the upstream takes no new work and never will again."""
+    """A life of the upstream takes no new work and never will again.
+
+    Attributes:
+        started: Start of that life; 0 for the one that is registered.
+    """
 
     upstream: str
+    started: int = 0
 
 
 class DirectoryUpdate(NamedTuple):
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -172,7 +172,9 @@
         self.part = control_part.ControlPart(common, events)
         self.events = events
         self.leaders: dict[str, tuple[str, int, str]] = {}
-        api = control_api.ControlApi(self.part.config, machine.answer_seconds)
+        api = control_api.ControlApi(
+            self.part.config, machine.answer_seconds, events
+        )
         self.listener = http1_server.HttpListener(machine.control, api.handle)
 
     def start(self) -> None:
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -9,17 +9,34 @@
 from mintcleat.adapters import http1_server
 from mintcleat.domain import config_messages
 from mintcleat.domain import errors
+from mintcleat.domain import events
 from mintcleat.domain import member_messages
 from mintcleat.domain import operator_messages
+from mintcleat.domain import registrations
 from mintcleat.platform import plan
+from mintcleat.ports import events as event_ports
 
 _OPERATOR = "platform"
 _HEARTBEAT = "/v1/Instances.Heartbeat/"
 _LEAVE = "/v1/Instances.Leave/"
 _EMPTY = "/v1/Retire.Start/"
 _EMPTIED = "/v1/Retire.Get/"
-_DRAINING = "draining"
-_READY = "ready"
+_STARTED = "born"
+_FIELDS = {
+    "service": "service",
+    "address": "address",
+    "zone": "failure_domain",
+    "version": "version",
+    "slots": "slots",
+    "state": "state",
+    "sequence": "sequence",
+    "coldRemainingMs": "cold",
+    _STARTED: "started",
+}
+# A heartbeat has some 300 bytes; one with many models a few thousand.
+_LARGEST_HEARTBEAT = 64 * 1024
+# Characters of a stranger's text that a log line repeats.
+_SHOWN = 160
 
 
 class Config(Protocol):
@@ -36,9 +53,12 @@
         seconds: Within which an answer, or a refusal, is given.
     """
 
-    def __init__(self, config: Config, seconds: float) -> None:
+    def __init__(
+        self, config: Config, seconds: float, told: event_ports.Events
+    ) -> None:
         self.config = config
         self.seconds = seconds
+        self.events = told
 
     def handle(
         self, request: http1_server.Request, reply: http1_server.Reply
@@ -59,10 +79,10 @@
                 return self._get()
             case "POST", text if text.startswith(_HEARTBEAT):
                 upstream = text.removeprefix(_HEARTBEAT)
-                return self._heartbeat(upstream, request.body)
+                return self._heartbeat(upstream, request)
             case "POST", text if text.startswith(_LEAVE):
                 upstream = text.removeprefix(_LEAVE)
-                return self._ask(member_messages.LeaveUpstream(upstream))
+                return self._leave(upstream, request.body)
             case "POST", text if text.startswith(_EMPTY):
                 return self._empty(text.removeprefix(_EMPTY), True)
             case "GET", text if text.startswith(_EMPTIED):
@@ -93,9 +113,21 @@
             raise errors.ControlUnavailable("No configuration was pushed yet.")
         return view.source.encode()
 
-    def _heartbeat(self, upstream: str, body: bytes) -> bytes:
-        registration = to_registration(upstream, body)
-        return self._ask(member_messages.RegisterUpstream(registration))
+    def _heartbeat(self, upstream: str, request: http1_server.Request) -> bytes:
+        try:
+            registration = to_registration(upstream, request.body)
+            return self._ask(member_messages.RegisterUpstream(registration))
+        except (errors.BadRequest, errors.UnknownService) as error:
+            self.events.emit(
+                events.RegistrationRefused(
+                    upstream[:_SHOWN], request.peer, error.detail[:_SHOWN]
+                )
+            )
+            raise
+
+    def _leave(self, upstream: str, body: bytes) -> bytes:
+        started = to_leaving(body)
+        return self._ask(member_messages.LeaveUpstream(upstream, started))
 
     def _empty(self, label: str, start: bool) -> bytes:
         found = self.config.ask(
@@ -109,32 +141,46 @@
 def to_registration(upstream: str, body: bytes) -> member_messages.Registration:
     """Returns an upstream's heartbeat as a registration.
 
+    Fields that are not known are left out: new ones may come at any time.
+
+    Raises:
+        errors.BadRequest: It can't be read, or a field is missing, of another
+            type or out of range.
+    """
+    fields = _object(body)
+    named = {
+        name: fields[wire] for wire, name in _FIELDS.items() if wire in fields
+    }
+    cold = named.get("cold")
+    if type(cold) in (int, float):
+        named["cold"] = cold / 1000.0
+    return registrations.parse(upstream, named)
+
+
+def to_leaving(body: bytes) -> int:
+    """Returns the start of the life that leaves; 0 when it does not say.
+
+    An upstream that leaves may send no body at all.
+
     Raises:
-        errors.BadRequest: It can't be read.
+        errors.BadRequest: There is a body that can't be read.
     """
+    started = _object(body).get(_STARTED, 0) if body else 0
+    if type(started) is not int or not 0 <= started <= registrations.LARGEST:
+        raise errors.BadRequest(f"No start of a life: {_STARTED}.")
+    return started
+
+
+def _object(body: bytes) -> dict[str, Any]:
+    if len(body) > _LARGEST_HEARTBEAT:
+        raise errors.BadRequest(f"No heartbeat: {len(body)} bytes.")
     try:
         fields = msgspec.json.decode(body)
-        draining = fields["state"] == _DRAINING
-        return member_messages.Registration(
-            upstream,
-            str(fields["service"]),
-            str(fields["address"]),
-            str(fields.get("zone", "")),
-            str(fields.get("version", "")),
-            int(fields.get("slots", 1)),
-            _DRAINING if draining else _READY,
-            int(fields.get("sequence", 0)),
-            float(fields.get("coldRemainingMs", 0)) / 1000.0,
-        )
-    except (
-        msgspec.DecodeError,
-        UnicodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
-        raise errors.BadRequest(f"No heartbeat: {error!r}.") from None
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise errors.BadRequest(f"No heartbeat: {error}.") from None
+    if not isinstance(fields, dict):
+        raise errors.BadRequest("No heartbeat: not an object.")
+    return fields
 
 
 def _status_of(error: errors.MintcleatError) -> int:
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -33,7 +33,7 @@
         sending: routed.Sending,
     ) -> "HttpAnswer":
         """Sends a request and returns the answer once its head has come."""
-        connection = self.pool.take(upstream.upstream, upstream.address)
+        connection = self.pool.take(upstream.life, upstream.address)
         try:
             connection.send(
                 call.method,
@@ -47,9 +47,9 @@
             connection.close()
             raise
 
-    def forget(self, upstream: str) -> None:
-        """Drops the idle connections of an upstream that is gone."""
-        self.pool.forget(upstream)
+    def forget(self, life: str) -> None:
+        """Drops the idle connections of a life of an upstream that is over."""
+        self.pool.forget(life)
 
 
 class HttpAnswer:
@@ -104,7 +104,7 @@
             yield data
         self.connection = None
         if connection.finish(_keep_alive(self.fields.get("keep-alive", ""))):
-            self.pool.give(self.upstream.upstream, connection)
+            self.pool.give(self.upstream.life, connection)
         else:
             connection.close()
 
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -51,8 +51,8 @@
             errors.StreamClosed: It may have run, and no answer will come.
         """
 
-    def forget(self, upstream: str) -> None:
-        """Drops what is kept for an upstream that is gone."""
+    def forget(self, life: str) -> None:
+        """Drops what is kept for a life of an upstream that is over."""
 
 
 class Reply(Protocol):
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -1,6 +1,7 @@
 """The config leader's care for upstreams that register themselves."""
 
 from typing import Any
+from typing import NamedTuple
 from typing import Protocol
 
 from loguru import logger
@@ -18,6 +19,8 @@
 # dead upstream by themselves at the first failed request, and renewals come
 # seconds late at times, so this only cleans up.
 SILENCE = 8.0
+# Characters of a name that an error repeats.
+_SHOWN = 80
 
 
 class Leader(Protocol):
@@ -31,75 +34,128 @@
     def propose(self, command: Any) -> Any:
         """Commits a command and returns its result."""
 
+    def date(self) -> float:
+        """Returns seconds since 1970 that no step of a clock changes."""
+
+
+class Heard(NamedTuple):
+    """The newest registration of an upstream that came, changed or not."""
+
+    at: float
+    order: tuple[int, int]
+
 
 class Registrar:
     """Commits registrations that change something, and ends silent ones.
 
     Attributes:
-        heard: When each upstream last renewed, with the sequence, while this
-            instance leads.
+        heard: What came last of each upstream, while this instance leads.
     """
 
     def __init__(self, leader: Leader) -> None:
         self.leader = leader
-        self.heard: dict[str, tuple[float, int]] = {}
+        self.heard: dict[str, Heard] = {}
         self.leaving: set[str] = set()
 
     def take_lead(self) -> None:
         """Gives every upstream a full period: its renewals went elsewhere."""
         now = self.leader.timers.now()
         held = self.leader.machine.directory.entries
-        self.heard = {name: (now, item.sequence) for name, item in held.items()}
+        self.heard = {
+            name: Heard(now, directory.order(item))
+            for name, item in held.items()
+        }
 
     def register(self, registration: member_messages.Registration) -> None:
-        """Takes a registration; returns once what it says is committed."""
+        """Takes a registration; returns once what it says is committed.
+
+        Raises:
+            errors.UnknownService: The manifest in force does not name its
+                service. Whoever wrote it must not put others out of use.
+        """
         state = self.leader.machine.directory
         name = registration.upstream
-        _, newest = self.heard.get(name, (0.0, -1))
-        if name in state.left or registration.sequence < newest:
+        order = directory.order(registration)
+        newest = self.heard.get(name)
+        if state.over(name, registration.started):
+            return
+        if newest is not None and order < newest.order:
             return
-        self.heard[name] = (self.leader.timers.now(), registration.sequence)
         held = state.entries.get(name)
+        self._check_service(registration, held)
+        self.heard[name] = Heard(self.leader.timers.now(), order)
         if held is not None and directory.same_in_force(held, registration):
             return
-        self.leader.propose(
-            commands.Register(
-                self.leader.office, registration, self.leader.timers.wall()
-            )
-        )
-        self._tell(registration)
-
-    def leave(self, upstream: str) -> None:
-        """Takes an upstream out for good; returns once that is committed."""
-        self.heard.pop(upstream, None)
-        if upstream in self.leader.machine.directory.left:
-            return
-        held = self.leader.machine.directory.entries.get(upstream)
-        self._propose_leave(upstream, True)
-        if held is not None:
+        at = self.leader.date()
+        if self.leader.propose(
+            commands.Register(self.leader.office, registration, at)
+        ):
+            self._tell(registration)
+
+    def leave(self, upstream: str, started: int) -> None:
+        """Takes a life of an upstream out; returns once that is committed.
+
+        Args:
+            upstream: Its id.
+            started: Start of the life; 0 for the one that is registered.
+        """
+        state = self.leader.machine.directory
+        held = state.entries.get(upstream)
+        if held is None or (started and started < held.started):
+            if state.over(upstream, started):
+                return
+        else:
+            self.heard.pop(upstream, None)
+        self._propose_leave(upstream, True, started)
+        if held is not None and upstream not in state.entries:
             self._tell(held._replace(state="left"))
 
     def tick(self) -> None:
         """Takes out upstreams that have been silent for too long."""
         now = self.leader.timers.now()
-        for name in list(self.leader.machine.directory.entries):
-            at, _ = self.heard.setdefault(name, (now, 0))
-            if now - at > SILENCE and name not in self.leaving:
+        for name, held in list(self.leader.machine.directory.entries.items()):
+            heard = self.heard.setdefault(
+                name, Heard(now, directory.order(held))
+            )
+            if now - heard.at > SILENCE and name not in self.leaving:
                 self.leaving.add(name)
-                self.leader.timers.spawn(self._expire, name)
+                self.leader.timers.spawn(self._expire, held, heard)
 
-    def _expire(self, name: str) -> None:
-        held = self.leader.machine.directory.entries.get(name)
+    def _expire(self, held: member_messages.Registration, heard: Heard) -> None:
+        name = held.upstream
         try:
-            self._propose_leave(name, False)
-            if held is not None:
-                self._tell(held._replace(state="silent"))
+            self._propose_leave(name, False, held.started)
+            self._tell(held._replace(state="silent"))
         except errors.MintcleatError as error:
             logger.info("Upstream {} not taken out: {}", name, error.detail)
         finally:
-            self.heard.pop(name, None)
+            # A later life may have registered meanwhile.
+            if self.heard.get(name) == heard:
+                del self.heard[name]
             self.leaving.discard(name)
 
+    def _check_service(
+        self,
+        registration: member_messages.Registration,
+        held: member_messages.Registration | None,
+    ) -> None:
+        """Refuses services that nobody can be routed to.
+
+        Before the first manifest every service may still come. An upstream
+        whose service was taken out since must be able to drain.
+        """
+        document = self.leader.machine.document
+        if not document.revision:
+            return
+        service = registration.service
+        if service in document.manifest().services:
+            return
+        if held is not None and held.service == service:
+            return
+        raise errors.UnknownService(
+            f"No service {service[:_SHOWN]!r} for {registration.upstream}."
+        )
+
     def _tell(self, registration: member_messages.Registration) -> None:
         self.leader.events.emit(
             events.UpstreamChanged(
@@ -111,9 +167,8 @@
             )
         )
 
-    def _propose_leave(self, name: str, final: bool) -> None:
+    def _propose_leave(self, name: str, final: bool, started: int) -> None:
+        at = self.leader.date()
         self.leader.propose(
-            commands.Leave(
-                self.leader.office, name, final, self.leader.timers.wall()
-            )
+            commands.Leave(self.leader.office, name, final, at, started)
         )
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -63,6 +63,9 @@
     def propose(self, command: Any) -> Any:
         """Commits a command and returns its result."""
 
+    def date(self) -> float:
+        """Returns seconds since 1970 that no step of a clock changes."""
+
     def wait_to_decide(self) -> None:
         """Blocks until no lease of an earlier leader can be alive."""
 
@@ -137,7 +140,7 @@
                 return identities.Done()
 
     def _change(self, message: Any) -> None:
-        at = self.leader.timers.wall()
+        at = self.leader.date()
         match message:
             case operator_messages.DrainScope():
                 self.leader.propose(commands.SetDrain(*message, at))
@@ -149,7 +152,7 @@
             case member_messages.RegisterUpstream(registration=registration):
                 self.leader.registrar.register(registration)
             case member_messages.LeaveUpstream(upstream=upstream):
-                self.leader.registrar.leave(upstream)
+                self.leader.registrar.leave(upstream, message.started)
             case operator_messages.SetControl():
                 self.leader.propose(commands.SetMember(*message, at))
             case member_messages.ReportCrash(sidecar=sidecar, number=number):
@@ -194,7 +197,7 @@
                 message.operator,
                 message.origin,
                 summary or "no change",
-                self.leader.timers.wall(),
+                self.leader.date(),
             )
         )
         return config_messages.Pushed(accepted.revision, message.push_id)
@@ -224,7 +227,7 @@
                 message.source,
                 message.operator,
                 message.origin,
-                self.leader.timers.wall(),
+                self.leader.date(),
             )
         )
         self._tell_push(message, "accepted", began)
@@ -267,7 +270,7 @@
                     True,
                     message.operator,
                     message.origin,
-                    self.leader.timers.wall(),
+                    self.leader.date(),
                 )
             )
         return operator_messages.Emptied(keeper.done(instance, state.emptied()))
@@ -284,7 +287,7 @@
                 "push",
                 f"push {message.push_id}",
                 f"refused: {error.detail}",
-                self.leader.timers.wall(),
+                self.leader.date(),
             )
         )
 
--- a/src/mintcleat/roles/control/configuration/rollout.py
+++ b/src/mintcleat/roles/control/configuration/rollout.py
@@ -35,6 +35,9 @@
     def propose(self, command: Any) -> Any:
         """Commits a command and returns its result."""
 
+    def date(self) -> float:
+        """Returns seconds since 1970 that no step of a clock changes."""
+
     def leads(self) -> bool:
         """Tells whether this instance may decide now."""
 
@@ -127,7 +130,7 @@
             policies.rollout_pause,
             upstreams,
             state.ledger.rollouts.get(name),
-            self.leader.timers.wall(),
+            self.leader.date(),
         )
 
     def _since(self, item: member_messages.Announcement) -> float:
@@ -137,7 +140,7 @@
         """
         state, model, since = self.seen.get(item.sidecar, ("", "", 0.0))
         if (state, model) != (item.state, item.model):
-            since = self.leader.timers.wall()
+            since = self.leader.date()
             self.seen[item.sidecar] = (item.state, item.model, since)
         return since
 
@@ -150,7 +153,7 @@
 
     def _commit(self, name: str, step: plan.Step) -> None:
         office = self.leader.office
-        at = self.leader.timers.wall()
+        at = self.leader.date()
         match step:
             case plan.Start(target=target, previous=previous):
                 command: Any = commands.StartRollout(
--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -98,6 +98,8 @@
             on_change=self.feed.wake_all,
             times=times,
         )
+        self.dated = 0.0
+        self.dated_at = 0.0
         self.registrar = registrar.Registrar(self)
         self.emptying = emptying.Emptying(log, streams)
         self.requests = config_requests.Requests(self)
@@ -131,6 +133,15 @@
             and self.log.leads(machine.GROUP)
         )
 
+    def date(self) -> float:
+        """Returns seconds since 1970, going on from the office's start.
+
+        Expiry, pauses and permits of the group's state are counted with it.
+        With a time of day that jumps by minutes, a quarantine would end early
+        or an order that is being carried out would count as stuck.
+        """
+        return self.dated + self.timers.now() - self.dated_at
+
     def ask(self, message: Any, timeout: float = ASK_SECONDS) -> Any:
         """Answers an operator's request, here or at the leader.
 
@@ -269,10 +280,10 @@
         push accepted before their end would be in force here while a cut-off
         control instance still renews the old revision to its nodes.
         """
+        self.dated_at = self.timers.now()
+        self.dated = max(self.timers.wall(), self.machine.office.at)
         try:
-            command = commands.TakeOffice(
-                self.node.instance, self.timers.wall()
-            )
+            command = commands.TakeOffice(self.node.instance, self.dated)
             office = self.propose(command)
         except errors.MintcleatError as error:
             logger.info("Did not take the lead: {}", error.detail)
--- a/src/mintcleat/roles/entry/routed_answer.py
+++ b/src/mintcleat/roles/entry/routed_answer.py
@@ -63,6 +63,11 @@
         """The upstream asked last; empty for none."""
         return self.upstream.upstream if self.upstream else ""
 
+    @property
+    def life(self) -> str:
+        """The life of the upstream asked last; empty for none."""
+        return self.upstream.life if self.upstream else ""
+
     def deliver(
         self,
         answer: forwarding.Answer,
@@ -104,7 +109,7 @@
             raise errors.UpstreamFailed("The stream did not go on.")
         self.first = self.timers.now()
         if head.status < RAN_STATUS:
-            self.loads.observe(self.upstream_name, self.first - sent_at)
+            self.loads.observe(self.life, self.first - sent_at)
         self.begun = True
         reply.whole(head, body)
 
@@ -117,7 +122,7 @@
             reply.begin(answer.head)
         buffer = server_events.EventBuffer()
         for data in answer.pieces():
-            self.loads.arrived(self.upstream_name)
+            self.loads.arrived(self.life)
             for event in buffer.feed(data):
                 self._pass_on(event, reply)
         if buffer.rest:
@@ -132,7 +137,7 @@
         if self.piece_at:
             pause = now - self.piece_at
             self.gap = max(self.gap, pause)
-            self.loads.observe(self.upstream_name, pause)
+            self.loads.observe(self.life, pause)
         else:
             self.first = now
         self.piece_at = now
@@ -148,7 +153,7 @@
             return
         output = b"".join(data + b"\n" for data in self.output)
         try:
-            self.turns.keep(self.turn, self.tokens, self.upstream_name, output)
+            self.turns.keep(self.turn, self.tokens, self.life, output)
         except errors.MintcleatError as error:
             raise errors.UpstreamFailed(
                 f"The turn could not be recorded: {error.detail}"
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -92,7 +92,7 @@
         until: Clock at which its caller must have the answer.
         attempts: Upstreams that may have run it.
         offers: Upstreams that it was sent to at all.
-        tried: Upstreams that it was sent to, by name.
+        tried: Lives of upstreams that it was sent to.
         answer: What its caller has been given.
     """
 
@@ -185,7 +185,7 @@
             return
         # The program's cache is where a turn began to run, not where a
         # request for it went.
-        ran_at = answer.upstream_name if answer.begun else ""
+        ran_at = answer.life if answer.begun else ""
         self.means.turns.settle(answer.turn, answer.tokens, ran_at)
 
     # --- Attempts -------------------------------------------------------------
@@ -194,11 +194,11 @@
         while True:
             upstream = self._place()
             self.offers += 1
-            self.tried.add(upstream.upstream)
+            self.tried.add(upstream.life)
             self.sent_at = self.now
             patience = PATIENCE * self.route.target_latency
             loads = self.means.loads
-            loads.began(upstream.upstream, self.call.request, patience)
+            loads.began(upstream.life, self.call.request, patience)
             try:
                 self._attempt(upstream, reply)
             except errors.MintcleatError as error:
@@ -217,7 +217,7 @@
                 self._note_answer(upstream)
                 return
             finally:
-                loads.ended(upstream.upstream, self.call.request)
+                loads.ended(upstream.life, self.call.request)
 
     def _note_answer(self, upstream: member_messages.Registration) -> None:
         status = self.answer.status
@@ -227,7 +227,7 @@
         if status >= routed_answer.RAN_STATUS:
             self.means.loads.failed(upstream)
         else:
-            self.means.loads.answered(upstream.upstream, self.sent_at)
+            self.means.loads.answered(upstream.life, self.sent_at)
 
     def _place(self) -> member_messages.Registration:
         turn = self.answer.turn
@@ -258,7 +258,7 @@
                 upstream.upstream,
                 self.offers + 1,
                 choice.reason,
-                self.means.loads.running.get(upstream.upstream, 0),
+                self.means.loads.running.get(upstream.life, 0),
                 candidates,
                 round(self.until - self.now, 3),
                 self.means.configuration.registered.version,
@@ -285,7 +285,7 @@
             ),
         )
         try:
-            self.means.loads.arrived(upstream.upstream)
+            self.means.loads.arrived(upstream.life)
             repeat = self.route.repeat == "any"
             left = self.attempts < self.route.attempts
             self.answer.deliver(answer, reply, self.sent_at, repeat and left)
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -29,7 +29,7 @@
 
     Attributes:
         request: Its id.
-        hint: Upstream where its program ran last; empty for none.
+        hint: Life of the upstream where its program ran last; empty for none.
         affinity: Program or object that requests have in common.
         repeatable: Whether it may run once more elsewhere.
     """
@@ -43,10 +43,14 @@
 class UpstreamLoads:
     """Counts running requests; leaves out upstreams that fail or keep silent.
 
+    All that is learned is kept by the life of an upstream: what starts again
+    under the same id has no cache and owes nothing for the life before.
+
     Attributes:
-        running: Requests of this process, by upstream.
+        running: Requests of this process, by life.
+        known: Registrations in force, by life.
         by_service: Upstreams that take new work, by service.
-        gone: Called with each upstream that went.
+        gone: Called with each life that is over.
     """
 
     def __init__(
@@ -71,18 +75,18 @@
     def read(self) -> None:
         """Takes the directory as it is now."""
         registered = self.configuration.registered
-        entries = registered.entries
-        for name in self.known.keys() - entries.keys():
-            held = self.known[name]
+        entries = {item.life: item for item in registered.entries.values()}
+        for life in self.known.keys() - entries.keys():
+            held = self.known[life]
             self._tell(held._replace(state="gone"), registered.version)
-            self.speeds.forget(name)
-            self.standings.forget(name)
-            self.gone(name)
-        for name, item in entries.items():
-            held = self.known.get(name)
+            self.speeds.forget(life)
+            self.standings.forget(life)
+            self.gone(life)
+        for life, item in entries.items():
+            held = self.known.get(life)
             if held is None or not directory.same_in_force(held, item):
                 self._tell(item, registered.version)
-        self.known = dict(entries)
+        self.known = entries
         self.by_service = {}
         for item in entries.values():
             if item.state == READY:
@@ -94,9 +98,9 @@
         """Returns an upstream, why, and among how many; None for none."""
         now = self.timers.now()
         ready = {
-            item.upstream: item
+            item.life: item
             for item in self.by_service.get(service, ())
-            if item.upstream not in tried
+            if item.life not in tried
         }
         names = standing.usable(
             list(ready), self.standings, self.silences, wanted.repeatable, now
@@ -118,42 +122,45 @@
             return None
         return self.known[choice.upstream], choice, len(candidates)
 
-    def began(self, upstream: str, request: str, patience: float) -> None:
+    def began(self, life: str, request: str, patience: float) -> None:
         """Counts a request that goes there.
 
         Args:
-            upstream: Where it goes.
+            life: Where it goes.
             request: Its id.
             patience: Seconds of silence that are still usual for its route.
         """
-        self.running[upstream] = self.running.get(upstream, 0) + 1
-        self.silences.began(upstream, request, patience, self.timers.now())
+        self.running[life] = self.running.get(life, 0) + 1
+        self.silences.began(life, request, patience, self.timers.now())
 
-    def arrived(self, upstream: str) -> None:
+    def arrived(self, life: str) -> None:
         """Notes that something came from it."""
-        self.silences.arrived(upstream, self.timers.now())
+        self.silences.arrived(life, self.timers.now())
 
-    def ended(self, upstream: str, request: str) -> None:
+    def ended(self, life: str, request: str) -> None:
         """Takes the request back out of the count."""
-        self.silences.ended(upstream, request)
-        left = self.running.get(upstream, 0) - 1
+        self.silences.ended(life, request)
+        left = self.running.get(life, 0) - 1
         if left > 0:
-            self.running[upstream] = left
+            self.running[life] = left
         else:
-            self.running.pop(upstream, None)
+            self.running.pop(life, None)
 
-    def observe(self, upstream: str, seconds: float) -> None:
+    def observe(self, life: str, seconds: float) -> None:
         """Takes the pause before a piece, or the time of a whole answer."""
-        self.speeds.observe(upstream, seconds, self.timers.now())
+        if life in self.known:
+            self.speeds.observe(life, seconds, self.timers.now())
 
-    def answered(self, upstream: str, began: float) -> None:
+    def answered(self, life: str, began: float) -> None:
         """Notes a good answer to a request that was sent at `began`."""
-        self.standings.answered(upstream, began, self.timers.now())
+        self.standings.answered(life, began, self.timers.now())
 
     def failed(self, upstream: member_messages.Registration) -> None:
         """Notes that it failed a request, broke off or was not reached."""
+        if upstream.life not in self.known:
+            return
         now = self.timers.now()
-        held = self.standings.failed(upstream.upstream, now)
+        held = self.standings.failed(upstream.life, now)
         self.events.emit(
             event_types.UpstreamAvoided(
                 upstream.upstream,
--- a/src/mintcleat/roles/orders.py
+++ b/src/mintcleat/roles/orders.py
@@ -40,6 +40,9 @@
     def propose(self, command: Any) -> Any:
         """Commits a command and returns its result."""
 
+    def date(self) -> float:
+        """Returns seconds since 1970 that no step of a clock changes."""
+
     def leads(self) -> bool:
         """Tells whether this instance may decide now."""
 
@@ -80,7 +83,7 @@
         try:
             if self._permitted(order, policies):
                 outcome = self._deliver(announced, order)
-                late = self.leader.timers.wall() - order.at > ORDER_LIMIT
+                late = self.leader.date() - order.at > ORDER_LIMIT
                 if not outcome and late:
                     outcome = rollouts.FAILED
                 if outcome:
@@ -100,7 +103,7 @@
             str(order.fence),
             policies.loads_per_minute,
             policies.load_burst,
-            self.leader.timers.wall(),
+            self.leader.date(),
         )
         try:
             return self.leader.propose(command)
@@ -149,7 +152,7 @@
                 announced.sidecar.instance,
                 order.fence,
                 outcome,
-                self.leader.timers.wall(),
+                self.leader.date(),
             )
         )
 
--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -118,6 +118,8 @@
         script: What it does with a request; True keeps the connection.
         seen: Requests that began to run.
         misdirected: Requests for another upstream at this address.
+        started: When it started, in ms since 1970; 0 for one that does not
+            tell.
     """
 
     def __init__(self, name: str, script: Script = whole) -> None:
@@ -125,6 +127,7 @@
         self.script = script
         self.seen: list[Seen] = []
         self.misdirected = 0
+        self.started = 0
         self.connections = 0
         self.listener = eventlet.listen(("127.0.0.1", 0))
         host, port = self.listener.getsockname()
@@ -138,7 +141,9 @@
     def heartbeat(
         self, service: str, sequence: int, state: str = "ready"
     ) -> dict[str, Any]:
+        born = {"born": self.started} if self.started else {}
         return {
+            **born,
             "service": service,
             "address": self.address,
             "zone": "z1",
--- a/testing/test_config_service.py
+++ b/testing/test_config_service.py
@@ -121,3 +121,31 @@
         )
         new.ask(request)
         cluster.until(lambda: node.draining("u-1", ""))
+
+
+class DateTest(testtools.TestCase):
+    """The time of day jumps by an hour on the leader, and back again.
+
+    Counted by it, a quarantine would end an hour early and a permit bucket
+    would fill; pauses would last an hour longer after the way back.
+    """
+
+    def test_no_step_of_the_time_of_day_shows(self) -> None:
+        cluster = config_cluster.Cluster(self, 1)
+        (leader,) = cluster.control
+        cluster.until(leader.leads)
+        before = leader.date()
+        for skew in (3600.0, -3600.0, 0.0):
+            leader.timers.skew = skew
+            passed = leader.date() - before
+            self.assertTrue(0.0 <= passed < 60.0, passed)
+
+    def test_next_leaders_date_does_not_go_back(self) -> None:
+        cluster = config_cluster.Cluster(self, 2)
+        old, new = cluster.control
+        cluster.until(old.leads)
+        new.timers.skew = -3600.0
+        before = old.date()
+        cluster.log.elect(new.address)
+        cluster.until(new.leads)
+        self.assertTrue(new.date() - before > -60.0)
--- /dev/null
+++ b/testing/test_registrations.py
@@ -0,0 +1,156 @@
+"""What upstreams say of themselves, and what others write in their place."""
+
+import json
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies
+import testtools
+
+from mintcleat.domain import errors
+from mintcleat.domain import member_messages
+from mintcleat.domain import registrations
+from mintcleat.platform import control_api
+
+WHOLE = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 7,
+    "born": 1_764_000_000_123,
+}
+
+
+def read(**changed: Any) -> member_messages.Registration:
+    body = {**WHOLE, **changed}
+    return control_api.to_registration("e1", json.dumps(body).encode())
+
+
+class HeartbeatTest(testtools.TestCase):
+    """Another writer's heartbeat must put no upstream out of use.
+
+    Taken half, one with the state `broken` would pass for ready, and one with
+    a service or address that is none would evict the upstream whose id or
+    address it bears.
+    """
+
+    def test_every_field_is_read(self) -> None:
+        expected = member_messages.Registration(
+            "e1", "desk", "10.0.0.9:8080", "z1", "v1", 4, "ready", 7, 1.5,
+            1_764_000_000_123,
+        )  # fmt: skip
+        self.assertEqual(expected, read(stage="both", models=[]))
+
+    def test_one_that_tells_no_start_is_read(self) -> None:
+        body = {name: v for name, v in WHOLE.items() if name != "born"}
+        found = control_api.to_registration("e1", json.dumps(body).encode())
+        self.assertEqual(("e1", 0), (found.life, found.started))
+
+    def test_wrong_field_is_named(self) -> None:
+        wrong = {
+            "state": ["broken", "", None, 1, "Ready"],
+            "service": ["", None, 7, ["desk"], "x" * 300],
+            "address": [
+                "", "desk", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0",
+                "10.0.0.9:65536", "10.0.0:80", "10.0.0.9:8x", "host:80", 80,
+                "10.0.0.9:80\n", "10.0.0.256:80", "10.0.0.9:\u0667",
+            ],
+            "slots": [0, -1, True, "4", 1.5, None, 10**30],
+            "sequence": [-1, True, "7", 1.5, None, 2**63, 10**40],
+            "coldRemainingMs": [-1, True, "0", None, 10**12],
+            "born": [-1, True, "7", 1.5, None, 2**63],
+            "zone": [None, 3],
+            "version": [None, 3],
+        }  # fmt: skip
+        named = {
+            "zone": "failure_domain",
+            "coldRemainingMs": "cold",
+            "born": "started",
+        }
+        for name, values in wrong.items():
+            for value in values:
+                error = self.assertRaises(
+                    errors.BadRequest, read, **{name: value}
+                )
+                self.assertIn(named.get(name, name), error.detail)
+
+    def test_missing_field_is_named(self) -> None:
+        for name in WHOLE.keys() - {"born", "coldRemainingMs", "zone"}:
+            body = {key: v for key, v in WHOLE.items() if key != name}
+            error = self.assertRaises(
+                errors.BadRequest,
+                control_api.to_registration,
+                "e1",
+                json.dumps(body).encode(),
+            )
+            self.assertIn(name, error.detail)
+
+    def test_no_object_is_no_registration(self) -> None:
+        bodies = [
+            b"", b"[]", b"null", b"7", b'"x"', b"{", b"\xff\xfe", b"{}",
+            b"[" * 100_000, b" " * 4 * 1024 * 1024, b'{"service":"\\ud800"}',
+        ]  # fmt: skip
+        for body in bodies:
+            self.assertRaises(
+                errors.BadRequest, control_api.to_registration, "e1", body
+            )
+
+    def test_id_has_bounds(self) -> None:
+        body = json.dumps(WHOLE).encode()
+        for name in ("", "x" * 300):
+            self.assertRaises(
+                errors.BadRequest, control_api.to_registration, name, body
+            )
+
+    @given(strategies.binary(max_size=300))
+    def test_any_bytes_are_a_registration_or_an_error(
+        self, body: bytes
+    ) -> None:
+        self._read_or_refuse(body)
+
+    @given(
+        strategies.dictionaries(
+            strategies.sampled_from(sorted(WHOLE)),
+            strategies.recursive(
+                strategies.none()
+                | strategies.booleans()
+                | strategies.integers()
+                | strategies.floats(allow_nan=False, allow_infinity=False)
+                | strategies.text(max_size=8)
+                | strategies.sampled_from(list(WHOLE.values())),
+                lambda inner: strategies.lists(inner, max_size=2),
+                max_leaves=3,
+            ),
+            max_size=9,
+        )
+    )
+    def test_any_fields_are_a_registration_or_an_error(
+        self, changed: dict[str, Any]
+    ) -> None:
+        self._read_or_refuse(json.dumps({**WHOLE, **changed}).encode())
+
+    def _read_or_refuse(self, body: bytes) -> None:
+        try:
+            found = control_api.to_registration("e1", body)
+        except errors.BadRequest:
+            return
+        self.assertIn(
+            found.state, (registrations.READY, registrations.DRAINING)
+        )
+        self.assertIs(int, type(found.slots))
+        self.assertTrue(found.service)
+
+
+class LeavingTest(testtools.TestCase):
+    def test_start_is_optional(self) -> None:
+        self.assertEqual(0, control_api.to_leaving(b""))
+        self.assertEqual(0, control_api.to_leaving(b"{}"))
+        self.assertEqual(5, control_api.to_leaving(b'{"born": 5}'))
+
+    def test_what_cannot_be_read_ends_nobody(self) -> None:
+        for body in (b"{", b"[]", b'{"born": "5"}', b'{"born": true}'):
+            self.assertRaises(errors.BadRequest, control_api.to_leaving, body)
--- a/testing/test_rollout.py
+++ b/testing/test_rollout.py
@@ -118,6 +118,10 @@
         self.planner = rollout.Planner(self)
         self.planner.start()
 
+    def date(self) -> float:
+        """The wall clock of a play is not stepped."""
+        return self.timers.wall()
+
     def propose(self, command: Any) -> Any:
         """Commits at once."""
         return self.log.propose(machine.GROUP, commands.encode(command), 1.0)
