--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -131,7 +131,7 @@
         """Takes a request, or ends it at once."""
         if not self.up:
             run.done.fail(Ended("broke"))
-        elif len(self.waiting) >= self.model.queue:
+        elif self.load >= self.model.slots + self.model.queue:
             run.done.fail(Ended("refused"))
         elif self.chance.random() < self.failing:
             run.done.fail(Ended("failed"))
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -15,7 +15,7 @@
 
     mean: float
     spread: float = 0.0
-    most: float = float("inf")
+    most: float = 1e9
 
 
 class Engine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -129,8 +129,8 @@
     plain_slots: int = 6
     plain_queue: int = 24
     faults: list[Fault] = []
-    seeds: tuple[int, ...] = (1,)
-    loads: tuple[float, ...] = (1.0,)
+    seeds: list[int] = msgspec.field(default_factory=lambda: [1])
+    loads: list[float] = msgspec.field(default_factory=lambda: [1])
     variants: dict[str, policy.Policy] = msgspec.field(
         default_factory=lambda: {"default": policy.DEFAULT}
     )
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -93,7 +93,7 @@
 
 def save(rows: list[Row], path: pathlib.Path) -> None:
     """Stores the figures, to compare a later run with."""
-    path.write_text(json.dumps([row._asdict() for row in rows], indent=1))
+    path.write_text(json.dumps({"rows": rows}, indent=1))
 
 
 def load(path: pathlib.Path) -> dict[tuple[str, float], Row]:
@@ -103,8 +103,8 @@
         errors.BadRequest: The file holds none.
     """
     try:
-        rows = [Row(**item) for item in json.loads(path.read_text())]
-    except (OSError, ValueError, TypeError) as error:
+        rows = [Row(*item) for item in json.loads(path.read_text())["rows"]]
+    except (OSError, ValueError, TypeError, KeyError) as error:
         raise errors.BadRequest(f"{path} holds no figures: {error}") from None
     return {(row.variant, row.load): row for row in rows}
 
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -11,8 +11,10 @@
 from testtools import matchers
 
 from mintcleat.adapters import settings
+from mintcleat.decisions import policy
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
+from mintcleat.emulator import plan as experiment_plan
 from mintcleat.load import plan
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -27,6 +29,15 @@
     r"^\| `mintcleat_(\w+)` \| (\w+) \| (.*?) \|", re.MULTILINE
 )
 METRIC_TYPES = {"count": "counter", "observe": "histogram", "gauge": "gauge"}
+EXPERIMENT_SECTIONS = {
+    "The plan": experiment_plan.Plan,
+    "`engine`": experiment_plan.Engine,
+    "`kinds.NAME`": experiment_plan.Kind,
+    "`kinds.NAME.tools[]`": experiment_plan.Tool,
+    "`faults[]`": experiment_plan.Fault,
+    "Amounts": experiment_plan.Amount,
+    "Mechanisms": policy.Policy,
+}
 SETTINGS_SECTIONS = {
     "The process": settings.Settings,
     "`times`": settings.Times,
@@ -57,7 +68,8 @@
     if field.required:
         return "required"
     if field.default_factory is not msgspec.NODEFAULT:
-        return "`[]`"
+        made = field.default_factory()
+        return f"`{made}`" if isinstance(made, list) else None
     match field.default:
         case None | msgspec.Struct():
             return None
@@ -138,6 +150,25 @@
     def test_the_load_page_names_every_field(self) -> None:
         self.assert_fields(REFERENCE / "load.md", PLAN_SECTIONS)
 
+    def test_the_experiments_page_names_every_field(self) -> None:
+        page = REFERENCE / "experiments.md"
+        self.assert_fields(page, EXPERIMENT_SECTIONS)
+
+    def test_every_shipped_experiment_is_a_plan(self) -> None:
+        files = sorted((ROOT / "examples" / "experiments").glob("*.json"))
+        self.assertThat(files, matchers.HasLength(2))
+        for path in files:
+            found = experiment_plan.read(path)
+            self.assertEqual(
+                set(policy.Policy.__struct_fields__),
+                {
+                    name
+                    for variant in found.variants.values()
+                    for name in policy.Policy.__struct_fields__
+                    if not getattr(variant, name)
+                },
+            )
+
     def test_the_example_of_the_load_page_is_a_plan(self) -> None:
         page = (REFERENCE / "load.md").read_text()
         example = textwrap.dedent(page.split("## An example\n")[1])
--- /dev/null
+++ b/testing/test_emulator.py
@@ -0,0 +1,212 @@
+"""The emulator: its engines, its faults, and that it is repeatable."""
+
+import pathlib
+import random
+import tempfile
+
+import msgspec
+import simpy
+import testtools
+from testtools import matchers
+
+from mintcleat.decisions import policy
+from mintcleat.domain import errors
+from mintcleat.domain import routed
+from mintcleat.emulator import engine
+from mintcleat.emulator import plan
+from mintcleat.emulator import play
+from mintcleat.emulator import report
+
+MODEL = plan.Engine(
+    slots=4, memory=10_000, step=4.0, read_per_ms=50.0, queue=2, first=10.0
+)
+PLAN = plan.Plan(
+    entries=4,
+    engines=3,
+    engine=msgspec.structs.replace(MODEL, slots=8, memory=60_000, queue=48),
+    seconds=6.0,
+    kinds={
+        "talk": plan.Kind(
+            per_second=3.0,
+            turns=plan.Amount(4.0, 0.3, 8.0),
+            prompt=plan.Amount(500.0, 0.5, 2000.0),
+            events=plan.Amount(6.0, 0.5, 20.0),
+            aim=1.7,
+            fan=0.1,
+            deadline=2000.0,
+            tools=[plan.Tool(0.5, plan.Amount(30.0, 0.5, 90.0), True)],
+        )
+    },
+)
+
+
+class EngineTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.env = simpy.Environment()
+        self.engine = engine.Engine(self.env, MODEL, random.Random(1))
+        self.ends: dict[str, float] = {}
+        self.failed: dict[str, str] = {}
+
+    def send(
+        self, name: str, *parts: tuple[str, int], output: int = 18
+    ) -> None:
+        def wait() -> object:
+            run = engine.Run(
+                self.env,
+                tuple(routed.Part(*part) for part in parts),
+                f"{name}-kept",
+                output,
+                lambda: None,
+            )
+            self.engine.submit(run)
+            try:
+                yield run.done
+            except engine.Ended as ended:
+                self.failed[name] = ended.reason
+            else:
+                self.ends[name] = self.env.now
+
+        self.env.process(wait())
+
+    def test_one_request_takes_its_reading_and_its_tokens(self) -> None:
+        self.send("a", ("p", 1000))
+        self.env.run()
+        # 1,000 tokens at 50 a ms overlap with 10 ms before the first token.
+        self.assertThat(self.ends["a"], matchers.GreaterThan(0.018 * 4))
+        self.assertThat(self.ends["a"], matchers.LessThan(0.110))
+
+    def test_what_is_kept_is_not_read_again(self) -> None:
+        self.send("a", ("s", 1000), ("p", 500))
+        self.env.run()
+        self.assertEqual(1500, self.engine.read)
+        self.send("b", ("s", 1000), ("a-kept", 518), ("q", 200))
+        self.env.run()
+        self.assertEqual(1700, self.engine.read)
+
+    def test_least_recently_used_parts_yield(self) -> None:
+        for number in range(5):
+            self.send(f"r{number}", (f"p{number}", 3000))
+            self.env.run()
+        self.assertNotIn("p0", self.engine.cache.parts)
+        self.assertIn("p4", self.engine.cache.parts)
+        self.assertTrue(self.engine.cache.size <= MODEL.memory)
+
+    def test_reading_holds_the_others_up(self) -> None:
+        self.send("a", ("p", 10), output=90)
+        self.env.run()
+        alone = self.ends["a"]
+        self.send("b", ("p", 10), output=90)
+        began = self.env.now
+        self.env.run(until=began + 0.1)
+        self.send("c", ("q", 5000))
+        self.env.run()
+        self.assertThat(
+            self.ends["b"] - began, matchers.GreaterThan(alone + 0.09)
+        )
+
+    def test_full_engine_queues_and_then_refuses(self) -> None:
+        for number in range(7):
+            self.send(f"r{number}", (f"p{number}", 10))
+        self.env.run()
+        self.assertEqual({"r6": "refused"}, self.failed)
+        self.assertEqual(6, len(self.ends))
+
+    def test_crash_ends_all_and_forgets(self) -> None:
+        self.send("a", ("p", 10))
+        self.env.run(until=0.02)
+        self.engine.crash()
+        self.env.run()
+        self.assertEqual({"a": "broke"}, self.failed)
+        self.assertEqual({}, dict(self.engine.cache.parts))
+        self.engine.restart()
+        self.send("b", ("p", 10))
+        self.env.run()
+        self.assertIn("b", self.ends)
+
+
+class PlayTest(testtools.TestCase):
+    def with_faults(self, *faults: plan.Fault) -> plan.Plan:
+        return msgspec.structs.replace(PLAN, faults=list(faults))
+
+    def failed(
+        self, experiment: plan.Plan, used: policy.Policy = policy.DEFAULT
+    ) -> int:
+        day = play.play(experiment, 1, 1.0, used)
+        return sum(one.outcome == "failed" for one in day.ended)
+
+    def test_calm_day_ends_in_aim(self) -> None:
+        day = play.play(PLAN, 1, 1.0, policy.DEFAULT)
+        outcomes = [one.outcome for one in day.ended]
+        self.assertThat(len(outcomes), matchers.GreaterThan(9))
+        self.assertEqual({"aim"}, set(outcomes))
+
+    def test_same_arguments_give_the_same_day(self) -> None:
+        first = play.play(PLAN, 2, 1.0, policy.DEFAULT)
+        self.assertEqual(first, play.play(PLAN, 2, 1.0, policy.DEFAULT))
+
+    def test_variants_meet_the_same_programs(self) -> None:
+        blind = policy.Policy(resident=False)
+        began = [
+            sorted(one.began for one in play.play(PLAN, 1, 1.0, used).ended)
+            for used in (policy.DEFAULT, blind)
+        ]
+        self.assertEqual(began[0], began[1])
+
+    def test_programs_away_from_their_cache_read_more(self) -> None:
+        at_home = play.play(PLAN, 1, 1.0, policy.DEFAULT)
+        away = play.play(PLAN, 1, 1.0, policy.Policy(resident=False))
+        self.assertTrue(away.read > 1.3 * at_home.read, away.read)
+
+    def test_every_fault_is_survived_by_what_comes_after(self) -> None:
+        faults = [
+            plan.Fault("crash", 1.0, 1.0),
+            plan.Fault("hang", 1.0, 1.0),
+            plan.Fault("control", 1.0, 1.0),
+            plan.Fault("slow", 1.0, 1.0, 5.0),
+            plan.Fault("lost", 1.0, 1.0, 0.2, 3),
+            plan.Fault("errors", 1.0, 1.0, 0.2, 3),
+            plan.Fault("errors", 1.0, 1.0, 0.5, 2, plain=True),
+            plan.Fault("burst", 1.0, 1.0, 3.0),
+        ]
+        for fault in faults:
+            day = play.play(self.with_faults(fault), 1, 1.0, policy.DEFAULT)
+            after = {one.outcome for one in day.ended if one.began > 4.0}
+            self.assertEqual({"aim"}, after, fault)
+
+    def test_failing_engine_costs_less_where_failures_are_counted(
+        self,
+    ) -> None:
+        day = self.with_faults(plan.Fault("errors", 0.5, 5.0, 0.6))
+        counted = self.failed(day)
+        ignored = self.failed(day, policy.Policy(standing=False))
+        self.assertThat(counted, matchers.LessThan(ignored))
+
+
+class ReportTest(testtools.TestCase):
+    def test_figures_are_stored_and_compared(self) -> None:
+        rows = report.run(msgspec.structs.replace(PLAN, seconds=2.0))
+        self.assertEqual(1, len(rows))
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "run.json")
+        report.save(rows, path)
+        _, line = report.table(rows, report.load(path))
+        self.assertEqual("+0.000", line[-1])
+
+    def test_file_without_figures_is_an_error(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "run.json")
+        path.write_text("{}")
+        self.assertRaises(errors.BadRequest, report.load, path)
+
+    def test_plan_with_a_wrong_field_names_it(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder, "plan.json")
+        path.write_text('{entries: 1, engines: 1, engine: {slots: "x"}}')
+        error = self.assertRaises(errors.InvalidSettings, plan.read, path)
+        self.assertIn("slots", error.detail)
+
+    def test_policy_names_an_unknown_mechanism(self) -> None:
+        self.assertFalse(policy.parse("{ speed: false }").speed)
+        for text in ("{ sped: false }", "{ speed: 1 }", "["):
+            self.assertRaises(errors.InvalidSettings, policy.parse, text)
