--- a/testing/test_event_log.py
+++ b/testing/test_event_log.py
@@ -21,7 +21,9 @@
 
 
 def placed(number: int) -> events.CallPlaced:
-    return events.CallPlaced(f"r{number}", "u", 1, "least", 0, 1, 1.0, 1)
+    return events.CallPlaced(
+        f"r{number}", "u", 1, "least", 0, 0, -1.0, 1, 1.0, 1
+    )
 
 
 class Stalled(io.StringIO):
