--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -6,8 +6,9 @@
 Entries report what they have running to the leader that opens their turns,
 with the opening itself, and get what the others reported. With a few openings
 a second and entry, a figure is some 50 ms old; in that time an entry places
-less than one request, so they don't all run to the same upstream. A leader
-that is new knows nothing until each entry's next opening; an entry that hears
+less than one request, but many entries together place enough to meet at the
+upstream that was emptiest: `spread.CHOICES` keeps them apart. A leader that
+is new knows nothing until each entry's next opening; an entry that hears
 nothing decides by its own requests, as if it were alone.
 """
 
--- a/src/mintcleat/emulator/control.py
+++ b/src/mintcleat/emulator/control.py
@@ -6,12 +6,11 @@
 
 from mintcleat.decisions import shared_load
 from mintcleat.domain import program_messages
+from mintcleat.roles.entry import turn_keeper
 
 # One commit and the way there and back, in seconds: as measured on machines
 # of the platform, 4 ms at the median.
 COMMIT = 0.004
-# Entries give up after so long; see `roles.entry.turn_keeper`.
-PATIENCE = 2.0
 
 
 class Outage(Exception):
@@ -43,7 +42,7 @@
         """
         began = self.env.now
         while self.env.now < self.until:
-            if self.env.now - began > PATIENCE:
+            if self.env.now - began > turn_keeper.OPEN_SECONDS:
                 raise Outage
             yield self.env.timeout(0.02)
         yield self.env.timeout(COMMIT)
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -13,11 +13,11 @@
 from mintcleat.domain import events as event_types
 from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
+from mintcleat.domain import registrations
 from mintcleat.domain import routed
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
-READY = "ready"
 # From this age on, what other entries told is not even worth a figure, in s.
 FORGOTTEN = 60.0
 
@@ -100,7 +100,7 @@
         self.known = entries
         self.by_service = {}
         for item in entries.values():
-            if item.state == READY:
+            if item.state == registrations.READY:
                 self.by_service.setdefault(item.service, []).append(item)
 
     def choose(
