--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -59,8 +59,9 @@
                 self.folder, node.instance, self.tells_copies
             )
             if identity is None:
-                return wal.Recovery(self._format(node), [])
-            return wal.Recovery(identity, self._recover())
+                return wal.Recovery(self._format(node), [], formatted=True)
+            records, cut = self._recover()
+            return wal.Recovery(identity, records, cut_bytes=cut)
 
     def append(self, records: Iterable[bytes]) -> None:
         """Adds records to the batch that the next sync writes."""
@@ -184,7 +185,8 @@
         wal_identity.write(self.disk, self.folder, node)
         return node
 
-    def _recover(self) -> list[bytes]:
+    def _recover(self) -> tuple[list[bytes], int]:
+        """Returns every record, and the length of the tail that was cut."""
         numbers = self._numbers()
         headers = {n: self._header(n) for n in numbers}
         bases = [n for n in numbers if headers[n].kind == wal_segment.BASE]
@@ -195,8 +197,9 @@
             raise errors.StorageDamaged("The log has lost a segment.")
         return self._read(kept)
 
-    def _read(self, numbers: list[int]) -> list[bytes]:
+    def _read(self, numbers: list[int]) -> tuple[list[bytes], int]:
         records: list[bytes] = []
+        cut = 0
         for number in numbers:
             path = self._path(number)
             data = path.read_bytes()
@@ -207,12 +210,13 @@
                 self.closed_bytes += len(data)
                 continue
             self.number = number
-            if found.end < len(data):
+            cut = len(data) - found.end
+            if cut:
                 os.truncate(path, found.end)
             self._continue(path, found.end, self._header(number).salt)
             self.disk.sync(self.descriptor)
         self._remove_below(numbers[0])
-        return records
+        return records, cut
 
     def _next_segment(self) -> None:
         closed, size = self.descriptor, self.offset
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -51,6 +51,8 @@
         drains: Draining scopes by `scope/name`, with when it was ordered.
         restrictions: Grows when `drains`, `quarantine` or `members` changes.
         subscribers: Called after each applied command or restore.
+        pushed_index: Entry that carried the version in force; 0 when it came
+            in a snapshot. For the log only, not a part of the state.
     """
 
     def __init__(self) -> None:
@@ -65,6 +67,7 @@
         self.restrictions = 0
         self.directory = directory.Directory()
         self.subscribers: list[Callable[[], None]] = []
+        self.pushed_index = 0
 
     def apply(self, index: int, command: bytes) -> Any:
         """Applies one command; a refusal is returned as a typed error."""
@@ -75,7 +78,10 @@
             # Applied late, they would decide against the new leader's state.
             result: Any = errors.NotLeader("")
         else:
+            before = self.document.version
             result = self._apply(decoded)
+            if self.document.version > before:
+                self.pushed_index = index
         for callback in self.subscribers:
             callback()
         return result
@@ -116,6 +122,7 @@
         members = [Member(*item) for item in items[8]]
         self.members = {member.instance: member for member in members}
         self.restrictions = items[9]
+        self.pushed_index = 0
         self.directory = directory.Directory()
         if items[0] == FORMAT:
             self.directory.load(items[10])
--- a/src/mintcleat/consensus/election.py
+++ b/src/mintcleat/consensus/election.py
@@ -4,6 +4,7 @@
 
 from mintcleat.consensus import lease
 from mintcleat.consensus import messages as wire
+from mintcleat.consensus import outbox
 from mintcleat.consensus import placement
 from mintcleat.consensus import replicate
 from mintcleat.consensus import state
@@ -214,6 +215,17 @@
 
 
 def _lead(replica: state.State, now: float) -> None:
+    log = replica.log
+    replica.box.told.append(
+        outbox.Elected(
+            replica.group,
+            replica.term,
+            log.last_index,
+            log.last_term,
+            sorted(replica.grants),
+            replica.configuration,
+        )
+    )
     replica.role = types.LEADER
     replica.leader = replica.me
     replica.led_at = now
--- a/src/mintcleat/consensus/membership.py
+++ b/src/mintcleat/consensus/membership.py
@@ -73,6 +73,27 @@
             return
 
 
+def describe(before: types.Configuration, after: types.Configuration) -> str:
+    """Returns what a change of the voters and learners did, for the log."""
+    old = {peer.replica for peer in before.voters}
+    new = {peer.replica for peer in after.voters}
+    for peer in after.voters:
+        if peer.replica not in old and before.voters:
+            return f"promoted {peer.replica}"
+    for peer in before.voters:
+        if peer.replica not in new:
+            return f"removed {peer.replica}"
+    waiting = {peer.replica for peer in before.learners}
+    for peer in after.learners:
+        if peer.replica not in waiting:
+            if peer.replaces == types.NOBODY:
+                return f"added {peer.replica}"
+            return f"added {peer.replica} for {peer.replaces}"
+    for peer in before.learners:
+        return f"gave up {peer.replica}"
+    return "founded"
+
+
 def _remove(replica: state.State, peer: types.Peer, now: float) -> None:
     if peer.replaces == replica.me:
         if replica.transfer_to == types.NOBODY:
--- a/src/mintcleat/consensus/outbox.py
+++ b/src/mintcleat/consensus/outbox.py
@@ -47,6 +47,21 @@
     index: int
 
 
+class Elected(NamedTuple):
+    """This replica became leader; `grants` are the voters that chose it.
+
+    Attributes:
+        last_index: Last entry that it held when it was elected.
+    """
+
+    group: str
+    term: int
+    last_index: int
+    last_term: int
+    grants: list[identities.Incarnation]
+    configuration: types.Configuration
+
+
 class Outbox:
     """Effects of all groups of an instance, in the order to carry them out.
 
@@ -58,6 +73,7 @@
         stored: Groups that `records` add entries to.
         committed: Groups that have entries to apply.
         changed: Groups whose followers must be sent something.
+        told: What became of the group, for the operators' log.
     """
 
     def __init__(self) -> None:
@@ -70,6 +86,7 @@
         self.stored: set[str] = set()
         self.committed: set[str] = set()
         self.changed: set[str] = set()
+        self.told: list[Elected] = []
         self.beat_soon = False
 
     def take(self) -> "Outbox":
@@ -88,4 +105,5 @@
             or self.snapshots
             or self.reads
             or self.committed
+            or self.told
         )
--- a/src/mintcleat/consensus/replicate.py
+++ b/src/mintcleat/consensus/replicate.py
@@ -66,9 +66,9 @@
         _refuse(replica, sender, message, hint)
         return
     _merge(replica, message.entries)
-    match = message.previous_index + len(message.entries)
-    replica.commit_to(min(message.commit, match))
-    reply = wire.AppendReply(replica.group, replica.term, True, match)
+    last = message.previous_index + len(message.entries)
+    replica.commit_to(min(message.commit, last))
+    reply = wire.AppendReply(replica.group, replica.term, True, last)
     replica.send_synced(sender, reply)
 
 
@@ -127,8 +127,8 @@
         replica.install(mark)
         install = outbox.Installed(replica.group, mark, message.state)
         replica.box.installs.append(install)
-    match = max(mark.index, replica.commit)
-    reply = wire.AppendReply(replica.group, replica.term, True, match)
+    last = max(mark.index, replica.commit)
+    reply = wire.AppendReply(replica.group, replica.term, True, last)
     replica.send_synced(sender, reply)
 
 
@@ -153,7 +153,7 @@
     """
     configuration = replica.configuration
     matches = sorted(
-        (_match(replica, peer.replica) for peer in configuration.voters),
+        (match(replica, peer.replica) for peer in configuration.voters),
         reverse=True,
     )
     index = matches[configuration.quorum() - 1]
@@ -274,7 +274,8 @@
     replica.send(sender, reply)
 
 
-def _match(replica: state.State, voter: identities.Incarnation) -> int:
+def match(replica: state.State, voter: identities.Incarnation) -> int:
+    """Returns the last index known to be durable at a voter."""
     if voter == replica.me:
         return replica.persisted
     progress = replica.progress.get(voter)
--- a/src/mintcleat/domain/identities.py
+++ b/src/mintcleat/domain/identities.py
@@ -12,6 +12,10 @@
     instance: str
     epoch: int
 
+    def __str__(self) -> str:
+        """Returns how log lines name it."""
+        return f"{self.instance}@{self.epoch}"
+
 
 class Budget(NamedTuple):
     """Limits of a program, sub-agents included; 0 means no limit."""
--- a/src/mintcleat/main/control_part.py
+++ b/src/mintcleat/main/control_part.py
@@ -63,6 +63,7 @@
                 settings.region,
                 settings.control_role.label,
             ),
+            events=events,
         )
         self.config = config_service.ConfigService(
             common.node,
--- a/src/mintcleat/ports/log.py
+++ b/src/mintcleat/ports/log.py
@@ -1,9 +1,25 @@
 """A replicated log of commands, in groups, under state machines."""
 
 from typing import Any
+from typing import NamedTuple
 from typing import Protocol
 
 
+class Position(NamedTuple):
+    """Where one replica of a group stands.
+
+    Attributes:
+        commit: Last index known to be committed.
+        applied: Last index that the machine has.
+        lease_left: Seconds; 0 on a follower.
+    """
+
+    term: int
+    commit: int
+    applied: int
+    lease_left: float
+
+
 class StateMachine(Protocol):
     """A deterministic state machine; `apply` must not read clock or chance."""
 
@@ -52,6 +68,15 @@
     def leads(self, group: str) -> bool:
         """Tells whether this replica leads with a valid lease."""
 
+    def position(self, group: str) -> Position:
+        """Returns where this replica stands, for the operators' log."""
+
+    def holders(self, group: str, index: int) -> list[str]:
+        """Returns the voters known to hold an entry on disk.
+
+        Only the leader knows of others; names are `instance@epoch`.
+        """
+
     def groups(self) -> list[str]:
         """Returns the names of all groups."""
 
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -18,10 +18,14 @@
             start that formatted the disk, so an emptied or copied disk never
             bears the identity that it had before.
         records: Every record in order.
+        formatted: Whether the disk was empty or a copy and was formatted now.
+        cut_bytes: Length of the torn tail that was cut off.
     """
 
     identity: identities.Incarnation
     records: list[bytes]
+    formatted: bool = False
+    cut_bytes: int = 0
 
 
 class WriteAheadLog(Protocol):
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -17,6 +17,7 @@
 from mintcleat.domain import member_messages
 from mintcleat.domain import operator_messages
 from mintcleat.ports import events as event_ports
+from mintcleat.ports import log as log_ports
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.control.configuration import feed as config_feed
@@ -58,6 +59,7 @@
     streams: stream_ports.Streams
     timers: timer_ports.Timers
     events: event_ports.Events
+    log: log_ports.ReplicatedLog
     office: int
 
     def propose(self, command: Any) -> Any:
@@ -82,13 +84,7 @@
             case config_messages.PushManifest():
                 return self._push(message)
             case config_messages.ReadManifest():
-                document = self.leader.machine.document
-                return config_messages.ManifestView(
-                    document.revision,
-                    manifest.compact(document.manifest()),
-                    document.version,
-                    document.source,
-                )
+                return self._read()
             case operator_messages.ShowInstances():
                 return self._instances()
             case operator_messages.ShowUpstreams():
@@ -239,6 +235,8 @@
         self, message: config_messages.PushManifest, outcome: str, began: float
     ) -> None:
         state = self.leader.machine.document
+        index = self.leader.machine.pushed_index
+        log = self.leader.log
         self.leader.events.emit(
             events.ConfigurationPushed(
                 message.version,
@@ -246,9 +244,33 @@
                 outcome,
                 f"version {state.version} is in force",
                 round(self.leader.timers.now() - began, 4),
+                index,
+                log.position(machine.GROUP).term,
+                log.holders(machine.GROUP, index),
             )
         )
 
+    def _read(self) -> config_messages.ManifestView:
+        document = self.leader.machine.document
+        position = self.leader.log.position(machine.GROUP)
+        self.leader.events.emit(
+            events.ConfigurationRead(
+                document.version,
+                document.revision,
+                self.leader.office,
+                position.term,
+                position.commit,
+                position.applied,
+                round(position.lease_left, 4),
+            )
+        )
+        return config_messages.ManifestView(
+            document.revision,
+            manifest.compact(document.manifest()),
+            document.version,
+            document.source,
+        )
+
     def _empty(
         self, message: operator_messages.EmptyControl
     ) -> operator_messages.Emptied:
--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -10,9 +10,11 @@
 from mintcleat.consensus import placement
 from mintcleat.consensus import repair
 from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import replicate
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import identities
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import log
 from mintcleat.ports import streams as stream_ports
 from mintcleat.ports import timers as timer_ports
@@ -20,6 +22,7 @@
 from mintcleat.roles.control.replication import driver as replication_driver
 from mintcleat.roles.control.replication import links as replication_links
 
+SILENT = event_ports.Silent()
 Member = types.Member
 Options = replication_driver.Options
 
@@ -75,7 +78,9 @@
         options: replication_driver.Options | None = None,
         worker: wal_ports.Worker | None = None,
         own: types.Member | None = None,
+        events: event_ports.Events = SILENT,
     ) -> None:
+        self.events = events
         self.node = node
         self.address = address
         self.members = members
@@ -119,6 +124,7 @@
             options=self.options,
             worker=self.worker,
             own=self.own,
+            events=self.events,
         )
         for _ in range(3):
             self.driver.tick()
@@ -196,6 +202,25 @@
         replica = self.driver.core.replicas.get(group)
         return replica is not None and replica.holds_lease(self.timers.now())
 
+    def position(self, group: str) -> log.Position:
+        """Returns where this replica stands, for the operators' log."""
+        if self.driver is None:
+            return log.Position(0, 0, 0, 0.0)
+        state = self.driver.core.replicas[group].state
+        left = max(0.0, lease.left(state, self.timers.now()))
+        return log.Position(state.term, state.commit, state.applied, left)
+
+    def holders(self, group: str, index: int) -> list[str]:
+        """Returns the voters known to hold an entry on disk."""
+        if self.driver is None:
+            return []
+        state = self.driver.core.replicas[group].state
+        return [
+            str(peer.replica)
+            for peer in state.configuration.voters
+            if replicate.match(state, peer.replica) >= index
+        ]
+
     def groups(self) -> list[str]:
         """Returns the names of all groups."""
         return list(self.names)
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -89,6 +89,20 @@
         """Tells whether this replica leads."""
         return self.cluster.leader == self.address
 
+    def position(self, group: str) -> log_ports.Position:
+        """Returns how far this replica has applied."""
+        applied = self.applied.get(group, 0)
+        left = 1.0 if self.leads(group) else 0.0
+        return log_ports.Position(1, applied, applied, left)
+
+    def holders(self, group: str, index: int) -> list[str]:
+        """Returns the replicas that have applied an entry."""
+        return [
+            replica.address
+            for replica in self.cluster.replicas
+            if replica.applied.get(group, 0) >= index
+        ]
+
     def groups(self) -> list[str]:
         """Returns the names of the groups."""
         return list(self.machines)
--- /dev/null
+++ b/testing/fakes/virtual_disk.py
@@ -0,0 +1,162 @@
+"""A disk in virtual time that forgets what was not synced.
+
+Files are real, in a folder of the test; their loss follows what a kernel may
+do when power goes: of the writes since a file's last sync each is there,
+missing or torn, or all of them are gone, and a name that was made, replaced
+or removed since its directory's last sync is as it was before or as it is now.
+"""
+
+import collections
+import os
+import pathlib
+import random
+import shutil
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import greenlet
+from testing.fakes import virtual_time
+
+from mintcleat.adapters import wal_disk
+
+
+class Write(NamedTuple):
+    """An unsynced write."""
+
+    offset: int
+    data: bytes
+
+
+class VirtualDisk(wal_disk.SystemDisk):
+    """One machine's disk; it outlives the processes that use it.
+
+    Attributes:
+        sync_seconds: Time that a sync takes.
+        stalled: Set while the disk answers nothing.
+        full: Whether writes are refused.
+        writes: Unsynced writes by inode.
+        sizes: What the last sync of each inode covered.
+    """
+
+    def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
+        self.folder = folder
+        self.rng = rng
+        self.sync_seconds = 0.005
+        self.stalled = False
+        self.full = False
+        self.life = virtual_time.Life()
+        self.writes: dict[int, list[Write]] = collections.defaultdict(list)
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        self.life.check()
+        if self.full:
+            raise OSError(28, "injected")
+        found = os.fstat(descriptor)
+        super().write(descriptor, data)
+        self.writes[found.st_ino].append(Write(found.st_size, bytes(data)))
+
+    def sync(self, descriptor: int) -> None:
+        self._wait()
+        self.writes.pop(os.fstat(descriptor).st_ino, None)
+
+    def sync_directory(self, path: pathlib.Path) -> None:
+        self._wait()
+
+    def lose_power(self) -> None:
+        """Takes back some of what was not synced."""
+        forget_all = self.rng.random() < 0.3
+        inodes = {p.stat().st_ino: p for p in self.folder.rglob("*")}
+        for inode, writes in self.writes.items():
+            path = inodes.get(inode)
+            if path is None or not path.is_file():
+                continue
+            data = bytearray(path.read_bytes())
+            end = min(w.offset for w in writes)
+            del data[end:]
+            for write in writes:
+                kept = b"" if forget_all else self._survives(write.data)
+                if kept:
+                    missing = write.offset - len(data)
+                    data.extend(bytes(max(0, missing)))
+                    data[write.offset : write.offset + len(kept)] = kept
+            # In place: a replaced file would get another inode.
+            with path.open("r+b") as file:
+                file.truncate(0)
+                file.write(data)
+        self.writes.clear()
+
+    def wipe(self) -> None:
+        self.writes.clear()
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+
+    def _survives(self, data: bytes) -> bytes:
+        match self.rng.randrange(3):
+            case 0:
+                return b""
+            case 1:
+                return data[: self.rng.randrange(len(data) + 1)]
+            case _:
+                return data
+
+    def _wait(self) -> None:
+        self.life.check()
+        eventlet.sleep(self.rng.uniform(0.5, 1.5) * self.sync_seconds)
+        while self.stalled and not self.life.dead:
+            eventlet.sleep(0.02)
+        self.life.check()
+
+
+class VirtualWorker:
+    """The disk's thread, as a green thread of its own."""
+
+    def __init__(self, life: virtual_time.Life) -> None:
+        self.life = life
+        self.jobs: collections.deque[Any] = collections.deque()
+        self.more = eventlet.Event()
+        self.closed = False
+        eventlet.spawn(self._work_forever)
+
+    def run(self, function: Any, *args: Any) -> Any:
+        self.life.check()
+        if self.closed:
+            return function(*args)
+        ended = eventlet.Event()
+        self.jobs.append((function, args, ended))
+        if not self.more.ready():
+            self.more.send()
+        value, failed = ended.wait()
+        self.life.check()
+        if failed:
+            raise value
+        return value
+
+    def pause(self) -> None:
+        while self.jobs:
+            self._work(self.jobs.popleft())
+
+    def waits(self) -> bool:
+        return False
+
+    def close(self) -> None:
+        self.closed = True
+
+    def _work_forever(self) -> None:
+        while True:
+            while self.jobs:
+                self._work(self.jobs.popleft())
+            if self.closed or self.life.dead:
+                return
+            self.more = eventlet.Event()
+            self.more.wait()
+
+    def _work(self, job: Any) -> None:
+        function, args, ended = job
+        try:
+            outcome = (function(*args), False)
+        except greenlet.GreenletExit:
+            raise
+        except Exception as error:
+            outcome = (error, True)
+        ended.send(outcome)
