--- a/testing/fakes/virtual_disk.py
+++ b/testing/fakes/virtual_disk.py
@@ -36,7 +36,8 @@
         stalled: Set while the disk answers nothing.
         full: Whether writes are refused.
         writes: Unsynced writes by inode.
-        sizes: What the last sync of each inode covered.
+        names: By directory: its names and their inodes at its last sync.
+        shadow: Holds a link to each file that had a durable name.
     """
 
     def __init__(self, folder: pathlib.Path, rng: random.Random) -> None:
@@ -47,6 +48,8 @@
         self.full = False
         self.life = virtual_time.Life()
         self.writes: dict[int, list[Write]] = collections.defaultdict(list)
+        self.names: dict[pathlib.Path, dict[str, int]] = {}
+        self.shadow = folder.with_name(f"{folder.name}.shadow")
 
     def write(self, descriptor: int, data: bytes) -> None:
         self.life.check()
@@ -62,6 +65,19 @@
 
     def sync_directory(self, path: pathlib.Path) -> None:
         self._wait()
+        self.keep_names(path)
+
+    def keep_names(self, path: pathlib.Path) -> None:
+        """Makes the names that a directory holds now durable."""
+        self.shadow.mkdir(exist_ok=True)
+        found = {}
+        for item in path.iterdir():
+            inode = item.stat().st_ino
+            found[item.name] = inode
+            link = self.shadow / str(inode)
+            if item.is_file() and not link.exists():
+                os.link(item, link)
+        self.names[path] = found
 
     def lose_power(self) -> None:
         """Takes back some of what was not synced."""
@@ -85,9 +101,35 @@
                 file.truncate(0)
                 file.write(data)
         self.writes.clear()
+        self._lose_names(self.folder)
+        for path in list(self.names):
+            if path.exists():
+                self.keep_names(path)
+            else:
+                del self.names[path]
+
+    def _lose_names(self, directory: pathlib.Path) -> None:
+        """Takes back some of the names since a directory's last sync."""
+        durable = self.names.get(directory, {})
+        now = {item.name: item.stat().st_ino for item in directory.iterdir()}
+        for name in sorted({*durable, *now}):
+            path = directory / name
+            before, after = durable.get(name), now.get(name)
+            if before == after or self.rng.random() < 0.5:
+                if path.is_dir():
+                    self._lose_names(path)
+                continue
+            if path.is_dir():
+                shutil.rmtree(path)
+            else:
+                path.unlink(missing_ok=True)
+            if before is not None and (self.shadow / str(before)).exists():
+                os.link(self.shadow / str(before), path)
 
     def wipe(self) -> None:
         self.writes.clear()
+        self.names.clear()
+        shutil.rmtree(self.shadow, ignore_errors=True)
         shutil.rmtree(self.folder, ignore_errors=True)
         self.folder.mkdir(parents=True)
 
--- /dev/null
+++ b/testing/test_control_instances.py
@@ -0,0 +1,131 @@
+"""Whole control instances in virtual time, with directed losses."""
+
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import pytest
+from testing.fakes import control_cluster
+from testing.fakes import virtual_time
+import testtools
+
+from mintcleat.configuration import machine
+
+
+def until(condition: Callable[[], bool], seconds: float = 10.0) -> bool:
+    """Waits for a condition; tells whether it came true in time."""
+    for _ in range(int(seconds / 0.02)):
+        if condition():
+            return True
+        eventlet.sleep(0.02)
+    return False
+
+
+def played(
+    scenario: Callable[[control_cluster.Cluster], Any], size: int = 8
+) -> Any:
+    """Returns what a scenario returns on a cluster that is well."""
+
+    def body() -> Any:
+        options = control_cluster.Options()
+        options.size = size
+        cluster = control_cluster.Cluster(1, options)
+        try:
+            assert until(cluster.whole)
+            cluster.push()
+            return scenario(cluster)
+        finally:
+            cluster.close()
+
+    return virtual_time.run(body)
+
+
+def voter(cluster: control_cluster.Cluster) -> control_cluster.Instance:
+    """Returns a voter of the config group that does not lead."""
+    leader = cluster.leader()
+    names = [n for n in cluster.voters() if n != leader.name]
+    return cluster.instances[names[0]]
+
+
+class ReplacedVoterTest(testtools.TestCase):
+    @pytest.mark.known_red
+    def test_voter_replaced_while_dark_answers_again(self) -> None:
+        """Operators who ask a returned instance get no answer, for good.
+
+        A voter is dark for longer than a spare waits, and is replaced. It
+        comes back with its disk, whose log still lists it as a voter: nobody
+        sends it anything, it asks for votes in vain and knows no leader, so
+        it can neither answer nor pass a request on.
+        """
+
+        def scenario(cluster: control_cluster.Cluster) -> list[bool]:
+            one = voter(cluster)
+            one.lose_power()
+            until(lambda: one.name not in cluster.voters())
+            one.start()
+            eventlet.sleep(3.0)
+            return [cluster.read(one) for _ in range(3)]
+
+        self.assertEqual([True, True, True], played(scenario))
+
+    @pytest.mark.known_red
+    def test_spare_finds_a_leader_when_the_first_founder_is_lost(self) -> None:
+        """A spare asked the first founder only, also when that was gone."""
+
+        def scenario(cluster: control_cluster.Cluster) -> list[bool]:
+            outside = [
+                one
+                for one in cluster.instances.values()
+                if one.name not in cluster.voters()
+            ]
+            for name in ("c0", "c1"):
+                cluster.instances[name].lose_power()
+            until(lambda: cluster.leader() is not None)
+            eventlet.sleep(4.0)
+            return [cluster.read(one) for one in outside]
+
+        self.assertEqual([True, True, True], played(scenario))
+
+    @pytest.mark.known_red
+    def test_returned_instance_stays_a_voter_in_another_ones_place(
+        self,
+    ) -> None:
+        """A lost voter is never replaced, so the next loss is one too many.
+
+        A spare took the place of a voter that was dark. That one came back,
+        as a spare with its disk, and took the place of a second lost voter.
+        The first spare's entry still said whom it replaced, so the returned
+        instance was removed at once, added again, and so on for ever.
+        """
+
+        def scenario(cluster: control_cluster.Cluster) -> bool:
+            first = voter(cluster)
+            first.lose_power()
+            until(lambda: first.name not in cluster.voters())
+            first.start()
+            eventlet.sleep(3.0)
+            second = voter(cluster)
+            second.lose_power()
+            spares = [
+                one
+                for one in cluster.instances.values()
+                if one.name not in cluster.voters() and one is not first
+            ]
+            for one in spares:
+                one.lose_power()
+            until(
+                lambda: (
+                    first.name in cluster.voters()
+                    and second.name not in cluster.voters()
+                )
+            )
+            eventlet.sleep(2.0)
+            leader = cluster.leader()
+            state = leader.log.driver.core.replicas[machine.GROUP].state
+            return (
+                first.name in cluster.voters()
+                and second.name not in cluster.voters()
+                and len(state.configuration.voters) == 5
+            )
+
+        self.assertTrue(played(scenario))
--- /dev/null
+++ b/testing/test_driver.py
@@ -0,0 +1,140 @@
+"""One replica's driver in virtual time: its disk is slow, its loop goes on."""
+
+import pathlib
+import random
+import shutil
+import tempfile
+from typing import Any
+
+import eventlet
+import pytest
+from testing.fakes import virtual_disk
+from testing.fakes import virtual_time
+import testtools
+
+from mintcleat.adapters import wal
+from mintcleat.consensus import messages as wire
+from mintcleat.consensus import records
+from mintcleat.consensus import types
+from mintcleat.domain import identities
+from mintcleat.roles.control.replication import driver as replication_driver
+
+LEADER = identities.Incarnation("c1", 1)
+FOLLOWER = identities.Incarnation("c2", 1)
+MEMBERS = [
+    types.Member(name, f"{name}:1", name, "r") for name in ("c1", "c2", "c3")
+]
+VOTERS = types.Configuration(
+    [
+        types.Peer(identities.Incarnation(n, 1), f"{n}:1", n, "r")
+        for n in ("c1", "c2", "c3")
+    ],
+    [],
+)
+
+
+class Journal:
+    """A machine that keeps every command."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: int, command: bytes) -> int:
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self) -> bytes:
+        return b" ".join(self.commands)
+
+    def restore(self, state: bytes) -> None:
+        self.commands = state.split(b" ")
+
+
+class NoLinks:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, address: str, payload: bytes) -> None:
+        self.sent.extend(wire.decode(payload).messages)
+
+
+class Follower:
+    """A follower with a driver, a disk that can stall, and its leader."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        rng = random.Random(1)
+        life = virtual_time.Life()
+        self.disk = virtual_disk.VirtualDisk(folder, rng)
+        self.journal = Journal()
+        self.links = NoLinks()
+        self.driver = replication_driver.Driver(
+            FOLLOWER,
+            "c2:1",
+            MEMBERS,
+            wal.FileWal(folder / "log", self.disk),
+            {"g": self.journal},
+            links=self.links,
+            timers=virtual_time.LifeTimers(life, rng, 0.0),
+            options=replication_driver.Options(
+                core=types.Settings(founder=False), seed=1
+            ),
+            worker=virtual_disk.VirtualWorker(life),
+        )
+
+    def take(self, *messages: Any) -> None:
+        frame = wire.Frame(LEADER, "c1:1", FOLLOWER, list(messages))
+        self.driver.receive(wire.encode(frame))
+        eventlet.sleep(0.001)
+
+    def append(self, first: int, last: int, commit: int) -> None:
+        """The leader sends entries of its first term."""
+        entries = [entry(index) for index in range(first, last + 1)]
+        before = min(first - 1, 1)
+        self.take(wire.Append("g", 1, first - 1, before, entries, commit))
+
+
+def entry(index: int) -> types.Entry:
+    if index == 1:
+        data = records.configuration_data(VOTERS)
+        return types.Entry(1, 1, types.CONFIGURATION, data)
+    return types.Entry(index, 1, types.COMMAND, b"%d" % index)
+
+
+class SlowDiskTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+
+    @pytest.mark.known_red
+    def test_snapshot_behind_a_slow_disk_takes_no_command_away(self) -> None:
+        """A replica that leads later lacks commands that were acknowledged.
+
+        The disk stalls with committed entries 2 and 3 waiting for it. The
+        leader, which has dropped 4 and 5 from its log, sends a snapshot up to
+        5, then 6 and 7. When the disk goes on, 6 and 7 were applied behind
+        entry 3, and then the snapshot of 5 replaced the machine's state: it
+        lacked 6 and 7 while the replica counted them as applied, and nobody
+        applied them again.
+        """
+
+        def play() -> tuple[int, list[bytes]]:
+            follower = Follower(self.folder)
+            follower.append(1, 1, 1)
+            eventlet.sleep(1.0)
+            follower.disk.stalled = True
+            follower.append(2, 3, 3)
+            mark = types.SnapshotMark(5, 1, VOTERS)
+            follower.take(wire.InstallSnapshot("g", 1, mark, b"2 3 4 5"))
+            follower.append(6, 7, 7)
+            eventlet.sleep(1.0)
+            follower.disk.stalled = False
+            eventlet.sleep(1.0)
+            state = follower.driver.core.replicas["g"].state
+            return state.applied, follower.journal.commands
+
+        applied, commands = virtual_time.run(play)
+        self.assertEqual(7, applied)
+        self.assertEqual([b"2", b"3", b"4", b"5", b"6", b"7"], commands)
