--- a/testing/test_control_instances.py
+++ b/testing/test_control_instances.py
@@ -49,10 +49,10 @@
 
 class ReplacedVoterTest(testtools.TestCase):
     @pytest.mark.known_red
-    def test_voter_replaced_while_dark_answers_again(self) -> None:
+    def test_voter_replaced_while_down_answers_again(self) -> None:
         """Operators who ask a returned instance get no answer, for good.
 
-        A voter is dark for longer than a spare waits, and is replaced. It
+        A voter is down for longer than a spare waits, and is replaced. It
         comes back with its disk, whose log still lists it as a voter: nobody
         sends it anything, it asks for votes in vain and knows no leader, so
         it can neither answer nor pass a request on.
@@ -60,7 +60,7 @@
 
         def scenario(cluster: control_cluster.Cluster) -> list[bool]:
             one = voter(cluster)
-            one.lose_power()
+            one.kill()
             until(lambda: one.name not in cluster.voters())
             one.start()
             eventlet.sleep(3.0)
@@ -92,7 +92,7 @@
     ) -> None:
         """A lost voter is never replaced, so the next loss is one too many.
 
-        A spare took the place of a voter that was dark. That one came back,
+        A spare took the place of a voter that was down. That one came back,
         as a spare with its disk, and took the place of a second lost voter.
         The first spare's entry still said whom it replaced, so the returned
         instance was removed at once, added again, and so on for ever.
@@ -100,7 +100,7 @@
 
         def scenario(cluster: control_cluster.Cluster) -> bool:
             first = voter(cluster)
-            first.lose_power()
+            first.kill()
             until(lambda: first.name not in cluster.voters())
             first.start()
             eventlet.sleep(3.0)
@@ -112,7 +112,7 @@
                 if one.name not in cluster.voters() and one is not first
             ]
             for one in spares:
-                one.lose_power()
+                one.kill()
             until(
                 lambda: (
                     first.name in cluster.voters()
