--- a/src/mintcleat/consensus/outbox.py
+++ b/src/mintcleat/consensus/outbox.py
@@ -27,7 +27,10 @@
 
 
 class Installed(NamedTuple):
-    """Store this state and restore the machine from it, before `records`."""
+    """Store this state and restore the machine from it, before `records`.
+
+    `Replica.on_restored` must follow; until then nothing is applied.
+    """
 
     group: str
     mark: types.SnapshotMark
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -154,15 +154,26 @@
 
         A majority holds them, so they need not lie on this disk yet: a leader
         whose own disk is slow goes at the pace of its followers' disks.
+        While a snapshot waits to be restored there are none: restored after
+        them, it would take them out of the machine again, and no one applies
+        an entry twice.
         """
         replica = self.state
         last = replica.commit
-        if last <= replica.applied:
+        if replica.restoring or last <= replica.applied:
             return []
         found = replica.log.between(replica.applied + 1, last)
         replica.applied = last
         return found
 
+    def on_restored(self, index: int) -> None:
+        """Notes that the machine holds an installed snapshot."""
+        replica = self.state
+        replica.applied = index
+        if replica.restoring == index:
+            replica.restoring = 0
+            replica.box.committed.add(replica.group)
+
     def snapshot_mark(self) -> types.SnapshotMark:
         """Returns the mark for a snapshot of what is applied now."""
         replica = self.state
--- a/src/mintcleat/consensus/state.py
+++ b/src/mintcleat/consensus/state.py
@@ -39,7 +39,9 @@
 
     Attributes:
         commit: Last index known to be committed.
-        applied: Last index handed to the machine.
+        applied: Last index that the machine has.
+        restoring: Index of a snapshot that waits to be restored into the
+            machine; 0 for none.
         persisted: Last index synced here.
         heard_at: When the leader was last heard.
         led_at: When this replica last became leader.
@@ -71,6 +73,7 @@
         for entry in self.log.entries:
             self.note_configuration(entry)
         self.commit = self.applied = stored.mark.index
+        self.restoring = 0
         self.persisted = self.log.last_index
         self.role = types.FOLLOWER
         self.leader = types.NOBODY
@@ -160,7 +163,7 @@
         else:
             self.log.reset(mark.index, mark.term)
             self.persisted = mark.index
-        self.commit = self.applied = mark.index
+        self.commit = self.restoring = mark.index
         self.persisted = max(self.persisted, mark.index)
         later = [c for c in self.configurations if c[0] > mark.index]
         kept = [c for c in later if c[0] <= self.log.last_index]
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -252,10 +252,8 @@
             beats = [m for m in box.late if _is_beat(m)]
             box.late = [m for m in box.late if not _is_beat(m)]
             self._send(beats)
-        waiting = (box, *(item.box for item in self.unsynced))
-        if not any(one.installs for one in waiting):
-            # What a majority holds may be applied before this disk has it.
-            self._apply_all(box)
+        # What a majority holds may be applied before this disk has it.
+        self._apply_all(box)
         ends = self.core.log_ends(box.stored)
         self.unsynced.append(Unsynced(box, ends))
         if not self.persisting:
@@ -382,6 +380,7 @@
         machine = self.machines.get(item.group)
         if machine is not None:
             machine.restore(item.state)
+        self.core.replicas[item.group].on_restored(item.mark.index)
         self.events.emit(
             event_types.SnapshotInstalled(
                 item.group, item.mark.index, item.mark.term, len(item.state)
@@ -392,7 +391,10 @@
         machine = self.machines.get(group)
         waiters = self.waiters.get(group, {})
         size = 0
-        for entry in replica.take_committed():
+        found = replica.take_committed()
+        if not found:
+            return
+        for entry in found:
             if entry.kind == types.CONFIGURATION:
                 self._tell_voters(replica, entry)
             result = None
--- a/testing/explorer.py
+++ b/testing/explorer.py
@@ -105,6 +105,7 @@
         for item in box.installs:
             self.snapshots[item.group, item.mark.index] = item.state
             self.machines[item.group] = _restore(item.state)
+            core.replicas[item.group].on_restored(item.mark.index)
         self._send(box.early)
         if self.tear_next and box.records:
             # Power fails in the write: an unsynced prefix may have landed.
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -444,10 +444,6 @@
         for instance in self.instances.values():
             if not instance.running() or instance.log.driver is None:
                 continue
-            driver = instance.log.driver
-            waits = any(u.box.installs for u in driver.unsynced)
-            if waits or driver.core.box.installs:
-                continue
             self._check_config(instance)
             self._check_records(instance)
 
--- a/testing/test_driver.py
+++ b/testing/test_driver.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import eventlet
-import pytest
 from testing.fakes import virtual_disk
 from testing.fakes import virtual_time
 import testtools
@@ -108,7 +107,6 @@
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, self.folder)
 
-    @pytest.mark.known_red
     def test_snapshot_behind_a_slow_disk_takes_no_command_away(self) -> None:
         """A replica that leads later lacks commands that were acknowledged.
 
