A leader answers once its machine has what it was elected with

Cause: leads() asked for the lease and a committed entry of the own term; the machine applies that in the loop's next turn.

--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -200,7 +200,12 @@
         if self.driver is None or self.driver.failed:
             return False
         replica = self.driver.core.replicas.get(group)
-        return replica is not None and replica.holds_lease(self.timers.now())
+        if replica is None or not replica.holds_lease(self.timers.now()):
+            return False
+        # The lease counts from the message that commits the leader's first
+        # entry; the machine has what earlier leaders committed a turn of the
+        # loop later. Answered in between, a read misses acknowledged changes.
+        return replica.state.applied >= replica.state.term_start
 
     def position(self, group: str) -> log.Position:
         """Returns where this replica stands, for the operators' log."""
