--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -99,7 +99,7 @@
     def start(self, founder: bool = False) -> None:
         if not self.life.dead:
             return
-        self.life = virtual_time.Life()
+        self.life = virtual_time.Life(self.rng)
         self.disk.life = self.life
         self.started = False
         eventlet.spawn(self._start, self.life, founder)
@@ -218,8 +218,8 @@
             if not life.dead and not came.ready():
                 came.send()
 
-        if not self.running():
-            eventlet.sleep(0.01 if life.dead else PATIENCE)
+        if life.dead or not self.started:
+            eventlet.sleep(0.01)
             return None
         eventlet.spawn(serve)
         came.wait(PATIENCE)
--- a/testing/fakes/virtual_time.py
+++ b/testing/fakes/virtual_time.py
@@ -85,7 +85,8 @@
 class Life:
     """One life of a process: whether it runs, stands still or is over."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self.rng = rng
         self.dead = False
         self.frozen = False
         self.thawed = eventlet.Event()
@@ -108,6 +109,9 @@
         """Goes on when the process does; never, once it is over."""
         while self.frozen and not self.dead:
             self.thawed.wait()
+            if self.rng is not None:
+                # What runs first after a stop is left to chance.
+                eventlet.sleep(self.rng.uniform(0.0, 0.002))
         if self.dead:
             raise greenlet.GreenletExit
 
