--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -147,11 +147,14 @@
             raise errors.NotLeader(self._other_leader(group))
         term, index = ticket
         done = event.Event()
-        driver.waiters[group][index] = replication_driver.Waiter(term, done)
+        waiter = replication_driver.Waiter(term, done)
+        driver.waiters[group][index] = waiter
         driver.wake()
         outcome = done.wait(timeout)
         if outcome is None:
-            driver.waiters[group].pop(index, None)
+            # Led again since, another proposer may wait at this index.
+            if driver.waiters[group].get(index) is waiter:
+                del driver.waiters[group][index]
             raise errors.ProposalLost(f"No commit within {timeout} s.")
         if isinstance(outcome[0], errors.MintcleatError):
             raise outcome[0]
--- a/testing/control_explorer.py
+++ b/testing/control_explorer.py
@@ -12,6 +12,8 @@
 from testing.fakes import control_cluster
 from testing.fakes import virtual_time
 
+from mintcleat.domain import operator_messages
+
 Fault = control_cluster.Fault
 # A machine counts as lost until so long after it is back.
 CATCH_UP = 6.0
@@ -64,7 +66,7 @@
         now = self.cluster.now()
         return [
             one
-            for one in self.cluster.instances.values()
+            for one in (*self.cluster.instances.values(), *self.cluster.gone)
             if one.lost_until > now
         ]
 
@@ -113,6 +115,8 @@
                 self._busy,
                 self._all_power,
                 self._all_killed,
+                self._replace,
+                self._retire,
                 self._weather,
             )
         )
@@ -257,6 +261,53 @@
         if self.rng.random() < 0.3:
             self._all("killed", False)
 
+    def _newcomer(self) -> None:
+        self.replaced += 1
+        domain = f"d{self.rng.randrange(4)}"
+        one = self.cluster.add(f"n{self.replaced}", domain)
+        one.start()
+        self._lose(one, 0.0)
+
+    def _gone(self, one: control_cluster.Instance) -> None:
+        one.lose_power(True)
+        del self.cluster.instances[one.name]
+        self.cluster.gone.append(one)
+
+    def _replace(self) -> None:
+        """A machine is gone for good, an empty one comes at another address."""
+        for one in self._victims(1):
+            self.cluster.note(f"{one.name} gone for good")
+            # It counts as lost until its successor has caught up.
+            self._lose(one, 1.0)
+            self._gone(one)
+            eventlet.spawn_after(1.0, self._newcomer)
+
+    def _retire(self) -> None:
+        for one in self._victims(1):
+            self._lose(one, 10.0)
+            self.cluster.spawn(self._empty, one)
+
+    def _empty(self, one: control_cluster.Instance) -> None:
+        """Empties an instance; once that is done it may go with its disk."""
+        cluster = self.cluster
+        cluster.note(f"{one.name} to be emptied")
+        end = cluster.now() + 10.0
+        start = True
+        while cluster.now() < end and cluster.running:
+            message = operator_messages.EmptyControl(one.name, start, "o", "t")
+            answer = cluster.anyone().call(message)
+            start = start and answer is None
+            if answer is not None and answer.done:
+                cluster.note(f"{one.name} emptied")
+                one.lost_until = 0.0
+                if one.name in cluster.instances:
+                    self._gone(one)
+                    self._newcomer()
+                if self.rng.random() < 0.5:
+                    self._wipe()
+                return
+            eventlet.sleep(0.3)
+
     def _weather(self) -> None:
         network = self.cluster.network
         network.loss = self.rng.choice((0.0, 0.0, 0.05))
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -165,10 +165,10 @@
         """Ends the process; its files stay as they are."""
         if self.life.dead:
             return
-        self._end()
+        self.end()
         self.cluster.network.listening[self.address].lose()
 
-    def _end(self) -> None:
+    def end(self) -> None:
         self.life.end()
         if self.log is not None and self.log.wal.lock >= 0:
             # A process's locks end with it; here they would live on.
@@ -178,7 +178,7 @@
 
     def lose_power(self, wipe: bool = False) -> None:
         """Ends the process without a word; unsynced bytes may be lost."""
-        self._end()
+        self.end()
         if wipe:
             self.disk.wipe()
         else:
@@ -264,6 +264,7 @@
     """The instances, the operator and the readers.
 
     Attributes:
+        gone: Instances whose machines were taken away.
         acknowledged: Highest version that was acknowledged.
         failures: Why processes ended by themselves.
         story: What happened, with its time.
@@ -286,6 +287,7 @@
         self.broken: Fault | None = None
         self.running = True
         self.instances: dict[str, Instance] = {}
+        self.gone: list[Instance] = []
         for number in range(self.options.size):
             self.add(f"c{number}", f"d{number % 4}")
         first = [f"c{n}" for n in range(3)]
@@ -301,8 +303,8 @@
 
     def close(self) -> None:
         self.running = False
-        for instance in self.instances.values():
-            instance._end()
+        for instance in (*self.instances.values(), *self.gone):
+            instance.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def now(self) -> float:
@@ -347,7 +349,7 @@
         until = self.now() + patience
         pause = 0.05
         while self.now() < until and self.running:
-            target = self._anyone()
+            target = self.anyone()
             answer = target.call(message)
             if answer is not None:
                 self.note(f"version {version} acknowledged by {target.name}")
@@ -377,7 +379,7 @@
     def read_forever(self, period: float) -> None:
         while self.running:
             eventlet.sleep(self.rng.expovariate(1 / period))
-            self.spawn(self.read, self._anyone())
+            self.spawn(self.read, self.anyone())
 
     def write_forever(self, period: float) -> None:
         """Fills the other group, so that the shared log grows."""
@@ -401,7 +403,7 @@
                 )
             return
 
-    def _anyone(self) -> Instance:
+    def anyone(self) -> Instance:
         return self.rng.choice(list(self.instances.values()))
 
     # Views of all instances, for schedules.
