--- a/src/mintcleat/roles/control/configuration/feed.py
+++ b/src/mintcleat/roles/control/configuration/feed.py
@@ -124,7 +124,8 @@
         self.instance = instance
         self.source = source
         self.timers = timers
-        self.peers: set[Peer] = set()
+        # In the order of their coming, so that a test repeats.
+        self.peers: dict[Peer, None] = {}
         self.statuses: dict[identities.Incarnation, Status] = {}
 
     def serve(
@@ -153,7 +154,7 @@
         if follow.role == CONTROL and not self.source.serves_control():
             raise errors.NotLeader("")
         peer = Peer(exchange, follow, self.timers.now())
-        self.peers.add(peer)
+        self.peers[peer] = None
         self._note(peer, lost_at=float("inf"))
         if follow.revision == 0:
             self.source.confirm()
@@ -225,7 +226,7 @@
         """Forgets a stream that ended."""
         now = self.timers.now()
         peer.closed = True
-        self.peers.discard(peer)
+        self.peers.pop(peer, None)
         peer.wake()
         successors = [
             p for p in self.peers if p.follow.node == peer.follow.node
--- a/testing/fakes/virtual_net.py
+++ b/testing/fakes/virtual_net.py
@@ -89,7 +89,7 @@
             collections.deque[Callable[[], None]],
         ] = (collections.deque(), collections.deque())
         self.last = [0.0, 0.0]
-        self.exchanges: set[VirtualExchange] = set()
+        self.exchanges: dict[VirtualExchange, None] = {}
         network.connections.append(self)
 
     def blocked(self, side: int) -> bool:
@@ -151,7 +151,7 @@
         self.inbox: collections.deque[Any] = collections.deque()
         self.closed = False
         self.waiting: eventlet.Event | None = None
-        connection.exchanges.add(self)
+        connection.exchanges[self] = None
 
     def send(self, message: Any) -> None:
         self.life.check()
@@ -201,7 +201,7 @@
 
     def end(self) -> None:
         self.closed = True
-        self.connection.exchanges.discard(self)
+        self.connection.exchanges.pop(self, None)
         self._wake()
 
     def _wake(self) -> None:
