One successor for a voter: none is added while a replacement is pending

Cause: a leader that is emptied hands over before it can be removed; meanwhile the repair took a second spare in for it, whose note then had nothing left to remove.

--- a/src/mintcleat/consensus/membership.py
+++ b/src/mintcleat/consensus/membership.py
@@ -33,6 +33,10 @@
     configuration = replica.configuration
     if not may_change(replica) or configuration.learners:
         return False
+    if any(configuration.votes(p.replaces) for p in configuration.voters):
+        # The replaced one goes first. It may be this very leader, which has
+        # to hand over; a second successor would stay as a voter too many.
+        return False
     if any(p.replica == peer.replica for p in configuration.peers()):
         return False
     voters = _forgetting(configuration.voters, peer.replica)
--- a/testing/test_control_instances.py
+++ b/testing/test_control_instances.py
@@ -9,6 +9,8 @@
 import testtools
 
 from mintcleat.configuration import machine
+from mintcleat.consensus import repair
+from mintcleat.consensus import types
 
 
 def until(condition: Callable[[], bool], seconds: float = 10.0) -> bool:
@@ -125,3 +127,33 @@
             )
 
         self.assertTrue(played(scenario))
+
+
+class EmptiedLeaderTest(testtools.TestCase):
+    def test_leader_that_hands_over_is_replaced_once(self) -> None:
+        """A group keeps a voter too many, and a spare less, for good.
+
+        Its successor was a voter already, and the leader that was emptied had
+        to hand its leadership over before it could be removed. Meanwhile it
+        still counted as one to replace, and a second spare was taken in.
+        """
+
+        def scenario(cluster: control_cluster.Cluster) -> list[types.Peer]:
+            leader = cluster.leader()
+            core = leader.log.driver.core
+            state = core.replicas[machine.GROUP].state
+            voters = state.configuration.voters
+            inside = {peer.replica.instance for peer in voters}
+            spare = next(
+                resident.peer
+                for name, resident in core.roster.residents.items()
+                if name not in inside
+            )
+            successor = spare._replace(replaces=state.me)
+            promoted = types.Configuration([*voters, successor], [])
+            state.configurations.append((state.commit, promoted))
+            core.roster.retired = frozenset({leader.name})
+            repair.tick(state, core.roster, leader.log.timers.now())
+            return state.configuration.learners
+
+        self.assertEqual([], played(scenario))
