--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -366,14 +366,18 @@
             )
         if self.failed is not None:
             return
+        size = len(state)
         message = wire.InstallSnapshot(needed.group, needed.term, mark, state)
         address = self.core.roster.address(needed.to.instance)
         payload = self._frame(needed.to, [message])
+        # The payload is a copy; kept besides it, a large state would be held
+        # twice for as long as the sending takes.
+        del state, message
 
         def ended(sent: bool) -> None:
             self.events.emit(
                 event_types.SnapshotSent(
-                    needed.group, str(needed.to), mark.index, len(state), sent
+                    needed.group, str(needed.to), mark.index, size, sent
                 )
             )
             replica = self.core.replicas[needed.group]
--- a/src/mintcleat/roles/control/replication/links.py
+++ b/src/mintcleat/roles/control/replication/links.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 
 from eventlet import queue
@@ -116,10 +117,10 @@
         self.links.pop(address, None)
 
     def _write_from(self, address: str, link: Link, payload: bytes) -> None:
-        first, *rest = _parts(payload)
-        exchange = self.streams.open(address, first)
+        parts = _parts(payload)
+        exchange = self.streams.open(address, next(parts))
         try:
-            for part in rest:
+            for part in parts:
                 exchange.send(part)
             link.failures = 0
             while self.running:
@@ -147,11 +148,11 @@
     def _write_bulk(
         self, address: str, payload: bytes, ended: Callable[[bool], None]
     ) -> None:
-        first, *rest = _parts(payload)
+        parts = _parts(payload)
         try:
-            exchange = self.streams.open(address, first)
+            exchange = self.streams.open(address, next(parts))
             try:
-                for part in rest:
+                for part in parts:
                     exchange.send(part)
                     self.timers.sleep(0)
             finally:
@@ -186,12 +187,13 @@
             logger.warning("{} sent a bad frame: {}", peer, error)
 
 
-def _parts(payload: bytes) -> list[replication_messages.ReplicationFrame]:
+def _parts(
+    payload: bytes,
+) -> Iterator[replication_messages.ReplicationFrame]:
+    """Yields a frame's parts, one at a time: a snapshot is not copied whole."""
     count = max(1, -(-len(payload) // PART_BYTES))
-    return [
-        replication_messages.ReplicationFrame(
+    for number in range(count):
+        yield replication_messages.ReplicationFrame(
             payload[number * PART_BYTES : (number + 1) * PART_BYTES],
             number < count - 1,
         )
-        for number in range(count)
-    ]
