--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -13,14 +13,12 @@
 from loguru import logger
 
 from mintcleat.consensus import instance
-from mintcleat.consensus import membership
 from mintcleat.consensus import messages as wire
 from mintcleat.consensus import outbox
 from mintcleat.consensus import records
 from mintcleat.consensus import replica as replicas
 from mintcleat.consensus import types
 from mintcleat.domain import errors
-from mintcleat.domain import events as event_types
 from mintcleat.domain import identities
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import log
@@ -30,6 +28,7 @@
 from mintcleat.roles.control.replication import (
     snapshots as replication_snapshots,
 )
+from mintcleat.roles.control.replication import telling
 
 
 class Options(NamedTuple):
@@ -101,7 +100,7 @@
         own: types.Member | None = None,
         events: event_ports.Events = SILENT,
     ) -> None:
-        self.events = events
+        self.teller = telling.Teller(events, options.core.founder)
         self.worker = worker
         self.unsynced: collections.deque[Unsynced] = collections.deque()
         self.persisting = False
@@ -138,30 +137,13 @@
             now=timers.now(),
             own=own,
         )
-        self._tell_disk(found)
+        self.teller.disk(found, self.core)
         for group, machine in machines.items():
             self.waiters[group] = {}
             index = self.core.replicas[group].state.applied
             if index > 0:
                 machine.restore(wal.load_snapshot(group, index))
 
-    def _tell_disk(self, found: wal_ports.Recovery) -> None:
-        groups = {}
-        for group, replica in self.core.replicas.items():
-            state = replica.state
-            index, term = replica.log_end()
-            groups[group] = [state.term, index, term, state.mark.index]
-        self.events.emit(
-            event_types.DiskOpened(
-                str(found.identity),
-                found.formatted,
-                self.options.core.founder,
-                len(found.records),
-                found.cut_bytes,
-                groups,
-            )
-        )
-
     def wake(self) -> None:
         """Makes the driver work soon, after every caller that can run now.
 
@@ -241,7 +223,7 @@
         before them, also when their own box holds none.
         """
         for elected in box.told:
-            self._tell_elected(elected)
+            self.teller.elected(elected)
         self._send(box.early)
         box.early = []
         if not (box.installs or box.records or self.unsynced):
@@ -375,11 +357,7 @@
         del state, message
 
         def ended(sent: bool) -> None:
-            self.events.emit(
-                event_types.SnapshotSent(
-                    needed.group, str(needed.to), mark.index, size, sent
-                )
-            )
+            self.teller.sent(needed.group, needed.to, mark.index, size, sent)
             replica = self.core.replicas[needed.group]
             replica.snapshot_ended(needed.to, sent, self.timers.now())
 
@@ -397,11 +375,7 @@
         if machine is not None:
             machine.restore(item.state)
         self.core.replicas[item.group].on_restored(item.mark.index)
-        self.events.emit(
-            event_types.SnapshotInstalled(
-                item.group, item.mark.index, item.mark.term, len(item.state)
-            )
-        )
+        self.teller.installed(item)
 
     def _apply(self, group: str, replica: replicas.Replica) -> None:
         machine = self.machines.get(group)
@@ -412,7 +386,7 @@
             return
         for entry in found:
             if entry.kind == types.CONFIGURATION:
-                self._tell_voters(replica, entry)
+                self.teller.voters(replica, entry)
             result = None
             size += len(entry.data)
             if entry.kind == types.COMMAND and machine is not None:
@@ -424,34 +398,6 @@
         if machine is not None:
             self.snapshots.applied(group, replica, machine, size)
 
-    def _tell_elected(self, elected: outbox.Elected) -> None:
-        self.events.emit(
-            event_types.LeaderElected(
-                elected.group,
-                elected.term,
-                elected.last_index,
-                elected.last_term,
-                [str(voter) for voter in elected.grants],
-                _names(elected.configuration.voters),
-            )
-        )
-
-    def _tell_voters(
-        self, replica: replicas.Replica, entry: types.Entry
-    ) -> None:
-        before = replica.state.configuration_at(entry.index - 1)
-        after = records.configuration(entry.data)
-        self.events.emit(
-            event_types.VotersChanged(
-                replica.state.group,
-                entry.index,
-                entry.term,
-                _names(after.voters),
-                _names(after.learners),
-                membership.describe(before, after),
-            )
-        )
-
     def snapshot(self, group: str) -> bool:
         """Snapshots a group now; False when nothing is new since the last."""
         replica = self.core.replicas[group]
@@ -509,10 +455,6 @@
             self.waiters[group] = kept
 
 
-def _names(peers: list[types.Peer]) -> list[str]:
-    return [str(peer.replica) for peer in peers]
-
-
 def _is_beat(letter: outbox.Letter) -> bool:
     return isinstance(letter.message, wire.HeartbeatReply)
 
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import fcntl
 import pathlib
 import random
 import shutil
@@ -172,8 +173,6 @@
         self.life.end()
         if self.log is not None and self.log.wal.lock >= 0:
             # A process's locks end with it; here they would live on.
-            import fcntl
-
             fcntl.flock(self.log.wal.lock, fcntl.LOCK_UN)
 
     def lose_power(self, wipe: bool = False) -> None:
