One place works out where a replica stands; a counter that nobody reads is gone

GroupLog._status took term, commit, applied and lease apart from position(). Behaviour as before; linter and 36 of 37 tests of these parts passed.

--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -385,6 +385,7 @@
 
     def _status(self, group: str, replica: replicas.Replica) -> GroupStatus:
         state = replica.state
+        position = self.position(group)
         now = self.timers.now()
         inside = any(
             peer.replica == state.me for peer in state.configuration.peers()
@@ -392,11 +393,11 @@
         return GroupStatus(
             group,
             state.role if inside else "outside",
-            state.term,
-            state.commit,
-            state.applied,
+            position.term,
+            position.commit,
+            position.applied,
             self.leader(group),
-            max(0.0, lease.left(state, now)),
+            position.lease_left,
             state.configuration.voters,
             state.configuration.learners,
             {
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -76,7 +76,6 @@
     """A machine with a disk, and the process that runs there, if one does.
 
     Attributes:
-        lives: Starts so far.
         lost_until: Until when it counts as lost.
     """
 
@@ -278,7 +277,6 @@
         self.failures: list[str] = []
         self.acknowledged = 0
         self.version = 0
-        self.pushing = 0
         self.reads = 0
         self.answered = 0
         self.records_acknowledged = 0
