A test waits for the committed list of voters before it takes the leader away

Traced: the leader named three voters, the removal being in its own log alone (last 65 there); it was emptied, and the two others held 64 entries, the list of four voters not committed, where three of four must answer. That loss is inside the repair, which docs/design/010-replication allows to delay commits. The test means a loss after the repair: it now asks for the committed list, which is stricter about the repair's end.

--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -228,8 +228,17 @@
         node.start(self.members)
 
     def voters(self) -> list[identities.Incarnation]:
-        status = self.leader().log.status()[0]
-        return sorted(peer.replica for peer in status.voters)
+        """Returns the voters, once the list of them is committed.
+
+        A removal that only the leader knows is no end of a repair: the others
+        still count the old voter, and can't bear the leader's loss.
+        """
+
+        def settled() -> replication.GroupStatus | None:
+            status = self.leader().log.status()[0]
+            return status if status.settled else None
+
+        return sorted(peer.replica for peer in self.until(settled).voters)
 
     def test_every_replica_applies_the_same_commands(self) -> None:
         for number in range(5):
