--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 import functools
 import pathlib
-import resource
 import signal
 import sys
 import time
@@ -22,6 +21,7 @@
 from mintcleat.adapters import event_log
 from mintcleat.adapters import event_metrics
 from mintcleat.adapters import http1_server
+from mintcleat.adapters import process_memory
 from mintcleat.decisions import policy as policy_module
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
@@ -318,8 +318,7 @@
         """Tells what is held whenever the process takes more memory."""
         told = 0.0
         while not self.stops:
-            usage = resource.getrusage(resource.RUSAGE_SELF)
-            peak = usage.ru_maxrss / 1024
+            peak = process_memory.peak_mb()
             if peak >= told + _MEMORY_STEP_MB:
                 told = peak
                 held = self.part.held() | self.common.streams.held_bytes()
