--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -298,6 +298,15 @@
 
 
 class MemoryTest(testtools.TestCase):
+    def opened(self) -> wal.FileWal:
+        """Returns a new log with nothing in it."""
+        folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        log = wal.FileWal(folder)
+        self.addCleanup(log.close)
+        log.open(NODE)
+        return log
+
     def test_start_holds_what_is_live_and_not_the_whole_log(self) -> None:
         """All machines lose power; some control processes never come back.
 
@@ -343,11 +352,7 @@
         three times for a moment and once until its end: 80 MB for these two
         of 16 MB.
         """
-        folder = pathlib.Path(tempfile.mkdtemp())
-        self.addCleanup(shutil.rmtree, folder)
-        log = wal.FileWal(folder)
-        self.addCleanup(log.close)
-        log.open(NODE)
+        log = self.opened()
         state = os.urandom(16_000_000)
         log.save_snapshot("g", 5, state)
         stored = snapshots.Snapshots(
@@ -375,11 +380,7 @@
         self.assertEqual({}, stored.lent)
 
     def test_snapshot_is_stored_without_a_copy_of_it(self) -> None:
-        folder = pathlib.Path(tempfile.mkdtemp())
-        self.addCleanup(shutil.rmtree, folder)
-        log = wal.FileWal(folder)
-        self.addCleanup(log.close)
-        log.open(NODE)
+        log = self.opened()
         state = os.urandom(16_000_000)
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
