--- a/src/mintcleat/roles/control/actions.py
+++ b/src/mintcleat/roles/control/actions.py
@@ -12,6 +12,7 @@
 from mintcleat.domain import operator_messages
 from mintcleat.ports import streams as streams_port
 from mintcleat.roles.control.replication import replication
+from mintcleat.roles.control.replication import status as replication_status
 
 _ASK_SECONDS = 5.0
 
@@ -130,7 +131,7 @@
         exchange.send(operator_messages.Groups(rows))
 
 
-def _row(status: replication.GroupStatus) -> dict[str, Any]:
+def _row(status: replication_status.GroupStatus) -> dict[str, Any]:
     """Returns a group's state as operators see it; times in seconds."""
     return {
         "group": status.group,
--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import itertools
 from typing import Any
-from typing import NamedTuple
 
 from eventlet import event
 
@@ -22,6 +21,7 @@
 from mintcleat.ports import wal as wal_ports
 from mintcleat.roles.control.replication import driver as replication_driver
 from mintcleat.roles.control.replication import links as replication_links
+from mintcleat.roles.control.replication import status as replication_status
 from mintcleat.roles.control.replication import usage
 
 SILENT = event_ports.Silent()
@@ -34,31 +34,6 @@
 _RESIDENT_PERIODS = 5
 
 
-class GroupStatus(NamedTuple):
-    """One group as this instance sees it.
-
-    Attributes:
-        role: `leader`, `follower`, `candidate` or `pre-candidate`; `outside`
-            when this instance holds no replica of the group.
-        lease_left: Seconds; 0 on a follower.
-        settled: Whether the list of voters and learners is committed.
-        contact: By member instance: seconds since the last heartbeat that it
-            answered was sent; only known on the leader.
-    """
-
-    group: str
-    role: str
-    term: int
-    commit: int
-    applied: int
-    leader: str
-    lease_left: float
-    voters: list[types.Peer]
-    learners: list[types.Peer]
-    contact: dict[str, float]
-    settled: bool = True
-
-
 class GroupLog:
     """See `ports.log.ReplicatedLog`.
 
@@ -348,12 +323,17 @@
         """Returns what this instance holds for its groups; see `usage`."""
         return usage.held(self.driver) if self.driver else {}
 
-    def status(self) -> list[GroupStatus]:
+    def status(self) -> list[replication_status.GroupStatus]:
         """Returns the state of every group."""
         if self.driver is None:
             return []
         return [
-            self._status(group, self.driver.core.replicas[group])
+            replication_status.of_group(
+                self.driver.core.replicas[group],
+                self.position(group),
+                self.leader(group),
+                self.timers.now(),
+            )
             for group in self.names
         ]
 
@@ -414,27 +394,3 @@
                     replica.state, voter.replica, newcomer, self.timers.now()
                 )
         return False
-
-    def _status(self, group: str, replica: replicas.Replica) -> GroupStatus:
-        state = replica.state
-        position = self.position(group)
-        now = self.timers.now()
-        inside = any(
-            peer.replica == state.me for peer in state.configuration.peers()
-        )
-        return GroupStatus(
-            group,
-            state.role if inside else "outside",
-            position.term,
-            position.commit,
-            position.applied,
-            self.leader(group),
-            position.lease_left,
-            state.configuration.voters,
-            state.configuration.learners,
-            {
-                follower.instance: now - progress.acked
-                for follower, progress in state.progress.items()
-            },
-            state.configuration_index <= state.commit,
-        )
--- /dev/null
+++ b/src/mintcleat/roles/control/replication/status.py
@@ -0,0 +1,67 @@
+"""One group as an instance sees it, for operators."""
+
+from typing import NamedTuple
+
+from mintcleat.consensus import replica as replicas
+from mintcleat.consensus import types
+from mintcleat.ports import log
+
+# Role of an instance that holds no replica of the group.
+OUTSIDE = "outside"
+
+
+class GroupStatus(NamedTuple):
+    """One group as this instance sees it.
+
+    Attributes:
+        role: `leader`, `follower`, `candidate` or `pre-candidate`; `outside`
+            when this instance holds no replica of the group.
+        lease_left: Seconds; 0 on a follower.
+        settled: Whether the list of voters and learners is committed.
+        contact: By member instance: seconds since the last heartbeat that it
+            answered was sent; only known on the leader.
+    """
+
+    group: str
+    role: str
+    term: int
+    commit: int
+    applied: int
+    leader: str
+    lease_left: float
+    voters: list[types.Peer]
+    learners: list[types.Peer]
+    contact: dict[str, float]
+    settled: bool = True
+
+
+def of_group(
+    replica: replicas.Replica, position: log.Position, leader: str, now: float
+) -> GroupStatus:
+    """Returns how a group stands.
+
+    Args:
+        replica: This instance's replica of it.
+        position: Where that stands.
+        leader: The leader's stream address; empty when it is not known.
+        now: The clock of `replica`.
+    """
+    state = replica.state
+    peers = state.configuration.peers()
+    inside = any(peer.replica == state.me for peer in peers)
+    return GroupStatus(
+        state.group,
+        state.role if inside else OUTSIDE,
+        position.term,
+        position.commit,
+        position.applied,
+        leader,
+        position.lease_left,
+        state.configuration.voters,
+        state.configuration.learners,
+        {
+            follower.instance: now - progress.acked
+            for follower, progress in state.progress.items()
+        },
+        state.configuration_index <= state.commit,
+    )
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -24,6 +24,7 @@
 from mintcleat.roles.control.replication import (
     snapshots as replication_snapshots,
 )
+from mintcleat.roles.control.replication import status as replication_status
 
 
 class UnsyncedDisk(wal_disk.SystemDisk):
@@ -236,7 +237,7 @@
         still count the old voter, and can't bear the leader's loss.
         """
 
-        def settled() -> replication.GroupStatus | None:
+        def settled() -> replication_status.GroupStatus | None:
             status = self.leader().log.status()[0]
             return status if status.settled else None
 
