An empty range of a log is empty

The machine was not behind: a fault of the look, no state was wrong. No other caller asks for such a range. Change: it is empty; the check is unchanged.

--- a/src/mintcleat/consensus/entries.py
+++ b/src/mintcleat/consensus/entries.py
@@ -63,6 +63,8 @@
             ValueError: They begin below the base. A slice from there would
                 count from the end and give others, which would be applied.
         """
+        if last < first:
+            return []
         start = first - self.base_index - 1
         if start < 0:
             raise ValueError(f"Entry {first} is not after {self.base_index}.")
--- a/testing/test_consensus.py
+++ b/testing/test_consensus.py
@@ -55,6 +55,19 @@
         self.assertEqual([6, 7], [e.index for e in log.between(6, 7)])
         self.assertRaises(ValueError, log.between, 4, 7)
 
+    def test_empty_range_behind_a_snapshot_that_waits_is_empty(self) -> None:
+        """A replica has applied 4 and waits for a snapshot of 5.
+
+        Asked for what it applied after its base, the log counted from its end
+        and gave 6, which no machine had: a check took the machine for one
+        that was behind its replica.
+        """
+        log = entries.EntryLog()
+        log.reset(5, 1)
+        for index in (6, 7):
+            log.append(types.Entry(index, 1, types.COMMAND, b"%d" % index))
+        self.assertEqual([], log.between(6, 4))
+
 
 class ScheduleTest(testtools.TestCase):
     def test_fixed_schedules_break_no_guarantee(self) -> None:
