Reread: a state is read once for followers that ask together; silence is noted by its time

One reads at a time now (test: read twice before). - The control client kept until when an instance comes last and worked out from that when it had been silent; it keeps when it was, and both spans count from there.

--- a/src/mintcleat/roles/control/replication/snapshots.py
+++ b/src/mintcleat/roles/control/replication/snapshots.py
@@ -4,6 +4,7 @@
 from contextlib import AbstractContextManager
 from typing import NamedTuple
 
+from eventlet import semaphore
 from loguru import logger
 
 from mintcleat.consensus import replica as replicas
@@ -62,6 +63,7 @@
         guarded: Context that stops the replica when its body fails.
         saved: Called after a snapshot is taken into the log.
         lent: States that are being sent, and to how many followers.
+        reading: Held while a state is read to be lent.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.saved = saved
         self.growth: dict[str, Growth] = {}
         self.lent: dict[tuple[str, int], Lent] = {}
+        self.reading = semaphore.Semaphore(1)
 
     def borrow(self, group: str, index: int) -> bytes:
         """Returns a stored state; all that borrow it share one copy.
@@ -89,10 +92,12 @@
         After a loss of power that took disks, a leader sends its state to
         several followers at once, in the second in which it holds most.
         """
-        if (group, index) not in self.lent:
-            state = self.worker.run(self.wal.load_snapshot, group, index)
-            # Another follower's may have been read meanwhile.
-            self.lent.setdefault((group, index), Lent(state))
+        # One at a time: read for two followers at once, it would stand in
+        # memory twice until one of the copies is dropped.
+        with self.reading:
+            if (group, index) not in self.lent:
+                state = self.worker.run(self.wal.load_snapshot, group, index)
+                self.lent[group, index] = Lent(state)
         lent = self.lent[group, index]
         lent.users += 1
         return lent.state
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -1,5 +1,6 @@
 """Asks program groups: finds leaders, follows redirects, retries."""
 
+import math
 import secrets
 from typing import Any
 from typing import NamedTuple
@@ -172,7 +173,7 @@
         addresses: Stream addresses of the control instances.
         groups: How many program groups there are.
         leaders: The last known leader's address by group.
-        silent: Instances that did not answer, and until when they come last.
+        silent: Instances that did not answer, and when that was noted.
     """
 
     def __init__(
@@ -309,13 +310,12 @@
         leader = self.leaders.get(group)
         if leader:
             return leader
-        now = self.timers.now()
         asked = [one for one in self.addresses if not self._is_doubted(one)]
         asked = asked or self.addresses
         left = [one for one in asked if one not in tried]
         if not left:
             return ""
-        return min(left, key=lambda one: self.silent.get(one, 0.0) > now)
+        return min(left, key=lambda one: self._is_silent(one, SILENT_SECONDS))
 
     def _is_doubted(self, address: str) -> bool:
         """Tells whether an instance did not answer just now.
@@ -324,14 +324,17 @@
         next one is elected. Sent back to it by their word, a caller waits
         once more, and past the election.
         """
-        until = self.silent.get(address, 0.0)
-        noted = until - SILENT_SECONDS
-        return self.timers.now() < noted + self.try_seconds
+        return self._is_silent(address, self.try_seconds)
+
+    def _is_silent(self, address: str, seconds: float) -> bool:
+        noted = self.silent.get(address, -math.inf)
+        return self.timers.now() < noted + seconds
 
     def _note_silent(self, address: str) -> None:
         now = self.timers.now()
-        self.silent[address] = now + SILENT_SECONDS
-        for known in [one for one, at in self.silent.items() if at < now]:
+        self.silent[address] = now
+        oldest = now - max(SILENT_SECONDS, self.try_seconds)
+        for known in [one for one, at in self.silent.items() if at < oldest]:
             del self.silent[known]
 
     def _redirect(self, group: str, address: str, leader: str) -> None:
--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -7,8 +7,10 @@
 import shutil
 import tempfile
 import tracemalloc
+from typing import Any
 from unittest import mock
 
+import eventlet
 import testtools
 from testtools import matchers
 
@@ -379,6 +381,31 @@
         stored.give_back("g", 5)
         self.assertEqual({}, stored.lent)
 
+    def test_state_is_read_once_for_followers_that_ask_together(self) -> None:
+        read = []
+
+        class Wal:
+            def load_snapshot(self, group: str, index: int) -> bytes:
+                read.append((group, index))
+                return b"state"
+
+        class SlowDisk:
+            def run(self, function: Any, *args: Any) -> Any:
+                eventlet.sleep(0.01)
+                return function(*args)
+
+        stored = snapshots.Snapshots(
+            Wal(),
+            timers.EventletTimers(),
+            snapshots.Limits(),
+            guarded=contextlib.nullcontext,
+            saved=lambda: None,
+            worker=SlowDisk(),
+        )
+        threads = [eventlet.spawn(stored.borrow, "g", 5) for _ in range(2)]
+        self.assertEqual([b"state"] * 2, [one.wait() for one in threads])
+        self.assertEqual([("g", 5)], read)
+
     def test_snapshot_is_stored_without_a_copy_of_it(self) -> None:
         log = self.opened()
         state = os.urandom(16_000_000)
