--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import eventlet
+import testtools
 
 from fakes import platform_engine
 from mintcleat.adapters import settings
@@ -296,3 +297,19 @@
         if not block:
             return Answer(code, headers, body, False)
         rest += block
+
+
+class HostedTest(testtools.TestCase):
+    """A test with a system of its own."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.system = System()
+        self.addCleanup(self.system.stop)
+
+    def ready(self, *engines: tuple) -> list[platform_engine.Engine]:
+        """Puts the plan and adds engines; (name, service, script)."""
+        self.assertEqual(200, self.system.put(plan()).status)
+        found = [self.system.add(*engine) for engine in engines]
+        self.system.settle()
+        return found
--- a/testing/fakes/virtual_net.py
+++ b/testing/fakes/virtual_net.py
@@ -12,6 +12,7 @@
 import eventlet
 from testing.fakes import virtual_time
 
+from mintcleat.adapters import streams_connection
 from mintcleat.domain import codec
 from mintcleat.domain import errors
 from mintcleat.ports import streams as stream_ports
@@ -150,7 +151,7 @@
         self.other: VirtualExchange | None = None
         self.inbox: collections.deque[Any] = collections.deque()
         self.closed = False
-        self.waiting: eventlet.Event | None = None
+        self.arrived = streams_connection.Signal()
         connection.exchanges[self] = None
 
     def send(self, message: Any) -> None:
@@ -171,7 +172,7 @@
     def deliver(self, message: Any) -> None:
         if not self.closed:
             self.inbox.append(message)
-            self._wake()
+            self.arrived.send()
 
     def receive(self, timeout: float | None = None) -> Any:
         now = eventlet.hubs.get_hub().time
@@ -184,8 +185,7 @@
                 left = until - eventlet.hubs.get_hub().time
                 if left <= 0:
                     raise errors.StreamTimeout("No message came.")
-            self.waiting = self.waiting or eventlet.Event()
-            self.waiting.wait(left)
+            self.arrived.wait(left)
             self.life.check()
         self.life.check()
         message = self.inbox.popleft()
@@ -202,12 +202,7 @@
     def end(self) -> None:
         self.closed = True
         self.connection.exchanges.pop(self, None)
-        self._wake()
-
-    def _wake(self) -> None:
-        waiting, self.waiting = self.waiting, None
-        if waiting is not None:
-            waiting.send()
+        self.arrived.send()
 
 
 class VirtualStreams:
--- a/testing/test_config_stream.py
+++ b/testing/test_config_stream.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from testing.fakes import waiting_clock
 import testtools
 from testtools import matchers
 
@@ -14,30 +15,12 @@
 MOVE_AFTER = 0.6
 
 
-class Clock:
-    """A clock that moves when somebody waits."""
-
-    def __init__(self) -> None:
-        self.at = 0.0
-        self.due: list[tuple[float, Any]] = []
-
-    def now(self) -> float:
-        return self.at
-
-    def sleep(self, seconds: float) -> None:
-        self.at += seconds
-
-    def spawn(self, function: Any, *args: Any) -> None:
-        """Runs nothing: renewals are of no matter here."""
-
-    def after(self, seconds: float, callback: Any) -> None:
-        self.due.append((self.at + seconds, callback))
-
-
 class Node:
     """A `config_stream.Owner` that applies what it is given."""
 
-    def __init__(self, instance: str, revision: int, clock: Clock) -> None:
+    def __init__(
+        self, instance: str, revision: int, clock: waiting_clock.Clock
+    ) -> None:
         self.clock = clock
         self.lease = lease.Lease()
         self.revision = revision
@@ -70,7 +53,9 @@
     A configuration takes `transfer` seconds to arrive.
     """
 
-    def __init__(self, clock: Clock, serves_at: float, transfer: float) -> None:
+    def __init__(
+        self, clock: waiting_clock.Clock, serves_at: float, transfer: float
+    ) -> None:
         self.clock = clock
         self.serves_at = serves_at
         self.transfer = transfer
@@ -113,7 +98,7 @@
     instance: str = "e1",
 ) -> tuple[float, Node]:
     """Returns when a node has a configuration, and the node."""
-    clock = Clock()
+    clock = waiting_clock.Clock()
     instances = Instances(clock, serves_at, transfer)
     node = Node(instance, revision, clock)
     stream = config_stream.ConfigStream(
--- a/testing/test_hosted_lives.py
+++ b/testing/test_hosted_lives.py
@@ -4,8 +4,6 @@
 import time
 from typing import Any
 
-import testtools
-
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
@@ -19,11 +17,9 @@
     return False
 
 
-class LivesTest(testtools.TestCase):
+class LivesTest(platform_system.HostedTest):
     def setUp(self) -> None:
         super().setUp()
-        self.system = platform_system.System()
-        self.addCleanup(self.system.stop)
         self.assertEqual(200, self.system.put(platform_system.plan()).status)
 
     def start(
--- /dev/null
+++ b/testing/test_hosted_operators.py
@@ -0,0 +1,117 @@
+"""Operators' and upstreams' calls in the platform's protocol."""
+
+import json
+
+from fakes import platform_system
+
+
+class OperatorTest(platform_system.HostedTest):
+    def get(self) -> platform_system.Answer:
+        return self.system.ask_control("GET", "/v1/Configuration.Get")
+
+    def test_highest_version_wins_and_is_read_back_as_sent(self) -> None:
+        for version in (5, 3, 9, 9, 8):
+            plan = platform_system.plan(version)
+            self.assertEqual(200, self.system.put(plan).status)
+        self.assertEqual(platform_system.plan(9), self.get().json())
+
+    def test_other_content_under_the_version_held_changes_nothing(
+        self,
+    ) -> None:
+        self.system.put(platform_system.plan(4))
+        other = platform_system.plan(4, platform_system.route("new", "safe"))
+        self.assertEqual(200, self.system.put(other).status)
+        self.assertEqual(platform_system.plan(4), self.get().json())
+
+    def test_invalid_configurations_are_refused(self) -> None:
+        self.system.put(platform_system.plan(4))
+        whole = json.dumps(platform_system.plan(5)).encode()
+        route = platform_system.route
+        broken = {
+            "cut short": whole[: len(whole) // 2],
+            "unknown service": platform_system.plan(
+                5, route("a", "safe", service="none")
+            ),
+            "same place": platform_system.plan(
+                5, route("a", "safe"), route("b", "safe", pathPrefix="/a/")
+            ),
+            "no weight": platform_system.plan(
+                5,
+                route("a", "safe", split=[{"service": "desk", "weight": 0}]),
+            ),
+            "no time-out": platform_system.plan(
+                5, route("a", "safe", timeoutMs=0)
+            ),
+            "no object": b"[]",
+            "no text": b"\xff\xfe",
+        }
+        for name, plan in broken.items():
+            self.assertEqual(400, self.system.put(plan).status, name)
+        self.assertEqual(platform_system.plan(4), self.get().json())
+
+    def test_unknown_fields_are_let_be(self) -> None:
+        plan = platform_system.plan(4)
+        plan["later"] = {"any": 1}
+        plan["routes"][0]["later"] = 1
+        self.assertEqual(200, self.system.put(plan).status)
+        self.assertEqual(plan, self.get().json())
+
+    def test_nothing_to_read_back_is_not_an_empty_configuration(self) -> None:
+        self.assertEqual(503, self.get().status)
+
+    def test_changed_route_is_in_force_at_the_entry(self) -> None:
+        self.ready(("e1", "desk"), ("e2", "lm"))
+        moved = platform_system.route("safe", "safe", service="lm")
+        self.system.put(platform_system.plan(2, moved))
+        self.system.settle()
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(b"e2 /safe/a", answer.body)
+
+    def test_draining_upstream_gets_nothing_once_that_is_acknowledged(
+        self,
+    ) -> None:
+        first, second = self.ready(("e1", "desk"), ("e2", "desk"))
+        answer = self.system.beat(first, "desk", "draining")
+        self.assertEqual(200, answer.status)
+        self.system.settle()
+        for number in range(10):
+            self.system.call("GET", "/safe/a", request=f"r{number}")
+        self.assertEqual((0, 10), (len(first.seen), len(second.seen)))
+
+    def test_late_heartbeat_does_not_revive_an_upstream_that_left(
+        self,
+    ) -> None:
+        first, _ = self.ready(("e1", "desk"), ("e2", "desk"))
+        self.system.leave(first)
+        self.assertEqual(200, self.system.beat(first, "desk").status)
+        self.system.settle()
+        self.assertNotIn("e1", self.system.entry.follower.registered.entries)
+
+    def test_late_heartbeat_does_not_end_a_drain(self) -> None:
+        first, _ = self.ready(("e1", "desk"), ("e2", "desk"))
+        self.system.beat(first, "desk", "draining", sequence=90)
+        self.system.beat(first, "desk", "ready", sequence=80)
+        self.system.settle()
+        entries = self.system.entry.follower.registered.entries
+        self.assertEqual("draining", entries["e1"].state)
+
+    def test_new_life_at_an_address_ends_the_one_before(self) -> None:
+        (engine,) = self.ready(("e1", "desk"))
+        engine.name = "e9"
+        self.system.beat(engine, "lm")
+        self.system.settle()
+        entries = self.system.entry.follower.registered.entries
+        self.assertEqual({"e9"}, set(entries))
+
+    def test_unreadable_heartbeat_is_refused(self) -> None:
+        path = "/v1/Instances.Heartbeat/e1"
+        answer = self.system.ask_control("POST", path, b"{")
+        self.assertEqual(400, answer.status)
+
+    def test_emptying_tells_unknown_and_too_few(self) -> None:
+        ask = self.system.ask_control
+        body = b'{"durationS": 10}'
+        self.assertEqual(404, ask("POST", "/v1/Retire.Start/x", body).status)
+        self.assertEqual(
+            409, ask("POST", "/v1/Retire.Start/store-1", body).status
+        )
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -5,12 +5,10 @@
 import pathlib
 import shutil
 import tempfile
-import time
 from typing import Any
 
 import eventlet
 import testtools
-from testtools import matchers
 
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
@@ -19,7 +17,6 @@
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import identities
-from mintcleat.roles.control.replication import links as replication_links
 from mintcleat.roles.control.replication import replication
 from mintcleat.roles.control.replication import (
     snapshots as replication_snapshots,
@@ -411,91 +408,3 @@
 
     def sync(self, descriptor: int) -> None:
         raise OSError(errno.EIO, "injected")
-
-
-class LinksTest(testtools.TestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.frames: list[bytes] = []
-        self.server = streams.TcpStreams("127.0.0.1:0")
-        self.client = streams.TcpStreams("127.0.0.1:0")
-        self.addCleanup(self.server.stop)
-        self.addCleanup(self.client.stop)
-        clock = timers.EventletTimers()
-        replication_links.Links(self.server, clock, self.frames.append)
-        self.links = replication_links.Links(
-            self.client, clock, self.frames.append
-        )
-        self.addCleanup(self.links.stop)
-
-    def test_large_frame_arrives_whole_beside_small_ones(self) -> None:
-        large = bytes(range(256)) * 12_000
-        ended: list[bool] = []
-        self.links.send_bulk(
-            self.server.address, (large[:9], large[9:]), ended.append
-        )
-        for number in range(3):
-            self.links.send(self.server.address, b"%d" % number)
-        for _ in range(500):
-            if len(self.frames) == 4:
-                break
-            eventlet.sleep(0.01)
-        self.assertEqual([True], ended)
-        self.assertIn(large, self.frames)
-        small = [frame for frame in self.frames if frame != large]
-        self.assertEqual([b"0", b"1", b"2"], small)
-
-    def test_peer_that_reads_nothing_never_blocks_the_sender(self) -> None:
-        """A peer accepts the connection and then reads nothing.
-
-        The socket's buffers fill; frames beyond the bounded queue are
-        dropped, and the caller goes on at once.
-        """
-        listener = eventlet.listen(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-        host, port = listener.getsockname()
-        for _ in range(1000):
-            self.links.send(f"{host}:{port}", bytes(100_000))
-            eventlet.sleep(0)
-        link = self.links.links[f"{host}:{port}"]
-        self.assertTrue(link.queue.full())
-        # What waits is told, so that a peer like this one can be found.
-        queued = link.queue.qsize() * 100_000
-        self.assertEqual(queued, self.links.queued_bytes())
-
-    def test_peer_that_calls_is_dialled_before_the_pause_is_over(self) -> None:
-        """All processes start anew, each at a time of its own.
-
-        A link that found nobody pauses, longer each time, and drops what
-        waited. Its peer starts meanwhile and greets; an election waits for
-        the frames that go the other way.
-        """
-        taken = streams.TcpStreams("127.0.0.1:0")
-        address = taken.address
-        taken.stop()
-        eventlet.sleep(0.01)
-        self.links.send(address, b"early")
-        link = self.links.links[address]
-        while link.failures < 3:
-            self.links.send(address, b"early")
-            eventlet.sleep(0.005)
-        peer = streams.TcpStreams(address)
-        self.addCleanup(peer.stop)
-        frames: list[bytes] = []
-        replication_links.Links(peer, timers.EventletTimers(), frames.append)
-        self.links.send(address, b"waits")
-        began = time.monotonic()
-        self.links.heard(address)
-        while not frames and time.monotonic() - began < 2.0:
-            self.links.send(address, b"asks")
-            eventlet.sleep(0.005)
-        self.assertTrue(frames)
-        self.assertThat(time.monotonic() - began, matchers.LessThan(0.15))
-
-    def test_snapshot_to_an_unreachable_peer_is_reported(self) -> None:
-        gone = streams.TcpStreams("127.0.0.1:0")
-        gone.stop()
-        ended: list[bool] = []
-        self.links.send_bulk(gone.address, (b"state",), ended.append)
-        eventlet.sleep(0.2)
-        self.assertEqual([False], ended)
--- a/testing/test_transfer.py
+++ b/testing/test_transfer.py
@@ -4,6 +4,7 @@
 import random
 from typing import Any
 
+from testing.fakes import waiting_clock
 import testtools
 from testtools import matchers
 
@@ -27,32 +28,12 @@
 TIMES = lease.Times(1.2, 0.3, 0.15, MOVE_AFTER, 4.0)
 
 
-class Clock:
-    """A clock that moves when somebody waits."""
-
-    def __init__(self) -> None:
-        self.at = 0.0
-
-    def now(self) -> float:
-        return self.at
-
-    def wall(self) -> float:
-        return self.at
-
-    def sleep(self, seconds: float) -> None:
-        self.at += seconds
-
-    def spawn(self, function: Any, *args: Any) -> None:
-        """Runs nothing: an exchange reports for the node."""
-
-    def after(self, seconds: float, callback: Any) -> None:
-        """Calls nothing: nodes are watched until they can serve."""
-
-
 class Source:
     """What an instance serves that leads."""
 
-    def __init__(self, clock: Clock, served: document.Document) -> None:
+    def __init__(
+        self, clock: waiting_clock.Clock, served: document.Document
+    ) -> None:
         self.clock = clock
         self.served = served
         self.table = members.Table()
@@ -132,7 +113,7 @@
     def __init__(
         self, served: list[document.Document], until: float = float("inf")
     ) -> None:
-        self.clock = Clock()
+        self.clock = waiting_clock.Clock()
         self.until = until
         self.carried = 0.0
         self.feeds = {
