--- a/testing/test_consensus.py
+++ b/testing/test_consensus.py
@@ -7,6 +7,7 @@
 import testtools
 
 import explorer
+from fakes import core_cluster
 from mintcleat.consensus import entries
 from mintcleat.consensus import messages as wire
 from mintcleat.consensus import outbox
@@ -22,8 +23,8 @@
 STEPS = ("write", "read", "cut", "heal", "crash", "restart", "stall", "wait")
 
 
-def settled() -> explorer.Cluster:
-    cluster = explorer.Cluster(1)
+def settled() -> core_cluster.Cluster:
+    cluster = core_cluster.Cluster(1)
     cluster.run(3.0)
     return cluster
 
@@ -103,7 +104,7 @@
         proposed = []
         for number, (step, which) in enumerate(steps):
             command = b"%d" % number
-            if play(cluster, step, explorer.NAMES[which], command):
+            if play(cluster, step, core_cluster.NAMES[which], command):
                 proposed.append(command)
             cluster.run(0.15)
         explorer.Schedule(cluster).must_recover()
@@ -115,7 +116,7 @@
 
 
 def play(
-    cluster: explorer.Cluster, step: str, name: str, command: bytes
+    cluster: core_cluster.Cluster, step: str, name: str, command: bytes
 ) -> bool:
     node = cluster.nodes[name]
     match step:
--- a/testing/test_consensus_safeguards.py
+++ b/testing/test_consensus_safeguards.py
@@ -1,6 +1,6 @@
 """Each safeguard of the core, and what happens without it.
 
-A scenario raises `explorer.Fault` when a guarantee is broken. Each test runs
+A scenario raises `Fault` when a guarantee is broken. Each test runs
 it with the safeguard, and shows that it fails once that is taken out.
 """
 
@@ -12,7 +12,7 @@
 import testtools
 from testtools import matchers
 
-import explorer
+from fakes import core_cluster
 from mintcleat.consensus import messages as wire
 from mintcleat.consensus import state
 from mintcleat.consensus import types
@@ -22,18 +22,18 @@
 
 def settled(
     safeguards: types.Safeguards, incarnations: bool
-) -> tuple[explorer.Cluster, explorer.Node, list[explorer.Node]]:
+) -> tuple[core_cluster.Cluster, core_cluster.Node, list[core_cluster.Node]]:
     """Returns a cluster, its leader and the two other voters."""
-    cluster = explorer.Cluster(1, safeguards, incarnations)
+    cluster = core_cluster.Cluster(1, safeguards, incarnations)
     cluster.run(3.0)
     leader = cluster.leader()
     return cluster, leader, [n for n in cluster.voters() if n is not leader]
 
 
 def follower_returns(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     term = leader.core.replicas["g"].state.term
     cluster.isolate(others[0].name)
@@ -41,13 +41,13 @@
     cluster.blocked.clear()
     cluster.run(0.5)
     if cluster.leader().core.replicas["g"].state.term != term:
-        raise explorer.Fault("a returning follower unseated the leader")
+        raise core_cluster.Fault("a returning follower unseated the leader")
 
 
 def late_answers(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     for other in others:
         cluster.extra_delay[other.name, leader.name] = 0.9
@@ -58,9 +58,9 @@
 
 
 def power_fails_before_the_sync(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     holder, cut = others
     cluster.isolate(cut.name)
@@ -75,9 +75,9 @@
 
 
 def disk_is_emptied(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     holder, cut = others
     cluster.isolate(cut.name)
@@ -92,13 +92,13 @@
     leader.start()
     cluster.run(4.0)
     if cluster.answers["g"] != [b"kept"]:
-        raise explorer.Fault(f"{cluster.answers['g']} came through")
+        raise core_cluster.Fault(f"{cluster.answers['g']} came through")
 
 
 def second_loss_within_repair(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     cut, lost = others
     state = leader.core.replicas["g"].state
@@ -117,16 +117,16 @@
     cluster.blocked.clear()
     cluster.run(5.0)
     if not cluster.write(cluster.leader().name, "g", b"later"):
-        raise explorer.Fault("no leader takes proposals")
+        raise core_cluster.Fault("no leader takes proposals")
     cluster.run(0.5)
     if cluster.answers["g"] != [b"kept", b"later"]:
-        raise explorer.Fault(f"only {cluster.answers['g']} came through")
+        raise core_cluster.Fault(f"only {cluster.answers['g']} came through")
 
 
 def voter_restarts(
-    cluster: explorer.Cluster,
-    leader: explorer.Node,
-    others: list[explorer.Node],
+    cluster: core_cluster.Cluster,
+    leader: core_cluster.Node,
+    others: list[core_cluster.Node],
 ) -> None:
     for _ in range(20):
         # Whoever leads by now: a round may end with another leader.
@@ -153,7 +153,7 @@
         """Runs a scenario with every safeguard, and with one taken out."""
         scenario(*settled(ALL, True))
         self.assertRaises(
-            explorer.Fault, scenario, *settled(safeguards, incarnations)
+            core_cluster.Fault, scenario, *settled(safeguards, incarnations)
         )
 
     def test_pre_vote_keeps_the_leader_when_a_follower_returns(self) -> None:
@@ -219,7 +219,7 @@
 
         broken = settled(ALL, True)
         self.patch(state.State, "__init__", forgetful)
-        self.assertRaises(explorer.Fault, voter_restarts, *broken)
+        self.assertRaises(core_cluster.Fault, voter_restarts, *broken)
 
 
 class ColdStartTest(testtools.TestCase):
@@ -240,7 +240,7 @@
             stagger: Longest time between the first start and the last.
             wipe: Whether the leader's disk is lost besides.
         """
-        cluster = explorer.Cluster(seed)
+        cluster = core_cluster.Cluster(seed)
         cluster.run(3.0)
         nodes = [n for n in cluster.nodes.values() if n.core is not None]
         former = cluster.leader()
@@ -261,10 +261,10 @@
             cluster.run(0.01)
             try:
                 cluster.leader()
-            except explorer.Fault:
+            except core_cluster.Fault:
                 continue
             return max(0.0, cluster.time - ready)
-        raise explorer.Fault("nobody leads after 5 s")
+        raise core_cluster.Fault("nobody leads after 5 s")
 
     def test_former_leader_leads_again_at_once(self) -> None:
         # 0.50 to 0.98 s, mean 0.66, while all voters waited for the lease.
@@ -326,7 +326,7 @@
         self.assertEqual([False], granted(voter))
 
 
-def granted(node: explorer.Node) -> list[bool]:
+def granted(node: core_cluster.Node) -> list[bool]:
     """Takes a node's answers to questions before votes."""
     letters = node.core.box.take().early
     return [
