Reread: a start reads the log's last segment once

It was scanned to find its end and read again for its records. The test of drawn damage now also compares both readings.

--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -67,10 +67,12 @@
             if identity is None:
                 return wal.Recovery(self._format(node), [], formatted=True)
             numbers = self._recover()
-            cut = self._cut_tail(numbers)
-            records = self._records(numbers)
+            last, cut = self._open_last(numbers)
             return wal.Recovery(
-                identity, records, cut_bytes=cut, size=self.size()
+                identity,
+                self._records(numbers[:-1], last),
+                cut_bytes=cut,
+                size=self.size(),
             )
 
     def append(self, records: Iterable[bytes]) -> None:
@@ -212,32 +214,33 @@
             raise errors.StorageDamaged("The log has lost a segment.")
         return kept
 
-    def _cut_tail(self, numbers: list[int]) -> int:
-        """Ends the last segment after its last whole record.
+    def _open_last(self, numbers: list[int]) -> tuple[list[bytes], int]:
+        """Ends the last segment after its last whole record, to go on there.
 
         Returns:
-            The length of what was cut off.
+            Its records, and the length of what was cut off.
         """
         sizes = [self._path(number).stat().st_size for number in numbers]
         self.closed_bytes = sum(sizes[:-1])
         self.number = numbers[-1]
         path = self._path(self.number)
-        end = wal_segment.end_of(path.read_bytes(), path.name)
+        records, end = wal_segment.last_records(path.read_bytes(), path.name)
         cut = sizes[-1] - end
         if cut:
             os.truncate(path, end)
         self._continue(path, end, self._header(self.number).salt)
         self.disk.sync(self.descriptor)
         self._remove_below(numbers[0])
-        return cut
+        return records, cut
 
-    def _records(self, numbers: list[int]) -> Iterator[bytes]:
-        """Yields every record; one segment is in memory at a time."""
-        for number in numbers:
+    def _records(self, closed: list[int], last: list[bytes]) -> Iterator[bytes]:
+        """Yields every record; one closed segment is in memory at a time."""
+        for number in closed:
             path = self._path(number)
             with self._guard():
                 data = path.read_bytes()
             yield from wal_segment.records(data, path.name)
+        yield from last
 
     def _next_segment(self) -> None:
         closed, size = self.descriptor, self.offset
--- a/src/mintcleat/adapters/wal_segment.py
+++ b/src/mintcleat/adapters/wal_segment.py
@@ -76,8 +76,8 @@
         raise _damaged(name, end)
 
 
-def end_of(data: bytes, name: str) -> int:
-    """Returns the offset after the last whole record of the last segment.
+def last_records(data: bytes, name: str) -> tuple[list[bytes], int]:
+    """Returns the whole records of the last segment, and where they end.
 
     Only the last segment may end in a torn tail, which was never synced and
     so never acknowledged. A batch is written only after the one before it was
@@ -88,13 +88,15 @@
     Raises:
         errors.StorageDamaged: A record that had been synced is unreadable.
     """
+    found = []
     end = HEADER_SIZE
     salt = _salt(data, name)
-    for offset, _ in _whole(data, salt):
+    for offset, record in _whole(data, salt):
+        found.append(record)
         end = offset
     if end < len(data) and _synced_after(data, salt, end):
         raise _damaged(name, end)
-    return end
+    return found, end
 
 
 def _whole(data: bytes, salt: int) -> Iterator[tuple[int, bytes]]:
--- a/testing/test_wal_segment.py
+++ b/testing/test_wal_segment.py
@@ -28,8 +28,9 @@
 
 def read(data: bytes) -> tuple[list[bytes], int]:
     """Returns the records of a last segment, and where the last one ends."""
-    end = wal_segment.end_of(data, "s")
-    return list(wal_segment.records(data[:end], "s")), end
+    found, end = wal_segment.last_records(data, "s")
+    assert found == list(wal_segment.records(data[:end], "s"))
+    return found, end
 
 
 @hypothesis.given(BATCHES, strategies.integers(0, 10_000))
