--- a/src/mintcleat/ports/events.py
+++ b/src/mintcleat/ports/events.py
@@ -16,3 +16,6 @@
 
     def emit(self, event: Any) -> None:
         """Drops the event."""
+
+
+SILENT = Silent()
--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -42,9 +42,6 @@
 OFFICE_STEP = 10**9
 
 
-SILENT = event_ports.Silent()
-
-
 class ConfigService:
     """Serves nodes and operators; a `config_feed.Source`.
 
@@ -65,7 +62,7 @@
         timers: timer_ports.Timers,
         replica: machine.ConfigMachine | None = None,
         times: lease.Times = lease.DEFAULT,
-        events: event_ports.Events = SILENT,
+        events: event_ports.Events = event_ports.SILENT,
     ) -> None:
         self.times = times
         self.events = events
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -49,7 +49,6 @@
     rewrite_bytes: int = 16 * 1024 * 1024
 
 
-SILENT = event_ports.Silent()
 # A larger command would hold the loop and the disk for too long.
 MAX_COMMAND = 16 * 1024 * 1024
 
@@ -100,7 +99,7 @@
         options: Options,
         worker: wal_ports.Worker,
         own: types.Member | None = None,
-        events: event_ports.Events = SILENT,
+        events: event_ports.Events = event_ports.SILENT,
         worked: Callable[[], None] = lambda: None,
     ) -> None:
         self.worked = worked
--- a/src/mintcleat/roles/control/replication/replication.py
+++ b/src/mintcleat/roles/control/replication/replication.py
@@ -24,7 +24,6 @@
 from mintcleat.roles.control.replication import status as replication_status
 from mintcleat.roles.control.replication import usage
 
-SILENT = event_ports.Silent()
 Member = types.Member
 Options = replication_driver.Options
 
@@ -57,7 +56,7 @@
         options: replication_driver.Options | None = None,
         worker: wal_ports.Worker | None = None,
         own: types.Member | None = None,
-        events: event_ports.Events = SILENT,
+        events: event_ports.Events = event_ports.SILENT,
     ) -> None:
         self.events = events
         self.node = node
--- a/src/mintcleat/roles/control/replication/telling.py
+++ b/src/mintcleat/roles/control/replication/telling.py
@@ -61,11 +61,11 @@
         newest = entry.index == state.configuration_index
         if not newest and state.role != types.LEADER:
             return
-        before = replica.state.configuration_at(entry.index - 1)
+        before = state.configuration_at(entry.index - 1)
         after = records.configuration(entry.data)
         self.events.emit(
             event_types.VotersChanged(
-                replica.state.group,
+                state.group,
                 entry.index,
                 entry.term,
                 _names(after.voters),
