--- a/bench/config_processes.py
+++ b/bench/config_processes.py
@@ -23,7 +23,7 @@
 CONTROLS = 3
 WAY = {"nodes": "stream", "pollers": "polling"}
 NODES_PER_PROCESS = 125
-# What one service and one partner add to a manifest, in bytes, about.
+# What one service and one customer add to a manifest, in bytes, about.
 SMALL = 10_000
 
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -124,8 +124,8 @@
     """
     return [
         min(ended, end_of_run) - arrived
-        for arrived, ended, partner, _, paused in result.records
-        if start <= arrived < end and paused < math.inf and partner != skip
+        for arrived, ended, customer, _, paused in result.records
+        if start <= arrived < end and paused < math.inf and customer != skip
     ]
 
 
@@ -164,21 +164,21 @@
 def burst_run(
     name: str, policy: policy_world.Policy, seed: int, factor: float
 ) -> dict[str, float]:
-    """Runs one partner at `factor` times its share for 100 s."""
+    """Runs one customer at `factor` times its share for 100 s."""
     deployment = policy_load.DEPLOYMENTS[name]
     generator = policy_load.Generator(deployment, seed)
     world = policy_world.World(deployment, policy)
     usual = rate(deployment, 0.7)
     for at in generator.arrivals(usual, 0.0, ARRIVALS):
         world.at(at, world.arrive, generator.program())
-    partner = policy_load.PARTNERS[0]
-    more = (factor - 1) * usual / len(policy_load.PARTNERS)
+    customer = policy_load.CUSTOMERS[0]
+    more = (factor - 1) * usual / len(policy_load.CUSTOMERS)
     if more > 0:
         other = policy_load.Generator(deployment, 1000 + seed)
         other.count = 10**6
         for at in other.arrivals(more, 150.0, 250.0):
-            world.at(at, world.arrive, other.program(partner))
-    return measured(world, skip=partner, start=150.0)
+            world.at(at, world.arrive, other.program(customer))
+    return measured(world, skip=customer, start=150.0)
 
 
 def slow_run(
@@ -310,7 +310,7 @@
             _ratios("full / strong", full, strong)
 
     def burst(self, seeds: int = 20, jobs: int = 3) -> None:
-        """One partner at 10 times its share; the others' latency."""
+        """One customer at 10 times its share; the others' latency."""
         for name in policy_load.DEPLOYMENTS:
             for policy in (STRONG, FULL):
                 rows = [(name, policy, factor) for factor in (1.0, 10.0)]
@@ -431,12 +431,12 @@
 
 def _call(number: int) -> calls.Call:
     name = f"p{number}"
-    partner = f"partner{number % 4200}"
+    customer = f"customer{number % 4200}"
     return calls.Call(
         f"c{number}",
         name,
         name,
-        partner,
+        customer,
         "a",
         attained=number % 5000 + 1,
         prompt_tokens=3000,
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -27,7 +27,7 @@
 
     name: str
     agent: str
-    partner: str
+    customer: str
     klass: str
     steps: list[Step]
 
@@ -71,7 +71,7 @@
     agents: list[Agent]
 
 
-PARTNERS = ["north", "south", "east", "west"]
+CUSTOMERS = ["north", "south", "east", "west"]
 HANG_CHANCE = 0.002
 
 BREAKDOWN = Deployment(
@@ -200,12 +200,12 @@
         self.agents = {agent.name: agent for agent in deployment.agents}
         self.count = 0
 
-    def program(self, partner: str = "", agent: str = "") -> Program:
+    def program(self, customer: str = "", agent: str = "") -> Program:
         """Returns the next program."""
         names = list(self.agents)
         weights = [self.agents[name].share for name in names]
         chosen = agent or self.random.choices(names, weights)[0]
-        return self._draw(chosen, partner or self.random.choice(PARTNERS))
+        return self._draw(chosen, customer or self.random.choice(CUSTOMERS))
 
     def arrivals(self, rate: float, start: float, end: float) -> list[float]:
         """Returns Poisson arrival times."""
@@ -216,24 +216,24 @@
             now += self.random.expovariate(rate)
         return times
 
-    def _draw(self, name: str, partner: str) -> Program:
+    def _draw(self, name: str, customer: str) -> Program:
         agent = self.agents[name]
         self.count += 1
         number = self.count
         turns = self.random.randint(*agent.turns)
         steps = [
-            self._step(agent, partner, agent.new if turn else agent.first)
+            self._step(agent, customer, agent.new if turn else agent.first)
             for turn in range(turns)
         ]
         steps[-1] = steps[-1]._replace(pause=0.0, child=None)
-        return Program(f"p{number}", name, partner, agent.klass, steps)
+        return Program(f"p{number}", name, customer, agent.klass, steps)
 
-    def _step(self, agent: Agent, partner: str, new: tuple[int, int]) -> Step:
+    def _step(self, agent: Agent, customer: str, new: tuple[int, int]) -> Step:
         draw = self.random
         child_agent, chance = agent.child
         child = None
         if draw.random() < chance:
-            child = self._draw(child_agent, partner)
+            child = self._draw(child_agent, customer)
         tools = [tool for tool, *_ in agent.tools]
         shares = [share for _, share, *_ in agent.tools]
         tool = draw.choices(tools, shares)[0]
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -62,7 +62,7 @@
     """What a run gave; latencies by program, in arrival order.
 
     Attributes:
-        records: (arrival, end or inf, partner, agent, pauses, service).
+        records: (arrival, end or inf, customer, agent, pauses, service).
         wasted: Prompt tokens computed again.
         done_service: (time, engine seconds) of each useful call.
         late: Calls that ended after their deadline, and admitted calls.
@@ -455,7 +455,7 @@
             job.call_id,
             program.spec.name,
             program.root.spec.name,
-            program.spec.partner,
+            program.spec.customer,
             program.spec.agent,
             program.spec.klass,
             job.deadline,
@@ -561,7 +561,7 @@
     def result(self) -> Result:
         """Returns what the run gave so far."""
         records = [
-            (p.arrived, p.ended, p.spec.partner, p.spec.agent, p.paused)
+            (p.arrived, p.ended, p.spec.customer, p.spec.agent, p.paused)
             for p in self.programs
         ]
         return Result(
--- a/src/mintcleat/adapters/caller_http.py
+++ b/src/mintcleat/adapters/caller_http.py
@@ -204,7 +204,7 @@
         raise errors.BadRequest("`class` must be interactive or batch.")
     return requests.NewProgram(
         program=text(body, "id"),
-        partner=text(body, "partner"),
+        customer=text(body, "customer"),
         agent=text(body, "agent"),
         klass=klass,
         parent=text(body, "parent"),
@@ -237,7 +237,7 @@
     return requests.ServiceCall(
         request=request_id,
         program=http_request.header(environ, "Mintcleat-Program"),
-        partner=http_request.header(environ, "Mintcleat-Partner"),
+        customer=http_request.header(environ, "Mintcleat-Customer"),
         service=service,
         key=http_request.header(environ, "Idempotency-Key"),
         method=environ["REQUEST_METHOD"],
@@ -264,7 +264,7 @@
     """Returns a program as callers see it."""
     return {
         "id": view.program,
-        "partner": view.partner,
+        "customer": view.customer,
         "agent": view.agent,
         "class": view.klass,
         "parent": view.parent or None,
--- a/src/mintcleat/adapters/chat_http.py
+++ b/src/mintcleat/adapters/chat_http.py
@@ -32,7 +32,7 @@
     return requests.ChatCall(
         request=request_id,
         program=program,
-        partner=http_request.header(environ, "Mintcleat-Partner"),
+        customer=http_request.header(environ, "Mintcleat-Customer"),
         model=http_request.typed(body.get("model"), "model", str, ""),
         turn=turn,
         key=http_request.header(environ, "Idempotency-Key"),
--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from mintcleat.configuration import sections
 from mintcleat.domain import member_messages
 
 
@@ -249,4 +250,14 @@
 def decode(data: bytes) -> Any:
     """Returns the typed command that `encode` made these bytes from."""
     items = msgspec.msgpack.decode(data)
-    return msgspec.convert(items[1:], KINDS[items[0] - 1])
+    command = msgspec.convert(items[1:], KINDS[items[0] - 1])
+    match command:
+        case Push(changed=changed, removed=removed):
+            return command._replace(
+                changed=sections.upgraded(changed),
+                removed=list(sections.upgraded_keys(dict.fromkeys(removed))),
+            )
+        case PushVersion():
+            held = sections.upgraded(command.sections)
+            return command._replace(sections=held)
+    return command
--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -166,9 +166,9 @@
         """Takes what `state` returned."""
         self.cached.clear()
         self.revision = state[0]
-        self.sections = state[1]
-        self.changed_at = state[2]
-        self.removed_at = state[3]
+        self.sections = sections.upgraded(state[1])
+        self.changed_at = sections.upgraded_keys(state[2])
+        self.removed_at = sections.upgraded_keys(state[3])
         self.horizon = state[4]
         self.pushes = {key: Accepted(*push) for key, push in state[5].items()}
         # Releases without numbered pushes end before these.
--- a/src/mintcleat/configuration/sections.py
+++ b/src/mintcleat/configuration/sections.py
@@ -1,7 +1,7 @@
 """A manifest as many small sections, so that only what changed travels.
 
-A section is one program, service, partner or route, the limits, or all other
-policies. Its key is `programs/NAME`, `services/NAME`, `partners/NAME`,
+A section is one program, service, customer or route, the limits, or all other
+policies. Its key is `programs/NAME`, `services/NAME`, `customers/NAME`,
 `routes/NAME`, `limits` or `policies`; its value is JSON text with sorted keys.
 """
 
@@ -15,18 +15,21 @@
 
 PROGRAMS = "programs"
 SERVICES = "services"
-PARTNERS = "partners"
+CUSTOMERS = "customers"
 ROUTES = "routes"
 LIMITS = "limits"
 POLICIES = "policies"
 _TYPES: dict[str, Any] = {
     PROGRAMS: manifest.Program,
     SERVICES: manifest.Service,
-    PARTNERS: manifest.Partner,
+    CUSTOMERS: manifest.Customer,
     ROUTES: manifest.Route,
     LIMITS: manifest.Limits,
     POLICIES: manifest.Policies,
 }
+# Names that releases before the present ones gave to sections and policies.
+_RENAMED = {"partners": CUSTOMERS}
+_RENAMED_POLICY = ('"default_partner":', '"default_customer":')
 
 
 class Delta(NamedTuple):
@@ -38,7 +41,7 @@
 
 def split(whole: manifest.Manifest) -> dict[str, str]:
     """Returns the sections of a manifest."""
-    bare = msgspec.structs.replace(whole.policies, partners={})
+    bare = msgspec.structs.replace(whole.policies, customers={})
     sections = {POLICIES: _text(bare)}
     if whole.limits != manifest.Limits():
         sections[LIMITS] = _text(whole.limits)
@@ -46,7 +49,7 @@
         (PROGRAMS, whole.programs),
         (SERVICES, whole.services),
         (ROUTES, whole.routes),
-        (PARTNERS, whole.policies.partners),
+        (CUSTOMERS, whole.policies.customers),
     )
     for group, items in groups:
         for name, item in items.items():
@@ -54,6 +57,28 @@
     return sections
 
 
+def upgraded(stored: dict[str, str]) -> dict[str, str]:
+    """Returns sections that an earlier release stored, under today's names.
+
+    An instance that could not read its own disk after an upgrade would have
+    to be emptied, and a majority of such instances would lose the manifest.
+    """
+    found = upgraded_keys(stored)
+    old, new = _RENAMED_POLICY
+    if POLICIES in found:
+        found[POLICIES] = found[POLICIES].replace(old, new)
+    return found
+
+
+def upgraded_keys(stored: dict[str, Any]) -> dict[str, Any]:
+    """Returns what is kept by section, under today's names of sections."""
+    found = {}
+    for key, value in stored.items():
+        group, slash, name = key.partition("/")
+        found[_RENAMED.get(group, group) + slash + name] = value
+    return found
+
+
 def difference(before: dict[str, str], after: dict[str, str]) -> Delta:
     """Returns what turns `before` into `after`."""
     changed = {
@@ -104,7 +129,7 @@
             routes=dict(self.typed[ROUTES]),
             limits=self.typed[LIMITS].get("") or manifest.Limits(),
             policies=msgspec.structs.replace(
-                policies, partners=dict(self.typed[PARTNERS])
+                policies, customers=dict(self.typed[CUSTOMERS])
             ),
         )
 
--- a/src/mintcleat/decisions/admit.py
+++ b/src/mintcleat/decisions/admit.py
@@ -1,8 +1,8 @@
-"""Whether a call may wait here at all, and whose turn it is among partners.
+"""Whether a call may wait here at all, and whose turn it is among customers.
 
-Made for partners who send large batches without warning, and for an offered
+Made for customers who send large batches without warning, and for an offered
 load above capacity. Both would otherwise fill the queue with work that ends
-after its deadline, and put every other partner behind it.
+after its deadline, and put every other customer behind it.
 """
 
 from typing import NamedTuple
@@ -43,7 +43,7 @@
         wait: Predicted wait in the queue.
         service: Predicted service time.
         max_wait: Wait beyond which nothing is queued.
-        over_share: Whether the partner uses more than its share.
+        over_share: Whether the customer uses more than its share.
     """
 
     wait: float
@@ -82,7 +82,7 @@
 
 
 class FairClock:
-    """Start-time fair queueing among flows (partners or classes).
+    """Start-time fair queueing among flows (customers or classes).
 
     Each backlogged flow gets service in proportion to its weight (published
     as start-time fair queueing, a form of weighted fair queueing). What idle
@@ -135,7 +135,7 @@
     def forget_idle(self) -> None:
         """Forgets flows at rest whose tag the clock has passed.
 
-        Thousands of partners come and go; the few that matter are those with
+        Thousands of customers come and go; the few that matter are those with
         calls waiting or ahead of the clock.
         """
         if len(self.starts) <= _REMEMBERED + len(self.weights):
--- a/src/mintcleat/decisions/calls.py
+++ b/src/mintcleat/decisions/calls.py
@@ -34,7 +34,7 @@
     call_id: str
     program: str
     root: str
-    partner: str
+    customer: str
     agent: str
     klass: str = INTERACTIVE
     deadline_at: float = NEVER
--- a/src/mintcleat/decisions/lines.py
+++ b/src/mintcleat/decisions/lines.py
@@ -1,4 +1,4 @@
-"""Waiting calls of one class: partners by fair share, calls by order."""
+"""Waiting calls of one class: customers by fair share, calls by order."""
 
 from typing import NamedTuple
 
@@ -42,7 +42,7 @@
 
 
 class Flow:
-    """Waiting calls of one partner, in a list for each kind of need."""
+    """Waiting calls of one customer, in a list for each kind of need."""
 
     def __init__(self) -> None:
         self.parts = [
@@ -65,7 +65,7 @@
 
 
 class Line:
-    """Queue of one class: partners by fair share, their calls by order.
+    """Queue of one class: customers by fair share, their calls by order.
 
     Attributes:
         total: Expected service of all waiting calls, in seconds.
--- a/src/mintcleat/decisions/order.py
+++ b/src/mintcleat/decisions/order.py
@@ -1,4 +1,4 @@
-"""In which order the calls of one partner and class start.
+"""In which order the calls of one customer and class start.
 
 Made for short and long programs mixed: in arrival order, a short program
 waits at each of its turns behind the long ones. The order is the published
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -20,7 +20,7 @@
 
 # Batch gets a tenth while interactive calls queue, so that it never starves.
 CLASS_WEIGHTS = {calls.INTERACTIVE: 0.9, calls.BATCH: 0.1}
-# Partners looked at for one that may start. The fair clock puts those under
+# Customers looked at for one that may start. The fair clock puts those under
 # their share first, so a longer search finds nothing more often.
 _LOOKAHEAD = 8
 # A batch call may wait longer: no person is waiting for it.
@@ -203,7 +203,7 @@
         remaining = self.learner.remaining(call.agent, call.attained)
         typical = self.learner.typical
         place = order.key(call, remaining, typical, now, options.ordering)
-        flow = call.partner if options.fair else ""
+        flow = call.customer if options.fair else ""
         klass = calls.INTERACTIVE
         if options.classes and call.klass == calls.BATCH:
             klass = calls.BATCH
@@ -240,8 +240,8 @@
     def _wait(self, entry: lines.Entry, now: float) -> float:
         """Predicts the wait: work that starts before it over the slots.
 
-        Work of other partners counts only as far as their shares let them
-        go first, so one partner's burst refuses that partner's calls only.
+        Work of other customers counts only as far as their shares let them
+        go first, so one customer's burst refuses that customer's calls only.
         """
         line = self.lines[entry.klass]
         memory_wait = 0.0
--- a/src/mintcleat/decisions/slots.py
+++ b/src/mintcleat/decisions/slots.py
@@ -1,4 +1,4 @@
-"""Which waiting call may start now: slots, partners, memory and prefill.
+"""Which waiting call may start now: slots, customers, memory and prefill.
 
 Slots are not preempted, so each rule here keeps something free for the call
 that will come next.
@@ -13,8 +13,8 @@
 from mintcleat.decisions import speed
 from mintcleat.decisions import workingset
 
-# Of the slots, the part that a partner over its share may not take. Without
-# it a burst fills all of them, and the next call of another partner waits for
+# Of the slots, the part that a customer over its share may not take. Without
+# it a burst fills all of them, and the next call of another customer waits for
 # one to end.
 HEADROOM = 1 / 8
 # Of the slots, the part that batch calls may not take, for the same reason.
@@ -34,8 +34,8 @@
     """Policies in force; replaced whole when the manifest changes.
 
     Attributes:
-        shares: Weight by partner; others have `default_share`.
-        max_running: Calls of a partner that may run here at once; 0 or
+        shares: Weight by customer; others have `default_share`.
+        max_running: Calls of a customer that may run here at once; 0 or
             absent for no limit.
         max_wait: Longest predicted wait in the queue, in seconds.
         memory: Tokens of context that the upstream can hold; 0 for no limit.
@@ -43,7 +43,7 @@
         prefill: Seconds of prompt computing under way at once; 0 for any.
         protect: Whether calls wait for caches that are expected back soon.
         adaptive: Whether the concurrency limit is learned.
-        fair: Whether partners get fair shares; else one common queue.
+        fair: Whether customers get fair shares; else one common queue.
         bounded: Whether calls are refused by predicted wait and deadline.
         classes: Whether interactive calls go before batch calls.
     """
@@ -133,14 +133,14 @@
         return True
 
     def weight(self, flow: str) -> float:
-        """Returns the share that the manifest gives a partner."""
+        """Returns the share that the manifest gives a customer."""
         weight = self.options.shares.get(flow, self.options.default_share)
         return max(weight, 1e-6)
 
     def over_share(self, flow: str, limit: int) -> bool:
-        """Tells whether the partner holds more slots than its weight earns.
+        """Tells whether the customer holds more slots than its weight earns.
 
-        The weights are those of partners with calls running here.
+        The weights are those of customers with calls running here.
         """
         share = self._share(flow, self.running_of)
         return self.running_of.get(flow, 0) >= limit * share
@@ -152,7 +152,7 @@
             return False
         if entry.call.suspect and self.suspects:
             return False
-        top = self.options.max_running.get(entry.call.partner, 0)
+        top = self.options.max_running.get(entry.call.customer, 0)
         if top and self.running_of.get(entry.flow, 0) >= top:
             return False
         if entry.klass == calls.BATCH:
@@ -191,7 +191,7 @@
         return members.fits(footprint, memory)
 
     def _share(self, flow: str, active: Iterable[str]) -> float:
-        """Returns a partner's part of what the active ones share."""
+        """Returns a customer's part of what the active ones share."""
         weight = self.weight(flow)
         others = sum(self.weight(other) for other in active if other != flow)
         return weight / (weight + others)
--- a/src/mintcleat/decisions/workingset.py
+++ b/src/mintcleat/decisions/workingset.py
@@ -14,9 +14,9 @@
 # in a hundred that an overload let in missed its deadline; at 0.8, programs
 # waited outside while the engines had time for them.
 PART = 1.1
-# Of that, what a partner that has more than its share leaves free. A program
+# Of that, what a customer that has more than its share leaves free. A program
 # stays for minutes, so a burst that may fill the memory keeps the programs of
-# other partners out for as long.
+# other customers out for as long.
 HEADROOM = 0.5
 # A pause counts as memory held for this long at most; in longer ones another
 # program's cache takes the place.
@@ -45,7 +45,7 @@
         members: By program.
         pauses: When the last call ended, by paused program, oldest first.
         tokens: Sum of the footprints.
-        used: The same by partner.
+        used: The same by customer.
         duty: By agent, the part of a program's life in which it needs memory.
         interval: Moving average of a newcomer's seconds as first in line.
         usual_context: Moving average of newcomers' contexts.
@@ -71,7 +71,7 @@
         Args:
             program: The program.
             agent: Its agent program.
-            flow: Its partner.
+            flow: Its customer.
             context: Tokens that it will hold on average, when it holds any.
         """
         self.leave(program)
--- a/src/mintcleat/domain/call_messages.py
+++ b/src/mintcleat/domain/call_messages.py
@@ -21,7 +21,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     service: str
     key: str
     attempt: int
@@ -49,7 +49,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     service: str
     key: str
     attempt: int
@@ -127,7 +127,7 @@
     """Follows a running attempt from the start of its answer."""
 
     program: str
-    partner: str
+    customer: str
     key: str
     attempt: int
     sidecar: identities.Incarnation
@@ -137,7 +137,7 @@
     """Asks that the attempt never runs here from now on."""
 
     program: str
-    partner: str
+    customer: str
     key: str
     attempt: int
     sidecar: identities.Incarnation
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -144,13 +144,13 @@
     default_remedy = "Add a control instance first."
 
 
-class UnknownPartner(MintcleatError):
-    """The manifest names no such partner."""
+class UnknownCustomer(MintcleatError):
+    """The manifest names no such customer."""
 
-    kind = "unknown_partner"
+    kind = "unknown_customer"
     status = 404
     default_outcome = NOT_RUN
-    default_remedy = "Use a partner that the manifest's policies list."
+    default_remedy = "Use a customer that the manifest's policies list."
 
 
 class UnknownDigest(MintcleatError):
@@ -273,7 +273,7 @@
 
 
 class ShareExceeded(MintcleatError):
-    """The partner is over its share while others wait."""
+    """The customer is over its share while others wait."""
 
     kind = "share_exceeded"
     status = 429
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -126,8 +126,8 @@
     idle_seconds: Amount = 75.0
 
 
-class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A partner's share and limits; 0 means no limit."""
+class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer's share and limits; 0 means no limit."""
 
     share: Amount = 1.0
     max_running: Count = 0
@@ -143,8 +143,8 @@
 class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Policies of the deployment; times in seconds."""
 
-    partners: dict[Name, Partner] = {}
-    default_partner: str = ""
+    customers: dict[Name, Customer] = {}
+    default_customer: str = ""
     weights: Weights = Weights()
     deadline: Amount = 120.0
     max_wait: Amount = 30.0
--- a/src/mintcleat/domain/manifest_faults.py
+++ b/src/mintcleat/domain/manifest_faults.py
@@ -232,22 +232,22 @@
 
 
 def _check_policies(policies: Any, out: list[Fault]) -> None:
-    default = policies.default_partner
-    if default and default not in policies.partners:
+    default = policies.default_customer
+    if default and default not in policies.customers:
         out.append(
             Fault(
-                "$.policies.default_partner",
-                f"names {default!r}, which is no partner",
+                "$.policies.default_customer",
+                f"names {default!r}, which is no customer",
             )
         )
     if policies.weights.program_latency + policies.weights.wasted_cache <= 0:
         out.append(
             Fault("$.policies.weights", "must not both be 0; one must count")
         )
-    for name, partner in policies.partners.items():
-        if partner.share <= 0:
+    for name, customer in policies.customers.items():
+        if customer.share <= 0:
             out.append(
                 Fault(
-                    f"$.policies.partners.{name}.share", "must be more than 0"
+                    f"$.policies.customers.{name}.share", "must be more than 0"
                 )
             )
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -110,7 +110,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     agent: str
     klass: str
     budget: identities.Budget
@@ -133,7 +133,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     agent: str
     klass: str
     parent: str
@@ -196,7 +196,7 @@
 
     Attributes:
         program: Program id, or empty for a keyed call without a program.
-        partner: Partner of a call without a program.
+        customer: Customer of a call without a program.
         turn: Number of the chat turn; 0 for a tool call.
         key: Idempotency key; the entry makes one up when the caller has none.
         digest: Digest of the whole request, to tell a resend from a misuse.
@@ -211,7 +211,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     service: str
     turn: int
     key: str
@@ -233,7 +233,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     turn: int
     key: str
     digest: bytes
@@ -285,7 +285,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     key: str
     attempt: int
     outcome: str
@@ -301,7 +301,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     key: str
     attempt: int
     sidecar: identities.Incarnation
--- a/src/mintcleat/domain/requests.py
+++ b/src/mintcleat/domain/requests.py
@@ -9,7 +9,7 @@
     """A caller's request for a program; empty texts mean not given."""
 
     program: str
-    partner: str
+    customer: str
     agent: str
     klass: str
     parent: str
@@ -35,7 +35,7 @@
 
     request: str
     program: str
-    partner: str
+    customer: str
     model: str
     turn: int
     key: str
@@ -51,7 +51,7 @@
 
     request: str
     program: str
-    partner: str
+    customer: str
     service: str
     key: str
     method: str
--- a/src/mintcleat/load/driver.py
+++ b/src/mintcleat/load/driver.py
@@ -86,7 +86,7 @@
         kind = program.kind
         name, answer = self.client.create(
             {
-                "partner": kind.partner,
+                "customer": kind.customer,
                 "agent": kind.agent,
                 "class": kind.klass,
             }
@@ -155,7 +155,7 @@
         record: Record,
     ) -> None:
         child = {"id": f"sub{number}", "parent": parent}
-        child["partner"] = program.kind.partner
+        child["customer"] = program.kind.customer
         name, answer = self.client.create(child)
         if answer.kind:
             record.outcomes[f"create:{answer.kind}"] += 1
--- a/src/mintcleat/load/plan.py
+++ b/src/mintcleat/load/plan.py
@@ -41,7 +41,7 @@
     name: str
     model: str
     rate: float
-    partner: str = ""
+    customer: str = ""
     agent: str = ""
     klass: str = msgspec.field(default="interactive", name="class")
     turns: Range = (1, 4)
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -168,7 +168,7 @@
         rows = [
             (
                 item["program"],
-                item["partner"],
+                item["customer"],
                 item["agent"],
                 item["state"],
                 item["next_turn"],
@@ -180,7 +180,7 @@
         ]
         head = (
             "PROGRAM",
-            "PARTNER",
+            "CUSTOMER",
             "AGENT",
             "STATE",
             "NEXT TURN",
--- a/src/mintcleat/main/local_manifest.py
+++ b/src/mintcleat/main/local_manifest.py
@@ -19,8 +19,8 @@
         "dispatch": {"kind": "plain"},
     },
     "policies": {
-        "partners": {"farmers": {"share": 2}, "studios": {"share": 1}},
-        "default_partner": "farmers",
+        "customers": {"farmers": {"share": 2}, "studios": {"share": 1}},
+        "default_customer": "farmers",
     },
 }
 
--- a/src/mintcleat/ports/control.py
+++ b/src/mintcleat/ports/control.py
@@ -19,7 +19,7 @@
         """Sends a message to the leader of the scope's group.
 
         Args:
-            scope: Program id, or `partner/key` for a call without a program.
+            scope: Program id, or `customer/key` for a call without a program.
             message: One of the program group requests.
             timeout: Seconds for the whole exchange, retries included.
 
--- a/src/mintcleat/programs/calls.py
+++ b/src/mintcleat/programs/calls.py
@@ -201,7 +201,7 @@
     call = records.Call(
         number=group.last_attempt + 1,
         program=request.program,
-        partner=request.partner,
+        customer=request.customer,
         key=request.key,
         digest=request.digest,
         turn=request.turn,
--- a/src/mintcleat/programs/loops.py
+++ b/src/mintcleat/programs/loops.py
@@ -1,7 +1,7 @@
 """Loop detection: the same call over and over.
 
 Made for agents that repeat a failing step without end: they would burn the
-partner's budget and the engines' time until a limit in turns or seconds.
+customer's budget and the engines' time until a limit in turns or seconds.
 """
 
 from mintcleat.programs import prefixes
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -96,7 +96,7 @@
                 return fault
         program = records.Program(
             program=request.program,
-            partner=request.partner,
+            customer=request.customer,
             agent=request.agent,
             klass=request.klass,
             parent=request.parent,
@@ -165,7 +165,7 @@
     """Returns the request that made the program, without its id."""
     return program_messages.CreateProgram(
         program="",
-        partner=program.partner,
+        customer=program.customer,
         agent=program.agent,
         klass=program.klass,
         budget=program.budget,
--- a/src/mintcleat/programs/placement.py
+++ b/src/mintcleat/programs/placement.py
@@ -28,9 +28,9 @@
     return f"{_PREFIX}{xxhash.xxh3_64_intdigest(root.encode()) % count}"
 
 
-def call_scope(partner: str, key: str) -> str:
+def call_scope(customer: str, key: str) -> str:
     """Returns the scope of a call without a program."""
-    return f"{partner}/{key}"
+    return f"{customer}/{key}"
 
 
 def scope_of(message: Any) -> str:
@@ -48,7 +48,7 @@
             | program_messages.FinishCall()
             | program_messages.SettleCall()
         ):
-            return message.program or call_scope(message.partner, message.key)
+            return message.program or call_scope(message.customer, message.key)
         case (
             program_messages.OpenTurn()
             | program_messages.CloseTurn()
--- a/src/mintcleat/programs/records.py
+++ b/src/mintcleat/programs/records.py
@@ -57,7 +57,7 @@
 
     number: int
     program: str
-    partner: str
+    customer: str
     key: str
     digest: bytes
     turn: int
@@ -96,7 +96,7 @@
     """
 
     program: str
-    partner: str
+    customer: str
     agent: str
     klass: str
     parent: str
@@ -126,7 +126,7 @@
     """Returns what callers and operators see of a program."""
     return program_messages.ProgramView(
         program=program.program,
-        partner=program.partner,
+        customer=program.customer,
         agent=program.agent,
         klass=program.klass,
         parent=program.parent,
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -75,7 +75,7 @@
     if call.program:
         group.programs[call.program].calls[call.key] = call
     else:
-        group.keyed[call.partner, call.key] = call
+        group.keyed[call.customer, call.key] = call
 
 
 def _stored_answers(group: state.Group) -> list[Any]:
--- a/src/mintcleat/programs/state.py
+++ b/src/mintcleat/programs/state.py
@@ -17,7 +17,7 @@
         last_attempt: The attempts of a group only grow.
         branches: Programs that open with their first turn.
         programs: Records by program id.
-        keyed: Calls without a program, by (partner, key).
+        keyed: Calls without a program, by (customer, key).
         activity: Root ids, the longest idle first, with the clock of the
             last change anywhere below.
         ended: (clock, id) of closed and expired programs, in that order.
--- a/src/mintcleat/programs/tables.py
+++ b/src/mintcleat/programs/tables.py
@@ -20,7 +20,7 @@
     """Returns the request's place in its key table."""
     if request.program:
         return request.key
-    return (request.partner, request.key)
+    return (request.customer, request.key)
 
 
 def chain(group: state.Group, call: records.Call) -> list[records.Program]:
@@ -52,4 +52,4 @@
     if call.program:
         del group.programs[call.program].calls[call.key]
     else:
-        del group.keyed[call.partner, call.key]
+        del group.keyed[call.customer, call.key]
--- a/src/mintcleat/roles/entry/attempts.py
+++ b/src/mintcleat/roles/entry/attempts.py
@@ -1,6 +1,6 @@
 """What an entry asks of a program's group and of a sidecar per attempt.
 
-A call is an idempotency key within a program, or within a partner. It gets
+A call is an idempotency key within a program, or within a customer. It gets
 attempts one after another; only the sidecar that an attempt is bound to may
 run it.
 """
@@ -33,14 +33,14 @@
     """
 
     program: str
-    partner: str
+    customer: str
     key: str
     fresh: bool = False
 
     @property
     def scope(self) -> str:
         """What the group of the call is found by."""
-        return self.program or f"{self.partner}/{self.key}"
+        return self.program or f"{self.customer}/{self.key}"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,7 +152,7 @@
         if not name.key or name.fresh:
             raise refusal
         find = program_messages.FindCall(
-            name.program, name.partner, turn, name.key, request_digest
+            name.program, name.customer, turn, name.key, request_digest
         )
         try:
             found = self.control.ask(name.scope, find, CONTROL_SECONDS)
@@ -174,7 +174,7 @@
         """
         settle = program_messages.SettleCall(
             name.program,
-            name.partner,
+            name.customer,
             name.key,
             attempt,
             error.outcome,
@@ -222,7 +222,7 @@
         address: str,
     ) -> str:
         seal = call_messages.SealAttempt(
-            name.program, name.partner, name.key, attempt, sidecar
+            name.program, name.customer, name.key, attempt, sidecar
         )
         try:
             return self.streams.ask(address, seal, SEAL_SECONDS).state
--- a/src/mintcleat/roles/entry/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -162,7 +162,7 @@
         call = context.call
         begin = program_messages.BeginCall(
             program=call.program,
-            partner=context.name.partner,
+            customer=context.name.customer,
             service=context.service,
             turn=call.turn,
             key=context.name.key,
@@ -186,7 +186,7 @@
         call = context.call
         return call_messages.RunTurn(
             program=call.program,
-            partner=context.name.partner,
+            customer=context.name.customer,
             service=context.service,
             key=context.name.key,
             attempt=granted.attempt if granted else 0,
@@ -311,7 +311,11 @@
         """Attaches to an attempt that runs or ran elsewhere."""
         name = context.name
         attach = call_messages.Attach(
-            name.program, name.partner, name.key, follow.attempt, follow.sidecar
+            name.program,
+            name.customer,
+            name.key,
+            follow.attempt,
+            follow.sidecar,
         )
         try:
             exchange = self.streams.open(follow.address, attach)
--- a/src/mintcleat/roles/entry/chat_call.py
+++ b/src/mintcleat/roles/entry/chat_call.py
@@ -65,7 +65,7 @@
         call_id=f"{name.scope}/{context.call.request}/{attempts}",
         program=name.program,
         root=name.program.partition(".")[0],
-        partner=name.partner,
+        customer=name.customer,
         agent=context.agent,
         klass=context.klass,
         deadline_at=context.deadline_at,
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -92,7 +92,7 @@
         agent = agent or manifest_module.Program(service="")
         create = program_messages.CreateProgram(
             program=self._program_id(new),
-            partner=self._partner(new.partner),
+            customer=self._customer(new.customer),
             agent=new.agent,
             klass=new.klass or agent.klass,
             budget=self._budget(new.budget, agent),
@@ -126,7 +126,7 @@
         if refusal is not None and not (call.program or call.key):
             raise refusal
         view = self._call_view(call.program, call.key)
-        partner = view.partner if view else self._partner(call.partner)
+        customer = view.customer if view else self._customer(call.customer)
         key = call.key
         digest = attempts_module.digest(*call.messages, call.parameters)
         if view and not key:
@@ -135,7 +135,7 @@
             key = f"turn-{call.turn}-{digest.hex()}"
         context = chat_call.Context(
             call=call,
-            name=attempts_module.CallName(call.program, partner, key),
+            name=attempts_module.CallName(call.program, customer, key),
             service=self._model_service(call, view),
             agent=view.agent if view else "",
             klass=view.klass if view else "interactive",
@@ -163,14 +163,14 @@
         if refusal is not None and (idempotent or not call.key):
             raise refusal
         view = self._call_view(call.program, call.key)
-        partner = view.partner if view else self._partner(call.partner)
+        customer = view.customer if view else self._customer(call.customer)
         fresh = not call.key
         key = call.key
         if fresh and not idempotent:
             key = attempts_module.new_key()
         context = service_calls_module.Context(
             call=call,
-            name=attempts_module.CallName(call.program, partner, key, fresh),
+            name=attempts_module.CallName(call.program, customer, key, fresh),
             klass=view.klass if view else "interactive",
             digest=attempts_module.digest(
                 call.service, call.method, call.path, call.body
@@ -263,16 +263,16 @@
             "This entry's configuration lease ran out.", retry_after=1.0
         )
 
-    def _partner(self, partner: str) -> str:
+    def _customer(self, customer: str) -> str:
         policies = self.directory.manifest().policies
-        partner = partner or policies.default_partner
-        if not policies.partners:
-            return partner or ANONYMOUS
-        if partner not in policies.partners:
-            raise errors.UnknownPartner(
-                f"The manifest has no partner {partner!r}."
+        customer = customer or policies.default_customer
+        if not policies.customers:
+            return customer or ANONYMOUS
+        if customer not in policies.customers:
+            raise errors.UnknownCustomer(
+                f"The manifest has no customer {customer!r}."
             )
-        return partner
+        return customer
 
     def _model_service(
         self, call: requests.ChatCall, view: program_messages.ProgramView | None
--- a/src/mintcleat/roles/entry/service_calls.py
+++ b/src/mintcleat/roles/entry/service_calls.py
@@ -142,7 +142,7 @@
         call = context.call
         begin = program_messages.BeginCall(
             program=call.program,
-            partner=context.name.partner,
+            customer=context.name.customer,
             service=call.service,
             turn=0,
             key=context.name.key,
@@ -165,7 +165,7 @@
         call = context.call
         run = call_messages.RunTool(
             program=call.program,
-            partner=context.name.partner,
+            customer=context.name.customer,
             service=call.service,
             key=context.name.key,
             attempt=attempt,
@@ -239,7 +239,7 @@
         name = context.name
         attach = call_messages.Attach(
             name.program,
-            name.partner,
+            name.customer,
             name.key,
             underway.attempt,
             underway.sidecar,
@@ -302,7 +302,7 @@
         call_id=f"{context.name.scope}/{context.call.request}",
         program=context.name.program,
         root=context.name.program.partition(".")[0],
-        partner=context.name.partner,
+        customer=context.name.customer,
         agent="",
         klass=context.klass,
         deadline_at=context.deadline_at,
--- a/src/mintcleat/roles/sidecar/attempts.py
+++ b/src/mintcleat/roles/sidecar/attempts.py
@@ -1,6 +1,6 @@
 """Attempts at one sidecar: what may run, what runs, what will never run.
 
-A scope is a program id, or `partner/key` for a call without a program. The
+A scope is a program id, or `customer/key` for a call without a program. The
 attempt numbers of a program group only grow.
 """
 
@@ -33,9 +33,9 @@
 )
 
 
-def scope_of(program: str, partner: str, key: str) -> str:
+def scope_of(program: str, customer: str, key: str) -> str:
     """Returns the scope whose group keeps a call."""
-    return program or f"{partner}/{key}"
+    return program or f"{customer}/{key}"
 
 
 class Attempt:
@@ -64,7 +64,7 @@
         self.until = until
         self.number: int = message.attempt
         self.program: str = message.program
-        self.scope = scope_of(message.program, message.partner, message.key)
+        self.scope = scope_of(message.program, message.customer, message.key)
         self.state = QUEUED
         self.prompt: list[str] = []
         self.pieces: list[str] = []
--- a/src/mintcleat/roles/sidecar/commit.py
+++ b/src/mintcleat/roles/sidecar/commit.py
@@ -60,7 +60,7 @@
         asked = attempt.message
         finish = program_messages.FinishCall(
             asked.program,
-            asked.partner,
+            asked.customer,
             asked.key,
             asked.attempt,
             self.node,
@@ -87,7 +87,7 @@
             attempt.scope,
             program_messages.SettleCall(
                 asked.program,
-                asked.partner,
+                asked.customer,
                 asked.key,
                 asked.attempt,
                 outcome,
--- a/src/mintcleat/roles/sidecar/gate.py
+++ b/src/mintcleat/roles/sidecar/gate.py
@@ -152,13 +152,13 @@
 
 def gate_options(policies: manifest.Policies, memory: int) -> queue.Options:
     """Returns the gate's options under these policies."""
-    partners = policies.partners.items()
+    customers = policies.customers.items()
     return queue.Options(
-        shares={name: partner.share for name, partner in partners},
+        shares={name: customer.share for name, customer in customers},
         max_running={
-            name: partner.max_running
-            for name, partner in partners
-            if partner.max_running
+            name: customer.max_running
+            for name, customer in customers
+            if customer.max_running
         },
         max_wait=policies.max_wait,
         memory=memory,
@@ -185,7 +185,7 @@
         call_id=attempt.request,
         program=asked.program,
         root=asked.root,
-        partner=asked.partner,
+        customer=asked.customer,
         agent=asked.agent,
         klass=asked.klass,
         deadline_at=attempt.until,
@@ -204,7 +204,7 @@
         call_id=attempt.request,
         program=asked.program,
         root=asked.program.partition(".")[0],
-        partner=asked.partner,
+        customer=asked.customer,
         agent="",
         klass=asked.klass,
         deadline_at=attempt.until,
--- a/src/mintcleat/roles/sidecar/sidecar.py
+++ b/src/mintcleat/roles/sidecar/sidecar.py
@@ -421,7 +421,7 @@
 
 
 def _scope(asked: Any) -> str:
-    return sidecar_attempts.scope_of(asked.program, asked.partner, asked.key)
+    return sidecar_attempts.scope_of(asked.program, asked.customer, asked.key)
 
 
 def _other_incarnation(number: int) -> call_messages.Broken:
--- a/testing/fakes/config_links.py
+++ b/testing/fakes/config_links.py
@@ -251,11 +251,11 @@
         return self.control[instance].ask(request).revision
 
 
-def manifest_text(version: str, partners: int = 0) -> str:
+def manifest_text(version: str, customers: int = 0) -> str:
     """Returns a manifest with one model service of a version."""
     service = manifest.Service(kind="model", model="m", version=version)
-    names = {f"partner-{n}": manifest.Partner() for n in range(partners)}
-    policies = manifest.Policies(partners=names)
+    names = {f"customer-{n}": manifest.Customer() for n in range(customers)}
+    policies = manifest.Policies(customers=names)
     return manifest.render(
         manifest.Manifest(services={"chat": service}, policies=policies)
     )
--- a/testing/fakes/path_rig.py
+++ b/testing/fakes/path_rig.py
@@ -231,7 +231,7 @@
         call = requests.ChatCall(
             request="",
             program=program,
-            partner="",
+            customer="",
             model="chat",
             turn=number,
             key=f"turn{number}",
@@ -255,7 +255,7 @@
         call = requests.ServiceCall(
             request="",
             program=program,
-            partner="",
+            customer="",
             service="desk",
             key=key,
             method="POST",
--- a/testing/fakes/program_rig.py
+++ b/testing/fakes/program_rig.py
@@ -260,7 +260,7 @@
     def _begin(self, call: Call, upstream: Upstream, sealed: int) -> Any:
         request = program_messages.BeginCall(
             program=call.program,
-            partner="farm",
+            customer="farm",
             service="chat",
             turn=call.turn,
             key=call.key,
--- a/testing/fakes/service_rig.py
+++ b/testing/fakes/service_rig.py
@@ -202,7 +202,7 @@
     """Returns a RunTurn; fields override the defaults."""
     values = {
         "program": program,
-        "partner": "",
+        "customer": "",
         "service": "svc",
         "key": f"k{attempt}",
         "attempt": attempt,
@@ -227,7 +227,7 @@
     """Returns a RunTool of a non-idempotent request."""
     values = {
         "program": program,
-        "partner": "",
+        "customer": "",
         "service": "svc",
         "key": f"k{attempt}",
         "attempt": attempt,
--- a/testing/naive_programs.py
+++ b/testing/naive_programs.py
@@ -30,7 +30,7 @@
         mine, other = self.request, request
         if (mine.program, mine.key) != (other.program, other.key):
             return False
-        return bool(mine.program) or mine.partner == other.partner
+        return bool(mine.program) or mine.customer == other.customer
 
 
 class NaiveKeeper:
--- a/testing/test_chat_call.py
+++ b/testing/test_chat_call.py
@@ -12,7 +12,7 @@
     call = requests.ChatCall(
         request="r",
         program="p",
-        partner="",
+        customer="",
         model="m",
         turn=2,
         key="",
--- a/testing/test_configuration.py
+++ b/testing/test_configuration.py
@@ -154,6 +154,33 @@
         self.assertEqual((1, False, {}), tuple(update))
 
 
+class UpgradeTest(testtools.TestCase):
+    """A disk that a release with other names wrote must not stay unread."""
+
+    stored = {
+        "partners/farmers": '{"max_running":0,"share":2.0}',
+        "policies": '{"default_partner":"farmers"}',
+    }
+
+    def check(self, held: document.Document) -> None:
+        policies = held.manifest().policies
+        self.assertEqual("farmers", policies.default_customer)
+        self.assertEqual(2.0, policies.customers["farmers"].share)
+
+    def test_snapshot_of_earlier_names_is_read(self) -> None:
+        held = document.Document()
+        changed = dict.fromkeys(self.stored, 7)
+        held.load([7, self.stored, changed, {}, 0, {}, 3, ""])
+        self.check(held)
+        self.assertIn("customers/farmers", held.update_since(6).sections)
+
+    def test_push_of_earlier_names_in_the_log_is_read(self) -> None:
+        held = document.Document()
+        pushed = commands.PushVersion(0, 3, "a", self.stored, "", "o", "h", 0.0)
+        held.push_version(commands.decode(commands.encode(pushed)))
+        self.check(held)
+
+
 class BucketTest(testtools.TestCase):
     def take(self, bucket: permits.Bucket, holder: str, at: float) -> bool:
         return bucket.take(holder, 60.0, 2, at) is True
--- a/testing/test_follower.py
+++ b/testing/test_follower.py
@@ -186,7 +186,7 @@
 
     def test_node_500_revisions_behind_gets_one_update(self) -> None:
         """A node is cut off while 500 pushes pass it by."""
-        text = config_links.manifest_text("0", partners=200)
+        text = config_links.manifest_text("0", customers=200)
         leader = self.cluster.control[0]
         leader.ask(
             config_messages.PushManifest(0, "first", text, "anna", "test")
@@ -196,7 +196,7 @@
         self.cluster.network.cut_off = {"entry-1/1"}
         self.timers.advance(10.0)
         for number in range(1, 501):
-            text = config_links.manifest_text(str(number), partners=200)
+            text = config_links.manifest_text(str(number), customers=200)
             push = config_messages.PushManifest(
                 number, f"push-{number}", text, "anna", "test"
             )
--- a/testing/test_load_outcomes.py
+++ b/testing/test_load_outcomes.py
@@ -37,7 +37,7 @@
     """A program: when it comes and the tokens of each of its calls."""
 
     name: str
-    partner: str
+    customer: str
     arrives: float
     tokens: list[int]
 
@@ -112,7 +112,7 @@
             f"{program}/{turn}",
             program,
             program,
-            course.partner,
+            course.customer,
             "agent",
             deadline_at=math.inf if self.naive else self.now + 60.0,
             attained=sum(course.tokens[:turn]),
@@ -168,9 +168,9 @@
             self.start(name, call)
 
 
-def steady(partner: str, count: int, gap: float, turns: int) -> list[Course]:
+def steady(customer: str, count: int, gap: float, turns: int) -> list[Course]:
     return [
-        Course(f"{partner}{n}", partner, n * gap, [50 + n * 37 % 100] * turns)
+        Course(f"{customer}{n}", customer, n * gap, [50 + n * 37 % 100] * turns)
         for n in range(count)
     ]
 
@@ -180,8 +180,8 @@
 
 
 class LoadTest(testtools.TestCase):
-    def test_a_burst_slows_its_own_partner_only(self) -> None:
-        """One partner sends 200 programs at once, ten times its share.
+    def test_a_burst_slows_its_own_customer_only(self) -> None:
+        """One customer sends 200 programs at once, ten times its share.
 
         The others' programs still find slots: the burst queues behind its
         own share, and what it borrowed comes back as its calls end.
@@ -247,7 +247,7 @@
         busy; and what is refused hears it at once.
         """
         courses = [
-            Course(f"p{n}", f"partner{n % 4}", n * 0.14, [100] * 4)
+            Course(f"p{n}", f"customer{n % 4}", n * 0.14, [100] * 4)
             for n in range(600)
         ]
         run = Deployment(FULL, [1.0] * 2, patience=1)
@@ -280,8 +280,8 @@
         all the work there is, its retries and the ageing bound.
         """
         courses = [
-            Course(f"p{n}", partner, arrives, tokens)
-            for n, (partner, arrives, tokens) in enumerate(drawn)
+            Course(f"p{n}", customer, arrives, tokens)
+            for n, (customer, arrives, tokens) in enumerate(drawn)
         ]
         bound = 300.0 + sum(sum(course.tokens) for course in courses) * 0.03
         for options, naive in ((FULL, False), (FIFO, True)):
--- a/testing/test_manifest.py
+++ b/testing/test_manifest.py
@@ -52,7 +52,7 @@
             ' {"t": {"service": "m"}}}},'
             ' "services": {"m": {"kind": "model", "model": "x",'
             ' "replicas": 1, "floor": 2}},'
-            ' "policies": {"default_partner": "nobody"}}'
+            ' "policies": {"default_customer": "nobody"}}'
         )
         paths = [line.partition(":")[0] for line in found]
         self.assertEqual(
@@ -60,7 +60,7 @@
                 "$.programs.a.service",
                 "$.programs.a.tools.t.service",
                 "$.services.m.floor",
-                "$.policies.default_partner",
+                "$.policies.default_customer",
             ],
             paths,
         )
--- a/testing/test_programs_differential.py
+++ b/testing/test_programs_differential.py
@@ -158,7 +158,7 @@
         granted: program_messages.Granted,
         rest: list[Any],
     ) -> Any:
-        name = (begin.program, begin.partner, begin.key, granted.attempt)
+        name = (begin.program, begin.customer, begin.key, granted.attempt)
         match action:
             case "finish":
                 usage = identities.Usage(0, min(rest[0], granted.tokens_left))
--- a/testing/test_programs_machine.py
+++ b/testing/test_programs_machine.py
@@ -21,7 +21,7 @@
 def begin(turn: int, key: str, **changes: Any) -> program_messages.BeginCall:
     request = program_messages.BeginCall(
         program="p",
-        partner="farm",
+        customer="farm",
         service="chat",
         turn=turn,
         key=key,
@@ -219,7 +219,7 @@
         self.assertThat(
             self.apply(call), matchers.IsInstance(program_messages.Recorded)
         )
-        other = call._replace(partner="studio")
+        other = call._replace(customer="studio")
         self.assertThat(
             self.apply(other), matchers.IsInstance(program_messages.Granted)
         )
--- a/testing/test_queue.py
+++ b/testing/test_queue.py
@@ -14,16 +14,16 @@
 
 
 def make_call(
-    number: int, partner: str = "farms", **more: object
+    number: int, customer: str = "farms", **more: object
 ) -> calls.Call:
     name = f"c{number}"
     fields = {"expected_tokens": 100, "new_tokens": 500, **more}
-    return calls.Call(name, f"p{number}", f"p{number}", partner, "a", **fields)
+    return calls.Call(name, f"p{number}", f"p{number}", customer, "a", **fields)
 
 
-def fill(gate: queue.Gate, count: int, partner: str, **more: object) -> None:
+def fill(gate: queue.Gate, count: int, customer: str, **more: object) -> None:
     for number in range(count):
-        gate.offer(make_call(1000 + number, partner, **more), 0.0)
+        gate.offer(make_call(1000 + number, customer, **more), 0.0)
 
 
 def outcome(seconds: float = 1.0) -> calls.Outcome:
@@ -60,10 +60,10 @@
         answer = gate.offer(make_call(1, deadline_at=1.0), 0.0)
         self.assertThat(answer, matchers.IsInstance(admit.Refuse))
 
-    def test_a_burst_is_refused_to_its_own_partner_only(self) -> None:
-        """One partner sends a thousand calls at once.
+    def test_a_burst_is_refused_to_its_own_customer_only(self) -> None:
+        """One customer sends a thousand calls at once.
 
-        Its own calls beyond the bound are refused; a call of another partner
+        Its own calls beyond the bound are refused; a call of another customer
         that comes after all of them is queued and starts next.
         """
         gate = queue.Gate(OPTIONS, 4)
@@ -170,12 +170,16 @@
         started: list[str] = []
         cancelled: set[str] = set()
         now = 0.0
-        for number, (partner, klass, attained, suspect, step) in enumerate(
+        for number, (customer, klass, attained, suspect, step) in enumerate(
             steps
         ):
             now += 0.1
             call = make_call(
-                number, partner, klass=klass, attained=attained, suspect=suspect
+                number,
+                customer,
+                klass=klass,
+                attained=attained,
+                suspect=suspect,
             )
             answer = gate.offer(call, now)
             if isinstance(answer, queue.Admit):
--- a/testing/test_workingset.py
+++ b/testing/test_workingset.py
@@ -10,13 +10,13 @@
 OPTIONS = queue.Options(memory=10_000, adaptive=False)
 
 
-def first_call(number: int, partner: str = "farms") -> calls.Call:
+def first_call(number: int, customer: str = "farms") -> calls.Call:
     name = f"p{number}"
     return calls.Call(
         f"c{number}",
         name,
         name,
-        partner,
+        customer,
         "agent",
         prompt_tokens=2900,
         new_tokens=100,
@@ -55,7 +55,7 @@
         gate.expire(1.0 + workingset.ABSENT_SECONDS)
         self.assertIsNot(None, gate.next(1.0 + workingset.ABSENT_SECONDS))
 
-    def test_a_partner_over_its_share_leaves_room(self) -> None:
+    def test_a_customer_over_its_share_leaves_room(self) -> None:
         gate = queue.Gate(OPTIONS, 8)
         gate.offer(first_call(0, "burst"), 0.0)
         gate.offer(first_call(1, "calm"), 0.0)
