--- a/bench/limits.py
+++ b/bench/limits.py
@@ -28,7 +28,7 @@
 TURN_SECONDS = 0.2
 LOSS_EVERY = 15.0
 AWAY = 0.7
-WAYS = ("shares", "memory", "counted", "ahead")
+WAYS = ("shares", "bucket", "counted", "ahead")
 
 
 class Entry:
@@ -58,6 +58,7 @@
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.requests = self.refused = self.owed = self.asked = 0
         self.lost = 0.0
+        self.levels: dict[str, tuple[float, float]] = {}
 
     def play(self, share: float) -> None:
         """Plays demand at a share of each customer's limit."""
@@ -88,13 +89,8 @@
 
     def _lose_leader(self, now: float) -> None:
         self.lost = now
-        if self.way == "memory":
-            # A successor that knows nothing must take every window for full.
-            self.held = limits.Limits()
-            for customer in self.customers:
-                usage = self.held.usages[customer] = limits.Usage()
-                usage.slots.append(limits.Slot(now, int(LIMIT.most())))
-                usage.touched = now
+        # A successor that knows nothing of what was sent begins with nothing.
+        self.levels = dict.fromkeys(self.customers, (now + AWAY, 0.0))
 
     def _request(
         self, now: float, customer: str, program: str, is_turn: int, entry: Any
@@ -120,6 +116,9 @@
                 return False
             sent.append(now)
             return True
+        if self.way == "bucket":
+            self.asked += not is_turn
+            return self._from_bucket(now, customer)
         held = self.way == "ahead" and not is_turn
         if held and entry.ahead.take(customer, now):
             return True
@@ -132,6 +131,18 @@
             entry.ahead.put(customer, given, now + limits.AHEAD_SECONDS)
         return True
 
+    def _from_bucket(self, now: float, customer: str) -> bool:
+        """Takes from a bucket in the leader's memory.
+
+        It holds the burst and the tolerance, so that no window goes over.
+        """
+        most = LIMIT.burst + LIMIT.tolerance()
+        at, level = self.levels.get(customer, (0.0, most))
+        level = min(most, level + LIMIT.rate * max(0.0, now - at))
+        taken = level >= 1.0
+        self.levels[customer] = (max(at, now), level - taken)
+        return taken
+
     def fullest(self) -> int:
         """Returns the most requests of a customer in a window."""
         most = 0
--- a/src/mintcleat/load/client.py
+++ b/src/mintcleat/load/client.py
@@ -48,21 +48,22 @@
             maxsize=connections, num_pools=len(entries) + 1, retries=False
         )
 
-    def create(self, body: dict[str, Any]) -> tuple[str, Answer]:
+    def create(self, body: dict[str, Any], key: str = "") -> tuple[str, Answer]:
         """Creates a program; returns its id and what was seen."""
         started = self.timers.now()
         try:
-            reply = self._send("POST", "/v1/programs", body, {}, 30.0)
+            reply = self._send("POST", "/v1/programs", body, bearer(key), 30.0)
             value = json.loads(reply.data)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             return "", self._lost(error, started)
         answer = self._refused(value, started)
         return value.get("id", ""), answer
 
-    def close(self, program: str) -> None:
+    def close(self, program: str, key: str = "") -> None:
         """Closes a program; its failure is no part of the measurement."""
+        path = f"/v1/programs/{program}"
         try:
-            self._send("DELETE", f"/v1/programs/{program}", None, {}, 30.0)
+            self._send("DELETE", path, None, bearer(key), 30.0)
         except urllib3.exceptions.HTTPError:
             return
 
@@ -180,6 +181,11 @@
         return Answer(type(error).__name__, "unknown", taken, taken, [])
 
 
+def bearer(key: str) -> dict[str, str]:
+    """Returns the header fields that show a customer's key; none for none."""
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
 def events(reply: urllib3.BaseHTTPResponse) -> Iterator[str]:
     """Yields the data of each server-sent event."""
     buffer = b""
--- a/src/mintcleat/load/driver.py
+++ b/src/mintcleat/load/driver.py
@@ -89,7 +89,8 @@
                 "customer": kind.customer,
                 "agent": kind.agent,
                 "class": kind.klass,
-            }
+            },
+            kind.key,
         )
         if answer.kind:
             record.outcomes[f"create:{answer.kind}"] += 1
@@ -107,7 +108,7 @@
             if answer.kind:
                 return False
             context = answer.prompt_tokens + answer.completion_tokens
-        self.client.close(name)
+        self.client.close(name, kind.key)
         return True
 
     def _turn(
@@ -128,6 +129,7 @@
             "Mintcleat-Program": name,
             "Mintcleat-Turn": str(number),
             "Mintcleat-Deadline": str(kind.deadline),
+            **client_module.bearer(kind.key),
         }
         return self.client.chat(body, headers, kind.deadline)
 
@@ -139,7 +141,10 @@
         record: Record,
     ) -> bool:
         path = f"/v1/services/{turn.tool.service}{turn.tool.path}"
-        headers = {"Mintcleat-Program": name}
+        headers = {
+            "Mintcleat-Program": name,
+            **client_module.bearer(program.kind.key),
+        }
         answer = self.client.tool(
             turn.tool.method, path, headers, program.kind.deadline
         )
@@ -156,7 +161,7 @@
     ) -> None:
         child = {"id": f"sub{number}", "parent": parent}
         child["customer"] = program.kind.customer
-        name, answer = self.client.create(child)
+        name, answer = self.client.create(child, program.kind.key)
         if answer.kind:
             record.outcomes[f"create:{answer.kind}"] += 1
             return
--- a/src/mintcleat/load/plan.py
+++ b/src/mintcleat/load/plan.py
@@ -35,6 +35,7 @@
         words: Words in each new user message.
         max_tokens: Tokens that each answer may have.
         pause: Seconds between the end of a turn and the next.
+        key: The customer's key, where callers must show one.
         sub_agents: Chance that a turn starts a one-turn sub-agent first.
     """
 
@@ -42,6 +43,7 @@
     model: str
     rate: float
     customer: str = ""
+    key: str = ""
     agent: str = ""
     klass: str = msgspec.field(default="interactive", name="class")
     turns: Range = (1, 4)
--- a/testing/test_load.py
+++ b/testing/test_load.py
@@ -38,7 +38,7 @@
     def __init__(self, clock: timers.VirtualTimers) -> None:
         self.clock = clock
 
-    def create(self, body: dict) -> tuple[str, client_module.Answer]:
+    def create(self, body: dict, key: str) -> tuple[str, client_module.Answer]:
         return "p", client_module.Answer("", "ran", 0.0, 0.0, [])
 
     def chat(
@@ -47,7 +47,7 @@
         self.clock.clock += 2.0
         return client_module.Answer("", "ran", 1.0, 2.0, [], 100, 40, 10)
 
-    def close(self, program: str) -> None:
+    def close(self, program: str, key: str) -> None:
         return
 
 
--- a/testing/test_own_customers.py
+++ b/testing/test_own_customers.py
@@ -10,8 +10,13 @@
 import testtools
 import urllib3
 
+from mintcleat.adapters import timers
 from mintcleat.domain import config_messages
 from mintcleat.domain import manifest
+from mintcleat.load import arrivals
+from mintcleat.load import client as client_module
+from mintcleat.load import driver as driver_module
+from mintcleat.load import plan as plan_module
 from mintcleat.main import local
 
 ANY = "127.0.0.1:0"
@@ -101,6 +106,28 @@
         self.assertEqual("farmers", answer.json()["customer"])
         self.assertEqual("", answer.json()["credentials"])
 
+    def test_customer_far_over_its_limit_costs_the_others_nothing(
+        self,
+    ) -> None:
+        # The load tool shows keys; one customer asks many times its limit.
+        tools = [plan_module.Tool("dispatch")]
+        common = {"model": "triage", "agent": "triage", "tools": tools}
+        kinds = [
+            plan_module.Kind("calm", rate=4.0, key=FARMERS, **common),
+            plan_module.Kind("greedy", rate=10.0, key="scarce", **common),
+        ]
+        clock = timers.EventletTimers()
+        driver = driver_module.Driver(
+            client_module.Client([self.http], clock, 20), clock
+        )
+        plan = plan_module.Plan(kinds, seconds=3.0)
+        driver.run(arrivals.schedule(plan), patience=20.0)
+        calm, greedy = driver.records["calm"], driver.records["greedy"]
+        self.assertEqual(calm.programs, calm.finished)
+        self.assertGreater(greedy.programs, 5 * greedy.finished)
+        refused = [name for name in greedy.outcomes if ":limit_" in name]
+        self.assertNotEqual([], refused)
+
     def test_call_over_the_limit_is_429_with_a_time_to_come_back(self) -> None:
         self.assertEqual(
             200, self.send("GET", "/v1/services/dispatch/a", "scarce").status
