--- a/src/mintcleat/decisions/spread.py
+++ b/src/mintcleat/decisions/spread.py
@@ -16,31 +16,25 @@
 RESIDENT = "resident"
 AFFINITY = "affinity"
 LEAST = "least"
-# By how much of its slots a program's upstream may be busier than another.
-# Reading a conversation anew takes a batch as long as some requests of it do,
-# and every request there waits meanwhile; a queue costs only those behind it.
-# With 1.0 an emulated day of 27 entries before 21 engines ends in aim for 0.87
-# of its worth; with 0.34 for 0.74, as twice as many tokens are read; from 1.0
-# to 3.0 it falls by 0.01.
+# By how many batches a program's upstream may be busier than another. Reading a
+# conversation anew takes a batch as long as some requests of it do, and every
+# request there waits meanwhile; a queue costs only those behind it.
 RESIDENT_SLACK = 1.0
 # Upstreams that a request compares, chosen by its id. What entries know of each
-# other is some 50 ms old: if all chose the least of all, they would meet there.
-# Of 9,200 turns of 27 entries before 21 engines, three quarters full, 653 find
-# no place free with three, 848 with two, 1,499 with all of them, and 1,937
-# where each entry knows its own requests alone.
+# other is some ten milliseconds old: if all chose the least of all, they would
+# meet there.
 CHOICES = 3
 # An object's warmth in a plain service halves its work at best.
 AFFINITY_SLACK = 0.2
 # An upstream whose pieces take so many times as long as its peers' (median) is
-# passed over. Load alone makes an engine slower by less than half; a sick one
-# is four times as slow and its answers miss their time.
+# passed over. Load alone makes an engine slower by less than that.
 SLOW_LIMIT = 2.0
 # Weight of a new observation, and how many must come before they count: about
-# one answer of ten pieces shows a sick engine.
+# as many as one answer has pieces.
 SPEED_GAIN = 0.15
 MIN_OBSERVED = 8
 # Without observations, what an upstream is slower by halves in this time, so
-# that it is tried again some seconds later.
+# that it is tried again.
 SPEED_HALF_LIFE = 2.0
 # Pieces that arrive together have no pause between them.
 MIN_PACE = 0.001
--- a/src/mintcleat/decisions/standing.py
+++ b/src/mintcleat/decisions/standing.py
@@ -17,9 +17,9 @@
 # unheard, be tried again soon.
 FIRST_PAUSE = 0.75
 LONGEST_PAUSE = 6.0
-# What a good answer takes back of a failure. An upstream that fails more than
-# one request in four gets worse in this count, one that fails one in twenty
-# (lost answers, broken connections) stays near zero.
+# What a good answer takes back of a failure: an upstream that fails more than
+# one request in four gets worse in this count, one with a lost answer or a
+# broken connection now and then stays near zero.
 FORGIVEN = 0.34
 # Without any request, half of the count is gone after so long.
 HALF_LIFE = 6.0
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -26,7 +26,7 @@
 START_SPREAD = 0.03
 # A started node that passed its preferred instance over goes back to it after
 # about this time, spread by half to both sides: by then an instance that lost
-# its disk has been taken in again (1.6 s measured). Without it, all nodes that
+# its disk has been taken in again. Without it, all nodes that
 # started together would stay with the leader.
 HOME_SECONDS = 2.0
 
