--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -135,6 +135,10 @@
         """Closes connections after their answers from now on."""
         self.leaving = True
 
+    def stay(self) -> None:
+        """Keeps connections after their answers again."""
+        self.leaving = False
+
     def close_idle(self) -> None:
         """Stops accepting, and closes the connections without a request."""
         self.acceptor.kill()
--- a/src/mintcleat/emulator/control.py
+++ b/src/mintcleat/emulator/control.py
@@ -4,12 +4,11 @@
 
 import simpy
 
+from mintcleat.decisions import cut_off
 from mintcleat.decisions import shared_load
 from mintcleat.domain import program_messages
-from mintcleat.roles.entry import allowances
 
-# One commit and the way there and back, in seconds: as measured on machines
-# of the platform, 4 ms at the median.
+# One commit and the way there and back, in seconds.
 COMMIT = 0.004
 
 
@@ -42,7 +41,7 @@
         """
         began = self.env.now
         while self.env.now < self.until:
-            if self.env.now - began > allowances.COUNT_SECONDS:
+            if self.env.now - began > cut_off.ELECTION_SECONDS:
                 raise Outage
             yield self.env.timeout(0.02)
         yield self.env.timeout(COMMIT)
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -71,10 +71,7 @@
         self.follower.subscribe(self._learn_control)
         self.http = upstreams.HttpUpstreams()
         allowed = allowances.Allowances(
-            self.client,
-            common.timers,
-            events,
-            lambda: self.follower.manifest().policies,
+            self.client, common.timers, events, self.follower
         )
         self.gateway = gateway_module.Gateway(
             self.follower,
@@ -106,12 +103,24 @@
         if held == self.held_lease:
             return
         self.held_lease = held
+        self._keep_callers(held)
         address = self.follower.stream.address or "no control instance"
         kind = event_types.DependencyRegained
         if not held:
             kind = event_types.DependencyLost
         self.events.emit(kind("configuration lease", address))
 
+    def _keep_callers(self, held: bool) -> None:
+        """Lets callers go elsewhere while turns can't be recorded here.
+
+        The balancer moves no open connection. A caller that keeps one to an
+        entry without control would be refused on it again and again.
+        """
+        if held and not self.gateway.draining:
+            self.listener.stay()
+        else:
+            self.listener.leave()
+
     def _answer(
         self, request: http1_server.Request, reply: http1_server.Reply
     ) -> None:
--- a/src/mintcleat/roles/entry/allowances.py
+++ b/src/mintcleat/roles/entry/allowances.py
@@ -5,9 +5,10 @@
 counted ahead with an earlier turn.
 """
 
-from collections.abc import Callable
 from typing import Any
+from typing import Protocol
 
+from mintcleat.decisions import cut_off
 from mintcleat.decisions import limits
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
@@ -19,9 +20,15 @@
 from mintcleat.programs import limits as counting
 from mintcleat.programs import placement
 
-# A count takes two hops and a commit; after a leader's loss about a second.
-# A caller that waits longer is served sooner elsewhere.
-COUNT_SECONDS = 2.0
+
+class Configuration(Protocol):
+    """What is asked of the configuration that this entry follows."""
+
+    def manifest(self) -> manifest.Manifest:
+        """Returns the manifest applied here."""
+
+    def lease_left(self) -> float:
+        """Returns the seconds left of the lease on the configuration."""
 
 
 class Allowances:
@@ -37,18 +44,18 @@
         control: control_ports.Control,
         timers: timer_ports.Timers,
         events: event_ports.Events,
-        policies: Callable[[], manifest.Policies],
+        configuration: Configuration,
     ) -> None:
         self.control = control
+        self.configuration = configuration
         self.timers = timers
         self.events = events
-        self.policies = policies
         self.ahead = limits.Ahead()
         self.waiting = 0
 
     def limit_of(self, customer: str) -> program_messages.Limit | None:
         """Returns a customer's limit as this entry knows it; None for none."""
-        policies = self.policies()
+        policies = self.configuration.manifest().policies
         held = policies.customers.get(customer)
         return limits.limit_of(held, policies) if held else None
 
@@ -81,7 +88,9 @@
             self.ask(scope, count)
         except errors.OutcomeUnknown as error:
             # Counted or not, the request itself did not run.
-            raise errors.ControlUnavailable(error.detail) from None
+            raise errors.ControlUnavailable(
+                error.detail, retry_after=cut_off.RETRY_SECONDS
+            ) from None
         self.events.emit(
             event_types.CallCounted(
                 request, program, customer, round(self.timers.now() - now, 4)
@@ -101,7 +110,11 @@
         began = self.timers.now()
         while True:
             try:
-                reply = self.control.ask(scope, request, COUNT_SECONDS)
+                seconds = cut_off.hold(self.configuration.lease_left())
+                reply = self.control.ask(scope, request, seconds)
+            except errors.ControlUnavailable as error:
+                error.retry_after = cut_off.RETRY_SECONDS
+                raise
             except errors.LimitNear:
                 raise
             except errors.LimitReached as error:
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -60,7 +60,7 @@
         )
         self.identities = identity.Identities(directory, timers, events)
         self.allowances = allowances.Allowances(
-            control, timers, events, lambda: directory.manifest().policies
+            control, timers, events, directory
         )
         self.leaving = False
         self.draining = False
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -64,9 +64,9 @@
 
     def ready(self) -> bool:
         """Tells whether requests can be served here."""
-        if self.draining or not self.configuration.revision():
-            return False
-        return self.identities.ready()
+        # Without a lease, turns can't be recorded here while others can; the
+        # balancer uses every entry anyway when too few are ready.
+        return not self.draining and self.configuration.in_lease()
 
     def limits(self) -> manifest.Limits:
         """Returns what callers may send."""
--- a/src/mintcleat/roles/entry/identity.py
+++ b/src/mintcleat/roles/entry/identity.py
@@ -64,13 +64,6 @@
         self.register = customers.Register(self.policies)
         self.unconfirmed = 0
 
-    def ready(self) -> bool:
-        """Tells whether customers can be served here at all."""
-        self._refresh()
-        return (
-            not self.register.required or self.configuration.key_seconds() > 0
-        )
-
     def caller(self, key: str, public: bool = False) -> customers.Caller | None:
         """Returns whose request it is, as far as this entry knows now.
 
--- a/src/mintcleat/roles/entry/turn_keeper.py
+++ b/src/mintcleat/roles/entry/turn_keeper.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Mapping
 
+from mintcleat.decisions import cut_off
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import program_messages
@@ -150,7 +151,9 @@
         except (errors.OutcomeUnknown, errors.Superseded) as error:
             # The turn itself did not run, whatever was committed.
             self.forget(call)
-            raise errors.ControlUnavailable(error.detail) from None
+            raise errors.ControlUnavailable(
+                error.detail, retry_after=cut_off.RETRY_SECONDS
+            ) from None
         chain = known
         if chain is None:
             chain = reply.chain
--- a/testing/test_hosted_customers.py
+++ b/testing/test_hosted_customers.py
@@ -163,9 +163,28 @@
         refused = self.get(api_key=FARMERS)
         self.assertEqual(503, refused.status)
         self.assertIn("retry-after", refused.headers)
-        self.assertFalse(self.system.entry.gateway.ready())
         self.assertEqual(200, self.get("/open/a").status)
 
+    def test_entry_that_is_cut_off_is_not_ready_and_refuses_turns_soon(
+        self,
+    ) -> None:
+        # The balancer went on sending callers to an entry that could record
+        # no turn, and each was held there for two seconds.
+        follower = self.system.entry.follower
+        self.assertTrue(self.system.entry.gateway.ready())
+        self.system.control_common.streams.stop()
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while follower.in_lease():
+                eventlet.sleep(0.05)
+        self.assertFalse(self.system.entry.gateway.ready())
+        self.system.told.events.clear()
+        self.assertEqual(503, self.turn("t1", FARMERS).status)
+        (refused,) = self.system.told.of(events.CallRefused)
+        self.assertLess(refused.after_s, 1.0)
+        # A caller that kept its connection would be refused on it again.
+        answer = self.get(api_key=FARMERS)
+        self.assertEqual("close", answer.headers["connection"])
+
     def test_refusal_tells_the_customer_in_its_line(self) -> None:
         self.turn("t1", FARMERS, "no-such-turn")
         (refused,) = self.system.told.of(events.CallRefused)
