--- a/src/mintcleat/roles/entry/customer_calls.py
+++ b/src/mintcleat/roles/entry/customer_calls.py
@@ -6,6 +6,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import program_messages
 from mintcleat.domain import requests
+from mintcleat.ports import calls as calls_port
 from mintcleat.roles.entry import allowances
 
 # A customer's key goes no further than the entry; its name does.
@@ -13,40 +14,12 @@
 _CUSTOMER = "mintcleat-customer"
 
 
-class Calls(Protocol):
-    """The entry for any customer; see `ports.calls.Calls`."""
-
-    def ready(self) -> bool:
-        """Tells whether this entry takes new work."""
-
-    def models(self) -> list[str]:
-        """Returns the names of the model services."""
-
-    def create_program(
-        self, new: requests.NewProgram
-    ) -> program_messages.ProgramView:
-        """Creates a program, or returns the same one for a resend."""
+class Calls(calls_port.Calls, Protocol):
+    """The entry for any customer."""
 
     def view_program(self, program: str) -> program_messages.ProgramView:
         """Returns a program, maybe as it was a moment ago."""
 
-    def show_program(self, program: str) -> program_messages.ProgramView:
-        """Returns a program."""
-
-    def history(self, program: str) -> program_messages.History:
-        """Returns a program's whole history."""
-
-    def close_program(self, program: str) -> None:
-        """Closes a program and its sub-agents."""
-
-    def chat(
-        self, call: requests.ChatCall
-    ) -> Iterator[requests.Text | requests.End]:
-        """Yields the parts of a chat answer and then its end."""
-
-    def service(self, call: requests.ServiceCall) -> requests.ServiceAnswer:
-        """Returns the answer of a plain service."""
-
 
 class CustomerCalls:
     """Implements `ports.calls.Calls` for a customer that showed its key.
