A request that crosses the close of its connection is not passed on

The request reached it some milliseconds around that close, was read from the closed socket and ran at an upstream; its caller had neither answer nor refusal. Ruled out: the closing while a request is under way (idle was true), the entry's own lease (not lost then). Cause: the look for waiting bytes and the close are two steps, and the thread that serves the connection still reads what came in between. Now a connection that was ended runs nothing more. test_http1_server failed before, passes.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -178,6 +178,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self.idle = True
+        self.ended = False
         self.closed = False
 
     def serve(self) -> None:
@@ -226,6 +227,7 @@
         Closed under a thread that waits on it, the descriptor's number goes
         to the next connection while the hub still holds the old waiter.
         """
+        self.ended = True
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
@@ -241,7 +243,9 @@
         except errors.TooLarge as error:
             self._refuse(error.status, error.detail)
             return False
-        if request is None:
+        if request is None or self.ended:
+            # A request that came as the connection was closed has no way back
+            # for its answer, so it must not run.
             return False
         self.idle = False
         self.listener.active += 1
