The first answer without a lease closes its connection

Cause: the entry looked at its lease ten times a second and told the listener; an answer between the loss and the next look kept its caller, who would be refused again on that connection. The test saw the same gap. Ruled out: the machine's load. With the lease switched in the test, the answer after each loss is wrong every time. Change: the listener asks at each answer whether the entry is ready; the state in between (leave, stay) is gone. The new test failed before and passes.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -107,7 +107,7 @@
     Attributes:
         address: `IP:PORT` that it listens on.
         active: Requests that were read and are not answered yet.
-        leaving: Set when connections are to close after their answers.
+        keeps: Asked at each answer: whether its connection stays open.
     """
 
     def __init__(
@@ -115,9 +115,11 @@
         listen: str,
         handler: Handler,
         limits: Callable[[], manifest.Limits] = manifest.Limits,
+        keeps: Callable[[], bool] = lambda: True,
     ) -> None:
         self.handler = handler
         self.limits = limits
+        self.keeps = keeps
         # Seconds pass before a caller tries again to open a connection that
         # found the queue full.
         self.listener = eventlet.listen(
@@ -127,18 +129,9 @@
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.active = 0
-        self.leaving = False
         self.connections: set[_Connection] = set()
         self.acceptor = eventlet.spawn(self._accept_forever)
 
-    def leave(self) -> None:
-        """Closes connections after their answers from now on."""
-        self.leaving = True
-
-    def stay(self) -> None:
-        """Keeps connections after their answers again."""
-        self.leaving = False
-
     def close_idle(self) -> None:
         """Stops accepting, and closes the connections without a request."""
         self.acceptor.kill()
@@ -317,7 +310,7 @@
         body: bytes,
     ) -> None:
         """Sends the head and what there is of the body in one write."""
-        if self.listener.leaving:
+        if not self.listener.keeps():
             headers = [*headers, _CLOSING]
         head = h11.Response(
             status_code=status, headers=headers, reason=reason.encode()
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -87,7 +87,7 @@
         self.events = events
         handler = callers.Callers(self.gateway).handle
         self.listener = http1_server.HttpListener(
-            machine.callers, handler, self.gateway.limits
+            machine.callers, handler, self.gateway.limits, self.gateway.ready
         )
         self.asked = http1_server.HttpListener(machine.ready, self._answer)
 
@@ -103,24 +103,12 @@
         if held == self.held_lease:
             return
         self.held_lease = held
-        self._keep_callers(held)
         address = self.follower.stream.address or "no control instance"
         kind = event_types.DependencyRegained
         if not held:
             kind = event_types.DependencyLost
         self.events.emit(kind("configuration lease", address))
 
-    def _keep_callers(self, held: bool) -> None:
-        """Lets callers go elsewhere while turns can't be recorded here.
-
-        The balancer moves no open connection. A caller that keeps one to an
-        entry without control would be refused on it again and again.
-        """
-        if held and not self.gateway.draining:
-            self.listener.stay()
-        else:
-            self.listener.leave()
-
     def _answer(
         self, request: http1_server.Request, reply: http1_server.Reply
     ) -> None:
@@ -183,7 +171,6 @@
         """
         timers = self.common.timers
         self.gateway.draining = True
-        self.listener.leave()
         timers.sleep(_NOTICE_SECONDS)
         self.listener.close_idle()
         while self.listener.connections and timers.now() < until:
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -65,7 +65,8 @@
     def ready(self) -> bool:
         """Tells whether requests can be served here."""
         # Without a lease, turns can't be recorded here while others can; the
-        # balancer uses every entry anyway when too few are ready.
+        # balancer uses every entry anyway when too few are ready. It moves no
+        # open connection: a caller that keeps one would be refused on it again.
         return not self.draining and self.configuration.in_lease()
 
     def limits(self) -> manifest.Limits:
--- a/testing/test_hosted_customers.py
+++ b/testing/test_hosted_customers.py
@@ -185,6 +185,15 @@
         answer = self.get(api_key=FARMERS)
         self.assertEqual("close", answer.headers["connection"])
 
+    def test_first_answer_without_a_lease_closes_its_connection(self) -> None:
+        # The entry looked at its lease ten times a second. An answer between
+        # the loss and the next look kept its caller, who was refused again.
+        follower = self.system.entry.follower
+        for held in (True, False) * 20:
+            follower.in_lease = lambda held=held: held
+            headers = self.get(api_key=FARMERS).headers
+            self.assertEqual(held, "connection" not in headers)
+
     def test_refusal_tells_the_customer_in_its_line(self) -> None:
         self.turn("t1", FARMERS, "no-such-turn")
         (refused,) = self.system.told.of(events.CallRefused)
