Entries that come while two messages are under way share the next

Cause: a leader under load sent each command as a message of its own (16 could be under way to a follower); each woke every voter and the leader again. Change: two under way. Beside it what a profile of the entry showed: the loads of the candidates are summed once and ranked only when the program's own upstream is not taken, the count of a customer's window is kept, the timeout of a write begins only when the socket does not take it at once, and only turns of limited customers count for what is asked ahead.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -334,6 +334,10 @@
             self._write(data)
 
     def _write(self, data: bytes) -> None:
+        with contextlib.suppress(BlockingIOError):
+            data = data[self.sock.fd.send(data) :]
+        if not data:
+            return
         with eventlet.Timeout(_WRITE_SECONDS, TimeoutError):
             self.sock.sendall(data)
 
--- a/src/mintcleat/consensus/types.py
+++ b/src/mintcleat/consensus/types.py
@@ -133,7 +133,7 @@
     clock_drift: float = 0.01
     batch_entries: int = 512
     batch_bytes: int = 256 * 1024
-    window: int = 16
+    window: int = 2
     resend: float = 0.4
     snapshot_resend: float = 10.0
     promote_lag: int = 1000
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -84,8 +84,8 @@
         self.running = running
         self.heard = now
 
-    def at(self, upstream: str, now: float) -> int:
-        """Returns the others' requests at an upstream; 0 when unknown."""
+    def known(self, now: float) -> Mapping[str, int]:
+        """Returns the others' requests by upstream; empty when too old."""
         if now - self.heard > MAX_AGE:
-            return 0
-        return self.running.get(upstream, 0)
+            return {}
+        return self.running
--- a/src/mintcleat/decisions/spread.py
+++ b/src/mintcleat/decisions/spread.py
@@ -82,21 +82,18 @@
         return None
     fast = [c for c in candidates if c.slow < SLOW_LIMIT]
     candidates = fast or candidates
-    ranked = sorted(candidates, key=lambda c: _rank(affinity or request, c))
-    least = min(ranked, key=lambda c: c.load)
-    for candidate in candidates:
-        near = candidate.load <= least.load + RESIDENT_SLACK
-        if candidate.upstream == hint and near:
-            return Choice(hint, RESIDENT)
-    if affinity and ranked[0].load <= least.load + AFFINITY_SLACK:
-        return Choice(ranked[0].upstream, AFFINITY)
-    better = min(ranked[:CHOICES], key=lambda c: c.load)
-    return Choice(better.upstream, LEAST)
-
-
-def _rank(key: str, candidate: Candidate) -> int:
-    name = f"{key}|{candidate.upstream}".encode()
-    return xxhash.xxh3_64_intdigest(name)
+    loads = {candidate.upstream: candidate.load for candidate in candidates}
+    least = min(loads.values())
+    if hint in loads and loads[hint] <= least + RESIDENT_SLACK:
+        return Choice(hint, RESIDENT)
+    ranked = sorted(loads, key=lambda name: _rank(affinity or request, name))
+    if affinity and loads[ranked[0]] <= least + AFFINITY_SLACK:
+        return Choice(ranked[0], AFFINITY)
+    return Choice(min(ranked[:CHOICES], key=loads.__getitem__), LEAST)
+
+
+def _rank(key: str, upstream: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}|{upstream}".encode())
 
 
 class Speed(NamedTuple):
--- a/src/mintcleat/decisions/standing.py
+++ b/src/mintcleat/decisions/standing.py
@@ -156,10 +156,13 @@
 
     def silent(self, upstream: str, now: float) -> bool:
         """Tells whether a request waits there for longer than is usual."""
+        waits = self.waits.get(upstream)
+        if not waits:
+            return False
         heard = self.heard.get(upstream, 0.0)
         return any(
             now - max(wait.since, heard) > wait.patience
-            for wait in self.waits.get(upstream, {}).values()
+            for wait in waits.values()
         )
 
 
--- a/src/mintcleat/programs/limits.py
+++ b/src/mintcleat/programs/limits.py
@@ -91,6 +91,7 @@
 
     Attributes:
         slots: The oldest first; those that left the window are gone.
+        used: Requests in all of them.
         active: Programs under way, the longest silent first.
         requests: Requests of past programs, fading.
         begun: Programs begun, fading likewise.
@@ -101,6 +102,7 @@
 
     def __init__(self) -> None:
         self.slots: collections.deque[Slot] = collections.deque()
+        self.used = 0
         self.active: collections.OrderedDict[str, Running] = (
             collections.OrderedDict()
         )
@@ -118,7 +120,7 @@
     ) -> Need | None:
         """Counts a request, or returns why it may not be sent."""
         self._forget(limit.window, clock)
-        used = self.used()
+        used = self.used
         begins = program not in self.active
         most = limit.most()
         last = most + limit.tolerance() * (1 - _AHEAD_SHARE)
@@ -148,7 +150,7 @@
             n for _, n in self.ahead
         )
         # Only where the customer is far from its limit.
-        room = min(room, int(most * _CALM_SHARE) - self.used())
+        room = min(room, int(most * _CALM_SHARE) - self.used)
         given = max(0, min(wanted, room))
         for _ in range(given):
             self._count(limit.window, clock)
@@ -160,17 +162,15 @@
         """Takes back a request that was counted at a clock and never ran."""
         for slot in reversed(self.slots):
             if slot.start <= counted:
-                slot.count -= 1 if slot.count else 0
+                if slot.count:
+                    slot.count -= 1
+                    self.used -= 1
                 return
 
-    def used(self) -> int:
-        """Returns the requests in the window."""
-        return sum(slot.count for slot in self.slots)
-
     def _forget(self, window: float, clock: float) -> None:
         length = window / SLOTS
         while self.slots and clock - self.slots[0].start >= window + length:
-            self.slots.popleft()
+            self.used -= self.slots.popleft().count
         while self.active:
             program, running = next(iter(self.active.items()))
             if clock - running.touched < ACTIVE_SECONDS:
@@ -181,6 +181,7 @@
         if not self.slots or clock >= self.slots[-1].start + window / SLOTS:
             self.slots.append(Slot(clock, 0))
         self.slots[-1].count += 1
+        self.used += 1
 
     def _note(self, program: str, clock: float) -> None:
         self.touched = clock
@@ -246,6 +247,7 @@
         slots, active, self.requests, self.begun, self.kept = state[:5]
         ahead, self.touched = state[5:]
         self.slots = collections.deque(Slot(*item) for item in slots)
+        self.used = sum(slot.count for slot in self.slots)
         for program, requests, touched in active:
             self.active[program] = Running(requests, touched)
         self.ahead = collections.deque((at, count) for at, count in ahead)
--- a/src/mintcleat/roles/entry/turn_keeper.py
+++ b/src/mintcleat/roles/entry/turn_keeper.py
@@ -132,7 +132,9 @@
             self.allowances.take(call.customer, program.program, call.request)
             limit = None
         began = self.timers.now()
-        ahead = self.allowances.ahead.wanted(call.customer, began)
+        ahead = 0
+        if limit:
+            ahead = self.allowances.ahead.wanted(call.customer, began)
         request = program_messages.OpenTurn(
             program.program,
             call.request,
@@ -144,7 +146,7 @@
             running,
             call.customer,
             limit,
-            ahead if limit else 0,
+            ahead,
         )
         try:
             reply = self.allowances.ask(program.program, request)
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -56,7 +56,7 @@
         entry: Name of this entry among all.
         others: What other entries have running.
         known: Registrations in force, by life.
-        by_service: Upstreams that take new work, by service.
+        by_service: Upstreams that take new work, by service and life.
         gone: Called with each life that is over.
     """
 
@@ -80,7 +80,7 @@
         self.silences = standing.Silences()
         self.speeds = spread.Speeds()
         self.known: dict[str, member_messages.Registration] = {}
-        self.by_service: dict[str, list[member_messages.Registration]] = {}
+        self.by_service: dict[str, dict[str, member_messages.Registration]] = {}
         configuration.subscribe(self.read)
 
     def read(self) -> None:
@@ -99,33 +99,30 @@
                 self._tell(item, registered.version)
         self.known = entries
         self.by_service = {}
-        for item in entries.values():
+        for life, item in entries.items():
             if item.state == registrations.READY:
-                self.by_service.setdefault(item.service, []).append(item)
+                self.by_service.setdefault(item.service, {})[life] = item
 
     def choose(
         self, service: str, tried: set[str], wanted: Wanted
     ) -> tuple[member_messages.Registration, spread.Choice, int] | None:
         """Returns an upstream, why, and among how many; None for none."""
         now = self.timers.now()
-        ready = {
-            item.life: item
-            for item in self.by_service.get(service, ())
-            if item.life not in tried
-        }
+        ready = self.by_service.get(service, {})
         policy = self.policy
         names = standing.usable(
-            list(ready),
+            [life for life in ready if life not in tried],
             self.standings if policy.standing else None,
             self.silences if policy.silence else None,
             wanted.repeatable,
             now,
         )
         slow = self.speeds.factors(names, now) if policy.speed else {}
+        others = self.others.known(now) if policy.shared_load else {}
         candidates = [
             spread.Candidate(
                 name,
-                self.running(name) + self.running_elsewhere(name),
+                self.running(name) + others.get(name, 0),
                 ready[name].slots,
                 slow.get(name, 1.0),
             )
@@ -161,7 +158,7 @@
         """Returns how many requests other entries have there; 0 if unknown."""
         if not self.policy.shared_load:
             return 0
-        return self.others.at(life, self.timers.now())
+        return self.others.known(self.timers.now()).get(life, 0)
 
     def heard_age(self) -> float:
         """Returns how old that knowledge is, in seconds; -1 without any."""
--- a/testing/test_consensus.py
+++ b/testing/test_consensus.py
@@ -229,6 +229,38 @@
         self.assertEqual(1, len(state.configuration.learners))
         self.assertIn(silent, cluster.voters())
 
+    def test_entries_behind_unanswered_messages_share_the_next(
+        self,
+    ) -> None:
+        # At hundreds of commits a second each entry travelled alone, and woke
+        # every voter and the leader again for itself.
+        cluster = settled()
+        leader = cluster.leader()
+        core, state = leader.core, leader.core.replicas["g"].state
+        follower = min(state.progress)
+        state.settings = types.Settings()
+        core.box.take()
+
+        def appends() -> list[wire.Append]:
+            core.flush(leader.now())
+            box = core.box.take()
+            return [
+                letter.message
+                for letter in (*box.early, *box.late)
+                if letter.to == follower
+                and isinstance(letter.message, wire.Append)
+            ]
+
+        sent = []
+        for number in range(50):
+            core.replicas["g"].propose(b"%d" % number, leader.now())
+            sent += appends()
+        self.assertEqual([1, 1], [len(found.entries) for found in sent])
+        last = sent[0].entries[-1].index
+        reply = wire.AppendReply("g", state.term, True, last)
+        core.step(follower, reply, leader.now())
+        self.assertEqual([48], [len(found.entries) for found in appends()])
+
 
 def _role_and_commit(found: replica.Replica) -> tuple[str, int]:
     return found.state.role, found.state.commit
--- a/testing/test_limits.py
+++ b/testing/test_limits.py
@@ -86,7 +86,7 @@
         self.take(0.0)
         self.assertEqual(6, self.held.hand_out("farmers", 50, TOLERANT, 0.0))
         self.assertEqual(0, self.held.hand_out("farmers", 50, TOLERANT, 0.5))
-        while self.held.usages["farmers"].used() < 50:
+        while self.held.usages["farmers"].used < 50:
             self.take(2.0)
         self.assertEqual(0, self.held.hand_out("farmers", 50, TOLERANT, 2.0))
         self.assertEqual(0, self.held.hand_out("farmers", 50, SMALL, 2.0))
--- a/testing/test_shared_load.py
+++ b/testing/test_shared_load.py
@@ -42,7 +42,9 @@
         return spread.choose(
             [
                 spread.Candidate(
-                    name, self.running[name] + self.others.at(name, now), SLOTS
+                    name,
+                    self.running[name] + self.others.known(now).get(name, 0),
+                    SLOTS,
                 )
                 for name in ENGINES
             ],
@@ -153,7 +155,11 @@
 
     def test_what_was_heard_ages(self) -> None:
         others = shared_load.Others()
-        self.assertEqual(0, others.at("u", 0.0))
+        self.assertEqual(0, others.known(0.0).get("u", 0))
         others.hear({"u": 4}, 10.0)
-        self.assertEqual(4, others.at("u", 10.0 + shared_load.MAX_AGE))
-        self.assertEqual(0, others.at("u", 10.1 + shared_load.MAX_AGE))
+        self.assertEqual(
+            4, others.known(10.0 + shared_load.MAX_AGE).get("u", 0)
+        )
+        self.assertEqual(
+            0, others.known(10.1 + shared_load.MAX_AGE).get("u", 0)
+        )
