A call at a start is held until the lease has come

Its times: power lost at 34.02 s, back at about 35.05, entries start at 35.66, control at 35.73 to 35.88 (0.14 to 0.21 s of it reading a log of 10 MB), the programs' leader is elected at 35.90, config's at 36.07, configuration at the entries at 36.13, leases from 36.17 on. Cause: a call that was held for the configuration was released with it and refused (keys can't be told without a lease), to come back in half a second; the lease came 31 ms later. Ruled out: the election itself (the former leader leads again 24 ms after its start; config's was wiped). Change: the entry holds calls until it has had both, within the same bounds. The new test (503 before) plays the gap.

--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -243,13 +243,13 @@
 
 
 class CallHeld(NamedTuple):
-    """A call came before this process knew a configuration.
+    """A call came before this process had word of control.
 
     Attributes:
         uptime_s: Time since the process started.
         limit_s: Longest time for which the call was to wait; 0 for none.
         held: Other calls that waited then.
-        outcome: `released`, when the configuration came, or `refused`.
+        outcome: `released`, when a configuration came, or `refused`.
     """
 
     request: str
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -1,7 +1,5 @@
 """The entry's way of a routed request: its route, and its refusals."""
 
-from eventlet import event
-
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import comeback
 from mintcleat.decisions import customers
@@ -21,6 +19,8 @@
 
 # Callers that name no deadline are taken to wait for this long.
 _PATIENT_SECONDS = 30.0
+# How often a call that is held looks whether word has come.
+_LOOK_SECONDS = 0.01
 
 
 class Gateway:
@@ -29,8 +29,8 @@
     Attributes:
         draining: Set when the process takes no new work.
         started: Clock of this object's making.
-        held: Calls that wait for the first configuration.
-        arrived: Wakes them.
+        held: Calls that wait for the first word of control.
+        informed: Whether it has come.
     """
 
     def __init__(
@@ -59,8 +59,7 @@
         self.draining = False
         self.started = timers.now()
         self.held = 0
-        self.arrived = event.Event()
-        configuration.subscribe(self._release)
+        self.informed = False
 
     def ready(self) -> bool:
         """Tells whether requests can be served here."""
@@ -96,8 +95,8 @@
     def _route(
         self, call: routed.RoutedCall, began: float
     ) -> routed_run.RoutedRun:
-        if not self.configuration.revision():
-            self._await_configuration(call)
+        if not self.informed:
+            self._await_word(call)
         match = self._match(call)
         public = match.route.public
         caller = self.identities.caller(call.key, public)
@@ -140,42 +139,53 @@
             raise errors.UnknownRoute(f"No route for {call.host}{call.path}.")
         return match
 
-    def _await_configuration(self, call: routed.RoutedCall) -> None:
+    def _has_word(self) -> bool:
+        """Tells whether a configuration and a lease on it have come.
+
+        A leader that was just elected sends the first before it may grant the
+        second. Between them keys can't be told and turns can't be recorded.
+        """
+        self.informed = self.informed or (
+            self.configuration.revision() > 0 and self.configuration.in_lease()
+        )
+        return self.informed
+
+    def _await_word(self, call: routed.RoutedCall) -> None:
         """Holds a call while this entry has just started.
 
         Raises:
             errors.ControlUnavailable: There is still no configuration.
         """
+        if self._has_word():
+            return
         uptime = self.timers.now() - self.started
         deadline = call.deadline or _PATIENT_SECONDS
         seconds = cold_start.hold(uptime, deadline, self.held)
-        if seconds > 0:
-            self.held += 1
-            try:
-                self.arrived.wait(seconds)
-            finally:
-                self.held -= 1
+        until = self.timers.now() + seconds
+        self.held += 1
+        try:
+            while not self._has_word() and self.timers.now() < until:
+                self.timers.sleep(_LOOK_SECONDS)
+        finally:
+            self.held -= 1
         known = self.configuration.revision() > 0
-        self.events.emit(
-            event_types.CallHeld(
-                call.request,
-                round(uptime, 4),
-                round(seconds, 4),
-                self.held,
-                "released" if known else "refused",
-                round(self.timers.now() - self.started - uptime, 4),
+        if seconds > 0 or not known:
+            self.events.emit(
+                event_types.CallHeld(
+                    call.request,
+                    round(uptime, 4),
+                    round(seconds, 4),
+                    self.held,
+                    "released" if known else "refused",
+                    round(self.timers.now() - self.started - uptime, 4),
+                )
             )
-        )
         if not known:
             raise errors.ControlUnavailable(
                 "This entry knows no configuration yet.",
                 retry_after=routed_run.RETRY_SECONDS,
             )
 
-    def _release(self) -> None:
-        if self.configuration.revision() and not self.arrived.ready():
-            self.arrived.send()
-
     def _known_age(self) -> float:
         known = self.configuration.known_until()
         return self.timers.now() - known if known > 0 else 0.0
--- a/testing/test_hosted_customers.py
+++ b/testing/test_hosted_customers.py
@@ -194,6 +194,23 @@
             headers = self.get(api_key=FARMERS).headers
             self.assertEqual(held, "connection" not in headers)
 
+    def test_call_at_a_start_is_held_until_the_lease_has_come(self) -> None:
+        # After a loss of all power a leader that was just elected sent the
+        # configuration some hundredths of a second before a lease on it. Calls
+        # that were held for it were refused in between and told to come back
+        # half a second later.
+        entry = self.system.entry
+        follower, gateway = entry.follower, entry.gateway
+        now = follower.timers.now()
+        gateway.started, gateway.informed = now, False
+
+        def granted() -> float:
+            return follower.timers.now() - now - 0.2
+
+        follower.in_lease = lambda: granted() > 0
+        follower.key_seconds = granted
+        self.assertEqual(200, self.get(api_key=FARMERS).status)
+
     def test_refusal_tells_the_customer_in_its_line(self) -> None:
         self.turn("t1", FARMERS, "no-such-turn")
         (refused,) = self.system.told.of(events.CallRefused)
