--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -23,6 +23,7 @@
 from mintcleat.adapters import http1_server
 from mintcleat.adapters import process_memory
 from mintcleat.decisions import policy as policy_module
+from mintcleat.domain import control_events
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.main import common as common_module
@@ -210,7 +211,9 @@
             now = status.leader, status.term, status.role
             if self.leaders.get(status.group) != now:
                 self.leaders[status.group] = now
-                self.events.emit(event_types.LeaderChanged(status.group, *now))
+                self.events.emit(
+                    control_events.LeaderChanged(status.group, *now)
+                )
 
     def reload(self, machine: machine_module.Machine) -> list[str]:
         """Learns changed members; the groups keep the ones that they have."""
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -11,8 +11,8 @@
 from mintcleat.configuration import machine
 from mintcleat.configuration import sections
 from mintcleat.domain import config_messages
+from mintcleat.domain import control_events
 from mintcleat.domain import errors
-from mintcleat.domain import events
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
@@ -242,7 +242,7 @@
         index = self.leader.machine.pushed_index
         log = self.leader.log
         self.leader.events.emit(
-            events.ConfigurationPushed(
+            control_events.ConfigurationPushed(
                 message.version,
                 state.revision,
                 outcome,
@@ -258,7 +258,7 @@
         document = self.leader.machine.document
         position = self.leader.log.position(machine.GROUP)
         self.leader.events.emit(
-            events.ConfigurationRead(
+            control_events.ConfigurationRead(
                 document.version,
                 document.revision,
                 self.leader.office,
--- a/src/mintcleat/roles/control/replication/telling.py
+++ b/src/mintcleat/roles/control/replication/telling.py
@@ -6,7 +6,7 @@
 from mintcleat.consensus import records
 from mintcleat.consensus import replica as replicas
 from mintcleat.consensus import types
-from mintcleat.domain import events as event_types
+from mintcleat.domain import control_events
 from mintcleat.domain import identities
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import wal as wal_ports
@@ -27,7 +27,7 @@
             state = replica.state
             groups[group] = [state.term, index, term, state.mark.index]
         self.events.emit(
-            event_types.DiskOpened(
+            control_events.DiskOpened(
                 str(found.identity),
                 found.formatted,
                 self.founder,
@@ -40,7 +40,7 @@
     def elected(self, elected: outbox.Elected) -> None:
         """Tells that this replica leads."""
         self.events.emit(
-            event_types.LeaderElected(
+            control_events.LeaderElected(
                 elected.group,
                 elected.term,
                 elected.last_index,
@@ -64,7 +64,7 @@
         before = state.configuration_at(entry.index - 1)
         after = records.configuration(entry.data)
         self.events.emit(
-            event_types.VotersChanged(
+            control_events.VotersChanged(
                 state.group,
                 entry.index,
                 entry.term,
@@ -84,13 +84,13 @@
     ) -> None:
         """Tells that a snapshot was sent, or could not be."""
         self.events.emit(
-            event_types.SnapshotSent(group, str(to), index, size, whole)
+            control_events.SnapshotSent(group, str(to), index, size, whole)
         )
 
     def installed(self, item: outbox.Installed) -> None:
         """Tells that a snapshot replaced this replica's state."""
         self.events.emit(
-            event_types.SnapshotInstalled(
+            control_events.SnapshotInstalled(
                 item.group, item.mark.index, item.mark.term, len(item.state)
             )
         )
--- a/testing/test_driver.py
+++ b/testing/test_driver.py
@@ -17,8 +17,8 @@
 from mintcleat.consensus import messages as wire
 from mintcleat.consensus import records
 from mintcleat.consensus import types
+from mintcleat.domain import control_events
 from mintcleat.domain import errors
-from mintcleat.domain import events
 from mintcleat.domain import identities
 from mintcleat.roles.control.replication import driver as replication_driver
 from mintcleat.roles.control.replication import replication
@@ -234,7 +234,7 @@
             return [
                 event.index
                 for event in follower.told
-                if isinstance(event, events.VotersChanged)
+                if isinstance(event, control_events.VotersChanged)
             ]
 
         self.assertEqual([5, 6], virtual_time.run(play))
