Random schedules of limits lower and raise them

No schedule knew a limit that is lowered. Each window is now compared with the largest limit in force in it (and a second before, while requests that were counted ahead may still be sent). A leader that hears of no change is found.

--- a/testing/test_limits.py
+++ b/testing/test_limits.py
@@ -1,5 +1,6 @@
 """Customers' limits: the count, who is refused, and what entries hold ahead."""
 
+import math
 import random
 from typing import Any
 
@@ -161,6 +162,7 @@
 class RandomSchedule:
     """Entries before a group whose leader is lost, in virtual time.
 
+    Limits are lowered and raised meanwhile; the leader counts by the newest.
     Requests are counted by the group's clock, which stands still while nobody
     leads and is never ahead of true time. What arrives is noted by true time.
     """
@@ -181,18 +183,29 @@
         self.lag = 0.0
         self.leaderless_until = 0.0
         self.arrivals: list[float] = []
+        self.changes = [(0.0, self.limit)]
+        self.first = self.limit
 
     def run(self, steps: int) -> None:
         for _ in range(steps):
             self.now += self.random.expovariate(3 * self.limit.most() / WINDOW)
             if self.random.random() < 0.005:
                 self.fail_over()
+            if self.random.random() < 0.005:
+                self.change()
             if self.random.random() < 0.01:
                 sender = self.random.choice(self.senders)
                 length = self.random.uniform(0.5, 6.0)
                 sender.frozen_until = self.now + length
             self.step(self.random.choice(self.senders))
 
+    def change(self) -> None:
+        part = self.random.choice((0.1, 0.3, 0.7, 1.0))
+        self.limit = self.first._replace(
+            rate=self.first.rate * part, burst=self.first.burst * part
+        )
+        self.changes.append((self.now, self.limit))
+
     def fail_over(self) -> None:
         away = self.random.uniform(0.1, 1.0)
         self.leaderless_until = self.now + away
@@ -219,16 +232,36 @@
             until = self.now + limits.AHEAD_SECONDS
             sender.ahead.put("farmers", given, until)
 
-    def most_in_a_window(self) -> int:
-        most = first = 0
+    def exceeds(self) -> bool:
+        """Tells whether any window holds more than it may."""
+        first = 0
         for last, at in enumerate(self.arrivals):
             while at - self.arrivals[first] >= WINDOW:
                 first += 1
-            most = max(most, last - first + 1)
-        return most
+            if last - first + 1 > self.allowed(self.arrivals[first], at):
+                return True
+        return False
+
+    def allowed(self, begin: float, end: float) -> float:
+        """Returns the requests that a window may hold.
+
+        The largest limit in force in it counts, and before it for as long as
+        requests that were counted ahead may still be sent.
+        """
+        until = [*(at for at, _ in self.changes[1:]), math.inf]
+        return max(
+            limit.most() + limit.tolerance()
+            for (at, limit), over in zip(self.changes, until, strict=True)
+            if at <= end and over >= begin - limits.AHEAD_SECONDS
+        )
+
+
+class DeafSchedule(RandomSchedule):
+    """A leader that hears of no change of the limit."""
 
-    def allowed(self) -> float:
-        return self.limit.most() + self.limit.tolerance()
+    def change(self) -> None:
+        super().change()
+        self.limit = self.first
 
 
 class ScheduleTest(testtools.TestCase):
@@ -236,16 +269,22 @@
         for seed in range(300):
             schedule = RandomSchedule(seed)
             schedule.run(400)
-            self.assertLessEqual(
-                schedule.most_in_a_window(), schedule.allowed(), f"seed {seed}"
-            )
+            self.assertFalse(schedule.exceeds(), f"seed {seed}")
 
     def test_the_check_finds_counts_that_die_with_their_leader(self) -> None:
         found = 0
         for seed in range(300):
             schedule = RandomSchedule(seed, replicated=False)
             schedule.run(400)
-            found += schedule.most_in_a_window() > schedule.allowed()
+            found += schedule.exceeds()
+        self.assertGreater(found, 10)
+
+    def test_the_check_finds_a_leader_that_keeps_the_first_limit(self) -> None:
+        found = 0
+        for seed in range(300):
+            schedule = DeafSchedule(seed)
+            schedule.run(400)
+            found += schedule.exceeds()
         self.assertGreater(found, 10)
 
     def test_entry_that_slept_sends_nothing_it_held_before(self) -> None:
