--- a/src/mintcleat/main/cli_customers.py
+++ b/src/mintcleat/main/cli_customers.py
@@ -3,9 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import getpass
-import json
 import secrets
-import sys
 import time
 from typing import Any
 
@@ -118,20 +116,11 @@
             msgspec.structs.replace(whole, policies=policies)
         )
         name = operator or getpass.getuser()
-        expected = answer["revision"]
-        pushed = self._client.post(
-            "manifest",
-            {
-                "expected": expected,
-                "push_id": cli_manifest.push_id(text, expected, name, ""),
-                "manifest": text,
-                "operator": name,
-            },
-        )
+        pushed = cli_manifest.push(self._client, text, answer["revision"], name)
         return pushed["revision"]
 
     def _print(self, data: Any, text: str) -> None:
-        print(json.dumps(data) if self._json else text, file=sys.stdout)
+        print(cli_tables.show(data) if self._json else text)
 
 
 def age(seconds: float) -> str:
--- a/src/mintcleat/main/cli_manifest.py
+++ b/src/mintcleat/main/cli_manifest.py
@@ -84,15 +84,8 @@
                 )
                 return
         name = operator or getpass.getuser()
-        pushed = self._client.post(
-            "manifest",
-            {
-                "expected": expected,
-                "push_id": push_id(text, expected, name, str(request_id)),
-                "manifest": text,
-                "operator": name,
-                "version": number,
-            },
+        pushed = push(
+            self._client, text, expected, name, str(request_id), number
         )
         if pushed["version"] > number > 0:
             self._print(
@@ -146,6 +139,27 @@
         print(cli_tables.show(data) if self._json else text)
 
 
+def push(
+    client: cli_client.AdminClient,
+    text: str,
+    expected: int,
+    operator: str,
+    request_id: str = "",
+    number: int = 0,
+) -> dict[str, Any]:
+    """Pushes a manifest; returns what the admin interface answers."""
+    return client.post(
+        "manifest",
+        {
+            "expected": expected,
+            "push_id": push_id(text, expected, operator, request_id),
+            "manifest": text,
+            "operator": operator,
+            "version": number,
+        },
+    )
+
+
 def push_id(text: str, expected: int, operator: str, request_id: str) -> str:
     """Returns an id that is the same when the same command runs again."""
     seed = f"{operator}\0{request_id}\0{expected}\0{text}"
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -133,7 +133,8 @@
         for place, request in enumerate(requests):
             if getattr(request, "running", None) is not None:
                 entries[place] = request.running.entry
-            requests[place] = self._for_the_log(request)
+                requests[place] = self._take_report(request)
+            requests[place] = self._with_limit(requests[place])
             try:
                 group = self._admit(requests[place])
             except errors.MintcleatError as error:
@@ -154,27 +155,19 @@
         return replies
 
     def _with_limit(self, request: Any) -> Any:
-        """Returns a request with the limit that is in force here.
+        """Returns a request; one that counts, with the limit in force here.
 
         The sender's configuration may be older. What it names itself holds
         until this instance knows the customer.
         """
+        counting = (program_messages.OpenTurn, program_messages.CountCall)
+        if not isinstance(request, counting) or request.limit is None:
+            return request
         policies = self.policies()
         held = policies.customers.get(request.customer)
         if held is None:
             return request
-        limit = limits.limit_of(held, policies)
-        return request._replace(limit=limit)
-
-    def _for_the_log(self, request: Any) -> Any:
-        """Takes what only rides on a request, and adds what is in force."""
-        if getattr(request, "running", None) is not None:
-            request = self._take_report(request)
-        match request:
-            case program_messages.OpenTurn() | program_messages.CountCall():
-                if request.limit is not None:
-                    return self._with_limit(request)
-        return request
+        return request._replace(limit=limits.limit_of(held, policies))
 
     def _take_report(self, request: Any) -> Any:
         """Takes what an entry has running, and returns the request without."""
--- a/src/mintcleat/roles/entry/attempts.py
+++ b/src/mintcleat/roles/entry/attempts.py
@@ -20,6 +20,7 @@
 from mintcleat.ports import control as control_port
 from mintcleat.ports import streams as streams_port
 from mintcleat.ports import timers as timers_port
+from mintcleat.programs import placement
 
 CONTROL_SECONDS = 5.0
 SEAL_SECONDS = 1.0
@@ -40,7 +41,7 @@
     @property
     def scope(self) -> str:
         """What the group of the call is found by."""
-        return self.program or f"{self.customer}/{self.key}"
+        return self.program or placement.call_scope(self.customer, self.key)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -126,9 +126,7 @@
         found = self.identities.caller(key)
         if found is None:
             self.identities.confirm(request, key, arrived)
-            found = self.identities.caller(key)
-        if found is None:
-            raise identity.unauthorized(key)
+            found = self.identities.sure_caller(key)
         if not self.identities.register.required:
             return self
         return customer_calls.CustomerCalls(
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -2,7 +2,6 @@
 
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import comeback
-from mintcleat.decisions import customers
 from mintcleat.decisions import policy as policy_module
 from mintcleat.decisions import routes
 from mintcleat.domain import errors
@@ -95,19 +94,15 @@
     def _route(
         self, call: routed.RoutedCall, began: float
     ) -> routed_run.RoutedRun:
-        if not self.informed:
+        if not self._has_word():
             self._await_word(call)
         match = self._match(call)
-        public = match.route.public
-        caller = self.identities.caller(call.key, public)
+        caller = self.identities.caller(call.key, match.route.public)
         if caller is None:
             self.identities.confirm(call.request, call.key, began)
             match = self._match(call)
             public = match.route.public
-            caller = self.identities.caller(call.key, public)
-        if caller is None and not public:
-            raise identity.unauthorized(call.key)
-        caller = caller or customers.NOBODY
+            caller = self.identities.sure_caller(call.key, public)
         call = call._replace(customer=caller.customer)
         key = call.program.program or call.affinity or call.request
         name = routes.service_of(match.route, key)
@@ -156,8 +151,6 @@
         Raises:
             errors.ControlUnavailable: There is still no configuration.
         """
-        if self._has_word():
-            return
         uptime = self.timers.now() - self.started
         deadline = call.deadline or _PATIENT_SECONDS
         seconds = cold_start.hold(uptime, deadline, self.held)
--- a/src/mintcleat/roles/entry/identity.py
+++ b/src/mintcleat/roles/entry/identity.py
@@ -90,6 +90,18 @@
         found = self.register.find(key)
         return found if found.customer else None
 
+    def sure_caller(self, key: str, public: bool = False) -> customers.Caller:
+        """Returns whose request it is, after `confirm`.
+
+        Raises:
+            errors.Unauthorized: The key is surely no customer's.
+            errors.LeaseExpired: This entry may not take keys any more.
+        """
+        found = self.caller(key, public)
+        if found is None and not public:
+            raise _unauthorized(key)
+        return found or customers.NOBODY
+
     def confirm(self, request: str, key: str, arrived: float) -> None:
         """Waits until this entry knows every push from before a request.
 
@@ -141,7 +153,7 @@
             self.register = customers.Register(policies)
 
 
-def unauthorized(key: str) -> errors.Unauthorized:
+def _unauthorized(key: str) -> errors.Unauthorized:
     """Returns the refusal of a request whose key surely opens nothing."""
     shown = keys.short(key)
     named = f"The key {shown}" if shown else "A request without one key"
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -118,7 +118,7 @@
             now,
         )
         slow = self.speeds.factors(names, now) if policy.speed else {}
-        others = self.others.known(now) if policy.shared_load else {}
+        others = self._elsewhere(now)
         candidates = [
             spread.Candidate(
                 name,
@@ -156,9 +156,7 @@
 
     def running_elsewhere(self, life: str) -> int:
         """Returns how many requests other entries have there; 0 if unknown."""
-        if not self.policy.shared_load:
-            return 0
-        return self.others.known(self.timers.now()).get(life, 0)
+        return self._elsewhere(self.timers.now()).get(life, 0)
 
     def heard_age(self) -> float:
         """Returns how old that knowledge is, in seconds; -1 without any."""
@@ -203,6 +201,9 @@
             )
         )
 
+    def _elsewhere(self, now: float) -> Mapping[str, int]:
+        return self.others.known(now) if self.policy.shared_load else {}
+
     def _tell(self, item: member_messages.Registration, version: int) -> None:
         self.events.emit(
             event_types.UpstreamChanged(
--- a/src/mintcleat/roles/sidecar/attempts.py
+++ b/src/mintcleat/roles/sidecar/attempts.py
@@ -35,7 +35,7 @@
 
 def scope_of(program: str, customer: str, key: str) -> str:
     """Returns the scope whose group keeps a call."""
-    return program or f"{customer}/{key}"
+    return program or placement.call_scope(customer, key)
 
 
 class Attempt:
