Attempts of repeatable requests time out when an upstream hangs

A program ends with the first call that fails.

Change: an attempt of a request that may be repeated is given up after twice the target latency of its route, if the route allows another attempt, another upstream is left and as much time remains. A retry budget per service bounds it in an overload. A 504 after that much silence counts as a failure of the upstream; a 504 at a short deadline still doesn't.

--- a/src/mintcleat/decisions/evidence.py
+++ b/src/mintcleat/decisions/evidence.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import math
 
 from mintcleat.domain import errors
 
@@ -26,10 +27,22 @@
     FAILURE = "failed"
 
 
-def of_answer(status: int) -> Evidence:
-    """Returns the evidence of a complete answer, by its HTTP status."""
+def of_answer(
+    status: int, silent: float = 0.0, silence_timeout: float = math.inf
+) -> Evidence:
+    """Returns the evidence of a complete answer.
+
+    An upstream that hangs may still answer at the deadline with the status of
+    a timeout. If that were neutral, it would get the next request too.
+
+    Args:
+        status: HTTP status of the answer.
+        silent: Seconds without data for this request before the answer.
+        silence_timeout: Seconds of silence that are normal for the route.
+    """
     if status == TIMEOUT_STATUS:
-        return Evidence.NEUTRAL
+        hung = silent > silence_timeout
+        return Evidence.FAILURE if hung else Evidence.NEUTRAL
     return (
         Evidence.FAILURE if status >= MIN_FAILURE_STATUS else Evidence.SUCCESS
     )
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -1,5 +1,6 @@
 """Serves routed requests: finds the route, authenticates, runs, refuses."""
 
+from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import jitter
 from mintcleat.decisions import policy as policy_module
@@ -51,7 +52,13 @@
             configuration, timers, events, upstreams.forget, entry, policy
         )
         self.context = routed_run.EntryContext(
-            configuration, upstreams, self.loads, turns, timers, events
+            configuration,
+            upstreams,
+            self.loads,
+            turns,
+            timers,
+            events,
+            attempt_timeout.AttemptTimeouts(),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -12,6 +12,7 @@
 import eventlet
 
 from mintcleat.configuration import directory as directory_module
+from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import evidence
 from mintcleat.decisions import routes
 from mintcleat.domain import errors
@@ -58,6 +59,13 @@
     """
 
 
+class AttemptTimeout(BaseException):
+    """An attempt timed out; another upstream may run the request.
+
+    Derived from BaseException so that no error handler on the way catches it.
+    """
+
+
 class Configuration(directory_port.Directory, Protocol):
     """The followed configuration, as routed requests need it.
 
@@ -88,6 +96,7 @@
         upstreams: Client for requests to upstreams.
         loads: Load and health of the upstreams.
         turns: Client of the leaders that keep turns and budgets.
+        attempt_timeouts: Timeouts of attempts of repeatable requests.
     """
 
     configuration: Configuration
@@ -96,6 +105,7 @@
     turns: turn_client.TurnClient
     timers: timer_ports.Timers
     events: event_ports.EventReporter
+    attempt_timeouts: attempt_timeout.AttemptTimeouts
 
 
 class RoutedRun:
@@ -112,6 +122,7 @@
         attempts: Number of upstreams that may have run it.
         offers: Number of upstreams that it was sent to.
         tried: Incarnations of the upstreams that it was sent to.
+        candidates: Number of upstreams that the last attempt could go to.
         sent_at: Time at which it was last sent to an upstream.
         relay: Relay of the responses to the caller.
     """
@@ -142,6 +153,7 @@
         self.attempts = 0
         self.offers = 0
         self.tried: set[str] = set()
+        self.candidates = 0
         self.sent_at = 0.0
         self.relay = response_relay.ResponseRelay(
             self.route,
@@ -184,6 +196,11 @@
             if self.relay.head_sent:
                 self._emit_ended(outcome)
 
+    @property
+    def silence_timeout(self) -> float:
+        """Seconds of silence that are normal for the route."""
+        return SILENCE_FACTOR * self.route.target_latency
+
     def _set_timeout(self, until: float) -> None:
         """Ends the run at a time; replaces an earlier timeout."""
         if self.timeout is not None:
@@ -235,7 +252,7 @@
             self.offers += 1
             self.tried.add(upstream.incarnation)
             self.sent_at = self.now
-            silence_timeout = SILENCE_FACTOR * self.route.target_latency
+            silence_timeout = self.silence_timeout
             loads = self.context.loads
             loads.began(
                 upstream.incarnation, self.call.request, silence_timeout
@@ -257,9 +274,14 @@
                 )
                 raise
             else:
+                silent = self.relay.first_at - self.sent_at
                 self._record_evidence(
-                    upstream, evidence.of_answer(self.relay.status)
+                    upstream,
+                    evidence.of_answer(
+                        self.relay.status, silent, silence_timeout
+                    ),
                 )
+                self.context.attempt_timeouts.answered(self.service_name)
                 return
             finally:
                 loads.ended(upstream.incarnation, self.call.request)
@@ -299,6 +321,7 @@
                 retry_after=RETRY_SECONDS,
             )
         upstream, choice, candidates = found
+        self.candidates = candidates
         self.context.events.emit(
             event_types.CallPlaced(
                 self.call.request,
@@ -325,9 +348,8 @@
         self._set_timeout(self.deadline_at + GRACE_SECONDS)
         self.attempts += 1
         self.relay.upstream = upstream
-        answer = self.context.upstreams.send(
+        answer = self._send(
             upstream,
-            self.call,
             routed_calls.UpstreamRequest(
                 body,
                 max(0.0, self.deadline_at - self.now),
@@ -343,6 +365,35 @@
         finally:
             answer.close()
 
+    def _send(
+        self,
+        upstream: member_messages.Registration,
+        request: routed_calls.UpstreamRequest,
+    ) -> forwarding.UpstreamResponse:
+        """Sends the request; returns once the head of the response is there.
+
+        Raises:
+            errors.StreamTimeout: The attempt timed out.
+        """
+        timeouts = self.context.attempt_timeouts
+        seconds = timeouts.seconds(
+            self.route,
+            self.service_name,
+            self.attempts - 1,
+            self.silence_timeout,
+            self.deadline_at - self.now,
+        )
+        if self.candidates < 2:
+            seconds = None
+        try:
+            with eventlet.Timeout(seconds, AttemptTimeout()):
+                return self.context.upstreams.send(upstream, self.call, request)
+        except AttemptTimeout:
+            timeouts.expired(self.service_name, self.attempts)
+            raise errors.StreamTimeout(
+                f"Upstream {upstream.upstream} sent nothing for {seconds:g} s."
+            ) from None
+
     def _may_retry(self) -> bool:
         """Returns whether another attempt may follow the next one."""
         repeatable = self.route.repeat in ("any", "resume")
--- a/testing/test_evidence.py
+++ b/testing/test_evidence.py
@@ -29,6 +29,12 @@
             found,
         )
 
+    def test_timeout_after_silence_counts_against_the_upstream(self) -> None:
+        # Guards against an upstream that hangs until the deadline and then
+        # answers 504: it would get every further request of the entry.
+        found = [evidence.of_answer(504, silent, 0.5) for silent in (0.4, 0.6)]
+        self.assertEqual([Evidence.NEUTRAL, Evidence.FAILURE], found)
+
     def test_errors_elsewhere_do_not_count_against_the_upstream(self) -> None:
         found = [
             evidence.of_error(errors.TurnUnrecorded("")),
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -128,6 +128,25 @@
         first.script = second.script = platform_engine.whole
         self.assertEqual(200, self.system.call("GET", "/safe/a").status)
 
+    def test_safe_request_leaves_an_upstream_that_hangs(self) -> None:
+        # Guards against a call that fails at its deadline because its upstream
+        # hangs, while another upstream is idle.
+        self.patch(routed_run, "SILENCE_FACTOR", 0.4)
+        silent, sound = self.start_engines(
+            ("e1", "desk", _keep_silent), ("e2", "desk", _keep_silent)
+        )
+        call = eventlet.spawn(self.system.call, "GET", "/safe/a")
+        while not silent.received + sound.received:
+            eventlet.sleep(0.005)
+        if sound.received:
+            silent, sound = sound, silent
+        sound.script = platform_engine.whole
+        answer = call.wait()
+        self.assertEqual(200, answer.status)
+        self.assertEqual(1, len(silent.received))
+        penalties = self.system.entry.gateway.loads.penalties
+        self.assertEqual([silent.name], list(penalties.by_upstream))
+
     def test_unsafe_request_that_may_have_run_is_not_retried(self) -> None:
         # A retry would run the action twice if the first upstream ran it and
         # only its answer was lost.
