The platform's HTTP/1.1 is parsed by httptools

The socket of a connection stays registered with the hub (adapters/socket_reader): per request this saves the green thread that watched for the caller's disconnect, and per read a failed recv and two epoll_ctl calls. The peek before a pooled connection is used again stays: the hub may not have polled since the upstream closed it, and the request would have an unknown outcome. Events that arrive together are written together, and the headers of a request are looked up in one dictionary.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 client for upstreams, on h11 and eventlet.
+"""An HTTP/1.1 client for upstreams, on httptools and eventlet.
 
 Upstreams may respond before they have read the request body, may repeat the
 response to an earlier request of the connection, and may reset a connection
@@ -13,13 +13,14 @@
 from typing import Any
 
 import eventlet
-from eventlet import hubs
-import h11
 
+from mintcleat.adapters import http1_framing
+from mintcleat.adapters import http1_heads
+from mintcleat.adapters import socket_reader
 from mintcleat.adapters import streams
 from mintcleat.domain import errors
 
-_READ_BYTES = 64 * 1024
+_MAX_HEAD_BYTES = 64 * 1024
 # Connecting takes one round trip; an upstream that is down may never answer.
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Unacknowledged data and keepalive probes detect an upstream that lost power,
@@ -27,6 +28,14 @@
 _USER_TIMEOUT_MS = 1500
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+)
 # Larger requests are sent concurrently with reading, because an upstream may
 # respond before it has read the whole body, and read the rest later.
 _INLINE_REQUEST_BYTES = 16 * 1024
@@ -36,6 +45,7 @@
 _IDLE_SECONDS = 4.0
 # Keeps a request from being sent while the upstream closes the idle connection.
 _IDLE_MARGIN_SECONDS = 0.5
+_FIRST_FINAL_STATUS = 200
 
 
 class Connection:
@@ -44,32 +54,21 @@
     Attributes:
         usable_until: Monotonic time until which the connection may be
             reused.
+        received: Bytes after the messages that have been read.
+        method: Method of the current request.
+        head: Head of the current response; None before it.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, sock: Any) -> None:
         self.address = address
+        self.sock = sock
+        self.reader = socket_reader.SocketReader(sock)
         self.usable_until = 0.0
-        self.http = h11.Connection(h11.CLIENT)
+        self.received = b""
+        self.method = ""
+        self.head: http1_heads.ResponseHead | None = None
         self.sender: Any = None
         self.closed = False
-        try:
-            with eventlet.Timeout(CONNECT_TIMEOUT_SECONDS, TimeoutError):
-                self.sock = eventlet.connect(streams.split_address(address))
-        except (OSError, TimeoutError) as error:
-            raise errors.NoUpstream(
-                f"{address} is unreachable: {error}."
-            ) from None
-        options = (
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        )
-        for option in options:
-            with contextlib.suppress(OSError):
-                self.sock.setsockopt(*option)
 
     def send(
         self,
@@ -86,14 +85,9 @@
         """
         if body or method in ("POST", "PUT", "PATCH"):
             headers = [*headers, ("content-length", str(len(body)))]
-        self.request = h11.Request(
-            method=method, target=target, headers=headers
-        )
-        data = self.http.send(self.request)
-        self.body = body
-        if body:
-            data += self.http.send(h11.Data(data=body))
-        data += self.http.send(h11.EndOfMessage())
+        self.method = method
+        self.head = None
+        data = http1_framing.head(f"{method} {target} HTTP/1.1", headers) + body
         if len(data) > _INLINE_REQUEST_BYTES:
             self.sender = eventlet.spawn(self._send_in_background, data)
             return
@@ -102,24 +96,47 @@
         except OSError as error:
             raise self._connection_lost(error) from None
 
-    def read_head(self) -> h11.Response:
+    def read_head(self) -> http1_heads.ResponseHead:
         """Returns the head of the response; skips informational responses."""
+        searched = 0
         while True:
-            event = self._next_event()
-            if isinstance(event, h11.Response):
-                return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise self._connection_lost("no response was received")
+            try:
+                end = http1_heads.find_end(
+                    self.received, searched, _MAX_HEAD_BYTES
+                )
+                if end:
+                    head = http1_heads.parse_response(
+                        self.received[:end], self.method
+                    )
+            except http1_heads.ProtocolError as error:
+                raise self._connection_lost(error) from None
+            if not end:
+                searched = len(self.received)
+                if not self._receive():
+                    raise self._connection_lost("no response was received")
+                continue
+            self.received = self.received[end:]
+            searched = 0
+            if head.status >= _FIRST_FINAL_STATUS:
+                self.head = head
+                return head
 
     def read_data(self) -> bytes | None:
-        """Returns the next chunk of the body; None at its proper end."""
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                return None
-            raise self._connection_lost("the response is incomplete")
+        """Returns the next part of the body; None at its proper end."""
+        body = self.head.body
+        try:
+            while not body.complete:
+                if self.received:
+                    data, self.received = body.take(self.received)
+                    if data:
+                        return data
+                    if body.complete:
+                        break
+                if not self._receive():
+                    body.close()
+        except http1_framing.InvalidBody as error:
+            raise self._connection_lost(error) from None
+        return None
 
     def skip_response(self) -> None:
         """Reads the current response to its end and prepares for the next.
@@ -129,18 +146,11 @@
         """
         while self.read_data() is not None:
             pass
-        rest, closed = self.http.trailing_data
-        if closed or self.http.their_state is not h11.DONE:
+        if not self.head.keep_alive or self.reader.closed:
             raise self._connection_lost(
                 "it closed after the response to another request"
             )
-        self.http = h11.Connection(h11.CLIENT)
-        self.http.send(self.request)
-        if self.body:
-            self.http.send(h11.Data(data=self.body))
-        self.http.send(h11.EndOfMessage())
-        if rest:
-            self.http.receive_data(rest)
+        self.head = None
 
     def prepare_reuse(self, keep_alive: float) -> bool:
         """Prepares the connection for another request.
@@ -154,14 +164,14 @@
         """
         sent = self.sender is None or bool(self.sender.dead)
         done = (
-            self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-            and not self.http.trailing_data[0]
+            self.head is not None
+            and self.head.body.complete
+            and self.head.keep_alive
+            and not self.received
         )
         if not (sent and done):
             return False
         self.sender = None
-        self.http.start_next_cycle()
         seconds = (keep_alive or _IDLE_SECONDS) - _IDLE_MARGIN_SECONDS
         self.usable_until = time.monotonic() + seconds
         return seconds > 0
@@ -173,13 +183,7 @@
         """
         if self.closed or time.monotonic() > self.usable_until:
             return False
-        try:
-            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self.reader.is_quiet()
 
     def close(self) -> None:
         """Closes the connection; the upstream then cancels the request."""
@@ -188,19 +192,19 @@
         self.closed = True
         if self.sender is not None:
             self.sender.kill()
+        self.reader.stop()
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
 
-    def _next_event(self) -> Any:
+    def _receive(self) -> bool:
+        """Waits for bytes; returns whether any came before the end."""
         try:
-            while True:
-                event = self.http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self.http.receive_data(_receive(self.sock))
-        except (OSError, EOFError, h11.ProtocolError) as error:
+            data = self.reader.read()
+        except OSError as error:
             raise self._connection_lost(error) from None
+        self.received += data
+        return bool(data)
 
     def _send_in_background(self, data: bytes) -> None:
         # A failure to send shows as a failure to read the response.
@@ -213,17 +217,21 @@
         )
 
 
-def _receive(sock: Any) -> bytes:
-    """Returns received bytes, or none if the peer closed the connection.
+def connect(address: str) -> Connection:
+    """Returns a new connection.
 
-    Unlike eventlet's `recv`, it raises an error after a reset. Otherwise a
-    body without a length that a reset cut off would look complete.
+    Raises:
+        errors.NoUpstream: The upstream is unreachable.
     """
-    while True:
-        try:
-            return sock.fd.recv(_READ_BYTES)
-        except BlockingIOError:
-            hubs.trampoline(sock.fileno(), read=True)
+    try:
+        with eventlet.Timeout(CONNECT_TIMEOUT_SECONDS, TimeoutError):
+            sock = eventlet.connect(streams.split_address(address))
+    except (OSError, TimeoutError) as error:
+        raise errors.NoUpstream(f"{address} is unreachable: {error}.") from None
+    for option in _SOCKET_OPTIONS:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(*option)
+    return Connection(address, sock)
 
 
 class Pool:
@@ -244,7 +252,7 @@
             if connection.is_usable():
                 return connection
             connection.close()
-        return Connection(address)
+        return connect(address)
 
     def release(self, upstream: str, connection: Connection) -> None:
         """Returns a connection to the pool; closes it if the pool is full."""
--- /dev/null
+++ b/src/mintcleat/adapters/http1_framing.py
@@ -0,0 +1,195 @@
+"""Reads and writes the bodies of HTTP/1.1 messages.
+
+A body ends after a length, after a chunk of length 0, or when the connection
+is closed. The readers do no I/O: they take bytes from the start of what was
+received and return the rest.
+"""
+
+import re
+from typing import Protocol
+
+LAST_CHUNK = b"0\r\n\r\n"
+# Bounds on what is buffered of a line before a chunk, and of the trailers.
+_MAX_CHUNK_LINE_BYTES = 4096
+_MAX_TRAILER_BYTES = 16 * 1024
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:;[^\x00\r\n]*|[ \t]*)\Z")
+_TRAILER = re.compile(
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)+\r\n"
+)
+
+
+class InvalidBody(Exception):
+    """A body whose framing is invalid or incomplete."""
+
+
+class BodyReader(Protocol):
+    """Finds the end of a body.
+
+    Attributes:
+        complete: Whether the whole body has been taken.
+    """
+
+    complete: bool
+
+    def take(self, data: bytes) -> tuple[bytes, bytes]:
+        """Returns the part of the body in received bytes, and the rest.
+
+        The rest is passed again, followed by further bytes. Once the body is
+        complete, it belongs to the next message.
+
+        Raises:
+            InvalidBody: The framing is invalid.
+        """
+
+    def close(self) -> None:
+        """Handles the end of the connection.
+
+        Raises:
+            InvalidBody: The body is incomplete.
+        """
+
+
+class FixedBody:
+    """A body of known length."""
+
+    def __init__(self, length: int) -> None:
+        self.left = length
+        self.complete = length == 0
+
+    def take(self, data: bytes) -> tuple[bytes, bytes]:
+        """See `BodyReader`."""
+        if len(data) <= self.left:
+            self.left -= len(data)
+            self.complete = self.left == 0
+            return data, b""
+        part, rest = data[: self.left], data[self.left :]
+        self.left = 0
+        self.complete = True
+        return part, rest
+
+    def close(self) -> None:
+        """See `BodyReader`."""
+        if not self.complete:
+            raise InvalidBody(f"{self.left} bytes of the body are missing")
+
+
+class UntilCloseBody:
+    """A body that ends when the connection is closed."""
+
+    def __init__(self) -> None:
+        self.complete = False
+
+    def take(self, data: bytes) -> tuple[bytes, bytes]:
+        """See `BodyReader`."""
+        return data, b""
+
+    def close(self) -> None:
+        """See `BodyReader`."""
+        self.complete = True
+
+
+class ChunkedBody:
+    """A body in chunks.
+
+    Attributes:
+        left: Bytes of the current chunk that are missing, including the CR
+            and LF at its end; 0 between chunks.
+        in_trailers: Whether the chunk of length 0 has been read.
+    """
+
+    def __init__(self) -> None:
+        self.left = 0
+        self.in_trailers = False
+        self.complete = False
+
+    def take(self, data: bytes) -> tuple[bytes, bytes]:
+        """See `BodyReader`."""
+        parts: list[bytes] = []
+        position = 0
+        while not self.in_trailers:
+            if self.left == 0:
+                end = data.find(b"\n", position)
+                if end < 0:
+                    if len(data) - position > _MAX_CHUNK_LINE_BYTES:
+                        raise InvalidBody("a line before a chunk is too long")
+                    return b"".join(parts), data[position:]
+                size = _chunk_size(data[position : end + 1])
+                position = end + 1
+                if size == 0:
+                    self.in_trailers = True
+                    break
+                self.left = size + 2
+            position = self._take_chunk(data, position, parts)
+            if self.left:
+                return b"".join(parts), data[position:]
+        return b"".join(parts), self._take_trailers(data[position:])
+
+    def close(self) -> None:
+        """See `BodyReader`."""
+        if not self.complete:
+            raise InvalidBody("the last chunk of the body is missing")
+
+    def _take_chunk(self, data: bytes, start: int, parts: list[bytes]) -> int:
+        """Takes what has arrived of a chunk; returns the position after it."""
+        end = start + self.left
+        if len(data) >= end:
+            if data[end - 2 : end] != b"\r\n":
+                raise InvalidBody("a chunk is longer than announced")
+            if self.left > 2:
+                parts.append(data[start : end - 2])
+            self.left = 0
+            return end
+        # The CR and LF at the end of a chunk are checked together.
+        stop = min(len(data), end - 2)
+        if stop > start:
+            parts.append(data[start:stop])
+            self.left -= stop - start
+        return stop
+
+    def _take_trailers(self, data: bytes) -> bytes:
+        """Drops the trailers; returns the bytes after them."""
+        if data.startswith(b"\r\n"):
+            self.complete = True
+            return data[2:]
+        if len(data) < 2 and b"\r\n".startswith(data):
+            return data
+        end = data.find(b"\r\n\r\n")
+        if end < 0:
+            if len(data) > _MAX_TRAILER_BYTES:
+                raise InvalidBody("the trailers are too long")
+            return data
+        if not _TRAILER.fullmatch(data, 0, end + 4):
+            raise InvalidBody("the trailers are invalid")
+        self.complete = True
+        return data[end + 4 :]
+
+
+def _chunk_size(line: bytes) -> int:
+    match = _CHUNK_LINE.match(line.removesuffix(b"\r\n"))
+    if match is None:
+        raise InvalidBody("the size of a chunk is invalid")
+    return int(match[1], 16)
+
+
+def chunk(data: bytes) -> bytes:
+    """Returns bytes as one chunk; none for no bytes, which would end a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+def head(start_line: str, fields: list[tuple[str, str]]) -> bytes:
+    """Returns the head of a message.
+
+    Raises:
+        ValueError: A part contains a line end or NUL, which would change the
+            meaning of the message.
+    """
+    lines = [start_line, *[f"{name}: {value}" for name, value in fields]]
+    text = "\r\n".join(lines)
+    line_ends = len(lines) - 1
+    if (
+        text.count("\n") != line_ends
+        or text.count("\r") != line_ends
+        or "\0" in text
+    ):
+        raise ValueError("A header contains a line end or NUL.")
+    return f"{text}\r\n\r\n".encode("latin-1")
--- /dev/null
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -0,0 +1,261 @@
+"""Parses the heads of HTTP/1.1 messages.
+
+httptools parses the head alone, without the body: it accepts a few forms that
+are rejected here, because another recipient may find other message boundaries
+in them (request smuggling).
+"""
+
+from typing import NamedTuple
+
+import httptools
+
+from mintcleat.adapters import http1_framing
+
+END = b"\r\n\r\n"
+_VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
+_SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
+
+
+class ProtocolError(Exception):
+    """A message that violates HTTP/1.1.
+
+    Attributes:
+        status: Status of the response to such a request.
+    """
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class RequestHead(NamedTuple):
+    """Head of a request.
+
+    Attributes:
+        fields: Names in lower case, and values.
+        keep_alive: Whether the caller keeps its connection open.
+        chunks: Whether the caller understands chunked bodies.
+        waits: Whether the caller sends the body only after a response 100.
+    """
+
+    method: str
+    target: str
+    fields: tuple[tuple[str, str], ...]
+    body: http1_framing.BodyReader
+    keep_alive: bool
+    chunks: bool
+    waits: bool
+
+
+class ResponseHead(NamedTuple):
+    """Head of a response.
+
+    Attributes:
+        fields: Names in lower case, and values.
+        keep_alive: Whether the connection can carry another request.
+    """
+
+    status: int
+    reason: str
+    fields: list[tuple[str, str]]
+    body: http1_framing.BodyReader
+    keep_alive: bool
+
+
+def find_end(data: bytes, searched: int, limit: int) -> int:
+    """Returns the length of the head at the start of `data`; 0 if incomplete.
+
+    Args:
+        data: Received bytes.
+        searched: Length of the part that was searched before.
+        limit: Maximum length of a head.
+
+    Raises:
+        ProtocolError: The head is too long or can't become valid.
+    """
+    if data and data[0] <= 0x20:
+        raise ProtocolError("Expected a message, but found white space.")
+    end = data.find(END, max(0, searched - len(END) + 1), limit)
+    if end >= 0:
+        return end + len(END)
+    if len(data) >= limit:
+        raise ProtocolError(f"The head exceeds {limit} bytes.", 431)
+    # A head whose lines end with LF only would never be found complete.
+    start = searched - 1 if data[searched - 1 : searched] == b"\r" else searched
+    _check_line_ends(data[start:].removesuffix(b"\r"))
+    return 0
+
+
+def parse_request(head: bytes) -> RequestHead:
+    """Parses the head of a request, including the blank line at its end.
+
+    Raises:
+        ProtocolError: It violates HTTP/1.1, or isn't supported.
+    """
+    _check_line_ends(head)
+    parts = _Parts()
+    parser = httptools.HttpRequestParser(parts)
+    try:
+        parser.feed_data(head)
+    except httptools.HttpParserUpgrade:
+        pass  # The upgrade is declined by responding without it.
+    except httptools.HttpParserInvalidMethodError as error:
+        raise ProtocolError(str(error), 501) from None
+    except httptools.HttpParserError as error:
+        if not parts.complete:
+            raise ProtocolError(str(error)) from None
+    method = parser.get_method()
+    version = head[: head.index(b"\r\n")].removeprefix(
+        b"%b %b " % (method, parts.target)
+    )
+    if version not in _VERSIONS:
+        raise ProtocolError("Expected a request line of HTTP/1.0 or HTTP/1.1.")
+    fields = parts.by_name()
+    is_current = version == _VERSIONS[1]
+    if is_current and "host" not in fields:
+        raise ProtocolError("The request has no header Host.")
+    coding = fields.get("transfer-encoding")
+    if coding is not None and not is_current:
+        raise ProtocolError("Transfer-Encoding is not part of HTTP/1.0.")
+    if coding is not None and "content-length" in fields:
+        raise ProtocolError("Both Content-Length and Transfer-Encoding.")
+    return RequestHead(
+        method.decode("ascii"),
+        parts.target.decode("latin-1"),
+        tuple(parts.fields),
+        _body(fields, http1_framing.FixedBody(0)),
+        is_current and not _lists(fields, "connection", "close"),
+        is_current,
+        is_current and _lists(fields, "expect", "100-continue"),
+    )
+
+
+def parse_response(head: bytes, method: str) -> ResponseHead:
+    """Parses the head of a response, including the blank line at its end.
+
+    Args:
+        head: The head.
+        method: Method of the request.
+
+    Raises:
+        ProtocolError: It violates HTTP/1.1, or isn't supported.
+    """
+    _check_line_ends(head)
+    parts = _Parts()
+    parser = httptools.HttpResponseParser(parts)
+    # Transfer-Encoding overrides Content-Length in a response.
+    parser.set_dangerous_leniencies(lenient_chunked_length=True)
+    try:
+        parser.feed_data(head)
+    except httptools.HttpParserUpgrade:
+        raise ProtocolError("Expected no change of protocol.") from None
+    except httptools.HttpParserError as error:
+        if not parts.complete:
+            raise ProtocolError(str(error)) from None
+    status = parser.get_status_code()
+    version = head[:8]
+    if version not in _VERSIONS or status < 100 or status == 101:
+        raise ProtocolError(f"Expected a response, found status {status}.")
+    fields = parts.by_name()
+    if method == "HEAD" or status < 200 or status in (204, 304):
+        body: http1_framing.BodyReader = http1_framing.FixedBody(0)
+    else:
+        body = _body(fields, http1_framing.UntilCloseBody())
+    keep_alive = (
+        version == _VERSIONS[1]
+        and not _lists(fields, "connection", "close")
+        and not ("transfer-encoding" in fields and "content-length" in fields)
+        and not isinstance(body, http1_framing.UntilCloseBody)
+    )
+    reason = parts.reason.decode("latin-1")
+    return ResponseHead(status, reason, parts.fields, body, keep_alive)
+
+
+class _Parts:
+    """The parts of a head, which httptools reports by these callbacks."""
+
+    def __init__(self) -> None:
+        self.target = b""
+        self.reason = b""
+        self.fields: list[tuple[str, str]] = []
+        self.complete = False
+
+    def on_url(self, target: bytes) -> None:
+        self.target = target
+
+    def on_status(self, reason: bytes) -> None:
+        self.reason = reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.fields.append(
+            (
+                name.decode("latin-1").lower(),
+                value.decode("latin-1").rstrip(" \t"),
+            )
+        )
+
+    def on_headers_complete(self) -> None:
+        self.complete = True
+
+    def by_name(self) -> dict[str, str]:
+        """Returns the values by name; those of one name joined by commas.
+
+        Raises:
+            ProtocolError: The head is incomplete or repeats a field that may
+                occur once.
+        """
+        if not self.complete:
+            raise ProtocolError("The head is incomplete.")
+        fields = dict(self.fields)
+        if len(fields) == len(self.fields):
+            return fields
+        joined: dict[str, str] = {}
+        for name, value in self.fields:
+            if name in joined:
+                if name in _SINGLE_FIELDS:
+                    raise ProtocolError(f"The header {name} is repeated.")
+                value = f"{joined[name]},{value}"  # noqa: PLW2901
+            joined[name] = value
+        return joined
+
+
+def _check_line_ends(data: bytes) -> None:
+    """Rejects lines that don't end with CR and LF, and folded lines.
+
+    Raises:
+        ProtocolError: See above.
+    """
+    line_ends = data.count(b"\r\n")
+    if data.count(b"\n") != line_ends or data.count(b"\r") != line_ends:
+        raise ProtocolError("Expected CR and LF at the end of each line.")
+
+
+def _lists(fields: dict[str, str], name: str, item: str) -> bool:
+    """Returns whether a header field with a list has an item."""
+    value = fields.get(name)
+    if value is None:
+        return False
+    return item in [part.strip() for part in value.lower().split(",")]
+
+
+def _body(
+    fields: dict[str, str], default: http1_framing.BodyReader
+) -> http1_framing.BodyReader:
+    """Returns the reader of the body.
+
+    Raises:
+        ProtocolError: The transfer coding is unknown or the length invalid.
+    """
+    coding = fields.get("transfer-encoding")
+    if coding is not None:
+        if coding.lower() != "chunked":
+            raise ProtocolError(
+                "Only the transfer coding chunked is supported.", 501
+            )
+        return http1_framing.ChunkedBody()
+    length = fields.get("content-length")
+    if length is None:
+        return default
+    if not (length.isascii() and length.isdigit()):
+        raise ProtocolError("Invalid Content-Length.")
+    return http1_framing.FixedBody(int(length))
--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 server for forwarded requests, on h11 and eventlet.
+"""An HTTP/1.1 server for forwarded requests, on httptools and eventlet.
 
 eventlet's WSGI server cannot detect that a caller disconnects before its
 response is complete, cannot abort a response and does not expose all header
@@ -13,18 +13,22 @@
 
 import eventlet
 from eventlet import greenthread
-from eventlet import hubs
-import h11
 from loguru import logger
 
+from mintcleat.adapters import http1_framing
+from mintcleat.adapters import http1_heads
+from mintcleat.adapters import socket_reader
 from mintcleat.adapters import streams
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 
-_READ_BYTES = 64 * 1024
 _CONNECTION_CLOSE = ("connection", "close")
+_CHUNKED = ("transfer-encoding", "chunked")
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_STATUSES_WITHOUT_BODY = (204, 304)
 # Bounds how long a caller that does not read holds the memory of its response.
 _WRITE_TIMEOUT_SECONDS = 20.0
+_STATUS_INVALID = 400
 
 
 class CallerDisconnected(BaseException):
@@ -65,7 +69,7 @@
         ended: Whether the whole response has been sent.
     """
 
-    def __init__(self, connection: "_Connection") -> None:
+    def __init__(self, connection: "Connection") -> None:
         self.connection = connection
         self.started = False
         self.ended = False
@@ -135,7 +139,7 @@
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.active = 0
-        self.connections: set[_Connection] = set()
+        self.connections: set[Connection] = set()
         self.acceptor = eventlet.spawn(self._accept_forever)
 
     def close_idle(self) -> None:
@@ -164,22 +168,31 @@
                 )
                 eventlet.sleep(0.05)
                 continue
-            connection = _Connection(self, sock, f"{peer[0]}:{peer[1]}")
+            connection = Connection(self, sock, f"{peer[0]}:{peer[1]}")
             self.connections.add(connection)
             eventlet.spawn(connection.serve)
 
 
-class _Connection:
-    """A caller's connection, which carries one request at a time."""
+class Connection:
+    """A caller's connection, which carries one request at a time.
+
+    Attributes:
+        received: Bytes after the requests that have been read.
+        head: Head of the current request; None if it could not be read.
+        handler: Green thread that handles the current request.
+        ended: Whether the connection is being closed.
+        writer: Response in progress; None before its head.
+    """
 
     def __init__(self, listener: HttpListener, sock: Any, peer: str) -> None:
         self.listener = listener
         self.sock = sock
         self.peer = peer
-        limits = listener.limits()
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
-        )
+        self.reader = socket_reader.SocketReader(sock, self._kill_handler)
+        self.received = b""
+        self.head: http1_heads.RequestHead | None = None
+        self.handler: Any = None
+        self.writer: _ResponseWriter | None = None
         self.idle = True
         self.ended = False
         self.closed = False
@@ -188,8 +201,8 @@
         """Handles requests until one side closes the connection."""
         try:
             while self._serve_request():
-                self.http.start_next_cycle()
-        except (OSError, h11.ProtocolError, EOFError, TimeoutError):
+                pass
+        except (OSError, EOFError, TimeoutError):
             return
         except CallerDisconnected:
             return
@@ -204,6 +217,7 @@
             return
         self.closed = True
         self.listener.connections.discard(self)
+        self.reader.stop()
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
@@ -214,13 +228,10 @@
         Unread bytes belong to a request that was sent at the same time; it is
         read and answered first.
         """
-        if not self.idle or self.http.trailing_data[0]:
+        if not self.idle or self.received:
             return
-        with contextlib.suppress(OSError):
-            unread = self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            if unread:
-                return
-        self.shut_down()
+        if self.reader.closed or self.reader.is_quiet():
+            self.shut_down()
 
     def shut_down(self) -> None:
         """Ends the connection; the green thread serving it closes the socket.
@@ -236,10 +247,15 @@
         """Handles one request; returns whether another may follow."""
         limits = self.listener.limits()
         self.idle = True
+        self.head = None
+        self.writer = None
         try:
             request = self._read(limits)
-        except h11.RemoteProtocolError as error:
-            self._send_error(error.error_status_hint, str(error))
+        except http1_heads.ProtocolError as error:
+            self._send_error(error.status, str(error))
+            return False
+        except http1_framing.InvalidBody as error:
+            self._send_error(_STATUS_INVALID, f"Invalid request: {error}.")
             return False
         except errors.TooLarge as error:
             self._send_error(error.status, error.detail)
@@ -254,61 +270,83 @@
             self._handle(request)
         finally:
             self.listener.active -= 1
-        done = self.http.our_state is h11.DONE
-        return done and self.http.their_state is h11.DONE
+        return self.writer is not None and self.writer.allows_another()
 
     def _handle(self, request: Request) -> None:
-        reply = Reply(self)
-        thread = eventlet.getcurrent()
-        watcher = eventlet.spawn(self._watch_caller, thread)
+        if self.reader.closed:
+            raise CallerDisconnected
+        self.handler = eventlet.getcurrent()
         try:
-            self.listener.handler(request, reply)
+            self.listener.handler(request, Reply(self))
         finally:
-            watcher.kill()
+            self.handler = None
 
-    def _watch_caller(self, thread: Any) -> None:
-        """Kills the handler if the caller disconnects; ends if data comes."""
-        try:
-            hubs.trampoline(self.sock.fileno(), read=True)
-            if self.sock.fd.recv(1, socket.MSG_PEEK):
-                return
-        except OSError:
-            pass
-        greenthread.kill(thread, CallerDisconnected())
+    def _kill_handler(self) -> None:
+        """Ends the handler because the caller has disconnected."""
+        if self.handler is not None:
+            greenthread.kill(self.handler, CallerDisconnected())
 
     def _read(self, limits: manifest.Limits) -> Request | None:
-        """Returns the next request, or None if the caller closed."""
-        head = None
-        body: list[bytes] = []
+        """Returns the next request, or None if the caller closed.
+
+        Raises:
+            http1_heads.ProtocolError: The head is invalid or too long.
+            http1_framing.InvalidBody: The body is invalid or incomplete.
+            errors.TooLarge: The body exceeds the limit.
+        """
+        head = self._read_head(limits)
+        if head is None:
+            return None
+        self.head = head
+        self.idle = False
+        body = head.body
+        parts: list[bytes] = []
         size = 0
+        waits = head.waits
+        while True:
+            part, self.received = body.take(self.received)
+            if part:
+                parts.append(part)
+                size += len(part)
+                waits = False
+            if size > limits.body_bytes:
+                raise errors.TooLarge(
+                    f"The body exceeds {limits.body_bytes} bytes."
+                )
+            if body.complete:
+                break
+            if waits:
+                waits = False
+                self._send_bytes(_CONTINUE)
+            if not self._receive(limits.header_seconds):
+                body.close()
+        return Request(
+            head.method, head.target, head.fields, b"".join(parts), self.peer
+        )
+
+    def _read_head(
+        self, limits: manifest.Limits
+    ) -> http1_heads.RequestHead | None:
+        searched = 0
         while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                if self.http.they_are_waiting_for_100_continue:
-                    self._send_event(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                self._receive(limits, head is not None)
-            elif isinstance(event, h11.Request):
-                head = event
-                self.idle = False
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise errors.TooLarge(
-                        f"The body exceeds {limits.body_bytes} bytes."
-                    )
-                body.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return _to_request(head, b"".join(body), self.peer)
-            else:
+            received = self.received
+            end = http1_heads.find_end(received, searched, limits.header_bytes)
+            if end:
+                self.received = received[end:]
+                return http1_heads.parse_request(received[:end])
+            searched = len(received)
+            seconds = limits.header_seconds if searched else limits.idle_seconds
+            if not self._receive(seconds):
+                if searched:
+                    raise http1_heads.ProtocolError("The head is incomplete.")
                 return None
 
-    def _receive(self, limits: manifest.Limits, started: bool) -> None:
-        started = started or bool(self.http.trailing_data[0])
-        seconds = limits.header_seconds if started else limits.idle_seconds
+    def _receive(self, seconds: float) -> bool:
+        """Waits for bytes; returns whether any came before the end."""
         with eventlet.Timeout(seconds, TimeoutError):
-            self.http.receive_data(self.sock.recv(_READ_BYTES))
+            data = self.reader.read()
+        self.received += data
+        return bool(data)
 
     def start(
         self,
@@ -318,36 +356,31 @@
         body: bytes,
     ) -> None:
         """Sends the head and the first part of the body in one write."""
-        if not self.listener.keep_alive():
-            headers = [*headers, _CONNECTION_CLOSE]
-        head = h11.Response(
-            status_code=status, headers=headers, reason=reason.encode()
+        keep_alive = self.listener.keep_alive()
+        self.writer = _ResponseWriter(self.head, status, headers, keep_alive)
+        self._send_bytes(
+            self.writer.start(status, reason) + self.writer.body(body)
         )
-        data = self.http.send(head)
-        if body:
-            data += self.http.send(h11.Data(data=body))
-        self._send_bytes(data)
 
     def write(self, data: bytes) -> None:
         """Sends a part of the body."""
-        self._send_event(h11.Data(data=data))
+        self._send_bytes(self.writer.body(data))
 
     def end(self) -> None:
         """Sends the end of the body."""
-        self._send_event(h11.EndOfMessage())
-
-    def _send_event(self, event: Any) -> None:
-        data = self.http.send(event)
-        if data:
-            self._send_bytes(data)
+        self._send_bytes(self.writer.end())
 
     def _send_bytes(self, data: bytes) -> None:
-        with contextlib.suppress(BlockingIOError):
-            data = data[self.sock.fd.send(data) :]
         if not data:
             return
+        try:
+            sent = self.sock.fd.send(data)
+        except BlockingIOError:
+            sent = 0
+        if sent == len(data):
+            return
         with eventlet.Timeout(_WRITE_TIMEOUT_SECONDS, TimeoutError):
-            self.sock.sendall(data)
+            self.sock.sendall(memoryview(data)[sent:])
 
     def _send_error(self, status: int, text: str) -> None:
         """Sends an error response to a request that could not be read."""
@@ -357,16 +390,85 @@
             ("content-length", str(len(body))),
             _CONNECTION_CLOSE,
         ]
-        with contextlib.suppress(OSError, h11.ProtocolError, TimeoutError):
+        with contextlib.suppress(OSError, TimeoutError):
             self.start(status, headers, "", body)
             self.end()
 
 
-def _to_request(head: Any, body: bytes, peer: str) -> Request:
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in head.headers
-    )
-    return Request(
-        head.method.decode(), head.target.decode(), headers, body, peer
-    )
+class _ResponseWriter:
+    """Frames one response.
+
+    Attributes:
+        left: Bytes that are missing to the announced length; None for a body
+            without length.
+        chunked: Whether the body is sent in chunks.
+        without_body: Whether the response has no body, whatever its headers.
+        keep_alive: Whether the connection stays open.
+        ended: Whether the end has been framed.
+    """
+
+    def __init__(
+        self,
+        request: http1_heads.RequestHead | None,
+        status: int,
+        headers: list[tuple[str, str]],
+        keep_alive: bool,
+    ) -> None:
+        is_head = request is not None and request.method == "HEAD"
+        self.without_body = is_head or status in _STATUSES_WITHOUT_BODY
+        self.headers = headers
+        length = None
+        for name, value in headers:
+            if name == "content-length":
+                length = int(value)
+        self.left = length
+        self.keep_alive = (
+            keep_alive and request is not None and request.keep_alive
+        )
+        self.chunked = False
+        if length is None and status not in _STATUSES_WITHOUT_BODY:
+            if request is not None and request.chunks:
+                self.chunked = True
+                self.headers = [*self.headers, _CHUNKED]
+            elif not is_head:
+                self.keep_alive = False
+        if not self.keep_alive and _CONNECTION_CLOSE not in self.headers:
+            self.headers = [*self.headers, _CONNECTION_CLOSE]
+        self.ended = False
+
+    def allows_another(self) -> bool:
+        """Returns whether another request may follow this response."""
+        return self.ended and self.keep_alive
+
+    def start(self, status: int, reason: str) -> bytes:
+        """Returns the head."""
+        return http1_framing.head(f"HTTP/1.1 {status} {reason}", self.headers)
+
+    def body(self, data: bytes) -> bytes:
+        """Returns the framed bytes of a part of the body.
+
+        Raises:
+            ValueError: The body exceeds the announced length.
+        """
+        if self.without_body:
+            return b""
+        if self.chunked:
+            return http1_framing.chunk(data)
+        if self.left is not None:
+            self.left -= len(data)
+            if self.left < 0:
+                raise ValueError("The body exceeds its announced length.")
+        return data
+
+    def end(self) -> bytes:
+        """Returns the bytes that end the body.
+
+        Raises:
+            ValueError: The body is shorter than announced.
+        """
+        if not self.without_body and self.left:
+            raise ValueError("The body is shorter than announced.")
+        self.ended = True
+        if self.chunked and not self.without_body:
+            return http1_framing.LAST_CHUNK
+        return b""
--- /dev/null
+++ b/src/mintcleat/adapters/socket_reader.py
@@ -0,0 +1,124 @@
+"""Reads a socket whose events stay registered with eventlet's hub.
+
+eventlet's own `recv` registers the socket before each wait and removes it
+after, and attempts a read before it waits. For a streamed response these are
+four system calls per event instead of two. The registration also reports at
+any time that the peer has closed the connection.
+"""
+
+from collections.abc import Callable
+import socket
+from typing import Any
+
+import eventlet
+from eventlet import hubs
+
+_READ_BYTES = 64 * 1024
+# Received bytes that nobody reads, from which on the socket isn't read either,
+# so that the peer has to wait.
+_MAX_UNREAD_BYTES = 64 * 1024
+
+
+class SocketReader:
+    """The receiving side of a connection, for one green thread.
+
+    Attributes:
+        unread: Received bytes that `read` has not returned yet.
+        closed: Whether the peer has closed the connection or an error occurred.
+        on_closed: Called by the hub when `closed` is set while no green thread
+            is reading; must not wait.
+    """
+
+    def __init__(
+        self, sock: Any, on_closed: Callable[[], None] = lambda: None
+    ) -> None:
+        self.sock = sock
+        self.on_closed = on_closed
+        self.unread = b""
+        self.closed = False
+        self.error: OSError | None = None
+        self.waiter: Any = None
+        self.listener: Any = None
+
+    def read(self) -> bytes:
+        """Returns received bytes, or none if the peer closed the connection.
+
+        Raises:
+            OSError: The connection failed. Bytes received before that have
+                been returned.
+        """
+        if not self.unread and not self.closed:
+            self._watch()
+            self.waiter = eventlet.getcurrent()
+            try:
+                hubs.get_hub().switch()
+            finally:
+                self.waiter = None
+        if self.unread:
+            data, self.unread = self.unread, b""
+            if not self.closed:
+                self._watch()
+            return data
+        if self.error is not None:
+            raise self.error
+        return b""
+
+    def is_quiet(self) -> bool:
+        """Returns whether nothing was received and the connection is open."""
+        if self.unread or self.closed:
+            return False
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def stop(self) -> None:
+        """Ends the registration; must precede the close of the socket."""
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            hubs.get_hub().remove(listener)
+
+    def _watch(self) -> None:
+        if self.listener is None:
+            hub = hubs.get_hub()
+            self.listener = hub.add(
+                hub.READ,
+                self.sock.fileno(),
+                self._on_readable,
+                self._on_obsolete,
+                self._forget,
+            )
+
+    def _on_readable(self, fileno: int) -> None:
+        """Receives; the hub calls it even if `stop` came just before."""
+        if self.listener is None:
+            return
+        try:
+            data = self.sock.fd.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.error = error
+            data = b""
+        if data:
+            self.unread += data
+        else:
+            self.closed = True
+        if not data or len(self.unread) >= _MAX_UNREAD_BYTES:
+            self.stop()
+        if self.waiter is not None:
+            self.waiter.switch()
+        elif not data:
+            self.on_closed()
+
+    def _forget(self) -> None:
+        self.listener = None
+
+    def _on_obsolete(self, error: OSError) -> None:
+        self.error = error
+        self.closed = True
+        if self.waiter is not None:
+            self.waiter.switch()
--- a/src/mintcleat/domain/server_sent_events.py
+++ b/src/mintcleat/domain/server_sent_events.py
@@ -41,17 +41,18 @@
             raise ValueError(
                 f"A server-sent event exceeds {MAX_EVENT_BYTES} bytes."
             )
-        return [_parse(raw + b"\n\n") for raw in complete]
+        return [_parse(lines) for lines in complete]
 
 
-def _parse(raw: bytes) -> Event:
+def _parse(lines: bytes) -> Event:
+    """Returns the event with these lines, without the blank line."""
     event_id = ""
     data = []
-    for line in raw.split(b"\n"):
+    for line in lines.split(b"\n"):
         name, _, value = line.partition(b":")
-        value = value.removeprefix(b" ").removesuffix(b"\r")
-        if name == b"id":
+        if name == b"data":
+            data.append(value.removeprefix(b" ").removesuffix(b"\r"))
+        elif name == b"id":
+            value = value.removeprefix(b" ").removesuffix(b"\r")
             event_id = value.decode("latin-1")
-        elif name == b"data":
-            data.append(value)
-    return Event(raw, event_id, b"\n".join(data))
+    return Event(lines + b"\n\n", event_id, b"\n".join(data))
--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -133,11 +133,18 @@
     Raises:
         errors.BadRequest: A required header field is missing or malformed.
     """
-    header = request.header
+    # The first value of a repeated field counts.
+    fields = dict(reversed(request.headers))
+
+    def header(name: str) -> str:
+        return fields.get(name, "")
+
     if not header(REQUEST_ID):
         raise errors.BadRequest(f"The request has no header {REQUEST_ID}.")
-    listed = {name.strip().lower() for name in header("connection").split(",")}
-    dropped = _DROPPED_FIELDS | listed
+    dropped = _DROPPED_FIELDS
+    connection = header("connection")
+    if connection:
+        dropped |= {name.strip().lower() for name in connection.split(",")}
     return routed_calls.RoutedCall(
         request=header(REQUEST_ID),
         method=request.method,
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 import contextlib
 import reprlib
-from typing import Any
 
 from mintcleat.adapters import http1_client
+from mintcleat.adapters import http1_heads
 from mintcleat.domain import errors
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
@@ -65,26 +65,22 @@
         pool: http1_client.Pool,
         upstream: member_messages.Registration,
         connection: http1_client.Connection,
-        response: Any,
+        response: http1_heads.ResponseHead,
     ) -> None:
         self.pool = pool
         self.upstream = upstream
         self.connection: http1_client.Connection | None = connection
-        fields = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in response.headers
-        ]
-        self.fields = dict(fields)
-        status = response.status_code
+        self.fields = dict(response.fields)
+        status = response.status
         self._validate(status)
         content_type = self.fields.get("content-type", "")
         length = self.fields.get("content-length", "")
         self.head = routed_calls.ResponseHead(
             status,
-            response.reason.decode("latin-1"),
+            response.reason,
             tuple(
                 field
-                for field in fields
+                for field in response.fields
                 if field[0] not in callers.HOP_BY_HOP_FIELDS
             ),
             int(length) if length.isdigit() else None,
@@ -172,7 +168,9 @@
     return headers
 
 
-def _read_head(connection: http1_client.Connection, request_id: str) -> Any:
+def _read_head(
+    connection: http1_client.Connection, request_id: str
+) -> http1_heads.ResponseHead:
     """Returns the head of the response to a request.
 
     An upstream may respond again to an earlier request on the connection.
@@ -180,8 +178,8 @@
     """
     for _ in range(_MAX_SKIPPED_RESPONSES):
         head = connection.read_head()
-        echoed_id = dict(head.headers).get(callers.REQUEST_ID.encode())
-        if echoed_id is None or echoed_id.decode("latin-1") == request_id:
+        echoed_id = dict(head.fields).get(callers.REQUEST_ID)
+        if echoed_id is None or echoed_id == request_id:
             return head
         connection.skip_response()
     raise errors.StreamClosed(
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -133,8 +133,7 @@
         buffer = server_sent_events.EventBuffer()
         for data in answer.chunks():
             self.loads.arrived(self.incarnation)
-            for event in buffer.feed(data):
-                self._forward_event(event, reply)
+            self._forward_events(buffer.feed(data), reply)
         if buffer.rest:
             reply.write(buffer.rest)
         self._mark_complete()
@@ -150,22 +149,28 @@
         self.complete = True
         self.loads.ended(self.incarnation, self.request)
 
-    def _forward_event(
-        self, event: server_sent_events.Event, reply: forwarding.CallerResponse
+    def _forward_events(
+        self,
+        events: list[server_sent_events.Event],
+        reply: forwarding.CallerResponse,
     ) -> None:
+        """Forwards events that arrived together, by one write."""
+        if not events:
+            return
         now = self.timers.now()
-        if self.last_event_at:
-            pause = now - self.last_event_at
-            self.max_gap = max(self.max_gap, pause)
-            self.loads.observe(self.incarnation, pause)
-        else:
-            self.first_at = now
-        self.last_event_at = now
-        self.tokens += self.service.tokens_per_event
-        self.last_event_id = event.id or self.last_event_id
-        if self.route.retention:
-            self.output.append(event.data)
-        reply.write(event.raw)
+        for event in events:
+            if self.last_event_at:
+                pause = now - self.last_event_at
+                self.max_gap = max(self.max_gap, pause)
+                self.loads.observe(self.incarnation, pause)
+            else:
+                self.first_at = now
+            self.last_event_at = now
+            self.tokens += self.service.tokens_per_event
+            self.last_event_id = event.id or self.last_event_id
+            if self.route.retention:
+                self.output.append(event.data)
+        reply.write(b"".join([event.raw for event in events]))
 
     def _commit_turn(self) -> None:
         """Commits the turn before its response ends.
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -8,6 +8,7 @@
 
 from mintcleat.adapters import http1_server
 
+HEAD_END = b"\r\n\r\n"
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 SECONDS = 10.0
 
@@ -56,3 +57,142 @@
             while listener.connections:
                 eventlet.sleep(0.005)
         self.assertEqual([], handled)
+
+
+class CallerTest(testtools.TestCase):
+    """Requests over a real connection; the path tells what the handler does."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.handled: list[str] = []
+        self.ended: list[str] = []
+        self.listener = http1_server.HttpListener("127.0.0.1:0", self.handle)
+        self.addCleanup(self.listener.stop)
+        host, port = self.listener.address.split(":")
+        self.caller = eventlet.connect((host, int(port)))
+        self.addCleanup(self.caller.close)
+
+    def handle(
+        self, request: http1_server.Request, reply: http1_server.Reply
+    ) -> None:
+        self.handled.append(request.target)
+        try:
+            match request.target.split("/")[1]:
+                case "wait":
+                    eventlet.sleep(SECONDS)
+                case "stream":
+                    reply.start(200, [])
+                    for _ in range(3):
+                        reply.write(request.target.encode())
+                        eventlet.sleep(0.001)
+                    reply.end()
+                    return
+                case "cut":
+                    reply.start(200, [("content-length", "9")])
+                    return
+            reply.send(200, [], request.target.encode())
+        except http1_server.CallerDisconnected:
+            self.ended.append(request.target)
+            raise
+
+    def send(self, *targets: str, method: str = "GET") -> None:
+        for target in targets:
+            self.caller.sendall(
+                f"{method} {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+            )
+
+    def read_until(self, end: bytes) -> bytes:
+        data = b""
+        with eventlet.Timeout(SECONDS):
+            while not data.endswith(end):
+                data += self.caller.recv(65536)
+        return data
+
+    def wait_for(self, condition: Any) -> None:
+        with eventlet.Timeout(SECONDS):
+            while not condition():
+                eventlet.sleep(0.005)
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        self.send("/stream/1", "/stream/2", "/a/3")
+        data = self.read_until(b"/a/3")
+        self.assertEqual(["/stream/1", "/stream/2", "/a/3"], self.handled)
+        first, second = data.find(b"/stream/1"), data.find(b"/stream/2")
+        self.assertTrue(0 < first < second)
+
+    def test_disconnect_ends_the_handler(self) -> None:
+        self.send("/wait")
+        self.wait_for(lambda: self.handled)
+        self.caller.close()
+        self.wait_for(lambda: self.ended)
+        self.wait_for(lambda: not self.listener.connections)
+        self.assertEqual(0, self.listener.active)
+
+    def test_disconnect_with_a_pipelined_request_ends_the_handler(self) -> None:
+        # The bytes of the second request must not hide the disconnect, and
+        # nobody is left to answer it.
+        self.send("/wait", "/a")
+        self.wait_for(lambda: self.handled)
+        self.caller.close()
+        self.wait_for(lambda: not self.listener.connections)
+        self.assertEqual((["/wait"], ["/wait"]), (self.handled, self.ended))
+
+    def test_disconnect_between_requests_closes_the_connection(self) -> None:
+        self.send("/a")
+        self.read_until(b"/a")
+        self.caller.close()
+        self.wait_for(lambda: not self.listener.connections)
+        self.assertEqual([], self.ended)
+
+    def test_pipelined_bytes_are_not_read_without_bound(self) -> None:
+        self.send("/wait")
+        self.wait_for(lambda: self.handled)
+        (connection,) = self.listener.connections
+        eventlet.spawn(self.caller.sendall, b"x" * 1_000_000)
+        eventlet.sleep(0.05)
+        self.assertLess(len(connection.reader.unread), 200_000)
+
+    def test_response_to_head_has_no_body(self) -> None:
+        self.send("/a", method="HEAD")
+        self.send("/b")
+        data = self.read_until(b"/b")
+        heads = data.split(HEAD_END)
+        self.assertEqual(b"/b", heads[-1])
+        self.assertEqual(3, len(heads))
+        self.assertIn(b"content-length: 2", heads[0])
+
+    def test_stream_is_chunked(self) -> None:
+        self.send("/stream")
+        body = self.read_until(b"\r\n0\r\n\r\n")
+        self.assertIn(b"transfer-encoding: chunked", body)
+        self.assertEqual(3, body.count(b"7\r\n/stream\r\n"))
+
+    def test_stream_for_http_1_0_ends_with_the_connection(self) -> None:
+        self.caller.sendall(b"GET /stream HTTP/1.0\r\n\r\n")
+        with eventlet.Timeout(SECONDS):
+            data = b"".join(iter(lambda: self.caller.recv(65536), b""))
+        head, _, body = data.partition(HEAD_END)
+        self.assertNotIn(b"chunked", head)
+        self.assertIn(b"connection: close", head)
+        self.assertEqual(b"/stream" * 3, body)
+
+    def test_unfinished_response_closes_the_connection(self) -> None:
+        # The next response would be taken for the rest of this one.
+        self.send("/cut", "/a")
+        with eventlet.Timeout(SECONDS):
+            data = b"".join(iter(lambda: self.caller.recv(65536), b""))
+        self.assertEqual(["/cut"], self.handled)
+        self.assertTrue(data.endswith(HEAD_END))
+
+    def test_header_with_a_line_end_is_not_sent(self) -> None:
+        listener = http1_server.HttpListener(
+            "127.0.0.1:0",
+            lambda request, reply: reply.send(200, [("a", "b\r\nc: d")], b""),
+        )
+        self.addCleanup(listener.stop)
+        host, port = listener.address.split(":")
+        caller = eventlet.connect((host, int(port)))
+        self.addCleanup(caller.close)
+        caller.sendall(REQUEST)
+        with eventlet.Timeout(SECONDS):
+            self.assertEqual(b"", caller.recv(65536))
