Rate limiter refuses fewer programs that the limit allows

Change: an entry counts ahead only for customers whose calls follow their turns at this entry in time. The part of the tolerance that is kept follows from what is counted ahead, an eighth at least. Retry-After leaves room for the programs refused before, and its jitter only adds. The requests of a program that was refused at last count without its end.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -13,6 +13,9 @@
 - `ahead`: as `counted`, and a turn counts ahead for the tool calls that
   follow it.
 
+`python -m bench.limits bursts` plays bursts of customers that are usually below
+their limits; see `bench.limits_burst`.
+
 `python -m bench.limits cost` measures what one count costs: processor time at
 control, and bytes of the message, the log entry and the state.
 """
@@ -23,6 +26,7 @@
 import time
 from typing import Any
 
+from bench import limits_burst
 from mintcleat.decisions import limits as decisions
 from mintcleat.domain import codec
 from mintcleat.domain import program_messages
@@ -247,10 +251,12 @@
 def main() -> None:
     """Runs the command that the arguments name."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("command", choices=("ways", "cost"))
-    {"ways": compare_schemes, "cost": measure_cost}[
-        parser.parse_args().command
-    ]()
+    parser.add_argument("command", choices=("ways", "bursts", "cost"))
+    {
+        "ways": compare_schemes,
+        "bursts": limits_burst.compare,
+        "cost": measure_cost,
+    }[parser.parse_args().command]()
 
 
 if __name__ == "__main__":
--- a/src/mintcleat/decisions/jitter.py
+++ b/src/mintcleat/decisions/jitter.py
@@ -10,12 +10,18 @@
 SPREAD = 0.4
 
 
-def retry_after(request: str, seconds: float) -> float:
+def retry_after(
+    request: str, seconds: float, *, may_be_early: bool = True
+) -> float:
     """Returns the seconds after which a refused caller should retry.
 
     Args:
         request: Id of the refused request; its hash determines the jitter.
         seconds: Expected time until the service is available again.
+        may_be_early: Whether the time is an estimate, so that a retry before
+            it may succeed. The times of a rate limit are exact.
     """
     part = xxhash.xxh32_intdigest(request.encode()) / 2**32
+    if not may_be_early:
+        return round(seconds * (1.0 + SPREAD * part), 3)
     return round(seconds * (1.0 - SPREAD + 2 * SPREAD * part), 3)
--- a/src/mintcleat/decisions/limits.py
+++ b/src/mintcleat/decisions/limits.py
@@ -9,6 +9,7 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 from mintcleat.domain import manifest
@@ -20,6 +21,16 @@
 MAX_HOLD_SECONDS = 0.4
 # Maximum of concurrently held requests; more would only queue up.
 MAX_HELD = 64
+# Maximum of requests to count ahead with one turn.
+MAX_AHEAD = 4
+# A request is counted ahead if a call would have used it after at least this
+# share of the recent turns.
+_MIN_USED_SHARE = 0.5
+# Turns without calls that are assumed before the first turn, so that a few
+# turns are not taken as a rule.
+_PRIOR_TURNS = 2.0
+# The calls of a customer without a turn here for this long are forgotten.
+_IDLE_CUSTOMER_SECONDS = 120.0
 # Decay per turn of the counts that estimate the calls after a turn.
 _DECAY = 0.95
 
@@ -65,31 +76,78 @@
     until: float
 
 
+class RecentCalls:
+    """Calls that followed the recent turns of one customer at this entry.
+
+    Only calls within AHEAD_SECONDS of a turn count, because a later one could
+    not have used a request that was counted with the turn.
+
+    Attributes:
+        turns: Decaying number of turns.
+        followed: Decaying number of turns that at least one, two, ... calls
+            followed.
+        last_turn_at: Time of the last turn.
+        calls: Calls since then.
+    """
+
+    def __init__(self) -> None:
+        self.turns = 0.0
+        self.followed = [0.0] * MAX_AHEAD
+        self.last_turn_at = -math.inf
+        self.calls = 0
+
+    def add_turn(self, now: float) -> None:
+        """Adds a turn."""
+        self.turns = self.turns * _DECAY + 1.0
+        self.followed = [count * _DECAY for count in self.followed]
+        self.last_turn_at = now
+        self.calls = 0
+
+    def add_call(self, now: float) -> None:
+        """Adds a call that opens no turn."""
+        if now - self.last_turn_at < program_messages.AHEAD_SECONDS:
+            if self.calls < MAX_AHEAD:
+                self.followed[self.calls] += 1.0
+            self.calls += 1
+
+    def expected(self) -> int:
+        """Returns how many calls follow a turn with sufficient certainty."""
+        least = (self.turns + _PRIOR_TURNS) * _MIN_USED_SHARE
+        return sum(count > least for count in self.followed)
+
+
 class CountAhead:
     """Requests counted ahead, and how many more to ask for.
 
+    A request that is counted and never sent takes the place of another one
+    until the window has passed. The calls of a program may go to other entries
+    than its turns, so requests are only counted ahead for customers whose calls
+    have come to this entry after their turns.
+
     Attributes:
         requests: Requests counted ahead, by customer, oldest first.
-        turns: Decaying count of turns of customers with limits.
-        calls: Decaying count of their other requests.
+        recent: Calls after the recent turns of a customer; the customer whose
+            last turn is the oldest comes first.
     """
 
     def __init__(self) -> None:
         self.requests: dict[str, collections.deque[CountedRequests]] = {}
-        self.turns = 0.0
-        self.calls = 0.0
+        self.recent: collections.OrderedDict[str, RecentCalls] = (
+            collections.OrderedDict()
+        )
 
     def requests_ahead(self, customer: str, now: float) -> int:
-        """Returns how many requests to count ahead with a turn."""
-        self.turns = self.turns * _DECAY + 1.0
-        self.calls *= _DECAY
-        return max(
-            0, round(self.calls / self.turns) - self._available(customer, now)
-        )
+        """Adds a turn; returns how many requests to count ahead with it."""
+        recent = self._recent(customer, now)
+        wanted = recent.expected() - self._available(customer, now)
+        recent.add_turn(now)
+        return max(0, wanted)
 
     def take(self, customer: str, now: float) -> bool:
         """Uses one counted request; returns whether there was one."""
-        self.calls += 1.0
+        recent = self.recent.get(customer)
+        if recent is not None:
+            recent.add_call(now)
         if not self._available(customer, now):
             return False
         counted = self.requests[customer]
@@ -113,3 +171,18 @@
         if not counted:
             del self.requests[customer]
         return sum(item.count for item in counted)
+
+    def _recent(self, customer: str, now: float) -> RecentCalls:
+        """Returns a customer's recent calls; forgets customers without any."""
+        while self.recent:
+            oldest, idle = next(iter(self.recent.items()))
+            if (
+                now - idle.last_turn_at < _IDLE_CUSTOMER_SECONDS
+                or oldest == customer
+            ):
+                break
+            del self.recent[oldest]
+            self.requests.pop(oldest, None)
+        recent = self.recent.setdefault(customer, RecentCalls())
+        self.recent.move_to_end(customer)
+        return recent
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -8,6 +8,9 @@
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 
+# Seconds within which an entry must send a request that was counted ahead.
+AHEAD_SECONDS = 1.0
+
 
 class RunningCounts(NamedTuple):
     """Numbers of calls that an entry has running.
--- a/src/mintcleat/programs/limits.py
+++ b/src/mintcleat/programs/limits.py
@@ -32,7 +32,7 @@
 # A customer that has sent nothing for this long is forgotten, together with
 # the statistics of its programs.
 IDLE_CUSTOMER_SECONDS = 120.0
-# Assumed requests per program before any was seen.
+# Assumed requests per program before any has ended.
 _INITIAL_REQUESTS = 8.0
 # Factor by which the statistics of past programs decay with each program.
 _DECAY = 0.95
@@ -48,10 +48,13 @@
 # Share of the limit above which no requests are counted ahead.
 _AHEAD_MAX_LOAD = 0.75
 # Share of the tolerance that may be counted ahead. Entries may send these
-# requests later than they were counted; the rest is for active programs.
+# requests later than they were counted, so active programs can't use that part
+# of the tolerance for a window.
 _AHEAD_SHARE = 0.25
-# Time within which an entry must send a request that was counted ahead.
-AHEAD_SECONDS = 1.0
+# Share of the tolerance for requests that arrive later than others after they
+# were counted; an eighth is 0.2 s at the rate of a limit of 10 requests/s.
+_DELAY_SHARE = 0.125
+AHEAD_SECONDS = program_messages.AHEAD_SECONDS
 # Retry delay of a refusal if no earlier requests are known to expire sooner.
 _MIN_RETRY_SECONDS = 0.05
 
@@ -65,11 +68,46 @@
 
 
 class ActiveProgram:
-    """Requests of a program so far, and the group clock of the last one."""
+    """A program that has sent a request within ACTIVE_PROGRAM_SECONDS.
 
-    def __init__(self, requests: int, touched: float) -> None:
+    Attributes:
+        requests: Requests so far.
+        touched: Group clock of the last one.
+        is_refused: Whether the next one was refused for the limit.
+    """
+
+    def __init__(
+        self, requests: int, touched: float, *, is_refused: bool = False
+    ) -> None:
         self.requests = requests
         self.touched = touched
+        self.is_refused = is_refused
+
+
+class EndedPrograms:
+    """Requests of the programs that have ended.
+
+    Attributes:
+        requests: Their requests; decays with each program that was not refused
+            at last.
+        programs: Number of those not refused; decays likewise. The requests of
+            a refused program count without it, because it would have sent more.
+            If refused programs lowered the mean, more programs would begin and
+            be refused, which would lower it again.
+    """
+
+    def __init__(
+        self, requests: float = _INITIAL_REQUESTS, programs: float = 1.0
+    ) -> None:
+        self.requests = requests
+        self.programs = programs
+
+    def add(self, program: ActiveProgram) -> None:
+        """Adds a program that is no longer active."""
+        if not program.is_refused:
+            self.requests *= _DECAY
+            self.programs = self.programs * _DECAY + 1.0
+        self.requests += program.requests
 
 
 class Rejection(NamedTuple):
@@ -78,7 +116,8 @@
     Attributes:
         used: Requests counted in the window.
         max_requests: Limit of the window in requests.
-        retry_after: Seconds until the request may be admitted.
+        retry_after: Seconds until the request may be admitted, if nobody
+            sends requests but the active programs and those refused before it.
         is_first: Whether its program is not active, or it has none.
     """
 
@@ -88,6 +127,11 @@
     is_first: bool
 
 
+def _max_wait(window: float) -> float:
+    """Returns the seconds in which all requests so far leave the window."""
+    return window * (1 + 1 / BUCKETS_PER_WINDOW)
+
+
 class CustomerUsage:
     """Recent requests of one customer.
 
@@ -97,11 +141,14 @@
         active: Active programs by id, the least recently active first.
         requests: Requests of recent programs; decays with each new program.
         programs_started: Number of recent programs; decays likewise.
+        ended: Requests of programs that have ended.
         lookback: Share of the window whose requests count against a new
             program.
-        ahead: (clock, number) of the requests counted ahead that entries may
-            still hold, the oldest first.
+        ahead: (clock, number) of the requests counted ahead that may be sent
+            in the window, the oldest first.
         touched: Group clock of the last request.
+        waiting: Group clock at which each refused program may begin, as its
+            caller was told.
     """
 
     def __init__(self) -> None:
@@ -112,9 +159,11 @@
         )
         self.requests = _INITIAL_REQUESTS
         self.programs_started = 1.0
+        self.ended = EndedPrograms()
         self.lookback = _INITIAL_LOOKBACK
         self.ahead: collections.deque[tuple[float, int]] = collections.deque()
         self.touched = 0.0
+        self.waiting: collections.deque[float] = collections.deque()
 
     def admit(
         self,
@@ -124,33 +173,62 @@
     ) -> Rejection | None:
         """Counts a request, or returns why it must not be sent."""
         self._expire(limit.window, clock)
-        used = self.used
-        is_first = program not in self.active
-        max_requests = limit.window_limit()
-        max_with_tolerance = max_requests + limit.tolerance() * (
-            1 - _AHEAD_SHARE
-        )
-        if used + 1 > (max_requests if is_first else max_with_tolerance):
-            if not is_first:
-                self.lookback = min(
-                    _MAX_LOOKBACK, self.lookback + _LOOKBACK_INCREASE
-                )
-            retry_after = self._seconds_until_expired(1, limit.window, clock)
-            return Rejection(used, max_requests, retry_after, is_first)
-        if is_first and self.active:
-            expected = (
-                self._count_within(limit.window * self.lookback, clock)
+        if program in self.active:
+            rejection = self._check_active(program, limit, clock)
+        else:
+            rejection = self._check_new(program, limit, clock)
+        if rejection is None:
+            self._count(limit.window, clock)
+            self._record_request(program, clock)
+        return rejection
+
+    def _check_active(
+        self,
+        program: str,
+        limit: program_messages.RateLimit,
+        clock: float,
+    ) -> Rejection | None:
+        """Returns why a request of an active program must not be sent."""
+        excess = self.used + 1 - self._max_with_tolerance(limit)
+        if excess <= 0:
+            return None
+        self.active[program].is_refused = True
+        self.lookback = min(_MAX_LOOKBACK, self.lookback + _LOOKBACK_INCREASE)
+        wait = self._seconds_until_expired(excess, 1.0, limit.window, clock)
+        return Rejection(self.used, limit.window_limit(), wait, False)
+
+    def _check_new(
+        self,
+        program: str,
+        limit: program_messages.RateLimit,
+        clock: float,
+    ) -> Rejection | None:
+        """Returns why a program, or a request without one, must not begin."""
+        window = limit.window
+        excess = self.used + 1 - limit.window_limit()
+        expected_excess = 0.0
+        own_requests = self._requests_per_program() if program else 1.0
+        if self.active:
+            expected_excess = (
+                self._count_within(window * self.lookback, clock)
                 + self._outstanding_requests()
+                + own_requests
+                - self._max_with_tolerance(limit)
             )
-            own_requests = self._requests_per_program() if program else 1.0
-            if expected + own_requests > max_with_tolerance:
-                retry_after = self._seconds_until_expired(
-                    1, limit.window * self.lookback, clock
-                )
-                return Rejection(used, max_requests, retry_after, is_first)
-        self._count(limit.window, clock)
-        self._record_request(program, clock)
-        return None
+        if excess <= 0 and expected_excess <= 0:
+            return None
+        # Without the programs that were told an earlier time, all refused
+        # programs would come at the same time, and one of them could begin.
+        earlier = own_requests * self._waiting_programs(clock)
+        wait = max(
+            self._seconds_until_expired(excess + earlier, 1.0, window, clock),
+            self._seconds_until_expired(
+                expected_excess + earlier, self.lookback, window, clock
+            ),
+        )
+        if wait < _max_wait(window):
+            self.waiting.append(clock + wait)
+        return Rejection(self.used, limit.window_limit(), wait, True)
 
     def count_ahead(
         self, wanted: int, limit: program_messages.RateLimit, clock: float
@@ -161,11 +239,9 @@
             The number of requests counted, `wanted` at most; 0 if the customer
             is near its limit.
         """
-        while self.ahead and clock - self.ahead[0][0] > AHEAD_SECONDS:
-            self.ahead.popleft()
         max_requests = limit.window_limit()
         available = int(limit.tolerance() * _AHEAD_SHARE) - sum(
-            n for _, n in self.ahead
+            count for at, count in self.ahead if clock - at <= AHEAD_SECONDS
         )
         available = min(
             available, int(max_requests * _AHEAD_MAX_LOAD) - self.used
@@ -190,8 +266,25 @@
                     self.used -= 1
                 return
 
+    def _max_with_tolerance(self, limit: program_messages.RateLimit) -> float:
+        """Returns how many requests of active programs a window may hold.
+
+        Requests may be sent in a window that doesn't count them any more, those
+        counted ahead up to AHEAD_SECONDS later. Part of the tolerance is left
+        to them.
+        """
+        tolerance = limit.tolerance()
+        late = tolerance * _DELAY_SHARE + sum(n for _, n in self.ahead)
+        return limit.window_limit() + max(
+            tolerance - late, tolerance * (1 - _AHEAD_SHARE)
+        )
+
     def _expire(self, window: float, clock: float) -> None:
         length = window / BUCKETS_PER_WINDOW
+        while self.ahead and (
+            clock - self.ahead[0][0] >= window + length + AHEAD_SECONDS
+        ):
+            self.ahead.popleft()
         while self.buckets and clock - self.buckets[0].start >= window + length:
             self.used -= self.buckets.popleft().count
         while self.active:
@@ -199,6 +292,7 @@
             if clock - record.touched < ACTIVE_PROGRAM_SECONDS:
                 return
             del self.active[program]
+            self.ended.add(record)
 
     def _count(self, window: float, clock: float) -> None:
         if (
@@ -217,18 +311,26 @@
         record = self.active.get(program)
         if record is None:
             self.programs_started = self.programs_started * _DECAY + 1.0
+            self.requests *= _DECAY
             self.lookback = max(
                 _MIN_LOOKBACK, self.lookback - _LOOKBACK_DECREASE
             )
-            self.requests *= _DECAY
             record = self.active[program] = ActiveProgram(0, clock)
         record.requests += 1
         record.touched = clock
+        record.is_refused = False
         self.active.move_to_end(program)
 
     def _requests_per_program(self) -> float:
-        """Returns the average number of requests of recent programs."""
-        return self.requests / self.programs_started
+        """Returns the average number of requests of a program.
+
+        Recent programs have not sent all of theirs, and it takes a while until
+        a program is known to have ended, so the larger average is the better.
+        """
+        return max(
+            self.requests / self.programs_started,
+            self.ended.requests / self.ended.programs,
+        )
 
     def _outstanding_requests(self) -> float:
         """Estimates the requests that the active programs have yet to send."""
@@ -245,28 +347,42 @@
             if clock - bucket.start < seconds
         )
 
+    def _waiting_programs(self, clock: float) -> int:
+        """Returns how many refused programs were told a time to come."""
+        while self.waiting and self.waiting[0] <= clock:
+            self.waiting.popleft()
+        return len(self.waiting)
+
     def _seconds_until_expired(
-        self, count: int, seconds: float, clock: float
+        self, count: float, share: float, window: float, clock: float
     ) -> float:
-        """Returns when `count` more requests will be older than `seconds`."""
+        """Returns when `count` requests will be older than a share of a window.
+
+        Returns:
+            Seconds; `_max_wait` if there are fewer requests.
+        """
+        seconds = _MIN_RETRY_SECONDS
         for bucket in self.buckets:
-            age = clock - bucket.start
-            if age >= seconds:
-                continue
-            count -= bucket.count
             if count <= 0:
-                return max(
-                    _MIN_RETRY_SECONDS,
-                    seconds * (1 + 1 / BUCKETS_PER_WINDOW) - age,
-                )
-        return _MIN_RETRY_SECONDS
+                return seconds
+            left = window * share - (clock - bucket.start)
+            if left > 0:
+                until = left + window / BUCKETS_PER_WINDOW
+                seconds = max(seconds, until)
+                count -= bucket.count
+        return seconds if count <= 0 else _max_wait(window)
 
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
         return [
             [[bucket.start, bucket.count] for bucket in self.buckets],
             [
-                [program, record.requests, record.touched]
+                [
+                    program,
+                    record.requests,
+                    record.touched,
+                    *([True] if record.is_refused else []),
+                ]
                 for program, record in self.active.items()
             ],
             self.requests,
@@ -274,19 +390,35 @@
             self.lookback,
             [list(item) for item in self.ahead],
             self.touched,
+            *self._added_state(),
         ]
 
+    def _added_state(self) -> list[Any]:
+        """Returns the fields that earlier releases don't have.
+
+        They are left out while they have the values that a snapshot of an
+        earlier release is read with.
+        """
+        added = [list(self.waiting), self.ended.requests, self.ended.programs]
+        return [] if added == [[], _INITIAL_REQUESTS, 1.0] else added
+
     def load(self, state: list[Any]) -> None:
         """Replaces the state by one that `state` returned."""
         buckets, active, self.requests, self.programs_started, self.lookback = (
             state[:5]
         )
-        ahead, self.touched = state[5:]
+        ahead, self.touched, *added = state[5:]
         self.buckets = collections.deque(Bucket(*item) for item in buckets)
         self.used = sum(bucket.count for bucket in self.buckets)
-        for program, requests, touched in active:
-            self.active[program] = ActiveProgram(requests, touched)
+        for program, requests, touched, *refused in active:
+            self.active[program] = ActiveProgram(
+                requests, touched, is_refused=bool(refused)
+            )
         self.ahead = collections.deque((at, count) for at, count in ahead)
+        if added:
+            waiting, requests, programs = added
+            self.waiting = collections.deque(waiting)
+            self.ended = EndedPrograms(requests, programs)
 
 
 class CustomerLimits:
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -91,7 +91,9 @@
         except errors.MintcleatError as error:
             if error.retry_after:
                 error.retry_after = jitter.retry_after(
-                    call.request, error.retry_after
+                    call.request,
+                    error.retry_after,
+                    may_be_early=not isinstance(error, errors.LimitReached),
                 )
             self._emit_refusal(call, run, error, began)
             raise
