Leaders admit turns by capacity and shares, if enabled

Nothing refused or ordered turns before the engines: in a burst, more turns ran than the engines have slots, and throughput fell with the backlog. With the policy admission "programs", the leader that opens turns bounds the running ones per service, queues the rest in order, and refuses first turns whose wait would be too long. The decision is a pure module; the queue is soft state and no part of it is logged.

--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -68,6 +68,15 @@
                 metrics.observe("turn_open_seconds", event.commit_s)
             case events.TurnSettled():
                 metrics.observe("turn_settle_seconds", event.commit_s)
+            case events.TurnDeferred():
+                metrics.count("turns_deferred_total", service=event.service)
+            case events.TurnRefused():
+                metrics.count(
+                    "turns_refused_total",
+                    service=event.service,
+                    kind=event.kind,
+                    reason=event.reason,
+                )
             case events.LinesDropped():
                 metrics.count("log_drops_total", reason=event.reason)
 
--- a/src/mintcleat/decisions/admission.py
+++ b/src/mintcleat/decisions/admission.py
@@ -130,9 +130,26 @@
             weight: Weight of the flow.
             service: Expected service time of the call in seconds.
         """
+        self.advance(self.tag(flow, weight, service))
+
+    def tag(self, flow: str, weight: float, service: float) -> float:
+        """Charges a flow for a call that arrives.
+
+        Args:
+            flow: The flow that the call belongs to.
+            weight: Weight of the flow.
+            service: Expected service of the call.
+
+        Returns:
+            The start tag of the call; calls start in the order of their tags.
+        """
         start = max(self.virtual_time, self.start_tags.get(flow, 0.0))
-        self.virtual_time = start
         self._move(flow, start + service / weight)
+        return start
+
+    def advance(self, start: float) -> None:
+        """Moves the virtual time to the tag of a call that starts."""
+        self.virtual_time = max(self.virtual_time, start)
 
     def correct(self, flow: str, weight: float, difference: float) -> None:
         """Adjusts the charge for a call that ended.
--- /dev/null
+++ b/src/mintcleat/decisions/fair_shares.py
@@ -0,0 +1,170 @@
+"""Weighted max-min shares of the work that a service does for its customers.
+
+A customer that sends many times its usual load would otherwise take the
+engines from all others. Under contention each customer is entitled to work in
+proportion to its weight; what some don't use is divided among those who want
+more. The entitlements follow the recent demand, so that idle shares are lent
+at once and given back within about `HORIZON_SECONDS`.
+
+Handles some thousand customers: entitlements are computed from all of them at
+most every `REFRESH_SECONDS`, all other operations take constant time.
+"""
+
+from collections.abc import Iterable
+import math
+from typing import NamedTuple
+
+# Time constant of the decaying sums. A customer that multiplies its load by
+# five or more is recognized within a quarter of it; a shorter horizon would
+# mistake the random bursts of customers with few programs for it.
+HORIZON_SECONDS = 2.0
+REFRESH_SECONDS = 0.1
+# A customer counts as over its share if it demands this multiple of it. Small
+# differences are left to the order of the queue.
+TOLERANCE = 1.5
+# Demand that exceeds the work done by less than this doesn't count as
+# contention.
+_CONTENTION = 1.05
+_MIN_WEIGHT = 0.01
+# Decayed demand, in tokens, below which a customer is forgotten.
+_MIN_DEMAND = 0.5
+
+
+class Want(NamedTuple):
+    """Demand of one customer, in tokens."""
+
+    demand: float
+    weight: float
+
+
+class Share(NamedTuple):
+    """Share and use of a customer, as fractions of the work of the service.
+
+    Attributes:
+        share: What it is entitled to; 1 without contention.
+        use: What it has received recently.
+    """
+
+    share: float
+    use: float
+
+
+def max_min_level(wants: Iterable[Want], capacity: float) -> float:
+    """Returns the work per weight that limited customers are entitled to.
+
+    Customers that want less get what they want. The entitlements add up to
+    `capacity`, unless the demand is lower; the level is inf in that case.
+    """
+    ordered = sorted(wants, key=lambda want: want.demand / want.weight)
+    weight = sum(want.weight for want in ordered)
+    left = capacity
+    for want in ordered:
+        if want.demand / want.weight * weight > left:
+            return max(0.0, left) / weight
+        left -= want.demand
+        weight -= want.weight
+    return math.inf
+
+
+class Usage:
+    """Demand and use of one customer, as decaying sums in tokens.
+
+    Attributes:
+        weight: Weight of its share.
+        demanded: Work of all its turns, including refused ones.
+        used: Work of its granted turns.
+        updated: Time of the last decay.
+    """
+
+    def __init__(self, weight: float, now: float) -> None:
+        self.weight = weight
+        self.demanded = 0.0
+        self.used = 0.0
+        self.updated = now
+
+    def decay(self, now: float) -> None:
+        """Reduces the sums by the time that has passed."""
+        factor = math.exp((self.updated - now) / HORIZON_SECONDS)
+        self.demanded *= factor
+        self.used *= factor
+        self.updated = now
+
+
+class FairShares:
+    """Shares of the customers of one service.
+
+    Attributes:
+        usages: Usage by customer; idle customers are removed.
+        level: Entitlement per weight, in tokens of decayed work; inf without
+            contention.
+        total: Decayed work of all customers, in tokens.
+        has_satisfied: Whether some customer demands less than its share.
+    """
+
+    def __init__(self) -> None:
+        self.usages: dict[str, Usage] = {}
+        self.level = math.inf
+        self.total = 0.0
+        self.has_satisfied = False
+        self._refresh_at = -math.inf
+
+    def demand(
+        self, customer: str, weight: float, tokens: float, now: float
+    ) -> None:
+        """Records that a customer sent a turn; call it once per turn."""
+        usage = self.usages.get(customer)
+        if usage is None:
+            usage = self.usages[customer] = Usage(weight, now)
+        usage.weight = max(weight, _MIN_WEIGHT)
+        usage.decay(now)
+        usage.demanded += tokens
+
+    def use(self, customer: str, tokens: float, now: float) -> None:
+        """Records that a turn of a customer was granted."""
+        usage = self.usages.get(customer)
+        if usage is not None:
+            usage.decay(now)
+            usage.used += tokens
+
+    def is_over(self, customer: str, now: float) -> bool:
+        """Returns whether a customer is over its share and others are not."""
+        self.refresh(now)
+        usage = self.usages.get(customer)
+        return (
+            usage is not None
+            and self.has_satisfied
+            and usage.demanded > TOLERANCE * self.level * usage.weight
+        )
+
+    def share(self, customer: str, now: float) -> Share:
+        """Returns share and use of a customer."""
+        self.refresh(now)
+        usage = self.usages.get(customer)
+        if usage is None or self.total <= 0.0:
+            return Share(1.0, 0.0)
+        entitled = min(1.0, self.level * usage.weight / self.total)
+        return Share(entitled, usage.used / self.total)
+
+    def refresh(self, now: float) -> None:
+        """Updates the entitlements if they are out of date."""
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_SECONDS
+        for usage in self.usages.values():
+            usage.decay(now)
+        for customer in [
+            name
+            for name, usage in self.usages.items()
+            if usage.demanded < _MIN_DEMAND
+        ]:
+            del self.usages[customer]
+        wants = [
+            Want(usage.demanded, usage.weight) for usage in self.usages.values()
+        ]
+        self.total = sum(usage.used for usage in self.usages.values())
+        self.level = math.inf
+        if sum(want.demand for want in wants) > _CONTENTION * self.total:
+            self.level = max_min_level(wants, self.total)
+        self.has_satisfied = any(
+            want.demand < self.level * want.weight for want in wants
+        )
--- /dev/null
+++ b/src/mintcleat/decisions/turn_pace.py
@@ -0,0 +1,159 @@
+"""The number of running turns up to which the turns of a service stay fast.
+
+Turn times rise with the number of running turns: batches grow, and beyond the
+slots turns queue in the engines. Above the point at which programs can't end in
+time, more running turns make all of them late and complete no more of them.
+
+Each closed turn is a sample of the time per unit of work together with the
+number of turns that ran when it was granted. Because time and load belong
+together, samples that arrive half a second late still say which load is too
+high, and repeated late samples don't reduce the limit again. So the limit
+doesn't oscillate after a step in load, whatever the delay.
+
+Handles up to some thousand closed turns per second: a sample costs a few
+additions, and the limit changes once per period.
+"""
+
+import math
+from typing import NamedTuple
+
+from mintcleat.decisions import concurrency
+
+# A period ends after this time and number of samples. Fewer samples would let
+# single turns move the limit; a longer period would react too late.
+PERIOD_SECONDS = 0.1
+PERIOD_SAMPLES = 8
+# Samples of a period that weigh as much as all periods before it.
+_NOISE_SAMPLES = 16
+# Largest single reduction, as a fraction of the load that was too high.
+_MAX_REDUCTION = 0.7
+# The limit rises while the slowdown is below this fraction of the allowed one.
+# Between the two it is kept, so that it settles.
+_CALM_FRACTION = 0.85
+_RAISE_FACTOR = 1.05
+# Load of the samples, as a fraction of the limit, from which they show what
+# happens at the limit. Without it, the limit would rise before samples at the
+# last increase have arrived.
+_USED_FRACTION = 0.9
+# Relative increase of the time at low load per period, so that a faster speed
+# that the engines no longer have is forgotten.
+_BASE_DRIFT = 0.0002
+# Load after a reduction, as a fraction of that before, from which on the
+# comparison of their times is meaningful.
+_COMPARED_FRACTION = 0.85
+# If times fell by less than this part of what the load fell by, the load is
+# not the cause of slow turns, and fewer running turns would only waste engines.
+_CAUSE_FRACTION = 0.5
+
+
+class Period(NamedTuple):
+    """Mean of some samples.
+
+    Attributes:
+        level: Turns that ran when the sampled turns were granted.
+        pace: Seconds per unit of work.
+    """
+
+    level: float
+    pace: float
+
+
+class PaceLimit:
+    """Limit of running turns by the time that turns take.
+
+    Attributes:
+        limit: Running turns at which turns are fast enough; inf if no load
+            has been too high yet.
+        base: Seconds per unit of work at low load; 0 before any sample.
+        pace: Current seconds per unit of work; 0 before any sample.
+        reduced: Load and pace that led to the last reduction, until its
+            effect is known.
+    """
+
+    def __init__(self) -> None:
+        self.limit = math.inf
+        self.base = 0.0
+        self.pace = 0.0
+        self.reduced: Period | None = None
+        self._since = -math.inf
+        self._count = 0
+        self._seconds = 0.0
+        self._units = 0.0
+        self._levels = 0
+
+    def slowdown(self) -> float:
+        """Returns the current pace as a multiple of that at low load."""
+        return self.pace / self.base if self.base else 1.0
+
+    def observe(
+        self,
+        seconds: float,
+        units: float,
+        level: int,
+        capacity: float,
+        allowed: float,
+        now: float,
+    ) -> None:
+        """Adds the sample of a closed turn.
+
+        Args:
+            seconds: Time from its grant to its end.
+            units: Its work; greater than 0.
+            level: Turns that ran when it was granted, itself included.
+            capacity: Upper bound of the limit, by slots and memory.
+            allowed: Slowdown at which programs still end in time.
+            now: The current time in seconds.
+        """
+        if not self._count:
+            self._since = now
+        self._count += 1
+        self._seconds += seconds
+        self._units += units
+        self._levels += level
+        if (
+            self._count >= PERIOD_SAMPLES
+            and now - self._since >= PERIOD_SECONDS
+        ):
+            self._end_period(capacity, allowed)
+
+    def _end_period(self, capacity: float, allowed: float) -> None:
+        sample = Period(self._levels / self._count, self._seconds / self._units)
+        weight = self._count / (self._count + _NOISE_SAMPLES)
+        self._count = self._levels = 0
+        self._seconds = self._units = 0.0
+        if not self.pace:
+            self.pace = self.base = sample.pace
+        self.pace += (sample.pace - self.pace) * weight
+        self.base = min(self.base * (1 + _BASE_DRIFT), self.pace)
+        current = Period(sample.level, self.pace)
+        self._judge_reduction(current)
+        slowdown = self.slowdown()
+        if slowdown > allowed:
+            self._reduce(current, allowed / slowdown, capacity)
+        elif (
+            slowdown < allowed * _CALM_FRACTION
+            and sample.level >= self.limit * _USED_FRACTION
+        ):
+            self.limit *= _RAISE_FACTOR
+            if self.limit >= capacity:
+                self.limit = math.inf
+
+    def _judge_reduction(self, current: Period) -> None:
+        """Undoes a reduction that did not make turns faster."""
+        before = self.reduced
+        if before is None or current.level > before.level * _COMPARED_FRACTION:
+            return
+        self.reduced = None
+        fall = 1.0 - current.level / before.level
+        if current.pace > before.pace * (1.0 - _CAUSE_FRACTION * fall):
+            self.base = current.pace
+            self.limit = before.level
+
+    def _reduce(self, current: Period, factor: float, capacity: float) -> None:
+        floor = max(1.0, capacity * concurrency.MIN_CAPACITY_FRACTION)
+        limit = max(floor, current.level * max(factor, _MAX_REDUCTION))
+        if limit >= min(self.limit, capacity):
+            return
+        self.limit = limit
+        if self.reduced is None:
+            self.reduced = current
--- /dev/null
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -0,0 +1,157 @@
+"""The order of the turns that wait for a service.
+
+Turns of programs in progress come first, as refusing or delaying them wastes
+the work done for their programs. Then follow first turns by priority, and
+first turns of customers over their share last. Within a rank, the customer
+that has received the least work relative to its weight comes first.
+
+Every operation takes logarithmic time in the number of waiting turns.
+"""
+
+import collections
+from typing import NamedTuple
+
+import sortedcontainers
+
+from mintcleat.decisions import admission
+from mintcleat.domain import program_messages
+
+# Parts of the rank, the first ones are served first.
+IN_PROGRESS = 0
+FIRST = 1
+FIRST_OVER_SHARE = 2
+# Seconds after which a waiter that has not asked again is dropped. Waiters ask
+# again after 0.1 s at most; the rest allows for a busy entry.
+LOST_SECONDS = 0.5
+
+
+class TurnKey(NamedTuple):
+    """Id of a turn, unique together with its customer."""
+
+    customer: str
+    turn: str
+
+
+class Rank(NamedTuple):
+    """Group of turns that are served before those with a greater rank."""
+
+    stage: int
+    priority: int
+
+
+class Ask(NamedTuple):
+    """A turn that asks to run.
+
+    Attributes:
+        program: Id of its program.
+        first: Whether it is the first turn of its program.
+        entry: Entry that asks.
+        prompt: Tokens of the prompt.
+        demand: What it demands.
+    """
+
+    key: TurnKey
+    program: str
+    first: bool
+    entry: str
+    prompt: int
+    demand: program_messages.TurnDemand
+
+
+class Waiter(NamedTuple):
+    """A waiting turn.
+
+    Attributes:
+        tag: Virtual start time by fair queueing.
+        number: Order of arrival.
+        since: When it began to wait, at its entry.
+    """
+
+    ask: Ask
+    rank: Rank
+    tag: float
+    number: int
+    since: float
+
+
+class TurnQueue:
+    """Waiting turns of one service.
+
+    Attributes:
+        clock: Fair queueing among customers by tokens.
+        waiters: Waiting turns by key.
+        asked: When each waiting turn last asked; the oldest first.
+        order: Sort keys of the waiting turns, in order.
+        in_progress: Number of waiting turns of programs in progress.
+    """
+
+    def __init__(self) -> None:
+        self.clock = admission.FairClock()
+        self.waiters: dict[TurnKey, Waiter] = {}
+        self.asked: collections.OrderedDict[TurnKey, float] = (
+            collections.OrderedDict()
+        )
+        self.order: sortedcontainers.SortedList = sortedcontainers.SortedList()
+        self.in_progress = 0
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self.waiters)
+
+    def charge(self, ask: Ask) -> float:
+        """Charges a customer for a turn; returns the turn's tag."""
+        demand = ask.demand
+        return self.clock.tag(ask.key.customer, demand.share, demand.tokens)
+
+    def refund(self, ask: Ask) -> None:
+        """Takes back the charge of a turn that doesn't run."""
+        demand = ask.demand
+        self.clock.correct(ask.key.customer, demand.share, -demand.tokens)
+
+    def add(self, ask: Ask, rank: Rank, now: float) -> Waiter:
+        """Adds a turn."""
+        self._count += 1
+        waiter = Waiter(
+            ask, rank, self.charge(ask), self._count, now - ask.demand.waited
+        )
+        self.waiters[ask.key] = waiter
+        self.order.add(_sort_key(waiter))
+        self.in_progress += rank.stage == IN_PROGRESS
+        self.asked[ask.key] = now
+        return waiter
+
+    def asked_again(self, key: TurnKey, now: float) -> None:
+        """Records that a waiting turn asked again."""
+        self.asked[key] = now
+        self.asked.move_to_end(key)
+
+    def remove(self, key: TurnKey) -> Waiter:
+        """Removes a turn."""
+        waiter = self.waiters.pop(key)
+        del self.asked[key]
+        self.order.remove(_sort_key(waiter))
+        self.in_progress -= waiter.rank.stage == IN_PROGRESS
+        return waiter
+
+    def drop_lost(self, now: float) -> list[Waiter]:
+        """Removes the turns that have not asked again; returns them."""
+        lost = []
+        while self.asked:
+            key, asked = next(iter(self.asked.items()))
+            if now - asked <= LOST_SECONDS:
+                break
+            lost.append(self.remove(key))
+            self.refund(lost[-1].ask)
+        return lost
+
+    def ahead(self, waiter: Waiter) -> int:
+        """Returns how many turns come before a waiting one."""
+        return self.order.bisect_left(_sort_key(waiter))
+
+    def ahead_of_rank(self, rank: Rank) -> int:
+        """Returns how many turns have a smaller rank."""
+        return self.order.bisect_left((rank,))
+
+
+def _sort_key(waiter: Waiter) -> tuple[Rank, float, int]:
+    return waiter.rank, waiter.tag, waiter.number
--- a/src/mintcleat/domain/codec.py
+++ b/src/mintcleat/domain/codec.py
@@ -22,7 +22,10 @@
 
 def to_wire(message: Any) -> list[Any]:
     """Returns a message as `[tag, fields...]`, nested messages as tuples."""
-    return [_TAG_OF[type(message)], *message]
+    kind = type(message)
+    if kind in messages.LAST_OPTIONAL and message[-1] is None:
+        return [_TAG_OF[kind], *message[:-1]]
+    return [_TAG_OF[kind], *message]
 
 
 def decode(data: bytes) -> Any:
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -309,6 +309,12 @@
     default_remedy = "Send again after retry_after seconds."
 
 
+class TurnDeferred(Overloaded):
+    """The turn waits for running turns to end; its sender asks again."""
+
+    kind = "turn_deferred"
+
+
 class NoUpstream(MintcleatError):
     """No upstream of the service accepts new work."""
 
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -380,6 +380,65 @@
     detail: str
 
 
+class TurnDeferred(NamedTuple):
+    """The leader let a turn wait; there is one line for each turn.
+
+    Attributes:
+        request: Id of the turn.
+        wait_s: Predicted wait; 0 if unknown.
+        rank: Waiting turns that come before it.
+        running: Running turns of the service.
+        bound: Bound on running turns that applied; -1 if unknown.
+        share: Share of the customer, as a fraction of the work.
+        use: Work that the customer received recently, as a fraction.
+    """
+
+    request: str
+    program: str
+    customer: str
+    service: str
+    priority: int
+    wait_s: float
+    rank: int
+    running: int
+    bound: float
+    share: float
+    use: float
+
+
+class TurnRefused(NamedTuple):
+    """The leader refused the first turn of a program.
+
+    Attributes:
+        request: Id of the turn.
+        wait_s: Predicted wait; 0 if unknown.
+        rank: Waiting turns that come before it.
+        running: Running turns of the service.
+        bound: Bound on running turns that applied; -1 if unknown.
+        share: Share of the customer, as a fraction of the work.
+        use: Work that the customer received recently, as a fraction.
+        kind: Kind of the typed error.
+        reason: `duration` if the program could not end in time after the
+            wait, `wait` if the wait itself was too long.
+        retry_after_s: Advised delay before a retry, without jitter.
+    """
+
+    request: str
+    program: str
+    customer: str
+    service: str
+    priority: int
+    wait_s: float
+    rank: int
+    running: int
+    bound: float
+    share: float
+    use: float
+    kind: str
+    reason: str
+    retry_after_s: float
+
+
 class MemoryGrown(NamedTuple):
     """The peak memory of the process grew by another step.
 
@@ -420,7 +479,7 @@
     LinesDropped,
     TurnUnsettled,
 )
-_ERRORS = (AttemptFailed, CallRefused, CallerGone)
+_ERRORS = (AttemptFailed, CallRefused, CallerGone, TurnRefused)
 _DETAILS = (
     KeyUnknown,
     CallHeld,
@@ -430,6 +489,7 @@
     CallPlaced,
     CallEnded,
     TurnSettled,
+    TurnDeferred,
 )
 KINDS: tuple[type, ...] = (*_STATE, *_ERRORS, *_DETAILS)
 
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -219,6 +219,9 @@
         rollout_pause: Pause between the steps of a rollout.
         loads_per_minute: Maximum rate of model loads.
         load_burst: Maximum number of model loads at once.
+        admission: Whether leaders of program groups admit turns by the
+            capacity of their services and by the shares of customers
+            (`programs`), or open all of them (`off`).
     """
 
     customers: dict[Name, Customer] = {}
@@ -237,6 +240,7 @@
     rollout_pause: Amount = 5.0
     loads_per_minute: Amount = 30.0
     load_burst: Count = 2
+    admission: Literal["off", "programs"] = "off"
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -20,6 +20,11 @@
 from mintcleat.domain import program_messages
 from mintcleat.domain import replication_messages
 
+# Messages whose last field is left out while it is None. It was added after
+# releases had logged the message, and replicas of those releases refuse a
+# message with a field that they don't know.
+LAST_OPTIONAL = frozenset({program_messages.OpenTurn})
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -50,6 +50,38 @@
         return self.window_limit() * self.overage + self.slack
 
 
+class TurnDemand(NamedTuple):
+    """What a turn demands of its service, for admission control.
+
+    Attributes:
+        service: Service that runs the turn.
+        kind: Route of the turn.
+        priority: Rank of the turn, 0 the most urgent.
+        share: Weight of the customer when customers compete.
+        tokens: Tokens of the prompt plus the maximum of the answer.
+        finish_within: Target time to the program's end in seconds; 0 for
+            none.
+        waited: Seconds for which the turn has waited at its entry.
+        places: Total slots of the upstreams that the sender sees as ready and
+            healthy; 0 if it sees none.
+        memory_tokens: Total memory of those upstreams in tokens; 0 if unknown.
+        timeout: Seconds after which the turn has ended for certain.
+        running: Requests of the sender that run at the service.
+    """
+
+    service: str
+    kind: str
+    priority: int
+    share: float
+    tokens: int
+    finish_within: float
+    waited: float
+    places: int
+    memory_tokens: int
+    timeout: float = 30.0
+    running: int = 0
+
+
 class OpenTurn(NamedTuple):
     """Reserves tokens for a turn; the first turn creates the program.
 
@@ -70,6 +102,8 @@
         limit: Rate limit of the customer; None for no limit.
         ahead: Number of further requests to count ahead, for calls that
             will follow the turn.
+        demand: For admission control; None if it is off, and in the
+            replicated log.
     """
 
     program: str
@@ -83,6 +117,7 @@
     customer: str = ""
     limit: RateLimit | None = None
     ahead: int = 0
+    demand: TurnDemand | None = None
 
 
 class KeptTurn(NamedTuple):
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -85,6 +85,7 @@
             groups,
             self.policies,
             histories=self._histories,
+            events=events,
         )
         self.planner = rollout.Planner(self.config)
         self.client = control_client.ControlClient(
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -47,6 +47,8 @@
     "limit_overage": "quotaOverage",
     "limit_slack": "quotaSlack",
 }
+# The contract by which customers compete for engines.
+_PRESSURE_CONTRACT = "pressure"
 # Must match the metrics port in the deploy file.
 _METRICS_PORT = 9464
 # The load is a few hundred commits per second, far below the capacity of one
@@ -156,14 +158,21 @@
         listen.get("ready", ""),
         listen.get("control", ""),
         _ANSWER_SECONDS,
-        {
-            name: bounds[bound]
-            for name, bound in _POLICY_BOUNDS.items()
-            if bound in bounds
-        },
+        _policies(fields, bounds),
     )
 
 
+def _policies(fields: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+    policies = {
+        name: bounds[bound]
+        for name, bound in _POLICY_BOUNDS.items()
+        if bound in bounds
+    }
+    if _PRESSURE_CONTRACT in fields.get("contracts", []):
+        policies["admission"] = "programs"
+    return policies
+
+
 def _host(address: str) -> str:
     return address.rpartition(":")[0]
 
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -44,6 +44,9 @@
             _check_customer(request.customer)
             _check_counts("budget", (request.budget, request.ahead))
             _check_counts("reserve", (request.reserve, request.retention))
+            if request.demand is not None:
+                _, _, *counts = request.demand
+                _check_counts("demand", tuple(counts))
         case program_messages.CloseTurn():
             _check_key(request.program)
             _check_key(request.turn)
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -1,6 +1,7 @@
 """Serves program records on a control instance."""
 
 from collections.abc import Callable
+import functools
 from typing import Any
 
 import eventlet
@@ -12,6 +13,7 @@
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import log
 from mintcleat.ports import streams
 from mintcleat.ports import timers
@@ -20,6 +22,7 @@
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.programs import retention
+from mintcleat.roles.control.programs import contention
 
 # Shorter than the client's timeout for one attempt, so that the client gets an
 # error from here if a group makes no progress, instead of a timeout.
@@ -73,6 +76,7 @@
         clocks: The clock of each group.
         policies: Returns the policies in force.
         entry_loads: Running requests by upstream, as reported by the entries.
+        contention: Admission control of turns.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         policies: Callable[[], manifest.Policies],
         *,
         histories: Callable[[str], Any] = lambda group: None,
+        events: event_ports.EventReporter = event_ports.NULL_EVENT_REPORTER,
     ) -> None:
         """Attaches a machine per group and registers the stream handlers.
 
@@ -95,6 +100,7 @@
             policies: Returns the policies in force.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
+            events: Receives the decisions of admission control.
         """
         self.log = replicated_log
         self.timers = timer_service
@@ -108,8 +114,15 @@
             for group, group_machine in self.machines.items()
         }
         self.entry_loads = shared_load.EntryLoads()
+        self.contention = contention.Contention(
+            self.machines, timer_service, policies, events
+        )
         for group, group_machine in self.machines.items():
-            replicated_log.attach(group, group_machine)
+            replicated_log.attach(
+                group,
+                group_machine,
+                functools.partial(self.contention.reset, group),
+            )
         for kind in (*commands.MUTATIONS, *READS):
             stream_service.handle(kind, self._serve_one)
         stream_service.handle(identities.Batch, self._serve_batch)
@@ -134,6 +147,7 @@
         replies: list[Any] = [None] * len(requests)
         requests = list(requests)
         entries: dict[int, str] = {}
+        admitted: dict[int, str] = {}
         for place, request in enumerate(requests):
             if getattr(request, "running", None) is not None:
                 entries[place] = request.running.entry
@@ -141,9 +155,13 @@
             requests[place] = self._with_current_limit(requests[place])
             try:
                 group = self._checked_group(requests[place])
+                if self._controls_admission(group, requests[place]):
+                    self._admit(group, requests[place], entries.get(place, ""))
+                    admitted[place] = group
             except errors.MintcleatError as error:
                 replies[place] = error
             else:
+                requests[place] = _without_demand(requests[place])
                 by_group.setdefault(group, []).append(place)
         threads = [
             eventlet.spawn(self._answer_group, group, places, requests, replies)
@@ -151,6 +169,8 @@
         ]
         for thread in threads:
             thread.wait()
+        for place, group in admitted.items():
+            self._admission_answered(group, requests[place], replies[place])
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
@@ -158,6 +178,36 @@
                 replies[place] = reply._replace(others=others)
         return replies
 
+    def _controls_admission(self, group: str, request: Any) -> bool:
+        """Returns whether a request is subject to admission control here."""
+        kinds = (program_messages.OpenTurn, program_messages.CloseTurn)
+        return (
+            isinstance(request, kinds)
+            and self.policies().admission == "programs"
+            and self.log.leads(group)
+        )
+
+    def _admit(self, group: str, request: Any, entry: str) -> None:
+        """Admits an OpenTurn with a demand, or releases a closed turn.
+
+        Raises:
+            errors.TurnDeferred: The turn waits; its sender asks again.
+            errors.Overloaded: The turn is refused.
+            errors.ShareExceeded: The same, since its customer is over its
+                share.
+        """
+        match request:
+            case program_messages.CloseTurn():
+                self.contention.closed(group, request)
+            case program_messages.OpenTurn(demand=demand) if demand:
+                error = self.contention.admit(group, request, entry)
+                if error is not None:
+                    raise error
+
+    def _admission_answered(self, group: str, request: Any, reply: Any) -> None:
+        if isinstance(request, program_messages.OpenTurn):
+            self.contention.opened(group, request, reply)
+
     def _with_current_limit(self, request: Any) -> Any:
         """Returns a request with the customer's rate limit in force here.
 
@@ -259,6 +309,13 @@
         return [self.machines[group].read(request) for request in requests]
 
 
+def _without_demand(request: Any) -> Any:
+    """Returns a request as it is logged, without its soft state."""
+    if isinstance(request, program_messages.OpenTurn) and request.demand:
+        return request._replace(demand=None)
+    return request
+
+
 def _encode(reply: Any) -> bytes:
     if isinstance(reply, errors.MintcleatError):
         return codec.encode(reply.failure())
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -18,6 +18,7 @@
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
+from mintcleat.domain import program_messages
 from mintcleat.domain import routed_calls
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import events as event_ports
@@ -25,6 +26,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import turn_client
+from mintcleat.roles.entry import turn_demand
 from mintcleat.roles.entry import upstream_loads
 
 # Upstreams to which one request is sent if each refuses to run it. More would
@@ -211,11 +213,36 @@
         retention = self.route.retention or BUDGET_RETENTION_SECONDS
         loads = self.context.loads
         turn = self.context.turns.open(
-            self.call, reserve, retention, loads.report()
+            self.call, reserve, retention, loads.report(), self._admission()
         )
         loads.update_others(turn.others)
         self.relay.turn = turn
 
+    def _admission(self) -> turn_demand.Admission | None:
+        """Returns how the turn asks for its grant; None if that is off."""
+        policies = self.context.configuration.manifest().policies
+        if policies.admission == "off":
+            return None
+        wait = turn_demand.HOLD_FRACTION * (self.deadline_at - self.began)
+        return turn_demand.Admission(
+            self._demand, self.context.loads.report, self.began + wait
+        )
+
+    def _demand(self) -> program_messages.TurnDemand:
+        policies = self.context.configuration.manifest().policies
+        customer = policies.customers.get(self.call.customer)
+        now = self.now
+        return turn_demand.demand_of(
+            self.call,
+            self.match.name,
+            self.service_name,
+            self.service,
+            self.priority,
+            customer.share if customer else 1.0,
+            (now - self.began, self.deadline_at + GRACE_SECONDS - now),
+            turn_demand.capacity_of(self.context.loads, self.service_name),
+        )
+
     def _settle(self) -> None:
         """Settles the turn unless it is committed."""
         relay = self.relay
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -13,6 +13,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.programs import branches
 from mintcleat.roles.entry import rate_limiter
+from mintcleat.roles.entry import turn_demand
 
 # Committing a turn takes two hops and a disk sync, about 10 ms, or about a
 # second after the loss of a leader. A caller that waits longer gets its answer
@@ -116,16 +117,22 @@
         reserve: int,
         retention: float,
         running: program_messages.RunningCounts,
+        admission: turn_demand.Admission | None = None,
     ) -> OpenedTurn:
-        """Opens a turn and reserves its tokens.
+        """Opens a turn and reserves its tokens; waits for its grant.
 
         Args:
             call: Request of the turn.
             reserve: Maximum number of tokens that it can generate.
             retention: Seconds for which it can be continued.
             running: Running requests of this entry.
+            admission: How the turn asks for its grant; None without admission
+                control.
 
         Raises:
+            errors.Overloaded: The turn was refused or waited for too long.
+            errors.ShareExceeded: The turn was refused, and its customer is
+                over its share.
             errors.BudgetExhausted: The rest of the budget is too small.
             errors.UnknownTurn: The previous turn doesn't exist.
             errors.ControlUnavailable: No leader answered in time.
@@ -162,7 +169,7 @@
             ahead,
         )
         try:
-            reply = self.rate_limiter.ask(program.program, request)
+            reply = self._ask_for_grant(call, request, admission)
         except (errors.OutcomeUnknown, errors.Superseded) as error:
             # The opening may be committed, but the turn has not run.
             self.cancel(call)
@@ -193,6 +200,41 @@
             reply.counted_at,
         )
 
+    def _ask_for_grant(
+        self,
+        call: routed_calls.RoutedCall,
+        request: program_messages.OpenTurn,
+        admission: turn_demand.Admission | None,
+    ) -> program_messages.TurnOpened:
+        """Asks the leader until it grants or refuses the turn.
+
+        Raises:
+            errors.MintcleatError: The turn was refused, or waited too long.
+        """
+        if admission is None:
+            return self.rate_limiter.ask(call.program.program, request)
+        while True:
+            request = request._replace(
+                running=admission.report(), demand=admission.demand()
+            )
+            try:
+                return self.rate_limiter.ask(call.program.program, request)
+            except errors.TurnDeferred as error:
+                deferred = error
+            except errors.MintcleatError:
+                raise
+            except BaseException:
+                # The caller has gone, or time is up, while the grant may be on
+                # its way. A turn that only waits is dropped by the leader.
+                self.cancel(call)
+                raise
+            if self.timers.now() + deferred.retry_after >= admission.until:
+                raise errors.Overloaded(
+                    f"The turn has waited for too long: {deferred.detail}",
+                    retry_after=control_outage.RETRY_SECONDS,
+                )
+            self.timers.sleep(deferred.retry_after)
+
     def commit(
         self,
         turn: OpenedTurn,
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -33,6 +33,10 @@
             if replica.address == address:
                 replica.catch_up()
         self.leader = address
+        for replica in self.replicas:
+            if replica.address == address:
+                for callback in replica.on_lead:
+                    callback()
 
     def heal(self) -> None:
         """Lets all replicas apply all commands again."""
@@ -50,6 +54,7 @@
         self.machines: dict[str, log_ports.StateMachine] = {}
         self.applied: dict[str, int] = {}
         self.results: dict[tuple[str, int], Any] = {}
+        self.on_lead: list[Callable[[], None]] = []
         cluster.replicas.append(self)
 
     def attach(
@@ -61,6 +66,8 @@
         """Registers the state machine of a group."""
         self.machines[group] = machine
         self.applied[group] = 0
+        if on_lead is not None:
+            self.on_lead.append(on_lead)
 
     def start(self) -> None:
         """Applies the commands committed before."""
