--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -24,7 +24,11 @@
 # after releases had logged the message, and processes of those releases refuse
 # a message with a field that they don't know.
 LAST_OPTIONAL = frozenset(
-    {program_messages.CountCall, program_messages.CallCounted}
+    {
+        program_messages.CallCounted,
+        program_messages.CountCall,
+        program_messages.OpenTurn,
+    }
 )
 
 TAGS: dict[int, type] = dict(
