Entries bound what slow callers hold, and refuse near their own limits

Slow callers: a response was ended 20 s after it first had to wait, however much the caller had read since, and without a line in the log; a whole response was held in memory whatever its size; and while a write waited, the upstream that could not be read counted as silent and slow. Now a response is ended after 20 s without progress, or if the process holds too many unsent bytes (an eighth of its memory limit) and this response has the most; the event response_stalled gives the reason, and the connection is reset. Responses over 1 MiB are relayed as they arrive. Time in which a write waits is no evidence about the upstream.

Own capacity: decisions/entry_capacity decides by the lateness of the event loop, memory and file descriptors whether the entry takes all requests, only those that continue a program, or none. It is off unless the platform's settings have limits.

--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -60,6 +60,10 @@
                 metrics.count("unknown_keys_total", sure=str(event.sure))
             case events.CallerGone():
                 metrics.count("routed_callers_gone_total", route=event.route)
+            case events.ResponseStalled():
+                metrics.count("responses_stalled_total", reason=event.reason)
+            case events.EntryCapacityChanged():
+                metrics.count("capacity_changes_total", level=event.level)
             case events.CallPlaced():
                 metrics.count("routed_placements_total", reason=event.reason)
             case events.AttemptFailed():
--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -267,6 +267,11 @@
         for connection in self.idle.pop(upstream, []):
             connection.close()
 
+    def close_idle(self) -> None:
+        """Closes all idle connections."""
+        for upstream in list(self.idle):
+            self.discard(upstream)
+
     def close_stale(self) -> None:
         """Closes idle connections that are not usable any more."""
         for connections in self.idle.values():
--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -8,17 +8,20 @@
 from collections.abc import Callable
 import contextlib
 import socket
+import time
 from typing import Any
 from typing import NamedTuple
 
 import eventlet
 from eventlet import greenthread
+from eventlet import hubs
 from loguru import logger
 
 from mintcleat.adapters import http1_framing
 from mintcleat.adapters import http1_heads
 from mintcleat.adapters import socket_reader
 from mintcleat.adapters import streams
+from mintcleat.adapters import unsent_bytes
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 
@@ -27,7 +30,13 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUSES_WITHOUT_BODY = (204, 304)
 # Bounds how long a caller that does not read holds the memory of its response.
-_WRITE_TIMEOUT_SECONDS = 20.0
+_STALL_SECONDS = 20.0
+# Interval at which a handler is told that its caller doesn't read.
+_BLOCKED_SECONDS = 0.25
+# Discards unsent bytes in the kernel and resets the connection.
+_RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
+NO_PROGRESS = "no progress"
+BUFFERS_FULL = "buffers full"
 _STATUS_INVALID = 400
 
 
@@ -39,6 +48,27 @@
     """
 
 
+class CallerStalled(CallerDisconnected):
+    """The response was ended because the caller doesn't read it."""
+
+
+class Stall(NamedTuple):
+    """A response that is ended because its caller doesn't read it.
+
+    Attributes:
+        peer: `IP:PORT` of the caller.
+        reason: `NO_PROGRESS`, or `BUFFERS_FULL` if the bytes for slow callers
+            of the process exceed their limit and this response has the most.
+        unsent: Bytes that had not been sent.
+        waited_seconds: Time since the caller last read.
+    """
+
+    peer: str
+    reason: str
+    unsent: int
+    waited_seconds: float
+
+
 class Request(NamedTuple):
     """A received request.
 
@@ -67,9 +97,11 @@
     Attributes:
         started: Whether the head has been sent.
         ended: Whether the whole response has been sent.
+        on_blocked: Called repeatedly while a write waits for the caller.
     """
 
     def __init__(self, connection: "Connection") -> None:
+        self.on_blocked: Callable[[], None] | None = None
         self.connection = connection
         self.started = False
         self.ended = False
@@ -95,6 +127,7 @@
     ) -> None:
         """Sends the head; without a Content-Length the body is chunked."""
         self.started = True
+        self.connection.on_blocked = self.on_blocked
         self.connection.start(status, headers, reason, body)
 
     def write(self, data: bytes) -> None:
@@ -118,6 +151,8 @@
         active: Number of requests that are being handled.
         keep_alive: Called for each response; returns whether its connection
             stays open.
+        on_stalled: Called for each response that its caller doesn't read.
+        unsent: Bytes that wait for slow callers.
     """
 
     def __init__(
@@ -126,10 +161,14 @@
         handler: Handler,
         limits: Callable[[], manifest.Limits] = manifest.Limits,
         keep_alive: Callable[[], bool] = lambda: True,
+        on_stalled: Callable[[Stall], None] = lambda stall: None,
+        max_unsent_bytes: int = unsent_bytes.DEFAULT_LIMIT,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.keep_alive = keep_alive
+        self.on_stalled = on_stalled
+        self.unsent = unsent_bytes.UnsentBytes(max_unsent_bytes)
         # If the backlog is full, a caller retransmits its connection request
         # only after seconds.
         self.listener = eventlet.listen(
@@ -146,6 +185,10 @@
         """Stops accepting connections and closes those that are idle."""
         self.acceptor.kill()
         self.listener.close()
+        self.close_idle_connections()
+
+    def close_idle_connections(self) -> None:
+        """Closes the connections without a request."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
@@ -182,6 +225,9 @@
         handler: Green thread that handles the current request.
         ended: Whether the connection is being closed.
         writer: Response in progress; None before its head.
+        on_blocked: Called repeatedly while a write waits for the caller.
+        progress_at: Monotonic time at which bytes were last sent while a
+            write waits.
     """
 
     def __init__(self, listener: HttpListener, sock: Any, peer: str) -> None:
@@ -193,6 +239,8 @@
         self.head: http1_heads.RequestHead | None = None
         self.handler: Any = None
         self.writer: _ResponseWriter | None = None
+        self.on_blocked: Callable[[], None] | None = None
+        self.progress_at = 0.0
         self.idle = True
         self.ended = False
         self.closed = False
@@ -377,10 +425,77 @@
             sent = self.sock.fd.send(data)
         except BlockingIOError:
             sent = 0
-        if sent == len(data):
-            return
-        with eventlet.Timeout(_WRITE_TIMEOUT_SECONDS, TimeoutError):
-            self.sock.sendall(memoryview(data)[sent:])
+        if sent < len(data):
+            self._send_slowly(memoryview(data)[sent:])
+
+    def _send_slowly(self, data: memoryview) -> None:
+        """Sends bytes as the caller reads.
+
+        Raises:
+            CallerStalled: The caller doesn't read.
+            OSError: The connection failed.
+        """
+        unsent = self.listener.unsent
+        self.progress_at = time.monotonic()
+        try:
+            while data:
+                while largest := unsent.set(self, len(data)):
+                    self._end_response(largest)
+                self._await_writable(len(data))
+                try:
+                    data = data[self.sock.fd.send(data) :]
+                    self.progress_at = time.monotonic()
+                except BlockingIOError:
+                    continue
+        finally:
+            unsent.set(self, 0)
+
+    def _await_writable(self, size: int) -> None:
+        """Waits until the socket takes bytes.
+
+        Raises:
+            CallerStalled: The caller has not read for `_STALL_SECONDS`.
+        """
+        while True:
+            try:
+                hubs.trampoline(
+                    self.sock.fileno(),
+                    write=True,
+                    timeout=_BLOCKED_SECONDS,
+                    timeout_exc=TimeoutError,
+                )
+            except TimeoutError:
+                if self.on_blocked is not None:
+                    self.on_blocked()
+                if time.monotonic() - self.progress_at >= _STALL_SECONDS:
+                    self._report_stall(NO_PROGRESS, size)
+                    raise CallerStalled from None
+            else:
+                return
+
+    def _end_response(self, connection: "Connection") -> None:
+        """Ends the response that holds the most unsent bytes.
+
+        Raises:
+            CallerStalled: It is this one.
+        """
+        size = self.listener.unsent.sizes[connection]
+        connection._report_stall(BUFFERS_FULL, size)
+        if connection is self:
+            raise CallerStalled
+        self.listener.unsent.set(connection, 0)
+        if connection.handler is None:
+            connection.shut_down()
+        else:
+            greenthread.kill(connection.handler, CallerStalled())
+
+    def _report_stall(self, reason: str, size: int) -> None:
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        waited = time.monotonic() - self.progress_at
+        self.listener.on_stalled(Stall(self.peer, reason, size, waited))
 
     def _send_error(self, status: int, text: str) -> None:
         """Sends an error response to a request that could not be read."""
@@ -390,7 +505,7 @@
             ("content-length", str(len(body))),
             _CONNECTION_CLOSE,
         ]
-        with contextlib.suppress(OSError, TimeoutError):
+        with contextlib.suppress(OSError, CallerStalled):
             self.start(status, headers, "", body)
             self.end()
 
--- a/src/mintcleat/adapters/metrics.py
+++ b/src/mintcleat/adapters/metrics.py
@@ -28,6 +28,10 @@
     "unknown_keys_total": "Requests with a key of no known customer.",
     "log_drops_total": "Times that log lines were dropped.",
     "loop_lag_seconds": "Delay of timers on the event loop.",
+    "responses_stalled_total": "Responses that their callers did not read.",
+    "capacity_changes_total": "Changes of an entry's own capacity, by level.",
+    "capacity_level": "Own capacity: 0 normal, 1 busy, 2 full.",
+    "unsent_bytes": "Bytes that wait for slow callers.",
     "disk_call_seconds": "Time of one write and sync of the log.",
 }
 
--- a/src/mintcleat/adapters/process_memory.py
+++ b/src/mintcleat/adapters/process_memory.py
@@ -1,7 +1,11 @@
-"""Memory usage of this process."""
+"""Memory and file descriptors of this process."""
 
+import ctypes
+import os
 import pathlib
 
+_STATM = pathlib.Path("/proc/self/statm")
+_DESCRIPTORS = "/proc/self/fd"
 _STATUS = pathlib.Path("/proc/self/status")
 _PEAK = "VmHWM:"
 
@@ -18,3 +22,28 @@
         return 0.0
     values = [line.split()[1] for line in lines if line.startswith(_PEAK)]
     return int(values[0]) / 1024 if values else 0.0
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory in bytes, or 0 if it is not available."""
+    try:
+        pages = int(_STATM.read_text().split()[1])
+    except OSError:
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def open_descriptors() -> int:
+    """Returns the number of open file descriptors; 0 if not available."""
+    try:
+        return len(os.listdir(_DESCRIPTORS))
+    except OSError:
+        return 0
+
+
+def return_free_memory() -> None:
+    """Returns freed memory to the system, where the C library can do it."""
+    try:
+        ctypes.CDLL(None).malloc_trim(0)
+    except (OSError, AttributeError):
+        return
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -393,6 +393,47 @@
     parts: dict[str, int]
 
 
+class EntryCapacityChanged(NamedTuple):
+    """An entry came near its own limits, or has capacity again.
+
+    Attributes:
+        level: `normal`; `busy`, which takes only requests that continue a
+            program; or `full`, which takes none.
+        reason: What changed the level: `event loop`, `memory` or `file
+            descriptors`.
+        after_s: Time spent at the previous level.
+        lag_s: How late the event loop ran a timer.
+        memory_mb: Resident memory.
+        descriptors: Open file descriptors.
+        running: Requests without a complete response.
+    """
+
+    level: str
+    reason: str
+    after_s: float
+    lag_s: float
+    memory_mb: float
+    descriptors: int
+    running: int
+
+
+class ResponseStalled(NamedTuple):
+    """A response was ended because its caller doesn't read it.
+
+    Attributes:
+        peer: Address of the caller.
+        reason: `no progress` for a time, or `buffers full` if this response
+            held the most of the process's bytes for slow callers.
+        unsent: Bytes that had not been sent.
+        waited_s: Time since the caller last read.
+    """
+
+    peer: str
+    reason: str
+    unsent: int
+    waited_s: float
+
+
 class LinesDropped(NamedTuple):
     """Lines were dropped because of the log budget or a slow reader.
 
@@ -417,10 +458,11 @@
     UpstreamAvoided,
     *control_events.KINDS,
     MemoryGrown,
+    EntryCapacityChanged,
     LinesDropped,
     TurnUnsettled,
 )
-_ERRORS = (AttemptFailed, CallRefused, CallerGone)
+_ERRORS = (AttemptFailed, CallRefused, CallerGone, ResponseStalled)
 _DETAILS = (
     KeyUnknown,
     CallHeld,
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -25,10 +25,13 @@
 from mintcleat.adapters import event_metrics
 from mintcleat.adapters import http1_server
 from mintcleat.adapters import process_memory
+from mintcleat.adapters import unsent_bytes
+from mintcleat.decisions import entry_capacity
 from mintcleat.decisions import policy as policy_module
 from mintcleat.domain import control_events
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
+from mintcleat.main import capacity_watch
 from mintcleat.main import common as common_module
 from mintcleat.platform import callers
 from mintcleat.platform import control_api
@@ -55,6 +58,8 @@
 # tenths of a second and have the peaks.
 _MEMORY_CHECK_SECONDS = 0.2
 _MEMORY_STEP_MB = 8.0
+# Part of the process's memory for bytes that wait for slow callers.
+_UNSENT_FRACTION = 0.125
 # Short enough to measure a stall of half a second, at negligible cost.
 _LOOP_CHECK_SECONDS = 0.5
 
@@ -91,8 +96,27 @@
         self.events = events
         handler = callers.CallerApi(self.gateway).handle
         self.listener = http1_server.HttpListener(
-            machine.callers, handler, self.gateway.limits, self.gateway.ready
+            machine.callers,
+            handler,
+            self.gateway.limits,
+            self.gateway.ready,
+            self._report_stall,
+            int(machine.memory_bytes * _UNSENT_FRACTION)
+            or unsent_bytes.DEFAULT_LIMIT,
         )
+        # Off without limits of the process in the settings.
+        self.capacity_watch: capacity_watch.CapacityWatch | None = None
+        if machine.memory_bytes or machine.descriptors:
+            self.gateway.capacity = entry_capacity.EntryCapacity(
+                entry_capacity.Limits(machine.memory_bytes, machine.descriptors)
+            )
+            self.capacity_watch = capacity_watch.CapacityWatch(
+                self.gateway.capacity,
+                common.timers,
+                events,
+                self.in_flight,
+                self._close_idle_connections,
+            )
         self.readiness_listener = http1_server.HttpListener(
             machine.ready, self._answer_readiness
         )
@@ -104,6 +128,22 @@
             _CLOSE_STALE_SECONDS, self.http.pool.close_stale
         )
         self.common.timers.every(_STATUS_CHECK_SECONDS, self._watch_lease)
+        if self.capacity_watch is not None:
+            self.common.timers.spawn(self.capacity_watch.run)
+
+    def _close_idle_connections(self) -> None:
+        self.listener.close_idle_connections()
+        self.http.pool.close_idle()
+
+    def _report_stall(self, stall: http1_server.Stall) -> None:
+        self.events.emit(
+            event_types.ResponseStalled(
+                stall.peer,
+                stall.reason,
+                stall.unsent,
+                round(stall.waited_seconds, 3),
+            )
+        )
 
     def _watch_lease(self) -> None:
         """Reports when the lease on the configuration is lost or regained."""
@@ -151,6 +191,8 @@
         metrics.gauge("running_calls", self.listener.active)
         metrics.gauge("config_revision", self.follower.revision())
         metrics.gauge("lease_left_seconds", self.follower.lease_left())
+        metrics.gauge("unsent_bytes", self.listener.unsent.total)
+        metrics.gauge("capacity_level", int(self.gateway.capacity.level))
         for (
             upstream,
             pending,
@@ -163,6 +205,7 @@
         return {
             "requests": self.listener.active,
             "connections": len(self.listener.connections),
+            "unsent_bytes": self.listener.unsent.total,
             "chain_bytes": self.gateway.turns.chains.size,
         }
 
--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses in the format of the platform's callers."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol
 
@@ -110,6 +111,10 @@
     def __init__(self, reply: http1_server.Reply) -> None:
         self.reply = reply
 
+    def set_on_blocked(self, callback: Callable[[], None]) -> None:
+        """Sets what is called repeatedly while a write waits."""
+        self.reply.on_blocked = callback
+
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         """Sends a complete response."""
         self.reply.send(head.status, list(head.headers), body, head.reason)
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -55,6 +55,8 @@
 # Part of the time between SIGTERM and SIGKILL that is kept for the last
 # responses.
 _STOP_MARGIN = 1.0
+# The smaller of the two meanings of MB, so that the limit is never exceeded.
+_BYTES_PER_MB = 1_000_000
 
 
 class MachineSettings(NamedTuple):
@@ -70,6 +72,8 @@
             gets a response or an error.
         policies: Policies of the manifest that the platform sets here and not
             in the configuration.
+        memory_bytes: Memory beyond which the process is killed; 0 if unknown.
+        descriptors: File descriptors that it may open; 0 if unknown.
     """
 
     settings: settings_module.Settings
@@ -78,6 +82,8 @@
     control: str
     answer_seconds: float
     policies: dict[str, Any] = {}
+    memory_bytes: int = 0
+    descriptors: int = 0
 
 
 def settings_path() -> pathlib.Path:
@@ -130,6 +136,7 @@
     first_port = fields["internalPortRange"][0]
     listen = fields["listen"]
     bounds = fields.get("bounds", {})
+    limits = fields.get("limits", {})
     grace = float(bounds.get("graceS", 8))
     own_address = f"{fields['ip']}:{first_port}"
     control_addresses = [
@@ -161,6 +168,8 @@
             for name, bound in _POLICY_BOUNDS.items()
             if bound in bounds
         },
+        int(limits.get("memoryMb", 0) * _BYTES_PER_MB),
+        int(limits.get("fileDescriptors", 0)),
     )
 
 
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -1,5 +1,6 @@
 """The interfaces to callers and upstreams for forwarded requests."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -61,7 +62,14 @@
 
 
 class CallerResponse(Protocol):
-    """The response to one caller, in the protocol of callers."""
+    """The response to one caller, in the protocol of callers.
+
+    The methods that send wait while the caller doesn't read, so that no more
+    is read from the upstream either.
+    """
+
+    def set_on_blocked(self, callback: Callable[[], None]) -> None:
+        """Sets what is called repeatedly while a write waits for the caller."""
 
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         """Sends a complete response."""
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -2,6 +2,7 @@
 
 from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import cold_start
+from mintcleat.decisions import entry_capacity
 from mintcleat.decisions import jitter
 from mintcleat.decisions import policy as policy_module
 from mintcleat.decisions import routes
@@ -32,6 +33,7 @@
         started: Monotonic time of construction, in seconds.
         held: Calls that wait for the first configuration and lease.
         configured: Whether a configuration and a lease have arrived.
+        capacity: Decides which requests this process can still take.
     """
 
     def __init__(
@@ -69,13 +71,18 @@
         self.started = timers.now()
         self.held = 0
         self.configured = False
+        self.capacity = entry_capacity.EntryCapacity()
 
     def ready(self) -> bool:
         """Returns whether the load balancer should send requests here."""
         # An entry without a lease can't record turns, and others can. When too
         # few entries are ready, the balancer uses all of them. It doesn't move
         # open connections: a caller that kept one would be refused again.
-        return not self.draining and self.configuration.has_lease()
+        return (
+            not self.draining
+            and self.configuration.has_lease()
+            and self.capacity.level is entry_capacity.Level.NORMAL
+        )
 
     def limits(self) -> manifest.Limits:
         """Returns the limits on the size and time of callers' requests."""
@@ -105,12 +112,34 @@
             self._emit_refusal(call, run, error, began)
             raise
 
+    def _check_capacity(
+        self, call: routed_calls.RoutedCall, route: manifest.Route, now: float
+    ) -> None:
+        """Refuses a call for which this process has no capacity.
+
+        A program begins with a turn that names no previous one; its calls of
+        services name the program alone.
+
+        Raises:
+            errors.Overloaded: See above.
+        """
+        program = call.program
+        continues = bool(program.previous) or (
+            bool(program.program) and not route.retention
+        )
+        if not self.capacity.takes(continues):
+            raise errors.Overloaded(
+                f"This entry is over its capacity ({self.capacity.reason}).",
+                retry_after=self.capacity.retry_after(now),
+            )
+
     def _route(
         self, call: routed_calls.RoutedCall, began: float
     ) -> routed_run.RoutedRun:
         if not self._has_configuration():
             self._await_configuration(call)
         match = self._match(call)
+        self._check_capacity(call, match.route, began)
         caller = self.authenticator.caller(call.key, match.route.public)
         if caller is None:
             self.authenticator.await_updates(call.request, call.key, began)
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -1,5 +1,7 @@
 """Relays an upstream's response to the caller of a routed request."""
 
+from collections.abc import Iterator
+
 from mintcleat.decisions import evidence
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
@@ -10,6 +12,11 @@
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
 
+# Size up to which a response is collected before it is sent, so that another
+# upstream can replace it if it breaks off. Larger ones are sent as they arrive,
+# which bounds what is held for a caller that reads slowly.
+MAX_COLLECTED_BYTES = 1024 * 1024
+
 
 class ResponseRelay:
     """Relays the responses of one request's attempts to its caller.
@@ -29,6 +36,9 @@
         first_at: Time of the response or its first event; 0 before.
         max_gap: Longest pause between two events, in seconds.
         last_event_at: Time of the last event; 0 before the first.
+        blocked_at: Last time at which a write waited for the caller; 0 before.
+            Meanwhile nothing is read from the upstream, which must not count
+            as its silence.
         output: Data of the events, for the turn's record.
     """
 
@@ -59,6 +69,7 @@
         self.first_at = 0.0
         self.max_gap = 0.0
         self.last_event_at = 0.0
+        self.blocked_at = 0.0
         self.output: list[bytes] = []
 
     @property
@@ -71,6 +82,11 @@
         """Incarnation of the last attempt's upstream; empty for none."""
         return self.upstream.incarnation if self.upstream else ""
 
+    @property
+    def last_active_at(self) -> float:
+        """Time since which the upstream may have been silent; 0 before."""
+        return max(self.last_event_at, self.blocked_at)
+
     def relay(
         self,
         answer: forwarding.UpstreamResponse,
@@ -89,6 +105,7 @@
         Raises:
             errors.MintcleatError: The response can't be relayed completely.
         """
+        reply.set_on_blocked(self._record_blocked)
         if answer.head.events:
             self._relay_events(answer, reply)
         else:
@@ -102,7 +119,9 @@
         may_retry: bool,
     ) -> None:
         head = answer.head
-        body = answer.body()
+        chunks = answer.chunks()
+        body = _collect(chunks)
+        rest = next(chunks, None)
         self.status = head.status
         verdict = evidence.of_answer(head.status)
         if verdict is evidence.Evidence.FAILURE and may_retry:
@@ -115,11 +134,20 @@
                 f"received a plain response with status {head.status}."
             )
         self.first_at = self.timers.now()
-        self._mark_complete()
         if verdict is evidence.Evidence.SUCCESS:
             self.loads.observe(self.incarnation, self.first_at - sent_at)
         self.head_sent = True
-        reply.send_whole(head, body)
+        if rest is None:
+            self._mark_complete()
+            reply.send_whole(head, body)
+            return
+        reply.send_head(head)
+        reply.write(body + rest)
+        for data in chunks:
+            self.loads.arrived(self.incarnation)
+            reply.write(data)
+        self._mark_complete()
+        reply.end()
 
     def _relay_events(
         self,
@@ -140,6 +168,11 @@
         self._commit_turn()
         reply.end()
 
+    def _record_blocked(self) -> None:
+        self.blocked_at = self.timers.now()
+        if not self.complete:
+            self.loads.arrived(self.incarnation)
+
     def _mark_complete(self) -> None:
         """Ends the request's count at the upstream.
 
@@ -160,8 +193,8 @@
         now = self.timers.now()
         for event in events:
             if self.last_event_at:
-                pause = now - self.last_event_at
-                self.max_gap = max(self.max_gap, pause)
+                self.max_gap = max(self.max_gap, now - self.last_event_at)
+                pause = now - self.last_active_at
                 self.loads.observe(self.incarnation, pause)
             else:
                 self.first_at = now
@@ -193,3 +226,15 @@
                 f"The turn could not be recorded: {error.detail}"
             ) from error
         self.committed = True
+
+
+def _collect(chunks: Iterator[bytes]) -> bytes:
+    """Returns a body up to about `MAX_COLLECTED_BYTES`."""
+    parts = []
+    size = 0
+    for data in chunks:
+        parts.append(data)
+        size += len(data)
+        if size >= MAX_COLLECTED_BYTES:
+            break
+    return b"".join(parts)
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -266,7 +266,7 @@
                     raise self._timeout_error() from error
             except BaseException:
                 # The caller disconnected, or the request timed out.
-                silent = self.now - max(self.sent_at, self.relay.last_event_at)
+                silent = self.now - max(self.sent_at, self.relay.last_active_at)
                 complete = self.relay.complete
                 self._record_evidence(
                     upstream,
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -1,5 +1,6 @@
 """Tests how responses are relayed."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 
@@ -53,8 +54,15 @@
 class Reply:
     def __init__(self) -> None:
         self.writes: list[bytes] = []
+        self.whole: list[bytes] = []
         self.ended = False
 
+    def set_on_blocked(self, callback: Callable[[], None]) -> None:
+        self.on_blocked = callback
+
+    def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
+        self.whole.append(body)
+
     def send_head(self, head: routed_calls.ResponseHead) -> None:
         pass
 
@@ -65,24 +73,29 @@
         self.ended = True
 
 
+def new_relay(timers: Timers, loads: Loads) -> response_relay.ResponseRelay:
+    unused: Any = None
+    relay = response_relay.ResponseRelay(
+        manifest.Route("/", []),
+        manifest.Service("model", tokens_per_event=4),
+        loads,
+        unused,
+        timers,
+        "r1",
+        "",
+    )
+    relay.upstream = member_messages.Registration(
+        "u1", "s", "a:1", "d1", "v1", 4, "ready", 1
+    )
+    return relay
+
+
 class EventsTest(testtools.TestCase):
     def relay(
         self, parts: list[bytes]
     ) -> tuple[response_relay.ResponseRelay, Reply, Loads]:
         timers, loads, reply = Timers(), Loads(), Reply()
-        unused: Any = None
-        relay = response_relay.ResponseRelay(
-            manifest.Route("/", []),
-            manifest.Service("model", tokens_per_event=4),
-            loads,
-            unused,
-            timers,
-            "r1",
-            "",
-        )
-        relay.upstream = member_messages.Registration(
-            "u1", "s", "a:1", "d1", "v1", 4, "ready", 1
-        )
+        relay = new_relay(timers, loads)
         relay.relay(Answer(timers, parts), reply, 100.0, False)
         return relay, reply, loads
 
@@ -105,3 +118,47 @@
         # After a failure, the stream continues at another upstream.
         _, reply, _ = self.relay([b"id: 1\n", b"data: a\n", b"\n"])
         self.assertEqual([b"id: 1\ndata: a\n\n"], reply.writes)
+
+    def test_time_that_a_write_waits_is_not_the_upstream_s(self) -> None:
+        # Nothing is read meanwhile. As a gap, it would make the upstream look
+        # slow, and as silence, dead.
+        timers, loads, reply = Timers(), Loads(), Reply()
+        relay = new_relay(timers, loads)
+
+        def write(data: bytes) -> None:
+            if not reply.writes:
+                timers.time += 30.0
+                reply.on_blocked()
+                timers.time += 0.1
+            reply.writes.append(data)
+
+        reply.write = write
+        parts = [b"data: a\n\n", b"data: b\n\n"]
+        relay.relay(Answer(timers, parts), reply, 100.0, False)
+        self.assertEqual([1.1], [round(pause, 3) for pause in loads.pauses])
+        self.assertEqual(31.1, round(relay.max_gap, 3))
+        self.assertEqual(relay.last_event_at, relay.last_active_at)
+
+
+class WholeTest(testtools.TestCase):
+    def relay(self, parts: list[bytes]) -> Reply:
+        timers, loads, reply = Timers(), Loads(), Reply()
+        answer = Answer(timers, parts)
+        answer.head = HEAD._replace(events=False)
+        new_relay(timers, loads).relay(answer, reply, 100.0, True)
+        return reply
+
+    def test_response_is_sent_once_it_is_complete(self) -> None:
+        reply = self.relay([b"abc", b"de"])
+        self.assertEqual([b"abcde"], reply.whole)
+
+    def test_large_response_is_sent_as_it_arrives(self) -> None:
+        block = b"x" * response_relay.MAX_COLLECTED_BYTES
+        reply = self.relay([b"a", block, b"b", b"c"])
+        self.assertEqual([], reply.whole)
+        self.assertEqual([b"a" + block + b"b", b"c"], reply.writes)
+        self.assertTrue(reply.ended)
+
+    def test_response_of_just_that_size_is_sent_whole(self) -> None:
+        block = b"x" * response_relay.MAX_COLLECTED_BYTES
+        self.assertEqual([block], self.relay([block]).whole)
