Command that shows load, use of limits and refusals

The leader of a program group answers ShowLoad from memory: running requests by upstream over all entries, each customer's use of its window, programs in progress, and what was refused in the last minute by kind of error. Fields for services under admission control, and for memory and speed of upstreams, are there and empty. The admin interface merges the views of all groups at GET load, and mintcleat load prints them.

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -41,6 +41,11 @@
     ) -> program_messages.Programs:
         """Returns a page of one group's programs."""
 
+    def show_load(
+        self, message: program_messages.ShowLoad, timeout: float
+    ) -> program_messages.LoadView:
+        """Returns the load of one group."""
+
 
 class ControlActions(Protocol):
     """Operators' actions on the control instances and their logs."""
@@ -166,6 +171,8 @@
                 return self.ask(operator_messages.ShowRollouts())
             case "GET", ["customers"]:
                 return self.ask(operator_messages.ShowCustomers())
+            case "GET", ["load"]:
+                return self._show_load(request)
             case "GET", ["quarantine"]:
                 return self.ask(operator_messages.ShowQuarantine())
             case "DELETE", ["quarantine", digest]:
@@ -333,6 +340,18 @@
         found.sort(key=lambda item: item.program)
         return program_messages.Programs(found[:limit])
 
+    def _show_load(self, request: Request) -> dict[str, Any]:
+        """Merges the views of all groups' leaders."""
+        customers = max(1, request.integer("customers", PAGE_SIZE))
+        views = [
+            self.programs.show_load(
+                program_messages.ShowLoad(group, customers),
+                PROGRAM_TIMEOUT_SECONDS,
+            )
+            for group in self.groups()
+        ]
+        return admin_views.load(views, customers)
+
     def _replace_instance(
         self, request: Request, control: ControlActions
     ) -> Any:
--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -1,10 +1,12 @@
 """Conversion of messages to JSON data for operators."""
 
+import collections
 from typing import Any
 
 import msgspec
 
 from mintcleat.domain import operator_messages
+from mintcleat.domain import program_messages
 
 # JSON names of fields whose names are keywords in Python.
 _JSON_NAMES = {"klass": "class"}
@@ -28,6 +30,57 @@
     return value
 
 
+def load(
+    views: list[program_messages.LoadView], customers: int
+) -> dict[str, Any]:
+    """Returns the load over all groups.
+
+    Every entry reports all that it has running to the leaders that it sends
+    turns to, so the largest count of an upstream is the most complete one. The
+    requests of a customer are counted by one group; any may refuse them.
+
+    Args:
+        views: View of each group.
+        customers: Maximum number of customers.
+    """
+    upstreams: dict[str, program_messages.UpstreamLoad] = {}
+    usages: dict[str, program_messages.CustomerLoad] = {}
+    for view in views:
+        for item in view.upstreams:
+            known = upstreams.get(item.upstream, item)
+            upstreams[item.upstream] = max(
+                known, item, key=lambda one: one.running
+            )
+        for item in view.customers:
+            known = usages.get(item.customer)
+            usages[item.customer] = _merge(known, item) if known else item
+    listed = sorted(
+        usages.values(),
+        key=lambda one: (
+            -one.used / one.limit if one.limit else 0.0,
+            -sum(one.refused.values()),
+            one.customer,
+        ),
+    )
+    return {
+        "entries": max((view.entries for view in views), default=0),
+        "upstreams": plain([upstreams[name] for name in sorted(upstreams)]),
+        "customers": plain(listed[:customers]),
+        "services": plain([item for view in views for item in view.services]),
+    }
+
+
+def _merge(
+    one: program_messages.CustomerLoad, other: program_messages.CustomerLoad
+) -> program_messages.CustomerLoad:
+    refused = collections.Counter(one.refused) + collections.Counter(
+        other.refused
+    )
+    return max(one, other, key=lambda item: item.used)._replace(
+        refused=dict(refused)
+    )
+
+
 def status(
     instances: operator_messages.Instances,
     upstreams: operator_messages.Upstreams,
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -46,11 +46,7 @@
         self._remove(entry)
         self.reports[entry] = (now, running)
         self.totals.update(running)
-        while self.reports:
-            oldest, (at, _) = next(iter(self.reports.items()))
-            if now - at <= MAX_AGE:
-                return
-            self._remove(oldest)
+        self._expire(now)
 
     def others(self, entry: str) -> dict[str, int]:
         """Returns the requests of all other entries, by upstream."""
@@ -65,6 +61,18 @@
             counts = {upstream: counts[upstream] for upstream in busiest}
         return counts
 
+    def current_totals(self, now: float) -> dict[str, int]:
+        """Drops expired reports; returns running requests by upstream."""
+        self._expire(now)
+        return dict(self.totals)
+
+    def _expire(self, now: float) -> None:
+        while self.reports:
+            oldest, (at, _) = next(iter(self.reports.items()))
+            if now - at <= MAX_AGE:
+                return
+            self._remove(oldest)
+
     def _remove(self, entry: str) -> None:
         _, running = self.reports.pop(entry, (0.0, {}))
         for upstream, count in running.items():
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -121,6 +121,8 @@
             operator_messages.KeyView,
             operator_messages.CustomerView,
             operator_messages.Customers,
+            program_messages.ShowLoad,
+            program_messages.LoadView,
         ),
         start=1,
     )
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -438,3 +438,121 @@
     """
 
     programs: list[str]
+
+
+class ShowLoad(NamedTuple):
+    """Asks the leader of a group for a LoadView.
+
+    Attributes:
+        customers: Maximum number of customers in the answer.
+    """
+
+    group: str
+    customers: int = 50
+
+
+class UpstreamLoad(NamedTuple):
+    """Load of one upstream, as the entries last reported it.
+
+    Attributes:
+        upstream: Incarnation of the upstream.
+        running: Running requests over all entries.
+        tokens: Tokens that they hold in its memory; 0 if unknown.
+        speed: Speed relative to its peers; 0 if unknown.
+    """
+
+    upstream: str
+    running: int
+    tokens: int = 0
+    speed: float = 0.0
+
+
+class CustomerLoad(NamedTuple):
+    """Use of one customer's rate limit.
+
+    Attributes:
+        limit: Requests that a window may hold; 0 for no limit.
+        tolerance: Further requests of programs in progress.
+        window: Length of the window in seconds.
+        used: Requests in the window so far.
+        programs: Programs in progress.
+        refused: Requests refused within the last minute, by kind of error.
+    """
+
+    customer: str
+    limit: float
+    tolerance: float
+    window: float
+    used: int
+    programs: int
+    refused: dict[str, int]
+
+
+class CustomerShare(NamedTuple):
+    """A customer's part of a service under admission control.
+
+    Attributes:
+        share: Share of the work that it is entitled to, as a fraction.
+        use: Share that it received recently, as a fraction.
+        refused: Refused turns.
+    """
+
+    customer: str
+    running: int
+    waiting: int
+    share: float
+    use: float
+    refused: int
+
+
+class ServiceLoad(NamedTuple):
+    """State of a service under admission control.
+
+    Attributes:
+        running: Granted turns that have not ended.
+        waiting: Turns that wait for their grant.
+        bound: Maximum of running turns; -1 if unknown.
+        capacity: Maximum by slots and memory; -1 if unknown.
+        slowdown: Duration of turns as a multiple of that at low load.
+        granted: Granted turns.
+        deferred: Turns that had to wait.
+        refused: Refused turns by kind and reason.
+        lost: Waiting turns dropped because they did not ask again.
+        expired: Granted turns released by their timeout.
+        customers: The customers with most use.
+        slots: Total slots of its upstreams; 0 if unknown.
+        memory_tokens: Total memory of its upstreams in tokens; 0 if unknown.
+    """
+
+    service: str
+    running: int
+    waiting: int
+    bound: float
+    capacity: float
+    slowdown: float
+    granted: int
+    deferred: int
+    refused: dict[str, int]
+    lost: int
+    expired: int
+    customers: list[CustomerShare]
+    slots: int = 0
+    memory_tokens: int = 0
+
+
+class LoadView(NamedTuple):
+    """Load and limits, as the leader of a group sees them.
+
+    Attributes:
+        entries: Number of entries that have reported within a second.
+        upstreams: Load of upstreams with running requests.
+        customers: Customers that use most of their limit, and those that were
+            refused.
+        services: Services under admission control.
+    """
+
+    group: str
+    entries: int
+    upstreams: list[UpstreamLoad]
+    customers: list[CustomerLoad]
+    services: list[ServiceLoad] = []
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -18,6 +18,7 @@
 from mintcleat.main import cli_client
 from mintcleat.main import cli_customers
 from mintcleat.main import cli_explain
+from mintcleat.main import cli_load
 from mintcleat.main import cli_manifest
 from mintcleat.main import cli_tables
 
@@ -153,6 +154,15 @@
         """
         cli_explain.run(request, files, self._json)
 
+    def load(self, customers: int = 50) -> None:
+        """Shows the use of limits and services, and what is refused and why.
+
+        Args:
+            customers: Maximum number of customers, those closest to their
+                limit first.
+        """
+        cli_load.run(self._client, customers, self._json)
+
     def instances(self) -> None:
         """Lists the nodes, their applied revision and remaining lease."""
         self.manifest.status()
--- /dev/null
+++ b/src/mintcleat/main/cli_load.py
@@ -0,0 +1,100 @@
+"""`mintcleat load`: who uses how much, and what is refused."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from mintcleat.main import cli_client
+from mintcleat.main import cli_tables
+
+_CUSTOMERS = ("CUSTOMER", "USED", "LIMIT", "WITH TOLERANCE", "PROGRAMS",
+              "REFUSED IN 60 S")  # fmt: skip
+_SERVICES = ("SERVICE", "RUNNING", "BOUND", "CAPACITY", "WAITING", "SLOWDOWN",
+             "GRANTED", "DEFERRED", "REFUSED")  # fmt: skip
+_SHARES = ("SERVICE", "CUSTOMER", "SHARE", "USE", "RUNNING", "WAITING",
+           "REFUSED")  # fmt: skip
+_UPSTREAMS = ("UPSTREAM", "RUNNING", "TOKENS", "SPEED")
+
+
+def run(client: cli_client.AdminClient, customers: int, as_json: bool) -> None:
+    """Prints the load of services, customers and upstreams."""
+    answer = client.get("load", customers=customers)
+    print(cli_tables.to_json(answer) if as_json else as_text(answer))
+
+
+def as_text(answer: dict[str, Any]) -> str:
+    """Returns the tables of a load view; those without rows are left out."""
+    parts = [f"{answer['entries']} entries have reported"]
+    services = answer["services"]
+    tables = (
+        (_SERVICES, [_service_row(item) for item in services]),
+        (
+            _SHARES,
+            [
+                _share_row(item["service"], one)
+                for item in services
+                for one in item["customers"]
+            ],
+        ),
+        (_CUSTOMERS, [_customer_row(item) for item in answer["customers"]]),
+        (_UPSTREAMS, [_upstream_row(item) for item in answer["upstreams"]]),
+    )
+    parts.extend(
+        cli_tables.format_table(head, rows) for head, rows in tables if rows
+    )
+    return "\n\n".join(parts)
+
+
+def _service_row(item: dict[str, Any]) -> tuple[Any, ...]:
+    return (
+        item["service"],
+        item["running"],
+        _known(item["bound"]),
+        _known(item["capacity"]),
+        item["waiting"],
+        f"{item['slowdown']:.2f}",
+        item["granted"],
+        item["deferred"],
+        _format_counts(item["refused"]),
+    )
+
+
+def _share_row(service: str, item: dict[str, Any]) -> tuple[Any, ...]:
+    return (
+        service,
+        item["customer"],
+        f"{item['share']:.3f}",
+        f"{item['use']:.3f}",
+        item["running"],
+        item["waiting"],
+        item["refused"],
+    )
+
+
+def _customer_row(item: dict[str, Any]) -> tuple[Any, ...]:
+    limit = item["limit"]
+    return (
+        item["customer"],
+        item["used"],
+        f"{limit:.0f} in {item['window']:g} s" if limit else "no limit",
+        f"{limit + item['tolerance']:.0f}" if limit else "",
+        item["programs"],
+        _format_counts(item["refused"]),
+    )
+
+
+def _upstream_row(item: dict[str, Any]) -> tuple[Any, ...]:
+    speed = item["speed"]
+    return (
+        item["upstream"],
+        item["running"],
+        item["tokens"] or "",
+        f"{speed:.2f}" if speed else "",
+    )
+
+
+def _format_counts(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{counts[kind]} {kind}" for kind in sorted(counts))
+
+
+def _known(value: float) -> Any:
+    return value if value >= 0 else ""
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -57,6 +57,8 @@
                     f"A count must be of 1 to {program_messages.MAX_CALLS} "
                     f"calls, but is of {request.calls}."
                 )
+        case program_messages.ShowLoad():
+            _check_counts("customers", (request.customers,))
         case program_messages.FindCall():
             _check_key(request.key)
             _check_counts("turn", (request.turn,))
--- a/src/mintcleat/programs/limits.py
+++ b/src/mintcleat/programs/limits.py
@@ -212,7 +212,7 @@
         own_requests = self._requests_per_program() if program else 1.0
         if self.active:
             expected_excess = (
-                self._count_within(window * self.lookback, clock)
+                self.count_within(window * self.lookback, clock)
                 + self._outstanding_requests()
                 + own_requests
                 - self._max_with_tolerance(limit)
@@ -358,7 +358,7 @@
                 if not self.by_requests[number]:
                     del self.by_requests[number]
 
-    def _count_within(self, seconds: float, clock: float) -> int:
+    def count_within(self, seconds: float, clock: float) -> int:
         """Returns the number of requests in the last `seconds`."""
         return sum(
             bucket.count
@@ -512,6 +512,22 @@
         if usage is not None:
             usage.refund(counted_at)
 
+    def in_use(
+        self, customer: str, window: float, clock: float
+    ) -> tuple[int, int]:
+        """Returns a customer's requests in a window and its active programs.
+
+        It changes nothing, so that a read is the same at every replica.
+        """
+        usage = self.usages.get(customer)
+        if usage is None:
+            return 0, 0
+        active = sum(
+            clock - program.touched < ACTIVE_PROGRAM_SECONDS
+            for program in usage.active.values()
+        )
+        return usage.count_within(window, clock), active
+
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
         return [
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -20,6 +20,7 @@
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.programs import retention
+from mintcleat.roles.control.programs import load_report
 
 # Shorter than the client's timeout for one attempt, so that the client gets an
 # error from here if a group makes no progress, instead of a timeout.
@@ -32,6 +33,7 @@
     program_messages.FetchHistory,
     program_messages.RenewResidency,
     program_messages.FindCall,
+    program_messages.ShowLoad,
 )
 
 
@@ -73,6 +75,7 @@
         clocks: The clock of each group.
         policies: Returns the policies in force.
         entry_loads: Running requests by upstream, as reported by the entries.
+        load_report: Load and limits for operators.
     """
 
     def __init__(
@@ -108,6 +111,9 @@
             for group, group_machine in self.machines.items()
         }
         self.entry_loads = shared_load.EntryLoads()
+        self.load_report = load_report.LoadReport(
+            timer_service, policies, self.entry_loads
+        )
         for group, group_machine in self.machines.items():
             replicated_log.attach(group, group_machine)
         for kind in (*commands.MUTATIONS, *READS):
@@ -151,6 +157,8 @@
         ]
         for thread in threads:
             thread.wait()
+        for request, reply in zip(requests, replies, strict=True):
+            self.load_report.answered(request, reply)
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
@@ -209,7 +217,8 @@
                 f"{type(request).__name__} is not a program request."
             )
         checks.check(request)
-        if isinstance(request, program_messages.ListPrograms):
+        by_group = (program_messages.ListPrograms, program_messages.ShowLoad)
+        if isinstance(request, by_group):
             group = request.group
         else:
             scope = placement.scope_of(request)
@@ -256,7 +265,16 @@
             self.log.barrier(group, PROPOSE_SECONDS)
         except errors.MintcleatError as error:
             return [error] * len(requests)
-        return [self.machines[group].read(request) for request in requests]
+        return [self._read_one(group, request) for request in requests]
+
+    def _read_one(self, group: str, request: Any) -> Any:
+        if isinstance(request, program_messages.ShowLoad):
+            return self.load_report.view(
+                request,
+                self.machines[group].branches.limits,
+                self.clocks[group].read(),
+            )
+        return self.machines[group].read(request)
 
 
 def _encode(reply: Any) -> bytes:
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -281,6 +281,12 @@
         """Returns a page of one group's programs."""
         return self._ask_group(message.group, message, timeout)
 
+    def show_load(
+        self, message: program_messages.ShowLoad, timeout: float
+    ) -> program_messages.LoadView:
+        """Returns the load of one group."""
+        return self._ask_group(message.group, message, timeout)
+
     def ended_programs(
         self,
         sidecar: identities.Incarnation,
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -61,6 +61,16 @@
             [VIEW] if message.after < "1e5" else []
         )
 
+    def show_load(
+        self, message: program_messages.ShowLoad, timeout: float
+    ) -> program_messages.LoadView:
+        """Returns a view with one customer over its limit."""
+        farmers = program_messages.CustomerLoad(
+            "farmers", 60.0, 26.0, 5.0, 63, 9, {"limit_near": 4}
+        )
+        customers = [farmers][: message.customers]
+        return program_messages.LoadView(message.group, 2, [], customers)
+
 
 class FakeControl:
     """Control actions that are only recorded."""
@@ -179,6 +189,14 @@
         path.write_text(json.dumps(text))
         self.assertEqual(0, self.run_cli("manifest", "push", str(path))[0])
 
+    def test_load_shows_who_is_over_the_limit_and_what_is_refused(self) -> None:
+        code, out, err = self.run_cli("load")
+        self.assertEqual((0, ""), (code, err))
+        self.assertIn("60 in 5 s", out)
+        self.assertIn("4 limit_near", out)
+        (farmers,) = self.run_json("load", "--customers=1")["customers"]
+        self.assertEqual(63, farmers["used"])
+
     def test_customers_are_listed_with_digests_and_ages(self) -> None:
         self.push_customers()
         listed = self.run_json("customers", "list")["customers"]
