Explain tells where the time of a program went

mintcleat explain took the id of a request only; a program that was late or refused had to be put together by hand. With a program's id it now divides the time of each request (counting and limits, opening, failed attempts, first byte, answer), tells the time between requests after answers and after refusals, the refusals by kind, and the largest part.

--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -145,14 +145,14 @@
         cli_experiment.run(plan, save, against, plot, self._json)
 
     @decorators.SetParseFn(str)
-    def explain(self, request: str, *files: str) -> None:
-        """Shows the path of a request and the decision that ended it.
+    def explain(self, name: str, *files: str) -> None:
+        """Shows the path of a request, or where a program's time went.
 
         Args:
-            request: Id of the request.
+            name: Id of the request or of the program.
             files: Log files of any processes.
         """
-        cli_explain.run(request, files, self._json)
+        cli_explain.run(name, files, self._json)
 
     def load(self, customers: int = 50) -> None:
         """Shows the use of limits and services, and what is refused and why.
--- a/testing/test_hosted_customers.py
+++ b/testing/test_hosted_customers.py
@@ -1,6 +1,7 @@
 """Customers over real sockets: keys, owners of turns, secrecy of keys."""
 
 import json
+import time
 from typing import Any
 
 import eventlet
@@ -9,6 +10,9 @@
 from fakes import platform_system
 from mintcleat.domain import events
 from mintcleat.domain import keys
+from mintcleat.domain import program_messages
+from mintcleat.domain import program_traces
+from mintcleat.domain import traces
 
 FARMERS = "92cqf75rjvz48wuakn2f"
 STUDIOS = "timaj3nr26tta828m82t"
@@ -231,3 +235,75 @@
         self.turn("t1", FARMERS, "no-such-turn")
         (refused,) = self.system.reporter.of(events.CallRefused)
         self.assertEqual("farmers", refused.customer)
+
+
+class LimitedProgramTest(platform_system.HostedTest):
+    """What operators are told about a program over its customer's limit."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # Three requests in a window of 5 s.
+        limited = customer("farmers", FARMERS, ratePerS=0.4, burst=1)
+        self.lines: list[traces.Line] = []
+        self.patch(self.system.reporter, "emit", self.record)
+        self.assertEqual(200, self.system.put(configuration(1, limited)).status)
+        self.system.add("e1", "desk")
+        self.system.add("e2", "lm", platform_engine.stream())
+        self.system.settle()
+
+    def record(self, event: Any) -> None:
+        self.lines.append(
+            traces.Line(
+                time.time(),
+                "m1",
+                events.name_of(type(event)),
+                0,
+                event._asdict(),
+            )
+        )
+
+    def run_program(self) -> list[int]:
+        """Returns the statuses of a turn and of three calls."""
+        headers = {"api_key": FARMERS, "x_program_id": "p1"}
+        turn = self.system.call(
+            "POST",
+            "/turns/a",
+            b"hello",
+            request="t1",
+            x_session_id="s",
+            x_token_budget="900",
+            x_token_counts="10,30",
+            **headers,
+        )
+        calls = [
+            self.system.call("GET", "/safe/a", request=f"c{n}", **headers)
+            for n in range(3)
+        ]
+        return [turn.status, *(call.status for call in calls)]
+
+    def test_trace_of_the_program_shows_its_requests_and_refusals(
+        self,
+    ) -> None:
+        self.assertEqual([200, 200, 200, 429], self.run_program())
+        found = program_traces.trace("p1", self.lines)
+        self.assertEqual(
+            ["whole", "whole", "whole", "limit_reached"],
+            [item.outcome for item in found.requests],
+        )
+        turn, call, *_ = found.requests
+        self.assertGreater(turn.open, 0.0)
+        self.assertGreater(call.count, 0.0)
+        for item in found.requests:
+            parts = sum(getattr(item, name) for name in program_traces.PARTS)
+            self.assertLess(parts, item.total + 0.02, item)
+        self.assertEqual({"limit_reached": 1}, found.refusals)
+
+    def test_load_shows_the_limit_and_the_refusal(self) -> None:
+        self.run_program()
+        view = self.system.control.wrapped.client.show_load(
+            program_messages.ShowLoad("programs-0"), 5.0
+        )
+        (farmers,) = view.customers
+        self.assertEqual(("farmers", 3, 1), farmers[:1] + farmers[4:6])
+        self.assertEqual(3.0, farmers.limit)
+        self.assertEqual({"limit_reached": 1}, farmers.refused)
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -1,11 +1,17 @@
 """Traces of requests from logs that may lack lines; the page of events."""
 
+import contextlib
+import io
 import json
+import pathlib
+import tempfile
 
 import testtools
 
 from mintcleat.domain import events
+from mintcleat.domain import program_traces
 from mintcleat.domain import traces
+from mintcleat.main import cli
 from mintcleat.main import event_page
 
 
@@ -78,6 +84,84 @@
         self.assertFalse(found.certain)
 
 
+PROGRAM = [
+    line(10.0, 1, "call_taken", request="r1", program="p1", route="a"),
+    line(10.1, 2, "turn_opened", request="r1", program="p1", commit_s=0.1),
+    line(10.1, 3, "call_placed", request="r1", upstream="u1"),
+    line(
+        10.3, 4, "attempt_failed", request="r1", upstream="u1", after_s=0.2
+    ),
+    line(10.3, 5, "call_placed", request="r1", upstream="u2"),
+    line(
+        11.0, 6, "call_ended", request="r1", program="p1", route="a",
+        outcome="whole", first_s=0.6, total_s=1.0,
+    ),
+    line(11.5, 7, "call_taken", request="r2", program="p1", route="t"),
+    line(11.8, 8, "call_counted", request="r2", program="p1", commit_s=0.3),
+    line(
+        12.0, 9, "call_ended", request="r2", program="p1", route="t",
+        outcome="whole", first_s=0.5, total_s=0.5,
+    ),
+    line(
+        12.1, 10, "call_refused", request="r3", program="p1", route="a",
+        kind="limit_reached", detail="Customer c2 is over.", after_s=0.1,
+    ),
+    line(12.5, 11, "call_taken", request="r4", program="p1", route="a"),
+    line(12.6, 12, "call_taken", request="r5", program="other", route="a"),
+]  # fmt: skip
+
+
+class ProgramTraceTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        lines = traces.parse(PROGRAM)
+        self.found = program_traces.trace("p1", lines)
+
+    def test_time_of_each_request_is_divided(self) -> None:
+        first, second, *_ = self.found.requests
+        self.assertAlmostEqual(0.1, first.open)
+        self.assertAlmostEqual(0.2, first.retries)
+        self.assertAlmostEqual(0.3, first.first)
+        self.assertAlmostEqual(0.4, first.answer)
+        self.assertAlmostEqual(0.3, second.count)
+        self.assertAlmostEqual(0.2, second.first)
+
+    def test_time_until_a_refusal_for_the_limit_is_a_wait_for_it(self) -> None:
+        self.assertAlmostEqual(0.1, self.found.requests[2].count)
+
+    def test_time_between_requests_is_told_by_what_preceded(self) -> None:
+        self.assertAlmostEqual(0.5, self.found.pauses)
+        self.assertAlmostEqual(0.4, self.found.after_refusals)
+        self.assertAlmostEqual(2.5, self.found.total)
+
+    def test_refusals_and_missing_ends_are_told(self) -> None:
+        self.assertEqual({"limit_reached": 1}, self.found.refusals)
+        self.assertEqual(["r4"], [gap.split()[4] for gap in self.found.gaps])
+        self.assertIn(
+            "Customer c2 is over.", program_traces.verdict(self.found)
+        )
+
+    def test_requests_of_other_programs_are_left_out(self) -> None:
+        names = [item.request for item in self.found.requests]
+        self.assertEqual(["r1", "r2", "r3", "r4"], names)
+        self.assertIsNone(program_traces.trace("p9", traces.parse(PROGRAM)))
+
+    def test_command_explains_programs_and_requests(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        log = pathlib.Path(folder.name) / "log"
+        log.write_text("\n".join(PROGRAM))
+        for name, words in (
+            ("p1", ["program p1", "0.400 s after refusals", "limit_reached"]),
+            ("r1", ["request r1", "Answered whole"]),
+        ):
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                cli.main(["explain", name, str(log)])
+            for word in words:
+                self.assertIn(word, out.getvalue())
+
+
 class PageTest(testtools.TestCase):
     def test_page_matches_the_events(self) -> None:
         from test_docs import REFERENCE
