Customers get the same 404 for unknown programs and those of others

Cause: once its group had deleted a program, an unknown one was answered with outcome unknown and another customer's with not_run, which told a customer that the latter exists.

Change: both have the outcome unknown. The test of equal answers also runs with a group that has deleted programs; it failed before.

--- a/src/mintcleat/roles/entry/customer_calls.py
+++ b/src/mintcleat/roles/entry/customer_calls.py
@@ -100,7 +100,14 @@
         Raises:
             errors.UnknownProgram: It doesn't exist or is another customer's.
         """
-        if self.calls.view_program(program).customer != self.customer:
-            # The same text as for a program that doesn't exist, so that it
-            # reveals nothing about other customers' programs.
-            raise errors.UnknownProgram(f"Program {program} does not exist.")
+        try:
+            owner = self.calls.view_program(program).customer
+        except errors.UnknownProgram:
+            owner = None
+        if owner != self.customer:
+            # The same for a program that doesn't exist and for another
+            # customer's, so that it reveals nothing about the latter. One that
+            # doesn't exist may have been deleted after it had run.
+            raise errors.UnknownProgram(
+                f"Program {program} does not exist.", outcome=errors.UNKNOWN
+            )
--- a/testing/test_own_customers.py
+++ b/testing/test_own_customers.py
@@ -111,15 +111,22 @@
     ) -> None:
         # Any difference would reveal to a customer that the program exists.
         self.create_program(FARMERS_KEY, id="the-farmers-own")
-        for method, path in (
-            ("GET", "/v1/programs/{}"),
-            ("GET", "/v1/programs/{}/history"),
-            ("DELETE", "/v1/programs/{}"),
-        ):
-            anothers = self.error_of("the-farmers-own", method, path)
-            unknown = self.error_of("owned-by-nobody", method, path)
-            self.assertEqual(404, unknown["http_status"])
-            self.assertEqual(unknown, anothers)
+        machines = self.system.control.roles[0].programs.machines.values()
+        for deleted in (0, 1):
+            # Once a group has deleted a program, one that it doesn't know may
+            # have run.
+            for machine in machines:
+                machine.deleted_programs = deleted
+            for method, path in (
+                ("GET", "/v1/programs/{}"),
+                ("GET", "/v1/programs/{}/history"),
+                ("DELETE", "/v1/programs/{}"),
+            ):
+                anothers = self.error_of("the-farmers-own", method, path)
+                unknown = self.error_of("owned-by-nobody", method, path)
+                self.assertEqual(404, unknown["http_status"])
+                self.assertEqual("unknown", unknown["outcome"])
+                self.assertEqual(unknown, anothers)
 
     def error_of(self, program: str, method: str, path: str) -> dict[str, Any]:
         """Returns an error without its request id and the program's id."""
