Announcements expire with the lease that sidecars are told

Cause: the table of members used the default lease and renewal interval, while sidecars renewed by those of the settings. With a longer lease they expired between two renewals, with a shorter one they stayed too long.

Change: the table uses the times of the settings. The new test failed before.

--- a/src/mintcleat/configuration/members.py
+++ b/src/mintcleat/configuration/members.py
@@ -40,6 +40,7 @@
     """The announced upstreams, merged from all sources.
 
     Attributes:
+        times: Lease and interval of renewals, as sidecars are told them.
         version: Grows with each change that is sent to nodes.
         horizon: Oldest version from which a delta can be made.
         sources: Records by source and incarnation.
@@ -52,7 +53,8 @@
         cached: The last update made, by its first and last version.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, times: lease.Times = lease.DEFAULT) -> None:
+        self.times = times
         self.version = 0
         self.horizon = 0
         self.sources: dict[str, dict[identities.Incarnation, Record]] = {}
@@ -67,7 +69,7 @@
         self, announcement: member_messages.Announcement, now: float
     ) -> None:
         """Stores a direct announcement and renews its lease."""
-        expires = now + lease.MEMBER_LEASE_SECONDS
+        expires = now + self.times.member_lease
         self._put(DIRECT, Record(announcement, now, expires), now)
 
     def renew(self, sidecar: identities.Incarnation, now: float) -> None:
@@ -75,7 +77,7 @@
         records = self.sources.get(DIRECT, {})
         record = records.get(sidecar)
         if record is not None:
-            expires = now + lease.MEMBER_LEASE_SECONDS
+            expires = now + self.times.member_lease
             records[sidecar] = Record(record.announcement, now, expires)
 
     def apply_update(
@@ -187,10 +189,10 @@
         """
         record = self.sources[source][sidecar]
         if source == DIRECT:
-            return record.renewed > since + lease.RENEW_SECONDS
+            return record.renewed > since + self.times.renew
         return (
             record.expires == float("inf")
-            and now > since + lease.MEMBER_LEASE_SECONDS + lease.RENEW_SECONDS
+            and now > since + self.times.member_lease + self.times.renew
         )
 
     def _put(self, source: str, record: Record, now: float) -> None:
--- a/src/mintcleat/roles/control/configuration/membership.py
+++ b/src/mintcleat/roles/control/configuration/membership.py
@@ -20,9 +20,11 @@
         notified_version: Version of the table at the last `tick`.
     """
 
-    def __init__(self, timers: timer_ports.Timers) -> None:
+    def __init__(
+        self, timers: timer_ports.Timers, times: lease.Times = lease.DEFAULT
+    ) -> None:
         self.timers = timers
-        self.table = members.Table()
+        self.table = members.Table(times)
         self.notified_version = 0
 
     def tick(self) -> bool:
@@ -39,7 +41,7 @@
         leader that began with an empty table would announce to the nodes that
         almost every upstream had left.
         """
-        grace = 2 * lease.MEMBER_LEASE_SECONDS
+        grace = 2 * self.table.times.member_lease
         self.table.expire_source(config_relay.LEADER, self.timers.now(), grace)
 
     def views(
--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -86,7 +86,7 @@
         self.streams = streams
         self.timers = timers
         self.machine = replica or machine.ConfigMachine()
-        self.membership = membership.Membership(timers)
+        self.membership = membership.Membership(timers, times)
         self.table: members.Table = self.membership.table
         self.leader_epoch = 0
         self.old_leases_end_at = float("inf")
--- a/testing/test_membership.py
+++ b/testing/test_membership.py
@@ -257,6 +257,21 @@
         )
         self.assertEqual("draining", table.view["a"].state)
 
+    def test_announcement_expires_with_the_lease_that_its_sidecar_is_told(
+        self,
+    ) -> None:
+        # Guards against upstreams that leave between two renewals, or stay
+        # long after their end, where the settings name another lease.
+        for seconds in (2.0, 10.0):
+            times = lease.DEFAULT._replace(member_lease=seconds)
+            table = members.Table(times)
+            item = self.announce(table, "a", 1, "ready")
+            table.renew(item.sidecar, 1.0)
+            table.expire(1.0 + seconds - 0.1)
+            self.assertIn("a", table.view)
+            table.expire(1.0 + seconds + 0.1)
+            self.assertNotIn("a", table.view)
+
     def test_renewal_without_a_change_keeps_the_version(self) -> None:
         table = members.Table()
         self.announce(table, "a", 1, "ready")
