A section that can't be decoded is reported by each read

Cause: Document.manifest dropped the changed sections before it decoded them, so the call after a failed one returned the old manifest as if it were in force, and the dropped sections were never applied.

Change: the sections are kept until they can be decoded, and each call raises the error without decoding again. The policies for turns and counts are those of the last revision that this release could read. The new test failed before.

--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -7,6 +7,8 @@
 from typing import Any
 from typing import NamedTuple
 
+import msgspec
+
 from mintcleat.configuration import commands
 from mintcleat.configuration import sections
 from mintcleat.domain import errors
@@ -68,6 +70,8 @@
         assembled: Manifest that was last assembled from them.
         undecoded: Sections changed since then, by key; an empty text for a
             removed one.
+        decode_error: Why these can't be decoded, as far as that was tried;
+            empty if they can or if it was not.
         version: Highest number of a numbered push; 0 before the first.
         source: What that push was generated from, as its sender gave it.
         key_added_at: When each customer key was added, in seconds since 1970,
@@ -85,6 +89,7 @@
         self.assembly = sections.Assembly()
         self.assembled = manifest.Manifest()
         self.undecoded: dict[str, str] = {}
+        self.decode_error = ""
         self.version = 0
         self.source = ""
         self.key_added_at: dict[str, float] = {}
@@ -180,11 +185,17 @@
 
         Raises:
             msgspec.ValidationError: A section doesn't match the schema of
-                this release.
+                this release. Each call raises it until sections change.
         """
+        if self.decode_error:
+            raise msgspec.ValidationError(self.decode_error)
         if self.undecoded:
-            undecoded, self.undecoded = self.undecoded, {}
-            self.assembly.put(list(undecoded.items()))
+            try:
+                self.assembly.put(list(self.undecoded.items()))
+            except msgspec.ValidationError as error:
+                self.decode_error = str(error)
+                raise
+            self.undecoded = {}
             self.assembled = self.assembly.manifest()
         return self.assembled
 
@@ -275,6 +286,7 @@
         self.assembly.clear()
         self.assembled = manifest.Manifest()
         self.undecoded = dict(self.sections)
+        self.decode_error = ""
 
     def _merge(self, update: Update) -> None:
         for key, text in update.sections.items():
@@ -288,6 +300,7 @@
         self.changed_at[key] = revision
         self.removed_at.pop(key, None)
         self.undecoded[key] = text
+        self.decode_error = ""
 
     def _remove(self, key: str, revision: int) -> None:
         self.sections.pop(key, None)
@@ -295,6 +308,7 @@
         self.removed_at.pop(key, None)
         self.removed_at[key] = revision
         self.undecoded[key] = ""
+        self.decode_error = ""
 
     def _forget_old(self) -> None:
         self.cached.clear()
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -2,6 +2,8 @@
 
 import pathlib
 
+import msgspec
+
 from mintcleat.adapters import admin_http
 from mintcleat.adapters import admin_token
 from mintcleat.adapters import disk_thread
@@ -145,8 +147,16 @@
         self.common.metrics.gauge("config_revision", revision)
 
     def policies(self) -> manifest_module.Policies:
-        """Returns the policies of the revision that this instance applied."""
-        return self.config.machine.document.manifest().policies
+        """Returns the policies of the revision that this instance applied.
+
+        If this release can't read that revision, they are those of the last
+        one that it could, so that turns and counts are still served.
+        """
+        document = self.config.machine.document
+        try:
+            return document.manifest().policies
+        except msgspec.ValidationError:
+            return document.assembled.policies
 
     def _histories(self, group: str) -> histories.FileHistoryStore:
         return histories.FileHistoryStore(self.folder / "histories" / group)
--- a/testing/test_configuration.py
+++ b/testing/test_configuration.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import msgspec
 import testtools
 
 from mintcleat.configuration import audit
@@ -154,6 +155,20 @@
         self.assertTrue(source.update_since(1).whole)
         self.assertEqual({"k5001": "x"}, source.update_since(1).sections)
 
+    def test_section_that_cant_be_decoded_is_reported_each_time(self) -> None:
+        # Guards against decisions on an old manifest as if it were in force.
+        source = document.Document()
+        good = '{"kind":"plain"}'
+        source.push(push(0, "a", {"services/s": good}))
+        source.manifest()
+        source.push(push(1, "b", {"services/s": '{"later":1}'}))
+        for _ in range(2):
+            self.assertRaises(msgspec.ValidationError, source.manifest)
+        source.push(push(2, "c", {"services/t": good}))
+        self.assertRaises(msgspec.ValidationError, source.manifest)
+        source.push(push(3, "d", {"services/s": good}))
+        self.assertEqual({"s", "t"}, set(source.manifest().services))
+
     def test_node_that_is_ahead_keeps_its_revision(self) -> None:
         source = document.Document()
         source.push(push(0, "a", {"a": "1"}))
