--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -23,6 +23,7 @@
 from mintcleat.programs import placement
 from mintcleat.programs import retention
 from mintcleat.roles.control.programs import contention
+from mintcleat.roles.control.programs import load_report
 
 # Shorter than the client's timeout for one attempt, so that the client gets an
 # error from here if a group makes no progress, instead of a timeout.
@@ -35,6 +36,7 @@
     program_messages.FetchHistory,
     program_messages.RenewResidency,
     program_messages.FindCall,
+    program_messages.ShowLoad,
 )
 
 
@@ -77,6 +79,7 @@
         policies: Returns the policies in force.
         entry_loads: Running requests by upstream, as reported by the entries.
         contention: Admission control of turns.
+        load_report: Load and limits for operators.
     """
 
     def __init__(
@@ -117,6 +120,9 @@
         self.contention = contention.Contention(
             self.machines, timer_service, policies, events
         )
+        self.load_report = load_report.LoadReport(
+            timer_service, policies, self.entry_loads
+        )
         for group, group_machine in self.machines.items():
             replicated_log.attach(
                 group,
@@ -171,6 +177,8 @@
             thread.wait()
         for place, group in admitted.items():
             self._admission_answered(group, requests[place], replies[place])
+        for request, reply in zip(requests, replies, strict=True):
+            self.load_report.answered(request, reply)
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
@@ -259,7 +267,8 @@
                 f"{type(request).__name__} is not a program request."
             )
         checks.check(request)
-        if isinstance(request, program_messages.ListPrograms):
+        by_group = (program_messages.ListPrograms, program_messages.ShowLoad)
+        if isinstance(request, by_group):
             group = request.group
         else:
             scope = placement.scope_of(request)
@@ -306,7 +315,16 @@
             self.log.barrier(group, PROPOSE_SECONDS)
         except errors.MintcleatError as error:
             return [error] * len(requests)
-        return [self.machines[group].read(request) for request in requests]
+        return [self._read_one(group, request) for request in requests]
+
+    def _read_one(self, group: str, request: Any) -> Any:
+        if isinstance(request, program_messages.ShowLoad):
+            return self.load_report.view(
+                request,
+                self.machines[group].branches.limits,
+                self.clocks[group].read(),
+            )
+        return self.machines[group].read(request)
 
 
 def _without_demand(request: Any) -> Any:
