Frames of one moment share a system call; less Python per commit

An answer and the CLOSE frame behind it were two writes and two wakeups of the peer, and the asker sent a CLOSE frame back, which woke the leader again. Reading waits for the socket before it tries to read. The disk's thread runs only the system calls of a commit, since two threads that run Python wait for each other. A batch for one program group is committed without a green thread of its own, and the context that stops a replica on failures is an object instead of a generator.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -1,6 +1,7 @@
 """CPU time of a request in the hosted processes, by role.
 
 Usage: python -m bench.request_cost [--trees A,B] [--rate N] [--seconds S]
+    [--folder /dev/shm]
 
 Starts 3 control processes and 2 entries of each source tree on loopback
 addresses, with stand-in upstreams in this process. Programs of turns and tool
@@ -109,13 +110,19 @@
         lines = "".join(
             f"{name}: {value}\r\n" for name, value in fields.items()
         )
-        connection.writer.write(
-            f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode() + body
-        )
-        first, found = await _read_head(connection.reader)
-        content = await _read_body(connection.reader, found)
-        if found.get("connection") != "close":
-            self.idle.append(connection)
+        is_reusable = False
+        try:
+            connection.writer.write(
+                f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode() + body
+            )
+            first, found = await _read_head(connection.reader)
+            content = await _read_body(connection.reader, found)
+            is_reusable = found.get("connection") != "close"
+        finally:
+            if is_reusable:
+                self.idle.append(connection)
+            else:
+                connection.writer.close()
         return Response(int(first.split()[1]), content)
 
 
@@ -171,6 +178,7 @@
         )
         if self.service == "desk":
             writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
+            await writer.drain()
             return
         writer.write(
             f"{head}Content-Type: text/event-stream\r\n"
@@ -180,6 +188,7 @@
             await asyncio.sleep(_EVENT_SECONDS)
             event = f"id: {number}\ndata: piece-{number}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
         writer.write(b"0\r\n\r\n")
 
 
@@ -192,10 +201,14 @@
         failed: Number of the others.
     """
 
-    def __init__(self, tree: pathlib.Path, network: str) -> None:
+    def __init__(
+        self, tree: pathlib.Path, network: str, folder: str | None
+    ) -> None:
         self.tree = tree
         self.network = network
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="request-cost-"))
+        self.folder = pathlib.Path(
+            tempfile.mkdtemp(prefix="request-cost-", dir=folder)
+        )
         self.processes: dict[str, list[subprocess.Popen]] = {}
         self.controls = [self._ip(number) for number in range(1, 4)]
         self.entries: list[Caller] = []
@@ -432,12 +445,16 @@
 
 
 async def _measure(
-    trees: list[pathlib.Path], rate: float, seconds: float, idle: float
+    trees: list[pathlib.Path],
+    rate: float,
+    seconds: float,
+    idle: float,
+    folder: str | None,
 ) -> None:
     # The second byte differs between runs, so that several can run at a time.
     base = random.randrange(20, 250)
     systems = [
-        System(tree, f"127.{base}.{number}")
+        System(tree, f"127.{base}.{number}", folder)
         for number, tree in enumerate(trees)
     ]
     try:
@@ -484,6 +501,7 @@
     rate: float = 80.0,
     seconds: float = 15.0,
     idle: float = 5.0,
+    folder: str | None = None,
 ) -> None:
     """Measures and prints the CPU time of requests.
 
@@ -492,10 +510,12 @@
         rate: Requests per second, of each tree.
         seconds: Duration of the load.
         idle: Duration of the measurement without load, in seconds.
+        folder: Parent of the data folders. In one that is kept in memory,
+            other users of the disk don't influence the batches of commits.
     """
     names = trees if isinstance(trees, (list, tuple)) else trees.split(",")
     paths = [pathlib.Path(name).resolve() for name in names]
-    asyncio.run(_measure(paths, rate, seconds, idle))
+    asyncio.run(_measure(paths, rate, seconds, idle, folder))
 
 
 if __name__ == "__main__":
--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -15,6 +15,8 @@
 from eventlet import hubs
 from eventlet import patcher
 
+# The thread has no event loop to wait on, as eventlet's replacement would.
+_os = patcher.original("os")
 _threading = patcher.original("threading")
 _queue = patcher.original("queue")
 _WAKE_READ_BYTES = 4096
@@ -107,7 +109,7 @@
             outcome = (finished, error, True)
         self.done.append(outcome)
         try:
-            os.write(self.wake_writer, b"x")
+            _os.write(self.wake_writer, b"x")
         except BlockingIOError:
             # The pipe is full, so the event loop will be woken anyway.
             return
@@ -115,7 +117,7 @@
     def _wake_forever(self) -> None:
         while True:
             hubs.trampoline(self.wake_reader, read=True)
-            os.read(self.wake_reader, _WAKE_READ_BYTES)
+            _os.read(self.wake_reader, _WAKE_READ_BYTES)
             while self.done:
                 finished, value, failed = self.done.popleft()
                 finished.send((value, failed))
--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -19,6 +19,7 @@
 
 from eventlet.hubs import epolls
 from eventlet.hubs import hub
+import greenlet
 
 _READ = select.EPOLLIN | select.EPOLLPRI
 _WRITE = select.EPOLLOUT
@@ -106,6 +107,18 @@
             return self.default_sleep()
         return max(0.0, self.timers[0][0] - self.clock())
 
+    def switch(self) -> Any:
+        """Suspends the running green thread."""
+        current = greenlet.getcurrent()
+        loop = self.greenlet
+        if loop.dead or current is loop:
+            return super().switch()
+        if loop.parent is not current:
+            # A green thread that ends then continues the hub.
+            with contextlib.suppress(ValueError):
+                current.parent = loop
+        return loop.switch()
+
     # --- File descriptors -----------------------------------------------------
 
     def add(
--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -10,6 +10,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import hubs
 from loguru import logger
 
 from mintcleat.adapters import streams_frames
@@ -186,7 +187,10 @@
     Attributes:
         threads: Number of those green threads that are running.
         queued: Bytes in `outgoing` or being written.
-        writer_wake: Signalled when `outgoing` has frames.
+        flush_scheduled: Whether the hub will write `outgoing`.
+        writing: Whether the writing green thread writes `outgoing`, because
+            the socket's buffer is full.
+        writer_wake: Signalled when `writing` is set.
         writable: Signalled when the send queue has shrunk.
         last_received: Monotonic time of the last byte from the peer.
         last_sent: Monotonic time of the last byte to the peer.
@@ -211,6 +215,8 @@
         self.threads = 0
         self.outgoing: list[bytes] = []
         self.queued = 0
+        self.flush_scheduled = False
+        self.writing = False
         self.writer_wake = Signal()
         self.writable = Signal()
         self.last_received = time.monotonic()
@@ -265,14 +271,14 @@
             self.writable.wait()
         if self.lost:
             raise errors.StreamClosed(f"The connection to {self.peer} is lost.")
-        self.enqueue(streams_frames.pack(number, kind, body))
+        self._append(streams_frames.pack(number, kind, body))
 
     def is_full(self) -> bool:
         """Returns whether the send queue is full, so that senders block."""
         return self.queued >= self.limits.queued
 
     def enqueue(self, frame: bytes) -> None:
-        """Writes or queues a frame, even if the queue is full.
+        """Writes a frame at once, or queues it, even if the queue is full.
 
         Never blocks, because the reading green thread uses it.
         """
@@ -285,9 +291,37 @@
                 frame = frame[self._send_nonblocking(frame) :]
                 if not frame:
                     return
+        self._append(frame)
+
+    def _append(self, frame: bytes) -> None:
+        """Queues a frame to be written once the running green thread waits.
+
+        Frames that the green threads of this moment send share one system
+        call here and one wakeup of the peer, above all an answer and the
+        CLOSE frame behind it.
+        """
         self.outgoing.append(frame)
         self.queued += len(frame)
-        self.writer_wake.send()
+        if not self.flush_scheduled and not self.writing:
+            self.flush_scheduled = True
+            hubs.get_hub().schedule_call_global(0, self._flush_outgoing)
+
+    def _flush_outgoing(self) -> None:
+        """Writes the queue; leaves what does not fit to the green thread."""
+        self.flush_scheduled = False
+        if self.lost or self.writing or not self.outgoing:
+            return
+        data = b"".join(self.outgoing)
+        sent = self._send_nonblocking(data)
+        self.queued -= sent
+        self.last_sent = time.monotonic()
+        if sent < len(data):
+            self.outgoing = [data[sent:]]
+            self.writing = True
+            self.writer_wake.send()
+            return
+        self.outgoing = []
+        self.writable.send()
 
     def close_exchange(self, number: int) -> None:
         """Removes an exchange and sends the peer a CLOSE frame."""
@@ -362,8 +396,10 @@
     def _write_queued(self) -> None:
         while not self.lost:
             if not self.outgoing:
+                self.writing = False
                 self.writer_wake.wait()
                 continue
+            self.writing = True
             frames, self.outgoing = self.outgoing, []
             data = b"".join(frames)
             try:
@@ -383,6 +419,9 @@
         blocks = 0
         try:
             while not self.lost:
+                # The socket is hardly ever readable yet; trying to read it
+                # first would cost a system call and an exception.
+                hubs.trampoline(self.sock, read=True)
                 block = self.sock.recv(_READ_BYTES)
                 if not block:
                     return
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -145,12 +145,7 @@
                 replies[place] = error
             else:
                 by_group.setdefault(group, []).append(place)
-        threads = [
-            eventlet.spawn(self._answer_group, group, places, requests, replies)
-            for group, places in by_group.items()
-        ]
-        for thread in threads:
-            thread.wait()
+        self._answer_groups(by_group, requests, replies)
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
@@ -158,6 +153,24 @@
                 replies[place] = reply._replace(others=others)
         return replies
 
+    def _answer_groups(
+        self,
+        by_group: dict[str, list[int]],
+        requests: list[Any],
+        replies: list[Any],
+    ) -> None:
+        """Fills in the replies of all groups; several commit concurrently."""
+        if len(by_group) == 1:
+            ((group, places),) = by_group.items()
+            self._answer_group(group, places, requests, replies)
+            return
+        threads = [
+            eventlet.spawn(self._answer_group, group, places, requests, replies)
+            for group, places in by_group.items()
+        ]
+        for thread in threads:
+            thread.wait()
+
     def _with_current_limit(self, request: Any) -> Any:
         """Returns a request with the customer's rate limit in force here.
 
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -3,9 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Iterator
 from collections.abc import Sequence
-import contextlib
 import random
 from typing import Any
 from typing import NamedTuple
@@ -86,10 +84,43 @@
     done: event.Event
 
 
+class _StopOnFailure:
+    """Stops a replica on any exception in a block, unexpected ones included.
+
+    Effects that were taken from the core but not carried out are lost. If
+    the replica went on, it would acknowledge entries that it never wrote.
+    The other replicas go on, and a restart recovers from the disk.
+    """
+
+    def __init__(self, driver: "Driver") -> None:
+        self.driver = driver
+
+    def __enter__(self) -> None:
+        """Has no effect."""
+
+    def __exit__(
+        self, kind: type | None, error: BaseException | None, traceback: Any
+    ) -> bool:
+        """Stops the replica; returns whether the exception was handled."""
+        if error is None:
+            return False
+        if isinstance(error, errors.MintcleatError):
+            self.driver.fail(error)
+        elif isinstance(error, Exception):
+            logger.opt(exception=error).error("Replication failed.")
+            self.driver.fail(
+                errors.MintcleatError(f"Replication failed: {error!r}.")
+            )
+        else:
+            return False
+        return True
+
+
 class Driver:
     """One consensus instance on a disk and a network.
 
     Attributes:
+        stop_on_failure: Context in which an exception stops this replica.
         core: The consensus instance.
         waiters: Proposers by group and log index.
         readers: Linearizable reads that wait, by token.
@@ -129,13 +160,14 @@
         self.timers = timers
         self.options = options
         self.failed: errors.MintcleatError | None = None
+        self.stop_on_failure = _StopOnFailure(self)
         self.waiters: dict[str, dict[int, Waiter]] = {}
         self.readers: dict[int, event.Event] = {}
         self.snapshots = replication_snapshots.Snapshots(
             wal,
             timers,
             options.snapshots,
-            stop_on_failure=self._stopping_on_failure,
+            stop_on_failure=lambda: self.stop_on_failure,
             on_saved=self.wake,
             worker=worker,
         )
@@ -174,7 +206,7 @@
     def tick(self) -> None:
         """Advances the timers of the consensus core, and works."""
         if self.failed is None:
-            with self._stopping_on_failure():
+            with self.stop_on_failure:
                 self.core.tick(self.timers.now())
             self.work()
 
@@ -184,7 +216,7 @@
         if self.failed is not None:
             return
         self.links.peer_seen(frame.address)
-        with self._stopping_on_failure():
+        with self.stop_on_failure:
             self.core.receive(frame, self.timers.now())
         if self.core.highest_epoch_seen > self.core.me.epoch:
             self.fail(_superseded(self.core.me.instance))
@@ -193,7 +225,7 @@
 
     def work(self) -> None:
         """Carries out all effects except those that wait for the disk."""
-        with self._stopping_on_failure():
+        with self.stop_on_failure:
             while self.failed is None:
                 self.core.flush(self.timers.now())
                 if self.core.outbox.is_empty():
@@ -216,22 +248,6 @@
             done.send(None)
         self.readers.clear()
 
-    @contextlib.contextmanager
-    def _stopping_on_failure(self) -> Iterator[None]:
-        """Stops this replica on any exception, unexpected ones included.
-
-        Effects that were taken from the core but not carried out are lost. If
-        the replica went on, it would acknowledge entries that it never wrote.
-        The other replicas go on, and a restart recovers from the disk.
-        """
-        try:
-            yield
-        except errors.MintcleatError as error:
-            self.fail(error)
-        except Exception as error:
-            logger.exception("Replication failed.")
-            self.fail(errors.MintcleatError(f"Replication failed: {error!r}."))
-
     def _work_soon(self) -> None:
         self.timers.sleep(0)
         self.wake_pending = False
@@ -278,11 +294,11 @@
         """Writes queued effects, with one sync for each batch."""
         try:
             while self.unsynced and self.failed is None:
-                with self._stopping_on_failure():
+                with self.stop_on_failure:
                     self._persist_batch()
                 self.work()
             if self.failed is None:
-                with self._stopping_on_failure():
+                with self.stop_on_failure:
                     self._rewrite_log_if_due()
         finally:
             self.persisting = False
@@ -317,13 +333,11 @@
 
     def _write(self, records: list[bytes]) -> None:
         """Appends records and syncs; retries while the disk is full."""
-
-        def append_and_sync() -> None:
-            self.wal.append(records)
-            self.wal.sync()
-
+        # Only the system calls run on the disk's thread: two threads that run
+        # Python code wait for each other.
+        self.wal.append(records)
         try:
-            self.worker.run(append_and_sync)
+            self.worker.run(self.wal.sync)
         except errors.StorageFull:
             self._retry_while_full(self.wal.sync)
 
@@ -374,7 +388,7 @@
         # of `needed.snapshot`.
         group = needed.group
         metadata = self.core.replicas[group].state.snapshot
-        with self._stopping_on_failure():
+        with self.stop_on_failure:
             state = self.snapshots.acquire(group, metadata.index)
         if self.failed is not None:
             return
