Less Python code per message of the consensus core

Signal woke green threads through an eventlet Event, which is created and reset for each wakeup; it now switches to them directly. Quorums, leases and voters are computed from lists instead of generators, a frame is decoded once instead of copied, an unchanged address is not stored again, and the hub sets the parent of a green thread only if it differs.

--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -113,7 +113,7 @@
         loop = self.greenlet
         if loop.dead or current is loop:
             return super().switch()
-        if loop.parent is not current:
+        if current.parent is not loop and loop.parent is not current:
             # A green thread that ends then continues the hub.
             with contextlib.suppress(ValueError):
                 current.parent = loop
--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 import eventlet
-from eventlet import event
 from eventlet import hubs
+import greenlet
 from loguru import logger
 
 from mintcleat.adapters import streams_frames
@@ -52,22 +52,46 @@
 
 
 class Signal:
-    """Wakes all green threads that wait for a change."""
+    """Wakes all green threads that wait for a change.
+
+    A green thread may be woken without a change, so it checks for one.
+
+    Attributes:
+        waiting: The green threads that wait.
+    """
 
     def __init__(self) -> None:
-        self.waiting: event.Event | None = None
+        self.waiting: list[greenlet.greenlet] = []
 
     def wait(self, timeout: float | None = None) -> None:
         """Waits for the next `send` or the timeout in seconds."""
-        if self.waiting is None:
-            self.waiting = event.Event()
-        self.waiting.wait(timeout)
+        hub = hubs.get_hub()
+        current = greenlet.getcurrent()
+        self.waiting.append(current)
+        timer = None
+        if timeout is not None:
+            timer = hub.schedule_call_global(timeout, self._wake, current)
+        try:
+            hub.switch()
+        finally:
+            if timer is not None:
+                timer.cancel()
+            if current in self.waiting:
+                self.waiting.remove(current)
 
     def send(self) -> None:
         """Wakes all waiting green threads."""
-        waiting, self.waiting = self.waiting, None
-        if waiting is not None:
-            waiting.send()
+        if not self.waiting:
+            return
+        hub = hubs.get_hub()
+        for waiting in self.waiting:
+            hub.schedule_call_global(0, self._wake, waiting)
+
+    def _wake(self, waiting: greenlet.greenlet) -> None:
+        # It may have been woken by the timeout or an earlier `send`.
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+            waiting.switch()
 
 
 class TcpExchange:
--- a/src/mintcleat/consensus/lease.py
+++ b/src/mintcleat/consensus/lease.py
@@ -22,7 +22,7 @@
 def quorum_contact(replica: state.State) -> float:
     """Returns the latest sending time that a quorum has answered."""
     times = sorted(
-        (contact(replica, p.replica) for p in replica.configuration.voters),
+        [contact(replica, p.replica) for p in replica.configuration.voters],
         reverse=True,
     )
     return times[replica.configuration.quorum() - 1]
--- a/src/mintcleat/consensus/membership.py
+++ b/src/mintcleat/consensus/membership.py
@@ -77,6 +77,8 @@
         return
     voters, learners = replica.configuration
     for peer in voters:
+        if peer.replaces == types.NO_REPLICA:
+            continue
         if replica.configuration.is_voter(peer.replaces):
             _remove(replica, peer, now)
             return
--- a/src/mintcleat/consensus/messages.py
+++ b/src/mintcleat/consensus/messages.py
@@ -275,11 +275,10 @@
     """
     try:
         fields = msgpack.unpackb(data, strict_map_key=False)
-        frame = msgspec.convert(fields, Frame)
-        items = [_message(item) for item in frame.messages]
-    except (ValueError, TypeError, IndexError, msgspec.ValidationError) as e:
+        fields[3] = [_message(item) for item in fields[3]]
+        return msgspec.convert(fields, Frame)
+    except (ValueError, TypeError, LookupError, msgspec.ValidationError) as e:
         raise errors.BadRequest(f"A peer sent an invalid frame: {e}.") from e
-    return frame._replace(messages=items)
 
 
 def _message(item: list[Any]) -> Any:
--- a/src/mintcleat/consensus/replication.py
+++ b/src/mintcleat/consensus/replication.py
@@ -159,7 +159,7 @@
     """
     configuration = replica.configuration
     matches = sorted(
-        (match_index(replica, peer.replica) for peer in configuration.voters),
+        [match_index(replica, peer.replica) for peer in configuration.voters],
         reverse=True,
     )
     index = matches[configuration.quorum() - 1]
--- a/src/mintcleat/consensus/roster.py
+++ b/src/mintcleat/consensus/roster.py
@@ -155,9 +155,11 @@
             known = ObservedPeer(peer, now, 0.0, frozenset())
         elif known.peer.replica != sender:
             return False
-        peer = known.peer._replace(address=address)
-        self.observed[sender.instance] = known._replace(
-            peer=peer, last_seen=now
+        peer = known.peer
+        if peer.address != address:
+            peer = peer._replace(address=address)
+        self.observed[sender.instance] = ObservedPeer(
+            peer, now, known.answered_at, known.groups
         )
         return new
 
--- a/src/mintcleat/consensus/types.py
+++ b/src/mintcleat/consensus/types.py
@@ -74,7 +74,7 @@
 
     def is_voter(self, replica: identities.Incarnation) -> bool:
         """Returns whether a replica is a voter."""
-        return any(peer.replica == replica for peer in self.voters)
+        return replica in [peer.replica for peer in self.voters]
 
     def quorum(self) -> int:
         """Returns the size of a majority of the voters."""
