Cheaper metrics and log lines

aioprometheus encodes the labels of a metric as JSON for each change of its value, which took 4% of an entry's CPU time. Counters and histograms are now kept here and given to aioprometheus for a scrape. The thread that writes log lines was woken for each line and took the interpreter from the event loop; it collects lines for 20 ms after the first one.

--- a/src/mintcleat/adapters/event_log.py
+++ b/src/mintcleat/adapters/event_log.py
@@ -19,7 +19,9 @@
 
 from mintcleat.domain import events
 
+_queue = patcher.original("queue")
 _threading = patcher.original("threading")
+_time = patcher.original("time")
 
 
 class Budget(NamedTuple):
@@ -44,6 +46,9 @@
 DEFAULT_BUDGET = Budget()
 # Maximum number of lines in one write. They are no longer counted as queued.
 _BATCH_LINES = 256
+# Time for which the writer thread collects further lines after the first one.
+# Each wakeup of the thread takes the interpreter away from the event loop.
+_COLLECT_SECONDS = 0.02
 # Share of the burst that must be left over for a line of each severity.
 _RESERVED_SHARE = {events.STATE: 0.0, events.ERROR: 0.1, events.DETAIL: 0.25}
 
@@ -56,6 +61,8 @@
         tokens: Lines that may be written now (a token bucket).
         dropped: Lines dropped since the last LinesDropped event.
         number: Events reported so far, dropped ones included.
+        work_available: Gets an item to wake the writer thread.
+        idle: Whether the writer thread waits for that item.
         broken: Whether writing failed; all later events are dropped.
     """
 
@@ -75,7 +82,8 @@
         self.refilled_at = time.monotonic()
         self.dropped = 0
         self.number = 0
-        self.work_available = _threading.Event()
+        self.work_available: Any = _queue.SimpleQueue()
+        self.idle = False
         self.broken = False
         self.thread = _threading.Thread(target=self._write, daemon=True)
         self.thread.start()
@@ -95,7 +103,6 @@
         """Waits up to `seconds` until the queued lines are written."""
         until = time.monotonic() + seconds
         while self.queue and time.monotonic() < until and not self.broken:
-            self.work_available.set()
             time.sleep(0.005)
 
     def _admit(self, event: Any) -> bool:
@@ -124,13 +131,23 @@
             **event._asdict(),
         }
         self.queue.append(self.encoder.encode(line))
-        self.work_available.set()
+        if self.idle:
+            self.idle = False
+            self.work_available.put(None)
+
+    def _wait_for_lines(self) -> None:
+        self.idle = True
+        # A line that was queued just before did not see that the thread is
+        # idle.
+        if not self.queue:
+            self.work_available.get()
+        self.idle = False
+        _time.sleep(_COLLECT_SECONDS)
 
     def _write(self) -> None:
         while not self.broken:
             if not self.queue:
-                self.work_available.wait()
-                self.work_available.clear()
+                self._wait_for_lines()
             lines = []
             while self.queue and len(lines) < _BATCH_LINES:
                 lines.append(self.queue.popleft().decode())
--- a/src/mintcleat/adapters/metrics.py
+++ b/src/mintcleat/adapters/metrics.py
@@ -1,6 +1,16 @@
-"""Prometheus metrics, on aioprometheus."""
+"""Prometheus metrics, on aioprometheus.
+
+Values are collected here and given to aioprometheus for a scrape. It encodes
+the labels as JSON for each change of a value, which took 4% of an entry's CPU
+time.
+"""
+
+import bisect
+import itertools
+import math
 
 import aioprometheus
+from aioprometheus import histogram
 
 _BUCKETS_SECONDS = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
@@ -32,16 +42,54 @@
 }
 
 
+# The name of a metric, and the names and values of its labels in order.
+_Key = tuple[str, tuple[tuple[str, str], ...]]
+
+
+class _Durations(histogram.Histogram):
+    """A histogram that finds the bucket of a value by bisection.
+
+    Attributes:
+        counts: Number of values in each bucket, the last one without a bound.
+    """
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(_BUCKETS_SECONDS) + 1)
+        self.observations = 0
+        self.sum = 0.0
+
+    @property
+    def buckets(self) -> dict[float, int]:
+        """Number of values up to each bound."""
+        bounds = [*_BUCKETS_SECONDS, math.inf]
+        totals = itertools.accumulate(self.counts)
+        return dict(zip(bounds, totals, strict=True))
+
+    def observe(self, value: float) -> None:
+        """Adds a value."""
+        self.counts[bisect.bisect_left(_BUCKETS_SECONDS, value)] += 1
+        self.sum += value
+        self.observations += 1
+
+
 class PrometheusMetrics:
-    """Implements `ports.metrics.Metrics` with one registry per process."""
+    """Implements `ports.metrics.Metrics` with one registry per process.
+
+    Attributes:
+        counts: Value of each counter.
+        durations: The histograms, which the collectors have too.
+    """
 
     def __init__(self) -> None:
         self.registry = aioprometheus.Registry()
         self.collectors: dict[str, aioprometheus.collectors.Collector] = {}
+        self.counts: dict[_Key, int] = {}
+        self.durations: dict[_Key, _Durations] = {}
 
     def count(self, name: str, **labels: str) -> None:
         """Increments a counter by one."""
-        self._collector(aioprometheus.Counter, name).inc(labels)
+        key = name, tuple(sorted(labels.items()))
+        self.counts[key] = self.counts.get(key, 0) + 1
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Sets a gauge."""
@@ -49,10 +97,19 @@
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Adds a duration to a histogram."""
-        self._collector(aioprometheus.Histogram, name).observe(labels, seconds)
+        key = name, tuple(sorted(labels.items()))
+        found = self.durations.get(key)
+        if found is None:
+            found = self.durations[key] = _Durations()
+            collector = self._collector(aioprometheus.Histogram, name)
+            collector.set_value(labels, found)
+        found.observe(seconds)
 
     def render(self) -> tuple[bytes, str]:
         """Returns the metrics in text format, and the content type."""
+        for (name, labels), value in self.counts.items():
+            collector = self._collector(aioprometheus.Counter, name)
+            collector.set(dict(labels), value)
         body, headers = aioprometheus.render(self.registry, [])
         return body, headers["Content-Type"]
 
