--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -169,12 +169,7 @@
             else:
                 requests[place] = _without_demand(requests[place])
                 by_group.setdefault(group, []).append(place)
-        threads = [
-            eventlet.spawn(self._answer_group, group, places, requests, replies)
-            for group, places in by_group.items()
-        ]
-        for thread in threads:
-            thread.wait()
+        self._answer_groups(by_group, requests, replies)
         for place, group in admitted.items():
             self._admission_answered(group, requests[place], replies[place])
         for request, reply in zip(requests, replies, strict=True):
@@ -216,6 +211,24 @@
         if isinstance(request, program_messages.OpenTurn):
             self.contention.opened(group, request, reply)
 
+    def _answer_groups(
+        self,
+        by_group: dict[str, list[int]],
+        requests: list[Any],
+        replies: list[Any],
+    ) -> None:
+        """Fills in the replies of all groups; several commit concurrently."""
+        if len(by_group) == 1:
+            ((group, places),) = by_group.items()
+            self._answer_group(group, places, requests, replies)
+            return
+        threads = [
+            eventlet.spawn(self._answer_group, group, places, requests, replies)
+            for group, places in by_group.items()
+        ]
+        for thread in threads:
+            thread.wait()
+
     def _with_current_limit(self, request: Any) -> Any:
         """Returns a request with the customer's rate limit in force here.
 
