--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -1,15 +1,22 @@
 """Load balancing of routed requests among the upstreams of a service.
 
-Several entries share the upstreams and exchange what they have running. They
-don't exchange speeds: an upstream that is much slower than its peers is avoided
-by the entries that have noticed it themselves. The next turn of a program goes
-to the upstream that has its cache, unless that one is busier than another by a
-whole batch. All other requests go to the least loaded of a few upstreams that a
-hash of the request id selects.
+Several entries share the upstreams and exchange what they have running and
+which upstreams differ in speed. The next turn of a program goes to the upstream
+that has its cache. If that one is full or much slower than its peers, it does
+so only as long as it ends there sooner than after a prefill elsewhere. All
+other requests go to the upstream with the earliest expected end among a few
+that a hash of the request id selects. An upstream whose slots or memory the
+request would exceed counts as full and is passed over while another is not.
+With equal speeds and without full upstreams, this is the choice by the number
+of requests that `choose` makes; `choose_by_time` handles uneven and changing
+speeds and scarce memory.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
+from typing import Protocol
 
 import xxhash
 
@@ -98,6 +105,118 @@
     return Choice(min(ranked[:CHOICES], key=loads.__getitem__), LEAST)
 
 
+class Estimates(Protocol):
+    """What is expected of the upstreams for one request.
+
+    Attributes:
+        slowdowns: Time divided by that of the median, of the upstreams that
+            differ from it.
+    """
+
+    slowdowns: Mapping[str, float]
+
+    def load(self, upstream: str) -> float:
+        """Returns the load in batches with the request."""
+
+    def is_full(self, upstream: str) -> bool:
+        """Returns whether the request would exceed slots or memory."""
+
+    def is_crowded(self, upstream: str) -> bool:
+        """Returns whether it would leave too little memory to the cache."""
+
+    def seconds(self, upstream: str, resident: bool) -> float:
+        """Returns the time to the end of the request.
+
+        Args:
+            upstream: The upstream.
+            resident: Whether it has the program's cache.
+        """
+
+    def disturbance(self, upstream: str) -> float:
+        """Returns the time that the prefill costs the requests there."""
+
+
+def choose_by_time(
+    upstreams: Sequence[str],
+    hint: str,
+    affinity: str,
+    request: str,
+    estimates: Estimates,
+) -> Choice | None:
+    """Returns the upstream for a request, or None without upstreams.
+
+    Args:
+        upstreams: Upstreams that accept requests and were not tried yet.
+        hint: Upstream of the program's previous turn; empty for none.
+        affinity: Key that related requests share; empty for none.
+        request: Id of the request; hashed where there is no affinity.
+        estimates: What is expected of the upstreams.
+    """
+    if not upstreams:
+        return None
+    slowdowns = estimates.slowdowns
+    has_cache = hint in upstreams
+    # A prefill elsewhere also delays every request there, so a cache is not
+    # left for a small difference in speed.
+    if (
+        has_cache
+        and slowdowns.get(hint, 1.0) < MAX_SLOWDOWN
+        and not estimates.is_full(hint)
+    ):
+        return Choice(hint, RESIDENT)
+    if slowdowns:
+        fast = [n for n in upstreams if slowdowns.get(n, 1.0) < MAX_SLOWDOWN]
+        upstreams = fast or upstreams
+    key = affinity or request
+    ranked = sorted(upstreams, key=lambda name: _rank(key, name))
+    if affinity and not has_cache:
+        first = ranked[0]
+        loads = {name: estimates.load(name) for name in upstreams}
+        least = min(loads.values())
+        if loads[first] <= least + MAX_AFFINITY_EXCESS and (
+            not estimates.is_full(first)
+        ):
+            return Choice(first, AFFINITY)
+    best = _earliest(ranked, estimates)
+    if has_cache and estimates.seconds(hint, True) <= (
+        estimates.seconds(best, False) + estimates.disturbance(best)
+    ):
+        return Choice(hint, RESIDENT)
+    return Choice(best, LEAST)
+
+
+def _earliest(ranked: Sequence[str], estimates: Estimates) -> str:
+    """Returns the upstream with the earliest end of the first few.
+
+    Crowded ones count only if all are, and full ones only if all are full.
+    """
+    compared = _first(ranked, estimates.is_crowded)
+    if not compared:
+        compared = _first(ranked, estimates.is_full) or ranked[:CHOICES]
+    if len(compared) == 1:
+        return compared[0]
+    return min(
+        compared,
+        key=lambda name: (
+            estimates.seconds(name, False),
+            estimates.load(name),
+        ),
+    )
+
+
+def _first(
+    ranked: Sequence[str], is_excluded: Callable[[str], bool]
+) -> list[str]:
+    """Returns the first `CHOICES` that are not excluded."""
+    found = []
+    for name in ranked:
+        if not is_excluded(name):
+            found.append(name)
+            if len(found) == CHOICES:
+                break
+    return found
+
+
 def _rank(key: str, upstream: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{upstream}".encode())
 
--- a/src/mintcleat/decisions/policy.py
+++ b/src/mintcleat/decisions/policy.py
@@ -19,6 +19,8 @@
         standing: Failure penalties of upstreams.
         silence: Upstreams that send nothing while requests are pending.
         speed: Latency of upstreams compared with their peers.
+        turn_time: Expected time to the end of a turn, from memory and speed
+            of upstreams; without it, the number of requests decides.
     """
 
     shared_load: bool = True
@@ -26,6 +28,7 @@
     standing: bool = True
     silence: bool = True
     speed: bool = True
+    turn_time: bool = True
 
 
 DEFAULT = Policy()
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -1,60 +1,162 @@
-"""How many requests run at each upstream, summed over all entries.
+"""Load and speed of each upstream, over all entries.
 
 Several entries share the upstreams. If each knew only its own requests, random
 variation could put 19 requests on one engine with 16 slots and two on another,
 and programs at the former would wait for a whole turn. So entries report what
 they have running to the leader that opens their turns, within the request that
-opens a turn, and the reply has the counts of the other entries.
+opens a turn, and the reply has the sums of the other entries: requests and the
+tokens that they hold.
 
 With a few turns per second and entry, a count is about 50 ms old. One entry
 sends less than one request in that time, but all entries together could
 overload the least loaded upstream; `load_balancing.CHOICES` prevents that.
 A new leader knows nothing until the next turn of each entry, and an entry
 without a current reply uses its own counts alone.
+
+An entry has few answers of one upstream at a time and would take seconds to
+notice that it became slow. So entries also report the upstreams whose speed
+differs from their peers. The median of the reports counts, and only if there
+are two: an entry that measures wrongly, or whose way to an upstream is slow,
+can't keep the others away from it.
 """
 
+import bisect
 import collections
 from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
 
 # Seconds for which a report counts, about three times the duration of a turn.
 # An entry that has not opened or closed a turn for longer has few running.
 MAX_AGE = 1.0
-# Upstreams in one reply, which bounds it to about 1.5 kB. The busiest ones are
-# sent.
+# Upstreams in one reply, which bounds it to about 2 kB. The busiest ones are
+# sent, and the speeds that differ most.
 MAX_UPSTREAMS = 64
+# Reports that must agree on a different speed.
+MIN_WITNESSES = 2
+# Bounds of a slowdown, in percent. No measurement is better than a factor of
+# ten.
+MIN_SLOWDOWN = 10
+MAX_SLOWDOWN = 1000
+
+
+class Report(NamedTuple):
+    """The newest report of an entry.
+
+    Attributes:
+        at: Time of its arrival.
+        running: Requests running by upstream.
+        tokens: Tokens held by upstream.
+        slowdowns: Time in percent of the median, by upstream that differs.
+    """
+
+    at: float
+    running: Mapping[str, int]
+    tokens: Mapping[str, int] = {}
+    slowdowns: Mapping[str, int] = {}
+
+
+class Summary(NamedTuple):
+    """What other entries reported, for one of them.
+
+    Attributes:
+        running: Requests of all other entries, by upstream.
+        tokens: Tokens that these hold, by upstream; empty if unknown.
+        slowdowns: Agreed time in percent of the median, by upstream.
+    """
+
+    running: Mapping[str, int]
+    tokens: Mapping[str, int] = {}
+    slowdowns: Mapping[str, int] = {}
+
+
+def summary_of(
+    running: Mapping[str, int],
+    tokens: Sequence[int],
+    slowdowns: Mapping[str, int],
+) -> Summary:
+    """Returns the summary of a reply, which has tokens in order of `running`.
+
+    Tokens are ignored unless there is one number for each upstream.
+    """
+    return Summary(running, _by_upstream(running, tokens), slowdowns)
+
+
+def _by_upstream(
+    running: Mapping[str, int], tokens: Sequence[int]
+) -> dict[str, int]:
+    if len(tokens) != len(running):
+        return {}
+    return {
+        upstream: max(0, number)
+        for upstream, number in zip(running, tokens, strict=True)
+    }
 
 
 class EntryLoads:
-    """The newest report of each entry, and their sum.
+    """The newest report of each entry, and their sums.
 
     Attributes:
-        reports: Time of the report and requests running by upstream, by
-            entry; the oldest report first.
+        reports: The newest report by entry; the oldest report first.
         totals: Requests running by upstream, summed over the reports.
+        tokens: Tokens held by upstream, summed over the reports.
+        slowdowns: Reported slowdowns of each upstream, sorted.
+        agreed: The slowdowns on which reports agree; None when they have to
+            be computed again.
     """
 
     def __init__(self) -> None:
-        self.reports: collections.OrderedDict[
-            str, tuple[float, Mapping[str, int]]
-        ] = collections.OrderedDict()
+        self.reports: collections.OrderedDict[str, Report] = (
+            collections.OrderedDict()
+        )
         self.totals: collections.Counter[str] = collections.Counter()
+        self.tokens: collections.Counter[str] = collections.Counter()
+        self.slowdowns: dict[str, list[int]] = {}
+        self.agreed: dict[str, int] | None = None
 
     def report(
-        self, entry: str, running: Mapping[str, int], now: float
+        self,
+        entry: str,
+        running: Mapping[str, int],
+        now: float,
+        tokens: Sequence[int] = (),
+        slowdowns: Mapping[str, int] | None = None,
     ) -> None:
-        """Replaces the report of an entry and drops expired ones."""
-        self._remove(entry)
-        self.reports[entry] = (now, running)
+        """Replaces the report of an entry and drops expired ones.
+
+        Args:
+            entry: The entry.
+            running: Its running requests by upstream.
+            now: The current time.
+            tokens: Tokens that they hold, in the order of `running`; ignored
+                unless there is one number for each upstream.
+            slowdowns: Time in percent of the median, by upstream; at most
+                `MAX_UPSTREAMS` of them count.
+        """
+        held = _by_upstream(running, tokens)
+        bounded = {
+            upstream: min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, percent))
+            for upstream, percent in list((slowdowns or {}).items())[
+                :MAX_UPSTREAMS
+            ]
+        }
+        before = self._remove(entry, bounded)
+        self.reports[entry] = Report(now, running, held, bounded)
         self.totals.update(running)
+        self.tokens.update(held)
+        if bounded and before != bounded:
+            self._add_slowdowns(bounded)
         while self.reports:
-            oldest, (at, _) = next(iter(self.reports.items()))
-            if now - at <= MAX_AGE:
+            oldest, report = next(iter(self.reports.items()))
+            if now - report.at <= MAX_AGE:
                 return
-            self._remove(oldest)
+            self._remove(oldest, {})
 
     def others(self, entry: str) -> dict[str, int]:
         """Returns the requests of all other entries, by upstream."""
-        _, own = self.reports.get(entry, (0.0, {}))
+        own: Mapping[str, int] = {}
+        if entry in self.reports:
+            own = self.reports[entry].running
         counts = {
             upstream: count - own.get(upstream, 0)
             for upstream, count in self.totals.items()
@@ -65,33 +167,119 @@
             counts = {upstream: counts[upstream] for upstream in busiest}
         return counts
 
-    def _remove(self, entry: str) -> None:
-        _, running = self.reports.pop(entry, (0.0, {}))
-        for upstream, count in running.items():
-            self.totals[upstream] -= count
-            if self.totals[upstream] <= 0:
-                del self.totals[upstream]
+    def summary(self, entry: str) -> Summary:
+        """Returns requests, tokens and speeds for one entry."""
+        running = self.others(entry)
+        tokens: dict[str, int] = {}
+        if self.tokens:
+            own: Mapping[str, int] = {}
+            if entry in self.reports:
+                own = self.reports[entry].tokens
+            sums = self.tokens
+            tokens = {
+                upstream: max(0, sums[upstream] - own.get(upstream, 0))
+                for upstream in running
+            }
+        return Summary(running, tokens, self._agreed_slowdowns())
+
+    def _agreed_slowdowns(self) -> dict[str, int]:
+        """Returns the medians; the same for all entries until one changes."""
+        if self.agreed is None:
+            agreed = {
+                upstream: _median(percents)
+                for upstream, percents in self.slowdowns.items()
+                if len(percents) >= MIN_WITNESSES
+            }
+            if len(agreed) > MAX_UPSTREAMS:
+                most = sorted(agreed, key=lambda name: -abs(agreed[name] - 100))
+                agreed = {name: agreed[name] for name in most[:MAX_UPSTREAMS]}
+            self.agreed = agreed
+        return self.agreed
+
+    def _remove(
+        self, entry: str, slowdowns: Mapping[str, int]
+    ) -> Mapping[str, int] | None:
+        """Removes a report; returns its slowdowns, None without a report.
+
+        The slowdowns stay counted if they equal `slowdowns`, those of the next
+        report.
+        """
+        report = self.reports.pop(entry, None)
+        if report is None:
+            return None
+        _subtract(self.totals, report.running)
+        _subtract(self.tokens, report.tokens)
+        if report.slowdowns != slowdowns:
+            self._remove_slowdowns(report.slowdowns)
+        return report.slowdowns
+
+    def _add_slowdowns(self, slowdowns: Mapping[str, int]) -> None:
+        self.agreed = None
+        for upstream, percent in slowdowns.items():
+            bisect.insort(self.slowdowns.setdefault(upstream, []), percent)
+
+    def _remove_slowdowns(self, slowdowns: Mapping[str, int]) -> None:
+        self.agreed = None
+        for upstream, percent in slowdowns.items():
+            percents = self.slowdowns[upstream]
+            del percents[bisect.bisect_left(percents, percent)]
+            if not percents:
+                del self.slowdowns[upstream]
+
+
+def _median(percents: Sequence[int]) -> int:
+    """Returns the median; of two middle ones that closer to 100.
+
+    So one of two reports can't make an upstream slower than the other says.
+    """
+    lower = percents[(len(percents) - 1) // 2]
+    upper = percents[len(percents) // 2]
+    return lower if abs(lower - 100) <= abs(upper - 100) else upper
+
+
+def _subtract(
+    sums: collections.Counter[str], numbers: Mapping[str, int]
+) -> None:
+    for upstream, number in numbers.items():
+        sums[upstream] -= number
+        if sums[upstream] <= 0:
+            del sums[upstream]
 
 
 class OtherEntriesLoad:
-    """The requests of all other entries, as one entry last received them.
+    """What all other entries reported, as one entry last received it.
 
     Attributes:
         running: Requests by upstream.
+        tokens: Tokens held by upstream; empty if unknown.
+        slowdowns: Time divided by the median's, by upstream that differs.
         received_at: When the reply arrived; -inf before the first.
     """
 
     def __init__(self) -> None:
         self.running: Mapping[str, int] = {}
+        self.tokens: Mapping[str, int] = {}
+        self.slowdowns: Mapping[str, float] = {}
         self.received_at = float("-inf")
 
     def update(self, running: Mapping[str, int], now: float) -> None:
         """Stores the counts of a reply from the leader."""
-        self.running = running
+        self.update_all(Summary(running), now)
+
+    def update_all(self, summary: Summary, now: float) -> None:
+        """Stores a reply from the leader."""
+        self.running = summary.running
+        self.tokens = summary.tokens
+        self.slowdowns = {
+            upstream: percent / 100.0
+            for upstream, percent in summary.slowdowns.items()
+        }
         self.received_at = now
 
+    def is_current(self, now: float) -> bool:
+        """Returns whether the reply is young enough to count."""
+        return now - self.received_at <= MAX_AGE
+
     def current(self, now: float) -> Mapping[str, int]:
         """Returns the requests by upstream; empty after `MAX_AGE`."""
-        if now - self.received_at > MAX_AGE:
-            return {}
-        return self.running
+        return self.running if self.is_current(now) else {}
--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -47,9 +47,10 @@
 # Upstreams that differ less from the median are taken for equal to it. Load
 # that no entry can see changes measured gaps by as much.
 MIN_DEVIATION = 0.2
-# Without new samples, a deviation halves in this many seconds, so that an
-# avoided upstream is tried again.
-DEVIATION_HALF_LIFE = 2.0
+# Seconds after which a speed without new samples no longer counts, so that an
+# avoided upstream is tried again. A request in this time is an answer's length
+# of harm; its first gaps show whether the upstream has recovered.
+MAX_SPEED_AGE = 2.0
 # Age at which rates and speeds that a choice uses are computed again.
 REFRESH_SECONDS = 0.025
 # One gap of a running answer in this many is used for the rates of a service.
@@ -195,6 +196,8 @@
     def gap(self, seconds: float, now: float) -> None:
         """Records a gap between two events, or the time of a whole answer."""
         seconds = max(seconds, MIN_GAP)
+        if now - self.updated_at > MAX_SPEED_AGE:
+            self.samples = 0
         self.updated_at = now
         service = self.service
         if not self.expected:
@@ -358,8 +361,8 @@
             own = times.slow / median if median else 1.0
             age = now - times.updated_at
             trust = min(1.0, times.samples / FULL_SPEED_SAMPLES)
-            if age > REFRESH_SECONDS:
-                trust *= 0.5 ** (age / DEVIATION_HALF_LIFE)
+            if age > MAX_SPEED_AGE:
+                trust = 0.0
             own = 1.0 + (own - 1.0) * trust
             gaps = times.stall(now)
             if gaps:
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -211,6 +211,10 @@
         candidates: Number of upstreams that were eligible.
         left_s: Time left until the request's deadline.
         directory: Version of the directory.
+        expected_s: Expected time to the end of the request; -1 if unknown.
+        held_tokens: Tokens that other requests hold there, as far as known.
+        slowdown: Time that the upstream takes, divided by that of the median
+            of its peers; 1 if it doesn't differ.
     """
 
     request: str
@@ -223,6 +227,9 @@
     candidates: int
     left_s: float
     directory: int
+    expected_s: float = -1.0
+    held_tokens: int = 0
+    slowdown: float = 1.0
 
 
 class AttemptFailed(NamedTuple):
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -17,10 +17,18 @@
 
     Attributes:
         by_upstream: Running calls by incarnation of the upstream.
+        tokens: Tokens that these calls hold in the memory of each upstream,
+            in the order of `by_upstream`; empty if unknown. Prompt parts that
+            other programs use too are left out, since each sender would count
+            them.
+        slowdowns: Time that an upstream takes, in percent of the median of
+            its peers as the sender measured it; for upstreams that differ.
     """
 
     entry: str
     by_upstream: dict[str, int]
+    tokens: list[int] = []
+    slowdowns: dict[str, int] = {}
 
 
 class RateLimit(NamedTuple):
@@ -114,6 +122,10 @@
         counted_at: Group clock at which the request was counted against the
             customer's limit; negative if it was not counted.
         ahead: Number of requests that were counted ahead.
+        others_tokens: Tokens that the calls of other entries hold, in the
+            order of `others`; empty if unknown.
+        slowdowns: Time that an upstream takes, in percent of the median of
+            its peers; for upstreams that differ as several entries say.
     """
 
     chain: list[KeptTurn]
@@ -121,6 +133,8 @@
     others: dict[str, int] = {}
     counted_at: float = -1.0
     ahead: int = 0
+    others_tokens: list[int] = []
+    slowdowns: dict[str, int] = {}
 
 
 class CountCall(NamedTuple):
--- a/src/mintcleat/emulator/control.py
+++ b/src/mintcleat/emulator/control.py
@@ -1,5 +1,6 @@
 """A model of the control leader, which commits the start and end of turns."""
 
+import collections
 from typing import Any
 
 import simpy
@@ -24,10 +25,18 @@
         outage_until: Time until which there is no leader.
         entry_loads: What the entries have running; a new leader starts
             without any reports.
+        report_delay: Seconds by which reports are late.
+        late_reports: Reports that have not arrived yet, with their times.
     """
 
-    def __init__(self, env: simpy.Environment) -> None:
+    def __init__(
+        self, env: simpy.Environment, report_delay: float = 0.0
+    ) -> None:
         self.env = env
+        self.report_delay = report_delay
+        self.late_reports: collections.deque[
+            tuple[float, program_messages.RunningCounts]
+        ] = collections.deque()
         self.outage_until = 0.0
         self.entry_loads = shared_load.EntryLoads()
 
@@ -37,7 +46,7 @@
         self.entry_loads = shared_load.EntryLoads()
 
     def commit(self, running: program_messages.RunningCounts) -> Any:
-        """Commits one request; returns what the other entries have running.
+        """Commits one request; returns what the other entries report.
 
         Raises:
             NoLeader: There was no leader for longer than entries wait.
@@ -49,5 +58,14 @@
             yield self.env.timeout(_RETRY_SECONDS)
         yield self.env.timeout(COMMIT_SECONDS)
         now = self.env.now
-        self.entry_loads.report(running.entry, running.by_upstream, now)
-        return self.entry_loads.others(running.entry)
+        self.late_reports.append((now + self.report_delay, running))
+        while self.late_reports and self.late_reports[0][0] <= now:
+            _, report = self.late_reports.popleft()
+            self.entry_loads.report(
+                report.entry,
+                report.by_upstream,
+                now,
+                report.tokens,
+                report.slowdowns,
+            )
+        return self.entry_loads.summary(running.entry)
--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -5,6 +5,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 import math
 from typing import Any
 
@@ -62,7 +63,6 @@
         self.done = env.event()
         self.prompt = sum(part.tokens for part in parts)
         self.to_prefill = self.prompt
-        self.read_again = 0
         self.generated = 0
         self.decode_start = 0.0
 
@@ -101,17 +101,27 @@
         self.used_tokens += tokens - self.parts.pop(part, 0)
         self.parts[part] = tokens
 
-    def evict(self, max_tokens: int) -> None:
-        """Evicts the least recently used parts beyond `max_tokens`."""
-        while self.parts and self.used_tokens > max_tokens:
-            _, tokens = self.parts.popitem(last=False)
-            self.used_tokens -= tokens
+    def evict(
+        self, max_tokens: int, in_use: Collection[str] = frozenset()
+    ) -> None:
+        """Evicts the least recently used parts beyond `max_tokens`.
+
+        Parts that are `in_use` stay, and count as recently used.
+        """
+        for part in list(self.parts):
+            if self.used_tokens <= max_tokens:
+                return
+            if part in in_use:
+                self.parts.move_to_end(part)
+            else:
+                self.used_tokens -= self.parts.pop(part)
 
 
 class Engine:
     """One engine.
 
     Attributes:
+        speed: Divides the time of each step.
         slow: Factor on the time of each step.
         is_up: Whether it accepts requests.
         start_count: Number of starts so far.
@@ -120,15 +130,24 @@
         prefilled_tokens: Number of prompt tokens processed so far.
         stalled_until: Time until which no step begins.
         batch: Running requests.
+        part_users: Number of running requests that use a prompt part, by id.
+        held_tokens: Tokens that the running requests hold. A part that
+            several of them use counts once.
+        preempted: Number of requests that were taken out of the batch.
         wakeup: Succeeds when a request arrives.
     """
 
     def __init__(
-        self, env: simpy.Environment, model: plan.Engine, rng: Any
+        self,
+        env: simpy.Environment,
+        model: plan.Engine,
+        rng: Any,
+        speed: float = 1.0,
     ) -> None:
         self.env = env
         self.model = model
         self.rng = rng
+        self.speed = speed
         self.slow = 1.0
         self.is_up = True
         self.start_count = 1
@@ -139,6 +158,9 @@
         self.cache = Cache()
         self.waiting: collections.deque[Request] = collections.deque()
         self.batch: list[Request] = []
+        self.part_users: collections.Counter[str] = collections.Counter()
+        self.held_tokens = 0
+        self.preempted = 0
         self.wakeup = env.event()
         env.process(self._run())
 
@@ -162,7 +184,7 @@
     def cancel(self, request: Request) -> None:
         """Removes a request that the client has given up."""
         if request in self.batch:
-            self.batch.remove(request)
+            self._leave(request)
         elif request in self.waiting:
             self.waiting.remove(request)
 
@@ -171,6 +193,8 @@
         self.is_up = False
         requests = [*self.batch, *self.waiting]
         self.batch.clear()
+        self.part_users.clear()
+        self.held_tokens = 0
         self.waiting.clear()
         self.cache = Cache()
         for request in requests:
@@ -256,20 +280,59 @@
     def _admit(self) -> None:
         while self.waiting and len(self.batch) < self.model.slots:
             request = self.waiting[0]
-            reserved = sum(other.prompt + other.output for other in self.batch)
-            if self.batch and reserved + request.prompt + request.output > (
-                self.model.memory
-            ):
+            if self.batch and not self._fits(request):
                 return
             self.waiting.popleft()
-            request.to_prefill = request.prompt - self.cache.match_prefix(
-                request.parts
+            request.to_prefill = (
+                request.prompt
+                + request.generated
+                - self.cache.match_prefix(request.parts)
             )
             request.to_prefill = max(request.to_prefill, 1)
             request.decode_start = (
-                self.env.now + self.model.first * self.slow / 1000.0
+                self.env.now
+                + self.model.first * self.slow / self.speed / 1000.0
             )
             self.batch.append(request)
+            self._hold(request, 1)
+
+    def _fits(self, request: Request) -> bool:
+        if not self.model.preempts:
+            reserved = sum(other.prompt + other.output for other in self.batch)
+            needed = request.prompt + request.output
+            return reserved + needed <= self.model.memory
+        needed = request.generated + sum(
+            part.tokens
+            for part in request.parts
+            if not self.part_users[part.id]
+        )
+        return self.held_tokens + needed <= self.model.memory
+
+    def _hold(self, request: Request, sign: int) -> None:
+        """Adds (1) or subtracts (-1) what a request holds."""
+        users = self.part_users
+        self.held_tokens += sign * request.generated
+        for part in request.parts:
+            others = users[part.id] - (sign < 0)
+            users[part.id] += sign
+            if not others:
+                self.held_tokens += sign * part.tokens
+            if not users[part.id]:
+                del users[part.id]
+
+    def _leave(self, request: Request) -> None:
+        self.batch.remove(request)
+        self._hold(request, -1)
+
+    def _preempt(self) -> None:
+        """Takes the latest requests out while the memory overflows."""
+        if not self.model.preempts:
+            return
+        while self.held_tokens > self.model.memory and len(self.batch) > 1:
+            request = self.batch[-1]
+            self._leave(request)
+            self.waiting.appendleft(request)
+            self.preempted += 1
 
     def _next_chunk(self) -> dict[Request, int]:
         budget = self.model.chunk
@@ -289,7 +352,8 @@
             step = model.step + model.step_per_request * len(decoding)
             step += model.step_per_thousand * context
         step += prefill_tokens / model.read_per_ms
-        return max(_MIN_WAIT_SECONDS, step * self.slow / 1000.0)
+        seconds = step * self.slow / self.speed / 1000.0
+        return max(_MIN_WAIT_SECONDS, seconds)
 
     def _prefill(self, chunk: dict[Request, int]) -> None:
         for request, tokens in chunk.items():
@@ -298,6 +362,15 @@
             if not request.to_prefill:
                 for part in request.parts:
                     self.cache.put(part.id, part.tokens)
+        if self.model.preempts:
+            # The cache and the running requests hold a prompt part once.
+            uncached = sum(
+                request.to_prefill + request.generated for request in self.batch
+            )
+            self.cache.evict(
+                max(0, self.model.memory - uncached), self.part_users
+            )
+            return
         running = sum(request.context for request in self.batch)
         self.cache.evict(max(0, self.model.memory - running))
 
@@ -306,15 +379,18 @@
             if request.to_prefill or request.decode_start > self.env.now:
                 continue
             before = request.generated // self.model.stride
-            request.generated = min(request.output, request.generated + steps)
+            generated = min(request.output, request.generated + steps)
+            self.held_tokens += generated - request.generated
+            request.generated = generated
             complete = request.generated >= request.output
             if request.generated // self.model.stride > before or complete:
                 request.on_event()
             if complete:
                 self._complete(request)
+        self._preempt()
 
     def _complete(self, request: Request) -> None:
-        self.batch.remove(request)
+        self._leave(request)
         last = request.parts[-1]
         self.cache.put(request.cache_id, last.tokens + request.output)
         if request.done.triggered:
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -56,6 +56,7 @@
         subscribers: Called after each change of the directory.
         sequence: Number of the latest registration.
         slots: Capacity by upstream id.
+        memory: Tokens that an engine holds.
     """
 
     def __init__(
@@ -64,9 +65,11 @@
         plain_services: dict[str, plain_service.PlainService],
         slots: int,
         plain_slots: int,
+        memory: int = 0,
     ) -> None:
         self.engines = engines
         self.plain_services = plain_services
+        self.memory = memory
         self.registered = directory.Directory()
         self.subscribers: list[Callable[[], None]] = []
         self.sequence = 0
@@ -159,7 +162,9 @@
         except control_module.NoLeader:
             raise NotServed from None
         self.loads.update_others(others)
-        placement = upstream_loads.PlacementRequest(call, hint, "", False)
+        placement = upstream_loads.PlacementRequest(
+            call, hint, "", False, self.fleet.memory
+        )
         incarnation = yield from self._run_on_upstreams(
             MODEL_SERVICE, placement, self._run_turn, silence_timeout, output
         )
@@ -201,14 +206,16 @@
         """
         tried: set[str] = set()
         while True:
-            choice = self.loads.choose(service, tried, placement)
-            if choice is None or len(tried) >= routed_run.MAX_OFFERS:
+            placed = self.loads.choose(service, tried, placement)
+            if placed is None or len(tried) >= routed_run.MAX_OFFERS:
                 raise NotServed
-            upstream = choice[0]
+            upstream = placed.upstream
             tried.add(upstream.incarnation)
             request = f"{placement.call.request}/{next(self.numbers)}"
             sent_at = self.env.now
-            self.loads.began(upstream.incarnation, request, silence_timeout)
+            self.loads.began(
+                upstream.incarnation, request, silence_timeout, placed
+            )
             try:
                 yield from run(upstream, placement.call, request, size)
             except engine_module.RequestFailed as failure:
@@ -252,6 +259,8 @@
             self.loads.arrived(incarnation)
             if last_event_at:
                 self.loads.observe(incarnation, now - last_event_at)
+            else:
+                self.loads.first_event(incarnation, request)
             last_event_at = now
 
         submitted = engine_module.Request(
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -41,6 +41,8 @@
         first: Minimum time from admission to the first token; it overlaps
             with the prefill.
         stride: Tokens per event of a stream.
+        preempts: Whether requests are admitted without room for their output.
+            If the memory overflows, the latest one is prefilled again later.
     """
 
     slots: int
@@ -53,6 +55,7 @@
     chunk: int = 2048
     first: float = 18.0
     stride: int = 9
+    preempts: bool = False
 
 
 class Tool(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -115,6 +118,8 @@
             `slow` multiplies the times of upstreams by `times`;
             `crash` stops engines, which restart with empty caches;
             `hang` keeps engines from starting a step;
+            `stutter` slows engines down by `times` for 0.6 s every now and
+            then, or stops them if it is 1;
             `control` leaves the system without a leader;
             `lost` loses the fraction `times` of the answers of upstreams;
             `errors` fails the fraction `times` of the requests.
@@ -127,7 +132,16 @@
             rather than engines.
     """
 
-    kind: Literal["burst", "slow", "crash", "hang", "control", "lost", "errors"]
+    kind: Literal[
+        "burst",
+        "slow",
+        "crash",
+        "hang",
+        "stutter",
+        "control",
+        "lost",
+        "errors",
+    ]
     at: float
     seconds: float
     times: float = 1.0
@@ -154,6 +168,8 @@
         loads: Factors on the rates of all kinds; every variant runs with
             each.
         variants: Policies by name.
+        speeds: Speeds of the engines, repeated for as many as there are.
+        report_delay: Milliseconds by which reports on other entries are late.
     """
 
     entries: int
@@ -170,6 +186,8 @@
     variants: dict[str, policy.Policy] = msgspec.field(
         default_factory=lambda: {"default": policy.DEFAULT}
     )
+    speeds: list[float] = msgspec.field(default_factory=lambda: [1])
+    report_delay: float = 0.0
 
 
 def read(path: pathlib.Path) -> Plan:
--- a/src/mintcleat/emulator/programs.py
+++ b/src/mintcleat/emulator/programs.py
@@ -246,7 +246,9 @@
                 f"{self.id}?{next(self.numbers)}", prompt
             )
             call = self._request(
-                conversation.parts[-1].id, (*conversation.parts, new_part)
+                conversation.parts[-1].id,
+                (*conversation.parts, new_part),
+                output,
             )
             entry = self.rng.choice(self.callers.entries)
             run = self.env.process(
@@ -293,7 +295,10 @@
             return ""
 
     def _request(
-        self, previous: str, parts: tuple[routed_calls.PromptPart, ...]
+        self,
+        previous: str,
+        parts: tuple[routed_calls.PromptPart, ...],
+        output: int = 0,
     ) -> routed_calls.RoutedCall:
         prompt = sum(part.tokens for part in parts)
         return routed_calls.RoutedCall(
@@ -304,5 +309,5 @@
             (),
             b"",
             program=routed_calls.ProgramContext(self.id, previous=previous),
-            generation=routed_calls.Generation("m", prompt, 0, parts),
+            generation=routed_calls.Generation("m", prompt, output, parts),
         )
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -19,7 +19,7 @@
 WINDOW_SECONDS = 2.0
 _OUTCOMES = ("aim", "late", "failed")
 _COLUMNS = ("VARIANT", "LOAD", "WORTH", "+-", "AIM", "LATE", "FAILED", "WORST",
-         "READ", "QUEUED", "SPREAD")  # fmt: skip
+         "READ", "QUEUED", "SPREAD", "PREEMPTED")  # fmt: skip
 
 
 class Row(NamedTuple):
@@ -43,6 +43,8 @@
         spread: Requests at the engine with the most, minus those at the
             engine with the fewest; mean over time.
         kinds: Fractions within target, late and failed, by kind.
+        preempted: Requests that engines took out of their batches, mean over
+            seeds.
     """
 
     variant: str
@@ -57,6 +59,7 @@
     queued: float
     spread: float
     kinds: dict[str, list[float]]
+    preempted: float = 0.0
 
 
 def run(plan: plan_module.Plan) -> list[Row]:
@@ -93,6 +96,7 @@
             f"{row.read:,.0f}",
             f"{row.queued:.2f}",
             f"{row.spread:.1f}",
+            f"{row.preempted:.0f}",
         ]
         previous = before.get((row.variant, row.load))
         if previous is not None:
@@ -191,6 +195,7 @@
         _mean(queued),
         _mean(spread),
         kinds,
+        _mean(result.preempted for result in results),
     )
 
 
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -17,6 +17,9 @@
 # Time for programs to finish after the last one was started.
 DRAIN_SECONDS = 15.0
 SAMPLE_INTERVAL_SECONDS = 0.1
+# Length of a pause of an engine that stutters, and the mean time between two.
+STUTTER_SECONDS = 0.6
+STUTTER_INTERVAL_SECONDS = 2.0
 
 
 class Sample(NamedTuple):
@@ -38,11 +41,13 @@
         programs: Every program that has ended, in order of their ends.
         prefilled_tokens: Prompt tokens that the engines processed.
         samples: Loads of the engines, `SAMPLE_INTERVAL_SECONDS` apart.
+        preempted: Requests that an engine took out of its batch.
     """
 
     programs: list[programs_module.ProgramResult]
     prefilled_tokens: int
     samples: list[Sample]
+    preempted: int = 0
 
 
 def run(
@@ -52,7 +57,12 @@
     env = simpy.Environment()
     rng = random.Random(seed)
     engines = {
-        f"e{n}": engine_module.Engine(env, experiment.engine, rng)
+        f"e{n}": engine_module.Engine(
+            env,
+            experiment.engine,
+            rng,
+            experiment.speeds[n % len(experiment.speeds)],
+        )
         for n in range(experiment.engines)
     }
     plain_services = {
@@ -62,9 +72,13 @@
         for n in range(experiment.plains)
     }
     fleet = entry_module.Fleet(
-        engines, plain_services, experiment.engine.slots, experiment.plain_slots
+        engines,
+        plain_services,
+        experiment.engine.slots,
+        experiment.plain_slots,
+        experiment.engine.memory,
     )
-    control = control_module.Control(env)
+    control = control_module.Control(env, experiment.report_delay / 1000.0)
     entries = [
         entry_module.Entry(env, f"a{n}", fleet, control, policy)
         for n in range(experiment.entries)
@@ -78,7 +92,8 @@
     prefilled_tokens = sum(
         engine.prefilled_tokens for engine in engines.values()
     )
-    return Result(callers.results, prefilled_tokens, samples)
+    preempted = sum(engine.preempted for engine in engines.values())
+    return Result(callers.results, prefilled_tokens, samples, preempted)
 
 
 def _sample(
@@ -115,6 +130,9 @@
         case "hang":
             for name in names:
                 fleet.engines[name].stalled_until = env.now + fault.seconds
+        case "stutter":
+            for name in names:
+                env.process(_stutter(env, fleet.engines[name], fault, rng))
         case "crash":
             for name in names:
                 fleet.engines[name].crash()
@@ -130,3 +148,21 @@
             for name in names:
                 healthy = 1.0 if fault.kind == "slow" else 0.0
                 setattr(upstreams[name], attribute[fault.kind], healthy)
+
+
+def _stutter(
+    env: simpy.Environment,
+    engine: engine_module.Engine,
+    fault: plan.Fault,
+    rng: random.Random,
+) -> Any:
+    until = env.now + fault.seconds
+    while env.now < until:
+        yield env.timeout(rng.expovariate(1.0 / STUTTER_INTERVAL_SECONDS))
+        if fault.times <= 1.0:
+            engine.stalled_until = env.now + STUTTER_SECONDS
+            yield env.timeout(STUTTER_SECONDS)
+            continue
+        engine.slow = fault.times
+        yield env.timeout(STUTTER_SECONDS)
+        engine.slow = 1.0
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -154,8 +154,12 @@
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
-                others = self.entry_loads.others(entry)
-                replies[place] = reply._replace(others=others)
+                summary = self.entry_loads.summary(entry)
+                replies[place] = reply._replace(
+                    others=summary.running,
+                    others_tokens=list(summary.tokens.values()),
+                    slowdowns=summary.slowdowns,
+                )
         return replies
 
     def _with_current_limit(self, request: Any) -> Any:
@@ -181,7 +185,11 @@
         """
         report = request.running
         self.entry_loads.report(
-            report.entry, report.by_upstream, self.timers.now()
+            report.entry,
+            report.by_upstream,
+            self.timers.now(),
+            report.tokens,
+            report.slowdowns,
         )
         return request._replace(running=None)
 
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -160,6 +160,7 @@
             self.loads.observe(self.incarnation, pause)
         else:
             self.first_at = now
+            self.loads.first_event(self.incarnation, self.request)
         self.last_event_at = now
         self.tokens += self.service.tokens_per_event
         self.last_event_id = event.id or self.last_event_id
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -231,14 +231,18 @@
 
     def _run_attempts(self, reply: forwarding.CallerResponse) -> None:
         while True:
-            upstream = self._place()
+            placement = self._place()
+            upstream = placement.upstream
             self.offers += 1
             self.tried.add(upstream.incarnation)
             self.sent_at = self.now
             silence_timeout = SILENCE_FACTOR * self.route.target_latency
             loads = self.context.loads
             loads.began(
-                upstream.incarnation, self.call.request, silence_timeout
+                upstream.incarnation,
+                self.call.request,
+                silence_timeout,
+                placement,
             )
             try:
                 self._attempt(upstream, reply)
@@ -275,7 +279,7 @@
             case evidence.Evidence.SUCCESS:
                 self.context.loads.answered(upstream.incarnation, self.sent_at)
 
-    def _place(self) -> member_messages.Registration:
+    def _place(self) -> upstream_loads.Placement:
         turn = self.relay.turn
         found = self.context.loads.choose(
             self.service_name,
@@ -285,6 +289,7 @@
                 turn.hint if turn else "",
                 "" if turn else self.call.affinity,
                 self._may_retry(),
+                self.service.memory_tokens,
             ),
         )
         if found is None:
@@ -298,22 +303,25 @@
                 f"No upstream of service {self.service_name!r} takes new work.",
                 retry_after=RETRY_SECONDS,
             )
-        upstream, choice, candidates = found
+        upstream = found.upstream
         self.context.events.emit(
             event_types.CallPlaced(
                 self.call.request,
                 upstream.upstream,
                 self.offers + 1,
-                choice.reason,
+                found.choice.reason,
                 self.context.loads.running(upstream.incarnation),
                 self.context.loads.running_elsewhere(upstream.incarnation),
                 self.context.loads.others_age(),
-                candidates,
+                found.candidates,
                 round(self.deadline_at - self.now, 3),
                 self.context.configuration.registered.version,
+                round(found.expected, 4),
+                found.held,
+                round(found.slowdown, 2),
             )
         )
-        return upstream
+        return found
 
     def _attempt(
         self,
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -1,9 +1,9 @@
 """Opens, commits and settles turns of routed programs at control leaders."""
 
 import collections
-from collections.abc import Mapping
 
 from mintcleat.decisions import control_outage
+from mintcleat.decisions import shared_load
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import program_messages
@@ -62,8 +62,8 @@
         chain: Preceding turns, oldest first.
         hint: Incarnation of the upstream that ran the program last; empty for
             none.
-        others: Requests that other entries have running, by incarnation of
-            the upstream.
+        others: What other entries have running and measured, by incarnation
+            of the upstream.
         counted_at: When it was counted against its customer's limit, by the
             group's clock; negative if it was not counted.
     """
@@ -74,7 +74,7 @@
         retention: float,
         chain: list[program_messages.KeptTurn],
         hint: str,
-        others: Mapping[str, int],
+        others: shared_load.Summary,
         counted_at: float = -1.0,
     ) -> None:
         self.call = call
@@ -189,7 +189,9 @@
             retention,
             chain,
             reply.upstream,
-            reply.others,
+            shared_load.summary_of(
+                reply.others, reply.others_tokens, reply.slowdowns
+            ),
             reply.counted_at,
         )
 
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -6,9 +6,12 @@
 from typing import Protocol
 
 from mintcleat.configuration import directory
+from mintcleat.decisions import engine_memory
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import policy as policy_module
 from mintcleat.decisions import shared_load
+from mintcleat.decisions import turn_estimates
+from mintcleat.decisions import turn_time
 from mintcleat.decisions import upstream_health
 from mintcleat.domain import events as event_types
 from mintcleat.domain import member_messages
@@ -40,12 +43,41 @@
             none.
         affinity: Key shared by requests that should go to one upstream.
         repeatable: Whether another upstream may run it after a failure.
+        memory_tokens: Tokens that an upstream of the service holds; 0 if
+            unknown.
     """
 
     call: routed_calls.RoutedCall
     hint: str
     affinity: str
     repeatable: bool
+    memory_tokens: int = 0
+
+
+class Placement(NamedTuple):
+    """The upstream that was chosen for a request.
+
+    Attributes:
+        upstream: The upstream.
+        choice: The choice with its reason.
+        candidates: Number of upstreams that were eligible.
+        turn: Tokens that the request holds in memory.
+        uncached: Prompt tokens that the upstream has to read.
+        load: Load of the upstream in batches, with the request.
+        expected: Expected seconds to the end; -1 if unknown.
+        held: Tokens that all requests hold there, without this one.
+        slowdown: Time of the upstream divided by that of the median.
+    """
+
+    upstream: member_messages.Registration
+    choice: load_balancing.Choice
+    candidates: int
+    turn: engine_memory.TurnTokens = engine_memory.TurnTokens()
+    uncached: int = 0
+    load: float = 0.0
+    expected: float = -1.0
+    held: int = 0
+    slowdown: float = 1.0
 
 
 class UpstreamLoads:
@@ -58,6 +90,9 @@
         entry: Name of this entry.
         policy: Decisions that are switched on.
         others: Running requests of other entries.
+        times: Measured rates and speeds.
+        prefixes: Prompt parts that programs share.
+        tokens: Tokens of this entry's requests, by incarnation.
         on_removed: Called with each incarnation that is removed.
         known: Current registrations by incarnation.
         by_service: Upstreams that accept new work, by service and incarnation.
@@ -82,6 +117,9 @@
         self.penalties = upstream_health.FailurePenalties()
         self.silence_detector = upstream_health.SilenceDetector()
         self.latencies = load_balancing.LatencyTracker()
+        self.times = turn_time.TurnTimes()
+        self.prefixes = engine_memory.Prefixes()
+        self.tokens: dict[str, engine_memory.RunningTokens] = {}
         self.known: dict[str, member_messages.Registration] = {}
         self.by_service: dict[str, dict[str, member_messages.Registration]] = {}
         configuration.subscribe(self.refresh)
@@ -98,6 +136,7 @@
                 previous._replace(state="gone"), registered.version
             )
             self.latencies.forget(incarnation)
+            self.times.forget(incarnation)
             self.penalties.forget(incarnation)
             self.on_removed(incarnation)
         for incarnation, item in entries.items():
@@ -114,7 +153,7 @@
 
     def choose(
         self, service: str, tried: set[str], request: PlacementRequest
-    ) -> tuple[member_messages.Registration, load_balancing.Choice, int] | None:
+    ) -> Placement | None:
         """Chooses an upstream for a request.
 
         Args:
@@ -123,8 +162,7 @@
             request: The request.
 
         Returns:
-            The upstream, the choice and the number of candidates; None when
-            no upstream is left.
+            The placement; None when no upstream is left.
         """
         now = self.timers.now()
         ready = self.by_service.get(service, {})
@@ -136,6 +174,18 @@
             request.repeatable,
             now,
         )
+        if policy.turn_time:
+            return self._choose_by_time(service, ready, names, request, now)
+        return self._choose_by_count(ready, names, request, now)
+
+    def _choose_by_count(
+        self,
+        ready: Mapping[str, member_messages.Registration],
+        names: list[str],
+        request: PlacementRequest,
+        now: float,
+    ) -> Placement | None:
+        policy = self.policy
         slow = (
             self.latencies.slowdown_factors(names, now) if policy.speed else {}
         )
@@ -155,10 +205,104 @@
         )
         if choice is None:
             return None
-        return self.known[choice.upstream], choice, len(candidates)
+        return Placement(self.known[choice.upstream], choice, len(candidates))
+
+    def _choose_by_time(
+        self,
+        service: str,
+        ready: Mapping[str, member_messages.Registration],
+        names: list[str],
+        request: PlacementRequest,
+        now: float,
+    ) -> Placement | None:
+        call = request.call
+        estimates = self._estimates(
+            service, ready, call, request.memory_tokens, now
+        )
+        choice = load_balancing.choose_by_time(
+            names,
+            request.hint if self.policy.resident else "",
+            request.affinity,
+            call.request,
+            estimates,
+        )
+        if choice is None:
+            return None
+        name = choice.upstream
+        resident = choice.reason == load_balancing.RESIDENT
+        expected = -1.0
+        if estimates.times.rates is not None:
+            expected = estimates.seconds(name, resident)
+        return Placement(
+            self.known[name],
+            choice,
+            len(names),
+            estimates.turn,
+            estimates.uncached(resident),
+            estimates.load(name),
+            expected,
+            estimates.tokens(name),
+            estimates.slowdowns.get(name, 1.0),
+        )
+
+    def _estimates(
+        self,
+        service: str,
+        ready: Mapping[str, member_messages.Registration],
+        call: routed_calls.RoutedCall,
+        memory: int,
+        now: float,
+    ) -> turn_estimates.TurnEstimates:
+        others = self._others_running(now)
+        times = self._refreshed_times(service, ready, others, now)
+        generation = call.generation
+        turn = engine_memory.TurnTokens()
+        if generation.prompt_tokens or generation.parts:
+            turn = self.prefixes.tokens_of(call.program.program, generation)
+        pending = self.silence_detector.pending_requests
+        return turn_estimates.TurnEstimates(
+            turn,
+            lambda name: len(pending.get(name, ())) + others.get(name, 0),
+            lambda name: ready[name].slots,
+            memory,
+            self.tokens,
+            self.others.tokens if others else {},
+            times,
+            times.slowdowns if self.policy.speed else {},
+        )
+
+    def _refreshed_times(
+        self,
+        service: str,
+        ready: Mapping[str, member_messages.Registration],
+        others: Mapping[str, int],
+        now: float,
+    ) -> turn_time.ServiceTimes:
+        times = self.times.service(service)
+        if now - times.refreshed_at < turn_time.REFRESH_SECONDS:
+            return times
+        pending = self.silence_detector.pending_requests
+        shared = self.others.slowdowns if others else {}
+        times.refresh(
+            [
+                (
+                    name,
+                    (len(pending.get(name, ())) + others.get(name, 0))
+                    / max(1, item.slots),
+                )
+                for name, item in ready.items()
+            ],
+            {name: value for name, value in shared.items() if name in ready},
+            now,
+        )
+        return times
 
     def began(
-        self, incarnation: str, request: str, silence_timeout: float
+        self,
+        incarnation: str,
+        request: str,
+        silence_timeout: float,
+        placement: Placement | None = None,
     ) -> None:
         """Counts a request that is sent to an upstream.
 
@@ -167,9 +311,19 @@
             request: Request id.
             silence_timeout: Seconds of silence after which the upstream
                 counts as silent.
+            placement: How it was placed; None if its tokens and its time to
+                the first event don't count.
         """
-        self.silence_detector.began(
-            incarnation, request, silence_timeout, self.timers.now()
+        now = self.timers.now()
+        self.silence_detector.began(incarnation, request, silence_timeout, now)
+        if placement is None or not placement.turn.total:
+            return
+        tokens = self.tokens.get(incarnation)
+        if tokens is None:
+            tokens = self.tokens[incarnation] = engine_memory.RunningTokens()
+        tokens.add(request, placement.turn)
+        self.times.upstream(placement.upstream.service, incarnation).began(
+            request, placement.uncached, placement.load, now
         )
 
     def arrived(self, incarnation: str) -> None:
@@ -190,26 +344,62 @@
         return round(age, 3) if age < MAX_REPORT_AGE_SECONDS else -1.0
 
     def report(self) -> program_messages.RunningCounts:
-        """Returns this entry's running requests by upstream."""
+        """Returns this entry's requests by upstream, and what it measured."""
         waits = self.silence_detector.pending_requests
         counts = {
             incarnation: len(requests)
             for incarnation, requests in waits.items()
         }
-        return program_messages.RunningCounts(self.entry, counts)
+        if not self.policy.turn_time:
+            return program_messages.RunningCounts(self.entry, counts)
+        held = self.tokens
+        tokens = [
+            held[incarnation].own if incarnation in held else 0
+            for incarnation in counts
+        ]
+        slowdowns: dict[str, int] = {}
+        for times in self.times.services.values():
+            for incarnation, factor in times.measured.items():
+                slowdowns[incarnation] = _percent(factor)
+        return program_messages.RunningCounts(
+            self.entry, counts, tokens, slowdowns
+        )
 
-    def update_others(self, others: Mapping[str, int]) -> None:
-        """Replaces the running requests of other entries."""
-        self.others.update(others, self.timers.now())
+    def update_others(self, others: shared_load.Summary) -> None:
+        """Replaces what other entries have running and measured."""
+        self.others.update_all(others, self.timers.now())
 
     def ended(self, incarnation: str, request: str) -> None:
         """Removes a request from the count; idempotent."""
         self.silence_detector.ended(incarnation, request)
+        tokens = self.tokens.get(incarnation)
+        if tokens is not None:
+            tokens.remove(request)
+            if not tokens.turns:
+                del self.tokens[incarnation]
+        times = self.times.upstreams.get(incarnation)
+        if times is not None:
+            times.ended(request)
+
+    def first_event(self, incarnation: str, request: str) -> None:
+        """Records the first event of an answer."""
+        times = self.times.upstreams.get(incarnation)
+        if times is not None:
+            times.first_event(request, self.timers.now())
 
     def observe(self, incarnation: str, seconds: float) -> None:
         """Records the gap before an event or the time of a whole response."""
-        if incarnation in self.known:
-            self.latencies.observe(incarnation, seconds, self.timers.now())
+        item = self.known.get(incarnation)
+        if item is None:
+            return
+        now = self.timers.now()
+        if self.policy.turn_time:
+            times = self.times.upstreams.get(incarnation)
+            if times is None:
+                times = self.times.upstream(item.service, incarnation)
+            times.gap(seconds, now)
+        else:
+            self.latencies.observe(incarnation, seconds, now)
 
     def answered(self, incarnation: str, began: float) -> None:
         """Records a good response to a request that was sent at `began`."""
@@ -241,3 +431,11 @@
                 item.upstream, item.service, item.address, item.state, version
             )
         )
+
+
+def _percent(factor: float) -> int:
+    """Returns a slowdown in steps of 5 percent.
+
+    Scatter within a step changes no report, and the leader counts nothing anew.
+    """
+    return max(5, 5 * round(factor * 20.0))
--- a/testing/test_emulator.py
+++ b/testing/test_emulator.py
@@ -126,6 +126,59 @@
         self.assertIn("b", self.ends)
 
 
+class MemoryTest(testtools.TestCase):
+    """Engines that admit requests without room for their output."""
+
+    def run_requests(self, model: plan.Engine, count: int) -> engine.Engine:
+        """Runs requests of 2,000 prompt and 900 output tokens to their end."""
+        env = simpy.Environment()
+        found = engine.Engine(env, model, random.Random(1))
+        requests = []
+        for number in range(count):
+            parts = (
+                routed_calls.PromptPart("shared", 500),
+                routed_calls.PromptPart(f"p{number}", 1500),
+            )
+            request = engine.Request(env, parts, f"k{number}", 900, list)
+            found.submit(request)
+            requests.append(request)
+        env.run()
+        self.assertTrue(all(one.done.ok for one in requests))
+        self.assertEqual(0, found.held_tokens)
+        return found
+
+    def test_overflow_preempts_and_prefills_again(self) -> None:
+        memory = msgspec.structs.replace(MODEL, preempts=True, memory=7000)
+        ample = msgspec.structs.replace(memory, memory=50_000)
+        self.assertEqual(0, self.run_requests(ample, 4).preempted)
+        found = self.run_requests(memory, 4)
+        self.assertTrue(found.preempted > 0)
+        # What a preempted request had generated is read again; its prompt is
+        # still cached.
+        self.assertTrue(
+            found.prefilled_tokens
+            > self.run_requests(ample, 4).prefilled_tokens
+        )
+
+    def test_shared_parts_are_held_once(self) -> None:
+        # Four prompts without the 500 shared tokens of three of them.
+        memory = msgspec.structs.replace(
+            MODEL, preempts=True, memory=500 + 4 * (1500 + 900)
+        )
+        self.assertEqual(0, self.run_requests(memory, 4).preempted)
+
+    def test_faster_engine_ends_sooner(self) -> None:
+        times = []
+        for speed in (0.5, 1.0, 2.0):
+            env = simpy.Environment()
+            found = engine.Engine(env, MODEL, random.Random(1), speed)
+            parts = (routed_calls.PromptPart("p", 3000),)
+            found.submit(engine.Request(env, parts, "k", 90, list))
+            env.run()
+            times.append(env.now * speed)
+        self.assertTrue(max(times) - min(times) < 0.01, times)
+
+
 class SimulationTest(testtools.TestCase):
     def with_faults(self, *faults: plan.Fault) -> plan.Plan:
         return msgspec.structs.replace(PLAN, faults=list(faults))
@@ -171,6 +224,8 @@
             plan.Fault("hang", 1.0, 1.0),
             plan.Fault("control", 1.0, 1.0),
             plan.Fault("slow", 1.0, 1.0, 5.0),
+            plan.Fault("stutter", 1.0, 1.0, 1.0, 2),
+            plan.Fault("stutter", 1.0, 1.0, 2.5, 2),
             plan.Fault("lost", 1.0, 1.0, 0.2, 3),
             plan.Fault("errors", 1.0, 1.0, 0.2, 3),
             plan.Fault("errors", 1.0, 1.0, 0.5, 2, plain=True),
@@ -194,6 +249,118 @@
         self.assertThat(counted, matchers.LessThan(ignored))
 
 
+class StepTest(testtools.TestCase):
+    """Steps of load and of speed, with reports 0.5 s late.
+
+    Guards against placement that swings: many entries that leave an upstream
+    together, and come back together when the late reports show it empty.
+    """
+
+    def run_with(
+        self, fault: plan.Fault, used: policy.Policy = policy.DEFAULT
+    ) -> simulation.Result:
+        experiment = plan.Plan(
+            entries=12,
+            engines=6,
+            seconds=18.0,
+            report_delay=500.0,
+            engine=plan.Engine(
+                slots=32, memory=155_924, step=6.17, read_per_ms=30.9
+            ),
+            kinds={
+                "talk": plan.Kind(
+                    per_second=12.0,
+                    turns=plan.Distribution(4.0, 0.4, 8.0),
+                    prompt=plan.Distribution(700.0, 0.5, 3000.0),
+                    events=plan.Distribution(10.0, 0.5, 30.0),
+                    aim=2.0,
+                )
+            },
+            faults=[fault],
+        )
+        return simulation.run(experiment, 3, 1.0, used)
+
+    def loads(
+        self, result: simulation.Result, start: float, end: float
+    ) -> list[tuple[int, ...]]:
+        return [
+            sample.loads for sample in result.samples if start < sample.at < end
+        ]
+
+    def spread(
+        self, result: simulation.Result, start: float, end: float
+    ) -> float:
+        found = [max(n) - min(n) for n in self.loads(result, start, end)]
+        return sum(found) / len(found)
+
+    def test_step_of_load_does_not_swing(self) -> None:
+        burst = plan.Fault("burst", 4.0, 4.0, 2.0)
+        result = self.run_with(burst)
+        by_count = self.run_with(burst, policy.Policy(turn_time=False))
+        # Twice the load has about twice the spread, and the step ends in the
+        # spread before it.
+        before = self.spread(result, 2.0, 4.0)
+        during = self.spread(result, 5.0, 8.0)
+        after = self.spread(result, 10.5, 13.5)
+        self.assertTrue(during < 2.5 * before, (before, during))
+        self.assertTrue(after < 1.5 * before, (before, after))
+        self.assertTrue(during < 1.3 * self.spread(by_count, 5.0, 8.0))
+        failed = [one for one in result.programs if one.outcome == "failed"]
+        self.assertEqual([], failed)
+
+    def test_step_of_speed_moves_load_away_and_back_once(self) -> None:
+        result = self.run_with(plan.Fault("slow", 4.0, 4.0, 4.6, 2))
+        at_end = self.loads(result, 8.0, 9.0)
+        means = [
+            sum(loads) / len(at_end) for loads in zip(*at_end, strict=True)
+        ]
+        slow = sorted(range(6), key=means.__getitem__)[:2]
+        normal = [n for n in range(6) if n not in slow]
+
+        def mean(names: list[int], start: float, end: float) -> float:
+            found = self.loads(result, start, end)
+            total = sum(loads[n] for loads in found for n in names)
+            return total / len(found) / len(names)
+
+        # Away: what still runs on the slow engines has been there before.
+        self.assertTrue(mean(slow, 8.0, 9.0) < 0.4 * mean(normal, 8.0, 9.0))
+        # Back, and not beyond: within the spread of single engines.
+        later = mean(slow, 13.0, 17.5) / mean(normal, 13.0, 17.5)
+        self.assertTrue(0.5 < later < 1.6, later)
+        outcomes = [one.outcome for one in result.programs]
+        self.assertEqual(0, outcomes.count("failed"))
+
+
+class UnevenTest(testtools.TestCase):
+    def test_fewer_programs_are_late_on_uneven_engines(self) -> None:
+        experiment = msgspec.structs.replace(
+            PLAN,
+            engines=6,
+            speeds=[0.6, 1.0, 1.6],
+            seconds=10.0,
+            kinds={
+                "talk": plan.Kind(
+                    per_second=12.0,
+                    turns=plan.Distribution(4.0, 0.3, 8.0),
+                    prompt=plan.Distribution(500.0, 0.5, 2000.0),
+                    events=plan.Distribution(10.0, 0.5, 20.0),
+                    aim=1.4,
+                )
+            },
+        )
+        late = [
+            sum(
+                one.outcome != "aim"
+                for seed in (1, 2)
+                for one in simulation.run(
+                    experiment, seed, 1.0, policy.Policy(turn_time=used)
+                ).programs
+            )
+            for used in (False, True)
+        ]
+        self.assertTrue(late[1] < 0.6 * late[0], late)
+
+
 class ReportTest(testtools.TestCase):
     def test_results_are_stored_and_compared(self) -> None:
         rows = report.run(msgspec.structs.replace(PLAN, seconds=2.0))
--- a/testing/test_load_balancing.py
+++ b/testing/test_load_balancing.py
@@ -71,6 +71,141 @@
         self.assertIsNone(load_balancing.choose([], "a", "p", "r"))
 
 
+class Estimates:
+    """Estimates for `choose_by_time` from plain numbers.
+
+    Attributes:
+        running: Requests by upstream.
+        slots: Slots by upstream.
+        full_memory: Upstreams whose memory the request would exceed.
+        prefill: Seconds of a prefill without the program's cache.
+    """
+
+    def __init__(
+        self,
+        running: dict[str, int],
+        slots: int = 10,
+        slowdowns: dict[str, float] | None = None,
+        full_memory: str = "",
+        crowded: str = "",
+        prefill: float = 0.1,
+        whole: float = 0.4,
+    ) -> None:
+        self.running = running
+        self.slots = dict.fromkeys(running, slots)
+        self.slowdowns = slowdowns or {}
+        self.full_memory = full_memory
+        self.crowded = crowded
+        self.prefill = prefill
+        self.whole = whole
+
+    def load(self, upstream: str) -> float:
+        return (self.running[upstream] + 1) / self.slots[upstream]
+
+    def is_full(self, upstream: str) -> bool:
+        return self.load(upstream) > 1.0 or upstream in self.full_memory
+
+    def is_crowded(self, upstream: str) -> bool:
+        return self.is_full(upstream) or upstream in self.crowded
+
+    def seconds(self, upstream: str, resident: bool) -> float:
+        load = self.load(upstream)
+        seconds = self.whole * (0.8 + 0.2 * min(1.0, load))
+        seconds += self.whole * max(0.0, load - 1.0)
+        seconds += 0.0 if resident else self.prefill
+        return seconds * self.slowdowns.get(upstream, 1.0)
+
+    def disturbance(self, upstream: str) -> float:
+        return self.prefill * self.running[upstream]
+
+
+class ChooseByTimeTest(testtools.TestCase):
+    def choose(self, estimates: Estimates, hint: str = "") -> str:
+        found = load_balancing.choose_by_time(
+            list(estimates.running), hint, "", "r", estimates
+        )
+        return found.upstream
+
+    def test_without_uneven_speeds_or_full_upstreams_the_choice_is_by_count(
+        self,
+    ) -> None:
+        """Deployments whose engines are alike must be served as before."""
+        rng = random.Random(8)
+        for number in range(3000):
+            names = [f"u{n}" for n in range(rng.randrange(1, 30))]
+            slots = rng.choice((6, 12, 32, 64))
+            running = {name: rng.randrange(slots) for name in names}
+            hint = rng.choice(["", "absent", *names])
+            affinity = rng.choice(("", "", "a1", "a2"))
+            request = f"r{number}"
+            by_count = load_balancing.choose(
+                [
+                    load_balancing.Candidate(name, count, slots)
+                    for name, count in running.items()
+                ],
+                hint,
+                affinity,
+                request,
+            )
+            by_time = load_balancing.choose_by_time(
+                names, hint, affinity, request, Estimates(running, slots)
+            )
+            self.assertEqual(by_count, by_time)
+
+    def test_full_upstream_is_chosen_only_when_all_are_full(self) -> None:
+        running = dict.fromkeys("abcdefgh", 0)
+        for free in running:
+            others = "".join(name for name in running if name != free)
+            estimates = Estimates(running, full_memory=others)
+            self.assertEqual(free, self.choose(estimates))
+        estimates = Estimates(running, full_memory="abcdefgh")
+        self.assertIn(self.choose(estimates), running)
+        busy = {**dict.fromkeys("abcdefgh", 10), "d": 9}
+        self.assertEqual("d", self.choose(Estimates(busy)))
+
+    def test_memory_for_caches_is_left_while_another_has_some(self) -> None:
+        running = dict.fromkeys("abcd", 0)
+        estimates = Estimates(running, crowded="abd")
+        self.assertEqual("c", self.choose(estimates))
+        estimates = Estimates(running, crowded="abcd", full_memory="abc")
+        self.assertEqual("d", self.choose(estimates))
+
+    def test_earliest_end_wins_among_uneven_speeds(self) -> None:
+        running = {"a": 1, "b": 4, "c": 2}
+        estimates = Estimates(running, slowdowns={"a": 1.6, "b": 0.6})
+        self.assertEqual("b", self.choose(estimates))
+
+    def test_program_stays_with_its_cache_for_a_small_difference(self) -> None:
+        running = {"a": 5, "b": 0, "c": 0}
+        estimates = Estimates(running, slowdowns={"a": 1.6, "b": 0.6})
+        self.assertEqual("a", self.choose(estimates, "a"))
+
+    def test_program_leaves_its_cache_if_a_prefill_elsewhere_ends_sooner(
+        self,
+    ) -> None:
+        running = {"a": 1, "b": 1, "c": 1}
+        slow = Estimates(running, slowdowns={"a": 4.6})
+        self.assertNotEqual("a", self.choose(slow, "a"))
+        # A long history: its prefill would take longer than the slow engine.
+        slow = Estimates(running, slowdowns={"a": 4.6}, prefill=1.5)
+        self.assertEqual("a", self.choose(slow, "a"))
+
+    def test_program_waits_for_a_slot_where_its_cache_is(self) -> None:
+        running = {"a": 10, "b": 3, "c": 3}
+        self.assertEqual("a", self.choose(Estimates(running), "a"))
+        running = {"a": 25, "b": 3, "c": 3}
+        self.assertNotEqual("a", self.choose(Estimates(running), "a"))
+
+    def test_slow_upstream_is_better_than_none(self) -> None:
+        estimates = Estimates({"a": 0}, slowdowns={"a": 8.0})
+        self.assertEqual("a", self.choose(estimates))
+
+    def test_without_upstreams_there_is_no_choice(self) -> None:
+        self.assertIsNone(
+            load_balancing.choose_by_time([], "a", "", "r", Estimates({}))
+        )
+
+
 class SlowUpstreamLoad:
     """Eight entries share six engines, one of which becomes slow.
 
--- a/testing/test_shared_load.py
+++ b/testing/test_shared_load.py
@@ -178,3 +178,120 @@
         self.assertEqual(
             0, others.current(10.1 + shared_load.MAX_AGE).get("u", 0)
         )
+
+
+class TokensTest(testtools.TestCase):
+    def test_tokens_of_others_are_summed(self) -> None:
+        entry_loads = shared_load.EntryLoads()
+        entry_loads.report("a", {"u": 3, "v": 1}, 0.0, [900, 50])
+        entry_loads.report("b", {"u": 2}, 0.0, [400])
+        found = entry_loads.summary("c")
+        self.assertEqual({"u": 5, "v": 1}, found.running)
+        self.assertEqual({"u": 1300, "v": 50}, found.tokens)
+        self.assertEqual({"u": 900, "v": 50}, entry_loads.summary("b").tokens)
+        entry_loads.report("a", {}, 0.1)
+        self.assertEqual({"u": 400}, entry_loads.summary("c").tokens)
+
+    def test_report_expires_with_its_tokens_and_speeds(self) -> None:
+        entry_loads = shared_load.EntryLoads()
+        for entry in "ab":
+            entry_loads.report(entry, {"u": 3}, 0.0, [900], {"u": 400})
+        later = shared_load.MAX_AGE + 0.1
+        entry_loads.report("c", {}, later)
+        self.assertEqual(({}, {}, {}), entry_loads.summary("d"))
+
+    def test_tokens_without_an_upstream_are_ignored(self) -> None:
+        """A peer may send lists whose lengths differ."""
+        entry_loads = shared_load.EntryLoads()
+        entry_loads.report("a", {"u": 3}, 0.0, [900, 50])
+        self.assertEqual({}, entry_loads.summary("b").tokens)
+        self.assertEqual({}, shared_load.summary_of({"u": 1}, [], {}).tokens)
+        found = shared_load.summary_of({"u": 1}, [-5], {})
+        self.assertEqual({"u": 0}, found.tokens)
+
+    def test_received_reply_expires(self) -> None:
+        others = shared_load.OtherEntriesLoad()
+        self.assertFalse(others.is_current(0.0))
+        others.update_all(
+            shared_load.Summary({"u": 4}, {"u": 90}, {"u": 160}), 10.0
+        )
+        self.assertEqual(({"u": 90}, {"u": 1.6}), (
+            others.tokens, others.slowdowns
+        ))  # fmt: skip
+        self.assertTrue(others.is_current(10.0 + shared_load.MAX_AGE))
+        self.assertFalse(others.is_current(10.1 + shared_load.MAX_AGE))
+
+
+class SlowdownsTest(testtools.TestCase):
+    def agreed(self, *percents: int) -> int | None:
+        entry_loads = shared_load.EntryLoads()
+        for number, percent in enumerate(percents):
+            entry_loads.report(f"e{number}", {}, 0.0, (), {"u": percent})
+        return entry_loads.summary("x").slowdowns.get("u")
+
+    def test_one_entry_alone_can_t_exclude_an_upstream(self) -> None:
+        self.assertIsNone(self.agreed(900))
+
+    def test_median_of_the_reports_counts(self) -> None:
+        self.assertEqual(450, self.agreed(900, 450, 160))
+        self.assertEqual(170, self.agreed(900, 160, 170, 480))
+
+    def test_of_two_reports_the_milder_counts(self) -> None:
+        self.assertEqual(120, self.agreed(900, 120))
+        self.assertEqual(90, self.agreed(30, 90))
+
+    def test_contradictory_reports_of_two_have_little_effect(self) -> None:
+        self.assertEqual(80, self.agreed(900, 80))
+
+    def test_changed_and_withdrawn_reports_count_no_more(self) -> None:
+        entry_loads = shared_load.EntryLoads()
+        for entry in "abc":
+            entry_loads.report(entry, {}, 0.0, (), {"u": 400, "v": 150})
+        self.assertEqual(
+            {"u": 400, "v": 150}, entry_loads.summary("a").slowdowns
+        )
+        for entry in "abc":
+            entry_loads.report(entry, {}, 0.1, (), {"u": 300})
+        self.assertEqual({"u": 300}, entry_loads.summary("a").slowdowns)
+        entry_loads.report("a", {}, 0.2)
+        entry_loads.report("b", {}, 0.2)
+        self.assertEqual({}, entry_loads.summary("a").slowdowns)
+        self.assertEqual({"u": [300]}, entry_loads.slowdowns)
+
+    def test_reports_and_replies_are_bounded(self) -> None:
+        """A peer may send any numbers, and any number of upstreams."""
+        entry_loads = shared_load.EntryLoads()
+        percents = {f"u{n}": 10**9 * (-1) ** n for n in range(1000)}
+        for entry in "abc":
+            entry_loads.report(entry, {}, 0.0, (), percents)
+        found = entry_loads.summary("d").slowdowns
+        self.assertEqual(shared_load.MAX_UPSTREAMS, len(found))
+        self.assertEqual(
+            {shared_load.MIN_SLOWDOWN, shared_load.MAX_SLOWDOWN},
+            set(found.values()),
+        )
+
+    def test_sums_match_reports_in_any_order(self) -> None:
+        """Guards against totals that drift from the reports they sum."""
+        rng = random.Random(2)
+        entry_loads = shared_load.EntryLoads()
+        now = 0.0
+        for _ in range(2000):
+            now += rng.random() * 0.1
+            names = rng.sample(ENGINES, rng.randrange(4))
+            entry_loads.report(
+                f"e{rng.randrange(9)}",
+                dict.fromkeys(names, 2),
+                now,
+                [rng.randrange(100) for _ in names],
+                {name: rng.choice((100, 160, 400)) for name in names},
+            )
+            reports = entry_loads.reports.values()
+            self.assertEqual(
+                sum(sum(report.tokens.values()) for report in reports),
+                sum(entry_loads.tokens.values()),
+            )
+            self.assertEqual(
+                sum(len(report.slowdowns) for report in reports),
+                sum(len(found) for found in entry_loads.slowdowns.values()),
+            )
