Choosing an upstream costs no more than before

Cause: speeds of all upstreams were compared every 25 ms, and silence and penalties were looked up for each upstream of a service. Change: rates and speeds are computed again every 100 ms and when a speed has changed; only upstreams with requests or failures are checked for silence and penalties; hashes are sorted without a call per comparison. Run: test_emulator, test_turn_time, test_upstream_loads, test_upstream_health, test_load_balancing passed.

--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -168,7 +168,10 @@
         fast = [n for n in upstreams if slowdowns.get(n, 1.0) < MAX_SLOWDOWN]
         upstreams = fast or upstreams
     key = affinity or request
-    ranked = sorted(upstreams, key=lambda name: _rank(key, name))
+    ranked = [
+        name
+        for _, name in sorted([(_rank(key, name), name) for name in upstreams])
+    ]
     if affinity and not has_cache:
         first = ranked[0]
         loads = {name: estimates.load(name) for name in upstreams}
--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -11,7 +11,7 @@
 only beyond the measured scatter.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from collections.abc import Mapping
 import math
 from typing import NamedTuple
@@ -51,8 +51,9 @@
 # avoided upstream is tried again. A request in this time is an answer's length
 # of harm; its first gaps show whether the upstream has recovered.
 MAX_SPEED_AGE = 2.0
-# Age at which rates and speeds that a choice uses are computed again.
-REFRESH_SECONDS = 0.025
+# Age at which rates and speeds that a choice uses are computed again; a change
+# of speed has them computed at once.
+REFRESH_SECONDS = 0.1
 # One gap of a running answer in this many is used for the rates of a service.
 RATE_SAMPLE_INTERVAL = 4
 
@@ -183,6 +184,14 @@
             now: The current time.
         """
         self.pending[request] = (tokens, load, now)
+        self.set_load(load)
+
+    def set_load(self, load: float) -> None:
+        """Sets the load, in batches, with which gaps are compared."""
+        self.load = load
+        rates = self.service.rates
+        if rates is not None:
+            self.expected = max(MIN_GAP, rates.gap_at(load))
 
     def first_event(self, request: str, now: float) -> None:
         """Records the first event of an answer."""
@@ -219,6 +228,7 @@
         if abs(self.fast - slow) > service.change * level:
             slow = self.fast
             self.window = FAST_WINDOW
+            service.refreshed_at = -math.inf
         self.slow = slow
         if self.samples % RATE_SAMPLE_INTERVAL == 0:
             service.learn(self.load, seconds, ratio, slow)
@@ -273,7 +283,7 @@
         self.measured: dict[str, float] = {}
         self.slowdowns: dict[str, float] = {}
         self.stalled: dict[str, float] = {}
-        self.refreshed_at = float("-inf")
+        self.refreshed_at = -math.inf
         self._set_bounds()
 
     def of(self, upstream: str) -> UpstreamTimes:
@@ -306,32 +316,27 @@
 
     def refresh(
         self,
-        loads: Iterable[tuple[str, float]],
+        load_of: Callable[[str], float],
         shared: Mapping[str, float],
         now: float,
     ) -> None:
         """Computes rates and speeds again.
 
         Args:
-            loads: The upstreams and their loads in batches.
+            load_of: Returns the load of an upstream in batches.
             shared: Slowdowns that several other entries agree on.
             now: The current time.
         """
         self.refreshed_at = now
         self._set_bounds()
         gap = self.gap.fit()
-        if gap is None:
-            self.slowdowns = dict(shared)
-            for name, load in loads:
-                self.of(name).load = load
-            return
-        first = self.first.fit() or (0.0, 0.0)
-        self.rates = rates = Rates(*first, *gap, self.gaps)
+        if gap is not None:
+            first = self.first.fit() or (0.0, 0.0)
+            self.rates = Rates(*first, *gap, self.gaps)
         known: list[tuple[str, UpstreamTimes]] = []
-        for name, load in loads:
-            times = self.of(name)
-            times.load = load
-            times.expected = max(MIN_GAP, rates.gap_at(load))
+        for name, times in self.upstreams.items():
+            if times.pending or times.streaming:
+                times.set_load(load_of(name))
             if times.samples >= MIN_SPEED_SAMPLES:
                 known.append((name, times))
         self._compare(known, shared, now)
@@ -361,21 +366,23 @@
             own = times.slow / median if median else 1.0
             age = now - times.updated_at
             trust = min(1.0, times.samples / FULL_SPEED_SAMPLES)
-            if age > MAX_SPEED_AGE:
-                trust = 0.0
+            if times.streaming:
+                gaps = times.stall(now)
+                if gaps:
+                    self.stalled[name] = age
+                    own = max(own, gaps)
+                    trust = 1.0
+            elif age > MAX_SPEED_AGE:
+                continue
             own = 1.0 + (own - 1.0) * trust
-            gaps = times.stall(now)
-            if gaps:
-                self.stalled[name] = age
-                own = max(own, gaps)
-                trust = 1.0
             if abs(own - 1.0) > self.deviation * min(own, 1.0):
                 self.measured[name] = own
-            value = own + (1.0 - trust) * (shared.get(name, 1.0) - 1.0)
-            if abs(value - 1.0) > self.deviation * min(value, 1.0):
-                slowdowns[name] = value
-            else:
-                slowdowns.pop(name, None)
+            if trust < 1.0 and name in shared:
+                own += (1.0 - trust) * (shared[name] - 1.0)
+            if abs(own - 1.0) > self.deviation * min(own, 1.0):
+                slowdowns[name] = own
+            elif name in slowdowns:
+                del slowdowns[name]
         self.slowdowns = slowdowns
 
 
--- a/src/mintcleat/decisions/upstream_health.py
+++ b/src/mintcleat/decisions/upstream_health.py
@@ -9,6 +9,7 @@
 until then.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -174,13 +175,25 @@
     def silent(self, upstream: str, now: float) -> bool:
         """Returns whether a request has exceeded its silence timeout."""
         pending = self.pending_requests.get(upstream)
-        if not pending:
-            return False
-        received = self.last_received.get(upstream, 0.0)
-        return any(
-            now - max(request.sent_at, received) > request.silence_timeout
-            for request in pending.values()
-        )
+        return pending is not None and self._exceeded(upstream, pending, now)
+
+    def silent_upstreams(self, now: float) -> list[str]:
+        """Returns all upstreams that are silent."""
+        return [
+            upstream
+            for upstream, pending in self.pending_requests.items()
+            if self._exceeded(upstream, pending, now)
+        ]
+
+    def _exceeded(
+        self, upstream: str, pending: Mapping[str, PendingRequest], now: float
+    ) -> bool:
+        silent = now - self.last_received.get(upstream, 0.0)
+        for request in pending.values():
+            timeout = request.silence_timeout
+            if silent > timeout and now - request.sent_at > timeout:
+                return True
+        return False
 
 
 def healthy(
@@ -202,10 +215,15 @@
         repeatable: Whether the request may be repeated elsewhere.
         now: The current time.
     """
-    names = [
-        name
-        for name in upstreams
-        if (penalties is None or penalties.allows(name, repeatable, now))
-        and (silence_detector is None or not silence_detector.silent(name, now))
-    ]
+    # Few upstreams have failed recently or have requests of this entry.
+    excluded = set()
+    if penalties is not None:
+        for name in penalties.by_upstream:
+            if not penalties.allows(name, repeatable, now):
+                excluded.add(name)
+    if silence_detector is not None:
+        excluded.update(silence_detector.silent_upstreams(now))
+    if not excluded:
+        return list(upstreams)
+    names = [name for name in upstreams if name not in excluded]
     return names or list(upstreams)
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -283,15 +283,14 @@
             return times
         pending = self.silence_detector.pending_requests
         shared = self.others.slowdowns if others else {}
+
+        def load_of(name: str) -> float:
+            running = len(pending.get(name, ())) + others.get(name, 0)
+            item = ready.get(name)
+            return running / max(1, item.slots) if item else 0.0
+
         times.refresh(
-            [
-                (
-                    name,
-                    (len(pending.get(name, ())) + others.get(name, 0))
-                    / max(1, item.slots),
-                )
-                for name, item in ready.items()
-            ],
+            load_of,
             {name: value for name, value in shared.items() if name in ready},
             now,
         )
@@ -316,12 +315,14 @@
         """
         now = self.timers.now()
         self.silence_detector.began(incarnation, request, silence_timeout, now)
-        if placement is None or not placement.turn.total:
+        if placement is None or not self.policy.turn_time:
             return
-        tokens = self.tokens.get(incarnation)
-        if tokens is None:
-            tokens = self.tokens[incarnation] = engine_memory.RunningTokens()
-        tokens.add(request, placement.turn)
+        if placement.turn.total:
+            tokens = self.tokens.get(incarnation)
+            if tokens is None:
+                tokens = engine_memory.RunningTokens()
+                self.tokens[incarnation] = tokens
+            tokens.add(request, placement.turn)
         self.times.upstream(placement.upstream.service, incarnation).began(
             request, placement.uncached, placement.load, now
         )
--- a/testing/test_turn_time.py
+++ b/testing/test_turn_time.py
@@ -31,7 +31,7 @@
         self.shared: dict[str, float] = {}
 
     def refresh(self) -> None:
-        self.service.refresh(self.loads.items(), self.shared, self.now)
+        self.service.refresh(self.loads.__getitem__, self.shared, self.now)
 
     def gap(self, name: str) -> float:
         scatter = self.random.uniform(0.5, 1.5)
