--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -177,8 +177,12 @@
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
-                others = self.entry_loads.others(entry)
-                replies[place] = reply._replace(others=others)
+                loads = shared_load.reply_of(self.entry_loads.summary(entry))
+                replies[place] = reply._replace(
+                    others=loads.others,
+                    others_tokens=loads.tokens,
+                    slowdowns=loads.slowdowns,
+                )
         return replies
 
     def _controls_admission(self, group: str, request: Any) -> bool:
@@ -252,7 +256,11 @@
         """
         report = request.running
         self.entry_loads.report(
-            report.entry, report.by_upstream, self.timers.now()
+            report.entry,
+            report.by_upstream,
+            self.timers.now(),
+            report.tokens,
+            report.slowdowns,
         )
         return request._replace(running=None)
 
