--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -30,12 +30,15 @@
         slowdowns: Time that each upstream takes, in percent of the median of
             its peers as the sender measured it, in the order of `by_upstream`;
             empty if none differs.
+        failing: Upstreams that the sender avoids because they fail or are
+            silent.
     """
 
     entry: str
     by_upstream: dict[str, int]
     tokens: list[int] = []
     slowdowns: list[int] = []
+    failing: list[str] = []
 
 
 class RateLimit(NamedTuple):
@@ -174,6 +177,8 @@
         slowdowns: Time that each upstream takes, in percent of the median of
             its peers, as several entries say, in the order of `others`; empty
             if none differs.
+        failing: Upstreams that several entries avoid because they fail or are
+            silent.
     """
 
     chain: list[KeptTurn]
@@ -183,6 +188,7 @@
     ahead: int = 0
     others_tokens: list[int] = []
     slowdowns: list[int] = []
+    failing: list[str] = []
 
 
 class CountCall(NamedTuple):
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from mintcleat.decisions import limits
+from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.domain import codec
 from mintcleat.domain import errors
@@ -78,6 +79,7 @@
         clocks: The clock of each group.
         policies: Returns the policies in force.
         entry_loads: Running requests by upstream, as reported by the entries.
+        failure_reports: Upstreams that entries avoid, as reported by them.
         contention: Admission control of turns.
         load_report: Load and limits for operators.
     """
@@ -117,6 +119,7 @@
             for group, group_machine in self.machines.items()
         }
         self.entry_loads = shared_load.EntryLoads()
+        self.failure_reports = shared_health.FailureReports()
         self.contention = contention.Contention(
             self.machines, timer_service, policies, events
         )
@@ -182,6 +185,7 @@
                     others=loads.others,
                     others_tokens=loads.tokens,
                     slowdowns=loads.slowdowns,
+                    failing=self.failure_reports.failing(),
                 )
         return replies
 
@@ -262,6 +266,9 @@
             report.tokens,
             report.slowdowns,
         )
+        self.failure_reports.report(
+            report.entry, report.failing, self.timers.now()
+        )
         return request._replace(running=None)
 
     def _serve_one(self, exchange: streams.Exchange, message: Any) -> None:
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -232,7 +232,7 @@
         turn = self.context.turns.open(
             self.call, reserve, retention, loads.report(), self._admission()
         )
-        loads.update_others(turn.others)
+        loads.update_others(turn.others, turn.failing)
         self.relay.turn = turn
 
     def _admission(self) -> turn_demand.Admission | None:
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -1,6 +1,7 @@
 """Opens, commits and settles turns of routed programs at control leaders."""
 
 import collections
+from collections.abc import Sequence
 
 from mintcleat.decisions import control_outage
 from mintcleat.decisions import shared_load
@@ -67,6 +68,7 @@
             of the upstream.
         counted_at: When it was counted against its customer's limit, by the
             group's clock; negative if it was not counted.
+        failing: Upstreams that several entries avoid.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         hint: str,
         others: shared_load.Summary,
         counted_at: float = -1.0,
+        failing: Sequence[str] = (),
     ) -> None:
         self.call = call
         self.retention = retention
@@ -84,6 +87,7 @@
         self.hint = hint
         self.others = others
         self.counted_at = counted_at
+        self.failing = failing
 
     def body(self) -> bytes:
         """Returns the request body: preceding turns and the new input."""
@@ -200,6 +204,7 @@
                 reply.others, reply.others_tokens, reply.slowdowns
             ),
             reply.counted_at,
+            reply.failing,
         )
 
     def _ask_for_grant(
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 from typing import Protocol
 
@@ -9,6 +10,7 @@
 from mintcleat.decisions import engine_memory
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import policy as policy_module
+from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.decisions import turn_estimates
 from mintcleat.decisions import turn_time
@@ -90,6 +92,7 @@
         entry: Name of this entry.
         policy: Decisions that are switched on.
         others: Running requests of other entries.
+        reported_failures: Upstreams that several other entries avoid.
         times: Measured rates and speeds.
         prefixes: Prompt parts that programs share.
         tokens: Tokens of this entry's requests, by incarnation.
@@ -115,6 +118,7 @@
         self.events = events
         self.on_removed = on_removed
         self.penalties = upstream_health.FailurePenalties()
+        self.reported_failures = shared_health.ReportedFailures()
         self.silence_detector = upstream_health.SilenceDetector()
         self.latencies = load_balancing.LatencyTracker()
         self.times = turn_time.TurnTimes()
@@ -174,6 +178,8 @@
             request.repeatable,
             now,
         )
+        if policy.standing and not request.repeatable:
+            names = self.reported_failures.allowed(names, now)
         if policy.turn_time:
             return self._choose_by_time(service, ready, names, request, now)
         return self._choose_by_count(ready, names, request, now)
@@ -351,8 +357,11 @@
             incarnation: len(requests)
             for incarnation, requests in waits.items()
         }
+        failing = self._failing()
         if not self.policy.turn_time:
-            return program_messages.RunningCounts(self.entry, counts)
+            return program_messages.RunningCounts(
+                self.entry, counts, failing=failing
+            )
         measured: dict[str, float] = {}
         for times in self.times.services.values():
             measured.update(times.measured)
@@ -370,12 +379,36 @@
         if measured:
             slowdowns = [_percent(measured.get(name, 1.0)) for name in counts]
         return program_messages.RunningCounts(
-            self.entry, counts, tokens, slowdowns
+            self.entry, counts, tokens, slowdowns, failing
         )
 
-    def update_others(self, others: shared_load.Summary) -> None:
-        """Replaces what other entries have running and measured."""
-        self.others.update_all(others, self.timers.now())
+    def update_others(
+        self, others: shared_load.Summary, failing: Sequence[str] = ()
+    ) -> None:
+        """Replaces what other entries have running and measured.
+
+        Args:
+            others: Running requests, tokens and speeds.
+            failing: Upstreams that several entries avoid.
+        """
+        now = self.timers.now()
+        self.others.update_all(others, now)
+        self.reported_failures.update(list(failing), now)
+
+    def _failing(self) -> list[str]:
+        """Returns the upstreams that this entry avoids."""
+        now = self.timers.now()
+        failing = [
+            name
+            for name in self.penalties.by_upstream
+            if not self.penalties.allows(name, False, now)
+        ]
+        failing.extend(
+            name
+            for name in self.silence_detector.silent_upstreams(now)
+            if name not in failing
+        )
+        return failing
 
     def ended(self, incarnation: str, request: str) -> None:
         """Removes a request from the count; idempotent."""
