--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -180,6 +180,9 @@
     def __init__(self) -> None:
         self.status = 0
 
+    def set_on_blocked(self, callback: object) -> None:
+        pass
+
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         self.status = head.status
 
