Turns and accounts are deleted in the order in which they expire

Change: an index by the second of expiry, not stored, that is the same at every replica however it was built. What expires when is unchanged.

--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -22,6 +22,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import program_messages
+from mintcleat.programs import expiry
 from mintcleat.programs import limits
 
 # Added to the retention that an entry asks for: a caller counts it from the
@@ -87,13 +88,14 @@
 
     Attributes:
         limits: Requests that customers have sent recently.
-        accounts: Accounts by program, the least recently used first. All
-            have a similar retention, so they expire in about this order.
+        accounts: Accounts by program, the least recently used first.
         turns: Finished turns by id. A program may continue a turn of another
             program of its customer.
-        expires: Group clock after which each finished turn may be deleted,
-            in about that order.
+        expires: Group clock after which each finished turn may be deleted, the
+            least recently renewed first.
         last_sweep: Group clock of the last sweep.
+        turn_expiry: The finished turns by expiry.
+        account_expiry: The accounts by expiry.
     """
 
     def __init__(self) -> None:
@@ -106,6 +108,8 @@
             collections.OrderedDict()
         )
         self.last_sweep = 0.0
+        self.turn_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
+        self.account_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
 
     def open(self, request: program_messages.OpenTurn, clock: float) -> Any:
         """Opens a turn: reserves its tokens and counts its request.
@@ -212,24 +216,19 @@
         """Returns whether a sweep at `clock` would delete anything."""
         if clock - self.last_sweep < SWEEP_INTERVAL_SECONDS:
             return False
-        turn = next(iter(self.expires.values()), clock)
-        account = next(iter(self.accounts.values()), None)
-        return turn < clock or (account is not None and account.expires < clock)
+        return self.turn_expiry.has_expired(
+            clock
+        ) or self.account_expiry.has_expired(clock)
 
     def sweep(self, clock: float) -> None:
         """Deletes expired turns and accounts, MAX_DELETIONS of each at most."""
         self.last_sweep = clock
-        for _ in range(MAX_DELETIONS):
-            name = next(iter(self.expires), None)
-            if name is None or self.expires[name] >= clock:
-                break
-            del self.expires[name]
-            del self.turns[name]
-        for _ in range(MAX_DELETIONS):
-            name = next(iter(self.accounts), None)
-            if name is None or self.accounts[name].expires >= clock:
-                break
-            del self.accounts[name]
+        for turn in self.turn_expiry.expired(clock, MAX_DELETIONS):
+            self.turn_expiry.remove(turn, self.expires.pop(turn))
+            del self.turns[turn]
+        for program in self.account_expiry.expired(clock, MAX_DELETIONS):
+            account = self.accounts.pop(program)
+            self.account_expiry.remove(program, account.expires)
 
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
@@ -279,11 +278,13 @@
             )
             account.settled.update(dict.fromkeys(settled))
             account.upstream, account.expires = upstream, expires
+            self.account_expiry.add(key, expires)
         for until, *fields in state[2]:
             kept = program_messages.KeptTurn(*fields)
             turn = ScopedId(kept.customer, kept.turn)
             self.turns[turn] = kept
             self.expires[turn] = until
+            self.turn_expiry.add(turn, until)
         if len(state) > _LIMITS_INDEX:
             self.limits.load(state[_LIMITS_INDEX])
 
@@ -295,7 +296,12 @@
         turn = request.turn
         while turn:
             key = ScopedId(request.customer, turn)
-            if self.expires.get(key, 0.0) < until:
+            before = self.expires.get(key)
+            if before is None:
+                self.turn_expiry.add(key, until)
+            elif before < until:
+                self.turn_expiry.move(key, before, until)
+            if before is None or before < until:
                 self.expires[key] = until
                 self.expires.move_to_end(key)
             turn = self.turns[key].previous
@@ -308,10 +314,14 @@
         """Returns a program's account, created if missing, and renews it."""
         key = ScopedId(request.customer, request.program)
         account = self.accounts.get(key)
+        until = clock + request.retention + RETENTION_SLACK_SECONDS
         if account is None:
             account = self.accounts[key] = Account()
-        until = clock + request.retention + RETENTION_SLACK_SECONDS
-        account.expires = max(account.expires, until)
+            account.expires = until
+            self.account_expiry.add(key, until)
+        elif until > account.expires:
+            self.account_expiry.move(key, account.expires, until)
+            account.expires = until
         self.accounts.move_to_end(key)
         return account
 
--- a/testing/test_branches.py
+++ b/testing/test_branches.py
@@ -1,5 +1,7 @@
 """Programs whose turns continue a named turn."""
 
+import random
+
 import msgpack
 import testtools
 
@@ -160,6 +162,41 @@
         self.assertEqual({}, self.group.turns)
         self.assertEqual({}, self.group.accounts)
 
+    def test_turn_that_is_kept_longer_does_not_keep_later_ones(self) -> None:
+        # Guards against a group that grows for as long as the longest
+        # retention of any route.
+        self.group.close(closing("long")._replace(retention=3600.0), 0.0)
+        for number in range(20):
+            self.group.close(
+                closing(f"t{number}")._replace(program=f"p{number}"), 1.0
+            )
+        late = 60.0 + branches.RETENTION_SLACK_SECONDS + 1.1
+        self.assertTrue(self.group.is_due(late))
+        self.group.sweep(late)
+        self.assertEqual(["long"], [key.name for key in self.group.turns])
+        self.assertEqual(1, len(self.group.accounts))
+
+    def test_replicas_delete_the_same_turns(self) -> None:
+        # Guards against an order of deletion that depends on whether a replica
+        # began with a snapshot, if one sweep does not delete all.
+        self.patch(branches, "MAX_DELETIONS", 3)
+        choose = random.Random(5)
+        other = branches.Branches()
+        clock = 0.0
+        for number in range(300):
+            clock += choose.uniform(0.0, 3.0)
+            if choose.random() < 0.1:
+                other = branches.Branches()
+                other.load(msgpack.unpackb(msgpack.packb(self.group.state())))
+            request = closing(f"t{choose.randint(0, 30)}")._replace(
+                program=f"p{number % 7}",
+                retention=choose.choice((0.0, 5.0, 5.0, 40.0)),
+            )
+            for replica in (self.group, other):
+                replica.close(request, clock)
+                replica.sweep(clock)
+            self.assertEqual(self.group.state()[1:], other.state()[1:])
+
     def test_loaded_state_equals_the_saved_state(self) -> None:
         self.run_turn("a")
         self.run_turn("b", "a")
