--- a/src/mintcleat/decisions/fair_shares.py
+++ b/src/mintcleat/decisions/fair_shares.py
@@ -6,8 +6,12 @@
 more. The entitlements follow the recent demand, so that idle shares are lent
 at once and given back within about `HORIZON_SECONDS`.
 
-Handles some thousand customers: entitlements are computed from all of them at
-most every `REFRESH_SECONDS`, all other operations take constant time.
+A customer is over its share if it demands more than it is entitled to and
+several times what the median customer demands. Without the second condition,
+customers with few programs would often count as over their share by chance.
+
+Handles some thousand customers: entitlements are computed from all of them a
+few times a second, all other operations take constant time.
 """
 
 from collections.abc import Iterable
@@ -15,16 +19,21 @@
 from typing import NamedTuple
 
 # Time constant of the decaying sums. A customer that multiplies its load by
-# five or more is recognized within a quarter of it; a shorter horizon would
-# mistake the random bursts of customers with few programs for it.
+# seven is recognized within a third of it; a shorter horizon would mistake the
+# random bursts of customers with few programs for that.
 HORIZON_SECONDS = 2.0
+# Seconds between two updates of the entitlements: at least the first, and the
+# second for each customer, which bounds the time spent on it.
 REFRESH_SECONDS = 0.1
-# A customer counts as over its share if it demands this multiple of it. Small
-# differences are left to the order of the queue.
-TOLERANCE = 1.5
-# Demand that exceeds the work done by less than this doesn't count as
-# contention.
-_CONTENTION = 1.05
+_REFRESH_SECONDS_PER_CUSTOMER = 1e-4
+# Demand of a customer over its share, as a multiple of the median demand.
+HEAVY_FACTOR = 2.5
+# Demand of the median customer, as a multiple of its share, up to which it
+# counts as satisfied. If it is not, the service is short of work for all.
+_SATISFIED = 1.25
+# Part of the recent work that is divided. The rest makes the entitlements bind
+# as soon as the service is fully used, before any demand was refused.
+_DIVIDED_PART = 0.95
 _MIN_WEIGHT = 0.01
 # Decayed demand, in tokens, below which a customer is forgotten.
 _MIN_DEMAND = 0.5
@@ -41,7 +50,7 @@
     """Share and use of a customer, as fractions of the work of the service.
 
     Attributes:
-        share: What it is entitled to; 1 without contention.
+        share: What it is entitled to.
         use: What it has received recently.
     """
 
@@ -55,11 +64,11 @@
     Customers that want less get what they want. The entitlements add up to
     `capacity`, unless the demand is lower; the level is inf in that case.
     """
-    ordered = sorted(wants, key=lambda want: want.demand / want.weight)
+    ordered = sorted(wants, key=_per_weight)
     weight = sum(want.weight for want in ordered)
     left = capacity
     for want in ordered:
-        if want.demand / want.weight * weight > left:
+        if _per_weight(want) * weight > left:
             return max(0.0, left) / weight
         left -= want.demand
         weight -= want.weight
@@ -95,17 +104,16 @@
 
     Attributes:
         usages: Usage by customer; idle customers are removed.
-        level: Entitlement per weight, in tokens of decayed work; inf without
-            contention.
+        level: Entitlement per weight, in tokens of decayed work.
+        median: Median of the demand per weight, in the same unit.
         total: Decayed work of all customers, in tokens.
-        has_satisfied: Whether some customer demands less than its share.
     """
 
     def __init__(self) -> None:
         self.usages: dict[str, Usage] = {}
         self.level = math.inf
         self.total = 0.0
-        self.has_satisfied = False
+        self.median = 0.0
         self._refresh_at = -math.inf
 
     def demand(
@@ -130,11 +138,12 @@
         """Returns whether a customer is over its share and others are not."""
         self.refresh(now)
         usage = self.usages.get(customer)
-        return (
-            usage is not None
-            and self.has_satisfied
-            and usage.demanded > TOLERANCE * self.level * usage.weight
-        )
+        if usage is None or len(self.usages) < 2:
+            return False
+        if self.median > _SATISFIED * self.level:
+            return False
+        demanded = usage.demanded / usage.weight
+        return demanded > max(self.level, HEAVY_FACTOR * self.median)
 
     def share(self, customer: str, now: float) -> Share:
         """Returns share and use of a customer."""
@@ -143,13 +152,15 @@
         if usage is None or self.total <= 0.0:
             return Share(1.0, 0.0)
         entitled = min(1.0, self.level * usage.weight / self.total)
-        return Share(entitled, usage.used / self.total)
+        return Share(entitled, min(1.0, usage.used / self.total))
 
     def refresh(self, now: float) -> None:
         """Updates the entitlements if they are out of date."""
         if now < self._refresh_at:
             return
-        self._refresh_at = now + REFRESH_SECONDS
+        self._refresh_at = now + max(
+            REFRESH_SECONDS, _REFRESH_SECONDS_PER_CUSTOMER * len(self.usages)
+        )
         for usage in self.usages.values():
             usage.decay(now)
         for customer in [
@@ -158,13 +169,19 @@
             if usage.demanded < _MIN_DEMAND
         ]:
             del self.usages[customer]
-        wants = [
-            Want(usage.demanded, usage.weight) for usage in self.usages.values()
-        ]
+        wants = sorted(
+            (
+                Want(usage.demanded, usage.weight)
+                for usage in self.usages.values()
+            ),
+            key=_per_weight,
+        )
         self.total = sum(usage.used for usage in self.usages.values())
-        self.level = math.inf
-        if sum(want.demand for want in wants) > _CONTENTION * self.total:
-            self.level = max_min_level(wants, self.total)
-        self.has_satisfied = any(
-            want.demand < self.level * want.weight for want in wants
+        self.level = max_min_level(wants, _DIVIDED_PART * self.total)
+        self.median = (
+            _per_weight(wants[(len(wants) - 1) // 2]) if wants else 0.0
         )
+
+
+def _per_weight(want: Want) -> float:
+    return want.demand / want.weight
--- a/src/mintcleat/decisions/program_times.py
+++ b/src/mintcleat/decisions/program_times.py
@@ -19,6 +19,10 @@
 # longer counts as two.
 IDLE_SECONDS = 3.0
 MAX_KINDS = 64
+# First attempts that are remembered, and for how long: some retries of a
+# refused caller.
+MAX_ATTEMPTS = 4096
+ATTEMPT_SECONDS = 10.0
 # Weight of a new sample in the moving averages.
 _SMOOTHING = 1 / 16
 # Bounds of the factor by which the target of a program adjusts its duration.
@@ -73,6 +77,46 @@
     known: bool
 
 
+class Attempt(NamedTuple):
+    """The first attempt to begin a program.
+
+    Attributes:
+        at: When it was sent.
+        target: Target duration of the program; 0 for none.
+    """
+
+    at: float
+    target: float
+
+
+class FirstAttempts:
+    """When programs that could not begin at once were first sent.
+
+    A caller that was refused tries again with a new request, and the time that
+    has passed counts against the target of its program.
+
+    Attributes:
+        attempts: First attempt by program, the oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.attempts: collections.OrderedDict[str, Attempt] = (
+            collections.OrderedDict()
+        )
+
+    def of(self, program: str, attempt: Attempt, now: float) -> Attempt:
+        """Returns the first attempt of a program; the given one if none."""
+        while self.attempts:
+            oldest, first = next(iter(self.attempts.items()))
+            if (
+                now - first.at < ATTEMPT_SECONDS
+                and len(self.attempts) < MAX_ATTEMPTS
+            ):
+                break
+            del self.attempts[oldest]
+        return self.attempts.setdefault(program, attempt)
+
+
 class ProgramTimes:
     """Learns the durations of the programs of one service.
 
@@ -153,9 +197,13 @@
             seconds *= scale
         return Expected(seconds, turns, True)
 
-    def allowed_pace(self, kind: str) -> float:
+    def allowed_pace(self, kind: str, fraction: float) -> float:
         """Returns the pace at which programs of a kind end just in time.
 
+        Args:
+            kind: Kind of the programs.
+            fraction: Fraction of the target in which they must end.
+
         Returns:
             Seconds per unit of work; 0 if it isn't known.
         """
@@ -164,7 +212,7 @@
         if times is None or not remaining.known or not times.target:
             return 0.0
         turns = max(1.0, remaining.turns)
-        left = times.target - (turns - 1) * times.pause
+        left = times.target * fraction - (turns - 1) * times.pause
         return max(0.0, left) / (turns * max(times.units, 1.0))
 
     def _see(self, program: str, sampled: SampledProgram, now: float) -> None:
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -23,7 +23,6 @@
 
 import sortedcontainers
 
-from mintcleat.decisions import concurrency
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import jitter
 from mintcleat.decisions import program_times
@@ -34,23 +33,20 @@
 
 # Fraction of slots and of memory that running turns may use. Entries place
 # turns by figures that are a little old, so engines are never loaded evenly.
-CAPACITY_FRACTION = 0.9
+CAPACITY_FRACTION = 0.95
 # Longest wait of a first turn, as a fraction of its program's target duration,
 # so that a refused caller still has time to try elsewhere.
-MAX_WAIT_FRACTION = 0.25
+MAX_WAIT_FRACTION = 0.2
 # Longest wait, in seconds, of a first turn without a target.
 MAX_WAIT_SECONDS = 0.5
 # Part of a target that expected durations may take; programs vary.
 _TARGET_FRACTION = 0.9
-# Slowdown of turns that is allowed whatever targets require. A lower one would
-# leave engines idle, as batches slow down a little from the second turn on.
-_MIN_SLOWDOWN = 1.5
 # After this many grants to more urgent ranks, a rank is granted one turn, so
 # that no kind and no customer starves.
 GUARANTEED_INTERVAL = 16
 # Time for which less urgent programs are held back after a more urgent one was
-# refused. It spans several retries of refused callers.
-_RECENT_SECONDS = 1.0
+# refused, so that the retry of the latter comes first.
+_RECENT_SECONDS = 0.3
 # Bounds of the time after which a waiting turn asks again, in seconds.
 MIN_RETRY_SECONDS = 0.02
 MAX_RETRY_SECONDS = 0.1
@@ -61,6 +57,10 @@
 # is predicted, and so nothing refused by prediction, before.
 _MIN_EVIDENCE = 16
 _SMOOTHING = 1 / 16
+# With at least this many turns running, messages arrive many times within the
+# duration of a turn. If none does, this leader was cut off.
+_SILENT_TURNS = 8
+_MIN_SILENCE_SECONDS = 0.1
 # Work of a turn in units: a generated token counts 1. Engines process prompt
 # tokens about two orders of magnitude faster than they generate.
 _UNITS_PER_PROMPT_TOKEN = 0.01
@@ -268,6 +268,7 @@
         shares: Work of the customers.
         pace: Limit by the time that turns take.
         times: Durations of programs.
+        first_attempts: When waiting and refused programs were first sent.
         reports: Turns that entries report beyond the granted ones.
         places: Slots of the service, as entries see them.
         memory: Memory of the service in tokens, as entries see it.
@@ -283,6 +284,7 @@
         self.shares = fair_shares.FairShares()
         self.pace = turn_pace.PaceLimit()
         self.times = program_times.ProgramTimes()
+        self.first_attempts = program_times.FirstAttempts()
         self.reports = EntryReports()
         self.places = 0.0
         self.memory = 0.0
@@ -301,12 +303,15 @@
         # Grants to more urgent ranks since the last one to each rank.
         self._passed: dict[turn_queue.Rank, int] = {}
         self._refused_at: dict[int, float] = {}
-        self._allowed = concurrency.MAX_SLOWDOWN
+        self._allowed = 0.0
         self._refresh_at = -math.inf
+        self._active_at = -math.inf
+        self._silent_until = -math.inf
 
     def ask(self, ask: turn_queue.Ask, now: float) -> Grant | Defer | Refuse:
         """Decides on a turn; also for turns that ask again."""
         ask = _with_valid_share(ask)
+        self._note_activity(now)
         self._expire(now)
         self._observe_capacity(ask.demand)
         self.reports.report(ask.entry, ask.demand.running, now)
@@ -350,6 +355,7 @@
         Returns:
             Whether the turn was granted.
         """
+        self._note_activity(now)
         if key in self.queue.waiters:
             self.queue.refund(self.queue.remove(key).ask)
         turn = self.running.pop(key, None)
@@ -434,7 +440,9 @@
             stage = turn_queue.FIRST
             if self.shares.is_over(customer, now):
                 stage = turn_queue.FIRST_OVER_SHARE
-        return self.queue.add(ask, turn_queue.Rank(stage, demand.priority), now)
+        rank = turn_queue.Rank(stage, demand.priority)
+        self._passed.setdefault(rank, 0)
+        return self.queue.add(ask, rank, now)
 
     def _bound_for(self, ask: turn_queue.Ask) -> float:
         """Returns the bound for one turn.
@@ -450,7 +458,9 @@
     def _may_run(
         self, waiter: turn_queue.Waiter, rank: int, bound: float, now: float
     ) -> bool:
-        free = bound - self.running_turns()
+        free = math.inf
+        if math.isfinite(bound):
+            free = int(bound) - self.running_turns()
         if free <= 0:
             return False
         before = self.queue.ahead_of_rank(waiter.rank)
@@ -507,26 +517,29 @@
         """Returns the refusal of a first turn; None if it may wait."""
         ask = waiter.ask
         demand = ask.demand
-        expected = self.times.expected(
-            _kind(ask), demand.finish_within, self.pace.pace
+        waited = max(now - waiter.since, demand.waited)
+        first = self.first_attempts.of(
+            _program_key(ask),
+            program_times.Attempt(now - waited, demand.finish_within),
+            now,
         )
+        expected = self.times.expected(_kind(ask), first.target, self.pace.pace)
         programs = max(0, rank - self.queue.in_progress) + 1
         wait = self._wait(rank + 1, programs * (expected.turns - 1))
         if self._is_held_back(waiter.rank, now):
             wait = max(wait, _RECENT_SECONDS)
-        waited = max(now - waiter.since, demand.waited)
         limit, slack = MAX_WAIT_SECONDS, math.inf
-        if demand.finish_within > 0:
-            limit = MAX_WAIT_FRACTION * demand.finish_within
-            slack = demand.finish_within * _TARGET_FRACTION - expected.seconds
-        if waited + wait <= min(limit, slack):
+        if first.target > 0:
+            limit = MAX_WAIT_FRACTION * first.target
+            slack = first.target * _TARGET_FRACTION - expected.seconds
+        if waited + wait <= limit and now - first.at + wait <= slack:
             return None
         kind = "overloaded"
         if waiter.rank.stage == turn_queue.FIRST_OVER_SHARE:
             kind = "share_exceeded"
         return Refuse(
             kind,
-            "duration" if slack < limit else "wait",
+            "wait" if waited + wait > limit else "duration",
             min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, wait)),
             self._situation(ask, wait, rank, bound, now),
         )
@@ -551,12 +564,8 @@
         demand = ask.demand
         self.queue.remove(ask.key)
         self.queue.clock.advance(waiter.tag)
-        self.queue.clock.drop_idle()
         self.shares.use(ask.key.customer, demand.tokens, now)
-        for rank in self._passed:
-            if rank > waiter.rank:
-                self._passed[rank] += 1
-        self._passed[waiter.rank] = 0
+        self._count_passed(waiter.rank)
         self.reports.started(ask.entry)
         expires = now + demand.timeout
         self.running[ask.key] = RunningTurn(
@@ -569,6 +578,20 @@
         self.granted += 1
         return Grant(now - waiter.since)
 
+    def _count_passed(self, granted: turn_queue.Rank) -> None:
+        """Counts a grant for the ranks that it passed over.
+
+        First turns aren't passed over by turns of programs in progress: these
+        end by themselves when no program begins.
+        """
+        begins = granted.stage != turn_queue.IN_PROGRESS
+        for rank in self._passed:
+            if rank > granted and (
+                begins or rank.stage == turn_queue.IN_PROGRESS
+            ):
+                self._passed[rank] += 1
+        self._passed[granted] = 0
+
     def _refuse(
         self, waiter: turn_queue.Waiter, refusal: Refuse, now: float
     ) -> None:
@@ -597,27 +620,45 @@
         if demand.memory_tokens:
             self.memory = _moved(self.memory, demand.memory_tokens)
 
+    def _note_activity(self, now: float) -> None:
+        """Recognizes times in which no message arrived.
+
+        Turns that ended in such a time are reported late, and seem slow.
+        """
+        silence = now - self._active_at
+        if len(self.running) >= _SILENT_TURNS and silence > max(
+            self.turn_seconds, _MIN_SILENCE_SECONDS
+        ):
+            self._silent_until = now
+        self._active_at = now
+
     def _observe_turn(
         self, turn: RunningTurn, units: float, now: float
     ) -> None:
+        if turn.at < self._silent_until:
+            return
         seconds = now - turn.at
         self.closed += 1
         self.turn_seconds = _moved(self.turn_seconds, seconds)
         if now >= self._refresh_at:
             self._refresh_at = now + _REFRESH_SECONDS
-            self._allowed = self._allowed_slowdown()
+            self._allowed = self._allowed_pace()
+            self.queue.clock.drop_idle()
         self.pace.observe(
             seconds, units, turn.level, self.capacity(), self._allowed, now
         )
 
-    def _allowed_slowdown(self) -> float:
-        """Returns the slowdown at which programs of all kinds end in time."""
-        allowed = concurrency.MAX_SLOWDOWN
-        for kind in self.times.kinds:
-            pace = self.times.allowed_pace(kind) * _TARGET_FRACTION
-            if pace and self.pace.base:
-                allowed = min(allowed, pace / self.pace.base)
-        return max(_MIN_SLOWDOWN, allowed)
+    def _allowed_pace(self) -> float:
+        """Returns the pace at which programs of all kinds end in time.
+
+        Returns:
+            Seconds per unit of work; 0 if it isn't known.
+        """
+        paces = [
+            self.times.allowed_pace(kind, _TARGET_FRACTION)
+            for kind in self.times.kinds
+        ]
+        return min(filter(None, paces), default=0.0)
 
 
 # Customers whose refusals are counted; all counts begin again beyond it.
--- a/src/mintcleat/decisions/turn_pace.py
+++ b/src/mintcleat/decisions/turn_pace.py
@@ -10,7 +10,11 @@
 high, and repeated late samples don't reduce the limit again. So the limit
 doesn't oscillate after a step in load, whatever the delay.
 
-Handles up to some thousand closed turns per second: a sample costs a few
+A reduction is kept only if turns become faster by at least half of what the
+load fell by. Otherwise something else makes them slow, such as a slow engine,
+and fewer running turns would only waste the engines.
+
+Handles several thousand closed turns per second: a sample costs a few
 additions, and the limit changes once per period.
 """
 
@@ -27,7 +31,7 @@
 _NOISE_SAMPLES = 16
 # Largest single reduction, as a fraction of the load that was too high.
 _MAX_REDUCTION = 0.7
-# The limit rises while the slowdown is below this fraction of the allowed one.
+# The limit rises while the pace is below this fraction of the allowed one.
 # Between the two it is kept, so that it settles.
 _CALM_FRACTION = 0.85
 _RAISE_FACTOR = 1.05
@@ -35,19 +39,28 @@
 # happens at the limit. Without it, the limit would rise before samples at the
 # last increase have arrived.
 _USED_FRACTION = 0.9
-# Relative increase of the time at low load per period, so that a faster speed
-# that the engines no longer have is forgotten.
-_BASE_DRIFT = 0.0002
 # Load after a reduction, as a fraction of that before, from which on the
 # comparison of their times is meaningful.
 _COMPARED_FRACTION = 0.85
-# If times fell by less than this part of what the load fell by, the load is
-# not the cause of slow turns, and fewer running turns would only waste engines.
+# Periods after a reduction until its effect is judged, as the moving average
+# follows with a delay.
+_COMPARED_PERIODS = 3
+# Smallest relative fall of the pace, per relative fall of the load, that keeps
+# a reduction.
 _CAUSE_FRACTION = 0.5
+# After a reduction that did not help, the limit is not reduced again until the
+# pace is worse by this factor, or for this time. The time doubles with each
+# further one.
+_WORSE_FACTOR = 1.25
+_HOLD_SECONDS = 5.0
+_MAX_HOLD_SECONDS = 60.0
+# Relative increase of the time at low load per period, so that a faster speed
+# that the engines no longer have is forgotten.
+_BASE_DRIFT = 0.0002
 
 
 class Period(NamedTuple):
-    """Mean of some samples.
+    """Mean of the samples of a period.
 
     Attributes:
         level: Turns that ran when the sampled turns were granted.
@@ -64,10 +77,14 @@
     Attributes:
         limit: Running turns at which turns are fast enough; inf if no load
             has been too high yet.
-        base: Seconds per unit of work at low load; 0 before any sample.
+        base: Fastest pace seen, in seconds per unit of work; 0 before any
+            sample.
         pace: Current seconds per unit of work; 0 before any sample.
-        reduced: Load and pace that led to the last reduction, until its
-            effect is known.
+        reduced: Load and pace before the last reduction, until its effect is
+            known.
+        held: Load and pace at which a reduction did not help; None if
+            reductions are not held back.
+        held_until: Until when they are.
     """
 
     def __init__(self) -> None:
@@ -75,6 +92,11 @@
         self.base = 0.0
         self.pace = 0.0
         self.reduced: Period | None = None
+        self.held: Period | None = None
+        self.held_until = -math.inf
+        self._hold_seconds = _HOLD_SECONDS
+        self._periods_after = 0
+        self._limit_before = math.inf
         self._since = -math.inf
         self._count = 0
         self._seconds = 0.0
@@ -82,7 +104,7 @@
         self._levels = 0
 
     def slowdown(self) -> float:
-        """Returns the current pace as a multiple of that at low load."""
+        """Returns the current pace as a multiple of the fastest one."""
         return self.pace / self.base if self.base else 1.0
 
     def observe(
@@ -101,7 +123,8 @@
             units: Its work; greater than 0.
             level: Turns that ran when it was granted, itself included.
             capacity: Upper bound of the limit, by slots and memory.
-            allowed: Slowdown at which programs still end in time.
+            allowed: Pace at which programs still end in time, in seconds per
+                unit; 0 if it isn't known.
             now: The current time in seconds.
         """
         if not self._count:
@@ -114,9 +137,9 @@
             self._count >= PERIOD_SAMPLES
             and now - self._since >= PERIOD_SECONDS
         ):
-            self._end_period(capacity, allowed)
+            self._end_period(capacity, allowed, now)
 
-    def _end_period(self, capacity: float, allowed: float) -> None:
+    def _end_period(self, capacity: float, allowed: float, now: float) -> None:
         sample = Period(self._levels / self._count, self._seconds / self._units)
         weight = self._count / (self._count + _NOISE_SAMPLES)
         self._count = self._levels = 0
@@ -125,35 +148,57 @@
             self.pace = self.base = sample.pace
         self.pace += (sample.pace - self.pace) * weight
         self.base = min(self.base * (1 + _BASE_DRIFT), self.pace)
+        allowed = allowed or self.base * concurrency.MAX_SLOWDOWN
         current = Period(sample.level, self.pace)
-        self._judge_reduction(current)
-        slowdown = self.slowdown()
-        if slowdown > allowed:
-            self._reduce(current, allowed / slowdown, capacity)
+        self._judge_reduction(current, now)
+        if self.pace > allowed:
+            if not self._is_held(now):
+                self._reduce(current, allowed / self.pace, capacity)
         elif (
-            slowdown < allowed * _CALM_FRACTION
+            self.pace < allowed * _CALM_FRACTION
             and sample.level >= self.limit * _USED_FRACTION
         ):
             self.limit *= _RAISE_FACTOR
             if self.limit >= capacity:
                 self.limit = math.inf
 
-    def _judge_reduction(self, current: Period) -> None:
+    def _judge_reduction(self, current: Period, now: float) -> None:
         """Undoes a reduction that did not make turns faster."""
         before = self.reduced
-        if before is None or current.level > before.level * _COMPARED_FRACTION:
+        if before is None:
+            return
+        if current.level > before.level * _COMPARED_FRACTION:
+            # These turns were granted before the reduction.
+            self.reduced = before._replace(pace=max(before.pace, current.pace))
+            self._periods_after = 0
+            return
+        self._periods_after += 1
+        if self._periods_after < _COMPARED_PERIODS:
             return
         self.reduced = None
         fall = 1.0 - current.level / before.level
         if current.pace > before.pace * (1.0 - _CAUSE_FRACTION * fall):
-            self.base = current.pace
-            self.limit = before.level
+            self.limit = self._limit_before
+            self.held = before
+            self.held_until = now + self._hold_seconds
+            self._hold_seconds = min(_MAX_HOLD_SECONDS, 2 * self._hold_seconds)
+        else:
+            self._hold_seconds = _HOLD_SECONDS
+
+    def _is_held(self, now: float) -> bool:
+        held = self.held
+        if held is None:
+            return False
+        if now >= self.held_until or self.pace > held.pace * _WORSE_FACTOR:
+            self.held = None
+        return self.held is not None
 
     def _reduce(self, current: Period, factor: float, capacity: float) -> None:
         floor = max(1.0, capacity * concurrency.MIN_CAPACITY_FRACTION)
         limit = max(floor, current.level * max(factor, _MAX_REDUCTION))
         if limit >= min(self.limit, capacity):
             return
-        self.limit = limit
         if self.reduced is None:
             self.reduced = current
+            self._limit_before = self.limit
+        self.limit = limit
