--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -448,11 +448,12 @@
         """Returns the bound for one turn.
 
         Turns of programs in progress arrive at random, so that their number
-        varies by about its square root. First turns leave room for that.
+        varies by about its square root. First turns leave room for a part of
+        that; the rest waits, for a short time.
         """
         bound = self.bound()
         if ask.first and math.isfinite(bound):
-            return max(1.0, bound - math.sqrt(bound) / 2)
+            return max(1.0, bound - math.sqrt(bound) / 3)
         return bound
 
     def _may_run(
