--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -5,6 +5,7 @@
 import shutil
 import tempfile
 from typing import Any
+from typing import ClassVar
 from typing import NamedTuple
 
 import eventlet
@@ -113,7 +114,8 @@
 class System:
     """A control process, an entry and the engines that a test adds."""
 
-    def __init__(self) -> None:
+    def __init__(self, policies: dict[str, Any] | None = None) -> None:
+        self.policies = policies or {}
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.reporter = EventRecorder()
         self.engines: list[platform_engine.Engine] = []
@@ -153,6 +155,7 @@
             ANY,
             # Operators' requests must not time out on a busy machine.
             ANSWER_SECONDS,
+            self.policies,
         )
 
     def stop(self) -> None:
@@ -307,11 +310,17 @@
 
 
 class HostedTest(testtools.TestCase):
-    """Base class of tests; each test has its own system."""
+    """Base class of tests; each test has its own system.
+
+    Attributes:
+        policies: Policies that the platform sets outside the configuration.
+    """
+
+    policies: ClassVar[dict[str, Any]] = {}
 
     def setUp(self) -> None:
         super().setUp()
-        self.system = System()
+        self.system = System(self.policies)
         self.addCleanup(self.system.stop)
 
     def start_engines(self, *engines: tuple) -> list[platform_engine.Engine]:
