--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -1,6 +1,7 @@
 """Calls that reach an entry before it has a configuration."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import random
 from typing import Any
 
@@ -153,8 +154,8 @@
 class Answer:
     head = routed_calls.ResponseHead(200, "OK", (), 4, False)
 
-    def body(self) -> bytes:
-        return b"done"
+    def chunks(self) -> Iterator[bytes]:
+        yield b"done"
 
     def close(self) -> None:
         """Does nothing, as the answer is complete."""
