--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -4,7 +4,9 @@
 progress came before the first turns of urgent programs, the urgent programs
 would be the ones that end late. Among turns of one priority, those of programs
 in progress come first, as delaying them wastes the work done for their
-programs. First turns of customers over their share come last of all.
+programs. A turn in progress yields to more urgent ones for a part of its
+program's remaining time only, so that less urgent programs that have begun end
+in time as well. First turns of customers over their share come last of all.
 
 Turns of programs in progress are served in the order of their arrival. Among
 first turns, the customer that has received the least work relative to its
@@ -24,6 +26,11 @@
 # Stages of a program; among turns of one priority, lower ones come first.
 IN_PROGRESS = 0
 FIRST = 1
+# Part of the time that remains to a program's target for which its next turn
+# yields to more urgent ones. A program of seven turns so loses at most half.
+YIELD_FRACTION = 0.1
+# Seconds for which a turn without a target yields.
+YIELD_SECONDS = 0.25
 # Seconds after which a waiter that has not asked again is dropped. Waiters ask
 # again after 0.1 s at most; the rest allows for a busy entry.
 LOST_SECONDS = 0.5
@@ -57,6 +64,10 @@
         return self.priority, self.route_priority
 
 
+# Rank of turns that yield to no others.
+MOST_URGENT = Rank(False, 0, 0, IN_PROGRESS)
+
+
 class Ask(NamedTuple):
     """A turn that asks to run.
 
@@ -143,6 +154,25 @@
         self.asked[key] = now
         self.asked.move_to_end(key)
 
+    def promote(self, key: TurnKey, now: float) -> Waiter:
+        """Raises a turn in progress that has yielded for long enough.
+
+        Returns:
+            The turn with its present rank.
+        """
+        waiter = self.waiters[key]
+        if waiter.rank.stage != IN_PROGRESS or waiter.rank == MOST_URGENT:
+            return waiter
+        target = waiter.ask.demand.finish_within
+        seconds = YIELD_FRACTION * target if target > 0 else YIELD_SECONDS
+        if now - waiter.since < seconds:
+            return waiter
+        self.order.remove(_sort_key(waiter))
+        promoted = waiter._replace(rank=MOST_URGENT)
+        self.waiters[key] = promoted
+        self.order.add(_sort_key(promoted))
+        return promoted
+
     def remove(self, key: TurnKey) -> Waiter:
         """Removes a turn."""
         waiter = self.waiters.pop(key)
