--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -1,7 +1,7 @@
 """CPU time of a request in the hosted processes, by role.
 
 Usage: python -m bench.request_cost [--trees A,B] [--rate N] [--seconds S]
-    [--folder /dev/shm]
+    [--folder DIR]
 
 Starts 3 control processes and 2 entries of each source tree on loopback
 addresses, with stand-in upstreams in this process. Programs of turns and tool
