--- a/src/mintcleat/decisions/policy.py
+++ b/src/mintcleat/decisions/policy.py
@@ -11,7 +11,7 @@
 
 
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What an entry considers when it chooses an upstream.
+    """What an entry considers when it admits and places requests.
 
     Attributes:
         shared_load: Requests that other entries have running.
@@ -19,6 +19,7 @@
         standing: Failure penalties of upstreams.
         silence: Upstreams that send nothing while requests are pending.
         speed: Latency of upstreams compared with their peers.
+        admission: Admission of turns by the leader, where it is enabled.
     """
 
     shared_load: bool = True
@@ -26,6 +27,7 @@
     standing: bool = True
     silence: bool = True
     speed: bool = True
+    admission: bool = True
 
 
 DEFAULT = Policy()
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -67,6 +67,9 @@
 # Constant part of a turn's time, in units: placement, first token, commits.
 _TURN_UNITS = 4.0
 _MIN_SHARE = 0.01
+# Lost waiting and lost running turns that are removed with one ask. After the
+# loss of entries there can be thousands, which would stall the event loop.
+_MAX_EXPIRED = 32
 _REFRESH_SECONDS = 0.25
 
 
@@ -392,7 +395,7 @@
 
     def view(self, now: float, max_customers: int = 100) -> ScheduleView:
         """Returns the state for operators."""
-        self._expire(now)
+        self._expire(now, math.inf)
         self.shares.refresh(now)
         running = collections.Counter(key.customer for key in self.running)
         waiting = collections.Counter(
@@ -605,13 +608,17 @@
         if refusal.kind == "overloaded":
             self._refused_at[waiter.rank.priority] = now
 
-    def _expire(self, now: float) -> None:
+    def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
         self.reports.expire(now)
-        self.lost += len(self.queue.drop_lost(now))
-        while self._expiries and self._expiries[0][0] <= now:
+        self.lost += self.queue.drop_lost(now, limit)
+        expired = 0
+        while (
+            self._expiries and self._expiries[0][0] <= now and expired < limit
+        ):
             _, key = self._expiries[0]
             self.release(key, 0, False, now)
-            self.expired += 1
+            expired += 1
+        self.expired += expired
 
     # --- Measurements ---------------------------------------------------------
 
--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -133,15 +133,23 @@
         self.in_progress -= waiter.rank.stage == IN_PROGRESS
         return waiter
 
-    def drop_lost(self, now: float) -> list[Waiter]:
-        """Removes the turns that have not asked again; returns them."""
-        lost = []
-        while self.asked:
+    def drop_lost(self, now: float, limit: float) -> int:
+        """Removes the turns that have not asked again.
+
+        Args:
+            now: The current time in seconds.
+            limit: Maximum number of turns to remove.
+
+        Returns:
+            The number of removed turns.
+        """
+        lost = 0
+        while self.asked and lost < limit:
             key, asked = next(iter(self.asked.items()))
             if now - asked <= LOST_SECONDS:
                 break
-            lost.append(self.remove(key))
-            self.refund(lost[-1].ask)
+            self.refund(self.remove(key).ask)
+            lost += 1
         return lost
 
     def ahead(self, waiter: Waiter) -> int:
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -6,13 +6,17 @@
 from collections.abc import Callable
 import itertools
 from typing import Any
+from typing import NamedTuple
 
 import simpy
 
 from mintcleat.configuration import directory
 from mintcleat.decisions import evidence
 from mintcleat.decisions import policy as policy_module
+from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_queue
 from mintcleat.domain import errors
+from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
 from mintcleat.emulator import control as control_module
@@ -20,6 +24,7 @@
 from mintcleat.emulator import plain_service
 from mintcleat.ports import events
 from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import turn_demand
 from mintcleat.roles.entry import upstream_loads
 
 MODEL_SERVICE = "model"
@@ -35,6 +40,20 @@
     """A request was not served; the caller may send it again."""
 
 
+class TurnTerms(NamedTuple):
+    """What the leader's admission is told about a turn.
+
+    Attributes:
+        kind: Kind of its program.
+        priority: Priority of its program.
+        deadline: Seconds after which its caller gives up.
+    """
+
+    kind: str
+    priority: int
+    deadline: float
+
+
 class Clock:
     """The simulated time, for the code of the real entry."""
 
@@ -56,6 +75,7 @@
         subscribers: Called after each change of the directory.
         sequence: Number of the latest registration.
         slots: Capacity by upstream id.
+        memory: Memory of an engine in tokens.
     """
 
     def __init__(
@@ -64,7 +84,9 @@
         plain_services: dict[str, plain_service.PlainService],
         slots: int,
         plain_slots: int,
+        memory: int = 0,
     ) -> None:
+        self.memory = memory
         self.engines = engines
         self.plain_services = plain_services
         self.registered = directory.Directory()
@@ -139,6 +161,7 @@
         hint: str,
         output: int,
         silence_timeout: float,
+        terms: TurnTerms,
     ) -> Any:
         """Runs a turn; returns the incarnation of the engine that ran it.
 
@@ -149,11 +172,80 @@
             output: Number of tokens to generate.
             silence_timeout: Seconds without a token after which an engine
                 counts as silent.
+            terms: What admission is told about it.
 
         Raises:
-            NotServed: No upstream served the turn, or there was no leader to
-                commit its start or end.
+            NotServed: No upstream served the turn, there was no leader to
+                commit its start or end, or it was refused.
         """
+        if self.control.schedule is None or not self.loads.policy.admission:
+            return (
+                yield from self._run_opened(call, hint, output, silence_timeout)
+            )
+        key = turn_queue.TurnKey(call.customer, call.request)
+        ran = False
+        try:
+            yield from self._await_grant(key, call, terms)
+            incarnation = yield from self._run_opened(
+                call, hint, output, silence_timeout
+            )
+            ran = True
+            return incarnation
+        except simpy.Interrupt:
+            raise NotServed from None
+        finally:
+            self.env.process(
+                self.control.release(key, output if ran else 0, ran)
+            )
+
+    def _await_grant(
+        self,
+        key: turn_queue.TurnKey,
+        call: routed_calls.RoutedCall,
+        terms: TurnTerms,
+    ) -> Any:
+        began = self.env.now
+        service = manifest.Service(
+            kind="model", memory_tokens=self.fleet.memory
+        )
+        while True:
+            demand = turn_demand.demand_of(
+                call,
+                terms.kind,
+                MODEL_SERVICE,
+                service,
+                terms.priority,
+                1.0,
+                (self.env.now - began, terms.deadline),
+                turn_demand.capacity_of(self.loads, MODEL_SERVICE),
+            )
+            ask = turn_queue.Ask(
+                key,
+                call.program.program,
+                not call.program.previous,
+                self.name,
+                call.generation.prompt_tokens,
+                demand,
+            )
+            try:
+                decision = yield from self.control.ask(ask)
+            except control_module.NoLeader:
+                raise NotServed from None
+            match decision:
+                case turn_admission.Grant():
+                    return
+                case turn_admission.Refuse():
+                    raise NotServed
+            yield self.env.timeout(decision.retry_after)
+
+    def _run_opened(
+        self,
+        call: routed_calls.RoutedCall,
+        hint: str,
+        output: int,
+        silence_timeout: float,
+    ) -> Any:
+        """Commits the start of a turn, runs it and commits its end."""
         try:
             others = yield from self.control.commit(self.loads.report())
         except control_module.NoLeader:
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -89,6 +89,7 @@
         way: Network time of a turn, to the entry and back.
         deadline: Time after which the caller gives up an attempt.
         tools: Tools that may be called after a turn without sub-agents.
+        priority: Rank of its turns, 0 the most urgent.
     """
 
     per_second: float
@@ -105,6 +106,20 @@
     way: float = 31.0
     deadline: float = 4000.0
     tools: list[Tool] = []
+    priority: int = 0
+
+
+class Customers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The customers of the programs; all have the same share.
+
+    Attributes:
+        count: Number of customers.
+        skew: Exponent of their sizes: the n-th customer starts programs in
+            proportion to n to the power of minus this.
+    """
+
+    count: int = 1
+    skew: float = 0.0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -117,7 +132,9 @@
             `hang` keeps engines from starting a step;
             `control` leaves the system without a leader;
             `lost` loses the fraction `times` of the answers of upstreams;
-            `errors` fails the fraction `times` of the requests.
+            `errors` fails the fraction `times` of the requests;
+            `heavy` multiplies the rate of `count` customers by `times`, from
+            the one in the middle of the order of sizes on.
         at: Time at which it begins.
         seconds: Time that it lasts.
         times: Factor or fraction, see `kind`.
@@ -127,7 +144,9 @@
             rather than engines.
     """
 
-    kind: Literal["burst", "slow", "crash", "hang", "control", "lost", "errors"]
+    kind: Literal[
+        "burst", "slow", "crash", "hang", "control", "lost", "errors", "heavy"
+    ]
     at: float
     seconds: float
     times: float = 1.0
@@ -154,6 +173,8 @@
         loads: Factors on the rates of all kinds; every variant runs with
             each.
         variants: Policies by name.
+        customers: Customers of the programs.
+        admission: Whether the leader admits turns; variants can do without.
     """
 
     entries: int
@@ -170,6 +191,8 @@
     variants: dict[str, policy.Policy] = msgspec.field(
         default_factory=lambda: {"default": policy.DEFAULT}
     )
+    customers: Customers = Customers()
+    admission: Literal["off", "programs"] = "off"
 
 
 def read(path: pathlib.Path) -> Plan:
--- a/src/mintcleat/emulator/programs.py
+++ b/src/mintcleat/emulator/programs.py
@@ -34,6 +34,7 @@
         duration: Seconds that it took.
         target: Seconds that it should have taken at most.
         served: Whether all its turns and tool calls were served.
+        customer: Its customer.
     """
 
     kind: str
@@ -41,6 +42,7 @@
     duration: float
     target: float
     served: bool
+    customer: str = ""
 
     @property
     def outcome(self) -> str:
@@ -74,6 +76,7 @@
         load: Factor on the rates of all kinds.
         results: Results of the programs that have ended.
         burst_factors: Current factors on the rates of kinds, by name.
+        sizes: Sizes of the customers, by name.
     """
 
     def __init__(
@@ -91,6 +94,11 @@
         self.load = load
         self.results: list[ProgramResult] = []
         self.burst_factors: dict[str, float] = {}
+        customers = experiment.customers
+        self.sizes = {
+            f"c{number}": (number + 1.0) ** -customers.skew
+            for number in range(customers.count)
+        }
         for name in experiment.kinds:
             env.process(self._start_programs(name))
 
@@ -103,9 +111,39 @@
             yield self.env.timeout(rng.expovariate(rate))
             if self.env.now >= self.plan.seconds:
                 return
-            program = Program(self, name, number)
+            program = Program(self, name, str(number), self._customer(rng))
             self.env.process(program.run())
 
+    def start_heavy(self, fault: plan.Fault) -> None:
+        """Lets some customers start programs more often for a time."""
+        for customer in heavy_customers(self.plan, fault):
+            for name in fault.kinds or self.plan.kinds:
+                self.env.process(self._start_more(name, customer, fault))
+
+    def _start_more(self, name: str, customer: str, fault: plan.Fault) -> Any:
+        rng = random.Random(f"{self.seed}/{name}/{customer}")
+        part = self.sizes[customer] / sum(self.sizes.values())
+        rate = self.plan.kinds[name].per_second * self.load * part
+        until = min(self.plan.seconds, self.env.now + fault.seconds)
+        for number in itertools.count():
+            yield self.env.timeout(rng.expovariate(rate * (fault.times - 1.0)))
+            if self.env.now >= until:
+                return
+            program = Program(self, name, f"{customer}-{number}", customer)
+            self.env.process(program.run())
+
+    def _customer(self, rng: random.Random) -> str:
+        if len(self.sizes) == 1:
+            return "c0"
+        (customer,) = rng.choices(list(self.sizes), list(self.sizes.values()))
+        return customer
+
+
+def heavy_customers(experiment: plan.Plan, fault: plan.Fault) -> list[str]:
+    """Returns the customers that a `heavy` fault affects."""
+    first = experiment.customers.count // 2
+    return [f"c{first + number}" for number in range(fault.count)]
+
 
 class Program:
     """One program, from its first turn to its end.
@@ -114,11 +152,16 @@
     with a shared one each policy would run other programs.
 
     Attributes:
-        number: Number of the program within its kind.
+        number: Number of the program within its kind, and of its customer if
+            that one is heavy.
+        finish_within: Target duration that it states; an estimate, as its
+            real one follows from what its turns take on idle upstreams.
         numbers: Numbers for the ids of requests and prompt parts.
     """
 
-    def __init__(self, callers: Callers, name: str, number: int) -> None:
+    def __init__(
+        self, callers: Callers, name: str, number: str, customer: str
+    ) -> None:
         self.env = callers.env
         self.callers = callers
         self.engine = callers.plan.engine
@@ -128,14 +171,19 @@
         self.id = f"{name}-{number}"
         self.rng = random.Random(f"{callers.seed}/{self.id}")
         self.numbers = itertools.count()
+        self.customer = customer
+        self.started_at = self.env.now
+        self.finish_within = 0.0
 
     def run(self) -> Any:
         """Runs the program and adds its result."""
         started_at = self.env.now
         turns = max(1, round(self._draw(self.kind.turns)))
+        self.finish_within = self._estimated_target(turns)
         # The programs of a kind use three different prompt prefixes.
+        group = int(self.number.rpartition("-")[2]) % 3
         prefix = routed_calls.PromptPart(
-            f"{self.name}-{self.number % 3}", self.kind.shared
+            f"{self.name}-{group}", self.kind.shared
         )
         ideal_seconds = 0.0
         served = True
@@ -148,8 +196,24 @@
         target = ideal_seconds * self.kind.aim + self.kind.objective / 1000.0
         duration = self.env.now - started_at
         self.callers.results.append(
-            ProgramResult(self.name, started_at, duration, target, served)
+            ProgramResult(
+                self.name, started_at, duration, target, served, self.customer
+            )
+        )
+
+    def _estimated_target(self, turns: int) -> float:
+        """Returns the target of a program with mean turns, tools and pauses."""
+        kind = self.kind
+        seconds = turns * self._ideal_seconds(
+            round(kind.prompt.mean),
+            round(kind.events.mean * self.engine.stride),
+        )
+        tools = max(
+            (tool.share * tool.work.mean for tool in kind.tools), default=0.0
         )
+        between = kind.pause.mean + (1.0 - kind.fan) * tools
+        seconds += (turns - 1) * between / 1000.0
+        return seconds * kind.aim + kind.objective / 1000.0
 
     def _draw(self, distribution: plan.Distribution) -> float:
         if not distribution.spread:
@@ -246,7 +310,9 @@
                 f"{self.id}?{next(self.numbers)}", prompt
             )
             call = self._request(
-                conversation.parts[-1].id, (*conversation.parts, new_part)
+                conversation.parts[-1].id if conversation.hint else "",
+                (*conversation.parts, new_part),
+                output,
             )
             entry = self.rng.choice(self.callers.entries)
             run = self.env.process(
@@ -287,13 +353,23 @@
         silence_timeout = (
             routed_run.SILENCE_FACTOR * self.kind.objective / 1000.0
         )
+        terms = entry_module.TurnTerms(
+            self.name, self.kind.priority, self.kind.deadline / 1000.0
+        )
         try:
-            return (yield from entry.turn(call, hint, output, silence_timeout))
+            return (
+                yield from entry.turn(
+                    call, hint, output, silence_timeout, terms
+                )
+            )
         except (entry_module.NotServed, simpy.Interrupt):
             return ""
 
     def _request(
-        self, previous: str, parts: tuple[routed_calls.PromptPart, ...]
+        self,
+        previous: str,
+        parts: tuple[routed_calls.PromptPart, ...],
+        output: int = 0,
     ) -> routed_calls.RoutedCall:
         prompt = sum(part.tokens for part in parts)
         return routed_calls.RoutedCall(
@@ -303,6 +379,13 @@
             "/",
             (),
             b"",
-            program=routed_calls.ProgramContext(self.id, previous=previous),
-            generation=routed_calls.Generation("m", prompt, 0, parts),
+            program=routed_calls.ProgramContext(
+                self.id,
+                previous=previous,
+                finish_within=max(
+                    0.001, self.finish_within + self.started_at - self.env.now
+                ),
+            ),
+            generation=routed_calls.Generation("m", prompt, output, parts),
+            customer=self.customer,
         )
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -42,7 +42,9 @@
         queued: Requests beyond the slots of their engines, mean over time.
         spread: Requests at the engine with the most, minus those at the
             engine with the fewest; mean over time.
-        kinds: Fractions within target, late and failed, by kind.
+        kinds: Fractions within target, late and failed, by kind. If there
+            are heavy customers, also of the programs that begin while they
+            are: `heavy customers` and `other customers`.
     """
 
     variant: str
@@ -171,6 +173,7 @@
         kind: _fractions([one for one in programs_run if one.kind == kind])
         for kind in plan.kinds
     }
+    kinds.update(_by_customers(plan, programs_run))
     samples = [
         sample.loads
         for result in results
@@ -239,6 +242,22 @@
     return [count[name] / max(1, len(finished)) for name in _OUTCOMES]
 
 
+def _by_customers(
+    plan: plan_module.Plan, finished: list[programs.ProgramResult]
+) -> dict[str, list[float]]:
+    """Returns the fractions of heavy and of other customers' programs."""
+    groups: dict[str, list[programs.ProgramResult]] = {}
+    for fault in plan.faults:
+        if fault.kind != "heavy":
+            continue
+        heavy = programs.heavy_customers(plan, fault)
+        for program in finished:
+            if fault.at <= program.started_at < fault.at + fault.seconds:
+                name = "heavy" if program.customer in heavy else "other"
+                groups.setdefault(f"{name} customers", []).append(program)
+    return {name: _fractions(found) for name, found in groups.items()}
+
+
 def _mean(values: Iterable[float]) -> float:
     numbers = list(values)
     return sum(numbers) / len(numbers) if numbers else 0.0
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -62,9 +62,15 @@
         for n in range(experiment.plains)
     }
     fleet = entry_module.Fleet(
-        engines, plain_services, experiment.engine.slots, experiment.plain_slots
+        engines,
+        plain_services,
+        experiment.engine.slots,
+        experiment.plain_slots,
+        experiment.engine.memory,
+    )
+    control = control_module.Control(
+        env, admission=experiment.admission != "off"
     )
-    control = control_module.Control(env)
     entries = [
         entry_module.Entry(env, f"a{n}", fleet, control, policy)
         for n in range(experiment.entries)
@@ -110,6 +116,8 @@
             yield env.timeout(fault.seconds)
             for kind in kinds:
                 callers.burst_factors.pop(kind, None)
+        case "heavy":
+            callers.start_heavy(fault)
         case "control":
             control.fail(fault.seconds)
         case "hang":
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -11,6 +11,7 @@
 from mintcleat.adapters import wsgi
 from mintcleat.configuration import machine
 from mintcleat.consensus import types
+from mintcleat.decisions import turn_admission
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
@@ -144,6 +145,16 @@
         self.common.metrics.gauge("led_groups", led_groups)
         revision = self.config.machine.document.revision
         self.common.metrics.gauge("config_revision", revision)
+        for service, view in self.programs.contention.views().items():
+            self._set_turn_gauges(service, view)
+
+    def _set_turn_gauges(
+        self, service: str, view: turn_admission.ScheduleView
+    ) -> None:
+        metrics = self.common.metrics
+        metrics.gauge("turns_running", view.running, service=service)
+        metrics.gauge("turns_waiting", view.waiting, service=service)
+        metrics.gauge("turns_bound", view.bound, service=service)
 
     def policies(self) -> manifest_module.Policies:
         """Returns the policies of the revision that this instance applied."""
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -221,7 +221,10 @@
     def _admission(self) -> turn_demand.Admission | None:
         """Returns how the turn asks for its grant; None if that is off."""
         policies = self.context.configuration.manifest().policies
-        if policies.admission == "off":
+        if (
+            policies.admission == "off"
+            or not self.context.loads.policy.admission
+        ):
             return None
         wait = turn_demand.HOLD_FRACTION * (self.deadline_at - self.began)
         return turn_demand.Admission(
--- a/testing/test_emulator.py
+++ b/testing/test_emulator.py
@@ -221,3 +221,42 @@
         self.assertFalse(policy.parse("{ speed: false }").speed)
         for text in ("{ sped: false }", "{ speed: 1 }", "["):
             self.assertRaises(errors.InvalidSettings, policy.parse, text)
+
+
+class AdmissionTest(testtools.TestCase):
+    """The leader's admission before few engines, at three times their load."""
+
+    def play(self, load: float, **changes: bool) -> simulation.Result:
+        experiment = msgspec.structs.replace(
+            PLAN,
+            admission="programs",
+            customers=plan.Customers(10, 0.8),
+            faults=[plan.Fault("heavy", 2.0, 3.0, 5.0)],
+        )
+        return simulation.run(experiment, 1, load, policy.Policy(**changes))
+
+    def in_aim(self, result: simulation.Result) -> int:
+        return sum(one.outcome == "aim" for one in result.programs)
+
+    def test_more_programs_end_in_time(self) -> None:
+        admitted = self.in_aim(self.play(40.0))
+        self.assertTrue(
+            admitted > 2 * self.in_aim(self.play(40.0, admission=False))
+        )
+
+    def test_calm_load_is_unchanged(self) -> None:
+        for result in (self.play(1.0), self.play(1.0, admission=False)):
+            self.assertEqual(len(result.programs), self.in_aim(result))
+
+    def test_same_seed_gives_the_same_programs(self) -> None:
+        self.assertEqual(self.play(6.0).programs, self.play(6.0).programs)
+
+    def test_heavy_customers_are_reported(self) -> None:
+        experiment = msgspec.structs.replace(
+            PLAN,
+            customers=plan.Customers(10, 0.8),
+            faults=[plan.Fault("heavy", 2.0, 3.0, 5.0)],
+        )
+        (row,) = report.run(experiment)
+        self.assertIn("heavy customers", row.kinds)
+        self.assertIn("other customers", row.kinds)
