--- a/src/mintcleat/decisions/policy.py
+++ b/src/mintcleat/decisions/policy.py
@@ -11,7 +11,7 @@
 
 
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What an entry considers when it chooses an upstream.
+    """What an entry considers when it admits and places requests.
 
     Attributes:
         shared_load: Requests that other entries have running.
@@ -21,6 +21,7 @@
         speed: Latency of upstreams compared with their peers.
         turn_time: Expected time to the end of a turn, from memory and speed
             of upstreams; without it, the number of requests decides.
+        admission: Admission of turns by the leader, where it is enabled.
     """
 
     shared_load: bool = True
@@ -29,6 +30,7 @@
     silence: bool = True
     speed: bool = True
     turn_time: bool = True
+    admission: bool = True
 
 
 DEFAULT = Policy()
--- a/src/mintcleat/emulator/control.py
+++ b/src/mintcleat/emulator/control.py
@@ -7,10 +7,14 @@
 
 from mintcleat.decisions import control_outage
 from mintcleat.decisions import shared_load
+from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
 
 # Time of one commit, including the round trip from the entry.
 COMMIT_SECONDS = 0.004
+# Time of a round trip without a commit.
+ANSWER_SECONDS = 0.002
 _RETRY_SECONDS = 0.02
 
 
@@ -27,16 +31,23 @@
             without any reports.
         report_delay: Seconds by which reports are late.
         late_reports: Reports that have not arrived yet, with their times.
+        schedule: Admission of turns; a new leader starts with an empty one.
+            None if it is off.
     """
 
     def __init__(
-        self, env: simpy.Environment, report_delay: float = 0.0
+        self,
+        env: simpy.Environment,
+        report_delay: float = 0.0,
+        *,
+        admission: bool = False,
     ) -> None:
         self.env = env
         self.report_delay = report_delay
         self.late_reports: collections.deque[
             tuple[float, program_messages.RunningCounts]
         ] = collections.deque()
+        self.schedule = turn_admission.ServiceSchedule() if admission else None
         self.outage_until = 0.0
         self.entry_loads = shared_load.EntryLoads()
 
@@ -44,18 +55,33 @@
         """Stops the leader; a new one takes over after `seconds`."""
         self.outage_until = self.env.now + seconds
         self.entry_loads = shared_load.EntryLoads()
+        if self.schedule is not None:
+            self.schedule = turn_admission.ServiceSchedule()
 
-    def commit(self, running: program_messages.RunningCounts) -> Any:
-        """Commits one request; returns what the other entries report.
+    def ask(self, ask: turn_queue.Ask) -> Any:
+        """Returns the decision on a turn.
 
         Raises:
             NoLeader: There was no leader for longer than entries wait.
         """
-        started = self.env.now
+        yield from self._await_leader()
+        yield self.env.timeout(ANSWER_SECONDS)
+        return self.schedule.ask(ask, self.env.now)
+
+    def release(self, key: turn_queue.TurnKey, tokens: int, ran: bool) -> Any:
+        """Ends a granted turn as soon as there is a leader."""
         while self.env.now < self.outage_until:
-            if self.env.now - started > control_outage.ELECTION_SECONDS:
-                raise NoLeader
             yield self.env.timeout(_RETRY_SECONDS)
+        yield self.env.timeout(ANSWER_SECONDS)
+        self.schedule.release(key, tokens, ran, self.env.now)
+
+    def commit(self, running: program_messages.RunningCounts) -> Any:
+        """Commits one request; returns what the other entries report.
+
+        Raises:
+            NoLeader: There was no leader for longer than entries wait.
+        """
+        yield from self._await_leader()
         yield self.env.timeout(COMMIT_SECONDS)
         now = self.env.now
         self.late_reports.append((now + self.report_delay, running))
@@ -69,3 +95,10 @@
                 report.slowdowns,
             )
         return self.entry_loads.summary(running.entry)
+
+    def _await_leader(self) -> Any:
+        started = self.env.now
+        while self.env.now < self.outage_until:
+            if self.env.now - started > control_outage.ELECTION_SECONDS:
+                raise NoLeader
+            yield self.env.timeout(_RETRY_SECONDS)
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -92,6 +92,7 @@
         way: Network time of a turn, to the entry and back.
         deadline: Time after which the caller gives up an attempt.
         tools: Tools that may be called after a turn without sub-agents.
+        priority: Rank of its turns, 0 the most urgent.
     """
 
     per_second: float
@@ -108,6 +109,20 @@
     way: float = 31.0
     deadline: float = 4000.0
     tools: list[Tool] = []
+    priority: int = 0
+
+
+class Customers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The customers of the programs; all have the same share.
+
+    Attributes:
+        count: Number of customers.
+        skew: Exponent of their sizes: the n-th customer starts programs in
+            proportion to n to the power of minus this.
+    """
+
+    count: int = 1
+    skew: float = 0.0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -122,7 +137,9 @@
             then, or stops them if it is 1;
             `control` leaves the system without a leader;
             `lost` loses the fraction `times` of the answers of upstreams;
-            `errors` fails the fraction `times` of the requests.
+            `errors` fails the fraction `times` of the requests;
+            `heavy` multiplies the rate of `count` customers by `times`, from
+            the one in the middle of the order of sizes on.
         at: Time at which it begins.
         seconds: Time that it lasts.
         times: Factor or fraction, see `kind`.
@@ -141,6 +158,7 @@
         "control",
         "lost",
         "errors",
+        "heavy",
     ]
     at: float
     seconds: float
@@ -170,6 +188,8 @@
         variants: Policies by name.
         speeds: Speeds of the engines, repeated for as many as there are.
         report_delay: Milliseconds by which reports on other entries are late.
+        customers: Customers of the programs.
+        admission: Whether the leader admits turns; variants can do without.
     """
 
     entries: int
@@ -188,6 +208,8 @@
     )
     speeds: list[float] = msgspec.field(default_factory=lambda: [1])
     report_delay: float = 0.0
+    customers: Customers = Customers()
+    admission: Literal["off", "programs"] = "off"
 
 
 def read(path: pathlib.Path) -> Plan:
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -78,7 +78,11 @@
         experiment.plain_slots,
         experiment.engine.memory,
     )
-    control = control_module.Control(env, experiment.report_delay / 1000.0)
+    control = control_module.Control(
+        env,
+        experiment.report_delay / 1000.0,
+        admission=experiment.admission != "off",
+    )
     entries = [
         entry_module.Entry(env, f"a{n}", fleet, control, policy)
         for n in range(experiment.entries)
@@ -125,6 +129,8 @@
             yield env.timeout(fault.seconds)
             for kind in kinds:
                 callers.burst_factors.pop(kind, None)
+        case "heavy":
+            callers.start_heavy(fault)
         case "control":
             control.fail(fault.seconds)
         case "hang":
--- a/src/mintcleat/roles/control/programs/load_report.py
+++ b/src/mintcleat/roles/control/programs/load_report.py
@@ -1,12 +1,14 @@
 """Load and limits of a program group, as its leader tells operators."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 
 from mintcleat.decisions import limits
 from mintcleat.decisions import refusal_counts
 from mintcleat.decisions import shared_load
+from mintcleat.decisions import turn_admission
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
@@ -119,3 +121,34 @@
             programs,
             refused,
         )
+
+
+def service_loads(
+    views: Mapping[str, turn_admission.ScheduleView], customers: int
+) -> list[program_messages.ServiceLoad]:
+    """Returns the state of admission control as it is sent to operators.
+
+    Args:
+        views: State by service.
+        customers: Maximum number of customers of one service.
+    """
+    return [
+        program_messages.ServiceLoad(
+            service,
+            view.running,
+            view.waiting,
+            round(view.bound, 1),
+            round(view.capacity, 1),
+            round(view.slowdown, 2),
+            view.granted,
+            view.deferred,
+            view.refused,
+            view.lost,
+            view.expired,
+            [
+                program_messages.CustomerShare(*item)
+                for item in view.customers[:customers]
+            ],
+        )
+        for service, view in sorted(views.items())
+    ]
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -351,6 +351,9 @@
                 request,
                 self.machines[group].branches.limits,
                 self.clocks[group].read(),
+                load_report.service_loads(
+                    self.contention.views(), request.customers
+                ),
             )
         return self.machines[group].read(request)
 
