Stalled responses are reported with their request

The whole suite found that an event of a request must begin with its id; the event response_stalled now does, and `mintcleat explain` tells a caller that did not read from one that disconnected. The unused `body` of the port to upstreams is gone; a fake in test_cold_start follows the port. The test of freed descriptors waits for a connection that is known to be accepted; before, it could pass by the idle timeout.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -52,23 +52,6 @@
     """The response was ended because the caller doesn't read it."""
 
 
-class Stall(NamedTuple):
-    """A response that is ended because its caller doesn't read it.
-
-    Attributes:
-        peer: `IP:PORT` of the caller.
-        reason: `NO_PROGRESS`, or `BUFFERS_FULL` if the bytes for slow callers
-            of the process exceed their limit and this response has the most.
-        unsent: Bytes that had not been sent.
-        waited_seconds: Time since the caller last read.
-    """
-
-    peer: str
-    reason: str
-    unsent: int
-    waited_seconds: float
-
-
 class Request(NamedTuple):
     """A received request.
 
@@ -91,6 +74,25 @@
         return ""
 
 
+class Stall(NamedTuple):
+    """A response that is ended because its caller doesn't read it.
+
+    Attributes:
+        request: The request; None if it could not be read.
+        peer: `IP:PORT` of the caller.
+        reason: `NO_PROGRESS`, or `BUFFERS_FULL` if the bytes for slow callers
+            of the process exceed their limit and this response has the most.
+        unsent: Bytes that had not been sent.
+        waited_seconds: Time since the caller last read.
+    """
+
+    request: Request | None
+    peer: str
+    reason: str
+    unsent: int
+    waited_seconds: float
+
+
 class Reply:
     """The response to one request.
 
@@ -222,7 +224,8 @@
     Attributes:
         received: Bytes after the requests that have been read.
         head: Head of the current request; None if it could not be read.
-        handler: Green thread that handles the current request.
+        request: The current request; None before it was read.
+        handler: Green thread that handles it.
         ended: Whether the connection is being closed.
         writer: Response in progress; None before its head.
         on_blocked: Called repeatedly while a write waits for the caller.
@@ -237,6 +240,7 @@
         self.reader = socket_reader.SocketReader(sock, self._kill_handler)
         self.received = b""
         self.head: http1_heads.RequestHead | None = None
+        self.request: Request | None = None
         self.handler: Any = None
         self.writer: _ResponseWriter | None = None
         self.on_blocked: Callable[[], None] | None = None
@@ -296,6 +300,7 @@
         limits = self.listener.limits()
         self.idle = True
         self.head = None
+        self.request = None
         self.writer = None
         try:
             request = self._read(limits)
@@ -323,6 +328,7 @@
     def _handle(self, request: Request) -> None:
         if self.reader.closed:
             raise CallerDisconnected
+        self.request = request
         self.handler = eventlet.getcurrent()
         try:
             self.listener.handler(request, Reply(self))
@@ -495,7 +501,9 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
         waited = time.monotonic() - self.progress_at
-        self.listener.on_stalled(Stall(self.peer, reason, size, waited))
+        self.listener.on_stalled(
+            Stall(self.request, self.peer, reason, size, waited)
+        )
 
     def _send_error(self, status: int, text: str) -> None:
         """Sends an error response to a request that could not be read."""
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -421,6 +421,7 @@
     """A response was ended because its caller doesn't read it.
 
     Attributes:
+        request: Request id; empty for a caller without a request.
         peer: Address of the caller.
         reason: `no progress` for a time, or `buffers full` if this response
             held the most of the process's bytes for slow callers.
@@ -428,6 +429,7 @@
         waited_s: Time since the caller last read.
     """
 
+    request: str
     peer: str
     reason: str
     unsent: int
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -189,6 +189,7 @@
         )
     end = ends[-1]
     fields = end.fields
+    stalls = [line for line in own if line.event == "response_stalled"]
     match end.event:
         case "call_ended" if fields.get("outcome") == "whole":
             return (
@@ -200,6 +201,12 @@
                 f"The answer of {fields.get('upstream')} broke off after "
                 f"{fields.get('total_s')} s." + _last_failure(own)
             )
+        case "caller_gone" if stalls:
+            return (
+                f"The caller did not read its response "
+                f"({stalls[-1].fields.get('reason')}); it was ended after "
+                f"{fields.get('after_s')} s."
+            )
         case "caller_gone":
             return (
                 f"The caller disconnected after {fields.get('after_s')} s, "
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -136,8 +136,10 @@
         self.http.pool.close_idle()
 
     def _report_stall(self, stall: http1_server.Stall) -> None:
+        request = stall.request
         self.events.emit(
             event_types.ResponseStalled(
+                request.header(callers.REQUEST_ID) if request else "",
                 stall.peer,
                 stall.reason,
                 stall.unsent,
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -87,10 +87,6 @@
             status in _SUCCESS and content_type.startswith("text/event-stream"),
         )
 
-    def body(self) -> bytes:
-        """Reads and returns the whole body."""
-        return b"".join(self.chunks())
-
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives; returns only at its proper end.
 
@@ -132,7 +128,8 @@
             )
         if _NOT_EXECUTED in self.fields:
             with contextlib.suppress(errors.StreamClosed):
-                self.body()
+                for _ in self.chunks():
+                    pass
             raise errors.UpstreamBusy(
                 f"Upstream {self.upstream.upstream} refused the request with "
                 f"status {status} and {_NOT_EXECUTED}."
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -17,13 +17,6 @@
 
     head: routed_calls.ResponseHead
 
-    def body(self) -> bytes:
-        """Reads and returns the whole body.
-
-        Raises:
-            errors.StreamClosed: The connection was lost before its end.
-        """
-
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives and returns at its end.
 
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -1,6 +1,7 @@
 """Calls that reach an entry before it has a configuration."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import random
 from typing import Any
 
@@ -153,8 +154,8 @@
 class Answer:
     head = routed_calls.ResponseHead(200, "OK", (), 4, False)
 
-    def body(self) -> bytes:
-        return b"done"
+    def chunks(self) -> Iterator[bytes]:
+        yield b"done"
 
     def close(self) -> None:
         """Does nothing, as the answer is complete."""
@@ -180,6 +181,9 @@
     def __init__(self) -> None:
         self.status = 0
 
+    def set_on_blocked(self, callback: Callable[[], None]) -> None:
+        pass
+
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         self.status = head.status
 
--- a/testing/test_entry_protection.py
+++ b/testing/test_entry_protection.py
@@ -134,14 +134,17 @@
         entry = self.system.entry
         idle = platform_system.connect(entry.listener.address)
         self.addCleanup(idle.close)
-        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
-            while not entry.listener.connections:
-                eventlet.sleep(0.005)
+        idle.sendall(
+            b"GET /safe/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r2\r\n\r\n"
+        )
+        platform_system.read_answer(idle)
         self.assertNotEqual({}, entry.http.pool.idle)
         self.watch.capacity.limits = entry_capacity.Limits(0, 5)
         self.watch.measure(0.0)
         self.assertEqual({}, entry.http.pool.idle)
-        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+        # Far less than the idle timeout.
+        with eventlet.Timeout(5.0):
             self.assertEqual(b"", idle.recv(1))
 
 
--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -110,6 +110,7 @@
         self.wait_for(lambda: not self.listener.connections)
         (stall,) = self.stalls
         self.assertEqual(http1_server.NO_PROGRESS, stall.reason)
+        self.assertEqual("/1000", stall.request.target)
         self.assertGreaterEqual(stall.waited_seconds, 0.2)
         self.assertGreater(stall.unsent, 0)
         self.assertEqual(0, self.listener.unsent.total)
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -72,6 +72,14 @@
         found = traces.trace("r1", traces.parse([*around, *COMPLETE]))
         self.assertEqual(["u1"], [a.fields["upstream"] for a in found.around])
 
+    def test_response_that_was_not_read_is_told_from_a_disconnect(self) -> None:
+        stall = line(
+            11.0, 5, "response_stalled", request="r1", reason="no progress"
+        )
+        gone = line(11.1, 6, "caller_gone", request="r1", after_s=21.0)
+        found = traces.trace("r1", traces.parse([COMPLETE[0], stall, gone]))
+        self.assertIn("did not read", found.verdict)
+
     def test_unknown_request_has_no_steps(self) -> None:
         found = traces.trace("r9", traces.parse(COMPLETE))
         self.assertEqual([], found.steps)
