--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -20,6 +20,17 @@
 from mintcleat.domain import program_messages
 from mintcleat.domain import replication_messages
 
+# Messages whose last field is left out while it has its default. It was added
+# after releases had logged the message, and processes of those releases refuse
+# a message with a field that they don't know.
+LAST_OPTIONAL = frozenset(
+    {
+        program_messages.CallCounted,
+        program_messages.CountCall,
+        program_messages.OpenTurn,
+    }
+)
+
 TAGS: dict[int, type] = dict(
     enumerate(
         (
@@ -114,6 +125,8 @@
             operator_messages.KeyView,
             operator_messages.CustomerView,
             operator_messages.Customers,
+            program_messages.ShowLoad,
+            program_messages.LoadView,
         ),
         start=1,
     )
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -10,6 +10,8 @@
 
 # Seconds within which an entry must send a request that was counted ahead.
 AHEAD_SECONDS = 1.0
+# Maximum of requests that one CountCall counts.
+MAX_CALLS = 64
 
 
 class RunningCounts(NamedTuple):
@@ -53,6 +55,42 @@
         return self.window_limit() * self.overage + self.slack
 
 
+class TurnDemand(NamedTuple):
+    """What a turn demands of its service, for admission control.
+
+    Attributes:
+        service: Service that runs the turn.
+        kind: Route of the turn.
+        priority: Priority of the customer, or else of the route; 0 is the
+            most urgent.
+        share: Weight of the customer when customers compete.
+        tokens: Tokens of the prompt plus the maximum of the answer.
+        finish_within: Target time to the program's end in seconds; 0 for
+            none.
+        waited: Seconds for which the turn has waited at its entry.
+        places: Total slots of the upstreams that the sender sees as ready and
+            healthy; 0 if it sees none.
+        memory_tokens: Total memory of those upstreams in tokens; 0 if unknown.
+        timeout: Seconds after which the turn has ended for certain.
+        running: Requests of the sender that run at the service.
+        route_priority: Priority of the route; it orders turns of the same
+            priority.
+    """
+
+    service: str
+    kind: str
+    priority: int
+    share: float
+    tokens: int
+    finish_within: float
+    waited: float
+    places: int
+    memory_tokens: int
+    timeout: float = 30.0
+    running: int = 0
+    route_priority: int = 0
+
+
 class OpenTurn(NamedTuple):
     """Reserves tokens for a turn; the first turn creates the program.
 
@@ -73,6 +111,8 @@
         limit: Rate limit of the customer; None for no limit.
         ahead: Number of further requests to count ahead, for calls that
             will follow the turn.
+        demand: For admission control; None if it is off, and in the
+            replicated log.
     """
 
     program: str
@@ -86,6 +126,7 @@
     customer: str = ""
     limit: RateLimit | None = None
     ahead: int = 0
+    demand: TurnDemand | None = None
 
 
 class KeptTurn(NamedTuple):
@@ -127,27 +168,38 @@
 
 
 class CountCall(NamedTuple):
-    """Counts a request without a turn against its customer's limit.
+    """Counts requests without a turn against their customer's limit.
 
     Attributes:
-        program: Program of the request; empty for none.
+        program: Program of the requests; empty for none.
         ahead: As in OpenTurn.
+        calls: Number of requests; MAX_CALLS at most.
     """
 
     customer: str
     program: str
     limit: RateLimit
     ahead: int = 0
+    calls: int = 1
+
+
+class RefusedCalls(NamedTuple):
+    """Requests of a CountCall that must not be sent, and why."""
+
+    calls: int
+    failure: errors.Failure
 
 
 class CallCounted(NamedTuple):
-    """Answer to CountCall: the request may be sent.
+    """Answer to CountCall: the requests may be sent.
 
     Attributes:
         ahead: Number of requests that were counted ahead.
+        refused: Those of the requests that were not counted; None if all were.
     """
 
     ahead: int = 0
+    refused: RefusedCalls | None = None
 
 
 class CloseTurn(NamedTuple):
@@ -425,3 +477,121 @@
     """
 
     programs: list[str]
+
+
+class ShowLoad(NamedTuple):
+    """Asks the leader of a group for a LoadView.
+
+    Attributes:
+        customers: Maximum number of customers in the answer.
+    """
+
+    group: str
+    customers: int = 50
+
+
+class UpstreamLoad(NamedTuple):
+    """Load of one upstream, as the entries last reported it.
+
+    Attributes:
+        upstream: Incarnation of the upstream.
+        running: Running requests over all entries.
+        tokens: Tokens that they hold in its memory; 0 if unknown.
+        speed: Speed relative to its peers; 0 if unknown.
+    """
+
+    upstream: str
+    running: int
+    tokens: int = 0
+    speed: float = 0.0
+
+
+class CustomerLoad(NamedTuple):
+    """Use of one customer's rate limit.
+
+    Attributes:
+        limit: Requests that a window may hold; 0 for no limit.
+        tolerance: Further requests of programs in progress.
+        window: Length of the window in seconds.
+        used: Requests in the window so far.
+        programs: Programs in progress.
+        refused: Requests refused within the last minute, by kind of error.
+    """
+
+    customer: str
+    limit: float
+    tolerance: float
+    window: float
+    used: int
+    programs: int
+    refused: dict[str, int]
+
+
+class CustomerShare(NamedTuple):
+    """A customer's part of a service under admission control.
+
+    Attributes:
+        share: Share of the work that it is entitled to, as a fraction.
+        use: Share that it received recently, as a fraction.
+        refused: Refused turns.
+    """
+
+    customer: str
+    running: int
+    waiting: int
+    share: float
+    use: float
+    refused: int
+
+
+class ServiceLoad(NamedTuple):
+    """State of a service under admission control.
+
+    Attributes:
+        running: Granted turns that have not ended.
+        waiting: Turns that wait for their grant.
+        bound: Maximum of running turns; -1 if unknown.
+        capacity: Maximum by slots and memory; -1 if unknown.
+        slowdown: Duration of turns as a multiple of that at low load.
+        granted: Granted turns.
+        deferred: Turns that had to wait.
+        refused: Refused turns by kind and reason.
+        lost: Waiting turns dropped because they did not ask again.
+        expired: Granted turns released by their timeout.
+        customers: The customers with most use.
+        slots: Total slots of its upstreams; 0 if unknown.
+        memory_tokens: Total memory of its upstreams in tokens; 0 if unknown.
+    """
+
+    service: str
+    running: int
+    waiting: int
+    bound: float
+    capacity: float
+    slowdown: float
+    granted: int
+    deferred: int
+    refused: dict[str, int]
+    lost: int
+    expired: int
+    customers: list[CustomerShare]
+    slots: int = 0
+    memory_tokens: int = 0
+
+
+class LoadView(NamedTuple):
+    """Load and limits, as the leader of a group sees them.
+
+    Attributes:
+        entries: Number of entries that have reported within a second.
+        upstreams: Load of upstreams with running requests.
+        customers: Customers that use most of their limit, and those that were
+            refused.
+        services: Services under admission control.
+    """
+
+    group: str
+    entries: int
+    upstreams: list[UpstreamLoad]
+    customers: list[CustomerLoad]
+    services: list[ServiceLoad] = []
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -18,6 +18,7 @@
 from mintcleat.main import cli_client
 from mintcleat.main import cli_customers
 from mintcleat.main import cli_explain
+from mintcleat.main import cli_load
 from mintcleat.main import cli_manifest
 from mintcleat.main import cli_tables
 
@@ -144,14 +145,23 @@
         cli_experiment.run(plan, save, against, plot, self._json)
 
     @decorators.SetParseFn(str)
-    def explain(self, request: str, *files: str) -> None:
-        """Shows the path of a request and the decision that ended it.
+    def explain(self, name: str, *files: str) -> None:
+        """Shows the path of a request, or where a program's time went.
 
         Args:
-            request: Id of the request.
+            name: Id of the request or of the program.
             files: Log files of any processes.
         """
-        cli_explain.run(request, files, self._json)
+        cli_explain.run(name, files, self._json)
+
+    def load(self, customers: int = 50) -> None:
+        """Shows the use of limits and services, and what is refused and why.
+
+        Args:
+            customers: Maximum number of customers, those closest to their
+                limit first.
+        """
+        cli_load.run(self._client, customers, self._json)
 
     def instances(self) -> None:
         """Lists the nodes, their applied revision and remaining lease."""
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -44,6 +44,9 @@
             _check_customer(request.customer)
             _check_counts("budget", (request.budget, request.ahead))
             _check_counts("reserve", (request.reserve, request.retention))
+            if request.demand is not None:
+                _, _, *counts = request.demand
+                _check_counts("demand", tuple(counts))
         case program_messages.CloseTurn():
             _check_key(request.program)
             _check_key(request.turn)
@@ -52,6 +55,13 @@
         case program_messages.CountCall():
             _check_customer(request.customer)
             _check_counts("limit", (*request.limit, request.ahead))
+            if not 1 <= request.calls <= program_messages.MAX_CALLS:
+                raise errors.BadRequest(
+                    f"A count must be of 1 to {program_messages.MAX_CALLS} "
+                    f"calls, but is of {request.calls}."
+                )
+        case program_messages.ShowLoad():
+            _check_counts("customers", (request.customers,))
         case program_messages.FindCall():
             _check_key(request.key)
             _check_counts("turn", (request.turn,))
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -1,6 +1,7 @@
 """Serves program records on a control instance."""
 
 from collections.abc import Callable
+import functools
 from typing import Any
 
 import eventlet
@@ -12,6 +13,7 @@
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.ports import events as event_ports
 from mintcleat.ports import log
 from mintcleat.ports import streams
 from mintcleat.ports import timers
@@ -20,6 +22,8 @@
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.programs import retention
+from mintcleat.roles.control.programs import contention
+from mintcleat.roles.control.programs import load_report
 
 # Shorter than the client's timeout for one attempt, so that the client gets an
 # error from here if a group makes no progress, instead of a timeout.
@@ -32,6 +36,7 @@
     program_messages.FetchHistory,
     program_messages.RenewResidency,
     program_messages.FindCall,
+    program_messages.ShowLoad,
 )
 
 
@@ -73,6 +78,8 @@
         clocks: The clock of each group.
         policies: Returns the policies in force.
         entry_loads: Running requests by upstream, as reported by the entries.
+        contention: Admission control of turns.
+        load_report: Load and limits for operators.
     """
 
     def __init__(
@@ -84,6 +91,7 @@
         policies: Callable[[], manifest.Policies],
         *,
         histories: Callable[[str], Any] = lambda group: None,
+        events: event_ports.EventReporter = event_ports.NULL_EVENT_REPORTER,
     ) -> None:
         """Attaches a machine per group and registers the stream handlers.
 
@@ -95,6 +103,7 @@
             policies: Returns the policies in force.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
+            events: Receives the decisions of admission control.
         """
         self.log = replicated_log
         self.timers = timer_service
@@ -108,8 +117,18 @@
             for group, group_machine in self.machines.items()
         }
         self.entry_loads = shared_load.EntryLoads()
+        self.contention = contention.Contention(
+            self.machines, timer_service, policies, events
+        )
+        self.load_report = load_report.LoadReport(
+            timer_service, policies, self.entry_loads
+        )
         for group, group_machine in self.machines.items():
-            replicated_log.attach(group, group_machine)
+            replicated_log.attach(
+                group,
+                group_machine,
+                functools.partial(self.contention.reset, group),
+            )
         for kind in (*commands.MUTATIONS, *READS):
             stream_service.handle(kind, self._serve_one)
         stream_service.handle(identities.Batch, self._serve_batch)
@@ -134,6 +153,7 @@
         replies: list[Any] = [None] * len(requests)
         requests = list(requests)
         entries: dict[int, str] = {}
+        admitted: dict[int, str] = {}
         for place, request in enumerate(requests):
             if getattr(request, "running", None) is not None:
                 entries[place] = request.running.entry
@@ -141,16 +161,19 @@
             requests[place] = self._with_current_limit(requests[place])
             try:
                 group = self._checked_group(requests[place])
+                if self._controls_admission(group, requests[place]):
+                    self._admit(group, requests[place], entries.get(place, ""))
+                    admitted[place] = group
             except errors.MintcleatError as error:
                 replies[place] = error
             else:
+                requests[place] = _without_demand(requests[place])
                 by_group.setdefault(group, []).append(place)
-        threads = [
-            eventlet.spawn(self._answer_group, group, places, requests, replies)
-            for group, places in by_group.items()
-        ]
-        for thread in threads:
-            thread.wait()
+        self._answer_groups(by_group, requests, replies)
+        for place, group in admitted.items():
+            self._admission_answered(group, requests[place], replies[place])
+        for request, reply in zip(requests, replies, strict=True):
+            self.load_report.answered(request, reply)
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
@@ -158,6 +181,54 @@
                 replies[place] = reply._replace(others=others)
         return replies
 
+    def _controls_admission(self, group: str, request: Any) -> bool:
+        """Returns whether a request is subject to admission control here."""
+        kinds = (program_messages.OpenTurn, program_messages.CloseTurn)
+        return (
+            isinstance(request, kinds)
+            and self.policies().admission == "programs"
+            and self.log.leads(group)
+        )
+
+    def _admit(self, group: str, request: Any, entry: str) -> None:
+        """Admits an OpenTurn with a demand, or releases a closed turn.
+
+        Raises:
+            errors.TurnDeferred: The turn waits; its sender asks again.
+            errors.Overloaded: The turn is refused.
+            errors.ShareExceeded: The same, since its customer is over its
+                share.
+        """
+        match request:
+            case program_messages.CloseTurn():
+                self.contention.closed(group, request)
+            case program_messages.OpenTurn(demand=demand) if demand:
+                error = self.contention.admit(group, request, entry)
+                if error is not None:
+                    raise error
+
+    def _admission_answered(self, group: str, request: Any, reply: Any) -> None:
+        if isinstance(request, program_messages.OpenTurn):
+            self.contention.opened(group, request, reply)
+
+    def _answer_groups(
+        self,
+        by_group: dict[str, list[int]],
+        requests: list[Any],
+        replies: list[Any],
+    ) -> None:
+        """Fills in the replies of all groups; several commit concurrently."""
+        if len(by_group) == 1:
+            ((group, places),) = by_group.items()
+            self._answer_group(group, places, requests, replies)
+            return
+        threads = [
+            eventlet.spawn(self._answer_group, group, places, requests, replies)
+            for group, places in by_group.items()
+        ]
+        for thread in threads:
+            thread.wait()
+
     def _with_current_limit(self, request: Any) -> Any:
         """Returns a request with the customer's rate limit in force here.
 
@@ -209,7 +280,8 @@
                 f"{type(request).__name__} is not a program request."
             )
         checks.check(request)
-        if isinstance(request, program_messages.ListPrograms):
+        by_group = (program_messages.ListPrograms, program_messages.ShowLoad)
+        if isinstance(request, by_group):
             group = request.group
         else:
             scope = placement.scope_of(request)
@@ -256,7 +328,23 @@
             self.log.barrier(group, PROPOSE_SECONDS)
         except errors.MintcleatError as error:
             return [error] * len(requests)
-        return [self.machines[group].read(request) for request in requests]
+        return [self._read_one(group, request) for request in requests]
+
+    def _read_one(self, group: str, request: Any) -> Any:
+        if isinstance(request, program_messages.ShowLoad):
+            return self.load_report.view(
+                request,
+                self.machines[group].branches.limits,
+                self.clocks[group].read(),
+            )
+        return self.machines[group].read(request)
+
+
+def _without_demand(request: Any) -> Any:
+    """Returns a request as it is logged, without its soft state."""
+    if isinstance(request, program_messages.OpenTurn) and request.demand:
+        return request._replace(demand=None)
+    return request
 
 
 def _encode(reply: Any) -> bytes:
