Idle connections are checked each second without system calls

The hub reports what arrives on a pooled connection, so the periodic check need not peek at each. The peek before a request is sent stays.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -181,9 +181,20 @@
 
         It cannot if it received unsolicited bytes or was closed.
         """
-        if self.closed or time.monotonic() > self.usable_until:
-            return False
-        return self.reader.is_quiet()
+        return not self.is_stale() and self.reader.is_quiet()
+
+    def is_stale(self) -> bool:
+        """Returns whether an idle connection is known not to be usable.
+
+        Unlike `is_usable`, it makes no system call, and may miss what has just
+        arrived.
+        """
+        return (
+            self.closed
+            or time.monotonic() > self.usable_until
+            or self.reader.closed
+            or bool(self.reader.unread)
+        )
 
     def close(self) -> None:
         """Closes the connection; the upstream then cancels the request."""
@@ -276,6 +287,6 @@
         """Closes idle connections that are not usable any more."""
         for connections in self.idle.values():
             for connection in list(connections):
-                if not connection.is_usable():
+                if connection.is_stale():
                     connections.remove(connection)
                     connection.close()
