Control instances do less when nothing changes

The config leader looked for an address to follow 64 times a second. Each acknowledgement woke a green thread to find out that nothing was to be sent, also the last one of a commit and those of heartbeats. Followers scheduled a round of work to gather proposals that only a leader has. A heartbeat that is due soon travels with entries now, in one frame. The disk's thread wakes its caller without an event, and bench/request_cost.py reads CPU times in nanoseconds.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -43,7 +43,6 @@
 _START_SECONDS = 30.0
 _SETTLE_SECONDS = 3.0
 _REQUEST_SECONDS = 10.0
-_CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
 class Response(NamedTuple):
@@ -357,9 +356,12 @@
 
 
 def _cpu_seconds(pid: int) -> float:
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS
+    """Returns the CPU time of a process's living threads.
+
+    /proc/PID/stat counts in steps of 10 ms, too coarse for idle processes.
+    """
+    paths = pathlib.Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in paths) / 1e9
 
 
 def _toml(fields: dict[str, Any]) -> str:
--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 import eventlet
-from eventlet import event
 from eventlet import hubs
 from eventlet import patcher
+import greenlet
 
 # The thread has no event loop to wait on, as eventlet's replacement would.
 _os = patcher.original("os")
@@ -22,13 +22,35 @@
 _WAKE_READ_BYTES = 4096
 
 
+class _Job:
+    """A call and its result.
+
+    Attributes:
+        value: The result, or the exception if the call failed.
+        done: Whether the result may be taken; set on the event loop.
+        waiting: The green thread that waits; None if it was killed.
+    """
+
+    def __init__(self, function: Callable[..., Any], args: Any) -> None:
+        self.function = function
+        self.args = args
+        self.value: Any = None
+        self.failed = False
+        self.done = False
+        self.waiting: Any = greenlet.getcurrent()
+
+    def wake(self) -> None:
+        """Continues the green thread that waits."""
+        if self.waiting is not None:
+            self.waiting.switch()
+
+
 class DiskThread:
     """Runs calls in order on one thread; implements `ports.wal.DiskWorker`.
 
     Attributes:
         jobs: Queued calls; None ends the thread.
-        done: Finished calls whose green threads are yet to be woken: event,
-            result or exception, and whether it is an exception.
+        done: Finished calls whose green threads are yet to be woken.
         wake_reader: Pipe end that the event loop waits on.
         wake_writer: Pipe end that the thread writes to after each call.
     """
@@ -45,9 +67,7 @@
         self.observe = observe
         self.closed = False
         self.jobs: Any = _queue.SimpleQueue()
-        self.done: collections.deque[tuple[event.Event, Any, bool]] = (
-            collections.deque()
-        )
+        self.done: collections.deque[_Job] = collections.deque()
         self.wake_reader, self.wake_writer = os.pipe()
         os.set_blocking(self.wake_reader, False)
         os.set_blocking(self.wake_writer, False)
@@ -66,14 +86,18 @@
         if self.closed:
             self.thread.join()
             return function(*args)
-        finished = event.Event()
+        job = _Job(function, args)
         start = time.monotonic()
-        self.jobs.put((function, args, finished))
-        value, failed = finished.wait()
+        self.jobs.put(job)
+        try:
+            while not job.done:
+                hubs.get_hub().switch()
+        finally:
+            job.waiting = None
         self.observe(time.monotonic() - start)
-        if failed:
-            raise value
-        return value
+        if job.failed:
+            raise job.value
+        return job.value
 
     def pause(self) -> None:
         """Runs the queued calls; to be called within a long operation."""
@@ -99,15 +123,13 @@
         while (job := self.jobs.get()) is not None:
             self._run_job(job)
 
-    def _run_job(
-        self, job: tuple[Callable[..., Any], Any, event.Event]
-    ) -> None:
-        function, args, finished = job
+    def _run_job(self, job: "_Job") -> None:
         try:
-            outcome = (finished, function(*args), False)
+            job.value = job.function(*job.args)
         except Exception as error:
-            outcome = (finished, error, True)
-        self.done.append(outcome)
+            job.value = error
+            job.failed = True
+        self.done.append(job)
         try:
             _os.write(self.wake_writer, b"x")
         except BlockingIOError:
@@ -119,5 +141,7 @@
             hubs.trampoline(self.wake_reader, read=True)
             _os.read(self.wake_reader, _WAKE_READ_BYTES)
             while self.done:
-                finished, value, failed = self.done.popleft()
-                finished.send((value, failed))
+                job = self.done.popleft()
+                job.done = True
+                if job.waiting is not None:
+                    hubs.get_hub().schedule_call_global(0, job.wake)
--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -70,7 +70,8 @@
             while not self.stopping:
                 while self.closed:
                     self.close_one()
-                self.prepare_timers()
+                if self.next_timers:
+                    self.prepare_timers()
                 if self.timers:
                     self.fire_timers(self.clock())
                 for _ in range(_ROUNDS):
@@ -102,7 +103,8 @@
     def _seconds_to_wait(self) -> float:
         if self.ready or self.closed:
             return 0.0
-        self.prepare_timers()
+        if self.next_timers:
+            self.prepare_timers()
         if not self.timers:
             return self.default_sleep()
         return max(0.0, self.timers[0][0] - self.clock())
--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -21,6 +21,9 @@
 from mintcleat.consensus import types
 from mintcleat.domain import identities
 
+# Entries take a heartbeat with them that is due within this fraction of the
+# interval.
+_JOIN_FRACTION = 0.3
 # Number of sent versions of a list that are kept, for replies to them.
 _KEPT_VERSIONS = 32
 # A tick sends heartbeats that are due within this fraction of the interval;
@@ -192,12 +195,31 @@
         )
         for group in sorted(changed):
             self.replicas[group].flush(now)
-        if self.outbox.heartbeat_requested:
+        # A heartbeat that is due soon travels with the entries, in the same
+        # frame. A frame of its own would wake up each follower, and its
+        # answer this instance.
+        soon = self.heartbeat_due - _JOIN_FRACTION * self.settings.heartbeat
+        if self.outbox.heartbeat_requested or (changed and now >= soon):
             self._send_heartbeats(now)
         if self.outbox.elections:
             # Instances outside the group learn its leader from a Hello.
             self.hello_due = now
 
+    def has_work(self) -> bool:
+        """Returns whether `flush` or the driver has anything to do."""
+        return bool(
+            self.outbox.groups_to_replicate
+            or self.outbox.heartbeat_requested
+            or not self.outbox.is_empty()
+        )
+
+    def leads_any(self) -> bool:
+        """Returns whether a replica here leads its group."""
+        for replica in self.replicas.values():
+            if replica.state.role == types.LEADER:
+                return True
+        return False
+
     def leader(self, group: str, now: float) -> identities.Incarnation:
         """Returns the leader of a group, or NO_REPLICA if it is not known.
 
--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -260,6 +260,7 @@
             self.leader_epoch = 0
             self.feed.close_control()
         self.relay.active = not leads
+        self.relay.stream.idle = leads
         if self.leads():
             self._announce_control_instances()
             self.registrar.tick()
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -71,6 +71,8 @@
         returning: Whether the preferred instance is tried next.
         skipped_preferred: Whether the preferred instance was skipped because
             it had no configuration.
+        idle: Whether the owner leads. It then has nothing to follow, and an
+            address is looked for less often.
         reassembler: Collects the parts of a large update.
     """
 
@@ -92,6 +94,7 @@
         self.streams_opened = 0
         self.returning = False
         self.skipped_preferred = False
+        self.idle = False
         self.stopped = False
         self.reassembler = transfer.Reassembler()
 
@@ -129,7 +132,7 @@
         while not self.stopped:
             address = self.owner.select_address(attempt)
             if not address:
-                self.timers.sleep(self.renew / 10)
+                self.timers.sleep(self.renew / (2 if self.idle else 10))
                 continue
             before = self.owner.lease.echo
             try:
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -221,7 +221,15 @@
         if self.core.highest_epoch_seen > self.core.me.epoch:
             self.fail(_superseded(self.core.me.instance))
             return
-        self.wake()
+        if not self.core.has_work():
+            # The last of several acknowledgements, or one of a heartbeat,
+            # which may have confirmed a new leader.
+            self.on_progress()
+        elif self.core.leads_any():
+            self.wake()
+        else:
+            # There are no proposals to wait for.
+            self.work()
 
     def work(self) -> None:
         """Carries out all effects except those that wait for the disk."""
