Green threads are reused; cancelled timers wake nobody

A cancelled timeout, one or more for each request, ended a poll when it would have been due. Reads of streams mapped a buffer of 256 KB each; connections now share one. The disk's thread starts when the event loop is about to wait instead of competing with it for the interpreter, and does not ask for the kind of the log file at each write.

--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -49,6 +49,7 @@
     """Runs calls in order on one thread; implements `ports.wal.DiskWorker`.
 
     Attributes:
+        deferred: Calls that are about to be queued.
         jobs: Queued calls; None ends the thread.
         done: Finished calls whose green threads are yet to be woken.
         wake_reader: Pipe end that the event loop waits on.
@@ -66,6 +67,7 @@
         """
         self.observe = observe
         self.closed = False
+        self.deferred: collections.deque[_Job] = collections.deque()
         self.jobs: Any = _queue.SimpleQueue()
         self.done: collections.deque[_Job] = collections.deque()
         self.wake_reader, self.wake_writer = os.pipe()
@@ -88,7 +90,10 @@
             return function(*args)
         job = _Job(function, args)
         start = time.monotonic()
-        self.jobs.put(job)
+        # The thread competes with the event loop for the interpreter, so it
+        # starts once the green threads of this moment have run.
+        self.deferred.append(job)
+        hubs.get_hub().schedule_call_global(0, self._submit)
         try:
             while not job.done:
                 hubs.get_hub().switch()
@@ -117,8 +122,13 @@
         if self.closed:
             return
         self.closed = True
+        self._submit()
         self.jobs.put(None)
 
+    def _submit(self) -> None:
+        while self.deferred:
+            self.jobs.put(self.deferred.popleft())
+
     def _run_forever(self) -> None:
         while (job := self.jobs.get()) is not None:
             self._run_job(job)
--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -9,10 +9,13 @@
 - A file descriptor stays registered for reading while nobody waits for it.
   Its registration ends when data arrives that nobody waits for. eventlet
   registers and removes it for each message.
+- A cancelled timer does not end a poll. Most timers are timeouts that are
+  cancelled long before they are due.
 """
 
 import collections
 import contextlib
+import heapq
 import select
 import sys
 from typing import Any
@@ -105,6 +108,10 @@
             return 0.0
         if self.next_timers:
             self.prepare_timers()
+        # A cancelled timeout would wake up the process when it is due.
+        while self.timers and self.timers[0][1].called:
+            heapq.heappop(self.timers)
+            self.timers_canceled -= 1
         if not self.timers:
             return self.default_sleep()
         return max(0.0, self.timers[0][0] - self.clock())
--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -13,11 +13,15 @@
 import greenlet
 from loguru import logger
 
+from mintcleat.adapters import green_threads
 from mintcleat.adapters import streams_frames
 from mintcleat.domain import codec
 from mintcleat.domain import errors
 
-_READ_BYTES = 256 * 1024
+# Read buffer of all connections: its content is copied before another green
+# thread runs. A new buffer for each read would be mapped and unmapped by the
+# system, because it is large.
+_READ_BUFFER = memoryview(bytearray(256 * 1024))
 # Frames that follow one another faster than this are coalesced into one system
 # call; a single frame is written at once.
 _COALESCE_SECONDS = 50e-6
@@ -446,11 +450,11 @@
                 # The socket is hardly ever readable yet; trying to read it
                 # first would cost a system call and an exception.
                 hubs.trampoline(self.sock, read=True)
-                block = self.sock.recv(_READ_BYTES)
-                if not block:
+                size = self.sock.recv_into(_READ_BUFFER)
+                if not size:
                     return
                 self.last_received = time.monotonic()
-                for frame in buffer.feed(block):
+                for frame in buffer.feed(_READ_BUFFER[:size]):
                     self._handle_frame(frame)
                 blocks += 1
                 if blocks % _BLOCKS_PER_TURN == 0:
@@ -508,4 +512,4 @@
         # credit were granted only after a second message, the exchange would
         # deadlock.
         exchange.consume(len(frame.body))
-        eventlet.spawn(self.serve, exchange, message)
+        green_threads.spawn(self.serve, exchange, message)
--- a/src/mintcleat/adapters/streams_frames.py
+++ b/src/mintcleat/adapters/streams_frames.py
@@ -58,7 +58,7 @@
         self.max_body = max_body
         self.data = bytearray()
 
-    def feed(self, block: bytes) -> Iterator[Frame]:
+    def feed(self, block: bytes | memoryview) -> Iterator[Frame]:
         """Adds received bytes and yields all complete frames.
 
         Raises:
--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -9,6 +9,8 @@
 import eventlet
 from loguru import logger
 
+from mintcleat.adapters import green_threads
+
 # Longer periods are not aligned: the calls are rare, and a common time would
 # let all processes of a host do the same work at once.
 _MAX_ALIGNED_SECONDS = 1.0
@@ -77,7 +79,7 @@
 
     def spawn(self, function: Callable[..., None], *args: object) -> None:
         """Runs a function in a new green thread."""
-        eventlet.spawn(_run_and_log, function, *args)
+        green_threads.spawn(function, *args)
 
     def _run_once(
         self, subscription: EventletSubscription, callback: Callable[[], None]
--- a/src/mintcleat/adapters/wal_disk.py
+++ b/src/mintcleat/adapters/wal_disk.py
@@ -4,8 +4,13 @@
 import os
 import pathlib
 
+from eventlet import patcher
+
 from mintcleat.ports import wal
 
+# eventlet's replacement asks for the kind of the file at each write.
+_os = patcher.original("os")
+
 # Syncing this many bytes delays other calls by a few milliseconds only.
 STEP_BYTES = 1024 * 1024
 
@@ -17,7 +22,7 @@
         """Writes all bytes; continues after short writes."""
         view = memoryview(data)
         while view:
-            view = view[os.write(descriptor, view) :]
+            view = view[_os.write(descriptor, view) :]
 
     def sync(self, descriptor: int) -> None:
         """Syncs the data and the metadata needed to read it."""
