--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -307,6 +307,7 @@
         self._passed: dict[turn_queue.Rank, int] = {}
         self._refused_at: dict[int, float] = {}
         self._allowed = 0.0
+        self._turns: dict[str, float] = {}
         self._refresh_at = -math.inf
         self._active_at = -math.inf
         self._silent_until = -math.inf
@@ -337,7 +338,12 @@
                 return refusal
         self.deferred += not again
         wait = self._wait(rank, 0.0)
-        retry_after = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait / 2))
+        retry_after = min(wait, MAX_RETRY_SECONDS)
+        if ask.first:
+            # So that a refusal for waiting too long comes at once.
+            waited = max(now - waiter.since, ask.demand.waited)
+            retry_after = min(retry_after, _max_wait(ask.demand) - waited)
+        retry_after = max(MIN_RETRY_SECONDS, retry_after)
         return Defer(
             jitter.retry_after(f"{ask.key.turn}{now}", retry_after),
             self._situation(ask, wait, rank, bound, now),
@@ -437,7 +443,9 @@
         demand = ask.demand
         customer = ask.key.customer
         self.turn_tokens = _moved(self.turn_tokens, demand.tokens)
-        self.shares.demand(customer, demand.share, demand.tokens, now)
+        if _program_key(ask) not in self.first_attempts.attempts:
+            work = self._shared_work(ask)
+            self.shares.demand(customer, demand.share, work, now)
         stage = turn_queue.IN_PROGRESS
         if ask.first:
             stage = turn_queue.FIRST
@@ -447,6 +455,17 @@
         self._passed.setdefault(rank, 0)
         return self.queue.add(ask, rank, now)
 
+    def _shared_work(self, ask: turn_queue.Ask) -> float:
+        """Returns the tokens that a turn counts for in its customer's share.
+
+        A first turn counts for its whole program, so that a customer that
+        begins many programs is recognized before their later turns arrive.
+        """
+        turns = self._turns.get(_kind(ask))
+        if turns is None:
+            return float(ask.demand.tokens)
+        return ask.demand.tokens * turns if ask.first else 0.0
+
     def _bound_for(self, ask: turn_queue.Ask) -> float:
         """Returns the bound for one turn.
 
@@ -532,9 +551,8 @@
         wait = self._wait(rank + 1, programs * (expected.turns - 1))
         if self._is_held_back(waiter.rank, now):
             wait = max(wait, _RECENT_SECONDS)
-        limit, slack = MAX_WAIT_SECONDS, math.inf
+        limit, slack = _max_wait(demand), math.inf
         if first.target > 0:
-            limit = MAX_WAIT_FRACTION * first.target
             slack = first.target * _TARGET_FRACTION - expected.seconds
         if waited + wait <= limit and now - first.at + wait <= slack:
             return None
@@ -568,7 +586,7 @@
         demand = ask.demand
         self.queue.remove(ask.key)
         self.queue.clock.advance(waiter.tag)
-        self.shares.use(ask.key.customer, demand.tokens, now)
+        self.shares.use(ask.key.customer, self._shared_work(ask), now)
         self._count_passed(waiter.rank)
         self.reports.started(ask.entry)
         expires = now + demand.timeout
@@ -651,11 +669,20 @@
         if now >= self._refresh_at:
             self._refresh_at = now + _REFRESH_SECONDS
             self._allowed = self._allowed_pace()
+            self._turns = self._turns_by_kind()
             self.queue.clock.drop_idle()
         self.pace.observe(
             seconds, units, turn.level, self.capacity(), self._allowed, now
         )
 
+    def _turns_by_kind(self) -> dict[str, float]:
+        """Returns the mean number of turns of programs, by known kinds."""
+        found = {
+            kind: self.times.expected(kind, 0.0, self.pace.pace)
+            for kind in self.times.kinds
+        }
+        return {kind: one.turns for kind, one in found.items() if one.known}
+
     def _allowed_pace(self) -> float:
         """Returns the pace at which programs of all kinds end in time.
 
@@ -679,6 +706,17 @@
     return ask._replace(demand=ask.demand._replace(share=_MIN_SHARE))
 
 
+def _max_wait(demand: program_messages.TurnDemand) -> float:
+    """Returns the seconds that a first turn may wait.
+
+    It may ask again that much later than it should.
+    """
+    if demand.finish_within > 0:
+        longest = MAX_WAIT_FRACTION * demand.finish_within
+        return max(0.0, longest - MIN_RETRY_SECONDS)
+    return MAX_WAIT_SECONDS
+
+
 def _kind(ask: turn_queue.Ask) -> str:
     return f"{ask.demand.kind}/{ask.demand.priority}"
 
