--- a/bench/turn_admission_cost.py
+++ b/bench/turn_admission_cost.py
@@ -10,6 +10,7 @@
 import time
 
 from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
 
@@ -58,7 +59,7 @@
         ask = ask_of(number, rng)
         number += 1
         now += INTERVAL
-        if isinstance(schedule.ask(ask, now), turn_admission.Defer):
+        if isinstance(schedule.ask(ask, now), turn_decisions.Defer):
             waiting[ask.key] = ask
     spent = {"ask": 0.0, "ask again": 0.0, "release": 0.0}
     longest = dict.fromkeys(spent, 0.0)
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -26,7 +26,8 @@
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import jitter
 from mintcleat.decisions import program_times
-from mintcleat.decisions import shared_load
+from mintcleat.decisions import reported_turns
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
@@ -73,68 +74,6 @@
 _REFRESH_SECONDS = 0.25
 
 
-class Situation(NamedTuple):
-    """What a decision was based on.
-
-    Attributes:
-        wait: Predicted wait in seconds.
-        rank: Number of waiting turns that come before this one.
-        running: Running turns of the service.
-        bound: Bound on the running turns that applied; inf if unknown.
-        share: Share of the customer, as a fraction of the work.
-        use: Work that the customer received recently, as a fraction.
-    """
-
-    wait: float
-    rank: int
-    running: int
-    bound: float
-    share: float
-    use: float
-
-
-class Grant(NamedTuple):
-    """The turn may run.
-
-    Attributes:
-        waited: Seconds that it has waited.
-        again: Whether it had been granted before.
-    """
-
-    waited: float
-    again: bool = False
-
-
-class Defer(NamedTuple):
-    """The turn waits and asks again.
-
-    Attributes:
-        retry_after: Seconds after which it should ask again.
-        again: Whether it was waiting before.
-    """
-
-    retry_after: float
-    situation: Situation
-    again: bool
-
-
-class Refuse(NamedTuple):
-    """The turn doesn't run.
-
-    Attributes:
-        kind: `share_exceeded` or `overloaded`.
-        reason: `duration` if its program could not end in time after the
-            wait, `wait` if it would wait or has waited for too long.
-        retry_after: Seconds after which the backlog is expected to be gone,
-            without jitter per request.
-    """
-
-    kind: str
-    reason: str
-    retry_after: float
-    situation: Situation
-
-
 class RunningTurn(NamedTuple):
     """A granted turn.
 
@@ -150,114 +89,6 @@
     expires: float
 
 
-class CustomerView(NamedTuple):
-    """One customer's part of a service.
-
-    Attributes:
-        running: Running turns.
-        waiting: Waiting turns.
-        share: Share that it is entitled to, as a fraction of the work.
-        use: Work that it received recently, as a fraction.
-        refused: Refused turns since the schedule began.
-    """
-
-    customer: str
-    running: int
-    waiting: int
-    share: float
-    use: float
-    refused: int
-
-
-class ScheduleView(NamedTuple):
-    """State of a schedule for operators.
-
-    Attributes:
-        running: Granted turns, and turns reported by entries beyond them.
-        waiting: Waiting turns.
-        bound: Bound on running turns; -1 if unknown.
-        capacity: Bound by slots and memory; -1 if unknown.
-        slowdown: Current time of turns as a multiple of that at low load.
-        granted: Granted turns since the schedule began.
-        deferred: Turns that had to wait since then.
-        refused: Refused turns since then, by kind and reason.
-        lost: Waiting turns dropped because they did not ask again.
-        expired: Granted turns released by their timeout.
-        customers: The customers with most use, at most as many as asked for.
-    """
-
-    running: int
-    waiting: int
-    bound: float
-    capacity: float
-    slowdown: float
-    granted: int
-    deferred: int
-    refused: dict[str, int]
-    lost: int
-    expired: int
-    customers: list[CustomerView]
-
-
-class EntryReports:
-    """Turns that entries report beyond those granted here.
-
-    A new leader learns from them what its predecessor granted.
-
-    Attributes:
-        reports: Time of the report and reported turns by entry; the oldest
-            report first.
-        granted: Turns granted here, by entry.
-        excess: Reported turns beyond the granted ones, by entry.
-        total: Sum of `excess`.
-    """
-
-    def __init__(self) -> None:
-        self.reports: collections.OrderedDict[str, tuple[float, int]] = (
-            collections.OrderedDict()
-        )
-        self.granted: collections.Counter[str] = collections.Counter()
-        self.excess: dict[str, int] = {}
-        self.total = 0
-
-    def report(self, entry: str, running: int, now: float) -> None:
-        """Replaces the report of an entry."""
-        self.reports[entry] = (now, running)
-        self.reports.move_to_end(entry)
-        self._update(entry)
-
-    def expire(self, now: float) -> None:
-        """Drops reports that are too old."""
-        while self.reports:
-            entry, (at, _) = next(iter(self.reports.items()))
-            if now - at <= shared_load.MAX_AGE:
-                return
-            del self.reports[entry]
-            self._update(entry)
-
-    def started(self, entry: str) -> None:
-        """Counts a granted turn."""
-        self.granted[entry] += 1
-        self._update(entry)
-
-    def ended(self, entry: str) -> None:
-        """Removes a granted turn, also from the last report."""
-        self.granted[entry] -= 1
-        if self.granted[entry] <= 0:
-            del self.granted[entry]
-        if entry in self.reports:
-            at, running = self.reports[entry]
-            self.reports[entry] = (at, max(0, running - 1))
-        self._update(entry)
-
-    def _update(self, entry: str) -> None:
-        _, running = self.reports.get(entry, (0.0, 0))
-        excess = max(0, running - self.granted[entry])
-        self.total += excess - self.excess.pop(entry, 0)
-        if excess:
-            self.excess[entry] = excess
-
-
 class ServiceSchedule:
     """Decides which turns of one service run; soft state of a leader.
 
@@ -288,7 +119,7 @@
         self.pace = turn_pace.PaceLimit()
         self.times = program_times.ProgramTimes()
         self.first_attempts = program_times.FirstAttempts()
-        self.reports = EntryReports()
+        self.reports = reported_turns.EntryReports()
         self.places = 0.0
         self.memory = 0.0
         self.turn_tokens = 0.0
@@ -312,7 +143,9 @@
         self._active_at = -math.inf
         self._silent_until = -math.inf
 
-    def ask(self, ask: turn_queue.Ask, now: float) -> Grant | Defer | Refuse:
+    def ask(
+        self, ask: turn_queue.Ask, now: float
+    ) -> turn_decisions.Grant | turn_decisions.Defer | turn_decisions.Refuse:
         """Decides on a turn; also for turns that ask again."""
         ask = _with_valid_share(ask)
         self._note_activity(now)
@@ -320,7 +153,7 @@
         self._observe_capacity(ask.demand)
         self.reports.report(ask.entry, ask.demand.running, now)
         if ask.key in self.running:
-            return Grant(0.0, again=True)
+            return turn_decisions.Grant(0.0, again=True)
         waiter = self.queue.waiters.get(ask.key)
         again = waiter is not None
         if waiter is None:
@@ -344,7 +177,7 @@
             waited = max(now - waiter.since, ask.demand.waited)
             retry_after = min(retry_after, _max_wait(ask.demand) - waited)
         retry_after = max(MIN_RETRY_SECONDS, retry_after)
-        return Defer(
+        return turn_decisions.Defer(
             jitter.retry_after(f"{ask.key.turn}{now}", retry_after),
             self._situation(ask, wait, rank, bound, now),
             again,
@@ -399,7 +232,9 @@
         """Returns the number of running turns, as far as they are known."""
         return len(self.running) + self.reports.total
 
-    def view(self, now: float, max_customers: int = 100) -> ScheduleView:
+    def view(
+        self, now: float, max_customers: int = 100
+    ) -> turn_decisions.ScheduleView:
         """Returns the state for operators."""
         self._expire(now, math.inf)
         self.shares.refresh(now)
@@ -412,7 +247,7 @@
         for name in names:
             share = self.shares.share(name, now)
             customers.append(
-                CustomerView(
+                turn_decisions.CustomerView(
                     name,
                     running[name],
                     waiting[name],
@@ -423,7 +258,7 @@
             )
         customers.sort(key=lambda item: (-item.use, item.customer))
         bound, capacity = self.bound(), self.capacity()
-        return ScheduleView(
+        return turn_decisions.ScheduleView(
             self.running_turns(),
             len(self.queue),
             bound if math.isfinite(bound) else -1.0,
@@ -536,7 +371,7 @@
         rank: int,
         bound: float,
         now: float,
-    ) -> Refuse | None:
+    ) -> turn_decisions.Refuse | None:
         """Returns the refusal of a first turn; None if it may wait."""
         ask = waiter.ask
         demand = ask.demand
@@ -559,7 +394,7 @@
         kind = "overloaded"
         if waiter.rank.stage == turn_queue.FIRST_OVER_SHARE:
             kind = "share_exceeded"
-        return Refuse(
+        return turn_decisions.Refuse(
             kind,
             "wait" if waited + wait > limit else "duration",
             min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, wait)),
@@ -573,15 +408,17 @@
         rank: int,
         bound: float,
         now: float,
-    ) -> Situation:
+    ) -> turn_decisions.Situation:
         share = self.shares.share(ask.key.customer, now)
-        return Situation(
+        return turn_decisions.Situation(
             wait, rank, self.running_turns(), bound, share.share, share.use
         )
 
     # --- Changes --------------------------------------------------------------
 
-    def _grant(self, waiter: turn_queue.Waiter, now: float) -> Grant:
+    def _grant(
+        self, waiter: turn_queue.Waiter, now: float
+    ) -> turn_decisions.Grant:
         ask = waiter.ask
         demand = ask.demand
         self.queue.remove(ask.key)
@@ -598,7 +435,7 @@
             _program_key(ask), _kind(ask), ask.first, demand.finish_within, now
         )
         self.granted += 1
-        return Grant(now - waiter.since)
+        return turn_decisions.Grant(now - waiter.since)
 
     def _count_passed(self, granted: turn_queue.Rank) -> None:
         """Counts a grant for the ranks that it passed over.
@@ -615,7 +452,10 @@
         self._passed[granted] = 0
 
     def _refuse(
-        self, waiter: turn_queue.Waiter, refusal: Refuse, now: float
+        self,
+        waiter: turn_queue.Waiter,
+        refusal: turn_decisions.Refuse,
+        now: float,
     ) -> None:
         key = waiter.ask.key
         self.queue.refund(self.queue.remove(key).ask)
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -13,7 +13,7 @@
 from mintcleat.configuration import directory
 from mintcleat.decisions import evidence
 from mintcleat.decisions import policy as policy_module
-from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
@@ -232,9 +232,9 @@
             except control_module.NoLeader:
                 raise NotServed from None
             match decision:
-                case turn_admission.Grant():
+                case turn_decisions.Grant():
                     return
-                case turn_admission.Refuse():
+                case turn_decisions.Refuse():
                     raise NotServed
             yield self.env.timeout(decision.retry_after)
 
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -11,7 +11,7 @@
 from mintcleat.adapters import wsgi
 from mintcleat.configuration import machine
 from mintcleat.consensus import types
-from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
 from mintcleat.main import common as common_module
@@ -149,7 +149,7 @@
             self._set_turn_gauges(service, view)
 
     def _set_turn_gauges(
-        self, service: str, view: turn_admission.ScheduleView
+        self, service: str, view: turn_decisions.ScheduleView
     ) -> None:
         metrics = self.common.metrics
         metrics.gauge("turns_running", view.running, service=service)
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
@@ -72,9 +73,9 @@
         ask = self._ask(group, request, entry)
         decision = schedule.ask(ask, now)
         match decision:
-            case turn_admission.Grant():
+            case turn_decisions.Grant():
                 return None
-            case turn_admission.Defer():
+            case turn_decisions.Defer():
                 if not decision.again:
                     self._emit_deferred(request, decision)
                 return errors.TurnDeferred(
@@ -99,7 +100,7 @@
         ran = bool(request.upstream and request.tokens)
         self._release(group, request, request.tokens, ran)
 
-    def views(self) -> dict[str, turn_admission.ScheduleView]:
+    def views(self) -> dict[str, turn_decisions.ScheduleView]:
         """Returns the state of the services of the groups led here.
 
         The key is the name of the service, followed by a slash and the group
@@ -164,7 +165,7 @@
     def _emit_deferred(
         self,
         request: program_messages.OpenTurn,
-        decision: turn_admission.Defer,
+        decision: turn_decisions.Defer,
     ) -> None:
         self.events.emit(
             event_types.TurnDeferred(
@@ -180,7 +181,7 @@
     def _emit_refused(
         self,
         request: program_messages.OpenTurn,
-        decision: turn_admission.Refuse,
+        decision: turn_decisions.Refuse,
     ) -> None:
         self.events.emit(
             event_types.TurnRefused(
@@ -197,7 +198,7 @@
         )
 
 
-def _figures(situation: turn_admission.Situation) -> tuple[float, ...]:
+def _figures(situation: turn_decisions.Situation) -> tuple[float, ...]:
     return (
         round(situation.wait, 4),
         situation.rank,
@@ -208,7 +209,7 @@
     )
 
 
-def _refusal_detail(service: str, decision: turn_admission.Refuse) -> str:
+def _refusal_detail(service: str, decision: turn_decisions.Refuse) -> str:
     situation = decision.situation
     if decision.kind == "share_exceeded":
         return (
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -11,6 +11,7 @@
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import program_times
 from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
@@ -38,7 +39,7 @@
 
 
 def is_granted(decision: Any) -> bool:
-    return isinstance(decision, turn_admission.Grant)
+    return isinstance(decision, turn_decisions.Grant)
 
 
 class ScheduleTest(testtools.TestCase):
@@ -186,7 +187,7 @@
         self.fill()
         decisions = [self.ask(f"w{number}") for number in range(60)]
         refused = [
-            one for one in decisions if isinstance(one, turn_admission.Refuse)
+            one for one in decisions if isinstance(one, turn_decisions.Refuse)
         ]
         self.assertTrue(refused)
         self.assertEqual(
@@ -203,13 +204,13 @@
         self.fill(first=False)
         for number in range(200):
             decision = self.ask(f"w{number}", first=False, waited=50.0)
-            self.assertIsInstance(decision, turn_admission.Defer)
+            self.assertIsInstance(decision, turn_decisions.Defer)
 
     def test_nothing_is_refused_before_the_speed_is_known(self) -> None:
         self.fill()
         for number in range(60):
             decision = self.ask(f"w{number}")
-            self.assertIsInstance(decision, turn_admission.Defer)
+            self.assertIsInstance(decision, turn_decisions.Defer)
 
     def test_reported_turns_of_a_former_leader_count(self) -> None:
         self.ask("t1", running=6, entry="a1")
@@ -440,17 +441,17 @@
         before = self.schedule.running_turns()
         decision = self.schedule.ask(ask, self.now)
         match decision:
-            case turn_admission.Grant(again=again):
+            case turn_decisions.Grant(again=again):
                 assert again or self.schedule.running_turns() <= max(
                     1.0, self.schedule.bound() + 1.0
                 )
                 assert again or before < self.schedule.bound()
                 self.waiting.pop(ask.key, None)
                 self.running[ask.key] = self.now + ask.demand.timeout
-            case turn_admission.Defer(retry_after=seconds):
+            case turn_decisions.Defer(retry_after=seconds):
                 assert 0 < seconds < 0.2
                 self.waiting[ask.key] = ask
-            case turn_admission.Refuse(retry_after=seconds):
+            case turn_decisions.Refuse(retry_after=seconds):
                 assert ask.first
                 assert 0 < seconds <= 10.0
                 self.waiting.pop(ask.key, None)
--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
 
@@ -348,11 +349,11 @@
         )
         world.decisions[type(decision).__name__] += 1
         match decision:
-            case turn_admission.Grant():
+            case turn_decisions.Grant():
                 self.place()
-            case turn_admission.Defer(retry_after=seconds):
+            case turn_decisions.Defer(retry_after=seconds):
                 world.at(world.now + seconds + WAY_SECONDS, self.decide)
-            case turn_admission.Refuse():
+            case turn_decisions.Refuse():
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
                 )
