--- /dev/null
+++ b/testing/test_turn_client.py
@@ -0,0 +1,179 @@
+"""Turns that an entry opens under admission control."""
+
+from collections.abc import Callable
+from typing import Any
+
+import testtools
+
+from fakes import waiting_clock
+from mintcleat.configuration import directory
+from mintcleat.decisions import policy
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
+from mintcleat.domain import member_messages
+from mintcleat.domain import program_messages
+from mintcleat.domain import routed_calls
+from mintcleat.ports import events
+from mintcleat.roles.entry import rate_limiter
+from mintcleat.roles.entry import turn_client
+from mintcleat.roles.entry import turn_demand
+from mintcleat.roles.entry import upstream_loads
+
+CALL = routed_calls.RoutedCall(
+    "r1",
+    "POST",
+    "",
+    "/",
+    (),
+    b"x",
+    program=routed_calls.ProgramContext("p", finish_within=2.0),
+    generation=routed_calls.Generation("m", 900, 100),
+    customer="farm",
+)
+OPENED = program_messages.TurnOpened([], "")
+SERVICE = manifest.Service(kind="model", memory_tokens=5000)
+
+
+class CallerGone(BaseException):
+    """The caller's disconnect, which ends the request's green thread."""
+
+
+class Clock(waiting_clock.Clock):
+    """A clock on which background tasks run at once."""
+
+    def spawn(self, function: Any, *args: Any) -> None:
+        function(*args)
+
+
+class Control:
+    """Answers requests by a script.
+
+    Attributes:
+        asked: The requests that were sent.
+    """
+
+    groups = 1
+
+    def __init__(self, answer: Callable[[int], Any]) -> None:
+        self.answer = answer
+        self.asked: list[Any] = []
+
+    def ask(self, scope: str, message: Any, timeout: float) -> Any:
+        self.asked.append(message)
+        if isinstance(message, program_messages.CloseTurn):
+            return None
+        reply = self.answer(len(self.asked))
+        if isinstance(reply, BaseException):
+            raise reply
+        return reply
+
+
+class Configuration:
+    """A configuration with upstreams and without customers."""
+
+    def __init__(self) -> None:
+        self.registered = directory.Directory()
+
+    def subscribe(self, callback: Any) -> None:
+        return None
+
+    def manifest(self) -> manifest.Manifest:
+        return manifest.Manifest()
+
+    def lease_left(self) -> float:
+        return 1.0
+
+
+class TurnClientTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.configuration = Configuration()
+        for number in range(3):
+            self.configuration.registered.register(
+                member_messages.Registration(
+                    f"e{number}", "lm", f"h:{number}", "", "", 4, "ready", 1
+                )
+            )
+        self.loads = upstream_loads.UpstreamLoads(
+            self.configuration,
+            self.clock,
+            events.NullEventReporter(),
+            lambda incarnation: None,
+            "a1",
+            policy.DEFAULT,
+        )
+        self.loads.refresh()
+
+    def open(self, answer: Callable[[int], Any]) -> Any:
+        self.control = Control(answer)
+        limiter = rate_limiter.RateLimiter(
+            self.control,
+            self.clock,
+            events.NullEventReporter(),
+            self.configuration,
+        )
+        client = turn_client.TurnClient(
+            self.control, limiter, self.clock, events.NullEventReporter()
+        )
+        admission = turn_demand.Admission(
+            self.demand, self.loads.report, self.clock.now() + 1.5
+        )
+        return client.open(CALL, 100, 60.0, self.loads.report(), admission)
+
+    def demand(self) -> program_messages.TurnDemand:
+        return turn_demand.demand_of(
+            CALL,
+            "turns",
+            "lm",
+            SERVICE,
+            0,
+            1.0,
+            (self.clock.now(), 2.0 - self.clock.now()),
+            turn_demand.capacity_of(self.loads, "lm"),
+        )
+
+    def test_demand_states_capacity_and_running_requests(self) -> None:
+        self.loads.began("e1", "other", 1.0)
+        demand = self.demand()
+        self.assertEqual((12, 15000), (demand.places, demand.memory_tokens))
+        self.assertEqual((1000, 2.0), (demand.tokens, demand.finish_within))
+        self.assertEqual(1, demand.running)
+
+    def test_failing_upstreams_are_no_capacity(self) -> None:
+        for _ in range(20):
+            self.loads.failed(self.loads.known["e1"])
+        self.assertEqual(8, self.demand().places)
+
+    def test_deferred_turn_asks_again_until_it_is_granted(self) -> None:
+        deferred = errors.TurnDeferred("It waits.", retry_after=0.05)
+        self.open(lambda count: deferred if count < 4 else OPENED)
+        waits = [request.demand.waited for request in self.control.asked]
+        self.assertEqual([0.0, 0.05, 0.1, 0.15], waits)
+        self.assertEqual(
+            {"r1"}, {request.turn for request in self.control.asked}
+        )
+
+    def test_turn_that_waits_too_long_is_refused_in_time(self) -> None:
+        deferred = errors.TurnDeferred("It waits.", retry_after=0.05)
+        error = self.assertRaises(
+            errors.Overloaded, self.open, lambda count: deferred
+        )
+        self.assertIs(errors.Overloaded, type(error))
+        self.assertEqual(errors.NOT_RUN, error.outcome)
+        self.assertTrue(1.3 < self.clock.now() <= 1.5)
+
+    def test_refusal_is_passed_on(self) -> None:
+        refused = errors.ShareExceeded("Too much.", retry_after=0.7)
+        error = self.assertRaises(
+            errors.ShareExceeded, self.open, lambda count: refused
+        )
+        self.assertEqual(0.7, error.retry_after)
+        self.assertEqual(1, len(self.control.asked))
+
+    def test_grant_of_a_caller_that_has_gone_is_released(self) -> None:
+        # The grant may be on its way when the caller's thread ends.
+        self.assertRaises(CallerGone, self.open, lambda count: CallerGone())
+        opened, closed = self.control.asked
+        self.assertIsInstance(closed, program_messages.CloseTurn)
+        self.assertEqual(opened.turn, closed.turn)
