A single pause of an engine doesn't count as a change of speed

Cause: after a pause of 0.6 s entries took the engine for slow, since one long gap moved the fast average; programs left their caches there for nothing. Change: a change needs two gaps in a row; a stall is reported to other entries as twice the time, enough to be avoided for first turns. Run: test_emulator, test_turn_time, test_upstream_loads passed.

--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -25,8 +25,8 @@
 # Samples after which an entry trusts its own measurement alone.
 FULL_SPEED_SAMPLES = 6
 # Weights of a new sample in the slow and the fast average of an upstream. If
-# they differ by more than the scatter explains, its speed has changed and the
-# slow average begins anew.
+# they differ by more than the scatter explains, and so do two gaps in a row,
+# its speed has changed and the slow average begins anew.
 SLOW_GAIN = 1.0 / 16.0
 FAST_GAIN = 1.0 / 3.0
 # Number of samples whose plain average scatters as much as the fast one.
@@ -51,6 +51,9 @@
 # avoided upstream is tried again. A request in this time is an answer's length
 # of harm; its first gaps show whether the upstream has recovered.
 MAX_SPEED_AGE = 2.0
+# What an overdue event counts as for other entries. They avoid the upstream for
+# new programs, but a short pause is no reason to leave a cache there.
+STALL_SLOWDOWN = 2.0
 # Age at which rates and speeds that a choice uses are computed again; a change
 # of speed has them computed at once.
 REFRESH_SECONDS = 0.1
@@ -143,6 +146,8 @@
         fast: Fast average of the same.
         samples: Number of gaps so far.
         window: Number of gaps in the slow average since it last began.
+        is_suspect: Whether the last gap showed a change of speed. A second one
+            confirms it; a single pause is no change.
         updated_at: Time of the last gap.
         streaming: Time of the first event of each answer that has begun, by
             request.
@@ -153,6 +158,7 @@
     __slots__ = (
         "expected",
         "fast",
+        "is_suspect",
         "load",
         "pending",
         "samples",
@@ -170,6 +176,7 @@
         self.slow = self.fast = 1.0
         self.samples = 0
         self.window = 0
+        self.is_suspect = False
         self.updated_at = 0.0
         self.streaming: dict[str, float] = {}
         self.pending: dict[str, tuple[int, float, float]] = {}
@@ -224,11 +231,15 @@
         # The first samples are averaged with equal weights.
         self.window += 1
         slow += max(SLOW_GAIN, 1.0 / self.window) * (ratio - slow)
-        level = max(1.0, min(self.fast, slow))
-        if abs(self.fast - slow) > service.change * level:
-            slow = self.fast
-            self.window = FAST_WINDOW
-            service.refreshed_at = -math.inf
+        bound = service.change * max(1.0, min(self.fast, slow))
+        if abs(self.fast - slow) > bound and abs(ratio - slow) > bound:
+            if self.is_suspect:
+                slow = self.fast
+                self.window = FAST_WINDOW
+                service.refreshed_at = -math.inf
+            self.is_suspect = not self.is_suspect
+        else:
+            self.is_suspect = False
         self.slow = slow
         if self.samples % RATE_SAMPLE_INTERVAL == 0:
             service.learn(self.load, seconds, ratio, slow)
@@ -366,16 +377,16 @@
             own = times.slow / median if median else 1.0
             age = now - times.updated_at
             trust = min(1.0, times.samples / FULL_SPEED_SAMPLES)
-            if times.streaming:
-                gaps = times.stall(now)
-                if gaps:
-                    self.stalled[name] = age
-                    own = max(own, gaps)
-                    trust = 1.0
+            gaps = times.stall(now) if times.streaming else 0.0
+            if gaps:
+                self.stalled[name] = age
+                trust = 1.0
+                self.measured[name] = max(own, min(gaps, STALL_SLOWDOWN))
+                own = max(own, gaps)
             elif age > MAX_SPEED_AGE:
                 continue
             own = 1.0 + (own - 1.0) * trust
-            if abs(own - 1.0) > self.deviation * min(own, 1.0):
+            if not gaps and abs(own - 1.0) > self.deviation * min(own, 1.0):
                 self.measured[name] = own
             if trust < 1.0 and name in shared:
                 own += (1.0 - trust) * (shared[name] - 1.0)
