Reports carry speeds in the order of the upstreams

Cause: the names of upstreams were sent twice, and an entry sent each measured difference: with 18 of 27 upstreams that differ an OpenTurn had 907 bytes and a TurnOpened 1,444. Change: speeds are lists in the order of the counts, as tokens are; an entry reports a difference for upstreams that it uses, and for those to be avoided. Bytes of OpenTurn and TurnOpened with 27 upstreams, 8 of them used: 354 and 801 without tokens and speeds, 378 and 910 with tokens, 392 and 977 if 18 also differ in speed; with 64 upstreams, 20 of them used: 692 and 1,837, 825 and 2,242 if 43 differ.

--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -70,26 +70,55 @@
     slowdowns: Mapping[str, int] = {}
 
 
+class Reply(NamedTuple):
+    """A summary as it is sent, without repeating the names of upstreams.
+
+    Attributes:
+        others: Requests by upstream, with 0 for those that only differ in
+            speed.
+        tokens: Tokens in the order of `others`; empty if unknown.
+        slowdowns: Percents in the order of `others`, 100 for upstreams that
+            don't differ; empty if none does.
+    """
+
+    others: dict[str, int]
+    tokens: list[int]
+    slowdowns: list[int]
+
+
+def reply_of(summary: Summary) -> Reply:
+    """Returns a summary as it is sent."""
+    others = {**dict.fromkeys(summary.slowdowns, 0), **summary.running}
+    tokens = [summary.tokens.get(upstream, 0) for upstream in others]
+    slowdowns: list[int] = []
+    if summary.slowdowns:
+        slowdowns = [summary.slowdowns.get(name, 100) for name in others]
+    return Reply(others, tokens if any(tokens) else [], slowdowns)
+
+
 def summary_of(
-    running: Mapping[str, int],
-    tokens: Sequence[int],
-    slowdowns: Mapping[str, int],
+    others: Mapping[str, int], tokens: Sequence[int], slowdowns: Sequence[int]
 ) -> Summary:
-    """Returns the summary of a reply, which has tokens in order of `running`.
+    """Returns the summary that was sent as these fields of a `Reply`.
 
-    Tokens are ignored unless there is one number for each upstream.
+    Lists are ignored unless they have one number for each upstream.
     """
-    return Summary(running, _by_upstream(running, tokens), slowdowns)
+    percents = _by_upstream(others, slowdowns)
+    return Summary(
+        others,
+        _by_upstream(others, tokens),
+        {name: number for name, number in percents.items() if number != 100},
+    )
 
 
 def _by_upstream(
-    running: Mapping[str, int], tokens: Sequence[int]
+    running: Mapping[str, int], numbers: Sequence[int]
 ) -> dict[str, int]:
-    if len(tokens) != len(running):
+    if len(numbers) != len(running):
         return {}
     return {
         upstream: max(0, number)
-        for upstream, number in zip(running, tokens, strict=True)
+        for upstream, number in zip(running, numbers, strict=True)
     }
 
 
@@ -120,7 +149,7 @@
         running: Mapping[str, int],
         now: float,
         tokens: Sequence[int] = (),
-        slowdowns: Mapping[str, int] | None = None,
+        slowdowns: Sequence[int] = (),
     ) -> None:
         """Replaces the report of an entry and drops expired ones.
 
@@ -128,17 +157,21 @@
             entry: The entry.
             running: Its running requests by upstream.
             now: The current time.
-            tokens: Tokens that they hold, in the order of `running`; ignored
-                unless there is one number for each upstream.
-            slowdowns: Time in percent of the median, by upstream; at most
-                `MAX_UPSTREAMS` of them count.
+            tokens: Tokens that they hold, in the order of `running`.
+            slowdowns: Time in percent of the median, in the order of
+                `running`; at most `MAX_UPSTREAMS` that differ from 100 count.
+                Lists are ignored unless they have one number for each
+                upstream.
         """
         held = _by_upstream(running, tokens)
+        differing = [
+            (upstream, percent)
+            for upstream, percent in _by_upstream(running, slowdowns).items()
+            if percent != 100
+        ]
         bounded = {
             upstream: min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, percent))
-            for upstream, percent in list((slowdowns or {}).items())[
-                :MAX_UPSTREAMS
-            ]
+            for upstream, percent in differing[:MAX_UPSTREAMS]
         }
         before = self._remove(entry, bounded)
         self.reports[entry] = Report(now, running, held, bounded)
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -16,19 +16,21 @@
     other entries. The group does not record them.
 
     Attributes:
-        by_upstream: Running calls by incarnation of the upstream.
+        by_upstream: Running calls by incarnation of the upstream; 0 for one
+            that only differs in speed.
         tokens: Tokens that these calls hold in the memory of each upstream,
             in the order of `by_upstream`; empty if unknown. Prompt parts that
             other programs use too are left out, since each sender would count
             them.
-        slowdowns: Time that an upstream takes, in percent of the median of
-            its peers as the sender measured it; for upstreams that differ.
+        slowdowns: Time that each upstream takes, in percent of the median of
+            its peers as the sender measured it, in the order of `by_upstream`;
+            empty if none differs.
     """
 
     entry: str
     by_upstream: dict[str, int]
     tokens: list[int] = []
-    slowdowns: dict[str, int] = {}
+    slowdowns: list[int] = []
 
 
 class RateLimit(NamedTuple):
@@ -118,14 +120,16 @@
     Attributes:
         chain: Turns to continue, oldest first; empty if the sender has them.
         upstream: Upstream that ran the program last; empty for a new program.
-        others: Running calls of other entries by incarnation of the upstream.
+        others: Running calls of other entries by incarnation of the upstream;
+            0 for one that only differs in speed.
         counted_at: Group clock at which the request was counted against the
             customer's limit; negative if it was not counted.
         ahead: Number of requests that were counted ahead.
         others_tokens: Tokens that the calls of other entries hold, in the
             order of `others`; empty if unknown.
-        slowdowns: Time that an upstream takes, in percent of the median of
-            its peers; for upstreams that differ as several entries say.
+        slowdowns: Time that each upstream takes, in percent of the median of
+            its peers, as several entries say, in the order of `others`; empty
+            if none differs.
     """
 
     chain: list[KeptTurn]
@@ -134,7 +138,7 @@
     counted_at: float = -1.0
     ahead: int = 0
     others_tokens: list[int] = []
-    slowdowns: dict[str, int] = {}
+    slowdowns: list[int] = []
 
 
 class CountCall(NamedTuple):
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -154,11 +154,11 @@
         for place, entry in entries.items():
             reply = replies[place]
             if isinstance(reply, program_messages.TurnOpened):
-                summary = self.entry_loads.summary(entry)
+                loads = shared_load.reply_of(self.entry_loads.summary(entry))
                 replies[place] = reply._replace(
-                    others=summary.running,
-                    others_tokens=list(summary.tokens.values()),
-                    slowdowns=summary.slowdowns,
+                    others=loads.others,
+                    others_tokens=loads.tokens,
+                    slowdowns=loads.slowdowns,
                 )
         return replies
 
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -353,15 +353,22 @@
         }
         if not self.policy.turn_time:
             return program_messages.RunningCounts(self.entry, counts)
+        measured: dict[str, float] = {}
+        for times in self.times.services.values():
+            measured.update(times.measured)
+        # Those to be avoided are reported without a request there too, as
+        # nobody else may have one. A name takes as much space as ten numbers.
+        for incarnation, factor in measured.items():
+            if factor >= load_balancing.MAX_SLOWDOWN:
+                counts.setdefault(incarnation, 0)
         held = self.tokens
         tokens = [
             held[incarnation].own if incarnation in held else 0
             for incarnation in counts
         ]
-        slowdowns: dict[str, int] = {}
-        for times in self.times.services.values():
-            for incarnation, factor in times.measured.items():
-                slowdowns[incarnation] = _percent(factor)
+        slowdowns = []
+        if measured:
+            slowdowns = [_percent(measured.get(name, 1.0)) for name in counts]
         return program_messages.RunningCounts(
             self.entry, counts, tokens, slowdowns
         )
--- a/testing/test_shared_load.py
+++ b/testing/test_shared_load.py
@@ -195,7 +195,7 @@
     def test_report_expires_with_its_tokens_and_speeds(self) -> None:
         entry_loads = shared_load.EntryLoads()
         for entry in "ab":
-            entry_loads.report(entry, {"u": 3}, 0.0, [900], {"u": 400})
+            entry_loads.report(entry, {"u": 3}, 0.0, [900], [400])
         later = shared_load.MAX_AGE + 0.1
         entry_loads.report("c", {}, later)
         self.assertEqual(({}, {}, {}), entry_loads.summary("d"))
@@ -205,8 +205,8 @@
         entry_loads = shared_load.EntryLoads()
         entry_loads.report("a", {"u": 3}, 0.0, [900, 50])
         self.assertEqual({}, entry_loads.summary("b").tokens)
-        self.assertEqual({}, shared_load.summary_of({"u": 1}, [], {}).tokens)
-        found = shared_load.summary_of({"u": 1}, [-5], {})
+        self.assertEqual({}, shared_load.summary_of({"u": 1}, [], []).tokens)
+        found = shared_load.summary_of({"u": 1}, [-5], [])
         self.assertEqual({"u": 0}, found.tokens)
 
     def test_received_reply_expires(self) -> None:
@@ -222,11 +222,34 @@
         self.assertFalse(others.is_current(10.1 + shared_load.MAX_AGE))
 
 
+class ReplyTest(testtools.TestCase):
+    def test_summary_is_read_as_it_was_sent(self) -> None:
+        summary = shared_load.Summary(
+            {"a": 3, "b": 1}, {"a": 900, "b": 50}, {"b": 60, "c": 460}
+        )
+        reply = shared_load.reply_of(summary)
+        self.assertEqual(3, len(reply.others))
+        found = shared_load.summary_of(*reply)
+        self.assertEqual(summary.slowdowns, found.slowdowns)
+        self.assertEqual({"a": 3, "b": 1, "c": 0}, found.running)
+        self.assertEqual({"a": 900, "b": 50, "c": 0}, found.tokens)
+
+    def test_nothing_known_takes_no_space(self) -> None:
+        summary = shared_load.Summary({"a": 3})
+        reply = shared_load.reply_of(summary)
+        self.assertEqual(({"a": 3}, [], []), reply)
+        self.assertEqual(summary, shared_load.summary_of(*reply))
+
+    def test_lists_of_another_length_are_ignored(self) -> None:
+        found = shared_load.summary_of({"a": 3}, [1, 2], [400, 60])
+        self.assertEqual(({"a": 3}, {}, {}), found)
+
+
 class SlowdownsTest(testtools.TestCase):
     def agreed(self, *percents: int) -> int | None:
         entry_loads = shared_load.EntryLoads()
         for number, percent in enumerate(percents):
-            entry_loads.report(f"e{number}", {}, 0.0, (), {"u": percent})
+            entry_loads.report(f"e{number}", {"u": 0}, 0.0, (), [percent])
         return entry_loads.summary("x").slowdowns.get("u")
 
     def test_one_entry_alone_can_t_exclude_an_upstream(self) -> None:
@@ -246,12 +269,12 @@
     def test_changed_and_withdrawn_reports_count_no_more(self) -> None:
         entry_loads = shared_load.EntryLoads()
         for entry in "abc":
-            entry_loads.report(entry, {}, 0.0, (), {"u": 400, "v": 150})
+            entry_loads.report(entry, {"u": 0, "v": 1}, 0.0, (), [400, 150])
         self.assertEqual(
             {"u": 400, "v": 150}, entry_loads.summary("a").slowdowns
         )
         for entry in "abc":
-            entry_loads.report(entry, {}, 0.1, (), {"u": 300})
+            entry_loads.report(entry, {"u": 0}, 0.1, (), [300])
         self.assertEqual({"u": 300}, entry_loads.summary("a").slowdowns)
         entry_loads.report("a", {}, 0.2)
         entry_loads.report("b", {}, 0.2)
@@ -261,9 +284,10 @@
     def test_reports_and_replies_are_bounded(self) -> None:
         """A peer may send any numbers, and any number of upstreams."""
         entry_loads = shared_load.EntryLoads()
-        percents = {f"u{n}": 10**9 * (-1) ** n for n in range(1000)}
+        names = dict.fromkeys([f"u{n}" for n in range(1000)], 0)
+        percents = [10**9 * (-1) ** n for n in range(1000)]
         for entry in "abc":
-            entry_loads.report(entry, {}, 0.0, (), percents)
+            entry_loads.report(entry, names, 0.0, (), percents)
         found = entry_loads.summary("d").slowdowns
         self.assertEqual(shared_load.MAX_UPSTREAMS, len(found))
         self.assertEqual(
@@ -284,7 +308,7 @@
                 dict.fromkeys(names, 2),
                 now,
                 [rng.randrange(100) for _ in names],
-                {name: rng.choice((100, 160, 400)) for name in names},
+                [rng.choice((100, 160, 400)) for _ in names],
             )
             reports = entry_loads.reports.values()
             self.assertEqual(
--- a/testing/test_upstream_loads.py
+++ b/testing/test_upstream_loads.py
@@ -147,6 +147,17 @@
             placed = self.place(f"r{number}")
             self.assertNotEqual("a", placed.upstream.upstream)
 
+    def test_upstream_to_be_avoided_is_reported_without_a_request(
+        self,
+    ) -> None:
+        self.learn()
+        self.clock.time += 1.0
+        self.place("r0", hint="b")
+        self.loads.times.service("m").measured = {"a": 4.6, "b": 0.6, "c": 1.4}
+        report = self.loads.report()
+        self.assertEqual({"b": 1, "a": 0}, report.by_upstream)
+        self.assertEqual([60, 460], report.slowdowns)
+
     def test_expected_time_is_unknown_before_anything_was_measured(
         self,
     ) -> None:
