Running requests are counted by a class of their own; unused code removed

Change: decisions/running_requests counts; SilenceDetector reads it. Tests show that a reply has the sums and medians of the other entries, that the log holds no report, and that call_placed has the tokens of other requests.

--- a/src/mintcleat/decisions/placement.py
+++ b/src/mintcleat/decisions/placement.py
@@ -333,9 +333,7 @@
     return [resident.name]
 
 
-def _tokens_to_rebuild(
-    fleet: Fleet, name: str, call: calls.Call, resident: Resident | None
-) -> int:
+def _tokens_to_rebuild(name: str, resident: Resident | None) -> int:
     """Returns the cached tokens that are missing at the upstream."""
     if resident is None or resident.name == name:
         return 0
@@ -343,10 +341,10 @@
 
 
 def _rebuild_seconds(
-    fleet: Fleet, name: str, call: calls.Call, resident: Resident | None
+    fleet: Fleet, name: str, resident: Resident | None
 ) -> tuple[float, bool]:
     """Returns the seconds to get the history there, and whether by export."""
-    missing = _tokens_to_rebuild(fleet, name, call, resident)
+    missing = _tokens_to_rebuild(name, resident)
     if not missing:
         return 0.0, False
     rebuild = missing / _prefill_rate(fleet, name)
@@ -388,11 +386,11 @@
     total = max(weights.program_latency + weights.wasted_cache, 1e-9)
     latency = 2 * weights.program_latency / total
     waste = 2 * weights.wasted_cache / total
-    rebuild, _ = _rebuild_seconds(fleet, name, call, resident)
+    rebuild, _ = _rebuild_seconds(fleet, name, resident)
     service = _service_seconds(fleet, name, call)
     first = call.attained == 0
     wait = fleet.upstreams[name].wait(first, fleet.switches.lag)
-    missing = _tokens_to_rebuild(fleet, name, call, resident)
+    missing = _tokens_to_rebuild(name, resident)
     lost = missing / _prefill_rate(fleet, name)
     return latency * (wait + rebuild + service) + waste * MOVE_PENALTY * lost
 
@@ -400,7 +398,7 @@
 def _choice(
     fleet: Fleet, name: str, call: calls.Call, resident: Resident | None
 ) -> Choice:
-    rebuild, exported = _rebuild_seconds(fleet, name, call, resident)
+    rebuild, exported = _rebuild_seconds(fleet, name, resident)
     wait = fleet.upstreams[name].wait(call.attained == 0, fleet.switches.lag)
     finish = wait + rebuild + _service_seconds(fleet, name, call)
     return Choice(name, rebuild > 0, exported, wait, finish)
--- a/src/mintcleat/decisions/upstream_health.py
+++ b/src/mintcleat/decisions/upstream_health.py
@@ -13,6 +13,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from mintcleat.decisions import running_requests
+
 # Seconds for which a failure excludes an upstream, doubled with each further
 # failure up to the maximum. The first is about the time in which a restarted
 # upstream registers again. The maximum is short because an upstream may come
@@ -120,18 +122,6 @@
         self.by_upstream.pop(upstream, None)
 
 
-class PendingRequest(NamedTuple):
-    """A request that an upstream has not answered completely.
-
-    Attributes:
-        sent_at: When it was sent.
-        silence_timeout: Seconds of silence that are normal for its route.
-    """
-
-    sent_at: float
-    silence_timeout: float
-
-
 class SilenceDetector:
     """Detects upstreams that send nothing while requests are pending.
 
@@ -140,53 +130,40 @@
     it, for whichever request, shows that it is alive.
 
     Attributes:
-        pending_requests: Requests by upstream and request id.
+        requests: The pending requests.
         last_received: When data last came, by upstream.
     """
 
-    def __init__(self) -> None:
-        self.pending_requests: dict[str, dict[str, PendingRequest]] = {}
+    def __init__(self, requests: running_requests.RunningRequests) -> None:
+        self.requests = requests
         self.last_received: dict[str, float] = {}
 
-    def began(
-        self, upstream: str, request: str, silence_timeout: float, now: float
-    ) -> None:
-        """Records that a request was sent."""
-        self.pending_requests.setdefault(upstream, {})[request] = (
-            PendingRequest(now, silence_timeout)
-        )
-
     def arrived(self, upstream: str, now: float) -> None:
         """Records that data came from the upstream."""
         self.last_received[upstream] = now
 
-    def ended(self, upstream: str, request: str) -> None:
-        """Removes a request that ended."""
-        pending = self.pending_requests.get(upstream, {})
-        pending.pop(request, None)
-        if not pending:
-            self.pending_requests.pop(upstream, None)
-            self.last_received.pop(upstream, None)
-
-    def waiting(self, upstream: str) -> int:
-        """Returns the number of pending requests."""
-        return len(self.pending_requests.get(upstream, ()))
+    def forget(self, upstream: str) -> None:
+        """Drops an upstream that no longer exists."""
+        self.last_received.pop(upstream, None)
 
     def silent(self, upstream: str, now: float) -> bool:
         """Returns whether a request has exceeded its silence timeout."""
-        pending = self.pending_requests.get(upstream)
+        pending = self.requests.by_upstream.get(upstream)
         return pending is not None and self._exceeded(upstream, pending, now)
 
     def silent_upstreams(self, now: float) -> list[str]:
         """Returns all upstreams that are silent."""
         return [
             upstream
-            for upstream, pending in self.pending_requests.items()
+            for upstream, pending in self.requests.by_upstream.items()
             if self._exceeded(upstream, pending, now)
         ]
 
     def _exceeded(
-        self, upstream: str, pending: Mapping[str, PendingRequest], now: float
+        self,
+        upstream: str,
+        pending: Mapping[str, running_requests.PendingRequest],
+        now: float,
     ) -> bool:
         silent = now - self.last_received.get(upstream, 0.0)
         for request in pending.values():
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -154,7 +154,7 @@
         for (
             upstream,
             pending,
-        ) in self.gateway.loads.silence_detector.pending_requests.items():
+        ) in self.gateway.loads.requests.by_upstream.items():
             running = len(pending)
             metrics.gauge("upstream_running_calls", running, upstream=upstream)
 
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -9,6 +9,7 @@
 from mintcleat.decisions import engine_memory
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import policy as policy_module
+from mintcleat.decisions import running_requests
 from mintcleat.decisions import shared_load
 from mintcleat.decisions import turn_estimates
 from mintcleat.decisions import turn_time
@@ -90,6 +91,7 @@
         entry: Name of this entry.
         policy: Decisions that are switched on.
         others: Running requests of other entries.
+        requests: This entry's running requests.
         times: Measured rates and speeds.
         prefixes: Prompt parts that programs share.
         tokens: Tokens of this entry's requests, by incarnation.
@@ -115,7 +117,8 @@
         self.events = events
         self.on_removed = on_removed
         self.penalties = upstream_health.FailurePenalties()
-        self.silence_detector = upstream_health.SilenceDetector()
+        self.requests = running_requests.RunningRequests()
+        self.silence_detector = upstream_health.SilenceDetector(self.requests)
         self.latencies = load_balancing.LatencyTracker()
         self.times = turn_time.TurnTimes()
         self.prefixes = engine_memory.Prefixes()
@@ -138,6 +141,7 @@
             self.latencies.forget(incarnation)
             self.times.forget(incarnation)
             self.penalties.forget(incarnation)
+            self.silence_detector.forget(incarnation)
             self.on_removed(incarnation)
         for incarnation, item in entries.items():
             previous = self.known.get(incarnation)
@@ -259,7 +263,7 @@
         turn = engine_memory.TurnTokens()
         if generation.prompt_tokens or generation.parts:
             turn = self.prefixes.tokens_of(call.program.program, generation)
-        pending = self.silence_detector.pending_requests
+        pending = self.requests.by_upstream
         return turn_estimates.TurnEstimates(
             turn,
             lambda name: len(pending.get(name, ())) + others.get(name, 0),
@@ -281,7 +285,7 @@
         times = self.times.service(service)
         if now - times.refreshed_at < turn_time.REFRESH_SECONDS:
             return times
-        pending = self.silence_detector.pending_requests
+        pending = self.requests.by_upstream
         shared = self.others.slowdowns if others else {}
 
         def load_of(name: str) -> float:
@@ -314,7 +318,7 @@
                 the first event don't count.
         """
         now = self.timers.now()
-        self.silence_detector.began(incarnation, request, silence_timeout, now)
+        self.requests.began(incarnation, request, silence_timeout, now)
         if placement is None or not self.policy.turn_time:
             return
         if placement.turn.total:
@@ -333,7 +337,7 @@
 
     def running(self, incarnation: str) -> int:
         """Returns the number of this entry's requests at an upstream."""
-        return self.silence_detector.waiting(incarnation)
+        return self.requests.count(incarnation)
 
     def running_elsewhere(self, incarnation: str) -> int:
         """Returns the number of other entries' requests; 0 if unknown."""
@@ -346,7 +350,7 @@
 
     def report(self) -> program_messages.RunningCounts:
         """Returns this entry's requests by upstream, and what it measured."""
-        waits = self.silence_detector.pending_requests
+        waits = self.requests.by_upstream
         counts = {
             incarnation: len(requests)
             for incarnation, requests in waits.items()
@@ -379,7 +383,7 @@
 
     def ended(self, incarnation: str, request: str) -> None:
         """Removes a request from the count; idempotent."""
-        self.silence_detector.ended(incarnation, request)
+        self.requests.ended(incarnation, request)
         tokens = self.tokens.get(incarnation)
         if tokens is not None:
             tokens.remove(request)
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -514,6 +514,22 @@
         (taken,) = self.system.reporter.of(events.CallTaken)
         self.assertTrue(0 <= taken.lease_left_s <= 1.2, taken)
 
+    def test_placement_shows_the_tokens_of_the_other_requests(self) -> None:
+        self.start_engines(("e1", "lm", platform_engine.stream(6, 0.2)))
+        turns = []
+        for number in range(3):
+            turns.append(
+                eventlet.spawn(
+                    self.system.call, "POST", "/turns/a", b"x", f"t{number}",
+                    X_Program_Id=f"p{number}", X_Token_Counts="10,18",
+                )
+            )  # fmt: skip
+        for turn in turns:
+            self.assertEqual(200, turn.wait().status)
+        placed = self.system.reporter.of(events.CallPlaced)
+        self.assertEqual([0, 28, 56], [event.held_tokens for event in placed])
+        self.assertEqual({1.0}, {event.slowdown for event in placed})
+
     def test_refusal_and_failed_attempt_emit_events(self) -> None:
         self.start_engines(("e1", "desk", _reset))
         self.system.call("POST", "/unsafe/a", request="r7")
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -174,6 +174,31 @@
         )
         self.assertEqual(["open", "expired"], [view.state for view in views])
 
+    def test_turn_gets_what_the_other_entries_report(self) -> None:
+        def opened(
+            entry: str, turn: str, *report: Any
+        ) -> program_messages.TurnOpened:
+            running = program_messages.RunningCounts(entry, *report)
+            (reply,) = self.batch(
+                [
+                    program_messages.OpenTurn(
+                        f"p{turn}", turn, "", 0, 9, 60.0, running=running
+                    )
+                ]
+            )
+            return reply
+
+        opened("e1", "t1", {"u": 2, "v": 1}, [900, 50], [460, 100])
+        opened("e2", "t2", {"u": 1}, [300], [480])
+        reply = opened("e3", "t3", {})
+        self.assertEqual({"u": 3, "v": 1}, reply.others)
+        self.assertEqual([1200, 50], reply.others_tokens)
+        self.assertEqual([460, 100], reply.slowdowns)
+        # They are soft state: the log holds no report.
+        for commands in self.cluster.commands.values():
+            for command in commands:
+                self.assertNotIn(b"e1", command)
+
     def test_list_continues_after_a_name(self) -> None:
         names = [f"p{number}" for number in range(9)]
         self.service.answer([create(name) for name in names])
--- a/testing/test_upstream_health.py
+++ b/testing/test_upstream_health.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from mintcleat.decisions import load_balancing
+from mintcleat.decisions import running_requests
 from mintcleat.decisions import upstream_health
 
 UPSTREAMS = [f"u{n}" for n in range(6)]
@@ -41,7 +42,8 @@
     def __init__(self) -> None:
         self.running = dict.fromkeys(UPSTREAMS, 0)
         self.penalties = upstream_health.FailurePenalties()
-        self.detector = upstream_health.SilenceDetector()
+        self.requests = running_requests.RunningRequests()
+        self.detector = upstream_health.SilenceDetector(self.requests)
 
     def place(self, request: Request, now: float) -> str:
         names = [name for name in UPSTREAMS if name != request.tried]
@@ -62,7 +64,7 @@
             request.name,
         )
         self.running[found.upstream] += 1
-        self.detector.began(found.upstream, request.name, SILENCE_TIMEOUT, now)
+        self.requests.began(found.upstream, request.name, SILENCE_TIMEOUT, now)
         return found.upstream
 
     def ended(
@@ -74,7 +76,7 @@
         now: float,
     ) -> None:
         self.running[upstream] -= 1
-        self.detector.ended(upstream, request.name)
+        self.requests.ended(upstream, request.name)
         if ok:
             self.detector.arrived(upstream, now)
             self.penalties.answered(upstream, began, now)
@@ -212,27 +214,31 @@
 
 class SilenceDetectorTest(testtools.TestCase):
     def test_silence_counts_from_sending(self) -> None:
-        detector = upstream_health.SilenceDetector()
-        detector.began("a", "r1", 0.5, 10.0)
+        requests = running_requests.RunningRequests()
+        detector = upstream_health.SilenceDetector(requests)
+        requests.began("a", "r1", 0.5, 10.0)
         self.assertFalse(detector.silent("a", 10.5))
         self.assertTrue(detector.silent("a", 10.6))
 
     def test_any_data_ends_the_silence(self) -> None:
-        detector = upstream_health.SilenceDetector()
-        detector.began("a", "r1", 0.5, 10.0)
+        requests = running_requests.RunningRequests()
+        detector = upstream_health.SilenceDetector(requests)
+        requests.began("a", "r1", 0.5, 10.0)
         detector.arrived("a", 10.6)
         self.assertFalse(detector.silent("a", 10.7))
         self.assertTrue(detector.silent("a", 11.2))
 
     def test_each_route_has_its_own_timeout(self) -> None:
-        detector = upstream_health.SilenceDetector()
-        detector.began("a", "slow", 3.0, 10.0)
+        requests = running_requests.RunningRequests()
+        detector = upstream_health.SilenceDetector(requests)
+        requests.began("a", "slow", 3.0, 10.0)
         self.assertFalse(detector.silent("a", 12.0))
-        detector.began("a", "fast", 0.5, 12.0)
+        requests.began("a", "fast", 0.5, 12.0)
         self.assertTrue(detector.silent("a", 12.6))
 
     def test_without_requests_there_is_no_silence(self) -> None:
-        detector = upstream_health.SilenceDetector()
-        detector.began("a", "r1", 0.5, 10.0)
-        detector.ended("a", "r1")
+        requests = running_requests.RunningRequests()
+        detector = upstream_health.SilenceDetector(requests)
+        requests.began("a", "r1", 0.5, 10.0)
+        requests.ended("a", "r1")
         self.assertFalse(detector.silent("a", 20.0))
