Medians of speeds are kept up by what changed

Cause: the leader computed the medians of all upstreams after each change of one. Change: only upstreams whose reports changed are computed again; with the policy's speed off, an entry reports none. Run: test_shared_load, test_upstream_loads, test_program_service passed.

--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -88,12 +88,17 @@
 
 def reply_of(summary: Summary) -> Reply:
     """Returns a summary as it is sent."""
-    others = {**dict.fromkeys(summary.slowdowns, 0), **summary.running}
-    tokens = [summary.tokens.get(upstream, 0) for upstream in others]
+    others = dict(summary.running)
+    percents = summary.slowdowns
+    for upstream in percents:
+        others.setdefault(upstream, 0)
+    tokens: list[int] = []
+    if summary.tokens:
+        tokens = [summary.tokens.get(upstream, 0) for upstream in others]
     slowdowns: list[int] = []
-    if summary.slowdowns:
-        slowdowns = [summary.slowdowns.get(name, 100) for name in others]
-    return Reply(others, tokens if any(tokens) else [], slowdowns)
+    if percents:
+        slowdowns = [percents.get(upstream, 100) for upstream in others]
+    return Reply(others, tokens, slowdowns)
 
 
 def summary_of(
@@ -130,8 +135,8 @@
         totals: Requests running by upstream, summed over the reports.
         tokens: Tokens held by upstream, summed over the reports.
         slowdowns: Reported slowdowns of each upstream, sorted.
-        agreed: The slowdowns on which reports agree; None when they have to
-            be computed again.
+        agreed: The slowdowns on which reports agreed when last computed.
+        changed: Upstreams whose reported slowdowns have changed since.
     """
 
     def __init__(self) -> None:
@@ -141,7 +146,8 @@
         self.totals: collections.Counter[str] = collections.Counter()
         self.tokens: collections.Counter[str] = collections.Counter()
         self.slowdowns: dict[str, list[int]] = {}
-        self.agreed: dict[str, int] | None = None
+        self.agreed: dict[str, int] = {}
+        self.changed: set[str] = set()
 
     def report(
         self,
@@ -216,18 +222,19 @@
         return Summary(running, tokens, self._agreed_slowdowns())
 
     def _agreed_slowdowns(self) -> dict[str, int]:
-        """Returns the medians; the same for all entries until one changes."""
-        if self.agreed is None:
-            agreed = {
-                upstream: _median(percents)
-                for upstream, percents in self.slowdowns.items()
-                if len(percents) >= MIN_WITNESSES
-            }
-            if len(agreed) > MAX_UPSTREAMS:
-                most = sorted(agreed, key=lambda name: -abs(agreed[name] - 100))
-                agreed = {name: agreed[name] for name in most[:MAX_UPSTREAMS]}
-            self.agreed = agreed
-        return self.agreed
+        """Returns the medians, which are the same for all entries."""
+        for upstream in self.changed:
+            percents = self.slowdowns.get(upstream, ())
+            if len(percents) >= MIN_WITNESSES:
+                self.agreed[upstream] = _median(percents)
+            else:
+                self.agreed.pop(upstream, None)
+        self.changed.clear()
+        agreed = self.agreed
+        if len(agreed) > MAX_UPSTREAMS:
+            most = sorted(agreed, key=lambda name: -abs(agreed[name] - 100))
+            return {name: agreed[name] for name in most[:MAX_UPSTREAMS]}
+        return agreed
 
     def _remove(
         self, entry: str, slowdowns: Mapping[str, int]
@@ -247,12 +254,12 @@
         return report.slowdowns
 
     def _add_slowdowns(self, slowdowns: Mapping[str, int]) -> None:
-        self.agreed = None
+        self.changed.update(slowdowns)
         for upstream, percent in slowdowns.items():
             bisect.insort(self.slowdowns.setdefault(upstream, []), percent)
 
     def _remove_slowdowns(self, slowdowns: Mapping[str, int]) -> None:
-        self.agreed = None
+        self.changed.update(slowdowns)
         for upstream, percent in slowdowns.items():
             percents = self.slowdowns[upstream]
             del percents[bisect.bisect_left(percents, percent)]
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -358,8 +358,9 @@
         if not self.policy.turn_time:
             return program_messages.RunningCounts(self.entry, counts)
         measured: dict[str, float] = {}
-        for times in self.times.services.values():
-            measured.update(times.measured)
+        if self.policy.speed:
+            for times in self.times.services.values():
+                measured.update(times.measured)
         # Those to be avoided are reported without a request there too, as
         # nobody else may have one. A name takes as much space as ten numbers.
         for incarnation, factor in measured.items():
