Placement page, experiments, and bounds on what callers state

Cause: the decisions about memory and speed had no page; ids and token counts that callers state weren't bounded where they are kept or reported; an upstream that left could leave measurements behind. Change: docs/design/112-placement.md with its plans in examples/experiments/placement; prefixes with long ids aren't remembered, tokens are bounded; nothing is recorded for an upstream that is gone. Most gaps are compared with the scatter once. A test shows that slow engines get few first turns within a second, one that the plans are valid.

--- a/src/mintcleat/decisions/engine_memory.py
+++ b/src/mintcleat/decisions/engine_memory.py
@@ -15,6 +15,12 @@
 # Ids of first prompt parts that are remembered. A service has far fewer
 # prefixes that programs share; the rest are prompts of one program.
 MAX_PREFIXES = 4096
+# Length from which on an id is not remembered: callers choose the ids, and all
+# that are remembered must fit into a small part of an entry's memory.
+MAX_ID_LENGTH = 128
+# Bound on the tokens of a prompt and of an answer, far above what an engine
+# holds. Callers state them.
+MAX_TOKENS = 10**8
 
 
 class TurnTokens(NamedTuple):
@@ -70,17 +76,19 @@
         """Returns what a turn of a program holds in memory."""
         parts = generation.parts
         shared = shared_tokens = 0
+        identified = sum([part.tokens for part in parts])
+        prompt = max(generation.prompt_tokens, identified)
+        output = generation.max_tokens
+        if prompt + output > MAX_TOKENS:
+            return TurnTokens(own=MAX_TOKENS, last=MAX_TOKENS)
         for part in parts:
             if not self._is_shared(part.id, program):
                 break
             shared += 1
             shared_tokens += part.tokens
-        identified = sum([part.tokens for part in parts])
-        prompt = max(generation.prompt_tokens, identified)
         last = prompt - identified
         if not last and parts:
             last = parts[-1].tokens
-        output = generation.max_tokens
         return TurnTokens(
             parts,
             shared,
@@ -91,6 +99,8 @@
         )
 
     def _is_shared(self, part: str, program: str) -> bool:
+        if len(part) > MAX_ID_LENGTH or len(program) > MAX_ID_LENGTH:
+            return False
         programs = self.programs
         first = programs.get(part, "")
         if first is None:
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -38,6 +38,9 @@
 # ten.
 MIN_SLOWDOWN = 10
 MAX_SLOWDOWN = 1000
+# Bound on the tokens of one entry at one upstream. Sums of it still fit into a
+# message.
+MAX_TOKENS = 10**12
 
 
 class Report(NamedTuple):
@@ -122,7 +125,7 @@
     if len(numbers) != len(running):
         return {}
     return {
-        upstream: max(0, number)
+        upstream: min(MAX_TOKENS, max(0, number))
         for upstream, number in zip(running, numbers, strict=True)
     }
 
@@ -302,11 +305,7 @@
         self.slowdowns: Mapping[str, float] = {}
         self.received_at = float("-inf")
 
-    def update(self, running: Mapping[str, int], now: float) -> None:
-        """Stores the counts of a reply from the leader."""
-        self.update_all(Summary(running), now)
-
-    def update_all(self, summary: Summary, now: float) -> None:
+    def update(self, summary: Summary, now: float) -> None:
         """Stores a reply from the leader."""
         self.running = summary.running
         self.tokens = summary.tokens
--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -231,19 +231,28 @@
         # The first samples are averaged with equal weights.
         self.window += 1
         slow += max(SLOW_GAIN, 1.0 / self.window) * (ratio - slow)
-        bound = service.change * max(1.0, min(self.fast, slow))
-        if abs(self.fast - slow) > bound and abs(ratio - slow) > bound:
-            if self.is_suspect:
-                slow = self.fast
-                self.window = FAST_WINDOW
-                service.refreshed_at = -math.inf
-            self.is_suspect = not self.is_suspect
-        else:
+        # Most gaps are within the scatter, so this is checked first.
+        if -service.change < self.fast - slow < service.change:
             self.is_suspect = False
+        else:
+            slow = self._after_deviation(ratio, slow)
         self.slow = slow
         if self.samples % RATE_SAMPLE_INTERVAL == 0:
             service.learn(self.load, seconds, ratio, slow)
 
+    def _after_deviation(self, ratio: float, slow: float) -> float:
+        """Returns the slow average, begun anew if the speed has changed."""
+        bound = self.service.change * max(1.0, min(self.fast, slow))
+        if abs(self.fast - slow) <= bound or abs(ratio - slow) <= bound:
+            self.is_suspect = False
+            return slow
+        self.is_suspect = not self.is_suspect
+        if self.is_suspect:
+            return slow
+        self.window = FAST_WINDOW
+        self.service.refreshed_at = -math.inf
+        return self.fast
+
     def ended(self, request: str) -> None:
         """Removes a request; the length of its answer counts."""
         self.pending.pop(request, None)
@@ -274,6 +283,7 @@
         gaps: Average number of gaps of an answer.
         variance: Variance of relative gaps.
         change: Relative difference of averages that shows a change of speed.
+        deviation: Relative difference from the median that counts.
         overdue: Number of expected gaps without an event that show a stall.
         rates: The rates as last computed; None before enough samples.
         measured: Speeds that this entry measured, of the upstreams that
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -327,13 +327,16 @@
                 tokens = engine_memory.RunningTokens()
                 self.tokens[incarnation] = tokens
             tokens.add(request, placement.turn)
+        if incarnation not in self.known:
+            return
         self.times.upstream(placement.upstream.service, incarnation).began(
             request, placement.uncached, placement.load, now
         )
 
     def arrived(self, incarnation: str) -> None:
         """Records that data arrived from an upstream."""
-        self.silence_detector.arrived(incarnation, self.timers.now())
+        if incarnation in self.known:
+            self.silence_detector.arrived(incarnation, self.timers.now())
 
     def running(self, incarnation: str) -> int:
         """Returns the number of this entry's requests at an upstream."""
@@ -368,7 +371,9 @@
                 counts.setdefault(incarnation, 0)
         held = self.tokens
         tokens = [
-            held[incarnation].own if incarnation in held else 0
+            min(shared_load.MAX_TOKENS, held[incarnation].own)
+            if incarnation in held
+            else 0
             for incarnation in counts
         ]
         slowdowns = []
@@ -380,7 +385,7 @@
 
     def update_others(self, others: shared_load.Summary) -> None:
         """Replaces what other entries have running and measured."""
-        self.others.update_all(others, self.timers.now())
+        self.others.update(others, self.timers.now())
 
     def ended(self, incarnation: str, request: str) -> None:
         """Removes a request from the count; idempotent."""
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -169,6 +169,17 @@
                 },
             )
 
+    def test_every_placement_experiment_compares_with_and_without(
+        self,
+    ) -> None:
+        folder = ROOT / "examples" / "experiments" / "placement"
+        files = sorted(folder.glob("*.json"))
+        self.assertThat(files, matchers.HasLength(5))
+        for path in files:
+            found = experiment_plan.read(path)
+            used = [one.turn_time for one in found.variants.values()]
+            self.assertEqual([False, True], used, path.name)
+
     def test_the_example_of_the_load_page_is_a_valid_plan(self) -> None:
         page = (REFERENCE / "load.md").read_text()
         example = textwrap.dedent(page.split("## An example\n")[1])
--- a/testing/test_emulator.py
+++ b/testing/test_emulator.py
@@ -16,6 +16,7 @@
 from mintcleat.emulator import plan
 from mintcleat.emulator import report
 from mintcleat.emulator import simulation
+from mintcleat.roles.entry import upstream_loads
 
 MODEL = plan.Engine(
     slots=4, memory=10_000, step=4.0, read_per_ms=50.0, queue=2, first=10.0
@@ -330,6 +331,30 @@
         outcomes = [one.outcome for one in result.programs]
         self.assertEqual(0, outcomes.count("failed"))
 
+    def test_slow_engines_get_few_first_turns_within_a_second(self) -> None:
+        placed: list[tuple[float, bool]] = []
+        choose = upstream_loads.UpstreamLoads.choose
+
+        def record(
+            loads: upstream_loads.UpstreamLoads,
+            service: str,
+            tried: set[str],
+            request: upstream_loads.PlacementRequest,
+        ) -> upstream_loads.Placement | None:
+            found = choose(loads, service, tried, request)
+            if service == "model" and not request.hint:
+                engines = loads.configuration.engines
+                slow = engines[found.upstream.upstream].slow > 1.0
+                placed.append((loads.timers.now(), slow))
+            return found
+
+        self.patch(upstream_loads.UpstreamLoads, "choose", record)
+        self.run_with(plan.Fault("slow", 4.0, 4.0, 4.6, 2))
+        found = [slow for at, slow in placed if 5.0 < at < 8.0]
+        self.assertThat(len(found), matchers.GreaterThan(25))
+        # A third of them if the engines were equal.
+        self.assertThat(sum(found) / len(found), matchers.LessThan(0.12))
+
 
 class UnevenTest(testtools.TestCase):
     def test_fewer_programs_are_late_on_uneven_engines(self) -> None:
--- a/testing/test_engine_memory.py
+++ b/testing/test_engine_memory.py
@@ -56,6 +56,15 @@
         self.assertEqual(engine_memory.MAX_PREFIXES, len(prefixes.programs))
         self.assertIsNone(prefixes.programs["s"])
 
+    def test_what_callers_state_is_bounded(self) -> None:
+        """Callers choose ids and numbers; reports must stay encodable."""
+        prefixes = engine_memory.Prefixes()
+        found = turn(prefixes, "p", ("a", 2**52), ("b", 2**52), output=2**52)
+        self.assertEqual(engine_memory.MAX_TOKENS, found.total)
+        turn(prefixes, "p", ("x" * 10_000, 5))
+        turn(prefixes, "y" * 10_000, ("a", 5))
+        self.assertEqual({}, prefixes.programs)
+
 
 class RunningTokensTest(testtools.TestCase):
     def test_shared_parts_count_once_and_own_ones_per_turn(self) -> None:
--- a/testing/test_shared_load.py
+++ b/testing/test_shared_load.py
@@ -85,7 +85,7 @@
         elif shared:
             entry_loads.report(entry.name, running, now)
             if kind == "open":
-                entry.others.update(entry_loads.others(entry.name), now)
+                entry.others.update(entry_loads.summary(entry.name), now)
         if kind == "open":
             event = (now + OPENING, next(numbers), "place", entry, "")
             heapq.heappush(events, event)
@@ -171,7 +171,7 @@
     def test_received_counts_expire(self) -> None:
         others = shared_load.OtherEntriesLoad()
         self.assertEqual(0, others.current(0.0).get("u", 0))
-        others.update({"u": 4}, 10.0)
+        others.update(shared_load.Summary({"u": 4}), 10.0)
         self.assertEqual(
             4, others.current(10.0 + shared_load.MAX_AGE).get("u", 0)
         )
@@ -206,13 +206,13 @@
         entry_loads.report("a", {"u": 3}, 0.0, [900, 50])
         self.assertEqual({}, entry_loads.summary("b").tokens)
         self.assertEqual({}, shared_load.summary_of({"u": 1}, [], []).tokens)
-        found = shared_load.summary_of({"u": 1}, [-5], [])
-        self.assertEqual({"u": 0}, found.tokens)
+        found = shared_load.summary_of({"u": 1, "v": 1}, [-5, 2**63], [])
+        self.assertEqual({"u": 0, "v": shared_load.MAX_TOKENS}, found.tokens)
 
     def test_received_reply_expires(self) -> None:
         others = shared_load.OtherEntriesLoad()
         self.assertFalse(others.is_current(0.0))
-        others.update_all(
+        others.update(
             shared_load.Summary({"u": 4}, {"u": 90}, {"u": 160}), 10.0
         )
         self.assertEqual(({"u": 90}, {"u": 1.6}), (
--- a/testing/test_upstream_loads.py
+++ b/testing/test_upstream_loads.py
@@ -185,5 +185,11 @@
         self.loads.ended(name, "r")
         self.assertEqual({}, self.loads.tokens)
         self.assertEqual({}, self.loads.times.upstreams)
+        # A request that was placed before may still send and receive.
+        self.loads.began(name, "r", 1.0, placed)
+        self.loads.arrived(name)
         self.loads.observe(name, 0.1)
+        self.loads.ended(name, "r")
         self.assertEqual({}, self.loads.times.upstreams)
+        self.assertEqual({}, self.loads.silence_detector.last_received)
+        self.assertEqual({}, self.loads.requests.by_upstream)
