--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -8,8 +8,7 @@
 program's remaining time only, so that less urgent programs that have begun end
 in time as well. First turns of customers over their share come last of all.
 
-Turns of programs in progress are served in the order of their arrival. Among
-first turns, the customer that has received the least work relative to its
+Within a rank, the customer that has received the least work relative to its
 weight comes first.
 
 Every operation takes logarithmic time in the number of waiting turns.
@@ -210,5 +209,4 @@
 
 
 def _sort_key(waiter: Waiter) -> tuple[Rank, float, int]:
-    order = waiter.since if waiter.rank.stage == IN_PROGRESS else waiter.tag
-    return waiter.rank, order, waiter.number
+    return waiter.rank, waiter.tag, waiter.number
--- a/src/mintcleat/roles/control/programs/load_report.py
+++ b/src/mintcleat/roles/control/programs/load_report.py
@@ -8,7 +8,7 @@
 from mintcleat.decisions import limits
 from mintcleat.decisions import refusal_counts
 from mintcleat.decisions import shared_load
-from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
@@ -124,7 +124,7 @@
 
 
 def service_loads(
-    views: Mapping[str, turn_admission.ScheduleView], customers: int
+    views: Mapping[str, turn_decisions.ScheduleView], customers: int
 ) -> list[program_messages.ServiceLoad]:
     """Returns the state of admission control as it is sent to operators.
 
--- a/src/mintcleat/roles/entry/turn_demand.py
+++ b/src/mintcleat/roles/entry/turn_demand.py
@@ -57,7 +57,7 @@
     )
     running = sum(
         len(requests)
-        for name, requests in loads.silence_detector.pending_requests.items()
+        for name, requests in loads.requests.by_upstream.items()
         if name in ready
     )
     return Capacity(
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -10,6 +10,7 @@
 from mintcleat.decisions import engine_memory
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import policy as policy_module
+from mintcleat.decisions import running_requests
 from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.decisions import turn_estimates
@@ -93,6 +94,7 @@
         policy: Decisions that are switched on.
         others: Running requests of other entries.
         reported_failures: Upstreams that several other entries avoid.
+        requests: This entry's running requests.
         times: Measured rates and speeds.
         prefixes: Prompt parts that programs share.
         tokens: Tokens of this entry's requests, by incarnation.
@@ -119,7 +121,8 @@
         self.on_removed = on_removed
         self.penalties = upstream_health.FailurePenalties()
         self.reported_failures = shared_health.ReportedFailures()
-        self.silence_detector = upstream_health.SilenceDetector()
+        self.requests = running_requests.RunningRequests()
+        self.silence_detector = upstream_health.SilenceDetector(self.requests)
         self.latencies = load_balancing.LatencyTracker()
         self.times = turn_time.TurnTimes()
         self.prefixes = engine_memory.Prefixes()
@@ -142,6 +145,7 @@
             self.latencies.forget(incarnation)
             self.times.forget(incarnation)
             self.penalties.forget(incarnation)
+            self.silence_detector.forget(incarnation)
             self.on_removed(incarnation)
         for incarnation, item in entries.items():
             previous = self.known.get(incarnation)
@@ -265,7 +269,7 @@
         turn = engine_memory.TurnTokens()
         if generation.prompt_tokens or generation.parts:
             turn = self.prefixes.tokens_of(call.program.program, generation)
-        pending = self.silence_detector.pending_requests
+        pending = self.requests.by_upstream
         return turn_estimates.TurnEstimates(
             turn,
             lambda name: len(pending.get(name, ())) + others.get(name, 0),
@@ -287,7 +291,7 @@
         times = self.times.service(service)
         if now - times.refreshed_at < turn_time.REFRESH_SECONDS:
             return times
-        pending = self.silence_detector.pending_requests
+        pending = self.requests.by_upstream
         shared = self.others.slowdowns if others else {}
 
         def load_of(name: str) -> float:
@@ -320,7 +324,7 @@
                 the first event don't count.
         """
         now = self.timers.now()
-        self.silence_detector.began(incarnation, request, silence_timeout, now)
+        self.requests.began(incarnation, request, silence_timeout, now)
         if placement is None or not self.policy.turn_time:
             return
         if placement.turn.total:
@@ -329,17 +333,20 @@
                 tokens = engine_memory.RunningTokens()
                 self.tokens[incarnation] = tokens
             tokens.add(request, placement.turn)
+        if incarnation not in self.known:
+            return
         self.times.upstream(placement.upstream.service, incarnation).began(
             request, placement.uncached, placement.load, now
         )
 
     def arrived(self, incarnation: str) -> None:
         """Records that data arrived from an upstream."""
-        self.silence_detector.arrived(incarnation, self.timers.now())
+        if incarnation in self.known:
+            self.silence_detector.arrived(incarnation, self.timers.now())
 
     def running(self, incarnation: str) -> int:
         """Returns the number of this entry's requests at an upstream."""
-        return self.silence_detector.waiting(incarnation)
+        return self.requests.count(incarnation)
 
     def running_elsewhere(self, incarnation: str) -> int:
         """Returns the number of other entries' requests; 0 if unknown."""
@@ -352,7 +359,7 @@
 
     def report(self) -> program_messages.RunningCounts:
         """Returns this entry's requests by upstream, and what it measured."""
-        waits = self.silence_detector.pending_requests
+        waits = self.requests.by_upstream
         counts = {
             incarnation: len(requests)
             for incarnation, requests in waits.items()
@@ -363,8 +370,9 @@
                 self.entry, counts, failing=failing
             )
         measured: dict[str, float] = {}
-        for times in self.times.services.values():
-            measured.update(times.measured)
+        if self.policy.speed:
+            for times in self.times.services.values():
+                measured.update(times.measured)
         # Those to be avoided are reported without a request there too, as
         # nobody else may have one. A name takes as much space as ten numbers.
         for incarnation, factor in measured.items():
@@ -372,7 +380,9 @@
                 counts.setdefault(incarnation, 0)
         held = self.tokens
         tokens = [
-            held[incarnation].own if incarnation in held else 0
+            min(shared_load.MAX_TOKENS, held[incarnation].own)
+            if incarnation in held
+            else 0
             for incarnation in counts
         ]
         slowdowns = []
@@ -392,7 +402,7 @@
             failing: Upstreams that several entries avoid.
         """
         now = self.timers.now()
-        self.others.update_all(others, now)
+        self.others.update(others, now)
         self.reported_failures.update(list(failing), now)
 
     def _failing(self) -> list[str]:
@@ -412,7 +422,7 @@
 
     def ended(self, incarnation: str, request: str) -> None:
         """Removes a request from the count; idempotent."""
-        self.silence_detector.ended(incarnation, request)
+        self.requests.ended(incarnation, request)
         tokens = self.tokens.get(incarnation)
         if tokens is not None:
             tokens.remove(request)
--- a/testing/test_entry_protection.py
+++ b/testing/test_entry_protection.py
@@ -180,7 +180,7 @@
         self.assertEqual(before, len(sent))
         self.assertLess(entry.listener.unsent.total, 2 * len(event))
         detector = entry.gateway.loads.silence_detector
-        (upstream,) = detector.pending_requests
+        (upstream,) = entry.gateway.loads.requests.by_upstream
         now = self.system.entry_common.timers.now()
         self.assertFalse(detector.silent(upstream, now))
 
