--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -218,7 +218,8 @@
         """Returns the bound by slots and memory; inf if neither is known."""
         bound = math.inf
         if self.places:
-            bound = self.places * self.part * CAPACITY_FRACTION
+            # Rounded up: one engine with few slots can't be loaded unevenly.
+            bound = math.ceil(self.places * self.part * CAPACITY_FRACTION)
         if self.memory and self.turn_tokens:
             memory = self.memory * self.part * CAPACITY_FRACTION
             bound = min(bound, memory / self.turn_tokens)
@@ -310,7 +311,7 @@
         """
         bound = self.bound()
         if ask.first and math.isfinite(bound):
-            return max(1.0, bound - math.sqrt(bound) / 3)
+            return max(1.0, round(bound - math.sqrt(bound) / 3))
         return bound
 
     def _may_run(
