Pace of turns bounds them only while programs fall behind their targets

Change: the limit applies only while the average program is behind its target (ProgramTimes.delay above 0.8).

--- a/src/mintcleat/decisions/program_times.py
+++ b/src/mintcleat/decisions/program_times.py
@@ -37,11 +37,15 @@
         turns: Closed turns.
         units: Work of the closed turns.
         running: Turns that are open.
+        started: When its first turn was granted.
+        target: Seconds from then to its target; 0 for none.
         seen: When its last turn was opened or closed.
     """
 
-    def __init__(self, kind: str, now: float) -> None:
+    def __init__(self, kind: str, target: float, now: float) -> None:
         self.kind = kind
+        self.started = now
+        self.target = target
         self.turns = 0
         self.units = 0.0
         self.running = 0
@@ -157,7 +161,7 @@
         if sampled is None:
             if not first or len(self.programs) >= MAX_PROGRAMS:
                 return
-            sampled = self.programs[program] = SampledProgram(kind, now)
+            sampled = self.programs[program] = SampledProgram(kind, target, now)
         elif not sampled.running:
             times.pause = _moved(times.pause, now - sampled.seen)
         sampled.running += 1
@@ -176,6 +180,23 @@
             sampled.units += units
         self._see(program, sampled, now)
 
+    def delay(self, program: str, now: float) -> float | None:
+        """Returns how far a program is behind its target.
+
+        Returns:
+            The elapsed part of its target time divided by the part of its
+            expected turns that have ended; above 1 it is expected to end late.
+            None if it can't be told.
+        """
+        sampled = self.programs.get(program)
+        if sampled is None or not sampled.turns or sampled.target <= 0:
+            return None
+        expected = self.expected(sampled.kind, sampled.target, 0.0)
+        if not expected.known:
+            return None
+        done = min(1.0, sampled.turns / expected.turns)
+        return (now - sampled.started) / sampled.target / done
+
     def expected(self, kind: str, target: float, pace: float) -> Expected:
         """Returns the expected duration of a new program.
 
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -54,6 +54,10 @@
 # Bounds of the time after which a refused caller should retry, in seconds.
 _MIN_RETRY_AFTER = 0.1
 _MAX_RETRY_AFTER = 10.0
+# Average delay of programs from which on turns count as too slow. While
+# programs end in time, fewer running turns would only finish less: engines
+# finish more turns in a full batch, though each takes longer.
+_LATE_DELAY = 0.8
 # Closed turns from which on the speed of the service counts as known. Nothing
 # is predicted, and so nothing refused by prediction, before.
 _MIN_EVIDENCE = 16
@@ -109,6 +113,8 @@
         turn_tokens: Moving average of the tokens of a turn.
         turn_seconds: Moving average of the time of a turn.
         closed: Closed turns that have run.
+        delay: Moving average of how far programs are behind their targets; see
+            `program_times.ProgramTimes.delay`.
     """
 
     def __init__(self, part: float = 1.0) -> None:
@@ -125,6 +131,7 @@
         self.turn_tokens = 0.0
         self.turn_seconds = 0.0
         self.closed = 0
+        self.delay = 0.0
         self.granted = 0
         self.deferred = 0
         self.lost = 0
@@ -137,7 +144,7 @@
         # Grants to more urgent ranks since the last one to each rank.
         self._passed: dict[turn_queue.Rank, int] = {}
         self._refused_at: dict[tuple[int, int], float] = {}
-        self._allowed = 0.0
+        self._allowed = math.inf
         self._turns: dict[str, float] = {}
         self._refresh_at = -math.inf
         self._active_at = -math.inf
@@ -213,6 +220,9 @@
             )
             self._observe_turn(turn, units, now)
         self.times.closed(_program_key(turn.ask), units, now)
+        delay = self.times.delay(_program_key(turn.ask), now)
+        if delay is not None:
+            self.delay = _moved(self.delay, delay)
         return True
 
     def capacity(self) -> float:
@@ -510,7 +520,9 @@
         self.turn_seconds = _moved(self.turn_seconds, seconds)
         if now >= self._refresh_at:
             self._refresh_at = now + _REFRESH_SECONDS
-            self._allowed = self._allowed_pace()
+            self._allowed = math.inf
+            if self.delay > _LATE_DELAY:
+                self._allowed = self._allowed_pace()
             self._turns = self._turns_by_kind()
             self.queue.clock.drop_idle()
         self.pace.observe(
--- a/src/mintcleat/decisions/turn_pace.py
+++ b/src/mintcleat/decisions/turn_pace.py
@@ -124,7 +124,7 @@
             level: Turns that ran when it was granted, itself included.
             capacity: Upper bound of the limit, by slots and memory.
             allowed: Pace at which programs still end in time, in seconds per
-                unit; 0 if it isn't known.
+                unit; 0 if it isn't known, inf if programs end in time.
             now: The current time in seconds.
         """
         if not self._count:
--- a/testing/test_turn_admission_load.py
+++ b/testing/test_turn_admission_load.py
@@ -3,6 +3,8 @@
 Each test compares with what the engines can finish: the work of full batches.
 """
 
+import math
+
 import testtools
 
 from mintcleat.decisions import program_times
@@ -83,6 +85,13 @@
     def test_saturation_at_four_times_the_demand(self) -> None:
         self.assert_saturated(4.0)
 
+    def test_slots_stay_in_use_while_programs_end_in_time(self) -> None:
+        # Guards against a limit that follows turns which are slow for another
+        # reason than the load, such as cold caches: it leaves slots unused, and
+        # the backlog of a short outage lasts for seconds.
+        played, _ = self.saturate(2.0)
+        self.assertEqual(math.inf, played.schedule.pace.limit)
+
     def test_refusals_come_within_a_quarter_of_the_target(self) -> None:
         played, _ = self.saturate(4.0)
         self.assertTrue(played.refusal_times)
