--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -22,6 +22,7 @@
 
 from eventlet.hubs import epolls
 from eventlet.hubs import hub
+from eventlet.hubs import timer
 import greenlet
 
 _READ = select.EPOLLIN | select.EPOLLPRI
@@ -56,13 +57,24 @@
 
     # --- Timers ---------------------------------------------------------------
 
-    def add_timer(self, timer: Any) -> float:
+    def add_timer(self, added: Any) -> float:
         """Schedules a timer; returns when it is due."""
-        if timer.seconds > 0:
-            return super().add_timer(timer)
-        self.ready.append(timer)
+        if added.seconds > 0:
+            return super().add_timer(added)
+        self.ready.append(added)
         return 0.0
 
+    def schedule_call_global(
+        self, seconds: float, cb: Any, *args: Any, **kwargs: Any
+    ) -> Any:
+        """Calls a function after some seconds; returns the timer."""
+        found = timer.Timer(seconds, cb, *args, **kwargs)
+        if seconds > 0:
+            super().add_timer(found)
+        else:
+            self.ready.append(found)
+        return found
+
     def run(self, *args: Any, **kwargs: Any) -> None:
         """Runs until `abort` is called."""
         if self.running:
@@ -92,16 +104,16 @@
 
     def _fire_ready(self) -> None:
         for _ in range(len(self.ready)):
-            timer = self.ready.popleft()
-            if timer.called:
+            due = self.ready.popleft()
+            if due.called:
                 self.timers_canceled -= 1
                 continue
             try:
-                timer()
+                due()
             except self.SYSTEM_EXCEPTIONS:
                 raise
             except BaseException:
-                self.squelch_timer_exception(timer, sys.exc_info())
+                self.squelch_timer_exception(due, sys.exc_info())
 
     def _seconds_to_wait(self) -> float:
         if self.ready or self.closed:
