--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -108,10 +108,10 @@
 class AlignedTimers(EventletTimers):
     """Timers whose periodic callbacks are due at common times.
 
-    Callbacks are due at multiples of their period, so that several of them
-    share one wakeup of the process. A process that wakes up from idle runs
-    Python code several times slower than usual, because the CPU's caches hold
-    the data of others.
+    Callbacks are due at multiples of their period, the first time after 0.1 to
+    1.1 periods, so that several of them share one wakeup of the process. A
+    process that wakes up from idle runs Python code several times slower than
+    usual, because the CPU's caches hold the data of others.
     """
 
     def sleep_to_next(self, period: float) -> None:
