--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -302,6 +302,7 @@
         self.head = None
         self.request = None
         self.writer = None
+        self.on_blocked = None
         try:
             request = self._read(limits)
         except http1_heads.ProtocolError as error:
