--- a/testing/test_turn_client.py
+++ b/testing/test_turn_client.py
@@ -128,6 +128,7 @@
             "lm",
             SERVICE,
             0,
+            0,
             1.0,
             (self.clock.now(), 2.0 - self.clock.now()),
             turn_demand.capacity_of(self.loads, "lm"),
