Name admission and placement constants and split long functions

Bounds and factors of admission and turn times have names with reasons, the moving average that stood twice has a module, and rank no longer means both a priority group and a position. Situation.rank is now Situation.ahead, ServiceSchedule.places is slots, and shared_load.MIN_WITNESSES is MIN_REPORTS. Attributes without a description have one.

--- a/src/mintcleat/decisions/admission.py
+++ b/src/mintcleat/decisions/admission.py
@@ -138,7 +138,8 @@
         Args:
             flow: The flow that the call belongs to.
             weight: Weight of the flow.
-            service: Expected service of the call.
+            service: Expected service of the call, in the same unit for all
+                calls of this clock.
 
         Returns:
             The start tag of the call; calls start in the order of their tags.
--- a/src/mintcleat/decisions/engine_memory.py
+++ b/src/mintcleat/decisions/engine_memory.py
@@ -3,8 +3,8 @@
 Handles long prompts: an engine may have free slots while its memory is full.
 It then preempts a running request and prefills it again, which costs more
 than a queue. Parts that several running turns on one upstream share are held
-there once. Sums are kept per upstream and change with each turn, so that a
-choice among many upstreams reads them and adds nothing up.
+there once. Sums are kept per upstream and updated with each turn, so that a
+choice among many upstreams only reads them.
 """
 
 import collections
@@ -29,7 +29,7 @@
     Attributes:
         parts: Identified parts of its prompt, in order.
         shared: Number of leading parts that other programs use too.
-        shared_tokens: Size of these.
+        shared_tokens: Tokens of these parts.
         own: Everything else: the rest of the prompt and what may be
             generated.
         last: New tokens of the prompt; an upstream with the program's cache
@@ -90,18 +90,20 @@
         if not last and parts:
             last = parts[-1].tokens
         return TurnTokens(
-            parts,
-            shared,
-            shared_tokens,
-            prompt - shared_tokens + output,
-            last,
-            output,
+            parts=parts,
+            shared=shared,
+            shared_tokens=shared_tokens,
+            own=prompt - shared_tokens + output,
+            last=last,
+            generated=output,
         )
 
     def _is_shared(self, part: str, program: str) -> bool:
+        """Records a program's use of a part; returns whether others use it."""
         if len(part) > MAX_ID_LENGTH or len(program) > MAX_ID_LENGTH:
             return False
         programs = self.programs
+        # Empty if the part is unknown; None if it is shared already.
         first = programs.get(part, "")
         if first is None:
             programs.move_to_end(part)
@@ -151,8 +153,9 @@
             self._change(turn, -1)
 
     def _change(self, turn: TurnTokens, sign: int) -> None:
+        """Adds (1) or subtracts (-1) what a turn holds."""
         rest = turn.total
-        for place, part in enumerate(turn.parts):
+        for index, part in enumerate(turn.parts):
             rest -= part.tokens
             before = self.parts.get(part.id, 0)
             after = before + sign
@@ -161,9 +164,10 @@
             else:
                 del self.parts[part.id]
             if before and after:
+                # Other running turns hold the part.
                 continue
             self.total += sign * part.tokens
-            if sign > 0 and place >= turn.shared:
+            if sign > 0 and index >= turn.shared:
                 self.owned.add(part.id)
                 self.own += part.tokens
             elif sign < 0 and part.id in self.owned:
--- a/src/mintcleat/decisions/entry_capacity.py
+++ b/src/mintcleat/decisions/entry_capacity.py
@@ -4,10 +4,10 @@
 in a burst or after the loss of other entries; or callers read their responses
 slowly, so that connections and buffers pile up.
 
-Harm prevented: all requests of an entry get later with each one that it takes,
+Harm prevented: each request that an entry takes makes all its requests slower,
 and a process that exceeds its memory or runs out of file descriptors loses all
-of them. Refusing some at once keeps the others in time, and their callers turn
-to another entry.
+of them. Refusing some at once keeps the others in time, and the refused callers
+use another entry.
 
 A busy entry refuses requests that begin something, so that programs in progress
 can end; a full one refuses all. A higher level is entered at once and left only
@@ -39,10 +39,11 @@
 # Time below the lower thresholds after which a level is left.
 _MIN_CALM_SECONDS = 1.0
 _MAX_CALM_SECONDS = 16.0
-# An entry that gets busy within this multiple of that time took too much back.
+# An entry that gets busy again within this multiple of that time has returned
+# to the lower level too early.
 _RELAPSE_FACTOR = 4.0
-# Refused callers come back after this time at the earliest. An entry learns
-# from its balancer's checks no sooner that it is used again.
+# Lower bound of the time after which refused callers should retry. The health
+# checks of a load balancer don't return an entry to use any sooner.
 _MIN_RETRY_SECONDS = 0.5
 
 EVENT_LOOP = "event loop"
@@ -116,6 +117,12 @@
         memory_floor: Memory that the process holds without any request, if
             that had counted as busy. Memory is often not returned to the
             system, and refusing requests can't reduce it further.
+        changed_at: When the level last changed; None before any measurement.
+        normal_at: When NORMAL was last entered from a higher level.
+        calm_since: Since when all measurements have been below the level; None
+            if the last one was not.
+        calm_seconds: Time below the level after which it is left.
+        lags: The last measurements of the event loop's lag in seconds.
     """
 
     def __init__(self, limits: Limits = UNLIMITED) -> None:
@@ -179,7 +186,7 @@
         return change
 
     def _set_calm_seconds(self, now: float) -> None:
-        """Doubles the time to calm down after a relapse; else resets it."""
+        """Doubles `calm_seconds` if NORMAL was short, or else resets it."""
         if now - self.normal_at < _RELAPSE_FACTOR * self.calm_seconds:
             self.calm_seconds = min(_MAX_CALM_SECONDS, 2 * self.calm_seconds)
         else:
--- a/src/mintcleat/decisions/fair_shares.py
+++ b/src/mintcleat/decisions/fair_shares.py
@@ -29,18 +29,26 @@
 # Demand of a customer over its share, as a multiple of the median demand.
 HEAVY_FACTOR = 2.5
 # Demand of the median customer, as a multiple of its share, up to which it
-# counts as satisfied. If it is not, the service is short of work for all.
-_SATISFIED = 1.25
-# Part of the recent work that is divided. The rest makes the entitlements bind
-# as soon as the service is fully used, before any demand was refused.
-_DIVIDED_PART = 0.95
-_MIN_WEIGHT = 0.01
+# counts as satisfied. Beyond it the service has too little capacity for most
+# customers, and none counts as over its share.
+_SATISFIED_FACTOR = 1.25
+# Fraction of the recent work that is divided. As it is less than the work done,
+# the entitlements limit customers once the service is fully used, before any
+# demand was refused.
+_DIVIDED_FRACTION = 0.95
+# Lower bound of a weight, which demand is divided by.
+MIN_WEIGHT = 0.01
 # Decayed demand, in tokens, below which a customer is forgotten.
 _MIN_DEMAND = 0.5
 
 
 class Want(NamedTuple):
-    """Demand of one customer, in tokens."""
+    """What one customer wants.
+
+    Attributes:
+        demand: Work in tokens.
+        weight: Weight of its share; greater than 0.
+    """
 
     demand: float
     weight: float
@@ -123,7 +131,7 @@
         usage = self.usages.get(customer)
         if usage is None:
             usage = self.usages[customer] = Usage(weight, now)
-        usage.weight = max(weight, _MIN_WEIGHT)
+        usage.weight = max(weight, MIN_WEIGHT)
         usage.decay(now)
         usage.demanded += tokens
 
@@ -140,7 +148,7 @@
         usage = self.usages.get(customer)
         if usage is None or len(self.usages) < 2:
             return False
-        if self.median > _SATISFIED * self.level:
+        if self.median > _SATISFIED_FACTOR * self.level:
             return False
         demanded = usage.demanded / usage.weight
         return demanded > max(self.level, HEAVY_FACTOR * self.median)
@@ -177,7 +185,7 @@
             key=_per_weight,
         )
         self.total = sum(usage.used for usage in self.usages.values())
-        self.level = max_min_level(wants, _DIVIDED_PART * self.total)
+        self.level = max_min_level(wants, _DIVIDED_FRACTION * self.total)
         self.median = (
             _per_weight(wants[(len(wants) - 1) // 2]) if wants else 0.0
         )
--- a/src/mintcleat/decisions/limits.py
+++ b/src/mintcleat/decisions/limits.py
@@ -111,9 +111,9 @@
             self.calls += 1
 
     def expected(self) -> int:
-        """Returns how many calls follow a turn with sufficient certainty."""
-        least = (self.turns + _PRIOR_TURNS) * _MIN_USED_SHARE
-        return sum(count > least for count in self.followed)
+        """Returns how many calls follow a turn often enough."""
+        threshold = (self.turns + _PRIOR_TURNS) * _MIN_USED_SHARE
+        return sum(count > threshold for count in self.followed)
 
 
 class CountAhead:
--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -2,8 +2,8 @@
 
 Several entries share the upstreams and exchange what they have running and
 which upstreams differ in speed. The next turn of a program goes to the upstream
-that has its cache. If that one is full or much slower than its peers, it does
-so only as long as it ends there sooner than after a prefill elsewhere. All
+that has its cache. If that one is full or much slower than its peers, the turn
+goes there only if it ends there sooner than after a prefill elsewhere. All
 other requests go to the upstream with the earliest expected end among a few
 that a hash of the request id selects. An upstream whose slots or memory the
 request would exceed counts as full and is passed over while another is not.
@@ -165,21 +165,19 @@
     ):
         return Choice(hint, RESIDENT)
     if slowdowns:
-        fast = [n for n in upstreams if slowdowns.get(n, 1.0) < MAX_SLOWDOWN]
+        fast = [
+            name
+            for name in upstreams
+            if slowdowns.get(name, 1.0) < MAX_SLOWDOWN
+        ]
         upstreams = fast or upstreams
     key = affinity or request
     ranked = [
         name
         for _, name in sorted([(_rank(key, name), name) for name in upstreams])
     ]
-    if affinity and not has_cache:
-        first = ranked[0]
-        loads = {name: estimates.load(name) for name in upstreams}
-        least = min(loads.values())
-        if loads[first] <= least + MAX_AFFINITY_EXCESS and (
-            not estimates.is_full(first)
-        ):
-            return Choice(first, AFFINITY)
+    if affinity and not has_cache and _keeps_affinity(ranked, estimates):
+        return Choice(ranked[0], AFFINITY)
     best = _earliest(ranked, estimates)
     if has_cache and estimates.seconds(hint, True) <= (
         estimates.seconds(best, False) + estimates.disturbance(best)
@@ -188,6 +186,14 @@
     return Choice(best, LEAST)
 
 
+def _keeps_affinity(ranked: Sequence[str], estimates: Estimates) -> bool:
+    """Returns whether the first upstream is free and hardly busier than any."""
+    loads = [estimates.load(name) for name in ranked]
+    if loads[0] > min(loads) + MAX_AFFINITY_EXCESS:
+        return False
+    return not estimates.is_full(ranked[0])
+
+
 def _earliest(ranked: Sequence[str], estimates: Estimates) -> str:
     """Returns the upstream with the earliest end of the first few.
 
--- a/src/mintcleat/decisions/program_times.py
+++ b/src/mintcleat/decisions/program_times.py
@@ -12,19 +12,20 @@
 import collections
 from typing import NamedTuple
 
+from mintcleat.decisions import moving_average
 from mintcleat.decisions import remaining_work
 
+# Programs that are followed at the same time.
 MAX_PROGRAMS = 512
 # Longer than pauses between the turns of a program. A program that pauses for
 # longer counts as two.
 IDLE_SECONDS = 3.0
+# Kinds with averages; programs of further kinds are not followed.
 MAX_KINDS = 64
 # First attempts that are remembered, and for how long: some retries of a
 # refused caller.
 MAX_ATTEMPTS = 4096
 ATTEMPT_SECONDS = 10.0
-# Weight of a new sample in the moving averages.
-_SMOOTHING = 1 / 16
 # Bounds of the factor by which the target of a program adjusts its duration.
 _MAX_SCALE = 4.0
 
@@ -56,7 +57,7 @@
     """Moving averages of the programs of one kind.
 
     Attributes:
-        units: Work of a turn.
+        units: Work of a turn, as `turn_admission` measures it.
         pause: Seconds between two turns.
         target: Target duration of programs in seconds; 0 for none.
     """
@@ -156,14 +157,14 @@
             self.kinds[kind] = KindTimes()
         times = self.kinds[kind]
         if first and target > 0:
-            times.target = _moved(times.target, target)
+            times.target = moving_average.update(times.target, target)
         sampled = self.programs.get(program)
         if sampled is None:
             if not first or len(self.programs) >= MAX_PROGRAMS:
                 return
             sampled = self.programs[program] = SampledProgram(kind, target, now)
         elif not sampled.running:
-            times.pause = _moved(times.pause, now - sampled.seen)
+            times.pause = moving_average.update(times.pause, now - sampled.seen)
         sampled.running += 1
         self._see(program, sampled, now)
 
@@ -175,7 +176,7 @@
         sampled.running = max(0, sampled.running - 1)
         if units:
             times = self.kinds[sampled.kind]
-            times.units = _moved(times.units, units)
+            times.units = moving_average.update(times.units, units)
             sampled.turns += 1
             sampled.units += units
         self._see(program, sampled, now)
@@ -251,7 +252,3 @@
                 self.estimator.finished(
                     sampled.kind, int(sampled.units), sampled.turns
                 )
-
-
-def _moved(mean: float, sample: float) -> float:
-    return sample if not mean else mean + (sample - mean) * _SMOOTHING
--- a/src/mintcleat/decisions/refusal_counts.py
+++ b/src/mintcleat/decisions/refusal_counts.py
@@ -1,9 +1,9 @@
-"""How many requests of each customer were refused lately, and why.
+"""How many requests of each customer were refused recently, and why.
 
 Operators ask for them while customers are over their limits. The counts are
 soft state of one process. A caller that is refused thousands of times in a
-second adds to one count; the number of counts is bounded, for callers that
-appear under ever new names.
+second adds to one count; the number of counts is bounded, as callers may
+use a new name for each request.
 """
 
 import collections
--- a/src/mintcleat/decisions/running_requests.py
+++ b/src/mintcleat/decisions/running_requests.py
@@ -1,6 +1,7 @@
 """What one entry has running at each upstream.
 
-It counts as load there, and it is what an upstream owes an answer to.
+Load balancing reads the number of requests, and detection of silent upstreams
+how long each has been pending.
 """
 
 from typing import NamedTuple
--- a/src/mintcleat/decisions/shared_health.py
+++ b/src/mintcleat/decisions/shared_health.py
@@ -28,7 +28,7 @@
 
 
 class FailureReports:
-    """The upstreams that each entry avoids, as the leader has heard.
+    """The upstreams that each entry avoids, as reported to the leader.
 
     Attributes:
         reports: Time and upstreams of the newest report, by entry; the oldest
@@ -56,7 +56,7 @@
             self._remove(oldest)
 
     def failing(self) -> list[str]:
-        """Returns the upstreams that enough entries report, most first."""
+        """Returns those that enough entries report, most reported first."""
         found = [
             upstream
             for upstream, count in self.counts.items()
@@ -100,6 +100,7 @@
         if not self.upstreams or now - self.received_at > MAX_AGE_SECONDS:
             return upstreams
         known = set(upstreams)
-        excluded = [name for name in self.upstreams if name in known]
-        del excluded[int(len(upstreams) * MAX_EXCLUDED_SHARE) :]
-        return [name for name in upstreams if name not in set(excluded)]
+        reported = [name for name in self.upstreams if name in known]
+        max_excluded = int(len(upstreams) * MAX_EXCLUDED_SHARE)
+        excluded = set(reported[:max_excluded])
+        return [name for name in upstreams if name not in excluded]
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -32,8 +32,8 @@
 # Upstreams in one reply, which bounds it to about 2 kB. The busiest ones are
 # sent, and the speeds that differ most.
 MAX_UPSTREAMS = 64
-# Reports that must agree on a different speed.
-MIN_WITNESSES = 2
+# Entries that must report a different speed before it counts.
+MIN_REPORTS = 2
 # Bounds of a slowdown, in percent. No measurement is better than a factor of
 # ten.
 MIN_SLOWDOWN = 10
@@ -122,6 +122,13 @@
 def _by_upstream(
     running: Mapping[str, int], numbers: Sequence[int]
 ) -> dict[str, int]:
+    """Returns received numbers by upstream, within bounds.
+
+    Args:
+        running: Requests by upstream; only its order matters.
+        numbers: A number for each of these upstreams. Other lists are ignored,
+            as the sender may have another release.
+    """
     if len(numbers) != len(running):
         return {}
     return {
@@ -229,7 +236,7 @@
         """Returns the medians, which are the same for all entries."""
         for upstream in self.changed:
             percents = self.slowdowns.get(upstream, ())
-            if len(percents) >= MIN_WITNESSES:
+            if len(percents) >= MIN_REPORTS:
                 self.agreed[upstream] = _median(percents)
             else:
                 self.agreed.pop(upstream, None)
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -25,6 +25,7 @@
 
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import jitter
+from mintcleat.decisions import moving_average
 from mintcleat.decisions import program_times
 from mintcleat.decisions import reported_turns
 from mintcleat.decisions import turn_decisions
@@ -60,10 +61,10 @@
 _LATE_DELAY = 0.8
 # Closed turns from which on the speed of the service counts as known. Nothing
 # is predicted, and so nothing refused by prediction, before.
-_MIN_EVIDENCE = 16
-_SMOOTHING = 1 / 16
+_MIN_CLOSED_TURNS = 16
 # With at least this many turns running, messages arrive many times within the
-# duration of a turn. If none does, this leader was cut off.
+# duration of a turn. If none does for that time, and for at least the second
+# constant, this leader was cut off.
 _SILENT_TURNS = 8
 _MIN_SILENCE_SECONDS = 0.1
 # Work of a turn in units: a generated token counts 1. Engines process prompt
@@ -71,17 +72,24 @@
 _UNITS_PER_PROMPT_TOKEN = 0.01
 # Constant part of a turn's time, in units: placement, first token, commits.
 _TURN_UNITS = 4.0
-_MIN_SHARE = 0.01
+# First turns leave free the square root of the bound, divided by this number.
+_RESERVE_DIVISOR = 3
+# Lower bound of the average time of a turn, which throughput is divided by.
+_MIN_TURN_SECONDS = 0.001
 # Lost waiting and lost running turns that are removed with one ask. After the
 # loss of entries there can be thousands, which would stall the event loop.
 _MAX_EXPIRED = 32
+# Time between two updates of what is derived from the programs of each kind.
 _REFRESH_SECONDS = 0.25
+# Customers whose refusals are counted; all counts begin again beyond it.
+_MAX_COUNTED_CUSTOMERS = 10_000
 
 
 class RunningTurn(NamedTuple):
     """A granted turn.
 
     Attributes:
+        ask: The turn as it first asked.
         at: When it was granted.
         level: Running turns at that time, itself included.
         expires: When it is released if it was not closed.
@@ -99,8 +107,8 @@
     Times are in seconds of one monotonic clock, passed as `now`.
 
     Attributes:
-        part: Part of the service's capacity that this schedule may use, when
-            several leaders share it.
+        part: Fraction of the service's capacity that this schedule may use;
+            below 1 if several leaders share it.
         running: Granted turns by key.
         queue: Waiting turns.
         shares: Work of the customers.
@@ -108,13 +116,19 @@
         times: Durations of programs.
         first_attempts: When waiting and refused programs were first sent.
         reports: Turns that entries report beyond the granted ones.
-        places: Slots of the service, as entries see them.
+        slots: Slots of the service, as entries see them.
         memory: Memory of the service in tokens, as entries see it.
         turn_tokens: Moving average of the tokens of a turn.
         turn_seconds: Moving average of the time of a turn.
         closed: Closed turns that have run.
-        delay: Moving average of how far programs are behind their targets; see
-            `program_times.ProgramTimes.delay`.
+        delay: Moving average of the ratio by which programs are behind their
+            targets; see `program_times.ProgramTimes.delay`.
+        granted: Number of granted turns.
+        deferred: Number of turns that had to wait.
+        lost: Number of waiting turns dropped because they did not ask again.
+        expired: Number of granted turns released by their timeout.
+        refused: Number of refusals by `<kind>/<reason>`.
+        customer_refused: Number of refusals by customer.
     """
 
     def __init__(self, part: float = 1.0) -> None:
@@ -126,7 +140,7 @@
         self.times = program_times.ProgramTimes()
         self.first_attempts = program_times.FirstAttempts()
         self.reports = reported_turns.EntryReports()
-        self.places = 0.0
+        self.slots = 0.0
         self.memory = 0.0
         self.turn_tokens = 0.0
         self.turn_seconds = 0.0
@@ -143,10 +157,14 @@
         )
         # Grants to more urgent ranks since the last one to each rank.
         self._passed: dict[turn_queue.Rank, int] = {}
+        # Time of the last `overloaded` refusal by urgency.
         self._refused_at: dict[tuple[int, int], float] = {}
-        self._allowed = math.inf
-        self._turns: dict[str, float] = {}
+        # Allowed seconds per unit of work; inf while programs end in time.
+        self._allowed_seconds = math.inf
+        # Mean number of turns of a program, by known kinds.
+        self._mean_turns: dict[str, float] = {}
         self._refresh_at = -math.inf
+        # Time of the last message, and the end of the last time without any.
         self._active_at = -math.inf
         self._silent_until = -math.inf
 
@@ -169,27 +187,18 @@
             self.queue.asked_again(ask.key, now)
             waiter = self.queue.promote(ask.key, now)
         bound = self._bound_for(ask)
-        rank = self.queue.ahead(waiter)
-        if self._may_run(waiter, rank, bound, now):
+        ahead = self.queue.ahead(waiter)
+        if self._may_run(waiter, ahead, bound, now):
             return self._grant(waiter, now)
+        # The newest request states what is left of the target.
+        waiter = waiter._replace(ask=ask)
         if ask.first:
-            refusal = self._refusal(waiter._replace(ask=ask), rank, bound, now)
+            refusal = self._refusal(waiter, ahead, bound, now)
             if refusal is not None:
                 self._refuse(waiter, refusal, now)
                 return refusal
         self.deferred += not again
-        wait = self._wait(rank, 0.0)
-        retry_after = min(wait, MAX_RETRY_SECONDS)
-        if ask.first:
-            # So that a refusal for waiting too long comes at once.
-            waited = max(now - waiter.since, ask.demand.waited)
-            retry_after = min(retry_after, _max_wait(ask.demand) - waited)
-        retry_after = max(MIN_RETRY_SECONDS, retry_after)
-        return turn_decisions.Defer(
-            jitter.retry_after(f"{ask.key.turn}{now}", retry_after),
-            self._situation(ask, wait, rank, bound, now),
-            again,
-        )
+        return self._defer(waiter, ahead, bound, again, now)
 
     def release(
         self, key: turn_queue.TurnKey, tokens: int, ran: bool, now: float
@@ -222,15 +231,15 @@
         self.times.closed(_program_key(turn.ask), units, now)
         delay = self.times.delay(_program_key(turn.ask), now)
         if delay is not None:
-            self.delay = _moved(self.delay, delay)
+            self.delay = moving_average.update(self.delay, delay)
         return True
 
     def capacity(self) -> float:
         """Returns the bound by slots and memory; inf if neither is known."""
         bound = math.inf
-        if self.places:
+        if self.slots:
             # Rounded up: one engine with few slots can't be loaded unevenly.
-            bound = math.ceil(self.places * self.part * CAPACITY_FRACTION)
+            bound = math.ceil(self.slots * self.part * CAPACITY_FRACTION)
         if self.memory and self.turn_tokens:
             memory = self.memory * self.part * CAPACITY_FRACTION
             bound = min(bound, memory / self.turn_tokens)
@@ -289,7 +298,9 @@
     def _arrive(self, ask: turn_queue.Ask, now: float) -> turn_queue.Waiter:
         demand = ask.demand
         customer = ask.key.customer
-        self.turn_tokens = _moved(self.turn_tokens, demand.tokens)
+        self.turn_tokens = moving_average.update(
+            self.turn_tokens, demand.tokens
+        )
         if _program_key(ask) not in self.first_attempts.attempts:
             work = self._shared_work(ask)
             self.shares.demand(customer, demand.share, work, now)
@@ -308,7 +319,7 @@
         A first turn counts for its whole program, so that a customer that
         begins many programs is recognized before their later turns arrive.
         """
-        turns = self._turns.get(_kind(ask))
+        turns = self._mean_turns.get(_kind(ask))
         if turns is None:
             return float(ask.demand.tokens)
         return ask.demand.tokens * turns if ask.first else 0.0
@@ -322,23 +333,24 @@
         """
         bound = self.bound()
         if ask.first and math.isfinite(bound):
-            return max(1.0, round(bound - math.sqrt(bound) / 3))
+            return max(1.0, round(bound - math.sqrt(bound) / _RESERVE_DIVISOR))
         return bound
 
     def _may_run(
-        self, waiter: turn_queue.Waiter, rank: int, bound: float, now: float
+        self, waiter: turn_queue.Waiter, ahead: int, bound: float, now: float
     ) -> bool:
+        """Returns whether a waiting turn runs now, with `ahead` before it."""
         free = math.inf
         if math.isfinite(bound):
             free = int(bound) - self.running_turns()
         if free <= 0:
             return False
-        before = self.queue.ahead_of_rank(waiter.rank)
+        more_urgent = self.queue.ahead_of_rank(waiter.rank)
         if self._is_due(waiter.rank):
-            return rank - before < self._lookahead()
-        if before >= free or self._is_held_back(waiter.rank, now):
+            return ahead - more_urgent < self._lookahead()
+        if more_urgent >= free or self._is_held_back(waiter.rank, now):
             return False
-        return rank < max(free, self._lookahead())
+        return ahead < max(free, self._lookahead())
 
     def _is_due(self, rank: turn_queue.Rank) -> bool:
         """Returns whether a rank has been passed over often enough."""
@@ -354,33 +366,28 @@
         )
 
     def _lookahead(self) -> float:
-        """Returns how many turns end while a waiting turn pauses."""
+        """Returns how many turns end before a waiting turn asks again.
+
+        At least 1. The time is twice the shortest one between two asks.
+        """
         return max(1.0, self._throughput() * 2 * MIN_RETRY_SECONDS)
 
     def _throughput(self) -> float:
         """Returns the turns per second at the bound; 0 if unknown."""
         bound = self.bound()
-        if self.closed < _MIN_EVIDENCE or not math.isfinite(bound):
+        if self.closed < _MIN_CLOSED_TURNS or not math.isfinite(bound):
             return 0.0
-        return bound / max(self.turn_seconds, 0.001)
-
-    def _wait(self, turns: int, programs: float) -> float:
-        """Returns the predicted wait behind some turns and programs.
-
-        Args:
-            turns: Turns that come before.
-            programs: Further turns of the programs among them.
+        return bound / max(self.turn_seconds, _MIN_TURN_SECONDS)
 
-        Returns:
-            Seconds; 0 while the speed is unknown.
-        """
+    def _predicted_wait(self, turns: float) -> float:
+        """Returns the seconds in which some turns end; 0 if unknown."""
         throughput = self._throughput()
-        return (turns + programs) / throughput if throughput else 0.0
+        return turns / throughput if throughput else 0.0
 
     def _refusal(
         self,
         waiter: turn_queue.Waiter,
-        rank: int,
+        ahead: int,
         bound: float,
         now: float,
     ) -> turn_decisions.Refuse | None:
@@ -394,8 +401,10 @@
             now,
         )
         expected = self.times.expected(_kind(ask), first.target, self.pace.pace)
-        programs = max(0, rank - self.queue.in_progress) + 1
-        wait = self._wait(rank + 1, programs * (expected.turns - 1))
+        # Programs that begin before this one, and itself, send further turns.
+        programs = max(0, ahead - self.queue.in_progress) + 1
+        later_turns = programs * (expected.turns - 1)
+        wait = self._predicted_wait(ahead + 1 + later_turns)
         if self._is_held_back(waiter.rank, now):
             wait = max(wait, _RECENT_SECONDS)
         limit, slack = _max_wait(demand), math.inf
@@ -410,20 +419,51 @@
             kind,
             "wait" if waited + wait > limit else "duration",
             min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, wait)),
-            self._situation(ask, wait, rank, bound, now),
+            self._situation(ask, wait, ahead, bound, now),
+        )
+
+    def _defer(
+        self,
+        waiter: turn_queue.Waiter,
+        ahead: int,
+        bound: float,
+        again: bool,
+        now: float,
+    ) -> turn_decisions.Defer:
+        """Returns the answer to a turn that keeps waiting.
+
+        Args:
+            waiter: The turn, with its newest request.
+            ahead: Waiting turns that come before it.
+            bound: Bound on running turns that applies to it.
+            again: Whether it was waiting before.
+            now: The current time in seconds.
+        """
+        ask = waiter.ask
+        wait = self._predicted_wait(ahead)
+        retry_after = min(wait, MAX_RETRY_SECONDS)
+        if ask.first:
+            # So that a refusal for waiting too long comes at once.
+            waited = max(now - waiter.since, ask.demand.waited)
+            retry_after = min(retry_after, _max_wait(ask.demand) - waited)
+        retry_after = max(MIN_RETRY_SECONDS, retry_after)
+        return turn_decisions.Defer(
+            jitter.retry_after(f"{ask.key.turn}{now}", retry_after),
+            self._situation(ask, wait, ahead, bound, now),
+            again,
         )
 
     def _situation(
         self,
         ask: turn_queue.Ask,
         wait: float,
-        rank: int,
+        ahead: int,
         bound: float,
         now: float,
     ) -> turn_decisions.Situation:
         share = self.shares.share(ask.key.customer, now)
         return turn_decisions.Situation(
-            wait, rank, self.running_turns(), bound, share.share, share.use
+            wait, ahead, self.running_turns(), bound, share.share, share.use
         )
 
     # --- Changes --------------------------------------------------------------
@@ -494,9 +534,11 @@
 
     def _observe_capacity(self, demand: program_messages.TurnDemand) -> None:
         if demand.places:
-            self.places = _moved(self.places, demand.places)
+            self.slots = moving_average.update(self.slots, demand.places)
         if demand.memory_tokens:
-            self.memory = _moved(self.memory, demand.memory_tokens)
+            self.memory = moving_average.update(
+                self.memory, demand.memory_tokens
+            )
 
     def _note_activity(self, now: float) -> None:
         """Recognizes times in which no message arrived.
@@ -517,19 +559,24 @@
             return
         seconds = now - turn.at
         self.closed += 1
-        self.turn_seconds = _moved(self.turn_seconds, seconds)
+        self.turn_seconds = moving_average.update(self.turn_seconds, seconds)
         if now >= self._refresh_at:
             self._refresh_at = now + _REFRESH_SECONDS
-            self._allowed = math.inf
+            self._allowed_seconds = math.inf
             if self.delay > _LATE_DELAY:
-                self._allowed = self._allowed_pace()
-            self._turns = self._turns_by_kind()
+                self._allowed_seconds = self._allowed_pace()
+            self._mean_turns = self._mean_turns_by_kind()
             self.queue.clock.drop_idle()
         self.pace.observe(
-            seconds, units, turn.level, self.capacity(), self._allowed, now
+            seconds,
+            units,
+            turn.level,
+            self.capacity(),
+            self._allowed_seconds,
+            now,
         )
 
-    def _turns_by_kind(self) -> dict[str, float]:
+    def _mean_turns_by_kind(self) -> dict[str, float]:
         """Returns the mean number of turns of programs, by known kinds."""
         found = {
             kind: self.times.expected(kind, 0.0, self.pace.pace)
@@ -550,14 +597,12 @@
         return min(filter(None, paces), default=0.0)
 
 
-# Customers whose refusals are counted; all counts begin again beyond it.
-_MAX_COUNTED_CUSTOMERS = 10_000
-
-
 def _with_valid_share(ask: turn_queue.Ask) -> turn_queue.Ask:
-    if ask.demand.share >= _MIN_SHARE:
+    """Returns a turn whose customer has at least the smallest weight."""
+    if ask.demand.share >= fair_shares.MIN_WEIGHT:
         return ask
-    return ask._replace(demand=ask.demand._replace(share=_MIN_SHARE))
+    demand = ask.demand._replace(share=fair_shares.MIN_WEIGHT)
+    return ask._replace(demand=demand)
 
 
 def _max_wait(demand: program_messages.TurnDemand) -> float:
@@ -572,12 +617,9 @@
 
 
 def _kind(ask: turn_queue.Ask) -> str:
+    """Returns the kind of the turn's program: its route and priority."""
     return f"{ask.demand.kind}/{ask.demand.priority}"
 
 
 def _program_key(ask: turn_queue.Ask) -> str:
     return f"{ask.key.customer}/{ask.program}"
-
-
-def _moved(mean: float, sample: float) -> float:
-    return sample if not mean else mean + (sample - mean) * _SMOOTHING
--- a/src/mintcleat/decisions/turn_decisions.py
+++ b/src/mintcleat/decisions/turn_decisions.py
@@ -8,7 +8,7 @@
 
     Attributes:
         wait: Predicted wait in seconds.
-        rank: Number of waiting turns that come before this one.
+        ahead: Number of waiting turns that come before this one.
         running: Running turns of the service.
         bound: Bound on the running turns that applied; inf if unknown.
         share: Share of the customer, as a fraction of the work.
@@ -16,7 +16,7 @@
     """
 
     wait: float
-    rank: int
+    ahead: int
     running: int
     bound: float
     share: float
@@ -40,6 +40,7 @@
 
     Attributes:
         retry_after: Seconds after which it should ask again.
+        situation: What the decision was based on.
         again: Whether it was waiting before.
     """
 
@@ -57,6 +58,7 @@
             wait, `wait` if it would wait or has waited for too long.
         retry_after: Seconds after which the backlog is expected to be gone,
             without jitter per request.
+        situation: What the decision was based on.
     """
 
     kind: str
@@ -69,6 +71,7 @@
     """One customer's part of a service.
 
     Attributes:
+        customer: Name of the customer.
         running: Running turns.
         waiting: Waiting turns.
         share: Share that it is entitled to, as a fraction of the work.
@@ -98,7 +101,7 @@
         refused: Refused turns since then, by kind and reason.
         lost: Waiting turns dropped because they did not ask again.
         expired: Granted turns released by their timeout.
-        customers: The customers with most use, at most as many as asked for.
+        customers: The customers with the most use, up to a requested number.
     """
 
     running: int
--- a/src/mintcleat/decisions/turn_estimates.py
+++ b/src/mintcleat/decisions/turn_estimates.py
@@ -24,7 +24,7 @@
     Attributes:
         turn: Tokens of the request.
         running: Returns the requests at an upstream, of all entries.
-        slots: Requests that an upstream runs at once, by upstream.
+        slots: Returns the requests that an upstream runs at once.
         memory: Tokens that an upstream holds; 0 if unknown.
         held: Tokens of this entry's requests, by upstream.
         held_elsewhere: Tokens of other entries' requests, by upstream.
@@ -54,7 +54,7 @@
         self.slowdowns = slowdowns
 
     def load(self, upstream: str) -> float:
-        """Returns the load in batches with the request."""
+        """Returns the load with the request; 1 is a full batch."""
         return (self.running(upstream) + 1) / max(1, self.slots(upstream))
 
     def tokens(self, upstream: str) -> int:
@@ -106,8 +106,8 @@
         load = self.load(upstream)
         rates = self.times.rates
         if rates is None:
-            missing = 0.0 if resident else load_balancing.MAX_RESIDENT_EXCESS
-            return load * slowdown + missing
+            prefill = 0.0 if resident else load_balancing.MAX_RESIDENT_EXCESS
+            return load * slowdown + prefill
         seconds = rates.seconds(self.uncached(resident), load)
         if self.exceeds_memory(upstream):
             # A request there is preempted, and prefilled again while the
--- a/src/mintcleat/decisions/turn_pace.py
+++ b/src/mintcleat/decisions/turn_pace.py
@@ -29,11 +29,12 @@
 PERIOD_SAMPLES = 8
 # Samples of a period that weigh as much as all periods before it.
 _NOISE_SAMPLES = 16
-# Largest single reduction, as a fraction of the load that was too high.
-_MAX_REDUCTION = 0.7
+# Lowest limit after a single reduction, as a fraction of the load that was too
+# high.
+_MIN_REDUCED_FRACTION = 0.7
 # The limit rises while the pace is below this fraction of the allowed one.
 # Between the two it is kept, so that it settles.
-_CALM_FRACTION = 0.85
+_RAISE_BELOW_FRACTION = 0.85
 _RAISE_FACTOR = 1.05
 # Load of the samples, as a fraction of the limit, from which they show what
 # happens at the limit. Without it, the limit would rise before samples at the
@@ -94,9 +95,13 @@
         self.reduced: Period | None = None
         self.held: Period | None = None
         self.held_until = -math.inf
+        # Time for which reductions are held back after the next useless one.
         self._hold_seconds = _HOLD_SECONDS
+        # Periods since the last reduction took effect.
         self._periods_after = 0
+        # Limit before that reduction.
         self._limit_before = math.inf
+        # Sums over the samples of the current period, which began at `_since`.
         self._since = -math.inf
         self._count = 0
         self._seconds = 0.0
@@ -140,28 +145,36 @@
             self._end_period(capacity, allowed, now)
 
     def _end_period(self, capacity: float, allowed: float, now: float) -> None:
-        sample = Period(self._levels / self._count, self._seconds / self._units)
-        weight = self._count / (self._count + _NOISE_SAMPLES)
-        self._count = self._levels = 0
-        self._seconds = self._units = 0.0
-        if not self.pace:
-            self.pace = self.base = sample.pace
-        self.pace += (sample.pace - self.pace) * weight
-        self.base = min(self.base * (1 + _BASE_DRIFT), self.pace)
+        current = self._average_period()
         allowed = allowed or self.base * concurrency.MAX_SLOWDOWN
-        current = Period(sample.level, self.pace)
         self._judge_reduction(current, now)
         if self.pace > allowed:
             if not self._is_held(now):
                 self._reduce(current, allowed / self.pace, capacity)
         elif (
-            self.pace < allowed * _CALM_FRACTION
-            and sample.level >= self.limit * _USED_FRACTION
+            self.pace < allowed * _RAISE_BELOW_FRACTION
+            and current.level >= self.limit * _USED_FRACTION
         ):
             self.limit *= _RAISE_FACTOR
             if self.limit >= capacity:
                 self.limit = math.inf
 
+    def _average_period(self) -> Period:
+        """Adds the period to the averages and begins the next one.
+
+        Returns:
+            The mean level of the period, and the moving average of the pace.
+        """
+        sample = Period(self._levels / self._count, self._seconds / self._units)
+        weight = self._count / (self._count + _NOISE_SAMPLES)
+        self._count = self._levels = 0
+        self._seconds = self._units = 0.0
+        if not self.pace:
+            self.pace = self.base = sample.pace
+        self.pace += (sample.pace - self.pace) * weight
+        self.base = min(self.base * (1 + _BASE_DRIFT), self.pace)
+        return Period(sample.level, self.pace)
+
     def _judge_reduction(self, current: Period, now: float) -> None:
         """Undoes a reduction that did not make turns faster."""
         before = self.reduced
@@ -195,7 +208,7 @@
 
     def _reduce(self, current: Period, factor: float, capacity: float) -> None:
         floor = max(1.0, capacity * concurrency.MIN_CAPACITY_FRACTION)
-        limit = max(floor, current.level * max(factor, _MAX_REDUCTION))
+        limit = max(floor, current.level * max(factor, _MIN_REDUCED_FRACTION))
         if limit >= min(self.limit, capacity):
             return
         if self.reduced is None:
--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -26,7 +26,8 @@
 IN_PROGRESS = 0
 FIRST = 1
 # Part of the time that remains to a program's target for which its next turn
-# yields to more urgent ones. A program of seven turns so loses at most half.
+# yields to more urgent ones. So a program of seven turns loses at most half of
+# its time.
 YIELD_FRACTION = 0.1
 # Seconds for which a turn without a target yields.
 YIELD_SECONDS = 0.25
@@ -36,7 +37,12 @@
 
 
 class TurnKey(NamedTuple):
-    """Id of a turn, unique together with its customer."""
+    """Identifies a turn.
+
+    Attributes:
+        customer: Customer that sent it.
+        turn: Id of the turn, unique for this customer.
+    """
 
     customer: str
     turn: str
@@ -71,6 +77,7 @@
     """A turn that asks to run.
 
     Attributes:
+        key: Identifies the turn.
         program: Id of its program.
         first: Whether it is the first turn of its program.
         entry: Entry that asks.
@@ -90,9 +97,11 @@
     """A waiting turn.
 
     Attributes:
+        ask: The turn as it first asked.
+        rank: Its present rank.
         tag: Virtual start time by fair queueing.
         number: Order of arrival.
-        since: When it began to wait, at its entry.
+        since: When it began to wait at its entry, by the clock of the queue.
     """
 
     ask: Ask
@@ -126,11 +135,6 @@
     def __len__(self) -> int:
         return len(self.waiters)
 
-    def charge(self, ask: Ask) -> float:
-        """Charges a customer for a turn; returns the turn's tag."""
-        demand = ask.demand
-        return self.clock.tag(ask.key.customer, demand.share, demand.tokens)
-
     def refund(self, ask: Ask) -> None:
         """Takes back the charge of a turn that doesn't run."""
         demand = ask.demand
@@ -140,7 +144,7 @@
         """Adds a turn."""
         self._count += 1
         waiter = Waiter(
-            ask, rank, self.charge(ask), self._count, now - ask.demand.waited
+            ask, rank, self._charge(ask), self._count, now - ask.demand.waited
         )
         self.waiters[ask.key] = waiter
         self.order.add(_sort_key(waiter))
@@ -207,6 +211,11 @@
         """Returns how many turns have a smaller rank."""
         return self.order.bisect_left((rank,))
 
+    def _charge(self, ask: Ask) -> float:
+        """Charges a customer for a turn; returns the turn's tag."""
+        demand = ask.demand
+        return self.clock.tag(ask.key.customer, demand.share, demand.tokens)
+
 
 def _sort_key(waiter: Waiter) -> tuple[Rank, float, int]:
     return waiter.rank, waiter.tag, waiter.number
--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -59,6 +59,12 @@
 REFRESH_SECONDS = 0.1
 # One gap of a running answer in this many is used for the rates of a service.
 RATE_SAMPLE_INTERVAL = 4
+# Lower bound of a relative speed by which a sample is divided.
+_MIN_RELATIVE_GAP = 0.1
+# Variance of relative gaps that is assumed before any sample.
+_INITIAL_VARIANCE = 0.25
+# Lower bound of the scatter with which an overdue event is compared.
+_MIN_STALL_SCATTER = 0.5
 
 
 class Line:
@@ -135,6 +141,20 @@
         return seconds
 
 
+class PendingRequest(NamedTuple):
+    """A request that was sent and has had no event.
+
+    Attributes:
+        tokens: Prompt tokens that are not cached.
+        load: Load of the upstream in batches, with this request.
+        sent_at: When it was sent.
+    """
+
+    tokens: int
+    load: float
+    sent_at: float
+
+
 class UpstreamTimes:
     """What one entry has measured at one upstream.
 
@@ -151,8 +171,7 @@
         updated_at: Time of the last gap.
         streaming: Time of the first event of each answer that has begun, by
             request.
-        pending: Uncached tokens, load and time of sending of the requests
-            that have had no event, by request.
+        pending: Requests that have had no event, by request id.
     """
 
     __slots__ = (
@@ -179,7 +198,7 @@
         self.is_suspect = False
         self.updated_at = 0.0
         self.streaming: dict[str, float] = {}
-        self.pending: dict[str, tuple[int, float, float]] = {}
+        self.pending: dict[str, PendingRequest] = {}
 
     def began(self, request: str, tokens: int, load: float, now: float) -> None:
         """Records a request that is sent.
@@ -190,7 +209,7 @@
             load: Load in batches, with this request.
             now: The current time.
         """
-        self.pending[request] = (tokens, load, now)
+        self.pending[request] = PendingRequest(tokens, load, now)
         self.set_load(load)
 
     def set_load(self, load: float) -> None:
@@ -205,9 +224,12 @@
         sent = self.pending.pop(request, None)
         self.streaming[request] = now
         self.updated_at = max(self.updated_at, now)
-        if sent is not None and sent[1] <= 1.0:
-            seconds = max(MIN_GAP, now - sent[2])
-            self.service.first.add(sent[0], seconds / max(0.1, self.slow))
+        # Beyond the slots, the time would include that in the queue.
+        if sent is not None and sent.load <= 1.0:
+            seconds = max(MIN_GAP, now - sent.sent_at)
+            self.service.first.add(
+                sent.tokens, seconds / max(_MIN_RELATIVE_GAP, self.slow)
+            )
 
     def gap(self, seconds: float, now: float) -> None:
         """Records a gap between two events, or the time of a whole answer."""
@@ -299,7 +321,7 @@
         self.first = Line()
         self.gap = Line()
         self.gaps = 1.0
-        self.variance = 0.25
+        self.variance = _INITIAL_VARIANCE
         self.rates: Rates | None = None
         self.measured: dict[str, float] = {}
         self.slowdowns: dict[str, float] = {}
@@ -325,10 +347,10 @@
             ratio: The gap relative to the expected one.
             average: Average of this ratio at its upstream.
         """
-        self.gap.add(load, seconds / max(0.1, average))
-        deviation = (ratio / max(0.1, average) - 1.0) ** 2
+        self.gap.add(load, seconds / max(_MIN_RELATIVE_GAP, average))
+        deviation = (ratio / max(_MIN_RELATIVE_GAP, average) - 1.0) ** 2
         # A single pause must not make all later changes insignificant.
-        deviation = min(deviation, 9.0 * self.variance)
+        deviation = min(deviation, SIGNIFICANT**2 * self.variance)
         self.variance += (1.0 - RATE_DECAY) * (deviation - self.variance)
 
     def answered(self, gaps: float) -> None:
@@ -368,7 +390,7 @@
         self.deviation = max(
             MIN_DEVIATION, SIGNIFICANT * scatter * SLOW_SCATTER
         )
-        self.overdue = 1.0 + SIGNIFICANT * max(scatter, 0.5)
+        self.overdue = 1.0 + SIGNIFICANT * max(scatter, _MIN_STALL_SCATTER)
 
     def _compare(
         self,
@@ -376,6 +398,13 @@
         shared: Mapping[str, float],
         now: float,
     ) -> None:
+        """Compares the upstreams with their median.
+
+        Args:
+            known: Upstreams with enough samples.
+            shared: Slowdowns that several other entries agree on.
+            now: The current time.
+        """
         self.measured = {}
         self.stalled = {}
         slowdowns = dict(shared)
@@ -396,16 +425,20 @@
             elif age > MAX_SPEED_AGE:
                 continue
             own = 1.0 + (own - 1.0) * trust
-            if not gaps and abs(own - 1.0) > self.deviation * min(own, 1.0):
+            if not gaps and self._differs(own):
                 self.measured[name] = own
             if trust < 1.0 and name in shared:
                 own += (1.0 - trust) * (shared[name] - 1.0)
-            if abs(own - 1.0) > self.deviation * min(own, 1.0):
+            if self._differs(own):
                 slowdowns[name] = own
             elif name in slowdowns:
                 del slowdowns[name]
         self.slowdowns = slowdowns
 
+    def _differs(self, slowdown: float) -> bool:
+        """Returns whether a slowdown differs from the median's, which is 1."""
+        return abs(slowdown - 1.0) > self.deviation * min(slowdown, 1.0)
+
 
 class TurnTimes:
     """What one entry has measured, by service.
--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -297,6 +297,7 @@
             self._hold(request, 1)
 
     def _fits(self, request: Request) -> bool:
+        """Returns whether there is memory for a waiting request."""
         if not self.model.preempts:
             reserved = sum(other.prompt + other.output for other in self.batch)
             needed = request.prompt + request.output
@@ -321,6 +322,7 @@
                 del users[part.id]
 
     def _leave(self, request: Request) -> None:
+        """Takes a request out of the batch."""
         self.batch.remove(request)
         self._hold(request, -1)
 
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -41,7 +41,7 @@
 
 
 class TurnTerms(NamedTuple):
-    """What the leader's admission is told about a turn.
+    """What a caller states about a turn, for the leader's admission.
 
     Attributes:
         kind: Kind of its program.
@@ -172,7 +172,7 @@
             output: Number of tokens to generate.
             silence_timeout: Seconds without a token after which an engine
                 counts as silent.
-            terms: What admission is told about it.
+            terms: What the caller states about it.
 
         Raises:
             NotServed: No upstream served the turn, there was no leader to
@@ -192,6 +192,7 @@
             ran = True
             return incarnation
         except simpy.Interrupt:
+            # The caller gave up.
             raise NotServed from None
         finally:
             self.env.process(
@@ -204,6 +205,11 @@
         call: routed_calls.RoutedCall,
         terms: TurnTerms,
     ) -> Any:
+        """Asks the leader until it grants the turn.
+
+        Raises:
+            NotServed: The leader refused the turn, or there was none.
+        """
         began = self.env.now
         service = manifest.Service(
             kind="model", memory_tokens=self.fleet.memory
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -133,8 +133,8 @@
             `slow` multiplies the times of upstreams by `times`;
             `crash` stops engines, which restart with empty caches;
             `hang` keeps engines from starting a step;
-            `stutter` slows engines down by `times` for 0.6 s every now and
-            then, or stops them if it is 1;
+            `stutter` slows engines down by `times` for 0.6 s, 2 s apart on
+            average, or stops them if it is 1;
             `control` leaves the system without a leader;
             `lost` loses the fraction `times` of the answers of upstreams;
             `errors` fails the fraction `times` of the requests;
--- a/src/mintcleat/emulator/programs.py
+++ b/src/mintcleat/emulator/programs.py
@@ -21,6 +21,8 @@
 # drawn uniformly from this range of seconds.
 RETRY_PAUSE_SECONDS = (0.1, 0.4)
 MAX_ATTEMPTS = 3
+# Different prompt prefixes that the programs of a kind begin with.
+PREFIXES_PER_KIND = 3
 # A program that takes longer than this many times its target counts as failed.
 MAX_LATE_FACTOR = 2.0
 
@@ -118,15 +120,20 @@
         """Lets some customers start programs more often for a time."""
         for customer in heavy_customers(self.plan, fault):
             for name in fault.kinds or self.plan.kinds:
-                self.env.process(self._start_more(name, customer, fault))
+                self.env.process(self._start_additional(name, customer, fault))
 
-    def _start_more(self, name: str, customer: str, fault: plan.Fault) -> Any:
+    def _start_additional(
+        self, name: str, customer: str, fault: plan.Fault
+    ) -> Any:
+        """Starts what a heavy customer adds to its usual programs of a kind."""
         rng = random.Random(f"{self.seed}/{name}/{customer}")
-        part = self.sizes[customer] / sum(self.sizes.values())
-        rate = self.plan.kinds[name].per_second * self.load * part
+        fraction = self.sizes[customer] / sum(self.sizes.values())
+        usual_rate = self.plan.kinds[name].per_second * self.load * fraction
         until = min(self.plan.seconds, self.env.now + fault.seconds)
         for number in itertools.count():
-            yield self.env.timeout(rng.expovariate(rate * (fault.times - 1.0)))
+            yield self.env.timeout(
+                rng.expovariate(usual_rate * (fault.times - 1.0))
+            )
             if self.env.now >= until:
                 return
             program = Program(self, name, f"{customer}-{number}", customer)
@@ -152,8 +159,8 @@
     with a shared one each policy would run other programs.
 
     Attributes:
-        number: Number of the program within its kind, and of its customer if
-            that one is heavy.
+        number: Number of the program within its kind. Additional programs of a
+            heavy customer have `<customer>-<number>`.
         finish_within: Target duration that it states; an estimate, as its
             real one follows from what its turns take on idle upstreams.
         numbers: Numbers for the ids of requests and prompt parts.
@@ -177,11 +184,10 @@
 
     def run(self) -> Any:
         """Runs the program and adds its result."""
-        started_at = self.env.now
         turns = max(1, round(self._draw(self.kind.turns)))
         self.finish_within = self._estimated_target(turns)
-        # The programs of a kind use three different prompt prefixes.
-        group = int(self.number.rpartition("-")[2]) % 3
+        # Additional programs have the customer's name before their number.
+        group = int(self.number.rpartition("-")[2]) % PREFIXES_PER_KIND
         prefix = routed_calls.PromptPart(
             f"{self.name}-{group}", self.kind.shared
         )
@@ -194,10 +200,15 @@
         except ProgramFailed:
             served = False
         target = ideal_seconds * self.kind.aim + self.kind.objective / 1000.0
-        duration = self.env.now - started_at
+        duration = self.env.now - self.started_at
         self.callers.results.append(
             ProgramResult(
-                self.name, started_at, duration, target, served, self.customer
+                self.name,
+                self.started_at,
+                duration,
+                target,
+                served,
+                self.customer,
             )
         )
 
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -162,6 +162,7 @@
     fault: plan.Fault,
     rng: random.Random,
 ) -> Any:
+    """Slows an engine down or stops it, again and again."""
     until = env.now + fault.seconds
     while env.now < until:
         yield env.timeout(rng.expovariate(1.0 / STUTTER_INTERVAL_SECONDS))
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -79,7 +79,7 @@
                 if not decision.again:
                     self._emit_deferred(request, decision)
                 return errors.TurnDeferred(
-                    f"The turn waits behind {decision.situation.rank} others.",
+                    f"The turn waits behind {decision.situation.ahead} others.",
                     retry_after=decision.retry_after,
                 )
         self._emit_refused(request, decision)
@@ -201,7 +201,7 @@
 def _figures(situation: turn_decisions.Situation) -> tuple[float, ...]:
     return (
         round(situation.wait, 4),
-        situation.rank,
+        situation.ahead,
         situation.running,
         round(situation.bound, 1) if situation.bound < 1e9 else -1.0,
         round(situation.share, 4),
@@ -218,5 +218,6 @@
         )
     return (
         f"A new program of service {service!r} would wait {situation.wait:.2f} "
-        f"s: {situation.running} turns run and {situation.rank} wait before it."
+        f"s: {situation.running} turns run and {situation.ahead} wait before "
+        "it."
     )
