--- a/testing/test_engine_memory.py
+++ b/testing/test_engine_memory.py
@@ -42,9 +42,9 @@
     def test_prompt_beyond_its_parts_is_new(self) -> None:
         prefixes = engine_memory.Prefixes()
         found = turn(prefixes, "p", ("a", 100), prompt=140, output=9)
-        self.assertEqual((149, 40, 140), found[3:4] + found[4:5] + (
-            found.uncached,
-        ))  # fmt: skip
+        self.assertEqual(
+            (149, 40, 140), (found.own, found.last, found.uncached)
+        )
 
     def test_remembered_prefixes_are_bounded_and_shared_ones_stay(
         self,
--- a/testing/test_shared_health.py
+++ b/testing/test_shared_health.py
@@ -51,7 +51,7 @@
 class ReportedFailuresTest(testtools.TestCase):
     def test_at_most_a_share_is_excluded(self) -> None:
         # Guards against a service whose few remaining upstreams are overloaded
-        # because the others were excluded on others' word.
+        # because the others were excluded by reports of other entries.
         reported = shared_health.ReportedFailures()
         reported.update(UPSTREAMS[:20], 0.0)
         allowed = reported.allowed(UPSTREAMS, 0.1)
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -89,6 +89,7 @@
         self.assertEqual(4, len(turns))
 
     def test_unknown_capacity_bounds_nothing(self) -> None:
+        # Guards against a service that stops because no entry states its slots.
         for number in range(100):
             self.assertTrue(is_granted(self.ask(f"t{number}", places=0)))
 
@@ -180,20 +181,16 @@
         for number in range(8):
             self.ask(f"a{number}", customer="one", share=1.0)
             self.ask(f"b{number}", customer="three", share=3.0)
-        order = [
-            waiter[0].customer
-            for waiter in sorted(
-                (
-                    (waiter.ask.key, waiter.rank, waiter.tag, waiter.number)
-                    for waiter in self.schedule.queue.waiters.values()
-                ),
-                key=lambda item: item[1:],
-            )
-        ]
+        waiters = sorted(
+            self.schedule.queue.waiters.values(),
+            key=lambda waiter: (waiter.rank, waiter.tag, waiter.number),
+        )
+        order = [waiter.ask.key.customer for waiter in waiters]
         self.assertTrue(turns)
         self.assertEqual(6, order[:8].count("three"))
 
     def test_position_survives_asking_again(self) -> None:
+        # Guards against a turn that goes to the end of the queue with each ask.
         turns = self.fill()
         self.ask("early", finish_within=10.0)
         for _ in range(5):
@@ -205,6 +202,7 @@
         self.assertTrue(is_granted(self.ask("early", finish_within=10.0)))
 
     def test_waiter_that_does_not_ask_again_is_dropped(self) -> None:
+        # Guards against turns of callers that have gone and hold up the others.
         turns = self.fill()
         self.ask("gone")
         self.now += turn_queue.LOST_SECONDS + 0.01
@@ -245,6 +243,7 @@
             self.assertIsInstance(decision, turn_decisions.Defer)
 
     def test_nothing_is_refused_before_the_speed_is_known(self) -> None:
+        # Guards against a new leader that refuses by a speed that it guessed.
         self.fill()
         for number in range(60):
             decision = self.ask(f"w{number}")
@@ -259,6 +258,7 @@
         self.assertTrue(is_granted(self.ask("t3", entry="a3")))
 
     def test_reported_turns_that_were_granted_here_count_once(self) -> None:
+        # Guards against a service that runs at half of its slots.
         for number in range(4):
             self.ask(f"t{number}", running=number)
         self.assertEqual(4, self.schedule.running_turns())
@@ -266,6 +266,7 @@
         self.assertEqual(3, self.schedule.running_turns())
 
     def test_release_is_idempotent(self) -> None:
+        # Guards against a close that is sent twice and frees two slots.
         self.ask("t1")
         self.end("t1")
         self.end("t1")
@@ -286,6 +287,7 @@
         self.assertTrue(heavy.waiting and heavy.refused)
 
     def test_retry_times_are_spread(self) -> None:
+        # Guards against waiting turns that all ask again at the same time.
         self.fill()
         times = {self.ask(f"w{number}").retry_after for number in range(50)}
         self.assertTrue(len(times) > 8, times)
@@ -383,7 +385,7 @@
 class PaceTest(testtools.TestCase):
     """The limit before a service whose turns slow down with their number."""
 
-    def play(
+    def simulate(
         self,
         seconds: float,
         delay: float,
@@ -395,7 +397,7 @@
         """Returns time and limit; turns take 0.2 s at low load.
 
         Args:
-            seconds: Length of the play.
+            seconds: Simulated seconds.
             delay: Seconds by which each sample is late.
             knee: Running turns from which on turns take longer.
             demand: Returns the turns that would run without a limit.
@@ -425,16 +427,16 @@
         def step(now: float) -> float:
             return 350.0 if now > 3.0 else 60.0
 
-        found = self.play(20.0, delay, 100.0, step)
+        found = self.simulate(20.0, delay, 100.0, step)
         settled = [limit for now, limit in found if now > 8.0]
         # Turns may take twice as long, which they do at 200.
         self.assertTrue(min(settled) > 130, min(settled))
         self.assertTrue(max(settled) < 220, max(settled))
-        turns = sum(
+        reversals = sum(
             (b - a) * (c - b) < 0
             for a, b, c in zip(settled, settled[1:], settled[2:], strict=False)
         )
-        self.assertTrue(turns <= 4, turns)
+        self.assertTrue(reversals <= 4, reversals)
 
     def test_limit_settles_after_a_step_in_load(self) -> None:
         self.assert_settles(0.0)
@@ -443,7 +445,7 @@
         self.assert_settles(0.5)
 
     def test_limit_falls_within_some_hundred_milliseconds(self) -> None:
-        found = self.play(
+        found = self.simulate(
             6.0, 0.0, 100.0, lambda now: 350.0 if now > 3.0 else 60.0
         )
         # Turns take 0.7 s at this load; the first samples come after that.
@@ -452,7 +454,7 @@
 
     def test_slowness_without_load_leaves_the_limit(self) -> None:
         # Engines that became slow for another reason would only be left idle.
-        found = self.play(
+        found = self.simulate(
             30.0,
             0.0,
             1000.0,
--- a/testing/test_turn_time.py
+++ b/testing/test_turn_time.py
@@ -52,16 +52,16 @@
         request = f"r{self.numbers}"
         times = self.service.of(name)
         tokens = self.random.randrange(3000)
-        began = self.now
-        times.began(request, tokens, self.loads[name], began)
-        began += (0.02 + tokens / 30_000.0) * self.factors[name]
-        times.first_event(request, began)
+        at = self.now
+        times.began(request, tokens, self.loads[name], at)
+        at += (0.02 + tokens / 30_000.0) * self.factors[name]
+        times.first_event(request, at)
         for _ in range(events - 1):
             gap = self.gap(name)
-            began += gap
-            times.gap(gap, began)
+            at += gap
+            times.gap(gap, at)
         times.ended(request)
-        return began
+        return at
 
 
 class RatesTest(testtools.TestCase):
--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -20,19 +20,28 @@
 from mintcleat.domain import program_messages
 
 STEP_SECONDS = 0.005
-# Way of a message between an entry and the leader.
-WAY_SECONDS = 0.004
+# Time of a message between an entry and the leader.
+MESSAGE_SECONDS = 0.004
+# Time between two asks of an entry while there is no leader.
+NO_LEADER_RETRY_SECONDS = 0.05
+# Tokens that a request alone on an engine generates in a second.
 TOKENS_PER_SECOND = 160.0
+PROMPT_TOKENS = 500
+# Tokens that callers request beyond what is generated.
+UNUSED_TOKENS = 100
+# Attempts of one turn, until its program fails.
 MAX_ATTEMPTS = 3
 # Seconds between an attempt that was refused or timed out, and the next.
-PAUSE_RANGE = (0.1, 0.4)
+RETRY_PAUSE_RANGE = (0.1, 0.4)
 
 
 class Kind(NamedTuple):
     """One kind of programs; times in seconds.
 
     Attributes:
-        rate: Programs per second.
+        name: Name of the kind.
+        priority: Priority of its turns; 0 is the most urgent.
+        rate: Programs per second at load 1.
         turns: Mean number of turns.
         work: Mean time of a turn alone on an engine.
         pause: Mean time between two turns.
@@ -53,7 +62,15 @@
 
 
 class Request:
-    """A turn at an engine."""
+    """A turn at an engine.
+
+    Attributes:
+        priority: Its priority; 0 is the most urgent.
+        work: Seconds that it takes alone on an engine.
+        left: The part of these that is left.
+        done: Called when it ends.
+        cancelled: Whether its caller gave up.
+    """
 
     def __init__(self, priority: int, work: float, done: Any) -> None:
         self.priority = priority
@@ -67,6 +84,7 @@
     """A batching engine; see the module.
 
     Attributes:
+        per_request: Fraction by which each request of the batch slows all.
         slow: Factor on the time of all requests.
     """
 
@@ -106,8 +124,16 @@
         return ended
 
 
-class Ended(NamedTuple):
-    """The result of a program."""
+class ProgramResult(NamedTuple):
+    """The result of a program.
+
+    Attributes:
+        kind: Name of its kind.
+        customer: Its customer.
+        started: When it was started.
+        outcome: `aim` if it ended within its target, `late` or `failed`.
+        work: Work of its turns, in seconds alone on an engine.
+    """
 
     kind: str
     customer: str
@@ -157,7 +183,7 @@
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
-        self.results: list[Ended] = []
+        self.results: list[ProgramResult] = []
         self.refusal_times: list[float] = []
         self.samples: list[tuple[float, int, int]] = []
         self.decisions: collections.Counter[str] = collections.Counter()
@@ -218,7 +244,7 @@
         return good / max(1, len(found))
 
     def add_load(self, customer: str, factor: float) -> None:
-        """Lets a customer send so much more of its usual load from now on."""
+        """Adds a multiple of a customer's usual load from now on."""
         for kind in self.kinds:
             self._plan_start(kind, customer, factor)
 
@@ -253,7 +279,7 @@
         ]
         self.pauses = [draw.expovariate(1 / kind.pause) for _ in self.works]
         ideal = sum(self.works) + sum(self.pauses[:-1])
-        ideal += count * 4 * WAY_SECONDS
+        ideal += count * 4 * MESSAGE_SECONDS
         self.target = kind.aim * ideal + kind.extra
         self.number = 0
         self.attempt = 0
@@ -278,12 +304,12 @@
         if self.attempt >= MAX_ATTEMPTS:
             self.finish("failed")
             return
-        pause = self.world.random.uniform(*PAUSE_RANGE)
+        pause = self.world.random.uniform(*RETRY_PAUSE_RANGE)
         self.world.at(self.world.now + pause, self.turn)
 
     def finish(self, outcome: str) -> None:
         self.world.results.append(
-            Ended(
+            ProgramResult(
                 self.kind.name,
                 self.customer,
                 self.started,
@@ -313,14 +339,14 @@
         return self.program.works[self.program.number]
 
     def ask(self) -> None:
-        self.world.at(self.world.now + WAY_SECONDS, self.decide)
+        self.world.at(self.world.now + MESSAGE_SECONDS, self.decide)
 
     def decide(self) -> None:
         world = self.world
         if self.over:
             return
         if world.now < world.leader_until:
-            world.at(world.now + 0.05, self.decide)
+            world.at(world.now + NO_LEADER_RETRY_SECONDS, self.decide)
             return
         if world.schedule is None:
             self.place()
@@ -329,16 +355,18 @@
         kind = program.kind
         tokens = round(self.work * TOKENS_PER_SECOND)
         demand = program_messages.TurnDemand(
-            "lm",
-            kind.name,
-            kind.priority,
-            1.0,
-            600 + tokens,
-            max(0.01, program.target - (self.began - program.started)),
-            world.now - self.began,
-            sum(engine.slots for engine in world.engines),
-            0,
-            kind.deadline,
+            service="lm",
+            kind=kind.name,
+            priority=kind.priority,
+            share=1.0,
+            tokens=PROMPT_TOKENS + UNUSED_TOKENS + tokens,
+            finish_within=max(
+                0.01, program.target - (self.began - program.started)
+            ),
+            waited=world.now - self.began,
+            places=sum(engine.slots for engine in world.engines),
+            memory_tokens=0,
+            timeout=kind.deadline,
         )
         decision = world.schedule.ask(
             turn_queue.Ask(
@@ -346,7 +374,7 @@
                 program.id,
                 program.number == 0,
                 self.entry,
-                500,
+                PROMPT_TOKENS,
                 demand,
             ),
             world.now,
@@ -356,7 +384,7 @@
             case turn_decisions.Grant():
                 self.place()
             case turn_decisions.Defer(retry_after=seconds):
-                world.at(world.now + seconds + WAY_SECONDS, self.decide)
+                world.at(world.now + seconds + MESSAGE_SECONDS, self.decide)
             case turn_decisions.Refuse():
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
@@ -374,7 +402,9 @@
     def done(self) -> None:
         self.over = True
         self.close(round(self.work * TOKENS_PER_SECOND), True)
-        self.world.at(self.world.now + 2 * WAY_SECONDS, self.program.ended_turn)
+        self.world.at(
+            self.world.now + 2 * MESSAGE_SECONDS, self.program.ended_turn
+        )
 
     def give_up(self) -> None:
         if self.over:
@@ -394,4 +424,4 @@
             elif world.schedule and self.key not in world.lost_turns:
                 world.schedule.release(self.key, tokens, ran, world.now)
 
-        world.at(world.now + WAY_SECONDS + world.report_delay, arrive)
+        world.at(world.now + MESSAGE_SECONDS + world.report_delay, arrive)
