Clarify comments and names in adapters and domain

The sort key of customers stood twice and is now CustomerLoad.sort_key. Hub.schedule_call_global repeated that of eventlet's base class. No change of behavior, except three texts: the log lines about a failed timer callback and a failed green thread, and the error for a response with status 101.

--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -35,9 +35,9 @@
 ) -> dict[str, Any]:
     """Returns the load over all groups.
 
-    Every entry reports all that it has running to the leaders that it sends
-    turns to, so the largest count of an upstream is the most complete one. The
-    requests of a customer are counted by one group; any may refuse them.
+    Each entry reports all its running requests to every leader that it sends
+    turns to, so the largest count of an upstream is the most complete one. One
+    group counts the requests of a customer; any group may refuse them.
 
     Args:
         views: View of each group.
@@ -54,14 +54,7 @@
         for item in view.customers:
             known = usages.get(item.customer)
             usages[item.customer] = _merge(known, item) if known else item
-    listed = sorted(
-        usages.values(),
-        key=lambda one: (
-            -one.used / one.limit if one.limit else 0.0,
-            -sum(one.refused.values()),
-            one.customer,
-        ),
-    )
+    listed = sorted(usages.values(), key=program_messages.CustomerLoad.sort_key)
     return {
         "entries": max((view.entries for view in views), default=0),
         "upstreams": plain([upstreams[name] for name in sorted(upstreams)]),
@@ -73,6 +66,7 @@
 def _merge(
     one: program_messages.CustomerLoad, other: program_messages.CustomerLoad
 ) -> program_messages.CustomerLoad:
+    """Returns the load of one customer that two groups reported."""
     refused = collections.Counter(one.refused) + collections.Counter(
         other.refused
     )
--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -15,7 +15,8 @@
 from eventlet import patcher
 import greenlet
 
-# The thread has no event loop to wait on, as eventlet's replacement would.
+# eventlet's replacement of `os` waits on an event loop, which the disk thread
+# doesn't have.
 _os = patcher.original("os")
 _threading = patcher.original("threading")
 _queue = patcher.original("queue")
@@ -49,7 +50,7 @@
     """Runs calls in order on one thread; implements `ports.wal.DiskWorker`.
 
     Attributes:
-        deferred: Calls that are about to be queued.
+        deferred: Calls that are queued once the running green threads wait.
         jobs: Queued calls; None ends the thread.
         done: Finished calls whose green threads are yet to be woken.
         wake_reader: Pipe end that the event loop waits on.
@@ -90,8 +91,8 @@
             return function(*args)
         job = _Job(function, args)
         start = time.monotonic()
-        # The thread competes with the event loop for the interpreter, so it
-        # starts once the green threads of this moment have run.
+        # The disk thread competes with the event loop for the interpreter lock,
+        # so it starts after the green threads that can run now.
         self.deferred.append(job)
         hubs.get_hub().schedule_call_global(0, self._submit)
         try:
@@ -126,6 +127,7 @@
         self.jobs.put(None)
 
     def _submit(self) -> None:
+        """Queues the deferred calls."""
         while self.deferred:
             self.jobs.put(self.deferred.popleft())
 
@@ -133,7 +135,7 @@
         while (job := self.jobs.get()) is not None:
             self._run_job(job)
 
-    def _run_job(self, job: "_Job") -> None:
+    def _run_job(self, job: _Job) -> None:
         try:
             job.value = job.function(*job.args)
         except Exception as error:
--- a/src/mintcleat/adapters/event_log.py
+++ b/src/mintcleat/adapters/event_log.py
@@ -19,6 +19,7 @@
 
 from mintcleat.domain import events
 
+# The writer thread has no event loop, which eventlet's replacements wait on.
 _queue = patcher.original("queue")
 _threading = patcher.original("threading")
 _time = patcher.original("time")
@@ -47,7 +48,7 @@
 # Maximum number of lines in one write. They are no longer counted as queued.
 _BATCH_LINES = 256
 # Time for which the writer thread collects further lines after the first one.
-# Each wakeup of the thread takes the interpreter away from the event loop.
+# At each wakeup the thread takes the interpreter lock from the event loop.
 _COLLECT_SECONDS = 0.02
 # Share of the burst that must be left over for a line of each severity.
 _RESERVED_SHARE = {events.STATE: 0.0, events.ERROR: 0.1, events.DETAIL: 0.25}
--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -1,6 +1,6 @@
 """An eventlet hub with fewer system calls and wakeups per message.
 
-Differences to eventlet's own hub on epoll:
+Differences from eventlet's own hub on epoll:
 
 - Green threads that were spawned or woken without a delay run from a queue,
   in order, and the sockets are polled once for up to `_ROUNDS` rounds of them.
@@ -22,7 +22,6 @@
 
 from eventlet.hubs import epolls
 from eventlet.hubs import hub
-from eventlet.hubs import timer
 import greenlet
 
 _READ = select.EPOLLIN | select.EPOLLPRI
@@ -64,17 +63,6 @@
         self.ready.append(added)
         return 0.0
 
-    def schedule_call_global(
-        self, seconds: float, cb: Any, *args: Any, **kwargs: Any
-    ) -> Any:
-        """Calls a function after some seconds; returns the timer."""
-        found = timer.Timer(seconds, cb, *args, **kwargs)
-        if seconds > 0:
-            super().add_timer(found)
-        else:
-            self.ready.append(found)
-        return found
-
     def run(self, *args: Any, **kwargs: Any) -> None:
         """Runs until `abort` is called."""
         if self.running:
--- a/src/mintcleat/adapters/green_threads.py
+++ b/src/mintcleat/adapters/green_threads.py
@@ -14,7 +14,7 @@
 import greenlet
 from loguru import logger
 
-# Idle green threads that are kept; about the number of tasks of one moment.
+# Maximum number of idle green threads; about as many as run at the same time.
 _MAX_IDLE = 64
 
 # The idle green threads of each hub; a hub belongs to one thread.
@@ -44,7 +44,8 @@
     """A green thread that runs one task after another.
 
     Attributes:
-        idle: The list in which it waits for its next task.
+        hub: The hub of its thread.
+        idle: Idle workers of that hub; this one is listed while it is idle.
         task: The next function and its arguments; None while it is idle.
     """
 
@@ -74,4 +75,4 @@
         try:
             function(*args)
         except Exception:
-            logger.exception("A timer callback or green thread failed.")
+            logger.exception("A green thread failed.")
--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -57,6 +57,7 @@
         received: Bytes after the messages that have been read.
         method: Method of the current request.
         head: Head of the current response; None before it.
+        sender: Green thread that sends a large request; None for none.
     """
 
     def __init__(self, address: str, sock: Any) -> None:
--- a/src/mintcleat/adapters/http1_framing.py
+++ b/src/mintcleat/adapters/http1_framing.py
@@ -9,7 +9,8 @@
 from typing import Protocol
 
 LAST_CHUNK = b"0\r\n\r\n"
-# Bounds on what is buffered of a line before a chunk, and of the trailers.
+# Bounds on the bytes that are buffered of an incomplete line before a chunk,
+# and of incomplete trailers.
 _MAX_CHUNK_LINE_BYTES = 4096
 _MAX_TRAILER_BYTES = 16 * 1024
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:;[^\x00\r\n]*|[ \t]*)\Z")
@@ -50,7 +51,11 @@
 
 
 class FixedBody:
-    """A body of known length."""
+    """A body of known length.
+
+    Attributes:
+        left: Bytes that are missing.
+    """
 
     def __init__(self, length: int) -> None:
         self.left = length
@@ -172,7 +177,10 @@
 
 
 def chunk(data: bytes) -> bytes:
-    """Returns bytes as one chunk; none for no bytes, which would end a body."""
+    """Returns bytes as one chunk.
+
+    No bytes are returned for no bytes: an empty chunk would end the body.
+    """
     return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
 
 
--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -34,8 +34,9 @@
     Attributes:
         fields: Names in lower case, and values.
         keep_alive: Whether the caller keeps its connection open.
-        chunks: Whether the caller understands chunked bodies.
-        waits: Whether the caller sends the body only after a response 100.
+        accepts_chunks: Whether the caller understands chunked bodies.
+        expects_continue: Whether the caller may wait for a response with status
+            100 before it sends the body.
     """
 
     method: str
@@ -43,8 +44,8 @@
     fields: tuple[tuple[str, str], ...]
     body: http1_framing.BodyReader
     keep_alive: bool
-    chunks: bool
-    waits: bool
+    accepts_chunks: bool
+    expects_continue: bool
 
 
 class ResponseHead(NamedTuple):
@@ -102,6 +103,8 @@
     except httptools.HttpParserInvalidMethodError as error:
         raise ProtocolError(str(error), 501) from None
     except httptools.HttpParserError as error:
+        # After the whole head only its framing is rejected, such as an unknown
+        # transfer coding; `_body` does so with the matching status.
         if not parts.complete:
             raise ProtocolError(str(error)) from None
     method = parser.get_method()
@@ -120,13 +123,14 @@
     if coding is not None and "content-length" in fields:
         raise ProtocolError("Both Content-Length and Transfer-Encoding.")
     return RequestHead(
-        method.decode("ascii"),
-        parts.target.decode("latin-1"),
-        tuple(parts.fields),
-        _body(fields, http1_framing.FixedBody(0)),
-        is_current and not _lists(fields, "connection", "close"),
-        is_current,
-        is_current and _lists(fields, "expect", "100-continue"),
+        method=method.decode("ascii"),
+        target=parts.target.decode("latin-1"),
+        fields=tuple(parts.fields),
+        body=_body(fields, http1_framing.FixedBody(0)),
+        keep_alive=is_current and not _lists(fields, "connection", "close"),
+        accepts_chunks=is_current,
+        expects_continue=is_current
+        and _lists(fields, "expect", "100-continue"),
     )
 
 
@@ -135,7 +139,7 @@
 
     Args:
         head: The head.
-        method: Method of the request.
+        method: Method of the request; a response to HEAD has no body.
 
     Raises:
         ProtocolError: It violates HTTP/1.1, or isn't supported.
@@ -148,7 +152,7 @@
     try:
         parser.feed_data(head)
     except httptools.HttpParserUpgrade:
-        raise ProtocolError("Expected no change of protocol.") from None
+        raise ProtocolError("The response switches protocols.") from None
     except httptools.HttpParserError as error:
         if not parts.complete:
             raise ProtocolError(str(error)) from None
@@ -220,7 +224,7 @@
 
 
 def _check_line_ends(data: bytes) -> None:
-    """Rejects lines that don't end with CR and LF, and folded lines.
+    """Rejects a CR or LF that is not part of a CR LF.
 
     Raises:
         ProtocolError: See above.
@@ -231,7 +235,13 @@
 
 
 def _lists(fields: dict[str, str], name: str, item: str) -> bool:
-    """Returns whether a header field with a list has an item."""
+    """Returns whether a comma-separated header field contains an item.
+
+    Args:
+        fields: Values by name.
+        name: Name of the field.
+        item: The item in lower case; case is ignored in the field.
+    """
     value = fields.get(name)
     if value is None:
         return False
@@ -243,6 +253,10 @@
 ) -> http1_framing.BodyReader:
     """Returns the reader of the body.
 
+    Args:
+        fields: Values by name.
+        default: Reader of a body without a length and a transfer coding.
+
     Raises:
         ProtocolError: The transfer coding is unknown or the length invalid.
     """
--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import contextlib
 import socket
+import struct
 import time
 from typing import Any
 from typing import NamedTuple
@@ -29,12 +30,18 @@
 _CHUNKED = ("transfer-encoding", "chunked")
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUSES_WITHOUT_BODY = (204, 304)
-# Bounds how long a caller that does not read holds the memory of its response.
+# A caller that reads nothing for this long gets no more of its response, which
+# bounds how long it holds memory.
 _STALL_SECONDS = 20.0
-# Interval at which a handler is told that its caller doesn't read.
+# Interval of the calls of `Reply.on_blocked`.
 _BLOCKED_SECONDS = 0.25
-# Discards unsent bytes in the kernel and resets the connection.
-_RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"
+# Value of SO_LINGER (on, 0 s): closing the socket then discards its unsent
+# bytes in the kernel and resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Pause after a failed accept, so that running out of file descriptors doesn't
+# take all CPU time.
+_ACCEPT_RETRY_SECONDS = 0.05
+# Reasons for which a response is ended; see `Stall`.
 NO_PROGRESS = "no progress"
 BUFFERS_FULL = "buffers full"
 _STATUS_INVALID = 400
@@ -97,9 +104,10 @@
     """The response to one request.
 
     Attributes:
+        on_blocked: Called repeatedly while a write waits for the caller; to be
+            set before the head is sent.
         started: Whether the head has been sent.
         ended: Whether the whole response has been sent.
-        on_blocked: Called repeatedly while a write waits for the caller.
     """
 
     def __init__(self, connection: "Connection") -> None:
@@ -211,7 +219,7 @@
                     self.address,
                     error,
                 )
-                eventlet.sleep(0.05)
+                eventlet.sleep(_ACCEPT_RETRY_SECONDS)
                 continue
             connection = Connection(self, sock, f"{peer[0]}:{peer[1]}")
             self.connections.add(connection)
@@ -227,7 +235,7 @@
         request: The current request; None before it was read.
         handler: Green thread that handles it.
         ended: Whether the connection is being closed.
-        writer: Response in progress; None before its head.
+        writer: Frames the response in progress; None before its head.
         on_blocked: Called repeatedly while a write waits for the caller.
         progress_at: Monotonic time at which bytes were last sent while a
             write waits.
@@ -357,21 +365,21 @@
         body = head.body
         parts: list[bytes] = []
         size = 0
-        waits = head.waits
+        must_continue = head.expects_continue
         while True:
             part, self.received = body.take(self.received)
             if part:
                 parts.append(part)
                 size += len(part)
-                waits = False
+                must_continue = False
             if size > limits.body_bytes:
                 raise errors.TooLarge(
                     f"The body exceeds {limits.body_bytes} bytes."
                 )
             if body.complete:
                 break
-            if waits:
-                waits = False
+            if must_continue:
+                must_continue = False
                 self._send_bytes(_CONTINUE)
             if not self._receive(limits.header_seconds):
                 body.close()
@@ -426,6 +434,7 @@
         self._send_bytes(self.writer.end())
 
     def _send_bytes(self, data: bytes) -> None:
+        """Sends bytes; waits while the socket's buffer is full."""
         if not data:
             return
         try:
@@ -446,8 +455,8 @@
         self.progress_at = time.monotonic()
         try:
             while data:
-                while largest := unsent.set(self, len(data)):
-                    self._end_response(largest)
+                while stalled := unsent.set(self, len(data)):
+                    self._end_for_full_buffers(stalled)
                 self._await_writable(len(data))
                 try:
                     data = data[self.sock.fd.send(data) :]
@@ -475,19 +484,19 @@
                 if self.on_blocked is not None:
                     self.on_blocked()
                 if time.monotonic() - self.progress_at >= _STALL_SECONDS:
-                    self._report_stall(NO_PROGRESS, size)
+                    self._record_stall(NO_PROGRESS, size)
                     raise CallerStalled from None
             else:
                 return
 
-    def _end_response(self, connection: "Connection") -> None:
+    def _end_for_full_buffers(self, connection: "Connection") -> None:
         """Ends the response that holds the most unsent bytes.
 
         Raises:
             CallerStalled: It is this one.
         """
         size = self.listener.unsent.sizes[connection]
-        connection._report_stall(BUFFERS_FULL, size)
+        connection._record_stall(BUFFERS_FULL, size)
         if connection is self:
             raise CallerStalled
         self.listener.unsent.set(connection, 0)
@@ -496,7 +505,8 @@
         else:
             greenthread.kill(connection.handler, CallerStalled())
 
-    def _report_stall(self, reason: str, size: int) -> None:
+    def _record_stall(self, reason: str, size: int) -> None:
+        """Reports a stall, and lets the close reset the connection."""
         with contextlib.suppress(OSError):
             self.sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
@@ -523,8 +533,8 @@
     """Frames one response.
 
     Attributes:
-        left: Bytes that are missing to the announced length; None for a body
-            without length.
+        left: Bytes of the body, by its Content-Length, that are missing; None
+            without that header.
         chunked: Whether the body is sent in chunks.
         without_body: Whether the response has no body, whatever its headers.
         keep_alive: Whether the connection stays open.
@@ -551,7 +561,7 @@
         )
         self.chunked = False
         if length is None and status not in _STATUSES_WITHOUT_BODY:
-            if request is not None and request.chunks:
+            if request is not None and request.accepts_chunks:
                 self.chunked = True
                 self.headers = [*self.headers, _CHUNKED]
             elif not is_head:
--- a/src/mintcleat/adapters/metrics.py
+++ b/src/mintcleat/adapters/metrics.py
@@ -80,8 +80,8 @@
     """Implements `ports.metrics.Metrics` with one registry per process.
 
     Attributes:
-        counts: Value of each counter.
-        durations: The histograms, which the collectors have too.
+        counts: Value of each counter; copied to the collectors by `render`.
+        durations: The histograms; the collectors share them.
     """
 
     def __init__(self) -> None:
--- a/src/mintcleat/adapters/socket_reader.py
+++ b/src/mintcleat/adapters/socket_reader.py
@@ -14,8 +14,8 @@
 from eventlet import hubs
 
 _READ_BYTES = 64 * 1024
-# Received bytes that nobody reads, from which on the socket isn't read either,
-# so that the peer has to wait.
+# With this many received bytes that nobody has read, the socket isn't read
+# either, so that the peer has to wait.
 _MAX_UNREAD_BYTES = 64 * 1024
 
 
@@ -25,6 +25,10 @@
     Attributes:
         unread: Received bytes that `read` has not returned yet.
         closed: Whether the peer has closed the connection or an error occurred.
+        error: The error that ended the connection; None for none.
+        waiter: Green thread that waits in `read`; None for none.
+        listener: The registration with the hub; None while the socket isn't
+            read.
         on_closed: Called by the hub when `closed` is set while no green thread
             is reading; must not wait.
     """
@@ -115,9 +119,11 @@
             self.on_closed()
 
     def _forget(self) -> None:
+        """Drops the registration, which the hub has ended."""
         self.listener = None
 
     def _on_obsolete(self, error: OSError) -> None:
+        """Fails the connection; its descriptor number was opened again."""
         self.error = error
         self.closed = True
         if self.waiter is not None:
--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -215,7 +215,7 @@
     Attributes:
         threads: Number of those green threads that are running.
         queued: Bytes in `outgoing` or being written.
-        flush_scheduled: Whether the hub will write `outgoing`.
+        flush_scheduled: Whether the hub is about to call `_flush_outgoing`.
         writing: Whether the writing green thread writes `outgoing`, because
             the socket's buffer is full.
         writer_wake: Signalled when `writing` is set.
@@ -324,9 +324,9 @@
     def _append(self, frame: bytes) -> None:
         """Queues a frame to be written once the running green thread waits.
 
-        Frames that the green threads of this moment send share one system
-        call here and one wakeup of the peer, above all an answer and the
-        CLOSE frame behind it.
+        The frames of all green threads that can run now share one system call
+        here and one wakeup of the peer; most often they are an answer and the
+        CLOSE frame after it.
         """
         self.outgoing.append(frame)
         self.queued += len(frame)
@@ -335,7 +335,10 @@
             hubs.get_hub().schedule_call_global(0, self._flush_outgoing)
 
     def _flush_outgoing(self) -> None:
-        """Writes the queue; leaves what does not fit to the green thread."""
+        """Writes the queue without waiting.
+
+        The writing green thread writes what the socket's buffer can't take.
+        """
         self.flush_scheduled = False
         if self.lost or self.writing or not self.outgoing:
             return
--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -14,8 +14,8 @@
 # Longer periods are not aligned: the calls are rare, and a common time would
 # let all processes of a host do the same work at once.
 _MAX_ALIGNED_SECONDS = 1.0
-# Least time between two calls of an aligned callback, as a share of its period.
-_MIN_SHARE = 0.1
+# Least time between two calls of an aligned callback, as a part of its period.
+_MIN_PERIOD_FRACTION = 0.1
 # Clock reading from which multiples of periods count. It is random, so that the
 # processes of one host do not wake up at the same time.
 _PHASE = random.uniform(0.0, _MAX_ALIGNED_SECONDS)
@@ -78,7 +78,7 @@
         eventlet.sleep(seconds)
 
     def spawn(self, function: Callable[..., None], *args: object) -> None:
-        """Runs a function in a new green thread."""
+        """Runs a function in a green thread; see `green_threads.spawn`."""
         green_threads.spawn(function, *args)
 
     def _run_once(
@@ -111,7 +111,7 @@
     Callbacks are due at multiples of their period, the first time after 0.1 to
     1.1 periods, so that several of them share one wakeup of the process. A
     process that wakes up from idle runs Python code several times slower than
-    usual, because the CPU's caches hold the data of others.
+    usual, because other processes have replaced its data in the CPU's caches.
     """
 
     def sleep_to_next(self, period: float) -> None:
@@ -131,15 +131,17 @@
         return period
     seconds = period - (time.monotonic() - _PHASE) % period
     # A callback that runs a little early or very late is not repeated at once.
-    return seconds if seconds > _MIN_SHARE * period else seconds + period
+    if seconds > _MIN_PERIOD_FRACTION * period:
+        return seconds
+    return seconds + period
 
 
-def _run_and_log(function: Callable[..., None], *args: object) -> None:
-    """Runs a function; logs its exception, so that the loop continues."""
+def _run_and_log(callback: Callable[[], None]) -> None:
+    """Runs a callback; logs its exception, so that the loop continues."""
     try:
-        function(*args)
+        callback()
     except Exception:
-        logger.exception("A timer callback or green thread failed.")
+        logger.exception("A timer callback failed.")
 
 
 class VirtualSubscription:
--- a/src/mintcleat/adapters/unsent_bytes.py
+++ b/src/mintcleat/adapters/unsent_bytes.py
@@ -15,6 +15,7 @@
     Attributes:
         limit: Maximum of `total`.
         total: Bytes that wait now.
+        sizes: Bytes that wait, by connection; without those of 0 bytes.
     """
 
     def __init__(self, limit: int = DEFAULT_LIMIT) -> None:
@@ -26,8 +27,8 @@
         """Records what waits for a connection; 0 for nothing.
 
         Returns:
-            The connection whose response must be ended, because the total
-            exceeds the limit and it has most of it; None for none.
+            If the total exceeds the limit, the connection with the most bytes,
+            whose response must be ended; otherwise None.
         """
         self.total += size - self.sizes.pop(connection, 0)
         if not size:
--- a/src/mintcleat/adapters/wal_disk.py
+++ b/src/mintcleat/adapters/wal_disk.py
@@ -8,7 +8,7 @@
 
 from mintcleat.ports import wal
 
-# eventlet's replacement asks for the kind of the file at each write.
+# eventlet's `write` makes a further system call, `stat`, each time.
 _os = patcher.original("os")
 
 # Syncing this many bytes delays other calls by a few milliseconds only.
--- a/src/mintcleat/domain/codec.py
+++ b/src/mintcleat/domain/codec.py
@@ -13,6 +13,7 @@
 from mintcleat.domain import messages
 
 _TAG_OF = {kind: tag for tag, kind in messages.TAGS.items()}
+# Default of the last field, by message type.
 _LAST_DEFAULT = {
     kind: kind._field_defaults[kind._fields[-1]]
     for kind in messages.LAST_OPTIONAL
@@ -25,7 +26,11 @@
 
 
 def to_wire(message: Any) -> list[Any]:
-    """Returns a message as `[tag, fields...]`, nested messages as tuples."""
+    """Returns a message as `[tag, fields...]`, nested messages as tuples.
+
+    An optional last field (`messages.LAST_OPTIONAL`) with its default is left
+    out.
+    """
     kind = type(message)
     if kind in _LAST_DEFAULT and message[-1] == _LAST_DEFAULT[kind]:
         return [_TAG_OF[kind], *message[:-1]]
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -550,6 +550,14 @@
     programs: int
     refused: dict[str, int]
 
+    def sort_key(self) -> tuple[float, int, str]:
+        """Orders customers: those closest to their limit first."""
+        return (
+            -self.used / self.limit if self.limit else 0.0,
+            -sum(self.refused.values()),
+            self.customer,
+        )
+
 
 class CustomerShare(NamedTuple):
     """A customer's part of a service under admission control.
@@ -582,7 +590,7 @@
         refused: Refused turns by kind and reason.
         lost: Waiting turns dropped because they did not ask again.
         expired: Granted turns released by their timeout.
-        customers: The customers with most use.
+        customers: Customers of the service, those with the highest use first.
         slots: Total slots of its upstreams; 0 if unknown.
         memory_tokens: Total memory of its upstreams in tokens; 0 if unknown.
     """
--- a/src/mintcleat/domain/program_traces.py
+++ b/src/mintcleat/domain/program_traces.py
@@ -152,15 +152,7 @@
     counts = _sum(own, "call_counted", "commit_s")
     opened = _sum(own, "turn_opened", "commit_s")
     retries = _sum(own, "attempt_failed", "after_s")
-    answered = [line for line in own if line.event == "call_ended"]
-    first = answer = 0.0
-    if answered:
-        fields = answered[-1].fields
-        to_first = float(fields.get("first_s", 0.0))
-        answer = max(0.0, float(fields.get("total_s", 0.0)) - to_first)
-        placed = [line.at for line in own if line.event == "call_placed"]
-        before = placed[-1] - began if placed else counts + opened + retries
-        first = max(0.0, to_first - before)
+    first, answer = _response_times(own, began, counts + opened + retries)
     if outcome in _LIMITED and not counts:
         counts = max(0.0, total - opened - retries)
     return RequestTimes(
@@ -179,6 +171,28 @@
     )
 
 
+def _response_times(
+    own: list[traces.Line], began: float, steps: float
+) -> tuple[float, float]:
+    """Returns the times to the first byte of the response, and of the rest.
+
+    Args:
+        own: Lines of the request, in order.
+        began: Time of its arrival.
+        steps: Seconds of the steps before the last placement, which are used if
+            the line of that placement is missing.
+    """
+    answered = [line for line in own if line.event == "call_ended"]
+    if not answered:
+        return 0.0, 0.0
+    fields = answered[-1].fields
+    to_first = float(fields.get("first_s", 0.0))
+    answer = max(0.0, float(fields.get("total_s", 0.0)) - to_first)
+    placed = [line.at for line in own if line.event == "call_placed"]
+    before = placed[-1] - began if placed else steps
+    return max(0.0, to_first - before), answer
+
+
 def _end(end: traces.Line | None) -> tuple[float, str, str]:
     """Returns a request's duration, its outcome and the text of a refusal."""
     if end is None:
--- a/src/mintcleat/roles/control/programs/load_report.py
+++ b/src/mintcleat/roles/control/programs/load_report.py
@@ -92,14 +92,7 @@
             self._customer(name, usages, clock, refused.get(name, {}))
             for name in {**usages.usages, **refused}
         ]
-        found.sort(
-            key=lambda item: (
-                -item.used / item.limit if item.limit else 0.0,
-                -sum(item.refused.values()),
-                item.customer,
-            )
-        )
-        return found
+        return sorted(found, key=program_messages.CustomerLoad.sort_key)
 
     def _customer(
         self,
--- a/testing/test_http1_bytes.py
+++ b/testing/test_http1_bytes.py
@@ -19,8 +19,7 @@
 GET = b"GET /a HTTP/1.1\r\n" + HOST
 POST = b"POST /a HTTP/1.1\r\n" + HOST
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
-SIGNED = b"X: y\r\n"
-OK = b"HTTP/1.1 200 OK\r\n" + SIGNED
+OK = b"HTTP/1.1 200 OK\r\nX: y\r\n"
 
 SAME_REQUESTS = {
     "get": GET + b"\r\n",
