Clarify comments, names and long functions in roles, programs and bench

turn_demand.demand_of takes two times instead of a pair. ProgramService.answer, bench.limits_burst and UpstreamLoads.report are split where they did several things. The log line of a decision tells an unknown bound by inf, as ScheduleView does, instead of by a limit of 1e9. No change of behavior.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -13,8 +13,8 @@
 - `ahead`: as `counted`, and a turn counts ahead for the tool calls that
   follow it.
 
-`python -m bench.limits bursts` plays bursts of customers that are usually below
-their limits; see `bench.limits_burst`.
+`python -m bench.limits bursts` simulates bursts of customers that are usually
+below their limits; see `bench.limits_burst`.
 
 `python -m bench.limits commits` prints the batches that an entry sends to the
 leader for one call, and how long a call waits, if the calls of a program come
@@ -240,7 +240,12 @@
 
 
 class Leader:
-    """Stands in for the streams to a leader; each batch takes a commit."""
+    """Stands in for the streams to a leader; each batch takes a commit.
+
+    Attributes:
+        batches: Received batches.
+        requests: Messages in these batches.
+    """
 
     def __init__(self) -> None:
         self.batches = 0
@@ -271,6 +276,19 @@
         return 1.0
 
 
+def _measure_wait(
+    limiter: rate_limiter.RateLimiter,
+    program: str,
+    delay: float,
+    waits: list[float],
+) -> None:
+    """Counts a call after a delay; adds the seconds that this took."""
+    eventlet.sleep(delay)
+    began = time.monotonic()
+    limiter.admit("c", program, "r")
+    waits.append(time.monotonic() - began)
+
+
 def measure_commits(programs: int = 200, seconds: float = 4.0) -> None:
     """Prints the batches for one call at several numbers of calls together.
 
@@ -290,12 +308,6 @@
         rng = random.Random(together)
         waits: list[float] = []
 
-        def call(program: str, at: float, limiter: Any, waits: Any) -> None:
-            eventlet.sleep(at)
-            began = time.monotonic()
-            limiter.admit("c", program, "r")
-            waits.append(time.monotonic() - began)
-
         threads = []
         for number in range(programs):
             at = rng.uniform(0.0, seconds)
@@ -303,7 +315,9 @@
                 # The calls of a program come within a few milliseconds.
                 when = at + rng.uniform(0.0, 0.005)
                 threads.append(
-                    eventlet.spawn(call, f"p{number}", when, limiter, waits)
+                    eventlet.spawn(
+                        _measure_wait, limiter, f"p{number}", when, waits
+                    )
                 )
         for thread in threads:
             thread.wait()
--- a/bench/limits_burst.py
+++ b/bench/limits_burst.py
@@ -1,10 +1,10 @@
 """Bursts of customers whose rate limits are 1.6 times their usual rate.
 
-`python -m bench.limits bursts` plays programs of two kinds and 83 customers in
-virtual time. Each request goes to any of 27 entries. One customer sends several
-times its usual load; later the less urgent kind has a burst, then the urgent
-one. The steps of a program are drawn in advance, so that it is known for each
-refused program whether the limit required it: it did not (`owed`) if the
+`python -m bench.limits bursts` simulates programs of two kinds and 83 customers
+in virtual time. Each request goes to any of 27 entries. One customer sends
+several times its usual load; later the less urgent kind has a burst, then the
+urgent one. The steps of a program are drawn in advance, so that it is known for
+each refused program whether the limit required it: it did not (`owed`) if the
 requests of all programs in progress and of this one fit into every window to
 come.
 """
@@ -26,12 +26,19 @@
 CUSTOMERS = 83
 # Programs of all customers that begin in a second at the usual rate.
 PROGRAMS_PER_SECOND = 70.0
+# Tool calls after a turn; each is as likely as the others.
+CALLS_OF_TURN = (0, 1, 1, 2, 2, 3)
+# Customers have rates of 1 / n ** SKEW, n = 1, 2, ..., relative to each other.
+SKEW = 0.7
 # Limit of a customer as a multiple of its usual rate.
 LIMIT_FACTOR = 1.6
 SECONDS = 40.0
 # Attempts of one request; the program fails when the last one is refused.
+# Refused requests are sent again after the advised delay, within RETRY_SECONDS.
 ATTEMPTS = 3
 RETRY_SECONDS = (0.1, 1.0)
+# Retry delay that is advised if all steps are known.
+ORACLE_RETRY_SECONDS = 0.25
 
 
 class Kind(NamedTuple):
@@ -57,7 +64,10 @@
     """A time in which some programs begin more often than usual.
 
     Attributes:
-        who: Name of a kind or of a customer.
+        who: Name of the kind or customer whose programs begin more often.
+        begin: Seconds from the start.
+        end: Seconds from the start.
+        factor: Rate as a multiple of the usual one.
     """
 
     name: str
@@ -94,7 +104,8 @@
         done: Requests that were sent.
         next_at: Time of the next request, without refusals.
         attempts: Refusals of the next request.
-        owed: Whether a first refusal was not required by the limit.
+        owed: Whether its first request was refused although the limit had room
+            for the whole program.
     """
 
     def __init__(
@@ -197,9 +208,11 @@
         self.events: list[tuple[float, int, Program]] = []
         self.numbers = itertools.count()
         self.customers: dict[str, CustomerState] = {}
-        weights = [1 / (n + 1) ** 0.7 for n in range(CUSTOMERS)]
+        weights = [1 / (n + 1) ** SKEW for n in range(CUSTOMERS)]
+        turn_requests = 1 + sum(CALLS_OF_TURN) / len(CALLS_OF_TURN)
         requests = sum(
-            kind.share * kind.turns * 2.5 for kind in (URGENT, PATIENT)
+            kind.share * kind.turns * turn_requests
+            for kind in (URGENT, PATIENT)
         )
         for number, weight in enumerate(weights):
             rate = PROGRAMS_PER_SECOND * weight / sum(weights)
@@ -212,7 +225,7 @@
             )
 
     def run(self, bursts: tuple[Burst, ...] = BURSTS) -> None:
-        """Plays all programs to their end."""
+        """Runs all programs to their end."""
         for customer, state in self.customers.items():
             for kind in (URGENT, PATIENT):
                 self._plan(customer, state.rate * kind.share, kind, bursts)
@@ -248,7 +261,7 @@
         for _ in range(kind.turns):
             steps.append(Step(pause, True))
             turn = self.random.uniform(0.6, 1.4) * kind.turn_seconds
-            for _ in range(self.random.choice((0, 1, 1, 2, 2, 3))):
+            for _ in range(self.random.choice(CALLS_OF_TURN)):
                 steps.append(Step(turn, False))
                 turn = 0.0
             pause = turn + self.random.uniform(0.1, 0.3)
@@ -276,7 +289,16 @@
         refusal = self._ask(program, step, now)
         if refusal is None:
             self._sent(program, state, row, now)
-            return
+        else:
+            self._refused(program, refusal, now)
+
+    def _refused(
+        self, program: Program, refusal: limits.Rejection, now: float
+    ) -> None:
+        """Records a refusal, and plans the next attempt if there is one."""
+        state = self.customers[program.customer]
+        row = self.rows[self._phase(program.begins_at)]
+        customer = self.by_customer[program.customer]
         first = not program.done
         if first:
             program.owed = program.owed or state.has_room(program, now)
@@ -345,7 +367,7 @@
     ) -> Any:
         if program.done or state.has_room(program, now):
             return None
-        return limits.Rejection(0, 0.0, 0.25, True)
+        return limits.Rejection(0, 0.0, ORACLE_RETRY_SECONDS, True)
 
     def max_window_share(self) -> float:
         """Returns the largest share of a limit with its tolerance in use."""
@@ -359,7 +381,7 @@
 COLUMNS = ("programs", "whole", "not begun", "owed", "cut short",
            "first refused", "later refused", "counted ahead",
            "used ahead")  # fmt: skip
-WAYS = (
+VARIANTS = (
     ("limiter", {}),
     ("limiter, nothing counted ahead", {"ahead": False}),
     ("all steps known", {"oracle": True}),
@@ -367,9 +389,13 @@
 
 
 def compare(seeds: int = 3) -> None:
-    """Prints a table of the phases for each way of limiting."""
+    """Prints a table of the phases for each variant.
+
+    Args:
+        seeds: Number of simulations of each variant; their counts are added.
+    """
     for burst_seconds in (0.0, 1.0):
-        for name, options in WAYS:
+        for name, options in VARIANTS:
             total: dict[str, collections.Counter[str]] = (
                 collections.defaultdict(collections.Counter)
             )
--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -1,7 +1,7 @@
 """CPU time of a request in the hosted processes, by role.
 
 Usage: python -m bench.request_cost [--trees A,B] [--rate N] [--seconds S]
-    [--folder DIR]
+    [--idle S] [--folder DIR]
 
 Starts 3 control processes and 2 entries of each source tree on loopback
 addresses, with stand-in upstreams in this process. Programs of turns and tool
@@ -41,6 +41,7 @@
 _INTERNAL_PORT = 7400
 _HEARTBEAT_SECONDS = 1.0
 _START_SECONDS = 30.0
+# Wait after the entries are ready, so that no work of the start is measured.
 _SETTLE_SECONDS = 3.0
 _REQUEST_SECONDS = 10.0
 
@@ -209,7 +210,7 @@
             tempfile.mkdtemp(prefix="request-cost-", dir=folder)
         )
         self.processes: dict[str, list[subprocess.Popen]] = {}
-        self.controls = [self._ip(number) for number in range(1, 4)]
+        self.controls = [self._ip(number) for number in range(1, _CONTROLS + 1)]
         self.entries: list[Caller] = []
         self.operators = [Caller(f"{ip}:8090") for ip in self.controls]
         self.seconds: dict[str, list[float]] = {}
@@ -257,7 +258,7 @@
         }
 
     async def run_program(self, name: str) -> None:
-        """Plays the turns and tool calls of one program."""
+        """Sends the turns and tool calls of one program."""
         generator = random.Random(name)
         key = f"key-{generator.randrange(_CUSTOMERS)}"
         previous = ""
@@ -423,7 +424,9 @@
     }
 
 
-async def _play(systems: list[System], rate: float, seconds: float) -> None:
+async def _run_programs(
+    systems: list[System], rate: float, seconds: float
+) -> None:
     """Starts programs at a steady rate in all systems; waits for their end."""
     interval = _PROGRAM_REQUESTS / rate
     count = max(1, round(seconds / interval))
@@ -464,12 +467,12 @@
         started = [system.cpu_seconds() for system in systems]
         await asyncio.sleep(idle)
         rested = [system.cpu_seconds() for system in systems]
-        await _play(systems, rate, 1.0)
+        await _run_programs(systems, rate, 1.0)
         for system in systems:
             system.seconds.clear()
             system.failed = 0
         begun = [system.cpu_seconds() for system in systems]
-        await _play(systems, rate, seconds)
+        await _run_programs(systems, rate, seconds)
         ended = [system.cpu_seconds() for system in systems]
     finally:
         for system in systems:
--- a/bench/turn_admission_cost.py
+++ b/bench/turn_admission_cost.py
@@ -6,8 +6,10 @@
 that wait. Prints microseconds for each kind of operation.
 """
 
+from collections.abc import Callable
 import random
 import time
+from typing import Any
 
 from mintcleat.decisions import turn_admission
 from mintcleat.decisions import turn_decisions
@@ -21,6 +23,8 @@
 ROUNDS = 20_000
 # Time between two messages at the leader, in seconds.
 INTERVAL = 1e-5
+# Tokens that a turn generated.
+ANSWER_TOKENS = 60
 
 
 def ask_of(number: int, rng: random.Random) -> turn_queue.Ask:
@@ -64,7 +68,7 @@
     spent = {"ask": 0.0, "ask again": 0.0, "release": 0.0}
     longest = dict.fromkeys(spent, 0.0)
 
-    def timed(name: str, function: object, *arguments: object) -> object:
+    def timed(name: str, function: Callable[..., Any], *arguments: Any) -> Any:
         began = time.perf_counter()
         result = function(*arguments)
         seconds = time.perf_counter() - began
@@ -82,7 +86,7 @@
         number += 1
         timed("ask", schedule.ask, ask, now)
         key = next(iter(schedule.running))
-        timed("release", schedule.release, key, 60, True, now)
+        timed("release", schedule.release, key, ANSWER_TOKENS, True, now)
     for name, seconds in spent.items():
         print(
             f"{name:10} {seconds / ROUNDS * 1e6:6.1f} us, "
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -217,7 +217,8 @@
                 terms.priority,
                 terms.priority,
                 1.0,
-                (self.env.now - began, terms.deadline),
+                self.env.now - began,
+                terms.deadline,
                 turn_demand.capacity_of(self.loads, MODEL_SERVICE),
             )
             ask = turn_queue.Ask(
--- a/src/mintcleat/main/capacity_watch.py
+++ b/src/mintcleat/main/capacity_watch.py
@@ -8,10 +8,11 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
-# Short enough to refuse within a second of the begin of an overload, at
+# Short enough to refuse within a second after an overload begins, at
 # negligible cost.
 _INTERVAL_SECONDS = 0.25
-# Counting the descriptors lists a directory with as many files.
+# Longer, because counting the descriptors lists a directory with one file for
+# each.
 _DESCRIPTORS_INTERVAL_SECONDS = 1.0
 
 
@@ -22,6 +23,8 @@
         capacity: Takes the measurements.
         in_flight: Returns the number of requests without a complete response.
         close_idle: Closes connections without a request.
+        descriptors: Open file descriptors at the last count.
+        descriptors_at: Time of that count, in seconds.
     """
 
     def __init__(
--- a/src/mintcleat/main/cli_explain.py
+++ b/src/mintcleat/main/cli_explain.py
@@ -89,14 +89,14 @@
 
 def _program_as_text(program: program_traces.ProgramTrace) -> str:
     start = program.requests[0].began
-    rows = [
+    rows: list[tuple[str, ...]] = [
         (
             f"{item.began - start:+.3f}",
             item.request,
             item.route,
             *(f"{getattr(item, name):.3f}" for name in program_traces.PARTS),
             f"{item.total:.3f}",
-            "deferred, " * item.deferred + (item.outcome or "unknown"),
+            _format_outcome(item),
         )
         for item in program.requests
     ]
@@ -127,6 +127,11 @@
     return "\n".join(parts)
 
 
+def _format_outcome(item: program_traces.RequestTimes) -> str:
+    outcome = item.outcome or "unknown"
+    return f"deferred, {outcome}" if item.deferred else outcome
+
+
 def _format_fields(line: traces.Line) -> str:
     return " ".join(
         f"{name}={value}"
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -62,7 +62,7 @@
 # tenths of a second and have the peaks.
 _MEMORY_CHECK_SECONDS = 0.2
 _MEMORY_STEP_MB = 8.0
-# Part of the process's memory for bytes that wait for slow callers.
+# Part of the process's memory limit for bytes that wait for slow callers.
 _UNSENT_FRACTION = 0.125
 # Short enough to measure a stall of half a second, at negligible cost.
 _LOOP_CHECK_SECONDS = 0.5
@@ -102,13 +102,13 @@
         self.listener = http1_server.HttpListener(
             machine.callers,
             handler,
-            self.gateway.limits,
-            self.gateway.ready,
-            self._report_stall,
-            int(machine.memory_bytes * _UNSENT_FRACTION)
+            limits=self.gateway.limits,
+            keep_alive=self.gateway.ready,
+            on_stalled=self._report_stall,
+            max_unsent_bytes=int(machine.memory_bytes * _UNSENT_FRACTION)
             or unsent_bytes.DEFAULT_LIMIT,
         )
-        # Off without limits of the process in the settings.
+        # None if the settings state no limits of the process.
         self.capacity_watch: capacity_watch.CapacityWatch | None = None
         if machine.memory_bytes or machine.descriptors:
             self.gateway.capacity = entry_capacity.EntryCapacity(
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -47,7 +47,7 @@
     "limit_overage": "quotaOverage",
     "limit_slack": "quotaSlack",
 }
-# The contract by which customers compete for engines.
+# Entry of the settings field `contracts`: customers compete for engines.
 _PRESSURE_CONTRACT = "pressure"
 # Must match the metrics port in the deploy file.
 _METRICS_PORT = 9464
@@ -172,6 +172,7 @@
 
 
 def _policies(fields: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+    """Returns the policies of the manifest that the settings determine."""
     policies = {
         name: bounds[bound]
         for name, bound in _POLICY_BOUNDS.items()
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -45,6 +45,7 @@
             _check_counts("budget", (request.budget, request.ahead))
             _check_counts("reserve", (request.reserve, request.retention))
             if request.demand is not None:
+                # All fields but the names of the service and the route.
                 _, _, *counts = request.demand
                 _check_counts("demand", tuple(counts))
         case program_messages.CloseTurn():
--- a/src/mintcleat/programs/expiry.py
+++ b/src/mintcleat/programs/expiry.py
@@ -17,7 +17,8 @@
     find the same keys in the same order.
 
     Attributes:
-        by_second: Expiry of each key, by its whole second and by key.
+        by_second: Expiry of each key; the keys are grouped by the whole second
+            of their expiry.
     """
 
     def __init__(self) -> None:
@@ -28,7 +29,7 @@
         self.by_second.setdefault(int(expires), {})[key] = expires
 
     def move(self, key: Key, before: float, expires: float) -> None:
-        """Changes the expiry of a key."""
+        """Changes the expiry of a key from `before` to `expires`."""
         self.remove(key, before)
         self.add(key, expires)
 
--- a/src/mintcleat/programs/limits.py
+++ b/src/mintcleat/programs/limits.py
@@ -51,8 +51,9 @@
 # requests later than they were counted, so active programs can't use that part
 # of the tolerance for a window.
 _AHEAD_SHARE = 0.25
-# Share of the tolerance for requests that arrive later than others after they
-# were counted; an eighth is 0.2 s at the rate of a limit of 10 requests/s.
+# Share of the tolerance that is kept for requests that are sent some time
+# after they were counted, when the window may no longer count them. An eighth
+# is 0.2 s at the rate of a limit of 10 requests/s.
 _DELAY_SHARE = 0.125
 AHEAD_SECONDS = program_messages.AHEAD_SECONDS
 # Retry delay of a refusal if no earlier requests are known to expire sooner.
@@ -60,7 +61,12 @@
 
 
 class Bucket:
-    """Number of requests in a twentieth of a window from `start` on."""
+    """Number of requests in a part of a window.
+
+    Attributes:
+        start: Group clock of the first of them.
+        count: Requests within `_bucket_seconds` from then on.
+    """
 
     def __init__(self, start: float, count: int) -> None:
         self.start = start
@@ -88,10 +94,10 @@
     """Requests of the programs that have ended.
 
     Attributes:
-        requests: Their requests; decays with each program that was not refused
-            at last.
-        programs: Number of those not refused; decays likewise. The requests of
-            a refused program count without it, because it would have sent more.
+        requests: Their requests; decays with each program whose last request
+            was not refused.
+        programs: Number of these programs; decays likewise. A refused program
+            adds its requests but not itself, because it would have sent more.
             If refused programs lowered the mean, more programs would begin and
             be refused, which would lower it again.
     """
@@ -127,6 +133,11 @@
     is_first: bool
 
 
+def _bucket_seconds(window: float) -> float:
+    """Returns the length of a bucket."""
+    return window / BUCKETS_PER_WINDOW
+
+
 def _max_wait(window: float) -> float:
     """Returns the seconds in which all requests so far leave the window."""
     return window * (1 + 1 / BUCKETS_PER_WINDOW)
@@ -190,7 +201,10 @@
         limit: program_messages.RateLimit,
         clock: float,
     ) -> Rejection | None:
-        """Returns why a request of an active program must not be sent."""
+        """Returns why a request of an active program must not be sent.
+
+        None if it may be sent.
+        """
         excess = self.used + 1 - self._max_with_tolerance(limit)
         if excess <= 0:
             return None
@@ -205,7 +219,10 @@
         limit: program_messages.RateLimit,
         clock: float,
     ) -> Rejection | None:
-        """Returns why a program, or a request without one, must not begin."""
+        """Returns why a program, or a request without one, must not begin.
+
+        None if it may begin.
+        """
         window = limit.window
         excess = self.used + 1 - limit.window_limit()
         expected_excess = 0.0
@@ -219,8 +236,9 @@
             )
         if excess <= 0 and expected_excess <= 0:
             return None
-        # Without the programs that were told an earlier time, all refused
-        # programs would come at the same time, and one of them could begin.
+        # If the programs that were told an earlier time didn't count, all
+        # refused programs would return at the same time, and only one of them
+        # could begin.
         earlier = own_requests * self._waiting_programs(clock)
         wait = max(
             self._seconds_until_expired(excess + earlier, 1.0, window, clock),
@@ -282,7 +300,7 @@
         )
 
     def _expire(self, window: float, clock: float) -> None:
-        length = window / BUCKETS_PER_WINDOW
+        length = _bucket_seconds(window)
         while self.ahead and (
             clock - self.ahead[0][0] >= window + length + AHEAD_SECONDS
         ):
@@ -294,14 +312,12 @@
             if clock - record.touched < ACTIVE_PROGRAM_SECONDS:
                 return
             del self.active[program]
-            self._move(record.requests, 0)
+            self._update_by_requests(record.requests, 0)
             self.ended.add(record)
 
     def _count(self, window: float, clock: float) -> None:
-        if (
-            not self.buckets
-            or clock >= self.buckets[-1].start + window / BUCKETS_PER_WINDOW
-        ):
+        length = _bucket_seconds(window)
+        if not self.buckets or clock >= self.buckets[-1].start + length:
             self.buckets.append(Bucket(clock, 0))
         self.buckets[-1].count += 1
         self.used += 1
@@ -320,7 +336,7 @@
             )
             record = self.active[program] = ActiveProgram(0, clock)
         record.requests += 1
-        self._move(record.requests - 1, record.requests)
+        self._update_by_requests(record.requests - 1, record.requests)
         record.touched = clock
         record.is_refused = False
         self.active.move_to_end(program)
@@ -343,14 +359,15 @@
         expected to send one.
         """
         usual = self._requests_per_program() - 1.0
-        behind = requests = 0
+        # Programs that have sent fewer than `usual`, and their requests.
+        behind = behind_requests = 0
         for number, programs in self.by_requests.items():
             if number < usual:
                 behind += programs
-                requests += programs * number
-        return len(self.active) + behind * usual - requests
+                behind_requests += programs * number
+        return len(self.active) + behind * usual - behind_requests
 
-    def _move(self, before: int, now: int) -> None:
+    def _update_by_requests(self, before: int, now: int) -> None:
         """Updates `by_requests` for a program; 0 if it is not active."""
         for number, change in ((before, -1), (now, 1)):
             if number:
@@ -386,8 +403,7 @@
                 return seconds
             left = window * share - (clock - bucket.start)
             if left > 0:
-                until = left + window / BUCKETS_PER_WINDOW
-                seconds = max(seconds, until)
+                seconds = max(seconds, left + _bucket_seconds(window))
                 count -= bucket.count
         return seconds if count <= 0 else _max_wait(window)
 
@@ -433,7 +449,7 @@
             self.active[program] = ActiveProgram(
                 requests, touched, is_refused=bool(refused)
             )
-            self._move(0, requests)
+            self._update_by_requests(0, requests)
         self.ahead = collections.deque((at, count) for at, count in ahead)
         if added:
             waiting, requests, programs = added
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 from mintcleat.decisions import turn_admission
@@ -19,10 +20,11 @@
 from mintcleat.programs import branches
 from mintcleat.programs import machine
 
-# Services with a schedule. Entries send the names, which come from the
-# manifest; the bound is for a faulty one.
+# Maximum number of schedules. Entries name the service of a turn, and a faulty
+# entry must not use up the memory. Further services have no admission control.
 MAX_SERVICES = 256
 
+# Error by the kind of a refusal.
 _ERRORS = {
     "overloaded": errors.Overloaded,
     "share_exceeded": errors.ShareExceeded,
@@ -116,6 +118,7 @@
     def _schedule(
         self, group: str, service: str
     ) -> turn_admission.ServiceSchedule | None:
+        """Returns the schedule of a service; None beyond MAX_SERVICES."""
         schedule = self.schedules.get((group, service))
         if schedule is None and len(self.schedules) < MAX_SERVICES:
             # Programs are spread evenly over the groups, whose leaders don't
@@ -199,11 +202,12 @@
 
 
 def _figures(situation: turn_decisions.Situation) -> tuple[float, ...]:
+    """Returns the fields `wait_s` to `use` of an event about a decision."""
     return (
         round(situation.wait, 4),
         situation.rank,
         situation.running,
-        round(situation.bound, 1) if situation.bound < 1e9 else -1.0,
+        round(situation.bound, 1) if math.isfinite(situation.bound) else -1.0,
         round(situation.share, 4),
         round(situation.use, 4),
     )
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -157,38 +157,48 @@
         requests = list(requests)
         entries: dict[int, str] = {}
         admitted: dict[int, str] = {}
-        for place, request in enumerate(requests):
+        for position, request in enumerate(requests):
             if getattr(request, "running", None) is not None:
-                entries[place] = request.running.entry
-                requests[place] = self._record_running_calls(request)
-            requests[place] = self._with_current_limit(requests[place])
+                entries[position] = request.running.entry
+                requests[position] = self._record_running_calls(request)
+            requests[position] = self._with_current_limit(requests[position])
             try:
-                group = self._checked_group(requests[place])
-                if self._controls_admission(group, requests[place]):
-                    self._admit(group, requests[place], entries.get(place, ""))
-                    admitted[place] = group
+                group = self._checked_group(requests[position])
+                if self._controls_admission(group, requests[position]):
+                    self._admit(
+                        group, requests[position], entries.get(position, "")
+                    )
+                    admitted[position] = group
             except errors.MintcleatError as error:
-                replies[place] = error
+                replies[position] = error
             else:
-                requests[place] = _without_demand(requests[place])
-                by_group.setdefault(group, []).append(place)
+                requests[position] = _without_demand(requests[position])
+                by_group.setdefault(group, []).append(position)
         self._answer_groups(by_group, requests, replies)
-        for place, group in admitted.items():
-            self._admission_answered(group, requests[place], replies[place])
+        for position, group in admitted.items():
+            request = requests[position]
+            if isinstance(request, program_messages.OpenTurn):
+                self.contention.opened(group, request, replies[position])
         for request, reply in zip(requests, replies, strict=True):
             self.load_report.answered(request, reply)
-        for place, entry in entries.items():
-            reply = replies[place]
-            if isinstance(reply, program_messages.TurnOpened):
-                loads = shared_load.reply_of(self.entry_loads.summary(entry))
-                replies[place] = reply._replace(
-                    others=loads.others,
-                    others_tokens=loads.tokens,
-                    slowdowns=loads.slowdowns,
-                    failing=self.failure_reports.failing(),
-                )
+        for position, entry in entries.items():
+            replies[position] = self._with_others_loads(
+                replies[position], entry
+            )
         return replies
 
+    def _with_others_loads(self, reply: Any, entry: str) -> Any:
+        """Adds to a TurnOpened what entries other than `entry` reported."""
+        if not isinstance(reply, program_messages.TurnOpened):
+            return reply
+        loads = shared_load.reply_of(self.entry_loads.summary(entry))
+        return reply._replace(
+            others=loads.others,
+            others_tokens=loads.tokens,
+            slowdowns=loads.slowdowns,
+            failing=self.failure_reports.failing(),
+        )
+
     def _controls_admission(self, group: str, request: Any) -> bool:
         """Returns whether a request is subject to admission control here."""
         kinds = (program_messages.OpenTurn, program_messages.CloseTurn)
@@ -215,10 +225,6 @@
                 if error is not None:
                     raise error
 
-    def _admission_answered(self, group: str, request: Any, reply: Any) -> None:
-        if isinstance(request, program_messages.OpenTurn):
-            self.contention.opened(group, request, reply)
-
     def _answer_groups(
         self,
         by_group: dict[str, list[int]],
@@ -227,12 +233,14 @@
     ) -> None:
         """Fills in the replies of all groups; several commit concurrently."""
         if len(by_group) == 1:
-            ((group, places),) = by_group.items()
-            self._answer_group(group, places, requests, replies)
+            ((group, positions),) = by_group.items()
+            self._answer_group(group, positions, requests, replies)
             return
         threads = [
-            eventlet.spawn(self._answer_group, group, places, requests, replies)
-            for group, places in by_group.items()
+            eventlet.spawn(
+                self._answer_group, group, positions, requests, replies
+            )
+            for group, positions in by_group.items()
         ]
         for thread in threads:
             thread.wait()
@@ -311,21 +319,21 @@
     def _answer_group(
         self,
         group: str,
-        places: list[int],
+        positions: list[int],
         requests: list[Any],
         replies: list[Any],
     ) -> None:
         """Fills in the replies of one group: one commit, then the reads."""
-        reads = [p for p in places if isinstance(requests[p], READS)]
-        writes = [p for p in places if p not in reads]
+        reads = [p for p in positions if isinstance(requests[p], READS)]
+        writes = [p for p in positions if p not in reads]
         if writes:
             results = self._commit(group, [requests[p] for p in writes])
-            for place, result in zip(writes, results, strict=True):
-                replies[place] = result
+            for position, result in zip(writes, results, strict=True):
+                replies[position] = result
         if reads:
             results = self._read(group, [requests[p] for p in reads])
-            for place, result in zip(reads, results, strict=True):
-                replies[place] = result
+            for position, result in zip(reads, results, strict=True):
+                replies[position] = result
 
     def _commit(self, group: str, requests: list[Any]) -> list[Any]:
         command = commands.Command(
--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -50,7 +50,11 @@
         self.replies = [event.Event()]
 
     def join(self, message: Any) -> event.Event | None:
-        """Adds a request to an unsent one; returns its event, or None."""
+        """Adds a request to an unsent one.
+
+        Returns:
+            The event of the request; None if the two can't share a message.
+        """
         joined = shared_counts.join(self.message, message)
         if joined is None:
             return None
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -37,8 +37,8 @@
         max_gap: Longest pause between two events, in seconds.
         last_event_at: Time of the last event; 0 before the first.
         blocked_at: Last time at which a write waited for the caller; 0 before.
-            Meanwhile nothing is read from the upstream, which must not count
-            as its silence.
+            While it waits, nothing is read from the upstream, which must not
+            count as silence of the upstream.
         output: Data of the events, for the turn's record.
     """
 
@@ -169,6 +169,7 @@
         reply.end()
 
     def _record_blocked(self) -> None:
+        """Keeps the upstream from counting as silent while a write waits."""
         self.blocked_at = self.timers.now()
         if not self.complete:
             self.loads.arrived(self.incarnation)
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -249,6 +249,7 @@
         )
 
     def _demand(self) -> program_messages.TurnDemand:
+        """Returns the demand of the turn at present."""
         policies = self.context.configuration.manifest().policies
         customer = policies.customers.get(self.call.customer)
         now = self.now
@@ -260,7 +261,8 @@
             self.priority,
             self.route.priority,
             customer.share if customer else 1.0,
-            (now - self.began, self.deadline_at + GRACE_SECONDS - now),
+            now - self.began,
+            self.deadline_at + GRACE_SECONDS - now,
             turn_demand.capacity_of(self.context.loads, self.service_name),
         )
 
@@ -333,6 +335,7 @@
                 self.context.loads.answered(upstream.incarnation, self.sent_at)
 
     def _place(self) -> upstream_loads.Placement:
+        """Chooses the upstream of the next attempt."""
         turn = self.relay.turn
         found = self.context.loads.choose(
             self.service_name,
@@ -415,15 +418,16 @@
             errors.StreamTimeout: The attempt timed out.
         """
         timeouts = self.context.attempt_timeouts
-        seconds = timeouts.seconds(
-            self.route,
-            self.service_name,
-            self.attempts - 1,
-            self.silence_timeout,
-            self.deadline_at - self.now,
-        )
-        if self.candidates < 2:
-            seconds = None
+        # Giving up the only upstream would leave none for another attempt.
+        seconds = None
+        if self.candidates > 1:
+            seconds = timeouts.seconds(
+                self.route,
+                self.service_name,
+                self.attempts - 1,
+                self.silence_timeout,
+                self.deadline_at - self.now,
+            )
         try:
             with eventlet.Timeout(seconds, AttemptTimeout()):
                 return self.context.upstreams.send(upstream, self.call, request)
--- a/src/mintcleat/roles/entry/turn_demand.py
+++ b/src/mintcleat/roles/entry/turn_demand.py
@@ -32,12 +32,12 @@
     """Capacity and use of a service, as this entry sees them.
 
     Attributes:
-        places: Slots of the upstreams that are ready and healthy.
+        slots: Total slots of the upstreams that are ready and healthy.
         upstreams: Number of these upstreams.
         running: Requests of this entry that run at the service.
     """
 
-    places: int
+    slots: int
     upstreams: int
     running: int
 
@@ -73,7 +73,8 @@
     priority: int,
     route_priority: int,
     share: float,
-    times: tuple[float, float],
+    waited: float,
+    left: float,
     capacity: Capacity,
 ) -> program_messages.TurnDemand:
     """Returns the demand of a turn.
@@ -86,22 +87,22 @@
         priority: Its priority.
         route_priority: Priority of its route.
         share: Weight of its customer.
-        times: Seconds that it has waited, and seconds that it has left.
+        waited: Seconds for which it has waited.
+        left: Seconds until it has ended for certain.
         capacity: Capacity of the service.
     """
-    waited, left = times
     generation = call.generation
     return program_messages.TurnDemand(
-        service_name,
-        route,
-        priority,
-        share,
-        max(1, generation.prompt_tokens + generation.max_tokens),
-        call.program.finish_within,
-        round(max(0.0, waited), 4),
-        capacity.places,
-        capacity.upstreams * service.memory_tokens,
-        round(max(0.0, left), 3),
-        capacity.running,
-        route_priority,
+        service=service_name,
+        kind=route,
+        priority=priority,
+        share=share,
+        tokens=max(1, generation.prompt_tokens + generation.max_tokens),
+        finish_within=call.program.finish_within,
+        waited=round(max(0.0, waited), 4),
+        places=capacity.slots,
+        memory_tokens=capacity.upstreams * service.memory_tokens,
+        timeout=round(max(0.0, left), 3),
+        running=capacity.running,
+        route_priority=route_priority,
     )
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -24,9 +24,11 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
-# Age from which on `others_age` gives no figure for the other entries' report.
+# Age beyond which `others_age` returns no age of the other entries' report.
 # Placement ignores a report much earlier; see `decisions.shared_load`.
 MAX_REPORT_AGE_SECONDS = 60.0
+# Reported slowdowns are multiples of this, in percent.
+_SLOWDOWN_STEP = 5
 
 
 class Configuration(Protocol):
@@ -61,8 +63,7 @@
     """The upstream that was chosen for a request.
 
     Attributes:
-        upstream: The upstream.
-        choice: The choice with its reason.
+        choice: The decision, with its reason.
         candidates: Number of upstreams that were eligible.
         turn: Tokens that the request holds in memory.
         uncached: Prompt tokens that the upstream has to read.
@@ -195,6 +196,14 @@
         request: PlacementRequest,
         now: float,
     ) -> Placement | None:
+        """Chooses by the number of running requests relative to slots.
+
+        Args:
+            ready: Upstreams that accept new work, by incarnation.
+            names: Those of them that the request may go to.
+            request: The request.
+            now: Monotonic time.
+        """
         policy = self.policy
         slow = (
             self.latencies.slowdown_factors(names, now) if policy.speed else {}
@@ -225,6 +234,7 @@
         request: PlacementRequest,
         now: float,
     ) -> Placement | None:
+        """Chooses by the expected time to the end; see `_choose_by_count`."""
         call = request.call
         estimates = self._estimates(
             service, ready, call, request.memory_tokens, now
@@ -263,6 +273,7 @@
         memory: int,
         now: float,
     ) -> turn_estimates.TurnEstimates:
+        """Returns what is known about a request at each upstream."""
         others = self._others_running(now)
         times = self._refreshed_times(service, ready, others, now)
         generation = call.generation
@@ -288,6 +299,7 @@
         others: Mapping[str, int],
         now: float,
     ) -> turn_time.ServiceTimes:
+        """Returns a service's rates and speeds, computed again when due."""
         times = self.times.service(service)
         if now - times.refreshed_at < turn_time.REFRESH_SECONDS:
             return times
@@ -369,12 +381,10 @@
             return program_messages.RunningCounts(
                 self.entry, counts, failing=failing
             )
-        measured: dict[str, float] = {}
-        if self.policy.speed:
-            for times in self.times.services.values():
-                measured.update(times.measured)
-        # Those to be avoided are reported without a request there too, as
-        # nobody else may have one. A name takes as much space as ten numbers.
+        measured = self._measured_slowdowns()
+        # An upstream to be avoided is reported even without a request there, as
+        # no other entry may have one. Others without a request are left out: a
+        # name takes as much space as ten numbers.
         for incarnation, factor in measured.items():
             if factor >= load_balancing.MAX_SLOWDOWN:
                 counts.setdefault(incarnation, 0)
@@ -392,6 +402,14 @@
             self.entry, counts, tokens, slowdowns, failing
         )
 
+    def _measured_slowdowns(self) -> dict[str, float]:
+        """Returns this entry's slowdown factors by incarnation."""
+        measured: dict[str, float] = {}
+        if self.policy.speed:
+            for times in self.times.services.values():
+                measured.update(times.measured)
+        return measured
+
     def update_others(
         self, others: shared_load.Summary, failing: Sequence[str] = ()
     ) -> None:
@@ -487,6 +505,8 @@
 def _percent(factor: float) -> int:
     """Returns a slowdown in steps of 5 percent.
 
-    Scatter within a step changes no report, and the leader counts nothing anew.
+    Scatter within a step doesn't change the report, so the leader need not
+    update its sums and medians.
     """
-    return max(5, 5 * round(factor * 20.0))
+    steps = round(factor * (100 / _SLOWDOWN_STEP))
+    return _SLOWDOWN_STEP * max(1, steps)
--- a/testing/test_turn_client.py
+++ b/testing/test_turn_client.py
@@ -130,7 +130,8 @@
             0,
             0,
             1.0,
-            (self.clock.now(), 2.0 - self.clock.now()),
+            self.clock.now(),
+            2.0 - self.clock.now(),
             turn_demand.capacity_of(self.loads, "lm"),
         )
 
