--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -60,6 +60,10 @@
                 metrics.count("unknown_keys_total", sure=str(event.sure))
             case events.CallerGone():
                 metrics.count("routed_callers_gone_total", route=event.route)
+            case events.ResponseStalled():
+                metrics.count("responses_stalled_total", reason=event.reason)
+            case events.EntryCapacityChanged():
+                metrics.count("capacity_changes_total", level=event.level)
             case events.CallPlaced():
                 metrics.count("routed_placements_total", reason=event.reason)
             case events.AttemptFailed():
@@ -68,6 +72,15 @@
                 metrics.observe("turn_open_seconds", event.commit_s)
             case events.TurnSettled():
                 metrics.observe("turn_settle_seconds", event.commit_s)
+            case events.TurnDeferred():
+                metrics.count("turns_deferred_total", service=event.service)
+            case events.TurnRefused():
+                metrics.count(
+                    "turns_refused_total",
+                    service=event.service,
+                    kind=event.kind,
+                    reason=event.reason,
+                )
             case events.LinesDropped():
                 metrics.count("log_drops_total", reason=event.reason)
 
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -188,11 +188,7 @@
         self.tokens.update(held)
         if bounded and before != bounded:
             self._add_slowdowns(bounded)
-        while self.reports:
-            oldest, report = next(iter(self.reports.items()))
-            if now - report.at <= MAX_AGE:
-                return
-            self._remove(oldest, {})
+        self._expire(now)
 
     def others(self, entry: str) -> dict[str, int]:
         """Returns the requests of all other entries, by upstream."""
@@ -239,6 +235,18 @@
             return {name: agreed[name] for name in most[:MAX_UPSTREAMS]}
         return agreed
 
+    def current_totals(self, now: float) -> dict[str, int]:
+        """Drops expired reports; returns running requests by upstream."""
+        self._expire(now)
+        return dict(self.totals)
+
+    def _expire(self, now: float) -> None:
+        while self.reports:
+            oldest, report = next(iter(self.reports.items()))
+            if now - report.at <= MAX_AGE:
+                return
+            self._remove(oldest, {})
+
     def _remove(
         self, entry: str, slowdowns: Mapping[str, int]
     ) -> Mapping[str, int] | None:
--- a/src/mintcleat/decisions/turn_time.py
+++ b/src/mintcleat/decisions/turn_time.py
@@ -149,6 +149,8 @@
         is_suspect: Whether the last gap showed a change of speed. A second one
             confirms it; a single pause is no change.
         updated_at: Time of the last gap.
+        alive_at: Last time at which the upstream is known not to have been
+            late: data came, or the caller did not read it.
         streaming: Time of the first event of each answer that has begun, by
             request.
         pending: Uncached tokens, load and time of sending of the requests
@@ -156,6 +158,7 @@
     """
 
     __slots__ = (
+        "alive_at",
         "expected",
         "fast",
         "is_suspect",
@@ -177,7 +180,7 @@
         self.samples = 0
         self.window = 0
         self.is_suspect = False
-        self.updated_at = 0.0
+        self.updated_at = self.alive_at = 0.0
         self.streaming: dict[str, float] = {}
         self.pending: dict[str, tuple[int, float, float]] = {}
 
@@ -269,7 +272,8 @@
         """
         if not self.streaming or not self.expected:
             return 0.0
-        gaps = (now - self.updated_at) / (self.expected * self.slow)
+        since = max(self.updated_at, self.alive_at)
+        gaps = (now - since) / (self.expected * self.slow)
         return gaps if gaps > self.service.overdue else 0.0
 
 
@@ -389,7 +393,7 @@
             trust = min(1.0, times.samples / FULL_SPEED_SAMPLES)
             gaps = times.stall(now) if times.streaming else 0.0
             if gaps:
-                self.stalled[name] = age
+                self.stalled[name] = gaps * times.expected * times.slow
                 trust = 1.0
                 self.measured[name] = max(own, min(gaps, STALL_SLOWDOWN))
                 own = max(own, gaps)
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -387,6 +387,65 @@
     detail: str
 
 
+class TurnDeferred(NamedTuple):
+    """The leader let a turn wait; there is one line for each turn.
+
+    Attributes:
+        request: Id of the turn.
+        wait_s: Predicted wait; 0 if unknown.
+        rank: Waiting turns that come before it.
+        running: Running turns of the service.
+        bound: Bound on running turns that applied; -1 if unknown.
+        share: Share of the customer, as a fraction of the work.
+        use: Work that the customer received recently, as a fraction.
+    """
+
+    request: str
+    program: str
+    customer: str
+    service: str
+    priority: int
+    wait_s: float
+    rank: int
+    running: int
+    bound: float
+    share: float
+    use: float
+
+
+class TurnRefused(NamedTuple):
+    """The leader refused the first turn of a program.
+
+    Attributes:
+        request: Id of the turn.
+        wait_s: Predicted wait; 0 if unknown.
+        rank: Waiting turns that come before it.
+        running: Running turns of the service.
+        bound: Bound on running turns that applied; -1 if unknown.
+        share: Share of the customer, as a fraction of the work.
+        use: Work that the customer received recently, as a fraction.
+        kind: Kind of the typed error.
+        reason: `duration` if the program could not end in time after the
+            wait, `wait` if the wait itself was too long.
+        retry_after_s: Advised delay before a retry, without jitter.
+    """
+
+    request: str
+    program: str
+    customer: str
+    service: str
+    priority: int
+    wait_s: float
+    rank: int
+    running: int
+    bound: float
+    share: float
+    use: float
+    kind: str
+    reason: str
+    retry_after_s: float
+
+
 class MemoryGrown(NamedTuple):
     """The peak memory of the process grew by another step.
 
@@ -400,6 +459,47 @@
     parts: dict[str, int]
 
 
+class EntryCapacityChanged(NamedTuple):
+    """An entry came near its own limits, or has capacity again.
+
+    Attributes:
+        level: `normal`; `busy`, which takes only requests that continue a
+            program; or `full`, which takes none.
+        reason: What changed the level: `event loop`, `memory` or `file
+            descriptors`.
+        after_s: Time spent at the previous level.
+        lag_s: How late the event loop ran a timer.
+        memory_mb: Resident memory.
+        descriptors: Open file descriptors.
+        running: Requests without a complete response.
+    """
+
+    level: str
+    reason: str
+    after_s: float
+    lag_s: float
+    memory_mb: float
+    descriptors: int
+    running: int
+
+
+class ResponseStalled(NamedTuple):
+    """A response was ended because its caller doesn't read it.
+
+    Attributes:
+        peer: Address of the caller.
+        reason: `no progress` for a time, or `buffers full` if this response
+            held the most of the process's bytes for slow callers.
+        unsent: Bytes that had not been sent.
+        waited_s: Time since the caller last read.
+    """
+
+    peer: str
+    reason: str
+    unsent: int
+    waited_s: float
+
+
 class LinesDropped(NamedTuple):
     """Lines were dropped because of the log budget or a slow reader.
 
@@ -424,10 +524,17 @@
     UpstreamAvoided,
     *control_events.KINDS,
     MemoryGrown,
+    EntryCapacityChanged,
     LinesDropped,
     TurnUnsettled,
 )
-_ERRORS = (AttemptFailed, CallRefused, CallerGone)
+_ERRORS = (
+    AttemptFailed,
+    CallRefused,
+    CallerGone,
+    ResponseStalled,
+    TurnRefused,
+)
 _DETAILS = (
     KeyUnknown,
     CallHeld,
@@ -437,6 +544,7 @@
     CallPlaced,
     CallEnded,
     TurnSettled,
+    TurnDeferred,
 )
 KINDS: tuple[type, ...] = (*_STATE, *_ERRORS, *_DETAILS)
 
--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP requests and responses in the format of the platform's callers."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import Protocol
 
@@ -110,6 +111,10 @@
     def __init__(self, reply: http1_server.Reply) -> None:
         self.reply = reply
 
+    def set_on_blocked(self, callback: Callable[[], None]) -> None:
+        """Sets what is called repeatedly while a write waits."""
+        self.reply.on_blocked = callback
+
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         """Sends a complete response."""
         self.reply.send(head.status, list(head.headers), body, head.reason)
@@ -133,11 +138,18 @@
     Raises:
         errors.BadRequest: A required header field is missing or malformed.
     """
-    header = request.header
+    # The first value of a repeated field counts.
+    fields = dict(reversed(request.headers))
+
+    def header(name: str) -> str:
+        return fields.get(name, "")
+
     if not header(REQUEST_ID):
         raise errors.BadRequest(f"The request has no header {REQUEST_ID}.")
-    listed = {name.strip().lower() for name in header("connection").split(",")}
-    dropped = _DROPPED_FIELDS | listed
+    dropped = _DROPPED_FIELDS
+    connection = header("connection")
+    if connection:
+        dropped |= {name.strip().lower() for name in connection.split(",")}
     return routed_calls.RoutedCall(
         request=header(REQUEST_ID),
         method=request.method,
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -47,6 +47,8 @@
     "limit_overage": "quotaOverage",
     "limit_slack": "quotaSlack",
 }
+# The contract by which customers compete for engines.
+_PRESSURE_CONTRACT = "pressure"
 # Must match the metrics port in the deploy file.
 _METRICS_PORT = 9464
 # The load is a few hundred commits per second, far below the capacity of one
@@ -55,6 +57,8 @@
 # Part of the time between SIGTERM and SIGKILL that is kept for the last
 # responses.
 _STOP_MARGIN = 1.0
+# The smaller of the two meanings of MB, so that the limit is never exceeded.
+_BYTES_PER_MB = 1_000_000
 
 
 class MachineSettings(NamedTuple):
@@ -70,6 +74,8 @@
             gets a response or an error.
         policies: Policies of the manifest that the platform sets here and not
             in the configuration.
+        memory_bytes: Memory beyond which the process is killed; 0 if unknown.
+        descriptors: File descriptors that it may open; 0 if unknown.
     """
 
     settings: settings_module.Settings
@@ -78,6 +84,8 @@
     control: str
     answer_seconds: float
     policies: dict[str, Any] = {}
+    memory_bytes: int = 0
+    descriptors: int = 0
 
 
 def settings_path() -> pathlib.Path:
@@ -130,6 +138,7 @@
     first_port = fields["internalPortRange"][0]
     listen = fields["listen"]
     bounds = fields.get("bounds", {})
+    limits = fields.get("limits", {})
     grace = float(bounds.get("graceS", 8))
     own_address = f"{fields['ip']}:{first_port}"
     control_addresses = [
@@ -156,14 +165,23 @@
         listen.get("ready", ""),
         listen.get("control", ""),
         _ANSWER_SECONDS,
-        {
-            name: bounds[bound]
-            for name, bound in _POLICY_BOUNDS.items()
-            if bound in bounds
-        },
+        _policies(fields, bounds),
+        int(limits.get("memoryMb", 0) * _BYTES_PER_MB),
+        int(limits.get("fileDescriptors", 0)),
     )
 
 
+def _policies(fields: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+    policies = {
+        name: bounds[bound]
+        for name, bound in _POLICY_BOUNDS.items()
+        if bound in bounds
+    }
+    if _PRESSURE_CONTRACT in fields.get("contracts", []):
+        policies["admission"] = "programs"
+    return policies
+
+
 def _host(address: str) -> str:
     return address.rpartition(":")[0]
 
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -12,12 +12,14 @@
 import eventlet
 
 from mintcleat.configuration import directory as directory_module
+from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import evidence
 from mintcleat.decisions import routes
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
+from mintcleat.domain import program_messages
 from mintcleat.domain import routed_calls
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import events as event_ports
@@ -25,6 +27,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import turn_client
+from mintcleat.roles.entry import turn_demand
 from mintcleat.roles.entry import upstream_loads
 
 # Upstreams to which one request is sent if each refuses to run it. More would
@@ -58,6 +61,13 @@
     """
 
 
+class AttemptTimeout(BaseException):
+    """An attempt timed out; another upstream may run the request.
+
+    Derived from BaseException so that no error handler on the way catches it.
+    """
+
+
 class Configuration(directory_port.Directory, Protocol):
     """The followed configuration, as routed requests need it.
 
@@ -88,6 +98,7 @@
         upstreams: Client for requests to upstreams.
         loads: Load and health of the upstreams.
         turns: Client of the leaders that keep turns and budgets.
+        attempt_timeouts: Timeouts of attempts of repeatable requests.
     """
 
     configuration: Configuration
@@ -96,6 +107,7 @@
     turns: turn_client.TurnClient
     timers: timer_ports.Timers
     events: event_ports.EventReporter
+    attempt_timeouts: attempt_timeout.AttemptTimeouts
 
 
 class RoutedRun:
@@ -112,6 +124,7 @@
         attempts: Number of upstreams that may have run it.
         offers: Number of upstreams that it was sent to.
         tried: Incarnations of the upstreams that it was sent to.
+        candidates: Number of upstreams that the last attempt could go to.
         sent_at: Time at which it was last sent to an upstream.
         relay: Relay of the responses to the caller.
     """
@@ -142,6 +155,7 @@
         self.attempts = 0
         self.offers = 0
         self.tried: set[str] = set()
+        self.candidates = 0
         self.sent_at = 0.0
         self.relay = response_relay.ResponseRelay(
             self.route,
@@ -184,6 +198,11 @@
             if self.relay.head_sent:
                 self._emit_ended(outcome)
 
+    @property
+    def silence_timeout(self) -> float:
+        """Seconds of silence that are normal for the route."""
+        return SILENCE_FACTOR * self.route.target_latency
+
     def _set_timeout(self, until: float) -> None:
         """Ends the run at a time; replaces an earlier timeout."""
         if self.timeout is not None:
@@ -211,11 +230,37 @@
         retention = self.route.retention or BUDGET_RETENTION_SECONDS
         loads = self.context.loads
         turn = self.context.turns.open(
-            self.call, reserve, retention, loads.report()
+            self.call, reserve, retention, loads.report(), self._admission()
         )
         loads.update_others(turn.others)
         self.relay.turn = turn
 
+    def _admission(self) -> turn_demand.Admission | None:
+        """Returns how the turn asks for its grant; None if that is off."""
+        policies = self.context.configuration.manifest().policies
+        if policies.admission == "off":
+            return None
+        wait = turn_demand.HOLD_FRACTION * (self.deadline_at - self.began)
+        return turn_demand.Admission(
+            self._demand, self.context.loads.report, self.began + wait
+        )
+
+    def _demand(self) -> program_messages.TurnDemand:
+        policies = self.context.configuration.manifest().policies
+        customer = policies.customers.get(self.call.customer)
+        now = self.now
+        return turn_demand.demand_of(
+            self.call,
+            self.match.name,
+            self.service_name,
+            self.service,
+            self.priority,
+            self.route.priority,
+            customer.share if customer else 1.0,
+            (now - self.began, self.deadline_at + GRACE_SECONDS - now),
+            turn_demand.capacity_of(self.context.loads, self.service_name),
+        )
+
     def _settle(self) -> None:
         """Settles the turn unless it is committed."""
         relay = self.relay
@@ -236,7 +281,7 @@
             self.offers += 1
             self.tried.add(upstream.incarnation)
             self.sent_at = self.now
-            silence_timeout = SILENCE_FACTOR * self.route.target_latency
+            silence_timeout = self.silence_timeout
             loads = self.context.loads
             loads.began(
                 upstream.incarnation,
@@ -253,7 +298,7 @@
                     raise self._timeout_error() from error
             except BaseException:
                 # The caller disconnected, or the request timed out.
-                silent = self.now - max(self.sent_at, self.relay.last_event_at)
+                silent = self.now - max(self.sent_at, self.relay.last_active_at)
                 complete = self.relay.complete
                 self._record_evidence(
                     upstream,
@@ -261,9 +306,14 @@
                 )
                 raise
             else:
+                silent = self.relay.first_at - self.sent_at
                 self._record_evidence(
-                    upstream, evidence.of_answer(self.relay.status)
+                    upstream,
+                    evidence.of_answer(
+                        self.relay.status, silent, silence_timeout
+                    ),
                 )
+                self.context.attempt_timeouts.answered(self.service_name)
                 return
             finally:
                 loads.ended(upstream.incarnation, self.call.request)
@@ -304,6 +354,7 @@
                 retry_after=RETRY_SECONDS,
             )
         upstream = found.upstream
+        self.candidates = found.candidates
         self.context.events.emit(
             event_types.CallPlaced(
                 self.call.request,
@@ -333,9 +384,8 @@
         self._set_timeout(self.deadline_at + GRACE_SECONDS)
         self.attempts += 1
         self.relay.upstream = upstream
-        answer = self.context.upstreams.send(
+        answer = self._send(
             upstream,
-            self.call,
             routed_calls.UpstreamRequest(
                 body,
                 max(0.0, self.deadline_at - self.now),
@@ -351,6 +401,35 @@
         finally:
             answer.close()
 
+    def _send(
+        self,
+        upstream: member_messages.Registration,
+        request: routed_calls.UpstreamRequest,
+    ) -> forwarding.UpstreamResponse:
+        """Sends the request; returns once the head of the response is there.
+
+        Raises:
+            errors.StreamTimeout: The attempt timed out.
+        """
+        timeouts = self.context.attempt_timeouts
+        seconds = timeouts.seconds(
+            self.route,
+            self.service_name,
+            self.attempts - 1,
+            self.silence_timeout,
+            self.deadline_at - self.now,
+        )
+        if self.candidates < 2:
+            seconds = None
+        try:
+            with eventlet.Timeout(seconds, AttemptTimeout()):
+                return self.context.upstreams.send(upstream, self.call, request)
+        except AttemptTimeout:
+            timeouts.expired(self.service_name, self.attempts)
+            raise errors.StreamTimeout(
+                f"Upstream {upstream.upstream} sent nothing for {seconds:g} s."
+            ) from None
+
     def _may_retry(self) -> bool:
         """Returns whether another attempt may follow the next one."""
         repeatable = self.route.repeat in ("any", "resume")
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -1,6 +1,7 @@
 """Calls that reach an entry before it has a configuration."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import random
 from typing import Any
 
@@ -46,6 +47,16 @@
         tenths = [int(10 * at) for at in found]
         self.assertThat(max(map(tenths.count, tenths)), matchers.LessThan(130))
 
+    def test_callers_over_a_limit_do_not_retry_before_it_admits_them(
+        self,
+    ) -> None:
+        found = [
+            jitter.retry_after(f"r{n}", 0.5, may_be_early=False)
+            for n in range(400)
+        ]
+        self.assertTrue(0.5 <= min(found) < 0.51)
+        self.assertTrue(0.69 < max(found) <= 0.7)
+
 
 class ThunderingHerdTest(testtools.TestCase):
     """Simulates callers during a restart of all machines.
@@ -143,8 +154,8 @@
 class Answer:
     head = routed_calls.ResponseHead(200, "OK", (), 4, False)
 
-    def body(self) -> bytes:
-        return b"done"
+    def chunks(self) -> Iterator[bytes]:
+        yield b"done"
 
     def close(self) -> None:
         """Does nothing, as the answer is complete."""
@@ -170,6 +181,9 @@
     def __init__(self) -> None:
         self.status = 0
 
+    def set_on_blocked(self, callback: object) -> None:
+        pass
+
     def send_whole(self, head: routed_calls.ResponseHead, body: bytes) -> None:
         self.status = head.status
 
