--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -352,9 +352,14 @@
         )
 
     def arrived(self, incarnation: str) -> None:
-        """Records that data arrived from an upstream."""
-        if incarnation in self.known:
-            self.silence_detector.arrived(incarnation, self.timers.now())
+        """Records that data arrived, or could have but for a slow caller."""
+        if incarnation not in self.known:
+            return
+        now = self.timers.now()
+        self.silence_detector.arrived(incarnation, now)
+        times = self.times.upstreams.get(incarnation)
+        if times is not None:
+            times.alive_at = now
 
     def running(self, incarnation: str) -> int:
         """Returns the number of this entry's requests at an upstream."""
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -35,6 +35,9 @@
     def ended(self, incarnation: str, request: str) -> None:
         pass
 
+    def first_event(self, incarnation: str, request: str) -> None:
+        pass
+
     def observe(self, incarnation: str, seconds: float) -> None:
         self.pauses.append(seconds)
 
--- a/testing/test_turn_time.py
+++ b/testing/test_turn_time.py
@@ -183,6 +183,17 @@
         self.assertEqual({}, load.service.stalled)
         self.assertTrue(load.service.slowdowns.get("u3", 1.0) < 2.0)
 
+    def test_caller_that_does_not_read_is_no_stall(self) -> None:
+        load = Load()
+        load.answers(20)
+        times = load.service.of("u3")
+        times.began("r", 0, 0.5, load.now)
+        times.first_event("r", load.now)
+        load.now += 0.3
+        times.alive_at = load.now
+        load.refresh()
+        self.assertEqual({}, load.service.stalled)
+
     def test_stall_without_answers_that_have_begun_is_unknown(self) -> None:
         load = Load()
         load.answers(20)
