--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -29,9 +29,6 @@
     def arrived(self, incarnation: str) -> None:
         pass
 
-    def first_event(self, incarnation: str, request: str) -> None:
-        pass
-
     def ended(self, incarnation: str, request: str) -> None:
         pass
 
