The limit by pace needs a load that would make programs late

Change: the pace over the load is fitted while there is no limit; only if a full batch alone would be too slow are running turns reduced.

--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -562,9 +562,7 @@
         self.turn_seconds = moving_average.update(self.turn_seconds, seconds)
         if now >= self._refresh_at:
             self._refresh_at = now + _REFRESH_SECONDS
-            self._allowed_seconds = math.inf
-            if self.delay > _LATE_DELAY:
-                self._allowed_seconds = self._allowed_pace()
+            self._allowed_seconds = self._pace_to_hold()
             self._mean_turns = self._mean_turns_by_kind()
             self.queue.clock.drop_idle()
         self.pace.observe(
@@ -576,6 +574,18 @@
             now,
         )
 
+    def _pace_to_hold(self) -> float:
+        """Returns the pace above which running turns are reduced.
+
+        Returns:
+            Seconds per unit of work; inf while programs end in time, or if
+            full batches alone would not make them late.
+        """
+        if self.delay <= _LATE_DELAY:
+            return math.inf
+        allowed = self._allowed_pace()
+        return allowed if self.pace.at_capacity() > allowed else math.inf
+
     def _mean_turns_by_kind(self) -> dict[str, float]:
         """Returns the mean number of turns of programs, by known kinds."""
         found = {
--- a/src/mintcleat/decisions/turn_pace.py
+++ b/src/mintcleat/decisions/turn_pace.py
@@ -22,6 +22,7 @@
 from typing import NamedTuple
 
 from mintcleat.decisions import concurrency
+from mintcleat.decisions import turn_time
 
 # A period ends after this time and number of samples. Fewer samples would let
 # single turns move the limit; a longer period would react too late.
@@ -81,6 +82,8 @@
         base: Fastest pace seen, in seconds per unit of work; 0 before any
             sample.
         pace: Current seconds per unit of work; 0 before any sample.
+        curve: Pace over the load, as a fraction of the capacity, of the periods
+            without a limit.
         reduced: Load and pace before the last reduction, until its effect is
             known.
         held: Load and pace at which a reduction did not help; None if
@@ -92,6 +95,7 @@
         self.limit = math.inf
         self.base = 0.0
         self.pace = 0.0
+        self.curve = turn_time.Line()
         self.reduced: Period | None = None
         self.held: Period | None = None
         self.held_until = -math.inf
@@ -145,7 +149,7 @@
             self._end_period(capacity, allowed, now)
 
     def _end_period(self, capacity: float, allowed: float, now: float) -> None:
-        current = self._average_period()
+        current = self._average_period(capacity)
         allowed = allowed or self.base * concurrency.MAX_SLOWDOWN
         self._judge_reduction(current, now)
         if self.pace > allowed:
@@ -159,7 +163,16 @@
             if self.limit >= capacity:
                 self.limit = math.inf
 
-    def _average_period(self) -> Period:
+    def at_capacity(self) -> float:
+        """Returns the pace expected at full capacity; 0 if unknown.
+
+        It follows from the load alone. The current pace may have other causes,
+        such as caches that are cold after an outage.
+        """
+        fitted = self.curve.fit()
+        return sum(fitted) if fitted is not None else 0.0
+
+    def _average_period(self, capacity: float) -> Period:
         """Adds the period to the averages and begins the next one.
 
         Returns:
@@ -167,6 +180,8 @@
         """
         sample = Period(self._levels / self._count, self._seconds / self._units)
         weight = self._count / (self._count + _NOISE_SAMPLES)
+        if math.isinf(self.limit) and math.isfinite(capacity):
+            self.curve.add(sample.level / capacity, sample.pace)
         self._count = self._levels = 0
         self._seconds = self._units = 0.0
         if not self.pace:
