Tests that no spelling of a reserved field reaches an upstream

The new tests send them in three spellings, as trailers of a chunked body, on a stream route, and with a space before the colon.

--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -50,6 +50,52 @@
         self.system.call("GET", "/safe/a", **dict.fromkeys(fields, "evil"))
         self.assertNotIn("evil", engine.received[0].headers.values())
 
+    def test_reserved_fields_are_dropped_however_they_are_written(self) -> None:
+        # A field that passes in another spelling, a second time or as a
+        # trailer would have the same effect at an upstream.
+        (engine,) = self.start_engines(
+            ("e1", "lm", platform_engine.stream(1)),
+        )
+        names = (
+            "x-hold", "x-pin-milliseconds", "x-kv-backup", "kv-from",
+            "kv-fetch", "x-expect-instance", "x-request-urgency",
+        )  # fmt: skip
+        spellings = [
+            spelling
+            for name in names
+            for spelling in (name, name.upper(), name.title())
+        ]
+        lines = "".join(f"{name}:evil\r\n" for name in spellings)
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"POST /resumable/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r1\r\nConnection: x-other\r\n"
+            + lines.encode()
+            + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+            + lines.encode()
+            + b"\r\n"
+        )
+        self.assertEqual(200, platform_system.read_answer(sock).status)
+        (received,) = engine.received
+        self.assertNotIn("evil", received.headers.values())
+        own = {"x-expect-instance", "x-request-urgency"}
+        self.assertEqual(own, received.headers.keys() & set(names))
+
+    def test_reserved_field_with_a_space_before_its_colon_is_rejected(
+        self,
+    ) -> None:
+        # Some servers strip the space and would apply the field.
+        (engine,) = self.start_engines(("e1", "desk"))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"GET /safe/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r1\r\nKv-From : evil\r\n\r\n"
+        )
+        self.assertEqual(400, platform_system.read_answer(sock).status)
+        self.assertEqual([], engine.received)
+
     def test_request_without_a_configuration_gets_503_with_retry_after(
         self,
     ) -> None:
