Splits routed_run by its jobs

Each is a module now (run_deadline, run_turn, run_attempts, run_events, and entry_context for what all requests share); routed_run joins them. No change of behavior.

--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -23,7 +23,7 @@
 from mintcleat.emulator import engine as engine_module
 from mintcleat.emulator import plain_service
 from mintcleat.ports import events
-from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import run_attempts
 from mintcleat.roles.entry import turn_demand
 from mintcleat.roles.entry import upstream_loads
 
@@ -304,7 +304,7 @@
         tried: set[str] = set()
         while True:
             placed = self.loads.choose(service, tried, placement)
-            if placed is None or len(tried) >= routed_run.MAX_OFFERS:
+            if placed is None or len(tried) >= run_attempts.MAX_OFFERS:
                 raise NotServed
             upstream = placed.upstream
             tried.add(upstream.incarnation)
--- a/src/mintcleat/emulator/programs.py
+++ b/src/mintcleat/emulator/programs.py
@@ -15,7 +15,7 @@
 from mintcleat.domain import routed_calls
 from mintcleat.emulator import entry as entry_module
 from mintcleat.emulator import plan
-from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import run_attempts
 
 # A caller attempts each turn up to MAX_ATTEMPTS times, with a pause that is
 # drawn uniformly from this range of seconds.
@@ -362,7 +362,7 @@
     ) -> Any:
         """Returns the engine's incarnation; empty if it was not served."""
         silence_timeout = (
-            routed_run.SILENCE_FACTOR * self.kind.objective / 1000.0
+            run_attempts.SILENCE_FACTOR * self.kind.objective / 1000.0
         )
         terms = entry_module.TurnTerms(
             self.name, self.kind.priority, self.kind.deadline / 1000.0
--- /dev/null
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -0,0 +1,55 @@
+"""Dependencies that all routed requests of one entry share."""
+
+from typing import NamedTuple
+from typing import Protocol
+
+from mintcleat.configuration import directory as directory_module
+from mintcleat.decisions import attempt_timeout
+from mintcleat.ports import directory as directory_port
+from mintcleat.ports import events as event_ports
+from mintcleat.ports import forwarding
+from mintcleat.ports import timers as timer_ports
+from mintcleat.roles.entry import turn_client
+from mintcleat.roles.entry import upstream_loads
+
+
+class Configuration(directory_port.Directory, Protocol):
+    """The followed configuration, as routed requests need it.
+
+    Attributes:
+        registered: Upstreams that registered themselves.
+    """
+
+    registered: directory_module.Directory
+
+    def lease_left(self) -> float:
+        """Returns the seconds left of the configuration lease."""
+
+    def key_seconds(self) -> float:
+        """Returns the seconds for which keys may still be accepted."""
+
+    def known_until(self) -> float:
+        """Returns the time up to which all accepted pushes are applied."""
+
+    def push_propagation_seconds(self) -> float:
+        """Returns the seconds in which a connected node gets every push."""
+
+
+class EntryContext(NamedTuple):
+    """Dependencies that all requests of one entry share.
+
+    Attributes:
+        configuration: Configuration that this process follows.
+        upstreams: Client for requests to upstreams.
+        loads: Load and health of the upstreams.
+        turns: Client of the leaders that keep turns and budgets.
+        attempt_timeouts: Timeouts of attempts of repeatable requests.
+    """
+
+    configuration: Configuration
+    upstreams: forwarding.UpstreamClient
+    loads: upstream_loads.UpstreamLoads
+    turns: turn_client.TurnClient
+    timers: timer_ports.Timers
+    events: event_ports.EventReporter
+    attempt_timeouts: attempt_timeout.AttemptTimeouts
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -14,7 +14,9 @@
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.entry import authentication
+from mintcleat.roles.entry import entry_context
 from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import run_attempts
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
 
@@ -38,7 +40,7 @@
 
     def __init__(
         self,
-        configuration: routed_run.Configuration,
+        configuration: entry_context.Configuration,
         upstreams: forwarding.UpstreamClient,
         turns: turn_client.TurnClient,
         timers: timer_ports.Timers,
@@ -53,7 +55,7 @@
         self.loads = upstream_loads.UpstreamLoads(
             configuration, timers, events, upstreams.forget, entry, policy
         )
-        self.context = routed_run.EntryContext(
+        self.context = entry_context.EntryContext(
             configuration,
             upstreams,
             self.loads,
@@ -174,7 +176,7 @@
                 raise errors.LeaseExpired(
                     "No route matches the request, but the configuration may "
                     "be out of date.",
-                    retry_after=routed_run.RETRY_SECONDS,
+                    retry_after=run_attempts.RETRY_SECONDS,
                 )
             raise errors.UnknownRoute(
                 f"No route matches {call.host}{call.path}."
@@ -223,7 +225,7 @@
         if not known:
             raise errors.ControlUnavailable(
                 "This entry has not received a configuration yet.",
-                retry_after=routed_run.RETRY_SECONDS,
+                retry_after=run_attempts.RETRY_SECONDS,
             )
 
     def _configuration_age(self) -> float:
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -7,7 +7,8 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
-from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import run_attempts
+from mintcleat.roles.entry import run_deadline
 
 # Bound on the time until a caller's disconnect is noticed. It is noticed at
 # once, without polling; the bound allows for a busy machine.
@@ -177,7 +178,7 @@
     def test_safe_request_leaves_an_upstream_that_hangs(self) -> None:
         # Guards against a call that fails at its deadline because its upstream
         # hangs, while another upstream is idle.
-        self.patch(routed_run, "SILENCE_FACTOR", 0.4)
+        self.patch(run_attempts, "SILENCE_FACTOR", 0.4)
         silent, sound = self.start_engines(
             ("e1", "desk", _keep_silent), ("e2", "desk", _keep_silent)
         )
@@ -323,7 +324,7 @@
     def test_silent_upstream_gets_no_more_requests(self) -> None:
         # An upstream hangs with a request and keeps its connections open.
         # Further requests sent there would hang too.
-        self.patch(routed_run, "SILENCE_FACTOR", 0.4)
+        self.patch(run_attempts, "SILENCE_FACTOR", 0.4)
         silent, _ = self.start_engines(
             ("e1", "desk", _keep_silent), ("e2", "desk")
         )
@@ -353,7 +354,7 @@
         self.assertEqual(1, len(engine.received))
 
     def test_response_within_the_grace_time_is_delivered(self) -> None:
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
 
         def late(
             connection: platform_engine.Connection, received: object
@@ -370,7 +371,7 @@
     def test_stream_that_ends_within_the_grace_time_is_complete(self) -> None:
         # The last event comes 20 ms after the deadline of 400 ms. Cut at the
         # deadline, an almost complete stream would be useless to the caller.
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
         self.start_engines(("e1", "lm", platform_engine.stream(6, 0.07)))
         answer = self.system.call(
             "POST", "/resumable/a", b"x", X_Deadline_Milliseconds="400"
@@ -388,7 +389,7 @@
         self.assertTrue(0.3 <= took < 0.3 + MAX_DELAY_SECONDS, took)
 
     def test_refused_request_is_not_run_even_after_its_deadline(self) -> None:
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
 
         def slow_busy(
             connection: platform_engine.Connection, received: object
