Streams that hang are resumed at another upstream

A stream whose upstream sent nothing more but kept its connection open ended only at its deadline, though the route allowed to resume it. One check of all running streams each 50 ms, while there is one that may resume, now interrupts a stream that was silent for longer than three deviations of its gaps, than 0.25 s and than a prefill elsewhere takes; before rates are measured, for twice the target latency. It is resumed as after a broken connection, within the attempts of the route and the retry budget. Time in which the caller doesn't read and stalls of the process don't count as silence.

The first event after a resume was measured as a gap of the new upstream and never as its first event; now it is a first event.

--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -68,6 +68,18 @@
                 metrics.count("routed_placements_total", reason=event.reason)
             case events.AttemptFailed():
                 metrics.count("routed_failures_total", kind=event.kind)
+            case events.StreamContinued():
+                metrics.count(
+                    "streams_continued_total",
+                    reason=event.reason,
+                    result=event.result,
+                )
+                if event.pause_s:
+                    metrics.observe(
+                        "stream_pause_seconds",
+                        event.pause_s,
+                        reason=event.reason,
+                    )
             case events.TurnOpened():
                 metrics.observe("turn_open_seconds", event.commit_s)
             case events.TurnSettled():
--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -197,6 +197,13 @@
             or bool(self.reader.unread)
         )
 
+    def interrupt(self, reason: str) -> None:
+        """Makes the current read fail; may be called by any green thread.
+
+        Bytes received before are returned first.
+        """
+        self.reader.interrupt(ConnectionAbortedError(reason))
+
     def close(self) -> None:
         """Closes the connection; the upstream then cancels the request."""
         if self.closed:
--- a/src/mintcleat/adapters/socket_reader.py
+++ b/src/mintcleat/adapters/socket_reader.py
@@ -85,6 +85,23 @@
         if listener is not None:
             hubs.get_hub().remove(listener)
 
+    def interrupt(self, error: OSError) -> None:
+        """Ends the reading side with an error, from any green thread.
+
+        Bytes received before are returned first.
+        """
+        if self.closed:
+            return
+        self.closed = True
+        self.error = error
+        self.stop()
+        # A direct switch would not return to the calling green thread.
+        hubs.get_hub().schedule_call_global(0, self._wake)
+
+    def _wake(self) -> None:
+        if self.waiter is not None:
+            self.waiter.switch()
+
     def _watch(self) -> None:
         if self.listener is None:
             hub = hubs.get_hub()
--- a/src/mintcleat/decisions/attempt_timeout.py
+++ b/src/mintcleat/decisions/attempt_timeout.py
@@ -46,10 +46,14 @@
         # Another attempt must have as much time as the one that is given up.
         if left < 2 * silence_timeout:
             return None
-        if self._budget(service).tokens < 1.0:
+        if not self.allows(service):
             return None
         return silence_timeout
 
+    def allows(self, service: str) -> bool:
+        """Returns whether the budget allows to give up another attempt."""
+        return self._budget(service).tokens >= 1.0
+
     def expired(self, service: str, attempts: int) -> None:
         """Charges the budget for an attempt that was given up.
 
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -253,6 +253,31 @@
     last_event: str
 
 
+class StreamContinued(NamedTuple):
+    """A stream continued at another upstream, or an attempt to move it ended.
+
+    Attributes:
+        upstream: Upstream that sent the stream so far.
+        destination: Upstream that sends the rest, or should have.
+        reason: `interrupted` or `silent` for a stream that was resumed;
+            `leaving` or `slow` for one that was moved.
+        result: `resumed` or `moved`; `returned` if a moved stream continues at
+            its former upstream; `stayed` if the move was given up before the
+            stream stopped; `lost` if the stream could not continue.
+        pause_s: Time between the last event before and the first after it;
+            0 for a stream that did not stop.
+        tokens: Tokens sent to the caller before.
+    """
+
+    request: str
+    upstream: str
+    destination: str
+    reason: str
+    result: str
+    pause_s: float
+    tokens: int
+
+
 class CallRefused(NamedTuple):
     """This process refused the request with an error.
 
@@ -532,6 +557,7 @@
 )
 _ERRORS = (
     AttemptFailed,
+    StreamContinued,
     CallRefused,
     CallerGone,
     ResponseStalled,
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -94,6 +94,8 @@
             errors.StreamClosed: The body was cut off.
         """
         connection = self.connection
+        if connection is None:
+            raise errors.StreamClosed("The response has been closed.")
         while True:
             data = connection.read_data()
             if data is None:
@@ -107,6 +109,11 @@
         else:
             connection.close()
 
+    def interrupt(self, reason: str) -> None:
+        """Makes `chunks` fail after what has been received."""
+        if self.connection is not None:
+            self.connection.interrupt(reason)
+
     def close(self) -> None:
         """Discards the rest of the body; the upstream cancels the request."""
         if self.connection is not None:
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -24,6 +24,13 @@
             errors.StreamClosed: The connection was lost before its end.
         """
 
+    def interrupt(self, reason: str) -> None:
+        """Makes `chunks` raise a StreamClosed; for any green thread.
+
+        What has been received is returned first. The response must still be
+        closed.
+        """
+
     def close(self) -> None:
         """Discards the rest of the body; the upstream cancels the request."""
 
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -17,6 +17,7 @@
 from mintcleat.roles.entry import entry_context
 from mintcleat.roles.entry import routed_run
 from mintcleat.roles.entry import run_attempts
+from mintcleat.roles.entry import stream_watch
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
 
@@ -55,6 +56,7 @@
         self.loads = upstream_loads.UpstreamLoads(
             configuration, timers, events, upstreams.forget, entry, policy
         )
+        attempt_timeouts = attempt_timeout.AttemptTimeouts()
         self.context = entry_context.EntryContext(
             configuration,
             upstreams,
@@ -62,7 +64,8 @@
             turns,
             timers,
             events,
-            attempt_timeout.AttemptTimeouts(),
+            attempt_timeouts,
+            stream_watch.StreamWatch(self.loads, timers, attempt_timeouts),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -1,5 +1,6 @@
 """Relays an upstream's response to the caller of a routed request."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from mintcleat.decisions import evidence
@@ -36,6 +37,10 @@
         first_at: Time of the response or its first event; 0 before.
         max_gap: Longest pause between two events, in seconds.
         last_event_at: Time of the last event; 0 before the first.
+        waiting_since: Time since which the upstream's stream is being read
+            without any data; 0 while nothing is read.
+        on_first_event: Called at the first event of each attempt with the
+            seconds since the event before; 0 if there is none.
         blocked_at: Last time at which a write waited for the caller; 0 before.
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
@@ -70,6 +75,9 @@
         self.max_gap = 0.0
         self.last_event_at = 0.0
         self.blocked_at = 0.0
+        self.waiting_since = 0.0
+        self.on_first_event: Callable[[float], None] | None = None
+        self.has_attempt_event = False
         self.output: list[bytes] = []
 
     @property
@@ -159,9 +167,17 @@
             self.head_sent = True
             reply.send_head(answer.head)
         buffer = server_sent_events.EventBuffer()
-        for data in answer.chunks():
-            self.loads.arrived(self.incarnation)
-            self._forward_events(buffer.feed(data), reply)
+        self.has_attempt_event = False
+        timers = self.timers
+        self.waiting_since = timers.now()
+        try:
+            for data in answer.chunks():
+                self.waiting_since = 0.0
+                self.loads.arrived(self.incarnation)
+                self._forward_events(buffer.feed(data), reply)
+                self.waiting_since = timers.now()
+        finally:
+            self.waiting_since = 0.0
         if buffer.rest:
             reply.write(buffer.rest)
         self._mark_complete()
@@ -195,11 +211,11 @@
         for event in events:
             if self.last_event_at:
                 self.max_gap = max(self.max_gap, now - self.last_event_at)
+            if self.has_attempt_event:
                 pause = now - self.last_active_at
                 self.loads.observe(self.incarnation, pause)
             else:
-                self.first_at = now
-                self.loads.first_event(self.incarnation, self.request)
+                self._record_first_event(now)
             self.last_event_at = now
             self.tokens += self.service.tokens_per_event
             self.last_event_id = event.id or self.last_event_id
@@ -207,6 +223,22 @@
                 self.output.append(event.data)
         reply.write(b"".join([event.raw for event in events]))
 
+    def _record_first_event(self, now: float) -> None:
+        """Records the first event of an attempt.
+
+        The time since the last event of an earlier attempt is no gap of this
+        upstream.
+        """
+        self.has_attempt_event = True
+        pause = 0.0
+        if self.last_event_at:
+            pause = now - self.last_event_at
+        else:
+            self.first_at = now
+        self.loads.first_event(self.incarnation, self.request)
+        if self.on_first_event is not None:
+            self.on_first_event(pause)
+
     def _commit_turn(self) -> None:
         """Commits the turn before its response ends.
 
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -18,6 +18,7 @@
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import run_deadline
 from mintcleat.roles.entry import run_events
+from mintcleat.roles.entry import stream_watch
 from mintcleat.roles.entry import upstream_loads
 
 # Upstreams to which one request is sent if each refuses to run it. More would
@@ -111,10 +112,11 @@
                 placement,
             )
             try:
-                self._attempt(upstream, reply)
+                self._attempt(placement, reply)
             except errors.MintcleatError as error:
                 self._attempt_failed(upstream, error)
                 self._check_retry(error)
+                self._expect_continuation(upstream, error)
                 if self.deadline.is_refusable():
                     raise self.timeout_error() from error
             except BaseException:
@@ -196,9 +198,10 @@
 
     def _attempt(
         self,
-        upstream: member_messages.Registration,
+        placement: upstream_loads.Placement,
         reply: forwarding.CallerResponse,
     ) -> None:
+        upstream = placement.upstream
         turn = self.relay.turn
         body = turn.body() if turn else self.call.body
         self.deadline.limit_response()
@@ -213,12 +216,34 @@
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
             ),
         )
+        stream = stream_watch.RunningStream(
+            self.route,
+            self.service_name,
+            placement,
+            answer,
+            self.relay,
+            self.deadline,
+            self.tried,
+            self.attempts,
+            self.silence_timeout,
+        )
+        streams = self.context.streams
         try:
             self.context.loads.arrived(upstream.incarnation)
+            if answer.head.events:
+                streams.add(stream)
             repeat = self.route.repeat == "any"
             left = self.attempts < self.route.attempts
             self.relay.relay(answer, reply, self.sent_at, repeat and left)
+        except errors.StreamClosed as error:
+            if stream.silent_for:
+                raise errors.StreamTimeout(
+                    f"Upstream {upstream.upstream} sent nothing for "
+                    f"{stream.silent_for:.2f} s within the stream."
+                ) from error
+            raise
         finally:
+            streams.remove(stream)
             answer.close()
 
     def _send(
@@ -272,6 +297,32 @@
             self.relay.last_event_id,
         )
 
+    def _expect_continuation(
+        self,
+        upstream: member_messages.Registration,
+        error: errors.MintcleatError,
+    ) -> None:
+        """Has the continuation of a begun stream reported once it goes on."""
+        if not self.relay.last_event_at or error.outcome == errors.NOT_RUN:
+            return
+        reason = "interrupted"
+        if isinstance(error, errors.StreamTimeout):
+            reason = "silent"
+        tokens = self.relay.tokens
+
+        def report(pause: float) -> None:
+            self.relay.on_first_event = None
+            self.events.continued(
+                upstream.upstream,
+                self.relay.upstream_name,
+                reason,
+                "resumed",
+                pause,
+                tokens,
+            )
+
+        self.relay.on_first_event = report
+
     def _check_retry(self, error: errors.MintcleatError) -> None:
         """Returns if another attempt may follow; else raises the final error.
 
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -98,6 +98,28 @@
             )
         )
 
+    def continued(
+        self,
+        upstream: str,
+        destination: str,
+        reason: str,
+        result: str,
+        pause: float,
+        tokens: int,
+    ) -> None:
+        """Reports a move or a resume; see `events.StreamContinued`."""
+        self.context.events.emit(
+            event_types.StreamContinued(
+                self.call.request,
+                upstream,
+                destination,
+                reason,
+                result,
+                round(pause, 4),
+                tokens,
+            )
+        )
+
     def caller_gone(self, upstream: str) -> None:
         """Reports that the caller disconnected."""
         self.context.events.emit(
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -149,10 +149,8 @@
             self.silence_detector.forget(incarnation)
             self.on_removed(incarnation)
         for incarnation, item in entries.items():
-            previous = self.known.get(incarnation)
-            if previous is None or not directory.same_except_renewal(
-                previous, item
-            ):
+            known = self.known.get(incarnation)
+            if known is None or not directory.same_except_renewal(known, item):
                 self._emit_changed(item, registered.version)
         self.known = entries
         self.by_service = {}
@@ -189,6 +187,21 @@
             return self._choose_by_time(service, ready, names, request, now)
         return self._choose_by_count(ready, names, request, now)
 
+    def has_other(self, service: str, tried: set[str]) -> bool:
+        """Returns whether an upstream is left that isn't known to hang.
+
+        Args:
+            service: Service of the request.
+            tried: Incarnations that are excluded.
+        """
+        now = self.timers.now()
+        return any(
+            name not in tried
+            and self.penalties.allows(name, True, now)
+            and not self.silence_detector.silent(name, now)
+            for name in self.by_service.get(service, ())
+        )
+
     def _choose_by_count(
         self,
         ready: Mapping[str, member_messages.Registration],
