Fields of services and the policy for moves of running requests

A move can only be planned with the memory of a token, the rate of the links and the time for which a copy is kept; a service with moves that lacks one is an error. Of the platform's configuration, engines with incomplete numbers are read as without moves, so that the rest of it stays valid. The policy stream_moves is off by default; the settings field contracts with pressure enables it with admission. test_hosted_admission expects both policies now: its expected dictionary names every policy that the contract sets.

--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -77,6 +77,12 @@
         tokens_per_event: Tokens that an event of a stream counts for.
         memory_tokens: Capacity of an upstream's cache in tokens; 0 if
             unknown.
+        moves: Whether upstreams can hand a running request over to each
+            other; requires the three that follow.
+        token_bytes: Bytes of the memory that a token of a request takes.
+        link_mbps: Rate at which an upstream copies memory to another, in
+            Mbit/s; half of it between failure domains.
+        handle_seconds: Time for which a copy is kept that no request uses.
     """
 
     kind: Literal["model", "plain"]
@@ -91,6 +97,10 @@
     connections: Count = 0
     tokens_per_event: Count = 1
     memory_tokens: Count = 0
+    moves: bool = False
+    token_bytes: Count = 0
+    link_mbps: Amount = 0.0
+    handle_seconds: Amount = 0.0
 
 
 class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -222,6 +232,8 @@
         admission: Whether leaders of program groups admit turns by the
             capacity of their services and by the shares of customers
             (`programs`), or open all of them (`off`).
+        stream_moves: Whether entries move running streams off upstreams that
+            leave or have become slow, for services with `moves`.
     """
 
     customers: dict[Name, Customer] = {}
@@ -241,6 +253,7 @@
     loads_per_minute: Amount = 30.0
     load_burst: Count = 2
     admission: Literal["off", "programs"] = "off"
+    stream_moves: Literal["off", "on"] = "off"
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/mintcleat/domain/manifest_errors.py
+++ b/src/mintcleat/domain/manifest_errors.py
@@ -228,10 +228,27 @@
         out.append(
             Violation(f"{path}.model", "must be empty for a plain service")
         )
+    if service.moves:
+        _check_moves(path, service, out)
     _check_patterns(f"{path}.idempotent", service.idempotent, out)
     _check_patterns(f"{path}.non_idempotent", service.non_idempotent, out)
 
 
+def _check_moves(path: str, service: Any, out: list[Violation]) -> None:
+    """Finds what a move of a running request could not be planned without."""
+    if service.kind != "model":
+        out.append(
+            Violation(f"{path}.moves", "must be false for a plain service")
+        )
+    out.extend(
+        Violation(
+            f"{path}.{name}", "must be greater than 0 for a service with moves"
+        )
+        for name in ("token_bytes", "link_mbps", "handle_seconds")
+        if not getattr(service, name)
+    )
+
+
 def _check_patterns(
     path: str, patterns: list[str], out: list[Violation]
 ) -> None:
--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -1,5 +1,6 @@
 """Converts the operators' configuration to a manifest."""
 
+import math
 import reprlib
 from typing import Any
 
@@ -100,9 +101,34 @@
         built["model"] = models[0]["name"]
         built["tokens_per_event"] = engine.get("stride", 1)
         built["memory_tokens"] = engine.get("kvCapacityTokens", 0)
+        if engine.get("moves"):
+            built.update(_moves(engine))
     return built
 
 
+def _moves(engine: dict[str, Any]) -> dict[str, Any]:
+    """Returns the fields of a service whose engines move running requests.
+
+    Moves stay off if one of the numbers is missing or not positive: a request
+    can't be moved without them, and an engine that only states that it could
+    must not fail the whole configuration.
+    """
+    built = {
+        "token_bytes": engine.get("kvTokenBytes"),
+        "link_mbps": engine.get("linkMbps"),
+        "handle_seconds": engine.get("handle_s", engine.get("handleS")),
+    }
+    if not all(
+        type(value) in (int, float) and value > 0 for value in built.values()
+    ):
+        return {}
+    return {
+        "moves": True,
+        **built,
+        "token_bytes": math.ceil(built["token_bytes"]),
+    }
+
+
 def _route(item: dict[str, Any]) -> dict[str, Any]:
     kind = item["kind"]
     resumable = kind == _STREAM and item.get("resumable")
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -180,6 +180,7 @@
     }
     if _PRESSURE_CONTRACT in fields.get("contracts", []):
         policies["admission"] = "programs"
+        policies["stream_moves"] = "on"
     return policies
 
 
--- a/testing/test_hosted_admission.py
+++ b/testing/test_hosted_admission.py
@@ -31,11 +31,16 @@
         )
         return machine.policies
 
-    def test_contract_enables_admission(self) -> None:
+    def test_contract_enables_admission_and_moves(self) -> None:
         found = self.policies(contracts=["history", "pressure"])
-        self.assertEqual({"limit_slack": 3, "admission": "programs"}, found)
-
-    def test_admission_is_off_without_the_contract(self) -> None:
+        expected = {
+            "limit_slack": 3,
+            "admission": "programs",
+            "stream_moves": "on",
+        }
+        self.assertEqual(expected, found)
+
+    def test_both_are_off_without_the_contract(self) -> None:
         self.assertEqual({"limit_slack": 3}, self.policies())
         self.assertEqual(
             {"limit_slack": 3}, self.policies(contracts=["history"])
--- a/testing/test_manifest.py
+++ b/testing/test_manifest.py
@@ -73,6 +73,37 @@
         self.assertIn("$.services.b.fencing", errors_in(text)[0])
 
 
+class MovesTest(testtools.TestCase):
+    """A service with moves states what planning a move needs."""
+
+    def errors_of(self, service: str) -> list[str]:
+        text = '{"services": {"m": {' + service + "}}}"
+        return [line.partition(":")[0] for line in errors_in(text)]
+
+    def test_numbers_are_required(self) -> None:
+        found = self.errors_of('"kind": "model", "model": "x", "moves": true')
+        self.assertEqual(
+            [
+                "$.services.m.token_bytes",
+                "$.services.m.link_mbps",
+                "$.services.m.handle_seconds",
+            ],
+            found,
+        )
+
+    def test_plain_service_has_no_moves(self) -> None:
+        found = self.errors_of(
+            '"kind": "plain", "moves": true, "token_bytes": 1, '
+            '"link_mbps": 1, "handle_seconds": 1'
+        )
+        self.assertEqual(["$.services.m.moves"], found)
+
+    def test_numbers_alone_are_allowed(self) -> None:
+        self.assertEqual(
+            [], self.errors_of('"kind": "plain", "token_bytes": 1')
+        )
+
+
 class IdempotentTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
