--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -7,7 +7,8 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
-from mintcleat.roles.entry import routed_run
+from mintcleat.roles.entry import run_attempts
+from mintcleat.roles.entry import run_deadline
 
 # Bound on the time until a caller's disconnect is noticed. It is noticed at
 # once, without polling; the bound allows for a busy machine.
@@ -50,6 +51,52 @@
         self.system.call("GET", "/safe/a", **dict.fromkeys(fields, "evil"))
         self.assertNotIn("evil", engine.received[0].headers.values())
 
+    def test_reserved_fields_are_dropped_however_they_are_written(self) -> None:
+        # A field that passes in another spelling, a second time or as a
+        # trailer would have the same effect at an upstream.
+        (engine,) = self.start_engines(
+            ("e1", "lm", platform_engine.stream(1)),
+        )
+        names = (
+            "x-hold", "x-pin-milliseconds", "x-kv-backup", "kv-from",
+            "kv-fetch", "x-expect-instance", "x-request-urgency",
+        )  # fmt: skip
+        spellings = [
+            spelling
+            for name in names
+            for spelling in (name, name.upper(), name.title())
+        ]
+        lines = "".join(f"{name}:evil\r\n" for name in spellings)
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"POST /resumable/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r1\r\nConnection: x-other\r\n"
+            + lines.encode()
+            + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+            + lines.encode()
+            + b"\r\n"
+        )
+        self.assertEqual(200, platform_system.read_answer(sock).status)
+        (received,) = engine.received
+        self.assertNotIn("evil", received.headers.values())
+        own = {"x-expect-instance", "x-request-urgency"}
+        self.assertEqual(own, received.headers.keys() & set(names))
+
+    def test_reserved_field_with_a_space_before_its_colon_is_rejected(
+        self,
+    ) -> None:
+        # Some servers strip the space and would apply the field.
+        (engine,) = self.start_engines(("e1", "desk"))
+        sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"GET /safe/a HTTP/1.1\r\nHost: callers.example\r\n"
+            b"X-Request-Id: r1\r\nKv-From : evil\r\n\r\n"
+        )
+        self.assertEqual(400, platform_system.read_answer(sock).status)
+        self.assertEqual([], engine.received)
+
     def test_request_without_a_configuration_gets_503_with_retry_after(
         self,
     ) -> None:
@@ -131,7 +178,7 @@
     def test_safe_request_leaves_an_upstream_that_hangs(self) -> None:
         # Guards against a call that fails at its deadline because its upstream
         # hangs, while another upstream is idle.
-        self.patch(routed_run, "SILENCE_FACTOR", 0.4)
+        self.patch(run_attempts, "SILENCE_FACTOR", 0.4)
         silent, sound = self.start_engines(
             ("e1", "desk", _keep_silent), ("e2", "desk", _keep_silent)
         )
@@ -277,7 +324,7 @@
     def test_silent_upstream_gets_no_more_requests(self) -> None:
         # An upstream hangs with a request and keeps its connections open.
         # Further requests sent there would hang too.
-        self.patch(routed_run, "SILENCE_FACTOR", 0.4)
+        self.patch(run_attempts, "SILENCE_FACTOR", 0.4)
         silent, _ = self.start_engines(
             ("e1", "desk", _keep_silent), ("e2", "desk")
         )
@@ -307,7 +354,7 @@
         self.assertEqual(1, len(engine.received))
 
     def test_response_within_the_grace_time_is_delivered(self) -> None:
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
 
         def late(
             connection: platform_engine.Connection, received: object
@@ -324,7 +371,7 @@
     def test_stream_that_ends_within_the_grace_time_is_complete(self) -> None:
         # The last event comes 20 ms after the deadline of 400 ms. Cut at the
         # deadline, an almost complete stream would be useless to the caller.
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
         self.start_engines(("e1", "lm", platform_engine.stream(6, 0.07)))
         answer = self.system.call(
             "POST", "/resumable/a", b"x", X_Deadline_Milliseconds="400"
@@ -342,7 +389,7 @@
         self.assertTrue(0.3 <= took < 0.3 + MAX_DELAY_SECONDS, took)
 
     def test_refused_request_is_not_run_even_after_its_deadline(self) -> None:
-        self.patch(routed_run, "GRACE_SECONDS", LONG_GRACE_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", LONG_GRACE_SECONDS)
 
         def slow_busy(
             connection: platform_engine.Connection, received: object
