Turns of silent entries and turns ended by report stop counting as running

Cause: a granted turn counted until its CloseTurn or its timeout. With three of nine entries frozen, their ended turns took a third of the capacity for seconds; with CloseTurn late by 0.5 s, each turn kept its slot for that time longer.

Change: `decisions/granted_turns` holds the granted turns. TurnDemand names the turns of the sender whose CloseTurn isn't confirmed (appended field `ended`, at most 32), by customer and id: a number can't tell a turn whose grant is on its way from one that has ended, nor the turns of several groups apart. Turns of an entry without any message for three turn times (0.5 s at least) stop counting; its next report says what it has. A turn that stopped counting is kept until its CloseTurn or timeout, so it is neither granted nor released twice. The report in a resent OpenTurn is ignored, as it is older than the grant.

--- a/src/mintcleat/decisions/reported_turns.py
+++ b/src/mintcleat/decisions/reported_turns.py
@@ -55,14 +55,23 @@
         self._update(entry)
 
     def ended(self, entry: str) -> None:
-        """Removes a granted turn, also from the last report."""
+        """Removes a granted turn."""
         self.granted[entry] -= 1
         if self.granted[entry] <= 0:
             del self.granted[entry]
+        self._update(entry)
+
+    def left(self, entry: str) -> None:
+        """Removes a turn from the last report of an entry."""
         if entry in self.reports:
             at, running = self.reports[entry]
             self.reports[entry] = (at, max(0, running - 1))
-        self._update(entry)
+            self._update(entry)
+
+    def forget(self, entry: str) -> None:
+        """Drops the report of an entry."""
+        if self.reports.pop(entry, None) is not None:
+            self._update(entry)
 
     def _update(self, entry: str) -> None:
         _, running = self.reports.get(entry, (0.0, 0))
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -19,11 +19,9 @@
 
 import collections
 import math
-from typing import NamedTuple
-
-import sortedcontainers
 
 from mintcleat.decisions import fair_shares
+from mintcleat.decisions import granted_turns
 from mintcleat.decisions import jitter
 from mintcleat.decisions import moving_average
 from mintcleat.decisions import program_times
@@ -85,22 +83,6 @@
 _MAX_COUNTED_CUSTOMERS = 10_000
 
 
-class RunningTurn(NamedTuple):
-    """A granted turn.
-
-    Attributes:
-        ask: The turn as it first asked.
-        at: When it was granted.
-        level: Running turns at that time, itself included.
-        expires: When it is released if it was not closed.
-    """
-
-    ask: turn_queue.Ask
-    at: float
-    level: int
-    expires: float
-
-
 class ServiceSchedule:
     """Decides which turns of one service run; soft state of a leader.
 
@@ -109,13 +91,12 @@
     Attributes:
         part: Fraction of the service's capacity that this schedule may use;
             below 1 if several leaders share it.
-        running: Granted turns by key.
+        turns: Granted turns.
         queue: Waiting turns.
         shares: Work of the customers.
         pace: Limit by the time that turns take.
         times: Durations of programs.
         first_attempts: When waiting and refused programs were first sent.
-        reports: Turns that entries report beyond the granted ones.
         slots: Slots of the service, as entries see them.
         memory: Memory of the service in tokens, as entries see it.
         turn_tokens: Moving average of the tokens of a turn.
@@ -126,20 +107,18 @@
         granted: Number of granted turns.
         deferred: Number of turns that had to wait.
         lost: Number of waiting turns dropped because they did not ask again.
-        expired: Number of granted turns released by their timeout.
         refused: Number of refusals by `<kind>/<reason>`.
         customer_refused: Number of refusals by customer.
     """
 
     def __init__(self, part: float = 1.0) -> None:
         self.part = part
-        self.running: dict[turn_queue.TurnKey, RunningTurn] = {}
+        self.turns = granted_turns.GrantedTurns()
         self.queue = turn_queue.TurnQueue()
         self.shares = fair_shares.FairShares()
         self.pace = turn_pace.PaceLimit()
         self.times = program_times.ProgramTimes()
         self.first_attempts = program_times.FirstAttempts()
-        self.reports = reported_turns.EntryReports()
         self.slots = 0.0
         self.memory = 0.0
         self.turn_tokens = 0.0
@@ -149,12 +128,8 @@
         self.granted = 0
         self.deferred = 0
         self.lost = 0
-        self.expired = 0
         self.refused: collections.Counter[str] = collections.Counter()
         self.customer_refused: collections.Counter[str] = collections.Counter()
-        self._expiries: sortedcontainers.SortedList = (
-            sortedcontainers.SortedList()
-        )
         # Grants to more urgent ranks since the last one to each rank.
         self._passed: dict[turn_queue.Rank, int] = {}
         # Time of the last `overloaded` refusal by urgency.
@@ -176,8 +151,8 @@
         self._note_activity(now)
         self._expire(now)
         self._observe_capacity(ask.demand)
-        self.reports.report(ask.entry, ask.demand.running, now)
-        if ask.key in self.running:
+        self._observe_report(ask, now)
+        if self.turns.grant_again(ask, now):
             return turn_decisions.Grant(0.0, again=True)
         waiter = self.queue.waiters.get(ask.key)
         again = waiter is not None
@@ -217,21 +192,11 @@
         self._note_activity(now)
         if key in self.queue.waiters:
             self.queue.refund(self.queue.remove(key).ask)
-        turn = self.running.pop(key, None)
-        if turn is None:
+        ended = self.turns.close(key, now)
+        if ended is None:
             return False
-        self._expiries.remove((turn.expires, key))
-        self.reports.ended(turn.ask.entry)
-        units = 0.0
-        if ran:
-            units = (
-                tokens + turn.ask.prompt * _UNITS_PER_PROMPT_TOKEN + _TURN_UNITS
-            )
-            self._observe_turn(turn, units, now)
-        self.times.closed(_program_key(turn.ask), units, now)
-        delay = self.times.delay(_program_key(turn.ask), now)
-        if delay is not None:
-            self.delay = moving_average.update(self.delay, delay)
+        self.turns.hear(ended.turn.ask.entry, now)
+        self._observe_end(ended, tokens, ran, now)
         return True
 
     def capacity(self) -> float:
@@ -251,7 +216,22 @@
 
     def running_turns(self) -> int:
         """Returns the number of running turns, as far as they are known."""
-        return len(self.running) + self.reports.total
+        return self.turns.count()
+
+    @property
+    def running(self) -> dict[turn_queue.TurnKey, granted_turns.RunningTurn]:
+        """Turns that count as running, by key."""
+        return self.turns.granted
+
+    @property
+    def reports(self) -> reported_turns.EntryReports:
+        """Turns that entries report beyond the granted ones."""
+        return self.turns.reports
+
+    @property
+    def expired(self) -> int:
+        """Number of granted turns released by their timeout."""
+        return self.turns.expired
 
     def view(
         self, now: float, max_customers: int = 100
@@ -477,12 +457,7 @@
         self.queue.clock.advance(waiter.tag)
         self.shares.use(ask.key.customer, self._shared_work(ask), now)
         self._count_passed(waiter.rank)
-        self.reports.started(ask.entry)
-        expires = now + demand.timeout
-        self.running[ask.key] = RunningTurn(
-            ask, now, self.running_turns() + 1, expires
-        )
-        self._expiries.add((expires, ask.key))
+        self.turns.grant(ask, now)
         self.times.opened(
             _program_key(ask), _kind(ask), ask.first, demand.finish_within, now
         )
@@ -519,16 +494,14 @@
             self._refused_at[waiter.rank.urgency] = now
 
     def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
-        self.reports.expire(now)
         self.lost += self.queue.drop_lost(now, limit)
-        expired = 0
-        while (
-            self._expiries and self._expiries[0][0] <= now and expired < limit
-        ):
-            _, key = self._expiries[0]
-            self.release(key, 0, False, now)
-            expired += 1
-        self.expired += expired
+        for ended in self.turns.expire(now, limit):
+            self._observe_end(ended, 0, False, now)
+        if self.closed >= _MIN_CLOSED_TURNS:
+            seconds = granted_turns.SILENT_TURN_TIMES * self.turn_seconds
+            self.turns.drop_silent(
+                now, max(granted_turns.MIN_SILENT_SECONDS, seconds), limit
+            )
 
     # --- Measurements ---------------------------------------------------------
 
@@ -540,6 +513,19 @@
                 self.memory, demand.memory_tokens
             )
 
+    def _observe_report(self, ask: turn_queue.Ask, now: float) -> None:
+        """Takes what an entry reports with a turn that it asks for."""
+        self.turns.hear(ask.entry, now)
+        if ask.key not in self.turns.granted:
+            # The request for a turn that is granted was resent, and its report
+            # is older than the grant.
+            self.turns.report(ask.entry, ask.demand.running, now)
+        self.turns.report_ended(
+            ask.entry,
+            (turn_queue.TurnKey(*one) for one in ask.demand.ended),
+            now,
+        )
+
     def _note_activity(self, now: float) -> None:
         """Recognizes times in which no message arrived.
 
@@ -552,12 +538,31 @@
             self._silent_until = now
         self._active_at = now
 
+    def _observe_end(
+        self,
+        ended: granted_turns.EndedTurn,
+        tokens: int,
+        ran: bool,
+        now: float,
+    ) -> None:
+        """Measures a turn that was closed, or whose timeout has passed."""
+        ask = ended.turn.ask
+        units = 0.0
+        if ran:
+            units = tokens + ask.prompt * _UNITS_PER_PROMPT_TOKEN + _TURN_UNITS
+            self._observe_turn(ended, units, now)
+        self.times.closed(_program_key(ask), units, now)
+        delay = self.times.delay(_program_key(ask), now)
+        if delay is not None:
+            self.delay = moving_average.update(self.delay, delay)
+
     def _observe_turn(
-        self, turn: RunningTurn, units: float, now: float
+        self, ended: granted_turns.EndedTurn, units: float, now: float
     ) -> None:
-        if turn.at < self._silent_until:
+        turn = ended.turn
+        if ended.silent or turn.at < self._silent_until:
             return
-        seconds = now - turn.at
+        seconds = ended.at - turn.at
         self.closed += 1
         self.turn_seconds = moving_average.update(self.turn_seconds, seconds)
         if now >= self._refresh_at:
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -12,6 +12,9 @@
 AHEAD_SECONDS = 1.0
 # Maximum of requests that one CountCall counts.
 MAX_CALLS = 64
+# Maximum of ended turns that one TurnDemand names. An entry of the design size
+# ends 41 turns a second, so that CloseTurns may be late by 0.75 s.
+MAX_ENDED = 32
 
 
 class RunningCounts(NamedTuple):
@@ -68,6 +71,13 @@
         return self.window_limit() * self.overage + self.slack
 
 
+class EndedTurn(NamedTuple):
+    """A turn that has ended, by its customer and its id."""
+
+    customer: str
+    turn: str
+
+
 class TurnDemand(NamedTuple):
     """What a turn demands of its service, for admission control.
 
@@ -88,6 +98,8 @@
         running: Requests of the sender that run at the service.
         route_priority: Priority of the route; it orders turns of the same
             priority.
+        ended: Turns of the sender, of any service, that have ended while their
+            CloseTurn is not confirmed; at most MAX_ENDED of them.
     """
 
     service: str
@@ -102,6 +114,7 @@
     timeout: float = 30.0
     running: int = 0
     route_priority: int = 0
+    ended: list[EndedTurn] = []
 
 
 class OpenTurn(NamedTuple):
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -45,9 +45,16 @@
             _check_counts("budget", (request.budget, request.ahead))
             _check_counts("reserve", (request.reserve, request.retention))
             if request.demand is not None:
-                # All fields but the names of the service and the route.
-                _, _, *counts = request.demand
+                # All fields but the names of the service and the route, and
+                # the turns that have ended.
+                _, _, *counts, ended = request.demand
                 _check_counts("demand", tuple(counts))
+                if len(ended) > program_messages.MAX_ENDED:
+                    raise errors.BadRequest(
+                        "A demand may name at most "
+                        f"{program_messages.MAX_ENDED} turns that have ended, "
+                        f"but names {len(ended)}."
+                    )
         case program_messages.CloseTurn():
             _check_key(request.program)
             _check_key(request.turn)
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -263,7 +263,11 @@
             customer.share if customer else 1.0,
             now - self.began,
             self.deadline_at + GRACE_SECONDS - now,
-            turn_demand.capacity_of(self.context.loads, self.service_name),
+            turn_demand.capacity_of(
+                self.context.loads,
+                self.service_name,
+                self.context.turns.ending,
+            ),
         )
 
     def _settle(self) -> None:
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -100,7 +100,13 @@
 
 
 class TurnClient:
-    """Sends turn operations to the leader of each program's group."""
+    """Sends turn operations to the leader of each program's group.
+
+    Attributes:
+        ending: Turns that have ended while their CloseTurn is not confirmed,
+            with the incarnation of the upstream that still counts them as
+            running, or an empty string; the newest last.
+    """
 
     def __init__(
         self,
@@ -114,6 +120,7 @@
         self.timers = timers
         self.events = events
         self.chains = ChainCache()
+        self.ending: dict[program_messages.EndedTurn, str] = {}
 
     def open(
         self,
@@ -142,6 +149,7 @@
             errors.ControlUnavailable: No leader answered in time.
         """
         program = call.program
+        self.ending.pop(_ended_turn(call), None)
         known = branches.chain_of(
             self.chains.turns, call.customer, program.previous
         )
@@ -258,23 +266,24 @@
         call = turn.call
         program = call.program
         began = self.timers.now()
-        self.control.ask(
+        request = program_messages.CloseTurn(
             program.program,
-            program_messages.CloseTurn(
-                program.program,
-                call.request,
-                tokens,
-                upstream,
-                True,
-                program.previous,
-                call.body,
-                output,
-                turn.retention,
-                running,
-                call.customer,
-            ),
-            COMMIT_SECONDS,
+            call.request,
+            tokens,
+            upstream,
+            True,
+            program.previous,
+            call.body,
+            output,
+            turn.retention,
+            running,
+            call.customer,
         )
+        self.ending[_ended_turn(call)] = upstream
+        try:
+            self.control.ask(program.program, request, COMMIT_SECONDS)
+        finally:
+            self.ending.pop(_ended_turn(call), None)
         self.chains.put(
             program_messages.KeptTurn(
                 call.request,
@@ -303,6 +312,7 @@
                 the customer's limit.
         """
         counted_at = -1.0 if ran else turn.counted_at
+        self.ending[_ended_turn(turn.call)] = ""
         self.timers.spawn(
             self._settle,
             turn.call,
@@ -314,6 +324,7 @@
 
     def cancel(self, call: routed_calls.RoutedCall) -> None:
         """Cancels, in the background, an opening that may be committed."""
+        self.ending[_ended_turn(call)] = ""
         self.timers.spawn(self._settle, call, 0, "", 0.0)
 
     def _settle(
@@ -344,6 +355,8 @@
                 )
             )
             return
+        finally:
+            self.ending.pop(_ended_turn(call), None)
         self._emit_settled(call, tokens, False, began)
 
     def _emit_settled(
@@ -362,3 +375,9 @@
                 round(self.timers.now() - began, 4),
             )
         )
+
+
+def _ended_turn(
+    call: routed_calls.RoutedCall,
+) -> program_messages.EndedTurn:
+    return program_messages.EndedTurn(call.customer, call.request)
--- a/src/mintcleat/roles/entry/turn_demand.py
+++ b/src/mintcleat/roles/entry/turn_demand.py
@@ -1,6 +1,8 @@
 """What an entry tells the leader about a turn, for admission control."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
+import types
 from typing import NamedTuple
 
 from mintcleat.decisions import upstream_health
@@ -35,15 +37,31 @@
         slots: Total slots of the upstreams that are ready and healthy.
         upstreams: Number of these upstreams.
         running: Requests of this entry that run at the service.
+        ended: Turns of this entry, of any service, that have ended while their
+            CloseTurn is not confirmed.
     """
 
     slots: int
     upstreams: int
     running: int
+    ended: list[program_messages.EndedTurn] = []
 
 
-def capacity_of(loads: upstream_loads.UpstreamLoads, service: str) -> Capacity:
-    """Returns the capacity and the use of a service."""
+def capacity_of(
+    loads: upstream_loads.UpstreamLoads,
+    service: str,
+    ending: Mapping[program_messages.EndedTurn, str] = types.MappingProxyType(
+        {}
+    ),
+) -> Capacity:
+    """Returns the capacity and the use of a service.
+
+    Args:
+        loads: What this entry has running.
+        service: Name of the service.
+        ending: `turn_client.TurnClient.ending`. Turns that are being committed
+            don't run any more, though their upstream counts them.
+    """
     ready = loads.by_service.get(service, {})
     policy = loads.policy
     # The failure penalties for requests that may be repeated are the mildest;
@@ -60,8 +78,16 @@
         for name, requests in loads.requests.by_upstream.items()
         if name in ready
     )
+    running -= sum(
+        turn.turn in loads.requests.by_upstream.get(name, ())
+        for turn, name in ending.items()
+        if name in ready
+    )
     return Capacity(
-        sum(ready[name].slots for name in names), len(names), running
+        sum(ready[name].slots for name in names),
+        len(names),
+        running,
+        list(ending)[-program_messages.MAX_ENDED :],
     )
 
 
@@ -105,4 +131,5 @@
         timeout=round(max(0.0, left), 3),
         running=capacity.running,
         route_priority=route_priority,
+        ended=capacity.ended,
     )
--- a/testing/test_contention.py
+++ b/testing/test_contention.py
@@ -139,6 +139,29 @@
         )
         self.assertIsInstance(self.ask(opening("later")), errors.TurnDeferred)
 
+    def test_turn_that_its_entry_ended_frees_its_place(self) -> None:
+        # Guards against slots that stay in use while CloseTurns are late.
+        opened = self.fill()
+        ended = [program_messages.EndedTurn("farm", opened[0])]
+        demand = DEMAND._replace(ended=ended)
+        self.assertIsInstance(
+            self.ask(opening("next", demand=demand)),
+            program_messages.TurnOpened,
+        )
+        self.assertIsInstance(self.ask(opening("later")), errors.TurnDeferred)
+        # Its CloseTurn frees no second place.
+        self.ask(closing(opened[0]))
+        self.assertIsInstance(self.ask(opening("later")), errors.TurnDeferred)
+
+    def test_entry_ends_no_turns_of_other_entries(self) -> None:
+        opened = self.fill()
+        ended = [program_messages.EndedTurn("farm", opened[0])]
+        demand = DEMAND._replace(ended=ended)
+        self.assertIsInstance(
+            self.ask(opening("next", demand=demand, entry="a2")),
+            errors.TurnDeferred,
+        )
+
     def test_resent_turn_is_granted_once(self) -> None:
         opened = self.fill()
         view = self.service.contention.views()["lm"]
@@ -281,11 +304,18 @@
         self.assertEqual([], view.customers)
 
     def test_invalid_demand_is_refused(self) -> None:
-        for changes in ({"share": -1.0}, {"tokens": -1}, {"waited": -0.1}):
+        ended = [program_messages.EndedTurn("farm", "t")] * 100
+        for changes in (
+            {"share": -1.0},
+            {"tokens": -1},
+            {"waited": -0.1},
+            {"ended": ended},
+        ):
             demand = DEMAND._replace(**changes)
             reply = self.ask(opening("t1", demand=demand))
             self.assertIsInstance(reply, errors.BadRequest)
 
     def test_messages_with_a_demand_are_decoded_alike(self) -> None:
-        request = opening("t1")
+        ended = [program_messages.EndedTurn("farm", "t0")]
+        request = opening("t1", demand=DEMAND._replace(ended=ended))
         self.assertEqual(request, codec.decode(codec.encode(request)))
--- a/testing/test_turn_client.py
+++ b/testing/test_turn_client.py
@@ -50,6 +50,7 @@
 
     Attributes:
         asked: The requests that were sent.
+        closing: Called while a CloseTurn is not yet answered.
     """
 
     groups = 1
@@ -57,10 +58,12 @@
     def __init__(self, answer: Callable[[int], Any]) -> None:
         self.answer = answer
         self.asked: list[Any] = []
+        self.closing: Callable[[], None] = lambda: None
 
     def ask(self, scope: str, message: Any, timeout: float) -> Any:
         self.asked.append(message)
         if isinstance(message, program_messages.CloseTurn):
+            self.closing()
             return None
         reply = self.answer(len(self.asked))
         if isinstance(reply, BaseException):
@@ -105,7 +108,7 @@
         )
         self.loads.refresh()
 
-    def open(self, answer: Callable[[int], Any]) -> Any:
+    def client(self, answer: Callable[[int], Any]) -> turn_client.TurnClient:
         self.control = Control(answer)
         limiter = rate_limiter.RateLimiter(
             self.control,
@@ -113,9 +116,12 @@
             events.NullEventReporter(),
             self.configuration,
         )
-        client = turn_client.TurnClient(
+        return turn_client.TurnClient(
             self.control, limiter, self.clock, events.NullEventReporter()
         )
+
+    def open(self, answer: Callable[[int], Any]) -> Any:
+        client = self.client(answer)
         admission = turn_demand.Admission(
             self.demand, self.loads.report, self.clock.now() + 1.5
         )
@@ -179,3 +185,51 @@
         opened, closed = self.control.asked
         self.assertIsInstance(closed, program_messages.CloseTurn)
         self.assertEqual(opened.turn, closed.turn)
+
+    def closing(
+        self, close: Callable[[turn_client.TurnClient, Any], None]
+    ) -> Any:
+        """Returns what the entry states while a CloseTurn is on the way."""
+        client = self.client(lambda count: OPENED)
+        turn = client.open(CALL, 100, 60.0, self.loads.report())
+        self.loads.began("e1", "r1", 1.0)
+        self.loads.began("e1", "other", 1.0)
+        found = []
+        self.control.closing = lambda: found.append(
+            turn_demand.capacity_of(self.loads, "lm", client.ending)
+        )
+        close(client, turn)
+        self.assertEqual({}, client.ending)
+        (capacity,) = found
+        return capacity
+
+    def test_turn_has_ended_while_its_commit_is_on_the_way(self) -> None:
+        # Guards against a slot that stays in use until a late CloseTurn, and
+        # against a turn that counts as ended and as running.
+        capacity = self.closing(
+            lambda client, turn: client.commit(
+                turn, 5, "e1", b"", self.loads.report()
+            )
+        )
+        self.assertEqual(1, capacity.running)
+        ended = program_messages.EndedTurn("farm", "r1")
+        self.assertEqual([ended], capacity.ended)
+
+    def test_interrupted_turn_has_ended_while_it_is_settled(self) -> None:
+        def settle(client: turn_client.TurnClient, turn: Any) -> None:
+            self.loads.ended("e1", "r1")
+            client.settle(turn, 5, "e1", True)
+
+        capacity = self.closing(settle)
+        self.assertEqual(1, capacity.running)
+        ended = program_messages.EndedTurn("farm", "r1")
+        self.assertEqual([ended], capacity.ended)
+
+    def test_number_of_ended_turns_in_a_demand_is_bounded(self) -> None:
+        ending = {
+            program_messages.EndedTurn("farm", str(number)): ""
+            for number in range(200)
+        }
+        capacity = turn_demand.capacity_of(self.loads, "lm", ending)
+        self.assertEqual(program_messages.MAX_ENDED, len(capacity.ended))
+        self.assertEqual("199", capacity.ended[-1].turn)
--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -29,6 +29,8 @@
 PROMPT_TOKENS = 500
 # Tokens that callers request beyond what is generated.
 UNUSED_TOKENS = 100
+# Entries, unless a test needs more.
+ENTRIES = 4
 # Attempts of one turn, until its program fails.
 MAX_ATTEMPTS = 3
 # Seconds between an attempt that was refused or timed out, and the next.
@@ -124,6 +126,21 @@
         return ended
 
 
+class Entry:
+    """What an entry has running, as it reports it.
+
+    Attributes:
+        running: Its requests at engines.
+        ended: When its turns ended whose messages are on the way.
+        frozen_until: Time until which it neither sends nor receives.
+    """
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.ended: dict[turn_queue.TurnKey, float] = {}
+        self.frozen_until = 0.0
+
+
 class ProgramResult(NamedTuple):
     """The result of a program.
 
@@ -156,6 +173,7 @@
         decisions: Number of decisions by their class.
         stopped: Time from which on no programs begin.
         lost_turns: Turns whose end is never reported.
+        entries: The entries by name.
     """
 
     def __init__(
@@ -170,6 +188,7 @@
         admission: bool = True,
         customers: int = 20,
         report_delay: float = 0.0,
+        entries: int = ENTRIES,
     ) -> None:
         self.kinds = kinds
         self.engines = [Engine(slots, per_request) for _ in range(engines)]
@@ -189,6 +208,7 @@
         self.decisions: collections.Counter[str] = collections.Counter()
         self.stopped = math.inf
         self.lost_turns: set[turn_queue.TurnKey] = set()
+        self.entries = {f"a{number}": Entry() for number in range(entries)}
         for kind in kinds:
             for customer in self.customers:
                 self._plan_start(kind, customer)
@@ -243,6 +263,20 @@
         good = sum(one.outcome == "aim" for one in found)
         return good / max(1, len(found))
 
+    def freeze(self, entries: list[str], until: float) -> None:
+        """Freezes entries; engines continue what they run for them."""
+        for name in entries:
+            self.entries[name].frozen_until = until
+
+    def pick_entry(self) -> str:
+        """Returns an entry for an attempt; callers avoid frozen ones."""
+        names = [
+            name
+            for name, entry in self.entries.items()
+            if entry.frozen_until <= self.now
+        ]
+        return names[self.random.randrange(len(names))]
+
     def add_load(self, customer: str, factor: float) -> None:
         """Adds a multiple of a customer's usual load from now on."""
         for kind in self.kinds:
@@ -329,7 +363,7 @@
         self.key = turn_queue.TurnKey(
             program.customer, f"{program.id}-{next(self.world.numbers)}"
         )
-        self.entry = f"a{self.world.random.randrange(4)}"
+        self.entry = self.world.pick_entry()
         self.over = False
         self.request: Request | None = None
         self.world.at(self.began + program.kind.deadline, self.give_up)
@@ -341,9 +375,21 @@
     def ask(self) -> None:
         self.world.at(self.world.now + MESSAGE_SECONDS, self.decide)
 
+    def when_awake(self, callback: Callable[[], None]) -> bool:
+        """Calls back once the entry is no longer frozen.
+
+        Returns:
+            Whether it is frozen now; otherwise nothing is called.
+        """
+        until = self.world.entries[self.entry].frozen_until
+        if until <= self.world.now:
+            return False
+        self.world.at(until, callback)
+        return True
+
     def decide(self) -> None:
         world = self.world
-        if self.over:
+        if self.when_awake(self.decide) or self.over:
             return
         if world.now < world.leader_until:
             world.at(world.now + NO_LEADER_RETRY_SECONDS, self.decide)
@@ -352,6 +398,7 @@
             self.place()
             return
         program = self.program
+        entry = world.entries[self.entry]
         kind = program.kind
         tokens = round(self.work * TOKENS_PER_SECOND)
         demand = program_messages.TurnDemand(
@@ -367,6 +414,13 @@
             places=sum(engine.slots for engine in world.engines),
             memory_tokens=0,
             timeout=kind.deadline,
+            running=entry.running,
+            ended=[
+                program_messages.EndedTurn(*key)
+                for key, at in entry.ended.items()
+                # What the entry knew when it sent this message.
+                if at < world.now - MESSAGE_SECONDS - STEP_SECONDS
+            ],
         )
         decision = world.schedule.ask(
             turn_queue.Ask(
@@ -398,9 +452,13 @@
         engine = min(choices, key=lambda one: one.load * one.slow)
         self.request = Request(self.program.kind.priority, self.work, self.done)
         engine.waiting.append(self.request)
+        world.entries[self.entry].running += 1
 
     def done(self) -> None:
+        if self.when_awake(self.done) or self.over:
+            return
         self.over = True
+        self.world.entries[self.entry].running -= 1
         self.close(round(self.work * TOKENS_PER_SECOND), True)
         self.world.at(
             self.world.now + 2 * MESSAGE_SECONDS, self.program.ended_turn
@@ -410,15 +468,25 @@
         if self.over:
             return
         self.over = True
-        if self.request is not None:
-            self.request.cancelled = True
-            self.close(0, False)
+        self.cancel()
         self.program.failed_turn()
 
+    def cancel(self) -> None:
+        """Ends the request of a caller that gave up."""
+        if self.request is None or self.when_awake(self.cancel):
+            return
+        self.request.cancelled = True
+        self.world.entries[self.entry].running -= 1
+        self.close(0, False)
+
     def close(self, tokens: int, ran: bool) -> None:
         world = self.world
+        ended = world.entries[self.entry].ended
+        if self.key not in world.lost_turns:
+            ended[self.key] = world.now
 
         def arrive() -> None:
+            ended.pop(self.key, None)
             if world.now < world.leader_until:
                 world.at(world.leader_until, arrive)
             elif world.schedule and self.key not in world.lost_turns:
