--- a/src/mintcleat/roles/entry/run_turn.py
+++ b/src/mintcleat/roles/entry/run_turn.py
@@ -116,5 +116,9 @@
             customer.share if customer else 1.0,
             now - deadline.began,
             deadline.at + run_deadline.GRACE_SECONDS - now,
-            turn_demand.capacity_of(self.context.loads, self.service_name),
+            turn_demand.capacity_of(
+                self.context.loads,
+                self.service_name,
+                self.context.turns.ending,
+            ),
         )
