Periodic work shares wakeups, whatever its period

Cause: of 75 to 91 wakeups a second of an idle control instance, 12 of the leader were polls of its idle relay every 75 ms, 6 reports on streams, 2 the check of the event loop, and those with periods of 0.15 and 0.25 s seldom coincided with those of 0.1 s. An entry had 27.

Change: AlignedTimers rounds due times up to multiples of 0.1 s. Reports of streams, the idle relay and the check of the event loop are aligned too (Timers.sleep_to_next).

--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import heapq
 import itertools
+import math
 import random
 import time
 
@@ -16,6 +17,11 @@
 _MAX_ALIGNED_SECONDS = 1.0
 # Least time between two calls of an aligned callback, as a part of its period.
 _MIN_PERIOD_FRACTION = 0.1
+# Callbacks are due at multiples of this, unless their period is much shorter.
+# Multiples of 0.15 or 0.25 s would seldom coincide with those of 0.1 s.
+_GRID_SECONDS = 0.1
+# Bound on errors of floating-point numbers, in periods.
+_ROUNDING = 1e-6
 # Clock reading from which multiples of periods count. It is random, so that the
 # processes of one host do not wake up at the same time.
 _PHASE = random.uniform(0.0, _MAX_ALIGNED_SECONDS)
@@ -77,10 +83,20 @@
         """Suspends the calling green thread."""
         eventlet.sleep(seconds)
 
+    def sleep_to_next(self, period: float) -> float:
+        """Suspends the calling green thread for about `period`."""
+        return self._sleep_measured(period)
+
     def spawn(self, function: Callable[..., None], *args: object) -> None:
         """Runs a function in a green thread; see `green_threads.spawn`."""
         green_threads.spawn(function, *args)
 
+    def _sleep_measured(self, seconds: float) -> float:
+        """Sleeps; returns how much too long in seconds."""
+        due = self.now() + seconds
+        self.sleep(seconds)
+        return max(0.0, self.now() - due)
+
     def _run_once(
         self, subscription: EventletSubscription, callback: Callable[[], None]
     ) -> None:
@@ -108,15 +124,16 @@
 class AlignedTimers(EventletTimers):
     """Timers whose periodic callbacks are due at common times.
 
-    Callbacks are due at multiples of their period, the first time after 0.1 to
-    1.1 periods, so that several of them share one wakeup of the process. A
-    process that wakes up from idle runs Python code several times slower than
-    usual, because other processes have replaced its data in the CPU's caches.
+    Callbacks are due at multiples of their period, rounded up to the next
+    multiple of `_GRID_SECONDS`, so that several of them share one wakeup of the
+    process. A process that wakes up from idle runs Python code several times
+    slower than usual, because other processes have replaced its data in the
+    CPU's caches.
     """
 
-    def sleep_to_next(self, period: float) -> None:
+    def sleep_to_next(self, period: float) -> float:
         """Suspends the calling green thread until a multiple of `period`."""
-        eventlet.sleep(seconds_to_next(period))
+        return self._sleep_measured(seconds_to_next(period))
 
     def _seconds_to_next(self, period: float) -> float:
         return seconds_to_next(period)
@@ -125,15 +142,25 @@
 def seconds_to_next(period: float) -> float:
     """Returns the seconds until the next multiple of a short period.
 
-    A long period is returned as it is.
+    The multiple is rounded up to the grid. A long period is returned as it is.
     """
     if period > _MAX_ALIGNED_SECONDS:
         return period
-    seconds = period - (time.monotonic() - _PHASE) % period
+    now = time.monotonic() - _PHASE
     # A callback that runs a little early or very late is not repeated at once.
-    if seconds > _MIN_PERIOD_FRACTION * period:
-        return seconds
-    return seconds + period
+    # The last one was due at most one step of the grid late.
+    earliest = now + _MIN_PERIOD_FRACTION * period
+    due = math.floor(now / period + _ROUNDING) * period
+    while (at := _on_grid(due, period)) <= earliest:
+        due += period
+    return at - now
+
+
+def _on_grid(due: float, period: float) -> float:
+    """Returns a time rounded up to the grid, except for a short period."""
+    if period < _GRID_SECONDS / 2:
+        return due
+    return math.ceil(due / _GRID_SECONDS - _ROUNDING) * _GRID_SECONDS
 
 
 def _run_and_log(callback: Callable[[], None]) -> None:
@@ -196,6 +223,11 @@
         """Advances virtual time and runs due callbacks."""
         self.advance(seconds)
 
+    def sleep_to_next(self, period: float) -> float:
+        """Advances virtual time by `period`, never too long; returns 0."""
+        self.advance(period)
+        return 0.0
+
     def spawn(self, function: Callable[..., None], *args: object) -> None:
         """Runs a function when virtual time next advances."""
         self.after(0.0, lambda: function(*args))
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -383,9 +383,7 @@
         """Measures how late the event loop runs a timer."""
         timers = self.common.timers
         while not self.stop_signals:
-            due = timers.now() + _LOOP_CHECK_SECONDS
-            timers.sleep(_LOOP_CHECK_SECONDS)
-            late = max(0.0, timers.now() - due)
+            late = timers.sleep_to_next(_LOOP_CHECK_SECONDS)
             self.common.metrics.observe("loop_lag_seconds", late)
 
     def _watch_memory(self) -> None:
--- a/src/mintcleat/ports/timers.py
+++ b/src/mintcleat/ports/timers.py
@@ -33,5 +33,15 @@
     def sleep(self, seconds: float) -> None:
         """Suspends the calling green thread."""
 
+    def sleep_to_next(self, period: float) -> float:
+        """Suspends the calling green thread, for periodic work.
+
+        It continues at a time that it shares with other periodic work: after
+        `period` on average, and after at most 0.1 s more than `period`.
+
+        Returns:
+            How late it continued, in seconds.
+        """
+
     def spawn(self, function: Callable[..., None], *args: object) -> None:
         """Runs a function in a new green thread."""
--- a/src/mintcleat/roles/control/configuration/stream.py
+++ b/src/mintcleat/roles/control/configuration/stream.py
@@ -132,7 +132,10 @@
         while not self.stopped:
             address = self.owner.select_address(attempt)
             if not address:
-                self.timers.sleep(self.renew / (2 if self.idle else 10))
+                if self.idle:
+                    self.timers.sleep_to_next(self.renew / 2)
+                else:
+                    self.timers.sleep(self.renew / 10)
                 continue
             before = self.owner.lease.echo
             try:
@@ -201,7 +204,7 @@
             except errors.StreamClosed:
                 return
             first = False
-            self.timers.sleep(self.renew)
+            self.timers.sleep_to_next(self.renew)
 
     def _send_report(
         self, exchange: stream_ports.Exchange, first: bool
--- a/testing/test_event_loop.py
+++ b/testing/test_event_loop.py
@@ -281,3 +281,24 @@
             ):
                 seconds = timers.seconds_to_next(0.1)
             self.assertTrue(0.01 <= seconds <= 0.11, (late, seconds))
+
+    def test_periods_share_times_and_keep_their_rate(self) -> None:
+        # Multiples of 0.15 and 0.25 s would need wakeups of their own between
+        # those of 0.1 s.
+        for period in (0.075, 0.1, 0.15, 0.25, 0.3, 0.5, 1.0):
+            now = 1000.0
+            clock = mock.Mock(side_effect=lambda: now)  # noqa: B023
+            calls = 0
+            with (
+                mock.patch.object(timers, "_PHASE", 0.03),
+                mock.patch.object(timers.time, "monotonic", clock),
+            ):
+                while now < 1030.0:
+                    seconds = timers.seconds_to_next(period)
+                    self.assertTrue(seconds <= period + 0.1001, period)
+                    now += seconds
+                    steps = (now - 0.03) / 0.1
+                    self.assertAlmostEqual(steps, round(steps), 4)
+                    calls += 1
+            expected = 30.0 / max(period, 0.1)
+            self.assertTrue(abs(calls - expected) <= 1 + 0.01 * calls, period)
