Load view: speed, memory and avoidance of upstreams, Retry-After by customer

Cause: operators saw neither which engine the entries agree to be slow or avoid, nor what delay a refused customer is given. Turns that wait (TurnDeferred, a subclass of Overloaded) were counted as refusals.

Change: UpstreamLoad, CustomerLoad, LoadView and ShowLoad get fields at the end. Refusals are counted with the rule that refused and with their advised delay in buckets. At most 50 upstreams are shown, those in trouble first. Turns that wait are no longer counted.

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -343,14 +343,15 @@
     def _show_load(self, request: Request) -> dict[str, Any]:
         """Merges the views of all groups' leaders."""
         customers = max(1, request.integer("customers", PAGE_SIZE))
+        upstreams = max(1, request.integer("upstreams", PAGE_SIZE))
         views = [
             self.programs.show_load(
-                program_messages.ShowLoad(group, customers),
+                program_messages.ShowLoad(group, customers, upstreams),
                 PROGRAM_TIMEOUT_SECONDS,
             )
             for group in self.groups()
         ]
-        return admin_views.load(views, customers)
+        return admin_views.load(views, customers, upstreams)
 
     def _replace_instance(
         self, request: Request, control: ControlActions
--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -31,7 +31,9 @@
 
 
 def load(
-    views: list[program_messages.LoadView], customers: int
+    views: list[program_messages.LoadView],
+    customers: int,
+    max_upstreams: int = 50,
 ) -> dict[str, Any]:
     """Returns the load over all groups.
 
@@ -42,36 +44,69 @@
     Args:
         views: View of each group.
         customers: Maximum number of customers.
+        max_upstreams: Maximum number of upstreams.
     """
     upstreams: dict[str, program_messages.UpstreamLoad] = {}
     usages: dict[str, program_messages.CustomerLoad] = {}
     for view in views:
         for item in view.upstreams:
-            known = upstreams.get(item.upstream, item)
-            upstreams[item.upstream] = max(
-                known, item, key=lambda one: one.running
+            other = upstreams.get(item.upstream)
+            upstreams[item.upstream] = (
+                _merge_upstreams(other, item) if other else item
             )
         for item in view.customers:
             known = usages.get(item.customer)
             usages[item.customer] = _merge(known, item) if known else item
     listed = sorted(usages.values(), key=program_messages.CustomerLoad.sort_key)
+    found = sorted(
+        upstreams.values(), key=program_messages.UpstreamLoad.sort_key
+    )
+    count = max((view.upstream_count for view in views), default=0)
     return {
         "entries": max((view.entries for view in views), default=0),
-        "upstreams": plain([upstreams[name] for name in sorted(upstreams)]),
+        "upstreams": plain(found[:max_upstreams]),
+        "upstream_count": max(count, len(found)),
         "customers": plain(listed[:customers]),
         "services": plain([item for view in views for item in view.services]),
     }
 
 
+def _merge_upstreams(
+    one: program_messages.UpstreamLoad, other: program_messages.UpstreamLoad
+) -> program_messages.UpstreamLoad:
+    """Returns the load of one upstream that two groups' leaders reported.
+
+    Each entry reports everything to every leader, so the leader that heard
+    from more entries knows more.
+    """
+    most = max(one, other, key=lambda item: item.running)
+    speed = max(one, other, key=lambda item: item.speed_reports)
+    return most._replace(
+        speed=speed.speed,
+        speed_reports=speed.speed_reports,
+        avoided_by=max(one.avoided_by, other.avoided_by),
+        avoided=one.avoided or other.avoided,
+    )
+
+
 def _merge(
     one: program_messages.CustomerLoad, other: program_messages.CustomerLoad
 ) -> program_messages.CustomerLoad:
-    """Returns the load of one customer that two groups reported."""
+    """Returns the load of one customer that two groups reported.
+
+    The delays are the longer ones: medians can't be merged.
+    """
     refused = collections.Counter(one.refused) + collections.Counter(
         other.refused
     )
+    reasons = collections.Counter(one.reasons) + collections.Counter(
+        other.reasons
+    )
     return max(one, other, key=lambda item: item.used)._replace(
-        refused=dict(refused)
+        refused=dict(refused),
+        reasons=dict(reasons),
+        retry_after=max(one.retry_after, other.retry_after),
+        retry_after_max=max(one.retry_after_max, other.retry_after_max),
     )
 
 
--- a/src/mintcleat/decisions/shared_health.py
+++ b/src/mintcleat/decisions/shared_health.py
@@ -49,11 +49,12 @@
         if found:
             self.reports[entry] = (now, found)
             self.counts.update(found)
-        while self.reports:
-            oldest, (at, _) = next(iter(self.reports.items()))
-            if now - at <= MAX_AGE_SECONDS:
-                return
-            self._remove(oldest)
+        self._expire(now)
+
+    def current_counts(self, now: float) -> dict[str, int]:
+        """Drops expired reports; returns the number of entries by upstream."""
+        self._expire(now)
+        return dict(self.counts)
 
     def failing(self) -> list[str]:
         """Returns those that enough entries report, most reported first."""
@@ -65,6 +66,13 @@
         found.sort(key=lambda upstream: (-self.counts[upstream], upstream))
         return found[:MAX_UPSTREAMS]
 
+    def _expire(self, now: float) -> None:
+        while self.reports:
+            oldest, (at, _) = next(iter(self.reports.items()))
+            if now - at <= MAX_AGE_SECONDS:
+                return
+            self._remove(oldest)
+
     def _remove(self, entry: str) -> None:
         _, upstreams = self.reports.pop(entry, (0.0, frozenset()))
         for upstream in upstreams:
--- a/src/mintcleat/decisions/shared_load.py
+++ b/src/mintcleat/decisions/shared_load.py
@@ -59,6 +59,18 @@
     slowdowns: Mapping[str, int] = {}
 
 
+class ReportedSlowdown(NamedTuple):
+    """What the entries report about the speed of one upstream.
+
+    Attributes:
+        percent: Time in percent of the median; median of the reports.
+        reports: Number of entries that report a difference.
+    """
+
+    percent: int
+    reports: int
+
+
 class Summary(NamedTuple):
     """What other entries reported, for one of them.
 
@@ -217,6 +229,18 @@
         self._expire(now)
         return dict(self.totals)
 
+    def current_slowdowns(self, now: float) -> dict[str, ReportedSlowdown]:
+        """Drops expired reports; returns what is reported by upstream.
+
+        It has every upstream that any entry reports as different, also those
+        on which too few entries agree for the others to consider it.
+        """
+        self._expire(now)
+        return {
+            upstream: ReportedSlowdown(_median(percents), len(percents))
+            for upstream, percents in self.slowdowns.items()
+        }
+
     def summary(self, entry: str) -> Summary:
         """Returns requests, tokens and speeds for one entry."""
         running = self.others(entry)
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -31,6 +31,8 @@
         outcome: Whether the request ran: `not_run`, `unknown` or `ran`.
         remedy: What the caller or operator can do.
         retry_after: Seconds to wait before a retry; 0 when unspecified.
+        reason: Rule that decided, for counts within this process; empty if
+            the kind tells it. It is not sent in messages.
     """
 
     kind: ClassVar[str] = "internal"
@@ -52,6 +54,7 @@
         self.outcome = outcome or self.default_outcome
         self.remedy = remedy or self.default_remedy
         self.retry_after = retry_after
+        self.reason = ""
         super().__init__(f"{detail} {self.remedy}")
 
     def failure(self) -> Failure:
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -3,6 +3,7 @@
 See `domain.messages` for the encoding that all messages share.
 """
 
+from typing import Any
 from typing import NamedTuple
 
 from mintcleat.domain import errors
@@ -508,10 +509,12 @@
 
     Attributes:
         customers: Maximum number of customers in the answer.
+        upstreams: Maximum number of upstreams in the answer.
     """
 
     group: str
     customers: int = 50
+    upstreams: int = 50
 
 
 class UpstreamLoad(NamedTuple):
@@ -521,13 +524,37 @@
         upstream: Incarnation of the upstream.
         running: Running requests over all entries.
         tokens: Tokens that they hold in its memory; 0 if unknown.
-        speed: Speed relative to its peers; 0 if unknown.
+        speed: Speed in multiples of the median of its peers, the median of
+            the entries' reports; 0 if no entry reports a difference.
+        memory_tokens: Tokens that its memory holds, as its service is
+            configured; 0 if unknown.
+        speed_reports: Number of entries that report a different speed.
+        avoided_by: Number of entries that avoid it, since it fails or is
+            silent.
+        avoided: Whether enough entries avoid it for the others to avoid it
+            as well.
     """
 
     upstream: str
     running: int
     tokens: int = 0
     speed: float = 0.0
+    memory_tokens: int = 0
+    speed_reports: int = 0
+    avoided_by: int = 0
+    avoided: bool = False
+
+    def sort_key(self) -> tuple[Any, ...]:
+        """Orders upstreams: avoided ones, slow ones, then the fullest."""
+        used = self.tokens / self.memory_tokens if self.memory_tokens else 0.0
+        return (
+            not self.avoided,
+            -self.avoided_by,
+            min(1.0, self.speed) if self.speed else 1.0,
+            -used,
+            -self.running,
+            self.upstream,
+        )
 
 
 class CustomerLoad(NamedTuple):
@@ -540,6 +567,11 @@
         used: Requests in the window so far.
         programs: Programs in progress.
         refused: Requests refused within the last minute, by kind of error.
+        reasons: The same refusals by kind and, where admission control
+            refused, its reason.
+        retry_after: Median delay in seconds that these refusals advised,
+            rounded up to a bucket; 0 if none advised one.
+        retry_after_max: Longest of these delays, rounded up likewise.
     """
 
     customer: str
@@ -549,6 +581,9 @@
     used: int
     programs: int
     refused: dict[str, int]
+    reasons: dict[str, int] = {}
+    retry_after: float = 0.0
+    retry_after_max: float = 0.0
 
     def sort_key(self) -> tuple[float, int, str]:
         """Orders customers: those closest to their limit first."""
@@ -616,10 +651,12 @@
 
     Attributes:
         entries: Number of entries that have reported within a second.
-        upstreams: Load of upstreams with running requests.
+        upstreams: Load of upstreams with running requests, a different speed,
+            or entries that avoid them; those in trouble first.
         customers: Customers that use most of their limit, and those that were
             refused.
         services: Services under admission control.
+        upstream_count: Number of such upstreams; `upstreams` may have fewer.
     """
 
     group: str
@@ -627,3 +664,4 @@
     upstreams: list[UpstreamLoad]
     customers: list[CustomerLoad]
     services: list[ServiceLoad] = []
+    upstream_count: int = 0
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -154,14 +154,16 @@
         """
         cli_explain.run(name, files, self._json)
 
-    def load(self, customers: int = 50) -> None:
+    def load(self, customers: int = 50, upstreams: int = 50) -> None:
         """Shows the use of limits and services, and what is refused and why.
 
         Args:
             customers: Maximum number of customers, those closest to their
                 limit first.
+            upstreams: Maximum number of upstreams: those that entries avoid,
+                then slow ones, then the fullest.
         """
-        cli_load.run(self._client, customers, self._json)
+        cli_load.run(self._client, customers, upstreams, self._json)
 
     def instances(self) -> None:
         """Lists the nodes, their applied revision and remaining lease."""
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -88,6 +88,7 @@
             groups,
             self.policies,
             histories=self._histories,
+            memory_tokens=self.memory_tokens,
             events=events,
         )
         self.planner = rollout.Planner(self.config)
@@ -164,11 +165,28 @@
         If this release can't read that revision, they are those of the last
         one that it could, so that turns and counts are still served.
         """
+        return self._manifest().policies
+
+    def memory_tokens(self) -> dict[str, int]:
+        """Returns the memory of the registered upstreams, by incarnation.
+
+        Those whose service doesn't state it are left out.
+        """
+        services = self._manifest().services
+        found = {}
+        for item in self.config.machine.directory.entries.values():
+            service = services.get(item.service)
+            if service is not None and service.memory_tokens:
+                found[item.incarnation] = service.memory_tokens
+        return found
+
+    def _manifest(self) -> manifest_module.Manifest:
+        """Returns the last manifest that this instance could read."""
         document = self.config.machine.document
         try:
-            return document.manifest().policies
+            return document.manifest()
         except msgspec.ValidationError:
-            return document.assembled.policies
+            return document.assembled
 
     def _histories(self, group: str) -> histories.FileHistoryStore:
         return histories.FileHistoryStore(self.folder / "histories" / group)
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -85,10 +85,12 @@
                     retry_after=decision.retry_after,
                 )
         self._emit_refused(request, decision)
-        return _ERRORS[decision.kind](
+        error = _ERRORS[decision.kind](
             _refusal_detail(request.demand.service, decision),
             retry_after=round(decision.retry_after, 3),
         )
+        error.reason = decision.reason
+        return error
 
     def opened(
         self, group: str, request: program_messages.OpenTurn, reply: Any
--- a/src/mintcleat/roles/control/programs/load_report.py
+++ b/src/mintcleat/roles/control/programs/load_report.py
@@ -7,6 +7,7 @@
 
 from mintcleat.decisions import limits
 from mintcleat.decisions import refusal_counts
+from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
@@ -37,10 +38,24 @@
         timers: timer_ports.Timers,
         policies: Callable[[], manifest.Policies],
         entry_loads: shared_load.EntryLoads,
+        failure_reports: shared_health.FailureReports,
+        memory_tokens: Callable[[], Mapping[str, int]],
     ) -> None:
+        """Takes what the report is made of.
+
+        Args:
+            timers: The clock.
+            policies: Returns the policies in force.
+            entry_loads: What entries report about load and speed.
+            failure_reports: What they report about failing upstreams.
+            memory_tokens: Returns the memory of each registered upstream in
+                tokens, by incarnation, where it is known.
+        """
         self.timers = timers
         self.policies = policies
         self.entry_loads = entry_loads
+        self.failure_reports = failure_reports
+        self.memory_tokens = memory_tokens
         self.refusals = refusal_counts.RefusalCounts()
 
     def answered(self, request: Any, reply: Any) -> None:
@@ -49,11 +64,27 @@
         match reply:
             case program_messages.CallCounted(refused=refused) if refused:
                 calls, failure = refused
-                self.refusals.add(request.customer, failure.kind, calls, now)
+                self.refusals.add(
+                    request.customer,
+                    failure.kind,
+                    calls,
+                    now,
+                    retry_after=failure.retry_after,
+                )
+            case errors.TurnDeferred():
+                # The turn waits; it isn't refused.
+                pass
             case errors.MintcleatError() if isinstance(reply, _REFUSALS):
                 calls = getattr(request, "calls", 1)
                 customer = getattr(request, "customer", "")
-                self.refusals.add(customer, reply.kind, calls, now)
+                self.refusals.add(
+                    customer,
+                    reply.kind,
+                    calls,
+                    now,
+                    reason=reply.reason,
+                    retry_after=reply.retry_after,
+                )
 
     def view(
         self,
@@ -71,27 +102,59 @@
             services: Services under admission control.
         """
         now = self.timers.now()
-        running = self.entry_loads.current_totals(now)
+        upstreams = self._upstreams(now)
         return program_messages.LoadView(
             request.group,
             len(self.entry_loads.reports),
-            [
-                program_messages.UpstreamLoad(upstream, running[upstream])
-                for upstream in sorted(running)
-            ],
+            upstreams[: request.upstreams],
             self._customers(usages, clock, now)[: request.customers],
             list(services),
+            len(upstreams),
         )
 
+    def _upstreams(self, now: float) -> list[program_messages.UpstreamLoad]:
+        """Returns the upstreams that entries report, those in trouble first."""
+        running = self.entry_loads.current_totals(now)
+        slowdowns = self.entry_loads.current_slowdowns(now)
+        avoided = self.failure_reports.current_counts(now)
+        memory = self.memory_tokens()
+        found = []
+        for upstream in {**running, **slowdowns, **avoided}:
+            slowdown = slowdowns.get(upstream)
+            count = avoided.get(upstream, 0)
+            found.append(
+                program_messages.UpstreamLoad(
+                    upstream,
+                    running.get(upstream, 0),
+                    self.entry_loads.tokens[upstream],
+                    round(100.0 / slowdown.percent, 2) if slowdown else 0.0,
+                    memory.get(upstream, 0),
+                    slowdown.reports if slowdown else 0,
+                    count,
+                    count >= shared_health.MIN_ENTRIES,
+                )
+            )
+        return sorted(found, key=program_messages.UpstreamLoad.sort_key)
+
     def _customers(
         self, usages: counting.CustomerLimits, clock: float, now: float
     ) -> list[program_messages.CustomerLoad]:
         """Returns the customers, those closest to their limit first."""
         refused = self.refusals.recent(now)
-        found = [
-            self._customer(name, usages, clock, refused.get(name, {}))
-            for name in {**usages.usages, **refused}
-        ]
+        reasons = self.refusals.reasons(now)
+        delays = self.refusals.delays(now)
+        found = []
+        for name in {**usages.usages, **refused}:
+            advised = delays.get(name, refusal_counts.AdvisedDelays())
+            customer = self._customer(name, usages, clock)
+            found.append(
+                customer._replace(
+                    refused=refused.get(name, {}),
+                    reasons=reasons.get(name, {}),
+                    retry_after=advised.median,
+                    retry_after_max=advised.longest,
+                )
+            )
         return sorted(found, key=program_messages.CustomerLoad.sort_key)
 
     def _customer(
@@ -99,8 +162,8 @@
         name: str,
         usages: counting.CustomerLimits,
         clock: float,
-        refused: dict[str, int],
     ) -> program_messages.CustomerLoad:
+        """Returns the use of a customer's limit, without its refusals."""
         policies = self.policies()
         customer = policies.customers.get(name)
         limit = limits.limit_of(customer, policies) if customer else None
@@ -112,7 +175,7 @@
             policies.limit_window,
             used,
             programs,
-            refused,
+            {},
         )
 
 
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -1,6 +1,7 @@
 """Serves program records on a control instance."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import functools
 from typing import Any
 
@@ -93,6 +94,7 @@
         policies: Callable[[], manifest.Policies],
         *,
         histories: Callable[[str], Any] = lambda group: None,
+        memory_tokens: Callable[[], Mapping[str, int]] = dict,
         events: event_ports.EventReporter = event_ports.NULL_EVENT_REPORTER,
     ) -> None:
         """Attaches a machine per group and registers the stream handlers.
@@ -105,6 +107,8 @@
             policies: Returns the policies in force.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
+            memory_tokens: Returns the memory of each upstream in tokens, by
+                incarnation, for operators.
             events: Receives the decisions of admission control.
         """
         self.log = replicated_log
@@ -124,7 +128,11 @@
             self.machines, timer_service, policies, events
         )
         self.load_report = load_report.LoadReport(
-            timer_service, policies, self.entry_loads
+            timer_service,
+            policies,
+            self.entry_loads,
+            self.failure_reports,
+            memory_tokens,
         )
         for group, group_machine in self.machines.items():
             replicated_log.attach(
