Code that starts hosted processes is shared by measurements

bench/request_cost.py started the hosted processes and spoke HTTP to them with code of its own; the soak test needs the same.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -13,7 +13,6 @@
 import contextlib
 import itertools
 import json
-import os
 import pathlib
 import random
 import shutil
@@ -23,10 +22,11 @@
 import tempfile
 import time
 from typing import Any
-from typing import NamedTuple
 
 import fire
 
+from bench import hosted_processes
+
 ROOT = pathlib.Path(__file__).parent.parent
 _HOST = "callers.example"
 _CONTROLS = 3
@@ -38,92 +38,10 @@
 _PROGRAM_REQUESTS = _TURNS + _CALLS_PER_TURN * (_TURNS - 1)
 _EVENTS_PER_TURN = 8
 _EVENT_SECONDS = 0.005
-_INTERNAL_PORT = 7400
 _HEARTBEAT_SECONDS = 1.0
 _START_SECONDS = 30.0
 # Wait after the entries are ready, so that no work of the start is measured.
 _SETTLE_SECONDS = 3.0
-_REQUEST_SECONDS = 10.0
-
-
-class Response(NamedTuple):
-    """A response; status 0 stands for a failed connection."""
-
-    status: int
-    body: bytes
-
-
-class Connection(NamedTuple):
-    """A caller's or an upstream's connection."""
-
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-
-async def _read_head(reader: asyncio.StreamReader) -> tuple[str, dict]:
-    """Returns the first line and the headers with lowercase names."""
-    text = (await reader.readuntil(b"\r\n\r\n")).decode()
-    first, *lines = text.rstrip("\r\n").split("\r\n")
-    pairs = (line.split(":", 1) for line in lines)
-    return first, {name.lower(): value.strip() for name, value in pairs}
-
-
-async def _read_body(reader: asyncio.StreamReader, headers: dict) -> bytes:
-    if "content-length" in headers:
-        return await reader.readexactly(int(headers["content-length"]))
-    if headers.get("transfer-encoding") != "chunked":
-        return b""
-    parts = []
-    while size := int(await reader.readline(), 16):
-        parts.append(await reader.readexactly(size))
-        await reader.readline()
-    await reader.readline()
-    return b"".join(parts)
-
-
-class Caller:
-    """Sends requests to one address over connections that are kept open."""
-
-    def __init__(self, address: str) -> None:
-        self.host, _, self.port = address.rpartition(":")
-        self.idle: list[Connection] = []
-
-    async def ask(
-        self, method: str, target: str, headers: dict, body: bytes = b""
-    ) -> Response:
-        """Sends a request and returns its response."""
-        try:
-            async with asyncio.timeout(_REQUEST_SECONDS):
-                return await self._ask(method, target, headers, body)
-        except (OSError, EOFError, TimeoutError, ValueError):
-            return Response(0, b"")
-
-    async def _ask(
-        self, method: str, target: str, headers: dict, body: bytes
-    ) -> Response:
-        if self.idle:
-            connection = self.idle.pop()
-        else:
-            opened = await asyncio.open_connection(self.host, int(self.port))
-            connection = Connection(*opened)
-        fields = {"Host": _HOST, "Content-Length": str(len(body)), **headers}
-        lines = "".join(
-            f"{name}: {value}\r\n" for name, value in fields.items()
-        )
-        is_reusable = False
-        try:
-            connection.writer.write(
-                f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode() + body
-            )
-            first, found = await _read_head(connection.reader)
-            content = await _read_body(connection.reader, found)
-            is_reusable = found.get("connection") != "close"
-        finally:
-            if is_reusable:
-                self.idle.append(connection)
-            else:
-                connection.writer.close()
-        return Response(int(first.split()[1]), content)
 
 
 class Upstream:
@@ -141,7 +59,9 @@
         host, port = server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
-    async def register(self, control: Caller) -> Response:
+    async def register(
+        self, control: hosted_processes.Caller
+    ) -> hosted_processes.Response:
         """Sends one heartbeat to control."""
         self.sequence += 1
         body = {
@@ -164,8 +84,8 @@
         ended = (OSError, EOFError, asyncio.CancelledError)
         with contextlib.suppress(*ended):
             while True:
-                _, headers = await _read_head(reader)
-                await _read_body(reader, headers)
+                _, headers = await hosted_processes.read_head(reader)
+                await hosted_processes.read_body(reader, headers)
                 await self._answer(headers, writer)
 
     async def _answer(
@@ -211,8 +131,10 @@
         )
         self.processes: dict[str, list[subprocess.Popen]] = {}
         self.controls = [self._ip(number) for number in range(1, _CONTROLS + 1)]
-        self.entries: list[Caller] = []
-        self.operators = [Caller(f"{ip}:8090") for ip in self.controls]
+        self.entries: list[hosted_processes.Caller] = []
+        self.operators = [
+            hosted_processes.Caller(f"{ip}:8090", _HOST) for ip in self.controls
+        ]
         self.seconds: dict[str, list[float]] = {}
         self.failed = 0
         self.upstreams = [
@@ -228,7 +150,7 @@
         for number in range(_ENTRIES):
             ip = self._ip(100 + number)
             self._start_process("entry", f"entry-{number}", ip)
-            self.entries.append(Caller(f"{ip}:8080"))
+            self.entries.append(hosted_processes.Caller(f"{ip}:8080", _HOST))
         for upstream in self.upstreams:
             await upstream.start()
         body = json.dumps(_configuration()).encode()
@@ -239,7 +161,7 @@
         )
         self.registrations = asyncio.create_task(self._register_forever())
         for entry in self.entries:
-            ready = Caller(f"{entry.host}:8081")
+            ready = hosted_processes.Caller(f"{entry.host}:8081", _HOST)
             await self._until_done(lambda r=ready: r.ask("GET", "/", {}))
         await asyncio.sleep(_SETTLE_SECONDS)
 
@@ -325,27 +247,12 @@
         return f"{self.network}.{number}"
 
     def _start_process(self, role: str, name: str, ip: str) -> None:
-        settings = {
-            "nodeName": name,
-            "ip": ip,
-            "zone": f"z{name[-1]}",
-            "internalPortRange": [_INTERNAL_PORT, _INTERNAL_PORT + 10],
-            "seeds": [f"{seed}:{_INTERNAL_PORT}" for seed in self.controls],
-            "bootstrap": True,
-            "dataDirectory": str(self.folder / name),
-            "listen": {"control": f"{ip}:8090"}
-            if role == "control"
-            else {"front": f"{ip}:8080", "ready": f"{ip}:8081"},
-        }
+        settings = hosted_processes.settings(
+            role, name, ip, self.controls, self.folder
+        )
         path = self.folder / f"{name}.toml"
-        path.write_text(_toml(settings))
-        environment = {
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join(
-                [str(self.tree / "src"), os.environ.get("PYTHONPATH", "")]
-            ),
-            "MINTCLEAT_CONFIG": str(path),
-        }
+        path.write_text(hosted_processes.toml(settings))
+        environment = hosted_processes.environment(self.tree, path)
         with (self.folder / f"{name}.log").open("w") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", "mintcleat.main.hosted", role],
@@ -365,17 +272,6 @@
     return sum(int(path.read_text().split()[0]) for path in paths) / 1e9
 
 
-def _toml(fields: dict[str, Any]) -> str:
-    """Returns TOML; tables come after all other fields."""
-    lines = []
-    for key, value in fields.items():
-        if isinstance(value, dict):
-            lines.append(f"[{key}]\n{_toml(value)}")
-        else:
-            lines.append(f"{key} = {json.dumps(value)}\n")
-    return "".join(lines)
-
-
 def _configuration() -> dict[str, Any]:
     common = {
         "host": _HOST,
