--- /dev/null
+++ b/testing/soak/__main__.py
@@ -0,0 +1,40 @@
+"""Runs the soak test from the command line.
+
+Usage: python -m testing.soak [--seed N] [--seconds S] [--fault NAME]
+    [--until_found]
+"""
+
+import sys
+
+import fire
+from testing.soak import run as run_module
+
+
+def main(
+    seed: int = 1,
+    seconds: float = 60.0,
+    fault: str = "",
+    until_found: bool = False,
+) -> None:
+    """Runs the soak test; exits with 1 if a check found a violation.
+
+    Args:
+        seed: Seed of the schedule of faults and of the load.
+        seconds: Duration of the load.
+        fault: Known fault to reintroduce; see testing/soak/reintroduced.py.
+        until_found: Whether to end at the first violation.
+    """
+    result = run_module.run(seed, seconds, fault, until_found)
+    print(f"seed {seed}, {seconds:g} s")
+    print(result.text)
+    if result.checks.violations:
+        print(
+            f"First violation after {result.seconds_to_find:.1f} s; logs and "
+            f"schedule: {result.folder}"
+        )
+        sys.exit(1)
+    print("no violation")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,342 @@
+"""Callers: programs, single requests, and probes of configuration and keys."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import itertools
+import json
+import random
+import time
+from typing import Any
+from typing import NamedTuple
+
+from bench import hosted_processes
+from testing.soak import checks as checks_module
+from testing.soak import client
+from testing.soak import operators
+from testing.soak import processes
+from testing.soak import upstreams
+
+_CLIENT_SECONDS = 6.0
+_DEADLINE_MS = 4000
+_READY_SECONDS = 0.5
+# Failed readiness checks in a row after which an entry gets no requests.
+_READY_FAILURES = 2
+_TRIES = 8
+_MAX_RETRY_SECONDS = 1.0
+_LARGE_EVENTS = 100
+
+
+class Sending(NamedTuple):
+    """A request to send; see `checks.Request` for the fields."""
+
+    kind: str
+    customer: str
+    key: str
+    max_runs: int
+    target: str = ""
+    program: str = ""
+    previous: str = ""
+    budget: int = 0
+    events: int = 0
+    body: bytes = b""
+    expected: bytes | None = None
+    large: bool = False
+    slow: bool = False
+    timeout: float = _CLIENT_SECONDS
+
+
+class Result(NamedTuple):
+    """A request's id, the end that its caller saw, and its response."""
+
+    request: str
+    end: checks_module.End
+    outcome: client.Outcome
+
+    @property
+    def served(self) -> bool:
+        """Whether the whole response arrived."""
+        return self.end.status == 200 and self.end.whole
+
+
+class Balancer:
+    """Chooses entries by their readiness, as the platform's balancer does."""
+
+    def __init__(
+        self, entries: list[processes.Node], generator: random.Random
+    ) -> None:
+        self.entries = entries
+        self.generator = generator
+        self.failures = {node.name: 0 for node in entries}
+
+    async def watch_forever(self) -> None:
+        """Checks the readiness of all entries again and again."""
+        await asyncio.gather(*(self._watch(node) for node in self.entries))
+
+    async def _watch(self, node: processes.Node) -> None:
+        address = f"{node.ip}:{hosted_processes.READY_PORT}"
+        probe = hosted_processes.Caller(address, "ready", _READY_SECONDS)
+        while True:
+            answer = await probe.ask("GET", "/", {})
+            if answer.status == 200:
+                self.failures[node.name] = 0
+            else:
+                self.failures[node.name] += 1
+            await asyncio.sleep(_READY_SECONDS)
+
+    def choose(self) -> processes.Node:
+        """Returns an entry that is ready, or any if none is."""
+        ready = [
+            node
+            for node in self.entries
+            if self.failures[node.name] < _READY_FAILURES
+        ]
+        return self.generator.choice(ready or self.entries)
+
+
+class Callers:
+    """Sends requests and records them for the checks.
+
+    Attributes:
+        leave: Whether callers leave before the end of some responses.
+    """
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        checks: checks_module.Checks,
+        operator: operators.Operator,
+        generator: random.Random,
+    ) -> None:
+        self.balancer = balancer
+        self.checks = checks
+        self.operator = operator
+        self.generator = generator
+        self.numbers = itertools.count(1)
+        self.leave = False
+
+    async def send(self, sending: Sending) -> Result:
+        """Sends a request and returns its end."""
+        name = f"{sending.kind}-{next(self.numbers)}"
+        entry = self.balancer.choose()
+        timeout = sending.timeout
+        if self.leave and self.generator.random() < 0.2:
+            timeout = self.generator.uniform(0.01, 0.3)
+        self.checks.sent(
+            checks_module.Request(
+                name,
+                sending.kind,
+                sending.customer,
+                entry.name,
+                time.monotonic(),
+                sending.max_runs,
+                sending.program,
+                sending.events,
+                sending.expected,
+            )
+        )
+        outcome = await client.ask(
+            f"{entry.ip}:{hosted_processes.FRONT_PORT}",
+            sending.target or f"/{sending.kind}/x",
+            _headers(name, sending),
+            sending.body,
+            timeout,
+            sending.slow,
+        )
+        end = _end_of(name, sending, outcome)
+        self.checks.ended(name, end)
+        return Result(name, end, outcome)
+
+    async def retry(self, sending: Sending) -> Result:
+        """Sends a request, under new ids while it is refused."""
+        for _ in range(_TRIES):
+            result = await self.send(sending)
+            if result.end.sent and result.end.status not in (429, 503):
+                break
+            delay = float(result.outcome.headers.get("retry-after", 0.1))
+            await asyncio.sleep(min(delay, _MAX_RETRY_SECONDS))
+        return result
+
+    async def forever(
+        self, act: Callable[..., Coroutine], *arguments: Any
+    ) -> None:
+        """Acts again and again, with pauses of 50 to 250 ms."""
+        while True:
+            await act(*arguments)
+            await asyncio.sleep(self.generator.uniform(0.05, 0.25))
+
+    async def run_program(self, customer: str) -> None:
+        """Runs a program: turns, with tool calls between them."""
+        program = f"program-{next(self.numbers)}"
+        key = operators.key_of(customer)
+        budget = self.generator.choice((40, 10_000))
+        self.checks.budgets[program] = budget
+        chain = b""
+        previous = ""
+        for number in range(self.generator.randint(2, 5)):
+            text = f"<{program}.{number}>".encode()
+            events = self.generator.randint(4, 16)
+            result = await self.retry(
+                Sending(
+                    "turn",
+                    customer,
+                    key,
+                    1,
+                    program=program,
+                    previous=previous,
+                    budget=budget,
+                    events=events,
+                    body=text,
+                    expected=chain + text,
+                )
+            )
+            if result.end.status == 404 and previous:
+                self.checks.turn_lost(result.end.at, result.request, previous)
+            if not result.served:
+                if result.end.status == 402:
+                    return
+                continue
+            output = "".join(f"{e.data}\n" for e in result.outcome.events)
+            chain += text + output.encode()
+            previous = result.request
+            for kind in self.generator.choices(("tool", "safe"), k=2):
+                await self.call(kind, customer, key, program)
+                await asyncio.sleep(self.generator.uniform(0.0, 0.05))
+
+    async def call(
+        self, kind: str, customer: str, key: str, program: str = ""
+    ) -> Result:
+        """Calls a plain service."""
+        runs = operators.SAFE_ATTEMPTS if kind == "safe" else 1
+        body = f"{kind} of {program}".encode()
+        return await self.retry(
+            Sending(
+                kind,
+                customer,
+                key,
+                runs,
+                program=program,
+                body=body,
+                expected=body,
+            )
+        )
+
+    async def stream(
+        self, customer: str, large: bool = False, slow: bool = False
+    ) -> None:
+        """Reads one stream that may be resumed."""
+        events = self.generator.randint(4, 30)
+        await self.send(
+            Sending(
+                "resume",
+                customer,
+                operators.key_of(customer),
+                operators.SAFE_ATTEMPTS,
+                events=_LARGE_EVENTS if large else events,
+                body=b"stream",
+                expected=b"stream",
+                large=large,
+                slow=slow,
+            )
+        )
+
+    async def call_limited(self) -> None:
+        """Calls as a customer with a low limit, without heeding refusals."""
+        customer = "limited"
+        key = operators.key_of(customer)
+        await self.send(Sending("tool", customer, key, 1, body=b"limited"))
+
+    async def probe_revision(self) -> None:
+        """Uses the route of the present version or of the one before."""
+        version = self.operator.version - self.generator.randint(0, 1)
+        if version < 1:
+            return
+        result = await self.send(
+            Sending(
+                "revision",
+                "anna",
+                operators.key_of("anna"),
+                operators.SAFE_ATTEMPTS,
+                f"/revision-{version}/x",
+            )
+        )
+        self.checks.revision_answered(result.request, version, result.end)
+
+    async def probe_key(self) -> None:
+        """Uses the newest key or one that has been revoked."""
+        age = self.generator.randint(0, 4)
+        version = self.operator.version - age
+        if version < 1:
+            return
+        result = await self.send(
+            Sending(
+                "key",
+                operators.ROTATING,
+                operators.rotating_key(version),
+                1,
+                "/tool/key",
+            )
+        )
+        self.checks.key_answered(
+            result.request,
+            version,
+            version + operators.KEY_VERSIONS - 1,
+            processes.REVOKE_SECONDS,
+            result.end,
+        )
+
+
+def _headers(name: str, sending: Sending) -> dict[str, str]:
+    fields = {
+        "X-Request-Id": name,
+        "X-Deadline-Milliseconds": str(_DEADLINE_MS),
+        "Api-Key": sending.key,
+    }
+    if sending.program:
+        fields["X-Program-Id"] = sending.program
+    if sending.previous:
+        fields["X-Previous-Turn"] = sending.previous
+    if sending.budget:
+        fields["X-Token-Budget"] = str(sending.budget)
+    if sending.events:
+        fields["X-Token-Counts"] = f"50,{sending.events}"
+        fields["X-Model"] = "m"
+    if sending.large:
+        fields["X-Large"] = "1"
+    return fields
+
+
+def _end_of(
+    name: str, sending: Sending, outcome: client.Outcome
+) -> checks_module.End:
+    error = ""
+    intact = True
+    if outcome.status == 200 and sending.events:
+        intact = all(
+            event.data
+            == upstreams.event_data(name, event.number, sending.large)
+            for event in outcome.events
+        )
+    elif outcome.status == 200:
+        whole = upstreams.plain_body(name)
+        intact = whole.startswith(outcome.body)
+    elif outcome.body:
+        error = _error_kind(outcome.body)
+    return checks_module.End(
+        time.monotonic(),
+        outcome.sent,
+        outcome.status,
+        outcome.whole,
+        outcome.left,
+        [event.number for event in outcome.events],
+        intact,
+        error,
+    )
+
+
+def _error_kind(body: bytes) -> str:
+    try:
+        fields = json.loads(body)
+        return f"{fields['kind']}: {fields['detail']}"
+    except (ValueError, KeyError, TypeError):
+        return ""
--- /dev/null
+++ b/testing/soak/checks.py
@@ -0,0 +1,448 @@
+"""Checks on what callers, upstreams and the operator observe.
+
+No I/O and no clock: observations come with their times, in seconds of one
+monotonic clock. Each check allows for all orders of events that fit the
+observations, so that a violation is certain.
+"""
+
+import collections
+import itertools
+from typing import NamedTuple
+
+# A configuration is in force this long after its acknowledgement, at every
+# entry that is in touch with control.
+IN_FORCE_SECONDS = 2.0
+# An upstream gets no new work this long after its drain was acknowledged.
+DRAIN_SECONDS = 2.0
+# A node counts as in touch again this long after a fault has ended.
+TOUCH_SECONDS = 3.0
+# Length of the window of customers' limits, and the part beyond a limit that
+# programs in progress may use (`limit_window` and `limit_overage`).
+WINDOW_SECONDS = 5.0
+OVERAGE = 0.1
+REFUSALS = frozenset({400, 401, 402, 404, 413, 429, 503})
+
+
+class Request(NamedTuple):
+    """A request as its caller sent it.
+
+    Attributes:
+        request: Its id, which no other request has.
+        kind: `tool`, `safe`, `turn`, `resume`, `revision` or `key`.
+        entry: Name of the entry.
+        sent_at: When its connection was opened.
+        max_runs: How often upstreams may run it.
+        events: Number of events of its whole response; 0 for a plain one.
+        body: What the upstream must receive; None if it isn't checked.
+        content: Whole content of a plain response.
+    """
+
+    request: str
+    kind: str
+    customer: str
+    entry: str
+    sent_at: float
+    max_runs: int
+    program: str = ""
+    events: int = 0
+    body: bytes | None = None
+    content: bytes = b""
+
+
+class End(NamedTuple):
+    """The end of a request as its caller saw it; see `client.Outcome`.
+
+    Attributes:
+        numbers: Numbers of the events.
+        intact: Whether the content of events or body is as expected.
+    """
+
+    at: float
+    sent: bool
+    status: int
+    whole: bool
+    left: bool
+    numbers: list[int]
+    intact: bool
+    error: str = ""
+
+
+class Run(NamedTuple):
+    """The start of a run at an upstream."""
+
+    at: float
+    upstream: str
+    customer: str
+
+
+class Violation(NamedTuple):
+    """A broken promise.
+
+    Attributes:
+        at: When it was found.
+        rule: Name of the check.
+        detail: What was observed.
+    """
+
+    at: float
+    rule: str
+    detail: str
+
+
+class Disturbance(NamedTuple):
+    """A time in which a node was under a fault."""
+
+    node: str
+    start: float
+    end: float
+
+
+class Checks:
+    """Collects observations and the violations that they show.
+
+    Attributes:
+        requests: Requests by id.
+        runs: Runs by request id.
+        ends: Ends by request id.
+        budgets: Budget of each program, in tokens.
+        delivered: Tokens delivered to the caller of each program.
+        pushed: When the push of each version of the configuration began.
+        acknowledged: When each version was acknowledged.
+        disturbances: Faults so far; an end of infinity is still to come.
+        violations: What was found.
+    """
+
+    def __init__(self) -> None:
+        self.requests: dict[str, Request] = {}
+        self.runs: dict[str, list[Run]] = collections.defaultdict(list)
+        self.ends: dict[str, End] = {}
+        self.budgets: dict[str, int] = {}
+        self.delivered: dict[str, int] = collections.defaultdict(int)
+        self.pushed: dict[int, float] = {}
+        self.acknowledged: dict[int, float] = {}
+        self.disturbances: list[Disturbance] = []
+        self.planned: list[Disturbance] = []
+        self.violations: list[Violation] = []
+
+    def _report(self, at: float, rule: str, detail: str) -> None:
+        self.violations.append(Violation(at, rule, detail))
+
+    # --- Requests -------------------------------------------------------------
+
+    def sent(self, request: Request) -> None:
+        """A caller sends a request."""
+        self.requests[request.request] = request
+
+    def run_began(self, name: str, run: Run, body: bytes) -> None:
+        """An upstream begins to run a request."""
+        runs = self.runs[name]
+        runs.append(run)
+        request = self.requests.get(name)
+        if request is None:
+            self._report(run.at, "unknown_request", f"{name} at {run}")
+            return
+        if len(runs) > request.max_runs:
+            self._report(
+                run.at, "at_most_once", f"{request.kind} {name}: {runs}"
+            )
+        if request.body is not None and body != request.body:
+            self._report(
+                run.at,
+                "chain",
+                f"{name} received {body[:200]!r}, expected "
+                f"{request.body[:200]!r}",
+            )
+        if run.customer != request.customer:
+            self._report(
+                run.at,
+                "customer",
+                f"{name} of {request.customer!r} runs as {run.customer!r}",
+            )
+        end = self.ends.get(name)
+        if end is not None and end.status in REFUSALS:
+            self._report(
+                run.at,
+                "truthful_refusal",
+                f"{request.kind} {name} was refused with {end.status} at "
+                f"{end.at:.3f} and runs at {run}",
+            )
+
+    def ended(self, name: str, end: End) -> None:
+        """A caller has the end of its request."""
+        request = self.requests[name]
+        self.ends[name] = end
+        runs = self.runs.get(name, [])
+        if end.status in REFUSALS and runs:
+            self._report(
+                end.at,
+                "truthful_refusal",
+                f"{request.kind} {name} is refused with {end.status} "
+                f"{end.error} and ran at {runs}",
+            )
+        if end.status == 200:
+            self._check_content(request, end)
+            self._count_tokens(request, end)
+            if not runs:
+                self._report(
+                    end.at, "invented", f"{name} has a response, but no run"
+                )
+        self._check_planned(request, end)
+
+    def _check_content(self, request: Request, end: End) -> None:
+        expected = list(range(1, len(end.numbers) + 1))
+        if end.numbers != expected:
+            self._report(end.at, "events", f"{request.request}: {end.numbers}")
+        if end.whole and len(end.numbers) != request.events:
+            self._report(
+                end.at,
+                "early_end",
+                f"{request.request} ended as whole after "
+                f"{len(end.numbers)} of {request.events} events",
+            )
+        if not end.intact:
+            self._report(end.at, "content", f"{request.request} is not intact")
+
+    def _count_tokens(self, request: Request, end: End) -> None:
+        budget = self.budgets.get(request.program)
+        if not budget or not request.events:
+            return
+        self.delivered[request.program] += len(end.numbers)
+        if self.delivered[request.program] > budget:
+            self._report(
+                end.at,
+                "budget",
+                f"{request.program} got {self.delivered[request.program]} "
+                f"tokens of {budget}",
+            )
+
+    def _check_planned(self, request: Request, end: End) -> None:
+        """Nothing is lost at a planned stop."""
+        if end.left or (end.whole and end.status not in (502, 504)):
+            return
+        if not end.sent:
+            return
+        for stop in self.planned:
+            is_during = request.sent_at >= stop.start and end.at <= stop.end
+            if is_during and not self.disturbed("", stop.start, stop.end):
+                self._report(
+                    end.at,
+                    "planned_stop",
+                    f"{request.kind} {request.request} at {request.entry} "
+                    f"during the stop of {stop.node}: status {end.status} "
+                    f"{end.error}, sent {request.sent_at - stop.start:.3f} s "
+                    f"after it began, ended after "
+                    f"{end.at - request.sent_at:.3f} s",
+                )
+
+    # --- Limits ---------------------------------------------------------------
+
+    def check_limits(self, now: float, limits: dict[str, list[float]]) -> None:
+        """No window has more requests of a customer than its limit.
+
+        A request was admitted between its sending and its run. Only those
+        count that were both sent and run in the window.
+
+        Args:
+            now: When the check is made.
+            limits: Rate and burst by customer.
+        """
+        for customer, (rate, burst) in limits.items():
+            found = sorted(
+                (request.sent_at, self.runs[name][0].at)
+                for name, request in self.requests.items()
+                if request.customer == customer and self.runs.get(name)
+            )
+            allowed = (rate * WINDOW_SECONDS + burst) * (1 + OVERAGE)
+            for number, (start, _) in enumerate(found):
+                inside = sum(
+                    1
+                    for sent, ran in itertools.islice(found, number, None)
+                    if sent <= start + WINDOW_SECONDS
+                    and ran <= start + WINDOW_SECONDS
+                )
+                if inside > allowed:
+                    self._report(
+                        now,
+                        "rate_limit",
+                        f"{customer}: {inside} requests in a window, allowed "
+                        f"are {allowed:g}",
+                    )
+                    break
+
+    # --- Configuration and keys -----------------------------------------------
+
+    def acknowledged_before(self, at: float) -> int:
+        """Returns the highest version acknowledged before a time."""
+        return max(
+            (v for v, time in self.acknowledged.items() if time < at), default=0
+        )
+
+    def pushed_before(self, at: float) -> int:
+        """Returns the highest version whose push began before a time."""
+        return max((v for v, t in self.pushed.items() if t <= at), default=0)
+
+    def configuration_read(
+        self, began: float, ended: float, version: int
+    ) -> None:
+        """Control has answered a read of the configuration."""
+        least = self.acknowledged_before(began)
+        if version < least:
+            self._report(
+                ended,
+                "stale_configuration",
+                f"version {version} was read, {least} had been acknowledged "
+                f"{began - self.acknowledged[least]:.3f} s before",
+            )
+        if version > self.pushed_before(ended):
+            self._report(
+                ended, "unknown_configuration", f"version {version} was read"
+            )
+
+    def revision_answered(self, name: str, version: int, end: End) -> None:
+        """A route that only one version has was used."""
+        request = self.requests[name]
+        since = self.acknowledged.get(version)
+        if (
+            end.status == 404
+            and since is not None
+            and since + IN_FORCE_SECONDS < request.sent_at
+            and self.pushed_before(end.at) == version
+        ):
+            self._report(
+                end.at,
+                "in_force",
+                f"{request.entry} doesn't know version {version}, "
+                f"acknowledged {request.sent_at - since:.3f} s before",
+            )
+        replaced = self.acknowledged.get(version + 1)
+        if (
+            end.status == 200
+            and replaced is not None
+            and replaced + IN_FORCE_SECONDS < request.sent_at
+            and not self.disturbed(request.entry, replaced, end.at)
+        ):
+            self._report(
+                end.at,
+                "in_force",
+                f"{request.entry} serves version {version}, replaced "
+                f"{request.sent_at - replaced:.3f} s before",
+            )
+
+    def key_answered(
+        self, name: str, first: int, last: int, bound: float, end: End
+    ) -> None:
+        """A key that the versions from `first` to `last` have was used.
+
+        Args:
+            name: Id of the request.
+            first: First version with the key.
+            last: Last version with the key.
+            bound: Seconds after which a revoked key must be refused.
+            end: End of the request.
+        """
+        request = self.requests[name]
+        since = self.acknowledged.get(first)
+        if (
+            end.status == 401
+            and since is not None
+            and since < request.sent_at
+            and self.pushed_before(end.at) <= last
+        ):
+            self._report(
+                end.at,
+                "valid_key",
+                f"{request.entry} rejects a key that was acknowledged "
+                f"{request.sent_at - since:.3f} s before",
+            )
+        revoked = self.acknowledged.get(last + 1)
+        ran = end.status == 200 or self.runs.get(name)
+        if ran and revoked is not None and revoked + bound < request.sent_at:
+            self._report(
+                end.at,
+                "revoked_key",
+                f"{request.entry} accepts a key that was revoked "
+                f"{request.sent_at - revoked:.3f} s before",
+            )
+
+    # --- Operations -----------------------------------------------------------
+
+    def disturbed(self, node: str, start: float, end: float) -> bool:
+        """Returns whether a fault of a node may have had effects in a time.
+
+        Faults of control and of all processes concern every node. With an
+        empty name, any fault counts.
+        """
+        return any(
+            (not node or fault.node in ("", node))
+            and fault.start <= end
+            and fault.end + TOUCH_SECONDS >= start
+            for fault in self.disturbances
+        )
+
+    def ran_while_draining(
+        self, at: float, upstream: str, since: float, name: str
+    ) -> None:
+        """A draining upstream gets a request."""
+        request = self.requests.get(name)
+        if request is None or at <= since + DRAIN_SECONDS:
+            return
+        if not self.disturbed(request.entry, since, at):
+            self._report(
+                at,
+                "drain",
+                f"{upstream} gets {name} {at - since:.3f} s after its drain "
+                "was acknowledged",
+            )
+
+    def accepted_invalid(self, at: float, what: str) -> None:
+        """Control accepted what it had to refuse."""
+        self._report(at, "invalid_accepted", what)
+
+    def turn_lost(self, at: float, name: str, previous: str) -> None:
+        """A turn whose caller has its whole response is unknown."""
+        self._report(at, "chain", f"{name}: {previous} is unknown")
+
+    def process_ended(self, at: float, node: str, code: int) -> None:
+        """A process ended by itself."""
+        self._report(at, "process", f"{node} ended by itself with code {code}")
+
+    def stopped(self, at: float, node: str, code: int | None) -> None:
+        """A planned stop is over."""
+        if code != 0:
+            self._report(at, "planned_stop", f"{node} ended with code {code}")
+
+    def used(
+        self, at: float, node: str, memory_mb: float, descriptors: int
+    ) -> None:
+        """A process was measured."""
+        if memory_mb > MAX_MEMORY_MB:
+            self._report(at, "memory", f"{node} uses {memory_mb:.0f} MB")
+        if descriptors > MAX_DESCRIPTORS:
+            self._report(at, "descriptors", f"{node} has {descriptors}")
+
+    def check_starvation(self, now: float, since: float) -> None:
+        """Each customer and kind is served in a time without faults."""
+        served: dict[tuple[str, str], list[bool]] = collections.defaultdict(
+            list
+        )
+        for name, end in self.ends.items():
+            request = self.requests[name]
+            if request.sent_at >= since and request.kind in SERVED_KINDS:
+                good = end.status == 200 and end.whole
+                served[request.customer, request.kind].append(good)
+        for (customer, kind), results in sorted(served.items()):
+            if len(results) >= MIN_RESULTS and not any(results):
+                self._report(
+                    now,
+                    "starved",
+                    f"none of {len(results)} requests of {customer} and kind "
+                    f"{kind} was served without faults",
+                )
+        if not any(any(results) for results in served.values()):
+            self._report(now, "starved", "nobody was served without faults")
+
+
+SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
+MIN_RESULTS = 8
+MAX_MEMORY_MB = 220.0
+MAX_DESCRIPTORS = 1024
--- /dev/null
+++ b/testing/soak/faults.py
@@ -0,0 +1,269 @@
+"""Applies the schedule's faults to processes, proxies, upstreams and load."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import math
+import signal
+import time
+from typing import Any
+
+from bench import hosted_processes
+from testing.soak import callers as callers_module
+from testing.soak import checks as checks_module
+from testing.soak import processes
+from testing.soak import schedule
+from testing.soak import upstreams
+
+_READY_SECONDS = 10.0
+# A control instance needs this long from its start until it is a follower.
+_CONTROL_START_SECONDS = 2.0
+_BURST_PROGRAMS = 24
+_SLOW_READERS = 6
+_PROXY_FAULTS = frozenset({"reset", "delay", "silent", "cut_in", "cut_out"})
+# Registrations of foreign writers, as changes of a valid one. The last two are
+# valid by themselves, but come from an earlier process or an earlier time.
+_FOREIGN: tuple[dict[str, Any], ...] = (
+    {"address": 5},
+    {"address": "nowhere"},
+    {"slots": "many"},
+    {"slots": -1},
+    {"service": None},
+    {"state": "gone"},
+    {"sequence": 2**70},
+    {"born": "yesterday"},
+    {"coldRemainingMs": "soon"},
+)
+
+
+class Injector:
+    """Applies faults and records them for the checks.
+
+    Attributes:
+        applied: Faults that were begun.
+    """
+
+    def __init__(
+        self,
+        fleet: processes.Fleet,
+        engines: list[upstreams.Upstream],
+        callers: callers_module.Callers,
+        checks: checks_module.Checks,
+        log: Callable[[str], None],
+    ) -> None:
+        self.fleet = fleet
+        self.upstreams = engines
+        self.callers = callers
+        self.checks = checks
+        self.log = log
+        self.applied: list[schedule.Fault] = []
+
+    async def run(self, faults: list[schedule.Fault], start: float) -> None:
+        """Applies all faults; returns when they are over.
+
+        Args:
+            faults: The schedule.
+            start: Monotonic time from which the faults' times count.
+        """
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                delay = start + fault.at - time.monotonic()
+                await asyncio.sleep(max(0.0, delay))
+                group.create_task(self._apply(fault))
+
+    async def _apply(self, fault: schedule.Fault) -> None:
+        self.applied.append(fault)
+        match fault.track:
+            case "control":
+                await self._control(fault)
+            case "entry":
+                entries = self.fleet.entries
+                node = entries[fault.number % len(entries)]
+                await self._node(node, fault.kind, fault.seconds, node.name)
+            case "upstream":
+                await self._upstream(fault)
+            case "load":
+                await self._load(fault)
+            case "planned":
+                await self._planned(fault)
+            case "all":
+                await self._lose_all(fault)
+
+    @contextlib.contextmanager
+    def _disturbance(self, node: str, what: str) -> Any:
+        found = self.checks.disturbances
+        number = len(found)
+        began = time.monotonic()
+        found.append(checks_module.Disturbance(node, began, math.inf))
+        self.log(f"{what} begins")
+        try:
+            yield
+        finally:
+            ended = time.monotonic()
+            found[number] = checks_module.Disturbance(node, began, ended)
+            self.log(f"{what} ends")
+
+    async def _control(self, fault: schedule.Fault) -> None:
+        node = self.fleet.controls[fault.number % 3]
+        kind = fault.kind
+        if kind.endswith("_leader"):
+            node = self.fleet.leader(("config", "programs-0")[fault.number % 2])
+            kind = {"silent": "silent", "cut": "cut_in"}.get(
+                kind.removesuffix("_leader"), kind.removesuffix("_leader")
+            )
+        await self._node(node, kind, fault.seconds, "")
+
+    async def _node(
+        self, node: processes.Node, kind: str, seconds: float, concerned: str
+    ) -> None:
+        """Applies a fault of one process.
+
+        Args:
+            node: The process.
+            kind: What happens.
+            seconds: Duration.
+            concerned: Name of the node that it concerns; empty for all.
+        """
+        with self._disturbance(concerned, f"{kind} of {node.name}"):
+            match kind:
+                case "kill" | "lose_disk":
+                    node.kill()
+                    if kind == "lose_disk":
+                        node.wipe()
+                    await asyncio.sleep(seconds)
+                    node.start()
+                    await self._until_started(node)
+                case "pause":
+                    node.signal(signal.SIGSTOP)
+                    await asyncio.sleep(seconds)
+                    node.signal(signal.SIGCONT)
+                case _:
+                    node.apply(kind)
+                    await asyncio.sleep(seconds)
+                    node.restore()
+
+    async def _until_started(self, node: processes.Node) -> None:
+        if node.role == "control":
+            await asyncio.sleep(_CONTROL_START_SECONDS)
+            return
+        address = f"{node.ip}:{hosted_processes.READY_PORT}"
+        probe = hosted_processes.Caller(address, "ready", 0.5)
+        until = time.monotonic() + _READY_SECONDS
+        while time.monotonic() < until:
+            if (await probe.ask("GET", "/", {})).status == 200:
+                return
+            await asyncio.sleep(0.1)
+
+    async def _upstream(self, fault: schedule.Fault) -> None:
+        upstream = self.upstreams[fault.number % len(self.upstreams)]
+        what = f"{fault.kind} of {upstream.name}"
+        with self._disturbance(upstream.name, what):
+            match fault.kind:
+                case "crash":
+                    upstream.crash()
+                    await asyncio.sleep(fault.seconds)
+                    await upstream.restart()
+                case "restart":
+                    upstream.crash()
+                    await upstream.restart()
+                case "drain":
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(upstream.drain(), 5.0)
+                    await asyncio.sleep(
+                        checks_module.DRAIN_SECONDS + fault.seconds
+                    )
+                    upstream.crash()
+                    await upstream.restart()
+                case "slow":
+                    upstream.slow_down()
+                    await asyncio.sleep(fault.seconds)
+                    upstream.recover()
+                case "slow_read":
+                    upstream.reads_slowly = True
+                    await asyncio.sleep(fault.seconds)
+                    upstream.recover()
+                case "foreign":
+                    await self._register_foreign(upstream)
+                case kind if kind in _PROXY_FAULTS:
+                    upstream.link.apply(kind)
+                    await asyncio.sleep(fault.seconds)
+                    upstream.link.restore()
+
+    async def _register_foreign(self, upstream: upstreams.Upstream) -> None:
+        for change in _FOREIGN:
+            fields = {**upstream.heartbeat(), **change}
+            if await upstream.register(fields) == 200:
+                self.checks.accepted_invalid(
+                    time.monotonic(), f"a registration with {change}"
+                )
+        for name in ("service", "address", "slots", "state", "sequence"):
+            fields = upstream.heartbeat()
+            del fields[name]
+            if await upstream.register(fields) == 200:
+                self.checks.accepted_invalid(
+                    time.monotonic(), f"a registration without {name}"
+                )
+
+    async def _load(self, fault: schedule.Fault) -> None:
+        callers = self.callers
+        tasks = []
+        if fault.kind.startswith("burst"):
+            tasks = [
+                callers.forever(callers.run_program, "noisy")
+                for _ in range(_BURST_PROGRAMS)
+            ]
+        elif fault.kind == "slow_readers":
+            tasks = [
+                callers.forever(callers.stream, "slow", True, True)
+                for _ in range(_SLOW_READERS)
+            ]
+        with self._disturbance("load", fault.kind):
+            callers.leave = fault.kind == "leave"
+            running = [asyncio.create_task(task) for task in tasks]
+            try:
+                if fault.kind == "burst_leader":
+                    await asyncio.sleep(0.5)
+                    leader = self.fleet.leader("programs-0")
+                    await self._node(leader, "kill", 1.0, "")
+                await asyncio.sleep(fault.seconds)
+            finally:
+                callers.leave = False
+                for task in running:
+                    task.cancel()
+                await asyncio.gather(*running, return_exceptions=True)
+
+    async def _planned(self, fault: schedule.Fault) -> None:
+        nodes = self.fleet.controls
+        if fault.kind == "stop_entry":
+            nodes = self.fleet.entries
+        node = nodes[fault.number % len(nodes)]
+        if fault.kind == "stop_leader":
+            node = self.fleet.leader("programs-0")
+        began = time.monotonic()
+        planned = self.checks.planned
+        planned.append(checks_module.Disturbance(node.name, began, math.inf))
+        self.log(f"planned stop of {node.name} begins")
+        node.planned = True
+        code = await node.stop()
+        ended = time.monotonic()
+        self.checks.stopped(ended, node.name, code)
+        node.planned = False
+        self.log(f"planned stop of {node.name} ends with code {code}")
+        node.start()
+        await self._until_started(node)
+        planned[-1] = checks_module.Disturbance(
+            node.name, began, time.monotonic()
+        )
+
+    async def _lose_all(self, fault: schedule.Fault) -> None:
+        with self._disturbance("", f"loss of all processes, {fault.kind}"):
+            for node in self.fleet.nodes.values():
+                node.kill()
+            if fault.kind == "lose_one_disk":
+                self.fleet.controls[fault.number % 3].wipe()
+            await asyncio.sleep(fault.seconds)
+            for node in self.fleet.nodes.values():
+                node.start()
+            await asyncio.gather(
+                *(self._until_started(node) for node in self.fleet.entries)
+            )
--- /dev/null
+++ b/testing/soak/operators.py
@@ -0,0 +1,174 @@
+"""The operator: pushes configurations all the time and reads them back."""
+
+import asyncio
+import json
+import random
+import time
+from typing import Any
+
+from bench import hosted_processes
+from testing.soak import checks as checks_module
+from testing.soak import client
+
+# The limits are per customer: requests per second and a burst.
+LIMITS = {"limited": [4.0, 4.0]}
+_FREE_RATE = 1000
+_PUSH_SECONDS = 1.5
+_READ_SECONDS = 0.3
+_TIMEOUT_MS = 4000
+SAFE_ATTEMPTS = 3
+PROGRAM_CUSTOMERS = ("anna", "berta", "carl", "noisy")
+ROTATING = "rotating"
+SLOW = "slow"
+# A key of the rotating customer is in this many versions in a row.
+KEY_VERSIONS = 2
+
+
+def rotating_key(version: int) -> str:
+    """Returns the key that a version adds to the rotating customer."""
+    return f"rotating-{version}"
+
+
+def key_of(customer: str) -> str:
+    """Returns the key that a customer has in all versions."""
+    return f"key-of-{customer}"
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Returns a version of the configuration.
+
+    Each version has a route of its own and a new key of the rotating customer.
+    """
+    common = {
+        "host": client.HOST,
+        "timeoutMs": _TIMEOUT_MS,
+        "targetLatencyMs": 300,
+        "targetGapMs": 200,
+        "priority": 0,
+        "attempts": SAFE_ATTEMPTS,
+    }
+
+    def route(name: str, kind: str, service: str, **fields: Any) -> dict:
+        return {
+            **common,
+            "name": name,
+            "pathPrefix": f"/{name}/",
+            "kind": kind,
+            "service": service,
+            **fields,
+        }
+
+    keys = [rotating_key(version - age) for age in range(KEY_VERSIONS)]
+    free = [*PROGRAM_CUSTOMERS, SLOW]
+    return {
+        "version": version,
+        "routes": [
+            route("turn", "stream", "lm", retainContext=True, retentionS=60.0),
+            route("resume", "stream", "lm", resumable=True, priority=1),
+            route("tool", "unsafe", "desk"),
+            route("safe", "safe", "desk"),
+            route(f"revision-{version}", "safe", "desk"),
+        ],
+        "services": [
+            {"name": "desk", "maxConnections": 64},
+            {
+                "name": "lm",
+                "maxConnections": 64,
+                "engine": {"stride": 1, "models": [{"name": "m"}]},
+            },
+        ],
+        "tenants": [
+            *(
+                {
+                    "name": name,
+                    "apiKeys": [key_of(name)],
+                    "ratePerS": _FREE_RATE,
+                    "burst": _FREE_RATE,
+                }
+                for name in free
+            ),
+            *(
+                {
+                    "name": name,
+                    "apiKeys": [key_of(name)],
+                    "ratePerS": rate,
+                    "burst": burst,
+                }
+                for name, (rate, burst) in LIMITS.items()
+            ),
+            {
+                "name": ROTATING,
+                "apiKeys": keys,
+                "ratePerS": _FREE_RATE,
+                "burst": _FREE_RATE,
+            },
+        ],
+        "limits": {},
+    }
+
+
+class Operator:
+    """Pushes and reads the configuration at random controls.
+
+    Attributes:
+        version: The version acknowledged last.
+    """
+
+    def __init__(
+        self,
+        controls: list[hosted_processes.Caller],
+        checks: checks_module.Checks,
+        generator: random.Random,
+    ) -> None:
+        self.controls = controls
+        self.checks = checks
+        self.generator = generator
+        self.version = 0
+
+    async def push(self) -> None:
+        """Pushes the next version until a control acknowledges it."""
+        version = self.version + 1
+        body = json.dumps(configuration(version)).encode()
+        self.checks.pushed[version] = time.monotonic()
+        while True:
+            control = self.generator.choice(self.controls)
+            answer = await control.ask(
+                "POST", "/v1/Configuration.Put", {}, body
+            )
+            if answer.status == 200:
+                break
+            await asyncio.sleep(0.1)
+        self.checks.acknowledged[version] = time.monotonic()
+        self.version = version
+
+    async def push_forever(self) -> None:
+        """Pushes version after version."""
+        while True:
+            await asyncio.sleep(
+                self.generator.uniform(0.5, 1.5) * _PUSH_SECONDS
+            )
+            await self.push()
+            if self.generator.random() < 0.2:
+                await self.push_invalid()
+
+    async def push_invalid(self) -> None:
+        """Pushes a configuration that must be refused."""
+        fields = configuration(self.version + 1000)
+        del fields["routes"][0]["service"]
+        body = json.dumps(fields).encode()
+        control = self.generator.choice(self.controls)
+        began = time.monotonic()
+        answer = await control.ask("POST", "/v1/Configuration.Put", {}, body)
+        if answer.status == 200:
+            self.checks.accepted_invalid(began, "a configuration")
+
+    async def read_forever(self) -> None:
+        """Reads the configuration at one control after the other."""
+        while True:
+            await asyncio.sleep(self.generator.uniform(0.0, 2 * _READ_SECONDS))
+            control = self.generator.choice(self.controls)
+            began = time.monotonic()
+            answer = await control.ask("GET", "/v1/Configuration.Get", {})
+            if answer.status == 200:
+                version = json.loads(answer.body)["version"]
+                self.checks.configuration_read(began, time.monotonic(), version)
--- /dev/null
+++ b/testing/soak/processes.py
@@ -0,0 +1,236 @@
+"""The product's processes and the proxies between them."""
+
+import asyncio
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+from typing import NamedTuple
+
+from bench import hosted_processes
+from testing.soak import links
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+_MEMORY_MB = 220
+_DESCRIPTORS = 1024
+REVOKE_SECONDS = 3.0
+
+
+class Usage(NamedTuple):
+    """Resources that a process uses.
+
+    Attributes:
+        memory_mb: Resident memory in units of 10**6 bytes.
+        descriptors: Number of open file descriptors.
+    """
+
+    memory_mb: float
+    descriptors: int
+
+
+class Node:
+    """One process and its files.
+
+    Attributes:
+        links: Proxies of its connections to the controls, by their name.
+        process: The running process; None when it is down.
+        planned: Whether it is being stopped by SIGTERM.
+        starts: Number of starts.
+    """
+
+    def __init__(
+        self, fleet: "Fleet", name: str, role: str, number: int
+    ) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.role = role
+        self.number = number
+        self.ip = f"{fleet.network}.0.{number}"
+        self.links: dict[str, links.Link] = {}
+        self.process: subprocess.Popen | None = None
+        self.planned = False
+        self.starts = 0
+        self.log_path = fleet.folder / f"{name}.log"
+
+    def start(self, bootstrap: bool = False) -> None:
+        """Starts the process with the disk that it has."""
+        fields = hosted_processes.settings(
+            self.role,
+            self.name,
+            self.ip,
+            [node.ip for node in self.fleet.controls],
+            self.fleet.folder,
+            bootstrap,
+        )
+        fields["contracts"] = ["pressure"]
+        fields["bounds"] = {
+            "strictRevocation": True,
+            "revokeMs": int(REVOKE_SECONDS * 1000),
+            "graceS": 8,
+        }
+        fields["limits"] = {
+            "memoryMb": _MEMORY_MB,
+            "fileDescriptors": _DESCRIPTORS,
+        }
+        path = self.fleet.folder / f"{self.name}.toml"
+        path.write_text(hosted_processes.toml(fields))
+        environment = hosted_processes.environment(ROOT, path)
+        environment["SOAK_LINKS"] = json.dumps(
+            {
+                self.fleet.nodes[name].ip: link.address.rpartition(":")[0]
+                for name, link in self.links.items()
+            }
+        )
+        environment["SOAK_FAULT"] = self.fleet.fault
+        self.starts += 1
+        with self.log_path.open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "testing.soak.launch", self.role],
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal if the process runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process by SIGKILL."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+        self.process = None
+
+    async def stop(self) -> int | None:
+        """Ends the process by SIGTERM; returns its exit code, None if late."""
+        process = self.process
+        self.signal(signal.SIGTERM)
+        for _ in range(120):
+            if process.poll() is not None:
+                self.process = None
+                return process.returncode
+            await asyncio.sleep(0.1)
+        self.kill()
+        return None
+
+    def wipe(self) -> None:
+        """Deletes the disk of a process that is down."""
+        shutil.rmtree(self.fleet.folder / self.name, ignore_errors=True)
+
+    def has_ended(self) -> bool:
+        """Returns whether the process ended by itself."""
+        return self.process is not None and self.process.poll() is not None
+
+    def usage(self) -> Usage | None:
+        """Returns what the process uses; None if it doesn't run."""
+        if self.process is None:
+            return None
+        folder = pathlib.Path(f"/proc/{self.process.pid}")
+        try:
+            pages = int((folder / "statm").read_text().split()[1])
+            descriptors = len(os.listdir(folder / "fd"))
+        except (OSError, IndexError):
+            return None
+        memory = pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+        return Usage(memory, descriptors)
+
+    def apply(self, kind: str) -> None:
+        """Begins a fault of all links from and to this node.
+
+        `cut_in` and `cut_out` are seen from this node.
+        """
+        opposite = {"cut_in": "cut_out", "cut_out": "cut_in"}
+        for link in self.links.values():
+            link.apply(opposite.get(kind, kind))
+        for other in self.fleet.nodes.values():
+            if self.name in other.links:
+                other.links[self.name].apply(kind)
+
+    def restore(self) -> None:
+        """Ends the faults of all links from and to this node."""
+        for link in self.links.values():
+            link.restore()
+        for other in self.fleet.nodes.values():
+            if self.name in other.links:
+                other.links[self.name].restore()
+
+
+class Fleet:
+    """All processes of the product.
+
+    Args:
+        network: First two bytes of the loopback addresses.
+        folder: Folder of settings, disks and logs.
+        entries: Number of entries; there are three controls.
+        fault: Known fault to reintroduce; empty for none.
+    """
+
+    def __init__(
+        self, network: str, folder: pathlib.Path, entries: int, fault: str
+    ) -> None:
+        self.network = network
+        self.folder = folder
+        self.fault = fault
+        self.nodes: dict[str, Node] = {}
+        self.controls = [
+            self._add(f"control-{number}", "control", number)
+            for number in range(1, 4)
+        ]
+        self.entries = [
+            self._add(f"entry-{number}", "entry", 10 + number)
+            for number in range(1, entries + 1)
+        ]
+
+    def _add(self, name: str, role: str, number: int) -> Node:
+        node = self.nodes[name] = Node(self, name, role, number)
+        return node
+
+    async def start(self) -> None:
+        """Starts the proxies and all processes."""
+        port = hosted_processes.INTERNAL_PORT
+        for node in self.nodes.values():
+            for other in self.controls:
+                if other is node:
+                    continue
+                link = links.Link(f"{other.ip}:{port}")
+                host = f"{self.network}.{node.number}.{other.number}"
+                await link.start(host, port)
+                node.links[other.name] = link
+        for node in self.nodes.values():
+            node.start(bootstrap=True)
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for node in self.nodes.values():
+            node.kill()
+
+    def leader(self, group: str = "") -> Node:
+        """Returns the leader of a group as the logs tell it last."""
+        found, latest = self.controls[0], -1
+        for node in self.controls:
+            for line in node.log_path.read_text().splitlines():
+                if '"leader_changed"' not in line:
+                    continue
+                fields = _fields(line)
+                is_group = not group or fields.get("group") == group
+                term = fields.get("term", 0)
+                if (
+                    is_group
+                    and fields.get("role") == "leader"
+                    and term > latest
+                ):
+                    found, latest = node, term
+        return found
+
+
+def _fields(line: str) -> dict:
+    try:
+        return json.loads(line[line.index("{") :])
+    except ValueError:
+        return {}
--- /dev/null
+++ b/testing/soak/report.py
@@ -0,0 +1,59 @@
+"""Prints the result of a run and says where its logs are."""
+
+import collections
+import pathlib
+
+from testing.soak import checks as checks_module
+from testing.soak import schedule
+
+_MAX_SHOWN = 20
+
+
+def summary(
+    checks: checks_module.Checks,
+    faults: list[schedule.Fault],
+    start: float,
+) -> str:
+    """Returns what was done and found, as text."""
+    statuses: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    for name, end in checks.ends.items():
+        kind = checks.requests[name].kind
+        label = str(end.status)
+        if not end.sent:
+            label = "unsent"
+        elif end.left:
+            label = "left"
+        elif not end.whole:
+            label = f"{end.status} cut"
+        statuses[kind][label] += 1
+    kinds = collections.Counter(
+        f"{fault.track} {fault.kind}" for fault in faults
+    )
+    lines = [
+        f"{len(faults)} faults: "
+        + ", ".join(f"{kind} {n}" for kind, n in sorted(kinds.items())),
+        f"{len(checks.requests)} requests, "
+        f"{sum(map(len, checks.runs.values()))} runs, "
+        f"{len(checks.acknowledged)} configurations",
+    ]
+    for kind, counts in sorted(statuses.items()):
+        shown = ", ".join(f"{s}: {n}" for s, n in sorted(counts.items()))
+        lines.append(f"  {kind:9} {shown}")
+    for violation in checks.violations[:_MAX_SHOWN]:
+        lines.append(
+            f"VIOLATION {violation.rule} after {violation.at - start:.1f} s: "
+            f"{violation.detail}"
+        )
+    if len(checks.violations) > _MAX_SHOWN:
+        lines.append(f"and {len(checks.violations) - _MAX_SHOWN} more")
+    return "\n".join(lines)
+
+
+def write_schedule(
+    folder: pathlib.Path, seed: int, faults: list[schedule.Fault]
+) -> None:
+    """Writes the seed and the schedule beside the logs."""
+    lines = [f"seed {seed}", *(str(fault) for fault in faults)]
+    (folder / "schedule.txt").write_text("\n".join(lines) + "\n")
--- /dev/null
+++ b/testing/soak/run.py
@@ -0,0 +1,219 @@
+"""One run of the soak test."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import shutil
+import tempfile
+import time
+from typing import Any
+from typing import NamedTuple
+
+from bench import hosted_processes
+from testing.soak import callers as callers_module
+from testing.soak import checks as checks_module
+from testing.soak import faults as faults_module
+from testing.soak import operators
+from testing.soak import processes
+from testing.soak import report
+from testing.soak import schedule
+from testing.soak import upstreams
+
+ENTRIES = 3
+_START_SECONDS = 30.0
+_USAGE_SECONDS = 0.5
+# Without faults, this long before the end, everybody must be served.
+_CALM_SECONDS = 5.0
+_PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
+
+
+class Result(NamedTuple):
+    """The result of a run.
+
+    Attributes:
+        checks: Observations and violations.
+        text: Summary.
+        folder: Where logs, settings and disks are; deleted if there was no
+            violation.
+        seconds_to_find: From the start of the load to the first violation.
+    """
+
+    checks: checks_module.Checks
+    text: str
+    folder: pathlib.Path
+    seconds_to_find: float | None
+
+
+class Recorder:
+    """Passes on what upstreams run to the checks."""
+
+    def __init__(self, checks: checks_module.Checks) -> None:
+        self.checks = checks
+        self.engines: dict[str, upstreams.Upstream] = {}
+
+    def run_began(
+        self, request: str, upstream: str, customer: str, body: bytes
+    ) -> None:
+        """See `upstreams.Observer`."""
+        now = time.monotonic()
+        run = checks_module.Run(now, upstream, customer)
+        self.checks.run_began(request, run, body)
+        since = self.engines[upstream].draining_since
+        if since:
+            self.checks.ran_while_draining(now, upstream, since, request)
+
+
+class Soak:
+    """All parts of one run."""
+
+    def __init__(self, seed: int, seconds: float, fault: str) -> None:
+        self.seed = seed
+        self.seconds = seconds
+        generator = random.Random(seed)
+        # The second byte differs between runs, so that several can run at a
+        # time.
+        network = f"127.{random.randrange(20, 250)}"
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        self.checks = checks_module.Checks()
+        self.fleet = processes.Fleet(network, self.folder, ENTRIES, fault)
+        controls = [
+            hosted_processes.Caller(
+                f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 1.0
+            )
+            for node in self.fleet.controls
+        ]
+        recorder = Recorder(self.checks)
+        self.upstreams = [
+            upstreams.Upstream(
+                f"{service}-{number}", service, recorder, controls
+            )
+            for service, count in (("lm", 3), ("desk", 3))
+            for number in range(1, count + 1)
+        ]
+        recorder.engines = {one.name: one for one in self.upstreams}
+        self.operator = operators.Operator(controls, self.checks, generator)
+        self.balancer = callers_module.Balancer(self.fleet.entries, generator)
+        self.callers = callers_module.Callers(
+            self.balancer, self.checks, self.operator, generator
+        )
+        self.injector = faults_module.Injector(
+            self.fleet, self.upstreams, self.callers, self.checks, self._log
+        )
+        self.start = time.monotonic()
+        self.tasks: list[asyncio.Task] = []
+
+    def _log(self, text: str) -> None:
+        with (self.folder / "soak.log").open("a") as file:
+            at = time.monotonic() - self.start
+            file.write(f"{time.time():.3f} {at:8.3f} {text}\n")
+
+    async def run(self, until_found: bool) -> Result:
+        """Runs all; ends at the first violation if `until_found` is set."""
+        faults = schedule.make(self.seed, self.seconds)
+        report.write_schedule(self.folder, self.seed, faults)
+        try:
+            await self._start()
+            self.start = time.monotonic()
+            self._start_load()
+            self._spawn(self.injector.run(faults, self.start))
+            end = self.start + self.seconds
+            while time.monotonic() < end:
+                await asyncio.sleep(0.2)
+                self._raise_failures()
+                if until_found and self.checks.violations:
+                    break
+            else:
+                now = time.monotonic()
+                self.checks.check_starvation(now, now - _CALM_SECONDS)
+            self.checks.check_limits(time.monotonic(), operators.LIMITS)
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            self.fleet.stop()
+        return self._result()
+
+    def _result(self) -> Result:
+        text = report.summary(self.checks, self.injector.applied, self.start)
+        found = self.checks.violations
+        if found:
+            self._log(text)
+        else:
+            shutil.rmtree(self.folder)
+        first = min((one.at for one in found), default=None)
+        return Result(
+            self.checks,
+            text,
+            self.folder,
+            None if first is None else first - self.start,
+        )
+
+    def _spawn(self, coroutine: Any) -> None:
+        self.tasks.append(asyncio.create_task(coroutine))
+
+    def _raise_failures(self) -> None:
+        for task in self.tasks:
+            if task.done():
+                task.result()
+
+    async def _start(self) -> None:
+        await self.fleet.start()
+        for upstream in self.upstreams:
+            await upstream.start()
+        async with asyncio.timeout(_START_SECONDS):
+            await self.operator.push()
+            self._spawn(self.balancer.watch_forever())
+            await asyncio.sleep(2.0)
+            while any(self.balancer.failures.values()):
+                await asyncio.sleep(0.1)
+
+    def _start_load(self) -> None:
+        callers = self.callers
+        for customer, count in _PROGRAMS_PER_CUSTOMER.items():
+            for _ in range(count):
+                self._spawn(callers.forever(callers.run_program, customer))
+            self._spawn(callers.forever(callers.stream, customer))
+        for act in (
+            callers.call_limited,
+            callers.call_limited,
+            callers.probe_revision,
+            callers.probe_key,
+        ):
+            self._spawn(callers.forever(act))
+        self._spawn(self.operator.push_forever())
+        self._spawn(self.operator.read_forever())
+        self._spawn(self._watch_processes())
+
+    async def _watch_processes(self) -> None:
+        while True:
+            await asyncio.sleep(_USAGE_SECONDS)
+            now = time.monotonic()
+            for node in self.fleet.nodes.values():
+                if node.has_ended() and not node.planned:
+                    code = node.process.returncode
+                    self.checks.process_ended(now, node.name, code)
+                    node.start()
+                usage = node.usage()
+                if usage is not None:
+                    self.checks.used(now, node.name, *usage)
+
+
+async def _run(soak: Soak, until_found: bool) -> Result:
+    with contextlib.suppress(asyncio.CancelledError):
+        return await soak.run(until_found)
+    raise RuntimeError("The run was cancelled.")
+
+
+def run(
+    seed: int, seconds: float, fault: str = "", until_found: bool = False
+) -> Result:
+    """Runs the soak test once.
+
+    Args:
+        seed: Seed of the schedule and of the load.
+        seconds: Duration after the start of all processes.
+        fault: Known fault to reintroduce; see `reintroduced.FAULTS`.
+        until_found: Whether to end at the first violation.
+    """
+    return asyncio.run(_run(Soak(seed, seconds, fault), until_found))
--- /dev/null
+++ b/testing/soak/schedule.py
@@ -0,0 +1,138 @@
+"""The seeded schedule of faults; no I/O. Times are seconds from the start.
+
+A run alternates phases. In a mixed phase, faults of controls, entries,
+upstreams and load overlap, at most one of each. In a planned phase, one
+process is stopped and nothing else happens, so that a lost request is due to
+the stop. In a loss phase, all processes are killed at once.
+"""
+
+import random
+from typing import NamedTuple
+
+START_SECONDS = 4.0
+END_SECONDS = 9.0
+_MIXED_SECONDS = 16.0
+_PLANNED_SECONDS = 13.0
+_LOSS_SECONDS = 9.0
+# Quiet time after a phase. A node counts as in touch again 3 s after a fault.
+_REST_SECONDS = 4.0
+
+CONTROL_FAULTS = (
+    "kill",
+    "pause",
+    "kill_leader",
+    "pause_leader",
+    "cut_leader",
+    "silent_leader",
+    "delay",
+    "reset",
+    "lose_disk",
+)
+ENTRY_FAULTS = ("kill", "pause", "cut_in", "cut_out", "silent", "delay")
+UPSTREAM_FAULTS = (
+    "crash",
+    "restart",
+    "drain",
+    "slow",
+    "reset",
+    "delay",
+    "silent",
+    "cut_in",
+    "cut_out",
+    "slow_read",
+    "foreign",
+)
+LOAD_FAULTS = ("burst", "slow_readers", "leave", "burst_leader")
+PLANNED = ("stop_entry", "stop_control", "stop_leader")
+
+
+class Fault(NamedTuple):
+    """One fault.
+
+    Attributes:
+        at: Start time.
+        seconds: Duration.
+        track: What it concerns: `control`, `entry`, `upstream`, `load`,
+            `planned` or `all`.
+        kind: What happens.
+        number: Chooses the target among those of the track.
+    """
+
+    at: float
+    seconds: float
+    track: str
+    kind: str
+    number: int
+
+
+_TRACKS = {
+    "control": CONTROL_FAULTS,
+    "entry": ENTRY_FAULTS,
+    "upstream": UPSTREAM_FAULTS,
+    "load": LOAD_FAULTS,
+}
+
+
+def make(seed: int, seconds: float) -> list[Fault]:
+    """Returns the faults of a run in the order of their start.
+
+    Args:
+        seed: The same seed and duration give the same faults.
+        seconds: Duration of the run.
+    """
+    generator = random.Random(seed)
+    faults: list[Fault] = []
+    now = START_SECONDS
+    phases = _phases(generator)
+    while now + _MIXED_SECONDS / 2 < seconds - END_SECONDS:
+        left = seconds - END_SECONDS - now
+        phase = next(phases)
+        length = {
+            "mixed": _MIXED_SECONDS,
+            "planned": _PLANNED_SECONDS,
+            "all": _LOSS_SECONDS,
+        }[phase]
+        if phase != "mixed" and length > left:
+            phase, length = "mixed", left
+        length = min(length, left)
+        if phase == "mixed":
+            faults.extend(_mixed(generator, now, length))
+            now += length + _REST_SECONDS
+        elif phase == "planned":
+            kind = generator.choice(PLANNED)
+            number = generator.randrange(1000)
+            faults.append(Fault(now, 9.0, "planned", kind, number))
+            now += length
+        else:
+            kind = generator.choice(("kill", "lose_one_disk"))
+            down = generator.uniform(0.5, 2.0)
+            number = generator.randrange(1000)
+            faults.append(Fault(now, down, "all", kind, number))
+            now += length
+    return sorted(faults)
+
+
+def _phases(generator: random.Random):  # noqa: ANN202 - an iterator of names
+    rest = ["mixed", "planned", "all"]
+    yield "mixed"
+    while True:
+        yield "planned"
+        yield generator.choice(rest)
+        yield "all"
+        yield "mixed"
+
+
+def _mixed(
+    generator: random.Random, start: float, length: float
+) -> list[Fault]:
+    faults = []
+    for track, kinds in _TRACKS.items():
+        now = start + generator.uniform(0.0, 2.0)
+        while now < start + length - 1.0:
+            seconds = generator.uniform(0.4, 4.0)
+            seconds = min(seconds, start + length - now)
+            kind = generator.choice(kinds)
+            number = generator.randrange(1000)
+            faults.append(Fault(now, seconds, track, kind, number))
+            now += seconds + generator.uniform(1.0, 3.0)
+    return faults
--- /dev/null
+++ b/testing/soak/upstreams.py
@@ -0,0 +1,232 @@
+"""Stand-in upstreams that register themselves and tell what they run."""
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any
+from typing import Protocol
+
+from bench import hosted_processes
+from testing.soak import links
+
+_HEARTBEAT_SECONDS = 0.5
+_SLOTS = 8
+# Requests beyond the slots that are still taken. More are refused with the
+# header that says that they were not run.
+_MAX_RUNNING = 2 * _SLOTS
+_EVENT_SECONDS = 0.01
+_SLOW_FACTOR = 8.0
+# Text of an event of a stream that fills the buffers of slow readers.
+_LARGE_TEXT = "x" * 100_000
+
+
+class Observer(Protocol):
+    """Is told what upstreams run."""
+
+    def run_began(
+        self, request: str, upstream: str, customer: str, body: bytes
+    ) -> None:
+        """An upstream begins to run a request."""
+
+
+def event_data(request: str, number: int, large: bool = False) -> str:
+    """Returns the data of an event; a request's events are the same always."""
+    return f"{request}#{number}{_LARGE_TEXT if large else ''}"
+
+
+def plain_body(request: str) -> bytes:
+    """Returns the body of a plain service's response."""
+    return f"done {request}".encode()
+
+
+class Upstream:
+    """One upstream behind a proxy.
+
+    Attributes:
+        link: Proxy between the entries and this upstream.
+        born: Start of the present process, in ms since 1970.
+        state: State in its registrations.
+        heartbeats: Whether it registers itself.
+        draining_since: When control acknowledged that it drains; 0 if it
+            doesn't.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        observer: Observer,
+        operators: list[hosted_processes.Caller],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.observer = observer
+        self.operators = operators
+        self.link = links.Link("")
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.heartbeats = True
+        self.sequence = 0
+        self.running = 0
+        self.slowness = 1.0
+        self.reads_slowly = False
+        self.draining_since = 0.0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.preferred = 0
+
+    async def start(self) -> None:
+        """Starts to listen and to register."""
+        await self._listen()
+        await self.link.start("127.0.0.1", 0)
+        self.heartbeat_task = asyncio.create_task(self._register_forever())
+
+    async def _listen(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.link.target = f"{host}:{port}"
+
+    def crash(self) -> None:
+        """Ends the process: it neither answers nor registers."""
+        self.heartbeats = False
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        self.link.abort()
+
+    async def restart(self) -> None:
+        """Starts a new process under the same id."""
+        self.born = max(self.born + 1, int(time.time() * 1000))
+        self.running = 0
+        self.state = "ready"
+        self.draining_since = 0.0
+        self.heartbeats = True
+        await self._listen()
+
+    async def drain(self) -> None:
+        """Registers as draining until control has acknowledged it."""
+        self.state = "draining"
+        while self.state == "draining" and not self.draining_since:
+            born = self.born
+            if await self.register() == 200 and born == self.born:
+                self.draining_since = time.monotonic()
+            else:
+                await asyncio.sleep(0.1)
+
+    def heartbeat(self) -> dict[str, Any]:
+        """Returns the next registration."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.link.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": _SLOTS,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    async def register(self, fields: dict[str, Any] | None = None) -> int:
+        """Sends a registration to a control that answers.
+
+        Returns:
+            The status; 0 if no control answered.
+        """
+        body = json.dumps(fields or self.heartbeat()).encode()
+        path = f"/v1/Instances.Heartbeat/{self.name}"
+        for _ in self.operators:
+            operator = self.operators[self.preferred]
+            answer = await operator.ask("POST", path, {}, body)
+            if answer.status in (200, 400):
+                return answer.status
+            self.preferred = (self.preferred + 1) % len(self.operators)
+        return 0
+
+    async def _register_forever(self) -> None:
+        while True:
+            if self.heartbeats:
+                await self.register()
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        ended = (OSError, EOFError, asyncio.CancelledError)
+        try:
+            with contextlib.suppress(*ended):
+                while True:
+                    _, headers = await hosted_processes.read_head(reader)
+                    if self.reads_slowly:
+                        await asyncio.sleep(0.3)
+                    body = await hosted_processes.read_body(reader, headers)
+                    await self._answer(headers, body, writer)
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _answer(
+        self, headers: dict, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        request = headers["x-request-id"]
+        common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
+        if headers.get("x-expect-instance") != self.name:
+            writer.write(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
+            return
+        if self.running >= _MAX_RUNNING:
+            writer.write(
+                f"HTTP/1.1 503 No\r\n{common}X-Not-Executed: 1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return
+        customer = headers.get("x-tenant", "")
+        self.observer.run_began(request, self.name, customer, body)
+        self.running += 1
+        try:
+            if self.service == "lm":
+                await self._stream(headers, common, writer)
+            else:
+                await asyncio.sleep(_EVENT_SECONDS * self.slowness)
+                text = plain_body(request)
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\n{common}"
+                    f"Content-Length: {len(text)}\r\n\r\n".encode()
+                    + text
+                )
+                await writer.drain()
+        finally:
+            self.running = max(0, self.running - 1)
+
+    async def _stream(
+        self, headers: dict, common: str, writer: asyncio.StreamWriter
+    ) -> None:
+        request = headers["x-request-id"]
+        count = int(headers["x-token-counts"].partition(",")[2])
+        first = int(headers.get("last-event-id") or 0) + 1
+        large = "x-large" in headers
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(first, count + 1):
+            if not large:
+                await asyncio.sleep(_EVENT_SECONDS * self.slowness)
+            data = event_data(request, number, large)
+            event = f"id: {number}\ndata: {data}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    def slow_down(self) -> None:
+        """Makes all later events slower."""
+        self.slowness = _SLOW_FACTOR
+
+    def recover(self) -> None:
+        """Ends slowness of work and of reading."""
+        self.slowness = 1.0
+        self.reads_slowly = False
