Running streams move off engines that leave or became slow

A stream whose engine drains was broken off when the engine stopped, and one whose engine became several times slower stayed there to its end. For services with moves and with the policy stream_moves, the entry now has the memory of the run copied to a free engine while it goes on, has the run stopped once little is left to copy, and sends the request there with the copy.

A run of which it is unknown whether it stopped is not continued elsewhere.

stream_watch has further dependencies, so the unit tests of the silence build it with them; what they check is unchanged.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -139,6 +139,12 @@
             raise self._connection_lost(error) from None
         return None
 
+    def has_framed_body(self) -> bool:
+        """Returns whether the current body doesn't end with the connection."""
+        return self.head is not None and not isinstance(
+            self.head.body, http1_framing.UntilCloseBody
+        )
+
     def skip_response(self) -> None:
         """Reads the current response to its end and prepares for the next.
 
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -3,6 +3,7 @@
 They do not depend on the protocol by which callers and upstreams send them.
 """
 
+import enum
 from typing import NamedTuple
 
 
@@ -107,6 +108,48 @@
     events: bool
 
 
+class CopyStatus(enum.Enum):
+    """What an upstream answered to a request to copy a run's memory.
+
+    Attributes:
+        COPIED: The memory is at the destination.
+        ABSENT: The upstream has no such run.
+        IN_PROGRESS: An earlier request to copy this run has not ended.
+        REFUSED: The destination is unreachable or has no free capacity.
+    """
+
+    COPIED = "copied"
+    ABSENT = "no such run"
+    IN_PROGRESS = "copy in progress"
+    REFUSED = "destination refused"
+
+
+class CopyReply(NamedTuple):
+    """The answer to a request to copy the memory of a run.
+
+    Attributes:
+        handle: Name of the copy, or of the memory that a source which has
+            stopped the run keeps; empty for none.
+        made: Events that the run has generated.
+    """
+
+    status: CopyStatus
+    handle: str = ""
+    made: int = 0
+
+
+class Copy(NamedTuple):
+    """The copied memory of a run, from which it can be continued once.
+
+    Attributes:
+        address: `IP:PORT` of the upstream that made the copy.
+        handle: Name of the copy there.
+    """
+
+    address: str
+    handle: str
+
+
 class UpstreamRequest(NamedTuple):
     """Parts of a request that depend on the attempt at an upstream.
 
@@ -116,9 +159,12 @@
         last_event: Id of the event after which to resume the stream; empty
             for none.
         urgency: Priority from 0 to 9; lower values are admitted first.
+        copy: Memory from which the upstream continues the run; None to begin
+            a new one.
     """
 
     body: bytes
     remaining_seconds: float
     last_event: str
     urgency: int
+    copy: Copy | None = None
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Iterator
 import contextlib
+import re
 import reprlib
+from typing import Any
+from urllib import parse
+
+import msgspec
 
 from mintcleat.adapters import http1_client
 from mintcleat.adapters import http1_heads
@@ -15,7 +20,20 @@
 _URGENCY = "x-request-urgency"
 _SIGNATURE = "x-response-signature"
 _NOT_EXECUTED = "x-not-executed"
+_COPY_FROM = "kv-from"
+_MOVE_PATH = "/v1/kv-move"
+_HANDLE_PATH = "/v1/kv-handle/"
 _WRONG_UPSTREAM = 421
+_NO_CAPACITY = 503
+_COPY_STATUS = {
+    200: routed_calls.CopyStatus.COPIED,
+    404: routed_calls.CopyStatus.ABSENT,
+    409: routed_calls.CopyStatus.IN_PROGRESS,
+    _NO_CAPACITY: routed_calls.CopyStatus.REFUSED,
+}
+# Handles are sent on in a header.
+_HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
+_MAX_REPLY_BYTES = 64 * 1024
 _SUCCESS = range(200, 300)
 # Limit of responses to earlier requests that are skipped on a connection.
 _MAX_SKIPPED_RESPONSES = 3
@@ -43,11 +61,54 @@
                 request.body,
             )
             head = _read_head(connection, call.request)
+            if request.copy is not None and head.status == _NO_CAPACITY:
+                raise errors.UpstreamBusy(
+                    f"Upstream {upstream.upstream} has no copy {request.copy} "
+                    "of the run's memory."
+                )
             return HttpUpstreamResponse(self.pool, upstream, connection, head)
         except BaseException:
             connection.close()
             raise
 
+    def copy_run(
+        self,
+        upstream: member_messages.Registration,
+        request: str,
+        destination: member_messages.Registration,
+        stop: bool,
+    ) -> routed_calls.CopyReply:
+        """See `ports.forwarding.UpstreamClient`."""
+        body = {"id": request, "to": destination.address, "last": stop}
+        status, data = _exchange(
+            upstream, "POST", _MOVE_PATH, request, msgspec.json.encode(body)
+        )
+        if status == _WRONG_UPSTREAM:
+            raise errors.WrongUpstream(
+                f"Another upstream has the address {upstream.address} now."
+            )
+        fields = _decode_object(data)
+        handle = fields.get("handle", "")
+        made = fields.get("made", 0)
+        if not (isinstance(handle, str) and _HANDLE.fullmatch(handle)):
+            handle = ""
+        found = _COPY_STATUS.get(status)
+        if found is None or (status in _SUCCESS and not handle):
+            raise errors.StreamClosed(
+                f"Expected an answer on a copy from {upstream.upstream}, but "
+                f"found status {status} and {reprlib.repr(data)}."
+            )
+        return routed_calls.CopyReply(
+            found, handle, made if type(made) is int else 0
+        )
+
+    def free_copy(
+        self, upstream: member_messages.Registration, handle: str
+    ) -> None:
+        """See `ports.forwarding.UpstreamClient`."""
+        path = _HANDLE_PATH + parse.quote(handle, safe="")
+        _exchange(upstream, "DELETE", path, "", b"")
+
     def forget(self, incarnation: str) -> None:
         """Closes the idle connections to an upstream process that has ended."""
         self.pool.discard(incarnation)
@@ -58,6 +119,7 @@
 
     Attributes:
         head: Status and headers of the response.
+        has_end: Whether the end of the body is marked.
     """
 
     def __init__(
@@ -75,6 +137,7 @@
         self._validate(status)
         content_type = self.fields.get("content-type", "")
         length = self.fields.get("content-length", "")
+        self.has_end = connection.has_framed_body()
         self.head = routed_calls.ResponseHead(
             status,
             response.reason,
@@ -154,6 +217,56 @@
             )
 
 
+def _exchange(
+    upstream: member_messages.Registration,
+    method: str,
+    path: str,
+    request: str,
+    body: bytes,
+) -> tuple[int, bytes]:
+    """Sends a control request on a connection of its own.
+
+    An idle connection may be closed by the upstream just then, and a lost
+    answer to a request to stop a run would cost the run.
+
+    Returns:
+        Status and body of the response.
+    """
+    headers = [
+        ("host", upstream.address),
+        (_EXPECT_UPSTREAM, upstream.upstream),
+        ("content-type", "application/json"),
+    ]
+    if request:
+        headers.append((callers.REQUEST_ID, request))
+    connection = http1_client.connect(upstream.address)
+    try:
+        connection.send(method, path, headers, body)
+        head = connection.read_head()
+        parts = []
+        size = 0
+        while (data := connection.read_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > _MAX_REPLY_BYTES:
+                raise errors.StreamClosed(
+                    f"The answer of {upstream.upstream} is longer than "
+                    f"{_MAX_REPLY_BYTES} bytes."
+                )
+        return head.status, b"".join(parts)
+    finally:
+        connection.close()
+
+
+def _decode_object(data: bytes) -> dict[str, Any]:
+    """Returns the fields of a JSON object; none if it isn't one."""
+    try:
+        fields = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
 def _headers(
     upstream: member_messages.Registration,
     call: routed_calls.RoutedCall,
@@ -169,6 +282,9 @@
         headers.append((callers.CUSTOMER, call.customer))
     if request.last_event:
         headers.append((callers.LAST_EVENT_ID, request.last_event))
+    if request.copy is not None:
+        copy = request.copy
+        headers.append((_COPY_FROM, f"{copy.address}/{copy.handle}"))
     return headers
 
 
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -13,9 +13,12 @@
 
     Attributes:
         head: Status and headers of the response.
+        has_end: Whether the end of the body is marked, so that it differs from
+            a connection that was closed within the body.
     """
 
     head: routed_calls.ResponseHead
+    has_end: bool
 
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives and returns at its end.
@@ -53,6 +56,42 @@
                 run.
         """
 
+    def copy_run(
+        self,
+        upstream: member_messages.Registration,
+        request: str,
+        destination: member_messages.Registration,
+        stop: bool,
+    ) -> routed_calls.CopyReply:
+        """Has an upstream copy the memory of a run to another.
+
+        Args:
+            upstream: The upstream that runs the request.
+            request: Id of the request.
+            destination: The upstream that gets the copy.
+            stop: Whether the run stops first, and its stream is closed
+                without its end.
+
+        Raises:
+            errors.NoUpstream: The upstream has not received this.
+            errors.StreamClosed: No valid answer came; with `stop`, the run may
+                have stopped.
+        """
+
+    def free_copy(
+        self, upstream: member_messages.Registration, handle: str
+    ) -> None:
+        """Frees a copy at both upstreams.
+
+        Args:
+            upstream: The upstream that made it.
+            handle: Name of the copy.
+
+        Raises:
+            errors.MintcleatError: The upstream could not be told. The copy
+                expires by itself.
+        """
+
     def forget(self, incarnation: str) -> None:
         """Drops the connections to an upstream process that has ended.
 
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -65,7 +65,14 @@
             timers,
             events,
             attempt_timeouts,
-            stream_watch.StreamWatch(self.loads, timers, attempt_timeouts),
+            stream_watch.StreamWatch(
+                configuration,
+                upstreams,
+                self.loads,
+                timers,
+                events,
+                attempt_timeouts,
+            ),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -41,6 +41,9 @@
             without any data; 0 while nothing is read.
         on_first_event: Called at the first event of each attempt with the
             seconds since the event before; 0 if there is none.
+        confirm_end: Called when a stream of events has ended; raises a
+            StreamClosed if it has only stopped.
+        has_attempt_event: Whether the current attempt has had an event.
         blocked_at: Last time at which a write waited for the caller; 0 before.
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
@@ -77,6 +80,7 @@
         self.blocked_at = 0.0
         self.waiting_since = 0.0
         self.on_first_event: Callable[[float], None] | None = None
+        self.confirm_end: Callable[[], None] | None = None
         self.has_attempt_event = False
         self.output: list[bytes] = []
 
@@ -178,6 +182,8 @@
                 self.waiting_since = timers.now()
         finally:
             self.waiting_since = 0.0
+        if self.confirm_end is not None:
+            self.confirm_end()
         if buffer.rest:
             reply.write(buffer.rest)
         self._mark_complete()
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -5,10 +5,14 @@
 otherwise only one whose route allows repeating or resuming.
 """
 
+from typing import NamedTuple
+
 import eventlet
 
+from mintcleat.decisions import engine_memory
 from mintcleat.decisions import evidence
 from mintcleat.decisions import routes
+from mintcleat.decisions import stream_moves
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
@@ -18,7 +22,8 @@
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import run_deadline
 from mintcleat.roles.entry import run_events
-from mintcleat.roles.entry import stream_watch
+from mintcleat.roles.entry import running_stream
+from mintcleat.roles.entry import stream_move
 from mintcleat.roles.entry import upstream_loads
 
 # Upstreams to which one request is sent if each refuses to run it. More would
@@ -43,6 +48,20 @@
     """
 
 
+class _Target(NamedTuple):
+    """Where a request is sent next.
+
+    Attributes:
+        placement: How the upstream was chosen; None for a moved run.
+        copy: Memory from which the upstream continues the run; None to begin
+            a new one.
+    """
+
+    upstream: member_messages.Registration
+    placement: upstream_loads.Placement | None
+    copy: routed_calls.Copy | None
+
+
 class RunAttempts:
     """Sends one request to upstreams until one has answered it completely.
 
@@ -52,6 +71,10 @@
         tried: Incarnations of the upstreams that it was sent to.
         candidates: Number of upstreams that the last attempt could go to.
         sent_at: Monotonic time at which it was last sent to an upstream.
+        tokens: Tokens that the request holds in memory.
+        moves: Number of moves that were begun.
+        move: The last move that has stopped the run; None for none.
+        copies: Where the stopped run may continue, in order.
     """
 
     def __init__(
@@ -80,6 +103,12 @@
         self.tried: set[str] = set()
         self.candidates = 0
         self.sent_at = 0.0
+        self.tokens = engine_memory.TurnTokens()
+        self.moves = 0
+        self.move: stream_move.StreamMove | None = None
+        self.copies: list[
+            tuple[member_messages.Registration, routed_calls.Copy]
+        ] = []
 
     @property
     def now(self) -> float:
@@ -97,49 +126,72 @@
         Raises:
             errors.MintcleatError: The error for the caller.
         """
-        while True:
-            placement = self._place()
-            upstream = placement.upstream
+        try:
+            while not self._run_once(self._next_target(), reply):
+                pass
+        finally:
+            if self.move is not None:
+                self.move.cancel()
+
+    def _next_target(self) -> _Target:
+        """Returns where the request is sent next."""
+        if self.copies:
+            upstream, copy = self.copies.pop(0)
+            return _Target(upstream, None, copy)
+        placement = self._place()
+        return _Target(placement.upstream, placement, None)
+
+    def _run_once(
+        self, target: _Target, reply: forwarding.CallerResponse
+    ) -> bool:
+        """Makes one attempt; returns whether the response is complete."""
+        upstream = target.upstream
+        if target.copy is None:
             self.offers += 1
-            self.tried.add(upstream.incarnation)
-            self.sent_at = self.now
-            silence_timeout = self.silence_timeout
-            loads = self.context.loads
-            loads.began(
-                upstream.incarnation,
-                self.call.request,
-                silence_timeout,
-                placement,
+        self.tried.add(upstream.incarnation)
+        self.sent_at = self.now
+        silence_timeout = self.silence_timeout
+        loads = self.context.loads
+        loads.began(
+            upstream.incarnation,
+            self.call.request,
+            silence_timeout,
+            target.placement,
+        )
+        try:
+            move = self._attempt(target, reply)
+        except errors.MintcleatError as error:
+            self._attempt_failed(target, error)
+            if target.copy is not None:
+                if error.outcome == errors.NOT_RUN and self.copies:
+                    return False
+                error = self._move_failed(error)
+            self._check_retry(error)
+            self._expect_continuation(upstream, error)
+            if self.deadline.is_refusable():
+                raise self.timeout_error() from error
+            return False
+        except BaseException:
+            # The caller disconnected, or the request timed out.
+            silent = self.now - max(self.sent_at, self.relay.last_active_at)
+            complete = self.relay.complete
+            self._record_evidence(
+                upstream,
+                evidence.of_cancellation(complete, silent, silence_timeout),
             )
-            try:
-                self._attempt(placement, reply)
-            except errors.MintcleatError as error:
-                self._attempt_failed(upstream, error)
-                self._check_retry(error)
-                self._expect_continuation(upstream, error)
-                if self.deadline.is_refusable():
-                    raise self.timeout_error() from error
-            except BaseException:
-                # The caller disconnected, or the request timed out.
-                silent = self.now - max(self.sent_at, self.relay.last_active_at)
-                complete = self.relay.complete
-                self._record_evidence(
-                    upstream,
-                    evidence.of_cancellation(complete, silent, silence_timeout),
-                )
-                raise
-            else:
-                silent = self.relay.first_at - self.sent_at
-                self._record_evidence(
-                    upstream,
-                    evidence.of_answer(
-                        self.relay.status, silent, silence_timeout
-                    ),
-                )
-                self.context.attempt_timeouts.answered(self.service_name)
-                return
-            finally:
-                loads.ended(upstream.incarnation, self.call.request)
+            raise
+        finally:
+            loads.ended(upstream.incarnation, self.call.request)
+        if move is not None:
+            self._continue_moved(move)
+            return False
+        silent = self.relay.first_at - self.sent_at
+        self._record_evidence(
+            upstream,
+            evidence.of_answer(self.relay.status, silent, silence_timeout),
+        )
+        self.context.attempt_timeouts.answered(self.service_name)
+        return True
 
     def timeout_error(self) -> errors.MintcleatError:
         """Returns the error of a request whose deadline has passed."""
@@ -197,15 +249,19 @@
         return found
 
     def _attempt(
-        self,
-        placement: upstream_loads.Placement,
-        reply: forwarding.CallerResponse,
-    ) -> None:
-        upstream = placement.upstream
+        self, target: _Target, reply: forwarding.CallerResponse
+    ) -> stream_move.StreamMove | None:
+        """Sends the request and relays the response.
+
+        Returns:
+            The move that has stopped the run; None if the response is complete.
+        """
+        upstream = target.upstream
         turn = self.relay.turn
         body = turn.body() if turn else self.call.body
         self.deadline.limit_response()
-        self.attempts += 1
+        if target.copy is None:
+            self.attempts += 1
         self.relay.upstream = upstream
         answer = self._send(
             upstream,
@@ -214,37 +270,67 @@
                 max(0.0, self.deadline.left),
                 self.relay.last_event_id,
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
+                target.copy,
             ),
         )
-        stream = stream_watch.RunningStream(
+        if target.copy is not None and self.move is not None:
+            self.move.is_used = True
+        if target.placement is not None:
+            self.tokens = target.placement.turn
+        stream = running_stream.RunningStream(
+            self.call,
             self.route,
             self.service_name,
-            placement,
+            self.service,
+            upstream,
+            self.tokens,
             answer,
             self.relay,
             self.deadline,
             self.tried,
             self.attempts,
+            self.moves,
             self.silence_timeout,
         )
+        if target.copy is not None:
+            stream.next_move_at = self.now + stream_moves.RETRY_SECONDS
+        return self._relay(stream, reply)
+
+    def _relay(
+        self,
+        stream: running_stream.RunningStream,
+        reply: forwarding.CallerResponse,
+    ) -> stream_move.StreamMove | None:
+        """Relays a response; see `_attempt`."""
         streams = self.context.streams
+        answer = stream.answer
+        move = None
         try:
-            self.context.loads.arrived(upstream.incarnation)
+            self.context.loads.arrived(stream.upstream.incarnation)
             if answer.head.events:
                 streams.add(stream)
+            if stream.may_move:
+                self.relay.confirm_end = lambda: _confirm_end(stream)
             repeat = self.route.repeat == "any"
             left = self.attempts < self.route.attempts
             self.relay.relay(answer, reply, self.sent_at, repeat and left)
         except errors.StreamClosed as error:
             if stream.silent_for:
                 raise errors.StreamTimeout(
-                    f"Upstream {upstream.upstream} sent nothing for "
+                    f"Upstream {stream.upstream.upstream} sent nothing for "
                     f"{stream.silent_for:.2f} s within the stream."
                 ) from error
-            raise
+            move = stream.stopped()
+            if move is None:
+                raise
         finally:
             streams.remove(stream)
             answer.close()
+            self.relay.confirm_end = None
+            self.moves = stream.moves
+            if stream.move is not None and move is None:
+                stream.move.cancel()
+        return move
 
     def _send(
         self,
@@ -259,7 +345,12 @@
         timeouts = self.context.attempt_timeouts
         # Giving up the only upstream would leave none for another attempt.
         seconds = None
-        if self.candidates > 1:
+        if request.copy is not None:
+            if self.route.repeat == "resume" and (
+                self.attempts < self.route.attempts
+            ):
+                seconds = self.silence_timeout
+        elif self.candidates > 1:
             seconds = timeouts.seconds(
                 self.route,
                 self.service_name,
@@ -282,11 +373,10 @@
         return repeatable and self.attempts + 1 < self.route.attempts
 
     def _attempt_failed(
-        self,
-        upstream: member_messages.Registration,
-        error: errors.MintcleatError,
+        self, target: _Target, error: errors.MintcleatError
     ) -> None:
-        if error.outcome == errors.NOT_RUN:
+        upstream = target.upstream
+        if error.outcome == errors.NOT_RUN and target.copy is None:
             self.attempts -= 1
         self._record_evidence(upstream, evidence.of_error(error))
         self.events.attempt_failed(
@@ -297,6 +387,55 @@
             self.relay.last_event_id,
         )
 
+    def _continue_moved(self, move: stream_move.StreamMove) -> None:
+        """Has a stopped run continued from its copied memory."""
+        self.move = move
+        self.copies = move.copies()
+        tokens = self.relay.tokens
+
+        def report(pause: float) -> None:
+            self.relay.on_first_event = None
+            name = self.relay.upstream_name
+            returned = name == move.source.upstream
+            self.events.continued(
+                move.source.upstream,
+                name,
+                move.reason,
+                "returned" if returned else "moved",
+                pause,
+                tokens,
+                move.detail,
+            )
+
+        self.relay.on_first_event = report
+
+    def _move_failed(
+        self, error: errors.MintcleatError
+    ) -> errors.MintcleatError:
+        """Ends a move whose stream broke off after it; returns the error.
+
+        What the source ran is lost. So the request counts as run, also if the
+        upstreams state that they did not continue it.
+        """
+        move = self.move
+        self.copies = []
+        if move is not None and self.relay.on_first_event is not None:
+            self.relay.on_first_event = None
+            self.events.continued(
+                move.source.upstream,
+                move.destination.upstream,
+                move.reason,
+                "lost",
+                0.0,
+                self.relay.tokens,
+                error.detail,
+            )
+        if error.outcome != errors.NOT_RUN:
+            return error
+        return errors.StreamClosed(
+            f"The moved stream could not continue: {error.detail}"
+        )
+
     def _expect_continuation(
         self,
         upstream: member_messages.Registration,
@@ -351,3 +490,20 @@
             raise errors.OutcomeUnknown(
                 f"The request may have run: {error.detail}"
             ) from error
+
+
+def _confirm_end(stream: running_stream.RunningStream) -> None:
+    """Checks that a stream whose run may have been stopped has its end.
+
+    Raises:
+        errors.StreamClosed: The stream has stopped before its end.
+    """
+    if stream.stopped() is not None:
+        raise errors.StreamClosed("The run was stopped for a move.")
+    move = stream.move
+    if (
+        move is not None
+        and move.outcome is stream_move.Outcome.UNKNOWN
+        and not stream.answer.has_end
+    ):
+        raise errors.StreamClosed("The run may have been stopped for a move.")
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -106,6 +106,7 @@
         result: str,
         pause: float,
         tokens: int,
+        detail: str = "",
     ) -> None:
         """Reports a move or a resume; see `events.StreamContinued`."""
         self.context.events.emit(
@@ -117,6 +118,7 @@
                 result,
                 round(pause, 4),
                 tokens,
+                detail,
             )
         )
 
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 from typing import Protocol
 
@@ -187,21 +188,68 @@
             return self._choose_by_time(service, ready, names, request, now)
         return self._choose_by_count(ready, names, request, now)
 
-    def has_other(self, service: str, tried: set[str]) -> bool:
-        """Returns whether an upstream is left that isn't known to hang.
+    def sound_others(self, service: str, tried: set[str]) -> list[str]:
+        """Returns the upstreams that are not known to fail or to hang.
 
         Args:
             service: Service of the request.
             tried: Incarnations that are excluded.
         """
         now = self.timers.now()
-        return any(
-            name not in tried
+        return [
+            name
+            for name in self.by_service.get(service, ())
+            if name not in tried
             and self.penalties.allows(name, True, now)
             and not self.silence_detector.silent(name, now)
-            for name in self.by_service.get(service, ())
+        ]
+
+    def service_times(self, service: str) -> turn_time.ServiceTimes:
+        """Returns the rates and speeds of a service."""
+        now = self.timers.now()
+        ready = self.by_service.get(service, {})
+        return self._refreshed_times(
+            service, ready, self._others_running(now), now
         )
 
+    def estimates(
+        self, service: str, call: routed_calls.RoutedCall, memory: int
+    ) -> turn_estimates.TurnEstimates:
+        """Returns what is known about a request at each ready upstream.
+
+        Args:
+            service: Service of the request.
+            call: The request.
+            memory: Tokens that an upstream holds; 0 if unknown.
+        """
+        now = self.timers.now()
+        ready = self.by_service.get(service, {})
+        return self._estimates(service, ready, call, memory, now)
+
+    def total_slots(self, service: str) -> tuple[int, int]:
+        """Returns the running requests of a service, and its slots."""
+        others = self._others_running(self.timers.now())
+        running = slots = 0
+        for name, item in self.by_service.get(service, {}).items():
+            running += self.running(name) + others.get(name, 0)
+            slots += item.slots
+        return running, slots
+
+    def reserve(
+        self, incarnation: str, request: str, turn: engine_memory.TurnTokens
+    ) -> None:
+        """Counts a request whose memory is copied to an upstream.
+
+        The copy takes a slot there before the request is sent; nothing is
+        expected to arrive meanwhile. `began` or `ended` must follow.
+        """
+        self.requests.began(incarnation, request, math.inf, self.timers.now())
+        if turn.total:
+            tokens = self.tokens.setdefault(
+                incarnation, engine_memory.RunningTokens()
+            )
+            tokens.add(request, turn)
+
     def _choose_by_count(
         self,
         ready: Mapping[str, member_messages.Registration],
--- /dev/null
+++ b/testing/fakes/moving_engine.py
@@ -0,0 +1,276 @@
+"""Stand-in engines that move running requests, by the published protocol.
+
+Engines of one `Group` copy memory to each other. An engine generates events
+`id: 1` to `id: COUNT` of a request, with a pause after each, and checks what
+the protocol promises: a handle continues a run once, a copy takes a slot at its
+destination, and a stopped run's stream is closed without its end.
+"""
+
+import itertools
+import json
+from typing import Any
+
+import eventlet
+
+from fakes import platform_engine
+
+MOVE_PATH = "/v1/kv-move"
+HANDLE_PATH = "/v1/kv-handle/"
+
+
+class Run:
+    """A run of a request at an engine.
+
+    Attributes:
+        made: Number of the last generated event.
+        is_stopped: Whether a move has stopped it.
+        is_muted: Whether its stream stays open after that.
+    """
+
+    def __init__(self, request: str, made: int) -> None:
+        self.request = request
+        self.made = made
+        self.is_stopped = False
+        self.is_muted = False
+
+
+class Copy:
+    """Memory of a run that is kept under a handle.
+
+    Attributes:
+        destination: Engine that has a copy; None if only the source has it.
+        expires_at: Time by the clock of the loop; later uses are refused.
+    """
+
+    def __init__(
+        self, run: Run, destination: "Engine | None", expires_at: float
+    ) -> None:
+        self.run = run
+        self.destination = destination
+        self.expires_at = expires_at
+
+
+class Group:
+    """Engines that reach each other.
+
+    Attributes:
+        engines: The engines by address.
+        generated: Each event that was generated: request, number, engine.
+        handle_seconds: Time after which a handle expires.
+        copy_seconds: Time that a copy of the whole memory takes.
+        rest_seconds: Time that a copy of the rest takes.
+    """
+
+    def __init__(self) -> None:
+        self.engines: dict[str, Engine] = {}
+        self.generated: list[tuple[str, int, str]] = []
+        self.handle_seconds = 5.0
+        self.copy_seconds = 0.03
+        self.rest_seconds = 0.005
+        self.numbers = itertools.count(1)
+
+
+class Engine(platform_engine.Engine):
+    """An engine with moves.
+
+    Attributes:
+        count: Number of the last event of each request.
+        pause: Seconds after each event.
+        runs: Its runs by request id.
+        copies: Copies that it made, by handle.
+        reserved: Number of copies that other engines made here.
+        slots: Number of copies that it takes.
+        calls: Moves that were requested: id, destination, last.
+        freed: Handles that were freed.
+        faults: What to do with the next calls of moves instead, in order:
+            a status; `lost` to stop the run if it is asked to and to reset the
+            connection; `mute` to do so and never to answer; `silent` like
+            `mute`, but with the stream left open; None for no fault.
+        refuse_copies: Whether requests with a copy are refused.
+        break_copies: Whether they are broken off before their head.
+    """
+
+    def __init__(
+        self, name: str, group: Group, count: int = 30, pause: float = 0.02
+    ) -> None:
+        super().__init__(name, self._handle)
+        self.group = group
+        self.count = count
+        self.pause = pause
+        self.runs: dict[str, Run] = {}
+        self.copies: dict[str, Copy] = {}
+        self.reserved = 0
+        self.slots = 4
+        self.calls: list[tuple[str, str, bool]] = []
+        self.freed: list[str] = []
+        self.faults: list[Any] = []
+        self.refuse_copies = False
+        self.break_copies = False
+        group.engines[self.address] = self
+
+    @property
+    def requests(self) -> list[platform_engine.ReceivedRequest]:
+        """The requests without the calls of moves."""
+        return [
+            received
+            for received in self.received
+            if not received.target.startswith("/v1/")
+        ]
+
+    def runs_made(self) -> list[str]:
+        """The requests of which it has generated events, with repeats."""
+        numbers = [
+            (request, number)
+            for request, number, name in self.group.generated
+            if name == self.name
+        ]
+        return [
+            request
+            for index, (request, number) in enumerate(numbers)
+            if index == 0 or numbers[index - 1] != (request, number - 1)
+        ]
+
+    def _handle(
+        self,
+        connection: platform_engine.Connection,
+        received: platform_engine.ReceivedRequest,
+    ) -> bool:
+        if received.target == MOVE_PATH:
+            return self._move(connection, received)
+        if received.target.startswith(HANDLE_PATH):
+            handle = received.target.removeprefix(HANDLE_PATH)
+            self.freed.append(handle)
+            self._drop(handle)
+            _answer(connection, 200, {})
+            return True
+        return self._stream(connection, received)
+
+    def _stream(
+        self,
+        connection: platform_engine.Connection,
+        received: platform_engine.ReceivedRequest,
+    ) -> bool:
+        source = received.headers.get("kv-from")
+        if source is not None:
+            if self.break_copies:
+                connection.reset()
+                return False
+            if self.refuse_copies or not self._take(source, received.request):
+                _answer(connection, 503, {})
+                return True
+        request = received.request
+        made = int(received.headers.get("last-event-id", "0"))
+        run = self.runs[request] = Run(request, made)
+        connection.begin_stream(received)
+        try:
+            while run.made < self.count:
+                run.made += 1
+                self.group.generated.append((request, run.made, self.name))
+                connection.chunk(platform_engine.event(run.made))
+                eventlet.sleep(self.pause)
+                if run.is_stopped:
+                    while run.is_muted:
+                        if not connection.sock.recv(1):
+                            received.dropped = True
+                            break
+                    return False
+            connection.end_stream()
+            return True
+        finally:
+            if self.runs.get(request) is run:
+                del self.runs[request]
+
+    def _take(self, source: str, request: str) -> bool:
+        """Returns whether a run continues from a copy, which it uses up."""
+        address, _, handle = source.partition("/")
+        origin = self.group.engines.get(address)
+        copy = origin.copies.get(handle) if origin else None
+        if origin is None or copy is None or copy.run.request != request:
+            return False
+        has_memory = copy.destination is self or (
+            origin is self and copy.run.is_stopped
+        )
+        if not has_memory or _now() > copy.expires_at:
+            return False
+        origin._drop(handle)
+        return True
+
+    def _drop(self, handle: str) -> None:
+        copy = self.copies.pop(handle, None)
+        if copy is not None and copy.destination is not None:
+            copy.destination.reserved -= 1
+
+    def _move(
+        self,
+        connection: platform_engine.Connection,
+        received: platform_engine.ReceivedRequest,
+    ) -> bool:
+        fields = json.loads(received.body)
+        request, last = fields["id"], fields["last"]
+        self.calls.append((request, fields["to"], last))
+        fault = self.faults.pop(0) if self.faults else None
+        run = self.runs.get(request)
+        if isinstance(fault, int):
+            _answer(connection, fault, {})
+            return True
+        if run is None:
+            _answer(connection, 404, {})
+            return True
+        if last:
+            run.is_muted = fault == "silent"
+            run.is_stopped = True
+        if fault == "lost":
+            connection.reset()
+            return False
+        if fault in ("mute", "silent"):
+            connection.sock.recv(1)
+            return False
+        group = self.group
+        eventlet.sleep(group.rest_seconds if last else group.copy_seconds)
+        destination = group.engines.get(fields["to"])
+        status = 200
+        if fault == "refused":
+            destination = None
+        known = [
+            handle
+            for handle, copy in self.copies.items()
+            if copy.run is run and copy.destination is destination
+        ]
+        if destination is None or (
+            not known and destination.reserved >= destination.slots
+        ):
+            status, destination = 503, None
+            if not last:
+                _answer(connection, status, {})
+                return True
+            for handle, copy in list(self.copies.items()):
+                if copy.run is run:
+                    self._drop(handle)
+            known = []
+        if known:
+            handle = known[0]
+            self.copies[handle].expires_at = _now() + group.handle_seconds
+        else:
+            handle = f"h{next(group.numbers)}"
+            self.copies[handle] = Copy(
+                run, destination, _now() + group.handle_seconds
+            )
+            if destination is not None:
+                destination.reserved += 1
+        _answer(connection, status, {"handle": handle, "made": run.made})
+        return True
+
+
+def _answer(
+    connection: platform_engine.Connection, status: int, fields: dict[str, Any]
+) -> None:
+    body = json.dumps(fields).encode()
+    connection.send(
+        f"HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+
+
+def _now() -> float:
+    return eventlet.hubs.get_hub().clock()
--- /dev/null
+++ b/testing/test_stream_moves.py
@@ -0,0 +1,486 @@
+"""Running streams that are moved to another engine, over real sockets."""
+
+import contextlib
+from typing import Any
+from typing import ClassVar
+
+import eventlet
+
+from fakes import moving_engine
+from fakes import platform_engine
+from fakes import platform_system
+from mintcleat.decisions import stream_moves
+from mintcleat.domain import events
+
+WAIT_SECONDS = 10.0
+COUNT = 40
+# Time for which engines are expected to run what they have; short, so that the
+# streams of the tests outlast it.
+LEAVING_SECONDS = 0.2
+PAUSE_SECONDS = 0.02
+
+
+def moves_configuration(version: int, moves: bool = True) -> dict[str, Any]:
+    fields = platform_system.configuration(
+        version,
+        platform_system.route("once", "stream", service="lm", timeoutMs=8000),
+        platform_system.route(
+            "resumable", "stream", service="lm", resumable=True, timeoutMs=8000
+        ),
+        platform_system.route(
+            "turns",
+            "stream",
+            service="lm",
+            retainContext=True,
+            retentionS=60.0,
+            timeoutMs=8000,
+        ),
+    )
+    fields["services"][1]["engine"].update(
+        moves=moves, kvTokenBytes=1000, linkMbps=100, handle_s=5.0
+    )
+    return fields
+
+
+class MovesTest(platform_system.HostedTest):
+    """Two engines; the one that runs the stream leaves."""
+
+    policies: ClassVar[dict[str, Any]] = {"stream_moves": "on"}
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(stream_moves, "LEAVING_SECONDS", LEAVING_SECONDS)
+        self.put(1)
+        self.group = moving_engine.Group()
+        self.engines = [self.add("e1"), self.add("e2")]
+        self.system.settle()
+        self.socks: list[Any] = []
+
+    def put(self, version: int, moves: bool = True) -> None:
+        answer = self.system.put(moves_configuration(version, moves))
+        self.assertEqual(200, answer.status)
+
+    def add(self, name: str) -> moving_engine.Engine:
+        engine = moving_engine.Engine(name, self.group, COUNT, PAUSE_SECONDS)
+        self.system.engines.append(engine)
+        self.system.heartbeat(engine, "lm")
+        return engine
+
+    def begin(
+        self, path: str = "/once/a", **headers: str
+    ) -> tuple[Any, moving_engine.Engine, moving_engine.Engine]:
+        """Sends a request; returns the call, its engine and the other one."""
+        call = eventlet.spawn(
+            self.system.call,
+            "POST",
+            path,
+            b"in",
+            X_Deadline_Milliseconds="8000",
+            X_Token_Counts=f"100,{3 * COUNT}",
+            **headers,
+        )
+        self.wait_for(lambda: any(len(e.requests) for e in self.engines))
+        source, other = sorted(self.engines, key=lambda e: not e.requests)
+        self.wait_for(lambda: source.runs["r1"].made >= 5)
+        return call, source, other
+
+    def wait_for(self, condition: Any) -> None:
+        with eventlet.Timeout(WAIT_SECONDS):
+            while not condition():
+                eventlet.sleep(0.005)
+
+    def leave(self, engine: moving_engine.Engine) -> None:
+        self.system.heartbeat(engine, "lm", "draining")
+
+    def event(self) -> Any:
+        """Returns the only event on a move."""
+        self.wait_for(lambda: self.system.reporter.of(events.StreamContinued))
+        (event,) = self.system.reporter.of(events.StreamContinued)
+        return event
+
+    def assert_complete(self, answer: platform_system.Answer) -> None:
+        """Checks that each event came once, in order, under one head."""
+        expected = b"".join(
+            platform_engine.event(n) for n in range(1, COUNT + 1)
+        )
+        self.assertEqual((200, True), (answer.status, answer.whole))
+        self.assertEqual(expected, answer.body)
+
+    def assert_generated_once(self) -> None:
+        numbers = [number for _, number, _ in self.group.generated]
+        self.assertEqual(sorted(set(numbers)), numbers)
+
+    def assert_all_freed(self) -> None:
+        """Checks that no engine and no count keeps anything of a move."""
+        self.wait_for(
+            lambda: not any(e.copies or e.reserved for e in self.engines)
+        )
+        loads = self.system.entry.gateway.loads
+        self.assertEqual({}, loads.requests.by_upstream)
+        self.assertEqual({}, loads.tokens)
+        watch = self.system.entry.gateway.context.streams
+        self.assertEqual(({}, {}), (watch.streams, watch.copying))
+
+
+class LeavingTest(MovesTest):
+    def test_stream_continues_at_the_destination(self) -> None:
+        call, source, other = self.begin()
+        self.leave(source)
+        answer = call.wait()
+        self.assert_complete(answer)
+        self.assert_generated_once()
+        self.assertEqual(
+            f"sig-{source.name}", answer.headers["x-response-signature"]
+        )
+        (first,), (second,) = source.requests, other.requests
+        self.assertEqual(
+            (first.method, first.target, first.body, first.request),
+            (second.method, second.target, second.body, second.request),
+        )
+        self.assertTrue(second.headers["kv-from"].startswith(source.address))
+        last = max(n for _, n, e in self.group.generated if e == source.name)
+        self.assertEqual(str(last), second.headers["last-event-id"])
+        self.assertEqual(
+            [False, True], [last for _, _, last in source.calls][-2:]
+        )
+        event = self.event()
+        self.assertEqual(
+            (source.name, other.name, "leaving", "moved", 3 * last),
+            (
+                event.upstream,
+                event.destination,
+                event.reason,
+                event.result,
+                event.tokens,
+            ),
+        )
+        self.assertTrue(0.0 < event.pause_s < 2.0, event.pause_s)
+        self.assert_all_freed()
+
+    def test_turn_is_committed_with_both_parts(self) -> None:
+        # The next turn's prompt has the output of both engines.
+        call, source, other = self.begin("/turns/a", X_Program_Id="p")
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual(1, len(other.requests))
+        self.system.call(
+            "POST",
+            "/turns/a",
+            b"more",
+            "r2",
+            X_Program_Id="p",
+            X_Previous_Turn="r1",
+            X_Token_Counts="100,120",
+        )
+        said = b"".join(b"piece-%d\n" % n for n in range(1, COUNT + 1))
+        self.assertEqual(b"in" + said + b"more", other.requests[-1].body)
+
+    def test_stream_that_ends_soon_stays(self) -> None:
+        for engine in self.engines:
+            engine.pause = 0.002
+        call = eventlet.spawn(
+            self.system.call, "POST", "/once/a", b"x", X_Token_Counts="9,120"
+        )
+        self.wait_for(lambda: any(e.runs for e in self.engines))
+        source = next(e for e in self.engines if e.runs)
+        self.wait_for(lambda: source.runs["r1"].made >= 5)
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual([], source.calls)
+
+    def test_no_move_without_a_free_slot(self) -> None:
+        call, source, other = self.begin()
+        loads = self.system.entry.gateway.loads
+        for number in range(4):
+            loads.began(other.name, f"x{number}", 100.0)
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual([], source.calls)
+
+    def test_no_move_beyond_the_budget(self) -> None:
+        call, source, _ = self.begin()
+        watch = self.system.entry.gateway.context.streams
+        watch.move_budgets["lm"].tokens = 0.5
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual([], source.calls)
+
+
+class SlowTest(MovesTest):
+    """An engine becomes several times slower than its peers."""
+
+    def run_streams(self, **headers: str) -> list[Any]:
+        """Runs a stream at each engine; the first engine becomes slow."""
+        self.engines.append(self.add("e3"))
+        self.system.settle()
+        for engine in self.engines:
+            engine.count = 100
+            engine.pause = 0.01
+        calls = []
+        for number in range(3):
+            calls.append(
+                eventlet.spawn(
+                    self.system.call,
+                    "POST",
+                    "/once/a",
+                    b"in",
+                    f"r{number}",
+                    X_Deadline_Milliseconds="8000",
+                    X_Program_Id=f"p{number}",
+                    X_Token_Counts="100,300",
+                    **headers,
+                )
+            )
+        self.wait_for(
+            lambda: all(
+                any(run.made >= 20 for run in engine.runs.values())
+                for engine in self.engines
+            )
+        )
+        self.engines[0].pause = 0.08
+        return calls
+
+    def test_stream_that_would_miss_its_target_moves(self) -> None:
+        calls = self.run_streams(X_Finish_Milliseconds="4000")
+        expected = b"".join(platform_engine.event(n) for n in range(1, 101))
+        for call in calls:
+            answer = call.wait()
+            self.assertEqual((expected, True), (answer.body, answer.whole))
+        event = self.event()
+        self.assertEqual(
+            ("e1", "slow", "moved"),
+            (event.upstream, event.reason, event.result),
+        )
+        self.assert_all_freed()
+
+    def test_stream_without_a_target_stays(self) -> None:
+        calls = self.run_streams()
+        for call in calls:
+            self.assertTrue(call.wait().whole)
+        self.assertEqual([], [e.calls for e in self.engines if e.calls])
+
+
+class OffTest(MovesTest):
+    """Nothing moves unless the policy and the service allow it."""
+
+    policies: ClassVar[dict[str, Any]] = {}
+
+    def test_policy_is_off_by_default(self) -> None:
+        call, source, _ = self.begin()
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual([], source.calls)
+        watch = self.system.entry.gateway.context.streams
+        self.assertFalse(watch.is_scheduled)
+
+
+class ServiceOffTest(MovesTest):
+    def test_service_without_moves_keeps_its_streams(self) -> None:
+        self.put(2, moves=False)
+        self.system.settle()
+        call, source, _ = self.begin()
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual([], source.calls)
+
+
+class FailureTest(MovesTest):
+    """What happens when a step of a move fails."""
+
+    def move(
+        self, *faults: Any, path: str = "/once/a"
+    ) -> tuple[
+        platform_system.Answer, moving_engine.Engine, moving_engine.Engine
+    ]:
+        """Moves a stream whose engine has faults; returns the answer."""
+        call, source, other = self.begin(path)
+        source.faults = list(faults)
+        self.leave(source)
+        with eventlet.Timeout(WAIT_SECONDS):
+            return call.wait(), source, other
+
+    def assert_broken(
+        self,
+        answer: platform_system.Answer,
+        other: moving_engine.Engine,
+    ) -> None:
+        """Checks that a stream was interrupted and nothing ran anew."""
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        body = b"".join(
+            platform_engine.event(number)
+            for _, number, _ in self.group.generated
+        )
+        self.assertTrue(body.startswith(answer.body))
+        self.assertEqual([], other.runs_made())
+
+    def test_destination_that_refuses_the_copy_is_left(self) -> None:
+        answer, source, other = self.move(503, 503, 503, 503)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        found = self.system.reporter.of(events.StreamContinued)
+        self.assertEqual({"stayed"}, {event.result for event in found})
+        self.assertEqual(
+            {"destination refused"}, {event.detail for event in found}
+        )
+        self.assertTrue(len(source.calls) <= 2, source.calls)
+        self.assert_all_freed()
+
+    def test_unknown_run_stays(self) -> None:
+        answer, _, other = self.move(404, 404)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        self.assert_all_freed()
+
+    def test_move_in_progress_is_tried_again_later(self) -> None:
+        answer, _, other = self.move(409)
+        self.assert_complete(answer)
+        self.assertEqual(1, len(other.requests))
+        self.assert_generated_once()
+        self.assert_all_freed()
+
+    def test_last_call_during_another_leaves_the_stream(self) -> None:
+        answer, source, other = self.move(None, 409, 409, 409)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        self.assertEqual(1, len(source.freed))
+        self.assert_all_freed()
+
+    def test_lost_response_to_a_copy_leaves_the_stream(self) -> None:
+        answer, _, other = self.move("lost", "lost")
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        self.assert_all_freed()
+
+    def test_lost_response_to_the_last_call_interrupts(self) -> None:
+        # The source has stopped, and the handle is not known.
+        answer, source, other = self.move(None, "lost")
+        self.assert_broken(answer, other)
+        self.assertEqual("unknown", self.event().result)
+        self.assert_all_freed()
+        self.assertEqual(1, len(source.requests))
+
+    def test_lost_response_resumes_where_the_route_allows_it(self) -> None:
+        answer, source, other = self.move(None, "lost", path="/resumable/a")
+        self.assert_complete(answer)
+        (received,) = other.requests
+        self.assertNotIn("kv-from", received.headers)
+        self.assertEqual([], list(source.runs))
+        found = self.system.reporter.of(events.StreamContinued)
+        self.assertEqual(
+            ["unknown", "resumed"], [event.result for event in found]
+        )
+
+    def test_source_that_stops_without_answering(self) -> None:
+        answer, _, other = self.move(None, "mute")
+        self.assert_broken(answer, other)
+        self.assertEqual("unknown", self.event().result)
+
+    def test_source_that_keeps_a_silent_stream_open(self) -> None:
+        # Otherwise the caller would wait until the deadline.
+        answer, source, other = self.move(None, "silent")
+        self.assert_broken(answer, other)
+        self.wait_for(lambda: source.requests[0].dropped)
+
+    def test_refused_last_call_returns_to_the_source(self) -> None:
+        answer, source, other = self.move(None, "refused", 503, 503)
+        self.assert_complete(answer)
+        self.assert_generated_once()
+        self.assertEqual([], other.requests)
+        self.assertEqual(2, len(source.requests))
+        found = self.system.reporter.of(events.StreamContinued)
+        self.assertEqual("returned", found[0].result)
+        self.assertTrue(found[0].pause_s > 0.0)
+        self.assert_all_freed()
+
+    def test_refusal_without_a_handle_interrupts(self) -> None:
+        # It is not known whether the source has stopped. It still sends.
+        answer, _, other = self.move(None, 503)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        self.assertEqual("unknown", self.event().result)
+
+    def test_destination_that_refuses_to_continue(self) -> None:
+        call, source, other = self.begin()
+        other.refuse_copies = True
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assert_generated_once()
+        self.assertEqual(2, len(source.requests))
+        self.assertEqual("returned", self.event().result)
+        self.assert_all_freed()
+
+    def test_destination_that_dies_before_it_continues(self) -> None:
+        call, source, other = self.begin()
+        with contextlib.suppress(OSError):
+            self.system.engines.remove(other)
+            other.stop()
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assert_generated_once()
+        self.assertEqual("returned", self.event().result)
+
+    def test_destination_that_dies_as_it_continues(self) -> None:
+        # It may have begun to run the rest.
+        call, source, other = self.begin()
+        other.break_copies = True
+        self.leave(source)
+        answer = call.wait()
+        self.assertFalse(answer.whole)
+        self.assertEqual(1, len(source.requests))
+        self.assertEqual("lost", self.event().result)
+
+    def test_expired_handle_ends_the_stream(self) -> None:
+        self.group.handle_seconds = -1.0
+        answer, source, other = self.move()
+        self.assert_broken(answer, other)
+        self.assertEqual("lost", self.event().result)
+        self.assertEqual(1, len(source.runs_made()))
+
+    def test_expired_handle_resumes_where_the_route_allows_it(self) -> None:
+        self.group.handle_seconds = -1.0
+        self.engines.append(self.add("e3"))
+        self.system.settle()
+        call = eventlet.spawn(
+            self.system.call,
+            "POST",
+            "/resumable/a",
+            b"in",
+            X_Deadline_Milliseconds="8000",
+            X_Token_Counts=f"100,{3 * COUNT}",
+        )
+        self.wait_for(lambda: any(e.runs for e in self.engines))
+        source = next(e for e in self.engines if e.runs)
+        self.wait_for(lambda: source.runs["r1"].made >= 5)
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assert_generated_once()
+
+    def test_caller_that_disconnects_during_the_copy(self) -> None:
+        self.group.copy_seconds = 0.4
+        self.disconnect_during(lambda source: source.calls)
+
+    def test_caller_that_disconnects_during_the_last_call(self) -> None:
+        self.group.rest_seconds = 0.4
+        self.disconnect_during(lambda source: source.calls[1:])
+
+    def disconnect_during(self, condition: Any) -> None:
+        sock = platform_system.connect(self.system.entry.listener.address)
+        fields = {
+            "Host": platform_system.HOST,
+            "X-Request-Id": "r1",
+            "X-Token-Counts": f"100,{3 * COUNT}",
+        }
+        sock.sendall(
+            platform_system.request_bytes("POST", "/once/a", fields, b"x")
+        )
+        self.wait_for(lambda: any(e.runs for e in self.engines))
+        source, other = sorted(self.engines, key=lambda e: not e.runs)
+        self.wait_for(lambda: source.runs["r1"].made >= 5)
+        self.leave(source)
+        self.wait_for(lambda: condition(source))
+        sock.close()
+        self.wait_for(lambda: source.freed)
+        self.assert_all_freed()
+        self.wait_for(lambda: not source.runs)
+        self.assertEqual([], other.requests)
+        self.assertEqual("cancelled", self.event().result)
--- a/testing/test_stream_silence.py
+++ b/testing/test_stream_silence.py
@@ -9,11 +9,13 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.decisions import attempt_timeout
+from mintcleat.decisions import engine_memory
 from mintcleat.decisions import stream_silence
 from mintcleat.decisions import turn_time
 from mintcleat.domain import events
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
+from mintcleat.roles.entry import running_stream
 from mintcleat.roles.entry import stream_watch
 
 TIMEOUT_SECONDS = 10.0
@@ -74,8 +76,8 @@
         self.times = turn_time.TurnTimes()
         self.has_others = True
 
-    def has_other(self, service: str, tried: set[str]) -> bool:
-        return self.has_others
+    def sound_others(self, service: str, tried: set[str]) -> list[str]:
+        return ["u2"] if self.has_others else []
 
 
 class Answer:
@@ -96,15 +98,14 @@
     left = math.inf
 
 
-class Turn:
-    uncached = 100
+class Configuration:
+    def manifest(self) -> manifest.Manifest:
+        return manifest.Manifest()
 
 
-class Placement:
-    turn = Turn()
-    upstream = member_messages.Registration(
-        "u1", "s", "a:1", "d1", "v1", 4, "ready", 1
-    )
+UPSTREAM = member_messages.Registration(
+    "u1", "s", "a:1", "d1", "v1", 4, "ready", 1
+)
 
 
 class WatchTest(testtools.TestCase):
@@ -116,24 +117,30 @@
         self.loads: Any = Loads()
         self.relay: Any = Relay()
         self.timeouts = attempt_timeout.AttemptTimeouts()
+        unused: Any = None
         self.watch = stream_watch.StreamWatch(
-            self.loads, self.timers, self.timeouts
+            unused, unused, self.loads, self.timers, unused, self.timeouts
         )
+        self.watch.configuration = Configuration()
         self.answer = Answer()
 
-    def add(self, attempts: int = 1) -> stream_watch.RunningStream:
-        placement: Any = Placement()
+    def add(self, attempts: int = 1) -> running_stream.RunningStream:
         deadline: Any = Deadline()
+        call: Any = None
         route = manifest.Route("/", [], repeat="resume", attempts=2)
-        stream = stream_watch.RunningStream(
+        stream = running_stream.RunningStream(
+            call,
             route,
             "s",
-            placement,
+            manifest.Service("model"),
+            UPSTREAM,
+            engine_memory.TurnTokens(own=100),
             self.answer,
             self.relay,
             deadline,
             {"u1"},
             attempts,
+            0,
             0.5,
         )
         self.watch.add(stream)
