Explain names moves and resumes of a stream

The verdict of mintcleat explain lists each move and resume with its reason, result, pause and tokens, and the cause of a move that failed.

--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -195,11 +195,14 @@
             return (
                 f"Answered whole with {fields.get('status')} by "
                 f"{fields.get('upstream')} after {fields.get('total_s')} s."
+                + _continuations(own)
             )
         case "call_ended":
             return (
                 f"The answer of {fields.get('upstream')} broke off after "
-                f"{fields.get('total_s')} s." + _last_failure(own)
+                f"{fields.get('total_s')} s."
+                + _last_failure(own)
+                + _continuations(own)
             )
         case "caller_gone" if stalls:
             return (
@@ -229,3 +232,27 @@
         f" Before that, {fields.get('upstream')} failed as "
         f"{fields.get('kind')}: {fields.get('detail')}"
     )
+
+
+def _continuations(own: list[Line]) -> str:
+    """Describes the moves and resumes of a stream, in order."""
+    texts = []
+    for line in own:
+        if line.event != "stream_continued":
+            continue
+        fields = line.fields
+        way = f"{fields.get('upstream')} to {fields.get('destination')}"
+        reason = f"{fields.get('reason')}"
+        match fields.get("result"):
+            case "resumed" | "moved" | "returned" as result:
+                texts.append(
+                    f" It was {result} from {way} ({reason}) after "
+                    f"{fields.get('tokens')} tokens, with a pause of "
+                    f"{fields.get('pause_s')} s."
+                )
+            case result:
+                texts.append(
+                    f" A move from {way} ({reason}) failed as {result}: "
+                    f"{fields.get('detail') or 'no detail'}."
+                )
+    return "".join(texts)
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -43,6 +43,37 @@
         self.assertTrue(found.certain)
         self.assertEqual([], found.gaps)
 
+    def test_moves_and_resumes_are_part_of_the_verdict(self) -> None:
+        moved = {
+            "request": "r1", "upstream": "u1", "destination": "u2",
+            "reason": "slow", "tokens": 12,
+        }  # fmt: skip
+        found = traces.trace(
+            "r1",
+            traces.parse(
+                [
+                    line(
+                        10.2, 6, "stream_continued", **moved, pause_s=0.0,
+                        result="stayed", detail="destination refused",
+                    ),
+                    line(
+                        10.7, 7, "stream_continued", **moved, pause_s=0.04,
+                        result="moved", detail="",
+                    ),
+                    line(
+                        11.0, 8, "call_ended", request="r1", outcome="whole",
+                        status=200, upstream="u2", total_s=1.0,
+                    ),
+                ]
+            ),
+        )  # fmt: skip
+        self.assertIn(
+            "A move from u1 to u2 (slow) failed as stayed: "
+            "destination refused. It was moved from u1 to u2 (slow) after 12 "
+            "tokens, with a pause of 0.04 s.",
+            found.verdict,
+        )
+
     def test_prefixes_and_other_text_are_skipped(self) -> None:
         texts = [
             "no line",
