Types of the entry's and the platform's modules

Only annotations change, a name in chat.py, and the role in machine_settings, which is one of its two constants.

--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -113,7 +113,7 @@
     can't be moved without them, and an engine that only states that it could
     must not fail the whole configuration.
     """
-    built = {
+    built: dict[str, Any] = {
         "token_bytes": engine.get("kvTokenBytes"),
         "link_mbps": engine.get("linkMbps"),
         "handle_seconds": engine.get("handle_s", engine.get("handleS")),
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -175,7 +175,7 @@
         for wire, name in _FIELD_NAMES.items()
         if wire in fields
     }
-    cold = named.get("cold")
+    cold: Any = named.get("cold")
     if type(cold) in (int, float):
         named["cold"] = cold / 1000.0
     return registrations.parse(upstream, named)
--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -8,14 +8,15 @@
 import pathlib
 import tomllib
 from typing import Any
+from typing import Final
 from typing import NamedTuple
 
 from mintcleat.adapters import settings as settings_module
 from mintcleat.domain import errors
 
 PATH_VARIABLE = "MINTCLEAT_CONFIG"
-ENTRY = "entry"
-CONTROL = "control"
+ENTRY: Final = "entry"
+CONTROL: Final = "control"
 
 # The platform counts the remaining machines as connected 3 s after one is lost.
 # Within that time the loss of a leader is detected (at most 0.7 s, twice the
@@ -149,7 +150,7 @@
         failure_domain=fields["zone"],
         region=fields.get("region", ""),
         listen=own_address,
-        roles=[role],
+        roles=[CONTROL if role == CONTROL else ENTRY],
         control=control_addresses,
         program_groups=_PROGRAM_GROUPS,
         stop_seconds=grace - _STOP_MARGIN,
--- a/src/mintcleat/roles/entry/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -1,5 +1,6 @@
 """Runs chat calls at the entry: attempts, streamed answers and retries."""
 
+from collections.abc import Generator
 from collections.abc import Iterator
 from typing import Any
 
@@ -22,6 +23,12 @@
 # sidecar: it sends nothing while a call is queued or its prompt is processed,
 # and a lost peer is detected by the heartbeats of the streams.
 _MIN_WAIT_SECONDS = 0.05
+# Yields the parts of an answer and returns the next step of its call.
+_Steps = Generator[
+    requests.AnswerText | requests.AnswerEnd,
+    None,
+    attempts_module.Attach | attempts_module.Retry | attempts_module.Answered,
+]
 
 
 class Progress:
@@ -86,7 +93,7 @@
 
     def _attempt(
         self, context: chat_call.RequestContext, progress: Progress
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Places and runs one attempt; returns the next step."""
         progress.attempts += 1
         try:
@@ -116,7 +123,7 @@
         context: chat_call.RequestContext,
         progress: Progress,
         refusal: errors.MintcleatError,
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Uses what an earlier send of the call left, or refuses."""
         reply = self.attempts.find_earlier(
             context.name, context.call.turn, context.digest, refusal
@@ -127,7 +134,7 @@
         self,
         progress: Progress,
         reply: program_messages.CallRecorded | program_messages.AttemptRunning,
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Replays the recorded answer or attaches to the running attempt."""
         if isinstance(reply, program_messages.AttemptRunning):
             return attempts_module.Attach(
@@ -150,12 +157,13 @@
                 context.resident,
                 progress.tried,
             )
-        except errors.NoUpstream as error:
+        except errors.NoUpstream as refusal:
             # The last attempt is sealed and no other follows. Settling it
             # releases the key and the reservation for the caller's resend.
+            error: errors.MintcleatError = refusal
             if progress.may_have_run:
                 error = attempts_module.with_unknown_outcome(
-                    context.name, error
+                    context.name, refusal
                 )
             if progress.sealed:
                 self.attempts.settle(context.name, progress.sealed, error)
@@ -221,7 +229,7 @@
         progress: Progress,
         placed: placement_module.Placed,
         run: call_messages.RunTurn,
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Sends one attempt to its sidecar and relays the answer."""
         try:
             exchange = self.streams.open(placed.address, run)
@@ -290,7 +298,7 @@
         progress: Progress,
         exchange: streams_port.Exchange,
         first: Any,
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Relays one answer; returns the next step."""
         message = first
         delivery = progress.delivery
@@ -329,7 +337,7 @@
         context: chat_call.RequestContext,
         progress: Progress,
         target: attempts_module.Attach,
-    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+    ) -> _Steps:
         """Attaches to an attempt that an earlier send started."""
         name = context.name
         attach = call_messages.AttachAttempt(
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -3,7 +3,10 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 import re
+from typing import Any
 from typing import NamedTuple
+from typing import Protocol
+from typing import TypeVar
 import uuid
 
 from loguru import logger
@@ -34,9 +37,19 @@
 # 300 bytes; the bound keeps the memory of an entry small.
 _MAX_VIEWS = 20_000
 ANONYMOUS = "anonymous"
+_Limit = TypeVar("_Limit", int, float)
 _OUTCOME_TEXTS = {True: "ended", False: "failed or was abandoned"}
 
 
+class Directory(
+    directory_port.Directory,
+    authentication.Configuration,
+    rate_limiter.Configuration,
+    Protocol,
+):
+    """The followed configuration, as the entry needs it."""
+
+
 class Entry:
     """Serves callers' requests; keeps no state that must survive a restart.
 
@@ -50,7 +63,7 @@
     def __init__(
         self,
         control: control_port.Control,
-        directory: directory_port.Directory,
+        directory: Directory,
         placement: placement_module.Placement,
         streams: streams_port.Streams,
         timers: timers_port.Timers,
@@ -269,7 +282,7 @@
                     waited = self.timers.now() - started
                     self.metrics.observe("first_token_seconds", waited)
                 ended = isinstance(event, requests.AnswerEnd)
-                if ended:
+                if isinstance(event, requests.AnswerEnd):
                     attempt = event.attempt
                     self._update_view(context, event)
                 yield event
@@ -416,13 +429,7 @@
             return None
         return view.resident
 
-    def _ask(
-        self, scope: str, message: NamedTuple
-    ) -> (
-        program_messages.ProgramView
-        | program_messages.History
-        | identities.Done
-    ):
+    def _ask(self, scope: str, message: NamedTuple) -> Any:
         return self.control.ask(scope, message, attempts_module.CONTROL_SECONDS)
 
 
@@ -446,7 +453,7 @@
     return max(0, view.budget.tokens - view.used - view.reserved)
 
 
-def lower_limit(first: float, second: float) -> float:
+def lower_limit(first: _Limit, second: _Limit) -> _Limit:
     """Returns the lower of two limits, where 0 means no limit."""
     if not first or not second:
         return first or second
--- a/src/mintcleat/roles/entry/placement.py
+++ b/src/mintcleat/roles/entry/placement.py
@@ -11,6 +11,7 @@
 from mintcleat.domain import call_messages
 from mintcleat.domain import errors
 from mintcleat.domain import identities
+from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import streams as streams_port
@@ -238,7 +239,7 @@
         )
 
 
-def weights_of(policies: object) -> tuple[float, float]:
+def weights_of(policies: manifest.Policies) -> tuple[float, float]:
     """Returns the weights of program latency and of wasted cache."""
     weights = policies.weights
     return weights.program_latency, weights.wasted_cache
