One event for each move, also if the caller leaves within it

A caller that disconnected between the stop of the run and its first event at the destination left no line on the move. The move now knows whether it was reported. Tests of a source whose streams end with their connections (its stop looks like the end of the stream) and of a deadline during the last call.

--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -395,6 +395,7 @@
 
         def report(pause: float) -> None:
             self.relay.on_first_event = None
+            move.is_reported = True
             name = self.relay.upstream_name
             returned = name == move.source.upstream
             self.events.continued(
@@ -419,7 +420,8 @@
         """
         move = self.move
         self.copies = []
-        if move is not None and self.relay.on_first_event is not None:
+        if move is not None and not move.is_reported:
+            move.is_reported = True
             self.relay.on_first_event = None
             self.events.continued(
                 move.source.upstream,
--- a/src/mintcleat/roles/entry/running_stream.py
+++ b/src/mintcleat/roles/entry/running_stream.py
@@ -83,9 +83,5 @@
         move = self.move
         if move is None or not move.is_stopping:
             return None
-        if move.wait() in (
-            stream_move.Outcome.MOVED,
-            stream_move.Outcome.RETURNED,
-        ):
-            return move
-        return None
+        move.wait()
+        return move if move.has_stopped() else None
--- a/src/mintcleat/roles/entry/stream_move.py
+++ b/src/mintcleat/roles/entry/stream_move.py
@@ -64,6 +64,7 @@
         handle: Name of the copy; empty for none.
         is_cancelled: Whether the stream doesn't need it any more.
         is_used: Whether an upstream has continued the run from the copy.
+        is_reported: Whether there is an event on its result.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         reason: str,
         plan: stream_moves.Plan,
         on_finished: Callable[["StreamMove"], None],
-        release: Callable[[], None],
+        on_cancelled: Callable[["StreamMove"], None],
     ) -> None:
         """Initializes a move.
 
@@ -89,8 +90,8 @@
             reason: Why it is moved.
             plan: Its expected times.
             on_finished: Called with the move when it has its outcome.
-            release: Ends the count of the request at the destination;
-                idempotent.
+            on_cancelled: Called with the move when the stream doesn't need
+                it any more, which may be before or after it has its outcome.
         """
         self.client = client
         self.timers = timers
@@ -100,31 +101,35 @@
         self.reason = reason
         self.plan = plan
         self.on_finished = on_finished
-        self.release = release
+        self.on_cancelled = on_cancelled
         self.is_stopping = False
         self.outcome: Outcome | None = None
         self.detail = ""
         self.handle = ""
         self.is_cancelled = False
         self.is_used = False
+        self.is_reported = False
         self.finished = eventlet_event.Event()
 
     def start(self) -> None:
         """Begins the move in a green thread of its own."""
         self.timers.spawn(self._run)
 
-    def wait(self) -> Outcome:
-        """Returns the outcome; waits for it, for the time of a call."""
+    def wait(self) -> None:
+        """Waits for the outcome, at most for the time of a call."""
         if self.outcome is None:
             self.finished.wait()
-        return self.outcome or Outcome.UNKNOWN
+
+    def has_stopped(self) -> bool:
+        """Returns whether it has stopped the run, which a copy continues."""
+        return self.outcome in (Outcome.MOVED, Outcome.RETURNED)
 
     def cancel(self) -> None:
         """Frees what a move holds that the stream doesn't use; idempotent."""
         if self.is_cancelled:
             return
         self.is_cancelled = True
-        self.release()
+        self.on_cancelled(self)
         if self.outcome is not None:
             self._free()
 
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -250,8 +250,10 @@
         self.copying[source] = self.copying.get(source, 0) + 1
         self.loads.reserve(destination.incarnation, request, stream.turn)
 
-        def release() -> None:
+        def cancelled(move: stream_move.StreamMove) -> None:
             self.loads.ended(destination.incarnation, request)
+            if move.has_stopped() and not move.is_reported:
+                self._emit_failed(move, stream.relay.tokens)
 
         def finish(move: stream_move.StreamMove) -> None:
             self.copying[source] -= 1
@@ -261,13 +263,13 @@
             if is_moved and not move.is_cancelled:
                 # The request's next attempt is there.
                 return
-            release()
+            self.loads.ended(destination.incarnation, request)
             if move.outcome is stream_move.Outcome.STAYED:
                 stream.move = None
                 stream.next_move_at = (
                     self.timers.now() + stream_moves.RETRY_SECONDS
                 )
-            if move.outcome is not stream_move.Outcome.RETURNED:
+            if move.is_cancelled or not move.has_stopped():
                 self._emit_failed(move, stream.relay.tokens)
 
         stream.moves += 1
@@ -280,12 +282,13 @@
             reason,
             plan,
             finish,
-            release,
+            cancelled,
         )
         stream.move.start()
 
     def _emit_failed(self, move: stream_move.StreamMove, tokens: int) -> None:
         """Reports a move after which the stream does not continue elsewhere."""
+        move.is_reported = True
         result = "stayed"
         if move.outcome is stream_move.Outcome.UNKNOWN:
             result = "unknown"
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -86,6 +86,8 @@
             a status; `lost` to stop the run if it is asked to and to reset the
             connection; `mute` to do so and never to answer; `silent` like
             `mute`, but with the stream left open; None for no fault.
+        is_framed: Whether the end of its streams is marked; otherwise they end
+            with their connections.
         refuse_copies: Whether requests with a copy are refused.
         break_copies: Whether they are broken off before their head.
     """
@@ -104,6 +106,7 @@
         self.calls: list[tuple[str, str, bool]] = []
         self.freed: list[str] = []
         self.faults: list[Any] = []
+        self.is_framed = True
         self.refuse_copies = False
         self.break_copies = False
         group.engines[self.address] = self
@@ -161,12 +164,18 @@
         request = received.request
         made = int(received.headers.get("last-event-id", "0"))
         run = self.runs[request] = Run(request, made)
-        connection.begin_stream(received)
+        write = connection.chunk
+        if self.is_framed:
+            connection.begin_stream(received)
+        else:
+            write = connection.send
+            kind = {"Content-Type": "text/event-stream"}
+            connection.send(connection.head(received, kind))
         try:
             while run.made < self.count:
                 run.made += 1
                 self.group.generated.append((request, run.made, self.name))
-                connection.chunk(platform_engine.event(run.made))
+                write(platform_engine.event(run.made))
                 eventlet.sleep(self.pause)
                 if run.is_stopped:
                     while run.is_muted:
@@ -174,8 +183,9 @@
                             received.dropped = True
                             break
                     return False
-            connection.end_stream()
-            return True
+            if self.is_framed:
+                connection.end_stream()
+            return self.is_framed
         finally:
             if self.runs.get(request) is run:
                 del self.runs[request]
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -11,6 +11,8 @@
 from fakes import platform_system
 from mintcleat.decisions import stream_moves
 from mintcleat.domain import events
+from mintcleat.roles.entry import run_deadline
+from mintcleat.roles.entry import stream_move
 
 WAIT_SECONDS = 10.0
 COUNT = 40
@@ -67,18 +69,20 @@
         return engine
 
     def begin(
-        self, path: str = "/once/a", **headers: str
+        self,
+        path: str = "/once/a",
+        engines_framed: bool = True,
+        **headers: str,
     ) -> tuple[Any, moving_engine.Engine, moving_engine.Engine]:
         """Sends a request; returns the call, its engine and the other one."""
-        call = eventlet.spawn(
-            self.system.call,
-            "POST",
-            path,
-            b"in",
-            X_Deadline_Milliseconds="8000",
-            X_Token_Counts=f"100,{3 * COUNT}",
+        for engine in self.engines:
+            engine.is_framed = engines_framed
+        fields = {
+            "X_Deadline_Milliseconds": "8000",
+            "X_Token_Counts": f"100,{3 * COUNT}",
             **headers,
-        )
+        }
+        call = eventlet.spawn(self.system.call, "POST", path, b"in", **fields)
         self.wait_for(lambda: any(len(e.requests) for e in self.engines))
         source, other = sorted(self.engines, key=lambda e: not e.requests)
         self.wait_for(lambda: source.runs["r1"].made >= 5)
@@ -455,6 +459,33 @@
         self.assert_complete(call.wait())
         self.assert_generated_once()
 
+    def test_stream_without_a_marked_end_is_not_taken_for_complete(
+        self,
+    ) -> None:
+        # The source closes the connection when it stops, as at its end.
+        call, source, other = self.begin(engines_framed=False)
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual(1, len(other.requests))
+        self.assert_generated_once()
+
+    def test_unknown_end_without_a_mark_is_no_end(self) -> None:
+        call, source, other = self.begin(engines_framed=False)
+        source.faults = [None, "mute"]
+        self.leave(source)
+        self.assert_broken(call.wait(), other)
+
+    def test_deadline_during_a_move_frees_the_copy(self) -> None:
+        self.group.rest_seconds = 2.0
+        self.patch(stream_move, "TIMEOUT_SECONDS", WAIT_SECONDS)
+        self.patch(run_deadline, "GRACE_SECONDS", 0.05)
+        call, source, _ = self.begin(X_Deadline_Milliseconds="1500")
+        self.leave(source)
+        self.assertFalse(call.wait().whole)
+        self.wait_for(lambda: source.freed)
+        self.assertEqual("cancelled", self.event().result)
+        self.assert_all_freed()
+
     def test_caller_that_disconnects_during_the_copy(self) -> None:
         self.group.copy_seconds = 0.4
         self.disconnect_during(lambda source: source.calls)
