A leader's own pause drops and refuses no waiting turn

Change: `decisions/leader_pauses` records times in which neither messages nor a timer of 0.1 s were handled, and times in which none of eight or more waiting turns asked (a leader that is cut off). Waiting turns, reports and silent entries are judged without these times. Nothing changes for a schedule whose timer is never called.

--- a/src/mintcleat/decisions/granted_turns.py
+++ b/src/mintcleat/decisions/granted_turns.py
@@ -25,6 +25,7 @@
 
 import sortedcontainers
 
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import reported_turns
 from mintcleat.decisions import turn_queue
 
@@ -77,6 +78,7 @@
     """Granted turns of one service.
 
     Attributes:
+        pauses: Times in which the leader heard from no entry.
         granted: Turns that count as running, by key.
         uncounted: Turns that have ended by a report of their entry, or whose
             entry is silent, and whose CloseTurn has not arrived.
@@ -88,7 +90,8 @@
             silent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pauses: leader_pauses.LeaderPauses) -> None:
+        self.pauses = pauses
         self.granted: dict[turn_queue.TurnKey, RunningTurn] = {}
         self.uncounted: dict[turn_queue.TurnKey, EndedTurn] = {}
         self.reports = reported_turns.EntryReports()
@@ -173,7 +176,7 @@
         Returns:
             The removed turns.
         """
-        self.reports.expire(now)
+        self.reports.expire(now, self.pauses)
         removed: list[EndedTurn] = []
         while self._expiries and len(removed) < limit:
             expires, key = self._expiries[0]
@@ -196,7 +199,7 @@
         dropped = 0
         while self.heard and dropped < limit:
             entry, heard = next(iter(self.heard.items()))
-            if now - heard <= seconds:
+            if self.pauses.awake(heard, now) <= seconds:
                 return
             self.reports.forget(entry)
             key = next(iter(self._by_entry[entry]))
--- a/src/mintcleat/decisions/reported_turns.py
+++ b/src/mintcleat/decisions/reported_turns.py
@@ -10,6 +10,7 @@
 
 import collections
 
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import shared_load
 
 
@@ -40,11 +41,11 @@
         self.reports.move_to_end(entry)
         self._update(entry)
 
-    def expire(self, now: float) -> None:
-        """Drops reports that are too old."""
+    def expire(self, now: float, pauses: leader_pauses.LeaderPauses) -> None:
+        """Drops reports that are too old, but not for pauses of the leader."""
         while self.reports:
             entry, (at, _) = next(iter(self.reports.items()))
-            if now - at <= shared_load.MAX_AGE:
+            if pauses.awake(at, now) <= shared_load.MAX_AGE:
                 return
             del self.reports[entry]
             self._update(entry)
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -23,6 +23,7 @@
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import granted_turns
 from mintcleat.decisions import jitter
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import moving_average
 from mintcleat.decisions import program_times
 from mintcleat.decisions import reported_turns
@@ -65,6 +66,9 @@
 # constant, this leader was cut off.
 _SILENT_TURNS = 8
 _MIN_SILENCE_SECONDS = 0.1
+# With at least as many turns waiting, none of which asks again for this time,
+# the leader was cut off: it is twice the longest time between two asks.
+_CUT_OFF_SECONDS = 2 * MAX_RETRY_SECONDS * (1 + jitter.SPREAD)
 # Work of a turn in units: a generated token counts 1. Engines process prompt
 # tokens about two orders of magnitude faster than they generate.
 _UNITS_PER_PROMPT_TOKEN = 0.01
@@ -91,6 +95,7 @@
     Attributes:
         part: Fraction of the service's capacity that this schedule may use;
             below 1 if several leaders share it.
+        pauses: Times in which this leader handled no messages.
         turns: Granted turns.
         queue: Waiting turns.
         shares: Work of the customers.
@@ -113,7 +118,8 @@
 
     def __init__(self, part: float = 1.0) -> None:
         self.part = part
-        self.turns = granted_turns.GrantedTurns()
+        self.pauses = leader_pauses.LeaderPauses()
+        self.turns = granted_turns.GrantedTurns(self.pauses)
         self.queue = turn_queue.TurnQueue()
         self.shares = fair_shares.FairShares()
         self.pace = turn_pace.PaceLimit()
@@ -199,6 +205,10 @@
         self._observe_end(ended, tokens, ran, now)
         return True
 
+    def tick(self, now: float) -> None:
+        """Records that the leader runs; see `leader_pauses.TICK_SECONDS`."""
+        self.pauses.tick(now)
+
     def capacity(self) -> float:
         """Returns the bound by slots and memory; inf if neither is known."""
         bound = math.inf
@@ -374,12 +384,15 @@
         """Returns the refusal of a first turn; None if it may wait."""
         ask = waiter.ask
         demand = ask.demand
-        waited = max(now - waiter.since, demand.waited)
+        waited = self._waited(waiter, now)
         first = self.first_attempts.of(
             _program_key(ask),
-            program_times.Attempt(now - waited, demand.finish_within),
+            program_times.Attempt(
+                min(waiter.since, now - demand.waited), demand.finish_within
+            ),
             now,
         )
+        elapsed = self.pauses.awake(first.at, now)
         expected = self.times.expected(_kind(ask), first.target, self.pace.pace)
         # Programs that begin before this one, and itself, send further turns.
         programs = max(0, ahead - self.queue.in_progress) + 1
@@ -390,7 +403,7 @@
         limit, slack = _max_wait(demand), math.inf
         if first.target > 0:
             slack = first.target * _TARGET_FRACTION - expected.seconds
-        if waited + wait <= limit and now - first.at + wait <= slack:
+        if waited + wait <= limit and elapsed + wait <= slack:
             return None
         kind = "overloaded"
         if waiter.rank.over_share:
@@ -402,6 +415,14 @@
             self._situation(ask, wait, ahead, bound, now),
         )
 
+    def _waited(self, waiter: turn_queue.Waiter, now: float) -> float:
+        """Returns the seconds of a turn's wait that this leader didn't cause.
+
+        It did not cause those within its pauses.
+        """
+        since = min(waiter.since, now - waiter.ask.demand.waited)
+        return self.pauses.awake(since, now)
+
     def _defer(
         self,
         waiter: turn_queue.Waiter,
@@ -424,7 +445,7 @@
         retry_after = min(wait, MAX_RETRY_SECONDS)
         if ask.first:
             # So that a refusal for waiting too long comes at once.
-            waited = max(now - waiter.since, ask.demand.waited)
+            waited = self._waited(waiter, now)
             retry_after = min(retry_after, _max_wait(ask.demand) - waited)
         retry_after = max(MIN_RETRY_SECONDS, retry_after)
         return turn_decisions.Defer(
@@ -494,7 +515,7 @@
             self._refused_at[waiter.rank.urgency] = now
 
     def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
-        self.lost += self.queue.drop_lost(now, limit)
+        self.lost += self.queue.drop_lost(now, limit, self.pauses)
         for ended in self.turns.expire(now, limit):
             self._observe_end(ended, 0, False, now)
         if self.closed >= _MIN_CLOSED_TURNS:
@@ -531,11 +552,14 @@
 
         Turns that ended in such a time are reported late, and seem slow.
         """
+        self.pauses.handled(now)
         silence = now - self._active_at
         if len(self.running) >= _SILENT_TURNS and silence > max(
             self.turn_seconds, _MIN_SILENCE_SECONDS
         ):
             self._silent_until = now
+        if len(self.queue) >= _SILENT_TURNS and silence > _CUT_OFF_SECONDS:
+            self.pauses.add(self._active_at, now)
         self._active_at = now
 
     def _observe_end(
--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -20,6 +20,7 @@
 import sortedcontainers
 
 from mintcleat.decisions import admission
+from mintcleat.decisions import leader_pauses
 from mintcleat.domain import program_messages
 
 # Stages of a program; among turns of one priority, lower ones come first.
@@ -184,12 +185,15 @@
         self.in_progress -= waiter.rank.stage == IN_PROGRESS
         return waiter
 
-    def drop_lost(self, now: float, limit: float) -> int:
+    def drop_lost(
+        self, now: float, limit: float, pauses: leader_pauses.LeaderPauses
+    ) -> int:
         """Removes the turns that have not asked again.
 
         Args:
             now: The current time in seconds.
             limit: Maximum number of turns to remove.
+            pauses: Times in which none could ask.
 
         Returns:
             The number of removed turns.
@@ -197,7 +201,7 @@
         lost = 0
         while self.asked and lost < limit:
             key, asked = next(iter(self.asked.items()))
-            if now - asked <= LOST_SECONDS:
+            if pauses.awake(asked, now) <= LOST_SECONDS:
                 break
             self.refund(self.remove(key).ask)
             lost += 1
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -8,6 +8,7 @@
 import math
 from typing import Any
 
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import turn_admission
 from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
@@ -52,6 +53,7 @@
         self.schedules: dict[
             tuple[str, str], turn_admission.ServiceSchedule
         ] = {}
+        timers.every(leader_pauses.TICK_SECONDS, self._tick)
 
     def reset(self, group: str) -> None:
         """Forgets all turns of a group; called when its leadership begins."""
@@ -115,6 +117,12 @@
             for (group, service), schedule in self.schedules.items()
         }
 
+    def _tick(self) -> None:
+        if self.schedules:
+            now = self.timers.now()
+            for schedule in self.schedules.values():
+                schedule.tick(now)
+
     def _schedule(
         self, group: str, service: str
     ) -> turn_admission.ServiceSchedule | None:
--- a/testing/test_contention.py
+++ b/testing/test_contention.py
@@ -203,6 +203,18 @@
         self.assertEqual(0, view.running)
         self.assertTrue(view.expired)
 
+    def test_pause_of_the_process_drops_no_waiting_turn(self) -> None:
+        opened = self.fill()
+        self.ask(opening("waits"))
+        self.timers.clock += 0.8
+        self.ask(opening("late"))
+        self.assertEqual(2, self.service.contention.views()["lm"].waiting)
+        self.ask(closing(opened[0]))
+        self.assertIsInstance(self.ask(opening("late")), errors.TurnDeferred)
+        self.assertIsInstance(
+            self.ask(opening("waits")), program_messages.TurnOpened
+        )
+
     def test_new_leader_starts_empty_and_learns_from_reports(self) -> None:
         opened = self.fill()
         self.ask(opening("late"))
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -9,6 +9,7 @@
 import testtools
 
 from mintcleat.decisions import fair_shares
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import program_times
 from mintcleat.decisions import turn_admission
 from mintcleat.decisions import turn_decisions
@@ -211,6 +212,54 @@
         self.assertTrue(is_granted(self.ask("waits")))
         self.assertEqual(2, self.schedule.lost)
 
+    def pass_time(self, seconds: float) -> None:
+        """Passes time in which the leader's timer is called."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now = min(until, self.now + leader_pauses.TICK_SECONDS)
+            self.schedule.tick(self.now)
+
+    def test_pause_of_the_leader_drops_and_refuses_no_waiter(self) -> None:
+        # Guards against callers that are refused as no turn was decided on
+        # while the leader's process was stopped.
+        self.fill()
+        self.pass_time(0.3)
+        self.ask("waits", finish_within=0.0)
+        self.now += 1.0
+        self.schedule.tick(self.now)
+        self.ask("other", finish_within=10.0)
+        self.assertEqual(1, self.schedule.lost)
+        for _ in range(4):
+            decision = self.ask("waits", finish_within=0.0, waited=1.0)
+            self.assertIsInstance(decision, turn_decisions.Defer)
+            self.pass_time(0.1)
+        self.pass_time(0.2)
+        decision = self.ask("waits", finish_within=0.0)
+        self.assertIsInstance(decision, turn_decisions.Refuse)
+
+    def test_waiter_that_is_gone_after_a_pause_is_dropped(self) -> None:
+        self.fill()
+        self.pass_time(0.3)
+        self.ask("gone")
+        self.now += 2.0
+        self.pass_time(turn_queue.LOST_SECONDS + 0.3)
+        self.ask("waits")
+        self.assertNotIn(
+            "gone", [key.turn for key in self.schedule.queue.waiters]
+        )
+
+    def test_many_waiters_that_are_all_silent_were_cut_off(self) -> None:
+        # Guards against a queue that is dropped as its leader heard no entry.
+        self.fill()
+        turns = [f"w{number}" for number in range(10)]
+        for turn in turns:
+            self.ask(turn, finish_within=10.0)
+        self.pass_time(1.0)
+        lost = self.schedule.lost
+        for turn in turns:
+            self.ask(turn, finish_within=10.0)
+        self.assertEqual(lost, self.schedule.lost)
+
     def test_turn_that_is_never_closed_is_released(self) -> None:
         # Guards against slots that are lost with an entry.
         self.fill()
@@ -358,6 +407,33 @@
         self.assertEqual({}, shares.usages)
 
 
+class PausesTest(testtools.TestCase):
+    def test_pauses_are_left_out_of_a_time(self) -> None:
+        pauses = leader_pauses.LeaderPauses()
+        for tenth in range(20):
+            # Stopped from 0.5 to 1.2 s.
+            if not 5 < tenth < 12:
+                pauses.tick(tenth / 10)
+        self.assertAlmostEqual(0.7, pauses.within(0.0, 1.9))
+        self.assertAlmostEqual(0.2, pauses.within(1.0, 1.9))
+        self.assertAlmostEqual(0.0, pauses.within(1.2, 1.9))
+        self.assertAlmostEqual(1.2, pauses.awake(0.0, 1.9))
+
+    def test_time_that_is_reported_twice_counts_once(self) -> None:
+        pauses = leader_pauses.LeaderPauses()
+        pauses.add(1.0, 2.0)
+        pauses.add(0.5, 2.5)
+        self.assertAlmostEqual(1.5, pauses.within(0.0, 3.0))
+
+    def test_messages_show_that_the_leader_runs(self) -> None:
+        # Guards against a timer that is late on a busy machine.
+        pauses = leader_pauses.LeaderPauses()
+        pauses.tick(0.0)
+        for tenth in range(20):
+            pauses.handled(tenth / 10)
+        self.assertEqual(0, len(pauses.pauses))
+
+
 class TimesTest(testtools.TestCase):
     def test_duration_follows_turns_pauses_and_pace(self) -> None:
         times = program_times.ProgramTimes()
--- a/testing/test_turn_admission_faults.py
+++ b/testing/test_turn_admission_faults.py
@@ -8,6 +8,7 @@
 import testtools
 
 from mintcleat.decisions import granted_turns
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import turn_queue
 from mintcleat.domain import program_messages
 import turn_world
@@ -69,6 +70,30 @@
         self.assertTrue(late >= 0.9 * usual, (late, usual))
 
 
+class PausedLeaderTest(testtools.TestCase):
+    """A leader whose process is paused, for instance by its machine."""
+
+    def pause(self, factor: float, seconds: float) -> turn_world.World:
+        """Returns the world after a pause at 8 s."""
+        played = world(factor * USUAL)
+        played.run(8.0)
+        played.paused_until = 8.0 + seconds
+        played.run(16.0)
+        return played
+
+    def test_waiting_turns_survive_a_pause(self) -> None:
+        # Guards against a queue that is dropped since no turn has asked again.
+        played = self.pause(1.5, 0.8)
+        self.assertEqual(0, played.schedule.lost)
+
+    def test_pause_overloads_no_engine(self) -> None:
+        # Guards against slots that are granted twice as all entries seem silent
+        # after the pause.
+        played = self.pause(1.5, 2.0)
+        most = max(load for at, load, _ in played.samples if at > 10.0)
+        self.assertTrue(most <= 8 * 12, most)
+
+
 DEMAND = program_messages.TurnDemand(
     "lm", "turns", 0, 1.0, 1000, 2.0, 0.0, 10, 0, timeout=3.0
 )
@@ -83,7 +108,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.turns = granted_turns.GrantedTurns()
+        self.turns = granted_turns.GrantedTurns(leader_pauses.LeaderPauses())
 
     def grant(self, turn: str, now: float, entry: str = "a1") -> Any:
         ask = turn_queue.Ask(key_of(turn), "p", True, entry, 900, DEMAND)
--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -14,6 +14,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from mintcleat.decisions import leader_pauses
 from mintcleat.decisions import turn_admission
 from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_queue
@@ -166,6 +167,8 @@
         schedule: The admission; None to open all turns.
         report_delay: Further delay of the messages that close turns.
         leader_until: Time until which no leader answers.
+        paused_until: Time until which the leader's process is paused; it
+            handles the messages of that time, in order, when it continues.
         kind_factors: Factors on the rate by kind.
         results: Ended programs.
         refusal_times: Time to each refusal, as a fraction of the target.
@@ -199,6 +202,7 @@
         self.report_delay = report_delay
         self.kind_factors: dict[str, float] = {}
         self.leader_until = 0.0
+        self.paused_until = 0.0
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
@@ -212,6 +216,7 @@
         for kind in kinds:
             for customer in self.customers:
                 self._plan_start(kind, customer)
+        self._tick()
 
     def at(self, time: float, callback: Callable[[], None]) -> None:
         """Calls `callback` at a time."""
@@ -282,6 +287,19 @@
         for kind in self.kinds:
             self._plan_start(kind, customer, factor)
 
+    def when_running(self, callback: Callable[[], None]) -> None:
+        """Calls back at once, or when the leader continues."""
+        if self.paused_until > self.now:
+            self.at(self.paused_until, callback)
+        else:
+            callback()
+
+    def _tick(self) -> None:
+        """Calls the leader's timer."""
+        if self.schedule is not None:
+            self.when_running(lambda: self.schedule.tick(self.now))
+        self.at(self.now + leader_pauses.TICK_SECONDS, self._tick)
+
     def _plan_start(
         self, kind: Kind, customer: str, factor: float = 1.0
     ) -> None:
@@ -422,24 +440,31 @@
                 if at < world.now - MESSAGE_SECONDS - STEP_SECONDS
             ],
         )
-        decision = world.schedule.ask(
-            turn_queue.Ask(
-                self.key,
-                program.id,
-                program.number == 0,
-                self.entry,
-                PROMPT_TOKENS,
-                demand,
-            ),
-            world.now,
+        ask = turn_queue.Ask(
+            self.key,
+            program.id,
+            program.number == 0,
+            self.entry,
+            PROMPT_TOKENS,
+            demand,
         )
+        world.when_running(lambda: self.deliver(ask))
+
+    def deliver(self, ask: turn_queue.Ask) -> None:
+        """Has the leader decide, and acts on its decision."""
+        world = self.world
+        program = self.program
+        decision = world.schedule.ask(ask, world.now)
         world.decisions[type(decision).__name__] += 1
         match decision:
+            case turn_decisions.Grant() if self.over:
+                # Its caller has gone while the grant was on its way.
+                self.close(0, False)
             case turn_decisions.Grant():
                 self.place()
             case turn_decisions.Defer(retry_after=seconds):
                 world.at(world.now + seconds + MESSAGE_SECONDS, self.decide)
-            case turn_decisions.Refuse():
+            case turn_decisions.Refuse() if not self.over:
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
                 )
@@ -490,6 +515,10 @@
             if world.now < world.leader_until:
                 world.at(world.leader_until, arrive)
             elif world.schedule and self.key not in world.lost_turns:
-                world.schedule.release(self.key, tokens, ran, world.now)
+                world.when_running(
+                    lambda: world.schedule.release(
+                        self.key, tokens, ran, world.now
+                    )
+                )
 
         world.at(world.now + MESSAGE_SECONDS + world.report_delay, arrive)
