--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -33,6 +33,10 @@
 ENTRIES = 4
 # Attempts of one turn, until its program fails.
 MAX_ATTEMPTS = 3
+# Attempts of a turn whose callers honour Retry-After.
+PATIENT_ATTEMPTS_RANGE = (2, 3)
+# Longest pause of such a caller, as a part of the time that it has left.
+PATIENT_FRACTION = 1 / 3
 # Seconds between an attempt that was refused or timed out, and the next.
 RETRY_PAUSE_RANGE = (0.1, 0.4)
 
@@ -176,6 +180,8 @@
         stopped: Time from which on no programs begin.
         lost_turns: Turns whose end is never reported.
         entries: The entries by name.
+        patient: Whether callers honour Retry-After.
+        refused: Number of refusals by customer.
     """
 
     def __init__(
@@ -191,6 +197,7 @@
         customers: int = 20,
         report_delay: float = 0.0,
         entries: int = ENTRIES,
+        patient: bool = False,
     ) -> None:
         self.kinds = kinds
         self.engines = [Engine(slots, per_request) for _ in range(engines)]
@@ -211,6 +218,8 @@
         self.decisions: collections.Counter[str] = collections.Counter()
         self.stopped = math.inf
         self.lost_turns: set[turn_queue.TurnKey] = set()
+        self.patient = patient
+        self.refused: collections.Counter[str] = collections.Counter()
         self.entries = {f"a{number}": Entry() for number in range(entries)}
         for kind in kinds:
             for customer in self.customers:
@@ -329,6 +338,9 @@
         self.target = kind.aim * ideal + kind.extra
         self.number = 0
         self.attempt = 0
+        self.attempts = MAX_ATTEMPTS
+        if world.patient:
+            self.attempts = draw.randint(*PATIENT_ATTEMPTS_RANGE)
 
     def turn(self) -> None:
         """Attempts the next turn."""
@@ -345,12 +357,22 @@
         seconds = world.now - self.started
         self.finish("aim" if seconds <= self.target else "late")
 
-    def failed_turn(self) -> None:
+    def failed_turn(self, retry_after: float = 0.0) -> None:
+        """Tries again, or fails; `retry_after` is 0 if none was told."""
         self.attempt += 1
-        if self.attempt >= MAX_ATTEMPTS:
+        if self.attempt >= self.attempts:
             self.finish("failed")
             return
         pause = self.world.random.uniform(*RETRY_PAUSE_RANGE)
+        if self.world.patient and retry_after:
+            left = self.target - (self.world.now - self.started)
+            if left <= 0:
+                self.finish("failed")
+                return
+            pause = min(
+                PATIENT_FRACTION * left,
+                retry_after * self.world.random.uniform(0.6, 1.4),
+            )
         self.world.at(self.world.now + pause, self.turn)
 
     def finish(self, outcome: str) -> None:
@@ -458,12 +480,13 @@
                 self.place()
             case turn_decisions.Defer(retry_after=seconds):
                 world.at(world.now + seconds + MESSAGE_SECONDS, self.decide)
-            case turn_decisions.Refuse() if not self.over:
+            case turn_decisions.Refuse(retry_after=seconds) if not self.over:
+                world.refused[program.customer] += 1
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
                 )
                 self.over = True
-                program.failed_turn()
+                program.failed_turn(seconds)
 
     def place(self) -> None:
         world = self.world
