--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -33,6 +33,10 @@
 ENTRIES = 4
 # Attempts of one turn, until its program fails.
 MAX_ATTEMPTS = 3
+# Attempts of a turn whose callers honour Retry-After.
+PATIENT_ATTEMPTS_RANGE = (2, 3)
+# Longest pause of such a caller, as a part of the time that it has left.
+PATIENT_FRACTION = 1 / 3
 # Seconds between an attempt that was refused or timed out, and the next.
 RETRY_PAUSE_RANGE = (0.1, 0.4)
 
@@ -166,6 +170,8 @@
         schedule: The admission; None to open all turns.
         report_delay: Further delay of the messages that close turns.
         leader_until: Time until which no leader answers.
+        paused_until: Time until which the leader's process is paused; it
+            handles the messages of that time, in order, when it continues.
         kind_factors: Factors on the rate by kind.
         results: Ended programs.
         refusal_times: Time to each refusal, as a fraction of the target.
@@ -174,6 +180,8 @@
         stopped: Time from which on no programs begin.
         lost_turns: Turns whose end is never reported.
         entries: The entries by name.
+        patient: Whether callers honour Retry-After.
+        refused: Number of refusals by customer.
     """
 
     def __init__(
@@ -189,6 +197,7 @@
         customers: int = 20,
         report_delay: float = 0.0,
         entries: int = ENTRIES,
+        patient: bool = False,
     ) -> None:
         self.kinds = kinds
         self.engines = [Engine(slots, per_request) for _ in range(engines)]
@@ -199,6 +208,7 @@
         self.report_delay = report_delay
         self.kind_factors: dict[str, float] = {}
         self.leader_until = 0.0
+        self.paused_until = 0.0
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
@@ -208,6 +218,8 @@
         self.decisions: collections.Counter[str] = collections.Counter()
         self.stopped = math.inf
         self.lost_turns: set[turn_queue.TurnKey] = set()
+        self.patient = patient
+        self.refused: collections.Counter[str] = collections.Counter()
         self.entries = {f"a{number}": Entry() for number in range(entries)}
         for kind in kinds:
             for customer in self.customers:
@@ -223,6 +235,8 @@
         """Advances to a time."""
         while self.now < until:
             self.now += STEP_SECONDS
+            if self.schedule is not None and self.now >= self.paused_until:
+                self.schedule.tick(self.now)
             while self.events and self.events[0][0] <= self.now:
                 heapq.heappop(self.events)[2]()
             for engine in self.engines:
@@ -282,6 +296,13 @@
         for kind in self.kinds:
             self._plan_start(kind, customer, factor)
 
+    def when_running(self, callback: Callable[[], None]) -> None:
+        """Calls back at once, or when the leader continues."""
+        if self.paused_until > self.now:
+            self.at(self.paused_until, callback)
+        else:
+            callback()
+
     def _plan_start(
         self, kind: Kind, customer: str, factor: float = 1.0
     ) -> None:
@@ -317,6 +338,9 @@
         self.target = kind.aim * ideal + kind.extra
         self.number = 0
         self.attempt = 0
+        self.attempts = MAX_ATTEMPTS
+        if world.patient:
+            self.attempts = draw.randint(*PATIENT_ATTEMPTS_RANGE)
 
     def turn(self) -> None:
         """Attempts the next turn."""
@@ -333,12 +357,22 @@
         seconds = world.now - self.started
         self.finish("aim" if seconds <= self.target else "late")
 
-    def failed_turn(self) -> None:
+    def failed_turn(self, retry_after: float = 0.0) -> None:
+        """Tries again, or fails; `retry_after` is 0 if none was told."""
         self.attempt += 1
-        if self.attempt >= MAX_ATTEMPTS:
+        if self.attempt >= self.attempts:
             self.finish("failed")
             return
         pause = self.world.random.uniform(*RETRY_PAUSE_RANGE)
+        if self.world.patient and retry_after:
+            left = self.target - (self.world.now - self.started)
+            if left <= 0:
+                self.finish("failed")
+                return
+            pause = min(
+                PATIENT_FRACTION * left,
+                retry_after * self.world.random.uniform(0.6, 1.4),
+            )
         self.world.at(self.world.now + pause, self.turn)
 
     def finish(self, outcome: str) -> None:
@@ -422,29 +456,37 @@
                 if at < world.now - MESSAGE_SECONDS - STEP_SECONDS
             ],
         )
-        decision = world.schedule.ask(
-            turn_queue.Ask(
-                self.key,
-                program.id,
-                program.number == 0,
-                self.entry,
-                PROMPT_TOKENS,
-                demand,
-            ),
-            world.now,
+        ask = turn_queue.Ask(
+            self.key,
+            program.id,
+            program.number == 0,
+            self.entry,
+            PROMPT_TOKENS,
+            demand,
         )
+        world.when_running(lambda: self.deliver(ask))
+
+    def deliver(self, ask: turn_queue.Ask) -> None:
+        """Has the leader decide, and acts on its decision."""
+        world = self.world
+        program = self.program
+        decision = world.schedule.ask(ask, world.now)
         world.decisions[type(decision).__name__] += 1
         match decision:
+            case turn_decisions.Grant() if self.over:
+                # Its caller has gone while the grant was on its way.
+                self.close(0, False)
             case turn_decisions.Grant():
                 self.place()
             case turn_decisions.Defer(retry_after=seconds):
                 world.at(world.now + seconds + MESSAGE_SECONDS, self.decide)
-            case turn_decisions.Refuse():
+            case turn_decisions.Refuse(retry_after=seconds) if not self.over:
+                world.refused[program.customer] += 1
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
                 )
                 self.over = True
-                program.failed_turn()
+                program.failed_turn(seconds)
 
     def place(self) -> None:
         world = self.world
@@ -490,6 +532,10 @@
             if world.now < world.leader_until:
                 world.at(world.leader_until, arrive)
             elif world.schedule and self.key not in world.lost_turns:
-                world.schedule.release(self.key, tokens, ran, world.now)
+                world.when_running(
+                    lambda: world.schedule.release(
+                        self.key, tokens, ran, world.now
+                    )
+                )
 
         world.at(world.now + MESSAGE_SECONDS + world.report_delay, arrive)
