--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -15,6 +15,8 @@
 from loguru import logger
 
 from mintcleat.adapters import streams_connection
+from mintcleat.adapters import streams_exchange
+from mintcleat.adapters import streams_limits
 from mintcleat.adapters import timers
 from mintcleat.domain import errors
 from mintcleat.ports import streams
@@ -40,9 +42,9 @@
     """
 
     def __init__(
-        self, listen: str, limits: streams_connection.Limits | None = None
+        self, listen: str, limits: streams_limits.Limits | None = None
     ) -> None:
-        self.limits = limits or streams_connection.Limits()
+        self.limits = limits or streams_limits.Limits()
         self.listener = eventlet.listen(split_address(listen), backlog=1024)
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -54,9 +56,7 @@
         eventlet.spawn(self._accept_forever)
         eventlet.spawn(self._heartbeat_forever)
 
-    def open(
-        self, address: str, message: Any
-    ) -> streams_connection.TcpExchange:
+    def open(self, address: str, message: Any) -> streams_exchange.TcpExchange:
         """Opens an exchange with a first message."""
         return self._connection(address).open(message)
 
@@ -73,7 +73,7 @@
         self.handlers[kind] = handler
 
     def serve(
-        self, exchange: streams_connection.TcpExchange, message: Any
+        self, exchange: streams_exchange.TcpExchange, message: Any
     ) -> None:
         """Runs the handler of one exchange and closes it."""
         handler = self.handlers.get(type(message))
@@ -101,7 +101,7 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         until = time.monotonic() + _FLUSH_SECONDS
         for connection in [*self.dialled.values(), *self.accepted]:
-            connection.flush(until - time.monotonic())
+            connection.sender.flush(until - time.monotonic())
             connection.abort()
 
     def buffer_usage(self) -> dict[str, int]:
@@ -109,7 +109,7 @@
         connections = [*self.dialled.values(), *self.accepted]
         exchanges = [e for c in connections for e in c.exchanges.values()]
         return {
-            "unwritten_bytes": sum(c.queued for c in connections),
+            "unwritten_bytes": sum(c.sender.size for c in connections),
             "untaken_bytes": sum(e.unread for e in exchanges),
             "exchanges": len(exchanges),
         }
@@ -122,7 +122,7 @@
 
     def _send_failure(
         self,
-        exchange: streams_connection.TcpExchange,
+        exchange: streams_exchange.TcpExchange,
         error: errors.MintcleatError,
     ) -> None:
         try:
--- a/src/mintcleat/main/common.py
+++ b/src/mintcleat/main/common.py
@@ -6,7 +6,7 @@
 from mintcleat.adapters import metrics as metrics_module
 from mintcleat.adapters import settings as settings_module
 from mintcleat.adapters import streams as streams_module
-from mintcleat.adapters import streams_connection
+from mintcleat.adapters import streams_limits
 from mintcleat.adapters import timers as timers_module
 from mintcleat.configuration import lease
 from mintcleat.domain import identities
@@ -25,7 +25,7 @@
         times = settings.times
         self.streams = streams_module.TcpStreams(
             settings.listen,
-            streams_connection.Limits(
+            streams_limits.Limits(
                 heartbeat=times.stream_heartbeat,
                 silence_timeout=times.stream_silence,
                 connect_timeout=times.stream_connect,
--- a/testing/fakes/virtual_net.py
+++ b/testing/fakes/virtual_net.py
@@ -12,7 +12,7 @@
 import eventlet
 from testing.fakes import virtual_time
 
-from mintcleat.adapters import streams_connection
+from mintcleat.adapters import streams_signal
 from mintcleat.domain import codec
 from mintcleat.domain import errors
 from mintcleat.ports import streams as stream_ports
@@ -159,7 +159,7 @@
         self.other: VirtualExchange | None = None
         self.inbox: collections.deque[Any] = collections.deque()
         self.closed = False
-        self.arrived = streams_connection.Signal()
+        self.arrived = streams_signal.Signal()
         connection.exchanges[self] = None
 
     def send(self, message: Any) -> None:
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -11,8 +11,8 @@
 from testtools import matchers
 
 from mintcleat.adapters import streams
-from mintcleat.adapters import streams_connection
 from mintcleat.adapters import streams_frames
+from mintcleat.adapters import streams_limits
 from mintcleat.domain import codec
 from mintcleat.domain import config_messages
 from mintcleat.domain import errors
@@ -70,7 +70,7 @@
         self.assertEqual(errors.NOT_RUN, error.outcome)
 
 
-LIMITS = streams_connection.Limits(
+LIMITS = streams_limits.Limits(
     message=4096, window=1024, queued=8192, heartbeat=0.02, silence_timeout=0.2
 )
 
