--- a/src/mintcleat/roles/entry/run_turn.py
+++ b/src/mintcleat/roles/entry/run_turn.py
@@ -67,9 +67,14 @@
         retention = self.route.retention or BUDGET_RETENTION_SECONDS
         loads = self.context.loads
         turn = self.context.turns.open(
-            self.call, reserve, retention, loads.report(), self._admission()
+            self.call,
+            reserve,
+            retention,
+            loads.report_for_summary,
+            self._admission(),
         )
-        loads.update_others(turn.others, turn.failing)
+        if turn.others is not None:
+            loads.update_others(turn.others, turn.failing)
         return turn
 
     def settle(self, relay: response_relay.ResponseRelay, ran: bool) -> None:
@@ -97,7 +102,9 @@
         deadline = self.deadline
         wait = turn_demand.HOLD_FRACTION * (deadline.at - deadline.began)
         return turn_demand.Admission(
-            self._demand, self.context.loads.report, deadline.began + wait
+            self._demand,
+            self.context.loads.report_for_grant,
+            deadline.began + wait,
         )
 
     def _demand(self) -> program_messages.TurnDemand:
