--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -233,7 +233,8 @@
             capacity of their services and by the shares of customers
             (`programs`), or open all of them (`off`).
         stream_moves: Whether entries move running streams off upstreams that
-            leave or have become slow, for services with `moves`.
+            leave or have become slow, for services with `moves`, and resume
+            streams whose upstream hangs, on routes that allow it.
     """
 
     customers: dict[Name, Customer] = {}
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -76,7 +76,9 @@
     def add(self, stream: running_stream.RunningStream) -> None:
         """Watches a stream if it could continue elsewhere."""
         policies = self.configuration.manifest().policies
-        if policies.stream_moves == "on" and stream.service.moves:
+        if policies.stream_moves == "off":
+            return
+        if stream.service.moves:
             stream.may_move = True
             self._budget(stream.service_name).succeeded()
         if not (stream.may_move or stream.may_resume()):
