Retry-After from a customer's backlog, classes of priorities, modules by job

Retry-After: a customer over its share was told when the next turns end, 0.1 to 0.3 s, though its excess lasts for seconds. `turn_refusals.CustomerBacklogs` gives each refused program the next time at the rate at which the customer gets work (its share, or more while that is lent), after its waiting programs; a program that tries early keeps its time. At most 10 s.

Priorities: each value was a rank of its own, and each rank is guaranteed one of 16 turns: of 40 values, the more urgent half got 17 of 60 turns. `priority_classes` divides the values in use into at most three classes, and the priority of the route decides within a class.

Modules: `turn_admission` keeps the decisions, `turn_refusals`, `turn_measurements` and `service_capacity` hold what they are named after.

--- a/src/mintcleat/decisions/fair_shares.py
+++ b/src/mintcleat/decisions/fair_shares.py
@@ -162,6 +162,19 @@
         entitled = min(1.0, self.level * usage.weight / self.total)
         return Share(entitled, min(1.0, usage.used / self.total))
 
+    def rate(self, customer: str, now: float) -> float:
+        """Returns the tokens per second that a customer over its share gets.
+
+        These are what it is entitled to, or what it is lent beyond that.
+        """
+        self.refresh(now)
+        usage = self.usages.get(customer)
+        if usage is None:
+            return 0.0
+        usage.decay(now)
+        entitled = min(self.level * usage.weight, usage.demanded)
+        return max(entitled, usage.used) / HORIZON_SECONDS
+
     def refresh(self, now: float) -> None:
         """Updates the entitlements if they are out of date."""
         if now < self._refresh_at:
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -24,56 +24,32 @@
 from mintcleat.decisions import granted_turns
 from mintcleat.decisions import jitter
 from mintcleat.decisions import leader_pauses
-from mintcleat.decisions import moving_average
+from mintcleat.decisions import priority_classes
 from mintcleat.decisions import program_times
 from mintcleat.decisions import reported_turns
+from mintcleat.decisions import service_capacity
 from mintcleat.decisions import turn_decisions
+from mintcleat.decisions import turn_measurements
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
-from mintcleat.domain import program_messages
-
-# Fraction of slots and of memory that running turns may use. Entries place
-# turns by figures that are a little old, so engines are never loaded evenly.
-CAPACITY_FRACTION = 0.95
-# Longest wait of a first turn, as a fraction of its program's target duration,
-# so that a refused caller still has time to try elsewhere.
-MAX_WAIT_FRACTION = 0.2
-# Longest wait, in seconds, of a first turn without a target.
-MAX_WAIT_SECONDS = 0.5
-# Part of a target that expected durations may take; programs vary.
-_TARGET_FRACTION = 0.9
+from mintcleat.decisions import turn_refusals
+
 # After this many grants to more urgent ranks, a rank is granted one turn, so
 # that no kind and no customer starves.
 GUARANTEED_INTERVAL = 16
 # Time for which less urgent programs are held back after a more urgent one was
 # refused, so that the retry of the latter comes first.
 _RECENT_SECONDS = 0.3
-# Bounds of the time after which a waiting turn asks again, in seconds.
-MIN_RETRY_SECONDS = 0.02
-MAX_RETRY_SECONDS = 0.1
-# Bounds of the time after which a refused caller should retry, in seconds.
-_MIN_RETRY_AFTER = 0.1
-_MAX_RETRY_AFTER = 10.0
-# Average delay of programs from which on turns count as too slow. While
-# programs end in time, fewer running turns would only finish less: engines
-# finish more turns in a full batch, though each takes longer.
-_LATE_DELAY = 0.8
-# Closed turns from which on the speed of the service counts as known. Nothing
-# is predicted, and so nothing refused by prediction, before.
-_MIN_CLOSED_TURNS = 16
-# With at least this many turns running, messages arrive many times within the
-# duration of a turn. If none does for that time, and for at least the second
-# constant, this leader was cut off.
-_SILENT_TURNS = 8
-_MIN_SILENCE_SECONDS = 0.1
 # With at least as many turns waiting, none of which asks again for this time,
-# the leader was cut off: it is twice the longest time between two asks.
-_CUT_OFF_SECONDS = 2 * MAX_RETRY_SECONDS * (1 + jitter.SPREAD)
-# Work of a turn in units: a generated token counts 1. Engines process prompt
-# tokens about two orders of magnitude faster than they generate.
-_UNITS_PER_PROMPT_TOKEN = 0.01
-# Constant part of a turn's time, in units: placement, first token, commits.
-_TURN_UNITS = 4.0
+# the leader was cut off: it is twice the longest time between two asks. Fewer
+# turns may have gone with their callers.
+_SILENT_WAITERS = 8
+_CUT_OFF_SECONDS = 2 * turn_decisions.MAX_RETRY_SECONDS * (1 + jitter.SPREAD)
+# Ranks and urgencies beyond which those without waiting turns are forgotten.
+# With three classes of customers there can be ten routes of different priority.
+_MAX_RANKS = 128
+# Time between two removals of what idle customers leave.
+_CLEAN_UP_SECONDS = 0.25
 # First turns leave free the square root of the bound, divided by this number.
 _RESERVE_DIVISOR = 3
 # Lower bound of the average time of a turn, which throughput is divided by.
@@ -81,10 +57,6 @@
 # Lost waiting and lost running turns that are removed with one ask. After the
 # loss of entries there can be thousands, which would stall the event loop.
 _MAX_EXPIRED = 32
-# Time between two updates of what is derived from the programs of each kind.
-_REFRESH_SECONDS = 0.25
-# Customers whose refusals are counted; all counts begin again beyond it.
-_MAX_COUNTED_CUSTOMERS = 10_000
 
 
 class ServiceSchedule:
@@ -93,70 +65,53 @@
     Times are in seconds of one monotonic clock, passed as `now`.
 
     Attributes:
-        part: Fraction of the service's capacity that this schedule may use;
-            below 1 if several leaders share it.
         pauses: Times in which this leader handled no messages.
         turns: Granted turns.
         queue: Waiting turns.
         shares: Work of the customers.
-        pace: Limit by the time that turns take.
-        times: Durations of programs.
-        first_attempts: When waiting and refused programs were first sent.
-        slots: Slots of the service, as entries see them.
-        memory: Memory of the service in tokens, as entries see it.
-        turn_tokens: Moving average of the tokens of a turn.
-        turn_seconds: Moving average of the time of a turn.
-        closed: Closed turns that have run.
-        delay: Moving average of the ratio by which programs are behind their
-            targets; see `program_times.ProgramTimes.delay`.
+        priorities: Classes of the customers' priorities.
+        capacities: Slots and memory.
+        measurements: Speed of the service, durations of programs.
+        refusals: Refusals of first turns.
         granted: Number of granted turns.
         deferred: Number of turns that had to wait.
         lost: Number of waiting turns dropped because they did not ask again.
-        refused: Number of refusals by `<kind>/<reason>`.
-        customer_refused: Number of refusals by customer.
     """
 
     def __init__(self, part: float = 1.0) -> None:
-        self.part = part
+        """Creates an empty schedule.
+
+        Args:
+            part: Fraction of the service's capacity that it may use; below 1
+                if several leaders share it.
+        """
         self.pauses = leader_pauses.LeaderPauses()
         self.turns = granted_turns.GrantedTurns(self.pauses)
         self.queue = turn_queue.TurnQueue()
         self.shares = fair_shares.FairShares()
-        self.pace = turn_pace.PaceLimit()
-        self.times = program_times.ProgramTimes()
-        self.first_attempts = program_times.FirstAttempts()
-        self.slots = 0.0
-        self.memory = 0.0
-        self.turn_tokens = 0.0
-        self.turn_seconds = 0.0
-        self.closed = 0
-        self.delay = 0.0
+        self.priorities = priority_classes.PriorityClasses()
+        self.capacities = service_capacity.ServiceCapacity(part)
+        self.measurements = turn_measurements.TurnMeasurements()
+        self.refusals = turn_refusals.TurnRefusals()
         self.granted = 0
         self.deferred = 0
         self.lost = 0
-        self.refused: collections.Counter[str] = collections.Counter()
-        self.customer_refused: collections.Counter[str] = collections.Counter()
         # Grants to more urgent ranks since the last one to each rank.
         self._passed: dict[turn_queue.Rank, int] = {}
         # Time of the last `overloaded` refusal by urgency.
         self._refused_at: dict[tuple[int, int], float] = {}
-        # Allowed seconds per unit of work; inf while programs end in time.
-        self._allowed_seconds = math.inf
-        # Mean number of turns of a program, by known kinds.
-        self._mean_turns: dict[str, float] = {}
-        self._refresh_at = -math.inf
-        # Time of the last message, and the end of the last time without any.
+        self._clean_up_at = -math.inf
+        # Time of the last message.
         self._active_at = -math.inf
-        self._silent_until = -math.inf
 
     def ask(
         self, ask: turn_queue.Ask, now: float
     ) -> turn_decisions.Grant | turn_decisions.Defer | turn_decisions.Refuse:
         """Decides on a turn; also for turns that ask again."""
-        ask = _with_valid_share(ask)
         self._note_activity(now)
+        ask = self._with_bounds(ask, now)
         self._expire(now)
-        self._observe_capacity(ask.demand)
+        self.capacities.observe(ask.demand)
         self._observe_report(ask, now)
         if self.turns.grant_again(ask, now):
             return turn_decisions.Grant(0.0, again=True)
@@ -202,7 +157,7 @@
         if ended is None:
             return False
         self.turns.hear(ended.turn.ask.entry, now)
-        self._observe_end(ended, tokens, ran, now)
+        self.measurements.ended(ended, tokens, ran, self.capacity(), now)
         return True
 
     def tick(self, now: float) -> None:
@@ -211,14 +166,7 @@
 
     def capacity(self) -> float:
         """Returns the bound by slots and memory; inf if neither is known."""
-        bound = math.inf
-        if self.slots:
-            # Rounded up: one engine with few slots can't be loaded unevenly.
-            bound = math.ceil(self.slots * self.part * CAPACITY_FRACTION)
-        if self.memory and self.turn_tokens:
-            memory = self.memory * self.part * CAPACITY_FRACTION
-            bound = min(bound, memory / self.turn_tokens)
-        return max(1.0, bound)
+        return self.capacities.bound()
 
     def bound(self) -> float:
         """Returns the bound on running turns; inf if unknown."""
@@ -238,6 +186,26 @@
         """Turns that entries report beyond the granted ones."""
         return self.turns.reports
 
+    @property
+    def pace(self) -> turn_pace.PaceLimit:
+        """Limit by the time that turns take."""
+        return self.measurements.pace
+
+    @property
+    def times(self) -> program_times.ProgramTimes:
+        """Durations of programs."""
+        return self.measurements.times
+
+    @property
+    def customer_refused(self) -> collections.Counter[str]:
+        """Number of refusals by customer."""
+        return self.refusals.by_customer
+
+    @property
+    def refused(self) -> collections.Counter[str]:
+        """Number of refusals by `<kind>/<reason>`."""
+        return self.refusals.counts
+
     @property
     def expired(self) -> int:
         """Number of granted turns released by their timeout."""
@@ -283,16 +251,28 @@
             customers[:max_customers],
         )
 
-    # --- Decision -------------------------------------------------------------
+    # --- Arrival --------------------------------------------------------------
+
+    def _with_bounds(self, ask: turn_queue.Ask, now: float) -> turn_queue.Ask:
+        """Returns a turn with at least the smallest weight, and its class."""
+        demand = ask.demand
+        if ask.key not in self.queue.waiters:
+            self.priorities.observe(demand.priority, now)
+        priority = self.priorities.class_of(demand.priority)
+        share = max(demand.share, fair_shares.MIN_WEIGHT)
+        if (priority, share) == (demand.priority, demand.share):
+            return ask
+        demand = demand._replace(priority=priority, share=share)
+        return ask._replace(demand=demand)
 
     def _arrive(self, ask: turn_queue.Ask, now: float) -> turn_queue.Waiter:
         demand = ask.demand
         customer = ask.key.customer
-        self.turn_tokens = moving_average.update(
-            self.turn_tokens, demand.tokens
-        )
-        if _program_key(ask) not in self.first_attempts.attempts:
-            work = self._shared_work(ask)
+        self.capacities.observe_turn(demand.tokens)
+        if turn_measurements.program_key(ask) not in (
+            self.refusals.first_attempts.attempts
+        ):
+            work = self.measurements.shared_work(ask)
             self.shares.demand(customer, demand.share, work, now)
         rank = turn_queue.Rank(
             ask.first and self.shares.is_over(customer, now),
@@ -303,16 +283,7 @@
         self._passed.setdefault(rank, 0)
         return self.queue.add(ask, rank, now)
 
-    def _shared_work(self, ask: turn_queue.Ask) -> float:
-        """Returns the tokens that a turn counts for in its customer's share.
-
-        A first turn counts for its whole program, so that a customer that
-        begins many programs is recognized before their later turns arrive.
-        """
-        turns = self._mean_turns.get(_kind(ask))
-        if turns is None:
-            return float(ask.demand.tokens)
-        return ask.demand.tokens * turns if ask.first else 0.0
+    # --- Decision -------------------------------------------------------------
 
     def _bound_for(self, ask: turn_queue.Ask) -> float:
         """Returns the bound for one turn.
@@ -360,14 +331,16 @@
 
         At least 1. The time is twice the shortest one between two asks.
         """
-        return max(1.0, self._throughput() * 2 * MIN_RETRY_SECONDS)
+        return max(
+            1.0, self._throughput() * 2 * turn_decisions.MIN_RETRY_SECONDS
+        )
 
     def _throughput(self) -> float:
         """Returns the turns per second at the bound; 0 if unknown."""
         bound = self.bound()
-        if self.closed < _MIN_CLOSED_TURNS or not math.isfinite(bound):
+        if not self.measurements.known() or not math.isfinite(bound):
             return 0.0
-        return bound / max(self.turn_seconds, _MIN_TURN_SECONDS)
+        return bound / max(self.measurements.turn_seconds, _MIN_TURN_SECONDS)
 
     def _predicted_wait(self, turns: float) -> float:
         """Returns the seconds in which some turns end; 0 if unknown."""
@@ -383,38 +356,51 @@
     ) -> turn_decisions.Refuse | None:
         """Returns the refusal of a first turn; None if it may wait."""
         ask = waiter.ask
-        demand = ask.demand
-        waited = self._waited(waiter, now)
-        first = self.first_attempts.of(
-            _program_key(ask),
-            program_times.Attempt(
-                min(waiter.since, now - demand.waited), demand.finish_within
-            ),
-            now,
-        )
-        elapsed = self.pauses.awake(first.at, now)
-        expected = self.times.expected(_kind(ask), first.target, self.pace.pace)
+        first = self.refusals.first_attempt(waiter, now)
+        expected = self.measurements.expected(ask, first.target)
         # Programs that begin before this one, and itself, send further turns.
         programs = max(0, ahead - self.queue.in_progress) + 1
         later_turns = programs * (expected.turns - 1)
         wait = self._predicted_wait(ahead + 1 + later_turns)
         if self._is_held_back(waiter.rank, now):
             wait = max(wait, _RECENT_SECONDS)
-        limit, slack = _max_wait(demand), math.inf
-        if first.target > 0:
-            slack = first.target * _TARGET_FRACTION - expected.seconds
-        if waited + wait <= limit and elapsed + wait <= slack:
+        outlook = turn_refusals.Outlook(
+            self._waited(waiter, now),
+            self.pauses.awake(first.at, now),
+            first.target,
+            wait,
+            expected.seconds,
+        )
+        reason = turn_refusals.reason(outlook, ask.demand)
+        if reason is None:
             return None
-        kind = "overloaded"
-        if waiter.rank.over_share:
-            kind = "share_exceeded"
+        over_share = waiter.rank.over_share
         return turn_decisions.Refuse(
-            kind,
-            "wait" if waited + wait > limit else "duration",
-            min(_MAX_RETRY_AFTER, max(_MIN_RETRY_AFTER, wait)),
+            "share_exceeded" if over_share else "overloaded",
+            reason,
+            self._retry_after(ask, wait, over_share, now),
             self._situation(ask, wait, ahead, bound, now),
         )
 
+    def _retry_after(
+        self, ask: turn_queue.Ask, wait: float, over_share: bool, now: float
+    ) -> float:
+        """Returns the seconds after which a refused caller should retry."""
+        if over_share:
+            customer = ask.key.customer
+            rate = self.shares.rate(customer, now)
+            work = self.measurements.shared_work(ask)
+            spacing = work / rate if rate else turn_refusals.MAX_RETRY_AFTER
+            waiting = self.queue.first_turns[customer] - 1
+            program = turn_measurements.program_key(ask)
+            wait = self.refusals.backlogs.refused(
+                customer, program, waiting, spacing, now
+            )
+        return min(
+            turn_refusals.MAX_RETRY_AFTER,
+            max(turn_refusals.MIN_RETRY_AFTER, wait),
+        )
+
     def _waited(self, waiter: turn_queue.Waiter, now: float) -> float:
         """Returns the seconds of a turn's wait that this leader didn't cause.
 
@@ -442,12 +428,14 @@
         """
         ask = waiter.ask
         wait = self._predicted_wait(ahead)
-        retry_after = min(wait, MAX_RETRY_SECONDS)
+        retry_after = min(wait, turn_decisions.MAX_RETRY_SECONDS)
         if ask.first:
             # So that a refusal for waiting too long comes at once.
             waited = self._waited(waiter, now)
-            retry_after = min(retry_after, _max_wait(ask.demand) - waited)
-        retry_after = max(MIN_RETRY_SECONDS, retry_after)
+            retry_after = min(
+                retry_after, turn_refusals.max_wait(ask.demand) - waited
+            )
+        retry_after = max(turn_decisions.MIN_RETRY_SECONDS, retry_after)
         return turn_decisions.Defer(
             jitter.retry_after(f"{ask.key.turn}{now}", retry_after),
             self._situation(ask, wait, ahead, bound, now),
@@ -473,15 +461,14 @@
         self, waiter: turn_queue.Waiter, now: float
     ) -> turn_decisions.Grant:
         ask = waiter.ask
-        demand = ask.demand
         self.queue.remove(ask.key)
         self.queue.clock.advance(waiter.tag)
-        self.shares.use(ask.key.customer, self._shared_work(ask), now)
+        self.shares.use(
+            ask.key.customer, self.measurements.shared_work(ask), now
+        )
         self._count_passed(waiter.rank)
         self.turns.grant(ask, now)
-        self.times.opened(
-            _program_key(ask), _kind(ask), ask.first, demand.finish_within, now
-        )
+        self.measurements.granted(ask, now)
         self.granted += 1
         return turn_decisions.Grant(now - waiter.since)
 
@@ -507,32 +494,33 @@
     ) -> None:
         key = waiter.ask.key
         self.queue.refund(self.queue.remove(key).ask)
-        self.refused[f"{refusal.kind}/{refusal.reason}"] += 1
-        if len(self.customer_refused) > _MAX_COUNTED_CUSTOMERS:
-            self.customer_refused.clear()
-        self.customer_refused[key.customer] += 1
+        self.refusals.count(key.customer, refusal)
         if refusal.kind == "overloaded":
+            if len(self._refused_at) >= _MAX_RANKS:
+                self._refused_at.clear()
             self._refused_at[waiter.rank.urgency] = now
 
     def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
+        if now >= self._clean_up_at:
+            self._clean_up_at = now + _CLEAN_UP_SECONDS
+            self.queue.clock.drop_idle()
+            if len(self._passed) >= _MAX_RANKS:
+                # Ranks of classes that have changed.
+                waiting = {one.rank for one in self.queue.waiters.values()}
+                self._passed = {
+                    rank: self._passed.get(rank, 0) for rank in waiting
+                }
         self.lost += self.queue.drop_lost(now, limit, self.pauses)
         for ended in self.turns.expire(now, limit):
-            self._observe_end(ended, 0, False, now)
-        if self.closed >= _MIN_CLOSED_TURNS:
-            seconds = granted_turns.SILENT_TURN_TIMES * self.turn_seconds
+            self.measurements.ended(ended, 0, False, self.capacity(), now)
+        measured = self.measurements
+        if measured.known():
+            seconds = granted_turns.SILENT_TURN_TIMES * measured.turn_seconds
             self.turns.drop_silent(
                 now, max(granted_turns.MIN_SILENT_SECONDS, seconds), limit
             )
 
-    # --- Measurements ---------------------------------------------------------
-
-    def _observe_capacity(self, demand: program_messages.TurnDemand) -> None:
-        if demand.places:
-            self.slots = moving_average.update(self.slots, demand.places)
-        if demand.memory_tokens:
-            self.memory = moving_average.update(
-                self.memory, demand.memory_tokens
-            )
+    # --- Messages -------------------------------------------------------------
 
     def _observe_report(self, ask: turn_queue.Ask, now: float) -> None:
         """Takes what an entry reports with a turn that it asks for."""
@@ -548,117 +536,10 @@
         )
 
     def _note_activity(self, now: float) -> None:
-        """Recognizes times in which no message arrived.
-
-        Turns that ended in such a time are reported late, and seem slow.
-        """
+        """Recognizes times in which no message arrived."""
         self.pauses.handled(now)
         silence = now - self._active_at
-        if len(self.running) >= _SILENT_TURNS and silence > max(
-            self.turn_seconds, _MIN_SILENCE_SECONDS
-        ):
-            self._silent_until = now
-        if len(self.queue) >= _SILENT_TURNS and silence > _CUT_OFF_SECONDS:
+        self.measurements.silence(len(self.running), silence, now)
+        if len(self.queue) >= _SILENT_WAITERS and silence > _CUT_OFF_SECONDS:
             self.pauses.add(self._active_at, now)
         self._active_at = now
-
-    def _observe_end(
-        self,
-        ended: granted_turns.EndedTurn,
-        tokens: int,
-        ran: bool,
-        now: float,
-    ) -> None:
-        """Measures a turn that was closed, or whose timeout has passed."""
-        ask = ended.turn.ask
-        units = 0.0
-        if ran:
-            units = tokens + ask.prompt * _UNITS_PER_PROMPT_TOKEN + _TURN_UNITS
-            self._observe_turn(ended, units, now)
-        self.times.closed(_program_key(ask), units, now)
-        delay = self.times.delay(_program_key(ask), now)
-        if delay is not None:
-            self.delay = moving_average.update(self.delay, delay)
-
-    def _observe_turn(
-        self, ended: granted_turns.EndedTurn, units: float, now: float
-    ) -> None:
-        turn = ended.turn
-        if ended.silent or turn.at < self._silent_until:
-            return
-        seconds = ended.at - turn.at
-        self.closed += 1
-        self.turn_seconds = moving_average.update(self.turn_seconds, seconds)
-        if now >= self._refresh_at:
-            self._refresh_at = now + _REFRESH_SECONDS
-            self._allowed_seconds = self._pace_to_hold()
-            self._mean_turns = self._mean_turns_by_kind()
-            self.queue.clock.drop_idle()
-        self.pace.observe(
-            seconds,
-            units,
-            turn.level,
-            self.capacity(),
-            self._allowed_seconds,
-            now,
-        )
-
-    def _pace_to_hold(self) -> float:
-        """Returns the pace above which running turns are reduced.
-
-        Returns:
-            Seconds per unit of work; inf while programs end in time, or if
-            full batches alone would not make them late.
-        """
-        if self.delay <= _LATE_DELAY:
-            return math.inf
-        allowed = self._allowed_pace()
-        return allowed if self.pace.at_capacity() > allowed else math.inf
-
-    def _mean_turns_by_kind(self) -> dict[str, float]:
-        """Returns the mean number of turns of programs, by known kinds."""
-        found = {
-            kind: self.times.expected(kind, 0.0, self.pace.pace)
-            for kind in self.times.kinds
-        }
-        return {kind: one.turns for kind, one in found.items() if one.known}
-
-    def _allowed_pace(self) -> float:
-        """Returns the pace at which programs of all kinds end in time.
-
-        Returns:
-            Seconds per unit of work; 0 if it isn't known.
-        """
-        paces = [
-            self.times.allowed_pace(kind, _TARGET_FRACTION)
-            for kind in self.times.kinds
-        ]
-        return min(filter(None, paces), default=0.0)
-
-
-def _with_valid_share(ask: turn_queue.Ask) -> turn_queue.Ask:
-    """Returns a turn whose customer has at least the smallest weight."""
-    if ask.demand.share >= fair_shares.MIN_WEIGHT:
-        return ask
-    demand = ask.demand._replace(share=fair_shares.MIN_WEIGHT)
-    return ask._replace(demand=demand)
-
-
-def _max_wait(demand: program_messages.TurnDemand) -> float:
-    """Returns the seconds that a first turn may wait.
-
-    It may ask again that much later than it should.
-    """
-    if demand.finish_within > 0:
-        longest = MAX_WAIT_FRACTION * demand.finish_within
-        return max(0.0, longest - MIN_RETRY_SECONDS)
-    return MAX_WAIT_SECONDS
-
-
-def _kind(ask: turn_queue.Ask) -> str:
-    """Returns the kind of the turn's program: its route and priority."""
-    return f"{ask.demand.kind}/{ask.demand.priority}"
-
-
-def _program_key(ask: turn_queue.Ask) -> str:
-    return f"{ask.key.customer}/{ask.program}"
--- a/src/mintcleat/decisions/turn_decisions.py
+++ b/src/mintcleat/decisions/turn_decisions.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+# Bounds of the time after which a waiting turn asks again, in seconds.
+MIN_RETRY_SECONDS = 0.02
+MAX_RETRY_SECONDS = 0.1
+
 
 class Situation(NamedTuple):
     """What a decision was based on.
--- a/src/mintcleat/decisions/turn_queue.py
+++ b/src/mintcleat/decisions/turn_queue.py
@@ -121,6 +121,7 @@
         asked: When each waiting turn last asked; the oldest first.
         order: Sort keys of the waiting turns, in order.
         in_progress: Number of waiting turns of programs in progress.
+        first_turns: Number of waiting first turns by customer.
     """
 
     def __init__(self) -> None:
@@ -131,6 +132,7 @@
         )
         self.order: sortedcontainers.SortedList = sortedcontainers.SortedList()
         self.in_progress = 0
+        self.first_turns: collections.Counter[str] = collections.Counter()
         self._count = 0
 
     def __len__(self) -> int:
@@ -149,7 +151,10 @@
         )
         self.waiters[ask.key] = waiter
         self.order.add(_sort_key(waiter))
-        self.in_progress += rank.stage == IN_PROGRESS
+        if rank.stage == IN_PROGRESS:
+            self.in_progress += 1
+        else:
+            self.first_turns[ask.key.customer] += 1
         self.asked[ask.key] = now
         return waiter
 
@@ -182,7 +187,12 @@
         waiter = self.waiters.pop(key)
         del self.asked[key]
         self.order.remove(_sort_key(waiter))
-        self.in_progress -= waiter.rank.stage == IN_PROGRESS
+        if waiter.rank.stage == IN_PROGRESS:
+            self.in_progress -= 1
+            return waiter
+        self.first_turns[key.customer] -= 1
+        if not self.first_turns[key.customer]:
+            del self.first_turns[key.customer]
         return waiter
 
     def drop_lost(
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -1,5 +1,6 @@
 """Admission of turns: order, bounds, shares, pace and lost waiters."""
 
+import collections
 import math
 from typing import Any
 
@@ -10,11 +11,13 @@
 
 from mintcleat.decisions import fair_shares
 from mintcleat.decisions import leader_pauses
+from mintcleat.decisions import priority_classes
 from mintcleat.decisions import program_times
 from mintcleat.decisions import turn_admission
 from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
+from mintcleat.decisions import turn_refusals
 from mintcleat.domain import program_messages
 
 DEMAND = program_messages.TurnDemand(
@@ -166,6 +169,72 @@
             self.end(turns.pop(0))
         self.assertEqual(turn_admission.GUARANTEED_INTERVAL, granted)
 
+    def use_priorities(self, count: int) -> None:
+        """Runs turns of as many priorities."""
+        for number in range(3 * count):
+            self.ask("probe", priority=number % count)
+            self.now += 0.2
+            self.end("probe")
+
+    def test_many_priorities_leave_an_order(self) -> None:
+        # Guards against a guaranteed turn for each of many ranks, after which
+        # nothing is left for the most urgent one.
+        customers = {f"c{number}": number for number in range(40)}
+        self.use_priorities(40)
+        running = collections.deque(
+            ("farm", turn) for turn in self.fill(first=False)
+        )
+        for customer, priority in customers.items():
+            for number in range(8):
+                self.ask(
+                    f"w{number}",
+                    first=False,
+                    customer=customer,
+                    priority=priority,
+                )
+        granted = collections.Counter()
+        for _ in range(60):
+            owner, turn = running.popleft()
+            self.end(turn, owner)
+            for key in [
+                key
+                for _, _, key in sorted(
+                    (one.rank, one.tag, key)
+                    for key, one in self.schedule.queue.waiters.items()
+                )
+            ][::-1]:
+                if is_granted(
+                    self.ask(
+                        key.turn,
+                        first=False,
+                        customer=key.customer,
+                        priority=customers[key.customer],
+                    )
+                ):
+                    running.append(key)
+                    granted[customers[key.customer]] += 1
+                    break
+        first = sum(granted[priority] for priority in range(13))
+        self.assertTrue(first >= 30, granted)
+        self.assertTrue(sum(granted[p] for p in range(27, 40)), granted)
+
+    def test_route_orders_turns_of_customers_with_many_priorities(
+        self,
+    ) -> None:
+        # Guards against less urgent programs of a preferred customer that
+        # always come before the urgent ones of the next customer.
+        self.use_priorities(40)
+        turns = self.fill()
+        self.ask("less", priority=2, route_priority=2)
+        self.ask("urgent", priority=3, route_priority=0)
+        self.end(turns[0])
+        self.assertFalse(
+            is_granted(self.ask("less", priority=2, route_priority=2))
+        )
+        self.assertTrue(
+            is_granted(self.ask("urgent", priority=3, route_priority=0))
+        )
+
     def test_customer_with_less_work_comes_first(self) -> None:
         turns = self.fill()
         for number in range(3):
@@ -434,6 +503,78 @@
         self.assertEqual(0, len(pauses.pauses))
 
 
+class PriorityClassesTest(testtools.TestCase):
+    def test_few_values_are_a_class_each(self) -> None:
+        classes = priority_classes.PriorityClasses()
+        for second in range(10):
+            for priority in (0, 2, 7):
+                classes.observe(priority, float(second))
+        self.assertEqual(
+            [0, 2, 7], [classes.class_of(one) for one in (0, 2, 7)]
+        )
+
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 1000), min_size=1, max_size=400)
+    )
+    def test_number_and_order_of_classes(self, priorities: list[int]) -> None:
+        classes = priority_classes.PriorityClasses()
+        for number, priority in enumerate(priorities):
+            classes.observe(priority, number * 0.1)
+        found = [classes.class_of(one) for one in sorted(set(priorities))]
+        self.assertEqual(found, sorted(found))
+        self.assertTrue(len(set(found)) <= priority_classes.MAX_CLASSES)
+
+    def test_many_values_are_divided_by_their_turns(self) -> None:
+        classes = priority_classes.PriorityClasses()
+        for number in range(2000):
+            classes.observe(number % 30, number * 0.01)
+        found = collections.Counter(classes.class_of(n) for n in range(30))
+        self.assertEqual([10, 10, 10], [found[n] for n in sorted(found)])
+
+    def test_values_that_are_no_longer_used_are_forgotten(self) -> None:
+        classes = priority_classes.PriorityClasses()
+        for number in range(30):
+            classes.observe(number, 0.0)
+        for second in range(400):
+            classes.observe(5, float(second))
+            classes.observe(6, float(second))
+        self.assertEqual([5, 6], classes.classes)
+
+
+class BacklogsTest(testtools.TestCase):
+    def test_refused_programs_are_spread_over_the_time_of_their_share(
+        self,
+    ) -> None:
+        # Guards against callers that all ask again within 0.3 s, though the
+        # excess of their customer takes seconds.
+        backlogs = turn_refusals.CustomerBacklogs()
+        times = [
+            backlogs.refused("farm", f"p{number}", 4, 0.1, 0.0)
+            for number in range(20)
+        ]
+        self.assertAlmostEqual(0.5, times[0])
+        self.assertAlmostEqual(2.4, times[-1])
+        self.assertEqual(times, sorted(times))
+        other = backlogs.refused("light", "p", 0, 0.1, 0.0)
+        self.assertAlmostEqual(0.1, other)
+
+    def test_program_that_tries_early_keeps_its_time(self) -> None:
+        # Guards against a backlog that grows with each attempt of a program.
+        backlogs = turn_refusals.CustomerBacklogs()
+        first = backlogs.refused("farm", "p1", 0, 1.0, 0.0)
+        again = backlogs.refused("farm", "p1", 0, 1.0, 0.4)
+        self.assertAlmostEqual(first - 0.4, again)
+        self.assertAlmostEqual(2.0, backlogs.refused("farm", "p2", 0, 1.0, 0.0))
+
+    def test_backlog_is_bounded(self) -> None:
+        backlogs = turn_refusals.CustomerBacklogs()
+        for number in range(1000):
+            seconds = backlogs.refused("farm", f"p{number}", 0, 1.0, 0.0)
+        self.assertEqual(turn_refusals.MAX_RETRY_AFTER, seconds)
+        later = backlogs.refused("farm", "late", 0, 1.0, 60.0)
+        self.assertAlmostEqual(1.0, later)
+
+
 class TimesTest(testtools.TestCase):
     def test_duration_follows_turns_pauses_and_pace(self) -> None:
         times = program_times.ProgramTimes()
--- a/testing/test_turn_admission_faults.py
+++ b/testing/test_turn_admission_faults.py
@@ -70,6 +70,28 @@
         self.assertTrue(late >= 0.9 * usual, (late, usual))
 
 
+class HeavyCustomerTest(testtools.TestCase):
+    def test_customer_at_six_times_its_usual_with_patient_callers(self) -> None:
+        # All together demand 0.95 of full batches before it, 1.2 with it.
+        others, heavy, refused = [], [], 0
+        for seed in (1, 2, 3):
+            played = world(USUAL, seed=seed, patient=True)
+            played.run(6.0)
+            played.add_load("c3", 5.0)
+            played.run(12.0)
+            played.stopped = 12.0
+            played.run(16.0)
+            for one in played.results:
+                if one.started >= 6.5:
+                    of = heavy if one.customer == "c3" else others
+                    of.append(one.outcome == "aim")
+            refused += played.refused["c3"]
+        self.assertTrue(sum(others) > 0.96 * len(others), sum(others))
+        self.assertTrue(0.3 < sum(heavy) / len(heavy) < 0.8, sum(heavy))
+        # Guards against callers that are all told to try again at once.
+        self.assertTrue(refused < 1.5 * len(heavy), (refused, len(heavy)))
+
+
 class PausedLeaderTest(testtools.TestCase):
     """A leader whose process is paused, for instance by its machine."""
 
