Backups of streams that can't be resumed

The connection of some streams breaks off midway; one whose route isn't resumable was lost, and its caller ran the whole turn again. With the policy stream_moves and a service with backups, such a stream of a program with three completed turns or more is sent with a backup at another engine, and continues there after an interruption, as the same run.

A test of a repeated move looks again after 0.1 s instead of 0.5 s, since its stream had nearly ended by then on a busy machine.

--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -261,11 +261,11 @@
         destination: Upstream that sends the rest, or should have.
         reason: `interrupted` or `silent` for a stream that was resumed;
             `leaving` or `slow` for one that was moved.
-        result: `resumed` or `moved`; `returned` if a stopped stream continues
-            at its former upstream; `stayed` if the move was given up while it
-            ran there; `cancelled` if the stream ended during the move;
-            `unknown` if no answer told whether it has stopped; `lost` if it
-            has stopped and could not continue.
+        result: `resumed`, `moved` or `restored` (from a backup); `returned`
+            if a stopped stream continues at its former upstream; `stayed` if
+            the move was given up while it ran there; `cancelled` if the
+            stream ended during the move; `unknown` if no answer told whether
+            it has stopped; `lost` if it has stopped and could not continue.
         pause_s: Time between the last event before and the first after it;
             0 for a stream that did not continue.
         tokens: Tokens sent to the caller before.
--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -83,6 +83,8 @@
         link_mbps: Rate at which an upstream copies memory to another, in
             Mbit/s; half of it between failure domains.
         handle_seconds: Time for which a copy is kept that no request uses.
+        backups: Whether an upstream can send the memory of a running request
+            to another as it grows.
     """
 
     kind: Literal["model", "plain"]
@@ -101,6 +103,7 @@
     token_bytes: Count = 0
     link_mbps: Amount = 0.0
     handle_seconds: Amount = 0.0
+    backups: bool = False
 
 
 class Share(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -233,7 +236,8 @@
             capacity of their services and by the shares of customers
             (`programs`), or open all of them (`off`).
         stream_moves: Whether entries move running streams off upstreams that
-            leave or have become slow, for services with `moves`.
+            leave or have become slow, for services with `moves`, and have
+            backups of some, for services with `backups`.
     """
 
     customers: dict[Name, Customer] = {}
--- a/src/mintcleat/domain/manifest_errors.py
+++ b/src/mintcleat/domain/manifest_errors.py
@@ -228,6 +228,10 @@
         out.append(
             Violation(f"{path}.model", "must be empty for a plain service")
         )
+    if service.backups and service.kind != "model":
+        out.append(
+            Violation(f"{path}.backups", "must be false for a plain service")
+        )
     if service.moves:
         _check_moves(path, service, out)
     _check_patterns(f"{path}.idempotent", service.idempotent, out)
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -142,8 +142,9 @@
     """The copied memory of a run, from which it can be continued once.
 
     Attributes:
-        address: `IP:PORT` of the upstream that made the copy.
-        handle: Name of the copy there.
+        address: `IP:PORT` of the upstream that made the copy; of a backup, of
+            the one that has it.
+        handle: Name of the copy there; of a backup, the id of the request.
     """
 
     address: str
@@ -161,6 +162,8 @@
         urgency: Priority from 0 to 9; lower values are admitted first.
         copy: Memory from which the upstream continues the run; None to begin
             a new one.
+        backup: `IP:PORT` of the upstream that gets a backup of the run's
+            memory; empty for none.
     """
 
     body: bytes
@@ -168,3 +171,4 @@
     last_event: str
     urgency: int
     copy: Copy | None = None
+    backup: str = ""
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -244,7 +244,7 @@
         way = f"{fields.get('upstream')} to {fields.get('destination')}"
         reason = f"{fields.get('reason')}"
         match fields.get("result"):
-            case "resumed" | "moved" | "returned" as result:
+            case "resumed" | "moved" | "restored" | "returned" as result:
                 texts.append(
                     f" It was {result} from {way} ({reason}) after "
                     f"{fields.get('tokens')} tokens, with a pause of "
--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -101,6 +101,7 @@
         built["model"] = models[0]["name"]
         built["tokens_per_event"] = engine.get("stride", 1)
         built["memory_tokens"] = engine.get("kvCapacityTokens", 0)
+        built["backups"] = bool(engine.get("backups"))
         if engine.get("moves"):
             built.update(_moves(engine))
     return built
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -21,6 +21,7 @@
 _SIGNATURE = "x-response-signature"
 _NOT_EXECUTED = "x-not-executed"
 _COPY_FROM = "kv-from"
+_BACKUP = "x-kv-backup"
 _MOVE_PATH = "/v1/kv-move"
 _HANDLE_PATH = "/v1/kv-handle/"
 _WRONG_UPSTREAM = 421
@@ -282,6 +283,8 @@
         headers.append((callers.CUSTOMER, call.customer))
     if request.last_event:
         headers.append((callers.LAST_EVENT_ID, request.last_event))
+    if request.backup:
+        headers.append((_BACKUP, request.backup))
     if request.copy is not None:
         copy = request.copy
         headers.append((_COPY_FROM, f"{copy.address}/{copy.handle}"))
--- a/src/mintcleat/roles/entry/entry_context.py
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -9,6 +9,7 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
+from mintcleat.roles.entry import stream_backup
 from mintcleat.roles.entry import stream_watch
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
@@ -46,6 +47,7 @@
         turns: Client of the leaders that keep turns and budgets.
         attempt_timeouts: Timeouts of attempts of repeatable requests.
         streams: Streams that may continue at another upstream.
+        backups: Chooses the upstreams for backups of streams.
     """
 
     configuration: Configuration
@@ -56,3 +58,4 @@
     events: event_ports.EventReporter
     attempt_timeouts: attempt_timeout.AttemptTimeouts
     streams: stream_watch.StreamWatch
+    backups: stream_backup.StreamBackups
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -17,6 +17,7 @@
 from mintcleat.roles.entry import entry_context
 from mintcleat.roles.entry import routed_run
 from mintcleat.roles.entry import run_attempts
+from mintcleat.roles.entry import stream_backup
 from mintcleat.roles.entry import stream_watch
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
@@ -73,6 +74,7 @@
                 events,
                 attempt_timeouts,
             ),
+            stream_backup.StreamBackups(configuration, self.loads),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -62,6 +62,13 @@
     copy: routed_calls.Copy | None
 
 
+class _Backup(NamedTuple):
+    """A backup from which a stream is to continue; names of upstreams."""
+
+    source: str
+    destination: str
+
+
 class RunAttempts:
     """Sends one request to upstreams until one has answered it completely.
 
@@ -75,6 +82,7 @@
         moves: Number of moves that were begun.
         move: The last move that has stopped the run; None for none.
         copies: Where the stopped run may continue, in order.
+        backup: Backup from which the stream is to continue; None for none.
     """
 
     def __init__(
@@ -105,6 +113,7 @@
         self.sent_at = 0.0
         self.tokens = engine_memory.TurnTokens()
         self.moves = 0
+        self.backup: _Backup | None = None
         self.move: stream_move.StreamMove | None = None
         self.copies: list[
             tuple[member_messages.Registration, routed_calls.Copy]
@@ -162,10 +171,12 @@
             move = self._attempt(target, reply)
         except errors.MintcleatError as error:
             self._attempt_failed(target, error)
+            if self.copies and (
+                target.copy is None or error.outcome == errors.NOT_RUN
+            ):
+                return False
             if target.copy is not None:
-                if error.outcome == errors.NOT_RUN and self.copies:
-                    return False
-                error = self._move_failed(error)
+                error = self._continuation_failed(error)
             self._check_retry(error)
             self._expect_continuation(upstream, error)
             if self.deadline.is_refusable():
@@ -263,6 +274,16 @@
         if target.copy is None:
             self.attempts += 1
         self.relay.upstream = upstream
+        backup = None
+        if target.copy is None:
+            backup = self.context.backups.choose(
+                self.call,
+                self.route,
+                self.service_name,
+                self.service,
+                turn,
+                self.tried,
+            )
         answer = self._send(
             upstream,
             routed_calls.UpstreamRequest(
@@ -271,6 +292,7 @@
                 self.relay.last_event_id,
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
                 target.copy,
+                backup.address if backup else "",
             ),
         )
         if target.copy is not None and self.move is not None:
@@ -292,6 +314,7 @@
             self.moves,
             self.silence_timeout,
         )
+        stream.backup = backup
         if target.copy is not None:
             stream.next_move_at = self.now + stream_moves.RETRY_SECONDS
         return self._relay(stream, reply)
@@ -322,6 +345,7 @@
                 ) from error
             move = stream.stopped()
             if move is None:
+                self._use_backup(stream)
                 raise
         finally:
             streams.remove(stream)
@@ -410,10 +434,39 @@
 
         self.relay.on_first_event = report
 
-    def _move_failed(
+    def _use_backup(self, stream: running_stream.RunningStream) -> None:
+        """Has a stream that broke off continue from its backup, if any.
+
+        Not if its run was told to stop for a move and may not have stopped.
+        """
+        backup = stream.backup
+        is_unknown = stream.move is not None and stream.move.is_stopping
+        if backup is None or is_unknown or not self.relay.last_event_id:
+            return
+        self.copies = [
+            (backup, routed_calls.Copy(backup.address, self.call.request))
+        ]
+        self.backup = _Backup(stream.upstream.upstream, backup.upstream)
+        tokens = self.relay.tokens
+
+        def report(pause: float) -> None:
+            self.relay.on_first_event = None
+            self.backup = None
+            self.events.continued(
+                stream.upstream.upstream,
+                backup.upstream,
+                "interrupted",
+                "restored",
+                pause,
+                tokens,
+            )
+
+        self.relay.on_first_event = report
+
+    def _continuation_failed(
         self, error: errors.MintcleatError
     ) -> errors.MintcleatError:
-        """Ends a move whose stream broke off after it; returns the error.
+        """Ends a move or a restore that failed; returns the error.
 
         What the source ran is lost. So the request counts as run, also if the
         upstreams state that they did not continue it.
@@ -432,10 +485,22 @@
                 self.relay.tokens,
                 error.detail,
             )
+        if self.backup is not None:
+            self.relay.on_first_event = None
+            self.events.continued(
+                self.backup.source,
+                self.backup.destination,
+                "interrupted",
+                "lost",
+                0.0,
+                self.relay.tokens,
+                error.detail,
+            )
+            self.backup = None
         if error.outcome != errors.NOT_RUN:
             return error
         return errors.StreamClosed(
-            f"The moved stream could not continue: {error.detail}"
+            f"The stream could not continue elsewhere: {error.detail}"
         )
 
     def _expect_continuation(
--- a/src/mintcleat/roles/entry/running_stream.py
+++ b/src/mintcleat/roles/entry/running_stream.py
@@ -30,6 +30,7 @@
         silent_for: Silence in seconds for which it was abandoned; 0 before.
         may_move: Whether it may be moved to another upstream.
         move: Its move, if one is in progress or has stopped the run.
+        backup: Upstream that has a backup of its run; None for none.
         next_move_at: Time before which no move is considered.
     """
 
@@ -65,6 +66,7 @@
         self.silent_for = 0.0
         self.may_move = False
         self.move: stream_move.StreamMove | None = None
+        self.backup: member_messages.Registration | None = None
         self.next_move_at = 0.0
 
     def may_resume(self) -> bool:
--- /dev/null
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -0,0 +1,100 @@
+"""Chooses the upstreams that get backups of streams."""
+
+import xxhash
+
+from mintcleat.decisions import load_balancing
+from mintcleat.decisions import retry
+from mintcleat.decisions import stream_backups
+from mintcleat.decisions import stream_moves
+from mintcleat.domain import manifest
+from mintcleat.domain import member_messages
+from mintcleat.domain import routed_calls
+from mintcleat.ports import directory as directory_port
+from mintcleat.roles.entry import turn_client
+from mintcleat.roles.entry import upstream_loads
+
+
+class StreamBackups:
+    """The backups of one entry's streams.
+
+    Attributes:
+        budgets: Budget of backups, by service.
+    """
+
+    def __init__(
+        self,
+        configuration: directory_port.Directory,
+        loads: upstream_loads.UpstreamLoads,
+    ) -> None:
+        self.configuration = configuration
+        self.loads = loads
+        self.budgets: dict[str, retry.Budget] = {}
+
+    def choose(
+        self,
+        call: routed_calls.RoutedCall,
+        route: manifest.Route,
+        service_name: str,
+        service: manifest.Service,
+        turn: turn_client.OpenedTurn | None,
+        tried: set[str],
+    ) -> member_messages.Registration | None:
+        """Returns the upstream for a backup of a stream; None for no backup.
+
+        Args:
+            call: The request.
+            route: Its route.
+            service_name: Service that runs it.
+            service: That service's settings.
+            turn: Its turn; None without one.
+            tried: Incarnations that it was sent to, with the one that runs it.
+        """
+        if not service.backups or not route.stream:
+            return None
+        if self.configuration.manifest().policies.stream_moves != "on":
+            return None
+        budget = self.budgets.get(service_name)
+        if budget is None:
+            budget = self.budgets[service_name] = retry.Budget(
+                stream_backups.FRACTION, stream_backups.RESERVE
+            )
+        budget.succeeded()
+        may_resume = route.repeat == "resume" and route.attempts > 1
+        completed = len(turn.chain) if turn else 0
+        if budget.tokens < 1.0 or not stream_backups.is_worthwhile(
+            may_resume, completed
+        ):
+            return None
+        if not stream_moves.has_capacity(*self.loads.total_slots(service_name)):
+            return None
+        found = self._destination(call, service_name, service, tried)
+        if found is not None:
+            budget.take(0)
+        return found
+
+    def _destination(
+        self,
+        call: routed_calls.RoutedCall,
+        service_name: str,
+        service: manifest.Service,
+        tried: set[str],
+    ) -> member_messages.Registration | None:
+        """Returns the least loaded of a few upstreams with free memory."""
+        estimates = self.loads.estimates(
+            service_name, call, service.memory_tokens
+        )
+        names = [
+            name
+            for name in self.loads.sound_others(service_name, tried)
+            if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
+            and not estimates.is_crowded(name)
+        ]
+        names.sort(
+            key=lambda name: xxhash.xxh3_64_intdigest(
+                f"{call.request}|{name}".encode()
+            )
+        )
+        names = names[: load_balancing.CHOICES]
+        if not names:
+            return None
+        return self.loads.known[min(names, key=estimates.load)]
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -86,6 +86,9 @@
             a status; `lost` to stop the run if it is asked to and to reset the
             connection; `mute` to do so and never to answer; `silent` like
             `mute`, but with the stream left open; None for no fault.
+        backups: Backups of other engines' runs, by request id.
+        break_at: Number of the event after which it resets the connection of
+            a new run; 0 for none.
         is_framed: Whether the end of its streams is marked; otherwise they end
             with their connections.
         refuse_copies: Whether requests with a copy are refused.
@@ -106,6 +109,8 @@
         self.calls: list[tuple[str, str, bool]] = []
         self.freed: list[str] = []
         self.faults: list[Any] = []
+        self.backups: dict[str, Run] = {}
+        self.break_at = 0
         self.is_framed = True
         self.refuse_copies = False
         self.break_copies = False
@@ -164,6 +169,9 @@
         request = received.request
         made = int(received.headers.get("last-event-id", "0"))
         run = self.runs[request] = Run(request, made)
+        backup = received.headers.get("x-kv-backup")
+        if backup is not None and backup in self.group.engines:
+            self.group.engines[backup].backups[request] = run
         write = connection.chunk
         if self.is_framed:
             connection.begin_stream(received)
@@ -177,6 +185,9 @@
                 self.group.generated.append((request, run.made, self.name))
                 write(platform_engine.event(run.made))
                 eventlet.sleep(self.pause)
+                if source is None and run.made == self.break_at:
+                    connection.reset()
+                    return False
                 if run.is_stopped:
                     while run.is_muted:
                         if not connection.sock.recv(1):
@@ -193,6 +204,8 @@
     def _take(self, source: str, request: str) -> bool:
         """Returns whether a run continues from a copy, which it uses up."""
         address, _, handle = source.partition("/")
+        if address == self.address and handle in self.backups:
+            return self.backups.pop(handle).request == request
         origin = self.group.engines.get(address)
         copy = origin.copies.get(handle) if origin else None
         if origin is None or copy is None or copy.run.request != request:
--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -42,6 +42,10 @@
         self.assertEqual(self.service(moves=False), self.service(moves=None))
         self.assertEqual(0, self.service(moves=False).token_bytes)
 
+    def test_backups_need_no_numbers(self) -> None:
+        found = self.service(moves=False, backups=True)
+        self.assertEqual((False, True), (found.moves, found.backups))
+
     def test_incomplete_numbers_leave_moves_off(self) -> None:
         # The rest of the configuration must stay in force.
         for changes in (
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -336,6 +336,7 @@
         self.assert_all_freed()
 
     def test_move_in_progress_is_tried_again_later(self) -> None:
+        self.patch(stream_moves, "RETRY_SECONDS", 0.1)
         answer, _, other = self.move(409)
         self.assert_complete(answer)
         self.assertEqual(1, len(other.requests))
@@ -515,3 +516,76 @@
         self.wait_for(lambda: not source.runs)
         self.assertEqual([], other.requests)
         self.assertEqual("cancelled", self.event().result)
+
+
+class BackupTest(MovesTest):
+    """The connection of a stream breaks off that may not be run again."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        fields = moves_configuration(2)
+        fields["services"][1]["engine"]["backups"] = True
+        self.assertEqual(200, self.system.put(fields).status)
+        self.system.settle()
+
+    def turn(self, number: int) -> platform_system.Answer:
+        previous = {"X_Previous_Turn": f"t{number - 1}"} if number else {}
+        return self.system.call(
+            "POST",
+            "/turns/a",
+            b"in",
+            f"t{number}",
+            X_Deadline_Milliseconds="8000",
+            X_Program_Id="p",
+            X_Token_Counts=f"100,{3 * COUNT}",
+            **previous,
+        )
+
+    def run_turns(self, count: int) -> None:
+        """Completes the first turns of a program; the next one breaks off."""
+        for engine in self.engines:
+            engine.pause = 0.001
+        for number in range(count):
+            self.assert_complete(self.turn(number))
+        for engine in self.engines:
+            engine.break_at = 10
+            # A reset drops what the entry has not read yet.
+            engine.pause = 0.02
+        self.group.generated.clear()
+
+    def test_stream_continues_from_its_backup(self) -> None:
+        self.run_turns(3)
+        self.assert_complete(self.turn(3))
+        self.assert_generated_once()
+        restored = [e for e in self.engines if "kv-from" in _last(e)]
+        self.assertEqual(1, len(restored))
+        self.assertEqual(
+            f"{restored[0].address}/t3", _last(restored[0])["kv-from"]
+        )
+        event = self.event()
+        self.assertEqual(
+            ("interrupted", "restored", 30),
+            (event.reason, event.result, event.tokens),
+        )
+        self.assert_all_freed()
+
+    def test_stream_without_a_backup_is_interrupted(self) -> None:
+        # The upstream lost the backup; 503 means that nothing ran.
+        self.run_turns(3)
+        for engine in self.engines:
+            engine.refuse_copies = True
+        answer = self.turn(3)
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual("lost", self.event().result)
+        self.assertEqual(10, len(self.group.generated))
+
+    def test_program_with_little_work_has_no_backup(self) -> None:
+        self.run_turns(1)
+        self.assertFalse(self.turn(1).whole)
+        sent = [r.headers for e in self.engines for r in e.requests]
+        self.assertFalse(any("x-kv-backup" in headers for headers in sent))
+
+
+def _last(engine: moving_engine.Engine) -> dict[str, str]:
+    """Returns the headers of the last request of an engine."""
+    return engine.requests[-1].headers if engine.requests else {}
