Frees the copy of a failed move before another one

A moved stream whose destination broke off, that was resumed and then moved again, kept the copy of its first move at both engines until it expired: only the last move was cancelled at the end of the request.

--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -485,6 +485,10 @@
                 self.relay.tokens,
                 error.detail,
             )
+        if move is not None:
+            # A run that is resumed may be moved again.
+            move.cancel()
+            self.move = None
         if self.backup is not None:
             self.relay.on_first_event = None
             self.events.continued(
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -56,6 +56,7 @@
     Attributes:
         engines: The engines by address.
         generated: Each event that was generated: request, number, engine.
+        times: The time of each of them.
         handle_seconds: Time after which a handle expires.
         copy_seconds: Time that a copy of the whole memory takes.
         rest_seconds: Time that a copy of the rest takes.
@@ -64,6 +65,7 @@
     def __init__(self) -> None:
         self.engines: dict[str, Engine] = {}
         self.generated: list[tuple[str, int, str]] = []
+        self.times: list[float] = []
         self.handle_seconds = 5.0
         self.copy_seconds = 0.03
         self.rest_seconds = 0.005
@@ -183,6 +185,7 @@
             while run.made < self.count:
                 run.made += 1
                 self.group.generated.append((request, run.made, self.name))
+                self.group.times.append(_now())
                 write(platform_engine.event(run.made))
                 eventlet.sleep(self.pause)
                 if source is None and run.made == self.break_at:
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -1,6 +1,8 @@
 """Running streams that are moved to another engine, over real sockets."""
 
 import contextlib
+import itertools
+import random
 from typing import Any
 from typing import ClassVar
 
@@ -9,6 +11,7 @@
 from fakes import moving_engine
 from fakes import platform_engine
 from fakes import platform_system
+from mintcleat.decisions import retry
 from mintcleat.decisions import stream_moves
 from mintcleat.domain import events
 from mintcleat.roles.entry import run_deadline
@@ -84,7 +87,7 @@
         }
         call = eventlet.spawn(self.system.call, "POST", path, b"in", **fields)
         self.wait_for(lambda: any(len(e.requests) for e in self.engines))
-        source, other = sorted(self.engines, key=lambda e: not e.requests)
+        source, other, *_ = sorted(self.engines, key=lambda e: not e.requests)
         self.wait_for(lambda: source.runs["r1"].made >= 5)
         return call, source, other
 
@@ -460,6 +463,26 @@
         self.assert_complete(call.wait())
         self.assert_generated_once()
 
+    def test_copy_of_a_failed_move_is_freed_before_another_move(self) -> None:
+        # The first copy stayed at its engines until it expired.
+        self.engines += [self.add("e3"), self.add("e4")]
+        self.system.settle()
+        call, source, _ = self.begin("/resumable/a")
+        for engine in self.engines:
+            engine.break_copies = True
+        self.leave(source)
+        self.wait_for(lambda: source.calls[1:] and not source.runs)
+        self.wait_for(lambda: any(e.runs for e in self.engines))
+        for engine in self.engines:
+            engine.break_copies = False
+        self.leave(next(e for e in self.engines if e.runs))
+        self.assert_complete(call.wait())
+        found = self.system.reporter.of(events.StreamContinued)
+        self.assertEqual(
+            ["lost", "resumed", "moved"], [event.result for event in found]
+        )
+        self.assert_all_freed()
+
     def test_stream_without_a_marked_end_is_not_taken_for_complete(
         self,
     ) -> None:
@@ -518,6 +541,100 @@
         self.assertEqual("cancelled", self.event().result)
 
 
+class RandomFaultsTest(MovesTest):
+    """Many streams, engines that leave and come back, and random faults."""
+
+    seeds: ClassVar[tuple[int, ...]] = (1, 2)
+    streams = 24
+
+    def test_each_event_comes_once_and_nothing_runs_anew(self) -> None:
+        # Guards against a second run of a stream whose route isn't resumable,
+        # an event that is lost or repeated, an end before the last event, a
+        # run that goes on at two engines, and copies that are never freed.
+        self.engines += [self.add("e3"), self.add("e4")]
+        self.system.settle()
+        for engine in self.engines:
+            engine.slots = self.streams
+        for seed in self.seeds:
+            self.run_streams(seed)
+
+    def run_streams(self, seed: int) -> None:
+        rng = random.Random(seed)
+        self.group.generated.clear()
+        self.group.times.clear()
+        watch = self.system.entry.gateway.context.streams
+        calls = {}
+        for number in range(self.streams):
+            path = rng.choice(("/once/a", "/resumable/a"))
+            request = f"s{seed}-{number}"
+            calls[request] = (
+                path,
+                eventlet.spawn(
+                    self.system.call,
+                    "POST",
+                    path,
+                    b"in",
+                    request,
+                    X_Deadline_Milliseconds="8000",
+                    X_Token_Counts=f"100,{3 * COUNT}",
+                ),
+            )
+            watch.move_budgets.setdefault(
+                "lm", retry.Budget(0.0, 100.0)
+            ).tokens = 100.0
+            if rng.random() < 0.4:
+                engine = rng.choice(self.engines)
+                faults = (404, 409, 503, "lost", "mute", "refused")
+                engine.faults = [
+                    rng.choice(faults) if rng.random() < 0.15 else None
+                    for _ in range(12)
+                ]
+                engine.refuse_copies = rng.random() < 0.2
+                engine.break_copies = rng.random() < 0.1
+                self.leave(engine)
+                others = [one for one in self.engines if one is not engine]
+                self.system.heartbeat(rng.choice(others), "lm")
+            eventlet.sleep(rng.uniform(0.0, 0.06))
+        for engine in self.engines:
+            self.system.heartbeat(engine, "lm")
+        for request, (path, call) in calls.items():
+            self.assert_sound(request, path, call.wait())
+        self.assert_all_freed()
+
+    def assert_sound(
+        self, request: str, path: str, answer: platform_system.Answer
+    ) -> None:
+        self.assertEqual(200, answer.status, answer)
+        expected = [platform_engine.event(n) for n in range(1, COUNT + 1)]
+        received = answer.body.count(b"\n\n")
+        self.assertEqual(b"".join(expected[:received]), answer.body)
+        self.assertEqual(answer.whole, received == COUNT)
+        made = [
+            (at, number, engine)
+            for at, (one, number, engine) in zip(
+                self.group.times, self.group.generated, strict=True
+            )
+            if one == request
+        ]
+        if path == "/once/a":
+            numbers = [number for _, number, _ in made]
+            self.assertEqual(sorted(set(numbers)), numbers, request)
+        self.assert_one_engine(made)
+
+    def assert_one_engine(self, made: list[tuple[float, int, str]]) -> None:
+        """Checks that an engine stops 0.4 s after the next one has begun."""
+        runs: list[list[tuple[float, int, str]]] = []
+        for item in made:
+            for run in runs:
+                if run[-1][2] == item[2] and run[-1][1] + 1 == item[1]:
+                    run.append(item)
+                    break
+            else:
+                runs.append([item])
+        for earlier, later in itertools.pairwise(runs):
+            self.assertTrue(earlier[-1][0] <= later[0][0] + 0.4, made)
+
+
 class BackupTest(MovesTest):
     """The connection of a stream breaks off that may not be run again."""
 
