A key that a caller shows counts also where none is required

With the policy require_keys off, a shown key was looked up on routed requests but a wrong one was let in, and at the product's own interface a right one didn't name its customer; an operator who added the first key wasn't told that callers without one are still served. A shown key is now always checked as soon as any customer has one; without customers with keys, nothing changes. 'mintcleat customers add_key' says whether callers without a key are served. The push in test_own_customers has an id per revision, since two pushes in one test had the same.

--- a/src/mintcleat/decisions/customers.py
+++ b/src/mintcleat/decisions/customers.py
@@ -30,7 +30,7 @@
     """The customers of one configuration revision, by key.
 
     Attributes:
-        required: Whether a request without a known key is refused.
+        required: Whether a request without a key is refused.
         callers: Callers by the digest of each of their keys.
     """
 
--- a/src/mintcleat/main/cli_customers.py
+++ b/src/mintcleat/main/cli_customers.py
@@ -6,6 +6,7 @@
 import secrets
 import time
 from typing import Any
+from typing import NamedTuple
 
 from fire import decorators
 import msgspec
@@ -22,6 +23,18 @@
 _COLUMNS = ("CUSTOMER", "KEY", "AGE", "RATE", "BURST", "PRIORITY")
 
 
+class _Change(NamedTuple):
+    """A push of changed keys.
+
+    Attributes:
+        revision: The new revision.
+        require_keys: Whether callers must show a key in that revision.
+    """
+
+    revision: int
+    require_keys: bool
+
+
 class CustomerCommands:
     """Lists customers and adds and removes their keys."""
 
@@ -52,7 +65,8 @@
         """Creates a key for a customer and prints it.
 
         Only the digest of the key is stored, so it can't be printed again. The
-        customer's other keys remain valid.
+        customer's other keys remain valid. The output says whether callers
+        without a key are served.
 
         Args:
             customer: Name of the customer.
@@ -60,13 +74,24 @@
         """
         key = secrets.token_urlsafe(_KEY_BYTES)
         digest = keys.digest(key)
-        revision = self._change(
+        change = self._change(
             customer, operator, lambda before: [*before, digest]
         )
         short = keys.short_digest(digest)
+        consequence = (
+            "callers without a key are refused"
+            if change.require_keys
+            else "callers without a key are served too"
+        )
         self._print(
-            {"customer": customer, "key": key, "revision": revision},
-            f"{key}\nkey {short} of {customer}, revision {revision}",
+            {
+                "customer": customer,
+                "key": key,
+                "revision": change.revision,
+                "require_keys": change.require_keys,
+            },
+            f"{key}\nkey {short} of {customer}, revision {change.revision}\n"
+            f"{consequence} (policy require_keys)",
         )
 
     @decorators.SetParseFn(str, "customer", "key", "operator")
@@ -90,7 +115,7 @@
                 )
             return [digest for digest in before if digest != found[0]]
 
-        revision = self._change(customer, operator, remove)
+        revision = self._change(customer, operator, remove).revision
         self._print(
             {"customer": customer, "revision": revision},
             f"key {key} of {customer} removed, revision {revision}",
@@ -101,7 +126,7 @@
         customer: str,
         operator: str,
         change: Callable[[Sequence[str]], Sequence[str]],
-    ) -> int:
+    ) -> _Change:
         """Pushes the manifest in force with changed keys of a customer.
 
         Args:
@@ -110,7 +135,7 @@
             change: Returns the new digests for the present ones.
 
         Returns:
-            The new revision.
+            What the push has changed.
         """
         answer = self._client.get("manifest")
         whole = manifest.parse(cli_tables.to_json(answer["manifest"]))
@@ -131,7 +156,7 @@
         )
         name = operator or getpass.getuser()
         pushed = cli_manifest.push(self._client, text, answer["revision"], name)
-        return pushed["revision"]
+        return _Change(pushed["revision"], policies.require_keys)
 
     def _print(self, data: Any, text: str) -> None:
         print(cli_tables.to_json(data) if self._json else text)
--- a/src/mintcleat/roles/entry/authentication.py
+++ b/src/mintcleat/roles/entry/authentication.py
@@ -5,6 +5,10 @@
 limited time after the configuration lease. An unknown key may have been added
 a moment ago: it is rejected only once the entry has the configuration that was
 in force when the request arrived.
+
+A key that a caller shows is checked whether or not keys are required, as soon
+as any customer has one. Otherwise a caller with a wrong key would be served,
+and one with a right key would not be recognized.
 """
 
 from typing import Protocol
@@ -81,15 +85,19 @@
             errors.LeaseExpired: This entry may not accept keys any more.
         """
         self._refresh()
-        if not self.callers.required or (public and not key):
-            return self.callers.find(key)
+        callers = self.callers
+        if not key and (public or not callers.required):
+            return customers.UNKNOWN_CALLER
+        if not callers.required and not callers.callers:
+            # No customer has a key, so that none can be right or wrong.
+            return customers.UNKNOWN_CALLER
         if self.configuration.key_seconds() <= 0:
             raise errors.LeaseExpired(
                 "This entry has been without control for too long to accept "
                 "customers' keys.",
                 retry_after=RETRY_SECONDS,
             )
-        found = self.callers.find(key)
+        found = callers.find(key)
         return found if found.customer else None
 
     def confirmed_caller(
--- a/src/mintcleat/roles/entry/entry.py
+++ b/src/mintcleat/roles/entry/entry.py
@@ -142,7 +142,7 @@
         if found is None:
             self.authenticator.await_updates(request, key, arrived)
             found = self.authenticator.confirmed_caller(key)
-        if not self.authenticator.callers.required:
+        if not found.customer:
             return self
         return customer_calls.CustomerCalls(
             self, self.rate_limiter, found.customer
--- a/testing/test_admin_http.py
+++ b/testing/test_admin_http.py
@@ -178,11 +178,11 @@
         shown = self.run_json("manifest", "show")
         self.assertEqual("1", shown["manifest"]["services"]["chat"]["version"])
 
-    def push_customers(self) -> None:
+    def push_customers(self, require_keys: bool = True) -> None:
         text = json.loads(config_cluster.manifest_text("1"))
         text["policies"] = {
             **text.get("policies", {}),
-            "require_keys": True,
+            "require_keys": require_keys,
             "customers": {"farmers": {"keys": ["plain-key"], "rate": 5.0}},
         }
         path = self.folder / "customers.json"
@@ -228,6 +228,19 @@
         self.assertNotIn(made["key"], everything)
         self.assertNotIn("plain-key", everything)
 
+    def test_added_key_comes_with_whether_keys_are_required(self) -> None:
+        # An operator who adds the first key may believe that callers without
+        # one are refused from then on.
+        for required, expected in (
+            (True, "callers without a key are refused"),
+            (False, "callers without a key are served too"),
+        ):
+            self.push_customers(required)
+            made = self.run_json("customers", "add_key", "farmers")
+            self.assertEqual(required, made["require_keys"])
+            _, out, _ = self.run_cli("customers", "add_key", "farmers")
+            self.assertIn(expected, out)
+
     def test_unknown_customer_or_key_names_the_remedy(self) -> None:
         self.push_customers()
         for arguments in (("add_key", "none"), ("remove_key", "farmers", "00")):
--- a/testing/test_authentication.py
+++ b/testing/test_authentication.py
@@ -177,6 +177,40 @@
             self.authenticator.caller(digest_of("any"), False),
         )
 
+    def test_key_that_is_shown_counts_although_none_is_required(self) -> None:
+        # Without the lookup a wrong key was let in, and the customer of a
+        # right one wasn't named.
+        policies_without = msgspec.structs.replace(
+            self.configuration.held.policies, require_keys=False
+        )
+        self.configuration.held = manifest.Manifest(policies=policies_without)
+        found = self.authenticator.caller(digest_of(KEY))
+        self.assertEqual(customers.Caller("farmers", 2), found)
+        self.assertIsNone(self.authenticator.caller(digest_of("wrong")))
+        self.assertRaises(
+            errors.Unauthorized,
+            self.authenticator.confirmed_caller,
+            digest_of("wrong"),
+        )
+        self.assertEqual(
+            customers.UNKNOWN_CALLER, self.authenticator.caller(digest_of(""))
+        )
+
+    def test_caller_without_a_key_needs_no_control_if_none_is_required(
+        self,
+    ) -> None:
+        policies_without = msgspec.structs.replace(
+            self.configuration.held.policies, require_keys=False
+        )
+        self.configuration.held = manifest.Manifest(policies=policies_without)
+        self.configuration.keys_left = 0.0
+        self.assertEqual(
+            customers.UNKNOWN_CALLER, self.authenticator.caller(digest_of(""))
+        )
+        self.assertRaises(
+            errors.LeaseExpired, self.authenticator.caller, digest_of(KEY)
+        )
+
     def test_unknown_key_is_confirmed_after_an_update_from_control(
         self,
     ) -> None:
--- a/testing/test_own_customers.py
+++ b/testing/test_own_customers.py
@@ -37,10 +37,13 @@
         self.pool = urllib3.PoolManager(retries=False)
         self.push(limited={"rate": 0.2, "burst": 1.0})
 
-    def push(self, **limits: dict[str, float]) -> None:
-        """Pushes customers and requires keys.
+    def push(
+        self, require_keys: bool = True, **limits: dict[str, float]
+    ) -> None:
+        """Pushes customers.
 
         Args:
+            require_keys: Whether callers must show a key.
             limits: Fields of the customer `limited`, under its name.
         """
         config = self.system.control.roles[0].config
@@ -51,13 +54,15 @@
             "limited": manifest.Customer(keys=["scarce"], **limits["limited"]),
         }
         policies = msgspec.structs.replace(
-            current.policies, customers=customers, require_keys=True
+            current.policies, customers=customers, require_keys=require_keys
         )
         whole = msgspec.structs.replace(current, policies=policies)
         revision = config.machine.document.revision
         text = manifest.compact(whole)
         config.ask(
-            config_messages.PushManifest(revision, "keys", text, "anna", "t"),
+            config_messages.PushManifest(
+                revision, f"keys-{revision}", text, "anna", "t"
+            ),
             TIMEOUT_SECONDS,
         )
         with eventlet.Timeout(TIMEOUT_SECONDS):
@@ -93,6 +98,16 @@
         self.assertEqual(401, self.send("GET", "/v1/models").status)
         self.assertEqual(200, self.send("GET", "/readyz").status)
 
+    def test_key_that_is_shown_counts_although_none_is_required(self) -> None:
+        self.push(require_keys=False, limited={})
+        created = self.create_program(FARMERS_KEY, id="of-farmers")
+        self.assertEqual(201, created.status, created.data)
+        path = "/v1/programs/of-farmers"
+        self.assertEqual(200, self.send("GET", path, FARMERS_KEY).status)
+        self.assertEqual(404, self.send("GET", path, STUDIOS_KEY).status)
+        self.assertEqual(401, self.send("GET", path, "wrong").status)
+        self.assertEqual(200, self.send("GET", "/v1/models").status)
+
     def test_program_of_another_customer_is_not_found(self) -> None:
         self.create_program(FARMERS_KEY, id="p")
         for method, path in (
