Soak test: more faults, checks of repair and idle capacity

Late answers to a leader, a lost disk with another instance behind, resets of an upstream's connections and larger responses for slow readers. Six known faults can be reintroduced by SOAK_FAULT.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -110,6 +110,8 @@
         acknowledged: When each version was acknowledged.
         disturbances: Faults so far; an end of infinity is still to come.
         violations: What was found.
+        busy: Times, and the part of the engines' slots in use.
+        peak_mb: Most memory that each process used.
     """
 
     def __init__(self) -> None:
@@ -123,6 +125,8 @@
         self.disturbances: list[Disturbance] = []
         self.planned: list[Disturbance] = []
         self.violations: list[Violation] = []
+        self.peak_mb: dict[str, float] = {}
+        self.busy: list[tuple[float, float]] = []
 
     def _report(self, at: float, rule: str, detail: str) -> None:
         self.violations.append(Violation(at, rule, detail))
@@ -406,6 +410,10 @@
         """A process ended by itself."""
         self._report(at, "process", f"{node} ended by itself with code {code}")
 
+    def not_repaired(self, at: float, what: str) -> None:
+        """A lost disk was not replaced in time."""
+        self._report(at, "repair", f"{what} was not repaired")
+
     def stopped(self, at: float, node: str, code: int | None) -> None:
         """A planned stop is over."""
         if code != 0:
@@ -415,11 +423,48 @@
         self, at: float, node: str, memory_mb: float, descriptors: int
     ) -> None:
         """A process was measured."""
+        self.peak_mb[node] = max(self.peak_mb.get(node, 0.0), memory_mb)
         if memory_mb > MAX_MEMORY_MB:
             self._report(at, "memory", f"{node} uses {memory_mb:.0f} MB")
         if descriptors > MAX_DESCRIPTORS:
             self._report(at, "descriptors", f"{node} has {descriptors}")
 
+    def engines_sampled(self, at: float, busy: float) -> None:
+        """The engines' slots were counted.
+
+        Args:
+            at: When.
+            busy: Part of all slots that ran a request.
+        """
+        self.busy.append((at, busy))
+
+    def check_idle_capacity(self, now: float, since: float) -> None:
+        """No turn is refused for load while engines are idle.
+
+        Args:
+            now: When the check is made.
+            since: Time since which there were no faults, nor turns left over
+                from them.
+        """
+        samples = [busy for at, busy in self.busy if at >= since]
+        if not samples or max(samples) > IDLE_FRACTION:
+            return
+        refused = [
+            name
+            for name, end in self.ends.items()
+            if self.requests[name].kind == "turn"
+            and self.requests[name].sent_at >= since
+            and end.status in (429, 503)
+        ]
+        if len(refused) >= MIN_RESULTS:
+            self._report(
+                now,
+                "idle_capacity",
+                f"{len(refused)} turns were refused while at most "
+                f"{max(samples):.0%} of the engines' slots were in use, such "
+                f"as {refused[-1]}: {self.ends[refused[-1]].error}",
+            )
+
     def check_starvation(self, now: float, since: float) -> None:
         """Each customer and kind is served in a time without faults."""
         served: dict[tuple[str, str], list[bool]] = collections.defaultdict(
@@ -444,5 +489,8 @@
 
 SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
 MIN_RESULTS = 8
-MAX_MEMORY_MB = 220.0
+IDLE_FRACTION = 0.5
+# Processes use 45 MB at rest; callers that read slowly may add an eighth of the
+# memory limit of 220 MB, and kept turns 4 MB.
+MAX_MEMORY_MB = 100.0
 MAX_DESCRIPTORS = 1024
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -16,10 +16,25 @@
 from testing.soak import upstreams
 
 _READY_SECONDS = 10.0
+# A lost disk is replaced after a silence of 2 s, by a copy of the log.
+_REPAIR_SECONDS = 20.0
 # A control instance needs this long from its start until it is a follower.
 _CONTROL_START_SECONDS = 2.0
+# Interval of the resets of an upstream's connections. Longer than most
+# requests of plain services, so that some end and others break off.
+_RESET_SECONDS = 0.03
+# Delay of what reaches a leader; longer than any lease.
+_LATE_SECONDS = 2.0
+# The delay grows in steps that are shorter than the silence after which a
+# connection counts as lost.
+_LATE_STEPS = 8
+_LATE_STEP_SECONDS = 0.4
+# Below the silence after which a control instance is replaced.
+_BEHIND_SECONDS = 1.5
+# Enough for the start of a control instance and an election.
+_WITHOUT_LEADER_SECONDS = 2.5
 _BURST_PROGRAMS = 24
-_SLOW_READERS = 6
+_SLOW_READERS = 12
 _PROXY_FAULTS = frozenset({"reset", "delay", "silent", "cut_in", "cut_out"})
 # Registrations of foreign writers, as changes of a valid one. The last two are
 # valid by themselves, but come from an earlier process or an earlier time.
@@ -40,6 +55,8 @@
     """Applies faults and records them for the checks.
 
     Attributes:
+        control_lock: Held during a fault of a control instance, so that two
+            are under a fault only if all are.
         applied: Faults that were begun.
     """
 
@@ -56,6 +73,7 @@
         self.callers = callers
         self.checks = checks
         self.log = log
+        self.control_lock = asyncio.Lock()
         self.applied: list[schedule.Fault] = []
 
     async def run(self, faults: list[schedule.Fault], start: float) -> None:
@@ -75,7 +93,9 @@
         self.applied.append(fault)
         match fault.track:
             case "control":
-                await self._control(fault)
+                async with self.control_lock:
+                    await self._control(fault)
+                    await self._until_whole(fault)
             case "entry":
                 entries = self.fleet.entries
                 node = entries[fault.number % len(entries)]
@@ -85,9 +105,12 @@
             case "load":
                 await self._load(fault)
             case "planned":
-                await self._planned(fault)
+                async with self.control_lock:
+                    await self._planned(fault)
             case "all":
-                await self._lose_all(fault)
+                async with self.control_lock:
+                    await self._lose_all(fault)
+                    await self._until_whole(fault)
 
     @contextlib.contextmanager
     def _disturbance(self, node: str, what: str) -> Any:
@@ -106,6 +129,12 @@
     async def _control(self, fault: schedule.Fault) -> None:
         node = self.fleet.controls[fault.number % 3]
         kind = fault.kind
+        if kind == "late_answers_leader":
+            await self._answer_late()
+            return
+        if kind == "lose_disk_behind":
+            await self._lose_disk_behind()
+            return
         if kind.endswith("_leader"):
             node = self.fleet.leader(("config", "programs-0")[fault.number % 2])
             kind = {"silent": "silent", "cut": "cut_in"}.get(
@@ -113,6 +142,54 @@
             )
         await self._node(node, kind, fault.seconds, "")
 
+    async def _until_whole(self, fault: schedule.Fault) -> None:
+        """Waits after a lost disk until all groups have three voters again."""
+        if "disk" not in fault.kind:
+            return
+        until = time.monotonic() + _REPAIR_SECONDS
+        while not self.fleet.is_whole():
+            if time.monotonic() > until:
+                self.checks.not_repaired(time.monotonic(), fault.kind)
+                return
+            await asyncio.sleep(0.2)
+
+    async def _answer_late(self) -> None:
+        """Delays all that reaches the leader, then holds all that it sends.
+
+        What it still receives was sent before others could elect a leader.
+        """
+        leader = self.fleet.leader("config")
+        with self._disturbance("", f"late answers to {leader.name}"):
+            for step in range(1, _LATE_STEPS + 1):
+                leader.delay_incoming(_LATE_SECONDS * step / _LATE_STEPS)
+                await asyncio.sleep(_LATE_STEP_SECONDS)
+            leader.hold_outgoing()
+            await asyncio.sleep(_LATE_SECONDS + 1.0)
+            leader.restore()
+
+    async def _lose_disk_behind(self) -> None:
+        """Loses the disk of one of two controls that have the latest entries.
+
+        The third one lacks them. It and the one that lost its disk must not
+        form a majority.
+        """
+        leader = self.fleet.leader("config")
+        behind, lost = [
+            node for node in self.fleet.controls if node is not leader
+        ]
+        what = f"loss of the disk of {lost.name} with {behind.name} behind"
+        with self._disturbance("", what):
+            behind.apply("silent")
+            await asyncio.sleep(_BEHIND_SECONDS)
+            leader.kill()
+            lost.kill()
+            lost.wipe()
+            behind.restore()
+            lost.start()
+            await asyncio.sleep(_WITHOUT_LEADER_SECONDS)
+            leader.start()
+            await self._until_started(leader)
+
     async def _node(
         self, node: processes.Node, kind: str, seconds: float, concerned: str
     ) -> None:
@@ -184,6 +261,11 @@
                     upstream.recover()
                 case "foreign":
                     await self._register_foreign(upstream)
+                case "resets":
+                    until = time.monotonic() + fault.seconds
+                    while time.monotonic() < until:
+                        upstream.link.abort()
+                        await asyncio.sleep(_RESET_SECONDS)
                 case kind if kind in _PROXY_FAULTS:
                     upstream.link.apply(kind)
                     await asyncio.sleep(fault.seconds)
@@ -223,8 +305,9 @@
             try:
                 if fault.kind == "burst_leader":
                     await asyncio.sleep(0.5)
-                    leader = self.fleet.leader("programs-0")
-                    await self._node(leader, "kill", 1.0, "")
+                    async with self.control_lock:
+                        leader = self.fleet.leader("programs-0")
+                        await self._node(leader, "kill", 1.0, "")
                 await asyncio.sleep(fault.seconds)
             finally:
                 callers.leave = False
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -2,8 +2,23 @@
 
 import asyncio
 import contextlib
+from typing import NamedTuple
 
 _BLOCK = 65536
+# Blocks that are on the way in one direction; more would only use memory.
+_MAX_BLOCKS = 200
+DELAY_SECONDS = 0.15
+
+
+class Block(NamedTuple):
+    """Bytes on the way; none stand for the end of the stream.
+
+    Attributes:
+        due: Time of the event loop at which they arrive.
+    """
+
+    due: float
+    data: bytes
 
 
 class Link:
@@ -12,13 +27,16 @@
     Attributes:
         address: `IP:PORT` at which it listens.
         target: `IP:PORT` to which it connects.
-        delay: Seconds by which each block of data is delayed.
+        delays: Seconds that data takes, by direction: `in` to the target,
+            `out` from it.
+        gates: Let data pass while set, by direction.
+        refuses: Whether new connections are reset.
     """
 
     def __init__(self, target: str) -> None:
         self.address = ""
         self.target = target
-        self.delay = 0.0
+        self.delays = {"in": 0.0, "out": 0.0}
         self.refuses = False
         self.gates = {"in": asyncio.Event(), "out": asyncio.Event()}
         self.writers: set[asyncio.StreamWriter] = set()
@@ -32,7 +50,7 @@
 
     def restore(self) -> None:
         """Ends all faults; what was held is delivered."""
-        self.delay = 0.0
+        self.delays = {"in": 0.0, "out": 0.0}
         self.refuses = False
         for gate in self.gates.values():
             gate.set()
@@ -48,7 +66,7 @@
                 self.refuses = True
                 self.abort()
             case "delay":
-                self.delay = 0.15
+                self.delays = {"in": DELAY_SECONDS, "out": DELAY_SECONDS}
             case "silent":
                 self.gates["in"].clear()
                 self.gates["out"].clear()
@@ -73,7 +91,7 @@
             far_reader, far_writer = await asyncio.open_connection(
                 host, int(port)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         pair = {writer, far_writer}
@@ -85,11 +103,12 @@
         try:
             await asyncio.gather(*pumps)
         except (OSError, asyncio.CancelledError):
-            for pump in pumps:
-                pump.cancel()
+            # Connections are cancelled when the soak ends.
             for one in pair:
                 one.transport.abort()
         finally:
+            for pump in pumps:
+                pump.cancel()
             self.writers -= pair
             for one in pair:
                 one.close()
@@ -100,13 +119,37 @@
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
-        gate = self.gates[direction]
-        while data := await reader.read(_BLOCK):
-            if self.delay:
-                await asyncio.sleep(self.delay)
+        blocks: asyncio.Queue[Block] = asyncio.Queue(_MAX_BLOCKS)
+        delivery = asyncio.create_task(
+            self._deliver(blocks, writer, self.gates[direction])
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                data = await reader.read(_BLOCK)
+                due = loop.time() + self.delays[direction]
+                await blocks.put(Block(due, data))
+                if not data:
+                    break
+            await delivery
+        finally:
+            delivery.cancel()
+
+    async def _deliver(
+        self,
+        blocks: asyncio.Queue[Block],
+        writer: asyncio.StreamWriter,
+        gate: asyncio.Event,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            block = await blocks.get()
+            if block.due > loop.time():
+                await asyncio.sleep(block.due - loop.time())
             await gate.wait()
-            writer.write(data)
+            if not block.data:
+                break
+            writer.write(block.data)
             await writer.drain()
-        await gate.wait()
         with contextlib.suppress(OSError):
             writer.write_eof()
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -13,8 +13,8 @@
 # The limits are per customer: requests per second and a burst.
 LIMITS = {"limited": [4.0, 4.0]}
 _FREE_RATE = 1000
-_PUSH_SECONDS = 1.5
-_READ_SECONDS = 0.3
+_PUSH_SECONDS = 0.8
+_READ_SECONDS = 0.1
 _TIMEOUT_MS = 4000
 SAFE_ATTEMPTS = 3
 PROGRAM_CUSTOMERS = ("anna", "berta", "carl", "noisy")
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -56,7 +56,9 @@
         self.log_path = fleet.folder / f"{name}.log"
 
     def start(self, bootstrap: bool = False) -> None:
-        """Starts the process with the disk that it has."""
+        """Starts the process with the disk that it has, unless it runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
         fields = hosted_processes.settings(
             self.role,
             self.name,
@@ -152,6 +154,22 @@
             if self.name in other.links:
                 other.links[self.name].apply(kind)
 
+    def delay_incoming(self, seconds: float) -> None:
+        """Delays all that reaches this node from others."""
+        for link in self.links.values():
+            link.delays["out"] = seconds
+        for other in self.fleet.nodes.values():
+            if self.name in other.links:
+                other.links[self.name].delays["in"] = seconds
+
+    def hold_outgoing(self) -> None:
+        """Holds all that this node sends to others."""
+        for link in self.links.values():
+            link.gates["in"].clear()
+        for other in self.fleet.nodes.values():
+            if self.name in other.links:
+                other.links[self.name].gates["out"].clear()
+
     def restore(self) -> None:
         """Ends the faults of all links from and to this node."""
         for link in self.links.values():
@@ -210,6 +228,31 @@
         for node in self.nodes.values():
             node.kill()
 
+    def is_whole(self) -> bool:
+        """Returns whether all groups have all controls as voters.
+
+        The logs tell it. Until then, another lost disk may be one too many.
+        """
+        identities: set[str] = set()
+        voters: dict[str, tuple[int, set[str]]] = {}
+        for node in self.controls:
+            identity = ""
+            for line in node.log_path.read_text().splitlines():
+                if '"disk_opened"' in line:
+                    identity = _fields(line).get("identity", identity)
+                elif '"voters_changed"' in line:
+                    fields = _fields(line)
+                    known = voters.get(fields["group"], (-1, set()))
+                    if fields["index"] > known[0]:
+                        voters[fields["group"]] = (
+                            fields["index"],
+                            set(fields["voters"]),
+                        )
+            identities.add(identity)
+        return bool(voters) and all(
+            found == identities for _, found in voters.values()
+        )
+
     def leader(self, group: str = "") -> Node:
         """Returns the leader of a group as the logs tell it last."""
         found, latest = self.controls[0], -1
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -4,19 +4,161 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
+import eventlet
+from eventlet import hubs
+
+from mintcleat.adapters import http1_server
+from mintcleat.adapters import wal
+from mintcleat.consensus import lease
+from mintcleat.decisions import turn_admission
+from mintcleat.domain import errors
+from mintcleat.domain import identities
+from mintcleat.platform import upstreams
+from mintcleat.roles.control.replication import driver
+from mintcleat.roles.control.replication import replication
+
 
 class Reintroduced(NamedTuple):
-    """A fault of the product that was avoided or mended.
+    """A fault that the product avoids.
 
     Attributes:
         install: Patches the running process.
-        rules: Names of the checks that may find it.
+        rules: Names of the checks that find it.
     """
 
     install: Callable[[], None]
     rules: frozenset[str]
 
 
-FAULTS: dict[str, Reintroduced] = {}
+def _lease_without_margin() -> None:
+    """The leader's lease counts from the arrival of an answer."""
+    acknowledge = lease.acknowledge
+
+    def acknowledge_now(
+        replica: Any, sender: Any, sent: float, now: float
+    ) -> None:
+        acknowledge(replica, sender, now, now)
+
+    lease.acknowledge = acknowledge_now
+
+
+def _answer_before_commit() -> None:
+    """The leader answers a proposal before a majority has it."""
+    results: dict[tuple[str, int, int], Any] = {}
+    apply_one = driver.Driver._apply_one
+
+    def propose(self: Any, group: str, command: bytes, timeout: float) -> Any:
+        running = self._running(group)
+        now = self.timers.now()
+        replica = running.core.replicas[group]
+        ticket = replica.propose(command, now)
+        if ticket is None:
+            raise errors.NotLeader(self._other_leader(group))
+        term, index = ticket
+        result = running.machines[group].apply(index, command)
+        results[group, term, index] = result
+        running.wake()
+        if isinstance(result, errors.MintcleatError):
+            raise result
+        return result
+
+    def apply_unless_applied(
+        self: Any, group: str, machine: Any, entry: Any
+    ) -> Any:
+        key = group, entry.term, entry.index
+        if key in results:
+            return results.pop(key)
+        return apply_one(self, group, machine, entry)
+
+    replication.GroupLog.propose = propose
+    driver.Driver._apply_one = apply_unless_applied
+
+
+def _identity_outlives_disk() -> None:
+    """A replica that has lost its disk votes under its old identity."""
+    open_log = wal.FileWal.open
+
+    def open_as_before(self: Any, node: identities.Incarnation) -> Any:
+        return open_log(self, identities.Incarnation(node.instance, 1))
+
+    wal.FileWal.open = open_as_before
+
+
+def _slot_not_released() -> None:
+    """A granted turn counts as running until its CloseTurn arrives."""
+    expire = turn_admission.ServiceSchedule._expire
+
+    def expire_waiting(self: Any, now: float, *limit: float) -> None:
+        self._expiries.clear()
+        expire(self, now, *limit)
+
+    turn_admission.ServiceSchedule._expire = expire_waiting
+
+
+def _refused_but_runs() -> None:
+    """A request without a response counts as not run."""
+    send = upstreams.HttpUpstreamClient.send
+
+    def send_or_refuse(self: Any, *arguments: Any) -> Any:
+        try:
+            return send(self, *arguments)
+        except errors.StreamClosed as error:
+            raise errors.NoUpstream(error.detail) from error
+
+    upstreams.HttpUpstreamClient.send = send_or_refuse
+
+
+def _unbounded_buffer() -> None:
+    """What a caller doesn't read is kept in memory without a bound."""
+    pending: dict[Any, list[bytes]] = {}
+
+    def send_all(self: Any) -> None:
+        waiting = pending[self]
+        try:
+            while waiting:
+                try:
+                    sent = self.sock.fd.send(waiting[0])
+                    waiting[0] = waiting[0][sent:]
+                    if not waiting[0]:
+                        waiting.pop(0)
+                except BlockingIOError:
+                    hubs.trampoline(self.sock.fileno(), write=True)
+        except OSError:
+            pass
+        finally:
+            del pending[self]
+
+    def send_bytes(self: Any, data: bytes) -> None:
+        if not data:
+            return
+        if self in pending:
+            pending[self].append(data)
+            return
+        pending[self] = [data]
+        eventlet.spawn(send_all, self)
+
+    http1_server.Connection._send_bytes = send_bytes
+
+
+FAULTS = {
+    "lease_without_margin": Reintroduced(
+        _lease_without_margin, frozenset({"stale_configuration"})
+    ),
+    "answer_before_commit": Reintroduced(
+        _answer_before_commit,
+        frozenset({"stale_configuration", "chain", "valid_key", "in_force"}),
+    ),
+    "identity_outlives_disk": Reintroduced(
+        _identity_outlives_disk, frozenset({"stale_configuration", "chain"})
+    ),
+    "slot_not_released": Reintroduced(
+        _slot_not_released, frozenset({"idle_capacity", "starved"})
+    ),
+    "refused_but_runs": Reintroduced(
+        _refused_but_runs, frozenset({"truthful_refusal"})
+    ),
+    "unbounded_buffer": Reintroduced(_unbounded_buffer, frozenset({"memory"})),
+}
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -41,6 +41,10 @@
     for kind, counts in sorted(statuses.items()):
         shown = ", ".join(f"{s}: {n}" for s, n in sorted(counts.items()))
         lines.append(f"  {kind:9} {shown}")
+    peaks = sorted(checks.peak_mb.items())
+    lines.append(
+        "  memory in MB: " + ", ".join(f"{n} {mb:.0f}" for n, mb in peaks)
+    )
     for violation in checks.violations[:_MAX_SHOWN]:
         lines.append(
             f"VIOLATION {violation.rule} after {violation.at - start:.1f} s: "
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -23,8 +23,11 @@
 ENTRIES = 3
 _START_SECONDS = 30.0
 _USAGE_SECONDS = 0.5
-# Without faults, this long before the end, everybody must be served.
-_CALM_SECONDS = 5.0
+_ENGINES_SECONDS = 0.1
+# Without faults, this long before the end, everybody must be served. The
+# schedule's quiet end is longer by the time after which turns of lost entries
+# stop counting.
+_CALM_SECONDS = 4.0
 _PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
 
 
@@ -126,6 +129,7 @@
             else:
                 now = time.monotonic()
                 self.checks.check_starvation(now, now - _CALM_SECONDS)
+                self.checks.check_idle_capacity(now, now - _CALM_SECONDS)
             self.checks.check_limits(time.monotonic(), operators.LIMITS)
         finally:
             for task in self.tasks:
@@ -184,6 +188,14 @@
         self._spawn(self.operator.push_forever())
         self._spawn(self.operator.read_forever())
         self._spawn(self._watch_processes())
+        self._spawn(self._watch_engines())
+
+    async def _watch_engines(self) -> None:
+        engines = [one for one in self.upstreams if one.service == "lm"]
+        while True:
+            await asyncio.sleep(_ENGINES_SECONDS)
+            busy = [engine.busy_fraction() for engine in engines]
+            self.checks.engines_sampled(time.monotonic(), sum(busy) / len(busy))
 
     async def _watch_processes(self) -> None:
         while True:
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -6,11 +6,12 @@
 the stop. In a loss phase, all processes are killed at once.
 """
 
+from collections.abc import Iterator
 import random
 from typing import NamedTuple
 
 START_SECONDS = 4.0
-END_SECONDS = 9.0
+END_SECONDS = 11.0
 _MIXED_SECONDS = 16.0
 _PLANNED_SECONDS = 13.0
 _LOSS_SECONDS = 9.0
@@ -27,6 +28,8 @@
     "delay",
     "reset",
     "lose_disk",
+    "late_answers_leader",
+    "lose_disk_behind",
 )
 ENTRY_FAULTS = ("kill", "pause", "cut_in", "cut_out", "silent", "delay")
 UPSTREAM_FAULTS = (
@@ -34,7 +37,7 @@
     "restart",
     "drain",
     "slow",
-    "reset",
+    "resets",
     "delay",
     "silent",
     "cut_in",
@@ -82,6 +85,7 @@
     """
     generator = random.Random(seed)
     faults: list[Fault] = []
+    bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
     phases = _phases(generator)
     while now + _MIXED_SECONDS / 2 < seconds - END_SECONDS:
@@ -96,7 +100,7 @@
             phase, length = "mixed", left
         length = min(length, left)
         if phase == "mixed":
-            faults.extend(_mixed(generator, now, length))
+            faults.extend(_mixed(generator, bags, now, length))
             now += length + _REST_SECONDS
         elif phase == "planned":
             kind = generator.choice(PLANNED)
@@ -112,7 +116,7 @@
     return sorted(faults)
 
 
-def _phases(generator: random.Random):  # noqa: ANN202 - an iterator of names
+def _phases(generator: random.Random) -> Iterator[str]:
     rest = ["mixed", "planned", "all"]
     yield "mixed"
     while True:
@@ -122,16 +126,25 @@
         yield "mixed"
 
 
+def _bag(generator: random.Random, kinds: tuple[str, ...]) -> Iterator[str]:
+    """Yields kinds for ever; each one once before any comes again."""
+    while True:
+        yield from generator.sample(kinds, len(kinds))
+
+
 def _mixed(
-    generator: random.Random, start: float, length: float
+    generator: random.Random,
+    bags: dict[str, Iterator[str]],
+    start: float,
+    length: float,
 ) -> list[Fault]:
     faults = []
-    for track, kinds in _TRACKS.items():
+    for track, bag in bags.items():
         now = start + generator.uniform(0.0, 2.0)
         while now < start + length - 1.0:
             seconds = generator.uniform(0.4, 4.0)
             seconds = min(seconds, start + length - now)
-            kind = generator.choice(kinds)
+            kind = next(bag)
             number = generator.randrange(1000)
             faults.append(Fault(now, seconds, track, kind, number))
             now += seconds + generator.uniform(1.0, 3.0)
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -11,11 +11,12 @@
 from testing.soak import links
 
 _HEARTBEAT_SECONDS = 0.5
-_SLOTS = 8
+_SLOTS = 4
 # Requests beyond the slots that are still taken. More are refused with the
 # header that says that they were not run.
 _MAX_RUNNING = 2 * _SLOTS
 _EVENT_SECONDS = 0.01
+_PLAIN_SECONDS = 0.02
 _SLOW_FACTOR = 8.0
 # Text of an event of a stream that fills the buffers of slow readers.
 _LARGE_TEXT = "x" * 100_000
@@ -190,7 +191,7 @@
             if self.service == "lm":
                 await self._stream(headers, common, writer)
             else:
-                await asyncio.sleep(_EVENT_SECONDS * self.slowness)
+                await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
                 text = plain_body(request)
                 writer.write(
                     f"HTTP/1.1 200 OK\r\n{common}"
@@ -222,6 +223,10 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def busy_fraction(self) -> float:
+        """Returns the part of the slots that run a request."""
+        return self.running / _SLOTS
+
     def slow_down(self) -> None:
         """Makes all later events slower."""
         self.slowness = _SLOW_FACTOR
