A request that may have run isn't refused when no upstream is left

A request of a repeatable route whose upstream broke off, and for which no other upstream was left or all others refused, got 503 and 'not run', although the first upstream had run it. Found on reading the refusals of soak runs: 'No upstream is left; N failed or refused'. It is now 504 and 'may have run'; only if every upstream refused it, the answer is 503. The soak test has a fault for it, the last upstream of a service that resets its connections.

--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -350,10 +350,9 @@
         )
         if found is None:
             if self.tried:
-                raise errors.Overloaded(
+                raise self._none_left_error(
                     f"No upstream of service {self.service_name!r} is left; "
-                    f"{len(self.tried)} failed or refused the request.",
-                    retry_after=RETRY_SECONDS,
+                    f"{len(self.tried)} failed or refused the request."
                 )
             raise errors.NoUpstream(
                 f"No upstream of service {self.service_name!r} takes new work.",
@@ -472,10 +471,9 @@
         if error.outcome == errors.NOT_RUN:
             if self.offers < MAX_OFFERS:
                 return
-            raise errors.Overloaded(
+            raise self._none_left_error(
                 f"{self.offers} upstreams of service {self.service_name!r} "
-                "refused the request.",
-                retry_after=RETRY_SECONDS,
+                "failed or refused the request."
             ) from error
         repeat = self.route.repeat
         if isinstance(error, errors.TurnUnrecorded):
@@ -492,6 +490,19 @@
                 f"The request may have run: {error.detail}"
             ) from error
 
+    def _none_left_error(self, detail: str) -> errors.MintcleatError:
+        """Returns the error of a request that no further upstream can run.
+
+        It is a refusal only if none of the upstreams may have run it.
+        """
+        if self.relay.head_sent:
+            return errors.StreamClosed(
+                f"The response broke off after it had begun: {detail}"
+            )
+        if self.attempts:
+            return errors.OutcomeUnknown(f"The request may have run: {detail}")
+        return errors.Overloaded(detail, retry_after=RETRY_SECONDS)
+
     def _timeout_error(self) -> errors.MintcleatError:
         if self.relay.head_sent:
             return errors.StreamClosed(
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -37,7 +37,9 @@
 _TURN_TIMEOUT_SECONDS = 5.0
 _OBSERVED_SECONDS = 2.5
 _BURST_PROGRAMS = 24
-_SLOW_READERS = 12
+_SLOW_READERS = 8
+# Long enough that a buffer without a bound grows by more than its limit.
+_SLOW_READ_SECONDS = 5.0
 _PROXY_FAULTS = frozenset({"reset", "delay", "silent", "cut_in", "cut_out"})
 # Registrations of foreign writers, as changes of a valid one. The last two are
 # valid by themselves, but come from an earlier process or an earlier time.
@@ -268,15 +270,32 @@
                 case "foreign":
                     await self._register_foreign(upstream)
                 case "resets":
-                    until = time.monotonic() + fault.seconds
-                    while time.monotonic() < until:
-                        upstream.link.abort()
-                        await asyncio.sleep(_RESET_SECONDS)
+                    await self._reset_often(upstream, fault.seconds)
+                case "last_resets":
+                    others = [
+                        other
+                        for other in self.upstreams
+                        if other.service == upstream.service
+                        and other is not upstream
+                    ]
+                    for other in others:
+                        other.crash()
+                    await self._reset_often(upstream, fault.seconds)
+                    for other in others:
+                        await other.restart()
                 case kind if kind in _PROXY_FAULTS:
                     upstream.link.apply(kind)
                     await asyncio.sleep(fault.seconds)
                     upstream.link.restore()
 
+    async def _reset_often(
+        self, upstream: upstreams.Upstream, seconds: float
+    ) -> None:
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            upstream.link.abort()
+            await asyncio.sleep(_RESET_SECONDS)
+
     async def _register_foreign(self, upstream: upstreams.Upstream) -> None:
         for change in _FOREIGN:
             fields = {**upstream.heartbeat(), **change}
@@ -314,7 +333,10 @@
                     async with self.control_lock:
                         leader = self.fleet.leader("programs-0")
                         await self._node(leader, "kill", 1.0, "")
-                await asyncio.sleep(fault.seconds)
+                seconds = fault.seconds
+                if fault.kind == "slow_readers":
+                    seconds = max(seconds, _SLOW_READ_SECONDS)
+                await asyncio.sleep(seconds)
             finally:
                 callers.leave = False
                 for task in running:
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -158,7 +158,7 @@
         _slot_not_released, frozenset({"idle_capacity", "starved"})
     ),
     "refused_but_runs": Reintroduced(
-        _refused_but_runs, frozenset({"truthful_refusal"})
+        _refused_but_runs, frozenset({"truthful_refusal", "at_most_once"})
     ),
     "unbounded_buffer": Reintroduced(_unbounded_buffer, frozenset({"memory"})),
 }
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -46,6 +46,7 @@
     "cut_out",
     "slow_read",
     "foreign",
+    "last_resets",
 )
 LOAD_FAULTS = ("burst", "slow_readers", "leave", "burst_leader")
 PLANNED = ("stop_entry", "stop_control", "stop_leader")
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -164,6 +164,23 @@
         answer = self.system.call("POST", "/unsafe/a", b"book")
         self.assertEqual((200, b"e2 /unsafe/a"), (answer.status, answer.body))
 
+    def test_request_that_may_have_run_is_not_refused(self) -> None:
+        # A 503 states that the request has not run and never will. It was sent
+        # when the only upstream broke off, and when the others refused.
+        (first,) = self.start_engines(("e1", "desk", _reset))
+        self.assertEqual(504, self.system.call("GET", "/safe/a").status)
+        self.assertEqual(1, len(first.received))
+
+    def test_request_that_one_of_several_may_have_run_is_not_refused(
+        self,
+    ) -> None:
+        first, *_ = self.start_engines(
+            ("e1", "desk", _reset), ("e2", "desk", _busy), ("e3", "desk", _busy)
+        )
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual(1, len(first.received))
+        self.assertEqual(504, answer.status)
+
     def test_refusal_has_a_retry_after_field(self) -> None:
         self.start_engines(("e1", "desk", _busy))
         answer = self.system.call("POST", "/unsafe/a", b"book")
