Soak test runs with admission, and pushes more often

The settings field contracts stood behind a table in the settings files and was read as part of it, so that all soak runs had admission off; tables are now written last. Data held for an instance that stays behind is lost. Configurations are pushed at pauses of 0.2 to 3 s, so that a stale leader has something to be behind of.

--- a/bench/hosted_processes.py
+++ b/bench/hosted_processes.py
@@ -167,7 +167,9 @@
 def toml(fields: dict[str, Any]) -> str:
     """Returns TOML; tables come after all other fields."""
     lines = []
-    for key, value in fields.items():
+    # A field behind a table would belong to that table.
+    ordered = sorted(fields.items(), key=lambda item: isinstance(item[1], dict))
+    for key, value in ordered:
         if isinstance(value, dict):
             lines.append(f"[{key}]\n{toml(value)}")
         else:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -247,8 +247,8 @@
         await self.send(Sending("tool", customer, key, 1, body=b"limited"))
 
     async def probe_revision(self) -> None:
-        """Uses the route of the present version or of the one before."""
-        version = self.operator.version - self.generator.randint(0, 1)
+        """Uses the route of the present version or of an earlier one."""
+        version = self.operator.version - self.generator.choice((0, 0, 1, 4, 8))
         if version < 1:
             return
         result = await self.send(
@@ -264,7 +264,7 @@
 
     async def probe_key(self) -> None:
         """Uses the newest key or one that has been revoked."""
-        age = self.generator.randint(0, 4)
+        age = self.generator.choice((0, 0, 1, 2, 4, 8))
         version = self.operator.version - age
         if version < 1:
             return
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -192,6 +192,7 @@
             leader.kill()
             lost.kill()
             lost.wipe()
+            behind.drop_held()
             behind.restore()
             lost.start()
             await asyncio.sleep(_WITHOUT_LEADER_SECONDS)
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -13,7 +13,9 @@
 # The limits are per customer: requests per second and a burst.
 LIMITS = {"limited": [4.0, 4.0]}
 _FREE_RATE = 1000
-_PUSH_SECONDS = 0.8
+# Pauses between pushes, in seconds. Some are longer than the time in which a
+# version must be in force.
+_PUSH_PAUSES = (0.2, 0.3, 0.4, 3.0)
 _READ_SECONDS = 0.1
 _TIMEOUT_MS = 4000
 SAFE_ATTEMPTS = 3
@@ -144,9 +146,7 @@
     async def push_forever(self) -> None:
         """Pushes version after version."""
         while True:
-            await asyncio.sleep(
-                self.generator.uniform(0.5, 1.5) * _PUSH_SECONDS
-            )
+            await asyncio.sleep(self.generator.choice(_PUSH_PAUSES))
             await self.push()
             if self.generator.random() < 0.2:
                 await self.push_invalid()
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -170,6 +170,14 @@
             if self.name in other.links:
                 other.links[self.name].gates["out"].clear()
 
+    def drop_held(self) -> None:
+        """Resets all links from and to this node; what they held is lost."""
+        for link in self.links.values():
+            link.abort()
+        for other in self.fleet.nodes.values():
+            if self.name in other.links:
+                other.links[self.name].abort()
+
     def restore(self) -> None:
         """Ends the faults of all links from and to this node."""
         for link in self.links.values():
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -89,11 +89,10 @@
 
 def _slot_not_released() -> None:
     """A granted turn counts as running until its CloseTurn arrives."""
-    expire = turn_admission.ServiceSchedule._expire
 
-    def expire_waiting(self: Any, now: float, *limit: float) -> None:
-        self._expiries.clear()
-        expire(self, now, *limit)
+    def expire_waiting(self: Any, now: float, limit: float = 32) -> None:
+        self.reports.expire(now)
+        self.lost += self.queue.drop_lost(now, limit)
 
     turn_admission.ServiceSchedule._expire = expire_waiting
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -24,6 +24,7 @@
 _START_SECONDS = 30.0
 _USAGE_SECONDS = 0.5
 _ENGINES_SECONDS = 0.1
+_READERS = 3
 # Without faults, this long before the end, everybody must be served. The
 # schedule's quiet end is longer by the time after which turns of lost entries
 # stop counting.
@@ -189,7 +190,8 @@
         ):
             self._spawn(callers.forever(act))
         self._spawn(self.operator.push_forever())
-        self._spawn(self.operator.read_forever())
+        for _ in range(_READERS):
+            self._spawn(self.operator.read_forever())
         self._spawn(self._watch_processes())
         self._spawn(self._watch_engines())
 
