--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -23,8 +23,12 @@
 ENTRIES = 3
 _START_SECONDS = 30.0
 _USAGE_SECONDS = 0.5
-# Without faults, this long before the end, everybody must be served.
-_CALM_SECONDS = 5.0
+_ENGINES_SECONDS = 0.1
+_READERS = 3
+# Without faults, this long before the end, everybody must be served. The
+# schedule's quiet end is longer by the time after which turns of lost entries
+# stop counting.
+_CALM_SECONDS = 4.0
 _PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
 
 
@@ -67,7 +71,10 @@
 class Soak:
     """All parts of one run."""
 
-    def __init__(self, seed: int, seconds: float, fault: str) -> None:
+    def __init__(
+        self, seed: int, seconds: float, fault: str, keep: bool
+    ) -> None:
+        self.keep = keep
         self.seed = seed
         self.seconds = seconds
         generator = random.Random(seed)
@@ -126,6 +133,7 @@
             else:
                 now = time.monotonic()
                 self.checks.check_starvation(now, now - _CALM_SECONDS)
+                self.checks.check_idle_capacity(now, now - _CALM_SECONDS)
             self.checks.check_limits(time.monotonic(), operators.LIMITS)
         finally:
             for task in self.tasks:
@@ -137,9 +145,9 @@
     def _result(self) -> Result:
         text = report.summary(self.checks, self.injector.applied, self.start)
         found = self.checks.violations
-        if found:
-            self._log(text)
-        else:
+        self._log(text)
+        report.write_timeline(self.folder, self.checks, self.start)
+        if not found and not self.keep:
             shutil.rmtree(self.folder)
         first = min((one.at for one in found), default=None)
         return Result(
@@ -182,8 +190,17 @@
         ):
             self._spawn(callers.forever(act))
         self._spawn(self.operator.push_forever())
-        self._spawn(self.operator.read_forever())
+        for _ in range(_READERS):
+            self._spawn(self.operator.read_forever())
         self._spawn(self._watch_processes())
+        self._spawn(self._watch_engines())
+
+    async def _watch_engines(self) -> None:
+        engines = [one for one in self.upstreams if one.service == "lm"]
+        while True:
+            await asyncio.sleep(_ENGINES_SECONDS)
+            busy = [engine.busy_fraction() for engine in engines]
+            self.checks.engines_sampled(time.monotonic(), sum(busy) / len(busy))
 
     async def _watch_processes(self) -> None:
         while True:
@@ -206,7 +223,11 @@
 
 
 def run(
-    seed: int, seconds: float, fault: str = "", until_found: bool = False
+    seed: int,
+    seconds: float,
+    fault: str = "",
+    until_found: bool = False,
+    keep: bool = False,
 ) -> Result:
     """Runs the soak test once.
 
@@ -215,5 +236,6 @@
         seconds: Duration after the start of all processes.
         fault: Known fault to reintroduce; see `reintroduced.FAULTS`.
         until_found: Whether to end at the first violation.
+        keep: Whether to keep the logs even if there was no violation.
     """
-    return asyncio.run(_run(Soak(seed, seconds, fault), until_found))
+    return asyncio.run(_run(Soak(seed, seconds, fault, keep), until_found))
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -3,19 +3,22 @@
 A run alternates phases. In a mixed phase, faults of controls, entries,
 upstreams and load overlap, at most one of each. In a planned phase, one
 process is stopped and nothing else happens, so that a lost request is due to
-the stop. In a loss phase, all processes are killed at once.
+the stop. In a phase of lost entries, all entries are killed one after the other
+under a load above capacity. In a loss phase, all processes are killed at once.
 """
 
+from collections.abc import Iterator
 import random
 from typing import NamedTuple
 
 START_SECONDS = 4.0
-END_SECONDS = 9.0
-_MIXED_SECONDS = 16.0
+END_SECONDS = 11.0
+_MIXED_SECONDS = 13.0
 _PLANNED_SECONDS = 13.0
 _LOSS_SECONDS = 9.0
+_ENTRIES_SECONDS = 17.0
 # Quiet time after a phase. A node counts as in touch again 3 s after a fault.
-_REST_SECONDS = 4.0
+_REST_SECONDS = 3.0
 
 CONTROL_FAULTS = (
     "kill",
@@ -27,6 +30,8 @@
     "delay",
     "reset",
     "lose_disk",
+    "late_answers_leader",
+    "lose_disk_behind",
 )
 ENTRY_FAULTS = ("kill", "pause", "cut_in", "cut_out", "silent", "delay")
 UPSTREAM_FAULTS = (
@@ -34,13 +39,14 @@
     "restart",
     "drain",
     "slow",
-    "reset",
+    "resets",
     "delay",
     "silent",
     "cut_in",
     "cut_out",
     "slow_read",
     "foreign",
+    "last_resets",
 )
 LOAD_FAULTS = ("burst", "slow_readers", "leave", "burst_leader")
 PLANNED = ("stop_entry", "stop_control", "stop_leader")
@@ -53,7 +59,7 @@
         at: Start time.
         seconds: Duration.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `planned` or `all`.
+            `planned`, `entries` or `all`.
         kind: What happens.
         number: Chooses the target among those of the track.
     """
@@ -82,6 +88,7 @@
     """
     generator = random.Random(seed)
     faults: list[Fault] = []
+    bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
     phases = _phases(generator)
     while now + _MIXED_SECONDS / 2 < seconds - END_SECONDS:
@@ -90,19 +97,25 @@
         length = {
             "mixed": _MIXED_SECONDS,
             "planned": _PLANNED_SECONDS,
+            "entries": _ENTRIES_SECONDS,
             "all": _LOSS_SECONDS,
         }[phase]
         if phase != "mixed" and length > left:
             phase, length = "mixed", left
         length = min(length, left)
         if phase == "mixed":
-            faults.extend(_mixed(generator, now, length))
+            faults.extend(_mixed(generator, bags, now, length))
             now += length + _REST_SECONDS
         elif phase == "planned":
             kind = generator.choice(PLANNED)
             number = generator.randrange(1000)
             faults.append(Fault(now, 9.0, "planned", kind, number))
             now += length
+        elif phase == "entries":
+            faults.append(
+                Fault(now, length - 1.0, "entries", "lose_entries", 0)
+            )
+            now += length
         else:
             kind = generator.choice(("kill", "lose_one_disk"))
             down = generator.uniform(0.5, 2.0)
@@ -112,26 +125,37 @@
     return sorted(faults)
 
 
-def _phases(generator: random.Random):  # noqa: ANN202 - an iterator of names
-    rest = ["mixed", "planned", "all"]
+def _phases(generator: random.Random) -> Iterator[str]:
     yield "mixed"
+    others = generator.sample(("planned", "entries"), 2)
     while True:
-        yield "planned"
-        yield generator.choice(rest)
+        yield others[0]
+        yield "mixed"
         yield "all"
+        yield others[1]
         yield "mixed"
+        yield "planned"
+
+
+def _bag(generator: random.Random, kinds: tuple[str, ...]) -> Iterator[str]:
+    """Yields kinds for ever; each one once before any comes again."""
+    while True:
+        yield from generator.sample(kinds, len(kinds))
 
 
 def _mixed(
-    generator: random.Random, start: float, length: float
+    generator: random.Random,
+    bags: dict[str, Iterator[str]],
+    start: float,
+    length: float,
 ) -> list[Fault]:
     faults = []
-    for track, kinds in _TRACKS.items():
+    for track, bag in bags.items():
         now = start + generator.uniform(0.0, 2.0)
         while now < start + length - 1.0:
             seconds = generator.uniform(0.4, 4.0)
             seconds = min(seconds, start + length - now)
-            kind = generator.choice(kinds)
+            kind = next(bag)
             number = generator.randrange(1000)
             faults.append(Fault(now, seconds, track, kind, number))
             now += seconds + generator.uniform(1.0, 3.0)
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -695,6 +695,8 @@
         self.waiting: dict[turn_queue.TurnKey, turn_queue.Ask] = {}
 
     def decide(self, ask: turn_queue.Ask) -> None:
+        # The view removes what has ended by now, as the decision does.
+        self.schedule.view(self.now)
         before = self.schedule.running_turns()
         decision = self.schedule.ask(ask, self.now)
         match decision:
