Handles may be numbers; an answer without one is no answer

The protocol doesn't state the type of a handle. A test of a 200 without a handle: the copy that is known is freed, and the stream goes on where it runs.

--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -89,10 +89,8 @@
                 f"Another upstream has the address {upstream.address} now."
             )
         fields = _decode_object(data)
-        handle = fields.get("handle", "")
+        handle = _handle_of(fields)
         made = fields.get("made", 0)
-        if not (isinstance(handle, str) and _HANDLE.fullmatch(handle)):
-            handle = ""
         found = _COPY_STATUS.get(status)
         if found is None or (status in _SUCCESS and not handle):
             raise errors.StreamClosed(
@@ -107,7 +105,7 @@
         self, upstream: member_messages.Registration, handle: str
     ) -> None:
         """See `ports.forwarding.UpstreamClient`."""
-        path = _HANDLE_PATH + parse.quote(handle, safe="")
+        path = _HANDLE_PATH + parse.quote(handle, safe=":@")
         _exchange(upstream, "DELETE", path, "", b"")
 
     def forget(self, incarnation: str) -> None:
@@ -268,6 +266,16 @@
     return fields if isinstance(fields, dict) else {}
 
 
+def _handle_of(fields: dict[str, Any]) -> str:
+    """Returns the handle in an answer; empty for none or an invalid one."""
+    handle = fields.get("handle")
+    if type(handle) is int:
+        handle = str(handle)
+    if isinstance(handle, str) and _HANDLE.fullmatch(handle):
+        return handle
+    return ""
+
+
 def _headers(
     upstream: member_messages.Registration,
     call: routed_calls.RoutedCall,
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -407,6 +407,15 @@
         self.assertEqual([], other.requests)
         self.assertEqual("unknown", self.event().result)
 
+    def test_answer_without_a_handle_is_taken_for_no_answer(self) -> None:
+        answer, source, other = self.move(None, 200)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        event = self.event()
+        self.assertEqual("unknown", event.result)
+        self.assertIn("status 200", event.detail)
+        self.assertEqual(1, len(source.freed))
+
     def test_destination_that_refuses_to_continue(self) -> None:
         call, source, other = self.begin()
         other.refuse_copies = True
