--- a/testing/test_socket_reader.py
+++ b/testing/test_socket_reader.py
@@ -110,3 +110,26 @@
         self.assertTrue(self.reader.is_quiet())
         self.peer.close()
         self.assertFalse(self.reader.is_quiet())
+
+    def test_interrupt_ends_a_read_that_waits(self) -> None:
+        # The thread that interrupts must go on, too.
+        done: list[str] = []
+
+        def interrupt() -> None:
+            eventlet.sleep(0.01)
+            self.reader.interrupt(ConnectionAbortedError("silent"))
+            done.append("interrupted")
+
+        eventlet.spawn(interrupt)
+        self.assertRaises(ConnectionAbortedError, self.reader.read)
+        self.wait_for(lambda: done)
+        self.assertFalse(self.is_registered())
+
+    def test_bytes_come_before_an_interrupt(self) -> None:
+        self.peer.sendall(b"a")
+        self.reader.read()
+        self.peer.sendall(b"b")
+        self.wait_for(lambda: self.reader.unread)
+        self.reader.interrupt(ConnectionAbortedError("silent"))
+        self.assertEqual(b"b", self.reader.read())
+        self.assertRaises(ConnectionAbortedError, self.reader.read)
