--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -20,6 +20,7 @@
 from mintcleat.ports import forwarding
 from mintcleat.roles.entry import entry_context
 from mintcleat.roles.entry import response_relay
+from mintcleat.roles.entry import run_continuation
 from mintcleat.roles.entry import run_deadline
 from mintcleat.roles.entry import run_events
 from mintcleat.roles.entry import running_stream
@@ -62,13 +63,6 @@
     copy: routed_calls.Copy | None
 
 
-class _Backup(NamedTuple):
-    """A backup from which a stream is to continue; names of upstreams."""
-
-    source: str
-    destination: str
-
-
 class RunAttempts:
     """Sends one request to upstreams until one has answered it completely.
 
@@ -80,9 +74,7 @@
         sent_at: Monotonic time at which it was last sent to an upstream.
         tokens: Tokens that the request holds in memory.
         moves: Number of moves that were begun.
-        move: The last move that has stopped the run; None for none.
-        copies: Where the stopped run may continue, in order.
-        backup: Backup from which the stream is to continue; None for none.
+        continuation: Where its stream continues after it was stopped.
     """
 
     def __init__(
@@ -113,11 +105,9 @@
         self.sent_at = 0.0
         self.tokens = engine_memory.TurnTokens()
         self.moves = 0
-        self.backup: _Backup | None = None
-        self.move: stream_move.StreamMove | None = None
-        self.copies: list[
-            tuple[member_messages.Registration, routed_calls.Copy]
-        ] = []
+        self.continuation = run_continuation.RunContinuation(
+            call.request, relay, events
+        )
 
     @property
     def now(self) -> float:
@@ -139,13 +129,12 @@
             while not self._run_once(self._next_target(), reply):
                 pass
         finally:
-            if self.move is not None:
-                self.move.cancel()
+            self.continuation.cancel()
 
     def _next_target(self) -> _Target:
         """Returns where the request is sent next."""
-        if self.copies:
-            upstream, copy = self.copies.pop(0)
+        if self.continuation.copies:
+            upstream, copy = self.continuation.copies.pop(0)
             return _Target(upstream, None, copy)
         placement = self._place()
         return _Target(placement.upstream, placement, None)
@@ -171,14 +160,14 @@
             move = self._attempt(target, reply)
         except errors.MintcleatError as error:
             self._attempt_failed(target, error)
-            if self.copies and (
+            if self.continuation.copies and (
                 target.copy is None or error.outcome == errors.NOT_RUN
             ):
                 return False
             if target.copy is not None:
-                error = self._continuation_failed(error)
+                error = self.continuation.failed(error)
             self._check_retry(error)
-            self._expect_continuation(upstream, error)
+            self.continuation.expect_resume(upstream, error)
             if self.deadline.is_refusable():
                 raise self.timeout_error() from error
             return False
@@ -194,7 +183,7 @@
         finally:
             loads.ended(upstream.incarnation, self.call.request)
         if move is not None:
-            self._continue_moved(move)
+            self.continuation.begin_move(move)
             return False
         silent = self.relay.first_at - self.sent_at
         self._record_evidence(
@@ -295,8 +284,8 @@
                 backup.address if backup else "",
             ),
         )
-        if target.copy is not None and self.move is not None:
-            self.move.is_used = True
+        if target.copy is not None:
+            self.continuation.accepted()
         if target.placement is not None:
             self.tokens = target.placement.turn
         stream = running_stream.RunningStream(
@@ -333,7 +322,7 @@
             if answer.head.events:
                 streams.add(stream)
             if stream.may_move:
-                self.relay.confirm_end = lambda: _confirm_end(stream)
+                self.relay.confirm_end = stream.confirm_end
             repeat = self.route.repeat == "any"
             left = self.attempts < self.route.attempts
             self.relay.relay(answer, reply, self.sent_at, repeat and left)
@@ -345,7 +334,7 @@
                 ) from error
             move = stream.stopped()
             if move is None:
-                self._use_backup(stream)
+                self.continuation.use_backup(stream)
                 raise
         finally:
             streams.remove(stream)
@@ -411,128 +400,6 @@
             self.relay.last_event_id,
         )
 
-    def _continue_moved(self, move: stream_move.StreamMove) -> None:
-        """Has a stopped run continued from its copied memory."""
-        self.move = move
-        self.copies = move.copies()
-        tokens = self.relay.tokens
-
-        def report(pause: float) -> None:
-            self.relay.on_first_event = None
-            move.is_reported = True
-            name = self.relay.upstream_name
-            returned = name == move.source.upstream
-            self.events.continued(
-                move.source.upstream,
-                name,
-                move.reason,
-                "returned" if returned else "moved",
-                pause,
-                tokens,
-                move.detail,
-            )
-
-        self.relay.on_first_event = report
-
-    def _use_backup(self, stream: running_stream.RunningStream) -> None:
-        """Has a stream that broke off continue from its backup, if any.
-
-        Not if its run was told to stop for a move and may not have stopped.
-        """
-        backup = stream.backup
-        is_unknown = stream.move is not None and stream.move.is_stopping
-        if backup is None or is_unknown or not self.relay.last_event_id:
-            return
-        self.copies = [
-            (backup, routed_calls.Copy(backup.address, self.call.request))
-        ]
-        self.backup = _Backup(stream.upstream.upstream, backup.upstream)
-        tokens = self.relay.tokens
-
-        def report(pause: float) -> None:
-            self.relay.on_first_event = None
-            self.backup = None
-            self.events.continued(
-                stream.upstream.upstream,
-                backup.upstream,
-                "interrupted",
-                "restored",
-                pause,
-                tokens,
-            )
-
-        self.relay.on_first_event = report
-
-    def _continuation_failed(
-        self, error: errors.MintcleatError
-    ) -> errors.MintcleatError:
-        """Ends a move or a restore that failed; returns the error.
-
-        What the source ran is lost. So the request counts as run, also if the
-        upstreams state that they did not continue it.
-        """
-        move = self.move
-        self.copies = []
-        if move is not None and not move.is_reported:
-            move.is_reported = True
-            self.relay.on_first_event = None
-            self.events.continued(
-                move.source.upstream,
-                move.destination.upstream,
-                move.reason,
-                "lost",
-                0.0,
-                self.relay.tokens,
-                error.detail,
-            )
-        if move is not None:
-            # A run that is resumed may be moved again.
-            move.cancel()
-            self.move = None
-        if self.backup is not None:
-            self.relay.on_first_event = None
-            self.events.continued(
-                self.backup.source,
-                self.backup.destination,
-                "interrupted",
-                "lost",
-                0.0,
-                self.relay.tokens,
-                error.detail,
-            )
-            self.backup = None
-        if error.outcome != errors.NOT_RUN:
-            return error
-        return errors.StreamClosed(
-            f"The stream could not continue elsewhere: {error.detail}"
-        )
-
-    def _expect_continuation(
-        self,
-        upstream: member_messages.Registration,
-        error: errors.MintcleatError,
-    ) -> None:
-        """Has the continuation of a begun stream reported once it goes on."""
-        if not self.relay.last_event_at or error.outcome == errors.NOT_RUN:
-            return
-        reason = "interrupted"
-        if isinstance(error, errors.StreamTimeout):
-            reason = "silent"
-        tokens = self.relay.tokens
-
-        def report(pause: float) -> None:
-            self.relay.on_first_event = None
-            self.events.continued(
-                upstream.upstream,
-                self.relay.upstream_name,
-                reason,
-                "resumed",
-                pause,
-                tokens,
-            )
-
-        self.relay.on_first_event = report
-
     def _check_retry(self, error: errors.MintcleatError) -> None:
         """Returns if another attempt may follow; else raises the final error.
 
@@ -561,20 +428,3 @@
             raise errors.OutcomeUnknown(
                 f"The request may have run: {error.detail}"
             ) from error
-
-
-def _confirm_end(stream: running_stream.RunningStream) -> None:
-    """Checks that a stream whose run may have been stopped has its end.
-
-    Raises:
-        errors.StreamClosed: The stream has stopped before its end.
-    """
-    if stream.stopped() is not None:
-        raise errors.StreamClosed("The run was stopped for a move.")
-    move = stream.move
-    if (
-        move is not None
-        and move.outcome is stream_move.Outcome.UNKNOWN
-        and not stream.answer.has_end
-    ):
-        raise errors.StreamClosed("The run may have been stopped for a move.")
--- a/src/mintcleat/roles/entry/running_stream.py
+++ b/src/mintcleat/roles/entry/running_stream.py
@@ -1,6 +1,7 @@
 """A stream of events that an entry relays."""
 
 from mintcleat.decisions import engine_memory
+from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
@@ -87,3 +88,21 @@
             return None
         move.wait()
         return move if move.has_stopped() else None
+
+    def confirm_end(self) -> None:
+        """Checks that a stream whose run may have been stopped has its end.
+
+        Raises:
+            errors.StreamClosed: The stream has stopped before its end.
+        """
+        if self.stopped() is not None:
+            raise errors.StreamClosed("The run was stopped for a move.")
+        move = self.move
+        if (
+            move is not None
+            and move.outcome is stream_move.Outcome.UNKNOWN
+            and not self.answer.has_end
+        ):
+            raise errors.StreamClosed(
+                "The run may have been stopped for a move."
+            )
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -340,6 +340,8 @@
 
     def test_move_in_progress_is_tried_again_later(self) -> None:
         self.patch(stream_moves, "RETRY_SECONDS", 0.1)
+        for engine in self.engines:
+            engine.pause = 0.04
         answer, _, other = self.move(409)
         self.assert_complete(answer)
         self.assertEqual(1, len(other.requests))
@@ -476,6 +478,8 @@
         # The first copy stayed at its engines until it expired.
         self.engines += [self.add("e3"), self.add("e4")]
         self.system.settle()
+        for engine in self.engines:
+            engine.pause = 0.06
         call, source, _ = self.begin("/resumable/a")
         for engine in self.engines:
             engine.break_copies = True
