--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -340,6 +340,8 @@
 
     def test_move_in_progress_is_tried_again_later(self) -> None:
         self.patch(stream_moves, "RETRY_SECONDS", 0.1)
+        for engine in self.engines:
+            engine.pause = 0.04
         answer, _, other = self.move(409)
         self.assert_complete(answer)
         self.assertEqual(1, len(other.requests))
@@ -407,6 +409,15 @@
         self.assertEqual([], other.requests)
         self.assertEqual("unknown", self.event().result)
 
+    def test_answer_without_a_handle_is_taken_for_no_answer(self) -> None:
+        answer, source, other = self.move(None, 200)
+        self.assert_complete(answer)
+        self.assertEqual([], other.requests)
+        event = self.event()
+        self.assertEqual("unknown", event.result)
+        self.assertIn("status 200", event.detail)
+        self.assertEqual(1, len(source.freed))
+
     def test_destination_that_refuses_to_continue(self) -> None:
         call, source, other = self.begin()
         other.refuse_copies = True
@@ -467,6 +478,8 @@
         # The first copy stayed at its engines until it expired.
         self.engines += [self.add("e3"), self.add("e4")]
         self.system.settle()
+        for engine in self.engines:
+            engine.pause = 0.06
         call, source, _ = self.begin("/resumable/a")
         for engine in self.engines:
             engine.break_copies = True
