--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -236,9 +236,12 @@
             capacity of their services and by the shares of customers
             (`programs`), or open all of them (`off`).
         stream_moves: Whether entries move running streams off upstreams that
-            leave or have become slow, for services with `moves`, resume streams
-            whose upstream hangs, on routes that allow it, and have backups of
-            some, for services with `backups`.
+            leave or have become slow, for services with `moves`, and resume
+            streams whose upstream hangs, on routes that allow it.
+        stream_backups: Whether entries have backups of streams that can't be
+            resumed otherwise, for services with `backups`. A stream continues
+            from its backup when its connection is lost, so it requires
+            upstreams that stop a run whose connection is closed.
     """
 
     customers: dict[Name, Customer] = {}
@@ -259,6 +262,7 @@
     load_burst: Count = 2
     admission: Literal["off", "programs"] = "off"
     stream_moves: Literal["off", "on"] = "off"
+    stream_backups: Literal["off", "on"] = "off"
 
 
 class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -82,7 +82,7 @@
         """See `ports.forwarding.UpstreamClient`."""
         body = {"id": request, "to": destination.address, "last": stop}
         status, data = _exchange(
-            upstream, "POST", _MOVE_PATH, request, msgspec.json.encode(body)
+            upstream, "POST", _MOVE_PATH, msgspec.json.encode(body)
         )
         if status == _WRONG_UPSTREAM:
             raise errors.WrongUpstream(
@@ -106,7 +106,7 @@
     ) -> None:
         """See `ports.forwarding.UpstreamClient`."""
         path = _HANDLE_PATH + parse.quote(handle, safe=":@")
-        _exchange(upstream, "DELETE", path, "", b"")
+        _exchange(upstream, "DELETE", path, b"")
 
     def forget(self, incarnation: str) -> None:
         """Closes the idle connections to an upstream process that has ended."""
@@ -220,13 +220,13 @@
     upstream: member_messages.Registration,
     method: str,
     path: str,
-    request: str,
     body: bytes,
 ) -> tuple[int, bytes]:
     """Sends a control request on a connection of its own.
 
     An idle connection may be closed by the upstream just then, and a lost
-    answer to a request to stop a run would cost the run.
+    answer to a request to stop a run would cost the run. The id of the run is
+    not sent as a header: an engine would take the call for a request to run.
 
     Returns:
         Status and body of the response.
@@ -236,8 +236,6 @@
         (_EXPECT_UPSTREAM, upstream.upstream),
         ("content-type", "application/json"),
     ]
-    if request:
-        headers.append((callers.REQUEST_ID, request))
     connection = http1_client.connect(upstream.address)
     try:
         connection.send(method, path, headers, body)
--- a/src/mintcleat/roles/entry/stream_backup.py
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -51,7 +51,7 @@
         """
         if not service.backups or not route.stream:
             return None
-        if self.configuration.manifest().policies.stream_moves != "on":
+        if self.configuration.manifest().policies.stream_backups == "off":
             return None
         budget = self.budgets.get(service_name)
         if budget is None:
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -145,9 +145,11 @@
         connection: platform_engine.Connection,
         received: platform_engine.ReceivedRequest,
     ) -> bool:
-        if received.target == MOVE_PATH:
+        # A call with the id of a request is taken for a request to run.
+        is_request = "x-request-id" in received.headers
+        if received.target == MOVE_PATH and not is_request:
             return self._move(connection, received)
-        if received.target.startswith(HANDLE_PATH):
+        if received.target.startswith(HANDLE_PATH) and not is_request:
             handle = received.target.removeprefix(HANDLE_PATH)
             self.freed.append(handle)
             self._drop(handle)
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -651,6 +651,8 @@
 class BackupTest(MovesTest):
     """The connection of a stream breaks off that may not be run again."""
 
+    policies: ClassVar[dict[str, Any]] = {"stream_backups": "on"}
+
     def setUp(self) -> None:
         super().setUp()
         fields = moves_configuration(2)
