Roles of hosted processes in modules of their own; less idle work

Cause: a control instance imported the entry's modules (23 modules, 0.7 MB of 42), and an idle process read its memory peak through text streams five times a second and built the status of all groups ten times a second to see a changed leader.

Change: main/hosted_entry and main/hosted_control are imported by their role only. The peak is read with one unbuffered read; GroupLog.leaders has what the check needs.

Not done: asyncio, which eventlet, loguru and aioprometheus import, isn't kept out: 1.7 MB, since eventlet imports ssl and loguru logging and multiprocessing anyway.

--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -51,9 +51,9 @@
             upstreams[item.upstream] = max(
                 known, item, key=lambda one: one.running
             )
-        for item in view.customers:
-            known = usages.get(item.customer)
-            usages[item.customer] = _merge(known, item) if known else item
+        for load in view.customers:
+            usage = usages.get(load.customer)
+            usages[load.customer] = _merge(usage, load) if usage else load
     listed = sorted(usages.values(), key=program_messages.CustomerLoad.sort_key)
     return {
         "entries": max((view.entries for view in views), default=0),
--- a/src/mintcleat/adapters/caller_http.py
+++ b/src/mintcleat/adapters/caller_http.py
@@ -72,10 +72,10 @@
             logger.bind(request=request_id).exception(
                 "Handling a request failed."
             )
-            error = errors.MintcleatError(
+            failure = errors.MintcleatError(
                 "An internal error occurred in the entry."
             )
-            return self._send_error(error, start, request_id)
+            return self._send_error(failure, start, request_id)
         finally:
             logger.bind(request=request_id).debug(
                 "{} {}: first byte after {:.4f} s",
--- a/src/mintcleat/adapters/event_log.py
+++ b/src/mintcleat/adapters/event_log.py
@@ -149,7 +149,7 @@
         while not self.broken:
             if not self.queue:
                 self._wait_for_lines()
-            lines = []
+            lines: list[str] = []
             while self.queue and len(lines) < _BATCH_LINES:
                 lines.append(self.queue.popleft().decode())
             if not lines:
--- a/src/mintcleat/adapters/http_request.py
+++ b/src/mintcleat/adapters/http_request.py
@@ -128,6 +128,6 @@
         value = float(value)
     if not isinstance(value, kind) or isinstance(value, bool) != (kind is bool):
         raise errors.BadRequest(f"`{name}` must be a {kind.__name__}.")
-    if kind in (int, float) and not 0 <= value < float("inf"):
+    if isinstance(value, (int, float)) and not 0 <= value < float("inf"):
         raise errors.BadRequest(f"`{name}` must not be negative.")
     return value
--- a/src/mintcleat/adapters/logs.py
+++ b/src/mintcleat/adapters/logs.py
@@ -23,8 +23,12 @@
     logger.remove()
     logger.configure(extra={"instance": instance})
     if as_json:
+
+        def write(message: Any) -> None:
+            sink.write(json_line(message.record) + "\n")
+
         logger.add(
-            lambda line: sink.write(json_line(line.record) + "\n"),
+            write,
             level=level.upper(),
             format="{message}",
         )
--- a/src/mintcleat/adapters/process_memory.py
+++ b/src/mintcleat/adapters/process_memory.py
@@ -7,7 +7,7 @@
 _STATM = pathlib.Path("/proc/self/statm")
 _DESCRIPTORS = "/proc/self/fd"
 _STATUS = pathlib.Path("/proc/self/status")
-_PEAK = "VmHWM:"
+_PEAK = b"VmHWM:"
 
 
 def peak_mb(status: pathlib.Path = _STATUS) -> float:
@@ -17,11 +17,13 @@
     process that executed this program and may be far too large.
     """
     try:
-        lines = status.read_text().splitlines()
+        # Unbuffered bytes: it is read several times a second.
+        with status.open("rb", buffering=0) as file:
+            data = file.read()
     except OSError:
         return 0.0
-    values = [line.split()[1] for line in lines if line.startswith(_PEAK)]
-    return int(values[0]) / 1024 if values else 0.0
+    _, found, rest = data.partition(_PEAK)
+    return int(rest.split(None, 1)[0]) / 1024 if found else 0.0
 
 
 def resident_bytes() -> int:
--- /dev/null
+++ b/src/mintcleat/main/hosted_control.py
@@ -0,0 +1,88 @@
+"""The control role on a machine of the hosting platform.
+
+Only a process of this role imports this module.
+"""
+
+from mintcleat.adapters import http1_server
+from mintcleat.domain import control_events
+from mintcleat.domain import errors
+from mintcleat.main import common as common_module
+from mintcleat.main import control_role
+from mintcleat.platform import control_api
+from mintcleat.platform import machine_settings as settings_module
+from mintcleat.ports import events as event_ports
+from mintcleat.roles.control.replication import status as replication_status
+
+_LEADERSHIP_TRANSFER_SECONDS = 1.5
+# Interval of the checks for a changed leader or lease, which is reported.
+_STATUS_CHECK_SECONDS = 0.1
+
+
+class ControlRole:
+    """The control role with its listener for operators and upstreams."""
+
+    def __init__(
+        self,
+        machine: settings_module.MachineSettings,
+        common: common_module.SharedComponents,
+        events: event_ports.EventReporter,
+    ) -> None:
+        self.common = common
+        self.wrapped = control_role.ControlRole(common, events)
+        self.events = events
+        self.leaders: dict[str, replication_status.GroupLeader] = {}
+        api = control_api.ControlApi(
+            self.wrapped.config,
+            machine.answer_seconds,
+            events,
+            machine.policies,
+        )
+        self.listener = http1_server.HttpListener(machine.control, api.handle)
+
+    def start(self) -> None:
+        """Recovers from disk and joins the groups."""
+        self.wrapped.start()
+        self.common.timers.every(_STATUS_CHECK_SECONDS, self._watch_leaders)
+
+    def _watch_leaders(self) -> None:
+        for found in self.wrapped.log.leaders():
+            if self.leaders.get(found.group) != found:
+                self.leaders[found.group] = found
+                self.events.emit(control_events.LeaderChanged(*found))
+
+    def reload(self, machine: settings_module.MachineSettings) -> list[str]:
+        """Ignores new settings: the groups keep their members."""
+        return []
+
+    def update_gauges(self) -> None:
+        """Sets the gauges of this role before a metrics scrape."""
+        metrics = self.common.metrics
+        self.wrapped.update_gauges()
+        for status in self.wrapped.log.status():
+            group = status.group
+            metrics.gauge(
+                "log_lag", status.commit - status.applied, group=group
+            )
+            metrics.gauge("log_term", status.term, group=group)
+            metrics.gauge(
+                "leader_lease_seconds", status.lease_left, group=group
+            )
+
+    def sizes(self) -> dict[str, int]:
+        """Returns the sizes of what grows with the load, by name."""
+        return self.wrapped.log.resource_usage()
+
+    def in_flight(self) -> int:
+        """Returns the number of requests without a response."""
+        return self.listener.active
+
+    def failure(self) -> errors.MintcleatError | None:
+        """Returns the error that stopped the replica, if any."""
+        return self.wrapped.failure()
+
+    def stop(self, until: float) -> int:
+        """Transfers every leadership and stops; returns 0."""
+        self.wrapped.log.transfer_leadership(_LEADERSHIP_TRANSFER_SECONDS)
+        self.listener.close_idle()
+        self.wrapped.stop()
+        return 0
--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -14,7 +14,8 @@
 from fakes import platform_engine
 from mintcleat.adapters import settings
 from mintcleat.main import common
-from mintcleat.main import hosted
+from mintcleat.main import hosted_control
+from mintcleat.main import hosted_entry
 from mintcleat.platform import machine_settings
 from mintcleat.ports import events
 
@@ -122,13 +123,15 @@
         self.sequence = 0
         control = self._machine("control", [ANY])
         self.control_common = common.SharedComponents(control.settings)
-        self.control = hosted.ControlRole(
+        self.control = hosted_control.ControlRole(
             control, self.control_common, self.reporter
         )
         self.control.start()
         entry = self._machine("entry", [self.control_common.streams.address])
         self.entry_common = common.SharedComponents(entry.settings)
-        self.entry = hosted.EntryRole(entry, self.entry_common, self.reporter)
+        self.entry = hosted_entry.EntryRole(
+            entry, self.entry_common, self.reporter
+        )
         self.entry.start()
 
     def _machine(
--- a/testing/test_layout.py
+++ b/testing/test_layout.py
@@ -50,7 +50,7 @@
 )
 # Modules that may import that package: the composition root for machines of
 # the platform.
-PLATFORM_USERS = {"hosted.py"}
+PLATFORM_USERS = {"hosted.py", "hosted_control.py", "hosted_entry.py"}
 NAME_MODULES = {"typing", "collections.abc", "__future__"}
 
 
