--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -54,9 +54,9 @@
             upstreams[item.upstream] = (
                 _merge_upstreams(other, item) if other else item
             )
-        for item in view.customers:
-            known = usages.get(item.customer)
-            usages[item.customer] = _merge(known, item) if known else item
+        for load in view.customers:
+            usage = usages.get(load.customer)
+            usages[load.customer] = _merge(usage, load) if usage else load
     listed = sorted(usages.values(), key=program_messages.CustomerLoad.sort_key)
     found = sorted(
         upstreams.values(), key=program_messages.UpstreamLoad.sort_key
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -109,8 +109,9 @@
         """Like `run`, but the end of the call wakes up nobody.
 
         The caller continues after the next `check` or the end of a call of
-        `run`. This is for a result that matters only together with an event
-        that has not occurred yet, and that calls `check`.
+        `run`, and at once if the function raises. This is for a result that
+        matters only together with an event that has not occurred yet, and that
+        calls `check`.
         """
 
     def check(self) -> None:
@@ -171,16 +172,6 @@
             OSError: The sync failed.
         """
 
-    def append(self, descriptor: int, data: bytes) -> bool:
-        """Writes all bytes at the end of a file opened with O_APPEND.
-
-        Returns:
-            Whether they are synced as well; if not, `sync` must follow.
-
-        Raises:
-            OSError: The write failed, and part of the data may be written.
-        """
-
     def sync_directory(self, path: pathlib.Path) -> None:
         """Syncs the entries of a directory.
 
