--- a/src/mintcleat/decisions/priority_classes.py
+++ b/src/mintcleat/decisions/priority_classes.py
@@ -17,7 +17,7 @@
 
 # With as many classes and routes of three priorities there are nine ranks of
 # first turns. Each of the eight that are passed over gets one of 16 turns
-# (`turn_admission.GUARANTEED_INTERVAL`), so that the order decides on half of
+# (`turn_ranks.GUARANTEED_INTERVAL`), so that the order decides on half of
 # all. With two classes, no customer would be between the others.
 MAX_CLASSES = 3
 # Values that are counted. Further ones belong to the classes of these.
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -32,22 +32,14 @@
 from mintcleat.decisions import turn_measurements
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
+from mintcleat.decisions import turn_ranks
 from mintcleat.decisions import turn_refusals
 
-# After this many grants to more urgent ranks, a rank is granted one turn, so
-# that no kind and no customer starves.
-GUARANTEED_INTERVAL = 16
-# Time for which less urgent programs are held back after a more urgent one was
-# refused, so that the retry of the latter comes first.
-_RECENT_SECONDS = 0.3
 # With at least as many turns waiting, none of which asks again for this time,
 # the leader was cut off: it is twice the longest time between two asks. Fewer
 # turns may have gone with their callers.
 _SILENT_WAITERS = 8
 _CUT_OFF_SECONDS = 2 * turn_decisions.MAX_RETRY_SECONDS * (1 + jitter.SPREAD)
-# Ranks and urgencies beyond which those without waiting turns are forgotten.
-# With three classes of customers there can be ten routes of different priority.
-_MAX_RANKS = 128
 # Time between two removals of what idle customers leave.
 _CLEAN_UP_SECONDS = 0.25
 # First turns leave free the square root of the bound, divided by this number.
@@ -73,6 +65,7 @@
         capacities: Slots and memory.
         measurements: Speed of the service, durations of programs.
         refusals: Refusals of first turns.
+        ranks: Guaranteed turns, and ranks that are held back.
         granted: Number of granted turns.
         deferred: Number of turns that had to wait.
         lost: Number of waiting turns dropped because they did not ask again.
@@ -93,13 +86,10 @@
         self.capacities = service_capacity.ServiceCapacity(part)
         self.measurements = turn_measurements.TurnMeasurements()
         self.refusals = turn_refusals.TurnRefusals()
+        self.ranks = turn_ranks.RankLimits()
         self.granted = 0
         self.deferred = 0
         self.lost = 0
-        # Grants to more urgent ranks since the last one to each rank.
-        self._passed: dict[turn_queue.Rank, int] = {}
-        # Time of the last `overloaded` refusal by urgency.
-        self._refused_at: dict[tuple[int, int], float] = {}
         self._clean_up_at = -math.inf
         # Time of the last message.
         self._active_at = -math.inf
@@ -280,7 +270,7 @@
             demand.route_priority,
             turn_queue.FIRST if ask.first else turn_queue.IN_PROGRESS,
         )
-        self._passed.setdefault(rank, 0)
+        self.ranks.arrived(rank)
         return self.queue.add(ask, rank, now)
 
     # --- Decision -------------------------------------------------------------
@@ -307,25 +297,12 @@
         if free <= 0:
             return False
         more_urgent = self.queue.ahead_of_rank(waiter.rank)
-        if self._is_due(waiter.rank):
+        if self.ranks.is_due(waiter.rank):
             return ahead - more_urgent < self._lookahead()
-        if more_urgent >= free or self._is_held_back(waiter.rank, now):
+        if more_urgent >= free or self.ranks.is_held_back(waiter.rank, now):
             return False
         return ahead < max(free, self._lookahead())
 
-    def _is_due(self, rank: turn_queue.Rank) -> bool:
-        """Returns whether a rank has been passed over often enough."""
-        return self._passed.get(rank, 0) >= GUARANTEED_INTERVAL
-
-    def _is_held_back(self, rank: turn_queue.Rank, now: float) -> bool:
-        """Returns whether a more urgent program was refused just now."""
-        if rank.stage == turn_queue.IN_PROGRESS:
-            return False
-        return any(
-            urgency < rank.urgency and now - at < _RECENT_SECONDS
-            for urgency, at in self._refused_at.items()
-        )
-
     def _lookahead(self) -> float:
         """Returns how many turns end before a waiting turn asks again.
 
@@ -362,8 +339,8 @@
         programs = max(0, ahead - self.queue.in_progress) + 1
         later_turns = programs * (expected.turns - 1)
         wait = self._predicted_wait(ahead + 1 + later_turns)
-        if self._is_held_back(waiter.rank, now):
-            wait = max(wait, _RECENT_SECONDS)
+        if self.ranks.is_held_back(waiter.rank, now):
+            wait = max(wait, turn_ranks.RECENT_SECONDS)
         outlook = turn_refusals.Outlook(
             self._waited(waiter, now),
             self.pauses.awake(first.at, now),
@@ -466,26 +443,12 @@
         self.shares.use(
             ask.key.customer, self.measurements.shared_work(ask), now
         )
-        self._count_passed(waiter.rank)
+        self.ranks.granted(waiter.rank)
         self.turns.grant(ask, now)
         self.measurements.granted(ask, now)
         self.granted += 1
         return turn_decisions.Grant(now - waiter.since)
 
-    def _count_passed(self, granted: turn_queue.Rank) -> None:
-        """Counts a grant for the ranks that it passed over.
-
-        First turns aren't passed over by turns of programs in progress: these
-        end by themselves when no program begins.
-        """
-        begins = granted.stage != turn_queue.IN_PROGRESS
-        for rank in self._passed:
-            if rank > granted and (
-                begins or rank.stage == turn_queue.IN_PROGRESS
-            ):
-                self._passed[rank] += 1
-        self._passed[granted] = 0
-
     def _refuse(
         self,
         waiter: turn_queue.Waiter,
@@ -496,20 +459,13 @@
         self.queue.refund(self.queue.remove(key).ask)
         self.refusals.count(key.customer, refusal)
         if refusal.kind == "overloaded":
-            if len(self._refused_at) >= _MAX_RANKS:
-                self._refused_at.clear()
-            self._refused_at[waiter.rank.urgency] = now
+            self.ranks.refused(waiter.rank, now)
 
     def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
         if now >= self._clean_up_at:
             self._clean_up_at = now + _CLEAN_UP_SECONDS
             self.queue.clock.drop_idle()
-            if len(self._passed) >= _MAX_RANKS:
-                # Ranks of classes that have changed.
-                waiting = {one.rank for one in self.queue.waiters.values()}
-                self._passed = {
-                    rank: self._passed.get(rank, 0) for rank in waiting
-                }
+            self.ranks.forget(self.queue.waiters.values())
         self.lost += self.queue.drop_lost(now, limit, self.pauses)
         for ended in self.turns.expire(now, limit):
             self.measurements.ended(ended, 0, False, self.capacity(), now)
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -17,6 +17,7 @@
 from mintcleat.decisions import turn_decisions
 from mintcleat.decisions import turn_pace
 from mintcleat.decisions import turn_queue
+from mintcleat.decisions import turn_ranks
 from mintcleat.decisions import turn_refusals
 from mintcleat.domain import program_messages
 
@@ -167,7 +168,7 @@
             turns.append(urgent[granted])
             granted += 1
             self.end(turns.pop(0))
-        self.assertEqual(turn_admission.GUARANTEED_INTERVAL, granted)
+        self.assertEqual(turn_ranks.GUARANTEED_INTERVAL, granted)
 
     def use_priorities(self, count: int) -> None:
         """Runs turns of as many priorities."""
