--- a/src/mintcleat/decisions/entry_capacity.py
+++ b/src/mintcleat/decisions/entry_capacity.py
@@ -175,7 +175,8 @@
         return self._change(Level(self.level - 1), self.reason, now)
 
     def _change(self, level: Level, reason: str, now: float) -> Change:
-        change = Change(level, reason, now - self.changed_at)
+        since = now if self.changed_at is None else self.changed_at
+        change = Change(level, reason, now - since)
         self.level = level
         self.reason = reason
         self.changed_at = now
--- a/src/mintcleat/decisions/limits.py
+++ b/src/mintcleat/decisions/limits.py
@@ -72,7 +72,7 @@
 class CountedRequests(NamedTuple):
     """Requests that were counted ahead; valid until the time `until`."""
 
-    count: int
+    number: int
     until: float
 
 
@@ -152,8 +152,8 @@
             return False
         counted = self.requests[customer]
         first = counted.popleft()
-        if first.count > 1:
-            counted.appendleft(first._replace(count=first.count - 1))
+        if first.number > 1:
+            counted.appendleft(first._replace(number=first.number - 1))
         return True
 
     def put(self, customer: str, count: int, until: float) -> None:
@@ -170,7 +170,7 @@
             counted.popleft()
         if not counted:
             del self.requests[customer]
-        return sum(item.count for item in counted)
+        return sum(item.number for item in counted)
 
     def _recent(self, customer: str, now: float) -> RecentCalls:
         """Returns a customer's recent calls; forgets customers without any."""
--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -199,7 +199,7 @@
 
     Crowded ones count only if all are, and full ones only if all are full.
     """
-    compared = _first(ranked, estimates.is_crowded)
+    compared: Sequence[str] = _first(ranked, estimates.is_crowded)
     if not compared:
         compared = _first(ranked, estimates.is_full) or ranked[:CHOICES]
     if len(compared) == 1:
--- a/src/mintcleat/decisions/order.py
+++ b/src/mintcleat/decisions/order.py
@@ -56,7 +56,7 @@
     """
     delay = 0.0
     if switches.attained:
-        tokens = call.attained
+        tokens = float(call.attained)
         if switches.learned and remaining.known:
             tokens = remaining.tokens
         delay = MAX_DELAY_SECONDS * tokens / (tokens + max(mean_tokens, 1.0))
--- a/src/mintcleat/decisions/queue.py
+++ b/src/mintcleat/decisions/queue.py
@@ -240,7 +240,7 @@
         if options.classes and call.klass == calls.BATCH:
             klass = calls.BATCH
         service = self.speed.estimate(call)
-        footprint = slots.context(call)
+        footprint = float(slots.context(call))
         if remaining.known:
             footprint += remaining.tokens / 2
         return class_queue.QueueItem(
--- a/src/mintcleat/domain/manifest_errors.py
+++ b/src/mintcleat/domain/manifest_errors.py
@@ -16,7 +16,7 @@
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}\Z"
 _NAME = re.compile(NAME_PATTERN)
 _KEY_PATH = re.compile(r"\.keys(\[\d+\])?$")
-_SCALARS = {
+_SCALARS: dict[type, tuple[type, str]] = {
     inspect.StrType: (str, "a string"),
     inspect.IntType: (int, "an integer"),
     inspect.BoolType: (bool, "true or false"),
@@ -169,7 +169,7 @@
     if type(value) is not kind:
         found = _describe(value, path)
         out.append(Violation(path, f"must be {words}, not {found}"))
-    elif kind is int and value < 0:
+    elif isinstance(value, int) and value < 0:
         out.append(Violation(path, f"must not be negative, but is {value}"))
 
 
