Events and metrics of silent entries and of a leader's pauses

Operators could not tell why turns that were granted no longer count, or why a queue stood still. Both are found by decisions and logged with the timer of the leader, one line for an entry and service in 0.1 s at most.

--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -81,6 +81,10 @@
                     kind=event.kind,
                     reason=event.reason,
                 )
+            case events.EntrySilent():
+                metrics.count("entries_silent_total", service=event.service)
+            case events.LeaderPaused():
+                metrics.observe("leader_pause_seconds", event.seconds)
             case events.LinesDropped():
                 metrics.count("log_drops_total", reason=event.reason)
 
--- a/src/mintcleat/decisions/granted_turns.py
+++ b/src/mintcleat/decisions/granted_turns.py
@@ -88,6 +88,7 @@
         expired: Number of turns released by their timeout.
         silenced: Number of turns that stopped counting since their entry was
             silent.
+        silent_entries: The same by entry, since `take_silent_entries`.
     """
 
     def __init__(self, pauses: leader_pauses.LeaderPauses) -> None:
@@ -100,6 +101,7 @@
         )
         self.expired = 0
         self.silenced = 0
+        self.silent_entries: collections.Counter[str] = collections.Counter()
         self._by_entry: dict[str, dict[turn_queue.TurnKey, None]] = {}
         self._expiries: sortedcontainers.SortedList = (
             sortedcontainers.SortedList()
@@ -205,8 +207,15 @@
             key = next(iter(self._by_entry[entry]))
             self._stop_counting(EndedTurn(self.granted[key], now, silent=True))
             self.silenced += 1
+            self.silent_entries[entry] += 1
             dropped += 1
 
+    def take_silent_entries(self) -> dict[str, int]:
+        """Returns the turns that stopped counting by entry since last time."""
+        taken = dict(self.silent_entries)
+        self.silent_entries.clear()
+        return taken
+
     def _start_counting(self, turn: RunningTurn, now: float) -> None:
         key, entry = turn.ask.key, turn.ask.entry
         self.granted[key] = turn
--- a/src/mintcleat/decisions/leader_pauses.py
+++ b/src/mintcleat/decisions/leader_pauses.py
@@ -39,6 +39,7 @@
         pauses: The recent pauses, in order; they don't overlap.
         active_at: When a message or the timer was last handled; None before
             the first call of the timer. Nothing is known without a timer.
+        seconds: Sum of the pauses since `take_seconds`.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
             maxlen=MAX_PAUSES
         )
         self.active_at: float | None = None
+        self.seconds = 0.0
 
     def tick(self, now: float) -> None:
         """Records that the timer was called."""
@@ -66,6 +68,12 @@
             since = max(since, self.pauses[-1].until)
         if since < until:
             self.pauses.append(Pause(since, until))
+            self.seconds += until - since
+
+    def take_seconds(self) -> float:
+        """Returns the sum of the pauses since last time."""
+        seconds, self.seconds = self.seconds, 0.0
+        return seconds
 
     def within(self, since: float, now: float) -> float:
         """Returns the seconds of pauses within a time."""
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -446,6 +446,36 @@
     retry_after_s: float
 
 
+class EntrySilent(NamedTuple):
+    """Turns of an entry that is silent stopped counting as running.
+
+    There is one line for an entry and service in 0.1 s at most.
+
+    Attributes:
+        entry: The entry.
+        turns: Number of its turns.
+    """
+
+    entry: str
+    service: str
+    turns: int
+
+
+class LeaderPaused(NamedTuple):
+    """The leader of a group handled no messages for a time.
+
+    Its process was stopped, or it was cut off from the entries.
+
+    Attributes:
+        seconds: Length of that time.
+        waiting: Turns that wait.
+    """
+
+    service: str
+    seconds: float
+    waiting: int
+
+
 class MemoryGrown(NamedTuple):
     """The peak memory of the process grew by another step.
 
@@ -527,6 +557,8 @@
     *control_events.KINDS,
     MemoryGrown,
     EntryCapacityChanged,
+    EntrySilent,
+    LeaderPaused,
     LinesDropped,
     TurnUnsettled,
 )
--- a/src/mintcleat/roles/control/programs/contention.py
+++ b/src/mintcleat/roles/control/programs/contention.py
@@ -118,10 +118,18 @@
         }
 
     def _tick(self) -> None:
-        if self.schedules:
-            now = self.timers.now()
-            for schedule in self.schedules.values():
-                schedule.tick(now)
+        """Tells schedules that the process runs; reports what they found."""
+        for (_, service), schedule in self.schedules.items():
+            schedule.tick(self.timers.now())
+            for entry, turns in schedule.turns.take_silent_entries().items():
+                self.events.emit(event_types.EntrySilent(entry, service, turns))
+            seconds = schedule.pauses.take_seconds()
+            if seconds:
+                self.events.emit(
+                    event_types.LeaderPaused(
+                        service, round(seconds, 3), len(schedule.queue)
+                    )
+                )
 
     def _schedule(
         self, group: str, service: str
--- a/testing/test_contention.py
+++ b/testing/test_contention.py
@@ -215,6 +215,28 @@
             self.ask(opening("waits")), program_messages.TurnOpened
         )
 
+    def test_silent_entry_and_pause_are_logged(self) -> None:
+        for number in range(20):
+            self.ask(opening(f"r{number}"))
+            self.timers.advance(0.1)
+            self.ask(closing(f"r{number}"))
+        self.ask(opening("lost"))
+        self.timers.advance(0.6)
+        self.ask(opening("other", entry="a2"))
+        self.timers.advance(0.1)
+        self.timers.clock += 0.8
+        self.timers.advance(0.1)
+        found = [
+            event
+            for event in self.events.emitted
+            if isinstance(event, events.EntrySilent | events.LeaderPaused)
+        ]
+        self.assertEqual(
+            [events.EntrySilent("a1", "lm", 1), "LeaderPaused"],
+            [found[0], *(type(event).__name__ for event in found[1:])],
+        )
+        self.assertTrue(0.7 < found[1].seconds < 1.0)
+
     def test_new_leader_starts_empty_and_learns_from_reports(self) -> None:
         opened = self.fill()
         self.ask(opening("late"))
