--- a/src/mintcleat/decisions/leader_pauses.py
+++ b/src/mintcleat/decisions/leader_pauses.py
@@ -86,4 +86,6 @@
 
     def awake(self, since: float, now: float) -> float:
         """Returns the seconds of a time without those of pauses."""
+        if not self.pauses:
+            return now - since
         return now - since - self.within(since, now)
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -485,11 +485,9 @@
             # The request for a turn that is granted was resent, and its report
             # is older than the grant.
             self.turns.report(ask.entry, ask.demand.running, now)
-        self.turns.report_ended(
-            ask.entry,
-            (turn_queue.TurnKey(*one) for one in ask.demand.ended),
-            now,
-        )
+        if ask.demand.ended:
+            keys = [turn_queue.TurnKey(*one) for one in ask.demand.ended]
+            self.turns.report_ended(ask.entry, keys, now)
 
     def _note_activity(self, now: float) -> None:
         """Recognizes times in which no message arrived."""
