--- a/testing/test_turn_admission_faults.py
+++ b/testing/test_turn_admission_faults.py
@@ -3,6 +3,7 @@
 Each load test compares with a run without the fault; see `turn_world`.
 """
 
+import statistics
 from typing import Any
 
 import testtools
@@ -73,7 +74,7 @@
 class HeavyCustomerTest(testtools.TestCase):
     def test_customer_at_six_times_its_usual_with_patient_callers(self) -> None:
         # All together demand 0.95 of full batches before it, 1.2 with it.
-        others, heavy, refused = [], [], 0
+        others, heavy, told, refused = [], [], [], 0
         for seed in (1, 2, 3):
             played = world(USUAL, seed=seed, patient=True)
             played.run(6.0)
@@ -86,9 +87,13 @@
                     of = heavy if one.customer == "c3" else others
                     of.append(one.outcome == "aim")
             refused += played.refused["c3"]
+            told += played.retry_times
         self.assertTrue(sum(others) > 0.96 * len(others), sum(others))
         self.assertTrue(0.3 < sum(heavy) / len(heavy) < 0.8, sum(heavy))
-        # Guards against callers that are all told to try again at once.
+        # Guards against callers that are all told to try again at once, though
+        # the excess lasts for seconds.
+        self.assertTrue(statistics.median(told) > 0.6, statistics.median(told))
+        self.assertTrue(max(told) > 1.5, max(told))
         self.assertTrue(refused < 1.5 * len(heavy), (refused, len(heavy)))
 
 
--- a/testing/turn_world.py
+++ b/testing/turn_world.py
@@ -182,6 +182,7 @@
         entries: The entries by name.
         patient: Whether callers honour Retry-After.
         refused: Number of refusals by customer.
+        retry_times: Seconds that refused callers over their share were told.
     """
 
     def __init__(
@@ -220,6 +221,7 @@
         self.lost_turns: set[turn_queue.TurnKey] = set()
         self.patient = patient
         self.refused: collections.Counter[str] = collections.Counter()
+        self.retry_times: list[float] = []
         self.entries = {f"a{number}": Entry() for number in range(entries)}
         for kind in kinds:
             for customer in self.customers:
@@ -480,8 +482,10 @@
                 self.place()
             case turn_decisions.Defer(retry_after=seconds):
                 world.at(world.now + seconds + MESSAGE_SECONDS, self.decide)
-            case turn_decisions.Refuse(retry_after=seconds) if not self.over:
+            case turn_decisions.Refuse(kind, _, seconds) if not self.over:
                 world.refused[program.customer] += 1
+                if kind == "share_exceeded":
+                    world.retry_times.append(seconds)
                 world.refusal_times.append(
                     (world.now - self.began) / program.target
                 )
