Silent entries are found by messages only, ended turns of an entry by itself

An instance that no longer leads a group kept its schedule and would have logged all entries as silent when its gauges were updated. An entry could mark a turn of another, silent one as reported, which left one turn too many in the other's report for up to a second.

--- a/src/mintcleat/decisions/granted_turns.py
+++ b/src/mintcleat/decisions/granted_turns.py
@@ -129,8 +129,9 @@
             turn = self.granted.get(key)
             if turn is not None and turn.ask.entry == entry:
                 self._stop_counting(EndedTurn(turn, now, reported=True))
-            elif key in self.uncounted:
-                ended = self.uncounted[key]
+                continue
+            ended = self.uncounted.get(key)
+            if ended is not None and ended.turn.ask.entry == entry:
                 self.uncounted[key] = ended._replace(reported=True)
 
     def grant(self, ask: turn_queue.Ask, now: float) -> None:
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -101,6 +101,7 @@
         self._note_activity(now)
         ask = self._with_bounds(ask, now)
         self._expire(now)
+        self._drop_silent(now)
         self.capacities.observe(ask.demand)
         self._observe_report(ask, now)
         if self.turns.grant_again(ask, now):
@@ -469,12 +470,20 @@
         self.lost += self.queue.drop_lost(now, limit, self.pauses)
         for ended in self.turns.expire(now, limit):
             self.measurements.ended(ended, 0, False, self.capacity(), now)
+
+    def _drop_silent(self, now: float) -> None:
+        """Stops counting the turns of silent entries.
+
+        Only messages lead to it: an instance that no longer leads hears from
+        no entry.
+        """
         measured = self.measurements
-        if measured.known():
-            seconds = granted_turns.SILENT_TURN_TIMES * measured.turn_seconds
-            self.turns.drop_silent(
-                now, max(granted_turns.MIN_SILENT_SECONDS, seconds), limit
-            )
+        if not measured.known():
+            return
+        seconds = granted_turns.SILENT_TURN_TIMES * measured.turn_seconds
+        self.turns.drop_silent(
+            now, max(granted_turns.MIN_SILENT_SECONDS, seconds), _MAX_EXPIRED
+        )
 
     # --- Messages -------------------------------------------------------------
 
