Experiments: an oracle, ablation, differences by seed, two processes

Cause: there was no measure of how far the policies are from what is possible, and a table of variants had only the scatter of seeds, which is larger than most differences.

Change: emulator/oracle.py decides on placement and on the order of turns from the true state of the engines and the course of each program (emulator/forecast.py). A variant chooses either. Workers are processes without a pool: a pool did not end under pytest, where its threads are green.

--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -96,6 +96,15 @@
             total += part.tokens
         return total
 
+    def cached_prefix(self, parts: tuple[routed_calls.PromptPart, ...]) -> int:
+        """Returns the same as `match_prefix`, without using the parts."""
+        total = 0
+        for part in parts:
+            if part.id not in self.parts:
+                break
+            total += part.tokens
+        return total
+
     def put(self, part: str, tokens: int) -> None:
         """Stores a part as the most recently used one."""
         self.used_tokens += tokens - self.parts.pop(part, 0)
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -259,11 +259,8 @@
         except control_module.NoLeader:
             raise NotServed from None
         self.loads.update_others(others)
-        placement = upstream_loads.PlacementRequest(
-            call, hint, "", False, self.fleet.memory
-        )
-        incarnation = yield from self._run_on_upstreams(
-            MODEL_SERVICE, placement, self._run_turn, silence_timeout, output
+        incarnation = yield from self._run_placed(
+            call, hint, output, silence_timeout
         )
         try:
             yield from self.control.commit(self.loads.report())
@@ -271,6 +268,27 @@
             raise NotServed from None
         return incarnation
 
+    def _run_placed(
+        self,
+        call: routed_calls.RoutedCall,
+        hint: str,
+        output: int,
+        silence_timeout: float,
+    ) -> Any:
+        """Runs a turn at an engine, without commits."""
+        placement = upstream_loads.PlacementRequest(
+            call, hint, "", False, self.fleet.memory
+        )
+        return (
+            yield from self._run_on_upstreams(
+                MODEL_SERVICE,
+                placement,
+                self._run_turn,
+                silence_timeout,
+                output,
+            )
+        )
+
     def call(
         self, call: routed_calls.RoutedCall, work: float, repeatable: bool
     ) -> Any:
@@ -303,7 +321,7 @@
         """
         tried: set[str] = set()
         while True:
-            placed = self.loads.choose(service, tried, placement)
+            placed = self._choose(service, tried, placement, size)
             if placed is None or len(tried) >= routed_run.MAX_OFFERS:
                 raise NotServed
             upstream = placed.upstream
@@ -339,6 +357,16 @@
             finally:
                 self.loads.ended(upstream.incarnation, request)
 
+    def _choose(
+        self,
+        service: str,
+        tried: set[str],
+        placement: upstream_loads.PlacementRequest,
+        size: Any,
+    ) -> upstream_loads.Placement | None:
+        """Chooses an upstream; `size` is that of `_run_on_upstreams`."""
+        return self.loads.choose(service, tried, placement)
+
     def _run_turn(
         self,
         upstream: member_messages.Registration,
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -168,6 +168,29 @@
     plain: bool = False
 
 
+class Variant(policy.Policy, frozen=True, forbid_unknown_fields=True):
+    """A policy under which an experiment runs.
+
+    Attributes:
+        placement: Who chooses upstreams: entries with what they know, or the
+            oracle.
+        turns: Who decides when turns run: entries and, if the plan says so,
+            the leader; or the oracle, which chooses the programs to finish.
+    """
+
+    placement: Literal["entries", "oracle"] = "entries"
+    turns: Literal["leader", "oracle"] = "leader"
+
+
+def ablations() -> dict[str, Variant]:
+    """Returns all mechanisms, and each of them switched off, by name."""
+    found = {"all": Variant()}
+    for field in msgspec.structs.fields(policy.Policy):
+        name = f"no {field.name.replace('_', ' ')}"
+        found[name] = Variant(**{field.name: False})
+    return found
+
+
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An experiment.
 
@@ -203,8 +226,8 @@
     faults: list[Fault] = []
     seeds: list[int] = msgspec.field(default_factory=lambda: [1])
     loads: list[float] = msgspec.field(default_factory=lambda: [1])
-    variants: dict[str, policy.Policy] = msgspec.field(
-        default_factory=lambda: {"default": policy.DEFAULT}
+    variants: dict[str, Variant] = msgspec.field(
+        default_factory=lambda: {"default": Variant()}
     )
     speeds: list[float] = msgspec.field(default_factory=lambda: [1])
     report_delay: float = 0.0
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -11,9 +11,12 @@
 from mintcleat.emulator import plan as plan_module
 from mintcleat.emulator import programs
 from mintcleat.emulator import simulation
+from mintcleat.emulator import worker
+from mintcleat.emulator import worth
 
-# Worth of a program that ends late, relative to one within its target.
-LATE_WORTH = 0.5
+# Maximum number of processes that simulate at once. Longer experiments take
+# minutes, and the machine has other uses.
+MAX_PROCESSES = 2
 # Length of the intervals of which the worst one is reported. A program belongs
 # to the interval in which it was started.
 WINDOW_SECONDS = 2.0
@@ -28,10 +31,10 @@
     Attributes:
         variant: Name of the policy.
         load: Factor on the rates of all kinds.
-        worth: Worth of the programs that met their target, plus `LATE_WORTH`
-            of that of late ones, as a fraction of the worth of all programs.
-            A program is worth the mean target duration of its kind. Mean over
-            seeds.
+        worth: Worth of the programs that met their target, plus
+            `worth.LATE_WORTH` of that of late ones, as a fraction of the worth
+            of all programs. A program is worth the mean target duration of its
+            kind. Mean over seeds.
         deviation: Half the difference of the best and the worst seed's worth.
         aim: Fraction of programs that met their target.
         late: Fraction of programs that finished late.
@@ -47,6 +50,7 @@
             are: `heavy customers` and `other customers`.
         preempted: Requests that engines took out of their batches, mean over
             seeds.
+        worths: Worth by seed, in the order of the plan's seeds.
     """
 
     variant: str
@@ -62,19 +66,36 @@
     spread: float
     kinds: dict[str, list[float]]
     preempted: float = 0.0
+    worths: list[float] = []
+
 
+def run(plan: plan_module.Plan, processes: int = 1) -> list[Row]:
+    """Simulates every variant at every load with every seed.
 
-def run(plan: plan_module.Plan) -> list[Row]:
-    """Simulates every variant at every load with every seed."""
+    Args:
+        plan: The plan.
+        processes: Number of processes that simulate, at most MAX_PROCESSES.
+    """
+    cases = [
+        (load, name, seed)
+        for load in plan.loads
+        for name in plan.variants
+        for seed in plan.seeds
+    ]
+    arguments = [
+        (plan, seed, load, plan.variants[name]) for load, name, seed in cases
+    ]
+    if processes > 1:
+        results = worker.run(arguments, min(processes, MAX_PROCESSES))
+    else:
+        results = [simulation.run(*each) for each in arguments]
+    by_case = dict(zip(cases, results, strict=True))
     return [
         _row(
-            plan,
-            name,
-            load,
-            [simulation.run(plan, seed, load, policy) for seed in plan.seeds],
+            plan, name, load, [by_case[load, name, seed] for seed in plan.seeds]
         )
         for load in plan.loads
-        for name, policy in plan.variants.items()
+        for name in plan.variants
     ]
 
 
@@ -107,6 +128,53 @@
     return lines
 
 
+def differences(rows: list[Row], base: str) -> list[list[str]]:
+    """Returns a table of the worth of variants compared with one of them.
+
+    Each seed is compared with itself, as all variants have the same programs.
+    A difference is marked with `*` if it has the same sign for all seeds and
+    there are several.
+
+    Args:
+        rows: Results.
+        base: Name of the variant with which the others are compared.
+
+    Raises:
+        errors.BadRequest: There are no results of that variant.
+    """
+    bases = {row.load: row for row in rows if row.variant == base}
+    if not bases:
+        raise errors.BadRequest(
+            f"The plan has no variant {base!r}.",
+            remedy="Name one of the plan's variants as the base.",
+        )
+    lines = [["VARIANT", "LOAD", "DIFFERENCE", "FROM", "TO", "PERCENT", ""]]
+    for row in rows:
+        reference = bases.get(row.load)
+        if reference is None or row.variant == base:
+            continue
+        changes = [
+            own - other
+            for own, other in zip(row.worths, reference.worths, strict=True)
+        ]
+        mean = _mean(changes)
+        agrees = len(changes) > 1 and min(changes) * max(changes) > 0.0
+        lines.append(
+            [
+                row.variant,
+                f"{row.load:g}",
+                f"{mean:+.4f}",
+                f"{min(changes):+.4f}",
+                f"{max(changes):+.4f}",
+                f"{100.0 * mean / reference.worth:+.1f}%"
+                if reference.worth
+                else "",
+                "*" if agrees else "",
+            ]
+        )
+    return lines
+
+
 def save(rows: list[Row], path: pathlib.Path) -> None:
     """Writes the results to a file, to compare a later run with them."""
     path.write_text(json.dumps({"rows": rows}, indent=1))
@@ -170,8 +238,8 @@
     programs_run = [
         program for result in results for program in result.programs
     ]
-    weights = _weights(programs_run)
-    worths = [_worth(result.programs, weights) for result in results]
+    by_kind = worth.by_kind(plan)
+    worths = [worth.earned_part(one.programs, by_kind) for one in results]
     fractions = _fractions(programs_run)
     kinds = {
         kind: _fractions([one for one in programs_run if one.kind == kind])
@@ -193,53 +261,28 @@
         _mean(worths),
         (max(worths) - min(worths)) / 2.0,
         *fractions,
-        _mean(_worst_window(result.programs, weights) for result in results),
+        _mean(_worst_window(result.programs, by_kind) for result in results),
         _mean(result.prefilled_tokens for result in results),
         _mean(queued),
         _mean(spread),
         kinds,
         _mean(result.preempted for result in results),
+        worths,
     )
 
 
-def _weights(finished: list[programs.ProgramResult]) -> dict[str, float]:
-    """Returns the worth of a program by kind: the mean target of its kind.
-
-    Programs that were not served are left out: their targets don't cover the
-    turns that never ran.
-    """
-    targets: dict[str, list[float]] = collections.defaultdict(list)
-    for program in finished:
-        if program.served:
-            targets[program.kind].append(program.target)
-    return {kind: _mean(values) for kind, values in targets.items()}
-
-
-def _worth(
-    finished: Iterable[programs.ProgramResult], weights: dict[str, float]
-) -> float:
-    """Returns the worth earned as a fraction of the worth of all programs."""
-    total = earned = 0.0
-    for program in finished:
-        weight = weights.get(program.kind, 1.0)
-        total += weight
-        match program.outcome:
-            case "aim":
-                earned += weight
-            case "late":
-                earned += weight * LATE_WORTH
-    return earned / total if total else 0.0
-
-
 def _worst_window(
-    finished: list[programs.ProgramResult], weights: dict[str, float]
+    finished: list[programs.ProgramResult], worths: dict[str, float]
 ) -> float:
     windows: dict[int, list[programs.ProgramResult]] = collections.defaultdict(
         list
     )
     for program in finished:
         windows[int(program.started_at / WINDOW_SECONDS)].append(program)
-    return min((_worth(one, weights) for one in windows.values()), default=0.0)
+    return min(
+        (worth.earned_part(one, worths) for one in windows.values()),
+        default=0.0,
+    )
 
 
 def _fractions(finished: list[programs.ProgramResult]) -> list[float]:
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -10,6 +10,7 @@
 from mintcleat.emulator import control as control_module
 from mintcleat.emulator import engine as engine_module
 from mintcleat.emulator import entry as entry_module
+from mintcleat.emulator import oracle as oracle_module
 from mintcleat.emulator import plain_service
 from mintcleat.emulator import plan
 from mintcleat.emulator import programs as programs_module
@@ -83,10 +84,7 @@
         experiment.report_delay / 1000.0,
         admission=experiment.admission != "off",
     )
-    entries = [
-        entry_module.Entry(env, f"a{n}", fleet, control, policy)
-        for n in range(experiment.entries)
-    ]
+    entries = _entries(env, experiment, seed, policy, fleet, control)
     callers = programs_module.Callers(env, experiment, entries, seed, load)
     for fault in experiment.faults:
         env.process(_inject_fault(env, fault, fleet, control, callers, rng))
@@ -100,6 +98,29 @@
     return Result(callers.results, prefilled_tokens, samples, preempted)
 
 
+def _entries(
+    env: simpy.Environment,
+    experiment: plan.Plan,
+    seed: int,
+    policy: policy_module.Policy,
+    fleet: entry_module.Fleet,
+    control: control_module.Control,
+) -> list[entry_module.Entry]:
+    names = [f"a{n}" for n in range(experiment.entries)]
+    match policy:
+        case plan.Variant(placement="oracle") | plan.Variant(turns="oracle"):
+            oracle = oracle_module.Oracle(env, experiment, fleet, seed)
+            return [
+                oracle_module.OracleEntry(
+                    env, name, fleet, control, policy, oracle
+                )
+                for name in names
+            ]
+    return [
+        entry_module.Entry(env, name, fleet, control, policy) for name in names
+    ]
+
+
 def _sample(
     env: simpy.Environment, fleet: entry_module.Fleet, samples: list[Sample]
 ) -> Any:
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -128,8 +128,17 @@
         cli_bench.run(plan, entries, report, self._json)
 
     @decorators.SetParseFn(str, "plan", "save", "against", "plot")
+    @decorators.SetParseFn(str, "loads")
     def experiment(
-        self, plan: str, save: str = "", against: str = "", plot: str = ""
+        self,
+        plan: str,
+        save: str = "",
+        against: str = "",
+        plot: str = "",
+        base: str = "",
+        ablate: bool = False,
+        loads: str = "",
+        processes: int = 1,
     ) -> None:
         """Runs policies on the emulator and prints the results of programs.
 
@@ -138,11 +147,19 @@
             save: File for the results; none when empty.
             against: Results of an earlier run, to show the differences.
             plot: File for a plot of worth over load; none when empty.
+            base: Variant with which the others are compared seed by seed.
+            ablate: Runs all mechanisms and each of them switched off, instead
+                of the plan's variants.
+            loads: Loads instead of the plan's, separated by commas.
+            processes: Number of processes that simulate, at most 2.
         """
         # Imported here because the other commands don't need the emulator.
         from mintcleat.main import cli_experiment
 
-        cli_experiment.run(plan, save, against, plot, self._json)
+        options = cli_experiment.Options(
+            save, against, plot, base, ablate, loads, processes
+        )
+        cli_experiment.run(plan, options, self._json)
 
     @decorators.SetParseFn(str)
     def explain(self, name: str, *files: str) -> None:
