Docs test covers variants and the two hard plans

The page of experiments has a section for the fields of a variant, and the two plans added for the gap to the oracle are checked for their loads, seeds and the oracle.

--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -37,6 +37,7 @@
     "`faults[]`": experiment_plan.Fault,
     "Amounts": experiment_plan.Distribution,
     "Mechanisms": policy.Policy,
+    "Variants": experiment_plan.Variant,
 }
 SETTINGS_SECTIONS = {
     "The process": settings.Settings,
@@ -107,9 +108,12 @@
                 name: default
                 for name, _, default in FIELD_ROW.findall(found[heading])
             }
+            # Inherited fields are in the section of the base.
+            inherited = getattr(kind.__base__, "__struct_fields__", ())
             fields = {
                 field.encode_name: field
                 for field in msgspec.structs.fields(kind)
+                if field.name not in inherited
             }
             self.assertEqual(sorted(fields), sorted(rows), heading)
             for name, field in fields.items():
@@ -156,9 +160,16 @@
 
     def test_every_shipped_experiment_is_a_valid_plan(self) -> None:
         files = sorted((ROOT / "examples" / "experiments").glob("*.json"))
-        self.assertThat(files, matchers.HasLength(4))
+        self.assertThat(files, matchers.HasLength(6))
         for path in files:
             found = experiment_plan.read(path)
+            if path.name.startswith("hard-"):
+                # The gap to the oracle over load needs all three.
+                oracle = found.variants["oracle"]
+                self.assertEqual("oracle", oracle.turns, path.name)
+                self.assertEqual("oracle", oracle.placement, path.name)
+                self.assertEqual([0.6, 0.8, 1, 1.5, 2, 4], found.loads)
+                self.assertEqual([1, 2, 3], found.seeds)
             # A plan of the leader's admission compares with and without it;
             # any other compares all mechanisms that matter without it.
             expected = set(policy.Policy.__struct_fields__) - {"admission"}
