Types of emulator, domain, load and hosted checked by mypy

Change: annotations, assertions of what is always set, and one name that hid a method of tuple. The workers of experiments are waited for one by one.

--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -553,7 +553,7 @@
 
 def name_of(kind: type) -> str:
     """Returns the name of an event on its line, such as `call_placed`."""
-    letters = []
+    letters: list[str] = []
     for letter in kind.__name__:
         if letter.isupper() and letters:
             letters.append("_")
--- a/src/mintcleat/domain/manifest_errors.py
+++ b/src/mintcleat/domain/manifest_errors.py
@@ -169,7 +169,7 @@
     if type(value) is not kind:
         found = _describe(value, path)
         out.append(Violation(path, f"must be {words}, not {found}"))
-    elif kind is int and value < 0:
+    elif isinstance(value, int) and kind is int and value < 0:
         out.append(Violation(path, f"must not be negative, but is {value}"))
 
 
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -164,7 +164,7 @@
         gaps.append("The line of the request's arrival is missing.")
     if not _END_EVENTS.intersection(events):
         gaps.append("No line shows how the request ended.")
-    first = {}
+    first: dict[tuple[str, str], float] = {}
     for line in own:
         first.setdefault((line.instance, line.event), line.at)
     for instance in {line.instance for line in own}:
--- a/src/mintcleat/emulator/control.py
+++ b/src/mintcleat/emulator/control.py
@@ -66,6 +66,7 @@
         """
         yield from self._await_leader()
         yield self.env.timeout(ANSWER_SECONDS)
+        assert self.schedule is not None
         return self.schedule.ask(ask, self.env.now)
 
     def release(self, key: turn_queue.TurnKey, tokens: int, ran: bool) -> Any:
@@ -73,6 +74,7 @@
         while self.env.now < self.outage_until:
             yield self.env.timeout(_RETRY_SECONDS)
         yield self.env.timeout(ANSWER_SECONDS)
+        assert self.schedule is not None
         self.schedule.release(key, tokens, ran, self.env.now)
 
     def commit(self, running: program_messages.RunningCounts) -> Any:
--- a/src/mintcleat/emulator/oracle.py
+++ b/src/mintcleat/emulator/oracle.py
@@ -9,8 +9,8 @@
 - It knows neither programs that will begin nor faults that will happen.
 - Programs begin greedily, by worth per work, while engines have places for all
   that have begun. The best set is a hard problem.
-- It takes the present pace of the engines for the coming one. Where engines hold
-  far more turns than their targets allow, as at twice the load of
+- It takes the present pace of the engines for the coming one. Where engines
+  hold far more turns than their targets allow, as at twice the load of
   hard-uneven.json, many programs begin that end late.
 
 On the other hand it may do what real policies may not: a program can wait for
@@ -125,14 +125,14 @@
     """What placement needs of an engine, at one time.
 
     Attributes:
-        count: Turns there, also those on their way to it.
+        turns: Turns there, also those on their way to it.
         prefill: Prompt tokens that are to be processed before a new turn.
         context: Tokens of the turns in the batch.
         held: Tokens that all turns there hold or may come to hold.
         scale: Time of a step as a multiple of that at speed 1.
     """
 
-    count: int
+    turns: int
     prefill: int
     context: int
     held: int
@@ -274,7 +274,7 @@
                 continue
             state = self._state(name)
             seconds = max(0.0, engine.stalled_until - self.env.now)
-            is_full = state.count >= limit or not self._fits(
+            is_full = state.turns >= limit or not self._fits(
                 name, state, call, output
             )
             if is_full:
@@ -515,24 +515,24 @@
         prompt = call.generation.prompt_tokens
         added = model.step_per_request
         added += model.step_per_thousand * prompt / 1000.0
-        step = model.step + model.step_per_request * state.count
+        step = model.step + model.step_per_request * state.turns
         step += model.step_per_thousand * state.context / 1000.0 + added
         # Each of the others will end meanwhile, and another turn will begin.
-        later = state.count * self._means[0] if self.waiting else 0.0
+        later = state.turns * self._means[0] if self.waiting else 0.0
         own = (
             model.first
             + (uncached + state.prefill + later) / model.read_per_ms
             + output * step
         )
         others = uncached / model.read_per_ms + output * added
-        return (own + state.count * others) * state.scale / 1000.0
+        return (own + state.turns * others) * state.scale / 1000.0
 
     def _place_seconds(
         self, name: str, state: _EngineState, limit: int
     ) -> float:
         """Returns the mean time until an engine has a free place."""
-        count = min(state.count, limit)
-        turns = 1 + max(0, state.count - limit)
+        count = min(state.turns, limit)
+        turns = 1 + max(0, state.turns - limit)
         seconds = self._batch_seconds(max(1, count)) * state.scale
         return seconds * turns / max(1, count)
 
@@ -561,7 +561,7 @@
         output: int,
     ) -> bool:
         needed = self._own_tokens(name, call, output)
-        return not state.count or state.held + needed <= self.model.memory
+        return not state.turns or state.held + needed <= self.model.memory
 
 
 class OracleEntry(entry_module.Entry):
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -187,7 +187,7 @@
     found = {"all": Variant()}
     for field in msgspec.structs.fields(policy.Policy):
         name = f"no {field.name.replace('_', ' ')}"
-        found[name] = Variant(**{field.name: False})
+        found[name] = msgspec.structs.replace(Variant(), **{field.name: False})
     return found
 
 
--- a/src/mintcleat/emulator/programs.py
+++ b/src/mintcleat/emulator/programs.py
@@ -280,9 +280,12 @@
             return 0.0
         running = [self.env.process(self._run_part(part)) for part in parts]
         yield self.env.all_of(running)
-        if any(process.value is None for process in running):
-            raise ProgramFailed
-        return max(process.value[1] for process in running)
+        seconds = []
+        for process in running:
+            if process.value is None:
+                raise ProgramFailed
+            seconds.append(process.value[1])
+        return max(seconds)
 
     def _run_part(self, part: Any) -> Any:
         """Runs a part of the program; returns None if it was not served.
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -240,7 +240,7 @@
     ]
     by_kind = worth.by_kind(plan)
     worths = [worth.earned_part(one.programs, by_kind) for one in results]
-    fractions = _fractions(programs_run)
+    aim, late, failed = _fractions(programs_run)
     kinds = {
         kind: _fractions([one for one in programs_run if one.kind == kind])
         for kind in plan.kinds
@@ -260,7 +260,9 @@
         load_factor,
         _mean(worths),
         (max(worths) - min(worths)) / 2.0,
-        *fractions,
+        aim,
+        late,
+        failed,
         _mean(_worst_window(result.programs, by_kind) for result in results),
         _mean(result.prefilled_tokens for result in results),
         _mean(queued),
--- a/src/mintcleat/emulator/worker.py
+++ b/src/mintcleat/emulator/worker.py
@@ -38,19 +38,22 @@
             stdout=subprocess.PIPE,
             env=environment,
         )
+        assert worker.stdin is not None
         worker.stdin.write(pickle.dumps(part))
         worker.stdin.close()
         workers.append(worker)
-    results: list[simulation.Result | None] = [None] * len(cases)
-    failed = False
-    for number, worker in enumerate(workers):
-        output = worker.stdout.read()
-        failed |= worker.wait() != 0
-        if not failed:
-            results[number::processes] = pickle.loads(output)
-    if failed:
+    outputs = []
+    for worker in workers:
+        assert worker.stdout is not None
+        outputs.append(worker.stdout.read())
+    codes = [worker.wait() for worker in workers]
+    if any(codes):
         raise errors.MintcleatError("A process of the experiment failed.")
-    return results
+    results: dict[int, simulation.Result] = {}
+    for number, output in enumerate(outputs):
+        places = range(number, len(cases), processes)
+        results.update(zip(places, pickle.loads(output), strict=True))
+    return [results[place] for place in range(len(cases))]
 
 
 def main() -> None:
--- a/src/mintcleat/load/driver.py
+++ b/src/mintcleat/load/driver.py
@@ -183,6 +183,7 @@
         turn: arrivals.Turn,
         measured: Measurements,
     ) -> bool:
+        assert turn.tool is not None
         path = f"/v1/services/{turn.tool.service}{turn.tool.path}"
         headers = {
             "Mintcleat-Program": name,
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -158,10 +158,12 @@
             return
         self.had_lease = has_lease
         address = self.follower.stream.address or "no control instance"
-        kind = event_types.DependencyRegained
-        if not has_lease:
-            kind = event_types.DependencyLost
-        self.events.emit(kind("configuration lease", address))
+        dependency = "configuration lease"
+        if has_lease:
+            event = event_types.DependencyRegained(dependency, address)
+            self.events.emit(event)
+        else:
+            self.events.emit(event_types.DependencyLost(dependency, address))
 
     def _answer_readiness(
         self, request: http1_server.Request, reply: http1_server.Reply
