Bench of the own interface: two unused names removed, reason to stay stated

Cause: bench/policy_world.py looked like a second emulator. Change: SWEEP_PERIOD and paused_at were used nowhere. Its commands concern the sidecar's queue, retention and placement by reports, which the emulator doesn't model; nothing of it could move without a model of sidecars there.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -5,6 +5,14 @@
 program's cache during the pause after it. The decisions are those of
 `mintcleat.decisions`; only the simple placements of the baselines, round robin
 and least loaded, are implemented here.
+
+It is not in `mintcleat.emulator`, which models routed requests: entries that
+choose among engines by themselves, and a leader that admits turns. Calls of our
+own interface take another path, whose decisions the emulator doesn't run: the
+sidecar's queue with classes and shares (`queue`, `order`), the retention of
+caches during pauses and their export to other engines (`cache_retention`), and
+placement by the sidecars' reports (`placement`). Bursts, slow engines and
+overload of routed requests are plans of the emulator (`examples/experiments`).
 """
 
 from collections.abc import Callable
@@ -32,7 +40,6 @@
 # Virtual seconds of one network hop.
 HOP_SECONDS = 0.001
 ENTRIES = 2
-SWEEP_PERIOD = 1.0
 # A caller closes a program whose tool hangs after this time.
 ABANDON_SECONDS = 900.0
 # Time until a sidecar learns that a program ended or moved away.
@@ -124,7 +131,6 @@
         self.resident = ""
         self.ended = math.inf
         self.paused = 0.0
-        self.paused_at = 0.0
         self.tool = ""
         self.on_end: Callable[[], None] | None = None
 
