Soak test finds turns that aren't released after the loss of entries

All entries are killed at once under load, twice; afterwards no turn may be refused while few of the engines' slots run turns.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -436,7 +436,7 @@
 
         Args:
             at: When.
-            busy: Part of all slots that ran a request.
+            busy: Part of all slots that ran a turn of a program.
         """
         self.busy.append((at, busy))
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -36,6 +36,10 @@
 # Granted turns stop counting after their deadline.
 _TURN_TIMEOUT_SECONDS = 5.0
 _OBSERVED_SECONDS = 2.5
+# Losses of all entries under load. The first alone may come when only a part of
+# the slots is in use.
+_ENTRY_LOSSES = 2
+_BURST_START_SECONDS = 1.0
 _BURST_PROGRAMS = 24
 _SLOW_READERS = 8
 # Long enough that a buffer without a bound grows by more than its limit.
@@ -368,7 +372,7 @@
         )
 
     async def _lose_entries(self) -> None:
-        """Kills all entries, one after the other, during a burst.
+        """Kills all entries at once, several times, during a burst.
 
         The turns that they had running must stop counting. Otherwise turns
         wait although engines are idle.
@@ -380,11 +384,14 @@
         ]
         try:
             with self._disturbance("load", "loss of entries under load"):
-                for node in self.fleet.entries:
-                    await asyncio.sleep(0.5)
-                    node.kill()
-                    node.start()
-                    await self._until_started(node)
+                for _ in range(_ENTRY_LOSSES):
+                    await asyncio.sleep(_BURST_START_SECONDS)
+                    for node in self.fleet.entries:
+                        node.kill()
+                    for node in self.fleet.entries:
+                        node.start()
+                    for node in self.fleet.entries:
+                        await self._until_started(node)
                 await asyncio.sleep(_TURN_TIMEOUT_SECONDS)
                 await asyncio.sleep(_OBSERVED_SECONDS)
             now = time.monotonic()
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -3,8 +3,8 @@
 A run alternates phases. In a mixed phase, faults of controls, entries,
 upstreams and load overlap, at most one of each. In a planned phase, one
 process is stopped and nothing else happens, so that a lost request is due to
-the stop. In a phase of lost entries, all entries are killed one after the other
-under a load above capacity. In a loss phase, all processes are killed at once.
+the stop. In a phase of lost entries, all entries are killed at once, under a
+load above capacity. In a loss phase, all processes are killed at once.
 """
 
 from collections.abc import Iterator
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -48,6 +48,8 @@
         link: Proxy between the entries and this upstream.
         born: Start of the present process, in ms since 1970.
         state: State in its registrations.
+        running: Requests that it runs.
+        turns: Those of them that belong to a program.
         heartbeats: Whether it registers itself.
         draining_since: When control acknowledged that it drains; 0 if it
             doesn't.
@@ -70,6 +72,7 @@
         self.heartbeats = True
         self.sequence = 0
         self.running = 0
+        self.turns = 0
         self.slowness = 1.0
         self.reads_slowly = False
         self.draining_since = 0.0
@@ -99,7 +102,6 @@
     async def restart(self) -> None:
         """Starts a new process under the same id."""
         self.born = max(self.born + 1, int(time.time() * 1000))
-        self.running = 0
         self.state = "ready"
         self.draining_since = 0.0
         self.heartbeats = True
@@ -187,6 +189,8 @@
         customer = headers.get("x-tenant", "")
         self.observer.run_began(request, self.name, customer, body)
         self.running += 1
+        is_turn = "x-program-id" in headers
+        self.turns += is_turn
         try:
             if self.service == "lm":
                 await self._stream(headers, common, writer)
@@ -200,7 +204,8 @@
                 )
                 await writer.drain()
         finally:
-            self.running = max(0, self.running - 1)
+            self.running -= 1
+            self.turns -= is_turn
 
     async def _stream(
         self, headers: dict, common: str, writer: asyncio.StreamWriter
@@ -226,8 +231,8 @@
         await writer.drain()
 
     def busy_fraction(self) -> float:
-        """Returns the part of the slots that run a request."""
-        return self.running / _SLOTS
+        """Returns the part of the slots that run a turn of a program."""
+        return self.turns / _SLOTS
 
     def slow_down(self) -> None:
         """Makes all later events slower."""
