--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -1,7 +1,7 @@
 """Runs the soak test from the command line.
 
 Usage: python -m testing.soak [--seed N] [--seconds S] [--fault NAME]
-    [--until_found] [--keep]
+    [--until_found] [--keep] [--controls N]
 """
 
 import sys
@@ -16,6 +16,7 @@
     fault: str = "",
     until_found: bool = False,
     keep: bool = False,
+    controls: int = 3,
 ) -> None:
     """Runs the soak test; exits with 1 if a check found a violation.
 
@@ -25,8 +26,10 @@
         fault: Known fault to reintroduce; see testing/soak/reintroduced.py.
         until_found: Whether to end at the first violation.
         keep: Whether to keep the logs even if there was no violation.
+        controls: Number of control instances; with 5, the disks of two are
+            lost at once.
     """
-    result = run_module.run(seed, seconds, fault, until_found, keep)
+    result = run_module.run(seed, seconds, fault, until_found, keep, controls)
     print(f"seed {seed}, {seconds:g} s")
     print(result.text)
     if result.checks.violations:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -139,7 +139,7 @@
             self.log(f"{what} ends")
 
     async def _control(self, fault: schedule.Fault) -> None:
-        node = self.fleet.controls[fault.number % 3]
+        node = self._chosen_control(fault)
         kind = fault.kind
         if kind == "late_answers_leader":
             await self._answer_late()
@@ -154,6 +154,18 @@
             )
         await self._node(node, kind, fault.seconds, "")
 
+    def _chosen_control(self, fault: schedule.Fault) -> processes.Node:
+        controls = self.fleet.controls
+        return controls[fault.number % len(controls)]
+
+    def _tolerated_losses(self, fault: schedule.Fault) -> list[processes.Node]:
+        """Returns as many controls as may lose their disks at once."""
+        controls = self.fleet.controls
+        return [
+            controls[(fault.number + more) % len(controls)]
+            for more in range(len(controls) // 2)
+        ]
+
     async def _until_whole(self, fault: schedule.Fault) -> None:
         """Waits after a lost disk until all groups have three voters again."""
         if "disk" not in fault.kind:
@@ -180,27 +192,32 @@
             leader.restore()
 
     async def _lose_disk_behind(self) -> None:
-        """Loses the disk of one of two controls that have the latest entries.
+        """Loses the disk of one of the controls that have the latest entries.
 
-        The third one lacks them. It and the one that lost its disk must not
-        form a majority.
+        Half of the followers lack them. They and the one that lost its disk
+        must not form a majority.
         """
         leader = self.fleet.leader("config")
-        behind, lost = [
-            node for node in self.fleet.controls if node is not leader
-        ]
-        what = f"loss of the disk of {lost.name} with {behind.name} behind"
+        others = [node for node in self.fleet.controls if node is not leader]
+        behind = others[: len(others) // 2]
+        lost, *latest = others[len(others) // 2 :]
+        names = ", ".join(node.name for node in behind)
+        what = f"loss of the disk of {lost.name} with {names} behind"
         with self._disturbance("", what):
-            behind.apply("silent")
+            for node in behind:
+                node.apply("silent")
             await asyncio.sleep(_BEHIND_SECONDS)
-            leader.kill()
-            lost.kill()
+            for node in (leader, lost, *latest):
+                node.kill()
             lost.wipe()
-            behind.drop_held()
-            behind.restore()
+            for node in behind:
+                node.drop_held()
+            for node in behind:
+                node.restore()
             lost.start()
             await asyncio.sleep(_WITHOUT_LEADER_SECONDS)
-            leader.start()
+            for node in (leader, *latest):
+                node.start()
             await self._until_started(leader)
 
     async def _node(
@@ -405,8 +422,9 @@
         with self._disturbance("", f"loss of all processes, {fault.kind}"):
             for node in self.fleet.nodes.values():
                 node.kill()
-            if fault.kind == "lose_one_disk":
-                self.fleet.controls[fault.number % 3].wipe()
+            if fault.kind == "lose_disks":
+                for node in self._tolerated_losses(fault):
+                    node.wipe()
             await asyncio.sleep(fault.seconds)
             for node in self.fleet.nodes.values():
                 node.start()
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -77,6 +77,8 @@
             "memoryMb": _MEMORY_MB,
             "fileDescriptors": _DESCRIPTORS,
         }
+        # Disks of this many control instances may be lost at once.
+        fields["faultTolerance"] = {"machines": len(self.fleet.controls) // 2}
         path = self.fleet.folder / f"{self.name}.toml"
         path.write_text(hosted_processes.toml(fields))
         environment = hosted_processes.environment(ROOT, path)
@@ -193,12 +195,18 @@
     Args:
         network: First two bytes of the loopback addresses.
         folder: Folder of settings, disks and logs.
-        entries: Number of entries; there are three controls.
+        controls: Number of control instances; odd, all of them are voters.
+        entries: Number of entries.
         fault: Known fault to reintroduce; empty for none.
     """
 
     def __init__(
-        self, network: str, folder: pathlib.Path, entries: int, fault: str
+        self,
+        network: str,
+        folder: pathlib.Path,
+        controls: int,
+        entries: int,
+        fault: str,
     ) -> None:
         self.network = network
         self.folder = folder
@@ -206,7 +214,7 @@
         self.nodes: dict[str, Node] = {}
         self.controls = [
             self._add(f"control-{number}", "control", number)
-            for number in range(1, 4)
+            for number in range(1, controls + 1)
         ]
         self.entries = [
             self._add(f"entry-{number}", "entry", 10 + number)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -72,7 +72,7 @@
     """All parts of one run."""
 
     def __init__(
-        self, seed: int, seconds: float, fault: str, keep: bool
+        self, seed: int, seconds: float, fault: str, keep: bool, controls: int
     ) -> None:
         self.keep = keep
         self.seed = seed
@@ -83,7 +83,9 @@
         network = f"127.{random.randrange(20, 250)}"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.checks = checks_module.Checks()
-        self.fleet = processes.Fleet(network, self.folder, ENTRIES, fault)
+        self.fleet = processes.Fleet(
+            network, self.folder, controls, ENTRIES, fault
+        )
         controls = [
             hosted_processes.Caller(
                 f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 1.0
@@ -228,6 +230,7 @@
     fault: str = "",
     until_found: bool = False,
     keep: bool = False,
+    controls: int = 3,
 ) -> Result:
     """Runs the soak test once.
 
@@ -237,5 +240,7 @@
         fault: Known fault to reintroduce; see `reintroduced.FAULTS`.
         until_found: Whether to end at the first violation.
         keep: Whether to keep the logs even if there was no violation.
+        controls: Number of control instances, 3 or 5.
     """
-    return asyncio.run(_run(Soak(seed, seconds, fault, keep), until_found))
+    soak = Soak(seed, seconds, fault, keep, controls)
+    return asyncio.run(_run(soak, until_found))
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -117,7 +117,7 @@
             )
             now += length
         else:
-            kind = generator.choice(("kill", "lose_one_disk"))
+            kind = generator.choice(("kill", "lose_disks"))
             down = generator.uniform(0.5, 2.0)
             number = generator.randrange(1000)
             faults.append(Fault(now, down, "all", kind, number))
