--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -114,6 +114,7 @@
 
     Attributes:
         version: The version acknowledged last.
+        hurries: Whether all pauses between pushes are short.
     """
 
     def __init__(
@@ -126,6 +127,7 @@
         self.checks = checks
         self.generator = generator
         self.version = 0
+        self.hurries = False
 
     async def push(self) -> None:
         """Pushes the next version until a control acknowledges it."""
@@ -146,7 +148,8 @@
     async def push_forever(self) -> None:
         """Pushes version after version."""
         while True:
-            await asyncio.sleep(self.generator.choice(_PUSH_PAUSES))
+            pause = self.generator.choice(_PUSH_PAUSES)
+            await asyncio.sleep(_PUSH_PAUSES[0] if self.hurries else pause)
             await self.push()
             if self.generator.random() < 0.2:
                 await self.push_invalid()
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -13,6 +13,7 @@
 from mintcleat.adapters import http1_server
 from mintcleat.adapters import wal
 from mintcleat.consensus import lease
+from mintcleat.consensus import types
 from mintcleat.decisions import turn_admission
 from mintcleat.domain import errors
 from mintcleat.domain import identities
@@ -20,6 +21,9 @@
 from mintcleat.roles.control.replication import driver
 from mintcleat.roles.control.replication import replication
 
+# Voters promise a third of a second.
+_LONG_LEASE_SECONDS = 3.0
+
 
 class Reintroduced(NamedTuple):
     """A fault that the product avoids.
@@ -34,7 +38,7 @@
 
 
 def _lease_without_margin() -> None:
-    """The leader's lease counts from the arrival of an answer."""
+    """The lease outlasts the voters' promise, and counts from the answer."""
     acknowledge = lease.acknowledge
 
     def acknowledge_now(
@@ -42,7 +46,13 @@
     ) -> None:
         acknowledge(replica, sender, now, now)
 
+    def left_of_long_lease(replica: Any, now: float) -> float:
+        if replica.role != types.LEADER:
+            return 0.0
+        return lease.quorum_contact(replica) + _LONG_LEASE_SECONDS - now
+
     lease.acknowledge = acknowledge_now
+    lease.left = left_of_long_lease
 
 
 def _answer_before_commit() -> None:
