--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -36,6 +36,10 @@
 # Granted turns stop counting after their deadline.
 _TURN_TIMEOUT_SECONDS = 5.0
 _OBSERVED_SECONDS = 2.5
+# Losses of all entries under load. The first alone may come when only a part of
+# the slots is in use.
+_ENTRY_LOSSES = 2
+_BURST_START_SECONDS = 1.0
 _BURST_PROGRAMS = 24
 _SLOW_READERS = 8
 # Long enough that a buffer without a bound grows by more than its limit.
@@ -135,7 +139,7 @@
             self.log(f"{what} ends")
 
     async def _control(self, fault: schedule.Fault) -> None:
-        node = self.fleet.controls[fault.number % 3]
+        node = self._chosen_control(fault)
         kind = fault.kind
         if kind == "late_answers_leader":
             await self._answer_late()
@@ -150,6 +154,18 @@
             )
         await self._node(node, kind, fault.seconds, "")
 
+    def _chosen_control(self, fault: schedule.Fault) -> processes.Node:
+        controls = self.fleet.controls
+        return controls[fault.number % len(controls)]
+
+    def _tolerated_losses(self, fault: schedule.Fault) -> list[processes.Node]:
+        """Returns as many controls as may lose their disks at once."""
+        controls = self.fleet.controls
+        return [
+            controls[(fault.number + more) % len(controls)]
+            for more in range(len(controls) // 2)
+        ]
+
     async def _until_whole(self, fault: schedule.Fault) -> None:
         """Waits after a lost disk until all groups have three voters again."""
         if "disk" not in fault.kind:
@@ -168,35 +184,42 @@
         """
         leader = self.fleet.leader("config")
         with self._disturbance("", f"late answers to {leader.name}"):
+            self.callers.operator.hurries = True
             for step in range(1, _LATE_STEPS + 1):
                 leader.delay_incoming(_LATE_SECONDS * step / _LATE_STEPS)
                 await asyncio.sleep(_LATE_STEP_SECONDS)
             leader.hold_outgoing()
             await asyncio.sleep(_LATE_SECONDS + 1.0)
             leader.restore()
+            self.callers.operator.hurries = False
 
     async def _lose_disk_behind(self) -> None:
-        """Loses the disk of one of two controls that have the latest entries.
+        """Loses the disk of one of the controls that have the latest entries.
 
-        The third one lacks them. It and the one that lost its disk must not
-        form a majority.
+        Half of the followers lack them. They and the one that lost its disk
+        must not form a majority.
         """
         leader = self.fleet.leader("config")
-        behind, lost = [
-            node for node in self.fleet.controls if node is not leader
-        ]
-        what = f"loss of the disk of {lost.name} with {behind.name} behind"
+        others = [node for node in self.fleet.controls if node is not leader]
+        behind = others[: len(others) // 2]
+        lost, *latest = others[len(others) // 2 :]
+        names = ", ".join(node.name for node in behind)
+        what = f"loss of the disk of {lost.name} with {names} behind"
         with self._disturbance("", what):
-            behind.apply("silent")
+            for node in behind:
+                node.apply("silent")
             await asyncio.sleep(_BEHIND_SECONDS)
-            leader.kill()
-            lost.kill()
+            for node in (leader, lost, *latest):
+                node.kill()
             lost.wipe()
-            behind.drop_held()
-            behind.restore()
+            for node in behind:
+                node.drop_held()
+            for node in behind:
+                node.restore()
             lost.start()
             await asyncio.sleep(_WITHOUT_LEADER_SECONDS)
-            leader.start()
+            for node in (leader, *latest):
+                node.start()
             await self._until_started(leader)
 
     async def _node(
@@ -368,7 +391,7 @@
         )
 
     async def _lose_entries(self) -> None:
-        """Kills all entries, one after the other, during a burst.
+        """Kills all entries at once, several times, during a burst.
 
         The turns that they had running must stop counting. Otherwise turns
         wait although engines are idle.
@@ -380,11 +403,14 @@
         ]
         try:
             with self._disturbance("load", "loss of entries under load"):
-                for node in self.fleet.entries:
-                    await asyncio.sleep(0.5)
-                    node.kill()
-                    node.start()
-                    await self._until_started(node)
+                for _ in range(_ENTRY_LOSSES):
+                    await asyncio.sleep(_BURST_START_SECONDS)
+                    for node in self.fleet.entries:
+                        node.kill()
+                    for node in self.fleet.entries:
+                        node.start()
+                    for node in self.fleet.entries:
+                        await self._until_started(node)
                 await asyncio.sleep(_TURN_TIMEOUT_SECONDS)
                 await asyncio.sleep(_OBSERVED_SECONDS)
             now = time.monotonic()
@@ -398,8 +424,9 @@
         with self._disturbance("", f"loss of all processes, {fault.kind}"):
             for node in self.fleet.nodes.values():
                 node.kill()
-            if fault.kind == "lose_one_disk":
-                self.fleet.controls[fault.number % 3].wipe()
+            if fault.kind == "lose_disks":
+                for node in self._tolerated_losses(fault):
+                    node.wipe()
             await asyncio.sleep(fault.seconds)
             for node in self.fleet.nodes.values():
                 node.start()
