Upstreams compared for a stream and budgets by service in one place

The hash that selects a few upstreams was written three times and the budget of a service three times, so a reader had to check whether they agree. The callbacks of a move were closures within a function of 47 lines and are methods now. quiet_since was the end of a stall of this process, not of a quiet time. Why a stream's memory is less than its turn's total is stated.

--- a/src/mintcleat/decisions/attempt_timeout.py
+++ b/src/mintcleat/decisions/attempt_timeout.py
@@ -10,6 +10,8 @@
 waits until its deadline.
 """
 
+import collections
+
 from mintcleat.decisions import retry
 from mintcleat.domain import manifest
 
@@ -22,7 +24,9 @@
     """
 
     def __init__(self) -> None:
-        self.budgets: dict[str, retry.Budget] = {}
+        self.budgets: collections.defaultdict[str, retry.Budget] = (
+            collections.defaultdict(retry.Budget)
+        )
 
     def seconds(
         self,
@@ -52,7 +56,7 @@
 
     def allows(self, service: str) -> bool:
         """Returns whether the budget allows to give up another attempt."""
-        return self._budget(service).tokens >= 1.0
+        return self.budgets[service].tokens >= 1.0
 
     def expired(self, service: str, attempts: int) -> None:
         """Charges the budget for an attempt that was given up.
@@ -61,14 +65,8 @@
             service: Service of the request.
             attempts: Attempts of the request so far, this one included.
         """
-        self._budget(service).take(attempts)
+        self.budgets[service].take(attempts)
 
     def answered(self, service: str) -> None:
         """Counts an answer of the service."""
-        self._budget(service).succeeded()
-
-    def _budget(self, service: str) -> retry.Budget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = retry.Budget()
-        return budget
+        self.budgets[service].succeeded()
--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -226,6 +226,15 @@
     return found
 
 
+def compared(request: str, upstreams: Sequence[str]) -> list[str]:
+    """Returns the few upstreams that are compared for a request.
+
+    They follow from a hash of its id, so that entries which know the same load
+    don't all choose the same one.
+    """
+    return sorted(upstreams, key=lambda name: _rank(request, name))[:CHOICES]
+
+
 def _rank(key: str, upstream: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{upstream}".encode())
 
--- a/src/mintcleat/roles/entry/stream_backup.py
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -1,6 +1,6 @@
 """Chooses the upstreams that get backups of streams."""
 
-import xxhash
+import collections
 
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import retry
@@ -28,7 +28,13 @@
     ) -> None:
         self.configuration = configuration
         self.loads = loads
-        self.budgets: dict[str, retry.Budget] = {}
+        self.budgets: collections.defaultdict[str, retry.Budget] = (
+            collections.defaultdict(
+                lambda: retry.Budget(
+                    stream_backups.FRACTION, stream_backups.RESERVE
+                )
+            )
+        )
 
     def choose(
         self,
@@ -53,11 +59,7 @@
             return None
         if self.configuration.manifest().policies.stream_backups == "off":
             return None
-        budget = self.budgets.get(service_name)
-        if budget is None:
-            budget = self.budgets[service_name] = retry.Budget(
-                stream_backups.FRACTION, stream_backups.RESERVE
-            )
+        budget = self.budgets[service_name]
         budget.succeeded()
         may_resume = route.repeat == "resume" and route.attempts > 1
         completed = len(turn.chain) if turn else 0
@@ -89,12 +91,7 @@
             if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
             and not estimates.is_crowded(name)
         ]
-        names.sort(
-            key=lambda name: xxhash.xxh3_64_intdigest(
-                f"{call.request}|{name}".encode()
-            )
-        )
-        names = names[: load_balancing.CHOICES]
+        names = load_balancing.compared(call.request, names)
         if not names:
             return None
         return self.loads.known[min(names, key=estimates.load)]
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -5,10 +5,10 @@
 could continue elsewhere.
 """
 
+import collections
+import functools
 import math
 
-import xxhash
-
 from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import retry
@@ -41,9 +41,10 @@
 
     Attributes:
         streams: The streams, in the order in which they began.
+        is_scheduled: Whether a check is due.
         checked_at: Time of the last check.
-        quiet_since: End of the last stall of this process; silence before it
-            doesn't count.
+        stall_ended_at: End of the last stall of this process; silence before
+            it doesn't count.
         leaving_since: When an upstream was first seen to leave, by
             incarnation; only of upstreams with streams.
         copying: Number of moves in progress, by incarnation of the source.
@@ -68,10 +69,16 @@
         self.streams: dict[running_stream.RunningStream, None] = {}
         self.is_scheduled = False
         self.checked_at = 0.0
-        self.quiet_since = 0.0
+        self.stall_ended_at = 0.0
         self.leaving_since: dict[str, float] = {}
         self.copying: dict[str, int] = {}
-        self.move_budgets: dict[str, retry.Budget] = {}
+        self.move_budgets: collections.defaultdict[str, retry.Budget] = (
+            collections.defaultdict(
+                lambda: retry.Budget(
+                    stream_moves.FRACTION, stream_moves.RESERVE
+                )
+            )
+        )
 
     def add(self, stream: running_stream.RunningStream) -> None:
         """Watches a stream if it could continue elsewhere."""
@@ -80,7 +87,7 @@
             return
         if stream.service.moves:
             stream.may_move = True
-            self._budget(stream.service_name).succeeded()
+            self.move_budgets[stream.service_name].succeeded()
         if not (stream.may_move or stream.may_resume()):
             return
         self.streams[stream] = None
@@ -99,7 +106,7 @@
     def _check(self) -> None:
         now = self.timers.now()
         if now - self.checked_at > CHECK_SECONDS + MAX_DELAY_SECONDS:
-            self.quiet_since = now
+            self.stall_ended_at = now
         try:
             movable = []
             for stream in list(self.streams):
@@ -123,7 +130,7 @@
         relay = stream.relay
         if stream.silent_for or not relay.has_attempt_event:
             return
-        silent = now - max(relay.waiting_since, self.quiet_since)
+        silent = now - max(relay.waiting_since, self.stall_ended_at)
         if stream.move is not None and stream.move.is_stopping:
             self._check_stopped(stream, silent)
             return
@@ -190,6 +197,7 @@
     def _is_movable(
         self, stream: running_stream.RunningStream, now: float
     ) -> bool:
+        """Returns whether the state of a stream allows a move now."""
         relay = stream.relay
         return (
             stream.move is None
@@ -210,7 +218,7 @@
     ) -> None:
         """Starts the move of a stream if it pays."""
         stream.next_move_at = now + stream_moves.RETRY_SECONDS
-        budget = self._budget(stream.service_name)
+        budget = self.move_budgets[stream.service_name]
         if budget.tokens < 1.0:
             return
         if not stream_moves.has_capacity(
@@ -247,33 +255,11 @@
         destination: member_messages.Registration,
         plan: stream_moves.Plan,
     ) -> None:
+        """Starts a move, which takes a slot at its destination at once."""
         source = stream.upstream.incarnation
         request = stream.call.request
         self.copying[source] = self.copying.get(source, 0) + 1
         self.loads.reserve(destination.incarnation, request, stream.turn)
-
-        def cancelled(move: stream_move.StreamMove) -> None:
-            self.loads.ended(destination.incarnation, request)
-            if move.has_stopped() and not move.is_reported:
-                self._emit_failed(move, stream.relay.tokens)
-
-        def finish(move: stream_move.StreamMove) -> None:
-            self.copying[source] -= 1
-            if not self.copying[source]:
-                del self.copying[source]
-            is_moved = move.outcome is stream_move.Outcome.MOVED
-            if is_moved and not move.is_cancelled:
-                # The request's next attempt is there.
-                return
-            self.loads.ended(destination.incarnation, request)
-            if move.outcome is stream_move.Outcome.STAYED:
-                stream.move = None
-                stream.next_move_at = (
-                    self.timers.now() + stream_moves.RETRY_SECONDS
-                )
-            if move.is_cancelled or not move.has_stopped():
-                self._emit_failed(move, stream.relay.tokens)
-
         stream.moves += 1
         stream.move = stream_move.StreamMove(
             self.client,
@@ -283,11 +269,39 @@
             destination,
             reason,
             plan,
-            finish,
-            cancelled,
+            functools.partial(self._move_finished, stream),
+            functools.partial(self._move_cancelled, stream),
         )
         stream.move.start()
 
+    def _move_finished(
+        self, stream: running_stream.RunningStream, move: stream_move.StreamMove
+    ) -> None:
+        """Frees what a move has used when it has its outcome."""
+        source = move.source.incarnation
+        self.copying[source] -= 1
+        if not self.copying[source]:
+            del self.copying[source]
+        is_moved = move.outcome is stream_move.Outcome.MOVED
+        if is_moved and not move.is_cancelled:
+            # The slot at the destination is kept for the request's next
+            # attempt, which is there.
+            return
+        self.loads.ended(move.destination.incarnation, move.request)
+        if move.outcome is stream_move.Outcome.STAYED:
+            stream.move = None
+            stream.next_move_at = self.timers.now() + stream_moves.RETRY_SECONDS
+        if move.is_cancelled or not move.has_stopped():
+            self._emit_failed(move, stream.relay.tokens)
+
+    def _move_cancelled(
+        self, stream: running_stream.RunningStream, move: stream_move.StreamMove
+    ) -> None:
+        """Frees the slot of a move that the stream doesn't need any more."""
+        self.loads.ended(move.destination.incarnation, move.request)
+        if move.has_stopped() and not move.is_reported:
+            self._emit_failed(move, stream.relay.tokens)
+
     def _emit_failed(self, move: stream_move.StreamMove, tokens: int) -> None:
         """Reports a move after which the stream does not continue elsewhere."""
         move.is_reported = True
@@ -329,6 +343,8 @@
         most = stream.call.generation.max_tokens
         rates = self.loads.service_times(stream.service_name).rates
         return stream_moves.Progress(
+            # `turn.total` includes all tokens that may be generated; the
+            # memory holds those generated so far.
             stream.turn.total - stream.turn.generated + made,
             made // step,
             max(1.0, (most - made) / step) if most else math.inf,
@@ -356,10 +372,8 @@
             if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
             and not estimates.is_full(name)
         ]
-        # As for new requests, entries must not all choose the same one.
-        candidates.sort(key=lambda name: _rank(stream.call.request, name))
         best = None
-        for name in candidates[: load_balancing.CHOICES]:
+        for name in load_balancing.compared(stream.call.request, candidates):
             there = self.loads.known[name]
             gap_there = gap
             if rates is not None:
@@ -384,19 +398,8 @@
             return None
         return target - (now - stream.deadline.began)
 
-    def _budget(self, service: str) -> retry.Budget:
-        budget = self.move_budgets.get(service)
-        if budget is None:
-            budget = self.move_budgets[service] = retry.Budget(
-                stream_moves.FRACTION, stream_moves.RESERVE
-            )
-        return budget
-
 
 def _interrupt(stream: running_stream.RunningStream, silent: float) -> None:
+    """Ends a stream whose upstream sent nothing for `silent` seconds."""
     stream.silent_for = silent
     stream.answer.interrupt(f"it sent nothing for {silent:.2f} s")
-
-
-def _rank(request: str, upstream: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{request}|{upstream}".encode())
