Opening a turn and handling a failed attempt in steps

The handling of failures was in the middle of _run_once; why it returns while copies are left was not stated. commit didn't describe its arguments.

--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -159,17 +159,7 @@
         try:
             move = self._attempt(target, reply)
         except errors.MintcleatError as error:
-            self._attempt_failed(target, error)
-            if self.continuation.copies and (
-                target.copy is None or error.outcome == errors.NOT_RUN
-            ):
-                return False
-            if target.copy is not None:
-                error = self.continuation.failed(error)
-            self._check_retry(error)
-            self.continuation.expect_resume(upstream, error)
-            if self.deadline.is_refusable():
-                raise self.timeout_error() from error
+            self._handle_failure(target, error)
             return False
         except BaseException:
             # The caller disconnected, or the request timed out.
@@ -193,6 +183,27 @@
         self.context.attempt_timeouts.answered(self.service_name)
         return True
 
+    def _handle_failure(
+        self, target: _Target, error: errors.MintcleatError
+    ) -> None:
+        """Returns if the request is to be sent again after a failed attempt.
+
+        Raises:
+            errors.MintcleatError: The error for the caller.
+        """
+        self._attempt_failed(target, error)
+        if self.continuation.copies and (
+            target.copy is None or error.outcome == errors.NOT_RUN
+        ):
+            # The run continues from its memory, or from the next copy of it.
+            return
+        if target.copy is not None:
+            error = self.continuation.failed(error)
+        self._check_retry(error)
+        self.continuation.expect_resume(target.upstream, error)
+        if self.deadline.is_refusable():
+            raise self.timeout_error() from error
+
     def timeout_error(self) -> errors.MintcleatError:
         """Returns the error of a request whose deadline has passed."""
         if self.relay.head_sent:
@@ -213,6 +224,7 @@
         upstream: member_messages.Registration,
         verdict: evidence.Evidence,
     ) -> None:
+        """Records what an attempt's end tells about its upstream."""
         match verdict:
             case evidence.Evidence.FAILURE:
                 self.context.loads.failed(upstream)
@@ -259,11 +271,10 @@
         turn = self.relay.turn
         body = turn.body() if turn else self.call.body
         self.deadline.limit_response()
-        if target.copy is None:
-            self.attempts += 1
         self.relay.upstream = upstream
         backup = None
         if target.copy is None:
+            self.attempts += 1
             backup = self.context.backups.choose(
                 self.call,
                 self.route,
@@ -287,7 +298,19 @@
             self.continuation.accepted()
         if target.placement is not None:
             self.tokens = target.placement.turn
-        stream = running_stream.RunningStream(
+        stream = self._stream(upstream, answer)
+        stream.backup = backup
+        if target.copy is not None:
+            stream.next_move_at = self.now + stream_moves.RETRY_SECONDS
+        return self._relay(stream, reply)
+
+    def _stream(
+        self,
+        upstream: member_messages.Registration,
+        answer: forwarding.UpstreamResponse,
+    ) -> running_stream.RunningStream:
+        """Returns the stream that an attempt relays."""
+        return running_stream.RunningStream(
             self.call,
             self.route,
             self.service_name,
@@ -302,10 +325,6 @@
             self.moves,
             self.silence_timeout,
         )
-        stream.backup = backup
-        if target.copy is not None:
-            stream.next_move_at = self.now + stream_moves.RETRY_SECONDS
-        return self._relay(stream, reply)
 
     def _relay(
         self,
@@ -400,6 +419,7 @@
     def _attempt_failed(
         self, target: _Target, error: errors.MintcleatError
     ) -> None:
+        """Records and reports a failed attempt."""
         upstream = target.upstream
         if error.outcome == errors.NOT_RUN and target.copy is None:
             self.attempts -= 1
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -146,6 +146,7 @@
             errors.Overloaded: The turn was refused or waited for too long.
             errors.ShareExceeded: The turn was refused, and its customer is
                 over its share.
+            errors.LimitReached: The customer is over its rate limit.
             errors.BudgetExhausted: The rest of the budget is too small.
             errors.UnknownTurn: The previous turn doesn't exist.
             errors.ControlUnavailable: No leader answered in time.
@@ -155,14 +156,7 @@
         known = branches.chain_of(
             self.chains.turns, call.customer, program.previous
         )
-        limit = self.rate_limiter.limit_of(call.customer)
-        if limit and not self.rate_limiter.shares_group(
-            call.customer, program.program
-        ):
-            self.rate_limiter.admit(
-                call.customer, program.program, call.request
-            )
-            limit = None
+        limit = self._limit_in_group(call)
         began = self.timers.now()
         ahead = 0
         if limit:
@@ -176,11 +170,10 @@
             program.budget,
             reserve,
             retention,
-            known is not None,
-            None,
-            call.customer,
-            limit,
-            ahead,
+            has_chain=known is not None,
+            customer=call.customer,
+            limit=limit,
+            ahead=ahead,
         )
         try:
             reply, reported = self._ask_for_grant(
@@ -197,16 +190,7 @@
             chain = reply.chain
             for kept in chain:
                 self.chains.put(kept)
-        self.events.emit(
-            event_types.TurnOpened(
-                call.request,
-                program.program,
-                reserve,
-                len(chain),
-                reply.upstream,
-                round(self.timers.now() - began, 4),
-            )
-        )
+        self._emit_opened(call, reserve, len(chain), reply.upstream, began)
         return OpenedTurn(
             call,
             retention,
@@ -217,6 +201,25 @@
             reply.failing,
         )
 
+    def _limit_in_group(
+        self, call: routed_calls.RoutedCall
+    ) -> program_messages.RateLimit | None:
+        """Returns the limit that the program's group counts a turn against.
+
+        If another group holds the customer's limit, the turn is counted there
+        at once, and None is returned.
+
+        Raises:
+            errors.LimitReached: The customer is over its limit.
+            errors.ControlUnavailable: The group that counts didn't answer.
+        """
+        program = call.program.program
+        limit = self.rate_limiter.limit_of(call.customer)
+        if limit and not self.rate_limiter.shares_group(call.customer, program):
+            self.rate_limiter.admit(call.customer, program, call.request)
+            return None
+        return limit
+
     def _ask_for_grant(
         self,
         call: routed_calls.RoutedCall,
@@ -272,6 +275,13 @@
     ) -> None:
         """Commits a complete turn, so that later turns can continue it.
 
+        Args:
+            turn: The turn.
+            tokens: Tokens that were sent to the caller.
+            upstream: Incarnation of the upstream that ran it.
+            output: The answer, as later turns repeat it.
+            running: Report of this entry's requests; None for no report.
+
         Raises:
             errors.MintcleatError: The commit failed or its result is unknown.
         """
@@ -324,6 +334,7 @@
                 the customer's limit.
         """
         counted_at = -1.0 if ran else turn.counted_at
+        # No upstream counts the turn as running any more.
         self.ending[_ended_turn(turn.call)] = ""
         self.timers.spawn(
             self._settle,
@@ -371,6 +382,25 @@
             self.ending.pop(_ended_turn(call), None)
         self._emit_settled(call, tokens, False, began)
 
+    def _emit_opened(
+        self,
+        call: routed_calls.RoutedCall,
+        reserve: int,
+        chain_length: int,
+        upstream: str,
+        began: float,
+    ) -> None:
+        self.events.emit(
+            event_types.TurnOpened(
+                call.request,
+                call.program.program,
+                reserve,
+                chain_length,
+                upstream,
+                round(self.timers.now() - began, 4),
+            )
+        )
+
     def _emit_settled(
         self,
         call: routed_calls.RoutedCall,
