Names and reasons in admission and in streams that are lost

RECENT_SECONDS and EntryReports.left didn't say what they are for, and it was not stated why turns that were named as ended stay in the report, why demand is counted once, or why silence is ignored before the speed is known. _expire also cleaned up. The report of a lost stream was written twice.

--- a/src/mintcleat/decisions/granted_turns.py
+++ b/src/mintcleat/decisions/granted_turns.py
@@ -166,7 +166,9 @@
             return None
         self._expiries.remove((ended.turn.expires, key))
         if not ended.reported:
-            self.reports.left(ended.turn.ask.entry)
+            # The entry's last report may still count it. One that names a turn
+            # as ended leaves it out already.
+            self.reports.remove_from_report(ended.turn.ask.entry)
         return ended
 
     def expire(self, now: float, limit: float) -> list[EndedTurn]:
--- a/src/mintcleat/decisions/priority_classes.py
+++ b/src/mintcleat/decisions/priority_classes.py
@@ -24,7 +24,8 @@
 _MAX_VALUES = 256
 # Time between two computations of the classes, and the part of the counts that
 # is kept over it: values are forgotten within a few minutes, far longer than
-# programs take, so that the classes don't follow random bursts.
+# programs take, so that the classes don't follow random bursts. A count below
+# the last constant is dropped.
 _REFRESH_SECONDS = 1.0
 _KEPT_FRACTION = 0.98
 _MIN_COUNT = 0.05
@@ -61,6 +62,7 @@
         return self.classes[max(0, position - 1)]
 
     def _refresh(self) -> None:
+        """Decays the counts and divides the priorities into classes."""
         self.counts = {
             priority: count * _KEPT_FRACTION
             for priority, count in self.counts.items()
--- a/src/mintcleat/decisions/reported_turns.py
+++ b/src/mintcleat/decisions/reported_turns.py
@@ -62,8 +62,8 @@
             del self.granted[entry]
         self._update(entry)
 
-    def left(self, entry: str) -> None:
-        """Removes a turn from the last report of an entry."""
+    def remove_from_report(self, entry: str) -> None:
+        """Subtracts an ended turn from what an entry last reported to run."""
         if entry in self.reports:
             at, running = self.reports[entry]
             self.reports[entry] = (at, max(0, running - 1))
--- a/src/mintcleat/decisions/stream_moves.py
+++ b/src/mintcleat/decisions/stream_moves.py
@@ -158,22 +158,22 @@
     return left * gap > stops_in
 
 
-def pays(found: Plan, allowed_pause: float, target_left: float | None) -> bool:
+def pays(move: Plan, allowed_pause: float, target_left: float | None) -> bool:
     """Returns whether a stream is moved off an upstream that is slow.
 
     Args:
-        found: The move.
+        move: The move.
         allowed_pause: Longest good pause between events of the route.
         target_left: Seconds to the target of the program; None without one,
             which needs no move.
     """
-    if target_left is None or found.total > target_left:
+    if target_left is None or move.total > target_left:
         return False
-    gain = found.stay - found.total
+    gain = move.stay - move.total
     return (
-        found.pause <= allowed_pause
-        and gain >= max(MIN_GAIN_SECONDS, MIN_GAIN_FRACTION * found.stay)
-        and found.stay > TARGET_FRACTION * target_left
+        move.pause <= allowed_pause
+        and gain >= max(MIN_GAIN_SECONDS, MIN_GAIN_FRACTION * move.stay)
+        and move.stay > TARGET_FRACTION * target_left
     )
 
 
--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -257,9 +257,12 @@
         return ask._replace(demand=demand)
 
     def _arrive(self, ask: turn_queue.Ask, now: float) -> turn_queue.Waiter:
+        """Adds a new turn to the queue; counts its work as demand."""
         demand = ask.demand
         customer = ask.key.customer
         self.capacities.observe_turn(demand.tokens)
+        # The work of a program whose first turn waited or was refused has been
+        # counted then.
         if turn_measurements.program_key(ask) not in (
             self.refusals.first_attempts.attempts
         ):
@@ -341,7 +344,7 @@
         later_turns = programs * (expected.turns - 1)
         wait = self._predicted_wait(ahead + 1 + later_turns)
         if self.ranks.is_held_back(waiter.rank, now):
-            wait = max(wait, turn_ranks.RECENT_SECONDS)
+            wait = max(wait, turn_ranks.HOLD_BACK_SECONDS)
         outlook = turn_refusals.Outlook(
             self._waited(waiter, now),
             self.pauses.awake(first.at, now),
@@ -408,7 +411,8 @@
         wait = self._predicted_wait(ahead)
         retry_after = min(wait, turn_decisions.MAX_RETRY_SECONDS)
         if ask.first:
-            # So that a refusal for waiting too long comes at once.
+            # It asks again when its longest wait ends, so that a refusal for
+            # waiting too long isn't late.
             waited = self._waited(waiter, now)
             retry_after = min(
                 retry_after, turn_refusals.max_wait(ask.demand) - waited
@@ -463,19 +467,26 @@
             self.ranks.refused(waiter.rank, now)
 
     def _expire(self, now: float, limit: float = _MAX_EXPIRED) -> None:
-        if now >= self._clean_up_at:
-            self._clean_up_at = now + _CLEAN_UP_SECONDS
-            self.queue.clock.drop_idle()
-            self.ranks.forget(self.queue.waiters.values())
+        """Removes at most `limit` turns each that are lost or timed out."""
+        self._clean_up(now)
         self.lost += self.queue.drop_lost(now, limit, self.pauses)
         for ended in self.turns.expire(now, limit):
             self.measurements.ended(ended, 0, False, self.capacity(), now)
 
+    def _clean_up(self, now: float) -> None:
+        """Removes what idle customers and ranks leave; does so seldom."""
+        if now < self._clean_up_at:
+            return
+        self._clean_up_at = now + _CLEAN_UP_SECONDS
+        self.queue.clock.drop_idle()
+        self.ranks.forget(self.queue.waiters.values())
+
     def _drop_silent(self, now: float) -> None:
         """Stops counting the turns of silent entries.
 
-        Only messages lead to it: an instance that no longer leads hears from
-        no entry.
+        Not before the speed of the service is known: without the time that
+        turns take, an entry with long turns would seem silent. Only messages
+        lead to it: an instance that no longer leads hears from no entry.
         """
         measured = self.measurements
         if not measured.known():
--- a/src/mintcleat/decisions/turn_ranks.py
+++ b/src/mintcleat/decisions/turn_ranks.py
@@ -21,7 +21,7 @@
 GUARANTEED_INTERVAL = 16
 # Time for which less urgent programs are held back after a more urgent one was
 # refused, so that the retry of the latter comes first.
-RECENT_SECONDS = 0.3
+HOLD_BACK_SECONDS = 0.3
 # Ranks and urgencies beyond which those without waiting turns are forgotten.
 # With three classes of customers there can be ten routes of different priority.
 _MAX_RANKS = 128
@@ -68,11 +68,14 @@
         return self.passed.get(rank, 0) >= GUARANTEED_INTERVAL
 
     def is_held_back(self, rank: turn_queue.Rank, now: float) -> bool:
-        """Returns whether a more urgent program was refused just now."""
+        """Returns whether a more urgent program was refused just now.
+
+        Turns of programs in progress are never held back.
+        """
         if rank.stage == turn_queue.IN_PROGRESS:
             return False
         return any(
-            urgency < rank.urgency and now - at < RECENT_SECONDS
+            urgency < rank.urgency and now - at < HOLD_BACK_SECONDS
             for urgency, at in self.refused_at.items()
         )
 
--- a/src/mintcleat/roles/entry/run_continuation.py
+++ b/src/mintcleat/roles/entry/run_continuation.py
@@ -117,32 +117,24 @@
         """
         move = self.move
         self.copies = []
-        if move is not None and not move.is_reported:
-            move.is_reported = True
-            self.relay.on_first_event = None
-            self.events.continued(
-                move.source.upstream,
-                move.destination.upstream,
-                move.reason,
-                "lost",
-                0.0,
-                self.relay.tokens,
-                error.detail,
-            )
         if move is not None:
+            if not move.is_reported:
+                move.is_reported = True
+                self._report_lost(
+                    move.source.upstream,
+                    move.destination.upstream,
+                    move.reason,
+                    error,
+                )
             # A run that is resumed may be moved again.
             move.cancel()
             self.move = None
         if self.backup is not None:
-            self.relay.on_first_event = None
-            self.events.continued(
+            self._report_lost(
                 self.backup.source,
                 self.backup.destination,
                 "interrupted",
-                "lost",
-                0.0,
-                self.relay.tokens,
-                error.detail,
+                error,
             )
             self.backup = None
         if error.outcome != errors.NOT_RUN:
@@ -151,6 +143,32 @@
             f"The stream could not continue elsewhere: {error.detail}"
         )
 
+    def _report_lost(
+        self,
+        source: str,
+        destination: str,
+        reason: str,
+        error: errors.MintcleatError,
+    ) -> None:
+        """Reports a stream that could not continue from its copied memory.
+
+        Args:
+            source: Name of the upstream that sent the stream so far.
+            destination: Name of the upstream that should have continued it.
+            reason: See `events.StreamContinued`.
+            error: Why it could not.
+        """
+        self.relay.on_first_event = None
+        self.events.continued(
+            source,
+            destination,
+            reason,
+            "lost",
+            0.0,
+            self.relay.tokens,
+            error.detail,
+        )
+
     def expect_resume(
         self,
         upstream: member_messages.Registration,
