Copies of a run: errors and reasons; tokens are counted in one place

_exchange and StreamMove._call didn't state their errors, and it was not clear why a 503 for a continued run is an error of its own or why a copy needs a handle. reserve and began counted tokens with the same lines. The attribute callers of CallerIndex read as callers.callers and is by_key now.

--- a/src/mintcleat/decisions/customers.py
+++ b/src/mintcleat/decisions/customers.py
@@ -31,12 +31,12 @@
 
     Attributes:
         required: Whether a request without a key is refused.
-        callers: Callers by the digest of each of their keys.
+        by_key: Callers by the digest of each of their keys.
     """
 
     def __init__(self, policies: manifest.Policies) -> None:
         self.required = policies.require_keys
-        self.callers = {
+        self.by_key = {
             digest: Caller(name, customer.priority)
             for name, customer in policies.customers.items()
             for digest in customer.keys
@@ -48,4 +48,4 @@
         Args:
             key: Digest of the key; empty if none was sent.
         """
-        return self.callers.get(key, UNKNOWN_CALLER)
+        return self.by_key.get(key, UNKNOWN_CALLER)
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -62,6 +62,7 @@
                 request.body,
             )
             head = _read_head(connection, call.request)
+            # The run was not continued, so the next copy of it can be tried.
             if request.copy is not None and head.status == _NO_CAPACITY:
                 raise errors.UpstreamBusy(
                     f"Upstream {upstream.upstream} has no copy {request.copy} "
@@ -92,6 +93,7 @@
         handle = _handle_of(fields)
         made = fields.get("made", 0)
         found = _COPY_STATUS.get(status)
+        # A copy without a handle could be neither continued nor freed.
         if found is None or (status in _SUCCESS and not handle):
             raise errors.StreamClosed(
                 f"Expected an answer on a copy from {upstream.upstream}, but "
@@ -230,6 +232,10 @@
 
     Returns:
         Status and body of the response.
+
+    Raises:
+        errors.NoUpstream: The upstream has not received the request.
+        errors.StreamClosed: No complete response came, or it is too long.
     """
     headers = [
         ("host", upstream.address),
--- a/src/mintcleat/roles/entry/authentication.py
+++ b/src/mintcleat/roles/entry/authentication.py
@@ -88,7 +88,7 @@
         callers = self.callers
         if not key and (public or not callers.required):
             return customers.UNKNOWN_CALLER
-        if not callers.required and not callers.callers:
+        if not callers.required and not callers.by_key:
             # No customer has a key, so that none can be right or wrong.
             return customers.UNKNOWN_CALLER
         if self.configuration.key_seconds() <= 0:
--- a/src/mintcleat/roles/entry/stream_move.py
+++ b/src/mintcleat/roles/entry/stream_move.py
@@ -58,6 +58,7 @@
         source: Upstream that runs it.
         destination: Upstream that shall continue it.
         reason: Why it is moved: `leaving` or `slow`.
+        plan: Its expected times.
         is_stopping: Whether the source may have been told to stop the run.
         outcome: How it ended; None before.
         detail: Why it failed; empty if it didn't.
@@ -65,6 +66,7 @@
         is_cancelled: Whether the stream doesn't need it any more.
         is_used: Whether an upstream has continued the run from the copy.
         is_reported: Whether there is an event on its result.
+        finished: Set when it has its outcome; green threads wait for it.
     """
 
     def __init__(
@@ -116,7 +118,10 @@
         self.timers.spawn(self._run)
 
     def wait(self) -> None:
-        """Waits for the outcome, at most for the time of a call."""
+        """Waits for the outcome.
+
+        Once the move is stopping, this takes at most the time of one call.
+        """
         if self.outcome is None:
             self.finished.wait()
 
@@ -143,6 +148,7 @@
         return [(self.source, copy)]
 
     def _run(self) -> None:
+        """Makes the move; sets and reports its outcome even if it fails."""
         outcome = Outcome.UNKNOWN
         try:
             outcome = self._move()
@@ -157,6 +163,7 @@
                 self._free()
 
     def _move(self) -> Outcome:
+        """Has the memory copied while the run goes on, then the run stopped."""
         try:
             for _ in range(self.plan.rounds):
                 reply = self._call(self.plan.copy, stop=False)
@@ -199,6 +206,12 @@
                 return Outcome.STAYED
 
     def _call(self, seconds: float, stop: bool) -> routed_calls.CopyReply:
+        """Requests one copy, which is planned to take some seconds.
+
+        Raises:
+            errors.MintcleatError: See `ports.forwarding.UpstreamClient`.
+            CallTimeout: It took much longer than planned.
+        """
         limit = TIMEOUT_FACTOR * seconds + TIMEOUT_SECONDS
         with eventlet.Timeout(limit, CallTimeout):
             return self.client.copy_run(
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -246,11 +246,7 @@
         expected to arrive meanwhile. `began` or `ended` must follow.
         """
         self.requests.began(incarnation, request, math.inf, self.timers.now())
-        if turn.total:
-            tokens = self.tokens.setdefault(
-                incarnation, engine_memory.RunningTokens()
-            )
-            tokens.add(request, turn)
+        self._add_tokens(incarnation, request, turn)
 
     def _choose_by_count(
         self,
@@ -402,18 +398,24 @@
         self.requests.began(incarnation, request, silence_timeout, now)
         if placement is None or not self.policy.turn_time:
             return
-        if placement.turn.total:
-            tokens = self.tokens.get(incarnation)
-            if tokens is None:
-                tokens = engine_memory.RunningTokens()
-                self.tokens[incarnation] = tokens
-            tokens.add(request, placement.turn)
+        self._add_tokens(incarnation, request, placement.turn)
         if incarnation not in self.known:
             return
         self.times.upstream(placement.upstream.service, incarnation).began(
             request, placement.uncached, placement.load, now
         )
 
+    def _add_tokens(
+        self, incarnation: str, request: str, turn: engine_memory.TurnTokens
+    ) -> None:
+        """Counts what a request holds in memory; nothing if it is unknown."""
+        if not turn.total:
+            return
+        tokens = self.tokens.get(incarnation)
+        if tokens is None:
+            tokens = self.tokens[incarnation] = engine_memory.RunningTokens()
+        tokens.add(request, turn)
+
     def arrived(self, incarnation: str) -> None:
         """Records that data arrived, or could have but for a slow caller."""
         if incarnation not in self.known:
--- a/testing/test_authentication.py
+++ b/testing/test_authentication.py
@@ -254,4 +254,4 @@
             msgspec.structs.replace(base, customers=many)
         )
         self.assertEqual("c4199", register.find(keys.digest("4199")).customer)
-        self.assertEqual(4200, len(register.callers))
+        self.assertEqual(4200, len(register.by_key))
