Budgets say whether they allow a retry, in one place

Whether a budget has a retry left was compared with 1.0 in four places, and take(0) didn't say why a move or a backup has no attempts. It looked like a mistake that a stream without a backup earns a part of one.

--- a/src/mintcleat/decisions/attempt_timeout.py
+++ b/src/mintcleat/decisions/attempt_timeout.py
@@ -56,7 +56,7 @@
 
     def allows(self, service: str) -> bool:
         """Returns whether the budget allows to give up another attempt."""
-        return self.budgets[service].tokens >= 1.0
+        return self.budgets[service].allows()
 
     def expired(self, service: str, attempts: int) -> None:
         """Charges the budget for an attempt that was given up.
--- a/src/mintcleat/decisions/fair_shares.py
+++ b/src/mintcleat/decisions/fair_shares.py
@@ -165,7 +165,8 @@
     def rate(self, customer: str, now: float) -> float:
         """Returns the tokens per second that a customer over its share gets.
 
-        These are what it is entitled to, or what it is lent beyond that.
+        These are what it is entitled to, or what it is lent beyond that; 0 for
+        a customer without usage.
         """
         self.refresh(now)
         usage = self.usages.get(customer)
--- a/src/mintcleat/decisions/retry.py
+++ b/src/mintcleat/decisions/retry.py
@@ -35,13 +35,18 @@
         """Counts a call that succeeded."""
         self.tokens = min(self.reserve, self.tokens + self.fraction)
 
-    def take(self, attempts: int) -> bool:
+    def allows(self) -> bool:
+        """Returns whether a retry is available."""
+        return self.tokens >= 1.0
+
+    def take(self, attempts: int = 0) -> bool:
         """Returns whether a call may be retried; if so, spends the retry.
 
         Args:
-            attempts: Attempts of the call so far.
+            attempts: Attempts of the call so far; 0 for what is limited by the
+                budget alone, such as moves and backups of streams.
         """
-        if attempts >= MAX_ATTEMPTS or self.tokens < 1.0:
+        if attempts >= MAX_ATTEMPTS or not self.allows():
             return False
         self.tokens -= 1.0
         return True
--- a/src/mintcleat/roles/entry/stream_backup.py
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -60,18 +60,19 @@
         if self.configuration.manifest().policies.stream_backups == "off":
             return None
         budget = self.budgets[service_name]
+        # Each stream earns a fraction of a backup, whether it has one or not.
         budget.succeeded()
         may_resume = route.repeat == "resume" and route.attempts > 1
         completed = len(turn.chain) if turn else 0
-        if budget.tokens < 1.0 or not stream_backups.is_worthwhile(
-            may_resume, completed
-        ):
+        if not stream_backups.is_worthwhile(may_resume, completed):
+            return None
+        if not budget.allows():
             return None
         if not stream_moves.has_capacity(*self.loads.total_slots(service_name)):
             return None
         found = self._destination(call, service_name, service, tried)
         if found is not None:
-            budget.take(0)
+            budget.take()
         return found
 
     def _destination(
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -219,7 +219,7 @@
         """Starts the move of a stream if it pays."""
         stream.next_move_at = now + stream_moves.RETRY_SECONDS
         budget = self.move_budgets[stream.service_name]
-        if budget.tokens < 1.0:
+        if not budget.allows():
             return
         if not stream_moves.has_capacity(
             *self.loads.total_slots(stream.service_name)
@@ -245,7 +245,7 @@
             plan, stream.route.target_gap, self._target_left(stream, now)
         ):
             return
-        budget.take(0)
+        budget.take()
         self._start(stream, reason, destination, plan)
 
     def _start(
