--- a/src/mintcleat/decisions/load_balancing.py
+++ b/src/mintcleat/decisions/load_balancing.py
@@ -186,6 +186,15 @@
     return Choice(best, LEAST)
 
 
+def compared_upstreams(request: str, upstreams: Sequence[str]) -> list[str]:
+    """Returns the few upstreams that are compared for a request.
+
+    They follow from a hash of its id, so that entries which know the same load
+    don't all choose the same one.
+    """
+    return sorted(upstreams, key=lambda name: _rank(request, name))[:CHOICES]
+
+
 def _keeps_affinity(ranked: Sequence[str], estimates: Estimates) -> bool:
     """Returns whether the first upstream is free and hardly busier than any."""
     loads = [estimates.load(name) for name in ranked]
@@ -226,15 +235,6 @@
     return found
 
 
-def compared(request: str, upstreams: Sequence[str]) -> list[str]:
-    """Returns the few upstreams that are compared for a request.
-
-    They follow from a hash of its id, so that entries which know the same load
-    don't all choose the same one.
-    """
-    return sorted(upstreams, key=lambda name: _rank(request, name))[:CHOICES]
-
-
 def _rank(key: str, upstream: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{upstream}".encode())
 
--- a/src/mintcleat/roles/entry/stream_backup.py
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -92,7 +92,7 @@
             if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
             and not estimates.is_crowded(name)
         ]
-        names = load_balancing.compared(call.request, names)
+        names = load_balancing.compared_upstreams(call.request, names)
         if not names:
             return None
         return self.loads.known[min(names, key=estimates.load)]
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -373,7 +373,9 @@
             and not estimates.is_full(name)
         ]
         best = None
-        for name in load_balancing.compared(stream.call.request, candidates):
+        for name in load_balancing.compared_upstreams(
+            stream.call.request, candidates
+        ):
             there = self.loads.known[name]
             gap_there = gap
             if rates is not None:
