Reintroduced faults fit the product's present modules again

Two faults named functions that the split of the driver and of admission moved: answer_before_commit raised AttributeError when it was installed, so that processes ended at their start, and slot_not_released called drop_lost and EntryReports.expire without the pauses. Turns have two more ways to stop counting since; slot_not_released now prevents these, too. Replacements are checked for name and parameters when they are installed, which a test does for each fault. No soak run was made with the adapted faults.

--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -1,9 +1,13 @@
 """Known faults that are put back at run time, to show that the soak finds them.
 
-Each is patched into a process by `launch`; the product has no hook for them.
+Each replaces functions of a process that `launch` starts; the product has no
+hook for them. `_replace` raises an exception if a function was renamed or
+moved, because the check that a process ends by itself would then find any
+fault.
 """
 
 from collections.abc import Callable
+import inspect
 from typing import Any
 from typing import NamedTuple
 
@@ -14,14 +18,14 @@
 from mintcleat.adapters import wal
 from mintcleat.consensus import lease
 from mintcleat.consensus import types
-from mintcleat.decisions import turn_admission
+from mintcleat.decisions import granted_turns
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.platform import upstreams
-from mintcleat.roles.control.replication import driver
+from mintcleat.roles.control.replication import application
 from mintcleat.roles.control.replication import replication
 
-# Voters promise a third of a second.
+# Far longer than the third of a second for which voters elect nobody else.
 _LONG_LEASE_SECONDS = 3.0
 
 
@@ -37,6 +41,21 @@
     rules: frozenset[str]
 
 
+def _replace(owner: Any, name: str, function: Callable) -> None:
+    """Replaces a function of a module or class.
+
+    Raises:
+        AttributeError: There is none of this name.
+        TypeError: Its parameters differ, so that the replacement would fail
+            where the fault should show.
+    """
+    old = list(inspect.signature(getattr(owner, name)).parameters)
+    new = list(inspect.signature(function).parameters)
+    if old != new:
+        raise TypeError(f"{name} has the parameters {old}, not {new}.")
+    setattr(owner, name, function)
+
+
 def _lease_without_margin() -> None:
     """The lease outlasts the voters' promise, and counts from the answer."""
     acknowledge = lease.acknowledge
@@ -51,14 +70,14 @@
             return 0.0
         return lease.quorum_contact(replica) + _LONG_LEASE_SECONDS - now
 
-    lease.acknowledge = acknowledge_now
-    lease.left = left_of_long_lease
+    _replace(lease, "acknowledge", acknowledge_now)
+    _replace(lease, "left", left_of_long_lease)
 
 
 def _answer_before_commit() -> None:
     """The leader answers a proposal before a majority has it."""
     results: dict[tuple[str, int, int], Any] = {}
-    apply_one = driver.Driver._apply_one
+    apply_one = application._apply_one
 
     def propose(self: Any, group: str, command: bytes, timeout: float) -> Any:
         running = self._running(group)
@@ -68,23 +87,21 @@
         if ticket is None:
             raise errors.NotLeader(self._other_leader(group))
         term, index = ticket
-        result = running.machines[group].apply(index, command)
+        result = self.machines[group].apply(index, command)
         results[group, term, index] = result
         running.wake()
         if isinstance(result, errors.MintcleatError):
             raise result
         return result
 
-    def apply_unless_applied(
-        self: Any, group: str, machine: Any, entry: Any
-    ) -> Any:
+    def apply_unless_applied(group: str, machine: Any, entry: Any) -> Any:
         key = group, entry.term, entry.index
         if key in results:
             return results.pop(key)
-        return apply_one(self, group, machine, entry)
+        return apply_one(group, machine, entry)
 
-    replication.GroupLog.propose = propose
-    driver.Driver._apply_one = apply_unless_applied
+    _replace(replication.GroupLog, "propose", propose)
+    _replace(application, "_apply_one", apply_unless_applied)
 
 
 def _identity_outlives_disk() -> None:
@@ -94,30 +111,45 @@
     def open_as_before(self: Any, node: identities.Incarnation) -> Any:
         return open_log(self, identities.Incarnation(node.instance, 1))
 
-    wal.FileWal.open = open_as_before
+    _replace(wal.FileWal, "open", open_as_before)
 
 
 def _slot_not_released() -> None:
     """A granted turn counts as running until its CloseTurn arrives."""
 
-    def expire_waiting(self: Any, now: float, limit: float = 32) -> None:
-        self.reports.expire(now)
-        self.lost += self.queue.drop_lost(now, limit)
+    def expire_reports(
+        self: Any, now: float, limit: float
+    ) -> list[granted_turns.EndedTurn]:
+        del limit  # No turn is removed.
+        self.reports.expire(now, self.pauses)
+        return []
 
-    turn_admission.ServiceSchedule._expire = expire_waiting
+    def keep_ended(self: Any, entry: Any, keys: Any, now: float) -> None:
+        del self, entry, keys, now
+
+    def keep_silent(
+        self: Any, now: float, seconds: float, limit: float
+    ) -> None:
+        del self, now, seconds, limit
+
+    _replace(granted_turns.GrantedTurns, "expire", expire_reports)
+    _replace(granted_turns.GrantedTurns, "report_ended", keep_ended)
+    _replace(granted_turns.GrantedTurns, "drop_silent", keep_silent)
 
 
 def _refused_but_runs() -> None:
     """A request without a response counts as not run."""
     send = upstreams.HttpUpstreamClient.send
 
-    def send_or_refuse(self: Any, *arguments: Any) -> Any:
+    def send_or_refuse(
+        self: Any, upstream: Any, call: Any, request: Any
+    ) -> Any:
         try:
-            return send(self, *arguments)
+            return send(self, upstream, call, request)
         except errors.StreamClosed as error:
             raise errors.NoUpstream(error.detail) from error
 
-    upstreams.HttpUpstreamClient.send = send_or_refuse
+    _replace(upstreams.HttpUpstreamClient, "send", send_or_refuse)
 
 
 def _unbounded_buffer() -> None:
@@ -149,7 +181,7 @@
         pending[self] = [data]
         eventlet.spawn(send_all, self)
 
-    http1_server.Connection._send_bytes = send_bytes
+    _replace(http1_server.Connection, "_send_bytes", send_bytes)
 
 
 FAULTS = {
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -38,6 +38,19 @@
     return [violation.rule for violation in checks.violations]
 
 
+def _run_python(code: str) -> subprocess.CompletedProcess:
+    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+    return subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60.0,
+    )
+
+
 def test_seeded_run_breaks_no_promise() -> None:
     # Guards against whatever the product's processes do wrong only together:
     # while they are killed, paused, cut off, stopped, and lose disks.
@@ -199,3 +212,41 @@
 def test_each_reintroduced_fault_names_the_rules_that_find_it() -> None:
     for name, fault in reintroduced.FAULTS.items():
         assert fault.rules, name
+
+
+@pytest.mark.parametrize("name", reintroduced.FAULTS)
+def test_reintroduced_fault_fits_the_product(name: str) -> None:
+    # Guards against a fault that replaces a function which was renamed or
+    # moved: its process would end at its start and the fault would never be
+    # tried. The replacement stays in a process of its own.
+    done = _run_python(f"""
+from testing.soak import reintroduced
+reintroduced.FAULTS[{name!r}].install()
+""")
+    assert done.returncode == 0, done.stderr
+
+
+def test_turn_counts_until_its_close_with_the_fault_slot_not_released() -> None:
+    # Guards against another way in which a turn stops counting: the fault would
+    # be without effect.
+    done = _run_python("""
+from mintcleat.decisions import turn_admission
+from mintcleat.decisions import turn_queue
+from mintcleat.domain import program_messages
+from testing.soak import reintroduced
+
+reintroduced.FAULTS["slot_not_released"].install()
+demand = program_messages.TurnDemand(
+    "lm", "turns", 0, 1.0, 1000, 2.0, 0.0, 10, 0, timeout=3.0
+)
+schedule = turn_admission.ServiceSchedule()
+key = turn_queue.TurnKey("anna", "t1")
+schedule.ask(turn_queue.Ask(key, "p1", True, "e1", 900, demand), 0.0)
+ended = demand._replace(ended=[("anna", "t1")])
+other = turn_queue.TurnKey("anna", "t2")
+schedule.ask(turn_queue.Ask(other, "p2", True, "e1", 900, ended), 100.0)
+assert key in schedule.running, schedule.running
+schedule.release(key, 100, True, 101.0)
+assert key not in schedule.running, schedule.running
+""")
+    assert done.returncode == 0, done.stderr
