Soak checks: constants at the top, with the reason for each

SERVED_KINDS, MIN_RESULTS and the limits stood below the class that uses them. 'In touch' was not defined, and several attributes and the empty node name of a disturbance were not explained.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -9,18 +9,34 @@
 import itertools
 from typing import NamedTuple
 
-# A configuration is in force this long after its acknowledgement, at every
-# entry that is in touch with control.
+# Time after the acknowledgement of a configuration by which every entry that
+# is connected to control must apply it.
 IN_FORCE_SECONDS = 2.0
-# An upstream gets no new work this long after its drain was acknowledged.
+# Time after the acknowledgement of a drain from which an upstream must not get
+# new work.
 DRAIN_SECONDS = 2.0
-# A node counts as in touch again this long after a fault has ended.
-TOUCH_SECONDS = 3.0
+# Time after the end of a fault in which it may still have effects: processes
+# connect again and elect leaders.
+RECOVERY_SECONDS = 3.0
 # Length of the window of customers' limits, and the part beyond a limit that
 # programs in progress may use (`limit_window` and `limit_overage`).
 WINDOW_SECONDS = 5.0
 OVERAGE = 0.1
+# Statuses that say that the request has not run and never will.
 REFUSALS = frozenset({400, 401, 402, 404, 413, 429, 503})
+# Kinds of requests that every customer must get served. The others are probes,
+# which may be refused rightly.
+SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
+# Number of results from which a check draws conclusions; a few refusals in a
+# row are not a fault.
+MIN_RESULTS = 8
+# Part of the engines' slots in use up to which no turn may be refused for load.
+IDLE_FRACTION = 0.3
+# Processes use 45 MB at rest; callers that read slowly may add an eighth of the
+# memory limit of 220 MB, and kept turns 4 MB.
+MAX_MEMORY_MB = 100.0
+# The limit in the settings of the processes.
+MAX_DESCRIPTORS = 1024
 
 
 class Request(NamedTuple):
@@ -29,9 +45,11 @@
     Attributes:
         request: Its id, which no other request has.
         kind: `tool`, `safe`, `turn`, `resume`, `revision` or `key`.
+        customer: The customer whose key it shows.
         entry: Name of the entry.
         sent_at: When its connection was opened.
         max_runs: How often upstreams may run it.
+        program: Id of its program; empty if it has none.
         events: Number of events of its whole response; 0 for a plain one.
         body: What the upstream must receive; None if it isn't checked.
         content: Whole content of a plain response.
@@ -53,8 +71,10 @@
     """The end of a request as its caller saw it; see `client.Outcome`.
 
     Attributes:
+        at: When the caller had it.
         numbers: Numbers of the events.
         intact: Whether the content of events or body is as expected.
+        error: Kind and detail of the entry's error; empty if there is none.
     """
 
     at: float
@@ -76,7 +96,7 @@
 
 
 class Violation(NamedTuple):
-    """A broken promise.
+    """An observation that a check does not allow.
 
     Attributes:
         at: When it was found.
@@ -90,7 +110,14 @@
 
 
 class Disturbance(NamedTuple):
-    """A time in which a node was under a fault."""
+    """A time in which a node was under a fault.
+
+    Attributes:
+        node: Name of the process or upstream, or `load`; empty if the fault
+            may affect every node.
+        start: When it began.
+        end: When it ended; infinity while it lasts.
+    """
 
     node: str
     start: float
@@ -108,11 +135,12 @@
         delivered: Tokens delivered to the caller of each program.
         pushed: When the push of each version of the configuration began.
         acknowledged: When each version was acknowledged.
-        disturbances: Faults so far; an end of infinity is still to come.
+        disturbances: Faults so far.
+        planned: Planned stops so far.
         violations: What was found.
+        peak_mb: Most memory that each process used, in units of 10**6 bytes.
         busy: Times, and the part of the engines' slots in use.
-        busy_means: Mean of it in each time that was checked.
-        peak_mb: Most memory that each process used.
+        busy_means: Mean of these parts in each interval that was checked.
     """
 
     def __init__(self) -> None:
@@ -373,15 +401,17 @@
     # --- Operations -----------------------------------------------------------
 
     def disturbed(self, node: str, start: float, end: float) -> bool:
-        """Returns whether a fault of a node may have had effects in a time.
+        """Returns whether a fault may have affected a node in an interval.
 
-        Faults of control and of all processes concern every node. With an
-        empty name, any fault counts.
+        Args:
+            node: Its name. If it is empty, any fault counts.
+            start: Start of the interval.
+            end: End of the interval.
         """
         return any(
             (not node or fault.node in ("", node))
             and fault.start <= end
-            and fault.end + TOUCH_SECONDS >= start
+            and fault.end + RECOVERY_SECONDS >= start
             for fault in self.disturbances
         )
 
@@ -401,11 +431,11 @@
             )
 
     def accepted_invalid(self, at: float, what: str) -> None:
-        """Control accepted what it had to refuse."""
+        """Control accepted an invalid configuration or registration."""
         self._report(at, "invalid_accepted", what)
 
     def turn_lost(self, at: float, name: str, previous: str) -> None:
-        """A turn whose caller has its whole response is unknown."""
+        """An entry doesn't know a turn whose whole response was delivered."""
         self._report(at, "chain", f"{name}: {previous} is unknown")
 
     def process_ended(self, at: float, node: str, code: int) -> None:
@@ -417,7 +447,7 @@
         self._report(at, "repair", f"{what} was not repaired")
 
     def stopped(self, at: float, node: str, code: int | None) -> None:
-        """A planned stop is over."""
+        """A planned stop is over; the code is None if it took too long."""
         if code != 0:
             self._report(at, "planned_stop", f"{node} ended with code {code}")
 
@@ -435,7 +465,7 @@
         """The engines' slots were counted.
 
         Args:
-            at: When.
+            at: When they were counted.
             busy: Part of all slots that ran a turn of a program.
         """
         self.busy.append((at, busy))
@@ -491,12 +521,3 @@
                 )
         if not any(any(results) for results in served.values()):
             self._report(now, "starved", "nobody was served without faults")
-
-
-SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
-MIN_RESULTS = 8
-IDLE_FRACTION = 0.3
-# Processes use 45 MB at rest; callers that read slowly may add an eighth of the
-# memory limit of 220 MB, and kept turns 4 MB.
-MAX_MEMORY_MB = 100.0
-MAX_DESCRIPTORS = 1024
