Soak faults: one job per function, reasons for the times

_upstream and _load did several jobs, and the burst with its cancellation stood twice. The kinds of leader faults were derived by two dict look-ups of a name without its suffix. The comment on the last two invalid registrations did not fit them, and the repair waits for all controls, not for three voters. The calls of each fault to stand-ins are the same as before, in order.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -1,7 +1,10 @@
 """Applies the schedule's faults to processes, proxies, upstreams and load."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterator
 import contextlib
 import math
 import signal
@@ -16,38 +19,55 @@
 from testing.soak import upstreams
 
 _READY_SECONDS = 10.0
-# A lost disk is replaced after a silence of 2 s, by a copy of the log.
+# Time within which the groups must have replaced a lost disk: they wait for a
+# silence of 2 s, and then copy the log.
 _REPAIR_SECONDS = 20.0
 # A control instance needs this long from its start until it is a follower.
 _CONTROL_START_SECONDS = 2.0
 # Interval of the resets of an upstream's connections. Longer than most
 # requests of plain services, so that some end and others break off.
 _RESET_SECONDS = 0.03
-# Delay of what reaches a leader; longer than any lease.
+# Time within which control should acknowledge a drain. Without that, the check
+# of drains has nothing to find.
+_DRAIN_TIMEOUT_SECONDS = 5.0
+# Final delay of what reaches a leader. It is longer than any lease, so that an
+# answer arrives after the lease that it could extend.
 _LATE_SECONDS = 2.0
-# The delay grows in steps that are shorter than the silence after which a
-# connection counts as lost.
+# The delay grows in steps, because at once it would be a silence after which
+# the connection counts as lost.
 _LATE_STEPS = 8
 _LATE_STEP_SECONDS = 0.4
-# Below the silence after which a control instance is replaced.
+# Time for which followers get no entries. It is shorter than the silence after
+# which a control instance is replaced.
 _BEHIND_SECONDS = 1.5
-# Enough for the start of a control instance and an election.
+# Time without the processes that have the latest entries: enough for the start
+# of a control instance and an election among the others.
 _WITHOUT_LEADER_SECONDS = 2.5
-# Granted turns stop counting after their deadline.
+# Time after which granted turns no longer count: the deadline of callers, 4 s,
+# and a margin.
 _TURN_TIMEOUT_SECONDS = 5.0
+# Length of the interval in which the use of the engines is then observed.
 _OBSERVED_SECONDS = 2.5
-# Losses of all entries under load. The first alone may come when only a part of
-# the slots is in use.
+# Number of losses of all entries under load. The first may come before all
+# slots are in use, and would then show nothing.
 _ENTRY_LOSSES = 2
 _BURST_START_SECONDS = 1.0
 _BURST_PROGRAMS = 24
 _SLOW_READERS = 8
+# Time from the start of a burst to the kill of a leader.
+_LEADER_KILL_SECONDS = 0.5
 # Long enough that a buffer without a bound grows by more than its limit.
 _SLOW_READ_SECONDS = 5.0
 _PROXY_FAULTS = frozenset({"reset", "delay", "silent", "cut_in", "cut_out"})
-# Registrations of foreign writers, as changes of a valid one. The last two are
-# valid by themselves, but come from an earlier process or an earlier time.
-_FOREIGN: tuple[dict[str, Any], ...] = (
+# Faults of the leader of a group, as faults of a node.
+_LEADER_FAULTS = {
+    "kill_leader": "kill",
+    "pause_leader": "pause",
+    "cut_leader": "cut_in",
+    "silent_leader": "silent",
+}
+# Invalid registrations, as changes of a valid one.
+_INVALID_CHANGES: tuple[dict[str, Any], ...] = (
     {"address": 5},
     {"address": "nowhere"},
     {"slots": "many"},
@@ -125,7 +145,13 @@
                     await self._until_whole(fault)
 
     @contextlib.contextmanager
-    def _disturbance(self, node: str, what: str) -> Any:
+    def _disturbance(self, node: str, what: str) -> Iterator[None]:
+        """Records a fault for the checks and the log.
+
+        Args:
+            node: Name of the node that it affects; empty for every node.
+            what: Text of the log.
+        """
         found = self.checks.disturbances
         number = len(found)
         began = time.monotonic()
@@ -147,11 +173,9 @@
         if kind == "lose_disk_behind":
             await self._lose_disk_behind()
             return
-        if kind.endswith("_leader"):
+        if kind in _LEADER_FAULTS:
             node = self.fleet.leader(("config", "programs-0")[fault.number % 2])
-            kind = {"silent": "silent", "cut": "cut_in"}.get(
-                kind.removesuffix("_leader"), kind.removesuffix("_leader")
-            )
+            kind = _LEADER_FAULTS[kind]
         await self._node(node, kind, fault.seconds, "")
 
     def _chosen_control(self, fault: schedule.Fault) -> processes.Node:
@@ -167,7 +191,7 @@
         ]
 
     async def _until_whole(self, fault: schedule.Fault) -> None:
-        """Waits after a lost disk until all groups have three voters again."""
+        """Waits after a lost disk until all controls are voters again."""
         if "disk" not in fault.kind:
             return
         until = time.monotonic() + _REPAIR_SECONDS
@@ -180,7 +204,8 @@
     async def _answer_late(self) -> None:
         """Delays all that reaches the leader, then holds all that it sends.
 
-        What it still receives was sent before others could elect a leader.
+        Others elect a leader then, while the old one still receives answers
+        that were sent before. They must not extend its lease.
         """
         leader = self.fleet.leader("config")
         with self._disturbance("", f"late answers to {leader.name}"):
@@ -223,7 +248,7 @@
             await self._until_started(leader)
 
     async def _node(
-        self, node: processes.Node, kind: str, seconds: float, concerned: str
+        self, node: processes.Node, kind: str, seconds: float, affected: str
     ) -> None:
         """Applies a fault of one process.
 
@@ -231,9 +256,9 @@
             node: The process.
             kind: What happens.
             seconds: Duration.
-            concerned: Name of the node that it concerns; empty for all.
+            affected: Name of the node that it affects; empty for every node.
         """
-        with self._disturbance(concerned, f"{kind} of {node.name}"):
+        with self._disturbance(affected, f"{kind} of {node.name}"):
             match kind:
                 case "kill" | "lose_disk":
                     node.kill()
@@ -276,13 +301,7 @@
                     upstream.crash()
                     await upstream.restart()
                 case "drain":
-                    with contextlib.suppress(TimeoutError):
-                        await asyncio.wait_for(upstream.drain(), 5.0)
-                    await asyncio.sleep(
-                        checks_module.DRAIN_SECONDS + fault.seconds
-                    )
-                    upstream.crash()
-                    await upstream.restart()
+                    await self._drain(upstream, fault.seconds)
                 case "slow":
                     upstream.slow_down()
                     await asyncio.sleep(fault.seconds)
@@ -292,26 +311,44 @@
                     await asyncio.sleep(fault.seconds)
                     upstream.recover()
                 case "foreign":
-                    await self._register_foreign(upstream)
+                    await self._register_invalid(upstream)
                 case "resets":
                     await self._reset_often(upstream, fault.seconds)
                 case "last_resets":
-                    others = [
-                        other
-                        for other in self.upstreams
-                        if other.service == upstream.service
-                        and other is not upstream
-                    ]
-                    for other in others:
-                        other.crash()
-                    await self._reset_often(upstream, fault.seconds)
-                    for other in others:
-                        await other.restart()
+                    await self._reset_last(upstream, fault.seconds)
                 case kind if kind in _PROXY_FAULTS:
                     upstream.link.apply(kind)
                     await asyncio.sleep(fault.seconds)
                     upstream.link.restore()
 
+    async def _drain(
+        self, upstream: upstreams.Upstream, seconds: float
+    ) -> None:
+        """Drains an upstream, and ends its process when it gets no new work."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(upstream.drain(), _DRAIN_TIMEOUT_SECONDS)
+        await asyncio.sleep(checks_module.DRAIN_SECONDS + seconds)
+        upstream.crash()
+        await upstream.restart()
+
+    async def _reset_last(
+        self, upstream: upstreams.Upstream, seconds: float
+    ) -> None:
+        """Resets connections of the only upstream of its service.
+
+        A request that broke off can't be sent elsewhere then.
+        """
+        others = [
+            other
+            for other in self.upstreams
+            if other.service == upstream.service and other is not upstream
+        ]
+        for other in others:
+            other.crash()
+        await self._reset_often(upstream, seconds)
+        for other in others:
+            await other.restart()
+
     async def _reset_often(
         self, upstream: upstreams.Upstream, seconds: float
     ) -> None:
@@ -320,8 +357,8 @@
             upstream.link.abort()
             await asyncio.sleep(_RESET_SECONDS)
 
-    async def _register_foreign(self, upstream: upstreams.Upstream) -> None:
-        for change in _FOREIGN:
+    async def _register_invalid(self, upstream: upstreams.Upstream) -> None:
+        for change in _INVALID_CHANGES:
             fields = {**upstream.heartbeat(), **change}
             if await upstream.register(fields) == 200:
                 self.checks.accepted_invalid(
@@ -337,35 +374,39 @@
 
     async def _load(self, fault: schedule.Fault) -> None:
         callers = self.callers
-        tasks = []
+        seconds = fault.seconds
+        load: list[Coroutine] = []
         if fault.kind.startswith("burst"):
-            tasks = [
-                callers.forever(callers.run_program, "noisy")
-                for _ in range(_BURST_PROGRAMS)
-            ]
+            load = self._burst()
         elif fault.kind == "slow_readers":
-            tasks = [
+            load = [
                 callers.forever(callers.stream, "slow", True, True)
                 for _ in range(_SLOW_READERS)
             ]
+            seconds = max(seconds, _SLOW_READ_SECONDS)
         with self._disturbance("load", fault.kind):
             callers.leave = fault.kind == "leave"
-            running = [asyncio.create_task(task) for task in tasks]
             try:
-                if fault.kind == "burst_leader":
-                    await asyncio.sleep(0.5)
-                    async with self.control_lock:
-                        leader = self.fleet.leader("programs-0")
-                        await self._node(leader, "kill", 1.0, "")
-                seconds = fault.seconds
-                if fault.kind == "slow_readers":
-                    seconds = max(seconds, _SLOW_READ_SECONDS)
-                await asyncio.sleep(seconds)
+                async with _in_background(load):
+                    if fault.kind == "burst_leader":
+                        await self._kill_leader()
+                    await asyncio.sleep(seconds)
             finally:
                 callers.leave = False
-                for task in running:
-                    task.cancel()
-                await asyncio.gather(*running, return_exceptions=True)
+
+    def _burst(self) -> list[Coroutine]:
+        """Returns the load of a burst, which is above the capacity."""
+        callers = self.callers
+        return [
+            callers.forever(callers.run_program, "noisy")
+            for _ in range(_BURST_PROGRAMS)
+        ]
+
+    async def _kill_leader(self) -> None:
+        await asyncio.sleep(_LEADER_KILL_SECONDS)
+        async with self.control_lock:
+            leader = self.fleet.leader("programs-0")
+            await self._node(leader, "kill", 1.0, "")
 
     async def _planned(self, fault: schedule.Fault) -> None:
         nodes = self.fleet.controls
@@ -396,29 +437,23 @@
         The turns that they had running must stop counting. Otherwise turns
         wait although engines are idle.
         """
-        callers = self.callers
-        running = [
-            asyncio.create_task(callers.forever(callers.run_program, "noisy"))
-            for _ in range(_BURST_PROGRAMS)
-        ]
-        try:
+        async with _in_background(self._burst()):
             with self._disturbance("load", "loss of entries under load"):
                 for _ in range(_ENTRY_LOSSES):
                     await asyncio.sleep(_BURST_START_SECONDS)
-                    for node in self.fleet.entries:
-                        node.kill()
-                    for node in self.fleet.entries:
-                        node.start()
-                    for node in self.fleet.entries:
-                        await self._until_started(node)
+                    await self._restart_entries()
                 await asyncio.sleep(_TURN_TIMEOUT_SECONDS)
                 await asyncio.sleep(_OBSERVED_SECONDS)
             now = time.monotonic()
             self.checks.check_idle_capacity(now, now - _OBSERVED_SECONDS)
-        finally:
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
+
+    async def _restart_entries(self) -> None:
+        for node in self.fleet.entries:
+            node.kill()
+        for node in self.fleet.entries:
+            node.start()
+        for node in self.fleet.entries:
+            await self._until_started(node)
 
     async def _lose_all(self, fault: schedule.Fault) -> None:
         with self._disturbance("", f"loss of all processes, {fault.kind}"):
@@ -433,3 +468,15 @@
             await asyncio.gather(
                 *(self._until_started(node) for node in self.fleet.entries)
             )
+
+
+@contextlib.asynccontextmanager
+async def _in_background(load: list[Coroutine]) -> AsyncIterator[None]:
+    """Runs a load while its context is entered."""
+    running = [asyncio.create_task(one) for one in load]
+    try:
+        yield
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
