Soak client and operator: long functions split

_exchange connected, sent and read three kinds of bodies; configuration() built the tenants in three similar comprehensions around a nested function. 'hurries' is pushes_fast now. A configuration and the outcomes of a client against a small server are the same as before.

--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -1,4 +1,4 @@
-"""A caller's HTTP client that tells what it has seen of a response."""
+"""A caller's HTTP client that also returns incomplete responses."""
 
 import asyncio
 import socket
@@ -7,6 +7,8 @@
 from bench import hosted_processes
 
 HOST = "callers.example"
+# Pause of a slow caller before each read, and the size of its buffers. They are
+# small, so that most of a response waits at the entry.
 _SLOW_READ_SECONDS = 0.3
 _SLOW_BUFFER_BYTES = 4096
 
@@ -57,6 +59,9 @@
         body: Body of the request.
         timeout: Seconds after which the caller leaves.
         slow: Whether the caller reads slowly.
+
+    Returns:
+        What arrived, also if the connection failed or the caller left.
     """
     seen = _Seen()
     try:
@@ -113,6 +118,23 @@
     body: bytes,
     slow: bool,
 ) -> None:
+    limit = _SLOW_BUFFER_BYTES if slow else 2**16
+    sock = await _connect(address, slow)
+    reader, seen.writer = await asyncio.open_connection(sock=sock, limit=limit)
+    fields = {"Host": HOST, "Content-Length": str(len(body)), **headers}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    seen.sent = True
+    seen.writer.write(f"POST {target} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+    first, found = await hosted_processes.read_head(reader)
+    seen.headers, seen.status = found, int(first.split()[1])
+    if "content-length" in found:
+        seen.body = await reader.readexactly(int(found["content-length"]))
+    else:
+        await _read_chunks(seen, reader, limit, slow)
+    seen.whole = True
+
+
+async def _connect(address: str, slow: bool) -> socket.socket:
     host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setblocking(False)
@@ -123,19 +145,21 @@
     except BaseException:
         sock.close()
         raise
-    limit = _SLOW_BUFFER_BYTES if slow else 2**16
-    reader, seen.writer = await asyncio.open_connection(sock=sock, limit=limit)
-    fields = {"Host": HOST, "Content-Length": str(len(body)), **headers}
-    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    seen.sent = True
-    seen.writer.write(f"POST {target} HTTP/1.1\r\n{lines}\r\n".encode() + body)
-    first, found = await hosted_processes.read_head(reader)
-    seen.headers, seen.status = found, int(first.split()[1])
-    if "content-length" in found:
-        left = int(found["content-length"])
-        seen.body = await reader.readexactly(left)
-        seen.whole = True
-        return
+    return sock
+
+
+async def _read_chunks(
+    seen: _Seen, reader: asyncio.StreamReader, limit: int, slow: bool
+) -> None:
+    """Reads a chunked body.
+
+    Args:
+        seen: Gets the body as it arrives; of a slow caller, whose responses are
+            large, only once it is whole.
+        reader: The connection.
+        limit: Most bytes of one read.
+        slow: Whether the caller reads slowly.
+    """
     parts: list[bytes] = []
     while size := int(await reader.readline(), 16):
         left = size
@@ -151,4 +175,3 @@
         await reader.readline()
     await reader.readline()
     seen.body = b"".join(parts)
-    seen.whole = True
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -209,14 +209,14 @@
         """
         leader = self.fleet.leader("config")
         with self._disturbance("", f"late answers to {leader.name}"):
-            self.callers.operator.hurries = True
+            self.callers.operator.pushes_fast = True
             for step in range(1, _LATE_STEPS + 1):
                 leader.delay_incoming(_LATE_SECONDS * step / _LATE_STEPS)
                 await asyncio.sleep(_LATE_STEP_SECONDS)
             leader.hold_outgoing()
             await asyncio.sleep(_LATE_SECONDS + 1.0)
             leader.restore()
-            self.callers.operator.hurries = False
+            self.callers.operator.pushes_fast = False
 
     async def _lose_disk_behind(self) -> None:
         """Loses the disk of one of the controls that have the latest entries.
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -10,12 +10,14 @@
 from testing.soak import checks as checks_module
 from testing.soak import client
 
-# The limits are per customer: requests per second and a burst.
+# Requests per second and burst of each customer that is limited.
 LIMITS = {"limited": [4.0, 4.0]}
-_FREE_RATE = 1000
+# Rate and burst of the others, which no load reaches.
+_UNREACHED_RATE = 1000
 # Pauses between pushes, in seconds. Some are longer than the time in which a
 # version must be in force.
 _PUSH_PAUSES = (0.2, 0.3, 0.4, 3.0)
+# Mean pause between reads.
 _READ_SECONDS = 0.1
 _TIMEOUT_MS = 4000
 SAFE_ATTEMPTS = 3
@@ -41,36 +43,9 @@
 
     Each version has a route of its own and a new key of the rotating customer.
     """
-    common = {
-        "host": client.HOST,
-        "timeoutMs": _TIMEOUT_MS,
-        "targetLatencyMs": 300,
-        "targetGapMs": 200,
-        "priority": 0,
-        "attempts": SAFE_ATTEMPTS,
-    }
-
-    def route(name: str, kind: str, service: str, **fields: Any) -> dict:
-        return {
-            **common,
-            "name": name,
-            "pathPrefix": f"/{name}/",
-            "kind": kind,
-            "service": service,
-            **fields,
-        }
-
-    keys = [rotating_key(version - age) for age in range(KEY_VERSIONS)]
-    free = [*PROGRAM_CUSTOMERS, SLOW]
     return {
         "version": version,
-        "routes": [
-            route("turn", "stream", "lm", retainContext=True, retentionS=60.0),
-            route("resume", "stream", "lm", resumable=True, priority=1),
-            route("tool", "unsafe", "desk"),
-            route("safe", "safe", "desk"),
-            route(f"revision-{version}", "safe", "desk"),
-        ],
+        "routes": _routes(version),
         "services": [
             {"name": "desk", "maxConnections": 64},
             {
@@ -79,42 +54,64 @@
                 "engine": {"stride": 1, "models": [{"name": "m"}]},
             },
         ],
-        "tenants": [
-            *(
-                {
-                    "name": name,
-                    "apiKeys": [key_of(name)],
-                    "ratePerS": _FREE_RATE,
-                    "burst": _FREE_RATE,
-                }
-                for name in free
-            ),
-            *(
-                {
-                    "name": name,
-                    "apiKeys": [key_of(name)],
-                    "ratePerS": rate,
-                    "burst": burst,
-                }
-                for name, (rate, burst) in LIMITS.items()
-            ),
-            {
-                "name": ROTATING,
-                "apiKeys": keys,
-                "ratePerS": _FREE_RATE,
-                "burst": _FREE_RATE,
-            },
-        ],
+        "tenants": _tenants(version),
         "limits": {},
     }
 
 
+def _routes(version: int) -> list[dict[str, Any]]:
+    return [
+        _route("turn", "stream", "lm", retainContext=True, retentionS=60.0),
+        _route("resume", "stream", "lm", resumable=True, priority=1),
+        _route("tool", "unsafe", "desk"),
+        _route("safe", "safe", "desk"),
+        _route(f"revision-{version}", "safe", "desk"),
+    ]
+
+
+def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "host": client.HOST,
+        "timeoutMs": _TIMEOUT_MS,
+        "targetLatencyMs": 300,
+        "targetGapMs": 200,
+        "priority": 0,
+        "attempts": SAFE_ATTEMPTS,
+        "name": name,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        **fields,
+    }
+
+
+def _tenants(version: int) -> list[dict[str, Any]]:
+    rotating = [rotating_key(version - age) for age in range(KEY_VERSIONS)]
+    return [
+        *(_tenant(name, [key_of(name)]) for name in (*PROGRAM_CUSTOMERS, SLOW)),
+        *(
+            _tenant(name, [key_of(name)], rate, burst)
+            for name, (rate, burst) in LIMITS.items()
+        ),
+        _tenant(ROTATING, rotating),
+    ]
+
+
+def _tenant(
+    name: str,
+    keys: list[str],
+    rate: float = _UNREACHED_RATE,
+    burst: float = _UNREACHED_RATE,
+) -> dict[str, Any]:
+    return {"name": name, "apiKeys": keys, "ratePerS": rate, "burst": burst}
+
+
 class Operator:
     """Pushes and reads the configuration at random controls.
 
     Attributes:
         version: The version acknowledged last.
-        hurries: Whether all pauses between pushes are short.
+        pushes_fast: Whether all pauses between pushes are short.
     """
 
     def __init__(
@@ -127,7 +124,7 @@
         self.checks = checks
         self.generator = generator
         self.version = 0
-        self.hurries = False
+        self.pushes_fast = False
 
     async def push(self) -> None:
         """Pushes the next version until a control acknowledges it."""
@@ -149,13 +146,13 @@
         """Pushes version after version."""
         while True:
             pause = self.generator.choice(_PUSH_PAUSES)
-            await asyncio.sleep(_PUSH_PAUSES[0] if self.hurries else pause)
+            await asyncio.sleep(_PUSH_PAUSES[0] if self.pushes_fast else pause)
             await self.push()
             if self.generator.random() < 0.2:
                 await self.push_invalid()
 
     async def push_invalid(self) -> None:
-        """Pushes a configuration that must be refused."""
+        """Pushes an invalid configuration: a route lacks a field."""
         fields = configuration(self.version + 1000)
         del fields["routes"][0]["service"]
         body = json.dumps(fields).encode()
