Soak: fields, units and reasons explained; settings and proxies in one place

The loop over other nodes' proxies stood five times in Node, start() also built the settings, and summary() also counted the ends. Upstreams had a list of 'operators' that are clients of control instances; Soak.__init__ reused the name 'controls' for two things. Settings, proxy calls and summary are the same as before for five control instances.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -17,18 +17,39 @@
 from testing.soak import processes
 from testing.soak import upstreams
 
+# Time after which a caller leaves: longer than the deadline that it states.
 _CLIENT_SECONDS = 6.0
 _DEADLINE_MS = 4000
+# Interval and time-out of readiness checks.
 _READY_SECONDS = 0.5
 # Failed readiness checks in a row after which an entry gets no requests.
 _READY_FAILURES = 2
+# Attempts of a request that is refused, and the longest pause between them: a
+# longer Retry-After is cut short.
 _TRIES = 8
 _MAX_RETRY_SECONDS = 1.0
+# Events of 100 kB in a response for slow readers.
 _LARGE_EVENTS = 400
+# Part of the requests whose callers leave early, while some do, and the time
+# after which they leave.
+_LEAVING_PART = 0.2
+_LEAVING_SECONDS = (0.01, 0.3)
+# Token budgets of programs; the small one ends within a few turns.
+_BUDGETS = (40, 10_000)
 
 
 class Sending(NamedTuple):
-    """A request to send; see `checks.Request` for the fields."""
+    """A request to send; see `checks.Request` for the other fields.
+
+    Attributes:
+        key: API key.
+        target: Path; empty for that of the route of its kind.
+        previous: Id of the program's turn before it; empty for the first one.
+        budget: Tokens that its program may use; 0 for no bound.
+        large: Whether the events of its response are large.
+        slow: Whether its caller reads slowly.
+        timeout: Seconds after which its caller leaves.
+    """
 
     kind: str
     customer: str
@@ -60,7 +81,11 @@
 
 
 class Balancer:
-    """Chooses entries by their readiness, as the platform's balancer does."""
+    """Chooses entries by their readiness, as the platform's balancer does.
+
+    Attributes:
+        failures: Readiness checks that have failed in a row, by entry.
+    """
 
     def __init__(
         self, entries: list[processes.Node], generator: random.Random
@@ -70,7 +95,7 @@
         self.failures = {node.name: 0 for node in entries}
 
     async def watch_forever(self) -> None:
-        """Checks the readiness of all entries again and again."""
+        """Checks the readiness of all entries periodically."""
         await asyncio.gather(*(self._watch(node) for node in self.entries))
 
     async def _watch(self, node: processes.Node) -> None:
@@ -120,8 +145,8 @@
         name = f"{sending.kind}-{next(self.numbers)}"
         entry = self.balancer.choose()
         timeout = sending.timeout
-        if self.leave and self.generator.random() < 0.2:
-            timeout = self.generator.uniform(0.01, 0.3)
+        if self.leave and self.generator.random() < _LEAVING_PART:
+            timeout = self.generator.uniform(*_LEAVING_SECONDS)
         self.checks.sent(
             checks_module.Request(
                 name,
@@ -148,7 +173,11 @@
         return Result(name, end, outcome)
 
     async def retry(self, sending: Sending) -> Result:
-        """Sends a request, under new ids while it is refused."""
+        """Sends a request, again under a new id while it is refused.
+
+        Returns:
+            The result of the last attempt.
+        """
         for _ in range(_TRIES):
             result = await self.send(sending)
             if result.end.sent and result.end.status not in (429, 503):
@@ -160,7 +189,7 @@
     async def forever(
         self, act: Callable[..., Coroutine], *arguments: Any
     ) -> None:
-        """Acts again and again, with pauses of 50 to 250 ms."""
+        """Repeats an action, with pauses of 50 to 250 ms."""
         while True:
             await act(*arguments)
             await asyncio.sleep(self.generator.uniform(0.05, 0.25))
@@ -169,11 +198,13 @@
         """Runs a program: turns, with tool calls between them."""
         program = f"program-{next(self.numbers)}"
         key = operators.key_of(customer)
-        budget = self.generator.choice((40, 10_000))
+        budget = self.generator.choice(_BUDGETS)
         self.checks.budgets[program] = budget
         chain = b""
         previous = ""
         for number in range(self.generator.randint(2, 5)):
+            # The text names program and turn, so that the input of the next
+            # turn shows which turns an upstream got.
             text = f"<{program}.{number}>".encode()
             events = self.generator.randint(4, 16)
             result = await self.retry(
@@ -241,7 +272,7 @@
         )
 
     async def call_limited(self) -> None:
-        """Calls as a customer with a low limit, without heeding refusals."""
+        """Calls as a customer with a low limit; doesn't wait after refusals."""
         customer = "limited"
         key = operators.key_of(customer)
         await self.send(Sending("tool", customer, key, 1, body=b"limited"))
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+from typing import Any
 from typing import NamedTuple
 
 from bench import hosted_processes
@@ -16,7 +17,13 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 _MEMORY_MB = 220
 _DESCRIPTORS = 1024
+# Time after which a revoked key is refused at every entry.
 REVOKE_SECONDS = 3.0
+# Time within which a process must end after SIGTERM. Requests in progress get
+# 8 s.
+_STOP_SECONDS = 12.0
+_GRACE_SECONDS = 8
+_POLL_SECONDS = 0.1
 
 
 class Usage(NamedTuple):
@@ -39,6 +46,12 @@
         process: The running process; None when it is down.
         planned: Whether it is being stopped by SIGTERM.
         starts: Number of starts.
+
+    Args:
+        fleet: All nodes.
+        name: Name of the machine.
+        role: `control` or `entry`.
+        number: Last byte of its loopback address.
     """
 
     def __init__(
@@ -59,6 +72,27 @@
         """Starts the process with the disk that it has, unless it runs."""
         if self.process is not None and self.process.poll() is None:
             return
+        path = self.fleet.folder / f"{self.name}.toml"
+        path.write_text(hosted_processes.toml(self._settings(bootstrap)))
+        environment = hosted_processes.environment(ROOT, path)
+        environment["SOAK_LINKS"] = json.dumps(
+            {
+                self.fleet.nodes[name].ip: link.address.rpartition(":")[0]
+                for name, link in self.links.items()
+            }
+        )
+        environment["SOAK_FAULT"] = self.fleet.fault
+        self.starts += 1
+        with self.log_path.open("a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "testing.soak.launch", self.role],
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
+            )
+
+    def _settings(self, bootstrap: bool) -> dict[str, Any]:
         fields = hosted_processes.settings(
             self.role,
             self.name,
@@ -71,7 +105,7 @@
         fields["bounds"] = {
             "strictRevocation": True,
             "revokeMs": int(REVOKE_SECONDS * 1000),
-            "graceS": 8,
+            "graceS": _GRACE_SECONDS,
         }
         fields["limits"] = {
             "memoryMb": _MEMORY_MB,
@@ -79,25 +113,7 @@
         }
         # Disks of this many control instances may be lost at once.
         fields["faultTolerance"] = {"machines": len(self.fleet.controls) // 2}
-        path = self.fleet.folder / f"{self.name}.toml"
-        path.write_text(hosted_processes.toml(fields))
-        environment = hosted_processes.environment(ROOT, path)
-        environment["SOAK_LINKS"] = json.dumps(
-            {
-                self.fleet.nodes[name].ip: link.address.rpartition(":")[0]
-                for name, link in self.links.items()
-            }
-        )
-        environment["SOAK_FAULT"] = self.fleet.fault
-        self.starts += 1
-        with self.log_path.open("a") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "testing.soak.launch", self.role],
-                stdout=log,
-                stderr=log,
-                env=environment,
-                cwd=ROOT,
-            )
+        return fields
 
     def signal(self, number: int) -> None:
         """Sends a signal if the process runs."""
@@ -115,11 +131,11 @@
         """Ends the process by SIGTERM; returns its exit code, None if late."""
         process = self.process
         self.signal(signal.SIGTERM)
-        for _ in range(120):
+        for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
             if process.poll() is not None:
                 self.process = None
                 return process.returncode
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(_POLL_SECONDS)
         self.kill()
         return None
 
@@ -152,46 +168,50 @@
         opposite = {"cut_in": "cut_out", "cut_out": "cut_in"}
         for link in self.links.values():
             link.apply(opposite.get(kind, kind))
-        for other in self.fleet.nodes.values():
-            if self.name in other.links:
-                other.links[self.name].apply(kind)
+        for link in self._links_to_it():
+            link.apply(kind)
 
     def delay_incoming(self, seconds: float) -> None:
         """Delays all that reaches this node from others."""
         for link in self.links.values():
             link.delays["out"] = seconds
-        for other in self.fleet.nodes.values():
-            if self.name in other.links:
-                other.links[self.name].delays["in"] = seconds
+        for link in self._links_to_it():
+            link.delays["in"] = seconds
 
     def hold_outgoing(self) -> None:
         """Holds all that this node sends to others."""
         for link in self.links.values():
             link.gates["in"].clear()
-        for other in self.fleet.nodes.values():
-            if self.name in other.links:
-                other.links[self.name].gates["out"].clear()
+        for link in self._links_to_it():
+            link.gates["out"].clear()
 
     def drop_held(self) -> None:
         """Resets all links from and to this node; what they held is lost."""
-        for link in self.links.values():
+        for link in (*self.links.values(), *self._links_to_it()):
             link.abort()
-        for other in self.fleet.nodes.values():
-            if self.name in other.links:
-                other.links[self.name].abort()
 
     def restore(self) -> None:
         """Ends the faults of all links from and to this node."""
-        for link in self.links.values():
+        for link in (*self.links.values(), *self._links_to_it()):
             link.restore()
-        for other in self.fleet.nodes.values():
-            if self.name in other.links:
-                other.links[self.name].restore()
+
+    def _links_to_it(self) -> list[links.Link]:
+        """Returns the proxies of other nodes' connections to this one."""
+        return [
+            other.links[self.name]
+            for other in self.fleet.nodes.values()
+            if self.name in other.links
+        ]
 
 
 class Fleet:
     """All processes of the product.
 
+    Attributes:
+        nodes: All processes by name.
+        controls: Control instances.
+        entries: Entries.
+
     Args:
         network: First two bytes of the loopback addresses.
         folder: Folder of settings, disks and logs.
@@ -247,7 +267,8 @@
     def is_whole(self) -> bool:
         """Returns whether all groups have all controls as voters.
 
-        The logs tell it. Until then, another lost disk may be one too many.
+        It is read from the logs. Until then, the loss of another disk may
+        leave a group without a quorum.
         """
         identities: set[str] = set()
         voters: dict[str, tuple[int, set[str]]] = {}
@@ -270,7 +291,11 @@
         )
 
     def leader(self, group: str = "") -> Node:
-        """Returns the leader of a group as the logs tell it last."""
+        """Returns the node that logged the highest term as a leader.
+
+        Args:
+            group: Name of the group; empty for any group.
+        """
         found, latest = self.controls[0], -1
         for node in self.controls:
             for line in node.log_path.read_text().splitlines():
@@ -289,6 +314,7 @@
 
 
 def _fields(line: str) -> dict:
+    """Returns the fields of a log line; none if it isn't complete."""
     try:
         return json.loads(line[line.index("{") :])
     except ValueError:
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -1,4 +1,4 @@
-"""Prints the result of a run and says where its logs are."""
+"""Text and files of the result of a run."""
 
 import collections
 import pathlib
@@ -14,20 +14,13 @@
     faults: list[schedule.Fault],
     start: float,
 ) -> str:
-    """Returns what was done and found, as text."""
-    statuses: dict[str, collections.Counter] = collections.defaultdict(
-        collections.Counter
-    )
-    for name, end in checks.ends.items():
-        kind = checks.requests[name].kind
-        label = str(end.status)
-        if not end.sent:
-            label = "unsent"
-        elif end.left:
-            label = "left"
-        elif not end.whole:
-            label = f"{end.status} cut"
-        statuses[kind][label] += 1
+    """Returns what was done and found, as text.
+
+    Args:
+        checks: The observations of the run.
+        faults: The faults that were begun.
+        start: Monotonic time of the start of the load, in seconds.
+    """
     kinds = collections.Counter(
         f"{fault.track} {fault.kind}" for fault in faults
     )
@@ -39,7 +32,7 @@
         f"{sum(map(len, checks.runs.values()))} runs, "
         f"{len(checks.acknowledged)} configurations",
     ]
-    for kind, counts in sorted(statuses.items()):
+    for kind, counts in sorted(_ends_by_kind(checks).items()):
         shown = ", ".join(f"{s}: {n}" for s, n in sorted(counts.items()))
         lines.append(f"  {kind:9} {shown}")
     peaks = sorted(checks.peak_mb.items())
@@ -57,6 +50,25 @@
     return "\n".join(lines)
 
 
+def _ends_by_kind(
+    checks: checks_module.Checks,
+) -> dict[str, collections.Counter]:
+    """Returns the number of ends of each sort, by kind of request."""
+    counts: dict[str, collections.Counter] = collections.defaultdict(
+        collections.Counter
+    )
+    for name, end in checks.ends.items():
+        label = str(end.status)
+        if not end.sent:
+            label = "unsent"
+        elif end.left:
+            label = "left"
+        elif not end.whole:
+            label = f"{end.status} cut"
+        counts[checks.requests[name].kind][label] += 1
+    return counts
+
+
 def write_schedule(
     folder: pathlib.Path, seed: int, faults: list[schedule.Fault]
 ) -> None:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -21,13 +21,19 @@
 from testing.soak import upstreams
 
 ENTRIES = 3
+# Time within which all processes must be ready.
 _START_SECONDS = 30.0
+# Time after the first configuration before the readiness of entries is
+# examined.
+_SETTLE_SECONDS = 2.0
+# Intervals of the samples of processes and of engines.
 _USAGE_SECONDS = 0.5
 _ENGINES_SECONDS = 0.1
+# Concurrent readers of the configuration.
 _READERS = 3
-# Without faults, this long before the end, everybody must be served. The
-# schedule's quiet end is longer by the time after which turns of lost entries
-# stop counting.
+# Time before the end, without faults, in which every customer must be served.
+# The schedule's quiet end is longer by the time after which turns of lost
+# entries stop counting.
 _CALM_SECONDS = 4.0
 _PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
 
@@ -50,26 +56,30 @@
 
 
 class Recorder:
-    """Passes on what upstreams run to the checks."""
+    """Implements `upstreams.Observer`: passes runs on to the checks.
+
+    Attributes:
+        upstreams: All upstreams by name.
+    """
 
     def __init__(self, checks: checks_module.Checks) -> None:
         self.checks = checks
-        self.engines: dict[str, upstreams.Upstream] = {}
+        self.upstreams: dict[str, upstreams.Upstream] = {}
 
     def run_began(
         self, request: str, upstream: str, customer: str, body: bytes
     ) -> None:
-        """See `upstreams.Observer`."""
+        """Records a run, and whether its upstream was draining."""
         now = time.monotonic()
         run = checks_module.Run(now, upstream, customer)
         self.checks.run_began(request, run, body)
-        since = self.engines[upstream].draining_since
+        since = self.upstreams[upstream].draining_since
         if since:
             self.checks.ran_while_draining(now, upstream, since, request)
 
 
 class Soak:
-    """All parts of one run."""
+    """All parts of one run; see `run` for the arguments."""
 
     def __init__(
         self, seed: int, seconds: float, fault: str, keep: bool, controls: int
@@ -78,15 +88,15 @@
         self.seed = seed
         self.seconds = seconds
         generator = random.Random(seed)
-        # The second byte differs between runs, so that several can run at a
-        # time.
+        # Several runs at a time need different addresses, so that the second
+        # byte doesn't follow from the seed.
         network = f"127.{random.randrange(20, 250)}"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.checks = checks_module.Checks()
         self.fleet = processes.Fleet(
             network, self.folder, controls, ENTRIES, fault
         )
-        controls = [
+        clients = [
             hosted_processes.Caller(
                 f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 1.0
             )
@@ -95,13 +105,13 @@
         recorder = Recorder(self.checks)
         self.upstreams = [
             upstreams.Upstream(
-                f"{service}-{number}", service, recorder, controls
+                f"{service}-{number}", service, recorder, clients
             )
             for service, count in (("lm", 3), ("desk", 3))
             for number in range(1, count + 1)
         ]
-        recorder.engines = {one.name: one for one in self.upstreams}
-        self.operator = operators.Operator(controls, self.checks, generator)
+        recorder.upstreams = {one.name: one for one in self.upstreams}
+        self.operator = operators.Operator(clients, self.checks, generator)
         self.balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
             self.balancer, self.checks, self.operator, generator
@@ -118,7 +128,11 @@
             file.write(f"{time.time():.3f} {at:8.3f} {text}\n")
 
     async def run(self, until_found: bool) -> Result:
-        """Runs all; ends at the first violation if `until_found` is set."""
+        """Runs the load and the faults, and ends all processes.
+
+        Args:
+            until_found: Whether to end at the first violation.
+        """
         faults = schedule.make(self.seed, self.seconds)
         report.write_schedule(self.folder, self.seed, faults)
         try:
@@ -163,6 +177,7 @@
         self.tasks.append(asyncio.create_task(coroutine))
 
     def _raise_failures(self) -> None:
+        """Raises the exception of a task that has failed."""
         for task in self.tasks:
             if task.done():
                 task.result()
@@ -174,7 +189,7 @@
         async with asyncio.timeout(_START_SECONDS):
             await self.operator.push()
             self._spawn(self.balancer.watch_forever())
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(_SETTLE_SECONDS)
             while any(self.balancer.failures.values()):
                 await asyncio.sleep(0.1)
 
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -11,13 +11,15 @@
 import random
 from typing import NamedTuple
 
+# Quiet times at the start and at the end of a run. Turns of lost entries may
+# count for 5 s, and then everybody must be served.
 START_SECONDS = 4.0
 END_SECONDS = 11.0
 _MIXED_SECONDS = 13.0
 _PLANNED_SECONDS = 13.0
 _LOSS_SECONDS = 9.0
 _ENTRIES_SECONDS = 17.0
-# Quiet time after a phase. A node counts as in touch again 3 s after a fault.
+# Quiet time after a mixed phase: `checks.RECOVERY_SECONDS`.
 _REST_SECONDS = 3.0
 
 CONTROL_FAULTS = (
@@ -57,11 +59,12 @@
 
     Attributes:
         at: Start time.
-        seconds: Duration.
+        seconds: Duration; faults that consist of steps, as `drain`, take
+            longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
             `planned`, `entries` or `all`.
         kind: What happens.
-        number: Chooses the target among those of the track.
+        number: Chooses the target: its index modulo their number.
     """
 
     at: float
@@ -138,7 +141,7 @@
 
 
 def _bag(generator: random.Random, kinds: tuple[str, ...]) -> Iterator[str]:
-    """Yields kinds for ever; each one once before any comes again."""
+    """Yields kinds without end, in random order, each once in a round."""
     while True:
         yield from generator.sample(kinds, len(kinds))
 
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -1,4 +1,4 @@
-"""Stand-in upstreams that register themselves and tell what they run."""
+"""Stand-in upstreams that register themselves and report what they run."""
 
 import asyncio
 import contextlib
@@ -18,12 +18,14 @@
 _EVENT_SECONDS = 0.01
 _PLAIN_SECONDS = 0.02
 _SLOW_FACTOR = 8.0
+# Pause before a slow upstream reads a body.
+_SLOW_READ_SECONDS = 0.3
 # Text of an event of a stream that fills the buffers of slow readers.
 _LARGE_TEXT = "x" * 100_000
 
 
 class Observer(Protocol):
-    """Is told what upstreams run."""
+    """Receives the start of each run."""
 
     def run_began(
         self, request: str, upstream: str, customer: str, body: bytes
@@ -32,7 +34,7 @@
 
 
 def event_data(request: str, number: int, large: bool = False) -> str:
-    """Returns the data of an event; a request's events are the same always."""
+    """Returns the data of an event, the same at each upstream and attempt."""
     return f"{request}#{number}{_LARGE_TEXT if large else ''}"
 
 
@@ -45,14 +47,20 @@
     """One upstream behind a proxy.
 
     Attributes:
+        controls: Clients of the control instances.
+        preferred: Index of the control instance that is asked first.
         link: Proxy between the entries and this upstream.
         born: Start of the present process, in ms since 1970.
         state: State in its registrations.
         running: Requests that it runs.
         turns: Those of them that belong to a program.
         heartbeats: Whether it registers itself.
-        draining_since: When control acknowledged that it drains; 0 if it
-            doesn't.
+        sequence: Number of its last registration.
+        slowness: Time of its work as a multiple of the usual time.
+        reads_slowly: Whether it pauses before it reads a body.
+        tasks: Its connections.
+        draining_since: Monotonic time at which control acknowledged that it
+            drains; 0 if it doesn't.
     """
 
     def __init__(
@@ -60,12 +68,12 @@
         name: str,
         service: str,
         observer: Observer,
-        operators: list[hosted_processes.Caller],
+        controls: list[hosted_processes.Caller],
     ) -> None:
         self.name = name
         self.service = service
         self.observer = observer
-        self.operators = operators
+        self.controls = controls
         self.link = links.Link("")
         self.born = int(time.time() * 1000)
         self.state = "ready"
@@ -140,12 +148,12 @@
         """
         body = json.dumps(fields or self.heartbeat()).encode()
         path = f"/v1/Instances.Heartbeat/{self.name}"
-        for _ in self.operators:
-            operator = self.operators[self.preferred]
-            answer = await operator.ask("POST", path, {}, body)
+        for _ in self.controls:
+            control = self.controls[self.preferred]
+            answer = await control.ask("POST", path, {}, body)
             if answer.status in (200, 400):
                 return answer.status
-            self.preferred = (self.preferred + 1) % len(self.operators)
+            self.preferred = (self.preferred + 1) % len(self.controls)
         return 0
 
     async def _register_forever(self) -> None:
@@ -165,7 +173,7 @@
                 while True:
                     _, headers = await hosted_processes.read_head(reader)
                     if self.reads_slowly:
-                        await asyncio.sleep(0.3)
+                        await asyncio.sleep(_SLOW_READ_SECONDS)
                     body = await hosted_processes.read_body(reader, headers)
                     await self._answer(headers, body, writer)
         finally:
