Oracle: programs that can't end in time are refused in a function of its own

_choose chose, weighted and refused. 'X for Y' in the comments on constants left open which figure belonged to which value.

--- a/src/mintcleat/emulator/oracle.py
+++ b/src/mintcleat/emulator/oracle.py
@@ -1,8 +1,7 @@
-"""A scheduler that knows what no real one can know.
+"""A scheduler with complete information, as a reference for real policies.
 
 It sees the true state of every engine and the whole course of every program
-that has begun, without reports, delays or commits. Its results are a reference
-for the policies of real entries and leaders.
+that has begun, without reports, delays or commits.
 
 It is a strong reference and not an upper bound:
 
@@ -39,8 +38,8 @@
 # anew. Turns take some hundred milliseconds.
 _REFRESH_SECONDS = 0.04
 # A program that begins must be able to take this many times the present pace.
-# With 1 and 1.6, worth at twice the load is 0.61 and 0.62 for 0.67 on
-# hard-uneven.json, and 0.83 for 0.82 on hard-competing.json.
+# With 1 and 1.6, worth at twice the load is 0.61 and 0.62 instead of 0.67 on
+# hard-uneven.json; on hard-competing.json it is 0.83 instead of 0.82.
 _START_MARGIN = 1.25
 # Added to the rank of turns of programs that have begun, so that they come
 # first. Worth per second of work is far below.
@@ -50,7 +49,7 @@
 # Engines are filled until a mean turn takes this many times what the mean
 # program has for it. Programs differ, and slow engines are better than none:
 # with 0.85 the slow engines of placement/uneven.json stayed idle (worth at load
-# 1 of 0.60 for 0.94 with 5).
+# 1 of 0.60, with 5 of 0.94).
 _USED_SLACK = 5.0
 
 
@@ -329,6 +328,7 @@
             return
         now = self.env.now
         if now - self._chosen_at >= _REFRESH_SECONDS:
+            self._refuse_hopeless()
             self._choose()
         limits = self._limits
         if all(self.counts[name] >= limits[name] for name in limits):
@@ -372,30 +372,21 @@
         waiting.granted.succeed(name)
 
     def _choose(self) -> None:
-        """Chooses the programs to finish and refuses those that can't end.
+        """Chooses the programs to finish.
 
         Programs that have begun are finished. Others begin by their worth per
         work, while the engines have places for all that have begun: then no
         turn waits for a place, and each program ends as its start promised.
         """
-        now = self.env.now
-        self._chosen_at = now
+        self._chosen_at = self.env.now
         self._limits = {name: self._limit(name) for name in self.counts}
         stretch = self._current_stretch()
         places = sum(self._places(name) for name in self.counts)
         candidates: list[tuple[float, float, str]] = []
-        hopeless = []
         self.chosen = set()
         self._densities = {}
         for name, program in self.programs.items():
-            if now + program.path > program.late_deadline:
-                hopeless.append(name)
-                continue
-            density = program.value / max(1e-6, program.work)
-            needed = stretch * (1.0 if program.has_begun else _START_MARGIN)
-            if program.stretch(now, program.deadline) < needed:
-                # At the pace of the engines, it would be late.
-                density *= worth.LATE_WORTH
+            density = self._density(program, stretch)
             part = program.engine_part(stretch)
             if program.has_begun:
                 places -= part
@@ -410,6 +401,30 @@
             places -= part
             self.chosen.add(name)
             self._densities[name] = density
+
+    def _density(self, program: _Program, stretch: float) -> float:
+        """Returns the worth of a program per second of its remaining work.
+
+        Args:
+            program: The program.
+            stretch: Present time of turns as a multiple of that at idle
+                engines.
+        """
+        density = program.value / max(1e-6, program.work)
+        needed = stretch * (1.0 if program.has_begun else _START_MARGIN)
+        if program.stretch(self.env.now, program.deadline) < needed:
+            # At the pace of the engines, it would be late.
+            density *= worth.LATE_WORTH
+        return density
+
+    def _refuse_hopeless(self) -> None:
+        """Refuses the turns of programs that can't end in time."""
+        now = self.env.now
+        hopeless = {
+            name
+            for name, program in self.programs.items()
+            if now + program.path > program.late_deadline
+        }
         for name in hopeless:
             del self.programs[name]
         for waiting in list(self.waiting.values()):
