--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -249,33 +249,12 @@
             if request.decode_start <= self.env.now
         ]
         if not decoding:
-            wait = (
-                min(request.decode_start for request in self.batch)
-                - self.env.now
-            )
-            self.wakeup = self.env.event()
-            yield self.env.timeout(max(wait, _MIN_WAIT_SECONDS)) | self.wakeup
+            yield from self._await_decoding()
             return
-        stride = self.model.stride
-        steps = min(
-            min(
-                stride - request.generated % stride,
-                request.output - request.generated,
-            )
-            for request in decoding
-        )
         step_seconds = self._step_seconds(0)
         started = self.env.now
         self.wakeup = self.env.event()
-        later = [
-            request.decode_start
-            for request in self.batch
-            if request.decode_start > started
-        ]
-        if later:
-            steps = min(
-                steps, max(1, math.ceil((min(later) - started) / step_seconds))
-            )
+        steps = self._steps_to_event(decoding, step_seconds)
         yield self.env.timeout(steps * step_seconds) | self.wakeup
         elapsed = self.env.now - started
         # 1e-6 makes up for rounding in the simulated time.
@@ -286,6 +265,40 @@
             yield self.env.timeout(max(0.0, done * step_seconds - elapsed))
         self._decode(done)
 
+    def _await_decoding(self) -> Any:
+        """Waits until a request of the batch may decode or another arrives."""
+        start = min(request.decode_start for request in self.batch)
+        wait = start - self.env.now
+        self.wakeup = self.env.event()
+        yield self.env.timeout(max(wait, _MIN_WAIT_SECONDS)) | self.wakeup
+
+    def _steps_to_event(
+        self, decoding: list[Request], step_seconds: float
+    ) -> int:
+        """Returns the number of steps up to the next event of a request.
+
+        Args:
+            decoding: The requests of the batch that decode; at least one.
+            step_seconds: Time of a step.
+        """
+        stride = self.model.stride
+        steps = min(
+            min(
+                stride - request.generated % stride,
+                request.output - request.generated,
+            )
+            for request in decoding
+        )
+        now = self.env.now
+        later = [
+            request.decode_start
+            for request in self.batch
+            if request.decode_start > now
+        ]
+        if not later:
+            return steps
+        return min(steps, max(1, math.ceil((min(later) - now) / step_seconds)))
+
     def _admit(self) -> None:
         while self.waiting and len(self.batch) < self.model.slots:
             request = self.waiting[0]
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -246,15 +246,7 @@
         for kind in plan.kinds
     }
     kinds.update(_by_customers(plan, programs_run))
-    samples = [
-        sample.loads
-        for result in results
-        for sample in result.samples
-        if sample.at <= plan.seconds
-    ]
-    slots = plan.engine.slots
-    queued = [sum(max(0, one - slots) for one in loads) for loads in samples]
-    spread = [max(loads) - min(loads) for loads in samples]
+    queued, spread = _engine_loads(plan, results)
     return Row(
         name,
         load_factor,
@@ -265,14 +257,35 @@
         failed,
         _mean(_worst_window(result.programs, by_kind) for result in results),
         _mean(result.prefilled_tokens for result in results),
-        _mean(queued),
-        _mean(spread),
+        queued,
+        spread,
         kinds,
         _mean(result.preempted for result in results),
         worths,
     )
 
 
+def _engine_loads(
+    plan: plan_module.Plan, results: list[simulation.Result]
+) -> tuple[float, float]:
+    """Returns two means over all samples within the duration of the plan.
+
+    Returns:
+        The number of requests that engines have beyond their slots, and the
+        difference between the most and the least loaded engine.
+    """
+    samples = [
+        sample.loads
+        for result in results
+        for sample in result.samples
+        if sample.at <= plan.seconds
+    ]
+    slots = plan.engine.slots
+    queued = [sum(max(0, one - slots) for one in loads) for loads in samples]
+    spread = [max(loads) - min(loads) for loads in samples]
+    return _mean(queued), _mean(spread)
+
+
 def _worst_window(
     finished: list[programs.ProgramResult], worths: dict[str, float]
 ) -> float:
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -57,6 +57,29 @@
     """Runs a simulation; the same arguments give the same result."""
     env = simpy.Environment()
     rng = random.Random(seed)
+    fleet = _fleet(env, experiment, rng)
+    control = control_module.Control(
+        env,
+        experiment.report_delay / 1000.0,
+        admission=experiment.admission != "off",
+    )
+    entries = _entries(env, experiment, seed, policy, fleet, control)
+    callers = programs_module.Callers(env, experiment, entries, seed, load)
+    for fault in experiment.faults:
+        env.process(_inject_fault(env, fault, fleet, control, callers, rng))
+    samples: list[Sample] = []
+    env.process(_sample(env, fleet, samples))
+    env.run(until=experiment.seconds + DRAIN_SECONDS)
+    prefilled_tokens = sum(
+        engine.prefilled_tokens for engine in fleet.engines.values()
+    )
+    preempted = sum(engine.preempted for engine in fleet.engines.values())
+    return Result(callers.results, prefilled_tokens, samples, preempted)
+
+
+def _fleet(
+    env: simpy.Environment, experiment: plan.Plan, rng: random.Random
+) -> entry_module.Fleet:
     engines = {
         f"e{n}": engine_module.Engine(
             env,
@@ -72,30 +95,13 @@
         )
         for n in range(experiment.plains)
     }
-    fleet = entry_module.Fleet(
+    return entry_module.Fleet(
         engines,
         plain_services,
         experiment.engine.slots,
         experiment.plain_slots,
         experiment.engine.memory,
     )
-    control = control_module.Control(
-        env,
-        experiment.report_delay / 1000.0,
-        admission=experiment.admission != "off",
-    )
-    entries = _entries(env, experiment, seed, policy, fleet, control)
-    callers = programs_module.Callers(env, experiment, entries, seed, load)
-    for fault in experiment.faults:
-        env.process(_inject_fault(env, fault, fleet, control, callers, rng))
-    samples: list[Sample] = []
-    env.process(_sample(env, fleet, samples))
-    env.run(until=experiment.seconds + DRAIN_SECONDS)
-    prefilled_tokens = sum(
-        engine.prefilled_tokens for engine in engines.values()
-    )
-    preempted = sum(engine.preempted for engine in engines.values())
-    return Result(callers.results, prefilled_tokens, samples, preempted)
 
 
 def _entries(
@@ -161,20 +167,41 @@
             for name in names:
                 env.process(_stutter(env, fleet.engines[name], fault, rng))
         case "crash":
-            for name in names:
-                fleet.engines[name].crash()
-            yield env.timeout(fault.seconds)
-            for name in names:
-                fleet.engines[name].restart()
-                fleet.register(name, fleet.engines[name].start_count)
+            yield from _crash(env, fault, fleet, names)
         case "slow" | "lost" | "errors":
-            attribute = {"slow": "slow", "lost": "losing", "errors": "failing"}
-            for name in names:
-                setattr(upstreams[name], attribute[fault.kind], fault.times)
-            yield env.timeout(fault.seconds)
-            for name in names:
-                healthy = 1.0 if fault.kind == "slow" else 0.0
-                setattr(upstreams[name], attribute[fault.kind], healthy)
+            chosen = [upstreams[name] for name in names]
+            yield from _degrade(env, fault, chosen)
+
+
+def _crash(
+    env: simpy.Environment,
+    fault: plan.Fault,
+    fleet: entry_module.Fleet,
+    names: list[str],
+) -> Any:
+    """Stops engines and starts them again after the fault."""
+    for name in names:
+        fleet.engines[name].crash()
+    yield env.timeout(fault.seconds)
+    for name in names:
+        fleet.engines[name].restart()
+        fleet.register(name, fleet.engines[name].start_count)
+
+
+def _degrade(
+    env: simpy.Environment, fault: plan.Fault, upstreams: list[Any]
+) -> Any:
+    """Makes upstreams slow, lose requests or answer with errors for a time."""
+    attribute, healthy = {
+        "slow": ("slow", 1.0),
+        "lost": ("losing", 0.0),
+        "errors": ("failing", 0.0),
+    }[fault.kind]
+    for upstream in upstreams:
+        setattr(upstream, attribute, fault.times)
+    yield env.timeout(fault.seconds)
+    for upstream in upstreams:
+        setattr(upstream, attribute, healthy)
 
 
 def _stutter(
