Disk worker: check() is wake_callers(); merges and grid explained

'check' named neither what is checked nor its effect, which is to wake callers of run_quietly; DiskQueue.check is wake_after_sync. 'The leader knows more' and the note on the last due time left open how values are merged and where the search for the next time starts. The tests are changed by the name only.

--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -56,7 +56,9 @@
             )
         for load in view.customers:
             usage = usages.get(load.customer)
-            usages[load.customer] = _merge(usage, load) if usage else load
+            usages[load.customer] = (
+                _merge_customers(usage, load) if usage else load
+            )
     listed = sorted(usages.values(), key=program_messages.CustomerLoad.sort_key)
     found = sorted(
         upstreams.values(), key=program_messages.UpstreamLoad.sort_key
@@ -76,8 +78,8 @@
 ) -> program_messages.UpstreamLoad:
     """Returns the load of one upstream that two groups' leaders reported.
 
-    Each entry reports everything to every leader, so the leader that heard
-    from more entries knows more.
+    Each entry reports everything to every leader, so the values are not added:
+    the greater one comes from the leader that has heard from more entries.
     """
     most = max(one, other, key=lambda item: item.running)
     speed = max(one, other, key=lambda item: item.speed_reports)
@@ -89,7 +91,7 @@
     )
 
 
-def _merge(
+def _merge_customers(
     one: program_messages.CustomerLoad, other: program_messages.CustomerLoad
 ) -> program_messages.CustomerLoad:
     """Returns the load of one customer that two groups reported.
--- a/src/mintcleat/adapters/disk_thread.py
+++ b/src/mintcleat/adapters/disk_thread.py
@@ -97,11 +97,11 @@
         return self._run(function, args, quiet=False)
 
     def run_quietly(self, function: Callable[..., Any], *args: Any) -> Any:
-        """Like `run`, but the caller continues only after `check`."""
+        """Like `run`, but the caller waits for `wake_callers`."""
         return self._run(function, args, quiet=True)
 
-    def check(self) -> None:
-        """Continues callers of `run_quietly`, at once or when they are done."""
+    def wake_callers(self) -> None:
+        """Wakes callers of `run_quietly`, now or when their calls end."""
         if not self.quiet:
             return
         # The thread adds a call to `done` before it reads `quiet`, so either
--- a/src/mintcleat/adapters/event_loop.py
+++ b/src/mintcleat/adapters/event_loop.py
@@ -73,6 +73,7 @@
     Attributes:
         ready: Timers without a delay, in the order in which they were set.
         registered: Events that epoll reports, by file descriptor.
+        running: Whether `run` is under way.
     """
 
     def __init__(self, clock: Any = None) -> None:
--- a/src/mintcleat/adapters/timers.py
+++ b/src/mintcleat/adapters/timers.py
@@ -17,8 +17,9 @@
 _MAX_ALIGNED_SECONDS = 1.0
 # Least time between two calls of an aligned callback, as a part of its period.
 _MIN_PERIOD_FRACTION = 0.1
-# Callbacks are due at multiples of this, unless their period is much shorter.
-# Multiples of 0.15 or 0.25 s would seldom coincide with those of 0.1 s.
+# Times at which callbacks are due are multiples of this, unless their period is
+# much shorter. Multiples of 0.15 or 0.25 s would seldom coincide with those of
+# 0.1 s.
 _GRID_SECONDS = 0.1
 # Bound on errors of floating-point numbers, in periods.
 _ROUNDING = 1e-6
@@ -92,7 +93,7 @@
         green_threads.spawn(function, *args)
 
     def _sleep_measured(self, seconds: float) -> float:
-        """Sleeps; returns how much too long in seconds."""
+        """Sleeps; returns by how many seconds it took too long."""
         due = self.now() + seconds
         self.sleep(seconds)
         return max(0.0, self.now() - due)
@@ -148,8 +149,8 @@
         return period
     now = time.monotonic() - _PHASE
     # A callback that runs a little early or very late is not repeated at once.
-    # The last one was due at most one step of the grid late.
     earliest = now + _MIN_PERIOD_FRACTION * period
+    # The multiple before now may still be due, as it is rounded up to the grid.
     due = math.floor(now / period + _ROUNDING) * period
     while (at := _on_grid(due, period)) <= earliest:
         due += period
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -108,14 +108,14 @@
     def run_quietly(self, function: Callable[..., Any], *args: Any) -> Any:
         """Like `run`, but the end of the call wakes up nobody.
 
-        The caller continues after the next `check` or the end of a call of
-        `run`, and at once if the function raises. This is for a result that
-        matters only together with an event that has not occurred yet, and that
-        calls `check`.
+        The caller continues after the next `wake_callers` or the end of a call
+        of `run`, and at once if the function raises. This is for a result that
+        matters only together with an event that has not occurred yet, and
+        whose handler calls `wake_callers`.
         """
 
-    def check(self) -> None:
-        """Has the callers of `run_quietly` continue.
+    def wake_callers(self) -> None:
+        """Lets the callers of `run_quietly` continue.
 
         Those whose calls have ended continue soon; the others as with `run`.
         """
@@ -151,7 +151,7 @@
         """Calls the function and returns its result."""
         return function(*args)
 
-    def check(self) -> None:
+    def wake_callers(self) -> None:
         """Does nothing; no caller waits."""
 
 
--- a/src/mintcleat/roles/control/replication/disk_queue.py
+++ b/src/mintcleat/roles/control/replication/disk_queue.py
@@ -104,8 +104,9 @@
         log_ends = self.host.core.log_ends(effects.stored)
         self.unsynced.append(Unsynced(effects, log_ends))
         if self.persisting:
-            # These effects are written as soon as the disk is free.
-            self.worker.check()
+            # These effects are written after the sync that is under way, so
+            # that its end must wake up the writer.
+            self.worker.wake_callers()
             return
         self.persisting = True
         if self.worker.blocks_caller():
@@ -113,9 +114,9 @@
         else:
             self.timers.spawn(self._persist)
 
-    def check(self) -> None:
-        """Takes note of a finished sync that has woken up nobody."""
-        self.worker.check()
+    def wake_after_sync(self) -> None:
+        """Lets a sync that has finished without a wakeup take effect."""
+        self.worker.wake_callers()
 
     def unsynced_bytes(self) -> int:
         """Returns the size of the records that are not on the disk yet."""
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -177,7 +177,7 @@
     def tick(self) -> None:
         """Advances the timers of the consensus core, and works."""
         if self.failed is None:
-            self.disk.check()
+            self.disk.wake_after_sync()
             with self.stop_on_failure:
                 self.core.tick(self.timers.now())
             self.work()
@@ -189,7 +189,7 @@
             return
         self.links.peer_seen(frame.address)
         # Together with this frame, a finished sync may commit entries.
-        self.disk.check()
+        self.disk.wake_after_sync()
         with self.stop_on_failure:
             self.core.receive(frame, self.timers.now())
         if self.core.highest_epoch_seen > self.core.me.epoch:
--- a/testing/fakes/virtual_disk.py
+++ b/testing/fakes/virtual_disk.py
@@ -180,7 +180,7 @@
     def run_quietly(self, function: Any, *args: Any) -> Any:
         return self._run(function, args, quiet=True)
 
-    def check(self) -> None:
+    def wake_callers(self) -> None:
         self.quiet.clear()
         finished, self.finished = self.finished, []
         for waiting, outcome in finished:
@@ -233,4 +233,4 @@
             self.finished.append((finished, outcome))
         else:
             finished.send(outcome)
-            self.check()
+            self.wake_callers()
--- a/testing/test_disk_thread.py
+++ b/testing/test_disk_thread.py
@@ -82,7 +82,7 @@
                 eventlet.sleep(0.001)
         eventlet.sleep(0.01)
         self.assertEqual([], found)
-        self.worker.check()
+        self.worker.wake_callers()
         eventlet.sleep(0)
         self.assertEqual([7], found)
 
@@ -97,7 +97,7 @@
 
         eventlet.spawn(lambda: found.append(self.worker.run_quietly(block)))
         eventlet.sleep(0.01)
-        self.worker.check()
+        self.worker.wake_callers()
         release.set()
         with eventlet.Timeout(20.0):
             while not found:
