Replication and emulator: attributes, results and titles of modules explained

on_applied and the reporter were not described, a failed read's result was not stated, and three module titles didn't say what the module does.

--- a/src/mintcleat/emulator/forecast.py
+++ b/src/mintcleat/emulator/forecast.py
@@ -1,4 +1,4 @@
-"""What a program will do, known in advance.
+"""The course of a program on idle upstreams, computed in advance.
 
 A program draws its turns, tools and pauses from a random generator of its own.
 Running it alone, on upstreams that serve everything at once, yields its whole
@@ -20,8 +20,8 @@
 from mintcleat.emulator import plan
 from mintcleat.emulator import programs
 
-# Programs of a kind from which its mean target is computed: with the spread of
-# the plans the mean is exact to 3%.
+# Number of programs from which the mean target of a kind is computed. With the
+# spread of the plans, the mean is exact to 3%.
 _SAMPLES = 400
 
 
@@ -31,7 +31,7 @@
     Attributes:
         starts_at: Seconds from the start of the program on idle upstreams.
         seconds: Time at an idle engine, without the network.
-        prompt: Tokens of the prompt that no earlier turn had.
+        prompt: Tokens of the prompt that were not part of an earlier turn.
         context: Tokens of the whole prompt.
         output: Tokens of the answer.
     """
--- a/src/mintcleat/emulator/worker.py
+++ b/src/mintcleat/emulator/worker.py
@@ -1,4 +1,4 @@
-"""Simulates in processes of their own.
+"""Runs simulations in worker processes.
 
 Each process gets its cases at once and returns all results at its end, so the
 parent needs neither threads nor a pool. A pool's threads don't run in a process
@@ -23,7 +23,7 @@
 
     Args:
         cases: Arguments of `simulation.run`.
-        processes: Number of processes.
+        processes: Number of processes; each gets every n-th case.
 
     Raises:
         errors.MintcleatError: A process failed.
--- a/src/mintcleat/emulator/worth.py
+++ b/src/mintcleat/emulator/worth.py
@@ -30,6 +30,8 @@
 ) -> float:
     """Returns the worth earned as a fraction of the worth of all programs.
 
+    It is 0 without any program.
+
     Args:
         finished: Results of programs.
         worths: Worth of a program by kind.
--- a/src/mintcleat/roles/control/replication/application.py
+++ b/src/mintcleat/roles/control/replication/application.py
@@ -12,7 +12,8 @@
 from mintcleat.roles.control.replication import proposals as proposals_module
 from mintcleat.roles.control.replication import reporting
 
-# Called with a group, its replica, its machine and the bytes of the commands.
+# Called with a group, its replica, its machine, and the size of the data of the
+# applied entries in bytes.
 OnApplied = Callable[[str, replicas.Replica, log.StateMachine, int], None]
 
 
@@ -20,8 +21,10 @@
     """The state machines of an instance.
 
     Attributes:
-        machines: By group.
+        machines: State machines by group.
         proposals: The proposers that wait for results.
+        reporter: Reports changes of voters.
+        on_applied: Called after entries of a group were applied.
     """
 
     def __init__(
--- a/src/mintcleat/roles/control/replication/proposals.py
+++ b/src/mintcleat/roles/control/replication/proposals.py
@@ -74,7 +74,7 @@
             self.waiters[group] = kept
 
     def fail_reads(self) -> None:
-        """Fails all reads."""
+        """Fails all reads; their callers get None instead of a ReadReady."""
         for done in self.readers.values():
             done.send(None)
         self.readers.clear()
