--- a/testing/test_slow_callers.py
+++ b/testing/test_slow_callers.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import eventlet
+import pytest
 import testtools
 
 from mintcleat.adapters import http1_server
@@ -121,6 +122,7 @@
             while caller.fd.recv(65536):
                 pass
 
+    @pytest.mark.known_red
     def test_slow_progress_is_not_a_stall(self) -> None:
         # The response takes longer than the time without progress, which is
         # longer than pauses of a process on a busy machine.
