explain names the decision that cost a program its time

The decision of each request follows from the lines turn_refused, turn_deferred and stream_continued; the one with the greatest cost is told with the leader's figures.

--- a/src/mintcleat/domain/program_traces.py
+++ b/src/mintcleat/domain/program_traces.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -37,6 +38,8 @@
             the end is unknown.
         detail: Text of the refusal; empty for none.
         deferred: Whether the leader let the turn wait.
+        decision: What the leader or the entry decided that cost the request
+            its time, with the figures that it used; empty if no line says so.
     """
 
     request: str
@@ -51,6 +54,7 @@
     outcome: str
     detail: str
     deferred: bool
+    decision: str = ""
 
 
 class ProgramTrace(NamedTuple):
@@ -136,9 +140,66 @@
     if refused:
         last = refused[-1]
         text += f" Last refused as {last.outcome}: {last.detail}"
+    costly = _costliest(found)
+    if costly is not None:
+        text += f" Decision for request {costly.request}: {costly.decision}."
     return text
 
 
+def _costliest(found: ProgramTrace) -> RequestTimes | None:
+    """Returns the request whose decision cost the program the most time.
+
+    A refusal costs the time of its request and the pause of the caller after
+    it; other decisions cost the time until the first byte.
+    """
+    starts = [item.began for item in found.requests[1:]]
+    costs = []
+    for item, following in itertools.zip_longest(found.requests, starts):
+        if not item.decision:
+            continue
+        cost = item.total - item.answer
+        if item.detail and following is not None:
+            cost = max(cost, following - item.began)
+        costs.append((cost, item))
+    return max(costs, key=lambda pair: pair[0])[1] if costs else None
+
+
+def _decision(own: list[traces.Line]) -> str:
+    """Returns the decision that cost a request its time; empty if unknown."""
+    texts = []
+    for line in own:
+        match line.event:
+            case "turn_refused" | "turn_deferred":
+                texts.append(_admission(line))
+            case "stream_continued":
+                texts.append(_continuation(line.fields))
+    # A turn that waited first is explained by how its wait ended.
+    return texts[-1] if texts else ""
+
+
+def _admission(line: traces.Line) -> str:
+    """Returns why the leader refused a turn or let it wait."""
+    fields = line.fields
+    name = "deferred"
+    if line.event == "turn_refused":
+        name = f"refused as {fields.get('kind')} for its {fields.get('reason')}"
+    return (
+        f"{name}, with {fields.get('running')} turns running of "
+        f"{fields.get('bound')}, {fields.get('rank')} waiting before it, an "
+        f"expected wait of {fields.get('wait_s')} s, and the customer's use of "
+        f"{fields.get('use')} with a share of {fields.get('share')}"
+    )
+
+
+def _continuation(fields: dict[str, Any]) -> str:
+    """Returns what happened to a stream that left its upstream."""
+    return (
+        f"stream {fields.get('result')} from {fields.get('upstream')} to "
+        f"{fields.get('destination')} ({fields.get('reason')}), with a pause "
+        f"of {fields.get('pause_s')} s"
+    )
+
+
 def _times(request: str, own: Iterable[traces.Line]) -> RequestTimes:
     own = sorted(own, key=lambda line: (line.at, line.number))
     ends = [line for line in own if line.event in _ENDS]
@@ -168,6 +229,7 @@
         outcome,
         detail,
         any(line.event == "turn_deferred" for line in own),
+        _decision(own),
     )
 
 
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -201,6 +201,62 @@
                 self.assertIn(word, out.getvalue())
 
 
+ADMISSION = {
+    "customer": "c1", "service": "lm", "priority": 1, "wait_s": 0.3, "rank": 7,
+    "running": 12, "bound": 12, "share": 0.33, "use": 0.41,
+}  # fmt: skip
+DECISIONS = [
+    line(10.0, 1, "call_taken", request="r1", program="p1", route="a"),
+    line(10.01, 2, "turn_deferred", request="r1", program="p1", **ADMISSION),
+    line(
+        10.05, 3, "turn_refused", request="r1", program="p1", **ADMISSION,
+        kind="share_exceeded", reason="wait", retry_after_s=1.5,
+    ),
+    line(
+        10.05, 4, "call_refused", request="r1", program="p1", route="a",
+        kind="share_exceeded", detail="Over its share.", after_s=0.05,
+    ),
+    line(11.6, 5, "call_taken", request="r2", program="p1", route="a"),
+    line(11.61, 6, "turn_deferred", request="r2", program="p1", **ADMISSION),
+    line(
+        12.6, 7, "call_ended", request="r2", program="p1", route="a",
+        outcome="whole", first_s=0.6, total_s=1.0,
+    ),
+]  # fmt: skip
+
+
+class DecisionTest(testtools.TestCase):
+    def test_refusal_that_sent_the_caller_away_cost_the_most(self) -> None:
+        found = program_traces.trace("p1", traces.parse(DECISIONS))
+        self.assertEqual(2, len(found.requests))
+        text = program_traces.verdict(found)
+        self.assertIn(
+            "Decision for request r1: refused as share_exceeded", text
+        )
+        self.assertIn("use of 0.41 with a share of 0.33", text)
+
+    def test_wait_for_a_grant_is_named_without_a_refusal(self) -> None:
+        found = program_traces.trace("p1", traces.parse(DECISIONS[4:]))
+        text = program_traces.verdict(found)
+        self.assertIn("Decision for request r2: deferred, with 12", text)
+
+    def test_moved_stream_is_named(self) -> None:
+        moved = line(
+            11.9, 9, "stream_continued", request="r2", upstream="u1",
+            destination="u2", reason="slow", result="moved", pause_s=0.03,
+        )  # fmt: skip
+        lines = [DECISIONS[4], moved, DECISIONS[6]]
+        found = program_traces.trace("p1", traces.parse(lines))
+        self.assertIn(
+            "stream moved from u1 to u2 (slow), with a pause of 0.03 s",
+            program_traces.verdict(found),
+        )
+
+    def test_program_without_a_decision_has_none(self) -> None:
+        found = program_traces.trace("p1", traces.parse(PROGRAM))
+        self.assertNotIn("Decision", program_traces.verdict(found))
+
+
 class PageTest(testtools.TestCase):
     def test_page_matches_the_events(self) -> None:
         from test_docs import REFERENCE
