call_taken names the digest of a request, attempt_failed what ran beside it

Change: a digest over customer, method, host, path, query, previous turn and body, without what differs between repetitions (id, deadline, program, header fields). Cryptographic, since it will decide about refusals. No logic is changed.

--- a/src/mintcleat/domain/digests.py
+++ b/src/mintcleat/domain/digests.py
@@ -1,9 +1,12 @@
-"""Digests of program histories."""
+"""Digests of program histories and of requests."""
 
+import hashlib
 import struct
 
 import xxhash
 
+from mintcleat.domain import routed_calls
+
 _LENGTH = struct.Struct(">I")
 
 # Digest of a history without turns.
@@ -31,3 +34,33 @@
         hasher.update(_LENGTH.pack(len(data)))
         hasher.update(data)
     return hasher.digest()
+
+
+def of_call(call: routed_calls.RoutedCall) -> bytes:
+    """Returns a digest that all repetitions of a request share.
+
+    A repetition has the same customer, method, host, path, query, previous turn
+    and body. What differs between repetitions is left out: the request's id,
+    its deadline, its program, and header fields, which name the client's
+    software rather than the work.
+
+    Requests are refused by this digest, so it is a cryptographic one: nobody
+    can make a request that has the digest of another.
+
+    Returns:
+        A digest of 16 bytes.
+    """
+    hasher = hashlib.blake2b(digest_size=16)
+    head = (
+        call.customer,
+        call.method,
+        call.host,
+        call.target,
+        call.program.previous,
+    )
+    for text in head:
+        data = text.encode()
+        hasher.update(_LENGTH.pack(len(data)))
+        hasher.update(data)
+    hasher.update(call.body)
+    return hasher.digest()
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -151,6 +151,7 @@
         lease_left_s: Remaining time of the configuration lease; 0 when it
             has expired.
         directory: Version of the directory.
+        digest: Digest that all repetitions of the request share.
     """
 
     request: str
@@ -164,6 +165,7 @@
     lease_left_s: float
     directory: int
     customer: str
+    digest: str = ""
 
 
 class TurnOpened(NamedTuple):
@@ -241,6 +243,7 @@
         after_s: Time since the request was sent to the upstream.
         last_event: Id of the last event of the stream that was received;
             empty for none.
+        beside: Other requests of this process that ran at the upstream.
     """
 
     request: str
@@ -251,6 +254,7 @@
     outcome: str
     after_s: float
     last_event: str
+    beside: int = 0
 
 
 class StreamContinued(NamedTuple):
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -1,6 +1,7 @@
 """Reports the course of one routed request as events."""
 
 from mintcleat.decisions import routes
+from mintcleat.domain import digests
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import member_messages
@@ -12,7 +13,11 @@
 
 
 class RunEvents:
-    """Emits the events of one request."""
+    """Emits the events of one request.
+
+    Attributes:
+        digest: Digest that all repetitions of the request share.
+    """
 
     def __init__(
         self,
@@ -27,6 +32,7 @@
         self.match = match
         self.service_name = service_name
         self.deadline = deadline
+        self.digest = digests.of_call(call)
 
     @property
     def elapsed(self) -> float:
@@ -51,6 +57,7 @@
                 round(configuration.lease_left(), 3),
                 configuration.registered.version,
                 self.call.customer,
+                self.digest.hex(),
             )
         )
 
@@ -95,6 +102,8 @@
                 error.outcome,
                 round(self.context.timers.now() - sent_at, 4),
                 last_event,
+                # The request itself still counts as running.
+                max(0, self.context.loads.running(upstream.incarnation) - 1),
             )
         )
 
