--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -14,6 +14,8 @@
 
 ANY = "127.0.0.1:0"
 _BLOCK = 65536
+# Time for which a request runs before it crashes its engine.
+CRASH_SECONDS = 0.02
 
 
 class ReceivedRequest:
@@ -104,6 +106,19 @@
     return True
 
 
+def crash_on(word: str, script: Script = whole) -> Script:
+    """Returns a script that crashes the engine for targets with the word."""
+
+    def run(connection: Connection, received: ReceivedRequest) -> bool:
+        if word in received.target:
+            eventlet.sleep(CRASH_SECONDS)
+            connection.engine.crash()
+            return False
+        return script(connection, received)
+
+    return run
+
+
 def stream(count: int = 3, pause: float = 0.0) -> Script:
     """Returns a script that sends the events after Last-Event-Id.
 
@@ -133,6 +148,8 @@
         misdirected: Number of requests for another upstream at this address.
         started: Start time in ms since 1970; 0 if it is not reported.
         connections: Number of accepted connections.
+        open: Accepted connections that have not been closed.
+        crashed: Whether it has ended with all it ran.
     """
 
     def __init__(self, name: str, script: Script = whole) -> None:
@@ -142,6 +159,8 @@
         self.misdirected = 0
         self.started = 0
         self.connections = 0
+        self.open: set[Connection] = set()
+        self.crashed = False
         self.listener = eventlet.listen(("127.0.0.1", 0))
         host, port = self.listener.getsockname()
         self.address = f"{host}:{port}"
@@ -151,6 +170,13 @@
         self.thread.kill()
         self.listener.close()
 
+    def crash(self) -> None:
+        """Ends as a killed process does: nothing listens, all is reset."""
+        self.crashed = True
+        self.stop()
+        for connection in list(self.open):
+            connection.reset()
+
     def heartbeat(
         self, service: str, sequence: int, state: str = "ready"
     ) -> dict[str, Any]:
@@ -171,7 +197,9 @@
         while True:
             sock, _ = self.listener.accept()
             self.connections += 1
-            eventlet.spawn(self._serve, Connection(self, sock))
+            connection = Connection(self, sock)
+            self.open.add(connection)
+            eventlet.spawn(self._serve, connection)
 
     def _serve(self, connection: Connection) -> None:
         try:
@@ -180,6 +208,7 @@
         except (OSError, h11.ProtocolError):
             pass
         finally:
+            self.open.discard(connection)
             connection.sock.close()
 
     def _serve_one(self, connection: Connection) -> bool:
--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 import eventlet
+import msgspec
 import testtools
 
 from fakes import platform_engine
@@ -133,6 +134,24 @@
             entry, self.entry_common, self.reporter
         )
         self.entry.start()
+        self.entries = [self.entry]
+        self.entry_streams = [self.entry_common.streams]
+
+    def add_entry(self) -> hosted_entry.EntryRole:
+        """Starts another entry."""
+        number = len(self.entries) + 1
+        machine = self._machine("entry", [self.control_common.streams.address])
+        named = msgspec.structs.replace(
+            machine.settings, instance=f"entry-{number}"
+        )
+        shared = common.SharedComponents(named)
+        entry = hosted_entry.EntryRole(
+            machine._replace(settings=named), shared, self.reporter
+        )
+        entry.start()
+        self.entries.append(entry)
+        self.entry_streams.append(shared.streams)
+        return entry
 
     def _machine(
         self, role: str, control: list[str]
@@ -164,10 +183,12 @@
     def stop(self) -> None:
         for engine in self.engines:
             engine.stop()
-        self.entry.follower.stop()
-        self.entry.listener.stop()
-        self.entry.readiness_listener.stop()
-        self.entry_common.streams.stop()
+        for entry in self.entries:
+            entry.follower.stop()
+            entry.listener.stop()
+            entry.readiness_listener.stop()
+        for streams in self.entry_streams:
+            streams.stop()
         self.control.listener.stop()
         self.control.wrapped.stop()
         self.control_common.streams.stop()
@@ -205,15 +226,17 @@
         return self.ask_control("POST", f"/v1/Instances.Leave/{engine.name}")
 
     def settle(self) -> None:
-        """Waits until the entry has applied all changes at control."""
+        """Waits until the entries have applied all changes at control."""
         machine_now = self.control.wrapped.config.machine
-        follower = self.entry.follower
-        with eventlet.Timeout(ANSWER_SECONDS):
-            while (
-                follower.revision() < machine_now.document.revision
-                or follower.registered.version < machine_now.directory.version
-            ):
-                eventlet.sleep(0.005)
+        for entry in self.entries:
+            follower = entry.follower
+            with eventlet.Timeout(ANSWER_SECONDS):
+                while (
+                    follower.revision() < machine_now.document.revision
+                    or follower.registered.version
+                    < machine_now.directory.version
+                ):
+                    eventlet.sleep(0.005)
 
     def call(
         self,
@@ -221,6 +244,8 @@
         target: str,
         body: bytes = b"",
         request: str = "r1",
+        *,
+        entry: int = 0,
         **headers: str,
     ) -> Answer:
         named = {name.replace("_", "-"): v for name, v in headers.items()}
@@ -230,7 +255,7 @@
             "X-Deadline-Milliseconds": "3000",
             **named,
         }
-        address = self.entry.listener.address
+        address = self.entries[entry].listener.address
         return exchange(address, method, target, fields, body)
 
 
