A request sent to an upstream that had crashed is no suspect

Cause: a proxy before crashed upstreams accepts connections and resets them. An entry sent the request to three such, one after the other, and when the upstreams registered again, their replacement counted as three crashes under it, in the entry's own evidence. Change: in each crash only runs that began before the first one was lost count; losses at an upstream that answers later are dropped; the entry's own decision takes only refused connections, which show when the upstream ended.

--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -11,6 +11,7 @@
 - It has ended well nowhere since. A request that is common, such as a read
   without parameters, runs at every upstream that crashes, and ends well
   elsewhere all the time.
+- It was sent before the upstream crashed, not to what was left of it.
 - No other request was there nearly as often. A caller's requests that are
   repeated side by side stay suspects until one of them ends well.
 
@@ -33,7 +34,7 @@
 # Bounds of the state. Crashes and cleared requests make room for later ones. A
 # quarantined request only makes room for another quarantined one, so that no
 # number of suspects can release it.
-CRASHES_KEPT = 1_000
+CRASHES_KEPT = 500
 LOSSES_PER_CRASH = 256
 CLEARED_KEPT = 1_000
 QUARANTINED_KEPT = 1_000
@@ -222,7 +223,10 @@
         found = dict.fromkeys(reversed(self.on_trial))
         for incarnation in reversed(self.crashes):
             for digest, run in self.crashes[incarnation].items():
-                if digest not in self.quarantine and self._counts(digest, run):
+                if digest in self.quarantine or digest in found:
+                    continue
+                crash = self.crashes[incarnation]
+                if self._counts(digest, run) and _is_before_crash(run, crash):
                     found[digest] = None
         return list(found)[:SUSPECTS_SENT]
 
@@ -232,8 +236,10 @@
         for incarnation in self.places.get(digest, ()):
             crash = self.crashes[incarnation]
             run = crash[digest]
-            if self._counts(digest, run) and not self._is_explained(
-                crash, digest
+            if (
+                self._counts(digest, run)
+                and _is_before_crash(run, crash)
+                and not self._is_explained(crash, digest)
             ):
                 runs[incarnation] = run
         found: list[str] = []
@@ -413,6 +419,17 @@
         return unrivalled >= limits.crashes
 
 
+def _is_before_crash(run: Run, crash: dict[bytes, Run]) -> bool:
+    """Returns whether a run began before the first one was lost in a crash.
+
+    What is sent to an upstream that has crashed may be accepted on its way and
+    lost without having run.
+    """
+    crashed_at = min(other.lost_at for other in crash.values())
+    late = run.started_at - crashed_at
+    return late <= MAX_OVERLAP * (run.lost_at - run.started_at)
+
+
 def _in_order(runs: dict[str, Run]) -> list[tuple[float, float, str]]:
     """Returns start, loss and incarnation of each run, in order.
 
--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -198,8 +198,12 @@
         if not digests:
             self.running.pop(incarnation, None)
 
-    def answered(self, digest: bytes) -> None:
-        """Records that an upstream completed a run of a request."""
+    def answered(self, incarnation: str, digest: bytes) -> None:
+        """Records that an upstream completed a run of a request.
+
+        What was lost there before was not lost in a crash.
+        """
+        self.lost.pop(incarnation, None)
         now = self.timers.now()
         self.ended_well[digest] = now
         self.ended_well.move_to_end(digest)
@@ -314,10 +318,19 @@
         self.crashed[incarnation] = None
         while len(self.crashed) > _CRASHED_KEPT:
             del self.crashed[next(iter(self.crashed))]
+        first_lost_at = min(loss.lost_at for loss in losses)
         suspected = [
-            loss for loss in losses if loss.sent.digest not in self.ended_well
+            loss
+            for loss in losses
+            if loss.sent.at < first_lost_at
+            and loss.sent.digest not in self.ended_well
         ]
         if suspected:
+            self._report(incarnation, suspected)
+        # Only refused connections show when an upstream crashed. If it was
+        # replaced, a request may have been sent to it after that, and this
+        # entry may be the only one that it was sent through.
+        if suspected and sign == _REFUSED:
             self._record(incarnation, suspected)
         if is_new:
             first = losses[0]
@@ -353,6 +366,8 @@
             self._own_limits(),
         )
         self._refresh_suspects()
+
+    def _report(self, incarnation: str, losses: list[_Loss]) -> None:
         for loss in losses:
             self.reporter.add_loss(
                 incarnation,
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -211,7 +211,7 @@
             evidence.of_answer(self.relay.status, silent, silence_timeout),
         )
         self.context.attempt_timeouts.answered(self.service_name)
-        watch.answered(self.digest)
+        watch.answered(upstream.incarnation, self.digest)
         return True
 
     def _handle_failure(
--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -84,6 +84,14 @@
             "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
         )
 
+    def drop(self) -> None:
+        """Ends the connection, also while another green thread reads it.
+
+        Closing the socket then would end whatever gets its descriptor next.
+        """
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def reset(self) -> None:
         with contextlib.suppress(OSError):
             self.sock.setsockopt(
@@ -175,7 +183,7 @@
         self.crashed = True
         self.stop()
         for connection in list(self.open):
-            connection.reset()
+            connection.drop()
 
     def heartbeat(
         self, service: str, sequence: int, state: str = "ready"
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -76,6 +76,21 @@
             self.evidence.record(f"u{number}", [lost], end, LIMITS)
         self.assertEqual([BAD], self.quarantined())
 
+    def test_request_sent_to_a_crashed_upstream_is_no_suspect(self) -> None:
+        # Guards against a refused innocent: a proxy accepted its connections
+        # to three upstreams that had crashed, and reset them.
+        for number in range(1, 4):
+            at = float(number)
+            crash = [
+                loss(BAD, at - 0.1, at),
+                loss(b"late", at + 0.7, at + 0.701),
+            ]
+            self.evidence.record(f"u{number}", crash, at + 0.8, LIMITS)
+        self.assertEqual([BAD], self.quarantined())
+        self.evidence.release(BAD, 4.0)
+        self.assertEqual([], self.evidence.crashes_of(b"late"))
+        self.assertEqual([], self.suspects())
+
     def test_run_that_ends_well_withdraws_the_crashes_before(self) -> None:
         self.crash(1, b"read")
         self.crash(2, b"read")
