Soak: requests that crash the upstreams which run them

A customer sends one or two such requests a phase, on repeatable, unrepeatable and resumable routes, some times a second and at times an earlier one again. The upstream that runs one crashes after 45 ms and is back after 1 to 1.8 s; in every other crash connections are refused, in the others accepted and reset. Checks: crash_loop (more than three runs later than 3 s after the third crash, through entries in touch with control) and innocent (another request is refused as one that crashes).

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -34,6 +34,8 @@
 # after which they leave.
 _LEAVING_PART = 0.2
 _LEAVING_SECONDS = (0.01, 0.3)
+# Part of the repetitions of crashing requests that are of an earlier one.
+_EARLIER_PART = 0.25
 # Token budgets of programs; the small one ends within a few turns.
 _BUDGETS = (40, 10_000)
 
@@ -48,6 +50,8 @@
         budget: Tokens that its program may use; 0 for no bound.
         large: Whether the events of its response are large.
         slow: Whether its caller reads slowly.
+        crashing: Name of the request that crashes upstreams, of which this is
+            a repetition; empty for others.
         timeout: Seconds after which its caller leaves.
     """
 
@@ -64,6 +68,7 @@
     expected: bytes | None = None
     large: bool = False
     slow: bool = False
+    crashing: str = ""
     timeout: float = _CLIENT_SECONDS
 
 
@@ -124,6 +129,7 @@
 
     Attributes:
         leave: Whether callers leave before the end of some responses.
+        crashing: Kind and number of the requests that crash upstreams.
     """
 
     def __init__(
@@ -139,6 +145,7 @@
         self.generator = generator
         self.numbers = itertools.count(1)
         self.leave = False
+        self.crashing: dict[tuple[str, int], None] = {}
 
     async def send(self, sending: Sending) -> Result:
         """Sends a request and returns its end."""
@@ -158,6 +165,7 @@
                 sending.program,
                 sending.events,
                 sending.expected,
+                crashing=sending.crashing,
             )
         )
         outcome = await client.ask(
@@ -277,6 +285,29 @@
         key = operators.key_of(customer)
         await self.send(Sending("tool", customer, key, 1, body=b"limited"))
 
+    async def crash(self, kind: str, number: int) -> None:
+        """Sends a request that crashes the upstreams which run it.
+
+        At times it sends an earlier one again.
+        """
+        known = self.crashing
+        known.setdefault((kind, number))
+        if self.generator.random() < _EARLIER_PART:
+            kind, number = self.generator.choice(list(known))
+        await self.send(
+            Sending(
+                kind,
+                operators.CRASHER,
+                operators.key_of(operators.CRASHER),
+                1 if kind == "tool" else operators.SAFE_ATTEMPTS,
+                f"/{kind}{upstreams.CRASHING}{number}",
+                events=4 if kind == "resume" else 0,
+                body=b"crash",
+                expected=b"crash",
+                crashing=f"{kind}-{number}",
+            )
+        )
+
     async def probe_revision(self) -> None:
         """Uses the route of the present version or of an earlier one."""
         version = self.operator.version - self.generator.choice((0, 0, 1, 4, 8))
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -27,6 +27,11 @@
 # Kinds of requests that every customer must get served. The others are probes,
 # which may be refused rightly.
 SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
+# Crashes of upstreams under a request after which entries that are connected
+# to control must know of it within `RECOVERY_SECONDS`, and the runs that may
+# follow that.
+CRASHES_ALLOWED = 3
+LATE_RUNS_ALLOWED = 3
 # Number of results from which a check draws conclusions; a few refusals in a
 # row are not a fault.
 MIN_RESULTS = 8
@@ -53,6 +58,8 @@
         events: Number of events of its whole response; 0 for a plain one.
         body: What the upstream must receive; None if it isn't checked.
         content: Whole content of a plain response.
+        crashing: Name of the request that crashes upstreams, of which this is
+            a repetition; empty for others.
     """
 
     request: str
@@ -65,6 +72,7 @@
     events: int = 0
     body: bytes | None = None
     content: bytes = b""
+    crashing: str = ""
 
 
 class End(NamedTuple):
@@ -139,6 +147,8 @@
         planned: Planned stops so far.
         violations: What was found.
         peak_mb: Most memory that each process used, in units of 10**6 bytes.
+        crashes: Times of the crashes under each request that crashes upstreams.
+        late_runs: Runs of it that its quarantine should have prevented.
         busy: Times, and the part of the engines' slots in use.
         busy_means: Mean of these parts in each interval that was checked.
     """
@@ -155,6 +165,8 @@
         self.planned: list[Disturbance] = []
         self.violations: list[Violation] = []
         self.peak_mb: dict[str, float] = {}
+        self.crashes: dict[str, list[float]] = collections.defaultdict(list)
+        self.late_runs: collections.Counter[str] = collections.Counter()
         self.busy: list[tuple[float, float]] = []
         self.busy_means: list[float] = []
 
@@ -192,6 +204,8 @@
                 "customer",
                 f"{name} of {request.customer!r} runs as {run.customer!r}",
             )
+        if request.crashing:
+            self._check_crash_loop(request, run)
         end = self.ends.get(name)
         if end is not None and end.status in REFUSALS:
             self._report(
@@ -220,8 +234,46 @@
                 self._report(
                     end.at, "invented", f"{name} has a response, but no run"
                 )
+        if end.error.startswith("quarantined") and not request.crashing:
+            self._report(
+                end.at,
+                "innocent",
+                f"{request.kind} {name} of {request.customer} is refused as "
+                f"one that crashes upstreams: {end.error}",
+            )
         self._check_planned(request, end)
 
+    def crashed(self, at: float, name: str) -> None:
+        """An upstream crashes under a request."""
+        self.crashes[self.requests[name].crashing].append(at)
+
+    def _check_crash_loop(self, request: Request, run: Run) -> None:
+        """A request under which three upstreams crashed isn't passed on."""
+        crashes = self.crashes[request.crashing]
+        if len(crashes) < CRASHES_ALLOWED:
+            return
+        known_at = crashes[CRASHES_ALLOWED - 1] + RECOVERY_SECONDS
+        if run.at <= known_at or not self._in_touch(request.entry, run.at):
+            return
+        self.late_runs[request.crashing] += 1
+        if self.late_runs[request.crashing] == LATE_RUNS_ALLOWED + 1:
+            self._report(
+                run.at,
+                "crash_loop",
+                f"{request.crashing} runs at {run.upstream} through "
+                f"{request.entry}, and {LATE_RUNS_ALLOWED} times before, more "
+                f"than {RECOVERY_SECONDS:g} s after its crash number "
+                f"{CRASHES_ALLOWED}; {len(crashes)} crashes",
+            )
+
+    def _in_touch(self, entry: str, at: float) -> bool:
+        """Returns whether no fault kept an entry and control apart."""
+        return not any(
+            (fault.node in ("", entry) or fault.node.startswith("control"))
+            and fault.start <= at <= fault.end + RECOVERY_SECONDS
+            for fault in self.disturbances
+        )
+
     def _check_content(self, request: Request, end: End) -> None:
         expected = list(range(1, len(end.numbers) + 1))
         if end.numbers != expected:
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -54,6 +54,8 @@
 _BURST_START_SECONDS = 1.0
 _BURST_PROGRAMS = 24
 _SLOW_READERS = 8
+# Callers that send one crashing request, some times a second each.
+_CRASHING_CALLERS = 2
 # Time from the start of a burst to the kill of a leader.
 _LEADER_KILL_SECONDS = 0.5
 # Long enough that a buffer without a bound grows by more than its limit.
@@ -133,6 +135,8 @@
                 await self._upstream(fault)
             case "load":
                 await self._load(fault)
+            case "crashing":
+                await self._crashing(fault)
             case "planned":
                 async with self.control_lock:
                     await self._planned(fault)
@@ -394,6 +398,18 @@
             finally:
                 callers.leave = False
 
+    async def _crashing(self, fault: schedule.Fault) -> None:
+        """Has a request that crashes upstreams sent again and again."""
+        callers = self.callers
+        self.log(f"begins: crashing {fault.kind} {fault.number}")
+        load = [
+            callers.forever(callers.crash, fault.kind, fault.number)
+            for _ in range(_CRASHING_CALLERS)
+        ]
+        async with _in_background(load):
+            await asyncio.sleep(fault.seconds)
+        self.log(f"ends: crashing {fault.kind} {fault.number}")
+
     def _burst(self) -> list[Coroutine]:
         """Returns the load of a burst, which is above the capacity."""
         callers = self.callers
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -38,16 +38,27 @@
         self.target = target
         self.delays = {"in": 0.0, "out": 0.0}
         self.refuses = False
+        self.server: asyncio.Server | None = None
         self.gates = {"in": asyncio.Event(), "out": asyncio.Event()}
         self.writers: set[asyncio.StreamWriter] = set()
         self.restore()
 
     async def start(self, host: str, port: int) -> None:
         """Starts to listen."""
-        server = await asyncio.start_server(self._accept, host, port)
-        host, port = server.sockets[0].getsockname()
+        self.server = await asyncio.start_server(self._accept, host, port)
+        host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def close(self) -> None:
+        """Ends as a killed process does: its address refuses connections."""
+        self.server.close()
+        self.abort()
+
+    async def reopen(self) -> None:
+        """Listens at the same address again."""
+        host, _, port = self.address.rpartition(":")
+        await self.start(host, int(port))
+
     def restore(self) -> None:
         """Ends all faults; what was held is delivered."""
         self.delays = {"in": 0.0, "out": 0.0}
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -24,6 +24,8 @@
 PROGRAM_CUSTOMERS = ("anna", "berta", "carl", "noisy")
 ROTATING = "rotating"
 SLOW = "slow"
+# Sends requests that crash upstreams.
+CRASHER = "crasher"
 # A key of the rotating customer is in this many versions in a row.
 KEY_VERSIONS = 2
 
@@ -88,7 +90,10 @@
 def _tenants(version: int) -> list[dict[str, Any]]:
     rotating = [rotating_key(version - age) for age in range(KEY_VERSIONS)]
     return [
-        *(_tenant(name, [key_of(name)]) for name in (*PROGRAM_CUSTOMERS, SLOW)),
+        *(
+            _tenant(name, [key_of(name)])
+            for name in (*PROGRAM_CUSTOMERS, SLOW, CRASHER)
+        ),
         *(
             _tenant(name, [key_of(name)], rate, burst)
             for name, (rate, burst) in LIMITS.items()
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -35,6 +35,11 @@
     for kind, counts in sorted(_ends_by_kind(checks).items()):
         shown = ", ".join(f"{s}: {n}" for s, n in sorted(counts.items()))
         lines.append(f"  {kind:9} {shown}")
+    for name, crashes in sorted(checks.crashes.items()):
+        lines.append(
+            f"  crashes under {name}: {len(crashes)}, runs after its "
+            f"quarantine was due: {checks.late_runs[name]}"
+        )
     peaks = sorted(checks.peak_mb.items())
     lines.append(
         "  memory in MB: " + ", ".join(f"{n} {mb:.0f}" for n, mb in peaks)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -60,11 +60,26 @@
 
     Attributes:
         upstreams: All upstreams by name.
+        crashed_at: When each upstream crashed that has not restarted.
     """
 
     def __init__(self, checks: checks_module.Checks) -> None:
         self.checks = checks
         self.upstreams: dict[str, upstreams.Upstream] = {}
+        self.crashed_at: dict[str, float] = {}
+
+    def crashed(self, request: str, upstream: str) -> None:
+        """Records a crash under a request."""
+        now = time.monotonic()
+        self.crashed_at[upstream] = now
+        self.checks.crashed(now, request)
+
+    def restarted(self, upstream: str) -> None:
+        """Records the time for which an upstream was down."""
+        began = self.crashed_at.pop(upstream)
+        self.checks.disturbances.append(
+            checks_module.Disturbance(upstream, began, time.monotonic())
+        )
 
     def run_began(
         self, request: str, upstream: str, customer: str, body: bytes
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -21,6 +21,8 @@
 _ENTRIES_SECONDS = 17.0
 # Quiet time after a mixed phase: `checks.RECOVERY_SECONDS`.
 _REST_SECONDS = 3.0
+# Time in which upstreams that crashed under a request are back.
+_CRASH_RECOVERY_SECONDS = 3.0
 
 CONTROL_FAULTS = (
     "kill",
@@ -51,6 +53,8 @@
     "last_resets",
 )
 LOAD_FAULTS = ("burst", "slow_readers", "leave", "burst_leader")
+# Routes of requests that crash the upstreams which run them.
+CRASHING = ("safe", "tool", "resume")
 PLANNED = ("stop_entry", "stop_control", "stop_leader")
 
 
@@ -62,7 +66,7 @@
         seconds: Duration; faults that consist of steps, as `drain`, take
             longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `planned`, `entries` or `all`.
+            `crashing`, `planned`, `entries` or `all`.
         kind: What happens.
         number: Chooses the target: its index modulo their number.
     """
@@ -90,6 +94,8 @@
         seconds: Duration of the run.
     """
     generator = random.Random(seed)
+    # Of its own, so that earlier seeds keep their other faults.
+    crashing = random.Random(f"{seed} crashing")
     faults: list[Fault] = []
     bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
@@ -108,6 +114,7 @@
         length = min(length, left)
         if phase == "mixed":
             faults.extend(_mixed(generator, bags, now, length))
+            faults.extend(_crashing(crashing, now, length))
             now += length + _REST_SECONDS
         elif phase == "planned":
             kind = generator.choice(PLANNED)
@@ -146,6 +153,24 @@
         yield from generator.sample(kinds, len(kinds))
 
 
+def _crashing(
+    generator: random.Random, start: float, length: float
+) -> list[Fault]:
+    """Returns crashing requests of a mixed phase, one or two at a time.
+
+    They end early enough for the upstreams to be back at the phase's end.
+    """
+    end = start + length - _CRASH_RECOVERY_SECONDS
+    at = start + generator.uniform(0.0, 2.0)
+    if at >= end:
+        return []
+    kinds = generator.sample(CRASHING, generator.choice((1, 1, 2)))
+    return [
+        Fault(at, end - at, "crashing", kind, generator.randrange(1000))
+        for kind in kinds
+    ]
+
+
 def _mixed(
     generator: random.Random,
     bags: dict[str, Iterator[str]],
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import time
 from typing import Any
 from typing import Protocol
@@ -22,6 +23,10 @@
 _SLOW_READ_SECONDS = 0.3
 # Text of an event of a stream that fills the buffers of slow readers.
 _LARGE_TEXT = "x" * 100_000
+# In targets of requests that crash the upstream which runs them, and the time
+# after which they do.
+CRASHING = "/crash-"
+_CRASH_SECONDS = 0.045
 
 
 class Observer(Protocol):
@@ -32,6 +37,12 @@
     ) -> None:
         """An upstream begins to run a request."""
 
+    def crashed(self, request: str, upstream: str) -> None:
+        """An upstream crashes under a request."""
+
+    def restarted(self, upstream: str) -> None:
+        """An upstream that crashed serves again."""
+
 
 def event_data(request: str, number: int, large: bool = False) -> str:
     """Returns the data of an event, the same at each upstream and attempt."""
@@ -59,6 +70,8 @@
         slowness: Time of its work as a multiple of the usual time.
         reads_slowly: Whether it pauses before it reads a body.
         tasks: Its connections.
+        crash_number: Number of crashes under requests.
+        crash_task: The latest of them, until it has restarted.
         draining_since: Monotonic time at which control acknowledged that it
             drains; 0 if it doesn't.
     """
@@ -85,6 +98,8 @@
         self.reads_slowly = False
         self.draining_since = 0.0
         self.server: asyncio.Server | None = None
+        self.crash_number = 0
+        self.crash_task: asyncio.Task | None = None
         self.tasks: set[asyncio.Task] = set()
         self.preferred = 0
 
@@ -115,6 +130,24 @@
         self.heartbeats = True
         await self._listen()
 
+    async def _crash_under(self, request: str) -> None:
+        """Crashes under a request, and restarts after a second or two.
+
+        In every other crash, connections to its address are refused meanwhile;
+        in the others they are accepted and reset.
+        """
+        self.observer.crashed(request, self.name)
+        self.crash_number += 1
+        refuses = self.crash_number % 2 == 1
+        self.crash()
+        if refuses:
+            self.link.close()
+        await asyncio.sleep(1.0 + self.crash_number % 3 * 0.4)
+        if refuses:
+            await self.link.reopen()
+        await self.restart()
+        self.observer.restarted(self.name)
+
     async def drain(self) -> None:
         """Registers as draining until control has acknowledged it."""
         self.state = "draining"
@@ -171,17 +204,21 @@
         try:
             with contextlib.suppress(*ended):
                 while True:
-                    _, headers = await hosted_processes.read_head(reader)
+                    head, headers = await hosted_processes.read_head(reader)
                     if self.reads_slowly:
                         await asyncio.sleep(_SLOW_READ_SECONDS)
                     body = await hosted_processes.read_body(reader, headers)
-                    await self._answer(headers, body, writer)
+                    await self._answer(head, headers, body, writer)
         finally:
             self.tasks.discard(task)
             writer.close()
 
     async def _answer(
-        self, headers: dict, body: bytes, writer: asyncio.StreamWriter
+        self,
+        head: str,
+        headers: dict,
+        body: bytes,
+        writer: asyncio.StreamWriter,
     ) -> None:
         request = headers["x-request-id"]
         common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
@@ -200,7 +237,14 @@
         is_turn = "x-program-id" in headers
         self.turns += is_turn
         try:
-            if self.service == "lm":
+            if CRASHING in head:
+                await asyncio.sleep(_CRASH_SECONDS)
+                if self.crash_task is None or self.crash_task.done():
+                    self.crash_task = asyncio.create_task(
+                        self._crash_under(request)
+                    )
+                await asyncio.sleep(math.inf)
+            elif self.service == "lm":
                 await self._stream(headers, common, writer)
             else:
                 await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
