--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from mintcleat.domain import control_events
 from mintcleat.domain import events
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import metrics as metric_ports
@@ -99,6 +100,25 @@
                 metrics.observe("leader_pause_seconds", event.seconds)
             case events.LinesDropped():
                 metrics.count("log_drops_total", reason=event.reason)
+            case _:
+                self._count_crash(event)
+
+    def _count_crash(self, event: Any) -> None:
+        """Counts what tells of requests that crash upstreams."""
+        metrics = self.metrics
+        match event:
+            case events.UpstreamCrashed():
+                metrics.count(
+                    "upstream_crashes_total",
+                    service=event.service,
+                    sign=event.sign,
+                )
+            case control_events.CrashReported():
+                metrics.count("crash_reports_total", service=event.service)
+            case control_events.RequestQuarantined():
+                metrics.count(
+                    "requests_quarantined_total", service=event.service
+                )
 
     def _customer_label(self, customer: str) -> str:
         """Returns the label of a customer."""
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -27,6 +27,8 @@
     "configuration_applied",
     "upstream_changed",
     "upstream_avoided",
+    "upstream_crashed",
+    "quarantine_changed",
     "leader_changed",
     "lines_dropped",
 }
@@ -128,7 +130,8 @@
     ]
     ends = [line for line in own if line.event in _END_EVENTS]
     certain = bool(ends) and not any("lines are missing" in g for g in gaps)
-    return Trace(request, own, around, gaps, _verdict(own, ends), certain)
+    verdict = _verdict(own, ends) + _crashes(request, own, lines)
+    return Trace(request, own, around, gaps, verdict, certain)
 
 
 def _sort_key(line: Line) -> tuple[float, int]:
@@ -234,6 +237,35 @@
     )
 
 
+def _crashes(request: str, own: list[Line], lines: list[Line]) -> str:
+    """Describes the upstreams that crashed under a request, and the proof.
+
+    The proof is in the lines of the config leader, and in those of other
+    requests with the same digest.
+    """
+    texts = [
+        f" Upstream {line.fields.get('upstream')} crashed while it ran it."
+        for line in lines
+        if line.event == "upstream_crashed"
+        and request in line.fields.get("suspects", [])
+    ]
+    digests = {line.fields.get("digest", "") for line in own} - {""}
+    for line in lines:
+        fields = line.fields
+        if (
+            line.event == "request_quarantined"
+            and fields.get("digest") in digests
+        ):
+            names = ", ".join(fields.get("upstreams", []))
+            texts.append(
+                f" Its digest {fields.get('digest')} was quarantined for "
+                f"{fields.get('seconds')} s, since upstreams crashed under "
+                f"its repetitions ({names}), first under "
+                f"{fields.get('request')}."
+            )
+    return "".join(texts)
+
+
 def _continuations(own: list[Line]) -> str:
     """Describes the moves and resumes of a stream, in order."""
     texts = []
--- a/src/mintcleat/main/cli.py
+++ b/src/mintcleat/main/cli.py
@@ -328,10 +328,25 @@
                 "quarantined" if item["quarantined"] else "suspect",
                 item["upstreams"],
                 cli_tables.format_time(item["until"]),
+                item["service"],
+                item["route"],
+                item["customer"],
+                item["request"],
+                item["proof"],
             )
             for item in answer["entries"]
         ]
-        head = ("DIGEST", "STATE", "CRASHED", "UNTIL")
+        head = (
+            "DIGEST",
+            "STATE",
+            "CRASHED",
+            "UNTIL",
+            "SERVICE",
+            "ROUTE",
+            "CUSTOMER",
+            "FIRST",
+            "PROOF",
+        )
         _print(self._json, answer, head, rows)
 
     @decorators.SetParseFn(str, "digest")
--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -162,6 +162,8 @@
         metrics.gauge("config_revision", self.follower.revision())
         metrics.gauge("lease_left_seconds", self.follower.lease_left())
         metrics.gauge("unsent_bytes", self.listener.unsent.total)
+        metrics.gauge("quarantined_requests", len(self.follower.quarantine))
+        metrics.gauge("suspected_requests", len(self.follower.suspects))
         metrics.gauge("capacity_level", int(self.gateway.capacity.level))
         for (
             upstream,
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -117,6 +117,34 @@
         found = traces.trace("r1", traces.parse([COMPLETE[0], stall, gone]))
         self.assertIn("did not read", found.verdict)
 
+    def test_refusal_of_a_crashing_request_names_the_proof(self) -> None:
+        found = traces.trace(
+            "r2",
+            traces.parse(
+                [
+                    line(
+                        9.0, 1, "request_quarantined", digest="d1",
+                        request="r1", upstreams=["u1", "u2", "u3"],
+                        seconds=3600.0,
+                    ),
+                    line(10.0, 2, "call_taken", request="r2", digest="d1"),
+                    line(
+                        10.1, 3, "call_refused", request="r2",
+                        kind="quarantined", outcome="not_run",
+                    ),
+                ]
+            ),
+        )  # fmt: skip
+        self.assertIn("u1, u2, u3", found.verdict)
+        self.assertIn("first under r1", found.verdict)
+
+    def test_crash_under_a_request_is_told(self) -> None:
+        crash = line(
+            10.9, 7, "upstream_crashed", upstream="u1", suspects=["r1"]
+        )
+        found = traces.trace("r1", traces.parse([*COMPLETE, crash]))
+        self.assertIn("u1 crashed while it ran it", found.verdict)
+
     def test_unknown_request_has_no_steps(self) -> None:
         found = traces.trace("r9", traces.parse(COMPLETE))
         self.assertEqual([], found.steps)
