Of two replicas that ask for pre-votes at one time, one gives way

Three elections in a row had no winner while two of three voters lived and saw each other. Cause: two replicas granted each other a pre-vote, both became candidates and each voted for itself. Where a round of votes takes as long as the random part of the timeout, they wake together again. Change: a replica that asks for pre-votes itself grants another's only if that one's log is newer, or equal and its name smaller; it then gives up its own attempt and restarts its timeout. Pre-votes change no state, so no guarantee depends on it.

--- a/src/mintcleat/consensus/election.py
+++ b/src/mintcleat/consensus/election.py
@@ -50,6 +50,8 @@
         and current
         and not _has_live_leader(replica, now)
     )
+    if granted and replica.role == types.PRE_CANDIDATE:
+        granted = _yields_to(replica, sender, message, now)
     if (
         _leader_known_lost(replica)
         and not current
@@ -62,6 +64,32 @@
     replica.send(sender, wire.PreVoteReply(replica.group, term, granted))
 
 
+def _yields_to(
+    replica: state.State,
+    sender: identities.Incarnation,
+    message: wire.PreVoteRequest,
+    now: float,
+) -> bool:
+    """Has one of two replicas that ask for pre-votes at one time give way.
+
+    If each granted the other one's, both would start an election, and neither
+    would win. The one with the older log gives way, of equals the one with the
+    greater name. Its timeout starts again, in case that the other one fails.
+
+    Returns:
+        Whether this replica gives way.
+    """
+    log = replica.log
+    own = (log.last_term, log.last_index)
+    other = (message.last_term, message.last_index)
+    if own > other or (own == other and replica.me < sender):
+        return False
+    replica.role = types.FOLLOWER
+    replica.grants = set()
+    replica.reset_election_timer(now)
+    return True
+
+
 def on_pre_vote_reply(
     replica: state.State,
     sender: identities.Incarnation,
--- a/testing/test_consensus.py
+++ b/testing/test_consensus.py
@@ -185,6 +185,42 @@
         self.assertIs(other, cluster.leader())
 
 
+class SplitVoteTest(testtools.TestCase):
+    def test_slow_votes_are_not_split_again_and_again(self) -> None:
+        # Guards against seconds without a leader on a slow machine.
+        for seed in range(40):
+            self.assertLessEqual(self.elections(seed), 1, seed)
+
+    def elections(self, seed: int) -> int:
+        """Returns the terms until the survivors of three voters have a leader.
+
+        Each message takes 0.2 s, so that a round of votes takes as long as the
+        random part of the election timeout.
+        """
+        cluster = core_cluster.Cluster(seed)
+        cluster.run(6.0)
+        for source in core_cluster.NAMES:
+            for target in core_cluster.NAMES:
+                cluster.extra_delay[source, target] = 0.2
+        cluster.run(1.0)
+        lost = cluster.leader()
+        term = lost.core.replicas["g"].state.term
+        lost.crash()
+        for _ in range(1_000):
+            cluster.run(0.02)
+            leading = [
+                node.core.replicas["g"].state
+                for node in cluster.nodes.values()
+                if node.core is not None
+            ]
+            terms = [
+                state.term for state in leading if state.role == types.LEADER
+            ]
+            if terms:
+                return max(terms) - term
+        raise AssertionError(f"no leader in 20 s, seed {seed}")
+
+
 class CommitTest(testtools.TestCase):
     def test_majority_for_an_entry_of_an_earlier_term_commits_nothing(
         self,
