Emulator and policies know requests that crash upstreams

A fault crashing (one request, so many times a second through any entry, crashes each engine that runs it) and a mechanism quarantine that experiments can switch off, in real entries too; examples/experiments/crashing.json.

--- a/src/mintcleat/decisions/policy.py
+++ b/src/mintcleat/decisions/policy.py
@@ -22,6 +22,7 @@
         turn_time: Expected time to the end of a turn, from memory and speed
             of upstreams; without it, the number of requests decides.
         admission: Admission of turns by the leader, where it is enabled.
+        quarantine: Refusal of requests that crash upstreams.
     """
 
     shared_load: bool = True
@@ -31,6 +32,7 @@
     speed: bool = True
     turn_time: bool = True
     admission: bool = True
+    quarantine: bool = True
 
 
 DEFAULT = Policy()
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -139,7 +139,9 @@
             `lost` loses the fraction `times` of the answers of upstreams;
             `errors` fails the fraction `times` of the requests;
             `heavy` multiplies the rate of `count` customers by `times`, from
-            the one in the middle of the order of sizes on.
+            the one in the middle of the order of sizes on;
+            `crashing` sends one request, `times` times a second through any
+            entry, that crashes each engine which runs it.
         at: Time at which it begins.
         seconds: Time that it lasts.
         times: Factor or fraction, see `kind`.
@@ -159,6 +161,7 @@
         "lost",
         "errors",
         "heavy",
+        "crashing",
     ]
     at: float
     seconds: float
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -22,7 +22,7 @@
 WINDOW_SECONDS = 2.0
 _OUTCOMES = ("aim", "late", "failed")
 _COLUMNS = ("VARIANT", "LOAD", "WORTH", "+-", "AIM", "LATE", "FAILED", "WORST",
-         "READ", "QUEUED", "SPREAD", "PREEMPTED")  # fmt: skip
+         "READ", "QUEUED", "SPREAD", "PREEMPTED", "CRASHED")  # fmt: skip
 
 
 class Row(NamedTuple):
@@ -51,6 +51,7 @@
         preempted: Requests that engines took out of their batches, mean over
             seeds.
         worths: Worth by seed, in the order of the plan's seeds.
+        crashed: Engines that crashed under a request, mean over seeds.
     """
 
     variant: str
@@ -67,6 +68,7 @@
     kinds: dict[str, list[float]]
     preempted: float = 0.0
     worths: list[float] = []
+    crashed: float = 0.0
 
 
 def run(plan: plan_module.Plan, processes: int = 1) -> list[Row]:
@@ -120,6 +122,7 @@
             f"{row.queued:.2f}",
             f"{row.spread:.1f}",
             f"{row.preempted:.0f}",
+            f"{row.crashed:.1f}",
         ]
         previous = before.get((row.variant, row.load))
         if previous is not None:
@@ -262,6 +265,7 @@
         kinds,
         _mean(result.preempted for result in results),
         worths,
+        _mean(result.crashed for result in results),
     )
 
 
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -8,6 +8,7 @@
 
 from mintcleat.decisions import policy as policy_module
 from mintcleat.emulator import control as control_module
+from mintcleat.emulator import crashing as crashing_module
 from mintcleat.emulator import engine as engine_module
 from mintcleat.emulator import entry as entry_module
 from mintcleat.emulator import oracle as oracle_module
@@ -43,12 +44,14 @@
         prefilled_tokens: Prompt tokens that the engines processed.
         samples: Loads of the engines, `SAMPLE_INTERVAL_SECONDS` apart.
         preempted: Requests that an engine took out of its batch.
+        crashed: Engines that crashed under a request.
     """
 
     programs: list[programs_module.ProgramResult]
     prefilled_tokens: int
     samples: list[Sample]
     preempted: int = 0
+    crashed: int = 0
 
 
 def run(
@@ -65,7 +68,16 @@
     )
     entries = _entries(env, experiment, seed, policy, fleet, control)
     callers = programs_module.Callers(env, experiment, entries, seed, load)
-    for fault in experiment.faults:
+    crashing = [
+        crashing_module.CrashingRequest(
+            env, fleet, entries, random.Random(f"{seed} crashing {number}")
+        )
+        for number in range(len(experiment.faults))
+    ]
+    for fault, request in zip(experiment.faults, crashing, strict=True):
+        if fault.kind == "crashing":
+            env.process(_send_crashing(env, fault, request))
+            continue
         env.process(_inject_fault(env, fault, fleet, control, callers, rng))
     samples: list[Sample] = []
     env.process(_sample(env, fleet, samples))
@@ -74,7 +86,19 @@
         engine.prefilled_tokens for engine in fleet.engines.values()
     )
     preempted = sum(engine.preempted for engine in fleet.engines.values())
-    return Result(callers.results, prefilled_tokens, samples, preempted)
+    crashed = sum(request.crashes for request in crashing)
+    return Result(
+        callers.results, prefilled_tokens, samples, preempted, crashed
+    )
+
+
+def _send_crashing(
+    env: simpy.Environment,
+    fault: plan.Fault,
+    request: crashing_module.CrashingRequest,
+) -> Any:
+    yield env.timeout(fault.at)
+    yield from request.send_repeatedly(fault)
 
 
 def _fleet(
--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -106,6 +106,7 @@
     """The requests of one entry at upstreams, and what crashes told of them.
 
     Attributes:
+        enabled: Whether it decides anything; experiments can do without.
         own: Evidence of the crashes that this entry saw.
         reporter: Sends them to control.
         running: Digests of this entry's requests, by upstream and request id.
@@ -122,7 +123,9 @@
         upstreams: forwarding.UpstreamClient,
         timers: timer_ports.Timers,
         events: event_ports.EventReporter,
+        enabled: bool = True,
     ) -> None:
+        self.enabled = enabled
         self.configuration = configuration
         self.upstreams = upstreams
         self.timers = timers
@@ -144,6 +147,8 @@
 
     def is_quarantined(self, digest: bytes) -> bool:
         """Returns whether a request must not be sent to any upstream."""
+        if not self.enabled:
+            return False
         if digest in self.configuration.quarantine:
             return True
         if digest not in self.own.quarantine:
@@ -154,7 +159,7 @@
 
     def is_suspect(self, digest: bytes) -> bool:
         """Returns whether a crash speaks against a request."""
-        return (
+        return self.enabled and (
             digest in self.own_suspects or digest in self.configuration.suspects
         )
 
@@ -228,6 +233,8 @@
         Returns:
             Whether the upstream is known to have crashed.
         """
+        if not self.enabled:
+            return False
         incarnation = upstream.incarnation
         registered = self.configuration.registered.entries.get(
             upstream.upstream
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -76,7 +76,9 @@
                 attempt_timeouts,
             ),
             stream_backup.StreamBackups(configuration, self.loads),
-            crash_watch.CrashWatch(configuration, upstreams, timers, events),
+            crash_watch.CrashWatch(
+                configuration, upstreams, timers, events, policy.quarantine
+            ),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -160,7 +160,7 @@
 
     def test_every_shipped_experiment_is_a_valid_plan(self) -> None:
         files = sorted((ROOT / "examples" / "experiments").glob("*.json"))
-        self.assertThat(files, matchers.HasLength(6))
+        self.assertThat(files, matchers.HasLength(7))
         for path in files:
             found = experiment_plan.read(path)
             if path.name.startswith("hard-"):
--- a/testing/test_emulator.py
+++ b/testing/test_emulator.py
@@ -386,6 +386,18 @@
         self.assertTrue(late[1] < 0.6 * late[0], late)
 
 
+class CrashingRequestTest(testtools.TestCase):
+    def test_quarantine_keeps_most_engines_up(self) -> None:
+        path = pathlib.Path(__file__).parents[1] / "examples" / "experiments"
+        found = plan.read(path / "crashing.json")
+        crashed = {
+            name: simulation.run(found, 1, 1.0, variant).crashed
+            for name, variant in found.variants.items()
+        }
+        self.assertLessEqual(crashed["all"], 6)
+        self.assertTrue(crashed["no quarantine"] > 20, crashed)
+
+
 class ReportTest(testtools.TestCase):
     def test_results_are_stored_and_compared(self) -> None:
         rows = report.run(msgspec.structs.replace(PLAN, seconds=2.0))
