A report with more losses than are kept doesn't end control instances

Found by a property test of any commands at the bounds of the state (written for this). What operators would have seen: one entry that lost more than 256 requests in a crash reports them; applying the committed command raises a KeyError in every control instance, again after each restart, as the log holds it. Cause: a loss beyond the bound is not stored, and the review of quarantined requests looked it up. Change: the lookup allows for it; the bound of the quarantine holds after a review, too.

--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -365,7 +365,7 @@
         for digest in digests:
             accused = {
                 other
-                for name in self.places[digest]
+                for name in self.places.get(digest, ())
                 for other in self.crashes[name]
                 if other != digest and other in self.quarantine
             }
@@ -375,6 +375,7 @@
                     found.extend(self._convict([digest], at, limits))
                 if not self._is_acquitted(other, digest):
                     self.quarantine[other] = item
+                    _trim(self.quarantine, QUARANTINED_KEPT)
         return found
 
     def _is_acquitted(self, digest: bytes, better: bytes) -> bool:
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -188,6 +188,79 @@
         )
 
 
+OPERATIONS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["record", "end", "release", "expire"]),
+        strategies.integers(1, 6),
+        strategies.lists(
+            strategies.sampled_from([b"a", b"b", b"c", b"d"]), max_size=4
+        ),
+        strategies.integers(0, 40),
+    ),
+    max_size=40,
+)
+
+
+class AnyOrderTest(testtools.TestCase):
+    """Guards against a command that ends every control instance in turn."""
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(OPERATIONS)
+    def test_any_commands_at_the_bounds_are_applied(
+        self, operations: list[tuple[str, int, list[bytes], int]]
+    ) -> None:
+        bounds = {
+            "CRASHES_KEPT": 3,
+            "LOSSES_PER_CRASH": 2,
+            "CLEARED_KEPT": 2,
+            "QUARANTINED_KEPT": 1,
+        }
+        usual = {name: getattr(crash_evidence, name) for name in bounds}
+        vars(crash_evidence).update(bounds)
+        try:
+            self.apply_all(operations)
+        finally:
+            vars(crash_evidence).update(usual)
+
+    def apply_all(
+        self, operations: list[tuple[str, int, list[bytes], int]]
+    ) -> None:
+        evidence = crash_evidence.CrashEvidence()
+        limits = crash_evidence.Limits(2, 5.0, 20.0)
+        for kind, number, digests, at in operations:
+            when = float(at)
+            match kind:
+                case "record":
+                    lost = [loss(item, when - 0.1, when) for item in digests]
+                    evidence.record(f"u{number}", lost, when, limits)
+                case "end":
+                    for digest in digests:
+                        evidence.record_end(digest, when, limits)
+                case "release":
+                    for digest in digests:
+                        evidence.release(digest, when)
+                case "expire":
+                    evidence.expire(when, limits)
+            self.assertTrue(len(evidence.crashes) <= 3)
+            self.assertTrue(len(evidence.quarantine) <= 1)
+            places = {
+                (digest, name)
+                for name, crash in evidence.crashes.items()
+                for digest in crash
+            }
+            self.assertEqual(
+                places,
+                {
+                    (d, name)
+                    for d in evidence.places
+                    for name in evidence.places[d]
+                },
+            )
+            restored = crash_evidence.CrashEvidence()
+            restored.load(evidence.state())
+            self.assertEqual(evidence.listed(), restored.listed())
+
+
 class SnapshotTest(EvidenceTest):
     def test_state_is_restored_whole(self) -> None:
         for number in range(1, 4):
