--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -387,16 +387,19 @@
         item = self.quarantine.pop(better, None)
         if item is None:
             return False
-        crashes = self.crashes_of(digest)
+        crashes = len(self.crashes_of(digest))
         self.quarantine[better] = item
-        apart = self.crashes_of(digest)
-        return len(apart) < RIVAL_MARGIN and len(crashes) < len(
-            self.crashes_of(better)
-        )
+        apart = len(self.crashes_of(digest))
+        better_crashes = len(self.crashes_of(better))
+        return apart < RIVAL_MARGIN and crashes < better_crashes
 
     def _alone_explains(
         self, digest: bytes, crashes: list[str], limits: Limits
     ) -> bool:
+        """Returns whether only this request explains enough of its crashes.
+
+        A request on trial needs one at which no other one on trial was.
+        """
         if digest in self.on_trial:
             return any(
                 not any(
--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -236,14 +236,7 @@
         if not self.enabled:
             return False
         incarnation = upstream.incarnation
-        registered = self.configuration.registered.entries.get(
-            upstream.upstream
-        )
-        if (
-            registered is None
-            or registered.incarnation != incarnation
-            or registered.state != registrations.READY
-        ):
+        if not self._is_ready(upstream):
             # A planned stop cuts what is left at its end.
             return incarnation in self.crashed
         now = self.timers.now()
@@ -267,6 +260,16 @@
             probe.wait()
         return incarnation in self.crashed
 
+    def _is_ready(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether an upstream is registered and takes new work."""
+        entries = self.configuration.registered.entries
+        registered = entries.get(upstream.upstream)
+        return (
+            registered is not None
+            and registered.incarnation == upstream.incarnation
+            and registered.state == registrations.READY
+        )
+
     # --- Signs of a crash -----------------------------------------------------
 
     def _probe(
