Soak: phases don't overlap on a busy machine, and each run ends quietly

The trace shows faults that waited for one another until the phase of lost entries, and until the end of the run, both of which assume that nothing else happens (kill of entry-1 and late answers of the leader within the observed seconds). On an idle machine nothing changes.

--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -60,6 +60,8 @@
 _LEADER_KILL_SECONDS = 0.5
 # Long enough that a buffer without a bound grows by more than its limit.
 _SLOW_READ_SECONDS = 5.0
+# Tracks of phases in which nothing else may happen.
+_ALONE = frozenset({"planned", "entries", "all"})
 _PROXY_FAULTS = frozenset({"reset", "delay", "silent", "cut_in", "cut_out"})
 # Faults of the leader of a group, as faults of a node.
 _LEADER_FAULTS = {
@@ -89,6 +91,9 @@
         control_lock: Held during a fault of a control instance, so that two
             are under a fault only if all are.
         applied: Faults that were begun.
+        late: Seconds by which the schedule is late. On a busy machine faults
+            take longer, and phases must not overlap.
+        ended_at: When the last fault was over; infinity before that.
     """
 
     def __init__(
@@ -106,6 +111,8 @@
         self.log = log
         self.control_lock = asyncio.Lock()
         self.applied: list[schedule.Fault] = []
+        self.late = 0.0
+        self.ended_at = math.inf
 
     async def run(self, faults: list[schedule.Fault], start: float) -> None:
         """Applies all faults; returns when they are over.
@@ -114,11 +121,22 @@
             faults: The schedule.
             start: Monotonic time from which the faults' times count.
         """
+        running: set[asyncio.Task] = set()
+        was_alone = False
         async with asyncio.TaskGroup() as group:
             for fault in faults:
-                delay = start + fault.at - time.monotonic()
-                await asyncio.sleep(max(0.0, delay))
-                group.create_task(self._apply(fault))
+                due = start + self.late + fault.at
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                is_alone = fault.track in _ALONE
+                if running and (is_alone or was_alone):
+                    await asyncio.wait(running)
+                    await asyncio.sleep(checks_module.RECOVERY_SECONDS)
+                    self.late += time.monotonic() - due
+                was_alone = is_alone
+                task = group.create_task(self._apply(fault))
+                running.add(task)
+                task.add_done_callback(running.discard)
+        self.ended_at = time.monotonic()
 
     async def _apply(self, fault: schedule.Fault) -> None:
         self.applied.append(fault)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -155,8 +155,7 @@
             self.start = time.monotonic()
             self._start_load()
             self._spawn(self.injector.run(faults, self.start))
-            end = self.start + self.seconds
-            while time.monotonic() < end:
+            while time.monotonic() < self._end():
                 await asyncio.sleep(0.2)
                 self._raise_failures()
                 if until_found and self.checks.violations:
@@ -173,6 +172,13 @@
             self.fleet.stop()
         return self._result()
 
+    def _end(self) -> float:
+        """Returns when the run ends, after a quiet time in any case."""
+        quiet = schedule.END_SECONDS
+        if not self.injector.applied:
+            return self.start + self.seconds
+        return max(self.start + self.seconds, self.injector.ended_at + quiet)
+
     def _result(self) -> Result:
         text = report.summary(self.checks, self.injector.applied, self.start)
         found = self.checks.violations
