Crash watch: losses are bounded, and a restart under the same name is a new start

An upstream that resets every connection and never answers would have its losses kept without bound; one that comes back under the same name without a start time would have counted as crashed at each later reset.

--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -39,6 +39,8 @@
 # an upstream; it bounds the memory for it, with the number that is kept.
 _ENDED_WELL_SECONDS = 10.0
 _ENDED_WELL_KEPT = 2_048
+# Losses at one upstream that are remembered until it is known why.
+_LOSSES_KEPT = 256
 # Crashed upstreams that are remembered.
 _CRASHED_KEPT = 256
 # Quarantine by this entry alone. Control's decision follows within a second,
@@ -206,9 +208,11 @@
     def answered(self, incarnation: str, digest: bytes) -> None:
         """Records that an upstream completed a run of a request.
 
-        What was lost there before was not lost in a crash.
+        What was lost there before was not lost in a crash, or was before a
+        restart under the same name.
         """
         self.lost.pop(incarnation, None)
+        self.crashed.pop(incarnation, None)
         now = self.timers.now()
         self.ended_well[digest] = now
         self.ended_well.move_to_end(digest)
@@ -240,7 +244,8 @@
             # A planned stop cuts what is left at its end.
             return incarnation in self.crashed
         now = self.timers.now()
-        self.lost.setdefault(incarnation, []).append(
+        losses = self.lost.setdefault(incarnation, [])
+        losses.append(
             _Loss(
                 sent,
                 upstream.service,
@@ -249,6 +254,8 @@
                 now,
             )
         )
+        # An upstream that resets every connection would fill the list.
+        del losses[:-_LOSSES_KEPT]
         if incarnation in self.crashed:
             self._confirm(incarnation, _REFUSED)
             return True
