--- a/src/mintcleat/roles/control/configuration/service.py
+++ b/src/mintcleat/roles/control/configuration/service.py
@@ -57,6 +57,8 @@
         control_addresses: Addresses of the control instances as nodes were
             last sent them.
         control_changes: Number of changes of `control_addresses`.
+        own_restrictions: The restrictions as last computed while this instance
+            led; every node is sent the same.
         served_versions: Versions of the document, the restrictions and the
             directory for which the nodes were last notified.
         steady_base: Value of `steady_time` at the start of the epoch.
