--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -206,4 +206,5 @@
         while self.listener.connections and timers.now() < until:
             timers.sleep(_POLL_SECONDS)
         self.follower.stop()
+        self.gateway.context.crashes.reporter.stop()
         return self.in_flight()
--- a/src/mintcleat/roles/entry/crash_reporter.py
+++ b/src/mintcleat/roles/entry/crash_reporter.py
@@ -53,6 +53,7 @@
         crashes: What waits to be sent, by incarnation of the upstream.
         ended_well: Digests that wait to be sent.
         is_sending: Whether a green thread is sending.
+        is_stopped: Whether the entry ends, so that nothing is sent again.
     """
 
     def __init__(self, control: Control, timers: timer_ports.Timers) -> None:
@@ -61,6 +62,11 @@
         self.crashes: dict[str, _Crash] = {}
         self.ended_well: dict[bytes, None] = {}
         self.is_sending = False
+        self.is_stopped = False
+
+    def stop(self) -> None:
+        """Gives up what has not been accepted."""
+        self.is_stopped = True
 
     def add_loss(
         self,
@@ -93,7 +99,7 @@
     def _send(self) -> None:
         self.timers.sleep(_GATHER_SECONDS)
         try:
-            while self.crashes or self.ended_well:
+            while not self.is_stopped and (self.crashes or self.ended_well):
                 crashes, self.crashes = self.crashes, {}
                 ended_well, self.ended_well = self.ended_well, {}
                 try:
--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -185,6 +185,7 @@
             engine.stop()
         for entry in self.entries:
             entry.follower.stop()
+            entry.gateway.context.crashes.reporter.stop()
             entry.listener.stop()
             entry.readiness_listener.stop()
         for streams in self.entry_streams:
