Log lines, a counter and explain name the versions of a stream

No line told the version of an upstream, and nothing that a caller took a stream up, so the hypotheses of the incident (the entry resumes at any version; a caller continues at an entry that can't know it; a version changes behind an id) could not be told apart. No logic changes.

--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -42,6 +42,12 @@
                     "routed_first_seconds", event.first_s, route=route
                 )
                 metrics.observe("routed_gap_seconds", event.gap_s, route=route)
+                if event.versions:
+                    metrics.count(
+                        "stream_versions_total",
+                        service=event.service,
+                        versions=str(len(set(event.versions))),
+                    )
                 self._count_end(event)
             case events.CallRefused():
                 metrics.count(
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -102,6 +102,7 @@
             `left` (deregistered) or `silent` (registration expired) at the
             config leader.
         directory: Version of the directory with this change.
+        version: Version of its software.
     """
 
     upstream: str
@@ -109,6 +110,7 @@
     address: str
     state: str
     directory: int
+    version: str = ""
 
 
 class RegistrationRefused(NamedTuple):
@@ -181,6 +183,10 @@
             has expired.
         directory: Version of the directory.
         digest: Digest that all repetitions of the request share.
+        last_event: Id of the event after which its caller takes a stream up;
+            empty for none.
+        resumes: Request of its caller that brought the first event of that
+            stream; empty for none.
     """
 
     request: str
@@ -195,6 +201,8 @@
     directory: int
     customer: str
     digest: str = ""
+    last_event: str = ""
+    resumes: str = ""
 
 
 class TurnOpened(NamedTuple):
@@ -246,6 +254,7 @@
         held_tokens: Tokens that other requests hold there, as far as known.
         slowdown: Time that the upstream takes, divided by that of the median
             of its peers; 1 if it doesn't differ.
+        version: Version of the upstream's software.
     """
 
     request: str
@@ -261,6 +270,7 @@
     expected_s: float = -1.0
     held_tokens: int = 0
     slowdown: float = 1.0
+    version: str = ""
 
 
 class AttemptFailed(NamedTuple):
@@ -317,6 +327,8 @@
             0 for a stream that did not continue.
         tokens: Tokens sent to the caller before.
         detail: Why a move failed; empty if it didn't.
+        version: Version of the software of `upstream`.
+        destination_version: Version of the software of `destination`.
     """
 
     request: str
@@ -327,6 +339,8 @@
     pause_s: float
     tokens: int
     detail: str = ""
+    version: str = ""
+    destination_version: str = ""
 
 
 class CallRefused(NamedTuple):
@@ -423,6 +437,8 @@
         events: Events in it.
         rest: Bytes after the last complete event.
         last_event: Id of the last event that was forwarded; empty for none.
+        versions: Versions of the software that made the forwarded events, in
+            order.
     """
 
     request: str
@@ -443,6 +459,7 @@
     events: int = 0
     rest: int = 0
     last_event: str = ""
+    versions: tuple[str, ...] = ()
 
 
 class CallerGone(NamedTuple):
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -68,6 +68,8 @@
         affinity: Id of the object that the request concerns; empty for none.
         last_event: Id of the event after which to resume a broken stream;
             empty for none.
+        resumes: Request of the same caller that brought the first event of
+            that stream; empty for none, or if the caller didn't say.
         key: Digest of the customer's key; empty for none.
         customer: Customer of the request; empty until the entry has
             identified it, and for callers without a customer.
@@ -86,6 +88,7 @@
     generation: Generation = Generation()
     key: str = ""
     customer: str = ""
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -218,7 +218,9 @@
             return (
                 f"Answered whole with {fields.get('status')} by "
                 f"{fields.get('upstream')} after {fields.get('total_s')} s"
-                f"{_known_by(fields)}." + _continuations(own)
+                f"{_known_by(fields)}."
+                + _continuations(own)
+                + _versions(fields)
             )
         case "call_ended":
             return (
@@ -226,6 +228,7 @@
                 f"{fields.get('total_s')} s."
                 + _last_failure(own)
                 + _continuations(own)
+                + _versions(fields)
             )
         case "caller_gone" if stalls:
             return (
@@ -258,6 +261,15 @@
     return f", {described}" if described else ""
 
 
+def _versions(fields: dict[str, Any]) -> str:
+    """Describes the versions of the software that made a stream's events."""
+    versions = fields.get("versions") or []
+    if not versions:
+        return ""
+    names = [name or "unnamed" for name in versions]
+    return f" Its events are of version {', then '.join(names)}."
+
+
 def _last_failure(own: list[Line]) -> str:
     failed = [line for line in own if line.event == "attempt_failed"]
     if not failed:
--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -15,6 +15,8 @@
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-milliseconds"
 LAST_EVENT_ID = "last-event-id"
+# The request that brought the first event of the stream that is taken up.
+RESUMES = "resumes"
 API_KEY = "api-key"
 # Sent to upstreams: the customer that made the request.
 CUSTOMER = "x-tenant"
@@ -173,6 +175,7 @@
         key=keys.digest_from_fields(
             [value for name, value in request.headers if name == API_KEY]
         ),
+        resumes=header(RESUMES),
     )
 
 
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -191,6 +191,7 @@
                 registration.address,
                 registration.state,
                 self.leader.machine.directory.version,
+                registration.version,
             )
         )
 
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -53,6 +53,8 @@
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
         output: Data of the events, for the turn's record.
+        versions: Versions of the software that made the forwarded events, in
+            order.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.attempt_events = 0
         self.has_attempt_event = False
         self.output: list[bytes] = []
+        self.versions: list[str] = []
 
     @property
     def upstream_name(self) -> str:
@@ -310,6 +313,8 @@
         upstream.
         """
         self.has_attempt_event = True
+        if self.upstream is not None:
+            self.versions.append(self.upstream.version)
         pause = 0.0
         if self.last_event_at:
             pause = now - self.last_event_at
--- a/src/mintcleat/roles/entry/run_continuation.py
+++ b/src/mintcleat/roles/entry/run_continuation.py
@@ -17,10 +17,10 @@
 
 
 class _Backup(NamedTuple):
-    """A backup from which a stream is to continue; names of upstreams."""
+    """A backup from which a stream is to continue."""
 
-    source: str
-    destination: str
+    source: member_messages.Registration
+    destination: member_messages.Registration
 
 
 class RunContinuation:
@@ -66,11 +66,11 @@
         def report(pause: float) -> None:
             self.relay.on_first_event = None
             move.is_reported = True
-            name = self.relay.upstream_name
-            returned = name == move.source.upstream
+            destination = self.relay.upstream or move.destination
+            returned = destination.upstream == move.source.upstream
             self.events.continued(
-                move.source.upstream,
-                name,
+                move.source,
+                destination,
                 move.reason,
                 "returned" if returned else "moved",
                 pause,
@@ -92,15 +92,15 @@
         self.copies = [
             (backup, routed_calls.Copy(backup.address, self.request))
         ]
-        self.backup = _Backup(stream.upstream.upstream, backup.upstream)
+        self.backup = _Backup(stream.upstream, backup)
         tokens = self.relay.tokens
 
         def report(pause: float) -> None:
             self.relay.on_first_event = None
             self.backup = None
             self.events.continued(
-                stream.upstream.upstream,
-                backup.upstream,
+                stream.upstream,
+                backup,
                 "interrupted",
                 "restored",
                 pause,
@@ -121,8 +121,8 @@
             if not move.is_reported:
                 move.is_reported = True
                 self._report_lost(
-                    move.source.upstream,
-                    move.destination.upstream,
+                    move.source,
+                    move.destination,
                     move.reason,
                     error,
                 )
@@ -145,16 +145,16 @@
 
     def _report_lost(
         self,
-        source: str,
-        destination: str,
+        source: member_messages.Registration,
+        destination: member_messages.Registration,
         reason: str,
         error: errors.MintcleatError,
     ) -> None:
         """Reports a stream that could not continue from its copied memory.
 
         Args:
-            source: Name of the upstream that sent the stream so far.
-            destination: Name of the upstream that should have continued it.
+            source: Upstream that sent the stream so far.
+            destination: Upstream that should have continued it.
             reason: See `events.StreamContinued`.
             error: Why it could not.
         """
@@ -185,8 +185,8 @@
         def report(pause: float) -> None:
             self.relay.on_first_event = None
             self.events.continued(
-                upstream.upstream,
-                self.relay.upstream_name,
+                upstream,
+                self.relay.upstream or upstream,
                 reason,
                 "resumed",
                 pause,
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -59,6 +59,8 @@
                 configuration.registered.version,
                 self.call.customer,
                 self.digest.hex(),
+                self.call.last_event,
+                self.call.resumes,
             )
         )
 
@@ -81,6 +83,7 @@
                 round(placement.expected, 4),
                 placement.held,
                 round(placement.slowdown, 2),
+                upstream.version,
             )
         )
 
@@ -112,8 +115,8 @@
 
     def continued(
         self,
-        upstream: str,
-        destination: str,
+        source: member_messages.Registration,
+        destination: member_messages.Registration,
         reason: str,
         result: str,
         pause: float,
@@ -124,13 +127,15 @@
         self.context.events.emit(
             event_types.StreamContinued(
                 self.call.request,
-                upstream,
-                destination,
+                source.upstream,
+                destination.upstream,
                 reason,
                 result,
                 round(pause, 4),
                 tokens,
                 detail,
+                source.version,
+                destination.version,
             )
         )
 
@@ -166,6 +171,7 @@
                 self.service_name,
                 *_end_fields(relay.end),
                 relay.last_event_id,
+                tuple(relay.versions),
             )
         )
 
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -320,6 +320,8 @@
                 0.0,
                 tokens,
                 move.detail,
+                move.source.version,
+                move.destination.version,
             )
         )
 
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -612,7 +612,12 @@
     ) -> None:
         self.events.emit(
             event_types.UpstreamChanged(
-                item.upstream, item.service, item.address, item.state, version
+                item.upstream,
+                item.service,
+                item.address,
+                item.state,
+                version,
+                item.version,
             )
         )
 
