Failing tests: streams hold events of two versions of software

Over real sockets, one control, two entries, engines of two versions that cut each new stream after its second event. Seen on this code: the entry resumes at another version; a caller's take-up is placed at any version, with and without a program; it is placed also when no engine of the version is left or nobody knows which began the stream.

--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -114,6 +114,45 @@
     return True
 
 
+def versioned_event(number: int, version: str) -> bytes:
+    return f"id: {number}\ndata: {version}\n\n".encode()
+
+
+def cut_stream(
+    count: int = 4,
+    cut_at: int = 2,
+    before_cut: Callable[[], None] | None = None,
+) -> Script:
+    """Returns a script whose new streams are cut after an event.
+
+    Those that are taken up go on to their end. Each event names the version of
+    the engine's software.
+
+    Args:
+        count: Number of the last event.
+        cut_at: Number of the event after which a new stream is reset.
+        before_cut: Called before that.
+    """
+
+    def run(connection: Connection, received: ReceivedRequest) -> bool:
+        last = int(received.headers.get("last-event-id", "0"))
+        connection.begin_stream(received)
+        for number in range(last + 1, count + 1):
+            version = connection.engine.version
+            connection.chunk(versioned_event(number, version))
+            # An event that a reset overtakes is lost.
+            eventlet.sleep(0.02)
+            if not last and number == cut_at:
+                if before_cut is not None:
+                    before_cut()
+                connection.reset()
+                return False
+        connection.end_stream()
+        return True
+
+    return run
+
+
 def crash_on(word: str, script: Script = whole) -> Script:
     """Returns a script that crashes the engine for targets with the word."""
 
@@ -155,6 +194,7 @@
         received: Requests that began to run.
         misdirected: Number of requests for another upstream at this address.
         started: Start time in ms since 1970; 0 if it is not reported.
+        version: Version of its software.
         connections: Number of accepted connections.
         open: Accepted connections that have not been closed.
         crashed: Whether it has ended with all it ran.
@@ -166,6 +206,7 @@
         self.received: list[ReceivedRequest] = []
         self.misdirected = 0
         self.started = 0
+        self.version = "v1"
         self.connections = 0
         self.open: set[Connection] = set()
         self.crashed = False
@@ -194,7 +235,7 @@
             "service": service,
             "address": self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 4,
             "state": state,
             "coldRemainingMs": 0,
--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -205,9 +205,14 @@
         return exchange(address, method, path, {}, body)
 
     def add(
-        self, name: str, service: str, script: Any = platform_engine.whole
+        self,
+        name: str,
+        service: str,
+        script: Any = platform_engine.whole,
+        version: str = "v1",
     ) -> platform_engine.Engine:
         engine = platform_engine.Engine(name, script)
+        engine.version = version
         self.engines.append(engine)
         self.heartbeat(engine, service)
         return engine
--- /dev/null
+++ b/testing/test_stream_versions.py
@@ -0,0 +1,178 @@
+"""Streams go on at the version of software that began them, over sockets."""
+
+from typing import Any
+
+import pytest
+
+from fakes import platform_engine
+from fakes import platform_system
+
+# Enough that chance would not give one version to all.
+STREAMS = 12
+COUNT = 4
+
+
+def configuration(version: int, attempts: int) -> dict[str, Any]:
+    """Returns a configuration whose streams have this many attempts."""
+    return platform_system.configuration(
+        version,
+        platform_system.route(
+            "stream",
+            "stream",
+            service="lm",
+            resumable=True,
+            attempts=attempts,
+            retentionS=60.0,
+        ),
+    )
+
+
+def versions_in(*answers: platform_system.Answer) -> set[str]:
+    """Returns the versions that made the events of a stream."""
+    lines = b"".join(answer.body for answer in answers).decode().splitlines()
+    return {
+        line.removeprefix("data: ")
+        for line in lines
+        if line.startswith("data: ")
+    }
+
+
+class Case(platform_system.HostedTest):
+    """Three engines of each of two versions, at which new streams are cut."""
+
+    attempts = 1
+    versions: tuple[str, ...] = ("v1", "v2")
+
+    def setUp(self) -> None:
+        super().setUp()
+        answer = self.system.put(configuration(1, self.attempts))
+        self.assertEqual(200, answer.status)
+        for version in self.versions:
+            self.add(version)
+        self.system.add_entry()
+        self.system.settle()
+
+    def add(self, version: str) -> list[platform_engine.Engine]:
+        return [
+            self.system.add(
+                f"{version}-{number}",
+                "lm",
+                platform_engine.cut_stream(COUNT),
+                version,
+            )
+            for number in range(3)
+        ]
+
+    def call(
+        self, request: str, entry: int = 0, **headers: str
+    ) -> platform_system.Answer:
+        return self.system.call(
+            "POST",
+            "/stream/a",
+            b"x",
+            request,
+            entry=entry,
+            X_Token_Counts="10,30",
+            **headers,
+        )
+
+    def take_up(
+        self, first: str, request: str, entry: int = 1, **headers: str
+    ) -> platform_system.Answer:
+        """Takes a stream up that was cut, as its caller does."""
+        return self.call(
+            request, entry, Last_Event_Id="2", Resumes=first, **headers
+        )
+
+    def assert_taken_up(
+        self, number: int, entry: int = 1, **headers: str
+    ) -> None:
+        begun = self.call(f"a{number}", **headers)
+        self.assertEqual((200, False), (begun.status, begun.whole))
+        rest = self.take_up(f"a{number}", f"b{number}", entry, **headers)
+        self.assertEqual((200, True), (rest.status, rest.whole))
+        self.assertEqual(1, len(versions_in(begun, rest)))
+
+
+class EntryTest(Case):
+    attempts = 2
+
+    @pytest.mark.known_red
+    def test_entry_resumes_at_the_version_that_began_the_stream(self) -> None:
+        for number in range(STREAMS):
+            answer = self.call(f"r{number}")
+            self.assertTrue(answer.whole)
+            self.assertEqual(1, len(versions_in(answer)))
+
+
+class EndedVersionTest(Case):
+    """The only engine of a version is replaced while its stream runs."""
+
+    attempts = 2
+    versions = ()
+
+    def replace(self) -> None:
+        self.add("v2")
+        self.system.leave(self.system.engines[0])
+        self.system.settle()
+
+    def begin(self) -> platform_system.Answer:
+        script = platform_engine.cut_stream(COUNT, before_cut=self.replace)
+        self.system.add("old", "lm", script)
+        self.system.settle()
+        return self.call("a")
+
+    @pytest.mark.known_red
+    def test_stream_whose_version_has_gone_is_cut(self) -> None:
+        answer = self.begin()
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual({"v1"}, versions_in(answer))
+
+    @pytest.mark.known_red
+    def test_take_up_of_a_version_that_has_gone_is_refused(self) -> None:
+        self.begin()
+        rest = self.take_up("a", "b")
+        self.assertEqual(503, rest.status)
+        self.assertEqual([], [e for e in self.system.engines[1:] if e.received])
+
+
+class CallerTest(Case):
+    @pytest.mark.known_red
+    def test_caller_takes_a_stream_up_at_its_version(self) -> None:
+        for number in range(STREAMS):
+            self.assert_taken_up(number)
+
+    @pytest.mark.known_red
+    def test_caller_takes_a_turn_up_at_its_version(self) -> None:
+        for number in range(STREAMS):
+            turn = {"X_Program_Id": f"p{number}", "X_Token_Budget": "900"}
+            begun = self.call(f"a{number}", **turn)
+            # Otherwise the program would stay there for its cache.
+            (engine,) = [e for e in self.system.engines if e.received]
+            self.system.heartbeat(engine, "lm", "draining")
+            self.system.settle()
+            rest = self.take_up(f"a{number}", f"b{number}", **turn)
+            self.assertEqual((200, True), (rest.status, rest.whole))
+            self.assertEqual(1, len(versions_in(begun, rest)))
+            self.system.heartbeat(engine, "lm")
+            self.system.settle()
+            for engine in self.system.engines:
+                engine.received.clear()
+
+    @pytest.mark.known_red
+    def test_stream_that_nobody_knows_is_not_taken_up_among_two_versions(
+        self,
+    ) -> None:
+        for headers in ({}, {"Resumes": "unheard-of"}):
+            answer = self.call("b", Last_Event_Id="2", **headers)
+            self.assertEqual(503, answer.status)
+        self.assertEqual([], [e for e in self.system.engines if e.received])
+
+
+class OneVersionTest(Case):
+    versions = ("v1",)
+
+    def test_caller_that_names_no_request_takes_its_stream_up(self) -> None:
+        self.call("a")
+        rest = self.call("b", 1, Last_Event_Id="2")
+        self.assertEqual((200, True), (rest.status, rest.whole))
