A stream goes on only at the version of software that began it

Cause: an entry resumes a broken stream at any upstream of the service. Registration.version was known and read by no decision. Moves, backups and the end of silent streams chose their destinations alike. Change: the software that made the first event is one typed fact (domain/stream_origins) at the relay. Placement, moves, backups, copies and the bound on silence ask it; the relay refuses to add an event of other software, whoever chose the upstream, also of one that was replaced in place under its id. A stream whose version has gone is cut. Works since all events pass the relay, and the version of its first one never changes.

--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -10,6 +10,7 @@
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import server_sent_events
+from mintcleat.domain import stream_origins
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.entry import turn_client
@@ -55,6 +56,9 @@
         output: Data of the events, for the turn's record.
         versions: Versions of the software that made the forwarded events, in
             order.
+        origin: Software that began the stream; None before its first event.
+            Events of any other software are not forwarded.
+        on_begun: Called with the origin before the first event is forwarded.
     """
 
     def __init__(
@@ -95,6 +99,10 @@
         self.has_attempt_event = False
         self.output: list[bytes] = []
         self.versions: list[str] = []
+        self.origin: stream_origins.KnownOrigin | None = None
+        self.on_begun: Callable[[stream_origins.StreamOrigin], None] | None = (
+            None
+        )
 
     @property
     def upstream_name(self) -> str:
@@ -312,9 +320,8 @@
         The time since the last event of an earlier attempt is no gap of this
         upstream.
         """
+        self._check_origin()
         self.has_attempt_event = True
-        if self.upstream is not None:
-            self.versions.append(self.upstream.version)
         pause = 0.0
         if self.last_event_at:
             pause = now - self.last_event_at
@@ -324,6 +331,39 @@
         if self.on_first_event is not None:
             self.on_first_event(pause)
 
+    def _check_origin(self) -> None:
+        """Returns if the attempt's events may be added to the stream.
+
+        Raises:
+            errors.StreamClosed: They are of other software than those before,
+                or the upstream has been replaced in place.
+        """
+        upstream = self.upstream
+        if upstream is None:
+            return
+        known = self.loads.known.get(upstream.incarnation, upstream)
+        software = stream_origins.StreamOrigin(
+            upstream.service, upstream.version
+        )
+        if known.version != upstream.version:
+            raise errors.StreamClosed(
+                f"Upstream {upstream.upstream} had version "
+                f"{upstream.version!r} when the request was sent, but has "
+                f"{known.version!r} now."
+            )
+        if self.origin is None:
+            self.origin = stream_origins.KnownOrigin(
+                software, stream_origins.Source.OWN
+            )
+            if self.on_begun is not None:
+                self.on_begun(software)
+        elif software != self.origin.origin:
+            raise errors.StreamClosed(
+                f"The stream began at {self.origin.origin}, but upstream "
+                f"{upstream.upstream} has {software}."
+            )
+        self.versions.append(upstream.version)
+
     def _commit_turn(self, end: answer_ends.AnswerEnd) -> None:
         """Commits the turn before its response ends.
 
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -159,15 +159,46 @@
             retry_after=watch.retry_after(self.digest),
         )
 
+    def check_version(self) -> None:
+        """Returns if an upstream can continue the stream that is taken up.
+
+        Raises:
+            errors.NoUpstream: None has the version that began it.
+        """
+        if not self.context.loads.can_continue(
+            self.service_name, self.relay.origin
+        ):
+            raise self._no_upstream_error()
+
+    def _no_upstream_error(self) -> errors.NoUpstream:
+        return errors.NoUpstream(
+            f"No upstream of service {self._software()} takes new work.",
+            retry_after=RETRY_SECONDS,
+        )
+
     def _next_target(self) -> _Target:
         """Returns where the request is sent next."""
         self.check_quarantine()
-        if self.continuation.copies:
+        while self.continuation.copies:
             upstream, copy = self.continuation.copies.pop(0)
-            return _Target(upstream, None, copy)
+            if self._may_continue_at(upstream):
+                return _Target(upstream, None, copy)
         placement = self._place()
         return _Target(placement.upstream, placement, None)
 
+    def _may_continue_at(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether an upstream with a copy still has the software."""
+        origin = self.relay.origin
+        known = self.context.loads.known.get(upstream.incarnation, upstream)
+        return origin is None or origin.allows(known.service, known.version)
+
+    def _software(self) -> str:
+        """Returns the service that the request needs, with its version."""
+        origin = self.relay.origin
+        if origin is None:
+            return repr(self.service_name)
+        return f"{self.service_name!r} in version {origin.origin.version!r}"
+
     def _run_once(
         self, target: _Target, reply: forwarding.CallerResponse
     ) -> bool:
@@ -301,6 +332,7 @@
             "" if turn else self.call.affinity,
             self._may_retry(),
             self.service.memory_tokens,
+            self.relay.origin,
         )
         found = None
         avoided = self.context.crashes.avoided(self.digest)
@@ -313,13 +345,10 @@
         if found is None:
             if self.tried:
                 raise self._none_left_error(
-                    f"No upstream of service {self.service_name!r} is left; "
+                    f"No upstream of service {self._software()} is left; "
                     f"{len(self.tried)} failed or refused the request."
                 )
-            raise errors.NoUpstream(
-                f"No upstream of service {self.service_name!r} takes new work.",
-                retry_after=RETRY_SECONDS,
-            )
+            raise self._no_upstream_error()
         self.candidates = found.candidates
         self.events.placed(found, self.offers + 1)
         return found
@@ -347,6 +376,7 @@
                 self.service,
                 turn,
                 self.tried,
+                upstream,
             )
         answer = self._send(
             upstream,
--- a/src/mintcleat/roles/entry/stream_backup.py
+++ b/src/mintcleat/roles/entry/stream_backup.py
@@ -9,6 +9,7 @@
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
+from mintcleat.domain import stream_origins
 from mintcleat.ports import directory as directory_port
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
@@ -44,9 +45,13 @@
         service: manifest.Service,
         turn: turn_client.OpenedTurn | None,
         tried: set[str],
+        upstream: member_messages.Registration,
     ) -> member_messages.Registration | None:
         """Returns the upstream for a backup of a stream; None for no backup.
 
+        It has the version of the software that runs the stream: another one
+        could not continue it.
+
         Args:
             call: The request.
             route: Its route.
@@ -54,6 +59,7 @@
             service: That service's settings.
             turn: Its turn; None without one.
             tried: Incarnations that it was sent to, with the one that runs it.
+            upstream: Upstream that runs it.
         """
         if not service.backups or not route.stream:
             return None
@@ -70,7 +76,11 @@
             return None
         if not stream_moves.has_capacity(*self.loads.total_slots(service_name)):
             return None
-        found = self._destination(call, service_name, service, tried)
+        origin = stream_origins.KnownOrigin(
+            stream_origins.StreamOrigin(upstream.service, upstream.version),
+            stream_origins.Source.OWN,
+        )
+        found = self._destination(call, service_name, service, tried, origin)
         if found is not None:
             budget.take()
         return found
@@ -81,6 +91,7 @@
         service_name: str,
         service: manifest.Service,
         tried: set[str],
+        origin: stream_origins.KnownOrigin,
     ) -> member_messages.Registration | None:
         """Returns the least loaded of a few upstreams with free memory."""
         estimates = self.loads.estimates(
@@ -88,7 +99,7 @@
         )
         names = [
             name
-            for name in self.loads.sound_others(service_name, tried)
+            for name in self.loads.sound_others(service_name, tried, origin)
             if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
             and not estimates.is_crowded(name)
         ]
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -143,7 +143,10 @@
             return
         if not self.attempt_timeouts.allows(stream.service_name):
             return
-        if not self.loads.sound_others(stream.service_name, stream.tried):
+        others = self.loads.sound_others(
+            stream.service_name, stream.tried, relay.origin
+        )
+        if not others:
             return
         self.attempt_timeouts.expired(stream.service_name, stream.attempts)
         _interrupt(stream, silent)
@@ -369,7 +372,7 @@
         candidates = [
             name
             for name in self.loads.sound_others(
-                stream.service_name, stream.tried
+                stream.service_name, stream.tried, stream.relay.origin
             )
             if estimates.slowdowns.get(name, 1.0) < load_balancing.MAX_SLOWDOWN
             and not estimates.is_full(name)
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -22,6 +22,7 @@
 from mintcleat.domain import program_messages
 from mintcleat.domain import registrations
 from mintcleat.domain import routed_calls
+from mintcleat.domain import stream_origins
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -51,6 +52,7 @@
         repeatable: Whether another upstream may run it after a failure.
         memory_tokens: Tokens that an upstream of the service holds; 0 if
             unknown.
+        origin: Origin of the stream that it continues; None for any.
     """
 
     call: routed_calls.RoutedCall
@@ -58,6 +60,7 @@
     affinity: str
     repeatable: bool
     memory_tokens: int = 0
+    origin: stream_origins.KnownOrigin | None = None
 
 
 class Placement(NamedTuple):
@@ -104,6 +107,7 @@
         on_removed: Called with each incarnation that is removed.
         known: Current registrations by incarnation.
         by_service: Upstreams that accept new work, by service and incarnation.
+        versions: Versions of their software, by service.
     """
 
     def __init__(
@@ -133,6 +137,7 @@
         self.tokens: dict[str, engine_memory.RunningTokens] = {}
         self.known: dict[str, member_messages.Registration] = {}
         self.by_service: dict[str, dict[str, member_messages.Registration]] = {}
+        self.versions: dict[str, set[str]] = {}
         configuration.subscribe(self.refresh)
 
     def refresh(self) -> None:
@@ -157,9 +162,11 @@
                 self._emit_changed(item, registered.version)
         self.known = entries
         self.by_service = {}
+        self.versions = {}
         for incarnation, item in entries.items():
             if item.state == registrations.READY:
                 self.by_service.setdefault(item.service, {})[incarnation] = item
+                self.versions.setdefault(item.service, set()).add(item.version)
 
     def choose(
         self, service: str, tried: set[str], request: PlacementRequest
@@ -178,7 +185,7 @@
         ready = self.by_service.get(service, {})
         policy = self.policy
         names = upstream_health.healthy(
-            [incarnation for incarnation in ready if incarnation not in tried],
+            _eligible(ready, tried, request.origin),
             self.penalties if policy.standing else None,
             self.silence_detector if policy.silence else None,
             request.repeatable,
@@ -190,19 +197,33 @@
             return self._choose_by_time(service, ready, names, request, now)
         return self._choose_by_count(ready, names, request, now)
 
-    def sound_others(self, service: str, tried: set[str]) -> list[str]:
+    def can_continue(
+        self, service: str, origin: stream_origins.KnownOrigin | None
+    ) -> bool:
+        """Returns whether any upstream may continue a stream of an origin."""
+        ready = self.by_service.get(service, {})
+        return bool(_eligible(ready, set(), origin))
+
+    def sound_others(
+        self,
+        service: str,
+        tried: set[str],
+        origin: stream_origins.KnownOrigin | None,
+    ) -> list[str]:
         """Returns the upstreams that are not known to fail or to hang.
 
         Args:
             service: Service of the request.
             tried: Incarnations that are excluded.
+            origin: Origin of the stream that shall continue there; None for
+                any.
         """
         now = self.timers.now()
+        ready = self.by_service.get(service, {})
         return [
             name
-            for name in self.by_service.get(service, ())
-            if name not in tried
-            and self.penalties.allows(name, True, now)
+            for name in _eligible(ready, tried, origin)
+            if self.penalties.allows(name, True, now)
             and not self.silence_detector.silent(name, now)
         ]
 
@@ -622,6 +643,20 @@
         )
 
 
+def _eligible(
+    ready: Mapping[str, member_messages.Registration],
+    tried: set[str],
+    origin: stream_origins.KnownOrigin | None,
+) -> list[str]:
+    """Returns the incarnations that may get a request; see `choose`."""
+    return [
+        name
+        for name, item in ready.items()
+        if name not in tried
+        and (origin is None or origin.allows(item.service, item.version))
+    ]
+
+
 def _percent(factor: float) -> int:
     """Returns a slowdown in steps of 5 percent.
 
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -29,6 +29,7 @@
 class Loads:
     def __init__(self) -> None:
         self.pauses: list[float] = []
+        self.known: dict[str, member_messages.Registration] = {}
 
     def arrived(self, incarnation: str) -> None:
         pass
