--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -29,9 +29,11 @@
 from mintcleat.roles.entry import upstream_loads
 
 # A caller may take a stream up until its own deadline, which no entry knows if
-# it has sent the request before. It is taken for at most this many times the
-# longest time of one request.
+# the stream began at another one. It is taken for at most this many times the
+# longest time of one request, and for no less than a minute: a version that was
+# over before can't have begun the stream.
 TAKE_UP_FACTOR = 2.0
+MIN_TAKE_UP_SECONDS = 60.0
 # Pauses before a missing record is looked up again: about the duration of one
 # commit, then of two. A refusal would come too late after longer ones.
 RECORD_DELAYS = (0.02, 0.03)
@@ -182,7 +184,9 @@
         The config leader is asked, as this entry's own directory may be older
         than that of the entry which began the stream.
         """
-        seconds = TAKE_UP_FACTOR * _request_seconds(call, route)
+        seconds = max(
+            MIN_TAKE_UP_SECONDS, TAKE_UP_FACTOR * _request_seconds(call, route)
+        )
         found = self.configuration.ask(
             member_messages.ReadSoftwareVersions(service, seconds),
             self._hold_seconds(),
