--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import contextlib
+import json
 import socket
 from typing import Any
 
@@ -13,6 +14,7 @@
 import h11
 
 ANY = "127.0.0.1:0"
+REPORT_PATH = "/v1/report"
 _BLOCK = 65536
 # Time for which a request runs before it crashes its engine.
 CRASH_SECONDS = 0.05
@@ -193,6 +195,7 @@
         misdirected: Number of requests for another upstream at this address.
         started: Start time in ms since 1970; 0 if it is not reported.
         version: Version of its software.
+        reports: Number of its reports on itself.
         connections: Number of accepted connections.
         open: Accepted connections that have not been closed.
         crashed: Whether it has ended with all it ran.
@@ -205,6 +208,7 @@
         self.misdirected = 0
         self.started = 0
         self.version = "v1"
+        self.reports = 0
         self.connections = 0
         self.open: set[Connection] = set()
         self.crashed = False
@@ -240,6 +244,16 @@
             "sequence": sequence,
         }
 
+    def _answer_report(self, connection: Connection) -> bool:
+        born = {"born": self.started} if self.started else {}
+        body = json.dumps({**born, "busy": False, "activeCount": 0}).encode()
+        self.reports += 1
+        connection.send(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        return True
+
     def _accept(self) -> None:
         while True:
             sock, _ = self.listener.accept()
@@ -273,6 +287,8 @@
             else:
                 return False
         received = ReceivedRequest(head, body)
+        if received.target == REPORT_PATH:
+            return self._answer_report(connection)
         if received.headers.get("x-expect-instance", self.name) != self.name:
             self.misdirected += 1
             connection.send(
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -43,6 +43,12 @@
 # Part of the new connections that go through the proxy before an entry. Those
 # of slow callers don't: the proxy would hold what they don't read.
 _PROXY_PART = 0.4
+# Tries to take up a stream that broke off.
+_TAKE_UPS = 3
+# Part of the streams whose callers lose their connection, and after how much of
+# the body they do: after one event to a dozen.
+_LOSING_PART = 0.4
+_LOSING_BYTES = (1, 400)
 # Token budgets of programs; the small one ends within a few turns.
 _BUDGETS = (40, 10_000)
 
@@ -59,7 +65,11 @@
         slow: Whether its caller reads slowly.
         crashing: Name of the request that crashes upstreams, of which this is
             a repetition; empty for others.
+        last_event: Number of the event after which a stream is taken up; 0 for
+            a new one.
+        resumes: Request that brought its first event.
         timeout: Seconds after which its caller leaves.
+        drop_after: As in `client.Call`.
     """
 
     kind: str
@@ -76,7 +86,10 @@
     large: bool = False
     slow: bool = False
     crashing: str = ""
+    last_event: int = 0
+    resumes: str = ""
     timeout: float = _CLIENT_SECONDS
+    drop_after: int = 0
 
 
 class Result(NamedTuple):
@@ -200,6 +213,7 @@
                 sending.events,
                 sending.expected,
                 crashing=sending.crashing,
+                after=sending.last_event,
             )
         )
         outcome = await client.ask(
@@ -211,6 +225,7 @@
                 timeout,
                 sending.slow,
                 version,
+                sending.drop_after,
             ),
             self.connections,
             kept,
@@ -304,21 +319,55 @@
     async def stream(
         self, customer: str, large: bool = False, slow: bool = False
     ) -> None:
-        """Reads one stream that may be resumed."""
+        """Reads one stream that may be resumed.
+
+        If it breaks off, it is taken up through any entry. Some callers lose
+        the connection themselves.
+        """
         events = self.generator.randint(4, 30)
-        await self.send(
-            Sending(
-                "resume",
-                customer,
-                operators.key_of(customer),
-                operators.SAFE_ATTEMPTS,
-                events=_LARGE_EVENTS if large else events,
-                body=b"stream",
-                expected=b"stream",
-                large=large,
-                slow=slow,
-            )
+        sending = Sending(
+            "resume",
+            customer,
+            operators.key_of(customer),
+            operators.SAFE_ATTEMPTS,
+            events=_LARGE_EVENTS if large else events,
+            body=b"stream",
+            expected=b"stream",
+            large=large,
+            slow=slow,
         )
+        loses = not slow and self.generator.random() < _LOSING_PART
+        if loses:
+            sending = sending._replace(
+                drop_after=self.generator.randint(*_LOSING_BYTES)
+            )
+        for _ in range(_TAKE_UPS + 1):
+            result = await self.send(sending)
+            first = sending.resumes or result.request
+            self.checks.stream_read(
+                result.end.at,
+                first,
+                [
+                    upstreams.parse_event(event.data).version
+                    for event in result.outcome.events
+                ],
+                is_take_up=bool(sending.resumes),
+                error=result.end.error,
+            )
+            numbers = result.end.numbers
+            if result.served or slow or (result.end.left and not loses):
+                return
+            loses = False
+            if not numbers and not sending.resumes:
+                return
+            delay = float(result.outcome.headers.get("retry-after", 0.0))
+            await asyncio.sleep(min(delay, _MAX_RETRY_SECONDS))
+            last = numbers[-1] if numbers else sending.last_event
+            if last >= sending.events:
+                return
+            sending = sending._replace(
+                last_event=last, resumes=first, drop_after=0
+            )
 
     async def call_limited(self) -> None:
         """Calls as a customer with a low limit; doesn't wait after refusals."""
@@ -406,6 +455,9 @@
         fields["X-Model"] = "m"
     if sending.large:
         fields["X-Large"] = "1"
+    if sending.resumes:
+        fields["Last-Event-Id"] = str(sending.last_event)
+        fields["Resumes"] = sending.resumes
     return fields
 
 
@@ -416,11 +468,13 @@
     intact = True
     missing = 0
     if outcome.status == 200 and sending.events:
-        intact = all(
-            event.data
-            == upstreams.event_data(name, event.number, sending.large)
-            for event in outcome.events
-        )
+        filler = upstreams.filler_of(sending.large)
+        for event in outcome.events:
+            found = upstreams.parse_event(event.data)
+            expected = found._replace(
+                request=name, number=event.number, filler=filler
+            )
+            intact = intact and found == expected
     elif outcome.status == 200:
         whole = upstreams.plain_body(name)
         intact = whole.startswith(outcome.body)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -60,6 +60,7 @@
         content: Whole content of a plain response.
         crashing: Name of the request that crashes upstreams, of which this is
             a repetition; empty for others.
+        after: Number of the event after which it takes up a stream.
     """
 
     request: str
@@ -73,6 +74,7 @@
     body: bytes | None = None
     content: bytes = b""
     crashing: str = ""
+    after: int = 0
 
 
 class End(NamedTuple):
@@ -158,6 +160,9 @@
         peak_mb: Most memory that each process used, in units of 10**6 bytes.
         crashes: Times of the crashes under each request that crashes upstreams.
         late_runs: Runs of it that its quarantine should have prevented.
+        versions: Versions of software that made the events of each stream, by
+            its first request.
+        take_ups: Number of take-ups of streams by what came of them.
         busy: Times, and the part of the engines' slots in use.
         busy_means: Mean of these parts in each interval that was checked.
     """
@@ -177,6 +182,8 @@
         self.peak_mb: dict[str, float] = {}
         self.crashes: dict[str, list[float]] = collections.defaultdict(list)
         self.late_runs: collections.Counter[str] = collections.Counter()
+        self.versions: dict[str, list[str]] = collections.defaultdict(list)
+        self.take_ups: collections.Counter[str] = collections.Counter()
         self.busy: list[tuple[float, float]] = []
         self.busy_means: list[float] = []
 
@@ -285,15 +292,16 @@
         )
 
     def _check_content(self, request: Request, end: End) -> None:
-        expected = list(range(1, len(end.numbers) + 1))
+        last = request.after + len(end.numbers)
+        expected = list(range(request.after + 1, last + 1))
         if end.numbers != expected:
             self._report(end.at, "events", f"{request.request}: {end.numbers}")
-        if end.whole and len(end.numbers) != request.events:
+        if end.whole and last != request.events:
             self._report(
                 end.at,
                 "early_end",
                 f"{request.request} ended as whole after "
-                f"{len(end.numbers)} of {request.events} events",
+                f"{last} of {request.events} events",
             )
         if end.whole and (end.missing or end.rest):
             self._report(
@@ -318,6 +326,31 @@
                 f"tokens of {budget}",
             )
 
+    def stream_read(
+        self,
+        at: float,
+        first: str,
+        versions: list[str],
+        is_take_up: bool,
+        error: str,
+    ) -> None:
+        """A caller has read a part of a stream: all of it is of one version.
+
+        Args:
+            at: When it had that.
+            first: Request that brought the first event.
+            versions: Versions that made the events of this part.
+            is_take_up: Whether an earlier part broke off.
+            error: Kind and detail of the entry's error; empty for none.
+        """
+        known = self.versions[first]
+        known.extend(versions)
+        if len(set(known)) > 1 and versions:
+            self._report(at, "versions", f"{first} has events of {known}")
+        if is_take_up:
+            kind = error.partition(":")[0] or "no answer"
+            self.take_ups["went on" if versions else kind] += 1
+
     def _check_planned(self, request: Request, end: End) -> None:
         """Nothing is lost at a planned stop."""
         if end.left or (end.whole and end.status not in (502, 504)):
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -99,6 +99,8 @@
         timeout: Seconds after which the caller leaves.
         slow: Whether the caller reads slowly.
         version: HTTP version of the caller.
+        drop_after: Bytes of the body after which the caller loses its
+            connection; 0 for never.
     """
 
     target: str
@@ -107,6 +109,7 @@
     timeout: float
     slow: bool = False
     version: str = "1.1"
+    drop_after: int = 0
 
     def data(self) -> bytes:
         """Returns the bytes to send."""
@@ -134,7 +137,7 @@
     Returns:
         What arrived, also if the connection failed or the caller left.
     """
-    seen = _Seen(kept)
+    seen = _Seen(kept, call.drop_after)
     try:
         async with asyncio.timeout(call.timeout):
             await _exchange(seen, address, call)
@@ -156,7 +159,8 @@
 class _Seen:
     """The part of a response that has arrived."""
 
-    def __init__(self, kept: _Connection | None) -> None:
+    def __init__(self, kept: _Connection | None, drop_after: int = 0) -> None:
+        self.drop_after = drop_after
         self.connection = kept
         self.was_kept = kept is not None
         self.local = ""
@@ -167,6 +171,12 @@
         self.whole = False
         self.left = False
 
+    def lose_connection_if_due(self) -> None:
+        """Ends the response where its caller loses the connection."""
+        if 0 < self.drop_after <= len(self.body):
+            self.left = True
+            raise EOFError
+
     def is_reusable(self, call: Call) -> bool:
         return (
             self.whole
@@ -244,12 +254,14 @@
         if not block:
             raise EOFError
         seen.body += block
+        seen.lose_connection_if_due()
 
 
 async def _read_to_end(seen: _Seen, reader: asyncio.StreamReader) -> None:
     """Reads a body that ends with its connection; a reset is an OSError."""
     while block := await reader.read(_READ_BYTES):
         seen.body += block
+        seen.lose_connection_if_due()
 
 
 async def _read_chunks(
@@ -276,6 +288,7 @@
             left -= len(block)
             parts.append(block)
             seen.body = b"" if slow else b"".join(parts)
+            seen.lose_connection_if_due()
         await reader.readline()
     if await reader.readline() != b"\r\n":
         raise EOFError
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -77,6 +77,10 @@
     "full_disk": {"full": 1.0},
     "clock_ahead": {"clock": 600.0},
 }
+# Time for which an upstream that is replaced goes on after its drain.
+_ROLLOUT_SECONDS = 0.5
+# Pause before the next one.
+_ROLLOUT_PAUSES = {"series": 0.2, "overlap": 0.3, "in_place": 0.1}
 # Invalid registrations, as changes of a valid one.
 _INVALID_CHANGES: tuple[dict[str, Any], ...] = (
     {"address": 5},
@@ -162,6 +166,8 @@
                 await self._load(fault)
             case "crashing":
                 await self._crashing(fault)
+            case "rollout":
+                await self._roll_out(fault)
             case "front":
                 entries = self.fleet.entries
                 node = entries[fault.number % len(entries)]
@@ -370,6 +376,32 @@
                     await asyncio.sleep(fault.seconds)
                     upstream.link.restore()
 
+    async def _roll_out(self, fault: schedule.Fault) -> None:
+        """Replaces all model engines but one by such of another version."""
+        engines = [one for one in self.upstreams if one.service == "lm"]
+        version = f"v{fault.number}"
+        pause = _ROLLOUT_PAUSES[fault.kind]
+        async with asyncio.TaskGroup() as group:
+            for upstream in engines[1:]:
+                step = group.create_task(
+                    self._replace(upstream, version, fault.kind)
+                )
+                if fault.kind == "series":
+                    await step
+                await asyncio.sleep(pause)
+
+    async def _replace(
+        self, upstream: upstreams.Upstream, version: str, kind: str
+    ) -> None:
+        with self._disturbance(upstream.name, f"{version} at {upstream.name}"):
+            if kind != "in_place":
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(upstream.drain(), _ROLLOUT_SECONDS)
+                await asyncio.sleep(_ROLLOUT_SECONDS)
+            upstream.crash(quietly=kind == "overlap")
+            upstream.version = version
+            await upstream.restart()
+
     async def _drain(
         self, upstream: upstreams.Upstream, seconds: float
     ) -> None:
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -22,10 +22,13 @@
 from mintcleat.decisions import granted_turns
 from mintcleat.domain import errors
 from mintcleat.domain import identities
+from mintcleat.domain import stream_origins
 from mintcleat.platform import upstreams
 from mintcleat.roles.control.replication import application
 from mintcleat.roles.control.replication import replication
 from mintcleat.roles.entry import end_confirmation
+from mintcleat.roles.entry import response_relay
+from mintcleat.roles.entry import stream_origins as entry_origins
 
 # Far longer than the third of a second for which voters elect nobody else.
 _LONG_LEASE_SECONDS = 3.0
@@ -215,6 +218,23 @@
     _replace(http1_server.Connection, "_reset_on_close", never_reset)
 
 
+def _any_version() -> None:
+    """Streams go on at whatever upstream is there."""
+
+    def allows(self: Any, service: str, version: str) -> bool:
+        return True
+
+    def check_origin(self: Any) -> None:
+        self.versions.append(self.upstream.version)
+
+    def find(self: Any, call: Any, route: Any, service: str) -> None:
+        return None
+
+    _replace(stream_origins.KnownOrigin, "allows", allows)
+    _replace(response_relay.ResponseRelay, "_check_origin", check_origin)
+    _replace(entry_origins.StreamOrigins, "find", find)
+
+
 FAULTS = {
     "lease_without_margin": Reintroduced(
         _lease_without_margin, frozenset({"stale_configuration"})
@@ -237,6 +257,7 @@
         _quiet_end_is_whole, frozenset({"early_end"})
     ),
     "crash_is_whole": Reintroduced(_crash_is_whole, frozenset({"early_end"})),
+    "any_version": Reintroduced(_any_version, frozenset({"versions"})),
     "quiet_end_for_callers": Reintroduced(
         _quiet_end_for_callers, frozenset({"early_end"})
     ),
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -40,6 +40,8 @@
             f"  crashes under {name}: {len(crashes)}, runs after its "
             f"quarantine was due: {checks.late_runs[name]}"
         )
+    shown = ", ".join(f"{s}: {n}" for s, n in sorted(checks.take_ups.items()))
+    lines.append(f"  streams taken up: {shown or 'none'}")
     peaks = sorted(checks.peak_mb.items())
     lines.append(
         "  memory in MB: " + ", ".join(f"{n} {mb:.0f}" for n, mb in peaks)
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -59,6 +59,9 @@
 MACHINE_FAULTS = ("slow_disk", "full_disk", "clock_ahead")
 # Routes of requests that crash the upstreams which run them.
 CRASHING = ("safe", "tool", "resume")
+# How the model engines are replaced by such of another version: one after the
+# other, all but at once, or in place without a word.
+ROLLOUTS = ("series", "overlap", "in_place")
 PLANNED = ("stop_entry", "stop_control", "stop_leader")
 
 
@@ -70,7 +73,8 @@
         seconds: Duration; faults that consist of steps, as `drain`, take
             longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `crashing`, `machine`, `front`, `planned`, `entries` or `all`.
+            `crashing`, `machine`, `front`, `rollout`, `planned`, `entries` or
+            `all`.
         kind: What happens.
         number: Chooses the target: its index modulo their number.
     """
@@ -102,6 +106,7 @@
     crashing = random.Random(f"{seed} crashing")
     machine = random.Random(f"{seed} machine")
     front = random.Random(f"{seed} front")
+    rollout = random.Random(f"{seed} rollout")
     faults: list[Fault] = []
     bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
@@ -125,6 +130,7 @@
                 _single(machine, now, length, "machine", MACHINE_FAULTS)
             )
             faults.extend(_single(front, now, length, "front", FRONT_FAULTS))
+            faults.extend(_single(rollout, now, length, "rollout", ROLLOUTS))
             now += length + _REST_SECONDS
         elif phase == "planned":
             kind = generator.choice(PLANNED)
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -98,16 +98,46 @@
         """An upstream that crashed serves again."""
 
 
-def event_data(request: str, number: int, large: bool = False) -> str:
-    """Returns the data of an event, the same at each upstream and attempt."""
-    return f"{request}#{number}{_LARGE_TEXT if large else ''}"
+class EventText(NamedTuple):
+    """The data of an event.
 
+    Attributes:
+        request: Request that the upstream ran.
+        number: Number of the event.
+        version: Version of the upstream's software.
+        filler: Further text.
+    """
+
+    request: str
+    number: int
+    version: str
+    filler: str = ""
+
+    def text(self) -> str:
+        """Returns it as it is sent."""
+        return f"{self.request}#{self.number}@{self.version} {self.filler}"
+
+
+def parse_event(data: str) -> EventText:
+    """Returns the parts of an event's data.
 
-def event_bytes(
-    request: str, number: int, line_end: str, large: bool = False
-) -> bytes:
+    Raises:
+        ValueError: It is no such text.
+    """
+    name, _, rest = data.partition("@")
+    request, _, number = name.partition("#")
+    version, _, filler = rest.partition(" ")
+    return EventText(request, int(number), version, filler)
+
+
+def filler_of(large: bool) -> str:
+    """Returns the further text of an event."""
+    return _LARGE_TEXT if large else ""
+
+
+def event_bytes(event: EventText, line_end: str) -> bytes:
     """Returns an event with a line end."""
-    data = event_data(request, number, large)
+    number, data = event.number, event.text()
     return line_end.join((f"id: {number}", f"data: {data}", "", "")).encode()
 
 
@@ -141,6 +171,7 @@
         preferred: Index of the control instance that is asked first.
         link: Proxy between the entries and this upstream.
         born: Start of the present process, in ms since 1970.
+        version: Version of its software.
         state: State in its registrations.
         running: Requests that it runs.
         turns: Those of them that belong to a program.
@@ -168,6 +199,7 @@
         self.controls = controls
         self.link = links.Link("")
         self.born = int(time.time() * 1000)
+        self.version = "v1"
         self.state = "ready"
         self.heartbeats = True
         self.sequence = 0
@@ -252,7 +284,7 @@
             "service": self.service,
             "address": self.link.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": _SLOTS,
             "state": self.state,
             "coldRemainingMs": 0,
@@ -354,7 +386,10 @@
         large = "x-large" in headers
         form = Form() if large else form_of(request, self.name)
         events = [
-            event_bytes(request, number, form.line_end, large)
+            event_bytes(
+                EventText(request, number, self.version, filler_of(large)),
+                form.line_end,
+            )
             for number in range(first, count + 1)
         ]
         # Engines send the head with the first token.
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from fakes import platform_engine
 from fakes import platform_system
 
@@ -168,6 +170,34 @@
         self.assertEqual((False, {"v1"}), (begun.whole, versions_in(begun)))
 
 
+class RestartedInPlaceTest(Case):
+    """An upstream starts again under its id, and nobody knows of it yet."""
+
+    versions = ("v1",)
+
+    def setUp(self) -> None:
+        super().setUp()
+        for engine in self.system.engines:
+            engine.started = 1
+            self.system.heartbeat(engine, "lm")
+        self.system.settle()
+
+    @pytest.mark.known_red
+    def test_stream_is_not_taken_up_at_a_process_that_replaced_its_own(
+        self,
+    ) -> None:
+        self.call("a")
+        for engine in self.system.engines:
+            engine.version, engine.started = "v2", 2
+        rest = self.take_up("a", "b")
+        self.assertEqual((503, set()), (rest.status, versions_in(rest)))
+
+    def test_stream_is_taken_up_at_the_process_that_registered(self) -> None:
+        self.call("a")
+        rest = self.take_up("a", "b")
+        self.assertEqual((200, True), (rest.status, rest.whole))
+
+
 class CallerTest(Case):
     def test_caller_takes_a_stream_up_at_its_version(self) -> None:
         for number in range(STREAMS):
