mintcleat load shows the versions of each service's software

A rollout that stands still, and streams of a version with no upstream left, could be told only from the users' own log. One row a version: upstreams, those that leave, slots, running requests. The earlier form of LoadView is read.

--- a/src/mintcleat/adapters/admin_views.py
+++ b/src/mintcleat/adapters/admin_views.py
@@ -70,9 +70,22 @@
         "upstream_count": max(count, len(found)),
         "customers": plain(listed[:customers]),
         "services": plain([item for view in views for item in view.services]),
+        "versions": plain(_merge_versions(views)),
     }
 
 
+def _merge_versions(
+    views: list[program_messages.LoadView],
+) -> list[program_messages.VersionLoad]:
+    """Returns the versions of services' software, with their most requests."""
+    found: dict[tuple[str, str], program_messages.VersionLoad] = {}
+    for item in (item for view in views for item in view.versions):
+        name = (item.service, item.version)
+        other = found.get(name, item)
+        found[name] = max(item, other, key=lambda one: one.running)
+    return [found[name] for name in sorted(found)]
+
+
 def _merge_upstreams(
     one: program_messages.UpstreamLoad, other: program_messages.UpstreamLoad
 ) -> program_messages.UpstreamLoad:
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -716,6 +716,24 @@
     memory_tokens: int = 0
 
 
+class VersionLoad(NamedTuple):
+    """The upstreams of one version of a service's software.
+
+    Attributes:
+        upstreams: Number of registered upstreams.
+        leaving: Those of them that take no new work.
+        slots: Total slots of the others.
+        running: Running requests of all of them.
+    """
+
+    service: str
+    version: str
+    upstreams: int
+    leaving: int
+    slots: int
+    running: int
+
+
 class LoadView(NamedTuple):
     """Load and limits, as the leader of a group sees them.
 
@@ -727,6 +745,7 @@
             refused.
         services: Services under admission control.
         upstream_count: Number of such upstreams; `upstreams` may have fewer.
+        versions: Versions of the services' software with upstreams.
     """
 
     group: str
@@ -735,3 +754,4 @@
     customers: list[CustomerLoad]
     services: list[ServiceLoad] = []
     upstream_count: int = 0
+    versions: list[VersionLoad] = []
--- a/src/mintcleat/main/cli_load.py
+++ b/src/mintcleat/main/cli_load.py
@@ -10,6 +10,7 @@
               "REFUSED IN 60 S", "RETRY AFTER S")  # fmt: skip
 _SERVICES = ("SERVICE", "RUNNING", "BOUND", "CAPACITY", "WAITING", "SLOWDOWN",
              "GRANTED", "DEFERRED", "REFUSED")  # fmt: skip
+_VERSIONS = ("SERVICE", "VERSION", "UPSTREAMS", "LEAVING", "SLOTS", "RUNNING")
 _SHARES = ("SERVICE", "CUSTOMER", "SHARE", "USE", "RUNNING", "WAITING",
            "REFUSED")  # fmt: skip
 _UPSTREAMS = ("UPSTREAM", "RUNNING", "TOKENS", "MEMORY", "USED", "SPEED",
@@ -33,6 +34,20 @@
     services = answer["services"]
     tables = (
         (_SERVICES, [_service_row(item) for item in services]),
+        (
+            _VERSIONS,
+            [
+                (
+                    item["service"],
+                    item["version"],
+                    item["upstreams"],
+                    item["leaving"] or "",
+                    item["slots"],
+                    item["running"],
+                )
+                for item in answer.get("versions", ())
+            ],
+        ),
         (
             _SHARES,
             [
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -16,6 +16,7 @@
 from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
 from mintcleat.domain import manifest as manifest_module
+from mintcleat.domain import member_messages
 from mintcleat.main import common as common_module
 from mintcleat.ports import events as event_ports
 from mintcleat.programs import placement
@@ -89,6 +90,7 @@
             self.policies,
             histories=self._histories,
             memory_tokens=self.memory_tokens,
+            registered=self.registered,
             events=events,
         )
         self.planner = rollout.Planner(self.config)
@@ -167,6 +169,10 @@
         """
         return self._manifest().policies
 
+    def registered(self) -> list[member_messages.Registration]:
+        """Returns the upstreams that have registered themselves."""
+        return list(self.config.machine.directory.entries.values())
+
     def memory_tokens(self) -> dict[str, int]:
         """Returns the memory of the registered upstreams, by incarnation.
 
--- a/src/mintcleat/roles/control/programs/load_report.py
+++ b/src/mintcleat/roles/control/programs/load_report.py
@@ -1,6 +1,7 @@
 """Load and limits of a program group, as its leader tells operators."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
@@ -12,7 +13,9 @@
 from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
+from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
+from mintcleat.domain import registrations
 from mintcleat.ports import timers as timer_ports
 from mintcleat.programs import limits as counting
 
@@ -40,6 +43,7 @@
         entry_loads: shared_load.EntryLoads,
         failure_reports: shared_health.FailureReports,
         memory_tokens: Callable[[], Mapping[str, int]],
+        registered: Callable[[], Iterable[member_messages.Registration]],
     ) -> None:
         """Takes what the report is made of.
 
@@ -50,12 +54,14 @@
             failure_reports: What they report about failing upstreams.
             memory_tokens: Returns the memory of each registered upstream in
                 tokens, by incarnation, where it is known.
+            registered: Returns the registered upstreams.
         """
         self.timers = timers
         self.policies = policies
         self.entry_loads = entry_loads
         self.failure_reports = failure_reports
         self.memory_tokens = memory_tokens
+        self.registered = registered
         self.refusals = refusal_counts.RefusalCounts()
 
     def answered(self, request: Any, reply: Any) -> None:
@@ -110,8 +116,27 @@
             self._customers(usages, clock, now)[: request.customers],
             list(services),
             len(upstreams),
+            self._versions(now),
         )
 
+    def _versions(self, now: float) -> list[program_messages.VersionLoad]:
+        """Returns the versions of each service's software, by name."""
+        running = self.entry_loads.current_totals(now)
+        found: dict[tuple[str, str], program_messages.VersionLoad] = {}
+        for item in self.registered():
+            name = (item.service, item.version)
+            load = found.get(name) or program_messages.VersionLoad(
+                *name, 0, 0, 0, 0
+            )
+            is_ready = item.state == registrations.READY
+            found[name] = load._replace(
+                upstreams=load.upstreams + 1,
+                leaving=load.leaving + (not is_ready),
+                slots=load.slots + (item.slots if is_ready else 0),
+                running=load.running + running.get(item.incarnation, 0),
+            )
+        return [found[name] for name in sorted(found)]
+
     def _upstreams(self, now: float) -> list[program_messages.UpstreamLoad]:
         """Returns the upstreams that entries report, those in trouble first."""
         running = self.entry_loads.current_totals(now)
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -1,6 +1,7 @@
 """Serves program records on a control instance."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
 from typing import Any
@@ -14,6 +15,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
+from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import log
@@ -96,6 +98,9 @@
         *,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
+        registered: Callable[
+            [], Iterable[member_messages.Registration]
+        ] = tuple,
         events: event_ports.EventReporter = event_ports.NULL_EVENT_REPORTER,
     ) -> None:
         """Attaches a machine per group and registers the stream handlers.
@@ -110,6 +115,7 @@
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
                 incarnation, for operators.
+            registered: Returns the registered upstreams, for operators.
             events: Receives the decisions of admission control.
         """
         self.log = replicated_log
@@ -134,6 +140,7 @@
             self.entry_loads,
             self.failure_reports,
             memory_tokens,
+            registered,
         )
         for group, group_machine in self.machines.items():
             replicated_log.attach(
--- a/testing/test_load_report.py
+++ b/testing/test_load_report.py
@@ -10,6 +10,7 @@
 from mintcleat.decisions import refusal_counts
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
+from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
 from mintcleat.main import cli_load
 from mintcleat.programs import placement
@@ -76,6 +77,25 @@
         self.timers.advance(1.5)
         self.assertEqual([], self.view().upstreams)
 
+    def test_versions_of_a_service_are_shown_with_their_upstreams(self) -> None:
+        def item(
+            name: str, version: str, state: str = "ready"
+        ) -> member_messages.Registration:
+            return member_messages.Registration(
+                name, "lm", f"h:{name}", "z", version, 4, state, 1
+            )
+
+        upstreams = [item("u1", "v1", "draining"), item("u2", "v2")]
+        self.service.load_report.registered = lambda: upstreams
+        self.report("e1")
+        self.assertEqual(
+            [
+                program_messages.VersionLoad("lm", "v1", 1, 1, 0, 3),
+                program_messages.VersionLoad("lm", "v2", 1, 0, 4, 1),
+            ],
+            self.view().versions,
+        )
+
     def report(self, entry: str, **fields: Any) -> None:
         """Sends a report of one entry on the upstreams u1 and u2."""
         running = program_messages.RunningCounts(
