--- a/src/mintcleat/emulator/engine.py
+++ b/src/mintcleat/emulator/engine.py
@@ -24,11 +24,13 @@
     Attributes:
         reason: `refused` if the queue was full, `broke` if the connection
             was lost, `failed` if the answer was an error.
+        generated: Tokens that its caller had got before, if it can be resumed.
     """
 
     def __init__(self, reason: str) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.generated = 0
 
 
 class Request:
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -22,9 +22,11 @@
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
+from mintcleat.domain import stream_origins
 from mintcleat.emulator import control as control_module
 from mintcleat.emulator import engine as engine_module
 from mintcleat.emulator import plain_service
+from mintcleat.emulator import plan
 from mintcleat.ports import events
 from mintcleat.roles.entry import run_attempts
 from mintcleat.roles.entry import turn_demand
@@ -40,6 +42,8 @@
 # Part of the answers without a marked end that a crash breaks off within an
 # event.
 _INSIDE_EVENT_PART = 0.5
+# Version of all engines before a rollout.
+FIRST_VERSION = "v1"
 
 
 class NotServed(Exception):
@@ -84,6 +88,10 @@
         memory: Tokens that an engine holds.
         unmarked: Fraction of the engines' answers whose end nothing marks.
         cut_short: Answers that had broken off and were ended as whole.
+        resumable: Whether turns that break off are resumed elsewhere.
+        versions: Versions of the engines' software by upstream id.
+        resumed: Turns that were resumed.
+        mixed: Turns that were resumed at another version.
     """
 
     def __init__(
@@ -95,7 +103,12 @@
         memory: int = 0,
         unmarked: float = 0.0,
         rng: random.Random | None = None,
+        resumable: bool = False,
     ) -> None:
+        self.resumable = resumable
+        self.versions = dict.fromkeys(engines, FIRST_VERSION)
+        self.resumed = 0
+        self.mixed = 0
         self.unmarked = unmarked
         self.rng = rng or random.Random()
         self.cut_short = 0
@@ -124,8 +137,8 @@
         service = MODEL_SERVICE if name in self.engines else PLAIN_SERVICE
         self.registered.register(
             member_messages.Registration(
-                name, service, name, "", "", self.slots[name],
-                "ready", self.sequence, 0.0, start_count,
+                name, service, name, "", self.versions.get(name, ""),
+                self.slots[name], "ready", self.sequence, 0.0, start_count,
             )
         )  # fmt: skip
         for callback in self.subscribers:
@@ -143,6 +156,8 @@
         numbers: Numbers for the ids of requests.
         loads: The real entry's knowledge about upstreams, with which it
             chooses one.
+        continued_from: Version before it of each request that is resumed.
+        keeps_version: Whether a turn goes on only at the version that began it.
     """
 
     def __init__(
@@ -159,6 +174,9 @@
         self.numbers = itertools.count()
         self.name = name
         self.policy = policy
+        self.keeps_version = (
+            not isinstance(policy, plan.Variant) or policy.versions
+        )
         self.loads = upstream_loads.UpstreamLoads(
             fleet,
             Clock(env),
@@ -167,6 +185,7 @@
             name,
             policy,
         )
+        self.continued_from: dict[str, str] = {}
         self.loads.refresh()
 
     def turn(
@@ -350,6 +369,11 @@
             except engine_module.RequestFailed as failure:
                 error = _ERRORS[failure.reason](failure.reason)
                 self._record(upstream, evidence.of_error(error), sent_at)
+                if failure.generated and self.fleet.resumable:
+                    placement, size = self._resumed(
+                        placement, upstream, size, failure.generated
+                    )
+                    continue
                 may_retry = failure.reason == "refused" or placement.repeatable
                 if not may_retry:
                     raise NotServed from None
@@ -371,6 +395,33 @@
             finally:
                 self.loads.ended(upstream.incarnation, request)
 
+    def _resumed(
+        self,
+        placement: upstream_loads.PlacementRequest,
+        upstream: member_messages.Registration,
+        output: int,
+        generated: int,
+    ) -> tuple[upstream_loads.PlacementRequest, int]:
+        """Returns the rest of a turn that broke off, and its tokens."""
+        self.fleet.resumed += 1
+        call = placement.call
+        said = routed_calls.PromptPart(f"{call.request} said", generated)
+        generation = call.generation
+        call = call._replace(
+            generation=generation._replace(
+                prompt_tokens=generation.prompt_tokens + generated,
+                parts=(*generation.parts, said),
+            )
+        )
+        origin = stream_origins.KnownOrigin(
+            stream_origins.StreamOrigin(upstream.service, upstream.version),
+            stream_origins.Source.OWN,
+        )
+        if not self.keeps_version:
+            origin = None
+        self.continued_from[call.request] = upstream.version
+        return placement._replace(call=call, origin=origin), output - generated
+
     def _choose(
         self,
         service: str,
@@ -389,6 +440,8 @@
         output: int,
     ) -> Any:
         incarnation = upstream.incarnation
+        begun_at = self.continued_from.pop(call.request, upstream.version)
+        self.fleet.mixed += begun_at != upstream.version
         engine = self.fleet.engines[upstream.upstream]
         last_event_at = 0.0
 
@@ -410,6 +463,7 @@
             yield submitted.done
         except engine_module.RequestFailed as failure:
             if failure.reason != "broke" or not self._seems_whole(submitted):
+                failure.generated = min(submitted.generated, output - 1)
                 raise
             self.fleet.cut_short += 1
         finally:
--- a/src/mintcleat/emulator/plan.py
+++ b/src/mintcleat/emulator/plan.py
@@ -132,6 +132,8 @@
         kind: `burst` multiplies the rate of programs by `times`;
             `slow` multiplies the times of upstreams by `times`;
             `crash` stops engines, which restart with empty caches;
+            `rollout` restarts engines with a new version of their software,
+            one after the other;
             `hang` keeps engines from starting a step;
             `stutter` slows engines down by `times` for 0.6 s, 2 s apart on
             average, or stops them if it is 1;
@@ -155,6 +157,7 @@
         "burst",
         "slow",
         "crash",
+        "rollout",
         "hang",
         "stutter",
         "control",
@@ -179,10 +182,12 @@
             oracle.
         turns: Who decides when turns run: entries and, if the plan says so,
             the leader; or the oracle, which chooses the programs to finish.
+        versions: Whether a turn is resumed only at the version that began it.
     """
 
     placement: Literal["entries", "oracle"] = "entries"
     turns: Literal["leader", "oracle"] = "leader"
+    versions: bool = True
 
 
 def ablations() -> dict[str, Variant]:
@@ -219,6 +224,7 @@
         unmarked: Fraction of the engines' answers whose end nothing marks. An
             engine that crashes closes their connections in order, half of
             them between two events.
+        resumable: Whether turns that break off are resumed at another engine.
     """
 
     entries: int
@@ -240,6 +246,7 @@
     customers: Customers = Customers()
     admission: Literal["off", "programs"] = "off"
     unmarked: float = 0.0
+    resumable: bool = False
 
 
 def read(path: pathlib.Path) -> Plan:
--- a/src/mintcleat/emulator/report.py
+++ b/src/mintcleat/emulator/report.py
@@ -23,7 +23,7 @@
 _OUTCOMES = ("aim", "late", "failed")
 _COLUMNS = ("VARIANT", "LOAD", "WORTH", "+-", "AIM", "LATE", "FAILED", "WORST",
          "READ", "QUEUED", "SPREAD", "PREEMPTED", "CRASHED",
-         "CUT SHORT")  # fmt: skip
+         "CUT SHORT", "RESUMED", "MIXED")  # fmt: skip
 
 
 class Row(NamedTuple):
@@ -55,6 +55,8 @@
         crashed: Engines that crashed under a request, mean over seeds.
         cut_short: Answers that had broken off and were ended as whole, mean
             over seeds.
+        resumed: Turns that were resumed at another engine, mean over seeds.
+        mixed: Those of them that went on at another version.
     """
 
     variant: str
@@ -73,6 +75,8 @@
     worths: list[float] = []
     crashed: float = 0.0
     cut_short: float = 0.0
+    resumed: float = 0.0
+    mixed: float = 0.0
 
 
 def run(plan: plan_module.Plan, processes: int = 1) -> list[Row]:
@@ -128,6 +132,8 @@
             f"{row.preempted:.0f}",
             f"{row.crashed:.1f}",
             f"{row.cut_short:.1f}",
+            f"{row.resumed:.1f}",
+            f"{row.mixed:.1f}",
         ]
         previous = before.get((row.variant, row.load))
         if previous is not None:
@@ -272,6 +278,8 @@
         worths,
         _mean(result.crashed for result in results),
         _mean(result.cut_short for result in results),
+        _mean(result.resumed for result in results),
+        _mean(result.mixed for result in results),
     )
 
 
--- a/src/mintcleat/emulator/simulation.py
+++ b/src/mintcleat/emulator/simulation.py
@@ -46,6 +46,8 @@
         preempted: Requests that an engine took out of its batch.
         crashed: Engines that crashed under a request.
         cut_short: Answers that had broken off and were ended as whole.
+        resumed: Turns that were resumed at another engine.
+        mixed: Turns that were resumed at another version.
     """
 
     programs: list[programs_module.ProgramResult]
@@ -54,6 +56,8 @@
     preempted: int = 0
     crashed: int = 0
     cut_short: int = 0
+    resumed: int = 0
+    mixed: int = 0
 
 
 def run(
@@ -96,6 +100,8 @@
         preempted,
         crashed,
         fleet.cut_short,
+        fleet.resumed,
+        fleet.mixed,
     )
 
 
@@ -137,6 +143,7 @@
         experiment.engine.memory,
         experiment.unmarked,
         random.Random(f"{seed} ends"),
+        experiment.resumable,
     )
 
 
@@ -204,6 +211,8 @@
                 env.process(_stutter(env, fleet.engines[name], fault, rng))
         case "crash":
             yield from _crash(env, fault, fleet, names)
+        case "rollout":
+            yield from _roll_out(env, fault, fleet, names)
         case "slow" | "lost" | "errors":
             chosen = [upstreams[name] for name in names]
             yield from _degrade(env, fault, chosen)
@@ -224,6 +233,23 @@
         fleet.register(name, fleet.engines[name].start_count)
 
 
+def _roll_out(
+    env: simpy.Environment,
+    fault: plan.Fault,
+    fleet: entry_module.Fleet,
+    names: list[str],
+) -> Any:
+    """Restarts engines with a new version, spread over the fault's time."""
+    pause = fault.seconds / len(names)
+    for name in names:
+        fleet.engines[name].crash()
+        yield env.timeout(pause / 2)
+        fleet.versions[name] = f"v{fault.at:g}"
+        fleet.engines[name].restart()
+        fleet.register(name, fleet.engines[name].start_count)
+        yield env.timeout(pause / 2)
+
+
 def _degrade(
     env: simpy.Environment, fault: plan.Fault, upstreams: list[Any]
 ) -> Any:
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -160,7 +160,7 @@
 
     def test_every_shipped_experiment_is_a_valid_plan(self) -> None:
         files = sorted((ROOT / "examples" / "experiments").glob("*.json"))
-        self.assertThat(files, matchers.HasLength(8))
+        self.assertThat(files, matchers.HasLength(9))
         for path in files:
             found = experiment_plan.read(path)
             if path.name.startswith("hard-"):
@@ -228,7 +228,7 @@
 
     def test_every_shipped_settings_file_is_valid(self) -> None:
         files = sorted((ROOT / "examples" / "settings").glob("*.json"))
-        self.assertThat(files, matchers.HasLength(8))
+        self.assertThat(files, matchers.HasLength(9))
         loaded = [settings.load(path) for path in files]
         names = [one.instance for one in loaded]
         self.assertEqual([path.stem for path in files], names)
--- a/testing/test_emulator.py
+++ b/testing/test_emulator.py
@@ -414,6 +414,21 @@
         self.assertTrue(found[False].cut_short > 5, found[False].cut_short)
 
 
+class RolloutTest(testtools.TestCase):
+    def test_turn_is_resumed_only_at_the_version_that_began_it(self) -> None:
+        faults = [
+            *(plan.Fault("rollout", at, 2.0, count=2) for at in (1.0, 4.0)),
+            *(plan.Fault("crash", at, 0.5) for at in (2.2, 3.1, 5.4, 6.3)),
+        ]
+        mixed = msgspec.structs.replace(PLAN, faults=faults, resumable=True)
+        found = {
+            keeps: simulation.run(mixed, 1, 2.0, plan.Variant(versions=keeps))
+            for keeps in (True, False)
+        }
+        self.assertEqual(0, found[True].mixed)
+        self.assertGreater(found[False].mixed, 2)
+
+
 class ReportTest(testtools.TestCase):
     def test_results_are_stored_and_compared(self) -> None:
         rows = report.run(msgspec.structs.replace(PLAN, seconds=2.0))
