--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -170,10 +170,10 @@
                 self.assertEqual("oracle", oracle.placement, path.name)
                 self.assertEqual([0.6, 0.8, 1, 1.5, 2, 4], found.loads)
                 self.assertEqual([1, 2, 3], found.seeds)
-            # A plan of the leader's admission, of crashing requests or of
-            # answers without a marked end compares with and without what
-            # answers it; any other compares all mechanisms that matter
-            # without these.
+            # A plan of the leader's admission, of crashing requests, of
+            # answers without a marked end or of rollouts compares with and
+            # without what answers it; any other compares all mechanisms that
+            # matter without these.
             special = {"admission", "quarantine", "ends"}
             expected = set(policy.Policy.__struct_fields__) - special
             if found.admission == "programs":
@@ -182,12 +182,14 @@
                 expected = {"quarantine"}
             if found.unmarked:
                 expected = {"ends"}
+            if any(fault.kind == "rollout" for fault in found.faults):
+                expected = {"versions"}
             self.assertEqual(
                 expected,
                 {
                     name
                     for variant in found.variants.values()
-                    for name in policy.Policy.__struct_fields__
+                    for name in (*policy.Policy.__struct_fields__, "versions")
                     if not getattr(variant, name)
                 },
             )
