A control instance that stands still does not hold a take-up for its whole time

An entry asks the config leader for the versions of a service when a caller names no request; a control instance that never answers took all of the 2 s. Another one is asked after 0.25 s. Test with a listener that is silent.

--- a/src/mintcleat/roles/entry/entry_context.py
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -33,7 +33,9 @@
     def lease_left(self) -> float:
         """Returns the seconds left of the configuration lease."""
 
-    def ask(self, message: Any, timeout: float) -> Any:
+    def ask(
+        self, message: Any, timeout: float, try_timeout: float = ...
+    ) -> Any:
         """Sends a request to the config leader and returns its reply."""
 
     def key_seconds(self) -> float:
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -34,6 +34,9 @@
 # over before can't have begun the stream.
 TAKE_UP_FACTOR = 2.0
 MIN_TAKE_UP_SECONDS = 60.0
+# Time after which another control instance is asked for the versions of a
+# service: some round trips, well below what a caller waits.
+TRY_SECONDS = 0.25
 # Pauses before a missing record is looked up again: about the duration of one
 # commit, then of two. A refusal would come too late after longer ones.
 RECORD_DELAYS = (0.02, 0.03)
@@ -42,7 +45,7 @@
 class Configuration(Protocol):
     """The part of the followed configuration that is used here."""
 
-    def ask(self, message: Any, timeout: float) -> Any:
+    def ask(self, message: Any, timeout: float, try_timeout: float) -> Any:
         """Sends a request to the config leader and returns its reply."""
 
     def lease_left(self) -> float:
@@ -190,6 +193,7 @@
         found = self.configuration.ask(
             member_messages.ReadSoftwareVersions(service, seconds),
             self._hold_seconds(),
+            TRY_SECONDS,
         )
         if len(found.versions) != 1:
             return None
--- a/src/mintcleat/roles/follower.py
+++ b/src/mintcleat/roles/follower.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 from loguru import logger
@@ -183,11 +184,19 @@
 
     # --- Asking control -------------------------------------------------------
 
-    def ask(self, message: Any, timeout: float) -> Any:
+    def ask(
+        self, message: Any, timeout: float, try_timeout: float = math.inf
+    ) -> Any:
         """Sends a request to the config leader and returns its reply.
 
         The request may be sent more than once, so it must be idempotent.
 
+        Args:
+            message: The request.
+            timeout: Seconds within which a reply must come.
+            try_timeout: Seconds after which another control instance is asked;
+                one that stands still never answers.
+
         Raises:
             errors.ControlUnavailable: No control instance answered in time.
         """
@@ -197,7 +206,9 @@
             address = pending.pop(0)
             left = deadline - self.timers.now()
             try:
-                return self.streams.ask(address, message, left)
+                return self.streams.ask(
+                    address, message, min(left, try_timeout)
+                )
             except errors.NotLeader as error:
                 if error.leader and error.leader != address:
                     pending.insert(0, error.leader)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import eventlet
+
 from fakes import platform_engine
 from fakes import platform_system
 
@@ -318,3 +320,15 @@
         self.call("a")
         rest = self.call("b", 1, Last_Event_Id="2")
         self.assertEqual((200, True), (rest.status, rest.whole))
+
+    def test_control_instance_that_stands_still_is_passed_over(self) -> None:
+        silent = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        host, port = silent.getsockname()
+        follower = self.system.entries[1].follower
+        addresses = [f"{host}:{port}", *follower.addresses()]
+        self.patch(follower, "addresses", lambda: list(addresses))
+        self.call("a")
+        with eventlet.Timeout(1.5):
+            rest = self.call("b", 1, Last_Event_Id="2")
+        self.assertEqual((200, True), (rest.status, rest.whole))
--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -243,12 +243,15 @@
     # --- Control ---
 
     def ask(self, *args: Any) -> Any:
-        """Asks the config leader (2 arguments) or a group's leader (3)."""
+        """Asks the leader of the config group, or of a scope's group.
+
+        The scope is a string and comes before the message.
+        """
         world = self.world
         world.step()
         if world.random.random() < world.lost:
             raise errors.ControlUnavailable("The message was lost.")
-        if len(args) == 2:
+        if not isinstance(args[0], str):
             return config_requests.Requests(world).answer(args[0])
         _, message, _ = args
         reply = world.ask_group(message)
