--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import eventlet
+import pytest
 import testtools
 
 from fakes import config_cluster
@@ -100,6 +101,35 @@
             self.send(100 + late)
         self.assertLessEqual(self.runs("boom") - before, MAX_LATE_RUNS)
 
+    @pytest.mark.known_red
+    def test_requests_that_share_an_object_and_differ_in_content_are_stopped(
+        self,
+    ) -> None:
+        engines = self.start(30)
+        number = 0
+        while self.runs("boom") < CRASHES:
+            self.send_content(number)
+            number += 1
+        eventlet.sleep(WINDOW_SECONDS)
+        for engine in engines:
+            if not engine.crashed:
+                self.system.heartbeat(engine, "desk")
+        self.system.settle()
+        before = self.runs("boom")
+        for late in range(12):
+            self.send_content(100 + late)
+        self.assertLessEqual(self.runs("boom") - before, MAX_LATE_RUNS)
+
+    def send_content(self, number: int) -> platform_system.Answer:
+        """Sends a crashing request whose content is one of eight."""
+        return self.system.call(
+            "POST",
+            "/unsafe/boom",
+            b"content %d" % (number % 8),
+            request=f"c{number}",
+            entry=number % 2,
+        )
+
     def test_request_that_must_not_be_repeated_is_stopped_too(self) -> None:
         self.start(12)
         self.stop_it("POST", "/unsafe/boom")
