--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -116,15 +116,18 @@
         began = self.timers.now()
         try:
             found = (
-                self._recorded(call, service)
+                self._recorded(call)
                 or self._only(call, route, service)
-                or self._recorded_soon(call, service)
+                or self._recorded_soon(call)
             )
         except (errors.OutcomeUnknown, errors.ControlUnavailable) as error:
             # Both questions change nothing.
             raise errors.ControlUnavailable(
                 error.detail, retry_after=control_outage.RETRY_SECONDS
             ) from None
+        if found is not None and found.origin.service != service:
+            # Its route leads to another service by now.
+            found = None
         self.events.emit(
             event_types.StreamTakenUp(
                 call.request,
@@ -145,9 +148,9 @@
         return found
 
     def _recorded(
-        self, call: routed_calls.RoutedCall, service: str
+        self, call: routed_calls.RoutedCall
     ) -> stream_origins.KnownOrigin | None:
-        """Returns the recorded origin of a stream, if it is of the service."""
+        """Returns the recorded origin of a stream, if there is a record."""
         if not call.resumes:
             return None
         found = self._ask_group(
@@ -155,14 +158,14 @@
                 call.program.program, call.customer, call.resumes
             )
         )
-        if found.origin is None or found.origin.service != service:
+        if found.origin is None:
             return None
         return stream_origins.KnownOrigin(
             found.origin, stream_origins.Source.RECORDED
         )
 
     def _recorded_soon(
-        self, call: routed_calls.RoutedCall, service: str
+        self, call: routed_calls.RoutedCall
     ) -> stream_origins.KnownOrigin | None:
         """Returns an origin whose record was on its way.
 
@@ -171,7 +174,7 @@
         """
         for seconds in RECORD_DELAYS if call.resumes else ():
             self.timers.sleep(seconds)
-            found = self._recorded(call, service)
+            found = self._recorded(call)
             if found is not None:
                 return found
         return None
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -321,6 +321,18 @@
         rest = self.call("b", 1, Last_Event_Id="2")
         self.assertEqual((200, True), (rest.status, rest.whole))
 
+    def test_stream_is_not_taken_up_at_the_service_that_replaced_its_own(
+        self,
+    ) -> None:
+        self.call("a")
+        fields = configuration(2, self.attempts)
+        fields["services"].append({**fields["services"][1], "name": "lm2"})
+        fields["routes"][0]["service"] = "lm2"
+        self.assertEqual(200, self.system.put(fields).status)
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT))
+        self.system.settle()
+        self.assertEqual(503, self.take_up("a", "b").status)
+
     def test_control_instance_that_stands_still_is_passed_over(self) -> None:
         silent = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(silent.close)
