--- a/src/mintcleat/standins/http.py
+++ b/src/mintcleat/standins/http.py
@@ -41,7 +41,7 @@
         self.thread = eventlet.spawn(
             wsgi.server,
             self.listener,
-            application,
+            refuse_cut(application),
             log_output=False,
             custom_pool=self.pool,
             keepalive=True,
@@ -70,10 +70,35 @@
         return client, address
 
 
+class BodyCut(Exception):
+    """The connection ended within the body of a request, which must not run."""
+
+
 def read_body(environ: dict[str, Any]) -> bytes:
-    """Returns the whole body of a request."""
+    """Returns the whole body of a request.
+
+    Raises:
+        BodyCut: Its connection ended before its length.
+    """
     length = int(environ.get("CONTENT_LENGTH") or 0)
-    return environ["wsgi.input"].read(length)
+    body = environ["wsgi.input"].read(length)
+    if len(body) < length:
+        raise BodyCut(f"Expected {length} bytes, received {len(body)}.")
+    return body
+
+
+def refuse_cut(application: Application) -> Application:
+    """Returns an application that answers 400 to a body that was cut."""
+
+    def serve(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        try:
+            return application(environ, start_response)
+        except BodyCut as error:
+            return reply_json(start_response, {"error": str(error)}, 400)
+
+    return serve
 
 
 def reply_json(
