Failing tests: an end that the upstream's next process confirms

An answer whose end nothing marks is confirmed by a connection to the address of its upstream. Where a process ends and the next one listens at once, that one confirms it: a stream that broke off is ended as whole, and its turn recorded.

--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -289,9 +289,12 @@
             else:
                 return False
         received = ReceivedRequest(head, body)
-        if received.target == REPORT_PATH:
+        is_expected = (
+            received.headers.get("x-expect-instance", self.name) == self.name
+        )
+        if received.target == REPORT_PATH and is_expected:
             return self._answer_report(connection)
-        if received.headers.get("x-expect-instance", self.name) != self.name:
+        if not is_expected:
             self.misdirected += 1
             connection.send(
                 b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -6,6 +6,7 @@
 import eventlet
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from fakes import answer_scripts
 from fakes import platform_engine
@@ -87,6 +88,52 @@
         self.assertEqual(answer_scripts.Answer().body(), answer.body)
         self.assertTrue(answer.whole)
 
+    def replaced(self, **fields: object) -> platform_engine.Script:
+        """Returns a script that ends with its process after one event.
+
+        The next process at the address listens at once.
+        """
+        answer = answer_scripts.Answer(
+            answer_scripts.CLOSE, answer_scripts.QUIET, sent=len(EVENT)
+        )
+
+        def run(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            answer_scripts.script(answer)(connection, received)
+            for name, value in fields.items():
+                setattr(connection.engine, name, value)
+            return False
+
+        return run
+
+    def start_replaced(self, **fields: object) -> None:
+        engines = self.start(
+            "lm", self.replaced(**fields), platform_engine.stream(3)
+        )
+        for engine in engines:
+            engine.started = 1
+            self.system.heartbeat(engine, "lm")
+        self.system.settle()
+
+    @pytest.mark.known_red
+    def test_stream_whose_process_was_replaced_at_once_is_resumed(self) -> None:
+        self.start_replaced(started=2)
+        answer = self.system.call("POST", "/resumable/a", b"x")
+        self.assertEqual(answer_scripts.Answer().body(), answer.body)
+        self.assertTrue(answer.whole)
+
+    @pytest.mark.known_red
+    def test_turn_whose_process_was_replaced_at_once_is_not_whole(self) -> None:
+        self.start_replaced(started=2)
+        self.assertFalse(self.turn("t1").whole)
+
+    @pytest.mark.known_red
+    def test_turn_whose_address_has_another_upstream_is_not_whole(self) -> None:
+        self.start("lm", self.replaced(name="other"))
+        self.assertFalse(self.turn("t1").whole)
+
     def test_leaving_upstream_that_stops_after_its_last_answer_is_no_crash(
         self,
     ) -> None:
