The end of a stream is confirmed by the process that it came from

Cause: its upstream's process ended in order and the next one listened at the address at once; the connection that was to confirm the end was taken by that one. The directory learned of it 1.5 s later. Change: for a stream, the entry asks on that connection for the report of the process, with the id that it expects. Another start, or 421, counts as a crash: the stream is resumed where its route allows it, else cut, and its turn isn't recorded. Plain answers are confirmed as before. Works since a connection ends with its process.

--- a/src/mintcleat/decisions/answer_end.py
+++ b/src/mintcleat/decisions/answer_end.py
@@ -62,6 +62,9 @@
     match upstream:
         case routed_calls.Reachability.ACCEPTS:
             return end._replace(kind=_Kind.CONFIRMED)
-        case routed_calls.Reachability.REFUSES:
+        case (
+            routed_calls.Reachability.REFUSES
+            | routed_calls.Reachability.REPLACED
+        ):
             return end._replace(kind=_Kind.CRASHED)
     return end
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -117,11 +117,13 @@
     Attributes:
         ACCEPTS: It takes connections.
         REFUSES: Nothing listens at its address, as after a crash.
+        REPLACED: Another process listens at its address.
         UNKNOWN: It doesn't answer: a machine without power, or a cut link.
     """
 
     ACCEPTS = "accepts"
     REFUSES = "refuses"
+    REPLACED = "replaced"
     UNKNOWN = "unknown"
 
 
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -5,6 +5,7 @@
 import re
 import reprlib
 from typing import Any
+from typing import NamedTuple
 from urllib import parse
 
 import eventlet
@@ -127,15 +128,35 @@
         self, upstream: member_messages.Registration
     ) -> routed_calls.Reachability:
         """See `ports.forwarding.UpstreamClient`."""
+        opened = _open(upstream)
+        if isinstance(opened, routed_calls.Reachability):
+            return opened
+        opened.keep_unused()
+        self.pool.release(upstream.incarnation, opened)
+        return routed_calls.Reachability.ACCEPTS
+
+    def identify(
+        self, upstream: member_messages.Registration
+    ) -> routed_calls.Reachability:
+        """See `ports.forwarding.UpstreamClient`."""
+        opened = _open(upstream)
+        if isinstance(opened, routed_calls.Reachability):
+            return opened
         try:
-            sock = http1_client.open_socket(upstream.address)
-        except ConnectionRefusedError:
-            return routed_calls.Reachability.REFUSES
-        except (OSError, TimeoutError):
+            report = _read_report(opened, upstream)
+        except errors.StreamClosed:
+            opened.close()
             return routed_calls.Reachability.UNKNOWN
-        connection = http1_client.Connection(upstream.address, sock)
-        connection.keep_unused()
-        self.pool.release(upstream.incarnation, connection)
+        except BaseException:
+            # The caller's time is up.
+            opened.close()
+            raise
+        if report.is_reusable and not report.is_of_another(upstream):
+            self.pool.release(upstream.incarnation, opened)
+        else:
+            opened.close()
+        if report.is_of_another(upstream):
+            return routed_calls.Reachability.REPLACED
         return routed_calls.Reachability.ACCEPTS
 
     def forget(self, incarnation: str) -> None:
@@ -259,6 +280,68 @@
             )
 
 
+def _open(
+    upstream: member_messages.Registration,
+) -> http1_client.Connection | routed_calls.Reachability:
+    """Returns a new connection, or what the attempt to open one shows."""
+    try:
+        sock = http1_client.open_socket(upstream.address)
+    except ConnectionRefusedError:
+        return routed_calls.Reachability.REFUSES
+    except (OSError, TimeoutError):
+        return routed_calls.Reachability.UNKNOWN
+    return http1_client.Connection(upstream.address, sock)
+
+
+class _Report(NamedTuple):
+    """What the process at the other end of a connection says of itself.
+
+    Attributes:
+        status: HTTP status of its answer.
+        started: Its start; None if it didn't say.
+        is_reusable: Whether the connection can carry another request.
+    """
+
+    status: int
+    started: int | None
+    is_reusable: bool
+
+    def is_of_another(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether it is of another process than that registered."""
+        if self.status == _WRONG_UPSTREAM:
+            return True
+        is_known = bool(upstream.started) and self.started is not None
+        return is_known and self.started != upstream.started
+
+
+def _read_report(
+    connection: http1_client.Connection,
+    upstream: member_messages.Registration,
+) -> _Report:
+    """Asks the process at the other end of a connection for its report.
+
+    A connection ends with its process, so that the report is of the one that
+    gets the next request on it.
+
+    Raises:
+        errors.StreamClosed: The connection is lost.
+    """
+    headers = [
+        ("host", upstream.address),
+        (_EXPECT_UPSTREAM, upstream.upstream),
+    ]
+    connection.send("GET", _REPORT_PATH, headers, b"")
+    # A late answer to another request has that one's id.
+    head = _read_head(connection, "")
+    started = _decode_object(_read_reply(connection, upstream)).get(_BORN)
+    keep_alive = dict(head.fields).get("keep-alive", "")
+    return _Report(
+        head.status,
+        started if type(started) is int else None,
+        connection.prepare_reuse(http1_client.keep_alive_seconds(keep_alive)),
+    )
+
+
 def _check_process(
     connection: http1_client.Connection,
     upstream: member_messages.Registration,
@@ -266,8 +349,7 @@
     """Returns if a connection leads to the process that registered.
 
     An upstream may start again under its id, with other software, and may be
-    asked for the rest of a stream before anybody has heard of that. The request
-    follows on the same connection, which leads to the same process. Upstreams
+    asked for the rest of a stream before anybody has heard of that. Upstreams
     that state no start have a new id then, and refuse requests for the old one.
 
     Raises:
@@ -278,35 +360,27 @@
         return
     try:
         with eventlet.Timeout(_REPORT_SECONDS, _ReportTimeout):
-            connection.send(
-                "GET", _REPORT_PATH, [("host", upstream.address)], b""
-            )
-            # A late answer to another request has that one's id.
-            head = _read_head(connection, "")
-            body = _read_reply(connection, upstream)
+            report = _read_report(connection, upstream)
     except (errors.StreamClosed, _ReportTimeout) as error:
         # The request itself has not been sent.
         raise errors.NoUpstream(
             f"Upstream {upstream.upstream} did not report on itself: {error}"
         ) from error
-    keep_alive = dict(head.fields).get("keep-alive", "")
-    if not connection.prepare_reuse(
-        http1_client.keep_alive_seconds(keep_alive)
-    ):
-        raise errors.NoUpstream(
-            f"Upstream {upstream.upstream} closed the connection on which it "
-            "reported on itself."
+    if report.is_of_another(upstream):
+        raise errors.WrongUpstream(
+            f"Expected the process of {upstream.upstream} that started at "
+            f"{upstream.started}, but found status {report.status} and the "
+            f"start {report.started}."
         )
-    started = _decode_object(body).get(_BORN)
-    if head.status not in _SUCCESS or type(started) is not int:
+    if report.status not in _SUCCESS or report.started is None:
         raise errors.NoUpstream(
             f"Expected the start of {upstream.upstream} in its report, but "
-            f"found status {head.status} and {reprlib.repr(started)}."
+            f"found status {report.status} and the start {report.started}."
         )
-    if started != upstream.started:
-        raise errors.WrongUpstream(
-            f"Expected the process of {upstream.upstream} that started at "
-            f"{upstream.started}, but found the one of {started}."
+    if not report.is_reusable:
+        raise errors.NoUpstream(
+            f"Upstream {upstream.upstream} closed the connection on which it "
+            "reported on itself."
         )
 
 
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -103,6 +103,11 @@
         The connection is kept for the next request.
         """
 
+    def identify(
+        self, upstream: member_messages.Registration
+    ) -> routed_calls.Reachability:
+        """Like `probe`, and asks which process has taken the connection."""
+
     def forget(self, incarnation: str) -> None:
         """Drops the connections to an upstream process that has ended.
 
--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -6,6 +6,7 @@
 end cost nothing.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import eventlet
@@ -56,11 +57,14 @@
         self,
         upstream: member_messages.Registration,
         end: answer_ends.AnswerEnd,
+        is_stream: bool,
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole.
 
         Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
-        its end.
+        its end. Of a stream it also asks which process is there now: one that
+        replaced that of the answer would confirm its end otherwise. Services
+        of plain answers report nothing on themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
@@ -70,14 +74,19 @@
         # A leaving upstream ends its last answers and stops.
         if not registered.is_ready(upstream):
             return end
-        return answer_end.confirmed(end, self._reachability(upstream))
+        ask = self.upstreams.identify if is_stream else self.upstreams.probe
+        return answer_end.confirmed(end, self._reachability(upstream, ask))
 
     def _reachability(
-        self, upstream: member_messages.Registration
+        self,
+        upstream: member_messages.Registration,
+        ask: Callable[
+            [member_messages.Registration], routed_calls.Reachability
+        ],
     ) -> routed_calls.Reachability:
         for _ in range(CONFIRM_TRIES):
             with eventlet.Timeout(CONFIRM_SECONDS, False):
-                found = self.upstreams.probe(upstream)
+                found = ask(upstream)
                 if found is not routed_calls.Reachability.UNKNOWN:
                     return found
         return routed_calls.Reachability.UNKNOWN
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -463,7 +463,9 @@
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole."""
         return self.context.ends.confirm(
-            stream.upstream, stream.confirm_end(end)
+            stream.upstream,
+            stream.confirm_end(end),
+            stream.answer.head.events,
         )
 
     def _send(
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -339,18 +339,19 @@
         body: bytes,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if head.startswith("GET /v1/report "):
+        is_expected = headers.get("x-expect-instance") == self.name
+        if head.startswith("GET /v1/report ") and is_expected:
             report = json.dumps({"born": self.born}).encode()
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                 b"Content-Length: %d\r\n\r\n%b" % (len(report), report)
             )
             return
-        request = headers["x-request-id"]
-        common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
-        if headers.get("x-expect-instance") != self.name:
+        if not is_expected:
             writer.write(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
             return
+        request = headers["x-request-id"]
+        common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
         if self.running >= _MAX_RUNNING:
             writer.write(
                 f"HTTP/1.1 503 No\r\n{common}X-Not-Executed: 1\r\n"
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -6,7 +6,6 @@
 import eventlet
 import hypothesis
 from hypothesis import strategies as st
-import pytest
 
 from fakes import answer_scripts
 from fakes import platform_engine
@@ -117,19 +116,16 @@
             self.system.heartbeat(engine, "lm")
         self.system.settle()
 
-    @pytest.mark.known_red
     def test_stream_whose_process_was_replaced_at_once_is_resumed(self) -> None:
         self.start_replaced(started=2)
         answer = self.system.call("POST", "/resumable/a", b"x")
         self.assertEqual(answer_scripts.Answer().body(), answer.body)
         self.assertTrue(answer.whole)
 
-    @pytest.mark.known_red
     def test_turn_whose_process_was_replaced_at_once_is_not_whole(self) -> None:
         self.start_replaced(started=2)
         self.assertFalse(self.turn("t1").whole)
 
-    @pytest.mark.known_red
     def test_turn_whose_address_has_another_upstream_is_not_whole(self) -> None:
         self.start("lm", self.replaced(name="other"))
         self.assertFalse(self.turn("t1").whole)
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -32,6 +32,7 @@
         self.answer = answer
         self.lost = 0
         self.probed = 0
+        self.identified = 0
 
     def probe(
         self, upstream: member_messages.Registration
@@ -41,6 +42,12 @@
             eventlet.sleep(60.0)
         return self.answer
 
+    def identify(
+        self, upstream: member_messages.Registration
+    ) -> routed_calls.Reachability:
+        self.identified += 1
+        return self.probe(upstream)
+
 
 class Followed:
     def __init__(self) -> None:
@@ -48,6 +55,8 @@
 
 
 class EndConfirmationTest(testtools.TestCase):
+    is_stream = False
+
     def setUp(self) -> None:
         super().setUp()
         self.configuration = Followed()
@@ -60,7 +69,21 @@
         confirmation = end_confirmation.EndConfirmation(
             self.configuration, self.upstreams, enabled
         )
-        return confirmation.confirm(registration(), end).kind
+        return confirmation.confirm(registration(), end, self.is_stream).kind
+
+    def test_process_that_replaced_the_one_of_a_stream_shows_a_crash(
+        self,
+    ) -> None:
+        self.is_stream = True
+        self.upstreams.answer = routed_calls.Reachability.REPLACED
+        self.assertEqual(Kind.CRASHED, self.confirm())
+        self.assertEqual(1, self.upstreams.identified)
+
+    def test_service_of_a_plain_answer_is_not_asked_for_a_report(self) -> None:
+        self.confirm()
+        self.assertEqual(
+            (1, 0), (self.upstreams.probed, self.upstreams.identified)
+        )
 
     def test_upstream_that_refuses_connections_has_crashed(self) -> None:
         self.assertEqual(Kind.CRASHED, self.confirm())
--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -237,6 +237,8 @@
     ) -> routed_calls.Reachability:
         return routed_calls.Reachability.UNKNOWN
 
+    identify = probe
+
     def forget(self, incarnation: str) -> None:
         pass
 
