test_green_threads: a task of an earlier test between two rounds is no fault

test_finished_green_threads_are_reused failed once, after test_hosted in one run. Traced: a background task that an earlier test left (a settle or a record that is sent again) takes an idle green thread between the two rounds; put in by hand, it gives the same failure. The check was wrong to take that for a missing reuse. Now one of five pairs of rounds must have the same green threads; without reuse (_MAX_IDLE = 0) none has, and it fails.

--- a/testing/test_green_threads.py
+++ b/testing/test_green_threads.py
@@ -35,9 +35,14 @@
         self.assertEqual([0, 1, 2, 3, 4], found)
 
     def test_finished_green_threads_are_reused(self) -> None:
-        first = self.run_all(3)
-        self.assertEqual(3, len(set(first)))
-        self.assertEqual(set(first), set(self.run_all(3)))
+        # Green threads of earlier tests may take one between two rounds, so
+        # one pair of rounds must have the same; without reuse none has.
+        pairs = [(self.run_all(3), self.run_all(3)) for _ in range(5)]
+        for first, second in pairs:
+            self.assertEqual((3, 3), (len(set(first)), len(set(second))))
+        self.assertIn(
+            True, [set(first) == set(second) for first, second in pairs]
+        )
 
     def test_idle_green_threads_are_bounded(self) -> None:
         # Green threads of earlier tests may use one of them at any moment, so
