--- /dev/null
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -0,0 +1,178 @@
+"""What upstreams reply beside the bodies of answers: heads, JSON, reports.
+
+A report is what the process at the other end of a connection says of itself. A
+connection ends with its process, so that a report read on it is of the process
+that gets the next request on it.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import msgspec
+
+from mintcleat.adapters import http1_client
+from mintcleat.adapters import http1_heads
+from mintcleat.domain import errors
+from mintcleat.domain import member_messages
+from mintcleat.platform import callers
+
+EXPECT_UPSTREAM = "x-expect-instance"
+# Status of an upstream that is not the expected one.
+WRONG_UPSTREAM = 421
+_REPORT_PATH = "/v1/report"
+# In all that an upstream says of itself: the start of its process.
+_BORN = "born"
+# A report waits for no slot; a silent upstream is left for another one.
+_REPORT_SECONDS = 0.25
+_MAX_REPLY_BYTES = 64 * 1024
+_SUCCESS = range(200, 300)
+# Limit of responses to earlier requests that are skipped on a connection.
+_MAX_SKIPPED_RESPONSES = 3
+
+
+class _ReportTimeout(Exception):
+    """An upstream did not report on itself in time."""
+
+
+class Report(NamedTuple):
+    """What the process at the other end of a connection says of itself.
+
+    Attributes:
+        status: HTTP status of its answer.
+        started: Its start; None if it didn't say.
+        is_reusable: Whether the connection can carry another request.
+    """
+
+    status: int
+    started: int | None
+    is_reusable: bool
+
+    def is_of_another(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether it is of another process than that registered."""
+        if self.status == WRONG_UPSTREAM:
+            return True
+        is_known = bool(upstream.started) and self.started is not None
+        return is_known and self.started != upstream.started
+
+
+def read_report(
+    connection: http1_client.Connection,
+    upstream: member_messages.Registration,
+) -> Report:
+    """Asks the process at the other end of a connection for its report.
+
+    A connection ends with its process, so that the report is of the one that
+    gets the next request on it.
+
+    Raises:
+        errors.StreamClosed: The connection is lost.
+    """
+    headers = [
+        ("host", upstream.address),
+        (EXPECT_UPSTREAM, upstream.upstream),
+    ]
+    connection.send("GET", _REPORT_PATH, headers, b"")
+    # A late answer to another request has that one's id.
+    head = read_head(connection, "")
+    started = decode_object(read_body(connection, upstream)).get(_BORN)
+    keep_alive = dict(head.fields).get("keep-alive", "")
+    return Report(
+        head.status,
+        started if type(started) is int else None,
+        connection.prepare_reuse(http1_client.keep_alive_seconds(keep_alive)),
+    )
+
+
+def check_process(
+    connection: http1_client.Connection,
+    upstream: member_messages.Registration,
+) -> None:
+    """Returns if a connection leads to the process that registered.
+
+    An upstream may start again under its id, with other software, and may be
+    asked for the rest of a stream before anybody has heard of that. Upstreams
+    that state no start have a new id then, and refuse requests for the old one.
+
+    Raises:
+        errors.WrongUpstream: It leads to another process.
+        errors.NoUpstream: The upstream doesn't say when it started.
+    """
+    if not upstream.started:
+        return
+    try:
+        with eventlet.Timeout(_REPORT_SECONDS, _ReportTimeout):
+            report = read_report(connection, upstream)
+    except (errors.StreamClosed, _ReportTimeout) as error:
+        # The request itself has not been sent.
+        raise errors.NoUpstream(
+            f"Upstream {upstream.upstream} did not report on itself: {error}"
+        ) from error
+    if report.is_of_another(upstream):
+        raise errors.WrongUpstream(
+            f"Expected the process of {upstream.upstream} that started at "
+            f"{upstream.started}, but found status {report.status} and the "
+            f"start {report.started}."
+        )
+    if report.status not in _SUCCESS or report.started is None:
+        raise errors.NoUpstream(
+            f"Expected the start of {upstream.upstream} in its report, but "
+            f"found status {report.status} and the start {report.started}."
+        )
+    if not report.is_reusable:
+        raise errors.NoUpstream(
+            f"Upstream {upstream.upstream} closed the connection on which it "
+            "reported on itself."
+        )
+
+
+def read_body(
+    connection: http1_client.Connection,
+    upstream: member_messages.Registration,
+) -> bytes:
+    """Returns the body of a response to a control request.
+
+    Raises:
+        errors.StreamClosed: It is not complete, or too long.
+    """
+    parts = []
+    size = 0
+    while (data := connection.read_data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > _MAX_REPLY_BYTES:
+            raise errors.StreamClosed(
+                f"The answer of {upstream.upstream} is longer than "
+                f"{_MAX_REPLY_BYTES} bytes."
+            )
+    return b"".join(parts)
+
+
+def decode_object(data: bytes) -> dict[str, Any]:
+    """Returns the fields of a JSON object; none if it isn't one."""
+    try:
+        fields = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def read_head(
+    connection: http1_client.Connection, request_id: str
+) -> http1_heads.ResponseHead:
+    """Returns the head of the response to a request.
+
+    An upstream may respond again to an earlier request on the connection.
+    Responses are matched to requests by the request id that they echo.
+    """
+    for _ in range(_MAX_SKIPPED_RESPONSES):
+        head = connection.read_head()
+        echoed_id = dict(head.fields).get(callers.REQUEST_ID)
+        if echoed_id is None or echoed_id == request_id:
+            return head
+        connection.skip_response()
+    raise errors.StreamClosed(
+        f"Expected a response of {connection.address} to the current request, "
+        f"but found {_MAX_SKIPPED_RESPONSES} responses with another "
+        f"{callers.REQUEST_ID}."
+    )
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -5,10 +5,8 @@
 import re
 import reprlib
 from typing import Any
-from typing import NamedTuple
 from urllib import parse
 
-import eventlet
 import msgspec
 
 from mintcleat.adapters import http1_client
@@ -18,8 +16,8 @@
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
 from mintcleat.platform import callers
+from mintcleat.platform import upstream_replies
 
-_EXPECT_UPSTREAM = "x-expect-instance"
 _URGENCY = "x-request-urgency"
 _SIGNATURE = "x-response-signature"
 _NOT_EXECUTED = "x-not-executed"
@@ -27,12 +25,6 @@
 _BACKUP = "x-kv-backup"
 _MOVE_PATH = "/v1/kv-move"
 _HANDLE_PATH = "/v1/kv-handle/"
-_REPORT_PATH = "/v1/report"
-# A report waits for no slot; a silent upstream is left for another one.
-_REPORT_SECONDS = 0.25
-# In all that an upstream says of itself: the start of its process.
-_BORN = "born"
-_WRONG_UPSTREAM = 421
 _NO_CAPACITY = 503
 _COPY_STATUS = {
     200: routed_calls.CopyStatus.COPIED,
@@ -42,14 +34,7 @@
 }
 # Handles are sent on in a header.
 _HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
-_MAX_REPLY_BYTES = 64 * 1024
 _SUCCESS = range(200, 300)
-# Limit of responses to earlier requests that are skipped on a connection.
-_MAX_SKIPPED_RESPONSES = 3
-
-
-class _ReportTimeout(Exception):
-    """An upstream did not report on itself in time."""
 
 
 class HttpUpstreamClient:
@@ -68,14 +53,14 @@
         connection = self.pool.acquire(upstream.incarnation, upstream.address)
         try:
             if request.last_event or request.copy is not None:
-                _check_process(connection, upstream)
+                upstream_replies.check_process(connection, upstream)
             connection.send(
                 call.method,
                 call.target,
                 _headers(upstream, call, request),
                 request.body,
             )
-            head = _read_head(connection, call.request)
+            head = upstream_replies.read_head(connection, call.request)
             # The run was not continued, so the next copy of it can be tried.
             if request.copy is not None and head.status == _NO_CAPACITY:
                 raise errors.UpstreamBusy(
@@ -99,11 +84,11 @@
         status, data = _exchange(
             upstream, "POST", _MOVE_PATH, msgspec.json.encode(body)
         )
-        if status == _WRONG_UPSTREAM:
+        if status == upstream_replies.WRONG_UPSTREAM:
             raise errors.WrongUpstream(
                 f"Another upstream has the address {upstream.address} now."
             )
-        fields = _decode_object(data)
+        fields = upstream_replies.decode_object(data)
         handle = _handle_of(fields)
         made = fields.get("made", 0)
         found = _COPY_STATUS.get(status)
@@ -143,7 +128,7 @@
         if isinstance(opened, routed_calls.Reachability):
             return opened
         try:
-            report = _read_report(opened, upstream)
+            report = upstream_replies.read_report(opened, upstream)
         except errors.StreamClosed:
             opened.close()
             return routed_calls.Reachability.UNKNOWN
@@ -253,7 +238,7 @@
             errors.NoUpstream: The request did not run.
             errors.StreamClosed: The request may have run.
         """
-        if status == _WRONG_UPSTREAM:
+        if status == upstream_replies.WRONG_UPSTREAM:
             raise errors.WrongUpstream(
                 f"Expected upstream {self.upstream.upstream} at "
                 f"{self.upstream.address}, but it answered {status}: another "
@@ -293,119 +278,6 @@
     return http1_client.Connection(upstream.address, sock)
 
 
-class _Report(NamedTuple):
-    """What the process at the other end of a connection says of itself.
-
-    Attributes:
-        status: HTTP status of its answer.
-        started: Its start; None if it didn't say.
-        is_reusable: Whether the connection can carry another request.
-    """
-
-    status: int
-    started: int | None
-    is_reusable: bool
-
-    def is_of_another(self, upstream: member_messages.Registration) -> bool:
-        """Returns whether it is of another process than that registered."""
-        if self.status == _WRONG_UPSTREAM:
-            return True
-        is_known = bool(upstream.started) and self.started is not None
-        return is_known and self.started != upstream.started
-
-
-def _read_report(
-    connection: http1_client.Connection,
-    upstream: member_messages.Registration,
-) -> _Report:
-    """Asks the process at the other end of a connection for its report.
-
-    A connection ends with its process, so that the report is of the one that
-    gets the next request on it.
-
-    Raises:
-        errors.StreamClosed: The connection is lost.
-    """
-    headers = [
-        ("host", upstream.address),
-        (_EXPECT_UPSTREAM, upstream.upstream),
-    ]
-    connection.send("GET", _REPORT_PATH, headers, b"")
-    # A late answer to another request has that one's id.
-    head = _read_head(connection, "")
-    started = _decode_object(_read_reply(connection, upstream)).get(_BORN)
-    keep_alive = dict(head.fields).get("keep-alive", "")
-    return _Report(
-        head.status,
-        started if type(started) is int else None,
-        connection.prepare_reuse(http1_client.keep_alive_seconds(keep_alive)),
-    )
-
-
-def _check_process(
-    connection: http1_client.Connection,
-    upstream: member_messages.Registration,
-) -> None:
-    """Returns if a connection leads to the process that registered.
-
-    An upstream may start again under its id, with other software, and may be
-    asked for the rest of a stream before anybody has heard of that. Upstreams
-    that state no start have a new id then, and refuse requests for the old one.
-
-    Raises:
-        errors.WrongUpstream: It leads to another process.
-        errors.NoUpstream: The upstream doesn't say when it started.
-    """
-    if not upstream.started:
-        return
-    try:
-        with eventlet.Timeout(_REPORT_SECONDS, _ReportTimeout):
-            report = _read_report(connection, upstream)
-    except (errors.StreamClosed, _ReportTimeout) as error:
-        # The request itself has not been sent.
-        raise errors.NoUpstream(
-            f"Upstream {upstream.upstream} did not report on itself: {error}"
-        ) from error
-    if report.is_of_another(upstream):
-        raise errors.WrongUpstream(
-            f"Expected the process of {upstream.upstream} that started at "
-            f"{upstream.started}, but found status {report.status} and the "
-            f"start {report.started}."
-        )
-    if report.status not in _SUCCESS or report.started is None:
-        raise errors.NoUpstream(
-            f"Expected the start of {upstream.upstream} in its report, but "
-            f"found status {report.status} and the start {report.started}."
-        )
-    if not report.is_reusable:
-        raise errors.NoUpstream(
-            f"Upstream {upstream.upstream} closed the connection on which it "
-            "reported on itself."
-        )
-
-
-def _read_reply(
-    connection: http1_client.Connection,
-    upstream: member_messages.Registration,
-) -> bytes:
-    """Returns the body of a response to a control request.
-
-    Raises:
-        errors.StreamClosed: It is not complete, or too long.
-    """
-    parts = []
-    size = 0
-    while (data := connection.read_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > _MAX_REPLY_BYTES:
-            raise errors.StreamClosed(
-                f"The answer of {upstream.upstream} is longer than "
-                f"{_MAX_REPLY_BYTES} bytes."
-            )
-    return b"".join(parts)
-
-
 def _exchange(
     upstream: member_messages.Registration,
     method: str,
@@ -427,27 +299,18 @@
     """
     headers = [
         ("host", upstream.address),
-        (_EXPECT_UPSTREAM, upstream.upstream),
+        (upstream_replies.EXPECT_UPSTREAM, upstream.upstream),
         ("content-type", "application/json"),
     ]
     connection = http1_client.connect(upstream.address)
     try:
         connection.send(method, path, headers, body)
         head = connection.read_head()
-        return head.status, _read_reply(connection, upstream)
+        return head.status, upstream_replies.read_body(connection, upstream)
     finally:
         connection.close()
 
 
-def _decode_object(data: bytes) -> dict[str, Any]:
-    """Returns the fields of a JSON object; none if it isn't one."""
-    try:
-        fields = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeError):
-        return {}
-    return fields if isinstance(fields, dict) else {}
-
-
 def _handle_of(fields: dict[str, Any]) -> str:
     """Returns the handle in an answer; empty for none or an invalid one."""
     handle = fields.get("handle")
@@ -466,7 +329,7 @@
     headers = [
         *call.headers,
         (callers.DEADLINE, str(int(request.remaining_seconds * 1000))),
-        (_EXPECT_UPSTREAM, upstream.upstream),
+        (upstream_replies.EXPECT_UPSTREAM, upstream.upstream),
         (_URGENCY, str(request.urgency)),
     ]
     if call.customer:
@@ -479,24 +342,3 @@
         copy = request.copy
         headers.append((_COPY_FROM, f"{copy.address}/{copy.handle}"))
     return headers
-
-
-def _read_head(
-    connection: http1_client.Connection, request_id: str
-) -> http1_heads.ResponseHead:
-    """Returns the head of the response to a request.
-
-    An upstream may respond again to an earlier request on the connection.
-    Responses are matched to requests by the request id that they echo.
-    """
-    for _ in range(_MAX_SKIPPED_RESPONSES):
-        head = connection.read_head()
-        echoed_id = dict(head.fields).get(callers.REQUEST_ID)
-        if echoed_id is None or echoed_id == request_id:
-            return head
-        connection.skip_response()
-    raise errors.StreamClosed(
-        f"Expected a response of {connection.address} to the current request, "
-        f"but found {_MAX_SKIPPED_RESPONSES} responses with another "
-        f"{callers.REQUEST_ID}."
-    )
--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Requests that crash the upstreams which run them, over real sockets."""
 
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -83,13 +84,20 @@
             self.assertEqual(503, answer.status)
         self.assertEqual(before, self.runs("boom"))
 
-    def test_request_that_crashes_its_upstreams_is_stopped_at_every_entry(
-        self,
+    def check_late_runs(
+        self, count: int, send: Callable[[int], object], late: int
     ) -> None:
-        engines = self.start(24)
+        """Checks how many runs follow after entries must know of a request.
+
+        Args:
+            count: Number of engines.
+            send: Sends it again, by its number.
+            late: How often it is sent after that.
+        """
+        engines = self.start(count)
         number = 0
         while self.runs("boom") < CRASHES:
-            self.send(number)
+            send(number)
             number += 1
         eventlet.sleep(WINDOW_SECONDS)
         for engine in engines:
@@ -97,28 +105,20 @@
                 self.system.heartbeat(engine, "desk")
         self.system.settle()
         before = self.runs("boom")
-        for late in range(8):
-            self.send(100 + late)
+        for again in range(late):
+            send(100 + again)
         self.assertLessEqual(self.runs("boom") - before, MAX_LATE_RUNS)
 
+    def test_request_that_crashes_its_upstreams_is_stopped_at_every_entry(
+        self,
+    ) -> None:
+        self.check_late_runs(24, self.send, 8)
+
     @pytest.mark.known_red
     def test_requests_that_share_an_object_and_differ_in_content_are_stopped(
         self,
     ) -> None:
-        engines = self.start(30)
-        number = 0
-        while self.runs("boom") < CRASHES:
-            self.send_content(number)
-            number += 1
-        eventlet.sleep(WINDOW_SECONDS)
-        for engine in engines:
-            if not engine.crashed:
-                self.system.heartbeat(engine, "desk")
-        self.system.settle()
-        before = self.runs("boom")
-        for late in range(12):
-            self.send_content(100 + late)
-        self.assertLessEqual(self.runs("boom") - before, MAX_LATE_RUNS)
+        self.check_late_runs(30, self.send_content, 12)
 
     def send_content(self, number: int) -> platform_system.Answer:
         """Sends a crashing request whose content is one of eight."""
