--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -277,3 +277,25 @@
 assert key not in schedule.running, schedule.running
 """)
     assert done.returncode == 0, done.stderr
+
+
+def test_stream_of_two_versions_is_a_violation() -> None:
+    checks = checks_module.Checks()
+    checks.stream_read(1.0, "a", ["v1", "v1"], is_take_up=False, error="")
+    checks.stream_read(2.0, "b", ["v2"], is_take_up=False, error="")
+    checks.stream_read(3.0, "a", ["v1"], is_take_up=True, error="")
+    checks.stream_read(4.0, "b", [], is_take_up=True, error="no_upstream: x")
+    assert rules(checks) == []
+    assert checks.take_ups == {"went on": 1, "no_upstream": 1}
+    checks.stream_read(5.0, "b", ["v1"], is_take_up=True, error="")
+    assert rules(checks) == ["versions"]
+
+
+def test_rest_of_a_stream_begins_after_its_first_part() -> None:
+    checks = checks_module.Checks()
+    checks.sent(request("b", "resume", events=4, after=2))
+    checks.run_began("b", run_at(10.5), b"")
+    checks.ended("b", end(200, numbers=[3, 4]))
+    assert rules(checks) == []
+    checks.ended("b", end(200, numbers=[1, 2]))
+    assert rules(checks) == ["events"]
