--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -93,30 +93,40 @@
             self.events,
         )
 
-    def _open(self) -> None:
-        """Opens the turn, and binds the stream to its version if that is known.
+    def _open_new(self) -> None:
+        """Opens the turn of a request that continues no stream.
+
+        Its stream is bound to a version by the record that the turn's opening
+        commits, or else by its first event, which is recorded then.
 
         Raises:
             errors.MintcleatError: The request is refused.
         """
         origins = self.context.origins
         route = self.match.route
-        relay = self.relay
-        if not route.stream or not self.call.last_event:
-            planned = origins.planned(self.call, route, self.service_name)
-            relay.turn = self.turn.open(planned)
-            if relay.turn is not None and planned is not None:
-                relay.origin = stream_origins.KnownOrigin(
-                    planned.origin, stream_origins.Source.OWN
-                )
-            else:
-                relay.on_begun = functools.partial(
-                    origins.begun, self.call, route
-                )
-            return
-        relay.origin = origins.find(self.call, route, self.service_name)
+        planned = origins.planned(self.call, route, self.service_name)
+        self.relay.turn = self.turn.open(planned)
+        if self.relay.turn is not None and planned is not None:
+            self.relay.origin = stream_origins.KnownOrigin(
+                planned.origin, stream_origins.Source.OWN
+            )
+        else:
+            self.relay.on_begun = functools.partial(
+                origins.begun, self.call, route
+            )
+
+    def _open_continued(self) -> None:
+        """Opens the turn of a request that takes up its caller's stream.
+
+        Raises:
+            errors.MintcleatError: The request is refused, as no upstream has
+                the version that began the stream, or nobody knows which did.
+        """
+        self.relay.origin = self.context.origins.find(
+            self.call, self.match.route, self.service_name
+        )
         self.attempts.check_version()
-        relay.turn = self.turn.open()
+        self.relay.turn = self.turn.open()
 
     def serve(self, reply: forwarding.CallerResponse) -> None:
         """Serves the request within its deadline.
@@ -131,7 +141,10 @@
         try:
             self.deadline.limit_wait()
             attempts.check_quarantine()
-            self._open()
+            if self.match.route.stream and self.call.last_event:
+                self._open_continued()
+            else:
+                self._open_new()
             attempts.run(reply)
             outcome = "whole"
         except run_deadline.RequestTimeout:
