--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -202,8 +202,8 @@
 def _crash_is_whole() -> None:
     """An answer that a crash ended between two events counts as whole."""
 
-    def confirm(self: Any, upstream: Any, end: Any) -> Any:
-        del self, upstream
+    def confirm(self: Any, upstream: Any, end: Any, is_stream: Any) -> Any:
+        del self, upstream, is_stream
         return end
 
     _replace(end_confirmation.EndConfirmation, "confirm", confirm)
