Identify the process behind a connection before a stream begins on it

Callers saw: nothing yet; a stream could hold two versions if it began at a process that had replaced, under its id, the one that the entry knew, and was taken up before the entry heard of that.

Cause: the report that tells the processes apart was read before continuations only. A stream that began at the other process was recorded, and relayed, at the version of the one before.

Change: a connection that a stream is to use is identified once, by its first such request, and stays so, as it ends with its process. A connection that ends with the report is replaced once.

Evidence: test_stream_that_an_unheard_of_process_began_is_not_mixed failed before and passes; its bound is now that the two parts don't hold two versions, as the system may refuse the second.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -63,6 +63,8 @@
         head: Head of the current response; None before it.
         sender: Green thread that sends a large request; None for none.
         end: How the body of the current response ended; None before its end.
+        is_identified: Whether it is known to lead to the process that its user
+            expects; it does so until its end.
     """
 
     def __init__(self, address: str, sock: Any) -> None:
@@ -70,6 +72,7 @@
         self.sock = sock
         self.reader = socket_reader.SocketReader(sock)
         self.usable_until = 0.0
+        self.is_identified = False
         self.received = b""
         self.method = ""
         self.head: http1_heads.ResponseHead | None = None
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -183,6 +183,8 @@
             a new one.
         backup: `IP:PORT` of the upstream that gets a backup of the run's
             memory; empty for none.
+        is_stream: Whether the answer is a stream, which only the registered
+            process may begin or continue.
     """
 
     body: bytes
@@ -191,3 +193,4 @@
     urgency: int
     copy: Copy | None = None
     backup: str = ""
+    is_stream: bool = False
--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -87,19 +87,23 @@
 def check_process(
     connection: http1_client.Connection,
     upstream: member_messages.Registration,
-) -> None:
-    """Returns if a connection leads to the process that registered.
+) -> bool:
+    """Checks that a connection leads to the process that registered.
 
-    An upstream may start again under its id, with other software, and may be
-    asked for the rest of a stream before anybody has heard of that. Upstreams
-    that state no start have a new id then, and refuse requests for the old one.
+    An upstream may start again under its id, with other software, before
+    anybody has heard of that. A stream that it began or continued then would be
+    taken for one of the version before. Upstreams that state no start have a
+    new id then, and refuse requests for the old one.
+
+    Returns:
+        Whether the connection can carry a request after that.
 
     Raises:
         errors.WrongUpstream: It leads to another process.
         errors.NoUpstream: The upstream doesn't say when it started.
     """
     if not upstream.started:
-        return
+        return True
     try:
         with eventlet.Timeout(_REPORT_SECONDS, _ReportTimeout):
             report = read_report(connection, upstream)
@@ -119,11 +123,8 @@
             f"Expected the start of {upstream.upstream} in its report, but "
             f"found status {report.status} and the start {report.started}."
         )
-    if not report.is_reusable:
-        raise errors.NoUpstream(
-            f"Upstream {upstream.upstream} closed the connection on which it "
-            "reported on itself."
-        )
+    connection.is_identified = True
+    return report.is_reusable
 
 
 def read_body(
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -52,8 +52,8 @@
         """Sends a request and returns once the response's head has arrived."""
         connection = self.pool.acquire(upstream.incarnation, upstream.address)
         try:
-            if request.last_event or request.copy is not None:
-                upstream_replies.check_process(connection, upstream)
+            if request.is_stream or request.copy is not None:
+                connection = _identified(connection, upstream)
             connection.send(
                 call.method,
                 call.target,
@@ -265,6 +265,35 @@
             )
 
 
+def _identified(
+    connection: http1_client.Connection,
+    upstream: member_messages.Registration,
+) -> http1_client.Connection:
+    """Returns a connection to the process that registered, the given or a new.
+
+    Raises:
+        errors.NoUpstream: See `upstream_replies.check_process`.
+    """
+    if connection.is_identified:
+        return connection
+    if upstream_replies.check_process(connection, upstream):
+        return connection
+    connection.close()
+    connection = http1_client.connect(upstream.address)
+    is_reusable = False
+    try:
+        is_reusable = upstream_replies.check_process(connection, upstream)
+    finally:
+        if not is_reusable:
+            connection.close()
+    if is_reusable:
+        return connection
+    raise errors.NoUpstream(
+        f"Upstream {upstream.upstream} closed two connections on which it "
+        "reported on itself."
+    )
+
+
 def _open(
     upstream: member_messages.Registration,
 ) -> http1_client.Connection | routed_calls.Reachability:
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -387,6 +387,7 @@
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
                 target.copy,
                 backup.address if backup else "",
+                self.route.stream,
             ),
         )
         if target.copy is not None:
