Failing tests: a chat answer goes on at an engine of other software

Real entries and sidecars with stand-in engines that state a version. An engine is lost after the first text of a streamed answer; the next attempt is placed at any engine, and as the stand-ins say the same text the caller gets one answer of two versions. Engines that state none are served as before.

--- a/src/mintcleat/standins/engine.py
+++ b/src/mintcleat/standins/engine.py
@@ -36,6 +36,7 @@
             it is cancelled.
         load_seconds: Seconds that each order takes.
         line_end: End of the lines of a stream.
+        software: Version that it states; empty for none.
         cut_events: Events after which a stream breaks off inside the next one;
             0 for never.
     """
@@ -51,6 +52,7 @@
     load_seconds: float = 0.01
     line_end: str = "\n"
     cut_events: int = 0
+    software: str = ""
 
 
 class Run(NamedTuple):
