Review: a leader outside the configuration's group counts by an old limit

Cause: policies come from a replica that is no longer a member. Ruled out: the entries' limit, which is current and is replaced by the stale one.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -125,7 +125,8 @@
             "zone": f"hall-{self.name[-1]}",
             "region": "gulf-south",
             "internalPortRange": [INTERNAL, INTERNAL + 15],
-            "seeds": [f"{node.ip}:{CONTROL}" for node in fleet.controls],
+            # The control addresses of three machines.
+            "seeds": [f"{node.ip}:{CONTROL}" for node in fleet.controls[:3]],
             "bootstrap": bootstrap,
             "toleranceCounted": True,
             "discovery": "registry",
@@ -133,7 +134,7 @@
             "heartbeatIntervalMs": 1200,
             "contracts": fleet.contracts,
             "configMode": "highest",
-            "zones": {f"hall-{x}": "gulf-south" for x in "123"},
+            "zones": {f"hall-{x}": "gulf-south" for x in "1234"},
             "listen": listen,
             "limits": {
                 "cpuShare": 0.968, "cores": 2,
@@ -207,6 +208,7 @@
         self,
         record: Record,
         entries: int = 2,
+        controls: int = 3,
         contracts: list | None = None,
         bounds: dict | None = None,
         entry_memory: int = 300,
@@ -223,14 +225,14 @@
         }
         if not (ROOT / "target" / "deps" / "mintcleat").exists():
             raise CannotRun("Run the line `build` of deploy/system.toml first.")
-        self.network = free_network(3 + entries)
+        self.network = free_network(controls + entries)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.controls = [
             Node(self, "control", f"storage-{n}", f"{self.network}.{n}")
-            for n in (1, 2, 3)
+            for n in range(1, controls + 1)
         ]
         self.entries = [
-            Node(self, "entry", f"front-{n}", f"{self.network}.{n + 3}")
+            Node(self, "entry", f"front-{n}", f"{self.network}.{n + controls}")
             for n in range(1, entries + 1)
         ]
 
