Hosts are compared without regard to case, port and final dot

Callers saw 404 on a route that was in force: `Host: CALLERS.EXAMPLE` did not match a route of `callers.example`, and a route whose host was written in capitals served only callers that wrote it so. An IPv6 address without a port lost its last group (`[::1]` became `[:`), and a host with an empty port or a final dot matched nothing.

Cause: the route table compared the Host field with the route's host byte by byte, after cutting at the last colon. RFC 9110 (4.2.3) and RFC 3986 (6.2.2.1) compare hosts without regard to case.

Evidence: test_host_selects_a_route_however_it_is_written (a real listener) and test_route_is_found_however_its_host_is_written failed before, with 404 and no match.

Fix: one function, `uris.normal_host`, gives the form in which hosts are compared; the table applies it to routes, the callers' interface to requests. The Host field itself is forwarded as sent.

--- a/src/mintcleat/decisions/routes.py
+++ b/src/mintcleat/decisions/routes.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from mintcleat.domain import manifest
+from mintcleat.domain import uris
 
 
 class Match(NamedTuple):
@@ -22,19 +23,24 @@
     busy.
 
     Attributes:
-        hosts: Routes by host and prefix.
+        hosts: Routes by host, in the form of `uris.normal_host`, and prefix.
     """
 
     def __init__(self, routes: dict[str, manifest.Route]) -> None:
         self.hosts: dict[str, dict[str, Match]] = {}
         for name, route in routes.items():
-            prefixes = self.hosts.setdefault(route.host, {})
+            host = uris.normal_host(route.host)
+            prefixes = self.hosts.setdefault(host, {})
             prefixes[route.prefix] = Match(name, route)
 
     def find(self, host: str, path: str) -> Match | None:
         """Returns the route with the longest matching prefix, or None.
 
         Routes of the host take precedence over those without a host.
+
+        Args:
+            host: Host in the form of `uris.normal_host`.
+            path: Path as the caller sent it.
         """
         return self._longest_prefix(host, path) or self._longest_prefix(
             "", path
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -62,6 +62,7 @@
 
     Attributes:
         request: Id of the request; the caller uses a new one for each retry.
+        host: Host in the form of `uris.normal_host`.
         target: Path and query.
         headers: Header fields to forward, in order.
         deadline: Seconds that the caller will wait; 0 if unspecified.
--- /dev/null
+++ b/src/mintcleat/domain/uris.py
@@ -0,0 +1,44 @@
+"""Spellings of hosts and paths that mean the same (RFC 3986, section 6.2.2).
+
+A caller may write a host in capitals and encode any character of a path. What
+selects by a host or a path compares the forms that these functions return.
+"""
+
+import re
+import string
+
+_UNRESERVED = frozenset(f"{string.ascii_letters}{string.digits}-._~")
+_ENCODED = re.compile("%[0-9A-Fa-f]{2}")
+_PORT = re.compile(":[0-9]*")
+
+
+def normal_host(authority: str) -> str:
+    """Returns the form in which the host of `HOST` or `HOST:PORT` is compared.
+
+    The port isn't part of it, nor the dot that may end a fully qualified
+    domain name. An IPv6 address keeps its brackets.
+    """
+    host, _, port = authority.rpartition(":")
+    # A colon within the brackets of an IPv6 address isn't that of a port.
+    if not host or not _PORT.fullmatch(f":{port}"):
+        host = authority
+    elif ":" in host and not host.endswith("]"):
+        host = authority
+    return normal_path(host).lower().removesuffix(".")
+
+
+def normal_path(path: str) -> str:
+    """Returns the form in which a path is compared.
+
+    Encoded octets have hexadecimal digits in upper case, and those of
+    unreserved characters are decoded. Encoded slashes stay encoded: they don't
+    separate segments.
+    """
+    if "%" not in path:
+        return path
+    return _ENCODED.sub(_normal_octet, path)
+
+
+def _normal_octet(match: re.Match[str]) -> str:
+    character = chr(int(match[0][1:], 16))
+    return character if character in _UNRESERVED else match[0].upper()
--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -10,6 +10,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import keys
 from mintcleat.domain import routed_calls
+from mintcleat.domain import uris
 from mintcleat.ports import forwarding
 
 REQUEST_ID = "x-request-id"
@@ -155,7 +156,7 @@
     return routed_calls.RoutedCall(
         request=header(REQUEST_ID),
         method=request.method,
-        host=header("host").rpartition(":")[0] or header("host"),
+        host=uris.normal_host(header("host")),
         target=request.target,
         headers=tuple(
             field for field in request.headers if field[0] not in dropped
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -111,6 +111,32 @@
         self.start_engines(("e1", "desk"))
         self.assertEqual(404, self.system.call("GET", "/other/a").status)
 
+    def test_host_selects_a_route_however_it_is_written(self) -> None:
+        # A caller that writes a host in capitals got 404, and so did all others
+        # if the route's host had capitals.
+        capitals = platform_system.route(
+            "capitals", "safe", host="Other.EXAMPLE"
+        )
+        ipv6 = platform_system.route("ipv6", "safe", host="[FD00::1]")
+        plain = platform_system.route("safe", "safe")
+        configuration = platform_system.configuration(1, plain, capitals, ipv6)
+        self.system.put(configuration)
+        engine = self.system.add("e1", "desk")
+        self.system.settle()
+        for host, target in (
+            ("CALLERS.EXAMPLE", "/safe/a"),
+            ("Callers.Example:8080", "/safe/a"),
+            ("callers.example.", "/safe/a"),
+            ("callers.example:", "/safe/a"),
+            ("other.example", "/capitals/a"),
+            ("Other.EXAMPLE", "/capitals/a"),
+            ("[fd00::1]", "/ipv6/a"),
+            ("[fd00::1]:80", "/ipv6/a"),
+        ):
+            answer = self.system.call("GET", target, Host=host)
+            self.assertEqual(200, answer.status, host)
+            self.assertEqual(host, engine.received[-1].headers["host"])
+
     def test_request_without_an_id_is_rejected(self) -> None:
         self.start_engines(("e1", "desk"))
         answer = platform_system.exchange(
--- a/testing/test_load_balancing.py
+++ b/testing/test_load_balancing.py
@@ -326,6 +326,17 @@
         self.assertEqual("short", table.find("h", "/a/x").name)
         self.assertEqual("any", table.find("h", "/x").name)
 
+    def test_route_is_found_however_its_host_is_written(
+        self,
+    ) -> None:
+        table = routes.Table(
+            {
+                "capitals": self.route("/a/", "H.Example"),
+            }
+        )
+        self.assertEqual("capitals", table.find("h.example", "/a/x").name)
+        self.assertIsNone(table.find("h.example", "/A/x"))
+
     def test_lookup_time_does_not_grow_with_the_routes_of_a_host(self) -> None:
         """An operator adds thousands of routes under one host.
 
