Equivalent percent-encodings of a path select the same route

Callers saw 404 for `/%73afe/a` where the route's prefix is `/safe/`, and a route whose prefix had an encoded octet served only callers that wrote its hexadecimal digits in the same case.

Cause: the route table compared paths byte by byte; RFC 3986 (6.2.2.1, 6.2.2.2) says that these spellings are equivalent.

Evidence: test_path_selects_a_route_however_it_is_encoded (a real listener) failed before with 404, and test_route_is_found_however_its_host_and_prefix_ are_written found no match.

Fix: prefixes and paths are looked up in the form of `uris.normal_path`. An encoded slash stays encoded, as it separates no segments. The path is forwarded as it was sent. A path without a percent sign costs one search more.

--- a/src/mintcleat/decisions/routes.py
+++ b/src/mintcleat/decisions/routes.py
@@ -23,7 +23,7 @@
     busy.
 
     Attributes:
-        hosts: Routes by host, in the form of `uris.normal_host`, and prefix.
+        hosts: Routes by host and prefix, in the forms that `uris` returns.
     """
 
     def __init__(self, routes: dict[str, manifest.Route]) -> None:
@@ -31,7 +31,7 @@
         for name, route in routes.items():
             host = uris.normal_host(route.host)
             prefixes = self.hosts.setdefault(host, {})
-            prefixes[route.prefix] = Match(name, route)
+            prefixes[uris.normal_path(route.prefix)] = Match(name, route)
 
     def find(self, host: str, path: str) -> Match | None:
         """Returns the route with the longest matching prefix, or None.
@@ -42,6 +42,7 @@
             host: Host in the form of `uris.normal_host`.
             path: Path as the caller sent it.
         """
+        path = uris.normal_path(path)
         return self._longest_prefix(host, path) or self._longest_prefix(
             "", path
         )
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -137,6 +137,13 @@
             self.assertEqual(200, answer.status, host)
             self.assertEqual(host, engine.received[-1].headers["host"])
 
+    def test_path_selects_a_route_however_it_is_encoded(self) -> None:
+        (engine,) = self.start_engines(("e1", "desk"))
+        for target in ("/%73afe/a", "/s%61fe/%2fa?b=%61", "/safe/%7Ea"):
+            answer = self.system.call("GET", target)
+            self.assertEqual(200, answer.status, target)
+            self.assertEqual(target, engine.received[-1].target)
+
     def test_request_without_an_id_is_rejected(self) -> None:
         self.start_engines(("e1", "desk"))
         answer = platform_system.exchange(
--- a/testing/test_load_balancing.py
+++ b/testing/test_load_balancing.py
@@ -326,15 +326,19 @@
         self.assertEqual("short", table.find("h", "/a/x").name)
         self.assertEqual("any", table.find("h", "/x").name)
 
-    def test_route_is_found_however_its_host_is_written(
+    def test_route_is_found_however_its_host_and_prefix_are_written(
         self,
     ) -> None:
         table = routes.Table(
             {
                 "capitals": self.route("/a/", "H.Example"),
+                "encoded": self.route("/%7Eb%2fc/", "H.Example"),
             }
         )
         self.assertEqual("capitals", table.find("h.example", "/a/x").name)
+        self.assertEqual("capitals", table.find("h.example", "/%61/x").name)
+        self.assertEqual("encoded", table.find("h.example", "/~b%2Fc/").name)
+        self.assertEqual("encoded", table.find("h.example", "/%7eb%2fc/").name)
         self.assertIsNone(table.find("h.example", "/A/x"))
 
     def test_lookup_time_does_not_grow_with_the_routes_of_a_host(self) -> None:
