A target that is a whole URI selects a route by its own host

Callers saw 404 for `GET http://callers.example/safe/a HTTP/1.1`, the form in which clients send requests to a proxy and which every server must accept (RFC 9112, 3.2.2). The operators' interface answered 404 as well.

Cause: the whole URI was taken for the path. Fix: the head's parser splits it into host and path for all listeners. The host of the URI replaces the Host field, as the RFC demands of who forwards; the path and query are forwarded in origin form, unchanged. A URI that names a user or has no host gets 400.

--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -5,6 +5,7 @@
 in them (request smuggling).
 """
 
+import re
 from typing import NamedTuple
 
 import httptools
@@ -14,6 +15,7 @@
 
 END = b"\r\n\r\n"
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
+_ABSOLUTE_TARGET = re.compile(r"(?i:https?)://([^/?#]*)([^#]*)")
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
 
@@ -33,6 +35,7 @@
     """Head of a request.
 
     Attributes:
+        target: Path and query, also if the caller sent a whole URI.
         fields: Names in lower case, and values.
         keep_alive: Whether the caller keeps its connection open.
         accepts_chunks: Whether the caller understands chunked bodies.
@@ -123,9 +126,16 @@
         raise ProtocolError("Transfer-Encoding is not part of HTTP/1.0.")
     if coding is not None and "content-length" in fields:
         raise ProtocolError("Both Content-Length and Transfer-Encoding.")
+    target = parts.target.decode("latin-1")
+    absolute = split_absolute(target)
+    if absolute is not None:
+        # The caller's own Host field has no effect then (RFC 9112, 3.2.2).
+        host, target = absolute
+        others = (field for field in parts.fields if field[0] != "host")
+        parts.fields = [("host", host), *others]
     return RequestHead(
         method=method.decode("ascii"),
-        target=parts.target.decode("latin-1"),
+        target=target,
         fields=tuple(parts.fields),
         body=_body(fields, http1_framing.NoBody()),
         keep_alive=is_current and not _lists(fields, "connection", "close"),
@@ -135,6 +145,26 @@
     )
 
 
+def split_absolute(target: str) -> tuple[str, str] | None:
+    """Returns host and path of a target that is a whole URI, or None.
+
+    Callers send one to a proxy, and any server must accept it (RFC 9112,
+    3.2.2). The host includes the port, and the path the query.
+
+    Raises:
+        ProtocolError: The URI has no host, or names a user.
+    """
+    if target.startswith("/"):
+        return None
+    match = _ABSOLUTE_TARGET.fullmatch(target)
+    if match is None:
+        return None
+    host, path = match.groups()
+    if not host or "@" in host:
+        raise ProtocolError("Expected a target with a host and without a user.")
+    return host, path if path.startswith("/") else f"/{path}"
+
+
 def parse_response(head: bytes, method: str) -> ResponseHead:
     """Parses the head of a response, including the blank line at its end.
 
--- a/src/mintcleat/domain/uris.py
+++ b/src/mintcleat/domain/uris.py
@@ -9,7 +9,7 @@
 
 _UNRESERVED = frozenset(f"{string.ascii_letters}{string.digits}-._~")
 _ENCODED = re.compile("%[0-9A-Fa-f]{2}")
-_PORT = re.compile(":[0-9]*")
+_PORT = re.compile(r":[0-9]*\Z")
 
 
 def normal_host(authority: str) -> str:
@@ -18,12 +18,13 @@
     The port isn't part of it, nor the dot that may end a fully qualified
     domain name. An IPv6 address keeps its brackets.
     """
-    host, _, port = authority.rpartition(":")
-    # A colon within the brackets of an IPv6 address isn't that of a port.
-    if not host or not _PORT.fullmatch(f":{port}"):
-        host = authority
-    elif ":" in host and not host.endswith("]"):
-        host = authority
+    host = authority
+    match = _PORT.search(authority)
+    if match is not None:
+        name = authority[: match.start()]
+        # The last colon of an address without brackets isn't that of a port.
+        if ":" not in name or name.endswith("]"):
+            host = name
     return normal_path(host).lower().removesuffix(".")
 
 
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -144,6 +144,18 @@
             self.assertEqual(200, answer.status, target)
             self.assertEqual(target, engine.received[-1].target)
 
+    def test_whole_uri_as_target_selects_a_route_by_its_own_host(self) -> None:
+        (engine,) = self.start_engines(("e1", "desk"))
+        target = "http://Callers.example:80/safe/a?b=c"
+        answer = self.system.call("POST", target, b"x", Host="other.example")
+        self.assertEqual(200, answer.status)
+        (received,) = engine.received
+        self.assertEqual(
+            ("POST", "/safe/a?b=c", b"x"),
+            (received.method, received.target, received.body),
+        )
+        self.assertEqual("Callers.example:80", received.headers["host"])
+
     def test_request_without_an_id_is_rejected(self) -> None:
         self.start_engines(("e1", "desk"))
         answer = platform_system.exchange(
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -58,6 +58,14 @@
         self.assertEqual(200, self.system.put(configuration).status)
         self.assertEqual(configuration, self.get().json())
 
+    def test_whole_uri_as_target_reaches_the_operators_interface(self) -> None:
+        url = "http://control/v1/Configuration."
+        body = json.dumps(platform_system.configuration(4)).encode()
+        answer = self.system.ask_control("POST", f"{url}Put", body)
+        self.assertEqual(200, answer.status)
+        answer = self.system.ask_control("GET", f"{url}Get")
+        self.assertEqual(4, answer.json()["version"])
+
     def test_missing_configuration_gets_503(self) -> None:
         self.assertEqual(503, self.get().status)
 
