The programs' and administrators' listeners take a whole URI as target

Callers saw 404 for `GET http://h/v1/models HTTP/1.1`: eventlet's server takes the whole URI for the path, the same cause as at the listener of routes. Fix: the same function splits it there. Evidence: two of the three tests in test_wsgi.py failed before (404 in place of the path, and of 400 for a URI with a user).

--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -7,6 +7,7 @@
 from eventlet import wsgi
 from loguru import logger
 
+from mintcleat.adapters import http1_heads
 from mintcleat.adapters import problems
 from mintcleat.adapters import streams
 from mintcleat.domain import errors
@@ -87,13 +88,26 @@
     def parse_request(self) -> bool:
         """Parses the request line and headers; returns whether it succeeded."""
         try:
-            return super().parse_request()
+            return super().parse_request() and self._split_target()
         except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
             self._send_problem(
                 errors.TooLarge("The headers exceed the size limit.")
             )
             return False
 
+    def _split_target(self) -> bool:
+        """Splits a target that is a whole URI; returns whether it is valid."""
+        try:
+            absolute = http1_heads.split_absolute(self.path)
+        except http1_heads.ProtocolError as error:
+            self._send_problem(errors.BadRequest(str(error)))
+            return False
+        if absolute is not None:
+            host, self.path = absolute
+            del self.headers["Host"]
+            self.headers["Host"] = host
+        return True
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
