Two routes at one place are found however the place is written

A configuration with routes of `H.Example` and `h.example` under one prefix was accepted. Since hosts are compared without regard to case, only the later one would be served: an added route that isn't. The check compared the spelling; it now compares the same forms as the table. Evidence: the new test failed before for each of four spellings (no violation). A manifest that was stored before with two such routes is still read; the last one is served.

--- a/src/mintcleat/domain/manifest_errors.py
+++ b/src/mintcleat/domain/manifest_errors.py
@@ -11,6 +11,7 @@
 from msgspec import inspect
 
 from mintcleat.domain import keys
+from mintcleat.domain import uris
 
 _ENDPOINT_PATTERN = re.compile(r"(\*|[A-Za-z]+) /\S*")
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}\Z"
@@ -270,7 +271,8 @@
     owners: dict[tuple[str, str], str] = {}
     for name, route in manifest.routes.items():
         path = f"$.routes.{name}"
-        owner = owners.setdefault((route.host, route.prefix), name)
+        place = uris.normal_host(route.host), uris.normal_path(route.prefix)
+        owner = owners.setdefault(place, name)
         if owner != name:
             out.append(
                 Violation(
--- a/testing/test_manifest.py
+++ b/testing/test_manifest.py
@@ -46,6 +46,23 @@
             paths,
         )
 
+    def test_routes_at_one_place_are_found_however_it_is_written(self) -> None:
+        # Only one of them would be served.
+        share = '"shares": [{"service": "s"}]'
+        for host, prefix in (
+            ("H.Example", "/a~/"),
+            ("h.example.", "/a~/"),
+            ("h.example:80", "/a~/"),
+            ("h.example", "/%61%7E/"),
+        ):
+            found = errors_in(
+                '{"services": {"s": {"kind": "plain"}}, "routes": {'
+                f'"x": {{"host": "h.example", "prefix": "/a~/", {share}}},'
+                f'"y": {{"host": "{host}", "prefix": "{prefix}", {share}}}}}}}'
+            )
+            expected = "$.routes.y: has the same host and prefix as route 'x'."
+            self.assertEqual([expected], found, (host, prefix))
+
     def test_every_reference_error_is_listed(self) -> None:
         found = errors_in(
             '{"programs": {"a": {"service": "none", "tools":'
