Changed limits hold on connections that were idle before

Callers that keep connections open saw the limits of an earlier configuration long after a change was confirmed: a body that the raised limit allows got 413, which callers don't retry; one over the lowered limit was taken; a connection that the raised idle time allows was closed under the caller's next request, and one over the lowered idle time stayed open.

Cause: the server read the limits before it waited for the next request, and used them for the wait and for the request, however long the wait was: a configuration captured before a wait and used after it.

Fix: the limits are read when a request begins. Applying a revision wakes the readers of idle connections, which compute what is left of their idle time anew from the last response; a woken reader within a request goes on, with its timeout unchanged. No idle connection polls.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -191,6 +191,12 @@
         self.connections: set[Connection] = set()
         self.acceptor = eventlet.spawn(self._accept_forever)
 
+    def apply_limits(self) -> None:
+        """Applies changed limits to connections that are idle already."""
+        for connection in self.connections:
+            if connection.idle:
+                connection.reader.wake()
+
     def close_idle(self) -> None:
         """Stops accepting connections and closes those that are idle."""
         self.acceptor.kill()
@@ -312,14 +318,16 @@
 
     def _serve_request(self) -> bool:
         """Handles one request; returns whether another may follow."""
-        limits = self.listener.limits()
         self.idle = True
         self.head = None
         self.request = None
         self.writer = None
         self.on_blocked = None
         try:
-            request = self._read(limits)
+            if not self._await_request():
+                return False
+            # The limits may have changed while the connection was idle.
+            request = self._read(self.listener.limits())
         except http1_heads.ProtocolError as error:
             self._send_error(error.status, str(error))
             return False
@@ -329,7 +337,7 @@
         except errors.TooLarge as error:
             self._send_error(error.status, error.detail)
             return False
-        if request is None or self.ended:
+        if self.ended:
             # A request that arrived while the connection was being closed can
             # no longer be answered, so it must not run.
             return False
@@ -356,8 +364,25 @@
         if self.handler is not None:
             greenthread.kill(self.handler, CallerDisconnected())
 
-    def _read(self, limits: manifest.Limits) -> Request | None:
-        """Returns the next request, or None if the caller closed.
+    def _await_request(self) -> bool:
+        """Waits for a request to begin; returns whether one did.
+
+        Raises:
+            TimeoutError: The connection was idle for too long.
+        """
+        idle_since = time.monotonic()
+        while not self.received:
+            limit = idle_since + self.listener.limits().idle_seconds
+            left = max(0.0, limit - time.monotonic())
+            with eventlet.Timeout(left, TimeoutError):
+                # Returns nothing if the limits may have changed.
+                self.received = self.reader.read()
+            if not self.received and self.reader.closed:
+                return False
+        return True
+
+    def _read(self, limits: manifest.Limits) -> Request:
+        """Returns the next request, of which some bytes were received.
 
         Raises:
             http1_heads.ProtocolError: The head is invalid or too long.
@@ -365,8 +390,6 @@
             errors.TooLarge: The body exceeds the limit.
         """
         head = self._read_head(limits)
-        if head is None:
-            return None
         self.head = head
         self.idle = False
         body = head.body
@@ -394,9 +417,7 @@
             head.method, head.target, head.fields, b"".join(parts), self.peer
         )
 
-    def _read_head(
-        self, limits: manifest.Limits
-    ) -> http1_heads.RequestHead | None:
+    def _read_head(self, limits: manifest.Limits) -> http1_heads.RequestHead:
         searched = 0
         while True:
             received = self.received
@@ -405,16 +426,15 @@
                 self.received = received[end:]
                 return http1_heads.parse_request(received[:end])
             searched = len(received)
-            seconds = limits.header_seconds if searched else limits.idle_seconds
-            if not self._receive(seconds):
-                if searched:
-                    raise http1_heads.ProtocolError("The head is incomplete.")
-                return None
+            if not self._receive(limits.header_seconds):
+                raise http1_heads.ProtocolError("The head is incomplete.")
 
     def _receive(self, seconds: float) -> bool:
         """Waits for bytes; returns whether any came before the end."""
         with eventlet.Timeout(seconds, TimeoutError):
             data = self.reader.read()
+            while not data and not self.reader.closed:
+                data = self.reader.read()
         self.received += data
         return bool(data)
 
--- a/src/mintcleat/adapters/socket_reader.py
+++ b/src/mintcleat/adapters/socket_reader.py
@@ -47,6 +47,8 @@
     def read(self) -> bytes:
         """Returns received bytes, or none if the peer closed the connection.
 
+        Returns none without a closed connection too, after `wake`.
+
         Raises:
             OSError: The connection failed. Bytes received before that have
                 been returned.
@@ -98,6 +100,11 @@
         # A direct switch would not return to the calling green thread.
         hubs.get_hub().schedule_call_global(0, self._wake)
 
+    def wake(self) -> None:
+        """Makes a waiting `read` return nothing, from any green thread."""
+        if self.waiter is not None:
+            hubs.get_hub().schedule_call_global(0, self._wake)
+
     def _wake(self) -> None:
         if self.waiter is not None:
             self.waiter.switch()
--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -139,6 +139,7 @@
         if follower.revision() != self.revision:
             self.revision = follower.revision()
             current = follower.manifest()
+            self.listener.apply_limits()
             self.events.emit(
                 event_types.ConfigurationApplied(
                     self.revision,
--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -209,6 +209,54 @@
         self.assertEqual((5, 1), (len(engine.received), engine.connections))
 
 
+class LimitsTest(platform_system.HostedTest):
+    """Limits that change while callers keep their connections open."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start_engines(("e1", "desk"))
+        self.version = 1
+        self.sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(self.sock.close)
+        self.assertEqual(200, self.ask(b""))
+
+    def ask(self, body: bytes) -> int:
+        fields = {"Host": platform_system.HOST, "X-Request-Id": "r1"}
+        data = platform_system.request_bytes("POST", "/safe/a", fields, body)
+        self.sock.sendall(data)
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            return platform_system.read_answer(self.sock).status
+
+    def change(self, **limits: int) -> None:
+        self.version += 1
+        configuration = platform_system.configuration(self.version)
+        configuration["limits"].update(limits)
+        self.assertEqual(200, self.system.put(configuration).status)
+        self.system.settle()
+
+    def test_new_body_limit_holds_on_a_connection_that_was_idle(self) -> None:
+        self.change(maxBodyBytes=100_002)
+        self.assertEqual(200, self.ask(b"x" * 100_002))
+        self.change(maxBodyBytes=10)
+        self.assertEqual(413, self.ask(b"x" * 11))
+
+    def test_lowered_idle_timeout_closes_a_connection_that_is_idle(
+        self,
+    ) -> None:
+        self.change(idleTimeoutMs=100)
+        with eventlet.Timeout(0.5 * platform_system.ANSWER_SECONDS):
+            self.assertEqual(b"", self.sock.recv(1))
+
+    def test_raised_idle_timeout_keeps_a_connection_that_is_idle(self) -> None:
+        # A caller uses a connection again that has been idle for most of the
+        # new time; it would meet the close.
+        self.change(idleTimeoutMs=1000)
+        self.assertEqual(200, self.ask(b""))
+        self.change(idleTimeoutMs=60_000)
+        eventlet.sleep(1.2)
+        self.assertEqual(200, self.ask(b""))
+
+
 class RepeatTest(platform_system.HostedTest):
     def test_safe_request_is_retried_after_a_reset(self) -> None:
         first, second = self.start_engines(
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 import eventlet
+import msgspec
 import testtools
 
 from mintcleat.adapters import http1_server
+from mintcleat.domain import manifest
 
 HEAD_END = b"\r\n\r\n"
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -196,3 +198,81 @@
         caller.sendall(REQUEST)
         with eventlet.Timeout(SECONDS):
             self.assertEqual(b"", caller.recv(65536))
+
+
+class LimitsTest(testtools.TestCase):
+    """Limits that change while a connection waits for its next request."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limits = manifest.Limits(body_bytes=4, idle_seconds=SECONDS)
+        self.listener = http1_server.HttpListener(
+            "127.0.0.1:0",
+            lambda request, reply: reply.send(200, [], b""),
+            lambda: self.limits,
+        )
+        self.addCleanup(self.listener.stop)
+        host, port = self.listener.address.split(":")
+        self.caller = eventlet.connect((host, int(port)))
+        self.addCleanup(self.caller.close)
+        self.assertEqual(200, self.ask(b""))
+
+    def ask(self, body: bytes) -> int:
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        self.caller.sendall(head % len(body) + body)
+        with eventlet.Timeout(SECONDS):
+            return int(self.caller.recv(65536).split()[1])
+
+    def change(self, **fields: float) -> None:
+        self.limits = msgspec.structs.replace(self.limits, **fields)
+        self.listener.apply_limits()
+
+    def is_open_after(self, seconds: float) -> bool:
+        with eventlet.Timeout(seconds, False):
+            return bool(self.caller.recv(1))
+        return True
+
+    def test_raised_body_limit_holds_for_the_next_request(self) -> None:
+        # The caller would take 413 as final.
+        self.change(body_bytes=8)
+        self.assertEqual(200, self.ask(b"12345678"))
+
+    def test_lowered_body_limit_holds_for_the_next_request(self) -> None:
+        self.change(body_bytes=2)
+        self.assertEqual(413, self.ask(b"123"))
+
+    def test_changed_head_limit_holds_for_the_next_request(self) -> None:
+        self.change(header_bytes=32)
+        self.assertEqual(431, self.ask(b""))
+
+    def test_lowered_idle_timeout_ends_a_connection_that_is_idle(self) -> None:
+        self.change(idle_seconds=0.1)
+        self.assertFalse(self.is_open_after(0.5 * SECONDS))
+
+    def test_raised_idle_timeout_keeps_a_connection_that_is_idle(self) -> None:
+        # The caller sends its next request when the connection has been idle
+        # for most of the raised time.
+        self.change(idle_seconds=0.3)
+        self.assertEqual(200, self.ask(b""))
+        eventlet.sleep(0.1)
+        self.change(idle_seconds=SECONDS)
+        self.assertTrue(self.is_open_after(0.4))
+        self.assertEqual(200, self.ask(b""))
+
+    def test_idle_time_counts_from_the_last_response(self) -> None:
+        # Frequent changes of the limits would keep every connection open.
+        self.change(idle_seconds=0.5)
+        with eventlet.Timeout(SECONDS):
+            while self.listener.connections:
+                eventlet.sleep(0.05)
+                self.change(idle_seconds=0.5)
+
+    def test_change_doesnt_disturb_a_request_that_arrives(self) -> None:
+        # The bytes of the head and the body come one by one between changes.
+        data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+        for index in range(len(data)):
+            self.caller.sendall(data[index : index + 1])
+            eventlet.sleep(0.001)
+            self.change()
+        with eventlet.Timeout(SECONDS):
+            self.assertIn(b" 200 ", self.caller.recv(65536))
