--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -111,6 +111,51 @@
         self.start_engines(("e1", "desk"))
         self.assertEqual(404, self.system.call("GET", "/other/a").status)
 
+    def test_host_selects_a_route_however_it_is_written(self) -> None:
+        # A caller that writes a host in capitals got 404, and so did all others
+        # if the route's host had capitals.
+        capitals = platform_system.route(
+            "capitals", "safe", host="Other.EXAMPLE"
+        )
+        ipv6 = platform_system.route("ipv6", "safe", host="[FD00::1]")
+        plain = platform_system.route("safe", "safe")
+        configuration = platform_system.configuration(1, plain, capitals, ipv6)
+        self.system.put(configuration)
+        engine = self.system.add("e1", "desk")
+        self.system.settle()
+        for host, target in (
+            ("CALLERS.EXAMPLE", "/safe/a"),
+            ("Callers.Example:8080", "/safe/a"),
+            ("callers.example.", "/safe/a"),
+            ("callers.example:", "/safe/a"),
+            ("other.example", "/capitals/a"),
+            ("Other.EXAMPLE", "/capitals/a"),
+            ("[fd00::1]", "/ipv6/a"),
+            ("[fd00::1]:80", "/ipv6/a"),
+        ):
+            answer = self.system.call("GET", target, Host=host)
+            self.assertEqual(200, answer.status, host)
+            self.assertEqual(host, engine.received[-1].headers["host"])
+
+    def test_path_selects_a_route_however_it_is_encoded(self) -> None:
+        (engine,) = self.start_engines(("e1", "desk"))
+        for target in ("/%73afe/a", "/s%61fe/%2fa?b=%61", "/safe/%7Ea"):
+            answer = self.system.call("GET", target)
+            self.assertEqual(200, answer.status, target)
+            self.assertEqual(target, engine.received[-1].target)
+
+    def test_whole_uri_as_target_selects_a_route_by_its_own_host(self) -> None:
+        (engine,) = self.start_engines(("e1", "desk"))
+        target = "http://Callers.example:80/safe/a?b=c"
+        answer = self.system.call("POST", target, b"x", Host="other.example")
+        self.assertEqual(200, answer.status)
+        (received,) = engine.received
+        self.assertEqual(
+            ("POST", "/safe/a?b=c", b"x"),
+            (received.method, received.target, received.body),
+        )
+        self.assertEqual("Callers.example:80", received.headers["host"])
+
     def test_request_without_an_id_is_rejected(self) -> None:
         self.start_engines(("e1", "desk"))
         answer = platform_system.exchange(
@@ -164,6 +209,54 @@
         self.assertEqual((5, 1), (len(engine.received), engine.connections))
 
 
+class LimitsTest(platform_system.HostedTest):
+    """Limits that change while callers keep their connections open."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start_engines(("e1", "desk"))
+        self.version = 1
+        self.sock = platform_system.connect(self.system.entry.listener.address)
+        self.addCleanup(self.sock.close)
+        self.assertEqual(200, self.ask(b""))
+
+    def ask(self, body: bytes) -> int:
+        fields = {"Host": platform_system.HOST, "X-Request-Id": "r1"}
+        data = platform_system.request_bytes("POST", "/safe/a", fields, body)
+        self.sock.sendall(data)
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            return platform_system.read_answer(self.sock).status
+
+    def change(self, **limits: int) -> None:
+        self.version += 1
+        configuration = platform_system.configuration(self.version)
+        configuration["limits"].update(limits)
+        self.assertEqual(200, self.system.put(configuration).status)
+        self.system.settle()
+
+    def test_new_body_limit_holds_on_a_connection_that_was_idle(self) -> None:
+        self.change(maxBodyBytes=100_002)
+        self.assertEqual(200, self.ask(b"x" * 100_002))
+        self.change(maxBodyBytes=10)
+        self.assertEqual(413, self.ask(b"x" * 11))
+
+    def test_lowered_idle_timeout_closes_a_connection_that_is_idle(
+        self,
+    ) -> None:
+        self.change(idleTimeoutMs=100)
+        with eventlet.Timeout(0.5 * platform_system.ANSWER_SECONDS):
+            self.assertEqual(b"", self.sock.recv(1))
+
+    def test_raised_idle_timeout_keeps_a_connection_that_is_idle(self) -> None:
+        # A caller uses a connection again that has been idle for most of the
+        # new time; it would meet the close.
+        self.change(idleTimeoutMs=1000)
+        self.assertEqual(200, self.ask(b""))
+        self.change(idleTimeoutMs=60_000)
+        eventlet.sleep(1.2)
+        self.assertEqual(200, self.ask(b""))
+
+
 class RepeatTest(platform_system.HostedTest):
     def test_safe_request_is_retried_after_a_reset(self) -> None:
         first, second = self.start_engines(
