A settings file of a wrong type or encoding no longer ends the process

Callers saw: every process whose file changed to bytes that are not UTF-8, or to an empty port range, text for a limit and the like, ended by itself within a second (exit code 1, UnicodeDecodeError, IndexError, TypeError, ValueError), and could not start again while the file was so. With one template for all machines that is every control instance and every entry at once.

Cause: the file was read field by field, and only OSError, TOML errors and a missing key were errors of the settings; all others left the main loop.

Why it works: one typed model of the file is decoded as a whole before any field is used, so that whatever does not fit is InvalidSettings, which the reload logs and retries.

--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -7,10 +7,13 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 from typing import Any
 from typing import Final
 from typing import NamedTuple
 
+import msgspec
+
 from mintcleat.adapters import settings as settings_module
 from mintcleat.domain import errors
 
@@ -89,6 +92,60 @@
     descriptors: int = 0
 
 
+class Bounds(msgspec.Struct, rename="camel"):
+    """Bounds of the platform that are used here; others are ignored.
+
+    Attributes:
+        grace_s: Seconds from SIGTERM to SIGKILL.
+        strict_revocation: Whether a revoked key must be refused everywhere
+            within `revoke_ms`.
+    """
+
+    grace_s: float = 8.0
+    strict_revocation: bool = False
+    revoke_ms: float = 0.0
+
+
+class Limits(msgspec.Struct, rename="camel"):
+    """Limits of the process; 0 if unknown."""
+
+    memory_mb: float = 0.0
+    file_descriptors: float = 0.0
+
+
+class FaultTolerance(msgspec.Struct, rename="camel"):
+    """Number of machines that may be lost at the same time."""
+
+    machines: int = 1
+
+
+class SettingsFile(msgspec.Struct, rename="camel"):
+    """The settings file as the platform writes it; other fields are ignored.
+
+    Attributes:
+        seeds: `IP:PORT` of the control listeners of some control instances.
+        bootstrap: Whether the whole system starts for the first time.
+        listen: `IP:PORT` to listen on by what is served.
+        bounds: The bounds by name, for `Bounds` and for policies.
+    """
+
+    ip: str
+    zone: str
+    internal_port_range: Annotated[list[int], msgspec.Meta(min_length=1)]
+    seeds: list[str]
+    listen: dict[str, str]
+    node_name: str = ""
+    region: str = ""
+    data_directory: str = ""
+    bootstrap: bool = False
+    contracts: list[str] = []
+    bounds: dict[str, Any] = {}
+    limits: Limits = msgspec.field(default_factory=Limits)
+    fault_tolerance: FaultTolerance = msgspec.field(
+        default_factory=FaultTolerance
+    )
+
+
 def settings_path() -> pathlib.Path:
     """Returns the path of the settings file from the environment.
 
@@ -112,74 +169,65 @@
         role: `ENTRY` or `CONTROL`.
 
     Raises:
-        errors.InvalidSettings: The file can't be read, is not TOML or lacks a
-            field.
+        errors.InvalidSettings: The file can't be read, is not TOML, lacks a
+            field or has one of a wrong type.
     """
     try:
-        fields = tomllib.loads(path.read_text())
-        return translate(fields, role)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+        text = path.read_text(encoding="utf-8")
+        return translate(tomllib.loads(text), role)
+    except (OSError, ValueError) as error:
         raise errors.InvalidSettings(
             f"The settings file {path} can't be read: {error}.",
             remedy="Let the platform write the file again.",
         ) from None
-    except KeyError as error:
-        raise errors.InvalidSettings(
-            f"The settings file {path} has no field {error}.",
-            remedy="Let the platform write the file again.",
-        ) from None
 
 
 def translate(fields: dict[str, Any], role: str) -> MachineSettings:
     """Converts the decoded settings file for a role.
 
     Raises:
-        KeyError: A required field is missing.
+        msgspec.ValidationError: A field is missing or has a wrong type.
     """
-    first_port = fields["internalPortRange"][0]
-    listen = fields["listen"]
-    bounds = fields.get("bounds", {})
-    limits = fields.get("limits", {})
-    grace = float(bounds.get("graceS", 8))
-    own_address = f"{fields['ip']}:{first_port}"
-    control_addresses = [
-        f"{_host(seed)}:{first_port}" for seed in fields["seeds"]
-    ]
+    file = msgspec.convert(fields, SettingsFile)
+    bounds = msgspec.convert(file.bounds, Bounds)
+    first_port = file.internal_port_range[0]
+    own_address = f"{file.ip}:{first_port}"
+    control_addresses = [f"{_host(seed)}:{first_port}" for seed in file.seeds]
     settings = settings_module.Settings(
-        instance=fields["ip"],
-        failure_domain=fields["zone"],
-        region=fields.get("region", ""),
+        instance=file.ip,
+        failure_domain=file.zone,
+        region=file.region,
         listen=own_address,
         roles=[CONTROL if role == CONTROL else ENTRY],
         control=control_addresses,
         program_groups=_PROGRAM_GROUPS,
-        stop_seconds=grace - _STOP_MARGIN,
-        metrics=f"{fields['ip']}:{_METRICS_PORT}",
+        stop_seconds=bounds.grace_s - _STOP_MARGIN,
+        metrics=f"{file.ip}:{_METRICS_PORT}",
         times=_times(bounds),
-        control_role=_control_role(fields, control_addresses)
+        control_role=_control_role(file, control_addresses)
         if role == CONTROL
         else None,
     )
     return MachineSettings(
         settings,
-        listen.get("front", ""),
-        listen.get("ready", ""),
-        listen.get("control", ""),
+        file.listen.get("front", ""),
+        file.listen.get("ready", ""),
+        file.listen.get("control", ""),
         _ANSWER_SECONDS,
-        _policies(fields, bounds),
-        int(limits.get("memoryMb", 0) * _BYTES_PER_MB),
-        int(limits.get("fileDescriptors", 0)),
+        _policies(file),
+        int(file.limits.memory_mb * _BYTES_PER_MB),
+        int(file.limits.file_descriptors),
     )
 
 
-def _policies(fields: dict[str, Any], bounds: dict[str, Any]) -> dict[str, Any]:
+def _policies(file: SettingsFile) -> dict[str, Any]:
     """Returns the policies of the manifest that the settings determine."""
     policies = {
-        name: bounds[bound]
+        name: file.bounds[bound]
         for name, bound in _POLICY_BOUNDS.items()
-        if bound in bounds
+        if bound in file.bounds
     }
-    if _PRESSURE_CONTRACT in fields.get("contracts", []):
+    if _PRESSURE_CONTRACT in file.contracts:
         policies["admission"] = "programs"
         policies["stream_moves"] = "on"
     return policies
@@ -189,7 +237,7 @@
     return address.rpartition(":")[0]
 
 
-def _times(bounds: dict[str, Any]) -> settings_module.Times:
+def _times(bounds: Bounds) -> settings_module.Times:
     return settings_module.Times(
         heartbeat=_HEARTBEAT_INTERVAL,
         election=_ELECTION_TIMEOUT,
@@ -207,38 +255,43 @@
     )
 
 
-def _key_grace(bounds: dict[str, Any]) -> float:
+def _key_grace(bounds: Bounds) -> float:
     """Returns how long keys are accepted after the configuration lease expires.
 
     Without a strict bound on key revocation, an entry that is cut off from
     control accepts the keys it knows indefinitely.
     """
-    if not bounds.get("strictRevocation"):
+    if not bounds.strict_revocation:
         return math.inf
     return max(
-        0.0, _KEY_REVOCATION_FRACTION * bounds["revokeMs"] / 1000.0 - _MAX_LEASE
+        0.0, _KEY_REVOCATION_FRACTION * bounds.revoke_ms / 1000.0 - _MAX_LEASE
     )
 
 
 def _control_role(
-    fields: dict[str, Any], seeds: list[str]
+    file: SettingsFile, seeds: list[str]
 ) -> settings_module.Control:
     """Returns the settings of the control role.
 
     The settings file has the name of its own machine only and the addresses
     of all. Instances are therefore identified by address, and the name is the
     instance's label.
+
+    Raises:
+        msgspec.ValidationError: A field is missing.
     """
-    ports = fields["internalPortRange"]
-    tolerated_failures = fields.get("faultTolerance", {}).get("machines", 1)
+    for name in ("node_name", "data_directory"):
+        if not getattr(file, name):
+            raise msgspec.ValidationError(f"the field for {name} is missing")
+    tolerated_failures = max(1, file.fault_tolerance.machines)
     return settings_module.Control(
-        data=fields["dataDirectory"],
-        admin=f"{fields['ip']}:{ports[0] + 1}",
+        data=file.data_directory,
+        admin=f"{file.ip}:{file.internal_port_range[0] + 1}",
         members=[
             settings_module.Member(_host(seed), seed, "") for seed in seeds
         ],
-        founder=bool(fields.get("bootstrap")),
-        label=fields["nodeName"],
-        group_size=2 * max(1, tolerated_failures) + 1,
+        founder=file.bootstrap,
+        label=file.node_name,
+        group_size=2 * tolerated_failures + 1,
         keeps_inodes=False,
     )
--- /dev/null
+++ b/testing/test_hosted_settings.py
@@ -0,0 +1,103 @@
+"""The settings file of a hosted process: what it holds, and its changes."""
+
+from collections.abc import Iterator
+import pathlib
+import random
+import subprocess
+import sys
+import time
+
+from bench import hosted_processes
+import pytest
+
+from mintcleat.domain import errors
+from mintcleat.platform import machine_settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+WAIT_SECONDS = 20.0
+UNREADABLE = {
+    "no text": lambda whole: whole + b"\xff\xfe = 1\n",
+    "cut off": lambda whole: whole[: len(whole) // 2],
+    "empty": lambda whole: b"",
+    "no ports": lambda whole: whole.replace(b"[7400, 7410]", b"[]"),
+    "a number for ports": lambda whole: whole.replace(b"[7400, 7410]", b"7"),
+    "a number for a seed": lambda whole: whole.replace(
+        b'seeds = ["', b'seeds = [5, "'
+    ),
+    "text for a limit": lambda whole: whole.replace(b"220", b'"much"'),
+    "text for a bound": lambda whole: whole.replace(
+        b"graceS = 8", b"graceS=[]"
+    ),
+}
+
+
+class Process:
+    """A hosted process and its settings file."""
+
+    def __init__(self, role: str, folder: pathlib.Path) -> None:
+        self.role = role
+        self.folder = folder
+        self.path = folder / f"{role}.toml"
+        host = f"127.{random.randrange(20, 250)}.{random.randrange(250)}.1"
+        fields = hosted_processes.settings(role, "node-1", host, [host], folder)
+        fields["limits"] = {"memoryMb": 220}
+        fields["bounds"] = {"graceS": 8}
+        self.whole = hosted_processes.toml(fields).encode()
+        self.path.write_bytes(self.whole)
+        self.running: subprocess.Popen | None = None
+
+    def start(self) -> subprocess.Popen:
+        with (self.folder / "log").open("a") as log:
+            self.running = subprocess.Popen(
+                [sys.executable, "-m", "mintcleat.main.hosted", self.role],
+                stdout=log,
+                stderr=log,
+                env=hosted_processes.environment(ROOT, self.path),
+                cwd=ROOT,
+            )
+        return self.running
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text()
+
+    def wait_for(self, text: str, times: int = 1) -> None:
+        until = time.monotonic() + WAIT_SECONDS
+        while self.log().count(text) < times:
+            assert self.running.poll() is None, self.log()
+            assert time.monotonic() < until, self.log()
+            time.sleep(0.02)
+
+
+@pytest.fixture(params=["control", "entry"])
+def process(
+    request: pytest.FixtureRequest, tmp_path: pathlib.Path
+) -> Iterator[Process]:
+    made = Process(request.param, tmp_path)
+    yield made
+    if made.running is not None:
+        made.running.kill()
+        made.running.wait()
+
+
+@pytest.mark.parametrize("name", UNREADABLE)
+def test_settings_that_can_not_be_read_are_one_kind_of_error(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    made = Process("control", tmp_path)
+    changed = UNREADABLE[name](made.whole)
+    assert changed != made.whole
+    made.path.write_bytes(changed)
+    with pytest.raises(errors.InvalidSettings, match=r"settings file"):
+        machine_settings.load(made.path, machine_settings.CONTROL)
+
+
+def test_process_outlives_settings_that_can_not_be_read(
+    process: Process,
+) -> None:
+    # Guards against the end of all processes at once when the file that they
+    # share the template of changes to what can't be decoded.
+    process.start()
+    process.wait_for("process_started")
+    for number, name in enumerate(("no text", "no ports", "cut off")):
+        process.path.write_bytes(UNREADABLE[name](process.whole))
+        process.wait_for("Settings were not reloaded", number + 1)
