SIGHUP during a start no longer ends the process

Callers saw: a process that was told to reload its settings within the first half second of its start ended by the signal (exit code -1) and was started once more; a control instance that comes back from a loss is away for that much longer.

Cause: the handler was installed after the imports, the settings and the role's construction; until then SIGHUP has its default effect.

Why it works: the module that starts a role ignores SIGHUP before it imports anything else; the handler that counts it is installed before the settings are read. What remains is the start of the interpreter itself (about 0.02 s).

--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -1,6 +1,6 @@
 """Runs one role on a machine of the hosting platform.
 
-    python -m mintcleat.main.hosted ROLE [POLICY]
+    python -m mintcleat.launch ROLE [POLICY]
 
 POLICY is a file that disables mechanisms of an entry, for experiments.
 
@@ -57,6 +57,7 @@
         self.started_at = time.monotonic()
         self.stop_signals = 0
         self.reload_signals = 0
+        signal.signal(signal.SIGHUP, self._count_reload)
         self.modified_at = _modified_at(path)
         self.next_check = 0.0
         self.machine = settings_module.load(path, role)
@@ -72,7 +73,6 @@
             settings.metrics, self._scrape
         )
         signal.signal(signal.SIGTERM, self._count_stop)
-        signal.signal(signal.SIGHUP, self._count_reload)
 
     def run(self) -> int:
         """Runs until SIGTERM or a failure; returns the exit code."""
--- a/testing/test_hosted_settings.py
+++ b/testing/test_hosted_settings.py
@@ -15,6 +15,20 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 WAIT_SECONDS = 20.0
+LAUNCH = ("-m", "mintcleat.launch")
+# Sends the process SIGHUP at each import after that of the first module.
+SIGNAL_AT_IMPORTS = """
+import os, signal, sys
+from mintcleat import launch
+
+class Finder:
+    @staticmethod
+    def find_spec(name, path=None, target=None):
+        os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder)
+launch.main()
+"""
 UNREADABLE = {
     "no text": lambda whole: whole + b"\xff\xfe = 1\n",
     "cut off": lambda whole: whole[: len(whole) // 2],
@@ -46,10 +60,10 @@
         self.path.write_bytes(self.whole)
         self.running: subprocess.Popen | None = None
 
-    def start(self) -> subprocess.Popen:
+    def start(self, *program: str) -> subprocess.Popen:
         with (self.folder / "log").open("a") as log:
             self.running = subprocess.Popen(
-                [sys.executable, "-m", "mintcleat.main.hosted", self.role],
+                [sys.executable, *(program or LAUNCH), self.role],
                 stdout=log,
                 stderr=log,
                 env=hosted_processes.environment(ROOT, self.path),
@@ -101,3 +115,12 @@
     for number, name in enumerate(("no text", "no ports", "cut off")):
         process.path.write_bytes(UNREADABLE[name](process.whole))
         process.wait_for("Settings were not reloaded", number + 1)
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process(
+    process: Process,
+) -> None:
+    process.start("-c", SIGNAL_AT_IMPORTS)
+    process.wait_for("process_started")
+    process.path.write_bytes(process.whole + b"\n")
+    process.wait_for("settings_reloaded")
