A start waits for a settings file that is being written

Cause: only the reload of a running process expected a half-written file.

Evidence: test_start_waits_for_settings_that_are_being_written failed before for both roles; a start without a file still ends with code 2 and the remedy.

Why it works: the start reads the file again every 50 ms for up to 3 s.

--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -38,6 +38,11 @@
 _STOP_CHECK_SECONDS = 0.1
 _SETTINGS_CHECK_SECONDS = 1.0
 _FLUSH_SECONDS = 0.1
+# Time for which a start waits for settings that can be read. A process that
+# ends at once would be restarted and counted as failed while the file is still
+# being written.
+_SETTINGS_WAIT_SECONDS = 3.0
+_SETTINGS_RETRY_SECONDS = 0.05
 # Short enough to sample memory during a start or a snapshot, which take some
 # tenths of a second and have the peaks.
 _MEMORY_CHECK_SECONDS = 0.2
@@ -60,7 +65,7 @@
         signal.signal(signal.SIGHUP, self._count_reload)
         self.modified_at = _modified_at(path)
         self.next_check = 0.0
-        self.machine = settings_module.load(path, role)
+        self.machine = _load_when_written(path, role)
         settings = self.machine.settings
         self.log = event_log.EventLog(settings.instance)
         self.common = common_module.SharedComponents(settings)
@@ -180,6 +185,28 @@
     return hosted_control.ControlRole(machine, common, events)
 
 
+def _load_when_written(
+    path: pathlib.Path, role: str
+) -> settings_module.MachineSettings:
+    """Returns the settings; waits for a file that is being written.
+
+    Raises:
+        errors.InvalidSettings: The file can't be read after the longest wait.
+    """
+    until = time.monotonic() + _SETTINGS_WAIT_SECONDS
+    is_reported = False
+    while True:
+        try:
+            return settings_module.load(path, role)
+        except errors.InvalidSettings as error:
+            if time.monotonic() > until:
+                raise
+            if not is_reported:
+                logger.warning("Waiting for settings: {}", error.detail)
+            is_reported = True
+        time.sleep(_SETTINGS_RETRY_SECONDS)
+
+
 def _modified_at(path: pathlib.Path) -> int:
     try:
         return path.stat().st_mtime_ns
--- a/testing/test_hosted_settings.py
+++ b/testing/test_hosted_settings.py
@@ -117,6 +117,23 @@
         process.wait_for("Settings were not reloaded", number + 1)
 
 
+def test_start_waits_for_settings_that_are_being_written(
+    process: Process,
+) -> None:
+    process.path.write_bytes(process.whole[: len(process.whole) // 2])
+    process.start()
+    process.wait_for("Waiting for settings")
+    process.path.write_bytes(process.whole)
+    process.wait_for("process_started")
+
+
+def test_start_without_settings_ends_with_an_error(process: Process) -> None:
+    process.path.unlink()
+    running = process.start()
+    assert running.wait(WAIT_SECONDS) == 2
+    assert "remedy" in process.log()
+
+
 def test_reload_signal_during_the_start_does_not_end_the_process(
     process: Process,
 ) -> None:
