A change of the settings file that keeps its time is noticed

Callers saw: an entry that had lost all control instances it knew kept to the old addresses although its settings file named new ones, when the file was written with a fixed time or twice within one tick of the file system's clock (no signal sent).

Cause: only the modification time was compared.

Evidence: test_change_that_keeps_the_time_of_the_file_is_noticed failed before for both roles (no reload within 20 s); it passes now.

Why it works: inode, size, modification and status time are compared; every change of a file moves its status time or its inode.

--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from typing import Any
+from typing import NamedTuple
 import warnings
 
 import eventlet
@@ -51,8 +52,26 @@
 _LOOP_CHECK_SECONDS = 0.5
 
 
+class FileState(NamedTuple):
+    """What differs after a change of a file.
+
+    The modification time alone is not enough: tools may write files with a
+    fixed time, and two writes may fall into one tick of the clock.
+    """
+
+    inode: int
+    size: int
+    modified_ns: int
+    changed_ns: int
+
+
 class Process:
-    """A process that runs one role."""
+    """A process that runs one role.
+
+    Attributes:
+        loaded_state: State of the settings file before it was last read; None
+            if that failed.
+    """
 
     def __init__(
         self, role: str, path: pathlib.Path, policy: policy_module.Policy
@@ -63,7 +82,7 @@
         self.stop_signals = 0
         self.reload_signals = 0
         signal.signal(signal.SIGHUP, self._count_reload)
-        self.modified_at = _modified_at(path)
+        self.loaded_state = _state_of(path)
         self.next_check = 0.0
         self.machine = _load_when_written(path, role)
         settings = self.machine.settings
@@ -146,17 +165,17 @@
         if not self.reload_signals and time.monotonic() < self.next_check:
             return
         self.next_check = time.monotonic() + _SETTINGS_CHECK_SECONDS
-        modified_at = _modified_at(self.path)
+        state = _state_of(self.path)
         requested, self.reload_signals = self.reload_signals, 0
-        if not requested and modified_at == self.modified_at:
+        if not requested and state == self.loaded_state:
             return
-        self.modified_at = modified_at
+        self.loaded_state = state
         try:
             machine = settings_module.load(self.path, self.role_name)
         except errors.MintcleatError as error:
             # The file may be half written; the next check reads it again.
             logger.warning("Settings were not reloaded: {}", error.detail)
-            self.modified_at = 0
+            self.loaded_state = None
             return
         changed = self.role.reload(machine)
         self.events.emit(event_types.SettingsReloaded(changed))
@@ -207,11 +226,15 @@
         time.sleep(_SETTINGS_RETRY_SECONDS)
 
 
-def _modified_at(path: pathlib.Path) -> int:
+def _state_of(path: pathlib.Path) -> FileState | None:
+    """Returns the state of a file; None if there is none."""
     try:
-        return path.stat().st_mtime_ns
+        found = path.stat()
     except OSError:
-        return 0
+        return None
+    return FileState(
+        found.st_ino, found.st_size, found.st_mtime_ns, found.st_ctime_ns
+    )
 
 
 def main() -> None:
--- a/testing/test_hosted_settings.py
+++ b/testing/test_hosted_settings.py
@@ -1,6 +1,7 @@
 """The settings file of a hosted process: what it holds, and its changes."""
 
 from collections.abc import Iterator
+import os
 import pathlib
 import random
 import subprocess
@@ -141,3 +142,16 @@
     process.wait_for("process_started")
     process.path.write_bytes(process.whole + b"\n")
     process.wait_for("settings_reloaded")
+
+
+def test_change_that_keeps_the_time_of_the_file_is_noticed(
+    process: Process,
+) -> None:
+    # Guards against seeds of instances that are gone: tools that write a file
+    # with a fixed time, or twice within one tick of the clock, change it only.
+    process.start()
+    process.wait_for("process_started")
+    times = (process.path.stat().st_atime_ns, process.path.stat().st_mtime_ns)
+    process.path.write_bytes(process.whole + b"\n")
+    os.utime(process.path, ns=times)
+    process.wait_for("settings_reloaded")
