Control role: the configuration it acts on is read in one module

No change of behaviour: the policies, the registered upstreams and their memory still come from the local replica of the configuration's group. The module can be tested without a process.

--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -2,8 +2,6 @@
 
 import pathlib
 
-import msgspec
-
 from mintcleat.adapters import admin_http
 from mintcleat.adapters import admin_token
 from mintcleat.adapters import disk_thread
@@ -15,13 +13,12 @@
 from mintcleat.consensus import types
 from mintcleat.decisions import turn_decisions
 from mintcleat.domain import errors
-from mintcleat.domain import manifest as manifest_module
-from mintcleat.domain import member_messages
 from mintcleat.main import common as common_module
 from mintcleat.ports import events as event_ports
 from mintcleat.programs import placement
 from mintcleat.roles import control_client
 from mintcleat.roles.control import actions as control_actions
+from mintcleat.roles.control.configuration import current
 from mintcleat.roles.control.configuration import rollout
 from mintcleat.roles.control.configuration import service as config_service
 from mintcleat.roles.control.programs import service as program_service
@@ -82,15 +79,16 @@
             times=common.lease_times(),
             events=events,
         )
+        self.configuration = current.CurrentConfiguration(self.config)
         self.programs = program_service.ProgramService(
             self.log,
             common.streams,
             common.timers,
             groups,
-            self.policies,
+            self.configuration.policies,
             histories=self._histories,
-            memory_tokens=self.memory_tokens,
-            registered=self.registered,
+            memory_tokens=self.configuration.memory_tokens,
+            registered=self.configuration.registered,
             events=events,
         )
         self.planner = rollout.Planner(self.config)
@@ -148,7 +146,7 @@
         """Sets the control role's gauges."""
         led_groups = sum(self.log.leads(group) for group in self.log.groups())
         self.common.metrics.gauge("led_groups", led_groups)
-        revision = self.config.machine.document.revision
+        revision = self.configuration.document().revision
         self.common.metrics.gauge("config_revision", revision)
         for service, view in self.programs.contention.views().items():
             self._set_turn_gauges(service, view)
@@ -161,39 +159,6 @@
         metrics.gauge("turns_waiting", view.waiting, service=service)
         metrics.gauge("turns_bound", view.bound, service=service)
 
-    def policies(self) -> manifest_module.Policies:
-        """Returns the policies of the revision that this instance applied.
-
-        If this release can't read that revision, they are those of the last
-        one that it could, so that turns and counts are still served.
-        """
-        return self._manifest().policies
-
-    def registered(self) -> list[member_messages.Registration]:
-        """Returns the upstreams that have registered themselves."""
-        return list(self.config.machine.directory.entries.values())
-
-    def memory_tokens(self) -> dict[str, int]:
-        """Returns the memory of the registered upstreams, by incarnation.
-
-        Those whose service doesn't state it are left out.
-        """
-        services = self._manifest().services
-        found = {}
-        for item in self.config.machine.directory.entries.values():
-            service = services.get(item.service)
-            if service is not None and service.memory_tokens:
-                found[item.incarnation] = service.memory_tokens
-        return found
-
-    def _manifest(self) -> manifest_module.Manifest:
-        """Returns the last manifest that this instance could read."""
-        document = self.config.machine.document
-        try:
-            return document.manifest()
-        except msgspec.ValidationError:
-            return document.assembled
-
     def _histories(self, group: str) -> histories.FileHistoryStore:
         return histories.FileHistoryStore(self.folder / "histories" / group)
 
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -28,6 +28,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
+from mintcleat.roles.control.configuration import current
 from mintcleat.roles.control.configuration import service as config_service
 from mintcleat.roles.control.replication import replication
 from mintcleat.roles.control.replication import (
@@ -99,6 +100,7 @@
         self.busy = 0.0
         self.lost_until = 0.0
         self.config: config_service.ConfigService | None = None
+        self.configuration: current.CurrentConfiguration | None = None
         self.log: replication.GroupLog | None = None
         self.started = False
 
@@ -147,6 +149,7 @@
             timers=timers,
             times=TIMES,
         )
+        self.configuration = current.CurrentConfiguration(self.config)
         self.records = Records(cluster.counts)
         self.log.attach(OTHER_GROUP, self.records)
         try:
