Failing tests: an instance outside the config group acts on an old configuration

A frozen voter is replaced and wakes up. It then still acts on revision 1 after revision 2 was confirmed, acts on no configuration after a restart, and does not learn that a control instance is evacuated.

--- a/testing/test_control_instances.py
+++ b/testing/test_control_instances.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import eventlet
+import pytest
 from testing.fakes import control_cluster
 from testing.fakes import virtual_time
 import testtools
@@ -12,6 +13,7 @@
 from mintcleat.configuration import machine
 from mintcleat.consensus import repair
 from mintcleat.consensus import types
+from mintcleat.domain import operator_messages
 
 
 def until(condition: Callable[[], bool], seconds: float = 10.0) -> bool:
@@ -51,6 +53,16 @@
     return cluster.instances[names[0]]
 
 
+def former_voter(cluster: control_cluster.Cluster) -> control_cluster.Instance:
+    """Returns an instance that was removed from the config group."""
+    one = voter(cluster)
+    one.process.suspend()
+    assert until(lambda: one.name not in cluster.voters())
+    one.process.resume()
+    eventlet.sleep(3.0)
+    return one
+
+
 class ReplacedVoterTest(testtools.TestCase):
     def test_voter_replaced_while_down_answers_after_its_return(self) -> None:
         """A voter is replaced while it is down, then returns with its disk.
@@ -131,6 +143,55 @@
         self.assertTrue(run_scenario(scenario))
 
 
+class FormerVoterTest(testtools.TestCase):
+    """An instance leaves the config group, but may lead other groups."""
+
+    @pytest.mark.known_red
+    def test_instance_does_not_act_on_the_configuration_it_left_with(
+        self,
+    ) -> None:
+        def scenario(cluster: control_cluster.Cluster) -> list[str]:
+            one = former_voter(cluster)
+            version = cluster.push()
+            eventlet.sleep(control_cluster.TIMES.max_lease)
+            service = one.configuration.manifest().services["chat"]
+            return [str(version), service.version]
+
+        pushed, found = run_scenario(scenario)
+        self.assertEqual(pushed, found)
+
+    @pytest.mark.known_red
+    def test_instance_that_restarts_acts_on_the_configuration_in_force(
+        self,
+    ) -> None:
+        def scenario(cluster: control_cluster.Cluster) -> bool:
+            one = former_voter(cluster)
+            one.kill()
+            one.start()
+            eventlet.sleep(3.0)
+            return "chat" in one.configuration.manifest().services
+
+        self.assertTrue(run_scenario(scenario))
+
+    @pytest.mark.known_red
+    def test_instance_places_no_replica_on_an_evacuated_one(self) -> None:
+        def scenario(cluster: control_cluster.Cluster) -> list[Any]:
+            one = former_voter(cluster)
+            other = voter(cluster)
+            answer = None
+            while answer is None:
+                answer = one.call(
+                    operator_messages.EvacuateControl(
+                        other.name, True, "operator", "test"
+                    )
+                )
+            eventlet.sleep(control_cluster.TIMES.max_lease)
+            return [other.name, one.log.driver.core.roster.evacuated]
+
+        name, evacuated = run_scenario(scenario)
+        self.assertEqual(frozenset({name}), evacuated)
+
+
 class EvacuatedLeaderTest(testtools.TestCase):
     def test_leader_in_transfer_is_replaced_once(self) -> None:
         """An evacuated leader's successor is a voter before it leaves.
