A control instance acts on the newest configuration that it knows

Callers saw: after a rate limit was lowered and confirmed, 156 to 160 requests ran in 5 s where 46.4 are allowed, for as long as one instance led the programs.

Cause: the instance had been removed from the config group after a freeze. The policies, the registered upstreams and their memory were read from its replica of that group, which stays as it was. An instance that restarted afterwards acted on no configuration at all, with admission control off.

Evidence: test_control_instances FormerVoterTest, two tests, failed before ('2' != '1'; no service) and pass now.

Why it works: CurrentConfiguration takes the document and the directory with the higher revision, from the replica or from the stream that the instance follows. Both hold committed revisions only. Decisions have no other way to the configuration; whether it can be outdated is known from the lease.

--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -148,6 +148,9 @@
         self.common.metrics.gauge("led_groups", led_groups)
         revision = self.configuration.document().revision
         self.common.metrics.gauge("config_revision", revision)
+        self.common.metrics.gauge(
+            "config_current", int(self.configuration.is_current())
+        )
         for service, view in self.programs.contention.views().items():
             self._set_turn_gauges(service, view)
 
--- a/src/mintcleat/roles/control/configuration/current.py
+++ b/src/mintcleat/roles/control/configuration/current.py
@@ -1,4 +1,9 @@
-"""The configuration that a control instance acts on."""
+"""The configuration that a control instance acts on.
+
+An instance may lead groups of programs while it is no member of the config
+group. Its replica of that group then stays as it was when the instance left,
+or empty. Decisions therefore read the configuration here and nowhere else.
+"""
 
 import msgspec
 
@@ -10,7 +15,7 @@
 
 
 class CurrentConfiguration:
-    """What the services of one control instance read of the configuration.
+    """The newest configuration that one control instance knows.
 
     Attributes:
         config: The configuration service of this instance.
@@ -20,12 +25,33 @@
         self.config = config
 
     def document(self) -> document_module.Document:
-        """Returns the document of the revision that this instance applied."""
-        return self.config.machine.document
+        """Returns the newest document that this instance knows.
+
+        It comes from the replica or from the leader's stream. Both hold only
+        committed revisions, so the higher one is the newer.
+        """
+        replicated = self.config.machine.document
+        followed = self.config.relay.document
+        if followed.revision > replicated.revision:
+            return followed
+        return replicated
 
     def directory(self) -> directory_module.Directory:
-        """Returns the upstreams that registered themselves."""
-        return self.config.machine.directory
+        """Returns the upstreams that registered themselves, as last known."""
+        replicated = self.config.machine.directory
+        followed = self.config.relay.directory
+        return followed if followed.version > replicated.version else replicated
+
+    def is_current(self) -> bool:
+        """Returns whether no newer configuration can have been confirmed.
+
+        A push is confirmed only when each instance with a lease has applied
+        it. An instance without one knows no more than that its configuration
+        was in force at some time.
+        """
+        self.manifest()
+        readable = not self.document().decode_error
+        return readable and self.config.lease_left() > 0
 
     def manifest(self) -> manifest_module.Manifest:
         """Returns the manifest of that revision.
--- a/testing/test_control_instances.py
+++ b/testing/test_control_instances.py
@@ -146,7 +146,6 @@
 class FormerVoterTest(testtools.TestCase):
     """An instance leaves the config group, but may lead other groups."""
 
-    @pytest.mark.known_red
     def test_instance_does_not_act_on_the_configuration_it_left_with(
         self,
     ) -> None:
@@ -160,7 +159,6 @@
         pushed, found = run_scenario(scenario)
         self.assertEqual(pushed, found)
 
-    @pytest.mark.known_red
     def test_instance_that_restarts_acts_on_the_configuration_in_force(
         self,
     ) -> None:
