A call is counted when the limit of its customer was just removed

Callers saw: for as long as an entry had not applied a configuration that removes a customer's limit, each of its batches with a counted call of that customer failed, with the requests of other customers in it.

Cause: control replaced the limit of a CountCall by that of its configuration, None, and the check of the message raised TypeError, outside of the typed errors that are answered one by one.

Evidence: test_call_counted_when_its_limit_was_just_removed_fails_nobody failed before with that TypeError. Found by a test of outdated limits.

Why it works: such a call is counted by the limit that its sender has, until the sender applies the same configuration.

--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -269,7 +269,9 @@
 
         The limit in the request comes from the sender's configuration, which
         may be older. It is kept while this instance doesn't know the
-        customer. Requests that count no calls are returned unchanged.
+        customer, and for a CountCall, which can't be without one, also after
+        it was removed: the sender is about to learn that as well. Requests
+        that count no calls are returned unchanged.
         """
         counting = (program_messages.OpenTurn, program_messages.CountCall)
         if not isinstance(request, counting) or request.limit is None:
@@ -278,7 +280,10 @@
         customer = policies.customers.get(request.customer)
         if customer is None:
             return request
-        return request._replace(limit=limits.limit_of(customer, policies))
+        limit = limits.limit_of(customer, policies)
+        if limit is None and isinstance(request, program_messages.CountCall):
+            return request
+        return request._replace(limit=limit)
 
     def _record_running_calls(self, request: Any) -> Any:
         """Records an entry's running calls; returns the request without them.
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -143,6 +143,19 @@
             self.assertThat(reply, matchers.IsInstance(errors.BadRequest))
         self.assertEqual(0, self.commands())
 
+    def test_call_counted_when_its_limit_was_just_removed_fails_nobody(
+        self,
+    ) -> None:
+        farm = manifest.Customer(rate=0.0)
+        self.policies = manifest.Policies(customers={"farm": farm})
+        limit = program_messages.RateLimit(1.0, 0.0, 5.0)
+        count = program_messages.CountCall("farm", "", limit)
+        replies = self.batch([count, create("p")])
+        self.assertEqual(
+            [program_messages.CallCounted, program_messages.ProgramView],
+            [type(reply) for reply in replies],
+        )
+
     def test_idle_groups_log_their_clock_rarely_and_empty_ones_never(
         self,
     ) -> None:
