Control knows when its configuration may be outdated

Callers saw: an instance that leads programs, but has lost the config leader, replaced the limit that a request came with by its own, older one, and could end programs and delete records after a retention that had been raised.

Cause: no reader of the configuration asked how old it was.

Why it works: an instance with a lease knows every push that was accepted longer ago than the longest lease, which is the time in which a push comes into force everywhere. Without one, the lower of both limits counts, since either may be the one in force, and only records that state their own retention expire; the others are kept until the instance has a lease again. Other readers (admission control, shares, views for operators) use the newest configuration that is known: they have no safer choice, and refusing their work would take more from callers.

--- a/src/mintcleat/decisions/limits.py
+++ b/src/mintcleat/decisions/limits.py
@@ -50,6 +50,26 @@
     )
 
 
+def lower_limit(
+    first: program_messages.RateLimit, second: program_messages.RateLimit | None
+) -> program_messages.RateLimit:
+    """Returns the lower of two limits of a customer, None being no limit.
+
+    It answers two configurations of which neither is known to be the newer:
+    counting by the wrong one could let too many requests run, the lower one
+    refuses some until it is known.
+    """
+    if second is None:
+        return first
+    return program_messages.RateLimit(
+        min(first.rate, second.rate),
+        min(first.burst, second.burst),
+        second.window,
+        min(first.overage, second.overage),
+        min(first.slack, second.slack),
+    )
+
+
 def hold_seconds(wait: float, waited: float, held: int) -> float:
     """Returns how long to hold a request of a started program.
 
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -86,6 +86,7 @@
             common.timers,
             groups,
             self.configuration.policies,
+            is_current=self.configuration.is_current,
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
--- a/src/mintcleat/roles/control/configuration/current.py
+++ b/src/mintcleat/roles/control/configuration/current.py
@@ -43,11 +43,11 @@
         return followed if followed.version > replicated.version else replicated
 
     def is_current(self) -> bool:
-        """Returns whether no newer configuration can have been confirmed.
+        """Returns whether this instance learns of pushes in time.
 
-        A push is confirmed only when each instance with a lease has applied
-        it. An instance without one knows no more than that its configuration
-        was in force at some time.
+        With a lease, it knows every push that was accepted longer ago than
+        the longest lease. Without one, or if this release can't read the
+        newest revision, any later push may be unknown here.
         """
         self.manifest()
         readable = not self.document().decode_error
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
+import math
 from typing import Any
 
 import eventlet
@@ -81,7 +82,8 @@
             order; the group of a program depends on how many there are.
         machines: The state machine of each group on this instance.
         clocks: The clock of each group.
-        policies: Returns the policies in force.
+        policies: Returns the newest policies that this instance knows.
+        is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
         failure_reports: Upstreams that entries avoid, as reported by them.
         contention: Admission control of turns.
@@ -96,6 +98,7 @@
         groups: list[str],
         policies: Callable[[], manifest.Policies],
         *,
+        is_current: Callable[[], bool] = lambda: True,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -110,7 +113,8 @@
             stream_service: Delivers the requests.
             timer_service: Clocks, and the timer of the retention.
             groups: Names of all program groups.
-            policies: Returns the policies in force.
+            policies: Returns the newest policies that this instance knows.
+            is_current: Returns whether newer ones become known here in time.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -122,6 +126,7 @@
         self.timers = timer_service
         self.groups = groups
         self.policies = policies
+        self.is_current = is_current
         self.machines = {
             group: machine.ProgramMachine(histories(group)) for group in groups
         }
@@ -155,10 +160,7 @@
 
     def tick(self) -> None:
         """Removes expired records of the groups that this replica leads."""
-        policies = self.policies()
-        request = commands.Tick(
-            policies.program_idle, policies.record_retention
-        )
+        request = self._expiry()
         for group, group_machine in self.machines.items():
             clock = self.clocks[group].read()
             if self.log.leads(group) and retention.is_due(
@@ -166,6 +168,17 @@
             ):
                 self._commit(group, [request])
 
+    def _expiry(self) -> commands.Tick:
+        """Returns the command that removes what has expired.
+
+        While a longer retention may have been confirmed that this instance
+        doesn't know, only records that state their own retention expire.
+        """
+        policies = self.policies()
+        if not self.is_current():
+            return commands.Tick(math.inf, math.inf)
+        return commands.Tick(policies.program_idle, policies.record_retention)
+
     def answer(self, requests: list[Any]) -> list[Any]:
         """Returns one reply or typed error for each request, in order."""
         by_group: dict[str, list[int]] = {}
@@ -268,10 +281,11 @@
         """Returns a request with the customer's rate limit in force here.
 
         The limit in the request comes from the sender's configuration, which
-        may be older. It is kept while this instance doesn't know the
-        customer, and for a CountCall, which can't be without one, also after
-        it was removed: the sender is about to learn that as well. Requests
-        that count no calls are returned unchanged.
+        may be older. If this instance's configuration may be outdated too,
+        the lower of both counts. The sender's limit is kept while this
+        instance doesn't know the customer, and for a CountCall, which can't be
+        without one, also after it was removed: the sender is about to learn
+        that as well. Requests that count no calls are returned unchanged.
         """
         counting = (program_messages.OpenTurn, program_messages.CountCall)
         if not isinstance(request, counting) or request.limit is None:
@@ -281,6 +295,8 @@
         if customer is None:
             return request
         limit = limits.limit_of(customer, policies)
+        if not self.is_current():
+            limit = limits.lower_limit(request.limit, limit)
         if limit is None and isinstance(request, program_messages.CountCall):
             return request
         return request._replace(limit=limit)
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -72,13 +72,19 @@
         self.policies = manifest.Policies(
             program_idle=100.0, record_retention=1000.0
         )
+        self.is_current = True
         self.service = self.serve("c1:1")
         self.cluster.elect("c1:1")
 
     def serve(self, address: str) -> program_service.ProgramService:
         log = fake_log.MemoryLog(self.cluster, address)
         return program_service.ProgramService(
-            log, self.streams, self.timers, GROUPS, lambda: self.policies
+            log,
+            self.streams,
+            self.timers,
+            GROUPS,
+            lambda: self.policies,
+            is_current=lambda: self.is_current,
         )
 
     def batch(self, requests: list[Any]) -> list[Any]:
@@ -156,6 +162,59 @@
             [type(reply) for reply in replies],
         )
 
+    def count_until_refused(self, rate: float) -> int:
+        """Counts calls that are within the limit of the sender."""
+        limit = program_messages.RateLimit(rate, 0.0, 5.0)
+        count = program_messages.CountCall("farm", "", limit)
+        for number in range(200):
+            (reply,) = self.service.answer([count])
+            if isinstance(reply, errors.LimitReached):
+                return number
+        return 200
+
+    def limit_farm(self, rate: float) -> None:
+        farm = manifest.Customer(rate=rate)
+        self.policies = manifest.Policies(customers={"farm": farm})
+
+    def test_limit_in_force_replaces_the_limit_of_the_sender(self) -> None:
+        self.limit_farm(10.0)
+        self.assertEqual(50, self.count_until_refused(2.0))
+
+    def test_outdated_limit_does_not_replace_a_lower_one_of_the_sender(
+        self,
+    ) -> None:
+        self.limit_farm(10.0)
+        self.is_current = False
+        self.assertEqual(10, self.count_until_refused(2.0))
+
+    def test_outdated_unlimited_customer_keeps_the_limit_of_the_sender(
+        self,
+    ) -> None:
+        self.limit_farm(0.0)
+        self.is_current = False
+        self.assertEqual(10, self.count_until_refused(2.0))
+
+    def test_limit_of_the_sender_does_not_replace_a_lower_outdated_one(
+        self,
+    ) -> None:
+        # The sender's configuration may be the older one.
+        self.limit_farm(2.0)
+        self.is_current = False
+        self.assertEqual(10, self.count_until_refused(10.0))
+
+    def test_outdated_retention_ends_no_program_and_deletes_no_record(
+        self,
+    ) -> None:
+        # A longer retention may have been confirmed since.
+        self.service.answer([create("p")])
+        self.is_current = False
+        self.timers.advance(2000.0)
+        (kept,) = self.service.answer([program_messages.ShowProgram("p")])
+        self.is_current = True
+        self.timers.advance(10.0)
+        (ended,) = self.service.answer([program_messages.ShowProgram("p")])
+        self.assertEqual(["open", "expired"], [kept.state, ended.state])
+
     def test_idle_groups_log_their_clock_rarely_and_empty_ones_never(
         self,
     ) -> None:
