--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -284,6 +284,7 @@
     Attributes:
         gone: Instances that were removed for good.
         acknowledged: Highest version that was acknowledged.
+        acknowledgements: Times and versions of all acknowledgements.
         version: Highest version that was pushed.
         reads: Number of reads sent.
         answered: Number of reads answered.
@@ -299,6 +300,7 @@
         self.story: list[str] = []
         self.failures: list[str] = []
         self.acknowledged = 0
+        self.acknowledgements: list[tuple[float, int]] = []
         self.version = 0
         self.reads = 0
         self.answered = 0
@@ -378,11 +380,34 @@
             if answer is not None:
                 self.note(f"version {version} acknowledged by {target.name}")
                 self.acknowledged = max(self.acknowledged, version)
+                self.acknowledgements.append((self.now(), version))
                 return version
             eventlet.sleep(pause)
             pause = min(1.0, pause * 2)
         return 0
 
+    def check_configuration(self, target: Instance) -> None:
+        """Checks what an instance acts on, if it holds that for current.
+
+        Raises:
+            Fault: It is older than a version that was acknowledged longer ago
+                than the longest lease.
+        """
+        if not target.running() or not target.configuration.is_current():
+            return
+        before = self.now() - TIMES.max_lease
+        expected = max(
+            (version for at, version in self.acknowledgements if at < before),
+            default=0,
+        )
+        services = target.configuration.manifest().services
+        found = int(services["chat"].version) if services else 0
+        if found < expected:
+            raise Fault(
+                f"{target.name} acts on version {found}; {expected} was"
+                " acknowledged"
+            )
+
     def read(self, target: Instance) -> bool:
         """Reads at an instance and checks the answer.
 
@@ -412,6 +437,8 @@
         while self.running:
             eventlet.sleep(self.rng.expovariate(1 / period))
             self.spawn(self.read, self.any_instance())
+            for instance in self.instances.values():
+                self.spawn(self.check_configuration, instance)
 
     def write_forever(self, period: float) -> None:
         """Writes to the other group, so that the shared log grows."""
