Failing tests: a stream of a leaving upstream that is killed ends as whole

The test of a leaving upstream that stops after its last answer let it vanish without deregistering, which an upstream that was killed does too: nothing tells the two apart. The published protocol has it deregister before it exits. Its replacement asks for the same whole answer and the same recorded end, of an upstream that stops listening, ends its last answer and then deregisters.

--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -6,6 +6,7 @@
 import eventlet
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from fakes import answer_scripts
 from fakes import platform_engine
@@ -134,24 +135,87 @@
         self.start("lm", self.replaced(name="other"))
         self.assertFalse(self.turn("t1").whole)
 
-    def test_leaving_upstream_that_stops_after_its_last_answer_is_no_crash(
-        self,
-    ) -> None:
-        last = answer_scripts.Answer(answer_scripts.CLOSE, answer_scripts.CRASH)
+    def leaving(
+        self, sent: int | None, deregisters: bool
+    ) -> platform_engine.Script:
+        """Returns a script of an upstream that drains and is then gone.
+
+        Args:
+            sent: Bytes that it sends of its last answer; None for all.
+            deregisters: Whether it says that it leaves for good before that.
+        """
+        last = answer_scripts.Answer(
+            answer_scripts.CLOSE, answer_scripts.QUIET, sent
+        )
 
-        def leave(
+        def run(
             connection: platform_engine.Connection,
             received: platform_engine.ReceivedRequest,
         ) -> bool:
-            self.system.heartbeat(connection.engine, "lm", "draining")
+            engine = connection.engine
+            self.system.heartbeat(engine, "lm", "draining")
             self.system.settle()
-            return answer_scripts.script(last)(connection, received)
+            answer_scripts.script(last)(connection, received)
+            engine.listener.close()
+            connection.drop()
+            if deregisters:
+                eventlet.sleep(0.02)
+                self.system.leave(engine)
+            engine.crash()
+            return False
 
-        self.start("lm", leave)
+        return run
+
+    def test_upstream_that_leaves_after_its_last_answer_is_no_crash(
+        self,
+    ) -> None:
+        self.start("lm", self.leaving(None, deregisters=True))
         self.assertTrue(self.turn("t1").whole)
         (ended,) = self.system.reporter.of(events.CallEnded)
         self.assertEqual("closed", ended.end)
 
+    @pytest.mark.known_red
+    def test_leaving_upstream_that_is_killed_between_events_ends_no_stream(
+        self,
+    ) -> None:
+        self.start(
+            "lm",
+            self.leaving(len(EVENT), deregisters=False),
+            platform_engine.stream(3),
+        )
+        self.assertFalse(self.turn("t1").whole)
+        self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
+
+    @pytest.mark.known_red
+    def test_stream_of_a_leaving_upstream_that_is_killed_is_resumed(
+        self,
+    ) -> None:
+        self.start(
+            "lm",
+            self.leaving(len(EVENT), deregisters=False),
+            platform_engine.stream(3),
+        )
+        answer = self.system.call("POST", "/resumable/a", b"x")
+        self.assertEqual(answer_scripts.Answer().body(), answer.body)
+        self.assertTrue(answer.whole)
+
+    @pytest.mark.known_red
+    def test_stream_is_broken_off_if_its_upstream_left_first_and_is_gone(
+        self,
+    ) -> None:
+        killed = broken(end=answer_scripts.CRASH, sent=len(EVENT))
+
+        def leave_first(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            self.system.leave(connection.engine)
+            self.system.settle()
+            return killed(connection, received)
+
+        self.start("lm", leave_first)
+        self.assertFalse(self.turn("t1").whole)
+
     def test_connection_that_confirms_an_end_carries_the_next_request(
         self,
     ) -> None:
