Informational answers without end count as no answer

Callers saw: an upstream that sends answers 100, 102 or 103 without end held a request until its time-out, also where another upstream was free. Cause: the head reader skipped any number of them. Five are skipped now, more end the connection as bytes that are no answer.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -50,6 +50,9 @@
 # Keeps a request from being sent while the upstream closes the idle connection.
 _IDLE_MARGIN_SECONDS = 0.5
 _FIRST_FINAL_STATUS = 200
+# Informational responses before the final one. An upstream that sends them
+# without end would hold its request until the deadline.
+_MAX_INFORMATIONAL = 5
 
 
 class Connection:
@@ -111,6 +114,7 @@
     def read_head(self) -> http1_heads.ResponseHead:
         """Returns the head of the response; skips informational responses."""
         searched = 0
+        informational = 0
         while True:
             try:
                 end = http1_heads.find_end(
@@ -133,6 +137,12 @@
                 self.head = head
                 self.end = None
                 return head
+            informational += 1
+            if informational > _MAX_INFORMATIONAL:
+                raise self._connection_lost(
+                    f"{informational} informational responses came before a "
+                    "final one"
+                )
 
     def read_data(self) -> bytes | None:
         """Returns the next part of the body; None at its end.
--- a/testing/test_endless_answers.py
+++ b/testing/test_endless_answers.py
@@ -97,7 +97,7 @@
         if len(start) < _KEPT_BYTES:
             start += data
         end = (end + data)[-len(_LAST_CHUNK) :]
-        head, found, body = start.partition(b"\r\n\r\n")
+        head, found, _ = start.partition(b"\r\n\r\n")
         if not found:
             continue
         if b"chunked" in head.lower():
