Unfinished heads and framing whose bytes keep dripping are no answer

Callers saw: an upstream that sends bytes of no protocol, a status line, header lines, a chunk line or trailers slowly and without end held a request until its time-out, also on resumable streams with another upstream free; on safe routes after its head until the time-out too. Cause: only sizes bounded these parts, and at a few bytes a second they are reached after hours.

Now a response must begin with HTTP/1., which is known from its first bytes, and a part of the framing that is incomplete 1 s after its first byte, while bytes still arrive, is no answer. Silence in such a part doesn't count: the upstream may have stopped for a moment, and a request that can't be repeated would lose its answer.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -53,6 +53,10 @@
 # Informational responses before the final one. An upstream that sends them
 # without end would hold its request until the deadline.
 _MAX_INFORMATIONAL = 5
+# Time from the first byte of a head, of a line before a chunk or of trailers
+# after which further bytes must have completed it. An upstream that is silent
+# meanwhile may have stopped for a moment, so that silence doesn't count.
+PART_SECONDS = 1.0
 
 
 class Connection:
@@ -66,6 +70,8 @@
         head: Head of the current response; None before it.
         sender: Green thread that sends a large request; None for none.
         end: How the body of the current response ended; None before its end.
+        part_since: Monotonic time since which a part of the framing has been
+            arriving; 0 for none.
         is_identified: Whether it is known to lead to the process that its user
             expects; it does so until its end.
     """
@@ -77,6 +83,7 @@
         self.usable_until = 0.0
         self.is_identified = False
         self.received = b""
+        self.part_since = 0.0
         self.method = ""
         self.head: http1_heads.ResponseHead | None = None
         self.sender: Any = None
@@ -117,6 +124,7 @@
         informational = 0
         while True:
             try:
+                http1_heads.check_response_start(self.received)
                 end = http1_heads.find_end(
                     self.received, searched, _MAX_HEAD_BYTES
                 )
@@ -124,7 +132,12 @@
                     head = http1_heads.parse_response(
                         self.received[:end], self.method
                     )
-            except http1_heads.ProtocolError as error:
+                else:
+                    self._check_pace()
+            except (
+                http1_heads.ProtocolError,
+                http1_framing.InvalidBody,
+            ) as error:
                 raise self._connection_lost(error) from None
             if not end:
                 searched = len(self.received)
@@ -132,6 +145,7 @@
                     raise self._connection_lost("no response was received")
                 continue
             self.received = self.received[end:]
+            self.part_since = 0.0
             searched = 0
             if head.status >= _FIRST_FINAL_STATUS:
                 self.head = head
@@ -155,11 +169,15 @@
         try:
             while not body.complete:
                 if self.received:
+                    size = len(self.received)
                     data, self.received = body.take(self.received)
+                    if len(self.received) < size:
+                        self.part_since = 0.0
                     if data:
                         return data
                     if body.complete:
                         break
+                self._check_pace()
                 if not self._receive():
                     body.close()
         except http1_framing.IncompleteBody as error:
@@ -256,6 +274,24 @@
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
 
+    def _check_pace(self) -> None:
+        """Checks how long the part that has arrived has been incomplete.
+
+        Raises:
+            http1_framing.InvalidBody: Its bytes still arrive after
+                `PART_SECONDS`.
+        """
+        if not self.received:
+            return
+        now = time.monotonic()
+        if not self.part_since:
+            self.part_since = now
+        elif now - self.part_since > PART_SECONDS:
+            raise http1_framing.InvalidBody(
+                f"a head or a part of the framing, of {len(self.received)} "
+                f"bytes so far, is incomplete after {PART_SECONDS:g} s"
+            )
+
     def _receive(self) -> bool:
         """Waits for bytes; returns whether any came before the end."""
         try:
--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -14,6 +14,7 @@
 
 END = b"\r\n\r\n"
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
+_START = b"HTTP/1."
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
 
@@ -88,6 +89,18 @@
     return 0
 
 
+def check_response_start(data: bytes) -> None:
+    """Checks the first bytes of a response, as far as they have arrived.
+
+    Raises:
+        ProtocolError: They are no response, whatever follows.
+    """
+    if not _START.startswith(data[: len(_START)]):
+        raise ProtocolError(
+            f"Expected a response of HTTP/1, found {data[: len(_START)]!r}."
+        )
+
+
 def parse_request(head: bytes) -> RequestHead:
     """Parses the head of a request, including the blank line at its end.
 
