A response to another request that never ends is not skipped for ever

Callers saw: on a kept connection, a late response to an earlier request whose body never ends held the next request until its time-out. Cause: it was read to its end whatever its size. Now at most 1 MiB and 1 s of it is read, then the connection counts as lost and the attempt as failed. Evidence: test_answer_to_another_request_without_end_is_no_answer failed before.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -57,6 +57,8 @@
 # after which further bytes must have completed it. An upstream that is silent
 # meanwhile may have stopped for a moment, so that silence doesn't count.
 PART_SECONDS = 1.0
+# Bounds of a response to an earlier request that is skipped.
+_MAX_SKIPPED_BYTES = 1024 * 1024
 
 
 class Connection:
@@ -198,8 +200,16 @@
         An upstream may repeat the response to an earlier request; the response
         to the current request follows it.
         """
-        while self.read_data() is not None:
-            pass
+        began = time.monotonic()
+        skipped = 0
+        while (data := self.read_data()) is not None:
+            skipped += len(data)
+            seconds = time.monotonic() - began
+            if skipped > _MAX_SKIPPED_BYTES or seconds > PART_SECONDS:
+                raise self._connection_lost(
+                    "the response to another request does not end; it has "
+                    f"{skipped} bytes after {seconds:.1f} s"
+                )
         if not self.head.keep_alive or self.reader.closed:
             raise self._connection_lost(
                 "it closed after the response to another request"
