Upstreams refused for their service are known once a manifest names it

Callers of an added route got 503 although its service's upstreams ran: they had registered before the configuration named their service, were refused with 404, and were known only after a later heartbeat, seconds after the configuration was confirmed, or later for an upstream that backs off.

Cause: a refused registration was forgotten.

Fix: the leader keeps refused registrations of unknown upstreams, a thousand at most and for the time after which a silent upstream is removed, and commits those whose service a new revision names. A registration under the id of a registered upstream is never kept, so that a wrong or forged one still can't take that upstream out of service; one that left isn't kept either.

--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -19,6 +19,9 @@
 # Renewals can be seconds late, and entries detect a dead upstream by
 # themselves at the first failed request, so this only cleans up.
 SILENCE_SECONDS = 8.0
+# Number of refused registrations that are kept. Their ids are unauthenticated,
+# so that anybody could send any number of them.
+WAITING_KEPT = 1000
 # Length at which a name is cut in an error message.
 _MAX_NAME_CHARACTERS = 80
 
@@ -50,10 +53,24 @@
     recency: tuple[int, int]
 
 
+class WaitingRegistration(NamedTuple):
+    """A registration for a service that the manifest doesn't name yet.
+
+    Attributes:
+        at: When it was received, on the monotonic clock.
+    """
+
+    at: float
+    registration: member_messages.Registration
+
+
 class Registrar:
     """Commits registrations that change something, and expires silent ones.
 
     Attributes:
+        waiting: Refused registrations of unknown upstreams, by upstream, for
+            when a manifest names their service.
+        waiting_revision: Revision for which they were last examined.
         last_registrations: By upstream, while this instance leads.
         expiring: Upstreams whose removal is being committed.
     """
@@ -62,6 +79,8 @@
         self.leader = leader
         self.last_registrations: dict[str, LastRegistration] = {}
         self.expiring: set[str] = set()
+        self.waiting: dict[str, WaitingRegistration] = {}
+        self.waiting_revision = 0
 
     def on_elected(self) -> None:
         """Gives every upstream a full period to renew its registration.
@@ -74,6 +93,7 @@
             name: LastRegistration(now, directory.recency_key(item))
             for name, item in entries.items()
         }
+        self.waiting.clear()
 
     def register(self, registration: member_messages.Registration) -> None:
         """Handles a registration; returns once its content is committed.
@@ -94,9 +114,24 @@
         if newest is not None and recency < newest.recency:
             return
         current = state.entries.get(name)
-        self._check_service(registration, current)
-        self.last_registrations[name] = LastRegistration(
-            self.leader.timers.now(), recency
+        now = self.leader.timers.now()
+        try:
+            self._check_service(registration, current)
+        except errors.UnknownService:
+            if current is None:
+                self._keep_waiting(registration, now)
+            raise
+        self.waiting.pop(name, None)
+        self._commit(registration, current, now)
+
+    def _commit(
+        self,
+        registration: member_messages.Registration,
+        current: member_messages.Registration | None,
+        received_at: float,
+    ) -> None:
+        self.last_registrations[registration.upstream] = LastRegistration(
+            received_at, directory.recency_key(registration)
         )
         if current is not None and directory.same_except_renewal(
             current, registration
@@ -115,6 +150,7 @@
             upstream: Id of the upstream.
             started: Start of the incarnation; 0 for the registered one.
         """
+        self.waiting.pop(upstream, None)
         state = self.leader.machine.directory
         current = state.entries.get(upstream)
         if current is None or (started and started < current.started):
@@ -127,8 +163,9 @@
             self._report_change(current._replace(state="left"))
 
     def tick(self) -> None:
-        """Removes upstreams that have been silent for too long."""
+        """Removes silent upstreams; registers those that have waited."""
         now = self.leader.timers.now()
+        self._examine_waiting(now)
         for name, current in list(
             self.leader.machine.directory.entries.items()
         ):
@@ -139,6 +176,54 @@
                 self.expiring.add(name)
                 self.leader.timers.spawn(self._expire, current, last)
 
+    def _keep_waiting(
+        self, registration: member_messages.Registration, now: float
+    ) -> None:
+        """Keeps a registration until its service is named."""
+        self.waiting.pop(registration.upstream, None)
+        if len(self.waiting) >= WAITING_KEPT:
+            del self.waiting[next(iter(self.waiting))]
+        self.waiting[registration.upstream] = WaitingRegistration(
+            now, registration
+        )
+
+    def _examine_waiting(self, now: float) -> None:
+        """Registers the upstreams whose service a new manifest names.
+
+        The operator adds a service and its route in one push. If its upstreams
+        were known only after their next heartbeats, the route would have none
+        until then.
+        """
+        document = self.leader.machine.document
+        if document.revision == self.waiting_revision:
+            return
+        self.waiting_revision = document.revision
+        if not self.waiting:
+            return
+        services = document.manifest().services
+        for name, kept in list(self.waiting.items()):
+            if now - kept.at > SILENCE_SECONDS:
+                del self.waiting[name]
+            elif kept.registration.service in services:
+                del self.waiting[name]
+                self.leader.timers.spawn(self._register_waiting, kept)
+
+    def _register_waiting(self, kept: WaitingRegistration) -> None:
+        name = kept.registration.upstream
+        state = self.leader.machine.directory
+        if name in state.entries or state.has_ended(
+            name, kept.registration.started
+        ):
+            # A later registration of it has been received meanwhile.
+            return
+        try:
+            self._commit(kept.registration, None, kept.at)
+        except errors.MintcleatError as error:
+            # Its next heartbeat comes anyway.
+            logger.info(
+                "Upstream {} could not be registered: {}", name, error.detail
+            )
+
     def _expire(
         self, current: member_messages.Registration, last: LastRegistration
     ) -> None:
--- a/testing/test_directory.py
+++ b/testing/test_directory.py
@@ -222,6 +222,61 @@
             )
         self.assertEqual(before, self.directory.version)
 
+    def refuse(self, name: str, sequence: int = 1) -> None:
+        self.assertRaises(
+            errors.UnknownService,
+            self.registrar.register,
+            registration(200, sequence, upstream=name, service="later"),
+        )
+
+    def name_later(self) -> None:
+        self.push(1, {"services/later": '{"kind":"plain"}'}, [])
+        self.registrar.tick()
+        self.leader.timers.advance(0.0)
+
+    def test_refused_upstream_is_known_once_its_service_is_named(self) -> None:
+        # Requests on an added route had no upstream until the next heartbeats.
+        self.refuse("e2")
+        self.registrar.tick()
+        self.assertEqual([], list(self.directory.entries))
+        self.name_later()
+        self.assertEqual("later", self.directory.entries["e2"].service)
+
+    def test_refused_upstream_that_left_or_is_silent_stays_unknown(
+        self,
+    ) -> None:
+        self.refuse("left")
+        self.registrar.leave("left", 200)
+        self.refuse("silent")
+        self.leader.timers.advance(registrar.SILENCE_SECONDS + 0.1)
+        self.name_later()
+        self.assertEqual([], list(self.directory.entries))
+
+    def test_refused_upstream_is_silent_from_its_last_heartbeat_on(
+        self,
+    ) -> None:
+        self.refuse("e2")
+        self.leader.timers.advance(registrar.SILENCE_SECONDS - 1.0)
+        self.name_later()
+        self.assertEqual(["e2"], list(self.directory.entries))
+        self.leader.timers.advance(1.1)
+        self.registrar.tick()
+        self.leader.timers.advance(0.0)
+        self.assertEqual([], list(self.directory.entries))
+
+    def test_refused_registration_under_a_known_id_is_not_kept(self) -> None:
+        self.registrar.register(registration(100))
+        self.refuse("e1")
+        self.name_later()
+        self.assertEqual("desk", self.directory.entries["e1"].service)
+
+    def test_number_of_refused_registrations_that_are_kept_is_bounded(
+        self,
+    ) -> None:
+        for number in range(registrar.WAITING_KEPT + 1):
+            self.refuse(f"e{number}")
+        self.assertEqual(registrar.WAITING_KEPT, len(self.registrar.waiting))
+
     def test_upstream_of_a_removed_service_can_still_drain(self) -> None:
         self.registrar.register(registration(100))
         self.push(1, {}, ["services/desk"])
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -2,6 +2,9 @@
 
 import json
 
+import eventlet
+
+from fakes import platform_engine
 from fakes import platform_system
 
 
@@ -77,6 +80,28 @@
         answer = self.system.call("GET", "/safe/a")
         self.assertEqual(b"e2 /safe/a", answer.body)
 
+    def test_upstream_that_came_before_its_service_serves_an_added_route(
+        self,
+    ) -> None:
+        # It was known only after its next heartbeat, which is up to seconds
+        # later.
+        self.start_engines(("e1", "desk"))
+        early = platform_engine.Engine("e2", platform_engine.whole)
+        self.system.engines.append(early)
+        self.assertEqual(404, self.system.heartbeat(early, "later").status)
+        configuration = platform_system.configuration(
+            2, platform_system.route("added", "safe", service="later")
+        )
+        configuration["services"].append({"name": "later"})
+        self.assertEqual(200, self.system.put(configuration).status)
+        entries = self.system.control.wrapped.config.machine.directory.entries
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while "e2" not in entries:
+                eventlet.sleep(0.01)
+        self.system.settle()
+        answer = self.system.call("GET", "/added/a")
+        self.assertEqual(b"e2 /added/a", answer.body)
+
     def test_draining_upstream_gets_no_requests_once_acknowledged(
         self,
     ) -> None:
