Soak: a proxy loses packets as a real network does

Open connections stay silent after the cut until told otherwise, in the cut directions only; new ones hang during it without a reset, and work at once after it. The proxy accepts connections itself, because a full queue of connections is what makes the kernel drop their first packet.

--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -1,6 +1,14 @@
-"""A TCP proxy whose link can be delayed, reset, cut or silenced."""
+"""A TCP proxy whose link can be delayed, reset, cut or silenced.
+
+A cut by `apply` holds what is sent and delivers it when it ends. A cut by
+`lose_packets` is like one of a real network: the kernel sends lost packets
+again after pauses that double, so that an open connection may stay silent for
+about as long again as the cut lasted, while new connections work at once. New
+connections hang during such a cut.
+"""
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 import socket
 import struct
@@ -10,6 +18,10 @@
 # Blocks that are on the way in one direction; more would only use memory.
 _MAX_BLOCKS = 200
 DELAY_SECONDS = 0.15
+_BACKLOG = 100
+# Connections that fill a queue of length 0: it holds one, and others wait for
+# their last packet.
+_FULL_QUEUE = 3
 # Value of SO_LINGER (on, 0 s), with which closing a socket resets it.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -33,6 +45,28 @@
     writer.transport.abort()
 
 
+class Silence:
+    """The directions in which a connection passes nothing on.
+
+    Attributes:
+        gates: Let data pass while set, by direction.
+    """
+
+    def __init__(self) -> None:
+        self.gates = {"in": asyncio.Event(), "out": asyncio.Event()}
+        self.end()
+
+    def begin(self, directions: Collection[str]) -> None:
+        """Stops data in some directions."""
+        for direction in directions:
+            self.gates[direction].clear()
+
+    def end(self) -> None:
+        """Lets all data pass."""
+        for gate in self.gates.values():
+            gate.set()
+
+
 class Link:
     """Forwards connections from one address to another.
 
@@ -45,6 +79,7 @@
         refuses: Whether new connections are reset.
         unreached: `IP:PORT` of those whose connections did not reach the
             target.
+        silences: Packet losses of the open connections.
     """
 
     def __init__(self, target: str) -> None:
@@ -53,16 +88,22 @@
         self.delays = {"in": 0.0, "out": 0.0}
         self.refuses = False
         self.unreached: set[str] = set()
-        self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.acceptor: asyncio.Task | None = None
+        self.queued: list[socket.socket] = []
+        self.tasks: set[asyncio.Task] = set()
         self.gates = {"in": asyncio.Event(), "out": asyncio.Event()}
         self.writers: set[asyncio.StreamWriter] = set()
+        self.silences: set[Silence] = set()
         self.restore()
 
     async def start(self, host: str, port: int) -> None:
         """Starts to listen."""
-        self.server = await asyncio.start_server(self._accept, host, port)
-        host, port = self.server.sockets[0].getsockname()
+        self.listener = socket.create_server((host, port), backlog=_BACKLOG)
+        self.listener.setblocking(False)
+        host, port = self.listener.getsockname()
         self.address = f"{host}:{port}"
+        self._begin_to_accept()
 
     def close(self) -> None:
         """Resets all connections; its address refuses new ones."""
@@ -71,11 +112,13 @@
 
     def refuse(self) -> None:
         """Has its address refuse new connections; the others stay."""
-        self.server.close()
+        self.acceptor.cancel()
+        self.listener.close()
+        self.listener = None
 
     async def reopen(self) -> None:
         """Listens at the same address again, unless it does."""
-        if self.server is not None and self.server.is_serving():
+        if self.listener is not None:
             return
         host, _, port = self.address.rpartition(":")
         await self.start(host, int(port))
@@ -87,6 +130,39 @@
         for gate in self.gates.values():
             gate.set()
 
+    def lose_packets(self, directions: Collection[str]) -> None:
+        """Begins a cut in some directions, as of a real network.
+
+        A new connection needs packets in both, so it hangs in any case: with a
+        full queue of connections, the kernel drops those that ask for more.
+        """
+        for silence in self.silences:
+            silence.begin(directions)
+        if self.listener is None or self.queued:
+            return
+        self.acceptor.cancel()
+        self.listener.listen(0)
+        for _ in range(_FULL_QUEUE):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+            self.queued.append(filler)
+
+    def regain(self) -> list[Silence]:
+        """Ends the cut for new connections only.
+
+        Returns:
+            The silences of the connections that are open; they pass data on
+            from the `end` of these.
+        """
+        fillers, self.queued = self.queued, []
+        for filler in fillers:
+            filler.close()
+        if fillers and self.listener is not None:
+            self.listener.listen(_BACKLOG)
+            self._begin_to_accept()
+        return list(self.silences)
+
     def apply(self, kind: str) -> None:
         """Begins a fault: reset, delay, silent, cut_in or cut_out.
 
@@ -112,10 +188,20 @@
         for writer in list(self.writers):
             _reset(writer)
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        peer = "{}:{}".format(*writer.get_extra_info("peername")[:2])
+    def _begin_to_accept(self) -> None:
+        self.acceptor = asyncio.create_task(self._accept_forever())
+
+    async def _accept_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, address = await loop.sock_accept(self.listener)
+            peer = "{}:{}".format(*address[:2])
+            task = asyncio.create_task(self._accept(sock, peer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _accept(self, sock: socket.socket, peer: str) -> None:
+        reader, writer = await asyncio.open_connection(sock=sock)
         self.unreached.discard(peer)
         if self.refuses:
             self.unreached.add(peer)
@@ -130,11 +216,13 @@
             self.unreached.add(peer)
             _reset(writer)
             return
+        silence = Silence()
+        self.silences.add(silence)
         pair = {writer, far_writer}
         self.writers |= pair
         pumps = [
-            asyncio.create_task(self._pump(reader, far_writer, "in")),
-            asyncio.create_task(self._pump(far_reader, writer, "out")),
+            asyncio.create_task(self._pump(reader, far_writer, "in", silence)),
+            asyncio.create_task(self._pump(far_reader, writer, "out", silence)),
         ]
         try:
             await asyncio.gather(*pumps)
@@ -146,6 +234,7 @@
             for pump in pumps:
                 pump.cancel()
             self.writers -= pair
+            self.silences.discard(silence)
             for one in pair:
                 one.close()
 
@@ -154,15 +243,20 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: str,
+        silence: Silence,
     ) -> None:
         blocks: asyncio.Queue[Block] = asyncio.Queue(_MAX_BLOCKS)
-        delivery = asyncio.create_task(
-            self._deliver(blocks, writer, self.gates[direction])
-        )
+        gates = (self.gates[direction], silence.gates[direction])
+        delivery = asyncio.create_task(self._deliver(blocks, writer, *gates))
         loop = asyncio.get_running_loop()
         try:
             while True:
-                data = await reader.read(_BLOCK)
+                try:
+                    data = await reader.read(_BLOCK)
+                except OSError:
+                    # A reset is a packet, too.
+                    await silence.gates[direction].wait()
+                    raise
                 due = loop.time() + self.delays[direction]
                 await blocks.put(Block(due, data))
                 if not data:
@@ -175,14 +269,15 @@
         self,
         blocks: asyncio.Queue[Block],
         writer: asyncio.StreamWriter,
-        gate: asyncio.Event,
+        *gates: asyncio.Event,
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
             block = await blocks.get()
             if block.due > loop.time():
                 await asyncio.sleep(block.due - loop.time())
-            await gate.wait()
+            for gate in gates:
+                await gate.wait()
             if not block.data:
                 break
             writer.write(block.data)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -299,3 +299,84 @@
     assert rules(checks) == []
     checks.ended("b", end(200, numbers=[1, 2]))
     assert rules(checks) == ["events"]
+
+
+# A link, and a server behind it that echoes; asyncio needs a process of its
+# own, because the other tests replace its sockets.
+LINK = """
+import asyncio
+from testing.soak import links
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        received.append(data)
+        writer.write(data)
+    writer.close()
+
+async def connect():
+    host, _, port = link.address.rpartition(":")
+    async with asyncio.timeout(0.3):
+        return await asyncio.open_connection(host, int(port))
+
+async def ask(connection):
+    connection[1].write(b"x")
+    try:
+        async with asyncio.timeout(0.2):
+            return await connection[0].read(100)
+    except TimeoutError:
+        return b""
+
+async def hangs():
+    try:
+        await connect()
+    except TimeoutError:
+        return True
+
+async def main():
+    global link
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    link = links.Link(f"{host}:{port}")
+    await link.start("127.0.0.1", 0)
+    await run()
+    link.close()
+
+received = []
+"""
+
+
+@pytest.mark.parametrize("directions", [("in",), ("out",), ("in", "out")])
+def test_open_connection_stays_silent_after_a_cut_and_new_ones_work(
+    directions: tuple[str, ...],
+) -> None:
+    done = _run_python(f"""{LINK}
+async def run():
+    first = await connect()
+    assert await ask(first) == b"x"
+    link.lose_packets({directions})
+    assert await ask(first) == b""
+    assert len(received) == 1 + ("in" not in {directions}), received
+    silences = link.regain()
+    assert await ask(first) == b""
+    assert await ask(await connect()) == b"x"
+    for silence in silences:
+        silence.end()
+    await asyncio.sleep(0.1)
+    assert set(await ask(first)) == set(b"x")
+
+asyncio.run(main())
+""")
+    assert done.returncode == 0, done.stderr
+
+
+def test_new_connection_hangs_during_a_cut_without_a_reset() -> None:
+    done = _run_python(f"""{LINK}
+async def run():
+    link.lose_packets(("out",))
+    assert [await hangs() for _ in range(3)] == [True] * 3
+    link.regain()
+    assert await ask(await connect()) == b"x"
+
+asyncio.run(main())
+""")
+    assert done.returncode == 0, done.stderr
