--- a/src/mintcleat/domain/control_events.py
+++ b/src/mintcleat/domain/control_events.py
@@ -150,6 +150,25 @@
     lease_left_s: float
 
 
+class RequestFailed(NamedTuple):
+    """An unexpected error here ended a request of an operator or an upstream.
+
+    It was answered with status 500.
+
+    Attributes:
+        path: Path of the request, truncated to a maximum length.
+        peer: Address of the caller.
+        error: Type of the error.
+        where: File and line that raised it.
+    """
+
+    method: str
+    path: str
+    peer: str
+    error: str
+    where: str
+
+
 class CrashReported(NamedTuple):
     """An entry reported a crash of an upstream; it was committed.
 
@@ -197,6 +216,7 @@
     SnapshotInstalled,
     ConfigurationPushed,
     ConfigurationRead,
+    RequestFailed,
     CrashReported,
     RequestQuarantined,
 )
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -192,7 +192,13 @@
     hubs.use_hub(event_loop.Hub)
     warnings.filterwarnings("ignore", category=DeprecationWarning)
     logger.remove()
-    logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {message}")
+    logger.add(
+        sys.stderr,
+        level="INFO",
+        format="{time:HH:mm:ss.SSS} {message}",
+        # Values of variables would show customers' keys.
+        diagnose=False,
+    )
     roles = (settings_module.ENTRY, settings_module.CONTROL)
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in roles:
         usage = f"usage: hosted {'|'.join(roles)} [POLICY]"
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -1,14 +1,18 @@
 """The HTTP API of control for the platform's operators and upstreams."""
 
+import pathlib
 import reprlib
+import traceback
 from typing import Any
 from typing import Protocol
 
+from loguru import logger
 import msgspec
 import xxhash
 
 from mintcleat.adapters import http1_server
 from mintcleat.domain import config_messages
+from mintcleat.domain import control_events
 from mintcleat.domain import errors
 from mintcleat.domain import events
 from mintcleat.domain import member_messages
@@ -40,6 +44,11 @@
 _MAX_HEARTBEAT_BYTES = 64 * 1024
 # Limit on unauthenticated text that is copied to a log line.
 _MAX_LOGGED_CHARS = 160
+_STATUS_FAILED = 500
+_FAILURE = errors.MintcleatError(
+    "An unexpected error occurred in this process.",
+    remedy="Send the request to another control instance and report a bug.",
+)
 
 
 class Config(Protocol):
@@ -72,13 +81,36 @@
     def handle(
         self, request: http1_server.Request, reply: http1_server.Reply
     ) -> None:
-        """Responds to one request."""
+        """Responds to one request, whatever it is and whatever happens here.
+
+        Callers take a connection that ends without a response for a lost
+        response, and send the same request again.
+        """
         try:
             status, body = 200, self._dispatch(request)
         except errors.MintcleatError as error:
             status, body = _status_of(error), _error_body(error)
+        except Exception as error:
+            self._report_failure(request, error)
+            status, body = _STATUS_FAILED, _error_body(_FAILURE)
         reply.send(status, [("content-type", "application/json")], body)
 
+    def _report_failure(
+        self, request: http1_server.Request, error: Exception
+    ) -> None:
+        path = _path_of(request)
+        logger.exception("{} {} failed.", request.method, path)
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        self.event_reporter.emit(
+            control_events.RequestFailed(
+                request.method[:_MAX_LOGGED_CHARS],
+                path,
+                request.peer,
+                type(error).__name__,
+                f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}",
+            )
+        )
+
     def _dispatch(self, request: http1_server.Request) -> bytes:
         path = request.target.partition("?")[0]
         match request.method, path:
@@ -209,6 +241,11 @@
     return started
 
 
+def _path_of(request: http1_server.Request) -> str:
+    """Returns the path of a request for a log line."""
+    return request.target.partition("?")[0][:_MAX_LOGGED_CHARS]
+
+
 def _decode_object(body: bytes) -> dict[str, Any]:
     if len(body) > _MAX_HEARTBEAT_BYTES:
         raise errors.BadRequest(
