--- a/src/mintcleat/adapters/http1_framing.py
+++ b/src/mintcleat/adapters/http1_framing.py
@@ -34,10 +34,12 @@
 
     Attributes:
         framing: What ends the body.
+        announced: Its length in bytes; 0 if it is not known in advance.
         complete: Whether the whole body has been taken.
     """
 
     framing: answer_ends.Framing
+    announced: int
     complete: bool
 
     def take(self, data: bytes) -> tuple[bytes, bytes]:
@@ -62,6 +64,7 @@
     """The body of a message that has none."""
 
     framing = answer_ends.Framing.NONE
+    announced = 0
     complete = True
 
     def take(self, data: bytes) -> tuple[bytes, bytes]:
@@ -82,6 +85,7 @@
     framing = answer_ends.Framing.LENGTH
 
     def __init__(self, length: int) -> None:
+        self.announced = length
         self.left = length
         self.complete = length == 0
 
@@ -106,6 +110,7 @@
     """A body that ends when the connection is closed."""
 
     framing = answer_ends.Framing.CLOSE
+    announced = 0
 
     def __init__(self) -> None:
         self.complete = False
@@ -129,6 +134,7 @@
     """
 
     framing = answer_ends.Framing.CHUNKS
+    announced = 0
 
     def __init__(self) -> None:
         self.left = 0
--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -45,6 +45,10 @@
 NO_PROGRESS = "no progress"
 BUFFERS_FULL = "buffers full"
 _STATUS_INVALID = 400
+_STATUS_TOO_SLOW = 408
+# Bounds on what is read of a request after the response that refuses it.
+_DISCARD_SECONDS = 2.0
+_DISCARD_BYTES = 64 * 1024 * 1024
 
 
 class CallerDisconnected(BaseException):
@@ -329,6 +333,14 @@
         except errors.TooLarge as error:
             self._send_error(error.status, error.detail)
             return False
+        except TimeoutError:
+            if self.head is not None or self.received:
+                self._send_error(
+                    _STATUS_TOO_SLOW,
+                    "The rest of the request did not arrive within "
+                    f"{limits.header_seconds:g} s.",
+                )
+            return False
         if request is None or self.ended:
             # A request that arrived while the connection was being closed can
             # no longer be answered, so it must not run.
@@ -370,6 +382,12 @@
         self.head = head
         self.idle = False
         body = head.body
+        if body.announced > limits.body_bytes:
+            # The caller may wait to be told whether to send the body.
+            raise errors.TooLarge(
+                f"The body has {body.announced} bytes; at most "
+                f"{limits.body_bytes} are allowed."
+            )
         parts: list[bytes] = []
         size = 0
         must_continue = head.expects_continue
@@ -563,3 +581,17 @@
         with contextlib.suppress(OSError, CallerStalled):
             self.start(status, headers, "", body)
             self.end()
+            self._discard_rest()
+
+    def _discard_rest(self) -> None:
+        """Reads and drops what the caller still sends.
+
+        The close of a socket with unread bytes resets the connection. A caller
+        that sends its whole request before it reads would lose the response.
+        """
+        self.received = b""
+        self.sock.shutdown(socket.SHUT_WR)
+        left = _DISCARD_BYTES
+        with eventlet.Timeout(_DISCARD_SECONDS, TimeoutError):
+            while left > 0 and (data := self.reader.read()):
+                left -= len(data)
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -140,6 +140,7 @@
 
     def _put_configuration(self, request: http1_server.Request) -> bytes:
         body = request.body
+        _check_encoding(request)
         parsed = configuration.parse(body)
         return self._submit(
             config_messages.PushManifest(
@@ -241,6 +242,20 @@
     return started
 
 
+def _check_encoding(request: http1_server.Request) -> None:
+    """Checks that a body is sent as it is.
+
+    Raises:
+        errors.InvalidManifest: It is compressed.
+    """
+    encoding = request.header("content-encoding")
+    if encoding.lower() not in ("", "identity"):
+        raise errors.InvalidManifest(
+            "$: must be sent without a Content-Encoding, but has "
+            f"{reprlib.repr(encoding)}."
+        )
+
+
 def _path_of(request: http1_server.Request) -> str:
     """Returns the path of a request for a log line."""
     return request.target.partition("?")[0][:_MAX_LOGGED_CHARS]
--- a/testing/test_control_answers.py
+++ b/testing/test_control_answers.py
@@ -1,8 +1,10 @@
 """Every request to control gets an answer, whatever its body is."""
 
+import gzip
 import json
 from typing import Any
 
+import eventlet
 import testtools
 
 from fakes import platform_system
@@ -12,6 +14,10 @@
 
 PUT = "/v1/Configuration.Put"
 HEARTBEAT = "/v1/Instances.Heartbeat/e1"
+# The listener takes 4 MiB.
+TOO_LARGE = 5 * 1024 * 1024
+# Larger than all socket buffers on the way.
+MUCH_TOO_LARGE = 40 * 1024 * 1024
 
 
 class FailingConfig:
@@ -65,3 +71,79 @@
         for failure in failures:
             self.assertEqual("ValueError", failure.error)
             self.assertIn("test_control_answers.py:", failure.where)
+
+
+class BodiesTest(platform_system.HostedTest):
+    def exchange(
+        self, head: str, body: bytes = b"", half_close: bool = False
+    ) -> platform_system.Answer:
+        """Sends a whole request before it reads the response."""
+        sock = platform_system.connect(self.system.control.listener.address)
+        lines = f"POST {PUT} HTTP/1.1\r\nHost: control\r\n{head}\r\n\r\n"
+        try:
+            with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+                sock.sendall(lines.encode() + body)
+                if half_close:
+                    sock.shutdown(1)
+                return platform_system.read_answer(sock)
+        finally:
+            sock.close()
+
+    def test_body_that_is_too_large_gets_an_answer(self) -> None:
+        for size in (TOO_LARGE, MUCH_TOO_LARGE):
+            answer = self.exchange(f"Content-Length: {size}", b"x" * size)
+            self.assertEqual((413, True), (answer.status, answer.whole))
+
+    def test_chunks_that_are_too_large_get_an_answer(self) -> None:
+        chunk = b"100000\r\n" + b"x" * 0x100000 + b"\r\n"
+        body = chunk * 12 + b"0\r\n\r\n"
+        answer = self.exchange("Transfer-Encoding: chunked", body)
+        self.assertEqual((413, True), (answer.status, answer.whole))
+
+    def test_body_that_is_too_large_is_not_asked_for(self) -> None:
+        answer = self.exchange(
+            f"Content-Length: {TOO_LARGE}\r\nExpect: 100-continue"
+        )
+        self.assertEqual(413, answer.status)
+
+    def test_large_configuration_is_taken(self) -> None:
+        routes = [
+            platform_system.route(f"r{number}", "safe")
+            for number in range(10_000)
+        ]
+        fields = platform_system.configuration(1, *routes)
+        body = json.dumps(fields).encode()
+        answer = self.exchange(f"Content-Length: {len(body)}", body)
+        self.assertEqual(200, answer.status)
+
+    def test_chunked_configuration_is_taken(self) -> None:
+        body = json.dumps(platform_system.configuration()).encode()
+        chunks = b"%x;a=b\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        answer = self.exchange("Transfer-Encoding: chunked", chunks)
+        self.assertEqual(200, answer.status)
+
+    def test_body_cut_short_gets_an_answer(self) -> None:
+        body = json.dumps(platform_system.configuration()).encode()
+        for head, sent in (
+            (f"Content-Length: {len(body)}", body[:-1]),
+            ("Transfer-Encoding: chunked", b"%x\r\n%b" % (len(body), body)),
+        ):
+            answer = self.exchange(head, sent, half_close=True)
+            self.assertEqual(400, answer.status, head)
+
+    def test_body_that_stops_coming_gets_an_answer(self) -> None:
+        answer = self.exchange("Content-Length: 100", b"{")
+        self.assertEqual(408, answer.status)
+
+    def test_compressed_body_is_refused_with_the_reason(self) -> None:
+        body = gzip.compress(
+            json.dumps(platform_system.configuration()).encode()
+        )
+        length = f"Content-Length: {len(body)}"
+        answer = self.exchange(f"{length}\r\nContent-Encoding: gzip", body)
+        self.assertEqual(400, answer.status)
+        self.assertIn(b"gzip", answer.body)
+
+    def test_empty_body_is_refused(self) -> None:
+        for head in ("Content-Length: 0", "Accept: */*"):
+            self.assertEqual(400, self.exchange(head).status, head)
