--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -14,6 +14,7 @@
 
 END = b"\r\n\r\n"
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
+_MAX_LENGTH_DIGITS = 20
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
 
@@ -271,6 +272,8 @@
     length = fields.get("content-length")
     if length is None:
         return default
-    if not (length.isascii() and length.isdigit()):
+    # Python refuses to convert thousands of digits, even if all are zeros.
+    is_number = length.isascii() and length.isdigit()
+    if not is_number or len(length) > _MAX_LENGTH_DIGITS:
         raise ProtocolError("Invalid Content-Length.")
     return http1_framing.FixedBody(int(length))
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -42,6 +42,9 @@
 }
 # A heartbeat has about 300 bytes, or a few thousand with many models.
 _MAX_HEARTBEAT_BYTES = 64 * 1024
+# Integers above it are refused also when they are taken for seconds, and some
+# are beyond a float.
+_MAX_COLD_MS = 10**15
 # Limit on unauthenticated text that is copied to a log line.
 _MAX_LOGGED_CHARS = 160
 _STATUS_FAILED = 500
@@ -212,10 +215,11 @@
         if wire in fields
     }
     cold: Any = named.get("cold")
-    if type(cold) in (int, float):
+    # Other values are refused with the registration.
+    if type(cold) is float or (type(cold) is int and cold <= _MAX_COLD_MS):
         named["cold"] = cold / 1000.0
     service = named.get("service")
-    if isinstance(service, str):
+    if isinstance(service, str) and service:
         named["service"] = names.in_manifest(service)
     return registrations.parse(upstream, named)
 
--- a/testing/test_control_answers.py
+++ b/testing/test_control_answers.py
@@ -14,6 +14,15 @@
 
 PUT = "/v1/Configuration.Put"
 HEARTBEAT = "/v1/Instances.Heartbeat/e1"
+HEARTBEAT_FIELDS = {
+    "service": "desk",
+    "address": "127.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 1,
+    "state": "ready",
+    "sequence": 1,
+}
 # The listener takes 4 MiB.
 TOO_LARGE = 5 * 1024 * 1024
 # Larger than all socket buffers on the way.
@@ -42,19 +51,10 @@
         reporter = platform_system.EventRecorder()
         api = control_api.ControlApi(FailingConfig(), 1.0, reporter, {})
         push = json.dumps(platform_system.configuration()).encode()
-        engine = {
-            "service": "desk",
-            "address": "127.0.0.1:80",
-            "zone": "z1",
-            "version": "v1",
-            "slots": 1,
-            "state": "ready",
-            "sequence": 1,
-        }
         requests = [
             ("POST", PUT, push),
             ("GET", "/v1/Configuration.Get", b""),
-            ("POST", HEARTBEAT, json.dumps(engine).encode()),
+            ("POST", HEARTBEAT, json.dumps(HEARTBEAT_FIELDS).encode()),
             ("POST", "/v1/Instances.Leave/e1", b""),
             ("GET", "/v1/Retire.Get/store-1", b""),
         ]
@@ -144,6 +144,17 @@
         self.assertEqual(400, answer.status)
         self.assertIn(b"gzip", answer.body)
 
+    def test_length_of_thousands_of_digits_gets_an_answer(self) -> None:
+        answer = self.exchange(f"Content-Length: {'0' * 5000}")
+        self.assertEqual(400, answer.status)
+
+    def test_heartbeat_with_a_time_beyond_a_float_is_refused(self) -> None:
+        engine = {**HEARTBEAT_FIELDS, "coldRemainingMs": 10**400}
+        answer = self.system.ask_control(
+            "POST", HEARTBEAT, json.dumps(engine).encode()
+        )
+        self.assertEqual(400, answer.status)
+
     def test_empty_body_is_refused(self) -> None:
         for head in ("Content-Length: 0", "Accept: */*"):
             self.assertEqual(400, self.exchange(head).status, head)
