--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -218,10 +218,8 @@
     # Other values are refused with the registration.
     if type(cold) is float or (type(cold) is int and cold <= _MAX_COLD_MS):
         named["cold"] = cold / 1000.0
-    service = named.get("service")
-    if isinstance(service, str) and service:
-        named["service"] = names.in_manifest(service)
-    return registrations.parse(upstream, named)
+    parsed = registrations.parse(upstream, named)
+    return parsed._replace(service=names.in_manifest(parsed.service))
 
 
 def parse_deregistration(body: bytes) -> int:
