A turn whose caller leaves while it is opened gives its reservation back

Cause: the end of a request whose OpenTurn is under way was handled only in the branch with admission control. Without it the OpenTurn was committed, reserved the most of the turn, and nobody settled it, as the run had no turn yet.

Change: the handler moved from the one branch to TurnClient.open, around both.

Evidence: the new test of turn_client failed before (one request asked, no CloseTurn).

--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -189,6 +189,14 @@
             raise errors.ControlUnavailable(
                 error.detail, retry_after=control_outage.RETRY_SECONDS
             ) from None
+        except errors.MintcleatError:
+            raise
+        except BaseException:
+            # The caller has gone, or time is up, while the opening may be on
+            # its way. Its reservation would count until the program expires.
+            # A turn that only waits for its grant is dropped by the leader.
+            self.cancel(call)
+            raise
         chain = known
         if chain is None:
             chain = reply.chain
@@ -253,13 +261,6 @@
                 reply = self.rate_limiter.ask(call.program.program, request)
             except errors.TurnDeferred as error:
                 deferred = error
-            except errors.MintcleatError:
-                raise
-            except BaseException:
-                # The caller has gone, or time is up, while the grant may be on
-                # its way. A turn that only waits is dropped by the leader.
-                self.cancel(call)
-                raise
             else:
                 return reply, request.running
             if self.timers.now() + deferred.retry_after >= admission.until:
--- a/testing/test_turn_client.py
+++ b/testing/test_turn_client.py
@@ -218,6 +218,14 @@
         self.assertIsInstance(closed, program_messages.CloseTurn)
         self.assertEqual(opened.turn, closed.turn)
 
+    def test_reservation_of_a_caller_that_has_gone_is_released(self) -> None:
+        # The program's budget would be used up by turns that never ran.
+        client = self.client(lambda count: CallerGone())
+        self.assertRaises(CallerGone, self.open_without_admission, client)
+        opened, closed = self.control.asked
+        self.assertIsInstance(closed, program_messages.CloseTurn)
+        self.assertEqual((opened.turn, 0), (closed.turn, closed.tokens))
+
     def closing(
         self, close: Callable[[turn_client.TurnClient, Any], None]
     ) -> Any:
