--- a/src/mintcleat/adapters/event_metrics.py
+++ b/src/mintcleat/adapters/event_metrics.py
@@ -57,6 +57,8 @@
                         customer=self._customer_label(event.customer),
                         kind=event.kind,
                     )
+            case control_events.PushAnswered():
+                metrics.count("pushes_total", outcome=event.outcome)
             case events.CallCounted():
                 metrics.observe("limit_count_seconds", event.commit_s)
             case events.KeyUnknown():
--- a/src/mintcleat/domain/control_events.py
+++ b/src/mintcleat/domain/control_events.py
@@ -150,6 +150,35 @@
     lease_left_s: float
 
 
+class PushAnswered(NamedTuple):
+    """This instance answered an operator's push of a configuration.
+
+    Attributes:
+        peer: Address of the operator's client.
+        size: Size of the body in bytes.
+        digest: Digest of the body; equal for equal bodies.
+        version: Version of the configuration; 0 if that couldn't be read.
+        in_force: Highest version at the config leader when it answered; 0
+            without its answer.
+        outcome: `acknowledged`; `refused`: it is invalid; `unavailable`: no
+            leader took it; or `unknown`: it may be in force.
+        status: HTTP status of the answer; 0 if the operator's client closed
+            its connection before.
+        detail: Why it was not acknowledged, truncated to a maximum length.
+        after_s: Time that the answer took.
+    """
+
+    peer: str
+    size: int
+    digest: str
+    version: int
+    in_force: int
+    outcome: str
+    status: int
+    detail: str
+    after_s: float
+
+
 class RequestFailed(NamedTuple):
     """An unexpected error here ended a request of an operator or an upstream.
 
@@ -216,6 +245,7 @@
     SnapshotInstalled,
     ConfigurationPushed,
     ConfigurationRead,
+    PushAnswered,
     RequestFailed,
     CrashReported,
     RequestQuarantined,
--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -1,6 +1,6 @@
 """The configuration that the platform's operators push.
 
-`parse` decides whether a configuration is valid, once and for all: the
+`read` and `check` decide whether a configuration is valid. The
 manifest that `translation` makes of a valid one is valid too. Each type has the
 fields that mintcleat uses; others are ignored, as the platform may add fields
 at any time. Null stands for an absent optional field.
@@ -179,12 +179,11 @@
 }
 
 
-def parse(body: bytes) -> Configuration:
-    """Returns the configuration of a request's body.
+def read(body: bytes) -> Configuration:
+    """Returns the configuration of a request's body, for `check`.
 
     Raises:
-        errors.InvalidManifest: It is invalid. The detail has a line for each
-            problem, with the path of the field.
+        errors.InvalidManifest: It can't be read in full.
     """
     try:
         fields = json_text.decode(body)
@@ -194,7 +193,16 @@
         raise errors.InvalidManifest(
             f"$: must be an object, but is of type {type(fields).__name__}."
         )
-    configuration = _typed(fields)
+    return _typed(fields)
+
+
+def check(configuration: Configuration) -> None:
+    """Checks a configuration of the right types.
+
+    Raises:
+        errors.InvalidManifest: It is invalid. The detail has a line for each
+            problem, with the path of the field.
+    """
     problems = list(_problems(configuration))
     if problems:
         left_out = len(problems) - _MAX_PROBLEMS
@@ -203,7 +211,6 @@
         raise errors.InvalidManifest(
             "\n".join(f"{problem}." for problem in problems)
         )
-    return configuration
 
 
 def _typed(fields: dict[str, Any]) -> Configuration:
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -8,7 +8,6 @@
 
 from loguru import logger
 import msgspec
-import xxhash
 
 from mintcleat.adapters import http1_server
 from mintcleat.domain import config_messages
@@ -20,6 +19,7 @@
 from mintcleat.domain import registrations
 from mintcleat.platform import configuration
 from mintcleat.platform import names
+from mintcleat.platform import push_events
 from mintcleat.platform import translation
 from mintcleat.ports import events as event_ports
 
@@ -142,20 +142,39 @@
         return b"{}"
 
     def _put_configuration(self, request: http1_server.Request) -> bytes:
-        body = request.body
+        record = push_events.PushRecord(request)
+        try:
+            self._push(request, record)
+        except errors.MintcleatError as error:
+            record.fail(error, _status_of(error))
+            raise
+        except Exception as error:
+            record.fail(error, _STATUS_FAILED)
+            raise
+        finally:
+            self.event_reporter.emit(record.event())
+        return b"{}"
+
+    def _push(
+        self, request: http1_server.Request, record: push_events.PushRecord
+    ) -> None:
         _check_encoding(request)
-        parsed = configuration.parse(body)
-        return self._submit(
+        read = configuration.read(request.body)
+        record.version = read.version
+        configuration.check(read)
+        pushed = self.config.ask(
             config_messages.PushManifest(
                 0,
-                xxhash.xxh3_128_hexdigest(body),
-                translation.to_manifest(parsed, self.policies),
+                record.digest,
+                translation.to_manifest(read, self.policies),
                 _OPERATOR,
                 request.peer,
-                parsed.version,
-                body.decode(),
-            )
+                read.version,
+                request.body.decode(),
+            ),
+            self.timeout,
         )
+        record.acknowledge(pushed.version)
 
     def _get_configuration(self) -> bytes:
         view = self.config.ask(config_messages.ReadManifest(), self.timeout)
--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -18,6 +18,7 @@
 from mintcleat.main import common
 from mintcleat.main import hosted_control
 from mintcleat.main import hosted_entry
+from mintcleat.platform import configuration as configuration_module
 from mintcleat.platform import machine_settings
 from mintcleat.ports import events
 
@@ -101,6 +102,13 @@
     }
 
 
+def valid_configuration(body: bytes) -> configuration_module.Configuration:
+    """Returns a configuration, or raises why it is invalid."""
+    read = configuration_module.read(body)
+    configuration_module.check(read)
+    return read
+
+
 class EventRecorder(events.NullEventReporter):
     """Records the emitted events."""
 
--- a/testing/test_configurations.py
+++ b/testing/test_configurations.py
@@ -17,7 +17,6 @@
 from fakes import platform_system
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
-from mintcleat.platform import configuration
 from mintcleat.platform import translation
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -68,7 +67,7 @@
 def is_taken(body: bytes) -> bool:
     """Returns whether a body becomes a manifest that is valid itself."""
     try:
-        parsed = configuration.parse(body)
+        parsed = platform_system.valid_configuration(body)
     except errors.InvalidManifest:
         return False
     manifest.parse(translation.to_manifest(parsed, {}))
--- a/testing/test_control_answers.py
+++ b/testing/test_control_answers.py
@@ -63,6 +63,10 @@
             request = http1_server.Request(method, target, (), body, "ip:1")
             api.handle(request, reply)
             self.assertEqual(500, reply.status, target)
+        (push_event,) = reporter.of(control_events.PushAnswered)
+        self.assertEqual(
+            ("unknown", 500), (push_event.outcome, push_event.status)
+        )
         failures = reporter.of(control_events.RequestFailed)
         self.assertEqual(
             [request[1] for request in requests],
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -1,8 +1,58 @@
 """Operators' and upstreams' requests in the platform's protocol."""
 
 import json
+from typing import Any
 
 from fakes import platform_system
+from mintcleat.domain import control_events
+
+
+class PushEventsTest(platform_system.HostedTest):
+    """Each push leaves one event at the instance that received it."""
+
+    def push(self, body: Any) -> control_events.PushAnswered:
+        before = len(self.system.reporter.of(control_events.PushAnswered))
+        self.system.put(body)
+        events = self.system.reporter.of(control_events.PushAnswered)
+        (event,) = events[before:]
+        return event
+
+    def test_event_tells_the_version_and_the_one_in_force(self) -> None:
+        event = self.push(platform_system.configuration(7))
+        self.assertEqual(
+            ("acknowledged", 200, 7, 7, ""),
+            (
+                event.outcome,
+                event.status,
+                event.version,
+                event.in_force,
+                event.detail,
+            ),
+        )
+        event = self.push(platform_system.configuration(5))
+        self.assertEqual((5, 7), (event.version, event.in_force))
+        self.assertIn("127.0.0.1:", event.peer)
+
+    def test_event_tells_why_a_push_was_refused(self) -> None:
+        fields = platform_system.configuration(7)
+        fields["routes"][1]["timeoutMs"] = 0
+        event = self.push(fields)
+        self.assertEqual(
+            ("refused", 400, 7), (event.outcome, event.status, event.version)
+        )
+        self.assertIn("$.routes[1].timeoutMs", event.detail)
+
+    def test_event_of_an_unreadable_push_is_bounded(self) -> None:
+        event = self.push(json.dumps({"x" * 10_000: 1}).encode() * 100)
+        self.assertEqual(("refused", 0), (event.outcome, event.version))
+        self.assertLess(len(json.dumps(event)), 1000)
+
+    def test_repeated_push_has_the_same_digest(self) -> None:
+        first = self.push(platform_system.configuration(7))
+        again = self.push(platform_system.configuration(7))
+        other = self.push(platform_system.configuration(8))
+        self.assertEqual(first.digest, again.digest)
+        self.assertNotEqual(first.digest, other.digest)
 
 
 class OperatorTest(platform_system.HostedTest):
--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -10,7 +10,6 @@
 from mintcleat.domain import keys
 from mintcleat.domain import manifest
 from mintcleat.domain import manifest_errors
-from mintcleat.platform import configuration
 from mintcleat.platform import json_text
 from mintcleat.platform import names
 from mintcleat.platform import translation
@@ -30,7 +29,9 @@
     def service(self, **changes: Any) -> manifest.Service:
         fields = platform_system.configuration()
         fields["services"][1]["engine"] = {**ENGINE, **changes}
-        parsed = configuration.parse(json.dumps(fields).encode())
+        parsed = platform_system.valid_configuration(
+            json.dumps(fields).encode()
+        )
         text = translation.to_manifest(parsed, {})
         return manifest.parse(text).services["lm"]
 
@@ -67,7 +68,9 @@
 
 class TranslationTest(testtools.TestCase):
     def manifest(self, fields: dict[str, Any]) -> manifest.Manifest:
-        parsed = configuration.parse(json.dumps(fields).encode())
+        parsed = platform_system.valid_configuration(
+            json.dumps(fields).encode()
+        )
         return manifest.parse(translation.to_manifest(parsed, {}))
 
     def test_hosts_are_looked_up_in_lower_case(self) -> None:
@@ -175,7 +178,7 @@
     def detail(self, fields: dict[str, Any]) -> str:
         error = self.assertRaises(
             errors.InvalidManifest,
-            configuration.parse,
+            platform_system.valid_configuration,
             json.dumps(fields).encode(),
         )
         return error.detail
