--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -228,10 +228,14 @@
     for group, kind in _LISTS.items():
         items = fields.get(group)
         for index, item in enumerate(items if isinstance(items, list) else ()):
+            path = f"$.{group}[{index}]"
             try:
-                msgspec.convert(item, kind)
+                built = msgspec.convert(item, kind)
+                if isinstance(built, Service):
+                    path += ".engine"
+                    built.engine_fields()
             except msgspec.ValidationError as found:
-                return f"$.{group}[{index}]: {found}."
+                return f"{path}: {found}."
     return f"$: {error}."
 
 
--- a/src/mintcleat/platform/json_text.py
+++ b/src/mintcleat/platform/json_text.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import decimal
 import json
 import math
 import re
@@ -14,6 +15,7 @@
 # Far below the limit on recursion, far above what any configuration needs.
 MAX_DEPTH = 100
 _EXACT_FLOAT = 2.0**53
+_MAX_EXACT_CHARS = 400
 _STRUCTURE = b'[]{}"'
 _OTHER_BYTES = bytes(set(range(256)) - set(_STRUCTURE))
 _STRING = re.compile(rb'"[^"]*"')
@@ -41,6 +43,7 @@
         value = json.loads(
             text,
             object_pairs_hook=_object,
+            parse_int=_integer,
             parse_float=_number,
             parse_constant=_refuse_constant,
         )
@@ -81,18 +84,30 @@
     return fields
 
 
-def _number(text: str) -> int | float:
+def _integer(text: str) -> int:
+    _finite(text)
+    return int(text)
+
+
+def _finite(text: str) -> float:
     value = float(text)
     if not math.isfinite(value):
         raise InvalidJson(
             f"must have finite numbers only, but has {reprlib.repr(text)}"
         )
-    # Beyond that, the float may be another integer than the one written.
-    if value.is_integer() and abs(value) <= _EXACT_FLOAT:
-        return int(value)
     return value
 
 
+def _number(text: str) -> int | float:
+    value = _finite(text)
+    if not value.is_integer():
+        return value
+    # Above 2**53, the float may be another integer than the one written.
+    if abs(value) <= _EXACT_FLOAT or len(text) > _MAX_EXACT_CHARS:
+        return int(value)
+    return int(decimal.Decimal(text))
+
+
 def _refuse_constant(text: str) -> None:
     raise InvalidJson(f"must have finite numbers only, but has {text}")
 
--- a/testing/configurations.py
+++ b/testing/configurations.py
@@ -7,6 +7,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import copy
 import json
 import random
 from typing import Any
@@ -30,12 +32,6 @@
     "",
 )
 _KINDS = ("safe", "unsafe", "stream")
-_LIMITS = (
-    "maxHeaderBytes",
-    "maxBodyBytes",
-    "headerTimeoutMs",
-    "idleTimeoutMs",
-)
 # Deeper than any parser must follow.
 _DEPTH = 20_000
 
@@ -64,10 +60,10 @@
     """Returns whether a configuration must be accepted."""
     try:
         fields = _read(body)
-        services = set()
+        services = _distinct_names(_items(fields, "services"))
         for service in _items(fields, "services"):
-            services.add(_text(service["name"]))
-            _optional_number(service, "maxConnections")
+            _optional_count(service, "maxConnections")
+            _check_engine(service.get("engine"))
         places = set()
         for route in _items(fields, "routes"):
             _check_fields(route)
@@ -75,7 +71,8 @@
             if place in places or route["timeoutMs"] == 0:
                 return False
             places.add(place)
-            shares = _items(route, "split") if route.get("split") else []
+            split = route.get("split")
+            shares = [] if split is None else _objects(split)
             named = {_text(share["service"]) for share in shares}
             if route.get("service") is not None:
                 named.add(_text(route["service"]))
@@ -93,6 +90,7 @@
         body.decode(),
         object_pairs_hook=_without_repetition,
         parse_constant=_refuse,
+        parse_int=lambda text: int(text) if _finite(text) else 0,
         parse_float=_finite,
     )
     if not isinstance(fields, dict):
@@ -104,7 +102,9 @@
     limits = fields.get("limits")
     if not isinstance(limits, dict | None):
         raise Unreadable
-    for name in _LIMITS:
+    for name in ("maxHeaderBytes", "maxBodyBytes"):
+        _optional_count(limits or {}, name)
+    for name in ("headerTimeoutMs", "idleTimeoutMs"):
         _optional_number(limits or {}, name)
     return fields
 
@@ -126,7 +126,10 @@
 
 
 def _items(fields: Fields, name: str) -> list[Fields]:
-    found = fields[name]
+    return _objects(fields[name])
+
+
+def _objects(found: Any) -> list[Fields]:
     if not isinstance(found, list):
         raise Unreadable
     if not all(isinstance(item, dict) for item in found):
@@ -134,6 +137,13 @@
     return found
 
 
+def _distinct_names(items: list[Fields]) -> set[str]:
+    found = {_text(item["name"]) for item in items}
+    if len(found) < len(items):
+        raise Unreadable
+    return found
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise Unreadable
@@ -154,6 +164,12 @@
         _number(fields[name])
 
 
+def _optional_count(fields: Fields, name: str) -> None:
+    _optional_number(fields, name)
+    if fields.get(name) is not None and fields[name] != int(fields[name]):
+        raise Unreadable
+
+
 def _check_fields(route: Fields) -> None:
     prefix = _text(route["pathPrefix"])
     if not (prefix.startswith("/") and prefix.endswith("/")):
@@ -164,20 +180,38 @@
     for name in ("targetLatencyMs", "targetGapMs", "retentionS"):
         _optional_number(route, name)
     for name in ("priority", "attempts"):
-        value = route.get(name)
-        if value is not None and _number(value) != int(value):
-            raise Unreadable
+        _optional_count(route, name)
     for name in ("sticky", "resumable", "retainContext", "public"):
         if not isinstance(route.get(name), bool | None):
             raise Unreadable
 
 
+def _check_engine(engine: Any) -> None:
+    if not isinstance(engine, dict | None):
+        raise Unreadable
+    for name in ("stride", "kvCapacityTokens"):
+        _optional_count(engine or {}, name)
+    for name in ("moves", "backups"):
+        if not isinstance((engine or {}).get(name), bool | None):
+            raise Unreadable
+    models = (engine or {}).get("models")
+    for model in [] if models is None else _objects(models):
+        if not isinstance(model.get("name"), str | None):
+            raise Unreadable
+
+
 def _shares_a_key(fields: Fields) -> bool:
     holders: dict[str, int] = {}
-    tenants = _items(fields, "tenants") if fields.get("tenants") else []
-    for number, tenant in enumerate(tenants):
-        _text(tenant["name"])
-        for key in tenant.get("apiKeys") or []:
+    tenants = [] if fields.get("tenants") is None else fields["tenants"]
+    _distinct_names(_objects(tenants))
+    for number, tenant in enumerate(_objects(tenants)):
+        for name in ("ratePerS", "burst"):
+            _optional_number(tenant, name)
+        _optional_count(tenant, "priority")
+        own = tenant.get("apiKeys")
+        if not isinstance(own, list | None):
+            raise Unreadable
+        for key in own or ():
             if holders.setdefault(_text(key), number) != number:
                 return True
     return False
@@ -606,3 +640,53 @@
         damage(generator, copied, spelling)
         body = write(generator, copied).encode()
     return Case(body, reason, spelling)
+
+
+# --- Configurations with values of any kind ---
+
+_STRANGE: tuple[Any, ...] = (
+    None,
+    True,
+    False,
+    0,
+    -1,
+    1,
+    2.5,
+    1e-320,
+    1e300,
+    10**400,
+    2**63,
+    2**64,
+    "",
+    "\0",
+    "text",
+    "x" * 5000,
+    [],
+    [[]],
+    {},
+    {"name": "a"},
+)
+
+
+def strange_case(generator: random.Random, version: int) -> Case:
+    """Returns a configuration in which a few values were replaced at random.
+
+    It is valid or not; the reason is not known.
+    """
+    fields = json.loads(json.dumps(valid(generator, version)))
+    for _ in range(generator.randint(1, 3)):
+        holder, name = generator.choice(list(_places(fields)))
+        holder[name] = copy.deepcopy(generator.choice(_STRANGE))
+    return Case(spell(generator, fields).encode(), "strange")
+
+
+def _places(value: Any) -> Iterator[tuple[Any, Any]]:
+    """Yields all values within a value, as their containers and keys."""
+    names: Any = ()
+    if isinstance(value, dict):
+        names = value
+    elif isinstance(value, list):
+        names = range(len(value))
+    for name in names:
+        yield value, name
+        yield from _places(value[name])
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bench import hosted_processes
+from testing import configurations
 from testing.soak import checks as checks_module
 from testing.soak import client
 
@@ -157,15 +158,21 @@
                 await self.push_invalid()
 
     async def push_invalid(self) -> None:
-        """Pushes an invalid configuration: a route lacks a field."""
-        fields = configuration(self.version + 1000)
-        del fields["routes"][0]["service"]
-        body = json.dumps(fields).encode()
+        """Pushes a configuration that is invalid for one random reason."""
+        case = configurations.invalid_case(
+            self.generator,
+            configuration(self.version + 1000),
+            *self.generator.choice(configurations.SPELLINGS),
+        )
         control = self.generator.choice(self.controls)
         began = time.monotonic()
-        answer = await control.ask("POST", "/v1/Configuration.Put", {}, body)
+        answer = await control.ask(
+            "POST", "/v1/Configuration.Put", {}, case.body
+        )
         if answer.status == 200:
-            self.checks.accepted_invalid(began, "a configuration")
+            self.checks.accepted_invalid(
+                began, f"a configuration: {case.reason}, {case.spelling}"
+            )
 
     async def read_forever(self) -> None:
         """Reads the configuration at one control after the other."""
--- a/testing/test_configurations.py
+++ b/testing/test_configurations.py
@@ -22,6 +22,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 SEEDS = 8
 VALID_CASES = 40
+STRANGE_CASES = 2000
 START_SECONDS = 30.0
 PUT = "/v1/Configuration.Put"
 
@@ -97,6 +98,13 @@
                 self.assertTrue(is_taken(case.body), description(case))
 
 
+    def test_values_of_any_kind_are_decided_as_the_oracle_does(self) -> None:
+        for seed in range(STRANGE_CASES):
+            case = configurations.strange_case(random.Random(seed), seed + 1)
+            valid = configurations.is_valid(case.body)
+            self.assertEqual(valid, is_taken(case.body), description(case))
+
+
 class ControlTest(platform_system.HostedTest):
     def get(self) -> platform_system.Answer:
         return self.system.ask_control("GET", "/v1/Configuration.Get")
@@ -169,3 +177,13 @@
             ip = self.ips[number % len(self.ips)]
             status = self.ask(ip, "POST", PUT, case.body).status
             self.assertIn(status, range(400, 500), description(case))
+
+    def test_every_instance_takes_valid_ones_and_reads_them_back(self) -> None:
+        self.await_leader()
+        for number, case in enumerate(valid_cases(3, 10)):
+            ip = self.ips[number % len(self.ips)]
+            other = self.ips[(number + 1) % len(self.ips)]
+            status = self.ask(ip, "POST", PUT, case.body).status
+            self.assertEqual(200, status, description(case))
+            answer = self.ask(other, "GET", "/v1/Configuration.Get")
+            self.assertEqual(case.body, answer.body)
--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -166,6 +166,7 @@
             (b"7.0", 7),
             (b"70e-1", 7),
             (b"18446744073709551615", 2**64 - 1),
+            (b"18446744073709551615.0", 2**64 - 1),
         ):
             found = json_text.decode(text)
             self.assertEqual((value, int), (found, type(found)))
@@ -190,6 +191,11 @@
         self.assertIn("$.routes[2]", detail)
         self.assertIn("timeoutMs", detail)
 
+    def test_error_has_the_service_of_the_engine(self) -> None:
+        fields = platform_system.configuration()
+        fields["services"][1]["engine"]["stride"] = "3"
+        self.assertIn("$.services[1].engine", self.detail(fields))
+
     def test_error_of_a_shared_key_does_not_show_it(self) -> None:
         fields = platform_system.configuration()
         fields["tenants"] = [
