--- a/src/mintcleat/consensus/entries.py
+++ b/src/mintcleat/consensus/entries.py
@@ -66,6 +66,23 @@
         del self.entries[: index - self.base_index]
         self.base_index, self.base_term = index, term
 
+    def first_within(self, last: int, count: int, size: int) -> int:
+        """Returns the first of the newest entries that are within limits.
+
+        Args:
+            last: Index of the newest of them.
+            count: Maximum number of entries.
+            size: Maximum bytes of their data together.
+        """
+        total = 0
+        first = last + 1
+        for entry in reversed(self.between(self.base_index + 1, last)):
+            total += len(entry.data)
+            if total > size or last + 1 - first >= count:
+                break
+            first = entry.index
+        return first
+
     def reset(self, index: int, term: int) -> None:
         """Removes all entries; an installed snapshot sets the new base."""
         self.entries.clear()
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -210,9 +210,11 @@
             index, term, replica.configuration_at(index)
         )
 
-    def compact(self, snapshot: types.SnapshotMetadata, keep: int) -> None:
+    def compact(
+        self, snapshot: types.SnapshotMetadata, keep: int, keep_bytes: int
+    ) -> None:
         """Removes entries that a snapshot covers; see `State.compact`."""
-        self.state.compact(snapshot, keep)
+        self.state.compact(snapshot, keep, keep_bytes)
 
     def checkpoint_records(self) -> list[bytes]:
         """Returns records that restore the whole state of this group.
--- a/src/mintcleat/consensus/state.py
+++ b/src/mintcleat/consensus/state.py
@@ -227,16 +227,22 @@
         self.configurations = [(snapshot.index, snapshot.configuration), *kept]
         self._record_snapshot(snapshot)
 
-    def compact(self, snapshot: types.SnapshotMetadata, keep: int) -> None:
+    def compact(
+        self, snapshot: types.SnapshotMetadata, keep: int, keep_bytes: int
+    ) -> None:
         """Removes entries that a stored snapshot covers.
 
+        The newest of them are retained, so that a follower that is only a
+        little behind needs no snapshot.
+
         Args:
             snapshot: Metadata of the snapshot.
-            keep: Newest covered entries to retain, so that a follower that
-                is only a little behind needs no snapshot.
+            keep: Maximum number of covered entries to retain.
+            keep_bytes: Maximum bytes of their data.
         """
         self._record_snapshot(snapshot)
-        self.log.compact(snapshot.index - keep)
+        first = self.log.first_within(snapshot.index, keep, keep_bytes)
+        self.log.compact(first - 1)
         base = self.log.base_index
         while (
             len(self.configurations) > 1 and self.configurations[1][0] <= base
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -23,6 +23,7 @@
 from mintcleat.roles.control.configuration import service as config_service
 from mintcleat.roles.control.programs import service as program_service
 from mintcleat.roles.control.replication import replication
+from mintcleat.roles.control.replication import snapshots
 
 _LEADERSHIP_TRANSFER_SECONDS = 2.0
 
@@ -34,8 +35,17 @@
         self,
         common: common_module.SharedComponents,
         events: event_ports.EventReporter = event_ports.NULL_EVENT_REPORTER,
+        memory_bytes: int = 0,
     ) -> None:
+        """Creates the services.
+
+        Args:
+            common: Components that all roles share.
+            events: Receives the events.
+            memory_bytes: Memory that the process may use; 0 if unknown.
+        """
         self.common = common
+        self.memory_bytes = memory_bytes
         settings = common.settings
         self.folder = pathlib.Path(settings.control_role.data)
         wal_disk.make_folder(wal_disk.SystemDisk(), self.folder)
@@ -188,7 +198,8 @@
                 replace_after=times.replace_after,
                 balance_after=times.balance_after,
                 founder=role.founder,
-            )
+            ),
+            snapshots=snapshots.limits_for(self.memory_bytes),
         )
 
     def _members(self) -> list[replication.Member]:
--- a/src/mintcleat/main/hosted_control.py
+++ b/src/mintcleat/main/hosted_control.py
@@ -28,7 +28,9 @@
         events: event_ports.EventReporter,
     ) -> None:
         self.common = common
-        self.wrapped = control_role.ControlRole(common, events)
+        self.wrapped = control_role.ControlRole(
+            common, events, machine.memory_bytes
+        )
         self.events = events
         self.leaders: dict[str, replication_status.GroupLeader] = {}
         api = control_api.ControlApi(
--- a/src/mintcleat/roles/control/replication/snapshots.py
+++ b/src/mintcleat/roles/control/replication/snapshots.py
@@ -30,11 +30,40 @@
             size of the last snapshot counts instead if it is larger, so that
             snapshots are a bounded share of all writes.
         kept: Entries kept in the log behind a snapshot, for slow followers.
+        kept_bytes: Size of these entries at most. The size of the snapshot
+            counts instead if it is larger, since a follower that lacks the
+            entries is sent that.
+        most_kept_bytes: Size of these entries at most, whatever the size of
+            the snapshot.
     """
 
     entries: int = 10_000
     bytes: int = 8 * 1024 * 1024
     kept: int = 1_000
+    kept_bytes: int = 4 * 1024 * 1024
+    most_kept_bytes: int = 32 * 1024 * 1024
+
+
+# Shares of a process's memory for the entries of one group: those that a
+# snapshot doesn't cover yet, and those kept behind it. The rest is for the
+# state, its encoded snapshots and other groups.
+_UNCOVERED_FRACTION = 1 / 40
+_KEPT_FRACTION = 1 / 40
+_MOST_KEPT_FRACTION = 1 / 20
+
+
+def limits_for(memory_bytes: int) -> Limits:
+    """Returns the limits for a process with this memory; 0 if unknown."""
+    usual = Limits()
+    if not memory_bytes:
+        return usual
+    return usual._replace(
+        bytes=min(usual.bytes, int(memory_bytes * _UNCOVERED_FRACTION)),
+        kept_bytes=min(usual.kept_bytes, int(memory_bytes * _KEPT_FRACTION)),
+        most_kept_bytes=min(
+            usual.most_kept_bytes, int(memory_bytes * _MOST_KEPT_FRACTION)
+        ),
+    )
 
 
 class Growth:
@@ -208,4 +237,9 @@
     ) -> None:
         # A newer snapshot from the leader may have been installed meanwhile.
         if metadata.index > replica.state.snapshot.index:
-            replica.compact(metadata, self.limits.kept)
+            limits = self.limits
+            size = self.growth[replica.state.group].snapshot_size
+            kept_bytes = min(
+                max(limits.kept_bytes, size), limits.most_kept_bytes
+            )
+            replica.compact(metadata, limits.kept, kept_bytes)
--- a/testing/fakes/core_cluster.py
+++ b/testing/fakes/core_cluster.py
@@ -29,6 +29,7 @@
 SNAPSHOT_ENTRIES = 12
 # Entries that compaction keeps below a snapshot.
 KEPT_ENTRIES = 4
+KEPT_BYTES = 1 << 20
 
 
 class Fault(AssertionError):
@@ -154,7 +155,7 @@
             snapshot = replica.snapshot_metadata()
             data = b",".join(self.machines[group])
             self.snapshots[group, snapshot.index] = data
-            replica.compact(snapshot, KEPT_ENTRIES)
+            replica.compact(snapshot, KEPT_ENTRIES, KEPT_BYTES)
 
     def _send(self, outgoing: list[outbox.OutgoingMessage]) -> None:
         for item in outgoing:
--- a/testing/test_replication.py
+++ b/testing/test_replication.py
@@ -144,6 +144,15 @@
         self.assertGreater(snapshot.index, 1000)
         self.assertLess(log.wal.size(), 4 * 1024 * 1024)
 
+    def test_large_entries_behind_a_snapshot_do_not_fill_the_memory(
+        self,
+    ) -> None:
+        # Counted and not weighed, a thousand entries of a megabyte were kept.
+        log = self.started()
+        for _ in range(24):
+            log.propose("g", bytes(1024 * 1024), 5.0)
+        self.assertLess(log.resource_usage()["entry_bytes"], 14 * 1024 * 1024)
+
     def test_concurrent_callers_get_their_own_results(self) -> None:
         log = self.started()
         pool = eventlet.GreenPool()
