A refusal whose body never ends is a refusal

Callers saw: an upstream that refuses a request (X-Not-Executed) with a body without end held it until its time-out, and an unsafe request then got 504, may have run, although the head had said that it did not. Cause: the body was read to its end to keep the connection. At most 64 KiB and 0.1 s are spent on it now.

--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib import parse
 
+import eventlet
 import msgspec
 
 from mintcleat.adapters import http1_client
@@ -35,6 +36,9 @@
 # Handles are sent on in a header.
 _HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
 _SUCCESS = range(200, 300)
+# Bounds of the body of a refusal that is read.
+_MAX_REFUSAL_BYTES = 64 * 1024
+_REFUSAL_SECONDS = 0.1
 
 
 class HttpUpstreamClient:
@@ -245,9 +249,7 @@
                 "upstream has this address now."
             )
         if _NOT_EXECUTED in self.fields:
-            with contextlib.suppress(errors.StreamClosed):
-                for _ in self.chunks():
-                    pass
+            self._skip_refusal()
             raise errors.UpstreamBusy(
                 f"Upstream {self.upstream.upstream} refused the request with "
                 f"status {status} and {_NOT_EXECUTED}."
@@ -265,6 +267,23 @@
             )
 
 
+    def _skip_refusal(self) -> None:
+        """Reads the body of a refusal, after which its connection is reusable.
+
+        The head has said that the request did not run. A body without end must
+        not keep it from another upstream.
+        """
+        size = 0
+        with (
+            contextlib.suppress(errors.StreamClosed),
+            eventlet.Timeout(_REFUSAL_SECONDS, False),
+        ):
+            for data in self.chunks():
+                size += len(data)
+                if size > _MAX_REFUSAL_BYTES:
+                    return
+
+
 def _identified(
     connection: http1_client.Connection,
     upstream: member_messages.Registration,
