A stream is broken off where it exceeds its request, or what a turn may keep

Callers saw: an upstream that sends events without end on a route of turns filled the entry: 375 MB within a second in test_endless_answers, as the record of the turn keeps the data of each event. Its caller also got more tokens than the turn had reserved of its program's budget.

Cause: nothing compared the stream with the maximum that its request allows, and nothing bounded the record. An event after that maximum, or beyond 4 MiB of a turn's events, now counts as invalid: the events before are forwarded, the answer is broken off and the turn isn't recorded.

--- a/src/mintcleat/domain/server_sent_events.py
+++ b/src/mintcleat/domain/server_sent_events.py
@@ -31,7 +31,7 @@
 
 
 class InvalidEvent(Exception):
-    """An event that exceeds `MAX_EVENT_BYTES`."""
+    """An event that is too long, or is more than its stream may have."""
 
 
 class EventBuffer:
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -266,7 +266,6 @@
                 f"{status} has no header {_SIGNATURE}."
             )
 
-
     def _skip_refusal(self) -> None:
         """Reads the body of a refusal, after which its connection is reusable.
 
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -20,6 +20,9 @@
 # upstream can replace it if it breaks off. Larger ones are sent as they arrive,
 # which bounds what is held for a caller that reads slowly.
 MAX_COLLECTED_BYTES = 1024 * 1024
+# Maximum size of the events that are kept for the record of a turn. A later
+# turn repeats them in its body.
+MAX_TURN_BYTES = 4 * 1024 * 1024
 
 
 class ResponseRelay:
@@ -54,6 +57,7 @@
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
         output: Data of the events, for the turn's record.
+        output_bytes: Their size.
         versions: Versions of the software that made the forwarded events, in
             order.
         origin: Software that began the stream; None before its first event.
@@ -98,6 +102,7 @@
         self.attempt_events = 0
         self.has_attempt_event = False
         self.output: list[bytes] = []
+        self.output_bytes = 0
         self.versions: list[str] = []
         self.origin: stream_origins.KnownOrigin | None = None
         self.on_begun: Callable[[stream_origins.StreamOrigin], None] | None = (
@@ -292,27 +297,63 @@
         events: list[server_sent_events.Event],
         reply: forwarding.CallerResponse,
     ) -> None:
-        """Forwards events that arrived together, by one write."""
+        """Forwards events that arrived together, by one write.
+
+        Raises:
+            server_sent_events.InvalidEvent: The stream is longer than it may
+                be; the events before that are forwarded.
+        """
         if not events:
             return
         now = self.timers.now()
+        forwarded = []
+        excess = ""
         for event in events:
-            if event.is_empty:
-                continue
-            if self.last_event_at:
-                self.max_gap = max(self.max_gap, now - self.last_event_at)
-            if self.has_attempt_event:
-                pause = now - self.last_active_at
-                self.loads.observe(self.incarnation, pause)
-            else:
-                self._record_first_event(now)
-            self.last_event_at = now
-            self.attempt_events += 1
-            self.tokens += self.service.tokens_per_event
-            self.last_event_id = event.id or self.last_event_id
-            if self.route.retention:
-                self.output.append(event.data)
-        reply.write(b"".join([event.raw for event in events]))
+            if not event.is_empty:
+                excess = self._excess(event)
+                if excess:
+                    break
+                self._record_event(event, now)
+            forwarded.append(event.raw)
+        if forwarded:
+            reply.write(b"".join(forwarded))
+        if excess:
+            raise server_sent_events.InvalidEvent(excess)
+
+    def _excess(self, event: server_sent_events.Event) -> str:
+        """Returns why a stream may not have another event; empty if it may.
+
+        One that goes on beyond what its request allows would exceed the
+        program's budget, and fill the memory with the record of its turn.
+        """
+        if 0 < self.max_tokens <= self.tokens:
+            return (
+                f"Expected at most {self.max_tokens} tokens, but found an "
+                f"event after {self.tokens}."
+            )
+        size = self.output_bytes + len(event.data)
+        if self.route.retention and size > MAX_TURN_BYTES:
+            return f"The events of the turn exceed {MAX_TURN_BYTES} bytes."
+        return ""
+
+    def _record_event(
+        self, event: server_sent_events.Event, now: float
+    ) -> None:
+        """Counts an event that is forwarded."""
+        if self.last_event_at:
+            self.max_gap = max(self.max_gap, now - self.last_event_at)
+        if self.has_attempt_event:
+            pause = now - self.last_active_at
+            self.loads.observe(self.incarnation, pause)
+        else:
+            self._record_first_event(now)
+        self.last_event_at = now
+        self.attempt_events += 1
+        self.tokens += self.service.tokens_per_event
+        self.last_event_id = event.id or self.last_event_id
+        if self.route.retention:
+            self.output.append(event.data)
+            self.output_bytes += len(event.data)
 
     def _record_first_event(self, now: float) -> None:
         """Records the first event of an attempt.
