Replies of upstreams that can't be read are no errors of this process

Callers saw: a report or a reply on a copy that is JSON of 50,000 nested lists, a Content-Length of 5,000 zeros, or a Keep-Alive time-out that is a digit of another script (superscript two) ended the request, or the move, with an unexpected error (500) in place of an attempt elsewhere. Cause: RecursionError and ValueError of the conversions were not among the caught errors. The length in ResponseHead, converted once more, was used by nobody and is gone.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -357,7 +357,8 @@
     """Returns the idle timeout of a Keep-Alive header in seconds; 0 if none."""
     for item in value.split(","):
         name, _, number = item.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        is_number = number.isascii() and number.isdigit()
+        if name.lower() == "timeout" and is_number:
             return float(number)
     return 0.0
 
--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -15,6 +15,9 @@
 END = b"\r\n\r\n"
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
 _START = b"HTTP/1."
+# A length of more digits exceeds 64 bits, or is padded; from some thousand on,
+# converting it fails.
+_MAX_LENGTH_DIGITS = 20
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
 
@@ -286,4 +289,6 @@
         return default
     if not (length.isascii() and length.isdigit()):
         raise ProtocolError("Invalid Content-Length.")
+    if len(length) > _MAX_LENGTH_DIGITS:
+        raise ProtocolError("The Content-Length has too many digits.")
     return http1_framing.FixedBody(int(length))
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -100,14 +100,12 @@
     """Status line and headers of an upstream's answer, forwarded unchanged.
 
     Attributes:
-        length: Length of the body in bytes; None if unknown.
         events: Whether the body is a stream of server-sent events.
     """
 
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
-    length: int | None
     events: bool
 
 
--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -153,7 +153,7 @@
     """Returns the fields of a JSON object; none if it isn't one."""
     try:
         fields = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeError):
+    except (msgspec.DecodeError, UnicodeError, RecursionError):
         return {}
     return fields if isinstance(fields, dict) else {}
 
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -180,7 +180,6 @@
         status = response.status
         self._validate(status)
         content_type = self.fields.get("content-type", "").lower()
-        length = self.fields.get("content-length", "")
         self.head = routed_calls.ResponseHead(
             status,
             response.reason,
@@ -189,7 +188,6 @@
                 for field in response.fields
                 if field[0] not in callers.HOP_BY_HOP_FIELDS
             ),
-            int(length) if length.isdigit() else None,
             status in _SUCCESS and content_type.startswith("text/event-stream"),
         )
 
--- a/testing/fakes/endless_answers.py
+++ b/testing/fakes/endless_answers.py
@@ -1,6 +1,7 @@
 """Answers of stand-in engines whose bytes never end."""
 
 import time
+from typing import Any
 from typing import NamedTuple
 
 import eventlet
@@ -23,7 +24,7 @@
     Attributes:
         begin: Bytes before those that are repeated; `HEAD` stands for a head
             that answers the request.
-        repeated: Bytes that are repeated.
+        repeated: Bytes that are repeated; none to wait for the close.
     """
 
     begin: bytes
@@ -125,3 +126,54 @@
         except OSError:
             sent.closed = time.monotonic()
         return False
+
+
+class EndlessServer:
+    """Sends the same bytes to whoever sends it anything.
+
+    Attributes:
+        endless: What it sends.
+        open: Number of connections that have not been closed.
+        requests: Number of connections on which something was received.
+    """
+
+    def __init__(self, endless: Endless, pause: float = 0.0) -> None:
+        self.endless = endless
+        self.pause = pause
+        self.open = 0
+        self.requests = 0
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        host, port = self.listener.getsockname()
+        self.address = f"{host}:{port}"
+        self.thread = eventlet.spawn(self._accept)
+
+    def stop(self) -> None:
+        self.thread.kill()
+        self.listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            self.open += 1
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock: Any) -> None:
+        block = self.endless.repeated
+        if block and not self.pause:
+            block *= -(-_WRITE_BYTES // len(block))
+        try:
+            if sock.recv(_WRITE_BYTES):
+                self.requests += 1
+                begin = self.endless.begin.replace(HEAD, STATUS_LINE)
+                sock.sendall(begin)
+            while True:
+                if block:
+                    sock.sendall(block)
+                elif not sock.recv(_WRITE_BYTES):
+                    return
+                eventlet.sleep(self.pause)
+        except OSError:
+            pass
+        finally:
+            self.open -= 1
+            sock.close()
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -155,7 +155,7 @@
 
 
 class Answer:
-    head = routed_calls.ResponseHead(200, "OK", (), 4, False)
+    head = routed_calls.ResponseHead(200, "OK", (), False)
     framing = answer_ends.Framing.LENGTH
     end = answer_ends.AnswerEnd(framing, answer_ends.Kind.MARKED, 4)
 
--- a/testing/test_endless_answers.py
+++ b/testing/test_endless_answers.py
@@ -293,6 +293,17 @@
             self.assertEqual((200, b"abc"), (found.status, found.body))
             self.assertLess(found.seconds, SOON_SECONDS)
 
+    def test_length_that_chunks_override_is_not_read(self) -> None:
+        chunks = endless_answers.Endless(
+            endless_answers.HEAD
+            + b"Transfer-Encoding: chunked\r\nContent-Length: "
+            + b"0" * 5000
+            + b"\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            b"a",
+        )
+        found = self.send(chunks, "unsafe", 1)
+        self.assertEqual((200, b"abc"), (found.status, found.body))
+
     def test_refusal_with_a_body_without_end_is_a_refusal(self) -> None:
         refusal = endless_answers.Endless(
             b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n", b"a"
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -12,7 +12,7 @@
 from mintcleat.domain import routed_calls
 from mintcleat.roles.entry import response_relay
 
-HEAD = routed_calls.ResponseHead(200, "OK", (), None, True)
+HEAD = routed_calls.ResponseHead(200, "OK", (), True)
 CHUNKED = answer_ends.AnswerEnd(
     answer_ends.Framing.CHUNKS, answer_ends.Kind.MARKED
 )
--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -55,7 +55,7 @@
     },
     services={"lm": manifest.Service("model", model="m", tokens_per_event=3)},
 )
-HEAD = routed_calls.ResponseHead(200, "OK", (), None, True)
+HEAD = routed_calls.ResponseHead(200, "OK", (), True)
 CHUNKS = answer_ends.Framing.CHUNKS
 
 
