--- a/src/mintcleat/domain/server_sent_events.py
+++ b/src/mintcleat/domain/server_sent_events.py
@@ -10,6 +10,7 @@
 # CR LF or CR, also mixed. A CR at the end of what has arrived ends the empty
 # line already: if its LF follows, it comes before the next event.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
+_MAX_EVENT_END_BYTES = 4
 _LINE_ENDS = (b"\n", b"\r")
 
 
@@ -67,17 +68,20 @@
             InvalidEvent: An event exceeds `MAX_EVENT_BYTES`.
         """
         received = self.rest + data if self.rest else data
+        # The rest has no end of an event, but may have the first bytes of one.
+        # Searching all of it again would take time with the square of its size.
+        position = max(0, len(self.rest) - _MAX_EVENT_END_BYTES + 1)
         complete = []
         start = 0
         # Streams without a CR, which are the rule, need no pattern.
         if b"\r" in received:
-            for match in _EVENT_END.finditer(received):
+            for match in _EVENT_END.finditer(received, position):
                 complete.append(received[start : match.end()])
                 start = match.end()
         else:
-            while (end := received.find(b"\n\n", start)) >= 0:
+            while (end := received.find(b"\n\n", position)) >= 0:
                 complete.append(received[start : end + 2])
-                start = end + 2
+                start = position = end + 2
         self.rest = received[start:]
         if len(self.rest) > MAX_EVENT_BYTES:
             raise InvalidEvent(
--- a/testing/test_server_sent_events.py
+++ b/testing/test_server_sent_events.py
@@ -1,6 +1,7 @@
 """Tests the parser of server-sent events."""
 
 import itertools
+import time
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -48,6 +49,15 @@
         buffer.feed(b"x" * server_sent_events.MAX_EVENT_BYTES)
         self.assertRaises(server_sent_events.InvalidEvent, buffer.feed, b"x")
 
+    def test_long_event_in_small_blocks_takes_little_time(self) -> None:
+        for line in (b"data: a\r", b"data: a\r\n", b"data: a\n"):
+            buffer = server_sent_events.EventBuffer()
+            block = line * 128
+            began = time.process_time()
+            for _ in range(server_sent_events.MAX_EVENT_BYTES // len(block)):
+                self.assertEqual([], buffer.feed(block))
+            self.assertLess(time.process_time() - began, 2.0)
+
     def test_each_line_end_ends_lines_and_events(self) -> None:
         for line_end in LINE_ENDS:
             stream = b"id: 1\ndata: a\n\ndata: b\n\n".replace(b"\n", line_end)
