--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -229,9 +229,8 @@
                 route("a", "safe", host="host.example", pathPrefix="/a~/"),
                 route("b", "safe", host=host, pathPrefix=prefix),
             )
+            read = configuration.read(json.dumps(fields).encode())
             error = self.assertRaises(
-                errors.InvalidManifest,
-                configuration.parse,
-                json.dumps(fields).encode(),
+                errors.InvalidManifest, configuration.check, read
             )
             self.assertIn("same host and prefix", error.detail)
