Soak: each kind of change has a check that it is in force in time

The versions of the soak had one route of their own and a new key each, so that a run could not show a moved route, a split, weights, a longer prefix, a time-out, a limit, a service or a name at another place that came late.

Versions now differ in all of these, follow from their number, have uneven numbers on the wire, come as near as 0.05 s, and in a fifth of the pushes two at once from two operators. Callers probe them at every entry, on new and on kept connections. Checks, each with unit tests: `late` (an entry acts on an older version than one acknowledged 2 s before), `regress` (a process acts on an older version 0.25 s after it showed the effect of a later one), `unknown_change` (no version pushed until then allows it), `added_route` (routes that must be there are served less than a quarter of the time without faults) and `weights` (counts beyond a bound with a false alarm in 10**9). They allow for every version that fits the observations.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from bench import hosted_processes
+from testing.soak import changes
 from testing.soak import checks as checks_module
 from testing.soak import client
 from testing.soak import operators
@@ -49,6 +50,8 @@
 # the body they do: after one event to a dozen.
 _LOSING_PART = 0.4
 _LOSING_BYTES = (1, 400)
+# Pause between requests that keep an upstream busy for seconds.
+_LATE_PAUSE_SECONDS = 1.0
 # Token budgets of programs; the small one ends within a few turns.
 _BUDGETS = (40, 10_000)
 
@@ -93,11 +96,16 @@
 
 
 class Result(NamedTuple):
-    """A request's id, the end that its caller saw, and its response."""
+    """A request's id, the end that its caller saw, and its response.
+
+    Attributes:
+        life: Process of the entry that handled it; empty if that isn't sure.
+    """
 
     request: str
     end: checks_module.End
     outcome: client.Outcome
+    life: str = ""
 
     @property
     def served(self) -> bool:
@@ -198,6 +206,7 @@
         if kept is not None:
             address = kept.address
             entry = self.balancer.entry_at(address)
+        process = entry.process
         timeout = sending.timeout
         if self.leave and self.generator.random() < _LEAVING_PART:
             timeout = self.generator.uniform(*_LEAVING_SECONDS)
@@ -234,7 +243,9 @@
             outcome = outcome._replace(sent=False)
         end = _end_of(name, sending, outcome)
         self.checks.ended(name, end)
-        return Result(name, end, outcome)
+        is_same = process is not None and entry.process is process
+        life = f"{entry.name} {process.pid}" if is_same else ""
+        return Result(name, end, outcome, life)
 
     async def retry(self, sending: Sending) -> Result:
         """Sends a request, again under a new id while it is refused.
@@ -414,6 +425,30 @@
         )
         self.checks.revision_answered(result.request, version, result.end)
 
+    async def probe_change(self) -> None:
+        """Uses a route that some versions have, or have otherwise."""
+        probe = self.generator.choice(changes.PROBES)
+        await self._probe(probe, operators.SAFE_ATTEMPTS)
+
+    async def probe_timeout(self) -> None:
+        """Uses a route whose upstream answers after its time-out."""
+        await self._probe(changes.LATE_PROBE, 1)
+        await asyncio.sleep(_LATE_PAUSE_SECONDS)
+
+    async def _probe(self, probe: changes.Probe, max_runs: int) -> None:
+        result = await self.send(
+            Sending(
+                "late" if probe.is_late else "change",
+                "anna",
+                operators.key_of("anna"),
+                max_runs,
+                probe.target,
+                body=probe.body,
+                expected=probe.body,
+            )
+        )
+        self.checks.change_probed(result.request, result.life, probe)
+
     async def probe_key(self) -> None:
         """Uses the newest key or one that has been revoked."""
         age = self.generator.choice((0, 0, 1, 2, 4, 8))
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -7,11 +7,22 @@
 
 import collections
 import itertools
+import math
 from typing import NamedTuple
 
+from testing.soak import changes
+
 # Time after the acknowledgement of a configuration by which every entry that
 # is connected to control must apply it.
 IN_FORCE_SECONDS = 2.0
+# Time after an entry showed the effect of a version from which it must not act
+# on an older one.
+REGRESS_SECONDS = 0.25
+# Part of the requests on routes that must be there which has to be served in a
+# time without faults.
+SERVED_PART = 0.25
+# Chance that the check of weights finds a fault where there is none.
+_FALSE_ALARM = 1e-9
 # Time after the acknowledgement of a drain from which an upstream must not get
 # new work.
 DRAIN_SECONDS = 2.0
@@ -49,7 +60,8 @@
 
     Attributes:
         request: Its id, which no other request has.
-        kind: `tool`, `safe`, `turn`, `resume`, `revision` or `key`.
+        kind: `tool`, `safe`, `turn`, `resume`, `revision`, `key`, `change` or
+            `late`.
         customer: The customer whose key it shows.
         entry: Name of the entry.
         sent_at: When its connection was opened.
@@ -113,6 +125,33 @@
     customer: str
 
 
+class Proof(NamedTuple):
+    """An observation that a process has a version or a later one."""
+
+    at: float
+    version: int
+
+
+class ChangeResult(NamedTuple):
+    """A probe on a route that must be there."""
+
+    sent_at: float
+    probe: str
+    served: bool
+
+
+class ShareResult(NamedTuple):
+    """A probe on a route with weights that are known.
+
+    Attributes:
+        part: Part of the requests that the alternative service must get.
+        service: Service that ran it; empty if none did.
+    """
+
+    part: float
+    service: str
+
+
 class Violation(NamedTuple):
     """An observation that a check does not allow.
 
@@ -163,6 +202,9 @@
         versions: Versions of software that made the events of each stream, by
             its first request.
         take_ups: Number of take-ups of streams by what came of them.
+        proofs: What each process of an entry has shown of its version.
+        added: Results of probes on routes that must be there.
+        shares: Results of probes on the route with weights.
         busy: Times, and the part of the engines' slots in use.
         busy_means: Mean of these parts in each interval that was checked.
     """
@@ -184,6 +226,9 @@
         self.late_runs: collections.Counter[str] = collections.Counter()
         self.versions: dict[str, list[str]] = collections.defaultdict(list)
         self.take_ups: collections.Counter[str] = collections.Counter()
+        self.proofs: dict[str, list[Proof]] = collections.defaultdict(list)
+        self.added: list[ChangeResult] = []
+        self.shares: list[ShareResult] = []
         self.busy: list[tuple[float, float]] = []
         self.busy_means: list[float] = []
 
@@ -359,6 +404,9 @@
             return
         if end.crossed and not self.runs.get(request.request):
             return
+        if request.kind == "late" and end.status == 504:
+            # Its upstream answers only after the time-out of its route.
+            return
         for stop in self.planned:
             is_during = request.sent_at >= stop.start and end.at <= stop.end
             if is_during and not self.disturbed("", stop.start, stop.end):
@@ -466,6 +514,130 @@
                 f"{request.sent_at - replaced:.3f} s before",
             )
 
+    def change_probed(self, name: str, life: str, probe: changes.Probe) -> None:
+        """A route that not all versions have, or have alike, was used.
+
+        The entry handled the request with one version that was pushed before
+        the observed effect and fits it.
+
+        Args:
+            name: Id of the request.
+            life: Process of the entry; empty if it isn't known.
+            probe: What was examined.
+        """
+        request, end = self.requests[name], self.ends[name]
+        runs = self.runs.get(name, [])
+        service = runs[0].upstream.rpartition("-")[0] if runs else ""
+        at = runs[0].at if runs and not probe.is_late else end.at
+        due = request.sent_at - IN_FORCE_SECONDS
+        least = self.acknowledged_before(due)
+        if self.disturbed(request.entry, due, at):
+            least = 0
+        shown = self._version_shown(life, request.sent_at - REGRESS_SECONDS)
+        pushed = [v for v, time in self.pushed.items() if time <= at]
+        possible = [v for v in pushed if v >= max(least, shown)]
+        self._count_result(request, end, service, probe, possible)
+        seen = probe.seen(end.status, end.at - request.sent_at, service)
+        if not seen:
+            return
+        fitting = [v for v in pushed if seen in probe.effects(v)]
+        allowed = [v for v in fitting if v in possible]
+        if allowed:
+            self._prove(life, at, min(allowed))
+            return
+        if not fitting:
+            rule = "unknown_change"
+        elif max(fitting) < least:
+            rule = "late"
+        else:
+            rule = "regress"
+        self._report(
+            at,
+            rule,
+            f"{request.entry} ({life}) answers {probe.name!r} with {seen!r} "
+            f"{at - request.sent_at:.3f} s after {name} was sent; version "
+            f"{least} was to be in force, {shown} had been shown, and "
+            f"{possible} could be",
+        )
+
+    def _version_shown(self, life: str, before: float) -> int:
+        """Returns the version that a process had at a time, at least."""
+        return max(
+            (p.version for p in self.proofs.get(life, ()) if p.at < before),
+            default=0,
+        )
+
+    def _prove(self, life: str, at: float, version: int) -> None:
+        if not life:
+            return
+        proofs = self.proofs[life]
+        if not proofs or version > max(proof.version for proof in proofs):
+            proofs.append(Proof(at, version))
+
+    def _count_result(
+        self,
+        request: Request,
+        end: End,
+        service: str,
+        probe: changes.Probe,
+        possible: list[int],
+    ) -> None:
+        """Counts a probe whose effects are the same in all versions."""
+        effects = {probe.effects(version) for version in possible}
+        if len(effects) != 1 or end.left or not end.sent:
+            return
+        (found,) = effects
+        if probe.name == "split":
+            parts = {changes.content(v).weight / 100 for v in possible}
+            self.shares.append(ShareResult(parts.pop(), service))
+        if not found & {changes.UNKNOWN_ROUTE, changes.TOO_LARGE}:
+            served = end.status == 200 and end.whole
+            self.added.append(ChangeResult(request.sent_at, probe.name, served))
+
+    def check_added_routes(self, now: float, since: float) -> None:
+        """Routes that must be there are served in a time without faults.
+
+        Args:
+            now: When the check is made.
+            since: Time since which there were no faults.
+        """
+        results: dict[str, list[bool]] = collections.defaultdict(list)
+        for result in self.added:
+            if result.sent_at >= since:
+                results[result.probe].append(result.served)
+        for probe, served in sorted(results.items()):
+            if probe == changes.LATE_PROBE.name:
+                continue
+            if len(served) < MIN_RESULTS:
+                continue
+            if sum(served) < SERVED_PART * len(served):
+                self._report(
+                    now,
+                    "added_route",
+                    f"{sum(served)} of {len(served)} requests on the routes of "
+                    f"{probe!r} were served without faults",
+                )
+
+    def check_shares(self, now: float) -> None:
+        """Services get the parts of the requests that their weights say.
+
+        A request that ran nowhere may have been meant for either service.
+        """
+        mixed = [one for one in self.shares if 0 < one.part < 1]
+        if not mixed:
+            return
+        expected = sum(one.part for one in mixed)
+        taken = sum(one.service == changes.ALTERNATIVE for one in mixed)
+        unknown = sum(not one.service for one in mixed)
+        slack = math.sqrt(len(mixed) * math.log(2 / _FALSE_ALARM) / 2)
+        if taken > expected + slack or taken + unknown < expected - slack:
+            self._report(
+                now,
+                "weights",
+                f"{taken} of {len(mixed)} requests ran at "
+                f"{changes.ALTERNATIVE}, {expected:.0f} were expected",
+            )
+
     def key_answered(
         self, name: str, first: int, last: int, bound: float, end: End
     ) -> None:
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bench import hosted_processes
+from testing.soak import changes
 from testing.soak import checks as checks_module
 from testing.soak import client
 
@@ -16,7 +17,11 @@
 _UNREACHED_RATE = 1000
 # Pauses between pushes, in seconds. Some are longer than the time in which a
 # version must be in force.
-_PUSH_PAUSES = (0.2, 0.3, 0.4, 3.0)
+_PUSH_PAUSES = (0.05, 0.1, 0.2, 0.3, 0.4, 3.0)
+# Longest of these pauses while all are short.
+_FAST_SECONDS = 0.2
+# Part of the pushes that two operators make at once, on two versions.
+_PAIR_PART = 0.2
 # Mean pause between reads.
 _READ_SECONDS = 0.1
 _TIMEOUT_MS = 4000
@@ -40,16 +45,30 @@
     return f"key-of-{customer}"
 
 
+def number_of(version: int) -> int:
+    """Returns the number of a version on the wire; the steps are uneven."""
+    return 3 * version + version * version % 3
+
+
+def version_of(number: int) -> int:
+    """Returns the version with a number."""
+    return number // 3
+
+
 def configuration(version: int) -> dict[str, Any]:
     """Returns a version of the configuration.
 
-    Each version has a route of its own and a new key of the rotating customer.
+    Each version has a route of its own, a new key of the rotating customer, and
+    what `changes` says.
     """
     return {
-        "version": version,
+        "version": number_of(version),
         "routes": _routes(version),
         "services": [
-            {"name": "desk", "maxConnections": 64},
+            *(
+                {"name": name, "maxConnections": 64}
+                for name in changes.services(version)
+            ),
             {
                 "name": "lm",
                 "maxConnections": 64,
@@ -57,21 +76,27 @@
             },
         ],
         "tenants": _tenants(version),
-        "limits": {},
+        "limits": {"maxBodyBytes": changes.content(version).body_bytes},
     }
 
 
 def _routes(version: int) -> list[dict[str, Any]]:
     return [
-        _route("turn", "stream", "lm", retainContext=True, retentionS=60.0),
-        _route("resume", "stream", "lm", resumable=True, priority=1),
-        _route("tool", "unsafe", "desk"),
-        _route("safe", "safe", "desk"),
-        _route(f"revision-{version}", "safe", "desk"),
+        _route(
+            "turn", "stream", service="lm", retainContext=True, retentionS=60.0
+        ),
+        _route("resume", "stream", service="lm", resumable=True, priority=1),
+        _route("tool", "unsafe", service="desk"),
+        _route("safe", "safe", service="desk"),
+        _route(f"revision-{version}", "safe", service="desk"),
+        *(
+            _route(**{"kind": "safe", **fields})
+            for fields in changes.routes(version)
+        ),
     ]
 
 
-def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+def _route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
     return {
         "host": client.HOST,
         "timeoutMs": _TIMEOUT_MS,
@@ -82,7 +107,6 @@
         "name": name,
         "pathPrefix": f"/{name}/",
         "kind": kind,
-        "service": service,
         **fields,
     }
 
@@ -115,7 +139,7 @@
     """Pushes and reads the configuration at random controls.
 
     Attributes:
-        version: The version acknowledged last.
+        version: The highest version that was acknowledged.
         pushes_fast: Whether all pauses between pushes are short.
     """
 
@@ -131,9 +155,13 @@
         self.version = 0
         self.pushes_fast = False
 
-    async def push(self) -> None:
-        """Pushes the next version until a control acknowledges it."""
-        version = self.version + 1
+    async def push(self, step: int = 1) -> None:
+        """Pushes a later version until a control acknowledges it.
+
+        Args:
+            step: How much later.
+        """
+        version = self.version + step
         body = json.dumps(configuration(version)).encode()
         self.checks.pushed[version] = time.monotonic()
         while True:
@@ -145,14 +173,19 @@
                 break
             await asyncio.sleep(0.1)
         self.checks.acknowledged[version] = time.monotonic()
-        self.version = version
+        self.version = max(self.version, version)
 
     async def push_forever(self) -> None:
         """Pushes version after version."""
         while True:
             pause = self.generator.choice(_PUSH_PAUSES)
-            await asyncio.sleep(_PUSH_PAUSES[0] if self.pushes_fast else pause)
-            await self.push()
+            if self.pushes_fast:
+                pause = min(pause, _FAST_SECONDS)
+            await asyncio.sleep(pause)
+            if self.generator.random() < _PAIR_PART:
+                await asyncio.gather(self.push(), self.push(2))
+            else:
+                await self.push()
             if self.generator.random() < 0.2:
                 await self.push_invalid()
 
@@ -175,5 +208,5 @@
             began = time.monotonic()
             answer = await control.ask("GET", "/v1/Configuration.Get", {})
             if answer.status == 200:
-                version = json.loads(answer.body)["version"]
+                version = version_of(json.loads(answer.body)["version"])
                 self.checks.configuration_read(began, time.monotonic(), version)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -12,6 +12,7 @@
 
 from bench import hosted_processes
 from testing.soak import callers as callers_module
+from testing.soak import changes
 from testing.soak import checks as checks_module
 from testing.soak import faults as faults_module
 from testing.soak import operators
@@ -129,7 +130,17 @@
             for service, count in (("lm", 3), ("desk", 3))
             for number in range(1, count + 1)
         ]
-        recorder.upstreams = {one.name: one for one in self.upstreams}
+        # Without faults of their own: they show what the configuration does.
+        self.calm_upstreams = [
+            upstreams.Upstream(
+                f"{service}-{number}", service, recorder, clients
+            )
+            for service, count in ((changes.ALTERNATIVE, 2), (changes.PART, 1))
+            for number in range(1, count + 1)
+        ]
+        recorder.upstreams = {
+            one.name: one for one in (*self.upstreams, *self.calm_upstreams)
+        }
         self.operator = operators.Operator(clients, self.checks, generator)
         self.balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
@@ -167,7 +178,9 @@
             else:
                 now = time.monotonic()
                 self.checks.check_starvation(now, now - _CALM_SECONDS)
+                self.checks.check_added_routes(now, now - _CALM_SECONDS)
                 self.checks.check_idle_capacity(now, now - _CALM_SECONDS)
+            self.checks.check_shares(time.monotonic())
             self.checks.check_limits(time.monotonic(), operators.LIMITS)
         finally:
             for task in self.tasks:
@@ -210,7 +223,7 @@
 
     async def _start(self) -> None:
         await self.fleet.start()
-        for upstream in self.upstreams:
+        for upstream in (*self.upstreams, *self.calm_upstreams):
             await upstream.start()
         async with asyncio.timeout(_START_SECONDS):
             await self.operator.push()
@@ -230,6 +243,9 @@
             callers.call_limited,
             callers.probe_revision,
             callers.probe_key,
+            callers.probe_change,
+            callers.probe_change,
+            callers.probe_timeout,
         ):
             self._spawn(callers.forever(act))
         self._spawn(self.operator.push_forever())
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from bench import hosted_processes
+from testing.soak import changes
 from testing.soak import links
 
 _HEARTBEAT_SECONDS = 0.5
@@ -20,6 +21,8 @@
 _MAX_RUNNING = 2 * _SLOTS
 _EVENT_SECONDS = 0.01
 _PLAIN_SECONDS = 0.02
+# Longer than the time-outs of the route that tries them.
+_LATE_SECONDS = 4.0
 _SLOW_FACTOR = 8.0
 # Pause before a slow upstream reads a body.
 _SLOW_READ_SECONDS = 0.3
@@ -374,7 +377,9 @@
             elif self.service == "lm":
                 await self._stream(headers, common, writer)
             else:
-                await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
+                is_late = changes.LATE in head
+                seconds = _LATE_SECONDS if is_late else _PLAIN_SECONDS
+                await asyncio.sleep(seconds * self.slowness)
                 form = form_of(request, self.name)
                 text = plain_body(request)
                 cut = form.cut(text)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1,5 +1,6 @@
 """A seeded run of the soak test, its schedule and its checks."""
 
+import itertools
 import os
 import pathlib
 import re
@@ -7,7 +8,9 @@
 import sys
 
 import pytest
+from testing.soak import changes
 from testing.soak import checks as checks_module
+from testing.soak import operators
 from testing.soak import reintroduced
 from testing.soak import schedule
 
@@ -299,3 +302,159 @@
     assert rules(checks) == []
     checks.ended("b", end(200, numbers=[1, 2]))
     assert rules(checks) == ["events"]
+
+
+ROUTE_PROBE = next(p for p in changes.PROBES if p.name == "switched 0")
+SPLIT_PROBE = next(p for p in changes.PROBES if p.name == "split")
+
+
+def versions_with(probe: changes.Probe, *effects: str) -> list[int]:
+    """Returns rising versions that allow these effects, one each."""
+    found: list[int] = []
+    for effect in effects:
+        version = found[-1] + 1 if found else 1
+        while probe.effects(version) != {effect}:
+            version += 1
+        found.append(version)
+    return found
+
+
+class Probed:
+    """Checks of three versions: a route is there, then dropped, then back."""
+
+    def __init__(self) -> None:
+        self.checks = checks_module.Checks()
+        there, dropped = changes.DESK, changes.UNKNOWN_ROUTE
+        self.versions = versions_with(ROUTE_PROBE, there, dropped, there)
+        for number, version in enumerate(self.versions):
+            self.checks.pushed[version] = 10.0 * number
+            self.checks.acknowledged[version] = 10.0 * number + 1.0
+        self.count = 0
+
+    def probe(
+        self,
+        sent_at: float,
+        effect: str,
+        probe: changes.Probe = ROUTE_PROBE,
+        life: str = "entry-1 7",
+    ) -> None:
+        self.count += 1
+        name = f"r{self.count}"
+        at = sent_at + 0.01
+        self.checks.sent(request(name, "change", sent_at=sent_at))
+        status = 404
+        if effect != changes.UNKNOWN_ROUTE:
+            status = 200
+            run = checks_module.Run(at, f"{effect}-1", "anna")
+            self.checks.run_began(name, run, b"")
+        self.checks.ended(name, end(status, at))
+        self.checks.change_probed(name, life, probe)
+
+
+def test_route_that_is_added_or_dropped_late_is_found() -> None:
+    probed = Probed()
+    # Any version between those acknowledged in time and those pushed.
+    probed.probe(2.0, changes.DESK)
+    probed.probe(10.5, changes.DESK, life="entry-1 8")
+    probed.probe(10.5, changes.UNKNOWN_ROUTE, life="entry-1 9")
+    probed.probe(12.9, changes.DESK, life="entry-1 8")
+    assert rules(probed.checks) == []
+    probed.probe(13.1, changes.DESK, life="entry-1 8")
+    assert rules(probed.checks) == ["late"]
+    probed.probe(22.9, changes.UNKNOWN_ROUTE)
+    assert rules(probed.checks) == ["late"]
+    probed.probe(23.1, changes.UNKNOWN_ROUTE)
+    assert rules(probed.checks) == ["late", "late"]
+
+
+def test_late_change_is_allowed_at_an_entry_under_a_fault() -> None:
+    for node, expected in (("entry-1", []), ("entry-2", ["late"])):
+        probed = Probed()
+        probed.checks.disturbances.append(
+            checks_module.Disturbance(node, 10.0, 12.0)
+        )
+        probed.probe(13.1, changes.DESK)
+        assert rules(probed.checks) == expected
+
+
+def test_effect_of_an_older_version_after_that_of_a_newer_is_found() -> None:
+    probed = Probed()
+    probed.probe(10.5, changes.DESK)
+    probed.probe(10.6, changes.UNKNOWN_ROUTE)
+    # Within the slack, or at another process, the older one may show.
+    probed.probe(10.8, changes.DESK)
+    probed.probe(11.0, changes.DESK, life="entry-1 8")
+    assert rules(probed.checks) == []
+    probed.probe(11.0, changes.DESK)
+    assert rules(probed.checks) == ["regress"]
+
+
+def test_change_that_nobody_has_pushed_is_found() -> None:
+    probed = Probed()
+    probed.probe(2.0, changes.UNKNOWN_ROUTE)
+    assert rules(probed.checks) == ["unknown_change"]
+
+
+def test_added_route_that_is_not_served_is_found() -> None:
+    for served, expected in ((0, ["added_route"]), (1, [])):
+        probed = Probed()
+        for number in range(2 * checks_module.MIN_RESULTS):
+            probed.count += 1
+            name = f"r{probed.count}"
+            sent_at = 30.0 + number
+            probed.checks.sent(request(name, "change", sent_at=sent_at))
+            status = 200 if served and number % 2 else 503
+            if status == 200:
+                probed.checks.run_began(name, run_at(sent_at), b"")
+            probed.checks.ended(name, end(status, sent_at + 0.1))
+            probed.checks.change_probed(name, "entry-1 7", ROUTE_PROBE)
+        probed.checks.check_added_routes(60.0, 25.0)
+        assert rules(probed.checks) == expected
+
+
+@pytest.mark.parametrize("taken", [0.0, 0.3, 1.0])
+def test_weights_that_are_not_kept_are_found(taken: float) -> None:
+    checks = checks_module.Checks()
+    version = next(v for v in range(1, 99) if changes.content(v).weight == 30)
+    checks.pushed = {version: 0.0}
+    checks.acknowledged = {version: 1.0}
+    for number in range(300):
+        name = f"r{number}"
+        is_taken = number % 10 < 10 * taken
+        service = changes.ALTERNATIVE if is_taken else changes.DESK
+        checks.sent(request(name, "change"))
+        run = checks_module.Run(10.1, f"{service}-1", "anna")
+        checks.run_began(name, run, b"")
+        checks.ended(name, end(200))
+        checks.change_probed(name, "entry-1 7", SPLIT_PROBE)
+    checks.check_shares(20.0)
+    assert rules(checks) == ([] if taken == 0.3 else ["weights"])
+
+
+def test_timeout_of_an_older_version_is_found() -> None:
+    probe = changes.LATE_PROBE
+    checks = checks_module.Checks()
+    versions = versions_with(probe, changes.LONG, changes.SHORT)
+    for number, version in enumerate(versions):
+        checks.pushed[version] = 10.0 * number
+        checks.acknowledged[version] = 10.0 * number + 1.0
+    for sent_at, seconds, expected in (
+        (5.0, 2.9, []),
+        (20.0, 0.5, []),
+        (20.0, 2.9, ["late"]),
+    ):
+        name = f"r{sent_at}-{seconds}"
+        checks.sent(request(name, "late", sent_at=sent_at))
+        checks.ended(name, end(504, sent_at + seconds))
+        checks.change_probed(name, "entry-1 7", probe)
+        assert rules(checks) == expected
+
+
+def test_versions_of_the_soak_differ_and_rise_in_uneven_steps() -> None:
+    numbers = [operators.number_of(version) for version in range(1, 50)]
+    steps = {b - a for a, b in itertools.pairwise(numbers)}
+    assert len(steps) > 1, steps
+    assert min(steps) > 0, steps
+    assert [operators.version_of(n) for n in numbers] == list(range(1, 50))
+    for probe in (*changes.PROBES, changes.LATE_PROBE):
+        assert len({probe.effects(v) for v in range(1, 50)}) > 1, probe
