Soak: packet loss, stops in series, readers at each control, a last loss

Two tracks of faults with a generator of their own: cuts as of a real network (leader, control, entry, one path of an entry, leader and one follower, between controls; one way and both; silence of open connections after them, or for good), and signals, restarts, losses of disks in series, damaged settings files and a control replaced at a new address. Each control is read all the time, over a connection that is kept and over new ones. At the end all processes are killed at once right after an acknowledgement, with or without lost disks, and the configuration is read back with its content.

--- a/bench/hosted_processes.py
+++ b/bench/hosted_processes.py
@@ -83,6 +83,11 @@
         except (OSError, EOFError, TimeoutError, ValueError):
             return Response(0, b"")
 
+    def close_idle(self) -> None:
+        """Closes the connections that are kept."""
+        while self.idle:
+            self.idle.pop().writer.close()
+
     async def _ask(
         self, method: str, target: str, headers: dict, body: bytes
     ) -> Response:
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -18,6 +18,9 @@
 # Time after the end of a fault in which it may still have effects: processes
 # connect again and elect leaders.
 RECOVERY_SECONDS = 3.0
+# Time after the last loss of a run, from the start of the processes, within
+# which control must answer reads again.
+READ_BACK_SECONDS = 12.0
 # Length of the window of customers' limits, and the part beyond a limit that
 # programs in progress may use (`limit_window` and `limit_overage`).
 WINDOW_SECONDS = 5.0
@@ -546,6 +549,19 @@
         """A process ended by itself."""
         self._report(at, "process", f"{node} ended by itself with code {code}")
 
+    def other_content_read(self, at: float, version: int) -> None:
+        """A configuration was read that isn't what was sent as its version."""
+        self._report(at, "other_content", f"version {version} was read")
+
+    def not_read_back(self, at: float, version: int) -> None:
+        """No control answered a read in time after the last loss."""
+        self._report(
+            at,
+            "read_back",
+            f"no control returned a configuration within "
+            f"{READ_BACK_SECONDS:g} s; {version} had been acknowledged",
+        )
+
     def not_repaired(self, at: float, what: str) -> None:
         """A lost disk was not replaced in time."""
         self._report(at, "repair", f"{what} was not repaired")
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -14,8 +14,10 @@
 from bench import hosted_processes
 from testing.soak import callers as callers_module
 from testing.soak import checks as checks_module
+from testing.soak import cuts
 from testing.soak import processes
 from testing.soak import schedule
+from testing.soak import stops
 from testing.soak import upstreams
 
 _READY_SECONDS = 10.0
@@ -114,12 +116,20 @@
         callers: callers_module.Callers,
         checks: checks_module.Checks,
         log: Callable[[str], None],
+        on_replaced: Callable[[str, str], None],
     ) -> None:
         self.fleet = fleet
         self.upstreams = engines
         self.callers = callers
         self.checks = checks
         self.log = log
+        self.stops = stops.Stops(
+            fleet,
+            checks,
+            until_started=self._until_started,
+            until_whole=self._until_repaired,
+            on_replaced=on_replaced,
+        )
         self.control_lock = asyncio.Lock()
         self.applied: list[schedule.Fault] = []
         self.late = 0.0
@@ -149,6 +159,13 @@
                 task.add_done_callback(running.discard)
         self.ended_at = time.monotonic()
 
+    async def apply_final(self, fault: schedule.Fault) -> None:
+        """Loses all processes at once; returns when entries are ready."""
+        for node in self.fleet.running():
+            node.signal(signal.SIGKILL)
+        self.applied.append(fault)
+        await self._lose_all(fault)
+
     async def _apply(self, fault: schedule.Fault) -> None:
         self.applied.append(fault)
         match fault.track:
@@ -180,6 +197,15 @@
             case "machine":
                 async with self.control_lock:
                     await self._machine(fault)
+            case "network":
+                async with self.control_lock:
+                    cut = cuts.plan(self.fleet, fault)
+                    with self._disturbance(cut.affected, str(cut)):
+                        await cut.apply(fault.seconds)
+            case "stops":
+                async with self.control_lock:
+                    with self._disturbance("", f"{fault.kind} {fault.number}"):
+                        await self.stops.apply(fault)
             case "planned":
                 async with self.control_lock:
                     await self._planned(fault)
@@ -247,12 +273,14 @@
 
     async def _until_whole(self, fault: schedule.Fault) -> None:
         """Waits after a lost disk until all controls are voters again."""
-        if "disk" not in fault.kind:
-            return
+        if "disk" in fault.kind:
+            await self._until_repaired(fault.kind)
+
+    async def _until_repaired(self, what: str = "a lost disk") -> None:
         until = time.monotonic() + _REPAIR_SECONDS
         while not self.fleet.is_whole():
             if time.monotonic() > until:
-                self.checks.not_repaired(time.monotonic(), fault.kind)
+                self.checks.not_repaired(time.monotonic(), what)
                 return
             await asyncio.sleep(0.2)
 
@@ -550,13 +578,13 @@
 
     async def _lose_all(self, fault: schedule.Fault) -> None:
         with self._disturbance("", f"loss of all processes, {fault.kind}"):
-            for node in self.fleet.nodes.values():
+            for node in self.fleet.running():
                 node.kill()
             if fault.kind == "lose_disks":
                 for node in self._tolerated_losses(fault):
                     node.wipe()
             await asyncio.sleep(fault.seconds)
-            for node in self.fleet.nodes.values():
+            for node in self.fleet.running():
                 node.start()
             await asyncio.gather(
                 *(self._until_started(node) for node in self.fleet.entries)
--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -8,6 +8,11 @@
 SOAK_MACHINE is a file with the faults of the machine, see `Machine`.
 """
 
+import signal
+
+# As in `mintcleat.launch`, before the imports that take long.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 from collections.abc import Callable
 import errno
 import json
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -112,7 +112,9 @@
 
     def refuse(self) -> None:
         """Has its address refuse new connections; the others stay."""
-        self.acceptor.cancel()
+        if self.listener is None:
+            return
+        self._stop_accepting()
         self.listener.close()
         self.listener = None
 
@@ -140,7 +142,7 @@
             silence.begin(directions)
         if self.listener is None or self.queued:
             return
-        self.acceptor.cancel()
+        self._stop_accepting()
         self.listener.listen(0)
         for _ in range(_FULL_QUEUE):
             filler = socket.socket()
@@ -191,6 +193,11 @@
     def _begin_to_accept(self) -> None:
         self.acceptor = asyncio.create_task(self._accept_forever())
 
+    def _stop_accepting(self) -> None:
+        self.acceptor.cancel()
+        # The cancelled task does so only later, when the socket may be closed.
+        asyncio.get_running_loop().remove_reader(self.listener)
+
     async def _accept_forever(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -19,6 +19,10 @@
 _PUSH_PAUSES = (0.2, 0.3, 0.4, 3.0)
 # Mean pause between reads.
 _READ_SECONDS = 0.1
+# Pause between the reads of one reader at one control.
+_READ_AT_SECONDS = 0.2
+# Least time for which the configuration is read back at the end.
+_READ_BACK_SECONDS = 4.0
 _TIMEOUT_MS = 4000
 SAFE_ATTEMPTS = 3
 PROGRAM_CUSTOMERS = ("anna", "berta", "carl", "noisy")
@@ -171,9 +175,58 @@
         """Reads the configuration at one control after the other."""
         while True:
             await asyncio.sleep(self.generator.uniform(0.0, 2 * _READ_SECONDS))
-            control = self.generator.choice(self.controls)
-            began = time.monotonic()
-            answer = await control.ask("GET", "/v1/Configuration.Get", {})
-            if answer.status == 200:
-                version = json.loads(answer.body)["version"]
-                self.checks.configuration_read(began, time.monotonic(), version)
+            await self.read(self.generator.choice(self.controls))
+
+    async def read_at_forever(
+        self, control: hosted_processes.Caller, keeps: bool
+    ) -> None:
+        """Reads the configuration at one control, whatever happens to it.
+
+        Args:
+            control: A client for this only.
+            keeps: Whether one connection is in use for as long as it lasts;
+                else each read has a new one.
+        """
+        while True:
+            await asyncio.sleep(_READ_AT_SECONDS)
+            await self.read(control)
+            if not keeps:
+                control.close_idle()
+
+    async def read(self, control: hosted_processes.Caller) -> dict | None:
+        """Reads the configuration once; returns None without an answer."""
+        began = time.monotonic()
+        answer = await control.ask("GET", "/v1/Configuration.Get", {})
+        if answer.status != 200:
+            return None
+        found = json.loads(answer.body)
+        version = found["version"]
+        self.checks.configuration_read(began, time.monotonic(), version)
+        return found
+
+    async def read_back(self, down_seconds: float) -> None:
+        """Reads at all controls during the last loss and after it.
+
+        It goes on for some time after an answer: an instance that starts later
+        must not answer with an older configuration either.
+
+        Args:
+            down_seconds: Time until the processes are started again.
+        """
+        began = time.monotonic() + down_seconds
+        is_read = False
+        while True:
+            answers = await asyncio.gather(*map(self.read, self.controls))
+            now = time.monotonic()
+            for found in answers:
+                if found is None:
+                    continue
+                is_read = True
+                if found != configuration(found["version"]):
+                    self.checks.other_content_read(now, found["version"])
+            if is_read and now > began + _READ_BACK_SECONDS:
+                return
+            if now > began + checks_module.READ_BACK_SECONDS:
+                self.checks.not_read_back(now, self.version)
+                return
+            await asyncio.sleep(_READ_SECONDS)
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -1,6 +1,7 @@
 """The product's processes and the proxies between them."""
 
 import asyncio
+from collections.abc import Collection
 import json
 import os
 import pathlib
@@ -70,19 +71,27 @@
         self.starts = 0
         self.log_path = fleet.folder / f"{name}.log"
         self.machine_path = fleet.folder / f"{name}.machine"
+        self.settings_path = fleet.folder / f"{name}.toml"
 
     @property
     def address(self) -> str:
         """`IP:PORT` at which callers reach this entry without a proxy."""
         return f"{self.ip}:{hosted_processes.FRONT_PORT}"
 
-    def start(self, bootstrap: bool = False) -> None:
-        """Starts the process with the disk that it has, unless it runs."""
+    def start(
+        self, bootstrap: bool = False, writes_settings: bool = True
+    ) -> None:
+        """Starts the process with the disk that it has, unless it runs.
+
+        Args:
+            bootstrap: Whether a control may found the groups.
+            writes_settings: Whether the settings file is written first.
+        """
         if self.process is not None and self.process.poll() is None:
             return
-        path = self.fleet.folder / f"{self.name}.toml"
-        path.write_text(hosted_processes.toml(self._settings(bootstrap)))
-        environment = hosted_processes.environment(ROOT, path)
+        if writes_settings:
+            self.write_settings(bootstrap)
+        environment = hosted_processes.environment(ROOT, self.settings_path)
         environment["SOAK_LINKS"] = json.dumps(
             {
                 self.fleet.nodes[name].ip: link.address.rpartition(":")[0]
@@ -101,12 +110,32 @@
                 cwd=ROOT,
             )
 
+    def write_settings(self, bootstrap: bool = False) -> None:
+        """Writes the settings file as a whole."""
+        text = hosted_processes.toml(self._settings(bootstrap))
+        self.settings_path.write_text(text)
+
+    def damage_settings(self, damage: str) -> None:
+        """Overwrites the settings file by what can't be read.
+
+        Args:
+            damage: `empty`, `half` or `bytes`.
+        """
+        whole = hosted_processes.toml(self._settings(False)).encode()
+        self.settings_path.write_bytes(
+            {
+                "empty": b"",
+                "half": whole[: len(whole) // 2],
+                "bytes": whole + b"\xff\xfe",
+            }[damage]
+        )
+
     def _settings(self, bootstrap: bool) -> dict[str, Any]:
         fields = hosted_processes.settings(
             self.role,
             self.name,
             self.ip,
-            [node.ip for node in self.fleet.controls],
+            self.fleet.seeds,
             self.fleet.folder,
             bootstrap,
         )
@@ -135,6 +164,22 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    async def until_ignoring_hangup(self) -> None:
+        """Waits until SIGHUP doesn't end the process that was started.
+
+        The interpreter itself needs some time before it can ignore a signal.
+        """
+        path = pathlib.Path(f"/proc/{self.process.pid}/status")
+        bit = 1 << (signal.SIGHUP - 1)
+        for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
+            fields = dict(
+                line.split(":", 1) for line in path.read_text().splitlines()
+            )
+            handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
+            if handled & bit:
+                return
+            await asyncio.sleep(_POLL_SECONDS / 10)
+
     def kill(self) -> None:
         """Ends the process by SIGKILL."""
         self.signal(signal.SIGKILL)
@@ -186,6 +231,26 @@
         for link in self._links_to_it():
             link.apply(kind)
 
+    def lose_packets(
+        self, directions: Collection[str], others: Collection[str]
+    ) -> None:
+        """Begins a cut as of a real network; see `links.Link.lose_packets`.
+
+        Args:
+            directions: `in` and `out`, as seen from this node.
+            others: Names of the nodes that it is cut from.
+        """
+        opposite = {"in": "out", "out": "in"}
+        for link in self._links_from_it(others):
+            link.lose_packets([opposite[one] for one in directions])
+        for link in self._links_to_it(others):
+            link.lose_packets(directions)
+
+    def regain(self, others: Collection[str]) -> list[links.Silence]:
+        """Ends such a cut for new connections; returns the old silences."""
+        cut = (*self._links_from_it(others), *self._links_to_it(others))
+        return [silence for link in cut for silence in link.regain()]
+
     def delay_incoming(self, seconds: float) -> None:
         """Delays all that reaches this node from others."""
         for link in self.links.values():
@@ -210,12 +275,20 @@
         for link in (*self.links.values(), *self._links_to_it()):
             link.restore()
 
-    def _links_to_it(self) -> list[links.Link]:
-        """Returns the proxies of other nodes' connections to this one."""
+    def _links_from_it(self, others: Collection[str]) -> list[links.Link]:
+        """Returns the proxies of its connections to some controls."""
+        return [link for name, link in self.links.items() if name in others]
+
+    def _links_to_it(self, others: Collection[str] = ()) -> list[links.Link]:
+        """Returns the proxies of other nodes' connections to this one.
+
+        Args:
+            others: Names of these nodes; empty for all.
+        """
         return [
             other.links[self.name]
-            for other in self.fleet.nodes.values()
-            if self.name in other.links
+            for name, other in self.fleet.nodes.items()
+            if self.name in other.links and (not others or name in others)
         ]
 
 
@@ -226,6 +299,10 @@
         nodes: All processes by name.
         controls: Control instances.
         entries: Entries.
+        spare: The control instance that may replace one of them, at an address
+            of its own; not started before that.
+        seeds: Addresses of control instances in all settings files. They stay
+            the same after a replacement, so that one may be long gone.
 
     Args:
         network: First two bytes of the loopback addresses.
@@ -251,6 +328,10 @@
             self._add(f"control-{number}", "control", number)
             for number in range(1, controls + 1)
         ]
+        self.seeds = [node.ip for node in self.controls]
+        self.spare: Node | None = self._add(
+            f"control-{controls + 1}", "control", controls + 1
+        )
         self.entries = [
             self._add(f"entry-{number}", "entry", 10 + number)
             for number in range(1, entries + 1)
@@ -264,7 +345,7 @@
         """Starts the proxies and all processes."""
         port = hosted_processes.INTERNAL_PORT
         for node in self.nodes.values():
-            for other in self.controls:
+            for other in (*self.controls, self.spare):
                 if other is node:
                     continue
                 link = links.Link(f"{other.ip}:{port}")
@@ -274,9 +355,32 @@
         for node in self.entries:
             node.front = links.Link(node.address)
             await node.front.start("127.0.0.1", 0)
-        for node in self.nodes.values():
+        for node in self.running():
             node.start(bootstrap=True)
 
+    def running(self) -> list[Node]:
+        """Returns the nodes that should run, without a spare."""
+        return [*self.controls, *self.entries]
+
+    def replace(self, old: Node) -> Node | None:
+        """Replaces a control by the spare, which has no disk yet.
+
+        Returns:
+            The spare, to be started; None if there is none any more.
+        """
+        new, self.spare = self.spare, None
+        if new is None:
+            return None
+        old.kill()
+        old.wipe()
+        for node in self.nodes.values():
+            link = node.links.pop(old.name, None)
+            if link is not None:
+                link.close()
+        del self.nodes[old.name]
+        self.controls[self.controls.index(old)] = new
+        return new
+
     async def stop(self) -> None:
         """Ends all processes, and the proxies before entries."""
         for node in self.nodes.values():
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -115,12 +115,7 @@
         self.fleet = processes.Fleet(
             network, self.folder, controls, ENTRIES, fault
         )
-        clients = [
-            hosted_processes.Caller(
-                f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 1.0
-            )
-            for node in self.fleet.controls
-        ]
+        clients = [_client(node.ip) for node in self.fleet.controls]
         recorder = Recorder(self.checks)
         self.upstreams = [
             upstreams.Upstream(
@@ -130,14 +125,21 @@
             for number in range(1, count + 1)
         ]
         recorder.upstreams = {one.name: one for one in self.upstreams}
+        self.clients = clients
         self.operator = operators.Operator(clients, self.checks, generator)
         self.balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
             self.balancer, self.checks, self.operator, generator
         )
         self.injector = faults_module.Injector(
-            self.fleet, self.upstreams, self.callers, self.checks, self._log
+            self.fleet,
+            self.upstreams,
+            self.callers,
+            self.checks,
+            self._log,
+            self._replace_control,
         )
+        self.pushing: asyncio.Task | None = None
         self.start = time.monotonic()
         self.tasks: list[asyncio.Task] = []
 
@@ -168,6 +170,8 @@
                 now = time.monotonic()
                 self.checks.check_starvation(now, now - _CALM_SECONDS)
                 self.checks.check_idle_capacity(now, now - _CALM_SECONDS)
+                await self._lose_at_the_end()
+                self._raise_failures()
             self.checks.check_limits(time.monotonic(), operators.LIMITS)
         finally:
             for task in self.tasks:
@@ -233,11 +237,42 @@
         ):
             self._spawn(callers.forever(act))
         self._spawn(self.operator.push_forever())
+        self.pushing = self.tasks[-1]
         for _ in range(_READERS):
             self._spawn(self.operator.read_forever())
+        for node in self.fleet.controls:
+            self._read_at(node.ip)
         self._spawn(self._watch_processes())
         self._spawn(self._watch_engines())
 
+    def _read_at(self, host: str) -> None:
+        """Reads at one control all the time, and over connections of its own.
+
+        A process that is being stopped answers on open connections only.
+        """
+        for keeps in (True, False):
+            reader = self.operator.read_at_forever(_client(host), keeps)
+            self._spawn(reader)
+
+    def _replace_control(self, old: str, new: str) -> None:
+        """Turns to the control that has replaced another one."""
+        for number, client in enumerate(self.clients):
+            if client.host == old:
+                self.clients[number] = _client(new)
+        self._read_at(new)
+
+    async def _lose_at_the_end(self) -> None:
+        """Loses everything right after an acknowledgement, and reads back."""
+        self.tasks.remove(self.pushing)
+        self.pushing.cancel()
+        await asyncio.gather(self.pushing, return_exceptions=True)
+        loss = schedule.final_loss(self.seed)
+        await self.operator.push()
+        await asyncio.gather(
+            self.injector.apply_final(loss),
+            self.operator.read_back(loss.seconds),
+        )
+
     async def _watch_engines(self) -> None:
         engines = [one for one in self.upstreams if one.service == "lm"]
         while True:
@@ -249,7 +284,7 @@
         while True:
             await asyncio.sleep(_USAGE_SECONDS)
             now = time.monotonic()
-            for node in self.fleet.nodes.values():
+            for node in self.fleet.running():
                 if node.has_ended() and not node.planned:
                     code = node.process.returncode
                     self.checks.process_ended(now, node.name, code)
@@ -259,6 +294,12 @@
                     self.checks.used(now, node.name, *usage)
 
 
+def _client(host: str) -> hosted_processes.Caller:
+    """Returns a client of a control instance."""
+    address = f"{host}:{hosted_processes.CONTROL_PORT}"
+    return hosted_processes.Caller(address, "control", 1.0)
+
+
 async def _run(soak: Soak, until_found: bool) -> Result:
     with contextlib.suppress(asyncio.CancelledError):
         return await soak.run(until_found)
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -62,6 +62,32 @@
 # How the model engines are replaced by such of another version: one after the
 # other, all but at once, or in place without a word.
 ROLLOUTS = ("series", "overlap", "in_place")
+# Cuts in which packets are lost; see `cuts`.
+NETWORK_FAULTS = (
+    "lossy_leader",
+    "lossy_control",
+    "lossy_entry",
+    "lossy_path",
+    "lossy_follower",
+    "lossy_between_controls",
+)
+# Signals, restarts and losses in series; see `stops`.
+STOPS = (
+    "term_during_start",
+    "term_controls_in_turn",
+    "term_entries_in_turn",
+    "term_twice",
+    "hangup_during_stop",
+    "hangup_during_start",
+    "kill_during_stop",
+    "pause_leader_long",
+    "disks_in_series",
+    "damaged_settings",
+    "replaced_control",
+)
+# What happens at once, right after a configuration was acknowledged: all
+# processes end, and the disks that may be lost at once are kept or lost.
+FINAL_LOSSES = ("kill", "lose_disks")
 PLANNED = ("stop_entry", "stop_control", "stop_leader")
 
 
@@ -73,8 +99,8 @@
         seconds: Duration; faults that consist of steps, as `drain`, take
             longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `crashing`, `machine`, `front`, `rollout`, `planned`, `entries` or
-            `all`.
+            `crashing`, `machine`, `front`, `rollout`, `network`, `stops`,
+            `planned`, `entries`, `all` or `final`.
         kind: What happens.
         number: Chooses the target: its index modulo their number.
     """
@@ -107,6 +133,7 @@
     machine = random.Random(f"{seed} machine")
     front = random.Random(f"{seed} front")
     rollout = random.Random(f"{seed} rollout")
+    network = random.Random(f"{seed} network")
     faults: list[Fault] = []
     bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
@@ -131,6 +158,11 @@
             )
             faults.extend(_single(front, now, length, "front", FRONT_FAULTS))
             faults.extend(_single(rollout, now, length, "rollout", ROLLOUTS))
+            # One of both: they exclude each other, and a phase is short.
+            track, kinds = network.choice(
+                (("network", NETWORK_FAULTS), ("stops", STOPS))
+            )
+            faults.extend(_single(network, now, length, track, kinds))
             now += length + _REST_SECONDS
         elif phase == "planned":
             kind = generator.choice(PLANNED)
@@ -151,6 +183,18 @@
     return sorted(faults)
 
 
+def final_loss(seed: int) -> Fault:
+    """Returns the loss with which a run ends."""
+    generator = random.Random(f"{seed} final")
+    return Fault(
+        0.0,
+        generator.uniform(0.5, 2.0),
+        "final",
+        generator.choice(FINAL_LOSSES),
+        generator.randrange(1000),
+    )
+
+
 def _phases(generator: random.Random) -> Iterator[str]:
     yield "mixed"
     others = generator.sample(("planned", "entries"), 2)
