--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -10,6 +10,7 @@
 from mintcleat.domain import keys
 from mintcleat.domain import manifest
 from mintcleat.domain import manifest_errors
+from mintcleat.platform import configuration
 from mintcleat.platform import json_text
 from mintcleat.platform import names
 from mintcleat.platform import translation
