Soak: an answer that is cut before its last byte no longer stops the run

Cause: an upstream whose answer ends with its connection moves its cut behind the blank line between two events; at the last blank line of a body the cut moved past the end for ever. Evidence: the new test failed before (killed by its alarm, each line end) and passes now; the loop stops at the end of the body.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -64,7 +64,8 @@
         if self.framing == CLOSE:
             if not body.endswith(blank):
                 return len(body)
-            while body[:size].endswith((blank, blank[:-1])):
+            between = (blank, blank[:-1])
+            while size < len(body) and body[:size].endswith(between):
                 size += 1
         return size
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -380,3 +380,22 @@
 asyncio.run(main())
 """)
     assert done.returncode == 0, done.stderr
+
+
+@pytest.mark.parametrize("line_end", ["\\n", "\\r\\n", "\\r"])
+def test_cut_right_before_the_last_byte_of_an_answer_ends(
+    line_end: str,
+) -> None:
+    # Guards against a run that stands still for good.
+    done = _run_python(f"""
+import signal
+from testing.soak import upstreams
+signal.alarm(20)
+body = b"data: x" + 2 * b"{line_end}"
+for size in range(len(body)):
+    form = upstreams.Form(
+        upstreams.CLOSE, "{line_end}", (size + 0.5) / len(body)
+    )
+    assert size <= form.cut(body) <= len(body)
+""")
+    assert done.returncode == 0, done.stderr
