A failing test: a control whose clock was set back can't join without its disk

Cause: the epoch of a new disk is the time of day, and an instance whose peers know a later one stops for good. Not mended here: the next epoch has to be chosen above what the peers know, durably, before the instance votes.

The soak's machine shifts the time of day in nanoseconds, too; before, a step of the clock never reached the epochs.

--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -30,6 +30,7 @@
 
 # Interval of the checks whether the file of the machine's faults has changed.
 _CHECK_SECONDS = 0.05
+_NANOSECONDS = 10**9
 
 
 class Machine:
@@ -47,7 +48,7 @@
     def install(self) -> None:
         """Replaces the process's disk operations and its time of day."""
         write, sync = wal_disk.SystemDisk.write, wal_disk.SystemDisk.sync
-        time_of_day = time.time
+        time_of_day, time_of_day_ns = time.time, time.time_ns
 
         def write_if_it_fits(disk: Any, descriptor: int, data: Any) -> None:
             if self.fault("full"):
@@ -61,6 +62,9 @@
         wal_disk.SystemDisk.write = write_if_it_fits
         wal_disk.SystemDisk.sync = sync_slowly
         time.time = self._ahead(time_of_day)
+        time.time_ns = lambda: (
+            time_of_day_ns() + int(self.fault("clock") * _NANOSECONDS)
+        )
 
     def _ahead(self, time_of_day: Callable[[], float]) -> Callable[[], float]:
         return lambda: time_of_day() + self.fault("clock")
