--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -10,6 +10,7 @@
 from testing.soak import checks as checks_module
 from testing.soak import reintroduced
 from testing.soak import schedule
+import xxhash
 
 ROOT = pathlib.Path(__file__).parent.parent
 SEED = 4
@@ -399,3 +400,32 @@
     assert size <= form.cut(body) <= len(body)
 """)
     assert done.returncode == 0, done.stderr
+
+
+def test_new_tracks_leave_the_earlier_faults_of_a_seed_as_they_were() -> None:
+    # Guards against a seed that no longer shows the fault that it was kept for.
+    made = [
+        tuple(fault)
+        for fault in schedule.make(SEED, 120.0)
+        if fault.track not in ("network", "stops")
+    ]
+    assert xxhash.xxh3_64_hexdigest(repr(made).encode()) == "2465d13c083ea12e"
+
+
+def test_each_kind_of_cut_and_stop_comes_in_some_seed() -> None:
+    found = {
+        fault.kind for seed in range(60) for fault in schedule.make(seed, 120.0)
+    }
+    assert found >= {*schedule.NETWORK_FAULTS, *schedule.STOPS}
+    losses = {schedule.final_loss(seed).kind for seed in range(20)}
+    assert losses == set(schedule.FINAL_LOSSES)
+    assert schedule.final_loss(SEED) == schedule.final_loss(SEED)
+
+
+def test_other_content_and_a_missing_answer_after_the_last_loss_are_found() -> (
+    None
+):
+    checks = checks_module.Checks()
+    checks.other_content_read(1.0, 7)
+    checks.not_read_back(2.0, 7)
+    assert rules(checks) == ["other_content", "read_back"]
