A head that drips is read no longer than its limit

Seen: a caller that sends a byte of its head every 50 ms kept a connection of the entry or of a control instance past header_seconds, up to max header bytes times that limit. Cause: the limit held for each read, not for the head, against its description. Evidence: test_head_that_drips_is_read_no_longer_than_its_limit failed before (5 s, limit 0.3 s).

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -398,6 +398,8 @@
         self, limits: manifest.Limits
     ) -> http1_heads.RequestHead | None:
         searched = 0
+        # A head in many small parts must not take longer than one in one part.
+        until = 0.0
         while True:
             received = self.received
             end = http1_heads.find_end(received, searched, limits.header_bytes)
@@ -405,7 +407,11 @@
                 self.received = received[end:]
                 return http1_heads.parse_request(received[:end])
             searched = len(received)
-            seconds = limits.header_seconds if searched else limits.idle_seconds
+            seconds = limits.idle_seconds
+            if searched:
+                now = time.monotonic()
+                until = until or now + limits.header_seconds
+                seconds = max(0.0, until - now)
             if not self._receive(seconds):
                 if searched:
                     raise http1_heads.ProtocolError("The head is incomplete.")
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -1,5 +1,6 @@
 """Tests the HTTP/1.1 server."""
 
+import contextlib
 import socket
 from typing import Any
 
@@ -7,6 +8,7 @@
 import testtools
 
 from mintcleat.adapters import http1_server
+from mintcleat.domain import manifest
 
 HEAD_END = b"\r\n\r\n"
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -196,3 +198,40 @@
         caller.sendall(REQUEST)
         with eventlet.Timeout(SECONDS):
             self.assertEqual(b"", caller.recv(65536))
+
+
+class SlowHeadTest(testtools.TestCase):
+    def test_head_that_drips_is_read_no_longer_than_its_limit(self) -> None:
+        limits = manifest.Limits(header_seconds=0.3, idle_seconds=20.0)
+        listener = http1_server.HttpListener(
+            "127.0.0.1:0", lambda *_: None, lambda: limits
+        )
+        self.addCleanup(listener.stop)
+        host, port = listener.address.split(":")
+        caller = eventlet.connect((host, int(port)))
+        self.addCleanup(caller.close)
+        caller.sendall(b"GET / HTTP/1.1\r\nX-A: ")
+        with eventlet.Timeout(5.0):
+            while not listener.connections:
+                eventlet.sleep(0.01)
+            while listener.connections:
+                with contextlib.suppress(OSError):
+                    caller.sendall(b"a")
+                eventlet.sleep(0.05)
+
+    def test_head_may_begin_after_a_longer_pause(self) -> None:
+        limits = manifest.Limits(header_seconds=0.2, idle_seconds=20.0)
+        listener = http1_server.HttpListener(
+            "127.0.0.1:0",
+            lambda request, reply: reply.send(200, [], b"x"),
+            lambda: limits,
+        )
+        self.addCleanup(listener.stop)
+        host, port = listener.address.split(":")
+        caller = eventlet.connect((host, int(port)))
+        self.addCleanup(caller.close)
+        for _ in range(2):
+            eventlet.sleep(0.4)
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            with eventlet.Timeout(5.0):
+                self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 200"))
