An answer of a plain service is bounded in size

Seen: an answer without end filled the memory of the sidecar until the call's time limit, or for ever without one. Answers beyond 16 MiB now end the call as one whose outcome is unknown. Evidence: test_answer_without_end_is_an_error fails without the bound (10 s on its first endless body, no time limit) and passes.

--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -26,6 +26,8 @@
         "upgrade",
     )
 )
+# An answer is held in memory as a whole, and sent on as one message.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Characters of a target that are sent as they are.
 _TARGET_CHARACTERS = "/?%:@!$&'()*+,;=~"
 
@@ -74,18 +76,16 @@
             ) from None
 
     def _exchange(
-        self, method: str, path: str, headers: list[list[str]], body: bytes
+        self, method: str, path: str, headers: list[list[str]], content: bytes
     ) -> upstream.Reply:
         target = "/" + parse.quote(path.lstrip("/"), safe=_TARGET_CHARACTERS)
         fields = [("host", self.address)]
         fields.extend((name, value) for name, value in end_to_end(headers))
         connection = self.pool.acquire(self.address, self.address)
         try:
-            connection.send(method, target, fields, body)
+            connection.send(method, target, fields, content)
             head = connection.read_head()
-            parts = []
-            while (data := connection.read_data()) is not None:
-                parts.append(data)
+            body = _read_body(connection)
             if connection.end is answer_ends.Kind.CLOSED and not self.alive():
                 raise errors.StreamClosed(
                     f"The answer of {self.address} has no length, and it ended "
@@ -105,10 +105,29 @@
         return upstream.Reply(
             head.status,
             end_to_end([[name, value] for name, value in head.fields]),
-            b"".join(parts),
+            body,
         )
 
 
+def _read_body(connection: http1_client.Connection) -> bytes:
+    """Returns the body of an answer.
+
+    Raises:
+        errors.StreamClosed: It is incomplete, or exceeds `MAX_ANSWER_BYTES`.
+    """
+    parts = []
+    size = 0
+    while (data := connection.read_data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            raise errors.StreamClosed(
+                f"The answer of {connection.address} exceeds "
+                f"{MAX_ANSWER_BYTES} bytes."
+            )
+    return b"".join(parts)
+
+
 def end_to_end(headers: list[list[str]]) -> list[list[str]]:
     """Returns the headers without hop-by-hop headers."""
     return [
--- a/testing/test_plain_http.py
+++ b/testing/test_plain_http.py
@@ -5,10 +5,12 @@
 import urllib3
 
 from fakes import answer_scripts
+from fakes import endless_answers
 from fakes import platform_engine
 from mintcleat.adapters import engine_http
 from mintcleat.adapters import http_errors
 from mintcleat.adapters import plain_http
+from mintcleat.adapters import process_memory
 from mintcleat.domain import errors
 from mintcleat.ports import upstream
 
@@ -79,6 +81,28 @@
             0.05,
         )
 
+    def test_answer_without_end_is_an_error(self) -> None:
+        kinds = {**endless_answers.GARBAGE, **endless_answers.BODIES}
+        before = process_memory.resident_bytes()
+        for endless in kinds.values():
+            engine = platform_engine.Engine(
+                "e1", endless_answers.EndlessScript(endless)
+            )
+            self.addCleanup(engine.stop)
+            service = plain_http.HttpService(engine.address)
+            with eventlet.Timeout(10.0):
+                self.assertRaises(
+                    errors.StreamClosed,
+                    service.send,
+                    "POST",
+                    "/a",
+                    HEADERS,
+                    b"x",
+                    0.0,
+                )
+        growth = process_memory.resident_bytes() - before
+        self.assertLess(growth, 4 * plain_http.MAX_ANSWER_BYTES)
+
     def test_path_with_other_characters_is_encoded(self) -> None:
         answer = answer_scripts.Answer(plain=BODY)
         engine = self.start(answer)
