A route says how long budgets are kept, without retaining turns

Cause: the account was kept for 60 + 15 s there, whatever the route says; the translation of the platform's configuration drops retentionS without retainContext.

Route.budget_retention is that time; account_retention is what a turn asks for, 60 s at least as before.

--- a/src/mintcleat/domain/manifest.py
+++ b/src/mintcleat/domain/manifest.py
@@ -21,6 +21,9 @@
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Name = Annotated[str, msgspec.Meta(pattern=manifest_errors.NAME_PATTERN)]
 
+# Seconds for which the budget of a program is kept on a route without retained
+# turns.
+MIN_BUDGET_RETENTION = 60.0
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 
 
@@ -139,6 +142,8 @@
             upstream that ran an earlier one.
         retention: Time for which a finished turn can be continued; 0 if
             callers always send the whole conversation.
+        budget_retention: Time for which the budget of a program is kept after
+            its last turn, at least `MIN_BUDGET_RETENTION` and `retention`.
         public: Whether callers without a customer's key may use the route.
     """
 
@@ -155,6 +160,17 @@
     affinity: bool = False
     retention: Amount = 0.0
     public: bool = False
+    budget_retention: Amount = 0.0
+
+    @property
+    def account_retention(self) -> float:
+        """Time for which the account of a program is kept after a turn.
+
+        A program that returns after that would get its whole budget again.
+        """
+        if self.retention:
+            return max(self.retention, self.budget_retention)
+        return max(MIN_BUDGET_RETENTION, self.budget_retention)
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/mintcleat/roles/entry/run_turn.py
+++ b/src/mintcleat/roles/entry/run_turn.py
@@ -13,9 +13,6 @@
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import turn_demand
 
-# Time for which the budget of a program is kept on a route without retention.
-BUDGET_RETENTION_SECONDS = 60.0
-
 
 class RunTurn:
     """Opens and settles the turn of one request.
@@ -69,12 +66,11 @@
             return None
         step = max(1, self.service.tokens_per_event)
         reserve = step * math.ceil(self.call.generation.max_tokens / step)
-        retention = self.route.retention or BUDGET_RETENTION_SECONDS
         loads = self.context.loads
         turn = self.context.turns.open(
             self.call,
             reserve,
-            retention,
+            self.route.account_retention,
             loads.report_for_summary,
             self._admission(),
             stream,
--- /dev/null
+++ b/testing/test_budget_retention.py
@@ -0,0 +1,60 @@
+"""How long the budget of a program is kept after its last turn."""
+
+from typing import Any
+
+import pytest
+import testtools
+
+from fakes import platform_engine
+from fakes import platform_system
+from mintcleat.domain import manifest
+
+RETENTION_SECONDS = 105.0
+
+
+def configuration() -> dict[str, Any]:
+    return platform_system.configuration(
+        1,
+        platform_system.route(
+            "free", "stream", service="lm", retentionS=RETENTION_SECONDS
+        ),
+    )
+
+
+class BudgetRetentionTest(platform_system.HostedTest):
+    @pytest.mark.known_red
+    def test_budget_on_a_route_without_retained_turns_does_not_return(
+        self,
+    ) -> None:
+        self.system.put(configuration())
+        self.system.add("e1", "lm", platform_engine.stream(3))
+        self.system.settle()
+        answer = self.system.call(
+            "POST",
+            "/free/a",
+            b"x",
+            X_Program_Id="p",
+            X_Token_Counts="10,30",
+            X_Token_Budget="60",
+        )
+        self.assertEqual(200, answer.status)
+        (machine,) = self.system.control.wrapped.programs.machines.values()
+        (account,) = machine.branches.accounts.values()
+        left = account.expires - machine.clock
+        self.assertGreaterEqual(left, RETENTION_SECONDS)
+
+
+class RouteTest(testtools.TestCase):
+    def kept(self, **fields: float) -> float:
+        return manifest.Route("/a/", [], **fields).account_retention
+
+    def test_budget_is_kept_for_its_own_time_without_retained_turns(
+        self,
+    ) -> None:
+        self.assertEqual(105.0, self.kept(budget_retention=105.0))
+        self.assertEqual(60.0, self.kept(budget_retention=5.0))
+        self.assertEqual(60.0, self.kept())
+
+    def test_budget_is_kept_at_least_as_long_as_retained_turns(self) -> None:
+        self.assertEqual(30.0, self.kept(retention=30.0))
+        self.assertEqual(90.0, self.kept(retention=30.0, budget_retention=90.0))
