--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -437,6 +437,8 @@
 
     def _read_head(self, limits: manifest.Limits) -> http1_heads.RequestHead:
         searched = 0
+        # A head in many small parts must not take longer than one in one part.
+        until = time.monotonic() + limits.header_seconds
         while True:
             received = self.received
             end = http1_heads.find_end(received, searched, limits.header_bytes)
@@ -444,7 +446,8 @@
                 self.received = received[end:]
                 return http1_heads.parse_request(received[:end])
             searched = len(received)
-            if not self._receive(limits.header_seconds):
+            left = max(0.0, until - time.monotonic())
+            if not self._receive(left):
                 raise http1_heads.ProtocolError("The head is incomplete.")
 
     def _receive(self, seconds: float) -> bool:
--- a/src/mintcleat/platform/translation.py
+++ b/src/mintcleat/platform/translation.py
@@ -148,8 +148,11 @@
         built["target_latency"] = _seconds(route.target_latency_ms)
     if route.target_gap_ms:
         built["target_gap"] = _seconds(route.target_gap_ms)
+    retention = min(route.retention_s or 0.0, _MOST_SECONDS)
     if route.retain_context:
-        built["retention"] = min(route.retention_s or 0.0, _MOST_SECONDS)
+        built["retention"] = retention
+    elif retention:
+        built["budget_retention"] = retention
     return built
 
 
