--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -18,6 +18,8 @@
 # Pauses between pushes, in seconds. Some are longer than the time in which a
 # version must be in force.
 _PUSH_PAUSES = (0.2, 0.3, 0.4, 3.0)
+# Invalid configurations in a row, so that a short run has many of them.
+_INVALID_PUSHES = 4
 # Mean pause between reads.
 _READ_SECONDS = 0.1
 _TIMEOUT_MS = 4000
@@ -155,7 +157,8 @@
             await asyncio.sleep(_PUSH_PAUSES[0] if self.pushes_fast else pause)
             await self.push()
             if self.generator.random() < 0.2:
-                await self.push_invalid()
+                for _ in range(_INVALID_PUSHES):
+                    await self.push_invalid()
 
     async def push_invalid(self) -> None:
         """Pushes a configuration that is invalid for one random reason."""
@@ -163,6 +166,8 @@
             self.generator,
             configuration(self.version + 1000),
             *self.generator.choice(configurations.SPELLINGS),
+            # Unusual spellings may be refused for themselves.
+            self.generator.choice((configurations.plain, configurations.spell)),
         )
         control = self.generator.choice(self.controls)
         began = time.monotonic()
--- a/testing/test_configurations.py
+++ b/testing/test_configurations.py
@@ -97,7 +97,6 @@
             for case in valid_cases(seed, 1):
                 self.assertTrue(is_taken(case.body), description(case))
 
-
     def test_values_of_any_kind_are_decided_as_the_oracle_does(self) -> None:
         for seed in range(STRANGE_CASES):
             case = configurations.strange_case(random.Random(seed), seed + 1)
