Soak: an upstream that breaks off near the end of its answer no longer stops the run

The new test did not end before; the search now ends at the end of the body, which means that the answer is sent whole.

--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -64,7 +64,9 @@
         if self.framing == CLOSE:
             if not body.endswith(blank):
                 return len(body)
-            while body[:size].endswith((blank, blank[:-1])):
+            while size < len(body) and body[:size].endswith(
+                (blank, blank[:-1])
+            ):
                 size += 1
         return size
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -10,6 +10,7 @@
 from testing.soak import checks as checks_module
 from testing.soak import reintroduced
 from testing.soak import schedule
+from testing.soak import upstreams
 
 ROOT = pathlib.Path(__file__).parent.parent
 SEED = 4
@@ -51,6 +52,16 @@
     )
 
 
+def test_every_length_at_which_an_answer_may_break_off_is_found() -> None:
+    # A search beyond the end of the body never ended, and the run with it.
+    for line_end in ("\n", "\r\n", "\r"):
+        body = f"data: a{2 * line_end}data: b{2 * line_end}".encode()
+        for size in range(len(body)):
+            broken_at = (size + 0.5) / len(body)
+            form = upstreams.Form(upstreams.CLOSE, line_end, broken_at)
+            assert size <= form.cut(body) <= len(body)
+
+
 def test_seeded_run_breaks_no_promise() -> None:
     # Guards against whatever the product's processes do wrong only together:
     # while they are killed, paused, cut off, stopped, and lose disks.
