--- a/testing/test_control_answers.py
+++ b/testing/test_control_answers.py
@@ -110,6 +110,17 @@
         )
         self.assertEqual(413, answer.status)
 
+    def test_refused_caller_that_stays_is_not_kept_for_long(self) -> None:
+        listener = self.system.control.listener
+        sock = platform_system.connect(listener.address)
+        self.addCleanup(sock.close)
+        head = f"POST {PUT} HTTP/1.1\r\nHost: c\r\nContent-Length: {TOO_LARGE}"
+        sock.sendall(f"{head}\r\n\r\n".encode())
+        self.assertEqual(413, platform_system.read_answer(sock).status)
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while listener.connections:
+                eventlet.sleep(0.05)
+
     def test_large_configuration_is_taken(self) -> None:
         routes = [
             platform_system.route(f"r{number}", "safe")
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -65,6 +65,13 @@
             self.assertEqual(200, self.system.put(configuration).status)
         self.assertEqual(platform_system.configuration(9), self.get().json())
 
+    def test_largest_version_is_taken_and_the_next_one_refused(self) -> None:
+        largest = 2**64 - 1
+        for version, status in ((largest + 1, 400), (largest, 200)):
+            fields = platform_system.configuration(version)
+            self.assertEqual(status, self.system.put(fields).status)
+        self.assertEqual(largest, self.get().json()["version"])
+
     def test_other_content_under_the_same_version_changes_nothing(
         self,
     ) -> None:
