--- a/testing/test_configurations.py
+++ b/testing/test_configurations.py
@@ -131,7 +131,8 @@
         super().setUp()
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, self.folder)
-        network = f"127.{random.randint(20, 120)}.{random.randint(1, 250)}"
+        # Addresses that soak runs beside it don't use.
+        network = f"127.{random.randint(20, 250)}.{random.randint(200, 250)}"
         self.ips = [f"{network}.{number}" for number in (1, 2, 3)]
         for number, ip in enumerate(self.ips, start=1):
             self.start(f"control-{number}", ip)
