--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -23,6 +23,8 @@
 _FAST_SECONDS = 0.2
 # Part of the pushes that two operators make at once, on two versions.
 _PAIR_PART = 0.2
+# Invalid configurations in a row, so that a short run has many of them.
+_INVALID_PUSHES = 4
 # Mean pause between reads.
 _READ_SECONDS = 0.1
 # Pause between the reads of one reader at one control.
@@ -192,7 +194,8 @@
             else:
                 await self.push()
             if self.generator.random() < 0.2:
-                await self.push_invalid()
+                for _ in range(_INVALID_PUSHES):
+                    await self.push_invalid()
 
     async def push_invalid(self) -> None:
         """Pushes a configuration that is invalid for one random reason."""
@@ -200,6 +203,8 @@
             self.generator,
             configuration(self.version + 1000),
             *self.generator.choice(configurations.SPELLINGS),
+            # Unusual spellings may be refused for themselves.
+            self.generator.choice((configurations.plain, configurations.spell)),
         )
         control = self.generator.choice(self.controls)
         began = time.monotonic()
