A turn is refused before it runs if there is no room to keep it

Callers saw: after a batch of programs with prompts of 640,000 bytes, all three control instances were killed for their memory, 12 to 23 times each; none of the turns that had been answered could be continued, and no new one was served.

Why it works: an OpenTurn states the size of the input that is to be kept. The refusal is answered at once, not run, with the time at which enough turns will have expired. A turn that has run is kept in any case, and nothing is dropped before its retention.

--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -26,7 +26,7 @@
 OPTIONAL_FIELDS = {
     program_messages.CallCounted: 1,
     program_messages.CountCall: 2,
-    program_messages.OpenTurn: 2,
+    program_messages.OpenTurn: 3,
 }
 
 TAGS: dict[int, type] = dict(
--- a/src/mintcleat/domain/program_messages.py
+++ b/src/mintcleat/domain/program_messages.py
@@ -155,6 +155,8 @@
             replicated log.
         stream: The stream that the turn begins; None if it begins none that
             can be taken up, or if its origin will be recorded later.
+        input_bytes: Size of the input that is kept if the turn ends whole;
+            0 if it isn't kept, and in the replicated log.
     """
 
     program: str
@@ -170,6 +172,7 @@
     ahead: int = 0
     demand: TurnDemand | None = None
     stream: BegunStream | None = None
+    input_bytes: int = 0
 
 
 class KeptTurn(NamedTuple):
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -26,6 +26,10 @@
 from mintcleat.roles.control.replication import snapshots
 
 _LEADERSHIP_TRANSFER_SECONDS = 2.0
+# Share of the process's memory for the inputs and outputs of kept turns. The
+# log's entries and a snapshot that is encoded, written and sent hold the same
+# bytes up to four times more, beside the process itself.
+_KEPT_TURNS_FRACTION = 0.15
 
 
 class ControlRole:
@@ -97,6 +101,7 @@
             groups,
             self.configuration.policies,
             is_current=self.configuration.is_current,
+            kept_limit=int(memory_bytes * _KEPT_TURNS_FRACTION / len(groups)),
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -15,6 +15,7 @@
 """
 
 import collections
+from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
@@ -45,6 +46,11 @@
 SWEEP_INTERVAL_SECONDS = 10.0
 
 
+def size_of(kept: program_messages.KeptTurn) -> int:
+    """Returns the bytes of a kept turn's input and output."""
+    return len(kept.input) + len(kept.output)
+
+
 class ScopedId(NamedTuple):
     """Id of a program or a turn, unique together with its customer."""
 
@@ -100,6 +106,7 @@
             program of its customer.
         expires: Group clock after which each finished turn may be deleted, the
             least recently renewed first.
+        kept_bytes: Size of the inputs and outputs of the finished turns.
         last_sweep: Group clock of the last sweep.
         turn_expiry: The finished turns by expiry.
         account_expiry: The accounts by expiry.
@@ -117,6 +124,7 @@
         self.expires: collections.OrderedDict[ScopedId, float] = (
             collections.OrderedDict()
         )
+        self.kept_bytes = 0
         self.last_sweep = 0.0
         self.turn_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
         self.account_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
@@ -231,7 +239,7 @@
                 f"Turn {request.previous} does not exist or has expired."
             )
         key = ScopedId(request.customer, request.turn)
-        self.turns[key] = program_messages.KeptTurn(
+        kept = program_messages.KeptTurn(
             request.turn,
             request.previous,
             request.input,
@@ -239,6 +247,7 @@
             request.upstream,
             request.customer,
         )
+        self._keep(key, kept)
         self._renew_chain(request, clock)
         return identities.Done()
 
@@ -255,7 +264,7 @@
         self.last_sweep = clock
         for turn in self.turn_expiry.expired(clock, MAX_DELETIONS):
             self.turn_expiry.remove(turn, self.expires.pop(turn))
-            del self.turns[turn]
+            self.kept_bytes -= size_of(self.turns.pop(turn))
         for program in self.account_expiry.expired(clock, MAX_DELETIONS):
             account = self.accounts.pop(program)
             self.account_expiry.remove(program, account.expires)
@@ -315,7 +324,7 @@
         for until, *fields in state[2]:
             kept = program_messages.KeptTurn(*fields)
             turn = ScopedId(kept.customer, kept.turn)
-            self.turns[turn] = kept
+            self._keep(turn, kept)
             self.expires[turn] = until
             self.turn_expiry.add(turn, until)
         if len(state) > _LIMITS_INDEX:
@@ -324,6 +333,18 @@
             for call, at, ahead in state[_COUNTED_INDEX]:
                 self.counted[call] = (at, ahead)
 
+    def sizes_by_expiry(self) -> Iterator[tuple[float, int]]:
+        """Yields the expiry and the size of each finished turn, in order."""
+        for turn, expires in self.turn_expiry.in_order():
+            yield expires, size_of(self.turns[turn])
+
+    def _keep(self, key: ScopedId, kept: program_messages.KeptTurn) -> None:
+        replaced = self.turns.get(key)
+        if replaced is not None:
+            self.kept_bytes -= size_of(replaced)
+        self.turns[key] = kept
+        self.kept_bytes += size_of(kept)
+
     def _renew_chain(
         self, request: program_messages.CloseTurn, clock: float
     ) -> None:
--- a/src/mintcleat/programs/checks.py
+++ b/src/mintcleat/programs/checks.py
@@ -104,6 +104,7 @@
     _check_customer(request.customer)
     _check_counts("budget", (request.budget, request.ahead))
     _check_counts("reserve", (request.reserve, request.retention))
+    _check_counts("input_bytes", (request.input_bytes,))
     if request.stream is not None:
         _check_begun(request.stream)
     if request.demand is not None:
--- a/src/mintcleat/programs/expiry.py
+++ b/src/mintcleat/programs/expiry.py
@@ -4,6 +4,7 @@
 order in which they were renewed is not that in which they expire.
 """
 
+from collections.abc import Iterator
 from typing import Generic
 from typing import TypeVar
 
@@ -68,3 +69,8 @@
                 if expires < clock
             )
         return found[:limit]
+
+    def in_order(self) -> Iterator[tuple[Key, float]]:
+        """Yields keys with their expiry, ordered by its whole second."""
+        for second in sorted(self.by_second):
+            yield from self.by_second[second].items()
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -9,6 +9,7 @@
 
 import eventlet
 
+from mintcleat.decisions import kept_turns
 from mintcleat.decisions import limits
 from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
@@ -22,6 +23,7 @@
 from mintcleat.ports import log
 from mintcleat.ports import streams
 from mintcleat.ports import timers
+from mintcleat.programs import branches
 from mintcleat.programs import checks
 from mintcleat.programs import commands
 from mintcleat.programs import machine
@@ -82,6 +84,7 @@
             order; the group of a program depends on how many there are.
         machines: The state machine of each group on this instance.
         clocks: The clock of each group.
+        rooms: The room for kept turns of each group.
         policies: Returns the newest policies that this instance knows.
         is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
@@ -99,6 +102,7 @@
         policies: Callable[[], manifest.Policies],
         *,
         is_current: Callable[[], bool] = lambda: True,
+        kept_limit: int = 0,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -115,6 +119,8 @@
             groups: Names of all program groups.
             policies: Returns the newest policies that this instance knows.
             is_current: Returns whether newer ones become known here in time.
+            kept_limit: Bytes that the finished turns of a group may keep; 0
+                for no limit.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -134,6 +140,7 @@
             group: GroupClock(group_machine, timer_service)
             for group, group_machine in self.machines.items()
         }
+        self.rooms = {group: kept_turns.Room(kept_limit) for group in groups}
         self.entry_loads = shared_load.EntryLoads()
         self.failure_reports = shared_health.FailureReports()
         self.contention = contention.Contention(
@@ -196,6 +203,7 @@
             requests[position] = self._with_current_limit(requests[position])
             try:
                 group = self._checked_group(requests[position])
+                self._reserve_room(group, requests[position])
                 if self._controls_admission(group, requests[position]):
                     self._admit(
                         group, requests[position], entries.get(position, "")
@@ -204,7 +212,7 @@
             except errors.MintcleatError as error:
                 replies[position] = error
             else:
-                requests[position] = _without_demand(requests[position])
+                requests[position] = _as_logged(requests[position])
                 by_group.setdefault(group, []).append(position)
         self._answer_groups(by_group, requests, replies)
         for position, group in admitted.items():
@@ -212,6 +220,7 @@
             if isinstance(request, program_messages.OpenTurn):
                 self.contention.opened(group, request, replies[position])
         for request, reply in zip(requests, replies, strict=True):
+            self._release_room(request, reply)
             self.load_report.answered(request, reply)
         for position in asking:
             replies[position] = self._with_others_loads(
@@ -240,6 +249,51 @@
             and self.log.leads(group)
         )
 
+    def _reserve_room(self, group: str, request: Any) -> None:
+        """Reserves the room for keeping a turn.
+
+        Raises:
+            errors.Overloaded: There is none. The turn has not run.
+        """
+        if not isinstance(request, program_messages.OpenTurn):
+            return
+        if not self.log.leads(group):
+            return
+        room = self.rooms[group]
+        finished = self.machines[group].branches
+        key = (request.customer, request.turn)
+        size, kept = request.input_bytes, finished.kept_bytes
+        continues = bool(request.previous)
+        now = self.timers.now()
+        if room.has_room(key, size, kept, continues, now):
+            return
+        clock = self.clocks[group].read()
+        # Expired turns are deleted by a sweep, which a tick starts.
+        late = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
+        expiring = (
+            kept_turns.Expiring(expires - clock + late, freed)
+            for expires, freed in finished.sizes_by_expiry()
+        )
+        after = room.retry_after(size, kept, continues, expiring, now)
+        raise errors.Overloaded(
+            f"The turn would keep {size} bytes, and {kept} of the {room.limit} "
+            "for finished turns are in use.",
+            retry_after=round(after, 3),
+        )
+
+    def _release_room(self, request: Any, reply: Any) -> None:
+        """Releases the room of a turn that has ended or was not opened."""
+        match request:
+            case program_messages.CloseTurn():
+                released = True
+            case program_messages.OpenTurn():
+                released = not isinstance(reply, program_messages.TurnOpened)
+            case _:
+                return
+        if released:
+            for room in self.rooms.values():
+                room.release((request.customer, request.turn))
+
     def _admit(self, group: str, request: Any, entry: str) -> None:
         """Admits an OpenTurn with a demand, or releases a closed turn.
 
@@ -409,10 +463,10 @@
         return self.machines[group].read(request)
 
 
-def _without_demand(request: Any) -> Any:
+def _as_logged(request: Any) -> Any:
     """Returns a request as it is logged, without its soft state."""
-    if isinstance(request, program_messages.OpenTurn) and request.demand:
-        return request._replace(demand=None)
+    if isinstance(request, program_messages.OpenTurn):
+        return request._replace(demand=None, input_bytes=0)
     return request
 
 
--- a/src/mintcleat/roles/entry/run_turn.py
+++ b/src/mintcleat/roles/entry/run_turn.py
@@ -78,6 +78,7 @@
             loads.report_for_summary,
             self._admission(),
             stream,
+            len(self.call.body) if retains else 0,
         )
         if turn.others is not None:
             loads.update_others(turn.others, turn.failing)
--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -132,6 +132,7 @@
         report: Callable[[], program_messages.RunningCounts | None],
         admission: turn_demand.Admission | None = None,
         stream: program_messages.BegunStream | None = None,
+        input_bytes: int = 0,
     ) -> OpenedTurn:
         """Opens a turn and reserves its tokens; waits for its grant.
 
@@ -144,6 +145,7 @@
             admission: How the turn asks for its grant; None without admission
                 control.
             stream: Stream that the turn begins; None to record none.
+            input_bytes: Size of the input that will be kept; 0 for none.
 
         Raises:
             errors.Overloaded: The turn was refused or waited for too long.
@@ -178,6 +180,7 @@
             limit=limit,
             ahead=ahead,
             stream=stream,
+            input_bytes=input_bytes,
         )
         try:
             reply, reported = self._ask_for_grant(
