--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -167,6 +167,8 @@
         self.common.metrics.gauge(
             "config_current", int(self.configuration.is_current())
         )
+        kept_bytes = self.programs.kept_bytes()
+        self.common.metrics.gauge("kept_turn_bytes", kept_bytes)
         for service, view in self.programs.contention.views().items():
             self._set_turn_gauges(service, view)
 
--- a/src/mintcleat/main/hosted_control.py
+++ b/src/mintcleat/main/hosted_control.py
@@ -72,7 +72,9 @@
 
     def sizes(self) -> dict[str, int]:
         """Returns the sizes of what grows with the load, by name."""
-        return self.wrapped.log.resource_usage()
+        return self.wrapped.log.resource_usage() | {
+            "kept_turn_bytes": self.wrapped.programs.kept_bytes()
+        }
 
     def in_flight(self) -> int:
         """Returns the number of requests without a response."""
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -186,6 +186,13 @@
             return commands.Tick(math.inf, math.inf)
         return commands.Tick(policies.program_idle, policies.record_retention)
 
+    def kept_bytes(self) -> int:
+        """Returns the bytes that finished turns keep on this instance."""
+        return sum(
+            group_machine.branches.kept_bytes
+            for group_machine in self.machines.values()
+        )
+
     def answer(self, requests: list[Any]) -> list[Any]:
         """Returns one reply or typed error for each request, in order."""
         by_group: dict[str, list[int]] = {}
