--- a/testing/test_kept_turns.py
+++ b/testing/test_kept_turns.py
@@ -11,6 +11,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.roles.control.programs import service as program_service
 from test_program_service import NoStreams
@@ -132,3 +133,18 @@
             self.open("t", size=0),
             matchers.IsInstance(program_messages.TurnOpened),
         )
+
+    def test_kept_bytes_survive_a_snapshot_and_end_with_the_turns(self) -> None:
+        # A count that drifts would refuse turns for ever, or never.
+        for number in range(5):
+            self.run_turn(f"t{number}")
+        self.run_turn("t4")
+        (group,) = self.service.machines.values()
+        restored = machine.ProgramMachine(None)
+        restored.restore(group.snapshot())
+        self.assertEqual(
+            [5 * SIZE, 5 * SIZE],
+            [group.branches.kept_bytes, restored.branches.kept_bytes],
+        )
+        self.timers.advance(100.0)
+        self.assertEqual(0, self.service.kept_bytes())
