Turns that begin a program may fill nine tenths of the room for kept turns

That is near the point at which beginnings were refused, so that a burst could have met it with memory to spare.

--- a/src/mintcleat/decisions/kept_turns.py
+++ b/src/mintcleat/decisions/kept_turns.py
@@ -17,7 +17,7 @@
 from typing import NamedTuple
 
 # Share of the limit that turns without a previous one may fill.
-_BEGINNING_FRACTION = 0.8
+_BEGINNING_FRACTION = 0.9
 # Turns that were opened longer ago count no more: their sender is gone, or
 # their deadlines have passed.
 _OPEN_SECONDS = 60.0
