--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -28,7 +28,7 @@
     call_messages.RunTurn: 1,
     program_messages.CallCounted: 1,
     program_messages.CountCall: 2,
-    program_messages.OpenTurn: 2,
+    program_messages.OpenTurn: 3,
 }
 
 TAGS: dict[int, type] = dict(
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -26,6 +26,10 @@
 from mintcleat.roles.control.replication import snapshots
 
 _LEADERSHIP_TRANSFER_SECONDS = 2.0
+# Share of the process's memory for the inputs and outputs of kept turns. The
+# log's entries and a snapshot that is encoded, written and sent hold the same
+# bytes up to four times more, beside the process itself.
+_KEPT_TURNS_FRACTION = 0.135
 
 
 class ControlRole:
@@ -97,6 +101,7 @@
             groups,
             self.configuration.policies,
             is_current=self.configuration.is_current,
+            kept_limit=int(memory_bytes * _KEPT_TURNS_FRACTION / len(groups)),
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
@@ -162,6 +167,8 @@
         self.common.metrics.gauge(
             "config_current", int(self.configuration.is_current())
         )
+        kept_bytes = self.programs.kept_bytes()
+        self.common.metrics.gauge("kept_turn_bytes", kept_bytes)
         for service, view in self.programs.contention.views().items():
             self._set_turn_gauges(service, view)
 
