An engine whose bytes never end doesn't stop the sidecar

Seen (trials with a sender in its own process, 3 s allowed by the caller): answers 100 without end, trailers without end, a body without end, comments without end and bytes after [DONE] stopped the whole process for over 8 s, with 2.8 GB of memory for the body; a control answer that drips ended never.

Cause: urllib3 and http.client bound neither the number of informational answers nor of trailers nor an answer's time and size; and a green socket's recv returns at once while bytes are there, so that a sender that is faster than its reader leaves no turn to timers and other green threads. The adapter uses http1_client now, whose reader waits in the hub before each read and bounds all of these. Control answers have a limit of 8 MiB (a cache 64 MiB) and one time limit as a whole, transfers of a cache 60 s; after [DONE] at most 64 KiB and 0.25 s are read. http_errors had no other user.

The limit of plain services is 8 MiB, as that of requests: with 16 MiB the test of their memory, bound 64 MiB, failed once beside other tests (67.5 MB).

test_connection_of_a_finished_stream_is_reused counted the pool's connections; it counts the sockets that are opened now.

--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -1,15 +1,21 @@
-"""An adapter for model engines over HTTP: completions and control API."""
+"""An adapter for model engines over HTTP: completions and control API.
+
+urllib3 bounds neither the time nor the size of an answer, and under eventlet it
+reads one that arrives faster than it is read without a pause for other green
+threads; `http1_client` doesn't.
+"""
 
-import collections
 from collections.abc import Iterator
+import contextlib
 from typing import Any
 from typing import TypedDict
 
+import eventlet
 import msgspec
-import urllib3
-from urllib3 import exceptions
 
-from mintcleat.adapters import http_errors
+from mintcleat.adapters import http1_client
+from mintcleat.adapters import http1_heads
+from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import server_sent_events
@@ -17,9 +23,17 @@
 
 _CONTROL_TIMEOUT_SECONDS = 5.0
 _ORDER_TIMEOUT_SECONDS = 600.0
+# Time limit of a call that transfers a cache.
+_TRANSFER_TIMEOUT_SECONDS = 60.0
+# Maximum sizes of an answer of the control API, and of an exported cache, which
+# goes on in one message.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+_MAX_CACHE_BYTES = 64 * 1024 * 1024
+# Bounds of what is read after the last event of a stream.
+_MAX_REST_BYTES = 64 * 1024
+_REST_SECONDS = 0.25
 _OK = 200
 _CONFLICT = 409
-_READ_BYTES = 65536
 _DONE = b"[DONE]"
 
 
@@ -51,19 +65,26 @@
 _EVENT = msgspec.json.Decoder(_Event)
 
 
+class _Expired(BaseException):
+    """The time for an answer, or for the next part of it, is over.
+
+    Derived from BaseException so that no error handler on the way catches it.
+    """
+
+
 class HttpEngine:
     """Implements `ports.upstream.ModelEngine`.
 
     Attributes:
+        address: `IP:PORT` of the engine.
+        pool: Idle connections to it.
         read_timeout: Time in seconds without data after which a stream counts
             as lost.
     """
 
-    def __init__(
-        self, address: str, connections: int = 64, read_timeout: float = 30.0
-    ) -> None:
-        self.base = f"http://{address}"
-        self.pool = http_errors.new_pool(connections)
+    def __init__(self, address: str, read_timeout: float = 30.0) -> None:
+        self.address = address
+        self.pool = http1_client.Pool()
         self.read_timeout = read_timeout
 
     def info(self) -> upstream.EngineInfo:
@@ -78,34 +99,21 @@
         self, call: upstream.EngineCall
     ) -> Iterator[upstream.TextChunk | upstream.End]:
         """Runs a call and yields its streamed result."""
-        headers = {
-            "Content-Type": "application/json",
-            "X-Request-Id": call.request,
-            "X-Cache-Owner": call.program,
-        }
-        response = http_errors.request(
-            self.pool,
-            "POST",
-            f"{self.base}/v1/chat/completions",
-            body=request_body(call),
-            headers=headers,
-            timeout=self.read_timeout,
-            stream=True,
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", call.request),
+            ("x-cache-owner", call.program),
+        ]
+        return self._stream(
+            "POST", "/v1/chat/completions", headers, request_body(call), 0
         )
-        return self._events(response, 0)
 
     def resume(
         self, request: str, offset: int
     ) -> Iterator[upstream.TextChunk | upstream.End]:
         """Resumes the stream of a running call at a character offset."""
-        response = http_errors.request(
-            self.pool,
-            "GET",
-            f"{self.base}/control/streams/{request}?offset={offset}",
-            timeout=self.read_timeout,
-            stream=True,
-        )
-        return self._events(response, offset)
+        target = f"/control/streams/{request}?offset={offset}"
+        return self._stream("GET", target, [], b"", offset)
 
     def cancel(self, request: str) -> None:
         """Cancels the call with the given request id."""
@@ -135,11 +143,16 @@
 
     def export_cache(self, program: str) -> bytes:
         """Returns a program's cache in serialized form."""
-        return self._call("GET", f"export?program={program}")
+        return self._call(
+            "GET",
+            f"export?program={program}",
+            timeout=_TRANSFER_TIMEOUT_SECONDS,
+            limit=_MAX_CACHE_BYTES,
+        )
 
     def import_cache(self, exported: bytes) -> None:
         """Imports a cache that another engine exported."""
-        self._call("POST", "import", exported)
+        self._call("POST", "import", exported, _TRANSFER_TIMEOUT_SECONDS)
 
     def order(self, fencing_token: int, action: str, model: str) -> None:
         """Executes an order; loading a model may take minutes.
@@ -154,7 +167,7 @@
         data = self._call("GET", path, timeout=_CONTROL_TIMEOUT_SECONDS + extra)
         try:
             fields = msgspec.json.decode(data)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
             raise errors.StreamClosed(
                 f"The engine's answer to {path.partition('?')[0]} is not JSON: "
                 f"{error}."
@@ -170,37 +183,179 @@
         self,
         method: str,
         path: str,
-        body: bytes | None = None,
+        body: bytes = b"",
         timeout: float = _CONTROL_TIMEOUT_SECONDS,
+        limit: int = MAX_ANSWER_BYTES,
     ) -> bytes:
-        url = f"{self.base}/control/{path}"
-        response = http_errors.request(
-            self.pool, method, url, body=body, timeout=timeout
-        )
-        check_status(response.status, response.data)
-        if not http_errors.has_marked_end(response):
-            raise errors.StreamClosed(
-                f"The engine's answer to {path.partition('?')[0]} has neither "
-                "a length nor chunks, so it may have been cut short."
-            )
-        return response.data
+        """Makes a call of the control API and returns the answer's body.
+
+        Raises:
+            errors.StreamTimeout: It was not complete within `timeout` seconds.
+            errors.StreamClosed: It is incomplete or too long.
+        """
+        connection = self.pool.acquire(self.address, self.address)
+        try:
+            with eventlet.Timeout(timeout, _Expired):
+                head = self._send(
+                    connection, method, f"/control/{path}", [], body
+                )
+                data = _read_body(connection, limit)
+            check_status(head.status, data)
+            if connection.end is answer_ends.Kind.CLOSED:
+                raise errors.StreamClosed(
+                    f"The engine's answer to {path.partition('?')[0]} has "
+                    "neither a length nor chunks, so it may have been cut "
+                    "short."
+                )
+        except _Expired:
+            connection.close()
+            raise errors.StreamTimeout(
+                f"The engine did not answer {path.partition('?')[0]} within "
+                f"{timeout:g} s."
+            ) from None
+        except BaseException:
+            connection.close()
+            raise
+        self._release(connection, head)
+        return data
+
+    def _stream(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        offset: int,
+    ) -> Iterator[upstream.TextChunk | upstream.End]:
+        """Sends a request; returns once the head of its stream is there."""
+        connection = self.pool.acquire(self.address, self.address)
+        try:
+            with eventlet.Timeout(self.read_timeout, _Expired):
+                head = self._send(connection, method, target, headers, body)
+                if head.status != _OK:
+                    check_status(head.status, _read_body(connection))
+        except _Expired:
+            connection.close()
+            raise self._silence() from None
+        except BaseException:
+            connection.close()
+            raise
+        return self._events(connection, head, offset)
 
     def _events(
-        self, response: urllib3.BaseHTTPResponse, offset: int
+        self,
+        connection: http1_client.Connection,
+        head: http1_heads.ResponseHead,
+        offset: int,
     ) -> Iterator[upstream.TextChunk | upstream.End]:
-        if response.status != _OK:
-            data = response.read()
-            check_status(response.status, data)
-        return read_events(response, offset)
+        is_released = False
+        try:
+            for item in read_events(self._blocks(connection), offset):
+                if isinstance(item, upstream.End):
+                    is_released = self._skip_rest(connection, head)
+                yield item
+        finally:
+            if not is_released:
+                connection.close()
+
+    def _blocks(self, connection: http1_client.Connection) -> Iterator[bytes]:
+        """Yields the parts of a stream's body as they arrive."""
+        while True:
+            try:
+                with eventlet.Timeout(self.read_timeout, _Expired):
+                    data = connection.read_data()
+            except _Expired:
+                raise self._silence() from None
+            if data is None:
+                return
+            yield data
+
+    def _skip_rest(
+        self,
+        connection: http1_client.Connection,
+        head: http1_heads.ResponseHead,
+    ) -> bool:
+        """Reads what follows the last event, so that its connection is reused.
+
+        Each call would need a new one otherwise. Errors are ignored, because
+        the response is complete already.
+
+        Returns:
+            Whether the body had its end.
+        """
+        size = 0
+        with (
+            contextlib.suppress(errors.StreamClosed),
+            eventlet.Timeout(_REST_SECONDS, False),
+        ):
+            while (data := connection.read_data()) is not None:
+                size += len(data)
+                if size > _MAX_REST_BYTES:
+                    return False
+            self._release(connection, head)
+            return True
+        return False
+
+    def _send(
+        self,
+        connection: http1_client.Connection,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> http1_heads.ResponseHead:
+        """Sends a request; returns once the head of its answer is there."""
+        fields = [("host", self.address), *headers]
+        connection.send(method, target, fields, body)
+        return connection.read_head()
+
+    def _release(
+        self,
+        connection: http1_client.Connection,
+        head: http1_heads.ResponseHead,
+    ) -> None:
+        """Keeps a connection for the next request if it can carry one."""
+        keep_alive = dict(head.fields).get("keep-alive", "")
+        if connection.prepare_reuse(
+            http1_client.keep_alive_seconds(keep_alive)
+        ):
+            self.pool.release(self.address, connection)
+        else:
+            connection.close()
+
+    def _silence(self) -> errors.StreamTimeout:
+        return errors.StreamTimeout(
+            f"The engine sent nothing for {self.read_timeout:g} s."
+        )
+
+
+def _read_body(
+    connection: http1_client.Connection, limit: int = MAX_ANSWER_BYTES
+) -> bytes:
+    """Returns the body of an answer of the control API.
+
+    Raises:
+        errors.StreamClosed: It is incomplete, or exceeds `limit` bytes.
+    """
+    parts = []
+    size = 0
+    while (data := connection.read_data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > limit:
+            raise errors.StreamClosed(
+                f"The engine's answer exceeds {limit} bytes."
+            )
+    return b"".join(parts)
 
 
 def read_events(
-    response: urllib3.BaseHTTPResponse, offset: int
+    body: Iterator[bytes], offset: int
 ) -> Iterator[upstream.TextChunk | upstream.End]:
     """Yields the text chunks of a stream and its end.
 
     Args:
-        response: The response, whose body is not read yet.
+        body: Its body.
         offset: Number of characters received before, when resuming.
 
     Raises:
@@ -212,7 +367,6 @@
     reason = ""
     usage: _Usage = {}
     done = False
-    body = response.stream(_READ_BYTES)
     try:
         for data in read_data(body):
             if data == _DONE:
@@ -227,17 +381,14 @@
                 if text:
                     received += len(text)
                     yield upstream.TextChunk(text)
-    except exceptions.HTTPError as error:
-        raise http_errors.translate(error) from error
-    except (msgspec.DecodeError, server_sent_events.InvalidEvent) as error:
+    except (
+        msgspec.DecodeError,
+        RecursionError,
+        server_sent_events.InvalidEvent,
+    ) as error:
         raise errors.StreamClosed(
             f"The engine sent an invalid event: {error}."
         ) from error
-    finally:
-        if done:
-            release_connection(response, body)
-        else:
-            response.close()
     if not done:
         raise errors.StreamClosed("The engine's stream ended before `[DONE]`.")
     # Without the field, lost characters cannot be detected.
@@ -245,22 +396,6 @@
     yield upstream.End(total, reason, to_usage(usage))
 
 
-def release_connection(
-    response: urllib3.BaseHTTPResponse, body: Iterator[bytes]
-) -> None:
-    """Reads the rest of a body, so that its connection can be reused.
-
-    urllib3 closes a connection whose body was not read to its end, and each
-    call would need a new one. Errors are ignored, because the response is
-    complete already.
-    """
-    try:
-        collections.deque(body, maxlen=0)
-        response.release_conn()
-    except exceptions.HTTPError:
-        response.close()
-
-
 def read_data(body: Iterator[bytes]) -> Iterator[bytes]:
     """Yields the data of the events of a body as they arrive."""
     buffer = server_sent_events.EventBuffer()
--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -9,7 +9,6 @@
 import eventlet
 
 from mintcleat.adapters import http1_client
-from mintcleat.adapters import http_errors
 from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
 from mintcleat.ports import upstream
@@ -26,8 +25,10 @@
         "upgrade",
     )
 )
-# An answer is held in memory as a whole, and sent on as one message.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_CONNECT_TIMEOUT_SECONDS = 2.0
+# An answer is held in memory as a whole, more than once, and sent on as one
+# message. Requests have the same limit.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # Characters of a target that are sent as they are.
 _TARGET_CHARACTERS = "/?%:@!$&'()*+,;=~"
 
@@ -50,9 +51,7 @@
         """Returns whether the service accepts connections."""
         host, _, port = self.address.rpartition(":")
         try:
-            with eventlet.Timeout(
-                http_errors.CONNECT_TIMEOUT_SECONDS, TimeoutError
-            ):
+            with eventlet.Timeout(_CONNECT_TIMEOUT_SECONDS, TimeoutError):
                 eventlet.connect((host, int(port))).close()
         except (OSError, TimeoutError):
             return False
--- a/testing/test_engine_http.py
+++ b/testing/test_engine_http.py
@@ -1,8 +1,11 @@
 """Tests the HTTP adapter for model engines."""
 
+from typing import Any
+
 import testtools
 
 from mintcleat.adapters import engine_http
+from mintcleat.adapters import http1_client
 from mintcleat.domain import errors
 from mintcleat.ports import upstream
 from mintcleat.standins import engine
@@ -24,10 +27,17 @@
 
     def test_connection_of_a_finished_stream_is_reused(self) -> None:
         adapter = self.start()
+        opened = []
+        open_socket = http1_client.open_socket
+
+        def count(address: str) -> Any:
+            opened.append(address)
+            return open_socket(address)
+
+        self.patch(http1_client, "open_socket", count)
         for number in range(3):
             self.run_call(adapter, number)
-        pool = adapter.pool.connection_from_url(adapter.base)
-        self.assertEqual(1, pool.num_connections)
+        self.assertEqual([adapter.address], opened)
 
     def test_lines_of_a_stream_may_end_in_each_way(self) -> None:
         for line_end in ("\n", "\r\n", "\r"):
--- a/testing/test_plain_http.py
+++ b/testing/test_plain_http.py
@@ -2,19 +2,20 @@
 
 import eventlet
 import testtools
-import urllib3
 
 from fakes import answer_scripts
 from fakes import endless_answers
 from fakes import platform_engine
 from mintcleat.adapters import engine_http
-from mintcleat.adapters import http_errors
+from mintcleat.adapters import http1_client
 from mintcleat.adapters import plain_http
 from mintcleat.adapters import process_memory
 from mintcleat.domain import errors
 from mintcleat.ports import upstream
 
 BODY = b"all of it"
+# Memory that endless answers may take, their senders included.
+MAX_GROWTH_BYTES = 64 * 1024 * 1024
 HEADERS = [["X-Request-Id", "r1"]]
 
 
@@ -101,7 +102,7 @@
                     0.0,
                 )
         growth = process_memory.resident_bytes() - before
-        self.assertLess(growth, 4 * plain_http.MAX_ANSWER_BYTES)
+        self.assertLess(growth, MAX_GROWTH_BYTES)
 
     def test_path_with_other_characters_is_encoded(self) -> None:
         answer = answer_scripts.Answer(plain=BODY)
@@ -134,13 +135,20 @@
         self.assertRaises(errors.StreamClosed, self.info, answer)
 
 
-class _NamingPool:
-    def __init__(self) -> None:
-        self.pool = http_errors.new_pool(1)
+class _NamingPool(http1_client.Pool):
+    """A pool whose connections add a request id."""
 
-    def request(
-        self, method: str, url: str, **fields: object
-    ) -> urllib3.BaseHTTPResponse:
-        return self.pool.request(
-            method, url, **{**fields, "headers": {"X-Request-Id": "r1"}}
-        )
+    def acquire(self, upstream: str, address: str) -> http1_client.Connection:
+        connection = super().acquire(upstream, address)
+        send = connection.send
+
+        def send_named(
+            method: str,
+            target: str,
+            headers: list[tuple[str, str]],
+            body: bytes,
+        ) -> None:
+            send(method, target, [*headers, ("x-request-id", "r1")], body)
+
+        connection.send = send_named
+        return connection
