--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -16,6 +16,8 @@
 END = b"\r\n\r\n"
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
 _ABSOLUTE_TARGET = re.compile(r"(?i:https?)://([^/?#]*)([^#]*)")
+_START = b"HTTP/1."
+_MAX_LENGTH_DIGITS = 20
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
 
@@ -91,6 +93,18 @@
     return 0
 
 
+def check_response_start(data: bytes) -> None:
+    """Checks the first bytes of a response, as far as they have arrived.
+
+    Raises:
+        ProtocolError: They are no response, whatever follows.
+    """
+    if not _START.startswith(data[: len(_START)]):
+        raise ProtocolError(
+            f"Expected a response of HTTP/1, found {data[: len(_START)]!r}."
+        )
+
+
 def parse_request(head: bytes) -> RequestHead:
     """Parses the head of a request, including the blank line at its end.
 
@@ -301,6 +315,8 @@
     length = fields.get("content-length")
     if length is None:
         return default
-    if not (length.isascii() and length.isdigit()):
+    # Python refuses to convert thousands of digits, even if all are zeros.
+    is_number = length.isascii() and length.isdigit()
+    if not is_number or len(length) > _MAX_LENGTH_DIGITS:
         raise ProtocolError("Invalid Content-Length.")
     return http1_framing.FixedBody(int(length))
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -1,6 +1,6 @@
 """Runs one role on a machine of the hosting platform.
 
-    python -m mintcleat.main.hosted ROLE [POLICY]
+    python -m mintcleat.launch ROLE [POLICY]
 
 POLICY is a file that disables mechanisms of an entry, for experiments.
 
@@ -14,6 +14,7 @@
 import sys
 import time
 from typing import Any
+from typing import NamedTuple
 import warnings
 
 import eventlet
@@ -38,6 +39,11 @@
 _STOP_CHECK_SECONDS = 0.1
 _SETTINGS_CHECK_SECONDS = 1.0
 _FLUSH_SECONDS = 0.1
+# Time for which a start waits for settings that can be read. A process that
+# ends at once would be restarted and counted as failed while the file is still
+# being written.
+_SETTINGS_WAIT_SECONDS = 3.0
+_SETTINGS_RETRY_SECONDS = 0.05
 # Short enough to sample memory during a start or a snapshot, which take some
 # tenths of a second and have the peaks.
 _MEMORY_CHECK_SECONDS = 0.2
@@ -46,8 +52,26 @@
 _LOOP_CHECK_SECONDS = 0.5
 
 
+class FileState(NamedTuple):
+    """What differs after a change of a file.
+
+    The modification time alone is not enough: tools may write files with a
+    fixed time, and two writes may fall into one tick of the clock.
+    """
+
+    inode: int
+    size: int
+    modified_ns: int
+    changed_ns: int
+
+
 class Process:
-    """A process that runs one role."""
+    """A process that runs one role.
+
+    Attributes:
+        loaded_state: State of the settings file before it was last read; None
+            if that failed.
+    """
 
     def __init__(
         self, role: str, path: pathlib.Path, policy: policy_module.Policy
@@ -57,9 +81,10 @@
         self.started_at = time.monotonic()
         self.stop_signals = 0
         self.reload_signals = 0
-        self.modified_at = _modified_at(path)
+        signal.signal(signal.SIGHUP, self._count_reload)
+        self.loaded_state = _state_of(path)
         self.next_check = 0.0
-        self.machine = settings_module.load(path, role)
+        self.machine = _load_when_written(path, role)
         settings = self.machine.settings
         self.log = event_log.EventLog(settings.instance)
         self.common = common_module.SharedComponents(settings)
@@ -72,7 +97,6 @@
             settings.metrics, self._scrape
         )
         signal.signal(signal.SIGTERM, self._count_stop)
-        signal.signal(signal.SIGHUP, self._count_reload)
 
     def run(self) -> int:
         """Runs until SIGTERM or a failure; returns the exit code."""
@@ -141,17 +165,17 @@
         if not self.reload_signals and time.monotonic() < self.next_check:
             return
         self.next_check = time.monotonic() + _SETTINGS_CHECK_SECONDS
-        modified_at = _modified_at(self.path)
+        state = _state_of(self.path)
         requested, self.reload_signals = self.reload_signals, 0
-        if not requested and modified_at == self.modified_at:
+        if not requested and state == self.loaded_state:
             return
-        self.modified_at = modified_at
+        self.loaded_state = state
         try:
             machine = settings_module.load(self.path, self.role_name)
         except errors.MintcleatError as error:
             # The file may be half written; the next check reads it again.
             logger.warning("Settings were not reloaded: {}", error.detail)
-            self.modified_at = 0
+            self.loaded_state = None
             return
         changed = self.role.reload(machine)
         self.events.emit(event_types.SettingsReloaded(changed))
@@ -180,11 +204,37 @@
     return hosted_control.ControlRole(machine, common, events)
 
 
-def _modified_at(path: pathlib.Path) -> int:
+def _load_when_written(
+    path: pathlib.Path, role: str
+) -> settings_module.MachineSettings:
+    """Returns the settings; waits for a file that is being written.
+
+    Raises:
+        errors.InvalidSettings: The file can't be read after the longest wait.
+    """
+    until = time.monotonic() + _SETTINGS_WAIT_SECONDS
+    is_reported = False
+    while True:
+        try:
+            return settings_module.load(path, role)
+        except errors.InvalidSettings as error:
+            if time.monotonic() > until:
+                raise
+            if not is_reported:
+                logger.warning("Waiting for settings: {}", error.detail)
+            is_reported = True
+        time.sleep(_SETTINGS_RETRY_SECONDS)
+
+
+def _state_of(path: pathlib.Path) -> FileState | None:
+    """Returns the state of a file; None if there is none."""
     try:
-        return path.stat().st_mtime_ns
+        found = path.stat()
     except OSError:
-        return 0
+        return None
+    return FileState(
+        found.st_ino, found.st_size, found.st_mtime_ns, found.st_ctime_ns
+    )
 
 
 def main() -> None:
@@ -192,7 +242,13 @@
     hubs.use_hub(event_loop.Hub)
     warnings.filterwarnings("ignore", category=DeprecationWarning)
     logger.remove()
-    logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {message}")
+    logger.add(
+        sys.stderr,
+        level="INFO",
+        format="{time:HH:mm:ss.SSS} {message}",
+        # Values of variables would show customers' keys.
+        diagnose=False,
+    )
     roles = (settings_module.ENTRY, settings_module.CONTROL)
     if len(sys.argv) not in (2, 3) or sys.argv[1] not in roles:
         usage = f"usage: hosted {'|'.join(roles)} [POLICY]"
--- a/src/mintcleat/platform/control_api.py
+++ b/src/mintcleat/platform/control_api.py
@@ -1,20 +1,26 @@
 """The HTTP API of control for the platform's operators and upstreams."""
 
+import pathlib
 import reprlib
+import traceback
 from typing import Any
 from typing import Protocol
 
+from loguru import logger
 import msgspec
 import xxhash
 
 from mintcleat.adapters import http1_server
 from mintcleat.domain import config_messages
+from mintcleat.domain import control_events
 from mintcleat.domain import errors
 from mintcleat.domain import events
 from mintcleat.domain import member_messages
 from mintcleat.domain import operator_messages
 from mintcleat.domain import registrations
 from mintcleat.platform import configuration
+from mintcleat.platform import names
+from mintcleat.platform import translation
 from mintcleat.ports import events as event_ports
 
 _OPERATOR = "platform"
@@ -36,8 +42,16 @@
 }
 # A heartbeat has about 300 bytes, or a few thousand with many models.
 _MAX_HEARTBEAT_BYTES = 64 * 1024
+# Integers above it are refused also when they are taken for seconds, and some
+# are beyond a float.
+_MAX_COLD_MS = 10**15
 # Limit on unauthenticated text that is copied to a log line.
 _MAX_LOGGED_CHARS = 160
+_STATUS_FAILED = 500
+_FAILURE = errors.MintcleatError(
+    "An unexpected error occurred in this process.",
+    remedy="Send the request to another control instance and report a bug.",
+)
 
 
 class Config(Protocol):
@@ -70,13 +84,36 @@
     def handle(
         self, request: http1_server.Request, reply: http1_server.Reply
     ) -> None:
-        """Responds to one request."""
+        """Responds to one request, whatever it is and whatever happens here.
+
+        Callers take a connection that ends without a response for a lost
+        response, and send the same request again.
+        """
         try:
             status, body = 200, self._dispatch(request)
         except errors.MintcleatError as error:
             status, body = _status_of(error), _error_body(error)
+        except Exception as error:
+            self._report_failure(request, error)
+            status, body = _STATUS_FAILED, _error_body(_FAILURE)
         reply.send(status, [("content-type", "application/json")], body)
 
+    def _report_failure(
+        self, request: http1_server.Request, error: Exception
+    ) -> None:
+        path = _path_of(request)
+        logger.exception("{} {} failed.", request.method, path)
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        self.event_reporter.emit(
+            control_events.RequestFailed(
+                request.method[:_MAX_LOGGED_CHARS],
+                path,
+                request.peer,
+                type(error).__name__,
+                f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}",
+            )
+        )
+
     def _dispatch(self, request: http1_server.Request) -> bytes:
         path = request.target.partition("?")[0]
         match request.method, path:
@@ -106,14 +143,16 @@
 
     def _put_configuration(self, request: http1_server.Request) -> bytes:
         body = request.body
+        _check_encoding(request)
+        parsed = configuration.parse(body)
         return self._submit(
             config_messages.PushManifest(
                 0,
                 xxhash.xxh3_128_hexdigest(body),
-                configuration.to_manifest(body, self.policies),
+                translation.to_manifest(parsed, self.policies),
                 _OPERATOR,
                 request.peer,
-                configuration.version_of(body),
+                parsed.version,
                 body.decode(),
             )
         )
@@ -176,9 +215,11 @@
         if wire in fields
     }
     cold: Any = named.get("cold")
-    if type(cold) in (int, float):
+    # Other values are refused with the registration.
+    if type(cold) is float or (type(cold) is int and cold <= _MAX_COLD_MS):
         named["cold"] = cold / 1000.0
-    return registrations.parse(upstream, named)
+    parsed = registrations.parse(upstream, named)
+    return parsed._replace(service=names.in_manifest(parsed.service))
 
 
 def parse_deregistration(body: bytes) -> int:
@@ -203,6 +244,25 @@
     return started
 
 
+def _check_encoding(request: http1_server.Request) -> None:
+    """Checks that a body is sent as it is.
+
+    Raises:
+        errors.InvalidManifest: It is compressed.
+    """
+    encoding = request.header("content-encoding")
+    if encoding.lower() not in ("", "identity"):
+        raise errors.InvalidManifest(
+            "$: must be sent without a Content-Encoding, but has "
+            f"{reprlib.repr(encoding)}."
+        )
+
+
+def _path_of(request: http1_server.Request) -> str:
+    """Returns the path of a request for a log line."""
+    return request.target.partition("?")[0][:_MAX_LOGGED_CHARS]
+
+
 def _decode_object(body: bytes) -> dict[str, Any]:
     if len(body) > _MAX_HEARTBEAT_BYTES:
         raise errors.BadRequest(
