--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -17,6 +17,8 @@
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
 _ABSOLUTE_TARGET = re.compile(r"(?i:https?)://([^/?#]*)([^#]*)")
 _START = b"HTTP/1."
+# A length of more digits exceeds 64 bits, or is padded; from some thousand on,
+# converting it fails.
 _MAX_LENGTH_DIGITS = 20
 _SINGLE_FIELDS = ("host", "content-length", "transfer-encoding")
 
@@ -315,8 +317,8 @@
     length = fields.get("content-length")
     if length is None:
         return default
-    # Python refuses to convert thousands of digits, even if all are zeros.
-    is_number = length.isascii() and length.isdigit()
-    if not is_number or len(length) > _MAX_LENGTH_DIGITS:
+    if not (length.isascii() and length.isdigit()):
         raise ProtocolError("Invalid Content-Length.")
+    if len(length) > _MAX_LENGTH_DIGITS:
+        raise ProtocolError("The Content-Length has too many digits.")
     return http1_framing.FixedBody(int(length))
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib import parse
 
+import eventlet
 import msgspec
 
 from mintcleat.adapters import http1_client
@@ -36,6 +37,9 @@
 # Handles are sent on in a header.
 _HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
 _SUCCESS = range(200, 300)
+# Bounds of the body of a refusal that is read.
+_MAX_REFUSAL_BYTES = 64 * 1024
+_REFUSAL_SECONDS = 0.1
 
 
 class HttpUpstreamClient:
@@ -177,7 +181,6 @@
         status = response.status
         self._validate(status)
         content_type = self.fields.get("content-type", "").lower()
-        length = self.fields.get("content-length", "")
         self.head = routed_calls.ResponseHead(
             status,
             response.reason,
@@ -186,7 +189,6 @@
                 for field in response.fields
                 if field[0] not in callers.HOP_BY_HOP_FIELDS
             ),
-            int(length) if length.isdigit() else None,
             status in _SUCCESS and content_type.startswith("text/event-stream"),
         )
 
@@ -246,9 +248,7 @@
                 "upstream has this address now."
             )
         if _NOT_EXECUTED in self.fields:
-            with contextlib.suppress(errors.StreamClosed):
-                for _ in self.chunks():
-                    pass
+            self._skip_refusal()
             raise errors.UpstreamBusy(
                 f"Upstream {self.upstream.upstream} refused the request with "
                 f"status {status} and {_NOT_EXECUTED}."
@@ -265,6 +265,22 @@
                 f"{status} has no header {_SIGNATURE}."
             )
 
+    def _skip_refusal(self) -> None:
+        """Reads the body of a refusal, after which its connection is reusable.
+
+        The head has said that the request did not run. A body without end must
+        not keep it from another upstream.
+        """
+        size = 0
+        with (
+            contextlib.suppress(errors.StreamClosed),
+            eventlet.Timeout(_REFUSAL_SECONDS, False),
+        ):
+            for data in self.chunks():
+                size += len(data)
+                if size > _MAX_REFUSAL_BYTES:
+                    return
+
 
 def _identified(
     connection: http1_client.Connection,
--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -10,7 +10,6 @@
 from mintcleat.domain import keys
 from mintcleat.domain import manifest
 from mintcleat.domain import manifest_errors
-from mintcleat.platform import configuration
 from mintcleat.platform import json_text
 from mintcleat.platform import names
 from mintcleat.platform import translation
@@ -30,7 +29,9 @@
     def service(self, **changes: Any) -> manifest.Service:
         fields = platform_system.configuration()
         fields["services"][1]["engine"] = {**ENGINE, **changes}
-        parsed = configuration.parse(json.dumps(fields).encode())
+        parsed = platform_system.valid_configuration(
+            json.dumps(fields).encode()
+        )
         text = translation.to_manifest(parsed, {})
         return manifest.parse(text).services["lm"]
 
@@ -67,7 +68,9 @@
 
 class TranslationTest(testtools.TestCase):
     def manifest(self, fields: dict[str, Any]) -> manifest.Manifest:
-        parsed = configuration.parse(json.dumps(fields).encode())
+        parsed = platform_system.valid_configuration(
+            json.dumps(fields).encode()
+        )
         return manifest.parse(translation.to_manifest(parsed, {}))
 
     def test_hosts_are_looked_up_in_lower_case(self) -> None:
@@ -163,6 +166,7 @@
             (b"7.0", 7),
             (b"70e-1", 7),
             (b"18446744073709551615", 2**64 - 1),
+            (b"18446744073709551615.0", 2**64 - 1),
         ):
             found = json_text.decode(text)
             self.assertEqual((value, int), (found, type(found)))
@@ -175,7 +179,7 @@
     def detail(self, fields: dict[str, Any]) -> str:
         error = self.assertRaises(
             errors.InvalidManifest,
-            configuration.parse,
+            platform_system.valid_configuration,
             json.dumps(fields).encode(),
         )
         return error.detail
@@ -187,6 +191,11 @@
         self.assertIn("$.routes[2]", detail)
         self.assertIn("timeoutMs", detail)
 
+    def test_error_has_the_service_of_the_engine(self) -> None:
+        fields = platform_system.configuration()
+        fields["services"][1]["engine"]["stride"] = "3"
+        self.assertIn("$.services[1].engine", self.detail(fields))
+
     def test_error_of_a_shared_key_does_not_show_it(self) -> None:
         fields = platform_system.configuration()
         fields["tenants"] = [
@@ -220,9 +229,8 @@
                 route("a", "safe", host="host.example", pathPrefix="/a~/"),
                 route("b", "safe", host=host, pathPrefix=prefix),
             )
+            read = configuration.read(json.dumps(fields).encode())
             error = self.assertRaises(
-                errors.InvalidManifest,
-                configuration.parse,
-                json.dumps(fields).encode(),
+                errors.InvalidManifest, configuration.check, read
             )
             self.assertIn("same host and prefix", error.detail)
