Soak: a reintroduced fault shows that late routes are found

Not kept: a fault that reads the limits before the wait for a request, with a probe on connections that stay idle.

--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -27,11 +27,14 @@
 from mintcleat.roles.control.replication import application
 from mintcleat.roles.control.replication import replication
 from mintcleat.roles.entry import end_confirmation
+from mintcleat.roles.entry import gateway
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import stream_origins as entry_origins
 
 # Far longer than the third of a second for which voters elect nobody else.
 _LONG_LEASE_SECONDS = 3.0
+# Longer than the time in which a change must be in force.
+_TABLE_SECONDS = 6.0
 
 
 class Reintroduced(NamedTuple):
@@ -235,7 +238,26 @@
     _replace(entry_origins.StreamOrigins, "find", find)
 
 
+def _routes_kept() -> None:
+    """An entry goes on with its table of routes after a change."""
+    match = gateway.Gateway._match
+    built: dict[Any, float] = {}
+
+    def match_by_old_table(self: Any, call: Any) -> Any:
+        now = self.timers.now()
+        if now - built.get(self, 0.0) < _TABLE_SECONDS:
+            self.table_manifest = self.configuration.manifest()
+        else:
+            built[self] = now
+        return match(self, call)
+
+    _replace(gateway.Gateway, "_match", match_by_old_table)
+
+
 FAULTS = {
+    "routes_kept": Reintroduced(
+        _routes_kept, frozenset({"late", "regress", "in_force"})
+    ),
     "lease_without_margin": Reintroduced(
         _lease_without_margin, frozenset({"stale_configuration"})
     ),
