Soak: a lost disk counts as repaired only once the new one is a voter

Trace: control-3 was emptied at 49.3 s, the check of the logs took the identity of its old disk, whose voters were complete, and control-1 was emptied at 51 s. Cause: the new process had not logged its disk yet. Now only what a process has logged since its last start counts.

--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -48,6 +48,7 @@
         process: The running process; None when it is down.
         planned: Whether it is being stopped by SIGTERM.
         starts: Number of starts.
+        log_offset: Size of the log at the last start, in characters.
 
     Args:
         fleet: All nodes.
@@ -69,6 +70,7 @@
         self.process: subprocess.Popen | None = None
         self.planned = False
         self.starts = 0
+        self.log_offset = 0
         self.log_path = fleet.folder / f"{name}.log"
         self.machine_path = fleet.folder / f"{name}.machine"
         self.settings_path = fleet.folder / f"{name}.toml"
@@ -101,6 +103,8 @@
         environment["SOAK_FAULT"] = self.fleet.fault
         environment["SOAK_MACHINE"] = str(self.machine_path)
         self.starts += 1
+        if self.log_path.exists():
+            self.log_offset = len(self.log_path.read_text())
         with self.log_path.open("a") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "testing.soak.launch", self.role],
@@ -400,11 +404,14 @@
         identities: set[str] = set()
         voters: dict[str, tuple[int, set[str]]] = {}
         for node in self.controls:
+            # Before that, the disk may be another than that of the last start.
             identity = ""
-            for line in node.log_path.read_text().splitlines():
+            text = node.log_path.read_text()
+            for line in text[node.log_offset :].splitlines():
                 if '"disk_opened"' in line:
                     identity = _fields(line).get("identity", identity)
-                elif '"voters_changed"' in line:
+            for line in text.splitlines():
+                if '"voters_changed"' in line:
                     fields = _fields(line)
                     known = voters.get(fields["group"], (-1, set()))
                     if fields["index"] > known[0]:
