A route whose prefix has letters that a request must encode is served

Callers saw: a configuration with the prefix /Grüße 1/ is taken, and every request on the route gets 404, as its path is percent-encoded. Cause: equivalent encodings were compared, but not what must be encoded with its encoding. Change: uris.normal_path encodes such characters, so that the route table, the model and the manifest's check compare the same form. Evidence: the two tests failed before (a path test; a real listener, 404).

--- a/src/mintcleat/domain/uris.py
+++ b/src/mintcleat/domain/uris.py
@@ -6,9 +6,12 @@
 
 import re
 import string
+from urllib import parse as url
 
 _UNRESERVED = frozenset(f"{string.ascii_letters}{string.digits}-._~")
 _ENCODED = re.compile("%[0-9A-Fa-f]{2}")
+# What a path of ASCII characters may not contain as it is.
+_MUST_BE_ENCODED = re.compile(r"[^!#-;=?-\[\]_a-z~]")
 _PORT = re.compile(r":[0-9]*\Z")
 
 
@@ -33,13 +36,20 @@
 
     Encoded octets have hexadecimal digits in upper case, and those of
     unreserved characters are decoded. Encoded slashes stay encoded: they don't
-    separate segments.
+    separate segments. Characters that a request has to encode are encoded, as
+    operators may write them as they are.
     """
+    if _MUST_BE_ENCODED.search(path):
+        path = _MUST_BE_ENCODED.sub(_encoded, path)
     if "%" not in path:
         return path
     return _ENCODED.sub(_normal_octet, path)
 
 
+def _encoded(match: re.Match[str]) -> str:
+    return url.quote(match[0], safe="")
+
+
 def _normal_octet(match: re.Match[str]) -> str:
     character = chr(int(match[0][1:], 16))
     return character if character in _UNRESERVED else match[0].upper()
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -159,6 +159,17 @@
         answer = self.system.call("GET", "/added/a")
         self.assertEqual(b"e2 /added/a", answer.body)
 
+    def test_route_whose_prefix_has_other_letters_is_served(self) -> None:
+        fields = platform_system.configuration(
+            1, platform_system.route("added", "safe", pathPrefix="/Grüße 1/")
+        )
+        self.assertEqual(200, self.system.put(fields).status)
+        self.system.add("e1", "desk")
+        self.system.settle()
+        target = "/Gr%c3%bc%C3%9Fe%201/a"
+        answer = self.system.call("GET", target)
+        self.assertEqual(f"e1 {target}".encode(), answer.body)
+
     def test_services_and_routes_of_any_name_are_served(self) -> None:
         name = "desk & Grüße/2"
         fields = platform_system.configuration(
--- a/testing/test_uris.py
+++ b/testing/test_uris.py
@@ -43,3 +43,16 @@
             "/%zz%4/": "/%zz%4/",
         }.items():
             self.assertEqual(expected, uris.normal_path(written), written)
+
+    def test_characters_that_a_target_must_encode_equal_their_encoding(
+        self,
+    ) -> None:
+        # A route with such a prefix would match no request.
+        for written, expected in {
+            "/ü/": "/%C3%BC/",
+            "/a b/": "/a%20b/",
+            '/"{<>}^`|\\/': "/%22%7B%3C%3E%7D%5E%60%7C%5C/",
+            "/日/%61": "/%E6%97%A5/a",
+            "/a?b#c/": "/a?b#c/",
+        }.items():
+            self.assertEqual(expected, uris.normal_path(written), written)
