--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -29,7 +29,7 @@
 # Share of the process's memory for the inputs and outputs of kept turns. The
 # log's entries and a snapshot that is encoded, written and sent hold the same
 # bytes up to four times more, beside the process itself.
-_KEPT_TURNS_FRACTION = 0.135
+_KEPT_TURNS_FRACTION = 0.11
 
 
 class ControlRole:
