A customer's key that isn't ASCII matches the requests that show it

Callers saw: 401 for a key that a taken configuration holds, if it has other letters. Cause: the header is read with a character for each byte, and the key was hashed as UTF-8 text. Now the bytes are read as UTF-8 as well. Evidence: the new line of test_authentication failed before. Keys in ASCII have the same digests.

--- a/src/mintcleat/domain/keys.py
+++ b/src/mintcleat/domain/keys.py
@@ -29,11 +29,13 @@
     which field they use, so a caller could act as another customer.
 
     Args:
-        fields: Values of all header fields that carry a key.
+        fields: Values of all header fields that carry a key, with a character
+            for each byte, as headers are read.
     """
     if len(fields) != 1 or not 0 < len(fields[0]) <= MAX_KEY_LENGTH:
         return ""
-    return digest(fields[0])
+    sent = fields[0].encode("latin-1", "surrogateescape")
+    return digest(sent.decode("utf-8", "surrogateescape"))
 
 
 def as_digest(key: str) -> str:
--- a/testing/test_authentication.py
+++ b/testing/test_authentication.py
@@ -30,6 +30,9 @@
 
     def test_only_a_single_field_of_valid_length_is_a_key(self) -> None:
         self.assertEqual(keys.digest(KEY), keys.digest_from_fields([KEY]))
+        # Headers are read byte by byte, and keys are configured as text.
+        sent = "clé".encode().decode("latin-1")
+        self.assertEqual(keys.digest("clé"), keys.digest_from_fields([sent]))
         for fields in ([], [""], [KEY, KEY], ["x" * 1_000_000]):
             self.assertEqual("", keys.digest_from_fields(fields))
 
