Prefixes with ? or # are served; a host of a port or dot alone isn't any host

Found by the review: the prefixes /a?b/ and /a#b/ were taken and every request on them got 404, as its path encodes both; the hosts '.' and ':80' counted as the empty one, so that their routes served every host. Cause: the normal forms left the two characters, and took a port or a dot away from nothing. Evidence: two tests of test_uris failed before.

--- a/src/mintcleat/domain/uris.py
+++ b/src/mintcleat/domain/uris.py
@@ -10,8 +10,8 @@
 
 _UNRESERVED = frozenset(f"{string.ascii_letters}{string.digits}-._~")
 _ENCODED = re.compile("%[0-9A-Fa-f]{2}")
-# What a path of ASCII characters may not contain as it is.
-_MUST_BE_ENCODED = re.compile(r"[^!#-;=?-\[\]_a-z~]")
+# What a path can't contain as it is.
+_MUST_BE_ENCODED = re.compile(r"[^!$-;=@-\[\]_a-z~]")
 _PORT = re.compile(r":[0-9]*\Z")
 
 
@@ -23,12 +23,15 @@
     """
     host = authority
     match = _PORT.search(authority)
-    if match is not None:
+    # What is nothing else than a port or a dot isn't the empty host, which
+    # stands for any.
+    if match is not None and match.start():
         name = authority[: match.start()]
         # The last colon of an address without brackets isn't that of a port.
         if ":" not in name or name.endswith("]"):
             host = name
-    return normal_path(host).lower().removesuffix(".")
+    host = normal_path(host).lower()
+    return host.removesuffix(".") or host
 
 
 def normal_path(path: str) -> str:
