A late registration doesn't replace a newer one that waits for its service

Found by the review: of an upstream that registered as draining and whose earlier registration came late, both refused for want of its service, the late one was kept, and a manifest that names the service would have registered it as ready. Now the recency is compared as for known upstreams. Evidence: the new test of test_directory failed before.

--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -179,7 +179,15 @@
     def _keep_waiting(
         self, registration: member_messages.Registration, now: float
     ) -> None:
-        """Keeps a registration until its service is named."""
+        """Keeps a registration until its service is named.
+
+        A late one doesn't replace a newer one: an upstream that leaves would
+        be registered as ready.
+        """
+        recency = directory.recency_key(registration)
+        known = self.waiting.get(registration.upstream)
+        if known and recency < directory.recency_key(known.registration):
+            return
         self.waiting.pop(registration.upstream, None)
         if len(self.waiting) >= WAITING_KEPT:
             del self.waiting[next(iter(self.waiting))]
--- a/testing/test_directory.py
+++ b/testing/test_directory.py
@@ -242,6 +242,20 @@
         self.name_later()
         self.assertEqual("later", self.directory.entries["e2"].service)
 
+    def test_late_registration_does_not_replace_a_newer_that_waits(
+        self,
+    ) -> None:
+        for sequence, state in ((9, "draining"), (3, "ready")):
+            self.assertRaises(
+                errors.UnknownService,
+                self.registrar.register,
+                registration(
+                    200, sequence, state, upstream="e2", service="later"
+                ),
+            )
+        self.name_later()
+        self.assertEqual("draining", self.directory.entries["e2"].state)
+
     def test_refused_upstream_that_left_or_is_silent_stays_unknown(
         self,
     ) -> None:
