A push that is sent again is not parsed by the leader

Found by the review: the leader parsed each push before it compared versions, so that each resend of 4 MB held it up and cost an election. A version that isn't higher is acknowledged first; the instance that received it has checked it. Evidence: the new test failed before.

--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -190,6 +190,9 @@
     def _push(
         self, message: config_messages.PushManifest
     ) -> config_messages.ManifestPushed:
+        if message.version and not self._is_higher(message):
+            # Not parsed: each resend of a large one would hold up the leader.
+            return self._not_higher(message)
         try:
             parsed = manifest.parse(message.manifest)
         except errors.InvalidManifest as error:
@@ -220,6 +223,19 @@
             accepted.revision, message.push_id
         )
 
+    def _is_higher(self, message: config_messages.PushManifest) -> bool:
+        return message.version > self.leader.machine.document.version
+
+    def _not_higher(
+        self, message: config_messages.PushManifest
+    ) -> config_messages.ManifestPushed:
+        """Acknowledges a numbered push that changes nothing."""
+        state = self.leader.machine.document
+        self._report_push(message, "not higher", self.leader.timers.now())
+        return config_messages.ManifestPushed(
+            state.revision, message.push_id, state.version
+        )
+
     def _push_version(
         self, message: config_messages.PushManifest, parsed: manifest.Manifest
     ) -> config_messages.ManifestPushed:
@@ -231,11 +247,6 @@
         """
         started = self.leader.timers.now()
         state = self.leader.machine.document
-        if message.version <= state.version:
-            self._report_push(message, "not higher", started)
-            return config_messages.ManifestPushed(
-                state.revision, message.push_id, state.version
-            )
         accepted = self.leader.propose(
             commands.PushVersion(
                 self.leader.leader_epoch,
--- a/testing/test_hosted_operators.py
+++ b/testing/test_hosted_operators.py
@@ -8,6 +8,7 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import control_events
+from mintcleat.domain import manifest
 
 
 class PushEventsTest(platform_system.HostedTest):
@@ -159,6 +160,13 @@
         answer = self.system.call("GET", "/added/a")
         self.assertEqual(b"e2 /added/a", answer.body)
 
+    def test_push_that_is_sent_again_is_not_parsed_by_the_leader(self) -> None:
+        # A large one would hold up the leader at each resend.
+        configuration = platform_system.configuration(5)
+        self.assertEqual(200, self.system.put(configuration).status)
+        self.patch(manifest, "parse", None)
+        self.assertEqual(200, self.system.put(configuration).status)
+
     def test_route_whose_prefix_has_other_letters_is_served(self) -> None:
         fields = platform_system.configuration(
             1, platform_system.route("added", "safe", pathPrefix="/Grüße 1/")
