Customers' keys are those that requests can show

Found by the review: keys with blanks around them were taken and matched no request, two customers could hold 'k' and 'k ', which requests show alike, and keys of over 256 characters counted as none. Blanks are no part of a key, in the list's check as in the translation, and keys may fill a head. Evidence: the new tests failed before.

--- a/src/mintcleat/domain/keys.py
+++ b/src/mintcleat/domain/keys.py
@@ -9,7 +9,7 @@
 
 PREFIX = "digest:"
 # Characters; a request with a longer key counts as one without a key.
-MAX_KEY_LENGTH = 256
+MAX_KEY_LENGTH = 16 * 1024
 _DIGEST_BYTES = 16
 _SHORT_DIGITS = 8
 
--- a/src/mintcleat/platform/configuration.py
+++ b/src/mintcleat/platform/configuration.py
@@ -27,6 +27,14 @@
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 
 
+def sent_key(key: str) -> str:
+    """Returns a customer's key as requests show it.
+
+    Blanks around the value of a header are no part of it.
+    """
+    return key.strip(" \t")
+
+
 class Share(msgspec.Struct, frozen=True):
     """A service that receives a part of a route's requests.
 
@@ -298,7 +306,7 @@
     holders: dict[str, int] = {}
     for index, customer in enumerate(customers):
         for number, key in enumerate(customer.api_keys or ()):
-            holder = holders.setdefault(key, index)
+            holder = holders.setdefault(sent_key(key), index)
             if holder != index:
                 yield (
                     f"$.tenants[{index}].apiKeys[{number}]: is a key of "
--- a/src/mintcleat/platform/translation.py
+++ b/src/mintcleat/platform/translation.py
@@ -187,7 +187,11 @@
         # No request carries an empty key.
         "keys": list(
             dict.fromkeys(
-                keys.digest(key) for key in customer.api_keys or () if key
+                keys.digest(key)
+                for key in map(
+                    configuration_module.sent_key, customer.api_keys or ()
+                )
+                if key
             )
         ),
         "rate": min(customer.rate_per_s or 0.0, float(_MOST)),
--- a/testing/test_platform_configuration.py
+++ b/testing/test_platform_configuration.py
@@ -235,3 +235,28 @@
                 errors.InvalidManifest, configuration.check, read
             )
             self.assertIn("same host and prefix", error.detail)
+
+
+class KeysTest(testtools.TestCase):
+    def customers(self, *held: list[str]) -> configuration.Configuration:
+        fields = platform_system.configuration()
+        fields["tenants"] = [
+            {"name": f"c{number}", "apiKeys": some}
+            for number, some in enumerate(held)
+        ]
+        return configuration.read(json.dumps(fields).encode())
+
+    def test_blanks_around_a_key_are_no_part_of_it(self) -> None:
+        # Requests show the key without them.
+        text = translation.to_manifest(self.customers([" k\t"]), {})
+        customer = manifest.parse(text).policies.customers["c0"]
+        self.assertEqual([keys.digest("k")], customer.keys)
+
+    def test_key_that_two_customers_share_but_for_blanks_is_refused(
+        self,
+    ) -> None:
+        self.assertRaises(
+            errors.InvalidManifest,
+            configuration.check,
+            self.customers(["k"], ["k "]),
+        )
