Policies of the settings file are checked when it is read

Found by the review: quotaWindowS as text or a negative quotaOverage loaded without an error, and then each valid configuration was refused with 400, as the manifest alone checked them. Evidence: two cases of test_hosted_settings failed before.

--- a/src/mintcleat/platform/machine_settings.py
+++ b/src/mintcleat/platform/machine_settings.py
@@ -47,9 +47,9 @@
 # Operators and upstreams turn to another control instance after 1 s.
 _ANSWER_SECONDS = 0.85
 _POLICY_BOUNDS = {
-    "limit_window": "quotaWindowS",
-    "limit_overage": "quotaOverage",
-    "limit_slack": "quotaSlack",
+    "limit_window": "quota_window_s",
+    "limit_overage": "quota_overage",
+    "limit_slack": "quota_slack",
 }
 # Entry of the settings field `contracts`: customers compete for engines.
 _PRESSURE_CONTRACT = "pressure"
@@ -92,6 +92,9 @@
     descriptors: int = 0
 
 
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Bounds(msgspec.Struct, rename="camel"):
     """Bounds of the platform that are used here; others are ignored.
 
@@ -99,11 +102,19 @@
         grace_s: Seconds from SIGTERM to SIGKILL.
         strict_revocation: Whether a revoked key must be refused everywhere
             within `revoke_ms`.
+        quota_window_s: Seconds of the window of customers' limits; None for
+            the manifest's default, as for the next two.
+        quota_overage: Part beyond a limit that programs in progress may use.
+        quota_slack: Number of requests besides.
     """
 
     grace_s: float = 8.0
     strict_revocation: bool = False
     revoke_ms: float = 0.0
+    # Checked here: the manifest would refuse each push for them.
+    quota_window_s: _Amount | None = None
+    quota_overage: _Amount | None = None
+    quota_slack: _Amount | None = None
 
 
 class Limits(msgspec.Struct, rename="camel"):
@@ -126,7 +137,7 @@
         seeds: `IP:PORT` of the control listeners of some control instances.
         bootstrap: Whether the whole system starts for the first time.
         listen: `IP:PORT` to listen on by what is served.
-        bounds: The bounds by name, for `Bounds` and for policies.
+        bounds: The bounds; see `Bounds`.
     """
 
     ip: str
@@ -139,7 +150,7 @@
     data_directory: str = ""
     bootstrap: bool = False
     contracts: list[str] = []
-    bounds: dict[str, Any] = {}
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
     fault_tolerance: FaultTolerance = msgspec.field(
         default_factory=FaultTolerance
@@ -189,7 +200,7 @@
         msgspec.ValidationError: A field is missing or has a wrong type.
     """
     file = msgspec.convert(fields, SettingsFile)
-    bounds = msgspec.convert(file.bounds, Bounds)
+    bounds = file.bounds
     first_port = file.internal_port_range[0]
     own_address = f"{file.ip}:{first_port}"
     control_addresses = [f"{_host(seed)}:{first_port}" for seed in file.seeds]
@@ -214,18 +225,18 @@
         file.listen.get("ready", ""),
         file.listen.get("control", ""),
         _ANSWER_SECONDS,
-        _policies(file),
+        _policies(file, bounds),
         int(file.limits.memory_mb * _BYTES_PER_MB),
         int(file.limits.file_descriptors),
     )
 
 
-def _policies(file: SettingsFile) -> dict[str, Any]:
+def _policies(file: SettingsFile, bounds: Bounds) -> dict[str, Any]:
     """Returns the policies of the manifest that the settings determine."""
-    policies = {
-        name: file.bounds[bound]
+    policies: dict[str, Any] = {
+        name: getattr(bounds, bound)
         for name, bound in _POLICY_BOUNDS.items()
-        if bound in file.bounds
+        if getattr(bounds, bound) is not None
     }
     if _PRESSURE_CONTRACT in file.contracts:
         policies["admission"] = "programs"
--- a/testing/test_hosted_settings.py
+++ b/testing/test_hosted_settings.py
@@ -40,6 +40,12 @@
         b'seeds = ["', b'seeds = [5, "'
     ),
     "text for a limit": lambda whole: whole.replace(b"220", b'"much"'),
+    "text for a policy": lambda whole: whole.replace(
+        b"graceS = 8", b'graceS = 8\nquotaWindowS = "5"'
+    ),
+    "a negative policy": lambda whole: whole.replace(
+        b"graceS = 8", b"graceS = 8\nquotaOverage = -1"
+    ),
     "text for a bound": lambda whole: whole.replace(
         b"graceS = 8", b"graceS=[]"
     ),
