--- a/testing/fakes/endless_answers.py
+++ b/testing/fakes/endless_answers.py
@@ -3,7 +3,6 @@
 import gc
 import time
 from typing import Any
-from typing import Any
 from typing import NamedTuple
 
 import eventlet
