The clock of a group doesn't run on at replicas that don't lead it

Cause: each replica continued the group's clock from the value at its own last rebase. The log's clock loses the time between two leaders, and more after a restart; a replica that had only followed was ahead of it by all that, and as the next leader advanced the log's clock at once. Counts of the window, and whatever expires, were then too old.

Evidence: test_limit_holds_when_a_leader_follows_one_that_lost_time failed before (a count where a refusal was due).

Why it works: a replica that begins to lead continues from the last clock in the log, as the documentation says, and one that follows does so at each tick.

--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -53,6 +53,10 @@
 
     It advances with this process's monotonic clock from the last value in the
     log, so that no step of a wall clock can make records expire early.
+
+    It must not run on while another replica leads. The log's clock may have
+    stood still for a time, as between two leaders; one that runs on is ahead
+    of it, and its leader would forget at once what counts against limits.
     """
 
     def __init__(
@@ -63,6 +67,11 @@
         self.base = group.clock
         self.base_time = service.now()
 
+    def restart(self) -> None:
+        """Continues from the last value in the log, as a new leader does."""
+        self.base = self.group.clock
+        self.base_time = self.timers.now()
+
     def read(self) -> float:
         """Returns the clock for the next command."""
         now = self.timers.now()
@@ -158,21 +167,25 @@
             replicated_log.attach(
                 group,
                 group_machine,
-                functools.partial(self.contention.reset, group),
+                functools.partial(self._begin_to_lead, group),
             )
         for kind in (*commands.MUTATIONS, *READS):
             stream_service.handle(kind, self._serve_one)
         stream_service.handle(identities.Batch, self._serve_batch)
         timer_service.every(TICK_SECONDS, self.tick)
 
+    def _begin_to_lead(self, group: str) -> None:
+        self.clocks[group].restart()
+        self.contention.reset(group)
+
     def tick(self) -> None:
         """Removes expired records of the groups that this replica leads."""
         request = self._expiry()
         for group, group_machine in self.machines.items():
-            clock = self.clocks[group].read()
-            if self.log.leads(group) and retention.is_due(
-                group_machine, clock, request
-            ):
+            clock = self.clocks[group]
+            if not self.log.leads(group):
+                clock.restart()
+            elif retention.is_due(group_machine, clock.read(), request):
                 self._commit(group, [request])
 
     def _expiry(self) -> commands.Tick:
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -250,6 +250,26 @@
         )
         self.assertEqual(["open", "expired"], [view.state for view in views])
 
+    def test_limit_holds_when_a_leader_follows_one_that_lost_time(
+        self,
+    ) -> None:
+        # Guards against a window that is counted again after each failover.
+        limit = program_messages.RateLimit(1.0, 1.0, 5.0)
+        count = program_messages.CountCall("farm", "", limit)
+        follower = self.serve("c2:1")
+        self.service.tick()
+        follower.tick()
+        self.timers.advance(10.0)
+        # It knows nothing of the ten seconds without a command.
+        restarted = self.serve("c3:1")
+        self.cluster.elect("c3:1")
+        counted = [restarted.answer([count])[0] for _ in range(7)]
+        self.assertIsInstance(counted[5], program_messages.CallCounted)
+        self.assertIsInstance(counted[6], errors.LimitReached)
+        self.cluster.elect("c2:1")
+        (reply,) = follower.answer([count])
+        self.assertIsInstance(reply, errors.LimitReached)
+
     def test_turn_gets_what_the_other_entries_report(self) -> None:
         def opened(
             entry: str, turn: str, *report: Any
