One bounded reading of an upstream's body in place of three

plain_http, engine_http and upstream_replies each read a body up to a limit in the same way; http1_client's connection does it now. 75 tests of these modules pass.

--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -204,7 +204,7 @@
                 head = self._send(
                     connection, method, f"/control/{path}", [], body
                 )
-                data = _read_body(connection, limit)
+                data = connection.read_body(limit)
             check_status(head.status, data)
             if connection.end is answer_ends.Kind.CLOSED:
                 raise errors.StreamClosed(
@@ -238,7 +238,7 @@
             with eventlet.Timeout(self.read_timeout, _Expired):
                 head = self._send(connection, method, target, headers, body)
                 if head.status != _OK:
-                    data = _read_body(connection)
+                    data = connection.read_body(MAX_ANSWER_BYTES)
                     _check_software(head)
                     check_status(head.status, data)
         except _Expired:
@@ -337,26 +337,6 @@
         )
 
 
-def _read_body(
-    connection: http1_client.Connection, limit: int = MAX_ANSWER_BYTES
-) -> bytes:
-    """Returns the body of an answer of the control API.
-
-    Raises:
-        errors.StreamClosed: It is incomplete, or exceeds `limit` bytes.
-    """
-    parts = []
-    size = 0
-    while (data := connection.read_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > limit:
-            raise errors.StreamClosed(
-                f"The engine's answer exceeds {limit} bytes."
-            )
-    return b"".join(parts)
-
-
 def _software_of(head: http1_heads.ResponseHead) -> str:
     """Returns the version of the software that an engine states."""
     return dict(head.fields).get(_SOFTWARE, "")
--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -160,6 +160,23 @@
                     "final one"
                 )
 
+    def read_body(self, limit: int) -> bytes:
+        """Returns the whole body, or what is left of it.
+
+        Raises:
+            errors.StreamClosed: It is incomplete, or exceeds `limit` bytes.
+        """
+        parts = []
+        size = 0
+        while (data := self.read_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > limit:
+                raise errors.StreamClosed(
+                    f"The answer of {self.address} exceeds {limit} bytes."
+                )
+        return b"".join(parts)
+
     def read_data(self) -> bytes | None:
         """Returns the next part of the body; None at its end.
 
--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -84,7 +84,7 @@
         try:
             connection.send(method, target, fields, content)
             head = connection.read_head()
-            body = _read_body(connection)
+            body = connection.read_body(MAX_ANSWER_BYTES)
             if connection.end is answer_ends.Kind.CLOSED and not self.alive():
                 raise errors.StreamClosed(
                     f"The answer of {self.address} has no length, and it ended "
@@ -108,25 +108,6 @@
         )
 
 
-def _read_body(connection: http1_client.Connection) -> bytes:
-    """Returns the body of an answer.
-
-    Raises:
-        errors.StreamClosed: It is incomplete, or exceeds `MAX_ANSWER_BYTES`.
-    """
-    parts = []
-    size = 0
-    while (data := connection.read_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > MAX_ANSWER_BYTES:
-            raise errors.StreamClosed(
-                f"The answer of {connection.address} exceeds "
-                f"{MAX_ANSWER_BYTES} bytes."
-            )
-    return b"".join(parts)
-
-
 def end_to_end(headers: list[list[str]]) -> list[list[str]]:
     """Returns the headers without hop-by-hop headers."""
     return [
--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -25,7 +25,7 @@
 _BORN = "born"
 # A report waits for no slot; a silent upstream is left for another one.
 _REPORT_SECONDS = 0.25
-_MAX_REPLY_BYTES = 64 * 1024
+MAX_REPLY_BYTES = 64 * 1024
 _SUCCESS = range(200, 300)
 # Limit of responses to earlier requests that are skipped on a connection.
 _MAX_SKIPPED_RESPONSES = 3
@@ -75,7 +75,7 @@
     connection.send("GET", _REPORT_PATH, headers, b"")
     # A late answer to another request has that one's id.
     head = read_head(connection, "")
-    started = decode_object(read_body(connection, upstream)).get(_BORN)
+    started = decode_object(connection.read_body(MAX_REPLY_BYTES)).get(_BORN)
     keep_alive = dict(head.fields).get("keep-alive", "")
     return Report(
         head.status,
@@ -127,28 +127,6 @@
     return report.is_reusable
 
 
-def read_body(
-    connection: http1_client.Connection,
-    upstream: member_messages.Registration,
-) -> bytes:
-    """Returns the body of a response to a control request.
-
-    Raises:
-        errors.StreamClosed: It is not complete, or too long.
-    """
-    parts = []
-    size = 0
-    while (data := connection.read_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > _MAX_REPLY_BYTES:
-            raise errors.StreamClosed(
-                f"The answer of {upstream.upstream} is longer than "
-                f"{_MAX_REPLY_BYTES} bytes."
-            )
-    return b"".join(parts)
-
-
 def decode_object(data: bytes) -> dict[str, Any]:
     """Returns the fields of a JSON object; none if it isn't one."""
     try:
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -352,7 +352,9 @@
     try:
         connection.send(method, path, headers, body)
         head = connection.read_head()
-        return head.status, upstream_replies.read_body(connection, upstream)
+        return head.status, connection.read_body(
+            upstream_replies.MAX_REPLY_BYTES
+        )
     finally:
         connection.close()
 
