Upstreams can register at a release that can't read the newest revision

Cause: the leader's checks read the manifest as it is, where decisions of programs already took the last one that can be read. That is a method of the document now, for both. Evidence: the new test of test_directory failed before.

--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -178,6 +178,13 @@
         self.revision = update.revision
         self._forget_old()
 
+    def readable(self) -> manifest.Manifest:
+        """Returns the last manifest in force that this release could read."""
+        try:
+            return self.manifest()
+        except msgspec.ValidationError:
+            return self.assembled
+
     def manifest(self) -> manifest.Manifest:
         """Returns the manifest in force.
 
@@ -234,7 +241,7 @@
         """Updates `key_added_at` after a push changed these sections."""
         if not any(key.startswith(sections.CUSTOMERS) for key in touched):
             return
-        customers = self.manifest().policies.customers
+        customers = self.readable().policies.customers
         self.key_added_at = {
             key: self.key_added_at.get(key, at)
             for customer in customers.values()
--- a/src/mintcleat/roles/control/configuration/crash_reports.py
+++ b/src/mintcleat/roles/control/configuration/crash_reports.py
@@ -69,7 +69,7 @@
     def _propose(
         self, crashes: list[list[Any]], ended_well: list[bytes], at: float
     ) -> list[bytes]:
-        policies = self.leader.machine.document.manifest().policies
+        policies = self.leader.machine.document.readable().policies
         return self.leader.propose(
             commands.RecordCrashes(
                 crashes,
--- a/src/mintcleat/roles/control/configuration/current.py
+++ b/src/mintcleat/roles/control/configuration/current.py
@@ -5,8 +5,6 @@
 or empty. Decisions therefore read the configuration here and nowhere else.
 """
 
-import msgspec
-
 from mintcleat.configuration import directory as directory_module
 from mintcleat.configuration import document as document_module
 from mintcleat.domain import manifest as manifest_module
@@ -59,11 +57,7 @@
         If this release can't read it, that is the last one that it could, so
         that turns and counts are still served.
         """
-        current = self.document()
-        try:
-            return current.manifest()
-        except msgspec.ValidationError:
-            return current.assembled
+        return self.document().readable()
 
     def policies(self) -> manifest_module.Policies:
         """Returns the policies of the manifest."""
--- a/src/mintcleat/roles/control/configuration/quarantine_views.py
+++ b/src/mintcleat/roles/control/configuration/quarantine_views.py
@@ -28,7 +28,7 @@
         )
         for digest, item in evidence.quarantine.items()
     )
-    suspicion = state.document.manifest().policies.suspicion_seconds
+    suspicion = state.document.readable().policies.suspicion_seconds
     found.extend(
         _suspect(evidence, digest, suspicion) for digest in evidence.suspects()
     )
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -208,7 +208,7 @@
         self.waiting_revision = document.revision
         if not self.waiting:
             return
-        services = document.manifest().services
+        services = document.readable().services
         for name, kept in list(self.waiting.items()):
             if now - kept.at > SILENCE_SECONDS:
                 del self.waiting[name]
@@ -264,7 +264,7 @@
         if not document.revision:
             return
         service = registration.service
-        if service in document.manifest().services:
+        if service in document.readable().services:
             return
         if current is not None and current.service == service:
             return
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -171,7 +171,7 @@
             case member_messages.ReportCrashes():
                 self.leader.crash_reports.record(message)
             case member_messages.ReportCrash(sidecar=sidecar, number=number):
-                policies = self.leader.machine.document.manifest().policies
+                policies = self.leader.machine.document.readable().policies
                 self.leader.propose(
                     commands.RecordCrash(
                         f"{sidecar.instance}/{sidecar.epoch}/{number}",
@@ -421,7 +421,7 @@
 
 def _customers(current: document.Document) -> operator_messages.Customers:
     """Returns the customers of the manifest in force, sorted by name."""
-    customers = current.manifest().policies.customers
+    customers = current.readable().policies.customers
     return operator_messages.Customers(
         [
             operator_messages.CustomerView(
--- a/testing/test_directory.py
+++ b/testing/test_directory.py
@@ -291,6 +291,12 @@
             self.refuse(f"e{number}")
         self.assertEqual(registrar.WAITING_KEPT, len(self.registrar.waiting))
 
+    def test_upstreams_can_register_at_a_release_that_is_too_old(self) -> None:
+        # All would expire after a push of a newer release.
+        self.push(1, {"services/desk": '{"kind":"plain","later":1}'}, [])
+        self.registrar.register(registration(100))
+        self.assertIn("e1", self.directory.entries)
+
     def test_upstream_of_a_removed_service_can_still_drain(self) -> None:
         self.registrar.register(registration(100))
         self.push(1, {}, ["services/desk"])
