--- a/src/mintcleat/configuration/document.py
+++ b/src/mintcleat/configuration/document.py
@@ -178,6 +178,13 @@
         self.revision = update.revision
         self._forget_old()
 
+    def has_service(self, name: str) -> bool:
+        """Returns whether the manifest in force names a service.
+
+        It does so also if this release can't read the service's fields.
+        """
+        return f"{sections.SERVICES}/{name}" in self.sections
+
     def readable(self) -> manifest.Manifest:
         """Returns the last manifest in force that this release could read."""
         try:
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -208,11 +208,10 @@
         self.waiting_revision = document.revision
         if not self.waiting:
             return
-        services = document.readable().services
         for name, kept in list(self.waiting.items()):
             if now - kept.at > SILENCE_SECONDS:
                 del self.waiting[name]
-            elif kept.registration.service in services:
+            elif document.has_service(kept.registration.service):
                 del self.waiting[name]
                 self.leader.timers.spawn(self._register_waiting, kept)
 
@@ -264,7 +263,7 @@
         if not document.revision:
             return
         service = registration.service
-        if service in document.readable().services:
+        if document.has_service(service):
             return
         if current is not None and current.service == service:
             return
