Events that don't follow are not added to a stream

Callers got a number twice or going back, or two runs joined, within one answer of 200 that ended as whole: 1 2 3 1 2 3 4 after a resume at an upstream that replays or begins anew, 1 2 3 2 3 4 at one that goes back, 1 2 3 3 4 at one that sends the last event again; 1 2 3 4 to a caller that had asked to go on after 2. A turn counted and recorded such events twice.

Cause: the relay noted the id of the last event to resume after it, and added whatever came, without a look at its id.

Now an event must have an id above the last one. The last event again, byte for byte, is left out once; anything else breaks the attempt off as a lost connection does, so that the stream goes on elsewhere or is cut. Leaving out all that isn't above the last id would put the end of a second run behind the beginning of the first. Ids that aren't numbers pass as before. call_ended has `repeated`, end=out_of_order tells the rest.

--- a/src/mintcleat/domain/answer_ends.py
+++ b/src/mintcleat/domain/answer_ends.py
@@ -41,6 +41,8 @@
             announces.
         RESET: Its connection failed.
         INVALID: Its framing or an event is invalid.
+        OUT_OF_ORDER: A stream of events with an id that isn't above the one
+            before it.
         INSIDE_EVENT: A stream of events that ended within an event.
         NO_EVENT: A stream whose connection was closed before its first event.
         STOPPED: A stream whose run was, or may have been, stopped for a move.
@@ -54,6 +56,7 @@
     CUT = "cut"
     RESET = "reset"
     INVALID = "invalid"
+    OUT_OF_ORDER = "out_of_order"
     INSIDE_EVENT = "inside_event"
     NO_EVENT = "no_event"
     STOPPED = "stopped"
@@ -67,6 +70,7 @@
     Kind.CUT: "its connection was closed before its announced end",
     Kind.RESET: "its connection was reset",
     Kind.INVALID: "its framing is invalid",
+    Kind.OUT_OF_ORDER: "its events were out of order",
     Kind.INSIDE_EVENT: "it ended inside an event",
     Kind.NO_EVENT: "its connection was closed before its first event",
     Kind.STOPPED: "its run may have been stopped for a move",
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -459,15 +459,18 @@
             connection was closed and its upstream goes on serving, or it is as
             long as the request allows; `closed`, nothing but the end of its
             connection says so. Broken off: `cut` before its announced end,
-            `reset`, `invalid`, `inside_event`, `no_event` (closed before the
-            first one), `crashed` (closed as its upstream crashed), `stopped`
-            for a move, or `abandoned` by this process.
+            `reset`, `invalid`, `out_of_order` (an id that isn't above the one
+            before it), `inside_event`, `no_event` (closed before the first
+            one), `crashed` (closed as its upstream crashed), `stopped` for a
+            move, or `abandoned` by this process.
         received: Bytes of its body.
         events: Events in it.
         rest: Bytes after the last complete event.
         last_event: Id of the last event that was forwarded; empty for none.
         versions: Versions of the software that made the forwarded events, in
             order.
+        repeated: Events that an upstream sent twice in a row, and that were
+            forwarded once.
     """
 
     request: str
@@ -489,6 +492,7 @@
     rest: int = 0
     last_event: str = ""
     versions: tuple[str, ...] = ()
+    repeated: int = 0
 
 
 class CallerGone(NamedTuple):
--- a/src/mintcleat/domain/server_sent_events.py
+++ b/src/mintcleat/domain/server_sent_events.py
@@ -35,6 +35,10 @@
     """An event that is too long, or is more than its stream may have."""
 
 
+class EventOutOfOrder(InvalidEvent):
+    """An event whose id isn't above that of the event before it."""
+
+
 class EventBuffer:
     """Collects bytes and returns complete events.
 
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -221,6 +221,7 @@
                 f"{_known_by(fields)}."
                 + _continuations(own)
                 + _versions(fields)
+                + _repeated(fields)
             )
         case "call_ended":
             return (
@@ -229,6 +230,7 @@
                 + _last_failure(own)
                 + _continuations(own)
                 + _versions(fields)
+                + _repeated(fields)
             )
         case "caller_gone" if stalls:
             return (
@@ -270,6 +272,14 @@
     return f" Its events are of version {', then '.join(names)}."
 
 
+def _repeated(fields: dict[str, Any]) -> str:
+    """Describes the events of a stream that were left out."""
+    count = fields.get("repeated", 0)
+    if not count:
+        return ""
+    return f" {count} of its events came twice and were forwarded once."
+
+
 def _last_failure(own: list[Line]) -> str:
     failed = [line for line in own if line.event == "attempt_failed"]
     if not failed:
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from mintcleat.decisions import answer_end
+from mintcleat.decisions import event_order
 from mintcleat.decisions import evidence
 from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
@@ -40,6 +41,8 @@
         committed: Whether the turn is committed with its content.
         tokens: Tokens sent to the caller.
         last_event_id: Id of the last event sent to the caller.
+        order: Order of the events; others are not added to the stream.
+        repeated: Events that an upstream repeated, and that were left out.
         max_tokens: Tokens that the answer may have; 0 if that isn't known.
         first_at: Time of the response or its first event; 0 before.
         max_gap: Longest pause between two events, in seconds.
@@ -90,6 +93,8 @@
         self.committed = False
         self.tokens = 0
         self.last_event_id = last_event_id
+        self.order = event_order.EventOrder(last_event_id)
+        self.repeated = 0
         self.max_tokens = max_tokens
         self.first_at = 0.0
         self.max_gap = 0.0
@@ -212,7 +217,7 @@
             self.head_sent = True
             reply.send_head(answer.head)
         buffer = server_sent_events.EventBuffer()
-        unended = answer_ends.Kind.ABANDONED
+        invalid = None
         timers = self.timers
         self.waiting_since = timers.now()
         try:
@@ -222,11 +227,13 @@
                 self._forward_events(buffer.feed(data), reply)
                 self.waiting_since = timers.now()
         except server_sent_events.InvalidEvent as error:
-            unended = answer_ends.Kind.INVALID
+            invalid = answer_ends.Kind.INVALID
+            if isinstance(error, server_sent_events.EventOutOfOrder):
+                invalid = answer_ends.Kind.OUT_OF_ORDER
             raise errors.StreamClosed(str(error)) from None
         finally:
             self.waiting_since = 0.0
-            end = self._record_end(answer, len(buffer.rest), unended)
+            end = self._record_end(answer, len(buffer.rest), invalid)
         end = self._check_end(
             answer_end.of_stream(
                 end,
@@ -248,16 +255,21 @@
         self,
         answer: forwarding.UpstreamResponse,
         rest: int = 0,
-        unended: answer_ends.Kind = answer_ends.Kind.ABANDONED,
+        invalid: answer_ends.Kind | None = None,
     ) -> answer_ends.AnswerEnd:
         """Records and returns how the body of an answer has ended so far.
 
         Args:
             answer: The answer.
             rest: Bytes after the last complete event.
-            unended: Kind of the end of a body that is not read to its end.
+            invalid: Why this process ended an answer that is invalid; None if
+                it isn't. The body may have ended by itself before that.
         """
-        end = answer.end or answer_ends.AnswerEnd(answer.framing, unended)
+        end = answer.end or answer_ends.AnswerEnd(
+            answer.framing, answer_ends.Kind.ABANDONED
+        )
+        if invalid is not None:
+            end = end._replace(kind=invalid)
         self.end = end._replace(events=self.attempt_events, rest=rest)
         return self.end
 
@@ -301,40 +313,62 @@
 
         Raises:
             server_sent_events.InvalidEvent: The stream is longer than it may
-                be; the events before that are forwarded.
+                be, or an event doesn't follow the one before it. The events
+                before that are forwarded.
         """
         if not events:
             return
         now = self.timers.now()
         forwarded = []
-        excess = ""
-        for event in events:
-            if not event.is_empty:
-                excess = self._excess(event)
-                if excess:
-                    break
-                self._record_event(event, now)
-            forwarded.append(event.raw)
-        if forwarded:
-            reply.write(b"".join(forwarded))
-        if excess:
-            raise server_sent_events.InvalidEvent(excess)
-
-    def _excess(self, event: server_sent_events.Event) -> str:
-        """Returns why a stream may not have another event; empty if it may.
+        try:
+            for event in events:
+                if event.is_empty:
+                    forwarded.append(event.raw)
+                elif self._follows(event):
+                    self._check_length(event)
+                    self._record_event(event, now)
+                    forwarded.append(event.raw)
+        finally:
+            if forwarded:
+                reply.write(b"".join(forwarded))
+
+    def _follows(self, event: server_sent_events.Event) -> bool:
+        """Returns whether an event follows; not if it repeats the last one.
+
+        Raises:
+            server_sent_events.EventOutOfOrder: It is another event of before.
+        """
+        match self.order.place(event):
+            case event_order.Place.NEXT:
+                return True
+            case event_order.Place.REPEATED:
+                self.order.skip()
+                self.repeated += 1
+                return False
+        raise server_sent_events.EventOutOfOrder(
+            f"Expected an event with an id above {self.last_event_id!r}, but "
+            f"{self.upstream_name} sent {event.id!r}."
+        )
+
+    def _check_length(self, event: server_sent_events.Event) -> None:
+        """Returns if a stream may have another event.
 
         One that goes on beyond what its request allows would exceed the
         program's budget, and fill the memory with the record of its turn.
+
+        Raises:
+            server_sent_events.InvalidEvent: It may not.
         """
         if 0 < self.max_tokens <= self.tokens:
-            return (
+            raise server_sent_events.InvalidEvent(
                 f"Expected at most {self.max_tokens} tokens, but found an "
                 f"event after {self.tokens}."
             )
         size = self.output_bytes + len(event.data)
         if self.route.retention and size > MAX_TURN_BYTES:
-            return f"The events of the turn exceed {MAX_TURN_BYTES} bytes."
-        return ""
+            raise server_sent_events.InvalidEvent(
+                f"The events of the turn exceed {MAX_TURN_BYTES} bytes."
+            )
 
     def _record_event(
         self, event: server_sent_events.Event, now: float
@@ -351,6 +385,7 @@
         self.attempt_events += 1
         self.tokens += self.service.tokens_per_event
         self.last_event_id = event.id or self.last_event_id
+        self.order.add(event)
         if self.route.retention:
             self.output.append(event.data)
             self.output_bytes += len(event.data)
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -172,6 +172,7 @@
                 *_end_fields(relay.end),
                 relay.last_event_id,
                 tuple(relay.versions),
+                relay.repeated,
             )
         )
 
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -43,6 +43,15 @@
         self.assertTrue(found.certain)
         self.assertEqual([], found.gaps)
 
+    def test_events_that_were_left_out_are_part_of_the_verdict(self) -> None:
+        for outcome in ("whole", "cut"):
+            ended = line(
+                10.3, 8, "call_ended", request="r1", outcome=outcome,
+                repeated=2,
+            )  # fmt: skip
+            found = traces.trace("r1", traces.parse([*COMPLETE[:3], ended]))
+            self.assertIn("2 of its events came twice", found.verdict)
+
     def test_moves_and_resumes_are_part_of_the_verdict(self) -> None:
         moved = {
             "request": "r1", "upstream": "u1", "destination": "u2",
