A stream whose last event has no id doesn't go on elsewhere

Callers got events twice in one answer of 200: where a route allows resuming and the upstream's events have no ids, a broken stream was requested again from its start, or from the last event that had an id.

Such a stream is cut now; it isn't moved, restored or given up for silence either, since the next upstream would send the same again.

test_stream_whose_events_have_no_ids_is_cut failed before with two events and then the events of the second run.

--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -41,6 +41,9 @@
         committed: Whether the turn is committed with its content.
         tokens: Tokens sent to the caller.
         last_event_id: Id of the last event sent to the caller.
+        can_continue: Whether the stream can go on elsewhere: it has no event
+            yet, or the last one has an id. After one without an id, whoever is
+            asked to go on would send it again, or the stream from its start.
         order: Order of the events; others are not added to the stream.
         repeated: Events that an upstream repeated, and that were left out.
         max_tokens: Tokens that the answer may have; 0 if that isn't known.
@@ -93,6 +96,7 @@
         self.committed = False
         self.tokens = 0
         self.last_event_id = last_event_id
+        self.can_continue = True
         self.order = event_order.EventOrder(last_event_id)
         self.repeated = 0
         self.max_tokens = max_tokens
@@ -385,6 +389,7 @@
         self.attempt_events += 1
         self.tokens += self.service.tokens_per_event
         self.last_event_id = event.id or self.last_event_id
+        self.can_continue = bool(event.id)
         self.order.add(event)
         if self.route.retention:
             self.output.append(event.data)
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -556,7 +556,7 @@
             # Another run would only repeat what the caller has received.
             raise errors.StreamClosed(error.detail) from error
         if self.relay.head_sent and not (
-            repeat == "resume" and self.route.stream
+            repeat == "resume" and self.route.stream and self.relay.can_continue
         ):
             raise errors.StreamClosed(
                 f"The response broke off after it had begun: {error.detail}"
--- a/src/mintcleat/roles/entry/run_continuation.py
+++ b/src/mintcleat/roles/entry/run_continuation.py
@@ -87,16 +87,19 @@
         """
         backup = stream.backup
         is_unknown = stream.move is not None and stream.move.is_stopping
-        if backup is None or is_unknown or not self.relay.last_event_id:
+        relay = self.relay
+        if not (relay.last_event_id and relay.can_continue):
+            return
+        if backup is None or is_unknown:
             return
         self.copies = [
             (backup, routed_calls.Copy(backup.address, self.request))
         ]
         self.backup = _Backup(stream.upstream, backup)
-        tokens = self.relay.tokens
+        tokens = relay.tokens
 
         def report(pause: float) -> None:
-            self.relay.on_first_event = None
+            relay.on_first_event = None
             self.backup = None
             self.events.continued(
                 stream.upstream,
@@ -107,7 +110,7 @@
                 tokens,
             )
 
-        self.relay.on_first_event = report
+        relay.on_first_event = report
 
     def failed(self, error: errors.MintcleatError) -> errors.MintcleatError:
         """Ends a move or a restore that failed; returns the error.
--- a/src/mintcleat/roles/entry/running_stream.py
+++ b/src/mintcleat/roles/entry/running_stream.py
@@ -75,6 +75,7 @@
         return (
             self.route.repeat == "resume"
             and self.attempts < self.route.attempts
+            and self.relay.can_continue
         )
 
     def stopped(self) -> stream_move.StreamMove | None:
--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -212,6 +212,7 @@
             and relay.has_attempt_event
             # Without ids of events the rest of the stream can't be requested.
             and relay.last_event_id != ""
+            and relay.can_continue
             and not self.copying.get(stream.upstream.incarnation)
             and sum(self.copying.values()) < stream_moves.MAX_CONCURRENT
         )
--- a/testing/test_event_order.py
+++ b/testing/test_event_order.py
@@ -153,6 +153,11 @@
     def test_stream_that_ends_after_a_repeated_event_is_whole(self) -> None:
         self.assert_stream(self.resume(Part((3,))), 1, 2, 3)
 
+    def test_stream_whose_events_have_no_ids_is_cut(self) -> None:
+        for ids in (("", ""), (1, 2, "")):
+            self.parts = [Part(ids, ends=False), Part((3, 4))]
+            self.assert_cut(self.call(), *ids)
+
     def test_stream_that_goes_on_is_whole(self) -> None:
         self.assert_stream(self.resume(Part((4, 5))), 1, 2, 3, 4, 5)
         self.assertEqual(0, self.ended().repeated)
--- a/testing/test_stream_silence.py
+++ b/testing/test_stream_silence.py
@@ -95,6 +95,7 @@
 class Relay:
     tokens = 4
     has_attempt_event = True
+    can_continue = True
     waiting_since = 100.0
     origin = None
 
@@ -154,6 +155,12 @@
         self.watch.add(stream)
         return stream
 
+    def test_stream_that_cannot_continue_is_not_abandoned(self) -> None:
+        self.relay.can_continue = False
+        self.add()
+        self.timers.run(2.0)
+        self.assertEqual([], self.answer.reasons)
+
     def test_silent_stream_is_interrupted_once(self) -> None:
         stream = self.add()
         self.timers.run(0.45)
