Soak: what was not varied about streams

Take-ups that name the latest request or none, two callers that take up the same stream, ids that begin above 1, streams of over 30 s, upstreams that go back, begin anew or send an event twice. In the middle of rollouts: all entries killed at the same moment, once or twice, a majority of control with as many disks as may be lost, an entry killed during its stop, jumps of the entries' time of day.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -44,8 +44,23 @@
 # Part of the new connections that go through the proxy before an entry. Those
 # of slow callers don't: the proxy would hold what they don't read.
 _PROXY_PART = 0.4
-# Tries to take up a stream that broke off.
+# Tries to take up a stream that broke off, also one that takes longer than all
+# faults that may be between.
 _TAKE_UPS = 3
+_LONG_TAKE_UPS = 60
+_LONG_RETRY_SECONDS = 0.2
+# How take-ups name what they continue: by the request that brought the first
+# event, by the latest one that brought any, or not at all.
+NAMINGS = ("first", "first", "first", "latest", "none")
+# Part of the take-ups that two callers make at once.
+_BOTH_PART = 0.2
+# Numbers before those of streams' first events.
+_BASES = (0, 0, 0, 7, 999)
+# Events of a long stream and the pause before each, together over 30 s, and its
+# deadline.
+_LONG_EVENTS = 170
+_LONG_PAUSE_MS = 200
+_LONG_DEADLINE_MS = 50_000
 # Part of the streams whose callers lose their connection, and after how much of
 # the body they do: after one event to a dozen.
 _LOSING_PART = 0.4
@@ -70,7 +85,11 @@
             a repetition; empty for others.
         last_event: Number of the event after which a stream is taken up; 0 for
             a new one.
-        resumes: Request that brought its first event.
+        resumes: Request that it names as the one that began the stream; empty
+            for none.
+        base: Number before that of the first event of its stream.
+        pause_ms: Pause before each event of its stream; 0 for the usual one.
+        deadline_ms: Deadline that it states.
         timeout: Seconds after which its caller leaves.
         drop_after: As in `client.Call`.
     """
@@ -91,6 +110,9 @@
     crashing: str = ""
     last_event: int = 0
     resumes: str = ""
+    base: int = 0
+    pause_ms: int = 0
+    deadline_ms: int = _DEADLINE_MS
     timeout: float = _CLIENT_SECONDS
     drop_after: int = 0
 
@@ -219,10 +241,10 @@
                 time.monotonic(),
                 sending.max_runs,
                 sending.program,
-                sending.events,
+                sending.base + sending.events,
                 sending.expected,
                 crashing=sending.crashing,
-                after=sending.last_event,
+                after=sending.last_event or sending.base,
             )
         )
         outcome = await client.ask(
@@ -346,40 +368,89 @@
             expected=b"stream",
             large=large,
             slow=slow,
+            base=self.generator.choice(_BASES),
         )
         loses = not slow and self.generator.random() < _LOSING_PART
         if loses:
             sending = sending._replace(
                 drop_after=self.generator.randint(*_LOSING_BYTES)
             )
-        for _ in range(_TAKE_UPS + 1):
-            result = await self.send(sending)
-            first = sending.resumes or result.request
-            self.checks.stream_read(
-                result.end.at,
-                first,
-                [
-                    upstreams.parse_event(event.data).version
-                    for event in result.outcome.events
-                ],
-                is_take_up=bool(sending.resumes),
-                error=result.end.error,
-            )
+        naming = self.generator.choice(NAMINGS)
+        await self._read_stream(sending, naming, _TAKE_UPS, loses)
+
+    async def long_stream(self, customer: str) -> None:
+        """Reads a stream of over 30 s, and takes it up until it ends."""
+        sending = Sending(
+            "long",
+            customer,
+            operators.key_of(customer),
+            operators.SAFE_ATTEMPTS,
+            events=_LONG_EVENTS,
+            body=b"stream",
+            expected=b"stream",
+            base=self.generator.choice(_BASES),
+            pause_ms=_LONG_PAUSE_MS,
+            deadline_ms=_LONG_DEADLINE_MS,
+            timeout=_LONG_DEADLINE_MS / 1000,
+        )
+        await self._read_stream(sending, "first", _LONG_TAKE_UPS)
+
+    async def _read_stream(
+        self, sending: Sending, naming: str, tries: int, loses: bool = False
+    ) -> None:
+        """Reads a stream and takes it up where it breaks off.
+
+        Args:
+            sending: The request that begins it.
+            naming: How take-ups name it; see `NAMINGS`.
+            tries: Number of take-ups.
+            loses: Whether its caller loses the first connection.
+        """
+        first = latest = ""
+        for _ in range(tries + 1):
+            is_take_up = sending.last_event > 0
+            results = [await self.send(sending)] if not is_take_up else []
+            if is_take_up:
+                both = self.generator.random() < _BOTH_PART
+                results = await asyncio.gather(
+                    *(self.send(sending) for _ in range(1 + both))
+                )
+            first = first or results[0].request
+            for result in results:
+                self._stream_read(first, result, naming if is_take_up else "")
+            result = results[0]
             numbers = result.end.numbers
-            if result.served or slow or (result.end.left and not loses):
+            if result.served or sending.slow or (result.end.left and not loses):
                 return
             loses = False
-            if not numbers and not sending.resumes:
+            if not numbers and not is_take_up:
                 return
             delay = float(result.outcome.headers.get("retry-after", 0.0))
+            if sending.kind == "long":
+                delay = max(delay, _LONG_RETRY_SECONDS)
             await asyncio.sleep(min(delay, _MAX_RETRY_SECONDS))
             last = numbers[-1] if numbers else sending.last_event
-            if last >= sending.events:
+            if last >= sending.base + sending.events:
                 return
+            latest = result.request if numbers else latest
+            names = {"first": first, "latest": latest, "none": ""}
             sending = sending._replace(
-                last_event=last, resumes=first, drop_after=0
+                last_event=last, resumes=names[naming], drop_after=0
             )
 
+    def _stream_read(self, first: str, result: Result, naming: str) -> None:
+        """Has a part of a stream checked; see `checks.Checks.stream_read`."""
+        self.checks.stream_read(
+            result.end.at,
+            first,
+            [
+                upstreams.parse_event(event.data).version
+                for event in result.outcome.events
+            ],
+            naming,
+            result.end.error,
+        )
+
     async def call_limited(self) -> None:
         """Calls as a customer with a low limit; doesn't wait after refusals."""
         customer = "limited"
@@ -476,7 +547,7 @@
 def _headers(name: str, sending: Sending) -> dict[str, str]:
     fields = {
         "X-Request-Id": name,
-        "X-Deadline-Milliseconds": str(_DEADLINE_MS),
+        "X-Deadline-Milliseconds": str(sending.deadline_ms),
         "Api-Key": sending.key,
     }
     if sending.program:
@@ -490,8 +561,13 @@
         fields["X-Model"] = "m"
     if sending.large:
         fields["X-Large"] = "1"
-    if sending.resumes:
+    if sending.base:
+        fields["X-Base"] = str(sending.base)
+    if sending.pause_ms:
+        fields["X-Pause-Ms"] = str(sending.pause_ms)
+    if sending.last_event:
         fields["Last-Event-Id"] = str(sending.last_event)
+    if sending.resumes:
         fields["Resumes"] = sending.resumes
     return fields
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -63,19 +63,19 @@
 
     Attributes:
         request: Its id, which no other request has.
-        kind: `tool`, `safe`, `turn`, `resume`, `revision`, `key`, `change` or
-            `late`.
+        kind: `tool`, `safe`, `turn`, `resume`, `long`, `revision`, `key`,
+            `change` or `late`.
         customer: The customer whose key it shows.
         entry: Name of the entry.
         sent_at: When its connection was opened.
         max_runs: How often upstreams may run it.
         program: Id of its program; empty if it has none.
-        events: Number of events of its whole response; 0 for a plain one.
+        events: Number of the last event of its response; 0 for a plain one.
         body: What the upstream must receive; None if it isn't checked.
         content: Whole content of a plain response.
         crashing: Name of the request that crashes upstreams, of which this is
             a repetition; empty for others.
-        after: Number of the event after which it takes up a stream.
+        after: Number of the event after which its response begins.
     """
 
     request: str
@@ -379,7 +379,7 @@
         at: float,
         first: str,
         versions: list[str],
-        is_take_up: bool,
+        naming: str,
         error: str,
     ) -> None:
         """A caller has read a part of a stream: all of it is of one version.
@@ -388,16 +388,18 @@
             at: When it had that.
             first: Request that brought the first event.
             versions: Versions that made the events of this part.
-            is_take_up: Whether an earlier part broke off.
+            naming: How it names the stream that it takes up: `first`, `latest`
+                or `none`; empty if it begins one.
             error: Kind and detail of the entry's error; empty for none.
         """
         known = self.versions[first]
         known.extend(versions)
         if len(set(known)) > 1 and versions:
             self._report(at, "versions", f"{first} has events of {known}")
-        if is_take_up:
+        if naming:
             kind = error.partition(":")[0] or "no answer"
-            self.take_ups["went on" if versions else kind] += 1
+            outcome = "went on" if versions else kind
+            self.take_ups[f"{naming} {outcome}"] += 1
 
     def _check_planned(self, request: Request, end: End) -> None:
         """Nothing is lost at a planned stop."""
@@ -407,6 +409,9 @@
             return
         if end.crossed and not self.runs.get(request.request):
             return
+        if request.kind == "long":
+            # It may take longer than a process that stops goes on.
+            return
         if request.kind == "late" and end.status == 504:
             # Its upstream answers only after the time-out of its route.
             return
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -18,6 +18,7 @@
 from testing.soak import processes
 from testing.soak import schedule
 from testing.soak import stops
+from testing.soak import together
 from testing.soak import upstreams
 
 _READY_SECONDS = 10.0
@@ -206,6 +207,15 @@
                 async with self.control_lock:
                     with self._disturbance("", f"{fault.kind} {fault.number}"):
                         await self.stops.apply(fault)
+            case "together":
+                async with self.control_lock:
+                    with self._disturbance("", f"{fault.kind} {fault.number}"):
+                        await together.apply(
+                            self.fleet,
+                            fault,
+                            self._until_started,
+                            self._until_repaired,
+                        )
             case "planned":
                 async with self.control_lock:
                     await self._planned(fault)
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -32,6 +32,7 @@
 # Least time for which the configuration is read back at the end.
 _READ_BACK_SECONDS = 4.0
 _TIMEOUT_MS = 4000
+_LONG_TIMEOUT_MS = 60_000
 SAFE_ATTEMPTS = 3
 PROGRAM_CUSTOMERS = ("anna", "berta", "carl", "noisy")
 ROTATING = "rotating"
@@ -93,6 +94,14 @@
             "turn", "stream", service="lm", retainContext=True, retentionS=60.0
         ),
         _route("resume", "stream", service="lm", resumable=True, priority=1),
+        _route(
+            "long",
+            "stream",
+            service="lm",
+            resumable=True,
+            priority=1,
+            timeoutMs=_LONG_TIMEOUT_MS,
+        ),
         _route("tool", "unsafe", service="desk"),
         _route("safe", "safe", service="desk"),
         _route(f"revision-{version}", "safe", service="desk"),
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -19,6 +19,7 @@
 from mintcleat.consensus import lease
 from mintcleat.consensus import types
 from mintcleat.decisions import answer_end
+from mintcleat.decisions import event_order
 from mintcleat.decisions import granted_turns
 from mintcleat.domain import errors
 from mintcleat.domain import identities
@@ -238,6 +239,30 @@
     _replace(entry_origins.StreamOrigins, "find", find)
 
 
+def _any_order() -> None:
+    """Whatever an upstream sends is added to the stream."""
+
+    def place(self: Any, event: Any) -> event_order.Place:
+        return event_order.Place.NEXT
+
+    _replace(event_order.EventOrder, "place", place)
+
+
+def _own_directory() -> None:
+    """A take-up that names nothing goes on at a version of the entry's own."""
+
+    def only(self: Any, call: Any, route: Any, service: str) -> Any:
+        versions = sorted(self.loads.versions.get(service, ()))
+        if not versions:
+            return None
+        return stream_origins.KnownOrigin(
+            stream_origins.StreamOrigin(service, versions[-1]),
+            stream_origins.Source.ONLY,
+        )
+
+    _replace(entry_origins.StreamOrigins, "_only", only)
+
+
 def _routes_kept() -> None:
     """An entry goes on with its table of routes after a change."""
     match = gateway.Gateway._match
@@ -279,6 +304,8 @@
         _quiet_end_is_whole, frozenset({"early_end"})
     ),
     "crash_is_whole": Reintroduced(_crash_is_whole, frozenset({"early_end"})),
+    "any_order": Reintroduced(_any_order, frozenset({"events"})),
+    "own_directory": Reintroduced(_own_directory, frozenset({"versions"})),
     "any_version": Reintroduced(_any_version, frozenset({"versions"})),
     "quiet_end_for_callers": Reintroduced(
         _quiet_end_for_callers, frozenset({"early_end"})
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -39,6 +39,7 @@
 # The schedule's quiet end is longer by the time after which turns of lost
 # entries stop counting.
 _CALM_SECONDS = 4.0
+_LONG_STREAMS = 2
 _PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
 
 
@@ -256,6 +257,8 @@
             for _ in range(count):
                 self._spawn(callers.forever(callers.run_program, customer))
             self._spawn(callers.forever(callers.stream, customer))
+        for _ in range(_LONG_STREAMS):
+            self._spawn(callers.forever(callers.long_stream, "anna"))
         for act in (
             callers.call_limited,
             callers.call_limited,
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -85,6 +85,19 @@
     "damaged_settings",
     "replaced_control",
 )
+# What happens to several processes at once in the middle of a rollout; see
+# `together`.
+TOGETHER = (
+    "kill_entries",
+    "kill_entries",
+    "kill_entries_twice",
+    "kill_majority",
+    "kill_entry_during_stop",
+    "clocks_ahead",
+    "clocks_behind",
+)
+# Time from the start of a rollout to it.
+_TOGETHER_SECONDS = 2.0
 # What happens at once, right after a configuration was acknowledged: all
 # processes end, and the disks that may be lost at once are kept or lost.
 FINAL_LOSSES = ("kill", "lose_disks")
@@ -99,8 +112,8 @@
         seconds: Duration; faults that consist of steps, as `drain`, take
             longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `crashing`, `machine`, `front`, `rollout`, `network`, `stops`,
-            `planned`, `entries`, `all` or `final`.
+            `crashing`, `machine`, `front`, `rollout`, `together`, `network`,
+            `stops`, `planned`, `entries`, `all` or `final`.
         kind: What happens.
         number: Chooses the target: its index modulo their number.
     """
@@ -134,6 +147,7 @@
     front = random.Random(f"{seed} front")
     rollout = random.Random(f"{seed} rollout")
     network = random.Random(f"{seed} network")
+    together = random.Random(f"{seed} together")
     faults: list[Fault] = []
     bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
@@ -157,7 +171,11 @@
                 _single(machine, now, length, "machine", MACHINE_FAULTS)
             )
             faults.extend(_single(front, now, length, "front", FRONT_FAULTS))
-            faults.extend(_single(rollout, now, length, "rollout", ROLLOUTS))
+            rollouts = _single(rollout, now, length, "rollout", ROLLOUTS)
+            faults.extend(rollouts)
+            faults.extend(
+                _together(together, one, now + length) for one in rollouts
+            )
             # One of both: they exclude each other, and a phase is short.
             track, kinds = network.choice(
                 (("network", NETWORK_FAULTS), ("stops", STOPS))
@@ -247,6 +265,19 @@
     return [Fault(at, seconds, track, kind, generator.randrange(1000))]
 
 
+def _together(generator: random.Random, rollout: Fault, end: float) -> Fault:
+    """Returns what happens in the middle of a rollout, before a phase's end."""
+    at = rollout.at + generator.uniform(0.0, _TOGETHER_SECONDS)
+    seconds = generator.uniform(0.3, 1.5)
+    return Fault(
+        min(at, end - seconds),
+        seconds,
+        "together",
+        generator.choice(TOGETHER),
+        generator.randrange(1000),
+    )
+
+
 def _mixed(
     generator: random.Random,
     bags: dict[str, Iterator[str]],
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -34,6 +34,10 @@
 _CRASH_SECONDS = 0.045
 # Part of the answers that an upstream breaks off itself.
 _BROKEN_PART = 0.04
+# Part of the answers to requests to go on that don't, and of the others that
+# send an event twice.
+_DISORDERED_PART = 0.1
+_TWICE_PART = 0.01
 LENGTH = "length"
 CHUNKS = "chunks"
 CLOSE = "close"
@@ -84,6 +88,38 @@
     return Form(framing, line_end, broken_at)
 
 
+def numbers_of(
+    request: str, upstream: str, after: int, base: int, last: int
+) -> tuple[list[int], bool]:
+    """Returns the numbers of the events that an upstream sends.
+
+    Some upstreams that are asked to go on send the last event again, go back or
+    begin anew, and some send an event twice.
+
+    Args:
+        request: Id of the request.
+        upstream: Name of the upstream.
+        after: Number of the event after which it is to go on.
+        base: Number before that of the first event.
+        last: Number of the last event.
+
+    Returns:
+        The numbers, and whether they are those that were asked for.
+    """
+    numbers = list(range(after + 1, last + 1))
+    generator = random.Random(f"{request} at {upstream}, numbers")
+    is_take_up = after > base
+    draw = generator.random()
+    if is_take_up and draw < _DISORDERED_PART:
+        first = generator.choice((after, max(base + 1, after - 1), base + 1))
+        return list(range(first, last + 1)), False
+    if numbers and draw > 1.0 - _TWICE_PART:
+        place = generator.randrange(len(numbers))
+        numbers.insert(place, numbers[place])
+        return numbers, False
+    return numbers, True
+
+
 class Observer(Protocol):
     """Receives the start of each run."""
 
@@ -396,15 +432,22 @@
     ) -> None:
         request = headers["x-request-id"]
         count = int(headers["x-token-counts"].partition(",")[2])
-        first = int(headers.get("last-event-id") or 0) + 1
+        base = int(headers.get("x-base") or 0)
+        after = int(headers.get("last-event-id") or base)
+        pause = int(headers.get("x-pause-ms") or 0) / 1000 or _EVENT_SECONDS
         large = "x-large" in headers
         form = Form() if large else form_of(request, self.name)
+        numbers, is_asked_for = numbers_of(
+            request, self.name, after, base, base + count
+        )
+        if not is_asked_for:
+            self.observer.broke_off(request)
         events = [
             event_bytes(
                 EventText(request, number, self.version, filler_of(large)),
                 form.line_end,
             )
-            for number in range(first, count + 1)
+            for number in numbers
         ]
         # Engines send the head with the first token.
         await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
@@ -414,7 +457,7 @@
         left = form.cut(body)
         for event in events:
             if not large:
-                await asyncio.sleep(_EVENT_SECONDS * self.slowness)
+                await asyncio.sleep(pause * self.slowness)
             _write(writer, form, event[:left])
             left -= min(left, len(event))
             await writer.drain()
