Test: all entries killed at the same moment within streams of two versions

Guards what the users reported: take-ups that were answered with text joined from two versions, after all machines in front had been killed at once and had come back. With the upstreams of one version ended at that moment its streams are refused (no_upstream, unknown_stream).

--- /dev/null
+++ b/testing/test_lost_entries.py
@@ -0,0 +1,62 @@
+"""All entries as real processes, killed at the same moment within streams."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+ROOT = pathlib.Path(__file__).parent.parent
+_SECONDS = 90.0
+
+
+def _run(seed: int, leaves: bool) -> dict[str, Any]:
+    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+    module = "testing.soak.lost_entries"
+    done = subprocess.run(
+        [sys.executable, "-m", module, str(seed), str(int(leaves))],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=_SECONDS,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    return json.loads(done.stdout.splitlines()[-1])
+
+
+def _assert_in_order(found: dict[str, Any]) -> None:
+    """Checks that no stream holds two versions, a gap or a number twice."""
+    assert found["joined"] == 0, found
+    assert found["disordered"] == 0, found
+    assert found["violations"] == [], found
+
+
+def _ends(found: dict[str, Any], version: str, naming: str) -> set[str]:
+    """Returns how the streams of a version ended."""
+    prefix = f"{version} {naming} "
+    return {
+        name.removeprefix(prefix)
+        for name in found["ends"]
+        if name.startswith(prefix)
+    }
+
+
+def test_streams_of_two_versions_go_on_after_all_entries_were_killed() -> None:
+    # Guards against take-ups that are answered with text of two versions.
+    found = _run(seed=1, leaves=False)
+    _assert_in_order(found)
+    for version in ("v1", "v2"):
+        assert _ends(found, version, "first") == {"whole"}, found
+        assert _ends(found, version, "none") <= {"whole", "unknown_stream"}
+
+
+def test_stream_whose_version_left_as_all_entries_were_killed_is_refused() -> (
+    None
+):
+    found = _run(seed=2, leaves=True)
+    _assert_in_order(found)
+    assert _ends(found, "v1", "first") <= {"whole", "no_upstream"}, found
+    assert _ends(found, "v2", "first") == {"whole"}, found
