A process that stops isn't ended by a further signal

Cause: the interpreter sets its handlers back to the default while it ends, which takes longer than what the process does to stop. Ignored signals stay ignored, so the process ignores both once it has stopped.

Both cases of the test failed before, with -1 and -15.

--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -158,6 +158,10 @@
         )
         eventlet.sleep(_FLUSH_SECONDS)
         self.log.close()
+        # The interpreter gives handlers up as it ends. A signal would then end
+        # the process as a failed one.
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            signal.signal(number, signal.SIG_IGN)
         return 0
 
     def _reload_if_changed(self) -> None:
--- a/testing/test_control_processes.py
+++ b/testing/test_control_processes.py
@@ -89,3 +89,26 @@
         tmp_path,
     )
     assert done.returncode == 0, done.stderr
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
+def test_control_that_stops_ends_in_order_under_further_signals(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    done = _run(
+        f"""
+import signal
+
+async def run(fleet):
+    for node in fleet.controls:
+        process = node.process
+        node.signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        while process.poll() is None:
+            process.send_signal(signal.{name})
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0, process.returncode
+""",
+        tmp_path,
+    )
+    assert done.returncode == 0, done.stderr
