--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -379,15 +379,19 @@
         await self._read_stream(sending, naming, _TAKE_UPS, loses)
 
     async def long_stream(self, customer: str) -> None:
-        """Reads a stream of over 30 s, and takes it up until it ends."""
+        """Reads a stream of over 30 s, and takes it up until it ends.
+
+        Its content is its own: crashes under others must not count for it.
+        """
+        body = f"stream {next(self.numbers)}".encode()
         sending = Sending(
             "long",
             customer,
             operators.key_of(customer),
             operators.SAFE_ATTEMPTS,
             events=_LONG_EVENTS,
-            body=b"stream",
-            expected=b"stream",
+            body=body,
+            expected=body,
             base=self.generator.choice(_BASES),
             pause_ms=_LONG_PAUSE_MS,
             deadline_ms=_LONG_DEADLINE_MS,
