--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -97,6 +97,7 @@
             with their connections.
         refuse_copies: Whether requests with a copy are refused.
         break_copies: Whether they are broken off before their head.
+        sent_again: Number of earlier events that they begin with.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
         self.is_framed = True
         self.refuse_copies = False
         self.break_copies = False
+        self.sent_again = 0
         group.engines[self.address] = self
 
     @property
@@ -186,6 +188,9 @@
             write = connection.send
             kind = {"Content-Type": "text/event-stream"}
             connection.send(connection.head(received, kind))
+        again = self.sent_again if source is not None else 0
+        for number in range(made + 1 - again, made + 1):
+            write(platform_engine.event(number))
         try:
             while run.made < self.count:
                 while self.holds and run.made >= HELD_AT:
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -15,6 +15,7 @@
 from mintcleat.decisions import retry
 from mintcleat.decisions import stream_moves
 from mintcleat.domain import events
+from mintcleat.domain import server_sent_events
 from mintcleat.roles.entry import run_deadline
 from mintcleat.roles.entry import stream_move
 
@@ -170,6 +171,38 @@
         self.assertTrue(0.0 < event.pause_s < 2.0, event.pause_s)
         self.assert_all_freed()
 
+    def test_last_event_that_the_destination_sends_again_comes_once(
+        self,
+    ) -> None:
+        for engine in self.engines:
+            engine.sent_again = 1
+        call, source, _ = self.begin()
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertEqual("moved", self.event().result)
+
+    def test_stream_whose_destination_goes_back_is_resumed_elsewhere(
+        self,
+    ) -> None:
+        self.engines.append(self.add("e3"))
+        self.system.settle()
+        for engine in self.engines:
+            engine.sent_again = 3
+        call, source, _ = self.begin("/resumable/a")
+        self.leave(source)
+        self.assert_complete(call.wait())
+
+    def test_stream_whose_destination_goes_back_is_cut(self) -> None:
+        for engine in self.engines:
+            engine.sent_again = 3
+        call, source, _ = self.begin()
+        self.leave(source)
+        answer = call.wait()
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        found = server_sent_events.EventBuffer().feed(answer.body)
+        numbers = [int(one.id) for one in found]
+        self.assertEqual(list(range(1, len(numbers) + 1)), numbers)
+
     def test_turn_is_committed_with_both_parts(self) -> None:
         # The next turn's prompt has the output of both engines.
         call, source, other = self.begin("/turns/a", X_Program_Id="p")
@@ -746,6 +779,13 @@
         )
         self.assert_all_freed()
 
+    def test_last_event_that_a_backup_sends_again_comes_once(self) -> None:
+        self.run_turns(3)
+        for engine in self.engines:
+            engine.sent_again = 1
+        self.assert_complete(self.turn(3))
+        self.assertEqual("restored", self.event().result)
+
     def test_stream_without_a_backup_is_interrupted(self) -> None:
         # The upstream lost the backup; 503 means that nothing ran.
         self.run_turns(3)
