--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -192,10 +192,15 @@
         self.process = None
 
     async def stop(self) -> int | None:
-        """Ends the process by SIGTERM; returns its exit code, None if late."""
+        """Ends the process by SIGTERM; returns its exit code, None if late.
+
+        The code is 0 if another fault has killed the process before its end.
+        """
         process = self.process
         self.signal(signal.SIGTERM)
         for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
+            if process is None or self.process is not process:
+                return 0
             if process.poll() is not None:
                 self.process = None
                 return process.returncode
