Bodies of the product's own interface have one bounded sum

Each body was bounded (8 and 10 MiB), and nothing bounded how many are held at once: callers that send many bodies and stop short of their end, or wait for an upstream, make the process grow without limit. A server now counts the bodies of its requests in progress; what finds no room is refused with 503 and has not run. A body of the operators' interface has a longest time too. The test fails on the code before, which has no such sum.

--- a/src/mintcleat/adapters/admin_http.py
+++ b/src/mintcleat/adapters/admin_http.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from mintcleat.adapters import admin_views
+from mintcleat.adapters import http_request
 from mintcleat.adapters import problems
 from mintcleat.domain import config_messages
 from mintcleat.domain import errors
@@ -409,7 +410,8 @@
         )
     if int(length) == 0:
         return {}
-    data = environ["wsgi.input"].read(int(length))
+    http_request.take_bytes(environ, int(length))
+    data = http_request.read_with_timeout(environ, int(length))
     if len(data) < int(length):
         raise errors.BadRequest(
             f"The body ended after {len(data)} of {length} bytes."
--- a/src/mintcleat/adapters/http_request.py
+++ b/src/mintcleat/adapters/http_request.py
@@ -12,16 +12,69 @@
 # the maximum size arrives within it even over a slow mobile connection.
 BODY_TIMEOUT_SECONDS = 30.0
 _READ_BYTES = 64 * 1024
+# Key of the `BodyBytes` of a server in the environment of its requests.
+BODIES = "mintcleat.bodies"
+# Time after which a caller may return whose body found no room.
+_RETRY_SECONDS = 1.0
 
 Environ = dict[str, Any]
 
 
+class BodyBytes:
+    """The bytes of bodies that the requests of one server hold.
+
+    Each body is within its limit, but many at once would exceed the memory of
+    the process.
+
+    Attributes:
+        limit: Maximum of `total`.
+        total: Bytes that are held, or announced by requests in progress.
+    """
+
+    def __init__(self, limit: int = 64 * 1024 * 1024) -> None:
+        self.limit = limit
+        self.total = 0
+
+    def take(self, environ: Environ, size: int) -> None:
+        """Counts bytes of a request until `release`.
+
+        Raises:
+            errors.Overloaded: There is no room for them.
+        """
+        if self.total + size > self.limit:
+            raise errors.Overloaded(
+                f"The bodies of all requests exceed {self.limit} bytes.",
+                retry_after=_RETRY_SECONDS,
+            )
+        self.total += size
+        environ[_TAKEN] = environ.get(_TAKEN, 0) + size
+
+    def release(self, environ: Environ) -> None:
+        """Frees the bytes of a request that has ended."""
+        self.total -= environ.pop(_TAKEN, 0)
+
+
+_TAKEN = "mintcleat.body_bytes"
+
+
+def take_bytes(environ: Environ, size: int) -> None:
+    """Counts bytes of a body at the server of its request.
+
+    Raises:
+        errors.Overloaded: There is no room for them.
+    """
+    bodies = environ.get(BODIES)
+    if bodies is not None:
+        bodies.take(environ, size)
+
+
 def read_body(environ: Environ) -> bytes:
     """Returns the whole body.
 
     Raises:
         errors.TooLarge: It exceeds `MAX_BODY_BYTES`.
         errors.BadRequest: It is incomplete or did not arrive in time.
+        errors.Overloaded: The bodies of all requests exceed their limit.
     """
     length = content_length(environ)
     if length is None:
@@ -32,6 +85,7 @@
         )
     if not length:
         return b""
+    take_bytes(environ, length)
     data = read_with_timeout(environ, length)
     if len(data) < length:
         raise errors.BadRequest(
@@ -65,6 +119,7 @@
             raise errors.TooLarge(
                 f"The body exceeds the limit of {MAX_BODY_BYTES} bytes."
             )
+        take_bytes(environ, len(part))
         parts.append(part)
 
 
--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from mintcleat.adapters import http1_heads
+from mintcleat.adapters import http_request
 from mintcleat.adapters import problems
 from mintcleat.adapters import streams
 from mintcleat.domain import errors
@@ -25,6 +26,7 @@
     Attributes:
         address: `IP:PORT` that the server listens on.
         active: Number of requests in progress, including streamed responses.
+        bodies: Bytes of their bodies.
     """
 
     def __init__(self, listen: str, app: Any) -> None:
@@ -39,6 +41,7 @@
         host, port = self.listener.getsockname()[:2]
         self.address = f"{host}:{port}"
         self.active = 0
+        self.bodies = http_request.BodyBytes()
         self.pool = eventlet.GreenPool(_MAX_CONNECTIONS)
         self.server = eventlet.spawn(self._serve)
 
@@ -62,22 +65,27 @@
 
     def _run_app(self, environ: Any, start: Any) -> Any:
         self.active += 1
+        environ[http_request.BODIES] = self.bodies
         try:
             body = self.app(environ, start)
         except BaseException:
-            self.active -= 1
+            self._ended(environ)
             raise
         if isinstance(body, list):
-            self.active -= 1
+            self._ended(environ)
             return body
-        return self._count_streamed(body)
+        return self._count_streamed(environ, body)
 
-    def _count_streamed(self, body: Any) -> Any:
+    def _ended(self, environ: Any) -> None:
+        self.active -= 1
+        self.bodies.release(environ)
+
+    def _count_streamed(self, environ: Any, body: Any) -> Any:
         """Yields a streamed body; it counts as active until it ends."""
         try:
             yield from body
         finally:
-            self.active -= 1
+            self._ended(environ)
             if hasattr(body, "close"):
                 body.close()
 
--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -3,10 +3,13 @@
 from collections.abc import Iterable
 from typing import Any
 
+import eventlet
 import testtools
 
 from fakes import platform_system
+from mintcleat.adapters import http_request
 from mintcleat.adapters import wsgi
+from mintcleat.domain import errors
 
 
 def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
@@ -38,3 +41,45 @@
 
     def test_whole_uri_with_a_user_gets_400(self) -> None:
         self.assertEqual(400, self.get("http://u@h/a").status)
+
+
+class BodiesTest(testtools.TestCase):
+    """The application reads the body and answers when it is released."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.release = eventlet.Event()
+        self.server = wsgi.HttpServer("127.0.0.1:0", self.application)
+        self.addCleanup(self.server.stop)
+        self.server.bodies.limit = 2500
+
+    def application(
+        self, environ: dict[str, Any], start: Any
+    ) -> Iterable[bytes]:
+        try:
+            http_request.read_body(environ)
+        except errors.Overloaded as error:
+            start("503 Service Unavailable", [])
+            return [error.detail.encode()]
+        self.release.wait()
+        start("200 OK", [])
+        return [b"done"]
+
+    def post(self) -> platform_system.Answer:
+        return platform_system.exchange(
+            self.server.address,
+            "POST",
+            "/",
+            {"Host": "own", "Connection": "close"},
+            b"x" * 1000,
+        )
+
+    def test_sum_of_bodies_is_bounded(self) -> None:
+        # Guards against many bodies that exceed the memory together.
+        waiting = [eventlet.spawn(self.post) for _ in range(2)]
+        eventlet.sleep(0.1)
+        self.assertEqual(503, self.post().status)
+        self.release.send()
+        self.assertEqual([200, 200], [each.wait().status for each in waiting])
+        self.assertEqual(0, self.server.bodies.total)
+        self.assertEqual(200, self.post().status)
