The clock of a group stands still until its new leader is told that it leads

Cause: a replica that follows took the group's clock from the log at its own tick, each 5 s, and let it run on in between. An elected leader accepts commands before it holds its lease, which is when it is told to take the clock from the log anew. A command that waited at the entries for a leader was stamped in between, with a clock that had not stood still while the two leaders before it changed. The same holds for a former leader that leads again before its next tick.

Both test_limit_holds_before_the_lease_of_* failed before (a count where a refusal was due).

Why it works: the clock runs only in the term for which it was started, and otherwise reads as the last value in the log.

--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -54,9 +54,14 @@
     It advances with this process's monotonic clock from the last value in the
     log, so that no step of a wall clock can make records expire early.
 
-    It must not run on while another replica leads. The log's clock may have
-    stood still for a time, as between two leaders; one that runs on is ahead
-    of it, and its leader would forget at once what counts against limits.
+    It stands still except in a term that this replica leads. The log's clock
+    may have stood still for a time, as between two leaders; one that runs on
+    is ahead of it, and its leader would forget at once what counts against
+    limits. An elected leader stamps commands before it has its lease and is
+    told that it leads.
+
+    Attributes:
+        term: The last term for which `start` was called.
     """
 
     def __init__(
@@ -64,22 +69,23 @@
     ) -> None:
         self.group = group
         self.timers = service
-        self.base = group.clock
-        self.base_time = service.now()
+        self.term = -1
+        self.base = 0.0
+        self.base_time = 0.0
 
-    def restart(self) -> None:
-        """Continues from the last value in the log, as a new leader does."""
+    def start(self, term: int) -> None:
+        """Continues from the last value in the log, as the leader of a term."""
+        self.term = term
         self.base = self.group.clock
         self.base_time = self.timers.now()
 
-    def read(self) -> float:
-        """Returns the clock for the next command."""
-        now = self.timers.now()
-        clock = self.base + now - self.base_time
-        if self.group.clock > clock:
-            self.base = clock = self.group.clock
-            self.base_time = now
-        return clock
+    def read(self, term: int) -> float:
+        """Returns the clock for the next command in a term."""
+        if term != self.term:
+            return self.group.clock
+        return max(
+            self.group.clock, self.base + self.timers.now() - self.base_time
+        )
 
 
 class ProgramService:
@@ -175,19 +181,22 @@
         timer_service.every(TICK_SECONDS, self.tick)
 
     def _begin_to_lead(self, group: str) -> None:
-        self.clocks[group].restart()
+        self.clocks[group].start(self.log.position(group).term)
         self.contention.reset(group)
 
     def tick(self) -> None:
         """Removes expired records of the groups that this replica leads."""
         request = self._expiry()
         for group, group_machine in self.machines.items():
-            clock = self.clocks[group]
-            if not self.log.leads(group):
-                clock.restart()
-            elif retention.is_due(group_machine, clock.read(), request):
+            if self.log.leads(group) and retention.is_due(
+                group_machine, self._clock(group), request
+            ):
                 self._commit(group, [request])
 
+    def _clock(self, group: str) -> float:
+        """Returns the group's clock for the next command."""
+        return self.clocks[group].read(self.log.position(group).term)
+
     def _expiry(self) -> commands.Tick:
         """Returns the command that removes what has expired.
 
@@ -287,7 +296,7 @@
         now = self.timers.now()
         if room.has_room(key, size, kept, continues, now):
             return
-        clock = self.clocks[group].read()
+        clock = self._clock(group)
         # Expired turns are deleted by a sweep, which a tick starts.
         late = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
         expiring = (
@@ -454,7 +463,7 @@
 
     def _commit(self, group: str, requests: list[Any]) -> list[Any]:
         command = commands.Command(
-            self.clocks[group].read(), self.timers.wall_time(), requests
+            self._clock(group), self.timers.wall_time(), requests
         )
         try:
             return self.log.propose(
@@ -475,7 +484,7 @@
             return self.load_report.view(
                 request,
                 self.machines[group].branches.limits,
-                self.clocks[group].read(),
+                self._clock(group),
                 load_report.service_loads(
                     self.contention.views(), request.customers
                 ),
--- a/testing/fakes/log.py
+++ b/testing/fakes/log.py
@@ -14,6 +14,9 @@
         commands: Committed commands by group.
         replicas: All replicas.
         leader: Stream address of the leader; empty for none.
+        term: Number of elections.
+        is_confirmed: Whether a majority has confirmed the leader's lease. It
+            accepts proposals before.
         lag: Addresses of replicas that do not apply commands for now.
         lose_next: Number of next proposals that are committed but raise
             ProposalLost.
@@ -23,18 +26,28 @@
         self.commands: dict[str, list[bytes]] = {}
         self.replicas: list[MemoryLog] = []
         self.leader = ""
+        self.term = 0
+        self.is_confirmed = True
         self.lag: set[str] = set()
         self.lose_next = 0
 
-    def elect(self, address: str) -> None:
+    def elect(self, address: str, *, is_confirmed: bool = True) -> None:
         """Makes a replica the leader, once it has applied all commands."""
         self.lag.discard(address)
         for replica in self.replicas:
             if replica.address == address:
                 replica.catch_up()
         self.leader = address
+        self.term += 1
+        self.is_confirmed = False
+        if is_confirmed:
+            self.confirm()
+
+    def confirm(self) -> None:
+        """Gives the elected leader its lease."""
+        self.is_confirmed = True
         for replica in self.replicas:
-            if replica.address == address:
+            if replica.address == self.leader:
                 for callback in replica.on_lead:
                     callback()
 
@@ -75,7 +88,7 @@
 
     def propose(self, group: str, command: bytes, timeout: float) -> Any:
         """Commits a command immediately, if this replica is the leader."""
-        if not self.leads(group):
+        if self.cluster.leader != self.address:
             raise errors.NotLeader(self.cluster.leader)
         commands = self.cluster.commands.setdefault(group, [])
         commands.append(command)
@@ -102,14 +115,14 @@
         return self.cluster.leader
 
     def leads(self, group: str) -> bool:
-        """Returns whether this replica is the leader."""
-        return self.cluster.leader == self.address
+        """Returns whether this replica is the leader with a lease."""
+        return self.cluster.is_confirmed and self.cluster.leader == self.address
 
     def position(self, group: str) -> log_ports.Position:
         """Returns the progress of this replica."""
         applied = self.applied.get(group, 0)
         left = 1.0 if self.leads(group) else 0.0
-        return log_ports.Position(1, applied, applied, left)
+        return log_ports.Position(self.cluster.term, applied, applied, left)
 
     def holders(self, group: str, index: int) -> list[str]:
         """Returns the replicas that have applied an entry."""
--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -270,6 +270,35 @@
         (reply,) = follower.answer([count])
         self.assertIsInstance(reply, errors.LimitReached)
 
+    def check_limit_before_the_lease_of(
+        self, leader: program_service.ProgramService
+    ) -> None:
+        limit = program_messages.RateLimit(1.0, 1.0, 2.0)
+        count = program_messages.CountCall("farm", "", limit)
+        leader.tick()
+        self.timers.advance(3.0)
+        # It knows nothing of the three seconds without a command.
+        restarted = self.serve("c3:1")
+        self.cluster.elect("c3:1")
+        for _ in range(3):
+            (reply,) = restarted.answer([count])
+            self.assertIsInstance(reply, program_messages.CallCounted)
+        self.timers.advance(1.5)
+        self.cluster.elect(leader.log.address, is_confirmed=False)
+        (reply,) = leader.answer([count])
+        self.assertIsInstance(reply, errors.LimitReached)
+        self.cluster.confirm()
+        (reply,) = leader.answer([count])
+        self.assertIsInstance(reply, errors.LimitReached)
+
+    def test_limit_holds_before_the_lease_of_a_former_follower(self) -> None:
+        # Guards against a window that is counted again after a failover.
+        self.check_limit_before_the_lease_of(self.serve("c2:1"))
+
+    def test_limit_holds_before_the_lease_of_a_former_leader(self) -> None:
+        # Guards against a window that is counted again after a failover.
+        self.check_limit_before_the_lease_of(self.service)
+
     def test_turn_gets_what_the_other_entries_report(self) -> None:
         def opened(
             entry: str, turn: str, *report: Any
