A control instance joins after it lost its disk and its clock was set back

Operators saw: a control instance that had lost its disk ended at each start with code 4 ("Peers know a later incarnation of ..."), until its clock had passed the time at which its last disk was formatted. Meanwhile the group had one voter less.

Cause: the identity of a disk is the time of day of the process start that formatted it. A disk that is formatted while the clock is behind gets an identity below the one that the group still lists as a voter. Peers ignore its frames as old, and the first frame to the former identity stopped the process.

Why it works: a disk without a vote and without an entry has promised nothing under its identity, so that taking another one is the same as losing it once more. It takes, durably and before it sends another frame, an identity above the one that it was addressed by. The step is random: the next epoch could be that of a disk in between, lost with its votes, which the sender of the frame doesn't know. The driver and the log both refuse a disk that holds anything; such a one stops as before.

--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -78,6 +78,14 @@
                 size=self.size(),
             )
 
+    def renew(self, identity: identities.Incarnation) -> None:
+        """Durably replaces the identity of a disk without any records."""
+        self._raise_if_failed()
+        if self.size() > wal_segment.HEADER_SIZE:
+            raise ValueError("The log has records of its identity.")
+        with self._fail_on_os_error():
+            wal_identity.write(self.disk, self.folder, identity)
+
     def append(self, records: Iterable[bytes]) -> None:
         """Adds records to the batch that the next `sync` writes."""
         self._raise_if_failed()
--- a/src/mintcleat/consensus/instance.py
+++ b/src/mintcleat/consensus/instance.py
@@ -67,7 +67,8 @@
         roster: The known instances.
         highest_epoch_seen: Highest epoch of this instance in a received
             frame. If it is above the epoch of `me`, another process uses the
-            name, or the disk was formatted while the clock was behind.
+            name, an old disk is back, or this one was formatted while the
+            clock was behind.
         outgoing: By receiver, the heartbeats sent to it.
         incoming: By sender, the process epoch, the version and the groups of
             its newest heartbeat list.
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -15,8 +15,9 @@
 
     Attributes:
         identity: The replica identity stored on the disk. Its epoch is that
-            of the process start that formatted the disk, so a disk that was
-            wiped or copied never reuses its earlier identity.
+            of the process start that formatted the disk, or a later one from
+            `renew`, so a disk that was wiped or copied never reuses its
+            earlier identity.
         records: All records in order, read lazily; can be iterated once. A
             log of ten megabytes that is held in memory together with the
             state built from it exceeds the memory of a small machine, and the
@@ -52,6 +53,13 @@
             errors.StorageFailed: The disk cannot be read or written.
         """
 
+    def renew(self, identity: identities.Incarnation) -> None:
+        """Durably replaces the identity of a disk without any records.
+
+        Raises:
+            ValueError: The log has records, which belong to its identity.
+        """
+
     def append(self, records: Iterable[bytes]) -> None:
         """Appends records; they are durable once `sync` has returned."""
 
--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -53,6 +53,9 @@
 
 # A larger command would block the event loop and the disk for too long.
 MAX_COMMAND_BYTES = 16 * 1024 * 1024
+# Epochs are nanoseconds, so that this is 18 minutes. Two draws from it are
+# equal once in 10^12 times.
+_MAX_EPOCH_STEP = 1 << 40
 
 
 class _StopOnFailure(contextlib.AbstractContextManager):
@@ -92,7 +95,8 @@
 
     Attributes:
         stop_on_failure: Context in which an exception stops this replica.
-        core: The consensus instance.
+        core: The consensus instance; another one after its empty disk got a
+            new identity.
         proposals: Proposers and readers that wait.
         application: The state machines.
         failed: The error that stopped this replica; None while it runs.
@@ -142,29 +146,39 @@
             self.snapshots.on_applied,
         )
         self.wake_pending = False
+        self.node = node
+        self.own = own
+        self.members = members
         recovery = wal.open(node)
         stored = _replay(recovery.records)
         self.disk = disk_queue.DiskQueue(
             self, wal, worker, timers, self.snapshots, options.rewrite_bytes
         )
-        generator = random.Random(options.seed or f"{node}")
-        self.core = instance.Instance(
-            recovery.identity,
-            node.epoch,
-            options.core,
-            generator.random,
-            machines,
-            members=members,
-            stored=stored,
-            now=timers.now(),
-            own=own,
-        )
+        self.jitter = random.Random(options.seed or f"{node}").random
+        self.core = self._new_core(recovery.identity, stored)
         self.reporter.disk_opened(recovery, self.core)
         for group, machine in machines.items():
             index = self.core.replicas[group].state.applied
             if index > 0:
                 machine.restore(wal.load_snapshot(group, index))
 
+    def _new_core(
+        self,
+        identity: identities.Incarnation,
+        stored: dict[str, records.StoredState],
+    ) -> instance.Instance:
+        return instance.Instance(
+            identity,
+            self.node.epoch,
+            self.options.core,
+            self.jitter,
+            self.application.machines,
+            members=self.members,
+            stored=stored,
+            now=self.timers.now(),
+            own=self.own,
+        )
+
     def wake(self) -> None:
         """Schedules a round of work after the green threads that can run now.
 
@@ -193,7 +207,7 @@
         with self.stop_on_failure:
             self.core.receive(frame, self.timers.now())
         if self.core.highest_epoch_seen > self.core.me.epoch:
-            self.fail(_superseded(self.core.me.instance))
+            self._on_later_incarnation()
             return
         if not self.core.has_work():
             # The last of several acknowledgements, or one of a heartbeat,
@@ -205,6 +219,41 @@
             # There are no proposals to wait for.
             self.work()
 
+    def _on_later_incarnation(self) -> None:
+        """Handles that peers address a later incarnation of this instance.
+
+        A disk that was formatted while the clock was behind has promised
+        nothing yet, so it can take a later identity. One with votes or entries
+        can't.
+        """
+        if self.core.known_groups():
+            self.fail(_superseded(self.core.me.instance))
+            return
+        # The next epoch might be that of a disk that was lost together with
+        # its votes, and that the sender of this frame doesn't know.
+        later = random.Random(f"{self.node}").randint(1, _MAX_EPOCH_STEP)
+        identity = self.core.me._replace(
+            epoch=self.core.highest_epoch_seen + later
+        )
+        logger.warning(
+            "Peers know {}@{}; the empty disk of {} becomes {}.",
+            identity.instance,
+            self.core.highest_epoch_seen,
+            self.core.me,
+            identity,
+        )
+        with self.stop_on_failure:
+            self.wal.renew(identity)
+            self.core = self._new_core(identity, {})
+            self.reporter.disk_opened(
+                wal_ports.Recovery(
+                    identity, [], formatted=True, size=self.wal.size()
+                ),
+                self.core,
+            )
+        self.proposals.fail_reads()
+        self.work()
+
     def work(self) -> None:
         """Carries out all effects except those that wait for the disk."""
         with self.stop_on_failure:
--- a/testing/test_wal.py
+++ b/testing/test_wal.py
@@ -302,6 +302,26 @@
         found = wal.FileWal(backup).open(NODE._replace(epoch=8))
         self.assertEqual((8, []), (found.identity.epoch, list(found.records)))
 
+    def test_empty_disk_keeps_a_renewed_identity(self) -> None:
+        log, _ = self.opened()
+        log.renew(NODE._replace(epoch=99))
+        log.close()
+        found = wal.FileWal(self.folder).open(NODE._replace(epoch=8))
+        self.assertEqual((99, False), (found.identity.epoch, found.formatted))
+
+    def test_identity_of_a_disk_with_records_cannot_be_renewed(self) -> None:
+        # Guards against a disk whose votes no longer bind it.
+        log, _ = self.opened()
+        log.append([b"vote"])
+        later = NODE._replace(epoch=99)
+        self.assertRaises(ValueError, log.renew, later)
+        log.sync()
+        self.assertRaises(ValueError, log.renew, later)
+        log.close()
+        log = wal.FileWal(self.folder)
+        self.assertEqual(NODE, log.open(NODE._replace(epoch=8)).identity)
+        self.assertRaises(ValueError, log.renew, later)
+
     def test_two_processes_cannot_share_a_folder(self) -> None:
         self.opened()
         self.assertRaises(errors.StorageFailed, self.opened)
