A request that a stopping entry can't end in time is refused, not cut

Callers saw: in a planned stop, a request that had begun before SIGTERM and whose last byte came late in the grace time was passed on and cut when the process ended, also one that may not be repeated.

Cause: the stop closed idle connections once. A connection with a part of a request stayed open, and nothing compared the time that its run might take with the time that the process had left. Nor did retries, turns that waited and keys that waited for updates; and what ran at the end was cut without a word on its outcome.

The test of keys failed until the wait looked at the stop each time, those of retries and streams fail without their calls in the fix.

Why it works: the process knows its end from the first moment of the stop. Before each attempt, the deadline of the request must lie before that end; for requests that arrived while the balancer still sends them, twice the mean answer of the service must, as deadlines are many times longer than most answers. Others are refused as not run, with a Retry-After of 0.1 s. 0.3 s before the end, runs without a response get 504, requests that wait or have arrived in part 503.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -212,6 +212,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def refuse_unread(self, error: errors.Draining) -> None:
+        """Refuses the requests of which only a part has arrived."""
+        for connection in list(self.connections):
+            connection.refuse_unread(error)
+
     def stop(self) -> None:
         """Stops accepting connections and closes all."""
         self.close_idle()
@@ -243,7 +248,8 @@
         received: Bytes after the requests that have been read.
         head: Head of the current request; None if it could not be read.
         request: The current request; None before it was read.
-        handler: Green thread that handles it.
+        thread: Green thread that serves the connection.
+        handler: The same while it handles a request; otherwise None.
         ended: Whether the connection is being closed.
         writer: Frames the response in progress; None before its head.
         on_blocked: Called repeatedly while a write waits for the caller.
@@ -260,6 +266,7 @@
         self.received = b""
         self.head: http1_heads.RequestHead | None = None
         self.request: Request | None = None
+        self.thread: Any = None
         self.handler: Any = None
         self.writer: http1_responses.ResponseWriter | None = None
         self.on_blocked: Callable[[], None] | None = None
@@ -271,6 +278,7 @@
 
     def serve(self) -> None:
         """Handles requests until one side closes the connection."""
+        self.thread = eventlet.getcurrent()
         try:
             while self._serve_request():
                 pass
@@ -307,6 +315,12 @@
         if self.reader.closed or self.reader.is_quiet():
             self.shut_down()
 
+    def refuse_unread(self, error: errors.Draining) -> None:
+        """Refuses a request of which only a part has arrived."""
+        is_reading = self.head is not None or bool(self.received)
+        if is_reading and self.handler is None and self.writer is None:
+            greenthread.kill(self.thread, error)
+
     def shut_down(self) -> None:
         """Ends the connection; the green thread serving it closes the socket.
 
@@ -341,6 +355,10 @@
         except errors.TooLarge as error:
             self._send_error(error.status, error.detail)
             return False
+        except errors.Draining as error:
+            retry = ("retry-after", f"{error.retry_after:.2f}")
+            self._send_error(error.status, error.detail, retry)
+            return False
         except TimeoutError:
             if self.head is not None or self.received:
                 self._send_error(
@@ -593,13 +611,16 @@
             Stall(self.request, self.peer, reason, size, waited)
         )
 
-    def _send_error(self, status: int, text: str) -> None:
+    def _send_error(
+        self, status: int, text: str, *more: tuple[str, str]
+    ) -> None:
         """Sends an error response to a request that could not be read."""
         body = (text + "\n").encode()
         headers = [
             ("content-type", "text/plain"),
             ("content-length", str(len(body))),
             http1_responses.CONNECTION_CLOSE,
+            *more,
         ]
         with contextlib.suppress(OSError, CallerStalled):
             self.start(status, headers, "", body)
--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -7,6 +7,7 @@
 from mintcleat.adapters import unsent_bytes
 from mintcleat.decisions import entry_capacity
 from mintcleat.decisions import policy as policy_module
+from mintcleat.decisions import stop_times
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.main import capacity_watch
@@ -23,6 +24,9 @@
 # The platform checks readiness once a second and stops sending requests after
 # two failed checks, so none arrive any more after this time.
 _DRAIN_NOTICE_SECONDS = 2.6
+# Time for the last responses before the process ends: enough for some hundred
+# of them, also if the event loop is late.
+_LAST_ANSWERS_SECONDS = 0.3
 _CLOSE_STALE_SECONDS = 1.0
 # Part of the process's memory limit for bytes that wait for slow callers.
 _UNSENT_FRACTION = 0.125
@@ -194,18 +198,35 @@
         """Drains the requests in flight, until a time at most.
 
         The platform sends requests until its readiness checks have failed;
-        these are served. Meanwhile connections are closed after their
-        responses.
+        these are served, and later ones if they can end in time. Meanwhile
+        connections are closed after their responses. What has not ended shortly
+        before the last moment gets a response that says whether it may have
+        run, also a request of which only a part has arrived.
 
         Returns:
             The number of requests that were interrupted.
         """
         timers = self.common.timers
-        self.gateway.draining = True
-        timers.sleep(_DRAIN_NOTICE_SECONDS)
+        now = timers.now()
+        answers_by = max(now, until - _LAST_ANSWERS_SECONDS)
+        notice_until = min(now + _DRAIN_NOTICE_SECONDS, answers_by)
+        self.gateway.stop(stop_times.StopTimes(notice_until, answers_by))
+        timers.sleep(notice_until - now)
         self.listener.close_idle()
-        while self.listener.connections and timers.now() < until:
-            timers.sleep(_POLL_SECONDS)
+        self._await_connections(answers_by)
+        interrupted = self.in_flight()
+        stop = self.gateway.context.stop
+        stop.end_unanswered()
+        self.listener.refuse_unread(stop.error())
+        # Also if the process is late: SIGKILL comes later than `until`.
+        self._await_connections(timers.now() + _LAST_ANSWERS_SECONDS)
+        stop.end_all()
         self.follower.stop()
         self.gateway.context.crashes.reporter.stop()
-        return self.in_flight()
+        return interrupted
+
+    def _await_connections(self, until: float) -> None:
+        """Waits for the end of all connections, until a time at most."""
+        timers = self.common.timers
+        while self.listener.connections and timers.now() < until:
+            timers.sleep(_POLL_SECONDS)
--- a/src/mintcleat/roles/entry/authentication.py
+++ b/src/mintcleat/roles/entry/authentication.py
@@ -11,6 +11,8 @@
 and one with a right key would not be recognized.
 """
 
+from collections.abc import Callable
+import math
 from typing import Protocol
 
 from mintcleat.decisions import customers
@@ -52,6 +54,8 @@
     """Finds customers by their keys.
 
     Attributes:
+        answers_by: Returns when waiting requests must be answered, as this
+            process ends.
         policies: Policies that `callers` was built from.
         callers: Index of the customers by key.
         unconfirmed: Requests with unknown keys that wait for updates.
@@ -62,8 +66,10 @@
         configuration: Configuration,
         timers: timer_ports.Timers,
         events: event_ports.EventReporter,
+        answers_by: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.configuration = configuration
+        self.answers_by = answers_by
         self.timers = timers
         self.events = events
         self.policies = configuration.manifest().policies
@@ -153,7 +159,7 @@
         self.unconfirmed += 1
         try:
             while self.configuration.known_until() < arrived:
-                if self.timers.now() >= until:
+                if self.timers.now() >= min(until, self.answers_by()):
                     return False
                 self.timers.sleep(_POLL_SECONDS)
         finally:
--- a/src/mintcleat/roles/entry/entry_context.py
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -12,6 +12,7 @@
 from mintcleat.ports import timers as timer_ports
 from mintcleat.roles.entry import crash_watch
 from mintcleat.roles.entry import end_confirmation
+from mintcleat.roles.entry import process_stop
 from mintcleat.roles.entry import stream_backup
 from mintcleat.roles.entry import stream_origins
 from mintcleat.roles.entry import stream_watch
@@ -62,6 +63,7 @@
         crashes: Finds and refuses requests that crash upstreams.
         ends: Confirms ends of answers that nothing marks.
         origins: Finds and records which software began a stream.
+        stop: Planned stop of this process.
     """
 
     configuration: Configuration
@@ -76,3 +78,4 @@
     crashes: crash_watch.CrashWatch
     ends: end_confirmation.EndConfirmation
     origins: stream_origins.StreamOrigins
+    stop: process_stop.ProcessStop
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -6,6 +6,7 @@
 from mintcleat.decisions import jitter
 from mintcleat.decisions import policy as policy_module
 from mintcleat.decisions import routes
+from mintcleat.decisions import stop_times
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
@@ -17,6 +18,7 @@
 from mintcleat.roles.entry import crash_watch
 from mintcleat.roles.entry import end_confirmation
 from mintcleat.roles.entry import entry_context
+from mintcleat.roles.entry import process_stop
 from mintcleat.roles.entry import routed_run
 from mintcleat.roles.entry import run_attempts
 from mintcleat.roles.entry import stream_backup
@@ -91,9 +93,13 @@
                 timers,
                 events,
             ),
+            process_stop.ProcessStop(timers),
         )
         self.authenticator = authentication.Authenticator(
-            configuration, timers, events
+            configuration,
+            timers,
+            events,
+            lambda: self.context.stop.times.answers_by,
         )
         self.table = routes.Table({})
         self.table_manifest: manifest.Manifest | None = None
@@ -114,6 +120,11 @@
             and self.capacity.level is entry_capacity.Level.NORMAL
         )
 
+    def stop(self, times: stop_times.StopTimes) -> None:
+        """Begins a planned stop of this process."""
+        self.draining = True
+        self.context.stop.begin(times)
+
     def limits(self) -> manifest.Limits:
         """Returns the limits on the size and time of callers' requests."""
         return self.configuration.manifest().limits
@@ -236,7 +247,11 @@
         until = self.timers.now() + seconds
         self.held += 1
         try:
-            while not self._has_configuration() and self.timers.now() < until:
+            while not (
+                self._has_configuration()
+                or self.timers.now() >= until
+                or self.context.stop.is_over()
+            ):
                 self.timers.sleep(_POLL_SECONDS)
         finally:
             self.held -= 1
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -128,6 +128,14 @@
         self.attempts.check_version()
         self.relay.turn = self.turn.open()
 
+    def has_begun(self) -> bool:
+        """Returns whether the caller has the beginning of the response."""
+        return self.relay.head_sent
+
+    def end(self) -> None:
+        """Ends the run with its last answer, as the process ends."""
+        self.deadline.expire()
+
     def serve(self, reply: forwarding.CallerResponse) -> None:
         """Serves the request within its deadline.
 
@@ -136,11 +144,14 @@
         """
         self.events.received()
         outcome = "cut"
+        runs = self.context.stop.runs
         relay = self.relay
         attempts = self.attempts
         try:
             self.deadline.limit_wait()
+            runs.add(self)
             attempts.check_quarantine()
+            attempts.check_stop()
             if self.match.route.stream and self.call.last_event:
                 self._open_continued()
             else:
@@ -156,6 +167,7 @@
             raise
         finally:
             self.deadline.cancel()
+            runs.discard(self)
             self.turn.settle(relay, bool(attempts.attempts))
             if relay.head_sent:
                 self.events.ended(relay, outcome, attempts.offers)
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -159,6 +159,26 @@
             retry_after=watch.retry_after(self.digest),
         )
 
+    def check_stop(self) -> None:
+        """Returns if the run can end before this process does.
+
+        Raises:
+            errors.MintcleatError: It can't.
+        """
+        stop = self.context.stop
+        expected = stop.answer_times.expected(
+            self.service_name, self.route.target_latency
+        )
+        if stop.times.allow(
+            self.now, self.deadline.began, self.deadline.latest, expected
+        ):
+            return
+        if self.attempts or self.relay.head_sent:
+            raise self._none_left_error(
+                "this entry ends before another attempt could."
+            )
+        raise stop.error()
+
     def check_version(self) -> None:
         """Returns if an upstream can continue the stream that is taken up.
 
@@ -183,6 +203,7 @@
             upstream, copy = self.continuation.copies.pop(0)
             if self._may_continue_at(upstream):
                 return _Target(upstream, None, copy)
+        self.check_stop()
         placement = self._place()
         return _Target(placement.upstream, placement, None)
 
@@ -247,6 +268,9 @@
             ),
         )
         self.context.attempt_timeouts.answered(self.service_name)
+        self.context.stop.answer_times.observe(
+            self.service_name, self.now - self.sent_at
+        )
         if is_proven:
             watch.answered(upstream.incarnation, self.digest)
         return True
@@ -296,15 +320,19 @@
             self.crashed = upstream.incarnation
 
     def timeout_error(self) -> errors.MintcleatError:
-        """Returns the error of a request whose deadline has passed."""
+        """Returns the error of a request whose time has passed."""
+        stop = self.context.stop
+        limit = (
+            "this entry's planned stop" if stop.is_over() else "the deadline"
+        )
         if self.relay.head_sent:
             return errors.StreamClosed(
-                "The deadline passed before the end of the response."
+                f"The response had not ended by {limit}."
             )
         if self.attempts:
-            return errors.OutcomeUnknown(
-                "No upstream answered before the deadline."
-            )
+            return errors.OutcomeUnknown(f"No upstream answered by {limit}.")
+        if stop.is_over():
+            return stop.error()
         return errors.DeadlineUnmet(
             "The deadline passed before the request could be sent.",
             retry_after=RETRY_SECONDS,
--- a/src/mintcleat/roles/entry/run_deadline.py
+++ b/src/mintcleat/roles/entry/run_deadline.py
@@ -1,6 +1,9 @@
 """The deadline of one routed request, and the timeout that enforces it."""
 
+from typing import Any
+
 import eventlet
+from eventlet import greenthread
 
 from mintcleat.ports import timers as timer_ports
 
@@ -28,6 +31,7 @@
         at: Time by which the caller must have the response.
         timeout: The current timeout, which raises a RequestTimeout; None
             for none.
+        thread: Green thread that it limits.
     """
 
     def __init__(
@@ -37,6 +41,7 @@
         self.began = began
         self.at = began + limit
         self.timeout: eventlet.Timeout | None = None
+        self.thread: Any = None
 
     @property
     def left(self) -> float:
@@ -47,13 +52,18 @@
         """Returns whether too little time is left to send the request."""
         return self.left <= REFUSAL_MARGIN_SECONDS
 
+    @property
+    def latest(self) -> float:
+        """Time at which the run of a request that was sent ends at latest."""
+        return self.at + GRACE_SECONDS
+
     def limit_wait(self) -> None:
         """Ends the run early enough to refuse a request not yet sent."""
         self._set(self.at - REFUSAL_MARGIN_SECONDS)
 
     def limit_response(self) -> None:
         """Ends the run of a request that an upstream may be running."""
-        self._set(self.at + GRACE_SECONDS)
+        self._set(self.latest)
 
     def cancel(self) -> None:
         """Ends the timeout; has no effect without one."""
@@ -61,8 +71,14 @@
             self.timeout.cancel()
             self.timeout = None
 
+    def expire(self) -> None:
+        """Lets the request time out now, for a caller in another thread."""
+        self.cancel()
+        greenthread.kill(self.thread, RequestTimeout())
+
     def _set(self, until: float) -> None:
         """Sets the timeout; replaces an earlier one."""
         self.cancel()
         left = max(0.0, until - self.timers.now())
         self.timeout = eventlet.Timeout(left, RequestTimeout)
+        self.thread = eventlet.getcurrent()
