A control instance that stops answers the orders that it has taken

Callers saw: at the planned stop of a control instance, the connections of operators and upstreams ended without an answer to what they had sent.

Cause: the stop closed idle connections and then the logs, while handlers still waited for a commit by the new leader; and responses kept connections open until then, so that the next order came just before the end.

Evidence: both tests of ControlStopTest failed before.

Why it works: responses during the stop close their connection, and the stop waits for the handlers, which have a limit of their own. An order of which a part has arrived is refused with 503.

--- a/src/mintcleat/main/hosted_control.py
+++ b/src/mintcleat/main/hosted_control.py
@@ -16,6 +16,11 @@
 _LEADERSHIP_TRANSFER_SECONDS = 1.5
 # Interval of the checks for a changed leader or lease, which is reported.
 _STATUS_CHECK_SECONDS = 0.1
+_POLL_SECONDS = 0.02
+# Time after its limit in which a response is sent.
+_ANSWER_MARGIN_SECONDS = 0.1
+# Retry delay for callers that are refused: other instances serve at once.
+_RETRY_SECONDS = 0.1
 
 
 class ControlRole:
@@ -39,7 +44,11 @@
             events,
             machine.policies,
         )
-        self.listener = http1_server.HttpListener(machine.control, api.handle)
+        self.stopping = False
+        self.answer_seconds = machine.answer_seconds
+        self.listener = http1_server.HttpListener(
+            machine.control, api.handle, keep_alive=lambda: not self.stopping
+        )
 
     def start(self) -> None:
         """Recovers from disk and joins the groups."""
@@ -85,8 +94,27 @@
         return self.wrapped.failure()
 
     def stop(self, until: float) -> int:
-        """Transfers every leadership and stops; returns 0."""
+        """Transfers every leadership and stops, until a time at most.
+
+        Requests in progress go on to the new leaders and are answered; one of
+        which only a part has arrived is refused.
+
+        Returns:
+            The number of requests that were interrupted.
+        """
+        self.stopping = True
         self.wrapped.log.transfer_leadership(_LEADERSHIP_TRANSFER_SECONDS)
         self.listener.close_idle()
+        timers = self.common.timers
+        longest = self.answer_seconds + _ANSWER_MARGIN_SECONDS
+        until = min(until, timers.now() + longest)
+        while self.listener.active and timers.now() < until:
+            timers.sleep(_POLL_SECONDS)
+        interrupted = self.in_flight()
+        self.listener.refuse_unread(
+            errors.Draining(
+                "This instance is stopping.", retry_after=_RETRY_SECONDS
+            )
+        )
         self.wrapped.stop()
-        return 0
+        return interrupted
--- a/testing/test_planned_stop.py
+++ b/testing/test_planned_stop.py
@@ -192,6 +192,47 @@
         self.assertEqual((503, True), (answer.status, answer.whole))
 
 
+class ControlStopTest(platform_system.HostedTest):
+    """Orders and heartbeats around the stop of a control instance."""
+
+    def test_order_in_progress_is_answered_before_the_process_ends(
+        self,
+    ) -> None:
+        config = self.system.control.wrapped.config
+        ask = config.ask
+
+        def ask_slowly(*arguments: Any) -> Any:
+            eventlet.sleep(0.5)
+            return ask(*arguments)
+
+        answers = []
+        with mock.patch.object(config, "ask", ask_slowly):
+            eventlet.spawn(
+                lambda: answers.append(
+                    self.system.put(platform_system.configuration())
+                )
+            )
+            eventlet.sleep(0.1)
+            self.stop_control()
+        self.assertEqual([200], [answer.status for answer in answers])
+        self.assertEqual("close", answers[0].headers["connection"])
+
+    def test_order_of_which_a_part_has_arrived_is_refused(self) -> None:
+        data = platform_system.request_bytes(
+            "POST", "/v1/Configuration.Put", {}, b"{}"
+        )
+        sock = platform_system.connect(self.system.control.listener.address)
+        sock.sendall(data[:-1])
+        eventlet.sleep(0.1)
+        self.stop_control()
+        answer = platform_system.read_answer(sock)
+        self.assertEqual((503, True), (answer.status, answer.whole))
+
+    def stop_control(self) -> None:
+        now = self.system.control_common.timers.now()
+        self.system.control.stop(now + 5.0)
+
+
 def kind_of(answer: platform_system.Answer) -> str:
     """Returns the kind of the error that an answer has."""
     return json.loads(answer.body)["kind"]
