Soak: requests that end late in the planned stop of an entry

The check of planned stops could not find requests that were cut late in the grace time: no caller sent one, and a fault that ended later than scheduled, up to 3 s before a stop, made it skip the whole stop.

Three callers now begin to send a request of 2.5 s when an entry gets SIGTERM and end 5 to 6.5 s later. A phase without other faults begins once earlier ones can have no effects any more.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -52,6 +52,10 @@
 _LOSING_BYTES = (1, 400)
 # Pause between requests that keep an upstream busy for seconds.
 _LATE_PAUSE_SECONDS = 1.0
+# Time in which a request is sent to an entry that stops, and the events of its
+# response: two to three seconds, more than the entry then has left.
+_LATE_END_SECONDS = (5.0, 6.5)
+_LATE_EVENTS = 250
 # Token budgets of programs; the small one ends within a few turns.
 _BUDGETS = (40, 10_000)
 
@@ -73,6 +77,7 @@
         resumes: Request that brought its first event.
         timeout: Seconds after which its caller leaves.
         drop_after: As in `client.Call`.
+        send_seconds: As in `client.Call`.
     """
 
     kind: str
@@ -93,6 +98,7 @@
     resumes: str = ""
     timeout: float = _CLIENT_SECONDS
     drop_after: int = 0
+    send_seconds: float = 0.0
 
 
 class Result(NamedTuple):
@@ -187,21 +193,30 @@
         self.leave = False
         self.crashing: dict[tuple[str, int], None] = {}
 
-    async def send(self, sending: Sending) -> Result:
-        """Sends a request and returns its end."""
+    async def send(
+        self, sending: Sending, chosen: processes.Node | None = None
+    ) -> Result:
+        """Sends a request and returns its end.
+
+        Args:
+            sending: The request.
+            chosen: Entry that gets it over a new connection; None for any
+                entry.
+        """
         name = f"{sending.kind}-{next(self.numbers)}"
-        entry = self.balancer.choose()
+        entry = chosen or self.balancer.choose()
         kept = None
         version = "1.1"
         draw = self.generator.random()
-        if sending.slow:
+        if sending.slow or chosen:
             pass
         elif draw < _KEPT_PART:
             kept = self.connections.take()
         elif draw > 1.0 - _OLD_PART:
             version = "1.0"
         address = entry.address
-        if not sending.slow and self.generator.random() < _PROXY_PART:
+        is_direct = sending.slow or chosen is not None
+        if not is_direct and self.generator.random() < _PROXY_PART:
             address = entry.front.address
         if kept is not None:
             address = kept.address
@@ -235,6 +250,7 @@
                 sending.slow,
                 version,
                 sending.drop_after,
+                sending.send_seconds,
             ),
             self.connections,
             kept,
@@ -380,6 +396,32 @@
                 last_event=last, resumes=first, drop_after=0
             )
 
+    async def end_late(self, kind: str, entry: processes.Node) -> None:
+        """Sends a long request to an entry that stops, too late to run there.
+
+        Its caller has begun to send it when the entry still took requests.
+        """
+        customer = "anna"
+        is_turn = kind == "turn"
+        body = b"sent late in the grace time"
+        send_seconds = self.generator.uniform(*_LATE_END_SECONDS)
+        sending = Sending(
+            kind,
+            customer,
+            operators.key_of(customer),
+            1 if is_turn else operators.SAFE_ATTEMPTS,
+            program=f"program-{next(self.numbers)}" if is_turn else "",
+            events=_LATE_EVENTS,
+            body=body,
+            expected=body,
+            timeout=send_seconds + _CLIENT_SECONDS,
+            send_seconds=send_seconds,
+        )
+        if is_turn:
+            self.checks.budgets[sending.program] = max(_BUDGETS)
+            sending = sending._replace(budget=max(_BUDGETS))
+        await self.send(sending, entry)
+
     async def call_limited(self) -> None:
         """Calls as a customer with a low limit; doesn't wait after refusals."""
         customer = "limited"
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -1,6 +1,7 @@
 """A caller's HTTP client that also returns incomplete responses."""
 
 import asyncio
+import math
 import random
 import re
 import socket
@@ -101,6 +102,8 @@
         version: HTTP version of the caller.
         drop_after: Bytes of the body after which the caller loses its
             connection; 0 for never.
+        send_seconds: Time in which the last bytes are sent, one by one; 0 to
+            send the request at once.
     """
 
     target: str
@@ -110,6 +113,7 @@
     slow: bool = False
     version: str = "1.1"
     drop_after: int = 0
+    send_seconds: float = 0.0
 
     def data(self) -> bytes:
         """Returns the bytes to send."""
@@ -220,7 +224,7 @@
         seen.connection = _Connection(address, *opened)
     reader, writer = seen.connection.reader, seen.connection.writer
     seen.sent = True
-    writer.write(call.data())
+    await _send(writer, call)
     first, found = await hosted_processes.read_head(reader)
     seen.headers, seen.status = found, int(first.split()[1])
     if "content-length" in found:
@@ -232,6 +236,17 @@
     seen.whole = True
 
 
+async def _send(writer: asyncio.StreamWriter, call: Call) -> None:
+    """Sends a request."""
+    data = call.data()
+    # The pauses are shorter than the time that an entry allows for a part.
+    pieces = math.ceil(call.send_seconds)
+    writer.write(data[: len(data) - pieces])
+    for byte in data[len(data) - pieces :]:
+        await asyncio.sleep(call.send_seconds / pieces)
+        writer.write(bytes([byte]))
+
+
 async def _connect(address: str, slow: bool) -> socket.socket:
     host, _, port = address.rpartition(":")
     sock = socket.socket()
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -149,9 +149,10 @@
                 due = start + self.late + fault.at
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
                 is_alone = fault.track in _ALONE
-                if running and (is_alone or was_alone):
-                    await asyncio.wait(running)
-                    await asyncio.sleep(checks_module.RECOVERY_SECONDS)
+                if is_alone or was_alone:
+                    if running:
+                        await asyncio.wait(running)
+                    await asyncio.sleep(self._recovery_seconds())
                     self.late += time.monotonic() - due
                 was_alone = is_alone
                 task = group.create_task(self._apply(fault))
@@ -159,6 +160,16 @@
                 task.add_done_callback(running.discard)
         self.ended_at = time.monotonic()
 
+    def _recovery_seconds(self) -> float:
+        """Returns for how long faults that have ended may have effects.
+
+        A fault may end later than scheduled. Most checks don't count what
+        happens while it has effects, and the whole of a planned stop.
+        """
+        ends = [fault.end for fault in self.checks.disturbances]
+        until = max(ends, default=0.0) + checks_module.RECOVERY_SECONDS
+        return max(0.0, until - time.monotonic())
+
     async def apply_final(self, fault: schedule.Fault) -> None:
         """Loses all processes at once; returns when entries are ready."""
         for node in self.fleet.running():
@@ -541,9 +552,12 @@
         planned.append(checks_module.Disturbance(node.name, began, math.inf))
         self.log(f"planned stop of {node.name} begins")
         node.planned = True
-        code = await node.stop()
-        ended = time.monotonic()
-        self.checks.stopped(ended, node.name, code)
+        async with asyncio.TaskGroup() as group:
+            if fault.kind == "stop_entry":
+                for kind in ("turn", "turn", "resume"):
+                    group.create_task(self.callers.end_late(kind, node))
+            code = await node.stop()
+            self.checks.stopped(time.monotonic(), node.name, code)
         node.planned = False
         self.log(f"planned stop of {node.name} ends with code {code}")
         node.start()
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -20,6 +20,7 @@
 from mintcleat.consensus import types
 from mintcleat.decisions import answer_end
 from mintcleat.decisions import granted_turns
+from mintcleat.decisions import stop_times
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import stream_origins
@@ -254,6 +255,17 @@
     _replace(gateway.Gateway, "_match", match_by_old_table)
 
 
+def _any_run_is_begun() -> None:
+    """An entry that stops sends requests upstream until its end."""
+
+    def allow(
+        self: Any, now: float, arrived: float, latest: float, expected: float
+    ) -> bool:
+        return True
+
+    _replace(stop_times.StopTimes, "allow", allow)
+
+
 FAULTS = {
     "routes_kept": Reintroduced(
         _routes_kept, frozenset({"late", "regress", "in_force"})
@@ -280,6 +292,9 @@
     ),
     "crash_is_whole": Reintroduced(_crash_is_whole, frozenset({"early_end"})),
     "any_version": Reintroduced(_any_version, frozenset({"versions"})),
+    "any_run_is_begun": Reintroduced(
+        _any_run_is_begun, frozenset({"planned_stop"})
+    ),
     "quiet_end_for_callers": Reintroduced(
         _quiet_end_for_callers, frozenset({"early_end"})
     ),
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -6,10 +6,13 @@
 import re
 import subprocess
 import sys
+import time
+import types
 
 import pytest
 from testing.soak import changes
 from testing.soak import checks as checks_module
+from testing.soak import faults as faults_module
 from testing.soak import operators
 from testing.soak import reintroduced
 from testing.soak import schedule
@@ -100,6 +103,20 @@
     assert last <= 120.0 - schedule.END_SECONDS
 
 
+def test_planned_stop_waits_until_earlier_faults_have_no_effects() -> None:
+    # Guards against a stop of which nothing is checked: a fault that ended late
+    # shortly before it would count as the cause of what is lost.
+    checks = checks_module.Checks()
+    now = time.monotonic()
+    checks.disturbances.append(
+        checks_module.Disturbance("control-3", now - 9.0, now - 1.0)
+    )
+    injector = types.SimpleNamespace(checks=checks)
+    left = faults_module.Injector._recovery_seconds(injector)
+    expected = checks_module.RECOVERY_SECONDS - 1.0
+    assert expected - 0.5 < left <= expected
+
+
 def test_second_run_of_a_request_is_found() -> None:
     checks = checks_module.Checks()
     checks.sent(request())
