A stopping entry refuses waiting requests once they can no longer run

Callers saw: a request that waited at an entry which was being stopped, for its turn or for control, got its refusal only 0.3 s before the process ended, although it could not have run for seconds; another entry could have run it.

Cause: requests were compared with the time left only when they were about to be sent.

Evidence: test_turn_that_waits_is_refused_once_it_can_no_longer_run failed before: no refusal within 1.6 s, where a run fits for 0.5 s and the last answers are due after 2.5 s. The test of held calls guards a wait that looked at the stop already; it fails without that look.

Why it works: while it waits for the end of its connections, the stop asks each run that was not sent whether it would still be.

--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -211,11 +211,13 @@
         answers_by = max(now, until - _LAST_ANSWERS_SECONDS)
         notice_until = min(now + _DRAIN_NOTICE_SECONDS, answers_by)
         self.gateway.stop(stop_times.StopTimes(notice_until, answers_by))
-        timers.sleep(notice_until - now)
+        stop = self.gateway.context.stop
+        while timers.now() < notice_until:
+            stop.refuse_waiting()
+            timers.sleep(_POLL_SECONDS)
         self.listener.close_idle()
         self._await_connections(answers_by)
         interrupted = self.in_flight()
-        stop = self.gateway.context.stop
         stop.end_unanswered()
         self.listener.refuse_unread(stop.error())
         # Also if the process is late: SIGKILL comes later than `until`.
@@ -229,4 +231,5 @@
         """Waits for the end of all connections, until a time at most."""
         timers = self.common.timers
         while self.listener.connections and timers.now() < until:
+            self.gateway.context.stop.refuse_waiting()
             timers.sleep(_POLL_SECONDS)
--- a/src/mintcleat/roles/entry/process_stop.py
+++ b/src/mintcleat/roles/entry/process_stop.py
@@ -16,6 +16,9 @@
     def has_begun(self) -> bool:
         """Returns whether the caller has the beginning of the response."""
 
+    def waits_in_vain(self) -> bool:
+        """Returns whether it has yet to be sent and no run fits any more."""
+
     def end(self) -> None:
         """Ends the run with its last answer, as the process ends."""
 
@@ -43,6 +46,12 @@
         """Returns whether the last answers must be sent now."""
         return self.timers.now() >= self.times.answers_by
 
+    def refuse_waiting(self) -> None:
+        """Refuses the requests that wait and can no longer run in time."""
+        for run in list(self.runs):
+            if run.waits_in_vain():
+                run.end()
+
     def end_unanswered(self) -> None:
         """Ends the runs whose callers have nothing of the response yet.
 
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -132,6 +132,11 @@
         """Returns whether the caller has the beginning of the response."""
         return self.relay.head_sent
 
+    def waits_in_vain(self) -> bool:
+        """Returns whether it has yet to be sent and no run fits any more."""
+        is_sent = self.attempts.sent_at > 0.0
+        return not is_sent and not self.attempts.fits_stop()
+
     def end(self) -> None:
         """Ends the run with its last answer, as the process ends."""
         self.deadline.expire()
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -159,25 +159,29 @@
             retry_after=watch.retry_after(self.digest),
         )
 
-    def check_stop(self) -> None:
-        """Returns if the run can end before this process does.
-
-        Raises:
-            errors.MintcleatError: It can't.
-        """
+    def fits_stop(self) -> bool:
+        """Returns whether a run can end before this process does."""
         stop = self.context.stop
         expected = stop.answer_times.expected(
             self.service_name, self.route.target_latency
         )
-        if stop.times.allow(
+        return stop.times.allow(
             self.now, self.deadline.began, self.deadline.latest, expected
-        ):
+        )
+
+    def check_stop(self) -> None:
+        """Returns if a run can end before this process does.
+
+        Raises:
+            errors.MintcleatError: It can't.
+        """
+        if self.fits_stop():
             return
         if self.attempts or self.relay.head_sent:
             raise self._none_left_error(
                 "this entry ends before another attempt could."
             )
-        raise stop.error()
+        raise self.context.stop.error()
 
     def check_version(self) -> None:
         """Returns if an upstream can continue the stream that is taken up.
@@ -331,7 +335,7 @@
             )
         if self.attempts:
             return errors.OutcomeUnknown(f"No upstream answered by {limit}.")
-        if stop.is_over():
+        if not self.fits_stop():
             return stop.error()
         return errors.DeadlineUnmet(
             "The deadline passed before the request could be sent.",
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -13,6 +13,7 @@
 from mintcleat.configuration import directory
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import jitter
+from mintcleat.decisions import stop_times
 from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
@@ -244,6 +245,18 @@
         self.configuration.arrive()
         self.assertEqual([], self.upstreams.sent)
 
+    def test_held_call_is_refused_before_the_process_ends(self) -> None:
+        began = self.gateway.timers.now()
+        hold = cold_start.hold_seconds(0.0, 30.0, 0)
+        self.gateway.stop(stop_times.StopTimes(began, began + hold / 10))
+        self.assertRaises(
+            errors.ControlUnavailable,
+            self.gateway.handle,
+            self.call(30.0),
+            Reply(),
+        )
+        self.assertLess(self.gateway.timers.now(), began + hold / 2)
+
     def test_call_of_a_caller_that_left_is_not_sent(self) -> None:
         thread = eventlet.spawn(self.gateway.handle, self.call(4.0), Reply())
         eventlet.sleep(0.01)
--- a/testing/test_planned_stop.py
+++ b/testing/test_planned_stop.py
@@ -191,6 +191,30 @@
         self.assertEqual((503, "draining"), (answer.status, kind_of(answer)))
         self.assertEqual([], engine.received)
 
+    def test_turn_that_waits_is_refused_once_it_can_no_longer_run(
+        self,
+    ) -> None:
+        # Its caller could have it run at another entry meanwhile.
+        self.start_engines(("e1", "lm"))
+        gateway = self.system.entry.gateway
+        gateway.context.stop.answer_times.observe("lm", 1.0)
+        now = self.system.entry_common.timers.now
+        refused_at = []
+
+        def call() -> None:
+            self.system.call("POST", "/turns/a", b"x", X_Program_Id="p")
+            refused_at.append(now())
+
+        with mock.patch.object(
+            gateway.turns, "open", lambda *arguments: eventlet.sleep(60.0)
+        ):
+            eventlet.spawn(call)
+            eventlet.sleep(0.2)
+            began = now()
+            self.system.entry.stop(began + 2.8)
+        # A run would take 2 s, and the last answers are due after 2.5 s.
+        self.assertLess(refused_at[0], began + 1.6)
+
     def test_request_that_waits_for_its_key_is_refused_before_the_process_ends(
         self,
     ) -> None:
