--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -165,6 +165,30 @@
             retry_after=watch.retry_after(digest),
         )
 
+    def fits_stop(self) -> bool:
+        """Returns whether a run can end before this process does."""
+        stop = self.context.stop
+        expected = stop.answer_times.expected(
+            self.service_name, self.route.target_latency
+        )
+        return stop.times.allow(
+            self.now, self.deadline.began, self.deadline.latest, expected
+        )
+
+    def check_stop(self) -> None:
+        """Returns if a run can end before this process does.
+
+        Raises:
+            errors.MintcleatError: It can't.
+        """
+        if self.fits_stop():
+            return
+        if self.attempts or self.relay.head_sent:
+            raise self._none_left_error(
+                "this entry ends before another attempt could."
+            )
+        raise self.context.stop.error()
+
     def check_version(self) -> None:
         """Returns if an upstream can continue the stream that is taken up.
 
@@ -189,6 +213,7 @@
             upstream, copy = self.continuation.copies.pop(0)
             if self._may_continue_at(upstream):
                 return _Target(upstream, None, copy)
+        self.check_stop()
         placement = self._place()
         return _Target(placement.upstream, placement, None)
 
@@ -253,6 +278,9 @@
             ),
         )
         self.context.attempt_timeouts.answered(self.service_name)
+        self.context.stop.answer_times.observe(
+            self.service_name, self.now - self.sent_at
+        )
         if is_proven:
             watch.answered(
                 upstream.incarnation, self.digest, self.object_digest
@@ -305,15 +333,19 @@
             self.crashed = upstream.incarnation
 
     def timeout_error(self) -> errors.MintcleatError:
-        """Returns the error of a request whose deadline has passed."""
+        """Returns the error of a request whose time has passed."""
+        stop = self.context.stop
+        limit = (
+            "this entry's planned stop" if stop.is_over() else "the deadline"
+        )
         if self.relay.head_sent:
             return errors.StreamClosed(
-                "The deadline passed before the end of the response."
+                f"The response had not ended by {limit}."
             )
         if self.attempts:
-            return errors.OutcomeUnknown(
-                "No upstream answered before the deadline."
-            )
+            return errors.OutcomeUnknown(f"No upstream answered by {limit}.")
+        if not self.fits_stop():
+            return stop.error()
         return errors.DeadlineUnmet(
             "The deadline passed before the request could be sent.",
             retry_after=RETRY_SECONDS,
