Upstreams can't make a control instance grow without bound

Ids in heartbeats and deregistrations are made up by whoever sends them. An id of any length that was deregistered was remembered, in the replicated state, up to 4,096 of them: with heads of 16 KiB some 64 MB in each control instance. A registration that was refused, as its address belongs to a process that started later, left an entry in `last_registrations` that nothing removed. The number of upstreams in force had no bound but the rate of commits times the 8 s after which a silent one is removed.

Now an id longer than any that can be registered is refused, what is kept of a registration goes if it doesn't get in force, and at most 4,096 upstreams may be registered; the next one gets 503 and may try again.

The three tests in `BoundsTest` failed before.

--- a/src/mintcleat/domain/registrations.py
+++ b/src/mintcleat/domain/registrations.py
@@ -20,15 +20,15 @@
 READY = "ready"
 DRAINING = "draining"
 # Every node stores the names, so their length is bounded.
-_MAX_NAME_LENGTH = 200
+MAX_NAME_LENGTH = 200
 # Largest integer that the log and all peers can encode.
 MAX_INTEGER = 2**63 - 1
 _MAX_SLOTS = 1_000_000
 _MAX_COLD_SECONDS = 86_400.0
 _PORTS = range(1, 65_536)
 
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_NAME_LENGTH)]
-_Text = Annotated[str, msgspec.Meta(max_length=_MAX_NAME_LENGTH)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
--- a/src/mintcleat/roles/control/configuration/registrar.py
+++ b/src/mintcleat/roles/control/configuration/registrar.py
@@ -12,6 +12,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import events
 from mintcleat.domain import member_messages
+from mintcleat.domain import registrations
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 
@@ -22,6 +23,11 @@
 # Number of refused registrations that are kept. Their ids are unauthenticated,
 # so that anybody could send any number of them.
 WAITING_KEPT = 1000
+# Number of upstreams that may be registered. All processes hold the list, and
+# their ids are unauthenticated.
+MAX_UPSTREAMS = 4096
+# Time after which an upstream that finds no room should register again.
+_RETRY_SECONDS = 1.0
 # Length at which a name is cut in an error message.
 _MAX_NAME_CHARACTERS = 80
 
@@ -104,6 +110,7 @@
             errors.UnknownService: The manifest in force does not name its
                 service. Accepted, a wrong or forged one under the id of
                 another upstream would take that upstream out of service.
+            errors.Overloaded: Too many others are registered.
         """
         state = self.leader.machine.directory
         name = registration.upstream
@@ -122,8 +129,20 @@
                 self._keep_waiting(registration, now)
             raise
         self.waiting.pop(name, None)
+        self._check_room(name)
         self._commit(registration, current, now)
 
+    def _check_room(self, name: str) -> None:
+        """Refuses a new upstream when there are too many."""
+        if name in self.last_registrations:
+            return
+        if len(self.last_registrations) >= MAX_UPSTREAMS:
+            raise errors.Overloaded(
+                f"{MAX_UPSTREAMS} upstreams are registered, which is the most "
+                "that may be.",
+                retry_after=_RETRY_SECONDS,
+            )
+
     def _commit(
         self,
         registration: member_messages.Registration,
@@ -138,18 +157,39 @@
         ):
             return
         at = self.leader.steady_time()
-        if self.leader.propose(
-            commands.Register(self.leader.leader_epoch, registration, at)
-        ):
+        try:
+            is_registered = self.leader.propose(
+                commands.Register(self.leader.leader_epoch, registration, at)
+            )
+        finally:
+            self._forget_refused(registration.upstream)
+        if is_registered:
             self._report_change(registration)
 
+    def _forget_refused(self, name: str) -> None:
+        """Forgets an upstream that didn't get registered, nor was before.
+
+        No silence would end what is kept of it.
+        """
+        if name not in self.leader.machine.directory.entries:
+            self.last_registrations.pop(name, None)
+
     def leave(self, upstream: str, started: int) -> None:
         """Removes an incarnation of an upstream; returns once committed.
 
         Args:
             upstream: Id of the upstream.
             started: Start of the incarnation; 0 for the registered one.
+
+        Raises:
+            errors.BadRequest: The id is longer than any that can be registered.
+                It would be remembered.
         """
+        if len(upstream) > registrations.MAX_NAME_LENGTH:
+            raise errors.BadRequest(
+                f"The id of an upstream has {len(upstream)} characters; at "
+                f"most {registrations.MAX_NAME_LENGTH} are allowed."
+            )
         self.waiting.pop(upstream, None)
         state = self.leader.machine.directory
         current = state.entries.get(upstream)
--- a/testing/test_directory.py
+++ b/testing/test_directory.py
@@ -76,6 +76,49 @@
         self.directory = state.directory
 
 
+class BoundsTest(LeaderTest):
+    """What a faulty upstream's registrations make a control instance hold."""
+
+    def register_many(self, count: int) -> None:
+        for number in range(count):
+            self.registrar.register(
+                registration(
+                    1, upstream=f"e{number}", address=f"1.1.1.1:{number}"
+                )
+            )
+
+    def test_number_of_upstreams_is_bounded(self) -> None:
+        self.patch(registrar, "MAX_UPSTREAMS", 3)
+        self.register_many(3)
+        self.assertRaises(
+            errors.Overloaded,
+            self.registrar.register,
+            registration(1, upstream="e9", address="1.1.1.1:9"),
+        )
+        self.assertEqual(3, len(self.directory.entries))
+        self.register_many(3)
+        self.registrar.leave("e0", 0)
+        self.registrar.register(
+            registration(1, upstream="e9", address="1.1.1.1:9")
+        )
+        self.assertIn("e9", self.directory.entries)
+
+    def test_nothing_is_kept_of_upstreams_that_are_not_registered(
+        self,
+    ) -> None:
+        self.registrar.register(registration(100))
+        for number in range(5):
+            # At the address of a process that started later.
+            self.registrar.register(registration(1, upstream=f"late{number}"))
+        self.assertEqual(["e1"], list(self.registrar.last_registrations))
+
+    def test_id_that_is_too_long_is_not_remembered_as_ended(self) -> None:
+        self.assertRaises(
+            errors.BadRequest, self.registrar.leave, "e" * 16_000, 1
+        )
+        self.assertEqual({}, self.directory.ended)
+
+
 class RestartTest(LeaderTest):
     """An engine restarts under the same id and counts from 1 again.
 
