What an entry holds of upstreams' answers has one bound for all requests

Callers saw every request of an entry end with its process: a faulty upstream sent bytes without end, and what the entry held of them exceeded its memory. Each answer had its bounds (1 MiB of a plain one or of an event, 4 MiB of a turn's events), and nothing bounded their sum. Small events also took many times their bytes: their data was kept as one object each, events without data counted as 0 bytes, and what was parsed of a read stayed in memory while its write waited for a caller that reads nothing.

`decisions/answer_memory` counts what all requests hold, up to an eighth of the memory in the settings. Beyond it the stream that holds the most drops its bytes at once and breaks off; a turn that lost events is not recorded. A plain answer beyond 64 KiB that finds no room is sent as it arrives. The largest yields, so that an answer of ordinary size never does. Kept events are one array of bytes, and events are dropped before the write.

--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -26,6 +26,8 @@
 _CLOSE_STALE_SECONDS = 1.0
 # Part of the process's memory limit for bytes that wait for slow callers.
 _UNSENT_FRACTION = 0.125
+# The same for what requests hold of upstreams' answers.
+_ANSWERS_FRACTION = 0.125
 # Interval of the checks for a changed leader or lease, which is reported.
 _STATUS_CHECK_SECONDS = 0.1
 
@@ -57,6 +59,10 @@
             self.follower.node.instance,
             policy,
         )
+        if machine.memory_bytes:
+            self.gateway.context.memory.limit = int(
+                machine.memory_bytes * _ANSWERS_FRACTION
+            )
         self.revision = 0
         self.had_lease = False
         self.events = events
@@ -163,6 +169,7 @@
         metrics.gauge("config_revision", self.follower.revision())
         metrics.gauge("lease_left_seconds", self.follower.lease_left())
         metrics.gauge("unsent_bytes", self.listener.unsent.total)
+        metrics.gauge("answer_bytes", self.gateway.context.memory.total)
         metrics.gauge("quarantined_requests", len(self.follower.quarantine))
         metrics.gauge("suspected_requests", len(self.follower.suspects))
         metrics.gauge("capacity_level", int(self.gateway.capacity.level))
@@ -179,6 +186,7 @@
             "requests": self.listener.active,
             "connections": len(self.listener.connections),
             "unsent_bytes": self.listener.unsent.total,
+            "answer_bytes": self.gateway.context.memory.total,
             "chain_bytes": self.gateway.turns.chains.size,
         }
 
--- a/src/mintcleat/roles/entry/entry_context.py
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from mintcleat.configuration import directory as directory_module
+from mintcleat.decisions import answer_memory
 from mintcleat.decisions import attempt_timeout
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import events as event_ports
@@ -62,6 +63,7 @@
         crashes: Finds and refuses requests that crash upstreams.
         ends: Confirms ends of answers that nothing marks.
         origins: Finds and records which software began a stream.
+        memory: Account of what the requests hold of their answers.
     """
 
     configuration: Configuration
@@ -76,3 +78,4 @@
     crashes: crash_watch.CrashWatch
     ends: end_confirmation.EndConfirmation
     origins: stream_origins.StreamOrigins
+    memory: answer_memory.AnswerMemory
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -1,5 +1,6 @@
 """Serves routed requests: finds the route, authenticates, runs, refuses."""
 
+from mintcleat.decisions import answer_memory
 from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import entry_capacity
@@ -91,6 +92,7 @@
                 timers,
                 events,
             ),
+            answer_memory.AnswerMemory(),
         )
         self.authenticator = authentication.Authenticator(
             configuration, timers, events
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from mintcleat.decisions import answer_end
+from mintcleat.decisions import answer_memory
 from mintcleat.decisions import evidence
 from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
@@ -18,11 +19,16 @@
 
 # Size up to which a response is collected before it is sent, so that another
 # upstream can replace it if it breaks off. Larger ones are sent as they arrive,
-# which bounds what is held for a caller that reads slowly.
+# which bounds what is held for a caller that reads slowly; so are those for
+# which `answer_memory` has no room.
 MAX_COLLECTED_BYTES = 1024 * 1024
 # Maximum size of the events that are kept for the record of a turn. A later
 # turn repeats them in its body.
 MAX_TURN_BYTES = 4 * 1024 * 1024
+_NO_ROOM = (
+    "The answers that this process holds exceed their limit, and this stream "
+    "held the most."
+)
 
 
 class ResponseRelay:
@@ -56,8 +62,11 @@
         blocked_at: Last time at which a write waited for the caller; 0 before.
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
-        output: Data of the events, for the turn's record.
-        output_bytes: Their size.
+        output: Data of the events, each with a line end, for the turn's
+            record.
+        memory: Account of what all requests hold of their answers.
+        share: What this request holds of its stream.
+        buffer: Parses the events of the current attempt.
         versions: Versions of the software that made the forwarded events, in
             order.
         origin: Software that began the stream; None before its first event.
@@ -75,6 +84,7 @@
         request: str,
         last_event_id: str,
         max_tokens: int = 0,
+        memory: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.route = route
         self.service = service
@@ -101,8 +111,10 @@
         self.end: answer_ends.AnswerEnd | None = None
         self.attempt_events = 0
         self.has_attempt_event = False
-        self.output: list[bytes] = []
-        self.output_bytes = 0
+        self.output = bytearray()
+        self.memory = memory or answer_memory.AnswerMemory()
+        self.share = answer_memory.Share(self.memory, self._drop_held)
+        self.buffer = server_sent_events.EventBuffer()
         self.versions: list[str] = []
         self.origin: stream_origins.KnownOrigin | None = None
         self.on_begun: Callable[[stream_origins.StreamOrigin], None] | None = (
@@ -155,17 +167,59 @@
         else:
             self._relay_whole(answer, reply, sent_at, may_retry)
 
+    def release(self) -> None:
+        """Drops what the request holds of its answer."""
+        self.share.resize(0)
+        self._drop_held()
+
+    def _drop_held(self) -> None:
+        self.output = bytearray()
+        self.buffer.rest = b""
+
+    def _hold(self) -> None:
+        """Records what the request holds of its stream."""
+        self.share.resize(len(self.output) + len(self.buffer.rest))
+
+    def _check_room(self) -> None:
+        """Returns if the request still has what it held of its stream.
+
+        Raises:
+            errors.TurnUnrecorded: Events of the turn were dropped.
+            server_sent_events.InvalidEvent: A part of an event was dropped.
+        """
+        if not self.share.has_yielded:
+            return
+        if self.route.retention:
+            raise errors.TurnUnrecorded(
+                f"The turn could not be recorded: {_NO_ROOM}"
+            )
+        raise server_sent_events.InvalidEvent(_NO_ROOM)
+
     def _relay_whole(
         self,
         answer: forwarding.UpstreamResponse,
         reply: forwarding.CallerResponse,
         sent_at: float,
         may_retry: bool,
+    ) -> None:
+        collected = _Collected(self.memory)
+        try:
+            self._relay_collected(collected, answer, reply, sent_at, may_retry)
+        finally:
+            collected.release()
+
+    def _relay_collected(
+        self,
+        collected: "_Collected",
+        answer: forwarding.UpstreamResponse,
+        reply: forwarding.CallerResponse,
+        sent_at: float,
+        may_retry: bool,
     ) -> None:
         head = answer.head
         chunks = answer.chunks()
         try:
-            body = _collect(chunks)
+            body = collected.read(chunks)
             rest = next(chunks, None)
         finally:
             end = self._record_end(answer)
@@ -191,7 +245,10 @@
             reply.send_whole(head, body)
             return
         reply.send_head(head)
-        reply.write(body + rest)
+        body += rest
+        reply.write(body)
+        del body, rest
+        collected.release()
         try:
             for data in chunks:
                 self.loads.arrived(self.incarnation)
@@ -211,7 +268,9 @@
             self.status = answer.head.status
             self.head_sent = True
             reply.send_head(answer.head)
-        buffer = server_sent_events.EventBuffer()
+        buffer = self.buffer = server_sent_events.EventBuffer()
+        if not self.route.retention:
+            self.share.begin()
         unended = answer_ends.Kind.ABANDONED
         timers = self.timers
         self.waiting_since = timers.now()
@@ -219,8 +278,9 @@
             for data in answer.chunks():
                 self.waiting_since = 0.0
                 self.loads.arrived(self.incarnation)
-                self._forward_events(buffer.feed(data), reply)
+                self._forward_part(data, reply)
                 self.waiting_since = timers.now()
+            self._check_room()
         except server_sent_events.InvalidEvent as error:
             unended = answer_ends.Kind.INVALID
             raise errors.StreamClosed(str(error)) from None
@@ -292,19 +352,36 @@
         self.complete = True
         self.loads.ended(self.incarnation, self.request)
 
-    def _forward_events(
-        self,
-        events: list[server_sent_events.Event],
-        reply: forwarding.CallerResponse,
+    def _forward_part(
+        self, part: bytes, reply: forwarding.CallerResponse
     ) -> None:
-        """Forwards events that arrived together, by one write.
+        """Forwards the events that a part of a stream completes.
 
         Raises:
-            server_sent_events.InvalidEvent: The stream is longer than it may
-                be; the events before that are forwarded.
+            errors.TurnUnrecorded: See `_check_room`.
+            server_sent_events.InvalidEvent: See `_check_room`; or the stream is
+                longer than it may be, and the events before that are forwarded.
+        """
+        events = self.buffer.feed(part)
+        self._check_room()
+        data, excess = self._record_events(events) if events else (b"", "")
+        # A write may wait for long; the events would stay in memory meanwhile.
+        del events
+        self._hold()
+        if data:
+            reply.write(data)
+        if excess:
+            raise server_sent_events.InvalidEvent(excess)
+
+    def _record_events(
+        self, events: list[server_sent_events.Event]
+    ) -> tuple[bytes, str]:
+        """Records events that arrived together.
+
+        Returns:
+            Their bytes, and why those after them may not be sent, or an empty
+            string.
         """
-        if not events:
-            return
         now = self.timers.now()
         forwarded = []
         excess = ""
@@ -315,10 +392,7 @@
                     break
                 self._record_event(event, now)
             forwarded.append(event.raw)
-        if forwarded:
-            reply.write(b"".join(forwarded))
-        if excess:
-            raise server_sent_events.InvalidEvent(excess)
+        return b"".join(forwarded), excess
 
     def _excess(self, event: server_sent_events.Event) -> str:
         """Returns why a stream may not have another event; empty if it may.
@@ -331,7 +405,7 @@
                 f"Expected at most {self.max_tokens} tokens, but found an "
                 f"event after {self.tokens}."
             )
-        size = self.output_bytes + len(event.data)
+        size = len(self.output) + len(event.data)
         if self.route.retention and size > MAX_TURN_BYTES:
             return f"The events of the turn exceed {MAX_TURN_BYTES} bytes."
         return ""
@@ -352,8 +426,8 @@
         self.tokens += self.service.tokens_per_event
         self.last_event_id = event.id or self.last_event_id
         if self.route.retention:
-            self.output.append(event.data)
-            self.output_bytes += len(event.data)
+            self.output += event.data
+            self.output += b"\n"
 
     def _record_first_event(self, now: float) -> None:
         """Records the first event of an attempt.
@@ -412,7 +486,11 @@
         """
         if self.turn is None or not self.route.retention:
             return
-        output = b"".join(data + b"\n" for data in self.output)
+        # Other streams may have taken the room while the end was confirmed.
+        self._check_room()
+        self.share.pin()
+        output = bytes(self.output)
+        self.output = bytearray()
         try:
             self.turns.commit(
                 self.turn,
@@ -434,13 +512,32 @@
     return end
 
 
-def _collect(chunks: Iterator[bytes]) -> bytes:
-    """Returns a body up to about `MAX_COLLECTED_BYTES`."""
-    parts = []
-    size = 0
-    for data in chunks:
-        parts.append(data)
-        size += len(data)
-        if size >= MAX_COLLECTED_BYTES:
-            break
-    return b"".join(parts)
+class _Collected:
+    """The plain answer that a request collects.
+
+    Attributes:
+        size: Its bytes that are in memory.
+    """
+
+    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+        self.memory = memory
+        self.size = 0
+
+    def read(self, chunks: Iterator[bytes]) -> bytes:
+        """Returns a body, or as much of it as there is room for."""
+        parts = []
+        for data in chunks:
+            parts.append(data)
+            self.size += len(data)
+            self.memory.collect(len(data))
+            if self.size >= MAX_COLLECTED_BYTES or (
+                self.size >= answer_memory.SMALL_BYTES
+                and not self.memory.has_room(len(data))
+            ):
+                break
+        return b"".join(parts)
+
+    def release(self) -> None:
+        """Records that nothing of it is in memory any more."""
+        self.memory.collect(-self.size)
+        self.size = 0
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -68,6 +68,7 @@
             call.request,
             call.last_event,
             call.generation.max_tokens,
+            context.memory,
         )
         self.events = run_events.RunEvents(
             context, call, match, service_name, self.deadline
@@ -159,3 +160,4 @@
             self.turn.settle(relay, bool(attempts.attempts))
             if relay.head_sent:
                 self.events.ended(relay, outcome, attempts.offers)
+            relay.release()
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -150,8 +150,8 @@
             "graceS": _GRACE_SECONDS,
         }
         fields["limits"] = {
-            "memoryMb": _MEMORY_MB,
-            "fileDescriptors": _DESCRIPTORS,
+            "memoryMb": self.fleet.memory_mb,
+            "fileDescriptors": self.fleet.descriptors,
         }
         # Disks of this many control instances may be lost at once.
         fields["faultTolerance"] = {"machines": len(self.fleet.controls) // 2}
@@ -307,6 +307,8 @@
             of its own; not started before that.
         seeds: Addresses of control instances in all settings files. They stay
             the same after a replacement, so that one may be long gone.
+        memory_mb: Memory limit in the settings of each process.
+        descriptors: Limit of its file descriptors there.
 
     Args:
         network: First two bytes of the loopback addresses.
@@ -327,6 +329,8 @@
         self.network = network
         self.folder = folder
         self.fault = fault
+        self.memory_mb = _MEMORY_MB
+        self.descriptors = _DESCRIPTORS
         self.nodes: dict[str, Node] = {}
         self.controls = [
             self._add(f"control-{number}", "control", number)
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -6,7 +6,9 @@
 
 import testtools
 
+from mintcleat.decisions import answer_memory
 from mintcleat.domain import answer_ends
+from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
@@ -25,6 +27,9 @@
     def now(self) -> float:
         return self.time
 
+    def sleep(self, seconds: float) -> None:
+        self.time += seconds
+
 
 class Loads:
     def __init__(self) -> None:
@@ -157,6 +162,70 @@
         self.assertEqual(relay.last_event_at, relay.last_active_at)
 
 
+class RoomTest(testtools.TestCase):
+    def relay(
+        self, parts: list[bytes], limit: int, retention: float
+    ) -> tuple[response_relay.ResponseRelay, Reply, Exception | None]:
+        timers, reply = Timers(), Reply()
+        relay = new_relay(timers, Loads())
+        relay.route = manifest.Route("/", [], retention=retention)
+        relay.memory.limit = limit
+        try:
+            relay.relay(Answer(timers, parts), reply, 100.0, False)
+        except errors.MintcleatError as error:
+            return relay, reply, error
+        return relay, reply, None
+
+    def test_turn_whose_events_find_no_room_is_not_recorded(self) -> None:
+        events = [b"data: abcdefgh\n\n"] * 3
+        relay, reply, error = self.relay(events, 20, 60.0)
+        self.assertIsInstance(error, errors.TurnUnrecorded)
+        self.assertFalse(reply.ended)
+        self.assertEqual(0, relay.memory.total)
+
+    def test_turn_whose_last_event_finds_no_room_does_not_end_whole(
+        self,
+    ) -> None:
+        _, reply, error = self.relay([b"data: abcdefgh\n\n"], 5, 60.0)
+        self.assertIsInstance(error, errors.TurnUnrecorded)
+        self.assertFalse(reply.ended)
+
+    def test_stream_whose_event_finds_no_room_is_broken_off(self) -> None:
+        parts = [b"data: a\n\n", b"data: " + b"b" * 30, b"\n\n"]
+        _, reply, error = self.relay(parts, 20, 0.0)
+        self.assertIsInstance(error, errors.StreamClosed)
+        self.assertEqual([b"data: a\n\n"], reply.writes)
+
+    def test_whole_events_of_a_stream_that_is_not_kept_need_no_room(
+        self,
+    ) -> None:
+        event = b"data: " + b"a" * 100 + b"\n\n"
+        _, reply, error = self.relay([event], 20, 0.0)
+        self.assertIsNone(error)
+        self.assertEqual([event], reply.writes)
+
+    def test_answer_that_finds_no_room_is_sent_as_it_arrives(self) -> None:
+        timers, reply = Timers(), Reply()
+        block = b"x" * answer_memory.SMALL_BYTES
+        answer = Answer(timers, [block, b"a", b"b"])
+        answer.head = HEAD._replace(events=False)
+        relay = new_relay(timers, Loads())
+        relay.memory.limit = len(block)
+        relay.relay(answer, reply, 100.0, True)
+        self.assertEqual([block + b"a", b"b"], reply.writes)
+        self.assertTrue(reply.ended)
+        self.assertEqual(0, relay.memory.total)
+
+    def test_answer_of_ordinary_size_is_collected_without_room(self) -> None:
+        timers, reply = Timers(), Reply()
+        answer = Answer(timers, [b"ab", b"c"])
+        answer.head = HEAD._replace(events=False)
+        relay = new_relay(timers, Loads())
+        relay.memory.limit = 1
+        relay.relay(answer, reply, 100.0, True)
+        self.assertEqual([b"abc"], reply.whole)
+
+
 class WholeTest(testtools.TestCase):
     def relay(self, parts: list[bytes]) -> Reply:
         timers, loads, reply = Timers(), Loads(), Reply()
