--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -29,6 +29,9 @@
 _USER_TIMEOUT_MS = 1500
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+# What the kernel holds of an answer that nobody reads; it doubles the value.
+# Its own choice grows to several MB for each connection.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
@@ -36,6 +39,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
 )
 # Larger requests are sent concurrently with reading, because an upstream may
 # respond before it has read the whole body, and read the rest later.
@@ -111,12 +115,12 @@
         self.method = method
         self.head = None
         self.end = None
-        data = http1_framing.head(f"{method} {target} HTTP/1.1", headers) + body
-        if len(data) > _INLINE_REQUEST_BYTES:
-            self.sender = eventlet.spawn(self._send_in_background, data)
+        data = http1_framing.head(f"{method} {target} HTTP/1.1", headers)
+        if len(data) + len(body) > _INLINE_REQUEST_BYTES:
+            self.sender = eventlet.spawn(self._send_in_background, data, body)
             return
         try:
-            self.sock.sendall(data)
+            self.sock.sendall(data + body)
         except OSError as error:
             raise self._connection_lost(error) from None
 
@@ -331,10 +335,11 @@
         self.received += data
         return bool(data)
 
-    def _send_in_background(self, data: bytes) -> None:
+    def _send_in_background(self, head: bytes, body: bytes) -> None:
         # A failure to send shows as a failure to read the response.
         with contextlib.suppress(OSError):
-            self.sock.sendall(data)
+            self.sock.sendall(head + body[:_INLINE_REQUEST_BYTES])
+            self.sock.sendall(memoryview(body)[_INLINE_REQUEST_BYTES:])
 
     def _connection_lost(self, reason: object) -> errors.StreamClosed:
         return errors.StreamClosed(
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -1,5 +1,6 @@
 """Serves routed requests: finds the route, authenticates, runs, refuses."""
 
+from mintcleat.decisions import answer_memory
 from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import entry_capacity
@@ -18,6 +19,7 @@
 from mintcleat.roles.entry import crash_watch
 from mintcleat.roles.entry import end_confirmation
 from mintcleat.roles.entry import entry_context
+from mintcleat.roles.entry import fair_turns
 from mintcleat.roles.entry import process_stop
 from mintcleat.roles.entry import routed_run
 from mintcleat.roles.entry import run_attempts
@@ -94,6 +96,8 @@
                 events,
             ),
             process_stop.ProcessStop(timers),
+            answer_memory.AnswerMemory(),
+            fair_turns.FairTurns(timers),
         )
         self.authenticator = authentication.Authenticator(
             configuration,
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from mintcleat.decisions import answer_end
+from mintcleat.decisions import answer_memory
 from mintcleat.decisions import event_order
 from mintcleat.decisions import evidence
 from mintcleat.domain import answer_ends
@@ -14,16 +15,22 @@
 from mintcleat.domain import stream_origins
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
+from mintcleat.roles.entry import fair_turns as fair_turns_module
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
 
 # Size up to which a response is collected before it is sent, so that another
 # upstream can replace it if it breaks off. Larger ones are sent as they arrive,
-# which bounds what is held for a caller that reads slowly.
+# which bounds what is held for a caller that reads slowly; so are those for
+# which `answer_memory` has no room.
 MAX_COLLECTED_BYTES = 1024 * 1024
 # Maximum size of the events that are kept for the record of a turn. A later
 # turn repeats them in its body.
 MAX_TURN_BYTES = 4 * 1024 * 1024
+_NO_ROOM = (
+    "The answers that this process holds exceed their limit, and this stream "
+    "held the most."
+)
 
 
 class ResponseRelay:
@@ -62,8 +69,14 @@
         blocked_at: Last time at which a write waited for the caller; 0 before.
             While it waits, nothing is read from the upstream, which must not
             count as silence of the upstream.
-        output: Data of the events, for the turn's record.
-        output_bytes: Their size.
+        output: Data of the events, each with a line end, for the turn's
+            record.
+        memory: Account of what all requests hold of their answers.
+        share: What this request holds of its stream.
+        buffer: Parses the events of the current attempt.
+        fair_turns: Delays answers that arrive at full speed.
+        work_seconds: Time that the last part of a stream took, without the
+            write.
         versions: Versions of the software that made the forwarded events, in
             order.
         origin: Software that began the stream; None before its first event.
@@ -81,6 +94,8 @@
         request: str,
         last_event_id: str,
         max_tokens: int = 0,
+        memory: answer_memory.AnswerMemory | None = None,
+        fair_turns: fair_turns_module.FairTurns | None = None,
     ) -> None:
         self.route = route
         self.service = service
@@ -110,8 +125,12 @@
         self.end: answer_ends.AnswerEnd | None = None
         self.attempt_events = 0
         self.has_attempt_event = False
-        self.output: list[bytes] = []
-        self.output_bytes = 0
+        self.output = bytearray()
+        self.memory = memory or answer_memory.AnswerMemory()
+        self.share = answer_memory.Share(self.memory, self._drop_held)
+        self.buffer = server_sent_events.EventBuffer()
+        self.fair_turns = fair_turns or fair_turns_module.FairTurns(timers)
+        self.work_seconds = 0.0
         self.versions: list[str] = []
         self.origin: stream_origins.KnownOrigin | None = None
         self.on_begun: Callable[[stream_origins.StreamOrigin], None] | None = (
@@ -164,17 +183,59 @@
         else:
             self._relay_whole(answer, reply, sent_at, may_retry)
 
+    def release(self) -> None:
+        """Drops what the request holds of its answer."""
+        self.share.resize(0)
+        self._drop_held()
+
+    def _drop_held(self) -> None:
+        self.output = bytearray()
+        self.buffer.rest = b""
+
+    def _hold(self) -> None:
+        """Records what the request holds of its stream."""
+        self.share.resize(len(self.output) + len(self.buffer.rest))
+
+    def _check_room(self) -> None:
+        """Returns if the request still has what it held of its stream.
+
+        Raises:
+            errors.TurnUnrecorded: Events of the turn were dropped.
+            server_sent_events.InvalidEvent: A part of an event was dropped.
+        """
+        if not self.share.has_yielded:
+            return
+        if self.route.retention:
+            raise errors.TurnUnrecorded(
+                f"The turn could not be recorded: {_NO_ROOM}"
+            )
+        raise server_sent_events.InvalidEvent(_NO_ROOM)
+
     def _relay_whole(
         self,
         answer: forwarding.UpstreamResponse,
         reply: forwarding.CallerResponse,
         sent_at: float,
         may_retry: bool,
+    ) -> None:
+        collected = _Collected(self.memory)
+        try:
+            self._relay_collected(collected, answer, reply, sent_at, may_retry)
+        finally:
+            collected.release()
+
+    def _relay_collected(
+        self,
+        collected: "_Collected",
+        answer: forwarding.UpstreamResponse,
+        reply: forwarding.CallerResponse,
+        sent_at: float,
+        may_retry: bool,
     ) -> None:
         head = answer.head
         chunks = answer.chunks()
         try:
-            body = _collect(chunks)
+            body = collected.read(chunks)
             rest = next(chunks, None)
         finally:
             end = self._record_end(answer)
@@ -200,7 +261,10 @@
             reply.send_whole(head, body)
             return
         reply.send_head(head)
-        reply.write(body + rest)
+        body += rest
+        reply.write(body)
+        del body, rest
+        collected.release()
         try:
             for data in chunks:
                 self.loads.arrived(self.incarnation)
@@ -220,7 +284,9 @@
             self.status = answer.head.status
             self.head_sent = True
             reply.send_head(answer.head)
-        buffer = server_sent_events.EventBuffer()
+        buffer = self.buffer = server_sent_events.EventBuffer()
+        if not self.route.retention:
+            self.share.begin()
         invalid = None
         timers = self.timers
         self.waiting_since = timers.now()
@@ -228,8 +294,13 @@
             for data in answer.chunks():
                 self.waiting_since = 0.0
                 self.loads.arrived(self.incarnation)
-                self._forward_events(buffer.feed(data), reply)
+                for part in fair_turns_module.parts(data):
+                    self._forward_part(part, reply)
+                    # Only an answer that arrives at full speed has several.
+                    if len(part) < len(data):
+                        self.fair_turns.worked(self.work_seconds)
                 self.waiting_since = timers.now()
+            self._check_room()
         except server_sent_events.InvalidEvent as error:
             invalid = answer_ends.Kind.INVALID
             if isinstance(error, server_sent_events.EventOutOfOrder):
@@ -308,22 +379,42 @@
         self.complete = True
         self.loads.ended(self.incarnation, self.request)
 
-    def _forward_events(
-        self,
-        events: list[server_sent_events.Event],
-        reply: forwarding.CallerResponse,
+    def _forward_part(
+        self, part: bytes, reply: forwarding.CallerResponse
     ) -> None:
-        """Forwards events that arrived together, by one write.
+        """Forwards the events that a part of a stream completes.
 
         Raises:
-            server_sent_events.InvalidEvent: The stream is longer than it may
-                be, or an event doesn't follow the one before it. The events
-                before that are forwarded.
+            errors.TurnUnrecorded: See `_check_room`.
+            server_sent_events.InvalidEvent: See `_check_room`; or the stream is
+                longer than it may be, or an event doesn't follow the one before
+                it. The events before that are forwarded.
+        """
+        began = self.timers.now()
+        events = self.buffer.feed(part)
+        self._check_room()
+        data, invalid = self._record_events(events) if events else (b"", None)
+        # A write may wait for long; the events would stay in memory meanwhile.
+        del events
+        self._hold()
+        self.work_seconds = self.timers.now() - began
+        if data:
+            reply.write(data)
+        if invalid is not None:
+            raise invalid
+
+    def _record_events(
+        self, events: list[server_sent_events.Event]
+    ) -> tuple[bytes, server_sent_events.InvalidEvent | None]:
+        """Records events that arrived together.
+
+        Returns:
+            The bytes to forward, and why the events after them may not be
+            sent, if so.
         """
-        if not events:
-            return
         now = self.timers.now()
         forwarded = []
+        invalid = None
         try:
             for event in events:
                 if event.is_empty:
@@ -332,9 +423,9 @@
                     self._check_length(event)
                     self._record_event(event, now)
                     forwarded.append(event.raw)
-        finally:
-            if forwarded:
-                reply.write(b"".join(forwarded))
+        except server_sent_events.InvalidEvent as error:
+            invalid = error
+        return b"".join(forwarded), invalid
 
     def _follows(self, event: server_sent_events.Event) -> bool:
         """Returns whether an event follows; not if it repeats the last one.
@@ -368,7 +459,7 @@
                 f"Expected at most {self.max_tokens} tokens, but found an "
                 f"event after {self.tokens}."
             )
-        size = self.output_bytes + len(event.data)
+        size = len(self.output) + len(event.data)
         if self.route.retention and size > MAX_TURN_BYTES:
             raise server_sent_events.InvalidEvent(
                 f"The events of the turn exceed {MAX_TURN_BYTES} bytes."
@@ -392,8 +483,8 @@
         self.can_continue = bool(event.id)
         self.order.add(event)
         if self.route.retention:
-            self.output.append(event.data)
-            self.output_bytes += len(event.data)
+            self.output += event.data
+            self.output += b"\n"
 
     def _record_first_event(self, now: float) -> None:
         """Records the first event of an attempt.
@@ -452,7 +543,11 @@
         """
         if self.turn is None or not self.route.retention:
             return
-        output = b"".join(data + b"\n" for data in self.output)
+        # Other streams may have taken the room while the end was confirmed.
+        self._check_room()
+        self.share.pin()
+        output = bytes(self.output)
+        self.output = bytearray()
         try:
             self.turns.commit(
                 self.turn,
@@ -474,13 +569,32 @@
     return end
 
 
-def _collect(chunks: Iterator[bytes]) -> bytes:
-    """Returns a body up to about `MAX_COLLECTED_BYTES`."""
-    parts = []
-    size = 0
-    for data in chunks:
-        parts.append(data)
-        size += len(data)
-        if size >= MAX_COLLECTED_BYTES:
-            break
-    return b"".join(parts)
+class _Collected:
+    """The plain answer that a request collects.
+
+    Attributes:
+        size: Its bytes that are in memory.
+    """
+
+    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
+        self.memory = memory
+        self.size = 0
+
+    def read(self, chunks: Iterator[bytes]) -> bytes:
+        """Returns a body, or as much of it as there is room for."""
+        parts = []
+        for data in chunks:
+            parts.append(data)
+            self.size += len(data)
+            self.memory.collect(len(data))
+            if self.size >= MAX_COLLECTED_BYTES or (
+                self.size >= answer_memory.SMALL_BYTES
+                and not self.memory.has_room(len(data))
+            ):
+                break
+        return b"".join(parts)
+
+    def release(self) -> None:
+        """Records that nothing of it is in memory any more."""
+        self.memory.collect(-self.size)
+        self.size = 0
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -68,6 +68,8 @@
             call.request,
             call.last_event,
             call.generation.max_tokens,
+            context.memory,
+            context.fair_turns,
         )
         self.events = run_events.RunEvents(
             context, call, match, service_name, self.deadline
@@ -176,3 +178,4 @@
             self.turn.settle(relay, bool(attempts.attempts))
             if relay.head_sent:
                 self.events.ended(relay, outcome, attempts.offers)
+            relay.release()
--- a/testing/test_control_processes.py
+++ b/testing/test_control_processes.py
@@ -5,6 +5,8 @@
 import subprocess
 import sys
 
+import pytest
+
 ROOT = pathlib.Path(__file__).parent.parent
 # Three control instances; asyncio needs a process of its own, because other
 # tests replace its sockets.
--- /dev/null
+++ b/testing/test_http1_client.py
@@ -0,0 +1,60 @@
+"""What a connection to an upstream holds in memory and in the kernel."""
+
+import fcntl
+import json
+import pathlib
+import struct
+import subprocess
+import sys
+import termios
+import tracemalloc
+
+import eventlet
+import testtools
+
+from mintcleat.adapters import http1_client
+
+SENDER = pathlib.Path(__file__).parent / "fakes" / "faulty_upstream.py"
+HEAD = "HTTP/1.1 200 OK\r\n\r\n"
+BODY_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024 * 1024
+
+
+class MemoryTest(testtools.TestCase):
+    def connect(self, address: str) -> http1_client.Connection:
+        connection = http1_client.connect(address)
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_kernel_holds_little_of_an_answer_that_nobody_reads(self) -> None:
+        sender = subprocess.Popen(
+            [sys.executable, SENDER, "1", json.dumps([[HEAD, 1], ["x", 0]])],
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(sender.stdout.close)
+        self.addCleanup(sender.wait)
+        self.addCleanup(sender.kill)
+        (address,) = json.loads(sender.stdout.readline())
+        connection = self.connect(address)
+        connection.send("GET", "/", [], b"")
+        connection.read_head()
+        left = READ_BYTES
+        while left > 0:
+            left -= len(connection.read_data())
+        eventlet.sleep(0.5)
+        found = fcntl.ioctl(connection.sock.fileno(), termios.FIONREAD, b"0000")
+        (unread,) = struct.unpack("i", found)
+        self.assertLessEqual(unread, 128 * 1024)
+
+    def test_no_second_copy_of_a_body_is_held_while_it_is_sent(self) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        connection = self.connect("{}:{}".format(*listener.getsockname()))
+        body = b"x" * BODY_BYTES
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        connection.send("POST", "/", [], body)
+        eventlet.sleep(0.05)
+        self.assertFalse(connection.sender.dead)
+        held, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held, BODY_BYTES / 4)
