The kernel holds little of an answer that nobody reads

What the sockets of a process hold unread counts as its memory. The kernel lets the receive buffer of a connection grow with the speed at which it is read; once the caller stops reading, the buffer fills.

The receive buffer of a connection to an upstream has a fixed size: 64 KiB are asked for, which the kernel doubles. Answers have some kB, so that the window limits none.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -29,6 +29,9 @@
 _USER_TIMEOUT_MS = 1500
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+# What the kernel holds of an answer that nobody reads; it doubles the value.
+# Its own choice grows to several MB for each connection.
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
@@ -36,6 +39,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES),
 )
 # Larger requests are sent concurrently with reading, because an upstream may
 # respond before it has read the whole body, and read the rest later.
