A request's body is held once while it is sent to an upstream

A request of more than 16 KiB is sent in the background. A turn's body, the preceding turns and the new input, stayed in memory until the end of its answer, for each attempt; now it is held until it is sent.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -115,12 +115,12 @@
         self.method = method
         self.head = None
         self.end = None
-        data = http1_framing.head(f"{method} {target} HTTP/1.1", headers) + body
-        if len(data) > _INLINE_REQUEST_BYTES:
-            self.sender = eventlet.spawn(self._send_in_background, data)
+        data = http1_framing.head(f"{method} {target} HTTP/1.1", headers)
+        if len(data) + len(body) > _INLINE_REQUEST_BYTES:
+            self.sender = eventlet.spawn(self._send_in_background, data, body)
             return
         try:
-            self.sock.sendall(data)
+            self.sock.sendall(data + body)
         except OSError as error:
             raise self._connection_lost(error) from None
 
@@ -335,10 +335,11 @@
         self.received += data
         return bool(data)
 
-    def _send_in_background(self, data: bytes) -> None:
+    def _send_in_background(self, head: bytes, body: bytes) -> None:
         # A failure to send shows as a failure to read the response.
         with contextlib.suppress(OSError):
-            self.sock.sendall(data)
+            self.sock.sendall(head + body[:_INLINE_REQUEST_BYTES])
+            self.sock.sendall(memoryview(body)[_INLINE_REQUEST_BYTES:])
 
     def _connection_lost(self, reason: object) -> errors.StreamClosed:
         return errors.StreamClosed(
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -363,7 +363,6 @@
         """
         upstream = target.upstream
         turn = self.relay.turn
-        body = turn.body() if turn else self.call.body
         self.deadline.limit_response()
         self.relay.begin_attempt(upstream)
         backup = None
@@ -381,7 +380,8 @@
         answer = self._send(
             upstream,
             routed_calls.UpstreamRequest(
-                body,
+                # Held only until it is sent.
+                turn.body() if turn else self.call.body,
                 max(0.0, self.deadline.left),
                 self.relay.last_event_id,
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
--- a/testing/test_http1_client.py
+++ b/testing/test_http1_client.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import termios
+import tracemalloc
 
 import eventlet
 import testtools
@@ -15,6 +16,7 @@
 
 SENDER = pathlib.Path(__file__).parent / "fakes" / "faulty_upstream.py"
 HEAD = "HTTP/1.1 200 OK\r\n\r\n"
+BODY_BYTES = 16 * 1024 * 1024
 READ_BYTES = 64 * 1024 * 1024
 
 
@@ -43,3 +45,16 @@
         found = fcntl.ioctl(connection.sock.fileno(), termios.FIONREAD, b"0000")
         (unread,) = struct.unpack("i", found)
         self.assertLessEqual(unread, 128 * 1024)
+
+    def test_no_second_copy_of_a_body_is_held_while_it_is_sent(self) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        connection = self.connect("{}:{}".format(*listener.getsockname()))
+        body = b"x" * BODY_BYTES
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        connection.send("POST", "/", [], body)
+        eventlet.sleep(0.05)
+        self.assertFalse(connection.sender.dead)
+        held, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held, BODY_BYTES / 4)
