Small chunks leave the event loop to other requests

All that had arrived of a chunked answer was taken in one turn of the event loop: 13 ms for 128 KiB of chunks of one byte, 7 ms for 64 KiB, for each answer that always has more. With 30 of them an ordinary request was refused ("event loop") as long as they lasted, 60 s in testing/endless_crowd on a busy machine.

What arrives beyond 4 KiB at once is taken in parts, 0.4 ms each, and waits for its share of the loop as streams do. Other bodies need no parsing.

The new test in test_http1_client finds no pause without it.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -7,6 +7,7 @@
 distinguish a reset from the end of such a body.
 """
 
+from collections.abc import Callable
 import contextlib
 import socket
 import time
@@ -61,6 +62,11 @@
 # after which further bytes must have completed it. An upstream that is silent
 # meanwhile may have stopped for a moment, so that silence doesn't count.
 PART_SECONDS = 1.0
+# Size up to which received chunks are taken at once. A read may have ten
+# thousand, which take some 10 ms.
+_PART_BYTES = 4 * 1024
+# Work after which other green threads get a turn.
+_WORK_SECONDS = 0.001
 # Bounds of a response to an earlier request that is skipped.
 _MAX_SKIPPED_BYTES = 1024 * 1024
 
@@ -80,6 +86,8 @@
             arriving; 0 for none.
         is_identified: Whether it is known to lead to the process that its user
             expects; it does so until its end.
+        on_work: Called with the time that a part of many chunks took, in
+            seconds, before the next part; may wait.
     """
 
     def __init__(self, address: str, sock: Any) -> None:
@@ -96,6 +104,7 @@
         self.end: answer_ends.Kind | None = None
         self.interrupted = False
         self.closed = False
+        self.on_work: Callable[[float], None] = _wait_for_nothing
 
     def send(
         self,
@@ -193,7 +202,7 @@
             while not body.complete:
                 if self.received:
                     size = len(self.received)
-                    data, self.received = body.take(self.received)
+                    data = self._take(body)
                     if len(self.received) < size:
                         self.part_since = 0.0
                     if data:
@@ -215,6 +224,30 @@
             self.end = answer_ends.Kind.MARKED
         return None
 
+    def _take(self, body: http1_framing.BodyReader) -> bytes:
+        """Returns the part of the body in what was received."""
+        is_chunked = body.framing is answer_ends.Framing.CHUNKS
+        if not is_chunked or len(self.received) <= _PART_BYTES:
+            data, self.received = body.take(self.received)
+            return data
+        parts = []
+        work = 0.0
+        received = self.received
+        self.received = b""
+        for start in range(0, len(received), _PART_BYTES):
+            if body.complete:
+                self.received += received[start:]
+                break
+            began = time.monotonic()
+            self.received += received[start : start + _PART_BYTES]
+            data, self.received = body.take(self.received)
+            parts.append(data)
+            work += time.monotonic() - began
+            if work > _WORK_SECONDS:
+                self.on_work(work)
+                work = 0.0
+        return b"".join(parts)
+
     def skip_response(self) -> None:
         """Reads the current response to its end and prepares for the next.
 
@@ -347,6 +380,10 @@
         )
 
 
+def _wait_for_nothing(seconds: float) -> None:
+    """Lets the work on one connection go on at once."""
+
+
 def connect(address: str) -> Connection:
     """Returns a new connection.
 
--- a/src/mintcleat/main/hosted_entry.py
+++ b/src/mintcleat/main/hosted_entry.py
@@ -59,6 +59,7 @@
             self.follower.node.instance,
             policy,
         )
+        self.http.on_work = self.gateway.context.fair_turns.worked
         if machine.memory_bytes:
             self.gateway.context.memory.limit = int(
                 machine.memory_bytes * _ANSWERS_FRACTION
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -1,5 +1,6 @@
 """An HTTP client for the platform's upstreams."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import re
@@ -43,10 +44,15 @@
 
 
 class HttpUpstreamClient:
-    """See `ports.forwarding.UpstreamClient`."""
+    """See `ports.forwarding.UpstreamClient`.
+
+    Attributes:
+        on_work: See `http1_client.Connection`; None to wait for nothing.
+    """
 
     def __init__(self) -> None:
         self.pool = http1_client.Pool()
+        self.on_work: Callable[[float], None] | None = None
 
     def send(
         self,
@@ -59,6 +65,8 @@
         try:
             if request.is_stream or request.copy is not None:
                 connection = _identified(connection, upstream)
+            if self.on_work is not None:
+                connection.on_work = self.on_work
             connection.send(
                 call.method,
                 call.target,
--- a/testing/test_http1_client.py
+++ b/testing/test_http1_client.py
@@ -26,9 +26,9 @@
         self.addCleanup(connection.close)
         return connection
 
-    def test_kernel_holds_little_of_an_answer_that_nobody_reads(self) -> None:
+    def start(self, parts: list[tuple[str, int]]) -> http1_client.Connection:
         sender = subprocess.Popen(
-            [sys.executable, SENDER, "1", json.dumps([[HEAD, 1], ["x", 0]])],
+            [sys.executable, SENDER, "1", json.dumps(parts)],
             stdout=subprocess.PIPE,
         )
         self.addCleanup(sender.stdout.close)
@@ -37,6 +37,27 @@
         (address,) = json.loads(sender.stdout.readline())
         connection = self.connect(address)
         connection.send("GET", "/", [], b"")
+        return connection
+
+    def test_many_small_chunks_leave_turns_to_other_green_threads(
+        self,
+    ) -> None:
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = "1\r\na\r\n2\r\nbc\r\n"
+        end = "0\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+        connection = self.start([(head, 1), (chunks, 50_000), (end, 1)])
+        work: list[float] = []
+        connection.on_work = work.append
+        connection.read_head()
+        # What arrives meanwhile is read at once.
+        eventlet.sleep(0.2)
+        body = connection.read_body(1_000_000)
+        self.assertEqual(b"abc" * 50_000, body)
+        self.assertEqual(b"HTTP/1.1 200 OK\r\n", connection.received)
+        self.assertGreater(len(work), 5)
+
+    def test_kernel_holds_little_of_an_answer_that_nobody_reads(self) -> None:
+        connection = self.start([(HEAD, 1), ("x", 0)])
         connection.read_head()
         left = READ_BYTES
         while left > 0:
