Requests that a caller sends behind each other leave turns to others

Requests that had arrived together on one connection were handled without a turn of the event loop in between, as many as fit into the receive buffer: 500 small ones in one turn in the test. Refusals and short answers never wait, so a crowd of such callers held up leases, heartbeats and all other callers.

Each request behind another one now waits for a turn. What gives way meanwhile is refused as not run.

The test failed before: 500 requests in one turn, at most 2 expected.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -456,6 +456,10 @@
         self.writer = None
         self.on_blocked = None
         try:
+            if self.received:
+                # A caller may send hundreds of requests at once.
+                eventlet.sleep(0)
+                self._check_yielded()
             if not self._await_request():
                 return False
             # The limits may have changed while the connection was idle.
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -1,6 +1,7 @@
 """Tests the HTTP/1.1 server."""
 
 import contextlib
+import itertools
 import socket
 from typing import Any
 from unittest import mock
@@ -461,6 +462,27 @@
             turns.count(0), 10_000 // http1_framing.CHUNKS_AT_A_TIME - 1
         )
 
+    def test_pipelined_requests_leave_turns_to_others(self) -> None:
+        # Guards against one caller whose requests hold up the event loop.
+        turns = []
+
+        def count() -> None:
+            while True:
+                turns.append(len(self.handled))
+                eventlet.sleep(0)
+
+        sock = self.connect()
+        counter = eventlet.spawn(count)
+        self.addCleanup(counter.kill)
+        eventlet.sleep(0.02)
+        sock.sendall(REQUEST * 500)
+        answered = b""
+        while answered.count(b" 200 ") < 500:
+            answered += self.read(sock)
+        self.assertEqual(500, len(self.handled))
+        most = max(b - a for a, b in itertools.pairwise(turns))
+        self.assertLessEqual(most, 2)
+
     def test_silent_connections_give_way_to_new_ones(self) -> None:
         # Guards against connections without requests that use up descriptors.
         kept = self.send("/", 0, 0)
