A part of a head that gives way is refused at once

The account was updated before the wait for the rest of a head, but whether the connection had given way was only asked after it. A caller whose first bytes exceeded the limit waited until the time for the head was over, and its connection was closed without an answer.

The test failed before: the end of the connection in place of a 503.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -641,6 +641,7 @@
                 return http1_heads.parse_request(received[:end])
             searched = len(received)
             self._record_received()
+            self._check_yielded()
             left = max(0.0, until - time.monotonic())
             if not self._receive(left):
                 raise http1_heads.ProtocolError("The head is incomplete.")
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -483,6 +483,13 @@
         most = max(b - a for a, b in itertools.pairwise(turns))
         self.assertLessEqual(most, 2)
 
+    def test_part_of_a_head_that_gives_way_is_refused_at_once(self) -> None:
+        # Guards against a caller that waits in vain, and gets no answer.
+        self.received.limit = 1000
+        sock = self.connect()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\na: " + b"x" * 5000)
+        self.assertIn(b" 503 ", self.read(sock))
+
     def test_silent_connections_give_way_to_new_ones(self) -> None:
         # Guards against connections without requests that use up descriptors.
         kept = self.send("/", 0, 0)
