Small requests that arrive in one read are within the limit of received bytes

A request that was complete after one read never asked whether there was room for it, and a request that is being handled doesn't give way. So small bodies that wait for slow upstreams were held without any limit but that of the connections.

Room is made, or the request refused as not run, before it is handled.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -624,6 +624,9 @@
             left = min(limits.header_seconds, until - time.monotonic())
             if not self._receive(max(0.0, left)):
                 body.close()
+        # A small request may have arrived as a whole, without any wait.
+        self._record_received()
+        self._check_yielded()
         whole, self.buffer = bytes(self.buffer), bytearray()
         fields = len(head.fields) * _FIELD_BYTES
         self.handled_bytes = len(whole) + fields
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -483,6 +483,14 @@
         most = max(b - a for a, b in itertools.pairwise(turns))
         self.assertLessEqual(most, 2)
 
+    def test_small_requests_in_one_read_are_within_the_limit(self) -> None:
+        # Guards against whole requests that are handled without any room.
+        self.received.limit = 100_000
+        callers = [self.send("/wait", 20_000, 20_000) for _ in range(8)]
+        self.assertLessEqual(self.received.total, self.received.limit)
+        self.assertLess(len(self.handled), 8)
+        self.assertIn(b" 503 ", self.read(callers[-1]))
+
     def test_part_of_a_head_that_gives_way_is_refused_at_once(self) -> None:
         # Guards against a caller that waits in vain, and gets no answer.
         self.received.limit = 1000
