Crashes are counted once while requests are compared

Operators would see: the config leader stands still for seconds after a report, when many requests or objects were at many crashes and none of them has ended well. Objects make that likelier, since fewer of them share the crashes.

Cause: the requests of a crash are compared with one another, and each comparison counted the crashes of both anew.

--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -338,24 +338,24 @@
 
     def _is_explained(self, crash: dict[bytes, Run], digest: bytes) -> bool:
         """Returns whether another request is quarantined for a crash."""
-        return any(
-            other in self.quarantine for other in crash if other != digest
-        )
+        return not (self.quarantine.keys() & crash.keys()) <= {digest}
 
     def _convict(
         self, digests: list[bytes], at: float, limits: Limits
     ) -> list[bytes]:
         """Quarantines those requests that alone explain their crashes."""
         found = []
+        counted = _Counted(self.crashes_of)
         # The one with the most crashes first: its crashes don't count against
         # the others any more.
-        order = sorted(digests, key=lambda key: -len(self.crashes_of(key)))
+        order = sorted(digests, key=lambda key: -len(counted.crashes(key)))
         for digest in order:
             if digest in self.quarantine:
                 continue
-            crashes = self.crashes_of(digest)
-            if not self._alone_explains(digest, crashes, limits):
+            crashes = counted.crashes(digest)
+            if not self._alone_explains(digest, counted, limits):
                 continue
+            counted = _Counted(self.crashes_of)
             self.quarantine[digest] = Quarantined(
                 crashes[-UPSTREAMS_NAMED:],
                 at,
@@ -411,12 +411,13 @@
         return apart < RIVAL_MARGIN and crashes < better_crashes
 
     def _alone_explains(
-        self, digest: bytes, crashes: list[str], limits: Limits
+        self, digest: bytes, counted: "_Counted", limits: Limits
     ) -> bool:
         """Returns whether only this request explains enough of its crashes.
 
         A request on trial needs one at which no other one on trial was.
         """
+        crashes = counted.crashes(digest)
         if digest in self.on_trial:
             return any(
                 not any(
@@ -433,7 +434,7 @@
             name
             for name in crashes
             if not any(
-                len(self.crashes_of(other)) > most
+                len(counted.crashes(other)) > most
                 for other, run in self.crashes[name].items()
                 if other != digest and self._counts(other, run)
             )
@@ -445,6 +446,25 @@
         return len(crashes)
 
 
+class _Counted:
+    """Crashes of requests, counted once each while nothing changes.
+
+    All requests of a crash are compared with one another. Where many of them
+    were at many crashes, the config leader would stand still for seconds.
+    """
+
+    def __init__(self, crashes_of: Callable[[bytes], list[str]]) -> None:
+        self.crashes_of = crashes_of
+        self.found: dict[bytes, list[str]] = {}
+
+    def crashes(self, digest: bytes) -> list[str]:
+        """Returns the crashes that count against a request, in order."""
+        found = self.found.get(digest)
+        if found is None:
+            found = self.found[digest] = self.crashes_of(digest)
+        return found
+
+
 def _is_before_crash(run: Run, crash: dict[bytes, Run]) -> bool:
     """Returns whether a run began before the first one was lost in a crash.
 
--- a/src/mintcleat/configuration/object_evidence.py
+++ b/src/mintcleat/configuration/object_evidence.py
@@ -219,17 +219,17 @@
 
     def _is_explained_by_request(self, incarnation: str, digest: bytes) -> bool:
         """Returns whether a request for another object explains a crash."""
-        own = self.contents.get(incarnation, {}).get(digest, {})
         lost = self.requests.crashes.get(incarnation, {})
-        return any(
-            other in self.requests.quarantine and other not in own
-            for other in lost
-        )
+        found = self.requests.quarantine.keys() & lost.keys()
+        if not found:
+            return False
+        own = self.contents.get(incarnation, {}).get(digest, {})
+        return not found <= own.keys()
 
     def _is_explained_by_object(self, incarnation: str, digest: bytes) -> bool:
         """Returns whether another object than that of a request explains it."""
         objects = self.contents.get(incarnation, {})
         return any(
-            key in self.quarantine and digest not in found
-            for key, found in objects.items()
+            digest not in objects[key]
+            for key in self.quarantine.keys() & objects.keys()
         )
