--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -1,6 +1,7 @@
 """Tests the HTTP/1.1 server."""
 
 import contextlib
+import itertools
 import socket
 from typing import Any
 from unittest import mock
@@ -461,6 +462,69 @@
             turns.count(0), 10_000 // http1_framing.CHUNKS_AT_A_TIME - 1
         )
 
+    def test_pipelined_requests_leave_turns_to_others(self) -> None:
+        # Guards against one caller whose requests hold up the event loop.
+        turns = []
+
+        def count() -> None:
+            while True:
+                turns.append(len(self.handled))
+                eventlet.sleep(0)
+
+        sock = self.connect()
+        counter = eventlet.spawn(count)
+        self.addCleanup(counter.kill)
+        eventlet.sleep(0.02)
+        sock.sendall(REQUEST * 500)
+        answered = b""
+        while answered.count(b" 200 ") < 500:
+            answered += self.read(sock)
+        self.assertEqual(500, len(self.handled))
+        most = max(b - a for a, b in itertools.pairwise(turns))
+        self.assertLessEqual(most, 2)
+
+    def test_head_counts_until_the_response(self) -> None:
+        # Guards against heads of many fields that are held and not counted.
+        sock = self.connect()
+        fields = b"".join(b"a%x:\r\n" % n for n in range(1000))
+        head = b"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        sock.sendall(head + fields + b"\r\nx")
+        eventlet.sleep(0.05)
+        held = len(head + fields)
+        self.assertGreaterEqual(self.received.total, held)
+        sock.sendall(b"x")
+        eventlet.sleep(0.05)
+        self.assertEqual([2], self.handled)
+        self.assertGreaterEqual(self.received.total, held)
+        self.release.send()
+        self.read(sock)
+        eventlet.sleep(0.02)
+        self.assertEqual(0, self.received.total)
+
+    def test_long_head_counts_while_its_request_is_handled(self) -> None:
+        # Guards against long fields that are held and not counted.
+        sock = self.connect()
+        sock.sendall(
+            b"GET /wait HTTP/1.1\r\nHost: h\r\na: " + b"x" * 15_000 + HEAD_END
+        )
+        eventlet.sleep(0.02)
+        self.assertGreaterEqual(self.received.total, 15_000)
+
+    def test_small_requests_in_one_read_are_within_the_limit(self) -> None:
+        # Guards against whole requests that are handled without any room.
+        self.received.limit = 100_000
+        callers = [self.send("/wait", 20_000, 20_000) for _ in range(8)]
+        self.assertLessEqual(self.received.total, self.received.limit)
+        self.assertLess(len(self.handled), 8)
+        self.assertIn(b" 503 ", self.read(callers[-1]))
+
+    def test_part_of_a_head_that_gives_way_is_refused_at_once(self) -> None:
+        # Guards against a caller that waits in vain, and gets no answer.
+        self.received.limit = 1000
+        sock = self.connect()
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\na: " + b"x" * 5000)
+        self.assertIn(b" 503 ", self.read(sock))
+
     def test_silent_connections_give_way_to_new_ones(self) -> None:
         # Guards against connections without requests that use up descriptors.
         kept = self.send("/", 0, 0)
