--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -100,11 +100,14 @@
         reason: `MEMORY` if the bytes of all callers exceed their limit,
             `CONNECTIONS` if their connections do.
         dropped: Bytes that were dropped.
+        fields: Header fields of the request that was dropped; none if its head
+            was not read.
     """
 
     peer: str
     reason: str
     dropped: int
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Bounds(NamedTuple):
@@ -526,6 +529,8 @@
         not read, which their caller sees by the end of the connection.
         """
         dropped = self._arriving_bytes()
+        is_read = self.head is not None and self.handler is None
+        fields = self.head.fields if is_read else ()
         self.has_yielded = True
         self.received = b""
         self.buffer = bytearray()
@@ -533,7 +538,7 @@
         self.reader.discard()
         self.reader.wake()
         self._record_received()
-        self.listener.on_yielded(Yielded(self.peer, MEMORY, dropped))
+        self.listener.on_yielded(Yielded(self.peer, MEMORY, dropped, fields))
 
     def _arriving_bytes(self) -> int:
         """Returns the bytes that were received and aren't being handled."""
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -686,6 +686,7 @@
     """A caller's connection gave way to others.
 
     Attributes:
+        request: Request id; empty if no head of a request was read.
         peer: Address of the caller.
         reason: `memory` if what callers have sent exceeds its limit: what this
             one had sent was dropped, and nothing of it has run. `connections`
@@ -693,6 +694,7 @@
         dropped: Bytes that were dropped.
     """
 
+    request: str
     peer: str
     reason: str
     dropped: int
--- a/src/mintcleat/main/hosted.py
+++ b/src/mintcleat/main/hosted.py
@@ -31,6 +31,7 @@
 from mintcleat.domain import events as event_types
 from mintcleat.main import common as common_module
 from mintcleat.main import listener_bounds
+from mintcleat.platform import callers
 from mintcleat.platform import machine_settings as settings_module
 from mintcleat.ports import events as event_ports
 
@@ -92,7 +93,10 @@
         metrics = self.common.metrics
         self.events = event_metrics.EventMetrics(metrics, self.log)
         bounds = listener_bounds.ListenerBounds(
-            self.machine.memory_bytes, self.machine.descriptors, self.events
+            self.machine.memory_bytes,
+            self.machine.descriptors,
+            self.events,
+            callers.REQUEST_ID,
         )
         self.role = _new_role(
             role, self.machine, self.common, self.events, policy, bounds
--- a/src/mintcleat/main/listener_bounds.py
+++ b/src/mintcleat/main/listener_bounds.py
@@ -26,6 +26,7 @@
         memory_bytes: Memory limit of the process; 0 if unknown.
         descriptors: Limit of its file descriptors; 0 if unknown.
         events: Where connections that give way are reported.
+        id_field: Header field with the id of a request; empty for none.
     """
 
     def __init__(
@@ -33,7 +34,9 @@
         memory_bytes: int,
         descriptors: int,
         events: event_ports.EventReporter,
+        id_field: str = "",
     ) -> None:
+        self.id_field = id_field
         self.memory_bytes = memory_bytes
         self.descriptors = descriptors
         self.events = events
@@ -61,7 +64,15 @@
 
     def report(self, yielded: http1_server.Yielded) -> None:
         """Reports a connection that gave way to others."""
-        self.events.emit(event_types.ConnectionYielded(*yielded))
+        fields = dict(reversed(yielded.fields))
+        self.events.emit(
+            event_types.ConnectionYielded(
+                fields.get(self.id_field, ""),
+                yielded.peer,
+                yielded.reason,
+                yielded.dropped,
+            )
+        )
 
 
 def without_body() -> manifest.Limits:
