Heads count as received bytes

A parsed head was not counted while its body arrived, and its bytes were not counted while the request was handled. A head of 16 KB with 4,000 short fields takes 0.34 MB (measured with tracemalloc), so each caller that sent one and stopped before its body held that much beside the limit. Each field counts as 200 bytes and its text, which is above that.

The limit always fits one request with the largest head.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -61,6 +61,9 @@
 _BODY_SECONDS = 30.0
 # Memory of a header field besides its bytes: a tuple and two texts.
 _FIELD_BYTES = 200
+# Memory of a head at most, as a multiple of its bytes: its shortest fields,
+# such as "a:", take four bytes with their line end.
+_HEAD_FACTOR = 1 + _FIELD_BYTES // 4
 # Time after which a refused caller may return: bodies that stood still have
 # been given up by then.
 _REFUSED_RETRY_SECONDS = 1.0
@@ -356,6 +359,7 @@
             write waits.
         resets: Whether its end resets the connection.
         buffer: The part of the current request's body that has arrived.
+        head_bytes: Memory of the current request's head while its body arrives.
         handled_bytes: Size of the request that is being handled; 0 for none.
         has_yielded: Whether what the caller sent was dropped, so that the
             connection ends with its current request.
@@ -370,6 +374,7 @@
             sock, self._kill_handler, self._record_received
         )
         self.buffer = bytearray()
+        self.head_bytes = 0
         self.handled_bytes = 0
         self.has_yielded = False
         self.was_used = False
@@ -524,6 +529,7 @@
         self.has_yielded = True
         self.received = b""
         self.buffer = bytearray()
+        self.head_bytes = 0
         self.reader.discard()
         self.reader.wake()
         self._record_received()
@@ -531,7 +537,12 @@
 
     def _arriving_bytes(self) -> int:
         """Returns the bytes that were received and aren't being handled."""
-        return len(self.received) + len(self.reader.unread) + len(self.buffer)
+        return (
+            len(self.received)
+            + len(self.reader.unread)
+            + len(self.buffer)
+            + self.head_bytes
+        )
 
     def _record_received(self) -> None:
         """Records what is held for the caller; others may have to give way."""
@@ -591,9 +602,12 @@
             errors.TooLarge: The body exceeds the limit.
         """
         until = time.monotonic() + _BODY_SECONDS
-        self.listener.bounds.received.make_fit(limits.body_bytes)
+        self.listener.bounds.received.make_fit(
+            limits.body_bytes + limits.header_bytes * _HEAD_FACTOR
+        )
         head = self._read_head(limits)
         self.head = head
+        self.head_bytes = _head_size(head)
         self.idle = False
         body = head.body
         must_continue = head.expects_continue
@@ -628,8 +642,8 @@
         self._record_received()
         self._check_yielded()
         whole, self.buffer = bytes(self.buffer), bytearray()
-        fields = len(head.fields) * _FIELD_BYTES
-        self.handled_bytes = len(whole) + fields
+        self.handled_bytes = len(whole) + self.head_bytes
+        self.head_bytes = 0
         return Request(head.method, head.target, head.fields, whole, self.peer)
 
     def _read_head(self, limits: manifest.Limits) -> http1_heads.RequestHead:
@@ -808,6 +822,7 @@
             headers.append(("retry-after", f"{retry_after:g}"))
         self.received = b""
         self.buffer = bytearray()
+        self.head_bytes = 0
         self._record_received()
         with contextlib.suppress(OSError, CallerStalled):
             self.start(status, headers, "", body)
@@ -831,3 +846,9 @@
                     self.reader.read()
         finally:
             self.listener.discarding -= 1
+
+
+def _head_size(head: http1_heads.RequestHead) -> int:
+    """Returns the memory of a request's head."""
+    texts = sum(len(name) + len(value) for name, value in head.fields)
+    return len(head.target) + texts + len(head.fields) * _FIELD_BYTES
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -483,6 +483,33 @@
         most = max(b - a for a, b in itertools.pairwise(turns))
         self.assertLessEqual(most, 2)
 
+    def test_head_counts_until_the_response(self) -> None:
+        # Guards against heads of many fields that are held and not counted.
+        sock = self.connect()
+        fields = b"".join(b"a%x:\r\n" % n for n in range(1000))
+        head = b"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        sock.sendall(head + fields + b"\r\nx")
+        eventlet.sleep(0.05)
+        held = len(head + fields)
+        self.assertGreaterEqual(self.received.total, held)
+        sock.sendall(b"x")
+        eventlet.sleep(0.05)
+        self.assertEqual([2], self.handled)
+        self.assertGreaterEqual(self.received.total, held)
+        self.release.send()
+        self.read(sock)
+        eventlet.sleep(0.02)
+        self.assertEqual(0, self.received.total)
+
+    def test_long_head_counts_while_its_request_is_handled(self) -> None:
+        # Guards against long fields that are held and not counted.
+        sock = self.connect()
+        sock.sendall(
+            b"GET /wait HTTP/1.1\r\nHost: h\r\na: " + b"x" * 15_000 + HEAD_END
+        )
+        eventlet.sleep(0.02)
+        self.assertGreaterEqual(self.received.total, 15_000)
+
     def test_small_requests_in_one_read_are_within_the_limit(self) -> None:
         # Guards against whole requests that are handled without any room.
         self.received.limit = 100_000
