Bodies that are only announced leave room for small ones

The product's own interface counts a body when it is announced. Eight callers that announced 8 MiB and sent nothing took the whole sum of 64 MiB, for 30 s, and could come back at once: all other requests with a body were refused for as long as they liked.

Large bodies may take three quarters of the sum together.

The test failed before: 503 in place of 200.

--- a/src/mintcleat/adapters/http_request.py
+++ b/src/mintcleat/adapters/http_request.py
@@ -16,6 +16,11 @@
 BODIES = "mintcleat.bodies"
 # Time after which a caller may return whose body found no room.
 _RETRY_SECONDS = 1.0
+# Up to this size a body counts as small.
+SMALL_BYTES = 64 * 1024
+# Part of the limit up to which large bodies find room, so that a few that are
+# announced and never sent don't keep out the small ones.
+_LARGE_FRACTION = 0.75
 
 Environ = dict[str, Any]
 
@@ -41,13 +46,17 @@
         Raises:
             errors.Overloaded: There is no room for them.
         """
-        if self.total + size > self.limit:
+        taken = environ.get(_TAKEN, 0) + size
+        limit = self.limit
+        if taken > SMALL_BYTES:
+            limit = int(limit * _LARGE_FRACTION)
+        if self.total + size > limit:
             raise errors.Overloaded(
                 f"The bodies of all requests exceed {self.limit} bytes.",
                 retry_after=_RETRY_SECONDS,
             )
         self.total += size
-        environ[_TAKEN] = environ.get(_TAKEN, 0) + size
+        environ[_TAKEN] = taken
 
     def release(self, environ: Environ) -> None:
         """Frees the bytes of a request that has ended."""
--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -83,3 +83,19 @@
         self.assertEqual([200, 200], [each.wait().status for each in waiting])
         self.assertEqual(0, self.server.bodies.total)
         self.assertEqual(200, self.post().status)
+
+    def test_bodies_that_are_only_announced_leave_room_for_small_ones(
+        self,
+    ) -> None:
+        # Guards against a few callers that keep all others out for good.
+        self.server.bodies.limit = 4 * http_request.SMALL_BYTES
+        host, port = self.server.address.split(":")
+        announced = b"%d" % (2 * http_request.SMALL_BYTES)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "
+        callers = [eventlet.connect((host, int(port))) for _ in range(3)]
+        for sock in callers:
+            self.addCleanup(sock.close)
+            sock.sendall(head + announced + b"\r\n\r\nx")
+        eventlet.sleep(0.1)
+        self.release.send()
+        self.assertEqual(200, self.post().status)
