Lines, trailers and unread bodies at the product's own interface have bounds

eventlet reads the line before a chunk without a limit, also of a body that the application doesn't read, which it drops after the response. So anyone who can connect could fill the memory, also at a metrics listener, which asks for no key. Trailers and announced bodies of any length were read and dropped for as long as they came.

Each has a bound now, beyond which the connection is closed. The server's log also has the method that eventlet calls for errors in a dropped body.

--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -18,6 +18,12 @@
 # connection that is being closed.
 _IDLE_TIMEOUT_SECONDS = 75.0
 _MAX_CONNECTIONS = 10_000
+# Bounds on a line before a chunk and on all trailers, and on what is read of a
+# body that the application has left; eventlet has none. A caller within the
+# limits may send its whole body before it reads the refusal.
+_MAX_LINE_BYTES = 4096
+_MAX_TRAILER_BYTES = 16 * 1024
+_MAX_DISCARDED_BYTES = http_request.MAX_BODY_BYTES
 
 
 class HttpServer:
@@ -134,6 +140,66 @@
         self.wfile.write(head + body)
         self.close_connection = 1
 
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the environment of a request, with a bounded body."""
+        environ = super().get_environ()
+        body = environ["wsgi.input"]
+        environ["wsgi.input"] = environ["eventlet.input"] = _BoundedInput(
+            _BoundedLines(body.rfile),
+            body.content_length,
+            body._sock,
+            body.wfile,
+            body.wfile_line,
+            body.chunked_input,
+        )
+        return environ
+
+
+class _BoundedLines:
+    """Reads bytes and lines that are not too long."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.read = file.read
+
+    def readline(self, size: int = -1) -> bytes:
+        """Returns a line, or a part of it of that size.
+
+        Raises:
+            OSError: The line is too long.
+        """
+        if size >= 0:
+            return self.file.readline(size)
+        line = self.file.readline(_MAX_LINE_BYTES + 1)
+        if len(line) > _MAX_LINE_BYTES:
+            raise OSError(f"a line exceeds {_MAX_LINE_BYTES} bytes")
+        return line
+
+
+class _BoundedInput(wsgi.Input):
+    """The body of a request, of which little is read beside its content."""
+
+    def discard(self, buffer_size: int = 16 * 1024) -> None:
+        """Drops what the application has not read.
+
+        Raises:
+            OSError: It is too much; eventlet closes the connection then.
+        """
+        size = 0
+        while data := self.read(buffer_size):
+            size += len(data)
+            if size > _MAX_DISCARDED_BYTES:
+                raise OSError(
+                    f"the rest of the body exceeds {_MAX_DISCARDED_BYTES} bytes"
+                )
+
+    def _discard_trailers(self, rfile: _BoundedLines) -> None:
+        size = 0
+        while (line := rfile.readline()) not in (b"\r\n", b"\n", b""):
+            size += len(line)
+            if size > _MAX_TRAILER_BYTES:
+                raise OSError(f"the trailers exceed {_MAX_TRAILER_BYTES} bytes")
+
 
 class _DebugLog:
     """Forwards the log of eventlet's server at debug level."""
@@ -147,3 +213,4 @@
         logger.debug("{}", text.rstrip())
 
     debug = info
+    error = info
--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -99,3 +99,60 @@
         eventlet.sleep(0.1)
         self.release.send()
         self.assertEqual(200, self.post().status)
+
+
+class EndlessTest(testtools.TestCase):
+    """The server's answer to bytes without end in a body."""
+
+    def ends(self, reads: bool, fields: bytes, block: bytes) -> bool:
+        """Returns whether the connection ends while a body is sent.
+
+        Args:
+            reads: Whether the application reads the body.
+            fields: Header fields that frame it.
+            block: What is sent again and again.
+        """
+
+        def application(environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+            if reads:
+                try:
+                    http_request.read_body(environ)
+                except errors.BadRequest:
+                    start("400 Bad Request", [])
+                    return [b"refused"]
+            start("200 OK", [])
+            return [b"done"]
+
+        server = wsgi.HttpServer("127.0.0.1:0", application)
+        self.addCleanup(server.stop)
+        host, port = server.address.split(":")
+        sock = eventlet.connect((host, int(port)))
+        self.addCleanup(sock.close)
+        try:
+            sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n")
+            for _ in range(400):
+                sock.sendall(block)
+                eventlet.sleep(0.002)
+        except OSError:
+            return True
+        return False
+
+    def test_chunk_line_without_end_is_not_kept(self) -> None:
+        # Guards against a caller that fills the memory with one line.
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        for reads in (True, False):
+            self.assertTrue(self.ends(reads, chunked, b"1" * 65536), reads)
+
+    def test_rest_of_a_body_that_is_not_read_ends_with_the_connection(
+        self,
+    ) -> None:
+        # Guards against work for bodies that nobody wants, without a limit.
+        length = b"Content-Length: 1000000000\r\n"
+        self.assertTrue(self.ends(False, length, b"x" * 65536))
+
+    def test_trailers_without_end_are_not_read(self) -> None:
+        # Guards against work for trailers, which nobody wants, without a limit.
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        trailers = b"0\r\n" + b"a: b\r\n" * 10_000
+        for reads in (True, False):
+            self.assertTrue(self.ends(reads, chunked, trailers), reads)
