A kept turn is not taken up in the middle

A request with Last-Event-Id on a route that retains turns was run from that event, and its turn was committed with the events after it. The next turn then ran with a context from which the beginning of that answer was missing, and nothing showed it.

The entry that has the later events doesn't know those before, so it refuses such a request as not run; the caller sends the turn again from its start. No route of the deployments is both resumable and retains turns.

--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -122,8 +122,15 @@
 
         Raises:
             errors.MintcleatError: The request is refused, as no upstream has
-                the version that began the stream, or nobody knows which did.
+                the version that began the stream, or nobody knows which did;
+                or its turn is kept, and would lack the events before.
         """
+        if self.match.route.retention:
+            raise errors.UnknownStream(
+                f"Route {self.match.name!r} retains turns, and a turn can't be "
+                "recorded without the events before "
+                f"{self.call.last_event!r}."
+            )
         self.relay.origin = self.context.origins.find(
             self.call, self.match.route, self.service_name
         )
--- a/testing/test_event_order.py
+++ b/testing/test_event_order.py
@@ -309,6 +309,16 @@
         self.assert_cut(self.turn("t1"), 1, 2)
         self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
 
+    def test_turn_that_is_taken_up_is_not_recorded_without_its_beginning(
+        self,
+    ) -> None:
+        # The next turn would run without the events that its caller has.
+        self.parts = [Part((1, 2, 3), ends=False), Part((4, 5)), Part((1,))]
+        self.assert_cut(self.turn("t1"), 1, 2, 3)
+        taken_up = self.turn("t2", Last_Event_Id="3", Resumes="t1")
+        self.assertEqual(503, taken_up.status)
+        self.assertEqual(["t1"], [one.request for one in self.received()])
+
     def test_repeated_event_costs_no_budget(self) -> None:
         self.parts = [Part((1, 1, 2, 2)), Part((1,))]
         budget = {"X_Token_Budget": "66"}
