A run that has ended by itself is not ended again in a planned stop

Runs are ended one after another, and each one sends its last answer meanwhile, which lets other green threads run. A run that ended by itself in that time was ended all the same: its green thread was killed in what it did after the run, such as sending the refusal, and the caller would see the end of the connection.

Read from the code; the test of the order of events failed before (two runs ended, one expected). It was not seen with a real process.

--- a/src/mintcleat/roles/entry/process_stop.py
+++ b/src/mintcleat/roles/entry/process_stop.py
@@ -1,5 +1,6 @@
 """The planned stop of an entry, as its requests see it."""
 
+from collections.abc import Iterator
 from typing import Protocol
 
 from mintcleat.decisions import stop_times
@@ -48,7 +49,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuses the requests that wait and can no longer run in time."""
-        for run in list(self.runs):
+        for run in self._running():
             if run.waits_in_vain():
                 run.end()
 
@@ -58,15 +59,21 @@
         They get a last answer. A caller that is told whether its request may
         have run knows what to do; one whose connection ends has to guess.
         """
-        for run in list(self.runs):
+        for run in self._running():
             if not run.has_begun():
                 run.end()
 
     def end_all(self) -> None:
         """Ends all runs; responses that have begun break off."""
-        for run in list(self.runs):
+        for run in self._running():
             run.end()
 
+    def _running(self) -> Iterator[Run]:
+        """Yields the runs, without those that end while others are ended."""
+        for run in list(self.runs):
+            if run in self.runs:
+                yield run
+
     def error(self) -> errors.Draining:
         """Returns the refusal of a request that was not sent."""
         return errors.Draining(
