--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -182,7 +182,7 @@
         finally:
             self.deadline.cancel()
             runs.discard(self)
+            relay.release()
             self.turn.settle(relay, bool(attempts.attempts))
             if relay.head_sent:
                 self.events.ended(relay, outcome, attempts.offers)
-            relay.release()
