--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -158,7 +158,7 @@
             raise
         finally:
             self.deadline.cancel()
+            relay.release()
             self.turn.settle(relay, bool(attempts.attempts))
             if relay.head_sent:
                 self.events.ended(relay, outcome, attempts.offers)
-            relay.release()
--- a/testing/test_endless_answers.py
+++ b/testing/test_endless_answers.py
@@ -195,6 +195,11 @@
             self.assertLess(
                 sent.closed - sent.began, TIMEOUT_SECONDS + 2 * LATE_SECONDS
             )
+        entry = self.system.entry
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS, False):
+            while entry.sizes()["answer_bytes"]:
+                eventlet.sleep(0.01)
+        self.assertEqual(0, entry.sizes()["answer_bytes"])
 
     def wrong(
         self,
