--- a/testing/crowd.py
+++ b/testing/crowd.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Coroutine
 import contextlib
 import itertools
 import json
@@ -20,6 +21,7 @@
 import sys
 import tempfile
 import time
+from typing import Any
 from typing import NamedTuple
 
 from bench import hosted_processes
@@ -317,7 +319,7 @@
     broke_off = crashed = restarted = run_began
 
 
-def configuration() -> dict:
+def configuration() -> dict[str, Any]:
     """Returns the configuration in force."""
     return {
         **operators.configuration(1),
@@ -330,22 +332,41 @@
     }
 
 
-async def _until(condition: Callable[[], object]) -> None:
-    until = time.monotonic() + _START_SECONDS
+async def until(condition: Callable[[], Coroutine[Any, Any, bool]]) -> None:
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: It doesn't become true.
+    """
+    end = time.monotonic() + _START_SECONDS
     while not await condition():
-        if time.monotonic() > until:
+        if time.monotonic() > end:
             raise TimeoutError("The processes did not start.")
         await asyncio.sleep(0.1)
 
 
 class System:
-    """The processes and their stand-in service."""
+    """The processes and their stand-in service.
+
+    Args:
+        folder: Folder of settings, disks and logs.
+        pushed: Configuration in force.
+        memory_mb: Memory limit in the settings of each process.
+        descriptors: Limit of its file descriptors there.
+    """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        pushed: dict[str, Any],
+        memory_mb: int,
+        descriptors: int,
+    ) -> None:
+        self.pushed = pushed
         network = processes.free_network()
         self.fleet = processes.Fleet(network, folder, 3, 1, "")
-        self.fleet.memory_mb = MEMORY_MB
-        self.fleet.descriptors = DESCRIPTORS
+        self.fleet.memory_mb = memory_mb
+        self.fleet.descriptors = descriptors
         self.clients = [
             hosted_processes.Caller(
                 f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 5.0
@@ -360,7 +381,7 @@
     async def start(self) -> None:
         """Starts everything; returns once a request is served."""
         await self.fleet.start()
-        body = json.dumps(configuration()).encode()
+        body = json.dumps(self.pushed).encode()
 
         async def is_pushed() -> bool:
             answer = await self.clients[0].ask(
@@ -371,9 +392,9 @@
         async def is_served() -> bool:
             return await self.ask() == 200
 
-        await _until(is_pushed)
+        await until(is_pushed)
         await self.service.start()
-        await _until(is_served)
+        await until(is_served)
 
     async def ask(self) -> int:
         """Sends an ordinary request to the entry; returns its status."""
@@ -417,7 +438,7 @@
         caller.close_idle()
         return answer.status
 
-    async def ordinary(self, target: str) -> int:
+    async def ordinary(self, target: str = ENTRY) -> int:
         """Sends an ordinary request until it is served, or for too long."""
         until = time.monotonic() + ORDINARY_SECONDS
         status = 0
@@ -431,7 +452,7 @@
 
 async def run(kind: str, target: str, folder: pathlib.Path) -> Found:
     """Plays one kind of crowd at a target; returns what was seen."""
-    system = System(folder)
+    system = System(folder, configuration(), MEMORY_MB, DESCRIPTORS)
     try:
         await system.start()
         fleet = system.fleet
@@ -463,7 +484,7 @@
 
 async def run_in_limits(folder: pathlib.Path) -> dict[str, int]:
     """Returns the statuses of single requests inside the limits, in calm."""
-    system = System(folder)
+    system = System(folder, configuration(), MEMORY_MB, DESCRIPTORS)
     try:
         await system.start()
         return {
--- a/testing/endless_crowd.py
+++ b/testing/endless_crowd.py
@@ -10,8 +10,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Coroutine
 import contextlib
 import itertools
 import json
@@ -21,15 +19,13 @@
 import subprocess
 import sys
 import tempfile
-import time
 from typing import Any
 from typing import NamedTuple
 
-from bench import hosted_processes
+from testing import crowd
 from testing.soak import client
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import upstreams
 
 # Limits in the settings of each process.
 MEMORY_MB = 150
@@ -42,9 +38,7 @@
 # Time for which the callers of one kind stay, and time within which an
 # ordinary request after them must be served, refusals included.
 HOLD_SECONDS = 4.0
-ORDINARY_SECONDS = 60.0
 _SAMPLE_SECONDS = 0.02
-_START_SECONDS = 30.0
 # Time within which the entry knows an upstream that control has registered.
 _KNOWN_SECONDS = 1.0
 _TIMEOUT_MS = 30_000
@@ -258,15 +252,6 @@
             sock.close()
 
 
-class _Silent:
-    """Takes the reports of the sound service."""
-
-    def run_began(self, *_: object) -> None:
-        """See `upstreams.Observer`."""
-
-    broke_off = crashed = restarted = run_began
-
-
 def configuration() -> dict[str, Any]:
     """Returns the configuration in force."""
     found = operators.configuration(1)
@@ -315,61 +300,17 @@
     }
 
 
-async def until(condition: Callable[[], Coroutine[Any, Any, bool]]) -> None:
-    """Waits for a condition.
-
-    Raises:
-        TimeoutError: It doesn't become true.
-    """
-    end = time.monotonic() + _START_SECONDS
-    while not await condition():
-        if time.monotonic() > end:
-            raise TimeoutError("The processes did not start.")
-        await asyncio.sleep(0.1)
-
-
-class System:
+class System(crowd.System):
     """The processes and their sound service."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        network = processes.free_network()
-        self.fleet = processes.Fleet(network, folder, 3, 1, "")
-        self.fleet.memory_mb = MEMORY_MB
-        self.fleet.descriptors = DESCRIPTORS
-        self.clients = [
-            hosted_processes.Caller(
-                f"{node.ip}:{hosted_processes.CONTROL_PORT}", "control", 5.0
-            )
-            for node in self.fleet.controls
-        ]
-        self.sound = upstreams.Upstream(
-            "desk-1", "desk", _Silent(), self.clients
-        )
-        self.numbers = itertools.count()
+        super().__init__(folder, configuration(), MEMORY_MB, DESCRIPTORS)
 
     @property
     def entry(self) -> processes.Node:
         """The entry."""
         return self.fleet.entries[0]
 
-    async def start(self) -> None:
-        """Starts everything; returns once a request is served."""
-        await self.fleet.start()
-        body = json.dumps(configuration()).encode()
-
-        async def is_pushed() -> bool:
-            answer = await self.clients[0].ask(
-                "POST", "/v1/Configuration.Put", {}, body
-            )
-            return answer.status == 200
-
-        async def is_served() -> bool:
-            return await self.ask() == 200
-
-        await until(is_pushed)
-        await self.sound.start()
-        await until(is_served)
-
     async def control(self, target: str, fields: dict[str, Any]) -> None:
         """Sends an upstream's message to a control until one accepts it."""
         body = json.dumps(fields).encode()
@@ -379,28 +320,7 @@
             answer = await next(controls).ask("POST", target, {}, body)
             return answer.status == 200
 
-        await until(is_accepted)
-
-    async def ask(self) -> int:
-        """Sends an ordinary request to the entry; returns its status."""
-        caller = hosted_processes.Caller(
-            self.entry.address, client.HOST, ORDINARY_SECONDS
-        )
-        fields = {
-            "X-Request-Id": f"ordinary-{next(self.numbers)}",
-            "X-Deadline-Milliseconds": "10000",
-            "Api-Key": operators.key_of("berta"),
-        }
-        answer = await caller.ask("POST", "/safe/x", fields, b"ordinary")
-        caller.close_idle()
-        return answer.status
-
-    async def ordinary(self) -> int:
-        """Sends an ordinary request until it is served, or for too long."""
-        end = time.monotonic() + ORDINARY_SECONDS
-        while (status := await self.ask()) != 200 and time.monotonic() < end:
-            await asyncio.sleep(0.5)
-        return status
+        await crowd.until(is_accepted)
 
     def request(self, kind: str, route: str) -> bytes:
         """Returns the bytes of a request to the faulty service."""
