A control instance that gets a later identity handles no frame meanwhile

A control instance that had lost its disk with its clock behind ended at some starts: "A disk operation failed: ENOENT". Writing the new identity waits for the disk and lets other green threads run. A second frame to the later incarnation then began a second identity, and the two writes shared one draft of the file. In between, the instance could also have voted under the identity that it was about to give up.

The new test of the driver fails on the code before.

--- a/src/mintcleat/roles/control/replication/driver.py
+++ b/src/mintcleat/roles/control/replication/driver.py
@@ -146,6 +146,7 @@
             self.snapshots.on_applied,
         )
         self.wake_pending = False
+        self.is_renewing = False
         self.node = node
         self.own = own
         self.members = members
@@ -190,7 +191,7 @@
 
     def tick(self) -> None:
         """Advances the timers of the consensus core, and works."""
-        if self.failed is None:
+        if self.failed is None and not self.is_renewing:
             self.disk.wake_after_sync()
             with self.stop_on_failure:
                 self.core.tick(self.timers.now())
@@ -199,7 +200,7 @@
     def receive(self, payload: bytes) -> None:
         """Handles a frame from a peer."""
         frame = wire.decode(payload)
-        if self.failed is not None:
+        if self.failed is not None or self.is_renewing:
             return
         self.links.peer_seen(frame.address)
         # Together with this frame, a finished sync may commit entries.
@@ -242,6 +243,9 @@
             self.core.me,
             identity,
         )
+        # The disk lets other green threads run. Nothing may be promised under
+        # the former identity meanwhile, nor another one be taken.
+        self.is_renewing = True
         with self.stop_on_failure:
             self.wal.renew(identity)
             self.core = self._new_core(identity, {})
@@ -251,11 +255,14 @@
                 ),
                 self.core,
             )
+        self.is_renewing = False
         self.proposals.fail_reads()
         self.work()
 
     def work(self) -> None:
         """Carries out all effects except those that wait for the disk."""
+        if self.is_renewing:
+            return
         with self.stop_on_failure:
             while self.failed is None and self.core.has_work():
                 self.core.flush(self.timers.now())
--- a/testing/test_driver.py
+++ b/testing/test_driver.py
@@ -354,6 +354,34 @@
 
         virtual_time.run(body)
 
+    def test_frames_that_come_while_the_identity_is_written_change_nothing(
+        self,
+    ) -> None:
+        # Guards against a second identity, and a vote under the former one.
+        def body() -> None:
+            follower = self.follower("c2", 5)
+            driver = follower.driver
+            renew = driver.wal.renew
+            renewed = []
+
+            def renew_slowly(identity: identities.Incarnation) -> None:
+                renewed.append(identity)
+                vote = wire.VoteRequest("g", 9, 0, 0)
+                own = FOLLOWER._replace(epoch=5)
+                frame = wire.Frame(LEADER, "c1:1", own, [vote])
+                driver.receive(wire.encode(frame))
+                self.name_later(follower)
+                driver.tick()
+                renew(identity)
+
+            driver.wal.renew = renew_slowly
+            self.name_later(follower)
+            self.assertEqual([driver.core.me], renewed)
+            self.assertEqual([], driver.core.known_groups())
+            self.assertIsNone(driver.failed)
+
+        virtual_time.run(body)
+
     def test_disk_with_entries_keeps_its_identity_and_stops(self) -> None:
         # Guards against a disk that forgets what it has promised.
         def body() -> None:
