--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -40,6 +40,9 @@
 TIMEOUT = 3.0
 # Mean delay of a message that an entry sends in the background.
 LATE_SECONDS = 0.01
+# Tokens of a program, which no run uses up. A turn is opened for its budget,
+# with the record of its stream.
+BUDGET = 1_000_000
 VERSIONS = ("v1", "v2", "v3")
 MANIFEST = manifest.Manifest(
     routes={
@@ -50,7 +53,7 @@
             repeat="resume",
             attempts=2,
             timeout=TIMEOUT,
-            retention=60.0,
+            budget_retention=60.0,
         )
     },
     services={"lm": manifest.Service("model", model="m", tokens_per_event=3)},
@@ -432,7 +435,7 @@
             request.encode(),
             deadline=stream.until - self.time,
             last_event=str(stream.last) if stream.last else "",
-            program=routed_calls.ProgramContext(stream.program),
+            program=routed_calls.ProgramContext(stream.program, budget=BUDGET),
             generation=routed_calls.Generation("m", 10, 3 * EVENTS),
             resumes=stream.first if stream.names_first else "",
         )
