--- a/testing/endless_crowd.py
+++ b/testing/endless_crowd.py
@@ -35,13 +35,15 @@
 BODY_BYTES = 20_000
 # Receive buffer of a caller that reads nothing.
 _MUTE_BUFFER_BYTES = 4096
-# Time for which the callers of one kind stay, and time within which an
-# ordinary request after them must be served, refusals included.
+# Time for which the callers of one kind stay before the ordinary request, which
+# must be served beside them.
 HOLD_SECONDS = 4.0
 _SAMPLE_SECONDS = 0.02
 # Time within which the entry knows an upstream that control has registered.
 _KNOWN_SECONDS = 1.0
-_TIMEOUT_MS = 30_000
+# Longer than the ordinary request is tried, so that no end of the crowd's
+# requests makes room for it.
+_TIMEOUT_MS = 120_000
 # Upstreams of each faulty service, so that requests are sent again.
 _UPSTREAMS = 2
 _SLOTS = 1000
@@ -149,8 +151,8 @@
             received and not passed on, in units of 10**6 bytes.
         unread_mb: Most of those bytes.
         descriptors: Most descriptors that it had open.
-        beside: Status of an ordinary request while the callers stay. A busy
-            machine may make the entry refuse it.
+        beside: Status of the ordinary request while the callers stay; 0 for
+            none.
         answered: Status of one after that; 0 for none.
         statuses: Statuses that the callers got, with their numbers.
     """
@@ -418,7 +420,7 @@
     ]
     tasks = [asyncio.create_task(caller.run()) for caller in callers]
     await asyncio.sleep(HOLD_SECONDS)
-    beside = await system.ask()
+    beside = await system.ordinary()
     for task in (registering, *tasks):
         task.cancel()
     await asyncio.gather(registering, *tasks, return_exceptions=True)
--- a/testing/test_endless_crowd.py
+++ b/testing/test_endless_crowd.py
@@ -40,6 +40,8 @@
         or one["held_mb"] > endless_crowd.MEMORY_MB
         or one["descriptors"] > endless_crowd.DESCRIPTORS
         or one["answered"] != 200
+        # A listed test asks beside bodies, which a busy machine may refuse.
+        or (group != "bodies" and one["beside"] != 200)
     ]
     assert wrong == [], seen
 
