The reading of callers' requests is a module of its own

http1_server had grown to 859 lines; what reads and counts the requests of a connection is http1_requests now (behaviour as before). Fewer connections wait to be accepted where the process may have fewer: each may hold a receive buffer in the kernel.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -20,9 +20,9 @@
 
 from mintcleat.adapters import http1_framing
 from mintcleat.adapters import http1_heads
+from mintcleat.adapters import http1_requests
 from mintcleat.adapters import http1_responses
 from mintcleat.adapters import received_bytes
-from mintcleat.adapters import socket_reader
 from mintcleat.adapters import streams
 from mintcleat.adapters import unsent_bytes
 from mintcleat.domain import errors
@@ -42,6 +42,9 @@
 # Pause after a failed accept, so that running out of file descriptors doesn't
 # take all CPU time.
 _ACCEPT_RETRY_SECONDS = 0.05
+# Connections that wait to be accepted. If there are more, a caller retransmits
+# its connection request only after seconds; each may hold a receive buffer.
+_BACKLOG = 2048
 # Reasons for which a response is ended; see `Stall`.
 NO_PROGRESS = "no progress"
 BUFFERS_FULL = "buffers full"
@@ -56,16 +59,8 @@
 # Receive buffer of a connection in the kernel, which counts as memory of the
 # process too. Bodies of prompts fit into it.
 _RECEIVE_BUFFER_BYTES = 32 * 1024
-# Maximum time of a body, for callers that never pause for long but never end.
-# No deadline of a request is that long.
-_BODY_SECONDS = 30.0
-# Memory of a header field besides its bytes: a tuple and two texts.
-_FIELD_BYTES = 200
-# Memory of a head at most, as a multiple of its bytes: its shortest fields,
-# such as "a:", take four bytes with their line end.
-_HEAD_FACTOR = 1 + _FIELD_BYTES // 4
-# Time after which a refused caller may return: bodies that stood still have
-# been given up by then.
+# Time after which a refused caller may return. Room comes back as requests are
+# answered or give way.
 _REFUSED_RETRY_SECONDS = 1.0
 # Turns of the event loop that a connection which gives way gets to close.
 _CLOSING_TURNS = 8
@@ -88,8 +83,7 @@
     """The response was ended because the caller doesn't read it."""
 
 
-class RequestRefused(Exception):
-    """A request was dropped before it was complete, for want of memory."""
+Request = http1_requests.Request
 
 
 class Yielded(NamedTuple):
@@ -99,15 +93,12 @@
         peer: `IP:PORT` of the caller.
         reason: `MEMORY` if the bytes of all callers exceed their limit,
             `CONNECTIONS` if their connections do.
-        dropped: Bytes that were dropped.
-        fields: Header fields of the request that was dropped; none if its head
-            was not read.
+        dropped: What was dropped; None for `CONNECTIONS`.
     """
 
     peer: str
     reason: str
-    dropped: int
-    fields: tuple[tuple[str, str], ...] = ()
+    dropped: http1_requests.Dropped | None = None
 
 
 class Bounds(NamedTuple):
@@ -122,28 +113,6 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
 
 
-class Request(NamedTuple):
-    """A received request.
-
-    Attributes:
-        headers: Names in lower case, and values.
-        peer: `IP:PORT` of the caller.
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    peer: str
-
-    def header(self, name: str) -> str:
-        """Returns the first value of a header, or an empty string."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return ""
-
-
 class Stall(NamedTuple):
     """A response that is ended because its caller doesn't read it.
 
@@ -256,10 +225,9 @@
         self.resting: dict[Connection, None] = {}
         self.discarding = 0
         self.unsent = unsent_bytes.UnsentBytes(max_unsent_bytes)
-        # If the backlog is full, a caller retransmits its connection request
-        # only after seconds.
+        backlog = min(_BACKLOG, self.bounds.max_connections)
         self.listener = eventlet.listen(
-            streams.split_address(listen), backlog=2048
+            streams.split_address(listen), backlog=backlog
         )
         self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.listener.setsockopt(
@@ -274,8 +242,8 @@
     def apply_limits(self) -> None:
         """Applies changed limits to connections that are idle already."""
         for connection in self.connections:
-            if connection.idle:
-                connection.reader.wake()
+            if connection.is_idle:
+                connection.requests.reader.wake()
 
     def close_idle(self) -> None:
         """Stops accepting connections and closes those that are idle."""
@@ -334,7 +302,7 @@
         found = next(iter(self.unproven), None) or next(
             iter(self.resting), None
         )
-        self.on_yielded(Yielded(found.peer if found else peer, CONNECTIONS, 0))
+        self.on_yielded(Yielded(found.peer if found else peer, CONNECTIONS))
         if found is None:
             return False
         found.mark_busy()
@@ -350,8 +318,7 @@
     """A caller's connection, which carries one request at a time.
 
     Attributes:
-        received: Bytes after the requests that have been read.
-        head: Head of the current request; None if it could not be read.
+        requests: Reads its requests.
         request: The current request; None before it was read.
         thread: Green thread that serves the connection.
         handler: The same while it handles a request; otherwise None.
@@ -361,11 +328,6 @@
         progress_at: Monotonic time at which bytes were last sent while a
             write waits.
         resets: Whether its end resets the connection.
-        buffer: The part of the current request's body that has arrived.
-        head_bytes: Memory of the current request's head while its body arrives.
-        handled_bytes: Size of the request that is being handled; 0 for none.
-        has_yielded: Whether what the caller sent was dropped, so that the
-            connection ends with its current request.
         was_used: Whether a request has been read to its end.
     """
 
@@ -373,16 +335,14 @@
         self.listener = listener
         self.sock = sock
         self.peer = peer
-        self.reader = socket_reader.SocketReader(
-            sock, self._kill_handler, self._record_received
+        self.requests = http1_requests.RequestReader(
+            sock,
+            peer,
+            listener.bounds.received,
+            self._kill_handler,
+            self._report_dropped,
         )
-        self.buffer = bytearray()
-        self.head_bytes = 0
-        self.handled_bytes = 0
-        self.has_yielded = False
         self.was_used = False
-        self.received = b""
-        self.head: http1_heads.RequestHead | None = None
         self.request: Request | None = None
         self.thread: Any = None
         self.handler: Any = None
@@ -390,10 +350,14 @@
         self.on_blocked: Callable[[], None] | None = None
         self.progress_at = 0.0
         self.resets = False
-        self.idle = True
         self.ended = False
         self.closed = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no head of a request has been read."""
+        return self.requests.head is None
+
     def serve(self) -> None:
         """Handles requests until one side closes the connection."""
         self.thread = eventlet.getcurrent()
@@ -416,8 +380,7 @@
         self.closed = True
         self.listener.connections.discard(self)
         self.mark_busy()
-        self.reader.stop()
-        self.listener.bounds.received.set(self, 0, 0, 0.0)
+        self.requests.close()
         # A shutdown would close the connection in order.
         if not self.resets:
             with contextlib.suppress(OSError):
@@ -430,14 +393,16 @@
         Unread bytes belong to a request that was sent at the same time; it is
         read and answered first.
         """
-        if not self.idle or self.received:
+        requests = self.requests
+        if not self.is_idle or requests.received:
             return
-        if self.reader.closed or self.reader.is_quiet():
+        if requests.reader.closed or requests.reader.is_quiet():
             self.shut_down()
 
     def refuse_unread(self, error: errors.Draining) -> None:
         """Refuses a request of which only a part has arrived."""
-        is_reading = self.head is not None or bool(self.received)
+        requests = self.requests
+        is_reading = not self.is_idle or bool(requests.received)
         if is_reading and self.handler is None and self.writer is None:
             greenthread.kill(self.thread, error)
 
@@ -456,22 +421,19 @@
 
     def _serve_request(self) -> bool:
         """Handles one request; returns whether another may follow."""
-        self.idle = True
         if self.was_used:
             self.listener.resting[self] = None
-        self.head = None
         self.request = None
         self.writer = None
         self.on_blocked = None
+        limits = self.listener.limits
+        requests = self.requests
         try:
-            if self.received:
-                # A caller may send hundreds of requests at once.
-                eventlet.sleep(0)
-                self._check_yielded()
-            if not self._await_request():
+            requests.begin()
+            if not requests.wait(lambda: limits().idle_seconds):
                 return False
             # The limits may have changed while the connection was idle.
-            request = self._read(self.listener.limits())
+            request = requests.read(limits(), self._send_continue)
         except http1_heads.ProtocolError as error:
             self._send_error(error.status, str(error))
             return False
@@ -481,7 +443,7 @@
         except errors.TooLarge as error:
             self._send_error(error.status, error.detail)
             return False
-        except RequestRefused as error:
+        except http1_requests.RequestRefused as error:
             self._send_error(
                 _STATUS_REFUSED, str(error), _REFUSED_RETRY_SECONDS
             )
@@ -490,7 +452,7 @@
             self._send_error(error.status, error.detail, error.retry_after)
             return False
         except TimeoutError:
-            if self.head is not None or self.received:
+            if not self.is_idle or requests.received:
                 self._send_error(
                     _STATUS_TOO_SLOW,
                     "The rest of the request did not arrive within "
@@ -501,19 +463,15 @@
             # A request that arrived while the connection was being closed can
             # no longer be answered, so it must not run.
             return False
-        self.idle = False
         self.was_used = True
         self.mark_busy()
-        self._record_received()
         self.listener.active += 1
         try:
             self._handle(request)
         finally:
             self.listener.active -= 1
             self.request = None
-            self.handled_bytes = 0
-            self._record_received()
-        if self.has_yielded:
+        if requests.has_yielded:
             return False
         return self.writer is not None and self.writer.allows_another()
 
@@ -522,52 +480,14 @@
         self.listener.unproven.pop(self, None)
         self.listener.resting.pop(self, None)
 
-    def give_way(self) -> None:
-        """Drops what has arrived and isn't being handled.
-
-        A request that is being handled gets its response. Those behind it were
-        not read, which their caller sees by the end of the connection.
-        """
-        dropped = self._arriving_bytes()
-        is_read = self.head is not None and self.handler is None
-        fields = self.head.fields if is_read else ()
-        self.has_yielded = True
-        self.received = b""
-        self.buffer = bytearray()
-        self.head_bytes = 0
-        self.reader.discard()
-        self.reader.wake()
-        self._record_received()
-        self.listener.on_yielded(Yielded(self.peer, MEMORY, dropped, fields))
-
-    def _arriving_bytes(self) -> int:
-        """Returns the bytes that were received and aren't being handled."""
-        return (
-            len(self.received)
-            + len(self.reader.unread)
-            + len(self.buffer)
-            + self.head_bytes
-        )
+    def _report_dropped(self, dropped: http1_requests.Dropped) -> None:
+        self.listener.on_yielded(Yielded(self.peer, MEMORY, dropped))
 
-    def _record_received(self) -> None:
-        """Records what is held for the caller; others may have to give way."""
-        received = self.listener.bounds.received
-        now = time.monotonic()
-        arriving = self._arriving_bytes()
-        received.set(self, arriving, self.handled_bytes, now)
-        while arriving and (found := received.excess(now)) is not None:
-            found.give_way()
-
-    def _check_yielded(self) -> None:
-        """Raises a RequestRefused if the request has given way to others."""
-        if self.has_yielded:
-            raise RequestRefused(
-                "This process holds too many bytes of requests; nothing of "
-                "the request was used."
-            )
+    def _send_continue(self) -> None:
+        self._send_bytes(_CONTINUE)
 
     def _handle(self, request: Request) -> None:
-        if self.reader.closed:
+        if self.requests.reader.closed:
             raise CallerDisconnected
         self.request = request
         self.handler = eventlet.getcurrent()
@@ -581,104 +501,6 @@
         if self.handler is not None:
             greenthread.kill(self.handler, CallerDisconnected())
 
-    def _await_request(self) -> bool:
-        """Waits for a request to begin; returns whether one did.
-
-        Raises:
-            TimeoutError: The connection was idle for too long.
-        """
-        idle_since = time.monotonic()
-        while not self.received:
-            limit = idle_since + self.listener.limits().idle_seconds
-            left = max(0.0, limit - time.monotonic())
-            with eventlet.Timeout(left, TimeoutError):
-                # Returns nothing if the limits may have changed.
-                self.received = self.reader.read()
-            if not self.received and self.reader.closed:
-                return False
-        return True
-
-    def _read(self, limits: manifest.Limits) -> Request:
-        """Returns the next request, of which some bytes were received.
-
-        Raises:
-            http1_heads.ProtocolError: The head is invalid or too long.
-            http1_framing.InvalidBody: The body is invalid or incomplete.
-            errors.TooLarge: The body exceeds the limit.
-        """
-        until = time.monotonic() + _BODY_SECONDS
-        self.listener.bounds.received.make_fit(
-            limits.body_bytes + limits.header_bytes * _HEAD_FACTOR
-        )
-        head = self._read_head(limits)
-        self.head = head
-        self.head_bytes = _head_size(head)
-        self.idle = False
-        body = head.body
-        must_continue = head.expects_continue
-        while True:
-            part, self.received = body.take(self.received)
-            if part:
-                self.buffer += part
-                must_continue = False
-            # Also before the body has arrived: the caller may wait to be told
-            # whether to send it.
-            size = len(self.buffer) + body.announced
-            if size > limits.body_bytes:
-                raise errors.TooLarge(
-                    f"The body has at least {size} bytes; at most "
-                    f"{limits.body_bytes} are allowed."
-                )
-            if body.complete:
-                break
-            self._record_received()
-            self._check_yielded()
-            if body.has_more:
-                eventlet.sleep(0)
-                self._check_yielded()
-                continue
-            if must_continue:
-                must_continue = False
-                self._send_bytes(_CONTINUE)
-            left = min(limits.header_seconds, until - time.monotonic())
-            if not self._receive(max(0.0, left)):
-                body.close()
-        # A small request may have arrived as a whole, without any wait.
-        self._record_received()
-        self._check_yielded()
-        whole, self.buffer = bytes(self.buffer), bytearray()
-        self.handled_bytes = len(whole) + self.head_bytes
-        self.head_bytes = 0
-        return Request(head.method, head.target, head.fields, whole, self.peer)
-
-    def _read_head(self, limits: manifest.Limits) -> http1_heads.RequestHead:
-        searched = 0
-        # A head in many small parts must not take longer than one in one part.
-        until = time.monotonic() + limits.header_seconds
-        while True:
-            received = self.received
-            end = http1_heads.find_end(received, searched, limits.header_bytes)
-            if end:
-                self.received = received[end:]
-                return http1_heads.parse_request(received[:end])
-            searched = len(received)
-            self._record_received()
-            self._check_yielded()
-            left = max(0.0, until - time.monotonic())
-            if not self._receive(left):
-                raise http1_heads.ProtocolError("The head is incomplete.")
-
-    def _receive(self, seconds: float) -> bool:
-        """Waits for bytes; returns whether any came before the end."""
-        with eventlet.Timeout(seconds, TimeoutError):
-            data = self.reader.read()
-            while not (data or self.reader.closed or self.has_yielded):
-                data = self.reader.read()
-        self.received += data
-        self._record_received()
-        self._check_yielded()
-        return bool(data)
-
     def start(
         self,
         status: int,
@@ -687,9 +509,11 @@
         body: bytes,
     ) -> None:
         """Sends the head and the first part of the body in one write."""
-        keep_alive = self.listener.keep_alive() and not self.has_yielded
+        keep_alive = (
+            self.listener.keep_alive() and not self.requests.has_yielded
+        )
         self.writer = http1_responses.ResponseWriter(
-            self.head, status, headers, keep_alive
+            self.requests.head, status, headers, keep_alive
         )
         if self.writer.ends_with_connection:
             # Otherwise the caller would take a broken response for a whole
@@ -825,10 +649,7 @@
         ]
         if retry_after:
             headers.append(("retry-after", f"{retry_after:g}"))
-        self.received = b""
-        self.buffer = bytearray()
-        self.head_bytes = 0
-        self._record_received()
+        self.requests.discard()
         with contextlib.suppress(OSError, CallerStalled):
             self.start(status, headers, "", body)
             self.end()
@@ -843,17 +664,11 @@
         if self.listener.discarding >= _MAX_DISCARDING:
             return
         self.sock.shutdown(socket.SHUT_WR)
-        self.reader.discard()
+        reader = self.requests.reader
         self.listener.discarding += 1
         try:
             with eventlet.Timeout(_DISCARD_SECONDS, TimeoutError):
-                while not self.reader.closed:
-                    self.reader.read()
+                while not reader.closed:
+                    reader.read()
         finally:
             self.listener.discarding -= 1
-
-
-def _head_size(head: http1_heads.RequestHead) -> int:
-    """Returns the memory of a request's head."""
-    texts = sum(len(name) + len(value) for name, value in head.fields)
-    return len(head.target) + texts + len(head.fields) * _FIELD_BYTES
--- a/src/mintcleat/main/listener_bounds.py
+++ b/src/mintcleat/main/listener_bounds.py
@@ -64,13 +64,14 @@
 
     def report(self, yielded: http1_server.Yielded) -> None:
         """Reports a connection that gave way to others."""
-        fields = dict(reversed(yielded.fields))
+        dropped = yielded.dropped
+        fields = dict(reversed(dropped.fields)) if dropped else {}
         self.events.emit(
             event_types.ConnectionYielded(
                 fields.get(self.id_field, ""),
                 yielded.peer,
                 yielded.reason,
-                yielded.dropped,
+                dropped.size if dropped else 0,
             )
         )
 
--- a/testing/test_http1_bytes.py
+++ b/testing/test_http1_bytes.py
@@ -309,7 +309,7 @@
     listener.stop()
     sock = scripted_socket.ScriptedSocket()
     connection = http1_server.Connection(listener, sock, "peer")
-    connection.reader = scripted_socket.ScriptedReader(parts)
+    connection.requests.reader = scripted_socket.ScriptedReader(parts)
     connection.serve()
     methods = [request.method for request in requests]
     responses = h11_reference.parse_responses(sock.sent, methods)
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -11,6 +11,7 @@
 import testtools
 
 from mintcleat.adapters import http1_framing
+from mintcleat.adapters import http1_requests
 from mintcleat.adapters import http1_server
 from mintcleat.adapters import received_bytes
 from mintcleat.domain import manifest
@@ -157,7 +158,7 @@
         (connection,) = self.listener.connections
         eventlet.spawn(self.caller.sendall, b"x" * 1_000_000)
         eventlet.sleep(0.05)
-        self.assertLess(len(connection.reader.unread), 200_000)
+        self.assertLess(len(connection.requests.reader.unread), 200_000)
 
     def test_response_to_head_has_no_body(self) -> None:
         self.send("/a", method="HEAD")
@@ -432,7 +433,7 @@
 
     def test_body_that_never_ends_is_given_up(self) -> None:
         # Guards against a body that drips for as long as its caller likes.
-        with mock.patch.object(http1_server, "_BODY_SECONDS", 0.3):
+        with mock.patch.object(http1_requests, "_BODY_SECONDS", 0.3):
             sock = self.send("/", 1000, 10)
             for _ in range(5):
                 eventlet.sleep(0.05)
