--- a/testing/test_crowds.py
+++ b/testing/test_crowds.py
@@ -1,30 +1,17 @@
 """Crowds of callers that misbehave, at real processes; see `crowd`."""
 
 import json
-import os
-import pathlib
-import subprocess
-import sys
 from typing import Any
 
 import pytest
 from testing import crowd
+from testing import module_runs
 
-ROOT = pathlib.Path(__file__).parent.parent
 AT_LISTENERS = ("chunked_large", "tiny_chunks", "over_chunked", "short_heads")
 
 
 def _play(*arguments: str) -> dict[str, Any]:
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-    done = subprocess.run(
-        [sys.executable, "-m", "testing.crowd", *arguments],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=240.0,
-    )
+    done = module_runs.run("testing.crowd", *arguments, seconds=240.0)
     assert done.returncode == 0, done.stderr[-2000:]
     return json.loads(done.stdout.splitlines()[-1])
 
--- a/testing/test_endless_crowd.py
+++ b/testing/test_endless_crowd.py
@@ -1,29 +1,17 @@
 """Upstreams that send bytes without end to many requests, with processes."""
 
 import json
-import os
-import pathlib
-import subprocess
-import sys
 from typing import Any
 
 import pytest
 from testing import endless_crowd
-
-ROOT = pathlib.Path(__file__).parent.parent
+from testing import module_runs
 
 
 def _play(group: str) -> list[dict[str, Any]]:
     kinds = endless_crowd.GROUPS[group]
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-    found = subprocess.run(
-        [sys.executable, "-m", "testing.endless_crowd", group],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=90.0 * len(kinds),
+    found = module_runs.run(
+        "testing.endless_crowd", group, seconds=90.0 * len(kinds)
     )
     seen = [json.loads(line) for line in found.stdout.splitlines()]
     assert [one["kind"] for one in seen] == list(kinds), found.stderr
--- a/testing/test_lost_entries.py
+++ b/testing/test_lost_entries.py
@@ -1,15 +1,11 @@
 """All entries as real processes, killed at the same moment within streams."""
 
 import json
-import os
-import pathlib
-import subprocess
-import sys
 from typing import Any
 
 import pytest
+from testing import module_runs
 
-ROOT = pathlib.Path(__file__).parent.parent
 _SECONDS = 120.0
 # How a stream may end that nobody continues: refused, and nothing has run. On a
 # busy machine records and leases come too late for some.
@@ -23,16 +19,11 @@
 
 
 def _run(seed: int, leaves: bool) -> dict[str, Any]:
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-    module = "testing.soak.lost_entries"
-    done = subprocess.run(
-        [sys.executable, "-m", module, str(seed), str(int(leaves))],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=_SECONDS,
+    done = module_runs.run(
+        "testing.soak.lost_entries",
+        str(seed),
+        str(int(leaves)),
+        seconds=_SECONDS,
     )
     assert done.returncode == 0, done.stdout + done.stderr
     return json.loads(done.stdout.splitlines()[-1])
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1,15 +1,13 @@
 """A seeded run of the soak test, its schedule and its checks."""
 
 import itertools
-import os
-import pathlib
 import re
 import subprocess
-import sys
 import time
 import types
 
 import pytest
+from testing import module_runs
 from testing.soak import changes
 from testing.soak import checks as checks_module
 from testing.soak import faults as faults_module
@@ -19,7 +17,6 @@
 from testing.soak import upstreams
 import xxhash
 
-ROOT = pathlib.Path(__file__).parent.parent
 SEED = 4
 SECONDS = 60.0
 
@@ -47,16 +44,7 @@
 
 
 def _run_python(code: str) -> subprocess.CompletedProcess:
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-    return subprocess.run(
-        [sys.executable, "-c", code],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=60.0,
-    )
+    return module_runs.run_code(code, seconds=60.0)
 
 
 def test_every_length_at_which_an_answer_may_break_off_is_found() -> None:
@@ -96,19 +84,8 @@
 def test_seeded_run_breaks_no_promise() -> None:
     # Guards against whatever the product's processes do wrong only together:
     # while they are killed, paused, cut off, stopped, and lose disks.
-    # It has a process of its own: what is left of its event loop must not
-    # disturb the sockets of other tests.
-    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
     arguments = ["--seed", str(SEED), "--seconds", str(SECONDS)]
-    done = subprocess.run(
-        [sys.executable, "-m", "testing.soak", *arguments],
-        cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
-        capture_output=True,
-        text=True,
-        check=False,
-        timeout=4 * SECONDS,
-    )
+    done = module_runs.run("testing.soak", *arguments, seconds=4 * SECONDS)
     assert done.returncode == 0, done.stdout + done.stderr
     # About 1,000 on an idle machine, half of that on a busy one.
     served = re.search(r"(\d+) served", done.stdout)
