A whole body has 30 s at the product's own interface

A caller could hold a connection and a green thread for good: each read of 64 KiB of a chunked body had 30 s anew, and what is read of a body that the application has left had only the 75 s of an idle connection for each block.

The time now counts from the first read of a body, and the rest that is discarded has the same time as a whole.

--- a/src/mintcleat/adapters/http_request.py
+++ b/src/mintcleat/adapters/http_request.py
@@ -1,6 +1,7 @@
 """Reading of WSGI requests, with limits on size and time."""
 
 import json
+import time
 from typing import Any
 
 import eventlet
@@ -64,6 +65,8 @@
 
 
 _TAKEN = "mintcleat.body_bytes"
+# Key of the monotonic time until which the body must have arrived.
+_UNTIL = "mintcleat.body_until"
 
 
 def take_bytes(environ: Environ, size: int) -> None:
@@ -133,9 +136,11 @@
 
 
 def read_with_timeout(environ: Environ, size: int) -> bytes:
-    """Reads up to `size` bytes within `BODY_TIMEOUT_SECONDS`."""
+    """Reads up to `size` bytes; the whole body has `BODY_TIMEOUT_SECONDS`."""
+    now = time.monotonic()
+    until = environ.setdefault(_UNTIL, now + BODY_TIMEOUT_SECONDS)
     try:
-        with eventlet.Timeout(BODY_TIMEOUT_SECONDS):
+        with eventlet.Timeout(max(0.0, until - now)):
             return environ["wsgi.input"].read(size)
     except eventlet.Timeout:
         raise errors.BadRequest(
--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -183,15 +183,19 @@
         """Drops what the application has not read.
 
         Raises:
-            OSError: It is too much; eventlet closes the connection then.
+            OSError: It is too much or takes too long; eventlet closes the
+                connection then.
         """
+        late = OSError("the rest of the body takes too long")
         size = 0
-        while data := self.read(buffer_size):
-            size += len(data)
-            if size > _MAX_DISCARDED_BYTES:
-                raise OSError(
-                    f"the rest of the body exceeds {_MAX_DISCARDED_BYTES} bytes"
-                )
+        with eventlet.Timeout(http_request.BODY_TIMEOUT_SECONDS, late):
+            while data := self.read(buffer_size):
+                size += len(data)
+                if size > _MAX_DISCARDED_BYTES:
+                    raise OSError(
+                        "the rest of the body exceeds "
+                        f"{_MAX_DISCARDED_BYTES} bytes"
+                    )
 
     def _discard_trailers(self, rfile: _BoundedLines) -> None:
         size = 0
--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -156,3 +156,15 @@
         trailers = b"0\r\n" + b"a: b\r\n" * 10_000
         for reads in (True, False):
             self.assertTrue(self.ends(reads, chunked, trailers), reads)
+
+    def test_body_that_never_ends_in_time_ends_with_the_connection(
+        self,
+    ) -> None:
+        # Guards against a caller that sends a little now and then for good.
+        self.patch(http_request, "BODY_TIMEOUT_SECONDS", 0.2)
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        length = b"Content-Length: 8000000\r\n"
+        block = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        for reads in (True, False):
+            self.assertTrue(self.ends(reads, chunked, block), reads)
+            self.assertTrue(self.ends(reads, length, b"x"), reads)
