Connections of the product's own interface follow from the descriptors

A server of the product's own interface took up to 10,000 connections, whatever number of descriptors its process may open. Callers that open connections and stay could take all of them, so that the process had none for streams, files and its other listener.

A server now has at most 0.4 of RLIMIT_NOFILE, and 10,000 as before if that is less. Further callers wait until others leave or have been idle for 75 s.

The test failed before: 10,000 connections with 100 descriptors.

--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -1,5 +1,6 @@
 """An HTTP server for WSGI applications, on eventlet's WSGI server."""
 
+import resource
 import socket
 from typing import Any
 
@@ -18,6 +19,9 @@
 # connection that is being closed.
 _IDLE_TIMEOUT_SECONDS = 75.0
 _MAX_CONNECTIONS = 10_000
+# Part of the process's file descriptors for the connections of one server. It
+# may have two; the rest is for streams and files.
+_DESCRIPTOR_FRACTION = 0.4
 # Bounds on a line before a chunk and on all trailers, and on what is read of a
 # body that the application has left; eventlet has none. A caller within the
 # limits may send its whole body before it reads the refusal.
@@ -26,6 +30,16 @@
 _MAX_DISCARDED_BYTES = http_request.MAX_BODY_BYTES
 
 
+def max_connections() -> int:
+    """Returns how many connections one server of this process may have."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return _MAX_CONNECTIONS
+    return min(
+        _MAX_CONNECTIONS, max(1, int(descriptors * _DESCRIPTOR_FRACTION))
+    )
+
+
 class HttpServer:
     """Serves one WSGI application.
 
@@ -48,7 +62,7 @@
         self.address = f"{host}:{port}"
         self.active = 0
         self.bodies = http_request.BodyBytes()
-        self.pool = eventlet.GreenPool(_MAX_CONNECTIONS)
+        self.pool = eventlet.GreenPool(max_connections())
         self.server = eventlet.spawn(self._serve)
 
     def stop(self) -> None:
--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -1,6 +1,7 @@
 """The server of WSGI applications."""
 
 from collections.abc import Iterable
+import resource
 from typing import Any
 
 import eventlet
@@ -168,3 +169,15 @@
         for reads in (True, False):
             self.assertTrue(self.ends(reads, chunked, block), reads)
             self.assertTrue(self.ends(reads, length, b"x"), reads)
+
+
+class ConnectionsTest(testtools.TestCase):
+    def test_connections_leave_descriptors_to_the_process(self) -> None:
+        # Guards against silent callers that take each descriptor there is.
+        allowed = {100: 40, 1: 1, 1_000_000: 10_000, -1: 10_000}
+        for descriptors, connections in allowed.items():
+            limits = (descriptors, descriptors)
+            self.patch(resource, "getrlimit", lambda _, given=limits: given)
+            server = wsgi.HttpServer("127.0.0.1:0", application)
+            self.addCleanup(server.stop)
+            self.assertEqual(connections, server.pool.size)
