Small frames of one peer are handled 256 at a time

A block that is read from a peer may hold some 29,000 frames. All of them were handled before another peer, or a caller of the same process, had its turn: a peer that sends empty or tiny frames without end held up all others.

Others have their turn after 256 frames now.

--- a/src/mintcleat/adapters/streams_connection.py
+++ b/src/mintcleat/adapters/streams_connection.py
@@ -1,6 +1,7 @@
 """One TCP connection between two processes, and the exchanges on it."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import socket
 import time
@@ -22,6 +23,9 @@
 # thread runs. A new buffer for each read would be mapped and unmapped by the
 # system, because it is large.
 _READ_BUFFER = memoryview(bytearray(256 * 1024))
+# Frames of one connection that are handled before others have their turn. A
+# block may hold thousands of small ones.
+_FRAMES_PER_TURN = 256
 
 
 Serve = Callable[[streams_exchange.TcpExchange, Any], None]
@@ -187,8 +191,7 @@
                 size = self._receive()
                 if not size:
                     return
-                for frame in buffer.feed(_READ_BUFFER[:size]):
-                    self._handle_frame(frame)
+                self._handle_frames(buffer.feed(_READ_BUFFER[:size]))
         except OSError:
             return
         except errors.MintcleatError as error:
@@ -203,6 +206,19 @@
             hub.remove(listener)
             self._thread_ended()
 
+    def _handle_frames(self, frames: Iterator[streams_frames.Frame]) -> None:
+        """Handles the frames of a block.
+
+        Raises:
+            errors.MintcleatError: A frame is invalid.
+        """
+        for number, frame in enumerate(frames, 1):
+            if self.lost:
+                return
+            self._handle_frame(frame)
+            if number % _FRAMES_PER_TURN == 0:
+                eventlet.sleep(0)
+
     def _receive(self) -> int:
         """Reads a block into the buffer; returns its size, 0 at the end.
 
--- a/testing/test_streams_flow.py
+++ b/testing/test_streams_flow.py
@@ -5,8 +5,11 @@
 import eventlet
 from eventlet import hubs
 import testtools
+from testtools import matchers
 
 from mintcleat.adapters import streams
+from mintcleat.adapters import streams_frames
+from mintcleat.domain import codec
 from mintcleat.domain import config_messages
 from mintcleat.domain import identities
 from mintcleat.domain import replication_messages
@@ -88,3 +91,29 @@
         os.write(writer, b"x")
         hubs.trampoline(reader, read=True, timeout=2.0)
         self.assertEqual(b"x", os.read(reader, 1))
+
+
+class TurnsTest(testtools.TestCase):
+    def test_small_frames_of_one_peer_do_not_hold_up_others(self) -> None:
+        # Guards against thousands of frames that are handled in one turn.
+        server = streams.TcpStreams("127.0.0.1:0")
+        self.addCleanup(server.stop)
+        opened: list[object] = []
+        server.handle(
+            config_messages.Ping, lambda _, message: opened.append(message)
+        )
+        body = codec.encode(config_messages.Ping())
+        frames = b"".join(
+            streams_frames.pack(number, streams_frames.OPEN, body)
+            for number in range(1, 5001)
+        )
+        peer = eventlet.connect(streams.split_address(server.address))
+        self.addCleanup(peer.close)
+        eventlet.spawn(peer.sendall, frames)
+        most = 0
+        with eventlet.Timeout(10.0):
+            while len(opened) < 5000:
+                before = len(opened)
+                eventlet.sleep(0)
+                most = max(most, len(opened) - before)
+        self.assertThat(most, matchers.LessThan(1025))
