--- a/testing/test_wsgi.py
+++ b/testing/test_wsgi.py
@@ -1,6 +1,7 @@
 """The server of WSGI applications."""
 
 from collections.abc import Iterable
+import resource
 from typing import Any
 
 import eventlet
@@ -156,3 +157,27 @@
         trailers = b"0\r\n" + b"a: b\r\n" * 10_000
         for reads in (True, False):
             self.assertTrue(self.ends(reads, chunked, trailers), reads)
+
+    def test_body_that_never_ends_in_time_ends_with_the_connection(
+        self,
+    ) -> None:
+        # Guards against a caller that sends a little now and then for good.
+        self.patch(http_request, "BODY_TIMEOUT_SECONDS", 0.2)
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        length = b"Content-Length: 8000000\r\n"
+        block = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+        for reads in (True, False):
+            self.assertTrue(self.ends(reads, chunked, block), reads)
+            self.assertTrue(self.ends(reads, length, b"x"), reads)
+
+
+class ConnectionsTest(testtools.TestCase):
+    def test_connections_leave_descriptors_to_the_process(self) -> None:
+        # Guards against silent callers that take each descriptor there is.
+        allowed = {100: 40, 1: 1, 1_000_000: 10_000, -1: 10_000}
+        for descriptors, connections in allowed.items():
+            limits = (descriptors, descriptors)
+            self.patch(resource, "getrlimit", lambda _, given=limits: given)
+            server = wsgi.HttpServer("127.0.0.1:0", application)
+            self.addCleanup(server.stop)
+            self.assertEqual(connections, server.pool.size)
