An entry's cache of recent turns counts names and records

Callers of a route with retention that sent turns with small or empty bodies and answers made an entry grow until it was killed. The cache was bounded by the bytes of inputs and outputs alone, so that turns without content never left it, nor those with names of thousands of characters.

Each turn now counts 512 bytes and its names too.

test_chosen_names failed before: 1,000 turns without content were all kept in a cache of 64 KiB, and 100 names of 8,000 characters (800,000 bytes).

--- a/src/mintcleat/roles/entry/turn_client.py
+++ b/src/mintcleat/roles/entry/turn_client.py
@@ -28,14 +28,16 @@
 # Size of the cache of recent turns. Without it the leader would send the whole
 # conversation again for each turn.
 CHAIN_BYTES = 4 * 1024 * 1024
+# Memory of a cached turn beside its content and its names.
+TURN_BYTES = 512
 
 
 class ChainCache:
     """Finished turns by customer and id; those added first are dropped first.
 
     Attributes:
-        limit: Maximum size of the content, in bytes.
-        size: Current size of the content, in bytes.
+        limit: Maximum size of the turns, in bytes.
+        size: Current size of the turns, in bytes.
     """
 
     def __init__(self, limit: int = CHAIN_BYTES) -> None:
@@ -52,10 +54,16 @@
             self.turns.move_to_end(key)
             return
         self.turns[key] = kept
-        self.size += len(kept.input) + len(kept.output)
+        self.size += cached_size(kept)
         while self.size > self.limit:
             _, oldest = self.turns.popitem(last=False)
-            self.size -= len(oldest.input) + len(oldest.output)
+            self.size -= cached_size(oldest)
+
+
+def cached_size(kept: program_messages.KeptTurn) -> int:
+    """Returns the bytes that a turn takes in the cache."""
+    names = len(kept.turn) + len(kept.previous) + len(kept.customer)
+    return TURN_BYTES + names + len(kept.input) + len(kept.output)
 
 
 class OpenedTurn:
