The accounts of programs have a bound in the memory of control

Callers that began a program with each request, under ids that they made up, made the control instances grow by 0.6 to 1.0 KB for each, for the retention of 75 s or more and all replicas alike, until these were killed. Nothing bounded the number of accounts.

A leader now refuses to open a turn of a program without an account while all accounts take more than 0.9 of a tenth of the process's memory, and of one with an account beyond the whole. The refusal comes before the turn runs; no account is lost, so that budgets hold.

--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -17,6 +17,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -44,6 +45,9 @@
 MAX_DELETIONS = 2000
 # The memory of what expires between two sweeps is negligible.
 SWEEP_INTERVAL_SECONDS = 10.0
+# Memory of an account beside its names, and of a turn id that it remembers.
+ACCOUNT_BYTES = 768
+TURN_ID_BYTES = 96
 
 
 def size_of(kept: program_messages.KeptTurn) -> int:
@@ -68,30 +72,53 @@
         settled: Ids of recently settled turns, the oldest first.
         upstream: Upstream that ran the program's last turn; empty for none.
         expires: Group clock after which the account may be deleted.
+        size: Bytes of memory that it takes, by estimate.
     """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "budget", "expires", "reserved", "settled", "size", "spent", "upstream"
+    )  # fmt: skip
+
+    def __init__(self, key: ScopedId) -> None:
         self.budget = 0
         self.spent = 0
         self.reserved: dict[str, int] = {}
-        self.settled: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+        self.settled: dict[str, None] = {}
         self.upstream = ""
         self.expires = 0.0
+        self.size = ACCOUNT_BYTES + len(key.customer) + len(key.name)
+
+    def reserve(self, turn: str, tokens: int) -> None:
+        """Reserves tokens for a turn."""
+        if turn not in self.reserved:
+            self.size += _turn_id_size(turn)
+        self.reserved[turn] = tokens
 
     def settle(self, turn: str, tokens: int) -> None:
         """Replaces a turn's reservation by the tokens it delivered.
 
         Settling a turn again has no effect.
         """
-        self.reserved.pop(turn, None)
+        if self.reserved.pop(turn, None) is not None:
+            self.size -= _turn_id_size(turn)
         if turn in self.settled:
             return
         self.spent += tokens
-        self.settled[turn] = None
+        self.remember(turn)
         while len(self.settled) > MAX_SETTLED_TURNS:
-            self.settled.popitem(last=False)
+            oldest = next(iter(self.settled))
+            del self.settled[oldest]
+            self.size -= _turn_id_size(oldest)
+
+    def remember(self, turn: str) -> None:
+        """Adds a settled turn."""
+        self.settled[turn] = None
+        self.size += _turn_id_size(turn)
+
+
+def _turn_id_size(turn: str) -> int:
+    """Returns the bytes that an account takes for a turn's id."""
+    return TURN_ID_BYTES + len(turn)
 
 
 class Branches:
@@ -102,6 +129,7 @@
         counted: Group clock and `ahead` of each request that was counted
             within `COUNTED_SECONDS`, by its id, the oldest first.
         accounts: Accounts by program, the least recently used first.
+        account_bytes: Size of the accounts.
         turns: Finished turns by id. A program may continue a turn of another
             program of its customer.
         expires: Group clock after which each finished turn may be deleted, the
@@ -120,6 +148,7 @@
         self.accounts: collections.OrderedDict[ScopedId, Account] = (
             collections.OrderedDict()
         )
+        self.account_bytes = 0
         self.turns: dict[ScopedId, program_messages.KeptTurn] = {}
         self.expires: collections.OrderedDict[ScopedId, float] = (
             collections.OrderedDict()
@@ -165,7 +194,7 @@
             )
             if refusal is not None:
                 return refusal
-            account.reserved[request.turn] = request.reserve
+            self._reserve(account, request)
             if request.limit is not None:
                 counted_at = clock
             ahead = self.limits.count_ahead(
@@ -230,7 +259,9 @@
         account = self._account(request, clock)
         if request.counted_at >= 0 and request.turn in account.reserved:
             self.limits.refund(request.customer, request.counted_at)
+        before = account.size
         account.settle(request.turn, request.tokens)
+        self.account_bytes += account.size - before
         account.upstream = request.upstream or account.upstream
         if not request.keep:
             return identities.Done()
@@ -267,6 +298,7 @@
             self.kept_bytes -= size_of(self.turns.pop(turn))
         for program in self.account_expiry.expired(clock, MAX_DELETIONS):
             account = self.accounts.pop(program)
+            self.account_bytes -= account.size
             self.account_expiry.remove(program, account.expires)
 
     def state(self) -> list[Any]:
@@ -312,14 +344,14 @@
         ) in state[1]:
             # Accounts of releases without customers have no such field.
             key = ScopedId(owner[0] if owner else "", name)
-            account = self.accounts[key] = Account()
-            account.budget, account.spent, account.reserved = (
-                budget,
-                spent,
-                reserved,
-            )
-            account.settled.update(dict.fromkeys(settled))
+            account = self.accounts[key] = Account(key)
+            account.budget, account.spent = budget, spent
+            for turn, tokens in reserved.items():
+                account.reserve(turn, tokens)
+            for turn in settled:
+                account.remember(turn)
             account.upstream, account.expires = upstream, expires
+            self.account_bytes += account.size
             self.account_expiry.add(key, expires)
         for until, *fields in state[2]:
             kept = program_messages.KeptTurn(*fields)
@@ -333,11 +365,23 @@
             for call, at, ahead in state[_COUNTED_INDEX]:
                 self.counted[call] = (at, ahead)
 
+    def first_account_expiry(self) -> float:
+        """Returns when the first account expires; infinity without any."""
+        expiries = (at for _, at in self.account_expiry.in_order())
+        return next(expiries, math.inf)
+
     def sizes_by_expiry(self) -> Iterator[tuple[float, int]]:
         """Yields the expiry and the size of each finished turn, in order."""
         for turn, expires in self.turn_expiry.in_order():
             yield expires, size_of(self.turns[turn])
 
+    def _reserve(
+        self, account: Account, request: program_messages.OpenTurn
+    ) -> None:
+        before = account.size
+        account.reserve(request.turn, request.reserve)
+        self.account_bytes += account.size - before
+
     def _keep(self, key: ScopedId, kept: program_messages.KeptTurn) -> None:
         replaced = self.turns.get(key)
         if replaced is not None:
@@ -373,7 +417,8 @@
         account = self.accounts.get(key)
         until = clock + request.retention + RETENTION_SLACK_SECONDS
         if account is None:
-            account = self.accounts[key] = Account()
+            account = self.accounts[key] = Account(key)
+            self.account_bytes += account.size
             account.expires = until
             self.account_expiry.add(key, until)
         elif until > account.expires:
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -11,6 +11,7 @@
 
 from mintcleat.decisions import kept_turns
 from mintcleat.decisions import limits
+from mintcleat.decisions import record_room
 from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.domain import codec
@@ -36,6 +37,9 @@
 # error from here if a group makes no progress, instead of a timeout.
 PROPOSE_SECONDS = 1.5
 TICK_SECONDS = 5.0
+# Time after which expired turns and accounts are deleted: by a sweep, which a
+# tick starts.
+_DELETION_DELAY_SECONDS = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
 
 READS = (
     program_messages.ShowProgram,
@@ -100,6 +104,8 @@
         machines: The state machine of each group on this instance.
         clocks: The clock of each group.
         rooms: The room for kept turns of each group.
+        account_limit: Bytes that the accounts of a group may take; 0 for no
+            limit.
         policies: Returns the newest policies that this instance knows.
         is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
@@ -118,6 +124,7 @@
         *,
         is_current: Callable[[], bool] = lambda: True,
         kept_limit: int = 0,
+        account_limit: int = 0,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -136,6 +143,8 @@
             is_current: Returns whether newer ones become known here in time.
             kept_limit: Bytes that the finished turns of a group may keep; 0
                 for no limit.
+            account_limit: Bytes that the accounts of a group may take; 0 for
+                no limit.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -155,6 +164,7 @@
             group: GroupClock(group_machine, timer_service)
             for group, group_machine in self.machines.items()
         }
+        self.account_limit = account_limit
         self.rooms = {group: kept_turns.Room(kept_limit) for group in groups}
         self.entry_loads = shared_load.EntryLoads()
         self.failure_reports = shared_health.FailureReports()
@@ -232,6 +242,7 @@
             requests[position] = self._with_current_limit(requests[position])
             try:
                 group = self._checked_group(requests[position])
+                self._check_account_room(group, requests[position])
                 self._reserve_room(group, requests[position])
                 if self._controls_admission(group, requests[position]):
                     self._admit(
@@ -278,6 +289,36 @@
             and self.log.leads(group)
         )
 
+    def _check_account_room(self, group: str, request: Any) -> None:
+        """Checks that there is room for the account of a turn's program.
+
+        Raises:
+            errors.Overloaded: There is none. The turn has not run.
+        """
+        if not isinstance(request, program_messages.OpenTurn):
+            return
+        if not self.log.leads(group):
+            return
+        found = self.machines[group].branches
+        key = branches.ScopedId(request.customer, request.program)
+        account = found.accounts.get(key)
+        if account is not None and request.turn in account.reserved:
+            return
+        if record_room.has_room(
+            found.account_bytes,
+            self.account_limit,
+            is_known=account is not None,
+        ):
+            return
+        expires = found.first_account_expiry() - self._clock(group)
+        raise errors.Overloaded(
+            f"The accounts of {len(found.accounts)} programs take "
+            f"{found.account_bytes} of {self.account_limit} bytes.",
+            retry_after=round(
+                record_room.retry_after(expires + _DELETION_DELAY_SECONDS), 3
+            ),
+        )
+
     def _reserve_room(self, group: str, request: Any) -> None:
         """Reserves the room for keeping a turn.
 
@@ -297,10 +338,10 @@
         if room.has_room(key, size, kept, continues, now):
             return
         clock = self._clock(group)
-        # Expired turns are deleted by a sweep, which a tick starts.
-        late = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
         expiring = (
-            kept_turns.Expiring(expires - clock + late, freed)
+            kept_turns.Expiring(
+                expires - clock + _DELETION_DELAY_SECONDS, freed
+            )
             for expires, freed in finished.sizes_by_expiry()
         )
         after = room.retry_after(size, kept, continues, expiring, now)
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -1,9 +1,21 @@
 """Growth of tables whose names are chosen by callers that nobody controls."""
 
+from typing import Any
+
 import testtools
 
+from fakes import log as fake_log
+from mintcleat.adapters import timers
+from mintcleat.domain import errors
+from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.programs import machine
+from mintcleat.programs import placement
+from mintcleat.roles.control.programs import service as program_service
 from mintcleat.roles.entry import turn_client
+from test_program_service import NoStreams
+
+ACCOUNT_LIMIT = 100_000
 
 
 def _kept(turn: str, content: bytes = b"") -> program_messages.KeptTurn:
@@ -32,3 +44,84 @@
             cache.put(_kept(f"turn-{number % 40}", bytes(number)))
         sizes = [turn_client.cached_size(kept) for kept in cache.turns.values()]
         self.assertEqual(sum(sizes), cache.size)
+
+
+class AccountsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.timers = timers.VirtualTimers()
+        cluster = fake_log.Cluster()
+        self.service = program_service.ProgramService(
+            fake_log.MemoryLog(cluster, "c1:1"),
+            NoStreams(),
+            self.timers,
+            placement.group_names(1),
+            manifest.Policies,
+            account_limit=ACCOUNT_LIMIT,
+        )
+        cluster.elect("c1:1")
+        (self.group,) = self.service.machines.values()
+
+    def answer(self, request: Any) -> Any:
+        (reply,) = self.service.answer([request])
+        return reply
+
+    def run_turn(self, program: str, turn: str) -> Any:
+        reply = self.answer(
+            program_messages.OpenTurn(program, turn, "", 1000, 10, 60.0)
+        )
+        if isinstance(reply, program_messages.TurnOpened):
+            self.answer(
+                program_messages.CloseTurn(
+                    program, turn, 10, "u:1", retention=60.0
+                )
+            )
+        return reply
+
+    def test_programs_with_made_up_names_do_not_fill_the_memory_of_control(
+        self,
+    ) -> None:
+        replies = [self.run_turn(f"p-{n}", f"t-{n}") for n in range(500)]
+        self.assertIsInstance(replies[-1], errors.Overloaded)
+        self.assertEqual(errors.NOT_RUN, replies[-1].outcome)
+        found = self.group.branches
+        self.assertTrue(found.account_bytes <= ACCOUNT_LIMIT)
+        self.assertTrue(50 <= len(found.accounts) <= 130, len(found.accounts))
+
+    def test_program_in_progress_keeps_its_budget_when_others_are_refused(
+        self,
+    ) -> None:
+        for number in range(500):
+            self.run_turn(f"p-{number}", f"t-{number}")
+        for number in range(99):
+            reply = self.run_turn("p-0", f"next-{number}")
+            if not isinstance(reply, program_messages.TurnOpened):
+                break
+        # 990 of 1,000 tokens were spent before, 10 in the first turn.
+        self.assertIsInstance(reply, program_messages.TurnOpened)
+        self.assertIsInstance(
+            self.run_turn("p-0", "beyond"), errors.BudgetExhausted
+        )
+
+    def test_refused_program_begins_at_the_stated_time(self) -> None:
+        for number in range(500):
+            refused = self.run_turn(f"p-{number}", f"t-{number}")
+        self.timers.advance(refused.retry_after)
+        self.assertIsInstance(
+            self.run_turn("later", "later"), program_messages.TurnOpened
+        )
+
+    def test_size_of_the_accounts_survives_a_snapshot_and_ends_with_them(
+        self,
+    ) -> None:
+        # A size that drifts would refuse programs for ever, or never.
+        for number in range(200):
+            self.run_turn(f"p-{number % 3}", f"t-{number}")
+        self.answer(program_messages.OpenTurn("p-0", "open", "", 0, 1, 60.0))
+        restored = machine.ProgramMachine(None)
+        restored.restore(self.group.snapshot())
+        self.assertEqual(
+            self.group.branches.account_bytes, restored.branches.account_bytes
+        )
+        self.timers.advance(100.0)
+        self.assertEqual(0, self.group.branches.account_bytes)
