A refused turn leaves no account of its program

Callers whose turns were refused, for their budget or their customer's limit, left an account for each program id that they made up, for the retention of 75 s or more. Their refusals cost them nothing, and would keep others from beginning programs now that accounts have a bound.

An opening that is refused deletes the account that it created. No reply depends on such an account: nothing was spent, reserved or settled.

--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -172,27 +172,16 @@
             return errors.UnknownTurn(
                 f"Turn {request.previous} does not exist or has expired."
             )
+        key = ScopedId(request.customer, request.program)
+        is_known = key in self.accounts
         account = self._account(request, clock)
         account.budget = request.budget
-        if request.turn in account.settled:
-            # Its sender has already settled it; this message is a late copy.
-            return errors.Superseded(
-                f"Turn {request.turn} is already settled; use a new turn id."
-            )
         counted_at, ahead = -1.0, 0
         if request.turn not in account.reserved:
-            tokens_left = (
-                account.budget - account.spent - sum(account.reserved.values())
-            )
-            if account.budget and request.reserve > tokens_left:
-                return errors.BudgetExhausted(
-                    f"The turn reserves {request.reserve} tokens, but only "
-                    f"{max(tokens_left, 0)} of the budget are left."
-                )
-            refusal = self.limits.admit(
-                request.customer, request.program, request.limit, clock
-            )
+            refusal = self._refusal(account, request, clock)
             if refusal is not None:
+                if not is_known:
+                    self._delete_account(key)
                 return refusal
             self._reserve(account, request)
             if request.limit is not None:
@@ -206,6 +195,30 @@
             content, upstream, counted_at=counted_at, ahead=ahead
         )
 
+    def _refusal(
+        self,
+        account: Account,
+        request: program_messages.OpenTurn,
+        clock: float,
+    ) -> errors.MintcleatError | None:
+        """Counts the request of a turn, or returns the error refusing it."""
+        if request.turn in account.settled:
+            # Its sender has already settled it; this message is a late copy.
+            return errors.Superseded(
+                f"Turn {request.turn} is already settled; use a new turn id."
+            )
+        tokens_left = (
+            account.budget - account.spent - sum(account.reserved.values())
+        )
+        if account.budget and request.reserve > tokens_left:
+            return errors.BudgetExhausted(
+                f"The turn reserves {request.reserve} tokens, but only "
+                f"{max(tokens_left, 0)} of the budget are left."
+            )
+        return self.limits.admit(
+            request.customer, request.program, request.limit, clock
+        )
+
     def count(self, request: program_messages.CountCall, clock: float) -> Any:
         """Counts requests that open no turn against their customer's limit.
 
@@ -297,9 +310,7 @@
             self.turn_expiry.remove(turn, self.expires.pop(turn))
             self.kept_bytes -= size_of(self.turns.pop(turn))
         for program in self.account_expiry.expired(clock, MAX_DELETIONS):
-            account = self.accounts.pop(program)
-            self.account_bytes -= account.size
-            self.account_expiry.remove(program, account.expires)
+            self._delete_account(program)
 
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
@@ -375,6 +386,11 @@
         for turn, expires in self.turn_expiry.in_order():
             yield expires, size_of(self.turns[turn])
 
+    def _delete_account(self, key: ScopedId) -> None:
+        account = self.accounts.pop(key)
+        self.account_bytes -= account.size
+        self.account_expiry.remove(key, account.expires)
+
     def _reserve(
         self, account: Account, request: program_messages.OpenTurn
     ) -> None:
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -88,6 +88,16 @@
         self.assertTrue(found.account_bytes <= ACCOUNT_LIMIT)
         self.assertTrue(50 <= len(found.accounts) <= 130, len(found.accounts))
 
+    def test_refused_turns_leave_no_account(self) -> None:
+        # A crowd that is refused would keep others from beginning programs.
+        for number in range(50):
+            reply = self.answer(
+                program_messages.OpenTurn(f"p-{number}", "t", "", 5, 10, 60.0)
+            )
+            self.assertIsInstance(reply, errors.BudgetExhausted)
+        found = self.group.branches
+        self.assertEqual((0, 0), (len(found.accounts), found.account_bytes))
+
     def test_program_in_progress_keeps_its_budget_when_others_are_refused(
         self,
     ) -> None:
