Kept turns count in control's memory although they have no content

Callers of a route with retention whose turns had empty or small bodies and answers made the control instances grow by 0.5 KB and the names, of up to 256 characters each, for every turn, until its retention ended. The bound on kept turns counted the bytes of content alone, and a turn without any took no room.

The record of a kept turn beside its content now counts with the accounts of programs, which may take a tenth of the memory. The bound on the content is as it was, so that ordinary turns find as much room as before. Beyond the bound turns are refused before they run; what is kept stays kept.

test_kept_turns_without_content_do_not_fill_the_memory_of_control failed without the records in the sum: all of 1,000 turns were kept where 100,000 bytes were allowed.

--- a/src/mintcleat/decisions/record_room.py
+++ b/src/mintcleat/decisions/record_room.py
@@ -1,13 +1,13 @@
-"""Whether a program is begun, by the room for its account.
+"""Whether a turn is opened, by the room for the records of programs.
 
-Load: callers that begin a program with each request, or that choose a new id
-for each. Each program has an account in the memory of every replica until its
-retention ends.
+Load: callers that begin a program with each request, or that send turns almost
+without content. Each program has an account, and each kept turn a record beside
+its content, in the memory of every replica until the retention ends.
 
 Harm prevented: replicas that exceed their memory are killed, read the same
-accounts from their logs and are killed again. An account can't be dropped
-sooner, since its budget would begin anew. Refusing a turn before it runs costs
-one request.
+records from their logs and are killed again. A record can't be dropped sooner:
+a budget would begin anew, and a kept turn could not be continued. Refusing a
+turn before it runs costs one request.
 
 Programs are refused before turns of programs that have an account, so that
 programs in progress can end.
@@ -23,7 +23,7 @@
     """Returns whether to open a turn.
 
     Args:
-        held: Bytes of all accounts.
+        held: Bytes of all records.
         limit: Bytes that they may take; 0 for no limit.
         is_known: Whether its program has an account.
     """
@@ -35,6 +35,6 @@
     """Returns the seconds after which a refused caller should retry.
 
     Args:
-        seconds: Time until the first account is deleted.
+        seconds: Time until the first record is deleted.
     """
     return max(_MIN_RETRY_SECONDS, seconds)
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -30,8 +30,9 @@
 # log's entries and a snapshot that is encoded, written and sent hold the same
 # bytes up to four times more, beside the process itself.
 _KEPT_TURNS_FRACTION = 0.11
-# Share of the process's memory for the accounts of programs.
-_ACCOUNTS_FRACTION = 0.1
+# Share of the process's memory for the accounts of programs, and for their kept
+# turns beside the content.
+_RECORDS_FRACTION = 0.1
 
 
 class ControlRole:
@@ -104,7 +105,7 @@
             self.configuration.policies,
             is_current=self.configuration.is_current,
             kept_limit=int(memory_bytes * _KEPT_TURNS_FRACTION / len(groups)),
-            account_limit=int(memory_bytes * _ACCOUNTS_FRACTION / len(groups)),
+            record_limit=int(memory_bytes * _RECORDS_FRACTION / len(groups)),
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -48,6 +48,8 @@
 # Memory of an account beside its names, and of a turn id that it remembers.
 ACCOUNT_BYTES = 768
 TURN_ID_BYTES = 96
+# Memory of a finished turn beside its content and its names.
+KEPT_TURN_BYTES = 480
 
 
 def size_of(kept: program_messages.KeptTurn) -> int:
@@ -55,6 +57,12 @@
     return len(kept.input) + len(kept.output)
 
 
+def record_size(kept: program_messages.KeptTurn) -> int:
+    """Returns the bytes that a kept turn takes beside its content."""
+    names = (kept.turn, kept.previous, kept.customer, kept.upstream)
+    return KEPT_TURN_BYTES + sum(len(name) for name in names)
+
+
 class ScopedId(NamedTuple):
     """Id of a program or a turn, unique together with its customer."""
 
@@ -135,6 +143,7 @@
         expires: Group clock after which each finished turn may be deleted, the
             least recently renewed first.
         kept_bytes: Size of the inputs and outputs of the finished turns.
+        turn_record_bytes: Size of the finished turns beside these.
         last_sweep: Group clock of the last sweep.
         turn_expiry: The finished turns by expiry.
         account_expiry: The accounts by expiry.
@@ -154,6 +163,7 @@
             collections.OrderedDict()
         )
         self.kept_bytes = 0
+        self.turn_record_bytes = 0
         self.last_sweep = 0.0
         self.turn_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
         self.account_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
@@ -308,7 +318,7 @@
         self.last_sweep = clock
         for turn in self.turn_expiry.expired(clock, MAX_DELETIONS):
             self.turn_expiry.remove(turn, self.expires.pop(turn))
-            self.kept_bytes -= size_of(self.turns.pop(turn))
+            self._drop(self.turns.pop(turn))
         for program in self.account_expiry.expired(clock, MAX_DELETIONS):
             self._delete_account(program)
 
@@ -376,10 +386,20 @@
             for call, at, ahead in state[_COUNTED_INDEX]:
                 self.counted[call] = (at, ahead)
 
-    def first_account_expiry(self) -> float:
-        """Returns when the first account expires; infinity without any."""
-        expiries = (at for _, at in self.account_expiry.in_order())
-        return next(expiries, math.inf)
+    def record_bytes(self) -> int:
+        """Returns the size of all accounts and turns without content."""
+        return self.account_bytes + self.turn_record_bytes
+
+    def first_expiry(self) -> float:
+        """Returns when the first account or turn expires.
+
+        It is infinite without any.
+        """
+        accounts = self.account_expiry.in_order()
+        turns = self.turn_expiry.in_order()
+        _, account = next(accounts, (None, math.inf))
+        _, turn = next(turns, (None, math.inf))
+        return min(account, turn)
 
     def sizes_by_expiry(self) -> Iterator[tuple[float, int]]:
         """Yields the expiry and the size of each finished turn, in order."""
@@ -401,9 +421,15 @@
     def _keep(self, key: ScopedId, kept: program_messages.KeptTurn) -> None:
         replaced = self.turns.get(key)
         if replaced is not None:
-            self.kept_bytes -= size_of(replaced)
+            self._drop(replaced)
         self.turns[key] = kept
         self.kept_bytes += size_of(kept)
+        self.turn_record_bytes += record_size(kept)
+
+    def _drop(self, kept: program_messages.KeptTurn) -> None:
+        """Subtracts a turn that is not kept any more."""
+        self.kept_bytes -= size_of(kept)
+        self.turn_record_bytes -= record_size(kept)
 
     def _renew_chain(
         self, request: program_messages.CloseTurn, clock: float
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -104,8 +104,8 @@
         machines: The state machine of each group on this instance.
         clocks: The clock of each group.
         rooms: The room for kept turns of each group.
-        account_limit: Bytes that the accounts of a group may take; 0 for no
-            limit.
+        record_limit: Bytes that the accounts and the finished turns of a
+            group may take beside the turns' content; 0 for no limit.
         policies: Returns the newest policies that this instance knows.
         is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
@@ -124,7 +124,7 @@
         *,
         is_current: Callable[[], bool] = lambda: True,
         kept_limit: int = 0,
-        account_limit: int = 0,
+        record_limit: int = 0,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -143,8 +143,8 @@
             is_current: Returns whether newer ones become known here in time.
             kept_limit: Bytes that the finished turns of a group may keep; 0
                 for no limit.
-            account_limit: Bytes that the accounts of a group may take; 0 for
-                no limit.
+            record_limit: Bytes that the accounts and the finished turns of a
+                group may take beside the turns' content; 0 for no limit.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -164,7 +164,7 @@
             group: GroupClock(group_machine, timer_service)
             for group, group_machine in self.machines.items()
         }
-        self.account_limit = account_limit
+        self.record_limit = record_limit
         self.rooms = {group: kept_turns.Room(kept_limit) for group in groups}
         self.entry_loads = shared_load.EntryLoads()
         self.failure_reports = shared_health.FailureReports()
@@ -242,7 +242,7 @@
             requests[position] = self._with_current_limit(requests[position])
             try:
                 group = self._checked_group(requests[position])
-                self._check_account_room(group, requests[position])
+                self._check_record_room(group, requests[position])
                 self._reserve_room(group, requests[position])
                 if self._controls_admission(group, requests[position]):
                     self._admit(
@@ -289,8 +289,8 @@
             and self.log.leads(group)
         )
 
-    def _check_account_room(self, group: str, request: Any) -> None:
-        """Checks that there is room for the account of a turn's program.
+    def _check_record_room(self, group: str, request: Any) -> None:
+        """Checks that there is room for the records of a turn.
 
         Raises:
             errors.Overloaded: There is none. The turn has not run.
@@ -305,15 +305,16 @@
         if account is not None and request.turn in account.reserved:
             return
         if record_room.has_room(
-            found.account_bytes,
-            self.account_limit,
+            found.record_bytes(),
+            self.record_limit,
             is_known=account is not None,
         ):
             return
-        expires = found.first_account_expiry() - self._clock(group)
+        expires = found.first_expiry() - self._clock(group)
         raise errors.Overloaded(
-            f"The accounts of {len(found.accounts)} programs take "
-            f"{found.account_bytes} of {self.account_limit} bytes.",
+            f"The records of {len(found.accounts)} programs and "
+            f"{len(found.turns)} finished turns take {found.record_bytes()} of "
+            f"{self.record_limit} bytes.",
             retry_after=round(
                 record_room.retry_after(expires + _DELETION_DELAY_SECONDS), 3
             ),
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -15,7 +15,7 @@
 from mintcleat.roles.entry import turn_client
 from test_program_service import NoStreams
 
-ACCOUNT_LIMIT = 100_000
+RECORD_LIMIT = 100_000
 
 
 def _kept(turn: str, content: bytes = b"") -> program_messages.KeptTurn:
@@ -46,7 +46,7 @@
         self.assertEqual(sum(sizes), cache.size)
 
 
-class AccountsTest(testtools.TestCase):
+class RecordsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.timers = timers.VirtualTimers()
@@ -57,7 +57,7 @@
             self.timers,
             placement.group_names(1),
             manifest.Policies,
-            account_limit=ACCOUNT_LIMIT,
+            record_limit=RECORD_LIMIT,
         )
         cluster.elect("c1:1")
         (self.group,) = self.service.machines.values()
@@ -66,14 +66,16 @@
         (reply,) = self.service.answer([request])
         return reply
 
-    def run_turn(self, program: str, turn: str) -> Any:
+    def run_turn(self, program: str, turn: str, *, keep: bool = False) -> Any:
         reply = self.answer(
-            program_messages.OpenTurn(program, turn, "", 1000, 10, 60.0)
+            program_messages.OpenTurn(
+                program, turn, "", 0 if keep else 1000, 10, 60.0
+            )
         )
         if isinstance(reply, program_messages.TurnOpened):
             self.answer(
                 program_messages.CloseTurn(
-                    program, turn, 10, "u:1", retention=60.0
+                    program, turn, 10, "u:1", keep, retention=60.0
                 )
             )
         return reply
@@ -85,7 +87,7 @@
         self.assertIsInstance(replies[-1], errors.Overloaded)
         self.assertEqual(errors.NOT_RUN, replies[-1].outcome)
         found = self.group.branches
-        self.assertTrue(found.account_bytes <= ACCOUNT_LIMIT)
+        self.assertTrue(found.account_bytes <= RECORD_LIMIT)
         self.assertTrue(50 <= len(found.accounts) <= 130, len(found.accounts))
 
     def test_refused_turns_leave_no_account(self) -> None:
@@ -121,17 +123,34 @@
             self.run_turn("later", "later"), program_messages.TurnOpened
         )
 
-    def test_size_of_the_accounts_survives_a_snapshot_and_ends_with_them(
+    def test_kept_turns_without_content_do_not_fill_the_memory_of_control(
+        self,
+    ) -> None:
+        # Only the content of kept turns was bounded.
+        for number in range(1000):
+            reply = self.run_turn(f"p-{number % 5}", f"t-{number}", keep=True)
+        self.assertIsInstance(reply, errors.Overloaded)
+        kept = len(self.group.branches.turns)
+        self.assertTrue(100 <= kept <= 200, kept)
+
+    def test_size_of_the_records_survives_a_snapshot_and_ends_with_them(
         self,
     ) -> None:
         # A size that drifts would refuse programs for ever, or never.
         for number in range(200):
-            self.run_turn(f"p-{number % 3}", f"t-{number}")
+            name = f"t-{number % 90}"
+            self.run_turn(f"p-{number % 3}", name, keep=number % 2 == 0)
         self.answer(program_messages.OpenTurn("p-0", "open", "", 0, 1, 60.0))
         restored = machine.ProgramMachine(None)
         restored.restore(self.group.snapshot())
+        found = self.group.branches
         self.assertEqual(
-            self.group.branches.account_bytes, restored.branches.account_bytes
+            (found.account_bytes, found.turn_record_bytes),
+            (
+                restored.branches.account_bytes,
+                restored.branches.turn_record_bytes,
+            ),
         )
+        self.assertTrue(found.turn_record_bytes)
         self.timers.advance(100.0)
-        self.assertEqual(0, self.group.branches.account_bytes)
+        self.assertEqual(0, found.record_bytes())
