A caller's deadline keeps the record of its stream for 600 s at most

Callers of a route whose streams can be taken up, with a deadline that they made up, left records in control that never expired: the number in the header x-deadline-milliseconds may be up to 2**53, and a record was kept until then. With a different deadline for each request, each record also got a place of its own in the list of expiries, which is sorted for each new one, and an entry that could not record a stream tried it again until then.

A record is kept for the timeout of the route, or for the deadline up to 600 s. The time for which versions of a service are asked for is as it was, since a shorter one could take a stream for another version's.

--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -37,6 +37,9 @@
 # Time after which another control instance is asked for the versions of a
 # service: some round trips, well below what a caller waits.
 TRY_SECONDS = 0.25
+# Longest time for which a caller's own deadline keeps a record. Callers may
+# name any deadline, and every replica has the record in memory until then.
+MAX_DEADLINE_SECONDS = 600.0
 # Pauses before a missing record is looked up again: about the duration of one
 # commit, then of two. A refusal would come too late after longer ones.
 RECORD_DELAYS = (0.02, 0.03)
@@ -85,7 +88,7 @@
         (version,) = versions
         return program_messages.BegunStream(
             stream_origins.StreamOrigin(service, version),
-            _request_seconds(call, route),
+            _record_seconds(call, route),
         )
 
     def begun(
@@ -97,7 +100,7 @@
         """Records a stream whose first event is there, in the background."""
         if _may_be_taken_up(route):
             stream = program_messages.BegunStream(
-                origin, _request_seconds(call, route)
+                origin, _record_seconds(call, route)
             )
             self.timers.spawn(self._record, call, stream)
 
@@ -243,3 +246,10 @@
 ) -> float:
     """Returns the longest time of one request."""
     return max(route.timeout, call.deadline)
+
+
+def _record_seconds(
+    call: routed_calls.RoutedCall, route: manifest.Route
+) -> float:
+    """Returns the time for which a stream can be taken up by its record."""
+    return max(route.timeout, min(call.deadline, MAX_DEADLINE_SECONDS))
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -12,8 +12,10 @@
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.roles.control.programs import service as program_service
+from mintcleat.roles.entry import stream_origins
 from mintcleat.roles.entry import turn_client
 from test_program_service import NoStreams
+import test_stream_origins
 
 RECORD_LIMIT = 100_000
 
@@ -46,6 +48,24 @@
         self.assertEqual(sum(sizes), cache.size)
 
 
+class StreamRecordsTest(testtools.TestCase):
+    def test_deadline_of_a_caller_does_not_keep_a_stream_record_for_ever(
+        self,
+    ) -> None:
+        world: Any = test_stream_origins.World()
+        origins = stream_origins.StreamOrigins(
+            world, world, world, world, world
+        )
+        call = test_stream_origins.call()._replace(deadline=2.0**40)
+        planned = origins.planned(call, test_stream_origins.ROUTE, "lm")
+        assert planned is not None
+        self.assertEqual(600.0, planned.seconds)
+        origins.begun(call, test_stream_origins.ROUTE, test_stream_origins.V1)
+        ((function, args),) = world.spawned
+        function(*args)
+        self.assertEqual(600.0, world.asked[0].stream.seconds)
+
+
 class RecordsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
