The records of streams have a bound in the memory of control

Callers of a route whose streams can be taken up made the control instances grow by 0.4 KB and the names for each stream that they began, until its time was over. Nothing bounded the number of these records.

A leader now records no further stream while those that have not expired take a twentieth of the process's memory. The stream itself runs: its entry reports stream_unrecorded, as when no group answers, or the leader does for a turn. A take-up of it is refused with 503 unless only one version can have begun it. Refusing the turns instead would let a crowd that begins streams keep all programs out.

--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -33,6 +33,8 @@
 # Share of the process's memory for the accounts of programs, and for their kept
 # turns beside the content.
 _RECORDS_FRACTION = 0.1
+# The same for the records of streams that callers may take up.
+_STREAMS_FRACTION = 0.05
 
 
 class ControlRole:
@@ -106,6 +108,7 @@
             is_current=self.configuration.is_current,
             kept_limit=int(memory_bytes * _KEPT_TURNS_FRACTION / len(groups)),
             record_limit=int(memory_bytes * _RECORDS_FRACTION / len(groups)),
+            stream_limit=int(memory_bytes * _STREAMS_FRACTION / len(groups)),
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
--- a/src/mintcleat/programs/streams.py
+++ b/src/mintcleat/programs/streams.py
@@ -20,6 +20,8 @@
 # Expired streams that one record deletes; more than it adds, so that the rest
 # goes too, and few enough not to stall the event loop.
 DELETIONS = 8
+# Memory of a record beside its names.
+RECORD_BYTES = 320
 
 
 class StreamKey(NamedTuple):
@@ -40,6 +42,7 @@
         begun: Origin and expiry of each stream; the expiry is a whole second of
             the group's clock.
         due: The streams by expiry, in the order of their records.
+        due_bytes: Size of these records by expiry.
     """
 
     def __init__(self) -> None:
@@ -47,6 +50,7 @@
             StreamKey, tuple[stream_origins.StreamOrigin, int]
         ] = {}
         self.due: dict[int, collections.deque[StreamKey]] = {}
+        self.due_bytes: collections.Counter[int] = collections.Counter()
 
     def record(
         self, request: program_messages.RecordStream, clock: float
@@ -67,6 +71,15 @@
         origin, until = self.begun.get(key, (None, 0))
         return program_messages.StreamFound(origin if until > clock else None)
 
+    def size(self, clock: float) -> int:
+        """Returns the bytes of the records that have not expired.
+
+        Each new record deletes more expired ones than it adds.
+        """
+        return sum(
+            size for until, size in self.due_bytes.items() if until > clock
+        )
+
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
         return [
@@ -90,6 +103,7 @@
     ) -> None:
         self.begun[key] = (origin, until)
         self.due.setdefault(until, collections.deque()).append(key)
+        self.due_bytes[until] += _size_of(key, origin)
 
     def _forget(self, clock: float) -> None:
         """Deletes expired streams, up to `DELETIONS` of them."""
@@ -99,8 +113,16 @@
                 return
             keys = self.due[until]
             while keys and left:
-                del self.begun[keys.popleft()]
+                key = keys.popleft()
+                origin, _ = self.begun.pop(key)
+                self.due_bytes[until] -= _size_of(key, origin)
                 left -= 1
             if keys:
                 return
             del self.due[until]
+            del self.due_bytes[until]
+
+
+def _size_of(key: StreamKey, origin: stream_origins.StreamOrigin) -> int:
+    """Returns the bytes of memory that a record takes, by estimate."""
+    return RECORD_BYTES + sum(len(name) for name in (*key, *origin))
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -16,6 +16,7 @@
 from mintcleat.decisions import shared_load
 from mintcleat.domain import codec
 from mintcleat.domain import errors
+from mintcleat.domain import events as event_types
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
@@ -106,6 +107,8 @@
         rooms: The room for kept turns of each group.
         record_limit: Bytes that the accounts and the finished turns of a
             group may take beside the turns' content; 0 for no limit.
+        stream_limit: Bytes that the records of a group's streams may take; 0
+            for no limit.
         policies: Returns the newest policies that this instance knows.
         is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
@@ -125,6 +128,7 @@
         is_current: Callable[[], bool] = lambda: True,
         kept_limit: int = 0,
         record_limit: int = 0,
+        stream_limit: int = 0,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -145,6 +149,8 @@
                 for no limit.
             record_limit: Bytes that the accounts and the finished turns of a
                 group may take beside the turns' content; 0 for no limit.
+            stream_limit: Bytes that the records of a group's streams may take;
+                0 for no limit.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -165,6 +171,8 @@
             for group, group_machine in self.machines.items()
         }
         self.record_limit = record_limit
+        self.stream_limit = stream_limit
+        self.events = events
         self.rooms = {group: kept_turns.Room(kept_limit) for group in groups}
         self.entry_loads = shared_load.EntryLoads()
         self.failure_reports = shared_health.FailureReports()
@@ -243,6 +251,9 @@
             try:
                 group = self._checked_group(requests[position])
                 self._check_record_room(group, requests[position])
+                requests[position] = self._with_stream_room(
+                    group, requests[position]
+                )
                 self._reserve_room(group, requests[position])
                 if self._controls_admission(group, requests[position]):
                     self._admit(
@@ -320,6 +331,36 @@
             ),
         )
 
+    def _with_stream_room(self, group: str, request: Any) -> Any:
+        """Returns a request that records a stream only if there is room.
+
+        A turn runs without the record of its stream: only a caller whose
+        stream breaks off then loses anything, as its take-up may be refused.
+
+        Raises:
+            errors.Overloaded: A record has no room.
+        """
+        opening = isinstance(request, program_messages.OpenTurn)
+        recording = isinstance(request, program_messages.RecordStream)
+        if not ((opening and request.stream is not None) or recording):
+            return request
+        if not self.stream_limit or not self.log.leads(group):
+            return request
+        held = self.machines[group].streams.size(self._clock(group))
+        if held < self.stream_limit:
+            return request
+        detail = (
+            f"The records of streams take {held} of {self.stream_limit} bytes."
+        )
+        if recording:
+            raise errors.Overloaded(detail)
+        self.events.emit(
+            event_types.StreamUnrecorded(
+                request.turn, *request.stream.origin, detail
+            )
+        )
+        return request._replace(stream=None)
+
     def _reserve_room(self, group: str, request: Any) -> None:
         """Reserves the room for keeping a turn.
 
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -7,8 +7,10 @@
 from fakes import log as fake_log
 from mintcleat.adapters import timers
 from mintcleat.domain import errors
+from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.ports import events
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.roles.control.programs import service as program_service
@@ -48,6 +50,14 @@
         self.assertEqual(sum(sizes), cache.size)
 
 
+class Events(events.NullEventReporter):
+    def __init__(self) -> None:
+        self.emitted: list[Any] = []
+
+    def emit(self, event: Any) -> None:
+        self.emitted.append(event)
+
+
 class StreamRecordsTest(testtools.TestCase):
     def test_deadline_of_a_caller_does_not_keep_a_stream_record_for_ever(
         self,
@@ -70,6 +80,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.timers = timers.VirtualTimers()
+        self.events = Events()
         cluster = fake_log.Cluster()
         self.service = program_service.ProgramService(
             fake_log.MemoryLog(cluster, "c1:1"),
@@ -78,6 +89,8 @@
             placement.group_names(1),
             manifest.Policies,
             record_limit=RECORD_LIMIT,
+            stream_limit=RECORD_LIMIT,
+            events=self.events,
         )
         cluster.elect("c1:1")
         (self.group,) = self.service.machines.values()
@@ -174,3 +187,47 @@
         self.assertTrue(found.turn_record_bytes)
         self.timers.advance(100.0)
         self.assertEqual(0, found.record_bytes())
+
+    def record(self, request: str) -> Any:
+        stream = program_messages.BegunStream(test_stream_origins.V1, 30.0)
+        return self.answer(
+            program_messages.RecordStream("", "c", request, stream)
+        )
+
+    def test_streams_do_not_fill_the_memory_of_control(self) -> None:
+        replies = [self.record(f"r-{number}") for number in range(500)]
+        self.assertIsInstance(replies[-1], errors.Overloaded)
+        recorded = len(self.group.streams.begun)
+        self.assertTrue(200 <= recorded <= 320, recorded)
+
+    def test_streams_are_recorded_again_once_others_have_expired(self) -> None:
+        for round_ in range(10):
+            for number in range(500):
+                self.record(f"r-{round_}-{number}")
+            recorded = len(self.group.streams.begun)
+            self.assertTrue(200 <= recorded <= 320, recorded)
+            self.timers.advance(40.0)
+
+    def test_turn_runs_without_a_record_when_streams_have_no_room(self) -> None:
+        for number in range(500):
+            self.record(f"r-{number}")
+        stream = program_messages.BegunStream(test_stream_origins.V1, 30.0)
+        reply = self.answer(
+            program_messages.OpenTurn(
+                "p", "t", "", 0, 1, 60.0, customer="c", stream=stream
+            )
+        )
+        self.assertIsInstance(reply, program_messages.TurnOpened)
+        (event,) = self.events.emitted
+        self.assertIsInstance(event, event_types.StreamUnrecorded)
+        found = self.answer(program_messages.FindStream("p", "c", "t"))
+        self.assertIsNone(found.origin)
+
+    def test_size_of_the_stream_records_survives_a_snapshot(self) -> None:
+        for number in range(100):
+            self.record(f"r-{number % 60}")
+        restored = machine.ProgramMachine(None)
+        restored.restore(self.group.snapshot())
+        sizes = [g.streams.size(0.0) for g in (self.group, restored)]
+        self.assertTrue(sizes[0])
+        self.assertEqual(sizes[0], sizes[1])
