Callers' ids have at most 256 characters on every route

Callers could send ids of up to 16 KiB, as long as the head. Control refused those of turns above 256 characters. On all other routes the entry kept them in the tables of running requests, wrote them into each of several lines of the log and, for a customer with a limit, sent a program's id to control, where a count with it went into the log and the table of active programs.

An entry now refuses ids of more than 256 characters with 400 before anything else. The ids on the platform's pages have 8 to 40.

test_ids_of_thousands_of_characters_are_refused failed before: none was refused.

--- a/src/mintcleat/platform/callers.py
+++ b/src/mintcleat/platform/callers.py
@@ -19,6 +19,13 @@
 # The request that brought the first event of the stream that is taken up.
 RESUMES = "resumes"
 API_KEY = "api-key"
+_PROGRAM = "x-program-id"
+_SESSION = "x-session-id"
+_PREVIOUS = "x-previous-turn"
+# Ids that callers choose, and that are kept while a request runs, in lines of
+# the log, or by control. A head alone would admit thousands of characters.
+_IDS = (REQUEST_ID, _PROGRAM, _SESSION, _PREVIOUS, RESUMES)
+MAX_ID_CHARACTERS = 256
 # Sent to upstreams: the customer that made the request.
 CUSTOMER = "x-tenant"
 
@@ -139,7 +146,8 @@
     """Converts an HTTP request.
 
     Raises:
-        errors.BadRequest: A required header field is missing or malformed.
+        errors.BadRequest: A required header field is missing, malformed or
+            too long.
     """
     # The first value of a repeated field counts.
     fields = dict(reversed(request.headers))
@@ -149,6 +157,12 @@
 
     if not header(REQUEST_ID):
         raise errors.BadRequest(f"The request has no header {REQUEST_ID}.")
+    for name in _IDS:
+        if len(header(name)) > MAX_ID_CHARACTERS:
+            raise errors.BadRequest(
+                f"The header {name} may have {MAX_ID_CHARACTERS} characters, "
+                f"but has {len(header(name))}."
+            )
     dropped = _DROPPED_FIELDS
     connection = header("connection")
     if connection:
@@ -166,9 +180,9 @@
         affinity=header("x-affinity-key"),
         last_event=header(LAST_EVENT_ID),
         program=routed_calls.ProgramContext(
-            header("x-program-id"),
-            header("x-session-id"),
-            header("x-previous-turn"),
+            header(_PROGRAM),
+            header(_SESSION),
+            header(_PREVIOUS),
             int(_number(header("x-token-budget"))),
             _number(header("x-finish-milliseconds")) / 1000.0,
         ),
--- a/testing/test_chosen_names.py
+++ b/testing/test_chosen_names.py
@@ -5,11 +5,14 @@
 import testtools
 
 from fakes import log as fake_log
+from mintcleat.adapters import http1_server
 from mintcleat.adapters import timers
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.domain import routed_calls
+from mintcleat.platform import callers
 from mintcleat.ports import events
 from mintcleat.programs import machine
 from mintcleat.programs import placement
@@ -50,6 +53,28 @@
         self.assertEqual(sum(sizes), cache.size)
 
 
+class CallersIdsTest(testtools.TestCase):
+    def parse(self, **fields: str) -> routed_calls.RoutedCall:
+        headers = {"x-request-id": "r", "host": "h"} | fields
+        return callers.parse_call(
+            http1_server.Request("GET", "/", tuple(headers.items()), b"", "")
+        )
+
+    def test_ids_of_thousands_of_characters_are_refused(self) -> None:
+        for name in (
+            "x-request-id",
+            "x-program-id",
+            "x-session-id",
+            "x-previous-turn",
+            "resumes",
+        ):
+            self.parse(**{name: "x" * 256})
+            refused = self.assertRaises(
+                errors.BadRequest, self.parse, **{name: "x" * 257}
+            )
+            self.assertEqual(errors.NOT_RUN, refused.outcome)
+
+
 class Events(events.NullEventReporter):
     def __init__(self) -> None:
         self.emitted: list[Any] = []
