--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -30,6 +30,11 @@
 # log's entries and a snapshot that is encoded, written and sent hold the same
 # bytes up to four times more, beside the process itself.
 _KEPT_TURNS_FRACTION = 0.11
+# Share of the process's memory for the accounts of programs, and for their kept
+# turns beside the content.
+_RECORDS_FRACTION = 0.1
+# The same for the records of streams that callers may take up.
+_STREAMS_FRACTION = 0.05
 
 
 class ControlRole:
@@ -102,6 +107,8 @@
             self.configuration.policies,
             is_current=self.configuration.is_current,
             kept_limit=int(memory_bytes * _KEPT_TURNS_FRACTION / len(groups)),
+            record_limit=int(memory_bytes * _RECORDS_FRACTION / len(groups)),
+            stream_limit=int(memory_bytes * _STREAMS_FRACTION / len(groups)),
             histories=self._histories,
             memory_tokens=self.configuration.memory_tokens,
             registered=self.configuration.registered,
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -17,6 +17,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -44,6 +45,11 @@
 MAX_DELETIONS = 2000
 # The memory of what expires between two sweeps is negligible.
 SWEEP_INTERVAL_SECONDS = 10.0
+# Memory of an account beside its names, and of a turn id that it remembers.
+ACCOUNT_BYTES = 768
+TURN_ID_BYTES = 96
+# Memory of a finished turn beside its content and its names.
+KEPT_TURN_BYTES = 480
 
 
 def size_of(kept: program_messages.KeptTurn) -> int:
@@ -51,6 +57,12 @@
     return len(kept.input) + len(kept.output)
 
 
+def record_size(kept: program_messages.KeptTurn) -> int:
+    """Returns the bytes that a kept turn takes beside its content."""
+    names = (kept.turn, kept.previous, kept.customer, kept.upstream)
+    return KEPT_TURN_BYTES + sum(len(name) for name in names)
+
+
 class ScopedId(NamedTuple):
     """Id of a program or a turn, unique together with its customer."""
 
@@ -68,30 +80,53 @@
         settled: Ids of recently settled turns, the oldest first.
         upstream: Upstream that ran the program's last turn; empty for none.
         expires: Group clock after which the account may be deleted.
+        size: Bytes of memory that it takes, by estimate.
     """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "budget", "expires", "reserved", "settled", "size", "spent", "upstream"
+    )  # fmt: skip
+
+    def __init__(self, key: ScopedId) -> None:
         self.budget = 0
         self.spent = 0
         self.reserved: dict[str, int] = {}
-        self.settled: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+        self.settled: dict[str, None] = {}
         self.upstream = ""
         self.expires = 0.0
+        self.size = ACCOUNT_BYTES + len(key.customer) + len(key.name)
+
+    def reserve(self, turn: str, tokens: int) -> None:
+        """Reserves tokens for a turn."""
+        if turn not in self.reserved:
+            self.size += _turn_id_size(turn)
+        self.reserved[turn] = tokens
 
     def settle(self, turn: str, tokens: int) -> None:
         """Replaces a turn's reservation by the tokens it delivered.
 
         Settling a turn again has no effect.
         """
-        self.reserved.pop(turn, None)
+        if self.reserved.pop(turn, None) is not None:
+            self.size -= _turn_id_size(turn)
         if turn in self.settled:
             return
         self.spent += tokens
-        self.settled[turn] = None
+        self.remember(turn)
         while len(self.settled) > MAX_SETTLED_TURNS:
-            self.settled.popitem(last=False)
+            oldest = next(iter(self.settled))
+            del self.settled[oldest]
+            self.size -= _turn_id_size(oldest)
+
+    def remember(self, turn: str) -> None:
+        """Adds a settled turn."""
+        self.settled[turn] = None
+        self.size += _turn_id_size(turn)
+
+
+def _turn_id_size(turn: str) -> int:
+    """Returns the bytes that an account takes for a turn's id."""
+    return TURN_ID_BYTES + len(turn)
 
 
 class Branches:
@@ -102,11 +137,13 @@
         counted: Group clock and `ahead` of each request that was counted
             within `COUNTED_SECONDS`, by its id, the oldest first.
         accounts: Accounts by program, the least recently used first.
+        account_bytes: Size of the accounts.
         turns: Finished turns by id. A program may continue a turn of another
             program of its customer.
         expires: Group clock after which each finished turn may be deleted, the
             least recently renewed first.
         kept_bytes: Size of the inputs and outputs of the finished turns.
+        turn_record_bytes: Size of the finished turns beside these.
         last_sweep: Group clock of the last sweep.
         turn_expiry: The finished turns by expiry.
         account_expiry: The accounts by expiry.
@@ -120,11 +157,13 @@
         self.accounts: collections.OrderedDict[ScopedId, Account] = (
             collections.OrderedDict()
         )
+        self.account_bytes = 0
         self.turns: dict[ScopedId, program_messages.KeptTurn] = {}
         self.expires: collections.OrderedDict[ScopedId, float] = (
             collections.OrderedDict()
         )
         self.kept_bytes = 0
+        self.turn_record_bytes = 0
         self.last_sweep = 0.0
         self.turn_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
         self.account_expiry: expiry.ExpiryIndex[ScopedId] = expiry.ExpiryIndex()
@@ -143,29 +182,18 @@
             return errors.UnknownTurn(
                 f"Turn {request.previous} does not exist or has expired."
             )
+        key = ScopedId(request.customer, request.program)
+        is_known = key in self.accounts
         account = self._account(request, clock)
         account.budget = request.budget
-        if request.turn in account.settled:
-            # Its sender has already settled it; this message is a late copy.
-            return errors.Superseded(
-                f"Turn {request.turn} is already settled; use a new turn id."
-            )
         counted_at, ahead = -1.0, 0
         if request.turn not in account.reserved:
-            tokens_left = (
-                account.budget - account.spent - sum(account.reserved.values())
-            )
-            if account.budget and request.reserve > tokens_left:
-                return errors.BudgetExhausted(
-                    f"The turn reserves {request.reserve} tokens, but only "
-                    f"{max(tokens_left, 0)} of the budget are left."
-                )
-            refusal = self.limits.admit(
-                request.customer, request.program, request.limit, clock
-            )
+            refusal = self._refusal(account, request, clock)
             if refusal is not None:
+                if not is_known:
+                    self._delete_account(key)
                 return refusal
-            account.reserved[request.turn] = request.reserve
+            self._reserve(account, request)
             if request.limit is not None:
                 counted_at = clock
             ahead = self.limits.count_ahead(
@@ -177,6 +205,30 @@
             content, upstream, counted_at=counted_at, ahead=ahead
         )
 
+    def _refusal(
+        self,
+        account: Account,
+        request: program_messages.OpenTurn,
+        clock: float,
+    ) -> errors.MintcleatError | None:
+        """Counts the request of a turn, or returns the error refusing it."""
+        if request.turn in account.settled:
+            # Its sender has already settled it; this message is a late copy.
+            return errors.Superseded(
+                f"Turn {request.turn} is already settled; use a new turn id."
+            )
+        tokens_left = (
+            account.budget - account.spent - sum(account.reserved.values())
+        )
+        if account.budget and request.reserve > tokens_left:
+            return errors.BudgetExhausted(
+                f"The turn reserves {request.reserve} tokens, but only "
+                f"{max(tokens_left, 0)} of the budget are left."
+            )
+        return self.limits.admit(
+            request.customer, request.program, request.limit, clock
+        )
+
     def count(self, request: program_messages.CountCall, clock: float) -> Any:
         """Counts requests that open no turn against their customer's limit.
 
@@ -230,7 +282,9 @@
         account = self._account(request, clock)
         if request.counted_at >= 0 and request.turn in account.reserved:
             self.limits.refund(request.customer, request.counted_at)
+        before = account.size
         account.settle(request.turn, request.tokens)
+        self.account_bytes += account.size - before
         account.upstream = request.upstream or account.upstream
         if not request.keep:
             return identities.Done()
@@ -264,10 +318,9 @@
         self.last_sweep = clock
         for turn in self.turn_expiry.expired(clock, MAX_DELETIONS):
             self.turn_expiry.remove(turn, self.expires.pop(turn))
-            self.kept_bytes -= size_of(self.turns.pop(turn))
+            self._drop(self.turns.pop(turn))
         for program in self.account_expiry.expired(clock, MAX_DELETIONS):
-            account = self.accounts.pop(program)
-            self.account_expiry.remove(program, account.expires)
+            self._delete_account(program)
 
     def state(self) -> list[Any]:
         """Returns the state as a list that msgpack can encode."""
@@ -312,14 +365,14 @@
         ) in state[1]:
             # Accounts of releases without customers have no such field.
             key = ScopedId(owner[0] if owner else "", name)
-            account = self.accounts[key] = Account()
-            account.budget, account.spent, account.reserved = (
-                budget,
-                spent,
-                reserved,
-            )
-            account.settled.update(dict.fromkeys(settled))
+            account = self.accounts[key] = Account(key)
+            account.budget, account.spent = budget, spent
+            for turn, tokens in reserved.items():
+                account.reserve(turn, tokens)
+            for turn in settled:
+                account.remember(turn)
             account.upstream, account.expires = upstream, expires
+            self.account_bytes += account.size
             self.account_expiry.add(key, expires)
         for until, *fields in state[2]:
             kept = program_messages.KeptTurn(*fields)
@@ -333,17 +386,50 @@
             for call, at, ahead in state[_COUNTED_INDEX]:
                 self.counted[call] = (at, ahead)
 
+    def record_bytes(self) -> int:
+        """Returns the size of all accounts and turns without content."""
+        return self.account_bytes + self.turn_record_bytes
+
+    def first_expiry(self) -> float:
+        """Returns when the first account or turn expires.
+
+        It is infinite without any.
+        """
+        accounts = self.account_expiry.in_order()
+        turns = self.turn_expiry.in_order()
+        _, account = next(accounts, (None, math.inf))
+        _, turn = next(turns, (None, math.inf))
+        return min(account, turn)
+
     def sizes_by_expiry(self) -> Iterator[tuple[float, int]]:
         """Yields the expiry and the size of each finished turn, in order."""
         for turn, expires in self.turn_expiry.in_order():
             yield expires, size_of(self.turns[turn])
 
+    def _delete_account(self, key: ScopedId) -> None:
+        account = self.accounts.pop(key)
+        self.account_bytes -= account.size
+        self.account_expiry.remove(key, account.expires)
+
+    def _reserve(
+        self, account: Account, request: program_messages.OpenTurn
+    ) -> None:
+        before = account.size
+        account.reserve(request.turn, request.reserve)
+        self.account_bytes += account.size - before
+
     def _keep(self, key: ScopedId, kept: program_messages.KeptTurn) -> None:
         replaced = self.turns.get(key)
         if replaced is not None:
-            self.kept_bytes -= size_of(replaced)
+            self._drop(replaced)
         self.turns[key] = kept
         self.kept_bytes += size_of(kept)
+        self.turn_record_bytes += record_size(kept)
+
+    def _drop(self, kept: program_messages.KeptTurn) -> None:
+        """Subtracts a turn that is not kept any more."""
+        self.kept_bytes -= size_of(kept)
+        self.turn_record_bytes -= record_size(kept)
 
     def _renew_chain(
         self, request: program_messages.CloseTurn, clock: float
@@ -373,7 +459,8 @@
         account = self.accounts.get(key)
         until = clock + request.retention + RETENTION_SLACK_SECONDS
         if account is None:
-            account = self.accounts[key] = Account()
+            account = self.accounts[key] = Account(key)
+            self.account_bytes += account.size
             account.expires = until
             self.account_expiry.add(key, until)
         elif until > account.expires:
--- a/src/mintcleat/roles/control/programs/service.py
+++ b/src/mintcleat/roles/control/programs/service.py
@@ -11,10 +11,12 @@
 
 from mintcleat.decisions import kept_turns
 from mintcleat.decisions import limits
+from mintcleat.decisions import record_room
 from mintcleat.decisions import shared_health
 from mintcleat.decisions import shared_load
 from mintcleat.domain import codec
 from mintcleat.domain import errors
+from mintcleat.domain import events as event_types
 from mintcleat.domain import identities
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
@@ -36,6 +38,9 @@
 # error from here if a group makes no progress, instead of a timeout.
 PROPOSE_SECONDS = 1.5
 TICK_SECONDS = 5.0
+# Time after which expired turns and accounts are deleted: by a sweep, which a
+# tick starts.
+_DELETION_DELAY_SECONDS = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
 
 READS = (
     program_messages.ShowProgram,
@@ -100,6 +105,10 @@
         machines: The state machine of each group on this instance.
         clocks: The clock of each group.
         rooms: The room for kept turns of each group.
+        record_limit: Bytes that the accounts and the finished turns of a
+            group may take beside the turns' content; 0 for no limit.
+        stream_limit: Bytes that the records of a group's streams may take; 0
+            for no limit.
         policies: Returns the newest policies that this instance knows.
         is_current: Returns whether newer ones become known here in time.
         entry_loads: Running requests by upstream, as reported by the entries.
@@ -118,6 +127,8 @@
         *,
         is_current: Callable[[], bool] = lambda: True,
         kept_limit: int = 0,
+        record_limit: int = 0,
+        stream_limit: int = 0,
         histories: Callable[[str], Any] = lambda group: None,
         memory_tokens: Callable[[], Mapping[str, int]] = dict,
         registered: Callable[
@@ -136,6 +147,10 @@
             is_current: Returns whether newer ones become known here in time.
             kept_limit: Bytes that the finished turns of a group may keep; 0
                 for no limit.
+            record_limit: Bytes that the accounts and the finished turns of a
+                group may take beside the turns' content; 0 for no limit.
+            stream_limit: Bytes that the records of a group's streams may take;
+                0 for no limit.
             histories: Makes the `ports.histories.HistoryStore` of a group;
                 in memory when it returns None.
             memory_tokens: Returns the memory of each upstream in tokens, by
@@ -155,6 +170,9 @@
             group: GroupClock(group_machine, timer_service)
             for group, group_machine in self.machines.items()
         }
+        self.record_limit = record_limit
+        self.stream_limit = stream_limit
+        self.events = events
         self.rooms = {group: kept_turns.Room(kept_limit) for group in groups}
         self.entry_loads = shared_load.EntryLoads()
         self.failure_reports = shared_health.FailureReports()
@@ -232,6 +250,10 @@
             requests[position] = self._with_current_limit(requests[position])
             try:
                 group = self._checked_group(requests[position])
+                self._check_record_room(group, requests[position])
+                requests[position] = self._with_stream_room(
+                    group, requests[position]
+                )
                 self._reserve_room(group, requests[position])
                 if self._controls_admission(group, requests[position]):
                     self._admit(
@@ -278,6 +300,67 @@
             and self.log.leads(group)
         )
 
+    def _check_record_room(self, group: str, request: Any) -> None:
+        """Checks that there is room for the records of a turn.
+
+        Raises:
+            errors.Overloaded: There is none. The turn has not run.
+        """
+        if not isinstance(request, program_messages.OpenTurn):
+            return
+        if not self.log.leads(group):
+            return
+        found = self.machines[group].branches
+        key = branches.ScopedId(request.customer, request.program)
+        account = found.accounts.get(key)
+        if account is not None and request.turn in account.reserved:
+            return
+        if record_room.has_room(
+            found.record_bytes(),
+            self.record_limit,
+            is_known=account is not None,
+        ):
+            return
+        expires = found.first_expiry() - self._clock(group)
+        raise errors.Overloaded(
+            f"The records of {len(found.accounts)} programs and "
+            f"{len(found.turns)} finished turns take {found.record_bytes()} of "
+            f"{self.record_limit} bytes.",
+            retry_after=round(
+                record_room.retry_after(expires + _DELETION_DELAY_SECONDS), 3
+            ),
+        )
+
+    def _with_stream_room(self, group: str, request: Any) -> Any:
+        """Returns a request that records a stream only if there is room.
+
+        A turn runs without the record of its stream: only a caller whose
+        stream breaks off then loses anything, as its take-up may be refused.
+
+        Raises:
+            errors.Overloaded: A record has no room.
+        """
+        opening = isinstance(request, program_messages.OpenTurn)
+        recording = isinstance(request, program_messages.RecordStream)
+        if not ((opening and request.stream is not None) or recording):
+            return request
+        if not self.stream_limit or not self.log.leads(group):
+            return request
+        held = self.machines[group].streams.size(self._clock(group))
+        if held < self.stream_limit:
+            return request
+        detail = (
+            f"The records of streams take {held} of {self.stream_limit} bytes."
+        )
+        if recording:
+            raise errors.Overloaded(detail)
+        self.events.emit(
+            event_types.StreamUnrecorded(
+                request.turn, *request.stream.origin, detail
+            )
+        )
+        return request._replace(stream=None)
+
     def _reserve_room(self, group: str, request: Any) -> None:
         """Reserves the room for keeping a turn.
 
@@ -297,10 +380,10 @@
         if room.has_room(key, size, kept, continues, now):
             return
         clock = self._clock(group)
-        # Expired turns are deleted by a sweep, which a tick starts.
-        late = branches.SWEEP_INTERVAL_SECONDS + TICK_SECONDS
         expiring = (
-            kept_turns.Expiring(expires - clock + late, freed)
+            kept_turns.Expiring(
+                expires - clock + _DELETION_DELAY_SECONDS, freed
+            )
             for expires, freed in finished.sizes_by_expiry()
         )
         after = room.retry_after(size, kept, continues, expiring, now)
