A resumed stream doesn't go on with events missing

What callers saw: a stream of consecutive ids whose upstream broke off went on elsewhere at a later event, in one answer of 200 that ended as whole. A part of it was missing, and a turn was recorded without it.

Cause: of an upstream's events after a resume, a move or a restore, only their order was compared. But where all ids so far were consecutive, a gap just where another upstream goes on is no property of the stream: that one was asked for the event after the last.

Change: the order of events knows whether the ids were consecutive and that another attempt begins. The event after a gap breaks the attempt off like one that goes back: the stream goes on elsewhere where its route allows it, and is cut visibly otherwise. Gaps within one upstream's answer, streams whose ids had gaps before, and a single event before are forwarded as before.

That the users' upstreams do this isn't shown.

--- a/src/mintcleat/decisions/event_order.py
+++ b/src/mintcleat/decisions/event_order.py
@@ -3,7 +3,7 @@
 The ids of a stream's events increase. An upstream that is asked to go on after
 an event may replay the stream, begin it anew or send an event again. Callers
 can't tell such events from those that belong there, and what two runs generated
-doesn't fit together.
+doesn't fit together. It may also go on too late, so that events are missing.
 """
 
 import enum
@@ -18,11 +18,20 @@
         NEXT: After all events before it.
         REPEATED: It is the last event once more, byte for byte.
         EARLIER: Its id isn't above that of the last event.
+        LATER: Events between the last one and it are missing.
     """
 
     NEXT = "next"
     REPEATED = "repeated"
     EARLIER = "earlier"
+    LATER = "later"
+
+
+# Steps of 1 from which a stream's ids count as consecutive. Others may have
+# gaps, which mean nothing.
+MIN_STEPS = 1
+# Numbers of more digits aren't looked at for gaps.
+_MAX_DIGITS = 18
 
 
 class EventOrder:
@@ -37,6 +46,10 @@
         last_number: Number of the last event; None for none.
         is_numbered: Whether all ids of events were numbers.
         is_repeated: Whether the last event has been repeated.
+        steps: Events whose ids were one above those before them; -1 once there
+            was a gap.
+        is_resumed: Whether the next event is the first one of an upstream that
+            was asked to go on.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -45,6 +58,12 @@
         self.last_number = _number(last_id)
         self.is_numbered = True
         self.is_repeated = False
+        self.steps = 0
+        self.is_resumed = False
+
+    def resume(self) -> None:
+        """Records that the next event comes from another attempt."""
+        self.is_resumed = True
 
     def place(self, event: server_sent_events.Event) -> Place:
         """Returns where an event belongs.
@@ -55,8 +74,10 @@
         if not event.id or not self.is_numbered or self.last_number is None:
             return Place.NEXT
         number = _number(event.id)
-        if number is None or number > self.last_number:
+        if number is None:
             return Place.NEXT
+        if number > self.last_number:
+            return Place.LATER if self._skips(number) else Place.NEXT
         if event.raw == self.last and not self.is_repeated:
             return Place.REPEATED
         return Place.EARLIER
@@ -68,8 +89,23 @@
         number = _number(event.id)
         if number is None:
             self.is_numbered = False
+        elif self.last is not None and self.steps >= 0:
+            is_step = _is_next(self.last_number, number)
+            self.steps = self.steps + 1 if is_step else -1
         self.last, self.last_number = event.raw, number
         self.is_repeated = False
+        self.is_resumed = False
+
+    def _skips(self, number: tuple[int, str]) -> bool:
+        """Returns whether an upstream that goes on has left events out.
+
+        Within the answer of one upstream, gaps are its own choice.
+        """
+        return (
+            self.is_resumed
+            and self.steps >= MIN_STEPS
+            and not _is_next(self.last_number, number)
+        )
 
     def skip(self) -> None:
         """Records that the last event was repeated."""
@@ -85,3 +121,12 @@
         return None
     digits = text.lstrip("0")
     return len(digits), digits
+
+
+def _is_next(
+    last: tuple[int, str] | None, number: tuple[int, str] | None
+) -> bool:
+    """Returns whether a number is one above another."""
+    if last is None or number is None or number[0] > _MAX_DIGITS:
+        return False
+    return int(number[1] or "0") == int(last[1] or "0") + 1
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -158,6 +158,7 @@
         self.end = None
         self.attempt_events = 0
         self.has_attempt_event = False
+        self.order.resume()
 
     def relay(
         self,
@@ -431,7 +432,8 @@
         """Returns whether an event follows; not if it repeats the last one.
 
         Raises:
-            server_sent_events.EventOutOfOrder: It is another event of before.
+            server_sent_events.EventOutOfOrder: It is another event of before,
+                or events before it are missing.
         """
         match self.order.place(event):
             case event_order.Place.NEXT:
@@ -440,8 +442,12 @@
                 self.order.skip()
                 self.repeated += 1
                 return False
+            case event_order.Place.LATER:
+                expected = "the event right after"
+            case event_order.Place.EARLIER:
+                expected = "an event with an id above"
         raise server_sent_events.EventOutOfOrder(
-            f"Expected an event with an id above {self.last_event_id!r}, but "
+            f"Expected {expected} {self.last_event_id!r}, but "
             f"{self.upstream_name} sent {event.id!r}."
         )
 
--- a/testing/test_event_order.py
+++ b/testing/test_event_order.py
@@ -162,10 +162,38 @@
         self.assert_stream(self.resume(Part((4, 5))), 1, 2, 3, 4, 5)
         self.assertEqual(0, self.ended().repeated)
 
+    def test_upstream_that_goes_on_after_a_skipped_event_adds_nothing(
+        self,
+    ) -> None:
+        self.assert_cut(self.resume(Part((5, 6))), 1, 2, 3)
+        self.assertEqual("out_of_order", self.last_attempt().end)
+
+    def test_repeated_event_before_a_skipped_one_hides_nothing(self) -> None:
+        self.assert_cut(self.resume(Part((3, 5))), 1, 2, 3)
+
+    def test_stream_whose_ids_had_gaps_may_go_on_with_one(self) -> None:
+        self.first = Part((1, 3, 4), ends=False)
+        self.assert_stream(self.resume(Part((7, 9))), 1, 3, 4, 7, 9)
+
+    def test_one_event_does_not_tell_how_ids_follow(self) -> None:
+        self.first = Part((1,), ends=False)
+        self.assert_stream(self.resume(Part((3, 5))), 1, 3, 5)
+
+    def test_gap_within_the_resumed_part_is_forwarded(self) -> None:
+        self.assert_stream(self.resume(Part((4, 6))), 1, 2, 3, 4, 6)
+
 
 class ThirdUpstreamTest(Case):
     attempts = 3
 
+    def test_stream_goes_on_where_no_event_is_skipped(self) -> None:
+        self.parts = [
+            Part((1, 2, 3), ends=False),
+            Part((5, 6)),
+            Part((4, 5, 6)),
+        ]
+        self.assert_stream(self.call(), 1, 2, 3, 4, 5, 6)
+
     def test_stream_goes_on_at_an_upstream_that_follows(self) -> None:
         self.parts = [
             Part((1, 2, 3), ends=False),
