A request whose head is cut doesn't run at the product's own interface

What callers saw: a request whose connection ended within its head ran with what had arrived of it: without the key, the length or the program, or with a shortened name of one (p1 for p12345). So did one whose last chunk ended with the connection, also if the size of a further chunk was cut to its first digit (0 of 0a).

Cause: the standard library's reader of heads, on which eventlet's WSGI server rests, takes the end of the connection for the blank line. The routed listener has a reader of its own that doesn't.

Change: the server of WSGI applications notes whether the last line of a head was the blank one, and refuses the request otherwise. A line of the chunked framing must end before the connection does, trailers included.

--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -115,8 +115,20 @@
 
     def parse_request(self) -> bool:
         """Parses the request line and headers; returns whether it succeeded."""
+        lines = self.rfile = _HeadLines(self.rfile)
         try:
-            return super().parse_request() and self._split_target()
+            if not super().parse_request():
+                return False
+            # The standard library takes the end of the connection for the end
+            # of a head. What was to follow may be a key, a length or a name.
+            if not lines.is_complete:
+                self._send_problem(
+                    errors.BadRequest(
+                        "The head of the request ended before its blank line."
+                    )
+                )
+                return False
+            return self._split_target()
         except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
             self._send_problem(
                 errors.TooLarge("The headers exceed the size limit.")
@@ -169,8 +181,26 @@
         return environ
 
 
+class _HeadLines:
+    """Reads the lines of a head.
+
+    Attributes:
+        is_complete: Whether the last line was the blank one at its end.
+    """
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.is_complete = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Returns a line; a part of it at the end of the connection."""
+        line = self.file.readline(size)
+        self.is_complete = line in (b"\r\n", b"\n")
+        return line
+
+
 class _BoundedLines:
-    """Reads bytes and lines that are not too long."""
+    """Reads bytes and whole lines that are not too long."""
 
     def __init__(self, file: Any) -> None:
         self.file = file
@@ -180,13 +210,15 @@
         """Returns a line, or a part of it of that size.
 
         Raises:
-            OSError: The line is too long.
+            OSError: The line is too long, or the connection ended within it.
         """
         if size >= 0:
             return self.file.readline(size)
         line = self.file.readline(_MAX_LINE_BYTES + 1)
         if len(line) > _MAX_LINE_BYTES:
             raise OSError(f"a line exceeds {_MAX_LINE_BYTES} bytes")
+        if not line.endswith(b"\n"):
+            raise OSError("the connection ended within a line")
         return line
 
 
@@ -213,7 +245,7 @@
 
     def _discard_trailers(self, rfile: _BoundedLines) -> None:
         size = 0
-        while (line := rfile.readline()) not in (b"\r\n", b"\n", b""):
+        while (line := rfile.readline()) not in (b"\r\n", b"\n"):
             size += len(line)
             if size > _MAX_TRAILER_BYTES:
                 raise OSError(f"the trailers exceed {_MAX_TRAILER_BYTES} bytes")
