A take-up that names a take-up goes on

What callers saw: a stream that broke off twice while two versions of its service were there was refused (503, unknown_stream) to callers that named the latest request instead of the first one.

Cause: only the request that brought the first event had a record. The version of a take-up is known just as well.

Change: a take-up records its stream under its own request, in the commit that opens its turn or, without a turn, behind its first event.

Evidence: the new test, chains of two take-ups at two entries with and without programs, got 503 at the second one before.

--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -81,7 +81,8 @@
             order.
         origin: Software that began the stream; None before its first event.
             Events of any other software are not forwarded.
-        on_begun: Called with the origin before the first event is forwarded.
+        on_begun: Called once with the origin, before the request's first event
+            is forwarded.
     """
 
     def __init__(
@@ -533,13 +534,14 @@
             self.origin = stream_origins.KnownOrigin(
                 software, stream_origins.Source.OWN
             )
-            if self.on_begun is not None:
-                self.on_begun(software)
         elif software != self.origin.origin:
             raise errors.StreamClosed(
                 f"The stream began at {self.origin.origin}, but upstream "
                 f"{upstream.upstream} has {software}."
             )
+        if self.on_begun is not None:
+            self.on_begun(software)
+            self.on_begun = None
         self.versions.append(upstream.version)
 
     def _commit_turn(self, end: answer_ends.AnswerEnd) -> None:
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -131,11 +131,17 @@
                 "recorded without the events before "
                 f"{self.call.last_event!r}."
             )
-        self.relay.origin = self.context.origins.find(
-            self.call, self.match.route, self.service_name
-        )
+        origins = self.context.origins
+        route = self.match.route
+        found = origins.find(self.call, route, self.service_name)
+        self.relay.origin = found
         self.attempts.check_version()
-        self.relay.turn = self.turn.open()
+        stream = origins.continued(self.call, route, found)
+        self.relay.turn = self.turn.open(stream)
+        if self.relay.turn is None:
+            self.relay.on_begun = functools.partial(
+                origins.begun, self.call, route
+            )
 
     def has_begun(self) -> bool:
         """Returns whether the caller has the beginning of the response."""
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -91,6 +91,23 @@
             _record_seconds(call, route),
         )
 
+    def continued(
+        self,
+        call: routed_calls.RoutedCall,
+        route: manifest.Route,
+        known: stream_origins.KnownOrigin,
+    ) -> program_messages.BegunStream | None:
+        """Returns the record of a request that takes up a known stream.
+
+        Callers may name it, instead of the request that brought the first
+        event, when it breaks off too.
+        """
+        if not _may_be_taken_up(route):
+            return None
+        return program_messages.BegunStream(
+            known.origin, _record_seconds(call, route)
+        )
+
     def begun(
         self,
         call: routed_calls.RoutedCall,
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -303,6 +303,29 @@
             self.assertEqual([200] * 3, [part.status for part in parts])
             self.assertEqual(1, len(versions_in(*parts)))
 
+    def test_chain_of_take_ups_names_the_latest_request(self) -> None:
+        # Guards against take-ups that are refused as they name a take-up.
+        for engine in self.system.engines:
+            engine.script = cut_each
+        turn = {"X_Program_Id": "p", "X_Token_Budget": "9000"}
+        for number in range(STREAMS):
+            headers = turn if number % 2 else {}
+            parts = [self.call(f"a{number}", **headers)]
+            for last in (1, 2):
+                latest = f"a{number}" if last == 1 else f"b{number}-1"
+                self.wait_until_recorded(latest)
+                parts.append(
+                    self.call(
+                        f"b{number}-{last}",
+                        last % 2,
+                        Last_Event_Id=str(last),
+                        Resumes=latest,
+                        **headers,
+                    )
+                )
+            self.assertEqual([200] * 3, [part.status for part in parts])
+            self.assertEqual(1, len(versions_in(*parts)))
+
     def test_stream_of_another_customer_is_not_known(self) -> None:
         self.call("a", X_Program_Id="p", X_Token_Budget="900")
         rest = self.take_up("a", "b", X_Program_Id="other")
