An id of two streams is taken up as neither

What callers could see: the same id sent at two entries that began streams at two versions; the first record counted, so that the other stream would go on at the wrong version (ORDER).

Cause: a record is written once, and what came after it was dropped without a look at what it says.

Change: records of one id that name two origins make it ambiguous, and the take-up is refused.

--- a/src/mintcleat/programs/streams.py
+++ b/src/mintcleat/programs/streams.py
@@ -22,6 +22,8 @@
 DELETIONS = 8
 # Memory of a record beside its names.
 RECORD_BYTES = 320
+# Stands for the origin of a request that has brought streams of several.
+AMBIGUOUS = stream_origins.StreamOrigin("", "")
 
 
 class StreamKey(NamedTuple):
@@ -55,12 +57,23 @@
     def record(
         self, request: program_messages.RecordStream, clock: float
     ) -> identities.Done:
-        """Records the origin of a stream, unless it is recorded already."""
+        """Records the origin of a stream, unless it is recorded already.
+
+        A caller that uses one id for two streams may have begun them at two
+        versions. Which one it will take up can't be known, so that neither
+        record counts.
+        """
         self._forget(clock)
         key = StreamKey(request.customer, request.program, request.request)
         if key not in self.begun:
             seconds = request.stream.seconds + SLACK_SECONDS
             self._add(key, request.stream.origin, math.ceil(clock + seconds))
+            return identities.Done()
+        origin, until = self.begun[key]
+        if origin not in (request.stream.origin, AMBIGUOUS):
+            self.due_bytes[until] -= _size_of(key, origin)
+            self.due_bytes[until] += _size_of(key, AMBIGUOUS)
+            self.begun[key] = (AMBIGUOUS, until)
         return identities.Done()
 
     def find(
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -326,6 +326,23 @@
             self.assertEqual([200] * 3, [part.status for part in parts])
             self.assertEqual(1, len(versions_in(*parts)))
 
+    def test_id_of_two_streams_of_two_versions_is_not_taken_up(self) -> None:
+        # Guards against a record of one of them that is taken for the other's.
+        for name in ("v1", "v2"):
+            for engine in self.system.engines:
+                is_ready = engine.version == name
+                state = "ready" if is_ready else "draining"
+                self.system.heartbeat(engine, "lm", state)
+            self.system.settle()
+            begun = self.call("a", int(name == "v2"))
+            self.assertEqual({name}, versions_in(begun))
+            self.wait_until_recorded("a")
+        for engine in self.system.engines:
+            self.system.heartbeat(engine, "lm")
+        self.system.settle()
+        eventlet.sleep(0.2)
+        self.assertEqual(503, self.take_up("a", "b").status)
+
     def test_stream_of_another_customer_is_not_known(self) -> None:
         self.call("a", X_Program_Id="p", X_Token_Budget="900")
         rest = self.take_up("a", "b", X_Program_Id="other")
