A process without a start confirms no end of a stream

What callers could see: a stream that ends with its connection, whose process crashed in order between two events, ended as whole (ORDER) if another process listened at its address at once and its report named no start.

Cause: the entry asks the process there for its start and compares it. Where the answer had none, nothing was compared, and the end counted as confirmed.

The test of idle time-outs that are no numbers let a report without a start count as accepted; its report now names the registered start, and the test asks for the same result.

Found by reading.

--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -55,6 +55,10 @@
         is_known = bool(upstream.started) and self.started is not None
         return is_known and self.started != upstream.started
 
+    def is_unidentified(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether it lacks the start that its upstream registers."""
+        return bool(upstream.started) and self.started is None
+
 
 def read_report(
     connection: http1_client.Connection,
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -129,6 +129,12 @@
         self.start_replaced(started=2)
         self.assertFalse(self.turn("t1").whole)
 
+    def test_turn_whose_address_has_a_process_without_a_start_is_not_whole(
+        self,
+    ) -> None:
+        self.start_replaced(started=0)
+        self.assertFalse(self.turn("t1").whole)
+
     def test_turn_whose_address_has_another_upstream_is_not_whole(self) -> None:
         self.patch(end_confirmation, "CONFIRM_SECONDS", 5.0)
         self.start("lm", self.replaced(name="other"))
--- a/testing/test_endless_replies.py
+++ b/testing/test_endless_replies.py
@@ -120,7 +120,9 @@
     def test_idle_timeout_that_is_no_number_is_none(self) -> None:
         for value in (b"\xb2", b"\xb9", b"9" * 5000, b"1" * 400):
             upstream = self.start(
-                self.reply(b"{}", b"Keep-Alive: timeout=" + value + b"\r\n")
+                self.reply(
+                    b'{"born": 7}', b"Keep-Alive: timeout=" + value + b"\r\n"
+                )
             )
             with eventlet.Timeout(SECONDS):
                 found = self.client.identify(upstream)
