Upstreams that are replaced together count as one crash

Cause: a replacement within 5 s shows that an upstream crashed, not when. The reports dated the crashes by the lost connections, so that three resets seconds apart seemed to be three crashes in a row.

Change: a report says until when an upstream that was found replaced may have crashed. A further crash counts only if its run began after that. What was sent after the first loss still is no suspect, by the time of the loss. Crashes that refused connections show are as before.

--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -7,7 +7,8 @@
 
 - They came one after the other: each run began after the crash before, so
   upstreams that end together, by a lost rack or a loss of power, count once.
-  Times are those at which reports arrive, less the durations they state.
+  Times are those at which reports arrive, less the durations they state. A
+  crash that only a replacement shows may have come any time after the loss.
 - It has ended well nowhere since. A request that is common, such as a read
   without parameters, runs at every upstream that crashes, and ends well
   elsewhere all the time.
@@ -53,11 +54,14 @@
         lost_at: When its connection was lost.
         after: Incarnation of the upstream that had crashed under the attempt
             before, of the same request; empty for none.
+        crashed_by: Latest time of the crash, if that may be later than the
+            loss; 0 if the loss shows it.
     """
 
     started_at: float
     lost_at: float
     after: str = ""
+    crashed_by: float = 0.0
 
 
 class Subject(NamedTuple):
@@ -249,6 +253,7 @@
     def crashes_of(self, digest: bytes) -> list[str]:
         """Returns the crashes that count against a request, in order."""
         runs = {}
+        crashed_by = {}
         for incarnation in self.places.get(digest, ()):
             crash = self.crashes[incarnation]
             run = crash[digest]
@@ -259,13 +264,14 @@
                 and not self.is_explained_elsewhere(incarnation, digest)
             ):
                 runs[incarnation] = run
+                crashed_by[incarnation] = _crashed_by(crash)
         found: list[str] = []
-        last_lost = float("-inf")
+        last_crash = float("-inf")
         for started_at, lost_at, incarnation in _in_order(runs):
-            overlap = last_lost - started_at
+            overlap = last_crash - started_at
             if overlap <= MAX_OVERLAP * (lost_at - started_at):
                 found.append(incarnation)
-                last_lost = lost_at
+                last_crash = max(lost_at, crashed_by[incarnation])
         return found
 
     def lost_at(self, digest: bytes) -> float:
@@ -285,7 +291,7 @@
         """Returns the state as plain data for a snapshot."""
         return [
             [
-                [name, [[key, list(run)] for key, run in crash.items()]]
+                [name, [[key, _plain(run)] for key, run in crash.items()]]
                 for name, crash in self.crashes.items()
             ],
             [list(item) for item in self.cleared_at.items()],
@@ -476,6 +482,16 @@
     return late <= MAX_OVERLAP * (run.lost_at - run.started_at)
 
 
+def _crashed_by(crash: dict[bytes, Run]) -> float:
+    """Returns the time by which an upstream has crashed for certain."""
+    return min(max(run.lost_at, run.crashed_by) for run in crash.values())
+
+
+def _plain(run: Run) -> list[Any]:
+    """Returns a run as plain data; without a field that it doesn't use."""
+    return list(run) if run.crashed_by else list(run[:-1])
+
+
 def _in_order(runs: dict[str, Run]) -> list[tuple[float, float, str]]:
     """Returns start, loss and incarnation of each run, in order.
 
--- a/src/mintcleat/domain/member_messages.py
+++ b/src/mintcleat/domain/member_messages.py
@@ -224,6 +224,8 @@
             whose object is a suspect by it.
         ended_objects: Digests of suspected and quarantined objects of which an
             upstream completed a run.
+        unsure: Seconds after the loss in which an upstream may have crashed, by
+            incarnation, for those that were only found replaced.
     """
 
     entry: identities.Incarnation
@@ -231,3 +233,4 @@
     ended_well: list[bytes] = []
     objects: list[tuple[bytes, bytes]] = []
     ended_objects: list[bytes] = []
+    unsure: list[tuple[str, float]] = []
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -29,7 +29,7 @@
     program_messages.CallCounted: 1,
     program_messages.CountCall: 2,
     program_messages.OpenTurn: 3,
-    member_messages.ReportCrashes: 2,
+    member_messages.ReportCrashes: 3,
 }
 
 TAGS: dict[int, type] = dict(
--- a/src/mintcleat/roles/control/configuration/crash_reports.py
+++ b/src/mintcleat/roles/control/configuration/crash_reports.py
@@ -42,8 +42,13 @@
     def record(self, report: member_messages.ReportCrashes) -> None:
         """Handles a report; returns once it is committed."""
         at = self.leader.steady_time()
+        unsure = dict(report.unsure)
         crashes = [
-            [crash.upstream, _losses(crash, at)] for crash in report.crashes
+            [
+                crash.upstream,
+                _losses(crash, at, unsure.get(crash.upstream, 0.0)),
+            ]
+            for crash in report.crashes
         ]
         new = self._propose(crashes, report, at)
         for crash in report.crashes:
@@ -129,13 +134,22 @@
         )
 
 
-def _losses(crash: member_messages.CrashedUpstream, at: float) -> list[Any]:
-    """Returns the losses of a crash, with times in seconds since 1970."""
+def _losses(
+    crash: member_messages.CrashedUpstream, at: float, unsure: float
+) -> list[Any]:
+    """Returns the losses of a crash, with times in seconds since 1970.
+
+    Args:
+        crash: The crash.
+        at: Time of the report.
+        unsure: Seconds after the loss in which it may have happened.
+    """
     lost_at = at - crash.ago
+    crashed_by = [lost_at + unsure] if unsure else []
     return [
         [
             loss.digest,
-            [lost_at - loss.ran, lost_at, loss.after],
+            [lost_at - loss.ran, lost_at, loss.after, *crashed_by],
             [crash.service, loss.route, loss.customer, loss.request],
         ]
         for loss in crash.losses
--- a/src/mintcleat/roles/entry/crash_reporter.py
+++ b/src/mintcleat/roles/entry/crash_reporter.py
@@ -39,6 +39,8 @@
     Attributes:
         lost_at: Monotonic time at which its connections were lost.
         objects: The object of each lost request that has one, by digest.
+        replaced_at: Monotonic time at which the upstream was found replaced; 0
+            if the loss shows the crash.
     """
 
     def __init__(self, service: str, lost_at: float) -> None:
@@ -46,6 +48,7 @@
         self.lost_at = lost_at
         self.losses: list[member_messages.LostRequest] = []
         self.objects: dict[bytes, bytes] = {}
+        self.replaced_at = 0.0
 
 
 class CrashReporter:
@@ -79,6 +82,7 @@
         lost_at: float,
         loss: member_messages.LostRequest,
         object_digest: bytes = b"",
+        replaced_at: float = 0.0,
     ) -> None:
         """Reports a request that was lost in a crash; does not wait.
 
@@ -89,12 +93,16 @@
             loss: The request.
             object_digest: Digest of its object; empty if the crash doesn't
                 speak against that.
+            replaced_at: Monotonic time at which the upstream was found
+                replaced, if only that shows the crash.
         """
         crash = self.crashes.get(incarnation)
         if crash is None:
             crash = self.crashes[incarnation] = _Crash(service, lost_at)
             while len(self.crashes) > _MAX_CRASHES:
                 del self.crashes[next(iter(self.crashes))]
+        if not (crash.losses and replaced_at):
+            crash.replaced_at = replaced_at
         crash.losses.append(loss)
         if object_digest:
             crash.objects[loss.digest] = object_digest
@@ -167,6 +175,11 @@
                 for pair in crash.objects.items()
             ],
             list(ended_objects),
+            [
+                (incarnation, crash.replaced_at - crash.lost_at)
+                for incarnation, crash in crashes.items()
+                if crash.replaced_at
+            ],
         )
 
     def _put_back(
--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -372,7 +372,7 @@
             and loss.sent.digest not in self.ended_well
         ]
         if suspected:
-            self._report(incarnation, suspected)
+            self._report(incarnation, suspected, sign == _REPLACED)
         # Only refused connections show when an upstream crashed. If it was
         # replaced, a request may have been sent to it after that, and this
         # entry may be the only one that it was sent through.
@@ -418,7 +418,10 @@
         """Returns whether nothing of a lost request's object ended well."""
         return loss.sent.object_digest not in self.objects_ended_well
 
-    def _report(self, incarnation: str, losses: list[_Loss]) -> None:
+    def _report(
+        self, incarnation: str, losses: list[_Loss], is_replaced: bool
+    ) -> None:
+        replaced_at = self.timers.now() if is_replaced else 0.0
         for loss in losses:
             self.reporter.add_loss(
                 incarnation,
@@ -435,6 +438,7 @@
                 loss.sent.object_digest
                 if self._speaks_against_object(loss)
                 else b"",
+                replaced_at,
             )
 
     def _own_limits(self) -> crash_evidence.Limits:
--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -294,6 +294,22 @@
         eventlet.sleep(0.2)
         self.assertEqual(200, self.send(100, target="/safe/a").status)
 
+    def test_resets_of_upstreams_that_are_replaced_together_convict_nobody(
+        self,
+    ) -> None:
+        # Guards against resets long ago that count as crashes in a row.
+        engines = self.start(4, script=_drop_all)
+        for number in range(8):
+            self.send(number, "POST", "/unsafe/a")
+            eventlet.sleep(0.15)
+        for engine in engines:
+            engine.name += "-again"
+            engine.script = platform_engine.whole
+            self.system.heartbeat(engine, "desk")
+        self.system.settle()
+        eventlet.sleep(0.2)
+        self.assertEqual(200, self.send(100, "POST", "/unsafe/a").status)
+
     def test_common_request_is_not_refused_when_all_upstreams_are_killed(
         self,
     ) -> None:
