A reset before an answer is no crash

A request that an upstream reset counted against it when the upstream was replaced within 5 s, also if the upstream had answered other requests after the reset.

Cause: only a whole answer with a proven end cleared what was lost before; an upstream whose streams all break off never gives one.

Change: the head of an answer to a request that was sent after a loss shows that the process lived on. One that may start again under its id still needs a whole answer, as a new process could answer.

Evidence: the new test had two losses and the wrong suspect before.

--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -231,6 +231,21 @@
         if not digests:
             self.running.pop(incarnation, None)
 
+    def responded(
+        self, upstream: member_messages.Registration, sent_at: float
+    ) -> None:
+        """Records that an upstream began to answer a request.
+
+        What was lost before that was sent was not lost in a crash. One that
+        may start again under its id has to be known by a whole answer.
+        """
+        losses = self.lost.get(upstream.incarnation)
+        if not losses or upstream.started:
+            return
+        losses[:] = [loss for loss in losses if loss.lost_at >= sent_at]
+        if not losses:
+            del self.lost[upstream.incarnation]
+
     def answered(
         self, incarnation: str, digest: bytes, object_digest: bytes
     ) -> None:
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -431,6 +431,7 @@
                 self.route.stream,
             ),
         )
+        self.context.crashes.responded(upstream, self.sent_at)
         if target.copy is not None:
             self.continuation.accepted()
         if target.placement is not None:
--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -310,6 +310,20 @@
         eventlet.sleep(0.2)
         self.assertEqual(200, self.send(100, "POST", "/unsafe/a").status)
 
+    def test_upstream_that_answers_after_a_reset_has_not_crashed_by_it(
+        self,
+    ) -> None:
+        # Guards against a reset that counts once its upstream is replaced.
+        (engine,) = self.start(1, script=_drop_all)
+        self.send(0, "POST", "/unsafe/a")
+        engine.script = _half
+        self.send(2, "POST", "/unsafe/b")
+        engine.name = "e0-again"
+        self.system.heartbeat(engine, "desk")
+        self.system.settle()
+        (crashed,) = self.system.reporter.of(events.UpstreamCrashed)
+        self.assertEqual((1, ["b2"]), (crashed.lost, crashed.suspects))
+
     def test_common_request_is_not_refused_when_all_upstreams_are_killed(
         self,
     ) -> None:
@@ -479,6 +493,17 @@
     return False
 
 
+def _half(
+    connection: platform_engine.Connection,
+    received: platform_engine.ReceivedRequest,
+) -> bool:
+    """Loses the connection within its answer."""
+    head = connection.head(received, {"Content-Length": "9"})
+    connection.send(head + b"abc")
+    connection.drop()
+    return False
+
+
 def _slow(
     connection: platform_engine.Connection,
     received: platform_engine.ReceivedRequest,
