A stream of a split route is taken up at its service

What callers saw: on a route that is split by weight, a take-up without program or object was placed by its own request id, so that half of them met the other service and were refused (503, unknown_stream).

Cause: the key by which related requests share a service was the id of the take-up, though it names the request that began the stream.

Change: the named request is the key, after program and object. A take-up that names a take-up of such a route may still be refused.

--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -194,7 +194,13 @@
         call = call._replace(
             customer=caller.customer, customer_label=caller.label
         )
-        key = call.program.program or call.affinity or call.request
+        # A stream that is taken up has been placed by its first request.
+        key = (
+            call.program.program
+            or call.affinity
+            or call.resumes
+            or call.request
+        )
         name = routes.service_of(match.route, key)
         service = self.configuration.manifest().services[name]
         return routed_run.RoutedRun(
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -403,6 +403,24 @@
         self.system.settle()
         self.assertEqual(503, self.take_up("a", "b").status)
 
+    def test_stream_of_a_split_route_is_taken_up_at_its_service(self) -> None:
+        # Guards against take-ups that are placed anew by their own id.
+        fields = configuration(2, self.attempts)
+        fields["services"].append({**fields["services"][1], "name": "lm2"})
+        del fields["routes"][0]["service"]
+        fields["routes"][0]["split"] = [
+            {"service": "lm", "weight": 1},
+            {"service": "lm2", "weight": 1},
+        ]
+        self.assertEqual(200, self.system.put(fields).status)
+        for number in range(2):
+            self.system.add(
+                f"other-{number}", "lm2", platform_engine.cut_stream(COUNT)
+            )
+        self.system.settle()
+        for number in range(STREAMS):
+            self.assert_taken_up(number)
+
     def test_control_instance_that_stands_still_is_passed_over(self) -> None:
         silent = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(silent.close)
