--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -5,7 +5,8 @@
 Connections to other processes' internal ports go through the soak's proxies:
 SOAK_LINKS maps the address of each process to the address of the link to it,
 as JSON. SOAK_FAULT names a known fault to reintroduce; see `reintroduced`.
-SOAK_MACHINE is a file with the faults of the machine, see `Machine`.
+SOAK_MACHINE is a file with the faults of the machine, see `Machine`. With
+SOAK_BACKUPS, streams have backups, and many are moved, see `_move_often`.
 """
 
 import signal
@@ -26,7 +27,11 @@
 from testing.soak import reintroduced
 
 from mintcleat.adapters import wal_disk
+from mintcleat.decisions import stream_backups
+from mintcleat.decisions import stream_moves
 from mintcleat.main import hosted
+from mintcleat.platform import machine_settings
+from mintcleat.roles.entry import stream_watch
 
 # Interval of the checks whether the file of the machine's faults has changed.
 _CHECK_SECONDS = 0.05
@@ -91,12 +96,34 @@
     eventlet.connect = connect_by_link
 
 
+def _move_often() -> None:
+    """Turns on what the platform's settings don't, without its budgets."""
+    policies_of = machine_settings._policies
+
+    def policies_with_backups(file: Any, bounds: Any) -> dict[str, Any]:
+        return {**policies_of(file, bounds), "stream_backups": "on"}
+
+    def target_left(self: Any, stream: Any, now: float) -> float | None:
+        return stream.deadline.left
+
+    machine_settings._policies = policies_with_backups
+    stream_watch.StreamWatch._target_left = target_left
+    for decisions in (stream_moves, stream_backups):
+        decisions.FRACTION = 1.0
+        decisions.RESERVE = 100.0
+    # Part of the time left to its target that a stream on a slow upstream may
+    # take; without a bound most would stay.
+    stream_moves.TARGET_FRACTION = 0.0
+
+
 def main() -> None:
     """Runs the role that the command line names."""
     _redirect(json.loads(os.environ.get("SOAK_LINKS", "{}")))
     machine = os.environ.get("SOAK_MACHINE", "")
     if machine:
         Machine(pathlib.Path(machine)).install()
+    if os.environ.get("SOAK_BACKUPS", ""):
+        _move_often()
     fault = os.environ.get("SOAK_FAULT", "")
     if fault:
         reintroduced.FAULTS[fault].install()
--- /dev/null
+++ b/testing/soak/moving_checks.py
@@ -0,0 +1,131 @@
+"""Checks of streams that continue at another upstream.
+
+No I/O and no clock; see `checks`. Rules of a response's numbers, its end and
+the runs of its request are there.
+"""
+
+import collections
+
+from testing.soak import checks as checks_module
+from testing.soak import moving_upstreams
+
+# Time for which a run may still work at its upstream after another works on it.
+OVERLAP_SECONDS = 0.4
+
+
+class Segment:
+    """Work of one upstream on a request.
+
+    Attributes:
+        began: When its first event was made.
+        ended: When it had stopped to work; 0 while it works.
+    """
+
+    def __init__(
+        self, run: moving_upstreams.Run, upstream: str, began: float
+    ) -> None:
+        self.run = run
+        self.upstream = upstream
+        self.began = began
+        self.ended = 0.0
+
+
+class Observed:
+    """What upstreams with moves did.
+
+    Attributes:
+        checks: Gets the violations.
+        segments: Work on each request, by the beginnings.
+        handovers: Pairs of upstreams of which one went on after the other.
+    """
+
+    def __init__(self, checks: checks_module.Checks) -> None:
+        self.checks = checks
+        self.segments: dict[str, list[Segment]] = collections.defaultdict(list)
+        self.handovers = 0
+
+    def generated(
+        self, now: float, run: moving_upstreams.Run, upstream: str
+    ) -> None:
+        """An upstream generates an event."""
+        segments = self.segments[run.request]
+        if not any(one.run is run for one in segments):
+            segments.append(Segment(run, upstream, now))
+
+    def worked(self, now: float, run: moving_upstreams.Run) -> None:
+        """An upstream has stopped to work on a run."""
+        for segment in self.segments[run.request]:
+            if segment.run is run:
+                segment.ended = now
+
+    def violation(self, now: float, rule: str, detail: str) -> None:
+        """Records a violation."""
+        self.checks.violations.append(
+            checks_module.Violation(now, rule, detail)
+        )
+
+    def check(self, now: float, copies: list[moving_upstreams.Copy]) -> None:
+        """Checks what can be known only at the end."""
+        for request in self.segments:
+            self._check_overlap(now, request)
+            self._check_runs(now, request)
+        for copy in copies:
+            self._check_copy(now, copy)
+
+    def _check_overlap(self, now: float, request: str) -> None:
+        """An upstream stops to work when another one works on its run."""
+        segments = self.segments[request]
+        for index, later in enumerate(segments):
+            for earlier in segments[:index]:
+                self.handovers += 1
+                ended = earlier.ended or now
+                nodes = {self._entry(request), earlier.upstream, "load"}
+                free_at = self._reachable(nodes, later.began)
+                if ended > free_at + OVERLAP_SECONDS:
+                    self.violation(
+                        ended,
+                        "two_upstreams",
+                        f"{request} worked at {earlier.upstream} until "
+                        f"{ended:.3f}, and at {later.upstream} from "
+                        f"{later.began:.3f}",
+                    )
+
+    def _check_runs(self, now: float, request: str) -> None:
+        """A request that may run once has events of one run."""
+        sent = self.checks.requests.get(request)
+        serials = {one.run.serial for one in self.segments[request]}
+        if sent is not None and len(serials) > sent.max_runs:
+            self.violation(now, "second_run", f"{request}: runs {serials}")
+
+    def _check_copy(self, now: float, copy: moving_upstreams.Copy) -> None:
+        """A copy whose handle is known to its entry is used or freed."""
+        if copy.is_kept():
+            self.violation(now, "kept_copy", f"{copy.handle} is kept")
+        request = copy.run.request
+        nodes = {self._entry(request), copy.source.name, "load"}
+        is_disturbed = any(
+            fault.node in nodes
+            and fault.start <= copy.expires_at
+            and fault.end >= copy.told_at
+            for fault in self.checks.disturbances
+        )
+        if copy.end == "expired" and copy.told_at and not is_disturbed:
+            self.violation(
+                copy.expires_at,
+                "expired_copy",
+                f"{copy.handle} of {request}, made by {copy.source.name} and "
+                f"stated at {copy.told_at:.3f}, was neither used nor freed",
+            )
+
+    def _entry(self, request: str) -> str:
+        sent = self.checks.requests.get(request)
+        return sent.entry if sent is not None else ""
+
+    def _reachable(self, nodes: set[str], since: float) -> float:
+        """Returns from when on all nodes were without a fault for some time."""
+        faults = sorted(self.checks.disturbances, key=lambda one: one.start)
+        for fault in faults:
+            is_near = fault.start <= since + OVERLAP_SECONDS
+            if fault.node in nodes and is_near and fault.end >= since:
+                since = fault.end
+        return since
--- /dev/null
+++ b/testing/soak/moving_upstreams.py
@@ -0,0 +1,526 @@
+"""Stand-in upstreams that move running requests and keep backups of them.
+
+Upstreams of one `Network` copy memory to each other. What they do wrong follows
+from ids, so that a seed plays the same faults again.
+"""
+
+import asyncio
+import itertools
+import json
+import random
+import time
+from typing import Any
+from typing import Protocol
+
+from bench import hosted_processes
+from testing.soak import upstreams
+
+_MOVE_PATH = "POST /v1/kv-move "
+_HANDLE_PATH = "DELETE /v1/kv-handle/"
+# Time for which a copy is kept, and the part of it after which it is gone: it
+# expires when that time is well exceeded.
+HANDLE_SECONDS = 2.0
+_WELL_EXCEEDED = 1.25
+# Seconds that a copy takes: most are fast, some exceed what entries allow.
+_COPY_SECONDS = (0.01, 0.15)
+_SLOW_COPY_SECONDS = (0.3, 0.9)
+_SLOW_PART = 0.2
+# An answer that takes longer may come after its entry has given up the call.
+PROMPT_SECONDS = 0.45
+_LATE_SECONDS = 2.5
+_BACKUP_SECONDS = 0.15
+# Steps in which a run looks whether it was stopped.
+_STEP_SECONDS = 0.02
+SLOTS = 8
+# Answers of calls, and how often they come.
+_FAULTS = {
+    "": 78,
+    "unknown": 3,
+    "busy": 4,
+    "no_room": 6,
+    "no_handle": 2,
+    "lost": 4,
+    "late": 3,
+}
+# How a run goes on that continues from a copy, and how often.
+_CONTINUATIONS = {"": 90, "again": 4, "back": 3, "refused": 3}
+
+
+def _draw(text: str, weights: dict[str, int]) -> str:
+    generator = random.Random(text)
+    return generator.choices(list(weights), list(weights.values()))[0]
+
+
+class Run:
+    """A run of a request; it goes on where its memory is copied to.
+
+    Attributes:
+        serial: Number that no other run has; its events state it behind the
+            version, as `v1~7`.
+        body: Body of the request.
+        made: Number of the last event that was generated.
+        upstream: Upstream that runs it.
+        is_stopped: Whether a move has stopped it.
+        is_copying: Whether a call for a copy is in progress.
+        calls: Number of calls for copies.
+    """
+
+    def __init__(
+        self, request: str, serial: int, body: bytes, made: int, upstream: str
+    ) -> None:
+        self.request = request
+        self.serial = serial
+        self.body = body
+        self.made = made
+        self.upstream = upstream
+        self.is_stopped = False
+        self.is_copying = False
+        self.calls = 0
+
+
+class Copy:
+    """Memory of a run that is kept under a handle, or as a backup.
+
+    Attributes:
+        source: The upstream that made it.
+        destination: The upstream that holds it; None if only the source does.
+        is_source_lost: Whether the source has crashed since.
+        expires_at: Monotonic time from which it can't be used.
+        told_at: When its handle was stated in a prompt answer; 0 before.
+        is_usable: Whether the run has been stopped with it.
+        end: How it ended: `used`, `freed`, `expired`, `crashed` or empty.
+    """
+
+    def __init__(
+        self,
+        handle: str,
+        run: Run,
+        source: "Upstream",
+        destination: "Upstream | None",
+    ) -> None:
+        self.handle = handle
+        self.run = run
+        self.source = source
+        self.destination = destination
+        self.is_source_lost = False
+        self.expires_at = 0.0
+        self.told_at = 0.0
+        self.is_usable = False
+        self.end = ""
+        self.extend()
+
+    def extend(self) -> None:
+        """Keeps it for the whole time from now."""
+        self.expires_at = time.monotonic() + _WELL_EXCEEDED * HANDLE_SECONDS
+
+    def crashed(self, upstream: "Upstream") -> None:
+        """Records that the memory of an upstream is lost."""
+        if upstream is self.source:
+            self.is_source_lost = True
+        if upstream is self.destination:
+            self.destination = None
+        is_left = self.is_usable and not self.is_source_lost
+        if self.destination is None and not is_left and self.is_kept():
+            self.end = "crashed"
+
+    def is_at(self, upstream: "Upstream") -> bool:
+        """Returns whether an upstream can continue the run from it."""
+        if upstream is self.source:
+            return not self.is_source_lost
+        return upstream is self.destination
+
+    def is_kept(self) -> bool:
+        """Returns whether it still takes memory."""
+        if not self.end and time.monotonic() > self.expires_at:
+            self.end = "expired"
+        return not self.end
+
+
+class Observer(upstreams.Observer, Protocol):
+    """Receives what upstreams with moves do."""
+
+    def generated(self, run: Run, upstream: str, number: int) -> None:
+        """An upstream generates an event."""
+
+    def worked(self, run: Run, upstream: str) -> None:
+        """An upstream has stopped to work on a run."""
+
+    def used_again(self, copy: Copy) -> None:
+        """A handle is used that was used before."""
+
+    def used_by_another(self, copy: Copy, request: str) -> None:
+        """A request names the memory of another one."""
+
+    async def reached(self, point: str, copy: Copy | None, run: Run) -> None:
+        """A move is at a point; the observer may disturb it there."""
+
+
+class Network:
+    """Upstreams that reach each other.
+
+    Attributes:
+        upstreams: The upstreams by address.
+        copies: All copies that were made, in order.
+    """
+
+    def __init__(self, observer: Observer) -> None:
+        self.observer = observer
+        self.upstreams: dict[str, Upstream] = {}
+        self.copies: list[Copy] = []
+        self.numbers = itertools.count(1)
+
+    def held_at(self, upstream: "Upstream") -> int:
+        """Returns the number of copies that take slots of an upstream."""
+        return sum(
+            copy.destination is upstream and copy.is_kept()
+            for copy in self.copies
+            if not copy.end
+        )
+
+
+class Upstream(upstreams.Upstream):
+    """An upstream with moves and backups.
+
+    Attributes:
+        network: The upstreams that it reaches.
+        runs: Its runs by request.
+        backups: Copies of other upstreams' runs, by request.
+        awake: Set unless its process stands still.
+        is_isolated: Whether other upstreams can't reach it.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        network: Network,
+        controls: list[hosted_processes.Caller],
+    ) -> None:
+        super().__init__(name, "lm", network.observer, controls)
+        self.network = network
+        self.runs: dict[str, Run] = {}
+        self.backups: dict[str, Copy] = {}
+        self.readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.is_isolated = False
+
+    def heartbeat(self) -> dict[str, Any]:
+        """Returns the next registration."""
+        return {**super().heartbeat(), "slots": SLOTS}
+
+    async def start(self) -> None:
+        """Starts to listen and to register."""
+        await super().start()
+        self.network.upstreams[self.link.address] = self
+
+    def crash(self, quietly: bool = False) -> None:
+        """Ends the process; its memory is lost."""
+        super().crash(quietly)
+        for copy in self.network.copies:
+            copy.crashed(self)
+        self.runs.clear()
+        self.backups.clear()
+
+    def stand_still(self) -> None:
+        """Stops the process as SIGSTOP does."""
+        self.heartbeats = False
+        self.awake.clear()
+        self.link.apply("silent")
+
+    def go_on(self) -> None:
+        """Ends a stop of the process."""
+        self.heartbeats = True
+        self.awake.set()
+        self.link.restore()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.readers[writer] = reader
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            del self.readers[writer]
+
+    async def _answer(
+        self,
+        head: str,
+        headers: dict,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await self.awake.wait()
+        is_expected = headers.get("x-expect-instance") == self.name
+        if not is_expected or head.startswith("GET /v1/report "):
+            await super()._answer(head, headers, body, writer)
+        elif head.startswith(_MOVE_PATH):
+            await self._move(json.loads(body), writer)
+        elif head.startswith(_HANDLE_PATH):
+            self._free(head.split()[1].rpartition("/")[2])
+            _write_answer(writer, 200, {})
+        elif "kv-from" in headers:
+            await self._continue(headers, body, writer)
+        elif self.running + self.network.held_at(self) >= 2 * SLOTS:
+            writer.write(
+                b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+        else:
+            await self._begin(headers, body, writer)
+
+    # --- Runs -----------------------------------------------------------------
+
+    async def _begin(
+        self, headers: dict, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        request = headers["x-request-id"]
+        customer = headers.get("x-tenant", "")
+        self.observer.run_began(request, self.name, customer, body)
+        base = int(headers.get("last-event-id") or 0)
+        serial = next(self.network.numbers)
+        run = Run(request, serial, body, base, self.name)
+        await self._run(run, headers, writer, "")
+
+    async def _continue(
+        self, headers: dict, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Continues a run from a copy, or refuses the request."""
+        request = headers["x-request-id"]
+        address, _, handle = headers["kv-from"].partition("/")
+        copy = self._copy_at(address, handle)
+        how = _draw(f"{request} {handle} at {self.name}", _CONTINUATIONS)
+        is_same = copy is not None and copy.run.request == request
+        if copy is not None and not is_same:
+            self.observer.used_by_another(copy, request)
+        if copy is not None and copy.end == "used":
+            self.observer.used_again(copy)
+        if (
+            copy is None
+            or not is_same
+            or not copy.is_kept()
+            or not copy.is_usable
+            or copy.run.body != body
+            or how == "refused"
+        ):
+            _write_answer(writer, 503, {}, f"X-Request-Id: {request}\r\n")
+            return
+        copy.end = "used"
+        before = copy.run
+        run = Run(request, before.serial, body, before.made, self.name)
+        await self.observer.reached("continuing", copy, run)
+        await self._run(run, headers, writer, how)
+
+    def _copy_at(self, address: str, handle: str) -> Copy | None:
+        """Returns the copy that a request names, if it is here."""
+        if address == self.link.address and handle in self.backups:
+            return self.backups[handle]
+        for copy in self.network.copies:
+            if (copy.handle, copy.source.link.address) == (handle, address):
+                return copy if copy.is_at(self) else None
+        return None
+
+    async def _run(
+        self, run: Run, headers: dict, writer: asyncio.StreamWriter, how: str
+    ) -> None:
+        request = run.request
+        last = int(headers["x-token-counts"].partition(",")[2])
+        after = int(headers.get("last-event-id") or 0)
+        first = after + 1
+        if how == "again":
+            first = max(1, after)
+        elif how == "back":
+            first = max(1, after - 2)
+        pause = int(headers.get("x-pause-ms") or 10) / 1000
+        form = upstreams.form_of(request, self.name)._replace(broken_at=1.0)
+        self.runs[request] = run
+        self.running += 1
+        backup = None
+        if "x-kv-backup" in headers:
+            backup = asyncio.create_task(
+                self._back_up(run, headers["x-kv-backup"])
+            )
+        try:
+            await self._work(run, writer, 0.02)
+            events = [
+                upstreams.event_bytes(
+                    upstreams.EventText(
+                        request, number, f"{self.version}~{run.serial}"
+                    ),
+                    form.line_end,
+                )
+                for number in range(first, last + 1)
+            ]
+            common = (
+                f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
+                "Content-Type: text/event-stream\r\n"
+            )
+            writer.write(upstreams.head_of(form, common, b"".join(events)))
+            for number, event in zip(
+                range(first, last + 1), events, strict=True
+            ):
+                await self._work(run, writer, pause)
+                run.made = number
+                self.observer.generated(run, self.name, number)
+                upstreams.write_part(writer, form, event)
+                await writer.drain()
+            if request in self.runs and self.runs[request] is run:
+                del self.runs[request]
+            self._drop_backup(run)
+            await self._end(request, form, False, writer)
+        finally:
+            if backup is not None:
+                backup.cancel()
+            self.running -= 1
+            self.observer.worked(run, self.name)
+            if self.runs.get(request) is run:
+                del self.runs[request]
+
+    async def _work(
+        self, run: Run, writer: asyncio.StreamWriter, seconds: float
+    ) -> None:
+        """Works for some time.
+
+        Raises:
+            EOFError: The run was stopped, or its connection has ended.
+        """
+        until = time.monotonic() + seconds * self.slowness
+        while True:
+            await self.awake.wait()
+            reader = self.readers.get(writer)
+            if run.is_stopped or reader is None or reader.at_eof():
+                raise EOFError
+            left = until - time.monotonic()
+            if left <= 0.0:
+                return
+            await asyncio.sleep(min(left, _STEP_SECONDS))
+
+    # --- Moves ----------------------------------------------------------------
+
+    async def _move(
+        self, fields: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> None:
+        began = time.monotonic()
+        run = self.runs.get(fields["id"])
+        calls = run.calls if run is not None else 0
+        fault = _draw(f"{fields['id']} {self.name} {calls}", _FAULTS)
+        if run is None or fault == "unknown":
+            _write_answer(writer, 404, {})
+            return
+        run.calls += 1
+        if run.is_copying or fault == "busy":
+            _write_answer(writer, 409, {})
+            return
+        run.is_copying = True
+        try:
+            copy, status = await self._copy_run(run, fields, fault)
+        finally:
+            run.is_copying = False
+        await self.awake.wait()
+        if fault == "lost":
+            raise EOFError
+        if fault == "late":
+            await asyncio.sleep(_LATE_SECONDS)
+        has_handle = copy is not None and fault != "no_handle"
+        answer = {"handle": copy.handle, "made": run.made} if has_handle else {}
+        _write_answer(writer, status, answer)
+        if has_handle and time.monotonic() < began + PROMPT_SECONDS:
+            copy.told_at = time.monotonic()
+        if copy is not None and fields["last"]:
+            await self.observer.reached("stopped", copy, run)
+
+    async def _copy_run(
+        self, run: Run, fields: dict[str, Any], fault: str
+    ) -> tuple[Copy | None, int]:
+        """Copies the memory of a run; returns the copy and a status."""
+        is_last = fields["last"]
+        if is_last:
+            run.is_stopped = True
+        copy = self._copy_of(run)
+        destination = self.network.upstreams.get(fields["to"])
+        is_reached = (
+            fault not in ("no_room", "no_handle")
+            and destination is not None
+            and destination.server.is_serving()
+            and not destination.is_isolated
+        )
+        if copy is not None and copy.destination is not destination:
+            copy.end, copy = "freed", None
+        if is_reached and copy is None:
+            taken = destination.running + self.network.held_at(destination)
+            is_reached = taken < SLOTS
+            if is_reached:
+                copy = self._new_copy(run, destination)
+        await self.observer.reached("last" if is_last else "copy", copy, run)
+        generator = random.Random(f"{run.request} {self.name} {run.calls}")
+        is_slow = generator.random() < _SLOW_PART
+        bounds = _SLOW_COPY_SECONDS if is_slow else _COPY_SECONDS
+        await asyncio.sleep(generator.uniform(*bounds))
+        await self.awake.wait()
+        if copy is not None and is_reached and copy.is_kept():
+            copy.extend()
+            copy.is_usable = is_last
+            return copy, 200
+        if copy is not None and not copy.end:
+            copy.end = "freed"
+        if not is_last:
+            return None, 503
+        copy = self._new_copy(run, None)
+        copy.is_usable = True
+        return copy, 503
+
+    def _new_copy(self, run: Run, destination: "Upstream | None") -> Copy:
+        handle = f"h{next(self.network.numbers)}"
+        copy = Copy(handle, run, self, destination)
+        self.network.copies.append(copy)
+        return copy
+
+    def _copy_of(self, run: Run) -> Copy | None:
+        for copy in self.network.copies:
+            is_same = copy.run is run and copy.source is self
+            if is_same and not copy.is_source_lost and copy.is_kept():
+                return copy
+        return None
+
+    def _free(self, handle: str) -> None:
+        for copy in self.network.copies:
+            is_same = copy.handle == handle and copy.source is self
+            if is_same and not copy.is_source_lost and copy.is_kept():
+                copy.end = "freed"
+
+    # --- Backups --------------------------------------------------------------
+
+    async def _back_up(self, run: Run, address: str) -> None:
+        """Sends the memory of a run to another upstream as it grows."""
+        other = self.network.upstreams.get(address)
+        while other is not None:
+            await asyncio.sleep(_BACKUP_SECONDS)
+            await self.awake.wait()
+            if not other.server.is_serving() or other.is_isolated:
+                continue
+            copy = other.backups.get(run.request)
+            if copy is None or copy.run is not run or not copy.is_kept():
+                copy = Copy(run.request, run, self, other)
+                copy.is_usable = True
+                other.backups[run.request] = copy
+            copy.extend()
+
+    def _drop_backup(self, run: Run) -> None:
+        """Frees the backup of a run that has ended."""
+        for other in self.network.upstreams.values():
+            copy = other.backups.get(run.request)
+            if copy is not None and copy.run.serial == run.serial:
+                copy.end = copy.end or "freed"
+
+
+def _write_answer(
+    writer: asyncio.StreamWriter,
+    status: int,
+    fields: dict[str, Any],
+    more: str = "",
+) -> None:
+    body = json.dumps(fields).encode()
+    writer.write(
+        f"HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n"
+        f"{more}Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -63,11 +63,17 @@
     return number // 3
 
 
-def configuration(version: int) -> dict[str, Any]:
+def configuration(
+    version: int, engine: dict[str, Any] | None = None
+) -> dict[str, Any]:
     """Returns a version of the configuration.
 
     Each version has a route of its own, a new key of the rotating customer, and
     what `changes` says.
+
+    Args:
+        version: The version.
+        engine: Further fields of the model engines; None for none.
     """
     return {
         "version": number_of(version),
@@ -80,7 +86,11 @@
             {
                 "name": "lm",
                 "maxConnections": 64,
-                "engine": {"stride": 1, "models": [{"name": "m"}]},
+                "engine": {
+                    "stride": 1,
+                    "models": [{"name": "m"}],
+                    **(engine or {}),
+                },
             },
         ],
         "tenants": _tenants(version),
@@ -157,6 +167,7 @@
     Attributes:
         version: The highest version that was acknowledged.
         pushes_fast: Whether all pauses between pushes are short.
+        engine: Further fields of the model engines.
     """
 
     def __init__(
@@ -170,6 +181,7 @@
         self.generator = generator
         self.version = 0
         self.pushes_fast = False
+        self.engine: dict[str, Any] = {}
 
     async def push(self, step: int = 1) -> None:
         """Pushes a later version until a control acknowledges it.
@@ -178,7 +190,7 @@
             step: How much later.
         """
         version = self.version + step
-        body = json.dumps(configuration(version)).encode()
+        body = json.dumps(configuration(version, self.engine)).encode()
         self.checks.pushed[version] = time.monotonic()
         while True:
             control = self.generator.choice(self.controls)
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -124,6 +124,7 @@
         )
         environment["SOAK_FAULT"] = self.fleet.fault
         environment["SOAK_MACHINE"] = str(self.machine_path)
+        environment["SOAK_BACKUPS"] = "1" if self.fleet.backups else ""
         self.starts += 1
         if self.log_path.exists():
             self.log_offset = len(self.log_path.read_text())
@@ -336,6 +337,8 @@
             the same after a replacement, so that one may be long gone.
         memory_mb: Memory limit in the settings of each process.
         descriptors: Limit of its file descriptors there.
+        backups: Whether streams have backups and moves for every reason; see
+            `launch`.
 
     Args:
         network: First two bytes of the loopback addresses.
@@ -358,6 +361,7 @@
         self.fault = fault
         self.memory_mb = _MEMORY_MB
         self.descriptors = _DESCRIPTORS
+        self.backups = False
         self.nodes: dict[str, Node] = {}
         self.controls = [
             self._add(f"control-{number}", "control", number)
@@ -440,10 +444,10 @@
             text = node.log_path.read_text()
             for line in text[node.log_offset :].splitlines():
                 if '"disk_opened"' in line:
-                    identity = _fields(line).get("identity", identity)
+                    identity = fields_of(line).get("identity", identity)
             for line in text.splitlines():
                 if '"voters_changed"' in line:
-                    fields = _fields(line)
+                    fields = fields_of(line)
                     known = voters.get(fields["group"], (-1, set()))
                     if fields["index"] > known[0]:
                         voters[fields["group"]] = (
@@ -466,7 +470,7 @@
             for line in node.log_path.read_text().splitlines():
                 if '"leader_changed"' not in line:
                     continue
-                fields = _fields(line)
+                fields = fields_of(line)
                 is_group = not group or fields.get("group") == group
                 term = fields.get("term", 0)
                 if (
@@ -478,7 +482,7 @@
         return found
 
 
-def _fields(line: str) -> dict:
+def fields_of(line: str) -> dict:
     """Returns the fields of a log line; none if it isn't complete."""
     try:
         return json.loads(line[line.index("{") :])
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -181,7 +181,7 @@
     return line_end.join((f"id: {number}", f"data: {data}", "", "")).encode()
 
 
-def _head(form: Form, common: str, body: bytes) -> bytes:
+def head_of(form: Form, common: str, body: bytes) -> bytes:
     """Returns the head of an answer with this whole body."""
     fields = {
         LENGTH: f"Content-Length: {len(body)}",
@@ -191,7 +191,7 @@
     return f"HTTP/1.1 200 OK\r\n{common}{fields[form.framing]}\r\n\r\n".encode()
 
 
-def _write(writer: asyncio.StreamWriter, form: Form, data: bytes) -> None:
+def write_part(writer: asyncio.StreamWriter, form: Form, data: bytes) -> None:
     """Writes a part of a body."""
     if form.framing == CHUNKS and data:
         data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -420,8 +420,8 @@
                 form = form_of(request, self.name)
                 text = plain_body(request)
                 cut = form.cut(text)
-                writer.write(_head(form, common, text))
-                _write(writer, form, text[:cut])
+                writer.write(head_of(form, common, text))
+                write_part(writer, form, text[:cut])
                 await self._end(request, form, cut < len(text), writer)
         finally:
             self.running -= 1
@@ -453,12 +453,12 @@
         await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
         common += "Content-Type: text/event-stream\r\n"
         body = b"".join(events)
-        writer.write(_head(form, common, body))
+        writer.write(head_of(form, common, body))
         left = form.cut(body)
         for event in events:
             if not large:
                 await asyncio.sleep(pause * self.slowness)
-            _write(writer, form, event[:left])
+            write_part(writer, form, event[:left])
             left -= min(left, len(event))
             await writer.drain()
             if not left:
