A replacement does not confirm the end of a leaving upstream's answer

What callers saw: a stream whose end nothing marks could end as whole before its last event, if its upstream drained, was killed, and a process under the same id registered within the 0.25 s in which the entry waits for a deregistration.

Cause: `EndConfirmation._deregisters` took a registration that had disappeared for a deregistration. It also disappears when the next process of the upstream registers, which says nothing of how the one before ended.

Change: a registration that a later process has replaced is no deregistration; the stream counts as broken off, and is resumed where its route allows it.

Evidence: the test fails before (closed, not crashed) and passes after.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -94,12 +94,14 @@
     def _deregisters(self, upstream: member_messages.Registration) -> bool:
         """Returns whether a leaving upstream has deregistered by now.
 
-        Its registration would expire only seconds after its end.
+        Its registration would expire only seconds after its end. One that a
+        later process has replaced may have been killed before that.
         """
+        registered = self.configuration.registered
         with eventlet.Timeout(LEAVE_SECONDS, False):
-            while self.configuration.registered.is_registered(upstream):
+            while registered.is_registered(upstream):
                 eventlet.sleep(_LEAVE_CHECK_SECONDS)
-            return True
+            return not registered.is_replaced(upstream)
         return False
 
     def _reachability(
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -113,6 +113,19 @@
         )
         self.assertEqual(Kind.CLOSED, self.confirm())
 
+    def test_replacement_of_a_leaving_upstream_is_not_its_deregistration(
+        self,
+    ) -> None:
+        # Guards against a stream that ends as whole where its process was
+        # killed: the next one had registered within the time waited.
+        self.drain()
+        eventlet.spawn_after(
+            0.05,
+            self.configuration.registered.register,
+            registration(started=2),
+        )
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
     def test_leaving_upstream_that_is_gone_without_a_word_has_crashed(
         self,
     ) -> None:
