A deregistration before the end of an answer proves nothing

What callers saw: a stream without a mark of its end, of an upstream that leaves as planned, ended as whole where its upstream had cut it between two events (ORDER: it ends as complete before its last event); a turn was recorded so. Upstreams that drain deregister when their time is over, and end what still runs with their connections.

Cause: such an answer counts as whole if its upstream deregisters within 0.25 s after the end, as only a running process can. Whether it did so after the end was judged by when the news reached the entry's own directory, a commit and a push later than the truth, and seconds later at an entry that stood still. A removal for silence, or by another process that took over the address, was taken for a deregistration, too.

Change: the entry asks the config leader once it has the end. Only an upstream that is still registered then, and deregisters itself after that, has ended its answer. The group's state remembers who deregistered. Without an answer of the leader the stream counts as broken off, as without a deregistration before.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -3,11 +3,17 @@
 The connection of such an answer is closed in order when the answer is whole,
 and also when its upstream crashes. A process that crashed refuses connections
 at once, so one attempt to connect tells the two apart. One that leaves refuses
-them too after its last answer, but it has deregistered then, which a process
-that was killed can't do any more. Answers with a marked end cost nothing.
+them too after its last answer, but it deregisters then, which a process that
+was killed can't do any more. One whose time to drain is over deregisters and
+ends what still runs with its connections. Which came first, the end of the
+answer or the deregistration, this entry's own directory can't tell, as it is
+always some milliseconds old. So the config leader is asked once the end is
+there. Answers with a marked end cost nothing.
 """
 
 from collections.abc import Callable
+import contextlib
+from typing import Any
 from typing import Protocol
 
 import eventlet
@@ -15,6 +21,7 @@
 from mintcleat.configuration import directory
 from mintcleat.decisions import answer_end
 from mintcleat.domain import answer_ends
+from mintcleat.domain import errors
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
 from mintcleat.ports import forwarding
@@ -25,10 +32,12 @@
 # Attempts to connect. The packet that opens a connection may be lost, and is
 # sent again only after a second.
 CONFIRM_TRIES = 3
-# Time for which the end of an answer waits for the news that its upstream has
-# deregistered: a commit, and an update of the directory at this entry.
+# Time for which the end of an answer waits until its upstream deregisters: some
+# commits.
 LEAVE_SECONDS = 0.25
-_LEAVE_CHECK_SECONDS = 0.01
+_LEAVE_CHECK_SECONDS = 0.02
+# Time after which another control instance is asked.
+_TRY_SECONDS = 0.1
 
 
 class Configuration(Protocol):
@@ -40,6 +49,9 @@
 
     registered: directory.Directory
 
+    def ask(self, message: Any, timeout: float, try_timeout: float) -> Any:
+        """Sends a request to the config leader and returns its reply."""
+
 
 class EndConfirmation:
     """Asks upstreams whether they still run after their answers.
@@ -92,16 +104,27 @@
         return answer_end.confirmed(end, found)
 
     def _deregisters(self, upstream: member_messages.Registration) -> bool:
-        """Returns whether a leaving upstream has deregistered by now.
+        """Returns whether a leaving upstream deregisters from now on.
 
-        Its registration would expire only seconds after its end. One that a
-        later process has replaced may have been killed before that.
+        If it has done so before, or was removed for another reason, nothing
+        shows that it still ran at the end of its answer.
         """
-        registered = self.configuration.registered
-        with eventlet.Timeout(LEAVE_SECONDS, False):
-            while registered.is_registered(upstream):
+        question = member_messages.FindUpstream(
+            upstream.upstream, upstream.started
+        )
+        was_registered = False
+        with (
+            eventlet.Timeout(LEAVE_SECONDS, False),
+            contextlib.suppress(errors.MintcleatError),
+        ):
+            while True:
+                found = self.configuration.ask(
+                    question, LEAVE_SECONDS, _TRY_SECONDS
+                )
+                if not found.is_registered:
+                    return was_registered and found.has_deregistered
+                was_registered = True
                 eventlet.sleep(_LEAVE_CHECK_SECONDS)
-            return not registered.is_replaced(upstream)
         return False
 
     def _reachability(
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -1,5 +1,6 @@
 """Answers that break off, from the upstream's bytes to the caller's framing."""
 
+from collections.abc import Callable
 import itertools
 from typing import NamedTuple
 
@@ -218,6 +219,55 @@
         self.start("lm", leave_first)
         self.assertFalse(self.turn("t1").whole)
 
+    def leave_at_once(
+        self, leave: Callable[[platform_engine.Engine], None]
+    ) -> None:
+        """Starts an upstream that drains, and ends between two events.
+
+        The entry learns only 0.1 s later what control knows at that time.
+        """
+        follower = self.system.entries[0].follower
+        handle = follower.handle_message
+        killed = broken(end=answer_scripts.CRASH, sent=len(EVENT))
+
+        def run(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            self.system.heartbeat(connection.engine, "lm", "draining")
+            self.system.settle()
+            self.patch(
+                follower,
+                "handle_message",
+                lambda message: eventlet.spawn_after(0.1, handle, message),
+            )
+            leave(connection.engine)
+            return killed(connection, received)
+
+        self.start("lm", run)
+
+    def test_turn_cut_by_a_planned_exit_is_not_whole_at_a_late_entry(
+        self,
+    ) -> None:
+        # Guards against a deregistration that is taken for one after the end.
+        self.leave_at_once(self.system.leave)
+        self.assertFalse(self.turn("t1").whole)
+        self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
+
+    def test_turn_cut_by_a_crash_is_not_whole_as_its_address_is_taken_over(
+        self,
+    ) -> None:
+        # Guards against a removal that is taken for a deregistration.
+        def take_over(engine: platform_engine.Engine) -> None:
+            eventlet.spawn_after(0.05, register, engine)
+
+        def register(engine: platform_engine.Engine) -> None:
+            engine.name = "next"
+            self.system.heartbeat(engine, "lm")
+
+        self.leave_at_once(take_over)
+        self.assertFalse(self.turn("t1").whole)
+
     def test_connection_that_confirms_an_end_carries_the_next_request(
         self,
     ) -> None:
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -1,10 +1,13 @@
 """Tests which upstreams are asked after an answer without a marked end."""
 
+from typing import Any
+
 import eventlet
 import testtools
 
 from mintcleat.configuration import directory
 from mintcleat.domain import answer_ends
+from mintcleat.domain import errors
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
 from mintcleat.roles.entry import end_confirmation
@@ -50,8 +53,24 @@
 
 
 class Followed:
+    """A directory that is as new as the config leader's.
+
+    Attributes:
+        is_cut_off: Whether no leader answers.
+        asked: Number of questions to the leader.
+    """
+
     def __init__(self) -> None:
         self.registered = directory.Directory()
+        self.leader = self.registered
+        self.is_cut_off = False
+        self.asked = 0
+
+    def ask(self, message: Any, timeout: float, try_timeout: float) -> Any:
+        self.asked += 1
+        if self.is_cut_off:
+            raise errors.ControlUnavailable("No config leader.")
+        return self.leader.find(*message)
 
 
 class EndConfirmationTest(testtools.TestCase):
@@ -126,6 +145,32 @@
         )
         self.assertEqual(Kind.CRASHED, self.confirm())
 
+    def test_deregistration_before_the_end_that_is_not_known_here_is_none(
+        self,
+    ) -> None:
+        # Guards against the order in which news arrive at this entry.
+        self.drain()
+        self.configuration.leader = directory.Directory()
+        self.configuration.leader.leave("u1", True, 1)
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
+    def test_removal_of_a_silent_upstream_is_not_its_deregistration(
+        self,
+    ) -> None:
+        self.drain()
+        eventlet.spawn_after(
+            0.05, self.configuration.registered.leave, "u1", False
+        )
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
+    def test_leaving_upstream_that_nobody_can_ask_for_has_crashed(
+        self,
+    ) -> None:
+        self.drain()
+        self.configuration.is_cut_off = True
+        self.assertEqual(Kind.CRASHED, self.confirm())
+        self.assertEqual(1, self.configuration.asked)
+
     def test_leaving_upstream_that_is_gone_without_a_word_has_crashed(
         self,
     ) -> None:
