--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -114,6 +114,7 @@
     # Part of the time left to its target that a stream on a slow upstream may
     # take; without a bound most would stay.
     stream_moves.TARGET_FRACTION = 0.0
+    stream_moves.LEAVING_SECONDS = 0.3
 
 
 def main() -> None:
--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -16,6 +16,7 @@
 from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
+import itertools
 import json
 import pathlib
 import random
@@ -37,7 +38,7 @@
 from testing.soak import run as run_module
 from testing.soak import upstreams
 
-SECONDS = 18.0
+SECONDS = 14.0
 _UPSTREAMS = 6
 _STREAMS = 9
 _PROGRAMS = 9
@@ -45,7 +46,7 @@
 # Turns of a program after which its streams have backups.
 _SHORT_TURNS = 3
 _LONG_TURNS = 2
-_EVENTS = (60, 120)
+_EVENTS = (80, 160)
 _PAUSE_MS = 25
 _TAKE_UPS = 3
 # Chance of a fault at each point of a move, and the faults at one time.
@@ -53,9 +54,12 @@
 _MAX_FAULTS = 2
 _FAULT_SECONDS = (0.2, 2.5)
 # Time for which an upstream that drains goes on.
-_DRAIN_SECONDS = (2.5, 4.0)
+_DRAIN_SECONDS = (1.5, 3.0)
+_TIMEOUT_MS = 10_000
 _LAG_SECONDS = 0.05
 _LATE_SECONDS = 0.1
+# In the log of an entry, for a call that it has given up.
+_NO_ANSWER = "no answer in time"
 _ENGINE = {
     "slots": moving_upstreams.SLOTS,
     "kvCapacityTokens": 100_000,
@@ -151,6 +155,7 @@
         self.recorder.upstreams = {one.name: one for one in self.upstreams}
         self.operator = operators.Operator(clients, self.checks, self.generator)
         self.operator.engine = _ENGINE
+        self.operator.timeout_ms = _TIMEOUT_MS
         self.balancer = callers_module.Balancer(
             self.fleet.entries, self.generator
         )
@@ -176,7 +181,9 @@
                 await self._until_served()
             self.until = time.monotonic() + seconds
             self._spawn(self._watch_lag())
-            self._spawn(self._leave_forever())
+            half = len(self.upstreams) // 2
+            self._spawn(self._leave_forever(self.upstreams[:half]))
+            self._spawn(self._leave_forever(self.upstreams[half:]))
             self._spawn(self._slow_down_forever())
             await asyncio.gather(
                 *(self._read_streams() for _ in range(_STREAMS)),
@@ -188,6 +195,11 @@
                 if task.done():
                     task.result()
             now = time.monotonic()
+            self.recorder.observed.unanswered = {
+                fields["request"]
+                for fields in self.continued()
+                if fields["detail"] == _NO_ANSWER
+            }
             self.recorder.observed.check(now, self.network.copies)
         finally:
             for task in self.tasks:
@@ -198,6 +210,19 @@
                 upstream.crash()
             await self.fleet.stop()
 
+    def continued(self) -> list[dict[str, Any]]:
+        """Returns what the entries logged of streams that continued."""
+        return [
+            processes.fields_of(line)
+            for node in self.fleet.entries
+            for line in node.log_path.read_text().splitlines()
+            if '"stream_continued"' in line
+        ]
+
+    def _log(self, text: str) -> None:
+        with (self.fleet.folder / "moving.log").open("a") as file:
+            file.write(f"{time.time():.3f} {time.monotonic():.3f} {text}\n")
+
     def _spawn(self, work: Coroutine) -> None:
         self.tasks.append(asyncio.create_task(work))
 
@@ -235,8 +260,8 @@
             body=b"stream",
             expected=b"stream",
             pause_ms=_PAUSE_MS,
-            deadline_ms=15_000,
-            timeout=16.0,
+            deadline_ms=_TIMEOUT_MS,
+            timeout=1.2 * _TIMEOUT_MS / 1000,
         )
 
     async def _read_streams(self) -> None:
@@ -309,10 +334,11 @@
 
     # --- Faults ---------------------------------------------------------------
 
-    async def _leave_forever(self) -> None:
+    async def _leave_forever(
+        self, chosen: list[moving_upstreams.Upstream]
+    ) -> None:
         """Has one upstream after the other leave and return."""
-        for number in range(10**6):
-            upstream = self.upstreams[number % len(self.upstreams)]
+        for upstream in itertools.cycle(chosen):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(upstream.drain(), 2.0)
             await asyncio.sleep(self.generator.uniform(*_DRAIN_SECONDS))
@@ -361,6 +387,7 @@
         if node is None or node.name in self.disturbed:
             return
         self.faults[f"{kind} {victim} at {point}"] += 1
+        self._log(f"{point} of {run.request}: {kind} {node.name} {seconds:.3f}")
         self._spawn(self._disturb(node, kind, seconds, generator))
         # The task has begun when the move goes on.
         await asyncio.sleep(0)
@@ -417,6 +444,7 @@
             case "cut":
                 ways = ("silent", "cut_in", "cut_out", "reset", "isolated")
                 way = generator.choice(ways)
+                self._log(f"{upstream.name}: {way}")
                 upstream.is_isolated = way == "isolated"
                 upstream.link.apply(way)
                 await asyncio.sleep(seconds)
@@ -427,6 +455,7 @@
     def _disturbance(self, name: str) -> Iterator[None]:
         """Records a fault of a node."""
         self.disturbed.add(name)
+        self._log(f"{name} is disturbed")
         began = time.monotonic()
         index = len(self.checks.disturbances)
         self.checks.disturbances.append(
@@ -436,6 +465,7 @@
             yield
         finally:
             self.disturbed.discard(name)
+            self._log(f"{name} is well")
             self.checks.disturbances[index] = checks_module.Disturbance(
                 name, began, time.monotonic()
             )
@@ -443,12 +473,10 @@
 
 def report(scenario: Scenario) -> dict[str, Any]:
     """Returns what came of the streams, and what was violated."""
-    continued: collections.Counter[str] = collections.Counter()
-    for node in scenario.fleet.entries:
-        for line in node.log_path.read_text().splitlines():
-            if '"stream_continued"' in line:
-                fields = processes.fields_of(line)
-                continued[f"{fields['reason']} {fields['result']}"] += 1
+    continued = collections.Counter(
+        f"{fields['reason']} {fields['result']}"
+        for fields in scenario.continued()
+    )
     copies = scenario.network.copies
     ends = collections.Counter(copy.end for copy in copies)
     return {
--- a/testing/soak/moving_checks.py
+++ b/testing/soak/moving_checks.py
@@ -37,12 +37,16 @@
         checks: Gets the violations.
         segments: Work on each request, by the beginnings.
         handovers: Pairs of upstreams of which one went on after the other.
+        unanswered: Requests whose entries gave up a call for a copy: the
+            answer came while the process had no processor, so that the handle
+            isn't known there.
     """
 
     def __init__(self, checks: checks_module.Checks) -> None:
         self.checks = checks
         self.segments: dict[str, list[Segment]] = collections.defaultdict(list)
         self.handovers = 0
+        self.unanswered: set[str] = set()
 
     def generated(
         self, now: float, run: moving_upstreams.Run, upstream: str
@@ -109,7 +113,9 @@
             and fault.end >= copy.told_at
             for fault in self.checks.disturbances
         )
-        if copy.end == "expired" and copy.told_at and not is_disturbed:
+        if request in self.unanswered or is_disturbed:
+            return
+        if copy.end == "expired" and copy.told_at:
             self.violation(
                 copy.expires_at,
                 "expired_copy",
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -64,7 +64,9 @@
 
 
 def configuration(
-    version: int, engine: dict[str, Any] | None = None
+    version: int,
+    engine: dict[str, Any] | None = None,
+    timeout_ms: int = _TIMEOUT_MS,
 ) -> dict[str, Any]:
     """Returns a version of the configuration.
 
@@ -74,10 +76,11 @@
     Args:
         version: The version.
         engine: Further fields of the model engines; None for none.
+        timeout_ms: Time-out of the routes of streams.
     """
     return {
         "version": number_of(version),
-        "routes": _routes(version),
+        "routes": _routes(version, timeout_ms),
         "services": [
             *(
                 {"name": name, "maxConnections": 64}
@@ -98,12 +101,24 @@
     }
 
 
-def _routes(version: int) -> list[dict[str, Any]]:
+def _routes(version: int, timeout_ms: int) -> list[dict[str, Any]]:
     return [
         _route(
-            "turn", "stream", service="lm", retainContext=True, retentionS=60.0
+            "turn",
+            "stream",
+            service="lm",
+            retainContext=True,
+            retentionS=60.0,
+            timeoutMs=timeout_ms,
+        ),
+        _route(
+            "resume",
+            "stream",
+            service="lm",
+            resumable=True,
+            priority=1,
+            timeoutMs=timeout_ms,
         ),
-        _route("resume", "stream", service="lm", resumable=True, priority=1),
         _route(
             "long",
             "stream",
@@ -168,6 +183,7 @@
         version: The highest version that was acknowledged.
         pushes_fast: Whether all pauses between pushes are short.
         engine: Further fields of the model engines.
+        timeout_ms: Time-out of the routes of streams.
     """
 
     def __init__(
@@ -182,6 +198,7 @@
         self.version = 0
         self.pushes_fast = False
         self.engine: dict[str, Any] = {}
+        self.timeout_ms = _TIMEOUT_MS
 
     async def push(self, step: int = 1) -> None:
         """Pushes a later version until a control acknowledges it.
@@ -190,7 +207,8 @@
             step: How much later.
         """
         version = self.version + step
-        body = json.dumps(configuration(version, self.engine)).encode()
+        content = configuration(version, self.engine, self.timeout_ms)
+        body = json.dumps(content).encode()
         self.checks.pushed[version] = time.monotonic()
         while True:
             control = self.generator.choice(self.controls)
