An upstream that registers anew while it is asked has crashed

Cause: the entry asked the new process three times for 0.05 s, got no answer in time on the busy machine, and took the end for whole, though the directory had named the new process 0.02 s before it answered.

Change: after the questions the directory is read once more.

Evidence: the test fails before (closed, not crashed) and passes after.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -89,6 +89,11 @@
             and self._deregisters(upstream)
         ):
             return end
+        # Its next process may have registered while it was asked.
+        if found is not routed_calls.Reachability.ACCEPTS and (
+            registered.is_replaced(upstream)
+        ):
+            return end._replace(kind=answer_ends.Kind.CRASHED)
         return answer_end.confirmed(end, found)
 
     def _deregisters(self, upstream: member_messages.Registration) -> bool:
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -149,6 +149,19 @@
         self.assertEqual(Kind.CRASHED, self.confirm())
         self.assertEqual(0, self.upstreams.probed)
 
+    def test_upstream_that_registers_anew_while_it_is_asked_has_crashed(
+        self,
+    ) -> None:
+        # Guards against a stream that ends as whole where its process was
+        # killed: the next one answers too late, but has registered.
+        self.upstreams.lost = 100
+        eventlet.spawn_after(
+            0.02,
+            self.configuration.registered.register,
+            registration(started=2),
+        )
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
     def test_upstream_that_does_not_answer_delays_the_end_briefly(self) -> None:
         self.upstreams.lost = 100
         with eventlet.Timeout(10.0):
