A process that answers late still shows that the one before it crashed

What callers saw: a stream that its upstream broke off by an orderly close could end as whole while the machine of the next process, or the entry, was busy.

Cause: the entry waits 0.05 s for each of three answers on the process at the address. Without an answer the end counts as whole. Two tests of the same case raised that time to 5 s, as a busy machine answers later, and so hid it.

Change: one more attempt of 0.5 s, which only an upstream that doesn't answer at all uses up. The two tests run with the times of the product.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -25,6 +25,9 @@
 # Attempts to connect. The packet that opens a connection may be lost, and is
 # sent again only after a second.
 CONFIRM_TRIES = 3
+# Time for one more attempt: a process that has just replaced that of the answer
+# is busy with its start, and this process may be late itself.
+LATE_SECONDS = 0.5
 # Time for which the end of an answer waits for the news that its upstream has
 # deregistered: a commit, and an update of the directory at this entry.
 LEAVE_SECONDS = 0.25
@@ -66,10 +69,11 @@
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole.
 
-        Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
-        its end, and `LEAVE_SECONDS` more if its upstream was leaving and is
-        gone. Of a stream it also asks which process is there now: one that
-        replaced that of the answer would confirm its end otherwise. Services
+        If nothing marks its end, waits up to `CONFIRM_TRIES` times
+        `CONFIRM_SECONDS` and `LATE_SECONDS`, and `LEAVE_SECONDS` more if its
+        upstream was leaving and is gone. Of a stream it also asks which process
+        is there now: one that replaced that of the answer would confirm its end
+        otherwise. Services
         of plain answers report nothing on themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
@@ -116,8 +120,8 @@
             [member_messages.Registration], routed_calls.Reachability
         ],
     ) -> routed_calls.Reachability:
-        for _ in range(CONFIRM_TRIES):
-            with eventlet.Timeout(CONFIRM_SECONDS, False):
+        for seconds in (*(CONFIRM_SECONDS,) * CONFIRM_TRIES, LATE_SECONDS):
+            with eventlet.Timeout(seconds, False):
                 found = ask(upstream)
                 if found is not routed_calls.Reachability.UNKNOWN:
                     return found
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -12,7 +12,6 @@
 from fakes import platform_system
 from mintcleat.domain import events
 from mintcleat.domain import server_sent_events
-from mintcleat.roles.entry import end_confirmation
 
 EVENT = platform_engine.event(1)
 
@@ -109,8 +108,6 @@
         return run
 
     def start_replaced(self, **fields: object) -> None:
-        # A busy machine answers later than the entry waits for it.
-        self.patch(end_confirmation, "CONFIRM_SECONDS", 5.0)
         engines = self.start(
             "lm", self.replaced(**fields), platform_engine.stream(3)
         )
@@ -136,7 +133,6 @@
         self.assertFalse(self.turn("t1").whole)
 
     def test_turn_whose_address_has_another_upstream_is_not_whole(self) -> None:
-        self.patch(end_confirmation, "CONFIRM_SECONDS", 5.0)
         self.start("lm", self.replaced(name="other"))
         self.assertFalse(self.turn("t1").whole)
 
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -26,11 +26,13 @@
 
     Attributes:
         lost: Number of the first probes that get no answer.
+        seconds: Time that each answer takes.
     """
 
     def __init__(self, answer: routed_calls.Reachability) -> None:
         self.answer = answer
         self.lost = 0
+        self.seconds = 0.0
         self.probed = 0
         self.identified = 0
 
@@ -40,6 +42,7 @@
         self.probed += 1
         if self.probed <= self.lost:
             eventlet.sleep(60.0)
+        eventlet.sleep(self.seconds)
         return self.answer
 
     def identify(
@@ -162,6 +165,14 @@
         )
         self.assertEqual(Kind.CRASHED, self.confirm())
 
+    def test_busy_process_that_answers_late_shows_a_crash(self) -> None:
+        # Guards against a stream that ends as whole where its process was
+        # killed, as the machine of the next one or of the entry is busy.
+        self.is_stream = True
+        self.upstreams.answer = routed_calls.Reachability.REPLACED
+        self.upstreams.seconds = 0.2
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
     def test_upstream_that_does_not_answer_delays_the_end_briefly(self) -> None:
         self.upstreams.lost = 100
         with eventlet.Timeout(10.0):
