--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -73,8 +73,7 @@
         `CONFIRM_SECONDS` and `LATE_SECONDS`, and `LEAVE_SECONDS` more if its
         upstream was leaving and is gone. Of a stream it also asks which process
         is there now: one that replaced that of the answer would confirm its end
-        otherwise. Services
-        of plain answers report nothing on themselves.
+        otherwise. Services of plain answers report nothing on themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -127,7 +127,8 @@
         _move_often()
     fault = os.environ.get("SOAK_FAULT", "")
     if fault:
-        reintroduced.FAULTS[fault].install()
+        known = {**reintroduced.FAULTS, **reintroduced.MOVING_FAULTS}
+        known[fault].install()
     hosted.main()
 
 
--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -50,7 +50,7 @@
 _PAUSE_MS = 25
 _TAKE_UPS = 3
 # Chance of a fault at each point of a move, and the faults at one time.
-_FAULT_PART = 0.3
+_FAULT_PARTS = {"copy": 0.15, "last": 0.3, "stopped": 0.3, "continuing": 0.3}
 _MAX_FAULTS = 2
 _FAULT_SECONDS = (0.2, 2.5)
 # Time for which an upstream that drains goes on.
@@ -64,7 +64,7 @@
     "slots": moving_upstreams.SLOTS,
     "kvCapacityTokens": 100_000,
     "kvTokenBytes": 60_000,
-    "linkMbps": 1000,
+    "linkMbps": 400,
     "moves": True,
     "backups": True,
     "handle_s": moving_upstreams.HANDLE_SECONDS,
@@ -370,7 +370,7 @@
         """Disturbs some of the moves at a point."""
         self.points[point] += 1
         generator = random.Random(f"{self.seed} {point} {run.request}")
-        if generator.random() > _FAULT_PART:
+        if generator.random() > _FAULT_PARTS[point]:
             return
         if len(self.disturbed) >= _MAX_FAULTS:
             return
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -24,7 +24,7 @@
 # Seconds that a copy takes: most are fast, some exceed what entries allow.
 _COPY_SECONDS = (0.01, 0.15)
 _SLOW_COPY_SECONDS = (0.3, 0.9)
-_SLOW_PART = 0.2
+_SLOW_PART = 0.15
 # An answer that takes longer may come after its entry has given up the call.
 PROMPT_SECONDS = 0.45
 _LATE_SECONDS = 2.5
@@ -298,7 +298,7 @@
             copy is None
             or not is_same
             or not copy.is_kept()
-            or not copy.is_usable
+            or (copy.source is self and not copy.is_usable)
             or copy.run.body != body
             or how == "refused"
         ):
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -31,6 +31,8 @@
 from mintcleat.roles.entry import end_confirmation
 from mintcleat.roles.entry import gateway
 from mintcleat.roles.entry import response_relay
+from mintcleat.roles.entry import running_stream
+from mintcleat.roles.entry import stream_move
 from mintcleat.roles.entry import stream_origins as entry_origins
 
 # Far longer than the third of a second for which voters elect nobody else.
@@ -291,6 +293,48 @@
     _replace(stop_times.StopTimes, "allow", allow)
 
 
+def _hand_over_again() -> None:
+    """A moved run sends events again, and all of them are forwarded."""
+    headers_of = upstreams._headers
+
+    def headers_of_earlier(
+        upstream: Any, call: Any, request: Any
+    ) -> list[tuple[str, str]]:
+        if request.copy is not None and int(request.last_event or 0) > 1:
+            last = str(int(request.last_event) - 1)
+            request = request._replace(last_event=last)
+        return headers_of(upstream, call, request)
+
+    _replace(upstreams, "_headers", headers_of_earlier)
+    _any_order()
+
+
+def _stop_is_end() -> None:
+    """A stream that its upstream closes as a move stops it counts as whole."""
+
+    def confirm_end(self: Any, end: Any) -> Any:
+        return end
+
+    _replace(running_stream.RunningStream, "confirm_end", confirm_end)
+
+
+def _copy_not_freed() -> None:
+    """A copy that is not used is left to expire."""
+
+    def free(self: Any) -> None:
+        del self
+
+    _replace(stream_move.StreamMove, "_free", free)
+
+
+# Found by the scenario `moving`: the upstreams of the others have no moves.
+MOVING_FAULTS = {
+    "hand_over_again": Reintroduced(_hand_over_again, frozenset({"events"})),
+    "stop_is_end": Reintroduced(_stop_is_end, frozenset({"early_end"})),
+    "copy_not_freed": Reintroduced(
+        _copy_not_freed, frozenset({"expired_copy"})
+    ),
+}
 FAULTS = {
     "routes_kept": Reintroduced(
         _routes_kept, frozenset({"late", "regress", "in_force"})
