--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -127,8 +127,7 @@
         _move_often()
     fault = os.environ.get("SOAK_FAULT", "")
     if fault:
-        known = {**reintroduced.FAULTS, **reintroduced.MOVING_FAULTS}
-        known[fault].install()
+        reintroduced.all_faults()[fault].install()
     hosted.main()
 
 
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -32,6 +32,12 @@
 # Steps in which a run looks whether it was stopped.
 _STEP_SECONDS = 0.02
 SLOTS = 8
+_FRAMINGS = (
+    upstreams.LENGTH,
+    upstreams.CHUNKS,
+    upstreams.CLOSE,
+    upstreams.CLOSE,
+)
 # Answers of calls, and how often they come.
 _FAULTS = {
     "": 78,
@@ -331,7 +337,12 @@
         elif how == "back":
             first = max(1, after - 2)
         pause = int(headers.get("x-pause-ms") or 10) / 1000
-        form = upstreams.form_of(request, self.name)._replace(broken_at=1.0)
+        # Half of them have no mark of their end: a stop looks like it.
+        generator = random.Random(f"{request} at {self.name}")
+        framing = generator.choice(_FRAMINGS)
+        form = upstreams.form_of(request, self.name)._replace(
+            framing=framing, broken_at=1.0
+        )
         self.runs[request] = run
         self.running += 1
         backup = None
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -370,3 +370,8 @@
         _quiet_end_for_callers, frozenset({"early_end"})
     ),
 }
+
+
+def all_faults() -> dict[str, Reintroduced]:
+    """Returns the faults of all scenarios by name."""
+    return {**FAULTS, **MOVING_FAULTS}
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -270,18 +270,18 @@
 
 
 def test_each_reintroduced_fault_names_the_rules_that_find_it() -> None:
-    for name, fault in reintroduced.FAULTS.items():
+    for name, fault in reintroduced.all_faults().items():
         assert fault.rules, name
 
 
-@pytest.mark.parametrize("name", reintroduced.FAULTS)
+@pytest.mark.parametrize("name", reintroduced.all_faults())
 def test_reintroduced_fault_fits_the_product(name: str) -> None:
     # Guards against a fault that replaces a function which was renamed or
     # moved: its process would end at its start and the fault would never be
     # tried. The replacement stays in a process of its own.
     done = _run_python(f"""
 from testing.soak import reintroduced
-reintroduced.FAULTS[{name!r}].install()
+reintroduced.all_faults()[{name!r}].install()
 """)
     assert done.returncode == 0, done.stderr
 
