--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -32,6 +32,9 @@
 # Attempts to connect. The packet that opens a connection may be lost, and is
 # sent again only after a second.
 CONFIRM_TRIES = 3
+# Time for one more attempt: a process that has just replaced that of the answer
+# is busy with its start, and this process may be late itself.
+LATE_SECONDS = 0.5
 # Time for which the end of an answer waits until its upstream deregisters: some
 # commits.
 LEAVE_SECONDS = 0.25
@@ -78,11 +81,11 @@
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole.
 
-        Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
-        its end, and `LEAVE_SECONDS` more if its upstream was leaving and is
-        gone. Of a stream it also asks which process is there now: one that
-        replaced that of the answer would confirm its end otherwise. Services
-        of plain answers report nothing on themselves.
+        If nothing marks its end, waits up to `CONFIRM_TRIES` times
+        `CONFIRM_SECONDS` and `LATE_SECONDS`, and `LEAVE_SECONDS` more if its
+        upstream was leaving and is gone. Of a stream it also asks which process
+        is there now: one that replaced that of the answer would confirm its end
+        otherwise. Services of plain answers report nothing on themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
@@ -101,6 +104,11 @@
             and self._deregisters(upstream)
         ):
             return end
+        # Its next process may have registered while it was asked.
+        if found is not routed_calls.Reachability.ACCEPTS and (
+            registered.is_replaced(upstream)
+        ):
+            return end._replace(kind=answer_ends.Kind.CRASHED)
         return answer_end.confirmed(end, found)
 
     def _deregisters(self, upstream: member_messages.Registration) -> bool:
@@ -134,8 +142,8 @@
             [member_messages.Registration], routed_calls.Reachability
         ],
     ) -> routed_calls.Reachability:
-        for _ in range(CONFIRM_TRIES):
-            with eventlet.Timeout(CONFIRM_SECONDS, False):
+        for seconds in (*(CONFIRM_SECONDS,) * CONFIRM_TRIES, LATE_SECONDS):
+            with eventlet.Timeout(seconds, False):
                 found = ask(upstream)
                 if found is not routed_calls.Reachability.UNKNOWN:
                     return found
--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -114,6 +114,7 @@
     # Part of the time left to its target that a stream on a slow upstream may
     # take; without a bound most would stay.
     stream_moves.TARGET_FRACTION = 0.0
+    stream_moves.LEAVING_SECONDS = 0.3
 
 
 def main() -> None:
@@ -126,7 +127,7 @@
         _move_often()
     fault = os.environ.get("SOAK_FAULT", "")
     if fault:
-        reintroduced.FAULTS[fault].install()
+        reintroduced.all_faults()[fault].install()
     hosted.main()
 
 
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -24,7 +24,7 @@
 # Seconds that a copy takes: most are fast, some exceed what entries allow.
 _COPY_SECONDS = (0.01, 0.15)
 _SLOW_COPY_SECONDS = (0.3, 0.9)
-_SLOW_PART = 0.2
+_SLOW_PART = 0.15
 # An answer that takes longer may come after its entry has given up the call.
 PROMPT_SECONDS = 0.45
 _LATE_SECONDS = 2.5
@@ -32,6 +32,12 @@
 # Steps in which a run looks whether it was stopped.
 _STEP_SECONDS = 0.02
 SLOTS = 8
+_FRAMINGS = (
+    upstreams.LENGTH,
+    upstreams.CHUNKS,
+    upstreams.CLOSE,
+    upstreams.CLOSE,
+)
 # Answers of calls, and how often they come.
 _FAULTS = {
     "": 78,
@@ -298,7 +304,7 @@
             copy is None
             or not is_same
             or not copy.is_kept()
-            or not copy.is_usable
+            or (copy.source is self and not copy.is_usable)
             or copy.run.body != body
             or how == "refused"
         ):
@@ -331,7 +337,12 @@
         elif how == "back":
             first = max(1, after - 2)
         pause = int(headers.get("x-pause-ms") or 10) / 1000
-        form = upstreams.form_of(request, self.name)._replace(broken_at=1.0)
+        # Half of them have no mark of their end: a stop looks like it.
+        generator = random.Random(f"{request} at {self.name}")
+        framing = generator.choice(_FRAMINGS)
+        form = upstreams.form_of(request, self.name)._replace(
+            framing=framing, broken_at=1.0
+        )
         self.runs[request] = run
         self.running += 1
         backup = None
