Soak: take-ups go on again with the fault any_version put back

The fault returned none, so each take-up ended with an internal error (AttributeError in `continued`) and no stream could be joined by one: a search with this fault showed nothing about take-ups.

The new test failed before.

--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -232,8 +232,14 @@
     def check_origin(self: Any) -> None:
         self.versions.append(self.upstream.version)
 
-    def find(self: Any, call: Any, route: Any, service: str) -> None:
-        return None
+    def find(
+        self: Any, call: Any, route: Any, service: str
+    ) -> stream_origins.KnownOrigin:
+        # Its record and what is allowed need a version, but not a true one.
+        return stream_origins.KnownOrigin(
+            stream_origins.StreamOrigin(service, "any"),
+            stream_origins.Source.ONLY,
+        )
 
     _replace(stream_origins.KnownOrigin, "allows", allows)
     _replace(response_relay.ResponseRelay, "_check_origin", check_origin)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -286,6 +286,24 @@
     assert done.returncode == 0, done.stderr
 
 
+def test_take_up_is_recorded_with_the_fault_any_version() -> None:
+    # Guards against a fault that ends each take-up by an internal error.
+    done = _run_python("""
+import types
+from mintcleat.roles.entry import stream_origins
+from testing.soak import reintroduced
+
+reintroduced.FAULTS["any_version"].install()
+origins = stream_origins.StreamOrigins(None, None, None, None, None)
+route = types.SimpleNamespace(stream=True, repeat="resume", timeout=1.0)
+call = types.SimpleNamespace(deadline=1.0)
+found = origins.find(call, route, "lm")
+assert found.allows("lm", "v2")
+assert origins.continued(call, route, found).origin.service == "lm"
+""")
+    assert done.returncode == 0, done.stderr
+
+
 def test_turn_counts_until_its_close_with_the_fault_slot_not_released() -> None:
     # Guards against another way in which a turn stops counting: the fault would
     # be without effect.
