Soak: entries out of step while a new version joins

Real processes: three controls, three entries, three services that are released in five ways (new ones beside, instead, in steps, at the address of a crashed one, under the same id) while one or two entries stand still or are cut off, alone, with a leader, or killed after it. Streams begin and are taken up at both sides.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -97,6 +97,8 @@
         timeout: Seconds after which its caller leaves.
         drop_after: As in `client.Call`.
         send_seconds: As in `client.Call`.
+        begun: As in `client.Call`.
+        name: Its id; empty for the next one of its kind.
     """
 
     kind: str
@@ -121,6 +123,8 @@
     timeout: float = _CLIENT_SECONDS
     drop_after: int = 0
     send_seconds: float = 0.0
+    begun: asyncio.Event | None = None
+    name: str = ""
 
 
 class Result(NamedTuple):
@@ -225,7 +229,7 @@
             chosen: Entry that gets it over a new connection; None for any
                 entry.
         """
-        name = f"{sending.kind}-{next(self.numbers)}"
+        name = sending.name or f"{sending.kind}-{next(self.numbers)}"
         entry = chosen or self.balancer.choose()
         kept = None
         version = "1.1"
@@ -273,6 +277,7 @@
                 version,
                 sending.drop_after,
                 sending.send_seconds,
+                sending.begun,
             ),
             self.connections,
             kept,
--- a/testing/soak/client.py
+++ b/testing/soak/client.py
@@ -104,6 +104,8 @@
             connection; 0 for never.
         send_seconds: Time in which the last bytes are sent, one by one; 0 to
             send the request at once.
+        begun: Set once the first event of a stream has arrived; None if nobody
+            waits for that.
     """
 
     target: str
@@ -114,6 +116,7 @@
     version: str = "1.1"
     drop_after: int = 0
     send_seconds: float = 0.0
+    begun: asyncio.Event | None = None
 
     def data(self) -> bytes:
         """Returns the bytes to send."""
@@ -141,7 +144,7 @@
     Returns:
         What arrived, also if the connection failed or the caller left.
     """
-    seen = _Seen(kept, call.drop_after)
+    seen = _Seen(kept, call.drop_after, call.begun)
     try:
         async with asyncio.timeout(call.timeout):
             await _exchange(seen, address, call)
@@ -163,8 +166,14 @@
 class _Seen:
     """The part of a response that has arrived."""
 
-    def __init__(self, kept: _Connection | None, drop_after: int = 0) -> None:
+    def __init__(
+        self,
+        kept: _Connection | None,
+        drop_after: int = 0,
+        begun: asyncio.Event | None = None,
+    ) -> None:
         self.drop_after = drop_after
+        self.begun = begun
         self.connection = kept
         self.was_kept = kept is not None
         self.local = ""
@@ -177,10 +186,18 @@
 
     def lose_connection_if_due(self) -> None:
         """Ends the response where its caller loses the connection."""
+        if self.begun is not None and self._has_event():
+            self.begun.set()
         if 0 < self.drop_after <= len(self.body):
             self.left = True
             raise EOFError
 
+    def _has_event(self) -> bool:
+        """Returns whether the first event of a stream has arrived."""
+        return self.status == 200 and bool(
+            _BLANK_LINE.search(self.body.decode())
+        )
+
     def is_reusable(self, call: Call) -> bool:
         return (
             self.whole
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -58,11 +58,12 @@
     line_end: str = "\n"
     broken_at: float = 1.0
 
-    def cut(self, body: bytes) -> int:
+    def cut(self, body: bytes, is_resumed: bool = False) -> int:
         """Returns how many bytes of a body are sent.
 
-        A body without a mark of its end isn't cut between two events, nor a
-        plain one at all: nothing would show it.
+        A body without a mark of its end isn't cut between two events, nor
+        before the first one of a stream that goes on, nor a plain one at all:
+        nothing would show it.
         """
         if self.broken_at >= 1.0:
             return len(body)
@@ -72,6 +73,8 @@
             if not body.endswith(blank):
                 return len(body)
             between = (blank, blank[:-1])
+            if is_resumed:
+                size = max(size, 1)
             while size < len(body) and body[:size].endswith(between):
                 size += 1
         return size
@@ -260,6 +263,13 @@
         await self.link.start("127.0.0.1", 0)
         self.heartbeat_task = asyncio.create_task(self._register_forever())
 
+    async def start_instead_of(self, other: "Upstream") -> None:
+        """Starts at the address of an upstream whose process has ended."""
+        self.link = other.link
+        await self._listen()
+        await self.link.reopen()
+        self.heartbeat_task = asyncio.create_task(self._register_forever())
+
     async def _listen(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()
@@ -411,7 +421,7 @@
                         self._crash_under(request)
                     )
                 await asyncio.sleep(math.inf)
-            elif self.service == "lm":
+            elif self.service.startswith("lm"):
                 await self._stream(headers, common, writer)
             else:
                 is_late = changes.LATE in head
@@ -454,7 +464,8 @@
         common += "Content-Type: text/event-stream\r\n"
         body = b"".join(events)
         writer.write(_head(form, common, body))
-        left = form.cut(body)
+        size = form.cut(body, is_resumed=after > base)
+        left = size
         for event in events:
             if not large:
                 await asyncio.sleep(pause * self.slowness)
@@ -463,7 +474,7 @@
             await writer.drain()
             if not left:
                 break
-        await self._end(request, form, form.cut(body) < len(body), writer)
+        await self._end(request, form, size < len(body), writer)
 
     async def _end(
         self,
