A late report of another process at the end of a stream is no silence

Callers saw a stream of 40 events end as whole after 5: its upstream was replaced by a new process under its own id in the middle of it, an entry had just been cut off, and eight cores were busy (load 27).

A stream without a mark of its end is confirmed by the report of the process at its address. Each of three attempts had 50 ms, which is meant for a lost packet, and a process that took longer each time counted as one that doesn't answer: the end as whole. The first attempt stays as short, later ones of a stream have 100, 250 and 250 ms. Services of plain answers are only connected to, as before.

test_late_report_of_another_process_shows_a_crash failed before.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -25,6 +25,9 @@
 # Attempts to connect. The packet that opens a connection may be lost, and is
 # sent again only after a second.
 CONFIRM_TRIES = 3
+# Further attempts of a stream, whose upstream is asked for a report: the times
+# that a busy process may take for one.
+REPORT_SECONDS = (0.1, 0.25, 0.25)
 # Time for which the end of an answer waits for the news that its upstream has
 # deregistered: a commit, and an update of the directory at this entry.
 LEAVE_SECONDS = 0.25
@@ -68,9 +71,10 @@
 
         Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
         its end, and `LEAVE_SECONDS` more if its upstream was leaving and is
-        gone. Of a stream it also asks which process is there now: one that
-        replaced that of the answer would confirm its end otherwise. Services
-        of plain answers report nothing on themselves.
+        gone. Of a stream it also asks which process is there now, for up to
+        `REPORT_SECONDS` more: one that replaced that of the answer would
+        confirm its end otherwise. Services of plain answers report nothing on
+        themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
@@ -81,8 +85,13 @@
         may_deregister = registered.is_registered(
             upstream
         ) and not registered.is_ready(upstream)
-        ask = self.upstreams.identify if is_stream else self.upstreams.probe
-        found = self._reachability(upstream, ask)
+        if is_stream:
+            ask = self.upstreams.identify
+            waits = (CONFIRM_SECONDS, *REPORT_SECONDS)
+        else:
+            ask = self.upstreams.probe
+            waits = (CONFIRM_SECONDS,) * CONFIRM_TRIES
+        found = self._reachability(upstream, ask, waits)
         if (
             found is routed_calls.Reachability.REFUSES
             and may_deregister
@@ -108,9 +117,10 @@
         ask: Callable[
             [member_messages.Registration], routed_calls.Reachability
         ],
+        waits: tuple[float, ...],
     ) -> routed_calls.Reachability:
-        for _ in range(CONFIRM_TRIES):
-            with eventlet.Timeout(CONFIRM_SECONDS, False):
+        for seconds in waits:
+            with eventlet.Timeout(seconds, False):
                 found = ask(upstream)
                 if found is not routed_calls.Reachability.UNKNOWN:
                     return found
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -26,11 +26,13 @@
 
     Attributes:
         lost: Number of the first probes that get no answer.
+        report_seconds: Time that a report takes.
     """
 
     def __init__(self, answer: routed_calls.Reachability) -> None:
         self.answer = answer
         self.lost = 0
+        self.report_seconds = 0.0
         self.probed = 0
         self.identified = 0
 
@@ -46,6 +48,7 @@
         self, upstream: member_messages.Registration
     ) -> routed_calls.Reachability:
         self.identified += 1
+        eventlet.sleep(self.report_seconds)
         return self.probe(upstream)
 
 
@@ -79,6 +82,13 @@
         self.assertEqual(Kind.CRASHED, self.confirm())
         self.assertEqual(1, self.upstreams.identified)
 
+    def test_late_report_of_another_process_shows_a_crash(self) -> None:
+        # Guards against streams that a crash broke off and that end as whole.
+        self.is_stream = True
+        self.upstreams.answer = routed_calls.Reachability.REPLACED
+        self.upstreams.report_seconds = 0.15
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
     def test_service_of_a_plain_answer_is_not_asked_for_a_report(self) -> None:
         self.confirm()
         self.assertEqual(
