The end of a stream is compared with the directory after the question, too

Before it asks the upstream of an answer without a mark of its end, an entry looks whether a later process of it is registered. A registration that came while the question had no answer was not looked at: the end counted as whole, though the entry knew by then that its upstream had started anew.

test_restart_that_is_registered_while_nothing_answers_is_a_crash failed before.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -92,6 +92,9 @@
             ask = self.upstreams.probe
             waits = (CONFIRM_SECONDS,) * CONFIRM_TRIES
         found = self._reachability(upstream, ask, waits)
+        # A later process may have registered since.
+        if registered.is_replaced(upstream):
+            return end._replace(kind=answer_ends.Kind.CRASHED)
         if (
             found is routed_calls.Reachability.REFUSES
             and may_deregister
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -89,6 +89,19 @@
         self.upstreams.report_seconds = 0.15
         self.assertEqual(Kind.CRASHED, self.confirm())
 
+    def test_restart_that_is_registered_while_nothing_answers_is_a_crash(
+        self,
+    ) -> None:
+        # Guards against an end that is compared only with what was known
+        # before the wait for an answer.
+        self.upstreams.lost = 100
+        eventlet.spawn_after(
+            0.05,
+            self.configuration.registered.register,
+            registration(started=2),
+        )
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
     def test_service_of_a_plain_answer_is_not_asked_for_a_report(self) -> None:
         self.confirm()
         self.assertEqual(
