--- a/testing/soak/out_of_step.py
+++ b/testing/soak/out_of_step.py
@@ -649,7 +649,7 @@
     return {"lost_in": ("in",), "lost_out": ("out",)}.get(way, ("in", "out"))
 
 
-def _is_excused(found: checks_module.Violation, streams: list[Stream]) -> bool:
+def is_excused(found: checks_module.Violation, streams: list[Stream]) -> bool:
     """Returns whether a refusal was true after all.
 
     Of two requests with one id, one may be refused while the other runs.
@@ -692,7 +692,7 @@
         "violations": [
             str(found)
             for found in scenario.checks.violations
-            if not _is_excused(found, streams)
+            if not is_excused(found, streams)
         ],
     }
 
