--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -32,9 +32,9 @@
 # Attempts to connect. The packet that opens a connection may be lost, and is
 # sent again only after a second.
 CONFIRM_TRIES = 3
-# Time for one more attempt: a process that has just replaced that of the answer
-# is busy with its start, and this process may be late itself.
-LATE_SECONDS = 0.5
+# Further attempts of a stream, whose upstream is asked for a report: the times
+# that a busy process may take for one.
+REPORT_SECONDS = (0.1, 0.25, 0.25)
 # Time for which the end of an answer waits until its upstream deregisters: some
 # commits.
 LEAVE_SECONDS = 0.25
@@ -81,11 +81,12 @@
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole.
 
-        If nothing marks its end, waits up to `CONFIRM_TRIES` times
-        `CONFIRM_SECONDS` and `LATE_SECONDS`, and `LEAVE_SECONDS` more if its
-        upstream was leaving and is gone. Of a stream it also asks which process
-        is there now: one that replaced that of the answer would confirm its end
-        otherwise. Services of plain answers report nothing on themselves.
+        Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
+        its end, and `LEAVE_SECONDS` more if its upstream was leaving and is
+        gone. Of a stream it also asks which process is there now, for up to
+        `REPORT_SECONDS` more: one that replaced that of the answer would
+        confirm its end otherwise. Services of plain answers report nothing on
+        themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
@@ -96,19 +97,22 @@
         may_deregister = registered.is_registered(
             upstream
         ) and not registered.is_ready(upstream)
-        ask = self.upstreams.identify if is_stream else self.upstreams.probe
-        found = self._reachability(upstream, ask)
+        if is_stream:
+            ask = self.upstreams.identify
+            waits = (CONFIRM_SECONDS, *REPORT_SECONDS)
+        else:
+            ask = self.upstreams.probe
+            waits = (CONFIRM_SECONDS,) * CONFIRM_TRIES
+        found = self._reachability(upstream, ask, waits)
+        # A later process may have registered since.
+        if registered.is_replaced(upstream):
+            return end._replace(kind=answer_ends.Kind.CRASHED)
         if (
             found is routed_calls.Reachability.REFUSES
             and may_deregister
             and self._deregisters(upstream)
         ):
             return end
-        # Its next process may have registered while it was asked.
-        if found is not routed_calls.Reachability.ACCEPTS and (
-            registered.is_replaced(upstream)
-        ):
-            return end._replace(kind=answer_ends.Kind.CRASHED)
         return answer_end.confirmed(end, found)
 
     def _deregisters(self, upstream: member_messages.Registration) -> bool:
@@ -141,8 +145,9 @@
         ask: Callable[
             [member_messages.Registration], routed_calls.Reachability
         ],
+        waits: tuple[float, ...],
     ) -> routed_calls.Reachability:
-        for seconds in (*(CONFIRM_SECONDS,) * CONFIRM_TRIES, LATE_SECONDS):
+        for seconds in waits:
             with eventlet.Timeout(seconds, False):
                 found = ask(upstream)
                 if found is not routed_calls.Reachability.UNKNOWN:
