An end that nobody confirms isn't the end of a whole answer

Cause: nothing marks the end of such an answer, so its upstream is asked whether it still runs. No answer in 0.15 s was taken for a whole one, as the protocol allows. On a busy machine, at an entry that stood still, and at an upstream that is gone, there is no answer in time. The design was wrong: half an answer that ends as whole can't be taken back, and a whole one that counts as broken off is asked for again.

Change: no answer is an end of its own, unconfirmed: the stream is resumed where its route allows it, cut where the caller sees it otherwise, and no turn is recorded. Three tests held the former choice; they ask for the stricter one now.

Evidence: the new test of a turn whose upstream says nothing got a whole answer before. Answers with a length or chunks aren't concerned.

--- a/src/mintcleat/decisions/answer_end.py
+++ b/src/mintcleat/decisions/answer_end.py
@@ -57,7 +57,8 @@
     Args:
         end: Its end.
         upstream: Whether its upstream takes connections after that. If that
-            isn't known, the answer counts as whole, as its protocol allows.
+            isn't known, the answer counts as broken off: half an answer that
+            looks whole can't be taken back, a whole one is asked for again.
     """
     match upstream:
         case routed_calls.Reachability.ACCEPTS:
@@ -67,4 +68,4 @@
             | routed_calls.Reachability.REPLACED
         ):
             return end._replace(kind=_Kind.CRASHED)
-    return end
+    return end._replace(kind=_Kind.UNCONFIRMED)
--- a/src/mintcleat/domain/answer_ends.py
+++ b/src/mintcleat/domain/answer_ends.py
@@ -34,8 +34,10 @@
         MARKED: Whole, as its framing says.
         CONFIRMED: Whole: its connection was closed in order, and its upstream
             goes on serving or the answer is as long as the request allows.
-        CLOSED: Its connection was closed in order, and nothing else says
-            whether it is whole.
+        CLOSED: Its connection was closed in order, and its upstream has
+            deregistered after that; or nobody has looked further yet.
+        UNCONFIRMED: Its connection was closed in order, and its upstream
+            doesn't answer, so that nothing shows that it is whole.
         CRASHED: Its connection was closed in order, as its upstream crashed.
         CUT: Its connection was closed before the end that its framing
             announces.
@@ -52,6 +54,7 @@
     MARKED = "marked"
     CONFIRMED = "confirmed"
     CLOSED = "closed"
+    UNCONFIRMED = "unconfirmed"
     CRASHED = "crashed"
     CUT = "cut"
     RESET = "reset"
@@ -66,6 +69,9 @@
 _PROVEN = frozenset({Kind.MARKED, Kind.CONFIRMED})
 _WHOLE = _PROVEN | {Kind.CLOSED}
 _TEXTS = {
+    Kind.UNCONFIRMED: (
+        "nothing marks its end, and its upstream doesn't answer any more"
+    ),
     Kind.CRASHED: "its upstream crashed as its connection was closed",
     Kind.CUT: "its connection was closed before its announced end",
     Kind.RESET: "its connection was reset",
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -457,12 +457,13 @@
             `close` (the end of its connection) or `none` for no body.
         end: How it ended. Whole: `marked` by its framing; `confirmed`, its
             connection was closed and its upstream goes on serving, or it is as
-            long as the request allows; `closed`, nothing but the end of its
-            connection says so. Broken off: `cut` before its announced end,
-            `reset`, `invalid`, `out_of_order` (an id that isn't above the one
-            before it), `inside_event`, `no_event` (closed before the first
-            one), `crashed` (closed as its upstream crashed), `stopped` for a
-            move, or `abandoned` by this process.
+            long as the request allows; `closed`, its leaving upstream
+            deregistered after that. Broken off: `cut` before its announced end,
+            `reset`, `invalid`, `out_of_order` (an id that doesn't follow the
+            one before it), `inside_event`, `no_event` (closed before the first
+            one), `crashed` (closed as its upstream crashed), `unconfirmed`
+            (closed, and its upstream doesn't answer), `stopped` for a move, or
+            `abandoned` by this process.
         received: Bytes of its body.
         events: Events in it.
         rest: Bytes after the last complete event.
--- a/testing/test_answer_end.py
+++ b/testing/test_answer_end.py
@@ -27,7 +27,11 @@
         expected = {
             routed_calls.Reachability.ACCEPTS: (Kind.CONFIRMED, True, True),
             routed_calls.Reachability.REFUSES: (Kind.CRASHED, False, False),
-            routed_calls.Reachability.UNKNOWN: (Kind.CLOSED, True, False),
+            routed_calls.Reachability.UNKNOWN: (
+                Kind.UNCONFIRMED,
+                False,
+                False,
+            ),
         }
         for reachability, kind in expected.items():
             found = answer_end.confirmed(end, reachability)
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -12,6 +12,7 @@
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
+from mintcleat.domain import routed_calls
 from mintcleat.domain import server_sent_events
 
 EVENT = platform_engine.event(1)
@@ -215,6 +216,19 @@
         self.start("lm", leave_first)
         self.assertFalse(self.turn("t1").whole)
 
+    def test_turn_whose_upstream_answers_nobody_any_more_is_not_whole(
+        self,
+    ) -> None:
+        # Guards against half answers of upstreams that stand still or are gone.
+        self.start("lm", broken(end=answer_scripts.QUIET, sent=len(EVENT)))
+        self.patch(
+            self.system.entries[0].gateway.context.ends.upstreams,
+            "identify",
+            lambda upstream: routed_calls.Reachability.UNKNOWN,
+        )
+        self.assertFalse(self.turn("t1").whole)
+        self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
+
     def leave_at_once(
         self, leave: Callable[[platform_engine.Engine], None]
     ) -> None:
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -210,10 +210,12 @@
         self.configuration.registered.leave("u1", True)
         self.assertEqual(Kind.CRASHED, self.confirm())
 
-    def test_leaving_upstream_that_does_not_answer_may_have_ended(self) -> None:
+    def test_end_of_a_leaving_upstream_that_does_not_answer_is_not_whole(
+        self,
+    ) -> None:
         self.drain()
         self.upstreams.answer = routed_calls.Reachability.UNKNOWN
-        self.assertEqual(Kind.CLOSED, self.confirm())
+        self.assertEqual(Kind.UNCONFIRMED, self.confirm())
 
     def test_upstream_that_has_restarted_has_crashed(self) -> None:
         self.configuration.registered.register(registration(started=2))
@@ -244,7 +246,7 @@
     def test_upstream_that_does_not_answer_delays_the_end_briefly(self) -> None:
         self.upstreams.lost = 100
         with eventlet.Timeout(10.0):
-            self.assertEqual(Kind.CLOSED, self.confirm())
+            self.assertEqual(Kind.UNCONFIRMED, self.confirm())
 
     def test_lost_packet_does_not_hide_a_crash(self) -> None:
         self.upstreams.lost = 2
