--- a/testing/soak/out_of_step.py
+++ b/testing/soak/out_of_step.py
@@ -677,6 +677,10 @@
         "taken_up": sum(len(stream.runs) > 1 for stream in streams),
         "ends": dict(sorted(ends.items())),
         "take_ups": dict(sorted(scenario.counts.items())),
+        "unrecorded": sum(
+            node.log_path.read_text().count('"stream_unrecorded"')
+            for node in scenario.fleet.entries
+        ),
         "joined": [
             f"{stream.role} {stream.naming} {stream.service} "
             f"{stream.program} {stream.versions} {stream.runs}"
