A call that may have run isn't refused as not run

What callers saw: a GET of a plain service, or a chat without a key of its caller's, whose only upstream stopped within the head of its answer, got 503 with the outcome not_run (no_upstream), although the upstream had the request.

Cause: the attempt after it finds no upstream, and its refusal is true of that attempt only. Calls to services raised it as it was. Chats gave it the outcome unknown only with a caller's key, since the function was made for resends.

Change: after an attempt that may have run, a refusal has the outcome unknown, with or without a key.

--- a/src/mintcleat/roles/entry/attempts.py
+++ b/src/mintcleat/roles/entry/attempts.py
@@ -91,6 +91,25 @@
     )
 
 
+def after_lost_attempt(
+    name: CallName, error: errors.MintcleatError
+) -> errors.MintcleatError:
+    """Returns the error of a send whose earlier attempt may have run.
+
+    A refusal of the last attempt is true of that one only.
+    """
+    if error.outcome != errors.NOT_RUN:
+        return error
+    if name.key and not name.generated_key:
+        return with_unknown_outcome(name, error)
+    return type(error)(
+        error.detail,
+        outcome=errors.UNKNOWN,
+        remedy="Send it again only if it may run twice.",
+        retry_after=error.retry_after,
+    )
+
+
 def never_delivered(failure: errors.Failure) -> bool:
     """Returns whether a failure proves that the attempt never ran.
 
--- a/src/mintcleat/roles/entry/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -169,7 +169,7 @@
             # releases the key and the reservation for the caller's resend.
             error: errors.MintcleatError = refusal
             if progress.may_have_run:
-                error = attempts_module.with_unknown_outcome(
+                error = attempts_module.after_lost_attempt(
                     context.name, refusal
                 )
             if progress.sealed:
@@ -470,7 +470,7 @@
         if not is_final:
             return
         if progress.may_have_run:
-            cause = attempts_module.with_unknown_outcome(context.name, cause)
+            cause = attempts_module.after_lost_attempt(context.name, cause)
         if progress.sealed and context.name.key:
             self.attempts.settle(context.name, progress.sealed, cause)
         raise cause
--- a/src/mintcleat/roles/entry/service_calls.py
+++ b/src/mintcleat/roles/entry/service_calls.py
@@ -66,18 +66,32 @@
         tried: set[identities.Incarnation] = set()
         sealed = 0
         number = 0
+        may_have_run = False
         while True:
             number += 1
-            step = self._attempt(context, tried, sealed)
+            try:
+                step = self._attempt(context, tried, sealed)
+            except errors.MintcleatError as refusal:
+                if not may_have_run:
+                    raise
+                raise attempts_module.after_lost_attempt(
+                    context.name, refusal
+                ) from None
             if isinstance(step, requests.ServiceAnswer):
                 return step
             sealed = step.sealed
             self.metrics.count("retries_total", cause=step.cause.kind)
+            may_have_run |= step.cause.outcome != errors.NOT_RUN
             late = self.timers.now() >= context.deadline_at
             if late or not self.placement.may_retry(
                 context.call.service, number
             ):
-                self._give_up(context, sealed, step.cause)
+                cause = step.cause
+                if may_have_run:
+                    cause = attempts_module.after_lost_attempt(
+                        context.name, cause
+                    )
+                self._give_up(context, sealed, cause)
 
     def _attempt(
         self,
