The command-line tool doesn't report a head that was cut as a failure

What operators saw: a command whose answer stopped within its head exited with 1 ("responded 200 without JSON"), after POST and DELETE too, though it may have taken effect.

Change: an answer must state a length or chunks; otherwise, as with any other lost answer, the outcome of a change is unknown (7) and a GET has no answer (6). Such a GET no longer says that the daemon can't be reached.

--- a/src/mintcleat/main/cli_client.py
+++ b/src/mintcleat/main/cli_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from mintcleat.adapters import admin_token
+from mintcleat.domain import answer_ends
 
 DEFAULT_ADMIN = "http://127.0.0.1:8081"
 DEFAULT_TOKEN_FILE = "mintcleat-data/admin-token"
@@ -93,19 +94,24 @@
             response = self.pool.request(
                 method, f"{base}/admin/v1/{path}", body=data, headers=headers
             )
-        except urllib3.exceptions.HTTPError as error:
-            self._fail_request(method, error)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            fail(
+                UNAVAILABLE,
+                f"{self.admin} cannot be reached.",
+                "Start the daemon, or set its admin address with --admin.",
+            )
+        except urllib3.exceptions.HTTPError:
+            self._fail_unanswered(method)
+        if not answer_ends.states_end(response.status, response.headers):
+            self._fail_unanswered(method)
         return self._decode(response)
 
-    def _fail_request(
-        self, method: str, error: urllib3.exceptions.HTTPError
-    ) -> NoReturn:
-        sent = not isinstance(
-            error,
-            urllib3.exceptions.NewConnectionError
-            | urllib3.exceptions.ConnectTimeoutError,
-        )
-        if sent and method != "GET":
+    def _fail_unanswered(self, method: str) -> NoReturn:
+        """Exits after a request that has no whole response."""
+        if method != "GET":
             fail(
                 UNKNOWN_OUTCOME,
                 f"{self.admin} received the request but did not respond.",
@@ -113,8 +119,8 @@
             )
         fail(
             UNAVAILABLE,
-            f"{self.admin} cannot be reached.",
-            "Start the daemon, or set its admin address with --admin.",
+            f"{self.admin} did not respond.",
+            "Run the same command again; check the daemon's log.",
         )
 
     def _token(self) -> str:
--- a/testing/test_cut_heads.py
+++ b/testing/test_cut_heads.py
@@ -16,7 +16,7 @@
 _WAYS = 1
 
 
-@pytest.mark.parametrize("path", ["entry", "engine", "load"])
+@pytest.mark.parametrize("path", ["entry", "engine", "load", "operator"])
 def test_head_that_stops_is_never_taken_for_a_whole_one(path: str) -> None:
     # Guards against answers that are whole or "not run" without being so.
     found = _run("testing.soak.cut_heads", path, str(_STEP), str(_WAYS))
