--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -266,7 +266,7 @@
             address,
             client.Call(
                 sending.target or f"/{sending.kind}/x",
-                _headers(name, sending),
+                headers_of(name, sending),
                 sending.body,
                 timeout,
                 sending.slow,
@@ -590,7 +590,7 @@
         )
 
 
-def _headers(name: str, sending: Sending) -> dict[str, str]:
+def headers_of(name: str, sending: Sending) -> dict[str, str]:
     fields = {
         "X-Request-Id": name,
         "X-Deadline-Milliseconds": str(sending.deadline_ms),
--- a/testing/soak/head_cutter.py
+++ b/testing/soak/head_cutter.py
@@ -15,7 +15,7 @@
 _BLANK_LINE = b"\r\n\r\n"
 # A green socket that another thread closes raises EOFError.
 _ENDED = (OSError, EOFError)
-_NO_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Cut(NamedTuple):
@@ -150,7 +150,7 @@
                     self.client.shutdown(socket.SHUT_WR)
                 case "reset":
                     self.client.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+                        socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
                     )
                     self.client.close()
                 case _:
