--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -270,7 +270,7 @@
             address,
             client.Call(
                 sending.target or f"/{sending.kind}/x",
-                _headers(name, sending),
+                headers_of(name, sending),
                 sending.body,
                 timeout,
                 sending.slow,
@@ -595,7 +595,7 @@
         )
 
 
-def _headers(name: str, sending: Sending) -> dict[str, str]:
+def headers_of(name: str, sending: Sending) -> dict[str, str]:
     fields = {
         "X-Request-Id": name,
         "X-Deadline-Milliseconds": str(sending.deadline_ms),
