A process that is often late finds a lost peer

Cause: each tick of the heartbeats that came later than `heartbeat` (2 s; 0.02 s in the test) set the time of the last byte of every connection to now. A process that is late once per silence timeout (6 s; 0.2 s) thus never closes the connection to a peer that vanished, and its callers wait for their own timeouts. A fault of the product.

Change: a pause moves that time on by its own length only. The silence before it counts, so each tick adds a period to it at least.

Measured: with a green thread that blocks the process for three heartbeats at a time the new test failed with the StreamTimeout that was seen (10.06 s); now it passes after 1.3 s. The second new test fails (connection closed) without any allowance for pauses, and passed before the change.

--- a/src/mintcleat/adapters/streams.py
+++ b/src/mintcleat/adapters/streams.py
@@ -202,11 +202,14 @@
         while not self.stopped:
             eventlet.sleep(timers.seconds_to_next(period))
             now = time.monotonic()
-            late = now - expected > self.limits.heartbeat
+            late = now - expected
             expected = now + period
             for connection in [*self.dialled.values(), *self.accepted]:
-                if late:
+                if late > self.limits.heartbeat:
                     # This process was suspended, so data of the peers may be
-                    # unread; they must not be considered silent.
-                    connection.last_received = now
+                    # unread. Only the pause is no silence of theirs: a process
+                    # that is often late would never find a lost peer.
+                    connection.last_received = min(
+                        now, connection.last_received + late
+                    )
                 connection.check_heartbeat(now)
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -4,6 +4,7 @@
 
 import eventlet
 from eventlet import event
+from eventlet import patcher
 import hypothesis
 from hypothesis import strategies
 import msgpack
@@ -20,6 +21,9 @@
 from mintcleat.domain import program_messages
 from mintcleat.ports import streams as ports
 
+# Blocks the whole process.
+_time = patcher.original("time")
+
 
 class StreamsTest(testtools.TestCase):
     def setUp(self) -> None:
@@ -185,6 +189,37 @@
         exchange = self.client.open(address, config_messages.Ping())
         self.assertRaises(errors.StreamClosed, exchange.receive, 10.0)
 
+    def test_silent_peer_is_found_by_a_process_that_is_always_late(
+        self,
+    ) -> None:
+        # Guards against pauses that each excuse the whole silence before them.
+        def block_often() -> None:
+            while True:
+                _time.sleep(3 * LIMITS.heartbeat)
+                eventlet.sleep(0)
+
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        address = "{}:{}".format(*listener.getsockname())
+        exchange = self.client.open(address, config_messages.Ping())
+        blocker = eventlet.spawn(block_often)
+        self.addCleanup(blocker.kill)
+        self.assertRaises(errors.StreamClosed, exchange.receive, 10.0)
+
+    def test_pause_of_this_process_is_no_silence_of_the_peer(self) -> None:
+        # Guards against a connection that is closed with its data unread.
+        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(server.stop)
+        server.handle(
+            config_messages.Ping,
+            lambda exchange, _: exchange.send(identities.Done()),
+        )
+        self.client.ask(server.address, config_messages.Ping(), 5.0)
+        before = self.client.dialled[server.address]
+        _time.sleep(2 * LIMITS.silence_timeout)
+        eventlet.sleep(2 * LIMITS.heartbeat)
+        self.assertIs(before, self.client.dialled.get(server.address))
+
     def test_idle_connection_stays_open(self) -> None:
         server = streams.TcpStreams("127.0.0.1:0", LIMITS)
         self.addCleanup(server.stop)
