The budget of a turn that didn't run: the test waits until it is released

TurnTest::test_turn_that_did_not_run_uses_no_budget failed once at a load of 5 with 402 in place of 503. The test is at fault: a reservation is released by a commit in the background, and the test gave it 0.05 s. The platform allows settleMs (1 s) for it.

It now waits for the event that the group has settled the turn, which follows the commit.

--- a/testing/test_hosted.py
+++ b/testing/test_hosted.py
@@ -626,6 +626,15 @@
             **headers,
         )
 
+    def wait_until_settled(self, request: str) -> None:
+        """Waits until the program group has released what a turn reserved."""
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while not any(
+                event.request == request
+                for event in self.system.reporter.of(events.TurnSettled)
+            ):
+                eventlet.sleep(0.005)
+
     def test_turn_gets_input_and_output_of_preceding_turns(self) -> None:
         (engine,) = self.start_engines(("e1", "lm", platform_engine.stream(2)))
         self.assertTrue(self.turn("t1", b"one;").whole)
@@ -664,7 +673,7 @@
         for request in ("t1", "t2", "t3"):
             answer = self.turn(request, b"a", X_Token_Budget="9")
             self.assertEqual(503, answer.status)
-            eventlet.sleep(0.05)
+            self.wait_until_settled(request)
         engine.script = platform_engine.stream(1)
         self.assertEqual(200, self.turn("t4", b"a", X_Token_Budget="9").status)
 
