Raised idle timeout: the test doesn't wait before it raises it

LimitsTest::test_raised_idle_timeout_keeps_a_connection_that_is_idle failed once beside load, and here again in play 10 of a series of 5 tests beside eight busy processes (load 41; trial on a scratch copy): the connection was closed. The test is at fault: it paused for 0.1 s of an idle timeout of 0.3 s.

It now raises the timeout as soon as the connection waits for its next request, and the first timeout is 1 s; the connection must be open 1.5 s later.

--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -258,11 +258,14 @@
     def test_raised_idle_timeout_keeps_a_connection_that_is_idle(self) -> None:
         # The caller sends its next request when the connection has been idle
         # for most of the raised time.
-        self.change(idle_seconds=0.3)
+        self.change(idle_seconds=1.0)
         self.assertEqual(200, self.ask(b""))
-        eventlet.sleep(0.1)
+        (connection,) = self.listener.connections
+        with eventlet.Timeout(SECONDS):
+            while connection.requests.reader.waiter is None:
+                eventlet.sleep(0.001)
         self.change(idle_seconds=SECONDS)
-        self.assertTrue(self.is_open_after(0.4))
+        self.assertTrue(self.is_open_after(1.5))
         self.assertEqual(200, self.ask(b""))
 
     def test_idle_time_counts_from_the_last_response(self) -> None:
