--- a/testing/fakes/platform_system.py
+++ b/testing/fakes/platform_system.py
@@ -15,12 +15,14 @@
 
 from fakes import platform_engine
 from mintcleat.adapters import settings
+from mintcleat.decisions import control_outage
 from mintcleat.main import common
 from mintcleat.main import hosted_control
 from mintcleat.main import hosted_entry
 from mintcleat.platform import configuration as configuration_module
 from mintcleat.platform import machine_settings
 from mintcleat.ports import events
+from mintcleat.roles.entry import turn_client
 
 ANY = "127.0.0.1:0"
 ANSWER_SECONDS = 20.0
@@ -389,6 +391,16 @@
         self.system = System(self.policies)
         self.addCleanup(self.system.stop)
 
+    def await_commits(self) -> None:
+        """Has entries wait as long as it takes for control to commit.
+
+        On a busy machine a commit may take longer than callers are held for
+        it. They would get 503, which is true but not what the test is about.
+        """
+        self.patch(control_outage, "ELECTION_SECONDS", ANSWER_SECONDS)
+        self.patch(control_outage, "DISCONNECTED_SECONDS", ANSWER_SECONDS)
+        self.patch(turn_client, "COMMIT_SECONDS", ANSWER_SECONDS)
+
     def start_engines(self, *engines: tuple) -> list[platform_engine.Engine]:
         """Puts a configuration and adds engines (name, service, script)."""
         self.assertEqual(200, self.system.put(configuration()).status)
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -734,6 +734,7 @@
         fields["services"][1]["engine"]["backups"] = True
         self.assertEqual(200, self.system.put(fields).status)
         self.system.settle()
+        self.await_commits()
 
     def turn(self, number: int) -> platform_system.Answer:
         previous = {"X_Previous_Turn": f"t{number - 1}"} if number else {}
