A reply of control that arrived during a pause counts

Found while tracing the 503 of CallerTest beside load: a process that is paused for longer than its callers are held (2 s, 0.3 s without a lease) finds the time of each request to control up before it has handled the replies. They were counted as lost: turns that were being opened, and had been, got 503 with "not run", and their control instance was tried last for 2 s. A fault of the product.

Change: when the time is up, a reply that has arrived is still handled, within four turns of the event loop.

--- a/src/mintcleat/roles/control_client.py
+++ b/src/mintcleat/roles/control_client.py
@@ -33,6 +33,8 @@
 # Concurrent batches to one leader and group. With two, one is encoded while the
 # other waits for the disk; more would only make the batches smaller.
 MAX_IN_FLIGHT = 2
+# Turns of the event loop in which a reply that has arrived is read and handled.
+_REPLY_TURNS = 4
 
 
 class PendingRequest:
@@ -136,6 +138,12 @@
         reply = answered.wait(timeout)
         if reply is not None:
             return reply
+        # After a pause of this process the time is up before a reply that has
+        # arrived is handled.
+        for _ in range(_REPLY_TURNS):
+            self.timers.sleep(0)
+            if answered.ready():
+                return answered.wait()
         is_unsent = pending in self.waiting
         if is_unsent and pending.leave(answered):
             self.waiting.remove(pending)
--- a/testing/test_control_client.py
+++ b/testing/test_control_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+from eventlet import patcher
 import testtools
 from testtools import matchers
 
@@ -31,6 +32,8 @@
     identities.Incarnation("e1", 1),
     "10.0.0.1:1",
 )
+# Blocks the whole process.
+_time = patcher.original("time")
 SIDECAR = identities.Incarnation("e1", 1)
 
 
@@ -73,6 +76,20 @@
             self.assertEqual(identities.Done(), reply)
         self.assertEqual(["a", "c", "c"], self.addresses())
 
+    def test_reply_that_arrives_during_a_pause_of_this_process_counts(
+        self,
+    ) -> None:
+        # Guards against turns that are refused although they were opened.
+        def script(address: str, requests: list[Any]) -> list[Any]:
+            del address
+            eventlet.sleep(0.05)
+            return [identities.Done() for _ in requests]
+
+        client = self.client(script)
+        eventlet.spawn_after(0.01, _time.sleep, 0.6)
+        message = program_messages.CloseProgram("p")
+        self.assertEqual(identities.Done(), client.ask("p", message, 0.3))
+
     def count_together(self, calls: int, granted: int) -> list[Any]:
         """Returns the outcomes of calls of one program that come together."""
 
