--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import itertools
+import math
 import random
 from typing import Any
 from typing import ClassVar
+from unittest import mock
 
 import eventlet
 import pytest
@@ -14,6 +16,7 @@
 from fakes import platform_system
 from mintcleat.decisions import retry
 from mintcleat.decisions import stream_moves
+from mintcleat.decisions import stream_silence
 from mintcleat.domain import events
 from mintcleat.domain import server_sent_events
 from mintcleat.roles.entry import run_deadline
@@ -342,6 +345,25 @@
 class FailureTest(MovesTest):
     """What happens when a step of a move fails."""
 
+    def leave(self, engine: moving_engine.Engine) -> None:
+        # The engine is held by the test. On a slow disk its streams would be
+        # abandoned as silent before they are moved.
+        watch = self.system.entry.gateway.context.streams
+        with mock.patch.object(
+            stream_silence, "seconds", return_value=math.inf
+        ):
+            super().leave(engine)
+            released_at = watch.timers.now()
+            self.wait_for(
+                lambda: (
+                    not any(
+                        stream.upstream.upstream == engine.name
+                        and stream.relay.waiting_since < released_at
+                        for stream in watch.streams
+                    )
+                )
+            )
+
     def move(
         self, *faults: Any, path: str = "/once/a"
     ) -> tuple[
@@ -418,6 +440,10 @@
         self.assertEqual(1, len(source.requests))
 
     def test_lost_response_resumes_where_the_route_allows_it(self) -> None:
+        # An answer that a busy machine delays must not count as the lost one.
+        self.patch(stream_move, "TIMEOUT_SECONDS", WAIT_SECONDS)
+        for engine in self.engines:
+            engine.pause = 0.06
         answer, source, other = self.move(None, "lost", path="/resumable/a")
         self.assert_complete(answer)
         (received,) = other.requests
@@ -708,6 +734,7 @@
         fields["services"][1]["engine"]["backups"] = True
         self.assertEqual(200, self.system.put(fields).status)
         self.system.settle()
+        self.await_commits()
 
     def turn(self, number: int) -> platform_system.Answer:
         previous = {"X_Previous_Turn": f"t{number - 1}"} if number else {}
@@ -750,6 +777,11 @@
 
     def test_backup_whose_version_has_changed_is_not_used(self) -> None:
         self.run_turns(3)
+        # On a slow disk the stream would break off before the entry knows of
+        # the version.
+        for engine in self.engines:
+            engine.break_at = moving_engine.HELD_AT + 1
+            engine.holds = True
 
         def replace() -> None:
             self.wait_for(lambda: any(e.backups for e in self.engines))
@@ -757,6 +789,8 @@
             backup.version = "v2"
             self.system.heartbeat(backup, "lm")
             self.system.settle()
+            for engine in self.engines:
+                engine.holds = False
 
         changed = eventlet.spawn(replace)
         self.assertFalse(self.turn(3).whole)
