Test: no window exceeds a limit while leaders change at random

The new test of the soak's check shows that requests sent before the window or run after it don't count.

The new test of the program service counts requests with the soak's limit at three replicas, with times without a leader, elections and late leases, 20 seeds.

--- a/testing/test_program_service.py
+++ b/testing/test_program_service.py
@@ -1,5 +1,6 @@
 """The program service with a replicated log in memory."""
 
+import random
 from typing import Any
 
 import testtools
@@ -18,6 +19,10 @@
 from mintcleat.roles.control.programs import service as program_service
 
 GROUPS = placement.group_names(3)
+# A request of the customer whose limit the soak test checks.
+SOAK_COUNT = program_messages.CountCall(
+    "limited", "", program_messages.RateLimit(4.0, 4.0, 5.0, 0.1)
+)
 
 
 class NoStreams:
@@ -299,6 +304,38 @@
         # Guards against a window that is counted again after a failover.
         self.check_limit_before_the_lease_of(self.service)
 
+    def counted_over_random_leaders(self, seed: int) -> list[float]:
+        """Returns when requests were counted, at leaders that change."""
+        generator = random.Random(seed)
+        self.cluster = fake_log.Cluster()
+        services = {name: self.serve(name) for name in ("c1:1", "c2:1", "c3:1")}
+        found = []
+        for _ in range(400):
+            self.timers.advance(generator.expovariate(12.0))
+            if generator.random() < 0.03:
+                self.cluster.leader = ""
+                self.timers.advance(generator.uniform(0.1, 2.0))
+                self.cluster.elect(
+                    generator.choice(list(services)), is_confirmed=False
+                )
+            elif generator.random() < 0.1 and self.cluster.leader:
+                self.cluster.confirm()
+            if self.cluster.leader:
+                (reply,) = services[self.cluster.leader].answer([SOAK_COUNT])
+                if isinstance(reply, program_messages.CallCounted):
+                    found.append(self.timers.now())
+        return found
+
+    def test_no_window_exceeds_the_limit_while_leaders_change(self) -> None:
+        # Guards against requests that leave the window early at a new leader.
+        limit = SOAK_COUNT.limit
+        allowed = int(limit.window_limit() + limit.tolerance())
+        for seed in range(20):
+            counted = self.counted_over_random_leaders(seed)
+            self.assertGreater(len(counted), 2 * allowed)
+            for first, after in zip(counted, counted[allowed:], strict=False):
+                self.assertGreater(after - first, limit.window, f"seed {seed}")
+
     def test_turn_gets_what_the_other_entries_report(self) -> None:
         def opened(
             entry: str, turn: str, *report: Any
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -232,6 +232,21 @@
     assert rules(checks) == ["rate_limit"]
 
 
+def test_requests_that_were_seen_late_are_not_over_a_limit() -> None:
+    # Guards against a violation that only a late stand-in has made.
+    for sent_at, ran_at in ((1.0, 10.1), (10.0, 15.1)):
+        checks = checks_module.Checks()
+        for number in range(30):
+            is_late = number >= 26
+            name = f"r{number}"
+            sent = request(name, customer="limited")
+            checks.sent(sent._replace(sent_at=sent_at if is_late else 10.0))
+            run = run_at(ran_at if is_late else 10.1)
+            checks.run_began(name, run._replace(customer="limited"), b"")
+        checks.check_limits(20.0, {"limited": [4.0, 4.0]})
+        assert rules(checks) == [], (sent_at, ran_at)
+
+
 def test_request_lost_at_a_planned_stop_is_found_without_other_faults() -> None:
     for disturbances, expected in (
         ([], ["planned_stop"]),
