--- a/testing/soak/event_loop.py
+++ b/testing/soak/event_loop.py
@@ -12,5 +12,14 @@
 
 
 def make() -> asyncio.AbstractEventLoop:
-    """Returns an event loop that polls the operating system itself."""
+    """Returns an event loop that polls the operating system itself.
+
+    Raises:
+        RuntimeError: Sockets were green before this module was imported.
+    """
+    if _SELECTOR is selectors.SelectSelector:
+        raise RuntimeError(
+            "Expected the selector of the operating system, but found that of "
+            "eventlet; import testing.soak before bench and mintcleat."
+        )
     return asyncio.SelectorEventLoop(_SELECTOR())
