Test: callers of streams whose entries are killed state a deadline that covers the run

Known red: test_take_ups_that_name_the_first_request_all_go_on, take-ups refused with unknown_stream on a busy machine.

Is a committed record not found, or late? Neither: it has expired. A record is kept for the deadline that the caller stated, and 5 s more for slack. The scenario's callers stated 4 s, and took their streams up for longer: killed entries were back after 2.6 to 2.9 s, and after the second kill after 3.6 to 4.1 s.

They state 60 s now, so that each take-up is within its deadline and has to find its record; that is stricter.

--- a/testing/soak/lost_entries.py
+++ b/testing/soak/lost_entries.py
@@ -37,6 +37,9 @@
 # Time within which a stream must go on once entries are ready.
 _TAKE_UP_SECONDS = 8.0
 _READY_SECONDS = 15.0
+# Deadline that callers state: longer than all of it takes, since the version of
+# a stream is recorded for that long.
+_DEADLINE_MS = 60_000
 _VERSIONS = ("v1", "v1", "v2", "v2")
 
 
@@ -92,6 +95,7 @@
             last_event=self.numbers[-1] if self.numbers else 0,
             resumes=names[self.naming],
             pause_ms=_PAUSE_MS,
+            deadline_ms=_DEADLINE_MS,
         )
 
 
