Test: the planned stop begins once connections are as the requests need them

Known red: three tests of test_planned_stop, on busy machines. Two causes, both in the test's driver.

SIGTERM came 0.5 s after the callers began. Requests of "kept" connections need one that has carried a request before; where that first request was not answered yet, its answer announced the close, as it has to in a stop, and the entry closed the connection: the request was then counted as cut ("kept connections closed after 0.98 s"). The driver now waits until each connection is as its request states (first request answered, or running), and tries another connection if that one was refused.

The driver made its sockets green before its event loop, which then polled with eventlet's SelectSelector, so that upstreams and the proxies to control, which live in it, were late: an upstream that didn't report on itself within 0.25 s is taken for a failed one (503 "No upstream is left"), and turns weren't recorded in time ("a turn got 503"). It imports the soak's event loop first, and uses it.

What the tests assert is unchanged. What they see of a refusal now has its body, so that a failure shows its reason.

--- a/testing/stop_world.py
+++ b/testing/stop_world.py
@@ -15,6 +15,9 @@
 from typing import Any
 from typing import NamedTuple
 
+# Before `bench`, which makes sockets green.
+from testing.soak import event_loop  # isort: split
+
 from bench import hosted_processes
 from testing.soak import processes
 from testing.soak import upstreams
@@ -32,6 +35,9 @@
 _SLOTS = 200
 _START_SECONDS = 30.0
 _ANSWER_SECONDS = 12.0
+# Time within which a request on a connection in use begins to run, or else was
+# refused; less than its run takes.
+_BEGIN_SECONDS = 2.0
 _POLL_SECONDS = 0.1
 # Where the bytes that are sent late begin.
 HEAD = "head"
@@ -100,6 +106,7 @@
         runs: Number of its runs at upstreams.
         at: Seconds after the SIGTERM at which its connection or its response
             ended.
+        error: Body of a response other than 200.
     """
 
     sending: Sending
@@ -108,6 +115,7 @@
     whole: bool
     runs: int
     at: float
+    error: str
 
 
 class Runs:
@@ -195,12 +203,7 @@
             async with asyncio.timeout(_START_SECONDS):
                 await self._configure(control)
                 await asyncio.gather(*map(self._until_served, KINDS))
-            tasks = [
-                asyncio.create_task(self._send(sending)) for sending in sendings
-            ]
-            # The first parts arrive, and requests on connections that are in
-            # use begin to run.
-            await asyncio.sleep(0.5)
+                tasks = await self._prepare(sendings)
             self.entry.signal(signal.SIGTERM)
             self.began = time.monotonic()
             self.stopped.set()
@@ -241,36 +244,93 @@
         finally:
             writer.transport.abort()
 
-    async def _send(self, sending: Sending) -> Seen:
+    async def _prepare(
+        self, sendings: list[Sending]
+    ) -> list[asyncio.Task[Seen]]:
+        """Begins all requests; returns once their connections are as stated.
+
+        Requests of connections that are in use come last, since theirs must
+        still run when the entry is stopped.
+        """
+        tasks = []
+        for is_in_use in (False, True):
+            opened = []
+            for sending in sendings:
+                if (sending.connection == PIPELINED) == is_in_use:
+                    ready = asyncio.Event()
+                    task = asyncio.create_task(self._send(sending, ready))
+                    tasks.append(task)
+                    opened.append(ready.wait())
+            await asyncio.gather(*opened)
+        return tasks
+
+    async def _send(self, sending: Sending, ready: asyncio.Event) -> Seen:
+        """Sends a request; sets `ready` once its connection is as stated."""
         early, late = sending.parts()
         if sending.connection == NEW:
+            ready.set()
             await self._until(sending.ends_at)
             return await self._exchange(sending, early + late)
-        host, _, port = self.entry.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        connection = await self._connect(sending)
         try:
-            if sending.connection == KEPT:
-                first = sending._replace(
-                    name=f"{sending.name}-first", part=BODY, run=QUICK
-                )
-                writer.write(b"".join(first.parts()))
-                await self._read(first, reader)
+            connection.writer.write(early)
+            ready.set()
+            ending = asyncio.create_task(
+                self._end(sending, connection.writer, late)
+            )
             if sending.connection == PIPELINED:
                 first = sending._replace(name=f"{sending.name}-first")
-                writer.write(b"".join(first.parts()))
-            writer.write(early)
-            ending = asyncio.create_task(self._end(sending, writer, late))
-            if sending.connection == PIPELINED:
-                seen = await self._read(first, reader)
+                seen = await self._read(first, connection.reader)
                 if seen.headers.get("connection") == "close":
                     ending.cancel()
                     return seen
             try:
-                return await self._read(sending, reader)
+                return await self._read(sending, connection.reader)
             finally:
                 ending.cancel()
         finally:
-            writer.transport.abort()
+            connection.writer.transport.abort()
+
+    async def _connect(self, sending: Sending) -> hosted_processes.Connection:
+        """Returns a connection that has carried what the request needs.
+
+        A connection whose own first request was refused is given up for
+        another one: a busy machine's stand-ins may be late.
+        """
+        host, _, port = self.entry.address.rpartition(":")
+        while True:
+            opened = await asyncio.open_connection(host, int(port))
+            connection = hosted_processes.Connection(*opened)
+            if await self._carries_first(sending, connection):
+                return connection
+            connection.writer.transport.abort()
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def _carries_first(
+        self, sending: Sending, connection: hosted_processes.Connection
+    ) -> bool:
+        """Sends the request before; returns whether it was taken."""
+        first = sending._replace(name=f"{sending.name}-first")
+        if sending.connection == KEPT:
+            first = first._replace(part=BODY, run=QUICK)
+            connection.writer.write(b"".join(first.parts()))
+            seen = await self._read(first, connection.reader)
+            is_kept = seen.headers.get("connection") != "close"
+            return seen.status == 200 and seen.whole and is_kept
+        if sending.connection == PIPELINED:
+            connection.writer.write(b"".join(first.parts()))
+            return await self._begins_to_run(first)
+        return True
+
+    async def _begins_to_run(self, sending: Sending) -> bool:
+        """Returns whether a request runs within the time for an answer."""
+        try:
+            async with asyncio.timeout(_BEGIN_SECONDS):
+                while sending.name not in self.runs.requests:
+                    await asyncio.sleep(_POLL_SECONDS)
+        except TimeoutError:
+            return False
+        return True
 
     async def _end(
         self, sending: Sending, writer: asyncio.StreamWriter, late: bytes
@@ -289,23 +349,30 @@
     async def _read(
         self, sending: Sending, reader: asyncio.StreamReader
     ) -> Seen:
-        status, headers, whole = 0, {}, False
+        status, headers, whole, error = 0, {}, False, ""
         try:
             async with asyncio.timeout(_ANSWER_SECONDS):
                 first, headers = await hosted_processes.read_head(reader)
                 status = int(first.split()[1])
-                await hosted_processes.read_body(reader, headers)
+                body = await hosted_processes.read_body(reader, headers)
                 whole = True
+                if status != 200:
+                    error = body.decode()
         except (OSError, EOFError, TimeoutError, ValueError):
             pass
-        return self._seen(sending, status, headers, whole)
+        return self._seen(sending, status, headers, whole, error)
 
     def _seen(
-        self, sending: Sending, status: int, headers: dict, whole: bool
+        self,
+        sending: Sending,
+        status: int,
+        headers: dict,
+        whole: bool,
+        error: str = "",
     ) -> Seen:
         runs = self.runs.requests.count(sending.name)
         at = round(time.monotonic() - self.began, 2)
-        return Seen(sending, status, headers, whole, runs, at)
+        return Seen(sending, status, headers, whole, runs, at, error)
 
 
 def _configuration() -> dict[str, Any]:
@@ -378,4 +445,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(main())
+    with asyncio.Runner(loop_factory=event_loop.make) as runner:
+        runner.run(main())
