Four failing tests: ends of answers, and reports of replaced upstreams

None is fixed here.

- test_turn_cut_by_an_upstream_that_deregisters_after_that_is_not_whole: an upstream that drains closes a stream without a mark after its first event, refuses connections, and deregisters 0.02 s later.
- test_address_that_another_upstream_has_taken_confirms_no_end: a plain answer without a mark is confirmed by a connection to the address, although the directory says that another upstream has it.
- test_upstream_that_resets_connections_for_a_moment_confirms_an_end: all four questions are used up at once where connections are reset, so that a whole stream is cut.
- test_replacement_found_during_a_failed_report_keeps_its_time: a crash that is added while a report fails loses the time in which it may have happened.

--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -188,6 +188,14 @@
         self.assertFalse(self.turn("t1").whole)
         self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
 
+    def test_turn_cut_by_an_upstream_that_deregisters_after_that_is_not_whole(
+        self,
+    ) -> None:
+        # Guards against a deregistration that is taken for a whole answer.
+        self.start("lm", self.leaving(len(EVENT), deregisters=True))
+        self.assertFalse(self.turn("t1").whole)
+        self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
+
     def test_stream_of_a_leaving_upstream_that_is_killed_is_resumed(
         self,
     ) -> None:
--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -9,6 +9,7 @@
 from fakes import config_cluster
 from fakes import platform_engine
 from fakes import platform_system
+from mintcleat.adapters import timers
 from mintcleat.configuration import crash_evidence
 from mintcleat.configuration import machine
 from mintcleat.configuration import object_evidence
@@ -18,6 +19,7 @@
 from mintcleat.domain import identities
 from mintcleat.domain import member_messages
 from mintcleat.domain import operator_messages
+from mintcleat.roles.entry import crash_reporter
 from mintcleat.roles.entry import crash_watch
 
 # What the platform allows: after the third crash, entries have this time to
@@ -474,6 +476,55 @@
         eventlet.sleep(0.002)
 
 
+class ReporterTest(testtools.TestCase):
+    def test_replacement_found_during_a_failed_report_keeps_its_time(
+        self,
+    ) -> None:
+        # Guards against resets that count as crashes in a row as the report
+        # before theirs was not accepted.
+        control = _UnreachableOnce()
+        clock = timers.EventletTimers()
+        reporter = crash_reporter.CrashReporter(control, clock)
+        control.on_first = lambda: add("u2")
+
+        def add(incarnation: str) -> None:
+            lost = member_messages.LostRequest(b"a", 0.1, "", "r", "", "r1")
+            now = clock.now()
+            reporter.add_loss(
+                incarnation, "s", now - 2.0, lost, replaced_at=now
+            )
+
+        add("u1")
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while not control.reports:
+                eventlet.sleep(0.01)
+        (report,) = control.reports
+        unsure = {name: round(seconds, 1) for name, seconds in report.unsure}
+        self.assertEqual({"u1": 2.0, "u2": 2.0}, unsure)
+
+
+class _UnreachableOnce:
+    """Control that can't be reached at first.
+
+    Attributes:
+        on_first: Called while the first report fails.
+        reports: Reports that it has accepted.
+    """
+
+    node = identities.Incarnation("entry-1", 1)
+
+    def __init__(self) -> None:
+        self.on_first: Callable[[], None] | None = None
+        self.reports: list[Any] = []
+
+    def ask(self, message: Any, timeout: float) -> Any:
+        if self.on_first is not None:
+            on_first, self.on_first = self.on_first, None
+            on_first()
+            raise errors.ControlUnavailable("No config leader.")
+        self.reports.append(message)
+
+
 class _Unreachable:
     """Control that can't be reached."""
 
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -124,6 +124,33 @@
         )
         self.assertEqual(Kind.CRASHED, self.confirm())
 
+    def test_address_that_another_upstream_has_taken_confirms_no_end(
+        self,
+    ) -> None:
+        # Guards against half answers that the next process at the address of
+        # their upstream confirms. Each start has an id of its own.
+        self.upstreams.answer = routed_calls.Reachability.ACCEPTS
+        self.configuration.registered.register(
+            registration(started=2)._replace(upstream="u2")
+        )
+        self.assertEqual(Kind.CRASHED, self.confirm())
+
+    def test_upstream_that_resets_connections_for_a_moment_confirms_an_end(
+        self,
+    ) -> None:
+        # Guards against whole streams that are cut as their upstream has its
+        # most connections just then, and resets those that ask.
+        self.is_stream = True
+        self.upstreams.answer = routed_calls.Reachability.UNKNOWN
+        eventlet.spawn_after(
+            0.1,
+            setattr,
+            self.upstreams,
+            "answer",
+            routed_calls.Reachability.ACCEPTS,
+        )
+        self.assertEqual(Kind.CONFIRMED, self.confirm())
+
     def test_service_of_a_plain_answer_is_not_asked_for_a_report(self) -> None:
         self.confirm()
         self.assertEqual(
