Failing test: a whole turn is cut where its upstream resets connections

All four questions are used up within milliseconds, and the turn counts as broken off. Not fixed here.

--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -237,6 +237,28 @@
         self.assertFalse(self.turn("t1").whole)
         self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
 
+    def test_whole_turn_of_an_upstream_that_resets_for_a_moment_is_whole(
+        self,
+    ) -> None:
+        # Guards against whole turns that are cut as their upstream has its most
+        # connections just then, and resets those that ask.
+        whole = answer_scripts.script(
+            answer_scripts.Answer(answer_scripts.CLOSE, answer_scripts.QUIET)
+        )
+
+        def run(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            engine = connection.engine
+            serve = engine._serve
+            engine._serve = lambda opened: opened.reset()
+            eventlet.spawn_after(0.1, setattr, engine, "_serve", serve)
+            return whole(connection, received)
+
+        self.start("lm", run)
+        self.assertTrue(self.turn("t1").whole)
+
     def leave_at_once(
         self, leave: Callable[[platform_engine.Engine], None]
     ) -> None:
