Each kind of answer has its own proxy in the test of cut heads

A run of 3,266 cuts of an engine's answers had one wrong result: a call to an engine got its whole answer though one was cut once. The sidecar of the test asks the same engine through the same proxy and had taken the cut.

--- a/testing/soak/cut_heads.py
+++ b/testing/soak/cut_heads.py
@@ -400,10 +400,14 @@
 
     def _engine_calls(self) -> list[Kind]:
         """The calls of a sidecar to its engine."""
+        # The sidecar itself would take cuts at the proxy before it.
+        target = "{}:{}".format(*self.engine.target)
 
         def kind(name: str, call: Callable[..., Any]) -> Kind:
+            cutter = head_cutter.Cutter(target)
+
             def run() -> str:
-                engine = engine_http.HttpEngine(self.engine.address)
+                engine = engine_http.HttpEngine(cutter.address)
                 try:
                     with eventlet.Timeout(_SECONDS):
                         call(engine)
@@ -411,12 +415,10 @@
                     return type(error).__name__
                 return "whole"
 
-            # The sidecar itself makes other calls meanwhile.
-            target = name.replace("run", "v1/chat")
             return Kind(
                 f"engine {name}",
-                self.engine,
-                rb"\w+ /(control/)?" + target.encode(),
+                cutter,
+                b"",
                 run,
                 frozenset({"StreamClosed"}),
             )
@@ -467,10 +469,11 @@
 
     def _loads(self) -> list[Kind]:
         """Requests of the load generator."""
-        cutter = head_cutter.Cutter(self.entry)
         timer = timers.EventletTimers()
 
         def kind(name: str, call: Callable[..., Any]) -> Kind:
+            cutter = head_cutter.Cutter(self.entry)
+
             def run() -> str:
                 client = load_client.Client([cutter.address], timer, 4)
                 try:
