--- a/testing/test_cut_requests.py
+++ b/testing/test_cut_requests.py
@@ -1,4 +1,4 @@
-"""Requests whose callers stop within them, at the product's own interface."""
+"""Requests whose callers stop within them."""
 
 from collections.abc import Iterable
 import socket
@@ -7,6 +7,7 @@
 import eventlet
 import testtools
 
+from mintcleat.adapters import http1_server
 from mintcleat.adapters import http_request
 from mintcleat.adapters import streams
 from mintcleat.adapters import wsgi
@@ -21,31 +22,21 @@
 )
 
 
-class CutRequestTest(testtools.TestCase):
+class Case(testtools.TestCase):
     """Each request is cut at each of its bytes, and the caller still reads."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.server = wsgi.HttpServer("127.0.0.1:0", self.application)
-        self.addCleanup(self.server.stop)
         self.ran: list[str] = []
+        self.address = self.start()
 
-    def application(
-        self, environ: dict[str, Any], start: Any
-    ) -> Iterable[bytes]:
-        try:
-            body = http_request.read_body(environ)
-        except errors.BadRequest as error:
-            start("400 Bad Request", [])
-            return [error.detail.encode()]
-        program = environ.get("HTTP_MINTCLEAT_PROGRAM", "")
-        self.ran.append(f"{environ['PATH_INFO']} {program} {body.decode()}")
-        start("200 OK", [("Content-Length", "0")])
-        return []
+    def start(self) -> str:
+        """Starts the server; returns its address."""
+        raise NotImplementedError
 
     def send(self, data: bytes) -> bytes:
         """Sends bytes and their end; returns what comes back."""
-        address = streams.split_address(self.server.address)
+        address = streams.split_address(self.address)
         with eventlet.Timeout(_SECONDS):
             sock = eventlet.connect(address)
             sock.sendall(data)
@@ -63,6 +54,28 @@
             self.assertNotIn(b" 200 ", answer)
         self.assertIn(b" 200 ", self.send(request))
 
+
+class CutRequestTest(Case):
+    """At the product's own interface."""
+
+    def start(self) -> str:
+        server = wsgi.HttpServer("127.0.0.1:0", self.application)
+        self.addCleanup(server.stop)
+        return server.address
+
+    def application(
+        self, environ: dict[str, Any], start: Any
+    ) -> Iterable[bytes]:
+        try:
+            body = http_request.read_body(environ)
+        except errors.BadRequest as error:
+            start("400 Bad Request", [])
+            return [error.detail.encode()]
+        program = environ.get("HTTP_MINTCLEAT_PROGRAM", "")
+        self.ran.append(f"{environ['PATH_INFO']} {program} {body.decode()}")
+        start("200 OK", [("Content-Length", "0")])
+        return []
+
     def test_request_whose_head_is_cut_does_not_run(self) -> None:
         self.assert_only_whole_runs(PLAIN)
         self.assertEqual(["/v1/a p12345 "], self.ran)
@@ -75,3 +88,26 @@
         answer = self.send(PLAIN[:-2])
         self.assertIn(b" 400 ", answer)
         self.assertIn(b"blank line", answer)
+
+
+class CutRoutedRequestTest(Case):
+    """At the listener for routed requests."""
+
+    def start(self) -> str:
+        listener = http1_server.HttpListener("127.0.0.1:0", self.handle)
+        self.addCleanup(listener.stop)
+        return listener.address
+
+    def handle(
+        self, request: http1_server.Request, reply: http1_server.Reply
+    ) -> None:
+        self.ran.append(request.target)
+        reply.send(200, [], b"")
+
+    def test_request_whose_head_is_cut_does_not_run(self) -> None:
+        self.assert_only_whole_runs(PLAIN)
+        self.assertEqual(["/v1/a"], self.ran)
+
+    def test_request_whose_chunks_are_cut_does_not_run(self) -> None:
+        self.assert_only_whole_runs(CHUNKED)
+        self.assertEqual(["/v1/a"], self.ran)
