Stand-in engines let copies expire, and tell which were left

Seen: RandomFaultsTest failed once as a copy was not freed within 10 s. Forced with copies of 0.9 s, it fails: the entry gives up the call for a copy after 0.57 s, and no answer names the copy that the engine makes nevertheless.

Cause: the stand-in. By the protocol a copy takes its slot until it is used or freed, or its time (handle_s) is well exceeded. The stand-in kept it for good. An entry that was never told a handle can't free it.

Change: copies expire after 1.25 times their time. The check is as strict: a copy whose handle the entry has read (the answer was sent to an open connection, and read before that was closed) must be used or freed, and may not expire.

--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -8,6 +8,7 @@
 
 import itertools
 import json
+import socket
 from typing import Any
 
 import eventlet
@@ -17,6 +18,8 @@
 MOVE_PATH = "/v1/kv-move"
 HANDLE_PATH = "/v1/kv-handle/"
 HELD_AT = 12
+# A copy is dropped when its time is well exceeded: after this many times of it.
+_WELL_EXCEEDED = 1.25
 
 
 class Run:
@@ -41,6 +44,7 @@
     Attributes:
         destination: Engine that has a copy; None if only the source has it.
         expires_at: Time by the clock of the loop; later uses are refused.
+        is_told: Whether its handle reached the caller of a call.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         self.run = run
         self.destination = destination
         self.expires_at = expires_at
+        self.is_told = False
 
 
 class Group:
@@ -85,6 +90,8 @@
         slots: Number of copies that it takes.
         calls: Moves that were requested: id, destination, last.
         freed: Handles that were freed.
+        left: Handles that reached their callers and were neither used nor
+            freed until they expired.
         holds: Whether runs wait at event `HELD_AT`.
         faults: What to do with the next calls of moves instead, in order:
             a status; `lost` to stop the run if it is asked to and to reset the
@@ -113,6 +120,7 @@
         self.slots = 4
         self.calls: list[tuple[str, str, bool]] = []
         self.freed: list[str] = []
+        self.left: list[str] = []
         self.faults: list[Any] = []
         self.holds = False
         self.backups: dict[str, Run] = {}
@@ -295,10 +303,54 @@
             )
             if destination is not None:
                 destination.reserved += 1
+            self._expire_later(handle)
+        copy = self.copies[handle]
+        is_open = not _is_closed(connection)
         _answer(connection, status, {"handle": handle, "made": run.made})
+        if is_open and _is_read(connection):
+            copy.is_told = True
+        return False
+
+    def _expire_later(self, handle: str) -> None:
+        seconds = max(0.0, _WELL_EXCEEDED * self.group.handle_seconds)
+        eventlet.spawn_after(seconds, self._expire, handle)
+
+    def _expire(self, handle: str) -> None:
+        """Drops a copy unless a later call has extended its time."""
+        copy = self.copies.get(handle)
+        if copy is None:
+            return
+        if _now() <= copy.expires_at:
+            self._expire_later(handle)
+            return
+        if copy.is_told:
+            self.left.append(handle)
+        self._drop(handle)
+
+
+def _is_closed(connection: platform_engine.Connection) -> bool:
+    """Returns whether the other end has closed a connection already."""
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return not connection.sock.fd.recv(1, flags)
+    except BlockingIOError:
+        return False
+    except OSError:
         return True
 
 
+def _is_read(connection: platform_engine.Connection) -> bool:
+    """Returns whether an answer was read before its connection was closed.
+
+    Each call has a connection of its own. One that is closed with an answer
+    unread is reset.
+    """
+    try:
+        return not connection.sock.recv(1)
+    except OSError:
+        return False
+
+
 def _answer(
     connection: platform_engine.Connection, status: int, fields: dict[str, Any]
 ) -> None:
