An upstream that refuses connections has ended no answer

Cause: that an upstream still ran after the end says nothing of whether it had made all of the answer. It looks the same to the entry as an upstream that ends its last answer in that order. Half an answer can't be taken back.

Change: what refuses connections confirms nothing, whoever deregisters when. By the protocol an upstream serves until it deregisters, so that its last whole answers are confirmed; one that closes its listener first has them resumed or cut. An address that another upstream has taken is compared, too: each start has an id of its own, so that comparing ids found nothing there (plain answers, whose services report nothing).

The test of an upstream that leaves after its last answer had it close its listener first and asked for a whole turn; it serves until it has deregistered now, as the protocol says, and the end has to be confirmed.

--- a/src/mintcleat/configuration/directory.py
+++ b/src/mintcleat/configuration/directory.py
@@ -22,9 +22,6 @@
 # Number of removals that are kept for deltas. Nodes at a version before the
 # oldest one get the whole directory instead.
 REMOVALS_KEPT = 4_096
-# Deregistered incarnations that are remembered as such. Entries ask for them
-# within a second of their end.
-DEREGISTERED_KEPT = 256
 
 
 class Directory:
@@ -42,9 +39,6 @@
         removed_at: Version of the removal, by upstream, oldest first.
         ended: Start of the latest incarnation that ended for good, by
             upstream, oldest end first; 0 where it stated no start.
-        deregistered: Start of the latest incarnation that deregistered itself,
-            by upstream, oldest first; not in snapshots. Kept up to date in the
-            group's state only, as `software`.
         software: Versions of the software of the upstreams. Kept up to date in
             the group's state only, not by updates from another directory.
     """
@@ -56,7 +50,6 @@
         self.changed_at: dict[str, int] = {}
         self.removed_at: dict[str, int] = {}
         self.ended: dict[str, int] = {}
-        self.deregistered: dict[str, int] = {}
         self.software = software_versions.SoftwareVersions()
 
     def has_ended(self, upstream: str, started: int) -> bool:
@@ -80,21 +73,19 @@
             and registered.incarnation == upstream.incarnation
         )
 
-    def find(
-        self, upstream: str, started: int
-    ) -> member_messages.UpstreamFound:
-        """Returns what became of an incarnation of an upstream."""
-        registered = self.entries.get(upstream)
-        return member_messages.UpstreamFound(
-            registered is not None and registered.started == started,
-            self.deregistered.get(upstream) == started,
-        )
-
     def is_replaced(self, upstream: member_messages.Registration) -> bool:
         """Returns whether a later incarnation of an upstream is registered."""
         registered = self.entries.get(upstream.upstream)
         return registered is not None and registered.started > upstream.started
 
+    def is_address_taken(self, upstream: member_messages.Registration) -> bool:
+        """Returns whether another upstream is registered at an address."""
+        return any(
+            other.address == upstream.address
+            and other.upstream != upstream.upstream
+            for other in self.entries.values()
+        )
+
     def register(
         self, registration: member_messages.Registration, at: float = 0.0
     ) -> bool:
@@ -123,7 +114,7 @@
             # later, so the sender of this registration has ended.
             return False
         for other in others:
-            self._end(other.upstream, True, other.started, at)
+            self.leave(other.upstream, True, other.started, at)
         if current is not None:
             self.software.removed(current, at)
         self.software.added(registration)
@@ -137,21 +128,14 @@
 
         Args:
             upstream: Id of the upstream.
-            final: Whether the incarnation has deregistered itself. All later
-                registrations of it and of earlier ones are ignored then.
+            final: Whether to ignore all later registrations of this
+                incarnation and of earlier ones.
             started: Start of the incarnation; 0 for the registered one.
             at: Steady time of the group.
         """
         current = self.entries.get(upstream)
         if not started and current is not None:
             started = current.started
-        if final:
-            self._remember_deregistered(upstream, started)
-        return self._end(upstream, final, started, at)
-
-    def _end(self, upstream: str, final: bool, started: int, at: float) -> bool:
-        """Removes an incarnation, whoever has ended it; see `leave`."""
-        current = self.entries.get(upstream)
         if final and not self.has_ended(upstream, started):
             self._remember_ended(upstream, started)
         if current is None or current.started > started:
@@ -254,12 +238,6 @@
             oldest = next(iter(self.removed_at))
             self.horizon = self.removed_at.pop(oldest)
 
-    def _remember_deregistered(self, name: str, started: int) -> None:
-        self.deregistered.pop(name, None)
-        self.deregistered[name] = started
-        while len(self.deregistered) > DEREGISTERED_KEPT:
-            del self.deregistered[next(iter(self.deregistered))]
-
     def _remember_ended(self, name: str, started: int) -> None:
         self.ended.pop(name, None)
         self.ended[name] = started
--- a/src/mintcleat/domain/member_messages.py
+++ b/src/mintcleat/domain/member_messages.py
@@ -157,32 +157,6 @@
     seconds: float
 
 
-class FindUpstream(NamedTuple):
-    """Asks the config leader what became of an incarnation of an upstream.
-
-    Attributes:
-        started: Start of the incarnation in ms since 1970, by the upstream's
-            clock; 0 if it stated none.
-    """
-
-    upstream: str
-    started: int
-
-
-class UpstreamFound(NamedTuple):
-    """What became of an incarnation of an upstream.
-
-    Attributes:
-        is_registered: Whether it is registered, in any state.
-        has_deregistered: Whether it has deregistered itself. One that was
-            removed as it was silent, or whose address or id another process
-            has taken over, has not.
-    """
-
-    is_registered: bool
-    has_deregistered: bool
-
-
 class SoftwareVersions(NamedTuple):
     """The versions of the software of a service's upstreams, in any order."""
 
--- a/src/mintcleat/domain/messages.py
+++ b/src/mintcleat/domain/messages.py
@@ -137,8 +137,6 @@
             program_messages.RecordStream,
             program_messages.FindStream,
             program_messages.StreamFound,
-            member_messages.FindUpstream,
-            member_messages.UpstreamFound,
         ),
         start=1,
     )
--- a/src/mintcleat/roles/control/configuration/requests.py
+++ b/src/mintcleat/roles/control/configuration/requests.py
@@ -47,7 +47,6 @@
     member_messages.RegisterUpstream,
     member_messages.DeregisterUpstream,
     member_messages.ReadSoftwareVersions,
-    member_messages.FindUpstream,
     operator_messages.EvacuateControl,
 )
 # Audit entries in one answer; operators continue from its last number.
@@ -112,8 +111,6 @@
                 )
             case member_messages.ReadSoftwareVersions():
                 return self._software_versions(message)
-            case member_messages.FindUpstream(upstream, started):
-                return self.leader.machine.directory.find(upstream, started)
             case config_messages.ReadFencingToken(instance=instance):
                 return config_messages.FencingToken(
                     self.leader.machine.ledger.highest_fencing_token(instance)
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -172,10 +172,27 @@
     def test_upstream_that_leaves_after_its_last_answer_is_no_crash(
         self,
     ) -> None:
-        self.start("lm", self.leaving(None, deregisters=True))
+        last = answer_scripts.script(
+            answer_scripts.Answer(answer_scripts.CLOSE, answer_scripts.QUIET)
+        )
+
+        def leave(engine: platform_engine.Engine) -> None:
+            self.system.leave(engine)
+            engine.crash()
+
+        def run(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            self.system.heartbeat(connection.engine, "lm", "draining")
+            self.system.settle()
+            eventlet.spawn_after(0.05, leave, connection.engine)
+            return last(connection, received)
+
+        self.start("lm", run)
         self.assertTrue(self.turn("t1").whole)
         (ended,) = self.system.reporter.of(events.CallEnded)
-        self.assertEqual("closed", ended.end)
+        self.assertEqual("confirmed", ended.end)
 
     def test_leaving_upstream_that_is_killed_between_events_ends_no_stream(
         self,
@@ -195,6 +212,7 @@
         self.start("lm", self.leaving(len(EVENT), deregisters=True))
         self.assertFalse(self.turn("t1").whole)
         self.assertEqual(404, self.turn("t2", X_Previous_Turn="t1").status)
+        self.assertEqual([], self.system.reporter.of(events.UpstreamCrashed))
 
     def test_stream_of_a_leaving_upstream_that_is_killed_is_resumed(
         self,
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -1,13 +1,10 @@
 """Tests which upstreams are asked after an answer without a marked end."""
 
-from typing import Any
-
 import eventlet
 import testtools
 
 from mintcleat.configuration import directory
 from mintcleat.domain import answer_ends
-from mintcleat.domain import errors
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
 from mintcleat.roles.entry import end_confirmation
@@ -59,24 +56,8 @@
 
 
 class Followed:
-    """A directory that is as new as the config leader's.
-
-    Attributes:
-        is_cut_off: Whether no leader answers.
-        asked: Number of questions to the leader.
-    """
-
     def __init__(self) -> None:
         self.registered = directory.Directory()
-        self.leader = self.registered
-        self.is_cut_off = False
-        self.asked = 0
-
-    def ask(self, message: Any, timeout: float, try_timeout: float) -> Any:
-        self.asked += 1
-        if self.is_cut_off:
-            raise errors.ControlUnavailable("No config leader.")
-        return self.leader.find(*message)
 
 
 class EndConfirmationTest(testtools.TestCase):
@@ -176,14 +157,16 @@
         self.upstreams.answer = routed_calls.Reachability.ACCEPTS
         self.assertEqual(Kind.CONFIRMED, self.confirm())
 
-    def test_leaving_upstream_that_deregisters_has_ended_its_answer(
+    def test_leaving_upstream_that_refuses_and_deregisters_is_over(
         self,
     ) -> None:
-        self.drain()
-        eventlet.spawn_after(
-            0.05, self.configuration.registered.leave, "u1", True
-        )
-        self.assertEqual(Kind.CLOSED, self.confirm())
+        # Guards against streams that a planned exit cuts, whichever comes first.
+        for seconds in (0.0, 0.02, 0.05):
+            self.drain()
+            eventlet.spawn_after(
+                seconds, self.configuration.registered.leave, "u1", True
+            )
+            self.assertEqual(Kind.CRASHED, self.confirm())
 
     def test_replacement_of_a_leaving_upstream_is_not_its_deregistration(
         self,
@@ -198,32 +181,6 @@
         )
         self.assertEqual(Kind.CRASHED, self.confirm())
 
-    def test_deregistration_before_the_end_that_is_not_known_here_is_none(
-        self,
-    ) -> None:
-        # Guards against the order in which news arrive at this entry.
-        self.drain()
-        self.configuration.leader = directory.Directory()
-        self.configuration.leader.leave("u1", True, 1)
-        self.assertEqual(Kind.CRASHED, self.confirm())
-
-    def test_removal_of_a_silent_upstream_is_not_its_deregistration(
-        self,
-    ) -> None:
-        self.drain()
-        eventlet.spawn_after(
-            0.05, self.configuration.registered.leave, "u1", False
-        )
-        self.assertEqual(Kind.CRASHED, self.confirm())
-
-    def test_leaving_upstream_that_nobody_can_ask_for_has_crashed(
-        self,
-    ) -> None:
-        self.drain()
-        self.configuration.is_cut_off = True
-        self.assertEqual(Kind.CRASHED, self.confirm())
-        self.assertEqual(1, self.configuration.asked)
-
     def test_leaving_upstream_that_is_gone_without_a_word_has_crashed(
         self,
     ) -> None:
