Failing test: an unnamed take-up goes on at another service's only version

Fails on (200 in place of 503). A stream begins at version v1 of service lm; its route is moved to lm2, whose only version is v2; a take-up that names no request, as those of the users' callers, goes on there (ORDER). StreamOrigins._only asks for the versions of the service that the route has now, at this entry, and takes that service for the one that began the stream. Not fixed here.

--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -434,6 +434,20 @@
         for number in range(STREAMS):
             self.assert_taken_up(number)
 
+    def test_take_up_that_names_nothing_is_refused_once_its_route_has_moved(
+        self,
+    ) -> None:
+        # Guards against a stream that goes on at the only version of a service
+        # that didn't begin it.
+        self.call("a")
+        fields = configuration(2, self.attempts)
+        fields["services"].append({**fields["services"][1], "name": "lm2"})
+        fields["routes"][0]["service"] = "lm2"
+        self.assertEqual(200, self.system.put(fields).status)
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        self.system.settle()
+        self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
+
     def test_control_instance_that_stands_still_is_passed_over(self) -> None:
         silent = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(silent.close)
