A take-up that names nothing doesn't go on at another service

A split route, where nothing but the id of the request chose the service, did the same in half of the cases, and an entry with an older configuration too.

Cause: the only version of a service was certain; that it was the service of the stream was taken from this entry's own routes at this moment.

Change: the group's state records between which services a push may have moved streams, as a version that nobody registers, for as long as ended versions count. On split routes only a program or an object leads to the same service again. Such take-ups are refused (503, not run); those that name the stream have its record.

--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -20,6 +20,7 @@
 from mintcleat.configuration import permits
 from mintcleat.configuration import quarantine
 from mintcleat.configuration import rollouts
+from mintcleat.configuration import route_moves
 from mintcleat.domain import errors
 
 # Name of the replicated group.
@@ -270,7 +271,9 @@
 
     def _push(self, command: commands.Push) -> Any:
         known = command.push_id in self.document.pushes
+        before = dict(self.document.sections)
         result = self.document.push(command)
+        self._record_moves(before, command.at)
         subject = f"push {command.push_id}: {command.summary}"
         if isinstance(result, errors.MintcleatError):
             self._audit(command, "push", subject, f"refused: {result.detail}")
@@ -286,7 +289,9 @@
 
     def _push_version(self, command: commands.PushVersion) -> Any:
         before = self.document.version
+        sections_before = dict(self.document.sections)
         result = self.document.push_version(command)
+        self._record_moves(sections_before, command.at)
         outcome = f"accepted as {result.revision}"
         if command.version <= before:
             outcome = f"no change: version {before} is in force"
@@ -294,6 +299,11 @@
         self._audit(command, "push", subject, outcome)
         return result
 
+    def _record_moves(self, before: dict[str, str], at: float) -> None:
+        """Records the services between which a push has moved streams."""
+        moved = route_moves.services(before, self.document.sections)
+        self.directory.software.moved(moved, at)
+
     def evacuated_control_instances(self) -> frozenset[str]:
         """Returns the control instances that must hold no replica."""
         return evacuated_control_instances(self.drains)
--- a/src/mintcleat/configuration/software_versions.py
+++ b/src/mintcleat/configuration/software_versions.py
@@ -16,6 +16,11 @@
 ENDED_KEPT = 1_024
 
 
+# Stands for the versions of other services, from which a route may have come to
+# a service. No upstream registers it.
+OTHER_SERVICE = "\0"
+
+
 class Software(NamedTuple):
     """One version of the software of one service."""
 
@@ -29,7 +34,8 @@
     Attributes:
         running: Number of registered upstreams of each version.
         ended: When the last upstream of a version left, in the group's steady
-            time; the earliest first. Versions with upstreams are not in it.
+            time; the earliest first. Versions with upstreams are not in it,
+            `OTHER_SERVICE` may be.
     """
 
     def __init__(self) -> None:
@@ -53,8 +59,19 @@
         while len(self.ended) > ENDED_KEPT:
             del self.ended[next(iter(self.ended))]
 
+    def moved(self, services: set[str], at: float) -> None:
+        """Records that routes may have moved streams among services."""
+        for service in services:
+            software = Software(service, OTHER_SERVICE)
+            self.ended.pop(software, None)
+            self.ended[software] = at
+
     def since(self, service: str, at: float) -> set[str]:
-        """Returns the versions that a service has had since a steady time."""
+        """Returns the versions that a service has had since a steady time.
+
+        `OTHER_SERVICE` is among them if streams of its routes may have begun at
+        another service.
+        """
         found = {
             software.version
             for software in self.running
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -207,9 +207,13 @@
     ) -> stream_origins.KnownOrigin | None:
         """Returns the only version that can have begun a stream, if any.
 
-        The config leader is asked, as this entry's own directory may be older
-        than that of the entry which began the stream.
+        The config leader is asked, as this entry's own directory and routes may
+        be older than those of the entry which began the stream. On a route that
+        is split, only a program or an object leads to the same service again.
         """
+        services = {share.service for share in route.shares if share.weight}
+        if len(services) > 1 and not (call.program.program or call.affinity):
+            return None
         seconds = max(
             MIN_TAKE_UP_SECONDS, TAKE_UP_FACTOR * _request_seconds(call, route)
         )
--- a/testing/test_stream_records.py
+++ b/testing/test_stream_records.py
@@ -2,11 +2,14 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 import testtools
 
 from mintcleat.configuration import directory
 from mintcleat.configuration import machine as config_machine
+from mintcleat.configuration import route_moves
 from mintcleat.domain import errors
+from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
 from mintcleat.domain import stream_origins
@@ -54,6 +57,33 @@
             state.record(begun(f"b{number}"), 100.0)
         self.assertEqual([110], list(state.due_bytes))
 
+    def test_services_between_which_a_change_moves_streams_are_found(
+        self,
+    ) -> None:
+        # Guards against take-ups that go on at another service's only version.
+        def route(prefix: str, service: str, **fields: object) -> str:
+            share = manifest.Share(service)
+            chosen = {"stream": True, "repeat": "resume", **fields}
+            return msgspec.json.encode(
+                manifest.Route(prefix, [share], "h", **chosen)
+            ).decode()
+
+        first = {"routes/a": route("/", "lm")}
+        both = {**first, "routes/b": route("/x/", "lm2")}
+        for before, after, expected in (
+            ({}, both, set()),
+            (first, first, set()),
+            (first, {"routes/a": route("/", "lm2")}, {"lm", "lm2"}),
+            (first, both, {"lm", "lm2"}),
+            (both, first, {"lm", "lm2"}),
+            (first, {"routes/a": route("/", "lm", timeout=9.0)}, set()),
+            (first, {**first, "routes/c": route("/x/", "lm")}, set()),
+            (both, {**both, "services/lm": "{}"}, set()),
+            (first, {**first, "routes/c": "{}"}, set()),
+        ):
+            found = route_moves.services(before, after)
+            self.assertEqual(expected, found, (before, after))
+
     def test_customers_see_their_own_streams(self) -> None:
         state = streams.Streams()
         state.record(begun("a", "v1", "one"), 0.0)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -434,6 +434,24 @@
         for number in range(STREAMS):
             self.assert_taken_up(number)
 
+    def test_take_up_that_names_nothing_on_a_split_route_is_refused(
+        self,
+    ) -> None:
+        # Guards against a stream that goes on at the other one of its services.
+        fields = configuration(2, self.attempts)
+        fields["services"].append({**fields["services"][1], "name": "lm2"})
+        del fields["routes"][0]["service"]
+        fields["routes"][0]["split"] = [
+            {"service": "lm", "weight": 1},
+            {"service": "lm2", "weight": 1},
+        ]
+        self.assertEqual(200, self.system.put(fields).status)
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        self.system.settle()
+        for number in range(STREAMS):
+            rest = self.call(f"b{number}", number % 2, Last_Event_Id="2")
+            self.assertEqual(503, rest.status)
+
     def test_take_up_that_names_nothing_is_refused_once_its_route_has_moved(
         self,
     ) -> None:
