A replacement found while a report fails keeps its time

Cause: what is put back after a report that failed lost the time of a replacement that was found meanwhile. Found by the review, whose test failed before.

--- a/src/mintcleat/roles/entry/crash_reporter.py
+++ b/src/mintcleat/roles/entry/crash_reporter.py
@@ -193,6 +193,9 @@
             crash = crashes.setdefault(
                 incarnation, _Crash(later.service, later.lost_at)
             )
+            # A loss shows a crash better than a replacement.
+            if not (crash.losses and later.replaced_at):
+                crash.replaced_at = later.replaced_at
             crash.losses.extend(later.losses)
             crash.objects.update(later.objects)
         self.crashes = crashes
