An attempt that names the crash before it follows it

The order of two crashes is certain if the second attempt names the first one (design 115); since the time until which a replacement may have come could overrule that. Found by the review, by reading.

--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -269,7 +269,8 @@
         last_crash = float("-inf")
         for started_at, lost_at, incarnation in _in_order(runs):
             overlap = last_crash - started_at
-            if overlap <= MAX_OVERLAP * (lost_at - started_at):
+            is_next = runs[incarnation].after in found[-1:]
+            if is_next or overlap <= MAX_OVERLAP * (lost_at - started_at):
                 found.append(incarnation)
                 last_crash = max(lost_at, crashed_by[incarnation])
         return found
