Three events in a row show that ids are consecutive

Two (1, 2) may be chance, and a legitimate next id 5 would be refused by every upstream; the users' pages promise increasing ids only. Ids of more than 18 digits aren't looked at, where the first of them counted as a gap.

--- a/src/mintcleat/decisions/event_order.py
+++ b/src/mintcleat/decisions/event_order.py
@@ -27,10 +27,10 @@
     LATER = "later"
 
 
-# Steps of 1 from which a stream's ids count as consecutive. Others may have
-# gaps, which mean nothing.
-MIN_STEPS = 1
-# Numbers of more digits aren't looked at for gaps.
+# Steps of 1 from which a stream's ids count as consecutive; one may be chance.
+# Ids of other streams may have gaps, which mean nothing.
+MIN_STEPS = 2
+# Numbers of more digits aren't converted, and not looked at for gaps.
 _MAX_DIGITS = 18
 
 
@@ -126,7 +126,9 @@
 def _is_next(
     last: tuple[int, str] | None, number: tuple[int, str] | None
 ) -> bool:
-    """Returns whether a number is one above another."""
-    if last is None or number is None or number[0] > _MAX_DIGITS:
+    """Returns whether a number is, or may be, one above another."""
+    if last is None or number is None:
         return False
+    if number[0] > _MAX_DIGITS:
+        return True
     return int(number[1] or "0") == int(last[1] or "0") + 1
