--- a/testing/soak/cut_heads.py
+++ b/testing/soak/cut_heads.py
@@ -60,6 +60,20 @@
 _CALL = upstream.EngineCall(
     request="r1", program="", messages=[json.dumps(_MESSAGE)], parameters=""
 )
+_REGISTRATION = json.dumps(
+    {
+        "service": "dispatch",
+        "address": "127.0.0.1:9",
+        "failure_domain": "z1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+    }
+).encode()
+# What a caller may get for a part of a request; empty for the end of its
+# connection.
+_REFUSALS = ("", "400")
 # Calls of a sidecar to its engine, by their targets.
 _ENGINE_CALLS: dict[str, Callable[[engine_http.HttpEngine], Any]] = {
     "run": lambda engine: list(engine.run(_CALL)),
@@ -285,60 +299,43 @@
         """Cuts requests to an entry and to a control instance themselves."""
         token = self.system.folder / "control-0" / "admin-token"
         key = f"Authorization: Bearer {token.read_text().strip()}"
-        registration = {
-            "service": "dispatch",
-            "address": "127.0.0.1:9",
-            "failure_domain": "z1",
-            "version": "v1",
-            "slots": 4,
-            "state": "ready",
-            "sequence": 1,
-        }
-        admin = self.system.admin
-        for name, address, start, field, body in (
-            (
-                "operator POST",
-                admin,
-                "POST /admin/v1/control/snapshot",
-                key,
-                {},
-            ),
-            ("operator DELETE", admin, "DELETE /admin/v1/programs/p1", key, {}),
-            (
-                "registration",
-                admin,
-                "PUT /admin/v1/registrations/u12345",
-                key,
-                registration,
-            ),
-            ("program", self.entry, "POST /v1/programs", "A: b", {}),
-            (
-                "chat",
-                self.entry,
-                "POST /v1/chat/completions",
-                "A: b",
-                json.loads(chat_body(False)),
-            ),
+        admin, entry = self.system.admin, self.entry
+        chat = chat_body(False)
+        for address, start, field, body in (
+            (admin, "POST /admin/v1/control/snapshot", key, b"{}"),
+            (admin, "DELETE /admin/v1/programs/p1", key, b""),
+            (admin, "PUT /admin/v1/registrations/u12345", key, _REGISTRATION),
+            (entry, "POST /v1/programs", "Host: a", b"{}"),
+            (entry, "POST /v1/chat/completions", "Host: a", chat),
         ):
-            content = json.dumps(body).encode()
-            request = (
-                f"{start} HTTP/1.1\r\nHost: a\r\n{field}\r\n"
-                f"Content-Length: {len(content)}\r\n\r\n"
-            ).encode() + content
-            counter: collections.Counter[str] = collections.Counter()
-            for size in range(1, len(request), self.step):
-                status = send_part(address, request[:size])
-                counter[status] += 1
-                self.cuts += 1
-                if status not in ("", "400", "401", "408"):
-                    self.wrong.append(f"{name}, {size} bytes: {status}")
-            self.counts[name] = dict(counter)
+            self._cut_request(address, start, field, body)
         client = cli_client.AdminClient(admin, str(token))
         # A shortened name, or fields without the last ones.
         known = json.dumps(client.get("upstreams"))
         if re.search(r"u1|127\.0\.0\.1:9\b", known):
             self.wrong.append(f"registered: {known}")
 
+    def _cut_request(
+        self, address: str, start: str, field: str, body: bytes
+    ) -> None:
+        """Sends the parts of a request that end at each STEP-th byte."""
+        lines = (
+            f"{start} HTTP/1.1",
+            field,
+            f"Content-Length: {len(body)}",
+            "",
+            "",
+        )
+        request = "\r\n".join(lines).encode() + body
+        counter: collections.Counter[str] = collections.Counter()
+        for size in range(1, len(request), self.step):
+            status = send_part(address, request[:size])
+            counter[status] += 1
+            self.cuts += 1
+            if status not in _REFUSALS:
+                self.wrong.append(f"{start}, {size} bytes: {status}")
+        self.counts[f"cut {start}"] = dict(counter)
+
     def kinds(self, path: str) -> list[Kind]:
         """Returns the kinds of requests of a path."""
         match path:
--- a/testing/soak/cut_routed_heads.py
+++ b/testing/soak/cut_routed_heads.py
@@ -242,6 +242,11 @@
             for kind in KINDS:
                 await self._play(kind)
         finally:
+            for upstream in self.upstreams:
+                if upstream.server is not None:
+                    upstream.crash()
+            for control in self.operator.controls:
+                control.close_idle()
             await self.fleet.stop()
 
     async def _play(self, kind: str) -> None:
