A chat whose next attempt isn't granted isn't told as not run

What callers could see: a program's chat without a key of its caller's whose first attempt may have run got 503 with the outcome not_run (control_unavailable) if the program group couldn't be asked for the next one.

Found by reading.

Change: whatever ends a chat after an attempt that may have run has no outcome not_run.

Evidence: the new test got not_run before; 41 tests around it pass.

--- a/src/mintcleat/roles/entry/chat.py
+++ b/src/mintcleat/roles/entry/chat.py
@@ -81,6 +81,19 @@
             errors.MintcleatError: The refusal or failure for the caller.
         """
         progress = Progress(context.call.streamed)
+        try:
+            yield from self._run_attempts(context, progress)
+        except errors.MintcleatError as error:
+            if not progress.may_have_run:
+                raise
+            raise attempts_module.after_lost_attempt(
+                context.name, error
+            ) from None
+
+    def _run_attempts(
+        self, context: chat_call.RequestContext, progress: Progress
+    ) -> Iterator[requests.AnswerText | requests.AnswerEnd]:
+        """Yields the answer, from as many attempts as it takes."""
         step: Any = None
         while True:
             if isinstance(step, attempts_module.Attach):
--- a/testing/test_chat_call.py
+++ b/testing/test_chat_call.py
@@ -1,10 +1,15 @@
-"""Placement input and token limits of a chat call."""
+"""Placement input, token limits and outcomes of a chat call."""
+
+from typing import Any
+from unittest import mock
 
 import testtools
 from testtools import matchers
 
+from mintcleat.domain import errors
 from mintcleat.domain import requests
 from mintcleat.roles.entry import attempts
+from mintcleat.roles.entry import chat
 from mintcleat.roles.entry import chat_call
 
 
@@ -61,3 +66,34 @@
     def test_prompt_bound_is_at_least_its_size_in_bytes(self) -> None:
         call = context().call._replace(messages=["ä" * 50])
         self.assertThat(chat_call.prompt_bound(call), matchers.GreaterThan(99))
+
+
+class LostAttempt(chat.Chat):
+    """Its first attempt may have run, and the next one isn't granted."""
+
+    def _attempt(
+        self, context: chat_call.RequestContext, progress: chat.Progress
+    ) -> Any:
+        progress.attempts += 1
+        yield from ()
+        if progress.attempts == 1:
+            return attempts.Retry(1, errors.OutcomeUnknown("lost"))
+        raise errors.ControlUnavailable("no quorum")
+
+
+class OutcomeTest(testtools.TestCase):
+    def test_attempt_that_is_not_granted_does_not_hide_one_that_may_have_run(
+        self,
+    ) -> None:
+        # Guards against callers that repeat what has run as "not run".
+        for name in (
+            attempts.CallName("p", "a", "k"),
+            attempts.CallName("p", "a", "auto-1", generated_key=True),
+            attempts.CallName("", "a", ""),
+        ):
+            calls = LostAttempt(*(mock.Mock() for _ in range(5)))
+            calls.timers.now.return_value = 1.0
+            found = self.assertRaises(
+                errors.ControlUnavailable, list, calls.run(context(name=name))
+            )
+            self.assertEqual(errors.UNKNOWN, found.outcome)
