--- a/testing/soak/moving_checks.py
+++ b/testing/soak/moving_checks.py
@@ -35,7 +35,7 @@
 
     Attributes:
         checks: Gets the violations.
-        segments: Work on each request, by the beginnings.
+        segments: Work on each request, by the first events.
         handovers: Pairs of upstreams of which one went on after the other.
         unanswered: Requests whose entries gave up a call for a copy: the
             answer came while the process had no processor, so that the handle
@@ -77,8 +77,13 @@
             self._check_copy(now, copy)
 
     def _check_overlap(self, now: float, request: str) -> None:
-        """An upstream stops to work when another one works on its run."""
-        segments = self.segments[request]
+        """An upstream stops to work when another one works on its run.
+
+        The first event of an earlier run may come after that of a later one.
+        """
+        segments = sorted(
+            self.segments[request], key=lambda one: one.run.started
+        )
         for index, later in enumerate(segments):
             for earlier in segments[:index]:
                 self.handovers += 1
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -66,6 +66,7 @@
         body: Body of the request.
         made: Number of the last event that was generated.
         upstream: Upstream that runs it.
+        started: Monotonic time at which that has begun with it.
         is_stopped: Whether a move has stopped it.
         is_copying: Whether a call for a copy is in progress.
         calls: Number of calls for copies.
@@ -79,6 +80,7 @@
         self.body = body
         self.made = made
         self.upstream = upstream
+        self.started = time.monotonic()
         self.is_stopped = False
         self.is_copying = False
         self.calls = 0
--- a/testing/test_moving_processes.py
+++ b/testing/test_moving_processes.py
@@ -5,6 +5,9 @@
 
 import pytest
 from testing import module_runs
+from testing.soak import checks as checks_module
+from testing.soak import moving_checks
+from testing.soak import moving_upstreams
 
 _SECONDS = 120.0
 _LOAD_SECONDS = "10"
@@ -27,3 +30,22 @@
     found = _run(seed)
     assert found["violations"] == [], found
     assert found["points"].get("copy", 0) > 0, found
+
+
+@pytest.mark.parametrize(("ended", "rules"), [(2.3, []), (2.6, ["two"])])
+def test_run_that_works_on_beside_a_later_one_is_found(
+    ended: float, rules: list[str]
+) -> None:
+    # Guards against a check that takes the run whose event came first for the
+    # earlier one.
+    checks = checks_module.Checks()
+    observed = moving_checks.Observed(checks)
+    earlier = moving_upstreams.Run("r", 1, b"", 0, "a")
+    later = moving_upstreams.Run("r", 2, b"", 0, "b")
+    earlier.started, later.started = 1.0, 1.5
+    observed.generated(2.0, later, "b")
+    observed.generated(2.1, earlier, "a")
+    observed.worked(ended, earlier)
+    observed.worked(9.0, later)
+    observed.check(9.0, [])
+    assert [one.rule.partition("_")[0] for one in checks.violations] == rules
