A resumed stream without an event and a mark isn't whole

Cause: such an answer counted as the rest of a stream that had broken off after its last event. Nothing shows that it is.

Change: it is broken off, unless the stream has as many tokens as its request allows. The former test took it for whole; the stand-ins may break it off again.

--- a/src/mintcleat/decisions/answer_end.py
+++ b/src/mintcleat/decisions/answer_end.py
@@ -19,13 +19,11 @@
     Attributes:
         events: Events of this attempt.
         is_inside_event: Whether the last event is incomplete.
-        is_resumed: Whether it continues events that its caller has.
         is_full: Whether it has as many tokens as the request allows.
     """
 
     events: int
     is_inside_event: bool
-    is_resumed: bool
     is_full: bool = False
 
 
@@ -35,8 +33,8 @@
     """Returns how a stream ended, given how its body did.
 
     A body that ends with its connection has no mark of its end, so it must
-    have an event at least. A resumed stream may have none: the one before it
-    may have broken off after its last event.
+    have an event at least. That holds for a resumed one, too: it may have
+    nothing left, but nothing shows that.
     """
     if not end.is_whole:
         return end
@@ -44,9 +42,9 @@
         return end._replace(kind=_Kind.INSIDE_EVENT)
     if end.kind is not _Kind.CLOSED:
         return end
-    if not (stream.events or stream.is_resumed):
-        return end._replace(kind=_Kind.NO_EVENT)
-    return end._replace(kind=_Kind.CONFIRMED) if stream.is_full else end
+    if stream.is_full:
+        return end._replace(kind=_Kind.CONFIRMED)
+    return end if stream.events else end._replace(kind=_Kind.NO_EVENT)
 
 
 def confirmed(
--- a/src/mintcleat/domain/answer_ends.py
+++ b/src/mintcleat/domain/answer_ends.py
@@ -35,8 +35,8 @@
         MARKED: Whole, as its framing says.
         CONFIRMED: Whole: its connection was closed in order, and its upstream
             goes on serving or the answer is as long as the request allows.
-        CLOSED: Its connection was closed in order, and its upstream has
-            deregistered after that; or nobody has looked further yet.
+        CLOSED: Its connection was closed in order, and nobody has asked its
+            upstream yet.
         UNCONFIRMED: Its connection was closed in order, and its upstream
             doesn't answer, so that nothing shows that it is whole.
         CRASHED: Its connection was closed in order, as its upstream crashed.
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -457,11 +457,11 @@
             `close` (the end of its connection) or `none` for no body.
         end: How it ended. Whole: `marked` by its framing; `confirmed`, its
             connection was closed and its upstream goes on serving, or it is as
-            long as the request allows; `closed`, its leaving upstream
-            deregistered after that. Broken off: `cut` before its announced end,
+            long as the request allows; `closed`, nobody asked its upstream (in
+            experiments). Broken off: `cut` before its announced end,
             `reset`, `invalid`, `out_of_order` (an id that doesn't follow the
             one before it), `inside_event`, `no_event` (closed before the first
-            one), `crashed` (closed as its upstream crashed), `unconfirmed`
+            one), `crashed` (closed as its upstream ended), `unconfirmed`
             (closed, and its upstream doesn't answer), `stopped` for a move, or
             `abandoned` by this process.
         received: Bytes of its body.
--- a/src/mintcleat/domain/traces.py
+++ b/src/mintcleat/domain/traces.py
@@ -24,7 +24,7 @@
 _WHOLE_ENDS = {
     "marked": "as its framing says",
     "confirmed": "known by the end of the connection, and confirmed",
-    "closed": "known by the end of the connection, before its upstream left",
+    "closed": "known by the end of the connection alone",
 }
 # States of an upstream that has ended, and how they are told.
 _STATE_TEXTS = {
--- a/src/mintcleat/emulator/entry.py
+++ b/src/mintcleat/emulator/entry.py
@@ -488,9 +488,7 @@
         is_inside_event = fleet.rng.random() < _INSIDE_EVENT_PART
         end = answer_end.of_stream(
             end,
-            answer_end.ReceivedStream(
-                request.generated, is_inside_event, False
-            ),
+            answer_end.ReceivedStream(request.generated, is_inside_event),
         )
         if end.is_whole:
             refuses = routed_calls.Reachability.REFUSES
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -317,7 +317,6 @@
                 answer_end.ReceivedStream(
                     self.attempt_events,
                     buffer.is_inside_event,
-                    bool(self.last_event_id),
                     0 < self.max_tokens <= self.tokens,
                 ),
             )
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -58,12 +58,11 @@
     line_end: str = "\n"
     broken_at: float = 1.0
 
-    def cut(self, body: bytes, is_resumed: bool = False) -> int:
+    def cut(self, body: bytes) -> int:
         """Returns how many bytes of a body are sent.
 
-        A body without a mark of its end isn't cut between two events, nor
-        before the first one of a stream that goes on, nor a plain one at all:
-        nothing would show it.
+        A body without a mark of its end isn't cut between two events, nor a
+        plain one at all: nothing would show it.
         """
         if self.broken_at >= 1.0:
             return len(body)
@@ -73,8 +72,6 @@
             if not body.endswith(blank):
                 return len(body)
             between = (blank, blank[:-1])
-            if is_resumed:
-                size = max(size, 1)
             while size < len(body) and body[:size].endswith(between):
                 size += 1
         return size
@@ -464,7 +461,7 @@
         common += "Content-Type: text/event-stream\r\n"
         body = b"".join(events)
         writer.write(head_of(form, common, body))
-        size = form.cut(body, is_resumed=after > base)
+        size = form.cut(body)
         left = size
         for event in events:
             if not large:
--- a/testing/test_answer_end.py
+++ b/testing/test_answer_end.py
@@ -9,15 +9,13 @@
 Kind = answer_ends.Kind
 
 
-def end_of(
-    kind: Kind, events: int = 1, inside: bool = False, resumed: bool = False
-) -> Kind:
+def end_of(kind: Kind, events: int = 1, inside: bool = False) -> Kind:
     framing = answer_ends.Framing.CLOSE
     if kind is not Kind.CLOSED:
         framing = answer_ends.Framing.CHUNKS
     return answer_end.of_stream(
         answer_ends.AnswerEnd(framing, kind),
-        answer_end.ReceivedStream(events, inside, resumed),
+        answer_end.ReceivedStream(events, inside),
     ).kind
 
 
@@ -53,14 +51,20 @@
         self.assertEqual(Kind.NO_EVENT, end_of(Kind.CLOSED, events=0))
         self.assertEqual(Kind.MARKED, end_of(Kind.MARKED, events=0))
 
-    def test_resumed_stream_may_have_no_event_left(self) -> None:
-        found = end_of(Kind.CLOSED, events=0, resumed=True)
-        self.assertEqual(Kind.CLOSED, found)
+    def test_stream_without_an_event_that_is_as_long_as_asked_for_is_whole(
+        self,
+    ) -> None:
+        # It was resumed after its last event.
+        end = answer_end.of_stream(
+            answer_ends.AnswerEnd(answer_ends.Framing.CLOSE, Kind.CLOSED),
+            answer_end.ReceivedStream(0, False, True),
+        )
+        self.assertEqual(Kind.CONFIRMED, end.kind)
 
     def test_stream_as_long_as_asked_for_is_proven(self) -> None:
         end = answer_end.of_stream(
             answer_ends.AnswerEnd(answer_ends.Framing.CLOSE, Kind.CLOSED),
-            answer_end.ReceivedStream(3, False, False, True),
+            answer_end.ReceivedStream(3, False, True),
         )
         self.assertEqual(Kind.CONFIRMED, end.kind)
 
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -160,7 +160,7 @@
     def test_leaving_upstream_that_refuses_and_deregisters_proves_nothing(
         self,
     ) -> None:
-        # Guards against streams that a planned exit cuts, whichever comes first.
+        # Guards against streams that a planned exit cuts, in either order.
         for seconds in (0.0, 0.02, 0.05):
             self.drain()
             eventlet.spawn_after(
--- a/testing/test_traces.py
+++ b/testing/test_traces.py
@@ -101,8 +101,8 @@
             ),
         )
         self.assertIn(
-            "after 1.0 s, known by the end of the connection, before its "
-            "upstream left, with 9 bytes after the last event.",
+            "after 1.0 s, known by the end of the connection alone, with 9 "
+            "bytes after the last event.",
             found.verdict,
         )
         self.assertIn("u1 was known to have crashed 0.020 s", found.verdict)
