--- a/testing/test_lost_entries.py
+++ b/testing/test_lost_entries.py
@@ -3,7 +3,6 @@
 import json
 from typing import Any
 
-import pytest
 from testing import module_runs
 
 _SECONDS = 120.0
@@ -66,7 +65,6 @@
     assert _ends(found, "v2", "first") <= {"whole", *_REFUSALS}, found
 
 
-@pytest.mark.known_red
 def test_take_ups_that_name_the_first_request_all_go_on() -> None:
     # Guards against entries that refuse streams whose records are committed.
     found = _run(seed=1, leaves=False)
