Moved services are recorded in one order at all replicas

Cause: the services between which a push has moved streams were recorded in the order of a set of names, which differs between processes, and without the bound of ended versions. Change: sorted and bounded; routes that nobody takes streams up on aren't decoded. Evidence: the new test failed before.

--- a/src/mintcleat/configuration/route_moves.py
+++ b/src/mintcleat/configuration/route_moves.py
@@ -12,6 +12,9 @@
 from mintcleat.domain import manifest
 
 _PREFIX = f"{sections.ROUTES}/"
+# In the text of each route whose streams callers may take up. Decoding all of
+# them at each push would hold up the replicas of a large configuration.
+_RESUME = '"resume"'
 
 
 class _Place(NamedTuple):
@@ -57,7 +60,7 @@
     """Returns where the routes lead whose streams callers may take up."""
     found = set()
     for key, text in texts.items():
-        if not key.startswith(_PREFIX):
+        if not key.startswith(_PREFIX) or _RESUME not in text:
             continue
         try:
             route = msgspec.json.decode(text, type=manifest.Route)
--- a/src/mintcleat/configuration/software_versions.py
+++ b/src/mintcleat/configuration/software_versions.py
@@ -14,8 +14,6 @@
 # Versions that are remembered after their last upstream has left. There are
 # few within the time for which a stream may be continued.
 ENDED_KEPT = 1_024
-
-
 # Stands for the versions of other services, from which a route may have come to
 # a service. No upstream registers it.
 OTHER_SERVICE = "\0"
@@ -56,15 +54,16 @@
             return
         del self.running[software]
         self.ended[software] = at
-        while len(self.ended) > ENDED_KEPT:
-            del self.ended[next(iter(self.ended))]
+        self._trim()
 
     def moved(self, services: set[str], at: float) -> None:
         """Records that routes may have moved streams among services."""
-        for service in services:
+        # Sorted, as all replicas must have the same state.
+        for service in sorted(services):
             software = Software(service, OTHER_SERVICE)
             self.ended.pop(software, None)
             self.ended[software] = at
+        self._trim()
 
     def since(self, service: str, at: float) -> set[str]:
         """Returns the versions that a service has had since a steady time.
@@ -88,6 +87,10 @@
         """Returns the ended versions as plain data for a snapshot."""
         return [[*software, at] for software, at in self.ended.items()]
 
+    def _trim(self) -> None:
+        while len(self.ended) > ENDED_KEPT:
+            del self.ended[next(iter(self.ended))]
+
     def load(
         self, state: list[Any], items: list[member_messages.Registration]
     ) -> None:
--- a/testing/test_stream_records.py
+++ b/testing/test_stream_records.py
@@ -8,6 +8,7 @@
 from mintcleat.configuration import directory
 from mintcleat.configuration import machine as config_machine
 from mintcleat.configuration import route_moves
+from mintcleat.configuration import software_versions
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
@@ -84,6 +85,20 @@
             found = route_moves.services(before, after)
             self.assertEqual(expected, found, (before, after))
 
+    def test_replicas_that_record_moved_services_have_the_same_state(
+        self,
+    ) -> None:
+        # Guards against snapshots that differ with the hashes of a process.
+        names = [f"s{number}" for number in range(30)]
+        versions = software_versions.SoftwareVersions()
+        versions.moved(set(names), 1.0)
+        self.assertEqual(
+            sorted(names), [service for service, _, _ in versions.state()]
+        )
+        versions.moved({f"t{number}" for number in range(2000)}, 2.0)
+        kept = software_versions.ENDED_KEPT
+        self.assertEqual(kept, len(versions.state()))
+
     def test_customers_see_their_own_streams(self) -> None:
         state = streams.Streams()
         state.record(begun("a", "v1", "one"), 0.0)
