--- a/testing/stop_world.py
+++ b/testing/stop_world.py
@@ -158,15 +158,15 @@
             await asyncio.sleep(seconds)
             form = upstreams.Form(upstreams.LENGTH)
             text = upstreams.plain_body(request)
-            writer.write(upstreams._head(form, common, text) + text)
+            writer.write(upstreams.head_of(form, common, text) + text)
             return
         form = upstreams.Form()
         common += "Content-Type: text/event-stream\r\n"
-        writer.write(upstreams._head(form, common, b""))
+        writer.write(upstreams.head_of(form, common, b""))
         for number in range(1, EVENTS + 1):
             event = upstreams.EventText(request, number, self.version)
             data = upstreams.event_bytes(event, form.line_end)
-            upstreams._write(writer, form, data)
+            upstreams.write_part(writer, form, data)
             await asyncio.sleep(seconds / EVENTS)
         writer.write(b"0\r\n\r\n")
 
