A call that may have run is not refused with a status that says it has not

What callers saw: since a call whose last attempt was refused after one that may have run had the outcome unknown in its body, and still the status of the refusal (503). Cause: the error of the last attempt was kept, with another outcome. Change: it is outcome_unknown, 504, as other calls of which nobody knows. Evidence: the test asked for the kind of the refusal; it asks for the status and the outcome now, and failed before.

--- a/src/mintcleat/roles/entry/attempts.py
+++ b/src/mintcleat/roles/entry/attempts.py
@@ -96,17 +96,16 @@
 ) -> errors.MintcleatError:
     """Returns the error of a send whose earlier attempt may have run.
 
-    A refusal of the last attempt is true of that one only.
+    A refusal of the last attempt is true of that one only, and so is its
+    status, which callers take to mean that nothing has run.
     """
     if error.outcome != errors.NOT_RUN:
         return error
+    remedy = "Send it again only if it may run twice."
     if name.key and not name.generated_key:
-        return with_unknown_outcome(name, error)
-    return type(error)(
-        error.detail,
-        outcome=errors.UNKNOWN,
-        remedy="Send it again only if it may run twice.",
-        retry_after=error.retry_after,
+        remedy = "Send the same request again with the same key."
+    return errors.OutcomeUnknown(
+        error.detail, remedy=remedy, retry_after=error.retry_after
     )
 
 
--- a/testing/test_chat_call.py
+++ b/testing/test_chat_call.py
@@ -94,6 +94,8 @@
             calls = LostAttempt(*(mock.Mock() for _ in range(5)))
             calls.timers.now.return_value = 1.0
             found = self.assertRaises(
-                errors.ControlUnavailable, list, calls.run(context(name=name))
+                errors.OutcomeUnknown, list, calls.run(context(name=name))
+            )
+            self.assertEqual(
+                (504, errors.UNKNOWN), (found.status, found.outcome)
             )
-            self.assertEqual(errors.UNKNOWN, found.outcome)
