--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -15,6 +15,7 @@
 from mintcleat.adapters import http1_heads
 from mintcleat.domain import errors
 from mintcleat.domain import member_messages
+from mintcleat.domain import routed_calls
 from mintcleat.platform import callers
 
 EXPECT_UPSTREAM = "x-expect-instance"
@@ -55,9 +56,18 @@
         is_known = bool(upstream.started) and self.started is not None
         return is_known and self.started != upstream.started
 
-    def is_unidentified(self, upstream: member_messages.Registration) -> bool:
-        """Returns whether it lacks the start that its upstream registers."""
-        return bool(upstream.started) and self.started is None
+    def reachability(
+        self, upstream: member_messages.Registration
+    ) -> routed_calls.Reachability:
+        """Returns what it shows of the process that registered."""
+        if self.is_of_another(upstream):
+            return routed_calls.Reachability.REPLACED
+        if upstream.started and self.started is None:
+            # A process that only refuses to report may be the same.
+            if self.status in _SUCCESS:
+                return routed_calls.Reachability.REPLACED
+            return routed_calls.Reachability.UNKNOWN
+        return routed_calls.Reachability.ACCEPTS
 
 
 def read_report(
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -149,7 +149,7 @@
             # The caller's time is up.
             opened.close()
             raise
-        found = _reachability(report, upstream)
+        found = report.reachability(upstream)
         is_same = found is routed_calls.Reachability.ACCEPTS
         if report.is_reusable and is_same:
             self.pool.release(upstream.incarnation, opened)
@@ -332,20 +332,6 @@
     return http1_client.Connection(upstream.address, sock)
 
 
-def _reachability(
-    report: upstream_replies.Report, upstream: member_messages.Registration
-) -> routed_calls.Reachability:
-    """Returns what a report shows of the process that registered."""
-    if report.is_of_another(upstream):
-        return routed_calls.Reachability.REPLACED
-    if report.is_unidentified(upstream):
-        # A process that only refuses to report may be the same.
-        if report.status in _SUCCESS:
-            return routed_calls.Reachability.REPLACED
-        return routed_calls.Reachability.UNKNOWN
-    return routed_calls.Reachability.ACCEPTS
-
-
 def _exchange(
     upstream: member_messages.Registration,
     method: str,
