--- a/bench/crash_evidence.py
+++ b/bench/crash_evidence.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from mintcleat.configuration import crash_evidence
+from mintcleat.configuration import lost_runs
 from mintcleat.domain import codec
 from mintcleat.domain import config_messages
 from mintcleat.domain import digests
@@ -41,7 +42,7 @@
             (0 if number == 0 else crash * _LOSSES + number).to_bytes(
                 16, "big"
             ),
-            crash_evidence.Run(at - 0.1, at),
+            lost_runs.Run(at - 0.1, at),
             subject,
         )
         for number in range(_LOSSES)
--- a/src/mintcleat/configuration/commands.py
+++ b/src/mintcleat/configuration/commands.py
@@ -183,7 +183,7 @@
 
     Attributes:
         crashes: Crashes as [incarnation, losses], each loss as [digest, run,
-            subject]; see `crash_evidence.Run` and `crash_evidence.Subject`.
+            subject]; see `lost_runs.Run` and `crash_evidence.Subject`.
         ended_well: Digests of suspects that ended well.
         crashes_to_quarantine: Policy in force, as the two times in seconds
             that follow.
--- a/src/mintcleat/configuration/crash_evidence.py
+++ b/src/mintcleat/configuration/crash_evidence.py
@@ -25,12 +25,10 @@
 from typing import Any
 from typing import NamedTuple
 
+from mintcleat.configuration import lost_runs
+
 # Crashes after which a request is quarantined, one after the other.
 CRASHES_TO_QUARANTINE = 3
-# Part of a run that may seem to lie before the crash that it followed, since
-# the reports of both took different times. Runs that were lost together overlap
-# whole.
-MAX_OVERLAP = 0.5
 # A request is no alternative explanation if it was at this many fewer crashes.
 RIVAL_MARGIN = 2
 # Bounds of the state. Crashes and cleared requests make room for later ones. A
@@ -46,24 +44,6 @@
 UPSTREAMS_NAMED = 10
 
 
-class Run(NamedTuple):
-    """A run that was lost in a crash.
-
-    Attributes:
-        started_at: When it was sent to the upstream, in seconds.
-        lost_at: When its connection was lost.
-        after: Incarnation of the upstream that had crashed under the attempt
-            before, of the same request; empty for none.
-        crashed_by: Latest time of the crash, if that may be later than the
-            loss; 0 if the loss shows it.
-    """
-
-    started_at: float
-    lost_at: float
-    after: str = ""
-    crashed_by: float = 0.0
-
-
 class Subject(NamedTuple):
     """What tells an operator which request a digest stands for.
 
@@ -82,7 +62,7 @@
     """A request that was lost when an upstream crashed."""
 
     digest: bytes
-    run: Run
+    run: lost_runs.Run
     subject: Subject
 
 
@@ -137,7 +117,7 @@
         self.is_explained_elsewhere: Callable[[str, bytes], bool] = (
             lambda incarnation, digest: False
         )
-        self.crashes: dict[str, dict[bytes, Run]] = {}
+        self.crashes: dict[str, dict[bytes, lost_runs.Run]] = {}
         self.cleared_at: dict[bytes, float] = {}
         self.quarantine: dict[bytes, Quarantined] = {}
         self.on_trial: dict[bytes, float] = {}
@@ -163,7 +143,9 @@
         for loss in losses:
             if loss.digest not in crash and len(crash) >= LOSSES_PER_CRASH:
                 continue
-            crash[loss.digest] = _earlier(crash.get(loss.digest), loss.run)
+            crash[loss.digest] = lost_runs.earlier(
+                crash.get(loss.digest), loss.run
+            )
             self.places.setdefault(loss.digest, {})[incarnation] = None
             self.subjects.setdefault(loss.digest, loss.subject)
         while len(self.crashes) > CRASHES_KEPT:
@@ -246,7 +228,9 @@
                 if digest in self.quarantine or digest in found:
                     continue
                 crash = self.crashes[incarnation]
-                if self._counts(digest, run) and _is_before_crash(run, crash):
+                if self._counts(digest, run) and lost_runs.is_before_crash(
+                    run, crash
+                ):
                     found[digest] = None
         return list(found)[:SUSPECTS_SENT]
 
@@ -259,21 +243,13 @@
             run = crash[digest]
             if (
                 self._counts(digest, run)
-                and _is_before_crash(run, crash)
+                and lost_runs.is_before_crash(run, crash)
                 and not self._is_explained(crash, digest)
                 and not self.is_explained_elsewhere(incarnation, digest)
             ):
                 runs[incarnation] = run
-                crashed_by[incarnation] = _crashed_by(crash)
-        found: list[str] = []
-        last_crash = float("-inf")
-        for started_at, lost_at, incarnation in _in_order(runs):
-            overlap = last_crash - started_at
-            is_next = runs[incarnation].after in found[-1:]
-            if is_next or overlap <= MAX_OVERLAP * (lost_at - started_at):
-                found.append(incarnation)
-                last_crash = max(lost_at, crashed_by[incarnation])
-        return found
+                crashed_by[incarnation] = lost_runs.crashed_by(crash)
+        return lost_runs.in_a_row(runs, crashed_by)
 
     def lost_at(self, digest: bytes) -> float:
         """Returns when a request was last lost; 0 if it isn't known."""
@@ -292,7 +268,10 @@
         """Returns the state as plain data for a snapshot."""
         return [
             [
-                [name, [[key, _plain(run)] for key, run in crash.items()]]
+                [
+                    name,
+                    [[key, lost_runs.plain(run)] for key, run in crash.items()],
+                ]
                 for name, crash in self.crashes.items()
             ],
             [list(item) for item in self.cleared_at.items()],
@@ -308,7 +287,7 @@
         """Replaces the state with what `state` returned."""
         crashes, cleared_at, quarantine, on_trial, subjects = state
         self.crashes = {
-            name: {key: Run(*run) for key, run in runs}
+            name: {key: lost_runs.Run(*run) for key, run in runs}
             for name, runs in crashes
         }
         self.cleared_at = dict(cleared_at)
@@ -323,7 +302,7 @@
             for key in crash:
                 self.places.setdefault(key, {})[name] = None
 
-    def _counts(self, digest: bytes, run: Run) -> bool:
+    def _counts(self, digest: bytes, run: lost_runs.Run) -> bool:
         """Returns whether a lost run still speaks against its request."""
         return run.lost_at > self.cleared_at.get(digest, float("-inf"))
 
@@ -343,7 +322,9 @@
                 del self.places[digest]
                 self.subjects.pop(digest, None)
 
-    def _is_explained(self, crash: dict[bytes, Run], digest: bytes) -> bool:
+    def _is_explained(
+        self, crash: dict[bytes, lost_runs.Run], digest: bytes
+    ) -> bool:
         """Returns whether another request is quarantined for a crash."""
         return not (self.quarantine.keys() & crash.keys()) <= {digest}
 
@@ -472,50 +453,6 @@
         return found
 
 
-def _is_before_crash(run: Run, crash: dict[bytes, Run]) -> bool:
-    """Returns whether a run began before the first one was lost in a crash.
-
-    What is sent to an upstream that has crashed may be accepted on its way and
-    lost without having run.
-    """
-    crashed_at = min(other.lost_at for other in crash.values())
-    late = run.started_at - crashed_at
-    return late <= MAX_OVERLAP * (run.lost_at - run.started_at)
-
-
-def _crashed_by(crash: dict[bytes, Run]) -> float:
-    """Returns the time by which an upstream has crashed for certain."""
-    return min(max(run.lost_at, run.crashed_by) for run in crash.values())
-
-
-def _plain(run: Run) -> list[Any]:
-    """Returns a run as plain data; without a field that it doesn't use."""
-    return list(run) if run.crashed_by else list(run[:-1])
-
-
-def _in_order(runs: dict[str, Run]) -> list[tuple[float, float, str]]:
-    """Returns start, loss and incarnation of each run, in order.
-
-    A run that followed another one of the same request begins when that one
-    was lost, whatever the times in the reports, which are delayed differently.
-    """
-    found = []
-    for incarnation, run in runs.items():
-        before = runs.get(run.after)
-        started_at = run.started_at
-        if before is not None:
-            started_at = max(started_at, before.lost_at)
-        found.append((started_at, max(run.lost_at, started_at), incarnation))
-    return sorted(found)
-
-
-def _earlier(known: Run | None, run: Run) -> Run:
-    """Returns the run that began first, of two of one request in a crash."""
-    if known is None or run.started_at < known.started_at:
-        return run
-    return known
-
-
 def _trim(items: dict[Any, Any], limit: int) -> None:
     while len(items) > limit:
         del items[next(iter(items))]
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -16,6 +16,7 @@
 from mintcleat.configuration import crash_evidence
 from mintcleat.configuration import directory
 from mintcleat.configuration import document
+from mintcleat.configuration import lost_runs
 from mintcleat.configuration import object_evidence
 from mintcleat.configuration import permits
 from mintcleat.configuration import quarantine
@@ -363,7 +364,7 @@
             losses = [
                 crash_evidence.Loss(
                     digest,
-                    crash_evidence.Run(*run),
+                    lost_runs.Run(*run),
                     crash_evidence.Subject(*subject),
                 )
                 for digest, run, subject in items
--- a/src/mintcleat/emulator/crashing.py
+++ b/src/mintcleat/emulator/crashing.py
@@ -10,6 +10,7 @@
 import simpy
 
 from mintcleat.configuration import crash_evidence
+from mintcleat.configuration import lost_runs
 from mintcleat.domain import routed_calls
 from mintcleat.emulator import engine as engine_module
 from mintcleat.emulator import entry as entry_module
@@ -129,7 +130,7 @@
     ) -> crash_evidence.Loss:
         return crash_evidence.Loss(
             digest,
-            crash_evidence.Run(began, self.env.now, before),
+            lost_runs.Run(began, self.env.now, before),
             crash_evidence.Subject(entry_module.MODEL_SERVICE),
         )
 
--- a/src/mintcleat/roles/entry/crash_watch.py
+++ b/src/mintcleat/roles/entry/crash_watch.py
@@ -20,6 +20,7 @@
 
 from mintcleat.configuration import crash_evidence
 from mintcleat.configuration import directory
+from mintcleat.configuration import lost_runs
 from mintcleat.configuration import object_evidence
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
@@ -409,7 +410,7 @@
         found = [
             crash_evidence.Loss(
                 loss.sent.digest,
-                crash_evidence.Run(loss.sent.at, loss.lost_at, loss.sent.after),
+                lost_runs.Run(loss.sent.at, loss.lost_at, loss.sent.after),
                 crash_evidence.Subject(
                     loss.service,
                     loss.sent.route,
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -7,14 +7,15 @@
 import testtools
 
 from mintcleat.configuration import crash_evidence
+from mintcleat.configuration import lost_runs
 from mintcleat.configuration import object_evidence
 
 LIMITS = crash_evidence.Limits()
 BAD = b"bad"
 
 
-def run(start: float, end: float, after: str = "") -> crash_evidence.Run:
-    return crash_evidence.Run(start, end, after)
+def run(start: float, end: float, after: str = "") -> lost_runs.Run:
+    return lost_runs.Run(start, end, after)
 
 
 def loss(
