--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -1,7 +1,6 @@
 """Relays an upstream's response to the caller of a routed request."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
 
 from mintcleat.decisions import answer_end
 from mintcleat.decisions import answer_memory
@@ -15,15 +14,11 @@
 from mintcleat.domain import stream_origins
 from mintcleat.ports import forwarding
 from mintcleat.ports import timers as timer_ports
+from mintcleat.roles.entry import collected_answer
 from mintcleat.roles.entry import fair_turns as fair_turns_module
 from mintcleat.roles.entry import turn_client
 from mintcleat.roles.entry import upstream_loads
 
-# Size up to which a response is collected before it is sent, so that another
-# upstream can replace it if it breaks off. Larger ones are sent as they arrive,
-# which bounds what is held for a caller that reads slowly; so are those for
-# which `answer_memory` has no room.
-MAX_COLLECTED_BYTES = 1024 * 1024
 # Maximum size of the events that are kept for the record of a turn. A later
 # turn repeats them in its body.
 MAX_TURN_BYTES = 4 * 1024 * 1024
@@ -220,7 +215,7 @@
         sent_at: float,
         may_retry: bool,
     ) -> None:
-        collected = _Collected(self.memory)
+        collected = collected_answer.CollectedAnswer(self.memory)
         try:
             self._relay_collected(collected, answer, reply, sent_at, may_retry)
         finally:
@@ -228,7 +223,7 @@
 
     def _relay_collected(
         self,
-        collected: "_Collected",
+        collected: collected_answer.CollectedAnswer,
         answer: forwarding.UpstreamResponse,
         reply: forwarding.CallerResponse,
         sent_at: float,
@@ -574,34 +569,3 @@
 def _confirm_nothing(end: answer_ends.AnswerEnd) -> answer_ends.AnswerEnd:
     """Takes an end as it is, until an attempt sets another `confirm_end`."""
     return end
-
-
-class _Collected:
-    """The plain answer that a request collects.
-
-    Attributes:
-        size: Its bytes that are in memory.
-    """
-
-    def __init__(self, memory: answer_memory.AnswerMemory) -> None:
-        self.memory = memory
-        self.size = 0
-
-    def read(self, chunks: Iterator[bytes]) -> bytes:
-        """Returns a body, or as much of it as there is room for."""
-        parts = []
-        for data in chunks:
-            parts.append(data)
-            self.size += len(data)
-            self.memory.collect(len(data))
-            if self.size >= MAX_COLLECTED_BYTES or (
-                self.size >= answer_memory.SMALL_BYTES
-                and not self.memory.has_room(len(data))
-            ):
-                break
-        return b"".join(parts)
-
-    def release(self) -> None:
-        """Records that nothing of it is in memory any more."""
-        self.memory.collect(-self.size)
-        self.size = 0
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -12,6 +12,7 @@
 from mintcleat.domain import manifest
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
+from mintcleat.roles.entry import collected_answer
 from mintcleat.roles.entry import response_relay
 
 HEAD = routed_calls.ResponseHead(200, "OK", (), True)
@@ -257,12 +258,12 @@
         self.assertEqual([b"abcde"], reply.whole)
 
     def test_large_response_is_sent_as_it_arrives(self) -> None:
-        block = b"x" * response_relay.MAX_COLLECTED_BYTES
+        block = b"x" * collected_answer.MAX_COLLECTED_BYTES
         reply = self.relay([b"a", block, b"b", b"c"])
         self.assertEqual([], reply.whole)
         self.assertEqual([b"a" + block + b"b", b"c"], reply.writes)
         self.assertTrue(reply.ended)
 
     def test_response_of_just_that_size_is_sent_whole(self) -> None:
-        block = b"x" * response_relay.MAX_COLLECTED_BYTES
+        block = b"x" * collected_answer.MAX_COLLECTED_BYTES
         self.assertEqual([block], self.relay([block]).whole)
