--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -279,6 +279,15 @@
         (crashed, *_) = self.system.reporter.of(events.UpstreamCrashed)
         self.assertEqual(("e0", "replaced"), (crashed.upstream, crashed.sign))
 
+    def replace_all(self, engines: list[platform_engine.Engine]) -> None:
+        """Has sound engines register in the places of others."""
+        for engine in engines:
+            engine.name += "-again"
+            engine.script = platform_engine.whole
+            self.system.heartbeat(engine, "desk")
+        self.system.settle()
+        eventlet.sleep(0.2)
+
     def test_request_is_no_suspect_for_upstreams_that_had_crashed_before(
         self,
     ) -> None:
@@ -288,12 +297,7 @@
             self.send(number, "POST", f"/unsafe/{number}")
         for number in range(8):
             self.send(number, target="/safe/a")
-        for engine in engines:
-            engine.name += "-again"
-            engine.script = platform_engine.whole
-            self.system.heartbeat(engine, "desk")
-        self.system.settle()
-        eventlet.sleep(0.2)
+        self.replace_all(engines)
         self.assertEqual(200, self.send(100, target="/safe/a").status)
 
     def test_resets_of_upstreams_that_are_replaced_together_convict_nobody(
@@ -304,12 +308,7 @@
         for number in range(8):
             self.send(number, "POST", "/unsafe/a")
             eventlet.sleep(0.15)
-        for engine in engines:
-            engine.name += "-again"
-            engine.script = platform_engine.whole
-            self.system.heartbeat(engine, "desk")
-        self.system.settle()
-        eventlet.sleep(0.2)
+        self.replace_all(engines)
         self.assertEqual(200, self.send(100, "POST", "/unsafe/a").status)
 
     def test_upstream_that_answers_after_a_reset_has_not_crashed_by_it(
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -399,6 +399,16 @@
 class OneVersionTest(Case):
     versions = ("v1",)
 
+    def add_service(self, *names: str) -> None:
+        """Adds the service lm2 and has the route lead to these services."""
+        fields = configuration(2, self.attempts)
+        fields["services"].append({**fields["services"][1], "name": "lm2"})
+        del fields["routes"][0]["service"]
+        fields["routes"][0]["split"] = [
+            {"service": name, "weight": 1} for name in names
+        ]
+        self.assertEqual(200, self.system.put(fields).status)
+
     def test_caller_that_names_no_request_takes_its_stream_up(self) -> None:
         self.call("a")
         rest = self.call("b", 1, Last_Event_Id="2")
@@ -408,24 +418,14 @@
         self,
     ) -> None:
         self.call("a")
-        fields = configuration(2, self.attempts)
-        fields["services"].append({**fields["services"][1], "name": "lm2"})
-        fields["routes"][0]["service"] = "lm2"
-        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm2")
         self.system.add("other", "lm2", platform_engine.cut_stream(COUNT))
         self.system.settle()
         self.assertEqual(503, self.take_up("a", "b").status)
 
     def test_stream_of_a_split_route_is_taken_up_at_its_service(self) -> None:
         # Guards against take-ups that are placed anew by their own id.
-        fields = configuration(2, self.attempts)
-        fields["services"].append({**fields["services"][1], "name": "lm2"})
-        del fields["routes"][0]["service"]
-        fields["routes"][0]["split"] = [
-            {"service": "lm", "weight": 1},
-            {"service": "lm2", "weight": 1},
-        ]
-        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm", "lm2")
         for number in range(2):
             self.system.add(
                 f"other-{number}", "lm2", platform_engine.cut_stream(COUNT)
@@ -438,14 +438,7 @@
         self,
     ) -> None:
         # Guards against a stream that goes on at the other one of its services.
-        fields = configuration(2, self.attempts)
-        fields["services"].append({**fields["services"][1], "name": "lm2"})
-        del fields["routes"][0]["service"]
-        fields["routes"][0]["split"] = [
-            {"service": "lm", "weight": 1},
-            {"service": "lm2", "weight": 1},
-        ]
-        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm", "lm2")
         self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
         self.system.settle()
         for number in range(STREAMS):
@@ -458,10 +451,7 @@
         # Guards against a stream that goes on at the only version of a service
         # that didn't begin it.
         self.call("a")
-        fields = configuration(2, self.attempts)
-        fields["services"].append({**fields["services"][1], "name": "lm2"})
-        fields["routes"][0]["service"] = "lm2"
-        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm2")
         self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
         self.system.settle()
         self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -177,6 +177,16 @@
         self.client = streams.TcpStreams("127.0.0.1:0", LIMITS)
         self.addCleanup(self.client.stop)
 
+    def answering_server(self) -> streams.TcpStreams:
+        """Returns a server that answers pings."""
+        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        self.addCleanup(server.stop)
+        server.handle(
+            config_messages.Ping,
+            lambda exchange, _: exchange.send(identities.Done()),
+        )
+        return server
+
     def test_connection_to_a_silent_peer_is_closed(self) -> None:
         """A peer accepts data but sends none, not even heartbeats.
 
@@ -208,12 +218,7 @@
 
     def test_pause_of_this_process_is_no_silence_of_the_peer(self) -> None:
         # Guards against a connection that is closed with its data unread.
-        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
-        self.addCleanup(server.stop)
-        server.handle(
-            config_messages.Ping,
-            lambda exchange, _: exchange.send(identities.Done()),
-        )
+        server = self.answering_server()
         self.client.ask(server.address, config_messages.Ping(), 5.0)
         before = self.client.dialled[server.address]
         _time.sleep(2 * LIMITS.silence_timeout)
@@ -221,12 +226,7 @@
         self.assertIs(before, self.client.dialled.get(server.address))
 
     def test_idle_connection_stays_open(self) -> None:
-        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
-        self.addCleanup(server.stop)
-        server.handle(
-            config_messages.Ping,
-            lambda exchange, _: exchange.send(identities.Done()),
-        )
+        server = self.answering_server()
         self.client.ask(server.address, config_messages.Ping(), 5.0)
         before = self.client.dialled[server.address]
         eventlet.sleep(2 * LIMITS.silence_timeout)
@@ -237,12 +237,7 @@
 
         Meanwhile a request to another address must be served.
         """
-        server = streams.TcpStreams("127.0.0.1:0", LIMITS)
-        self.addCleanup(server.stop)
-        server.handle(
-            config_messages.Ping,
-            lambda exchange, _: exchange.send(identities.Done()),
-        )
+        server = self.answering_server()
         release = event.Event()
         connect = eventlet.connect
 
