--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -258,8 +258,7 @@
     def test_whole_turn_of_an_upstream_that_resets_for_a_moment_is_whole(
         self,
     ) -> None:
-        # Guards against whole turns that are cut as their upstream has its most
-        # connections just then, and resets those that ask.
+        # Guards against whole turns that are cut as questions are reset.
         whole = answer_scripts.script(
             answer_scripts.Answer(answer_scripts.CLOSE, answer_scripts.QUIET)
         )
--- a/testing/test_crashing_requests.py
+++ b/testing/test_crashing_requests.py
@@ -479,8 +479,7 @@
     def test_replacement_found_during_a_failed_report_keeps_its_time(
         self,
     ) -> None:
-        # Guards against resets that count as crashes in a row as the report
-        # before theirs was not accepted.
+        # Guards against resets that count as crashes in a row.
         control = _UnreachableOnce()
         clock = timers.EventletTimers()
         reporter = crash_reporter.CrashReporter(control, clock)
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -95,8 +95,7 @@
     def test_restart_that_is_registered_while_nothing_answers_is_a_crash(
         self,
     ) -> None:
-        # Guards against an end that is compared only with what was known
-        # before the wait for an answer.
+        # Guards against a directory that is read before the wait only.
         self.upstreams.lost = 100
         eventlet.spawn_after(
             0.05,
@@ -108,8 +107,7 @@
     def test_address_that_another_upstream_has_taken_confirms_no_end(
         self,
     ) -> None:
-        # Guards against half answers that the next process at the address of
-        # their upstream confirms. Each start has an id of its own.
+        # Guards against half answers that the next process there confirms.
         self.upstreams.answer = routed_calls.Reachability.ACCEPTS
         self.configuration.registered.register(
             registration(started=2)._replace(upstream="u2")
@@ -119,8 +117,7 @@
     def test_upstream_that_resets_connections_for_a_moment_confirms_an_end(
         self,
     ) -> None:
-        # Guards against whole streams that are cut as their upstream has its
-        # most connections just then, and resets those that ask.
+        # Guards against whole streams that are cut as questions are reset.
         self.is_stream = True
         self.upstreams.answer = routed_calls.Reachability.UNKNOWN
         eventlet.spawn_after(
@@ -171,8 +168,7 @@
     def test_replacement_of_a_leaving_upstream_is_not_its_deregistration(
         self,
     ) -> None:
-        # Guards against a stream that ends as whole where its process was
-        # killed: the next one had registered within the time waited.
+        # Guards against half streams of a process that was killed.
         self.drain()
         eventlet.spawn_after(
             0.05,
@@ -209,8 +205,7 @@
     def test_upstream_that_registers_anew_while_it_is_asked_has_crashed(
         self,
     ) -> None:
-        # Guards against a stream that ends as whole where its process was
-        # killed: the next one answers too late, but has registered.
+        # Guards against half streams of a process that was killed.
         self.upstreams.lost = 100
         eventlet.spawn_after(
             0.02,
@@ -220,8 +215,7 @@
         self.assertEqual(Kind.CRASHED, self.confirm())
 
     def test_busy_process_that_answers_late_shows_a_crash(self) -> None:
-        # Guards against a stream that ends as whole where its process was
-        # killed, as the machine of the next one or of the entry is busy.
+        # Guards against half streams that end as whole on a busy machine.
         self.is_stream = True
         self.upstreams.answer = routed_calls.Reachability.REPLACED
         self.upstreams.seconds = 0.2
--- a/testing/test_moving_processes.py
+++ b/testing/test_moving_processes.py
@@ -25,8 +25,7 @@
 def test_moved_streams_come_whole_and_in_order_beneath_faults(
     seed: int,
 ) -> None:
-    # Guards against events twice, missing or of another run, a run at two
-    # upstreams, and copies that are used twice or never freed.
+    # Guards against runs, events and copies that a move doubles or loses.
     found = _run(seed)
     assert found["violations"] == [], found
     assert found["points"].get("copy", 0) > 0, found
@@ -36,8 +35,7 @@
 def test_run_that_works_on_beside_a_later_one_is_found(
     ended: float, rules: list[str]
 ) -> None:
-    # Guards against a check that takes the run whose event came first for the
-    # earlier one.
+    # Guards against a check that orders runs by their first events.
     checks = checks_module.Checks()
     observed = moving_checks.Observed(checks)
     earlier = moving_upstreams.Run("r", 1, b"", 0, "a")
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -350,8 +350,7 @@
     """What happens when a step of a move fails."""
 
     def leave(self, engine: moving_engine.Engine) -> None:
-        # The engine is held by the test. On a slow disk its streams would be
-        # abandoned as silent before they are moved.
+        # What the test itself holds must not count as silence.
         watch = self.system.entry.gateway.context.streams
         with mock.patch.object(
             stream_silence, "seconds", return_value=math.inf
@@ -800,8 +799,7 @@
 
     def test_backup_whose_version_has_changed_is_not_used(self) -> None:
         self.run_turns(3)
-        # On a slow disk the stream would break off before the entry knows of
-        # the version.
+        # It must not break off before the entry knows of the version.
         for engine in self.engines:
             engine.break_at = moving_engine.HELD_AT + 1
             engine.holds = True
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -448,8 +448,7 @@
     def test_take_up_that_names_nothing_is_refused_once_its_route_has_moved(
         self,
     ) -> None:
-        # Guards against a stream that goes on at the only version of a service
-        # that didn't begin it.
+        # Guards against a stream that goes on at another service.
         self.call("a")
         self.add_service("lm2")
         self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
