--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -304,12 +304,12 @@
     headers_of = upstreams._headers
 
     def headers_of_earlier(
-        upstream: Any, call: Any, request: Any
+        upstream: Any, call: Any, request: Any, left: Any
     ) -> list[tuple[str, str]]:
         if request.copy is not None and int(request.last_event or 0) > 1:
             last = str(int(request.last_event) - 1)
             request = request._replace(last_event=last)
-        return headers_of(upstream, call, request)
+        return headers_of(upstream, call, request, left)
 
     _replace(upstreams, "_headers", headers_of_earlier)
     _any_order()
