A stand-in refuses a request whose head is cut

What was seen: a stand-in for an upstream with a sidecar ran a request whose connection ended within its head; what was to follow may be a key or a length. Cause: eventlet's server reads heads by the standard library, which takes the end of the connection for the end of a head. Change: the check of our own interface (the last line must be the blank one) moves to the domain and serves both; the stand-in answers 400. Evidence: test_cut_requests cuts a request at each of its bytes; two of its tests failed before, a request line alone and one without a version got 200.

--- a/src/mintcleat/adapters/wsgi.py
+++ b/src/mintcleat/adapters/wsgi.py
@@ -13,6 +13,7 @@
 from mintcleat.adapters import problems
 from mintcleat.adapters import streams
 from mintcleat.domain import errors
+from mintcleat.domain import head_lines
 
 # Idle keep-alive connections are closed after this time. It must exceed the
 # load balancer's idle timeout, or the balancer may send a request on a
@@ -115,12 +116,10 @@
 
     def parse_request(self) -> bool:
         """Parses the request line and headers; returns whether it succeeded."""
-        lines = self.rfile = _HeadLines(self.rfile)
+        lines = self.rfile = head_lines.HeadLines(self.rfile)
         try:
             if not super().parse_request():
                 return False
-            # The standard library takes the end of the connection for the end
-            # of a head. What was to follow may be a key, a length or a name.
             if not lines.is_complete:
                 self._send_problem(
                     errors.BadRequest(
@@ -181,24 +180,6 @@
         return environ
 
 
-class _HeadLines:
-    """Reads the lines of a head.
-
-    Attributes:
-        is_complete: Whether the last line was the blank one at its end.
-    """
-
-    def __init__(self, file: Any) -> None:
-        self.file = file
-        self.is_complete = False
-
-    def readline(self, size: int = -1) -> bytes:
-        """Returns a line; a part of it at the end of the connection."""
-        line = self.file.readline(size)
-        self.is_complete = line in (b"\r\n", b"\n")
-        return line
-
-
 class _BoundedLines:
     """Reads bytes and whole lines that are not too long."""
 
--- a/src/mintcleat/standins/http.py
+++ b/src/mintcleat/standins/http.py
@@ -10,6 +10,8 @@
 import eventlet
 from eventlet import wsgi
 
+from mintcleat.domain import head_lines
+
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 _PHRASES = {
     200: "OK",
@@ -44,6 +46,7 @@
             refuse_cut(application),
             log_output=False,
             custom_pool=self.pool,
+            protocol=WholeHeadProtocol,
             keepalive=True,
             # Sends each token at once; the default buffers 4 KB.
             minimum_chunk_size=1,
@@ -70,6 +73,21 @@
         return client, address
 
 
+class WholeHeadProtocol(wsgi.HttpProtocol):
+    """Answers 400 to a request whose connection ended within its head."""
+
+    def parse_request(self) -> bool:
+        """Parses the request line and headers; returns whether it succeeded."""
+        lines = self.rfile = head_lines.HeadLines(self.rfile)
+        if not super().parse_request():
+            return False
+        if not lines.is_complete:
+            self.send_error(400, "The head ended before its blank line")
+            self.close_connection = True
+            return False
+        return True
+
+
 class BodyCut(Exception):
     """The connection ended within the body of a request, which must not run."""
 
--- a/testing/test_cut_requests.py
+++ b/testing/test_cut_requests.py
@@ -12,6 +12,7 @@
 from mintcleat.adapters import streams
 from mintcleat.adapters import wsgi
 from mintcleat.domain import errors
+from mintcleat.standins import service
 
 _SECONDS = 5.0
 _START = b"POST /v1/a HTTP/1.1\r\nHost: a\r\n"
@@ -111,3 +112,27 @@
     def test_request_whose_chunks_are_cut_does_not_run(self) -> None:
         self.assert_only_whole_runs(CHUNKED)
         self.assertEqual(["/v1/a"], self.ran)
+
+
+class CutStandInRequestTest(Case):
+    """At the stand-ins for upstreams with a sidecar."""
+
+    def start(self) -> str:
+        self.service = service.Service()
+        self.addCleanup(self.service.stop)
+        return self.service.address
+
+    def send(self, data: bytes) -> bytes:
+        answer = super().send(data)
+        self.ran = [path for _, path in self.service.runs]
+        return answer
+
+    def test_request_whose_head_is_cut_does_not_run(self) -> None:
+        self.assert_only_whole_runs(PLAIN)
+        self.assertEqual(["/v1/a"], self.ran)
+
+    def test_cut_request_line_of_an_early_version_does_not_run(self) -> None:
+        # Guards against an "HTTP/0.9" request that is the rest of another.
+        for line in (b"GET /v1/a", b"GET /v1/a\r\n"):
+            self.assertNotIn(b" 200 ", self.send(line))
+        self.assertEqual([], self.ran)
