Lines tell why no record of a stream was found

Change: `stream_taken_up` has what the group has on the stream (`record`); `stream_recorded_late` tells that a record took longer than a take-up waits for it, and for how long it is kept. In calm times there is no line more.

--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -353,6 +353,10 @@
         known_by: `recorded` at a program group; `only`, the service had no
             other version; `unknown`, the request is refused.
         find_s: Time that this took.
+        record: What the program group has on the stream: `found`; `none`, it
+            never came or has expired; `ambiguous`, its id stands for streams of
+            two versions; `other_service`, its route has moved since. Empty if
+            the caller named no request.
     """
 
     request: str
@@ -361,6 +365,24 @@
     version: str
     known_by: str
     find_s: float
+    record: str = ""
+
+
+class StreamRecordedLate(NamedTuple):
+    """The version that began a stream was recorded late.
+
+    A take-up that came before it has been refused.
+
+    Attributes:
+        after_s: Time from the first event to the record.
+        kept_s: Time for which the record is kept at least.
+    """
+
+    request: str
+    service: str
+    version: str
+    after_s: float
+    kept_s: float
 
 
 class StreamUnrecorded(NamedTuple):
@@ -737,6 +759,7 @@
     AttemptFailed,
     StreamContinued,
     StreamTakenUp,
+    StreamRecordedLate,
     StreamUnrecorded,
     CallRefused,
     CallerGone,
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -26,6 +26,7 @@
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import timers as timer_ports
 from mintcleat.programs import placement
+from mintcleat.programs import streams
 from mintcleat.roles.entry import upstream_loads
 
 # A caller may take a stream up until its own deadline, which no entry knows if
@@ -119,7 +120,7 @@
             stream = program_messages.BegunStream(
                 origin, _record_seconds(call, route)
             )
-            self.timers.spawn(self._record, call, stream)
+            self.timers.spawn(self._record, call, call.request, stream)
 
     def find(
         self,
@@ -145,6 +146,7 @@
             raise errors.ControlUnavailable(
                 error.detail, retry_after=control_outage.RETRY_SECONDS
             ) from None
+        record = _record_of(call, service, found)
         if found is not None and found.origin.service != service:
             # Its route leads to another service by now.
             found = None
@@ -156,6 +158,7 @@
                 found.origin.version if found else "",
                 found.source.value if found else "unknown",
                 round(self.timers.now() - began, 4),
+                record,
             )
         )
         if found is None:
@@ -232,20 +235,31 @@
     def _record(
         self,
         call: routed_calls.RoutedCall,
+        name: str,
         stream: program_messages.BegunStream,
     ) -> None:
+        """Has the program group record a stream under the id of a request."""
         request = program_messages.RecordStream(
-            call.program.program, call.customer, call.request, stream
+            call.program.program, call.customer, name, stream
         )
+        began = self.timers.now()
         try:
             self.control.ask(
                 placement.scope_of(request), request, stream.seconds
             )
+            seconds = self.timers.now() - began
+            if seconds > sum(RECORD_DELAYS):
+                self.events.emit(
+                    event_types.StreamRecordedLate(
+                        name,
+                        *stream.origin,
+                        round(seconds, 4),
+                        stream.seconds,
+                    )
+                )
         except errors.MintcleatError as error:
             self.events.emit(
-                event_types.StreamUnrecorded(
-                    call.request, *stream.origin, error.detail
-                )
+                event_types.StreamUnrecorded(name, *stream.origin, error.detail)
             )
 
     def _ask_group(self, request: program_messages.FindStream) -> Any:
@@ -257,6 +271,21 @@
         return control_outage.hold_seconds(self.configuration.lease_left())
 
 
+def _record_of(
+    call: routed_calls.RoutedCall,
+    service: str,
+    found: stream_origins.KnownOrigin | None,
+) -> str:
+    """Returns what the program group has on a stream, for the log."""
+    if not call.resumes:
+        return ""
+    if found is None or found.source is not stream_origins.Source.RECORDED:
+        return "none"
+    if found.origin == streams.AMBIGUOUS:
+        return "ambiguous"
+    return "found" if found.origin.service == service else "other_service"
+
+
 def _may_be_taken_up(route: manifest.Route) -> bool:
     """Returns whether callers may take up the streams of a route."""
     return route.stream and route.repeat == "resume"
--- a/testing/test_stream_origins.py
+++ b/testing/test_stream_origins.py
@@ -1,5 +1,6 @@
 """What an entry asks for to continue a stream, without a network."""
 
+import contextlib
 from typing import Any
 
 import testtools
@@ -12,6 +13,7 @@
 from mintcleat.domain import routed_calls
 from mintcleat.domain import stream_origins as origins_module
 from mintcleat.ports import events
+from mintcleat.programs import streams
 from mintcleat.roles.entry import stream_origins
 
 ROUTE = manifest.Route("/", [], stream=True, repeat="resume", timeout=5.0)
@@ -32,6 +34,7 @@
         versions: Answer of the config leader.
         asked: Messages that were sent.
         spawned: Background tasks.
+        seconds: Time that an answer takes.
     """
 
     groups = 1
@@ -44,6 +47,7 @@
         self.spawned: list[Any] = []
         self.emitted: list[Any] = []
         self.time = 0.0
+        self.seconds = 0.0
         self.failure: errors.MintcleatError | None = None
 
     def emit(self, event: Any) -> None:
@@ -64,6 +68,7 @@
     def ask(self, *args: Any) -> Any:
         message = args[1] if isinstance(args[0], str) else args[0]
         self.asked.append(message)
+        self.time += self.seconds
         if self.failure is not None:
             raise self.failure
         if isinstance(message, member_messages.ReadSoftwareVersions):
@@ -128,6 +133,32 @@
         self.world.versions["lm"].add("v2")
         self.assertIsNone(self.origins.planned(call(), ROUTE, "lm"))
 
+    def test_record_that_comes_late_is_reported(self) -> None:
+        # Guards against refused take-ups that no line explains.
+        self.origins.begun(call(), ROUTE, V1)
+        self.world.seconds = 0.2
+        ((function, arguments),) = self.world.spawned
+        function(*arguments)
+        (event,) = self.world.emitted
+        self.assertEqual(
+            event_types.StreamRecordedLate("b", "lm", "v1", 0.2, 5.0), event
+        )
+
+    def test_line_tells_what_the_group_has_on_a_stream(self) -> None:
+        # Guards against refused take-ups that no line explains.
+        elsewhere = origins_module.StreamOrigin("lm2", "v1")
+        for record, resumes, expected in (
+            (None, "a", "none"),
+            (None, "", ""),
+            (V1, "a", "found"),
+            (streams.AMBIGUOUS, "a", "ambiguous"),
+            (elsewhere, "a", "other_service"),
+        ):
+            self.world.records = [record]
+            with contextlib.suppress(errors.UnknownStream):
+                self.find(resumes=resumes)
+            self.assertEqual(expected, self.world.emitted[-1].record)
+
     def test_record_that_no_group_takes_is_reported(self) -> None:
         self.origins.begun(call(), ROUTE, V1)
         self.world.failure = errors.ControlUnavailable("No leader.")
