A take-up prolongs the record that it names

What callers saw: a stream that breaks off again and again, and is taken up each time by its first request, was refused as unknown_stream once that was older than the time of one request and 5 s, while two versions served. It had gone on until just before, and by its latest request would have gone on still. Cause: the record of a stream was kept for the time that its first request stated; no take-up changed that, so a stream that lasts longer than one request lost it within. Change: the first event of a take-up records the stream once more under the id that it names, in the entry's batches, for its own time. The group keeps the later expiry; it never shortens one, and the origin stays that of the first record. One message more for each take-up, none in calm times.

--- a/src/mintcleat/programs/streams.py
+++ b/src/mintcleat/programs/streams.py
@@ -2,10 +2,12 @@
 
 A caller whose stream broke off comes to any entry with the request that brought
 its first event. The entry that relayed it may have ended, so the origin is in
-the log. It never changes: the first record of a stream counts.
+the log. It never changes: the first record of a stream counts. Later ones, of
+its take-ups, prolong the time for which it is kept.
 """
 
 import collections
+import itertools
 import math
 from typing import Any
 from typing import NamedTuple
@@ -43,7 +45,8 @@
     Attributes:
         begun: Origin and expiry of each stream; the expiry is a whole second of
             the group's clock.
-        due: The streams by expiry, in the order of their records.
+        due: The streams by expiry, in the order of their records; `begun` has
+            the same order.
         due_bytes: Size of these records by expiry.
     """
 
@@ -51,13 +54,16 @@
         self.begun: dict[
             StreamKey, tuple[stream_origins.StreamOrigin, int]
         ] = {}
-        self.due: dict[int, collections.deque[StreamKey]] = {}
+        self.due: dict[int, dict[StreamKey, None]] = {}
         self.due_bytes: collections.Counter[int] = collections.Counter()
 
     def record(
         self, request: program_messages.RecordStream, clock: float
     ) -> identities.Done:
-        """Records the origin of a stream, unless it is recorded already.
+        """Records the origin of a stream, or that it goes on.
+
+        A stream that is taken up again and again may last far longer than one
+        request, and its caller may name the first one each time.
 
         A caller that uses one id for two streams may have begun them at two
         versions. Which one it will take up can't be known, so that neither
@@ -65,15 +71,16 @@
         """
         self._forget(clock)
         key = StreamKey(request.customer, request.program, request.request)
-        if key not in self.begun:
-            seconds = request.stream.seconds + SLACK_SECONDS
-            self._add(key, request.stream.origin, math.ceil(clock + seconds))
-            return identities.Done()
-        origin, until = self.begun[key]
-        if origin not in (request.stream.origin, AMBIGUOUS):
-            self.due_bytes[until] -= _size_of(key, origin)
-            self.due_bytes[until] += _size_of(key, AMBIGUOUS)
-            self.begun[key] = (AMBIGUOUS, until)
+        origin = request.stream.origin
+        until = math.ceil(clock + request.stream.seconds + SLACK_SECONDS)
+        known = self.begun.get(key)
+        if known is not None:
+            origin = origin if origin == known[0] else AMBIGUOUS
+            until = max(until, known[1])
+            if (origin, until) == known:
+                return identities.Done()
+            self._remove(key)
+        self._add(key, origin, until)
         return identities.Done()
 
     def find(
@@ -115,25 +122,28 @@
         until: int,
     ) -> None:
         self.begun[key] = (origin, until)
-        self.due.setdefault(until, collections.deque()).append(key)
+        self.due.setdefault(until, {})[key] = None
         self.due_bytes[until] += _size_of(key, origin)
 
+    def _remove(self, key: StreamKey) -> None:
+        origin, until = self.begun.pop(key)
+        del self.due[until][key]
+        self.due_bytes[until] -= _size_of(key, origin)
+        if not self.due[until]:
+            del self.due[until]
+            del self.due_bytes[until]
+
     def _forget(self, clock: float) -> None:
         """Deletes expired streams, up to `DELETIONS` of them."""
         left = DELETIONS
         for until in sorted(self.due):
             if until > clock:
                 return
-            keys = self.due[until]
-            while keys and left:
-                key = keys.popleft()
-                origin, _ = self.begun.pop(key)
-                self.due_bytes[until] -= _size_of(key, origin)
+            for key in list(itertools.islice(self.due[until], left)):
+                self._remove(key)
                 left -= 1
-            if keys:
+            if not left:
                 return
-            del self.due[until]
-            del self.due_bytes[until]
 
 
 def _size_of(key: StreamKey, origin: stream_origins.StreamOrigin) -> int:
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -138,10 +138,14 @@
         self.attempts.check_version()
         stream = origins.continued(self.call, route, found)
         self.relay.turn = self.turn.open(stream)
+        self.relay.on_begun = self._record_take_up
+
+    def _record_take_up(self, origin: stream_origins.StreamOrigin) -> None:
+        """Records a stream that goes on, under the ids that may name it."""
+        origins = self.context.origins
+        origins.went_on(self.call, self.match.route, origin)
         if self.relay.turn is None:
-            self.relay.on_begun = functools.partial(
-                origins.begun, self.call, route
-            )
+            origins.begun(self.call, self.match.route, origin)
 
     def has_begun(self) -> bool:
         """Returns whether the caller has the beginning of the response."""
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -122,6 +122,24 @@
             )
             self.timers.spawn(self._record, call, call.request, stream)
 
+    def went_on(
+        self,
+        call: routed_calls.RoutedCall,
+        route: manifest.Route,
+        origin: stream_origins.StreamOrigin,
+    ) -> None:
+        """Prolongs the record that a take-up has named, in the background.
+
+        Callers may name the first request each time, and the record counts from
+        the first event. It would expire within a stream that lasts for longer
+        than one request.
+        """
+        if call.resumes and _may_be_taken_up(route):
+            stream = program_messages.BegunStream(
+                origin, _record_seconds(call, route)
+            )
+            self.timers.spawn(self._record, call, call.resumes, stream)
+
     def find(
         self,
         call: routed_calls.RoutedCall,
--- a/testing/test_stream_origins.py
+++ b/testing/test_stream_origins.py
@@ -133,6 +133,21 @@
         self.world.versions["lm"].add("v2")
         self.assertIsNone(self.origins.planned(call(), ROUTE, "lm"))
 
+    def test_take_up_prolongs_the_record_that_it_names(self) -> None:
+        # Guards against a record that expires within a stream's last take-ups.
+        self.origins.went_on(call(), ROUTE, V1)
+        ((function, arguments),) = self.world.spawned
+        function(*arguments)
+        (asked,) = self.world.asked
+        stream = program_messages.BegunStream(V1, 5.0)
+        self.assertEqual(
+            program_messages.RecordStream("", "", "a", stream), asked
+        )
+
+    def test_take_up_that_names_nothing_prolongs_nothing(self) -> None:
+        self.origins.went_on(call(resumes=""), ROUTE, V1)
+        self.assertEqual([], self.world.spawned)
+
     def test_record_that_comes_late_is_reported(self) -> None:
         # Guards against refused take-ups that no line explains.
         self.origins.begun(call(), ROUTE, V1)
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -12,6 +12,8 @@
 COUNT = 4
 # Deadline that no pause of a busy machine exceeds.
 LONG_MS = 20_000
+# Time between take-ups: less than a record is kept, more than half of it.
+TAKE_UP_SECONDS = 5.0
 
 
 def configuration(version: int, attempts: int) -> dict[str, Any]:
@@ -104,6 +106,11 @@
             ):
                 eventlet.sleep(0.005)
 
+    def pass_time(self, seconds: float) -> None:
+        """Advances the clocks of all groups."""
+        for clock in self.system.control.wrapped.programs.clocks.values():
+            clock.base += seconds
+
     def take_up(
         self, first: str, request: str, entry: int = 1, **headers: str
     ) -> platform_system.Answer:
@@ -316,6 +323,25 @@
             self.assertEqual([200] * 3, [part.status for part in parts])
             self.assertEqual(1, len(versions_in(*parts)))
 
+    def test_stream_of_many_take_ups_outlasts_the_record_of_its_first_request(
+        self,
+    ) -> None:
+        # Guards against a stream that is refused as it lasts for long.
+        for engine in self.system.engines:
+            engine.script = cut_each
+        parts = [self.call("a")]
+        self.wait_until_recorded("a")
+        for last in range(1, 7):
+            self.pass_time(TAKE_UP_SECONDS)
+            name = f"b{last}"
+            part = self.call(
+                name, last % 2, Last_Event_Id=str(last), Resumes="a"
+            )
+            self.assertEqual(200, part.status, (last, part.body))
+            self.wait_until_recorded(name)
+            parts.append(part)
+        self.assertEqual(1, len(versions_in(*parts)))
+
     def test_chain_of_take_ups_names_the_latest_request(self) -> None:
         # Guards against take-ups that are refused as they name a take-up.
         for engine in self.system.engines:
