Whole answers of distant upstreams aren't broken off

What callers saw: since a plain answer whose end nothing marks counts as broken off if its upstream takes no connection within three attempts of 50 ms each. Over a link that takes longer than that for each connection none of the three can succeed: every such answer is asked for again, or is 504 (outcome unknown) where it may not be.

Cause: all attempts had the same short time. They cover lost packets only.

Change: attempts of 50, 100 and 100 ms. The times of streams, which grow already, stay. An upstream that says nothing delays the end by 0.25 s instead of 0.15 s.

Evidence: the new test (80 ms for a connection) got unconfirmed before. Found by the review, by reading; over real links not measured.

--- a/src/mintcleat/roles/entry/end_confirmation.py
+++ b/src/mintcleat/roles/entry/end_confirmation.py
@@ -21,15 +21,14 @@
 from mintcleat.domain import routed_calls
 from mintcleat.ports import forwarding
 
-# Time for which the end of an answer waits for each attempt to connect: several
-# round trips. An upstream that lost power never answers.
-CONFIRM_SECONDS = 0.05
-# Attempts to connect. The packet that opens a connection may be lost, and is
-# sent again only after a second.
-CONFIRM_TRIES = 3
-# Further attempts of a stream, whose upstream is asked for a report: the times
-# that a busy process may take for one.
-REPORT_SECONDS = (0.1, 0.25, 0.25)
+# Times for which the end of an answer waits for each attempt to connect. The
+# packet that opens a connection may be lost, and is sent again only after a
+# second; over a slow link one round trip may exceed the first time. An upstream
+# that lost power never answers.
+CONFIRM_SECONDS = (0.05, 0.1, 0.1)
+# The same for a stream, whose upstream is asked for a report: a busy process
+# takes long for one.
+REPORT_SECONDS = (0.05, 0.1, 0.25, 0.25)
 
 
 class Configuration(Protocol):
@@ -67,22 +66,20 @@
     ) -> answer_ends.AnswerEnd:
         """Returns how an answer ended that seems whole.
 
-        Waits up to `CONFIRM_TRIES` times `CONFIRM_SECONDS` if nothing marks
-        its end. Of a stream it also asks which process is there now, for up to
-        `REPORT_SECONDS` more: one that replaced that of the answer would
-        confirm its end otherwise. Services of plain answers report nothing on
-        themselves.
+        Waits up to the sum of `CONFIRM_SECONDS` if nothing marks its end. Of a
+        stream it also asks which process is there now, for up to the sum of
+        `REPORT_SECONDS`: one that replaced that of the answer would confirm its
+        end otherwise. Services of plain answers report nothing on themselves.
         """
         if end.kind is not answer_ends.Kind.CLOSED or not self.enabled:
             return end
         if self._is_replaced(upstream):
             return end._replace(kind=answer_ends.Kind.CRASHED)
+        waits: tuple[float, ...] = CONFIRM_SECONDS
+        ask = self.upstreams.probe
         if is_stream:
+            waits = REPORT_SECONDS
             ask = self.upstreams.identify
-            waits = (CONFIRM_SECONDS, *REPORT_SECONDS)
-        else:
-            ask = self.upstreams.probe
-            waits = (CONFIRM_SECONDS,) * CONFIRM_TRIES
         found = self._reachability(upstream, ask, waits)
         # A later process may have registered since.
         if self._is_replaced(upstream):
--- a/testing/test_end_confirmation.py
+++ b/testing/test_end_confirmation.py
@@ -226,6 +226,12 @@
         with eventlet.Timeout(10.0):
             self.assertEqual(Kind.UNCONFIRMED, self.confirm())
 
+    def test_whole_answer_of_a_distant_upstream_is_confirmed(self) -> None:
+        # Guards against whole answers that a slow link breaks off.
+        self.upstreams.answer = routed_calls.Reachability.ACCEPTS
+        self.upstreams.seconds = 0.08
+        self.assertEqual(Kind.CONFIRMED, self.confirm())
+
     def test_lost_packet_does_not_hide_a_crash(self) -> None:
         self.upstreams.lost = 2
         self.assertEqual(Kind.CRASHED, self.confirm())
