A move that ends late leaves the count of a resumed run

What could be seen: an entry that counts one request too few at an upstream, and places more there, until that request ends.

Cause: a stream breaks off while its memory is copied and is resumed at the destination of that copy. The move, cancelled long before, gets its answer later, and frees the slot at the destination a second time: by then it is that of the resumed run, which has the same request id.

Change: a move that was cancelled has freed its slot, and frees nothing again.

--- a/src/mintcleat/roles/entry/stream_watch.py
+++ b/src/mintcleat/roles/entry/stream_watch.py
@@ -291,7 +291,9 @@
             # The slot at the destination is kept for the request's next
             # attempt, which is there.
             return
-        self.loads.ended(move.destination.incarnation, move.request)
+        if not move.is_cancelled:
+            # Otherwise it is free already, and the request may run there anew.
+            self.loads.ended(move.destination.incarnation, move.request)
         if move.outcome is stream_move.Outcome.STAYED:
             stream.move = None
             stream.next_move_at = self.timers.now() + stream_moves.RETRY_SECONDS
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -563,6 +563,25 @@
         self.assert_complete(call.wait())
         self.assert_generated_once()
 
+    def test_move_that_ends_late_leaves_the_count_of_the_resumed_run(
+        self,
+    ) -> None:
+        # Guards against an upstream that seems to have fewer requests.
+        self.group.copy_seconds = 0.4
+        call, source, other = self.begin("/resumable/a")
+        other.pause = 0.06
+        self.leave(source)
+        self.wait_for(lambda: source.calls)
+        source.break_at = source.runs["r1"].made + 1
+        self.wait_for(lambda: other.requests)
+        gateway = self.system.entry.gateway
+        self.assertEqual(1, sum(gateway.context.streams.copying.values()))
+        self.wait_for(lambda: not gateway.context.streams.copying)
+        running = gateway.loads.requests.by_upstream
+        self.assertIn("r1", running.get(other.name, {}))
+        self.assert_complete(call.wait())
+        self.assert_all_freed()
+
     def test_copy_of_a_failed_move_is_freed_before_another_move(self) -> None:
         # The first copy stayed at its engines until it expired.
         self.engines += [self.add("e3"), self.add("e4")]
