A moved stream doesn't go on after an event without an id

What callers could see: events twice in one answer of 200 that ends as whole (ORDER). The stream of an upstream some of whose events have no ids was moved; the last one before the stop had none. The destination was asked to go on after the last id, and sent the events behind it again.

Cause: whether the stream can go on elsewhere is looked at when a move begins, and acted on when the run has stopped, some copies later. Resumes and backups looked again, moves didn't.

Change: one place (`fits_copy`) decides it, for moves and backups, once the stream has stopped.

--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -148,6 +148,11 @@
         """Time since which the upstream may have been silent; 0 before."""
         return max(self.last_event_at, self.blocked_at)
 
+    @property
+    def fits_copy(self) -> bool:
+        """Whether a copy of the run's memory continues what the caller has."""
+        return self.can_continue
+
     def begin_attempt(self, upstream: member_messages.Registration) -> None:
         """Prepares for the answer of an upstream to the next attempt."""
         self.upstream = upstream
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -489,6 +489,8 @@
                     f"Upstream {stream.upstream.upstream} sent nothing for "
                     f"{stream.silent_for:.2f} s within the stream."
                 ) from error
+            if not self.relay.fits_copy:
+                raise
             move = stream.stopped()
             if move is None:
                 self.continuation.use_backup(stream)
--- a/src/mintcleat/roles/entry/run_continuation.py
+++ b/src/mintcleat/roles/entry/run_continuation.py
@@ -88,9 +88,7 @@
         backup = stream.backup
         is_unknown = stream.move is not None and stream.move.is_stopping
         relay = self.relay
-        if not (relay.last_event_id and relay.can_continue):
-            return
-        if backup is None or is_unknown:
+        if backup is None or is_unknown or not relay.last_event_id:
             return
         self.copies = [
             (backup, routed_calls.Copy(backup.address, self.request))
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -105,6 +105,7 @@
         refuse_copies: Whether requests with a copy are refused.
         break_copies: Whether they are broken off before their head.
         sent_again: Number of earlier events that they begin with.
+        is_unnamed: Whether events have no ids.
     """
 
     def __init__(
@@ -129,6 +130,7 @@
         self.refuse_copies = False
         self.break_copies = False
         self.sent_again = 0
+        self.is_unnamed = False
         group.engines[self.address] = self
 
     @property
@@ -206,7 +208,10 @@
                 run.made += 1
                 self.group.generated.append((request, run.made, self.name))
                 self.group.times.append(_now())
-                write(platform_engine.event(run.made))
+                event = platform_engine.event(run.made)
+                if self.is_unnamed:
+                    event = event[event.index(b"data") :]
+                write(event)
                 eventlet.sleep(self.pause)
                 if source is None and run.made == self.break_at:
                     connection.reset()
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -210,6 +210,22 @@
         numbers = [int(one.id) for one in found]
         self.assertEqual(list(range(1, len(numbers) + 1)), numbers)
 
+    def test_event_without_an_id_before_the_stop_comes_once(self) -> None:
+        # Guards against a destination that sends again what no id names.
+        self.group.copy_seconds = 0.3
+        call, source, _ = self.begin()
+        self.leave(source)
+        self.wait_for(lambda: source.calls)
+        source.is_unnamed = True
+        answer = call.wait()
+        self.assertTrue(source.calls[-1][2], source.calls)
+        found = server_sent_events.EventBuffer().feed(answer.body)
+        pieces = [one.data for one in found]
+        expected = [b"piece-%d" % n for n in range(1, len(pieces) + 1)]
+        self.assertEqual(expected, pieces)
+        self.assertFalse(answer.whole)
+        self.assert_all_freed()
+
     def test_turn_is_committed_with_both_parts(self) -> None:
         # The next turn's prompt has the output of both engines.
         call, source, other = self.begin("/turns/a", X_Program_Id="p")
