A stream that went back doesn't go on from a copy of its run

What callers could see: pieces of two runs in one answer of 200 that ends as whole, also on routes that must not be resumed (ORDER). An upstream sent an earlier event again, which is left out and breaks the attempt off; but if its run had a backup, or was just being stopped for a move, the stream went on from that copy.

Cause: the copy was taken for that of the run whose events the caller has. An upstream whose ids go back may have begun the run anew, and nothing tells which run's memory was copied last.

Change: after events out of order no copy is used. A resume is a new run, and may follow where the route allows it; other streams are cut.

Found by the review, by reading.

--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -150,8 +150,16 @@
 
     @property
     def fits_copy(self) -> bool:
-        """Whether a copy of the run's memory continues what the caller has."""
-        return self.can_continue
+        """Whether a copy of the run's memory continues what the caller has.
+
+        An upstream whose events go back may have begun the run anew, and the
+        copy may be of either run.
+        """
+        end = self.end
+        is_in_order = (
+            end is None or end.kind is not answer_ends.Kind.OUT_OF_ORDER
+        )
+        return self.can_continue and is_in_order
 
     def begin_attempt(self, upstream: member_messages.Registration) -> None:
         """Prepares for the answer of an upstream to the next attempt."""
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -105,6 +105,8 @@
         refuse_copies: Whether requests with a copy are refused.
         break_copies: Whether they are broken off before their head.
         sent_again: Number of earlier events that they begin with.
+        goes_back: Whether a run that is stopped, or broken off, sends its first
+            event once more before that.
         is_unnamed: Whether events have no ids.
     """
 
@@ -130,6 +132,7 @@
         self.refuse_copies = False
         self.break_copies = False
         self.sent_again = 0
+        self.goes_back = False
         self.is_unnamed = False
         group.engines[self.address] = self
 
@@ -213,7 +216,11 @@
                     event = event[event.index(b"data") :]
                 write(event)
                 eventlet.sleep(self.pause)
-                if source is None and run.made == self.break_at:
+                is_broken = source is None and run.made == self.break_at
+                if self.goes_back and (is_broken or run.is_stopped):
+                    write(platform_engine.event(1))
+                    eventlet.sleep(self.pause)
+                if is_broken:
                     connection.reset()
                     return False
                 if run.is_stopped:
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -210,6 +210,27 @@
         numbers = [int(one.id) for one in found]
         self.assertEqual(list(range(1, len(numbers) + 1)), numbers)
 
+    def test_stream_that_went_back_does_not_go_on_from_its_copy(self) -> None:
+        # Guards against a joined stream: the copy may be of the second run.
+        self.group.rest_seconds = 0.3
+        call, source, other = self.begin()
+        source.goes_back = True
+        self.leave(source)
+        answer = call.wait()
+        self.assertTrue(source.calls[-1][2], source.calls)
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual([], other.requests)
+        self.assert_all_freed()
+
+    def test_stream_that_went_back_is_resumed_as_a_new_run(self) -> None:
+        self.group.rest_seconds = 0.3
+        call, source, other = self.begin("/resumable/a")
+        source.goes_back = True
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertNotIn("kv-from", other.requests[0].headers)
+        self.assert_all_freed()
+
     def test_event_without_an_id_before_the_stop_comes_once(self) -> None:
         # Guards against a destination that sends again what no id names.
         self.group.copy_seconds = 0.3
@@ -869,6 +890,18 @@
         )
         self.assert_all_freed()
 
+    def test_stream_that_went_back_does_not_go_on_from_its_backup(
+        self,
+    ) -> None:
+        # Guards against a joined stream: the backup may be of the second run.
+        self.run_turns(3)
+        for engine in self.engines:
+            engine.goes_back = True
+        answer = self.turn(3)
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual([], [e for e in self.engines if "kv-from" in _last(e)])
+        self.assertEqual(10, len(self.group.generated))
+
     def test_last_event_that_a_backup_sends_again_comes_once(self) -> None:
         self.run_turns(3)
         for engine in self.engines:
