An entry without a lease doesn't take streams up by its routes

Cause: the leader is asked which versions the service of the entry's own route has had within a minute, and counts routes that moved within that minute. The entry's routes may be older than that: without keys nothing bounds their age.

Change: the answer counts only while the entry holds a lease, which bounds the age of its routes by `max_lease`. It is refused otherwise (503, not run).

Found by the review, by reading.

--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -222,7 +222,8 @@
             self._hold_seconds(),
             TRY_SECONDS,
         )
-        if len(found.versions) != 1:
+        # Without a lease the route may have moved before the time asked for.
+        if len(found.versions) != 1 or self.configuration.lease_left() <= 0:
             return None
         return stream_origins.KnownOrigin(
             stream_origins.StreamOrigin(service, found.versions[0]),
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 from fakes import platform_engine
 from fakes import platform_system
+from mintcleat.roles.entry import stream_origins
 
 # Enough that chance would not give one version to all.
 STREAMS = 12
@@ -455,6 +456,20 @@
         self.system.settle()
         self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
 
+    def test_entry_without_a_lease_does_not_rely_on_its_routes(self) -> None:
+        # Guards against a stream that goes on where its route led long ago.
+        self.patch(stream_origins, "MIN_TAKE_UP_SECONDS", 0.01)
+        self.patch(stream_origins, "TAKE_UP_FACTOR", 0.01)
+        follower = self.system.entries[1].follower
+        self.patch(follower, "handle_message", lambda message: None)
+        self.add_service("lm2")
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while follower.has_lease():
+                eventlet.sleep(0.05)
+        self.assertEqual({"v2"}, versions_in(self.call("a")))
+        self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
+
     def test_control_instance_that_stands_still_is_passed_over(self) -> None:
         silent = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(silent.close)
