Routes of one host move streams however the host is written

What callers could see: a take-up that names nothing goes on at another service's only version, after a route had been added beneath its host with another spelling of the name (capitals, a port, a dot at the end).

Cause: requests find routes by the normal form of a host; which routes share a host was looked up by their text.

Change: the normal form is compared there too.

Evidence: the new test found no moved service before.

--- a/src/mintcleat/configuration/route_moves.py
+++ b/src/mintcleat/configuration/route_moves.py
@@ -10,6 +10,7 @@
 
 from mintcleat.configuration import sections
 from mintcleat.domain import manifest
+from mintcleat.domain import uris
 
 _PREFIX = f"{sections.ROUTES}/"
 # In the text of each route whose streams callers may take up. Decoding all of
@@ -69,5 +70,6 @@
             continue
         if route.stream and route.repeat == "resume":
             shares = tuple(route.shares)
-            found.add(_Place(route.host, route.prefix, shares))
+            host = uris.normal_host(route.host)
+            found.add(_Place(host, route.prefix, shares))
     return found
--- a/testing/test_stream_records.py
+++ b/testing/test_stream_records.py
@@ -85,6 +85,21 @@
             found = route_moves.services(before, after)
             self.assertEqual(expected, found, (before, after))
 
+    def test_spellings_of_a_host_are_one_host(self) -> None:
+        # Guards against routes of one host that move streams unnoticed.
+        def route(prefix: str, service: str, host: str) -> str:
+            share = manifest.Share(service)
+            return msgspec.json.encode(
+                manifest.Route(
+                    prefix, [share], host, stream=True, repeat="resume"
+                )
+            ).decode()
+
+        first = {"routes/a": route("/", "lm", "h")}
+        both = {**first, "routes/b": route("/x/", "lm2", "H")}
+        found = route_moves.services(first, both)
+        self.assertEqual({"lm", "lm2"}, found)
+
     def test_replicas_that_record_moved_services_have_the_same_state(
         self,
     ) -> None:
