A change that moves no route without a host refuses no take-ups

What callers saw: after any change of a route, of its time-out for instance, take-ups that name nothing were refused for a minute on all routes without a host, if these lead to two services or more.

Cause: routes without a host count as touched by moves at any host, and counted so without any move.

Change: they count if some route has moved.

Evidence: the new test found two moved services before.

--- a/src/mintcleat/configuration/route_moves.py
+++ b/src/mintcleat/configuration/route_moves.py
@@ -50,7 +50,7 @@
     found = {
         share.service
         for place in old | new
-        if place.host in hosts or not place.host or "" in hosts
+        if place.host in hosts or "" in hosts or (hosts and not place.host)
         for share in place.shares
         if share.weight > 0
     }
--- a/testing/test_stream_records.py
+++ b/testing/test_stream_records.py
@@ -100,6 +100,26 @@
         found = route_moves.services(first, both)
         self.assertEqual({"lm", "lm2"}, found)
 
+    def test_change_that_moves_no_route_of_any_host_is_no_move(self) -> None:
+        # Guards against take-ups that are refused after any other change.
+        def sections(timeout: float) -> dict[str, str]:
+            found = {}
+            for prefix, service in (("/a/", "lm"), ("/b/", "lm2")):
+                share = manifest.Share(service)
+                route = manifest.Route(
+                    prefix,
+                    [share],
+                    stream=True,
+                    repeat="resume",
+                    timeout=timeout,
+                )
+                text = msgspec.json.encode(route).decode()
+                found[f"routes{prefix}"] = text
+            return found
+
+        found = route_moves.services(sections(5.0), sections(9.0))
+        self.assertEqual(set(), found)
+
     def test_replicas_that_record_moved_services_have_the_same_state(
         self,
     ) -> None:
