A route that moves by two changes is found to have moved

What callers could see: a stream that began at one service, broke off, and was taken up without its name after its route had been removed by one change and added with another service by the next one, went on there in an answer of 200 (ROUTE, ORDER). Taken up within a minute, at any entry.

Cause: compares the routes before and after each change. The service that a route has left was in none of the two pairs.

Change: the group's state keeps, for ten minutes, where the routes of each host no longer lead, beside the ended versions and within their bound; it counts at the next change of that host's routes as a service that streams may come from.

--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -302,8 +302,12 @@
 
     def _record_moves(self, before: dict[str, str], at: float) -> None:
         """Records the services between which a push has moved streams."""
-        moved = route_moves.services(before, self.document.sections)
-        self.directory.software.moved(moved, at)
+        software = self.directory.software
+        change = route_moves.change(
+            before, self.document.sections, software.left_since(at)
+        )
+        software.moved(change.services, at)
+        software.left(change.left, at)
 
     def evacuated_control_instances(self) -> frozenset[str]:
         """Returns the control instances that must hold no replica."""
--- a/src/mintcleat/configuration/route_moves.py
+++ b/src/mintcleat/configuration/route_moves.py
@@ -4,6 +4,7 @@
 service began the stream, unless the routes have changed since.
 """
 
+from collections.abc import Set
 from typing import NamedTuple
 
 import msgspec
@@ -18,6 +19,29 @@
 _RESUME = '"resume"'
 
 
+class Served(NamedTuple):
+    """A service to which routes of a host lead streams.
+
+    Attributes:
+        host: In the form of `uris.normal_host`; empty for all hosts.
+    """
+
+    host: str
+    service: str
+
+
+class Change(NamedTuple):
+    """What a change of the routes does to streams.
+
+    Attributes:
+        services: Services between which it may have moved streams.
+        left: Where no route leads any more.
+    """
+
+    services: set[str]
+    left: set[Served]
+
+
 class _Place(NamedTuple):
     """Where a route leads the streams that callers may take up."""
 
@@ -26,15 +50,20 @@
     shares: tuple[manifest.Share, ...]
 
 
-def services(before: dict[str, str], after: dict[str, str]) -> set[str]:
-    """Returns the services between which a change may have moved streams.
+def change(
+    before: dict[str, str], after: dict[str, str], left: Set[Served]
+) -> Change:
+    """Returns what a change of the sections does to streams.
 
     A route that is added or removed may take requests from another one of its
-    host, or leave them to it.
+    host, or leave them to it. One may be removed by one change and added with
+    another service by a later one.
 
     Args:
         before: JSON text of the sections before the change, by key.
         after: The same after it.
+        left: What earlier changes have left, while streams of it may be taken
+            up.
     """
     is_same = all(
         before.get(key) == after.get(key)
@@ -42,19 +71,30 @@
         if key.startswith(_PREFIX)
     )
     if is_same:
-        return set()
+        return Change(set(), set())
     old, new = _places(before), _places(after)
+    served_before, served_after = _served(old), _served(new)
+    earlier = served_before | left
     # Without an earlier route no stream can have begun.
-    moved = old ^ new if old else set()
+    moved = old ^ new if earlier else set()
     hosts = {place.host for place in moved}
     found = {
-        share.service
-        for place in old | new
-        if place.host in hosts or "" in hosts or (hosts and not place.host)
+        served.service
+        for served in earlier | served_after
+        if served.host in hosts or "" in hosts or (hosts and not served.host)
+    }
+    return Change(
+        found if len(found) > 1 else set(), served_before - served_after
+    )
+
+
+def _served(places: set[_Place]) -> set[Served]:
+    return {
+        Served(place.host, share.service)
+        for place in places
         for share in place.shares
         if share.weight > 0
     }
-    return found if len(found) > 1 else set()
 
 
 def _places(texts: dict[str, str]) -> set[_Place]:
--- a/src/mintcleat/configuration/software_versions.py
+++ b/src/mintcleat/configuration/software_versions.py
@@ -6,9 +6,11 @@
 """
 
 import collections
+from collections.abc import Set
 from typing import Any
 from typing import NamedTuple
 
+from mintcleat.configuration import route_moves
 from mintcleat.domain import member_messages
 
 # Versions that are remembered after their last upstream has left. There are
@@ -17,6 +19,12 @@
 # Stands for the versions of other services, from which a route may have come to
 # a service. No upstream registers it.
 OTHER_SERVICE = "\0"
+# Before the host, in place of a service, in the items for what routes have
+# left. No service has such a name.
+_HOST_MARK = "\0"
+# Time for which what a route has left counts when another one is added: as long
+# as control keeps the record of a stream for its caller.
+LEFT_SECONDS = 600.0
 
 
 class Software(NamedTuple):
@@ -33,7 +41,8 @@
         running: Number of registered upstreams of each version.
         ended: When the last upstream of a version left, in the group's steady
             time; the earliest first. Versions with upstreams are not in it,
-            `OTHER_SERVICE` may be.
+            `OTHER_SERVICE` may be. Also when routes left a service, as items of
+            the marked host and the service.
     """
 
     def __init__(self) -> None:
@@ -65,6 +74,24 @@
             self.ended[software] = at
         self._trim()
 
+    def left(self, served: Set[route_moves.Served], at: float) -> None:
+        """Records where no route leads any more."""
+        for item in sorted(served):
+            key = Software(_HOST_MARK + item.host, item.service)
+            self.ended.pop(key, None)
+            self.ended[key] = at
+        self._trim()
+
+    def left_since(self, at: float) -> set[route_moves.Served]:
+        """Returns what routes have left within `LEFT_SECONDS` before a time."""
+        return {
+            route_moves.Served(
+                key.service.removeprefix(_HOST_MARK), key.version
+            )
+            for key, ended in self.ended.items()
+            if key.service.startswith(_HOST_MARK) and ended >= at - LEFT_SECONDS
+        }
+
     def since(self, service: str, at: float) -> set[str]:
         """Returns the versions that a service has had since a steady time.
 
--- a/testing/test_stream_records.py
+++ b/testing/test_stream_records.py
@@ -1,5 +1,7 @@
 """Origins of streams and versions of software in the state of the groups."""
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
@@ -82,8 +84,39 @@
             (both, {**both, "services/lm": "{}"}, set()),
             (first, {**first, "routes/c": "{}"}, set()),
         ):
-            found = route_moves.services(before, after)
-            self.assertEqual(expected, found, (before, after))
+            found = route_moves.change(before, after, set())
+            self.assertEqual(expected, found.services, (before, after))
+
+    def test_service_that_replaces_a_removed_route_is_another_one(
+        self,
+    ) -> None:
+        # Guards against a route that moves by two changes unnoticed.
+        def sections(service: str, host: str) -> dict[str, str]:
+            share = manifest.Share(service)
+            route = manifest.Route(
+                "/", [share], host, stream=True, repeat="resume"
+            )
+            return {"routes/a": msgspec.json.encode(route).decode()}
+
+        for service, host, pause, expected in (
+            ("lm2", "h", 1.0, {"lm", "lm2"}),
+            ("lm2", "H.:80", 1.0, {"lm", "lm2"}),
+            ("lm2", "", 1.0, {"lm", "lm2"}),
+            ("lm", "h", 1.0, set()),
+            ("lm2", "other", 1.0, set()),
+            ("lm2", "h", software_versions.LEFT_SECONDS + 1.0, set()),
+        ):
+            versions = software_versions.SoftwareVersions()
+            steps = (sections("lm", "h"), {}, sections(service, host))
+            for before, after in itertools.pairwise(steps):
+                change = route_moves.change(
+                    before, after, versions.left_since(pause)
+                )
+                versions.left(change.left, 0.0)
+                copy = software_versions.SoftwareVersions()
+                copy.load(versions.state(), [])
+                versions = copy
+            self.assertEqual(expected, change.services, (service, host))
 
     def test_spellings_of_a_host_are_one_host(self) -> None:
         # Guards against routes of one host that move streams unnoticed.
@@ -97,8 +130,8 @@
 
         first = {"routes/a": route("/", "lm", "h")}
         both = {**first, "routes/b": route("/x/", "lm2", "H")}
-        found = route_moves.services(first, both)
-        self.assertEqual({"lm", "lm2"}, found)
+        found = route_moves.change(first, both, set())
+        self.assertEqual({"lm", "lm2"}, found.services)
 
     def test_change_that_moves_no_route_of_any_host_is_no_move(self) -> None:
         # Guards against take-ups that are refused after any other change.
@@ -117,8 +150,8 @@
                 found[f"routes{prefix}"] = text
             return found
 
-        found = route_moves.services(sections(5.0), sections(9.0))
-        self.assertEqual(set(), found)
+        found = route_moves.change(sections(5.0), sections(9.0), set())
+        self.assertEqual(set(), found.services)
 
     def test_replicas_that_record_moved_services_have_the_same_state(
         self,
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -400,9 +400,9 @@
 class OneVersionTest(Case):
     versions = ("v1",)
 
-    def add_service(self, *names: str) -> None:
+    def add_service(self, *names: str, version: int = 2) -> None:
         """Adds the service lm2 and has the route lead to these services."""
-        fields = configuration(2, self.attempts)
+        fields = configuration(version, self.attempts)
         fields["services"].append({**fields["services"][1], "name": "lm2"})
         del fields["routes"][0]["service"]
         fields["routes"][0]["split"] = [
@@ -456,6 +456,19 @@
         self.system.settle()
         self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
 
+    def test_take_up_that_names_nothing_is_refused_once_its_route_is_replaced(
+        self,
+    ) -> None:
+        # Guards against a stream whose route moves by two changes.
+        self.call("a")
+        fields = configuration(2, self.attempts)
+        fields["routes"] = [platform_system.route("safe", "safe")]
+        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm2", version=3)
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        self.system.settle()
+        self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
+
     def test_entry_without_a_lease_does_not_rely_on_its_routes(self) -> None:
         # Guards against a stream that goes on where its route led long ago.
         self.patch(stream_origins, "MIN_TAKE_UP_SECONDS", 0.01)
