A chain of take-ups on a split route goes on at its service

What callers saw: on a route that is split by weight, a stream that was taken up and broke off again was refused (503 unknown_stream) for as long as its caller named the take-up in place of the first request, unless its id happened to lead to the same service.

Cause: the service of a take-up is chosen by the id that it names. The take-up had itself been placed by the first id, so that its own id leads anywhere. The record said where, but one of another service was left out.

Change: a record decides the service, if the route leads there by some weight.

The fault `any_version` of the version world leaves the service out, too, as it has no origin.

--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -135,6 +135,7 @@
         route = self.match.route
         found = origins.find(self.call, route, self.service_name)
         self.relay.origin = found
+        self._use_service_of(found)
         self.attempts.check_version()
         stream = origins.continued(self.call, route, found)
         self.relay.turn = self.turn.open(stream)
@@ -143,6 +144,25 @@
                 origins.begun, self.call, route
             )
 
+    def _use_service_of(self, known: stream_origins.KnownOrigin) -> None:
+        """Has the run use the service that began its stream.
+
+        Raises:
+            errors.UnknownStream: The service has been removed meanwhile.
+        """
+        name = known.origin.service
+        if name == self.service_name:
+            return
+        service = self.context.configuration.manifest().services.get(name)
+        if service is None:
+            raise errors.UnknownStream(
+                f"The stream began at service {name!r}, which has been removed."
+            )
+        self.service_name = self.events.service_name = name
+        self.relay.service = service
+        for part in (self.turn, self.attempts):
+            part.service_name, part.service = name, service
+
     def has_begun(self) -> bool:
         """Returns whether the caller has the beginning of the response."""
         return self.relay.head_sent
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -129,6 +129,14 @@
     ) -> stream_origins.KnownOrigin:
         """Returns the origin of a stream that a caller takes up.
 
+        Its service is that of the record, if the route leads there: the request
+        that the caller names need not be the one that chose the service.
+
+        Args:
+            call: The request.
+            route: Its route.
+            service: The route's service for it, where nothing is recorded.
+
         Raises:
             errors.UnknownStream: It isn't known.
             errors.ControlUnavailable: No leader answered in time.
@@ -145,9 +153,11 @@
             raise errors.ControlUnavailable(
                 error.detail, retry_after=control_outage.RETRY_SECONDS
             ) from None
-        if found is not None and found.origin.service != service:
-            # Its route leads to another service by now.
-            found = None
+        if found is not None:
+            service = found.origin.service
+            if service not in _services(route):
+                # Its route leads to another service by now.
+                found = None
         self.events.emit(
             event_types.StreamTakenUp(
                 call.request,
@@ -211,8 +221,8 @@
         be older than those of the entry which began the stream. On a route that
         is split, only a program or an object leads to the same service again.
         """
-        services = {share.service for share in route.shares if share.weight}
-        if len(services) > 1 and not (call.program.program or call.affinity):
+        is_placed = bool(call.program.program or call.affinity)
+        if len(_services(route)) > 1 and not is_placed:
             return None
         seconds = max(
             MIN_TAKE_UP_SECONDS, TAKE_UP_FACTOR * _request_seconds(call, route)
@@ -263,6 +273,11 @@
     return route.stream and route.repeat == "resume"
 
 
+def _services(route: manifest.Route) -> set[str]:
+    """Returns the services to which a route leads."""
+    return {share.service for share in route.shares if share.weight > 0}
+
+
 def _request_seconds(
     call: routed_calls.RoutedCall, route: manifest.Route
 ) -> float:
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -435,6 +435,30 @@
         for number in range(STREAMS):
             self.assert_taken_up(number)
 
+    def test_chain_of_take_ups_on_a_split_route_names_the_latest_request(
+        self,
+    ) -> None:
+        # Guards against take-ups that are placed by the id of a take-up.
+        self.add_service("lm", "lm2")
+        for number in range(3):
+            self.system.add(f"other-{number}", "lm2", version="v2")
+        for engine in self.system.engines:
+            engine.script = cut_each
+        self.system.settle()
+        for number in range(STREAMS):
+            parts = [self.call(f"a{number}")]
+            for last, latest in ((1, f"a{number}"), (2, f"b{number}-1")):
+                self.wait_until_recorded(latest)
+                rest = self.call(
+                    f"b{number}-{last}",
+                    last % 2,
+                    Last_Event_Id=str(last),
+                    Resumes=latest,
+                )
+                parts.append(rest)
+            self.assertEqual([200] * 3, [part.status for part in parts])
+            self.assertEqual(1, len(versions_in(*parts)))
+
     def test_take_up_that_names_nothing_on_a_split_route_is_refused(
         self,
     ) -> None:
--- a/testing/test_version_world.py
+++ b/testing/test_version_world.py
@@ -7,6 +7,7 @@
 
 from mintcleat.domain import stream_origins as origins_module
 from mintcleat.roles.entry import response_relay
+from mintcleat.roles.entry import routed_run
 from mintcleat.roles.entry import stream_origins
 import version_world
 
@@ -65,10 +66,12 @@
         def find(self: Any, call: Any, route: Any, service: str) -> None:
             return None
 
-        # Without an origin there is nothing to record for the take-up.
-        self.patch(
-            stream_origins.StreamOrigins, "continued", lambda *arguments: None
-        )
+        # Without an origin there is nothing to record, and no other service.
+        for owner, name in (
+            (stream_origins.StreamOrigins, "continued"),
+            (routed_run.RoutedRun, "_use_service_of"),
+        ):
+            self.patch(owner, name, lambda *arguments: None)
         self.assert_found(stream_origins.StreamOrigins, "find", find)
 
     def test_version_that_the_entry_s_own_directory_has_alone(self) -> None:
