--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -148,6 +148,19 @@
         """Time since which the upstream may have been silent; 0 before."""
         return max(self.last_event_at, self.blocked_at)
 
+    @property
+    def fits_copy(self) -> bool:
+        """Whether a copy of the run's memory continues what the caller has.
+
+        An upstream whose events go back may have begun the run anew, and the
+        copy may be of either run.
+        """
+        end = self.end
+        is_in_order = (
+            end is None or end.kind is not answer_ends.Kind.OUT_OF_ORDER
+        )
+        return self.can_continue and is_in_order
+
     def begin_attempt(self, upstream: member_messages.Registration) -> None:
         """Prepares for the answer of an upstream to the next attempt."""
         self.upstream = upstream
--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -148,6 +148,14 @@
     ) -> stream_origins.KnownOrigin:
         """Returns the origin of a stream that a caller takes up.
 
+        Its service is that of the record, if the route leads there: the request
+        that the caller names need not be the one that chose the service.
+
+        Args:
+            call: The request.
+            route: Its route.
+            service: The route's service for it, where nothing is recorded.
+
         Raises:
             errors.UnknownStream: It isn't known.
             errors.ControlUnavailable: No leader answered in time.
@@ -164,9 +172,11 @@
             raise errors.ControlUnavailable(
                 error.detail, retry_after=control_outage.RETRY_SECONDS
             ) from None
-        record = _record_of(call, service, found)
-        if found is not None and found.origin.service != service:
-            # Its route leads to another service by now.
+        record = _record_of(call, route, found)
+        if found is not None and found.origin.service in _services(route):
+            service = found.origin.service
+        else:
+            # Its route leads to another service by now, or nothing is known.
             found = None
         self.events.emit(
             event_types.StreamTakenUp(
@@ -232,8 +242,8 @@
         be older than those of the entry which began the stream. On a route that
         is split, only a program or an object leads to the same service again.
         """
-        services = {share.service for share in route.shares if share.weight}
-        if len(services) > 1 and not (call.program.program or call.affinity):
+        is_placed = bool(call.program.program or call.affinity)
+        if len(_services(route)) > 1 and not is_placed:
             return None
         seconds = max(
             MIN_TAKE_UP_SECONDS, TAKE_UP_FACTOR * _request_seconds(call, route)
@@ -243,7 +253,8 @@
             self._hold_seconds(),
             TRY_SECONDS,
         )
-        if len(found.versions) != 1:
+        # Without a lease the route may have moved before the time asked for.
+        if len(found.versions) != 1 or self.configuration.lease_left() <= 0:
             return None
         return stream_origins.KnownOrigin(
             stream_origins.StreamOrigin(service, found.versions[0]),
@@ -291,7 +302,7 @@
 
 def _record_of(
     call: routed_calls.RoutedCall,
-    service: str,
+    route: manifest.Route,
     found: stream_origins.KnownOrigin | None,
 ) -> str:
     """Returns what the program group has on a stream, for the log."""
@@ -301,7 +312,8 @@
         return "none"
     if found.origin == streams.AMBIGUOUS:
         return "ambiguous"
-    return "found" if found.origin.service == service else "other_service"
+    is_led_to = found.origin.service in _services(route)
+    return "found" if is_led_to else "other_service"
 
 
 def _may_be_taken_up(route: manifest.Route) -> bool:
@@ -309,6 +321,11 @@
     return route.stream and route.repeat == "resume"
 
 
+def _services(route: manifest.Route) -> set[str]:
+    """Returns the services to which a route leads."""
+    return {share.service for share in route.shares if share.weight > 0}
+
+
 def _request_seconds(
     call: routed_calls.RoutedCall, route: manifest.Route
 ) -> float:
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -210,6 +210,43 @@
         numbers = [int(one.id) for one in found]
         self.assertEqual(list(range(1, len(numbers) + 1)), numbers)
 
+    def test_stream_that_went_back_does_not_go_on_from_its_copy(self) -> None:
+        # Guards against a joined stream: the copy may be of the second run.
+        self.group.rest_seconds = 0.3
+        call, source, other = self.begin()
+        source.goes_back = True
+        self.leave(source)
+        answer = call.wait()
+        self.assertTrue(source.calls[-1][2], source.calls)
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual([], other.requests)
+        self.assert_all_freed()
+
+    def test_stream_that_went_back_is_resumed_as_a_new_run(self) -> None:
+        self.group.rest_seconds = 0.3
+        call, source, other = self.begin("/resumable/a")
+        source.goes_back = True
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assertNotIn("kv-from", other.requests[0].headers)
+        self.assert_all_freed()
+
+    def test_event_without_an_id_before_the_stop_comes_once(self) -> None:
+        # Guards against a destination that sends again what no id names.
+        self.group.copy_seconds = 0.3
+        call, source, _ = self.begin()
+        self.leave(source)
+        self.wait_for(lambda: source.calls)
+        source.is_unnamed = True
+        answer = call.wait()
+        self.assertTrue(source.calls[-1][2], source.calls)
+        found = server_sent_events.EventBuffer().feed(answer.body)
+        pieces = [one.data for one in found]
+        expected = [b"piece-%d" % n for n in range(1, len(pieces) + 1)]
+        self.assertEqual(expected, pieces)
+        self.assertFalse(answer.whole)
+        self.assert_all_freed()
+
     def test_turn_is_committed_with_both_parts(self) -> None:
         # The next turn's prompt has the output of both engines.
         call, source, other = self.begin("/turns/a", X_Program_Id="p")
@@ -563,6 +600,25 @@
         self.assert_complete(call.wait())
         self.assert_generated_once()
 
+    def test_move_that_ends_late_leaves_the_count_of_the_resumed_run(
+        self,
+    ) -> None:
+        # Guards against an upstream that seems to have fewer requests.
+        self.group.copy_seconds = 0.4
+        call, source, other = self.begin("/resumable/a")
+        other.pause = 0.06
+        self.leave(source)
+        self.wait_for(lambda: source.calls)
+        source.break_at = source.runs["r1"].made + 1
+        self.wait_for(lambda: other.requests)
+        gateway = self.system.entry.gateway
+        self.assertEqual(1, sum(gateway.context.streams.copying.values()))
+        self.wait_for(lambda: not gateway.context.streams.copying)
+        running = gateway.loads.requests.by_upstream
+        self.assertIn("r1", running.get(other.name, {}))
+        self.assert_complete(call.wait())
+        self.assert_all_freed()
+
     def test_copy_of_a_failed_move_is_freed_before_another_move(self) -> None:
         # The first copy stayed at its engines until it expired.
         self.engines += [self.add("e3"), self.add("e4")]
@@ -834,6 +890,18 @@
         )
         self.assert_all_freed()
 
+    def test_stream_that_went_back_does_not_go_on_from_its_backup(
+        self,
+    ) -> None:
+        # Guards against a joined stream: the backup may be of the second run.
+        self.run_turns(3)
+        for engine in self.engines:
+            engine.goes_back = True
+        answer = self.turn(3)
+        self.assertEqual((200, False), (answer.status, answer.whole))
+        self.assertEqual([], [e for e in self.engines if "kv-from" in _last(e)])
+        self.assertEqual(10, len(self.group.generated))
+
     def test_last_event_that_a_backup_sends_again_comes_once(self) -> None:
         self.run_turns(3)
         for engine in self.engines:
--- a/testing/test_stream_versions.py
+++ b/testing/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 from fakes import platform_engine
 from fakes import platform_system
+from mintcleat.roles.entry import stream_origins
 
 # Enough that chance would not give one version to all.
 STREAMS = 12
@@ -425,9 +426,9 @@
 class OneVersionTest(Case):
     versions = ("v1",)
 
-    def add_service(self, *names: str) -> None:
+    def add_service(self, *names: str, version: int = 2) -> None:
         """Adds the service lm2 and has the route lead to these services."""
-        fields = configuration(2, self.attempts)
+        fields = configuration(version, self.attempts)
         fields["services"].append({**fields["services"][1], "name": "lm2"})
         del fields["routes"][0]["service"]
         fields["routes"][0]["split"] = [
@@ -460,6 +461,30 @@
         for number in range(STREAMS):
             self.assert_taken_up(number)
 
+    def test_chain_of_take_ups_on_a_split_route_names_the_latest_request(
+        self,
+    ) -> None:
+        # Guards against take-ups that are placed by the id of a take-up.
+        self.add_service("lm", "lm2")
+        for number in range(3):
+            self.system.add(f"other-{number}", "lm2", version="v2")
+        for engine in self.system.engines:
+            engine.script = cut_each
+        self.system.settle()
+        for number in range(STREAMS):
+            parts = [self.call(f"a{number}")]
+            for last, latest in ((1, f"a{number}"), (2, f"b{number}-1")):
+                self.wait_until_recorded(latest)
+                rest = self.call(
+                    f"b{number}-{last}",
+                    last % 2,
+                    Last_Event_Id=str(last),
+                    Resumes=latest,
+                )
+                parts.append(rest)
+            self.assertEqual([200] * 3, [part.status for part in parts])
+            self.assertEqual(1, len(versions_in(*parts)))
+
     def test_take_up_that_names_nothing_on_a_split_route_is_refused(
         self,
     ) -> None:
@@ -481,6 +506,33 @@
         self.system.settle()
         self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
 
+    def test_take_up_that_names_nothing_is_refused_once_its_route_is_replaced(
+        self,
+    ) -> None:
+        # Guards against a stream whose route moves by two changes.
+        self.call("a")
+        fields = configuration(2, self.attempts)
+        fields["routes"] = [platform_system.route("safe", "safe")]
+        self.assertEqual(200, self.system.put(fields).status)
+        self.add_service("lm2", version=3)
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        self.system.settle()
+        self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
+
+    def test_entry_without_a_lease_does_not_rely_on_its_routes(self) -> None:
+        # Guards against a stream that goes on where its route led long ago.
+        self.patch(stream_origins, "MIN_TAKE_UP_SECONDS", 0.01)
+        self.patch(stream_origins, "TAKE_UP_FACTOR", 0.01)
+        follower = self.system.entries[1].follower
+        self.patch(follower, "handle_message", lambda message: None)
+        self.add_service("lm2")
+        self.system.add("other", "lm2", platform_engine.cut_stream(COUNT), "v2")
+        with eventlet.Timeout(platform_system.ANSWER_SECONDS):
+            while follower.has_lease():
+                eventlet.sleep(0.05)
+        self.assertEqual({"v2"}, versions_in(self.call("a")))
+        self.assertEqual(503, self.call("b", 1, Last_Event_Id="2").status)
+
     def test_control_instance_that_stands_still_is_passed_over(self) -> None:
         silent = eventlet.listen(("127.0.0.1", 0))
         self.addCleanup(silent.close)
