The last upstream is waited for before a request is sent

Cause: one fixed time for the report before a stream, and one for connecting, whatever leaving the upstream costs. An upstream that was left so was never tried again for the request, also if all others were full.

decisions/contact_times decides now: as before while another upstream, or other memory of a moved run, is there; at the last one half of the time left, 2 s at most, as a caller that is refused needs time for another entry. One that was silent for over 1 s hangs; others leave it after 0.25 s, for 1 s. When all others are full or failed, a request goes back to those that it left early, within its four offers.

As the wait may be longer, a request counts as sent only from `UpstreamRequest.before_sending` on: until then its deadline, a time-out or the end of the entry refuses it as not run, and the time-out of an attempt begins there. It is not sent if the entry's stop or its deadline left no time meanwhile. That says nothing of the upstream (evidence: neutral).

In calm: no message, connection or timer more; a pooled connection to the known process is used as it was. A stream on one that has no start to compare needs none either.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -384,27 +384,38 @@
     """Lets the work on one connection go on at once."""
 
 
-def connect(address: str) -> Connection:
+def connect(
+    address: str, seconds: float = CONNECT_TIMEOUT_SECONDS
+) -> Connection:
     """Returns a new connection.
 
     Raises:
+        errors.UpstreamLate: There was no answer.
         errors.NoUpstream: The upstream is unreachable.
     """
     try:
-        return Connection(address, open_socket(address))
-    except (OSError, TimeoutError) as error:
+        return Connection(address, open_socket(address, seconds))
+    except TimeoutError:
+        raise errors.UpstreamLate(
+            f"{address} took no connection within {seconds:g} s."
+        ) from None
+    except OSError as error:
         raise errors.NoUpstream(f"{address} is unreachable: {error}.") from None
 
 
-def open_socket(address: str) -> Any:
+def open_socket(address: str, seconds: float = CONNECT_TIMEOUT_SECONDS) -> Any:
     """Returns a connected socket.
 
+    Args:
+        address: `HOST:PORT` of the upstream.
+        seconds: Time for the connection to be established.
+
     Raises:
         OSError: Connecting failed; a ConnectionRefusedError if nothing listens
             at the address.
         TimeoutError: There was no answer.
     """
-    with eventlet.Timeout(CONNECT_TIMEOUT_SECONDS, TimeoutError):
+    with eventlet.Timeout(seconds, TimeoutError):
         sock = eventlet.connect(streams.split_address(address))
     for option in _SOCKET_OPTIONS:
         with contextlib.suppress(OSError):
@@ -434,13 +445,17 @@
         Raises:
             errors.NoUpstream: The upstream is unreachable.
         """
+        return self.take_idle(upstream) or connect(address)
+
+    def take_idle(self, upstream: str) -> Connection | None:
+        """Returns a usable idle connection; None if there is none."""
         connections = self.idle.get(upstream, [])
         while connections:
             connection = connections.pop()
             if connection.is_usable():
                 return connection
             connection.close()
-        return connect(address)
+        return None
 
     def release(self, upstream: str, connection: Connection) -> None:
         """Returns a connection to the pool; closes it if the pool is full."""
--- a/src/mintcleat/decisions/evidence.py
+++ b/src/mintcleat/decisions/evidence.py
@@ -57,11 +57,14 @@
     """Returns the evidence of a failed attempt.
 
     A busy upstream isn't unhealthy, and a turn that control could not record
-    doesn't count against the upstream that answered it.
+    doesn't count against the upstream that answered it. Nor does a request that
+    this entry itself didn't send after all.
     """
     if isinstance(error, errors.TurnUnrecorded):
         return Evidence.SUCCESS
-    if isinstance(error, errors.UpstreamBusy):
+    if isinstance(
+        error, errors.UpstreamBusy | errors.Draining | errors.DeadlineUnmet
+    ):
         return Evidence.NEUTRAL
     return Evidence.FAILURE
 
--- a/src/mintcleat/domain/errors.py
+++ b/src/mintcleat/domain/errors.py
@@ -351,6 +351,13 @@
     default_remedy = "Send again after retry_after seconds."
 
 
+class UpstreamLate(NoUpstream):
+    """The upstream said nothing in time; the request was not sent to it."""
+
+    kind = "upstream_late"
+    default_remedy = "Send again after retry_after seconds."
+
+
 class WrongUpstream(NoUpstream):
     """The address now belongs to another upstream; the request did not run."""
 
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -3,6 +3,7 @@
 They do not depend on the protocol by which callers and upstreams send them.
 """
 
+from collections.abc import Callable
 import enum
 from typing import NamedTuple
 
@@ -172,6 +173,20 @@
     handle: str
 
 
+class ContactTimes(NamedTuple):
+    """How long a request waits for an upstream before it is sent; in seconds.
+
+    Attributes:
+        connect: For each attempt to connect.
+        report: For each report of the upstream on itself.
+        total: For all of them.
+    """
+
+    connect: float
+    report: float
+    total: float
+
+
 class UpstreamRequest(NamedTuple):
     """Parts of a request that depend on the attempt at an upstream.
 
@@ -182,6 +197,9 @@
         last_event: Id of the event after which to resume the stream; empty
             for none.
         urgency: Priority from 0 to 9; lower values are admitted first.
+        contact: How long it waits for the upstream.
+        before_sending: Must be called right before the request is sent; raises
+            a MintcleatError if it must not be sent any more.
         copy: Memory from which the upstream continues the run; None to begin
             a new one.
         backup: `IP:PORT` of the upstream that gets a backup of the run's
@@ -194,6 +212,8 @@
     remaining_seconds: float
     last_event: str
     urgency: int
+    contact: ContactTimes
+    before_sending: Callable[[], None]
     copy: Copy | None = None
     backup: str = ""
     is_stream: bool = False
--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -24,8 +24,6 @@
 _REPORT_PATH = "/v1/report"
 # In all that an upstream says of itself: the start of its process.
 _BORN = "born"
-# A report waits for no slot; a silent upstream is left for another one.
-_REPORT_SECONDS = 0.25
 MAX_REPLY_BYTES = 64 * 1024
 _SUCCESS = range(200, 300)
 # Limit of responses to earlier requests that are skipped on a connection.
@@ -101,6 +99,7 @@
 def check_process(
     connection: http1_client.Connection,
     upstream: member_messages.Registration,
+    seconds: float,
 ) -> bool:
     """Checks that a connection leads to the process that registered.
 
@@ -109,19 +108,30 @@
     taken for one of the version before. Upstreams that state no start have a
     new id then, and refuse requests for the old one.
 
+    Args:
+        connection: The connection.
+        upstream: The registered process.
+        seconds: Time for its report, which waits for no slot.
+
     Returns:
         Whether the connection can carry a request after that.
 
     Raises:
         errors.WrongUpstream: It leads to another process.
-        errors.NoUpstream: The upstream doesn't say when it started.
+        errors.UpstreamLate: The upstream doesn't report in time.
+        errors.NoUpstream: It doesn't say when it started.
     """
     if not upstream.started:
         return True
     try:
-        with eventlet.Timeout(_REPORT_SECONDS, _ReportTimeout):
+        with eventlet.Timeout(seconds, _ReportTimeout):
             report = read_report(connection, upstream)
-    except (errors.StreamClosed, _ReportTimeout) as error:
+    except _ReportTimeout:
+        raise errors.UpstreamLate(
+            f"Upstream {upstream.upstream} did not report on itself within "
+            f"{seconds:g} s."
+        ) from None
+    except errors.StreamClosed as error:
         # The request itself has not been sent.
         raise errors.NoUpstream(
             f"Upstream {upstream.upstream} did not report on itself: {error}"
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -44,6 +44,10 @@
 _REFUSAL_SECONDS = 0.1
 
 
+class _ContactTimeout(Exception):
+    """An upstream took too long before a request could be sent."""
+
+
 class HttpUpstreamClient:
     """See `ports.forwarding.UpstreamClient`.
 
@@ -63,12 +67,11 @@
     ) -> "HttpUpstreamResponse":
         """Sends a request and returns once the response's head has arrived."""
         until = time.monotonic() + request.remaining_seconds
-        connection = self.pool.acquire(upstream.incarnation, upstream.address)
+        connection = self._contact(upstream, request)
         try:
-            if request.is_stream or request.copy is not None:
-                connection = _identified(connection, upstream)
             if self.on_work is not None:
                 connection.on_work = self.on_work
+            request.before_sending()
             # Connecting and the report take time, and so does a pause.
             left = max(0.0, until - time.monotonic())
             connection.send(
@@ -89,6 +92,44 @@
             connection.close()
             raise
 
+    def _contact(
+        self,
+        upstream: member_messages.Registration,
+        request: routed_calls.UpstreamRequest,
+    ) -> http1_client.Connection:
+        """Returns a connection on which a request can be sent.
+
+        Raises:
+            errors.NoUpstream: There is none, or not in time.
+        """
+        times = request.contact
+        is_checked = bool(upstream.started) and (
+            request.is_stream or request.copy is not None
+        )
+        connection = self.pool.take_idle(upstream.incarnation)
+        if connection is not None and (
+            connection.is_identified or not is_checked
+        ):
+            return connection
+        try:
+            with eventlet.Timeout(times.total, _ContactTimeout):
+                if connection is None:
+                    connection = http1_client.connect(
+                        upstream.address, times.connect
+                    )
+                if is_checked:
+                    return _identified(connection, upstream, times)
+                return connection
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            if isinstance(error, _ContactTimeout):
+                raise errors.UpstreamLate(
+                    f"Upstream {upstream.upstream} was not ready for the "
+                    f"request within {times.total:.2f} s."
+                ) from None
+            raise
+
     def copy_run(
         self,
         upstream: member_messages.Registration,
@@ -297,21 +338,22 @@
 def _identified(
     connection: http1_client.Connection,
     upstream: member_messages.Registration,
+    times: routed_calls.ContactTimes,
 ) -> http1_client.Connection:
     """Returns a connection to the process that registered, the given or a new.
 
     Raises:
         errors.NoUpstream: See `upstream_replies.check_process`.
     """
-    if connection.is_identified:
-        return connection
-    if upstream_replies.check_process(connection, upstream):
+    if upstream_replies.check_process(connection, upstream, times.report):
         return connection
     connection.close()
-    connection = http1_client.connect(upstream.address)
+    connection = http1_client.connect(upstream.address, times.connect)
     is_reusable = False
     try:
-        is_reusable = upstream_replies.check_process(connection, upstream)
+        is_reusable = upstream_replies.check_process(
+            connection, upstream, times.report
+        )
     finally:
         if not is_reusable:
             connection.close()
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -55,6 +55,9 @@
         Raises:
             errors.NoUpstream: The request was not run: it was not delivered,
                 or the upstream rejected it (UpstreamBusy, WrongUpstream).
+            errors.UpstreamLate: It was not sent, as the upstream said nothing
+                within `request.contact`.
+            errors.MintcleatError: What `request.before_sending` raised.
             errors.StreamClosed: The connection was lost; the request may have
                 run.
         """
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -153,8 +153,7 @@
 
     def waits_in_vain(self) -> bool:
         """Returns whether it has yet to be sent and no run fits any more."""
-        is_sent = self.attempts.sent_at > 0.0
-        return not is_sent and not self.attempts.fits_stop()
+        return not self.attempts.attempts and not self.attempts.fits_stop()
 
     def end(self) -> None:
         """Ends the run with its last answer, as the process ends."""
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -22,6 +22,7 @@
 from mintcleat.ports import forwarding
 from mintcleat.roles.entry import crash_watch
 from mintcleat.roles.entry import entry_context
+from mintcleat.roles.entry import late_upstreams
 from mintcleat.roles.entry import response_relay
 from mintcleat.roles.entry import run_continuation
 from mintcleat.roles.entry import run_deadline
@@ -74,7 +75,10 @@
         offers: Number of upstreams that it was sent to.
         tried: Incarnations of the upstreams that it was sent to.
         candidates: Number of upstreams that the last attempt could go to.
-        sent_at: Monotonic time at which it was last sent to an upstream.
+        sent_at: Monotonic time at which the last attempt began.
+        is_sent: Whether the last attempt sent it.
+        attempt_limit: Timeout of the last attempt, from its sending on.
+        late: Upstreams that were late before it was sent to them.
         tokens: Tokens that the request holds in memory.
         moves: Number of moves that were begun.
         digest: Digest that all repetitions of the request share.
@@ -111,6 +115,9 @@
         self.tried: set[str] = set()
         self.candidates = 0
         self.sent_at = 0.0
+        self.is_sent = False
+        self.attempt_limit = eventlet.Timeout(None, AttemptTimeout())
+        self.late = late_upstreams.LateUpstreams(context.loads, deadline)
         self.tokens = engine_memory.TurnTokens()
         self.moves = 0
         self.digest = events.digest
@@ -239,6 +246,7 @@
             self.offers += 1
         self.tried.add(upstream.incarnation)
         self.sent_at = self.now
+        self.is_sent = False
         silence_timeout = self.silence_timeout
         loads = self.context.loads
         watch = self.context.crashes
@@ -384,7 +392,11 @@
         if found is None:
             found = loads.choose(self.service_name, self.tried, request)
         if found is None:
-            if self.tried:
+            late = self.late.take_back()
+            if late:
+                self.tried -= late
+                return self._place()
+            if self.tried or self.attempts:
                 raise self._none_left_error(
                     f"No upstream of service {self._software()} is left; "
                     f"{len(self.tried)} failed or refused the request."
@@ -404,11 +416,9 @@
         """
         upstream = target.upstream
         turn = self.relay.turn
-        self.deadline.limit_response()
         self.relay.begin_attempt(upstream)
         backup = None
         if target.copy is None:
-            self.attempts += 1
             backup = self.context.backups.choose(
                 self.call,
                 self.route,
@@ -426,12 +436,15 @@
                 max(0.0, self.deadline.left),
                 self.relay.last_event_id,
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
+                self.late.times(upstream, self._has_alternative(target)),
+                functools.partial(self._before_sending, target),
                 target.copy,
                 backup.address if backup else "",
                 self.route.stream,
             ),
         )
         self.context.crashes.responded(upstream, self.sent_at)
+        self.context.loads.hanging.answered(upstream.incarnation)
         if target.copy is not None:
             self.continuation.accepted()
         if target.placement is not None:
@@ -442,6 +455,39 @@
             stream.next_move_at = self.now + stream_moves.RETRY_SECONDS
         return self._relay(stream, reply)
 
+    def _has_alternative(self, target: _Target) -> bool:
+        """Returns whether the request can go on without a late upstream."""
+        if target.copy is None:
+            return self.offers < MAX_OFFERS and self.context.loads.has_any(
+                self.service_name, self.tried, self.relay.origin
+            )
+        # Without its copied memory, a run can only be resumed.
+        return bool(self.continuation.copies) or (
+            self.route.repeat == "resume"
+            and self.attempts < self.route.attempts
+        )
+
+    def _before_sending(self, target: _Target) -> None:
+        """Returns if the request may still be sent; it then counts as sent.
+
+        Raises:
+            errors.MintcleatError: This entry ends before the request could, or
+                its deadline has passed meanwhile.
+        """
+        if target.copy is None:
+            if not self.fits_stop():
+                raise self.context.stop.error()
+            if self.deadline.is_refusable():
+                raise errors.DeadlineUnmet(
+                    "The deadline passed before the request could be sent."
+                )
+        self.attempt_limit = eventlet.Timeout(
+            self._attempt_seconds(target), AttemptTimeout()
+        )
+        self.attempts += target.copy is None
+        self.is_sent = True
+        self.deadline.limit_response()
+
     def _stream(
         self,
         upstream: member_messages.Registration,
@@ -521,30 +567,37 @@
         Raises:
             errors.StreamTimeout: The attempt timed out.
         """
-        timeouts = self.context.attempt_timeouts
-        # Giving up the only upstream would leave none for another attempt.
-        seconds = None
-        if request.copy is not None:
-            if self.route.repeat == "resume" and (
-                self.attempts < self.route.attempts
-            ):
-                seconds = self.silence_timeout
-        elif self.candidates > 1:
-            seconds = timeouts.seconds(
-                self.route,
-                self.service_name,
-                self.attempts - 1,
-                self.silence_timeout,
-                self.deadline.left,
-            )
         try:
-            with eventlet.Timeout(seconds, AttemptTimeout()):
-                return self.context.upstreams.send(upstream, self.call, request)
+            return self.context.upstreams.send(upstream, self.call, request)
         except AttemptTimeout:
-            timeouts.expired(self.service_name, self.attempts)
+            self.context.attempt_timeouts.expired(
+                self.service_name, self.attempts
+            )
             raise errors.StreamTimeout(
-                f"Upstream {upstream.upstream} sent nothing for {seconds:g} s."
+                f"Upstream {upstream.upstream} sent nothing for "
+                f"{self.attempt_limit.seconds:g} s."
             ) from None
+        finally:
+            self.attempt_limit.cancel()
+
+    def _attempt_seconds(self, target: _Target) -> float | None:
+        """Returns the time for an upstream's head; None for no limit."""
+        if target.copy is not None:
+            if self.route.repeat == "resume" and (
+                self.attempts < self.route.attempts
+            ):
+                return self.silence_timeout
+            return None
+        # Giving up the only upstream would leave none for another attempt.
+        if self.candidates <= 1:
+            return None
+        return self.context.attempt_timeouts.seconds(
+            self.route,
+            self.service_name,
+            self.attempts,
+            self.silence_timeout,
+            self.deadline.left,
+        )
 
     def _none_left_error(self, detail: str) -> errors.MintcleatError:
         """Returns the error of a request that no further upstream can run.
@@ -569,8 +622,13 @@
     ) -> None:
         """Records and reports a failed attempt."""
         upstream = target.upstream
-        if error.outcome == errors.NOT_RUN and target.copy is None:
+        if (
+            error.outcome == errors.NOT_RUN
+            and target.copy is None
+            and self.is_sent
+        ):
             self.attempts -= 1
+        self.late.failed(upstream, error, self.sent_at)
         self._record_evidence(upstream, evidence.of_error(error))
         self.events.attempt_failed(
             upstream,
--- a/src/mintcleat/roles/entry/run_deadline.py
+++ b/src/mintcleat/roles/entry/run_deadline.py
@@ -48,9 +48,14 @@
         """Seconds until the deadline; negative after it."""
         return self.at - self.timers.now()
 
+    @property
+    def refusable_for(self) -> float:
+        """Seconds in which the request can be refused; negative after them."""
+        return self.left - REFUSAL_MARGIN_SECONDS
+
     def is_refusable(self) -> bool:
         """Returns whether too little time is left to send the request."""
-        return self.left <= REFUSAL_MARGIN_SECONDS
+        return self.refusable_for <= 0.0
 
     @property
     def latest(self) -> float:
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -1,6 +1,7 @@
 """Load and health of the upstreams that an entry sends routed requests to."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 import math
@@ -8,6 +9,7 @@
 from typing import Protocol
 
 from mintcleat.configuration import directory
+from mintcleat.decisions import contact_times
 from mintcleat.decisions import engine_memory
 from mintcleat.decisions import load_balancing
 from mintcleat.decisions import policy as policy_module
@@ -100,6 +102,7 @@
         others: Running requests of other entries.
         reported_at: When this entry last made a report.
         reported_failures: Upstreams that several other entries avoid.
+        hanging: Upstreams that said nothing before a request was sent.
         requests: This entry's running requests.
         times: Measured rates and speeds.
         prefixes: Prompt parts that programs share.
@@ -129,6 +132,7 @@
         self.on_removed = on_removed
         self.penalties = upstream_health.FailurePenalties()
         self.reported_failures = shared_health.ReportedFailures()
+        self.hanging = contact_times.HangingUpstreams()
         self.requests = running_requests.RunningRequests()
         self.silence_detector = upstream_health.SilenceDetector(self.requests)
         self.latencies = load_balancing.LatencyTracker()
@@ -155,6 +159,7 @@
             self.times.forget(incarnation)
             self.penalties.forget(incarnation)
             self.silence_detector.forget(incarnation)
+            self.hanging.forget(incarnation)
             self.on_removed(incarnation)
         for incarnation, item in entries.items():
             known = self.known.get(incarnation)
@@ -185,7 +190,7 @@
         ready = self.by_service.get(service, {})
         policy = self.policy
         names = upstream_health.healthy(
-            _eligible(ready, tried, request.origin),
+            list(_eligible(ready, tried, request.origin)),
             self.penalties if policy.standing else None,
             self.silence_detector if policy.silence else None,
             request.repeatable,
@@ -201,8 +206,23 @@
         self, service: str, origin: stream_origins.KnownOrigin | None
     ) -> bool:
         """Returns whether any upstream may continue a stream of an origin."""
+        return self.has_any(service, set(), origin)
+
+    def has_any(
+        self,
+        service: str,
+        tried: set[str],
+        origin: stream_origins.KnownOrigin | None,
+    ) -> bool:
+        """Returns whether `choose` would find an upstream.
+
+        Args:
+            service: Service of the request.
+            tried: Incarnations that are excluded.
+            origin: Origin of the stream that it continues; None for any.
+        """
         ready = self.by_service.get(service, {})
-        return bool(_eligible(ready, set(), origin))
+        return any(_eligible(ready, tried, origin))
 
     def sound_others(
         self,
@@ -647,14 +667,13 @@
     ready: Mapping[str, member_messages.Registration],
     tried: set[str],
     origin: stream_origins.KnownOrigin | None,
-) -> list[str]:
-    """Returns the incarnations that may get a request; see `choose`."""
-    return [
-        name
-        for name, item in ready.items()
-        if name not in tried
-        and (origin is None or origin.allows(item.service, item.version))
-    ]
+) -> Iterator[str]:
+    """Yields the incarnations that may get a request; see `choose`."""
+    for name, item in ready.items():
+        if name not in tried and (
+            origin is None or origin.allows(item.service, item.version)
+        ):
+            yield name
 
 
 def _percent(factor: float) -> int:
--- a/testing/fakes/platform_engine.py
+++ b/testing/fakes/platform_engine.py
@@ -197,6 +197,7 @@
         version: Version of its software.
         report_fields: Further header fields of its reports on itself.
         before_report: What it sends before them.
+        report_seconds: How late it reports.
         connections: Number of accepted connections.
         open: Accepted connections that have not been closed.
         crashed: Whether it has ended with all it ran.
@@ -211,6 +212,7 @@
         self.version = "v1"
         self.report_fields = b""
         self.before_report = b""
+        self.report_seconds = 0.0
         self.connections = 0
         self.open: set[Connection] = set()
         self.crashed = False
@@ -247,6 +249,7 @@
         }
 
     def _answer_report(self, connection: Connection) -> bool:
+        eventlet.sleep(self.report_seconds)
         born = {"born": self.started} if self.started else {}
         body = json.dumps({**born, "busy": False, "activeCount": 0}).encode()
         connection.send(
--- a/testing/test_cut_heads.py
+++ b/testing/test_cut_heads.py
@@ -21,6 +21,7 @@
 from mintcleat.platform import upstreams
 
 _SECONDS = 120.0
+_REPORT_SECONDS = 0.25
 # Bytes between two places at which heads stop, and ways to stop there. By hand,
 # 1 and 6 play all of them.
 _STEP = 40
@@ -90,7 +91,9 @@
     def check_process(self) -> None:
         connection = http1_client.connect(self.upstream.address)
         try:
-            upstream_replies.check_process(connection, self.upstream)
+            upstream_replies.check_process(
+                connection, self.upstream, _REPORT_SECONDS
+            )
         finally:
             connection.close()
 
--- a/testing/test_endless_replies.py
+++ b/testing/test_endless_replies.py
@@ -16,6 +16,7 @@
 # On a busy machine; the time limits that are asserted are the callers' own.
 SECONDS = 5.0
 DRIP_SECONDS = 0.02
+REPORT_SECONDS = 0.25
 KINDS = {**endless_answers.GARBAGE, **endless_answers.BODIES}
 # A JSON text that is nested too deeply to be decoded.
 NESTED = b"[" * 50_000
@@ -91,6 +92,7 @@
                     upstream_replies.check_process,
                     connection,
                     upstream,
+                    REPORT_SECONDS,
                 )
             connection.close()
             self.check()
--- a/testing/test_engine_http.py
+++ b/testing/test_engine_http.py
@@ -30,9 +30,9 @@
         opened = []
         open_socket = http1_client.open_socket
 
-        def count(address: str) -> Any:
+        def count(address: str, seconds: float) -> Any:
             opened.append(address)
-            return open_socket(address)
+            return open_socket(address, seconds)
 
         self.patch(http1_client, "open_socket", count)
         for number in range(3):
--- a/testing/test_evidence.py
+++ b/testing/test_evidence.py
@@ -41,6 +41,7 @@
             evidence.of_error(errors.UpstreamBusy("")),
             evidence.of_error(errors.StreamClosed("")),
             evidence.of_error(errors.WrongUpstream("")),
+            evidence.of_error(errors.UpstreamLate("")),
         ]
         self.assertEqual(
             [
@@ -48,10 +49,17 @@
                 Evidence.NEUTRAL,
                 Evidence.FAILURE,
                 Evidence.FAILURE,
+                Evidence.FAILURE,
             ],
             found,
         )
 
+    def test_request_that_was_not_sent_says_nothing_of_its_upstream(
+        self,
+    ) -> None:
+        for error in (errors.Draining(""), errors.DeadlineUnmet("")):
+            self.assertEqual(Evidence.NEUTRAL, evidence.of_error(error))
+
     def test_cancellation_counts_only_after_silence(self) -> None:
         self.assertEqual(
             Evidence.NEUTRAL, evidence.of_cancellation(False, 0.4, 0.5)
--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -102,6 +102,13 @@
             while not condition():
                 eventlet.sleep(0.005)
 
+    def register_starts(self) -> None:
+        """Has engines state when they started, as newer software does."""
+        for engine in self.engines:
+            engine.started = 1
+            self.system.heartbeat(engine, "lm")
+        self.system.settle()
+
     def leave(self, engine: moving_engine.Engine) -> None:
         # On a slow disk the run would end before the entry knows of it.
         engine.holds = True
@@ -527,6 +534,31 @@
         self.assert_generated_once()
         self.assertEqual("returned", self.event().result)
 
+    def test_destination_that_never_reports_is_left_for_the_source(
+        self,
+    ) -> None:
+        self.register_starts()
+        call, source, other = self.begin()
+        other.report_seconds = 10 * WAIT_SECONDS
+        self.leave(source)
+        self.assert_complete(call.wait())
+        self.assert_generated_once()
+        self.assertEqual([], other.requests)
+        self.assertEqual("returned", self.event().result)
+        (failed,) = self.system.reporter.of(events.AttemptFailed)
+        self.assertIn("within 0.25 s", failed.detail)
+
+    def test_destination_that_never_reports_is_left_for_a_resume(self) -> None:
+        self.register_starts()
+        call, source, other = self.begin("/resumable/a")
+        other.report_seconds = 10 * WAIT_SECONDS
+        self.group.handle_seconds = -1.0
+        self.leave(source)
+        self.engines.append(self.add("e3"))
+        self.system.settle()
+        self.assert_complete(call.wait())
+        self.assertEqual([], other.requests)
+
     def test_destination_that_dies_as_it_continues(self) -> None:
         # It may have begun to run the rest.
         call, source, other = self.begin()
@@ -834,6 +866,27 @@
         )
         self.assert_all_freed()
 
+    def test_late_report_of_the_only_backup_is_waited_for(self) -> None:
+        self.register_starts()
+        self.run_turns(3)
+        for engine in self.engines:
+            # Not before the entry has forgotten its connections.
+            engine.break_at = moving_engine.HELD_AT + 1
+            engine.holds = True
+
+        def delay() -> None:
+            self.wait_for(lambda: any(e.backups for e in self.engines))
+            backup = next(e for e in self.engines if e.backups)
+            backup.report_seconds = 0.6
+            self.system.entry.gateway.context.upstreams.pool.close_idle()
+            for engine in self.engines:
+                engine.holds = False
+
+        delayed = eventlet.spawn(delay)
+        self.assert_complete(self.turn(3))
+        delayed.wait()
+        self.assertEqual("restored", self.event().result)
+
     def test_last_event_that_a_backup_sends_again_comes_once(self) -> None:
         self.run_turns(3)
         for engine in self.engines:
--- a/testing/test_upstream_deadline.py
+++ b/testing/test_upstream_deadline.py
@@ -1,7 +1,5 @@
 """The time that an upstream is told it has, over sockets."""
 
-import eventlet
-
 from fakes import platform_engine
 from fakes import platform_system
 
@@ -16,15 +14,9 @@
         # Guards against upstreams that work on after their callers' deadline.
         (engine,) = self.start_engines(("e1", "lm", platform_engine.stream(1)))
         engine.started = 1
+        engine.report_seconds = REPORT_SECONDS
         self.system.heartbeat(engine, "lm")
         self.system.settle()
-        report = engine._answer_report
-
-        def answer_late(connection: platform_engine.Connection) -> bool:
-            eventlet.sleep(REPORT_SECONDS)
-            return report(connection)
-
-        engine._answer_report = answer_late
         answer = self.system.call(
             "POST",
             "/resumable/a",
--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -241,6 +241,7 @@
         is_asked = request.is_stream and self.world.identifies
         if is_asked and process.incarnation != upstream.incarnation:
             raise errors.WrongUpstream("Another process has its id.")
+        request.before_sending()
         return Answer(self.world, process, int(request.last_event or 0))
 
     def probe(
