A refusal doesn't blame a share that is not exceeded any more

Cause: the kind of a refusal was that of the rank which the turn had got when it arrived, up to half a second before, while share and use are those of the refusal. Shares of customers with few turns change within that time.

It is asked again whether the customer is over its share. The order of waiting turns is as before. test_refusal_does_not_blame_a_share_that_is_not_exceeded_ any_more failed before ('overloaded' != 'share_exceeded'); test_turn_admission*, test_contention, test_capacity and test_hosted_admission pass (load 20).

--- a/src/mintcleat/decisions/turn_admission.py
+++ b/src/mintcleat/decisions/turn_admission.py
@@ -355,7 +355,10 @@
         reason = turn_refusals.reason(outlook, ask.demand)
         if reason is None:
             return None
-        over_share = waiter.rank.over_share
+        # The rank is as old as the wait.
+        over_share = waiter.rank.over_share and self.shares.is_over(
+            ask.key.customer, now
+        )
         return turn_decisions.Refuse(
             "share_exceeded" if over_share else "overloaded",
             reason,
--- a/testing/test_turn_admission.py
+++ b/testing/test_turn_admission.py
@@ -177,6 +177,39 @@
             self.now += 0.2
             self.end("probe")
 
+    def refused_after(self, turn: str, over: list[bool]) -> Any:
+        """Lets a turn wait until it is refused; returns the refusal.
+
+        Args:
+            turn: The turn.
+            over: Whether its customer is over its share, at each ask; the last
+                one holds for all later asks.
+        """
+        self.patch(
+            self.schedule.shares,
+            "is_over",
+            lambda *_: over.pop(0) if len(over) > 1 else over[0],
+        )
+        arrived = self.now
+        while True:
+            found = self.ask(turn, waited=self.now - arrived)
+            if isinstance(found, turn_decisions.Refuse):
+                return found
+            self.now += turn_decisions.MAX_RETRY_SECONDS
+
+    def test_customer_over_its_share_is_refused_by_its_share(self) -> None:
+        self.fill()
+        self.assertEqual("share_exceeded", self.refused_after("w", [True]).kind)
+
+    def test_refusal_does_not_blame_a_share_that_is_not_exceeded_any_more(
+        self,
+    ) -> None:
+        # Guards against callers sent away for seconds by a share of long ago.
+        self.fill()
+        refusal = self.refused_after("w", [True, False])
+        self.assertEqual("overloaded", refusal.kind)
+        self.assertEqual(turn_refusals.MIN_RETRY_AFTER, refusal.retry_after)
+
     def test_many_priorities_leave_an_order(self) -> None:
         # Guards against a guaranteed turn for each of many ranks, after which
         # nothing is left for the most urgent one.
