Soak: what is shown of engines' slots counts all requests

`idle_capacity` says how many slots run turns of programs. Streams without a program take the same slots, and what was refused, and why, was not shown. The result and the violation now name the slots that any request takes, the time for which all were taken, the requests that wait at engines, and the refusals by kind. The check itself is as before.

--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -184,6 +184,22 @@
     end: float
 
 
+class EnginesSample(NamedTuple):
+    """Use of the engines' slots at a time.
+
+    Attributes:
+        at: When they were counted.
+        turns: Part of all slots that ran a turn of a program.
+        taken: Part of all slots that ran any request.
+        waiting: Requests that waited for a slot at an engine.
+    """
+
+    at: float
+    turns: float
+    taken: float
+    waiting: int
+
+
 class Checks:
     """Collects observations and the violations that they show.
 
@@ -208,8 +224,8 @@
         proofs: What each process of an entry has shown of its version.
         added: Results of probes on routes that must be there.
         shares: Results of probes on the route with weights.
-        busy: Times, and the part of the engines' slots in use.
-        busy_means: Mean of these parts in each interval that was checked.
+        engines: Use of the engines' slots over time.
+        uses: The same in each interval that was checked, as text.
     """
 
     def __init__(self) -> None:
@@ -232,8 +248,8 @@
         self.proofs: dict[str, list[Proof]] = collections.defaultdict(list)
         self.added: list[ChangeResult] = []
         self.shares: list[ShareResult] = []
-        self.busy: list[tuple[float, float]] = []
-        self.busy_means: list[float] = []
+        self.engines: list[EnginesSample] = []
+        self.uses: list[str] = []
 
     def _report(self, at: float, rule: str, detail: str) -> None:
         self.violations.append(Violation(at, rule, detail))
@@ -758,14 +774,9 @@
         if descriptors > MAX_DESCRIPTORS:
             self._report(at, "descriptors", f"{node} has {descriptors}")
 
-    def engines_sampled(self, at: float, busy: float) -> None:
-        """The engines' slots were counted.
-
-        Args:
-            at: When they were counted.
-            busy: Part of all slots that ran a turn of a program.
-        """
-        self.busy.append((at, busy))
+    def engines_sampled(self, sample: EnginesSample) -> None:
+        """The engines' slots were counted."""
+        self.engines.append(sample)
 
     def check_idle_capacity(self, now: float, since: float) -> None:
         """No turn is refused for load while engines are idle.
@@ -775,13 +786,9 @@
             since: Time since which there were no faults, nor turns left over
                 from them.
         """
-        samples = [busy for at, busy in self.busy if at >= since]
+        samples = [sample for sample in self.engines if sample.at >= since]
         if not samples:
             return
-        mean = sum(samples) / len(samples)
-        self.busy_means.append(round(mean, 3))
-        if mean > IDLE_FRACTION:
-            return
         refused = [
             name
             for name, end in self.ends.items()
@@ -789,13 +796,18 @@
             and self.requests[name].sent_at >= since
             and end.status in (429, 503)
         ]
+        mean = sum(sample.turns for sample in samples) / len(samples)
+        use = _text_of(samples, [self.ends[name].error for name in refused])
+        self.uses.append(use)
+        if mean > IDLE_FRACTION:
+            return
         if len(refused) >= MIN_RESULTS:
             self._report(
                 now,
                 "idle_capacity",
                 f"{len(refused)} turns were refused while "
                 f"{mean:.0%} of the engines' slots were in use, such "
-                f"as {refused[-1]}: {self.ends[refused[-1]].error}",
+                f"as {refused[-1]}: {self.ends[refused[-1]].error}; {use}",
             )
 
     def check_starvation(self, now: float, since: float) -> None:
@@ -818,3 +830,19 @@
                 )
         if not any(any(results) for results in served.values()):
             self._report(now, "starved", "nobody was served without faults")
+
+
+def _text_of(samples: list[EnginesSample], refusals: list[str]) -> str:
+    """Returns the mean use of the slots, and the refusals by their kind."""
+    count = len(samples)
+    turns = sum(sample.turns for sample in samples) / count
+    taken = sum(sample.taken for sample in samples) / count
+    full = sum(sample.taken >= 1.0 for sample in samples) / count
+    waiting = sum(sample.waiting for sample in samples) / count
+    kinds = collections.Counter(text.partition(":")[0] for text in refusals)
+    found = ", ".join(f"{kind} {n}" for kind, n in kinds.most_common())
+    return (
+        f"turns ran in {turns:.0%} of the slots, any request in {taken:.0%}, "
+        f"all slots were taken for {full:.0%} of the time, and {waiting:.1f} "
+        f"requests waited at engines; refused: {found or 'none'}"
+    )
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -46,7 +46,8 @@
     lines.append(
         "  memory in MB: " + ", ".join(f"{n} {mb:.0f}" for n, mb in peaks)
     )
-    lines.append(f"  engines in use when observed: {checks.busy_means}")
+    lines.append("  engines in use when observed:")
+    lines.extend(f"    {use}" for use in checks.uses)
     for violation in checks.violations[:_MAX_SHOWN]:
         lines.append(
             f"VIOLATION {violation.rule} after {violation.at - start:.1f} s: "
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -312,8 +312,14 @@
             due = time.monotonic() + _ENGINES_SECONDS
             await asyncio.sleep(_ENGINES_SECONDS)
             self.lags.append(time.monotonic() - due)
-            busy = [engine.busy_fraction() for engine in engines]
-            self.checks.engines_sampled(time.monotonic(), sum(busy) / len(busy))
+            self.checks.engines_sampled(
+                checks_module.EnginesSample(
+                    time.monotonic(),
+                    _mean([engine.busy_fraction() for engine in engines]),
+                    _mean([engine.taken_fraction() for engine in engines]),
+                    sum(engine.waiting() for engine in engines),
+                )
+            )
 
     async def _watch_processes(self) -> None:
         while True:
@@ -329,6 +335,10 @@
                     self.checks.used(now, node.name, *usage)
 
 
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values)
+
+
 def _client(host: str) -> hosted_processes.Caller:
     """Returns a client of a control instance."""
     address = f"{host}:{hosted_processes.CONTROL_PORT}"
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -497,6 +497,14 @@
         """Returns the part of the slots that run a turn of a program."""
         return self.turns / _SLOTS
 
+    def taken_fraction(self) -> float:
+        """Returns the part of the slots that run any request."""
+        return min(self.running, _SLOTS) / _SLOTS
+
+    def waiting(self) -> int:
+        """Returns the requests beyond the slots."""
+        return max(0, self.running - _SLOTS)
+
     def slow_down(self) -> None:
         """Makes all later events slower."""
         self.slowness = _SLOW_FACTOR
