--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -71,6 +71,13 @@
 # response: two to three seconds, more than the entry then has left.
 _LATE_END_SECONDS = (5.0, 6.5)
 _LATE_EVENTS = 250
+# Pause before each event of a turn that may be moved, and how many there are:
+# two to three seconds, less than its deadline.
+_MOVED_PAUSE_MS = 35
+_MOVED_EVENTS = (55, 80)
+# Turns of a program after which its streams have backups, and those after them.
+_TURNS_BEFORE_BACKUPS = 3
+_TURNS_WITH_BACKUPS = 2
 # Token budgets of programs; the small one ends within a few turns.
 _BUDGETS = (40, 10_000)
 
@@ -127,6 +134,13 @@
     name: str = ""
 
 
+class Turn(NamedTuple):
+    """A turn of a program; see `Sending`."""
+
+    events: int
+    pause_ms: int = 0
+
+
 class Result(NamedTuple):
     """A request's id, the end that its caller saw, and its response.
 
@@ -314,29 +328,48 @@
 
     async def run_program(self, customer: str) -> None:
         """Runs a program: turns, with tool calls between them."""
+        turns = [
+            Turn(self.generator.randint(4, 16))
+            for _ in range(self.generator.randint(2, 5))
+        ]
+        budget = self.generator.choice(_BUDGETS)
+        await self._run_turns("turn", customer, budget, turns)
+
+    async def run_long_program(self, customer: str) -> None:
+        """Runs a program whose last turns last long and have backups."""
+        turns = [Turn(4)] * _TURNS_BEFORE_BACKUPS
+        turns += [
+            Turn(self.generator.randint(*_MOVED_EVENTS), _MOVED_PAUSE_MS)
+            for _ in range(_TURNS_WITH_BACKUPS)
+        ]
+        await self._run_turns("long_turn", customer, max(_BUDGETS), turns)
+
+    async def _run_turns(
+        self, kind: str, customer: str, budget: int, turns: list[Turn]
+    ) -> None:
+        """Runs the turns of a program in order."""
         program = f"program-{next(self.numbers)}"
         key = operators.key_of(customer)
-        budget = self.generator.choice(_BUDGETS)
         self.checks.budgets[program] = budget
         chain = b""
         previous = ""
-        for number in range(self.generator.randint(2, 5)):
+        for number, turn in enumerate(turns):
             # The text names program and turn, so that the input of the next
             # turn shows which turns an upstream got.
             text = f"<{program}.{number}>".encode()
-            events = self.generator.randint(4, 16)
             result = await self.retry(
                 Sending(
-                    "turn",
+                    kind,
                     customer,
                     key,
                     1,
                     program=program,
                     previous=previous,
                     budget=budget,
-                    events=events,
+                    events=turn.events,
                     body=text,
                     expected=chain + text,
+                    pause_ms=turn.pause_ms,
                 )
             )
             if result.end.status == 404 and previous:
@@ -348,8 +381,8 @@
             output = "".join(f"{e.data}\n" for e in result.outcome.events)
             chain += text + output.encode()
             previous = result.request
-            for kind in self.generator.choices(("tool", "safe"), k=2):
-                await self.call(kind, customer, key, program)
+            for tool in self.generator.choices(("tool", "safe"), k=2):
+                await self.call(tool, customer, key, program)
                 await asyncio.sleep(self.generator.uniform(0.0, 0.05))
 
     async def call(
@@ -629,10 +662,13 @@
     error = ""
     intact = True
     missing = 0
+    makers: list[int] = []
     if outcome.status == 200 and sending.events:
         filler = upstreams.filler_of(sending.large)
         for event in outcome.events:
             found = upstreams.parse_event(event.data)
+            if found.run and makers[-1:] != [found.run]:
+                makers.append(found.run)
             expected = found._replace(
                 request=name, number=event.number, filler=filler
             )
@@ -655,6 +691,7 @@
         missing,
         outcome.rest,
         outcome.crossed,
+        tuple(makers),
     )
 
 
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -40,7 +40,7 @@
 REFUSALS = frozenset({400, 401, 402, 404, 413, 429, 503})
 # Kinds of requests that every customer must get served. The others are probes,
 # which may be refused rightly.
-SERVED_KINDS = frozenset({"tool", "safe", "turn", "resume"})
+SERVED_KINDS = frozenset({"tool", "safe", "turn", "long_turn", "resume"})
 # Crashes of upstreams under a request after which entries that are connected
 # to control must know of it within `RECOVERY_SECONDS`, and the runs that may
 # follow that.
@@ -63,8 +63,8 @@
 
     Attributes:
         request: Its id, which no other request has.
-        kind: `tool`, `safe`, `turn`, `resume`, `long`, `revision`, `key`,
-            `change` or `late`.
+        kind: `tool`, `safe`, `turn`, `long_turn`, `resume`, `long`,
+            `revision`, `key`, `change` or `late`.
         customer: The customer whose key it shows.
         entry: Name of the entry.
         sent_at: When its connection was opened.
@@ -105,6 +105,8 @@
         crossed: Whether a connection that had carried other requests was
             closed without a byte of response, so that the request may have
             crossed its end.
+        makers: Numbers of the runs that made the events, in order, once each
+            in a row; empty if their upstreams state none.
     """
 
     at: float
@@ -118,6 +120,7 @@
     missing: int = 0
     rest: int = 0
     crossed: bool = False
+    makers: tuple[int, ...] = ()
 
 
 class Run(NamedTuple):
@@ -344,6 +347,13 @@
         expected = list(range(request.after + 1, last + 1))
         if end.numbers != expected:
             self._report(end.at, "events", f"{request.request}: {end.numbers}")
+        is_back = len(set(end.makers)) < len(end.makers)
+        if is_back or len(end.makers) > request.max_runs:
+            self._report(
+                end.at,
+                "joined_runs",
+                f"{request.request} has events of the runs {end.makers}",
+            )
         if end.whole and last != request.events:
             self._report(
                 end.at,
--- a/testing/soak/cut_routed_heads.py
+++ b/testing/soak/cut_routed_heads.py
@@ -29,7 +29,7 @@
 from testing.soak import head_cutter
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import recorders
 from testing.soak import upstreams
 
 _READY_SECONDS = 20.0
@@ -216,7 +216,7 @@
         node = self.fleet.controls[0]
         address = f"{node.ip}:{hosted_processes.CONTROL_PORT}"
         controls = [hosted_processes.Caller(address, "control", 1.0)]
-        recorder = run_module.Recorder(checks)
+        recorder = recorders.Recorder(checks)
         self.cuts = Cuts()
         self.upstreams = [
             Upstream(f"{service}-{number}", service, recorder, controls)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -15,6 +15,8 @@
 from testing.soak import callers as callers_module
 from testing.soak import checks as checks_module
 from testing.soak import cuts
+from testing.soak import move_faults as move_faults_module
+from testing.soak import operators
 from testing.soak import processes
 from testing.soak import schedule
 from testing.soak import stops
@@ -84,6 +86,10 @@
 _ROLLOUT_SECONDS = 0.5
 # Pause before the next one.
 _ROLLOUT_PAUSES = {"series": 0.2, "overlap": 0.3, "in_place": 0.1}
+# Time for which an engine that gives its streams away drains or is slow, and
+# the pause before the next one.
+_GIVING_SECONDS = 1.5
+_MOVES_PAUSE_SECONDS = 0.4
 # Invalid registrations, as changes of a valid one.
 _INVALID_CHANGES: tuple[dict[str, Any], ...] = (
     {"address": 5},
@@ -117,6 +123,7 @@
         callers: callers_module.Callers,
         checks: checks_module.Checks,
         log: Callable[[str], None],
+        move_faults: move_faults_module.MoveFaults,
         on_replaced: Callable[[str, str], None],
     ) -> None:
         self.fleet = fleet
@@ -124,6 +131,7 @@
         self.callers = callers
         self.checks = checks
         self.log = log
+        self.move_faults = move_faults
         self.stops = stops.Stops(
             fleet,
             checks,
@@ -197,6 +205,8 @@
                 await self._crashing(fault)
             case "rollout":
                 await self._roll_out(fault)
+            case "moves":
+                await self._move(fault)
             case "front":
                 entries = self.fleet.entries
                 node = entries[fault.number % len(entries)]
@@ -426,8 +436,13 @@
                     upstream.link.restore()
 
     async def _roll_out(self, fault: schedule.Fault) -> None:
-        """Replaces all model engines but one by such of another version."""
-        engines = [one for one in self.upstreams if one.service == "lm"]
+        """Replaces all engines of a service but one by another version."""
+        async with asyncio.TaskGroup() as group:
+            for service in ("lm", operators.LONG_SERVICE):
+                group.create_task(self._roll_out_at(service, fault))
+
+    async def _roll_out_at(self, service: str, fault: schedule.Fault) -> None:
+        engines = [one for one in self.upstreams if one.service == service]
         version = f"v{fault.number}"
         pause = _ROLLOUT_PAUSES[fault.kind]
         async with asyncio.TaskGroup() as group:
@@ -451,6 +466,58 @@
             upstream.version = version
             await upstream.restart()
 
+    async def _move(self, fault: schedule.Fault) -> None:
+        """Has one engine after the other give its streams away."""
+        until = time.monotonic() + fault.seconds
+        service = operators.LONG_SERVICE
+        engines = [one for one in self.upstreams if one.service == service]
+        number = fault.number
+        self.log(f"begins: moves, {fault.kind}")
+        self.move_faults.is_on = True
+        while time.monotonic() < until:
+            number += 1
+            engine = engines[number % len(engines)]
+            is_free = not self._is_under_fault(engine.name)
+            for other in engines:
+                other.has_room = fault.kind != "full" or other is engine
+            if is_free and fault.kind == "slow":
+                engine.slow_down()
+                await asyncio.sleep(_GIVING_SECONDS)
+                engine.recover()
+            elif is_free:
+                await self._leave(engine, fault.kind == "scale_in")
+            await asyncio.sleep(_MOVES_PAUSE_SECONDS)
+        for engine in engines:
+            engine.has_room = True
+        await self.move_faults.finish()
+        self.log(f"ends: moves, {fault.kind}")
+
+    def _is_under_fault(self, name: str) -> bool:
+        now = time.monotonic()
+        return any(
+            fault.node == name and fault.end > now
+            for fault in self.checks.disturbances
+        )
+
+    async def _leave(
+        self, upstream: upstreams.Upstream, is_scale_in: bool
+    ) -> None:
+        """Drains an upstream, which then ends as planned, or stays."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(upstream.drain(), _GIVING_SECONDS)
+        await asyncio.sleep(_GIVING_SECONDS)
+        while self._is_under_fault(upstream.name):
+            await asyncio.sleep(_MOVES_PAUSE_SECONDS)
+        if not is_scale_in:
+            upstream.stay()
+            return
+        with self._disturbance(upstream.name, f"scale-in of {upstream.name}"):
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(upstream.deregister(), _GIVING_SECONDS)
+            upstream.crash(quietly=True)
+            await asyncio.sleep(_MOVES_PAUSE_SECONDS)
+            await upstream.restart()
+
     async def _drain(
         self, upstream: upstreams.Upstream, seconds: float
     ) -> None:
--- a/testing/soak/launch.py
+++ b/testing/soak/launch.py
@@ -127,7 +127,7 @@
         _move_often()
     fault = os.environ.get("SOAK_FAULT", "")
     if fault:
-        reintroduced.all_faults()[fault].install()
+        reintroduced.FAULTS[fault].install()
     hosted.main()
 
 
--- a/testing/soak/lost_entries.py
+++ b/testing/soak/lost_entries.py
@@ -26,7 +26,7 @@
 from testing.soak import event_loop
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import recorders
 from testing.soak import upstreams
 
 STREAMS = 24
@@ -117,7 +117,7 @@
             )
             for node in self.fleet.controls
         ]
-        recorder = run_module.Recorder(self.checks)
+        recorder = recorders.Recorder(self.checks)
         self.upstreams = [
             upstreams.Upstream(f"lm-{number}", "lm", recorder, clients)
             for number in range(1, len(_VERSIONS) + 1)
--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -11,17 +11,13 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Coroutine
-from collections.abc import Iterator
 import contextlib
 import itertools
 import json
 import pathlib
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -31,11 +27,11 @@
 from testing.soak import callers as callers_module
 from testing.soak import checks as checks_module
 from testing.soak import event_loop
-from testing.soak import moving_checks
+from testing.soak import move_faults
 from testing.soak import moving_upstreams
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import recorders
 from testing.soak import upstreams
 
 SECONDS = 14.0
@@ -49,86 +45,20 @@
 _EVENTS = (50, 100)
 _PAUSE_MS = 40
 _TAKE_UPS = 3
-# Chance of a fault at each point of a move, and the faults at one time.
-_FAULT_PARTS = {"copy": 0.15, "last": 0.3, "stopped": 0.3, "continuing": 0.3}
-_MAX_FAULTS = 2
-_FAULT_SECONDS = (0.2, 2.5)
+_SLOTS = 8
 # Time for which an upstream that drains goes on.
 _DRAIN_SECONDS = (1.5, 3.0)
 _TIMEOUT_MS = 10_000
 _LAG_SECONDS = 0.05
 _LATE_SECONDS = 0.1
-# In the log of an entry, for a call that it has given up.
-_NO_ANSWER = "no answer in time"
-_ENGINE = {
-    "slots": moving_upstreams.SLOTS,
-    "kvCapacityTokens": 100_000,
-    "kvTokenBytes": 60_000,
-    "linkMbps": 400,
-    "moves": True,
-    "backups": True,
-    "handle_s": moving_upstreams.HANDLE_SECONDS,
-}
-
-
-class Recorder(run_module.Recorder):
-    """Implements `moving_upstreams.Observer`."""
-
-    def __init__(
-        self,
-        checks: checks_module.Checks,
-        on_point: Callable[[str, Any, Any], Awaitable[None]],
-    ) -> None:
-        super().__init__(checks)
-        self.observed = moving_checks.Observed(checks)
-        self.on_point = on_point
-
-    def generated(
-        self, run: moving_upstreams.Run, upstream: str, number: int
-    ) -> None:
-        """Records an event."""
-        del number
-        self.observed.generated(time.monotonic(), run, upstream)
-
-    def worked(self, run: moving_upstreams.Run, upstream: str) -> None:
-        """Records the end of work on a run."""
-        del upstream
-        self.observed.worked(time.monotonic(), run)
-
-    def used_again(self, copy: moving_upstreams.Copy) -> None:
-        """Records a second use of a handle."""
-        self.observed.violation(
-            time.monotonic(), "used_again", f"{copy.handle} {copy.run.request}"
-        )
-
-    def used_by_another(
-        self, copy: moving_upstreams.Copy, request: str
-    ) -> None:
-        """Records the use of another request's memory."""
-        self.observed.violation(
-            time.monotonic(),
-            "memory_of_another",
-            f"{request} names {copy.handle} of {copy.run.request}",
-        )
-
-    async def reached(
-        self,
-        point: str,
-        copy: moving_upstreams.Copy | None,
-        run: moving_upstreams.Run,
-    ) -> None:
-        """Lets the scenario disturb a move."""
-        await self.on_point(point, copy, run)
+_ENGINE = {**moving_upstreams.ENGINE, "slots": _SLOTS}
 
 
 class Scenario:
     """The processes, upstreams and callers of one run.
 
     Attributes:
-        points: Number of moves that reached each point.
-        faults: Number of faults by kind and point.
         streams: Number of streams by kind and end.
-        disturbed: Names of the nodes that are under a fault.
         until: End of the load.
     """
 
@@ -146,12 +76,19 @@
             )
             for node in self.fleet.controls
         ]
-        self.recorder = Recorder(self.checks, self._reached)
+        self.faults = move_faults.MoveFaults(
+            seed, self.fleet, self.checks, self._log
+        )
+        self.recorder = recorders.MovingRecorder(
+            self.checks, self.faults.reached
+        )
         self.network = moving_upstreams.Network(self.recorder)
         self.upstreams = [
             moving_upstreams.Upstream(f"lm-{number}", self.network, clients)
             for number in range(1, _UPSTREAMS + 1)
         ]
+        for upstream in self.upstreams:
+            upstream.slots = _SLOTS
         self.recorder.upstreams = {one.name: one for one in self.upstreams}
         self.operator = operators.Operator(clients, self.checks, self.generator)
         self.operator.engine = _ENGINE
@@ -162,10 +99,7 @@
         self.callers = callers_module.Callers(
             self.balancer, self.checks, self.operator, self.generator
         )
-        self.points: collections.Counter[str] = collections.Counter()
-        self.faults: collections.Counter[str] = collections.Counter()
         self.streams: collections.Counter[str] = collections.Counter()
-        self.disturbed: set[str] = set()
         self.until = 0.0
         self.tasks: list[asyncio.Task] = []
 
@@ -191,34 +125,25 @@
             )
             # Until then each copy that nobody uses has expired.
             await asyncio.sleep(1.5 * moving_upstreams.HANDLE_SECONDS)
-            for task in self.tasks:
+            for task in (*self.tasks, *self.faults.tasks):
                 if task.done():
                     task.result()
             now = time.monotonic()
-            self.recorder.observed.unanswered = {
-                fields["request"]
-                for fields in self.continued()
-                if fields["detail"] == _NO_ANSWER
-            }
-            self.recorder.observed.check(now, self.network.copies)
+            observed = self.recorder.observed
+            observed.read_logs(self.fleet.logged("stream_continued"))
+            observed.interruptions = self.fleet.interruptions()
+            observed.check(now, self.network.copies)
+            observed.check_kept(now, self.network.copies)
         finally:
-            for task in self.tasks:
+            tasks = (*self.tasks, *self.faults.tasks)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             self.callers.connections.close()
             for upstream in self.upstreams:
                 upstream.crash()
             await self.fleet.stop()
 
-    def continued(self) -> list[dict[str, Any]]:
-        """Returns what the entries logged of streams that continued."""
-        return [
-            processes.fields_of(line)
-            for node in self.fleet.entries
-            for line in node.log_path.read_text().splitlines()
-            if '"stream_continued"' in line
-        ]
-
     def _log(self, text: str) -> None:
         with (self.fleet.folder / "moving.log").open("a") as file:
             file.write(f"{time.time():.3f} {time.monotonic():.3f} {text}\n")
@@ -244,8 +169,8 @@
             await asyncio.sleep(_LAG_SECONDS)
             now = time.monotonic()
             if now > due + _LATE_SECONDS:
-                self.checks.disturbances.append(
-                    checks_module.Disturbance("load", due, now)
+                self.recorder.observed.lags.append(
+                    checks_module.Disturbance("", due, now)
                 )
 
     # --- Callers --------------------------------------------------------------
@@ -317,20 +242,12 @@
         return result
 
     def _read(self, first: str, result: callers_module.Result) -> None:
-        """Checks versions and runs of the events that a caller has."""
-        found = [
-            upstreams.parse_event(event.data).version.partition("~")
+        """Checks the versions of the events that a caller has."""
+        versions = [
+            upstreams.parse_event(event.data).version
             for event in result.outcome.events
         ]
-        versions = [version for version, _, _ in found]
         self.checks.stream_read(time.monotonic(), first, versions, "", "")
-        serials = {serial for _, _, serial in found}
-        if result.request.startswith("turn") and len(serials) > 1:
-            self.recorder.observed.violation(
-                time.monotonic(),
-                "joined_runs",
-                f"{result.request} has events of the runs {sorted(serials)}",
-            )
 
     # --- Faults ---------------------------------------------------------------
 
@@ -342,12 +259,12 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(upstream.drain(), 2.0)
             await asyncio.sleep(self.generator.uniform(*_DRAIN_SECONDS))
-            while upstream.name in self.disturbed:
+            while upstream.name in self.faults.disturbed:
                 await asyncio.sleep(0.05)
             if self.generator.random() < 0.5:
-                upstream.state, upstream.draining_since = "ready", 0.0
+                upstream.stay()
                 continue
-            with self._disturbance(upstream.name):
+            with self.faults.disturbance(upstream.name):
                 upstream.crash(quietly=self.generator.random() < 0.5)
                 if self.generator.random() < 0.3:
                     upstream.version = self.generator.choice(("v1", "v2"))
@@ -361,133 +278,21 @@
             await asyncio.sleep(self.generator.uniform(1.0, 2.5))
             upstream.recover()
 
-    async def _reached(
-        self,
-        point: str,
-        copy: moving_upstreams.Copy | None,
-        run: moving_upstreams.Run,
-    ) -> None:
-        """Disturbs some of the moves at a point."""
-        self.points[point] += 1
-        generator = random.Random(f"{self.seed} {point} {run.request}")
-        if generator.random() > _FAULT_PARTS[point]:
-            return
-        if len(self.disturbed) >= _MAX_FAULTS:
-            return
-        victim = generator.choice(("source", "destination", "entry"))
-        kind = generator.choice(("kill", "freeze", "cut"))
-        upstream = copy.source if copy is not None else None
-        if victim == "destination" and copy is not None:
-            upstream = copy.destination or copy.source
-        seconds = generator.uniform(*_FAULT_SECONDS)
-        request = self.checks.requests.get(run.request)
-        node = upstream
-        if victim == "entry" and request is not None:
-            node = self.fleet.nodes[request.entry]
-        if node is None or node.name in self.disturbed:
-            return
-        self.faults[f"{kind} {victim} at {point}"] += 1
-        self._log(f"{point} of {run.request}: {kind} {node.name} {seconds:.3f}")
-        self._spawn(self._disturb(node, kind, seconds, generator))
-        # The task has begun when the move goes on.
-        await asyncio.sleep(0)
-
-    async def _disturb(
-        self,
-        node: processes.Node | moving_upstreams.Upstream,
-        kind: str,
-        seconds: float,
-        generator: random.Random,
-    ) -> None:
-        with self._disturbance(node.name):
-            if isinstance(node, processes.Node):
-                await self._disturb_entry(node, kind, seconds)
-            else:
-                await self._disturb_upstream(node, kind, seconds, generator)
-
-    async def _disturb_entry(
-        self, node: processes.Node, kind: str, seconds: float
-    ) -> None:
-        match kind:
-            case "kill":
-                node.kill()
-                node.start()
-                address = f"{node.ip}:{hosted_processes.READY_PORT}"
-                probe = hosted_processes.Caller(address, "ready", 0.5)
-                while (await probe.ask("GET", "/", {})).status != 200:
-                    await asyncio.sleep(0.1)
-            case "freeze":
-                node.signal(signal.SIGSTOP)
-                await asyncio.sleep(seconds)
-                node.signal(signal.SIGCONT)
-            case "cut":
-                node.apply("silent")
-                await asyncio.sleep(seconds)
-                node.restore()
-
-    async def _disturb_upstream(
-        self,
-        upstream: moving_upstreams.Upstream,
-        kind: str,
-        seconds: float,
-        generator: random.Random,
-    ) -> None:
-        match kind:
-            case "kill":
-                upstream.crash(quietly=generator.random() < 0.5)
-                await asyncio.sleep(seconds / 2)
-                await upstream.restart()
-            case "freeze":
-                upstream.stand_still()
-                await asyncio.sleep(seconds)
-                upstream.go_on()
-            case "cut":
-                ways = ("silent", "cut_in", "cut_out", "reset", "isolated")
-                way = generator.choice(ways)
-                self._log(f"{upstream.name}: {way}")
-                upstream.is_isolated = way == "isolated"
-                upstream.link.apply(way)
-                await asyncio.sleep(seconds)
-                upstream.is_isolated = False
-                upstream.link.restore()
-
-    @contextlib.contextmanager
-    def _disturbance(self, name: str) -> Iterator[None]:
-        """Records a fault of a node."""
-        self.disturbed.add(name)
-        self._log(f"{name} is disturbed")
-        began = time.monotonic()
-        index = len(self.checks.disturbances)
-        self.checks.disturbances.append(
-            checks_module.Disturbance(name, began, float("inf"))
-        )
-        try:
-            yield
-        finally:
-            self.disturbed.discard(name)
-            self._log(f"{name} is well")
-            self.checks.disturbances[index] = checks_module.Disturbance(
-                name, began, time.monotonic()
-            )
-
 
 def report(scenario: Scenario) -> dict[str, Any]:
     """Returns what came of the streams, and what was violated."""
-    continued = collections.Counter(
-        f"{fields['reason']} {fields['result']}"
-        for fields in scenario.continued()
-    )
+    observed = scenario.recorder.observed
     copies = scenario.network.copies
     ends = collections.Counter(copy.end for copy in copies)
     return {
         "seed": scenario.seed,
         "streams": dict(sorted(scenario.streams.items())),
-        "continued": dict(sorted(continued.items())),
+        "continued": dict(sorted(observed.continued.items())),
         "copies": dict(sorted(ends.items())),
-        "handovers": scenario.recorder.observed.handovers,
-        "points": dict(sorted(scenario.points.items())),
-        "faults": sum(scenario.faults.values()),
-        "late": sum(one.node == "load" for one in scenario.checks.disturbances),
+        "handovers": observed.handovers,
+        "points": dict(sorted(scenario.faults.points.items())),
+        "faults": scenario.faults.applied.total(),
+        "late": len(observed.lags),
         "violations": [str(one) for one in scenario.checks.violations],
     }
 
--- a/testing/soak/moving_checks.py
+++ b/testing/soak/moving_checks.py
@@ -5,12 +5,15 @@
 """
 
 import collections
+from typing import Any
 
 from testing.soak import checks as checks_module
 from testing.soak import moving_upstreams
 
 # Time for which a run may still work at its upstream after another works on it.
 OVERLAP_SECONDS = 0.4
+# In the log of an entry, for a call that it has given up.
+_NO_ANSWER = "no answer in time"
 
 
 class Segment:
@@ -40,6 +43,9 @@
         unanswered: Requests whose entries gave up a call for a copy: the
             answer came while the process had no processor, so that the handle
             isn't known there.
+        continued: Number of streams that continued, by reason and result.
+        lags: Times in which the stand-ins had no processor.
+        interruptions: Times in which entries had none, or did not run.
     """
 
     def __init__(self, checks: checks_module.Checks) -> None:
@@ -47,6 +53,9 @@
         self.segments: dict[str, list[Segment]] = collections.defaultdict(list)
         self.handovers = 0
         self.unanswered: set[str] = set()
+        self.continued: collections.Counter[str] = collections.Counter()
+        self.lags: list[checks_module.Disturbance] = []
+        self.interruptions: list[checks_module.Disturbance] = []
 
     def generated(
         self, now: float, run: moving_upstreams.Run, upstream: str
@@ -68,13 +77,28 @@
             checks_module.Violation(now, rule, detail)
         )
 
+    def read_logs(self, lines: list[dict[str, Any]]) -> None:
+        """Takes what entries logged of streams that continued."""
+        for fields in lines:
+            self.continued[f"{fields['reason']} {fields['result']}"] += 1
+            if fields["detail"] == _NO_ANSWER:
+                self.unanswered.add(fields["request"])
+
     def check(self, now: float, copies: list[moving_upstreams.Copy]) -> None:
         """Checks what can be known only at the end."""
         for request in self.segments:
             self._check_overlap(now, request)
             self._check_runs(now, request)
         for copy in copies:
-            self._check_copy(now, copy)
+            self._check_copy(copy)
+
+    def check_kept(
+        self, now: float, copies: list[moving_upstreams.Copy]
+    ) -> None:
+        """No copy is kept when all streams have ended for long."""
+        for copy in copies:
+            if copy.is_kept():
+                self.violation(now, "kept_copy", f"{copy.handle} is kept")
 
     def _check_overlap(self, now: float, request: str) -> None:
         """An upstream stops to work when another one works on its run.
@@ -88,7 +112,7 @@
             for earlier in segments[:index]:
                 self.handovers += 1
                 ended = earlier.ended or now
-                nodes = {self._entry(request), earlier.upstream, "load"}
+                nodes = {self._entry(request), earlier.upstream}
                 free_at = self._reachable(nodes, later.began)
                 if ended > free_at + OVERLAP_SECONDS:
                     self.violation(
@@ -106,21 +130,19 @@
         if sent is not None and len(serials) > sent.max_runs:
             self.violation(now, "second_run", f"{request}: runs {serials}")
 
-    def _check_copy(self, now: float, copy: moving_upstreams.Copy) -> None:
-        """A copy whose handle is known to its entry is used or freed."""
-        if copy.is_kept():
-            self.violation(now, "kept_copy", f"{copy.handle} is kept")
+    def _check_copy(self, copy: moving_upstreams.Copy) -> None:
+        """A copy whose handle is known to its entry is used or freed.
+
+        It can be freed only at its source.
+        """
         request = copy.run.request
-        nodes = {self._entry(request), copy.source.name, "load"}
         is_disturbed = any(
-            fault.node in nodes
-            and fault.start <= copy.expires_at
-            and fault.end >= copy.told_at
-            for fault in self.checks.disturbances
+            fault.start <= copy.expires_at and fault.end >= copy.told_at
+            for fault in self._faults({self._entry(request), copy.source.name})
         )
-        if request in self.unanswered or is_disturbed:
+        if request in self.unanswered or is_disturbed or copy.is_source_lost:
             return
-        if copy.end == "expired" and copy.told_at:
+        if not copy.is_kept() and copy.end == "expired" and copy.told_at:
             self.violation(
                 copy.expires_at,
                 "expired_copy",
@@ -132,11 +154,15 @@
         sent = self.checks.requests.get(request)
         return sent.entry if sent is not None else ""
 
+    def _faults(self, nodes: set[str]) -> list[checks_module.Disturbance]:
+        """Returns the faults of some nodes and the lags, by their start."""
+        known = (*self.checks.disturbances, *self.interruptions)
+        faults = [one for one in known if one.node in nodes]
+        return sorted((*faults, *self.lags), key=lambda one: one.start)
+
     def _reachable(self, nodes: set[str], since: float) -> float:
         """Returns from when on all nodes were without a fault for some time."""
-        faults = sorted(self.checks.disturbances, key=lambda one: one.start)
-        for fault in faults:
-            is_near = fault.start <= since + OVERLAP_SECONDS
-            if fault.node in nodes and is_near and fault.end >= since:
+        for fault in self._faults(nodes):
+            if fault.start <= since + OVERLAP_SECONDS and fault.end >= since:
                 since = fault.end
         return since
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -21,6 +21,15 @@
 # expires when that time is well exceeded.
 HANDLE_SECONDS = 2.0
 _WELL_EXCEEDED = 1.25
+# What the platform's configuration says of such engines.
+ENGINE = {
+    "kvCapacityTokens": 100_000,
+    "kvTokenBytes": 60_000,
+    "linkMbps": 400,
+    "moves": True,
+    "backups": True,
+    "handle_s": HANDLE_SECONDS,
+}
 # Seconds that a copy takes: most are fast, some exceed what entries allow.
 _COPY_SECONDS = (0.01, 0.15)
 _SLOW_COPY_SECONDS = (0.3, 0.9)
@@ -31,7 +40,6 @@
 _BACKUP_SECONDS = 0.15
 # Steps in which a run looks whether it was stopped.
 _STEP_SECONDS = 0.02
-SLOTS = 8
 _FRAMINGS = (
     upstreams.LENGTH,
     upstreams.CHUNKS,
@@ -61,8 +69,7 @@
     """A run of a request; it goes on where its memory is copied to.
 
     Attributes:
-        serial: Number that no other run has; its events state it behind the
-            version, as `v1~7`.
+        serial: Number that no other run has; its events state it.
         body: Body of the request.
         made: Number of the last event that was generated.
         upstream: Upstream that runs it.
@@ -167,12 +174,16 @@
     """Upstreams that reach each other.
 
     Attributes:
+        breaks: Whether upstreams break off answers and disorder events, as
+            those without moves do; otherwise half of their answers have no
+            mark of their end, so that a stop looks like it.
         upstreams: The upstreams by address.
         copies: All copies that were made, in order.
     """
 
-    def __init__(self, observer: Observer) -> None:
+    def __init__(self, observer: Observer, breaks: bool = False) -> None:
         self.observer = observer
+        self.breaks = breaks
         self.upstreams: dict[str, Upstream] = {}
         self.copies: list[Copy] = []
         self.numbers = itertools.count(1)
@@ -195,6 +206,7 @@
         backups: Copies of other upstreams' runs, by request.
         awake: Set unless its process stands still.
         is_isolated: Whether other upstreams can't reach it.
+        has_room: Whether it takes copies of other upstreams' runs.
     """
 
     def __init__(
@@ -202,8 +214,9 @@
         name: str,
         network: Network,
         controls: list[hosted_processes.Caller],
+        service: str = "lm",
     ) -> None:
-        super().__init__(name, "lm", network.observer, controls)
+        super().__init__(name, service, network.observer, controls)
         self.network = network
         self.runs: dict[str, Run] = {}
         self.backups: dict[str, Copy] = {}
@@ -211,10 +224,17 @@
         self.awake = asyncio.Event()
         self.awake.set()
         self.is_isolated = False
+        self.has_room = True
+
+    async def register(self, fields: dict[str, Any] | None = None) -> int:
+        """Sends a registration unless the process stands still."""
+        await self.awake.wait()
+        return await super().register(fields)
 
-    def heartbeat(self) -> dict[str, Any]:
-        """Returns the next registration."""
-        return {**super().heartbeat(), "slots": SLOTS}
+    def is_full(self) -> bool:
+        """Returns whether it refuses requests."""
+        held = self.network.held_at(self)
+        return self.running + held >= upstreams.RUNNING_PER_SLOT * self.slots
 
     async def start(self) -> None:
         """Starts to listen and to register."""
@@ -231,13 +251,11 @@
 
     def stand_still(self) -> None:
         """Stops the process as SIGSTOP does."""
-        self.heartbeats = False
         self.awake.clear()
         self.link.apply("silent")
 
     def go_on(self) -> None:
         """Ends a stop of the process."""
-        self.heartbeats = True
         self.awake.set()
         self.link.restore()
 
@@ -259,7 +277,12 @@
     ) -> None:
         await self.awake.wait()
         is_expected = headers.get("x-expect-instance") == self.name
-        if not is_expected or head.startswith("GET /v1/report "):
+        is_without_moves = (
+            head.startswith("GET /v1/report ")
+            or upstreams.CRASHING in head
+            or "x-large" in headers
+        )
+        if not is_expected or is_without_moves:
             await super()._answer(head, headers, body, writer)
         elif head.startswith(_MOVE_PATH):
             await self._move(json.loads(body), writer)
@@ -268,7 +291,7 @@
             _write_answer(writer, 200, {})
         elif "kv-from" in headers:
             await self._continue(headers, body, writer)
-        elif self.running + self.network.held_at(self) >= 2 * SLOTS:
+        elif self.is_full():
             writer.write(
                 b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
@@ -284,10 +307,19 @@
         request = headers["x-request-id"]
         customer = headers.get("x-tenant", "")
         self.observer.run_began(request, self.name, customer, body)
-        base = int(headers.get("last-event-id") or 0)
+        base = int(headers.get("x-base") or 0)
+        after = int(headers.get("last-event-id") or base)
         serial = next(self.network.numbers)
-        run = Run(request, serial, body, base, self.name)
-        await self._run(run, headers, writer, "")
+        run = Run(request, serial, body, after, self.name)
+        last = base + _count_of(headers)
+        numbers = list(range(after + 1, last + 1))
+        if self.network.breaks:
+            numbers, is_asked_for = upstreams.numbers_of(
+                request, self.name, after, base, last
+            )
+            if not is_asked_for:
+                self.observer.broke_off(request)
+        await self._run(run, headers, writer, numbers)
 
     async def _continue(
         self, headers: dict, body: bytes, writer: asyncio.StreamWriter
@@ -310,13 +342,24 @@
             or copy.run.body != body
             or how == "refused"
         ):
+            self.observer.broke_off(request)
             _write_answer(writer, 503, {}, f"X-Request-Id: {request}\r\n")
             return
         copy.end = "used"
         before = copy.run
         run = Run(request, before.serial, body, before.made, self.name)
         await self.observer.reached("continuing", copy, run)
-        await self._run(run, headers, writer, how)
+        base = int(headers.get("x-base") or 0)
+        after = int(headers.get("last-event-id") or base)
+        first = after + 1
+        if how == "again":
+            first = max(base + 1, after)
+        elif how == "back":
+            first = max(base + 1, after - 2)
+        if first <= after:
+            self.observer.broke_off(request)
+        last = base + _count_of(headers)
+        await self._run(run, headers, writer, list(range(first, last + 1)))
 
     def _copy_at(self, address: str, handle: str) -> Copy | None:
         """Returns the copy that a request names, if it is here."""
@@ -327,67 +370,75 @@
                 return copy if copy.is_at(self) else None
         return None
 
+    def _form_of(self, request: str) -> upstreams.Form:
+        form = upstreams.form_of(request, self.name)
+        if self.network.breaks:
+            return form
+        framing = random.Random(f"{request} at {self.name}").choice(_FRAMINGS)
+        return form._replace(framing=framing, broken_at=1.0)
+
     async def _run(
-        self, run: Run, headers: dict, writer: asyncio.StreamWriter, how: str
+        self,
+        run: Run,
+        headers: dict,
+        writer: asyncio.StreamWriter,
+        numbers: list[int],
     ) -> None:
+        """Makes the events with some numbers, and ends the answer."""
         request = run.request
-        last = int(headers["x-token-counts"].partition(",")[2])
-        after = int(headers.get("last-event-id") or 0)
-        first = after + 1
-        if how == "again":
-            first = max(1, after)
-        elif how == "back":
-            first = max(1, after - 2)
-        pause = int(headers.get("x-pause-ms") or 10) / 1000
-        # Half of them have no mark of their end: a stop looks like it.
-        generator = random.Random(f"{request} at {self.name}")
-        framing = generator.choice(_FRAMINGS)
-        form = upstreams.form_of(request, self.name)._replace(
-            framing=framing, broken_at=1.0
-        )
+        form = self._form_of(request)
         self.runs[request] = run
-        self.running += 1
         backup = None
         if "x-kv-backup" in headers:
             backup = asyncio.create_task(
                 self._back_up(run, headers["x-kv-backup"])
             )
         try:
-            await self._work(run, writer, 0.02)
-            events = [
-                upstreams.event_bytes(
-                    upstreams.EventText(
-                        request, number, f"{self.version}~{run.serial}"
-                    ),
-                    form.line_end,
-                )
-                for number in range(first, last + 1)
-            ]
-            common = (
-                f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
-                "Content-Type: text/event-stream\r\n"
-            )
-            writer.write(upstreams.head_of(form, common, b"".join(events)))
-            for number, event in zip(
-                range(first, last + 1), events, strict=True
-            ):
-                await self._work(run, writer, pause)
-                run.made = number
-                self.observer.generated(run, self.name, number)
-                upstreams.write_part(writer, form, event)
-                await writer.drain()
-            if request in self.runs and self.runs[request] is run:
-                del self.runs[request]
-            self._drop_backup(run)
-            await self._end(request, form, False, writer)
+            with self._counted(headers):
+                is_whole = await self._make(run, headers, writer, form, numbers)
+                if self.runs.get(request) is run:
+                    del self.runs[request]
+                if is_whole:
+                    self._drop_backup(run)
+                await self._end(request, form, not is_whole, writer)
         finally:
             if backup is not None:
                 backup.cancel()
-            self.running -= 1
             self.observer.worked(run, self.name)
             if self.runs.get(request) is run:
                 del self.runs[request]
 
+    async def _make(
+        self,
+        run: Run,
+        headers: dict,
+        writer: asyncio.StreamWriter,
+        form: upstreams.Form,
+        numbers: list[int],
+    ) -> bool:
+        """Makes and sends events; returns whether it has sent all of them."""
+        pause = int(headers.get("x-pause-ms") or 10) / 1000
+        await self._work(run, writer, 0.02)
+        text = upstreams.EventText(run.request, 0, self.version, run=run.serial)
+        events = upstreams.events_of(text, numbers, form.line_end)
+        common = (
+            f"X-Request-Id: {run.request}\r\nX-Response-Signature: s\r\n"
+            "Content-Type: text/event-stream\r\n"
+        )
+        body = b"".join(events)
+        writer.write(upstreams.head_of(form, common, body))
+        size = left = form.cut(body)
+        for number, event in zip(numbers, events, strict=True):
+            if not left:
+                break
+            await self._work(run, writer, pause)
+            run.made = number
+            self.observer.generated(run, self.name, number)
+            upstreams.write_part(writer, form, event[:left])
+            left -= min(left, len(event))
+            await writer.drain()
+        return size == len(body)
+
     async def _work(
         self, run: Run, writer: asyncio.StreamWriter, seconds: float
     ) -> None:
@@ -400,13 +451,19 @@
         while True:
             await self.awake.wait()
             reader = self.readers.get(writer)
-            if run.is_stopped or reader is None or reader.at_eof():
+            is_left = reader is None or reader.at_eof() or reader.exception()
+            if run.is_stopped or is_left:
                 raise EOFError
             left = until - time.monotonic()
             if left <= 0.0:
                 return
             await asyncio.sleep(min(left, _STEP_SECONDS))
 
+    def takes_copies(self) -> bool:
+        """Returns whether other upstreams can copy memory to it."""
+        is_reached = self.server.is_serving() and not self.is_isolated
+        return is_reached and self.has_room
+
     # --- Moves ----------------------------------------------------------------
 
     async def _move(
@@ -430,13 +487,18 @@
             run.is_copying = False
         await self.awake.wait()
         if fault == "lost":
+            self.observer.broke_off(run.request)
             raise EOFError
         if fault == "late":
             await asyncio.sleep(_LATE_SECONDS)
         has_handle = copy is not None and fault != "no_handle"
+        is_late = time.monotonic() >= began + PROMPT_SECONDS
+        if fields["last"] and (is_late or not has_handle):
+            # The entry can't continue the run that has stopped.
+            self.observer.broke_off(run.request)
         answer = {"handle": copy.handle, "made": run.made} if has_handle else {}
         _write_answer(writer, status, answer)
-        if has_handle and time.monotonic() < began + PROMPT_SECONDS:
+        if has_handle and not is_late:
             copy.told_at = time.monotonic()
         if copy is not None and fields["last"]:
             await self.observer.reached("stopped", copy, run)
@@ -453,14 +515,13 @@
         is_reached = (
             fault not in ("no_room", "no_handle")
             and destination is not None
-            and destination.server.is_serving()
-            and not destination.is_isolated
+            and destination.takes_copies()
         )
         if copy is not None and copy.destination is not destination:
             copy.end, copy = "freed", None
         if is_reached and copy is None:
             taken = destination.running + self.network.held_at(destination)
-            is_reached = taken < SLOTS
+            is_reached = taken < self.slots
             if is_reached:
                 copy = self._new_copy(run, destination)
         await self.observer.reached("last" if is_last else "copy", copy, run)
@@ -508,7 +569,7 @@
         while other is not None:
             await asyncio.sleep(_BACKUP_SECONDS)
             await self.awake.wait()
-            if not other.server.is_serving() or other.is_isolated:
+            if not other.takes_copies():
                 continue
             copy = other.backups.get(run.request)
             if copy is None or copy.run is not run or not copy.is_kept():
@@ -525,6 +586,11 @@
                 copy.end = copy.end or "freed"
 
 
+def _count_of(headers: dict) -> int:
+    """Returns the number of events of the whole stream."""
+    return int(headers["x-token-counts"].partition(",")[2])
+
+
 def _write_answer(
     writer: asyncio.StreamWriter,
     status: int,
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -12,6 +12,8 @@
 from testing.soak import checks as checks_module
 from testing.soak import client
 
+# Service of streams that last for seconds, where it has engines of its own.
+LONG_SERVICE = "lm-long"
 # Requests per second and burst of each customer that is limited.
 LIMITS = {"limited": [4.0, 4.0]}
 # Rate and burst of the others, which no load reaches.
@@ -67,6 +69,7 @@
     version: int,
     engine: dict[str, Any] | None = None,
     timeout_ms: int = _TIMEOUT_MS,
+    long_engine: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """Returns a version of the configuration.
 
@@ -77,31 +80,41 @@
         version: The version.
         engine: Further fields of the model engines; None for none.
         timeout_ms: Time-out of the routes of streams.
+        long_engine: Such fields of the engines for long streams; None if the
+            model engines have these streams, too.
     """
+    engines = {"lm": engine or {}}
+    if long_engine is not None:
+        engines[LONG_SERVICE] = long_engine
     return {
         "version": number_of(version),
-        "routes": _routes(version, timeout_ms),
+        "routes": _routes(version, timeout_ms, list(engines)[-1]),
         "services": [
             *(
                 {"name": name, "maxConnections": 64}
                 for name in changes.services(version)
             ),
-            {
-                "name": "lm",
-                "maxConnections": 64,
-                "engine": {
-                    "stride": 1,
-                    "models": [{"name": "m"}],
-                    **(engine or {}),
-                },
-            },
+            *(
+                {
+                    "name": name,
+                    "maxConnections": 64,
+                    "engine": {
+                        "stride": 1,
+                        "models": [{"name": "m"}],
+                        **fields,
+                    },
+                }
+                for name, fields in engines.items()
+            ),
         ],
         "tenants": _tenants(version),
         "limits": {"maxBodyBytes": changes.content(version).body_bytes},
     }
 
 
-def _routes(version: int, timeout_ms: int) -> list[dict[str, Any]]:
+def _routes(
+    version: int, timeout_ms: int, long_service: str
+) -> list[dict[str, Any]]:
     return [
         _route(
             "turn",
@@ -119,10 +132,18 @@
             priority=1,
             timeoutMs=timeout_ms,
         ),
+        _route(
+            "long_turn",
+            "stream",
+            service=long_service,
+            retainContext=True,
+            retentionS=60.0,
+            timeoutMs=timeout_ms,
+        ),
         _route(
             "long",
             "stream",
-            service="lm",
+            service=long_service,
             resumable=True,
             priority=1,
             timeoutMs=_LONG_TIMEOUT_MS,
@@ -184,6 +205,7 @@
         pushes_fast: Whether all pauses between pushes are short.
         engine: Further fields of the model engines.
         timeout_ms: Time-out of the routes of streams.
+        long_engine: As in `configuration`.
     """
 
     def __init__(
@@ -199,6 +221,13 @@
         self.pushes_fast = False
         self.engine: dict[str, Any] = {}
         self.timeout_ms = _TIMEOUT_MS
+        self.long_engine: dict[str, Any] | None = None
+
+    def configuration(self, version: int) -> dict[str, Any]:
+        """Returns a version as this operator pushes it."""
+        return configuration(
+            version, self.engine, self.timeout_ms, self.long_engine
+        )
 
     async def push(self, step: int = 1) -> None:
         """Pushes a later version until a control acknowledges it.
@@ -207,8 +236,7 @@
             step: How much later.
         """
         version = self.version + step
-        content = configuration(version, self.engine, self.timeout_ms)
-        body = json.dumps(content).encode()
+        body = json.dumps(self.configuration(version)).encode()
         self.checks.pushed[version] = time.monotonic()
         while True:
             control = self.generator.choice(self.controls)
@@ -240,7 +268,7 @@
         """Pushes a configuration that is invalid for one random reason."""
         case = configurations.invalid_case(
             self.generator,
-            configuration(self.version + 1000),
+            self.configuration(self.version + 1000),
             *self.generator.choice(configurations.SPELLINGS),
             # Unusual spellings may be refused for themselves.
             self.generator.choice((configurations.plain, configurations.spell)),
@@ -307,7 +335,7 @@
                     continue
                 is_read = True
                 version = version_of(found["version"])
-                if found != configuration(version):
+                if found != self.configuration(version):
                     self.checks.other_content_read(now, version)
             if is_read and now > began + _READ_BACK_SECONDS:
                 return
--- a/testing/soak/out_of_step.py
+++ b/testing/soak/out_of_step.py
@@ -32,7 +32,7 @@
 from testing.soak import links
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import recorders
 from testing.soak import upstreams
 
 # `long`, whose streams take over 30 s, is not among the random ones.
@@ -233,7 +233,7 @@
             )
             for node in self.fleet.controls
         ]
-        self.recorder = run_module.Recorder(self.checks)
+        self.recorder = recorders.Recorder(self.checks)
         self.operator = operators.Operator(self.clients, self.checks, generator)
         balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
--- a/testing/soak/planned_exits.py
+++ b/testing/soak/planned_exits.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import collections
-import itertools
 import json
 import pathlib
 import random
@@ -24,7 +23,7 @@
 from testing.soak import event_loop
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import recorders
 from testing.soak import upstreams
 
 STREAMS = 8
@@ -60,11 +59,7 @@
         """Drains, deregisters and ends, as planned."""
         await self.drain()
         await asyncio.sleep(_DRAIN_SECONDS)
-        self.heartbeats = False
-        path = f"/v1/Instances.Leave/{self.name}"
-        for control in itertools.cycle(self.controls):
-            if (await control.ask("POST", path, {})).status == 200:
-                break
+        await self.deregister()
         self.crash(quietly=True)
 
 
@@ -81,7 +76,7 @@
             )
             for node in self.fleet.controls
         ]
-        self.recorder = run_module.Recorder(self.checks)
+        self.recorder = recorders.Recorder(self.checks)
         self.numbers = iter(range(1, 10_000))
         self.upstreams: list[Leaver] = []
         self.generator = generator
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 import contextlib
 import json
+import math
 import os
 import pathlib
 import random
@@ -12,10 +13,12 @@
 import socket
 import subprocess
 import sys
+import time
 from typing import Any
 from typing import NamedTuple
 
 from bench import hosted_processes
+from testing.soak import checks as checks_module
 from testing.soak import links
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -71,6 +74,8 @@
         planned: Whether it is being stopped by SIGTERM.
         starts: Number of starts.
         log_offset: Size of the log at the last start, in characters.
+        interruptions: Times in which the process did not run, stood still or
+            was being stopped.
 
     Args:
         fleet: All nodes.
@@ -93,6 +98,7 @@
         self.planned = False
         self.starts = 0
         self.log_offset = 0
+        self.interruptions: list[checks_module.Disturbance] = []
         self.log_path = fleet.folder / f"{name}.log"
         self.machine_path = fleet.folder / f"{name}.machine"
         self.settings_path = fleet.folder / f"{name}.toml"
@@ -126,6 +132,7 @@
         environment["SOAK_MACHINE"] = str(self.machine_path)
         environment["SOAK_BACKUPS"] = "1" if self.fleet.backups else ""
         self.starts += 1
+        self._end_interruptions()
         if self.log_path.exists():
             self.log_offset = len(self.log_path.read_text())
         with self.log_path.open("a") as log:
@@ -188,8 +195,21 @@
 
     def signal(self, number: int) -> None:
         """Sends a signal if the process runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+        if self.process is None or self.process.poll() is not None:
+            return
+        self.process.send_signal(number)
+        if number == signal.SIGCONT:
+            self._end_interruptions()
+        elif number != signal.SIGHUP:
+            self.interruptions.append(
+                checks_module.Disturbance(self.name, time.monotonic(), math.inf)
+            )
+
+    def _end_interruptions(self) -> None:
+        now = time.monotonic()
+        self.interruptions = [
+            one._replace(end=min(one.end, now)) for one in self.interruptions
+        ]
 
     async def until_ignoring_hangup(self) -> None:
         """Waits until SIGHUP doesn't end the process that was started.
@@ -397,6 +417,20 @@
         for node in self.running():
             node.start(bootstrap=True)
 
+    def logged(self, event: str) -> list[dict[str, Any]]:
+        """Returns the fields of all log lines of entries with an event."""
+        lines = (
+            fields_of(line)
+            for node in self.entries
+            for line in node.log_path.read_text().splitlines()
+            if f'"{event}"' in line
+        )
+        return [fields for fields in lines if fields]
+
+    def interruptions(self) -> list[checks_module.Disturbance]:
+        """Returns when processes of entries did not work."""
+        return [one for node in self.entries for one in node.interruptions]
+
     def running(self) -> list[Node]:
         """Returns the nodes that should run, without a spare."""
         return [*self.controls, *self.entries]
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -333,14 +333,6 @@
     _replace(stream_move.StreamMove, "_free", free)
 
 
-# Found by the scenario `moving`: the upstreams of the others have no moves.
-MOVING_FAULTS = {
-    "hand_over_again": Reintroduced(_hand_over_again, frozenset({"events"})),
-    "stop_is_end": Reintroduced(_stop_is_end, frozenset({"early_end"})),
-    "copy_not_freed": Reintroduced(
-        _copy_not_freed, frozenset({"expired_copy"})
-    ),
-}
 FAULTS = {
     "routes_kept": Reintroduced(
         _routes_kept, frozenset({"late", "regress", "in_force"})
@@ -375,9 +367,9 @@
     "quiet_end_for_callers": Reintroduced(
         _quiet_end_for_callers, frozenset({"early_end"})
     ),
+    "hand_over_again": Reintroduced(_hand_over_again, frozenset({"events"})),
+    "stop_is_end": Reintroduced(_stop_is_end, frozenset({"early_end"})),
+    "copy_not_freed": Reintroduced(
+        _copy_not_freed, frozenset({"expired_copy"})
+    ),
 }
-
-
-def all_faults() -> dict[str, Reintroduced]:
-    """Returns the faults of all scenarios by name."""
-    return {**FAULTS, **MOVING_FAULTS}
--- a/testing/soak/report.py
+++ b/testing/soak/report.py
@@ -4,6 +4,9 @@
 import pathlib
 
 from testing.soak import checks as checks_module
+from testing.soak import move_faults
+from testing.soak import moving_checks
+from testing.soak import moving_upstreams
 from testing.soak import schedule
 
 _MAX_SHOWN = 20
@@ -40,8 +43,7 @@
             f"  crashes under {name}: {len(crashes)}, runs after its "
             f"quarantine was due: {checks.late_runs[name]}"
         )
-    shown = ", ".join(f"{s}: {n}" for s, n in sorted(checks.take_ups.items()))
-    lines.append(f"  streams taken up: {shown or 'none'}")
+    lines.append(f"  streams taken up: {_counts(checks.take_ups)}")
     peaks = sorted(checks.peak_mb.items())
     lines.append(
         "  memory in MB: " + ", ".join(f"{n} {mb:.0f}" for n, mb in peaks)
@@ -57,6 +59,29 @@
     return "\n".join(lines)
 
 
+def moves(
+    checks: checks_module.Checks,
+    observed: moving_checks.Observed,
+    copies: list[moving_upstreams.Copy],
+    faults: move_faults.MoveFaults,
+) -> str:
+    """Returns what came of the streams that continued, as further lines."""
+    events = sum(len(end.numbers) for end in checks.ends.values())
+    ends = collections.Counter(copy.end or "kept" for copy in copies)
+    return (
+        f"\n  streams that continued: {_counts(observed.continued)}"
+        f"\n  {events} events, {observed.handovers} handovers, copies: "
+        f"{_counts(ends)}"
+        f"\n  points of moves: {_counts(faults.points)}, faults there: "
+        f"{faults.applied.total()}"
+    )
+
+
+def _counts(counter: collections.Counter[str]) -> str:
+    shown = ", ".join(f"{name}: {n}" for name, n in sorted(counter.items()))
+    return shown or "none"
+
+
 def _ends_by_kind(
     checks: checks_module.Checks,
 ) -> dict[str, collections.Counter]:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -16,8 +16,11 @@
 from testing.soak import checks as checks_module
 from testing.soak import event_loop
 from testing.soak import faults as faults_module
+from testing.soak import move_faults
+from testing.soak import moving_upstreams
 from testing.soak import operators
 from testing.soak import processes
+from testing.soak import recorders
 from testing.soak import report
 from testing.soak import schedule
 from testing.soak import upstreams
@@ -40,6 +43,9 @@
 # entries stop counting.
 _CALM_SECONDS = 4.0
 _LONG_STREAMS = 2
+_LONG_PROGRAMS = 4
+# Slots of each engine for long streams.
+_LONG_SLOTS = 6
 _PROGRAMS_PER_CUSTOMER = {"anna": 3, "berta": 3, "carl": 3, "noisy": 2}
 
 
@@ -60,48 +66,6 @@
     seconds_to_find: float | None
 
 
-class Recorder:
-    """Implements `upstreams.Observer`: passes runs on to the checks.
-
-    Attributes:
-        upstreams: All upstreams by name.
-        crashed_at: When each upstream crashed that has not restarted.
-    """
-
-    def __init__(self, checks: checks_module.Checks) -> None:
-        self.checks = checks
-        self.upstreams: dict[str, upstreams.Upstream] = {}
-        self.crashed_at: dict[str, float] = {}
-
-    def broke_off(self, request: str) -> None:
-        """Records an answer that its upstream broke off."""
-        self.checks.broken.add(request)
-
-    def crashed(self, request: str, upstream: str) -> None:
-        """Records a crash under a request."""
-        now = time.monotonic()
-        self.crashed_at[upstream] = now
-        self.checks.crashed(now, request)
-
-    def restarted(self, upstream: str) -> None:
-        """Records the time for which an upstream was down."""
-        began = self.crashed_at.pop(upstream)
-        self.checks.disturbances.append(
-            checks_module.Disturbance(upstream, began, time.monotonic())
-        )
-
-    def run_began(
-        self, request: str, upstream: str, customer: str, body: bytes
-    ) -> None:
-        """Records a run, and whether its upstream was draining."""
-        now = time.monotonic()
-        run = checks_module.Run(now, upstream, customer)
-        self.checks.run_began(request, run, body)
-        since = self.upstreams[upstream].draining_since
-        if since:
-            self.checks.ran_while_draining(now, upstream, since, request)
-
-
 class Soak:
     """All parts of one run; see `run` for the arguments."""
 
@@ -120,14 +84,38 @@
         self.fleet = processes.Fleet(
             network, self.folder, controls, ENTRIES, fault
         )
+        self.fleet.backups = True
         clients = [_client(node.ip) for node in self.fleet.controls]
-        recorder = Recorder(self.checks)
-        self.upstreams = [
-            upstreams.Upstream(
-                f"{service}-{number}", service, recorder, clients
+        self.move_faults = move_faults.MoveFaults(
+            seed, self.fleet, self.checks, self._log
+        )
+        self.move_faults.is_on = False
+        self.recorder = recorder = recorders.MovingRecorder(
+            self.checks, self.move_faults.reached
+        )
+        self.network = moving_upstreams.Network(recorder, breaks=True)
+        self.engines = [
+            moving_upstreams.Upstream(f"lm-{number}", self.network, clients)
+            for number in range(1, 4)
+        ]
+        self.long_engines = [
+            moving_upstreams.Upstream(
+                f"{operators.LONG_SERVICE}-{number}",
+                self.network,
+                clients,
+                operators.LONG_SERVICE,
             )
-            for service, count in (("lm", 3), ("desk", 3))
-            for number in range(1, count + 1)
+            for number in range(1, 4)
+        ]
+        for engine in self.long_engines:
+            engine.slots = _LONG_SLOTS
+        self.upstreams = [
+            *self.engines,
+            *self.long_engines,
+            *(
+                upstreams.Upstream(f"desk-{number}", "desk", recorder, clients)
+                for number in range(1, 4)
+            ),
         ]
         # Without faults of their own: they show what the configuration does.
         self.calm_upstreams = [
@@ -142,6 +130,9 @@
         }
         self.clients = clients
         self.operator = operators.Operator(clients, self.checks, generator)
+        engine = moving_upstreams.ENGINE
+        self.operator.engine = {**engine, "slots": upstreams.SLOTS}
+        self.operator.long_engine = {**engine, "slots": _LONG_SLOTS}
         self.balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
             self.balancer, self.checks, self.operator, generator
@@ -152,6 +143,7 @@
             self.callers,
             self.checks,
             self._log,
+            self.move_faults,
             self._replace_control,
         )
         self.pushing: asyncio.Task | None = None
@@ -193,14 +185,22 @@
                 self._raise_failures()
             self.checks.check_shares(time.monotonic())
             self.checks.check_limits(time.monotonic(), operators.LIMITS)
+            self._check_moves()
         finally:
-            for task in self.tasks:
+            tasks = (*self.tasks, *self.move_faults.tasks)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             self.callers.connections.close()
             await self.fleet.stop()
         return self._result()
 
+    def _check_moves(self) -> None:
+        observed = self.recorder.observed
+        observed.read_logs(self.fleet.logged("stream_continued"))
+        observed.interruptions = self.fleet.interruptions()
+        observed.check(time.monotonic(), self.network.copies)
+
     def _end(self) -> float:
         """Returns when the run ends, after a quiet time in any case."""
         quiet = schedule.END_SECONDS
@@ -210,6 +210,12 @@
 
     def _result(self) -> Result:
         text = report.summary(self.checks, self.injector.applied, self.start)
+        text += report.moves(
+            self.checks,
+            self.recorder.observed,
+            self.network.copies,
+            self.move_faults,
+        )
         if self.lags:
             mean = sum(self.lags) / len(self.lags)
             late = sum(lag > _LATE_SECONDS for lag in self.lags)
@@ -257,6 +263,8 @@
             for _ in range(count):
                 self._spawn(callers.forever(callers.run_program, customer))
             self._spawn(callers.forever(callers.stream, customer))
+        for _ in range(_LONG_PROGRAMS):
+            self._spawn(callers.forever(callers.run_long_program, "anna"))
         for _ in range(_LONG_STREAMS):
             self._spawn(callers.forever(callers.long_stream, "anna"))
         for act in (
@@ -307,12 +315,16 @@
         )
 
     async def _watch_engines(self) -> None:
-        engines = [one for one in self.upstreams if one.service == "lm"]
         while True:
             due = time.monotonic() + _ENGINES_SECONDS
             await asyncio.sleep(_ENGINES_SECONDS)
-            self.lags.append(time.monotonic() - due)
-            busy = [engine.busy_fraction() for engine in engines]
+            now = time.monotonic()
+            self.lags.append(now - due)
+            if now > due + _LATE_SECONDS:
+                self.recorder.observed.lags.append(
+                    checks_module.Disturbance("", due, now)
+                )
+            busy = [engine.busy_fraction() for engine in self.engines]
             self.checks.engines_sampled(time.monotonic(), sum(busy) / len(busy))
 
     async def _watch_processes(self) -> None:
--- a/testing/soak/schedule.py
+++ b/testing/soak/schedule.py
@@ -96,6 +96,13 @@
     "clocks_ahead",
     "clocks_behind",
 )
+# What moves streams: engines that drain and stay, that drain, deregister and
+# end, that are slow, or that drain while the others have no room for copies.
+# Meanwhile moves are disturbed in their middle; see `move_faults`.
+MOVES = ("leave", "scale_in", "slow", "full")
+# Time before the end of a phase in which none begins: a fault in the middle of
+# a move may take it.
+_MOVES_MARGIN_SECONDS = 3.0
 # Time from the start of a rollout to it.
 _TOGETHER_SECONDS = 2.0
 # What happens at once, right after a configuration was acknowledged: all
@@ -112,8 +119,8 @@
         seconds: Duration; faults that consist of steps, as `drain`, take
             longer.
         track: What it concerns: `control`, `entry`, `upstream`, `load`,
-            `crashing`, `machine`, `front`, `rollout`, `together`, `network`,
-            `stops`, `planned`, `entries`, `all` or `final`.
+            `crashing`, `machine`, `front`, `rollout`, `together`, `moves`,
+            `network`, `stops`, `planned`, `entries`, `all` or `final`.
         kind: What happens.
         number: Chooses the target: its index modulo their number.
     """
@@ -148,6 +155,7 @@
     rollout = random.Random(f"{seed} rollout")
     network = random.Random(f"{seed} network")
     together = random.Random(f"{seed} together")
+    moves = random.Random(f"{seed} moves")
     faults: list[Fault] = []
     bags = {track: _bag(generator, kinds) for track, kinds in _TRACKS.items()}
     now = START_SECONDS
@@ -176,6 +184,7 @@
             faults.extend(
                 _together(together, one, now + length) for one in rollouts
             )
+            faults.extend(_moves(moves, now, length))
             # One of both: they exclude each other, and a phase is short.
             track, kinds = network.choice(
                 (("network", NETWORK_FAULTS), ("stops", STOPS))
@@ -278,6 +287,18 @@
     )
 
 
+def _moves(
+    generator: random.Random, start: float, length: float
+) -> list[Fault]:
+    """Returns what moves streams for most of a mixed phase."""
+    at = start + generator.uniform(0.0, 1.0)
+    seconds = start + length - _MOVES_MARGIN_SECONDS - at
+    if seconds <= 0.0:
+        return []
+    kind = generator.choice(MOVES)
+    return [Fault(at, seconds, "moves", kind, generator.randrange(1000))]
+
+
 def _mixed(
     generator: random.Random,
     bags: dict[str, Iterator[str]],
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -1,7 +1,9 @@
 """Stand-in upstreams that register themselves and report what they run."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
+import itertools
 import json
 import math
 import random
@@ -15,10 +17,10 @@
 from testing.soak import links
 
 _HEARTBEAT_SECONDS = 0.5
-_SLOTS = 4
-# Requests beyond the slots that are still taken. More are refused with the
-# header that says that they were not run.
-_MAX_RUNNING = 2 * _SLOTS
+SLOTS = 4
+# Requests that are taken for each slot. More are refused with the header that
+# says that they were not run.
+RUNNING_PER_SLOT = 2
 _EVENT_SECONDS = 0.01
 _PLAIN_SECONDS = 0.02
 # Longer than the time-outs of the route that tries them.
@@ -146,16 +148,19 @@
         number: Number of the event.
         version: Version of the upstream's software.
         filler: Further text.
+        run: Number of the run that made it; 0 if its upstream states none.
     """
 
     request: str
     number: int
     version: str
     filler: str = ""
+    run: int = 0
 
     def text(self) -> str:
         """Returns it as it is sent."""
-        return f"{self.request}#{self.number}@{self.version} {self.filler}"
+        maker = f"{self.version}~{self.run}" if self.run else self.version
+        return f"{self.request}#{self.number}@{maker} {self.filler}"
 
 
 def parse_event(data: str) -> EventText:
@@ -166,8 +171,9 @@
     """
     name, _, rest = data.partition("@")
     request, _, number = name.partition("#")
-    version, _, filler = rest.partition(" ")
-    return EventText(request, int(number), version, filler)
+    maker, _, filler = rest.partition(" ")
+    version, _, run = maker.partition("~")
+    return EventText(request, int(number), version, filler, int(run or 0))
 
 
 def filler_of(large: bool) -> str:
@@ -181,6 +187,16 @@
     return line_end.join((f"id: {number}", f"data: {data}", "", "")).encode()
 
 
+def events_of(
+    text: EventText, numbers: list[int], line_end: str
+) -> list[bytes]:
+    """Returns events that differ in their numbers."""
+    return [
+        event_bytes(text._replace(number=number), line_end)
+        for number in numbers
+    ]
+
+
 def head_of(form: Form, common: str, body: bytes) -> bytes:
     """Returns the head of an answer with this whole body."""
     fields = {
@@ -222,6 +238,7 @@
         tasks: Its connections.
         crash_number: Number of crashes under requests.
         crash_task: The latest of them, until it has restarted.
+        slots: Number of requests that it runs at full speed.
         draining_since: Monotonic time at which control acknowledged that it
             drains; 0 if it doesn't.
     """
@@ -253,6 +270,7 @@
         self.crash_task: asyncio.Task | None = None
         self.tasks: set[asyncio.Task] = set()
         self.preferred = 0
+        self.slots = SLOTS
 
     async def start(self) -> None:
         """Starts to listen and to register."""
@@ -293,8 +311,7 @@
         """Starts a new process under the same id."""
         await self.link.reopen()
         self.born = max(self.born + 1, int(time.time() * 1000))
-        self.state = "ready"
-        self.draining_since = 0.0
+        self.stay()
         self.heartbeats = True
         await self._listen()
 
@@ -319,11 +336,26 @@
         self.state = "draining"
         while self.state == "draining" and not self.draining_since:
             born = self.born
-            if await self.register() == 200 and born == self.born:
+            is_known = await self.register() == 200 and born == self.born
+            if is_known and self.state == "draining":
                 self.draining_since = time.monotonic()
             else:
                 await asyncio.sleep(0.1)
 
+    def stay(self) -> None:
+        """Takes new work again after a drain."""
+        self.state = "ready"
+        self.draining_since = 0.0
+
+    async def deregister(self) -> None:
+        """Ends its registration; returns when control has acknowledged that."""
+        self.heartbeats = False
+        path = f"/v1/Instances.Leave/{self.name}"
+        for control in itertools.cycle(self.controls):
+            if (await control.ask("POST", path, {})).status == 200:
+                break
+            await asyncio.sleep(0.1)
+
     def heartbeat(self) -> dict[str, Any]:
         """Returns the next registration."""
         self.sequence += 1
@@ -332,7 +364,7 @@
             "address": self.link.address,
             "zone": "z1",
             "version": self.version,
-            "slots": _SLOTS,
+            "slots": self.slots,
             "state": self.state,
             "coldRemainingMs": 0,
             "sequence": self.sequence,
@@ -399,7 +431,7 @@
             return
         request = headers["x-request-id"]
         common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
-        if self.running >= _MAX_RUNNING:
+        if self.is_full():
             writer.write(
                 f"HTTP/1.1 503 No\r\n{common}X-Not-Executed: 1\r\n"
                 "Content-Length: 0\r\n\r\n".encode()
@@ -407,10 +439,7 @@
             return
         customer = headers.get("x-tenant", "")
         self.observer.run_began(request, self.name, customer, body)
-        self.running += 1
-        is_turn = "x-program-id" in headers
-        self.turns += is_turn
-        try:
+        with self._counted(headers):
             if CRASHING in head:
                 await asyncio.sleep(_CRASH_SECONDS)
                 if self.crash_task is None or self.crash_task.done():
@@ -430,6 +459,19 @@
                 writer.write(head_of(form, common, text))
                 write_part(writer, form, text[:cut])
                 await self._end(request, form, cut < len(text), writer)
+
+    def is_full(self) -> bool:
+        """Returns whether it refuses requests."""
+        return self.running >= RUNNING_PER_SLOT * self.slots
+
+    @contextlib.contextmanager
+    def _counted(self, headers: dict) -> Iterator[None]:
+        """Counts a request as running."""
+        is_turn = "x-program-id" in headers
+        self.running += 1
+        self.turns += is_turn
+        try:
+            yield
         finally:
             self.running -= 1
             self.turns -= is_turn
@@ -449,13 +491,8 @@
         )
         if not is_asked_for:
             self.observer.broke_off(request)
-        events = [
-            event_bytes(
-                EventText(request, number, self.version, filler_of(large)),
-                form.line_end,
-            )
-            for number in numbers
-        ]
+        text = EventText(request, 0, self.version, filler_of(large))
+        events = events_of(text, numbers, form.line_end)
         # Engines send the head with the first token.
         await asyncio.sleep(_PLAIN_SECONDS * self.slowness)
         common += "Content-Type: text/event-stream\r\n"
@@ -495,7 +532,7 @@
 
     def busy_fraction(self) -> float:
         """Returns the part of the slots that run a turn of a program."""
-        return self.turns / _SLOTS
+        return self.turns / self.slots
 
     def slow_down(self) -> None:
         """Makes all later events slower."""
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -147,6 +147,32 @@
     assert rules(checks) == ["events", "early_end"]
 
 
+@pytest.mark.parametrize(
+    ("kind", "max_runs", "makers", "found"),
+    [
+        ("turn", 1, (7,), []),
+        ("turn", 1, (7, 8), ["joined_runs"]),
+        ("resume", 3, (7, 8, 9), []),
+        ("resume", 3, (7, 8, 7), ["joined_runs"]),
+    ],
+)
+def test_answer_with_events_of_runs_that_may_not_be_joined_is_found(
+    kind: str, max_runs: int, makers: tuple[int, ...], found: list[str]
+) -> None:
+    checks = checks_module.Checks()
+    checks.sent(request(kind=kind, events=3, max_runs=max_runs))
+    checks.run_began("r", run_at(10.1), b"")
+    checks.ended("r", end(200, numbers=[1, 2, 3], makers=makers))
+    assert rules(checks) == found
+
+
+def test_run_that_made_an_event_is_read_from_it() -> None:
+    # Guards against a check of joined runs that sees no runs.
+    text = upstreams.EventText("turn-1", 2, "v1", "x", 7)
+    assert upstreams.parse_event(text.text()) == text
+    assert upstreams.parse_event(text._replace(run=0).text()).version == "v1"
+
+
 def test_plain_answer_that_looks_whole_and_is_not_is_found() -> None:
     checks = checks_module.Checks()
     checks.sent(request())
@@ -285,18 +311,18 @@
 
 
 def test_each_reintroduced_fault_names_the_rules_that_find_it() -> None:
-    for name, fault in reintroduced.all_faults().items():
+    for name, fault in reintroduced.FAULTS.items():
         assert fault.rules, name
 
 
-@pytest.mark.parametrize("name", reintroduced.all_faults())
+@pytest.mark.parametrize("name", reintroduced.FAULTS)
 def test_reintroduced_fault_fits_the_product(name: str) -> None:
     # Guards against a fault that replaces a function which was renamed or
     # moved: its process would end at its start and the fault would never be
     # tried. The replacement stays in a process of its own.
     done = _run_python(f"""
 from testing.soak import reintroduced
-reintroduced.all_faults()[{name!r}].install()
+reintroduced.FAULTS[{name!r}].install()
 """)
     assert done.returncode == 0, done.stderr
 
@@ -628,7 +654,7 @@
     made = [
         tuple(fault)
         for fault in schedule.make(SEED, 120.0)
-        if fault.track not in ("network", "stops", "together")
+        if fault.track not in ("network", "stops", "together", "moves")
     ]
     assert xxhash.xxh3_64_hexdigest(repr(made).encode()) == "2465d13c083ea12e"
 
@@ -641,6 +667,7 @@
         *schedule.NETWORK_FAULTS,
         *schedule.STOPS,
         *schedule.TOGETHER,
+        *schedule.MOVES,
     }
     losses = {schedule.final_loss(seed).kind for seed in range(20)}
     assert losses == set(schedule.FINAL_LOSSES)
