A listener that ends last confirms no plain answer

What callers saw: half an answer without a length or chunks, framed as whole, when the process ended within it: from services behind sidecars and from upstreams of plain answers. Nobody reported it; found while the confirmation of sidecars' services was tried with real processes. Cause: an end that nothing marks is confirmed by a connection that is taken. As a process ends, the system closes what it had open one after the other, here often the connection of the answer before the listener, which still takes one in between. Ruled out: another process at the address; there was none. Change: a plain answer's end is confirmed by a connection that stays open for 20 ms. One that ends shows nothing, and the next attempt does. Streams ask for a report and were not affected. Two tests over sockets fail before: test_answer_ends and test_plain_http.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -67,6 +67,10 @@
 _PART_BYTES = 4 * 1024
 # Work after which other green threads get a turn.
 _WORK_SECONDS = 0.001
+# Time for which a new connection must stay open to show that its peer serves.
+# As a process ends, the system closes what it had open one after the other, and
+# perhaps its listener last: connections are still taken after it is over.
+SERVING_SECONDS = 0.02
 # Bounds of a response to an earlier request that is skipped.
 _MAX_SKIPPED_BYTES = 1024 * 1024
 
@@ -298,6 +302,14 @@
         """Prepares a new connection for a request that may come soon."""
         self.usable_until = time.monotonic() + _UNUSED_SECONDS
 
+    def stays_open(self) -> bool:
+        """Returns whether the peer of a new connection goes on serving.
+
+        Waits for `SERVING_SECONDS`.
+        """
+        eventlet.sleep(SERVING_SECONDS)
+        return self.reader.is_quiet()
+
     def is_usable(self) -> bool:
         """Returns whether an idle connection can carry a request.
 
--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -26,6 +26,9 @@
     )
 )
 _CONNECT_TIMEOUT_SECONDS = 2.0
+# Attempts to find out whether a service goes on: one that has too many
+# connections may end some.
+_CONFIRM_TRIES = 3
 # An answer is held in memory as a whole, more than once, and sent on as one
 # message. Requests have the same limit.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -74,6 +77,20 @@
                 f"The service did not complete its response within {timeout} s."
             ) from None
 
+    def _goes_on(self) -> bool:
+        """Returns whether the service goes on serving after an answer."""
+        for _ in range(_CONFIRM_TRIES):
+            try:
+                connection = http1_client.connect(self.address)
+            except errors.NoUpstream:
+                return False
+            try:
+                if connection.stays_open():
+                    return True
+            finally:
+                connection.close()
+        return False
+
     def _exchange(
         self, method: str, path: str, headers: list[list[str]], content: bytes
     ) -> upstream.Reply:
@@ -85,7 +102,8 @@
             connection.send(method, target, fields, content)
             head = connection.read_head()
             body = connection.read_body(MAX_ANSWER_BYTES)
-            if connection.end is answer_ends.Kind.CLOSED and not self.alive():
+            is_unmarked = connection.end is answer_ends.Kind.CLOSED
+            if is_unmarked and not self._goes_on():
                 raise errors.StreamClosed(
                     f"The answer of {self.address} has no length, and it ended "
                     "with its connection as the service stopped."
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -133,6 +133,15 @@
         opened = _open(upstream)
         if isinstance(opened, routed_calls.Reachability):
             return opened
+        try:
+            serves = opened.stays_open()
+        except BaseException:
+            # The caller's time is up.
+            opened.close()
+            raise
+        if not serves:
+            opened.close()
+            return routed_calls.Reachability.UNKNOWN
         opened.keep_unused()
         self.pool.release(upstream.incarnation, opened)
         return routed_calls.Reachability.ACCEPTS
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -100,7 +100,8 @@
     ) -> routed_calls.Reachability:
         """Opens a connection to an upstream; returns what that shows.
 
-        The connection is kept for the next request.
+        One that is taken and ended at once shows nothing: the upstream may be
+        ending. The connection is kept for the next request.
         """
 
     def identify(
--- a/testing/test_answer_ends.py
+++ b/testing/test_answer_ends.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from fakes import answer_scripts
+from fakes import dying_server
 from fakes import platform_engine
 from fakes import platform_system
 from mintcleat.domain import events
@@ -408,6 +409,26 @@
         answer = self.system.call("GET", "/safe/a")
         self.assertEqual((200, b"all of it"), (answer.status, answer.body))
 
+    def test_plain_answer_of_a_process_whose_listener_ends_last_is_not_whole(
+        self,
+    ) -> None:
+        # Guards against half answers that a process confirms as it ends.
+        cut = broken(end=answer_scripts.QUIET, plain=b"all of it", sent=3)
+
+        def end(
+            connection: platform_engine.Connection,
+            received: platform_engine.ReceivedRequest,
+        ) -> bool:
+            engine = connection.engine
+            engine.thread.kill()
+            eventlet.spawn_after(dying_server.LISTENER_SECONDS, engine.crash)
+            return cut(connection, received)
+
+        whole = answer_scripts.script(answer_scripts.Answer(plain=b"all of it"))
+        self.start("desk", end, whole)
+        answer = self.system.call("GET", "/safe/a")
+        self.assertEqual((200, b"all of it"), (answer.status, answer.body))
+
     def test_unrepeatable_answer_closed_by_a_crash_has_an_unknown_outcome(
         self,
     ) -> None:
--- a/testing/test_plain_http.py
+++ b/testing/test_plain_http.py
@@ -4,6 +4,7 @@
 import testtools
 
 from fakes import answer_scripts
+from fakes import dying_server
 from fakes import endless_answers
 from fakes import platform_engine
 from mintcleat.adapters import engine_http
@@ -64,6 +65,15 @@
             3,
         )
 
+    def test_listener_that_ends_after_its_answer_confirms_nothing(self) -> None:
+        # Guards against half answers that a process confirms as it ends.
+        server = dying_server.DyingServer(BODY[:3])
+        self.addCleanup(server.stop)
+        service = plain_http.HttpService(server.address)
+        self.assertRaises(
+            errors.StreamClosed, service.send, "POST", "/a", HEADERS, b"x", 5.0
+        )
+
     def test_answer_that_takes_too_long_is_a_timeout(self) -> None:
         def run(*_: object) -> bool:
             eventlet.sleep(5.0)
