Entries out of step: five variants more, and why a take-up is unknown

Not played so far: more streams than upstreams serve, upstreams that state no start, kept turns and moves with entries that stand still at their points, and rounds of mostly streams that are taken up while they run or begun twice under one id. The report tells of each refused take-up by the first request why no record was found, from the lines of the entries; what they don't tell is `untraced`.

--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -60,7 +60,7 @@
 _LATE_SECONDS = 0.1
 # In the log of an entry, for a call that it has given up.
 _NO_ANSWER = "no answer in time"
-_ENGINE = {
+ENGINE = {
     "slots": moving_upstreams.SLOTS,
     "kvCapacityTokens": 100_000,
     "kvTokenBytes": 60_000,
@@ -154,7 +154,7 @@
         ]
         self.recorder.upstreams = {one.name: one for one in self.upstreams}
         self.operator = operators.Operator(clients, self.checks, self.generator)
-        self.operator.engine = _ENGINE
+        self.operator.engine = ENGINE
         self.operator.timeout_ms = _TIMEOUT_MS
         self.balancer = callers_module.Balancer(
             self.fleet.entries, self.generator
--- a/testing/soak/out_of_step.py
+++ b/testing/soak/out_of_step.py
@@ -5,14 +5,15 @@
 In each round one or two entries stand still or are cut off from control while
 three services are released. Streams begin before, meanwhile and after it,
 through entries in step and out of step, break off and are taken up at others.
-KIND is one of `KINDS`, or `any` for a random one in each round. FAULT is put
-back, see `reintroduced`. Prints what came of the streams as JSON; the logs are
-kept if that breaks a rule.
+KIND is one of `KINDS`, `any` for a random one in each round, or one of
+`VARIANTS`. FAULT is put back, see `reintroduced`. Prints what came of the
+streams as JSON; the logs are kept if that breaks a rule.
 """
 
 import asyncio
 import collections
 from collections.abc import Coroutine
+import contextlib
 import json
 import os
 import pathlib
@@ -30,14 +31,27 @@
 from testing.soak import checks as checks_module
 from testing.soak import event_loop
 from testing.soak import links
+from testing.soak import moving
+from testing.soak import moving_upstreams
 from testing.soak import operators
 from testing.soak import processes
-from testing.soak import run as run_module
+from testing.soak import refused_take_ups
 from testing.soak import upstreams
 
 # `long`, whose streams take over 30 s, is not among the random ones.
 KINDS = ("take_up", "begin", "two", "killed", "config_leader", "program_leader")
 LONG = "long"
+CROWDED, UNDATED, TWICE, TURNS = "crowded", "undated", "twice", "turns"
+MOVES = "moves"
+# Variants, each with a random one of the kinds in each round:
+# crowded: more streams than the upstreams serve.
+# undated: upstreams that state no start, and have a new id after each.
+# twice: most streams are taken up while their first answer runs, or are begun
+#   at two entries under one id.
+# turns: programs whose turns are kept, through entries in and out of step.
+# moves: the same, and upstreams drain before they end, so that entries move
+#   their streams and turns; entries stand still at points of a move.
+VARIANTS = (CROWDED, UNDATED, TWICE, TURNS, MOVES)
 WAYS = ("stop", "cut", "cut_in", "cut_out", "lost", "lost_in", "lost_out")
 # How a service is released: the new upstreams join and the old ones stay, or
 # leave; each has a new process under another id at its address, or under its
@@ -54,12 +68,24 @@
 ROLES = ("early", "joined", "joined", "woken", "begun", "both", "double")
 _BEGINNING = ("begun", "begun", "begun", "woken", "both", "double")
 _LATER = ("later", "later", "later")
+_TWICE = ("both", "both", "both", "double", "double", "double")
+# Callers of each service that begin stream after stream: 16 run at once.
+_CROWD = 20
+# Programs of each service, their turns, and the tries of a turn.
+_PROGRAMS, _TURNS, _TURN_TRIES = 4, 3, 4
+# Time for which an upstream with moves drains, and chance and duration of the
+# stop of an entry at a point of a move.
+_DRAIN_SECONDS = (0.2, 1.0)
+_STOP_PART = 0.4
+_STOP_SECONDS = (0.1, 1.5)
 SERVICES = 3
 # Lists of the report that are empty unless a rule is broken.
 FINDINGS = ("joined", "disordered", "ended", "violations")
 _OLD, _NEW = "v1", "v2"
 _EVENTS, _PAUSE_MS = 40, 50
 _LONG_EVENTS, _LONG_PAUSE_MS, _LONG_MS = 170, 200, 60_000
+# Deadline of callers that come back once all entries are in step again.
+_LATER_MS = 30_000
 _LOST_AFTER_BYTES = (40, 400)
 _STILL_SECONDS = (0.6, 5.5)
 # Time before the entries are out of step, in which streams begin.
@@ -116,6 +142,9 @@
         is_refused: Whether the request that was to begin it was refused.
         is_taken_up: Whether its caller has tried to take it up.
         error: Error of the latest request.
+        began_at: When its first request was sent.
+        entry: Entry that this was sent to; None before.
+        starts: Starts of that entry by then.
         runs: What its requests brought, in order.
     """
 
@@ -143,6 +172,9 @@
         self.is_refused = False
         self.is_taken_up = False
         self.error = ""
+        self.began_at = 0.0
+        self.entry: processes.Node | None = None
+        self.starts = 0
         self.runs: list[str] = []
 
     @property
@@ -177,6 +209,8 @@
             timeout=_CALLER_SECONDS,
             drop_after=loses,
         )
+        if self.role == "later":
+            found = found._replace(deadline_ms=_LATER_MS)
         if self.is_long:
             seconds = _LONG_MS / 1000
             found = found._replace(deadline_ms=_LONG_MS, timeout=seconds)
@@ -187,6 +221,12 @@
             )
         return found
 
+    def sent(self, entry: processes.Node) -> None:
+        """Its first request is sent."""
+        self.began_at = time.monotonic()
+        self.entry = entry
+        self.starts = entry.starts
+
     def read(self, result: callers_module.Result, after: int) -> None:
         """Adds what a request brought that was to go on after an event."""
         found = result.outcome.events
@@ -196,6 +236,9 @@
             self.is_ordered = False
         for event in found:
             version = upstreams.parse_event(event.data).version
+            if self.role != "turn":
+                # A new run may go on with a stream, but not with a turn.
+                version = version.partition("~")[0]
             if self.versions[-1:] != [version]:
                 self.versions.append(version)
         self.error = result.end.error.partition(":")[0]
@@ -223,6 +266,7 @@
         fault: str,
     ) -> None:
         generator = random.Random(seed)
+        self.seed = seed
         self.generator = generator
         self.checks = checks_module.Checks()
         network = processes.free_network()
@@ -233,7 +277,11 @@
             )
             for node in self.fleet.controls
         ]
-        self.recorder = run_module.Recorder(self.checks)
+        self.recorder = moving.Recorder(self.checks, self._reached)
+        self.network = moving_upstreams.Network(self.recorder)
+        self.fleet.backups = kind == MOVES
+        self.points: collections.Counter[str] = collections.Counter()
+        self.stops: set[asyncio.Task] = set()
         self.operator = operators.Operator(self.clients, self.checks, generator)
         balancer = callers_module.Balancer(self.fleet.entries, generator)
         self.callers = callers_module.Callers(
@@ -242,16 +290,20 @@
         self.plans = [
             self._plan(number, kind) for number in range(1, rounds + 1)
         ]
+        self.variant = kind
         self.is_long = kind == LONG
         self.upstreams: dict[str, list[upstreams.Upstream]] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.refused: list[refused_take_ups.Refusal] = []
         self.began = 0.0
+        self.disturbed: set[str] = set()
         self.in_step = asyncio.Event()
         self.ended: list[str] = []
 
     def _plan(self, number: int, kind: str) -> Plan:
         generator = self.generator
-        chosen = generator.choice(KINDS) if kind == "any" else kind
+        is_random = kind == "any" or kind in VARIANTS
+        chosen = generator.choice(KINDS) if is_random else kind
         count = 2 if chosen == "two" else 1
         return Plan(
             number,
@@ -279,6 +331,8 @@
 
     async def _stop(self) -> None:
         """Ends all upstreams and processes."""
+        for task in self.stops:
+            task.cancel()
         for found in self.upstreams.values():
             for one in found:
                 one.heartbeat_task.cancel()
@@ -299,7 +353,8 @@
             for plan in self.plans
             for number in range(SERVICES)
         ]
-        found = operators.configuration(1)
+        engine = moving.ENGINE if self.variant == MOVES else None
+        found = operators.configuration(1, engine)
         (service,) = (one for one in found["services"] if one["name"] == "lm")
         name = "long" if self.is_long else "resume"
         (route,) = (one for one in found["routes"] if one["name"] == name)
@@ -308,6 +363,17 @@
             {**route, "name": name, "pathPrefix": f"/{name}/", "service": name}
             for name in names
         ]
+        if self.variant in (TURNS, MOVES):
+            (turn,) = (one for one in found["routes"] if one["name"] == "turn")
+            found["routes"] += [
+                {
+                    **turn,
+                    "name": f"turn-{name}",
+                    "pathPrefix": f"/turn-{name}/",
+                    "service": name,
+                }
+                for name in names
+            ]
         body = json.dumps(found).encode()
         while True:
             for client in self.clients:
@@ -340,6 +406,7 @@
                 )
             )
         self.in_step.clear()
+        self.disturbed = {self._entries()[one].name for one in plan.entries}
         self.began = time.monotonic() + _BEFORE_SECONDS
         played = [
             asyncio.create_task(one)
@@ -372,8 +439,16 @@
     def _upstream(
         self, name: str, service: str, version: str
     ) -> upstreams.Upstream:
-        found = upstreams.Upstream(name, service, self.recorder, self.clients)
+        found: upstreams.Upstream
+        if self.variant == MOVES:
+            found = moving_upstreams.Upstream(name, self.network, self.clients)
+            found.service = service
+        else:
+            found = upstreams.Upstream(
+                name, service, self.recorder, self.clients
+            )
         found.version = version
+        found.states_start = self.variant != UNDATED
         self.recorder.upstreams[name] = found
         return found
 
@@ -437,6 +512,8 @@
     async def _release(self, plan: Plan, service: str, style: str) -> None:
         """Releases the new version of a service."""
         old = list(self.upstreams[service])
+        if self.variant == UNDATED and style == "in_place":
+            style = "address"
         match style:
             case "beside" | "replace":
                 await self._at(plan, 0.15)
@@ -445,6 +522,7 @@
                 if style == "replace":
                     await self._at(plan, 0.6)
                     for one in old:
+                        await self._drain(one)
                         one.crash(quietly=self.generator.random() < 0.5)
             case "address":
                 for number, one in enumerate(old):
@@ -461,8 +539,47 @@
                     await self._at(plan, (0.1, 0.35, 0.6, 0.6)[number])
                     await self._join(service, number)
                     await asyncio.sleep(self.generator.uniform(0.0, 0.2))
+                    await self._drain(one)
                     one.crash(quietly=self.generator.random() < 0.5)
 
+    async def _drain(self, upstream: upstreams.Upstream) -> None:
+        """Has entries move the streams of an upstream, where it can."""
+        if self.variant != MOVES:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(upstream.drain(), _DRAIN_SECONDS[1])
+        await asyncio.sleep(self.generator.uniform(*_DRAIN_SECONDS))
+
+    async def _reached(
+        self,
+        point: str,
+        copy: moving_upstreams.Copy | None,
+        run: moving_upstreams.Run,
+    ) -> None:
+        """Has the entry of some of the moves stand still at a point."""
+        del copy
+        self.points[point] += 1
+        request = self.checks.requests.get(run.request)
+        if request is None or request.entry in self.disturbed:
+            return
+        generator = random.Random(f"{self.seed} {point} {run.request}")
+        if generator.random() < _STOP_PART:
+            node = self.fleet.nodes[request.entry]
+            seconds = generator.uniform(*_STOP_SECONDS)
+            self.points[f"{point}, stopped"] += 1
+            task = asyncio.create_task(self._stop_entry(node, seconds))
+            self.stops.add(task)
+            task.add_done_callback(self.stops.discard)
+            # The entry stands still before the move goes on.
+            await asyncio.sleep(0)
+
+    async def _stop_entry(self, node: processes.Node, seconds: float) -> None:
+        node.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            node.signal(signal.SIGCONT)
+
     async def _join(
         self,
         service: str,
@@ -475,6 +592,8 @@
             await found.start()
         else:
             await found.start_instead_of(before)
+        if isinstance(found, moving_upstreams.Upstream):
+            self.network.upstreams[found.link.address] = found
         self.upstreams[service].append(found)
 
     async def _replace_in_place(self, upstream: upstreams.Upstream) -> None:
@@ -497,7 +616,16 @@
 
     def _streams(self, plan: Plan, service: str) -> list[Coroutine]:
         roles = _BEGINNING if plan.kind == "begin" else ROLES
-        found = []
+        if self.variant == TWICE:
+            roles = _TWICE
+        found: list[Coroutine] = []
+        if self.variant == CROWDED:
+            found += [self._crowd(plan, service) for _ in range(_CROWD)]
+        if self.variant in (TURNS, MOVES):
+            found += [
+                self._run_program(plan, service, f"turns-{service}-{number}")
+                for number in range(_PROGRAMS)
+            ]
         for number, role in enumerate((*roles, *_LATER)):
             naming = self.generator.choice(_NAMINGS)
             if role == "later":
@@ -550,6 +678,73 @@
             await self._to_the_end(one)
         return streams
 
+    async def _crowd(self, plan: Plan, service: str) -> list[Stream]:
+        """Begins stream after stream, and takes those up that break off."""
+        found: list[Stream] = []
+        uniform = self.generator.uniform
+        await self._at(plan, 0.0, uniform(-_BEFORE_SECONDS, 0.0))
+        while time.monotonic() < self.began + plan.seconds:
+            stream = Stream(service, "crowd", "first", "")
+            loses = self.generator.choice((0, 200, 400))
+            entry = self.generator.choice(self._entries())
+            await self._ask(stream, entry, loses)
+            if not stream.last:
+                await asyncio.sleep(uniform(0.0, _REFUSED_SECONDS))
+                continue
+            found.append(stream)
+            if not stream.is_whole:
+                entry = self.generator.choice(self._entries())
+                await self._take_up(stream, entry)
+        for stream in found:
+            await self._to_the_end(stream)
+        return found
+
+    async def _run_program(
+        self, plan: Plan, service: str, program: str
+    ) -> list[Stream]:
+        """Runs turns that continue each other, through any entry.
+
+        One that breaks off, or is refused, is sent again from its start.
+        """
+        found: list[Stream] = []
+        chain, previous = b"", ""
+        uniform = self.generator.uniform
+        self.checks.budgets[program] = _BUDGET
+        await self._at(plan, 0.0, uniform(-_BEFORE_SECONDS, plan.seconds))
+        for number in range(_TURNS):
+            text = f"<{program}.{number}>".encode()
+            served = None
+            for _ in range(_TURN_TRIES):
+                turn = Stream(service, "turn", "none", program)
+                sending = turn.sending()._replace(
+                    kind="turn",
+                    max_runs=1,
+                    target=f"/turn-{service}/x",
+                    previous=previous,
+                    body=text,
+                    expected=chain + text,
+                )
+                entry = self.generator.choice(self._entries())
+                result = await self.callers.send(sending, entry)
+                turn.read(result, 0)
+                end = "whole" if result.served else turn.error or "cut"
+                self.counts[f"turn {number + 1}: {end}"] += 1
+                found.append(turn)
+                if result.end.status == 404 and previous:
+                    self.checks.turn_lost(
+                        result.end.at, result.request, previous
+                    )
+                if result.served:
+                    served = result
+                    break
+                await asyncio.sleep(_REFUSED_SECONDS)
+            if served is None:
+                break
+            said = "".join(f"{one.data}\n" for one in served.outcome.events)
+            chain += text + said.encode()
+            previous = served.request
+        return found
+
     async def _begin(
         self, stream: Stream, entries: list[processes.Node], loses: int
     ) -> None:
@@ -566,6 +761,8 @@
         sending = stream.sending(loses)
         if stream.program:
             self.checks.budgets[stream.program] = _BUDGET
+        if not sending.last_event:
+            stream.sent(entry)
         result = await self.callers.send(sending, entry)
         stream.read(result, sending.last_event)
         if not sending.last_event:
@@ -578,6 +775,7 @@
         """Takes a stream up at another entry while its first answer runs."""
         name = f"both-{stream.service}-{id(stream)}"
         begun = asyncio.Event()
+        stream.sent(entry)
         sending = stream.sending()._replace(name=name, begun=begun)
         first = asyncio.create_task(self.callers.send(sending, entry))
         waits = asyncio.create_task(begun.wait())
@@ -588,7 +786,7 @@
             resumes = "" if stream.naming == "none" else name
             again = stream.sending()._replace(last_event=1, resumes=resumes)
             result = await self.callers.send(again, other)
-            self._count(stream, result)
+            self._count(stream, result, resumes)
         stream.read(await first, 0)
         if result is not None:
             stream.read(result, 1)
@@ -597,9 +795,11 @@
         sending = stream.sending()
         result = await self.callers.send(sending, entry)
         stream.read(result, sending.last_event)
-        self._count(stream, result)
+        self._count(stream, result, sending.resumes)
 
-    def _count(self, stream: Stream, result: callers_module.Result) -> None:
+    def _count(
+        self, stream: Stream, result: callers_module.Result, resumes: str
+    ) -> None:
         """Counts a take-up by what came of it."""
         end = result.end.error.partition(":")[0] or "no answer"
         if result.outcome.events:
@@ -613,6 +813,24 @@
         twin = " of two with one id" if stream.name else ""
         self.counts[f"{phase}, {stream.naming}{twin}{left}: {end}"] += 1
         stream.is_taken_up = True
+        if end == "unknown_stream" and stream.naming == "first":
+            self.refused.append(self._refusal(stream, result.request, resumes))
+
+    def _refusal(
+        self, stream: Stream, request: str, resumes: str
+    ) -> refused_take_ups.Refusal:
+        sending = stream.sending()
+        is_disturbed = stream.entry.name in self.disturbed
+        return refused_take_ups.Refusal(
+            request,
+            resumes,
+            stream.role,
+            time.monotonic() - stream.began_at,
+            sending.deadline_ms / 1000,
+            stream.entry.name,
+            stream.entry.starts != stream.starts,
+            is_disturbed and not self.in_step.is_set(),
+        )
 
     async def _to_the_end(self, stream: Stream) -> None:
         """Takes a stream up until it has ended, for a limited time."""
@@ -667,6 +885,7 @@
 def report(scenario: Scenario, streams: list[Stream]) -> dict[str, Any]:
     """Returns what came of the streams, and what was violated."""
     ends: collections.Counter[str] = collections.Counter()
+    lines = refused_take_ups.read(scenario.fleet.entries)
     for stream in streams:
         end = "whole" if stream.is_whole else stream.error or "cut"
         ends[f"{stream.role} {end if stream.last else 'not begun'}"] += 1
@@ -675,16 +894,23 @@
             f"{plan.kind} {plan.way} {plan.seconds:.1f} s {plan.styles}"
             for plan in scenario.plans
         ],
+        "variant": scenario.variant,
         "load": round(os.getloadavg()[0], 1),
         "streams": len(streams),
         "begun": sum(stream.last > 0 for stream in streams),
         "taken_up": sum(stream.is_taken_up for stream in streams),
+        "points": dict(sorted(scenario.points.items())),
         "ends": dict(sorted(ends.items())),
         "take_ups": dict(sorted(scenario.counts.items())),
-        "unrecorded": sum(
-            node.log_path.read_text().count('"stream_unrecorded"')
-            for node in scenario.fleet.entries
-        ),
+        "unrecorded": len(lines.unrecorded),
+        "recorded_late": len(lines.late),
+        "unknown_by_first": refused_take_ups.count(scenario.refused, lines),
+        "untraced": [
+            str(one)
+            for one in scenario.refused
+            if refused_take_ups.reason_of(one, lines)
+            == refused_take_ups.UNEXPLAINED
+        ],
         "joined": [
             f"{stream.role} {stream.naming} {stream.service} "
             f"{stream.program} {stream.versions} {stream.runs}"
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -211,6 +211,7 @@
         preferred: Index of the control instance that is asked first.
         link: Proxy between the entries and this upstream.
         born: Start of the present process, in ms since 1970.
+        states_start: Whether it tells that to others.
         version: Version of its software.
         state: State in its registrations.
         running: Requests that it runs.
@@ -239,6 +240,7 @@
         self.controls = controls
         self.link = links.Link("")
         self.born = int(time.time() * 1000)
+        self.states_start = True
         self.version = "v1"
         self.state = "ready"
         self.heartbeats = True
@@ -327,6 +329,7 @@
     def heartbeat(self) -> dict[str, Any]:
         """Returns the next registration."""
         self.sequence += 1
+        start = {"born": self.born} if self.states_start else {}
         return {
             "service": self.service,
             "address": self.link.address,
@@ -336,7 +339,7 @@
             "state": self.state,
             "coldRemainingMs": 0,
             "sequence": self.sequence,
-            "born": self.born,
+            **start,
         }
 
     async def register(self, fields: dict[str, Any] | None = None) -> int:
@@ -388,7 +391,8 @@
     ) -> None:
         is_expected = headers.get("x-expect-instance") == self.name
         if head.startswith("GET /v1/report ") and is_expected:
-            report = json.dumps({"born": self.born}).encode()
+            fields = {"born": self.born} if self.states_start else {}
+            report = json.dumps(fields).encode()
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                 b"Content-Length: %d\r\n\r\n%b" % (len(report), report)
--- a/testing/test_out_of_step.py
+++ b/testing/test_out_of_step.py
@@ -7,6 +7,7 @@
 from testing.soak import checks
 from testing.soak import client
 from testing.soak import out_of_step
+from testing.soak import refused_take_ups
 
 # Two rounds: an entry is cut off in one direction, and one stands still, while
 # services are released under the same ids, at the same addresses, beside and
@@ -86,3 +87,35 @@
     twins[1].is_refused = True
     assert not out_of_step.is_excused(false, twins)
     assert not out_of_step.is_excused(false, [_stream()])
+
+
+def test_refused_take_up_is_traced_to_its_record() -> None:
+    # Guards against refusals that are put down to a record's age unseen.
+    refusal = refused_take_ups.Refusal(
+        "b", "a", "early", 1.0, 4.0, "entry-1", False, False
+    )
+    nothing = refused_take_ups.Lines({}, {}, {})
+    none = nothing._replace(taken_up={"b": {"record": "none"}})
+    ambiguous = nothing._replace(taken_up={"b": {"record": "ambiguous"}})
+    for changes, lines, expected in (
+        ({}, none, refused_take_ups.UNEXPLAINED),
+        ({}, ambiguous, "ambiguous"),
+        ({"age": 8.9}, none, refused_take_ups.UNEXPLAINED),
+        ({"age": 9.1}, none, "expired"),
+        ({"is_disturbed": True}, none, "its entry is out of step"),
+        (
+            {"is_disturbed": True},
+            none._replace(late={"a": {}}),
+            "recorded late",
+        ),
+        ({"has_ended": True}, none, "its entry has ended"),
+        (
+            {"has_ended": True},
+            none._replace(unrecorded={"a": {}}),
+            "unrecorded",
+        ),
+    ):
+        found = refused_take_ups.reason_of(refusal._replace(**changes), lines)
+        assert found == expected, (changes, found)
+    counted = refused_take_ups.count([refusal._replace(age=9.1)] * 2, none)
+    assert counted == {"early, after its deadline: expired": [2, 1]}
