An unknown stream gives a time to come back only if that can help

What callers saw: a take-up that names no request, an id of two streams or a stream of a service that its route has left was refused with Retry-After: 0.2, and again 0.2 s later: what is missing isn't on its way there. Cause: one time for all reasons; it fits only a record that may be late. Change: only a refusal for want of a record states it. Evidence: test_stream_origins fails before (0.2 for all).

--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -180,11 +180,13 @@
             )
         )
         if found is None:
+            # Only a record that may be on its way changes that soon.
+            is_soon = record == "none"
             raise errors.UnknownStream(
                 f"It isn't known which version of service {service!r} began "
                 "the stream that the request takes up "
                 f"({call.resumes or 'no request named'}).",
-                retry_after=control_outage.RETRY_SECONDS,
+                retry_after=control_outage.RETRY_SECONDS if is_soon else 0.0,
             )
         return found
 
--- a/testing/test_stream_origins.py
+++ b/testing/test_stream_origins.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from mintcleat.decisions import control_outage
 from mintcleat.domain import errors
 from mintcleat.domain import events as event_types
 from mintcleat.domain import manifest
@@ -174,6 +175,21 @@
                 self.find(resumes=resumes)
             self.assertEqual(expected, self.world.emitted[-1].record)
 
+    def test_only_a_record_that_may_come_is_a_reason_to_come_back(self) -> None:
+        # Guards against callers that are told to retry what can't go on.
+        elsewhere = origins_module.StreamOrigin("lm2", "v1")
+        for record, resumes, expected in (
+            (None, "a", control_outage.RETRY_SECONDS),
+            (None, "", 0.0),
+            (streams.AMBIGUOUS, "a", 0.0),
+            (elsewhere, "a", 0.0),
+        ):
+            self.world.records = [record]
+            error = self.assertRaises(
+                errors.UnknownStream, self.find, resumes=resumes
+            )
+            self.assertEqual(expected, error.retry_after)
+
     def test_record_that_no_group_takes_is_reported(self) -> None:
         self.origins.begun(call(), ROUTE, V1)
         self.world.failure = errors.ControlUnavailable("No leader.")
