--- a/testing/soak/moving.py
+++ b/testing/soak/moving.py
@@ -51,7 +51,8 @@
 _TIMEOUT_MS = 10_000
 _LAG_SECONDS = 0.05
 _LATE_SECONDS = 0.1
-_ENGINE = {**moving_upstreams.ENGINE, "slots": _SLOTS}
+# What a service with these upstreams states of them.
+ENGINE = {**moving_upstreams.ENGINE, "slots": _SLOTS}
 
 
 class Scenario:
@@ -91,7 +92,7 @@
             upstream.slots = _SLOTS
         self.recorder.upstreams = {one.name: one for one in self.upstreams}
         self.operator = operators.Operator(clients, self.checks, self.generator)
-        self.operator.engine = _ENGINE
+        self.operator.engine = ENGINE
         self.operator.timeout_ms = _TIMEOUT_MS
         self.balancer = callers_module.Balancer(
             self.fleet.entries, self.generator
