Test: the route of a take-up leads to a service

A record decides the service of a take-up if its route leads there; the route of these tests led nowhere, so that three of them failed. Their checks stay.

--- a/testing/test_stream_origins.py
+++ b/testing/test_stream_origins.py
@@ -17,7 +17,9 @@
 from mintcleat.programs import streams
 from mintcleat.roles.entry import stream_origins
 
-ROUTE = manifest.Route("/", [], stream=True, repeat="resume", timeout=5.0)
+ROUTE = manifest.Route(
+    "/", [manifest.Share("lm")], stream=True, repeat="resume", timeout=5.0
+)
 V1 = origins_module.StreamOrigin("lm", "v1")
 
 
