A suspension before a request is sent is taken off its deadline

What callers could see: upstreams that work on past the callers' deadline, by the length of a suspension of the entry's machine between the choice of an upstream and the sending, although takes that time off. Cause: the platform's client measured it by a clock that stands still while the machine is suspended; deadlines count by one that doesn't. Found by reading. Change: the client asks for the time left when it sends the request, from the same deadline that all else goes by; it measures nothing by itself.

--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -192,14 +192,13 @@
 
     Attributes:
         body: Request body for the upstream.
-        remaining_seconds: Seconds from now after which the answer is no longer
-            needed.
         last_event: Id of the event after which to resume the stream; empty
             for none.
         urgency: Priority from 0 to 9; lower values are admitted first.
         contact: How long it waits for the upstream.
-        before_sending: Must be called right before the request is sent; raises
-            a MintcleatError if it must not be sent any more.
+        before_sending: Must be called right before the request is sent. Returns
+            the seconds after which its answer is no longer needed; raises a
+            MintcleatError if it must not be sent any more.
         copy: Memory from which the upstream continues the run; None to begin
             a new one.
         backup: `IP:PORT` of the upstream that gets a backup of the run's
@@ -209,11 +208,10 @@
     """
 
     body: bytes
-    remaining_seconds: float
     last_event: str
     urgency: int
     contact: ContactTimes
-    before_sending: Callable[[], None]
+    before_sending: Callable[[], float]
     copy: Copy | None = None
     backup: str = ""
     is_stream: bool = False
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -5,7 +5,6 @@
 import contextlib
 import re
 import reprlib
-import time
 from typing import Any
 from urllib import parse
 
@@ -66,14 +65,11 @@
         request: routed_calls.UpstreamRequest,
     ) -> "HttpUpstreamResponse":
         """Sends a request and returns once the response's head has arrived."""
-        until = time.monotonic() + request.remaining_seconds
         connection = self._contact(upstream, request)
         try:
             if self.on_work is not None:
                 connection.on_work = self.on_work
-            request.before_sending()
-            # Connecting and the report take time, and so does a pause.
-            left = max(0.0, until - time.monotonic())
+            left = request.before_sending()
             connection.send(
                 call.method,
                 call.target,
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -433,7 +433,6 @@
             routed_calls.UpstreamRequest(
                 # Held only until it is sent.
                 turn.body() if turn else self.call.body,
-                max(0.0, self.deadline.left),
                 self.relay.last_event_id,
                 min(MAX_URGENCY, BASE_URGENCY + self.priority),
                 self.late.times(upstream, self._has_alternative(target)),
@@ -467,8 +466,11 @@
             and self.attempts < self.route.attempts
         )
 
-    def _before_sending(self, target: _Target) -> None:
-        """Returns if the request may still be sent; it then counts as sent.
+    def _before_sending(self, target: _Target) -> float:
+        """Returns the seconds left for a request, which counts as sent then.
+
+        Connecting and the upstream's report took time, and so did a pause of
+        this process.
 
         Raises:
             errors.MintcleatError: This entry ends before the request could, or
@@ -487,6 +489,7 @@
         self.attempts += target.copy is None
         self.is_sent = True
         self.deadline.limit_response()
+        return max(0.0, self.deadline.left)
 
     def _stream(
         self,
