The record of a stream is sent for as long as it would be kept

Cause: an entry sent the record, again and again, for the time that the request states, and then reported stream_unrecorded. The group keeps one for 5 s more, since a caller counts from later, and one that states no deadline comes back after its stream has run into the time limit of the route. Change: the record is sent until then too. Evidence: test_stream_origins fails before (5 s, not 10).

--- a/src/mintcleat/roles/entry/stream_origins.py
+++ b/src/mintcleat/roles/entry/stream_origins.py
@@ -263,10 +263,11 @@
             call.program.program, call.customer, name, stream
         )
         began = self.timers.now()
+        # An entry that is cut off from control sends it once it is back, for as
+        # long as callers may come back.
+        limit = stream.seconds + streams.SLACK_SECONDS
         try:
-            self.control.ask(
-                placement.scope_of(request), request, stream.seconds
-            )
+            self.control.ask(placement.scope_of(request), request, limit)
             seconds = self.timers.now() - began
             if seconds > sum(RECORD_DELAYS):
                 self.events.emit(
--- a/testing/test_stream_origins.py
+++ b/testing/test_stream_origins.py
@@ -34,6 +34,7 @@
         records: Answers to FindStream, in order; the last one again.
         versions: Answer of the config leader.
         asked: Messages that were sent.
+        timeouts: Time limits of the records among them.
         spawned: Background tasks.
         seconds: Time that an answer takes.
     """
@@ -45,6 +46,7 @@
         self.versions_since = ["v1", "v2"]
         self.versions = {"lm": {"v1"}}
         self.asked: list[Any] = []
+        self.timeouts: list[float] = []
         self.spawned: list[Any] = []
         self.emitted: list[Any] = []
         self.time = 0.0
@@ -69,6 +71,8 @@
     def ask(self, *args: Any) -> Any:
         message = args[1] if isinstance(args[0], str) else args[0]
         self.asked.append(message)
+        if isinstance(message, program_messages.RecordStream):
+            self.timeouts.append(args[2])
         self.time += self.seconds
         if self.failure is not None:
             raise self.failure
@@ -149,6 +153,15 @@
         self.origins.went_on(call(resumes=""), ROUTE, V1)
         self.assertEqual([], self.world.spawned)
 
+    def test_record_is_sent_for_as_long_as_it_would_be_kept(self) -> None:
+        # Guards against a record that is given up before its caller comes back.
+        self.origins.begun(call(), ROUTE, V1)
+        ((function, arguments),) = self.world.spawned
+        function(*arguments)
+        self.assertEqual(
+            [ROUTE.timeout + streams.SLACK_SECONDS], self.world.timeouts
+        )
+
     def test_record_that_comes_late_is_reported(self) -> None:
         # Guards against refused take-ups that no line explains.
         self.origins.begun(call(), ROUTE, V1)
