A new connection isn't closed before its first request arrives

Cause: the connection that gave way for a new one was the oldest that had never carried a request. Where hundreds rest that is one whose request is on its way, accepted a moment before.

The one that has rested longest gives way now. Only where over an eighth of all have never carried a request they are a crowd, and give way first as before. The new test failed before ("b' 200 ' not in b''").

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import contextlib
+import itertools
 import socket
 import struct
 import time
@@ -62,6 +63,9 @@
 # Time after which a refused caller may return. Room comes back as requests are
 # answered or give way.
 _REFUSED_RETRY_SECONDS = 1.0
+# Part of the connections that may have sent no request yet without being taken
+# for a crowd.
+_CROWD_PART = 0.125
 # Turns of the event loop that a connection which gives way gets to close.
 _CLOSING_TURNS = 8
 # Assumed if the file descriptors of the process are unknown.
@@ -292,16 +296,19 @@
     def _make_room(self, peer: str) -> bool:
         """Returns whether there is room for another connection.
 
-        One that carries no request gives way for it: first one that has never
-        carried any, then the one that has rested longest. Callers of a kept
-        connection expect that it may be closed between requests.
+        One that carries no request gives way for it. Callers of a kept
+        connection expect that it may be closed between requests, so that the
+        one that has rested longest does, and only then one that has never
+        carried any: its first request may be on its way. If many have never
+        carried any, they are a crowd that sends nothing, and give way first.
         """
         limit = self.bounds.max_connections
         if len(self.connections) < limit:
             return True
-        found = next(iter(self.unproven), None) or next(
-            iter(self.resting), None
-        )
+        groups = [self.resting, self.unproven]
+        if len(self.unproven) > _CROWD_PART * limit:
+            groups.reverse()
+        found = next(itertools.chain(*groups), None)
         self.on_yielded(Yielded(found.peer if found else peer, CONNECTIONS))
         if found is None:
             return False
--- a/testing/test_http1_server.py
+++ b/testing/test_http1_server.py
@@ -401,6 +401,18 @@
         eventlet.sleep(0.02)
         self.assertEqual([], self.handled)
 
+    def test_new_connection_is_not_closed_before_its_request_arrives(
+        self,
+    ) -> None:
+        for _ in range(7):
+            self.assertIn(b" 200 ", self.read(self.send("/", 0, 0)))
+        new = self.connect()
+        eventlet.sleep(0.02)
+        self.connect()
+        eventlet.sleep(0.02)
+        new.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        self.assertIn(b" 200 ", self.read(new))
+
     def test_body_counts_until_its_response(self) -> None:
         sock = self.send("/wait", 100_000, 100_000)
         self.assertGreaterEqual(self.received.total, 100_000)
