Soak: a copy whose source is lost too late must have been freed

The check of copies excused each copy whose source ever ended, also long after it had expired, and faults that began when the copy was to be freed already.

The time of the loss counts now, and a second before the expiry is too late.

--- a/testing/soak/moving_checks.py
+++ b/testing/soak/moving_checks.py
@@ -12,6 +12,9 @@
 
 # Time for which a run may still work at its upstream after another works on it.
 OVERLAP_SECONDS = 0.4
+# Time before its expiry at which a copy that isn't used has been freed: entries
+# do that at once, and a copy is kept for two seconds and a half.
+_FREED_BEFORE_SECONDS = 1.0
 # In the log of an entry, for a call that it has given up.
 _NO_ANSWER = "no answer in time"
 
@@ -133,14 +136,17 @@
     def _check_copy(self, copy: moving_upstreams.Copy) -> None:
         """A copy whose handle is known to its entry is used or freed.
 
-        It can be freed only at its source.
+        It can be freed only at its source. A fault that begins shortly before
+        it expires excuses nothing: it was to be freed by then.
         """
         request = copy.run.request
+        free_at = copy.expires_at - _FREED_BEFORE_SECONDS
         is_disturbed = any(
-            fault.start <= copy.expires_at and fault.end >= copy.told_at
+            fault.start <= free_at and fault.end >= copy.told_at
             for fault in self._faults({self._entry(request), copy.source.name})
         )
-        if request in self.unanswered or is_disturbed or copy.is_source_lost:
+        is_lost = copy.source_lost_at <= free_at
+        if request in self.unanswered or is_disturbed or is_lost:
             return
         if not copy.is_kept() and copy.end == "expired" and copy.told_at:
             self.violation(
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import math
 import random
 import time
 from typing import Any
@@ -99,7 +100,7 @@
     Attributes:
         source: The upstream that made it.
         destination: The upstream that holds it; None if only the source does.
-        is_source_lost: Whether the source has crashed since.
+        source_lost_at: When the source has crashed since; infinity if not.
         expires_at: Monotonic time from which it can't be used.
         told_at: When its handle was stated in a prompt answer; 0 before.
         is_usable: Whether the run has been stopped with it.
@@ -117,7 +118,7 @@
         self.run = run
         self.source = source
         self.destination = destination
-        self.is_source_lost = False
+        self.source_lost_at = math.inf
         self.expires_at = 0.0
         self.told_at = 0.0
         self.is_usable = False
@@ -131,13 +132,18 @@
     def crashed(self, upstream: "Upstream") -> None:
         """Records that the memory of an upstream is lost."""
         if upstream is self.source:
-            self.is_source_lost = True
+            self.source_lost_at = min(self.source_lost_at, time.monotonic())
         if upstream is self.destination:
             self.destination = None
         is_left = self.is_usable and not self.is_source_lost
         if self.destination is None and not is_left and self.is_kept():
             self.end = "crashed"
 
+    @property
+    def is_source_lost(self) -> bool:
+        """Whether the source has crashed since."""
+        return self.source_lost_at < math.inf
+
     def is_at(self, upstream: "Upstream") -> bool:
         """Returns whether an upstream can continue the run from it."""
         if upstream is self.source:
--- a/testing/test_moving_checks.py
+++ b/testing/test_moving_checks.py
@@ -70,8 +70,12 @@
 def test_copy_that_is_neither_used_nor_freed_is_found() -> None:
     observed = observed_run()
     observed.segments.clear()
-    observed.checks.disturbances = [fault(""), fault("load"), fault("lm-2")]
-    observed.check(9.0, [expired_copy()])
+    late = checks_module.Disturbance("lm-1", 2.6, 4.0)
+    faults = [fault(""), fault("load"), fault("lm-2"), late]
+    observed.checks.disturbances = faults
+    copy = expired_copy()
+    copy.source_lost_at = 4.0
+    observed.check(9.0, [copy])
     assert rules(observed) == ["expired_copy"]
 
 
@@ -94,7 +98,7 @@
                 }
             ]
         )
-    copy.is_source_lost = kind == "lost"
+    copy.source_lost_at = 2.0 if kind == "lost" else 3.0
     if kind == "source":
         observed.checks.disturbances = [fault("lm-1")]
     if kind == "entry":
