--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -295,6 +295,29 @@
     assert rules(checks) == ["drain"]
 
 
+def checked_engines(turns: float, taken: float) -> checks_module.Checks:
+    """Checks a time in which turns were refused beside such use of engines."""
+    checks = checks_module.Checks()
+    for number in range(checks_module.MIN_RESULTS):
+        checks.sent(request(f"r{number}", kind="turn"))
+        checks.ended(f"r{number}", end(503, error="overloaded: x"))
+        checks.engines_sampled(
+            checks_module.EnginesSample(10.0 + number / 10, turns, taken, 0)
+        )
+    checks.check_idle_capacity(12.0, 9.0)
+    return checks
+
+
+def test_turns_that_are_refused_beside_idle_engines_are_found() -> None:
+    checks = checked_engines(0.2, 0.7)
+    assert rules(checks) == ["idle_capacity"]
+    assert "refused: overloaded 8" in checks.violations[0].detail
+
+
+def test_turns_that_are_refused_beside_busy_engines_are_allowed() -> None:
+    assert rules(checked_engines(0.4, 0.9)) == []
+
+
 def test_starved_customer_is_found() -> None:
     checks = checks_module.Checks()
     for number in range(checks_module.MIN_RESULTS):
