--- a/testing/test_stream_moves.py
+++ b/testing/test_stream_moves.py
@@ -9,7 +9,6 @@
 from unittest import mock
 
 import eventlet
-import pytest
 
 from fakes import moving_engine
 from fakes import platform_engine
@@ -142,7 +141,8 @@
         self.wait_for(
             lambda: not any(e.copies or e.reserved for e in self.engines)
         )
-        self.assertEqual([], [e.left for e in self.engines if e.left])
+        kept = [(e.left, e.freed, e.calls) for e in self.engines if e.left]
+        self.assertEqual([], kept)
         loads = self.system.entry.gateway.loads
         self.assertEqual({}, loads.requests.by_upstream)
         self.assertEqual({}, loads.tokens)
@@ -737,7 +737,6 @@
     seeds: ClassVar[tuple[int, ...]] = (1, 2)
     streams = 24
 
-    @pytest.mark.known_red
     def test_each_event_comes_once_and_nothing_runs_anew(self) -> None:
         # Guards against a second run of a stream whose route isn't resumable,
         # an event that is lost or repeated, an end before the last event, a
@@ -804,9 +803,9 @@
             for event in self.system.reporter.of(events.StreamContinued)
             if event.request == request
         ]
-        self.assertEqual(
-            answer.whole, received == COUNT, (path, answer, continued)
-        )
+        # A run that is stopped after its last event may have no stated end.
+        is_ended = received == COUNT and request in self.group.ended
+        self.assertEqual(is_ended, answer.whole, (path, answer, continued))
         made = [
             (at, number, engine)
             for at, (one, number, engine) in zip(
