At the bound of connections, a new one waits until another has closed

Cause: the one that rests longest is shut down for the new one, which then waits eight turns of the event loop. The hub of the hosted processes polls its sockets only every 16 rounds, and the closed connection learns of its end by a poll. It had not ended, so the new one was closed too. Tests of the listener run on eventlet's own hub, which polls in each turn.

Ruled out: a crowd of connections without a request (none to one in a copy that printed the counts), connections that never end.

Change: it waits up to 50 ms, by steps of 1 ms, which contain polls.

Evidence: the new test, twelve callers at a bound of four on that hub: before, every second one beyond the bound got nothing; all are served now.

--- a/src/mintcleat/adapters/http1_server.py
+++ b/src/mintcleat/adapters/http1_server.py
@@ -66,8 +66,11 @@
 # Part of the connections that may have sent no request yet without being taken
 # for a crowd.
 _CROWD_PART = 0.125
-# Turns of the event loop that a connection which gives way gets to close.
-_CLOSING_TURNS = 8
+# Time for which a new connection waits until one that gives way has closed, and
+# between two looks. That one learns of it by a poll of the sockets, which turns
+# of the event loop need not contain; waiting for a time does.
+_CLOSING_SECONDS = 0.05
+_CLOSING_STEP_SECONDS = 0.001
 # Assumed if the file descriptors of the process are unknown.
 DEFAULT_MAX_CONNECTIONS = 10_000
 # Why a connection gives way; see `Yielded`.
@@ -314,10 +317,9 @@
             return False
         found.mark_busy()
         found.shut_down()
-        for _ in range(_CLOSING_TURNS):
-            if len(self.connections) < limit:
-                break
-            eventlet.sleep(0)
+        until = time.monotonic() + _CLOSING_SECONDS
+        while len(self.connections) >= limit and time.monotonic() < until:
+            eventlet.sleep(_CLOSING_STEP_SECONDS)
         return len(self.connections) < limit
 
 
--- a/testing/test_event_loop.py
+++ b/testing/test_event_loop.py
@@ -12,7 +12,10 @@
 import testtools
 
 from mintcleat.adapters import event_loop
+from mintcleat.adapters import http1_server
+from mintcleat.adapters import received_bytes
 from mintcleat.adapters import timers
+from mintcleat.domain import manifest
 
 _threading = patcher.original("threading")
 _WAIT_SECONDS = 5.0
@@ -302,3 +305,37 @@
                     calls += 1
             expected = 30.0 / max(period, 0.1)
             self.assertTrue(abs(calls - expected) <= 1 + 0.01 * calls, period)
+
+
+class ListenerTest(testtools.TestCase):
+    """The platform's listener on the hub of the hosted processes."""
+
+    def test_new_connection_is_served_while_others_rest_at_the_bound(
+        self,
+    ) -> None:
+        # Guards against a closed connection that ends only after the next poll.
+        def body() -> list[bytes]:
+            listener = http1_server.HttpListener(
+                "127.0.0.1:0",
+                lambda request, reply: reply.send(200, [], b"x"),
+                limits=manifest.Limits,
+                bounds=http1_server.Bounds(received_bytes.ReceivedBytes(0), 4),
+            )
+            host, port = listener.address.split(":")
+            callers = []
+            answers = []
+            for _ in range(12):
+                caller = eventlet.connect((host, int(port)))
+                callers.append(caller)
+                with eventlet.Timeout(_WAIT_SECONDS):
+                    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                    try:
+                        answers.append(caller.recv(12))
+                    except OSError:
+                        answers.append(b"reset")
+            listener.stop()
+            for caller in callers:
+                caller.close()
+            return answers
+
+        self.assertEqual([b"HTTP/1.1 200"] * 12, run(body))
