--- a/bench/state_replica.py
+++ b/bench/state_replica.py
@@ -44,9 +44,9 @@
         self.commands.append(command)
         return len(self.commands)
 
-    def snapshot(self) -> bytes:
+    def snapshot_parts(self) -> list[bytes]:
         """Returns all commands, separated by newlines."""
-        return b"\n".join(self.commands)
+        return [b"\n".join(self.commands)]
 
     def restore(self, state: bytes) -> None:
         """Replaces all commands by those of a snapshot."""
--- a/src/mintcleat/adapters/admin_token.py
+++ b/src/mintcleat/adapters/admin_token.py
@@ -43,5 +43,5 @@
         return existing
     wal_disk.make_folder(disk, folder)
     token = secrets.token_urlsafe(_TOKEN_BYTES)
-    wal_disk.replace_file(disk, path, f"{token}\n".encode())
+    wal_disk.replace_file(disk, path, [f"{token}\n".encode()])
     return token
--- a/src/mintcleat/adapters/engine_http.py
+++ b/src/mintcleat/adapters/engine_http.py
@@ -3,10 +3,13 @@
 urllib3 bounds neither the time nor the size of an answer, and under eventlet it
 reads one that arrives faster than it is read without a pause for other green
 threads; `http1_client` doesn't.
+
+Each request has a connection of its own: an engine's answers don't state their
+requests, so that a late one to an earlier request on the connection would be
+taken for the current one's.
 """
 
 from collections.abc import Iterator
-import contextlib
 from typing import Any
 from typing import TypedDict
 
@@ -29,10 +32,9 @@
 # goes on in one message.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _MAX_CACHE_BYTES = 64 * 1024 * 1024
-# Bounds of what is read after the last event of a stream.
-_MAX_REST_BYTES = 64 * 1024
-_REST_SECONDS = 0.25
 _OK = 200
+_SUCCESS = range(200, 300)
+_REJECTED = range(400, 500)
 _CONFLICT = 409
 _OTHER_SOFTWARE = 421
 _SOFTWARE = "x-software-version"
@@ -80,14 +82,12 @@
 
     Attributes:
         address: `IP:PORT` of the engine.
-        pool: Idle connections to it.
         read_timeout: Time in seconds without data after which a stream counts
             as lost.
     """
 
     def __init__(self, address: str, read_timeout: float = 30.0) -> None:
         self.address = address
-        self.pool = http1_client.Pool()
         self.read_timeout = read_timeout
 
     def info(self) -> upstream.EngineInfo:
@@ -198,7 +198,7 @@
             errors.StreamTimeout: It was not complete within `timeout` seconds.
             errors.StreamClosed: It is incomplete or too long.
         """
-        connection = self.pool.acquire(self.address, self.address)
+        connection = http1_client.connect(self.address)
         try:
             with eventlet.Timeout(timeout, _Expired):
                 head = self._send(
@@ -212,17 +212,14 @@
                     "neither a length nor chunks, so it may have been cut "
                     "short."
                 )
+            return data
         except _Expired:
-            connection.close()
             raise errors.StreamTimeout(
                 f"The engine did not answer {path.partition('?')[0]} within "
                 f"{timeout:g} s."
             ) from None
-        except BaseException:
+        finally:
             connection.close()
-            raise
-        self._release(connection, head)
-        return data
 
     def _stream(
         self,
@@ -233,7 +230,7 @@
         offset: int,
     ) -> Iterator[upstream.TextChunk | upstream.End]:
         """Sends a request; returns once the head of its stream is there."""
-        connection = self.pool.acquire(self.address, self.address)
+        connection = http1_client.connect(self.address)
         try:
             with eventlet.Timeout(self.read_timeout, _Expired):
                 head = self._send(connection, method, target, headers, body)
@@ -255,16 +252,11 @@
         head: http1_heads.ResponseHead,
         offset: int,
     ) -> Iterator[upstream.TextChunk | upstream.End]:
-        is_released = False
         try:
             body = self._blocks(connection)
-            for item in read_events(body, offset, _software_of(head)):
-                if isinstance(item, upstream.End):
-                    is_released = self._skip_rest(connection, head)
-                yield item
+            yield from read_events(body, offset, _software_of(head))
         finally:
-            if not is_released:
-                connection.close()
+            connection.close()
 
     def _blocks(self, connection: http1_client.Connection) -> Iterator[bytes]:
         """Yields the parts of a stream's body as they arrive."""
@@ -278,32 +270,6 @@
                 return
             yield data
 
-    def _skip_rest(
-        self,
-        connection: http1_client.Connection,
-        head: http1_heads.ResponseHead,
-    ) -> bool:
-        """Reads what follows the last event, so that its connection is reused.
-
-        Each call would need a new one otherwise. Errors are ignored, because
-        the response is complete already.
-
-        Returns:
-            Whether the body had its end.
-        """
-        size = 0
-        with (
-            contextlib.suppress(errors.StreamClosed),
-            eventlet.Timeout(_REST_SECONDS, False),
-        ):
-            while (data := connection.read_data()) is not None:
-                size += len(data)
-                if size > _MAX_REST_BYTES:
-                    return False
-            self._release(connection, head)
-            return True
-        return False
-
     def _send(
         self,
         connection: http1_client.Connection,
@@ -317,20 +283,6 @@
         connection.send(method, target, fields, body)
         return connection.read_head()
 
-    def _release(
-        self,
-        connection: http1_client.Connection,
-        head: http1_heads.ResponseHead,
-    ) -> None:
-        """Keeps a connection for the next request if it can carry one."""
-        keep_alive = dict(head.fields).get("keep-alive", "")
-        if connection.prepare_reuse(
-            http1_client.keep_alive_seconds(keep_alive)
-        ):
-            self.pool.release(self.address, connection)
-        else:
-            connection.close()
-
     def _silence(self) -> errors.StreamTimeout:
         return errors.StreamTimeout(
             f"The engine sent nothing for {self.read_timeout:g} s."
@@ -368,6 +320,8 @@
     Raises:
         errors.StreamClosed: The stream ended without `[DONE]`, which alone
             shows that a response is complete.
+        errors.OutcomeUnknown: It was resumed, and doesn't state the length of
+            the whole answer, which shows where it went on.
     """
     received = offset
     total = -1
@@ -398,7 +352,13 @@
         ) from error
     if not done:
         raise errors.StreamClosed("The engine's stream ended before `[DONE]`.")
-    # Without the field, lost characters cannot be detected.
+    if total < 0 and offset:
+        raise errors.OutcomeUnknown(
+            "Expected the length of the whole answer at the end of a resumed "
+            "stream, but found none: the engine may have sent it from another "
+            f"character than {offset}."
+        )
+    # One stream has its end or breaks; it loses nothing in between.
     total = received if total < 0 else total
     yield upstream.End(total, reason, to_usage(usage))
 
@@ -420,15 +380,15 @@
 
     A 5xx status is a failure of the engine, so a retry at another engine may
     succeed. A 4xx status is caused by the request and would be the same at
-    every engine.
+    every engine. A redirect is not followed and says nothing of the request.
     """
-    if status < 400:
+    if status in _SUCCESS:
         return
     text = data[:200].decode(errors="replace")
     detail = f"The engine responded with status {status}: {text}"
     if status == _CONFLICT:
         raise errors.FencedOff(detail)
-    outcome = errors.UNKNOWN if status >= 500 else errors.RAN
+    outcome = errors.RAN if status in _REJECTED else errors.UNKNOWN
     raise errors.UpstreamFailed(detail, outcome=outcome)
 
 
--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -7,6 +7,7 @@
 distinguish a reset from the end of such a body.
 """
 
+import collections
 from collections.abc import Callable
 import contextlib
 import socket
@@ -45,6 +46,8 @@
 # Larger requests are sent concurrently with reading, because an upstream may
 # respond before it has read the whole body, and read the rest later.
 _INLINE_REQUEST_BYTES = 16 * 1024
+# Requests that a connection remembers.
+_MAX_CARRIED = 16
 # Maximum number of idle connections of one upstream.
 _MAX_IDLE = 64
 # Idle timeout if the upstream does not announce one.
@@ -90,6 +93,10 @@
             arriving; 0 for none.
         is_identified: Whether it is known to lead to the process that its user
             expects; it does so until its end.
+        carried: Ids of the latest requests that it has carried, which may be
+            answered again; empty for one without an id.
+        skipped: Responses that were skipped since the current request was
+            sent.
         on_work: Called with the time that a part of many chunks took, in
             seconds, before the next part; may wait.
     """
@@ -106,6 +113,10 @@
         self.head: http1_heads.ResponseHead | None = None
         self.sender: Any = None
         self.end: answer_ends.Kind | None = None
+        self.carried: collections.deque[str] = collections.deque(
+            maxlen=_MAX_CARRIED
+        )
+        self.skipped = 0
         self.interrupted = False
         self.closed = False
         self.on_work: Callable[[float], None] = _wait_for_nothing
@@ -128,6 +139,7 @@
         self.method = method
         self.head = None
         self.end = None
+        self.skipped = 0
         data = http1_framing.head(f"{method} {target} HTTP/1.1", headers)
         if len(data) + len(body) > _INLINE_REQUEST_BYTES:
             self.sender = eventlet.spawn(self._send_in_background, data, body)
@@ -258,6 +270,7 @@
         An upstream may repeat the response to an earlier request; the response
         to the current request follows it.
         """
+        self.skipped += 1
         began = time.monotonic()
         skipped = 0
         while (data := self.read_data()) is not None:
@@ -459,12 +472,18 @@
         """
         return self.take_idle(upstream) or connect(address)
 
-    def take_idle(self, upstream: str) -> Connection | None:
-        """Returns a usable idle connection; None if there is none."""
+    def take_idle(self, upstream: str, request: str = "") -> Connection | None:
+        """Returns a usable idle connection; None if there is none.
+
+        Args:
+            upstream: The upstream.
+            request: Id of the request that it is for. A late answer to an
+                earlier request of that id would be taken for the answer.
+        """
         connections = self.idle.get(upstream, [])
         while connections:
             connection = connections.pop()
-            if connection.is_usable():
+            if connection.is_usable() and request not in connection.carried:
                 return connection
             connection.close()
         return None
--- a/src/mintcleat/adapters/http1_heads.py
+++ b/src/mintcleat/adapters/http1_heads.py
@@ -17,6 +17,8 @@
 _VERSIONS = (b"HTTP/1.0", b"HTTP/1.1")
 _ABSOLUTE_TARGET = re.compile(r"(?i:https?)://([^/?#]*)([^#]*)")
 _START = b"HTTP/1."
+# Others are invalid (RFC 9110, 15), and nothing says what they mean.
+_STATUSES = range(100, 600)
 # A length of more digits exceeds 64 bits, or is padded; from some thousand on,
 # converting it fails.
 _MAX_LENGTH_DIGITS = 20
@@ -207,7 +209,7 @@
             raise ProtocolError(str(error)) from None
     status = parser.get_status_code()
     version = head[:8]
-    if version not in _VERSIONS or status < 100 or status == 101:
+    if version not in _VERSIONS or status not in _STATUSES or status == 101:
         raise ProtocolError(f"Expected a response, found status {status}.")
     fields = parts.by_name()
     if method == "HEAD" or status < 200 or status in (204, 304):
--- a/src/mintcleat/adapters/plain_http.py
+++ b/src/mintcleat/adapters/plain_http.py
@@ -2,6 +2,10 @@
 
 Under eventlet, urllib3 takes a reset within a body without a length for its
 end; `http1_client` doesn't.
+
+Each request has a connection of its own: a service's answers don't state their
+requests, so that a late one to an earlier request on the connection would be
+taken for the current one's.
 """
 
 from urllib import parse
@@ -48,7 +52,6 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self.pool = http1_client.Pool()
 
     def alive(self) -> bool:
         """Returns whether the service accepts connections."""
@@ -97,7 +100,7 @@
         target = "/" + parse.quote(path.lstrip("/"), safe=_TARGET_CHARACTERS)
         fields = [("host", self.address)]
         fields.extend((name, value) for name, value in end_to_end(headers))
-        connection = self.pool.acquire(self.address, self.address)
+        connection = http1_client.connect(self.address)
         try:
             connection.send(method, target, fields, content)
             head = connection.read_head()
@@ -108,16 +111,7 @@
                     f"The answer of {self.address} has no length, and it ended "
                     "with its connection as the service stopped."
                 )
-        except BaseException:
-            connection.close()
-            raise
-        received = dict(head.fields)
-        keep_alive = received.get("keep-alive", "")
-        if connection.prepare_reuse(
-            http1_client.keep_alive_seconds(keep_alive)
-        ):
-            self.pool.release(self.address, connection)
-        else:
+        finally:
             connection.close()
         return upstream.Reply(
             head.status,
--- a/src/mintcleat/adapters/wal.py
+++ b/src/mintcleat/adapters/wal.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import errno
 import fcntl
@@ -145,32 +146,41 @@
             number = self.segment_number + 1
             start = wal_segment.HEADER_SIZE
             salt = _new_salt()
-            frames = [
-                wal_segment.frame(salt, start, record) for record in records
-            ]
-            header = wal_segment.header(wal_segment.BASE, salt)
-            data = header + b"".join(frames)
+            size = 0
+
+            def parts() -> Iterator[bytes]:
+                nonlocal size
+                yield wal_segment.header(wal_segment.BASE, salt)
+                size = start
+                for record in records:
+                    framed = wal_segment.frame(salt, start, record)
+                    size += len(framed)
+                    yield framed
+
             path = self._segment_path(number)
-            self._replace_file(path, data)
+            self._replace_file(path, parts())
             os.close(self.descriptor)
             self.segment_number = number
             self.closed_segment_bytes = 0
-            self._open_for_append(path, len(data), salt)
+            self._open_for_append(path, size, salt)
             self._delete_segments_below(self.segment_number)
 
     def save_snapshot(
         self,
         group: str,
         index: int,
-        state: bytes,
+        parts: Sequence[bytes],
         pause: Callable[[], None] | None = None,
     ) -> None:
         """Stores a snapshot durably; writes it in steps if `pause` is given."""
         self._raise_if_failed()
         with self._fail_on_os_error():
-            head = zlib.crc32(state).to_bytes(4, "big")
+            checksum = 0
+            for part in parts:
+                checksum = zlib.crc32(part, checksum)
+            head = checksum.to_bytes(4, "big")
             path = self._snapshot_path(group, index)
-            self._replace_file(path, state, pause, head)
+            self._replace_file(path, [head, *parts], pause)
 
     def load_snapshot(self, group: str, index: int) -> bytes:
         """Returns the state of a stored snapshot."""
@@ -280,7 +290,7 @@
         path = self._segment_path(self.segment_number + 1)
         salt = _new_salt()
         data = wal_segment.header(kind, salt)
-        self._replace_file(path, data)
+        self._replace_file(path, [data])
         self.segment_number += 1
         self._open_for_append(path, len(data), salt)
 
@@ -294,13 +304,12 @@
     def _replace_file(
         self,
         path: pathlib.Path,
-        data: bytes,
+        parts: Iterable[bytes],
         pause: Callable[[], None] | None = None,
-        head: bytes = b"",
     ) -> None:
         """Replaces a file atomically; deletes the draft on a full disk."""
         try:
-            wal_disk.replace_file(self.disk, path, data, pause, head)
+            wal_disk.replace_file(self.disk, path, parts, pause)
         except OSError as error:
             if error.errno not in _DISK_FULL:
                 raise
--- a/src/mintcleat/adapters/wal_disk.py
+++ b/src/mintcleat/adapters/wal_disk.py
@@ -1,6 +1,8 @@
 """Disk operations, and atomic replacement of files."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 import os
 import pathlib
 
@@ -58,28 +60,24 @@
 def replace_file(
     disk: wal.Disk,
     path: pathlib.Path,
-    data: bytes,
+    parts: Iterable[bytes],
     pause: Callable[[], None] | None = None,
-    head: bytes = b"",
 ) -> None:
     """Replaces a file atomically and durably.
 
     Args:
         disk: The disk to write to.
         path: Path of the file.
-        data: Content, written in steps of STEP_BYTES.
+        parts: Content, written in steps of at most STEP_BYTES. No more than
+            one step is copied, since a snapshot can be large.
         pause: Called after each step, which is synced first. If it is None,
             the file is synced once, at the end.
-        head: Bytes that precede `data`. Given separately, so that `data` is
-            not copied.
     """
     draft = path.with_suffix(".draft")
     descriptor = os.open(draft, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
-        if head:
-            disk.write(descriptor, head)
-        for start in range(0, len(data), STEP_BYTES):
-            disk.write(descriptor, data[start : start + STEP_BYTES])
+        for step in _steps(parts):
+            disk.write(descriptor, step)
             if pause is not None:
                 disk.sync(descriptor)
                 pause()
@@ -88,3 +86,20 @@
         os.close(descriptor)
     draft.replace(path)
     disk.sync_directory(path.parent)
+
+
+def _steps(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yields the content of parts in steps of at most STEP_BYTES."""
+    small: list[bytes] = []
+    size = 0
+    for part in parts:
+        for start in range(0, len(part), STEP_BYTES):
+            piece = part[start : start + STEP_BYTES]
+            if size + len(piece) > STEP_BYTES:
+                yield b"".join(small)
+                small.clear()
+                size = 0
+            small.append(piece)
+            size += len(piece)
+    if small:
+        yield b"".join(small)
--- a/src/mintcleat/configuration/machine.py
+++ b/src/mintcleat/configuration/machine.py
@@ -153,6 +153,10 @@
             items.append(self.object_evidence.state())
         return msgspec.msgpack.encode(items)
 
+    def snapshot_parts(self) -> list[bytes]:
+        """Returns the state as one part."""
+        return [self.snapshot()]
+
     def restore(self, state: bytes) -> None:
         """Replaces the state by that of a snapshot.
 
--- a/src/mintcleat/consensus/messages.py
+++ b/src/mintcleat/consensus/messages.py
@@ -15,6 +15,7 @@
 from mintcleat.consensus import types
 from mintcleat.domain import errors
 from mintcleat.domain import identities
+from mintcleat.domain import msgpack_bytes
 
 
 class PreVoteRequest(NamedTuple):
@@ -255,13 +256,7 @@
     """
     (message,) = frame.messages
     empty = encode(frame._replace(messages=[message._replace(state=b"")]))
-    size = len(message.state)
-    if size < 1 << 8:
-        header = b"\xc4" + size.to_bytes(1, "big")
-    elif size < 1 << 16:
-        header = b"\xc5" + size.to_bytes(2, "big")
-    else:
-        header = b"\xc6" + size.to_bytes(4, "big")
+    header = msgpack_bytes.header(len(message.state))
     # The state is the last field of the last message. An empty one takes the
     # last two bytes of the frame.
     return empty[:-2] + header, message.state
--- a/src/mintcleat/consensus/replica.py
+++ b/src/mintcleat/consensus/replica.py
@@ -1,6 +1,8 @@
 """One replica of one group: the interface to the core's modules."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
 from typing import Any
 
 from mintcleat.consensus import election
@@ -216,10 +218,12 @@
         """Removes entries that a snapshot covers; see `State.compact`."""
         self.state.compact(snapshot, keep, keep_bytes)
 
-    def checkpoint_records(self) -> list[bytes]:
+    def checkpoint_records(self) -> Iterator[bytes]:
         """Returns records that restore the whole state of this group.
 
         They replace all earlier ones when the write-ahead log is rewritten.
+        They are those of the moment of the call, but entries are encoded one
+        batch at a time: a large log isn't in memory twice.
         """
         replica = self.state
         found = [
@@ -230,10 +234,13 @@
             found.append(records.snapshot(replica.group, replica.snapshot))
         first = replica.snapshot.index + 1
         settings = replica.settings
+        batches = []
         while first <= replica.log.last_index:
             items = replica.log.batch(
                 first, settings.batch_entries, settings.batch_bytes
             )
-            found.append(records.entries(replica.group, items))
+            batches.append(items)
             first += len(items)
-        return found
+        group = replica.group
+        encoded = (records.entries(group, items) for items in batches)
+        return itertools.chain(found, encoded)
--- a/src/mintcleat/decisions/event_order.py
+++ b/src/mintcleat/decisions/event_order.py
@@ -3,11 +3,13 @@
 The ids of a stream's events increase. An upstream that is asked to go on after
 an event may replay the stream, begin it anew or send an event again. Callers
 can't tell such events from those that belong there, and what two runs generated
-doesn't fit together. It may also go on too late, so that events are missing.
+doesn't fit together. An upstream may also leave an event out. Where ids follow
+one another, a gap shows that, and is as a break at that place.
 """
 
 import enum
 
+from mintcleat.decisions import event_ids
 from mintcleat.domain import server_sent_events
 
 
@@ -27,8 +29,11 @@
     LATER = "later"
 
 
-# Steps of 1 from which a stream's ids count as consecutive; one may be chance.
-# Ids of other streams may have gaps, which mean nothing.
+# A number that compares as its value does: its digits without leading zeros,
+# after how many they are. An id may have more than Python converts to an int.
+_Number = tuple[int, str]
+# Steps of 1 from which a stream's ids count as consecutive, whatever is usual;
+# one may be chance. Ids of other streams may have gaps, which mean nothing.
 MIN_STEPS = 2
 # Numbers of more digits aren't converted, and not looked at for gaps.
 _MAX_DIGITS = 18
@@ -48,8 +53,9 @@
         is_repeated: Whether the last event has been repeated.
         steps: Events whose ids were one above those before them; -1 once there
             was a gap.
-        is_resumed: Whether the next event is the first one of an upstream that
-            was asked to go on.
+        usual: The ids of the other streams of the same software.
+        doubted: Number that came after a gap in an earlier attempt; None for
+            none.
     """
 
     def __init__(self, last_id: str = "") -> None:
@@ -59,11 +65,12 @@
         self.is_numbered = True
         self.is_repeated = False
         self.steps = 0
-        self.is_resumed = False
+        self.usual = event_ids.StreamIds()
+        self.doubted: _Number | None = None
 
-    def resume(self) -> None:
-        """Records that the next event comes from another attempt."""
-        self.is_resumed = True
+    def begin_attempt(self, usual: event_ids.StreamIds) -> None:
+        """Records what is known of the software of the next attempt."""
+        self.usual = usual
 
     def place(self, event: server_sent_events.Event) -> Place:
         """Returns where an event belongs.
@@ -71,10 +78,10 @@
         A second repetition counts as `EARLIER`, as there might be no end to
         them.
         """
-        if not event.id or not self.is_numbered or self.last_number is None:
-            return Place.NEXT
         number = _number(event.id)
-        if number is None:
+        if number is None or not self.is_numbered:
+            return Place.NEXT
+        if self.last_number is None:
             return Place.NEXT
         if number > self.last_number:
             return Place.LATER if self._skips(number) else Place.NEXT
@@ -89,30 +96,43 @@
         number = _number(event.id)
         if number is None:
             self.is_numbered = False
-        elif self.last is not None and self.steps >= 0:
-            is_step = _is_next(self.last_number, number)
-            self.steps = self.steps + 1 if is_step else -1
+        else:
+            self._count(number)
         self.last, self.last_number = event.raw, number
         self.is_repeated = False
-        self.is_resumed = False
 
-    def _skips(self, number: tuple[int, str]) -> bool:
-        """Returns whether an upstream that goes on has left events out.
+    def reject(self, event: server_sent_events.Event) -> None:
+        """Records an event that came after a gap.
 
-        Within the answer of one upstream, gaps are its own choice.
+        If another upstream goes on with it too, nothing was left out.
         """
-        return (
-            self.is_resumed
-            and self.steps >= MIN_STEPS
-            and not _is_next(self.last_number, number)
-        )
+        self.doubted = _number(event.id)
+
+    def _count(self, number: _Number) -> None:
+        """Counts the steps of the stream, and what they say of its software."""
+        is_step = _is_next(self.last_number, number)
+        if number == self.doubted and not is_step:
+            self.usual.steps.append(False)
+        elif self.last is not None and self.steps == 0:
+            self.usual.steps.append(is_step)
+        if self.last is not None and self.steps >= 0:
+            self.steps = self.steps + 1 if is_step else -1
+        self.doubted = None
+
+    def _skips(self, number: _Number) -> bool:
+        """Returns whether an upstream has left events out before a number."""
+        if _is_next(self.last_number, number) or number == self.doubted:
+            return False
+        if self.steps >= MIN_STEPS:
+            return not self.usual.have_gaps()
+        return self.steps >= 0 and self.usual.are_consecutive()
 
     def skip(self) -> None:
         """Records that the last event was repeated."""
         self.is_repeated = True
 
 
-def _number(text: str) -> tuple[int, str] | None:
+def _number(text: str) -> _Number | None:
     """Returns a number that compares as its value does; None if it is none.
 
     An id may have more digits than Python converts to an int.
@@ -123,11 +143,9 @@
     return len(digits), digits
 
 
-def _is_next(
-    last: tuple[int, str] | None, number: tuple[int, str] | None
-) -> bool:
+def _is_next(last: _Number | None, number: _Number) -> bool:
     """Returns whether a number is, or may be, one above another."""
-    if last is None or number is None:
+    if last is None:
         return False
     if number[0] > _MAX_DIGITS:
         return True
--- a/src/mintcleat/decisions/upstream_health.py
+++ b/src/mintcleat/decisions/upstream_health.py
@@ -129,6 +129,20 @@
             and penalty.current(now) >= NO_CAPACITY_FAILURES
         )
 
+    def recovering(self, now: float) -> list[str]:
+        """Returns the upstreams which failed once, and not just now.
+
+        They get only repeatable requests, while others have free slots.
+        """
+        return [
+            name
+            for name, penalty in self.by_upstream.items()
+            if now >= penalty.until
+            and MAX_FAILURES_NON_REPEATABLE
+            < penalty.current(now)
+            < NO_CAPACITY_FAILURES
+        ]
+
     def forget(self, upstream: str) -> None:
         """Drops an upstream that no longer exists."""
         self.by_upstream.pop(upstream, None)
--- a/src/mintcleat/domain/events.py
+++ b/src/mintcleat/domain/events.py
@@ -494,6 +494,8 @@
             order.
         repeated: Events that an upstream sent twice in a row, and that were
             forwarded once.
+        skipped: Answers of upstreams to other requests, or to none that they
+            state, that came before an answer to this one.
     """
 
     request: str
@@ -516,6 +518,7 @@
     last_event: str = ""
     versions: tuple[str, ...] = ()
     repeated: int = 0
+    skipped: int = 0
 
 
 class CallerGone(NamedTuple):
--- a/src/mintcleat/domain/routed_calls.py
+++ b/src/mintcleat/domain/routed_calls.py
@@ -205,6 +205,7 @@
             memory; empty for none.
         is_stream: Whether the answer is a stream, which only the registered
             process may begin or continue.
+        may_retry: Whether another upstream may run it after this one may have.
     """
 
     body: bytes
@@ -215,3 +216,4 @@
     copy: Copy | None = None
     backup: str = ""
     is_stream: bool = False
+    may_retry: bool = False
--- a/src/mintcleat/load/client.py
+++ b/src/mintcleat/load/client.py
@@ -13,6 +13,7 @@
 
 _CONNECT_SECONDS = 5.0
 _PROGRAM_TIMEOUT_SECONDS = 30.0
+_FIRST_ERROR_STATUS = 400
 
 
 class Answer(NamedTuple):
@@ -47,14 +48,22 @@
     """Sends requests to the entries in turn, as a load balancer does."""
 
     def __init__(
-        self, entries: list[str], timers: timers_port.Timers, connections: int
+        self,
+        entries: list[str],
+        timers: timers_port.Timers,
+        pool: urllib3.PoolManager,
     ) -> None:
+        """Initializes a client.
+
+        Args:
+            entries: Their addresses.
+            timers: Measure its requests.
+            pool: Raises an error for an answer without a valid final status.
+        """
         self.entries = entries
         self.timers = timers
         self.next_entry = 0
-        self.pool = urllib3.PoolManager(
-            maxsize=connections, num_pools=len(entries) + 1, retries=False
-        )
+        self.pool = pool
 
     def create(self, body: dict[str, Any], key: str = "") -> tuple[str, Answer]:
         """Creates a program; returns its id, empty on error, and the result."""
@@ -70,8 +79,10 @@
             value = json.loads(response.data)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             return "", self._connection_error(error, started)
-        answer = self._error_answer(value, started)
-        return value.get("id", ""), answer
+        if response.status >= _FIRST_ERROR_STATUS:
+            return "", self._error_answer(value, started, response.status)
+        seconds = self.timers.now() - started
+        return value.get("id", ""), Answer("", "ran", seconds, seconds, [])
 
     def close(self, program: str, key: str = "") -> None:
         """Closes a program; errors are ignored, as they are not measured."""
@@ -99,8 +110,9 @@
             response = self._send(method, path, None, headers, deadline)
         except urllib3.exceptions.HTTPError as error:
             return self._connection_error(error, started)
-        if response.status >= 400:
-            return self._error_answer(_parse_object(response.data), started)
+        if response.status >= _FIRST_ERROR_STATUS:
+            value = _parse_object(response.data)
+            return self._error_answer(value, started, response.status)
         seconds = self.timers.now() - started
         return Answer("", "ran", seconds, seconds, [])
 
@@ -121,10 +133,9 @@
                 deadline,
                 stream=True,
             )
-            if response.status >= 400:
-                return self._error_answer(
-                    _parse_object(response.read()), started
-                )
+            if response.status >= _FIRST_ERROR_STATUS:
+                value = _parse_object(response.read())
+                return self._error_answer(value, started, response.status)
             if body.get("stream"):
                 return self._read_stream(response, started)
             return self._read_whole(_parse_object(response.read()), started)
@@ -154,7 +165,9 @@
                 break
             value = json.loads(event)
             if "error" in value:
-                return self._error_answer(value["error"], started)
+                return self._error_answer(
+                    value["error"], started, response.status
+                )
             usage = value.get("usage") or usage
             content = value["choices"][0]["delta"].get("content")
             if not content:
@@ -199,6 +212,7 @@
             body=data,
             headers={"Content-Type": "application/json", **headers},
             timeout=urllib3.Timeout(connect=_CONNECT_SECONDS, read=deadline),
+            retries=False,
             preload_content=not stream,
         )
         if not answer_ends.states_end(response.status, response.headers):
@@ -209,10 +223,13 @@
             )
         return response
 
-    def _error_answer(self, value: dict[str, Any], started: float) -> Answer:
+    def _error_answer(
+        self, value: dict[str, Any], started: float, status: int
+    ) -> Answer:
         seconds = self.timers.now() - started
         return Answer(
-            value.get("kind", ""),
+            # A service's own error states none.
+            value.get("kind") or f"status_{status}",
             value.get("outcome", "ran"),
             seconds,
             seconds,
--- a/src/mintcleat/main/cli_bench.py
+++ b/src/mintcleat/main/cli_bench.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from mintcleat.adapters import response_checks
 from mintcleat.adapters import timers as timers_module
 from mintcleat.load import arrivals
 from mintcleat.load import client as client_module
@@ -22,7 +23,11 @@
     programs = arrivals.schedule(plan)
     timers = timers_module.EventletTimers()
     urllib3.disable_warnings()
-    client = client_module.Client(entries.split(","), timers, _MAX_CONNECTIONS)
+    addresses = entries.split(",")
+    pool = response_checks.PoolManager(
+        maxsize=_MAX_CONNECTIONS, num_pools=len(addresses) + 1
+    )
+    client = client_module.Client(addresses, timers, pool)
     driver = driver_module.Driver(client, timers)
     driver.run(programs, _DRAIN_TIMEOUT_SECONDS)
     results = report.summary(driver)
--- a/src/mintcleat/main/cli_client.py
+++ b/src/mintcleat/main/cli_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from mintcleat.adapters import admin_token
+from mintcleat.adapters import response_checks
 from mintcleat.domain import answer_ends
 
 DEFAULT_ADMIN = "http://127.0.0.1:8081"
@@ -71,7 +72,7 @@
             token_file
             or os.environ.get("MINTCLEAT_TOKEN_FILE", DEFAULT_TOKEN_FILE)
         )
-        self.pool = urllib3.PoolManager(timeout=TIMEOUT, retries=False)
+        self.pool = response_checks.PoolManager(timeout=TIMEOUT, retries=False)
 
     def get(self, path: str, **query: object) -> Any:
         """Returns the decoded response to a GET request."""
--- a/src/mintcleat/main/control_role.py
+++ b/src/mintcleat/main/control_role.py
@@ -26,10 +26,11 @@
 from mintcleat.roles.control.replication import snapshots
 
 _LEADERSHIP_TRANSFER_SECONDS = 2.0
-# Share of the process's memory for the inputs and outputs of kept turns. The
-# log's entries and a snapshot that is encoded, written and sent hold the same
-# bytes up to four times more, beside the process itself.
-_KEPT_TURNS_FRACTION = 0.11
+# Share of the process's memory for the inputs and outputs of kept turns. Beside
+# the process itself, a replica takes up to 2.5 times these bytes: records, the
+# log's entries and what the heap can't reuse. A state that is sent is in memory
+# once more, one that is received twice.
+_KEPT_TURNS_FRACTION = 0.16
 # Share of the process's memory for the accounts of programs, and for their kept
 # turns beside the content.
 _RECORDS_FRACTION = 0.1
@@ -213,7 +214,9 @@
                 balance_after=times.balance_after,
                 founder=role.founder,
             ),
-            snapshots=snapshots.limits_for(self.memory_bytes),
+            snapshots=snapshots.limits_for(
+                self.memory_bytes, self.common.settings.program_groups
+            ),
         )
 
     def _members(self) -> list[replication.Member]:
--- a/src/mintcleat/platform/upstream_replies.py
+++ b/src/mintcleat/platform/upstream_replies.py
@@ -21,6 +21,9 @@
 EXPECT_UPSTREAM = "x-expect-instance"
 # Status of an upstream that is not the expected one.
 WRONG_UPSTREAM = 421
+NOT_EXECUTED = "x-not-executed"
+# Status of an upstream that has no room, or not the copy that a request names.
+NO_CAPACITY = 503
 _REPORT_PATH = "/v1/report"
 # In all that an upstream says of itself: the start of its process.
 _BORN = "born"
@@ -34,6 +37,24 @@
     """An upstream did not report on itself in time."""
 
 
+class SentRequest(NamedTuple):
+    """A request whose response is expected on a connection.
+
+    Attributes:
+        id: Its id; empty for a report, which has none.
+        is_first: Whether the connection has carried no other request, nor one
+            for a report. A refusal needs no id there, as only this one can be
+            refused.
+        may_retry: Whether it may be sent elsewhere if its outcome is unknown.
+        is_copy: Whether it goes on from a copy; 503 refuses it then.
+    """
+
+    id: str
+    is_first: bool = False
+    may_retry: bool = False
+    is_copy: bool = False
+
+
 class Report(NamedTuple):
     """What the process at the other end of a connection says of itself.
 
@@ -84,9 +105,10 @@
         ("host", upstream.address),
         (EXPECT_UPSTREAM, upstream.upstream),
     ]
+    connection.carried.append("")
     connection.send("GET", _REPORT_PATH, headers, b"")
     # A late answer to another request has that one's id.
-    head = read_head(connection, "")
+    head = read_head(connection, SentRequest(""))
     started = decode_object(connection.read_body(MAX_REPLY_BYTES)).get(_BORN)
     keep_alive = dict(head.fields).get("keep-alive", "")
     return Report(
@@ -161,21 +183,55 @@
 
 
 def read_head(
-    connection: http1_client.Connection, request_id: str
+    connection: http1_client.Connection, sent: SentRequest
 ) -> http1_heads.ResponseHead:
     """Returns the head of the response to a request.
 
-    An upstream may respond again to an earlier request on the connection.
-    Responses are matched to requests by the request id that they echo.
+    An upstream may respond again to an earlier request on the connection, or
+    send a response that nobody asked for. Responses are matched to requests by
+    the request id that they echo. One that states none may be another
+    request's, also if it says that it did not run.
+
+    Raises:
+        errors.StreamClosed: None came. A refusal that states no request ends
+            the wait for one that may be sent elsewhere at once: if it was this
+            one's, nothing else comes.
     """
     for _ in range(_MAX_SKIPPED_RESPONSES):
         head = connection.read_head()
-        echoed_id = dict(head.fields).get(callers.REQUEST_ID)
-        if echoed_id is None or echoed_id == request_id:
+        if _is_of(head, sent):
             return head
+        is_anonymous = not _ids_of(head)
+        if sent.may_retry and is_anonymous and _is_refusal(head, sent):
+            raise errors.StreamClosed(
+                f"A refusal of {connection.address} states no request; the "
+                "connection has carried others."
+            )
         connection.skip_response()
     raise errors.StreamClosed(
         f"Expected a response of {connection.address} to the current request, "
         f"but found {_MAX_SKIPPED_RESPONSES} responses with another "
-        f"{callers.REQUEST_ID}."
+        f"{callers.REQUEST_ID}, or without one."
+    )
+
+
+def _is_of(head: http1_heads.ResponseHead, sent: SentRequest) -> bool:
+    """Returns whether a response is to a request; see `read_head`."""
+    ids = _ids_of(head)
+    if ids or not sent.id:
+        return ids == ({sent.id} if sent.id else set())
+    return sent.is_first and _is_refusal(head, sent)
+
+
+def _ids_of(head: http1_heads.ResponseHead) -> set[str]:
+    """Returns the ids of requests that a response states."""
+    return {value for name, value in head.fields if name == callers.REQUEST_ID}
+
+
+def _is_refusal(head: http1_heads.ResponseHead, sent: SentRequest) -> bool:
+    """Returns whether a response says that its request was not run."""
+    return (
+        head.status == WRONG_UPSTREAM
+        or NOT_EXECUTED in dict(head.fields)
+        or (sent.is_copy and head.status == NO_CAPACITY)
     )
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -23,17 +23,16 @@
 
 _URGENCY = "x-request-urgency"
 _SIGNATURE = "x-response-signature"
-_NOT_EXECUTED = "x-not-executed"
 _COPY_FROM = "kv-from"
 _BACKUP = "x-kv-backup"
 _MOVE_PATH = "/v1/kv-move"
 _HANDLE_PATH = "/v1/kv-handle/"
-_NO_CAPACITY = 503
+_NO_CONTENT = (204, 205)
 _COPY_STATUS = {
     200: routed_calls.CopyStatus.COPIED,
     404: routed_calls.CopyStatus.ABSENT,
     409: routed_calls.CopyStatus.IN_PROGRESS,
-    _NO_CAPACITY: routed_calls.CopyStatus.REFUSED,
+    upstream_replies.NO_CAPACITY: routed_calls.CopyStatus.REFUSED,
 }
 # Handles are sent on in a header.
 _HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
@@ -65,25 +64,40 @@
         request: routed_calls.UpstreamRequest,
     ) -> "HttpUpstreamResponse":
         """Sends a request and returns once the response's head has arrived."""
-        connection = self._contact(upstream, request)
+        connection = self._contact(upstream, call, request)
         try:
             if self.on_work is not None:
                 connection.on_work = self.on_work
             left = request.before_sending()
+            is_first = not connection.carried
+            connection.carried.append(call.request)
             connection.send(
                 call.method,
                 call.target,
                 _headers(upstream, call, request, left),
                 request.body,
             )
-            head = upstream_replies.read_head(connection, call.request)
+            head = upstream_replies.read_head(
+                connection,
+                upstream_replies.SentRequest(
+                    call.request,
+                    is_first,
+                    request.may_retry,
+                    request.copy is not None,
+                ),
+            )
             # The run was not continued, so the next copy of it can be tried.
-            if request.copy is not None and head.status == _NO_CAPACITY:
+            if (
+                request.copy is not None
+                and head.status == upstream_replies.NO_CAPACITY
+            ):
                 raise errors.UpstreamBusy(
                     f"Upstream {upstream.upstream} has no copy {request.copy} "
                     "of the run's memory."
                 )
-            return HttpUpstreamResponse(self.pool, upstream, connection, head)
+            return HttpUpstreamResponse(
+                self.pool, upstream, connection, head, request.is_stream
+            )
         except BaseException:
             connection.close()
             raise
@@ -91,6 +105,7 @@
     def _contact(
         self,
         upstream: member_messages.Registration,
+        call: routed_calls.RoutedCall,
         request: routed_calls.UpstreamRequest,
     ) -> http1_client.Connection:
         """Returns a connection on which a request can be sent.
@@ -102,11 +117,15 @@
         is_checked = bool(upstream.started) and (
             request.is_stream or request.copy is not None
         )
-        connection = self.pool.take_idle(upstream.incarnation)
+        connection = self.pool.take_idle(upstream.incarnation, call.request)
         if connection is not None and (
             connection.is_identified or not is_checked
         ):
             return connection
+        # A report states no request, and a late answer may state none either.
+        if connection is not None and connection.carried:
+            connection.close()
+            connection = None
         try:
             with eventlet.Timeout(times.total, _ContactTimeout):
                 if connection is None:
@@ -220,6 +239,7 @@
         framing: What ends the body.
         received: Bytes of the body that were received.
         end: How the body ended; None before its end.
+        skipped: Responses to other requests that came before it.
     """
 
     def __init__(
@@ -228,12 +248,24 @@
         upstream: member_messages.Registration,
         connection: http1_client.Connection,
         response: http1_heads.ResponseHead,
+        is_stream: bool,
     ) -> None:
+        """Initializes a response whose head has arrived.
+
+        Args:
+            pool: Where its connection is kept after it.
+            upstream: The upstream that sends it.
+            connection: The connection on which it arrives.
+            response: Its head.
+            is_stream: Whether a success whose head states no type consists of
+                events.
+        """
         self.pool = pool
         self.upstream = upstream
         self.connection: http1_client.Connection | None = connection
         self.fields = dict(response.fields)
         self.framing = response.body.framing
+        self.skipped = connection.skipped
         self.received = 0
         self.end: answer_ends.AnswerEnd | None = None
         status = response.status
@@ -247,7 +279,13 @@
                 for field in response.fields
                 if field[0] not in callers.HOP_BY_HOP_FIELDS
             ),
-            status in _SUCCESS and content_type.startswith("text/event-stream"),
+            status in _SUCCESS
+            and status not in _NO_CONTENT
+            and (
+                content_type.startswith("text/event-stream")
+                if content_type
+                else is_stream
+            ),
         )
 
     def chunks(self) -> Iterator[bytes]:
@@ -305,11 +343,11 @@
                 f"{self.upstream.address}, but it answered {status}: another "
                 "upstream has this address now."
             )
-        if _NOT_EXECUTED in self.fields:
+        if upstream_replies.NOT_EXECUTED in self.fields:
             self._skip_refusal()
             raise errors.UpstreamBusy(
                 f"Upstream {self.upstream.upstream} refused the request with "
-                f"status {status} and {_NOT_EXECUTED}."
+                f"status {status} and {upstream_replies.NOT_EXECUTED}."
             )
         if "content-encoding" in self.fields:
             raise errors.StreamClosed(
--- a/src/mintcleat/ports/forwarding.py
+++ b/src/mintcleat/ports/forwarding.py
@@ -16,11 +16,13 @@
         head: Status and headers of the response.
         framing: What ends the body.
         end: How the body ended; None before its end.
+        skipped: Responses to other requests that came before it.
     """
 
     head: routed_calls.ResponseHead
     framing: answer_ends.Framing
     end: answer_ends.AnswerEnd | None
+    skipped: int
 
     def chunks(self) -> Iterator[bytes]:
         """Yields the body as it arrives and returns at its end.
--- a/src/mintcleat/ports/log.py
+++ b/src/mintcleat/ports/log.py
@@ -35,8 +35,12 @@
         `errors.MintcleatError`.
         """
 
-    def snapshot(self) -> bytes:
-        """Returns the serialized state."""
+    def snapshot_parts(self) -> list[bytes]:
+        """Returns the serialized state in parts, for `restore` when joined.
+
+        Parts may be bytes of the state itself, so that a large state isn't in
+        memory twice.
+        """
 
     def restore(self, state: bytes) -> None:
         """Replaces the state by that of a snapshot."""
--- a/src/mintcleat/ports/wal.py
+++ b/src/mintcleat/ports/wal.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import pathlib
 from typing import Any
 from typing import NamedTuple
@@ -70,13 +71,17 @@
         """Returns the size of all segments in bytes."""
 
     def rewrite(self, records: Iterable[bytes]) -> None:
-        """Replaces the whole log, durably and atomically."""
+        """Replaces the whole log, durably and atomically.
+
+        Args:
+            records: Read once, while they are written.
+        """
 
     def save_snapshot(
         self,
         group: str,
         index: int,
-        state: bytes,
+        parts: Sequence[bytes],
         pause: Callable[[], None] | None = None,
     ) -> None:
         """Stores a snapshot durably.
@@ -84,7 +89,7 @@
         Args:
             group: Name of the group.
             index: Index of the last log entry included in the snapshot.
-            state: Serialized state.
+            parts: Serialized state, in parts.
             pause: Called between the steps of a long write, so that other
                 calls of the log can run in between.
         """
--- a/src/mintcleat/programs/branches.py
+++ b/src/mintcleat/programs/branches.py
@@ -34,8 +34,10 @@
 # the CloseTurn. Both are sent within the deadline of one request, and a program
 # has few turns in that time.
 MAX_SETTLED_TURNS = 64
-# Index of the limits in `Branches.state`, and of the counted requests; earlier
-# releases end before them.
+# Index of the finished turns in `Branches.state`.
+TURNS_INDEX = 2
+# Index of the limits there, and of the counted requests; earlier releases end
+# before them.
 _LIMITS_INDEX = 3
 _COUNTED_INDEX = 4
 # Time for which a counted request is remembered, in case its message comes
@@ -124,6 +126,11 @@
         self.size += _turn_id_size(turn)
 
 
+def _content(kept: program_messages.KeptTurn) -> tuple[str, bytes, bytes]:
+    """Returns what continuations of a turn get of it."""
+    return kept.previous, kept.input, kept.output
+
+
 def _turn_id_size(turn: str) -> int:
     """Returns the bytes that an account takes for a turn's id."""
     return TURN_ID_BYTES + len(turn)
@@ -277,14 +284,16 @@
         """Settles a turn, and keeps it to be continued if `keep` is set.
 
         Returns:
-            A Done, or UnknownTurn if the turn before it is not kept any more.
+            A Done, UnknownTurn if the turn before it is not kept any more, or
+            Superseded if another turn of its id is kept: callers may use one
+            id at two entries.
         """
         account = self._account(request, clock)
         if request.counted_at >= 0 and request.turn in account.reserved:
             self.limits.refund(request.customer, request.counted_at)
-        before = account.size
+        size = account.size
         account.settle(request.turn, request.tokens)
-        self.account_bytes += account.size - before
+        self.account_bytes += account.size - size
         account.upstream = request.upstream or account.upstream
         if not request.keep:
             return identities.Done()
@@ -301,6 +310,13 @@
             request.upstream,
             request.customer,
         )
+        before = self.turns.get(key)
+        # Entries that have the former content would go on to use it.
+        if before is not None and _content(before) != _content(kept):
+            return errors.Superseded(
+                f"Turn {request.turn} is kept with another content already; "
+                "use a new turn id."
+            )
         self._keep(key, kept)
         self._renew_chain(request, clock)
         return identities.Done()
--- a/src/mintcleat/programs/machine.py
+++ b/src/mintcleat/programs/machine.py
@@ -36,6 +36,10 @@
 
     def snapshot(self) -> bytes:
         """Returns the serialized state."""
+        return b"".join(self.snapshot_parts())
+
+    def snapshot_parts(self) -> list[bytes]:
+        """Returns the serialized state; contents of turns aren't copied."""
         return snapshots.pack(self)
 
     def restore(self, snapshot: bytes) -> None:
--- a/src/mintcleat/programs/snapshots.py
+++ b/src/mintcleat/programs/snapshots.py
@@ -7,11 +7,16 @@
 import msgspec
 
 from mintcleat.domain import errors
+from mintcleat.domain import msgpack_bytes
 from mintcleat.programs import answers
+from mintcleat.programs import branches
 from mintcleat.programs import records
 from mintcleat.programs import state
 
 FORMAT = 1
+# Bytes of at least this size are parts of their own, which share the memory of
+# the state. Smaller ones are copied, as a part takes about as much itself.
+_MIN_SHARED_BYTES = 256
 # Index of the turn trees; snapshots of older releases end before it.
 _BRANCHES_INDEX = 10
 # Index of the origins of streams, likewise.
@@ -23,9 +28,15 @@
 )
 
 
-def pack(group: state.Group) -> bytes:
-    """Encodes the state of a group; all replicas produce the same bytes."""
-    parts = [
+def pack(group: state.Group) -> list[bytes]:
+    """Encodes the state of a group, in parts.
+
+    All replicas produce the same bytes. Large contents are in the parts as
+    they are: a copy of all kept turns at once would double the memory that
+    they take in the leader.
+    """
+    packer = msgpack.Packer()
+    fields = [
         FORMAT,
         group.clock,
         group.last_attempt,
@@ -40,25 +51,54 @@
             if program.next_turn > 1
         ],
         _stored_answers(group),
-        group.branches.state(),
-        *([group.streams.state()] if group.streams.begun else ()),
     ]
-    return msgpack.packb(parts, use_bin_type=True)
+    streams = [group.streams.state()] if group.streams.begun else []
+    count = len(fields) + 1 + len(streams)
+    return [
+        packer.pack_array_header(count) + b"".join(map(packer.pack, fields)),
+        *_branch_parts(group.branches.state(), packer),
+        b"".join(map(packer.pack, streams)),
+    ]
+
+
+def _branch_parts(fields: list[Any], packer: msgpack.Packer) -> list[bytes]:
+    """Encodes the turn trees; the contents of turns are parts as they are."""
+    turns = fields[branches.TURNS_INDEX]
+    small = [
+        packer.pack_array_header(len(fields)),
+        *map(packer.pack, fields[: branches.TURNS_INDEX]),
+        packer.pack_array_header(len(turns)),
+    ]
+    parts = []
+    for turn in turns:
+        small.append(packer.pack_array_header(len(turn)))
+        for value in turn:
+            if value.__class__ is bytes and len(value) >= _MIN_SHARED_BYTES:
+                small.append(msgpack_bytes.header(len(value)))
+                parts += (b"".join(small), value)
+                small = []
+            else:
+                small.append(packer.pack(value))
+    small.extend(map(packer.pack, fields[branches.TURNS_INDEX + 1 :]))
+    parts.append(b"".join(small))
+    return parts
 
 
 def unpack(group: state.Group, data: bytes) -> None:
     """Replaces the state of a group by an encoded one.
 
     Raises:
-        errors.StorageDamaged: The snapshot has another format.
+        errors.StorageDamaged: The snapshot has another format. The group is
+            empty then, and its replica must stop.
     """
+    # Before decoding, so that two states are not in memory at once.
+    group.clear()
     parts = msgpack.unpackb(data, strict_map_key=False)
     if parts[0] != FORMAT:
         raise errors.StorageDamaged(
             f"The snapshot has format {parts[0]}, but {FORMAT} is expected;"
             " use the release that wrote it."
         )
-    group.clear()
     group.clock, group.last_attempt, group.deleted_programs = parts[1:4]
     for values in parts[4]:
         program = _record(records.Program, _PROGRAM_FIELDS, values)
--- a/src/mintcleat/roles/control/replication/disk_queue.py
+++ b/src/mintcleat/roles/control/replication/disk_queue.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import itertools
 from typing import Any
 from typing import NamedTuple
 from typing import Protocol
@@ -25,6 +26,8 @@
 # Interval at which a write to a full disk is retried; other processes may free
 # space.
 _DISK_FULL_RETRY_SECONDS = 0.1
+# Least time between two attempts to rewrite the log on a full disk.
+_REWRITE_RETRY_SECONDS = 1.0
 
 
 class Unsynced(NamedTuple):
@@ -77,6 +80,7 @@
         rewrite_bytes: Size at which the log is rewritten; see
             `driver.Options`.
         rewritten_bytes: Size of the log after its last rewrite.
+        rewrite_after: Time before which it isn't rewritten again.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.persisting = False
         self.rewrite_bytes = rewrite_bytes
         self.rewritten_bytes = wal.size()
+        self.rewrite_after = 0.0
 
     def add(self, effects: outbox.Outbox) -> None:
         """Queues effects and starts to write them unless that is under way."""
@@ -131,9 +136,10 @@
                 with host.stop_on_failure:
                     self._persist_batch()
                 host.work()
-            if host.failed is None:
-                with host.stop_on_failure:
-                    self._rewrite_log_if_due()
+                if not self.unsynced and host.failed is None:
+                    # Effects that are queued meanwhile are written next.
+                    with host.stop_on_failure:
+                        self._rewrite_log_if_due()
         finally:
             self.persisting = False
 
@@ -170,7 +176,10 @@
         # On a full disk it waits, as entries do. If the replica stopped
         # instead, it would find the disk just as full at each restart.
         self._retry_while_full(
-            self.wal.save_snapshot, item.group, item.snapshot.index, item.state
+            self.wal.save_snapshot,
+            item.group,
+            item.snapshot.index,
+            [item.state],
         )
         if self.host.failed is None:
             self.host.restore(item)
@@ -237,10 +246,19 @@
         limit = max(self.rewrite_bytes, 2 * self.rewritten_bytes)
         if self.wal.size() < limit:
             return
+        now = self.timers.now()
+        if now < self.rewrite_after:
+            return
         live = [
-            record
+            replica.checkpoint_records()
             for replica in self.host.core.replicas.values()
-            for record in replica.checkpoint_records()
         ]
-        self.worker.run(self.wal.rewrite, live)
-        self.rewritten_bytes = self.wal.size()
+        records = itertools.chain.from_iterable(live)
+        try:
+            self.worker.run(self.wal.rewrite, records)
+        except errors.StorageFull as error:
+            # The log is as it was, and may grow until there is room again.
+            logger.warning("The log isn't rewritten yet: {}", error.detail)
+            self.rewrite_after = now + _REWRITE_RETRY_SECONDS
+        else:
+            self.rewritten_bytes = self.wal.size()
--- a/src/mintcleat/roles/control/replication/links.py
+++ b/src/mintcleat/roles/control/replication/links.py
@@ -224,15 +224,16 @@
         while self.running:
             received.append(part.payload)
             if not part.more:
-                payload = b"".join(received)
-                received = []
-                self._deliver(exchange.peer, payload)
+                self._deliver(exchange.peer, received)
             try:
                 part = exchange.receive()
             except errors.StreamClosed:
                 return
 
-    def _deliver(self, peer: str, payload: bytes) -> None:
+    def _deliver(self, peer: str, parts: list[bytes]) -> None:
+        """Delivers a frame; removes its parts, as it may be a large state."""
+        payload = b"".join(parts)
+        parts.clear()
         try:
             self.deliver(payload)
         except errors.BadRequest as error:
--- a/src/mintcleat/roles/control/replication/snapshots.py
+++ b/src/mintcleat/roles/control/replication/snapshots.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from contextlib import AbstractContextManager
+import math
 from typing import NamedTuple
 
 from eventlet import semaphore
@@ -29,6 +30,8 @@
         bytes: Size of the applied entries after which a snapshot is due. The
             size of the last snapshot counts instead if it is larger, so that
             snapshots are a bounded share of all writes.
+        most_bytes: Size of the applied entries after which a snapshot is due,
+            whatever the size of the last one.
         kept: Entries kept in the log behind a snapshot, for slow followers.
         kept_bytes: Size of these entries at most. The size of the snapshot
             counts instead if it is larger, since a follower that lacks the
@@ -39,6 +42,7 @@
 
     entries: int = 10_000
     bytes: int = 8 * 1024 * 1024
+    most_bytes: float = math.inf
     kept: int = 1_000
     kept_bytes: int = 4 * 1024 * 1024
     most_kept_bytes: int = 32 * 1024 * 1024
@@ -48,17 +52,25 @@
 # snapshot doesn't cover yet, and those kept behind it. The rest is for the
 # state, its encoded snapshots and other groups.
 _UNCOVERED_FRACTION = 1 / 40
+_MOST_UNCOVERED_FRACTION = 1 / 20
 _KEPT_FRACTION = 1 / 40
 _MOST_KEPT_FRACTION = 1 / 20
 
 
-def limits_for(memory_bytes: int) -> Limits:
-    """Returns the limits for a process with this memory; 0 if unknown."""
+def limits_for(memory_bytes: int, groups: int = 1) -> Limits:
+    """Returns the limits for each group of a process.
+
+    Args:
+        memory_bytes: Memory that the process may use; 0 if unknown.
+        groups: Number of its large groups.
+    """
     usual = Limits()
     if not memory_bytes:
         return usual
+    memory_bytes //= groups
     return usual._replace(
         bytes=min(usual.bytes, int(memory_bytes * _UNCOVERED_FRACTION)),
+        most_bytes=memory_bytes * _MOST_UNCOVERED_FRACTION,
         kept_bytes=min(usual.kept_bytes, int(memory_bytes * _KEPT_FRACTION)),
         most_kept_bytes=min(
             usual.most_kept_bytes, int(memory_bytes * _MOST_KEPT_FRACTION)
@@ -169,11 +181,11 @@
         if growth.saving:
             return False
         metadata = replica.snapshot_metadata()
-        state = machine.snapshot()
+        parts = machine.snapshot_parts()
         growth.saving = True
         growth.bytes = 0
-        growth.snapshot_size = len(state)
-        self.timers.spawn(self._save, replica, metadata, state)
+        growth.snapshot_size = sum(len(part) for part in parts)
+        self.timers.spawn(self._save, replica, metadata, parts)
         return True
 
     def drop_below(self, indexes: dict[str, int]) -> None:
@@ -192,7 +204,8 @@
 
     def _due(self, replica: replicas.Replica, growth: Growth) -> bool:
         entries = replica.state.applied - replica.state.snapshot.index
-        if growth.bytes >= max(self.limits.bytes, growth.snapshot_size):
+        large = min(growth.snapshot_size, self.limits.most_bytes)
+        if growth.bytes >= max(self.limits.bytes, large):
             return True
         affordable = growth.bytes * _MAX_WRITE_AMPLIFICATION
         return (
@@ -204,7 +217,7 @@
         self,
         replica: replicas.Replica,
         metadata: types.SnapshotMetadata,
-        state: bytes,
+        parts: list[bytes],
     ) -> None:
         """Writes the file outside the event loop, so that heartbeats go out.
 
@@ -220,7 +233,7 @@
                     self.wal.save_snapshot,
                     group,
                     metadata.index,
-                    state,
+                    parts,
                     self.worker.pause,
                 )
             except errors.StorageFull as error:
--- a/src/mintcleat/roles/entry/entry_context.py
+++ b/src/mintcleat/roles/entry/entry_context.py
@@ -7,6 +7,7 @@
 from mintcleat.configuration import directory as directory_module
 from mintcleat.decisions import answer_memory
 from mintcleat.decisions import attempt_timeout
+from mintcleat.decisions import event_ids
 from mintcleat.ports import directory as directory_port
 from mintcleat.ports import events as event_ports
 from mintcleat.ports import forwarding
@@ -68,6 +69,7 @@
         stop: Planned stop of this process.
         memory: Account of what the requests hold of their answers.
         fair_turns: Delays answers that arrive at full speed.
+        stream_ids: How the ids of each software's streams follow one another.
     """
 
     configuration: Configuration
@@ -85,3 +87,4 @@
     stop: process_stop.ProcessStop
     memory: answer_memory.AnswerMemory
     fair_turns: fair_turns.FairTurns
+    stream_ids: event_ids.KnownStreamIds
--- a/src/mintcleat/roles/entry/gateway.py
+++ b/src/mintcleat/roles/entry/gateway.py
@@ -4,6 +4,7 @@
 from mintcleat.decisions import attempt_timeout
 from mintcleat.decisions import cold_start
 from mintcleat.decisions import entry_capacity
+from mintcleat.decisions import event_ids
 from mintcleat.decisions import jitter
 from mintcleat.decisions import policy as policy_module
 from mintcleat.decisions import routes
@@ -98,6 +99,7 @@
             process_stop.ProcessStop(timers),
             answer_memory.AnswerMemory(),
             fair_turns.FairTurns(timers),
+            event_ids.KnownStreamIds(),
         )
         self.authenticator = authentication.Authenticator(
             configuration,
--- a/src/mintcleat/roles/entry/response_relay.py
+++ b/src/mintcleat/roles/entry/response_relay.py
@@ -4,6 +4,7 @@
 
 from mintcleat.decisions import answer_end
 from mintcleat.decisions import answer_memory
+from mintcleat.decisions import event_ids
 from mintcleat.decisions import event_order
 from mintcleat.decisions import evidence
 from mintcleat.domain import answer_ends
@@ -47,7 +48,9 @@
             yet, or the last one has an id. After one without an id, whoever is
             asked to go on would send it again, or the stream from its start.
         order: Order of the events; others are not added to the stream.
+        stream_ids: How the ids of each software's streams follow one another.
         repeated: Events that an upstream repeated, and that were left out.
+        skipped: Answers to other requests that came before those to this one.
         max_tokens: Tokens that the answer may have; 0 if that isn't known.
         first_at: Time of the response or its first event; 0 before.
         max_gap: Longest pause between two events, in seconds.
@@ -92,6 +95,7 @@
         max_tokens: int = 0,
         memory: answer_memory.AnswerMemory | None = None,
         fair_turns: fair_turns_module.FairTurns | None = None,
+        stream_ids: event_ids.KnownStreamIds | None = None,
     ) -> None:
         self.route = route
         self.service = service
@@ -109,7 +113,9 @@
         self.last_event_id = last_event_id
         self.can_continue = True
         self.order = event_order.EventOrder(last_event_id)
+        self.stream_ids = stream_ids or event_ids.KnownStreamIds()
         self.repeated = 0
+        self.skipped = 0
         self.max_tokens = max_tokens
         self.first_at = 0.0
         self.max_gap = 0.0
@@ -167,7 +173,9 @@
         self.end = None
         self.attempt_events = 0
         self.has_attempt_event = False
-        self.order.resume()
+        self.order.begin_attempt(
+            self.stream_ids.of(upstream.service, upstream.version)
+        )
 
     def relay(
         self,
@@ -188,6 +196,7 @@
             errors.MintcleatError: The response can't be relayed completely.
         """
         reply.set_on_blocked(self._record_blocked)
+        self.skipped += answer.skipped
         if answer.head.events:
             self._relay_events(answer, reply)
         else:
@@ -451,6 +460,7 @@
                 self.repeated += 1
                 return False
             case event_order.Place.LATER:
+                self.order.reject(event)
                 expected = "the event right after"
             case event_order.Place.EARLIER:
                 expected = "an event with an id above"
--- a/src/mintcleat/roles/entry/routed_run.py
+++ b/src/mintcleat/roles/entry/routed_run.py
@@ -70,6 +70,7 @@
             call.generation.max_tokens,
             context.memory,
             context.fair_turns,
+            context.stream_ids,
         )
         self.events = run_events.RunEvents(
             context, call, match, service_name, self.deadline
--- a/src/mintcleat/roles/entry/run_attempts.py
+++ b/src/mintcleat/roles/entry/run_attempts.py
@@ -440,6 +440,7 @@
                 target.copy,
                 backup.address if backup else "",
                 self.route.stream,
+                self._may_retry(),
             ),
         )
         self.context.crashes.responded(upstream, self.sent_at)
--- a/src/mintcleat/roles/entry/run_events.py
+++ b/src/mintcleat/roles/entry/run_events.py
@@ -175,6 +175,7 @@
                 relay.last_event_id,
                 tuple(relay.versions),
                 relay.repeated,
+                relay.skipped,
             )
         )
 
--- a/src/mintcleat/roles/entry/stream_move.py
+++ b/src/mintcleat/roles/entry/stream_move.py
@@ -11,6 +11,7 @@
 
 import eventlet
 from eventlet import event as eventlet_event
+from loguru import logger
 
 from mintcleat.decisions import stream_moves
 from mintcleat.domain import errors
@@ -229,9 +230,15 @@
         try:
             with eventlet.Timeout(FREE_TIMEOUT_SECONDS, CallTimeout):
                 self.client.free_copy(self.source, handle)
-        except (errors.MintcleatError, CallTimeout):
-            # The copy expires by itself.
-            pass
+        except (errors.MintcleatError, CallTimeout) as error:
+            logger.info(
+                "Can't free the copy {} of {} at {}, which keeps it until it"
+                " expires: {}",
+                handle,
+                self.request,
+                self.source.upstream,
+                _text_of(error),
+            )
 
 
 def _text_of(error: BaseException) -> str:
--- a/src/mintcleat/roles/entry/upstream_loads.py
+++ b/src/mintcleat/roles/entry/upstream_loads.py
@@ -31,6 +31,10 @@
 # Age beyond which `others_age` returns no age of the other entries' report.
 # Placement ignores a report much earlier; see `decisions.shared_load`.
 MAX_REPORT_AGE_SECONDS = 60.0
+# Turns go to upstreams that failed once if fewer than this fraction of a
+# service is left and full. If most have failed, one failure doesn't tell a
+# faulty one; a single faulty one would lose turns that could wait elsewhere.
+_FEW_FRACTION = 0.5
 # Reported slowdowns are multiples of this, in percent.
 _SLOWDOWN_STEP = 5
 
@@ -189,19 +193,47 @@
         now = self.timers.now()
         ready = self.by_service.get(service, {})
         policy = self.policy
+        eligible = list(_eligible(ready, tried, request.origin))
         names = upstream_health.healthy(
-            list(_eligible(ready, tried, request.origin)),
+            eligible,
             self.penalties if policy.standing else None,
             self.silence_detector if policy.silence else None,
             request.repeatable,
             now,
         )
         if policy.standing and not request.repeatable:
+            few = len(names) < _FEW_FRACTION * len(eligible)
+            if few and all(self._is_full(name, now) for name in names):
+                names = self._with_recovering(names, eligible, now)
             names = self.reported_failures.allowed(names, now)
         if policy.turn_time:
             return self._choose_by_time(service, ready, names, request, now)
         return self._choose_by_count(ready, names, request, now)
 
+    def _is_full(self, name: str, now: float) -> bool:
+        """Returns whether a further request would exceed the slots."""
+        running = self.running(name) + self._others_running(now).get(name, 0)
+        return running >= max(1, self.known[name].slots)
+
+    def _with_recovering(
+        self, names: list[str], eligible: list[str], now: float
+    ) -> list[str]:
+        """Adds the upstreams that failed once and have free slots.
+
+        All turns of this entry would otherwise queue at the few upstreams that
+        have not failed, beside idle ones.
+        """
+        recovering = self.penalties.recovering(now)
+        silence = self.silence_detector if self.policy.silence else None
+        return names + [
+            name
+            for name in eligible
+            if name in recovering
+            and name not in names
+            and not self._is_full(name, now)
+            and not (silence is not None and silence.silent(name, now))
+        ]
+
     def can_continue(
         self, service: str, origin: stream_origins.KnownOrigin | None
     ) -> bool:
--- a/testing/fakes/control_cluster.py
+++ b/testing/fakes/control_cluster.py
@@ -69,8 +69,8 @@
             raise Fault(f"count {self.count} after {index}")
         return self.count
 
-    def snapshot(self) -> bytes:
-        return b"%d\n" % self.count + b"\n".join(self.kept)
+    def snapshot_parts(self) -> list[bytes]:
+        return [b"%d\n" % self.count + b"\n".join(self.kept)]
 
     def restore(self, state: bytes) -> None:
         count, *self.kept = state.split(b"\n")
--- a/testing/fakes/engine_faults.py
+++ b/testing/fakes/engine_faults.py
@@ -1,6 +1,7 @@
 """The model engine of `standins` with fault injection."""
 
 from collections.abc import Iterator
+import re
 from typing import Any
 
 import eventlet
@@ -8,6 +9,8 @@
 from mintcleat.standins import batch
 from mintcleat.standins import engine
 
+_LENGTH = re.compile(rb', "total_characters": \d+')
+
 
 class FaultyEngine(engine.Engine):
     """A model engine with fault injection.
@@ -17,6 +20,8 @@
         restart_after: Seconds from a crash to a restart; 0 for no restart.
         cuts: Number of streams still to interrupt, each after `cut_at` events.
         skips: Number of streams still to lose their second event.
+        is_old: Whether it states no length of answers, and sends them from
+            their first character when they are resumed.
         hidden: Programs whose cache events are lost.
         crashes: Number of crashes so far.
     """
@@ -31,6 +36,7 @@
         self.cuts = 0
         self.cut_at = 2
         self.skips = 0
+        self.is_old = False
         self.hidden: set[str] = set()
         self.crashes = 0
         super().__init__(listen, options)
@@ -68,13 +74,15 @@
         self.cuts -= cut
         skip = self.skips > 0
         self.skips -= skip
+        if self.is_old:
+            offset = 0
         for count, data in enumerate(super()._events(sequence, offset)):
             if cut and count >= self.cut_at:
                 raise ConnectionAbortedError(
                     "The stream is interrupted by the test."
                 )
             if not (skip and count == 1):
-                yield data
+                yield _LENGTH.sub(b"", data) if self.is_old else data
 
 
 def slow(token_time: float = 0.01, **speed: Any) -> engine.EngineOptions:
--- a/testing/fakes/moving_engine.py
+++ b/testing/fakes/moving_engine.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import eventlet
+from eventlet import patcher
 
 from fakes import platform_engine
 
@@ -20,6 +21,8 @@
 HELD_AT = 12
 # A copy is dropped when its time is well exceeded: after this many times of it.
 _WELL_EXCEEDED = 1.25
+# Its `sleep` stops the whole process, not only a green thread.
+_TIME = patcher.original("time")
 
 
 class Run:
@@ -67,6 +70,8 @@
         handle_seconds: Time after which a handle expires.
         copy_seconds: Time that a copy of the whole memory takes.
         rest_seconds: Time that a copy of the rest takes.
+        stall_seconds: Time for which the process stops during each call.
+        timed_out: Id and `last` of the calls that the caller gave up.
     """
 
     def __init__(self) -> None:
@@ -77,6 +82,8 @@
         self.handle_seconds = 5.0
         self.copy_seconds = 0.03
         self.rest_seconds = 0.005
+        self.stall_seconds = 0.0
+        self.timed_out: set[tuple[str, bool]] = set()
         self.numbers = itertools.count(1)
 
 
@@ -188,7 +195,11 @@
                 connection.reset()
                 return False
             if self.refuse_copies or not self._take(source, received.request):
-                _answer(connection, 503, {})
+                # Only responses to moves state no id of a request.
+                connection.send(
+                    b"HTTP/1.1 503 No\r\nX-Request-Id: %b\r\n"
+                    b"Content-Length: 0\r\n\r\n" % received.request.encode()
+                )
                 return True
         request = received.request
         made = int(received.headers.get("last-event-id", "0"))
@@ -293,6 +304,8 @@
             connection.sock.recv(1)
             return False
         group = self.group
+        if group.stall_seconds:
+            eventlet.spawn_after(0.0, _TIME.sleep, group.stall_seconds)
         eventlet.sleep(group.rest_seconds if last else group.copy_seconds)
         destination = group.engines.get(fields["to"])
         status = 200
@@ -328,7 +341,11 @@
         copy = self.copies[handle]
         is_open = not _is_closed(connection)
         _answer(connection, status, {"handle": handle, "made": run.made})
-        if is_open and _is_read(connection):
+        if (
+            is_open
+            and _is_read(connection)
+            and (request, last) not in group.timed_out
+        ):
             copy.is_told = True
         return False
 
--- a/testing/fakes/service_system.py
+++ b/testing/fakes/service_system.py
@@ -19,6 +19,7 @@
 from fakes import service_faults
 from fakes import service_rig
 from mintcleat.adapters import settings as settings_module
+from mintcleat.adapters import timers as timers_module
 from mintcleat.domain import config_messages
 from mintcleat.domain import errors
 from mintcleat.main import assembly
@@ -309,7 +310,8 @@
 
 
 def kill(process: assembly.Process) -> None:
-    """Closes all connections of a process, as its end would."""
+    """Closes connections and ends timers of a process, as its end would."""
+    _end_timers(process.common.timers)
     streams = process.common.streams
     streams.stopped = True
     streams.listener.close()
@@ -337,6 +339,17 @@
         part.log.stop()
 
 
+def _end_timers(timers: Any) -> None:
+    """Ends what a process repeats; later tests would go on paying for it."""
+
+    def end(*_: Any) -> None:
+        raise greenlet.GreenletExit
+
+    timers.sleep = timers.sleep_to_next = timers._seconds_to_next = end
+    timers.spawn = lambda *_: None
+    timers.after = lambda *_: timers_module.EventletSubscription()
+
+
 def refuse(address: str, message: Any) -> Any:
     """Replaces `open` of the streams of a killed process."""
     raise errors.StreamClosed(
--- a/testing/fakes/virtual_time.py
+++ b/testing/fakes/virtual_time.py
@@ -60,15 +60,19 @@
         self.time += max(0.0, seconds or 0.0)
 
 
-def run(function: Callable[[], Any]) -> Any:
+def run(function: Callable[[], Any], hub: Any = None) -> Any:
     """Runs a function in virtual time and returns its result.
 
     It runs on a new thread, because the hub of a thread cannot be replaced.
+
+    Args:
+        function: What to run.
+        hub: Class of the thread's hub; None for one in virtual time.
     """
     results: list[Any] = []
 
     def body() -> None:
-        hubs.use_hub(VirtualHub)
+        hubs.use_hub(hub or VirtualHub)
         try:
             results.append((function(), None))
         except BaseException as error:
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -195,12 +195,15 @@
         turns: Part of all slots that ran a turn of a program.
         taken: Part of all slots that ran any request.
         waiting: Requests that waited for a slot at an engine.
+        processor_wait: Seconds that the soak itself, which runs the stand-ins,
+            has waited for a processor.
     """
 
     at: float
     turns: float
     taken: float
     waiting: int
+    processor_wait: float = 0.0
 
 
 class Checks:
@@ -851,8 +854,13 @@
     waiting = sum(sample.waiting for sample in samples) / count
     kinds = collections.Counter(text.partition(":")[0] for text in refusals)
     found = ", ".join(f"{kind} {n}" for kind, n in kinds.most_common())
+    first, last = samples[0], samples[-1]
+    seconds = last.at - first.at
+    waited = last.processor_wait - first.processor_wait
+    part = waited / seconds if seconds else 0.0
     return (
         f"turns ran in {turns:.0%} of the slots, any request in {taken:.0%}, "
         f"all slots were taken for {full:.0%} of the time, and {waiting:.1f} "
-        f"requests waited at engines; refused: {found or 'none'}"
+        f"requests waited at engines; refused: {found or 'none'}; the soak "
+        f"itself waited for a processor for {part:.0%} of the time"
     )
--- a/testing/soak/cut_heads.py
+++ b/testing/soak/cut_heads.py
@@ -31,6 +31,7 @@
 from testing.soak import head_cutter
 
 from mintcleat.adapters import engine_http
+from mintcleat.adapters import response_checks
 from mintcleat.adapters import timers
 from mintcleat.domain import errors
 from mintcleat.load import client as load_client
@@ -246,7 +247,7 @@
         """Cuts the heads of answers of one kind at each STEP-th byte."""
         counter: collections.Counter[str] = collections.Counter()
         cutter = kind.cutter
-        self._until_whole(kind)
+        self.until_whole(kind)
         size = max(
             size
             for line, size in cutter.heads.items()
@@ -257,14 +258,16 @@
                 end, once = _WAYS[self.next_way % len(_WAYS)]
                 self.next_way += 1
                 cut = head_cutter.Cut(kind.requests, number, end, once)
-                counter[self._cut(kind, cut)] += 1
-                self._until_whole(kind)
+                counter[self.spoil(kind, cut)] += 1
+                self.until_whole(kind)
         # Otherwise each byte of the next kind would stop in the same ways.
         self.next_way += 1
         self.counts[kind.name] = dict(counter)
 
-    def _cut(self, kind: Kind, cut: head_cutter.Cut) -> str:
-        """Cuts an answer; returns what its caller sees."""
+    def spoil(
+        self, kind: Kind, cut: head_cutter.Cut | head_cutter.Status
+    ) -> str:
+        """Spoils the head of an answer; returns what its caller sees."""
         cutter = kind.cutter
         before = cutter.count
         cutter.requests.clear()
@@ -281,13 +284,10 @@
             or (found == "whole" and cut.once and kind.is_retried)
         )
         if not is_right:
-            times = "once" if cut.once else "each time"
-            self.wrong.append(
-                f"{kind.name}, {cut.size} bytes, {cut.end}, {times}: {found}"
-            )
+            self.wrong.append(f"{kind.name}, {cut}: {found}")
         return found if cuts else f"{found}, not cut"
 
-    def _until_whole(self, kind: Kind) -> None:
+    def until_whole(self, kind: Kind) -> None:
         """Waits until a request is served again."""
         until = time.monotonic() + _RECOVERY_SECONDS
         while (found := kind.ask()) != "whole":
@@ -385,6 +385,8 @@
                 break
             if self.engine.count > before:
                 break
+            # What ran for a whole answer says nothing of the next request.
+            self.engine.requests.clear()
         return found
 
     def _call_service(self, method: str) -> str:
@@ -472,7 +474,8 @@
             cutter = head_cutter.Cutter(self.entry)
 
             def run() -> str:
-                client = load_client.Client([cutter.address], timer, 4)
+                pool = response_checks.PoolManager()
+                client = load_client.Client([cutter.address], timer, pool)
                 try:
                     answer = call(client)
                 except (LookupError, TypeError, ValueError) as error:
--- a/testing/soak/cut_routed_heads.py
+++ b/testing/soak/cut_routed_heads.py
@@ -21,35 +21,25 @@
 from typing import Any
 from typing import NamedTuple
 
-from bench import hosted_processes
-from testing.soak import callers
-from testing.soak import checks as checks_module
 from testing.soak import client
 from testing.soak import event_loop
 from testing.soak import head_cutter
-from testing.soak import operators
-from testing.soak import processes
-from testing.soak import recorders
+from testing.soak import routed
 from testing.soak import upstreams
 
-_READY_SECONDS = 20.0
 _RECOVERY_SECONDS = 8.0
-_CALLER_SECONDS = 5.0
 _EVENTS = 4
 # Time for which a half-closed connection stays open.
 _HALF_CLOSED_SECONDS = 0.2
 # Kinds of routes, and of requests for the upstreams' reports on themselves.
-_SAFE, _UNSAFE, _STREAM, _RESUMABLE = "safe", "tool", "turn", "resume"
 _REPORT = "report"
-KINDS = (_SAFE, _UNSAFE, _STREAM, _RESUMABLE, _REPORT)
+KINDS = (*routed.PLAIN, routed.STREAM, routed.RESUMABLE, _REPORT)
 _FRAMINGS = (upstreams.LENGTH, upstreams.CHUNKS, upstreams.CLOSE)
 _INTERIM = (
     b"",
     b"HTTP/1.1 100 Continue\r\n\r\n",
     b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
 )
-# What those promise that the request has not run.
-_PROMISES = (408, 421, 429, 503)
 
 
 class Way(NamedTuple):
@@ -208,25 +198,12 @@
     """The processes, upstreams and callers of one run."""
 
     def __init__(self, folder: pathlib.Path, step: int, ways: int) -> None:
-        generator = random.Random(1)
-        checks = checks_module.Checks()
         self.step = step
         self.ways = ways
-        self.fleet = processes.Fleet(processes.free_network(), folder, 1, 1, "")
-        node = self.fleet.controls[0]
-        address = f"{node.ip}:{hosted_processes.CONTROL_PORT}"
-        controls = [hosted_processes.Caller(address, "control", 1.0)]
-        recorder = recorders.Recorder(checks)
         self.cuts = Cuts()
-        self.upstreams = [
-            Upstream(f"{service}-{number}", service, recorder, controls)
-            for service in ("lm", "desk")
-            for number in range(3)
-        ]
-        for upstream in self.upstreams:
+        self.system = routed.System(folder, 1, 1, Upstream, 3)
+        for upstream in self.system.upstreams:
             upstream.cuts = self.cuts
-        self.operator = operators.Operator(controls, checks, generator)
-        self.numbers = itertools.count(1)
         self.next_way = 0
         self.wrong: list[str] = []
         self.counts: dict[str, dict[str, int]] = {}
@@ -234,20 +211,11 @@
     async def run(self) -> None:
         """Cuts the heads of all kinds of answers."""
         try:
-            await self.fleet.start()
-            for upstream in self.upstreams:
-                await upstream.start()
-            async with asyncio.timeout(_READY_SECONDS):
-                await self.operator.push()
+            await self.system.start()
             for kind in KINDS:
                 await self._play(kind)
         finally:
-            for upstream in self.upstreams:
-                if upstream.server is not None:
-                    upstream.crash()
-            for control in self.operator.controls:
-                control.close_idle()
-            await self.fleet.stop()
+            await self.system.stop()
 
     async def _play(self, kind: str) -> None:
         counter: collections.Counter[str] = collections.Counter()
@@ -285,11 +253,11 @@
             numbers = [event.number for event in outcome.events]
             is_right = (
                 outcome.body == upstreams.plain_body(request)
-                if kind in (_SAFE, _UNSAFE)
+                if kind in routed.PLAIN
                 else numbers == list(range(1, _EVENTS + 1))
             )
             return "whole" if is_right else f"wrong: {outcome}"
-        if outcome.status in _PROMISES and request in self.cuts.ran:
+        if outcome.status in routed.PROMISES and request in self.cuts.ran:
             return f"wrong: ran, {outcome}"
         return str(outcome.status)
 
@@ -297,26 +265,8 @@
         self, kind: str, version: str = "1.1"
     ) -> tuple[str, client.Outcome]:
         """Sends a request; returns its id and what its caller got."""
-        route = _RESUMABLE if kind == _REPORT else kind
-        request = f"{kind}-{next(self.numbers)}"
-        sending = callers.Sending(
-            route,
-            "anna",
-            operators.key_of("anna"),
-            1,
-            # With all tokens that a request allows, no end is in doubt.
-            events=0 if route in (_SAFE, _UNSAFE) else 2 * _EVENTS,
-            program=request if route == _STREAM else "",
-        )
-        call = client.Call(
-            f"/{route}/x",
-            callers.headers_of(request, sending),
-            b"",
-            _CALLER_SECONDS,
-            version=version,
-        )
-        address = self.fleet.entries[0].address
-        return request, await client.ask(address, call)
+        route = routed.RESUMABLE if kind == _REPORT else kind
+        return await self.system.ask(route, _EVENTS, version=version)
 
     async def _until_served(self, kind: str) -> None:
         """Waits until a request is served."""
--- a/testing/soak/head_cutter.py
+++ b/testing/soak/head_cutter.py
@@ -1,4 +1,7 @@
-"""A proxy that stops within the heads of chosen answers."""
+"""A proxy that spoils the heads of chosen answers.
+
+It stops within them, or replaces their statuses.
+"""
 
 import contextlib
 import re
@@ -36,16 +39,31 @@
     once: bool = False
 
 
+class Status(NamedTuple):
+    """A status that replaces that of answers, which are else passed on whole.
+
+    Attributes:
+        requests: What the requests begin with whose answers get it, as a
+            regular expression.
+        text: What follows the version of the protocol.
+        once: Whether only the first answer gets it.
+    """
+
+    requests: bytes
+    text: bytes
+    once: bool = False
+
+
 class Cutter:
-    """Passes requests and answers on, and cuts the answers it is told to.
+    """Passes requests and answers on, and spoils the answers it is told to.
 
     Requests must come one at a time on a connection, and their first bytes in
     one piece.
 
     Attributes:
         address: `IP:PORT` that it listens on.
-        cut: What it cuts; None for nothing.
-        count: Answers that were cut.
+        cut: What it cuts or replaces; None for nothing.
+        count: Answers that were cut, or had their status replaced.
         requests: First lines of the requests that it has passed on.
         heads: Sizes of the whole heads that it has passed on, by the first line
             of the request.
@@ -54,7 +72,7 @@
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self.target = (host, int(port))
-        self.cut: Cut | None = None
+        self.cut: Cut | Status | None = None
         self.count = 0
         self.requests: list[bytes] = []
         self.heads: dict[bytes, int] = {}
@@ -67,8 +85,8 @@
         """Stops accepting connections."""
         self.listener.close()
 
-    def take(self, first_line: bytes) -> Cut | None:
-        """Returns the cut of the answer to a request; None for none."""
+    def take(self, first_line: bytes) -> Cut | Status | None:
+        """Returns what spoils the answer to a request; None for nothing."""
         with self.lock:
             self.requests.append(first_line)
             cut = self.cut
@@ -95,7 +113,7 @@
         self.server: socket.socket | None = None
         self.first_line = b""
         self.answer = b""
-        self.cut: Cut | None = None
+        self.cut: Cut | Status | None = None
         self.is_asking = False
 
     def start(self) -> None:
@@ -125,7 +143,9 @@
         with contextlib.suppress(*_ENDED):
             while data := self.server.recv(_BLOCK):
                 self.is_asking = False
-                if self.cut is not None:
+                if isinstance(self.cut, Status):
+                    data = self._with_status(data)
+                elif self.cut is not None:
                     left = self.cut.size - len(self.answer)
                     self.answer += data[:left]
                     self.client.sendall(data[:left])
@@ -142,6 +162,17 @@
                 self.client.sendall(data)
         self._close()
 
+    def _with_status(self, data: bytes) -> bytes:
+        """Returns what is passed on of an answer whose status is replaced."""
+        if _BLANK_LINE in self.answer:
+            return data
+        self.answer += data
+        if _BLANK_LINE not in self.answer:
+            return b""
+        line, end, rest = self.answer.partition(b"\r\n")
+        version = line.partition(b" ")[0]
+        return version + b" " + self.cut.text + end + rest
+
     def _stop(self) -> None:
         """Ends the client's connection as the cut says."""
         with contextlib.suppress(*_ENDED):
@@ -158,7 +189,7 @@
 
     def _close(self) -> None:
         """Ends both connections; a half-closed one by its client."""
-        if self.cut is None:
+        if not isinstance(self.cut, Cut):
             with contextlib.suppress(*_ENDED):
                 self.client.shutdown(socket.SHUT_RDWR)
         with contextlib.suppress(*_ENDED):
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -299,8 +299,9 @@
             await self._continue(headers, body, writer)
         elif self.is_full():
             writer.write(
-                b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n"
+                "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n"
+                f"X-Request-Id: {headers.get('x-request-id', '')}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
             )
         else:
             await self._begin(headers, body, writer)
--- a/testing/soak/reintroduced.py
+++ b/testing/soak/reintroduced.py
@@ -25,6 +25,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import identities
 from mintcleat.domain import stream_origins
+from mintcleat.platform import upstream_replies
 from mintcleat.platform import upstreams
 from mintcleat.roles.control.replication import application
 from mintcleat.roles.control.replication import replication
@@ -248,6 +249,25 @@
     _replace(entry_origins.StreamOrigins, "find", find)
 
 
+def _any_gap() -> None:
+    """A gap in the ids of a stream is taken for its upstream's choice."""
+
+    def skips(self: Any, number: Any) -> bool:
+        return False
+
+    _replace(event_order.EventOrder, "_skips", skips)
+
+
+def _unasked_is_taken() -> None:
+    """An answer that states no request counts as that to the current one."""
+    is_of = upstream_replies._is_of
+
+    def is_of_none(head: Any, sent: Any) -> bool:
+        return "x-request-id" not in dict(head.fields) or is_of(head, sent)
+
+    _replace(upstream_replies, "_is_of", is_of_none)
+
+
 def _any_order() -> None:
     """Whatever an upstream sends is added to the stream."""
 
@@ -358,6 +378,11 @@
         _quiet_end_is_whole, frozenset({"early_end"})
     ),
     "crash_is_whole": Reintroduced(_crash_is_whole, frozenset({"early_end"})),
+    "any_gap": Reintroduced(_any_gap, frozenset({"events"})),
+    "unasked_is_taken": Reintroduced(
+        _unasked_is_taken,
+        frozenset({"content", "events", "early_end", "reruns", "refused"}),
+    ),
     "any_order": Reintroduced(_any_order, frozenset({"events"})),
     "own_directory": Reintroduced(_own_directory, frozenset({"versions"})),
     "any_version": Reintroduced(_any_version, frozenset({"versions"})),
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -36,6 +36,8 @@
 _ENGINES_SECONDS = 0.1
 # Stand-ins are asked to answer some questions within 0.25 s.
 _LATE_SECONDS = 0.1
+# Time on a processor and time without one, in nanoseconds, and time slices.
+_SCHEDULING = pathlib.Path("/proc/self/schedstat")
 # Concurrent readers of the configuration.
 _READERS = 3
 # Time before the end, without faults, in which every customer must be served.
@@ -109,6 +111,8 @@
         ]
         for engine in self.long_engines:
             engine.slots = _LONG_SLOTS
+        for engine in (*self.engines, *self.long_engines):
+            engine.sends_unasked = True
         self.upstreams = [
             *self.engines,
             *self.long_engines,
@@ -331,6 +335,7 @@
                     _mean([engine.busy_fraction() for engine in engines]),
                     _mean([engine.taken_fraction() for engine in engines]),
                     sum(engine.waiting() for engine in engines),
+                    _processor_wait(),
                 )
             )
 
@@ -348,6 +353,16 @@
                     self.checks.used(now, node.name, *usage)
 
 
+def _processor_wait() -> float:
+    """Returns the seconds that this process waited for a processor.
+
+    0 where the kernel doesn't count it.
+    """
+    if not _SCHEDULING.exists():
+        return 0.0
+    return int(_SCHEDULING.read_text().split()[1]) / 1e9
+
+
 def _mean(values: list[float]) -> float:
     return sum(values) / len(values)
 
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -40,6 +40,12 @@
 # send an event twice.
 _DISORDERED_PART = 0.1
 _TWICE_PART = 0.01
+# Part of the answers of more events that lack one, after so many.
+_LEFT_OUT_PART = 0.02
+_LEFT_OUT_AFTER = 3
+# Part of the requests on a connection that was used before which an answer to
+# nobody precedes.
+_UNASKED_PART = 0.03
 LENGTH = "length"
 CHUNKS = "chunks"
 CLOSE = "close"
@@ -96,7 +102,7 @@
     """Returns the numbers of the events that an upstream sends.
 
     Some upstreams that are asked to go on send the last event again, go back or
-    begin anew, and some send an event twice.
+    begin anew, and some send an event twice or leave one out.
 
     Args:
         request: Id of the request.
@@ -119,9 +125,34 @@
         place = generator.randrange(len(numbers))
         numbers.insert(place, numbers[place])
         return numbers, False
+    is_late = draw > 1.0 - _TWICE_PART - _LEFT_OUT_PART
+    # Nothing would show that the last one is missing.
+    if is_late and len(numbers) > _LEFT_OUT_AFTER + 1:
+        del numbers[generator.randrange(_LEFT_OUT_AFTER, len(numbers) - 1)]
+        return numbers, False
     return numbers, True
 
 
+def unasked_answer(request: str, upstream: str) -> bytes:
+    """Returns an answer to nobody before that to a request; mostly none."""
+    generator = random.Random(f"{request} at {upstream}, before")
+    if generator.random() >= _UNASKED_PART:
+        return b""
+    status, fields = generator.choice(
+        (
+            ("200 OK", ""),
+            ("200 OK", "Content-Type: text/event-stream\r\n"),
+            ("500 No", ""),
+            ("503 No", "X-Not-Executed: 1\r\n"),
+        )
+    )
+    body = event_bytes(EventText("nobody", 1, "v1"), "\n")
+    return (
+        f"HTTP/1.1 {status}\r\nX-Response-Signature: s\r\n{fields}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
 class Observer(Protocol):
     """Receives the start of each run."""
 
@@ -236,6 +267,7 @@
         sequence: Number of its last registration.
         slowness: Time of its work as a multiple of the usual time.
         reads_slowly: Whether it pauses before it reads a body.
+        sends_unasked: Whether it sends answers that nobody asked for.
         tasks: Its connections.
         crash_number: Number of crashes under requests.
         crash_task: The latest of them, until it has restarted.
@@ -266,6 +298,7 @@
         self.turns = 0
         self.slowness = 1.0
         self.reads_slowly = False
+        self.sends_unasked = False
         self.draining_since = 0.0
         self.server: asyncio.Server | None = None
         self.crash_number = 0
@@ -402,6 +435,7 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         ended = (OSError, EOFError, asyncio.CancelledError)
+        is_used = False
         try:
             with contextlib.suppress(*ended):
                 while True:
@@ -409,6 +443,10 @@
                     if self.reads_slowly:
                         await asyncio.sleep(_SLOW_READ_SECONDS)
                     body = await hosted_processes.read_body(reader, headers)
+                    request = headers.get("x-request-id")
+                    if request and is_used and self.sends_unasked:
+                        writer.write(unasked_answer(request, self.name))
+                    is_used = is_used or bool(request)
                     await self._answer(head, headers, body, writer)
         finally:
             self.tasks.discard(task)
--- a/testing/test_branches.py
+++ b/testing/test_branches.py
@@ -51,6 +51,21 @@
         self.run_turn("c", "b")
         self.assertEqual([b"a", b"b", b"c"], self.chain("c"))
 
+    def test_kept_turn_is_not_replaced_by_another_of_its_id(self) -> None:
+        self.run_turn("a")
+        self.run_turn("b", "a")
+        for other in (
+            closing("b", "a")._replace(input=b"other"),
+            closing("b", "a")._replace(output=b"other"),
+            closing("b"),
+        ):
+            found = self.group.close(other, 1.0)
+            self.assertIsInstance(found, errors.Superseded)
+        self.assertEqual(
+            identities.Done(), self.group.close(closing("b", "a"), 2.0)
+        )
+        self.assertEqual([b"a", b"b"], self.chain("b"))
+
     def test_several_turns_may_continue_one(self) -> None:
         self.run_turn("a")
         self.run_turn("b", "a")
--- a/testing/test_cold_start.py
+++ b/testing/test_cold_start.py
@@ -159,6 +159,7 @@
     head = routed_calls.ResponseHead(200, "OK", (), False)
     framing = answer_ends.Framing.LENGTH
     end = answer_ends.AnswerEnd(framing, answer_ends.Kind.MARKED, 4)
+    skipped = 0
 
     def chunks(self) -> Iterator[bytes]:
         yield b"done"
--- a/testing/test_config_stream.py
+++ b/testing/test_config_stream.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from testing.fakes import waiting_clock
 import testtools
 from testtools import matchers
@@ -67,6 +68,50 @@
         return Exchange(self, address)
 
 
+class RenewedNode(Node):
+    """A node whose updates carry the time at which they were sent."""
+
+    def handle_message(self, message: float) -> None:
+        self.lease.echo = max(self.lease.echo, message)
+
+
+class Renewals:
+    """Streams of an instance that sends a renewal each 0.2 s.
+
+    The node stands still while the fourth one waits to be read.
+
+    Attributes:
+        opened: Addresses to which streams were opened.
+    """
+
+    def __init__(self, clock: waiting_clock.Clock) -> None:
+        self.clock = clock
+        self.opened: list[str] = []
+        self.stream: config_stream.ConfigStream | None = None
+        self.count = 0
+
+    def open(self, address: str, message: Any) -> "Renewals":
+        self.opened.append(address)
+        return self
+
+    def receive(self, timeout: float) -> float:
+        self.count += 1
+        if self.count > 8:
+            self.stream.stop()
+            raise errors.StreamClosed("The end.")
+        self.clock.sleep(0.2)
+        sent = self.clock.now() - 0.01
+        if self.count == 4:
+            self.clock.sleep(MOVE_AFTER + 0.1)
+        return sent
+
+    def send(self, message: Any) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
 class Exchange:
     """A stream to one instance."""
 
@@ -162,3 +207,17 @@
         # Hundreds of nodes that reconnect often would slow a failover down.
         took, _ = run_until_configured(revision=3)
         self.assertThat(took, matchers.GreaterThan(2 * MOVE_AFTER))
+
+    @pytest.mark.known_red
+    def test_node_that_stood_still_stays_at_an_instance_that_renews(
+        self,
+    ) -> None:
+        clock = waiting_clock.Clock()
+        node = RenewedNode("e1", 3, clock)
+        renewals = Renewals(clock)
+        stream = config_stream.ConfigStream(
+            node, renewals, clock, move_after=MOVE_AFTER
+        )
+        renewals.stream = stream
+        stream._run()
+        self.assertEqual(["a"], renewals.opened)
--- a/testing/test_kept_turns.py
+++ b/testing/test_kept_turns.py
@@ -1,7 +1,10 @@
 """Refusals of turns for want of room to keep them."""
 
+import os
+import tracemalloc
 from typing import Any
 
+import msgpack
 import testtools
 from testtools import matchers
 
@@ -11,6 +14,7 @@
 from mintcleat.domain import errors
 from mintcleat.domain import manifest
 from mintcleat.domain import program_messages
+from mintcleat.programs import commands
 from mintcleat.programs import machine
 from mintcleat.programs import placement
 from mintcleat.roles.control.programs import service as program_service
@@ -148,3 +152,44 @@
         )
         self.timers.advance(100.0)
         self.assertEqual(0, self.service.kept_bytes())
+
+    def filled(self) -> machine.ProgramMachine:
+        """Returns a group whose turns keep 20 MB; starts to trace memory."""
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        group = machine.ProgramMachine(None)
+        for number in range(1000):
+            size = (200, 300, 8 * SIZE, 70 * SIZE)[number % 4]
+            close = program_messages.CloseTurn(
+                "p", f"t{number}", 1, "u", True, "", os.urandom(size), b"out",
+                60.0, None,
+            )  # fmt: skip
+            group.apply(
+                number, commands.encode(commands.Command(0, 0, [close]))
+            )
+        return group
+
+    def test_snapshot_holds_no_second_copy_of_what_turns_keep(self) -> None:
+        # Guards against replicas whose memory bounds what may be kept.
+        group = self.filled()
+        before, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        parts = group.snapshot_parts()
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak - before, 1000 * SIZE)
+        state = b"".join(parts)
+        # As msgpack encodes it, which releases before this one did.
+        unpacked = msgpack.unpackb(state, strict_map_key=False)
+        self.assertEqual(msgpack.packb(unpacked), state)
+        restored = machine.ProgramMachine(None)
+        restored.restore(state)
+        self.assertEqual(group.branches.turns, restored.branches.turns)
+
+    def test_replaced_state_is_not_held_beside_the_received_one(self) -> None:
+        group = self.filled()
+        state = group.snapshot()
+        before, _ = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        group.restore(state)
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak - before, 5000 * SIZE)
--- a/testing/test_links.py
+++ b/testing/test_links.py
@@ -1,6 +1,8 @@
 """Frames between control instances, over real sockets."""
 
 import time
+import tracemalloc
+from unittest import mock
 
 import eventlet
 import testtools
@@ -8,6 +10,8 @@
 
 from mintcleat.adapters import streams
 from mintcleat.adapters import timers
+from mintcleat.domain import errors
+from mintcleat.domain import replication_messages
 from mintcleat.roles.control.replication import links as replication_links
 
 
@@ -26,6 +30,33 @@
         )
         self.addCleanup(self.links.stop)
 
+    def test_delivered_frame_is_not_kept_until_the_next_one(self) -> None:
+        # A follower held the state that it had received, beside its own.
+        hub = mock.Mock()
+        links = replication_links.Links(hub, mock.Mock(), lambda _: None)
+        _, serve = hub.handle.call_args.args
+        held = []
+
+        class Sender:
+            peer = "c1:1"
+            parts = 15
+
+            def receive(self) -> replication_messages.ReplicationFrame:
+                if not self.parts:
+                    held.append(tracemalloc.get_traced_memory()[0])
+                    raise errors.StreamClosed("No more.")
+                self.parts -= 1
+                return replication_messages.ReplicationFrame(
+                    bytes(1_000_000), more=self.parts > 0
+                )
+
+        first = replication_messages.ReplicationFrame(b"", more=True)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        serve(Sender(), first)
+        self.assertTrue(links.running)
+        self.assertLess(held[0], 3_000_000)
+
     def test_large_frame_arrives_whole_beside_small_ones(self) -> None:
         large = bytes(range(256)) * 12_000
         ended: list[bool] = []
--- a/testing/test_response_relay.py
+++ b/testing/test_response_relay.py
@@ -54,6 +54,7 @@
     """A stream whose parts arrive a second apart."""
 
     head = HEAD
+    skipped = 0
 
     def __init__(
         self,
--- a/testing/test_sidecar_faults.py
+++ b/testing/test_sidecar_faults.py
@@ -52,6 +52,26 @@
             [], self.rig.control.requests_of(program_messages.FinishCall)
         )
 
+    def test_resumed_answer_without_its_length_is_not_finished(self) -> None:
+        # An engine that ignores the offset repeats text, which only the length
+        # shows.
+        self.engine.is_old = True
+        self.engine.cuts = 1
+        _, end = self.rig.call(service_rig.turn())
+        self.assertIsInstance(end, call_messages.AttemptFailed)
+        self.assertEqual(errors.UNKNOWN, end.failure.outcome)
+        self.assertEqual(
+            [], self.rig.control.requests_of(program_messages.FinishCall)
+        )
+
+    def test_whole_answer_of_one_stream_needs_no_length(self) -> None:
+        self.engine.is_old = True
+        asked = service_rig.turn()
+        text, end = self.rig.call(asked)
+        expected = "".join(batch.answer_tokens(asked.messages, 16))
+        self.assertEqual(expected, text)
+        self.assertEqual(len(expected), end.total)
+
     def test_crash_is_reported_before_callers_get_the_error(self) -> None:
         """A request crashes its engine while another one is running.
 
--- a/testing/test_upstream_loads.py
+++ b/testing/test_upstream_loads.py
@@ -1,10 +1,13 @@
 """What an entry knows of its upstreams, and how it chooses among them."""
 
+import collections
+
 import testtools
 
 from mintcleat.configuration import directory
 from mintcleat.decisions import policy
 from mintcleat.decisions import shared_load
+from mintcleat.decisions import upstream_health
 from mintcleat.domain import member_messages
 from mintcleat.domain import program_messages
 from mintcleat.domain import routed_calls
@@ -105,6 +108,51 @@
             self.assertEqual("c", placed.upstream.upstream)
         self.assertTrue(placed.held > 900, placed)
 
+    def fill_beside_failing(self, failures: int) -> None:
+        """Fills the one upstream of three that hasn't failed."""
+        for name in ("a", "b"):
+            upstream = self.loads.by_service["m"][name]
+            for _ in range(failures):
+                self.loads.failed(upstream)
+        for number in range(8):
+            placed = self.place(f"f{number}", f"p{number}", own=10)
+            self.assertEqual("c", placed.upstream.upstream)
+
+    def test_turns_do_not_queue_beside_idle_upstreams_that_failed_once(
+        self,
+    ) -> None:
+        self.fill_beside_failing(1)
+        self.clock.time += upstream_health.FIRST_EXCLUSION_SECONDS + 0.01
+        found = [self.place(f"r{n}", f"q{n}", own=10) for n in range(16)]
+        self.assertEqual(
+            {"a": 8, "b": 8},
+            collections.Counter(one.upstream.upstream for one in found),
+        )
+        self.assertEqual("c", self.place("r", "q", own=10).upstream.upstream)
+
+    def test_one_faulty_upstream_of_three_gets_no_turn_beside_full_ones(
+        self,
+    ) -> None:
+        self.loads.failed(self.loads.by_service["m"]["a"])
+        self.clock.time += upstream_health.FIRST_EXCLUSION_SECONDS + 0.01
+        found = [self.place(f"r{n}", f"q{n}", own=10) for n in range(20)]
+        self.assertNotIn("a", [one.upstream.upstream for one in found])
+
+    def test_upstream_that_has_just_failed_gets_no_turn_beside_full_ones(
+        self,
+    ) -> None:
+        self.fill_beside_failing(1)
+        self.clock.time += upstream_health.FIRST_EXCLUSION_SECONDS - 0.01
+        self.assertEqual("c", self.place("r", "q", own=10).upstream.upstream)
+
+    def test_upstream_that_failed_twice_gets_no_turn_beside_full_ones(
+        self,
+    ) -> None:
+        self.fill_beside_failing(2)
+        self.clock.time += 2 * upstream_health.FIRST_EXCLUSION_SECONDS + 0.01
+        self.loads.arrived("c")
+        self.assertEqual("c", self.place("r", "q", own=10).upstream.upstream)
+
     def test_cache_on_an_upstream_with_full_memory_is_left(self) -> None:
         others = {"a": 2, "b": 1, "c": 1}
         self.loads.update_others(
--- /dev/null
+++ b/testing/test_wrong_statuses.py
@@ -0,0 +1,121 @@
+"""Answers with invalid statuses.
+
+Routed requests are in `test_wrong_answers`. What others get is played by real
+processes here.
+"""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import eventlet
+from testing import module_runs
+from testing.soak import wrong_statuses
+import testtools
+
+from fakes import endless_answers
+from mintcleat.adapters import http1_client
+from mintcleat.domain import errors
+from mintcleat.domain import member_messages
+from mintcleat.domain import routed_calls
+from mintcleat.platform import upstream_replies
+from mintcleat.platform import upstreams
+
+_SECONDS = 120.0
+_REPORT_SECONDS = 0.25
+_REPLY = b'{"born": 7, "handle": "h1", "made": 3}'
+_HEAD = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b"
+# Statuses for each kind of request. By hand, 0 plays all of them.
+_COUNT = 4
+
+
+def test_invalid_status_reaches_no_caller_of_a_sidecar() -> None:
+    # Guards the chat way and plain services.
+    _check(_run("entry"))
+
+
+def test_sidecar_takes_no_invalid_status_of_its_engine() -> None:
+    _check(_run("engine"))
+
+
+def test_operator_learns_that_the_outcome_is_unknown() -> None:
+    # Guards against exit codes that say that a command failed or took effect.
+    _check(_run("operator"))
+
+
+def test_load_generator_counts_no_invalid_status_as_success() -> None:
+    _check(_run("load"))
+
+
+def _check(found: dict[str, Any]) -> None:
+    assert found["replaced"] > 0, found
+    assert found["wrong"] == [], found
+    assert set(found["exit codes"].values()) == {0}, found
+
+
+def _run(path: str) -> dict[str, Any]:
+    done = module_runs.run(
+        "testing.soak.wrong_statuses", path, str(_COUNT), seconds=_SECONDS
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    return json.loads(done.stdout.splitlines()[-1])
+
+
+class ReplyTest(testtools.TestCase):
+    """Replies to what an entry asks upstreams beside requests."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.client = upstreams.HttpUpstreamClient()
+
+    def upstream(self, status: bytes) -> member_messages.Registration:
+        """Returns an upstream whose replies have a status."""
+        reply = _HEAD % (status, len(_REPLY), _REPLY)
+        server = endless_answers.EndlessServer(
+            endless_answers.Endless(reply, b"")
+        )
+        self.addCleanup(server.stop)
+        return member_messages.Registration(
+            "u1", "s", server.address, "d1", "v1", 4, "ready", 1, 0.0, 7
+        )
+
+    def fails_at_each(
+        self, kind: type, call: Callable[[member_messages.Registration], Any]
+    ) -> None:
+        """Checks that a call fails at each status, and only there."""
+        for status in wrong_statuses.STATUSES:
+            with eventlet.Timeout(_SECONDS):
+                self.assertRaises(kind, call, self.upstream(status))
+        call(self.upstream(b"200 OK"))
+
+    def check_process(self, upstream: member_messages.Registration) -> None:
+        connection = http1_client.connect(upstream.address)
+        try:
+            upstream_replies.check_process(
+                connection, upstream, _REPORT_SECONDS
+            )
+        finally:
+            connection.close()
+
+    def test_copy_whose_status_is_invalid_fails(self) -> None:
+        self.fails_at_each(
+            errors.StreamClosed,
+            lambda one: self.client.copy_run(one, "r1", one, stop=True),
+        )
+
+    def test_free_whose_status_is_invalid_fails(self) -> None:
+        self.fails_at_each(
+            errors.StreamClosed, lambda one: self.client.free_copy(one, "h1")
+        )
+
+    def test_request_is_not_sent_after_a_report_with_an_invalid_status(
+        self,
+    ) -> None:
+        self.fails_at_each(errors.NoUpstream, self.check_process)
+
+    def test_report_with_an_invalid_status_identifies_nobody(self) -> None:
+        found = {
+            self.client.identify(self.upstream(status))
+            for status in wrong_statuses.STATUSES
+        }
+        self.assertEqual({routed_calls.Reachability.UNKNOWN}, found)
--- a/testing/version_world.py
+++ b/testing/version_world.py
@@ -119,6 +119,7 @@
 
     head = HEAD
     framing = CHUNKS
+    skipped = 0
 
     def __init__(
         self, world: "World", process: member_messages.Registration, last: int
