Take an invalid status from an earlier sidecar as no answer

An entry passed on the status that a sidecar reports of a plain service. Sidecars check it themselves by now; during an update, or for a recorded answer, those of earlier releases pass on 000 or 600 to 999, which callers got as an answer. The outcome counts as unknown now, as where the sidecar checks it.

--- a/src/mintcleat/roles/entry/service_calls.py
+++ b/src/mintcleat/roles/entry/service_calls.py
@@ -17,6 +17,7 @@
 from mintcleat.roles.entry import placement as placement_module
 
 _MIN_WAIT_SECONDS = 0.05
+_FINAL_STATUSES = range(200, 600)
 
 
 class ServiceContext(NamedTuple):
@@ -225,9 +226,15 @@
                 self.placement.record_result(
                     context.call.service, load.sidecar, ok=True
                 )
-                return requests.ServiceAnswer(
+                answer = requests.ServiceAnswer(
                     status, headers, body, attempt, replayed=False
                 )
+                try:
+                    return _checked(answer)
+                except errors.OutcomeUnknown as error:
+                    if attempt:
+                        raise
+                    return attempts_module.Retry(0, error)
             case call_messages.AttemptRefused(_, failure, load):
                 self.placement.update_load(load)
                 return attempts_module.Retry(
@@ -334,8 +341,29 @@
 def recorded_answer(
     reply: program_messages.CallRecorded,
 ) -> requests.ServiceAnswer:
-    """Returns the recorded answer of an earlier send of the call."""
+    """Returns the recorded answer of an earlier send of the call.
+
+    Raises:
+        errors.OutcomeUnknown: Its status is invalid.
+    """
     status, headers, body = msgpack.unpackb(reply.answer, raw=False)
-    return requests.ServiceAnswer(
-        status, headers, body, reply.attempt, replayed=True
+    return _checked(
+        requests.ServiceAnswer(
+            status, headers, body, reply.attempt, replayed=True
+        )
     )
+
+
+def _checked(answer: requests.ServiceAnswer) -> requests.ServiceAnswer:
+    """Returns an answer whose status is valid and final (RFC 9110, 15).
+
+    Sidecars of earlier releases pass on and record other statuses.
+
+    Raises:
+        errors.OutcomeUnknown: The status is another one.
+    """
+    if answer.status not in _FINAL_STATUSES:
+        raise errors.OutcomeUnknown(
+            f"Expected a final status from the service, found {answer.status}."
+        )
+    return answer
