Examine an object when the next of its crashes counts

Callers' requests for one object crashed up to three upstreams more than needed: a crash counts 0.5 s after its first report, and each later report of the object put the examination off by as much again.

The first examination stays where it is, and the next one follows as the next crash counts. test_later_crashes_do_not_put_off_the_quarantine failed before.

--- a/src/mintcleat/configuration/object_evidence.py
+++ b/src/mintcleat/configuration/object_evidence.py
@@ -42,8 +42,8 @@
         reported_at: Time of the first report of each crash, by incarnation, in
             seconds since 1970.
         at: Time of the last report of all.
-        due: When objects are to be examined again, since the last of their
-            crashes count from then on, by digest.
+        due: When objects are to be examined again, since the next of their
+            crashes counts from then on, by digest.
     """
 
     def __init__(self, requests: crash_evidence.CrashEvidence) -> None:
@@ -110,7 +110,8 @@
         for digest, _, _ in found:
             places = self.places.get(digest, ())
             if len(places) >= limits.crashes or digest in self.on_trial:
-                self.due[digest] = at + SETTLE_SECONDS
+                # Later reports don't put off what counts by then.
+                self.due.setdefault(digest, at + SETTLE_SECONDS)
         return new
 
     def _review_by_requests(
@@ -166,6 +167,15 @@
         for digest in due:
             del self.due[digest]
         self._convict(due, at, limits)
+        for digest in due:
+            later = [
+                settled
+                for name in self.places.get(digest, ())
+                if (settled := self.reported_at[name] + SETTLE_SECONDS)
+                > self.at
+            ]
+            if later:
+                self.due[digest] = min(later)
 
     def crashes_of(self, digest: bytes) -> list[str]:
         """Returns the crashes that count against an object by now, in order."""
--- a/testing/test_crash_evidence.py
+++ b/testing/test_crash_evidence.py
@@ -227,6 +227,24 @@
             record_contents(self.objects, f"u{number}", late, 3.4)
         self.assertEqual([b"bad"], self.quarantined())
 
+    def test_later_crashes_do_not_put_off_the_quarantine(self) -> None:
+        for number in range(1, 4):
+            self.crash(number, b"o/%d" % number)
+        self.crash(4, b"o/4", at=3.4)
+        self.objects.expire(3.5, LIMITS)
+        self.assertEqual([b"object o"], list(self.objects.quarantine))
+
+    def test_object_is_examined_again_as_later_crashes_count(self) -> None:
+        self.crash(1, b"o/1")
+        self.crash(2, b"o/2")
+        self.crash(3, b"o/2")
+        self.crash(4, b"o/3", at=3.4)
+        self.objects.expire(3.5, LIMITS)
+        self.assertEqual({}, self.objects.quarantine)
+        self.assertEqual(3.9, self.objects.next_expiry())
+        self.objects.expire(3.9, LIMITS)
+        self.assertEqual([b"object o"], list(self.objects.quarantine))
+
     def test_content_that_crashes_alone_does_not_convict_its_object(
         self,
     ) -> None:
