--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -153,9 +154,15 @@
             time.sleep(0.005)
 
 
+def _end(number, frame):
+    """Ends the script in order, with all processes that it started."""
+    sys.exit(2)
+
+
 class Rig:
     def __init__(self, folder, controls=3, entries=2, control_memory=160,
                  entry_memory=150, contracts=()):
+        signal.signal(signal.SIGTERM, _end)
         self.record = Record(folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.ended = False
