--- a/review/rig2/deployment.py
+++ b/review/rig2/deployment.py
@@ -232,7 +232,7 @@
         self.version += 1
         configuration = {"version": self.version, **configuration}
         status = self.call_control(
-            "POST", "/v1/Configuration.Put", configuration)[0]
+            "POST", "/v1/Configuration.Put", configuration, tries=200)[0]
         self.record.line(f"operator put version {self.version}: {status}")
         return status
 
