A reset that the sender of an upload meets breaks the answer off

What callers saw: a part of an answer, ended as all of it. So did callers of routed requests of each kind, and those of a sidecar's plain service.

Cause: the kernel reports the failure of a connection once, to whichever system call comes first, and shows an end in order to all later ones. The green thread that sends an upload dropped what its call raised, in the belief that reading would fail too. strace of an entry, upload of 6 MB, half of a body and a reset:

sendto(fd, "POST /tool/x ..."...) = 16575 sendto(fd, "xxxx"..., 5983616) = -1 ECONNRESET taken, and dropped recvfrom(fd, "HTTP/1.1 200 OK"...) = 90 head and part of the body recvfrom(fd, "", 65536) = 0 "closed in order" shutdown(fd, SHUT_RDWR) = -1 ENOTCONN

If nothing is left to read when the reset comes, reading gets the error first, and the answer was broken off as it should be: which of the two happens is up to the order of events in the hub.

Change: the error of sending becomes that of the reader, behind the bytes that have come. It is taken and recorded in one green thread without a switch between, so that no reader sees the end without it. It speaks of every failure, also the kernel's time-outs. An upstream that has ended its side in order before (then a reset) gives EPIPE to the sender, which is no failure of the answer. Its answer stays whole.

--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -394,10 +394,15 @@
         return bool(data)
 
     def _send_in_background(self, head: bytes, body: bytes) -> None:
-        # A failure to send shows as a failure to read the response.
-        with contextlib.suppress(OSError):
+        try:
             self.sock.sendall(head + body[:_INLINE_REQUEST_BYTES])
             self.sock.sendall(memoryview(body)[_INLINE_REQUEST_BYTES:])
+        except BrokenPipeError:
+            # The upstream ended its side before, perhaps after its response.
+            return
+        except OSError as error:
+            # Otherwise a reset would look like the proper end of the response.
+            self.reader.fail(error)
 
     def _connection_lost(self, reason: object) -> errors.StreamClosed:
         return errors.StreamClosed(
--- a/src/mintcleat/adapters/socket_reader.py
+++ b/src/mintcleat/adapters/socket_reader.py
@@ -109,6 +109,20 @@
         # A direct switch would not return to the calling green thread.
         hubs.get_hub().schedule_call_global(0, self._wake)
 
+    def fail(self, error: OSError) -> None:
+        """Records an error that sending has found, from any green thread.
+
+        The kernel reports the failure of a connection once, to whichever system
+        call comes first. If that one sends, the next to receive finds the end
+        of the connection, as if the peer had closed it in order.
+
+        Has no effect after an end that was received: that one was in order. A
+        BrokenPipeError is no failure to pass on: the peer has closed its side,
+        or the failure itself was reported before.
+        """
+        if not self.closed:
+            self.error = error
+
     def discard(self) -> None:
         """Drops what was received and what will be."""
         self.discards = True
--- a/testing/soak/cut_heads.py
+++ b/testing/soak/cut_heads.py
@@ -152,13 +152,13 @@
     return answer[9:12].decode()
 
 
-def chat_body(is_stream: bool) -> bytes:
+def chat_body(is_stream: bool, content: str = "say it") -> bytes:
     """Returns a chat request."""
     fields = {
         "model": "triage",
         "stream": is_stream,
         "max_tokens": _TOKENS,
-        "messages": [_MESSAGE],
+        "messages": [{"role": "user", "content": content}],
     }
     return json.dumps(fields).encode()
 
@@ -264,9 +264,7 @@
         self.next_way += 1
         self.counts[kind.name] = dict(counter)
 
-    def spoil(
-        self, kind: Kind, cut: head_cutter.Cut | head_cutter.Status
-    ) -> str:
+    def spoil(self, kind: Kind, cut: head_cutter.Fault) -> str:
         """Spoils the head of an answer; returns what its caller sees."""
         cutter = kind.cutter
         before = cutter.count
--- a/testing/soak/head_cutter.py
+++ b/testing/soak/head_cutter.py
@@ -1,6 +1,7 @@
-"""A proxy that spoils the heads of chosen answers.
+"""A proxy that spoils chosen answers.
 
-It stops within them, or replaces their statuses.
+It stops within their heads, replaces their statuses, adds lines to their heads,
+or answers itself before it has read the request.
 """
 
 import contextlib
@@ -19,6 +20,7 @@
 # A green socket that another thread closes raises EOFError.
 _ENDED = (OSError, EOFError)
 NO_LINGER = struct.pack("ii", 1, 0)
+_RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 class Cut(NamedTuple):
@@ -54,6 +56,44 @@
     once: bool = False
 
 
+class Line(NamedTuple):
+    """A line that is added to the heads of answers.
+
+    Attributes:
+        requests: What the requests begin with whose answers get it, as a
+            regular expression.
+        text: The line, without its end.
+        is_last: Whether it comes after the other lines; else before them.
+        once: Whether only the first answer gets it.
+    """
+
+    requests: bytes
+    text: bytes
+    is_last: bool
+    once: bool = False
+
+
+class Early(NamedTuple):
+    """An answer that comes before the request was read, in place of another.
+
+    Attributes:
+        requests: What the requests begin with that get it, as a regular
+            expression.
+        answer: What is sent.
+        is_reset: Whether the connection is reset after it; else it is closed in
+            order, and the rest of the request is read.
+        once: Whether only the first request gets it.
+    """
+
+    requests: bytes
+    answer: bytes
+    is_reset: bool
+    once: bool = False
+
+
+Fault = Cut | Status | Line | Early
+
+
 class Cutter:
     """Passes requests and answers on, and spoils the answers it is told to.
 
@@ -62,8 +102,8 @@
 
     Attributes:
         address: `IP:PORT` that it listens on.
-        cut: What it cuts or replaces; None for nothing.
-        count: Answers that were cut, or had their status replaced.
+        cut: How it spoils answers; None for not at all.
+        count: Answers that were spoilt.
         requests: First lines of the requests that it has passed on.
         heads: Sizes of the whole heads that it has passed on, by the first line
             of the request.
@@ -72,12 +112,16 @@
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self.target = (host, int(port))
-        self.cut: Cut | Status | None = None
+        self.cut: Fault | None = None
         self.count = 0
         self.requests: list[bytes] = []
         self.heads: dict[bytes, int] = {}
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        # Most of a large upload stays with its sender while it isn't read.
+        self.listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
         self.address = "{}:{}".format(*self.listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -85,7 +129,7 @@
         """Stops accepting connections."""
         self.listener.close()
 
-    def take(self, first_line: bytes) -> Cut | Status | None:
+    def take(self, first_line: bytes) -> Fault | None:
         """Returns what spoils the answer to a request; None for nothing."""
         with self.lock:
             self.requests.append(first_line)
@@ -113,7 +157,7 @@
         self.server: socket.socket | None = None
         self.first_line = b""
         self.answer = b""
-        self.cut: Cut | Status | None = None
+        self.cut: Fault | None = None
         self.is_asking = False
 
     def start(self) -> None:
@@ -135,6 +179,9 @@
                     self.first_line = data.partition(b"\r\n")[0]
                     self.answer = b""
                     self.cut = self.cutter.take(self.first_line)
+                if isinstance(self.cut, Early):
+                    self._answer_early(self.cut)
+                    break
                 self.server.sendall(data)
         with contextlib.suppress(*_ENDED):
             self.server.shutdown(socket.SHUT_WR)
@@ -143,8 +190,8 @@
         with contextlib.suppress(*_ENDED):
             while data := self.server.recv(_BLOCK):
                 self.is_asking = False
-                if isinstance(self.cut, Status):
-                    data = self._with_status(data)
+                if isinstance(self.cut, Status | Line):
+                    data = self._changed(self.cut, data)
                 elif self.cut is not None:
                     left = self.cut.size - len(self.answer)
                     self.answer += data[:left]
@@ -162,16 +209,35 @@
                 self.client.sendall(data)
         self._close()
 
-    def _with_status(self, data: bytes) -> bytes:
-        """Returns what is passed on of an answer whose status is replaced."""
+    def _answer_early(self, early: Early) -> None:
+        """Answers while the rest of the request is on its way."""
+        self.client.sendall(early.answer)
+        if early.is_reset:
+            self._reset()
+            return
+        self.client.shutdown(socket.SHUT_WR)
+        while self.client.recv(_BLOCK):
+            pass
+
+    def _changed(self, fault: Status | Line, data: bytes) -> bytes:
+        """Returns what is passed on of an answer whose head is changed."""
         if _BLANK_LINE in self.answer:
             return data
         self.answer += data
         if _BLANK_LINE not in self.answer:
             return b""
-        line, end, rest = self.answer.partition(b"\r\n")
-        version = line.partition(b" ")[0]
-        return version + b" " + self.cut.text + end + rest
+        head, end, body = self.answer.partition(_BLANK_LINE)
+        first, *lines = head.split(b"\r\n")
+        match fault:
+            case Status(text=text):
+                first = first.partition(b" ")[0] + b" " + text
+            case Line(text=text, is_last=is_last):
+                lines.insert(len(lines) if is_last else 0, text)
+        return b"\r\n".join([first, *lines]) + end + body
+
+    def _reset(self) -> None:
+        self.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.client.close()
 
     def _stop(self) -> None:
         """Ends the client's connection as the cut says."""
@@ -180,10 +246,7 @@
                 case "half":
                     self.client.shutdown(socket.SHUT_WR)
                 case "reset":
-                    self.client.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-                    )
-                    self.client.close()
+                    self._reset()
                 case _:
                     self.client.shutdown(socket.SHUT_RDWR)
 
--- a/testing/soak/operators.py
+++ b/testing/soak/operators.py
@@ -206,6 +206,7 @@
         engine: Further fields of the model engines.
         timeout_ms: Time-out of the routes of streams.
         long_engine: As in `configuration`.
+        body_bytes: Most bytes of a body; 0 for what the version says.
     """
 
     def __init__(
@@ -222,12 +223,16 @@
         self.engine: dict[str, Any] = {}
         self.timeout_ms = _TIMEOUT_MS
         self.long_engine: dict[str, Any] | None = None
+        self.body_bytes = 0
 
     def configuration(self, version: int) -> dict[str, Any]:
         """Returns a version as this operator pushes it."""
-        return configuration(
+        made = configuration(
             version, self.engine, self.timeout_ms, self.long_engine
         )
+        if self.body_bytes:
+            made["limits"]["maxBodyBytes"] = self.body_bytes
+        return made
 
     async def push(self, step: int = 1) -> None:
         """Pushes a later version until a control acknowledges it.
--- a/testing/soak/routed.py
+++ b/testing/soak/routed.py
@@ -90,6 +90,7 @@
         entry: int = 0,
         after: int = 0,
         version: str = "1.1",
+        body: bytes = b"",
     ) -> tuple[str, client.Outcome]:
         """Sends a request; returns its id and what its caller got.
 
@@ -100,6 +101,7 @@
             entry: Number of the entry.
             after: Last event that the caller has; 0 for none.
             version: HTTP version of the caller.
+            body: Body of the request.
         """
         request = f"{kind}-{next(self.numbers)}"
         sending = callers.Sending(
@@ -114,7 +116,7 @@
         call = client.Call(
             f"/{kind}/x",
             callers.headers_of(request, sending),
-            b"",
+            body,
             _CALLER_SECONDS,
             version=version,
         )
--- a/testing/test_socket_reader.py
+++ b/testing/test_socket_reader.py
@@ -62,6 +62,26 @@
         self.peer.close()
         self.assertRaises(OSError, self.reader.read)
 
+    def test_reset_that_a_sender_took_is_an_error_after_the_bytes(self) -> None:
+        # Guards against the end that the kernel shows once a sender has failed.
+        self.peer.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        self.peer.sendall(b"abc")
+        self.peer.close()
+        try:
+            self.sock.sendall(b"x")
+        except ConnectionResetError as error:
+            self.reader.fail(error)
+        self.assertEqual(b"abc", self.reader.read())
+        self.assertRaises(ConnectionResetError, self.reader.read)
+
+    def test_failure_of_a_sender_does_not_change_an_end_in_order(self) -> None:
+        self.peer.close()
+        self.assertEqual(b"", self.reader.read())
+        self.reader.fail(TimeoutError())
+        self.assertEqual(b"", self.reader.read())
+
     def test_close_is_reported_while_nobody_reads(self) -> None:
         self.peer.sendall(b"abc")
         self.reader.read()
