The command line and the load generator take no head with an invalid line

An operator's command counted as done; where the length stood behind the line, the command waited 20 s for more.

Cause: the standard library's parser ends the fields at a line that is none, without an error, and the pool of both checked the status line only.

Change: the lines that the standard library reads of a head are parsed once more by `http1_heads`, as an entry parses those of its upstreams. It rejects such lines, invalid statuses, of which the pool had a check of its own, and heads that are incomplete.

The scenario and test of invalid statuses are those of invalid heads now, under that name; their checks and counts are as they were.

--- a/testing/test_response_checks.py
+++ b/testing/test_response_checks.py
@@ -1,7 +1,8 @@
-"""Tests the urllib3 pool that checks the statuses of responses."""
+"""Tests the urllib3 pool that checks the heads of responses."""
 
 from typing import Any
 
+from testing.soak import wrong_heads
 import testtools
 import urllib3
 
@@ -39,10 +40,12 @@
     b"HTTP/1.1 200 \xe9\xb4 HTTP/1.1 000",
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK",
     b"HTTP/1.1 200 OK\r\nHTTP: HTTP/1.1 000",
+    b"HTTP/1.1 200 OK\r\nX-Trace:",
+    b"HTTP/1.1 200 OK\r\nX-Trace: a: b\tc \xe4",
 )
 
 
-class StatusTest(testtools.TestCase):
+class HeadTest(testtools.TestCase):
     def ask(self, start: bytes) -> Any:
         server = endless_answers.EndlessServer(
             endless_answers.Endless(start + _END, b"")
@@ -60,3 +63,18 @@
         for start in _VALID:
             response = self.ask(start)
             self.assertEqual((200, b"{}"), (response.status, response.data))
+
+    def test_response_with_an_invalid_line_is_an_error(self) -> None:
+        # Guards against lines that end the fields, so that a length is lost.
+        for line in wrong_heads.LINES:
+            start = b"HTTP/1.1 200 OK\r\n" + line
+            for one in (start, start + b"\r\nX-Trace: 1"):
+                self.assertRaises(
+                    urllib3.exceptions.ProtocolError, self.ask, one
+                )
+
+    def test_invalid_line_of_an_informational_response_is_an_error(
+        self,
+    ) -> None:
+        start = b"HTTP/1.1 100 Continue\r\nX Trace: 1\r\n\r\nHTTP/1.1 200 OK"
+        self.assertRaises(urllib3.exceptions.ProtocolError, self.ask, start)
--- a/testing/test_wrong_statuses.py
+++ b/testing/test_wrong_heads.py
@@ -1,4 +1,4 @@
-"""Answers with invalid statuses.
+"""Answers with invalid statuses, and with invalid lines in their heads.
 
 Routed requests are in `test_wrong_answers`. What others get is played by real
 processes here.
@@ -9,8 +9,9 @@
 from typing import Any
 
 import eventlet
+import pytest
 from testing import module_runs
-from testing.soak import wrong_statuses
+from testing.soak import wrong_heads
 import testtools
 
 from fakes import endless_answers
@@ -25,40 +26,41 @@
 _REPORT_SECONDS = 0.25
 _REPLY = b'{"born": 7, "handle": "h1", "made": 3}'
 _HEAD = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b"
-# Statuses for each kind of request. By hand, 0 plays all of them.
+# Faults for each kind of request. By hand, 0 plays all of them.
 _COUNT = 4
 
 
-def test_invalid_status_reaches_no_caller_of_a_sidecar() -> None:
+@pytest.mark.parametrize("group", wrong_heads.GROUPS)
+def test_invalid_head_reaches_no_caller_of_a_sidecar(group: str) -> None:
     # Guards the chat way and plain services.
-    _check(_run("entry"))
+    _check(group, "entry")
 
 
-def test_sidecar_takes_no_invalid_status_of_its_engine() -> None:
-    _check(_run("engine"))
+@pytest.mark.parametrize("group", wrong_heads.GROUPS)
+def test_sidecar_takes_no_invalid_head_of_its_engine(group: str) -> None:
+    _check(group, "engine")
 
 
-def test_operator_learns_that_the_outcome_is_unknown() -> None:
+@pytest.mark.parametrize("group", wrong_heads.GROUPS)
+def test_operator_learns_that_the_outcome_is_unknown(group: str) -> None:
     # Guards against exit codes that say that a command failed or took effect.
-    _check(_run("operator"))
+    _check(group, "operator")
 
 
-def test_load_generator_counts_no_invalid_status_as_success() -> None:
-    _check(_run("load"))
+@pytest.mark.parametrize("group", wrong_heads.GROUPS)
+def test_load_generator_counts_no_invalid_head_as_success(group: str) -> None:
+    _check(group, "load")
 
 
-def _check(found: dict[str, Any]) -> None:
-    assert found["replaced"] > 0, found
-    assert found["wrong"] == [], found
-    assert set(found["exit codes"].values()) == {0}, found
-
-
-def _run(path: str) -> dict[str, Any]:
+def _check(group: str, path: str) -> None:
     done = module_runs.run(
-        "testing.soak.wrong_statuses", path, str(_COUNT), seconds=_SECONDS
+        "testing.soak.wrong_heads", group, path, str(_COUNT), seconds=_SECONDS
     )
     assert done.returncode == 0, done.stdout + done.stderr
-    return json.loads(done.stdout.splitlines()[-1])
+    found = json.loads(done.stdout.splitlines()[-1])
+    assert found["spoilt"] > 0, found
+    assert found["wrong"] == [], found
+    assert set(found["exit codes"].values()) == {0}, found
 
 
 class ReplyTest(testtools.TestCase):
@@ -83,7 +85,7 @@
         self, kind: type, call: Callable[[member_messages.Registration], Any]
     ) -> None:
         """Checks that a call fails at each status, and only there."""
-        for status in wrong_statuses.STATUSES:
+        for status in wrong_heads.STATUSES:
             with eventlet.Timeout(_SECONDS):
                 self.assertRaises(kind, call, self.upstream(status))
         call(self.upstream(b"200 OK"))
@@ -116,6 +118,6 @@
     def test_report_with_an_invalid_status_identifies_nobody(self) -> None:
         found = {
             self.client.identify(self.upstream(status))
-            for status in wrong_statuses.STATUSES
+            for status in wrong_heads.STATUSES
         }
         self.assertEqual({routed_calls.Reachability.UNKNOWN}, found)
