Tests: invalid names of fields, and callers of HTTP/1.0

- Names of fields that hold a blank or a control byte, for routed requests: a group of wrong_answers, four lines for each kind of route.
The play now also fails if a caller has a status of 200 though each answer to its request had an invalid head; that holds for invalid statuses too, 000 among them.
- The parser of heads: each of 256 bytes at each of four places of a name, in the first line and in the last.
Only tokens are taken.
- Reports, copies and what frees them: the lines of wrong_heads, beside the statuses.

Answers within uploads get callers of HTTP/1.0 too.

--- a/testing/soak/early_answers.py
+++ b/testing/soak/early_answers.py
@@ -1,11 +1,11 @@
 """Upstreams answer before they have read the bodies of their requests.
 
-    python -m testing.soak.early_answers GROUP
+    python -m testing.soak.early_answers GROUP VERSION
 
 Control and an entry are processes. GROUP is one of `GROUPS`: the answers are
 broken off, or they are whole although the upload is not. Every kind of route
-gets each answer of the group with bodies of `SIZES`. Prints what came of the
-requests as JSON.
+gets each answer of the group with bodies of `SIZES`. VERSION is the callers'
+version of HTTP. Prints what came of the requests as JSON.
 """
 
 import asyncio
@@ -219,7 +219,8 @@
         wrong: What they must not get.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, version: str) -> None:
+        self.version = version
         self.system = routed.System(folder, 1, 1, Upstream, 2)
         self.system.operator.body_bytes = _MAX_BODY_BYTES
         self.system.fleet.memory_mb = _MEMORY_MB
@@ -269,7 +270,7 @@
         """Sends a request; returns what its caller got."""
         self.way = way
         request, outcome = await self.system.ask(
-            kind, _EVENTS, body=b"x" * size
+            kind, _EVENTS, version=self.version, body=b"x" * size
         )
         found = self._judge(kind, request, way, outcome)
         if found.startswith("wrong"):
@@ -301,8 +302,9 @@
         tempfile.TemporaryDirectory(prefix="early-answers-") as folder,
         asyncio.Runner(loop_factory=event_loop.make) as runner,
     ):
-        scenario = Scenario(pathlib.Path(folder))
-        runner.run(scenario.run(sys.argv[1]))
+        group, version = sys.argv[1:]
+        scenario = Scenario(pathlib.Path(folder), version)
+        runner.run(scenario.run(group))
     print(json.dumps({"counts": scenario.counts, "wrong": scenario.wrong}))
 
 
--- a/testing/soak/wrong_answers.py
+++ b/testing/soak/wrong_answers.py
@@ -37,7 +37,10 @@
     "extra": (_BEFORE, _REFUSED, _FAILED, _JOINED, _LATER),
     "left_out": (_EARLY, _MIDDLE, _NEXT),
     "status": ("000", "000 OK", "001 OK", "099 No", "600 No", "999 No"),
+    # Lines of a head whose names of fields are none.
+    "line": ("X Trace: 1", "X-Tr\0ace: 1", "X-Trace : 1", "X-Tr\x1face: 1"),
 }
+_HEADS = GROUPS["status"] + GROUPS["line"]
 
 
 class Upstream(upstreams.Upstream):
@@ -87,6 +90,10 @@
     ) -> None:
         """Writes the answer to a request; a fault may spoil it."""
         common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
+        if fault in _HEADS:
+            self.scenario.spoilt[request] += 1
+        if fault in GROUPS["line"]:
+            common = f"{fault}\r\n{common}"
         status = fault if fault in GROUPS["status"] else "200 OK"
         if self.service != "lm":
             text = upstreams.plain_body(request)
@@ -137,6 +144,7 @@
 
     Attributes:
         ran: Number of times that upstreams have had a request.
+        spoilt: Number of its answers whose heads were invalid.
         fault: Fault of the next answer on a connection that was used; empty for
             none.
         counts: What callers got, by fault.
@@ -148,6 +156,7 @@
         for upstream in self.system.upstreams:
             upstream.scenario = self
         self.ran: collections.Counter[str] = collections.Counter()
+        self.spoilt: collections.Counter[str] = collections.Counter()
         self.fault: str | int = ""
         self.counts: dict[str, collections.Counter[str]] = {}
         self.wrong: list[str] = []
@@ -216,6 +225,8 @@
             return f"wrong: status {outcome.status}"
         if outcome.status != 200:
             return str(outcome.status)
+        if ran <= self.spoilt[request]:
+            return "wrong: status 200, without an answer with a valid head"
         if kind in routed.PLAIN:
             is_right = outcome.body == upstreams.plain_body(request)
             is_right = is_right or not outcome.whole
--- a/testing/test_early_answers.py
+++ b/testing/test_early_answers.py
@@ -12,12 +12,15 @@
 _SECONDS = 120.0
 
 
-@pytest.mark.parametrize("group", ["broken", "whole"])
+@pytest.mark.parametrize(
+    ("group", "version"),
+    [("broken", "1.1"), ("broken", "1.0"), ("whole", "1.1"), ("whole", "1.0")],
+)
 def test_routed_answer_within_the_upload_is_whole_only_without_a_reset(
-    group: str,
+    group: str, version: str
 ) -> None:
     # Guards against a reset that only the sender of the upload gets to know.
-    found = _run("testing.soak.early_answers", group)
+    found = _run("testing.soak.early_answers", group, version)
     assert found["counts"], found
     assert found["wrong"] == [], found
 
@@ -34,7 +37,7 @@
     assert set(found["exit codes"].values()) == {0}, found
 
 
-def _run(module: str, argument: str) -> dict[str, Any]:
-    done = module_runs.run(module, argument, seconds=_SECONDS)
+def _run(module: str, *arguments: str) -> dict[str, Any]:
+    done = module_runs.run(module, *arguments, seconds=_SECONDS)
     assert done.returncode == 0, done.stdout + done.stderr
     return json.loads(done.stdout.splitlines()[-1])
--- a/testing/test_wrong_answers.py
+++ b/testing/test_wrong_answers.py
@@ -24,6 +24,11 @@
     assert found["wrong"] == [], found
 
 
+def test_answer_with_an_invalid_name_of_a_field_reaches_no_caller() -> None:
+    found = _run("line")
+    assert found["wrong"] == [], found
+
+
 def _run(group: str) -> dict[str, Any]:
     done = module_runs.run(
         "testing.soak.wrong_answers", group, "2", seconds=_SECONDS
--- a/testing/test_wrong_heads.py
+++ b/testing/test_wrong_heads.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import Callable
+import itertools
 import json
+import string
 from typing import Any
 
 import eventlet
@@ -16,6 +18,7 @@
 
 from fakes import endless_answers
 from mintcleat.adapters import http1_client
+from mintcleat.adapters import http1_heads
 from mintcleat.domain import errors
 from mintcleat.domain import member_messages
 from mintcleat.domain import routed_calls
@@ -26,6 +29,11 @@
 _REPORT_SECONDS = 0.25
 _REPLY = b'{"born": 7, "handle": "h1", "made": 3}'
 _HEAD = b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b"
+# What follows the version in heads that are invalid.
+_STARTS = (
+    *wrong_heads.STATUSES,
+    *(b"200 OK\r\n" + line for line in wrong_heads.LINES),
+)
 # Faults for each kind of request. By hand, 0 plays all of them.
 _COUNT = 4
 
@@ -63,6 +71,29 @@
     assert set(found["exit codes"].values()) == {0}, found
 
 
+def test_only_tokens_are_taken_as_names_of_fields() -> None:
+    # Guards against a blank or a control byte at any place of a name.
+    tokens = (
+        b"!#$%&'*+-.^_`|~" + (string.ascii_letters + string.digits).encode()
+    )
+    for position, byte in itertools.product(range(4), range(256)):
+        name = bytearray(b"X-Tr")
+        name[position] = byte
+        # Behind a first byte, a colon is the end of a shorter name.
+        is_valid = byte in tokens or (byte == ord(":") and position > 0)
+        for head in (b"%bA: 1\r\n%b: 1\r\n\r\n", b"%b%b: 1\r\nA: 1\r\n\r\n"):
+            data = head % (b"HTTP/1.1 200 OK\r\n", name)
+            assert _is_taken(data) == is_valid, data
+
+
+def _is_taken(head: bytes) -> bool:
+    try:
+        http1_heads.parse_response(head, "GET")
+    except http1_heads.ProtocolError:
+        return False
+    return True
+
+
 class ReplyTest(testtools.TestCase):
     """Replies to what an entry asks upstreams beside requests."""
 
@@ -70,9 +101,9 @@
         super().setUp()
         self.client = upstreams.HttpUpstreamClient()
 
-    def upstream(self, status: bytes) -> member_messages.Registration:
-        """Returns an upstream whose replies have a status."""
-        reply = _HEAD % (status, len(_REPLY), _REPLY)
+    def upstream(self, start: bytes) -> member_messages.Registration:
+        """Returns an upstream whose replies begin with a status."""
+        reply = _HEAD % (start, len(_REPLY), _REPLY)
         server = endless_answers.EndlessServer(
             endless_answers.Endless(reply, b"")
         )
@@ -84,10 +115,10 @@
     def fails_at_each(
         self, kind: type, call: Callable[[member_messages.Registration], Any]
     ) -> None:
-        """Checks that a call fails at each status, and only there."""
-        for status in wrong_heads.STATUSES:
+        """Checks that a call fails at each invalid head, and only there."""
+        for start in _STARTS:
             with eventlet.Timeout(_SECONDS):
-                self.assertRaises(kind, call, self.upstream(status))
+                self.assertRaises(kind, call, self.upstream(start))
         call(self.upstream(b"200 OK"))
 
     def check_process(self, upstream: member_messages.Registration) -> None:
@@ -99,25 +130,24 @@
         finally:
             connection.close()
 
-    def test_copy_whose_status_is_invalid_fails(self) -> None:
+    def test_copy_whose_head_is_invalid_fails(self) -> None:
         self.fails_at_each(
             errors.StreamClosed,
             lambda one: self.client.copy_run(one, "r1", one, stop=True),
         )
 
-    def test_free_whose_status_is_invalid_fails(self) -> None:
+    def test_free_whose_head_is_invalid_fails(self) -> None:
         self.fails_at_each(
             errors.StreamClosed, lambda one: self.client.free_copy(one, "h1")
         )
 
-    def test_request_is_not_sent_after_a_report_with_an_invalid_status(
+    def test_request_is_not_sent_after_a_report_with_an_invalid_head(
         self,
     ) -> None:
         self.fails_at_each(errors.NoUpstream, self.check_process)
 
-    def test_report_with_an_invalid_status_identifies_nobody(self) -> None:
+    def test_report_with_an_invalid_head_identifies_nobody(self) -> None:
         found = {
-            self.client.identify(self.upstream(status))
-            for status in wrong_heads.STATUSES
+            self.client.identify(self.upstream(start)) for start in _STARTS
         }
         self.assertEqual({routed_calls.Reachability.UNKNOWN}, found)
