Tests: parts of reports and of replies on copies, without a length

Such a reply is an object of JSON, no part of which is one: a copy fails, and a report identifies nobody, at each of the places where a reply may stop.

--- a/testing/test_cut_heads.py
+++ b/testing/test_cut_heads.py
@@ -28,6 +28,7 @@
 _WAYS = 1
 _REPLY = b'{"born": 7, "handle": "h1", "made": 3}'
 _HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-A: a\r\n\r\n"
+_UNMARKED = b"HTTP/1.1 200 OK\r\n\r\n"
 
 
 def test_head_that_stops_is_never_taken_for_a_whole_one() -> None:
@@ -57,7 +58,10 @@
 
     def setUp(self) -> None:
         super().setUp()
-        head = _HEAD % len(_REPLY)
+        self.serve(_HEAD % len(_REPLY))
+
+    def serve(self, head: bytes) -> None:
+        """Starts an upstream whose replies have a head; it may stop there."""
         self.size = len(head)
         server = endless_answers.EndlessServer(
             endless_answers.Endless(head + _REPLY, b"")
@@ -70,8 +74,13 @@
             "u1", "s", self.cutter.address, "d1", "v1", 4, "ready", 1, 0.0, 7
         )
 
+    def serve_unmarked(self) -> None:
+        """Starts one whose replies have no length; they may stop anywhere."""
+        self.serve(_UNMARKED)
+        self.size += len(_REPLY)
+
     def each_cut(self, check: Callable[[], None]) -> None:
-        """Checks each byte of the head as the last one."""
+        """Checks each place at which a reply may stop."""
         for size in range(self.size):
             for end in head_cutter.ENDS:
                 self.cutter.cut = head_cutter.Cut(b"", size, end)
@@ -122,3 +131,23 @@
             lambda: self.assertRaises(errors.NoUpstream, self.check_process)
         )
         self.check_process()
+
+    def test_copy_whose_reply_is_a_part_fails(self) -> None:
+        # Guards against parts that nothing but their content shows.
+        self.serve_unmarked()
+        self.each_cut(lambda: self.assertRaises(errors.StreamClosed, self.copy))
+
+    def test_part_of_a_report_identifies_nobody(self) -> None:
+        self.serve_unmarked()
+        self.each_cut(
+            lambda: self.assertNotEqual(
+                routed_calls.Reachability.ACCEPTS,
+                self.client.identify(self.upstream),
+            )
+        )
+
+    def test_request_is_not_sent_after_a_part_of_a_report(self) -> None:
+        self.serve_unmarked()
+        self.each_cut(
+            lambda: self.assertRaises(errors.NoUpstream, self.check_process)
+        )
