Soak: upstreams answer uploads before they have read them

Two callers send 400 kB all the time; plain upstreams answer 70% of what they get of it at the head of the request: a half or all of the body, with a length, in chunks or without a mark, then a reset; or all of it, in order. Checked as all answers are. The limit of the body that the configuration changes is 4 or 500 kB instead of 4 or 100, so that the larger one allows such uploads.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -403,6 +403,23 @@
             )
         )
 
+    async def upload(self) -> None:
+        """Sends a body that upstreams may answer before they have read it.
+
+        Some versions of the configuration have a limit below it.
+        """
+        kind = self.generator.choice(("tool", "safe"))
+        await self.send(
+            Sending(
+                "upload",
+                "anna",
+                operators.key_of("anna"),
+                operators.SAFE_ATTEMPTS if kind == "safe" else 1,
+                target=f"/{kind}/x",
+                body=b"u" * upstreams.UPLOAD_BYTES,
+            )
+        )
+
     async def stream(
         self, customer: str, large: bool = False, slow: bool = False
     ) -> None:
--- a/testing/soak/changes.py
+++ b/testing/soak/changes.py
@@ -22,8 +22,8 @@
 # that a stall of the machine doesn't make one look like the other.
 _TIMEOUT_MS = {SHORT: 400, LONG: 2800}
 _LEAST_LONG_SECONDS = 2.4
-# Limits of the body, one below and one above that of the probe.
-_BODY_LIMITS = (4_000, 100_000)
+# Limits of the body, one below that of the probe and one above all bodies.
+_BODY_LIMITS = (4_000, 500_000)
 _PROBED_BODY_BYTES = 20_000
 # Weights of the alternative service, of 100. With 0 and 100 each single request
 # shows them, with others only many do.
--- a/testing/soak/links.py
+++ b/testing/soak/links.py
@@ -37,7 +37,7 @@
     data: bytes
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; `abort` alone would close it in order."""
     sock = writer.get_extra_info("socket")
     with contextlib.suppress(OSError):
@@ -188,7 +188,7 @@
     def abort(self) -> None:
         """Resets all connections."""
         for writer in list(self.writers):
-            _reset(writer)
+            reset(writer)
 
     def _begin_to_accept(self) -> None:
         self.acceptor = asyncio.create_task(self._accept_forever())
@@ -212,7 +212,7 @@
         self.unreached.discard(peer)
         if self.refuses:
             self.unreached.add(peer)
-            _reset(writer)
+            reset(writer)
             return
         host, _, port = self.target.rpartition(":")
         try:
@@ -221,7 +221,7 @@
             )
         except (OSError, asyncio.CancelledError):
             self.unreached.add(peer)
-            _reset(writer)
+            reset(writer)
             return
         silence = Silence()
         self.silences.add(silence)
@@ -236,7 +236,7 @@
         except (OSError, asyncio.CancelledError):
             # Connections are cancelled when the soak ends.
             for one in pair:
-                _reset(one)
+                reset(one)
         finally:
             for pump in pumps:
                 pump.cancel()
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -113,14 +113,13 @@
             engine.slots = _LONG_SLOTS
         for engine in (*self.engines, *self.long_engines):
             engine.sends_unasked = True
-        self.upstreams = [
-            *self.engines,
-            *self.long_engines,
-            *(
-                upstreams.Upstream(f"desk-{number}", "desk", recorder, clients)
-                for number in range(1, 4)
-            ),
+        desks = [
+            upstreams.Upstream(f"desk-{number}", "desk", recorder, clients)
+            for number in range(1, 4)
         ]
+        for desk in desks:
+            desk.answers_early = True
+        self.upstreams = [*self.engines, *self.long_engines, *desks]
         # Without faults of their own: they show what the configuration does.
         self.calm_upstreams = [
             upstreams.Upstream(
@@ -279,6 +278,8 @@
             callers.probe_change,
             callers.probe_change,
             callers.probe_timeout,
+            callers.upload,
+            callers.upload,
         ):
             self._spawn(callers.forever(act))
         self._spawn(self.operator.push_forever())
--- a/testing/soak/upstreams.py
+++ b/testing/soak/upstreams.py
@@ -46,6 +46,10 @@
 # Part of the requests on a connection that was used before which an answer to
 # nobody precedes.
 _UNASKED_PART = 0.03
+# Size from which a body is an upload, and the part of them that an upstream
+# answers before it has read them.
+UPLOAD_BYTES = 400_000
+_EARLY_PART = 0.7
 LENGTH = "length"
 CHUNKS = "chunks"
 CLOSE = "close"
@@ -133,6 +137,31 @@
     return numbers, True
 
 
+class Early(NamedTuple):
+    """How an upstream answers an upload before it has read it.
+
+    Attributes:
+        framing: What ends the body; see `Form`.
+        is_whole: Whether it sends the whole body.
+        is_reset: Whether it resets the connection then; else it reads on, and
+            ends its own side before if nothing else ends the body.
+    """
+
+    framing: str
+    is_whole: bool
+    is_reset: bool
+
+
+def early_of(request: str, upstream: str) -> Early | None:
+    """Returns how an upstream answers an upload early; None for not so."""
+    generator = random.Random(f"{request} at {upstream}, early")
+    if generator.random() >= _EARLY_PART:
+        return None
+    framing = generator.choice((LENGTH, CHUNKS, CLOSE))
+    is_reset = generator.random() < 0.5
+    return Early(framing, not is_reset or generator.random() < 0.5, is_reset)
+
+
 def unasked_answer(request: str, upstream: str) -> bytes:
     """Returns an answer to nobody before that to a request; mostly none."""
     generator = random.Random(f"{request} at {upstream}, before")
@@ -268,6 +297,7 @@
         slowness: Time of its work as a multiple of the usual time.
         reads_slowly: Whether it pauses before it reads a body.
         sends_unasked: Whether it sends answers that nobody asked for.
+        answers_early: Whether it answers uploads before it has read them.
         tasks: Its connections.
         crash_number: Number of crashes under requests.
         crash_task: The latest of them, until it has restarted.
@@ -299,6 +329,7 @@
         self.slowness = 1.0
         self.reads_slowly = False
         self.sends_unasked = False
+        self.answers_early = False
         self.draining_since = 0.0
         self.server: asyncio.Server | None = None
         self.crash_number = 0
@@ -440,6 +471,9 @@
             with contextlib.suppress(*ended):
                 while True:
                     head, headers = await hosted_processes.read_head(reader)
+                    if early := self._early(headers):
+                        await self._answer_early(early, headers, reader, writer)
+                        continue
                     if self.reads_slowly:
                         await asyncio.sleep(_SLOW_READ_SECONDS)
                     body = await hosted_processes.read_body(reader, headers)
@@ -502,6 +536,51 @@
                 write_part(writer, form, text[:cut])
                 await self._end(request, form, cut < len(text), writer)
 
+    def _early(self, headers: dict) -> Early | None:
+        """Returns how it answers a request early; None for not so."""
+        is_upload = int(headers.get("content-length", 0)) >= UPLOAD_BYTES
+        is_expected = headers.get("x-expect-instance") == self.name
+        if not (self.answers_early and is_upload and is_expected):
+            return None
+        if self.is_full():
+            return None
+        return early_of(headers["x-request-id"], self.name)
+
+    async def _answer_early(
+        self,
+        early: Early,
+        headers: dict,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answers an upload before it has read it.
+
+        Raises:
+            EOFError: Its connection ends with it.
+        """
+        request = headers["x-request-id"]
+        self.observer.run_began(
+            request, self.name, headers.get("x-tenant", ""), b""
+        )
+        with self._counted(headers):
+            form = Form(early.framing)
+            text = plain_body(request)
+            common = f"X-Request-Id: {request}\r\nX-Response-Signature: s\r\n"
+            writer.write(head_of(form, common, text))
+            sent = text if early.is_whole else text[: len(text) // 2]
+            write_part(writer, form, sent)
+            if early.is_whole and form.framing == CHUNKS:
+                writer.write(b"0\r\n\r\n")
+            if early.is_reset:
+                self.observer.broke_off(request)
+                links.reset(writer)
+                raise EOFError
+            if form.framing == CLOSE:
+                writer.write_eof()
+            await hosted_processes.read_body(reader, headers)
+            if form.framing == CLOSE:
+                raise EOFError
+
     def is_full(self) -> bool:
         """Returns whether it refuses requests."""
         return self.running >= RUNNING_PER_SLOT * self.slots
