Tests: parts of replies between the product's own processes

Held before: a reply is a frame of known length, of which no part is one. At each byte of it the connection ends in order or is reset; the outcome is unknown.

--- a/testing/test_streams.py
+++ b/testing/test_streams.py
@@ -1,5 +1,6 @@
 """Tests streams between processes over loopback sockets."""
 
+import socket
 import struct
 
 import eventlet
@@ -320,6 +321,49 @@
         self.assert_closed_after(2 * frame(1, config_messages.ReadManifest()))
 
 
+class CutReplyTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.reply = streams_frames.pack(
+            1, streams_frames.DATA, codec.encode(identities.Done("whole"))
+        )
+
+    def serve(self, size: int, ends: bool) -> None:
+        """Sends a part of a reply; then ends in order, or resets."""
+        sock, _ = self.listener.accept()
+        sock.recv(1)
+        sock.sendall(self.reply[:size])
+        if not ends:
+            # What is unread besides would reset it, too.
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        else:
+            sock.recv(4096)
+        sock.close()
+
+    def ask(self, size: int, ends: bool) -> identities.Done:
+        server = eventlet.spawn(self.serve, size, ends)
+        client = streams.TcpStreams("127.0.0.1:0", LIMITS)
+        try:
+            host, port = self.listener.getsockname()
+            return client.ask(f"{host}:{port}", config_messages.Ping(), 5.0)
+        finally:
+            client.stop()
+            server.kill()
+
+    def test_part_of_a_reply_of_a_peer_is_none(self) -> None:
+        # Guards against a connection whose end counts as that of a reply.
+        for size in range(len(self.reply)):
+            for ends in (False, True):
+                error = self.assertRaises(
+                    errors.StreamClosed, self.ask, size, ends
+                )
+                self.assertEqual(errors.UNKNOWN, error.outcome)
+        self.assertEqual("whole", self.ask(len(self.reply), True).detail)
+
+
 @hypothesis.given(
     strategies.lists(strategies.binary(max_size=50), max_size=8),
     strategies.integers(1, 20),
