--- a/testing/soak/cut_heads.py
+++ b/testing/soak/cut_heads.py
@@ -221,7 +221,7 @@
     Attributes:
         counts: Number of each result, by the kind of request.
         wrong: Results that must not be.
-        cuts: Answers that were cut.
+        spoilt: Answers that were spoilt, and parts of requests.
     """
 
     def __init__(self, system: System, step: int, ways: int) -> None:
@@ -233,7 +233,7 @@
         self.engine, self.service = system.cutters
         self.counts: dict[str, dict[str, int]] = {}
         self.wrong: list[str] = []
-        self.cuts = 0
+        self.spoilt = 0
 
     def play_path(self, path: str) -> None:
         """Plays one path."""
@@ -273,7 +273,7 @@
         found = kind.ask()
         cutter.cut = None
         cuts = cutter.count - before
-        self.cuts += cuts
+        self.spoilt += cuts
         is_run = any(re.match(kind.runs, one) for one in cutter.requests)
         is_right = (
             found in kind.allowed
@@ -329,7 +329,7 @@
         for size in range(1, len(request), self.step):
             status = send_part(address, request[:size])
             counter[status] += 1
-            self.cuts += 1
+            self.spoilt += 1
             if status not in _REFUSALS:
                 self.wrong.append(f"{start}, {size} bytes: {status}")
         self.counts[f"cut {start}"] = dict(counter)
@@ -523,23 +523,27 @@
     return outcome if outcome and not content else f"wrong: {answer}"
 
 
-def main() -> None:
-    """Runs one path."""
-    path, step, ways = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+def run(make: Callable[[System], Scenario], paths: tuple[str, ...]) -> None:
+    """Plays some paths of a scenario between new processes; prints the result.
+
+    Args:
+        make: Makes the scenario.
+        paths: Its paths.
+    """
     sizes = {"controls": 1, "entries": 1, "engines": 1, "services": 1}
     system = System(**sizes)
     try:
         rig.push(system, rig.MANIFEST)
         rig.wait_ready(system)
-        scenario = Scenario(system, step, ways)
-        for one in PATHS if path == _ALL else (path,):
-            scenario.play_path(one)
+        scenario = make(system)
+        for path in paths:
+            scenario.play_path(path)
     finally:
         codes = system.stop()
     print(
         json.dumps(
             {
-                "cuts": scenario.cuts,
+                "spoilt": scenario.spoilt,
                 "counts": scenario.counts,
                 "wrong": scenario.wrong,
                 "exit codes": codes,
@@ -548,5 +552,14 @@
     )
 
 
+def main() -> None:
+    """Runs one path."""
+    path, step, ways = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+    run(
+        lambda system: Scenario(system, step, ways),
+        PATHS if path == _ALL else (path,),
+    )
+
+
 if __name__ == "__main__":
     main()
--- a/testing/soak/early_replies.py
+++ b/testing/soak/early_replies.py
@@ -18,7 +18,6 @@
 from typing import Any
 from typing import NamedTuple
 
-from bench import rig
 import eventlet
 from testing.soak import cut_heads
 from testing.soak import head_cutter
@@ -277,26 +276,7 @@
 
 def main() -> None:
     """Runs one path."""
-    path = sys.argv[1]
-    sizes = {"controls": 1, "entries": 1, "engines": 1, "services": 1}
-    system = cut_heads.System(**sizes)
-    try:
-        rig.push(system, rig.MANIFEST)
-        rig.wait_ready(system)
-        scenario = Scenario(system, 1, 1)
-        scenario.play_path(path)
-    finally:
-        codes = system.stop()
-    print(
-        json.dumps(
-            {
-                "early": scenario.cuts,
-                "counts": scenario.counts,
-                "wrong": scenario.wrong,
-                "exit codes": codes,
-            }
-        )
-    )
+    cut_heads.run(lambda system: Scenario(system, 1, 1), (sys.argv[1],))
 
 
 if __name__ == "__main__":
--- a/testing/soak/wrong_heads.py
+++ b/testing/soak/wrong_heads.py
@@ -10,10 +10,8 @@
 
 import collections
 import itertools
-import json
 import sys
 
-from bench import rig
 from testing.soak import cut_heads
 from testing.soak import head_cutter
 
@@ -93,25 +91,9 @@
 def main() -> None:
     """Runs one path."""
     group, path, count = sys.argv[1], sys.argv[2], int(sys.argv[3])
-    sizes = {"controls": 1, "entries": 1, "engines": 1, "services": 1}
-    system = cut_heads.System(**sizes)
-    try:
-        rig.push(system, rig.MANIFEST)
-        rig.wait_ready(system)
-        scenario = Scenario(system, group, count)
-        for one in PATHS if path == _ALL else (path,):
-            scenario.play_path(one)
-    finally:
-        codes = system.stop()
-    print(
-        json.dumps(
-            {
-                "spoilt": scenario.cuts,
-                "counts": scenario.counts,
-                "wrong": scenario.wrong,
-                "exit codes": codes,
-            }
-        )
+    cut_heads.run(
+        lambda system: Scenario(system, group, count),
+        PATHS if path == _ALL else (path,),
     )
 
 
--- a/testing/test_cut_heads.py
+++ b/testing/test_cut_heads.py
@@ -34,7 +34,7 @@
 def test_head_that_stops_is_never_taken_for_a_whole_one() -> None:
     # Guards against answers that are whole or "not run" without being so.
     found = _run("testing.soak.cut_heads", "all")
-    assert found["cuts"] > 0, found
+    assert found["spoilt"] > 0, found
     assert found["wrong"] == [], found
     assert set(found["exit codes"].values()) == {0}, found
 
