Tests: early answers beside ordinary requests; a whole body before a reset counts

Found by reading the change again. The play took an unmarked answer for right if all of its body came before the reset, though nothing shows the caller that it did: that is wrong now unless the request was sent again. While each answer is played, ordinary requests are sent one after the other and have to be served in full; a way that wasn't played fails. A close right behind the end of the upstream's side, with the upload unread, is new among the whole answers.

The stand-in uses the hooks of the soak's upstream instead of a copy of its loop.

--- a/testing/soak/early_answers.py
+++ b/testing/soak/early_answers.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import enum
 import fcntl
 import json
 import pathlib
@@ -22,7 +23,7 @@
 from bench import hosted_processes
 from testing.soak import client
 from testing.soak import event_loop
-from testing.soak import head_cutter
+from testing.soak import links
 from testing.soak import routed
 from testing.soak import upstreams
 
@@ -39,55 +40,74 @@
 _FAILED = "500 No"
 
 
+class Step(enum.Enum):
+    """What an upstream does after its answer."""
+
+    PAUSE = enum.auto()
+    # Ends its own side of the connection.
+    END = enum.auto()
+    # Reads the rest of the upload.
+    READ = enum.auto()
+    # Waits until the system holds a part of the upload, which stays unread.
+    LEAVE_UNREAD = enum.auto()
+    CLOSE = enum.auto()
+    RESET = enum.auto()
+
+
 class Way(NamedTuple):
     """How an upstream answers.
 
     Attributes:
         framing: What ends the body; see `upstreams.Form`.
-        ends: What it does after the answer, in order; see `Upstream`.
+        steps: What it does after the answer, in order.
         is_whole: Whether it sends the whole body.
         status: Status of the answer.
         sizes: Sizes of the requests' bodies.
     """
 
     framing: str
-    ends: tuple[str, ...]
+    steps: tuple[Step, ...]
     is_whole: bool = True
     status: str = "200 OK"
     sizes: tuple[int, ...] = SIZES
 
 
-_RESET, _PAUSE, _END, _READ, _CLOSE = "reset", "pause", "end", "read", "close"
-_FILL = "fill"
+_ORDINARY = Way(upstreams.LENGTH, (Step.READ,))
 _FRAMINGS = (upstreams.CLOSE, upstreams.LENGTH, upstreams.CHUNKS)
 _MARKED = (upstreams.LENGTH, upstreams.CHUNKS)
 GROUPS = {
     "broken": [
-        *(Way(one, (_RESET,), is_whole=False) for one in _FRAMINGS),
-        Way(upstreams.CLOSE, (_PAUSE, _RESET), is_whole=False),
+        *(Way(one, (Step.RESET,), is_whole=False) for one in _FRAMINGS),
+        Way(upstreams.CLOSE, (Step.PAUSE, Step.RESET), is_whole=False),
         # The system resets the connection, as a part of the upload is unread.
-        Way(upstreams.CLOSE, (_FILL, _CLOSE), is_whole=False, sizes=SIZES[-1:]),
+        Way(
+            upstreams.CLOSE,
+            (Step.LEAVE_UNREAD, Step.CLOSE),
+            is_whole=False,
+            sizes=SIZES[-1:],
+        ),
         # All has come, and nothing but the reset tells that no more follows.
-        Way(upstreams.CLOSE, (_RESET,)),
+        Way(upstreams.CLOSE, (Step.RESET,)),
     ],
     "whole": [
-        *(Way(one, (_PAUSE, _READ)) for one in _MARKED),
-        *(Way(one, (_END, _READ)) for one in _FRAMINGS),
-        Way(upstreams.CLOSE, (_PAUSE, _END, _READ)),
-        *(Way(one, (_END, _PAUSE, _CLOSE)) for one in _FRAMINGS),
-        *(Way(one, (_RESET,)) for one in _MARKED),
-        Way(upstreams.CLOSE, (_END, _READ), status=_FAILED),
+        *(Way(one, (Step.PAUSE, Step.READ)) for one in _MARKED),
+        *(Way(one, (Step.END, Step.READ)) for one in _FRAMINGS),
+        Way(upstreams.CLOSE, (Step.PAUSE, Step.END, Step.READ)),
+        *(Way(one, (Step.END, Step.PAUSE, Step.CLOSE)) for one in _FRAMINGS),
+        # The reset comes right behind the end.
+        Way(
+            upstreams.CLOSE,
+            (Step.LEAVE_UNREAD, Step.END, Step.CLOSE),
+            sizes=SIZES[-1:],
+        ),
+        *(Way(one, (Step.RESET,)) for one in _MARKED),
+        Way(upstreams.CLOSE, (Step.END, Step.READ), status=_FAILED),
     ],
 }
 
 
 class Upstream(upstreams.Upstream):
-    """An upstream whose next answer comes as soon as the head of its request.
-
-    After it, it pauses, ends its side of the connection, reads the rest of the
-    upload, waits for a part of it that it leaves unread, closes the connection
-    or resets it.
-    """
+    """An upstream whose answers come as soon as the heads of their requests."""
 
     scenario: "Scenario"
 
@@ -104,74 +124,39 @@
         self.server = await asyncio.start_server(self._serve, sock=sock)
         self.link.target = "{}:{}".format(*sock.getsockname())
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                head, headers = await hosted_processes.read_head(reader)
-                way = None
-                if "x-request-id" in headers:
-                    way = self.scenario.take(headers["x-request-id"])
-                if way is not None:
-                    await self._answer_early(way, headers, reader, writer)
-                    continue
-                body = await hosted_processes.read_body(reader, headers)
-                await self._answer(head, headers, body, writer)
-        except (OSError, EOFError):
-            pass
-        finally:
-            writer.close()
-
-    async def _answer(
-        self,
-        head: str,
-        headers: dict,
-        body: bytes,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        if "x-request-id" in headers:
-            writer.write(self._bytes(Way(upstreams.LENGTH, ()), headers))
-        else:
-            await super()._answer(head, headers, body, writer)
+    def _early(self, headers: dict) -> Way | None:
+        if "x-request-id" not in headers:
+            return None
+        size = int(headers.get("content-length", 0))
+        return self.scenario.take(headers["x-request-id"], size)
 
     async def _answer_early(
         self,
-        way: Way,
+        early: Way,
         headers: dict,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Answers before the body of the request is read.
-
-        Raises:
-            EOFError: The connection has ended.
-        """
-        writer.write(self._bytes(way, headers))
+        writer.write(self._bytes(early, headers))
         await writer.drain()
-        for step in way.ends:
+        for step in early.steps:
             match step:
-                case "pause":
+                case Step.PAUSE:
                     await asyncio.sleep(_PAUSE_SECONDS)
-                case "end":
+                case Step.END:
                     writer.write_eof()
-                case "fill":
+                case Step.READ:
+                    await hosted_processes.read_body(reader, headers)
+                case Step.LEAVE_UNREAD:
                     while not _unread_bytes(writer):
                         await asyncio.sleep(_POLL_SECONDS)
-                case "read":
-                    await hosted_processes.read_body(reader, headers)
-                case "close":
+                case Step.CLOSE:
                     raise EOFError
-                case "reset":
-                    writer.get_extra_info("socket").setsockopt(
-                        socket.SOL_SOCKET,
-                        socket.SO_LINGER,
-                        head_cutter.NO_LINGER,
-                    )
-                    writer.transport.abort()
+                case Step.RESET:
+                    links.reset(writer)
                     raise EOFError
         # No answer could be sent to a later request.
-        if _END in way.ends:
+        if Step.END in early.steps:
             raise EOFError
 
     def _bytes(self, way: Way, headers: dict) -> bytes:
@@ -213,7 +198,8 @@
     """The processes, upstreams and callers of one run.
 
     Attributes:
-        way: How the next request is answered; None for as usual.
+        way: How the next request with a body of `size` is answered; None for
+            as usual.
         ran: Number of times that upstreams have had a request.
         counts: What callers got, by way.
         wrong: What they must not get.
@@ -227,13 +213,16 @@
         for upstream in self.system.upstreams:
             upstream.scenario = self
         self.way: Way | None = None
+        self.size = 0
         self.ran: collections.Counter[str] = collections.Counter()
         self.counts: dict[str, collections.Counter[str]] = {}
         self.wrong: list[str] = []
 
-    def take(self, request: str) -> Way | None:
+    def take(self, request: str, size: int) -> Way:
         """Returns how a request is answered; the next one isn't like that."""
         self.ran[request] += 1
+        if self.way is None or size != self.size:
+            return _ORDINARY
         way, self.way = self.way, None
         return way
 
@@ -244,7 +233,7 @@
             await self.system.start()
             async with asyncio.timeout(_READY_SECONDS):
                 for kind in kinds:
-                    while await self._ask(kind, None, 1) != "whole":
+                    while await self._ask(kind) != "whole":
                         await asyncio.sleep(0.1)
             self.wrong.clear()
             for way in GROUPS[group]:
@@ -258,17 +247,23 @@
             await self.system.stop()
 
     async def _play(self, kind: str, way: Way, size: int) -> None:
-        """Plays one answer, after one that leaves a connection to be used."""
+        """Plays one answer, after an ordinary one and beside such."""
         counts = self.counts.setdefault(str(way), collections.Counter())
-        before = await self._ask(kind, None, 1)
-        if before != "whole":
-            counts[f"{kind}, before it: {before}"] += 1
-        found = await self._ask(kind, way, size)
-        counts[f"{kind} {size}: {found}"] += 1
-
-    async def _ask(self, kind: str, way: Way | None, size: int) -> str:
+        # It leaves a connection to be used again.
+        found = [await self._ask(kind)]
+        self.way, self.size = way, size
+        asked = asyncio.create_task(self._ask(kind, way, size))
+        while not asked.done():
+            found.append(await self._ask(kind))
+        counts[f"{kind} {size}: {await asked}"] += 1
+        if self.way is not None:
+            self.wrong.append(f"{kind}, {size} bytes, {way}: not played")
+        for one in found:
+            if one != "whole":
+                counts[f"{kind}, beside it: {one}"] += 1
+
+    async def _ask(self, kind: str, way: Way = _ORDINARY, size: int = 1) -> str:
         """Sends a request; returns what its caller got."""
-        self.way = way
         request, outcome = await self.system.ask(
             kind, _EVENTS, version=self.version, body=b"x" * size
         )
@@ -278,18 +273,20 @@
         return found.partition(":")[0]
 
     def _judge(
-        self, kind: str, request: str, way: Way | None, outcome: client.Outcome
+        self, kind: str, request: str, way: Way, outcome: client.Outcome
     ) -> str:
         """Returns what a caller got; what must not be begins with `wrong`."""
         ran = self.ran[request]
-        is_owed = way is None or way in GROUPS["whole"]
+        is_owed = way not in GROUPS["broken"]
         is_once = kind in (routed.UNSAFE, routed.STREAM) or is_owed
         if (is_once and ran > 1) or (outcome.status in routed.PROMISES and ran):
             return f"wrong: ran {ran} times, status {outcome.status}"
-        status = 500 if way is not None and way.status == _FAILED else 200
+        status = 500 if way.status == _FAILED else 200
         if outcome.status != status or not outcome.whole:
             found = "cut" if outcome.status == status else str(outcome.status)
             return f"wrong: {outcome}" if is_owed else found
+        if not is_owed and ran == 1:
+            return f"wrong: nothing shows that it is whole: {outcome}"
         due = upstreams.plain_body(request)
         if kind not in routed.PLAIN:
             due = b"".join(_events(request, 0))
