--- a/src/mintcleat/adapters/http1_client.py
+++ b/src/mintcleat/adapters/http1_client.py
@@ -48,8 +48,6 @@
 _INLINE_REQUEST_BYTES = 16 * 1024
 # Requests that a connection remembers.
 _MAX_CARRIED = 16
-# Maximum number of idle connections of one upstream.
-_MAX_IDLE = 64
 # Idle timeout if the upstream does not announce one.
 _IDLE_SECONDS = 4.0
 # Time for which a connection that has carried no request is kept: the upstream
@@ -461,60 +459,3 @@
         if name.lower() == "timeout" and is_number:
             return float(number)
     return 0.0
-
-
-class Pool:
-    """Idle connections by upstream; the last used is reused first."""
-
-    def __init__(self) -> None:
-        self.idle: dict[str, list[Connection]] = {}
-
-    def acquire(self, upstream: str, address: str) -> Connection:
-        """Returns a usable idle connection, or a new one.
-
-        Raises:
-            errors.NoUpstream: The upstream is unreachable.
-        """
-        return self.take_idle(upstream) or connect(address)
-
-    def take_idle(self, upstream: str, request: str = "") -> Connection | None:
-        """Returns a usable idle connection; None if there is none.
-
-        Args:
-            upstream: The upstream.
-            request: Id of the request that it is for. A late answer to an
-                earlier request of that id would be taken for the answer.
-        """
-        connections = self.idle.get(upstream, [])
-        while connections:
-            connection = connections.pop()
-            if connection.is_usable() and request not in connection.carried:
-                return connection
-            connection.close()
-        return None
-
-    def release(self, upstream: str, connection: Connection) -> None:
-        """Returns a connection to the pool; closes it if the pool is full."""
-        connections = self.idle.setdefault(upstream, [])
-        if len(connections) >= _MAX_IDLE:
-            connection.close()
-            return
-        connections.append(connection)
-
-    def discard(self, upstream: str) -> None:
-        """Closes an upstream's idle connections."""
-        for connection in self.idle.pop(upstream, []):
-            connection.close()
-
-    def close_idle(self) -> None:
-        """Closes all idle connections."""
-        for upstream in list(self.idle):
-            self.discard(upstream)
-
-    def close_stale(self) -> None:
-        """Closes idle connections that are not usable any more."""
-        for connections in self.idle.values():
-            for connection in list(connections):
-                if connection.is_stale():
-                    connections.remove(connection)
-                    connection.close()
--- a/src/mintcleat/platform/upstreams.py
+++ b/src/mintcleat/platform/upstreams.py
@@ -13,6 +13,7 @@
 
 from mintcleat.adapters import http1_client
 from mintcleat.adapters import http1_heads
+from mintcleat.adapters import http1_pool
 from mintcleat.domain import answer_ends
 from mintcleat.domain import errors
 from mintcleat.domain import member_messages
@@ -54,7 +55,7 @@
     """
 
     def __init__(self) -> None:
-        self.pool = http1_client.Pool()
+        self.pool = http1_pool.Pool()
         self.on_work: Callable[[float], None] | None = None
 
     def send(
@@ -244,7 +245,7 @@
 
     def __init__(
         self,
-        pool: http1_client.Pool,
+        pool: http1_pool.Pool,
         upstream: member_messages.Registration,
         connection: http1_client.Connection,
         response: http1_heads.ResponseHead,
