Soak: a copy that was asked for by an entry that has ended since isn't the entry's to free

Cause: the check excuses faults that last beyond the moment at which the handle was stated. The trace: all entries were killed at once while the soak's own loop stood still, the last answer of entry-1 came 29.887 s after the start of the load and its callers' connections were reset at 29.952 to 29.954 s; the stand-in stated the handle at 29.983 s, when entry-1 had been started again already. Nobody who ran then had asked for it.

Change: faults since the call for the copy arrived count.

--- a/testing/soak/moving_checks.py
+++ b/testing/soak/moving_checks.py
@@ -136,13 +136,14 @@
     def _check_copy(self, copy: moving_upstreams.Copy) -> None:
         """A copy whose handle is known to its entry is used or freed.
 
-        It can be freed only at its source. A fault that begins shortly before
-        it expires excuses nothing: it was to be freed by then.
+        It can be freed only at its source. An entry that ended after it had
+        asked for the copy doesn't know the handle. A fault that begins shortly
+        before it expires excuses nothing: it was to be freed by then.
         """
         request = copy.run.request
         free_at = copy.expires_at - _FREED_BEFORE_SECONDS
         is_disturbed = any(
-            fault.start <= free_at and fault.end >= copy.told_at
+            fault.start <= free_at and fault.end >= copy.asked_at
             for fault in self._faults({self._entry(request), copy.source.name})
         )
         is_lost = copy.source_lost_at <= free_at
--- a/testing/soak/moving_upstreams.py
+++ b/testing/soak/moving_upstreams.py
@@ -102,6 +102,7 @@
         destination: The upstream that holds it; None if only the source does.
         source_lost_at: When the source has crashed since; infinity if not.
         expires_at: Monotonic time from which it can't be used.
+        asked_at: When the call arrived that was answered so.
         told_at: When its handle was stated in a prompt answer; 0 before.
         is_usable: Whether the run has been stopped with it.
         end: How it ended: `used`, `freed`, `expired`, `crashed` or empty.
@@ -120,6 +121,7 @@
         self.destination = destination
         self.source_lost_at = math.inf
         self.expires_at = 0.0
+        self.asked_at = 0.0
         self.told_at = 0.0
         self.is_usable = False
         self.end = ""
@@ -506,7 +508,7 @@
         answer = {"handle": copy.handle, "made": run.made} if has_handle else {}
         _write_answer(writer, status, answer)
         if has_handle and not is_late:
-            copy.told_at = time.monotonic()
+            copy.asked_at, copy.told_at = began, time.monotonic()
         if copy is not None and fields["last"]:
             await self.observer.reached("stopped", copy, run)
 
