Soak: a planned stop waits until the process has a handler for SIGTERM

Cause: a fault of the moves killed entry-1 and started it again at 25.19 s after the start of the run; the SIGTERM of term_entries_in_turn came at 25.40 s, while the interpreter was still starting and had no handler. Such a process has taken nothing yet, and no program can choose its exit code then. The soak waits for that before SIGHUP already.

Change: Node.stop waits for the handler, of the process that runs when it is there. The code must be 0 as before.

--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -211,17 +211,21 @@
             one._replace(end=min(one.end, now)) for one in self.interruptions
         ]
 
-    async def until_ignoring_hangup(self) -> None:
-        """Waits until SIGHUP doesn't end the process that was started.
+    async def until_handling(self, number: int) -> None:
+        """Waits until a signal doesn't end the process that was started.
 
-        The interpreter itself needs some time before it can ignore a signal.
+        The interpreter itself needs some time before it can handle signals.
         """
+        if self.process is None:
+            return
         path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        bit = 1 << (signal.SIGHUP - 1)
+        bit = 1 << (number - 1)
         for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
-            fields = dict(
-                line.split(":", 1) for line in path.read_text().splitlines()
-            )
+            try:
+                text = path.read_text()
+            except (FileNotFoundError, ProcessLookupError):
+                return
+            fields = dict(line.split(":", 1) for line in text.splitlines())
             handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
             if handled & bit:
                 return
@@ -239,7 +243,10 @@
 
         The code is 0 if another fault has killed the process before its end.
         """
-        process = self.process
+        process = None
+        while process is not self.process:
+            process = self.process
+            await self.until_handling(signal.SIGTERM)
         self.signal(signal.SIGTERM)
         for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
             if process is None or self.process is not process:
--- a/testing/soak/stops.py
+++ b/testing/soak/stops.py
@@ -120,7 +120,7 @@
     ) -> None:
         node.kill()
         node.start()
-        await node.until_ignoring_hangup()
+        await node.until_handling(signal.SIGHUP)
         for _ in range(5):
             node.signal(signal.SIGHUP)
             await asyncio.sleep(generator.uniform(0.0, 0.2))
